--- /dev/null
+++ b/Makefile
@@ -0,0 +1,101 @@
+# daisyledge: one plain makefile, for GNU make and for BSD make.
+#
+#   make            the binary and the library
+#   make deps       install what Debian has of the libraries used; nothing
+#                   happens where all are there
+#   make check      every test program; verdict by exit status
+#   make demo       a whole deployment of fakes on this machine
+#   make bench      one line "name<TAB>value<TAB>unit" a figure
+#   make lint       clang-tidy and cppcheck
+#   make format     rewrite the sources in the house format
+
+CC = cc
+OPT = -O2 -g
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Wpointer-arith -Wno-unused-parameter -Werror
+PKGS = libuv msgpack jansson glib-2.0 libxxhash libcrypto
+CPPF = -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -Iinclude -Isrc
+PKGF != pkg-config --cflags $(PKGS) check 2>/dev/null || true
+PKGL != pkg-config --libs $(PKGS) 2>/dev/null || true
+CHECKL != pkg-config --libs check 2>/dev/null || true
+ALLF = -std=gnu11 $(OPT) $(WARN) $(CPPF) $(PKGF) $(CFLAGS) -MMD
+LIBS = -lh2o -lssl -llog4c $(PKGL) -lm $(LDFLAGS)
+
+# The embeddable library holds what does no input or output.
+LIBSRC != ls src/base/*.c src/coordination/*.c src/state/*.c 2>/dev/null || true
+IOSRC != ls src/transport/*.c src/protocol/*.c 2>/dev/null || true
+MAINSRC != ls src/main/*.c 2>/dev/null || true
+FAKESRC != ls test/fake/*.c 2>/dev/null || true
+TESTSRC != ls test/test_*.c 2>/dev/null || true
+TOOLSRC != ls test/tool_*.c 2>/dev/null || true
+BENCHSRC != ls bench/bench_*.c 2>/dev/null || true
+EXSRC != ls examples/*.c 2>/dev/null || true
+
+LIBOBJ = $(LIBSRC:.c=.o)
+IOOBJ = $(IOSRC:.c=.o)
+MAINOBJ = $(MAINSRC:.c=.o)
+FAKEOBJ = $(FAKESRC:.c=.o)
+TESTS = $(TESTSRC:.c=)
+TOOLS = $(TOOLSRC:.c=)
+BENCHES = $(BENCHSRC:.c=)
+EXAMPLES = $(EXSRC:.c=)
+ARCHIVES = libdlfake.a libdlio.a libdaisyledge.a
+SOURCES = $(LIBSRC) $(IOSRC) $(MAINSRC) $(FAKESRC) $(TESTSRC) $(TOOLSRC) \
+	$(BENCHSRC) $(EXSRC)
+HEADERS != ls include/daisyledge/*.h src/*/*.h test/fake/*.h 2>/dev/null || true
+
+all: daisyledge $(EXAMPLES)
+
+.SUFFIXES: .c .o
+.c.o:
+	$(CC) $(ALLF) -c -o $@ $<
+.c:
+	$(CC) $(ALLF) -Itest -o $@ $< $(ARCHIVES) $(CHECKL) $(LIBS)
+
+libdaisyledge.a: $(LIBOBJ)
+	rm -f $@ && ar rcs $@ $(LIBOBJ)
+libdlio.a: $(IOOBJ)
+	rm -f $@ && ar rcs $@ $(IOOBJ)
+libdlfake.a: $(FAKEOBJ)
+	rm -f $@ && ar rcs $@ $(FAKEOBJ)
+daisyledge: $(MAINOBJ) libdlio.a libdaisyledge.a
+	$(CC) $(ALLF) -o $@ $(MAINOBJ) libdlio.a libdaisyledge.a $(LIBS)
+$(TESTS) $(TOOLS) $(BENCHES) $(EXAMPLES): $(ARCHIVES)
+
+programs: all $(TESTS) $(TOOLS) $(BENCHES)
+
+deps:
+	@sh .ci/deps
+
+check: programs
+	sh test/run.sh $(TESTS)
+
+check-asan:
+	sh test/asan.sh
+
+bench: programs
+	@sh bench/run.sh $(BENCHES)
+
+demo: deps
+	@$(MAKE) programs >build.log 2>&1 || { tail -20 build.log; exit 1; }
+	@sh test/demo.sh $(DEPLOYMENT)
+
+format:
+	clang-format -i $(SOURCES) $(HEADERS)
+format-check:
+	clang-format --dry-run -Werror $(SOURCES) $(HEADERS)
+lint: format-check
+	sh .ci/lint $(SOURCES)
+man-check:
+	sh .ci/man-check
+
+clean:
+	rm -rf build build.log daisyledge *.a src/*/*.[od] test/*.[od] \
+		test/fake/*.[od] bench/*.d examples/*.d $(TESTS) $(TOOLS) \
+		$(BENCHES) $(EXAMPLES)
+
+.PHONY: all programs deps check check-asan bench demo format format-check \
+	lint man-check clean
+
+-include $(LIBOBJ:.o=.d) $(IOOBJ:.o=.d) $(MAINOBJ:.o=.d) $(FAKEOBJ:.o=.d)
+-include $(TESTS:=.d) $(TOOLS:=.d) $(BENCHES:=.d)
--- /dev/null
+++ b/include/daisyledge/call.h
@@ -0,0 +1,109 @@
+/*
+ * Calls that tell the truth: what an attempt came to, whether another may be
+ * made, and which bytes of a stream belong where.  Pure.
+ */
+#ifndef DAISYLEDGE_CALL_H
+#define DAISYLEDGE_CALL_H
+
+#include "daisyledge/base.h"
+
+/* What an attempt came to, as the caller is told. */
+enum dl_outcome {
+	DL_OUTCOME_DONE,
+	DL_OUTCOME_FAILED,  /* it ran and failed */
+	DL_OUTCOME_NOT_RUN, /* provably did not run */
+	DL_OUTCOME_UNKNOWN,
+	DL_OUTCOME_COUNT,
+};
+
+/* "done", "failed", "not-run", "unknown". */
+const char *dl_outcome_name(enum dl_outcome outcome);
+
+/* How much of the request left this VM. */
+enum dl_sent {
+	DL_SENT_NOTHING,
+	DL_SENT_PART,
+	DL_SENT_ALL,
+	DL_SENT_COUNT
+};
+
+/* How much of the answer came. */
+enum dl_received {
+	DL_RECV_NOTHING,
+	DL_RECV_HEAD, /* a status, and perhaps a part of the body */
+	DL_RECV_WHOLE,
+	DL_RECV_NOT_RUN, /* the endpoint itself says that it did not run */
+	DL_RECV_COUNT,
+};
+
+/* How the attempt ended. */
+enum dl_broke {
+	DL_BROKE_NOTHING,
+	DL_BROKE_CONNECT, /* refused, unreachable, timed out connecting */
+	DL_BROKE_RESET,	  /* reset or closed early */
+	DL_BROKE_SILENT,  /* longer silence than allowed */
+	DL_BROKE_DEADLINE,
+	DL_BROKE_CALLER,  /* the caller left */
+	DL_BROKE_GARBLED, /* not an answer, or another request's */
+	DL_BROKE_COUNT,
+};
+
+/* One attempt, for the table of outcomes. */
+struct dl_attempt {
+	enum dl_sent sent;
+	enum dl_received received;
+	enum dl_broke broke;
+	uint16_t status; /* HTTP status where a head came */
+};
+
+enum dl_outcome dl_call_outcome(const struct dl_attempt *attempt);
+
+/* What may be done after an attempt that did not succeed. */
+enum dl_next {
+	DL_NEXT_ANSWER, /* tell the caller now */
+	DL_NEXT_RETRY,	/* ask for another endpoint, begin again */
+	DL_NEXT_RESUME, /* same endpoint, new connection, at the offset */
+};
+
+/* The retry budget of a service: retries as a share of first tries. */
+struct dl_retry_budget {
+	uint32_t permille;
+	uint32_t burst;
+	uint64_t credit; /* thousandths of a retry */
+};
+
+void dl_retry_budget_init(struct dl_retry_budget *budget, uint32_t permille,
+			  uint32_t burst);
+void dl_retry_budget_first(struct dl_retry_budget *budget);
+bool dl_retry_budget_take(struct dl_retry_budget *budget);
+
+/* What the decision about a next attempt looks at. */
+struct dl_call_state {
+	bool idempotent;
+	bool resumable;	   /* the endpoint resumes streams at an offset */
+	uint32_t attempts; /* made so far */
+	uint64_t bytes_to_caller; /* of the answer already passed on */
+	int64_t deadline;
+	uint32_t expected_ms; /* what another attempt needs */
+};
+
+enum dl_next dl_call_next(const struct dl_call_state *state,
+			  const struct dl_attempt *attempt,
+			  struct dl_retry_budget *budget, int64_t now);
+
+/* Bytes of a stream by offset: late and repeated ones are dropped. */
+struct dl_stream {
+	uint64_t request;
+	uint64_t incarnation; /* of the connection that may speak */
+	uint64_t offset;      /* next byte expected */
+};
+
+/*
+ * Accept bytes that claim to begin at an offset: returns how many of the
+ * first ones to skip, or -EBADMSG (another request or an old connection) or
+ * -ENODATA (a gap).
+ */
+int64_t dl_stream_accept(struct dl_stream *stream, uint64_t request,
+			 uint64_t incarnation, uint64_t offset, size_t n);
+
+#endif
--- /dev/null
+++ b/src/base/msg.h
@@ -0,0 +1,46 @@
+/*
+ * The central list of what the system says in its logs: one line a message,
+ * with its level and the part at which it arises.  Kept sorted by part.
+ */
+#ifndef DL_BASE_MSG_H
+#define DL_BASE_MSG_H
+
+#include "daisyledge/base.h"
+
+/* X(name, level, part, text) */
+#define DL_MSG_LIST(X)                                                         \
+	/* entry */                                                            \
+	X(ENTRY_START, DL_INFO, "entry", "Started.")                           \
+	X(ENTRY_STOP, DL_INFO, "entry", "Stopping.")                           \
+	X(ENTRY_CONF, DL_INFO, "entry", "Configuration in force.")             \
+	X(ENTRY_LATE, DL_WARN, "entry", "A request ran out of time.")          \
+	/* membership */                                                       \
+	X(MEMB_UP, DL_INFO, "memb", "A VM joined.")                            \
+	X(MEMB_DOWN, DL_WARN, "memb", "A VM is gone.")                         \
+	/* peers */                                                            \
+	X(PEER_UP, DL_DEBUG, "peers", "Connected.")                            \
+	X(PEER_DOWN, DL_INFO, "peers", "Connection lost.")                     \
+	X(PEER_SILENT, DL_WARN, "peers", "Connection silent, replaced.")       \
+	X(PEER_BAD, DL_WARN, "peers", "Bad frame, connection closed.")         \
+	/* pool */                                                             \
+	X(POOL_LEAD, DL_INFO, "pool", "Dispatching begins here.")              \
+	X(POOL_ENDPOINT_UP, DL_INFO, "pool", "An endpoint came.")              \
+	X(POOL_ENDPOINT_GONE, DL_INFO, "pool", "An endpoint went.")            \
+	/* replica */                                                          \
+	X(REPLICA_START, DL_INFO, "replica", "Started.")                       \
+	X(REPLICA_LEADER, DL_INFO, "replica", "Leading.")                      \
+	X(REPLICA_FOLLOWER, DL_INFO, "replica", "Following.")                  \
+	X(REPLICA_DAMAGED, DL_ERROR, "replica", "Stored state damaged.")       \
+	X(REPLICA_DISK, DL_ERROR, "replica", "The disk failed.")
+
+enum dl_msg {
+#define X(name, level, part, text) DL_MSG_##name,
+	DL_MSG_LIST(X)
+#undef X
+	DL_MSG_COUNT,
+};
+
+void dl_msg(enum dl_msg msg, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+#endif
--- /dev/null
+++ b/src/main/main.c
@@ -0,0 +1,42 @@
+/* One binary: each subcommand is a function of this table. */
+#include <stdio.h>
+#include <string.h>
+
+#include "main/main.h"
+
+static const struct dl_subcommand subcommands[] = {
+	{ "version", dl_main_version, "print the version" },
+};
+
+#define SUBCOMMANDS (sizeof(subcommands) / sizeof(subcommands[0]))
+
+static int usage(FILE *to)
+{
+	fprintf(to, "usage: daisyledge SUBCOMMAND [OPTION...]\n");
+	for (size_t i = 0; i < SUBCOMMANDS; i++)
+		fprintf(to, "  %-8s %s\n", subcommands[i].name,
+			subcommands[i].help);
+	fprintf(to, "daisyledge SUBCOMMAND --help tells its options.\n");
+	return to == stdout ? DL_EXIT_OK : DL_EXIT_USAGE;
+}
+
+/* Print the version. */
+int dl_main_version(int argc, char **argv)
+{
+	printf("daisyledge %s\n", DL_VERSION);
+	return DL_EXIT_OK;
+}
+
+/* Find the subcommand and hand it the rest of the line. */
+int main(int argc, char **argv)
+{
+	if (argc < 2)
+		return usage(stderr);
+	if (strcmp(argv[1], "--help") == 0)
+		return usage(stdout);
+	for (size_t i = 0; i < SUBCOMMANDS; i++) {
+		if (strcmp(argv[1], subcommands[i].name) == 0)
+			return subcommands[i].run(argc - 1, argv + 1);
+	}
+	return usage(stderr);
+}
--- /dev/null
+++ b/src/main/main.h
@@ -0,0 +1,25 @@
+/* The subcommands of the binary and their exit statuses. */
+#ifndef DL_MAIN_MAIN_H
+#define DL_MAIN_MAIN_H
+
+#define DL_VERSION "0.1.0"
+
+/* Exit statuses, the same for every subcommand; see daisyledge(1). */
+enum dl_exit {
+	DL_EXIT_OK = 0,
+	DL_EXIT_FAULT = 1,     /* the text, or what was asked, has a fault */
+	DL_EXIT_USAGE = 2,     /* the command line makes no sense */
+	DL_EXIT_CONFLICT = 3,  /* another change won */
+	DL_EXIT_UNREACHED = 4, /* nobody answered, or no quorum */
+	DL_EXIT_WAITING = 5,   /* accepted, not yet in force everywhere */
+};
+
+struct dl_subcommand {
+	const char *name;
+	int (*run)(int argc, char **argv);
+	const char *help;
+};
+
+int dl_main_version(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/src/transport/httpc.h
@@ -0,0 +1,62 @@
+/*
+ * One HTTP request to an endpoint or to an entry, over h2o's client.  A
+ * connection of its own for each call: a pooled one may have gone silent.
+ */
+#ifndef DL_TRANSPORT_HTTPC_H
+#define DL_TRANSPORT_HTTPC_H
+
+#include <uv.h>
+
+#include "daisyledge/base.h"
+#include "daisyledge/call.h"
+
+struct dl_httpc;      /* the client of one loop */
+struct dl_httpc_call; /* one request in flight */
+
+struct dl_header {
+	struct dl_str name;
+	struct dl_str value;
+};
+
+struct dl_httpc_req {
+	uint64_t to; /* address as a packed ip and port */
+	struct dl_str method;
+	struct dl_str path;
+	const struct dl_header *headers; /* beside Host and Content-Length */
+	size_t headers_count;
+	struct dl_str body;  /* must stay until the end of the call */
+	uint32_t connect_ms; /* time to connect */
+	uint32_t gap_ms;     /* longest silence after that */
+	uint32_t head_ms;    /* longest wait for the head; 0: gap_ms */
+};
+
+struct dl_httpc_head {
+	uint16_t status;
+	const struct dl_header *headers;
+	size_t headers_count;
+};
+
+/*
+ * Callbacks of one call: head once, body for each piece, end once and last.
+ * body returns false to pause; dl_httpc_resume() goes on.  broke tells what
+ * ended it; attempt is filled for dl_call_outcome().
+ */
+struct dl_httpc_ops {
+	void (*head)(void *arg, const struct dl_httpc_head *head);
+	bool (*body)(void *arg, struct dl_str piece);
+	void (*end)(void *arg, const struct dl_attempt *attempt,
+		    const struct dl_err *err);
+};
+
+int dl_httpc_open(uv_loop_t *loop, struct dl_httpc **out);
+void dl_httpc_close(struct dl_httpc *client);
+
+/* Start a call; end() is called later, never from within. */
+struct dl_httpc_call *dl_httpc_start(struct dl_httpc *client,
+				     const struct dl_httpc_req *req,
+				     const struct dl_httpc_ops *ops, void *arg);
+void dl_httpc_resume(struct dl_httpc_call *call);
+/* Give up: the connection is closed, no callback follows. */
+void dl_httpc_cancel(struct dl_httpc_call *call);
+
+#endif
