Add the transport, the process settings and the parts every process runs

Each process sends only on connections it opened: crossed connections then need no agreement on which one to keep. h2o reads nothing while a request waits, so a timer looks whether callers have left.

--- /dev/null
+++ b/src/main/log.h
@@ -0,0 +1,13 @@
+/* Logs through log4c: a line a message, prefixed with its part. */
+#ifndef DL_MAIN_LOG_H
+#define DL_MAIN_LOG_H
+
+#include "daisyledge/base.h"
+
+/* Append to a file, or to standard error where path is empty. */
+int dl_main_log_open(const char *path, enum dl_level level);
+void dl_main_log_level(enum dl_level level);
+/* One level louder, from debug back to errors only. */
+void dl_main_log_louder(void);
+
+#endif
--- /dev/null
+++ b/src/protocol/settings.h
@@ -0,0 +1,36 @@
+/*
+ * The settings of one process: a small JSON file, daisyledge-settings(5).
+ */
+#ifndef DL_PROTOCOL_SETTINGS_H
+#define DL_PROTOCOL_SETTINGS_H
+
+#include "daisyledge/base.h"
+
+#define DL_SETTINGS_PEERS_MAX	 64
+#define DL_SETTINGS_REPLICAS_MAX 7
+#define DL_SETTINGS_PATH_MAX	 255
+
+struct dl_settings {
+	struct dl_name name;
+	struct dl_name failure_domain;
+	uint64_t http;	    /* callers' door; 0 on a replica */
+	uint64_t operators; /* operators' door; 0: the callers' one */
+	uint64_t peer;	    /* other VMs' door */
+	uint64_t peers[DL_SETTINGS_PEERS_MAX]; /* asked for the others */
+	uint32_t peers_count;
+	uint64_t replicas[DL_SETTINGS_REPLICAS_MAX];
+	uint32_t replicas_count;
+	char data_folder[DL_SETTINGS_PATH_MAX + 1];
+	char log_file[DL_SETTINGS_PATH_MAX + 1]; /* empty: standard error */
+	enum dl_level log_level;
+	uint32_t buffer_mb; /* request bodies held at once */
+	uint32_t connections_max;
+};
+
+/* 0, or -EINVAL with the key at fault in err; the file is read whole. */
+int dl_settings_load(const char *path, struct dl_settings *out,
+		     struct dl_err *err);
+int dl_settings_parse(struct dl_str text, struct dl_settings *out,
+		      struct dl_err *err);
+
+#endif
--- /dev/null
+++ b/src/transport/httpd.c
@@ -0,0 +1,510 @@
+/* The HTTP server over h2o. */
+#include "transport/httpd.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <h2o.h>
+
+#define PORT_BITS	   16
+#define PORT_MASK	   0xffff
+#define LISTEN_BACKLOG	   1024
+#define STREAM_HIGH	   (256u << 10) /* a slow caller holds no more */
+#define WATCH_PERIOD_MS	   250
+#define STATUS_CALLER_LEFT 499
+
+struct handler {
+	h2o_handler_t super; /* first, h2o hands it back */
+	struct dl_httpd *server;
+};
+
+struct dl_httpd {
+	uv_loop_t *loop;
+	struct dl_httpd_conf conf;
+	const struct dl_httpd_ops *ops;
+	void *arg;
+	h2o_globalconf_t globalconf;
+	h2o_context_t ctx;
+	h2o_accept_ctx_t accept_ctx;
+	uv_tcp_t listener;
+	uv_timer_t watch;
+	struct dl_httpd_req *open;
+	uint32_t conns;
+	bool accepting;
+	bool closing;
+};
+
+struct dl_httpd_req {
+	h2o_generator_t generator; /* first, h2o hands it back */
+	struct dl_httpd *server;
+	struct dl_httpd_req *next, *prev;
+	h2o_req_t *h2o;
+	void *data;
+	bool over; /* answered whole, or its caller has gone */
+	bool streaming;
+	bool sending; /* h2o holds bytes of ours */
+	bool finishing;
+	bool whole;
+	h2o_buffer_t *out;    /* not yet given to h2o */
+	h2o_buffer_t *flight; /* given to h2o */
+};
+
+struct client {
+	uv_tcp_t tcp; /* first */
+	struct dl_httpd *server;
+};
+
+static int on_request(h2o_handler_t *self, h2o_req_t *h2o);
+static void on_proceed(h2o_generator_t *self, h2o_req_t *h2o);
+static void on_stop(h2o_generator_t *self, h2o_req_t *h2o);
+static void on_accept(uv_stream_t *listener, int status);
+static void on_watch(uv_timer_t *timer);
+static void answer(struct dl_httpd_req *req, uint16_t status,
+		   const struct dl_header *headers, size_t count,
+		   struct dl_str body);
+
+static void on_client_closed(uv_handle_t *handle)
+{
+	struct client *client = (struct client *)handle;
+
+	client->server->conns--;
+	free(client);
+}
+
+static void on_refused_closed(uv_handle_t *handle)
+{
+	free(handle);
+}
+
+/* More connections than conf allows are closed before they cost memory. */
+static void on_accept(uv_stream_t *listener, int status)
+{
+	struct dl_httpd *server = listener->data;
+	struct client *client;
+	h2o_socket_t *sock;
+
+	if (status < 0)
+		return;
+	client = calloc(1, sizeof(*client));
+	if (!client)
+		return;
+	uv_tcp_init(server->loop, &client->tcp);
+	client->server = server;
+	if (uv_accept(listener, (uv_stream_t *)&client->tcp) ||
+	    server->conns >= server->conf.conns_max) {
+		uv_close((uv_handle_t *)&client->tcp, on_refused_closed);
+		return;
+	}
+	server->conns++;
+	uv_tcp_nodelay(&client->tcp, 1);
+	sock = h2o_uv_socket_create((uv_stream_t *)&client->tcp,
+				    on_client_closed);
+	h2o_accept(&server->accept_ctx, sock);
+}
+
+static void req_unlink(struct dl_httpd_req *req)
+{
+	if (req->prev)
+		req->prev->next = req->next;
+	else
+		req->server->open = req->next;
+	if (req->next)
+		req->next->prev = req->prev;
+}
+
+/* h2o is done with the request, answered or not. */
+static void on_dispose(void *self)
+{
+	struct dl_httpd_req *req = self;
+
+	if (!req->over && !req->finishing)
+		req->server->ops->gone(req->server->arg, req);
+	if (!req->over)
+		req_unlink(req);
+	if (req->out)
+		h2o_buffer_dispose(&req->out);
+	if (req->flight)
+		h2o_buffer_dispose(&req->flight);
+}
+
+static int on_request(h2o_handler_t *self, h2o_req_t *h2o)
+{
+	struct dl_httpd *server = ((struct handler *)self)->server;
+	struct dl_httpd_req *req;
+
+	req = h2o_mem_alloc_shared(&h2o->pool, sizeof(*req), on_dispose);
+	memset(req, 0, sizeof(*req));
+	req->generator.proceed = on_proceed;
+	req->generator.stop = on_stop;
+	req->server = server;
+	req->h2o = h2o;
+	req->next = server->open;
+	if (req->next)
+		req->next->prev = req;
+	server->open = req;
+	server->ops->request(server->arg, req);
+	return 0;
+}
+
+/* The owner hears of it once, and the request is out of the list. */
+static void caller_gone(struct dl_httpd_req *req)
+{
+	struct dl_httpd *server = req->server;
+
+	if (req->over)
+		return;
+	req->over = true;
+	req_unlink(req);
+	if (!req->finishing)
+		server->ops->gone(server->arg, req);
+}
+
+/* h2o tells of a caller that left only once an answer has begun. */
+static void on_stop(h2o_generator_t *self, h2o_req_t *h2o)
+{
+	caller_gone((struct dl_httpd_req *)self);
+}
+
+static bool socket_closed(h2o_req_t *h2o)
+{
+	h2o_socket_t *sock = h2o->conn->callbacks->get_socket(h2o->conn);
+	char byte;
+	ssize_t n;
+
+	if (!sock)
+		return false;
+	n = recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (n == 0)
+		return true;
+	return n < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+	       errno != EINTR;
+}
+
+/* h2o needs an answer, or its end, to let go of a request. */
+static void let_go(struct dl_httpd_req *req)
+{
+	if (req->streaming)
+		dl_httpd_finish(req, false);
+	else
+		answer(req, STATUS_CALLER_LEFT, NULL, 0, DL_STR(""));
+}
+
+/*
+ * While a request waits for its answer h2o reads nothing, so a caller that
+ * left would go unseen and its work would go on; look at the sockets.
+ */
+static void on_watch(uv_timer_t *timer)
+{
+	struct dl_httpd *server = timer->data;
+	struct dl_httpd_req *req, *next;
+
+	for (req = server->open; req; req = next) {
+		next = req->next;
+		if (req->finishing || !socket_closed(req->h2o))
+			continue;
+		caller_gone(req);
+		let_go(req);
+		next = server->open;
+	}
+}
+
+static void config_init(struct dl_httpd *server)
+{
+	h2o_hostconf_t *host;
+	h2o_pathconf_t *path;
+	struct handler *handler;
+
+	/* Files of its own are not allowed: large bodies stay in memory. */
+	h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
+	h2o_config_init(&server->globalconf);
+	server->globalconf.server_name =
+		h2o_iovec_init(H2O_STRLIT("daisyledge"));
+	server->globalconf.max_request_entity_size = server->conf.body_max;
+	server->globalconf.http1.req_timeout = server->conf.read_ms;
+	server->globalconf.http1.upgrade_to_http2 = 0;
+	host = h2o_config_register_host(&server->globalconf,
+					h2o_iovec_init(H2O_STRLIT("default")),
+					65535);
+	path = h2o_config_register_path(host, "/", 0);
+	handler = (void *)h2o_create_handler(path, sizeof(*handler));
+	handler->super.on_req = on_request;
+	handler->server = server;
+	h2o_context_init(&server->ctx, server->loop, &server->globalconf);
+	server->accept_ctx.ctx = &server->ctx;
+	server->accept_ctx.hosts = server->globalconf.hosts;
+}
+
+static int start_listening(struct dl_httpd *server)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	uint64_t address = server->conf.address;
+	int rc;
+
+	sin.sin_addr.s_addr = htonl((uint32_t)(address >> PORT_BITS));
+	sin.sin_port = htons((uint16_t)(address & PORT_MASK));
+	rc = uv_tcp_bind(&server->listener, (void *)&sin, 0);
+	if (rc)
+		return rc;
+	return uv_listen((uv_stream_t *)&server->listener, LISTEN_BACKLOG,
+			 on_accept);
+}
+
+/* Serve on conf's address; ops must outlive the server. */
+int dl_httpd_open(uv_loop_t *loop, const struct dl_httpd_conf *conf,
+		  const struct dl_httpd_ops *ops, void *arg,
+		  struct dl_httpd **out, struct dl_err *err)
+{
+	struct dl_httpd *server = calloc(1, sizeof(*server));
+	char text[24];
+	int rc;
+
+	if (!server)
+		return dl_err_set(err, -ENOMEM, DL_STEP_NONE, NULL,
+				  "out of memory");
+	server->loop = loop;
+	server->conf = *conf;
+	server->ops = ops;
+	server->arg = arg;
+	config_init(server);
+	uv_tcp_init(loop, &server->listener);
+	server->listener.data = server;
+	uv_timer_init(loop, &server->watch);
+	server->watch.data = server;
+	rc = start_listening(server);
+	if (rc)
+		return dl_err_set(err, rc, DL_STEP_CONNECT,
+				  dl_vm_text(conf->address, text),
+				  "cannot listen: %s", uv_strerror(rc));
+	server->accepting = true;
+	uv_timer_start(&server->watch, on_watch, WATCH_PERIOD_MS,
+		       WATCH_PERIOD_MS);
+	*out = server;
+	return 0;
+}
+
+/* Accept no new connection; those open go on. */
+void dl_httpd_stop_accepting(struct dl_httpd *server)
+{
+	if (!server->accepting)
+		return;
+	server->accepting = false;
+	uv_close((uv_handle_t *)&server->listener, NULL);
+}
+
+/* Stop for good; the process ends soon after, h2o's context is its own. */
+void dl_httpd_close(struct dl_httpd *server)
+{
+	dl_httpd_stop_accepting(server);
+	uv_close((uv_handle_t *)&server->watch, NULL);
+}
+
+/* The method as it was sent. */
+struct dl_str dl_httpd_method(const struct dl_httpd_req *req)
+{
+	return (struct dl_str){ req->h2o->method.base, req->h2o->method.len };
+}
+
+/* The path with its query, as it was sent. */
+struct dl_str dl_httpd_path(const struct dl_httpd_req *req)
+{
+	return (struct dl_str){ req->h2o->path.base, req->h2o->path.len };
+}
+
+/* The body, empty where there is none. */
+struct dl_str dl_httpd_body(const struct dl_httpd_req *req)
+{
+	return (struct dl_str){ req->h2o->entity.base, req->h2o->entity.len };
+}
+
+/* The value of the first header of a (lower-case) name. */
+struct dl_str dl_httpd_header(const struct dl_httpd_req *req, const char *name)
+{
+	ssize_t at = h2o_find_header_by_str(&req->h2o->headers, name,
+					    strlen(name), -1);
+
+	if (at < 0)
+		return (struct dl_str){ "", 0 };
+	return (struct dl_str){
+		req->h2o->headers.entries[at].value.base,
+		req->h2o->headers.entries[at].value.len,
+	};
+}
+
+/* Views of the headers, at most max; returns how many. */
+size_t dl_httpd_headers(const struct dl_httpd_req *req, struct dl_header *out,
+			size_t max)
+{
+	size_t n = req->h2o->headers.size;
+
+	if (n > max)
+		n = max;
+	for (size_t i = 0; i < n; i++) {
+		const h2o_header_t *h = &req->h2o->headers.entries[i];
+
+		out[i].name = (struct dl_str){ h->name->base, h->name->len };
+		out[i].value = (struct dl_str){ h->value.base, h->value.len };
+	}
+	return n;
+}
+
+/* Keep a pointer of the owner's with the request. */
+void dl_httpd_set_data(struct dl_httpd_req *req, void *data)
+{
+	req->data = data;
+}
+
+/* The pointer kept. */
+void *dl_httpd_data(const struct dl_httpd_req *req)
+{
+	return req->data;
+}
+
+static const char *reason_of(uint16_t status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 400:
+		return "Bad Request";
+	case 404:
+		return "Not Found";
+	case 405:
+		return "Method Not Allowed";
+	case 409:
+		return "Conflict";
+	case 412:
+		return "Precondition Failed";
+	case 413:
+		return "Payload Too Large";
+	case 422:
+		return "Unprocessable Content";
+	case 429:
+		return "Too Many Requests";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return "Answer";
+	}
+}
+
+/* Copy the answer's head into h2o's own memory. */
+static void set_head(struct dl_httpd_req *req, uint16_t status,
+		     const struct dl_header *headers, size_t count)
+{
+	h2o_req_t *h2o = req->h2o;
+
+	h2o->res.status = status;
+	h2o->res.reason = reason_of(status);
+	for (size_t i = 0; i < count; i++) {
+		h2o_iovec_t name = h2o_strdup(&h2o->pool, headers[i].name.s,
+					      headers[i].name.n);
+		h2o_iovec_t value = h2o_strdup(&h2o->pool, headers[i].value.s,
+					       headers[i].value.n);
+
+		h2o_strtolower(name.base, name.len);
+		h2o_add_header_by_str(&h2o->pool, &h2o->res.headers, name.base,
+				      name.len, 1, NULL, value.base, value.len);
+	}
+}
+
+static void answer(struct dl_httpd_req *req, uint16_t status,
+		   const struct dl_header *headers, size_t count,
+		   struct dl_str body)
+{
+	static h2o_generator_t none;
+	h2o_req_t *h2o = req->h2o;
+	h2o_iovec_t copy;
+
+	set_head(req, status, headers, count);
+	h2o->res.content_length = body.n;
+	copy = h2o_strdup(&h2o->pool, body.s, body.n);
+	h2o_start_response(h2o, &none);
+	h2o_send(h2o, &copy, 1, H2O_SEND_STATE_FINAL);
+}
+
+/* Answer whole and let go of the request. */
+void dl_httpd_reply(struct dl_httpd_req *req, uint16_t status,
+		    const struct dl_header *headers, size_t count,
+		    struct dl_str body)
+{
+	req->over = true;
+	req_unlink(req);
+	answer(req, status, headers, count, body);
+}
+
+/* Begin a streamed answer. */
+void dl_httpd_begin(struct dl_httpd_req *req, uint16_t status,
+		    const struct dl_header *headers, size_t count,
+		    size_t length)
+{
+	set_head(req, status, headers, count);
+	req->h2o->res.content_length = length;
+	req->streaming = true;
+	h2o_buffer_init(&req->out, &h2o_socket_buffer_prototype);
+	h2o_buffer_init(&req->flight, &h2o_socket_buffer_prototype);
+	h2o_start_response(req->h2o, &req->generator);
+}
+
+/* Hand the queued bytes to h2o, if it holds none of ours. */
+static void flush(struct dl_httpd_req *req)
+{
+	h2o_buffer_t *empty = req->flight;
+	h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
+	h2o_iovec_t bytes;
+
+	if (req->sending)
+		return;
+	if (req->finishing)
+		state = req->whole ? H2O_SEND_STATE_FINAL :
+				     H2O_SEND_STATE_ERROR;
+	else if (req->out->size == 0)
+		return;
+	req->flight = req->out;
+	req->out = empty;
+	req->sending = true;
+	bytes = h2o_iovec_init(req->flight->bytes, req->flight->size);
+	h2o_send(req->h2o, &bytes, bytes.len ? 1 : 0, state);
+}
+
+static void on_proceed(h2o_generator_t *self, h2o_req_t *h2o)
+{
+	struct dl_httpd_req *req = (struct dl_httpd_req *)self;
+	struct dl_httpd *server = req->server;
+
+	h2o_buffer_consume(&req->flight, req->flight->size);
+	req->sending = false;
+	if (req->out->size || req->finishing) {
+		flush(req);
+		return;
+	}
+	server->ops->drained(server->arg, req);
+}
+
+/* Queue bytes of a stream; false: wait for drained() before more. */
+bool dl_httpd_send(struct dl_httpd_req *req, struct dl_str bytes)
+{
+	h2o_iovec_t space = h2o_buffer_reserve(&req->out, bytes.n);
+
+	if (space.base == NULL && bytes.n)
+		return false;
+	if (bytes.n)
+		memcpy(space.base, bytes.s, bytes.n);
+	req->out->size += bytes.n;
+	flush(req);
+	return req->out->size < STREAM_HIGH;
+}
+
+/* End a stream once its bytes are out. */
+void dl_httpd_finish(struct dl_httpd_req *req, bool whole)
+{
+	req->finishing = true;
+	req->whole = whole;
+	flush(req);
+}
--- /dev/null
+++ b/src/transport/peers.c
@@ -0,0 +1,625 @@
+/*
+ * Connections between the system's processes.  Each process sends on the
+ * connections that it opened and only listens on those it accepted, so no two
+ * ends ever have to agree on which of two crossed connections to keep.
+ */
+#include "transport/peers.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "base/metric.h"
+#include "base/msg.h"
+
+#define LENGTH_BYTES   4
+#define FRAME_ITEMS    4
+#define FRAME_OVERHEAD 64
+#define READ_FIRST     4096
+#define LISTEN_BACKLOG 512
+#define POST_BODY_MAX  1200
+#define PORT_BITS      16
+#define PORT_MASK      0xffff
+
+struct conn {
+	uv_tcp_t tcp; /* first, so that a handle is its connection */
+	uv_connect_t connecting;
+	struct dl_peers *peers;
+	struct conn *next;
+	uint64_t vm;	      /* 0 on an accepted one before its hello */
+	uint64_t incarnation; /* theirs, from the hello */
+	bool outgoing;
+	bool connected;
+	bool closing;
+	int64_t last_in; /* any byte read */
+	int64_t last_ping;
+	int64_t last_frame;    /* a frame of the owner's, either way */
+	size_t queued;	       /* bytes not yet written */
+	struct write *waiting; /* until connected, oldest first */
+	struct write **waiting_end;
+	char *buf;
+	size_t filled, size;
+};
+
+struct write {
+	uv_write_t req;
+	struct write *next;
+	struct conn *conn;
+	size_t n;
+	char bytes[];
+};
+
+struct dl_peers {
+	uv_loop_t *loop;
+	struct dl_peers_conf conf;
+	const struct dl_peers_ops *ops;
+	void *arg;
+	uv_tcp_t listener;
+	uv_udp_t udp;
+	uv_timer_t timer;
+	struct conn *conns;
+	unsigned handles; /* not yet closed */
+	bool closing;
+	char datagram[65536];
+};
+
+static void on_accept(uv_stream_t *listener, int status);
+static void on_connect(uv_connect_t *req, int status);
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
+static void on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+			const struct sockaddr *from, unsigned flags);
+static void on_timer(uv_timer_t *timer);
+
+/* Heartbeats and bounds that fit VMs a millisecond apart. */
+void dl_peers_defaults(struct dl_peers_conf *conf)
+{
+	memset(conf, 0, sizeof(*conf));
+	conf->heartbeat_ms = 500;
+	/* Three lost heartbeats; shorter would take a busy loop for a cut. */
+	conf->silent_ms = 2000;
+	conf->idle_close_ms = 30000;
+	/* A snapshot fits; a peer that reads nothing cannot fill the memory. */
+	conf->queue_bytes_max = 80u << 20;
+}
+
+static int64_t loop_now(const struct dl_peers *peers)
+{
+	return (int64_t)uv_now(peers->loop);
+}
+
+static struct sockaddr_in vm_sockaddr(uint64_t vm)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+
+	sin.sin_addr.s_addr = htonl((uint32_t)(vm >> PORT_BITS));
+	sin.sin_port = htons((uint16_t)(vm & PORT_MASK));
+	return sin;
+}
+
+static uint64_t sockaddr_vm(const struct sockaddr *sa)
+{
+	const struct sockaddr_in *sin = (const void *)sa;
+
+	return (uint64_t)ntohl(sin->sin_addr.s_addr) << PORT_BITS |
+	       ntohs(sin->sin_port);
+}
+
+static void handle_closed(struct dl_peers *peers)
+{
+	peers->handles--;
+	if (peers->closing && peers->handles == 0 && !peers->conns)
+		free(peers);
+}
+
+static void on_own_closed(uv_handle_t *handle)
+{
+	handle_closed(handle->data);
+}
+
+static void on_conn_closed(uv_handle_t *handle)
+{
+	struct conn *c = (struct conn *)handle;
+	struct dl_peers *peers = c->peers;
+	struct write *w;
+
+	while ((w = c->waiting)) {
+		c->waiting = w->next;
+		free(w);
+	}
+	free(c->buf);
+	free(c);
+	handle_closed(peers);
+}
+
+/* Close a connection; the owner hears of it only if it carried our frames. */
+static void conn_close(struct conn *c, int why)
+{
+	struct dl_peers *peers = c->peers;
+	struct conn **at = &peers->conns;
+	char text[24];
+
+	if (c->closing)
+		return;
+	c->closing = true;
+	while (*at != c)
+		at = &(*at)->next;
+	*at = c->next;
+	uv_close((uv_handle_t *)&c->tcp, on_conn_closed);
+	if (!c->outgoing || peers->closing)
+		return;
+	if (why)
+		dl_msg(DL_MSG_PEER_DOWN, "vm=%s error=%s",
+		       dl_vm_text(c->vm, text), uv_strerror(why));
+	if (peers->ops->down)
+		peers->ops->down(peers->arg, c->vm);
+}
+
+static struct conn *conn_new(struct dl_peers *peers)
+{
+	struct conn *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	uv_tcp_init(peers->loop, &c->tcp);
+	peers->handles++;
+	c->peers = peers;
+	c->waiting_end = &c->waiting;
+	c->last_in = loop_now(peers);
+	c->last_ping = c->last_in;
+	c->last_frame = c->last_in;
+	c->next = peers->conns;
+	peers->conns = c;
+	return c;
+}
+
+static void on_written(uv_write_t *req, int status)
+{
+	struct write *w = req->data;
+
+	w->conn->queued -= w->n;
+	if (status < 0)
+		conn_close(w->conn, status);
+	free(w);
+}
+
+static void conn_write(struct conn *c, struct write *w)
+{
+	uv_buf_t buf = uv_buf_init(w->bytes, (unsigned)w->n);
+
+	w->req.data = w;
+	dl_count(DL_METRIC_peer_frames_out, 1);
+	dl_count(DL_METRIC_peer_bytes_out, (int64_t)w->n);
+	if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &buf, 1, on_written))
+		free(w);
+}
+
+static void pack_frame(msgpack_sbuffer *out, const struct dl_peers *peers,
+		       uint32_t kind, uint64_t request, struct dl_str body)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, FRAME_ITEMS);
+	msgpack_pack_uint32(&pk, kind);
+	msgpack_pack_uint64(&pk, request);
+	msgpack_pack_uint64(&pk, peers->conf.incarnation);
+	msgpack_pack_bin(&pk, body.n);
+	msgpack_pack_bin_body(&pk, body.s, body.n);
+}
+
+/* Queue one frame on a connection, holding it back until it is connected. */
+static int conn_send(struct conn *c, uint32_t kind, uint64_t request,
+		     struct dl_str body)
+{
+	msgpack_sbuffer out;
+	struct write *w;
+	uint32_t length;
+
+	msgpack_sbuffer_init(&out);
+	pack_frame(&out, c->peers, kind, request, body);
+	w = malloc(sizeof(*w) + LENGTH_BYTES + out.size);
+	if (!w) {
+		msgpack_sbuffer_destroy(&out);
+		return -ENOMEM;
+	}
+	memset(w, 0, sizeof(*w));
+	length = htonl((uint32_t)out.size);
+	memcpy(w->bytes, &length, LENGTH_BYTES);
+	memcpy(w->bytes + LENGTH_BYTES, out.data, out.size);
+	w->n = LENGTH_BYTES + out.size;
+	w->conn = c;
+	msgpack_sbuffer_destroy(&out);
+	c->queued += w->n;
+	if (c->connected) {
+		conn_write(c, w);
+		return 0;
+	}
+	*c->waiting_end = w;
+	c->waiting_end = &w->next;
+	return 0;
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	struct conn *c = (struct conn *)handle;
+	char *grown;
+
+	if (c->filled == c->size) {
+		size_t size = c->size ? c->size * 2 : READ_FIRST;
+
+		grown = realloc(c->buf, size);
+		if (!grown) {
+			*buf = uv_buf_init(NULL, 0);
+			return;
+		}
+		c->buf = grown;
+		c->size = size;
+	}
+	*buf = uv_buf_init(c->buf + c->filled, (unsigned)(c->size - c->filled));
+}
+
+/* Read the four items of a frame; the body points into the bytes given. */
+static bool parse_frame(msgpack_unpacked *u, const char *p, size_t n,
+			struct dl_frame *out)
+{
+	const msgpack_object *item;
+	size_t off = 0;
+
+	if (msgpack_unpack_next(u, p, n, &off) != MSGPACK_UNPACK_SUCCESS)
+		return false;
+	if (off != n || u->data.type != MSGPACK_OBJECT_ARRAY ||
+	    u->data.via.array.size != FRAME_ITEMS)
+		return false;
+	item = u->data.via.array.ptr;
+	for (int i = 0; i < FRAME_ITEMS - 1; i++) {
+		if (item[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+			return false;
+	}
+	if (item[3].type != MSGPACK_OBJECT_BIN || item[0].via.u64 > UINT32_MAX)
+		return false;
+	out->kind = (uint32_t)item[0].via.u64;
+	out->request = item[1].via.u64;
+	out->incarnation = item[2].via.u64;
+	out->body.s = item[3].via.bin.ptr;
+	out->body.n = item[3].via.bin.size;
+	return true;
+}
+
+/* A VM that has restarted speaks through its new process alone. */
+static void drop_older(struct conn *newer)
+{
+	struct conn *c, *next;
+
+	for (c = newer->peers->conns; c; c = next) {
+		next = c->next;
+		if (c != newer && !c->outgoing && c->vm == newer->vm &&
+		    c->incarnation < newer->incarnation)
+			conn_close(c, 0);
+	}
+}
+
+static void conn_frame(struct conn *c, const struct dl_frame *f)
+{
+	struct dl_peers *peers = c->peers;
+
+	switch (f->kind) {
+	case DL_FRAME_HELLO:
+		c->vm = f->request;
+		c->incarnation = f->incarnation;
+		drop_older(c);
+		return;
+	case DL_FRAME_PING:
+		conn_send(c, DL_FRAME_PONG, f->request, f->body);
+		return;
+	case DL_FRAME_PONG:
+		return;
+	default:
+		break;
+	}
+	if (c->outgoing || c->vm == DL_VM_NONE ||
+	    f->incarnation != c->incarnation) {
+		dl_count(DL_METRIC_late_frames_dropped, 1);
+		return;
+	}
+	c->last_frame = loop_now(peers);
+	dl_count(DL_METRIC_peer_frames_in, 1);
+	peers->ops->frame(peers->arg, c->vm, f);
+}
+
+static void conn_bad(struct conn *c)
+{
+	char text[24];
+
+	dl_count(DL_METRIC_peer_bad_frames, 1);
+	dl_msg(DL_MSG_PEER_BAD, "vm=%s", dl_vm_text(c->vm, text));
+	conn_close(c, UV_EPROTO);
+}
+
+/* Hand on every whole frame in the buffer; keep the rest. */
+static void conn_parse(struct conn *c)
+{
+	size_t at = 0;
+
+	while (!c->closing && c->filled - at >= LENGTH_BYTES) {
+		msgpack_unpacked u;
+		struct dl_frame f;
+		uint32_t n;
+		bool ok;
+
+		memcpy(&n, c->buf + at, LENGTH_BYTES);
+		n = ntohl(n);
+		if (n > DL_FRAME_BODY_MAX + FRAME_OVERHEAD) {
+			conn_bad(c);
+			return;
+		}
+		if (c->filled - at - LENGTH_BYTES < n)
+			break;
+		msgpack_unpacked_init(&u);
+		ok = parse_frame(&u, c->buf + at + LENGTH_BYTES, n, &f);
+		if (ok)
+			conn_frame(c, &f);
+		msgpack_unpacked_destroy(&u);
+		if (!ok) {
+			conn_bad(c);
+			return;
+		}
+		at += LENGTH_BYTES + n;
+	}
+	if (at) {
+		memmove(c->buf, c->buf + at, c->filled - at);
+		c->filled -= at;
+	}
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct conn *c = (struct conn *)stream;
+
+	if (n < 0) {
+		conn_close(c, (int)n);
+		return;
+	}
+	c->last_in = loop_now(c->peers);
+	c->filled += (size_t)n;
+	dl_count(DL_METRIC_peer_bytes_in, n);
+	conn_parse(c);
+}
+
+static void on_accept(uv_stream_t *listener, int status)
+{
+	struct dl_peers *peers = listener->data;
+	struct conn *c;
+
+	if (status < 0)
+		return;
+	c = conn_new(peers);
+	if (!c)
+		return;
+	c->connected = true;
+	if (uv_accept(listener, (uv_stream_t *)&c->tcp) ||
+	    uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read)) {
+		conn_close(c, 0);
+		return;
+	}
+	uv_tcp_nodelay(&c->tcp, 1);
+}
+
+static void on_connect(uv_connect_t *req, int status)
+{
+	struct conn *c = req->data;
+	struct write *w;
+
+	if (c->closing)
+		return;
+	if (status < 0) {
+		conn_close(c, status);
+		return;
+	}
+	c->connected = true;
+	c->last_in = loop_now(c->peers);
+	uv_tcp_nodelay(&c->tcp, 1);
+	if (uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read)) {
+		conn_close(c, UV_EIO);
+		return;
+	}
+	while ((w = c->waiting)) {
+		c->waiting = w->next;
+		w->next = NULL;
+		conn_write(c, w);
+	}
+	c->waiting_end = &c->waiting;
+	if (c->peers->ops->up)
+		c->peers->ops->up(c->peers->arg, c->vm);
+}
+
+static struct conn *conn_to(struct dl_peers *peers, uint64_t vm)
+{
+	struct sockaddr_in sin = vm_sockaddr(vm);
+	struct conn *c;
+
+	for (c = peers->conns; c; c = c->next) {
+		if (c->outgoing && c->vm == vm)
+			return c;
+	}
+	c = conn_new(peers);
+	if (!c)
+		return NULL;
+	c->outgoing = true;
+	c->vm = vm;
+	c->connecting.data = c;
+	conn_send(c, DL_FRAME_HELLO, peers->conf.self, DL_STR(""));
+	if (uv_tcp_connect(&c->connecting, &c->tcp, (void *)&sin, on_connect)) {
+		conn_close(c, UV_ECONNREFUSED);
+		return NULL;
+	}
+	return c;
+}
+
+/* Queue a frame for a VM; see the header for what is promised. */
+int dl_peers_send(struct dl_peers *peers, uint64_t to, uint32_t kind,
+		  uint64_t request, struct dl_str body)
+{
+	struct conn *c;
+
+	if (body.n > DL_FRAME_BODY_MAX)
+		return -EMSGSIZE;
+	c = conn_to(peers, to);
+	if (!c)
+		return -EAGAIN;
+	if (c->queued + body.n > peers->conf.queue_bytes_max)
+		return -EAGAIN;
+	c->last_frame = loop_now(peers);
+	return conn_send(c, kind, request, body);
+}
+
+/* Send one datagram; lost silently, as datagrams are. */
+int dl_peers_post(struct dl_peers *peers, uint64_t to, uint32_t kind,
+		  uint64_t request, struct dl_str body)
+{
+	struct sockaddr_in sin = vm_sockaddr(to);
+	msgpack_sbuffer out;
+	uv_buf_t buf;
+	int rc;
+
+	if (body.n > POST_BODY_MAX)
+		return -EMSGSIZE;
+	msgpack_sbuffer_init(&out);
+	pack_frame(&out, peers, kind, request, body);
+	buf = uv_buf_init(out.data, (unsigned)out.size);
+	rc = uv_udp_try_send(&peers->udp, &buf, 1, (void *)&sin);
+	dl_count(DL_METRIC_peer_bytes_out, (int64_t)out.size);
+	dl_count(DL_METRIC_peer_frames_out, 1);
+	msgpack_sbuffer_destroy(&out);
+	return rc < 0 ? rc : 0;
+}
+
+static void on_datagram_alloc(uv_handle_t *handle, size_t n, uv_buf_t *buf)
+{
+	struct dl_peers *peers = handle->data;
+
+	*buf = uv_buf_init(peers->datagram, sizeof(peers->datagram));
+}
+
+static void on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+			const struct sockaddr *from, unsigned flags)
+{
+	struct dl_peers *peers = udp->data;
+	msgpack_unpacked u;
+	struct dl_frame f;
+
+	if (n <= 0 || !from || from->sa_family != AF_INET)
+		return;
+	dl_count(DL_METRIC_peer_bytes_in, n);
+	dl_count(DL_METRIC_peer_frames_in, 1);
+	msgpack_unpacked_init(&u);
+	if (parse_frame(&u, buf->base, (size_t)n, &f))
+		peers->ops->frame(peers->arg, sockaddr_vm(from), &f);
+	else
+		dl_count(DL_METRIC_peer_bad_frames, 1);
+	msgpack_unpacked_destroy(&u);
+}
+
+static bool conn_silent(const struct conn *c, int64_t now)
+{
+	return now - c->last_in > c->peers->conf.silent_ms;
+}
+
+/* Ping what we opened, replace what is silent, close what is not used. */
+static void on_timer(uv_timer_t *timer)
+{
+	struct dl_peers *peers = timer->data;
+	int64_t now = loop_now(peers);
+	struct conn *c, *next;
+	char text[24];
+
+	for (c = peers->conns; c; c = next) {
+		next = c->next;
+		if (conn_silent(c, now)) {
+			dl_count(DL_METRIC_peer_silent, 1);
+			dl_msg(DL_MSG_PEER_SILENT, "vm=%s",
+			       dl_vm_text(c->vm, text));
+			conn_close(c, UV_ETIMEDOUT);
+			/* down() may have closed others: start afresh */
+			next = peers->conns;
+			continue;
+		}
+		if (!c->outgoing || !c->connected)
+			continue;
+		if (now - c->last_frame > peers->conf.idle_close_ms) {
+			conn_close(c, 0);
+			next = peers->conns;
+			continue;
+		}
+		if (now - c->last_ping < peers->conf.heartbeat_ms)
+			continue;
+		c->last_ping = now;
+		conn_send(c, DL_FRAME_PING, 0, DL_STR(""));
+	}
+}
+
+static int start_listening(struct dl_peers *peers)
+{
+	struct sockaddr_in sin = vm_sockaddr(peers->conf.self);
+	int rc;
+
+	rc = uv_tcp_bind(&peers->listener, (void *)&sin, 0);
+	if (!rc)
+		rc = uv_listen((uv_stream_t *)&peers->listener, LISTEN_BACKLOG,
+			       on_accept);
+	if (!rc)
+		rc = uv_udp_bind(&peers->udp, (void *)&sin, 0);
+	if (!rc)
+		rc = uv_udp_recv_start(&peers->udp, on_datagram_alloc,
+				       on_datagram);
+	return rc;
+}
+
+/* Listen on the address in conf; ops must outlive the result. */
+int dl_peers_open(uv_loop_t *loop, const struct dl_peers_conf *conf,
+		  const struct dl_peers_ops *ops, void *arg,
+		  struct dl_peers **out, struct dl_err *err)
+{
+	struct dl_peers *peers = calloc(1, sizeof(*peers));
+	char text[24];
+	int rc;
+
+	if (!peers)
+		return dl_err_set(err, -ENOMEM, DL_STEP_CONNECT, NULL,
+				  "out of memory");
+	peers->loop = loop;
+	peers->conf = *conf;
+	peers->ops = ops;
+	peers->arg = arg;
+	uv_tcp_init(loop, &peers->listener);
+	uv_udp_init(loop, &peers->udp);
+	uv_timer_init(loop, &peers->timer);
+	peers->listener.data = peers;
+	peers->udp.data = peers;
+	peers->timer.data = peers;
+	peers->handles = 3;
+	rc = start_listening(peers);
+	if (rc) {
+		dl_peers_close(peers);
+		return dl_err_set(err, rc, DL_STEP_CONNECT,
+				  dl_vm_text(conf->self, text),
+				  "cannot listen: %s", uv_strerror(rc));
+	}
+	uv_timer_start(&peers->timer, on_timer, conf->heartbeat_ms / 2,
+		       conf->heartbeat_ms / 2);
+	*out = peers;
+	return 0;
+}
+
+/* Close everything; the memory goes once the loop has run the closings. */
+void dl_peers_close(struct dl_peers *peers)
+{
+	peers->closing = true;
+	while (peers->conns)
+		conn_close(peers->conns, 0);
+	uv_close((uv_handle_t *)&peers->listener, on_own_closed);
+	uv_close((uv_handle_t *)&peers->udp, on_own_closed);
+	uv_close((uv_handle_t *)&peers->timer, on_own_closed);
+}
