--- a/include/daisyledge/conf.h
+++ b/include/daisyledge/conf.h
@@ -106,6 +106,12 @@
 int dl_conf_compare(const struct dl_conf *old, const struct dl_conf *new,
 		    struct dl_conf_diff *out);
 void dl_conf_diff_free(struct dl_conf_diff *diff);
+/*
+ * Whether most of old's replicas (same name and address) are also new's.  An
+ * edit that keeps no majority could elect a leader that lacks what was decided.
+ */
+bool dl_conf_keeps_majority(const struct dl_conf *old,
+			    const struct dl_conf *new);
 
 /* Look-ups; NULL where there is none. */
 const struct dl_service_conf *dl_conf_service(const struct dl_conf *conf,
--- a/include/daisyledge/cstore.h
+++ b/include/daisyledge/cstore.h
@@ -16,8 +16,19 @@
 /* How many answered change ids, and claims, are kept. */
 #define DL_CSTORE_CHANGES_MAX 10000
 #define DL_CSTORE_CLAIMS_MAX  100000
-/* How many old versions keep their text for history and roll forward. */
+/* How many old versions are listed by the history. */
 #define DL_CSTORE_HISTORY_MAX 200
+/* How many bytes of old versions' texts are kept for roll forward. */
+#define DL_CSTORE_HISTORY_BYTES (8u << 20)
+/* Bounds of claims: the bytes of one key, of one outcome, of all of them. */
+#define DL_CSTORE_KEY_MAX     512
+#define DL_CSTORE_OUTCOME_MAX 16384
+#define DL_CSTORE_CLAIM_BYTES (16u << 20)
+/* The longest that a claim may be kept; times are rounded up to 2^n s. */
+#define DL_CSTORE_EXPIRES_MAX_S (1u << 20)
+
+/* An APPLY whose impact needs cmd.confirm; nothing was changed. */
+#define DL_ECONFIRM (-1006)
 
 /* What a claim on an idempotency key says. */
 enum dl_claim_state {
@@ -56,9 +67,17 @@
 	uint64_t term;
 };
 
-/* What a command came to; strings point into the store until its next one. */
+/*
+ * What a command came to; strings point into the store until its next one.
+ * Codes: 0; APPLY: DL_ECONFLICT, DL_EREUSED, DL_ECONFIRM, -EINVAL (faulty
+ * text, or no majority of the replicas would stay); CLAIM: DL_EREUSED (another
+ * body under the key), -ENOSPC; OUTCOME, UNCLAIM: -ENOENT (no such claim),
+ * -EPERM (another's), -EALREADY (it has an outcome), -ENOSPC (recorded without
+ * its body); FENCE: DL_ECONFLICT (a higher term is in force); any: -EINVAL,
+ * -EALREADY (this index was carried out), -EBADMSG (no command).
+ */
 struct dl_cstore_reply {
-	int code;	  /* 0, DL_ECONFLICT, DL_EREUSED, -EINVAL, -ENOSPC */
+	int code;
 	uint64_t version; /* APPLY: made, or in force at a conflict */
 	bool repeated;	  /* APPLY: this change id was answered before */
 	enum dl_claim_state claim;
@@ -68,7 +87,17 @@
 	char text[256]; /* why, for people */
 };
 
+/* Encode a command into *out, which the caller frees with free(). */
 int dl_cstore_encode(const struct dl_cstore_cmd *cmd, char **out, size_t *n);
+/* Decode one; its strings point into the command.  -EBADMSG for anything else.
+ */
+int dl_cstore_decode(struct dl_str command, struct dl_cstore_cmd *out);
+/*
+ * Write the leader's wall clock into an encoded command, in place.  Within one
+ * term it must not jump forward, so derive it from the monotonic clock; across
+ * terms the store takes no notice of jumps.  -EBADMSG for anything else.
+ */
+int dl_cstore_stamp(char *command, size_t n, int64_t wall_ms);
 
 struct dl_cstore *dl_cstore_new(void);
 void dl_cstore_free(struct dl_cstore *store);
@@ -82,6 +111,26 @@
 bool dl_cstore_text(const struct dl_cstore *store, uint64_t version,
 		    struct dl_str *out);
 
+struct dl_conf;
+struct dl_conf_diff;
+/* The parsed configuration in force; NULL before the first. */
+const struct dl_conf *dl_cstore_conf(const struct dl_cstore *store);
+/* The difference of two versions; -ENOENT where a text is not kept. */
+int dl_cstore_diff(const struct dl_cstore *store, uint64_t from, uint64_t to,
+		   struct dl_conf_diff *out);
+
+/* What is kept now. */
+struct dl_cstore_counts {
+	uint32_t changes;
+	uint32_t claims;
+	uint32_t history;
+	size_t claim_bytes;
+	size_t history_bytes;
+};
+
+void dl_cstore_count(const struct dl_cstore *store,
+		     struct dl_cstore_counts *out);
+
 /* One line of the history, newest first by index. */
 struct dl_cstore_change {
 	uint64_t version;
--- /dev/null
+++ b/src/state/conf.c
@@ -0,0 +1,625 @@
+/* From the operators' text to a struct dl_conf, and the look-ups in it. */
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/conf_int.h"
+
+#define FORMAT	      1
+#define DIGEST_SEED   0
+#define DAY_MS	      86400000
+#define TOKENS_MAX    1000000000000ull
+#define CLASS_UNKNOWN UINT32_MAX
+/* Every JSON fault of jansson's names its line; the text is cut to fit. */
+#define SYNTAX_TEXT 120
+
+static const char *const class_words[] = { "urgent", "interactive", "batch",
+					   NULL };
+static const char *const kind_words[] = { "model", "plain", NULL };
+static const char *const level_words[] = { "debug", "info", "warn", "error",
+					   NULL };
+
+/* What stands at the top of the text beside its lists. */
+struct top {
+	uint32_t format;
+	uint32_t weight_store_mb_per_s;
+	uint32_t log_level;
+};
+
+static const struct conf_field top_fields[] = {
+	{ "format", CONF_U32, true, FORMAT, FORMAT, FORMAT,
+	  .offset = offsetof(struct top, format) },
+	{ "classes", CONF_OTHER, .json = JSON_OBJECT },
+	{ "services", CONF_OTHER, true, .json = JSON_OBJECT },
+	{ "workspaces", CONF_OTHER, .json = JSON_OBJECT },
+	{ "replicas", CONF_OTHER, true, .json = JSON_ARRAY },
+	{ "orders", CONF_OTHER, .json = JSON_ARRAY },
+	{ "drain", CONF_OTHER, .json = JSON_OBJECT },
+	{ "weight_store_mb_per_s", CONF_U32, false, 1, 1000000, 1000,
+	  .offset = offsetof(struct top, weight_store_mb_per_s) },
+	{ "log_level", CONF_WORD, false, .initial = DL_INFO,
+	  .words = level_words, .offset = offsetof(struct top, log_level) },
+};
+
+static const struct conf_field class_fields[] = {
+	{ "class", CONF_WORD, true, .initial = DL_CLASS_INTERACTIVE,
+	  .words = class_words,
+	  .offset = offsetof(struct dl_class_conf, class) },
+	{ "deadline_ms", CONF_U32, true, 1, DAY_MS, 10000,
+	  .offset = offsetof(struct dl_class_conf, deadline_ms) },
+};
+
+#define SERVICE(field) .offset = offsetof(struct dl_service_conf, field)
+static const struct conf_field service_fields[] = {
+	{ "kind", CONF_WORD, true, .initial = DL_POOL_MODEL,
+	  .words = kind_words, SERVICE(kind) },
+	{ "models", CONF_OTHER, .json = JSON_ARRAY },
+	{ "depends_on", CONF_OTHER, .json = JSON_ARRAY },
+	{ "default_class", CONF_OTHER, .json = JSON_STRING },
+	{ "idempotent_paths", CONF_OTHER, .json = JSON_ARRAY },
+	{ "get_is_idempotent", CONF_BOOL, .initial = true,
+	  SERVICE(get_is_idempotent) },
+	{ "ignores_fencing", CONF_BOOL, SERVICE(ignores_fencing) },
+	{ "connect_timeout_ms", CONF_U32, false, 10, 60000, 1000,
+	  SERVICE(connect_timeout_ms) },
+	{ "gap_timeout_ms", CONF_U32, false, 100, 600000, 10000,
+	  SERVICE(gap_timeout_ms) },
+	{ "retry_budget_permille", CONF_U32, false, 0, 1000, 200,
+	  SERVICE(retry_budget_permille) },
+	{ "pool", CONF_OTHER, .json = JSON_OBJECT },
+};
+#undef SERVICE
+
+#define POOL(field) .offset = offsetof(struct dl_pool_conf, field)
+static const struct conf_field pool_fields[] = {
+	{ "queue_entries_max", CONF_U32, false, 1, 1000000, 4096,
+	  POOL(queue_entries_max) },
+	{ "queue_tokens_max", CONF_U64, false, 1, TOKENS_MAX, 64000000,
+	  POOL(queue_tokens_max) },
+	{ "long_tokens", CONF_U32, false, 1, 100000000, 100000,
+	  POOL(long_tokens) },
+	{ "long_share_permille", CONF_U32, false, 1, 1000, 600,
+	  POOL(long_share_permille) },
+	{ "out_share_permille", CONF_U32, false, 0, 1000, 300,
+	  POOL(out_share_permille) },
+	{ "grant_lease_ms", CONF_U32, false, 500, 600000, 5000,
+	  POOL(grant_lease_ms) },
+	{ "report_gone_ms", CONF_U32, false, 500, 600000, 5000,
+	  POOL(report_gone_ms) },
+	{ "weight_default", CONF_U32, false, 1, 1000, 1, POOL(weight_default) },
+};
+#undef POOL
+
+#define WORKSPACE(field) .offset = offsetof(struct dl_conf_workspace, field)
+static const struct conf_field workspace_fields[] = {
+	{ "weight", CONF_U32, false, 1, 1000, 1, WORKSPACE(limits.weight) },
+	{ "concurrency_max", CONF_U32, false, 0, 1000000, 0,
+	  WORKSPACE(limits.concurrency_max) },
+	{ "requests_per_s", CONF_U32, false, 0, 1000000, 0,
+	  WORKSPACE(limits.requests_per_s) },
+	{ "default_class", CONF_OTHER, .json = JSON_STRING },
+};
+#undef WORKSPACE
+
+static const struct conf_field replica_fields[] = {
+	{ "name", CONF_NAME, true, CONF_PLAIN_NAME,
+	  .offset = offsetof(struct dl_replica_conf, name) },
+	{ "address", CONF_OTHER, true, .json = JSON_STRING },
+};
+
+#define ORDER(field) .offset = offsetof(struct dl_order_conf, field)
+static const struct conf_field order_fields[] = {
+	{ "service", CONF_NAME, true, CONF_PLAIN_NAME, ORDER(service) },
+	{ "model", CONF_NAME, true, CONF_MODEL_NAME, ORDER(model) },
+	{ "version", CONF_NAME, false, CONF_MODEL_NAME, ORDER(version) },
+	{ "role", CONF_NAME, false, CONF_PLAIN_NAME, ORDER(role) },
+	{ "endpoints", CONF_U32, false, 0, 10000, 0, ORDER(endpoints) },
+};
+#undef ORDER
+
+static const struct conf_field drain_fields[] = {
+	{ "vms", CONF_OTHER, .json = JSON_ARRAY },
+	{ "endpoints", CONF_OTHER, .json = JSON_ARRAY },
+};
+
+#define FIELDS(table)                                                          \
+	(struct conf_fields)                                                   \
+	{                                                                      \
+		(table), sizeof(table) / sizeof((table)[0])                    \
+	}
+
+/* Classes of a text that names none: one for each degree of urgency. */
+static const struct dl_class_conf class_defaults[] = {
+	{ { 6, "urgent" }, DL_CLASS_URGENT, 2000 },
+	{ { 11, "interactive" }, DL_CLASS_INTERACTIVE, 10000 },
+	{ { 5, "batch" }, DL_CLASS_BATCH, 600000 },
+};
+
+static void *make_list(struct conf_reader *r, const struct conf_at *at,
+		       size_t n, size_t max, size_t size);
+static bool read_key(struct conf_reader *r, const struct conf_at *at,
+		     const char *key, struct dl_name *out);
+static void read_top(struct conf_reader *r, json_t *root, struct dl_conf *conf);
+static void read_classes(struct conf_reader *r, const struct conf_at *at,
+			 json_t *json, struct dl_conf *conf);
+static void default_classes(struct conf_reader *r, struct dl_conf *conf);
+static uint32_t find_class(const struct dl_conf *conf, struct dl_str name);
+static void read_default_class(struct conf_reader *r, const struct conf_at *at,
+			       json_t *json, const struct dl_conf *conf,
+			       uint32_t *out);
+static void read_services(struct conf_reader *r, const struct conf_at *at,
+			  json_t *json, struct dl_conf *conf);
+static void read_service(struct conf_reader *r, const struct conf_at *at,
+			 json_t *json, const struct dl_conf *conf,
+			 struct dl_service_conf *out);
+static void read_pool(struct conf_reader *r, const struct conf_at *at,
+		      json_t *json, struct dl_service_conf *out);
+static void read_list(struct conf_reader *r, const struct conf_at *at,
+		      json_t *json, const char *key, enum conf_name_kind kind,
+		      struct dl_name **out, uint32_t *count);
+static void read_workspaces(struct conf_reader *r, const struct conf_at *at,
+			    json_t *json, struct dl_conf *conf);
+static void read_replicas(struct conf_reader *r, const struct conf_at *at,
+			  json_t *json, struct dl_conf *conf);
+static void read_orders(struct conf_reader *r, const struct conf_at *at,
+			json_t *json, struct dl_conf *conf);
+static int by_name(const void *a, const void *b);
+static int by_line(const void *a, const void *b);
+static int read_text(struct conf_reader *r, struct dl_str text,
+		     struct dl_conf *conf);
+
+/* Make room for the elements of a list within its bound. */
+static void *make_list(struct conf_reader *r, const struct conf_at *at,
+		       size_t n, size_t max, size_t size)
+{
+	void *list;
+
+	if (n > max) {
+		conf_fault(r, at, "must have at most %zu elements, not %zu",
+			   max, n);
+		return NULL;
+	}
+	list = calloc(n ? n : 1, size);
+	if (!list)
+		r->no_memory = true;
+	return list;
+}
+
+/* Read a key that is a name of the operators' choice. */
+static bool read_key(struct conf_reader *r, const struct conf_at *at,
+		     const char *key, struct dl_name *out)
+{
+	struct dl_str s = dl_str_of(key);
+
+	return conf_check_name(r, at, s, CONF_PLAIN_NAME) &&
+	       dl_name_set(out, s);
+}
+
+/* Give a text without classes one for each degree of urgency. */
+static void default_classes(struct conf_reader *r, struct dl_conf *conf)
+{
+	conf->classes = malloc(sizeof(class_defaults));
+	if (!conf->classes) {
+		r->no_memory = true;
+		return;
+	}
+	memcpy(conf->classes, class_defaults, sizeof(class_defaults));
+	conf->classes_count =
+		sizeof(class_defaults) / sizeof(class_defaults[0]);
+}
+
+/* Read the classes of requests. */
+static void read_classes(struct conf_reader *r, const struct conf_at *at,
+			 json_t *json, struct dl_conf *conf)
+{
+	const char *key;
+	json_t *value;
+
+	if (json_object_size(json) == 0) {
+		conf_fault(r, at, "must name at least one class");
+		return;
+	}
+	conf->classes = make_list(r, at, json_object_size(json),
+				  CONF_CLASSES_MAX, sizeof(*conf->classes));
+	if (!conf->classes)
+		return;
+	json_object_foreach(json, key, value)
+	{
+		struct conf_at child = conf_at_key(at, dl_str_of(key));
+		struct dl_class_conf *c = &conf->classes[conf->classes_count];
+
+		conf_read_object(r, &child, value, FIELDS(class_fields), c);
+		if (read_key(r, &child, key, &c->name))
+			conf->classes_count++;
+	}
+}
+
+/* The index of a class, or CLASS_UNKNOWN. */
+static uint32_t find_class(const struct dl_conf *conf, struct dl_str name)
+{
+	for (uint32_t i = 0; i < conf->classes_count; i++) {
+		if (dl_name_eq(&conf->classes[i].name, name))
+			return i;
+	}
+	return CLASS_UNKNOWN;
+}
+
+/* Read a reference to a class; *out stays where there is none. */
+static void read_default_class(struct conf_reader *r, const struct conf_at *at,
+			       json_t *json, const struct dl_conf *conf,
+			       uint32_t *out)
+{
+	json_t *value = conf_child(json, "default_class", JSON_STRING);
+	struct conf_at child = conf_at_key(at, DL_STR("default_class"));
+	struct conf_nearest near = { 0 };
+	uint32_t found;
+	char hint[96];
+
+	if (!value)
+		return;
+	near.wanted = dl_str_of(json_string_value(value));
+	found = find_class(conf, near.wanted);
+	if (found != CLASS_UNKNOWN) {
+		*out = found;
+		return;
+	}
+	for (uint32_t i = 0; i < conf->classes_count; i++)
+		conf_nearest_try(&near, dl_name_str(&conf->classes[i].name));
+	conf_fault(r, &child, "no such class%s",
+		   conf_nearest_hint(&near, hint));
+}
+
+/* Read a list of names that is a member of an object, where it is there. */
+static void read_list(struct conf_reader *r, const struct conf_at *at,
+		      json_t *json, const char *key, enum conf_name_kind kind,
+		      struct dl_name **out, uint32_t *count)
+{
+	json_t *array = conf_child(json, key, JSON_ARRAY);
+	struct conf_at child = conf_at_key(at, dl_str_of(key));
+
+	if (array)
+		conf_read_names(r, &child, array, kind, out, count);
+}
+
+/* Read the limits of a service's pools. */
+static void read_pool(struct conf_reader *r, const struct conf_at *at,
+		      json_t *json, struct dl_service_conf *out)
+{
+	json_t *pool = conf_child(json, "pool", JSON_OBJECT);
+	struct conf_at child = conf_at_key(at, DL_STR("pool"));
+	json_t *none = pool ? NULL : json_object();
+
+	if (pool || none)
+		conf_read_object(r, &child, pool ? pool : none,
+				 FIELDS(pool_fields), &out->pool);
+	else
+		r->no_memory = true;
+	json_decref(none);
+	out->pool.kind = out->kind;
+}
+
+/* Read one service. */
+static void read_service(struct conf_reader *r, const struct conf_at *at,
+			 json_t *json, const struct dl_conf *conf,
+			 struct dl_service_conf *out)
+{
+	if (!conf_read_object(r, at, json, FIELDS(service_fields), out))
+		return;
+	read_list(r, at, json, "models", CONF_MODEL_NAME, &out->models,
+		  &out->models_count);
+	read_list(r, at, json, "depends_on", CONF_PLAIN_NAME, &out->depends_on,
+		  &out->depends_on_count);
+	read_list(r, at, json, "idempotent_paths", CONF_URL_PATH,
+		  &out->idempotent_paths, &out->idempotent_paths_count);
+	read_pool(r, at, json, out);
+	for (uint32_t i = conf->classes_count; i-- > 0;) {
+		if (conf->classes[i].class == DL_CLASS_INTERACTIVE)
+			out->default_class = i;
+	}
+	read_default_class(r, at, json, conf, &out->default_class);
+}
+
+/* Read the services; a model service without models is named like its own. */
+static void read_services(struct conf_reader *r, const struct conf_at *at,
+			  json_t *json, struct dl_conf *conf)
+{
+	const char *key;
+	json_t *value;
+
+	if (json_object_size(json) == 0)
+		conf_fault(r, at, "must name at least one service");
+	conf->services = make_list(r, at, json_object_size(json),
+				   CONF_SERVICES_MAX, sizeof(*conf->services));
+	if (!conf->services)
+		return;
+	json_object_foreach(json, key, value)
+	{
+		struct conf_at child = conf_at_key(at, dl_str_of(key));
+		struct dl_service_conf *s;
+
+		s = &conf->services[conf->services_count++];
+		read_key(r, &child, key, &s->name);
+		read_service(r, &child, value, conf, s);
+		if (s->kind != DL_POOL_MODEL || s->models)
+			continue;
+		s->models = calloc(1, sizeof(*s->models));
+		if (!s->models) {
+			r->no_memory = true;
+			continue;
+		}
+		s->models[0] = s->name;
+		s->models_count = 1;
+	}
+}
+
+/* Order workspaces by name, so that one is found by bisection. */
+static int by_name(const void *a, const void *b)
+{
+	const struct dl_conf_workspace *wa = a, *wb = b;
+
+	return strcmp(wa->limits.name.s, wb->limits.name.s);
+}
+
+/* Read the workspaces. */
+static void read_workspaces(struct conf_reader *r, const struct conf_at *at,
+			    json_t *json, struct dl_conf *conf)
+{
+	struct dl_conf_workspace *w;
+	const char *key;
+	json_t *value;
+
+	w = make_list(r, at, json_object_size(json), CONF_WORKSPACES_MAX,
+		      sizeof(*w));
+	conf->workspaces = w;
+	if (!w)
+		return;
+	json_object_foreach(json, key, value)
+	{
+		struct conf_at child = conf_at_key(at, dl_str_of(key));
+
+		w = &conf->workspaces[conf->workspaces_count];
+		w->default_class = CLASS_UNKNOWN;
+		if (conf_read_object(r, &child, value, FIELDS(workspace_fields),
+				     w))
+			read_default_class(r, &child, value, conf,
+					   &w->default_class);
+		if (read_key(r, &child, key, &w->limits.name))
+			conf->workspaces_count++;
+	}
+	qsort(conf->workspaces, conf->workspaces_count, sizeof(*w), by_name);
+}
+
+/* Read the list of replicas; its length and doubles are checked later. */
+static void read_replicas(struct conf_reader *r, const struct conf_at *at,
+			  json_t *json, struct dl_conf *conf)
+{
+	size_t n = json_array_size(json);
+
+	if (n > DL_REPLICAS_MAX) {
+		conf_fault(r, at, "must have at most %d replicas, not %zu",
+			   DL_REPLICAS_MAX, n);
+		return;
+	}
+	for (size_t i = 0; i < n; i++) {
+		struct dl_replica_conf *p = &conf->replicas[i];
+		struct conf_at child = conf_at_index(at, i);
+		json_t *value = json_array_get(json, i), *address;
+		struct dl_name text = { 0 };
+
+		conf->replicas_count++;
+		if (!conf_read_object(r, &child, value, FIELDS(replica_fields),
+				      p))
+			continue;
+		address = conf_child(value, "address", JSON_STRING);
+		child = conf_at_key(&child, DL_STR("address"));
+		if (address &&
+		    conf_read_name(r, &child, address, CONF_ADDRESS, &text))
+			dl_vm_parse(dl_name_str(&text), &p->vm);
+	}
+}
+
+/* Read the orders that the leader keeps true. */
+static void read_orders(struct conf_reader *r, const struct conf_at *at,
+			json_t *json, struct dl_conf *conf)
+{
+	size_t n = json_array_size(json);
+
+	conf->orders =
+		make_list(r, at, n, CONF_LIST_MAX, sizeof(*conf->orders));
+	for (size_t i = 0; conf->orders && i < n; i++) {
+		struct conf_at child = conf_at_index(at, i);
+		struct dl_order_conf *o = &conf->orders[i];
+
+		dl_name_set(&o->role, DL_STR("both"));
+		conf_read_object(r, &child, json_array_get(json, i),
+				 FIELDS(order_fields), o);
+		conf->orders_count++;
+	}
+}
+
+/* Read the whole text, one part after the other. */
+static void read_top(struct conf_reader *r, json_t *root, struct dl_conf *conf)
+{
+	struct conf_at at = conf_at_root(), child;
+	struct top top;
+	json_t *json;
+
+	if (!conf_read_object(r, &at, root, FIELDS(top_fields), &top))
+		return;
+	conf->weight_store_mb_per_s = top.weight_store_mb_per_s;
+	conf->log_level = (enum dl_level)top.log_level;
+	child = conf_at_key(&at, DL_STR("classes"));
+	json = conf_child(root, "classes", JSON_OBJECT);
+	if (json)
+		read_classes(r, &child, json, conf);
+	else
+		default_classes(r, conf);
+	child = conf_at_key(&at, DL_STR("services"));
+	json = conf_child(root, "services", JSON_OBJECT);
+	if (json)
+		read_services(r, &child, json, conf);
+	child = conf_at_key(&at, DL_STR("workspaces"));
+	json = conf_child(root, "workspaces", JSON_OBJECT);
+	if (json)
+		read_workspaces(r, &child, json, conf);
+	child = conf_at_key(&at, DL_STR("replicas"));
+	json = conf_child(root, "replicas", JSON_ARRAY);
+	if (json)
+		read_replicas(r, &child, json, conf);
+	child = conf_at_key(&at, DL_STR("orders"));
+	json = conf_child(root, "orders", JSON_ARRAY);
+	if (json)
+		read_orders(r, &child, json, conf);
+	child = conf_at_key(&at, DL_STR("drain"));
+	json = conf_child(root, "drain", JSON_OBJECT);
+	if (!json)
+		return;
+	conf_read_object(r, &child, json, FIELDS(drain_fields), NULL);
+	read_list(r, &child, json, "vms", CONF_ADDRESS, &conf->drain_vms,
+		  &conf->drain_vms_count);
+	read_list(r, &child, json, "endpoints", CONF_ADDRESS,
+		  &conf->drain_endpoints, &conf->drain_endpoints_count);
+}
+
+/* Read and check a text; what is wrong stands in the reader's faults. */
+static int read_text(struct conf_reader *r, struct dl_str text,
+		     struct dl_conf *conf)
+{
+	struct conf_at root = conf_at_root();
+	json_error_t error;
+	json_t *json;
+	int rc;
+
+	if (text.n > DL_CONF_TEXT_MAX) {
+		conf_fault(r, &root, "the text has %zu bytes, at most %u fit",
+			   text.n, DL_CONF_TEXT_MAX);
+		return -EINVAL;
+	}
+	json = json_loadb(text.s ? text.s : "", text.n, 0, &error);
+	if (!json) {
+		conf_fault(r, &root, "%.*s", SYNTAX_TEXT, error.text);
+		r->faults->at[0].line = error.line > 0 ? (uint32_t)error.line :
+							 1;
+		return json_error_code(&error) == json_error_out_of_memory ?
+			       -ENOMEM :
+			       -EINVAL;
+	}
+	rc = conf_lines_scan(r, text);
+	if (rc == 0) {
+		read_top(r, json, conf);
+		conf_check(r, conf);
+		conf->digest = dl_hash(text, DIGEST_SEED);
+	}
+	json_decref(json);
+	return rc;
+}
+
+/* Order faults by where they stand. */
+static int by_line(const void *a, const void *b)
+{
+	const struct dl_fault *fa = a, *fb = b;
+
+	if (fa->line != fb->line)
+		return fa->line < fb->line ? -1 : 1;
+	return strcmp(fa->path, fb->path);
+}
+
+/*
+ * Read and check an operators' text.  0 and *out, which the caller frees; or
+ * -EINVAL and every fault at once, in the order of their lines; or -ENOMEM.
+ * faults must not be NULL; its count may pass DL_FAULTS_MAX.
+ */
+int dl_conf_parse(struct dl_str text, struct dl_conf **out,
+		  struct dl_faults *faults)
+{
+	struct conf_reader r = { .faults = faults };
+	struct dl_conf *conf = calloc(1, sizeof(*conf));
+	uint32_t kept;
+	int rc;
+
+	faults->count = 0;
+	if (!conf)
+		return -ENOMEM;
+	rc = read_text(&r, text, conf);
+	conf_lines_free(&r.lines);
+	if (rc == 0 && r.no_memory)
+		rc = -ENOMEM;
+	if (rc == 0 && faults->count)
+		rc = -EINVAL;
+	if (rc == 0) {
+		*out = conf;
+		return 0;
+	}
+	kept = faults->count < DL_FAULTS_MAX ? faults->count : DL_FAULTS_MAX;
+	qsort(faults->at, kept, sizeof(faults->at[0]), by_line);
+	dl_conf_free(conf);
+	return rc;
+}
+
+/* Release a configuration; NULL is nothing to do. */
+void dl_conf_free(struct dl_conf *conf)
+{
+	if (!conf)
+		return;
+	for (uint32_t i = 0; i < conf->services_count; i++) {
+		free(conf->services[i].depends_on);
+		free(conf->services[i].models);
+		free(conf->services[i].idempotent_paths);
+	}
+	free(conf->classes);
+	free(conf->services);
+	free(conf->workspaces);
+	free(conf->orders);
+	free(conf->drain_vms);
+	free(conf->drain_endpoints);
+	free(conf);
+}
+
+/* The service of a name, or NULL. */
+const struct dl_service_conf *dl_conf_service(const struct dl_conf *conf,
+					      struct dl_str name)
+{
+	for (uint32_t i = 0; i < conf->services_count; i++) {
+		if (dl_name_eq(&conf->services[i].name, name))
+			return &conf->services[i];
+	}
+	return NULL;
+}
+
+/* The service that offers a model, or NULL; a model has one service. */
+const struct dl_service_conf *
+dl_conf_service_of_model(const struct dl_conf *conf, struct dl_str model)
+{
+	for (uint32_t i = 0; i < conf->services_count; i++) {
+		const struct dl_service_conf *s = &conf->services[i];
+
+		for (uint32_t j = 0; j < s->models_count; j++) {
+			if (dl_name_eq(&s->models[j], model))
+				return s;
+		}
+	}
+	return NULL;
+}
+
+/* The workspace of a name, or NULL; by bisection, as each request asks. */
+const struct dl_conf_workspace *dl_conf_workspace(const struct dl_conf *conf,
+						  struct dl_str name)
+{
+	struct dl_conf_workspace key = { 0 };
+
+	if (!conf->workspaces_count || memchr(name.s, '\0', name.n) ||
+	    !dl_name_set(&key.limits.name, name))
+		return NULL;
+	return bsearch(&key, conf->workspaces, conf->workspaces_count,
+		       sizeof(key), by_name);
+}
+
+/* The class of a name, or NULL. */
+const struct dl_class_conf *dl_conf_class(const struct dl_conf *conf,
+					  struct dl_str name)
+{
+	uint32_t i = find_class(conf, name);
+
+	return i == CLASS_UNKNOWN ? NULL : &conf->classes[i];
+}
--- /dev/null
+++ b/src/state/conf_check.c
@@ -0,0 +1,282 @@
+/* The checks between parts of a text: references, cycles, doubles, replicas. */
+#include <glib.h>
+#include <string.h>
+
+#include "state/conf_int.h"
+
+#define REPLICAS_MIN 3
+
+/* How far the search for cycles has come with a service. */
+enum visit {
+	VISIT_NEW,
+	VISIT_OPEN, /* on the path that is being followed */
+	VISIT_DONE,
+};
+
+struct cycle_search {
+	struct conf_reader *r;
+	const struct dl_conf *conf;
+	enum visit visit[CONF_SERVICES_MAX];
+};
+
+static struct conf_at at_service(const struct dl_service_conf *s);
+static struct conf_at at_member(struct conf_at parent, const char *key);
+static struct conf_at at_element(const char *key, uint32_t index);
+static void no_such_service(struct conf_reader *r, const struct dl_conf *conf,
+			    const struct conf_at *at, struct dl_str name);
+static void check_dependencies(struct conf_reader *r,
+			       const struct dl_conf *conf,
+			       const struct dl_service_conf *s);
+static void check_kind(struct conf_reader *r, const struct dl_service_conf *s);
+static void check_cycles(struct conf_reader *r, const struct dl_conf *conf);
+static void follow(struct cycle_search *c, uint32_t index);
+static void check_models(struct conf_reader *r, const struct dl_conf *conf);
+static void check_replicas(struct conf_reader *r, const struct dl_conf *conf);
+static void check_orders(struct conf_reader *r, const struct dl_conf *conf);
+static void check_order(struct conf_reader *r, const struct dl_conf *conf,
+			uint32_t index);
+static void check_order_twice(struct conf_reader *r, const struct dl_conf *conf,
+			      uint32_t index);
+
+/* Where a service stands in the text. */
+static struct conf_at at_service(const struct dl_service_conf *s)
+{
+	struct conf_at root = conf_at_root();
+	struct conf_at services = conf_at_key(&root, DL_STR("services"));
+
+	return conf_at_key(&services, dl_name_str(&s->name));
+}
+
+/* A member of a place, by value, so that places can be nested in one line. */
+static struct conf_at at_member(struct conf_at parent, const char *key)
+{
+	return conf_at_key(&parent, dl_str_of(key));
+}
+
+/* An element of a list at the top of the text. */
+static struct conf_at at_element(const char *key, uint32_t index)
+{
+	struct conf_at list = at_member(conf_at_root(), key);
+
+	return conf_at_index(&list, index);
+}
+
+/* A reference to a service that is not there, and the nearest that is. */
+static void no_such_service(struct conf_reader *r, const struct dl_conf *conf,
+			    const struct conf_at *at, struct dl_str name)
+{
+	struct conf_nearest near = { .wanted = name };
+	char hint[96];
+
+	for (uint32_t i = 0; i < conf->services_count; i++)
+		conf_nearest_try(&near, dl_name_str(&conf->services[i].name));
+	conf_fault(r, at, "no service \"%.*s\"%s", (int)name.n, name.s,
+		   conf_nearest_hint(&near, hint));
+}
+
+/* Each service that one depends on must be there, and not itself. */
+static void check_dependencies(struct conf_reader *r,
+			       const struct dl_conf *conf,
+			       const struct dl_service_conf *s)
+{
+	struct conf_at list = at_member(at_service(s), "depends_on");
+
+	for (uint32_t i = 0; i < s->depends_on_count; i++) {
+		struct dl_str name = dl_name_str(&s->depends_on[i]);
+
+		if (!dl_conf_service(conf, name))
+			no_such_service(r, conf, &list, name);
+	}
+}
+
+/* Keys that only one kind of service has a use for. */
+static void check_kind(struct conf_reader *r, const struct dl_service_conf *s)
+{
+	struct conf_at models = at_member(at_service(s), "models");
+	struct conf_at paths = at_member(at_service(s), "idempotent_paths");
+
+	if (s->kind == DL_POOL_PLAIN && s->models_count)
+		conf_fault(r, &models, "a plain service has no models");
+	if (s->kind == DL_POOL_MODEL && s->idempotent_paths_count)
+		conf_fault(r, &paths, "only a plain service has paths");
+}
+
+/* Follow what a service depends on; meeting an open one closes a cycle. */
+static void follow(struct cycle_search *c, uint32_t index)
+{
+	const struct dl_service_conf *s = &c->conf->services[index];
+
+	c->visit[index] = VISIT_OPEN;
+	for (uint32_t i = 0; i < s->depends_on_count; i++) {
+		struct conf_at at = at_member(at_service(s), "depends_on");
+		const struct dl_service_conf *next;
+		uint32_t n;
+
+		next = dl_conf_service(c->conf, dl_name_str(&s->depends_on[i]));
+		if (!next)
+			continue;
+		n = (uint32_t)(next - c->conf->services);
+		if (c->visit[n] == VISIT_OPEN)
+			conf_fault(c->r, &at,
+				   "\"%s\" depends on \"%s\" in a cycle",
+				   s->name.s, next->name.s);
+		else if (c->visit[n] == VISIT_NEW)
+			follow(c, n);
+	}
+	c->visit[index] = VISIT_DONE;
+}
+
+/* No service may depend on itself, however many others lie between. */
+static void check_cycles(struct conf_reader *r, const struct dl_conf *conf)
+{
+	struct cycle_search c = { .r = r, .conf = conf };
+
+	for (uint32_t i = 0; i < conf->services_count; i++) {
+		if (c.visit[i] == VISIT_NEW)
+			follow(&c, i);
+	}
+}
+
+/* A model belongs to one service, as callers name the model alone. */
+static void check_models(struct conf_reader *r, const struct dl_conf *conf)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (uint32_t i = 0; i < conf->services_count; i++) {
+		const struct dl_service_conf *s = &conf->services[i];
+
+		for (uint32_t j = 0; j < s->models_count; j++) {
+			const struct dl_service_conf *other;
+			struct conf_at at = at_service(s);
+
+			other = g_hash_table_lookup(seen, s->models[j].s);
+			if (other && other != s)
+				conf_fault(r, &at,
+					   "model \"%s\" is also one of \"%s\"",
+					   s->models[j].s, other->name.s);
+			g_hash_table_insert(seen, s->models[j].s, (gpointer)s);
+		}
+	}
+	g_hash_table_destroy(seen);
+}
+
+/*
+ * The replicas form a majority: an even list adds a disk that can fail and
+ * no failure that is survived, a list under three survives none.
+ */
+static void check_replicas(struct conf_reader *r, const struct dl_conf *conf)
+{
+	struct conf_at list = at_member(conf_at_root(), "replicas");
+	uint32_t n = conf->replicas_count;
+
+	if (conf_lines_find(&r->lines, list.hash) && n < REPLICAS_MIN)
+		conf_fault(r, &list, "must have %d replicas at least, not %u",
+			   REPLICAS_MIN, n);
+	else if (n % 2 == 0 && n)
+		conf_fault(r, &list,
+			   "must be an odd number of replicas, not "
+			   "%u",
+			   n);
+	for (uint32_t i = 1; i < n; i++) {
+		const struct dl_replica_conf *a = &conf->replicas[i];
+		struct conf_at at = at_element("replicas", i);
+
+		for (uint32_t j = 0; j < i; j++) {
+			const struct dl_replica_conf *b = &conf->replicas[j];
+
+			if (a->name.n &&
+			    dl_name_eq(&a->name, dl_name_str(&b->name)))
+				conf_fault(r, &at,
+					   "the name \"%s\" is taken by "
+					   "another replica",
+					   a->name.s);
+			if (a->vm != DL_VM_NONE && a->vm == b->vm)
+				conf_fault(r, &at,
+					   "replica \"%s\" has the same "
+					   "address",
+					   b->name.s);
+		}
+	}
+}
+
+/* An order must name a model service, one of its models and a known role. */
+static void check_order(struct conf_reader *r, const struct dl_conf *conf,
+			uint32_t index)
+{
+	static const char *const roles[] = { "prefill", "decode", "both" };
+	const struct dl_order_conf *o = &conf->orders[index];
+	struct conf_at at = at_element("orders", index);
+	struct conf_at service = at_member(at, "service");
+	struct conf_at model = at_member(at, "model");
+	struct conf_at role = at_member(at, "role");
+	const struct dl_service_conf *s;
+	size_t i = 0;
+
+	while (i < 3 && strcmp(roles[i], o->role.s) != 0)
+		i++;
+	if (i == 3)
+		conf_fault(r, &role,
+			   "must be one of \"prefill\", \"decode\", \"both\"");
+	if (!o->service.n)
+		return;
+	s = dl_conf_service(conf, dl_name_str(&o->service));
+	if (!s)
+		no_such_service(r, conf, &service, dl_name_str(&o->service));
+	else if (s->kind != DL_POOL_MODEL)
+		conf_fault(r, &service, "\"%s\" is not a model service",
+			   s->name.s);
+	else if (o->model.n &&
+		 dl_conf_service_of_model(conf, dl_name_str(&o->model)) != s)
+		conf_fault(r, &model, "\"%s\" is not a model of \"%s\"",
+			   o->model.s, s->name.s);
+}
+
+/* Orders that ask for the same twice, or for two things of all endpoints. */
+static void check_order_twice(struct conf_reader *r, const struct dl_conf *conf,
+			      uint32_t index)
+{
+	const struct dl_order_conf *a = &conf->orders[index];
+	struct conf_at at = at_element("orders", index);
+
+	for (uint32_t i = 0; i < index; i++) {
+		const struct dl_order_conf *b = &conf->orders[i];
+
+		if (strcmp(a->service.s, b->service.s) != 0)
+			continue;
+		if (strcmp(a->model.s, b->model.s) == 0 &&
+		    strcmp(a->version.s, b->version.s) == 0 &&
+		    strcmp(a->role.s, b->role.s) == 0)
+			conf_fault(r, &at, "is the same order as orders[%u]",
+				   i);
+		else if (a->endpoints == 0 || b->endpoints == 0)
+			conf_fault(r, &at,
+				   "orders[%u] is for the same service, so "
+				   "both need a number of endpoints",
+				   i);
+		else
+			continue;
+		return;
+	}
+}
+
+/* All orders. */
+static void check_orders(struct conf_reader *r, const struct dl_conf *conf)
+{
+	for (uint32_t i = 0; i < conf->orders_count; i++) {
+		check_order(r, conf, i);
+		check_order_twice(r, conf, i);
+	}
+}
+
+/* Check what only the whole text can tell. */
+void conf_check(struct conf_reader *r, const struct dl_conf *conf)
+{
+	for (uint32_t i = 0; i < conf->services_count; i++) {
+		check_dependencies(r, conf, &conf->services[i]);
+		check_kind(r, &conf->services[i]);
+	}
+	check_cycles(r, conf);
+	check_models(r, conf);
+	check_replicas(r, conf);
+	check_orders(r, conf);
+}
--- /dev/null
+++ b/src/state/conf_int.h
@@ -0,0 +1,111 @@
+/*
+ * Reading the operators' text: where each value stands, typed fields with
+ * their ranges and defaults, and the checks between parts of the text.
+ */
+#ifndef DL_STATE_CONF_INT_H
+#define DL_STATE_CONF_INT_H
+
+#include <jansson.h>
+
+#include "daisyledge/conf.h"
+
+/* The most elements of each list; they bound the time that a check takes. */
+#define CONF_CLASSES_MAX    32
+#define CONF_SERVICES_MAX   256
+#define CONF_WORKSPACES_MAX 100000
+#define CONF_LIST_MAX	    1024
+
+#define CONF_PATH_MAX sizeof(((struct dl_fault *)0)->path)
+
+/* A place in the text: the path as people read it, and its hash. */
+struct conf_at {
+	uint64_t hash;
+	size_t n;
+	char path[CONF_PATH_MAX];
+};
+
+struct conf_at conf_at_root(void);
+struct conf_at conf_at_key(const struct conf_at *parent, struct dl_str key);
+struct conf_at conf_at_index(const struct conf_at *parent, size_t index);
+
+/* The line of each key and element, found by the hash of its path. */
+struct conf_lines {
+	uint64_t *hash;
+	uint32_t *line;
+	size_t size; /* a power of two */
+	size_t used;
+};
+
+/* What a check carries along. */
+struct conf_reader {
+	struct conf_lines lines;
+	struct dl_faults *faults;
+	bool no_memory;
+};
+
+int conf_lines_scan(struct conf_reader *r, struct dl_str text);
+uint32_t conf_lines_find(const struct conf_lines *lines, uint64_t hash);
+void conf_lines_free(struct conf_lines *lines);
+
+void conf_fault(struct conf_reader *r, const struct conf_at *at,
+		const char *fmt, ...) __attribute__((format(printf, 3, 4)));
+
+/* What a field holds; CONF_OTHER is read by the caller. */
+enum conf_type {
+	CONF_U32,
+	CONF_U64,
+	CONF_BOOL,
+	CONF_NAME,
+	CONF_WORD, /* one of words, stored as its index in an enum */
+	CONF_OTHER,
+	CONF_TYPE_COUNT,
+};
+
+struct conf_field {
+	const char *key;
+	enum conf_type type;
+	bool required;
+	uint64_t min, max, initial;
+	const char *const *words; /* CONF_WORD: ended by NULL */
+	json_type json;		  /* CONF_OTHER */
+	size_t offset;
+};
+
+struct conf_fields {
+	const struct conf_field *at;
+	size_t count;
+};
+
+/* How a name may be written. */
+enum conf_name_kind {
+	CONF_PLAIN_NAME, /* letters, digits and . _ - */
+	CONF_MODEL_NAME, /* / and : besides */
+	CONF_URL_PATH,
+	CONF_ADDRESS, /* ip:port */
+};
+
+bool conf_read_object(struct conf_reader *r, const struct conf_at *at,
+		      json_t *json, struct conf_fields fields, void *out);
+json_t *conf_child(json_t *json, const char *key, json_type type);
+bool conf_read_name(struct conf_reader *r, const struct conf_at *at,
+		    json_t *json, enum conf_name_kind kind,
+		    struct dl_name *out);
+void conf_read_names(struct conf_reader *r, const struct conf_at *at,
+		     json_t *array, enum conf_name_kind kind,
+		     struct dl_name **out, uint32_t *count);
+bool conf_check_name(struct conf_reader *r, const struct conf_at *at,
+		     struct dl_str name, enum conf_name_kind kind);
+
+/* The nearest of some words to one that is not among them, or NULL. */
+struct conf_nearest {
+	struct dl_str wanted;
+	struct dl_str best;
+	unsigned distance;
+};
+
+void conf_nearest_try(struct conf_nearest *n, struct dl_str word);
+const char *conf_nearest_hint(const struct conf_nearest *n, char out[96]);
+
+void conf_check(struct conf_reader *r, const struct dl_conf *conf);
+
+#endif
--- /dev/null
+++ b/src/state/conf_read.c
@@ -0,0 +1,387 @@
+/* Typed fields of the operators' text, and the faults found in them. */
+#include <ctype.h>
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/conf_int.h"
+
+/* A misspelt word may differ by a third of its letters, at most by three. */
+#define NEAR_MAX 3
+
+typedef void field_fn(struct conf_reader *r, const struct conf_at *at,
+		      const struct conf_field *f, json_t *json, char *out);
+
+static field_fn read_u32, read_u64, read_bool, read_name, read_word, read_other;
+
+static field_fn *const readers[CONF_TYPE_COUNT] = {
+	[CONF_U32] = read_u32,	 [CONF_U64] = read_u64,
+	[CONF_BOOL] = read_bool, [CONF_NAME] = read_name,
+	[CONF_WORD] = read_word, [CONF_OTHER] = read_other,
+};
+
+static const char *const type_names[] = {
+	[JSON_OBJECT] = "an object",	[JSON_ARRAY] = "a list",
+	[JSON_STRING] = "a string",	[JSON_INTEGER] = "a whole number",
+	[JSON_REAL] = "a fraction",	[JSON_TRUE] = "true or false",
+	[JSON_FALSE] = "true or false", [JSON_NULL] = "null",
+};
+
+static void set_default(const struct conf_field *f, char *out);
+static bool read_number(struct conf_reader *r, const struct conf_at *at,
+			const struct conf_field *f, json_t *json,
+			uint64_t *out);
+static void wrong_type(struct conf_reader *r, const struct conf_at *at,
+		       json_type want, json_t *json);
+static void unknown_key(struct conf_reader *r, const struct conf_at *at,
+			struct conf_fields fields, const char *key);
+static const struct conf_field *find_field(struct conf_fields fields,
+					   const char *key);
+static bool name_byte(unsigned char c, enum conf_name_kind kind);
+static unsigned distance(struct dl_str a, struct dl_str b);
+
+/* Note a fault at a place; only the first ones keep their words. */
+void conf_fault(struct conf_reader *r, const struct conf_at *at,
+		const char *fmt, ...)
+{
+	struct dl_fault *f;
+	va_list ap;
+
+	if (r->faults->count++ >= DL_FAULTS_MAX)
+		return;
+	f = &r->faults->at[r->faults->count - 1];
+	snprintf(f->path, sizeof(f->path), "%s", at->path);
+	f->line = conf_lines_find(&r->lines, at->hash);
+	va_start(ap, fmt);
+	vsnprintf(f->text, sizeof(f->text), fmt, ap);
+	va_end(ap);
+}
+
+/* How many letters must change to make one word of the other. */
+static unsigned distance(struct dl_str a, struct dl_str b)
+{
+	unsigned row[DL_NAME_MAX + 2];
+
+	if (a.n > DL_NAME_MAX || b.n > DL_NAME_MAX)
+		return UINT32_MAX;
+	for (size_t j = 0; j <= b.n; j++)
+		row[j] = (unsigned)j;
+	for (size_t i = 1; i <= a.n; i++) {
+		unsigned diagonal = row[0];
+
+		row[0] = (unsigned)i;
+		for (size_t j = 1; j <= b.n; j++) {
+			unsigned up = row[j];
+			unsigned best = diagonal + (a.s[i - 1] != b.s[j - 1]);
+
+			if (up + 1 < best)
+				best = up + 1;
+			if (row[j - 1] + 1 < best)
+				best = row[j - 1] + 1;
+			row[j] = best;
+			diagonal = up;
+		}
+	}
+	return row[b.n];
+}
+
+/* Offer one word as the one that was meant. */
+void conf_nearest_try(struct conf_nearest *n, struct dl_str word)
+{
+	size_t limit = (n->wanted.n + 2) / 3;
+	unsigned d = distance(n->wanted, word);
+
+	if (limit > NEAR_MAX)
+		limit = NEAR_MAX;
+	if (d > limit || (n->best.s && d >= n->distance))
+		return;
+	n->best = word;
+	n->distance = d;
+}
+
+/* The hint for people; empty where no word is near. */
+const char *conf_nearest_hint(const struct conf_nearest *n, char out[96])
+{
+	out[0] = '\0';
+	if (n->best.s)
+		snprintf(out, 96, "; did you mean \"%.*s\"?", (int)n->best.n,
+			 n->best.s);
+	return out;
+}
+
+/* Say which type was found in place of the one wanted. */
+static void wrong_type(struct conf_reader *r, const struct conf_at *at,
+		       json_type want, json_t *json)
+{
+	conf_fault(r, at, "must be %s, not %s", type_names[want],
+		   type_names[json_typeof(json)]);
+}
+
+/* Read a whole number within its range. */
+static bool read_number(struct conf_reader *r, const struct conf_at *at,
+			const struct conf_field *f, json_t *json, uint64_t *out)
+{
+	json_int_t v;
+
+	if (!json_is_integer(json)) {
+		wrong_type(r, at, JSON_INTEGER, json);
+		return false;
+	}
+	v = json_integer_value(json);
+	if (v < 0 || (uint64_t)v < f->min || (uint64_t)v > f->max) {
+		conf_fault(r, at, "must be from %llu to %llu, not %lld",
+			   (unsigned long long)f->min,
+			   (unsigned long long)f->max, (long long)v);
+		return false;
+	}
+	*out = (uint64_t)v;
+	return true;
+}
+
+static void read_u32(struct conf_reader *r, const struct conf_at *at,
+		     const struct conf_field *f, json_t *json, char *out)
+{
+	uint64_t v;
+	uint32_t narrow;
+
+	if (!read_number(r, at, f, json, &v))
+		return;
+	narrow = (uint32_t)v;
+	memcpy(out, &narrow, sizeof(narrow));
+}
+
+static void read_u64(struct conf_reader *r, const struct conf_at *at,
+		     const struct conf_field *f, json_t *json, char *out)
+{
+	uint64_t v;
+
+	if (read_number(r, at, f, json, &v))
+		memcpy(out, &v, sizeof(v));
+}
+
+static void read_bool(struct conf_reader *r, const struct conf_at *at,
+		      const struct conf_field *f, json_t *json, char *out)
+{
+	bool v = json_is_true(json);
+
+	if (json_is_boolean(json))
+		memcpy(out, &v, sizeof(v));
+	else
+		wrong_type(r, at, JSON_TRUE, json);
+}
+
+static void read_name(struct conf_reader *r, const struct conf_at *at,
+		      const struct conf_field *f, json_t *json, char *out)
+{
+	conf_read_name(r, at, json, (enum conf_name_kind)f->min,
+		       (struct dl_name *)(void *)out);
+}
+
+/* Read one word of a list and store its index. */
+static void read_word(struct conf_reader *r, const struct conf_at *at,
+		      const struct conf_field *f, json_t *json, char *out)
+{
+	struct conf_nearest near = { 0 };
+	char hint[96], all[96] = "";
+	size_t n = 0;
+
+	if (!json_is_string(json)) {
+		wrong_type(r, at, JSON_STRING, json);
+		return;
+	}
+	near.wanted = dl_str_of(json_string_value(json));
+	for (int i = 0; f->words[i]; i++) {
+		struct dl_str word = dl_str_of(f->words[i]);
+
+		if (dl_str_eq(word, near.wanted)) {
+			memcpy(out, &i, sizeof(i));
+			return;
+		}
+		conf_nearest_try(&near, word);
+		n += (size_t)snprintf(all + n, sizeof(all) - n, "%s\"%s\"",
+				      i ? ", " : "", f->words[i]);
+	}
+	conf_fault(r, at, "must be one of %s%s", all,
+		   conf_nearest_hint(&near, hint));
+}
+
+/* Only the type is checked; the caller reads what is in it. */
+static void read_other(struct conf_reader *r, const struct conf_at *at,
+		       const struct conf_field *f, json_t *json, char *out)
+{
+	if (json_typeof(json) != f->json)
+		wrong_type(r, at, f->json, json);
+}
+
+/* Store what holds where the text says nothing. */
+static void set_default(const struct conf_field *f, char *out)
+{
+	uint32_t narrow = (uint32_t)f->initial;
+	bool flag = f->initial != 0;
+
+	if (f->type == CONF_U32 || f->type == CONF_WORD)
+		memcpy(out, &narrow, sizeof(narrow));
+	else if (f->type == CONF_U64)
+		memcpy(out, &f->initial, sizeof(f->initial));
+	else if (f->type == CONF_BOOL)
+		memcpy(out, &flag, sizeof(flag));
+}
+
+/* The field of a key, or NULL. */
+static const struct conf_field *find_field(struct conf_fields fields,
+					   const char *key)
+{
+	for (size_t i = 0; i < fields.count; i++) {
+		if (strcmp(fields.at[i].key, key) == 0)
+			return fields.at + i;
+	}
+	return NULL;
+}
+
+/* Name a key that no field has, and the one that was probably meant. */
+static void unknown_key(struct conf_reader *r, const struct conf_at *at,
+			struct conf_fields fields, const char *key)
+{
+	struct conf_nearest near = { .wanted = dl_str_of(key) };
+	char hint[96];
+
+	for (size_t i = 0; i < fields.count; i++)
+		conf_nearest_try(&near, dl_str_of(fields.at[i].key));
+	conf_fault(r, at, "unknown key%s", conf_nearest_hint(&near, hint));
+}
+
+/*
+ * Read an object into a struct by its table of fields: defaults first, then
+ * each key.  Unknown and missing keys, wrong types and ranges are faults.
+ * False where the value is no object at all.
+ */
+bool conf_read_object(struct conf_reader *r, const struct conf_at *at,
+		      json_t *json, struct conf_fields fields, void *out)
+{
+	const char *key;
+	json_t *value;
+
+	for (size_t i = 0; i < fields.count; i++)
+		set_default(&fields.at[i], (char *)out + fields.at[i].offset);
+	if (!json_is_object(json)) {
+		wrong_type(r, at, JSON_OBJECT, json);
+		return false;
+	}
+	json_object_foreach(json, key, value)
+	{
+		const struct conf_field *f = find_field(fields, key);
+		struct conf_at child = conf_at_key(at, dl_str_of(key));
+
+		if (f)
+			readers[f->type](r, &child, f, value,
+					 (char *)out + f->offset);
+		else
+			unknown_key(r, &child, fields, key);
+	}
+	for (size_t i = 0; i < fields.count; i++) {
+		if (fields.at[i].required &&
+		    !json_object_get(json, fields.at[i].key))
+			conf_fault(r, at, "the key \"%s\" is missing",
+				   fields.at[i].key);
+	}
+	return true;
+}
+
+/* A member of the given type, or NULL; a wrong type was a fault already. */
+json_t *conf_child(json_t *json, const char *key, json_type type)
+{
+	json_t *child = json_object_get(json, key);
+
+	return child && json_typeof(child) == type ? child : NULL;
+}
+
+/* Whether a byte may stand in a name. */
+static bool name_byte(unsigned char c, enum conf_name_kind kind)
+{
+	if (kind == CONF_URL_PATH)
+		return c > ' ' && c < 0x7f;
+	if (isalnum(c) || c == '.' || c == '_' || c == '-')
+		return c < 0x80;
+	return kind != CONF_PLAIN_NAME && (c == '/' || c == ':');
+}
+
+/* Check how a name is written. */
+bool conf_check_name(struct conf_reader *r, const struct conf_at *at,
+		     struct dl_str name, enum conf_name_kind kind)
+{
+	uint64_t vm;
+
+	if (name.n == 0 || name.n > DL_NAME_MAX) {
+		conf_fault(r, at, "must have 1 to %d characters, not %zu",
+			   DL_NAME_MAX, name.n);
+		return false;
+	}
+	for (size_t i = 0; i < name.n; i++) {
+		if (name_byte((unsigned char)name.s[i], kind))
+			continue;
+		conf_fault(r, at, "character %zu must not stand in a name",
+			   i + 1);
+		return false;
+	}
+	if (kind == CONF_URL_PATH && name.s[0] != '/') {
+		conf_fault(r, at, "must begin with \"/\"");
+		return false;
+	}
+	if (kind == CONF_ADDRESS && !dl_vm_parse(name, &vm)) {
+		conf_fault(r, at, "must be an address like 10.0.0.1:7200");
+		return false;
+	}
+	return true;
+}
+
+/* Read one name. */
+bool conf_read_name(struct conf_reader *r, const struct conf_at *at,
+		    json_t *json, enum conf_name_kind kind, struct dl_name *out)
+{
+	struct dl_str s;
+
+	if (!json_is_string(json)) {
+		wrong_type(r, at, JSON_STRING, json);
+		return false;
+	}
+	s = (struct dl_str){ json_string_value(json),
+			     json_string_length(json) };
+	return conf_check_name(r, at, s, kind) && dl_name_set(out, s);
+}
+
+/* Read a list of names, each of which may stand in it once. */
+void conf_read_names(struct conf_reader *r, const struct conf_at *at,
+		     json_t *array, enum conf_name_kind kind,
+		     struct dl_name **out, uint32_t *count)
+{
+	size_t n = json_array_size(array);
+
+	if (n > CONF_LIST_MAX) {
+		conf_fault(r, at, "must have at most %d elements, not %zu",
+			   CONF_LIST_MAX, n);
+		return;
+	}
+	*out = calloc(n ? n : 1, sizeof(**out));
+	if (!*out) {
+		r->no_memory = true;
+		return;
+	}
+	for (size_t i = 0; i < n; i++) {
+		struct conf_at child = conf_at_index(at, i);
+		struct dl_name *name = &(*out)[*count];
+		uint32_t j = 0;
+
+		if (!conf_read_name(r, &child, json_array_get(array, i), kind,
+				    name))
+			continue;
+		while (j < *count && !dl_name_eq(&(*out)[j], dl_name_str(name)))
+			j++;
+		if (j < *count)
+			conf_fault(r, &child, "\"%s\" is in the list twice",
+				   name->s);
+		else
+			(*count)++;
+	}
+}
--- /dev/null
+++ b/src/state/conf_scan.c
@@ -0,0 +1,274 @@
+/*
+ * The line of every key and element of a text whose syntax is known to be
+ * good, and the keys that stand twice in one object: jansson tells neither.
+ */
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "state/conf_int.h"
+
+#define ROOT_HASH  1
+#define LINES_SIZE 256
+#define DEPTH_MAX  8
+
+struct scan {
+	const char *p;
+	const char *end;
+	uint32_t line;
+	struct conf_reader *r;
+};
+
+static struct conf_at at_child(const struct conf_at *parent, struct dl_str word,
+			       const char *before);
+static bool lines_add(struct conf_lines *lines, uint64_t hash, uint32_t line);
+static bool lines_grow(struct conf_lines *lines);
+static bool note(struct scan *s, struct conf_at *at);
+static void skip_space(struct scan *s);
+static struct dl_str scan_string(struct scan *s);
+static bool scan_value(struct scan *s, const struct conf_at *at, int depth);
+static bool scan_object(struct scan *s, const struct conf_at *at, int depth);
+static bool scan_array(struct scan *s, const struct conf_at *at, int depth);
+
+/* The text as a whole. */
+struct conf_at conf_at_root(void)
+{
+	return (struct conf_at){ .hash = ROOT_HASH };
+}
+
+/* Append a word to a path, cut where it grows too long, and to its hash. */
+static struct conf_at at_child(const struct conf_at *parent, struct dl_str word,
+			       const char *before)
+{
+	struct conf_at at;
+	size_t lead = parent->n ? strlen(before) : 0;
+	size_t room = sizeof(at.path) - 1 - parent->n;
+
+	memcpy(at.path, parent->path, parent->n);
+	at.n = parent->n;
+	if (lead + word.n <= room) {
+		memcpy(at.path + at.n, before, lead);
+		memcpy(at.path + at.n + lead, word.s, word.n);
+		at.n += lead + word.n;
+	}
+	at.path[at.n] = '\0';
+	at.hash = XXH3_64bits_withSeed(word.s, word.n, parent->hash);
+	if (at.hash == 0)
+		at.hash = ROOT_HASH;
+	return at;
+}
+
+/* The place of a key within an object. */
+struct conf_at conf_at_key(const struct conf_at *parent, struct dl_str key)
+{
+	return at_child(parent, key, ".");
+}
+
+/* The place of an element within an array. */
+struct conf_at conf_at_index(const struct conf_at *parent, size_t index)
+{
+	char word[32];
+
+	snprintf(word, sizeof(word), "[%zu]", index);
+	return at_child(parent, dl_str_of(word), "");
+}
+
+/* Double the table of lines. */
+static bool lines_grow(struct conf_lines *lines)
+{
+	struct conf_lines next = { .size = lines->size ? lines->size * 2 :
+							 LINES_SIZE };
+
+	next.hash = calloc(next.size, sizeof(*next.hash));
+	next.line = calloc(next.size, sizeof(*next.line));
+	if (!next.hash || !next.line) {
+		conf_lines_free(&next);
+		return false;
+	}
+	for (size_t i = 0; i < lines->size; i++) {
+		if (lines->hash[i])
+			lines_add(&next, lines->hash[i], lines->line[i]);
+	}
+	conf_lines_free(lines);
+	*lines = next;
+	return true;
+}
+
+/* Note where a path stands; false where it was noted before. */
+static bool lines_add(struct conf_lines *lines, uint64_t hash, uint32_t line)
+{
+	size_t i = hash & (lines->size - 1);
+
+	while (lines->hash[i]) {
+		if (lines->hash[i] == hash)
+			return false;
+		i = (i + 1) & (lines->size - 1);
+	}
+	lines->hash[i] = hash;
+	lines->line[i] = line;
+	lines->used++;
+	return true;
+}
+
+/* The line of a path; 0 where the text does not have it. */
+uint32_t conf_lines_find(const struct conf_lines *lines, uint64_t hash)
+{
+	size_t i;
+
+	if (lines->size == 0)
+		return 0;
+	i = hash & (lines->size - 1);
+	while (lines->hash[i]) {
+		if (lines->hash[i] == hash)
+			return lines->line[i];
+		i = (i + 1) & (lines->size - 1);
+	}
+	return 0;
+}
+
+/* Release the table of lines. */
+void conf_lines_free(struct conf_lines *lines)
+{
+	free(lines->hash);
+	free(lines->line);
+	memset(lines, 0, sizeof(*lines));
+}
+
+/*
+ * Note the present line for a path; a key that was there is a fault.  What is
+ * in the second one gets a hash of its own, so that it is not a fault as well.
+ */
+static bool note(struct scan *s, struct conf_at *at)
+{
+	struct conf_lines *lines = &s->r->lines;
+	struct dl_faults *faults = s->r->faults;
+	uint32_t before = faults->count;
+
+	if (lines->used * 2 >= lines->size && !lines_grow(lines)) {
+		s->r->no_memory = true;
+		return false;
+	}
+	if (lines_add(lines, at->hash, s->line))
+		return true;
+	conf_fault(s->r, at, "this key stands twice; it is also on line %u",
+		   conf_lines_find(lines, at->hash));
+	if (before < DL_FAULTS_MAX)
+		faults->at[before].line = s->line;
+	at->hash = ~at->hash;
+	return true;
+}
+
+/* Go to the next byte that is no white space, and count the lines passed. */
+static void skip_space(struct scan *s)
+{
+	while (s->p < s->end && (*s->p == ' ' || *s->p == '\t' ||
+				 *s->p == '\r' || *s->p == '\n')) {
+		if (*s->p == '\n')
+			s->line++;
+		s->p++;
+	}
+}
+
+/* Pass a string; the bytes between its quotes, escapes as they stand. */
+static struct dl_str scan_string(struct scan *s)
+{
+	const char *begin = ++s->p;
+
+	while (s->p < s->end && *s->p != '"')
+		s->p += *s->p == '\\' ? 2 : 1;
+	return (struct dl_str){ begin, (size_t)(s->p++ - begin) };
+}
+
+/* Pass the members of an object and note each key. */
+static bool scan_object(struct scan *s, const struct conf_at *at, int depth)
+{
+	s->p++;
+	for (;;) {
+		struct conf_at child;
+		struct dl_str key;
+
+		skip_space(s);
+		if (s->p >= s->end || *s->p == '}')
+			break;
+		if (*s->p == ',') {
+			s->p++;
+			continue;
+		}
+		key = scan_string(s);
+		child = conf_at_key(at, key);
+		if (!note(s, &child))
+			return false;
+		if (memchr(key.s, '\\', key.n))
+			conf_fault(s->r, &child, "a key must have no escapes");
+		skip_space(s);
+		s->p++;
+		if (!scan_value(s, &child, depth + 1))
+			return false;
+	}
+	s->p++;
+	return true;
+}
+
+/* Pass the elements of an array and note each. */
+static bool scan_array(struct scan *s, const struct conf_at *at, int depth)
+{
+	size_t index = 0;
+
+	s->p++;
+	for (;;) {
+		struct conf_at child;
+
+		skip_space(s);
+		if (s->p >= s->end || *s->p == ']')
+			break;
+		if (*s->p == ',') {
+			s->p++;
+			continue;
+		}
+		child = conf_at_index(at, index++);
+		if (!note(s, &child) || !scan_value(s, &child, depth + 1))
+			return false;
+	}
+	s->p++;
+	return true;
+}
+
+/* Pass one value with all that is in it. */
+static bool scan_value(struct scan *s, const struct conf_at *at, int depth)
+{
+	skip_space(s);
+	if (s->p >= s->end)
+		return true;
+	if (depth > DEPTH_MAX) {
+		conf_fault(s->r, at, "nested too deeply");
+		return false;
+	}
+	if (*s->p == '{')
+		return scan_object(s, at, depth);
+	if (*s->p == '[')
+		return scan_array(s, at, depth);
+	if (*s->p == '"') {
+		scan_string(s);
+		return true;
+	}
+	while (s->p < s->end && !strchr(",]} \t\r\n", *s->p))
+		s->p++;
+	return true;
+}
+
+/*
+ * Note the line of every path of a text that jansson has read without a
+ * fault.  0, or -ENOMEM, or -EINVAL where it is nested too deeply.
+ */
+int conf_lines_scan(struct conf_reader *r, struct dl_str text)
+{
+	struct scan s = { text.s, text.s + text.n, 1, r };
+	struct conf_at root = conf_at_root();
+
+	if (note(&s, &root) && scan_value(&s, &root, 0))
+		return 0;
+	return r->no_memory ? -ENOMEM : -EINVAL;
+}
--- /dev/null
+++ b/src/state/cstore.c
@@ -0,0 +1,528 @@
+/*
+ * The replicated state machine: versions of the configuration, answers to
+ * change ids, claims, and the fencing term of orders.
+ */
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/cstore_int.h"
+
+#define TEXT_SEED 0x636f6e66
+
+typedef void exec_fn(struct dl_cstore *store, const struct dl_cstore_cmd *cmd,
+		     struct dl_cstore_reply *reply);
+
+static exec_fn do_apply, do_claims, do_fence;
+
+static exec_fn *const ops[DL_CSTORE_OP_COUNT] = {
+	[DL_CSTORE_APPLY] = do_apply,	 [DL_CSTORE_CLAIM] = do_claims,
+	[DL_CSTORE_OUTCOME] = do_claims, [DL_CSTORE_UNCLAIM] = do_claims,
+	[DL_CSTORE_FENCE] = do_fence,
+};
+
+static void pass_time(struct dl_cstore *store, const struct dl_cstore_cmd *cmd);
+static void drop_texts(struct dl_cstore *store);
+static bool answer_again(struct dl_cstore *store,
+			 const struct dl_cstore_cmd *cmd,
+			 struct dl_cstore_reply *reply);
+static void record(struct dl_cstore *store, const struct dl_cstore_cmd *cmd,
+		   const struct dl_cstore_reply *reply);
+static void tell_winner(struct dl_cstore *store, uint64_t expect,
+			uint64_t version, struct dl_cstore_reply *reply);
+static void tell_faults(const struct dl_faults *faults,
+			struct dl_cstore_reply *reply);
+static int refuse(const struct dl_cstore *store, const struct dl_conf *next,
+		  bool confirm, struct dl_cstore_reply *reply);
+static void put_in_force(struct dl_cstore *store,
+			 const struct dl_cstore_cmd *cmd, struct dl_conf *next);
+static bool parse_kept(const struct dl_cstore *store, uint64_t version,
+		       struct dl_conf **out);
+
+/* The hash of a length-counted string, for GLib's tables. */
+guint cstore_str_hash(gconstpointer key)
+{
+	const struct dl_str *s = key;
+
+	return (guint)dl_hash(*s, 0);
+}
+
+/* Whether two length-counted strings are equal, for GLib's tables. */
+gboolean cstore_str_equal(gconstpointer a, gconstpointer b)
+{
+	return dl_str_eq(*(const struct dl_str *)a, *(const struct dl_str *)b);
+}
+
+/* Begin with version 0: nothing in force, nothing claimed. */
+void cstore_init(struct dl_cstore *store)
+{
+	memset(store, 0, sizeof(*store));
+	store->by_id = g_hash_table_new_full(cstore_str_hash, cstore_str_equal,
+					     NULL, g_free);
+	claims_init(&store->claims);
+}
+
+/* Release all that a store holds, but not the store. */
+void cstore_drop(struct dl_cstore *store)
+{
+	for (uint32_t i = 0; i < DL_CSTORE_HISTORY_MAX; i++)
+		g_free(store->history[i].text);
+	g_hash_table_destroy(store->by_id);
+	claims_drop(&store->claims);
+	dl_conf_free(store->conf);
+}
+
+/* A store with nothing in it, or NULL where there is no memory. */
+struct dl_cstore *dl_cstore_new(void)
+{
+	struct dl_cstore *store = malloc(sizeof(*store));
+
+	if (store)
+		cstore_init(store);
+	return store;
+}
+
+/* Release a store; NULL is nothing to do. */
+void dl_cstore_free(struct dl_cstore *store)
+{
+	if (!store)
+		return;
+	cstore_drop(store);
+	free(store);
+}
+
+/* An answer by age, the oldest first; NULL past the last. */
+const struct answer *cstore_answer_at(const struct dl_cstore *store,
+				      uint32_t index)
+{
+	if (index >= store->answers_count)
+		return NULL;
+	return store->answers[(store->answers_head + index) %
+			      DL_CSTORE_CHANGES_MAX];
+}
+
+/* A version by age, the newest first; NULL past the last. */
+const struct change *cstore_change_at(const struct dl_cstore *store,
+				      uint32_t newest)
+{
+	uint32_t oldest;
+
+	if (newest >= store->history_count)
+		return NULL;
+	oldest = store->history_count - 1 - newest;
+	return &store->history[(store->history_head + oldest) %
+			       DL_CSTORE_HISTORY_MAX];
+}
+
+/* Keep an answer; the oldest one makes room. */
+void cstore_add_answer(struct dl_cstore *store, const struct answer *answer)
+{
+	struct answer *kept = g_malloc(sizeof(*kept) + answer->id.n);
+	char *id = (char *)(kept + 1);
+	uint32_t at = (store->answers_head + store->answers_count) %
+		      DL_CSTORE_CHANGES_MAX;
+
+	*kept = *answer;
+	if (answer->id.n)
+		memcpy(id, answer->id.s, answer->id.n);
+	kept->id.s = id;
+	if (store->answers_count == DL_CSTORE_CHANGES_MAX) {
+		g_hash_table_remove(store->by_id, &store->answers[at]->id);
+		store->answers_head =
+			(store->answers_head + 1) % DL_CSTORE_CHANGES_MAX;
+	} else {
+		store->answers_count++;
+	}
+	store->answers[at] = kept;
+	g_hash_table_insert(store->by_id, &kept->id, kept);
+}
+
+/* Drop the oldest texts until the others fit; the one in force stays. */
+static void drop_texts(struct dl_cstore *store)
+{
+	for (uint32_t i = 0; i + 1 < store->history_count; i++) {
+		struct change *c = &store->history[(store->history_head + i) %
+						   DL_CSTORE_HISTORY_MAX];
+
+		if (store->history_bytes <= DL_CSTORE_HISTORY_BYTES)
+			return;
+		if (!c->text)
+			continue;
+		store->history_bytes -= c->bytes;
+		g_free(c->text);
+		c->text = NULL;
+	}
+}
+
+/* Keep a version as the newest; text.s is NULL where its text was dropped. */
+void cstore_add_change(struct dl_cstore *store, const struct change *change,
+		       struct dl_str text)
+{
+	const struct change *last = cstore_change_at(store, 0);
+	struct change *c;
+	uint32_t at = (store->history_head + store->history_count) %
+		      DL_CSTORE_HISTORY_MAX;
+
+	if (last && last->text)
+		store->history_bytes += last->bytes;
+	c = &store->history[at];
+	if (store->history_count == DL_CSTORE_HISTORY_MAX) {
+		if (c->text)
+			store->history_bytes -= c->bytes;
+		g_free(c->text);
+		store->history_head =
+			(store->history_head + 1) % DL_CSTORE_HISTORY_MAX;
+	} else {
+		store->history_count++;
+	}
+	*c = *change;
+	c->text = NULL;
+	if (text.s) {
+		c->text = g_malloc(text.n + 1);
+		memcpy(c->text, text.s, text.n);
+		c->text[text.n] = '\0';
+	}
+	drop_texts(store);
+}
+
+/*
+ * Let the store's clock follow the leader's wall clock.  Only what passes
+ * within one term counts: a new leader's clock may be days off, and time that
+ * ran too fast would end claims early and run their requests twice.  Time that
+ * is missed only keeps claims longer.
+ */
+static void pass_time(struct dl_cstore *store, const struct dl_cstore_cmd *cmd)
+{
+	bool new_term = cmd->op == DL_CSTORE_FENCE && cmd->term > store->fence;
+
+	if (new_term || store->wall_ms == 0) {
+		store->wall_ms = cmd->wall_ms;
+	} else if (cmd->wall_ms > store->wall_ms) {
+		store->clock_ms += cmd->wall_ms - store->wall_ms;
+		store->wall_ms = cmd->wall_ms;
+	}
+	claims_expire(&store->claims, store->clock_ms);
+}
+
+/* Parse a version's text that is still kept. */
+static bool parse_kept(const struct dl_cstore *store, uint64_t version,
+		       struct dl_conf **out)
+{
+	struct dl_faults *faults;
+	struct dl_str text;
+	int rc;
+
+	*out = NULL;
+	if (version == 0)
+		return true;
+	if (!dl_cstore_text(store, version, &text))
+		return false;
+	faults = g_malloc(sizeof(*faults));
+	rc = dl_conf_parse(text, out, faults);
+	g_free(faults);
+	return rc == 0;
+}
+
+/*
+ * The difference of two versions whose texts are kept; from may be 0.  -ENOENT
+ * where one is not.
+ */
+int dl_cstore_diff(const struct dl_cstore *store, uint64_t from, uint64_t to,
+		   struct dl_conf_diff *out)
+{
+	struct dl_conf *old = NULL, *new = NULL;
+	int rc = -ENOENT;
+
+	if (to && parse_kept(store, from, &old) && parse_kept(store, to, &new))
+		rc = dl_conf_compare(old, new, out);
+	dl_conf_free(old);
+	dl_conf_free(new);
+	return rc;
+}
+
+/* Tell the loser who won, and what the winner changed. */
+static void tell_winner(struct dl_cstore *store, uint64_t expect,
+			uint64_t version, struct dl_cstore_reply *reply)
+{
+	struct dl_conf_diff diff = { NULL, false };
+	const struct change *c = cstore_change_at(store, 0);
+	const char *author = "somebody";
+
+	for (uint32_t i = 0; c; c = cstore_change_at(store, ++i)) {
+		if (c->version == version && c->author.n)
+			author = c->author.s;
+	}
+	reply->code = DL_ECONFLICT;
+	reply->version = version;
+	if (expect < version)
+		dl_cstore_diff(store, expect, version, &diff);
+	snprintf(reply->text, sizeof(reply->text),
+		 "version %" PRIu64 " by %s is in force%s%s", version, author,
+		 diff.text ? ":\n" : "", diff.text ? diff.text : "");
+	if (diff.text)
+		dl_conf_diff_free(&diff);
+}
+
+/* Tell the first fault of a text, and how many there are. */
+static void tell_faults(const struct dl_faults *faults,
+			struct dl_cstore_reply *reply)
+{
+	const struct dl_fault *f = &faults->at[0];
+
+	reply->code = -EINVAL;
+	snprintf(reply->text, sizeof(reply->text),
+		 "%u fault%s, the first on line %u, %s: %.100s", faults->count,
+		 faults->count == 1 ? "" : "s", f->line, f->path, f->text);
+}
+
+/* Answer a change id that was answered before. */
+static bool answer_again(struct dl_cstore *store,
+			 const struct dl_cstore_cmd *cmd,
+			 struct dl_cstore_reply *reply)
+{
+	const struct answer *a;
+
+	a = g_hash_table_lookup(store->by_id, &cmd->change_id);
+	if (!a)
+		return false;
+	reply->repeated = true;
+	if (a->text_hash != dl_hash(cmd->text, TEXT_SEED)) {
+		reply->code = DL_EREUSED;
+		reply->version = a->version;
+		snprintf(reply->text, sizeof(reply->text),
+			 "this change id came before with another text");
+	} else if (a->code == 0) {
+		reply->version = a->version;
+	} else {
+		tell_winner(store, a->expect, a->version, reply);
+	}
+	return true;
+}
+
+/* Keep the answer to a change id. */
+static void record(struct dl_cstore *store, const struct dl_cstore_cmd *cmd,
+		   const struct dl_cstore_reply *reply)
+{
+	struct answer a = {
+		.text_hash = dl_hash(cmd->text, TEXT_SEED),
+		.expect = cmd->expect,
+		.version = reply->version,
+		.code = reply->code,
+		.id = cmd->change_id,
+	};
+
+	cstore_add_answer(store, &a);
+}
+
+/* Whether a text without faults must be refused for what it would do. */
+static int refuse(const struct dl_cstore *store, const struct dl_conf *next,
+		  bool confirm, struct dl_cstore_reply *reply)
+{
+	struct dl_conf_diff diff;
+	bool ask;
+
+	if (!store->conf)
+		return 0;
+	if (!dl_conf_keeps_majority(store->conf, next)) {
+		snprintf(reply->text, sizeof(reply->text),
+			 "replicas: no majority of the %u in force would stay; "
+			 "replace fewer at a time",
+			 store->conf->replicas_count);
+		return -EINVAL;
+	}
+	if (confirm)
+		return 0;
+	dl_conf_compare(store->conf, next, &diff);
+	ask = diff.needs_confirm;
+	if (ask)
+		snprintf(reply->text, sizeof(reply->text),
+			 "this takes a service in use or most of a capacity "
+			 "away and must be confirmed:\n%s",
+			 diff.text);
+	dl_conf_diff_free(&diff);
+	return ask ? DL_ECONFIRM : 0;
+}
+
+/* Make a text the version in force. */
+static void put_in_force(struct dl_cstore *store,
+			 const struct dl_cstore_cmd *cmd, struct dl_conf *next)
+{
+	struct change c = {
+		.version = store->version + 1,
+		.wall_ms = cmd->wall_ms,
+		.digest = next->digest,
+		.bytes = cmd->text.n,
+	};
+
+	dl_name_set(&c.author, cmd->author);
+	dl_name_set(&c.id, cmd->change_id);
+	cstore_add_change(store, &c, cmd->text);
+	dl_conf_free(store->conf);
+	store->conf = next;
+	store->version = c.version;
+}
+
+/*
+ * Apply a text.  Answers that are final (applied, lost to another) are kept
+ * under the change id; a text that was refused as faulty or unconfirmed
+ * changed nothing, so its id stays free for the mended one.
+ */
+static void do_apply(struct dl_cstore *store, const struct dl_cstore_cmd *cmd,
+		     struct dl_cstore_reply *reply)
+{
+	struct dl_conf *next;
+	int rc;
+
+	reply->version = store->version;
+	if (cmd->change_id.n == 0 || cmd->change_id.n > DL_NAME_MAX ||
+	    cmd->author.n > DL_NAME_MAX) {
+		reply->code = -EINVAL;
+		snprintf(reply->text, sizeof(reply->text),
+			 "a change id must have 1 to %d bytes, an author at "
+			 "most %d",
+			 DL_NAME_MAX, DL_NAME_MAX);
+		return;
+	}
+	if (answer_again(store, cmd, reply))
+		return;
+	if (cmd->expect != UINT64_MAX && cmd->expect != store->version) {
+		tell_winner(store, cmd->expect, store->version, reply);
+		record(store, cmd, reply);
+		return;
+	}
+	rc = dl_conf_parse(cmd->text, &next, &store->faults);
+	if (rc == -ENOMEM)
+		g_error("no memory to carry out a command");
+	if (rc) {
+		tell_faults(&store->faults, reply);
+		return;
+	}
+	reply->code = refuse(store, next, cmd->confirm, reply);
+	if (reply->code) {
+		dl_conf_free(next);
+		return;
+	}
+	put_in_force(store, cmd, next);
+	reply->version = store->version;
+	record(store, cmd, reply);
+}
+
+static void do_claims(struct dl_cstore *store, const struct dl_cstore_cmd *cmd,
+		      struct dl_cstore_reply *reply)
+{
+	claims_exec(&store->claims, cmd, store->clock_ms, reply);
+}
+
+/* Raise the fencing term; it never falls. */
+static void do_fence(struct dl_cstore *store, const struct dl_cstore_cmd *cmd,
+		     struct dl_cstore_reply *reply)
+{
+	if (cmd->term < store->fence) {
+		reply->code = DL_ECONFLICT;
+		snprintf(reply->text, sizeof(reply->text),
+			 "term %" PRIu64 " is in force", store->fence);
+		return;
+	}
+	reply->repeated = cmd->term == store->fence;
+	store->fence = cmd->term;
+}
+
+/*
+ * Carry out the command at a log index.  0, and the outcome in reply->code;
+ * -EALREADY for an index that was carried out, which changes nothing; -EBADMSG
+ * for bytes that are no command, which count as carried out.  reply may not be
+ * NULL.
+ */
+int dl_cstore_exec(struct dl_cstore *store, uint64_t index,
+		   struct dl_str command, struct dl_cstore_reply *reply)
+{
+	struct dl_cstore_cmd cmd;
+
+	memset(reply, 0, sizeof(*reply));
+	reply->outcome = (struct dl_str){ "", 0 };
+	if (index <= store->index) {
+		reply->code = -EALREADY;
+		return -EALREADY;
+	}
+	store->index = index;
+	if (dl_cstore_decode(command, &cmd) != 0) {
+		reply->code = -EBADMSG;
+		return -EBADMSG;
+	}
+	pass_time(store, &cmd);
+	ops[cmd.op](store, &cmd, reply);
+	return 0;
+}
+
+/* The last index that was carried out. */
+uint64_t dl_cstore_index(const struct dl_cstore *store)
+{
+	return store->index;
+}
+
+/* The version in force; 0 before the first. */
+uint64_t dl_cstore_version(const struct dl_cstore *store)
+{
+	return store->version;
+}
+
+/* The highest fencing term. */
+uint64_t dl_cstore_fence(const struct dl_cstore *store)
+{
+	return store->fence;
+}
+
+/* The parsed configuration in force; NULL before the first. */
+const struct dl_conf *dl_cstore_conf(const struct dl_cstore *store)
+{
+	return store->conf;
+}
+
+/* The text of a version, 0 for the one in force; false where not kept. */
+bool dl_cstore_text(const struct dl_cstore *store, uint64_t version,
+		    struct dl_str *out)
+{
+	const struct change *newest = cstore_change_at(store, 0), *c;
+
+	if (!newest || version > newest->version)
+		return false;
+	c = version == 0 ?
+		    newest :
+		    cstore_change_at(store,
+				     (uint32_t)MIN(newest->version - version,
+						   UINT32_MAX));
+	if (!c || !c->text)
+		return false;
+	*out = (struct dl_str){ c->text, c->bytes };
+	return true;
+}
+
+/* One line of the history, the newest at index 0; false past the last. */
+bool dl_cstore_history(const struct dl_cstore *store, uint32_t index,
+		       struct dl_cstore_change *out)
+{
+	const struct change *c = cstore_change_at(store, index);
+
+	if (!c)
+		return false;
+	out->version = c->version;
+	out->wall_ms = c->wall_ms;
+	out->author = dl_name_str(&c->author);
+	out->change_id = dl_name_str(&c->id);
+	out->digest = c->digest;
+	out->bytes = c->bytes;
+	return true;
+}
+
+/* What is kept now, for status and measurements. */
+void dl_cstore_count(const struct dl_cstore *store,
+		     struct dl_cstore_counts *out)
+{
+	out->changes = store->answers_count;
+	out->claims = claims_count(&store->claims);
+	out->history = store->history_count;
+	out->claim_bytes = store->claims.bytes;
+	out->history_bytes = store->history_bytes;
+}
--- /dev/null
+++ b/src/state/cstore_pack.h
@@ -0,0 +1,105 @@
+/*
+ * Reading a msgpack array field by field: one wrong type marks the whole as
+ * bad, so that a decoder checks once at its end.
+ */
+#ifndef DL_STATE_CSTORE_PACK_H
+#define DL_STATE_CSTORE_PACK_H
+
+#include <msgpack.h>
+
+#include "daisyledge/base.h"
+
+struct pack_fields {
+	msgpack_object_array array;
+	uint32_t next;
+	bool bad;
+};
+
+/* Begin with an object; bad where it is no array of that many fields. */
+static inline struct pack_fields pack_begin(const msgpack_object *o, uint32_t n)
+{
+	struct pack_fields f = { .bad = true };
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != n)
+		return f;
+	f.array = o->via.array;
+	f.bad = false;
+	return f;
+}
+
+/* The next field where it is of the type, or NULL. */
+static inline const msgpack_object *pack_next(struct pack_fields *f,
+					      msgpack_object_type type)
+{
+	const msgpack_object *o;
+
+	if (f->bad || f->next >= f->array.size) {
+		f->bad = true;
+		return NULL;
+	}
+	o = &f->array.ptr[f->next++];
+	if (o->type == type)
+		return o;
+	f->bad = true;
+	return NULL;
+}
+
+/* The next field as an unsigned number within a limit. */
+static inline uint64_t pack_u64(struct pack_fields *f, uint64_t max)
+{
+	const msgpack_object *o = pack_next(f, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	if (!o)
+		return 0;
+	if (o->via.u64 > max) {
+		f->bad = true;
+		return 0;
+	}
+	return o->via.u64;
+}
+
+/* The next field as a signed number. */
+static inline int64_t pack_i64(struct pack_fields *f)
+{
+	const msgpack_object *o;
+
+	if (f->bad || f->next >= f->array.size) {
+		f->bad = true;
+		return 0;
+	}
+	o = &f->array.ptr[f->next];
+	if (o->type == MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return (int64_t)pack_u64(f, INT64_MAX);
+	o = pack_next(f, MSGPACK_OBJECT_NEGATIVE_INTEGER);
+	return o ? o->via.i64 : 0;
+}
+
+/* The next field as a flag. */
+static inline bool pack_bool(struct pack_fields *f)
+{
+	const msgpack_object *o = pack_next(f, MSGPACK_OBJECT_BOOLEAN);
+
+	return o && o->via.boolean;
+}
+
+/* The next field as a string that points into what was decoded. */
+static inline struct dl_str pack_str(struct pack_fields *f, size_t max)
+{
+	const msgpack_object *o = pack_next(f, MSGPACK_OBJECT_BIN);
+
+	if (!o || o->via.bin.size > max) {
+		f->bad = true;
+		return (struct dl_str){ "", 0 };
+	}
+	return (struct dl_str){ o->via.bin.ptr, o->via.bin.size };
+}
+
+/* Write a string. */
+static inline void pack_put_str(msgpack_packer *pk, struct dl_str s)
+{
+	msgpack_pack_bin(pk, s.n);
+	if (s.n)
+		msgpack_pack_bin_body(pk, s.s, s.n);
+}
+
+#endif
