Operators' command line: check, apply, get, history, status

Cause: operators change behaviour only by one text, and need it checked, compared, applied and watched from any VM. Ruled out: asking 'check' of an entry, as a VM would have to be reachable. Conclusion: the command line stands against the documented API.

--- /dev/null
+++ b/src/main/cli_get.c
@@ -0,0 +1,84 @@
+/* daisyledge get and history: the text of a version, and who made which. */
+#include <inttypes.h>
+#include <string.h>
+
+#include "main/cli.h"
+#include "main/main.h"
+
+#define OK 200
+
+static const struct cli_column history_columns[] = {
+	{ .key = "version", .title = "VERSION" },
+	{ .key = "wall_ms", .title = "TIME", .is_time = true },
+	{ .key = "author", .title = "AUTHOR" },
+	{ .key = "bytes", .title = "BYTES" },
+	{ .key = "digest", .title = "DIGEST" },
+	{ .key = "change_id", .title = "CHANGE ID" },
+};
+
+static int ask(const struct cli *cli, const char *path,
+	       struct cli_answer *answer);
+
+/* Ask for a document and tell a failure. */
+static int ask(const struct cli *cli, const char *path,
+	       struct cli_answer *answer)
+{
+	struct cli_request req = { "GET", path, NULL, true };
+
+	cli_call(cli, &req, (int64_t)cli->timeout_s * 1000, answer);
+	if (answer->status == OK && answer->json)
+		return DL_EXIT_OK;
+	return cli_fail(cli, answer);
+}
+
+/* Print the text of a version, or of the one in force. */
+int dl_main_get(int argc, char **argv)
+{
+	gint64 version = 0;
+	const GOptionEntry own[] = {
+		{ "version", 0, 0, G_OPTION_ARG_INT64, &version,
+		  "an older version", "N" },
+		{ NULL },
+	};
+	struct cli_answer answer = { 0 };
+	const json_t *text;
+	struct cli cli;
+	char path[64] = "/v1/config";
+	int rc = cli_options(&cli, own, NULL, 0, true, argc, argv);
+
+	if (version)
+		snprintf(path, sizeof(path), "/v1/config?version=%" PRId64,
+			 (int64_t)version);
+	if (rc == DL_EXIT_OK)
+		rc = ask(&cli, path, &answer);
+	if (rc == DL_EXIT_OK && cli.json) {
+		cli_print_json(answer.json);
+	} else if (rc == DL_EXIT_OK) {
+		text = json_object_get(answer.json, "text");
+		fwrite(json_string_value(text), 1, json_string_length(text),
+		       stdout);
+	}
+	cli_answer_free(&answer);
+	cli_free(&cli);
+	return rc;
+}
+
+/* Print the versions, the newest first. */
+int dl_main_history(int argc, char **argv)
+{
+	struct cli_answer answer = { 0 };
+	struct cli cli;
+	int rc = cli_options(&cli, NULL, NULL, 0, true, argc, argv);
+
+	if (rc == DL_EXIT_OK)
+		rc = ask(&cli, "/v1/config/history", &answer);
+	if (rc == DL_EXIT_OK && cli.json)
+		cli_print_json(answer.json);
+	else if (rc == DL_EXIT_OK)
+		cli_table(json_object_get(answer.json, "changes"),
+			  history_columns,
+			  sizeof(history_columns) / sizeof(history_columns[0]));
+	cli_answer_free(&answer);
+	cli_free(&cli);
+	return rc;
+}
--- /dev/null
+++ b/src/main/cli_http.c
@@ -0,0 +1,147 @@
+/* One call after the other to the entries, each awaited to its end. */
+#include <string.h>
+
+#include "main/cli.h"
+#include "transport/httpc.h"
+
+#define CONNECT_MS   2000
+#define GAP_MS	     10000
+#define ROUND_MS     200 /* between rounds, so that nobody is hammered */
+#define ATTEMPT_MS   20	 /* less time than this is none for an attempt */
+#define ANSWER_MAX   (64u << 20)
+#define NS_PER_MS    1000000
+#define UNAVAILABLE  503
+#define CONTENT_TYPE DL_STR("application/json")
+
+/* One call while it runs. */
+struct attempt {
+	GString *body;
+	int status;
+	bool ended;
+	bool whole;
+	struct dl_err err;
+};
+
+static void on_head(void *arg, const struct dl_httpc_head *head);
+static bool on_body(void *arg, struct dl_str piece);
+static void on_end(void *arg, const struct dl_attempt *attempt,
+		   const struct dl_err *err);
+static void try_one(uint64_t to, const struct cli_request *req,
+		    int64_t timeout_ms, struct cli_answer *out);
+
+static const struct dl_httpc_ops ops = { on_head, on_body, on_end };
+
+/* The monotonic clock. */
+int64_t cli_now_ms(void)
+{
+	return (int64_t)(uv_hrtime() / NS_PER_MS);
+}
+
+/* Wait. */
+void cli_sleep_ms(unsigned ms)
+{
+	uv_sleep(ms);
+}
+
+static void on_head(void *arg, const struct dl_httpc_head *head)
+{
+	struct attempt *a = arg;
+
+	a->status = head->status;
+}
+
+static bool on_body(void *arg, struct dl_str piece)
+{
+	struct attempt *a = arg;
+
+	if (a->body->len + piece.n <= ANSWER_MAX)
+		g_string_append_len(a->body, piece.s, (gssize)piece.n);
+	return true;
+}
+
+static void on_end(void *arg, const struct dl_attempt *attempt,
+		   const struct dl_err *err)
+{
+	struct attempt *a = arg;
+
+	a->ended = true;
+	a->whole = attempt->broke == DL_BROKE_NOTHING;
+	a->err = *err;
+}
+
+/* Ask one entry and wait for its answer on a loop of its own. */
+static void try_one(uint64_t to, const struct cli_request *req,
+		    int64_t timeout_ms, struct cli_answer *out)
+{
+	const struct dl_header type = { DL_STR("Content-Type"), CONTENT_TYPE };
+	struct attempt a = { .body = g_string_new(NULL) };
+	struct dl_httpc_req r = {
+		.to = to,
+		.method = dl_str_of(req->method),
+		.path = dl_str_of(req->path),
+		.headers = &type,
+		.headers_count = req->body ? 1 : 0,
+		.body = dl_str_of(req->body),
+		.connect_ms = (uint32_t)MIN(CONNECT_MS, timeout_ms),
+		.gap_ms = (uint32_t)MIN(GAP_MS, timeout_ms),
+	};
+	struct dl_httpc *client;
+	uv_loop_t loop;
+
+	uv_loop_init(&loop);
+	if (dl_httpc_open(&loop, &client) != 0)
+		g_error("no memory");
+	if (dl_httpc_start(client, &r, &ops, &a)) {
+		while (!a.ended)
+			uv_run(&loop, UV_RUN_ONCE);
+	}
+	uv_run(&loop, UV_RUN_NOWAIT);
+	dl_httpc_close(client);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	uv_loop_close(&loop);
+	out->from = to;
+	out->err = a.err;
+	out->status = a.whole ? a.status : 0;
+	if (a.whole)
+		out->json = json_loadb(a.body->str, a.body->len, 0, NULL);
+	g_string_free(a.body, TRUE);
+}
+
+/*
+ * Ask the entries in order, round after round, until one answers or the time
+ * is over.  An entry without a quorum answers 503; with other_on_503 the next
+ * one is asked, and the last answer stands when the time is over.
+ */
+void cli_call(const struct cli *cli, const struct cli_request *req,
+	      int64_t timeout_ms, struct cli_answer *out)
+{
+	int64_t end = cli_now_ms() + timeout_ms;
+
+	memset(out, 0, sizeof(*out));
+	for (unsigned i = 0;; i++) {
+		int64_t left = end - cli_now_ms();
+		struct cli_answer next = { 0 };
+
+		if (i && i % cli->entries == 0)
+			cli_sleep_ms((unsigned)CLAMP(left, 0, ROUND_MS));
+		left = end - cli_now_ms();
+		if (i && left < ATTEMPT_MS)
+			return;
+		try_one(cli->entry[i % cli->entries], req, left, &next);
+		if (next.status == 0 && out->status)
+			continue;
+		cli_answer_free(out);
+		*out = next;
+		if (out->status == 0 ||
+		    (out->status == UNAVAILABLE && req->other_on_503))
+			continue;
+		return;
+	}
+}
+
+/* Release an answer. */
+void cli_answer_free(struct cli_answer *answer)
+{
+	json_decref(answer->json);
+	answer->json = NULL;
+}
--- /dev/null
+++ b/src/main/cli_opt.c
@@ -0,0 +1,156 @@
+/* Options of the operators' subcommands, and the file that they name. */
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "main/cli.h"
+#include "main/main.h"
+
+#define ENTRY_ENV	  "DAISYLEDGE_ENTRY"
+#define TIMEOUT_S_DEFAULT 30
+#define TIMEOUT_S_MAX	  3600
+#define READ_CHUNK	  65536
+
+static int usage_error(const char *name, const char *what);
+static int add_entry(struct cli *cli, const char *name, const char *word);
+static int find_entries(struct cli *cli, const char *name);
+
+/* Say what is wrong with the command line. */
+static int usage_error(const char *name, const char *what)
+{
+	fprintf(stderr, "daisyledge %s: %s; see daisyledge %s --help\n", name,
+		what, name);
+	return DL_EXIT_USAGE;
+}
+
+/* Add the address of one entry. */
+static int add_entry(struct cli *cli, const char *name, const char *word)
+{
+	char text[128];
+
+	if (cli->entries == CLI_ENTRIES_MAX)
+		return usage_error(name, "too many entries");
+	if (dl_vm_parse(dl_str_of(word), &cli->entry[cli->entries])) {
+		cli->entries++;
+		return DL_EXIT_OK;
+	}
+	snprintf(text, sizeof(text), "\"%.60s\" is no address IP:PORT", word);
+	return usage_error(name, text);
+}
+
+/* The entries of --entry, or else of the environment. */
+static int find_entries(struct cli *cli, const char *name)
+{
+	const char *env = g_getenv(ENTRY_ENV);
+	char **words;
+	int rc = DL_EXIT_OK;
+
+	for (char **w = cli->words; w && *w && rc == DL_EXIT_OK; w++)
+		rc = add_entry(cli, name, *w);
+	if (rc != DL_EXIT_OK || cli->entries || !env)
+		return rc;
+	words = g_strsplit_set(env, ", ", 0);
+	for (char **w = words; *w && rc == DL_EXIT_OK; w++) {
+		if (**w)
+			rc = add_entry(cli, name, *w);
+	}
+	g_strfreev(words);
+	return rc;
+}
+
+/* Read the options of a subcommand. */
+int cli_options(struct cli *cli, const GOptionEntry *own, const char *usage,
+		unsigned files, bool online, int argc, char **argv)
+{
+	const GOptionEntry common[] = {
+		{ "json", 0, 0, G_OPTION_ARG_NONE, &cli->json,
+		  "print JSON for programs", NULL },
+		{ G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_FILENAME_ARRAY,
+		  &cli->rest, NULL, NULL },
+		{ NULL },
+	};
+	const GOptionEntry reach[] = {
+		{ "entry", 0, 0, G_OPTION_ARG_STRING_ARRAY, &cli->words,
+		  "an entry to ask; several are asked in order (or "
+		  "$" ENTRY_ENV ")",
+		  "IP:PORT" },
+		{ "timeout", 0, 0, G_OPTION_ARG_INT, &cli->timeout_s,
+		  "give up after this time", "S" },
+		{ NULL },
+	};
+	GOptionContext *context;
+	GError *error = NULL;
+	char *prgname;
+	int rc = DL_EXIT_OK;
+
+	memset(cli, 0, sizeof(*cli));
+	cli->timeout_s = TIMEOUT_S_DEFAULT;
+	prgname = g_strdup_printf("daisyledge %s", argv[0]);
+	g_set_prgname(prgname);
+	g_free(prgname);
+	context = g_option_context_new(usage);
+	if (own)
+		g_option_context_add_main_entries(context, own, NULL);
+	if (online)
+		g_option_context_add_main_entries(context, reach, NULL);
+	g_option_context_add_main_entries(context, common, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		rc = usage_error(argv[0], error->message);
+		g_error_free(error);
+	}
+	g_option_context_free(context);
+	if (rc != DL_EXIT_OK)
+		return rc;
+	if ((cli->rest ? g_strv_length(cli->rest) : 0) != files)
+		return usage_error(argv[0], files ? "name one file" :
+						    "no words beside options");
+	if (!online)
+		return DL_EXIT_OK;
+	if (cli->timeout_s < 1 || cli->timeout_s > TIMEOUT_S_MAX)
+		return usage_error(argv[0], "--timeout must be 1 to 3600");
+	rc = find_entries(cli, argv[0]);
+	if (rc == DL_EXIT_OK && cli->entries == 0)
+		rc = usage_error(argv[0], "name an entry: --entry IP:PORT or "
+					  "$" ENTRY_ENV);
+	return rc;
+}
+
+/* Release what the options hold. */
+void cli_free(struct cli *cli)
+{
+	g_strfreev(cli->words);
+	g_strfreev(cli->rest);
+}
+
+/*
+ * Read a file, "-" for standard input, up to one byte more than a text may
+ * have, so that the check can say that it is too long.  0 or a negative errno;
+ * out->s is freed with free().
+ */
+int cli_read_file(const char *path, struct cli_text *out)
+{
+	FILE *f = strcmp(path, "-") == 0 ? stdin : fopen(path, "rb");
+	int rc = 0;
+
+	out->n = 0;
+	out->s = NULL;
+	if (!f)
+		return -errno;
+	out->s = malloc((size_t)DL_CONF_TEXT_MAX + 1);
+	if (!out->s)
+		rc = -ENOMEM;
+	while (rc == 0 && out->n <= DL_CONF_TEXT_MAX && !feof(f)) {
+		size_t room = (size_t)DL_CONF_TEXT_MAX + 1 - out->n;
+
+		out->n += fread(out->s + out->n, 1, MIN(room, READ_CHUNK), f);
+		if (ferror(f))
+			rc = -EIO;
+	}
+	if (f != stdin)
+		fclose(f);
+	if (rc) {
+		free(out->s);
+		out->s = NULL;
+	}
+	return rc;
+}
--- /dev/null
+++ b/src/main/cli_print.c
@@ -0,0 +1,197 @@
+/* What the operators' subcommands print: tables, faults and failures. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "main/cli.h"
+#include "main/main.h"
+
+#define COLUMNS_MAX 16
+#define CELL_MAX    80
+#define MS_PER_S    1000
+
+/* HTTP statuses of the entry and what they mean for the exit status. */
+struct status_exit {
+	int status;
+	int exit;
+};
+
+static const struct status_exit exits[] = {
+	{ 400, DL_EXIT_FAULT },	   { 404, DL_EXIT_FAULT },
+	{ 409, DL_EXIT_CONFLICT }, { 412, DL_EXIT_FAULT },
+	{ 413, DL_EXIT_FAULT },	   { 503, DL_EXIT_UNREACHED },
+	{ 0, DL_EXIT_UNREACHED },
+};
+
+static int exit_of(int status);
+static void print_line(const struct cli_column *columns, size_t count,
+		       char cells[][CELL_MAX], const size_t *width);
+static void print_member(const char *label, const json_t *json,
+			 const char *key);
+
+/* The exit status for an HTTP status. */
+static int exit_of(int status)
+{
+	for (size_t i = 0; i < sizeof(exits) / sizeof(exits[0]); i++) {
+		if (exits[i].status == status)
+			return exits[i].exit;
+	}
+	return DL_EXIT_FAULT;
+}
+
+/* Print JSON for programs, in one line. */
+void cli_print_json(const json_t *json)
+{
+	json_dumpf(json, stdout, JSON_COMPACT | JSON_ENCODE_ANY);
+	putchar('\n');
+}
+
+/* Print a line for each fault, like a compiler's. */
+void cli_print_faults(FILE *to, const char *file,
+		      const struct dl_faults *faults)
+{
+	uint32_t kept = MIN(faults->count, DL_FAULTS_MAX);
+
+	for (uint32_t i = 0; i < kept; i++) {
+		const struct dl_fault *f = &faults->at[i];
+
+		fprintf(to, "%s:%u: %s%s%s\n", file, f->line, f->path,
+			f->path[0] ? ": " : "", f->text);
+	}
+	if (faults->count > kept)
+		fprintf(to, "%s: and %u more faults\n", file,
+			faults->count - kept);
+}
+
+/* The same for programs. */
+json_t *cli_faults_json(const struct dl_faults *faults)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < MIN(faults->count, DL_FAULTS_MAX); i++) {
+		const struct dl_fault *f = &faults->at[i];
+
+		json_array_append_new(
+			list, json_pack("{s:s, s:i, s:s}", "path", f->path,
+					"line", (int)f->line, "text", f->text));
+	}
+	return list;
+}
+
+/* Print a member of an answer after its label, where there is one. */
+static void print_member(const char *label, const json_t *json, const char *key)
+{
+	const json_t *value = json_object_get(json, key);
+	char cell[CELL_MAX];
+
+	if (json_is_string(value) && json_string_length(value)) {
+		fprintf(stderr, "%s%s\n", label, json_string_value(value));
+	} else if (json_is_integer(value)) {
+		cli_cell(value, false, cell);
+		fprintf(stderr, "%s%s\n", label, cell);
+	}
+}
+
+/* Tell an answer that is no success, and return the exit status. */
+int cli_fail(const struct cli *cli, const struct cli_answer *answer)
+{
+	const char *error =
+		json_string_value(json_object_get(answer->json, "error"));
+	json_t *fault;
+	size_t i;
+
+	if (cli->json && answer->json) {
+		cli_print_json(answer->json);
+		return exit_of(answer->status);
+	}
+	if (answer->status == 0)
+		fprintf(stderr, "no entry answered; last: %s: %s: %s\n",
+			answer->err.peer, dl_step_name(answer->err.step),
+			answer->err.text);
+	else
+		fprintf(stderr, "refused with status %d: %s\n", answer->status,
+			error ? error : "no reason was given");
+	print_member("step: ", answer->json, "step");
+	print_member("peer: ", answer->json, "peer");
+	print_member("version in force: ", answer->json, "version");
+	print_member("", answer->json, "diff");
+	json_array_foreach(json_object_get(answer->json, "faults"), i, fault)
+	{
+		char line[CELL_MAX];
+
+		cli_cell(json_object_get(fault, "line"), false, line);
+		fprintf(stderr, "line %s: ", line);
+		print_member("", fault, "path");
+		print_member("  ", fault, "text");
+	}
+	return exit_of(answer->status);
+}
+
+/* One value as people read it. */
+void cli_cell(const json_t *value, bool is_time, char out[CELL_MAX])
+{
+	GDateTime *time;
+	char *text;
+
+	if (!value || json_is_null(value)) {
+		snprintf(out, CELL_MAX, "-");
+	} else if (json_is_string(value)) {
+		snprintf(out, CELL_MAX, "%s", json_string_value(value));
+	} else if (json_is_boolean(value)) {
+		snprintf(out, CELL_MAX, "%s", json_is_true(value) ? "yes" : "");
+	} else if (json_is_integer(value) && is_time) {
+		time = g_date_time_new_from_unix_utc(json_integer_value(value) /
+						     MS_PER_S);
+		text = time ? g_date_time_format(time, "%Y-%m-%dT%H:%M:%SZ") :
+			      NULL;
+		snprintf(out, CELL_MAX, "%s", text ? text : "?");
+		g_free(text);
+		if (time)
+			g_date_time_unref(time);
+	} else {
+		text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+		snprintf(out, CELL_MAX, "%s", text ? text : "?");
+		free(text);
+	}
+}
+
+/* Print one line of a table; the last column is not padded. */
+static void print_line(const struct cli_column *columns, size_t count,
+		       char cells[][CELL_MAX], const size_t *width)
+{
+	for (size_t i = 0; i < count; i++) {
+		const char *cell = cells ? cells[i] : columns[i].title;
+
+		if (i + 1 == count)
+			printf("%s\n", cell);
+		else
+			printf("%-*s  ", (int)width[i], cell);
+	}
+}
+
+/* Print a list of objects as a table with a line of titles. */
+void cli_table(const json_t *rows, const struct cli_column *columns,
+	       size_t count)
+{
+	char cells[COLUMNS_MAX][CELL_MAX];
+	size_t width[COLUMNS_MAX], r;
+	json_t *row;
+
+	for (size_t i = 0; i < count; i++)
+		width[i] = strlen(columns[i].title);
+	json_array_foreach(rows, r, row)
+	{
+		for (size_t i = 0; i < count; i++) {
+			cli_cell(json_object_get(row, columns[i].key),
+				 columns[i].is_time, cells[i]);
+			width[i] = MAX(width[i], strlen(cells[i]));
+		}
+	}
+	print_line(columns, count, NULL, width);
+	json_array_foreach(rows, r, row)
+	{
+		for (size_t i = 0; i < count; i++)
+			cli_cell(json_object_get(row, columns[i].key),
+				 columns[i].is_time, cells[i]);
+		print_line(columns, count, cells, width);
+	}
+}
--- a/src/main/main.c
+++ b/src/main/main.c
@@ -5,6 +5,11 @@
 #include "main/main.h"
 
 static const struct dl_subcommand subcommands[] = {
+	{ "check", dl_main_check, "check a configuration, offline" },
+	{ "apply", dl_main_apply, "put a configuration in force" },
+	{ "get", dl_main_get, "print a configuration" },
+	{ "history", dl_main_history, "list the versions" },
+	{ "status", dl_main_status, "show VMs, pools and endpoints" },
 	{ "version", dl_main_version, "print the version" },
 };
 
--- a/src/main/main.h
+++ b/src/main/main.h
@@ -21,5 +21,10 @@
 };
 
 int dl_main_version(int argc, char **argv);
+int dl_main_check(int argc, char **argv);
+int dl_main_apply(int argc, char **argv);
+int dl_main_get(int argc, char **argv);
+int dl_main_history(int argc, char **argv);
+int dl_main_status(int argc, char **argv);
 
 #endif
--- a/src/state/conf_read.c
+++ b/src/state/conf_read.c
@@ -90,7 +90,7 @@
 /* Offer one word as the one that was meant. */
 void conf_nearest_try(struct conf_nearest *n, struct dl_str word)
 {
-	size_t limit = (n->wanted.n + 2) / 3;
+	size_t limit = (n->wanted.n + 1) / 3;
 	unsigned d = distance(n->wanted, word);
 
 	if (limit > NEAR_MAX)
