--- a/include/daisyledge/call.h
+++ b/include/daisyledge/call.h
@@ -106,4 +106,52 @@
 int64_t dl_stream_accept(struct dl_stream *stream, uint64_t request,
 			 uint64_t incarnation, uint64_t offset, size_t n);
 
+/*
+ * Deadlines on each hop: what is passed down is the time that remains, less
+ * what the way back takes, never a time of day.
+ */
+uint32_t dl_hop_remaining_ms(int64_t deadline, uint32_t margin_ms, int64_t now);
+int64_t dl_hop_deadline(uint32_t remaining_ms, int64_t now);
+
+/* How far an open connection is trusted with another request. */
+struct dl_conn_bounds {
+	uint32_t age_ms;   /* since it was opened */
+	uint32_t idle_ms;  /* since its last byte came */
+	uint32_t requests; /* carried at most */
+};
+
+/* One connection kept open towards an endpoint. */
+struct dl_conn_age {
+	int64_t opened;
+	int64_t heard;	   /* the last byte that came */
+	uint32_t requests; /* carried so far */
+};
+
+bool dl_conn_usable(const struct dl_conn_bounds *bounds,
+		    const struct dl_conn_age *conn, bool idempotent,
+		    int64_t now);
+
+/* Bounds on the silence of one answer, or of one connection. */
+struct dl_silence {
+	uint32_t first_ms; /* until the first byte */
+	uint32_t gap_ms;   /* between bytes after it */
+	bool started;
+	int64_t since;	 /* the last byte, or the begin */
+	int64_t checked; /* the last look, to notice a pause of our own */
+	bool forgiven;	 /* such a pause, once until the next byte */
+};
+
+void dl_silence_begin(struct dl_silence *silence, uint32_t first_ms,
+		      uint32_t gap_ms, int64_t now);
+void dl_silence_heard(struct dl_silence *silence, int64_t now);
+bool dl_silence_check(struct dl_silence *silence, int64_t now);
+int64_t dl_silence_wakeup(const struct dl_silence *silence);
+
+/* The longest key that a caller may name, and the longest joined one. */
+#define DL_CLAIM_NAME_MAX 255
+#define DL_CLAIM_KEY_MAX  400
+
+int dl_claim_key(struct dl_str service, struct dl_str workspace,
+		 struct dl_str key, char out[DL_CLAIM_KEY_MAX]);
+
 #endif
--- /dev/null
+++ b/src/coordination/call.c
@@ -0,0 +1,352 @@
+/*
+ * Calls that tell the truth.
+ *
+ * One table decides what an attempt came to.  "Not run" stands only where it
+ * is proved: no byte of the request left, or the endpoint itself said so.
+ * Whatever is neither proved nor answered is unknown, and an unknown request
+ * that is not idempotent is never sent again.
+ */
+#include "daisyledge/call.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#define ATTEMPTS_MAX	   3
+#define CREDIT		   1000 /* thousandths of a retry */
+#define STATUS_MIN	   200
+#define STATUS_ERROR	   500
+#define STATUS_BAD_GATEWAY 502
+#define STATUS_TIMEOUT	   504
+#define STATUS_END	   600
+#define PAUSE_GAPS	   2 /* a gap in our own looks this long is a pause */
+
+/* What a cell of the table says. */
+enum cell {
+	CELL_UNKNOWN,
+	CELL_NOT_RUN,
+	CELL_WHOLE, /* a whole answer: its status decides */
+	CELL_HEAD,  /* a part of one: only an error status decides */
+};
+
+static enum dl_outcome by_status(enum cell cell, uint16_t status);
+static bool may_resume(const struct dl_call_state *state,
+		       const struct dl_attempt *attempt);
+static bool may_retry(const struct dl_call_state *state,
+		      const struct dl_attempt *attempt,
+		      enum dl_outcome outcome);
+
+static const char *const outcome_names[DL_OUTCOME_COUNT] = {
+	[DL_OUTCOME_DONE] = "done",
+	[DL_OUTCOME_FAILED] = "failed",
+	[DL_OUTCOME_NOT_RUN] = "not-run",
+	[DL_OUTCOME_UNKNOWN] = "unknown",
+};
+
+/* clang-format off */
+#define U CELL_UNKNOWN
+#define N CELL_NOT_RUN
+#define W CELL_WHOLE
+#define H CELL_HEAD
+
+/*
+ * By sent, received and broke (nothing, connect, reset, silent, deadline,
+ * caller, garbled).  A garbled answer proves nothing, even where it says
+ * "not run": it may be another request's.  An answer before any byte of the
+ * request had left cannot be to it.
+ */
+static const uint8_t outcomes[DL_SENT_COUNT][DL_RECV_COUNT][DL_BROKE_COUNT] = {
+	[DL_SENT_NOTHING] = {
+		[DL_RECV_NOTHING] = { N, N, N, N, N, N, N },
+		[DL_RECV_HEAD]    = { N, N, N, N, N, N, N },
+		[DL_RECV_WHOLE]   = { N, N, N, N, N, N, N },
+		[DL_RECV_NOT_RUN] = { N, N, N, N, N, N, N },
+	},
+	[DL_SENT_PART] = {
+		[DL_RECV_NOTHING] = { U, U, U, U, U, U, U },
+		[DL_RECV_HEAD]    = { U, U, H, H, H, H, U },
+		[DL_RECV_WHOLE]   = { W, U, W, W, W, W, U },
+		[DL_RECV_NOT_RUN] = { N, U, N, N, N, N, U },
+	},
+	[DL_SENT_ALL] = {
+		[DL_RECV_NOTHING] = { U, U, U, U, U, U, U },
+		[DL_RECV_HEAD]    = { U, U, H, H, H, H, U },
+		[DL_RECV_WHOLE]   = { W, U, W, W, W, W, U },
+		[DL_RECV_NOT_RUN] = { N, U, N, N, N, N, U },
+	},
+};
+
+#undef U
+#undef N
+#undef W
+#undef H
+/* clang-format on */
+
+/* "done", "failed", "not-run", "unknown". */
+const char *dl_outcome_name(enum dl_outcome outcome)
+{
+	if ((unsigned)outcome >= DL_OUTCOME_COUNT)
+		return "unknown";
+	return outcome_names[outcome];
+}
+
+/* What the status of an answer, whole or in part, says. */
+static enum dl_outcome by_status(enum cell cell, uint16_t status)
+{
+	if (status < STATUS_MIN || status >= STATUS_END)
+		return DL_OUTCOME_UNKNOWN;
+	if (status >= STATUS_ERROR)
+		return DL_OUTCOME_FAILED;
+	return cell == CELL_WHOLE ? DL_OUTCOME_DONE : DL_OUTCOME_UNKNOWN;
+}
+
+/*
+ * What an attempt came to.  An attempt outside the table is unknown.
+ */
+enum dl_outcome dl_call_outcome(const struct dl_attempt *attempt)
+{
+	enum cell cell;
+
+	if ((unsigned)attempt->sent >= DL_SENT_COUNT ||
+	    (unsigned)attempt->received >= DL_RECV_COUNT ||
+	    (unsigned)attempt->broke >= DL_BROKE_COUNT)
+		return DL_OUTCOME_UNKNOWN;
+	cell = (enum cell)
+		outcomes[attempt->sent][attempt->received][attempt->broke];
+	if (cell == CELL_NOT_RUN)
+		return DL_OUTCOME_NOT_RUN;
+	if (cell == CELL_UNKNOWN)
+		return DL_OUTCOME_UNKNOWN;
+	return by_status(cell, attempt->status);
+}
+
+/*
+ * A retry budget: permille retries for each thousand first tries, and at
+ * most burst of them saved up; it begins full.
+ *
+ * Load: a failure domain that returns, or endpoints that fail everything.
+ * Harm: retries that multiply the load when there is least room for it.
+ */
+void dl_retry_budget_init(struct dl_retry_budget *budget, uint32_t permille,
+			  uint32_t burst)
+{
+	budget->permille = permille;
+	budget->burst = burst;
+	budget->credit = (uint64_t)burst * CREDIT;
+}
+
+/* Count a first try. */
+void dl_retry_budget_first(struct dl_retry_budget *budget)
+{
+	uint64_t max = (uint64_t)budget->burst * CREDIT;
+
+	budget->credit += budget->permille;
+	if (budget->credit > max)
+		budget->credit = max;
+}
+
+/* Take one retry out of the budget; false where none is left. */
+bool dl_retry_budget_take(struct dl_retry_budget *budget)
+{
+	if (budget->credit < CREDIT)
+		return false;
+	budget->credit -= CREDIT;
+	return true;
+}
+
+/*
+ * Whether the stream may go on at its offset over a new connection.  The
+ * endpoint took the whole request and began to answer; only the connection
+ * broke.  Not for requests that may run once only: an endpoint that lost the
+ * stream might begin it anew.
+ */
+static bool may_resume(const struct dl_call_state *state,
+		       const struct dl_attempt *attempt)
+{
+	return state->idempotent && state->resumable &&
+	       attempt->sent == DL_SENT_ALL &&
+	       attempt->received == DL_RECV_HEAD &&
+	       attempt->status < STATUS_ERROR &&
+	       (attempt->broke == DL_BROKE_RESET ||
+		attempt->broke == DL_BROKE_SILENT);
+}
+
+/* Whether the request may begin again elsewhere. */
+static bool may_retry(const struct dl_call_state *state,
+		      const struct dl_attempt *attempt, enum dl_outcome outcome)
+{
+	if (state->bytes_to_caller)
+		return false;
+	if (outcome == DL_OUTCOME_NOT_RUN)
+		return true;
+	if (!state->idempotent)
+		return false;
+	if (outcome == DL_OUTCOME_UNKNOWN)
+		return true;
+	/* Other errors are of the request, and would come again. */
+	return attempt->status >= STATUS_BAD_GATEWAY &&
+	       attempt->status <= STATUS_TIMEOUT;
+}
+
+/*
+ * What to do after an attempt.  Never a retry of a request that is not
+ * idempotent unless it provably did not run; never one that cannot end in
+ * time, that the budget does not cover, or after bytes of another answer
+ * reached the caller.
+ */
+enum dl_next dl_call_next(const struct dl_call_state *state,
+			  const struct dl_attempt *attempt,
+			  struct dl_retry_budget *budget, int64_t now)
+{
+	enum dl_outcome outcome = dl_call_outcome(attempt);
+	bool resume = may_resume(state, attempt);
+
+	if (outcome == DL_OUTCOME_DONE || attempt->broke == DL_BROKE_CALLER ||
+	    attempt->broke == DL_BROKE_DEADLINE)
+		return DL_NEXT_ANSWER;
+	if (state->attempts >= ATTEMPTS_MAX ||
+	    state->deadline - now < (int64_t)state->expected_ms ||
+	    state->deadline <= now)
+		return DL_NEXT_ANSWER;
+	if (!resume && !may_retry(state, attempt, outcome))
+		return DL_NEXT_ANSWER;
+	if (!dl_retry_budget_take(budget))
+		return DL_NEXT_ANSWER;
+	return resume ? DL_NEXT_RESUME : DL_NEXT_RETRY;
+}
+
+/*
+ * Accept bytes that claim to begin at an offset: returns how many of the
+ * first ones to skip, all n where they were had before, or -EBADMSG (another
+ * request or an old connection) or -ENODATA (a gap).
+ */
+int64_t dl_stream_accept(struct dl_stream *stream, uint64_t request,
+			 uint64_t incarnation, uint64_t offset, size_t n)
+{
+	uint64_t skip;
+
+	if (request != stream->request || incarnation != stream->incarnation)
+		return -EBADMSG;
+	if (n > INT64_MAX || offset > UINT64_MAX - n)
+		return -EBADMSG;
+	if (offset > stream->offset)
+		return -ENODATA;
+	skip = stream->offset - offset;
+	if (skip >= n)
+		return (int64_t)n;
+	stream->offset = offset + n;
+	return (int64_t)skip;
+}
+
+/*
+ * The time to pass down to the next hop: what remains until the deadline
+ * less a margin for the way back; 0 where it is too late to send.
+ */
+uint32_t dl_hop_remaining_ms(int64_t deadline, uint32_t margin_ms, int64_t now)
+{
+	int64_t remaining;
+
+	if (deadline <= now)
+		return 0;
+	remaining = deadline - now;
+	if (remaining <= (int64_t)margin_ms)
+		return 0;
+	remaining -= margin_ms;
+	return remaining > UINT32_MAX ? UINT32_MAX : (uint32_t)remaining;
+}
+
+/* The deadline on our own clock for a time that was passed down. */
+int64_t dl_hop_deadline(uint32_t remaining_ms, int64_t now)
+{
+	return now + (int64_t)remaining_ms;
+}
+
+/*
+ * Whether a connection that stands open may carry another request.
+ *
+ * Something between the two ends may have lost track of it without a word,
+ * so an old or an idle one is not trusted; a request that is not idempotent
+ * only goes over one that has carried none, since its outcome would be
+ * unknown for no reason otherwise.
+ */
+bool dl_conn_usable(const struct dl_conn_bounds *bounds,
+		    const struct dl_conn_age *conn, bool idempotent,
+		    int64_t now)
+{
+	if (!idempotent && conn->requests)
+		return false;
+	return conn->requests < bounds->requests &&
+	       now - conn->opened < (int64_t)bounds->age_ms &&
+	       now - conn->heard < (int64_t)bounds->idle_ms;
+}
+
+/* Begin to watch: first_ms until the first byte, gap_ms between later ones. */
+void dl_silence_begin(struct dl_silence *silence, uint32_t first_ms,
+		      uint32_t gap_ms, int64_t now)
+{
+	silence->first_ms = first_ms;
+	silence->gap_ms = gap_ms;
+	silence->started = false;
+	silence->forgiven = false;
+	silence->since = now;
+	silence->checked = now;
+}
+
+/* A byte came. */
+void dl_silence_heard(struct dl_silence *silence, int64_t now)
+{
+	silence->started = true;
+	silence->forgiven = false;
+	silence->since = now;
+	silence->checked = now;
+}
+
+/* When dl_silence_check() would find the silence too long. */
+int64_t dl_silence_wakeup(const struct dl_silence *silence)
+{
+	return silence->since + (int64_t)(silence->started ? silence->gap_ms :
+							     silence->first_ms);
+}
+
+/*
+ * Whether it has been silent for too long.  Where our own looks have a gap of
+ * more than twice the bound, it was this process that paused: bytes may wait
+ * unread, so the time begins again; once, or a slow caller would never see it.
+ */
+bool dl_silence_check(struct dl_silence *silence, int64_t now)
+{
+	int64_t bound = dl_silence_wakeup(silence) - silence->since;
+	int64_t gap = now - silence->checked;
+
+	silence->checked = now;
+	if (gap > bound * PAUSE_GAPS && !silence->forgiven) {
+		silence->forgiven = true;
+		silence->since = now;
+		return false;
+	}
+	return now >= dl_silence_wakeup(silence);
+}
+
+/*
+ * Join what a claim is on into one key, each part behind its length so that
+ * no two claims share one.  Returns its length, -EINVAL for an empty or too
+ * long part.
+ */
+int dl_claim_key(struct dl_str service, struct dl_str workspace,
+		 struct dl_str key, char out[DL_CLAIM_KEY_MAX])
+{
+	const struct dl_str parts[] = { service, workspace, key };
+	size_t n = 0;
+
+	if (service.n == 0 || service.n > DL_NAME_MAX || key.n == 0 ||
+	    workspace.n > DL_NAME_MAX || key.n > DL_CLAIM_NAME_MAX)
+		return -EINVAL;
+	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+		n += (size_t)snprintf(out + n, DL_CLAIM_KEY_MAX - n,
+				      "%zu:", parts[i].n);
+		if (parts[i].n)
+			memcpy(out + n, parts[i].s, parts[i].n);
+		n += parts[i].n;
+	}
+	return (int)n;
+}
--- /dev/null
+++ b/src/coordination/memb.c
@@ -0,0 +1,792 @@
+/*
+ * Membership: the table of members and the rules by which news of a member
+ * replaces older news.
+ *
+ * A higher incarnation replaces all; at the same one the order is alive,
+ * suspect, dead, left.  Two contradictions are not settled by hearsay but by
+ * asking the member itself: a death heard of a member of our own domain that
+ * is held to be live makes it suspect, and a life heard of one held to be
+ * dead has it probed.  So one VM that was cut off alone cannot talk the
+ * others into burying each other once it is back.
+ */
+#include "daisyledge/memb.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/memb_int.h"
+
+#define PROBE_MS       1000
+#define ACK_MS	       200
+#define SUSPECT_MS     2500
+#define DIGEST_MS      1000
+#define SLOTS_MIN      64
+#define PEERS_MIN      16
+#define TELLS_FACTOR   3 /* repetitions: this times log2 of the members */
+#define TELLS_MAX      60
+#define SUSPECT_LOG    3 /* log2 of members that suspect_ms itself is for */
+#define FORGET_MS      ((int64_t)24 * 60 * 60 * 1000)
+#define TOMBSTONES_MAX 512
+
+static bool add_peer(struct dl_memb *memb, const struct memb_update *u,
+		     int64_t now);
+static bool bury_known(struct dl_memb *memb, struct memb_peer *peer,
+		       const struct memb_update *u, int64_t now);
+static void drop_peer(struct dl_memb *memb, uint32_t index);
+static uint32_t find_slot(const struct dl_memb *memb, uint64_t vm);
+static bool grow(struct dl_memb *memb);
+static int intern_domain(struct dl_memb *memb, struct dl_str name, int64_t now);
+static void mark(struct dl_memb *memb, struct memb_peer *peer);
+static uint32_t peer_hash(const struct memb_peer *peer);
+static void rehash(struct dl_memb *memb);
+static void refute(struct dl_memb *memb, const struct memb_update *u,
+		   int64_t now);
+static void set_said(struct dl_memb *memb, struct memb_peer *peer,
+		     enum dl_memb_state said, int64_t now);
+static void show(struct dl_memb *memb, struct memb_peer *peer, int64_t now);
+static void tell(struct dl_memb *memb, struct memb_peer *peer, uint32_t tells);
+static void unhash(struct dl_memb *memb, struct memb_peer *peer, int64_t now);
+
+/* Fill a configuration with the suggested periods. */
+void dl_memb_defaults(struct dl_memb_conf *conf)
+{
+	memset(conf, 0, sizeof(*conf));
+	conf->probe_ms = PROBE_MS;
+	conf->ack_ms = ACK_MS;
+	conf->suspect_ms = SUSPECT_MS;
+	conf->digest_ms = DIGEST_MS;
+	conf->datagram_max = DL_MEMB_DATAGRAM_MAX;
+}
+
+/*
+ * Begin membership of one VM.  seed makes its choices repeatable; NULL
+ * without memory or where the configuration makes no sense.
+ */
+struct dl_memb *dl_memb_new(const struct dl_memb_conf *conf, uint64_t seed,
+			    int64_t now)
+{
+	struct memb_update self = { 0 };
+	struct dl_memb *memb;
+
+	if (conf->self == DL_VM_NONE || conf->probe_ms == 0)
+		return NULL;
+	memb = calloc(1, sizeof(*memb));
+	if (!memb)
+		return NULL;
+	memb->conf = *conf;
+	if (memb->conf.datagram_max == 0 ||
+	    memb->conf.datagram_max > DL_MEMB_DATAGRAM_MAX)
+		memb->conf.datagram_max = DL_MEMB_DATAGRAM_MAX;
+	memb->rng = seed ^ conf->self;
+	memb->seq = (uint32_t)memb_random(memb);
+	memb->last_now = now;
+	memb->next_probe = now + (int64_t)(memb_random(memb) % conf->probe_ms);
+	memb->next_digest =
+		now + (int64_t)(memb_random(memb) % (conf->digest_ms + 1));
+	memb->next_seed = now;
+	memb->next_revive = now + conf->probe_ms;
+	memb->next_sweep = now + conf->probe_ms;
+	self.vm = conf->self;
+	self.incarnation = conf->incarnation;
+	self.replica = conf->replica;
+	self.domain = dl_name_str(&conf->domain);
+	if (!add_peer(memb, &self, now)) {
+		dl_memb_free(memb);
+		return NULL;
+	}
+	return memb;
+}
+
+/* End membership without a word to anybody. */
+void dl_memb_free(struct dl_memb *memb)
+{
+	if (!memb)
+		return;
+	free(memb->peers);
+	free(memb->slots);
+	free(memb->order);
+	free(memb);
+}
+
+/* A number from this VM's own seeded sequence (splitmix64). */
+uint64_t memb_random(struct dl_memb *memb)
+{
+	uint64_t z = memb->rng += UINT64_C(0x9e3779b97f4a7c15);
+
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
+/* The logarithm rounded up; 0 for one. */
+uint32_t memb_log2(uint32_t n)
+{
+	uint32_t bits = 0;
+
+	while (bits < 31 && (UINT32_C(1) << bits) < n)
+		bits++;
+	return bits;
+}
+
+/* Where a VM stands in the table of slots, or the empty slot for it. */
+static uint32_t find_slot(const struct dl_memb *memb, uint64_t vm)
+{
+	struct dl_str key = { (const char *)&vm, sizeof(vm) };
+	uint32_t at = (uint32_t)dl_hash(key, 0) & (memb->nslots - 1);
+
+	while (memb->slots[at] && memb->peers[memb->slots[at] - 1].m.vm != vm)
+		at = (at + 1) & (memb->nslots - 1);
+	return at;
+}
+
+/* Fill the table of slots anew. */
+static void rehash(struct dl_memb *memb)
+{
+	memset(memb->slots, 0, memb->nslots * sizeof(*memb->slots));
+	for (uint32_t i = 0; i < memb->npeers; i++)
+		memb->slots[find_slot(memb, memb->peers[i].m.vm)] = i + 1;
+}
+
+/* Make room for one more member; false at the bound or without memory. */
+static bool grow(struct dl_memb *memb)
+{
+	uint32_t cap = memb->peers_cap ? memb->peers_cap * 2 : PEERS_MIN;
+	uint32_t nslots = memb->nslots ? memb->nslots * 2 : SLOTS_MIN;
+	struct memb_peer *peers;
+	uint32_t *slots;
+
+	if (memb->npeers < memb->peers_cap)
+		return true;
+	if (cap > MEMB_MEMBERS_MAX)
+		return false;
+	slots = calloc(nslots, sizeof(*slots));
+	if (!slots)
+		return false;
+	peers = realloc(memb->peers, cap * sizeof(*peers));
+	if (!peers) {
+		free(slots);
+		return false;
+	}
+	free(memb->slots);
+	memb->peers = peers;
+	memb->peers_cap = cap;
+	memb->slots = slots;
+	memb->nslots = nslots;
+	rehash(memb);
+	return true;
+}
+
+/* The member of this name, or NULL. */
+struct memb_peer *memb_peer(const struct dl_memb *memb, uint64_t vm)
+{
+	uint32_t slot = memb->slots[find_slot(memb, vm)];
+
+	return slot ? &memb->peers[slot - 1] : NULL;
+}
+
+/* Whether a member counts as live: a suspect does until it is dead. */
+bool memb_peer_live(const struct memb_peer *peer)
+{
+	return peer->m.state == DL_ALIVE || peer->m.state == DL_SUSPECT;
+}
+
+/* The index of a domain, made where it is new; -1 at the bound. */
+static int intern_domain(struct dl_memb *memb, struct dl_str name, int64_t now)
+{
+	struct memb_domain *d = NULL;
+
+	for (uint32_t i = 0; i < memb->ndomains; i++) {
+		if (dl_name_eq(&memb->domains[i].name, name))
+			return (int)i;
+		if (i && memb->domains[i].members == 0)
+			d = &memb->domains[i];
+	}
+	if (!d) {
+		if (memb->ndomains == MEMB_DOMAINS_MAX)
+			return -1;
+		d = &memb->domains[memb->ndomains++];
+	}
+	memset(d, 0, sizeof(*d));
+	if (!dl_name_set(&d->name, name))
+		return -1;
+	d->tag = (uint32_t)dl_hash(name, 0);
+	d->reached = now;
+	d->changed = now;
+	return (int)(d - memb->domains);
+}
+
+/* The domain of this tag, or NULL. */
+struct memb_domain *memb_domain_of_tag(struct dl_memb *memb, uint32_t tag)
+{
+	for (uint32_t i = 0; i < memb->ndomains; i++) {
+		if (memb->domains[i].tag == tag)
+			return &memb->domains[i];
+	}
+	return NULL;
+}
+
+/* What a member adds to its domain's hash: nothing unless it is live. */
+static uint32_t peer_hash(const struct memb_peer *peer)
+{
+	uint64_t key[4] = { peer->m.vm, peer->m.incarnation,
+			    peer->m.config_version,
+			    (uint64_t)peer->m.draining << 1 |
+				    (uint64_t)peer->m.replica };
+	struct dl_str s = { (const char *)key, sizeof(key) };
+
+	if (peer->said != DL_ALIVE && peer->said != DL_SUSPECT)
+		return 0;
+	return (uint32_t)dl_hash(s, 0);
+}
+
+/* Take a member out of its domain's hash, or put it back in. */
+static void unhash(struct dl_memb *memb, struct memb_peer *peer, int64_t now)
+{
+	memb->domains[peer->domain].hash ^= peer_hash(peer);
+	memb->domains[peer->domain].changed = now;
+}
+
+/* Have a change of this member reported. */
+static void mark(struct dl_memb *memb, struct memb_peer *peer)
+{
+	if (peer->dirty)
+		return;
+	peer->dirty = true;
+	memb->dirty++;
+}
+
+/* Have this member told to others so many times more. */
+static void tell(struct dl_memb *memb, struct memb_peer *peer, uint32_t tells)
+{
+	if (tells > TELLS_MAX)
+		tells = TELLS_MAX;
+	if (peer->tells == 0 && tells)
+		memb->telling++;
+	if (peer->tells < tells)
+		peer->tells = (uint8_t)tells;
+}
+
+/* How often a change of state is repeated: a few times log2 of the members. */
+static uint32_t state_tells(const struct dl_memb *memb)
+{
+	return TELLS_FACTOR * (memb_log2(memb->npeers) + 1);
+}
+
+/* Show what gossip says of a member, unless its whole domain is cut off. */
+static void show(struct dl_memb *memb, struct memb_peer *peer, int64_t now)
+{
+	enum dl_memb_state state = peer->said;
+
+	if (memb->domains[peer->domain].cut &&
+	    (state == DL_ALIVE || state == DL_SUSPECT))
+		state = DL_DEAD;
+	if (state == peer->m.state)
+		return;
+	peer->m.state = state;
+	peer->m.since = now;
+	mark(memb, peer);
+}
+
+/* Set what gossip says of a member. */
+static void set_said(struct dl_memb *memb, struct memb_peer *peer,
+		     enum dl_memb_state said, int64_t now)
+{
+	uint32_t scale = memb_log2(memb->domains[0].members + 1);
+
+	if (scale < SUSPECT_LOG)
+		scale = SUSPECT_LOG;
+	if (peer->said == DL_SUSPECT)
+		memb->suspects--;
+	unhash(memb, peer, now);
+	peer->said = said;
+	unhash(memb, peer, now);
+	if (said == DL_SUSPECT) {
+		memb->suspects++;
+		peer->suspect_deadline = now + (int64_t)memb->conf.suspect_ms *
+						       scale / SUSPECT_LOG;
+	}
+	show(memb, peer, now);
+}
+
+/* Add a member that was not known; false where there is no room. */
+static bool add_peer(struct dl_memb *memb, const struct memb_update *u,
+		     int64_t now)
+{
+	int domain = intern_domain(memb, u->domain, now);
+	struct memb_peer *peer;
+
+	if (domain < 0 || !grow(memb))
+		return false;
+	peer = &memb->peers[memb->npeers];
+	memset(peer, 0, sizeof(*peer));
+	peer->domain = (uint8_t)domain;
+	peer->m.vm = u->vm;
+	peer->m.incarnation = u->incarnation;
+	peer->m.domain = memb->domains[domain].name;
+	peer->m.replica = u->replica;
+	peer->m.draining = u->draining;
+	peer->m.config_version = u->config_version;
+	peer->m.since = now;
+	peer->asked = INT64_MIN / 2;
+	memb->npeers++;
+	memb->domains[domain].members++;
+	memb->slots[find_slot(memb, u->vm)] = memb->npeers;
+	unhash(memb, peer, now);
+	if (u->state == DL_SUSPECT)
+		set_said(memb, peer, DL_SUSPECT, now);
+	show(memb, peer, now);
+	mark(memb, peer);
+	tell(memb, peer, state_tells(memb));
+	return true;
+}
+
+/* Forget a member; the last one takes its place. */
+static void drop_peer(struct dl_memb *memb, uint32_t index)
+{
+	struct memb_peer *peer = &memb->peers[index];
+
+	if (peer->dirty)
+		memb->dirty--;
+	if (peer->tells)
+		memb->telling--;
+	if (peer->said == DL_SUSPECT)
+		memb->suspects--;
+	memb->domains[peer->domain].hash ^= peer_hash(peer);
+	memb->domains[peer->domain].members--;
+	memb->npeers--;
+	*peer = memb->peers[memb->npeers];
+	rehash(memb);
+}
+
+/*
+ * Forget members that were gone for a day, and the longest gone of more than
+ * TOMBSTONES_MAX: until then their record keeps stale news from raising them.
+ */
+void memb_forget_old(struct dl_memb *memb, int64_t now)
+{
+	uint32_t gone = 0, oldest = 0;
+
+	for (uint32_t i = memb->npeers; i-- > 1;) {
+		const struct memb_peer *peer = &memb->peers[i];
+
+		if (memb_peer_live(peer))
+			continue;
+		if (now - peer->m.since > FORGET_MS) {
+			drop_peer(memb, i);
+			continue;
+		}
+		gone++;
+	}
+	if (gone <= TOMBSTONES_MAX)
+		return;
+	for (uint32_t i = 1; i < memb->npeers; i++) {
+		if (memb_peer_live(&memb->peers[i]))
+			continue;
+		if (!oldest ||
+		    memb->peers[i].m.since < memb->peers[oldest].m.since)
+			oldest = i;
+	}
+	drop_peer(memb, oldest);
+}
+
+/* This VM's own judgement: the member did not answer. */
+void memb_suspect(struct dl_memb *memb, struct memb_peer *peer, int64_t now)
+{
+	if (peer->said != DL_ALIVE)
+		return;
+	set_said(memb, peer, DL_SUSPECT, now);
+	tell(memb, peer, state_tells(memb));
+}
+
+/* This VM's own judgement: the suspicion was not refuted in time. */
+void memb_dead(struct dl_memb *memb, struct memb_peer *peer, int64_t now)
+{
+	if (peer->said != DL_SUSPECT)
+		return;
+	set_said(memb, peer, DL_DEAD, now);
+	tell(memb, peer, state_tells(memb));
+}
+
+/* Take a whole domain's members out of sight, or show them again. */
+void memb_domain_cut(struct dl_memb *memb, uint32_t domain, bool cut,
+		     int64_t now)
+{
+	if (memb->domains[domain].cut == cut)
+		return;
+	memb->domains[domain].cut = cut;
+	for (uint32_t i = 0; i < memb->npeers; i++) {
+		if (memb->peers[i].domain == domain)
+			show(memb, &memb->peers[i], now);
+	}
+}
+
+/* Others say of this VM what is not so: raise the incarnation past it. */
+static void refute(struct dl_memb *memb, const struct memb_update *u,
+		   int64_t now)
+{
+	struct memb_peer *self = &memb->peers[0];
+	bool wrong = u->state != DL_ALIVE && !memb->left;
+
+	if (u->incarnation < self->m.incarnation)
+		return;
+	if (u->incarnation == self->m.incarnation && !wrong)
+		return;
+	unhash(memb, self, now);
+	self->m.incarnation = u->incarnation + 1;
+	unhash(memb, self, now);
+	tell(memb, self, state_tells(memb));
+}
+
+/*
+ * A death that is heard of.  Of a live member of our own domain it only
+ * raises a suspicion, since the member can be asked; returns whether it did.
+ */
+static bool bury_known(struct dl_memb *memb, struct memb_peer *peer,
+		       const struct memb_update *u, int64_t now)
+{
+	if (u->state != DL_DEAD || peer->domain != 0 || peer->said != DL_ALIVE)
+		return false;
+	set_said(memb, peer, DL_SUSPECT, now);
+	tell(memb, peer, state_tells(memb));
+	memb_ask(memb, peer, now);
+	return true;
+}
+
+/* Move a member to another domain, where it says that it is now. */
+static void move_domain(struct dl_memb *memb, struct memb_peer *peer,
+			struct dl_str name, int64_t now)
+{
+	int domain;
+
+	if (name.n == 0 || dl_name_eq(&peer->m.domain, name))
+		return;
+	domain = intern_domain(memb, name, now);
+	if (domain < 0)
+		return;
+	memb->domains[peer->domain].members--;
+	memb->domains[domain].members++;
+	peer->domain = (uint8_t)domain;
+	peer->m.domain = memb->domains[domain].name;
+}
+
+/* Take news of a higher incarnation whole. */
+static void replace(struct dl_memb *memb, struct memb_peer *peer,
+		    const struct memb_update *u, int64_t now)
+{
+	unhash(memb, peer, now);
+	move_domain(memb, peer, u->domain, now);
+	peer->m.incarnation = u->incarnation;
+	peer->m.replica = u->replica;
+	peer->m.draining = u->draining;
+	if (peer->m.config_version < u->config_version)
+		peer->m.config_version = u->config_version;
+	unhash(memb, peer, now);
+	mark(memb, peer);
+	if (!bury_known(memb, peer, u, now))
+		set_said(memb, peer, u->state, now);
+	tell(memb, peer, state_tells(memb));
+}
+
+/* Take news of the incarnation that is known. */
+static void update(struct dl_memb *memb, struct memb_peer *peer,
+		   const struct memb_update *u, bool direct, int64_t now)
+{
+	if (peer->m.config_version < u->config_version) {
+		unhash(memb, peer, now);
+		peer->m.config_version = u->config_version;
+		unhash(memb, peer, now);
+		tell(memb, peer, MEMB_VERSION_TELLS);
+	}
+	if (u->state > peer->said) {
+		if (bury_known(memb, peer, u, now))
+			return;
+		set_said(memb, peer, u->state, now);
+		tell(memb, peer, state_tells(memb));
+		if (u->state == DL_SUSPECT && peer->domain == 0)
+			memb_ask(memb, peer, now);
+		return;
+	}
+	if (u->state == DL_ALIVE && peer->said == DL_DEAD &&
+	    (direct || peer->domain == 0))
+		memb_ask(memb, peer, now);
+}
+
+/* Take news of a member; direct means that it comes from the member itself. */
+void memb_merge(struct dl_memb *memb, const struct memb_update *u, bool direct,
+		int64_t now)
+{
+	struct memb_peer *peer;
+
+	if (u->vm == memb->conf.self) {
+		refute(memb, u, now);
+		return;
+	}
+	peer = memb_peer(memb, u->vm);
+	if (!peer) {
+		if (u->state == DL_ALIVE || u->state == DL_SUSPECT)
+			add_peer(memb, u, now);
+		return;
+	}
+	if (u->incarnation > peer->m.incarnation)
+		replace(memb, peer, u, now);
+	else if (u->incarnation == peer->m.incarnation)
+		update(memb, peer, u, direct, now);
+}
+
+/* Have a datagram sent; past the bound it is dropped like a lost one. */
+void memb_queue(struct dl_memb *memb, enum memb_kind kind, uint64_t to,
+		uint32_t seq, uint64_t target)
+{
+	struct memb_intent *intent;
+
+	if (memb->queue_len == MEMB_QUEUE_MAX)
+		return;
+	intent = &memb->queue[(memb->queue_head + memb->queue_len) %
+			      MEMB_QUEUE_MAX];
+	memb->queue_len++;
+	intent->kind = kind;
+	intent->to = to;
+	intent->seq = seq;
+	intent->target = target;
+	intent->page = 0;
+}
+
+/* An address from the settings: asked until it answers. */
+void dl_memb_seed(struct dl_memb *memb, uint64_t vm, int64_t now)
+{
+	if (vm == memb->conf.self || vm == DL_VM_NONE)
+		return;
+	for (uint32_t i = 0; i < memb->nseeds; i++) {
+		if (memb->seeds[i] == vm)
+			return;
+	}
+	if (memb->nseeds == MEMB_SEEDS_MAX)
+		return;
+	memb->seeds[memb->nseeds++] = vm;
+	memb->next_seed = now;
+}
+
+/*
+ * What this VM says of itself from now on.  A version lower than the last
+ * one is not taken.
+ */
+void dl_memb_self(struct dl_memb *memb, bool draining, uint64_t config_version,
+		  int64_t now)
+{
+	struct memb_peer *self = &memb->peers[0];
+
+	unhash(memb, self, now);
+	if (self->m.draining != draining) {
+		self->m.draining = draining;
+		self->m.incarnation++;
+		mark(memb, self);
+		tell(memb, self, state_tells(memb));
+	}
+	if (self->m.config_version < config_version) {
+		self->m.config_version = config_version;
+		tell(memb, self, MEMB_VERSION_TELLS);
+	}
+	unhash(memb, self, now);
+}
+
+/* Tell peers that this VM leaves, so that nobody need suspect it. */
+void dl_memb_leave(struct dl_memb *memb, int64_t now)
+{
+	uint32_t start;
+
+	if (memb->left)
+		return;
+	memb->left = true;
+	set_said(memb, &memb->peers[0], DL_LEFT, now);
+	start = (uint32_t)(memb_random(memb) % memb->npeers);
+	for (uint32_t i = 0, told = 0; i < memb->npeers; i++) {
+		struct memb_peer *peer =
+			&memb->peers[(start + i) % memb->npeers];
+
+		if (peer->m.vm == memb->conf.self || !memb_peer_live(peer))
+			continue;
+		if (told++ == MEMB_LEAVE_TELL)
+			break;
+		memb_queue(memb, MEMB_LEAVE, peer->m.vm, 0, 0);
+	}
+}
+
+/* The newest version that the sender knows of, and who has it. */
+static void take_newest(struct dl_memb *memb, const struct memb_msg *msg,
+			int64_t now)
+{
+	struct memb_peer *peer = memb_peer(memb, msg->newest_vm);
+
+	if (!peer || peer == &memb->peers[0] ||
+	    peer->m.config_version >= msg->newest_version)
+		return;
+	unhash(memb, peer, now);
+	peer->m.config_version = msg->newest_version;
+	unhash(memb, peer, now);
+	tell(memb, peer, MEMB_VERSION_TELLS);
+}
+
+/*
+ * Take a datagram.  0, -EBADMSG where it makes no sense, or -EINVAL where it
+ * comes from this VM itself.
+ */
+int dl_memb_in(struct dl_memb *memb, uint64_t from, struct dl_str datagram,
+	       int64_t now)
+{
+	struct memb_msg msg;
+	int r = memb_decode(datagram, from, &msg);
+
+	if (r)
+		return r;
+	if (from == memb->conf.self)
+		return -EINVAL;
+	memb_noticed(memb, now);
+	memb->joined = true;
+	memb_merge(memb, &msg.self, true, now);
+	for (uint32_t i = 0; i < msg.nupdates; i++)
+		memb_merge(memb, &msg.updates[i], false, now);
+	take_newest(memb, &msg, now);
+	memb_compare(memb, from, &msg, now);
+	switch (msg.kind) {
+	case MEMB_PING:
+		memb_on_ping(memb, from, &msg);
+		break;
+	case MEMB_ACK:
+		memb_on_ack(memb, from, &msg);
+		break;
+	case MEMB_RELAY:
+		memb_on_relay(memb, from, &msg);
+		break;
+	case MEMB_PULL:
+		memb_queue(memb, MEMB_PAGE, from, msg.seq, msg.target);
+		break;
+	case MEMB_PAGE:
+		if (msg.seq - memb->refresh_seq < MEMB_REFRESH_ASKS)
+			memb->refreshing = false;
+		break;
+	case MEMB_DIGEST:
+		memb_queue(memb, MEMB_DIGEST_ACK, from, msg.seq, 0);
+		break;
+	default:
+		break;
+	}
+	return 0;
+}
+
+/*
+ * The next datagram to send, into buf (DL_MEMB_DATAGRAM_MAX); false at none.
+ * Runs what is due first, so it is to be called until it returns false.
+ */
+bool dl_memb_out(struct dl_memb *memb, int64_t now, uint64_t *to, char *buf,
+		 size_t *n)
+{
+	memb_noticed(memb, now);
+	memb_tick(memb, now);
+	while (memb->queue_len) {
+		struct memb_intent *intent = &memb->queue[memb->queue_head];
+
+		*to = intent->to;
+		*n = memb_encode(memb, intent, now, buf);
+		if (intent->kind != MEMB_PAGE || intent->page == 0) {
+			memb->queue_head =
+				(memb->queue_head + 1) % MEMB_QUEUE_MAX;
+			memb->queue_len--;
+		}
+		if (*n)
+			return true;
+	}
+	return false;
+}
+
+/* When dl_memb_out() must be called at the latest. */
+int64_t dl_memb_wakeup(const struct dl_memb *memb)
+{
+	return memb->queue_len ? memb->last_now : memb_next_tick(memb);
+}
+
+/*
+ * The next change of a member's state, incarnation or draining since the last
+ * call; false at none.  Several changes of one member are told as one.
+ */
+bool dl_memb_event(struct dl_memb *memb, struct dl_member *out)
+{
+	while (memb->dirty) {
+		struct memb_peer *peer;
+
+		memb->dirty_at %= memb->npeers;
+		peer = &memb->peers[memb->dirty_at++];
+		if (!peer->dirty)
+			continue;
+		peer->dirty = false;
+		memb->dirty--;
+		*out = peer->m;
+		return true;
+	}
+	return false;
+}
+
+/* What is known of a VM, or NULL; valid until the next datagram. */
+const struct dl_member *dl_memb_find(const struct dl_memb *memb, uint64_t vm)
+{
+	const struct memb_peer *peer = memb_peer(memb, vm);
+
+	return peer ? &peer->m : NULL;
+}
+
+/* Walk the members, this VM first; NULL past the last. */
+const struct dl_member *dl_memb_at(const struct dl_memb *memb, uint32_t index)
+{
+	return index < memb->npeers ? &memb->peers[index].m : NULL;
+}
+
+/* The highest configuration version that any live VM shows, and one such VM. */
+uint64_t dl_memb_newest(const struct dl_memb *memb, uint64_t *vm)
+{
+	uint64_t newest = memb->peers[0].m.config_version;
+	uint64_t who = memb->conf.self;
+
+	for (uint32_t i = 1; i < memb->npeers; i++) {
+		const struct memb_peer *peer = &memb->peers[i];
+
+		if (memb_peer_live(peer) && peer->m.config_version > newest) {
+			newest = peer->m.config_version;
+			who = peer->m.vm;
+		}
+	}
+	if (vm)
+		*vm = who;
+	return newest;
+}
+
+/*
+ * The live, undrained entry of a failure domain that rendezvous hashing names
+ * for a key; DL_VM_NONE where there is none, and where it would be this VM
+ * while it has yet to hear what it missed in a pause.
+ *
+ * Load: a pool's dispatching moves only when its owner goes, so that the
+ * queues of all other pools stay where they are when a VM fails or returns.
+ */
+uint64_t dl_memb_owner(const struct dl_memb *memb, struct dl_str domain,
+		       uint64_t key)
+{
+	uint64_t best = 0, owner = DL_VM_NONE;
+
+	for (uint32_t i = 0; i < memb->npeers; i++) {
+		const struct dl_member *m = &memb->peers[i].m;
+		struct dl_str vm = { (const char *)&m->vm, sizeof(m->vm) };
+		uint64_t score;
+
+		if (!memb_peer_live(&memb->peers[i]) || m->draining ||
+		    m->replica || !dl_name_eq(&m->domain, domain))
+			continue;
+		score = dl_hash(vm, key);
+		if (owner == DL_VM_NONE || score > best) {
+			best = score;
+			owner = m->vm;
+		}
+	}
+	if (owner == memb->conf.self && memb->refreshing)
+		return DL_VM_NONE;
+	return owner;
+}
--- /dev/null
+++ b/src/coordination/memb_digest.c
@@ -0,0 +1,174 @@
+/*
+ * Between failure domains: a few VMs of each domain exchange digests, and
+ * fetch what differs.  A member is judged by its own domain; whether a whole
+ * domain can be reached is judged by each VM from the answers that any VM of
+ * its own domain had, whose age travels on the probes.
+ */
+#include "coordination/memb_int.h"
+
+#define STRAY_EVERY    4    /* one digest in so many goes to any member */
+#define QUIET_MS       2000 /* gossip is given this long before a pull */
+#define PULL_EVERY_MS  5000
+#define PULL_MAX_MS    30000
+#define DIGEST_PULL_MS 1000
+
+static uint64_t pick_in_domain(struct dl_memb *memb, uint32_t domain);
+static uint64_t vm_score(uint64_t vm);
+
+/* The order in which members of a domain take on its digests. */
+static uint64_t vm_score(uint64_t vm)
+{
+	struct dl_str s = { (const char *)&vm, sizeof(vm) };
+
+	return dl_hash(s, 0);
+}
+
+/*
+ * The VMs of a domain that speak for it: the few live ones of the lowest
+ * hash, so that all agree without asking.  Returns how many there are.
+ */
+uint32_t memb_digesters(const struct dl_memb *memb, uint32_t domain,
+			uint64_t out[MEMB_DIGESTERS])
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < memb->npeers; i++) {
+		const struct memb_peer *peer = &memb->peers[i];
+		uint64_t vm = peer->m.vm;
+		uint32_t at;
+
+		if (peer->domain != domain ||
+		    (peer->said != DL_ALIVE && peer->said != DL_SUSPECT))
+			continue;
+		if (n < MEMB_DIGESTERS)
+			at = n++;
+		else if (vm_score(vm) < vm_score(out[n - 1]))
+			at = n - 1;
+		else
+			continue;
+		while (at && vm_score(vm) < vm_score(out[at - 1])) {
+			out[at] = out[at - 1];
+			at--;
+		}
+		out[at] = vm;
+	}
+	return n;
+}
+
+/* Any member of a domain, dead or not: all who speak for it may be gone. */
+static uint64_t pick_in_domain(struct dl_memb *memb, uint32_t domain)
+{
+	uint32_t start = (uint32_t)(memb_random(memb) % memb->npeers);
+
+	for (uint32_t i = 0; i < memb->npeers; i++) {
+		const struct memb_peer *peer =
+			&memb->peers[(start + i) % memb->npeers];
+
+		if (peer->domain == domain && peer->said != DL_LEFT)
+			return peer->m.vm;
+	}
+	return DL_VM_NONE;
+}
+
+/* Send a digest to one VM of each other domain, where we are to. */
+void memb_digest_round(struct dl_memb *memb, int64_t now)
+{
+	uint64_t speak[MEMB_DIGESTERS];
+	uint32_t n = memb_digesters(memb, 0, speak);
+	bool ours = false;
+
+	for (uint32_t i = 0; i < n; i++)
+		ours = ours || speak[i] == memb->conf.self;
+	if (!ours)
+		return;
+	memb->digests++;
+	for (uint32_t d = 1; d < memb->ndomains; d++) {
+		uint64_t to = DL_VM_NONE;
+
+		if (memb->domains[d].members == 0)
+			continue;
+		n = memb_digesters(memb, d, speak);
+		if (n && memb->digests % STRAY_EVERY)
+			to = speak[memb_random(memb) % n];
+		else
+			to = pick_in_domain(memb, d);
+		if (to != DL_VM_NONE)
+			memb_queue(memb, MEMB_DIGEST, to, ++memb->seq, 0);
+	}
+	(void)now;
+}
+
+/*
+ * How long a domain may be silent before it counts as cut off: a suspicion,
+ * two digests, and the rounds that the news of an answer takes to spread.
+ */
+int64_t memb_domain_silent_ms(const struct dl_memb *memb)
+{
+	const struct dl_memb_conf *conf = &memb->conf;
+	uint32_t rounds = memb_log2(memb->domains[0].members + 1);
+
+	return (int64_t)conf->suspect_ms + 2 * (int64_t)conf->digest_ms +
+	       (int64_t)rounds * conf->probe_ms;
+}
+
+/* Take domains out of sight that do not answer, and back that do again. */
+void memb_watch_domains(struct dl_memb *memb, int64_t now)
+{
+	int64_t silent = memb_domain_silent_ms(memb);
+
+	for (uint32_t d = 1; d < memb->ndomains; d++) {
+		if (memb->domains[d].members)
+			memb_domain_cut(memb, d,
+					now - memb->domains[d].reached > silent,
+					now);
+	}
+}
+
+/* Whether it is time to fetch a domain whose hash differs. */
+static bool pull_due(const struct memb_domain *d, bool digest, int64_t now)
+{
+	if (digest)
+		return now - d->pulled >= DIGEST_PULL_MS;
+	if (now - d->pulled < PULL_EVERY_MS)
+		return false;
+	return now - d->changed >= QUIET_MS || now - d->pulled > PULL_MAX_MS;
+}
+
+/*
+ * Compare what the sender knows with what is known here; fetch from it what
+ * differs once gossip had its time.  In our domain the age of each domain's
+ * last answer is taken too; an answered digest is such an answer.
+ */
+void memb_compare(struct dl_memb *memb, uint64_t from,
+		  const struct memb_msg *msg, int64_t now)
+{
+	bool digest = msg->kind == MEMB_DIGEST || msg->kind == MEMB_DIGEST_ACK;
+	bool ours = dl_name_eq(&memb->conf.domain, msg->self.domain);
+	struct memb_domain *d;
+
+	for (uint32_t i = 0; i < msg->nsync; i++) {
+		const struct memb_sync *s = &msg->sync[i];
+
+		d = memb_domain_of_tag(memb, s->tag);
+		if (!d) {
+			if (ours && pull_due(&memb->domains[0], true, now)) {
+				memb->domains[0].pulled = now;
+				memb_queue(memb, MEMB_PULL, from, ++memb->seq,
+					   s->tag);
+			}
+			continue;
+		}
+		if (ours && d != memb->domains &&
+		    now - (int64_t)s->age_ms > d->reached)
+			d->reached = now - (int64_t)s->age_ms;
+		if (s->hash == d->hash || !pull_due(d, digest, now))
+			continue;
+		d->pulled = now;
+		memb_queue(memb, MEMB_PULL, from, ++memb->seq, s->tag);
+	}
+	if (msg->kind != MEMB_DIGEST_ACK || ours)
+		return;
+	d = memb_domain_of_tag(memb, (uint32_t)dl_hash(msg->self.domain, 0));
+	if (d && d != memb->domains && now > d->reached)
+		d->reached = now;
+}
--- /dev/null
+++ b/src/coordination/memb_probe.c
@@ -0,0 +1,316 @@
+/*
+ * Probes within a failure domain: one random member a period, indirectly
+ * through others where it does not answer; and what a pause of this process
+ * calls for.
+ */
+#include <stdlib.h>
+
+#include "coordination/memb_int.h"
+
+#define PROBE_FAIL_ACKS 3 /* a probe has failed after this many ack_ms */
+#define ASK_AGAIN_MS	1000
+#define SEED_FAST_MS	500
+#define SEED_SLOW_MS	5000
+#define REVIVE_PERIODS	5 /* one dead member is probed every so many */
+
+static void begin_probe(struct dl_memb *memb, int64_t now);
+static void check_probe(struct dl_memb *memb, int64_t now);
+static bool fill_order(struct dl_memb *memb);
+static struct memb_peer *next_target(struct dl_memb *memb);
+static struct memb_peer *random_peer(struct dl_memb *memb, bool live,
+				     uint64_t except);
+static void ask_seeds(struct dl_memb *memb, int64_t now);
+static void revive(struct dl_memb *memb);
+static void sweep(struct dl_memb *memb, int64_t now);
+
+/* Put the live members of our domain in a new random order. */
+static bool fill_order(struct dl_memb *memb)
+{
+	uint32_t n = 0;
+
+	if (memb->order_cap < memb->peers_cap) {
+		uint64_t *order =
+			realloc(memb->order, memb->peers_cap * sizeof(*order));
+		if (!order)
+			return false;
+		memb->order = order;
+		memb->order_cap = memb->peers_cap;
+	}
+	for (uint32_t i = 1; i < memb->npeers; i++) {
+		const struct memb_peer *peer = &memb->peers[i];
+
+		if (peer->domain == 0 && memb_peer_live(peer))
+			memb->order[n++] = peer->m.vm;
+	}
+	for (uint32_t i = n; i > 1; i--) {
+		uint32_t j = (uint32_t)(memb_random(memb) % i);
+		uint64_t vm = memb->order[i - 1];
+
+		memb->order[i - 1] = memb->order[j];
+		memb->order[j] = vm;
+	}
+	memb->order_len = n;
+	return n > 0;
+}
+
+/* The next member to be probed: each once before any twice. */
+static struct memb_peer *next_target(struct dl_memb *memb)
+{
+	for (;;) {
+		struct memb_peer *peer;
+
+		if (memb->order_len == 0 && !fill_order(memb))
+			return NULL;
+		peer = memb_peer(memb, memb->order[--memb->order_len]);
+		if (peer && peer->domain == 0 && memb_peer_live(peer))
+			return peer;
+	}
+}
+
+/* A random member of our domain that is live, or that is dead; or NULL. */
+static struct memb_peer *random_peer(struct dl_memb *memb, bool live,
+				     uint64_t except)
+{
+	uint32_t start = (uint32_t)(memb_random(memb) % memb->npeers);
+
+	for (uint32_t i = 0; i < memb->npeers; i++) {
+		uint32_t at = (start + i) % memb->npeers;
+		struct memb_peer *peer = &memb->peers[at];
+
+		if (at == 0 || peer->domain != 0 || peer->m.vm == except)
+			continue;
+		if (live ? memb_peer_live(peer) : peer->said == DL_DEAD)
+			return peer;
+	}
+	return NULL;
+}
+
+/* Probe the next member. */
+static void begin_probe(struct dl_memb *memb, int64_t now)
+{
+	struct memb_peer *peer = next_target(memb);
+
+	memb->probe.vm = DL_VM_NONE;
+	if (!peer)
+		return;
+	memb->probe.vm = peer->m.vm;
+	memb->probe.seq = ++memb->seq;
+	memb->probe.indirect = false;
+	memb->probe.started = now;
+	memb_queue(memb, MEMB_PING, peer->m.vm, memb->probe.seq, 0);
+}
+
+/* See whether the probe under way needs help, or has failed. */
+static void check_probe(struct dl_memb *memb, int64_t now)
+{
+	struct memb_probe *probe = &memb->probe;
+	int64_t waited = now - probe->started;
+	struct memb_peer *peer;
+
+	if (probe->vm == DL_VM_NONE)
+		return;
+	if (waited >= (int64_t)memb->conf.ack_ms * PROBE_FAIL_ACKS) {
+		peer = memb_peer(memb, probe->vm);
+		probe->vm = DL_VM_NONE;
+		if (!peer)
+			return;
+		memb_suspect(memb, peer, now);
+		memb_ask(memb, peer, now);
+		return;
+	}
+	if (probe->indirect || waited < memb->conf.ack_ms)
+		return;
+	probe->indirect = true;
+	for (int i = 0; i < MEMB_INDIRECT; i++) {
+		peer = random_peer(memb, true, probe->vm);
+		if (peer)
+			memb_queue(memb, MEMB_RELAY, peer->m.vm, probe->seq,
+				   probe->vm);
+	}
+}
+
+/*
+ * Probe a member out of turn: the datagram tells it what is held of it, so
+ * that it can refute.  At most one a second for each member.
+ */
+void memb_ask(struct dl_memb *memb, struct memb_peer *peer, int64_t now)
+{
+	if (now - peer->asked < ASK_AGAIN_MS)
+		return;
+	peer->asked = now;
+	memb_queue(memb, MEMB_PING, peer->m.vm, ++memb->seq, 0);
+}
+
+/* Answer a probe. */
+void memb_on_ping(struct dl_memb *memb, uint64_t from,
+		  const struct memb_msg *msg)
+{
+	memb_queue(memb, MEMB_ACK, from, msg->seq, 0);
+}
+
+/* An answer to a probe of our own, or to one made for another VM. */
+void memb_on_ack(struct dl_memb *memb, uint64_t from,
+		 const struct memb_msg *msg)
+{
+	struct memb_probe *probe = &memb->probe;
+
+	if (probe->vm != DL_VM_NONE && msg->seq == probe->seq &&
+	    (from == probe->vm || msg->target == probe->vm))
+		probe->vm = DL_VM_NONE;
+	for (uint32_t i = 0; i < MEMB_RELAYS_MAX; i++) {
+		struct memb_relay *relay = &memb->relays[i];
+
+		if (relay->target != from || relay->seq != msg->seq)
+			continue;
+		memb_queue(memb, MEMB_ACK, relay->origin, relay->origin_seq,
+			   from);
+		relay->target = DL_VM_NONE;
+	}
+}
+
+/* Probe a member for another VM. */
+void memb_on_relay(struct dl_memb *memb, uint64_t from,
+		   const struct memb_msg *msg)
+{
+	struct memb_relay *relay = &memb->relays[memb->relay_at];
+
+	if (msg->target == memb->conf.self || msg->target == DL_VM_NONE)
+		return;
+	memb->relay_at = (memb->relay_at + 1) % MEMB_RELAYS_MAX;
+	relay->origin = from;
+	relay->origin_seq = msg->seq;
+	relay->target = msg->target;
+	relay->seq = ++memb->seq;
+	memb_queue(memb, MEMB_PING, msg->target, relay->seq, 0);
+}
+
+/* Ask one address of the settings that is not known to be live. */
+static void ask_seeds(struct dl_memb *memb, int64_t now)
+{
+	memb->next_seed = now + (memb->joined ? SEED_SLOW_MS : SEED_FAST_MS);
+	for (uint32_t i = 0; i < memb->nseeds; i++) {
+		uint64_t vm = memb->seeds[memb->seed_at++ % memb->nseeds];
+		const struct memb_peer *peer = memb_peer(memb, vm);
+
+		if (peer && memb_peer_live(peer))
+			continue;
+		memb_queue(memb, memb->joined ? MEMB_PING : MEMB_PULL, vm,
+			   ++memb->seq, 0);
+		if (memb->joined)
+			return;
+	}
+}
+
+/* Probe one dead member, so that a partition heals without an operator. */
+static void revive(struct dl_memb *memb)
+{
+	struct memb_peer *peer = random_peer(memb, false, DL_VM_NONE);
+
+	if (peer)
+		memb_queue(memb, MEMB_PING, peer->m.vm, ++memb->seq, 0);
+}
+
+/* Bury suspects whose time is over, and see which domains answer. */
+static void sweep(struct dl_memb *memb, int64_t now)
+{
+	for (uint32_t i = 1; memb->suspects && i < memb->npeers; i++) {
+		struct memb_peer *peer = &memb->peers[i];
+
+		/* Members elsewhere are judged by their own domain. */
+		if (peer->said == DL_SUSPECT && peer->domain == 0 &&
+		    now >= peer->suspect_deadline)
+			memb_dead(memb, peer, now);
+	}
+	memb_watch_domains(memb, now);
+	memb_forget_old(memb, now);
+}
+
+/* Do what is due. */
+void memb_tick(struct dl_memb *memb, int64_t now)
+{
+	const struct dl_memb_conf *conf = &memb->conf;
+
+	if (memb->refreshing && now >= memb->refresh_until)
+		memb->refreshing = false;
+	if (memb->left || memb->refreshing)
+		return;
+	check_probe(memb, now);
+	if (now >= memb->next_probe) {
+		memb->next_probe = now + conf->probe_ms;
+		begin_probe(memb, now);
+	}
+	if (now >= memb->next_digest) {
+		memb->next_digest = now + conf->digest_ms;
+		memb_digest_round(memb, now);
+	}
+	if (memb->nseeds && now >= memb->next_seed)
+		ask_seeds(memb, now);
+	if (now >= memb->next_revive) {
+		memb->next_revive =
+			now + (int64_t)conf->probe_ms * REVIVE_PERIODS;
+		revive(memb);
+	}
+	if (now >= memb->next_sweep) {
+		memb->next_sweep = now + conf->ack_ms;
+		sweep(memb, now);
+	}
+}
+
+/* When memb_tick() has something to do. */
+int64_t memb_next_tick(const struct dl_memb *memb)
+{
+	const struct memb_probe *probe = &memb->probe;
+	int64_t next = memb->next_probe;
+	int64_t due;
+
+	if (memb->left)
+		return INT64_MAX;
+	if (memb->refreshing)
+		return memb->refresh_until;
+	if (probe->vm != DL_VM_NONE) {
+		due = probe->started +
+		      (int64_t)memb->conf.ack_ms *
+			      (probe->indirect ? PROBE_FAIL_ACKS : 1);
+		next = due < next ? due : next;
+	}
+	if (memb->next_digest < next)
+		next = memb->next_digest;
+	if (memb->nseeds && memb->next_seed < next)
+		next = memb->next_seed;
+	if (memb->next_revive < next)
+		next = memb->next_revive;
+	if (memb->suspects && memb->next_sweep < next)
+		next = memb->next_sweep;
+	return next;
+}
+
+/*
+ * Notice a pause of this process by the gap between two calls.  What it held
+ * true before is stale: the deadlines that ran on meanwhile are put off by
+ * the gap, nothing is judged, and others are asked first.
+ */
+void memb_noticed(struct dl_memb *memb, int64_t now)
+{
+	int64_t gap = now - memb->last_now;
+
+	memb->last_now = now;
+	if (gap <= (int64_t)memb->conf.suspect_ms + memb->conf.probe_ms)
+		return;
+	memb->probe.vm = DL_VM_NONE;
+	memb->refresh_seq = memb->seq + 1;
+	for (uint32_t i = 1; i < memb->npeers; i++) {
+		if (memb->peers[i].said == DL_SUSPECT)
+			memb->peers[i].suspect_deadline += gap;
+	}
+	for (uint32_t i = 1; i < memb->ndomains; i++)
+		memb->domains[i].reached += gap;
+	for (int i = 0; i < MEMB_REFRESH_ASKS; i++) {
+		struct memb_peer *peer = random_peer(memb, true, DL_VM_NONE);
+
+		if (!peer)
+			break;
+		memb->refreshing = !memb->left;
+		memb_queue(memb, MEMB_PULL, peer->m.vm, ++memb->seq, 0);
+	}
+	memb->refresh_until = now + 2 * (int64_t)memb->conf.probe_ms;
+}
--- /dev/null
+++ b/src/coordination/memb_wire.c
@@ -0,0 +1,351 @@
+/*
+ * Datagrams of membership: a msgpack array
+ * [kind, seq, sender, [newest VM, its version], target, syncs, updates],
+ * where sender and each update are [VM, incarnation, flags, version] and, of
+ * another domain than the sender's, its name; syncs are [tag, hash, age]
+ * in one flat array.
+ */
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "coordination/memb_int.h"
+
+#define FIELDS	       7
+#define UPDATE_FIELDS  4
+#define SYNC_FIELDS    3
+#define FLAG_STATE     3 /* mask */
+#define FLAG_REPLICA   4
+#define FLAG_DRAINING  8
+#define FLAGS_ALL      15
+#define UPDATE_ROOM    128 /* no update is longer */
+#define ARRAY_ROOM     3   /* header of an array */
+#define AGE_UNKNOWN_MS 3600000
+
+/* A bounded buffer to pack into. */
+struct room {
+	char *buf;
+	size_t n;
+	size_t max;
+	bool full;
+};
+
+static int get_msg(const msgpack_object *o, uint64_t from,
+		   struct memb_msg *out);
+static bool get_u64(const msgpack_object *o, uint64_t max, uint64_t *out);
+static bool get_update(const msgpack_object *o, struct dl_str domain,
+		       struct memb_update *out);
+static void pack_head(struct dl_memb *memb, msgpack_packer *pk,
+		      const struct memb_intent *intent, int64_t now);
+static void pack_update(msgpack_packer *pk, const struct memb_peer *peer,
+			const struct dl_name *domain);
+static int write_room(void *arg, const char *buf, size_t n);
+
+/* Append what fits, whole or not at all. */
+static int write_room(void *arg, const char *buf, size_t n)
+{
+	struct room *room = arg;
+
+	if (room->full || room->n + n > room->max) {
+		room->full = true;
+		return -1;
+	}
+	memcpy(room->buf + room->n, buf, n);
+	room->n += n;
+	return 0;
+}
+
+/* Read a number of at most max. */
+static bool get_u64(const msgpack_object *o, uint64_t max, uint64_t *out)
+{
+	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER || o->via.u64 > max)
+		return false;
+	*out = o->via.u64;
+	return true;
+}
+
+/* Read what is said of one member; domain is the sender's. */
+static bool get_update(const msgpack_object *o, struct dl_str domain,
+		       struct memb_update *out)
+{
+	const msgpack_object *f = o->via.array.ptr;
+	uint32_t n;
+	uint64_t flags;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	n = o->via.array.size;
+	if (n != UPDATE_FIELDS && n != UPDATE_FIELDS + 1)
+		return false;
+	if (!get_u64(&f[0], UINT64_MAX, &out->vm) || out->vm == DL_VM_NONE ||
+	    !get_u64(&f[1], INT64_MAX, &out->incarnation) ||
+	    !get_u64(&f[2], FLAGS_ALL, &flags) ||
+	    !get_u64(&f[3], INT64_MAX, &out->config_version))
+		return false;
+	out->state = (enum dl_memb_state)(flags & FLAG_STATE);
+	out->replica = flags & FLAG_REPLICA;
+	out->draining = flags & FLAG_DRAINING;
+	out->domain = domain;
+	if (n == UPDATE_FIELDS)
+		return domain.n > 0;
+	if (f[4].type != MSGPACK_OBJECT_STR || f[4].via.str.size == 0 ||
+	    f[4].via.str.size > DL_NAME_MAX)
+		return false;
+	out->domain = (struct dl_str){ f[4].via.str.ptr, f[4].via.str.size };
+	return true;
+}
+
+/* Read the syncs. */
+static bool get_syncs(const msgpack_object *o, struct memb_msg *out)
+{
+	const msgpack_object *f = o->via.array.ptr;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY ||
+	    o->via.array.size % SYNC_FIELDS ||
+	    o->via.array.size > MEMB_DOMAINS_MAX * SYNC_FIELDS)
+		return false;
+	out->nsync = o->via.array.size / SYNC_FIELDS;
+	for (uint32_t i = 0; i < out->nsync; i++, f += SYNC_FIELDS) {
+		uint64_t tag, hash, age;
+
+		if (!get_u64(&f[0], UINT32_MAX, &tag) ||
+		    !get_u64(&f[1], UINT32_MAX, &hash) ||
+		    !get_u64(&f[2], UINT32_MAX, &age))
+			return false;
+		out->sync[i] = (struct memb_sync){ (uint32_t)tag,
+						   (uint32_t)hash,
+						   (uint32_t)age };
+	}
+	return true;
+}
+
+/* Read the whole array. */
+static int get_msg(const msgpack_object *o, uint64_t from, struct memb_msg *out)
+{
+	const msgpack_object *f = o->via.array.ptr;
+	const msgpack_object *newest;
+	uint64_t kind, seq;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != FIELDS)
+		return -EBADMSG;
+	if (!get_u64(&f[0], MEMB_KIND_END - 1, &kind) || kind == 0 ||
+	    !get_u64(&f[1], UINT32_MAX, &seq) ||
+	    !get_update(&f[2], (struct dl_str){ "", 0 }, &out->self) ||
+	    out->self.vm != from)
+		return -EBADMSG;
+	out->kind = (enum memb_kind)kind;
+	out->seq = (uint32_t)seq;
+	newest = f[3].via.array.ptr;
+	if (f[3].type != MSGPACK_OBJECT_ARRAY || f[3].via.array.size != 2 ||
+	    !get_u64(&newest[0], UINT64_MAX, &out->newest_vm) ||
+	    !get_u64(&newest[1], INT64_MAX, &out->newest_version) ||
+	    !get_u64(&f[4], UINT64_MAX, &out->target) || !get_syncs(&f[5], out))
+		return -EBADMSG;
+	if (f[6].type != MSGPACK_OBJECT_ARRAY ||
+	    f[6].via.array.size > MEMB_UPDATES_MAX)
+		return -EBADMSG;
+	out->nupdates = f[6].via.array.size;
+	for (uint32_t i = 0; i < out->nupdates; i++) {
+		if (!get_update(&f[6].via.array.ptr[i], out->self.domain,
+				&out->updates[i]))
+			return -EBADMSG;
+	}
+	return 0;
+}
+
+/* Decode a datagram; strings of out point into it.  0 or -EBADMSG. */
+int memb_decode(struct dl_str datagram, uint64_t from, struct memb_msg *out)
+{
+	msgpack_unpacked result;
+	size_t off = 0;
+	int r = -EBADMSG;
+
+	if (datagram.n > DL_MEMB_DATAGRAM_MAX)
+		return r;
+	msgpack_unpacked_init(&result);
+	if (msgpack_unpack_next(&result, datagram.s, datagram.n, &off) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    off == datagram.n)
+		r = get_msg(&result.data, from, out);
+	msgpack_unpacked_destroy(&result);
+	return r;
+}
+
+/* Pack a member; its domain only where it is not the one given. */
+static void pack_update(msgpack_packer *pk, const struct memb_peer *peer,
+			const struct dl_name *domain)
+{
+	const struct dl_member *m = &peer->m;
+	bool named = !domain || !dl_name_eq(domain, dl_name_str(&m->domain));
+	uint8_t flags = (uint8_t)peer->said;
+
+	if (m->replica)
+		flags |= FLAG_REPLICA;
+	if (m->draining)
+		flags |= FLAG_DRAINING;
+	msgpack_pack_array(pk, UPDATE_FIELDS + (named ? 1 : 0));
+	msgpack_pack_uint64(pk, m->vm);
+	msgpack_pack_uint64(pk, m->incarnation);
+	msgpack_pack_uint8(pk, flags);
+	msgpack_pack_uint64(pk, m->config_version);
+	if (!named)
+		return;
+	msgpack_pack_str(pk, m->domain.n);
+	msgpack_pack_str_body(pk, m->domain.s, m->domain.n);
+}
+
+/* How long ago a domain last answered one of ours; 0 for our own. */
+static uint32_t domain_age(const struct dl_memb *memb, uint32_t domain,
+			   int64_t now)
+{
+	int64_t age = now - memb->domains[domain].reached;
+
+	if (domain == 0 || age < 0)
+		return 0;
+	return age > AGE_UNKNOWN_MS ? AGE_UNKNOWN_MS : (uint32_t)age;
+}
+
+/* Pack all but the updates. */
+static void pack_head(struct dl_memb *memb, msgpack_packer *pk,
+		      const struct memb_intent *intent, int64_t now)
+{
+	bool digest = intent->kind == MEMB_DIGEST ||
+		      intent->kind == MEMB_DIGEST_ACK;
+	uint64_t newest_vm;
+	uint64_t newest = dl_memb_newest(memb, &newest_vm);
+	uint32_t nsync = digest ? 1 : memb->ndomains;
+
+	if (intent->kind == MEMB_PULL || intent->kind == MEMB_PAGE)
+		nsync = 0;
+	msgpack_pack_array(pk, FIELDS);
+	msgpack_pack_uint8(pk, (uint8_t)intent->kind);
+	msgpack_pack_uint32(pk, intent->seq);
+	pack_update(pk, &memb->peers[0], NULL);
+	msgpack_pack_array(pk, 2);
+	msgpack_pack_uint64(pk, newest_vm);
+	msgpack_pack_uint64(pk, newest);
+	msgpack_pack_uint64(pk, intent->target);
+	msgpack_pack_array(pk, (size_t)nsync * SYNC_FIELDS);
+	for (uint32_t i = 0; i < nsync; i++) {
+		msgpack_pack_uint32(pk, memb->domains[i].tag);
+		msgpack_pack_uint32(pk, memb->domains[i].hash);
+		msgpack_pack_uint32(pk, domain_age(memb, i, now));
+	}
+}
+
+/* Pack one member into the room for updates; false where it does not fit. */
+static bool put_update(struct dl_memb *memb, struct room *room, uint32_t *count,
+		       const struct memb_peer *peer)
+{
+	char one[UPDATE_ROOM];
+	struct room small = { one, 0, sizeof(one), false };
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, &small, write_room);
+	pack_update(&pk, peer, &memb->conf.domain);
+	if (small.full || room->n + small.n > room->max)
+		return false;
+	write_room(room, one, small.n);
+	(*count)++;
+	return true;
+}
+
+/* The next part of what a VM asked for; ends with intent->page at 0. */
+static void put_page(struct dl_memb *memb, struct room *room, uint32_t *count,
+		     struct memb_intent *intent)
+{
+	uint32_t i = intent->page;
+
+	for (; i < memb->npeers; i++) {
+		const struct memb_peer *peer = &memb->peers[i];
+
+		if (intent->target &&
+		    memb->domains[peer->domain].tag != intent->target)
+			continue;
+		if (*count == MEMB_UPDATES_MAX ||
+		    !put_update(memb, room, count, peer))
+			break;
+	}
+	intent->page = i < memb->npeers ? i : 0;
+}
+
+/*
+ * Pick the member whose news has the most repetitions left out of those
+ * gathered, and close its gap.
+ */
+static struct memb_peer *take_news(struct dl_memb *memb, uint16_t *news,
+				   uint32_t *n)
+{
+	uint32_t best = 0;
+	uint16_t index;
+
+	for (uint32_t i = 1; i < *n; i++) {
+		if (memb->peers[news[i]].tells > memb->peers[news[best]].tells)
+			best = i;
+	}
+	index = news[best];
+	news[best] = news[--*n];
+	return &memb->peers[index];
+}
+
+/*
+ * News on the back of a probe or its answer.  What is held of the receiver
+ * itself goes first where it is not alive, so that it can refute; to one held
+ * to be dead nothing else is told, since it may have been cut off and will
+ * hear the rest once it has answered.
+ */
+static void put_news(struct dl_memb *memb, struct room *room, uint32_t *count,
+		     const struct memb_intent *intent)
+{
+	uint16_t news[MEMB_MEMBERS_MAX];
+	struct memb_peer *to = memb_peer(memb, intent->to);
+	struct memb_peer *target = memb_peer(memb, intent->target);
+	uint32_t n = 0;
+
+	if (to && to->said != DL_ALIVE)
+		put_update(memb, room, count, to);
+	if (to && to->said == DL_DEAD)
+		return;
+	if (intent->kind == MEMB_ACK && target)
+		put_update(memb, room, count, target);
+	if (memb->telling == 0)
+		return;
+	for (uint32_t i = 0; i < memb->npeers; i++) {
+		if (memb->peers[i].tells && &memb->peers[i] != to)
+			news[n++] = (uint16_t)i;
+	}
+	while (n && *count < MEMB_PIGGYBACK_MAX) {
+		struct memb_peer *peer = take_news(memb, news, &n);
+
+		if (!put_update(memb, room, count, peer))
+			return;
+		if (--peer->tells == 0)
+			memb->telling--;
+	}
+}
+
+/* Encode a datagram into buf (DL_MEMB_DATAGRAM_MAX); 0 where it fails. */
+size_t memb_encode(struct dl_memb *memb, struct memb_intent *intent,
+		   int64_t now, char *buf)
+{
+	char updates[DL_MEMB_DATAGRAM_MAX];
+	struct room head = { buf, 0, memb->conf.datagram_max, false };
+	struct room tail = { updates, 0, 0, false };
+	uint32_t count = 0;
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, &head, write_room);
+	pack_head(memb, &pk, intent, now);
+	if (head.full || head.n + ARRAY_ROOM > head.max)
+		return 0;
+	tail.max = head.max - head.n - ARRAY_ROOM;
+	if (intent->kind == MEMB_PAGE)
+		put_page(memb, &tail, &count, intent);
+	else
+		put_news(memb, &tail, &count, intent);
+	msgpack_pack_array(&pk, count);
+	write_room(&head, updates, tail.n);
+	return head.full ? 0 : head.n;
+}
