--- /dev/null
+++ b/src/main/entry.c
@@ -0,0 +1,211 @@
+/* Start and stop of an entry, and which part each frame is for. */
+#include "main/entry.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/metric.h"
+#include "base/msg.h"
+#include "main/main.h"
+
+/* The longest prompt, four bytes a token, and its JSON escapes. */
+#define BODY_MAX (16u << 20)
+/* A request must have arrived whole within this time. */
+#define READ_MS 10000
+
+static void on_frame(void *arg, uint64_t from, const struct dl_frame *frame);
+static void on_down(void *arg, uint64_t vm);
+static void on_member(void *arg, const struct dl_member *member);
+static void on_tick(void *arg, int64_t now);
+static void on_stop(void *arg, bool again);
+static void on_gone(void *arg, struct dl_httpd_req *req);
+static void on_drained(void *arg, struct dl_httpd_req *req);
+
+static const struct dl_node_ops node_ops = {
+	.frame = on_frame,
+	.down = on_down,
+	.member = on_member,
+	.tick = on_tick,
+	.stop = on_stop,
+};
+
+static const struct dl_httpd_ops httpd_ops = {
+	.request = entry_http_request,
+	.gone = on_gone,
+	.drained = on_drained,
+};
+
+/* The loop's time. */
+int64_t entry_now(const struct entry *e)
+{
+	return dl_node_now(&e->node);
+}
+
+static void on_answer(struct entry *e, uint64_t from, const struct dl_frame *f)
+{
+	struct dl_answer_frame answer;
+
+	memset(&answer, 0, sizeof(answer));
+	if (dl_answer_read(f->body, &answer, entry_now(e)) == 0)
+		entry_grant_answer(e, from, &answer);
+}
+
+static void on_frame(void *arg, uint64_t from, const struct dl_frame *frame)
+{
+	struct entry *e = arg;
+
+	switch (frame->kind) {
+	case DL_FRAME_ANSWER:
+		on_answer(e, from, frame);
+		return;
+	case DL_FRAME_RENEW_GONE:
+		entry_grant_gone(e, frame->request);
+		return;
+	case DL_FRAME_CMD_REPLY:
+	case DL_FRAME_QUERY_REPLY:
+		entry_cmd_frame(e, from, frame);
+		return;
+	case DL_FRAME_CONF_PUSH:
+	case DL_FRAME_CONF_PULL:
+		entry_conf_frame(e, from, frame);
+		return;
+	case DL_FRAME_QUERY:
+		entry_ops_frame(e, from, frame);
+		return;
+	default:
+		entry_pool_frame(e, from, frame);
+		return;
+	}
+}
+
+static void on_down(void *arg, uint64_t vm)
+{
+	entry_grant_down(arg, vm);
+}
+
+static void on_member(void *arg, const struct dl_member *member)
+{
+	struct entry *e = arg;
+	char text[24];
+
+	if (member->state == DL_ALIVE)
+		dl_msg(DL_MSG_MEMB_UP, "vm=%s", dl_vm_text(member->vm, text));
+	if (member->state == DL_DEAD || member->state == DL_LEFT)
+		dl_msg(DL_MSG_MEMB_DOWN, "vm=%s", dl_vm_text(member->vm, text));
+	entry_conf_member(e, member);
+	entry_pool_member(e, member);
+}
+
+static void count_live(struct entry *e)
+{
+	const struct dl_member *m;
+	int64_t live = 0;
+
+	for (uint32_t i = 0; (m = dl_memb_at(e->node.memb, i)); i++)
+		live += m->state == DL_ALIVE;
+	dl_gauge(DL_METRIC_vms_live, live);
+}
+
+static void on_tick(void *arg, int64_t now)
+{
+	struct entry *e = arg;
+
+	entry_call_tick(e, now);
+	entry_grant_tick(e, now);
+	entry_pool_tick(e, now);
+	entry_cmd_tick(e, now);
+	entry_conf_tick(e, now);
+	count_live(e);
+	if (e->node.stopping && !e->calls)
+		dl_node_end(&e->node, DL_EXIT_OK);
+}
+
+/*
+ * A planned stop: not ready at once, dispatching moves to others, what is in
+ * flight goes on to its end or its deadline.  The second signal ends it now,
+ * with each caller told.
+ */
+static void on_stop(void *arg, bool again)
+{
+	struct entry *e = arg;
+
+	dl_msg(DL_MSG_ENTRY_STOP, "requests=%u again=%d", e->calls_count,
+	       again);
+	e->draining = true;
+	dl_memb_self(e->node.memb, true, e->version, entry_now(e));
+	if (again)
+		entry_calls_abort(e);
+}
+
+static void on_gone(void *arg, struct dl_httpd_req *req)
+{
+	struct call *c = dl_httpd_data(req);
+
+	if (c)
+		entry_call_gone(c);
+}
+
+static void on_drained(void *arg, struct dl_httpd_req *req)
+{
+	struct call *c = dl_httpd_data(req);
+
+	if (c)
+		entry_call_drained(c);
+}
+
+static int start_http(struct entry *e, struct dl_err *err)
+{
+	struct dl_httpd_conf conf = {
+		.address = e->node.settings.http,
+		.body_max = BODY_MAX,
+		.conns_max = e->node.settings.connections_max,
+		.read_ms = READ_MS,
+	};
+	int rc;
+
+	if (conf.address == DL_VM_NONE)
+		return dl_err_set(err, -EINVAL, DL_STEP_CHECK, NULL,
+				  "http is missing");
+	rc = dl_httpc_open(e->node.loop, &e->httpc);
+	if (rc)
+		return rc;
+	return dl_httpd_open(e->node.loop, &conf, &httpd_ops, e, &e->httpd,
+			     err);
+}
+
+static int start(struct entry *e, const char *settings, struct dl_err *err)
+{
+	int rc = dl_node_open(&e->node, settings, false, &node_ops, e, err);
+
+	if (rc)
+		return rc;
+	e->next_id = e->node.incarnation;
+	e->replica_heard = entry_now(e);
+	e->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
+	e->budgets = g_hash_table_new(g_str_hash, g_str_equal);
+	e->ratios =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return start_http(e, err);
+}
+
+/* daisyledge entry -c FILE */
+int dl_main_entry(int argc, char **argv)
+{
+	static struct entry e;
+	struct dl_err err = { 0 };
+	char text[24];
+	char *path = dl_main_settings_option(&argc, &argv);
+
+	if (!path)
+		return DL_EXIT_USAGE;
+	if (start(&e, path, &err)) {
+		fprintf(stderr, "daisyledge entry: %s: %s %s\n",
+			dl_step_name(err.step), err.peer, err.text);
+		return DL_EXIT_FAULT;
+	}
+	dl_msg(DL_MSG_ENTRY_START, "vm=%s http=%s", e.node.settings.name.s,
+	       dl_vm_text(e.node.settings.http, text));
+	return dl_node_run(&e.node);
+}
--- /dev/null
+++ b/src/main/entry.h
@@ -0,0 +1,282 @@
+/*
+ * The entry: what its parts share.  One loop, one thread; a part is one file.
+ *
+ *   entry.c       start, stop, frames to their parts
+ *   entry_http.c  the doors: which path goes where
+ *   entry_call.c  the life of one request
+ *   entry_try.c   one attempt of it at an endpoint
+ *   entry_grant.c asking dispatchers, holding and giving back grants
+ *   entry_pool.c  dispatching for the pools of this failure domain
+ *   entry_cmd.c   commands to the replicas
+ *   entry_conf.c  the configuration in force
+ *   entry_ops.c   operators' doors
+ *   entry_trace.c what became of recent requests
+ */
+#ifndef DL_MAIN_ENTRY_H
+#define DL_MAIN_ENTRY_H
+
+#include <glib.h>
+#include <inttypes.h>
+
+#include "daisyledge/call.h"
+#include "daisyledge/conf.h"
+#include "daisyledge/cstore.h"
+#include "daisyledge/pool.h"
+#include "main/node.h"
+#include "protocol/pool_codec.h"
+#include "protocol/sse.h"
+#include "transport/httpd.h"
+
+#define REQUEST_ID_TEXT 48
+#define SPANS_MAX	12
+
+/* A pool of this failure domain: led here, or kept in case it must be. */
+struct entry_pool {
+	struct entry_pool *next;
+	struct dl_name service;
+	struct dl_pool *pool;
+	bool leading;
+};
+
+/* What the dispatcher of another failure domain last said of its pool. */
+struct entry_far {
+	struct entry_far *next;
+	struct dl_name service;
+	struct dl_name domain;
+	struct dl_pool_summary summary;
+	int64_t heard;
+};
+
+/* One hop of a request, for traces; times since the request came. */
+struct span {
+	const char *name;
+	uint32_t from_ms, to_ms;
+	char peer[24];
+};
+
+enum call_state {
+	CALL_CLAIMING, /* its idempotency key */
+	CALL_ASKING,   /* no word from the dispatcher yet */
+	CALL_QUEUED,
+	CALL_RUNNING,	/* at an endpoint */
+	CALL_RECORDING, /* its outcome, under its idempotency key */
+};
+
+struct entry;
+
+/* One request of a caller, from its arrival to its answer. */
+struct call {
+	struct entry *e;
+	struct call *next, *prev;
+	struct dl_httpd_req *http; /* NULL once the caller has gone */
+	enum call_state state;
+	uint64_t id;
+	char id_text[REQUEST_ID_TEXT];
+	uint64_t owner; /* of its claims: the same id, unique everywhere */
+	int64_t begun, deadline;
+
+	/* what it is */
+	struct dl_name service;
+	enum dl_pool_kind kind;
+	bool stream;
+	bool idempotent;
+	struct dl_name workspace;
+	struct dl_name class_name;
+	enum dl_class class;
+	uint64_t prompt_bytes;
+	uint64_t prompt_tokens, output_tokens;
+	uint64_t prefix;
+	uint32_t prefix_tokens;
+	uint32_t connect_ms, gap_ms;
+	uint32_t retry_permille;
+	size_t buffered; /* counted against this VM's bound */
+
+	/* asking */
+	uint64_t ask_id; /* of the ask in flight, 0 for none */
+	uint64_t dispatcher;
+	struct dl_name domain; /* whose pool is asked */
+	int64_t asked_at, ask_again_at;
+	uint32_t asks_lost;
+	uint32_t spilled; /* domains tried beside the first */
+	struct dl_name spill_tried[DL_SPILL_MAX + 1];
+	struct dl_answer last_refusal;
+	bool refused;
+
+	/* granted */
+	struct dl_ask ask; /* as last sent; its workspace is ours */
+	struct dl_answer grant;
+	bool granted;
+	uint32_t lease_ms;
+	int64_t renew_at;
+
+	/* attempts */
+	struct dl_httpc_call *attempt;
+	char *body;
+	size_t body_n;
+	uint32_t attempts;
+	uint8_t tried;
+	struct dl_name tried_ids[3];
+	int64_t attempt_at, first_byte_at;
+	struct dl_sse sse;
+	bool sse_done, sse_bad;
+	uint64_t pieces;    /* chunks of text from the endpoint */
+	uint64_t relayed;   /* chunks given to the caller */
+	uint64_t skip;	    /* chunks of a resumed stream already relayed */
+	bool answering;	    /* the caller has the head of the answer */
+	uint16_t status;    /* the endpoint's */
+	GString *text;	    /* of an answer that is given whole */
+	GPtrArray *headers; /* of a plain service's answer, names and values */
+	size_t length;	    /* its content length, SIZE_MAX unknown */
+	uint64_t used_prompt, used_output;
+	struct dl_usage usage;
+
+	/* idempotency */
+	struct dl_str key; /* claim key, owned */
+	uint64_t body_hash;
+	bool claimed;
+	uint64_t recording; /* command id, 0 for none */
+	uint64_t claiming;
+
+	/* the answer, kept while its outcome is recorded */
+	enum dl_outcome outcome;
+	GString *final_body;
+
+	struct span spans[SPANS_MAX];
+	uint32_t spans_count;
+};
+
+/* A command to the replicas; done is called once, also on failure. */
+struct entry_cmd_done {
+	void (*done)(void *arg, const struct dl_cstore_reply *reply);
+	void *arg;
+};
+
+struct entry {
+	struct dl_node node;
+	struct dl_httpd *httpd;
+	struct dl_httpc *httpc;
+
+	/* configuration in force */
+	struct dl_conf *conf;
+	char *conf_text;
+	size_t conf_text_n;
+	uint64_t version;
+	int64_t pulled_at;
+	int64_t replica_heard;
+
+	/* dispatching */
+	struct entry_pool *pools;
+	struct entry_far *far;
+	int64_t summaries_at;
+
+	/* requests */
+	struct call *calls;
+	uint32_t calls_count;
+	uint64_t next_id;
+	GHashTable *asks;    /* ask id to its call */
+	GHashTable *budgets; /* service to its retry budget */
+	GHashTable *ratios;  /* workspace to bytes a token, thousandths */
+	uint64_t buffered;
+
+	/* commands and questions to the replicas */
+	struct entry_cmd *cmds;
+	uint64_t next_cmd;
+	uint64_t leader; /* best guess */
+	uint32_t replica_turn;
+
+	struct trace *traces; /* a ring */
+	uint32_t traces_at;
+
+	bool draining; /* by signal or by the operators */
+};
+
+int64_t entry_now(const struct entry *e);
+
+/* entry_http.c */
+void entry_http_request(void *arg, struct dl_httpd_req *req);
+void entry_http_json(struct dl_httpd_req *req, uint16_t status, char *json);
+void entry_http_error(struct dl_httpd_req *req, uint16_t status,
+		      const char *reason, const struct dl_err *err);
+
+/* entry_call.c */
+void entry_call_completion(struct entry *e, struct dl_httpd_req *req);
+void entry_call_plain(struct entry *e, struct dl_httpd_req *req);
+void entry_call_gone(struct call *c);
+void entry_call_drained(struct call *c);
+void entry_call_tick(struct entry *e, int64_t now);
+/* The final word: answers the caller, releases, traces, frees. */
+void entry_call_refuse(struct call *c, enum dl_reason reason, enum dl_step step,
+		       uint64_t peer, uint32_t retry_ms);
+void entry_call_end(struct call *c, enum dl_outcome outcome, uint16_t status,
+		    const char *reason, const struct dl_err *err);
+void entry_call_whole(struct call *c);
+void entry_call_span(struct call *c, const char *name, int64_t from,
+		     const char *peer);
+void entry_calls_abort(struct entry *e);
+struct dl_retry_budget *entry_call_budget(struct call *c);
+
+/* entry_try.c */
+void entry_try_start(struct call *c);
+void entry_try_cancel(struct call *c);
+void entry_try_begin_stream(struct call *c);
+
+/* entry_grant.c */
+void entry_grant_ask(struct call *c);
+void entry_grant_answer(struct entry *e, uint64_t from,
+			const struct dl_answer_frame *f);
+void entry_grant_release(struct call *c);
+void entry_grant_cancel(struct call *c);
+void entry_grant_gone(struct entry *e, uint64_t grant);
+void entry_grant_down(struct entry *e, uint64_t vm);
+void entry_grant_tick(struct entry *e, int64_t now);
+
+/* entry_pool.c */
+struct entry_pool *entry_pool_find(struct entry *e, struct dl_str service);
+uint64_t entry_pool_owner(struct entry *e, struct dl_str service,
+			  struct dl_str domain);
+void entry_pool_configure(struct entry *e);
+int entry_pool_report(struct entry *e, struct dl_str service,
+		      struct dl_str domain,
+		      const struct dl_endpoint_report *report);
+void entry_pool_frame(struct entry *e, uint64_t from,
+		      const struct dl_frame *frame);
+void entry_pool_ask(struct entry *e, struct entry_pool *p,
+		    const struct dl_ask *ask, bool local);
+void entry_pool_member(struct entry *e, const struct dl_member *m);
+void entry_pool_tick(struct entry *e, int64_t now);
+
+/* entry_cmd.c */
+uint64_t entry_cmd_send(struct entry *e, const struct dl_cstore_cmd *cmd,
+			uint32_t time_ms, struct entry_cmd_done done);
+/* A question whose answer is JSON; done gets it in reply->outcome. */
+uint64_t entry_cmd_query(struct entry *e, uint64_t vm, struct dl_str question,
+			 uint32_t time_ms, struct entry_cmd_done done);
+void entry_cmd_forget(struct entry *e, uint64_t id);
+void entry_cmd_frame(struct entry *e, uint64_t from,
+		     const struct dl_frame *frame);
+void entry_cmd_tick(struct entry *e, int64_t now);
+bool entry_cmd_is_replica(struct entry *e, uint64_t vm);
+
+/* entry_conf.c */
+void entry_conf_frame(struct entry *e, uint64_t from,
+		      const struct dl_frame *frame);
+void entry_conf_member(struct entry *e, const struct dl_member *m);
+void entry_conf_tick(struct entry *e, int64_t now);
+
+/* entry_ops.c */
+void entry_ops_config_post(struct entry *e, struct dl_httpd_req *req);
+void entry_ops_config_get(struct entry *e, struct dl_httpd_req *req);
+void entry_ops_history(struct entry *e, struct dl_httpd_req *req);
+void entry_ops_status(struct entry *e, struct dl_httpd_req *req);
+void entry_ops_gone(void *data);
+/* Another VM asks what this one knows. */
+void entry_ops_frame(struct entry *e, uint64_t from,
+		     const struct dl_frame *frame);
+
+/* entry_trace.c */
+void entry_trace_add(struct entry *e, const struct call *c,
+		     enum dl_outcome outcome, uint16_t status);
+char *entry_trace_json(const struct entry *e);
+char *entry_metrics_text(struct entry *e);
+
+#endif
--- /dev/null
+++ b/src/main/entry_cmd.c
@@ -0,0 +1,227 @@
+/*
+ * Commands and questions to other processes: sent to the best guess, followed
+ * where it points, sent again to the next one when nothing comes back.  Every
+ * command may be carried out twice without harm, by its change id or owner.
+ */
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "main/entry.h"
+#include "protocol/cmd.h"
+
+/* A leader answers after one round and two syncs; later it is gone. */
+#define RESEND_MS 500
+/* Redirected again at once only so often: elections take a moment. */
+#define REDIRECT_MS 60
+
+struct entry_cmd {
+	struct entry_cmd *next;
+	uint64_t id;
+	uint64_t vm; /* a question's only addressee, else DL_VM_NONE */
+	uint32_t kind;
+	char *body;
+	size_t n;
+	int64_t deadline;
+	int64_t send_at;
+	bool redirected; /* send_at is for the leader that was named */
+	struct entry_cmd_done done;
+};
+
+static uint32_t replicas(const struct entry *e, uint64_t *out)
+{
+	uint32_t n = 0;
+
+	if (e->conf && e->conf->replicas_count) {
+		for (; n < e->conf->replicas_count; n++)
+			out[n] = e->conf->replicas[n].vm;
+		return n;
+	}
+	for (; n < e->node.settings.replicas_count; n++)
+		out[n] = e->node.settings.replicas[n];
+	return n;
+}
+
+/* Whether an address is one of the replicas known. */
+bool entry_cmd_is_replica(struct entry *e, uint64_t vm)
+{
+	uint64_t all[DL_REPLICAS_MAX];
+	uint32_t n = replicas(e, all);
+
+	for (uint32_t i = 0; i < n; i++) {
+		if (all[i] == vm)
+			return true;
+	}
+	return false;
+}
+
+static uint64_t next_replica(struct entry *e)
+{
+	uint64_t all[DL_REPLICAS_MAX];
+	uint32_t n = replicas(e, all);
+
+	if (n == 0)
+		return DL_VM_NONE;
+	e->replica_turn++;
+	return all[e->replica_turn % n];
+}
+
+static void send_now(struct entry *e, struct entry_cmd *cmd)
+{
+	uint64_t to = cmd->vm;
+
+	if (to == DL_VM_NONE) {
+		if (e->leader == DL_VM_NONE)
+			e->leader = next_replica(e);
+		to = e->leader;
+	}
+	cmd->send_at = entry_now(e) + RESEND_MS;
+	cmd->redirected = false;
+	if (to != DL_VM_NONE)
+		dl_peers_send(e->node.peers, to, cmd->kind, cmd->id,
+			      (struct dl_str){ cmd->body, cmd->n });
+}
+
+static struct entry_cmd *add(struct entry *e, uint32_t kind, uint32_t time_ms,
+			     struct entry_cmd_done done)
+{
+	struct entry_cmd *cmd = g_new0(struct entry_cmd, 1);
+
+	cmd->id = ++e->next_cmd;
+	cmd->kind = kind;
+	cmd->deadline = entry_now(e) + time_ms;
+	cmd->done = done;
+	cmd->next = e->cmds;
+	e->cmds = cmd;
+	return cmd;
+}
+
+/* Send a command to the leading replica; returns its id. */
+uint64_t entry_cmd_send(struct entry *e, const struct dl_cstore_cmd *c,
+			uint32_t time_ms, struct entry_cmd_done done)
+{
+	struct entry_cmd *cmd = add(e, DL_FRAME_CMD, time_ms, done);
+
+	if (dl_cstore_encode(c, &cmd->body, &cmd->n))
+		cmd->deadline = 0; /* ends at the next tick */
+	else
+		send_now(e, cmd);
+	return cmd->id;
+}
+
+/* Ask one VM, or any replica where vm is DL_VM_NONE. */
+uint64_t entry_cmd_query(struct entry *e, uint64_t vm, struct dl_str question,
+			 uint32_t time_ms, struct entry_cmd_done done)
+{
+	struct entry_cmd *cmd = add(e, DL_FRAME_QUERY, time_ms, done);
+
+	cmd->vm = vm;
+	cmd->body = malloc(question.n);
+	if (cmd->body)
+		memcpy(cmd->body, question.s, question.n);
+	cmd->n = cmd->body ? question.n : 0;
+	send_now(e, cmd);
+	return cmd->id;
+}
+
+static struct entry_cmd **find(struct entry *e, uint64_t id)
+{
+	struct entry_cmd **at = &e->cmds;
+
+	while (*at && (*at)->id != id)
+		at = &(*at)->next;
+	return at;
+}
+
+static void finish(struct entry *e, struct entry_cmd **at,
+		   const struct dl_cstore_reply *reply)
+{
+	struct entry_cmd *cmd = *at;
+
+	*at = cmd->next;
+	if (cmd->done.done)
+		cmd->done.done(cmd->done.arg, reply);
+	free(cmd->body);
+	g_free(cmd);
+}
+
+/* Whoever waits is gone; the command itself goes on to its end. */
+void entry_cmd_forget(struct entry *e, uint64_t id)
+{
+	struct entry_cmd **at = find(e, id);
+
+	if (*at)
+		(*at)->done.done = NULL;
+}
+
+static void on_reply(struct entry *e, uint64_t from, const struct dl_frame *f)
+{
+	struct entry_cmd **at = find(e, f->request);
+	struct dl_cstore_reply reply;
+	uint64_t leader;
+
+	if (!*at || dl_reply_decode(f->body, &reply, &leader))
+		return;
+	if (reply.code == DL_ENOLEADER) {
+		e->leader = leader != DL_VM_NONE && leader != from ?
+				    leader :
+				    next_replica(e);
+		(*at)->redirected = true;
+		(*at)->send_at =
+			entry_now(e) + (leader == DL_VM_NONE ? REDIRECT_MS : 0);
+		return;
+	}
+	e->leader = from;
+	finish(e, at, &reply);
+}
+
+static void on_query_reply(struct entry *e, const struct dl_frame *f)
+{
+	struct entry_cmd **at = find(e, f->request);
+	struct dl_cstore_reply reply = { 0 };
+
+	if (!*at)
+		return;
+	reply.outcome = f->body;
+	finish(e, at, &reply);
+}
+
+/* A reply, from whomever; matched by id. */
+void entry_cmd_frame(struct entry *e, uint64_t from,
+		     const struct dl_frame *frame)
+{
+	e->replica_heard = entry_now(e);
+	if (frame->kind == DL_FRAME_CMD_REPLY)
+		on_reply(e, from, frame);
+	else
+		on_query_reply(e, frame);
+}
+
+static struct entry_cmd **first_late(struct entry *e, int64_t now)
+{
+	struct entry_cmd **at = &e->cmds;
+
+	while (*at && now < (*at)->deadline)
+		at = &(*at)->next;
+	return at;
+}
+
+/* Send again what got no answer; end what ran out of time. */
+void entry_cmd_tick(struct entry *e, int64_t now)
+{
+	struct dl_cstore_reply late = { .code = DL_ENOQUORUM };
+	struct entry_cmd **at;
+	struct entry_cmd *cmd;
+
+	g_strlcpy(late.text, "no replica answered in time", sizeof(late.text));
+	/* finish() may add commands: look from the start each time. */
+	while (*(at = first_late(e, now)))
+		finish(e, at, &late);
+	for (cmd = e->cmds; cmd; cmd = cmd->next) {
+		if (now < cmd->send_at)
+			continue;
+		if (cmd->vm == DL_VM_NONE && !cmd->redirected)
+			e->leader = next_replica(e);
+		send_now(e, cmd);
+	}
+}
--- /dev/null
+++ b/src/main/entry_grant.c
@@ -0,0 +1,405 @@
+/*
+ * The asking side of dispatch: a request asks the dispatcher of a pool, holds
+ * what it is granted under a lease, and gives it back.  A dispatcher that
+ * moves, dies or does not answer costs a second ask, never a second run:
+ * nothing has gone to an endpoint before the grant.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/metric.h"
+#include "base/msg.h"
+#include "main/entry.h"
+
+/* A dispatcher answers within a loop's turn; later it is taken for lost. */
+#define ASK_LOST_MS 400
+/* Two VMs may differ for a moment about who dispatches. */
+#define ASK_AGAIN_MS 50
+/* After so many lost asks an entry places by itself. */
+#define ASKS_LOST_MAX 2
+/* Renewed three times a lease, so that one lost renewal costs nothing. */
+#define RENEWALS_PER_LEASE 3
+#define RETRY_DEFAULT_MS   1000
+
+static struct dl_str service_of(const struct call *c)
+{
+	return dl_name_str(&c->service);
+}
+
+static bool own_domain(const struct call *c)
+{
+	const struct dl_name *own = &c->e->node.settings.failure_domain;
+
+	return dl_name_eq(own, dl_name_str(&c->domain));
+}
+
+static void fill_ask(struct call *c)
+{
+	struct dl_ask *ask = &c->ask;
+
+	memset(ask, 0, sizeof(*ask));
+	ask->request = c->ask_id;
+	ask->entry = c->e->node.self;
+	ask->workspace = dl_name_str(&c->workspace);
+	ask->class = c->class;
+	ask->prompt_tokens = c->prompt_tokens;
+	ask->output_tokens = c->output_tokens;
+	ask->prefix = c->prefix;
+	ask->prefix_tokens = c->prefix_tokens;
+	ask->deadline = c->deadline;
+	ask->tried = c->tried;
+	memcpy(ask->tried_ids, c->tried_ids, sizeof(ask->tried_ids));
+}
+
+static void new_ask_id(struct call *c)
+{
+	struct entry *e = c->e;
+
+	if (c->ask_id)
+		g_hash_table_remove(e->asks, &c->ask_id);
+	c->ask_id = ++e->next_id;
+	g_hash_table_insert(e->asks, &c->ask_id, c);
+}
+
+static void send_ask(struct call *c)
+{
+	struct entry *e = c->e;
+	struct dl_packer pk;
+
+	dl_ask_pack(&pk, service_of(c), &c->ask, entry_now(e));
+	if (dl_peers_send(e->node.peers, c->dispatcher, DL_FRAME_ASK, c->ask_id,
+			  dl_packer_bytes(&pk)))
+		c->ask_again_at = entry_now(e) + ASK_AGAIN_MS;
+	dl_packer_close(&pk);
+}
+
+/*
+ * With no dispatcher in reach an entry places by itself from the reports that
+ * reached it; for a moment two may then overcommit an endpoint, which its own
+ * admission bounds.
+ */
+static void ask_locally(struct call *c, bool local)
+{
+	struct entry_pool *p = entry_pool_find(c->e, service_of(c));
+
+	c->dispatcher = c->e->node.self;
+	if (!p) {
+		entry_call_refuse(c, DL_REASON_NO_ENDPOINT, DL_STEP_PLACE,
+				  DL_VM_NONE, RETRY_DEFAULT_MS);
+		return;
+	}
+	entry_pool_ask(c->e, p, &c->ask, local);
+}
+
+/* Ask for an endpoint; the call may be over when this returns. */
+void entry_grant_ask(struct call *c)
+{
+	struct entry *e = c->e;
+
+	if (c->domain.n == 0)
+		c->domain = e->node.settings.failure_domain;
+	new_ask_id(c);
+	c->state = CALL_ASKING;
+	c->asked_at = entry_now(e);
+	c->ask_again_at = 0;
+	fill_ask(c);
+	c->dispatcher =
+		entry_pool_owner(e, service_of(c), dl_name_str(&c->domain));
+	if (own_domain(c) &&
+	    (c->dispatcher == DL_VM_NONE || c->asks_lost >= ASKS_LOST_MAX)) {
+		ask_locally(c, true);
+		return;
+	}
+	if (c->dispatcher == DL_VM_NONE) {
+		entry_call_refuse(c, DL_REASON_NO_DISPATCHER, DL_STEP_ADMIT,
+				  DL_VM_NONE, RETRY_DEFAULT_MS);
+		return;
+	}
+	if (c->dispatcher == e->node.self)
+		ask_locally(c, false);
+	else
+		send_ask(c);
+}
+
+static void send_number(struct call *c, uint32_t kind, uint64_t number)
+{
+	struct dl_packer pk;
+
+	dl_number_pack(&pk, service_of(c), number);
+	dl_peers_send(c->e->node.peers, c->dispatcher, kind, c->ask_id,
+		      dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
+}
+
+/* Take back an ask that has not been granted. */
+void entry_grant_cancel(struct call *c)
+{
+	struct entry *e = c->e;
+	struct entry_pool *p;
+
+	if (!c->ask_id)
+		return;
+	g_hash_table_remove(e->asks, &c->ask_id);
+	if (c->granted || c->dispatcher == DL_VM_NONE) {
+		c->ask_id = 0;
+		return;
+	}
+	if (c->dispatcher == e->node.self) {
+		p = entry_pool_find(e, service_of(c));
+		if (p)
+			dl_pool_cancel(p->pool, e->node.self, c->ask_id,
+				       entry_now(e));
+	} else {
+		send_number(c, DL_FRAME_CANCEL, c->ask_id);
+	}
+	c->ask_id = 0;
+}
+
+/* Give back what was granted, and say what came of it. */
+void entry_grant_release(struct call *c)
+{
+	struct entry *e = c->e;
+	struct entry_pool *p;
+	struct dl_packer pk;
+
+	if (!c->granted)
+		return;
+	c->granted = false;
+	if (c->dispatcher == e->node.self) {
+		p = entry_pool_find(e, service_of(c));
+		if (p)
+			dl_pool_release(p->pool, c->grant.grant, &c->usage,
+					entry_now(e));
+		return;
+	}
+	dl_release_pack(&pk, service_of(c), c->grant.grant, &c->usage);
+	dl_peers_send(e->node.peers, c->dispatcher, DL_FRAME_RELEASE, c->ask_id,
+		      dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
+}
+
+static void take_grant(struct call *c, const struct dl_answer *answer)
+{
+	int64_t now = entry_now(c->e);
+
+	c->grant = *answer;
+	c->granted = true;
+	c->asks_lost = 0;
+	c->lease_ms = (uint32_t)MAX(answer->valid_until - now, 1);
+	c->renew_at = now + c->lease_ms / RENEWALS_PER_LEASE;
+	memset(&c->usage, 0, sizeof(c->usage));
+	entry_call_span(c, c->state == CALL_QUEUED ? "queue" : "ask",
+			c->asked_at, NULL);
+	c->state = CALL_RUNNING;
+	entry_try_start(c);
+}
+
+static bool was_tried(const struct call *c, const struct dl_name *domain)
+{
+	for (uint32_t i = 0; i < c->spilled; i++) {
+		if (dl_name_eq(&c->spill_tried[i], dl_name_str(domain)))
+			return true;
+	}
+	return false;
+}
+
+static bool may_spill(enum dl_reason reason)
+{
+	switch (reason) {
+	case DL_REASON_RATE:
+	case DL_REASON_CONCURRENCY:
+		return false; /* the workspace's own limit holds everywhere */
+	default:
+		return true;
+	}
+}
+
+/*
+ * For a failure domain whose pool is full or gone: try the others that its
+ * dispatcher named, each once, so that a refusal is the fleet's and a storm
+ * of asks is bounded by the number of domains.
+ */
+static bool spill(struct call *c, const struct dl_answer_frame *f)
+{
+	if (!may_spill(f->answer.reason))
+		return false;
+	for (uint32_t i = 0; i < f->spill_count; i++) {
+		if (was_tried(c, &f->spill[i]) ||
+		    dl_name_eq(&c->domain, dl_name_str(&f->spill[i])))
+			continue;
+		if (c->spilled > DL_SPILL_MAX)
+			return false;
+		c->spill_tried[c->spilled++] = c->domain;
+		c->domain = f->spill[i];
+		entry_grant_ask(c);
+		return true;
+	}
+	return false;
+}
+
+/* The soonest of the retry times that the pools named. */
+static void note_refusal(struct call *c, const struct dl_answer *answer)
+{
+	if (c->refused &&
+	    c->last_refusal.retry_after_ms <= answer->retry_after_ms)
+		return;
+	c->refused = true;
+	c->last_refusal = *answer;
+}
+
+static void take_refusal(struct call *c, const struct dl_answer_frame *f)
+{
+	enum dl_step step = c->state == CALL_QUEUED ? DL_STEP_QUEUE :
+						      DL_STEP_ADMIT;
+
+	if (f->answer.reason == DL_REASON_NO_DISPATCHER) {
+		c->state = CALL_ASKING;
+		c->asks_lost++;
+		c->ask_again_at = entry_now(c->e) + ASK_AGAIN_MS;
+		return;
+	}
+	note_refusal(c, &f->answer);
+	if (spill(c, f))
+		return;
+	entry_call_refuse(c, c->last_refusal.reason, step, c->dispatcher,
+			  c->last_refusal.retry_after_ms);
+}
+
+/* A dispatcher has answered; matched by id, never by order. */
+void entry_grant_answer(struct entry *e, uint64_t from,
+			const struct dl_answer_frame *f)
+{
+	struct call *c = g_hash_table_lookup(e->asks, &f->answer.request);
+
+	if (!c || c->dispatcher != from || c->granted) {
+		/* A crossed grant is reclaimed with its lease or cancel. */
+		dl_count(DL_METRIC_late_frames_dropped, 1);
+		return;
+	}
+	switch (f->answer.verdict) {
+	case DL_GRANTED:
+		take_grant(c, &f->answer);
+		return;
+	case DL_QUEUED:
+		c->state = CALL_QUEUED;
+		return;
+	case DL_REFUSED:
+		take_refusal(c, f);
+		return;
+	}
+}
+
+static void adopt(struct call *c, uint64_t owner)
+{
+	struct entry *e = c->e;
+	struct entry_pool *p;
+	struct dl_packer pk;
+
+	c->dispatcher = owner;
+	c->grant.valid_until = entry_now(e) + c->lease_ms;
+	if (owner == e->node.self) {
+		p = entry_pool_find(e, service_of(c));
+		if (p)
+			dl_pool_adopt(p->pool, &c->grant, &c->ask,
+				      entry_now(e));
+		return;
+	}
+	dl_adopt_pack(&pk, service_of(c), &c->grant, &c->ask, entry_now(e));
+	dl_peers_send(e->node.peers, owner, DL_FRAME_ADOPT, c->ask_id,
+		      dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
+}
+
+/* A dispatcher does not know a grant that we renewed: tell it again. */
+void entry_grant_gone(struct entry *e, uint64_t ask_id)
+{
+	struct call *c = g_hash_table_lookup(e->asks, &ask_id);
+
+	if (c && c->granted)
+		adopt(c, c->dispatcher);
+}
+
+static void renew(struct call *c, int64_t now)
+{
+	struct entry *e = c->e;
+	struct entry_pool *p;
+
+	c->renew_at = now + c->lease_ms / RENEWALS_PER_LEASE;
+	c->grant.valid_until = now + c->lease_ms;
+	if (c->dispatcher != e->node.self) {
+		send_number(c, DL_FRAME_RENEW, c->grant.grant);
+		return;
+	}
+	p = entry_pool_find(e, service_of(c));
+	if (p && dl_pool_renew(p->pool, c->grant.grant, now))
+		adopt(c, e->node.self);
+}
+
+/* The connection to a VM is lost, and with it what was asked on it. */
+void entry_grant_down(struct entry *e, uint64_t vm)
+{
+	struct call *c;
+
+	for (c = e->calls; c; c = c->next) {
+		if (c->dispatcher != vm || c->granted)
+			continue;
+		if (c->state == CALL_ASKING || c->state == CALL_QUEUED) {
+			c->asks_lost++;
+			c->ask_again_at = entry_now(e) + ASK_AGAIN_MS;
+		}
+	}
+}
+
+static bool lost(const struct call *c, int64_t now)
+{
+	return c->state == CALL_ASKING && !c->ask_again_at &&
+	       now - c->asked_at > ASK_LOST_MS;
+}
+
+/* The dispatcher named now; our own where we place by ourselves. */
+static uint64_t owner_now(struct call *c)
+{
+	return entry_pool_owner(c->e, service_of(c), dl_name_str(&c->domain));
+}
+
+static void watch(struct call *c, int64_t now)
+{
+	uint64_t owner;
+
+	if (c->granted) {
+		owner = owner_now(c);
+		if (owner != c->dispatcher && owner != DL_VM_NONE)
+			adopt(c, owner);
+		else if (now >= c->renew_at)
+			renew(c, now);
+		return;
+	}
+	if (c->state != CALL_ASKING && c->state != CALL_QUEUED)
+		return;
+	if (lost(c, now)) {
+		c->asks_lost++;
+		entry_grant_cancel(c);
+		entry_grant_ask(c);
+		return;
+	}
+	if (c->ask_again_at && now >= c->ask_again_at) {
+		entry_grant_ask(c);
+		return;
+	}
+	owner = owner_now(c);
+	if (owner != c->dispatcher && c->dispatcher != c->e->node.self) {
+		entry_grant_cancel(c);
+		entry_grant_ask(c);
+	}
+}
+
+/* Renew what is held, ask again what was lost, follow moved dispatchers. */
+void entry_grant_tick(struct entry *e, int64_t now)
+{
+	struct call *c, *next;
+
+	for (c = e->calls; c; c = next) {
+		next = c->next;
+		watch(c, now);
+	}
+}
--- /dev/null
+++ b/src/main/entry_http.c
@@ -0,0 +1,154 @@
+/* The doors of an entry: which method and path goes where. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/metric.h"
+#include "main/entry.h"
+#include "protocol/api.h"
+
+/* An endpoint that has not announced itself for this long is gone; it
+ * announces five times as often, so that lost ones do no harm. */
+#define ANNOUNCE_EVERY_MS 1000
+#define GONE_AFTER_MS	  5000
+/* Without a replica for so long, health says so. */
+#define REPLICA_QUIET_MS 10000
+
+static void get_health(struct entry *e, struct dl_httpd_req *req);
+static void get_ready(struct entry *e, struct dl_httpd_req *req);
+static void get_metrics(struct entry *e, struct dl_httpd_req *req);
+static void get_traces(struct entry *e, struct dl_httpd_req *req);
+static void post_endpoint(struct entry *e, struct dl_httpd_req *req);
+
+struct route {
+	const char *method; /* NULL: any */
+	const char *path;
+	bool prefix; /* path begins with, rather than is */
+	void (*handle)(struct entry *e, struct dl_httpd_req *req);
+};
+
+static const struct route routes[] = {
+	{ "POST", "/v1/completions", false, entry_call_completion },
+	{ NULL, "/s/", true, entry_call_plain },
+	{ "POST", "/v1/endpoints", false, post_endpoint },
+	{ "POST", "/v1/config", false, entry_ops_config_post },
+	{ "GET", "/v1/config", false, entry_ops_config_get },
+	{ "GET", "/v1/config/history", false, entry_ops_history },
+	{ "GET", "/v1/status", false, entry_ops_status },
+	{ "GET", "/healthz", false, get_health },
+	{ "GET", "/readyz", false, get_ready },
+	{ "GET", "/metrics", false, get_metrics },
+	{ "GET", "/v1/traces", false, get_traces },
+};
+
+#define ROUTES (sizeof(routes) / sizeof(routes[0]))
+
+/* Answer with a JSON text, which is freed. */
+void entry_http_json(struct dl_httpd_req *req, uint16_t status, char *json)
+{
+	struct dl_header type = { DL_STR("Content-Type"),
+				  DL_STR("application/json") };
+
+	dl_httpd_reply(req, status, &type, 1, dl_str_of(json));
+	free(json);
+}
+
+/* Answer with an error of our own making. */
+void entry_http_error(struct dl_httpd_req *req, uint16_t status,
+		      const char *reason, const struct dl_err *err)
+{
+	size_t n;
+
+	entry_http_json(req, status,
+			dl_error_body(reason, dl_step_name(err->step),
+				      err->peer, 0, err->text, &n));
+}
+
+static void get_health(struct entry *e, struct dl_httpd_req *req)
+{
+	bool quiet = entry_now(e) - e->replica_heard > REPLICA_QUIET_MS;
+
+	dl_httpd_reply(req, 200, NULL, 0,
+		       quiet ? DL_STR("ok, but no replica has been heard\n") :
+			       DL_STR("ok\n"));
+}
+
+static void get_ready(struct entry *e, struct dl_httpd_req *req)
+{
+	if (e->draining)
+		dl_httpd_reply(req, 503, NULL, 0, DL_STR("draining\n"));
+	else if (!e->conf)
+		dl_httpd_reply(req, 503, NULL, 0, DL_STR("no configuration\n"));
+	else
+		dl_httpd_reply(req, 200, NULL, 0, DL_STR("ready\n"));
+}
+
+static void get_metrics(struct entry *e, struct dl_httpd_req *req)
+{
+	struct dl_header type = { DL_STR("Content-Type"),
+				  DL_STR("text/plain; version=0.0.4") };
+	char *text = entry_metrics_text(e);
+
+	dl_httpd_reply(req, 200, &type, 1, dl_str_of(text));
+	g_free(text);
+}
+
+static void get_traces(struct entry *e, struct dl_httpd_req *req)
+{
+	entry_http_json(req, 200, entry_trace_json(e));
+}
+
+static void post_endpoint(struct entry *e, struct dl_httpd_req *req)
+{
+	struct dl_announcement a;
+	struct dl_err err;
+	char answer[96];
+
+	if (dl_announcement_parse(dl_httpd_body(req), &a, &err)) {
+		entry_http_error(req, 400, "bad-request", &err);
+		return;
+	}
+	if (entry_pool_report(e, dl_name_str(&a.service),
+			      dl_name_str(&a.failure_domain), &a.report)) {
+		dl_err_set(&err, -1, DL_STEP_CHECK, NULL, "no such service");
+		entry_http_error(req, e->conf ? 404 : 503, "no-service", &err);
+		return;
+	}
+	snprintf(answer, sizeof(answer),
+		 "{\"announce_every_ms\":%d,\"gone_after_ms\":%d}",
+		 ANNOUNCE_EVERY_MS, GONE_AFTER_MS);
+	entry_http_json(req, 200, strdup(answer));
+}
+
+static bool path_fits(const struct route *r, struct dl_str path)
+{
+	size_t n = strlen(r->path);
+
+	if (path.n < n || memcmp(path.s, r->path, n) != 0)
+		return false;
+	return r->prefix || path.n == n || path.s[n] == '?';
+}
+
+/* Find the route; a path that is known with another method is a 405. */
+void entry_http_request(void *arg, struct dl_httpd_req *req)
+{
+	struct dl_str method = dl_httpd_method(req);
+	struct dl_str path = dl_httpd_path(req);
+	struct entry *e = arg;
+	bool known = false;
+	struct dl_err err;
+
+	for (size_t i = 0; i < ROUTES; i++) {
+		if (!path_fits(&routes[i], path))
+			continue;
+		known = true;
+		if (routes[i].method &&
+		    !dl_str_eq(method, dl_str_of(routes[i].method)))
+			continue;
+		routes[i].handle(e, req);
+		return;
+	}
+	dl_count(DL_METRIC_bad_requests, 1);
+	dl_err_set(&err, -1, DL_STEP_READ, NULL,
+		   known ? "the path knows other methods" : "no such path");
+	entry_http_error(req, known ? 405 : 404, "bad-request", &err);
+}
--- /dev/null
+++ b/src/main/entry_pool.c
@@ -0,0 +1,483 @@
+/*
+ * Dispatching: the pools of this failure domain.  Every VM of the domain
+ * keeps them, so that the one that must take over knows the endpoints; the
+ * one that rendezvous hashing names leads.
+ */
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/metric.h"
+#include "base/msg.h"
+#include "main/entry.h"
+
+/* Often enough that a spill sees the backlog of the last second. */
+#define SUMMARY_EVERY_MS 500
+/* A pool that has not been heard of for so long takes no spill. */
+#define SUMMARY_OLD_MS 3000
+
+static void on_ask(struct entry *e, uint64_t from, const struct dl_frame *f);
+static void on_cancel(struct entry *e, uint64_t from, const struct dl_frame *f);
+static void on_renew(struct entry *e, uint64_t from, const struct dl_frame *f);
+static void on_release(struct entry *e, uint64_t from,
+		       const struct dl_frame *f);
+static void on_report(struct entry *e, uint64_t from, const struct dl_frame *f);
+static void on_summary(struct entry *e, uint64_t from,
+		       const struct dl_frame *f);
+static void on_adopt(struct entry *e, uint64_t from, const struct dl_frame *f);
+
+struct frame_handler {
+	uint32_t kind;
+	void (*handle)(struct entry *e, uint64_t from,
+		       const struct dl_frame *f);
+};
+
+static const struct frame_handler handlers[] = {
+	{ DL_FRAME_ASK, on_ask },	{ DL_FRAME_CANCEL, on_cancel },
+	{ DL_FRAME_RENEW, on_renew },	{ DL_FRAME_RELEASE, on_release },
+	{ DL_FRAME_REPORT, on_report }, { DL_FRAME_SUMMARY, on_summary },
+	{ DL_FRAME_ADOPT, on_adopt },
+};
+
+/* The pool of a service in this failure domain; NULL where unknown. */
+struct entry_pool *entry_pool_find(struct entry *e, struct dl_str service)
+{
+	struct entry_pool *p;
+
+	for (p = e->pools; p; p = p->next) {
+		if (dl_name_eq(&p->service, service))
+			return p;
+	}
+	return NULL;
+}
+
+/* The VM that dispatches for a service in a failure domain. */
+uint64_t entry_pool_owner(struct entry *e, struct dl_str service,
+			  struct dl_str domain)
+{
+	return dl_memb_owner(e->node.memb, domain, dl_hash(service, 0));
+}
+
+static bool is_own_domain(const struct entry *e, struct dl_str domain)
+{
+	return dl_name_eq(&e->node.settings.failure_domain, domain);
+}
+
+static void update_leading(struct entry *e, struct entry_pool *p)
+{
+	struct dl_str domain = dl_name_str(&e->node.settings.failure_domain);
+	uint64_t owner = entry_pool_owner(e, dl_name_str(&p->service), domain);
+	bool leading = owner == e->node.self;
+
+	if (leading && !p->leading)
+		dl_msg(DL_MSG_POOL_LEAD, "service=%s", p->service.s);
+	p->leading = leading;
+}
+
+static void drain_endpoints(struct entry *e, struct entry_pool *p)
+{
+	const struct dl_conf *conf = e->conf;
+	struct dl_endpoint_report r;
+	int64_t now = entry_now(e);
+	uint64_t held;
+	bool out;
+
+	for (uint32_t i = 0; dl_pool_endpoint_at(p->pool, i, &r, &held, &out);
+	     i++) {
+		bool drain = false;
+
+		for (uint32_t k = 0; k < conf->drain_endpoints_count; k++)
+			drain |= dl_name_eq(&conf->drain_endpoints[k],
+					    dl_name_str(&r.id));
+		dl_pool_endpoint_drain(p->pool, dl_name_str(&r.id), drain, now);
+	}
+}
+
+static struct entry_pool *pool_add(struct entry *e,
+				   const struct dl_service_conf *service)
+{
+	struct entry_pool *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return NULL;
+	p->service = service->name;
+	p->pool = dl_pool_new(&service->pool, &dl_policy_late_binding,
+			      e->node.incarnation ^
+				      dl_hash(dl_name_str(&service->name), 0));
+	if (!p->pool) {
+		free(p);
+		return NULL;
+	}
+	p->next = e->pools;
+	e->pools = p;
+	return p;
+}
+
+static void remove_unlisted(struct entry *e)
+{
+	struct entry_pool **at = &e->pools;
+
+	while (*at) {
+		struct entry_pool *p = *at;
+
+		if (dl_conf_service(e->conf, dl_name_str(&p->service))) {
+			at = &p->next;
+			continue;
+		}
+		*at = p->next;
+		dl_pool_free(p->pool);
+		free(p);
+	}
+}
+
+/* Put the configuration in force for every pool. */
+void entry_pool_configure(struct entry *e)
+{
+	const struct dl_conf *conf = e->conf;
+
+	remove_unlisted(e);
+	for (uint32_t i = 0; i < conf->services_count; i++) {
+		const struct dl_service_conf *s = &conf->services[i];
+		struct entry_pool *p =
+			entry_pool_find(e, dl_name_str(&s->name));
+
+		if (!p)
+			p = pool_add(e, s);
+		if (!p)
+			continue;
+		dl_pool_configure(p->pool, &s->pool);
+		for (uint32_t k = 0; k < conf->workspaces_count; k++)
+			dl_pool_workspace(p->pool, &conf->workspaces[k].limits);
+		drain_endpoints(e, p);
+		update_leading(e, p);
+	}
+}
+
+/* Other domains that a refused request may try, the least loaded first. */
+static void add_spill(struct entry *e, struct dl_str service,
+		      struct dl_answer_frame *f)
+{
+	uint64_t backlog[DL_SPILL_MAX];
+	const struct entry_far *far;
+	uint32_t k;
+
+	if (f->answer.verdict != DL_REFUSED)
+		return;
+	for (far = e->far; far; far = far->next) {
+		if (!dl_name_eq(&far->service, service) ||
+		    far->summary.endpoints == 0 ||
+		    entry_now(e) - far->heard > SUMMARY_OLD_MS)
+			continue;
+		if (f->spill_count == DL_SPILL_MAX)
+			break;
+		for (k = f->spill_count;
+		     k > 0 && backlog[k - 1] > far->summary.backlog_ms; k--) {
+			backlog[k] = backlog[k - 1];
+			f->spill[k] = f->spill[k - 1];
+		}
+		backlog[k] = far->summary.backlog_ms;
+		f->spill[k] = far->domain;
+		f->spill_count++;
+	}
+}
+
+static void send_answer(struct entry *e, struct entry_pool *p,
+			const struct dl_answer *answer)
+{
+	struct dl_answer_frame f = { .answer = *answer };
+	struct dl_packer pk;
+
+	add_spill(e, dl_name_str(&p->service), &f);
+	if (answer->verdict == DL_GRANTED)
+		dl_count(DL_METRIC_grants_total, 1);
+	if (answer->entry == e->node.self) {
+		entry_grant_answer(e, e->node.self, &f);
+		return;
+	}
+	dl_answer_pack(&pk, &f, entry_now(e));
+	dl_peers_send(e->node.peers, answer->entry, DL_FRAME_ANSWER,
+		      answer->request, dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
+}
+
+/*
+ * Ask a pool kept here.  local: also where this VM does not lead it, because
+ * no dispatcher answers.
+ */
+void entry_pool_ask(struct entry *e, struct entry_pool *p,
+		    const struct dl_ask *ask, bool local)
+{
+	struct dl_answer answer;
+
+	update_leading(e, p);
+	if (p->leading || local) {
+		dl_pool_ask(p->pool, ask, entry_now(e), &answer);
+	} else {
+		memset(&answer, 0, sizeof(answer));
+		answer.request = ask->request;
+		answer.entry = ask->entry;
+		answer.verdict = DL_REFUSED;
+		answer.reason = DL_REASON_NO_DISPATCHER;
+	}
+	send_answer(e, p, &answer);
+}
+
+static void on_ask(struct entry *e, uint64_t from, const struct dl_frame *f)
+{
+	struct dl_answer_frame none = { 0 };
+	struct entry_pool *p;
+	struct dl_packer pk;
+	struct dl_name service;
+	struct dl_ask ask;
+
+	if (dl_ask_read(f->body, &service, &ask, entry_now(e)))
+		return;
+	ask.entry = from;
+	p = entry_pool_find(e, dl_name_str(&service));
+	if (p) {
+		entry_pool_ask(e, p, &ask, false);
+		return;
+	}
+	none.answer.request = ask.request;
+	none.answer.entry = from;
+	none.answer.verdict = DL_REFUSED;
+	none.answer.reason = DL_REASON_NO_DISPATCHER;
+	dl_answer_pack(&pk, &none, entry_now(e));
+	dl_peers_send(e->node.peers, from, DL_FRAME_ANSWER, ask.request,
+		      dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
+}
+
+static void on_cancel(struct entry *e, uint64_t from, const struct dl_frame *f)
+{
+	struct dl_name service;
+	struct entry_pool *p;
+	uint64_t request;
+
+	if (dl_number_read(f->body, &service, &request))
+		return;
+	p = entry_pool_find(e, dl_name_str(&service));
+	if (p)
+		dl_pool_cancel(p->pool, from, request, entry_now(e));
+}
+
+static void on_renew(struct entry *e, uint64_t from, const struct dl_frame *f)
+{
+	struct dl_name service;
+	struct entry_pool *p;
+	uint64_t grant;
+
+	if (dl_number_read(f->body, &service, &grant))
+		return;
+	p = entry_pool_find(e, dl_name_str(&service));
+	if (p && dl_pool_renew(p->pool, grant, entry_now(e)) == 0)
+		return;
+	dl_peers_send(e->node.peers, from, DL_FRAME_RENEW_GONE, f->request,
+		      f->body);
+}
+
+static void on_release(struct entry *e, uint64_t from, const struct dl_frame *f)
+{
+	struct dl_name service;
+	struct dl_usage usage;
+	struct entry_pool *p;
+	uint64_t grant;
+
+	if (dl_release_read(f->body, &service, &grant, &usage))
+		return;
+	p = entry_pool_find(e, dl_name_str(&service));
+	if (p)
+		dl_pool_release(p->pool, grant, &usage, entry_now(e));
+}
+
+static void report_here(struct entry *e, struct entry_pool *p,
+			const struct dl_endpoint_report *report)
+{
+	dl_pool_report(p->pool, report, entry_now(e));
+	drain_endpoints(e, p);
+}
+
+static void on_report(struct entry *e, uint64_t from, const struct dl_frame *f)
+{
+	struct dl_endpoint_report report;
+	struct dl_name service;
+	struct entry_pool *p;
+
+	if (dl_report_read(f->body, &service, &report))
+		return;
+	p = entry_pool_find(e, dl_name_str(&service));
+	if (p)
+		report_here(e, p, &report);
+}
+
+static struct entry_far *far_find(struct entry *e,
+				  const struct dl_name *service,
+				  const struct dl_name *domain)
+{
+	struct entry_far *far;
+
+	for (far = e->far; far; far = far->next) {
+		if (dl_name_eq(&far->service, dl_name_str(service)) &&
+		    dl_name_eq(&far->domain, dl_name_str(domain)))
+			return far;
+	}
+	far = calloc(1, sizeof(*far));
+	if (!far)
+		return NULL;
+	far->service = *service;
+	far->domain = *domain;
+	far->next = e->far;
+	e->far = far;
+	return far;
+}
+
+static void on_summary(struct entry *e, uint64_t from, const struct dl_frame *f)
+{
+	struct dl_name service, domain;
+	struct dl_pool_summary summary;
+	struct entry_far *far;
+
+	if (dl_summary_read(f->body, &service, &domain, &summary))
+		return;
+	far = far_find(e, &service, &domain);
+	if (!far)
+		return;
+	far->summary = summary;
+	far->heard = entry_now(e);
+}
+
+static void on_adopt(struct entry *e, uint64_t from, const struct dl_frame *f)
+{
+	struct dl_answer grant;
+	struct dl_name service;
+	struct entry_pool *p;
+	struct dl_ask ask;
+
+	if (dl_adopt_read(f->body, &service, &grant, &ask, entry_now(e)))
+		return;
+	ask.entry = from;
+	grant.entry = from;
+	p = entry_pool_find(e, dl_name_str(&service));
+	if (p)
+		dl_pool_adopt(p->pool, &grant, &ask, entry_now(e));
+}
+
+/* A frame of the dispatchers' kinds. */
+void entry_pool_frame(struct entry *e, uint64_t from,
+		      const struct dl_frame *frame)
+{
+	for (size_t i = 0; i < sizeof(handlers) / sizeof(handlers[0]); i++) {
+		if (handlers[i].kind == frame->kind) {
+			handlers[i].handle(e, from, frame);
+			return;
+		}
+	}
+}
+
+/*
+ * An endpoint has announced itself here: keep it where the pool is ours, and
+ * pass it on to the pool's dispatcher.  -ENOENT: no such service.
+ */
+int entry_pool_report(struct entry *e, struct dl_str service,
+		      struct dl_str domain,
+		      const struct dl_endpoint_report *report)
+{
+	struct entry_pool *p = entry_pool_find(e, service);
+	struct dl_packer pk;
+	uint64_t owner;
+
+	if (!p)
+		return -ENOENT;
+	if (domain.n == 0)
+		domain = dl_name_str(&e->node.settings.failure_domain);
+	owner = entry_pool_owner(e, service, domain);
+	if (is_own_domain(e, domain))
+		report_here(e, p, report);
+	if (owner == e->node.self || owner == DL_VM_NONE)
+		return 0;
+	dl_report_pack(&pk, service, report);
+	dl_peers_send(e->node.peers, owner, DL_FRAME_REPORT, 0,
+		      dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
+	return 0;
+}
+
+/* A VM has gone: what it held or queued is free again. */
+void entry_pool_member(struct entry *e, const struct dl_member *m)
+{
+	struct entry_pool *p;
+
+	for (p = e->pools; p; p = p->next) {
+		if (m->state == DL_DEAD || m->state == DL_LEFT)
+			dl_pool_entry_gone(p->pool, m->vm, entry_now(e));
+		update_leading(e, p);
+	}
+}
+
+static bool seen_domain(const struct dl_name *seen, uint32_t n,
+			const struct dl_name *domain)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		if (dl_name_eq(&seen[i], dl_name_str(domain)))
+			return true;
+	}
+	return false;
+}
+
+/* Tell the dispatchers of the same service elsewhere how it stands here. */
+static void send_summary(struct entry *e, struct entry_pool *p)
+{
+	struct dl_str own = dl_name_str(&e->node.settings.failure_domain);
+	struct dl_name seen[DL_SPILL_MAX + 1];
+	struct dl_pool_summary summary;
+	const struct dl_member *m;
+	struct dl_packer pk;
+	uint32_t n = 0;
+
+	dl_pool_summarize(p->pool, entry_now(e), &summary);
+	dl_summary_pack(&pk, dl_name_str(&p->service), own, &summary);
+	for (uint32_t i = 0; (m = dl_memb_at(e->node.memb, i)); i++) {
+		uint64_t owner;
+
+		if (m->state != DL_ALIVE || m->replica || n > DL_SPILL_MAX ||
+		    is_own_domain(e, dl_name_str(&m->domain)) ||
+		    seen_domain(seen, n, &m->domain))
+			continue;
+		seen[n++] = m->domain;
+		owner = entry_pool_owner(e, dl_name_str(&p->service),
+					 dl_name_str(&m->domain));
+		if (owner != DL_VM_NONE)
+			dl_peers_send(e->node.peers, owner, DL_FRAME_SUMMARY, 0,
+				      dl_packer_bytes(&pk));
+	}
+	dl_packer_close(&pk);
+}
+
+/* Hand out what became ready, and tell other domains of the load. */
+void entry_pool_tick(struct entry *e, int64_t now)
+{
+	bool summaries = now - e->summaries_at >= SUMMARY_EVERY_MS;
+	struct entry_pool *p;
+	struct dl_answer answer;
+	int64_t queued = 0, endpoints = 0;
+
+	for (p = e->pools; p; p = p->next) {
+		while (dl_pool_next(p->pool, now, &answer))
+			send_answer(e, p, &answer);
+		if (!summaries)
+			continue;
+		if (p->leading) {
+			struct dl_pool_summary s;
+
+			dl_pool_summarize(p->pool, now, &s);
+			queued += s.queued;
+			endpoints += s.endpoints;
+			send_summary(e, p);
+		}
+	}
+	if (!summaries)
+		return;
+	e->summaries_at = now;
+	dl_gauge(DL_METRIC_queue_entries, queued);
+	dl_gauge(DL_METRIC_endpoints_known, endpoints);
+}
--- /dev/null
+++ b/src/main/entry_trace.c
@@ -0,0 +1,108 @@
+/* What became of recent requests, hop by hop, and the counters as text. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "base/metric.h"
+#include "main/entry.h"
+
+#define TRACES_KEPT 256
+
+struct trace {
+	char id_text[REQUEST_ID_TEXT];
+	struct dl_name service, workspace, class_name;
+	enum dl_outcome outcome;
+	uint16_t status;
+	uint32_t total_ms;
+	struct span spans[SPANS_MAX];
+	uint32_t spans_count;
+};
+
+/* Keep the trace of a request that has ended; the oldest one goes. */
+void entry_trace_add(struct entry *e, const struct call *c,
+		     enum dl_outcome outcome, uint16_t status)
+{
+	struct trace *t;
+
+	if (!e->traces)
+		e->traces = g_new0(struct trace, TRACES_KEPT);
+	t = &e->traces[e->traces_at++ % TRACES_KEPT];
+	memcpy(t->id_text, c->id_text, sizeof(t->id_text));
+	t->service = c->service;
+	t->workspace = c->workspace;
+	t->class_name = c->class_name;
+	t->outcome = outcome;
+	t->status = status;
+	t->total_ms = (uint32_t)(entry_now(e) - c->begun);
+	memcpy(t->spans, c->spans, sizeof(t->spans));
+	t->spans_count = c->spans_count;
+}
+
+static json_t *spans_json(const struct trace *t)
+{
+	json_t *spans = json_array();
+
+	for (uint32_t i = 0; i < t->spans_count; i++) {
+		const struct span *s = &t->spans[i];
+		json_t *span = json_object();
+
+		json_object_set_new(span, "name", json_string(s->name));
+		json_object_set_new(span, "from_ms", json_integer(s->from_ms));
+		json_object_set_new(span, "to_ms", json_integer(s->to_ms));
+		if (s->peer[0])
+			json_object_set_new(span, "peer", json_string(s->peer));
+		json_array_append_new(spans, span);
+	}
+	return spans;
+}
+
+static json_t *trace_json(const struct trace *t)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, "request", json_string(t->id_text));
+	json_object_set_new(o, "service", json_string(t->service.s));
+	json_object_set_new(o, "workspace", json_string(t->workspace.s));
+	json_object_set_new(o, "class", json_string(t->class_name.s));
+	json_object_set_new(o, "outcome",
+			    json_string(dl_outcome_name(t->outcome)));
+	json_object_set_new(o, "status", json_integer(t->status));
+	json_object_set_new(o, "total_ms", json_integer(t->total_ms));
+	json_object_set_new(o, "spans", spans_json(t));
+	return o;
+}
+
+/* Recent requests, newest first; freed by the caller. */
+char *entry_trace_json(const struct entry *e)
+{
+	json_t *root = json_object(), *list = json_array();
+	uint32_t n = MIN(e->traces_at, TRACES_KEPT);
+	char *text;
+
+	for (uint32_t i = 0; i < n; i++)
+		json_array_append_new(
+			list, trace_json(&e->traces[(e->traces_at - 1 - i) %
+						    TRACES_KEPT]));
+	json_object_set_new(root, "traces", list);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+/* Every counter, a line each; freed by the caller. */
+char *entry_metrics_text(struct entry *e)
+{
+	GString *out = g_string_new(NULL);
+
+	for (int i = 0; i < DL_METRIC_COUNT; i++) {
+		enum dl_metric m = (enum dl_metric)i;
+
+		g_string_append_printf(out,
+				       "# HELP daisyledge_%s %s\n"
+				       "daisyledge_%s %" PRId64 "\n",
+				       dl_metric_name(m), dl_metric_help(m),
+				       dl_metric_name(m), dl_metric_read(m));
+	}
+	return g_string_free(out, FALSE);
+}
--- /dev/null
+++ b/src/main/entry_try.c
@@ -0,0 +1,503 @@
+/*
+ * One attempt at an endpoint: what is sent, what comes back, and what is done
+ * when it breaks.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/metric.h"
+#include "main/entry.h"
+#include "protocol/api.h"
+
+#define HEADERS_MAX 64
+/* An answer up to here is held until it is whole, so that it can be told
+ * whole or retried; a larger one is passed on as it comes. */
+#define HOLD_MAX (1u << 20)
+/* The first token may come this much later than predicted. */
+#define FIRST_TOKEN_FACTOR 3
+/* What is kept for the way back of the endpoint's last bytes. */
+#define HOP_MARGIN_MS 20
+
+static void on_head(void *arg, const struct dl_httpc_head *head);
+static bool on_model_body(void *arg, struct dl_str piece);
+static bool on_plain_body(void *arg, struct dl_str piece);
+static void on_end(void *arg, const struct dl_attempt *attempt,
+		   const struct dl_err *err);
+
+static const struct dl_httpc_ops ops_table[] = {
+	[DL_POOL_MODEL] = { on_head, on_model_body, on_end },
+	[DL_POOL_PLAIN] = { on_head, on_plain_body, on_end },
+};
+
+static const char *const hop_headers[] = {
+	"connection",
+	"keep-alive",
+	"te",
+	"trailer",
+	"transfer-encoding",
+	"upgrade",
+	"host",
+	"content-length",
+	"expect",
+	"proxy-authorization",
+	"proxy-connection",
+};
+
+static bool is_hop_header(struct dl_str name)
+{
+	for (size_t i = 0; i < sizeof(hop_headers) / sizeof(hop_headers[0]);
+	     i++) {
+		if (strlen(hop_headers[i]) == name.n &&
+		    g_ascii_strncasecmp(hop_headers[i], name.s, name.n) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* The headers of ours that every endpoint gets. */
+static size_t own_headers(struct call *c, struct dl_header *out, char *numbers,
+			  size_t n)
+{
+	int64_t left = c->deadline - entry_now(c->e) - HOP_MARGIN_MS;
+	size_t count = 0;
+
+	snprintf(numbers, n, "%" PRId64, MAX(left, 1));
+	out[count++] = (struct dl_header){ DL_STR("Daisyledge-Request"),
+					   dl_str_of(c->id_text) };
+	out[count++] = (struct dl_header){ DL_STR("Daisyledge-Deadline-Ms"),
+					   dl_str_of(numbers) };
+	if (c->workspace.n)
+		out[count++] = (struct dl_header){
+			DL_STR("Daisyledge-Workspace"),
+			dl_name_str(&c->workspace),
+		};
+	return count;
+}
+
+static bool is_own_header(struct dl_str name)
+{
+	return name.n > 11 &&
+	       g_ascii_strncasecmp(name.s, "daisyledge-", 11) == 0;
+}
+
+static size_t caller_headers(struct call *c, struct dl_header *out, size_t max)
+{
+	struct dl_header all[HEADERS_MAX];
+	size_t n = dl_httpd_headers(c->http, all, HEADERS_MAX);
+	size_t count = 0;
+
+	for (size_t i = 0; i < n && count < max; i++) {
+		if (!is_hop_header(all[i].name) && !is_own_header(all[i].name))
+			out[count++] = all[i];
+	}
+	return count;
+}
+
+static bool build_model_body(struct call *c)
+{
+	struct dl_completion completion;
+
+	free(c->body);
+	c->body = NULL;
+	if (dl_completion_parse(dl_httpd_body(c->http), &completion, NULL))
+		return false;
+	c->body = dl_completion_body(&completion, &c->grant, &c->body_n);
+	dl_completion_free(&completion);
+	return c->body != NULL;
+}
+
+static struct dl_str plain_path(const struct call *c)
+{
+	struct dl_str path = dl_httpd_path(c->http);
+	size_t skip = strlen("/s/") + c->service.n;
+
+	if (path.n <= skip)
+		return DL_STR("/");
+	return (struct dl_str){ path.s + skip, path.n - skip };
+}
+
+static void send_attempt(struct call *c, uint64_t to)
+{
+	struct dl_header headers[HEADERS_MAX];
+	struct dl_httpc_req req = { .to = to, .headers = headers };
+	char left[24], offset[24];
+	size_t n;
+
+	n = own_headers(c, headers, left, sizeof(left));
+	req.connect_ms = c->connect_ms;
+	req.gap_ms =
+		c->gap_ms + c->grant.predicted_ttft_ms * FIRST_TOKEN_FACTOR;
+	if (c->kind == DL_POOL_PLAIN) {
+		req.method = dl_httpd_method(c->http);
+		req.path = plain_path(c);
+		req.body = dl_httpd_body(c->http);
+		n += caller_headers(c, headers + n, HEADERS_MAX - n);
+	} else {
+		req.method = DL_STR("POST");
+		req.path = DL_STR("/v1/completions");
+		req.body = (struct dl_str){ c->body, c->body_n };
+		headers[n++] = (struct dl_header){ DL_STR("Content-Type"),
+						   DL_STR("application/json") };
+	}
+	if (c->skip) {
+		snprintf(offset, sizeof(offset), "%" PRIu64, c->skip);
+		headers[n++] =
+			(struct dl_header){ DL_STR("Daisyledge-Resume-Offset"),
+					    dl_str_of(offset) };
+	}
+	req.headers_count = n;
+	c->attempt = dl_httpc_start(c->e->httpc, &req, &ops_table[c->kind], c);
+}
+
+/* Begin an attempt at the endpoint that was granted. */
+void entry_try_start(struct call *c)
+{
+	struct dl_err err;
+	uint64_t to;
+
+	c->attempts++;
+	c->attempt_at = entry_now(c->e);
+	c->status = 0;
+	c->sse_done = false;
+	c->sse_bad = false;
+	dl_sse_close(&c->sse);
+	if (c->text && !c->skip)
+		g_string_truncate(c->text, 0);
+	if (!dl_vm_parse(dl_name_str(&c->grant.endpoint[0]), &to) ||
+	    (c->kind == DL_POOL_MODEL && !build_model_body(c))) {
+		dl_err_set(&err, -ENOMEM, DL_STEP_SEND, NULL,
+			   "cannot build the request");
+		entry_call_end(c, DL_OUTCOME_NOT_RUN, 503, "internal", &err);
+		return;
+	}
+	if (c->attempts > 1)
+		dl_count(DL_METRIC_retries_total, 1);
+	send_attempt(c, to);
+}
+
+/* Stop the attempt in flight; the engine is told, so that it stops too. */
+void entry_try_cancel(struct call *c)
+{
+	if (!c->attempt)
+		return;
+	dl_httpc_cancel(c->attempt);
+	c->attempt = NULL;
+}
+
+static void keep_headers(struct call *c, const struct dl_httpc_head *head)
+{
+	c->length = SIZE_MAX;
+	if (c->headers)
+		g_ptr_array_set_size(c->headers, 0);
+	else
+		c->headers = g_ptr_array_new_with_free_func(g_free);
+	for (size_t i = 0; i < head->headers_count; i++) {
+		const struct dl_header *h = &head->headers[i];
+		uint64_t length;
+
+		if (h->name.n == 14 &&
+		    g_ascii_strncasecmp(h->name.s, "content-length", 14) == 0 &&
+		    dl_str_to_u64(h->value, &length))
+			c->length = (size_t)length;
+		if (is_hop_header(h->name) || is_own_header(h->name))
+			continue;
+		g_ptr_array_add(c->headers, g_strndup(h->name.s, h->name.n));
+		g_ptr_array_add(c->headers, g_strndup(h->value.s, h->value.n));
+	}
+}
+
+static void on_head(void *arg, const struct dl_httpc_head *head)
+{
+	struct call *c = arg;
+
+	entry_call_span(c, "connect", c->attempt_at, c->grant.endpoint[0].s);
+	c->status = head->status;
+	if (c->kind == DL_POOL_PLAIN)
+		keep_headers(c, head);
+	if (!c->text)
+		c->text = g_string_new(NULL);
+}
+
+/* The number behind a key in a chunk, found without reading it whole. */
+static bool find_number(struct dl_str data, const char *key, uint64_t *out)
+{
+	const char *at = memmem(data.s, data.n, key, strlen(key));
+	const char *end = data.s + data.n;
+	struct dl_str digits;
+
+	if (!at)
+		return false;
+	at += strlen(key);
+	while (at < end && (*at == ' ' || *at == ':'))
+		at++;
+	digits = (struct dl_str){ at, 0 };
+	while (at < end && *at >= '0' && *at <= '9')
+		at++;
+	digits.n = (size_t)(at - digits.s);
+	return dl_str_to_u64(digits, out);
+}
+
+/* Whether a chunk names another request than ours. */
+static bool is_foreign(const struct call *c, struct dl_str data)
+{
+	const char *id = memmem(data.s, data.n, "\"id\"", 4);
+	size_t n = strlen(c->id_text);
+
+	if (!id)
+		return false;
+	return !memmem(id, data.n - (size_t)(id - data.s), c->id_text, n);
+}
+
+/* Give the caller the head of a streamed answer. */
+void entry_try_begin_stream(struct call *c)
+{
+	struct dl_header headers[] = {
+		{ DL_STR("Content-Type"), DL_STR("text/event-stream") },
+		{ DL_STR("Cache-Control"), DL_STR("no-cache") },
+		{ DL_STR("Daisyledge-Request"), dl_str_of(c->id_text) },
+	};
+
+	c->answering = true;
+	dl_httpd_begin(c->http, 200, headers, 3, SIZE_MAX);
+}
+
+static bool relay_chunk(struct call *c, struct dl_str data)
+{
+	if (!c->answering)
+		entry_try_begin_stream(c);
+	c->relayed++;
+	dl_httpd_send(c->http, DL_STR("data: "));
+	dl_httpd_send(c->http, data);
+	return dl_httpd_send(c->http, DL_STR("\n\n"));
+}
+
+static void note_first(struct call *c)
+{
+	if (c->first_byte_at)
+		return;
+	c->first_byte_at = entry_now(c->e);
+	entry_call_span(c, "first_token", c->attempt_at,
+			c->grant.endpoint[0].s);
+	dl_httpc_set_gap(c->attempt, c->gap_ms);
+}
+
+/* Late and repeated chunks are dropped, a gap or a foreign one breaks. */
+static bool chunk_in_order(struct call *c, struct dl_str data, bool *drop)
+{
+	uint64_t index;
+
+	*drop = false;
+	if (is_foreign(c, data))
+		return false;
+	if (!find_number(data, "\"index\"", &index))
+		return true;
+	if (index > c->pieces)
+		return false;
+	*drop = index < c->pieces;
+	return true;
+}
+
+static bool take_chunk(struct call *c, struct dl_str data)
+{
+	struct dl_chunk chunk;
+	bool drop, go_on = true;
+	json_t *text;
+
+	if (dl_chunk_parse(data, !c->stream, &chunk, &text)) {
+		c->sse_bad = true;
+		return true;
+	}
+	if (chunk.done) {
+		c->sse_done = true;
+		return true;
+	}
+	if (chunk.has_text && !chunk.has_usage) {
+		if (!chunk_in_order(c, data, &drop))
+			c->sse_bad = true;
+		else if (!drop) {
+			note_first(c);
+			c->pieces++;
+			if (c->stream)
+				go_on = relay_chunk(c, data);
+			else
+				g_string_append_len(
+					c->text, json_string_value(text),
+					(gssize)json_string_length(text));
+		}
+	}
+	if (chunk.has_usage) {
+		c->used_prompt = chunk.prompt_tokens;
+		c->used_output = chunk.completion_tokens;
+		if (c->stream)
+			go_on = relay_chunk(c, data);
+	}
+	json_decref(text);
+	return go_on;
+}
+
+static bool on_model_body(void *arg, struct dl_str piece)
+{
+	struct call *c = arg;
+	struct dl_str data;
+	bool go_on = true;
+
+	if (c->status != 200) {
+		if (c->text->len + piece.n <= HOLD_MAX)
+			g_string_append_len(c->text, piece.s, (gssize)piece.n);
+		return true;
+	}
+	if (dl_sse_feed(&c->sse, piece)) {
+		c->sse_bad = true;
+		return true;
+	}
+	while (!c->sse_bad && dl_sse_next(&c->sse, &data))
+		go_on = take_chunk(c, data);
+	return go_on;
+}
+
+/* Pass on the head of a plain service's answer that is too large to hold. */
+static void begin_plain(struct call *c)
+{
+	struct dl_header headers[HEADERS_MAX];
+	size_t n = 0;
+
+	headers[n++] = (struct dl_header){ DL_STR("Daisyledge-Request"),
+					   dl_str_of(c->id_text) };
+	for (guint i = 0; i + 1 < c->headers->len && n < HEADERS_MAX; i += 2)
+		headers[n++] = (struct dl_header){
+			dl_str_of(c->headers->pdata[i]),
+			dl_str_of(c->headers->pdata[i + 1]),
+		};
+	c->answering = true;
+	dl_httpd_begin(c->http, c->status, headers, n, c->length);
+	dl_httpd_send(c->http, (struct dl_str){ c->text->str, c->text->len });
+	g_string_truncate(c->text, 0);
+}
+
+static bool on_plain_body(void *arg, struct dl_str piece)
+{
+	struct call *c = arg;
+
+	if (!c->first_byte_at)
+		note_first(c);
+	c->pieces += piece.n;
+	if (c->answering)
+		return dl_httpd_send(c->http, piece);
+	g_string_append_len(c->text, piece.s, (gssize)piece.n);
+	if (c->text->len > HOLD_MAX)
+		begin_plain(c);
+	return true;
+}
+
+static void fill_usage(struct call *c, const struct dl_attempt *attempt,
+		       bool failed)
+{
+	int64_t now = entry_now(c->e);
+
+	c->usage.ran = attempt->sent != DL_SENT_NOTHING &&
+		       attempt->received != DL_RECV_NOT_RUN;
+	c->usage.failed = failed;
+	c->usage.prompt_tokens = c->used_prompt;
+	c->usage.output_tokens = c->used_output;
+	if (c->first_byte_at >= c->attempt_at)
+		c->usage.ttft_ms = (uint32_t)(c->first_byte_at - c->attempt_at);
+	c->usage.total_ms = (uint32_t)(now - c->attempt_at);
+}
+
+static void note_tried(struct call *c)
+{
+	if (c->tried < sizeof(c->tried_ids) / sizeof(c->tried_ids[0]))
+		c->tried_ids[c->tried++] = c->grant.endpoint[0];
+}
+
+/* Begin again at another endpoint: nothing has reached the caller. */
+static void retry(struct call *c)
+{
+	note_tried(c);
+	entry_grant_release(c);
+	c->pieces = 0;
+	c->skip = 0;
+	c->first_byte_at = 0;
+	entry_grant_ask(c);
+}
+
+static void resume(struct call *c)
+{
+	c->skip = c->pieces;
+	entry_try_start(c);
+}
+
+static struct dl_attempt judged(const struct call *c,
+				const struct dl_attempt *attempt)
+{
+	struct dl_attempt a = *attempt;
+
+	if (c->kind == DL_POOL_MODEL && a.broke == DL_BROKE_NOTHING &&
+	    a.status == 200 && (c->sse_bad || !c->sse_done)) {
+		a.broke = DL_BROKE_GARBLED;
+		a.received = DL_RECV_HEAD;
+	}
+	return a;
+}
+
+static const char *broke_name(enum dl_broke broke)
+{
+	static const char *const names[DL_BROKE_COUNT] = {
+		[DL_BROKE_NOTHING] = "endpoint-error",
+		[DL_BROKE_CONNECT] = "connect",
+		[DL_BROKE_RESET] = "reset",
+		[DL_BROKE_SILENT] = "silent",
+		[DL_BROKE_DEADLINE] = "deadline",
+		[DL_BROKE_CALLER] = "caller-left",
+		[DL_BROKE_GARBLED] = "garbled",
+	};
+
+	return names[broke];
+}
+
+static uint16_t status_of(const struct call *c, enum dl_outcome outcome)
+{
+	if (outcome == DL_OUTCOME_NOT_RUN)
+		return 503;
+	return c->status >= 400 ? c->status : 502;
+}
+
+static void on_end(void *arg, const struct dl_attempt *attempt,
+		   const struct dl_err *err)
+{
+	struct call *c = arg;
+	struct dl_attempt a = judged(c, attempt);
+	enum dl_outcome outcome = dl_call_outcome(&a);
+	struct dl_call_state state = {
+		.idempotent = c->idempotent,
+		.resumable = c->kind == DL_POOL_MODEL && c->pieces > 0 &&
+			     a.broke != DL_BROKE_GARBLED,
+		.attempts = c->attempts,
+		.bytes_to_caller = c->relayed,
+		.deadline = c->deadline,
+		.expected_ms = c->grant.predicted_ttft_ms,
+	};
+
+	c->attempt = NULL;
+	fill_usage(c, &a, outcome != DL_OUTCOME_DONE);
+	if (outcome == DL_OUTCOME_DONE ||
+	    (c->kind == DL_POOL_PLAIN && a.received == DL_RECV_WHOLE)) {
+		entry_call_whole(c);
+		return;
+	}
+	entry_call_span(c, broke_name(a.broke), c->attempt_at,
+			c->grant.endpoint[0].s);
+	switch (dl_call_next(&state, &a, entry_call_budget(c),
+			     entry_now(c->e))) {
+	case DL_NEXT_RETRY:
+		retry(c);
+		return;
+	case DL_NEXT_RESUME:
+		resume(c);
+		return;
+	case DL_NEXT_ANSWER:
+		entry_call_end(c, outcome, status_of(c, outcome),
+			       broke_name(a.broke), err);
+		return;
+	}
+}
--- a/src/main/main.h
+++ b/src/main/main.h
@@ -21,6 +21,10 @@
 };
 
 int dl_main_version(int argc, char **argv);
+int dl_main_entry(int argc, char **argv);
+
+/* The value of -c; NULL, and said why, where it is missing. */
+char *dl_main_settings_option(int *argc, char ***argv);
 int dl_main_check(int argc, char **argv);
 int dl_main_apply(int argc, char **argv);
 int dl_main_get(int argc, char **argv);
--- /dev/null
+++ b/src/main/node.c
@@ -0,0 +1,210 @@
+/* The parts that every process of the system runs. */
+#include "main/node.h"
+
+#include <errno.h>
+#include <log4c.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/metric.h"
+#include "base/msg.h"
+#include "main/log.h"
+
+#define INCARNATION_SHIFT 10
+
+static void on_frame(void *arg, uint64_t from, const struct dl_frame *frame);
+static void on_up(void *arg, uint64_t vm);
+static void on_down(void *arg, uint64_t vm);
+static void on_tick(uv_timer_t *timer);
+static void on_signal(uv_signal_t *handle, int signum);
+
+static const struct dl_peers_ops peers_ops = {
+	.frame = on_frame,
+	.up = on_up,
+	.down = on_down,
+};
+
+/* The loop's time: it stands still within one event, so decisions agree. */
+int64_t dl_node_now(const struct dl_node *node)
+{
+	return (int64_t)uv_now(node->loop);
+}
+
+/* The wall clock, for people and for expiry only. */
+int64_t dl_node_wall_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static void on_frame(void *arg, uint64_t from, const struct dl_frame *frame)
+{
+	struct dl_node *node = arg;
+
+	if (frame->kind != DL_FRAME_MEMB) {
+		node->ops->frame(node->arg, from, frame);
+		return;
+	}
+	dl_memb_in(node->memb, from, frame->body, dl_node_now(node));
+	dl_node_pump(node);
+}
+
+static void on_up(void *arg, uint64_t vm)
+{
+	struct dl_node *node = arg;
+
+	if (node->ops->up)
+		node->ops->up(node->arg, vm);
+}
+
+static void on_down(void *arg, uint64_t vm)
+{
+	struct dl_node *node = arg;
+
+	if (node->ops->down)
+		node->ops->down(node->arg, vm);
+}
+
+/* Send what membership has to say, and pass its events on. */
+void dl_node_pump(struct dl_node *node)
+{
+	char buf[DL_MEMB_DATAGRAM_MAX];
+	struct dl_member member;
+	uint64_t to;
+	size_t n;
+
+	while (dl_memb_out(node->memb, dl_node_now(node), &to, buf, &n))
+		dl_peers_post(node->peers, to, DL_FRAME_MEMB, 0,
+			      (struct dl_str){ buf, n });
+	while (dl_memb_event(node->memb, &member)) {
+		if (node->ops->member)
+			node->ops->member(node->arg, &member);
+	}
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct dl_node *node = timer->data;
+
+	dl_node_pump(node);
+	if (node->ops->tick)
+		node->ops->tick(node->arg, dl_node_now(node));
+}
+
+static void on_signal(uv_signal_t *handle, int signum)
+{
+	struct dl_node *node = handle->data;
+	bool again = node->stopping;
+
+	if (signum == SIGUSR1) {
+		dl_main_log_louder();
+		return;
+	}
+	node->stopping = true;
+	node->ops->stop(node->arg, again);
+}
+
+static void start_signal(struct dl_node *node, uv_signal_t *handle, int signum)
+{
+	uv_signal_init(node->loop, handle);
+	handle->data = node;
+	uv_signal_start(handle, on_signal, signum);
+}
+
+static int start_peers(struct dl_node *node, struct dl_err *err)
+{
+	struct dl_peers_conf conf;
+
+	dl_peers_defaults(&conf);
+	conf.self = node->self;
+	conf.incarnation = node->incarnation;
+	return dl_peers_open(node->loop, &conf, &peers_ops, node, &node->peers,
+			     err);
+}
+
+static int start_memb(struct dl_node *node, bool replica, struct dl_err *err)
+{
+	const struct dl_settings *s = &node->settings;
+	struct dl_memb_conf conf;
+	int64_t now = dl_node_now(node);
+
+	memset(&conf, 0, sizeof(conf));
+	dl_memb_defaults(&conf);
+	conf.self = node->self;
+	conf.incarnation = node->incarnation;
+	conf.domain = s->failure_domain;
+	conf.replica = replica;
+	node->memb = dl_memb_new(&conf, node->incarnation, now);
+	if (!node->memb)
+		return dl_err_set(err, -ENOMEM, DL_STEP_NONE, NULL,
+				  "out of memory");
+	for (uint32_t i = 0; i < s->peers_count; i++) {
+		if (s->peers[i] != node->self)
+			dl_memb_seed(node->memb, s->peers[i], now);
+	}
+	for (uint32_t i = 0; i < s->replicas_count; i++) {
+		if (s->replicas[i] != node->self)
+			dl_memb_seed(node->memb, s->replicas[i], now);
+	}
+	return 0;
+}
+
+/* Read the settings and start every shared part. */
+int dl_node_open(struct dl_node *node, const char *settings_path, bool replica,
+		 const struct dl_node_ops *ops, void *arg, struct dl_err *err)
+{
+	int rc;
+
+	memset(node, 0, sizeof(*node));
+	node->loop = uv_default_loop();
+	node->ops = ops;
+	node->arg = arg;
+	rc = dl_settings_load(settings_path, &node->settings, err);
+	if (rc)
+		return rc;
+	rc = dl_main_log_open(node->settings.log_file,
+			      node->settings.log_level);
+	if (rc)
+		return dl_err_set(err, rc, DL_STEP_STORE, NULL,
+				  "cannot open the log file");
+	node->self = node->settings.peer;
+	/* Higher at each start: two starts within a millisecond do not occur,
+	 * since the address must be free first. */
+	node->incarnation = (uint64_t)dl_node_wall_ms() << INCARNATION_SHIFT;
+	signal(SIGPIPE, SIG_IGN);
+	rc = start_peers(node, err);
+	if (!rc)
+		rc = start_memb(node, replica, err);
+	if (rc)
+		return rc;
+	uv_timer_init(node->loop, &node->timer);
+	node->timer.data = node;
+	uv_timer_start(&node->timer, on_tick, 0, DL_NODE_TICK_MS);
+	start_signal(node, &node->sigterm, SIGTERM);
+	start_signal(node, &node->sigint, SIGINT);
+	start_signal(node, &node->sigusr1, SIGUSR1);
+	return 0;
+}
+
+static int node_exit_status;
+
+/* Run the loop until the end. */
+int dl_node_run(struct dl_node *node)
+{
+	uv_run(node->loop, UV_RUN_DEFAULT);
+	dl_memb_free(node->memb);
+	return node_exit_status;
+}
+
+/* Tell the others that this process leaves, and stop the loop. */
+void dl_node_end(struct dl_node *node, int status)
+{
+	node_exit_status = status;
+	dl_memb_leave(node->memb, dl_node_now(node));
+	dl_node_pump(node);
+	uv_stop(node->loop);
+}
--- /dev/null
+++ b/src/protocol/api.c
@@ -0,0 +1,258 @@
+/* JSON of callers and endpoints. */
+#include "protocol/api.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BAD(err, ...) dl_err_set(err, -EINVAL, DL_STEP_CHECK, NULL, __VA_ARGS__)
+
+static struct dl_str json_str(const json_t *value)
+{
+	return (struct dl_str){ json_string_value(value),
+				json_string_length(value) };
+}
+
+static json_t *load_object(struct dl_str body, struct dl_err *err)
+{
+	json_error_t fault;
+	json_t *root;
+
+	root = json_loadb(body.s, body.n, JSON_REJECT_DUPLICATES, &fault);
+	if (!root) {
+		BAD(err, "line %d: %.100s", fault.line, fault.text);
+		return NULL;
+	}
+	if (!json_is_object(root)) {
+		BAD(err, "the body is not an object");
+		json_decref(root);
+		return NULL;
+	}
+	return root;
+}
+
+static int read_max_tokens(const json_t *value, uint64_t *out)
+{
+	json_int_t n = json_integer_value(value);
+
+	*out = DL_MAX_TOKENS_DEFAULT;
+	if (!value || json_is_null(value))
+		return 0;
+	if (!json_is_integer(value) || n < 1 || n > DL_MAX_TOKENS_MAX)
+		return -EINVAL;
+	*out = (uint64_t)n;
+	return 0;
+}
+
+static int read_completion(struct dl_completion *c, struct dl_err *err)
+{
+	const json_t *model = json_object_get(c->root, "model");
+	const json_t *prompt = json_object_get(c->root, "prompt");
+	const json_t *stream = json_object_get(c->root, "stream");
+
+	if (!json_is_string(model))
+		return BAD(err, "model must be a string");
+	if (!json_is_string(prompt) || json_string_length(prompt) == 0)
+		return BAD(err, "prompt must be a string that is not empty");
+	if (stream && !json_is_boolean(stream))
+		return BAD(err, "stream must be true or false");
+	if (read_max_tokens(json_object_get(c->root, "max_tokens"),
+			    &c->max_tokens))
+		return BAD(err, "max_tokens must be from 1 to %d",
+			   DL_MAX_TOKENS_MAX);
+	c->model = json_str(model);
+	c->prompt = json_str(prompt);
+	c->stream = json_is_true(stream);
+	return 0;
+}
+
+/* Read a caller's request; free it only after success. */
+int dl_completion_parse(struct dl_str body, struct dl_completion *out,
+			struct dl_err *err)
+{
+	memset(out, 0, sizeof(*out));
+	out->root = load_object(body, err);
+	if (!out->root)
+		return -EINVAL;
+	if (read_completion(out, err)) {
+		dl_completion_free(out);
+		return -EINVAL;
+	}
+	return 0;
+}
+
+/* Free what was parsed. */
+void dl_completion_free(struct dl_completion *c)
+{
+	json_decref(c->root);
+	c->root = NULL;
+}
+
+static json_t *group_of(const struct dl_answer *grant)
+{
+	json_t *group = json_array();
+
+	for (uint32_t i = 1; i < grant->endpoints; i++) {
+		const struct dl_name *name = &grant->endpoint[i];
+		json_t *member = json_object();
+
+		json_object_set_new(member, "address",
+				    json_stringn(name->s, name->n));
+		json_object_set_new(
+			member, "tokens",
+			json_integer((json_int_t)grant->share_tokens[i]));
+		json_array_append_new(group, member);
+	}
+	return group;
+}
+
+/* Write the body that goes to an endpoint. */
+char *dl_completion_body(const struct dl_completion *c,
+			 const struct dl_answer *grant, size_t *n)
+{
+	char *text;
+
+	json_object_set_new(c->root, "stream", json_true());
+	json_object_set_new(c->root, "max_tokens",
+			    json_integer((json_int_t)c->max_tokens));
+	json_object_set_new(c->root, "priority", json_integer(grant->priority));
+	if (grant->endpoints > 1)
+		json_object_set_new(c->root, "group", group_of(grant));
+	else
+		json_object_del(c->root, "group");
+	text = json_dumps(c->root, JSON_COMPACT);
+	*n = text ? strlen(text) : 0;
+	return text;
+}
+
+static uint64_t read_count(const json_t *object, const char *key)
+{
+	json_int_t n = json_integer_value(json_object_get(object, key));
+
+	return n > 0 ? (uint64_t)n : 0;
+}
+
+static void read_usage(const json_t *root, struct dl_chunk *out)
+{
+	const json_t *usage = json_object_get(root, "usage");
+
+	if (!json_is_object(usage))
+		return;
+	out->has_usage = true;
+	out->prompt_tokens = read_count(usage, "prompt_tokens");
+	out->completion_tokens = read_count(usage, "completion_tokens");
+}
+
+static json_t *chunk_text(const json_t *root)
+{
+	const json_t *choices = json_object_get(root, "choices");
+
+	return json_object_get(json_array_get(choices, 0), "text");
+}
+
+/*
+ * Read one event.  Most chunks are passed on unread: only a chunk that may
+ * hold the usage is parsed, unless the text itself is wanted.  *text is a new
+ * reference, or NULL.
+ */
+int dl_chunk_parse(struct dl_str data, bool want_text, struct dl_chunk *out,
+		   json_t **text)
+{
+	json_t *root;
+
+	memset(out, 0, sizeof(*out));
+	*text = NULL;
+	if (dl_str_eq(data, DL_STR("[DONE]"))) {
+		out->done = true;
+		return 0;
+	}
+	if (data.n < 2 || data.s[0] != '{')
+		return -EBADMSG;
+	out->has_text = memmem(data.s, data.n, "\"text\"", 6) != NULL;
+	if (!want_text && !memmem(data.s, data.n, "\"usage\"", 7))
+		return out->has_text ? 0 : -EBADMSG;
+	root = json_loadb(data.s, data.n, 0, NULL);
+	if (!root)
+		return -EBADMSG;
+	read_usage(root, out);
+	*text = json_incref(chunk_text(root));
+	out->has_text = json_is_string(*text);
+	json_decref(root);
+	return out->has_text || out->has_usage ? 0 : -EBADMSG;
+}
+
+static int read_name(const json_t *root, const char *key, bool required,
+		     struct dl_name *out)
+{
+	const json_t *value = json_object_get(root, key);
+
+	if (!value && !required)
+		return 0;
+	if (!json_is_string(value) || json_string_length(value) == 0 ||
+	    !dl_name_set(out, json_str(value)))
+		return -EINVAL;
+	return 0;
+}
+
+static void read_report(const json_t *root, struct dl_endpoint_report *r)
+{
+	r->incarnation = read_count(root, "incarnation");
+	r->memory_tokens = read_count(root, "memory_tokens");
+	r->used_tokens = read_count(root, "used_tokens");
+	r->slots = (uint32_t)read_count(root, "slots");
+	r->running = (uint32_t)read_count(root, "running");
+	r->prefill_rate = (uint32_t)read_count(root, "prefill_rate");
+	r->decode_rate = (uint32_t)read_count(root, "decode_rate");
+	r->prefill_backlog = read_count(root, "prefill_backlog");
+	r->leaving = json_is_true(json_object_get(root, "leaving"));
+	r->takes_groups = json_is_true(json_object_get(root, "takes_groups"));
+}
+
+/* Read an endpoint's announcement. */
+int dl_announcement_parse(struct dl_str body, struct dl_announcement *out,
+			  struct dl_err *err)
+{
+	json_t *root = load_object(body, err);
+	uint64_t address;
+	int rc = 0;
+
+	memset(out, 0, sizeof(*out));
+	if (!root)
+		return -EINVAL;
+	if (read_name(root, "service", true, &out->service))
+		rc = BAD(err, "service must be a name");
+	else if (read_name(root, "failure_domain", false, &out->failure_domain))
+		rc = BAD(err, "failure_domain must be a name");
+	else if (read_name(root, "address", true, &out->report.id) ||
+		 !dl_vm_parse(dl_name_str(&out->report.id), &address))
+		rc = BAD(err, "address must be an IP number and a port");
+	read_report(root, &out->report);
+	out->order_fence = read_count(root, "order_fence");
+	if (!rc && out->report.slots == 0)
+		rc = BAD(err, "slots must be at least 1");
+	json_decref(root);
+	return rc;
+}
+
+/* Write the body of a refusal or an error. */
+char *dl_error_body(const char *reason, const char *step, const char *peer,
+		    uint32_t retry_after_ms, const char *text, size_t *n)
+{
+	json_t *error = json_object();
+	json_t *root = json_object();
+	char *out;
+
+	json_object_set_new(error, "reason", json_string(reason));
+	json_object_set_new(error, "step", json_string(step));
+	json_object_set_new(error, "peer", json_string(peer));
+	if (retry_after_ms)
+		json_object_set_new(error, "retry_after_ms",
+				    json_integer(retry_after_ms));
+	if (text && text[0])
+		json_object_set_new(error, "message", json_string(text));
+	json_object_set_new(root, "error", error);
+	out = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	*n = out ? strlen(out) : 0;
+	return out;
+}
--- /dev/null
+++ b/src/protocol/api.h
@@ -0,0 +1,63 @@
+/*
+ * What callers and endpoints say in JSON, as typed messages.  daisyledge-api(7)
+ * and daisyledge-endpoint(7) describe it.
+ */
+#ifndef DL_PROTOCOL_API_H
+#define DL_PROTOCOL_API_H
+
+#include <jansson.h>
+
+#include "daisyledge/pool.h"
+
+/* A caller's completion request; strings live in root. */
+struct dl_completion {
+	json_t *root;
+	struct dl_str model;
+	struct dl_str prompt;
+	uint64_t max_tokens;
+	bool stream;
+};
+
+#define DL_MAX_TOKENS_DEFAULT 256
+#define DL_MAX_TOKENS_MAX     1000000
+
+/* 0, or -EINVAL and why. */
+int dl_completion_parse(struct dl_str body, struct dl_completion *out,
+			struct dl_err *err);
+void dl_completion_free(struct dl_completion *c);
+/*
+ * The body for an endpoint: always streamed, with the priority and, for a
+ * group, its other members.  Owned by the caller; NULL without memory.
+ */
+char *dl_completion_body(const struct dl_completion *c,
+			 const struct dl_answer *grant, size_t *n);
+
+/* What a chunk of a completion stream says. */
+struct dl_chunk {
+	bool done; /* the end mark */
+	bool has_text;
+	bool has_usage;
+	uint64_t prompt_tokens;
+	uint64_t completion_tokens;
+};
+
+/* Read the data of one event; -EBADMSG where it is not a chunk. */
+int dl_chunk_parse(struct dl_str data, bool want_text, struct dl_chunk *out,
+		   json_t **text);
+
+/* An endpoint's announcement. */
+struct dl_announcement {
+	struct dl_name service;
+	struct dl_name failure_domain; /* empty: that of the entry asked */
+	struct dl_endpoint_report report;
+	uint64_t order_fence;
+};
+
+int dl_announcement_parse(struct dl_str body, struct dl_announcement *out,
+			  struct dl_err *err);
+
+/* A refusal or an error as its JSON body; owned by the caller. */
+char *dl_error_body(const char *reason, const char *step, const char *peer,
+		    uint32_t retry_after_ms, const char *text, size_t *n);
+
+#endif
--- /dev/null
+++ b/src/protocol/pool_codec.c
@@ -0,0 +1,347 @@
+/* Packing and reading what entries and dispatchers say to each other. */
+#include "protocol/pool_codec.h"
+
+#include <errno.h>
+#include <string.h>
+
+#define ASK_ITEMS     11
+#define ANSWER_ITEMS  12
+#define RELEASE_ITEMS 8
+#define REPORT_ITEMS  12
+#define SUMMARY_ITEMS 9
+#define ADOPT_ITEMS   22
+
+static int finish(struct dl_reader *r)
+{
+	bool bad = r->bad;
+
+	dl_reader_close(r);
+	return bad ? -EBADMSG : 0;
+}
+
+static void put_names(struct dl_packer *p, const struct dl_name *names,
+		      uint32_t count)
+{
+	msgpack_pack_array(&p->pk, count);
+	for (uint32_t i = 0; i < count; i++)
+		dl_pack_str(p, dl_name_str(&names[i]));
+}
+
+/* Read an inner array of names, at most max of them. */
+static uint32_t take_names(struct dl_reader *r, struct dl_name *out,
+			   uint32_t max)
+{
+	const msgpack_object *o;
+
+	if (r->bad || r->left == 0 || r->at->type != MSGPACK_OBJECT_ARRAY ||
+	    r->at->via.array.size > max) {
+		r->bad = true;
+		return 0;
+	}
+	o = r->at;
+	r->at++;
+	r->left--;
+	for (uint32_t i = 0; i < o->via.array.size; i++) {
+		const msgpack_object *s = &o->via.array.ptr[i];
+
+		if (s->type != MSGPACK_OBJECT_BIN ||
+		    !dl_name_set(&out[i], (struct dl_str){ s->via.bin.ptr,
+							   s->via.bin.size })) {
+			r->bad = true;
+			return 0;
+		}
+	}
+	return o->via.array.size;
+}
+
+static void put_ask(struct dl_packer *p, const struct dl_ask *ask, int64_t now)
+{
+	dl_pack_u64(p, ask->request);
+	dl_pack_u64(p, ask->entry);
+	dl_pack_str(p, ask->workspace);
+	dl_pack_u64(p, ask->class);
+	dl_pack_u64(p, ask->prompt_tokens);
+	dl_pack_u64(p, ask->output_tokens);
+	dl_pack_u64(p, ask->prefix);
+	dl_pack_u64(p, ask->prefix_tokens);
+	dl_pack_i64(p, ask->deadline - now);
+	put_names(p, ask->tried_ids, ask->tried);
+}
+
+static void take_ask(struct dl_reader *r, struct dl_ask *out, int64_t now)
+{
+	uint64_t class;
+
+	memset(out, 0, sizeof(*out));
+	out->request = dl_read_u64(r);
+	out->entry = dl_read_u64(r);
+	out->workspace = dl_read_str(r);
+	class = dl_read_u64(r);
+	out->prompt_tokens = dl_read_u64(r);
+	out->output_tokens = dl_read_u64(r);
+	out->prefix = dl_read_u64(r);
+	out->prefix_tokens = (uint32_t)dl_read_u64(r);
+	out->deadline = now + dl_read_i64(r);
+	out->tried = (uint8_t)take_names(r, out->tried_ids, 3);
+	if (class >= DL_CLASS_COUNT || out->workspace.n > DL_NAME_MAX)
+		r->bad = true;
+	else
+		out->class = (enum dl_class) class;
+}
+
+/* Pack a request for an endpoint of a service. */
+void dl_ask_pack(struct dl_packer *p, struct dl_str service,
+		 const struct dl_ask *ask, int64_t now)
+{
+	dl_packer_open(p, ASK_ITEMS);
+	dl_pack_str(p, service);
+	put_ask(p, ask, now);
+}
+
+/* Read it; the workspace points into the body. */
+int dl_ask_read(struct dl_str body, struct dl_name *service, struct dl_ask *out,
+		int64_t now)
+{
+	struct dl_reader r;
+
+	dl_reader_open(&r, body);
+	dl_read_name(&r, service);
+	take_ask(&r, out, now);
+	return finish(&r);
+}
+
+static void put_answer(struct dl_packer *p, const struct dl_answer *a,
+		       int64_t now)
+{
+	dl_pack_u64(p, a->request);
+	dl_pack_u64(p, a->entry);
+	dl_pack_u64(p, a->verdict);
+	dl_pack_u64(p, a->reason);
+	dl_pack_u64(p, a->retry_after_ms);
+	dl_pack_u64(p, a->grant);
+	dl_pack_i64(p, a->valid_until - now);
+	dl_pack_u64(p, a->priority);
+	dl_pack_u64(p, a->predicted_ttft_ms);
+	put_names(p, a->endpoint, a->endpoints);
+	msgpack_pack_array(&p->pk, a->endpoints);
+	for (uint32_t i = 0; i < a->endpoints; i++)
+		dl_pack_u64(p, a->share_tokens[i]);
+}
+
+static void take_shares(struct dl_reader *r, struct dl_answer *out)
+{
+	const msgpack_object *o;
+
+	if (r->bad || r->left == 0 || r->at->type != MSGPACK_OBJECT_ARRAY ||
+	    r->at->via.array.size != out->endpoints) {
+		r->bad = true;
+		return;
+	}
+	o = r->at;
+	r->at++;
+	r->left--;
+	for (uint32_t i = 0; i < out->endpoints; i++) {
+		if (o->via.array.ptr[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+			r->bad = true;
+		else
+			out->share_tokens[i] = o->via.array.ptr[i].via.u64;
+	}
+}
+
+static void take_answer(struct dl_reader *r, struct dl_answer *out, int64_t now)
+{
+	uint64_t verdict, reason;
+
+	memset(out, 0, sizeof(*out));
+	out->request = dl_read_u64(r);
+	out->entry = dl_read_u64(r);
+	verdict = dl_read_u64(r);
+	reason = dl_read_u64(r);
+	out->retry_after_ms = (uint32_t)dl_read_u64(r);
+	out->grant = dl_read_u64(r);
+	out->valid_until = now + dl_read_i64(r);
+	out->priority = (uint8_t)dl_read_u64(r);
+	out->predicted_ttft_ms = (uint32_t)dl_read_u64(r);
+	out->endpoints = (uint8_t)take_names(r, out->endpoint, DL_GROUP_MAX);
+	take_shares(r, out);
+	if (verdict > DL_REFUSED || reason >= DL_REASON_COUNT) {
+		r->bad = true;
+		return;
+	}
+	out->verdict = (enum dl_verdict)verdict;
+	out->reason = (enum dl_reason)reason;
+}
+
+/* Pack a dispatcher's answer. */
+void dl_answer_pack(struct dl_packer *p, const struct dl_answer_frame *f,
+		    int64_t now)
+{
+	dl_packer_open(p, ANSWER_ITEMS);
+	put_answer(p, &f->answer, now);
+	put_names(p, f->spill, f->spill_count);
+}
+
+/* Read it. */
+int dl_answer_read(struct dl_str body, struct dl_answer_frame *out, int64_t now)
+{
+	struct dl_reader r;
+
+	dl_reader_open(&r, body);
+	take_answer(&r, &out->answer, now);
+	out->spill_count = take_names(&r, out->spill, DL_SPILL_MAX);
+	return finish(&r);
+}
+
+/* Pack the end of a grant. */
+void dl_release_pack(struct dl_packer *p, struct dl_str service, uint64_t grant,
+		     const struct dl_usage *usage)
+{
+	dl_packer_open(p, RELEASE_ITEMS);
+	dl_pack_str(p, service);
+	dl_pack_u64(p, grant);
+	dl_pack_bool(p, usage->ran);
+	dl_pack_bool(p, usage->failed);
+	dl_pack_u64(p, usage->prompt_tokens);
+	dl_pack_u64(p, usage->output_tokens);
+	dl_pack_u64(p, usage->ttft_ms);
+	dl_pack_u64(p, usage->total_ms);
+}
+
+/* Read it. */
+int dl_release_read(struct dl_str body, struct dl_name *service,
+		    uint64_t *grant, struct dl_usage *out)
+{
+	struct dl_reader r;
+
+	dl_reader_open(&r, body);
+	dl_read_name(&r, service);
+	*grant = dl_read_u64(&r);
+	out->ran = dl_read_bool(&r);
+	out->failed = dl_read_bool(&r);
+	out->prompt_tokens = dl_read_u64(&r);
+	out->output_tokens = dl_read_u64(&r);
+	out->ttft_ms = (uint32_t)dl_read_u64(&r);
+	out->total_ms = (uint32_t)dl_read_u64(&r);
+	return finish(&r);
+}
+
+/* Pack a service and a number: a grant or a request. */
+void dl_number_pack(struct dl_packer *p, struct dl_str service, uint64_t number)
+{
+	dl_packer_open(p, 2);
+	dl_pack_str(p, service);
+	dl_pack_u64(p, number);
+}
+
+/* Read them. */
+int dl_number_read(struct dl_str body, struct dl_name *service,
+		   uint64_t *number)
+{
+	struct dl_reader r;
+
+	dl_reader_open(&r, body);
+	dl_read_name(&r, service);
+	*number = dl_read_u64(&r);
+	return finish(&r);
+}
+
+/* Pack an endpoint's announcement for its dispatcher. */
+void dl_report_pack(struct dl_packer *p, struct dl_str service,
+		    const struct dl_endpoint_report *r)
+{
+	dl_packer_open(p, REPORT_ITEMS);
+	dl_pack_str(p, service);
+	dl_pack_str(p, dl_name_str(&r->id));
+	dl_pack_u64(p, r->incarnation);
+	dl_pack_u64(p, r->memory_tokens);
+	dl_pack_u64(p, r->used_tokens);
+	dl_pack_u64(p, r->slots);
+	dl_pack_u64(p, r->running);
+	dl_pack_u64(p, r->prefill_rate);
+	dl_pack_u64(p, r->decode_rate);
+	dl_pack_u64(p, r->prefill_backlog);
+	dl_pack_bool(p, r->leaving);
+	dl_pack_bool(p, r->takes_groups);
+}
+
+/* Read it. */
+int dl_report_read(struct dl_str body, struct dl_name *service,
+		   struct dl_endpoint_report *out)
+{
+	struct dl_reader r;
+
+	memset(out, 0, sizeof(*out));
+	dl_reader_open(&r, body);
+	dl_read_name(&r, service);
+	dl_read_name(&r, &out->id);
+	out->incarnation = dl_read_u64(&r);
+	out->memory_tokens = dl_read_u64(&r);
+	out->used_tokens = dl_read_u64(&r);
+	out->slots = (uint32_t)dl_read_u64(&r);
+	out->running = (uint32_t)dl_read_u64(&r);
+	out->prefill_rate = (uint32_t)dl_read_u64(&r);
+	out->decode_rate = (uint32_t)dl_read_u64(&r);
+	out->prefill_backlog = dl_read_u64(&r);
+	out->leaving = dl_read_bool(&r);
+	out->takes_groups = dl_read_bool(&r);
+	return finish(&r);
+}
+
+/* Pack a pool in one line. */
+void dl_summary_pack(struct dl_packer *p, struct dl_str service,
+		     struct dl_str domain, const struct dl_pool_summary *s)
+{
+	dl_packer_open(p, SUMMARY_ITEMS);
+	dl_pack_str(p, service);
+	dl_pack_str(p, domain);
+	dl_pack_u64(p, s->endpoints);
+	dl_pack_u64(p, s->queued);
+	dl_pack_u64(p, s->queued_tokens);
+	dl_pack_u64(p, s->memory_tokens);
+	dl_pack_u64(p, s->free_tokens);
+	dl_pack_u64(p, s->backlog_ms);
+	dl_pack_u64(p, s->grants);
+}
+
+/* Read it. */
+int dl_summary_read(struct dl_str body, struct dl_name *service,
+		    struct dl_name *domain, struct dl_pool_summary *out)
+{
+	struct dl_reader r;
+
+	dl_reader_open(&r, body);
+	dl_read_name(&r, service);
+	dl_read_name(&r, domain);
+	out->endpoints = (uint32_t)dl_read_u64(&r);
+	out->queued = (uint32_t)dl_read_u64(&r);
+	out->queued_tokens = dl_read_u64(&r);
+	out->memory_tokens = dl_read_u64(&r);
+	out->free_tokens = dl_read_u64(&r);
+	out->backlog_ms = dl_read_u64(&r);
+	out->grants = dl_read_u64(&r);
+	return finish(&r);
+}
+
+/* Pack a grant of an earlier dispatcher, and what it was asked for. */
+void dl_adopt_pack(struct dl_packer *p, struct dl_str service,
+		   const struct dl_answer *grant, const struct dl_ask *ask,
+		   int64_t now)
+{
+	dl_packer_open(p, ADOPT_ITEMS);
+	dl_pack_str(p, service);
+	put_answer(p, grant, now);
+	put_ask(p, ask, now);
+}
+
+/* Read them. */
+int dl_adopt_read(struct dl_str body, struct dl_name *service,
+		  struct dl_answer *grant, struct dl_ask *ask, int64_t now)
+{
+	struct dl_reader r;
+
+	dl_reader_open(&r, body);
+	dl_read_name(&r, service);
+	take_answer(&r, grant, now);
+	take_ask(&r, ask, now);
+	return finish(&r);
+}
--- /dev/null
+++ b/src/protocol/pool_codec.h
@@ -0,0 +1,58 @@
+/*
+ * The frames between entries and the dispatchers of pools.  Times cross as
+ * what is left of them, since the clocks of two VMs share nothing.
+ */
+#ifndef DL_PROTOCOL_POOL_CODEC_H
+#define DL_PROTOCOL_POOL_CODEC_H
+
+#include "daisyledge/pool.h"
+#include "protocol/pack.h"
+
+/* Other failure domains that a refused request may try, best first. */
+#define DL_SPILL_MAX 4
+
+struct dl_answer_frame {
+	struct dl_answer answer;
+	uint32_t spill_count;
+	struct dl_name spill[DL_SPILL_MAX];
+};
+
+/* Each packer must be closed by the caller. */
+void dl_ask_pack(struct dl_packer *p, struct dl_str service,
+		 const struct dl_ask *ask, int64_t now);
+int dl_ask_read(struct dl_str body, struct dl_name *service, struct dl_ask *out,
+		int64_t now);
+
+void dl_answer_pack(struct dl_packer *p, const struct dl_answer_frame *f,
+		    int64_t now);
+int dl_answer_read(struct dl_str body, struct dl_answer_frame *out,
+		   int64_t now);
+
+void dl_release_pack(struct dl_packer *p, struct dl_str service, uint64_t grant,
+		     const struct dl_usage *usage);
+int dl_release_read(struct dl_str body, struct dl_name *service,
+		    uint64_t *grant, struct dl_usage *out);
+
+/* For renewals and cancellations: a service and a number. */
+void dl_number_pack(struct dl_packer *p, struct dl_str service,
+		    uint64_t number);
+int dl_number_read(struct dl_str body, struct dl_name *service,
+		   uint64_t *number);
+
+void dl_report_pack(struct dl_packer *p, struct dl_str service,
+		    const struct dl_endpoint_report *r);
+int dl_report_read(struct dl_str body, struct dl_name *service,
+		   struct dl_endpoint_report *out);
+
+void dl_summary_pack(struct dl_packer *p, struct dl_str service,
+		     struct dl_str domain, const struct dl_pool_summary *s);
+int dl_summary_read(struct dl_str body, struct dl_name *service,
+		    struct dl_name *domain, struct dl_pool_summary *out);
+
+void dl_adopt_pack(struct dl_packer *p, struct dl_str service,
+		   const struct dl_answer *grant, const struct dl_ask *ask,
+		   int64_t now);
+int dl_adopt_read(struct dl_str body, struct dl_name *service,
+		  struct dl_answer *grant, struct dl_ask *ask, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/protocol/sse.c
@@ -0,0 +1,87 @@
+/* Server-sent events, as far as completions use them: "data:" lines. */
+#include "protocol/sse.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_SIZE 1024
+
+/* Start with nothing read. */
+void dl_sse_open(struct dl_sse *sse)
+{
+	memset(sse, 0, sizeof(*sse));
+}
+
+/* Free the buffer. */
+void dl_sse_close(struct dl_sse *sse)
+{
+	free(sse->buf);
+	memset(sse, 0, sizeof(*sse));
+}
+
+/* Drop what dl_sse_next() has handed out. */
+static void drop_seen(struct dl_sse *sse)
+{
+	if (sse->seen == 0)
+		return;
+	memmove(sse->buf, sse->buf + sse->seen, sse->n - sse->seen);
+	sse->n -= sse->seen;
+	sse->seen = 0;
+}
+
+/* Add bytes of the stream. */
+int dl_sse_feed(struct dl_sse *sse, struct dl_str piece)
+{
+	drop_seen(sse);
+	if (sse->n + piece.n > DL_SSE_EVENT_MAX)
+		return -EMSGSIZE;
+	if (sse->n + piece.n > sse->size) {
+		size_t size = sse->size ? sse->size : FIRST_SIZE;
+		char *grown;
+
+		while (size < sse->n + piece.n)
+			size *= 2;
+		grown = realloc(sse->buf, size);
+		if (!grown)
+			return -ENOMEM;
+		sse->buf = grown;
+		sse->size = size;
+	}
+	memcpy(sse->buf + sse->n, piece.s, piece.n);
+	sse->n += piece.n;
+	return 0;
+}
+
+static struct dl_str trim(struct dl_str s)
+{
+	while (s.n && (s.s[0] == ' ' || s.s[0] == '\n' || s.s[0] == '\r')) {
+		s.s++;
+		s.n--;
+	}
+	while (s.n && (s.s[s.n - 1] == '\n' || s.s[s.n - 1] == '\r'))
+		s.n--;
+	return s;
+}
+
+/* Hand out the next event's data; comments and other fields are passed over. */
+bool dl_sse_next(struct dl_sse *sse, struct dl_str *data)
+{
+	while (sse->seen < sse->n) {
+		const char *from = sse->buf + sse->seen;
+		const char *end = memmem(from, sse->n - sse->seen, "\n\n", 2);
+		struct dl_str event;
+
+		if (!end)
+			return false;
+		event = trim((struct dl_str){ from, (size_t)(end - from) });
+		sse->seen += (size_t)(end - from) + 2;
+		if (event.n < 5 || memcmp(event.s, "data:", 5) != 0)
+			continue;
+		event.s += 5;
+		event.n -= 5;
+		*data = trim(event);
+		return true;
+	}
+	return false;
+}
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -285,6 +285,18 @@
 	h2o_socket_read_start(call->h2o->sock, call->read_cb);
 }
 
+/* Change the bound on silence; it counts from the next byte on. */
+void dl_httpc_set_gap(struct dl_httpc_call *call, uint32_t gap_ms)
+{
+	call->gap_ms = gap_ms;
+}
+
+/* What was sent and received so far. */
+struct dl_attempt dl_httpc_progress(const struct dl_httpc_call *call)
+{
+	return call->attempt;
+}
+
 static size_t head_size(const struct dl_httpc_req *req)
 {
 	size_t n = req->method.n + req->path.n + 256;
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -56,6 +56,10 @@
 				     const struct dl_httpc_req *req,
 				     const struct dl_httpc_ops *ops, void *arg);
 void dl_httpc_resume(struct dl_httpc_call *call);
+/* From now on, the longest silence allowed. */
+void dl_httpc_set_gap(struct dl_httpc_call *call, uint32_t gap_ms);
+/* How far the call has come. */
+struct dl_attempt dl_httpc_progress(const struct dl_httpc_call *call);
 /* Give up: the connection is closed, no callback follows. */
 void dl_httpc_cancel(struct dl_httpc_call *call);
 
