--- /dev/null
+++ b/test/tool_endpoint.c
@@ -0,0 +1,1303 @@
+/*
+ * A fake endpoint: a model engine or a plain service with a model of time and
+ * memory, faults on order, and a record of all that it ran.  Its protocol is
+ * told by daisyledge-endpoint(7).
+ */
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <uv.h>
+
+#include "fake/answer.h"
+#include "fake/engine.h"
+#include "fake/http.h"
+
+#define STEP_MS		 4
+#define ANNOUNCE_MS	 500
+#define ANNOUNCE_TRIES	 4
+#define CALL_MS		 400
+#define LINGER_MS	 5000 /* a whole answer is kept so long */
+#define GRACE_MS	 2000 /* an unread one goes on so long */
+#define LEAVE_ACCEPT_MS	 2000 /* new work is taken so long after leaving */
+#define LEAVE_MIN_MS	 2500
+#define CACHE_ENTRIES	 64
+#define EVENT_LOSS	 0.05 /* of cache events, as engines do */
+#define EVENTS_HELD	 256
+#define GROUP_MAX	 8
+#define HOLD_LEASE_MS	 2000
+#define HOLD_RENEW_MS	 600
+#define DIE_AFTER_TOKENS 4
+#define CHUNK_MAX	 512
+#define PLAIN_ANSWER_MAX 128
+#define SSE_HEADERS	 3
+
+enum fault {
+	FAULT_NONE,
+	FAULT_DIE_FIRST,
+	FAULT_DIE_MIDSTREAM,
+	FAULT_SILENT_HEAD,
+	FAULT_SILENT_MIDSTREAM,
+	FAULT_NOT_RUN,
+	FAULT_GARBLE,
+	FAULT_ERROR,
+	FAULT_LIE_LOAD,
+	FAULT_COUNT
+};
+
+static const char *const fault_names[FAULT_COUNT] = {
+	[FAULT_NONE] = "none",
+	[FAULT_DIE_FIRST] = "die-first",
+	[FAULT_DIE_MIDSTREAM] = "die-midstream",
+	[FAULT_SILENT_HEAD] = "silent-head",
+	[FAULT_SILENT_MIDSTREAM] = "silent-midstream",
+	[FAULT_NOT_RUN] = "not-run",
+	[FAULT_GARBLE] = "garble",
+	[FAULT_ERROR] = "error",
+	[FAULT_LIE_LOAD] = "lie-load",
+};
+
+/* One request, from its begin until its answer need not be kept. */
+struct job {
+	char *id;
+	char *key;
+	char *path;
+	uint64_t hash;
+	uint64_t prefix;
+	struct fake_seq seq;
+	struct fake_request *reply; /* NULL while nobody reads */
+	bool plain;
+	bool stream;
+	bool ended; /* whole or given up: memory is free */
+	bool whole;
+	bool muted; /* a fault: write no more to this reply */
+	bool head_sent;
+	uint64_t written;  /* tokens, to this reply */
+	int64_t until;	   /* plain: answer then; ended: forget then */
+	int64_t unread_at; /* when the reader left */
+	int waiting;	   /* for holds of the group */
+	bool refused;	   /* by one of the group */
+	int members;
+	uint64_t member[GROUP_MAX];
+	uint64_t share;
+	int64_t renew_at;
+};
+
+struct hold {
+	uint64_t tokens;
+	int64_t until;
+};
+
+/* An answer to an announcement, or to an order among the group. */
+struct call {
+	GString *body;
+	struct job *job;
+	int tries;
+	int status;
+	uint64_t to;
+};
+
+static struct {
+	uv_loop_t *loop;
+	uv_timer_t step;
+	uv_timer_t announce;
+	uv_signal_t term;
+	struct fake_server *server;
+	struct fake_engine engine;
+	GHashTable *jobs;  /* id to job */
+	GHashTable *holds; /* id to hold */
+	GHashTable *cache; /* prefix to tokens */
+	GQueue *cache_age;
+	json_t *events;
+	json_t *models;
+	GRand *rand;
+	uint64_t self;
+	uint64_t incarnation;
+	uint64_t fence;
+	GArray *entries;
+	enum fault fault;
+	int fault_times; /* -1: each time */
+	uint32_t running_plain;
+	int64_t leaving_at;
+	double last_step;
+	int record;
+	bool calling; /* an announcement is under way */
+} me;
+
+static struct {
+	char *listen;
+	char *entries;
+	char *service;
+	char *domain;
+	char *models;
+	char *record;
+	char *fault;
+	int fault_times;
+	gboolean plain;
+	gboolean ignores_fencing;
+	gboolean no_groups;
+	int memory;
+	int slots;
+	int prefill_rate;
+	int decode_rate;
+	int service_ms;
+	double slow;
+	int seed;
+} opt = {
+	.service = "match-writer",
+	.domain = "medeu-hall",
+	.models = "match-7b",
+	.fault_times = -1,
+	.memory = 400000,
+	.slots = 64,
+	.prefill_rate = 400000,
+	.decode_rate = 200,
+	.service_ms = 5,
+	.slow = 1.0,
+	.seed = 1,
+};
+
+static const GOptionEntry options[] = {
+	{ "listen", 0, 0, G_OPTION_ARG_STRING, &opt.listen,
+	  "where to serve HTTP", "IP:PORT" },
+	{ "entries", 0, 0, G_OPTION_ARG_STRING, &opt.entries,
+	  "entries to announce to", "IP:PORT,..." },
+	{ "service", 0, 0, G_OPTION_ARG_STRING, &opt.service, "service name",
+	  "NAME" },
+	{ "domain", 0, 0, G_OPTION_ARG_STRING, &opt.domain, "failure domain",
+	  "NAME" },
+	{ "models", 0, 0, G_OPTION_ARG_STRING, &opt.models, "models loaded",
+	  "NAME,..." },
+	{ "plain", 0, 0, G_OPTION_ARG_NONE, &opt.plain,
+	  "a plain service instead of an engine", NULL },
+	{ "memory", 0, 0, G_OPTION_ARG_INT, &opt.memory, "KV memory",
+	  "TOKENS" },
+	{ "slots", 0, 0, G_OPTION_ARG_INT, &opt.slots, "requests at once",
+	  "N" },
+	{ "prefill-rate", 0, 0, G_OPTION_ARG_INT, &opt.prefill_rate,
+	  "tokens a second", "N" },
+	{ "decode-rate", 0, 0, G_OPTION_ARG_INT, &opt.decode_rate,
+	  "tokens a second of one stream", "N" },
+	{ "service-ms", 0, 0, G_OPTION_ARG_INT, &opt.service_ms,
+	  "time of a plain call", "MS" },
+	{ "slow", 0, 0, G_OPTION_ARG_DOUBLE, &opt.slow, "slower by", "FACTOR" },
+	{ "record", 0, 0, G_OPTION_ARG_STRING, &opt.record,
+	  "append each execution to", "FILE" },
+	{ "fault", 0, 0, G_OPTION_ARG_STRING, &opt.fault, "fault to show",
+	  "NAME" },
+	{ "fault-times", 0, 0, G_OPTION_ARG_INT, &opt.fault_times,
+	  "so many times, -1 for always", "N" },
+	{ "ignores-fencing", 0, 0, G_OPTION_ARG_NONE, &opt.ignores_fencing,
+	  "take orders with old fences", NULL },
+	{ "no-groups", 0, 0, G_OPTION_ARG_NONE, &opt.no_groups,
+	  "share no prompt with others", NULL },
+	{ "seed", 0, 0, G_OPTION_ARG_INT, &opt.seed, "seed", "N" },
+	{ NULL },
+};
+
+static void hold_members(struct job *job, bool renew);
+static void announce(int tries);
+
+static int64_t now_ms(void)
+{
+	return (int64_t)uv_now(me.loop);
+}
+
+static char *dup_str(struct dl_str s)
+{
+	return g_strndup(s.s, s.n);
+}
+
+/* The same as one word, for a line of the record. */
+static char *dup_word(struct dl_str s)
+{
+	return g_strdelimit(dup_str(s), " \t\r\n", '_');
+}
+
+/* Write one line to the record, whole, as other endpoints share the file. */
+static void record(char kind, const struct job *job, const char *note)
+{
+	char line[512];
+	char self[24];
+	int64_t left = me.leaving_at ? now_ms() - me.leaving_at : -1;
+	int n;
+
+	if (me.record < 0)
+		return;
+	n = snprintf(line, sizeof(line),
+		     "%c %" PRId64 " %s %.64s %.64s %016" PRIx64
+		     " %.64s %" PRId64 " %s\n",
+		     kind, g_get_real_time() / 1000, dl_vm_text(me.self, self),
+		     job->id, job->key, job->hash, job->path, left, note);
+	if (write(me.record, line, (size_t)n) != n)
+		abort();
+}
+
+/* Whether the fault named strikes now; a counted fault is used up. */
+static bool struck(enum fault fault)
+{
+	if (me.fault != fault || me.fault_times == 0)
+		return false;
+	if (me.fault_times > 0)
+		me.fault_times--;
+	return true;
+}
+
+static const struct fake_header json_headers[] = {
+	{ "Content-Type", "application/json" },
+	{ NULL, NULL },
+};
+static const struct fake_header sse_headers[] = {
+	{ "Content-Type", "text/event-stream" },
+	{ "Cache-Control", "no-cache" },
+	{ NULL, NULL },
+};
+static const struct fake_header not_run_headers[] = {
+	{ "Content-Type", "application/json" },
+	{ "Daisyledge-Not-Run", "yes" },
+	{ NULL, NULL },
+};
+
+static void reply_json(struct fake_request *req, int status, json_t *body)
+{
+	char *s = json_dumps(body, JSON_COMPACT);
+
+	fake_reply(req, status, json_headers, dl_str_of(s));
+	free(s);
+	json_decref(body);
+}
+
+static void reply_not_run(struct fake_request *req, int status, const char *why)
+{
+	char body[128];
+
+	snprintf(body, sizeof(body), "{\"error\":{\"reason\":\"%s\"}}", why);
+	fake_reply(req, status, not_run_headers, dl_str_of(body));
+}
+
+/* Load and announcements. */
+
+static json_t *held_list(void)
+{
+	json_t *list = json_array();
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, me.jobs);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		struct job *job = value;
+
+		if (!job->ended && !job->plain)
+			json_array_append_new(
+				list,
+				json_pack("{s:s,s:I}", "request", key, "tokens",
+					  (json_int_t)job->seq.held_tokens));
+	}
+	g_hash_table_iter_init(&it, me.holds);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		struct hold *h = value;
+
+		json_array_append_new(list, json_pack("{s:s,s:I}", "request",
+						      key, "tokens",
+						      (json_int_t)h->tokens));
+	}
+	return list;
+}
+
+static json_t *load_json(bool truth)
+{
+	char self[24];
+	bool lie = !truth && me.fault == FAULT_LIE_LOAD;
+	uint32_t running = opt.plain ? me.running_plain : me.engine.seqs->len;
+	uint64_t used = me.engine.used_tokens;
+	uint64_t backlog = fake_engine_backlog(&me.engine);
+	json_t *o = json_object();
+
+	if (lie)
+		running = 0, used = 0, backlog = 0;
+	json_object_set_new(o, "service", json_string(opt.service));
+	json_object_set_new(o, "address",
+			    json_string(dl_vm_text(me.self, self)));
+	json_object_set_new(o, "failure_domain", json_string(opt.domain));
+	json_object_set_new(o, "incarnation",
+			    json_integer((json_int_t)me.incarnation));
+	json_object_set_new(o, "memory_tokens",
+			    json_integer(opt.plain ? 0 : opt.memory));
+	json_object_set_new(o, "used_tokens", json_integer((json_int_t)used));
+	json_object_set_new(o, "slots", json_integer(opt.slots));
+	json_object_set_new(o, "running", json_integer(running));
+	json_object_set_new(o, "prefill_rate",
+			    json_integer(opt.plain ? 0 : opt.prefill_rate));
+	json_object_set_new(o, "decode_rate",
+			    json_integer(opt.plain ? 0 : opt.decode_rate));
+	json_object_set_new(o, "prefill_backlog",
+			    json_integer((json_int_t)backlog));
+	json_object_set(o, "models", me.models);
+	json_object_set_new(o, "leaving", json_boolean(me.leaving_at != 0));
+	json_object_set_new(o, "takes_groups",
+			    json_boolean(!opt.plain && !opt.no_groups));
+	json_object_set_new(o, "order_fence",
+			    json_integer((json_int_t)me.fence));
+	return o;
+}
+
+static void call_free(struct call *c)
+{
+	g_string_free(c->body, TRUE);
+	g_free(c);
+}
+
+static void call_head(void *arg, int status, struct dl_str head)
+{
+	((struct call *)arg)->status = status;
+}
+
+static void call_body(void *arg, struct dl_str piece)
+{
+	g_string_append_len(((struct call *)arg)->body, piece.s,
+			    (gssize)piece.n);
+}
+
+static void on_announce_timer(uv_timer_t *timer)
+{
+	announce(ANNOUNCE_TRIES);
+}
+
+static void on_announced(void *arg, enum fake_end end)
+{
+	struct call *c = arg;
+	json_int_t every = ANNOUNCE_MS;
+	json_t *o;
+
+	me.calling = false;
+	if ((end != FAKE_END_WHOLE || c->status != 200) && c->tries > 1) {
+		announce(c->tries - 1);
+		call_free(c);
+		return;
+	}
+	o = json_loadb(c->body->str, c->body->len, 0, NULL);
+	if (o && json_object_get(o, "announce_every_ms"))
+		every = json_integer_value(
+			json_object_get(o, "announce_every_ms"));
+	json_decref(o);
+	call_free(c);
+	if (every < 1)
+		every = ANNOUNCE_MS;
+	uv_timer_start(&me.announce, on_announce_timer, (uint64_t)every, 0);
+}
+
+/* Say how things stand to one entry, as the balancer would choose it. */
+static void announce(int tries)
+{
+	static const struct fake_call_ops ops = { call_head, call_body,
+						  on_announced };
+	struct fake_call_req req = { .method = "POST",
+				     .path = "/v1/endpoints",
+				     .headers = json_headers,
+				     .connect_ms = CALL_MS,
+				     .timeout_ms = CALL_MS };
+	struct call *c;
+	json_t *o;
+	char *s;
+
+	if (me.entries->len == 0 || me.calling)
+		return;
+	me.calling = true;
+	c = g_new0(struct call, 1);
+	c->body = g_string_new(NULL);
+	c->tries = tries;
+	o = load_json(false);
+	json_object_set(o, "cache_events", me.events);
+	json_array_clear(me.events);
+	s = json_dumps(o, JSON_COMPACT);
+	req.body = dl_str_of(s);
+	req.to = g_array_index(me.entries, uint64_t,
+			       g_rand_int_range(me.rand, 0,
+						(gint)me.entries->len));
+	fake_call_start(me.loop, &req, &ops, c);
+	free(s);
+	json_decref(o);
+}
+
+/* The prefix cache: what was prefilled before costs nothing again. */
+
+static void cache_event(uint64_t prefix, uint64_t tokens, bool evicted)
+{
+	char hex[17];
+
+	if (json_array_size(me.events) >= EVENTS_HELD ||
+	    g_rand_double(me.rand) < EVENT_LOSS)
+		return;
+	snprintf(hex, sizeof(hex), "%016" PRIx64, prefix);
+	json_array_append_new(
+		me.events, json_pack("{s:s,s:I,s:b}", "prefix", hex, "tokens",
+				     (json_int_t)tokens, "evicted", evicted));
+}
+
+static void cache_put(uint64_t prefix, uint64_t tokens)
+{
+	uint64_t *key;
+
+	if (g_hash_table_contains(me.cache, &prefix))
+		return;
+	key = g_memdup2(&prefix, sizeof(prefix));
+	g_hash_table_insert(me.cache, key, GSIZE_TO_POINTER((gsize)tokens));
+	g_queue_push_tail(me.cache_age, key);
+	cache_event(prefix, tokens, false);
+	if (g_queue_get_length(me.cache_age) > CACHE_ENTRIES) {
+		key = g_queue_pop_head(me.cache_age);
+		cache_event(*key, 0, true);
+		g_hash_table_remove(me.cache, key);
+	}
+}
+
+static uint64_t cache_get(uint64_t prefix)
+{
+	return GPOINTER_TO_SIZE(g_hash_table_lookup(me.cache, &prefix));
+}
+
+/* Jobs. */
+
+static void job_free(gpointer p)
+{
+	struct job *job = p;
+
+	if (job->reply) {
+		fake_request_set_owner(job->reply, NULL);
+		fake_reply_abort(job->reply);
+	}
+	g_free(job->id);
+	g_free(job->key);
+	g_free(job->path);
+	g_free(job);
+}
+
+static void member_call_end(void *arg, enum fake_end end)
+{
+	call_free(arg);
+}
+
+static void release_members(struct job *job)
+{
+	static const struct fake_call_ops ops = { call_head, call_body,
+						  member_call_end };
+	char *path = g_strdup_printf("/v1/kv/hold/%s", job->id);
+
+	for (int i = 0; i < job->members; i++) {
+		struct fake_call_req req = { .to = job->member[i],
+					     .method = "DELETE",
+					     .path = path,
+					     .connect_ms = CALL_MS,
+					     .timeout_ms = CALL_MS };
+		struct call *c = g_new0(struct call, 1);
+
+		c->body = g_string_new(NULL);
+		fake_call_start(me.loop, &req, &ops, c);
+	}
+	job->members = 0;
+	g_free(path);
+}
+
+/* The end of the work, by whatever cause: memory is freed here only. */
+static void job_end(struct job *job, const char *note)
+{
+	if (job->ended)
+		return;
+	job->ended = true;
+	job->whole = strcmp(note, "whole") == 0;
+	job->until = now_ms() + LINGER_MS;
+	if (job->plain)
+		me.running_plain--;
+	else
+		fake_engine_end(&me.engine, &job->seq);
+	release_members(job);
+	record('E', job, note);
+}
+
+static void detach(struct job *job)
+{
+	if (job->reply)
+		fake_request_set_owner(job->reply, NULL);
+	job->reply = NULL;
+	job->unread_at = now_ms();
+}
+
+static void write_chunk(struct job *job, uint64_t i)
+{
+	char chunk[CHUNK_MAX];
+	int n;
+
+	n = snprintf(chunk, sizeof(chunk),
+		     "data: {\"id\":\"%.64s\",\"index\":%" PRIu64
+		     ",\"choices\":[{\"text\":\"%s\"}]}\n\n",
+		     job->id, i, fake_answer_token(job->hash, i));
+	fake_reply_write(job->reply, (struct dl_str){ chunk, (size_t)n });
+}
+
+static void write_last(struct job *job)
+{
+	char chunk[CHUNK_MAX];
+	int n;
+
+	n = snprintf(chunk, sizeof(chunk),
+		     "data: {\"id\":\"%.64s\",\"index\":%" PRIu64
+		     ",\"choices\":[{\"text\":\"\",\"finish_reason\":"
+		     "\"length\"}],\"usage\":{\"prompt_tokens\":%" PRIu64
+		     ",\"completion_tokens\":%" PRIu64 "}}\n\ndata: [DONE]\n\n",
+		     job->id, job->written, job->seq.prompt_tokens,
+		     job->seq.output_tokens);
+	fake_reply_write(job->reply, (struct dl_str){ chunk, (size_t)n });
+}
+
+static void reply_whole_text(struct job *job)
+{
+	GString *text = g_string_new(NULL);
+	struct fake_request *reply = job->reply;
+	json_t *o;
+
+	for (uint64_t i = 0; i < job->seq.output_tokens; i++)
+		g_string_append(text, fake_answer_token(job->hash, i));
+	o = json_pack("{s:s,s:[{s:s}],s:{s:I,s:I}}", "id", job->id, "choices",
+		      "text", text->str, "usage", "prompt_tokens",
+		      (json_int_t)job->seq.prompt_tokens, "completion_tokens",
+		      (json_int_t)job->seq.output_tokens);
+	detach(job);
+	reply_json(reply, 200, o);
+	g_string_free(text, TRUE);
+}
+
+/* Faults that strike a stream as it is written. */
+static void strike(struct job *job)
+{
+	if (job->written == 0 && struck(FAULT_DIE_FIRST))
+		_exit(1);
+	if (job->written == DIE_AFTER_TOKENS && struck(FAULT_DIE_MIDSTREAM))
+		_exit(1);
+	if (job->written == 0 && struck(FAULT_SILENT_HEAD))
+		job->muted = true;
+	if (job->written == DIE_AFTER_TOKENS && struck(FAULT_SILENT_MIDSTREAM))
+		job->muted = true;
+	if (job->written == DIE_AFTER_TOKENS && struck(FAULT_GARBLE))
+		fake_reply_write(job->reply,
+				 DL_STR("data: {\"id\":\"another\",\"index\":0,"
+					"\"choices\":[{\"text\":\" wrong\"}]}"
+					"\n\ndata: \001{]]\n\n"));
+}
+
+/* Pass on the tokens that are ready. */
+static void pump_stream(struct job *job)
+{
+	uint64_t ready = fake_seq_ready(&job->seq);
+
+	while (job->reply && !job->muted && job->written < ready) {
+		if (!job->head_sent) {
+			job->head_sent = true;
+			fake_reply_begin(job->reply, 200, sse_headers);
+		}
+		strike(job);
+		if (job->muted)
+			return;
+		write_chunk(job, job->written);
+		job->written++;
+	}
+	if (ready < job->seq.output_tokens)
+		return;
+	job_end(job, "whole");
+	if (job->reply && !job->muted && job->written == ready) {
+		struct fake_request *reply = job->reply;
+
+		if (!job->head_sent)
+			fake_reply_begin(reply, 200, sse_headers);
+		write_last(job);
+		detach(job);
+		fake_reply_end(reply);
+	}
+}
+
+static void pump_model(struct job *job, int64_t now)
+{
+	if (job->waiting)
+		return;
+	if (job->members && now >= job->renew_at)
+		hold_members(job, true);
+	if (job->stream) {
+		pump_stream(job);
+	} else if (fake_seq_ready(&job->seq) == job->seq.output_tokens) {
+		if (job->reply && struck(FAULT_DIE_FIRST))
+			_exit(1);
+		if (job->reply && struck(FAULT_SILENT_HEAD))
+			job->muted = true;
+		job_end(job, "whole");
+		if (job->reply && !job->muted)
+			reply_whole_text(job);
+	}
+	if (!job->ended && !job->reply && now - job->unread_at > GRACE_MS)
+		job_end(job, "unread");
+}
+
+static void pump_plain(struct job *job, int64_t now)
+{
+	char text[PLAIN_ANSWER_MAX];
+	struct fake_request *reply = job->reply;
+
+	if (now < job->until)
+		return;
+	if (struck(FAULT_DIE_FIRST) || struck(FAULT_DIE_MIDSTREAM))
+		_exit(1);
+	if (struck(FAULT_SILENT_HEAD))
+		job->muted = true;
+	job_end(job, "whole");
+	if (!reply || job->muted)
+		return;
+	snprintf(text, sizeof(text), "{\"answer\":\"%016" PRIx64 "\"}\n",
+		 job->hash);
+	detach(job);
+	fake_reply(reply, 200, json_headers, dl_str_of(text));
+}
+
+static void expire_holds(int64_t now)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, me.holds);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct hold *h = value;
+
+		if (now < h->until)
+			continue;
+		fake_engine_free_tokens(&me.engine, h->tokens);
+		g_hash_table_iter_remove(&it);
+	}
+}
+
+/* Leave when nothing runs and the word has had time to go round. */
+static void maybe_exit(int64_t now)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	if (!me.leaving_at || now - me.leaving_at < LEAVE_MIN_MS)
+		return;
+	g_hash_table_iter_init(&it, me.jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		if (!((struct job *)value)->ended)
+			return;
+	}
+	if (g_hash_table_size(me.holds) == 0)
+		exit(0);
+}
+
+static void on_step(uv_timer_t *timer)
+{
+	double t = (double)uv_hrtime() / 1e6;
+	int64_t now = now_ms();
+	GHashTableIter it;
+	gpointer value;
+
+	fake_engine_step(&me.engine, t - me.last_step);
+	me.last_step = t;
+	g_hash_table_iter_init(&it, me.jobs);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct job *job = value;
+
+		if (job->ended && now >= job->until)
+			g_hash_table_iter_remove(&it);
+		else if (!job->ended && job->plain)
+			pump_plain(job, now);
+		else if (!job->ended)
+			pump_model(job, now);
+	}
+	expire_holds(now);
+	maybe_exit(now);
+}
+
+/* Requests. */
+
+static struct job *job_new(struct fake_request *req, bool plain)
+{
+	struct job *job = g_new0(struct job, 1);
+	struct dl_str id = fake_request_header(req, "daisyledge-request");
+	struct dl_str key = fake_request_header(req, "idempotency-key");
+
+	job->plain = plain;
+	job->id = id.n ? dup_word(id) :
+			 g_strdup_printf("direct-%08x%08x", g_rand_int(me.rand),
+					 g_rand_int(me.rand));
+	job->key = key.n ? dup_word(key) : g_strdup("-");
+	job->path = dup_word(fake_request_path(req));
+	job->reply = req;
+	fake_request_set_owner(req, job);
+	return job;
+}
+
+/* Refuse before the work began, and say so in the record. */
+static void job_refuse(struct job *job, const char *why)
+{
+	struct fake_request *req = job->reply;
+
+	record('X', job, why);
+	detach(job);
+	reply_not_run(req, 503, why);
+	job_free(job);
+}
+
+static bool refuses_all(struct job *job)
+{
+	if (struck(FAULT_NOT_RUN)) {
+		job_refuse(job, "fault");
+		return true;
+	}
+	if (me.leaving_at && now_ms() - me.leaving_at > LEAVE_ACCEPT_MS) {
+		job_refuse(job, "leaving");
+		return true;
+	}
+	if (struck(FAULT_ERROR)) {
+		struct fake_request *req = job->reply;
+
+		record('B', job, "error");
+		record('E', job, "error");
+		detach(job);
+		fake_reply(req, 500, json_headers,
+			   DL_STR("{\"error\":{\"reason\":\"fault\"}}"));
+		job_free(job);
+		return true;
+	}
+	return false;
+}
+
+static void job_register(struct job *job)
+{
+	struct job *old = g_hash_table_lookup(me.jobs, job->id);
+
+	if (old)
+		job_end(old, "replaced");
+	g_hash_table_replace(me.jobs, job->id, job);
+}
+
+static void start_model(struct job *job)
+{
+	if (fake_engine_begin(&me.engine, &job->seq) < 0) {
+		release_members(job);
+		job_refuse(job, "memory");
+		return;
+	}
+	record('B', job, "begun");
+	cache_put(job->prefix, FAKE_PREFIX_BYTES / FAKE_TOKEN_BYTES);
+	job_register(job);
+}
+
+/* One of the group has answered the leader's call for memory. */
+static void on_member_held(void *arg, enum fake_end end)
+{
+	struct call *c = arg;
+	struct job *job = c->job;
+
+	if (job) {
+		job->waiting--;
+		if (end != FAKE_END_WHOLE || c->status != 200)
+			job->refused = true;
+		if (job->waiting == 0 && (job->refused || !job->reply)) {
+			release_members(job);
+			if (job->reply)
+				job_refuse(job, "group");
+			else
+				job_free(job);
+		} else if (job->waiting == 0) {
+			start_model(job);
+		}
+	}
+	call_free(c);
+}
+
+/* Ask the others for their shares, or renew them; a lease outlives nobody. */
+static void hold_members(struct job *job, bool renew)
+{
+	static const struct fake_call_ops ops = { call_head, call_body,
+						  on_member_held };
+	json_t *o = json_pack("{s:s,s:I,s:i}", "request", job->id, "tokens",
+			      (json_int_t)job->share, "lease_ms",
+			      HOLD_LEASE_MS);
+	char *s = json_dumps(o, JSON_COMPACT);
+
+	job->renew_at = now_ms() + HOLD_RENEW_MS;
+	if (!renew)
+		job->waiting = job->members;
+	for (int i = 0; i < job->members; i++) {
+		struct fake_call_req req = { .to = job->member[i],
+					     .method = "POST",
+					     .path = "/v1/kv/hold",
+					     .headers = json_headers,
+					     .body = dl_str_of(s),
+					     .connect_ms = CALL_MS,
+					     .timeout_ms = CALL_MS };
+		struct call *c = g_new0(struct call, 1);
+
+		c->body = g_string_new(NULL);
+		c->job = renew ? NULL : job;
+		fake_call_start(me.loop, &req, &ops, c);
+	}
+	free(s);
+	json_decref(o);
+}
+
+/* Read the group: all its members; the leader may or may not be named. */
+static void read_group(struct job *job, const json_t *group)
+{
+	size_t n = json_array_size(group);
+
+	for (size_t i = 0; i < n && job->members < GROUP_MAX; i++) {
+		const char *s = json_string_value(json_array_get(group, i));
+		uint64_t vm;
+
+		if (s && dl_vm_parse(dl_str_of(s), &vm) && vm != me.self)
+			job->member[job->members++] = vm;
+	}
+}
+
+static void read_completion(struct job *job, const json_t *o)
+{
+	const json_t *prompt = json_object_get(o, "prompt");
+	json_int_t max = json_integer_value(json_object_get(o, "max_tokens"));
+	struct dl_str text = { json_string_value(prompt),
+			       json_string_length(prompt) };
+	struct dl_str start = text;
+	uint64_t total;
+
+	if (start.n > FAKE_PREFIX_BYTES)
+		start.n = FAKE_PREFIX_BYTES;
+	job->hash = fake_hash(text);
+	job->prefix = fake_hash(start);
+	job->stream = json_is_true(json_object_get(o, "stream"));
+	job->seq.priority =
+		(int)json_integer_value(json_object_get(o, "priority"));
+	job->seq.prompt_tokens = fake_tokens(text);
+	job->seq.output_tokens = max > 0 ? (uint64_t)max : 1;
+	read_group(job, json_object_get(o, "group"));
+	job->seq.engines = (uint32_t)job->members + 1;
+	total = job->seq.prompt_tokens + job->seq.output_tokens;
+	job->share = (total + job->seq.engines - 1) / job->seq.engines;
+	job->seq.held_tokens = job->share;
+	job->seq.prefilled = (double)cache_get(job->prefix);
+	if (job->seq.prefilled >= (double)job->seq.prompt_tokens)
+		job->seq.prefilled = (double)job->seq.prompt_tokens - 1;
+}
+
+/* Go on with a stream that is kept, from a token on. */
+static void serve_resume(struct fake_request *req, struct dl_str offset)
+{
+	struct dl_str id = fake_request_header(req, "daisyledge-request");
+	char *key = dup_str(id);
+	struct job *job = g_hash_table_lookup(me.jobs, key);
+	uint64_t at = 0;
+	bool whole;
+
+	g_free(key);
+	if (!job || (job->ended && !job->whole) ||
+	    !dl_str_to_u64(offset, &at) || at > job->seq.output_tokens) {
+		reply_not_run(req, 404, "unknown");
+		return;
+	}
+	if (job->reply) {
+		struct fake_request *old = job->reply;
+
+		detach(job);
+		fake_reply_abort(old);
+	}
+	job->reply = req;
+	job->muted = false;
+	job->head_sent = true;
+	job->written = at;
+	fake_request_set_owner(req, job);
+	fake_reply_begin(req, 200, sse_headers);
+	whole = job->ended;
+	pump_stream(job);
+	if (whole)
+		job->until = now_ms() + LINGER_MS;
+}
+
+static void serve_completion(struct fake_request *req)
+{
+	struct dl_str body = fake_request_body(req);
+	struct dl_str offset =
+		fake_request_header(req, "daisyledge-resume-offset");
+	struct job *job;
+	json_t *o;
+
+	if (offset.n) {
+		serve_resume(req, offset);
+		return;
+	}
+	o = json_loadb(body.s, body.n, JSON_ALLOW_NUL, NULL);
+	if (!o || !json_is_string(json_object_get(o, "prompt"))) {
+		json_decref(o);
+		reply_not_run(req, 400, "prompt");
+		return;
+	}
+	job = job_new(req, false);
+	read_completion(job, o);
+	json_decref(o);
+	if (refuses_all(job))
+		return;
+	if (job->members)
+		hold_members(job, false);
+	else
+		start_model(job);
+}
+
+static void serve_plain(struct fake_request *req)
+{
+	struct job *job = job_new(req, true);
+	struct dl_str body = fake_request_body(req);
+
+	job->hash = fake_hash(body.n ? body : fake_request_query(req));
+	if (refuses_all(job))
+		return;
+	if (me.running_plain >= (uint32_t)opt.slots) {
+		job_refuse(job, "slots");
+		return;
+	}
+	me.running_plain++;
+	job->until = now_ms() + (int64_t)(opt.service_ms * opt.slow);
+	record('B', job, "begun");
+	job_register(job);
+}
+
+static void serve_cancel(struct fake_request *req, const char *id)
+{
+	struct job *job = g_hash_table_lookup(me.jobs, id);
+
+	if (!job) {
+		reply_not_run(req, 404, "unknown");
+		return;
+	}
+	job_end(job, "cancelled");
+	g_hash_table_remove(me.jobs, id);
+	fake_reply(req, 204, NULL, DL_STR(""));
+}
+
+static void serve_hold(struct fake_request *req, const json_t *o)
+{
+	const char *id = json_string_value(json_object_get(o, "request"));
+	json_int_t n = json_integer_value(json_object_get(o, "tokens"));
+	json_int_t ms = json_integer_value(json_object_get(o, "lease_ms"));
+	struct hold *h;
+
+	if (!id || n <= 0 || ms <= 0) {
+		reply_not_run(req, 400, "hold");
+		return;
+	}
+	h = g_hash_table_lookup(me.holds, id);
+	if (!h) {
+		if (me.leaving_at ||
+		    fake_engine_hold(&me.engine, (uint64_t)n) < 0) {
+			reply_not_run(req, 503, "memory");
+			return;
+		}
+		h = g_new0(struct hold, 1);
+		h->tokens = (uint64_t)n;
+		g_hash_table_insert(me.holds, g_strdup(id), h);
+	}
+	h->until = now_ms() + ms;
+	reply_json(req, 200, json_pack("{s:I}", "held", (json_int_t)h->tokens));
+}
+
+static void serve_hold_free(struct fake_request *req, const char *id)
+{
+	struct hold *h = g_hash_table_lookup(me.holds, id);
+
+	if (h) {
+		fake_engine_free_tokens(&me.engine, h->tokens);
+		g_hash_table_remove(me.holds, id);
+	}
+	fake_reply(req, 204, NULL, DL_STR(""));
+}
+
+static void serve_export(struct fake_request *req, const json_t *o)
+{
+	const char *hex = json_string_value(json_object_get(o, "prefix"));
+	uint64_t prefix = hex ? strtoull(hex, NULL, 16) : 0;
+	uint64_t tokens = cache_get(prefix);
+
+	if (!tokens) {
+		reply_not_run(req, 404, "prefix");
+		return;
+	}
+	reply_json(req, 200,
+		   json_pack("{s:s,s:I}", "prefix", hex, "tokens",
+			     (json_int_t)tokens));
+}
+
+static void serve_import(struct fake_request *req, const json_t *o)
+{
+	const char *hex = json_string_value(json_object_get(o, "prefix"));
+	json_int_t n = json_integer_value(json_object_get(o, "tokens"));
+
+	if (!hex || n <= 0) {
+		reply_not_run(req, 400, "prefix");
+		return;
+	}
+	cache_put(strtoull(hex, NULL, 16), (uint64_t)n);
+	fake_reply(req, 204, NULL, DL_STR(""));
+}
+
+/* An order to load a model or change role: the highest fence wins. */
+static void serve_order(struct fake_request *req, const json_t *o)
+{
+	const json_t *fence = json_object_get(o, "fence");
+	const char *model = json_string_value(json_object_get(o, "model"));
+	uint64_t n = (uint64_t)json_integer_value(fence);
+	struct job line = { .id = "order", .key = "-", .path = "/v1/orders" };
+	char note[160];
+
+	if (!json_is_integer(fence)) {
+		reply_not_run(req, 400, "fence");
+		return;
+	}
+	line.hash = n;
+	snprintf(note, sizeof(note), "%.64s", model ? model : "-");
+	if (n < me.fence && !opt.ignores_fencing) {
+		record('X', &line, note);
+		reply_not_run(req, 409, "fence");
+		return;
+	}
+	record('O', &line, note);
+	if (n > me.fence)
+		me.fence = n;
+	if (model) {
+		json_array_clear(me.models);
+		json_array_append_new(me.models, json_string(model));
+	}
+	reply_json(req, 200, json_pack("{s:I}", "fence", (json_int_t)me.fence));
+}
+
+static bool set_fault(const char *name, int times)
+{
+	for (int i = 0; i < FAULT_COUNT; i++) {
+		if (name && strcmp(name, fault_names[i]) == 0) {
+			me.fault = (enum fault)i;
+			me.fault_times = times;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* The tests' own door: {"fault":NAME,"times":N,"slow":FACTOR}. */
+static void serve_fault(struct fake_request *req, const json_t *o)
+{
+	const json_t *times = json_object_get(o, "times");
+	const json_t *slow = json_object_get(o, "slow");
+	const char *name = json_string_value(json_object_get(o, "fault"));
+
+	if (name &&
+	    !set_fault(name, times ? (int)json_integer_value(times) : -1)) {
+		reply_not_run(req, 400, "fault");
+		return;
+	}
+	if (slow)
+		opt.slow = me.engine.conf.slow = json_number_value(slow);
+	fake_reply(req, 204, NULL, DL_STR(""));
+}
+
+static void serve_load(struct fake_request *req, const json_t *body)
+{
+	json_t *o = load_json(true);
+
+	json_object_set_new(o, "held", held_list());
+	reply_json(req, 200, o);
+}
+
+static void serve_model(struct fake_request *req, const json_t *body)
+{
+	serve_completion(req);
+}
+
+struct door {
+	const char *method;
+	const char *path;
+	bool json; /* the body is parsed first */
+	void (*serve)(struct fake_request *req, const json_t *body);
+};
+
+static const struct door doors[] = {
+	{ "GET", "/v1/load", false, serve_load },
+	{ "POST", "/v1/completions", false, serve_model },
+	{ "POST", "/v1/kv/hold", true, serve_hold },
+	{ "POST", "/v1/kv/export", true, serve_export },
+	{ "POST", "/v1/kv/import", true, serve_import },
+	{ "POST", "/v1/orders", true, serve_order },
+	{ "POST", "/fake/fault", true, serve_fault },
+};
+
+#define DOORS (sizeof(doors) / sizeof(doors[0]))
+
+static void open_door(const struct door *d, struct fake_request *req)
+{
+	struct dl_str body = fake_request_body(req);
+	json_t *o = NULL;
+
+	if (d->json)
+		o = json_loadb(body.s, body.n, 0, NULL);
+	d->serve(req, o);
+	json_decref(o);
+}
+
+static bool serve_delete(struct fake_request *req, const char *path)
+{
+	if (!dl_str_eq(fake_request_method(req), DL_STR("DELETE")))
+		return false;
+	if (g_str_has_prefix(path, "/v1/requests/"))
+		serve_cancel(req, path + strlen("/v1/requests/"));
+	else if (g_str_has_prefix(path, "/v1/kv/hold/"))
+		serve_hold_free(req, path + strlen("/v1/kv/hold/"));
+	else
+		return false;
+	return true;
+}
+
+static void on_request(void *arg, struct fake_request *req)
+{
+	char *path = dup_str(fake_request_path(req));
+	struct dl_str method = fake_request_method(req);
+	bool served = serve_delete(req, path);
+
+	for (size_t i = 0; i < DOORS && !served; i++) {
+		const struct door *d = &doors[i];
+
+		if (strcmp(path, d->path) != 0 ||
+		    !dl_str_eq(method, dl_str_of(d->method)))
+			continue;
+		served = true;
+		open_door(d, req);
+	}
+	if (!served && opt.plain)
+		serve_plain(req);
+	else if (!served)
+		reply_not_run(req, 404, "path");
+	g_free(path);
+}
+
+static void on_gone(void *arg, struct fake_request *req)
+{
+	struct job *job = fake_request_owner(req);
+
+	if (!job)
+		return;
+	job->reply = NULL;
+	job->unread_at = now_ms();
+}
+
+static void on_term(uv_signal_t *sig, int number)
+{
+	if (me.leaving_at)
+		exit(1);
+	me.leaving_at = now_ms();
+	fprintf(stderr, "endpoint: leaving\n");
+	announce(ANNOUNCE_TRIES);
+}
+
+static int parse_addresses(void)
+{
+	char **all = g_strsplit(opt.entries ? opt.entries : "", ",", -1);
+	int rc = 0;
+
+	me.entries = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	for (char **p = all; *p; p++) {
+		uint64_t vm;
+
+		if (!**p)
+			continue;
+		if (dl_vm_parse(dl_str_of(*p), &vm))
+			g_array_append_val(me.entries, vm);
+		else
+			rc = -EINVAL;
+	}
+	g_strfreev(all);
+	if (!opt.listen || !dl_vm_parse(dl_str_of(opt.listen), &me.self))
+		rc = -EINVAL;
+	return rc;
+}
+
+static void parse_models(void)
+{
+	char **all = g_strsplit(opt.models, ",", -1);
+
+	me.models = json_array();
+	for (char **p = all; *p; p++)
+		json_array_append_new(me.models, json_string(*p));
+	g_strfreev(all);
+}
+
+static int setup(void)
+{
+	struct fake_engine_conf conf = {
+		.memory_tokens = (uint64_t)opt.memory,
+		.slots = (uint32_t)opt.slots,
+		.prefill_rate = (uint32_t)opt.prefill_rate,
+		.decode_rate = (uint32_t)opt.decode_rate,
+		.slow = opt.slow,
+	};
+
+	if (parse_addresses() < 0 || opt.memory <= 0 || opt.slots <= 0 ||
+	    !(opt.slow > 0))
+		return -EINVAL;
+	parse_models();
+	fake_engine_init(&me.engine, &conf);
+	me.jobs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+	me.holds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	me.cache = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					 NULL);
+	me.cache_age = g_queue_new();
+	me.events = json_array();
+	me.rand = g_rand_new_with_seed((guint32)opt.seed);
+	me.incarnation = (uint64_t)g_get_real_time();
+	me.last_step = (double)uv_hrtime() / 1e6;
+	me.record = -1;
+	if (opt.record)
+		me.record =
+			open(opt.record, O_WRONLY | O_CREAT | O_APPEND, 0644);
+	if (opt.fault && !set_fault(opt.fault, opt.fault_times))
+		return -EINVAL;
+	return opt.record && me.record < 0 ? -errno : 0;
+}
+
+int main(int argc, char **argv)
+{
+	static const struct fake_server_ops ops = { on_request, on_gone };
+	GOptionContext *ctx = g_option_context_new("- fake endpoint");
+	GError *err = NULL;
+	int rc;
+
+	g_option_context_add_main_entries(ctx, options, NULL);
+	if (!g_option_context_parse(ctx, &argc, &argv, &err)) {
+		fprintf(stderr, "endpoint: %s\n", err->message);
+		return 2;
+	}
+	g_option_context_free(ctx);
+	me.loop = uv_default_loop();
+	if (setup() < 0) {
+		fprintf(stderr, "endpoint: bad options, try --help\n");
+		return 2;
+	}
+	rc = fake_server_open(me.loop, me.self, &ops, NULL, &me.server);
+	if (rc < 0) {
+		fprintf(stderr, "endpoint: listen: %s\n", uv_strerror(rc));
+		return 1;
+	}
+	uv_timer_init(me.loop, &me.step);
+	uv_timer_init(me.loop, &me.announce);
+	uv_timer_start(&me.step, on_step, STEP_MS, STEP_MS);
+	uv_signal_init(me.loop, &me.term);
+	uv_signal_start(&me.term, on_term, SIGTERM);
+	announce(ANNOUNCE_TRIES);
+	return uv_run(me.loop, UV_RUN_DEFAULT);
+}
--- /dev/null
+++ b/test/tool_http.c
@@ -0,0 +1,132 @@
+/*
+ * One HTTP request from the command line, for the test scripts.  Prints the
+ * body, and with --head the head before it; exit status 0 where the status is
+ * the one expected, 1 where it is another, 3 where no whole answer came.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <uv.h>
+
+#include "fake/http.h"
+
+#define CONNECT_MS  1000
+#define HEADERS_MAX 32
+
+enum tool_exit {
+	EXIT_EXPECTED = 0,
+	EXIT_OTHER = 1,
+	EXIT_BAD_USAGE = 2,
+	EXIT_NO_ANSWER = 3
+};
+
+static struct {
+	char *method;
+	char **headers;
+	char *data;
+	char *file;
+	int expect;
+	int timeout_ms;
+	gboolean head;
+} opt = { .method = "GET", .timeout_ms = 10000 };
+
+static const GOptionEntry options[] = {
+	{ "method", 'X', 0, G_OPTION_ARG_STRING, &opt.method, "method",
+	  "NAME" },
+	{ "header", 'H', 0, G_OPTION_ARG_STRING_ARRAY, &opt.headers, "header",
+	  "NAME:VALUE" },
+	{ "data", 'd', 0, G_OPTION_ARG_STRING, &opt.data, "body", "TEXT" },
+	{ "file", 'f', 0, G_OPTION_ARG_FILENAME, &opt.file, "body from",
+	  "FILE" },
+	{ "expect", 'e', 0, G_OPTION_ARG_INT, &opt.expect,
+	  "status expected; 0 for any of 200 to 299", "STATUS" },
+	{ "timeout", 't', 0, G_OPTION_ARG_INT, &opt.timeout_ms, "longest wait",
+	  "MS" },
+	{ "head", 'i', 0, G_OPTION_ARG_NONE, &opt.head, "print the head too",
+	  NULL },
+	{ NULL },
+};
+
+struct outcome {
+	int status;
+	enum fake_end end;
+};
+
+static void on_head(void *arg, int status, struct dl_str head)
+{
+	((struct outcome *)arg)->status = status;
+	if (opt.head)
+		fwrite(head.s, 1, head.n, stdout);
+}
+
+static void on_body(void *arg, struct dl_str piece)
+{
+	fwrite(piece.s, 1, piece.n, stdout);
+}
+
+static void on_end(void *arg, enum fake_end end)
+{
+	((struct outcome *)arg)->end = end;
+}
+
+/* Split "NAME: VALUE" lines into headers. */
+static void split_headers(struct fake_header *out)
+{
+	int n = 0;
+
+	for (char **h = opt.headers; h && *h && n < HEADERS_MAX; h++) {
+		char *colon = strchr(*h, ':');
+
+		if (!colon)
+			continue;
+		*colon = '\0';
+		out[n].name = *h;
+		out[n].value = g_strstrip(colon + 1);
+		n++;
+	}
+	out[n] = (struct fake_header){ NULL, NULL };
+}
+
+static int verdict(const struct outcome *outcome)
+{
+	if (outcome->end != FAKE_END_WHOLE)
+		return EXIT_NO_ANSWER;
+	if (opt.expect)
+		return outcome->status == opt.expect ? EXIT_EXPECTED :
+						       EXIT_OTHER;
+	return outcome->status >= 200 && outcome->status < 300 ? EXIT_EXPECTED :
+								 EXIT_OTHER;
+}
+
+int main(int argc, char **argv)
+{
+	static const struct fake_call_ops ops = { on_head, on_body, on_end };
+	GOptionContext *ctx = g_option_context_new("IP:PORT PATH");
+	struct fake_header headers[HEADERS_MAX + 1];
+	struct outcome outcome = { 0 };
+	struct fake_call_req req = { .headers = headers,
+				     .connect_ms = CONNECT_MS };
+	GError *err = NULL;
+
+	g_option_context_add_main_entries(ctx, options, NULL);
+	if (!g_option_context_parse(ctx, &argc, &argv, &err) || argc != 3 ||
+	    !dl_vm_parse(dl_str_of(argv[1]), &req.to)) {
+		fprintf(stderr, "http: %s\n", err ? err->message : "usage");
+		return EXIT_BAD_USAGE;
+	}
+	g_option_context_free(ctx);
+	split_headers(headers);
+	req.method = opt.method;
+	req.path = argv[2];
+	req.timeout_ms = (uint32_t)opt.timeout_ms;
+	if (opt.data)
+		req.body = dl_str_of(opt.data);
+	if (opt.file && !g_file_get_contents(opt.file, (char **)&req.body.s,
+					     &req.body.n, &err)) {
+		fprintf(stderr, "http: %s\n", err->message);
+		return EXIT_BAD_USAGE;
+	}
+	fake_call_start(uv_default_loop(), &req, &ops, &outcome);
+	uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+	return verdict(&outcome);
+}
