--- /dev/null
+++ b/test/tool_load.c
@@ -0,0 +1,827 @@
+/*
+ * Load for entries, and the judge of what came of it.  Sends the classes of a
+ * JSON file at their rates through random entries, as callers behind the
+ * balancer would; checks each answer against the one that its prompt must
+ * give; and compares what callers were told with what the fakes recorded.
+ */
+#include <errno.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uv.h>
+
+#include "fake/answer.h"
+#include "fake/http.h"
+#include "fake/verdict.h"
+
+#define TICK_MS		  1
+#define CONNECT_MS	  500
+#define READY_EVERY_MS	  300
+#define READY_MS	  500
+#define DEADLINE_SLACK_MS 250
+#define GUARD_MS	  2500 /* a late answer is waited for so long */
+#define SETTLE_MS	  12000
+#define SETTLE_EVERY_MS	  250
+#define ENTRIES_MAX	  64
+#define PREFIX_WORTH	  (2ul * FAKE_PREFIX_BYTES)
+#define RESENDS_MAX	  3
+#define PATH_SIZE	  160
+#define SSE_LINE_MAX	  (1u << 20)
+
+struct class
+{
+	char *name;
+	char *service; /* plain: the path starts with it */
+	char *path;
+	char *model;
+	char *label; /* Daisyledge-Class */
+	bool plain;
+	bool stream;
+	bool idempotent;
+	bool key;
+	double rate; /* a second */
+	uint64_t tokens_min;
+	uint64_t tokens_max;
+	uint64_t max_tokens;
+	uint32_t deadline_ms;
+	double next_at;
+};
+
+struct entry {
+	uint64_t vm;
+	bool ready;
+	bool checking;
+	bool killed; /* the script takes it away: its callers may be cut */
+};
+
+/* One request under way; its result outlives it. */
+struct flight {
+	struct class *class;
+	struct verdict_result *r;
+	struct fake_call *call;
+	struct entry *entry;
+	GString *body;
+	GString *text; /* of the answer */
+	GString *line; /* of the event stream */
+	bool sse;
+	bool done_mark;
+	int status;
+	int64_t ends_at;
+	char outcome[16];
+	char event[16]; /* the outcome that an event gave */
+	char reason[64];
+	char event_name[32];
+	char path[PATH_SIZE];
+	char key[48];
+	uint64_t max_tokens;
+	int resends;
+};
+
+static struct {
+	uv_loop_t *loop;
+	uv_timer_t tick;
+	GArray *classes;
+	char **workspaces;
+	guint workspaces_count;
+	struct entry entries[ENTRIES_MAX];
+	guint entries_count;
+	GPtrArray *results;
+	GRand *rand;
+	GString *filler;
+	double started;
+	double ends;
+	guint in_flight;
+	int64_t ready_at;
+	uint64_t number;
+} me;
+
+static struct {
+	char *entries;
+	char *classes;
+	char *killed;
+	char *endpoints;
+	char *out;
+	char **check;
+	double seconds;
+	double rate;
+	int seed;
+	int in_flight_max;
+	gboolean quiet;
+	gboolean promises;
+	gboolean direct;
+} opt = { .seconds = 10, .rate = 1.0, .seed = 1, .in_flight_max = 2000 };
+
+static const GOptionEntry options[] = {
+	{ "entries", 0, 0, G_OPTION_ARG_STRING, &opt.entries,
+	  "entries to send to", "IP:PORT,..." },
+	{ "classes", 0, 0, G_OPTION_ARG_FILENAME, &opt.classes,
+	  "classes and workspaces", "FILE" },
+	{ "seconds", 0, 0, G_OPTION_ARG_DOUBLE, &opt.seconds,
+	  "how long to offer load", "S" },
+	{ "rate", 0, 0, G_OPTION_ARG_DOUBLE, &opt.rate, "times the rates",
+	  "FACTOR" },
+	{ "seed", 0, 0, G_OPTION_ARG_INT, &opt.seed, "seed", "N" },
+	{ "in-flight", 0, 0, G_OPTION_ARG_INT, &opt.in_flight_max,
+	  "most requests at once", "N" },
+	{ "killed", 0, 0, G_OPTION_ARG_STRING, &opt.killed,
+	  "entries killed or frozen meanwhile, whose callers are cut",
+	  "IP:PORT,..." },
+	{ "endpoints", 0, 0, G_OPTION_ARG_STRING, &opt.endpoints,
+	  "endpoints whose memory must come back", "IP:PORT,..." },
+	{ "check", 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &opt.check,
+	  "compare with these records", "FILE" },
+	{ "out", 0, 0, G_OPTION_ARG_FILENAME, &opt.out, "a line a result to",
+	  "FILE" },
+	{ "promises", 0, 0, G_OPTION_ARG_NONE, &opt.promises,
+	  "print a line a promise", NULL },
+	{ "direct", 0, 0, G_OPTION_ARG_NONE, &opt.direct,
+	  "the entries are endpoints, which tell no outcome", NULL },
+	{ "quiet", 0, 0, G_OPTION_ARG_NONE, &opt.quiet, "no table", NULL },
+	{ NULL },
+};
+
+static void launch(struct flight *f);
+static void on_end(void *arg, enum fake_end end);
+
+static double wall(void)
+{
+	return (double)uv_hrtime() / 1e6;
+}
+
+static const char *text_of(const json_t *o, const char *key,
+			   const char *otherwise)
+{
+	const char *s = json_string_value(json_object_get(o, key));
+
+	return s ? s : otherwise;
+}
+
+static double number_of(const json_t *o, const char *key, double otherwise)
+{
+	const json_t *v = json_object_get(o, key);
+
+	return json_is_number(v) ? json_number_value(v) : otherwise;
+}
+
+static bool truth_of(const json_t *o, const char *key, bool otherwise)
+{
+	const json_t *v = json_object_get(o, key);
+
+	return json_is_boolean(v) ? json_is_true(v) : otherwise;
+}
+
+static void read_class(const json_t *o)
+{
+	struct class c = {
+		.name = g_strdup(text_of(o, "name", "?")),
+		.service = g_strdup(text_of(o, "service", "match-writer")),
+		.path = g_strdup(text_of(o, "path", "/")),
+		.model = g_strdup(text_of(o, "model", "match-7b")),
+		.plain = truth_of(o, "plain", false),
+		.stream = truth_of(o, "stream", true),
+		.idempotent = truth_of(o, "idempotent", true),
+		.key = truth_of(o, "key", false),
+		.rate = number_of(o, "rate", 1) * opt.rate,
+		.tokens_min = (uint64_t)number_of(o, "tokens_min", 100),
+		.tokens_max = (uint64_t)number_of(o, "tokens_max", 100),
+		.max_tokens = (uint64_t)number_of(o, "max_tokens", 16),
+		.deadline_ms = (uint32_t)number_of(o, "deadline_ms", 5000),
+	};
+
+	c.label = g_strdup(text_of(o, "class", c.name));
+	g_array_append_val(me.classes, c);
+}
+
+static int read_classes(void)
+{
+	json_error_t err;
+	json_t *o = json_load_file(opt.classes ? opt.classes : "", 0, &err);
+	const json_t *list = json_object_get(o, "classes");
+	const json_t *ws = json_object_get(o, "workspaces");
+
+	if (!o) {
+		fprintf(stderr, "load: %s: %s\n", err.source, err.text);
+		return -EINVAL;
+	}
+	me.classes = g_array_new(FALSE, FALSE, sizeof(struct class));
+	for (size_t i = 0; i < json_array_size(list); i++)
+		read_class(json_array_get(list, i));
+	me.workspaces_count = (guint)json_array_size(ws);
+	me.workspaces = g_new0(char *, me.workspaces_count + 1);
+	for (guint i = 0; i < me.workspaces_count; i++)
+		me.workspaces[i] =
+			g_strdup(json_string_value(json_array_get(ws, i)));
+	json_decref(o);
+	return me.classes->len && me.workspaces_count ? 0 : -EINVAL;
+}
+
+static int read_entries(void)
+{
+	char **all = g_strsplit(opt.entries ? opt.entries : "", ",", -1);
+	char **killed = g_strsplit(opt.killed ? opt.killed : "", ",", -1);
+
+	for (char **p = all; *p && me.entries_count < ENTRIES_MAX; p++) {
+		struct entry *e = &me.entries[me.entries_count];
+
+		if (!dl_vm_parse(dl_str_of(*p), &e->vm))
+			continue;
+		e->ready = true;
+		e->killed = g_strv_contains((const char *const *)killed, *p);
+		me.entries_count++;
+	}
+	g_strfreev(all);
+	g_strfreev(killed);
+	return me.entries_count ? 0 : -EINVAL;
+}
+
+/* The balancer's part: which entries say that they are ready. */
+
+static void on_ready_head(void *arg, int status, struct dl_str head)
+{
+	((struct entry *)arg)->ready = status == 200;
+}
+
+static void on_ready_end(void *arg, enum fake_end end)
+{
+	struct entry *e = arg;
+
+	e->checking = false;
+	if (end != FAKE_END_WHOLE)
+		e->ready = false;
+}
+
+static void check_ready(void)
+{
+	static const struct fake_call_ops ops = { on_ready_head, NULL,
+						  on_ready_end };
+
+	for (guint i = 0; i < me.entries_count; i++) {
+		struct entry *e = &me.entries[i];
+		struct fake_call_req req = { .to = e->vm,
+					     .method = "GET",
+					     .path = "/readyz",
+					     .connect_ms = READY_MS,
+					     .timeout_ms = READY_MS };
+
+		if (e->checking)
+			continue;
+		e->checking = true;
+		fake_call_start(me.loop, &req, &ops, e);
+	}
+}
+
+static struct entry *pick_entry(const struct entry *not_this)
+{
+	struct entry *ready[ENTRIES_MAX];
+	gint n = 0;
+
+	for (guint i = 0; i < me.entries_count; i++) {
+		if (me.entries[i].ready && &me.entries[i] != not_this)
+			ready[n++] = &me.entries[i];
+	}
+	if (n == 0)
+		return &me.entries[g_rand_int_range(me.rand, 0,
+						    (gint)me.entries_count)];
+	return ready[g_rand_int_range(me.rand, 0, n)];
+}
+
+/* Making a request. */
+
+/* Words enough for any prompt; a prompt takes its part of them. */
+static void fill(uint64_t bytes)
+{
+	while (me.filler->len < bytes)
+		g_string_append(me.filler,
+				fake_answer_token(7, me.filler->len));
+}
+
+/* The start is the workspace's own, so that it may be cached; the rest
+ * is this request's alone. */
+static void write_prompt(GString *s, const char *workspace, uint64_t tokens)
+{
+	uint64_t bytes = tokens * FAKE_TOKEN_BYTES;
+	size_t start = s->len;
+	uint64_t have;
+
+	fill(bytes + FAKE_PREFIX_BYTES);
+	g_string_append_printf(s, "For %s: ", workspace);
+	if (bytes > PREFIX_WORTH)
+		g_string_append_len(s, me.filler->str, FAKE_PREFIX_BYTES);
+	g_string_append_printf(s, " number %" PRIu64 " of %d:", me.number,
+			       opt.seed);
+	have = s->len - start;
+	if (have < bytes)
+		g_string_append_len(s, me.filler->str, (gssize)(bytes - have));
+}
+
+static uint64_t pick_tokens(const struct class *c)
+{
+	double u = g_rand_double(me.rand);
+	double span = (double)c->tokens_max - (double)c->tokens_min;
+
+	/* Skewed to the short end, as archives are. */
+	return c->tokens_min + (uint64_t)(span * u * u);
+}
+
+static void make_model(struct flight *f, const char *workspace)
+{
+	const struct class *c = f->class;
+	size_t start;
+
+	g_strlcpy(f->path, "/v1/completions", sizeof(f->path));
+	g_string_append_printf(f->body,
+			       "{\"model\":\"%s\",\"max_tokens\":%" PRIu64
+			       ",\"stream\":%s,\"prompt\":\"",
+			       c->model, c->max_tokens,
+			       c->stream ? "true" : "false");
+	start = f->body->len;
+	write_prompt(f->body, workspace, pick_tokens(c));
+	f->r->hash = fake_hash(
+		(struct dl_str){ f->body->str + start, f->body->len - start });
+	g_string_append(f->body, "\"}");
+}
+
+static void make_plain(struct flight *f, const char *workspace)
+{
+	const struct class *c = f->class;
+	char text[PATH_SIZE / 2];
+
+	snprintf(text, sizeof(text), "workspace=%s&n=%" PRIu64 "&seed=%d",
+		 workspace, me.number, opt.seed);
+	f->r->hash = fake_hash(dl_str_of(text));
+	if (c->idempotent) {
+		snprintf(f->path, sizeof(f->path), "/s/%s%s?%s", c->service,
+			 c->path, text);
+	} else {
+		snprintf(f->path, sizeof(f->path), "/s/%s%s", c->service,
+			 c->path);
+		g_string_append(f->body, text);
+	}
+}
+
+static void start_request(struct class *c)
+{
+	struct flight *f = g_new0(struct flight, 1);
+	guint w = (guint)(g_rand_double(me.rand) * g_rand_double(me.rand) *
+			  me.workspaces_count);
+	const char *workspace = me.workspaces[w];
+
+	me.number++;
+	f->class = c;
+	f->body = g_string_new(NULL);
+	f->text = g_string_new(NULL);
+	f->line = g_string_new(NULL);
+	f->r = g_new0(struct verdict_result, 1);
+	f->r->class = (guint)(c - (struct class *)me.classes->data);
+	f->r->idempotent = c->idempotent;
+	f->r->number = me.number;
+	g_strlcpy(f->r->workspace, workspace, sizeof(f->r->workspace));
+	g_ptr_array_add(me.results, f->r);
+	if (c->plain)
+		make_plain(f, workspace);
+	else
+		make_model(f, workspace);
+	if (c->key)
+		snprintf(f->key, sizeof(f->key), "key-%d-%" PRIu64, opt.seed,
+			 me.number);
+	f->r->keyed = c->key;
+	f->r->start = wall();
+	f->r->deadline_ms = c->deadline_ms;
+	me.in_flight++;
+	f->entry = pick_entry(NULL);
+	launch(f);
+}
+
+/* Reading an answer. */
+
+static void on_head(void *arg, int status, struct dl_str head)
+{
+	struct flight *f = arg;
+	struct dl_str outcome = fake_head_find(head, "daisyledge-outcome");
+	struct dl_str type = fake_head_find(head, "content-type");
+	struct dl_str id = fake_head_find(head, "daisyledge-request");
+	struct dl_str after = fake_head_find(head, "retry-after");
+
+	f->status = status;
+	f->sse = type.n >= 17 && memcmp(type.s, "text/event-stream", 17) == 0;
+	if (outcome.n < sizeof(f->outcome))
+		memcpy(f->outcome, outcome.s, outcome.n);
+	if (id.n < sizeof(f->r->id))
+		memcpy(f->r->id, id.s, id.n);
+	f->r->retry_after = after.n > 0;
+}
+
+static void first_token(struct flight *f)
+{
+	if (f->r->ttft <= 0)
+		f->r->ttft = wall() - f->r->start;
+}
+
+static void take_event(struct flight *f, const char *data, size_t n)
+{
+	json_t *o = json_loadb(data, n, 0, NULL);
+
+	if (strcmp(f->event_name, "daisyledge") == 0) {
+		g_strlcpy(f->event, text_of(o, "outcome", ""),
+			  sizeof(f->event));
+		g_strlcpy(f->reason, text_of(o, "reason", ""),
+			  sizeof(f->reason));
+	} else if (o) {
+		const json_t *choice =
+			json_array_get(json_object_get(o, "choices"), 0);
+
+		first_token(f);
+		g_string_append(f->text, text_of(choice, "text", ""));
+		f->r->tokens++;
+	} else if (n == 6 && memcmp(data, "[DONE]", 6) == 0) {
+		f->done_mark = true;
+	} else {
+		f->r->garbled = true;
+	}
+	json_decref(o);
+}
+
+static void take_line(struct flight *f)
+{
+	struct dl_str line = { f->line->str, f->line->len };
+
+	if (line.n && line.s[line.n - 1] == '\r')
+		line.n--;
+	if (line.n == 0) {
+		f->event_name[0] = '\0';
+	} else if (g_str_has_prefix(line.s, "event:")) {
+		g_strlcpy(f->event_name, g_strstrip(f->line->str + 6),
+			  sizeof(f->event_name));
+	} else if (g_str_has_prefix(line.s, "data:")) {
+		const char *data = line.s + 5;
+
+		while (*data == ' ')
+			data++;
+		take_event(f, data, line.n - (size_t)(data - line.s));
+	}
+	g_string_truncate(f->line, 0);
+}
+
+static void on_body(void *arg, struct dl_str piece)
+{
+	struct flight *f = arg;
+
+	if (!f->sse) {
+		first_token(f);
+		g_string_append_len(f->text, piece.s, (gssize)piece.n);
+		return;
+	}
+	for (size_t i = 0; i < piece.n; i++) {
+		if (piece.s[i] == '\n')
+			take_line(f);
+		else if (f->line->len < SSE_LINE_MAX)
+			g_string_append_c(f->line, piece.s[i]);
+	}
+}
+
+/* Whether the text is the answer to this prompt, the whole of it. */
+static bool right_answer(struct flight *f)
+{
+	const struct class *c = f->class;
+	GString *want = g_string_new(NULL);
+	json_t *o = NULL;
+	const char *have = f->text->str;
+	bool right;
+
+	if (c->plain) {
+		g_string_printf(want, "{\"answer\":\"%016" PRIx64 "\"}\n",
+				f->r->hash);
+	} else {
+		for (uint64_t i = 0; i < c->max_tokens; i++)
+			g_string_append(want, fake_answer_token(f->r->hash, i));
+	}
+	if (!c->plain && !f->sse) {
+		o = json_loadb(f->text->str, f->text->len, 0, NULL);
+		have = text_of(json_array_get(json_object_get(o, "choices"), 0),
+			       "text", "");
+	}
+	f->r->part = g_str_has_prefix(want->str, have);
+	right = strcmp(want->str, have) == 0;
+	json_decref(o);
+	g_string_free(want, TRUE);
+	return right;
+}
+
+static void flight_free(struct flight *f)
+{
+	g_string_free(f->body, TRUE);
+	g_string_free(f->text, TRUE);
+	g_string_free(f->line, TRUE);
+	g_free(f);
+}
+
+/* What the caller was told, or that it was told nothing. */
+static void judge(struct flight *f, enum fake_end end)
+{
+	struct verdict_result *r = f->r;
+	const char *told = f->event[0] ? f->event : f->outcome;
+	bool whole = end == FAKE_END_WHOLE;
+
+	r->status = f->status;
+	r->end = (int)end;
+	if (f->sse && f->status == 200 && !f->event[0])
+		told = whole && f->done_mark ? f->outcome : "";
+	if (opt.direct && whole && f->status == 200 &&
+	    (!f->sse || f->done_mark))
+		told = "done";
+	r->told = verdict_told(whole || f->event[0] ? told : "");
+	r->right = f->status / 100 == 2 && right_answer(f);
+	r->cut_done_mark = f->sse && f->status == 200 && !f->done_mark &&
+			   r->told == TOLD_DONE;
+	if (f->text->len && f->status != 200 && !f->reason[0]) {
+		json_t *o = json_loadb(f->text->str, f->text->len, 0, NULL);
+
+		g_strlcpy(f->reason,
+			  text_of(json_object_get(o, "error"), "reason", ""),
+			  sizeof(f->reason));
+		json_decref(o);
+	}
+	g_strlcpy(r->reason, f->reason, sizeof(r->reason));
+}
+
+static void reset_answer(struct flight *f)
+{
+	g_string_truncate(f->text, 0);
+	g_string_truncate(f->line, 0);
+	f->sse = f->done_mark = false;
+	f->status = 0;
+	f->outcome[0] = f->event[0] = f->reason[0] = '\0';
+}
+
+/* A caller with a key that was told nothing sends again through another. */
+static bool resend(struct flight *f, enum fake_end end)
+{
+	double left = f->r->start + f->r->deadline_ms - wall();
+
+	if (end == FAKE_END_CONNECT && f->resends < RESENDS_MAX && left > 0) {
+		f->entry->ready = false;
+	} else if (!f->key[0] || f->r->told != TOLD_NOTHING ||
+		   f->resends >= RESENDS_MAX || left <= 0) {
+		return false;
+	}
+	f->resends++;
+	f->r->resent++;
+	reset_answer(f);
+	f->entry = pick_entry(f->entry);
+	launch(f);
+	return true;
+}
+
+static void on_end(void *arg, enum fake_end end)
+{
+	struct flight *f = arg;
+
+	f->r->ended = wall();
+	judge(f, end);
+	if (resend(f, end))
+		return;
+	f->r->excused = f->entry->killed;
+	f->r->entry = f->entry->vm;
+	me.in_flight--;
+	flight_free(f);
+}
+
+static void launch(struct flight *f)
+{
+	static const struct fake_call_ops ops = { on_head, on_body, on_end };
+	char deadline[24];
+	struct fake_header headers[7] = {
+		{ "Content-Type", "application/json" },
+		{ "Daisyledge-Workspace", f->r->workspace },
+		{ "Daisyledge-Class", f->class->label },
+		{ "Daisyledge-Deadline-Ms", deadline },
+		{ "Daisyledge-Idempotent",
+		  f->class->idempotent ? "yes" : "no" },
+		{ f->key[0] ? "Idempotency-Key" : NULL, f->key },
+		{ NULL, NULL },
+	};
+	double left = f->r->start + f->r->deadline_ms - wall();
+	struct fake_call_req req = {
+		.to = f->entry->vm,
+		.method = f->class->plain && f->class->idempotent ? "GET" :
+								    "POST",
+		.path = f->path,
+		.headers = headers,
+		.body = { f->body->str, f->body->len },
+		.connect_ms = CONNECT_MS,
+	};
+
+	if (left < 1)
+		left = 1;
+	snprintf(deadline, sizeof(deadline), "%.0f", left);
+	req.timeout_ms = (uint32_t)left + GUARD_MS;
+	fake_call_start(me.loop, &req, &ops, f);
+}
+
+/* The open loop: arrivals do not wait for answers. */
+static void on_tick(uv_timer_t *timer)
+{
+	double now = wall();
+
+	if ((int64_t)now >= me.ready_at) {
+		me.ready_at = (int64_t)now + READY_EVERY_MS;
+		check_ready();
+	}
+	for (guint i = 0; i < me.classes->len && now < me.ends; i++) {
+		struct class *c = &g_array_index(me.classes, struct class, i);
+
+		while (c->rate > 0 && c->next_at <= now) {
+			double u = 1.0 - g_rand_double(me.rand);
+
+			if (me.in_flight < (guint)opt.in_flight_max)
+				start_request(c);
+			c->next_at += -log(u) / c->rate * 1000.0;
+		}
+	}
+	if (now >= me.ends && me.in_flight == 0)
+		uv_timer_stop(timer);
+}
+
+static void run(void)
+{
+	me.loop = uv_default_loop();
+	me.started = wall();
+	me.ends = me.started + opt.seconds * 1000.0;
+	for (guint i = 0; i < me.classes->len; i++) {
+		struct class *c = &g_array_index(me.classes, struct class, i);
+
+		fill((c->tokens_max + 1) * FAKE_TOKEN_BYTES +
+		     FAKE_PREFIX_BYTES);
+		c->next_at = me.started + g_rand_double(me.rand) * 1000.0 /
+						  (c->rate > 0 ? c->rate : 1);
+	}
+	uv_timer_init(me.loop, &me.tick);
+	uv_timer_start(&me.tick, on_tick, 0, TICK_MS);
+	uv_run(me.loop, UV_RUN_DEFAULT);
+}
+
+/* After the run: the memory of the engines. */
+
+struct load_ask {
+	GString *body;
+	bool *unreached;
+	uint64_t *used;
+	bool *checked;
+};
+
+static void on_load_body(void *arg, struct dl_str piece)
+{
+	g_string_append_len(((struct load_ask *)arg)->body, piece.s,
+			    (gssize)piece.n);
+}
+
+static void on_load_end(void *arg, enum fake_end end)
+{
+	struct load_ask *ask = arg;
+	json_t *o = json_loadb(ask->body->str, ask->body->len, 0, NULL);
+
+	*ask->checked = end == FAKE_END_WHOLE && o;
+	*ask->used =
+		(uint64_t)json_integer_value(json_object_get(o, "used_tokens"));
+	json_decref(o);
+	g_string_free(ask->body, TRUE);
+	g_free(ask);
+}
+
+/* The memory held by the endpoints that answer, and how many those are. */
+static uint64_t used_memory(char **endpoints, guint *alive)
+{
+	static const struct fake_call_ops ops = { NULL, on_load_body,
+						  on_load_end };
+	uint64_t sum = 0;
+
+	*alive = 0;
+	for (char **p = endpoints; *p; p++) {
+		uint64_t used = 0;
+		bool checked = false;
+		struct load_ask *ask = g_new0(struct load_ask, 1);
+		struct fake_call_req req = { .method = "GET",
+					     .path = "/v1/load",
+					     .connect_ms = CONNECT_MS,
+					     .timeout_ms = CONNECT_MS };
+
+		if (!dl_vm_parse(dl_str_of(*p), &req.to)) {
+			g_free(ask);
+			continue;
+		}
+		ask->body = g_string_new(NULL);
+		ask->used = &used;
+		ask->checked = &checked;
+		fake_call_start(me.loop, &req, &ops, ask);
+		uv_run(me.loop, UV_RUN_DEFAULT);
+		if (checked) {
+			sum += used;
+			*alive += 1;
+		}
+	}
+	return sum;
+}
+
+static void settle_memory(struct verdict *v)
+{
+	char **all = g_strsplit(opt.endpoints ? opt.endpoints : "", ",", -1);
+	double until = wall() + SETTLE_MS;
+
+	do {
+		v->memory_left = used_memory(all, &v->engines_alive);
+		if (v->memory_left == 0)
+			break;
+		g_usleep(SETTLE_EVERY_MS * 1000ul);
+	} while (wall() < until);
+	g_strfreev(all);
+}
+
+static int write_results(void)
+{
+	FILE *f;
+
+	if (!opt.out)
+		return 0;
+	f = fopen(opt.out, "w");
+	if (!f)
+		return -errno;
+	for (guint i = 0; i < me.results->len; i++) {
+		const struct verdict_result *r =
+			g_ptr_array_index(me.results, i);
+		const struct class *c =
+			&g_array_index(me.classes, struct class, r->class);
+		char vm[24];
+
+		fprintf(f,
+			"%s %" PRIu64 " %016" PRIx64 " %s %s %d %s %d %.1f "
+			"%.1f %u %s %s\n",
+			c->name, r->number, r->hash, r->id[0] ? r->id : "-",
+			dl_vm_text(r->entry, vm), r->status,
+			verdict_told_name(r->told), r->right, r->ttft,
+			r->ended - r->start, r->deadline_ms,
+			r->reason[0] ? r->reason : "-",
+			r->excused ? "excused" : "-");
+	}
+	return fclose(f) == 0 ? 0 : -errno;
+}
+
+static void print_table(void)
+{
+	printf("%-13s %7s %7s %7s %7s %7s %7s %9s %9s %9s\n", "class",
+	       "offered", "done", "refused", "failed", "unknown", "cut",
+	       "ttft p50", "p95", "p99 ms");
+	for (guint i = 0; i < me.classes->len; i++) {
+		const struct class *c =
+			&g_array_index(me.classes, struct class, i);
+		struct verdict_row row;
+
+		verdict_row(me.results, i, &row);
+		printf("%-13s %7u %7u %7u %7u %7u %7u %9.1f %9.1f %9.1f\n",
+		       c->name, row.offered, row.told[TOLD_DONE],
+		       row.told[TOLD_NOT_RUN], row.told[TOLD_FAILED],
+		       row.told[TOLD_UNKNOWN], row.told[TOLD_NOTHING],
+		       row.ttft[0], row.ttft[1], row.ttft[2]);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	GOptionContext *ctx = g_option_context_new("- load with checks");
+	struct verdict v = { .slack_ms = DEADLINE_SLACK_MS };
+	GError *err = NULL;
+
+	g_option_context_add_main_entries(ctx, options, NULL);
+	if (!g_option_context_parse(ctx, &argc, &argv, &err)) {
+		fprintf(stderr, "load: %s\n", err->message);
+		return 2;
+	}
+	g_option_context_free(ctx);
+	me.rand = g_rand_new_with_seed((guint32)opt.seed);
+	me.results = g_ptr_array_new_with_free_func(g_free);
+	me.filler = g_string_new(NULL);
+	if (read_classes() < 0 || read_entries() < 0) {
+		fprintf(stderr, "load: bad options, try --help\n");
+		return 2;
+	}
+	run();
+	settle_memory(&v);
+	for (char **p = opt.check; p && *p; p++) {
+		if (verdict_read_record(&v, *p) < 0) {
+			fprintf(stderr, "load: %s: unreadable\n", *p);
+			return 2;
+		}
+	}
+	verdict_judge(&v, me.results);
+	if (!opt.quiet)
+		print_table();
+	if (opt.promises)
+		verdict_print(&v, stdout);
+	if (write_results() < 0)
+		return 2;
+	verdict_faults(&v, stderr);
+	return verdict_held(&v) ? 0 : 1;
+}
