--- /dev/null
+++ b/test/demo.sh
@@ -0,0 +1,111 @@
+#!/bin/sh
+# A whole deployment of fakes on this machine: start it, drive it, take a VM
+# and a runner away, drain another of each, change the configuration, and
+# tell which promises held.  Exit status 0 only if all did.
+#
+#   sh test/demo.sh [dala|zveza]
+set -u
+cd "$(dirname "$0")/.."
+. test/deploy.sh
+
+SECONDS_OF_LOAD=${DL_DEMO_SECONDS:-20}
+kind=${1:-dala}
+work=$(mktemp -d "${TMPDIR:-/tmp}/daisyledge-demo.XXXXXX")
+broken=0
+
+demo_end() {
+	status=$?
+	trap - EXIT
+	deploy_stop
+	if [ $status -eq 0 ]; then
+		rm -rf "$work"
+	else
+		echo "logs and records are in $work"
+	fi
+	exit $status
+}
+
+say() { # WORD TEXT
+	printf '%-9s %s\n' "$1" "$2"
+	[ "$1" = held ] || broken=1
+}
+
+# What happens while the load runs; each line says when it did.
+happenings() {
+	sleep $((SECONDS_OF_LOAD / 5))
+	echo "killing VM $(domain_name 2)-1 with its replica"
+	kill -KILL "$(pid_of entry_2_1)" "$(pid_of replica_2_1)"
+	sleep $((SECONDS_OF_LOAD / 5))
+	echo "killing runner $(endpoint_address 1)"
+	kill -KILL "$(pid_of endpoint_1)"
+	sleep $((SECONDS_OF_LOAD / 10))
+	echo "stopping runner $(endpoint_address 2): it says that it leaves"
+	kill -TERM "$(pid_of endpoint_2)"
+	sleep $((SECONDS_OF_LOAD / 10))
+	echo "stopping VM $(domain_name 3)-2: a planned stop under load"
+	kill -TERM "$(pid_of entry_3_2)"
+	sleep $((SECONDS_OF_LOAD / 10))
+	echo "changing the configuration"
+	sed 's/"log_level": "info"/"log_level": "warn"/' \
+		"$DIR/config.json" >"$DIR/config-2.json"
+	"$DL_BIN" apply "$DIR/config-2.json" --wait \
+		--to "$(vm_address 1 1):$HTTP_PORT" >"$DIR/apply-2.log" 2>&1
+	echo $? >"$DIR/apply-2.status"
+}
+
+# A VM says that the second text is in force.
+has_second_text() { # ADDRESS
+	"$DL_BIN" get --to "$1:$HTTP_PORT" 2>/dev/null |
+		grep -q '"log_level": *"warn"'
+}
+
+judge_configuration() {
+	[ "$(cat "$DIR/apply-2.status" 2>/dev/null)" = 0 ] || return 1
+	for vm in "1 1" "1 2" "2 2" "3 1"; do
+		# shellcheck disable=SC2086
+		wait_for 5 "the text at VM $vm" \
+			has_second_text "$(vm_address $vm)" || return 1
+	done
+}
+
+# The VM that was stopped ended with 0, and no caller of it was cut off.
+judge_stop() {
+	wait "$(pid_of entry_3_2)"
+	[ $? -eq 0 ] || return 1
+	! awk -v vm="$(vm_address 3 2):$HTTP_PORT" \
+		'$5 == vm && $7 == "nothing" { found = 1 }
+		END { exit !found }' "$DIR/results"
+}
+
+trap demo_end EXIT
+trap 'exit 130' INT TERM
+deploy_init "$kind" "${DL_DEMO_NET:-0}" "$work" || exit 2
+echo "starting $kind: 6 VMs, 3 replicas, $RUNNERS runners of" \
+	"$MODEL_SERVICE, $PLAINS endpoints of $PLAIN_SERVICE"
+deploy_start || exit 1
+echo "driving it for $SECONDS_OF_LOAD s"
+happenings &
+happening=$!
+remember happenings $happening
+run_load --seconds "$SECONDS_OF_LOAD" \
+	--killed "$(vm_address 2 1):$HTTP_PORT" \
+	>"$DIR/table" 2>"$DIR/faults"
+load=$?
+wait $happening
+grep -v -E '^(held|broken|untested)' "$DIR/table"
+echo
+grep -E '^(held|broken|untested)' "$DIR/table"
+grep -q '^untested' "$DIR/table" && broken=1
+[ $load -eq 0 ] || broken=1
+if judge_stop; then
+	say held "a planned stop cuts off no request in flight"
+else
+	say broken "a planned stop cuts off no request in flight"
+fi
+if judge_configuration; then
+	say held "an accepted configuration is in force everywhere and stays"
+else
+	say broken "an accepted configuration is in force everywhere and stays"
+fi
+head -20 "$DIR/faults"
+exit $broken
--- /dev/null
+++ b/test/deploy.sh
@@ -0,0 +1,294 @@
+# A deployment of plain processes on loopback addresses, for the demo, the
+# system tests and the benchmarks.  Source it; every process is started and
+# ended here by its process id, and nothing else is.
+#
+#   deploy_init KIND NET DIR   KIND: dala or zveza; NET: second octet, so that
+#                              deployments do not meet; DIR: for all files
+#   deploy_start               VMs, replicas and endpoints, then apply
+#   deploy_stop                end all that was started
+#
+# Addresses: VM v of failure domain d is 127.NET.d.v; endpoint i is
+# 127.NET.1dd.i with dd its failure domain.
+
+DL_BIN=${DL_BIN:-./daisyledge}
+DL_HTTP=test/tool_http
+DL_RUNNER_OPTIONS=${DL_RUNNER_OPTIONS:-}
+DL_LOG_LEVEL=${DL_LOG_LEVEL:-info}
+HTTP_PORT=8080
+PEER_PORT=7100
+REPLICA_PORT=7200
+ENDPOINT_PORT=9000
+
+# Set what differs between deployments.
+deploy_init() {
+	KIND=$1
+	NET=$2
+	DIR=$3
+	mkdir -p "$DIR"
+	: >"$DIR/pids"
+	RECORD=$DIR/record
+	: >"$RECORD"
+	case $KIND in
+	dala)
+		DOMAINS="medeu-hall alatau-hall turksib-hall"
+		MODEL_SERVICE=match-writer MODEL=match-7b RUNNERS=16
+		PLAIN_SERVICE=front-desk PLAINS=3
+		CONFIG=examples/dala-serik.json
+		CLASSES=test/data/load-dala.json
+		;;
+	zveza)
+		DOMAINS="dvorana-a dvorana-b dvorana-c"
+		MODEL_SERVICE=daisyledge-pool MODEL=dimnik-7b RUNNERS=14
+		PLAIN_SERVICE=termini PLAINS=3
+		CONFIG=examples/zveza.json
+		CLASSES=test/data/load-zveza.json
+		;;
+	*)
+		echo "deploy: no deployment is named $KIND" >&2
+		return 2
+		;;
+	esac
+	VMS_EACH=${VMS_EACH:-2}
+	RUNNERS=${DL_RUNNERS:-$RUNNERS}
+	ENTRIES=
+	for d in 1 2 3; do
+		v=1
+		while [ $v -le "$VMS_EACH" ]; do
+			ENTRIES=$ENTRIES,$(vm_address $d $v):$HTTP_PORT
+			v=$((v + 1))
+		done
+	done
+	ENTRIES=${ENTRIES#,}
+	ENDPOINTS=
+	i=1
+	while [ $i -le $((RUNNERS + PLAINS)) ]; do
+		ENDPOINTS=$ENDPOINTS,$(endpoint_address $i)
+		i=$((i + 1))
+	done
+	ENDPOINTS=${ENDPOINTS#,}
+	# The configuration names the replicas by address.
+	sed "s/127\.0\./127.$NET./g" "$CONFIG" >"$DIR/config.json"
+}
+
+vm_address() {
+	echo "127.$NET.$1.$2"
+}
+
+# Endpoints take turns over the failure domains.
+endpoint_domain() {
+	echo $((($1 - 1) % 3 + 1))
+}
+
+endpoint_address() {
+	echo "127.$NET.$((100 + $(endpoint_domain "$1"))).$1:$ENDPOINT_PORT"
+}
+
+domain_name() {
+	echo "$DOMAINS" | cut -d' ' -f"$1"
+}
+
+# Note a process that was started, under a name.
+remember() {
+	echo "$1 $2" >>"$DIR/pids"
+	eval "PID_$1=$2"
+}
+
+pid_of() {
+	eval "echo \${PID_$1:-}"
+}
+
+peer_list() {
+	sep=
+	for d in 1 2 3; do
+		v=1
+		while [ $v -le "$VMS_EACH" ]; do
+			printf '%s"%s:%s"' "$sep" "$(vm_address $d $v)" \
+				$PEER_PORT
+			sep=,
+			v=$((v + 1))
+		done
+		printf ',"%s:%s"' "$(vm_address $d 1)" $REPLICA_PORT
+	done
+}
+
+replica_list() {
+	printf '"%s:%s","%s:%s","%s:%s"' \
+		"$(vm_address 1 1)" $REPLICA_PORT \
+		"$(vm_address 2 1)" $REPLICA_PORT \
+		"$(vm_address 3 1)" $REPLICA_PORT
+}
+
+write_settings() { # ROLE D V
+	name=$(domain_name "$2")-$3
+	file=$DIR/$1-$2-$3.json
+	{
+		printf '{"name":"%s","failure_domain":"%s",' \
+			"$name" "$(domain_name "$2")"
+		if [ "$1" = entry ]; then
+			printf '"http":"%s:%s","peer":"%s:%s",' \
+				"$(vm_address "$2" "$3")" $HTTP_PORT \
+				"$(vm_address "$2" "$3")" $PEER_PORT
+		else
+			mkdir -p "$DIR/data-$2-$3"
+			printf '"peer":"%s:%s","data_folder":"%s",' \
+				"$(vm_address "$2" "$3")" $REPLICA_PORT \
+				"$DIR/data-$2-$3"
+		fi
+		printf '"peers":[%s],"replicas":[%s],"log_level":"%s"}\n' \
+			"$(peer_list)" "$(replica_list)" "$DL_LOG_LEVEL"
+	} >"$file"
+}
+
+start_entry() { # D V
+	write_settings entry "$1" "$2"
+	"$DL_BIN" entry -c "$DIR/entry-$1-$2.json" \
+		>>"$DIR/entry-$1-$2.log" 2>&1 &
+	remember "entry_$1_$2" $!
+}
+
+start_replica() { # D
+	write_settings replica "$1" 1
+	"$DL_BIN" replica -c "$DIR/replica-$1-1.json" \
+		>>"$DIR/replica-$1-1.log" 2>&1 &
+	remember "replica_$1_1" $!
+}
+
+start_runner() { # I [OPTION...]
+	i=$1
+	shift
+	# shellcheck disable=SC2086
+	test/tool_endpoint --listen "$(endpoint_address "$i")" \
+		--entries "$ENTRIES" --service $MODEL_SERVICE --models $MODEL \
+		--domain "$(domain_name "$(endpoint_domain "$i")")" \
+		--record "$RECORD" --seed "$i" $DL_RUNNER_OPTIONS "$@" \
+		>>"$DIR/endpoint-$i.log" 2>&1 &
+	remember "endpoint_$i" $!
+}
+
+start_plain() { # I [OPTION...]
+	i=$1
+	shift
+	test/tool_endpoint --listen "$(endpoint_address "$i")" --plain \
+		--entries "$ENTRIES" --service $PLAIN_SERVICE --models "" \
+		--domain "$(domain_name "$(endpoint_domain "$i")")" \
+		--record "$RECORD" --seed "$i" "$@" \
+		>>"$DIR/endpoint-$i.log" 2>&1 &
+	remember "endpoint_$i" $!
+}
+
+start_endpoints() {
+	n=1
+	while [ $n -le "$RUNNERS" ]; do
+		start_runner $n
+		n=$((n + 1))
+	done
+	while [ $n -le $((RUNNERS + PLAINS)) ]; do
+		start_plain $n
+		n=$((n + 1))
+	done
+}
+
+# Poll a command until it succeeds: wait_for SECONDS WHAT COMMAND...
+wait_for() {
+	tries=$(($1 * 10))
+	what=$2
+	shift 2
+	while [ $tries -gt 0 ]; do
+		"$@" >/dev/null 2>&1 && return 0
+		sleep 0.1
+		tries=$((tries - 1))
+	done
+	echo "deploy: waited in vain for $what" >&2
+	return 1
+}
+
+entry_ready() { # D V
+	$DL_HTTP -t 1000 "$(vm_address "$1" "$2"):$HTTP_PORT" /readyz
+}
+
+# A completion through an entry gives its answer.
+entry_serves_model() { # D V
+	$DL_HTTP -t 5000 -X POST -H 'Daisyledge-Deadline-Ms: 4000' \
+		-d "{\"model\":\"$MODEL\",\"prompt\":\"ready\",\"max_tokens\":1}" \
+		"$(vm_address "$1" "$2"):$HTTP_PORT" /v1/completions
+}
+
+entry_serves_plain() { # D V
+	$DL_HTTP -t 5000 "$(vm_address "$1" "$2"):$HTTP_PORT" \
+		"/s/$PLAIN_SERVICE/ready?by=$1$2"
+}
+
+each_vm() { # COMMAND
+	for d in 1 2 3; do
+		v=1
+		while [ $v -le "$VMS_EACH" ]; do
+			"$@" $d $v || return 1
+			v=$((v + 1))
+		done
+	done
+}
+
+apply_config() {
+	"$DL_BIN" apply "$DIR/config.json" --wait \
+		--to "$(vm_address 1 1):$HTTP_PORT" >"$DIR/apply.log" 2>&1
+}
+
+deploy_start() {
+	for d in 1 2 3; do
+		start_replica $d
+	done
+	each_vm start_entry
+	start_endpoints
+	wait_for 15 "the first configuration" apply_config || {
+		cat "$DIR/apply.log" >&2
+		return 1
+	}
+	wait_for 15 "ready entries" each_vm entry_ready &&
+		wait_for 15 "models at all entries" each_vm entry_serves_model &&
+		wait_for 15 "services at all entries" each_vm entry_serves_plain
+}
+
+# End all that was started, by id, and wait for it.
+deploy_stop() {
+	[ -f "$DIR/pids" ] || return 0
+	while read -r _ pid; do
+		kill -CONT "$pid" 2>/dev/null
+		kill -KILL "$pid" 2>/dev/null
+	done <"$DIR/pids"
+	wait 2>/dev/null
+	: >"$DIR/pids"
+}
+
+# Begin a test script: its own folder, its own addresses, and an end that
+# stops everything and keeps the folder only where the test failed.
+test_begin() { # KIND NET
+	TEST_NAME=$(basename "$0" .sh)
+	WORK=$(mktemp -d "${TMPDIR:-/tmp}/$TEST_NAME.XXXXXX")
+	trap test_end EXIT
+	trap 'exit 130' INT TERM
+	deploy_init "$1" "$2" "$WORK"
+}
+
+test_end() {
+	status=$?
+	deploy_stop
+	if [ $status -eq 0 ]; then
+		rm -rf "$WORK"
+		echo "$TEST_NAME: passed"
+	else
+		echo "$TEST_NAME: FAILED, logs are in $WORK"
+	fi
+	exit $status
+}
+
+fail() {
+	echo "$TEST_NAME: $*" >&2
+	exit 1
+}
+
+# Run the load tool against all entries and judge it: run_load OPTION...
+run_load() {
+	test/tool_load --entries "$ENTRIES" --classes "$CLASSES" \
+		--endpoints "$ENDPOINTS" --check "$RECORD" \
+		--out "$DIR/results" --promises "$@"
+}
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -118,6 +118,7 @@
 	json_t *models;
 	GRand *rand;
 	uint64_t self;
+	uint64_t advertised; /* where callers reach it */
 	uint64_t incarnation;
 	uint64_t fence;
 	GArray *entries;
@@ -132,6 +133,7 @@
 
 static struct {
 	char *listen;
+	char *advertise;
 	char *entries;
 	char *service;
 	char *domain;
@@ -166,6 +168,8 @@
 static const GOptionEntry options[] = {
 	{ "listen", 0, 0, G_OPTION_ARG_STRING, &opt.listen,
 	  "where to serve HTTP", "IP:PORT" },
+	{ "advertise", 0, 0, G_OPTION_ARG_STRING, &opt.advertise,
+	  "the address to announce, where it is another", "IP:PORT" },
 	{ "entries", 0, 0, G_OPTION_ARG_STRING, &opt.entries,
 	  "entries to announce to", "IP:PORT,..." },
 	{ "service", 0, 0, G_OPTION_ARG_STRING, &opt.service, "service name",
@@ -323,7 +327,7 @@
 		running = 0, used = 0, backlog = 0;
 	json_object_set_new(o, "service", json_string(opt.service));
 	json_object_set_new(o, "address",
-			    json_string(dl_vm_text(me.self, self)));
+			    json_string(dl_vm_text(me.advertised, self)));
 	json_object_set_new(o, "failure_domain", json_string(opt.domain));
 	json_object_set_new(o, "incarnation",
 			    json_integer((json_int_t)me.incarnation));
@@ -856,7 +860,7 @@
 		const char *s = json_string_value(json_array_get(group, i));
 		uint64_t vm;
 
-		if (s && dl_vm_parse(dl_str_of(s), &vm) && vm != me.self)
+		if (s && dl_vm_parse(dl_str_of(s), &vm) && vm != me.advertised)
 			job->member[job->members++] = vm;
 	}
 }
@@ -1222,6 +1226,10 @@
 	g_strfreev(all);
 	if (!opt.listen || !dl_vm_parse(dl_str_of(opt.listen), &me.self))
 		rc = -EINVAL;
+	me.advertised = me.self;
+	if (opt.advertise &&
+	    !dl_vm_parse(dl_str_of(opt.advertise), &me.advertised))
+		rc = -EINVAL;
 	return rc;
 }
 
