--- a/test/demo.sh
+++ b/test/demo.sh
@@ -49,13 +49,13 @@
 	sed 's/"log_level": "info"/"log_level": "warn"/' \
 		"$DIR/config.json" >"$DIR/config-2.json"
 	"$DL_BIN" apply "$DIR/config-2.json" --wait \
-		--to "$(vm_address 1 1):$HTTP_PORT" >"$DIR/apply-2.log" 2>&1
+		--timeout 10 --entry "$(vm_address 1 1):$HTTP_PORT" >"$DIR/apply-2.log" 2>&1
 	echo $? >"$DIR/apply-2.status"
 }
 
 # A VM says that the second text is in force.
 has_second_text() { # ADDRESS
-	"$DL_BIN" get --to "$1:$HTTP_PORT" 2>/dev/null |
+	"$DL_BIN" get --timeout 10 --entry "$1:$HTTP_PORT" 2>/dev/null |
 		grep -q '"log_level": *"warn"'
 }
 
--- a/test/deploy.sh
+++ b/test/deploy.sh
@@ -230,7 +230,7 @@
 
 apply_config() {
 	"$DL_BIN" apply "$DIR/config.json" --wait \
-		--to "$(vm_address 1 1):$HTTP_PORT" >"$DIR/apply.log" 2>&1
+		--timeout 10 --entry "$(vm_address 1 1):$HTTP_PORT" >"$DIR/apply.log" 2>&1
 }
 
 deploy_start() {
