--- /dev/null
+++ b/test/test_codec.c
@@ -0,0 +1,362 @@
+/*
+ * Codecs of the frames between entries and dispatchers, of callers' JSON and
+ * of event streams: what goes in comes out, and no damage gets past them.
+ */
+#include <check.h>
+#include <errno.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "protocol/api.h"
+#include "protocol/pool_codec.h"
+#include "protocol/settings.h"
+#include "protocol/sse.h"
+
+#define FUZZ_ROUNDS 20000
+#define SEED	    20240521
+
+static uint32_t fuzz_rounds(void)
+{
+	const char *n = getenv("DL_FUZZ");
+
+	return n ? (uint32_t)strtoul(n, NULL, 10) : FUZZ_ROUNDS;
+}
+
+static struct dl_ask sample_ask(void)
+{
+	struct dl_ask ask = {
+		.request = 1ull << 60,
+		.entry = 0x7f00000100001bbcull,
+		.workspace = DL_STR("almaty-counter"),
+		.class = DL_CLASS_BATCH,
+		.prompt_tokens = 1000000,
+		.output_tokens = 500,
+		.prefix = UINT64_MAX,
+		.prefix_tokens = 1024,
+		.deadline = 90000,
+		.tried = 2,
+	};
+
+	dl_name_set(&ask.tried_ids[0], DL_STR("127.0.0.1:9000"));
+	dl_name_set(&ask.tried_ids[1], DL_STR("127.0.0.2:9000"));
+	return ask;
+}
+
+static struct dl_answer_frame sample_answer(void)
+{
+	struct dl_answer_frame f;
+
+	memset(&f, 0, sizeof(f));
+	f.answer.request = 7;
+	f.answer.entry = 9;
+	f.answer.verdict = DL_GRANTED;
+	f.answer.grant = UINT64_MAX - 1;
+	f.answer.valid_until = 40000;
+	f.answer.endpoints = 2;
+	dl_name_set(&f.answer.endpoint[0], DL_STR("127.0.0.1:9000"));
+	dl_name_set(&f.answer.endpoint[1], DL_STR("127.0.0.2:9000"));
+	f.answer.share_tokens[0] = 400000;
+	f.answer.share_tokens[1] = 1;
+	f.spill_count = 1;
+	dl_name_set(&f.spill[0], DL_STR("alatau-hall"));
+	return f;
+}
+
+START_TEST(ask_times_are_what_is_left)
+{
+	struct dl_ask ask = sample_ask(), back;
+	struct dl_name service;
+	struct dl_packer p;
+
+	dl_ask_pack(&p, DL_STR("match-writer"), &ask, 80000);
+	ck_assert_int_eq(dl_ask_read(dl_packer_bytes(&p), &service, &back, 500),
+			 0);
+	ck_assert_int_eq(back.deadline, 10500);
+	ck_assert_uint_eq(back.request, ask.request);
+	ck_assert_uint_eq(back.prompt_tokens, ask.prompt_tokens);
+	ck_assert_uint_eq(back.tried, 2);
+	ck_assert(dl_name_eq(&back.tried_ids[1], DL_STR("127.0.0.2:9000")));
+	ck_assert(dl_str_eq(back.workspace, ask.workspace));
+	dl_packer_close(&p);
+}
+END_TEST
+
+START_TEST(answer_and_adopt_round_trip)
+{
+	struct dl_answer_frame f = sample_answer(), back;
+	struct dl_ask ask = sample_ask(), ask_back;
+	struct dl_answer grant;
+	struct dl_name service;
+	struct dl_packer p;
+
+	dl_answer_pack(&p, &f, 30000);
+	ck_assert_int_eq(dl_answer_read(dl_packer_bytes(&p), &back, 100), 0);
+	ck_assert_int_eq(back.answer.valid_until, 10100);
+	ck_assert_uint_eq(back.answer.grant, f.answer.grant);
+	ck_assert_uint_eq(back.answer.share_tokens[0], 400000);
+	ck_assert_uint_eq(back.spill_count, 1);
+	dl_packer_close(&p);
+	dl_adopt_pack(&p, DL_STR("s"), &f.answer, &ask, 30000);
+	ck_assert_int_eq(dl_adopt_read(dl_packer_bytes(&p), &service, &grant,
+				       &ask_back, 30000),
+			 0);
+	ck_assert_uint_eq(grant.endpoints, 2);
+	ck_assert_uint_eq(ask_back.output_tokens, 500);
+	dl_packer_close(&p);
+}
+END_TEST
+
+START_TEST(report_release_summary_round_trip)
+{
+	struct dl_endpoint_report r = { .incarnation = 3, .slots = 4 }, r2;
+	struct dl_usage u = { .ran = true, .ttft_ms = 12 }, u2;
+	struct dl_pool_summary s = { .endpoints = 5, .backlog_ms = 9 }, s2;
+	struct dl_name service, domain;
+	struct dl_packer p;
+	uint64_t grant;
+
+	dl_name_set(&r.id, DL_STR("127.0.0.1:9000"));
+	r.leaving = true;
+	dl_report_pack(&p, DL_STR("s"), &r);
+	ck_assert_int_eq(dl_report_read(dl_packer_bytes(&p), &service, &r2), 0);
+	ck_assert(r2.leaving && r2.slots == 4 && r2.incarnation == 3);
+	dl_packer_close(&p);
+	dl_release_pack(&p, DL_STR("s"), 99, &u);
+	ck_assert_int_eq(
+		dl_release_read(dl_packer_bytes(&p), &service, &grant, &u2), 0);
+	ck_assert(grant == 99 && u2.ran && !u2.failed && u2.ttft_ms == 12);
+	dl_packer_close(&p);
+	dl_summary_pack(&p, DL_STR("s"), DL_STR("d"), &s);
+	ck_assert_int_eq(dl_summary_read(dl_packer_bytes(&p), &service, &domain,
+					 &s2),
+			 0);
+	ck_assert(s2.endpoints == 5 && s2.backlog_ms == 9);
+	dl_packer_close(&p);
+}
+END_TEST
+
+/* Every reader sees every damaged body; none may crash or read past it. */
+static void read_all(struct dl_str body)
+{
+	struct dl_endpoint_report report;
+	struct dl_answer_frame answer;
+	struct dl_pool_summary summary;
+	struct dl_name service, domain;
+	struct dl_answer grant;
+	struct dl_usage usage;
+	struct dl_ask ask;
+	uint64_t number;
+
+	dl_ask_read(body, &service, &ask, 0);
+	dl_answer_read(body, &answer, 0);
+	dl_release_read(body, &service, &number, &usage);
+	dl_number_read(body, &service, &number);
+	dl_report_read(body, &service, &report);
+	dl_summary_read(body, &service, &domain, &summary);
+	dl_adopt_read(body, &service, &grant, &ask, 0);
+}
+
+/* Change, cut or lengthen a copy that is exactly as long as it says. */
+static struct dl_str damage(GRand *rnd, struct dl_str good, char *buf)
+{
+	size_t n = good.n;
+	int hits = g_rand_int_range(rnd, 1, 4);
+
+	memcpy(buf, good.s, good.n);
+	while (hits--)
+		buf[g_rand_int_range(rnd, 0, (gint32)n)] =
+			(char)g_rand_int_range(rnd, 0, 256);
+	if (g_rand_boolean(rnd))
+		n = (size_t)g_rand_int_range(rnd, 0, (gint32)n + 1);
+	return (struct dl_str){ buf, n };
+}
+
+START_TEST(damaged_frames)
+{
+	struct dl_answer_frame f = sample_answer();
+	struct dl_ask ask = sample_ask();
+	GRand *rnd = g_rand_new_with_seed(SEED);
+	struct dl_packer p[3];
+
+	dl_ask_pack(&p[0], DL_STR("match-writer"), &ask, 0);
+	dl_answer_pack(&p[1], &f, 0);
+	dl_adopt_pack(&p[2], DL_STR("s"), &f.answer, &ask, 0);
+	for (uint32_t i = 0; i < fuzz_rounds(); i++) {
+		struct dl_str good = dl_packer_bytes(&p[i % 3]);
+		char *buf = malloc(good.n);
+
+		read_all(damage(rnd, good, buf));
+		free(buf);
+	}
+	for (int i = 0; i < 3; i++)
+		dl_packer_close(&p[i]);
+	g_rand_free(rnd);
+}
+END_TEST
+
+struct body_case {
+	const char *body;
+	bool ok;
+};
+
+static const struct body_case completion_cases[] = {
+	{ "{\"model\":\"m\",\"prompt\":\"p\"}", true },
+	{ "{\"model\":\"m\",\"prompt\":\"p\",\"stream\":true}", true },
+	{ "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":null}", true },
+	{ "{\"model\":\"m\",\"prompt\":\"p\",\"temperature\":0.5}", true },
+	{ "{\"model\":\"m\",\"prompt\":\"\"}", false },
+	{ "{\"model\":\"m\",\"prompt\":[\"p\"]}", false },
+	{ "{\"model\":7,\"prompt\":\"p\"}", false },
+	{ "{\"prompt\":\"p\"}", false },
+	{ "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":0}", false },
+	{ "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":1e3}", false },
+	{ "{\"model\":\"m\",\"prompt\":\"p\",\"stream\":1}", false },
+	{ "{\"model\":\"m\",\"prompt\":\"a\",\"prompt\":\"b\"}", false },
+	{ "{\"model\":\"m\",\"prompt\":\"a\\u0000b\"}", false },
+	{ "{\"model\":\"m\",\"prompt\":\"p\"", false },
+	{ "[]", false },
+	{ "", false },
+};
+
+START_TEST(completions)
+{
+	const struct body_case *c = &completion_cases[_i];
+	struct dl_completion out;
+	struct dl_err err = { 0 };
+	int rc = dl_completion_parse(dl_str_of(c->body), &out, &err);
+
+	ck_assert_msg((rc == 0) == c->ok, "%s: %s", c->body, err.text);
+	if (rc == 0)
+		dl_completion_free(&out);
+	else
+		ck_assert_uint_gt(strlen(err.text), 0);
+}
+END_TEST
+
+static const struct body_case announcement_cases[] = {
+	{ "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"slots\":1}", true },
+	{ "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"slots\":0}",
+	  false },
+	{ "{\"service\":\"s\",\"address\":\"localhost:1\",\"slots\":1}",
+	  false },
+	{ "{\"service\":\"\",\"address\":\"127.0.0.1:1\",\"slots\":1}", false },
+	{ "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"slots\":-1}",
+	  false },
+	{ "{\"address\":\"127.0.0.1:1\",\"slots\":1}", false },
+	{ "7", false },
+};
+
+START_TEST(announcements)
+{
+	const struct body_case *c = &announcement_cases[_i];
+	struct dl_announcement out;
+	struct dl_err err;
+
+	ck_assert_msg((dl_announcement_parse(dl_str_of(c->body), &out, &err) ==
+		       0) == c->ok,
+		      "%s", c->body);
+}
+END_TEST
+
+START_TEST(events_in_any_pieces)
+{
+	static const char stream[] = ": hello\n\ndata: {\"a\":1}\n\n"
+				     "event: x\ndata: y\n\ndata: [DONE]\n\n";
+	size_t n = sizeof(stream) - 1;
+
+	for (size_t cut = 1; cut < n; cut++) {
+		struct dl_str data;
+		struct dl_sse sse;
+		int events = 0;
+
+		dl_sse_open(&sse);
+		for (size_t at = 0; at < n; at += cut) {
+			ck_assert_int_eq(
+				dl_sse_feed(
+					&sse,
+					(struct dl_str){ stream + at,
+							 MIN(cut, n - at) }),
+				0);
+			while (dl_sse_next(&sse, &data))
+				events++;
+		}
+		ck_assert_int_eq(events, 2);
+		dl_sse_close(&sse);
+	}
+}
+END_TEST
+
+START_TEST(an_event_is_bounded)
+{
+	static char block[65536];
+	struct dl_sse sse;
+	int rc = 0;
+
+	memset(block, 'x', sizeof(block));
+	dl_sse_open(&sse);
+	for (int i = 0; i < 17 && rc == 0; i++)
+		rc = dl_sse_feed(&sse, (struct dl_str){ block, sizeof(block) });
+	ck_assert_int_eq(rc, -EMSGSIZE);
+	dl_sse_close(&sse);
+}
+END_TEST
+
+struct settings_case {
+	const char *text;
+	const char *fault; /* NULL: none */
+};
+
+static const struct settings_case settings_cases[] = {
+	{ "{\"name\":\"a\",\"failure_domain\":\"d\",\"peer\":\"127.0.0.1:1\"}",
+	  NULL },
+	{ "{\"name\":\"a\",\"failure_domain\":\"d\"}", "peer is missing" },
+	{ "{\"name\":\"\",\"failure_domain\":\"d\",\"peer\":\"127.0.0.1:1\"}",
+	  "bad value of name" },
+	{ "{\"name\":\"a\",\"failure_domain\":\"d\",\"peer\":\"127.0.0.1:1\","
+	  "\"pear\":1}",
+	  "unknown key pear" },
+	{ "{\"name\":\"a\",\"failure_domain\":\"d\",\"peer\":\"127.0.0.1:1\","
+	  "\"log_level\":\"loud\"}",
+	  "bad value of log_level" },
+	{ "[]", "not an object" },
+};
+
+START_TEST(settings)
+{
+	const struct settings_case *c = &settings_cases[_i];
+	struct dl_settings out;
+	struct dl_err err = { 0 };
+	int rc = dl_settings_parse(dl_str_of(c->text), &out, &err);
+
+	ck_assert_int_eq(rc, c->fault ? -EINVAL : 0);
+	if (c->fault)
+		ck_assert_str_eq(err.text, c->fault);
+}
+END_TEST
+
+#define CASES(table) (int)(sizeof(table) / sizeof((table)[0]))
+
+int main(void)
+{
+	Suite *s = suite_create("codec");
+	TCase *t = tcase_create("codec");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_set_timeout(t, 120);
+	tcase_add_test(t, ask_times_are_what_is_left);
+	tcase_add_test(t, answer_and_adopt_round_trip);
+	tcase_add_test(t, report_release_summary_round_trip);
+	tcase_add_test(t, damaged_frames);
+	tcase_add_loop_test(t, completions, 0, CASES(completion_cases));
+	tcase_add_loop_test(t, announcements, 0, CASES(announcement_cases));
+	tcase_add_test(t, events_in_any_pieces);
+	tcase_add_test(t, an_event_is_bounded);
+	tcase_add_loop_test(t, settings, 0, CASES(settings_cases));
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/test_peers.c
@@ -0,0 +1,249 @@
+/*
+ * Connections between processes, on one loop: frames arrive whole, a restarted
+ * process is not confused with its old self, a connection that has gone silent
+ * is replaced, and bytes that are no frames end only their own connection.
+ */
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/metric.h"
+#include "transport/peers.h"
+
+#define VM(last, port)                                                         \
+	((uint64_t)(0x7f000000u | 0x4200 | (last)) << 16 | (port))
+#define TURNS_MAX 2000 /* of about 10 ms: far more than any step needs */
+
+struct side {
+	struct dl_peers *peers;
+	int frames;
+	size_t last_n;
+	uint32_t last_kind;
+	int downs;
+};
+
+static uv_loop_t loop;
+static uv_timer_t ticker;
+
+static void on_frame(void *arg, uint64_t from, const struct dl_frame *f)
+{
+	struct side *s = arg;
+
+	s->frames++;
+	s->last_n = f->body.n;
+	s->last_kind = f->kind;
+}
+
+static void on_down(void *arg, uint64_t vm)
+{
+	((struct side *)arg)->downs++;
+}
+
+static const struct dl_peers_ops ops = { .frame = on_frame, .down = on_down };
+
+static void on_tick(uv_timer_t *timer)
+{
+}
+
+static void open_side(struct side *s, uint64_t vm, uint64_t incarnation)
+{
+	struct dl_peers_conf conf;
+	struct dl_err err;
+
+	memset(s, 0, sizeof(*s));
+	dl_peers_defaults(&conf);
+	conf.self = vm;
+	conf.incarnation = incarnation;
+	conf.heartbeat_ms = 40;
+	conf.silent_ms = 200;
+	ck_assert_int_eq(dl_peers_open(&loop, &conf, &ops, s, &s->peers, &err),
+			 0);
+}
+
+/* Run the loop until a counter reaches a value, or fail. */
+static void run_until(const int *counter, int value)
+{
+	for (int i = 0; i < TURNS_MAX && *counter < value; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_ge(*counter, value);
+}
+
+static void setup(void)
+{
+	uv_loop_init(&loop);
+	uv_timer_init(&loop, &ticker);
+	uv_timer_start(&ticker, on_tick, 10, 10);
+}
+
+static void teardown(void)
+{
+	uv_close((uv_handle_t *)&ticker, NULL);
+	while (uv_run(&loop, UV_RUN_ONCE))
+		;
+	ck_assert_int_eq(uv_loop_close(&loop), 0);
+}
+
+START_TEST(frames_of_all_sizes)
+{
+	struct side a, b;
+	char *big = calloc(1, 5u << 20);
+
+	open_side(&a, VM(1, 7001), 1);
+	open_side(&b, VM(2, 7001), 1);
+	dl_peers_send(a.peers, VM(2, 7001), DL_FRAME_ASK, 1, DL_STR(""));
+	dl_peers_send(a.peers, VM(2, 7001), DL_FRAME_ASK, 2, DL_STR("x"));
+	dl_peers_send(a.peers, VM(2, 7001), DL_FRAME_RLOG, 3,
+		      (struct dl_str){ big, 5u << 20 });
+	run_until(&b.frames, 3);
+	ck_assert_uint_eq(b.last_n, 5u << 20);
+	ck_assert_int_eq(dl_peers_post(b.peers, VM(1, 7001), DL_FRAME_MEMB, 0,
+				       DL_STR("ping")),
+			 0);
+	run_until(&a.frames, 1);
+	ck_assert_uint_eq(a.last_kind, DL_FRAME_MEMB);
+	dl_peers_close(a.peers);
+	dl_peers_close(b.peers);
+	free(big);
+}
+END_TEST
+
+START_TEST(a_vm_that_is_away)
+{
+	struct side a, b;
+
+	open_side(&a, VM(1, 7002), 1);
+	dl_peers_send(a.peers, VM(2, 7002), DL_FRAME_ASK, 1, DL_STR("x"));
+	run_until(&a.downs, 1);
+	open_side(&b, VM(2, 7002), 1);
+	dl_peers_send(a.peers, VM(2, 7002), DL_FRAME_ASK, 1, DL_STR("x"));
+	run_until(&b.frames, 1);
+	dl_peers_close(b.peers);
+	run_until(&a.downs, 2);
+	dl_peers_close(a.peers);
+}
+END_TEST
+
+/* A listener that accepts and never says a word. */
+static void on_mute(uv_stream_t *listener, int status)
+{
+	uv_tcp_t *tcp = calloc(1, sizeof(*tcp));
+
+	uv_tcp_init(&loop, tcp);
+	ck_assert_int_eq(uv_accept(listener, (uv_stream_t *)tcp), 0);
+	tcp->data = listener->data;
+	listener->data = tcp;
+}
+
+START_TEST(silence_is_found)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int64_t before = dl_metric_read(DL_METRIC_peer_silent);
+	struct side a;
+	static uv_tcp_t mute;
+
+	sin.sin_addr.s_addr = htonl((uint32_t)(VM(9, 7003) >> 16));
+	sin.sin_port = htons(7003);
+	uv_tcp_init(&loop, &mute);
+	mute.data = NULL;
+	ck_assert_int_eq(uv_tcp_bind(&mute, (void *)&sin, 0), 0);
+	ck_assert_int_eq(uv_listen((uv_stream_t *)&mute, 8, on_mute), 0);
+	open_side(&a, VM(1, 7003), 1);
+	dl_peers_send(a.peers, VM(9, 7003), DL_FRAME_ASK, 1, DL_STR("x"));
+	run_until(&a.downs, 1);
+	ck_assert_int_gt(dl_metric_read(DL_METRIC_peer_silent), before);
+	dl_peers_close(a.peers);
+	while (mute.data) {
+		uv_tcp_t *tcp = mute.data;
+
+		mute.data = tcp->data;
+		uv_close((uv_handle_t *)tcp, (uv_close_cb)free);
+	}
+	uv_close((uv_handle_t *)&mute, NULL);
+}
+END_TEST
+
+static int raw_done;
+
+static void on_raw_written(uv_write_t *req, int status)
+{
+	raw_done = 1;
+}
+
+static void on_raw_connect(uv_connect_t *req, int status)
+{
+	static char junk[] = "GET / HTTP/1.1\r\n\r\n";
+	static uv_write_t write;
+	uv_buf_t buf = uv_buf_init(junk, sizeof(junk) - 1);
+
+	ck_assert_int_eq(status, 0);
+	uv_write(&write, req->handle, &buf, 1, on_raw_written);
+}
+
+START_TEST(bytes_that_are_no_frame)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int64_t before = dl_metric_read(DL_METRIC_peer_bad_frames);
+	struct side a, b;
+	static uv_connect_t connect;
+	static uv_tcp_t raw;
+
+	open_side(&a, VM(1, 7004), 1);
+	open_side(&b, VM(2, 7004), 1);
+	sin.sin_addr.s_addr = htonl((uint32_t)(VM(1, 7004) >> 16));
+	sin.sin_port = htons(7004);
+	uv_tcp_init(&loop, &raw);
+	uv_tcp_connect(&connect, &raw, (void *)&sin, on_raw_connect);
+	raw_done = 0;
+	run_until(&raw_done, 1);
+	dl_peers_send(b.peers, VM(1, 7004), DL_FRAME_ASK, 1, DL_STR("x"));
+	run_until(&a.frames, 1);
+	for (int i = 0; i < TURNS_MAX &&
+			dl_metric_read(DL_METRIC_peer_bad_frames) == before;
+	     i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_gt(dl_metric_read(DL_METRIC_peer_bad_frames), before);
+	uv_close((uv_handle_t *)&raw, NULL);
+	dl_peers_close(a.peers);
+	dl_peers_close(b.peers);
+}
+END_TEST
+
+START_TEST(a_restarted_process_speaks_alone)
+{
+	struct side a, old, new;
+
+	open_side(&a, VM(1, 7005), 1);
+	open_side(&old, VM(2, 7005), 1);
+	dl_peers_send(old.peers, VM(1, 7005), DL_FRAME_ASK, 1, DL_STR("x"));
+	run_until(&a.frames, 1);
+	dl_peers_close(old.peers);
+	open_side(&new, VM(2, 7005), 2);
+	dl_peers_send(new.peers, VM(1, 7005), DL_FRAME_ASK, 1, DL_STR("xy"));
+	run_until(&a.frames, 2);
+	ck_assert_uint_eq(a.last_n, 2);
+	dl_peers_close(a.peers);
+	dl_peers_close(new.peers);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("peers");
+	TCase *t = tcase_create("peers");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_set_timeout(t, 60);
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, frames_of_all_sizes);
+	tcase_add_test(t, a_vm_that_is_away);
+	tcase_add_test(t, silence_is_found);
+	tcase_add_test(t, bytes_that_are_no_frame);
+	tcase_add_test(t, a_restarted_process_speaks_alone);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
