Sign what operators and endpoints send, and give them doors of their own

HMAC-SHA256 over method, path, time and body; two keys valid at a time so that keys are exchanged without a gap; compared in constant time; keys appear in no message. Crossed grants name their service, so that they are given back at once instead of with their lease. Prompts and cache events name a shared start by one hash.

--- a/src/main/entry.c
+++ b/src/main/entry.c
@@ -155,24 +155,42 @@
 		entry_call_drained(c);
 }
 
-static int start_http(struct entry *e, struct dl_err *err)
+static int open_door(struct entry *e, uint64_t address, unsigned uses,
+		     struct dl_err *err)
 {
+	struct door *door = &e->doors[e->doors_count++];
 	struct dl_httpd_conf conf = {
-		.address = e->node.settings.http,
+		.address = address,
 		.body_max = BODY_MAX,
 		.conns_max = e->node.settings.connections_max,
 		.read_ms = READ_MS,
 	};
+
+	door->e = e;
+	door->uses = uses;
+	return dl_httpd_open(e->node.loop, &conf, &httpd_ops, door,
+			     &door->httpd, err);
+}
+
+static int start_http(struct entry *e, struct dl_err *err)
+{
+	const struct dl_settings *s = &e->node.settings;
+	unsigned rest = DOOR_CALLERS;
 	int rc;
 
-	if (conf.address == DL_VM_NONE)
+	if (s->http == DL_VM_NONE)
 		return dl_err_set(err, -EINVAL, DL_STEP_CHECK, NULL,
 				  "http is missing");
 	rc = dl_httpc_open(e->node.loop, &e->httpc);
-	if (rc)
-		return rc;
-	return dl_httpd_open(e->node.loop, &conf, &httpd_ops, e, &e->httpd,
-			     err);
+	if (!rc && s->endpoints)
+		rc = open_door(e, s->endpoints, DOOR_ENDPOINTS, err);
+	else
+		rest |= DOOR_ENDPOINTS;
+	if (!rc && s->operators)
+		rc = open_door(e, s->operators, DOOR_OPERATORS, err);
+	else
+		rest |= DOOR_OPERATORS;
+	return rc ? rc : open_door(e, s->http, rest, err);
 }
 
 static int start(struct entry *e, const char *settings, struct dl_err *err)
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -151,9 +151,27 @@
 	void *arg;
 };
 
+/* Who a path is for; a door serves one or more of them. */
+enum door_use {
+	DOOR_CALLERS = 1,
+	DOOR_ENDPOINTS = 2,
+	DOOR_OPERATORS = 4,
+	DOOR_ANY = 7, /* health: on every door */
+};
+
+/* One address that is listened on. */
+struct door {
+	struct entry *e;
+	unsigned uses;
+	struct dl_httpd *httpd;
+};
+
+#define DOORS_MAX 3
+
 struct entry {
 	struct dl_node node;
-	struct dl_httpd *httpd;
+	struct door doors[DOORS_MAX];
+	uint32_t doors_count;
 	struct dl_httpc *httpc;
 
 	/* configuration in force */
--- a/src/main/entry_call.c
+++ b/src/main/entry_call.c
@@ -14,8 +14,6 @@
 #define RATIO_MAX_MILLI	      16000
 /* Few workspaces are learned about; the rest use the default. */
 #define RATIOS_MAX 32768
-/* The start of a prompt that is likely shared: a system text. */
-#define PREFIX_BYTES 4096
 /* Retries that may come at once before the share of first tries bounds them. */
 #define RETRY_BURST	   10
 #define RETRY_AFTER_MS	   1000
@@ -576,11 +574,9 @@
 	c->prompt_bytes = prompt.n;
 	c->prompt_tokens = prompt.n * 1000 / milli + 1;
 	c->output_tokens = completion->max_tokens;
-	if (prompt.n < PREFIX_BYTES)
-		return;
-	prompt.n = PREFIX_BYTES;
-	c->prefix = dl_hash(prompt, 0);
-	c->prefix_tokens = (uint32_t)((uint64_t)PREFIX_BYTES * 1000 / milli);
+	c->prefix = dl_prefix_hash(prompt);
+	if (c->prefix)
+		c->prefix_tokens = (uint32_t)(DL_PREFIX_BYTES * 1000 / milli);
 }
 
 /* Whether this VM can hold one more request's body. */
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -265,6 +265,28 @@
 			  c->last_refusal.retry_after_ms);
 }
 
+/* A grant that crossed with the cancellation of its ask. */
+static void give_back(struct entry *e, uint64_t from,
+		      const struct dl_answer_frame *f)
+{
+	struct dl_usage unused = { 0 };
+	struct entry_pool *p;
+	struct dl_packer pk;
+
+	if (from == e->node.self) {
+		p = entry_pool_find(e, dl_name_str(&f->service));
+		if (p)
+			dl_pool_release(p->pool, f->answer.grant, &unused,
+					entry_now(e));
+		return;
+	}
+	dl_release_pack(&pk, dl_name_str(&f->service), f->answer.grant,
+			&unused);
+	dl_peers_send(e->node.peers, from, DL_FRAME_RELEASE, f->answer.request,
+		      dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
+}
+
 /* A dispatcher has answered; matched by id, never by order. */
 void entry_grant_answer(struct entry *e, uint64_t from,
 			const struct dl_answer_frame *f)
@@ -272,8 +294,9 @@
 	struct call *c = g_hash_table_lookup(e->asks, &f->answer.request);
 
 	if (!c || c->dispatcher != from || c->granted) {
-		/* A crossed grant is reclaimed with its lease or cancel. */
 		dl_count(DL_METRIC_late_frames_dropped, 1);
+		if (f->answer.verdict == DL_GRANTED)
+			give_back(e, from, f);
 		return;
 	}
 	switch (f->answer.verdict) {
--- a/src/main/entry_http.c
+++ b/src/main/entry_http.c
@@ -1,4 +1,5 @@
 /* The doors of an entry: which method and path goes where. */
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -20,6 +21,7 @@
 static void post_endpoint(struct entry *e, struct dl_httpd_req *req);
 
 struct route {
+	unsigned use;
 	const char *method; /* NULL: any */
 	const char *path;
 	bool prefix; /* path begins with, rather than is */
@@ -27,17 +29,19 @@
 };
 
 static const struct route routes[] = {
-	{ "POST", "/v1/completions", false, entry_call_completion },
-	{ NULL, "/s/", true, entry_call_plain },
-	{ "POST", "/v1/endpoints", false, post_endpoint },
-	{ "POST", "/v1/config", false, entry_ops_config_post },
-	{ "GET", "/v1/config", false, entry_ops_config_get },
-	{ "GET", "/v1/config/history", false, entry_ops_history },
-	{ "GET", "/v1/status", false, entry_ops_status },
-	{ "GET", "/healthz", false, get_health },
-	{ "GET", "/readyz", false, get_ready },
-	{ "GET", "/metrics", false, get_metrics },
-	{ "GET", "/v1/traces", false, get_traces },
+	{ DOOR_CALLERS, "POST", "/v1/completions", false,
+	  entry_call_completion },
+	{ DOOR_CALLERS, NULL, "/s/", true, entry_call_plain },
+	{ DOOR_ENDPOINTS, "POST", "/v1/endpoints", false, post_endpoint },
+	{ DOOR_OPERATORS, "POST", "/v1/config", false, entry_ops_config_post },
+	{ DOOR_OPERATORS, "GET", "/v1/config", false, entry_ops_config_get },
+	{ DOOR_OPERATORS, "GET", "/v1/config/history", false,
+	  entry_ops_history },
+	{ DOOR_OPERATORS, "GET", "/v1/status", false, entry_ops_status },
+	{ DOOR_ANY, "GET", "/healthz", false, get_health },
+	{ DOOR_ANY, "GET", "/readyz", false, get_ready },
+	{ DOOR_OPERATORS, "GET", "/metrics", false, get_metrics },
+	{ DOOR_OPERATORS, "GET", "/v1/traces", false, get_traces },
 };
 
 #define ROUTES (sizeof(routes) / sizeof(routes[0]))
@@ -128,23 +132,56 @@
 	return r->prefix || path.n == n || path.s[n] == '?';
 }
 
+static const struct dl_keys *keys_of(const struct entry *e, unsigned use)
+{
+	switch (use) {
+	case DOOR_ENDPOINTS:
+		return &e->node.settings.endpoint_keys;
+	case DOOR_OPERATORS:
+		return &e->node.settings.operator_keys;
+	default:
+		return NULL;
+	}
+}
+
+/* Whether what was sent is signed as the door asks; answers where not. */
+static bool may(struct entry *e, unsigned use, struct dl_httpd_req *req)
+{
+	const struct dl_keys *keys = keys_of(e, use);
+	struct dl_signed what = { dl_httpd_method(req), dl_httpd_path(req),
+				  dl_httpd_body(req) };
+	struct dl_err err;
+
+	if (!keys || keys->count == 0 ||
+	    dl_sign_check(keys, &what,
+			  dl_httpd_header(req, "daisyledge-signature"),
+			  dl_node_wall_ms()) == 0)
+		return true;
+	dl_err_set(&err, -EACCES, DL_STEP_CHECK, NULL,
+		   "the signature is missing, stale or of another key");
+	entry_http_error(req, 401, "not-allowed", &err);
+	return false;
+}
+
 /* Find the route; a path that is known with another method is a 405. */
 void entry_http_request(void *arg, struct dl_httpd_req *req)
 {
 	struct dl_str method = dl_httpd_method(req);
 	struct dl_str path = dl_httpd_path(req);
-	struct entry *e = arg;
+	struct door *door = arg;
 	bool known = false;
 	struct dl_err err;
 
 	for (size_t i = 0; i < ROUTES; i++) {
-		if (!path_fits(&routes[i], path))
+		if (!(routes[i].use & door->uses) ||
+		    !path_fits(&routes[i], path))
 			continue;
 		known = true;
 		if (routes[i].method &&
 		    !dl_str_eq(method, dl_str_of(routes[i].method)))
 			continue;
-		routes[i].handle(e, req);
+		if (may(door->e, routes[i].use, req))
+			routes[i].handle(door->e, req);
 		return;
 	}
 	dl_count(DL_METRIC_bad_requests, 1);
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -184,7 +184,7 @@
 static void send_answer(struct entry *e, struct entry_pool *p,
 			const struct dl_answer *answer)
 {
-	struct dl_answer_frame f = { .answer = *answer };
+	struct dl_answer_frame f = { .service = p->service, .answer = *answer };
 	struct dl_packer pk;
 
 	add_spill(e, dl_name_str(&p->service), &f);
@@ -238,6 +238,7 @@
 		entry_pool_ask(e, p, &ask, false);
 		return;
 	}
+	none.service = service;
 	none.answer.request = ask.request;
 	none.answer.entry = from;
 	none.answer.verdict = DL_REFUSED;
--- a/src/protocol/api.c
+++ b/src/protocol/api.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #define BAD(err, ...) dl_err_set(err, -EINVAL, DL_STEP_CHECK, NULL, __VA_ARGS__)
 
 static struct dl_str json_str(const json_t *value)
@@ -208,6 +210,37 @@
 	r->takes_groups = json_is_true(json_object_get(root, "takes_groups"));
 }
 
+/* The name of a prompt's start; see the header. */
+uint64_t dl_prefix_hash(struct dl_str prompt)
+{
+	if (prompt.n < DL_PREFIX_BYTES)
+		return 0;
+	return XXH64(prompt.s, DL_PREFIX_BYTES, 0);
+}
+
+/* Events that make no sense are passed over: they are hints, no more. */
+static void read_events(const json_t *root, struct dl_announcement *out)
+{
+	const json_t *list = json_object_get(root, "cache_events");
+	size_t n = json_array_size(list);
+	size_t from = n > DL_CACHE_EVENTS_MAX ? n - DL_CACHE_EVENTS_MAX : 0;
+
+	for (size_t i = from; i < n; i++) {
+		const json_t *o = json_array_get(list, i);
+		const char *hex =
+			json_string_value(json_object_get(o, "prefix"));
+		struct dl_cache_event *e = &out->events[out->events_count];
+
+		if (!hex)
+			continue;
+		e->prefix = strtoull(hex, NULL, 16);
+		e->tokens = (uint32_t)read_count(o, "tokens");
+		if (json_is_true(json_object_get(o, "evicted")))
+			e->tokens = 0;
+		out->events_count++;
+	}
+}
+
 /* Read an endpoint's announcement. */
 int dl_announcement_parse(struct dl_str body, struct dl_announcement *out,
 			  struct dl_err *err)
@@ -228,6 +261,7 @@
 		rc = BAD(err, "address must be an IP number and a port");
 	read_report(root, &out->report);
 	out->order_fence = read_count(root, "order_fence");
+	read_events(root, out);
 	if (!rc && out->report.slots == 0)
 		rc = BAD(err, "slots must be at least 1");
 	json_decref(root);
--- a/src/protocol/api.h
+++ b/src/protocol/api.h
@@ -45,12 +45,31 @@
 int dl_chunk_parse(struct dl_str data, bool want_text, struct dl_chunk *out,
 		   json_t **text);
 
+/*
+ * How prompts and cache events name the start of a prompt that others may
+ * share: XXH64 without a seed over its first DL_PREFIX_BYTES bytes.  0 for a
+ * prompt that is shorter.
+ */
+#define DL_PREFIX_BYTES ((size_t)4096)
+
+uint64_t dl_prefix_hash(struct dl_str prompt);
+
+/* What an engine says of its cache, at most so many in one announcement. */
+#define DL_CACHE_EVENTS_MAX 32
+
+struct dl_cache_event {
+	uint64_t prefix;
+	uint32_t tokens; /* 0: evicted */
+};
+
 /* An endpoint's announcement. */
 struct dl_announcement {
 	struct dl_name service;
 	struct dl_name failure_domain; /* empty: that of the entry asked */
 	struct dl_endpoint_report report;
 	uint64_t order_fence;
+	struct dl_cache_event events[DL_CACHE_EVENTS_MAX];
+	uint32_t events_count;
 };
 
 int dl_announcement_parse(struct dl_str body, struct dl_announcement *out,
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #define ASK_ITEMS     11
-#define ANSWER_ITEMS  12
+#define ANSWER_ITEMS  13
 #define RELEASE_ITEMS 8
 #define REPORT_ITEMS  12
 #define SUMMARY_ITEMS 9
@@ -177,6 +177,7 @@
 		    int64_t now)
 {
 	dl_packer_open(p, ANSWER_ITEMS);
+	dl_pack_str(p, dl_name_str(&f->service));
 	put_answer(p, &f->answer, now);
 	put_names(p, f->spill, f->spill_count);
 }
@@ -187,6 +188,7 @@
 	struct dl_reader r;
 
 	dl_reader_open(&r, body);
+	dl_read_name(&r, &out->service);
 	take_answer(&r, &out->answer, now);
 	out->spill_count = take_names(&r, out->spill, DL_SPILL_MAX);
 	return finish(&r);
--- a/src/protocol/pool_codec.h
+++ b/src/protocol/pool_codec.h
@@ -12,6 +12,7 @@
 #define DL_SPILL_MAX 4
 
 struct dl_answer_frame {
+	struct dl_name service;
 	struct dl_answer answer;
 	uint32_t spill_count;
 	struct dl_name spill[DL_SPILL_MAX];
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -11,6 +11,7 @@
 #define SETTINGS_TEXT_MAX   65536
 #define BUFFER_MB_DEFAULT   256
 #define CONNECTIONS_DEFAULT 4096
+#define KEY_MIN		    16
 #define COUNT_MAX	    1000000
 
 struct key {
@@ -27,6 +28,7 @@
 static int read_count(const json_t *value, void *to);
 static int read_peers(const json_t *value, void *to);
 static int read_replicas(const json_t *value, void *to);
+static int read_keys(const json_t *value, void *to);
 
 #define FIELD(f) offsetof(struct dl_settings, f)
 
@@ -35,6 +37,9 @@
 	{ "failure_domain", read_name, FIELD(failure_domain), true },
 	{ "http", read_address, FIELD(http), false },
 	{ "operators", read_address, FIELD(operators), false },
+	{ "endpoints", read_address, FIELD(endpoints), false },
+	{ "operator_keys", read_keys, FIELD(operator_keys), false },
+	{ "endpoint_keys", read_keys, FIELD(endpoint_keys), false },
 	{ "peer", read_address, FIELD(peer), true },
 	{ "peers", read_peers, 0, false },
 	{ "replicas", read_replicas, 0, false },
@@ -141,6 +146,27 @@
 			      &s->replicas_count);
 }
 
+/* Secrets: long enough not to be guessed, and never in a message. */
+static int read_keys(const json_t *value, void *to)
+{
+	struct dl_keys *out = to;
+
+	if (!json_is_array(value) || json_array_size(value) == 0 ||
+	    json_array_size(value) > DL_KEYS_MAX)
+		return -EINVAL;
+	for (size_t i = 0; i < json_array_size(value); i++) {
+		const json_t *one = json_array_get(value, i);
+		size_t n = json_string_length(one);
+
+		if (!json_is_string(one) || n < KEY_MIN || n > DL_KEY_MAX)
+			return -EINVAL;
+		memcpy(out->key[i].s, json_string_value(one), n);
+		out->key[i].n = (uint8_t)n;
+	}
+	out->count = (uint32_t)json_array_size(value);
+	return 0;
+}
+
 static const struct key *find_key(const char *name)
 {
 	for (size_t i = 0; i < KEYS; i++) {
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -4,7 +4,7 @@
 #ifndef DL_PROTOCOL_SETTINGS_H
 #define DL_PROTOCOL_SETTINGS_H
 
-#include "daisyledge/base.h"
+#include "protocol/sign.h"
 
 #define DL_SETTINGS_PEERS_MAX	 64
 #define DL_SETTINGS_REPLICAS_MAX 7
@@ -13,9 +13,12 @@
 struct dl_settings {
 	struct dl_name name;
 	struct dl_name failure_domain;
-	uint64_t http;	    /* callers' door; 0 on a replica */
-	uint64_t operators; /* operators' door; 0: the callers' one */
-	uint64_t peer;	    /* other VMs' door */
+	uint64_t http;		      /* callers' door; 0 on a replica */
+	uint64_t operators;	      /* operators' door; 0: the callers' one */
+	uint64_t endpoints;	      /* endpoints' door; 0: the callers' one */
+	struct dl_keys operator_keys; /* what operators send must be signed */
+	struct dl_keys endpoint_keys;
+	uint64_t peer;			       /* other VMs' door */
 	uint64_t peers[DL_SETTINGS_PEERS_MAX]; /* asked for the others */
 	uint32_t peers_count;
 	uint64_t replicas[DL_SETTINGS_REPLICAS_MAX];
--- /dev/null
+++ b/src/protocol/sign.c
@@ -0,0 +1,98 @@
+/* Signatures by HMAC-SHA256 from the crypto library. */
+#include "protocol/sign.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#define MAC_BYTES ((size_t)32)
+#define MAC_HEX	  (MAC_BYTES * 2)
+/* Clocks of VMs differ by seconds; a captured request is stale soon. */
+#define AGE_MAX_MS 120000
+
+static bool mac(const struct dl_key *key, const struct dl_signed *what,
+		const char *when, unsigned char out[MAC_BYTES])
+{
+	size_t n = what->method.n + what->path.n + strlen(when) + 3;
+	char *text = malloc(n + what->body.n + 1);
+	unsigned int out_n = MAC_BYTES;
+	bool ok;
+
+	if (!text)
+		return false;
+	snprintf(text, n + 1, "%.*s\n%.*s\n%s\n", (int)what->method.n,
+		 what->method.s, (int)what->path.n, what->path.s, when);
+	if (what->body.n)
+		memcpy(text + n, what->body.s, what->body.n);
+	ok = HMAC(EVP_sha256(), key->s, key->n, (unsigned char *)text,
+		  n + what->body.n, out, &out_n) != NULL;
+	free(text);
+	return ok;
+}
+
+static void to_hex(const unsigned char *bytes, char out[MAC_HEX + 1])
+{
+	for (size_t i = 0; i < MAC_BYTES; i++)
+		snprintf(out + i * 2, 3, "%02x", bytes[i]);
+}
+
+/* Sign what is about to be sent. */
+int dl_sign(const struct dl_key *key, const struct dl_signed *what,
+	    int64_t wall_ms, char out[DL_SIGNATURE_MAX])
+{
+	unsigned char bytes[MAC_BYTES];
+	char when[24], hex[MAC_HEX + 1];
+
+	snprintf(when, sizeof(when), "%" PRId64, wall_ms);
+	if (!mac(key, what, when, bytes))
+		return -ENOMEM;
+	to_hex(bytes, hex);
+	snprintf(out, DL_SIGNATURE_MAX, "%s %s", when, hex);
+	return 0;
+}
+
+/* Split "TIME HEX" and check that the time is near. */
+static bool split(struct dl_str signature, int64_t wall_ms, char when[24],
+		  struct dl_str *hex)
+{
+	const char *space = memchr(signature.s, ' ', signature.n);
+	uint64_t then;
+	size_t n;
+
+	if (!space)
+		return false;
+	n = (size_t)(space - signature.s);
+	if (n >= 24 || signature.n != n + 1 + MAC_HEX ||
+	    !dl_str_to_u64((struct dl_str){ signature.s, n }, &then))
+		return false;
+	memcpy(when, signature.s, n);
+	when[n] = '\0';
+	*hex = (struct dl_str){ space + 1, MAC_HEX };
+	return llabs((int64_t)then - wall_ms) <= AGE_MAX_MS;
+}
+
+/* Check a signature against every valid key, in constant time for each. */
+int dl_sign_check(const struct dl_keys *keys, const struct dl_signed *what,
+		  struct dl_str signature, int64_t wall_ms)
+{
+	char when[24], hex[MAC_HEX + 1];
+	unsigned char bytes[MAC_BYTES];
+	struct dl_str theirs;
+	int same = 0;
+
+	if (!split(signature, wall_ms, when, &theirs))
+		return -EACCES;
+	for (uint32_t i = 0; i < keys->count; i++) {
+		if (!mac(&keys->key[i], what, when, bytes))
+			return -EACCES;
+		to_hex(bytes, hex);
+		same |= CRYPTO_memcmp(hex, theirs.s, MAC_HEX) == 0;
+	}
+	return same ? 0 : -EACCES;
+}
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -369,6 +369,8 @@
 		return "OK";
 	case 400:
 		return "Bad Request";
+	case 401:
+		return "Unauthorized";
 	case 404:
 		return "Not Found";
 	case 405:
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -11,6 +11,7 @@
 #include "protocol/api.h"
 #include "protocol/pool_codec.h"
 #include "protocol/settings.h"
+#include "protocol/sign.h"
 #include "protocol/sse.h"
 
 #define FUZZ_ROUNDS 20000
@@ -335,6 +336,47 @@
 }
 END_TEST
 
+static struct dl_key key_of(const char *secret)
+{
+	struct dl_key key = { .n = (uint8_t)strlen(secret) };
+
+	memcpy(key.s, secret, key.n);
+	return key;
+}
+
+/* Only the same bytes, under a valid key, now, are let in. */
+START_TEST(signatures)
+{
+	struct dl_signed what = { DL_STR("POST"), DL_STR("/v1/config"),
+				  DL_STR("{}") };
+	struct dl_signed other = { DL_STR("POST"), DL_STR("/v1/config"),
+				   DL_STR("{ }") };
+	struct dl_keys keys = { .count = 2 };
+	struct dl_key strange = key_of("another secret of length");
+	char out[DL_SIGNATURE_MAX];
+
+	keys.key[0] = key_of("the old secret, still valid");
+	keys.key[1] = key_of("the new secret, for tomorrow");
+	for (int i = 0; i < 2; i++) {
+		ck_assert_int_eq(dl_sign(&keys.key[i], &what, 1000000, out), 0);
+		ck_assert_int_eq(dl_sign_check(&keys, &what, dl_str_of(out),
+					       1000500),
+				 0);
+		ck_assert_int_eq(dl_sign_check(&keys, &other, dl_str_of(out),
+					       1000500),
+				 -EACCES);
+		ck_assert_int_eq(dl_sign_check(&keys, &what, dl_str_of(out),
+					       1200000),
+				 -EACCES);
+	}
+	ck_assert_int_eq(dl_sign(&strange, &what, 1000000, out), 0);
+	ck_assert_int_eq(dl_sign_check(&keys, &what, dl_str_of(out), 1000000),
+			 -EACCES);
+	ck_assert_int_eq(dl_sign_check(&keys, &what, DL_STR(""), 1000000),
+			 -EACCES);
+}
+END_TEST
+
 #define CASES(table) (int)(sizeof(table) / sizeof((table)[0]))
 
 int main(void)
@@ -354,6 +396,7 @@
 	tcase_add_loop_test(t, announcements, 0, CASES(announcement_cases));
 	tcase_add_test(t, events_in_any_pieces);
 	tcase_add_test(t, an_event_is_bounded);
+	tcase_add_test(t, signatures);
 	tcase_add_loop_test(t, settings, 0, CASES(settings_cases));
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
