Name the line of every fault, also below a key that stands twice

Ruled out: refusing escapes, as the key behind them may still be a double. Change: the scan keeps the last line and the object that owns each path, and decodes keys with escapes. Conclusion: every fault has a line within the text.

--- a/src/state/conf_int.h
+++ b/src/state/conf_int.h
@@ -32,6 +32,7 @@
 struct conf_lines {
 	uint64_t *hash;
 	uint32_t *line;
+	uint32_t *owner; /* the object or list that it was found in */
 	size_t size; /* a power of two */
 	size_t used;
 };
--- a/src/state/conf_scan.c
+++ b/src/state/conf_scan.c
@@ -19,14 +19,19 @@
 	const char *p;
 	const char *end;
 	uint32_t line;
+	uint32_t owners; /* objects and lists so far */
 	struct conf_reader *r;
 };
 
 static struct conf_at at_child(const struct conf_at *parent, struct dl_str word,
 			       const char *before);
-static bool lines_add(struct conf_lines *lines, uint64_t hash, uint32_t line);
+static size_t lines_slot(const struct conf_lines *lines, uint64_t hash);
+static void lines_put(struct conf_lines *lines, size_t slot, uint64_t hash,
+		      uint32_t line, uint32_t owner);
 static bool lines_grow(struct conf_lines *lines);
-static bool note(struct scan *s, struct conf_at *at);
+static bool note(struct scan *s, const struct conf_at *at, uint32_t owner);
+static bool key_at(struct scan *s, const struct conf_at *parent,
+		   struct dl_str raw, struct conf_at *out);
 static void skip_space(struct scan *s);
 static struct dl_str scan_string(struct scan *s);
 static bool scan_value(struct scan *s, const struct conf_at *at, int depth);
@@ -84,49 +89,50 @@
 
 	next.hash = calloc(next.size, sizeof(*next.hash));
 	next.line = calloc(next.size, sizeof(*next.line));
-	if (!next.hash || !next.line) {
+	next.owner = calloc(next.size, sizeof(*next.owner));
+	if (!next.hash || !next.line || !next.owner) {
 		conf_lines_free(&next);
 		return false;
 	}
 	for (size_t i = 0; i < lines->size; i++) {
-		if (lines->hash[i])
-			lines_add(&next, lines->hash[i], lines->line[i]);
+		uint64_t hash = lines->hash[i];
+
+		if (hash)
+			lines_put(&next, lines_slot(&next, hash), hash,
+				  lines->line[i], lines->owner[i]);
 	}
 	conf_lines_free(lines);
 	*lines = next;
 	return true;
 }
 
-/* Note where a path stands; false where it was noted before. */
-static bool lines_add(struct conf_lines *lines, uint64_t hash, uint32_t line)
+/* Where a path is in the table, or would be. */
+static size_t lines_slot(const struct conf_lines *lines, uint64_t hash)
 {
 	size_t i = hash & (lines->size - 1);
 
-	while (lines->hash[i]) {
-		if (lines->hash[i] == hash)
-			return false;
+	while (lines->hash[i] && lines->hash[i] != hash)
 		i = (i + 1) & (lines->size - 1);
-	}
-	lines->hash[i] = hash;
-	lines->line[i] = line;
-	lines->used++;
-	return true;
+	return i;
+}
+
+/* Note where a path stands; the last of several counts, as for jansson. */
+static void lines_put(struct conf_lines *lines, size_t slot, uint64_t hash,
+		      uint32_t line, uint32_t owner)
+{
+	if (!lines->hash[slot])
+		lines->used++;
+	lines->hash[slot] = hash;
+	lines->line[slot] = line;
+	lines->owner[slot] = owner;
 }
 
 /* The line of a path; 0 where the text does not have it. */
 uint32_t conf_lines_find(const struct conf_lines *lines, uint64_t hash)
 {
-	size_t i;
-
 	if (lines->size == 0)
 		return 0;
-	i = hash & (lines->size - 1);
-	while (lines->hash[i]) {
-		if (lines->hash[i] == hash)
-			return lines->line[i];
-		i = (i + 1) & (lines->size - 1);
-	}
-	return 0;
+	return lines->line[lines_slot(lines, hash)];
 }
 
 /* Release the table of lines. */
@@ -134,30 +140,51 @@
 {
 	free(lines->hash);
 	free(lines->line);
+	free(lines->owner);
 	memset(lines, 0, sizeof(*lines));
 }
 
 /*
- * Note the present line for a path; a key that was there is a fault.  What is
- * in the second one gets a hash of its own, so that it is not a fault as well.
+ * Note the present line for a path.  A key that the same object has already
+ * is a fault; one of an earlier object under the same path is not, as that
+ * object stands twice itself.
  */
-static bool note(struct scan *s, struct conf_at *at)
+static bool note(struct scan *s, const struct conf_at *at, uint32_t owner)
 {
 	struct conf_lines *lines = &s->r->lines;
-	struct dl_faults *faults = s->r->faults;
-	uint32_t before = faults->count;
+	uint32_t before;
+	size_t slot;
 
 	if (lines->used * 2 >= lines->size && !lines_grow(lines)) {
 		s->r->no_memory = true;
 		return false;
 	}
-	if (lines_add(lines, at->hash, s->line))
+	slot = lines_slot(lines, at->hash);
+	before = lines->owner[slot] == owner ? lines->line[slot] : 0;
+	lines_put(lines, slot, at->hash, s->line, owner);
+	if (before)
+		conf_fault(s->r, at, "this key stands twice, also on line %u",
+			   before);
+	return true;
+}
+
+/* The place of a key as it stands in the text, with or without escapes. */
+static bool key_at(struct scan *s, const struct conf_at *parent,
+		   struct dl_str raw, struct conf_at *out)
+{
+	json_t *key;
+
+	if (!memchr(raw.s, '\\', raw.n)) {
+		*out = conf_at_key(parent, raw);
 		return true;
-	conf_fault(s->r, at, "this key stands twice; it is also on line %u",
-		   conf_lines_find(lines, at->hash));
-	if (before < DL_FAULTS_MAX)
-		faults->at[before].line = s->line;
-	at->hash = ~at->hash;
+	}
+	key = json_loadb(raw.s - 1, raw.n + 2, JSON_DECODE_ANY, NULL);
+	if (!key) {
+		s->r->no_memory = true;
+		return false;
+	}
+	*out = conf_at_key(parent, dl_str_of(json_string_value(key)));
+	json_decref(key);
 	return true;
 }
 
@@ -185,6 +212,8 @@
 /* Pass the members of an object and note each key. */
 static bool scan_object(struct scan *s, const struct conf_at *at, int depth)
 {
+	uint32_t owner = ++s->owners;
+
 	s->p++;
 	for (;;) {
 		struct conf_at child;
@@ -198,11 +227,8 @@
 			continue;
 		}
 		key = scan_string(s);
-		child = conf_at_key(at, key);
-		if (!note(s, &child))
+		if (!key_at(s, at, key, &child) || !note(s, &child, owner))
 			return false;
-		if (memchr(key.s, '\\', key.n))
-			conf_fault(s->r, &child, "a key must have no escapes");
 		skip_space(s);
 		s->p++;
 		if (!scan_value(s, &child, depth + 1))
@@ -215,6 +241,7 @@
 /* Pass the elements of an array and note each. */
 static bool scan_array(struct scan *s, const struct conf_at *at, int depth)
 {
+	uint32_t owner = ++s->owners;
 	size_t index = 0;
 
 	s->p++;
@@ -229,7 +256,8 @@
 			continue;
 		}
 		child = conf_at_index(at, index++);
-		if (!note(s, &child) || !scan_value(s, &child, depth + 1))
+		if (!note(s, &child, owner) ||
+		    !scan_value(s, &child, depth + 1))
 			return false;
 	}
 	s->p++;
@@ -265,10 +293,10 @@
  */
 int conf_lines_scan(struct conf_reader *r, struct dl_str text)
 {
-	struct scan s = { text.s, text.s + text.n, 1, r };
+	struct scan s = { text.s, text.s + text.n, 1, 0, r };
 	struct conf_at root = conf_at_root();
 
-	if (note(&s, &root) && scan_value(&s, &root, 0))
+	if (note(&s, &root, 0) && scan_value(&s, &root, 0))
 		return 0;
 	return r->no_memory ? -ENOMEM : -EINVAL;
 }
