--- /dev/null
+++ b/test/test_cstore.c
@@ -0,0 +1,586 @@
+/*
+ * The replicated state machine: one winner an equal number, one answer a
+ * change id, claims that end when they should and not before, and snapshots
+ * that restore exactly or not at all.
+ */
+#include <check.h>
+#include <errno.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daisyledge/conf.h"
+#include "daisyledge/cstore.h"
+#include "protocol/cmd.h"
+
+#define WALL	  1700000000000
+#define DAY_MS	  86400000
+#define RACE_RUNS 300
+#define SEED	  20261202
+#define ANY	  UINT64_MAX
+
+/* A small text; its digits tell one from the other. */
+#define TEXT                                                                   \
+	"{\"format\": 1, \"services\": {%s\"a\": {\"kind\": \"plain\"}},"      \
+	"\"weight_store_mb_per_s\": %d, \"replicas\": ["                       \
+	"{\"name\": \"r1\", \"address\": \"10.0.0.%d:7\"},"                    \
+	"{\"name\": \"r2\", \"address\": \"10.0.0.%d:7\"},"                    \
+	"{\"name\": \"r3\", \"address\": \"10.0.0.3:7\"}]}"
+
+static struct dl_cstore *store;
+static struct dl_cstore_reply reply;
+static uint64_t index_now;
+static int64_t wall;
+
+static void setup(void)
+{
+	store = dl_cstore_new();
+	index_now = 0;
+	wall = WALL;
+}
+
+static void teardown(void)
+{
+	dl_cstore_free(store);
+}
+
+/* Encode, stamp and carry out a command at the next index. */
+static int run_on(struct dl_cstore *to, const struct dl_cstore_cmd *cmd,
+		  uint64_t index)
+{
+	char *bytes;
+	size_t n;
+
+	ck_assert_int_eq(dl_cstore_encode(cmd, &bytes, &n), 0);
+	ck_assert_int_eq(dl_cstore_stamp(bytes, n, wall), 0);
+	ck_assert_int_eq(dl_cstore_exec(to, index, (struct dl_str){ bytes, n },
+					&reply),
+			 0);
+	free(bytes);
+	return reply.code;
+}
+
+static int run(const struct dl_cstore_cmd *cmd)
+{
+	return run_on(store, cmd, ++index_now);
+}
+
+static int apply(const char *text, const char *id, uint64_t expect)
+{
+	struct dl_cstore_cmd cmd = {
+		.op = DL_CSTORE_APPLY,
+		.text = dl_str_of(text),
+		.change_id = dl_str_of(id),
+		.author = DL_STR("anna"),
+		.expect = expect,
+	};
+
+	return run(&cmd);
+}
+
+static int apply_number(int number, const char *id, uint64_t expect)
+{
+	char text[512];
+
+	g_snprintf(text, sizeof(text), TEXT, "", number, 1, 2);
+	return apply(text, id, expect);
+}
+
+static int claim_op(enum dl_cstore_op op, const char *key, uint64_t owner,
+		    uint32_t expires_s)
+{
+	struct dl_cstore_cmd cmd = {
+		.op = op,
+		.key = dl_str_of(key),
+		.owner = owner,
+		.body_hash = 7,
+		.expires_s = expires_s,
+		.status = 200,
+		.outcome = DL_STR("booked"),
+	};
+
+	return run(&cmd);
+}
+
+static int fence(uint64_t term)
+{
+	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_FENCE, .term = term };
+
+	return run(&cmd);
+}
+
+START_TEST(equal_numbers_one_wins)
+{
+	ck_assert_int_eq(apply_number(1, "one", 0), 0);
+	ck_assert_uint_eq(reply.version, 1);
+	ck_assert_int_eq(apply_number(2, "two", 1), 0);
+	ck_assert_int_eq(apply_number(3, "three", 1), DL_ECONFLICT);
+	ck_assert_uint_eq(reply.version, 2);
+	ck_assert_ptr_nonnull(strstr(reply.text, "by anna"));
+	ck_assert_ptr_nonnull(
+		strstr(reply.text, "weight_store_mb_per_s: 1 -> 2"));
+	ck_assert_uint_eq(dl_cstore_version(store), 2);
+	ck_assert_int_eq(apply_number(3, "four", ANY), 0);
+}
+END_TEST
+
+START_TEST(resend_gets_the_first_answer)
+{
+	ck_assert_int_eq(apply_number(1, "one", 0), 0);
+	ck_assert_int_eq(apply_number(2, "lost", 0), DL_ECONFLICT);
+	ck_assert_int_eq(apply_number(2, "two", ANY), 0);
+	ck_assert_int_eq(apply_number(1, "one", 0), 0);
+	ck_assert(reply.repeated);
+	ck_assert_uint_eq(reply.version, 1);
+	ck_assert_int_eq(apply_number(2, "lost", 0), DL_ECONFLICT);
+	ck_assert_uint_eq(reply.version, 1);
+	ck_assert_int_eq(apply_number(9, "one", 0), DL_EREUSED);
+	ck_assert_int_eq(apply_number(9, "lost", ANY), DL_EREUSED);
+	ck_assert_uint_eq(dl_cstore_version(store), 2);
+}
+END_TEST
+
+/* Nothing faulty, unconfirmed or without a majority is put in force. */
+START_TEST(refused_and_mended_under_one_id)
+{
+	char with[512], moved[512];
+	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_APPLY, .expect = ANY };
+
+	g_snprintf(with, sizeof(with), TEXT, "\"b\": {\"kind\": \"plain\"},", 1,
+		   1, 2);
+	g_snprintf(moved, sizeof(moved), TEXT, "", 1, 8, 9);
+	ck_assert_int_eq(apply("{}", "one", 0), -EINVAL);
+	ck_assert_ptr_nonnull(strstr(reply.text, "3 faults"));
+	ck_assert_int_eq(apply(with, "", 0), -EINVAL);
+	ck_assert_int_eq(apply(with, "one", 0), 0);
+	ck_assert_int_eq(apply(moved, "moved", 1), -EINVAL);
+	ck_assert_ptr_nonnull(strstr(reply.text, "majority"));
+	ck_assert_int_eq(apply_number(1, "two", 1), DL_ECONFIRM);
+	ck_assert_ptr_nonnull(strstr(reply.text, "services.b"));
+	ck_assert_uint_eq(dl_cstore_version(store), 1);
+	g_snprintf(with, sizeof(with), TEXT, "", 1, 1, 2);
+	cmd.text = dl_str_of(with);
+	cmd.change_id = DL_STR("two");
+	cmd.confirm = true;
+	ck_assert_int_eq(run(&cmd), 0);
+	ck_assert(!reply.repeated);
+	ck_assert_uint_eq(dl_cstore_version(store), 2);
+	ck_assert_uint_eq(dl_cstore_conf(store)->services_count, 1);
+}
+END_TEST
+
+/* 10,001 ids: the oldest is forgotten, the next is not. */
+START_TEST(change_ids_are_bounded)
+{
+	struct dl_cstore_counts n;
+	char id[16];
+
+	ck_assert_int_eq(apply_number(1, "first", 0), 0);
+	for (int i = 0; i < DL_CSTORE_CHANGES_MAX - 1; i++) {
+		g_snprintf(id, sizeof(id), "c%d", i);
+		ck_assert_int_eq(apply_number(2, id, 0), DL_ECONFLICT);
+	}
+	ck_assert_int_eq(apply_number(1, "first", 0), 0);
+	ck_assert(reply.repeated);
+	ck_assert_int_eq(apply_number(2, "last", 0), DL_ECONFLICT);
+	dl_cstore_count(store, &n);
+	ck_assert_uint_eq(n.changes, DL_CSTORE_CHANGES_MAX);
+	ck_assert_int_eq(apply_number(2, "c0", 0), DL_ECONFLICT);
+	ck_assert(reply.repeated);
+	ck_assert_int_eq(apply_number(1, "first", 0), DL_ECONFLICT);
+	ck_assert(!reply.repeated);
+}
+END_TEST
+
+START_TEST(history_is_bounded)
+{
+	struct dl_cstore_change c;
+	struct dl_cstore_counts n;
+	struct dl_str text;
+	GString *big = g_string_new(NULL);
+	char id[16];
+	uint32_t i;
+
+	for (i = 0; i < 5; i++) {
+		g_string_printf(big, TEXT "%*s", "", (int)i + 1, 1, 2, 3 << 20,
+				"");
+		g_snprintf(id, sizeof(id), "big%u", i);
+		ck_assert_int_eq(apply(big->str, id, i), 0);
+	}
+	dl_cstore_count(store, &n);
+	ck_assert_uint_le(n.history_bytes, DL_CSTORE_HISTORY_BYTES);
+	ck_assert(dl_cstore_text(store, 5, &text));
+	ck_assert(dl_cstore_text(store, 3, &text));
+	ck_assert(!dl_cstore_text(store, 2, &text));
+	ck_assert(!dl_cstore_text(store, 6, &text));
+	for (; i < DL_CSTORE_HISTORY_MAX + 3; i++) {
+		g_snprintf(id, sizeof(id), "s%u", i);
+		ck_assert_int_eq(apply_number((int)i, id, ANY), 0);
+	}
+	for (i = 0; dl_cstore_history(store, i, &c); i++)
+		ck_assert_uint_eq(c.version, DL_CSTORE_HISTORY_MAX + 3 - i);
+	ck_assert_uint_eq(i, DL_CSTORE_HISTORY_MAX);
+	ck_assert(dl_cstore_text(store, 0, &text));
+	ck_assert(!dl_cstore_text(store, 3, &text));
+	g_string_free(big, TRUE);
+}
+END_TEST
+
+START_TEST(claims_live_and_end)
+{
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k", 1, 60), 0);
+	ck_assert_int_eq(reply.claim, DL_CLAIM_NEW);
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k", 1, 60), 0);
+	ck_assert_int_eq(reply.claim, DL_CLAIM_NEW);
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k", 2, 60), 0);
+	ck_assert_int_eq(reply.claim, DL_CLAIM_RUNNING);
+	ck_assert_uint_eq(reply.owner, 1);
+	ck_assert_int_eq(claim_op(DL_CSTORE_UNCLAIM, "k", 2, 0), -EPERM);
+	ck_assert_int_eq(claim_op(DL_CSTORE_OUTCOME, "k", 2, 0), -EPERM);
+	ck_assert_int_eq(claim_op(DL_CSTORE_UNCLAIM, "k", 1, 0), 0);
+	ck_assert_int_eq(claim_op(DL_CSTORE_UNCLAIM, "k", 1, 0), -ENOENT);
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k", 2, 60), 0);
+	ck_assert_int_eq(reply.claim, DL_CLAIM_NEW);
+	ck_assert_int_eq(claim_op(DL_CSTORE_OUTCOME, "k", 2, 0), 0);
+	ck_assert_int_eq(claim_op(DL_CSTORE_UNCLAIM, "k", 2, 0), -EALREADY);
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k", 3, 60), 0);
+	ck_assert_int_eq(reply.claim, DL_CLAIM_DONE);
+	ck_assert_uint_eq(reply.status, 200);
+	ck_assert(dl_str_eq(reply.outcome, DL_STR("booked")));
+	wall += 59000;
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k", 4, 60), 0);
+	ck_assert_int_eq(reply.claim, DL_CLAIM_DONE);
+	wall += 64000;
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k", 4, 60), 0);
+	ck_assert_int_eq(reply.claim, DL_CLAIM_NEW);
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k2", 4, 0), -EINVAL);
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "", 4, 60), -EINVAL);
+}
+END_TEST
+
+START_TEST(claim_with_another_body)
+{
+	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_CLAIM,
+				     .key = DL_STR("k"),
+				     .owner = 1,
+				     .body_hash = 8,
+				     .expires_s = 60 };
+
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k", 1, 60), 0);
+	ck_assert_int_eq(run(&cmd), DL_EREUSED);
+}
+END_TEST
+
+/* A new leader's clock may be days off: no claim ends early by that. */
+START_TEST(clock_jump_between_terms)
+{
+	ck_assert_int_eq(fence(1), 0);
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k", 1, 60), 0);
+	wall += DAY_MS;
+	ck_assert_int_eq(fence(2), 0);
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k", 2, 60), 0);
+	ck_assert_int_eq(reply.claim, DL_CLAIM_RUNNING);
+	wall -= 2 * DAY_MS;
+	ck_assert_int_eq(fence(3), 0);
+	wall += 65000;
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k", 2, 60), 0);
+	ck_assert_int_eq(reply.claim, DL_CLAIM_NEW);
+}
+END_TEST
+
+START_TEST(fence_never_falls)
+{
+	ck_assert_int_eq(fence(5), 0);
+	ck_assert_int_eq(fence(4), DL_ECONFLICT);
+	ck_assert_uint_eq(dl_cstore_fence(store), 5);
+	ck_assert_int_eq(fence(5), 0);
+	ck_assert(reply.repeated);
+}
+END_TEST
+
+/* Full of claims, a new one is refused; room comes back with time. */
+START_TEST(claims_are_bounded)
+{
+	static char body[DL_CSTORE_OUTCOME_MAX];
+	struct dl_cstore_counts n;
+	struct dl_cstore_cmd big = { .op = DL_CSTORE_OUTCOME,
+				     .owner = 1,
+				     .status = 200,
+				     .outcome = { body, sizeof(body) } };
+	char key[16];
+	int i, rc = 0;
+
+	for (i = 0; i < DL_CSTORE_CLAIMS_MAX; i++) {
+		g_snprintf(key, sizeof(key), "k%d", i);
+		ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, key, 1, 60), 0);
+	}
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "more", 1, 60), -ENOSPC);
+	for (i = 0; rc == 0; i++) {
+		g_snprintf(key, sizeof(key), "k%d", i);
+		big.key = dl_str_of(key);
+		rc = run(&big);
+	}
+	ck_assert_int_eq(rc, -ENOSPC);
+	ck_assert_int_eq(reply.claim, DL_CLAIM_DONE);
+	ck_assert_uint_eq(reply.outcome.n, 0);
+	dl_cstore_count(store, &n);
+	ck_assert_uint_le(n.claim_bytes, DL_CSTORE_CLAIM_BYTES);
+	wall += 65000;
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "more", 1, 60), 0);
+	dl_cstore_count(store, &n);
+	ck_assert_uint_eq(n.claims, 1);
+	ck_assert_uint_eq(n.claim_bytes, 4);
+}
+END_TEST
+
+START_TEST(index_is_carried_out_once)
+{
+	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_FENCE, .term = 1 };
+	char *bytes;
+	size_t n;
+
+	ck_assert_int_eq(dl_cstore_encode(&cmd, &bytes, &n), 0);
+	for (int i = 0; i < 2; i++)
+		ck_assert_int_eq(dl_cstore_exec(store, 5,
+						(struct dl_str){ bytes, n },
+						&reply),
+				 i ? -EALREADY : 0);
+	ck_assert_int_eq(dl_cstore_exec(store, 6,
+					(struct dl_str){ bytes, n - 1 },
+					&reply),
+			 -EBADMSG);
+	ck_assert_uint_eq(dl_cstore_index(store), 6);
+	ck_assert_int_eq(dl_cstore_stamp(bytes, 8, 1), -EBADMSG);
+	free(bytes);
+}
+END_TEST
+
+/* A random command of few ids, keys and owners, so that they often meet. */
+static void random_command(GRand *rand, struct dl_cstore_cmd *cmd, char *text,
+			   char *id, char *key)
+{
+	memset(cmd, 0, sizeof(*cmd));
+	cmd->op = (enum dl_cstore_op)g_rand_int_range(rand, 0,
+						      DL_CSTORE_OP_COUNT);
+	if (cmd->op == DL_CSTORE_APPLY) {
+		g_snprintf(text, 512, TEXT, "", g_rand_int_range(rand, 1, 9), 1,
+			   2);
+		g_snprintf(id, 16, "c%d", g_rand_int_range(rand, 0, 200));
+		cmd->text = dl_str_of(text);
+		cmd->change_id = dl_str_of(id);
+		cmd->expect = g_rand_boolean(rand) ? ANY :
+						     dl_cstore_version(store);
+	}
+	g_snprintf(key, 16, "k%d", g_rand_int_range(rand, 0, 50));
+	cmd->key = dl_str_of(key);
+	cmd->owner = (uint64_t)g_rand_int_range(rand, 1, 4);
+	cmd->expires_s = (uint32_t)g_rand_int_range(rand, 0, 40);
+	cmd->status = (uint16_t)g_rand_int_range(rand, 200, 600);
+	cmd->outcome = dl_str_of(text);
+	cmd->term = (uint64_t)g_rand_int_range(rand, 1, 1000);
+}
+
+static void assert_same(struct dl_cstore *a, struct dl_cstore *b)
+{
+	char *sa, *sb;
+	size_t na, nb;
+
+	ck_assert_int_eq(dl_cstore_snapshot(a, &sa, &na), 0);
+	ck_assert_int_eq(dl_cstore_snapshot(b, &sb, &nb), 0);
+	ck_assert_uint_eq(na, nb);
+	ck_assert(memcmp(sa, sb, na) == 0);
+	free(sa);
+	free(sb);
+}
+
+/* Two replicas, one of which restarts from snapshots, never differ. */
+START_TEST(restore_is_exact)
+{
+	GRand *rand = g_rand_new_with_seed(SEED + (guint32)_i);
+	struct dl_cstore *other = dl_cstore_new();
+	char text[512] = "", id[16], key[16];
+
+	for (int i = 0; i < 3000; i++) {
+		struct dl_cstore_cmd cmd;
+		struct dl_cstore_reply first;
+
+		wall += g_rand_int_range(rand, -2000, 5000);
+		random_command(rand, &cmd, text, id, key);
+		run(&cmd);
+		first = reply;
+		run_on(other, &cmd, index_now);
+		ck_assert_int_eq(first.code, reply.code);
+		ck_assert_uint_eq(first.version, reply.version);
+		ck_assert_int_eq(first.claim, reply.claim);
+		ck_assert_str_eq(first.text, reply.text);
+		if (g_rand_int_range(rand, 0, 100) == 0) {
+			char *snap;
+			size_t n;
+
+			dl_cstore_snapshot(other, &snap, &n);
+			dl_cstore_free(other);
+			other = dl_cstore_new();
+			ck_assert_int_eq(
+				dl_cstore_restore(other,
+						  (struct dl_str){ snap, n }),
+				0);
+			free(snap);
+		}
+	}
+	assert_same(store, other);
+	dl_cstore_free(other);
+	g_rand_free(rand);
+}
+END_TEST
+
+/* Damaged or cut snapshots are refused and leave the state as it was. */
+START_TEST(damaged_snapshot_is_refused)
+{
+	GRand *rand = g_rand_new_with_seed(SEED);
+	struct dl_cstore *other = dl_cstore_new();
+	char *snap;
+	size_t n;
+
+	ck_assert_int_eq(apply_number(1, "one", 0), 0);
+	ck_assert_int_eq(claim_op(DL_CSTORE_CLAIM, "k", 1, 60), 0);
+	dl_cstore_snapshot(store, &snap, &n);
+	ck_assert_int_eq(dl_cstore_restore(other, (struct dl_str){ snap, n }),
+			 0);
+	for (int i = 0; i < 2000; i++) {
+		size_t at = (size_t)g_rand_int_range(rand, 0, (gint32)n);
+		char bit = (char)(1 << g_rand_int_range(rand, 0, 8));
+
+		ck_assert_int_eq(dl_cstore_restore(other,
+						   (struct dl_str){ snap, at }),
+				 -EINVAL);
+		snap[at] = (char)(snap[at] ^ bit);
+		ck_assert_int_eq(dl_cstore_restore(other,
+						   (struct dl_str){ snap, n }),
+				 -EINVAL);
+		snap[at] = (char)(snap[at] ^ bit);
+	}
+	assert_same(store, other);
+	free(snap);
+	dl_cstore_free(other);
+	g_rand_free(rand);
+}
+END_TEST
+
+/* What an operator does: read, edit, send, and send again when in doubt. */
+struct operator
+{
+	char id[16];
+	int number;
+	uint64_t expect;
+	bool open;
+	uint64_t answer; /* version that the id was first answered with */
+	int code;
+};
+
+/* Operators race under equal numbers while answers are lost. */
+START_TEST(operators_race)
+{
+	GRand *rand = g_rand_new_with_seed(SEED + (guint32)_i);
+	struct operator op[5] = { 0 };
+	uint64_t wins = 0, ids = 0;
+
+	for (int step = 0; step < 400; step++) {
+		struct operator* o = & op[g_rand_int_range(rand, 0, 5)];
+		uint64_t before = dl_cstore_version(store);
+
+		if (!o->open) {
+			g_snprintf(o->id, sizeof(o->id), "id%" PRIu64, ids++);
+			o->number = g_rand_int_range(rand, 1, 100000);
+			o->expect = before;
+			o->open = true;
+			o->code = 1;
+			continue;
+		}
+		apply_number(o->number, o->id, o->expect);
+		if (o->code != 1) {
+			ck_assert(reply.repeated);
+			ck_assert_int_eq(reply.code, o->code);
+			ck_assert_uint_eq(reply.version, o->answer);
+			ck_assert_uint_eq(dl_cstore_version(store), before);
+		} else {
+			ck_assert_int_eq(reply.code, o->expect == before ?
+							     0 :
+							     DL_ECONFLICT);
+			wins += reply.code == 0;
+		}
+		o->code = reply.code;
+		o->answer = reply.version;
+		o->open = g_rand_boolean(rand); /* or the answer was lost */
+		ck_assert_uint_eq(dl_cstore_version(store), wins);
+	}
+	ck_assert_uint_gt(wins, 10);
+	g_rand_free(rand);
+}
+END_TEST
+
+START_TEST(reply_round_trip)
+{
+	struct dl_cstore_reply in = { .code = DL_ECONFLICT,
+				      .version = 7,
+				      .repeated = true,
+				      .claim = DL_CLAIM_DONE,
+				      .owner = UINT64_MAX,
+				      .status = 503,
+				      .outcome = DL_STR("body"),
+				      .text = "why" };
+	struct dl_cstore_reply out;
+	uint64_t leader;
+	char *bytes;
+	size_t n;
+
+	ck_assert_int_eq(dl_reply_encode(&in, 99, &bytes, &n), 0);
+	ck_assert_int_eq(
+		dl_reply_decode((struct dl_str){ bytes, n }, &out, &leader), 0);
+	ck_assert_int_eq(out.code, in.code);
+	ck_assert_uint_eq(out.version, 7);
+	ck_assert(out.repeated);
+	ck_assert_int_eq(out.claim, DL_CLAIM_DONE);
+	ck_assert_uint_eq(out.owner, UINT64_MAX);
+	ck_assert_uint_eq(out.status, 503);
+	ck_assert(dl_str_eq(out.outcome, in.outcome));
+	ck_assert_str_eq(out.text, "why");
+	ck_assert_uint_eq(leader, 99);
+	for (size_t i = 0; i < n; i++)
+		ck_assert_int_eq(dl_reply_decode((struct dl_str){ bytes, i },
+						 &out, &leader),
+				 -EBADMSG);
+	free(bytes);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("cstore");
+	TCase *t = tcase_create("cstore");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_set_timeout(t, 0);
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, equal_numbers_one_wins);
+	tcase_add_test(t, resend_gets_the_first_answer);
+	tcase_add_test(t, refused_and_mended_under_one_id);
+	tcase_add_test(t, change_ids_are_bounded);
+	tcase_add_test(t, history_is_bounded);
+	tcase_add_test(t, claims_live_and_end);
+	tcase_add_test(t, claim_with_another_body);
+	tcase_add_test(t, clock_jump_between_terms);
+	tcase_add_test(t, fence_never_falls);
+	tcase_add_test(t, claims_are_bounded);
+	tcase_add_test(t, index_is_carried_out_once);
+	tcase_add_loop_test(t, restore_is_exact, 0, 5);
+	tcase_add_test(t, damaged_snapshot_is_refused);
+	tcase_add_loop_test(t, operators_race, 0, RACE_RUNS);
+	tcase_add_test(t, reply_round_trip);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
