Refuse a Daisyledge-Idempotent that is neither yes nor no

Cause: every word but yes was taken for no and answered 200; the caller that misspelt it was never told, and one that wrote 'Yes' for a prompt lost its retries in silence. Ruled out: a retry of such a request (anything but yes was already treated as not repeatable). Before: the bad input tool's case 'idempotent neither yes nor no' got 200; after: 400.

--- a/src/main/entry_call.c
+++ b/src/main/entry_call.c
@@ -539,9 +539,25 @@
 	return &conf->classes[service->default_class];
 }
 
+/*
+ * Whether the caller says that its request may be repeated; otherwise holds
+ * where it says nothing.  A misspelt word is a fault, never taken for yes.
+ */
+static bool read_idempotent(struct call *c, bool otherwise)
+{
+	struct dl_str s = dl_httpd_header(c->http, "daisyledge-idempotent");
+
+	c->idempotent = otherwise;
+	if (s.n == 0)
+		return true;
+	c->idempotent = dl_str_eq(s, DL_STR("yes"));
+	return c->idempotent || dl_str_eq(s, DL_STR("no"));
+}
+
 /* Read what both kinds of service share; NULL when fine, else why not. */
 static const char *read_common(struct call *c,
-			       const struct dl_service_conf *service)
+			       const struct dl_service_conf *service,
+			       bool idempotent)
 {
 	const struct dl_class_conf *class;
 
@@ -553,6 +569,8 @@
 	if (!dl_name_set(&c->workspace,
 			 dl_httpd_header(c->http, "daisyledge-workspace")))
 		return "Daisyledge-Workspace is too long";
+	if (!read_idempotent(c, idempotent))
+		return "Daisyledge-Idempotent must be yes or no";
 	class = pick_class(c, service);
 	if (!class)
 		return "Daisyledge-Class names no class";
@@ -683,15 +701,6 @@
 	c->claiming = entry_cmd_send(c->e, &cmd, CLAIM_MS, done);
 }
 
-static bool header_yes(const struct call *c, const char *name, bool otherwise)
-{
-	struct dl_str s = dl_httpd_header(c->http, name);
-
-	if (s.n == 0)
-		return otherwise;
-	return dl_str_eq(s, DL_STR("yes"));
-}
-
 static bool no_conf(struct call *c)
 {
 	if (c->e->conf)
@@ -723,8 +732,7 @@
 		return;
 	}
 	c->stream = completion.stream;
-	c->idempotent = header_yes(c, "daisyledge-idempotent", true);
-	fault = read_common(c, service);
+	fault = read_common(c, service, true);
 	if (!fault)
 		estimate(c, &completion);
 	dl_completion_free(&completion);
@@ -751,7 +759,7 @@
 	return path.n >= prefix->n && memcmp(path.s, prefix->s, prefix->n) == 0;
 }
 
-/* Whether the operators, or the caller, say that a call may be repeated. */
+/* Whether the operators say that a call may be repeated. */
 static bool may_repeat(struct call *c, const struct dl_service_conf *service)
 {
 	struct dl_str method = dl_httpd_method(c->http);
@@ -765,7 +773,7 @@
 	path = (struct dl_str){ path.s + skip, path.n - skip };
 	for (uint32_t i = 0; i < service->idempotent_paths_count; i++)
 		otherwise |= path_begins(path, &service->idempotent_paths[i]);
-	return header_yes(c, "daisyledge-idempotent", otherwise);
+	return otherwise;
 }
 
 /* /s/SERVICE/... */
@@ -782,8 +790,7 @@
 		bad(c, 404, "no such service");
 		return;
 	}
-	c->idempotent = may_repeat(c, service);
-	fault = read_common(c, service);
+	fault = read_common(c, service, may_repeat(c, service));
 	if (fault)
 		bad(c, 400, fault);
 	else
