--- a/src/coordination/memb.c
+++ b/src/coordination/memb.c
@@ -6,8 +6,9 @@
  * suspect, dead, left.  Two contradictions are not settled by hearsay but by
  * asking the member itself: a death heard of a member of our own domain that
  * is held to be live makes it suspect, and a life heard of one held to be
- * dead has it probed.  So one VM that was cut off alone cannot talk the
- * others into burying each other once it is back.
+ * dead has it probed.  A VM of another domain that sees less than half of it
+ * is doubted in the same way.  So one VM that was cut off alone cannot talk
+ * the others into burying each other once it is back.
  */
 #include "daisyledge/memb.h"
 
@@ -23,7 +24,7 @@
 #define DIGEST_MS      1000
 #define SLOTS_MIN      64
 #define PEERS_MIN      16
-#define TELLS_FACTOR   3 /* repetitions: this times log2 of the members */
+#define TELLS_MORE     2 /* repetitions beyond log2 of the domain */
 #define TELLS_MAX      60
 #define SUSPECT_LOG    3 /* log2 of members that suspect_ms itself is for */
 #define FORGET_MS      ((int64_t)24 * 60 * 60 * 1000)
@@ -32,7 +33,8 @@
 static bool add_peer(struct dl_memb *memb, const struct memb_update *u,
 		     int64_t now);
 static bool bury_known(struct dl_memb *memb, struct memb_peer *peer,
-		       const struct memb_update *u, int64_t now);
+		       const struct memb_update *u, enum memb_trust trust,
+		       int64_t now);
 static void drop_peer(struct dl_memb *memb, uint32_t index);
 static uint32_t find_slot(const struct dl_memb *memb, uint64_t vm);
 static bool grow(struct dl_memb *memb);
@@ -80,6 +82,7 @@
 		memb->conf.datagram_max = DL_MEMB_DATAGRAM_MAX;
 	memb->rng = seed ^ conf->self;
 	memb->seq = (uint32_t)memb_random(memb);
+	memb->unknown_pulled = INT64_MIN / 2;
 	memb->last_now = now;
 	memb->next_probe = now + (int64_t)(memb_random(memb) % conf->probe_ms);
 	memb->next_digest =
@@ -157,7 +160,7 @@
 	uint32_t *slots;
 
 	if (memb->npeers < memb->peers_cap)
-		return true;
+		return memb->peers != NULL;
 	if (cap > MEMB_MEMBERS_MAX)
 		return false;
 	slots = calloc(nslots, sizeof(*slots));
@@ -213,6 +216,7 @@
 	d->tag = (uint32_t)dl_hash(name, 0);
 	d->reached = now;
 	d->changed = now;
+	d->pulled = INT64_MIN / 2;
 	return (int)(d - memb->domains);
 }
 
@@ -235,7 +239,7 @@
 				    (uint64_t)peer->m.replica };
 	struct dl_str s = { (const char *)key, sizeof(key) };
 
-	if (peer->said != DL_ALIVE && peer->said != DL_SUSPECT)
+	if (!memb_said_live(peer))
 		return 0;
 	return (uint32_t)dl_hash(s, 0);
 }
@@ -247,6 +251,12 @@
 	memb->domains[peer->domain].changed = now;
 }
 
+/* Whether gossip holds a member to be live, cut off or not. */
+bool memb_said_live(const struct memb_peer *peer)
+{
+	return peer->said == DL_ALIVE || peer->said == DL_SUSPECT;
+}
+
 /* Have a change of this member reported. */
 static void mark(struct dl_memb *memb, struct memb_peer *peer)
 {
@@ -259,6 +269,10 @@
 /* Have this member told to others so many times more. */
 static void tell(struct dl_memb *memb, struct memb_peer *peer, uint32_t tells)
 {
+	/* Other domains hear of it without waiting for the next round. */
+	if (peer->domain == 0 && tells > MEMB_VERSION_TELLS &&
+	    memb->next_digest > memb->last_now + memb->conf.ack_ms)
+		memb->next_digest = memb->last_now + memb->conf.ack_ms;
 	if (tells > TELLS_MAX)
 		tells = TELLS_MAX;
 	if (peer->tells == 0 && tells)
@@ -267,10 +281,13 @@
 		peer->tells = (uint8_t)tells;
 }
 
-/* How often a change of state is repeated: a few times log2 of the members. */
+/*
+ * How often a change of state is repeated by each VM: enough that gossip
+ * misses about one VM in a thousand, which the comparison of hashes mends.
+ */
 static uint32_t state_tells(const struct dl_memb *memb)
 {
-	return TELLS_FACTOR * (memb_log2(memb->npeers) + 1);
+	return TELLS_MORE + memb_log2(memb->domains[0].live + 1);
 }
 
 /* Show what gossip says of a member, unless its whole domain is cut off. */
@@ -278,8 +295,8 @@
 {
 	enum dl_memb_state state = peer->said;
 
-	if (memb->domains[peer->domain].cut &&
-	    (state == DL_ALIVE || state == DL_SUSPECT))
+	if (memb->domains[peer->domain].cut && memb_said_live(peer) &&
+	    peer != &memb->peers[0])
 		state = DL_DEAD;
 	if (state == peer->m.state)
 		return;
@@ -292,15 +309,19 @@
 static void set_said(struct dl_memb *memb, struct memb_peer *peer,
 		     enum dl_memb_state said, int64_t now)
 {
-	uint32_t scale = memb_log2(memb->domains[0].members + 1);
+	uint32_t scale = memb_log2(memb->domains[0].live + 1);
 
 	if (scale < SUSPECT_LOG)
 		scale = SUSPECT_LOG;
 	if (peer->said == DL_SUSPECT)
 		memb->suspects--;
+	memb->domains[peer->domain].live -= memb_said_live(peer);
 	unhash(memb, peer, now);
 	peer->said = said;
+	memb->domains[peer->domain].live += memb_said_live(peer);
 	unhash(memb, peer, now);
+	if (said != DL_SUSPECT)
+		peer->verify = false;
 	if (said == DL_SUSPECT) {
 		memb->suspects++;
 		peer->suspect_deadline = now + (int64_t)memb->conf.suspect_ms *
@@ -331,6 +352,7 @@
 	peer->asked = INT64_MIN / 2;
 	memb->npeers++;
 	memb->domains[domain].members++;
+	memb->domains[domain].live++;
 	memb->slots[find_slot(memb, u->vm)] = memb->npeers;
 	unhash(memb, peer, now);
 	if (u->state == DL_SUSPECT)
@@ -354,6 +376,7 @@
 		memb->suspects--;
 	memb->domains[peer->domain].hash ^= peer_hash(peer);
 	memb->domains[peer->domain].members--;
+	memb->domains[peer->domain].live -= memb_said_live(peer);
 	memb->npeers--;
 	*peer = memb->peers[memb->npeers];
 	rehash(memb);
@@ -415,7 +438,7 @@
 	if (memb->domains[domain].cut == cut)
 		return;
 	memb->domains[domain].cut = cut;
-	for (uint32_t i = 0; i < memb->npeers; i++) {
+	for (uint32_t i = 1; i < memb->npeers; i++) {
 		if (memb->peers[i].domain == domain)
 			show(memb, &memb->peers[i], now);
 	}
@@ -439,14 +462,19 @@
 }
 
 /*
- * A death that is heard of.  Of a live member of our own domain it only
- * raises a suspicion, since the member can be asked; returns whether it did.
+ * A death that is heard of.  Of a live member of our own domain, or from a
+ * doubted VM, it only raises a suspicion, since the member can be asked;
+ * returns whether it did.
  */
 static bool bury_known(struct dl_memb *memb, struct memb_peer *peer,
-		       const struct memb_update *u, int64_t now)
+		       const struct memb_update *u, enum memb_trust trust,
+		       int64_t now)
 {
-	if (u->state != DL_DEAD || peer->domain != 0 || peer->said != DL_ALIVE)
+	if (u->state != DL_DEAD || peer->said != DL_ALIVE)
+		return false;
+	if (peer->domain != 0 && trust != MEMB_DOUBTED)
 		return false;
+	peer->verify = true;
 	set_said(memb, peer, DL_SUSPECT, now);
 	tell(memb, peer, state_tells(memb));
 	memb_ask(memb, peer, now);
@@ -465,14 +493,17 @@
 	if (domain < 0)
 		return;
 	memb->domains[peer->domain].members--;
+	memb->domains[peer->domain].live -= memb_said_live(peer);
 	memb->domains[domain].members++;
+	memb->domains[domain].live += memb_said_live(peer);
 	peer->domain = (uint8_t)domain;
 	peer->m.domain = memb->domains[domain].name;
 }
 
 /* Take news of a higher incarnation whole. */
 static void replace(struct dl_memb *memb, struct memb_peer *peer,
-		    const struct memb_update *u, int64_t now)
+		    const struct memb_update *u, enum memb_trust trust,
+		    int64_t now)
 {
 	unhash(memb, peer, now);
 	move_domain(memb, peer, u->domain, now);
@@ -483,14 +514,15 @@
 		peer->m.config_version = u->config_version;
 	unhash(memb, peer, now);
 	mark(memb, peer);
-	if (!bury_known(memb, peer, u, now))
+	if (!bury_known(memb, peer, u, trust, now))
 		set_said(memb, peer, u->state, now);
 	tell(memb, peer, state_tells(memb));
 }
 
 /* Take news of the incarnation that is known. */
 static void update(struct dl_memb *memb, struct memb_peer *peer,
-		   const struct memb_update *u, bool direct, int64_t now)
+		   const struct memb_update *u, enum memb_trust trust,
+		   int64_t now)
 {
 	if (peer->m.config_version < u->config_version) {
 		unhash(memb, peer, now);
@@ -499,7 +531,7 @@
 		tell(memb, peer, MEMB_VERSION_TELLS);
 	}
 	if (u->state > peer->said) {
-		if (bury_known(memb, peer, u, now))
+		if (bury_known(memb, peer, u, trust, now))
 			return;
 		set_said(memb, peer, u->state, now);
 		tell(memb, peer, state_tells(memb));
@@ -508,13 +540,13 @@
 		return;
 	}
 	if (u->state == DL_ALIVE && peer->said == DL_DEAD &&
-	    (direct || peer->domain == 0))
+	    (trust == MEMB_SELF || peer->domain == 0))
 		memb_ask(memb, peer, now);
 }
 
-/* Take news of a member; direct means that it comes from the member itself. */
-void memb_merge(struct dl_memb *memb, const struct memb_update *u, bool direct,
-		int64_t now)
+/* Take news of a member. */
+void memb_merge(struct dl_memb *memb, const struct memb_update *u,
+		enum memb_trust trust, int64_t now)
 {
 	struct memb_peer *peer;
 
@@ -529,9 +561,9 @@
 		return;
 	}
 	if (u->incarnation > peer->m.incarnation)
-		replace(memb, peer, u, now);
+		replace(memb, peer, u, trust, now);
 	else if (u->incarnation == peer->m.incarnation)
-		update(memb, peer, u, direct, now);
+		update(memb, peer, u, trust, now);
 }
 
 /* Have a datagram sent; past the bound it is dropped like a lost one. */
@@ -627,6 +659,18 @@
 	tell(memb, peer, MEMB_VERSION_TELLS);
 }
 
+/* How far a datagram's news of others is believed. */
+static enum memb_trust trust_in(struct dl_memb *memb,
+				const struct memb_msg *msg)
+{
+	uint32_t tag = (uint32_t)dl_hash(msg->self.domain, 0);
+	const struct memb_domain *d = memb_domain_of_tag(memb, tag);
+
+	if (d && d != memb->domains && (uint64_t)msg->live * 2 < d->live)
+		return MEMB_DOUBTED;
+	return MEMB_TRUSTED;
+}
+
 /*
  * Take a datagram.  0, -EBADMSG where it makes no sense, or -EINVAL where it
  * comes from this VM itself.
@@ -634,6 +678,7 @@
 int dl_memb_in(struct dl_memb *memb, uint64_t from, struct dl_str datagram,
 	       int64_t now)
 {
+	enum memb_trust trust;
 	struct memb_msg msg;
 	int r = memb_decode(datagram, from, &msg);
 
@@ -643,9 +688,12 @@
 		return -EINVAL;
 	memb_noticed(memb, now);
 	memb->joined = true;
-	memb_merge(memb, &msg.self, true, now);
+	if (dl_name_eq(&memb->conf.domain, msg.self.domain))
+		memb->domains[0].reached = now;
+	memb_merge(memb, &msg.self, MEMB_SELF, now);
+	trust = trust_in(memb, &msg);
 	for (uint32_t i = 0; i < msg.nupdates; i++)
-		memb_merge(memb, &msg.updates[i], false, now);
+		memb_merge(memb, &msg.updates[i], trust, now);
 	take_newest(memb, &msg, now);
 	memb_compare(memb, from, &msg, now);
 	switch (msg.kind) {
@@ -688,7 +736,7 @@
 
 		*to = intent->to;
 		*n = memb_encode(memb, intent, now, buf);
-		if (intent->kind != MEMB_PAGE || intent->page == 0) {
+		if (intent->page == 0) {
 			memb->queue_head =
 				(memb->queue_head + 1) % MEMB_QUEUE_MAX;
 			memb->queue_len--;
--- a/src/coordination/memb_digest.c
+++ b/src/coordination/memb_digest.c
@@ -11,6 +11,7 @@
 #define PULL_EVERY_MS  5000
 #define PULL_MAX_MS    30000
 #define DIGEST_PULL_MS 1000
+#define ALONE_MEMBERS  8 /* so many cannot all be lost by chance */
 
 static uint64_t pick_in_domain(struct dl_memb *memb, uint32_t domain);
 static uint64_t vm_score(uint64_t vm);
@@ -37,8 +38,7 @@
 		uint64_t vm = peer->m.vm;
 		uint32_t at;
 
-		if (peer->domain != domain ||
-		    (peer->said != DL_ALIVE && peer->said != DL_SUSPECT))
+		if (peer->domain != domain || !memb_said_live(peer))
 			continue;
 		if (n < MEMB_DIGESTERS)
 			at = n++;
@@ -105,17 +105,27 @@
 int64_t memb_domain_silent_ms(const struct dl_memb *memb)
 {
 	const struct dl_memb_conf *conf = &memb->conf;
-	uint32_t rounds = memb_log2(memb->domains[0].members + 1);
+	uint32_t rounds = memb_log2(memb->domains[0].live + 1);
 
 	return (int64_t)conf->suspect_ms + 2 * (int64_t)conf->digest_ms +
 	       (int64_t)rounds * conf->probe_ms;
 }
 
-/* Take domains out of sight that do not answer, and back that do again. */
+/*
+ * Take domains out of sight that do not answer, and back that do again.  In
+ * our own, where many VMs would otherwise be found dead one a period, nothing
+ * from any of them for some periods means that this VM is the one cut off.
+ */
 void memb_watch_domains(struct dl_memb *memb, int64_t now)
 {
-	int64_t silent = memb_domain_silent_ms(memb);
-
+	int64_t silent = (int64_t)memb->conf.suspect_ms +
+			 2 * (int64_t)memb->conf.probe_ms;
+
+	memb_domain_cut(memb, 0,
+			memb->domains[0].live >= ALONE_MEMBERS &&
+				now - memb->domains[0].reached > silent,
+			now);
+	silent = memb_domain_silent_ms(memb);
 	for (uint32_t d = 1; d < memb->ndomains; d++) {
 		if (memb->domains[d].members)
 			memb_domain_cut(memb, d,
@@ -134,6 +144,16 @@
 	return now - d->changed >= QUIET_MS || now - d->pulled > PULL_MAX_MS;
 }
 
+/* Fetch a domain that was not known. */
+static void pull_unknown(struct dl_memb *memb, uint64_t from, uint32_t tag,
+			 int64_t now)
+{
+	if (now - memb->unknown_pulled < DIGEST_PULL_MS)
+		return;
+	memb->unknown_pulled = now;
+	memb_queue(memb, MEMB_PULL, from, ++memb->seq, tag);
+}
+
 /*
  * Compare what the sender knows with what is known here; fetch from it what
  * differs once gossip had its time.  In our domain the age of each domain's
@@ -143,7 +163,8 @@
 		  const struct memb_msg *msg, int64_t now)
 {
 	bool digest = msg->kind == MEMB_DIGEST || msg->kind == MEMB_DIGEST_ACK;
-	bool ours = dl_name_eq(&memb->conf.domain, msg->self.domain);
+	uint32_t theirs = (uint32_t)dl_hash(msg->self.domain, 0);
+	bool ours = theirs == memb->domains[0].tag;
 	struct memb_domain *d;
 
 	for (uint32_t i = 0; i < msg->nsync; i++) {
@@ -151,24 +172,21 @@
 
 		d = memb_domain_of_tag(memb, s->tag);
 		if (!d) {
-			if (ours && pull_due(&memb->domains[0], true, now)) {
-				memb->domains[0].pulled = now;
-				memb_queue(memb, MEMB_PULL, from, ++memb->seq,
-					   s->tag);
-			}
+			pull_unknown(memb, from, s->tag, now);
 			continue;
 		}
 		if (ours && d != memb->domains &&
 		    now - (int64_t)s->age_ms > d->reached)
 			d->reached = now - (int64_t)s->age_ms;
-		if (s->hash == d->hash || !pull_due(d, digest, now))
+		if (s->hash == d->hash ||
+		    !pull_due(d, digest && s->tag == theirs, now))
 			continue;
 		d->pulled = now;
 		memb_queue(memb, MEMB_PULL, from, ++memb->seq, s->tag);
 	}
 	if (msg->kind != MEMB_DIGEST_ACK || ours)
 		return;
-	d = memb_domain_of_tag(memb, (uint32_t)dl_hash(msg->self.domain, 0));
+	d = memb_domain_of_tag(memb, theirs);
 	if (d && d != memb->domains && now > d->reached)
 		d->reached = now;
 }
--- a/src/coordination/memb_int.h
+++ b/src/coordination/memb_int.h
@@ -35,6 +35,13 @@
 	MEMB_KIND_END,
 };
 
+/* How far news is believed. */
+enum memb_trust {
+	MEMB_SELF,    /* from the member itself */
+	MEMB_TRUSTED, /* from one who sees what we see */
+	MEMB_DOUBTED, /* from one who sees less than half of its domain */
+};
+
 /* What is said of a member in a datagram. */
 struct memb_update {
 	uint64_t vm;
@@ -61,6 +68,7 @@
 	struct memb_update self;
 	uint64_t newest_vm;
 	uint64_t newest_version;
+	uint32_t live; /* members of its domain that the sender sees */
 	uint32_t nsync;
 	uint32_t nupdates;
 	struct memb_sync sync[MEMB_DOMAINS_MAX];
@@ -73,6 +81,7 @@
 	uint32_t tag;
 	uint32_t hash;	  /* over live members, order does not matter */
 	uint32_t members; /* in the table, dead ones included */
+	uint32_t live;	  /* of them, as gossip has it */
 	bool cut;	  /* no answer from it: its members count as dead */
 	int64_t reached;  /* by any VM of ours, as far as known */
 	int64_t changed;  /* its hash, last */
@@ -86,6 +95,7 @@
 	uint8_t domain;		  /* index */
 	uint8_t tells;		  /* repetitions left */
 	bool dirty;		  /* an event waits */
+	bool verify;		  /* this VM is to see whether it is dead */
 	int64_t suspect_deadline; /* while said is DL_SUSPECT */
 	int64_t asked;		  /* last probed out of turn */
 };
@@ -145,7 +155,8 @@
 
 	uint64_t rng;
 	uint32_t seq;
-	uint32_t digests; /* rounds sent */
+	uint32_t digests;	/* rounds sent */
+	int64_t unknown_pulled; /* a domain that was not known */
 	bool left;
 	bool joined;	      /* some other VM has answered */
 	bool refreshing;      /* after a pause: nothing is judged yet */
@@ -162,10 +173,11 @@
 /* memb.c */
 struct memb_peer *memb_peer(const struct dl_memb *memb, uint64_t vm);
 bool memb_peer_live(const struct memb_peer *peer);
+bool memb_said_live(const struct memb_peer *peer);
 uint64_t memb_random(struct dl_memb *memb);
 uint32_t memb_log2(uint32_t n);
-void memb_merge(struct dl_memb *memb, const struct memb_update *u, bool direct,
-		int64_t now);
+void memb_merge(struct dl_memb *memb, const struct memb_update *u,
+		enum memb_trust trust, int64_t now);
 void memb_suspect(struct dl_memb *memb, struct memb_peer *peer, int64_t now);
 void memb_dead(struct dl_memb *memb, struct memb_peer *peer, int64_t now);
 void memb_forget_old(struct dl_memb *memb, int64_t now);
--- a/src/coordination/memb_probe.c
+++ b/src/coordination/memb_probe.c
@@ -39,7 +39,7 @@
 	for (uint32_t i = 1; i < memb->npeers; i++) {
 		const struct memb_peer *peer = &memb->peers[i];
 
-		if (peer->domain == 0 && memb_peer_live(peer))
+		if (peer->domain == 0 && memb_said_live(peer))
 			memb->order[n++] = peer->m.vm;
 	}
 	for (uint32_t i = n; i > 1; i--) {
@@ -62,7 +62,7 @@
 		if (memb->order_len == 0 && !fill_order(memb))
 			return NULL;
 		peer = memb_peer(memb, memb->order[--memb->order_len]);
-		if (peer && peer->domain == 0 && memb_peer_live(peer))
+		if (peer && peer->domain == 0 && memb_said_live(peer))
 			return peer;
 	}
 }
@@ -79,7 +79,7 @@
 
 		if (at == 0 || peer->domain != 0 || peer->m.vm == except)
 			continue;
-		if (live ? memb_peer_live(peer) : peer->said == DL_DEAD)
+		if (live ? memb_said_live(peer) : peer->said == DL_DEAD)
 			return peer;
 	}
 	return NULL;
@@ -194,8 +194,11 @@
 
 		if (peer && memb_peer_live(peer))
 			continue;
-		memb_queue(memb, memb->joined ? MEMB_PING : MEMB_PULL, vm,
-			   ++memb->seq, 0);
+		if (memb->joined)
+			memb_queue(memb, MEMB_PING, vm, ++memb->seq, 0);
+		else
+			memb_queue(memb, MEMB_PULL, vm, ++memb->seq,
+				   memb->domains[0].tag);
 		if (memb->joined)
 			return;
 	}
@@ -217,7 +220,8 @@
 		struct memb_peer *peer = &memb->peers[i];
 
 		/* Members elsewhere are judged by their own domain. */
-		if (peer->said == DL_SUSPECT && peer->domain == 0 &&
+		if (peer->said == DL_SUSPECT &&
+		    (peer->domain == 0 || peer->verify) &&
 		    now >= peer->suspect_deadline)
 			memb_dead(memb, peer, now);
 	}
@@ -302,7 +306,7 @@
 		if (memb->peers[i].said == DL_SUSPECT)
 			memb->peers[i].suspect_deadline += gap;
 	}
-	for (uint32_t i = 1; i < memb->ndomains; i++)
+	for (uint32_t i = 0; i < memb->ndomains; i++)
 		memb->domains[i].reached += gap;
 	for (int i = 0; i < MEMB_REFRESH_ASKS; i++) {
 		struct memb_peer *peer = random_peer(memb, true, DL_VM_NONE);
@@ -310,7 +314,8 @@
 		if (!peer)
 			break;
 		memb->refreshing = !memb->left;
-		memb_queue(memb, MEMB_PULL, peer->m.vm, ++memb->seq, 0);
+		memb_queue(memb, MEMB_PULL, peer->m.vm, ++memb->seq,
+			   memb->domains[0].tag);
 	}
 	memb->refresh_until = now + 2 * (int64_t)memb->conf.probe_ms;
 }
--- a/src/coordination/memb_wire.c
+++ b/src/coordination/memb_wire.c
@@ -1,6 +1,7 @@
 /*
  * Datagrams of membership: a msgpack array
- * [kind, seq, sender, [newest VM, its version], target, syncs, updates],
+ * [kind, seq, sender, [newest VM, its version], live members of the sender's
+ * domain, target, syncs, updates],
  * where sender and each update are [VM, incarnation, flags, version] and, of
  * another domain than the sender's, its name; syncs are [tag, hash, age]
  * in one flat array.
@@ -13,7 +14,7 @@
 
 #include "coordination/memb_int.h"
 
-#define FIELDS	       7
+#define FIELDS	       8
 #define UPDATE_FIELDS  4
 #define SYNC_FIELDS    3
 #define FLAG_STATE     3 /* mask */
@@ -126,7 +127,7 @@
 {
 	const msgpack_object *f = o->via.array.ptr;
 	const msgpack_object *newest;
-	uint64_t kind, seq;
+	uint64_t kind, seq, live;
 
 	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != FIELDS)
 		return -EBADMSG;
@@ -141,14 +142,16 @@
 	if (f[3].type != MSGPACK_OBJECT_ARRAY || f[3].via.array.size != 2 ||
 	    !get_u64(&newest[0], UINT64_MAX, &out->newest_vm) ||
 	    !get_u64(&newest[1], INT64_MAX, &out->newest_version) ||
-	    !get_u64(&f[4], UINT64_MAX, &out->target) || !get_syncs(&f[5], out))
+	    !get_u64(&f[4], MEMB_MEMBERS_MAX, &live) ||
+	    !get_u64(&f[5], UINT64_MAX, &out->target) || !get_syncs(&f[6], out))
 		return -EBADMSG;
-	if (f[6].type != MSGPACK_OBJECT_ARRAY ||
-	    f[6].via.array.size > MEMB_UPDATES_MAX)
+	out->live = (uint32_t)live;
+	if (f[7].type != MSGPACK_OBJECT_ARRAY ||
+	    f[7].via.array.size > MEMB_UPDATES_MAX)
 		return -EBADMSG;
-	out->nupdates = f[6].via.array.size;
+	out->nupdates = f[7].via.array.size;
 	for (uint32_t i = 0; i < out->nupdates; i++) {
-		if (!get_update(&f[6].via.array.ptr[i], out->self.domain,
+		if (!get_update(&f[7].via.array.ptr[i], out->self.domain,
 				&out->updates[i]))
 			return -EBADMSG;
 	}
@@ -211,11 +214,9 @@
 static void pack_head(struct dl_memb *memb, msgpack_packer *pk,
 		      const struct memb_intent *intent, int64_t now)
 {
-	bool digest = intent->kind == MEMB_DIGEST ||
-		      intent->kind == MEMB_DIGEST_ACK;
 	uint64_t newest_vm;
 	uint64_t newest = dl_memb_newest(memb, &newest_vm);
-	uint32_t nsync = digest ? 1 : memb->ndomains;
+	uint32_t nsync = memb->ndomains;
 
 	if (intent->kind == MEMB_PULL || intent->kind == MEMB_PAGE)
 		nsync = 0;
@@ -226,6 +227,7 @@
 	msgpack_pack_array(pk, 2);
 	msgpack_pack_uint64(pk, newest_vm);
 	msgpack_pack_uint64(pk, newest);
+	msgpack_pack_uint32(pk, memb->domains[0].live);
 	msgpack_pack_uint64(pk, intent->target);
 	msgpack_pack_array(pk, (size_t)nsync * SYNC_FIELDS);
 	for (uint32_t i = 0; i < nsync; i++) {
--- /dev/null
+++ b/test/test_call.c
@@ -0,0 +1,300 @@
+/* Outcomes cell by cell, what follows them, and the small parts of calls. */
+#include <check.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daisyledge/call.h"
+
+#define N 0 /* not run */
+#define U 1 /* unknown */
+#define W 2 /* a whole answer: by its status */
+#define H 3 /* a part: failed at an error status, else unknown */
+
+/* clang-format off */
+/* nothing, connect, reset, silent, deadline, caller, garbled */
+static const int expected[DL_SENT_COUNT][DL_RECV_COUNT][DL_BROKE_COUNT] = {
+	/* nothing sent */
+	{ { N, N, N, N, N, N, N }, { N, N, N, N, N, N, N },
+	  { N, N, N, N, N, N, N }, { N, N, N, N, N, N, N } },
+	/* a part sent: nothing, head, whole, not run received */
+	{ { U, U, U, U, U, U, U }, { U, U, H, H, H, H, U },
+	  { W, U, W, W, W, W, U }, { N, U, N, N, N, N, U } },
+	/* all sent */
+	{ { U, U, U, U, U, U, U }, { U, U, H, H, H, H, U },
+	  { W, U, W, W, W, W, U }, { N, U, N, N, N, N, U } },
+};
+/* clang-format on */
+
+struct status_case {
+	uint16_t status;
+	enum dl_outcome whole;
+	enum dl_outcome head;
+};
+
+static const struct status_case statuses[] = {
+	{ 0, DL_OUTCOME_UNKNOWN, DL_OUTCOME_UNKNOWN },
+	{ 199, DL_OUTCOME_UNKNOWN, DL_OUTCOME_UNKNOWN },
+	{ 200, DL_OUTCOME_DONE, DL_OUTCOME_UNKNOWN },
+	{ 409, DL_OUTCOME_DONE, DL_OUTCOME_UNKNOWN },
+	{ 500, DL_OUTCOME_FAILED, DL_OUTCOME_FAILED },
+	{ 503, DL_OUTCOME_FAILED, DL_OUTCOME_FAILED },
+	{ 600, DL_OUTCOME_UNKNOWN, DL_OUTCOME_UNKNOWN },
+};
+
+#define STATUSES (sizeof(statuses) / sizeof(statuses[0]))
+
+static enum dl_outcome expect(const struct dl_attempt *a,
+			      const struct status_case *c)
+{
+	switch (expected[a->sent][a->received][a->broke]) {
+	case N:
+		return DL_OUTCOME_NOT_RUN;
+	case W:
+		return c->whole;
+	case H:
+		return c->head;
+	default:
+		return DL_OUTCOME_UNKNOWN;
+	}
+}
+
+/* Every cell, with every status. */
+START_TEST(outcome_of_each_cell)
+{
+	const struct status_case *c = &statuses[_i];
+	struct dl_attempt a = { .status = c->status };
+
+	for (a.sent = 0; a.sent < DL_SENT_COUNT; a.sent++) {
+		for (a.received = 0; a.received < DL_RECV_COUNT; a.received++) {
+			for (a.broke = 0; a.broke < DL_BROKE_COUNT; a.broke++)
+				ck_assert_msg(
+					dl_call_outcome(&a) == expect(&a, c),
+					"sent %d received %d broke %d "
+					"status %d",
+					a.sent, a.received, a.broke, a.status);
+		}
+	}
+}
+END_TEST
+
+/* Whatever broke: a request that may run once is sent again only if not run. */
+START_TEST(once_only_never_twice)
+{
+	struct dl_call_state s = { .resumable = true,
+				   .attempts = 1,
+				   .deadline = 10000 };
+	struct dl_attempt a = { .status = statuses[_i].status };
+	int retried = 0;
+
+	for (a.sent = 0; a.sent < DL_SENT_COUNT; a.sent++) {
+		for (a.received = 0; a.received < DL_RECV_COUNT; a.received++) {
+			for (a.broke = 0; a.broke < DL_BROKE_COUNT; a.broke++) {
+				struct dl_retry_budget b;
+
+				dl_retry_budget_init(&b, 100, 10);
+				if (dl_call_next(&s, &a, &b, 0) ==
+				    DL_NEXT_ANSWER)
+					continue;
+				retried++;
+				ck_assert_int_eq(dl_call_outcome(&a),
+						 DL_OUTCOME_NOT_RUN);
+			}
+		}
+	}
+	ck_assert_int_gt(retried, 0);
+}
+END_TEST
+
+struct next_case {
+	const char *what;
+	struct dl_call_state state;
+	struct dl_attempt attempt;
+	enum dl_next next;
+};
+
+#define AGAIN .idempotent = true, .attempts = 1, .deadline = 1000
+#define LOST                                                                   \
+	{                                                                      \
+		DL_SENT_ALL, DL_RECV_NOTHING, DL_BROKE_RESET, 0                \
+	}
+#define STREAM(broke)                                                          \
+	{                                                                      \
+		DL_SENT_ALL, DL_RECV_HEAD, broke, 200                          \
+	}
+
+static const struct next_case nexts[] = {
+	{ "begin again", { AGAIN }, LOST, DL_NEXT_RETRY },
+	{ "too many",
+	  { .idempotent = true, .attempts = 3, .deadline = 1000 },
+	  LOST,
+	  DL_NEXT_ANSWER },
+	{ "no time", { AGAIN, .expected_ms = 1001 }, LOST, DL_NEXT_ANSWER },
+	{ "bytes are out",
+	  { AGAIN, .bytes_to_caller = 1 },
+	  LOST,
+	  DL_NEXT_ANSWER },
+	{ "not run, bytes are out",
+	  { AGAIN, .bytes_to_caller = 1 },
+	  { DL_SENT_NOTHING, DL_RECV_NOTHING, DL_BROKE_CONNECT, 0 },
+	  DL_NEXT_ANSWER },
+	{ "resume",
+	  { AGAIN, .resumable = true, .bytes_to_caller = 9 },
+	  STREAM(DL_BROKE_SILENT),
+	  DL_NEXT_RESUME },
+	{ "cannot resume", { AGAIN }, STREAM(DL_BROKE_RESET), DL_NEXT_RETRY },
+	{ "caller left",
+	  { AGAIN, .resumable = true },
+	  STREAM(DL_BROKE_CALLER),
+	  DL_NEXT_ANSWER },
+	{ "late", { AGAIN }, STREAM(DL_BROKE_DEADLINE), DL_NEXT_ANSWER },
+	{ "unavailable",
+	  { AGAIN },
+	  { DL_SENT_ALL, DL_RECV_WHOLE, DL_BROKE_NOTHING, 503 },
+	  DL_NEXT_RETRY },
+	{ "its own error",
+	  { AGAIN },
+	  { DL_SENT_ALL, DL_RECV_WHOLE, DL_BROKE_NOTHING, 500 },
+	  DL_NEXT_ANSWER },
+	{ "done",
+	  { AGAIN },
+	  { DL_SENT_ALL, DL_RECV_WHOLE, DL_BROKE_NOTHING, 200 },
+	  DL_NEXT_ANSWER },
+};
+
+START_TEST(next_of_each_case)
+{
+	const struct next_case *c = &nexts[_i];
+	struct dl_retry_budget b;
+
+	dl_retry_budget_init(&b, 100, 1);
+	ck_assert_msg(dl_call_next(&c->state, &c->attempt, &b, 0) == c->next,
+		      "%s", c->what);
+	/* The one retry saved up is gone, or was not touched. */
+	ck_assert_int_eq(dl_retry_budget_take(&b), c->next == DL_NEXT_ANSWER);
+	ck_assert_int_eq(dl_call_next(&c->state, &c->attempt, &b, 0),
+			 DL_NEXT_ANSWER);
+}
+END_TEST
+
+START_TEST(budget_is_a_share)
+{
+	struct dl_retry_budget b;
+	int taken = 0;
+
+	dl_retry_budget_init(&b, 100, 5);
+	for (int i = 0; i < 1000; i++) {
+		dl_retry_budget_first(&b);
+		taken += dl_retry_budget_take(&b);
+	}
+	ck_assert_int_eq(taken, 104);
+}
+END_TEST
+
+START_TEST(stream_by_offset)
+{
+	struct dl_stream s = { .request = 7, .incarnation = 2, .offset = 10 };
+
+	ck_assert_int_eq(dl_stream_accept(&s, 8, 2, 10, 5), -EBADMSG);
+	ck_assert_int_eq(dl_stream_accept(&s, 7, 1, 10, 5), -EBADMSG);
+	ck_assert_int_eq(dl_stream_accept(&s, 7, 2, 11, 5), -ENODATA);
+	ck_assert_int_eq(dl_stream_accept(&s, 7, 2, 8, 5), 2);
+	ck_assert_uint_eq(s.offset, 13);
+	ck_assert_int_eq(dl_stream_accept(&s, 7, 2, 0, 13), 13);
+	ck_assert_int_eq(dl_stream_accept(&s, 7, 2, UINT64_MAX, 2), -EBADMSG);
+	ck_assert_uint_eq(s.offset, 13);
+}
+END_TEST
+
+START_TEST(hops_lose_the_margin)
+{
+	ck_assert_uint_eq(dl_hop_remaining_ms(1000, 50, 200), 750);
+	ck_assert_uint_eq(dl_hop_remaining_ms(1000, 50, 950), 0);
+	ck_assert_uint_eq(dl_hop_remaining_ms(1000, 50, 2000), 0);
+	ck_assert_uint_eq(dl_hop_remaining_ms(INT64_MAX, 50, 0), UINT32_MAX);
+	ck_assert_int_eq(dl_hop_deadline(750, 9000), 9750);
+}
+END_TEST
+
+START_TEST(connections_are_not_trusted_for_long)
+{
+	const struct dl_conn_bounds b = { 1000, 100, 3 };
+	struct dl_conn_age c = { .opened = 0, .heard = 0, .requests = 1 };
+
+	ck_assert(dl_conn_usable(&b, &c, true, 99));
+	ck_assert(!dl_conn_usable(&b, &c, true, 100));
+	ck_assert(!dl_conn_usable(&b, &c, false, 1));
+	c.heard = 950;
+	ck_assert(dl_conn_usable(&b, &c, true, 999));
+	ck_assert(!dl_conn_usable(&b, &c, true, 1000));
+	c.requests = 3;
+	ck_assert(!dl_conn_usable(&b, &c, true, 960));
+	c.requests = 0;
+	ck_assert(dl_conn_usable(&b, &c, false, 960));
+}
+END_TEST
+
+START_TEST(silence_is_found_and_a_pause_is_not_silence)
+{
+	struct dl_silence s;
+
+	dl_silence_begin(&s, 1000, 100, 0);
+	ck_assert_int_eq(dl_silence_wakeup(&s), 1000);
+	ck_assert(!dl_silence_check(&s, 999));
+	ck_assert(dl_silence_check(&s, 1000));
+	dl_silence_heard(&s, 1000);
+	ck_assert(!dl_silence_check(&s, 1099));
+	ck_assert(dl_silence_check(&s, 1100));
+	/* Nobody looked for minutes: it was this process that paused. */
+	ck_assert(!dl_silence_check(&s, 200000));
+	ck_assert(dl_silence_check(&s, 200100));
+	/* A caller that always looks late sees it all the same. */
+	ck_assert(dl_silence_check(&s, 300000));
+}
+END_TEST
+
+START_TEST(claim_keys_are_unambiguous)
+{
+	char a[DL_CLAIM_KEY_MAX], b[DL_CLAIM_KEY_MAX], big[256];
+	int n, m;
+
+	n = dl_claim_key(DL_STR("a"), DL_STR("1:b"), DL_STR("c"), a);
+	m = dl_claim_key(DL_STR("a1:"), DL_STR("b"), DL_STR("c"), b);
+	ck_assert_int_gt(n, 0);
+	ck_assert(n != m || memcmp(a, b, (size_t)n) != 0);
+	memset(big, 'k', sizeof(big));
+	ck_assert_int_gt(dl_claim_key((struct dl_str){ big, DL_NAME_MAX },
+				      (struct dl_str){ big, DL_NAME_MAX },
+				      (struct dl_str){ big, 255 }, a),
+			 0);
+	ck_assert_int_eq(dl_claim_key(DL_STR("a"), DL_STR(""),
+				      (struct dl_str){ big, 256 }, a),
+			 -EINVAL);
+	ck_assert_int_eq(dl_claim_key(DL_STR("a"), DL_STR(""), DL_STR(""), a),
+			 -EINVAL);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("call");
+	TCase *t = tcase_create("call");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_add_loop_test(t, outcome_of_each_cell, 0, STATUSES);
+	tcase_add_loop_test(t, once_only_never_twice, 0, STATUSES);
+	tcase_add_loop_test(t, next_of_each_case, 0,
+			    sizeof(nexts) / sizeof(nexts[0]));
+	tcase_add_test(t, budget_is_a_share);
+	tcase_add_test(t, stream_by_offset);
+	tcase_add_test(t, hops_lose_the_margin);
+	tcase_add_test(t, connections_are_not_trusted_for_long);
+	tcase_add_test(t, silence_is_found_and_a_pause_is_not_silence);
+	tcase_add_test(t, claim_keys_are_unambiguous);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/test_memb.c
@@ -0,0 +1,286 @@
+/* Membership over the fake link: one fault at a time, each with its bound. */
+#include <check.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake/memb_net.h"
+
+#define SMALL	      7
+#define DOMAINS	      3
+#define START_MS      3000
+#define DEAD_MS	      6000 /* probe, its failure, suspicion, a digest */
+#define CUT_MS	      9000 /* a whole domain at this size */
+#define HEAL_MS	      15000
+#define ALONE_MS      24000
+#define LONG_MS	      60000
+#define LONG_PAUSE_MS 300000
+
+static struct memb_net *started(uint32_t vms, uint32_t domains, uint32_t seed)
+{
+	struct memb_net_conf conf;
+	struct memb_net *net;
+
+	memb_net_defaults(&conf, vms, domains, seed);
+	net = memb_net_new(&conf);
+	memb_net_start_all(net);
+	ck_assert_int_ge(memb_net_settle(net, START_MS), 0);
+	memb_net_run(net, START_MS);
+	return net;
+}
+
+START_TEST(a_dead_vm_is_out_and_back_at_once)
+{
+	struct memb_net *net = started(SMALL, DOMAINS, (uint32_t)_i + 1);
+
+	memb_net_kill(net, 1);
+	ck_assert_int_ge(memb_net_settle(net, DEAD_MS), 0);
+	memb_net_start(net, 1);
+	ck_assert_int_ge(memb_net_settle(net, START_MS), 0);
+	memb_net_free(net);
+}
+END_TEST
+
+START_TEST(a_restart_replaces_its_old_self)
+{
+	struct memb_net *net = started(SMALL, DOMAINS, (uint32_t)_i + 1);
+	const struct dl_member *m;
+
+	memb_net_kill(net, 2);
+	memb_net_start(net, 2);
+	memb_net_run(net, START_MS);
+	for (uint32_t i = 0; i < SMALL; i++) {
+		m = dl_memb_find(net->vms[i].memb, net->vms[2].vm);
+		ck_assert_uint_ge(m->incarnation, net->vms[2].incarnation);
+		ck_assert_int_eq(m->state, DL_ALIVE);
+	}
+	memb_net_free(net);
+}
+END_TEST
+
+START_TEST(a_planned_stop_raises_no_suspicion)
+{
+	struct memb_net *net = started(SMALL, DOMAINS, 5);
+
+	dl_memb_leave(net->vms[3].memb, net->now);
+	memb_net_run(net, 10);
+	memb_net_kill(net, 3);
+	memb_net_run(net, START_MS);
+	for (uint32_t i = 0; i < SMALL; i++) {
+		if (i != 3)
+			ck_assert_int_eq(dl_memb_find(net->vms[i].memb,
+						      net->vms[3].vm)
+						 ->state,
+					 DL_LEFT);
+	}
+	memb_net_free(net);
+}
+END_TEST
+
+START_TEST(a_cut_off_domain_is_out_and_back)
+{
+	struct memb_net *net = started(SMALL, DOMAINS, (uint32_t)_i + 1);
+
+	for (uint32_t i = 0; i < SMALL; i += DOMAINS)
+		net->vms[i].side = 1;
+	ck_assert_int_ge(memb_net_settle(net, CUT_MS), 0);
+	memb_net_run(net, LONG_PAUSE_MS);
+	ck_assert(memb_net_agree(net));
+	for (uint32_t i = 0; i < SMALL; i++)
+		net->vms[i].side = 0;
+	ck_assert_int_ge(memb_net_settle(net, HEAL_MS), 0);
+	memb_net_free(net);
+}
+END_TEST
+
+/* Deaths that a VM, cut off alone, believes must not reach the others. */
+static void nobody_buries(struct memb_net *net, uint32_t vm)
+{
+	for (uint32_t i = 1; i < net->conf.vms; i++) {
+		if (vm != 0)
+			ck_assert(memb_net_sees(net, vm, i));
+	}
+}
+
+START_TEST(back_from_alone_without_harm)
+{
+	uint32_t vms = 24;
+	struct memb_net *net = started(vms, 2, (uint32_t)_i + 1);
+
+	net->vms[0].side = 1;
+	ck_assert_int_ge(memb_net_settle(net, ALONE_MS), 0);
+	memb_net_run(net, LONG_MS);
+	net->vms[0].side = 0;
+	net->check = nobody_buries;
+	ck_assert_int_ge(memb_net_settle(net, HEAL_MS), 0);
+	memb_net_run(net, HEAL_MS);
+	ck_assert(memb_net_agree(net));
+	memb_net_free(net);
+}
+END_TEST
+
+START_TEST(a_pause_is_noticed_first)
+{
+	struct memb_net *net = started(SMALL, DOMAINS, (uint32_t)_i + 1);
+	struct dl_name domain = memb_net_domain(0);
+	struct dl_memb *memb = net->vms[0].memb;
+	uint64_t key = 0, to;
+	char buf[DL_MEMB_DATAGRAM_MAX];
+	size_t n;
+
+	while (dl_memb_owner(memb, dl_name_str(&domain), key) != net->vms[0].vm)
+		key++;
+	memb_net_pause(net, 0, LONG_PAUSE_MS);
+	memb_net_run(net, LONG_PAUSE_MS - 1);
+	ck_assert(dl_memb_owner(net->vms[3].memb, dl_name_str(&domain), key) !=
+		  net->vms[0].vm);
+	/* Its first look at the clock: it still owns by what it knew. */
+	dl_memb_out(memb, net->now + 1, &to, buf, &n);
+	ck_assert(dl_memb_owner(memb, dl_name_str(&domain), key) == DL_VM_NONE);
+	memb_net_run(net, 10);
+	ck_assert_int_ge(memb_net_settle(net, HEAL_MS), 0);
+	ck_assert(dl_memb_owner(memb, dl_name_str(&domain), key) ==
+		  net->vms[0].vm);
+	memb_net_free(net);
+}
+END_TEST
+
+START_TEST(a_one_way_cut_is_a_cut)
+{
+	struct memb_net *net = started(SMALL, 1, (uint32_t)_i + 1);
+
+	fake_link_cut(net->link, net->vms[1].vm, DL_VM_NONE);
+	memb_net_run(net, ALONE_MS);
+	for (uint32_t i = 0; i < SMALL; i++) {
+		if (i != 1)
+			ck_assert(!memb_net_sees(net, i, 1));
+	}
+	fake_link_heal(net->link);
+	ck_assert_int_ge(memb_net_settle(net, HEAL_MS), 0);
+	memb_net_free(net);
+}
+END_TEST
+
+/* One link broken both ways, all others whole: the indirect probes save it. */
+START_TEST(one_broken_link_kills_nobody)
+{
+	struct memb_net *net = started(SMALL, 1, (uint32_t)_i + 1);
+	struct dl_member m;
+
+	while (dl_memb_event(net->vms[0].memb, &m))
+		continue;
+	fake_link_cut(net->link, net->vms[0].vm, net->vms[1].vm);
+	fake_link_cut(net->link, net->vms[1].vm, net->vms[0].vm);
+	memb_net_run(net, LONG_MS);
+	ck_assert(memb_net_agree(net));
+	while (dl_memb_event(net->vms[0].memb, &m))
+		ck_assert_int_eq(m.state, DL_ALIVE);
+	memb_net_free(net);
+}
+END_TEST
+
+START_TEST(versions_and_draining_spread)
+{
+	struct memb_net *net = started(SMALL, DOMAINS, 9);
+	struct dl_name domain = memb_net_domain(0);
+	uint64_t vm;
+
+	dl_memb_self(net->vms[4].memb, false, 17, net->now);
+	for (uint32_t i = 0; i < SMALL; i += DOMAINS)
+		dl_memb_self(net->vms[i].memb, true, 3, net->now);
+	memb_net_run(net, START_MS);
+	for (uint32_t i = 0; i < SMALL; i++) {
+		ck_assert_uint_eq(dl_memb_newest(net->vms[i].memb, &vm), 17);
+		ck_assert_uint_eq(vm, net->vms[4].vm);
+		ck_assert_uint_eq(dl_memb_owner(net->vms[i].memb,
+						dl_name_str(&domain), 1),
+				  DL_VM_NONE);
+	}
+	dl_memb_self(net->vms[4].memb, false, 16, net->now);
+	dl_memb_self(net->vms[3].memb, false, 3, net->now);
+	memb_net_run(net, START_MS);
+	for (uint32_t i = 0; i < SMALL; i++) {
+		ck_assert_uint_eq(dl_memb_newest(net->vms[i].memb, NULL), 17);
+		ck_assert_uint_eq(dl_memb_owner(net->vms[i].memb,
+						dl_name_str(&domain), 1),
+				  net->vms[3].vm);
+	}
+	memb_net_free(net);
+}
+END_TEST
+
+START_TEST(nonsense_is_refused)
+{
+	struct memb_net *net = started(2, 1, 3);
+	struct dl_memb *memb = net->vms[0].memb;
+	char buf[DL_MEMB_DATAGRAM_MAX + 1], bad[sizeof(buf)];
+	uint64_t to;
+	size_t n = 0;
+
+	while (!dl_memb_out(net->vms[1].memb, net->now, &to, buf, &n))
+		net->now += 100;
+	for (size_t i = 0; i < n; i++) {
+		ck_assert_int_eq(dl_memb_in(memb, net->vms[1].vm,
+					    (struct dl_str){ buf, i },
+					    net->now),
+				 -EBADMSG);
+		for (int bit = 0; bit < 8; bit++) {
+			memcpy(bad, buf, n);
+			bad[i] = (char)(bad[i] ^ 1 << bit);
+			dl_memb_in(memb, net->vms[1].vm,
+				   (struct dl_str){ bad, n }, net->now);
+		}
+	}
+	ck_assert_int_eq(dl_memb_in(memb, net->vms[0].vm,
+				    (struct dl_str){ buf, n }, net->now),
+			 -EBADMSG);
+	memset(bad, 0, sizeof(bad));
+	ck_assert_int_eq(dl_memb_in(memb, net->vms[1].vm,
+				    (struct dl_str){ bad, sizeof(bad) },
+				    net->now),
+			 -EBADMSG);
+	memb_net_free(net);
+}
+END_TEST
+
+START_TEST(the_gone_are_forgotten)
+{
+	struct memb_net *net = started(3, 1, 4);
+	int64_t day = INT64_C(24) * 60 * 60 * 1000;
+
+	memb_net_kill(net, 2);
+	memb_net_run(net, day / 2);
+	ck_assert(dl_memb_find(net->vms[0].memb, net->vms[2].vm));
+	memb_net_run(net, day);
+	ck_assert(!dl_memb_find(net->vms[0].memb, net->vms[2].vm));
+	ck_assert(dl_memb_at(net->vms[0].memb, 1));
+	ck_assert(!dl_memb_at(net->vms[0].memb, 2));
+	memb_net_free(net);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("memb");
+	TCase *t = tcase_create("memb");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_set_timeout(t, 60);
+	tcase_add_loop_test(t, a_dead_vm_is_out_and_back_at_once, 0, 20);
+	tcase_add_loop_test(t, a_restart_replaces_its_old_self, 0, 5);
+	tcase_add_test(t, a_planned_stop_raises_no_suspicion);
+	tcase_add_loop_test(t, a_cut_off_domain_is_out_and_back, 0, 10);
+	tcase_add_loop_test(t, back_from_alone_without_harm, 0, 10);
+	tcase_add_loop_test(t, a_pause_is_noticed_first, 0, 10);
+	tcase_add_loop_test(t, a_one_way_cut_is_a_cut, 0, 5);
+	tcase_add_loop_test(t, one_broken_link_kills_nobody, 0, 5);
+	tcase_add_test(t, versions_and_draining_spread);
+	tcase_add_test(t, nonsense_is_refused);
+	tcase_add_test(t, the_gone_are_forgotten);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
