Sign what the command line sends

Cause: entries may ask for a signature on what operators send. Conclusion: the operators' door can be closed.

--- a/src/main/cli.h
+++ b/src/main/cli.h
@@ -10,6 +10,7 @@
 #include <stdio.h>
 
 #include "daisyledge/conf.h"
+#include "protocol/sign.h"
 
 #define CLI_ENTRIES_MAX 32
 
@@ -19,6 +20,8 @@
 	unsigned entries;
 	gboolean json;
 	int timeout_s;
+	struct dl_key key; /* signs each request; n is 0 for none */
+	char *key_file;
 	char **words; /* --entry as given */
 	char **rest;  /* what is no option */
 };
--- a/src/main/cli_http.c
+++ b/src/main/cli_http.c
@@ -4,14 +4,15 @@
 #include "main/cli.h"
 #include "transport/httpc.h"
 
-#define CONNECT_MS   2000
-#define GAP_MS	     10000
-#define ROUND_MS     200 /* between rounds, so that nobody is hammered */
-#define ATTEMPT_MS   20	 /* less time than this is none for an attempt */
-#define ANSWER_MAX   (64u << 20)
-#define NS_PER_MS    1000000
-#define UNAVAILABLE  503
-#define CONTENT_TYPE DL_STR("application/json")
+#define CONNECT_MS  2000
+#define GAP_MS	    10000
+#define ROUND_MS    200 /* between rounds, so that nobody is hammered */
+#define ATTEMPT_MS  20	/* less time than this is none for an attempt */
+#define ANSWER_MAX  (64u << 20)
+#define NS_PER_MS   1000000
+#define UNAVAILABLE 503
+#define US_PER_MS   1000
+#define HEADERS_MAX 2
 
 /* One call while it runs. */
 struct attempt {
@@ -26,8 +27,9 @@
 static bool on_body(void *arg, struct dl_str piece);
 static void on_end(void *arg, const struct dl_attempt *attempt,
 		   const struct dl_err *err);
-static void try_one(uint64_t to, const struct cli_request *req,
-		    int64_t timeout_ms, struct cli_answer *out);
+static void try_one(const struct cli *cli, uint64_t to,
+		    const struct cli_request *req, int64_t timeout_ms,
+		    struct cli_answer *out);
 
 static const struct dl_httpc_ops ops = { on_head, on_body, on_end };
 
@@ -69,18 +71,43 @@
 	a->err = *err;
 }
 
+/* The headers of a request; the signature is made anew for each attempt. */
+static size_t fill_headers(const struct cli *cli, const struct cli_request *req,
+			   struct dl_header out[HEADERS_MAX],
+			   char signature[DL_SIGNATURE_MAX])
+{
+	const struct dl_signed what = {
+		.method = dl_str_of(req->method),
+		.path = dl_str_of(req->path),
+		.body = dl_str_of(req->body),
+	};
+	size_t n = 0;
+
+	if (req->body)
+		out[n++] = (struct dl_header){ DL_STR("Content-Type"),
+					       DL_STR("application/json") };
+	if (cli->key.n == 0 ||
+	    dl_sign(&cli->key, &what, g_get_real_time() / US_PER_MS, signature))
+		return n;
+	out[n++] = (struct dl_header){ DL_STR("Daisyledge-Signature"),
+				       dl_str_of(signature) };
+	return n;
+}
+
 /* Ask one entry and wait for its answer on a loop of its own. */
-static void try_one(uint64_t to, const struct cli_request *req,
-		    int64_t timeout_ms, struct cli_answer *out)
+static void try_one(const struct cli *cli, uint64_t to,
+		    const struct cli_request *req, int64_t timeout_ms,
+		    struct cli_answer *out)
 {
-	const struct dl_header type = { DL_STR("Content-Type"), CONTENT_TYPE };
+	struct dl_header headers[HEADERS_MAX];
+	char signature[DL_SIGNATURE_MAX];
 	struct attempt a = { .body = g_string_new(NULL) };
 	struct dl_httpc_req r = {
 		.to = to,
 		.method = dl_str_of(req->method),
 		.path = dl_str_of(req->path),
-		.headers = &type,
-		.headers_count = req->body ? 1 : 0,
+		.headers = headers,
+		.headers_count = fill_headers(cli, req, headers, signature),
 		.body = dl_str_of(req->body),
 		.connect_ms = (uint32_t)MIN(CONNECT_MS, timeout_ms),
 		.gap_ms = (uint32_t)MIN(GAP_MS, timeout_ms),
@@ -127,7 +154,7 @@
 		left = end - cli_now_ms();
 		if (i && left < ATTEMPT_MS)
 			return;
-		try_one(cli->entry[i % cli->entries], req, left, &next);
+		try_one(cli, cli->entry[i % cli->entries], req, left, &next);
 		if (next.status == 0 && out->status)
 			continue;
 		cli_answer_free(out);
--- a/src/main/cli_opt.c
+++ b/src/main/cli_opt.c
@@ -7,6 +7,7 @@
 #include "main/main.h"
 
 #define ENTRY_ENV	  "DAISYLEDGE_ENTRY"
+#define KEY_ENV		  "DAISYLEDGE_KEY_FILE"
 #define TIMEOUT_S_DEFAULT 30
 #define TIMEOUT_S_MAX	  3600
 #define READ_CHUNK	  65536
@@ -14,6 +15,7 @@
 static int usage_error(const char *name, const char *what);
 static int add_entry(struct cli *cli, const char *name, const char *word);
 static int find_entries(struct cli *cli, const char *name);
+static int read_key(struct cli *cli, const char *name);
 
 /* Say what is wrong with the command line. */
 static int usage_error(const char *name, const char *what)
@@ -58,6 +60,31 @@
 	return rc;
 }
 
+/*
+ * The key that signs what is sent: the first line of a file, so that it is
+ * never seen in a list of processes.
+ */
+static int read_key(struct cli *cli, const char *name)
+{
+	const char *path = cli->key_file ? cli->key_file : g_getenv(KEY_ENV);
+	char *text;
+	size_t n;
+
+	if (!path)
+		return DL_EXIT_OK;
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return usage_error(name, "the key file cannot be read");
+	n = strcspn(text, "\r\n");
+	if (n > 0 && n <= DL_KEY_MAX) {
+		memcpy(cli->key.s, text, n);
+		cli->key.n = (uint8_t)n;
+	}
+	g_free(text);
+	return cli->key.n ? DL_EXIT_OK :
+			    usage_error(name, "the key file has no key of 1 "
+					      "to 128 bytes on its first line");
+}
+
 /* Read the options of a subcommand. */
 int cli_options(struct cli *cli, const GOptionEntry *own, const char *usage,
 		unsigned files, bool online, int argc, char **argv)
@@ -74,6 +101,8 @@
 		  "an entry to ask; several are asked in order (or "
 		  "$" ENTRY_ENV ")",
 		  "IP:PORT" },
+		{ "key-file", 0, 0, G_OPTION_ARG_FILENAME, &cli->key_file,
+		  "sign with the key in this file (or $" KEY_ENV ")", "FILE" },
 		{ "timeout", 0, 0, G_OPTION_ARG_INT, &cli->timeout_s,
 		  "give up after this time", "S" },
 		{ NULL },
@@ -108,7 +137,9 @@
 		return DL_EXIT_OK;
 	if (cli->timeout_s < 1 || cli->timeout_s > TIMEOUT_S_MAX)
 		return usage_error(argv[0], "--timeout must be 1 to 3600");
-	rc = find_entries(cli, argv[0]);
+	rc = read_key(cli, argv[0]);
+	if (rc == DL_EXIT_OK)
+		rc = find_entries(cli, argv[0]);
 	if (rc == DL_EXIT_OK && cli->entries == 0)
 		rc = usage_error(argv[0], "name an entry: --entry IP:PORT or "
 					  "$" ENTRY_ENV);
@@ -118,6 +149,7 @@
 /* Release what the options hold. */
 void cli_free(struct cli *cli)
 {
+	g_free(cli->key_file);
 	g_strfreev(cli->words);
 	g_strfreev(cli->rest);
 }
--- a/src/main/cli_print.c
+++ b/src/main/cli_print.c
@@ -16,10 +16,10 @@
 };
 
 static const struct status_exit exits[] = {
-	{ 400, DL_EXIT_FAULT },	   { 404, DL_EXIT_FAULT },
-	{ 409, DL_EXIT_CONFLICT }, { 412, DL_EXIT_FAULT },
-	{ 413, DL_EXIT_FAULT },	   { 503, DL_EXIT_UNREACHED },
-	{ 0, DL_EXIT_UNREACHED },
+	{ 400, DL_EXIT_FAULT },	    { 401, DL_EXIT_FAULT },
+	{ 404, DL_EXIT_FAULT },	    { 409, DL_EXIT_CONFLICT },
+	{ 412, DL_EXIT_FAULT },	    { 413, DL_EXIT_FAULT },
+	{ 503, DL_EXIT_UNREACHED }, { 0, DL_EXIT_UNREACHED },
 };
 
 static int exit_of(int status);
--- /dev/null
+++ b/test/test_cli.sh
@@ -0,0 +1,50 @@
+#!/bin/sh
+# The operators' command line without any VM: what check says of each pair of
+# input and output in test/data/conf, and the exit statuses.
+set -u
+cd "$(dirname "$0")/.."
+failed=0
+
+expect() {
+	want=$1
+	shift
+	"$@" >/dev/null 2>&1
+	got=$?
+	[ "$got" -eq "$want" ] && return
+	echo "exit status $got, not $want: $*"
+	failed=1
+}
+
+for in in test/data/conf/*.json; do
+	out=${in%.json}.out
+	got=$(./daisyledge check "$in" 2>&1)
+	if [ "$got" != "$(cat "$out")" ]; then
+		echo "$in: check says:"
+		echo "$got"
+		echo "but $out says otherwise"
+		failed=1
+	fi
+done
+
+bad=test/data/conf/many-faults.json
+unset DAISYLEDGE_ENTRY
+expect 0 ./daisyledge check examples/dala-serik.json
+expect 0 ./daisyledge check --json examples/zveza.json
+expect 0 ./daisyledge apply --help
+expect 1 ./daisyledge check "$bad"
+expect 1 ./daisyledge check no-such-file.json
+expect 1 ./daisyledge apply --entry 127.0.0.1:1 "$bad"
+expect 2 ./daisyledge check
+expect 2 ./daisyledge check --no-such-option examples/zveza.json
+expect 2 ./daisyledge apply examples/zveza.json
+expect 2 ./daisyledge get --entry here
+expect 2 ./daisyledge status --entry 127.0.0.1:1 --timeout 0
+expect 2 ./daisyledge no-such-subcommand
+expect 4 ./daisyledge get --entry 127.0.0.1:1 --timeout 1
+expect 4 ./daisyledge apply --entry 127.0.0.1:1 --timeout 1 \
+	examples/dala-serik.json
+expect 4 env DAISYLEDGE_ENTRY=127.0.0.1:1,127.0.0.1:2 ./daisyledge history \
+	--timeout 1
+
+[ "$failed" -eq 0 ] && echo "command line: all as expected"
+exit "$failed"
--- a/test/test_conf.c
+++ b/test/test_conf.c
@@ -12,8 +12,9 @@
 
 #include "daisyledge/conf.h"
 
-#define FUZZ_RUNS 1500
-#define FUZZ_SEED 20261202
+#define FUZZ_RUNS   1500
+#define FUZZ_SEED   20261202
+#define MANY_FAULTS 100
 
 /* A whole text around the part that a case is about, which is on line 2. */
 #define REPLICAS                                                               \
@@ -247,12 +248,12 @@
 		"\"workspaces\": {\n");
 	struct dl_conf *conf;
 
-	for (int i = 0; i < 2 * DL_FAULTS_MAX; i++)
+	for (int i = 0; i < MANY_FAULTS; i++)
 		g_string_append_printf(text, "%s\"w%d\": {\"weight\": 0}\n",
 				       i ? "," : "", i);
 	g_string_append(text, "}," REPLICAS);
 	ck_assert_int_eq(parse(text, &conf), -EINVAL);
-	ck_assert_uint_eq(faults.count, 2 * DL_FAULTS_MAX);
+	ck_assert_uint_eq(faults.count, MANY_FAULTS);
 	for (uint32_t i = 0; i < DL_FAULTS_MAX; i++)
 		ck_assert_uint_eq(faults.at[i].line, i + 2);
 	g_string_free(text, TRUE);
--- a/test/test_cstore.c
+++ b/test/test_cstore.c
@@ -15,7 +15,7 @@
 #include "protocol/cmd.h"
 
 #define WALL	  1700000000000
-#define DAY_MS	  86400000
+#define DAY_MS	  ((int64_t)86400000)
 #define RACE_RUNS 300
 #define SEED	  20261202
 #define ANY	  UINT64_MAX
