Say 'not run' of a request only where no attempt of it may have run

Cause: the outcome told was that of the last attempt alone. A first attempt that broke after the request had left, and a second one that was refused a connection, were told as not-run. Ruled out: the table of outcomes, which judges one attempt and is right. Change: a call remembers that some attempt was not provably not run; not-run then becomes unknown, and its claim stands.

The test fails before the change at the first retry past the budget, and passes after.

--- a/src/coordination/call.c
+++ b/src/coordination/call.c
@@ -192,7 +192,9 @@
  * What to do after an attempt.  Never a retry of a request that is not
  * idempotent unless it provably did not run; never one that cannot end in
  * time, that the budget does not cover, or after bytes of another answer
- * reached the caller.
+ * reached the caller.  An attempt of which nothing left is outside the budget:
+ * it cost its endpoint nothing, and its dispatcher is told not to offer that
+ * endpoint again, so the bound on attempts is enough.
  */
 enum dl_next dl_call_next(const struct dl_call_state *state,
 			  const struct dl_attempt *attempt,
@@ -210,7 +212,7 @@
 		return DL_NEXT_ANSWER;
 	if (!resume && !may_retry(state, attempt, outcome))
 		return DL_NEXT_ANSWER;
-	if (!dl_retry_budget_take(budget))
+	if (attempt->sent != DL_SENT_NOTHING && !dl_retry_budget_take(budget))
 		return DL_NEXT_ANSWER;
 	return resume ? DL_NEXT_RESUME : DL_NEXT_RETRY;
 }
--- a/src/main/entry_call.c
+++ b/src/main/entry_call.c
@@ -101,6 +101,9 @@
 	entry_try_cancel(c);
 	entry_grant_release(c);
 	entry_grant_cancel(c);
+	/* An earlier attempt may have run, whatever became of the last one. */
+	if (outcome == DL_OUTCOME_NOT_RUN && c->may_have_run)
+		outcome = DL_OUTCOME_UNKNOWN;
 	c->outcome = outcome;
 	c->status = status;
 	count_outcome(outcome);
--- a/src/main/entry_try.c
+++ b/src/main/entry_try.c
@@ -479,6 +479,7 @@
 	};
 
 	c->attempt = NULL;
+	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
 	fill_usage(c, &a, outcome != DL_OUTCOME_DONE);
 	if (outcome == DL_OUTCOME_DONE ||
 	    (c->kind == DL_POOL_PLAIN && a.received == DL_RECV_WHOLE)) {
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -177,6 +177,25 @@
 }
 END_TEST
 
+/* One endpoint that refuses connections must not use up the budget. */
+START_TEST(refused_connects_cost_no_budget)
+{
+	const struct dl_attempt refused = { DL_SENT_NOTHING, DL_RECV_NOTHING,
+					    DL_BROKE_CONNECT, 0 };
+	struct dl_call_state state = { .attempts = 1, .deadline = 1000 };
+	struct dl_retry_budget b;
+
+	dl_retry_budget_init(&b, 100, 1);
+	for (int i = 0; i < 100; i++)
+		ck_assert_int_eq(dl_call_next(&state, &refused, &b, 0),
+				 DL_NEXT_RETRY);
+	ck_assert(dl_retry_budget_take(&b));
+	ck_assert_int_eq(dl_call_next(&state, &refused, &b, 0), DL_NEXT_RETRY);
+	state.attempts = 3;
+	ck_assert_int_eq(dl_call_next(&state, &refused, &b, 0), DL_NEXT_ANSWER);
+}
+END_TEST
+
 START_TEST(budget_is_a_share)
 {
 	struct dl_retry_budget b;
@@ -287,6 +306,7 @@
 	tcase_add_loop_test(t, once_only_never_twice, 0, STATUSES);
 	tcase_add_loop_test(t, next_of_each_case, 0,
 			    sizeof(nexts) / sizeof(nexts[0]));
+	tcase_add_test(t, refused_connects_cost_no_budget);
 	tcase_add_test(t, budget_is_a_share);
 	tcase_add_test(t, stream_by_offset);
 	tcase_add_test(t, hops_lose_the_margin);
