--- /dev/null
+++ b/src/transport/disk_file.c
@@ -0,0 +1,405 @@
+/* Files of the data folder: a queue of operations, each a few uv_fs steps. */
+#include "transport/disk_file.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#define LOCK_NAME  "lock"
+#define FILE_MODE  0600
+#define PATH_BYTES 512
+#define NAME_BYTES 64
+
+enum op_kind {
+	OP_WRITE,
+	OP_SYNC,
+	OP_RENAME,
+	OP_SYNC_FOLDER,
+	OP_UNLINK,
+	OP_KIND_COUNT,
+};
+
+struct op {
+	enum op_kind kind;
+	char name[NAME_BYTES];
+	char to[NAME_BYTES];
+	uint64_t offset;
+	struct dl_str data;
+	struct dl_disk_done done;
+};
+
+struct dl_disk_file {
+	uv_loop_t *loop;
+	char folder[PATH_BYTES - NAME_BYTES];
+	int folder_fd;
+	int lock_fd;
+	/* The file used last stays open. */
+	int fd;
+	char fd_name[NAME_BYTES];
+	GQueue ops; /* of struct op; the first is under way */
+	uv_fs_t req;
+};
+
+static void op_write(struct dl_disk_file *f, struct op *op);
+static void op_sync(struct dl_disk_file *f, struct op *op);
+static void op_rename(struct dl_disk_file *f, struct op *op);
+static void op_sync_folder(struct dl_disk_file *f, struct op *op);
+static void op_unlink(struct dl_disk_file *f, struct op *op);
+static void begin_next(struct dl_disk_file *f);
+static void run_op(struct dl_disk_file *f);
+static void end_op(struct dl_disk_file *f, int code);
+static void on_opened(uv_fs_t *req);
+static void on_done(uv_fs_t *req);
+static void on_write(uv_fs_t *req);
+static void add(struct dl_disk_file *f, enum op_kind kind, const char *name,
+		struct op *op, struct dl_disk_done done);
+
+/* Whether an operation needs its file open first. */
+static const bool needs_fd[OP_KIND_COUNT] = {
+	[OP_WRITE] = true,
+	[OP_SYNC] = true,
+};
+
+static void (*const run[OP_KIND_COUNT])(struct dl_disk_file *f,
+					struct op *op) = {
+	[OP_WRITE] = op_write,	 [OP_SYNC] = op_sync,
+	[OP_RENAME] = op_rename, [OP_SYNC_FOLDER] = op_sync_folder,
+	[OP_UNLINK] = op_unlink,
+};
+
+static void path_of(const struct dl_disk_file *f, const char *name,
+		    char out[PATH_BYTES])
+{
+	snprintf(out, PATH_BYTES, "%s/%s", f->folder, name);
+}
+
+static struct op *first(struct dl_disk_file *f)
+{
+	return f->ops.head ? f->ops.head->data : NULL;
+}
+
+static void close_fd(struct dl_disk_file *f)
+{
+	if (f->fd >= 0)
+		close(f->fd);
+	f->fd = -1;
+	f->fd_name[0] = '\0';
+}
+
+static void begin_next(struct dl_disk_file *f)
+{
+	struct op *op = first(f);
+	char path[PATH_BYTES];
+
+	if (!op)
+		return;
+	if (!needs_fd[op->kind] || strcmp(f->fd_name, op->name) == 0) {
+		run_op(f);
+		return;
+	}
+	close_fd(f);
+	path_of(f, op->name, path);
+	uv_fs_open(f->loop, &f->req, path, O_RDWR | O_CREAT, FILE_MODE,
+		   on_opened);
+}
+
+static void on_opened(uv_fs_t *req)
+{
+	struct dl_disk_file *f = req->data;
+	int result = (int)req->result;
+
+	uv_fs_req_cleanup(req);
+	if (result < 0) {
+		end_op(f, result);
+		return;
+	}
+	f->fd = result;
+	g_strlcpy(f->fd_name, first(f)->name, sizeof(f->fd_name));
+	run_op(f);
+}
+
+static void run_op(struct dl_disk_file *f)
+{
+	struct op *op = first(f);
+
+	run[op->kind](f, op);
+}
+
+static void end_op(struct dl_disk_file *f, int code)
+{
+	struct op *op = g_queue_pop_head(&f->ops);
+	struct dl_disk_done done = op->done;
+	bool idle = f->ops.head == NULL;
+
+	g_free(op);
+	done.fn(done.arg, code);
+	/* Where it was idle, done has begun what it asked for. */
+	if (!idle)
+		begin_next(f);
+}
+
+static void on_done(uv_fs_t *req)
+{
+	struct dl_disk_file *f = req->data;
+	int code = req->result < 0 ? (int)req->result : 0;
+
+	uv_fs_req_cleanup(req);
+	end_op(f, code);
+}
+
+static void op_write(struct dl_disk_file *f, struct op *op)
+{
+	uv_buf_t buf = uv_buf_init((char *)op->data.s, (unsigned)op->data.n);
+
+	uv_fs_write(f->loop, &f->req, f->fd, &buf, 1, (int64_t)op->offset,
+		    on_write);
+}
+
+/* A write may be short: go on with the rest. */
+static void on_write(uv_fs_t *req)
+{
+	struct dl_disk_file *f = req->data;
+	struct op *op = first(f);
+	ssize_t n = req->result;
+
+	uv_fs_req_cleanup(req);
+	if (n < 0) {
+		end_op(f, (int)n);
+		return;
+	}
+	op->data.s += n;
+	op->data.n -= (size_t)n;
+	op->offset += (uint64_t)n;
+	if (n == 0 && op->data.n)
+		end_op(f, -EIO);
+	else if (op->data.n)
+		op_write(f, op);
+	else
+		end_op(f, 0);
+}
+
+static void op_sync(struct dl_disk_file *f, struct op *op)
+{
+	uv_fs_fdatasync(f->loop, &f->req, f->fd, on_done);
+}
+
+static void op_rename(struct dl_disk_file *f, struct op *op)
+{
+	char from[PATH_BYTES], to[PATH_BYTES];
+
+	close_fd(f);
+	path_of(f, op->name, from);
+	path_of(f, op->to, to);
+	uv_fs_rename(f->loop, &f->req, from, to, on_done);
+}
+
+static void op_sync_folder(struct dl_disk_file *f, struct op *op)
+{
+	uv_fs_fsync(f->loop, &f->req, f->folder_fd, on_done);
+}
+
+static void op_unlink(struct dl_disk_file *f, struct op *op)
+{
+	char path[PATH_BYTES];
+
+	if (strcmp(f->fd_name, op->name) == 0)
+		close_fd(f);
+	path_of(f, op->name, path);
+	uv_fs_unlink(f->loop, &f->req, path, on_done);
+}
+
+static void add(struct dl_disk_file *f, enum op_kind kind, const char *name,
+		struct op *op, struct dl_disk_done done)
+{
+	bool idle = f->ops.head == NULL;
+
+	op->kind = kind;
+	op->done = done;
+	g_strlcpy(op->name, name, sizeof(op->name));
+	g_queue_push_tail(&f->ops, op);
+	if (idle)
+		begin_next(f);
+}
+
+/* --- the table --- */
+
+static void disk_write(void *disk, const char *name, uint64_t offset,
+		       struct dl_str data, struct dl_disk_done done)
+{
+	struct op *op = g_new0(struct op, 1);
+
+	op->offset = offset;
+	op->data = data;
+	add(disk, OP_WRITE, name, op, done);
+}
+
+static void disk_sync(void *disk, const char *name, struct dl_disk_done done)
+{
+	add(disk, OP_SYNC, name, g_new0(struct op, 1), done);
+}
+
+static void disk_rename(void *disk, const char *from, const char *to,
+			struct dl_disk_done done)
+{
+	struct op *op = g_new0(struct op, 1);
+
+	g_strlcpy(op->to, to, sizeof(op->to));
+	add(disk, OP_RENAME, from, op, done);
+}
+
+static void disk_sync_folder(void *disk, struct dl_disk_done done)
+{
+	add(disk, OP_SYNC_FOLDER, "", g_new0(struct op, 1), done);
+}
+
+static void disk_unlink(void *disk, const char *name, struct dl_disk_done done)
+{
+	add(disk, OP_UNLINK, name, g_new0(struct op, 1), done);
+}
+
+static int read_all(int fd, char *out, size_t n)
+{
+	size_t had = 0;
+
+	while (had < n) {
+		ssize_t got = read(fd, out + had, n - had);
+
+		if (got < 0 && errno == EINTR)
+			continue;
+		if (got < 0)
+			return -errno;
+		if (got == 0)
+			return -EIO;
+		had += (size_t)got;
+	}
+	return 0;
+}
+
+static int disk_read(void *disk, const char *name, char **out, size_t *n)
+{
+	char path[PATH_BYTES];
+	off_t size;
+	int fd, code;
+
+	path_of(disk, name, path);
+	fd = open(path, O_RDONLY | O_CLOEXEC);
+	if (fd < 0)
+		return -errno;
+	size = lseek(fd, 0, SEEK_END);
+	lseek(fd, 0, SEEK_SET);
+	*n = size > 0 ? (size_t)size : 0;
+	*out = malloc(*n + 1);
+	code = *out ? read_all(fd, *out, *n) : -ENOMEM;
+	close(fd);
+	if (code) {
+		free(*out);
+		*out = NULL;
+	}
+	return code;
+}
+
+static int disk_list(void *disk, void (*each)(void *arg, const char *name),
+		     void *arg)
+{
+	struct dl_disk_file *f = disk;
+	uv_dirent_t entry;
+	uv_fs_t req;
+	int code = uv_fs_scandir(NULL, &req, f->folder, 0, NULL);
+
+	while (code >= 0 && uv_fs_scandir_next(&req, &entry) == 0)
+		each(arg, entry.name);
+	uv_fs_req_cleanup(&req);
+	return code < 0 ? code : 0;
+}
+
+static int disk_truncate(void *disk, const char *name, uint64_t size)
+{
+	char path[PATH_BYTES];
+
+	path_of(disk, name, path);
+	return truncate(path, (off_t)size) ? -errno : 0;
+}
+
+static const struct dl_disk_ops disk_file_ops = {
+	.write = disk_write,
+	.sync = disk_sync,
+	.rename = disk_rename,
+	.sync_folder = disk_sync_folder,
+	.unlink = disk_unlink,
+	.read = disk_read,
+	.list = disk_list,
+	.truncate = disk_truncate,
+};
+
+/* Take the folder's lock; a second process on it would ruin the journal. */
+static int take_lock(struct dl_disk_file *f, struct dl_err *err)
+{
+	char path[PATH_BYTES];
+
+	path_of(f, LOCK_NAME, path);
+	f->lock_fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, FILE_MODE);
+	if (f->lock_fd < 0)
+		return dl_err_set(err, -errno, DL_STEP_STORE, NULL,
+				  "cannot open %s: %s", path, strerror(errno));
+	if (flock(f->lock_fd, LOCK_EX | LOCK_NB))
+		return dl_err_set(err, -EBUSY, DL_STEP_STORE, NULL,
+				  "another process uses %s", f->folder);
+	return 0;
+}
+
+/* Open a data folder. */
+int dl_disk_file_open(uv_loop_t *loop, const char *folder,
+		      struct dl_disk_file **out, struct dl_err *err)
+{
+	struct dl_disk_file *f = g_new0(struct dl_disk_file, 1);
+	int code;
+
+	f->loop = loop;
+	f->fd = -1;
+	f->lock_fd = -1;
+	f->req.data = f;
+	g_queue_init(&f->ops);
+	g_strlcpy(f->folder, folder, sizeof(f->folder));
+	f->folder_fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	if (f->folder_fd < 0)
+		code = dl_err_set(err, -errno, DL_STEP_STORE, NULL,
+				  "cannot open %s: %s", folder,
+				  strerror(errno));
+	else
+		code = take_lock(f, err);
+	if (code) {
+		dl_disk_file_close(f);
+		return code;
+	}
+	*out = f;
+	return 0;
+}
+
+/* The folder as a disk. */
+struct dl_disk dl_disk_file_disk(struct dl_disk_file *f)
+{
+	return (struct dl_disk){ &disk_file_ops, f };
+}
+
+/* Whether anything is being written or synced. */
+bool dl_disk_file_busy(const struct dl_disk_file *f)
+{
+	return f->ops.head != NULL;
+}
+
+/* Close what is open, and give the lock back. */
+void dl_disk_file_close(struct dl_disk_file *f)
+{
+	close_fd(f);
+	if (f->folder_fd >= 0)
+		close(f->folder_fd);
+	if (f->lock_fd >= 0)
+		close(f->lock_fd);
+	g_free(f);
+}
