Add the replica: the log on a disk, between peers, deciding the state

daisyledge replica recovers from its data folder, answers commands once they are committed and carried out, pushes new versions to the entries of its failure domain, answers pulls and questions, and hands leadership over before a planned stop. Whatever came in one turn of the loop shares one sync. After a start it shows no version before it holds all that was committed, so that nobody sees it go back.

--- a/include/daisyledge/rlog.h
+++ b/include/daisyledge/rlog.h
@@ -187,6 +187,11 @@
 	uint64_t snapshot;
 	bool voter;
 	bool lease;
+	/*
+	 * Everything committed before this term began has been applied: what
+	 * is shown cannot be older than what was shown before a restart.
+	 */
+	bool current;
 	uint32_t count; /* peers, as the leader knows them */
 	struct dl_rlog_peer_status peers[DL_RLOG_MEMBERS_MAX];
 	char waits[160]; /* what a repair waits for; empty where it does not */
--- /dev/null
+++ b/src/main/replica.c
@@ -0,0 +1,356 @@
+/*
+ * daisyledge replica: keeps the replicated log on its disk and the state that
+ * the log decides.  The log itself is pure; this file gives it the disk, the
+ * peers and the time.  Whatever arrived in one turn of the loop is carried out
+ * in one go before the loop waits again, so that it shares a sync.
+ */
+#include "main/replica.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "base/metric.h"
+#include "base/msg.h"
+#include "main/main.h"
+#include "protocol/rlog_codec.h"
+
+#define NS_PER_MS 1000000
+/* A planned stop waits so long for its successor. */
+#define STOP_MS 1500
+
+static void on_frame(void *arg, uint64_t from, const struct dl_frame *frame);
+static void on_tick(void *arg, int64_t now);
+static void on_stop(void *arg, bool again);
+static void on_prepare(uv_prepare_t *prepare);
+static void on_started(void *arg, int code);
+static void on_written(void *arg, int code);
+static void pump(struct replica *r);
+
+static const struct dl_node_ops node_ops = {
+	.frame = on_frame,
+	.tick = on_tick,
+	.stop = on_stop,
+};
+
+/*
+ * The time by which the log decides, read afresh: the loop's time stands still
+ * while a long turn lasts, and a lease must not.
+ */
+int64_t replica_now(const struct replica *r)
+{
+	return (int64_t)(uv_hrtime() / NS_PER_MS);
+}
+
+/* Send a frame; a lost one is mended by whoever waits for the answer. */
+void replica_send(struct replica *r, uint64_t to, uint32_t kind,
+		  uint64_t request, struct dl_str body)
+{
+	dl_peers_send(r->node.peers, to, kind, request, body);
+}
+
+static void on_rlog(struct replica *r, uint64_t from,
+		    const struct dl_frame *frame)
+{
+	struct dl_rlog_decoded m;
+
+	if (!r->started || dl_rlog_decode(frame->body, &m))
+		return;
+	m.msg.from_vm = from;
+	dl_rlog_in(r->rlog, &m.msg, replica_now(r));
+	dl_rlog_decoded_free(&m);
+}
+
+static void on_frame(void *arg, uint64_t from, const struct dl_frame *frame)
+{
+	struct replica *r = arg;
+
+	switch (frame->kind) {
+	case DL_FRAME_RLOG:
+		on_rlog(r, from, frame);
+		return;
+	case DL_FRAME_CMD:
+		replica_cmd_frame(r, from, frame);
+		return;
+	case DL_FRAME_CONF_PULL:
+		replica_conf_pull(r, from, frame);
+		return;
+	case DL_FRAME_QUERY:
+		replica_query_frame(r, from, frame);
+		return;
+	case DL_FRAME_QUERY_REPLY:
+		replica_query_reply(r, frame);
+		return;
+	default:
+		return;
+	}
+}
+
+static void restore(struct replica *r, const struct dl_rlog_apply *a)
+{
+	struct dl_err err;
+
+	if (dl_cstore_restore(r->cstore, a->data) == 0)
+		return;
+	dl_err_set(&err, DL_EDAMAGED, DL_STEP_STORE, NULL,
+		   "the snapshot at %lu makes no sense",
+		   (unsigned long)a->index);
+	dl_rlog_halt(r->rlog, &err);
+}
+
+static void apply_all(struct replica *r)
+{
+	struct dl_rlog_apply a;
+
+	while (dl_rlog_apply(r->rlog, &a)) {
+		if (a.kind == DL_RLOG_APPLY_RESTORE)
+			restore(r, &a);
+		else
+			replica_cmd_apply(r, &a);
+	}
+}
+
+static void snapshot(struct replica *r)
+{
+	char *data;
+	size_t n;
+
+	if (!dl_rlog_snapshot_wanted(r->rlog) ||
+	    dl_cstore_snapshot(r->cstore, &data, &n))
+		return;
+	dl_rlog_snapshot(r->rlog, (struct dl_str){ data, n });
+	free(data);
+}
+
+static void write_next(struct replica *r)
+{
+	struct dl_rlog_unit unit;
+
+	if (!dl_rlog_write(r->rlog, &unit))
+		return;
+	r->writing = unit.seq;
+	dl_rlog_store_write(r->store, &unit,
+			    (struct dl_disk_done){ on_written, r });
+}
+
+static void send_all(struct replica *r)
+{
+	struct dl_rlog_msg m;
+	msgpack_sbuffer buf;
+
+	msgpack_sbuffer_init(&buf);
+	while (dl_rlog_out(r->rlog, replica_now(r), &m)) {
+		msgpack_sbuffer_clear(&buf);
+		dl_rlog_encode(&m, &buf);
+		replica_send(r, m.to_vm, DL_FRAME_RLOG, 0,
+			     (struct dl_str){ buf.data, buf.size });
+	}
+	msgpack_sbuffer_destroy(&buf);
+}
+
+static void say_halted(const struct dl_rlog_status *s)
+{
+	bool damaged = strstr(s->halted, "damaged") != NULL;
+
+	dl_msg(damaged ? DL_MSG_REPLICA_DAMAGED : DL_MSG_REPLICA_DISK,
+	       "reason=\"%s\"", s->halted);
+}
+
+/* Log a change of role, once. */
+static void say_role(struct replica *r)
+{
+	struct dl_rlog_status s;
+	char leader[24];
+
+	dl_rlog_get_status(r->rlog, replica_now(r), &s);
+	if (s.role == r->role)
+		return;
+	r->role = s.role;
+	if (s.role == DL_RLOG_LEADER)
+		dl_msg(DL_MSG_REPLICA_LEADER, "term=%lu",
+		       (unsigned long)s.term);
+	else if (s.role == DL_RLOG_FOLLOWER)
+		dl_msg(DL_MSG_REPLICA_FOLLOWER, "term=%lu leader=%s",
+		       (unsigned long)s.term, dl_vm_text(s.leader, leader));
+	else if (s.role == DL_RLOG_HALTED)
+		say_halted(&s);
+}
+
+static void pump(struct replica *r)
+{
+	int64_t now = replica_now(r);
+
+	if (!r->started)
+		return;
+	if (now >= dl_rlog_wakeup(r->rlog))
+		dl_rlog_tick(r->rlog, now);
+	apply_all(r);
+	snapshot(r);
+	write_next(r);
+	send_all(r);
+	replica_conf_check(r);
+	say_role(r);
+}
+
+static void on_prepare(uv_prepare_t *prepare)
+{
+	pump(prepare->data);
+}
+
+static void on_written(void *arg, int code)
+{
+	struct replica *r = arg;
+
+	dl_rlog_written(r->rlog, r->writing, code, replica_now(r));
+}
+
+static void on_started(void *arg, int code)
+{
+	struct replica *r = arg;
+	struct dl_err err;
+
+	r->started = true;
+	if (!code)
+		return;
+	dl_err_set(&err, code, DL_STEP_STORE, NULL, "the first sync failed: %s",
+		   strerror(-code));
+	dl_rlog_halt(r->rlog, &err);
+}
+
+static void end_if_stopped(struct replica *r)
+{
+	struct dl_rlog_status s;
+	int64_t now = replica_now(r);
+
+	if (!r->stop_by)
+		return;
+	dl_rlog_get_status(r->rlog, now, &s);
+	if (now < r->stop_by &&
+	    (s.role == DL_RLOG_LEADER || dl_disk_file_busy(r->disk)))
+		return;
+	dl_node_end(&r->node, DL_EXIT_OK);
+}
+
+static void on_tick(void *arg, int64_t now)
+{
+	struct replica *r = arg;
+
+	replica_cmd_tick(r, replica_now(r));
+	replica_query_tick(r, replica_now(r));
+	end_if_stopped(r);
+}
+
+/* A planned stop hands leadership over first; nobody waits an election. */
+static void on_stop(void *arg, bool again)
+{
+	struct replica *r = arg;
+	int64_t now = replica_now(r);
+
+	if (again) {
+		dl_node_end(&r->node, DL_EXIT_OK);
+		return;
+	}
+	r->stop_by = now + STOP_MS;
+	dl_rlog_transfer(r->rlog, now);
+}
+
+static uint64_t random_id(void)
+{
+	uint64_t id = 0;
+
+	while (id == 0 && getrandom(&id, sizeof(id), 0) != sizeof(id))
+		;
+	return id;
+}
+
+/* Read the data folder.  Damage does not end the process: it says why. */
+static int open_log(struct replica *r, struct dl_err *err)
+{
+	const struct dl_settings *s = &r->node.settings;
+	struct dl_disk_done done = { on_started, r };
+	struct dl_rlog_image image;
+	struct dl_rlog_conf conf;
+	struct dl_disk disk;
+	int code;
+
+	code = dl_disk_file_open(r->node.loop, s->data_folder, &r->disk, err);
+	if (code)
+		return code;
+	dl_rlog_defaults(&conf);
+	conf.self = r->node.self;
+	conf.listed_count = s->replicas_count;
+	memcpy(conf.listed, s->replicas,
+	       s->replicas_count * sizeof(conf.listed[0]));
+	disk = dl_disk_file_disk(r->disk);
+	code = dl_rlog_store_open(disk, random_id(), &r->store, &image, err);
+	r->rlog = dl_rlog_new(&conf, &image, (uint32_t)random_id(),
+			      replica_now(r));
+	if (!code) {
+		dl_rlog_store_start(r->store, done);
+		return 0;
+	}
+	dl_rlog_halt(r->rlog, err);
+	r->started = true;
+	return 0;
+}
+
+static int open_all(struct replica *r, const char *path, struct dl_err *err)
+{
+	int code = dl_node_open(&r->node, path, true, &node_ops, r, err);
+
+	if (code)
+		return code;
+	if (!r->node.settings.data_folder[0])
+		return dl_err_set(err, -EINVAL, DL_STEP_READ, NULL,
+				  "data_folder is missing in the settings");
+	r->role = DL_RLOG_ROLE_COUNT;
+	r->started_at = replica_now(r);
+	r->wall_base = dl_node_wall_ms() - r->started_at;
+	r->cstore = dl_cstore_new();
+	r->pending = g_array_new(FALSE, FALSE, sizeof(struct replica_pending));
+	r->forwarded =
+		g_array_new(FALSE, FALSE, sizeof(struct replica_forwarded));
+	code = open_log(r, err);
+	if (code)
+		return code;
+	uv_prepare_init(r->node.loop, &r->prepare);
+	r->prepare.data = r;
+	uv_prepare_start(&r->prepare, on_prepare);
+	return 0;
+}
+
+static void close_all(struct replica *r)
+{
+	dl_rlog_free(r->rlog);
+	dl_rlog_store_free(r->store);
+	dl_cstore_free(r->cstore);
+	g_array_free(r->pending, TRUE);
+	g_array_free(r->forwarded, TRUE);
+	if (!dl_disk_file_busy(r->disk))
+		dl_disk_file_close(r->disk);
+}
+
+/* Run a replica until it is stopped. */
+int dl_main_replica(int argc, char **argv)
+{
+	static struct replica r;
+	char *path = dl_main_settings_option(&argc, &argv);
+	struct dl_err err;
+	char text[24];
+	int status;
+
+	if (!path)
+		return DL_EXIT_USAGE;
+	if (open_all(&r, path, &err)) {
+		fprintf(stderr, "daisyledge: %s: %s\n", dl_step_name(err.step),
+			err.text);
+		return DL_EXIT_FAULT;
+	}
+	dl_msg(DL_MSG_REPLICA_START, "peer=%s", dl_vm_text(r.node.self, text));
+	status = dl_node_run(&r.node);
+	close_all(&r);
+	g_free(path);
+	return status;
+}
--- /dev/null
+++ b/src/main/replica.h
@@ -0,0 +1,71 @@
+/* The replica process, seen by its parts in src/main/replica_*.c. */
+#ifndef DL_MAIN_REPLICA_H
+#define DL_MAIN_REPLICA_H
+
+#include <glib.h>
+
+#include "daisyledge/cstore.h"
+#include "daisyledge/rlog.h"
+#include "main/node.h"
+#include "transport/disk_file.h"
+
+/* A command whose sender waits for its commit. */
+struct replica_pending {
+	uint64_t index;
+	uint64_t term;
+	uint64_t vm;
+	uint64_t request;
+	int64_t at;
+};
+
+/* A question that was passed on to the leader. */
+struct replica_forwarded {
+	uint64_t request; /* ours */
+	uint64_t vm;
+	uint64_t their_request;
+	int64_t at;
+};
+
+struct replica {
+	struct dl_node node;
+	struct dl_disk_file *disk;
+	struct dl_rlog_store *store;
+	struct dl_rlog *rlog;
+	struct dl_cstore *cstore;
+	uv_prepare_t prepare;
+	int64_t started_at;
+	bool started; /* its first sync is done */
+	bool current; /* has shown, or may show, its version */
+	uint64_t shown_version;
+	enum dl_rlog_role role; /* as logged last */
+	uint64_t writing;	/* the unit under way */
+	int64_t wall_base;	/* wall clock less monotonic, at the start */
+	int64_t stop_by;	/* planned stop: end by then; 0 for none */
+	GArray *pending;	/* of struct replica_pending */
+	GArray *forwarded;	/* of struct replica_forwarded */
+	uint64_t next_request;
+};
+
+/* replica.c */
+int64_t replica_now(const struct replica *r);
+void replica_send(struct replica *r, uint64_t to, uint32_t kind,
+		  uint64_t request, struct dl_str body);
+
+/* replica_cmd.c */
+void replica_cmd_frame(struct replica *r, uint64_t from,
+		       const struct dl_frame *frame);
+void replica_cmd_apply(struct replica *r, const struct dl_rlog_apply *a);
+void replica_cmd_tick(struct replica *r, int64_t now);
+
+/* replica_conf.c */
+void replica_conf_pull(struct replica *r, uint64_t from,
+		       const struct dl_frame *frame);
+void replica_conf_check(struct replica *r);
+
+/* replica_query.c */
+void replica_query_frame(struct replica *r, uint64_t from,
+			 const struct dl_frame *frame);
+void replica_query_reply(struct replica *r, const struct dl_frame *frame);
+void replica_query_tick(struct replica *r, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/main/replica_cmd.c
@@ -0,0 +1,167 @@
+/*
+ * Commands of entries: stamped with the leader's wall clock, appended, and
+ * answered once they are committed and carried out.  A replica that does not
+ * lead names the one that does.  Entries send a command again when nothing
+ * comes back; change ids and owners make that harmless.
+ */
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daisyledge/conf.h"
+#include "main/replica.h"
+#include "protocol/cmd.h"
+
+/* Whoever waits longer has asked again, elsewhere. */
+#define PENDING_MS 10000
+
+static void reply(struct replica *r, uint64_t to, uint64_t request,
+		  const struct dl_cstore_reply *reply);
+static void refuse(struct replica *r, uint64_t to, uint64_t request, int code,
+		   const char *why);
+static bool same_replicas(const struct dl_conf *a, const struct dl_conf *b);
+static int check_replicas(struct replica *r, struct dl_str command,
+			  struct dl_err *err);
+static void append(struct replica *r, uint64_t from,
+		   const struct dl_frame *frame, char *command);
+
+static void reply(struct replica *r, uint64_t to, uint64_t request,
+		  const struct dl_cstore_reply *what)
+{
+	struct dl_rlog_status s;
+	char *body;
+	size_t n;
+
+	dl_rlog_get_status(r->rlog, replica_now(r), &s);
+	if (dl_reply_encode(what, s.leader, &body, &n))
+		return;
+	replica_send(r, to, DL_FRAME_CMD_REPLY, request,
+		     (struct dl_str){ body, n });
+	free(body);
+}
+
+static void refuse(struct replica *r, uint64_t to, uint64_t request, int code,
+		   const char *why)
+{
+	struct dl_cstore_reply what = { .code = code };
+
+	g_strlcpy(what.text, why, sizeof(what.text));
+	reply(r, to, request, &what);
+}
+
+static bool same_replicas(const struct dl_conf *a, const struct dl_conf *b)
+{
+	if (!a || a->replicas_count != b->replicas_count)
+		return false;
+	for (uint32_t i = 0; i < a->replicas_count; i++) {
+		if (a->replicas[i].vm != b->replicas[i].vm)
+			return false;
+	}
+	return true;
+}
+
+/* Refuse a new list of replicas that would lose the quorum. */
+static int check_replicas(struct replica *r, struct dl_str command,
+			  struct dl_err *err)
+{
+	uint64_t vms[DL_REPLICAS_MAX];
+	struct dl_conf *conf = NULL;
+	struct dl_faults faults;
+	struct dl_cstore_cmd cmd;
+	int code = 0;
+
+	if (dl_cstore_decode(command, &cmd) || cmd.op != DL_CSTORE_APPLY ||
+	    dl_conf_parse(cmd.text, &conf, &faults))
+		return 0; /* the store itself says what is wrong */
+	for (uint32_t i = 0; i < conf->replicas_count; i++)
+		vms[i] = conf->replicas[i].vm;
+	if (!same_replicas(dl_cstore_conf(r->cstore), conf))
+		code = dl_rlog_want_check(r->rlog, vms, conf->replicas_count,
+					  replica_now(r), err);
+	dl_conf_free(conf);
+	return code;
+}
+
+/* Stamp and append a command, and note who waits for it. */
+static void append(struct replica *r, uint64_t from,
+		   const struct dl_frame *frame, char *command)
+{
+	struct replica_pending p = { .vm = from, .request = frame->request };
+	struct dl_str data = { command, frame->body.n };
+	int code;
+
+	p.at = replica_now(r);
+	if (dl_cstore_stamp(command, data.n, r->wall_base + p.at)) {
+		refuse(r, from, frame->request, -EBADMSG, "not a command");
+		return;
+	}
+	code = dl_rlog_propose(r->rlog, data, p.at, &p.index, &p.term);
+	if (code == DL_ENOLEADER)
+		refuse(r, from, frame->request, code, "another replica leads");
+	else if (code)
+		refuse(r, from, frame->request, code,
+		       "too many changes are under way");
+	else
+		g_array_append_val(r->pending, p);
+}
+
+/* A command arrived. */
+void replica_cmd_frame(struct replica *r, uint64_t from,
+		       const struct dl_frame *frame)
+{
+	struct dl_rlog_status s;
+	struct dl_err err;
+	char *command;
+
+	dl_rlog_get_status(r->rlog, replica_now(r), &s);
+	if (s.role == DL_RLOG_HALTED || !r->started)
+		return;
+	if (s.role != DL_RLOG_LEADER) {
+		refuse(r, from, frame->request, DL_ENOLEADER,
+		       "another replica leads");
+		return;
+	}
+	if (check_replicas(r, frame->body, &err)) {
+		refuse(r, from, frame->request, err.code, err.text);
+		return;
+	}
+	command = g_memdup2(frame->body.s, frame->body.n);
+	append(r, from, frame, command);
+	g_free(command);
+}
+
+/* Carry a committed command out, and answer who waits for it. */
+void replica_cmd_apply(struct replica *r, const struct dl_rlog_apply *a)
+{
+	struct dl_cstore_reply what = { 0 };
+	int code = dl_cstore_exec(r->cstore, a->index, a->data, &what);
+
+	if (code && !what.code)
+		what.code = code;
+	for (guint i = 0; i < r->pending->len; i++) {
+		struct replica_pending *p =
+			&g_array_index(r->pending, struct replica_pending, i);
+
+		if (p->index != a->index)
+			continue;
+		if (p->term == a->term)
+			reply(r, p->vm, p->request, &what);
+		else
+			refuse(r, p->vm, p->request, DL_ENOLEADER,
+			       "another replica took over");
+		g_array_remove_index_fast(r->pending, i);
+		return;
+	}
+}
+
+/* Forget who has waited too long. */
+void replica_cmd_tick(struct replica *r, int64_t now)
+{
+	for (guint i = r->pending->len; i > 0; i--) {
+		struct replica_pending *p = &g_array_index(
+			r->pending, struct replica_pending, i - 1);
+
+		if (now - p->at > PENDING_MS)
+			g_array_remove_index_fast(r->pending, i - 1);
+	}
+}
--- /dev/null
+++ b/src/main/replica_conf.c
@@ -0,0 +1,151 @@
+/*
+ * Configuration on its way to the entries: each replica pushes a new version
+ * to the live entries of its failure domain, the leader to those of domains
+ * without a replica.  A push goes to a few entries and names the others, which
+ * they pass it on to.  A lost push is mended by the versions that VMs compare.
+ *
+ * After a start a replica shows no version until it has applied all that was
+ * committed before, so that nobody sees it go back.
+ */
+#include <string.h>
+
+#include "daisyledge/conf.h"
+#include "main/replica.h"
+#include "protocol/pack.h"
+
+#define FAN_OUT	    8
+#define ENTRIES_MAX 1024
+/*
+ * A replica that is cut off from the others for so long after its start
+ * answers a pull with what it has, where no VM shows anything newer: a failure
+ * domain that is cut off goes on, and its restarted entries need a text.
+ */
+#define ALONE_MS 5000
+
+static void push(struct replica *r, const uint64_t *vms, uint32_t count);
+static bool covers(struct replica *r, struct dl_str domain, bool leads);
+static uint32_t audience(struct replica *r, uint64_t *out);
+static void want_replicas(struct replica *r);
+
+/* Pack [version, text, the VMs i + FAN_OUT, i + 2 FAN_OUT, ...]. */
+static void pack_push(struct dl_packer *pk, uint64_t version,
+		      struct dl_str text, const uint64_t *vms, uint32_t count,
+		      uint32_t i)
+{
+	uint32_t share = 0;
+
+	for (uint32_t k = i + FAN_OUT; k < count; k += FAN_OUT)
+		share++;
+	dl_packer_open(pk, 3);
+	dl_pack_u64(pk, version);
+	dl_pack_str(pk, text);
+	msgpack_pack_array(&pk->pk, share);
+	for (uint32_t k = i + FAN_OUT; k < count; k += FAN_OUT)
+		dl_pack_u64(pk, vms[k]);
+}
+
+static void push(struct replica *r, const uint64_t *vms, uint32_t count)
+{
+	struct dl_packer pk;
+	struct dl_str text;
+
+	if (!dl_cstore_text(r->cstore, 0, &text))
+		return;
+	for (uint32_t i = 0; i < MIN(count, FAN_OUT); i++) {
+		pack_push(&pk, dl_cstore_version(r->cstore), text, vms, count,
+			  i);
+		replica_send(r, vms[i], DL_FRAME_CONF_PUSH, 0,
+			     dl_packer_bytes(&pk));
+		dl_packer_close(&pk);
+	}
+}
+
+/*
+ * Whether this replica pushes to a failure domain: the live one of the lowest
+ * address there, or the leader where there is none.
+ */
+static bool covers(struct replica *r, struct dl_str domain, bool leads)
+{
+	uint64_t lowest = DL_VM_NONE;
+	const struct dl_member *m;
+
+	for (uint32_t i = 0; (m = dl_memb_at(r->node.memb, i)); i++) {
+		if (m->replica && m->state == DL_ALIVE &&
+		    dl_name_eq(&m->domain, domain) &&
+		    (lowest == DL_VM_NONE || m->vm < lowest))
+			lowest = m->vm;
+	}
+	return lowest == r->node.self || (lowest == DL_VM_NONE && leads);
+}
+
+/* The live entries that this replica pushes to. */
+static uint32_t audience(struct replica *r, uint64_t *out)
+{
+	struct dl_rlog_status s;
+	const struct dl_member *m;
+	uint32_t n = 0;
+
+	dl_rlog_get_status(r->rlog, replica_now(r), &s);
+	for (uint32_t i = 0; (m = dl_memb_at(r->node.memb, i)); i++) {
+		if (m->replica || n == ENTRIES_MAX ||
+		    (m->state != DL_ALIVE && m->state != DL_SUSPECT))
+			continue;
+		if (covers(r, dl_name_str(&m->domain),
+			   s.role == DL_RLOG_LEADER))
+			out[n++] = m->vm;
+	}
+	return n;
+}
+
+/* The operators' list of replicas is what the leader works towards. */
+static void want_replicas(struct replica *r)
+{
+	const struct dl_conf *conf = dl_cstore_conf(r->cstore);
+	uint64_t vms[DL_REPLICAS_MAX];
+
+	if (!conf)
+		return;
+	for (uint32_t i = 0; i < conf->replicas_count; i++)
+		vms[i] = conf->replicas[i].vm;
+	dl_rlog_want(r->rlog, vms, conf->replicas_count);
+}
+
+/* Show and push a version that is new here. */
+void replica_conf_check(struct replica *r)
+{
+	static uint64_t vms[ENTRIES_MAX];
+	uint64_t version = dl_cstore_version(r->cstore);
+	struct dl_rlog_status s;
+
+	if (!r->current) {
+		dl_rlog_get_status(r->rlog, replica_now(r), &s);
+		r->current = s.current;
+	}
+	if (!r->current || version == r->shown_version)
+		return;
+	r->shown_version = version;
+	want_replicas(r);
+	dl_memb_self(r->node.memb, false, version, dl_node_now(&r->node));
+	push(r, vms, audience(r, vms));
+}
+
+/* An entry asks for anything newer than what it has. */
+void replica_conf_pull(struct replica *r, uint64_t from,
+		       const struct dl_frame *frame)
+{
+	uint64_t version = dl_cstore_version(r->cstore), vm;
+	struct dl_reader reader;
+	uint64_t have;
+	bool bad;
+
+	dl_reader_open(&reader, frame->body);
+	have = dl_read_u64(&reader);
+	bad = reader.bad;
+	dl_reader_close(&reader);
+	if (bad || have >= version)
+		return;
+	if (!r->current && (replica_now(r) - r->started_at < ALONE_MS ||
+			    dl_memb_newest(r->node.memb, &vm) > version))
+		return;
+	push(r, &from, 1);
+}
--- /dev/null
+++ b/src/main/replica_query.c
@@ -0,0 +1,224 @@
+/*
+ * Questions to a replica: "history", "text N" and "status", each answered by a
+ * JSON document.  A follower passes the question about the status on to the
+ * leader, which alone knows how far each replica is, and answers by itself
+ * where nothing comes back.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "main/replica.h"
+
+#define FORWARD_MS    250
+#define FORWARDED_MAX 256
+
+static void answer(struct replica *r, uint64_t to, uint64_t request,
+		   json_t *root);
+static json_t *history_json(struct replica *r);
+static json_t *text_json(struct replica *r, uint64_t version);
+static json_t *peer_json(const struct dl_rlog_peer_status *p);
+static json_t *status_json(struct replica *r);
+static bool forward(struct replica *r, uint64_t from,
+		    const struct dl_frame *frame);
+
+static const char *const role_names[DL_RLOG_ROLE_COUNT] = {
+	[DL_RLOG_HALTED] = "halted",
+	[DL_RLOG_UNBORN] = "waiting to become a member",
+	[DL_RLOG_FOLLOWER] = "follower",
+	[DL_RLOG_PRECANDIDATE] = "candidate",
+	[DL_RLOG_CANDIDATE] = "candidate",
+	[DL_RLOG_LEADER] = "leader",
+};
+
+/* Send a document and let it go. */
+static void answer(struct replica *r, uint64_t to, uint64_t request,
+		   json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	if (!text)
+		return;
+	replica_send(r, to, DL_FRAME_QUERY_REPLY, request, dl_str_of(text));
+	free(text);
+}
+
+static void set_u64(json_t *o, const char *key, uint64_t v)
+{
+	json_object_set_new(o, key, json_integer((json_int_t)v));
+}
+
+/* Identities and digests do not fit a JSON number everywhere. */
+static void set_hex(json_t *o, const char *key, uint64_t v)
+{
+	char text[20];
+
+	snprintf(text, sizeof(text), "%016" PRIx64, v);
+	json_object_set_new(o, key, json_string(text));
+}
+
+static void set_vm(json_t *o, const char *key, uint64_t vm)
+{
+	char text[24];
+
+	if (vm == DL_VM_NONE)
+		json_object_set_new(o, key, json_null());
+	else
+		json_object_set_new(o, key, json_string(dl_vm_text(vm, text)));
+}
+
+static json_t *history_json(struct replica *r)
+{
+	json_t *root = json_object(), *list = json_array();
+	struct dl_cstore_change c;
+
+	for (uint32_t i = 0; dl_cstore_history(r->cstore, i, &c); i++) {
+		json_t *o = json_object();
+
+		set_u64(o, "version", c.version);
+		json_object_set_new(o, "wall_ms", json_integer(c.wall_ms));
+		json_object_set_new(o, "author",
+				    json_stringn(c.author.s, c.author.n));
+		json_object_set_new(o, "change_id",
+				    json_stringn(c.change_id.s, c.change_id.n));
+		set_hex(o, "digest", c.digest);
+		set_u64(o, "bytes", c.bytes);
+		json_array_append_new(list, o);
+	}
+	json_object_set_new(root, "changes", list);
+	return root;
+}
+
+static json_t *text_json(struct replica *r, uint64_t version)
+{
+	json_t *root = json_object();
+	struct dl_str text;
+
+	if (version == 0)
+		version = dl_cstore_version(r->cstore);
+	set_u64(root, "version", version);
+	if (dl_cstore_text(r->cstore, version, &text))
+		json_object_set_new(root, "text", json_stringn(text.s, text.n));
+	else
+		json_object_set_new(root, "error",
+				    json_string("this version is not kept"));
+	return root;
+}
+
+static json_t *peer_json(const struct dl_rlog_peer_status *p)
+{
+	json_t *o = json_object();
+
+	set_vm(o, "vm", p->member.vm);
+	set_hex(o, "identity", p->member.id);
+	json_object_set_new(o, "learner", json_boolean(!p->member.voter));
+	set_u64(o, "match", p->match);
+	json_object_set_new(o, "heard_ms_ago", json_integer(p->heard_ms_ago));
+	return o;
+}
+
+static json_t *status_json(struct replica *r)
+{
+	json_t *root = json_object(), *list = json_array();
+	struct dl_rlog_status s;
+
+	dl_rlog_get_status(r->rlog, replica_now(r), &s);
+	set_vm(root, "vm", r->node.self);
+	set_hex(root, "identity", s.id);
+	json_object_set_new(root, "role", json_string(role_names[s.role]));
+	json_object_set_new(root, "voter", json_boolean(s.voter));
+	json_object_set_new(root, "lease", json_boolean(s.lease));
+	set_vm(root, "leader", s.leader);
+	set_u64(root, "term", s.term);
+	set_u64(root, "commit", s.commit);
+	set_u64(root, "last", s.last);
+	set_u64(root, "synced", s.synced);
+	set_u64(root, "applied", s.applied);
+	set_u64(root, "snapshot", s.snapshot);
+	set_u64(root, "journal_bytes", dl_rlog_store_bytes(r->store));
+	set_u64(root, "version", dl_cstore_version(r->cstore));
+	if (s.waits[0])
+		json_object_set_new(root, "waits", json_string(s.waits));
+	if (s.halted[0])
+		json_object_set_new(root, "halted", json_string(s.halted));
+	for (uint32_t i = 0; i < s.count; i++)
+		json_array_append_new(list, peer_json(&s.peers[i]));
+	json_object_set_new(root, "others", list);
+	return root;
+}
+
+/* Pass a question on to the leader; false where there is none to ask. */
+static bool forward(struct replica *r, uint64_t from,
+		    const struct dl_frame *frame)
+{
+	struct replica_forwarded f = { .vm = from,
+				       .their_request = frame->request };
+	struct dl_rlog_status s;
+
+	dl_rlog_get_status(r->rlog, replica_now(r), &s);
+	if (s.role != DL_RLOG_FOLLOWER || s.leader == DL_VM_NONE ||
+	    r->forwarded->len >= FORWARDED_MAX)
+		return false;
+	f.request = ++r->next_request;
+	f.at = replica_now(r);
+	g_array_append_val(r->forwarded, f);
+	replica_send(r, s.leader, DL_FRAME_QUERY, f.request, frame->body);
+	return true;
+}
+
+/* Answer a question. */
+void replica_query_frame(struct replica *r, uint64_t from,
+			 const struct dl_frame *frame)
+{
+	struct dl_str body = frame->body, text = DL_STR("text ");
+	uint64_t version;
+
+	if (dl_str_eq(body, DL_STR("history"))) {
+		answer(r, from, frame->request, history_json(r));
+		return;
+	}
+	if (dl_str_eq(body, DL_STR("status"))) {
+		if (!forward(r, from, frame))
+			answer(r, from, frame->request, status_json(r));
+		return;
+	}
+	if (body.n <= text.n || memcmp(body.s, text.s, text.n) != 0)
+		return;
+	if (dl_str_to_u64((struct dl_str){ body.s + text.n, body.n - text.n },
+			  &version))
+		answer(r, from, frame->request, text_json(r, version));
+}
+
+/* The leader answered a question that was passed on. */
+void replica_query_reply(struct replica *r, const struct dl_frame *frame)
+{
+	for (guint i = 0; i < r->forwarded->len; i++) {
+		struct replica_forwarded f = g_array_index(
+			r->forwarded, struct replica_forwarded, i);
+
+		if (f.request != frame->request)
+			continue;
+		g_array_remove_index_fast(r->forwarded, i);
+		replica_send(r, f.vm, DL_FRAME_QUERY_REPLY, f.their_request,
+			     frame->body);
+		return;
+	}
+}
+
+/* Answer by ourselves what the leader did not. */
+void replica_query_tick(struct replica *r, int64_t now)
+{
+	for (guint i = r->forwarded->len; i > 0; i--) {
+		struct replica_forwarded f = g_array_index(
+			r->forwarded, struct replica_forwarded, i - 1);
+
+		if (now - f.at < FORWARD_MS)
+			continue;
+		g_array_remove_index_fast(r->forwarded, i - 1);
+		answer(r, f.vm, f.their_request, status_json(r));
+	}
+}
