--- a/src/main/entry_try.c
+++ b/src/main/entry_try.c
@@ -175,13 +175,57 @@
 	send_attempt(c, to);
 }
 
+static void on_cancel_head(void *arg, const struct dl_httpc_head *head)
+{
+}
+
+static bool on_cancel_body(void *arg, struct dl_str piece)
+{
+	return true;
+}
+
+static void on_cancel_end(void *arg, const struct dl_attempt *attempt,
+			  const struct dl_err *err)
+{
+}
+
+/*
+ * Tell the engine that nobody waits for a request any more.  Closing the
+ * connection says the same, but an engine keeps a broken stream for a while in
+ * case it is resumed, and its memory with it.
+ */
+static void cancel_at_engine(struct call *c)
+{
+	static const struct dl_httpc_ops nobody = {
+		on_cancel_head,
+		on_cancel_body,
+		on_cancel_end,
+	};
+	struct dl_httpc_req req = { .method = DL_STR("DELETE") };
+	char path[REQUEST_ID_TEXT + 16];
+
+	if (c->kind != DL_POOL_MODEL || !c->granted ||
+	    !dl_vm_parse(dl_name_str(&c->grant.endpoint[0]), &req.to))
+		return;
+	snprintf(path, sizeof(path), "/v1/requests/%s", c->id_text);
+	req.path = dl_str_of(path);
+	req.connect_ms = c->connect_ms;
+	req.gap_ms = c->gap_ms;
+	dl_httpc_start(c->e->httpc, &req, &nobody, NULL);
+}
+
 /* Stop the attempt in flight; the engine is told, so that it stops too. */
 void entry_try_cancel(struct call *c)
 {
+	bool sent;
+
 	if (!c->attempt)
 		return;
+	sent = dl_httpc_progress(c->attempt).sent != DL_SENT_NOTHING;
 	dl_httpc_cancel(c->attempt);
 	c->attempt = NULL;
+	if (sent)
+		cancel_at_engine(c);
 }
 
 static void keep_headers(struct call *c, const struct dl_httpc_head *head)
@@ -414,6 +458,8 @@
 static void retry(struct call *c)
 {
 	note_tried(c);
+	if (c->usage.ran)
+		cancel_at_engine(c);
 	entry_grant_release(c);
 	c->pieces = 0;
 	c->skip = 0;
