Membership: tell a few VMs of a verdict at once

Cause: a suspicion waited for the next probe before anybody heard of it, so that each VM began its own at another time. Change: the VM that suspects or buries probes three others at once.

--- a/src/coordination/memb.c
+++ b/src/coordination/memb.c
@@ -420,6 +420,7 @@
 		return;
 	set_said(memb, peer, DL_SUSPECT, now);
 	tell(memb, peer, state_tells(memb));
+	memb_spread(memb);
 }
 
 /* This VM's own judgement: the suspicion was not refuted in time. */
@@ -429,6 +430,7 @@
 		return;
 	set_said(memb, peer, DL_DEAD, now);
 	tell(memb, peer, state_tells(memb));
+	memb_spread(memb);
 }
 
 /* Take a whole domain's members out of sight, or show them again. */
--- a/src/coordination/memb_int.h
+++ b/src/coordination/memb_int.h
@@ -19,6 +19,7 @@
 #define MEMB_INDIRECT	   3 /* VMs asked to probe for us */
 #define MEMB_DIGESTERS	   3 /* VMs of a domain that speak to other domains */
 #define MEMB_LEAVE_TELL	   16
+#define MEMB_SPREAD	   3 /* VMs told of a verdict at once */
 #define MEMB_REFRESH_ASKS  3
 #define MEMB_VERSION_TELLS 3 /* repetitions of a mere change of version */
 
@@ -197,6 +198,7 @@
 int64_t memb_next_tick(const struct dl_memb *memb);
 void memb_noticed(struct dl_memb *memb, int64_t now);
 void memb_ask(struct dl_memb *memb, struct memb_peer *peer, int64_t now);
+void memb_spread(struct dl_memb *memb);
 void memb_on_ack(struct dl_memb *memb, uint64_t from,
 		 const struct memb_msg *msg);
 void memb_on_ping(struct dl_memb *memb, uint64_t from,
--- a/src/coordination/memb_probe.c
+++ b/src/coordination/memb_probe.c
@@ -141,6 +141,20 @@
 	memb_queue(memb, MEMB_PING, peer->m.vm, ++memb->seq, 0);
 }
 
+/*
+ * Tell a few random members of what this VM has just found, rather than with
+ * its next probe: the suspicions of all then end at nearly one time.
+ */
+void memb_spread(struct dl_memb *memb)
+{
+	for (int i = 0; i < MEMB_SPREAD; i++) {
+		struct memb_peer *peer = random_peer(memb, true, DL_VM_NONE);
+
+		if (peer && peer->said == DL_ALIVE)
+			memb_queue(memb, MEMB_PING, peer->m.vm, ++memb->seq, 0);
+	}
+}
+
 /* Answer a probe. */
 void memb_on_ping(struct dl_memb *memb, uint64_t from,
 		  const struct memb_msg *msg)
