Membership: remember owners until a member changes; count control traffic

Cause: each request in flight asks 50 times a second for its dispatcher, and each answer hashed every member of the domain: 2110 ns at 370 VMs. Ruled out: asking less often, since a moved dispatcher is followed that way. With the look at the epoch off, the random run fails.

--- /dev/null
+++ b/bench/control_load.h
@@ -0,0 +1,396 @@
+/*
+ * The control traffic of dispatching at a given size, driven through the real
+ * pools and codecs without sockets: asks, answers, renewals, releases,
+ * endpoints' reports and pools' summaries, counted at each VM.
+ */
+#ifndef BENCH_CONTROL_LOAD_H
+#define BENCH_CONTROL_LOAD_H
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "protocol/pool_codec.h"
+
+#define LOAD_TICK_MS	   10
+#define LOAD_REPORT_MS	   1000 /* an endpoint announces itself so often */
+#define LOAD_SUMMARY_MS	   500	/* a pool tells other domains so often */
+#define LOAD_RENEWALS	   3	/* a lease */
+#define LOAD_WHEEL	   4096 /* ticks; longer than any request */
+#define LOAD_FRAME_LENGTH  4
+#define LOAD_SLOTS	   256
+#define LOAD_KV_TOKENS	   8000000 /* KV memory of a runner of 8 accelerators */
+#define LOAD_PREFILL_RATE  60000
+#define LOAD_DECODE_RATE   24
+#define LOAD_OUTPUT_TOKENS 308 /* 1.2 million a second over 3,900 requests */
+#define LOAD_DEADLINE_MS   120000
+
+struct load_conf {
+	uint32_t domains;
+	uint32_t entries;	 /* in each domain */
+	uint32_t pools;		 /* in each domain, each led by another VM */
+	uint32_t runners;	 /* in each pool */
+	uint32_t requests_per_s; /* of all domains */
+	uint32_t request_ms;	 /* how long a stream lasts */
+	uint32_t lease_ms;
+	uint32_t workspaces;
+};
+
+/* What one VM sent and took, as an entry and as a dispatcher. */
+struct load_vm {
+	uint64_t msgs;
+	uint64_t bytes;
+};
+
+/* A request under way. */
+struct load_req {
+	struct load_req *next;
+	uint32_t pool;
+	uint32_t entry;
+	uint64_t grant;
+	int64_t ends;
+};
+
+struct load {
+	struct load_conf conf;
+	struct dl_pool **pools; /* domains * pools */
+	struct load_vm *vms;	/* domains * entries */
+	struct load_req **wheel;
+	struct load_req **asked; /* by request id, waiting for a grant */
+	uint32_t asked_cap;
+	uint64_t next_id;
+	uint64_t carry; /* thousandths of a request */
+	uint64_t rng;
+	int64_t now;
+	uint64_t requests;
+	uint64_t granted;
+	uint64_t refused;
+	uint64_t renewals;
+	uint64_t in_flight;
+};
+
+/* splitmix64 */
+static inline uint64_t load_random(struct load *l)
+{
+	uint64_t z = l->rng += UINT64_C(0x9e3779b97f4a7c15);
+
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
+/* The bytes of a frame with its envelope, as src/transport/peers.c packs it. */
+static inline size_t load_frame(uint32_t kind, uint64_t request, size_t body)
+{
+	msgpack_sbuffer out;
+	msgpack_packer pk;
+	size_t n;
+
+	msgpack_sbuffer_init(&out);
+	msgpack_packer_init(&pk, &out, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 4);
+	msgpack_pack_uint32(&pk, kind);
+	msgpack_pack_uint64(&pk, request);
+	msgpack_pack_uint64(&pk, UINT64_C(1764700000000) << 10);
+	msgpack_pack_bin(&pk, body);
+	n = LOAD_FRAME_LENGTH + out.size + body;
+	msgpack_sbuffer_destroy(&out);
+	return n;
+}
+
+/* Prompts from a thousand to a million tokens, one in fifty over 100,000. */
+static inline uint64_t load_prompt(struct load *l)
+{
+	uint64_t r = load_random(l) % 1000;
+
+	if (r < 20)
+		return 100000 + load_random(l) % 900000;
+	if (r < 200)
+		return 10000 + load_random(l) % 90000;
+	return 1000 + load_random(l) % 9000;
+}
+
+static inline void load_count(struct load *l, uint32_t vm, size_t bytes)
+{
+	l->vms[vm].msgs++;
+	l->vms[vm].bytes += bytes;
+}
+
+/* The VM that leads a pool: one after the other in its domain. */
+static inline uint32_t load_leader(const struct load *l, uint32_t pool)
+{
+	uint32_t domain = pool / l->conf.pools;
+	uint32_t shard = pool % l->conf.pools;
+
+	return domain * l->conf.entries +
+	       shard * l->conf.entries / l->conf.pools;
+}
+
+/* Count a frame where it leaves and where it comes. */
+static inline void load_send(struct load *l, uint32_t from, uint32_t to,
+			     uint32_t kind, uint64_t request, size_t body)
+{
+	size_t n = load_frame(kind, request, body);
+
+	if (from == to)
+		return;
+	load_count(l, from, n);
+	load_count(l, to, n);
+}
+
+static inline void load_report(struct load *l, uint32_t pool, uint32_t runner)
+{
+	struct dl_endpoint_report r = { .incarnation = 1,
+					.memory_tokens = LOAD_KV_TOKENS,
+					.used_tokens = LOAD_KV_TOKENS / 2,
+					.slots = LOAD_SLOTS,
+					.running = LOAD_SLOTS / 2,
+					.prefill_rate = LOAD_PREFILL_RATE,
+					.decode_rate = LOAD_DECODE_RATE,
+					.prefill_backlog = 1000,
+					.takes_groups = true };
+	uint32_t entry = pool / l->conf.pools * l->conf.entries +
+			 (uint32_t)(load_random(l) % l->conf.entries);
+	struct dl_name service;
+	struct dl_endpoint_report read;
+	struct dl_packer pk;
+	char text[24];
+
+	dl_vm_text(((UINT64_C(0x0a010000) + pool * UINT64_C(256) + runner)
+		    << 16) |
+			   9000,
+		   text);
+	dl_name_set(&r.id, dl_str_of(text));
+	dl_report_pack(&pk, DL_STR("match-writer"), &r);
+	load_send(l, entry, load_leader(l, pool), 25, 0,
+		  dl_packer_bytes(&pk).n);
+	dl_report_read(dl_packer_bytes(&pk), &service, &read);
+	dl_pool_report(l->pools[pool], &read, l->now);
+	dl_packer_close(&pk);
+}
+
+static inline void load_summary(struct load *l, uint32_t pool)
+{
+	struct dl_pool_summary s;
+	struct dl_packer pk;
+
+	dl_pool_summarize(l->pools[pool], l->now, &s);
+	dl_summary_pack(&pk, DL_STR("match-writer"), DL_STR("medeu-hall"), &s);
+	for (uint32_t d = 0; d < l->conf.domains; d++) {
+		uint32_t other = d * l->conf.pools + pool % l->conf.pools;
+
+		if (other != pool)
+			load_send(l, load_leader(l, pool),
+				  load_leader(l, other), 26, 0,
+				  dl_packer_bytes(&pk).n);
+	}
+	dl_packer_close(&pk);
+}
+
+static inline struct load *load_new(const struct load_conf *conf)
+{
+	struct dl_pool_conf pc = { .kind = DL_POOL_MODEL,
+				   .queue_entries_max = 2000,
+				   .queue_tokens_max = 40000000,
+				   .long_tokens = 100000,
+				   .long_share_permille = 600,
+				   .out_share_permille = 300,
+				   .grant_lease_ms = conf->lease_ms,
+				   .report_gone_ms = 4000,
+				   .weight_default = 1 };
+	uint32_t pools = conf->domains * conf->pools;
+	struct load *l = calloc(1, sizeof(*l));
+
+	if (!l)
+		abort();
+	l->conf = *conf;
+	l->rng = 1;
+	l->now = 1000;
+	l->asked_cap = 1 << 20;
+	l->pools = calloc(pools, sizeof(struct dl_pool *));
+	l->vms = calloc((size_t)conf->domains * conf->entries, sizeof(*l->vms));
+	l->wheel = calloc(LOAD_WHEEL, sizeof(struct load_req *));
+	l->asked = calloc(l->asked_cap, sizeof(struct load_req *));
+	if (!l->pools || !l->vms || !l->wheel || !l->asked)
+		abort();
+	for (uint32_t p = 0; p < pools; p++) {
+		l->pools[p] = dl_pool_new(&pc, &dl_policy_late_binding, p + 1);
+		for (uint32_t r = 0; r < conf->runners; r++)
+			load_report(l, p, r);
+	}
+	return l;
+}
+
+static inline void load_free(struct load *l)
+{
+	for (uint32_t p = 0; p < l->conf.domains * l->conf.pools; p++)
+		dl_pool_free(l->pools[p]);
+	for (uint32_t i = 0; i < LOAD_WHEEL; i++) {
+		while (l->wheel[i]) {
+			struct load_req *r = l->wheel[i];
+
+			l->wheel[i] = r->next;
+			free(r);
+		}
+	}
+	for (uint32_t i = 0; i < l->asked_cap; i++)
+		free(l->asked[i]);
+	free(l->pools);
+	free(l->vms);
+	free(l->wheel);
+	free(l->asked);
+	free(l);
+}
+
+static inline void load_at(struct load *l, struct load_req *r, int64_t at)
+{
+	uint64_t slot = (uint64_t)(at / LOAD_TICK_MS) % LOAD_WHEEL;
+
+	r->next = l->wheel[slot];
+	l->wheel[slot] = r;
+}
+
+/* An answer on its way to its entry. */
+static inline void load_answer(struct load *l, uint32_t pool,
+			       const struct dl_answer *a)
+{
+	struct dl_answer_frame f = { .answer = *a }, read;
+	struct load_req *r = l->asked[a->request % l->asked_cap];
+	struct dl_packer pk;
+
+	dl_name_set(&f.service, DL_STR("match-writer"));
+	dl_answer_pack(&pk, &f, l->now);
+	load_send(l, load_leader(l, pool), r->entry, 21, a->request,
+		  dl_packer_bytes(&pk).n);
+	dl_answer_read(dl_packer_bytes(&pk), &read, l->now);
+	dl_packer_close(&pk);
+	if (a->verdict == DL_QUEUED)
+		return;
+	l->asked[a->request % l->asked_cap] = NULL;
+	if (a->verdict == DL_REFUSED) {
+		l->refused++;
+		free(r);
+		return;
+	}
+	l->granted++;
+	l->in_flight++;
+	r->grant = a->grant;
+	r->ends = l->now + l->conf.request_ms;
+	load_at(l, r, l->now + l->conf.lease_ms / LOAD_RENEWALS);
+}
+
+static inline void load_ask(struct load *l)
+{
+	struct load_req *r = calloc(1, sizeof(*r));
+	struct dl_ask ask = { 0 }, read;
+	struct dl_answer answer;
+	struct dl_name service;
+	struct dl_packer pk;
+	char workspace[24] = "workspace-";
+	uint32_t number;
+
+	if (!r)
+		abort();
+	r->pool = (uint32_t)(load_random(l) %
+			     ((uint64_t)l->conf.domains * l->conf.pools));
+	r->entry = r->pool / l->conf.pools * l->conf.entries +
+		   (uint32_t)(load_random(l) % l->conf.entries);
+	number = 10000 + (uint32_t)(load_random(l) % l->conf.workspaces);
+	for (int i = 14; i >= 10; i--, number /= 10)
+		workspace[i] = (char)('0' + number % 10);
+	ask.request = ++l->next_id;
+	ask.entry = (UINT64_C(0x0a000001) + r->entry) << 16 | 7000;
+	ask.workspace = dl_str_of(workspace);
+	ask.class = (enum dl_class)(load_random(l) % DL_CLASS_COUNT);
+	ask.prompt_tokens = load_prompt(l);
+	ask.output_tokens = LOAD_OUTPUT_TOKENS;
+	ask.prefix = load_random(l);
+	ask.prefix_tokens = 1000;
+	ask.deadline = l->now + LOAD_DEADLINE_MS;
+	l->asked[ask.request % l->asked_cap] = r;
+	l->requests++;
+	dl_ask_pack(&pk, DL_STR("match-writer"), &ask, l->now);
+	load_send(l, r->entry, load_leader(l, r->pool), 20, ask.request,
+		  dl_packer_bytes(&pk).n);
+	if (dl_ask_read(dl_packer_bytes(&pk), &service, &read, l->now) == 0) {
+		dl_pool_ask(l->pools[r->pool], &read, l->now, &answer);
+		load_answer(l, r->pool, &answer);
+	}
+	dl_packer_close(&pk);
+}
+
+/* A grant's time has come: renewed, or given back at its end. */
+static inline void load_due(struct load *l, struct load_req *r)
+{
+	uint32_t to = load_leader(l, r->pool);
+	struct dl_usage usage = { .ran = true,
+				  .prompt_tokens = 8000,
+				  .output_tokens = LOAD_OUTPUT_TOKENS,
+				  .ttft_ms = 400,
+				  .total_ms = l->conf.request_ms };
+	struct dl_packer pk;
+	int64_t next;
+
+	if (l->now < r->ends) {
+		dl_number_pack(&pk, DL_STR("match-writer"), r->grant);
+		load_send(l, r->entry, to, 23, r->grant,
+			  dl_packer_bytes(&pk).n);
+		dl_packer_close(&pk);
+		dl_pool_renew(l->pools[r->pool], r->grant, l->now);
+		l->renewals++;
+		next = l->now + l->conf.lease_ms / LOAD_RENEWALS;
+		load_at(l, r, next < r->ends ? next : r->ends);
+		return;
+	}
+	dl_release_pack(&pk, DL_STR("match-writer"), r->grant, &usage);
+	load_send(l, r->entry, to, 24, r->grant, dl_packer_bytes(&pk).n);
+	dl_packer_close(&pk);
+	dl_pool_release(l->pools[r->pool], r->grant, &usage, l->now);
+	l->in_flight--;
+	free(r);
+}
+
+/* Let time pass. */
+static inline void load_run(struct load *l, int64_t ms)
+{
+	uint32_t pools = l->conf.domains * l->conf.pools;
+
+	for (int64_t end = l->now + ms; l->now < end; l->now += LOAD_TICK_MS) {
+		uint64_t slot = (uint64_t)(l->now / LOAD_TICK_MS) % LOAD_WHEEL;
+		struct load_req *r = l->wheel[slot], *next;
+		struct dl_answer answer;
+
+		l->wheel[slot] = NULL;
+		for (; r; r = next) {
+			next = r->next;
+			load_due(l, r);
+		}
+		l->carry += (uint64_t)l->conf.requests_per_s * LOAD_TICK_MS;
+		for (; l->carry >= 1000; l->carry -= 1000)
+			load_ask(l);
+		for (uint32_t p = 0; p < pools; p++) {
+			while (dl_pool_next(l->pools[p], l->now, &answer))
+				load_answer(l, p, &answer);
+			if (l->now % LOAD_SUMMARY_MS == 0)
+				load_summary(l, p);
+			for (uint32_t i = 0; l->now % LOAD_REPORT_MS == 0 &&
+					     i < l->conf.runners;
+			     i++)
+				load_report(l, p, i);
+		}
+	}
+}
+
+/* The target: 370 VMs, 75 dispatchers before 600 runners. */
+static inline struct load_conf load_target(void)
+{
+	return (struct load_conf){ .domains = 5,
+				   .entries = 74,
+				   .pools = 15,
+				   .runners = 8,
+				   .requests_per_s = 3900,
+				   .request_ms = 12900,
+				   .lease_ms = 5000,
+				   .workspaces = 32000 };
+}
+
+#endif
--- a/src/coordination/memb.c
+++ b/src/coordination/memb.c
@@ -80,6 +80,12 @@
 	if (memb->conf.datagram_max == 0 ||
 	    memb->conf.datagram_max > DL_MEMB_DATAGRAM_MAX)
 		memb->conf.datagram_max = DL_MEMB_DATAGRAM_MAX;
+	memb->owners = calloc(MEMB_OWNERS, sizeof(*memb->owners));
+	if (!memb->owners) {
+		dl_memb_free(memb);
+		return NULL;
+	}
+	memb->epoch = 1;
 	memb->rng = seed ^ conf->self;
 	memb->seq = (uint32_t)memb_random(memb);
 	memb->unknown_pulled = INT64_MIN / 2;
@@ -106,6 +112,7 @@
 {
 	if (!memb)
 		return;
+	free(memb->owners);
 	free(memb->peers);
 	free(memb->slots);
 	free(memb->order);
@@ -247,6 +254,7 @@
 /* Take a member out of its domain's hash, or put it back in. */
 static void unhash(struct dl_memb *memb, struct memb_peer *peer, int64_t now)
 {
+	memb->epoch++;
 	memb->domains[peer->domain].hash ^= peer_hash(peer);
 	memb->domains[peer->domain].changed = now;
 }
@@ -300,6 +308,7 @@
 		state = DL_DEAD;
 	if (state == peer->m.state)
 		return;
+	memb->epoch++;
 	peer->m.state = state;
 	peer->m.since = now;
 	mark(memb, peer);
@@ -378,6 +387,7 @@
 	memb->domains[peer->domain].members--;
 	memb->domains[peer->domain].live -= memb_said_live(peer);
 	memb->npeers--;
+	memb->epoch++;
 	*peer = memb->peers[memb->npeers];
 	rehash(memb);
 }
@@ -809,16 +819,9 @@
 	return newest;
 }
 
-/*
- * The live, undrained entry of a failure domain that rendezvous hashing names
- * for a key; DL_VM_NONE where there is none, and where it would be this VM
- * while it has yet to hear what it missed in a pause.
- *
- * Load: a pool's dispatching moves only when its owner goes, so that the
- * queues of all other pools stay where they are when a VM fails or returns.
- */
-uint64_t dl_memb_owner(const struct dl_memb *memb, struct dl_str domain,
-		       uint64_t key)
+/* The entry of a domain with the highest hash over itself and the key. */
+static uint64_t find_owner(const struct dl_memb *memb, uint32_t domain,
+			   uint64_t key)
 {
 	uint64_t best = 0, owner = DL_VM_NONE;
 
@@ -827,8 +830,8 @@
 		struct dl_str vm = { (const char *)&m->vm, sizeof(m->vm) };
 		uint64_t score;
 
-		if (!memb_peer_live(&memb->peers[i]) || m->draining ||
-		    m->replica || !dl_name_eq(&m->domain, domain))
+		if (memb->peers[i].domain != domain || m->draining ||
+		    m->replica || !memb_peer_live(&memb->peers[i]))
 			continue;
 		score = dl_hash(vm, key);
 		if (owner == DL_VM_NONE || score > best) {
@@ -836,7 +839,34 @@
 			owner = m->vm;
 		}
 	}
-	if (owner == memb->conf.self && memb->refreshing)
-		return DL_VM_NONE;
 	return owner;
 }
+
+/*
+ * The live, undrained entry of a failure domain that rendezvous hashing names
+ * for a key; DL_VM_NONE where there is none, and where it would be this VM
+ * while it has yet to hear what it missed in a pause.
+ *
+ * Load: a pool's dispatching moves only when its owner goes, so that the
+ * queues of all other pools stay where they are when a VM fails or returns.
+ */
+uint64_t dl_memb_owner(const struct dl_memb *memb, struct dl_str domain,
+		       uint64_t key)
+{
+	struct memb_owner *known;
+	uint32_t d = 0;
+
+	while (d < memb->ndomains &&
+	       !dl_name_eq(&memb->domains[d].name, domain))
+		d++;
+	if (d == memb->ndomains)
+		return DL_VM_NONE;
+	known = &memb->owners[(key ^ d) & (MEMB_OWNERS - 1)];
+	if (known->epoch != memb->epoch || known->key != key ||
+	    known->domain != d)
+		*known = (struct memb_owner){ memb->epoch, key,
+					      find_owner(memb, d, key), d };
+	if (known->owner == memb->conf.self && memb->refreshing)
+		return DL_VM_NONE;
+	return known->owner;
+}
--- a/src/coordination/memb_int.h
+++ b/src/coordination/memb_int.h
@@ -13,6 +13,7 @@
 #define MEMB_SEEDS_MAX	   64
 #define MEMB_QUEUE_MAX	   512 /* datagrams waiting to be encoded */
 #define MEMB_RELAYS_MAX	   64  /* indirect probes under way for others */
+#define MEMB_OWNERS	   64  /* owners remembered; a power of two */
 #define MEMB_UPDATES_MAX   64  /* updates in one datagram */
 #define MEMB_PIGGYBACK_MAX 24  /* of them on probes and their answers */
 
@@ -126,6 +127,14 @@
 	uint32_t seq;
 };
 
+/* An owner found before, good as long as the members are the same. */
+struct memb_owner {
+	uint64_t epoch; /* 0: none */
+	uint64_t key;
+	uint64_t owner;
+	uint32_t domain;
+};
+
 struct dl_memb {
 	struct dl_memb_conf conf;
 	struct memb_peer *peers; /* [0] is this VM */
@@ -137,6 +146,8 @@
 	uint32_t dirty_at; /* where to look for the next */
 	uint32_t telling;  /* members with repetitions left */
 	uint32_t suspects;
+	uint64_t epoch;		   /* counts changes of members */
+	struct memb_owner *owners; /* MEMB_OWNERS of them, by key */
 
 	struct memb_domain domains[MEMB_DOMAINS_MAX]; /* [0] is our own */
 	uint32_t ndomains;
--- a/test/test_memb_random.c
+++ b/test/test_memb_random.c
@@ -49,6 +49,18 @@
 	return (z ^ (z >> 31)) % n;
 }
 
+/* An owner is live and takes work, whatever was remembered. */
+static void check_owner(const struct dl_memb *memb)
+{
+	struct dl_name name = memb_net_domain(0);
+	uint64_t owner = dl_memb_owner(memb, dl_name_str(&name), 1);
+	const struct dl_member *m = dl_memb_find(memb, owner);
+
+	if (owner != DL_VM_NONE &&
+	    (m->draining || (m->state != DL_ALIVE && m->state != DL_SUSPECT)))
+		ck_abort_msg("an owner that is gone");
+}
+
 /* Never back: incarnations, versions; and nobody buries itself. */
 static void always(struct memb_net *net, uint32_t vm)
 {
@@ -58,6 +70,7 @@
 
 	if (dl_memb_at(v->memb, 0)->state != DL_ALIVE)
 		ck_abort_msg("VM %u buries itself", vm);
+	check_owner(v->memb);
 	for (uint32_t i = 0; i < net->conf.vms; i++) {
 		struct seen *s = &run->seen[vm][i];
 
