--- a/test/test_rlog.c
+++ b/test/test_rlog.c
@@ -314,6 +314,79 @@
 }
 END_TEST
 
+/*
+ * A voter that restarts has promised its leader not to vote for another; the
+ * leader's lease goes on resting on that.
+ */
+START_TEST(restart_keeps_the_promise)
+{
+	struct group *g = three(30 + (uint32_t)_i);
+	uint64_t leader = group_leader(g);
+	uint64_t deaf = follower(g), other = 6 - leader - deaf;
+
+	fake_link_cut(group_link(g), leader, deaf);
+	group_run(g, 3000);
+	ck_assert_uint_eq(group_leader(g), leader);
+	fake_link_isolate(group_link(g), leader);
+	group_kill(g, other);
+	group_start(g, other);
+	group_run(g, 600);
+	ck_assert_int_eq(status_of(g, leader).role, DL_RLOG_LEADER);
+	group_run(g, 4000);
+	fake_link_heal(group_link(g));
+	finish(g);
+}
+END_TEST
+
+/* The answer of one voter to a replica that stands alone in this test. */
+static void answer(struct dl_rlog *r, enum dl_rlog_msg_kind kind, uint64_t from,
+		   uint64_t term, bool fresh, int64_t now)
+{
+	struct dl_rlog_msg m = {
+		.kind = kind,
+		.from_vm = from,
+		.from_id = from,
+		.to_id = 1,
+		.cluster = 9,
+		.term = term,
+		.stamp = now,
+		.ok = !fresh,
+		.fresh = fresh,
+	};
+	struct dl_rlog_unit u;
+
+	dl_rlog_in(r, &m, now);
+	if (dl_rlog_write(r, &u))
+		dl_rlog_written(r, u.seq, 0, now);
+}
+
+/* An identity without a log has promised nothing: no lease rests on it. */
+START_TEST(unborn_answer_is_no_promise)
+{
+	struct dl_rlog_image image = { .id = 1, .cluster = 9 };
+	struct dl_rlog_conf conf;
+	struct dl_rlog *r;
+
+	dl_rlog_defaults(&conf);
+	conf.self = 1;
+	image.snapshot.members = (struct dl_rlog_members){
+		3, { { 1, 1, true }, { 2, 2, true }, { 3, 3, true } }
+	};
+	r = dl_rlog_new(&conf, &image, 1, 0);
+	dl_rlog_tick(r, 2000);
+	answer(r, DL_RLOG_PREVOTE_REPLY, 2, 1, false, 2000);
+	answer(r, DL_RLOG_VOTE_REPLY, 2, 1, false, 2000);
+	ck_assert_int_eq(dl_rlog_propose(r, DL_STR("c"), 2000, &(uint64_t){ 0 },
+					 &(uint64_t){ 0 }),
+			 0);
+	answer(r, DL_RLOG_APPEND_REPLY, 3, 1, true, 2000);
+	ck_assert(!dl_rlog_lease(r, 2000, NULL));
+	answer(r, DL_RLOG_APPEND_REPLY, 3, 1, false, 2000);
+	ck_assert(dl_rlog_lease(r, 2000, NULL));
+	dl_rlog_free(r);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("rlog");
@@ -335,6 +408,8 @@
 	tcase_add_test(t, list_is_carried_out_one_by_one);
 	tcase_add_test(t, waits_for_a_replica_that_never_came);
 	tcase_add_test(t, all_restarted_at_once);
+	tcase_add_loop_test(t, restart_keeps_the_promise, 0, 10);
+	tcase_add_test(t, unborn_answer_is_no_promise);
 	tcase_add_loop_test(t, failed_sync_silences, 0, 2);
 	tcase_add_loop_test(t, damage_is_refused, 0, 20);
 	tcase_add_loop_test(t, crash_at_every_disk_step, 0, 160);
