--- a/test/fake/disk.c
+++ b/test/fake/disk.c
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+/* A write, or where data is NULL a cut at the offset. */
 struct span {
 	uint64_t offset;
 	uint64_t n;
@@ -38,7 +39,6 @@
 	struct dl_disk_done done;
 	struct file *sync; /* what becomes synced at the end */
 	guint spans;	   /* how many writes the sync covers */
-	GByteArray *image; /* the content at the sync's begin */
 	bool folder;
 	guint names;
 };
@@ -94,8 +94,6 @@
 
 	if (x->sync)
 		file_unref(x->sync);
-	if (x->image)
-		g_byte_array_free(x->image, TRUE);
 	g_free(x);
 }
 
@@ -197,6 +195,14 @@
 		memcpy(to->data + offset, data, n);
 }
 
+static void put_span(GByteArray *to, const struct span *s)
+{
+	if (s->data)
+		put(to, s->offset, s->data, s->n);
+	else if (to->len > s->offset)
+		g_byte_array_set_size(to, (guint)s->offset);
+}
+
 static void disk_write(void *disk, const char *name, uint64_t offset,
 		       struct dl_str data, struct dl_disk_done done)
 {
@@ -238,8 +244,6 @@
 	}
 	x->sync = file_ref(f);
 	x->spans = f->unsynced->len;
-	x->image = g_byte_array_new();
-	put(x->image, 0, f->now->data, f->now->len);
 }
 
 static void disk_rename(void *disk, const char *from, const char *to,
@@ -309,10 +313,12 @@
 {
 	struct fake_disk *d = disk;
 	struct file *f = g_hash_table_lookup(d->names, name);
+	struct span span = { size, 0, NULL };
 
 	if (!f)
 		return -ENOENT;
 	g_byte_array_set_size(f->now, (guint)size);
+	g_array_append_val(f->unsynced, span);
 	return 0;
 }
 
@@ -348,8 +354,10 @@
 	int code = x->code;
 
 	if (x->sync && !code) {
-		g_byte_array_set_size(x->sync->synced, 0);
-		put(x->sync->synced, 0, x->image->data, x->image->len);
+		for (guint i = 0; i < x->spans; i++)
+			put_span(x->sync->synced,
+				 &g_array_index(x->sync->unsynced, struct span,
+						i));
 		if (x->spans)
 			g_array_remove_range(x->sync->unsynced, 0, x->spans);
 	}
@@ -389,6 +397,11 @@
 		struct span s = g_array_index(f->unsynced, struct span, i);
 		uint64_t from = 0, to = s.n;
 
+		if (!s.data) {
+			if (g_rand_boolean(d->rand))
+				put_span(left, &s);
+			continue;
+		}
 		switch (g_rand_int_range(d->rand, 0, 4)) {
 		case 0:
 			continue;
--- a/test/fake/group.c
+++ b/test/fake/group.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <glib.h>
 
@@ -31,6 +32,8 @@
 	uint64_t seq;  /* of the unit under way */
 	uint64_t term; /* in which it was seen leading */
 	uint64_t id;
+	uint64_t busy_ns; /* in the log and its codec */
+	uint64_t busy_from;
 };
 
 /* What the group knows of an index, from whoever applied it first. */
@@ -65,6 +68,7 @@
 };
 
 static void pump(struct node *n);
+static void begin_work(struct node *n);
 static int64_t local(const struct node *n);
 
 static void violated(struct group *g, const struct node *n, const char *what)
@@ -344,6 +348,7 @@
 	struct node *n = arg;
 
 	n->group->count.steps++;
+	begin_work(n);
 	dl_rlog_written(n->rlog, n->seq, code, local(n));
 	pump(n);
 }
@@ -377,6 +382,19 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
+static uint64_t clock_ns(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (uint64_t)ts.tv_sec * 1000000000u + (uint64_t)ts.tv_nsec;
+}
+
+static void begin_work(struct node *n)
+{
+	n->busy_from = clock_ns();
+}
+
 static void pump(struct node *n)
 {
 	struct dl_rlog_status s;
@@ -392,6 +410,7 @@
 				    (struct dl_disk_done){ written, n });
 	}
 	send_all(n);
+	n->busy_ns += clock_ns() - n->busy_from;
 	dl_rlog_get_status(n->rlog, local(n), &s);
 	check_leader(n, &s);
 	check_lease(n);
@@ -413,6 +432,7 @@
 	if (d->to > GROUP_MAX || !runs(n))
 		return;
 	g->count.steps++;
+	begin_work(n);
 	if (dl_rlog_decode(d->data, &m)) {
 		violated(g, n, "a message could not be decoded");
 		return;
@@ -463,6 +483,7 @@
 		if (!runs(n) || dl_rlog_wakeup(n->rlog) > local(n))
 			continue;
 		g->count.steps++;
+		begin_work(n);
 		dl_rlog_tick(n->rlog, local(n));
 		pump(n);
 	}
@@ -536,6 +557,7 @@
 	data = g_malloc(bytes + sizeof(uint32_t));
 	memset(data, 'c', bytes);
 	*(uint32_t *)data = g_rand_int(g->rand);
+	begin_work(n);
 	code = dl_rlog_propose(n->rlog, (struct dl_str){ data, bytes },
 			       local(n), &p.index, &p.term);
 	g_free(data);
@@ -641,6 +663,11 @@
 	}
 }
 
+uint64_t group_busy_ns(const struct group *g, uint64_t vm)
+{
+	return g->nodes[vm].busy_ns;
+}
+
 const struct group_count *group_counted(const struct group *g)
 {
 	return &g->count;
--- a/test/fake/group.h
+++ b/test/fake/group.h
@@ -69,6 +69,8 @@
 uint64_t group_applied(const struct group *group, uint64_t vm);
 uint64_t group_identity(const struct group *group, uint64_t vm);
 void group_want(struct group *group, const uint64_t *vms, uint32_t n);
+/* Real time that a VM spent in the log and its codec, for benchmarks. */
+uint64_t group_busy_ns(const struct group *group, uint64_t vm);
 const struct group_count *group_counted(const struct group *group);
 /* The first violation in words; empty where there is none. */
 const char *group_violation(const struct group *group);
