--- a/src/main/entry.c
+++ b/src/main/entry.c
@@ -14,6 +14,8 @@
 #define BODY_MAX (16u << 20)
 /* A request must have arrived whole within this time. */
 #define READ_MS 10000
+/* How often the gauges that need a walk are set. */
+#define COUNT_EVERY_MS 500
 
 static void on_frame(void *arg, uint64_t from, const struct dl_frame *frame);
 static void on_down(void *arg, uint64_t vm);
@@ -117,7 +119,10 @@
 	entry_pool_tick(e, now);
 	entry_cmd_tick(e, now);
 	entry_conf_tick(e, now);
-	count_live(e);
+	if (now - e->counted_at >= COUNT_EVERY_MS) {
+		e->counted_at = now;
+		count_live(e);
+	}
 	if (e->node.stopping && !e->calls)
 		dl_node_end(&e->node, DL_EXIT_OK);
 }
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -187,6 +187,7 @@
 	struct entry_pool *pools;
 	struct entry_far *far;
 	int64_t summaries_at;
+	int64_t counted_at;
 
 	/* requests */
 	struct call *calls;
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -74,23 +74,27 @@
 	p->leading = leading;
 }
 
-static void drain_endpoints(struct entry *e, struct entry_pool *p)
+/* Put the operators' drain of one endpoint in force, or lift it. */
+static void drain_endpoint(struct entry *e, struct entry_pool *p,
+			   const struct dl_name *id)
 {
 	const struct dl_conf *conf = e->conf;
+	bool drain = false;
+
+	for (uint32_t i = 0; i < conf->drain_endpoints_count; i++)
+		drain |= dl_name_eq(&conf->drain_endpoints[i], dl_name_str(id));
+	dl_pool_endpoint_drain(p->pool, dl_name_str(id), drain, entry_now(e));
+}
+
+static void drain_endpoints(struct entry *e, struct entry_pool *p)
+{
 	struct dl_endpoint_report r;
-	int64_t now = entry_now(e);
 	uint64_t held;
 	bool out;
 
 	for (uint32_t i = 0; dl_pool_endpoint_at(p->pool, i, &r, &held, &out);
-	     i++) {
-		bool drain = false;
-
-		for (uint32_t k = 0; k < conf->drain_endpoints_count; k++)
-			drain |= dl_name_eq(&conf->drain_endpoints[k],
-					    dl_name_str(&r.id));
-		dl_pool_endpoint_drain(p->pool, dl_name_str(&r.id), drain, now);
-	}
+	     i++)
+		drain_endpoint(e, p, &r.id);
 }
 
 static struct entry_pool *pool_add(struct entry *e,
@@ -295,7 +299,7 @@
 			const struct dl_endpoint_report *report)
 {
 	dl_pool_report(p->pool, report, entry_now(e));
-	drain_endpoints(e, p);
+	drain_endpoint(e, p, &report->id);
 }
 
 static void on_report(struct entry *e, uint64_t from, const struct dl_frame *f)
