--- a/bench/control_load.h
+++ b/bench/control_load.h
@@ -150,8 +150,7 @@
 					.takes_groups = true };
 	uint32_t entry = pool / l->conf.pools * l->conf.entries +
 			 (uint32_t)(load_random(l) % l->conf.entries);
-	struct dl_name service;
-	struct dl_endpoint_report read;
+	struct dl_announcement said, read;
 	struct dl_packer pk;
 	char text[24];
 
@@ -160,11 +159,16 @@
 			   9000,
 		   text);
 	dl_name_set(&r.id, dl_str_of(text));
-	dl_report_pack(&pk, DL_STR("match-writer"), &r);
+	memset(&said, 0, sizeof(said));
+	said.report = r;
+	dl_name_set(&said.service, DL_STR("match-writer"));
+	said.models_count = 1;
+	dl_name_set(&said.models[0], DL_STR("match-7b"));
+	dl_report_pack(&pk, &said);
 	load_send(l, entry, load_leader(l, pool), 25, 0,
 		  dl_packer_bytes(&pk).n);
-	dl_report_read(dl_packer_bytes(&pk), &service, &read);
-	dl_pool_report(l->pools[pool], &read, l->now);
+	dl_report_read(dl_packer_bytes(&pk), &read);
+	dl_pool_report(l->pools[pool], &read.report, l->now);
 	dl_packer_close(&pk);
 }
 
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -36,6 +36,17 @@
 	struct dl_name service;
 	struct dl_pool *pool;
 	bool leading;
+	GHashTable *announced; /* endpoint to its last struct announced */
+};
+
+/* What an endpoint announced that only the order planner asks for. */
+struct announced {
+	int64_t heard;
+	uint64_t incarnation;
+	bool leaving;
+	struct dl_name models[DL_ANNOUNCED_MODELS_MAX];
+	uint32_t models_count;
+	struct dl_name version, role;
 };
 
 /* What the dispatcher of another failure domain last said of its pool. */
@@ -255,9 +266,7 @@
 uint64_t entry_pool_owner(struct entry *e, struct dl_str service,
 			  struct dl_str domain);
 void entry_pool_configure(struct entry *e);
-int entry_pool_report(struct entry *e, struct dl_str service,
-		      struct dl_str domain,
-		      const struct dl_endpoint_report *report);
+int entry_pool_report(struct entry *e, const struct dl_announcement *a);
 void entry_pool_frame(struct entry *e, uint64_t from,
 		      const struct dl_frame *frame);
 void entry_pool_ask(struct entry *e, struct entry_pool *p,
--- a/src/main/entry_http.c
+++ b/src/main/entry_http.c
@@ -111,8 +111,7 @@
 		entry_http_error(req, 400, "bad-request", &err);
 		return;
 	}
-	if (entry_pool_report(e, dl_name_str(&a.service),
-			      dl_name_str(&a.failure_domain), &a.report)) {
+	if (entry_pool_report(e, &a)) {
 		dl_err_set(&err, -1, DL_STEP_CHECK, NULL, "no such service");
 		entry_http_error(req, e->conf ? 404 : 503, "no-service", &err);
 		return;
--- a/src/main/entry_ops.c
+++ b/src/main/entry_ops.c
@@ -11,10 +11,11 @@
 #include "main/entry.h"
 #include "protocol/api.h"
 
-#define APPLY_MS  8000
-#define QUERY_MS  1500
-#define GATHER_MS 600
-#define ASK_MAX	  64 /* dispatchers asked for their pools */
+#define APPLY_MS	 8000
+#define QUERY_MS	 1500
+#define GATHER_MS	 600
+#define ANNOUNCED_OLD_MS 5000 /* an endpoint silent for so long is gone */
+#define ASK_MAX		 64   /* dispatchers asked for their pools */
 
 struct ops {
 	struct entry *e;
@@ -412,6 +413,51 @@
 	return root;
 }
 
+static json_t *one_announced(const char *service, const char *id,
+			     const struct announced *a)
+{
+	json_t *o = json_object(), *models = json_array();
+
+	for (uint32_t i = 0; i < a->models_count; i++)
+		json_array_append_new(models, json_string(a->models[i].s));
+	json_object_set_new(o, "service", json_string(service));
+	json_object_set_new(o, "address", json_string(id));
+	json_object_set_new(o, "incarnation",
+			    json_integer((json_int_t)a->incarnation));
+	json_object_set_new(o, "leaving", json_boolean(a->leaving));
+	json_object_set_new(o, "models", models);
+	json_object_set_new(o, "version", json_string(a->version.s));
+	json_object_set_new(o, "role", json_string(a->role.s));
+	return o;
+}
+
+/* What the endpoints of the pools led here announced, for the planner. */
+static json_t *announced_json(struct entry *e)
+{
+	json_t *root = json_array();
+	struct entry_pool *p;
+
+	for (p = e->pools; p; p = p->next) {
+		GHashTableIter it;
+		gpointer id, a;
+
+		if (!p->leading)
+			continue;
+		g_hash_table_iter_init(&it, p->announced);
+		while (g_hash_table_iter_next(&it, &id, &a)) {
+			const struct announced *n = a;
+
+			if (entry_now(e) - n->heard > ANNOUNCED_OLD_MS)
+				g_hash_table_iter_remove(&it);
+			else
+				json_array_append_new(
+					root,
+					one_announced(p->service.s, id, n));
+		}
+	}
+	return root;
+}
+
 /* Answer another VM's question about this one's pools. */
 void entry_ops_frame(struct entry *e, uint64_t from,
 		     const struct dl_frame *frame)
@@ -419,9 +465,12 @@
 	json_t *root;
 	char *text;
 
-	if (!dl_str_eq(frame->body, DL_STR("pools")))
+	if (dl_str_eq(frame->body, DL_STR("pools")))
+		root = own_pools(e);
+	else if (dl_str_eq(frame->body, DL_STR("announced")))
+		root = announced_json(e);
+	else
 		return;
-	root = own_pools(e);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	dl_peers_send(e->node.peers, from, DL_FRAME_QUERY_REPLY, frame->request,
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -112,6 +112,8 @@
 		free(p);
 		return NULL;
 	}
+	p->announced =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->next = e->pools;
 	e->pools = p;
 	return p;
@@ -130,6 +132,7 @@
 		}
 		*at = p->next;
 		dl_pool_free(p->pool);
+		g_hash_table_destroy(p->announced);
 		free(p);
 	}
 }
@@ -295,24 +298,42 @@
 		dl_pool_release(p->pool, grant, &usage, entry_now(e));
 }
 
+static void remember(struct entry *e, struct entry_pool *p,
+		     const struct dl_announcement *a)
+{
+	struct announced *n = g_hash_table_lookup(p->announced, a->report.id.s);
+
+	if (!n) {
+		n = g_new0(struct announced, 1);
+		g_hash_table_insert(p->announced, g_strdup(a->report.id.s), n);
+	}
+	n->heard = entry_now(e);
+	n->incarnation = a->report.incarnation;
+	n->leaving = a->report.leaving;
+	memcpy(n->models, a->models, sizeof(n->models));
+	n->models_count = a->models_count;
+	n->version = a->version;
+	n->role = a->role;
+}
+
 static void report_here(struct entry *e, struct entry_pool *p,
-			const struct dl_endpoint_report *report)
+			const struct dl_announcement *a)
 {
-	dl_pool_report(p->pool, report, entry_now(e));
-	drain_endpoint(e, p, &report->id);
+	dl_pool_report(p->pool, &a->report, entry_now(e));
+	drain_endpoint(e, p, &a->report.id);
+	remember(e, p, a);
 }
 
 static void on_report(struct entry *e, uint64_t from, const struct dl_frame *f)
 {
-	struct dl_endpoint_report report;
-	struct dl_name service;
+	struct dl_announcement a;
 	struct entry_pool *p;
 
-	if (dl_report_read(f->body, &service, &report))
+	if (dl_report_read(f->body, &a))
 		return;
-	p = entry_pool_find(e, dl_name_str(&service));
+	p = entry_pool_find(e, dl_name_str(&a.service));
 	if (p)
-		report_here(e, p, &report);
+		report_here(e, p, &a);
 }
 
 static struct entry_far *far_find(struct entry *e,
@@ -383,10 +404,10 @@
  * An endpoint has announced itself here: keep it where the pool is ours, and
  * pass it on to the pool's dispatcher.  -ENOENT: no such service.
  */
-int entry_pool_report(struct entry *e, struct dl_str service,
-		      struct dl_str domain,
-		      const struct dl_endpoint_report *report)
+int entry_pool_report(struct entry *e, const struct dl_announcement *a)
 {
+	struct dl_str service = dl_name_str(&a->service);
+	struct dl_str domain = dl_name_str(&a->failure_domain);
 	struct entry_pool *p = entry_pool_find(e, service);
 	struct dl_packer pk;
 	uint64_t owner;
@@ -397,10 +418,10 @@
 		domain = dl_name_str(&e->node.settings.failure_domain);
 	owner = entry_pool_owner(e, service, domain);
 	if (is_own_domain(e, domain))
-		report_here(e, p, report);
+		report_here(e, p, a);
 	if (owner == e->node.self || owner == DL_VM_NONE)
 		return 0;
-	dl_report_pack(&pk, service, report);
+	dl_report_pack(&pk, a);
 	dl_peers_send(e->node.peers, owner, DL_FRAME_REPORT, 0,
 		      dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
--- a/src/protocol/api.c
+++ b/src/protocol/api.c
@@ -241,6 +241,23 @@
 	}
 }
 
+/* More models than can be told apart are passed over. */
+static void read_models(const json_t *root, struct dl_announcement *out)
+{
+	const json_t *list = json_object_get(root, "models");
+
+	for (size_t i = 0; i < json_array_size(list) &&
+			   out->models_count < DL_ANNOUNCED_MODELS_MAX;
+	     i++) {
+		const json_t *model = json_array_get(list, i);
+
+		if (json_is_string(model) &&
+		    dl_name_set(&out->models[out->models_count],
+				json_str(model)))
+			out->models_count++;
+	}
+}
+
 /* Read an endpoint's announcement. */
 int dl_announcement_parse(struct dl_str body, struct dl_announcement *out,
 			  struct dl_err *err)
@@ -262,6 +279,10 @@
 	read_report(root, &out->report);
 	out->order_fence = read_count(root, "order_fence");
 	read_events(root, out);
+	read_models(root, out);
+	if (read_name(root, "version", false, &out->version) ||
+	    read_name(root, "role", false, &out->role))
+		rc = BAD(err, "version and role must be names");
 	if (!rc && out->report.slots == 0)
 		rc = BAD(err, "slots must be at least 1");
 	json_decref(root);
--- a/src/protocol/api.h
+++ b/src/protocol/api.h
@@ -62,12 +62,19 @@
 	uint32_t tokens; /* 0: evicted */
 };
 
+#define DL_ANNOUNCED_MODELS_MAX 8
+
 /* An endpoint's announcement. */
 struct dl_announcement {
 	struct dl_name service;
 	struct dl_name failure_domain; /* empty: that of the entry asked */
 	struct dl_endpoint_report report;
 	uint64_t order_fence;
+	/* What orders are about; empty where it tells none. */
+	struct dl_name models[DL_ANNOUNCED_MODELS_MAX];
+	uint32_t models_count;
+	struct dl_name version;
+	struct dl_name role;
 	struct dl_cache_event events[DL_CACHE_EVENTS_MAX];
 	uint32_t events_count;
 };
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -7,7 +7,7 @@
 #define ASK_ITEMS     11
 #define ANSWER_ITEMS  13
 #define RELEASE_ITEMS 8
-#define REPORT_ITEMS  12
+#define REPORT_ITEMS  17
 #define SUMMARY_ITEMS 9
 #define ADOPT_ITEMS   22
 
@@ -247,12 +247,49 @@
 	return finish(&r);
 }
 
+static void put_events(struct dl_packer *p, const struct dl_announcement *a)
+{
+	msgpack_pack_array(&p->pk, a->events_count * 2);
+	for (uint32_t i = 0; i < a->events_count; i++) {
+		dl_pack_u64(p, a->events[i].prefix);
+		dl_pack_u64(p, a->events[i].tokens);
+	}
+}
+
+static void take_events(struct dl_reader *r, struct dl_announcement *out)
+{
+	const msgpack_object *o = r->at;
+	uint32_t n;
+
+	if (r->bad || r->left == 0 || o->type != MSGPACK_OBJECT_ARRAY ||
+	    o->via.array.size > 2 * DL_CACHE_EVENTS_MAX) {
+		r->bad = true;
+		return;
+	}
+	r->at++;
+	r->left--;
+	n = o->via.array.size / 2;
+	for (uint32_t i = 0; i < n; i++) {
+		const msgpack_object *pair = &o->via.array.ptr[(size_t)i * 2];
+
+		if (pair[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+		    pair[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+			r->bad = true;
+			return;
+		}
+		out->events[i].prefix = pair[0].via.u64;
+		out->events[i].tokens = (uint32_t)pair[1].via.u64;
+	}
+	out->events_count = n;
+}
+
 /* Pack an endpoint's announcement for its dispatcher. */
-void dl_report_pack(struct dl_packer *p, struct dl_str service,
-		    const struct dl_endpoint_report *r)
+void dl_report_pack(struct dl_packer *p, const struct dl_announcement *a)
 {
+	const struct dl_endpoint_report *r = &a->report;
+
 	dl_packer_open(p, REPORT_ITEMS);
-	dl_pack_str(p, service);
+	dl_pack_str(p, dl_name_str(&a->service));
 	dl_pack_str(p, dl_name_str(&r->id));
 	dl_pack_u64(p, r->incarnation);
 	dl_pack_u64(p, r->memory_tokens);
@@ -264,28 +301,39 @@
 	dl_pack_u64(p, r->prefill_backlog);
 	dl_pack_bool(p, r->leaving);
 	dl_pack_bool(p, r->takes_groups);
+	dl_pack_u64(p, a->order_fence);
+	put_names(p, a->models, a->models_count);
+	dl_pack_str(p, dl_name_str(&a->version));
+	dl_pack_str(p, dl_name_str(&a->role));
+	put_events(p, a);
 }
 
 /* Read it. */
-int dl_report_read(struct dl_str body, struct dl_name *service,
-		   struct dl_endpoint_report *out)
+int dl_report_read(struct dl_str body, struct dl_announcement *out)
 {
+	struct dl_endpoint_report *report = &out->report;
 	struct dl_reader r;
 
 	memset(out, 0, sizeof(*out));
 	dl_reader_open(&r, body);
-	dl_read_name(&r, service);
-	dl_read_name(&r, &out->id);
-	out->incarnation = dl_read_u64(&r);
-	out->memory_tokens = dl_read_u64(&r);
-	out->used_tokens = dl_read_u64(&r);
-	out->slots = (uint32_t)dl_read_u64(&r);
-	out->running = (uint32_t)dl_read_u64(&r);
-	out->prefill_rate = (uint32_t)dl_read_u64(&r);
-	out->decode_rate = (uint32_t)dl_read_u64(&r);
-	out->prefill_backlog = dl_read_u64(&r);
-	out->leaving = dl_read_bool(&r);
-	out->takes_groups = dl_read_bool(&r);
+	dl_read_name(&r, &out->service);
+	dl_read_name(&r, &report->id);
+	report->incarnation = dl_read_u64(&r);
+	report->memory_tokens = dl_read_u64(&r);
+	report->used_tokens = dl_read_u64(&r);
+	report->slots = (uint32_t)dl_read_u64(&r);
+	report->running = (uint32_t)dl_read_u64(&r);
+	report->prefill_rate = (uint32_t)dl_read_u64(&r);
+	report->decode_rate = (uint32_t)dl_read_u64(&r);
+	report->prefill_backlog = dl_read_u64(&r);
+	report->leaving = dl_read_bool(&r);
+	report->takes_groups = dl_read_bool(&r);
+	out->order_fence = dl_read_u64(&r);
+	out->models_count =
+		take_names(&r, out->models, DL_ANNOUNCED_MODELS_MAX);
+	dl_read_name(&r, &out->version);
+	dl_read_name(&r, &out->role);
+	take_events(&r, out);
 	return finish(&r);
 }
 
--- a/src/protocol/pool_codec.h
+++ b/src/protocol/pool_codec.h
@@ -6,6 +6,7 @@
 #define DL_PROTOCOL_POOL_CODEC_H
 
 #include "daisyledge/pool.h"
+#include "protocol/api.h"
 #include "protocol/pack.h"
 
 /* Other failure domains that a refused request may try, best first. */
@@ -40,10 +41,9 @@
 int dl_number_read(struct dl_str body, struct dl_name *service,
 		   uint64_t *number);
 
-void dl_report_pack(struct dl_packer *p, struct dl_str service,
-		    const struct dl_endpoint_report *r);
-int dl_report_read(struct dl_str body, struct dl_name *service,
-		   struct dl_endpoint_report *out);
+/* An announcement on its way to its dispatcher; its domain is known there. */
+void dl_report_pack(struct dl_packer *p, const struct dl_announcement *a);
+int dl_report_read(struct dl_str body, struct dl_announcement *out);
 
 void dl_summary_pack(struct dl_packer *p, struct dl_str service,
 		     struct dl_str domain, const struct dl_pool_summary *s);
--- a/src/state/conf_int.h
+++ b/src/state/conf_int.h
@@ -33,7 +33,7 @@
 	uint64_t *hash;
 	uint32_t *line;
 	uint32_t *owner; /* the object or list that it was found in */
-	size_t size; /* a power of two */
+	size_t size;	 /* a power of two */
 	size_t used;
 };
 
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -110,18 +110,26 @@
 
 START_TEST(report_release_summary_round_trip)
 {
-	struct dl_endpoint_report r = { .incarnation = 3, .slots = 4 }, r2;
+	struct dl_announcement a, a2;
 	struct dl_usage u = { .ran = true, .ttft_ms = 12 }, u2;
 	struct dl_pool_summary s = { .endpoints = 5, .backlog_ms = 9 }, s2;
 	struct dl_name service, domain;
 	struct dl_packer p;
 	uint64_t grant;
 
-	dl_name_set(&r.id, DL_STR("127.0.0.1:9000"));
-	r.leaving = true;
-	dl_report_pack(&p, DL_STR("s"), &r);
-	ck_assert_int_eq(dl_report_read(dl_packer_bytes(&p), &service, &r2), 0);
-	ck_assert(r2.leaving && r2.slots == 4 && r2.incarnation == 3);
+	memset(&a, 0, sizeof(a));
+	a.report.incarnation = 3;
+	a.report.slots = 4;
+	a.report.leaving = true;
+	a.models_count = 1;
+	a.events_count = 1;
+	a.events[0].prefix = UINT64_MAX;
+	dl_name_set(&a.service, DL_STR("s"));
+	dl_name_set(&a.report.id, DL_STR("127.0.0.1:9000"));
+	dl_name_set(&a.models[0], DL_STR("match-7b"));
+	dl_report_pack(&p, &a);
+	ck_assert_int_eq(dl_report_read(dl_packer_bytes(&p), &a2), 0);
+	ck_assert_int_eq(memcmp(&a, &a2, sizeof(a)), 0);
 	dl_packer_close(&p);
 	dl_release_pack(&p, DL_STR("s"), 99, &u);
 	ck_assert_int_eq(
@@ -140,7 +148,7 @@
 /* Every reader sees every damaged body; none may crash or read past it. */
 static void read_all(struct dl_str body)
 {
-	struct dl_endpoint_report report;
+	struct dl_announcement report;
 	struct dl_answer_frame answer;
 	struct dl_pool_summary summary;
 	struct dl_name service, domain;
@@ -153,7 +161,7 @@
 	dl_answer_read(body, &answer, 0);
 	dl_release_read(body, &service, &number, &usage);
 	dl_number_read(body, &service, &number);
-	dl_report_read(body, &service, &report);
+	dl_report_read(body, &report);
 	dl_summary_read(body, &service, &domain, &summary);
 	dl_adopt_read(body, &service, &grant, &ask, 0);
 }
@@ -178,19 +186,21 @@
 	struct dl_answer_frame f = sample_answer();
 	struct dl_ask ask = sample_ask();
 	GRand *rnd = g_rand_new_with_seed(SEED);
-	struct dl_packer p[3];
+	struct dl_announcement a = { .events_count = 2, .models_count = 1 };
+	struct dl_packer p[4];
 
+	dl_report_pack(&p[3], &a);
 	dl_ask_pack(&p[0], DL_STR("match-writer"), &ask, 0);
 	dl_answer_pack(&p[1], &f, 0);
 	dl_adopt_pack(&p[2], DL_STR("s"), &f.answer, &ask, 0);
 	for (uint32_t i = 0; i < fuzz_rounds(); i++) {
-		struct dl_str good = dl_packer_bytes(&p[i % 3]);
+		struct dl_str good = dl_packer_bytes(&p[i % 4]);
 		char *buf = malloc(good.n);
 
 		read_all(damage(rnd, good, buf));
 		free(buf);
 	}
-	for (int i = 0; i < 3; i++)
+	for (int i = 0; i < 4; i++)
 		dl_packer_close(&p[i]);
 	g_rand_free(rnd);
 }
