--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -114,7 +114,7 @@
 	uint64_t entry;
 	enum dl_verdict verdict;
 	enum dl_reason reason;
-	uint32_t retry_after_ms; /* refused: when it may make it */
+	uint32_t retry_after_ms; /* refused: when it may make it; 0 for never */
 	uint64_t grant;		 /* granted: to renew and to release */
 	int64_t valid_until;	 /* granted: unless renewed */
 	uint8_t priority;	 /* granted: 0 is the most urgent */
@@ -130,8 +130,8 @@
 	bool failed;		/* by the endpoint's fault */
 	uint64_t prompt_tokens; /* as the endpoint counted, 0 unknown */
 	uint64_t output_tokens;
-	uint32_t ttft_ms; /* 0 where none came */
-	uint32_t total_ms;
+	uint32_t ttft_ms;  /* since the grant; 0 where none came */
+	uint32_t total_ms; /* likewise */
 };
 
 /* The pool in one line, for other pools, other domains and operators. */
@@ -170,6 +170,13 @@
 void dl_pool_endpoint_drain(struct dl_pool *pool, struct dl_str id, bool drain,
 			    int64_t now);
 
+/*
+ * An engine's cache event: it holds this many tokens of a prompt's start, or,
+ * with 0, no longer does.  May be late, repeated or missing.
+ */
+void dl_pool_cached(struct dl_pool *pool, struct dl_str id, uint64_t prefix,
+		    uint32_t tokens, int64_t now);
+
 /* Always answers: granted, queued (a second answer follows) or refused. */
 void dl_pool_ask(struct dl_pool *pool, const struct dl_ask *ask, int64_t now,
 		 struct dl_answer *out);
@@ -202,4 +209,23 @@
  */
 const char *dl_pool_broken(const struct dl_pool *pool);
 
+/*
+ * Which pool of a service takes a request: the one of the caller's own failure
+ * domain, or another where that one is worse off by much and for a while.
+ * One struct for each service on each entry; zero but for the seed to begin.
+ */
+struct dl_spill {
+	uint64_t seed;
+	uint32_t share_permille; /* of requests that may leave, now */
+	int64_t changed_at;
+};
+
+/*
+ * The index of the pool to ask, or -1 for the own one; own may be NULL where
+ * the failure domain has no pool that can be reached.
+ */
+int dl_pool_spill(struct dl_spill *spill, const struct dl_pool_summary *own,
+		  const struct dl_pool_summary *others, uint32_t n,
+		  const struct dl_ask *ask, int64_t now);
+
 #endif
--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -1,60 +1,54 @@
 /*
- * The dispatcher of a pool, first and simplest form: linear lists, one queue
- * ordered by class and deadline, an endpoint picked by its free memory.
+ * The dispatcher of a pool: its life, its endpoints, and the order in which an
+ * event is dealt with.  What is decided stands in the files beside this one:
+ *
+ *	pool_limit.c	may this workspace ask now
+ *	pool_admit.c	can this request make it
+ *	pool_queue.c	who waits, who is next, who makes room
+ *	pool_place.c	which endpoint takes it (pool_prefix.c: whose cache)
+ *	pool_group.c	which endpoints take one that fits on none
+ *	pool_grant.c	who holds what, and until when
+ *	pool_shift.c	which endpoints lose their share
  */
-#include "daisyledge/pool.h"
+#include "pool_int.h"
 
 #include <errno.h>
+#include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
-#include <glib.h>
-
-#define RETRY_AFTER_MS 1000
-
-struct endpoint {
-	struct dl_endpoint_report last;
-	int64_t heard;
-	uint64_t held;
-	uint32_t grants;
-	bool drained;
-};
-
-struct grant {
-	struct dl_answer answer;
-};
-
-struct waiting {
-	struct dl_ask ask;
-	struct dl_name workspace;
-};
+/*
+ * Endpoints announce themselves; past this many a new one is turned away, so
+ * that made-up announcements cannot use up the memory of a VM.  The target has
+ * 600 in all pools together.
+ */
+#define ENDPOINTS_MAX 4096
 
-struct dl_pool_policy {
-	struct endpoint *(*pick)(struct dl_pool *pool,
-				 const struct dl_ask *ask);
-};
+/* Below this a prompt is short: about what an engine reads in one step. */
+#define SHORT_TOKENS 4096
 
-struct dl_pool {
-	struct dl_pool_conf conf;
-	const struct dl_pool_policy *policy;
-	uint64_t seed;
-	uint64_t counter;
-	uint32_t turn;
-	uint64_t queued_tokens;
-	GPtrArray *endpoints;
-	GPtrArray *grants;
-	GPtrArray *queue;
-};
+/*
+ * What a lower class gets at the least of what is given to the classes before
+ * it, while it has something queued: one part in four, so a fifth in all.  For
+ * one workspace that floods a higher class: without it the others' dossiers
+ * would be admitted and then never served.
+ */
+#define CREDIT_SHARE 4
+/* Credit kept for later, in tokens: one long prompt's worth. */
+#define CREDIT_MAX ((uint64_t)1 << 21)
 
-static struct endpoint *pick_late(struct dl_pool *pool,
-				  const struct dl_ask *ask);
-static struct endpoint *pick_turn(struct dl_pool *pool,
-				  const struct dl_ask *ask);
-static struct endpoint *pick_least(struct dl_pool *pool,
-				   const struct dl_ask *ask);
+/* How many flows of a lane are tried when the first one's head fits nowhere. */
+#define LOOK_AHEAD 3
 
-const struct dl_pool_policy dl_policy_late_binding = { .pick = pick_late };
-const struct dl_pool_policy dl_policy_round_robin = { .pick = pick_turn };
-const struct dl_pool_policy dl_policy_least_load = { .pick = pick_least };
+/*
+ * When nothing but an event can help, the queue is still looked at this often:
+ * slow starts grow and outliers come back without one.
+ */
+#define SERVE_RETRY_MS 25
+/* Kept in step with pool_place.c: an endpoint is asked this early. */
+#define BIND_AHEAD_MS 20
+#define RATE_FADE_MS  3000.0
+#define RETRY_FLAT_MS 1000
 
 static const char *const reason_names[DL_REASON_COUNT] = {
 	[DL_REASON_NONE] = "none",
@@ -73,6 +67,38 @@
 	[DL_REASON_BUSY] = "busy",
 };
 
+static uint8_t band_of(const struct dl_pool *pool, uint64_t prompt,
+		       uint64_t need);
+static void close_endpoint(struct dl_pool *pool, struct pool_endpoint *e,
+			   int64_t now);
+static void expire_endpoints(struct dl_pool *pool, int64_t now);
+static int check_report(const struct dl_pool *pool,
+			const struct dl_endpoint_report *r);
+static void answer_refused(struct dl_answer *out, enum dl_reason reason,
+			   uint32_t retry_after_ms);
+static bool answer_again(struct dl_pool *pool, const struct dl_ask *ask,
+			 struct dl_answer *out);
+static enum dl_reason admit(struct dl_pool *pool, const struct pool_want *want,
+			    struct pool_workspace *ws, int64_t now,
+			    uint32_t *retry_after_ms, int64_t *wait);
+static enum dl_reason make_room(struct dl_pool *pool,
+				const struct pool_want *want,
+				struct pool_workspace *ws, int64_t now,
+				uint32_t *retry_after_ms);
+static void credit_lower(struct dl_pool *pool, const struct pool_want *want);
+static bool serve_request(struct dl_pool *pool, struct pool_request *req,
+			  int64_t now, struct dl_answer *out);
+static bool fits_nowhere(const struct dl_pool *pool,
+			 const struct pool_want *want);
+static bool serve_lane(struct dl_pool *pool, uint8_t lane, int64_t now,
+		       struct dl_answer *out);
+static bool serve_credit(struct dl_pool *pool, int64_t now,
+			 struct dl_answer *out);
+static bool serve(struct dl_pool *pool, int64_t now, struct dl_answer *out);
+static void plan_serve(struct dl_pool *pool, int64_t now);
+static bool take_refused(struct dl_pool *pool, struct dl_answer *out);
+static void refuse_late(struct dl_pool *pool, int64_t now);
+
 /* The name of a reason as callers and logs see it. */
 const char *dl_reason_name(enum dl_reason reason)
 {
@@ -81,505 +107,780 @@
 	return reason_names[reason];
 }
 
-/* Begin a pool without endpoints; NULL for conf gives nothing to run on. */
+/* Spread the bits of a number (the finalizer of splitmix64, a permutation). */
+uint64_t pool_mix(uint64_t x)
+{
+	x += 0x9e3779b97f4a7c15U;
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9U;
+	x = (x ^ (x >> 27)) * 0x94d049bb133111ebU;
+	return x ^ (x >> 31);
+}
+
+/* The next of the pool's own random numbers. */
+uint64_t pool_random(struct dl_pool *pool)
+{
+	pool->random = pool_mix(pool->random);
+	return pool->random;
+}
+
+/* A fading rate as of now, in units a millisecond. */
+double pool_rate_read(const struct pool_rate *rate, int64_t now)
+{
+	int64_t passed = now - rate->at;
+
+	if (rate->per_ms <= 0)
+		return 0;
+	return passed <= 0 ? rate->per_ms :
+			     rate->per_ms * exp(-(double)passed / RATE_FADE_MS);
+}
+
+/* Count an amount into a fading rate. */
+void pool_rate_add(struct pool_rate *rate, double amount, int64_t now)
+{
+	rate->per_ms = pool_rate_read(rate, now) + amount / RATE_FADE_MS;
+	rate->at = now;
+}
+
+/* Begin a pool without endpoints; the seed is new with each incarnation. */
 struct dl_pool *dl_pool_new(const struct dl_pool_conf *conf,
 			    const struct dl_pool_policy *policy, uint64_t seed)
 {
-	struct dl_pool *pool = g_new0(struct dl_pool, 1);
+	struct dl_pool *pool = calloc(1, sizeof(*pool));
 
-	pool->conf = *conf;
+	if (!pool)
+		abort();
+	pool->prefixes = calloc(POOL_PREFIXES, sizeof(*pool->prefixes));
+	if (!pool->prefixes)
+		abort();
 	pool->policy = policy;
 	pool->seed = seed;
-	pool->endpoints = g_ptr_array_new_with_free_func(g_free);
-	pool->grants = g_ptr_array_new_with_free_func(g_free);
-	pool->queue = g_ptr_array_new_with_free_func(g_free);
+	pool->random = seed;
+	pool->refused_tail = &pool->refused;
+	pool->serve_at = INT64_MAX;
+	pool_map_init(&pool->endpoint_by_name);
+	pool_map_init(&pool->grant_by_id);
+	pool_map_init(&pool->grant_by_request);
+	pool_map_init(&pool->request_by_id);
+	pool_map_init(&pool->workspaces);
+	for (uint8_t i = 0; i < POOL_LANES; i++) {
+		pool->lane[i].class = i / POOL_BANDS;
+		pool->lane[i].band = i % POOL_BANDS;
+		pool->lane[i].bias = 1;
+	}
+	dl_pool_configure(pool, conf);
 	return pool;
 }
 
 /* End a pool; nobody is told. */
 void dl_pool_free(struct dl_pool *pool)
 {
+	struct pool_heap_node *top;
+	struct pool_request *req;
+	struct pool_map *map;
+
 	if (!pool)
 		return;
-	g_ptr_array_free(pool->endpoints, TRUE);
-	g_ptr_array_free(pool->grants, TRUE);
-	g_ptr_array_free(pool->queue, TRUE);
-	g_free(pool);
+	while ((req = pool_queue_refused(pool)))
+		free(req);
+	while ((top = pool_heap_top(&pool->request_last_start)))
+		pool_queue_drop(pool,
+				POOL_OF(top, struct pool_request, last_start));
+	while ((top = pool_heap_top(&pool->grant_lease)))
+		pool_grant_drop(pool, POOL_OF(top, struct pool_grant, lease),
+				pool->now);
+	while (pool->endpoints_n)
+		pool_endpoint_forget(pool, pool->endpoints[0]);
+	map = &pool->workspaces;
+	for (uint32_t i = 0; i <= map->mask; i++) {
+		struct pool_map_node *node = map->bucket[i];
+
+		while (node) {
+			struct pool_map_node *next = node->next;
+
+			pool_workspace_free(
+				POOL_OF(node, struct pool_workspace, by_name));
+			node = next;
+		}
+	}
+	for (int i = 0; i < POOL_LANES; i++) {
+		pool_heap_free(&pool->lane[i].by_start);
+		pool_heap_free(&pool->lane[i].by_backlog);
+	}
+	pool_heap_free(&pool->endpoint_gone);
+	pool_heap_free(&pool->grant_lease);
+	pool_heap_free(&pool->request_last_start);
+	pool_map_free(&pool->endpoint_by_name);
+	pool_map_free(&pool->grant_by_id);
+	pool_map_free(&pool->grant_by_request);
+	pool_map_free(&pool->request_by_id);
+	pool_map_free(&pool->workspaces);
+	pool_index_free(&pool->index);
+	free((void *)pool->endpoints);
+	free(pool->prefixes);
+	free(pool);
 }
 
-/* Put a new configuration in force. */
+/*
+ * Put a new configuration in force.  What is queued or granted stays, also
+ * where a smaller bound would not have let it in.
+ */
 void dl_pool_configure(struct dl_pool *pool, const struct dl_pool_conf *conf)
 {
 	pool->conf = *conf;
+	pool->entries_allowed = conf->queue_entries_max;
+	if (pool->entries_allowed < pool->queued)
+		pool->entries_allowed = pool->queued;
+	pool->tokens_allowed = conf->queue_tokens_max;
+	if (pool->tokens_allowed < pool->queued_tokens)
+		pool->tokens_allowed = pool->queued_tokens;
+	for (uint32_t i = 0; i < pool->endpoints_n; i++)
+		pool_place_refresh(pool, pool->endpoints[i], pool->now);
+}
+
+/* Weight and limits of a workspace; a weight of 0 is the default one. */
+void dl_pool_workspace(struct dl_pool *pool, const struct dl_workspace_conf *c)
+{
+	struct pool_workspace *ws =
+		pool_workspace_get(pool, dl_name_str(&c->name));
+	uint32_t before = pool_workspace_weight(pool, ws);
+
+	ws->configured = true;
+	ws->weight = c->weight;
+	ws->concurrency_max = c->concurrency_max;
+	if (ws->requests_per_s != c->requests_per_s) {
+		ws->requests_per_s = c->requests_per_s;
+		ws->rate_credit = 0;
+		ws->rate_at = INT64_MIN / 2;
+	}
+	for (struct pool_flow *f = ws->flows; f; f = f->next)
+		if (f->n)
+			pool->lane[f->lane].weights +=
+				pool_workspace_weight(pool, ws) - before;
 }
 
-/* Weights and limits of a workspace; not yet heeded. */
-void dl_pool_workspace(struct dl_pool *pool, const struct dl_workspace_conf *ws)
+/* The level of an engine's priority that a request runs at. */
+uint8_t pool_level(const struct pool_want *want)
 {
-	(void)pool;
-	(void)ws;
+	return want->band < POOL_LEVELS ? want->band : POOL_LEVELS - 1;
 }
 
-static struct endpoint *find(struct dl_pool *pool, struct dl_str id)
+static uint8_t band_of(const struct dl_pool *pool, uint64_t prompt,
+		       uint64_t need)
 {
-	for (guint i = 0; i < pool->endpoints->len; i++) {
-		struct endpoint *e = g_ptr_array_index(pool->endpoints, i);
+	uint64_t short_tokens = SHORT_TOKENS;
 
-		if (dl_name_eq(&e->last.id, id))
-			return e;
+	if (pool->conf.kind == DL_POOL_PLAIN)
+		return POOL_SHORT;
+	if (pool->memory_max && need > pool->memory_max)
+		return POOL_GIANT;
+	if (pool->conf.long_tokens && prompt >= pool->conf.long_tokens)
+		return POOL_LONG;
+	if (pool->conf.long_tokens && pool->conf.long_tokens < short_tokens)
+		short_tokens = pool->conf.long_tokens;
+	return prompt < short_tokens ? POOL_SHORT : POOL_MEDIUM;
+}
+
+/* What a request wants, from what its entry says. */
+void pool_want_of(const struct dl_pool *pool, const struct dl_ask *ask,
+		  struct pool_want *out)
+{
+	*out = (struct pool_want){ .class = ask->class,
+				   .deadline = ask->deadline };
+	if (out->class >= DL_CLASS_COUNT)
+		out->class = DL_CLASS_BATCH;
+	out->prompt = ask->prompt_tokens ? ask->prompt_tokens : 1;
+	out->output = ask->output_tokens;
+	out->need = out->prompt + out->output;
+	if (pool->conf.kind == DL_POOL_PLAIN) {
+		out->prompt = 1;
+		out->output = 0;
+		out->need = 0;
+	} else {
+		out->prefix = ask->prefix;
+		out->prefix_tokens = ask->prefix_tokens;
 	}
-	return NULL;
+	out->band = band_of(pool, out->prompt, out->need);
+	for (int i = 0; i < ask->tried && i < 3; i++)
+		out->tried[out->tried_n++] =
+			dl_hash(dl_name_str(&ask->tried_ids[i]), 0);
 }
 
-static struct endpoint *find_or_add(struct dl_pool *pool, struct dl_str id)
+/* The endpoint of this name, or NULL. */
+struct pool_endpoint *pool_endpoint_find(const struct dl_pool *pool,
+					 struct dl_str id)
 {
-	struct endpoint *e = find(pool, id);
+	struct pool_map_node *node =
+		pool_map_first(&pool->endpoint_by_name, dl_hash(id, 0));
 
-	if (e)
-		return e;
-	e = g_new0(struct endpoint, 1);
-	dl_name_set(&e->last.id, id);
-	e->heard = INT64_MIN / 2;
-	g_ptr_array_add(pool->endpoints, e);
-	return e;
+	return node ? POOL_OF(node, struct pool_endpoint, by_name) : NULL;
 }
 
-/* An endpoint's heartbeat; -EINVAL where it makes no sense. */
-int dl_pool_report(struct dl_pool *pool, const struct dl_endpoint_report *r,
-		   int64_t now)
+/* The endpoint of this name; one not heard of yet where there is none. */
+struct pool_endpoint *pool_endpoint_get(struct dl_pool *pool, struct dl_str id)
 {
-	struct endpoint *e;
+	struct pool_endpoint *e = pool_endpoint_find(pool, id);
 
-	if (r->id.n == 0 || r->slots == 0)
-		return -EINVAL;
-	if (pool->conf.kind == DL_POOL_MODEL && r->memory_tokens == 0)
-		return -EINVAL;
-	e = find_or_add(pool, dl_name_str(&r->id));
-	e->last = *r;
-	e->heard = now;
-	return 0;
-}
-
-/* An endpoint is known to be dead. */
-void dl_pool_endpoint_gone(struct dl_pool *pool, struct dl_str id, int64_t now)
-{
-	struct endpoint *e = find(pool, id);
-
-	(void)now;
 	if (e)
-		e->heard = INT64_MIN / 2;
-}
-
-/* The operators' drain. */
-void dl_pool_endpoint_drain(struct dl_pool *pool, struct dl_str id, bool drain,
-			    int64_t now)
-{
-	(void)now;
-	find_or_add(pool, id)->drained = drain;
-}
-
-static bool is_open(const struct dl_pool *pool, const struct endpoint *e,
-		    int64_t now)
-{
-	return e->heard + pool->conf.report_gone_ms > now && !e->drained &&
-	       !e->last.leaving;
-}
-
-static bool was_tried(const struct dl_ask *ask, const struct endpoint *e)
-{
-	for (int i = 0; i < ask->tried; i++)
-		if (dl_name_eq(&ask->tried_ids[i], dl_name_str(&e->last.id)))
-			return true;
-	return false;
+		return e;
+	e = calloc(1, sizeof(*e));
+	if (!e)
+		abort();
+	if (pool->endpoints_n == pool->endpoints_room) {
+		pool->endpoints_room = pool->endpoints_room * 2 + 16;
+		pool->endpoints = realloc((void *)pool->endpoints,
+					  pool->endpoints_room * sizeof(e));
+		if (!pool->endpoints)
+			abort();
+	}
+	dl_name_set(&e->last.id, id);
+	e->slot = pool->endpoints_n;
+	pool->endpoints[pool->endpoints_n++] = e;
+	pool_index_resize(&pool->index, pool->endpoints_n);
+	pool_map_add(&pool->endpoint_by_name, &e->by_name, dl_hash(id, 0));
+	pool_shift_reset(pool, e);
+	return e;
 }
 
-static uint64_t need(const struct dl_pool *pool, const struct dl_ask *ask)
+/* Forget an endpoint that holds nothing. */
+void pool_endpoint_forget(struct dl_pool *pool, struct pool_endpoint *e)
 {
-	if (pool->conf.kind == DL_POOL_PLAIN)
-		return 0;
-	return ask->prompt_tokens + ask->output_tokens;
-}
+	struct pool_endpoint *last = pool->endpoints[pool->endpoints_n - 1];
 
-static bool fits(const struct dl_pool *pool, const struct dl_ask *ask,
-		 const struct endpoint *e)
-{
-	return !was_tried(ask, e) && e->grants < e->last.slots &&
-	       e->held + need(pool, ask) <= e->last.memory_tokens;
+	pool_hold_lost(pool, e);
+	pool_shift_gone(pool, e);
+	e->state = POOL_EP_GONE;
+	pool_place_refresh(pool, e, pool->now);
+	pool_heap_remove(&pool->endpoint_gone, &e->gone);
+	pool_map_remove(&pool->endpoint_by_name, &e->by_name);
+	pool_index_set(&pool->index, last->slot, NULL);
+	pool->endpoints_n--;
+	if (last != e) {
+		last->slot = e->slot;
+		pool->endpoints[last->slot] = last;
+		pool_place_refresh(pool, last, pool->now);
+	}
+	free(e);
 }
 
-static struct endpoint *pick_late(struct dl_pool *pool,
-				  const struct dl_ask *ask)
+static int check_report(const struct dl_pool *pool,
+			const struct dl_endpoint_report *r)
 {
-	struct endpoint *best = NULL;
-
-	for (guint i = 0; i < pool->endpoints->len; i++) {
-		struct endpoint *e = g_ptr_array_index(pool->endpoints, i);
-
-		if (e->heard < 0 || e->drained || e->last.leaving)
-			continue;
-		if (!fits(pool, ask, e))
-			continue;
-		if (!best || e->grants < best->grants)
-			best = e;
-	}
-	return best;
+	if (r->id.n == 0 || r->id.n > DL_NAME_MAX || r->slots == 0)
+		return -EINVAL;
+	if (pool->conf.kind == DL_POOL_MODEL && r->memory_tokens == 0)
+		return -EINVAL;
+	return 0;
 }
 
-static struct endpoint *pick_turn(struct dl_pool *pool,
-				  const struct dl_ask *ask)
+/*
+ * An endpoint's heartbeat: -EINVAL where it makes no sense, -ENOSPC where the
+ * pool has too many already.  A new incarnation has lost what the old one held.
+ * One that was gone and is back gets its share back over some seconds.
+ */
+int dl_pool_report(struct dl_pool *pool, const struct dl_endpoint_report *r,
+		   int64_t now)
 {
-	for (guint i = 0; i < pool->endpoints->len; i++) {
-		guint at = pool->turn++ % pool->endpoints->len;
-		struct endpoint *e = g_ptr_array_index(pool->endpoints, at);
-
-		if (e->heard >= 0 && !e->drained && !e->last.leaving &&
-		    fits(pool, ask, e))
-			return e;
+	int rc = check_report(pool, r);
+	struct pool_endpoint *e;
+	enum pool_ep_state was;
+	bool first, was_open;
+
+	pool->now = now;
+	if (rc)
+		return rc;
+	e = pool_endpoint_find(pool, dl_name_str(&r->id));
+	if (!e && pool->endpoints_n >= ENDPOINTS_MAX)
+		return -ENOSPC;
+	if (!e)
+		e = pool_endpoint_get(pool, dl_name_str(&r->id));
+	was = e->state;
+	was_open = e->counted_open;
+	first = was == POOL_EP_UNKNOWN || e->last.incarnation != r->incarnation;
+	if (was != POOL_EP_UNKNOWN && first) {
+		pool_hold_lost(pool, e);
+		pool_grant_detach(pool, e);
+		pool_shift_reset(pool, e);
+		memset(e->until, 0, sizeof(e->until));
 	}
-	return NULL;
+	e->last = *r;
+	e->state = POOL_EP_LIVE;
+	pool_heap_set(&pool->endpoint_gone, &e->gone,
+		      now + pool->conf.report_gone_ms);
+	pool_place_report(pool, e, first, now);
+	if (r->leaving)
+		pool_hold_lost(pool, e);
+	if (was == POOL_EP_GONE)
+		pool_shift_back(pool, e, now);
+	pool_shift_tick(pool, e, now);
+	pool_place_refresh(pool, e, now);
+	pool_shift_overdue(pool, e, now);
+	if (was_open && !e->counted_open)
+		pool->recheck_all = true;
+	return 0;
 }
 
-static struct endpoint *pick_least(struct dl_pool *pool,
-				   const struct dl_ask *ask)
+static void close_endpoint(struct dl_pool *pool, struct pool_endpoint *e,
+			   int64_t now)
 {
-	struct endpoint *best = NULL;
-
-	for (guint i = 0; i < pool->endpoints->len; i++) {
-		struct endpoint *e = g_ptr_array_index(pool->endpoints, i);
-
-		if (e->heard < 0 || e->drained || e->last.leaving)
-			continue;
-		if (!fits(pool, ask, e))
-			continue;
-		if (!best || e->last.running < best->last.running)
-			best = e;
-	}
-	return best;
+	pool_hold_lost(pool, e);
+	pool_shift_gone(pool, e);
+	pool_heap_remove(&pool->endpoint_gone, &e->gone);
+	e->state = POOL_EP_GONE;
+	pool_place_refresh(pool, e, now);
+	pool->recheck_all = true;
+	if (e->grants == 0 && !e->drained)
+		pool_endpoint_forget(pool, e);
 }
 
-static struct grant *find_grant(struct dl_pool *pool, uint64_t id, guint *at)
+static void expire_endpoints(struct dl_pool *pool, int64_t now)
 {
-	for (guint i = 0; i < pool->grants->len; i++) {
-		struct grant *g = g_ptr_array_index(pool->grants, i);
+	struct pool_heap_node *top;
 
-		if (g->answer.grant == id) {
-			*at = i;
-			return g;
-		}
-	}
-	return NULL;
+	while ((top = pool_heap_top(&pool->endpoint_gone)) && top->key <= now)
+		close_endpoint(pool, POOL_OF(top, struct pool_endpoint, gone),
+			       now);
 }
 
-static void drop_grant(struct dl_pool *pool, guint at)
+/*
+ * An endpoint is known to be unreachable.  Its grants stay until their entries
+ * release them: it may only be cut off, and still work on them.
+ */
+void dl_pool_endpoint_gone(struct dl_pool *pool, struct dl_str id, int64_t now)
 {
-	struct grant *g = g_ptr_array_index(pool->grants, at);
-
-	for (int i = 0; i < g->answer.endpoints; i++) {
-		struct endpoint *e =
-			find(pool, dl_name_str(&g->answer.endpoint[i]));
+	struct pool_endpoint *e = pool_endpoint_find(pool, id);
 
-		if (!e)
-			continue;
-		e->held -= g->answer.share_tokens[i];
-		e->grants--;
-	}
-	g_ptr_array_remove_index_fast(pool->grants, at);
+	pool->now = now;
+	if (e && e->state == POOL_EP_LIVE)
+		close_endpoint(pool, e, now);
 }
 
-static void hold(struct dl_pool *pool, const struct dl_answer *answer)
+/* The operators' drain: no new work until lifted, whatever it reports. */
+void dl_pool_endpoint_drain(struct dl_pool *pool, struct dl_str id, bool drain,
+			    int64_t now)
 {
-	struct grant *g = g_new0(struct grant, 1);
-
-	g->answer = *answer;
-	for (int i = 0; i < answer->endpoints; i++) {
-		struct endpoint *e =
-			find_or_add(pool, dl_name_str(&answer->endpoint[i]));
+	struct pool_endpoint *e = pool_endpoint_find(pool, id);
 
-		e->held += answer->share_tokens[i];
-		e->grants++;
-	}
-	g_ptr_array_add(pool->grants, g);
+	pool->now = now;
+	if (id.n == 0 || id.n > DL_NAME_MAX || (!e && !drain))
+		return;
+	e = pool_endpoint_get(pool, id);
+	e->drained = drain;
+	if (drain)
+		pool_hold_lost(pool, e);
+	pool_place_refresh(pool, e, now);
+	pool->recheck_all = true;
+	if (!drain && e->state != POOL_EP_LIVE && e->grants == 0)
+		pool_endpoint_forget(pool, e);
 }
 
-static bool try_grant(struct dl_pool *pool, const struct dl_ask *ask,
-		      int64_t now, struct dl_answer *out)
+/*
+ * An engine's cache event: that it holds the start of a prompt, or no longer.
+ * These come late and with gaps; they only better an estimate.
+ */
+void dl_pool_cached(struct dl_pool *pool, struct dl_str id, uint64_t prefix,
+		    uint32_t tokens, int64_t now)
 {
-	struct endpoint *e = pool->policy->pick(pool, ask);
+	struct pool_endpoint *e = pool_endpoint_find(pool, id);
 
-	if (!e || !is_open(pool, e, now))
-		return false;
-	out->verdict = DL_GRANTED;
-	out->grant = dl_hash((struct dl_str){ (const char *)&pool->counter,
-					      sizeof(pool->counter) },
-			     pool->seed);
-	pool->counter++;
-	out->valid_until = now + pool->conf.grant_lease_ms;
-	out->priority = (uint8_t)ask->class;
-	out->endpoints = 1;
-	out->endpoint[0] = e->last.id;
-	out->share_tokens[0] = need(pool, ask);
-	hold(pool, out);
-	return true;
+	pool->now = now;
+	if (!e || prefix == 0)
+		return;
+	if (tokens)
+		pool_prefix_note(pool, prefix, tokens, e, now);
+	else
+		pool_prefix_forget(pool, prefix, e);
 }
 
-static void refuse(struct dl_answer *out, enum dl_reason reason)
+static void answer_refused(struct dl_answer *out, enum dl_reason reason,
+			   uint32_t retry_after_ms)
 {
 	out->verdict = DL_REFUSED;
 	out->reason = reason;
-	out->retry_after_ms = RETRY_AFTER_MS;
+	out->retry_after_ms = retry_after_ms;
 }
 
-static enum dl_reason ever_fits(struct dl_pool *pool, const struct dl_ask *ask,
-				int64_t now)
+/* An ask that was sent twice gets the answer that it already has. */
+static bool answer_again(struct dl_pool *pool, const struct dl_ask *ask,
+			 struct dl_answer *out)
 {
-	enum dl_reason reason = DL_REASON_NO_ENDPOINT;
-
-	for (guint i = 0; i < pool->endpoints->len; i++) {
-		struct endpoint *e = g_ptr_array_index(pool->endpoints, i);
+	struct pool_grant *g =
+		pool_grant_of_request(pool, ask->entry, ask->request);
 
-		if (!is_open(pool, e, now))
-			continue;
-		if (need(pool, ask) <= e->last.memory_tokens)
-			return DL_REASON_NONE;
-		reason = DL_REASON_TOO_LONG;
+	if (g && g->parts[0].endpoint) {
+		pool_grant_answer(g, out);
+		return true;
 	}
-	return reason;
+	if (!pool_queue_find(pool, ask->entry, ask->request))
+		return false;
+	out->verdict = DL_QUEUED;
+	return true;
 }
 
-static bool before(const struct waiting *a, const struct waiting *b)
-{
-	if (a->ask.class != b->ask.class)
-		return a->ask.class < b->ask.class;
-	return a->ask.deadline < b->ask.deadline;
+static enum dl_reason make_room(struct dl_pool *pool,
+				const struct pool_want *want,
+				struct pool_workspace *ws, int64_t now,
+				uint32_t *retry_after_ms)
+{
+	struct pool_request *victim;
+	uint32_t after;
+
+	if (pool_queue_room(pool, 1, want->prompt, 0))
+		return DL_REASON_NONE;
+	victim = pool_queue_victim(pool, want,
+				   pool_strain(pool, want, NULL, ws, now), now);
+	if (victim &&
+	    pool_queue_room(pool, 0, want->prompt, victim->want.prompt)) {
+		after = pool_retry_after(pool, &victim->want,
+					 pool_wait_ms(pool, &victim->want,
+						      victim, victim->workspace,
+						      now),
+					 now);
+		pool_queue_refuse(pool, victim, DL_REASON_SHED, after);
+		return DL_REASON_NONE;
+	}
+	*retry_after_ms = pool_retry_after(
+		pool, want, pool_wait_ms(pool, want, NULL, ws, now), now);
+	return DL_REASON_QUEUE_FULL;
 }
 
-static void enqueue(struct dl_pool *pool, const struct dl_ask *ask)
+static enum dl_reason admit(struct dl_pool *pool, const struct pool_want *want,
+			    struct pool_workspace *ws, int64_t now,
+			    uint32_t *retry_after_ms, int64_t *wait)
 {
-	struct waiting *w = g_new0(struct waiting, 1);
-	guint at = 0;
+	int64_t late;
 
-	w->ask = *ask;
-	dl_name_set(&w->workspace, ask->workspace);
-	w->ask.workspace = dl_name_str(&w->workspace);
-	pool->queued_tokens += ask->prompt_tokens;
-	while (at < pool->queue->len &&
-	       !before(w, g_ptr_array_index(pool->queue, at)))
-		at++;
-	g_ptr_array_insert(pool->queue, (gint)at, w);
+	*wait = pool_wait_ms(pool, want, NULL, ws, now);
+	late = now + *wait + pool_service_ms(pool, want) - want->deadline;
+	if (late > 0) {
+		*retry_after_ms = pool_retry_after(pool, want, late, now);
+		return DL_REASON_DEADLINE;
+	}
+	return make_room(pool, want, ws, now, retry_after_ms);
 }
 
-/* Always answers: granted, queued or refused. */
+/*
+ * Always answers: granted where an endpoint is free for it, queued where it is
+ * predicted to make it, refused at once in every other case.
+ */
 void dl_pool_ask(struct dl_pool *pool, const struct dl_ask *ask, int64_t now,
 		 struct dl_answer *out)
 {
-	enum dl_reason reason = ever_fits(pool, ask, now);
+	struct pool_workspace *ws;
+	struct pool_request *req;
+	struct pool_want want;
+	struct pool_choice choice;
+	enum dl_reason reason;
+	uint32_t after = 0;
+	int64_t wait;
 
+	pool->now = now;
 	memset(out, 0, sizeof(*out));
 	out->request = ask->request;
 	out->entry = ask->entry;
+	expire_endpoints(pool, now);
+	pool_grant_expire(pool, now);
+	if (answer_again(pool, ask, out))
+		return;
+	pool_want_of(pool, ask, &want);
+	reason = pool_admit_ever(pool, &want, now);
 	if (reason != DL_REASON_NONE) {
-		refuse(out, reason);
+		if (reason == DL_REASON_NO_ENDPOINT ||
+		    reason == DL_REASON_DRAINING)
+			after = RETRY_FLAT_MS;
+		answer_refused(out, reason, after);
 		return;
 	}
-	if (ask->deadline <= now) {
-		refuse(out, DL_REASON_DEADLINE);
+	ws = pool_workspace_get(pool, ask->workspace);
+	reason = pool_limit_check(pool, ws, now, &after);
+	if (reason != DL_REASON_NONE) {
+		answer_refused(out, reason, after);
 		return;
 	}
-	if (pool->queue->len == 0 && try_grant(pool, ask, now, out))
-		return;
-	if (pool->queue->len >= pool->conf.queue_entries_max ||
-	    pool->queued_tokens + ask->prompt_tokens >
-		    pool->conf.queue_tokens_max) {
-		refuse(out, DL_REASON_QUEUE_FULL);
+	if (!pool->policy->queues || !pool_queue_ahead(pool, &want)) {
+		if (pool->policy->choose(pool, &want, now, &choice)) {
+			pool_queue_charge(pool, ws, &want);
+			pool_grant_make(pool, ask->request, ask->entry, ws,
+					&want, &choice, now, out);
+			credit_lower(pool, &want);
+			return;
+		}
+		if (!pool->policy->queues) {
+			answer_refused(out, DL_REASON_NO_ENDPOINT,
+				       RETRY_FLAT_MS);
+			return;
+		}
+	}
+	reason = admit(pool, &want, ws, now, &after, &wait);
+	if (reason != DL_REASON_NONE) {
+		answer_refused(out, reason, after);
 		return;
 	}
-	enqueue(pool, ask);
+	req = pool_queue_push(pool, ask, &want, ws, now);
+	req->predicted_wait = wait;
+	pool->serve_at = now;
 	out->verdict = DL_QUEUED;
 }
 
-static void drop_waiting(struct dl_pool *pool, guint at)
+/* The caller of a queued request left. */
+void dl_pool_cancel(struct dl_pool *pool, uint64_t entry, uint64_t request,
+		    int64_t now)
 {
-	struct waiting *w = g_ptr_array_index(pool->queue, at);
+	struct pool_request *req = pool_queue_find(pool, entry, request);
 
-	pool->queued_tokens -= w->ask.prompt_tokens;
-	g_ptr_array_remove_index(pool->queue, at);
+	pool->now = now;
+	if (req)
+		pool_queue_drop(pool, req);
 }
 
-/* The caller of a queued request left. */
-void dl_pool_cancel(struct dl_pool *pool, uint64_t entry, uint64_t request,
-		    int64_t now)
+static void credit_lower(struct dl_pool *pool, const struct pool_want *want)
 {
-	(void)now;
-	for (guint i = 0; i < pool->queue->len; i++) {
-		struct waiting *w = g_ptr_array_index(pool->queue, i);
+	for (int class = want->class + 1; class < DL_CLASS_COUNT; class ++) {
+		uint64_t *credit = &pool->class_credit[class];
 
-		if (w->ask.entry == entry && w->ask.request == request) {
-			drop_waiting(pool, i);
-			return;
-		}
+		*credit += want->prompt / CREDIT_SHARE + 1;
+		if (*credit > CREDIT_MAX)
+			*credit = CREDIT_MAX;
 	}
 }
 
-/* Keep a grant for another lease. */
-int dl_pool_renew(struct dl_pool *pool, uint64_t grant, int64_t now)
+static bool serve_request(struct dl_pool *pool, struct pool_request *req,
+			  int64_t now, struct dl_answer *out)
 {
-	guint at;
-	struct grant *g = find_grant(pool, grant, &at);
+	struct pool_choice choice;
 
-	if (!g)
-		return -ENOENT;
-	g->answer.valid_until = now + pool->conf.grant_lease_ms;
-	return 0;
+	if (!pool->policy->choose(pool, &req->want, now, &choice))
+		return false;
+	pool_admit_learn(pool, req, now);
+	pool_queue_take(pool, req);
+	memset(out, 0, sizeof(*out));
+	pool_grant_make(pool, req->request, req->entry, req->workspace,
+			&req->want, &choice, now, out);
+	credit_lower(pool, &req->want);
+	free(req);
+	return true;
 }
 
-/* Give back what a grant holds. */
-int dl_pool_release(struct dl_pool *pool, uint64_t grant,
-		    const struct dl_usage *usage, int64_t now)
+static bool fits_nowhere(const struct dl_pool *pool,
+			 const struct pool_want *want)
 {
-	guint at;
+	const struct pool_index_node *root = pool_index_root(&pool->index);
 
-	(void)usage;
-	(void)now;
-	if (!find_grant(pool, grant, &at))
-		return -ENOENT;
-	drop_grant(pool, at);
-	return 0;
+	if (want->band == POOL_GIANT)
+		return true;
+	if (want->band == POOL_SHORT)
+		return false;
+	if (want->band == POOL_LONG &&
+	    pool->long_endpoints >= pool_place_long_max(pool))
+		return root->free_long < want->need;
+	return root->free < want->need;
 }
 
-/* Count a grant of an earlier dispatcher as one of this. */
-int dl_pool_adopt(struct dl_pool *pool, const struct dl_answer *grant,
-		  const struct dl_ask *ask, int64_t now)
+/*
+ * Serve a lane: the flow whose turn it is, or one of the next few where that
+ * one's head fits nowhere now, so that one request which may not go where the
+ * others may doesn't stop its lane.
+ */
+static bool serve_lane(struct dl_pool *pool, uint8_t lane, int64_t now,
+		       struct dl_answer *out)
 {
-	struct dl_answer copy = *grant;
-	guint at;
+	struct pool_request *first = pool_queue_head(pool, lane, 0);
 
-	(void)ask;
-	if (grant->endpoints == 0 || grant->endpoints > DL_GROUP_MAX)
-		return -EINVAL;
-	if (find_grant(pool, grant->grant, &at))
-		return -EEXIST;
-	copy.valid_until = now + pool->conf.grant_lease_ms;
-	hold(pool, &copy);
-	return 0;
+	for (uint32_t nth = 0; nth < LOOK_AHEAD; nth++) {
+		struct pool_request *req = pool_queue_head(pool, lane, nth);
+
+		if (!req)
+			break;
+		if (serve_request(pool, req, now, out))
+			return true;
+	}
+	if (first && !pool->hold.request && fits_nowhere(pool, &first->want)) {
+		pool_hold_begin(pool, first, now);
+		if (pool->hold.request)
+			return serve_request(pool, first, now, out);
+	}
+	return false;
 }
 
-/* An entry died: what it queued and holds is dropped. */
-void dl_pool_entry_gone(struct dl_pool *pool, uint64_t entry, int64_t now)
+static bool serve_credit(struct dl_pool *pool, int64_t now,
+			 struct dl_answer *out)
 {
-	(void)now;
-	for (guint i = pool->queue->len; i-- > 0;) {
-		struct waiting *w = g_ptr_array_index(pool->queue, i);
+	for (uint8_t class = DL_CLASS_COUNT - 1; class > 0; class --) {
+		uint64_t *credit = &pool->class_credit[class];
+
+		for (uint8_t band = 0; band < POOL_BANDS; band++) {
+			uint8_t lane = (uint8_t)(class * POOL_BANDS + band);
+			struct pool_request *head =
+				pool_queue_head(pool, lane, 0);
+			uint64_t cost = head ? head->want.prompt : 0;
 
-		if (w->ask.entry == entry)
-			drop_waiting(pool, i);
+			if (!head || *credit < cost)
+				continue;
+			if (!serve_request(pool, head, now, out))
+				continue;
+			*credit -= cost;
+			return true;
+		}
 	}
-	for (guint i = pool->grants->len; i-- > 0;) {
-		struct grant *g = g_ptr_array_index(pool->grants, i);
+	return false;
+}
+
+/*
+ * The next request to be granted: by class, within it short before long since
+ * these go to different endpoints for the most part; but a lower class that
+ * has credit first.
+ */
+static bool serve(struct dl_pool *pool, int64_t now, struct dl_answer *out)
+{
+	if (pool->queued == 0)
+		return false;
+	if (serve_credit(pool, now, out))
+		return true;
+	for (uint8_t lane = 0; lane < POOL_LANES; lane++)
+		if (pool->lane[lane].n && serve_lane(pool, lane, now, out))
+			return true;
+	return false;
+}
 
-		if (g->answer.entry == entry)
-			drop_grant(pool, i);
+static void plan_serve(struct dl_pool *pool, int64_t now)
+{
+	const struct pool_index_node *root = pool_index_root(&pool->index);
+
+	pool->serve_at = INT64_MAX;
+	for (uint8_t lane = 0; lane < POOL_LANES; lane++) {
+		int64_t at;
+		struct pool_want want = { .band = lane % POOL_BANDS };
+
+		if (pool->lane[lane].n == 0)
+			continue;
+		at = root->ready[pool_level(&want)];
+		if (at == INT64_MAX || at - BIND_AHEAD_MS <= now)
+			at = now + SERVE_RETRY_MS;
+		else
+			at -= BIND_AHEAD_MS;
+		if (at < pool->serve_at)
+			pool->serve_at = at;
 	}
 }
 
-static void expire(struct dl_pool *pool, int64_t now)
+static bool take_refused(struct dl_pool *pool, struct dl_answer *out)
+{
+	struct pool_request *req = pool_queue_refused(pool);
+
+	if (!req)
+		return false;
+	memset(out, 0, sizeof(*out));
+	out->request = req->request;
+	out->entry = req->entry;
+	answer_refused(out, req->reason, req->retry_after_ms);
+	free(req);
+	return true;
+}
+
+/*
+ * Refuse what can no longer make it even if it started now, at that moment:
+ * its caller gets the rest of its time.
+ */
+static void refuse_late(struct dl_pool *pool, int64_t now)
 {
-	for (guint i = pool->grants->len; i-- > 0;) {
-		struct grant *g = g_ptr_array_index(pool->grants, i);
+	struct pool_heap_node *top;
 
-		if (g->answer.valid_until <= now)
-			drop_grant(pool, i);
+	while ((top = pool_heap_top(&pool->request_last_start)) &&
+	       top->key < now) {
+		struct pool_request *req =
+			POOL_OF(top, struct pool_request, last_start);
+		int64_t wait = pool_wait_ms(pool, &req->want, req,
+					    req->workspace, now);
+
+		pool_admit_learn(pool, req, now);
+		pool_queue_refuse(pool, req, DL_REASON_DEADLINE,
+				  pool_retry_after(pool, &req->want, wait,
+						   now));
 	}
 }
 
-/* Take the next late answer. */
+/* Take the next late answer: a grant or refusal of a queued request. */
 bool dl_pool_next(struct dl_pool *pool, int64_t now, struct dl_answer *out)
 {
-	expire(pool, now);
-	for (guint i = 0; i < pool->queue->len; i++) {
-		struct waiting *w = g_ptr_array_index(pool->queue, i);
-
-		memset(out, 0, sizeof(*out));
-		out->request = w->ask.request;
-		out->entry = w->ask.entry;
-		if (w->ask.deadline <= now)
-			refuse(out, DL_REASON_DEADLINE);
-		else if (!try_grant(pool, &w->ask, now, out))
-			continue;
-		drop_waiting(pool, i);
+	pool->now = now;
+	expire_endpoints(pool, now);
+	pool_grant_expire(pool, now);
+	pool_hold_expire(pool, now);
+	refuse_late(pool, now);
+	pool_admit_recheck(pool, now);
+	if (take_refused(pool, out))
 		return true;
-	}
+	if (serve(pool, now, out))
+		return true;
+	plan_serve(pool, now);
 	return false;
 }
 
-/* When dl_pool_next must be called at the latest. */
-int64_t dl_pool_wakeup(const struct dl_pool *pool)
+static int64_t earlier(int64_t at, const struct pool_heap *heap)
 {
-	int64_t at = INT64_MAX;
+	const struct pool_heap_node *top = pool_heap_top(heap);
 
-	for (guint i = 0; i < pool->queue->len; i++) {
-		struct waiting *w = g_ptr_array_index(pool->queue, i);
+	return top && top->key < at ? top->key : at;
+}
 
-		at = MIN(at, w->ask.deadline);
-	}
-	for (guint i = 0; i < pool->grants->len; i++) {
-		struct grant *g = g_ptr_array_index(pool->grants, i);
+/* When dl_pool_next must be called at the latest; INT64_MAX for never. */
+int64_t dl_pool_wakeup(const struct dl_pool *pool)
+{
+	int64_t at = pool->serve_at;
 
-		at = MIN(at, g->answer.valid_until);
+	if (pool->refused)
+		return pool->now;
+	at = earlier(at, &pool->grant_lease);
+	at = earlier(at, &pool->endpoint_gone);
+	if (pool->request_last_start.n) {
+		at = earlier(at, &pool->request_last_start);
+		if (pool->recheck_at < at)
+			at = pool->recheck_at;
 	}
+	if (pool->hold.request && pool->hold.expires < at)
+		at = pool->hold.expires;
 	return at;
 }
 
-/* The pool in one line. */
+/* The pool in one line, for other pools, other domains and operators. */
 void dl_pool_summarize(const struct dl_pool *pool, int64_t now,
 		       struct dl_pool_summary *out)
 {
+	const struct pool_index_node *root = pool_index_root(&pool->index);
+	double tokens = 0;
+
 	memset(out, 0, sizeof(*out));
-	out->queued = pool->queue->len;
+	out->endpoints = pool->open;
+	out->queued = pool->queued;
 	out->queued_tokens = pool->queued_tokens;
-	out->grants = pool->grants->len;
-	for (guint i = 0; i < pool->endpoints->len; i++) {
-		struct endpoint *e = g_ptr_array_index(pool->endpoints, i);
+	out->grants = pool->grant_by_id.n;
+	for (uint32_t i = 0; i < pool->endpoints_n; i++) {
+		const struct pool_endpoint *e = pool->endpoints[i];
 
-		if (!is_open(pool, e, now))
+		if (!e->counted_open)
 			continue;
-		out->endpoints++;
 		out->memory_tokens += e->last.memory_tokens;
-		if (e->last.memory_tokens > e->held)
-			out->free_tokens += e->last.memory_tokens - e->held;
+		out->free_tokens += pool_place_free(e);
 	}
+	for (int class = 0; class < DL_CLASS_COUNT; class ++)
+		tokens += (double)pool->lane[class * POOL_BANDS].tokens;
+	if (pool->rate > 0)
+		out->backlog_ms = (uint64_t)(tokens / pool->rate);
+	if (root->ready[0] != INT64_MAX && root->ready[0] > now)
+		out->backlog_ms += (uint64_t)(root->ready[0] - now);
 }
 
-/* Walk the endpoints by index; false past the last. */
+/* Walk the endpoints by index for status; false past the last. */
 bool dl_pool_endpoint_at(const struct dl_pool *pool, uint32_t index,
 			 struct dl_endpoint_report *out, uint64_t *held_tokens,
 			 bool *put_out)
 {
-	struct endpoint *e;
+	const struct pool_endpoint *e;
 
-	if (index >= pool->endpoints->len)
+	if (index >= pool->endpoints_n)
 		return false;
-	e = g_ptr_array_index(pool->endpoints, index);
+	e = pool->endpoints[index];
 	*out = e->last;
 	*held_tokens = e->held;
-	*put_out = false;
+	*put_out = e->shift == POOL_OUT;
 	return true;
 }
-
-/* NULL, or which invariant is broken. */
-const char *dl_pool_broken(const struct dl_pool *pool)
-{
-	uint64_t held = 0, shares = 0;
-
-	for (guint i = 0; i < pool->endpoints->len; i++) {
-		struct endpoint *e = g_ptr_array_index(pool->endpoints, i);
-
-		held += e->held;
-	}
-	for (guint i = 0; i < pool->grants->len; i++) {
-		struct grant *g = g_ptr_array_index(pool->grants, i);
-
-		for (int k = 0; k < g->answer.endpoints; k++)
-			shares += g->answer.share_tokens[k];
-	}
-	return held == shares ? NULL : "memory held without a grant";
-}
--- /dev/null
+++ b/src/coordination/pool_baseline.c
@@ -0,0 +1,134 @@
+/*
+ * The ways to dispatch: late binding, and the two it is measured against.
+ * The baselines grant at once whatever is under way, as a proxy without a
+ * queue does; engines queue what they cannot take.
+ */
+#include "pool_int.h"
+
+#include <float.h>
+
+static bool choose_round_robin(struct dl_pool *pool,
+			       const struct pool_want *want, int64_t now,
+			       struct pool_choice *out);
+static bool choose_least_load(struct dl_pool *pool,
+			      const struct pool_want *want, int64_t now,
+			      struct pool_choice *out);
+static bool could_hold(const struct pool_want *want,
+		       const struct pool_endpoint *e, uint64_t share,
+		       uint32_t n);
+static uint32_t size_of(const struct dl_pool *pool,
+			const struct pool_want *want, uint64_t *share);
+static bool already_in(const struct pool_choice *choice,
+		       const struct pool_endpoint *e);
+static void add(struct dl_pool *pool, const struct pool_want *want,
+		struct pool_endpoint *e, uint32_t n, int64_t now,
+		struct pool_choice *out);
+
+const struct dl_pool_policy dl_policy_late_binding = {
+	.name = "late-binding",
+	.queues = true,
+	.choose = pool_place_choose,
+};
+const struct dl_pool_policy dl_policy_round_robin = {
+	.name = "round-robin",
+	.choose = choose_round_robin,
+};
+const struct dl_pool_policy dl_policy_least_load = {
+	.name = "least-load",
+	.choose = choose_least_load,
+};
+
+static uint32_t size_of(const struct dl_pool *pool,
+			const struct pool_want *want, uint64_t *share)
+{
+	*share = want->need;
+	if (want->band != POOL_GIANT)
+		return 1;
+	return pool_group_size(pool, want, share);
+}
+
+static bool could_hold(const struct pool_want *want,
+		       const struct pool_endpoint *e, uint64_t share,
+		       uint32_t n)
+{
+	if (!e->counted_open || pool_place_tried(want, e))
+		return false;
+	if (n > 1 && !e->last.takes_groups)
+		return false;
+	return share <= e->last.memory_tokens || want->need == 0;
+}
+
+static bool already_in(const struct pool_choice *choice,
+		       const struct pool_endpoint *e)
+{
+	for (uint8_t i = 0; i < choice->n; i++)
+		if (choice->endpoint[i] == e)
+			return true;
+	return false;
+}
+
+static void add(struct dl_pool *pool, const struct pool_want *want,
+		struct pool_endpoint *e, uint32_t n, int64_t now,
+		struct pool_choice *out)
+{
+	struct pool_choice part = { 0 };
+
+	pool_place_expect(pool, e, want, want->prompt / n, now, &part);
+	if (part.ttft_ms > out->ttft_ms)
+		out->ttft_ms = part.ttft_ms;
+	if (part.total_ms > out->total_ms)
+		out->total_ms = part.total_ms;
+	out->start = now;
+	out->endpoint[out->n++] = e;
+}
+
+/* Each endpoint in its turn. */
+static bool choose_round_robin(struct dl_pool *pool,
+			       const struct pool_want *want, int64_t now,
+			       struct pool_choice *out)
+{
+	uint32_t n;
+
+	*out = (struct pool_choice){ 0 };
+	n = size_of(pool, want, &out->share);
+	for (uint32_t i = 0; n && i < pool->endpoints_n && out->n < n; i++) {
+		struct pool_endpoint *e =
+			pool->endpoints[pool->turn++ % pool->endpoints_n];
+
+		if (could_hold(want, e, out->share, n) && !already_in(out, e))
+			add(pool, want, e, n, now, out);
+	}
+	return n && out->n == n;
+}
+
+/* The endpoint that last reported the least to read, then the least running. */
+static bool choose_least_load(struct dl_pool *pool,
+			      const struct pool_want *want, int64_t now,
+			      struct pool_choice *out)
+{
+	uint32_t n;
+
+	*out = (struct pool_choice){ 0 };
+	n = size_of(pool, want, &out->share);
+	while (n && out->n < n) {
+		struct pool_endpoint *best = NULL;
+		double least = DBL_MAX;
+
+		for (uint32_t i = 0; i < pool->endpoints_n; i++) {
+			struct pool_endpoint *e = pool->endpoints[i];
+			double load = (double)e->last.prefill_backlog +
+				      e->last.running;
+
+			if (load < least &&
+			    could_hold(want, e, out->share, n) &&
+			    !already_in(out, e)) {
+				best = e;
+				least = load;
+			}
+		}
+		if (!best)
+			return false;
+		add(pool, want, best, n, now, out);
+	}
+	return n > 0;
+}
--- /dev/null
+++ b/src/coordination/pool_grant.c
@@ -0,0 +1,368 @@
+/*
+ * Grants: leases on an endpoint's memory and a slot of it.  Whatever dies, the
+ * memory comes back: an entry renews or its grants end with their lease, a
+ * dead entry's end at once, an endpoint's end with its incarnation.
+ */
+#include "pool_int.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RELEASE_GAIN   0.1
+#define RELEASE_GAP_MS 10000.0 /* at most: longer ones are idle time */
+
+static void attach(struct pool_grant *g, uint8_t at, struct pool_endpoint *e,
+		   uint64_t share);
+static void detach(struct dl_pool *pool, struct pool_part *part, int64_t now);
+static struct pool_grant *grant_new(struct dl_pool *pool, uint64_t id,
+				    uint64_t entry, uint64_t request,
+				    struct pool_workspace *ws,
+				    const struct pool_want *want, uint8_t n);
+static uint64_t new_id(struct dl_pool *pool);
+static void note_release(struct dl_pool *pool, struct pool_grant *g,
+			 int64_t now);
+
+/* The hash of a request's name: its id is unique only with its entry. */
+uint64_t pool_request_hash(uint64_t entry, uint64_t request)
+{
+	return pool_mix(pool_mix(entry) ^ request);
+}
+
+/* The grant of this id, or NULL. */
+struct pool_grant *pool_grant_find(const struct dl_pool *pool, uint64_t id)
+{
+	struct pool_map_node *node =
+		pool_map_first(&pool->grant_by_id, pool_mix(id));
+
+	return node ? POOL_OF(node, struct pool_grant, by_id) : NULL;
+}
+
+/* The grant that an entry has for a request, or NULL. */
+struct pool_grant *pool_grant_of_request(const struct dl_pool *pool,
+					 uint64_t entry, uint64_t request)
+{
+	uint64_t hash = pool_request_hash(entry, request);
+	struct pool_map_node *node =
+		pool_map_first(&pool->grant_by_request, hash);
+
+	for (; node; node = pool_map_next(node)) {
+		struct pool_grant *g =
+			POOL_OF(node, struct pool_grant, by_request);
+
+		if (g->entry == entry && g->request == request)
+			return g;
+	}
+	return NULL;
+}
+
+/*
+ * Ids are a permutation of a counter under the seed, so that two incarnations
+ * of a dispatcher do not give the same one and a late release of an old grant
+ * finds nothing.
+ */
+static uint64_t new_id(struct dl_pool *pool)
+{
+	uint64_t id = 0;
+
+	while (id == 0 || pool_grant_find(pool, id))
+		id = pool_mix(pool_mix(pool->seed) + ++pool->counter);
+	return id;
+}
+
+static struct pool_grant *grant_new(struct dl_pool *pool, uint64_t id,
+				    uint64_t entry, uint64_t request,
+				    struct pool_workspace *ws,
+				    const struct pool_want *want, uint8_t n)
+{
+	struct pool_grant *g =
+		calloc(1, sizeof(*g) + n * sizeof(struct pool_part));
+
+	if (!g)
+		abort();
+	g->id = id;
+	g->entry = entry;
+	g->request = request;
+	g->workspace = ws;
+	g->want = *want;
+	g->parts_n = n;
+	ws->running++;
+	pool_map_add(&pool->grant_by_id, &g->by_id, pool_mix(id));
+	pool_map_add(&pool->grant_by_request, &g->by_request,
+		     pool_request_hash(entry, request));
+	return g;
+}
+
+static void attach(struct pool_grant *g, uint8_t at, struct pool_endpoint *e,
+		   uint64_t share)
+{
+	struct pool_part *part = &g->parts[at];
+
+	part->grant = g;
+	part->endpoint = e;
+	part->share = share;
+	part->next = NULL;
+	part->prev = e->parts_last;
+	if (e->parts_last)
+		e->parts_last->next = part;
+	else
+		e->parts = part;
+	e->parts_last = part;
+	e->held += share;
+	e->grants++;
+	if (g->want.band >= POOL_LONG)
+		e->long_grants++;
+}
+
+static void detach(struct dl_pool *pool, struct pool_part *part, int64_t now)
+{
+	struct pool_endpoint *e = part->endpoint;
+
+	if (!e)
+		return;
+	if (part->prev)
+		part->prev->next = part->next;
+	else
+		e->parts = part->next;
+	if (part->next)
+		part->next->prev = part->prev;
+	else
+		e->parts_last = part->prev;
+	e->held -= part->share;
+	e->grants--;
+	if (part->grant->want.band >= POOL_LONG)
+		e->long_grants--;
+	if (e->probe == part->grant->id)
+		e->probe = 0;
+	part->endpoint = NULL;
+	if (e->grants == 0)
+		for (int i = 0; i < POOL_LEVELS; i++)
+			e->until[i] = now < e->until[i] ? now : e->until[i];
+	pool_place_refresh(pool, e, now);
+	if (e->grants == 0 && e->state != POOL_EP_LIVE && !e->drained)
+		pool_endpoint_forget(pool, e);
+}
+
+/* Grant a choice: hold its memory and count its work. */
+void pool_grant_make(struct dl_pool *pool, uint64_t request, uint64_t entry,
+		     struct pool_workspace *ws, const struct pool_want *want,
+		     const struct pool_choice *choice, int64_t now,
+		     struct dl_answer *out)
+{
+	struct pool_grant *g = grant_new(pool, new_id(pool), entry, request, ws,
+					 want, choice->n);
+	int64_t slack = want->deadline - now - choice->total_ms;
+	int64_t prefill = choice->ttft_ms - (choice->start - now);
+
+	g->since = now;
+	g->valid_until = now + pool->conf.grant_lease_ms;
+	pool_heap_set(&pool->grant_lease, &g->lease, g->valid_until);
+	g->predicted_ttft_ms = (uint32_t)choice->ttft_ms;
+	g->predicted_total_ms = (uint32_t)choice->total_ms;
+	g->saved = choice->saved;
+	g->behind_lower = choice->behind_lower;
+	g->priority = pool_place_priority(want, choice, now);
+	for (uint8_t i = 0; i < choice->n; i++) {
+		struct pool_endpoint *e = choice->endpoint[i];
+
+		if (choice->behind_lower)
+			prefill -= (int64_t)e->interference_ms;
+		g->parts[i].prefill_ms = prefill > 0 ? prefill : 1;
+		pool_place_commit(e, want, g->parts[i].prefill_ms, slack, now);
+		attach(g, i, e, choice->share);
+		if (choice->probe) {
+			e->probe = g->id;
+			e->probe_at = now + e->probe_gap_ms;
+		}
+		pool_place_refresh(pool, e, now);
+	}
+	if (choice->n == 1)
+		pool_prefix_note(pool, want->prefix, want->prefix_tokens,
+				 choice->endpoint[0], now);
+	pool_rate_add(&pool->granted[want->class], (double)want->prompt, now);
+	pool_grant_answer(g, out);
+}
+
+/* Tell a grant. */
+void pool_grant_answer(const struct pool_grant *g, struct dl_answer *out)
+{
+	out->request = g->request;
+	out->entry = g->entry;
+	out->verdict = DL_GRANTED;
+	out->reason = DL_REASON_NONE;
+	out->grant = g->id;
+	out->valid_until = g->valid_until;
+	out->priority = g->priority;
+	out->predicted_ttft_ms = g->predicted_ttft_ms;
+	out->endpoints = 0;
+	for (uint8_t i = 0; i < g->parts_n; i++) {
+		if (!g->parts[i].endpoint)
+			continue;
+		out->endpoint[out->endpoints] = g->parts[i].endpoint->last.id;
+		out->share_tokens[out->endpoints++] = g->parts[i].share;
+	}
+}
+
+static void note_release(struct dl_pool *pool, struct pool_grant *g,
+			 int64_t now)
+{
+	struct pool_workspace *ws = g->workspace;
+	double gap = (double)(now - pool->released_at);
+	double took = (double)(now - g->since);
+
+	if (gap > RELEASE_GAP_MS)
+		gap = RELEASE_GAP_MS;
+	if (pool->queued)
+		pool->release_gap_ms +=
+			RELEASE_GAIN * (gap - pool->release_gap_ms);
+	pool->released_at = now;
+	ws->mean_ms += RELEASE_GAIN * (took - ws->mean_ms);
+}
+
+/* End a grant and give back all it holds. */
+void pool_grant_drop(struct dl_pool *pool, struct pool_grant *g, int64_t now)
+{
+	int64_t ends = g->since + g->predicted_ttft_ms;
+
+	note_release(pool, g, now);
+	for (uint8_t i = 0; i < g->parts_n; i++) {
+		struct pool_part *part = &g->parts[i];
+		int64_t rest = ends - now;
+
+		if (rest > part->prefill_ms)
+			rest = part->prefill_ms;
+		if (part->endpoint && rest > 0)
+			pool_place_undo(part->endpoint, pool_level(&g->want),
+					rest, now);
+		detach(pool, part, now);
+	}
+	g->workspace->running--;
+	pool_heap_remove(&pool->grant_lease, &g->lease);
+	pool_map_remove(&pool->grant_by_id, &g->by_id);
+	pool_map_remove(&pool->grant_by_request, &g->by_request);
+	free(g);
+}
+
+/* End the grants that nobody renewed. */
+void pool_grant_expire(struct dl_pool *pool, int64_t now)
+{
+	struct pool_heap_node *top;
+
+	while ((top = pool_heap_top(&pool->grant_lease)) && top->key <= now)
+		pool_grant_drop(pool, POOL_OF(top, struct pool_grant, lease),
+				now);
+}
+
+/* An endpoint's memory is lost: its grants hold nothing there any more. */
+void pool_grant_detach(struct dl_pool *pool, struct pool_endpoint *e)
+{
+	bool drained = e->drained;
+
+	e->drained = true; /* the caller still needs it */
+	while (e->parts)
+		detach(pool, e->parts, pool->now);
+	e->drained = drained;
+}
+
+/* Keep a grant for another lease; -ENOENT where it is not one of this pool. */
+int dl_pool_renew(struct dl_pool *pool, uint64_t grant, int64_t now)
+{
+	struct pool_grant *g;
+
+	pool->now = now;
+	pool_grant_expire(pool, now);
+	g = pool_grant_find(pool, grant);
+	if (!g)
+		return -ENOENT;
+	g->valid_until = now + pool->conf.grant_lease_ms;
+	pool_heap_set(&pool->grant_lease, &g->lease, g->valid_until);
+	return 0;
+}
+
+/* Give back what a grant holds and learn from it; -ENOENT as for renew. */
+int dl_pool_release(struct dl_pool *pool, uint64_t grant,
+		    const struct dl_usage *usage, int64_t now)
+{
+	struct pool_grant *g = pool_grant_find(pool, grant);
+
+	pool->now = now;
+	if (!g)
+		return -ENOENT;
+	if (usage)
+		pool_shift_learn(pool, g, usage, now);
+	pool_grant_drop(pool, g, now);
+	return 0;
+}
+
+/*
+ * Count a grant of an earlier dispatcher as one of this: after a hand-over
+ * each entry tells what it has under way, and nothing of it runs twice or is
+ * forgotten.  Endpoints that have not reported yet are held for it by name.
+ * -EINVAL where it names no endpoint, -EEXIST where it is known.
+ */
+int dl_pool_adopt(struct dl_pool *pool, const struct dl_answer *grant,
+		  const struct dl_ask *ask, int64_t now)
+{
+	struct pool_workspace *ws;
+	struct pool_request *queued;
+	struct pool_want want;
+	struct pool_grant *g;
+
+	pool->now = now;
+	if (grant->grant == 0 || grant->endpoints == 0 ||
+	    grant->endpoints > DL_GROUP_MAX)
+		return -EINVAL;
+	if (pool_grant_find(pool, grant->grant))
+		return -EEXIST;
+	queued = pool_queue_find(pool, ask->entry, ask->request);
+	if (queued)
+		pool_queue_drop(pool, queued);
+	pool_want_of(pool, ask, &want);
+	if (grant->endpoints > 1)
+		want.band = POOL_GIANT;
+	ws = pool_workspace_get(pool, ask->workspace);
+	g = grant_new(pool, grant->grant, ask->entry, ask->request, ws, &want,
+		      grant->endpoints);
+	g->since = now;
+	g->valid_until = now + pool->conf.grant_lease_ms;
+	g->priority = grant->priority;
+	pool_heap_set(&pool->grant_lease, &g->lease, g->valid_until);
+	for (uint8_t i = 0; i < grant->endpoints; i++) {
+		struct pool_endpoint *e = pool_endpoint_get(
+			pool, dl_name_str(&grant->endpoint[i]));
+
+		attach(g, i, e, grant->share_tokens[i]);
+		pool_place_refresh(pool, e, now);
+	}
+	return 0;
+}
+
+/* An entry died: nobody waits for what it queued, nobody reads its answers. */
+void dl_pool_entry_gone(struct dl_pool *pool, uint64_t entry, int64_t now)
+{
+	struct pool_map *map = &pool->grant_by_id;
+	struct pool_map_node *node, *next;
+
+	pool->now = now;
+	for (uint32_t i = 0; i <= map->mask; i++) {
+		for (node = map->bucket[i]; node; node = next) {
+			struct pool_grant *g =
+				POOL_OF(node, struct pool_grant, by_id);
+
+			next = node->next;
+			if (g->entry == entry)
+				pool_grant_drop(pool, g, now);
+		}
+	}
+	map = &pool->request_by_id;
+	for (uint32_t i = 0; i <= map->mask; i++) {
+		for (node = map->bucket[i]; node; node = next) {
+			struct pool_request *req =
+				POOL_OF(node, struct pool_request, by_request);
+
+			next = node->next;
+			if (req->entry == entry)
+				pool_queue_drop(pool, req);
+		}
+	}
+}
--- /dev/null
+++ b/src/coordination/pool_group.c
@@ -0,0 +1,320 @@
+/*
+ * Prompts longer than one engine's memory: several engines take a share each.
+ *
+ * A group is taken whole or not at all, in one event, so nothing is ever held
+ * by half a group.  Where it does not fit at once, memory is gathered for it
+ * as engines free it (a hold).  One hold at a time: two giants that each
+ * gathered a half would both wait for good.
+ */
+#include "pool_int.h"
+
+#include <string.h>
+
+/*
+ * A hold ends after this many leases: the memory it keeps idle is then given
+ * to the next in turn.  Long enough for the grants in its way to end in the
+ * ordinary case, short enough that a giant which cannot get its last engine
+ * does not idle the others until its deadline.
+ */
+#define HOLD_LEASES 4
+/* The exchange between the engines of a group, a share of the prefill. */
+#define GROUP_OVERHEAD_PERCENT 10
+#define PERCENT		       100
+
+struct member {
+	struct pool_endpoint *endpoint;
+	bool is_long;
+	uint64_t free;
+};
+
+static uint32_t group_max(const struct dl_pool *pool);
+static bool may_join(const struct pool_want *want,
+		     const struct pool_endpoint *e, uint32_t n);
+static uint64_t share_of(const struct pool_want *want, uint32_t n);
+static bool better(const struct member *a, const struct member *b);
+static void keep_best(struct member *best, uint32_t *n, uint32_t max,
+		      struct member m);
+static uint32_t select_members(struct dl_pool *pool,
+			       const struct pool_want *want, uint32_t n,
+			       bool at_once, int64_t now, struct member *best);
+static void fill_choice(struct dl_pool *pool, const struct pool_want *want,
+			struct pool_endpoint **members, uint32_t n, int64_t now,
+			struct pool_choice *out);
+static bool leaves_one_free(const struct dl_pool *pool,
+			    const struct member *members, uint32_t n);
+static void order_by_name(struct pool_endpoint **members, uint32_t n);
+
+/*
+ * A group may pass the share for long prompts, since the longest need several
+ * engines of a small pool; one engine is still kept free of long ones.
+ */
+static uint32_t group_max(const struct dl_pool *pool)
+{
+	uint32_t max = pool->open > 1 ? pool->open - 1 : pool->open;
+
+	return max < DL_GROUP_MAX ? max : DL_GROUP_MAX;
+}
+
+static bool may_join(const struct pool_want *want,
+		     const struct pool_endpoint *e, uint32_t n)
+{
+	if (n > 1 && !e->last.takes_groups)
+		return false;
+	return e->counted_open && !pool_place_tried(want, e);
+}
+
+static uint64_t share_of(const struct pool_want *want, uint32_t n)
+{
+	return (want->need + n - 1) / n;
+}
+
+/*
+ * The smallest group whose engines could hold the request if they were empty,
+ * and each one's share; 0 where none could.
+ */
+uint32_t pool_group_size(const struct dl_pool *pool,
+			 const struct pool_want *want, uint64_t *share)
+{
+	uint32_t max = group_max(pool);
+
+	for (uint32_t n = 1; n <= max; n++) {
+		uint32_t able = 0;
+
+		*share = share_of(want, n);
+		for (uint32_t i = 0; i < pool->endpoints_n; i++) {
+			const struct pool_endpoint *e = pool->endpoints[i];
+
+			if (may_join(want, e, n) &&
+			    e->last.memory_tokens >= *share)
+				able++;
+		}
+		if (able >= n)
+			return n;
+	}
+	return 0;
+}
+
+/* Engines that hold a long prompt already first, then the emptiest. */
+static bool better(const struct member *a, const struct member *b)
+{
+	if (a->is_long != b->is_long)
+		return a->is_long;
+	if (a->free != b->free)
+		return a->free > b->free;
+	return a->endpoint->by_name.hash < b->endpoint->by_name.hash;
+}
+
+static void keep_best(struct member *best, uint32_t *n, uint32_t max,
+		      struct member m)
+{
+	uint32_t at = *n;
+
+	if (at == max) {
+		if (!better(&m, &best[max - 1]))
+			return;
+		at--;
+	} else {
+		(*n)++;
+	}
+	for (; at > 0 && better(&m, &best[at - 1]); at--)
+		best[at] = best[at - 1];
+	best[at] = m;
+}
+
+static uint32_t select_members(struct dl_pool *pool,
+			       const struct pool_want *want, uint32_t n,
+			       bool at_once, int64_t now, struct member *best)
+{
+	struct pool_want part = *want;
+	uint32_t found = 0;
+
+	part.need = share_of(want, n);
+	part.prompt = (want->prompt + n - 1) / n;
+	for (uint32_t i = 0; i < pool->endpoints_n; i++) {
+		struct pool_endpoint *e = pool->endpoints[i];
+		struct member m = { e, e->long_grants > 0, pool_place_free(e) };
+
+		if (!may_join(want, e, n) || e->last.memory_tokens < part.need)
+			continue;
+		if (at_once && !pool_place_fits(pool, &part, e, now))
+			continue;
+		keep_best(best, &found, n, m);
+	}
+	return found;
+}
+
+static bool leaves_one_free(const struct dl_pool *pool,
+			    const struct member *members, uint32_t n)
+{
+	uint32_t added = 0;
+
+	for (uint32_t i = 0; i < n; i++)
+		added += !members[i].is_long;
+	return pool->open <= 1 || pool->long_endpoints + added < pool->open;
+}
+
+/* Every dispatcher names a group's engines in the same order. */
+static void order_by_name(struct pool_endpoint **members, uint32_t n)
+{
+	for (uint32_t i = 1; i < n; i++) {
+		struct pool_endpoint *e = members[i];
+		uint32_t at = i;
+
+		for (; at > 0 &&
+		       strcmp(members[at - 1]->last.id.s, e->last.id.s) > 0;
+		     at--)
+			members[at] = members[at - 1];
+		members[at] = e;
+	}
+}
+
+static void fill_choice(struct dl_pool *pool, const struct pool_want *want,
+			struct pool_endpoint **members, uint32_t n, int64_t now,
+			struct pool_choice *out)
+{
+	uint64_t tokens = (want->prompt + n - 1) / n;
+
+	if (n > 1)
+		tokens += tokens * GROUP_OVERHEAD_PERCENT / PERCENT;
+	*out = (struct pool_choice){ .n = (uint8_t)n,
+				     .share = share_of(want, n) };
+	order_by_name(members, n);
+	for (uint32_t i = 0; i < n; i++) {
+		struct pool_choice part = { 0 };
+
+		pool_place_expect(pool, members[i], want, tokens, now, &part);
+		out->endpoint[i] = members[i];
+		if (part.start > out->start)
+			out->start = part.start;
+		if (part.ttft_ms > out->ttft_ms)
+			out->ttft_ms = part.ttft_ms;
+		if (part.total_ms > out->total_ms)
+			out->total_ms = part.total_ms;
+	}
+}
+
+/*
+ * Choose a group that is free now.  The smallest that holds the request and
+ * ends in time: each further engine is one more that short prompts share.
+ */
+bool pool_group_choose(struct dl_pool *pool, const struct pool_want *want,
+		       int64_t now, struct pool_choice *out)
+{
+	struct member best[DL_GROUP_MAX];
+	struct pool_endpoint *members[DL_GROUP_MAX];
+	uint64_t share;
+	uint32_t max = group_max(pool);
+	uint32_t n = pool_group_size(pool, want, &share);
+
+	if (n == 0)
+		return false;
+	for (; n <= max; n++) {
+		if (select_members(pool, want, n, true, now, best) < n)
+			continue;
+		if (!leaves_one_free(pool, best, n))
+			continue;
+		for (uint32_t i = 0; i < n; i++)
+			members[i] = best[i].endpoint;
+		fill_choice(pool, want, members, n, now, out);
+		if (pool_place_in_time(out, want, now))
+			return true;
+	}
+	return false;
+}
+
+/* Choose the members of the hold once each has its share free. */
+bool pool_hold_choose(struct dl_pool *pool, int64_t now,
+		      struct pool_choice *out)
+{
+	struct pool_hold *hold = &pool->hold;
+	const struct pool_want *want = &hold->request->want;
+	struct pool_want part = *want;
+
+	part.need = hold->share;
+	part.prompt = (want->prompt + hold->n - 1) / hold->n;
+	for (uint32_t i = 0; i < hold->n; i++) {
+		struct pool_endpoint *e = hold->endpoint[i];
+		bool fits;
+
+		e->in_hold = false;
+		e->reserved = 0;
+		fits = pool_place_fits(pool, &part, e, now);
+		e->in_hold = true;
+		e->reserved = hold->share;
+		if (!fits)
+			return false;
+	}
+	fill_choice(pool, want, hold->endpoint, hold->n, now, out);
+	return pool_place_in_time(out, want, now);
+}
+
+/*
+ * Begin to gather memory for a request at the head of its lane that fits
+ * nowhere.  For long prompts under a steady load of short ones, which would
+ * otherwise take each freed piece before enough of them lie together.  Short
+ * ones go on in what is left of the members' memory.
+ */
+void pool_hold_begin(struct dl_pool *pool, struct pool_request *req,
+		     int64_t now)
+{
+	struct pool_hold *hold = &pool->hold;
+	const struct pool_want *want = &req->want;
+	struct member best[DL_GROUP_MAX];
+	uint64_t share = want->need;
+	uint32_t n = 1;
+
+	if (hold->request)
+		return;
+	if (want->band == POOL_GIANT)
+		n = pool_group_size(pool, want, &share);
+	if (n == 0 || select_members(pool, want, n, false, now, best) < n)
+		return;
+	if (want->band >= POOL_LONG && !leaves_one_free(pool, best, n))
+		return;
+	hold->request = req;
+	hold->n = (uint8_t)n;
+	hold->share = share;
+	hold->expires = now + (int64_t)HOLD_LEASES * pool->conf.grant_lease_ms;
+	for (uint32_t i = 0; i < n; i++) {
+		struct pool_endpoint *e = best[i].endpoint;
+
+		hold->endpoint[i] = e;
+		e->in_hold = true;
+		e->reserved = share;
+		pool_place_refresh(pool, e, now);
+	}
+}
+
+/* Give up what was gathered. */
+void pool_hold_end(struct dl_pool *pool)
+{
+	struct pool_hold *hold = &pool->hold;
+
+	hold->request = NULL;
+	for (uint32_t i = 0; i < hold->n; i++) {
+		struct pool_endpoint *e = hold->endpoint[i];
+
+		e->in_hold = false;
+		e->reserved = 0;
+		pool_place_refresh(pool, e, pool->now);
+	}
+	hold->n = 0;
+}
+
+/* End a hold whose time is over; the next giant has its turn. */
+void pool_hold_expire(struct dl_pool *pool, int64_t now)
+{
+	struct pool_request *req = pool->hold.request;
+
+	if (!req || pool->hold.expires > now)
+		return;
+	pool_hold_end(pool);
+	pool_queue_yield(pool, req);
+}
+
+/* A member was lost or closed: gather elsewhere. */
+void pool_hold_lost(struct dl_pool *pool, const struct pool_endpoint *e)
+{
+	if (e->in_hold)
+		pool_hold_end(pool);
+}
--- /dev/null
+++ b/src/coordination/pool_heap.c
@@ -0,0 +1,95 @@
+/* A binary heap whose nodes stand inside what they order. */
+#include "pool_int.h"
+
+#include <stdlib.h>
+
+#define HEAP_FIRST_ROOM 16
+
+static void put(struct pool_heap *heap, uint32_t pos,
+		struct pool_heap_node *node);
+static void sift_up(struct pool_heap *heap, struct pool_heap_node *node);
+static void sift_down(struct pool_heap *heap, struct pool_heap_node *node);
+
+/* Free the heap, not what its nodes stand in. */
+void pool_heap_free(struct pool_heap *heap)
+{
+	free((void *)heap->at);
+	*heap = (struct pool_heap){ 0 };
+}
+
+static void put(struct pool_heap *heap, uint32_t pos,
+		struct pool_heap_node *node)
+{
+	heap->at[pos] = node;
+	node->pos = pos;
+}
+
+static void sift_up(struct pool_heap *heap, struct pool_heap_node *node)
+{
+	uint32_t pos = node->pos;
+
+	while (pos > 1 && heap->at[pos / 2]->key > node->key) {
+		put(heap, pos, heap->at[pos / 2]);
+		pos /= 2;
+	}
+	put(heap, pos, node);
+}
+
+static void sift_down(struct pool_heap *heap, struct pool_heap_node *node)
+{
+	uint32_t pos = node->pos;
+
+	for (uint32_t child = 2 * pos; child <= heap->n; child = 2 * pos) {
+		if (child < heap->n &&
+		    heap->at[child + 1]->key < heap->at[child]->key)
+			child++;
+		if (heap->at[child]->key >= node->key)
+			break;
+		put(heap, pos, heap->at[child]);
+		pos = child;
+	}
+	put(heap, pos, node);
+}
+
+/* Put a node in under a key, or move it to another key. */
+void pool_heap_set(struct pool_heap *heap, struct pool_heap_node *node,
+		   int64_t key)
+{
+	node->key = key;
+	if (!node->pos) {
+		if (heap->n + 1 >= heap->room) {
+			heap->room = heap->room ? heap->room * 2 :
+						  HEAP_FIRST_ROOM;
+			heap->at = realloc((void *)heap->at,
+				   heap->room * sizeof(node));
+			if (!heap->at)
+				abort();
+		}
+		put(heap, ++heap->n, node);
+	}
+	sift_up(heap, node);
+	sift_down(heap, node);
+}
+
+/* Take a node out; nothing happens where it is not in. */
+void pool_heap_remove(struct pool_heap *heap, struct pool_heap_node *node)
+{
+	struct pool_heap_node *last;
+	uint32_t pos = node->pos;
+
+	if (!pos)
+		return;
+	node->pos = 0;
+	last = heap->at[heap->n--];
+	if (last == node)
+		return;
+	put(heap, pos, last);
+	sift_up(heap, last);
+	sift_down(heap, last);
+}
+
+/* The node with the smallest key, or NULL. */
+struct pool_heap_node *pool_heap_top(const struct pool_heap *heap)
+{
+	return heap->n ? heap->at[1] : NULL;
+}
--- /dev/null
+++ b/src/coordination/pool_map.c
@@ -0,0 +1,93 @@
+/* A chained hash table whose nodes stand inside what is looked up. */
+#include "pool_int.h"
+
+#include <stdlib.h>
+
+#define MAP_FIRST_ROOM 64
+
+static void grow(struct pool_map *map);
+
+/* Begin an empty table. */
+void pool_map_init(struct pool_map *map)
+{
+	map->n = 0;
+	map->mask = MAP_FIRST_ROOM - 1;
+	map->bucket = calloc(MAP_FIRST_ROOM, sizeof(struct pool_map_node *));
+	if (!map->bucket)
+		abort();
+}
+
+/* Free the table, not what its nodes stand in. */
+void pool_map_free(struct pool_map *map)
+{
+	free(map->bucket);
+	map->bucket = NULL;
+}
+
+static void grow(struct pool_map *map)
+{
+	uint32_t room = (map->mask + 1) * 2;
+	struct pool_map_node **bucket;
+
+	bucket = calloc(room, sizeof(struct pool_map_node *));
+	if (!bucket)
+		abort();
+	for (uint32_t i = 0; i <= map->mask; i++) {
+		struct pool_map_node *node = map->bucket[i];
+
+		while (node) {
+			struct pool_map_node *next = node->next;
+
+			node->next = bucket[node->hash & (room - 1)];
+			bucket[node->hash & (room - 1)] = node;
+			node = next;
+		}
+	}
+	free(map->bucket);
+	map->bucket = bucket;
+	map->mask = room - 1;
+}
+
+/* Add a node that is not in yet. */
+void pool_map_add(struct pool_map *map, struct pool_map_node *node,
+		  uint64_t hash)
+{
+	if (map->n > map->mask)
+		grow(map);
+	node->hash = hash;
+	node->next = map->bucket[hash & map->mask];
+	map->bucket[hash & map->mask] = node;
+	map->n++;
+}
+
+/* Take a node out that is in. */
+void pool_map_remove(struct pool_map *map, struct pool_map_node *node)
+{
+	struct pool_map_node **link = &map->bucket[node->hash & map->mask];
+
+	while (*link != node)
+		link = &(*link)->next;
+	*link = node->next;
+	map->n--;
+}
+
+/* The first node of this hash, or NULL. */
+struct pool_map_node *pool_map_first(const struct pool_map *map, uint64_t hash)
+{
+	struct pool_map_node *node = map->bucket[hash & map->mask];
+
+	while (node && node->hash != hash)
+		node = node->next;
+	return node;
+}
+
+/* The next node of the same hash, or NULL. */
+struct pool_map_node *pool_map_next(const struct pool_map_node *node)
+{
+	uint64_t hash = node->hash;
+	struct pool_map_node *next = node->next;
+
+	while (next && next->hash != hash)
+		next = next->next;
+	return next;
+}
--- /dev/null
+++ b/src/coordination/pool_place.c
@@ -0,0 +1,530 @@
+/*
+ * Which endpoint takes a request.
+ *
+ * The pool keeps for each endpoint when its prefill work of each level ends,
+ * as if it were a queue drained at a known rate with short prompts first.
+ * Own grants move that time at once, reports and answers correct it later, so
+ * that a lag of reports doesn't make the pool send everything to whatever
+ * looked idle a second ago.
+ */
+#include "pool_int.h"
+
+#include <float.h>
+#include <math.h>
+
+/*
+ * How early before an endpoint is free it gets its next request.  For the load
+ * just under saturation: without it every request would leave the engine idle
+ * for the way of a grant and of the prompt, about one round trip.  Longer
+ * would bind a request to an endpoint while another one becomes free first.
+ */
+#define BIND_AHEAD_MS 20
+
+/*
+ * What a prediction keeps in hand, as a share of it: at least MARGIN_MIN for
+ * the steps between reports, twice the measured deviation for an endpoint that
+ * varies, at most as much again as the prediction itself, so that one wild
+ * sample doesn't refuse everything.
+ */
+#define MARGIN_MIN	  0.05
+#define MARGIN_MAX	  1.0
+#define MARGIN_DEVIATIONS 2.0
+/* Both ways between entry and endpoint, and the dispatcher's own queue. */
+#define OVERHEAD_MS 10
+/* Assumed until an endpoint says or shows its rate. */
+#define PREFILL_RATE_UNKNOWN 4000.0
+#define DECODE_RATE_UNKNOWN  40.0
+#define MS_PER_S	     1000.0
+
+#define SLACK_NONE	 (INT64_MAX / 4)
+#define PRIORITY_BAND	 64
+#define PRIORITY_CLASS	 16
+#define PRIORITY_BUCKETS 16
+#define PERMILLE	 1000
+
+struct search {
+	const struct dl_pool *pool;
+	const struct pool_want *want;
+	struct pool_endpoint *best;
+	double best_cost;
+	int64_t now;
+	uint8_t level;
+	bool only_long; /* the long share is used up */
+};
+
+static int64_t max_time(int64_t a, int64_t b);
+static bool levels_allow(const struct pool_endpoint *e, uint8_t level,
+			 int64_t prefill_ms, int64_t now);
+static double cost_at(const struct search *s, const struct pool_endpoint *e);
+static double bound_at(const struct search *s, uint32_t node);
+static void visit(struct search *s, uint32_t node);
+static void consider(struct search *s, struct pool_endpoint *e);
+static bool probe_choose(struct dl_pool *pool, const struct pool_want *want,
+			 int64_t now, struct pool_choice *out);
+static uint64_t excess_low(const struct pool_excess *excess);
+static void excess_note(struct pool_excess *excess, uint64_t seen, bool first);
+static void correct_backlog(struct dl_pool *pool, struct pool_endpoint *e,
+			    bool first, int64_t now);
+static void count(struct dl_pool *pool, struct pool_endpoint *e);
+static void find_memory_max(struct dl_pool *pool);
+
+static int64_t max_time(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+/* Whether an endpoint takes new work at all. */
+bool pool_endpoint_open(const struct dl_pool *pool,
+			const struct pool_endpoint *e)
+{
+	(void)pool;
+	return e->state == POOL_EP_LIVE && !e->drained && !e->last.leaving &&
+	       e->shift != POOL_OUT;
+}
+
+/* Milliseconds of prefill a token, as reported and corrected by answers. */
+double pool_ms_per_token(const struct dl_pool *pool,
+			 const struct pool_endpoint *e)
+{
+	double rate = e->last.prefill_rate;
+
+	if (pool->conf.kind == DL_POOL_PLAIN)
+		return e->service_ms;
+	if (rate <= 0)
+		rate = PREFILL_RATE_UNKNOWN;
+	return e->slow * MS_PER_S / rate;
+}
+
+/* Milliseconds between tokens of one stream. */
+double pool_decode_ms(const struct pool_endpoint *e)
+{
+	double rate = e->last.decode_rate;
+
+	if (rate <= 0)
+		rate = DECODE_RATE_UNKNOWN;
+	return e->decode_slow * MS_PER_S / rate;
+}
+
+/* Memory that no grant, no hold and nobody unknown has. */
+uint64_t pool_place_free(const struct pool_endpoint *e)
+{
+	uint64_t taken = e->held + e->reserved + excess_low(&e->memory_excess);
+
+	return e->last.memory_tokens > taken ? e->last.memory_tokens - taken :
+					       0;
+}
+
+/*
+ * How many endpoints may hold long prompts.  For the mix with one in fifty
+ * over a hundred thousand tokens, which alone would cover every endpoint for
+ * seconds.  Beyond the configured share a long one waits; at least one
+ * endpoint may hold one, or long ones would never run, and at least one of
+ * several stays free, or short ones would depend on each engine's preemption.
+ */
+uint32_t pool_place_long_max(const struct dl_pool *pool)
+{
+	uint64_t max = (uint64_t)pool->open * pool->conf.long_share_permille /
+		       PERMILLE;
+
+	if (pool->open <= 1)
+		return pool->open;
+	if (max < 1)
+		max = 1;
+	if (max > pool->open - 1)
+		max = pool->open - 1;
+	return (uint32_t)max;
+}
+
+static void find_memory_max(struct dl_pool *pool)
+{
+	pool->memory_max = 0;
+	for (uint32_t i = 0; i < pool->endpoints_n; i++) {
+		const struct pool_endpoint *e = pool->endpoints[i];
+
+		if (e->counted_open && e->counted_memory > pool->memory_max)
+			pool->memory_max = e->counted_memory;
+	}
+}
+
+static void count(struct dl_pool *pool, struct pool_endpoint *e)
+{
+	bool open = pool_endpoint_open(pool, e);
+	bool is_long = open && e->long_grants > 0;
+	uint64_t memory = open ? e->last.memory_tokens : 0;
+	uint64_t before = e->counted_memory;
+	double rate = 0, decode;
+
+	if (open)
+		rate = 1 / pool_ms_per_token(pool, e);
+	if (open && pool->conf.kind == DL_POOL_PLAIN)
+		rate *= e->last.slots;
+	pool->slots += open ? e->last.slots : 0;
+	pool->slots -= e->counted_slots;
+	e->counted_slots = open ? e->last.slots : 0;
+	decode = open ? pool_decode_ms(e) : 0;
+	pool->decode_sum += decode - e->counted_decode;
+	e->counted_decode = decode;
+	pool->open += (uint32_t)open - (uint32_t)e->counted_open;
+	pool->long_endpoints += (uint32_t)is_long - (uint32_t)e->counted_long;
+	pool->rate += rate - e->counted_rate;
+	if (pool->open == 0)
+		pool->rate = 0;
+	e->counted_open = open;
+	e->counted_long = is_long;
+	e->counted_memory = memory;
+	e->counted_rate = rate;
+	if (memory > pool->memory_max)
+		pool->memory_max = memory;
+	else if (before == pool->memory_max && memory < before)
+		find_memory_max(pool);
+}
+
+/* Bring sums and index up to date after any change of an endpoint. */
+void pool_place_refresh(struct dl_pool *pool, struct pool_endpoint *e,
+			int64_t now)
+{
+	struct pool_index_node leaf;
+	uint64_t running = e->grants + excess_low(&e->running_excess);
+
+	count(pool, e);
+	if (!pool_endpoint_open(pool, e) ||
+	    running >= pool_shift_slots(e, now)) {
+		pool_index_set(&pool->index, e->slot, NULL);
+		return;
+	}
+	for (int i = 0; i < POOL_LEVELS; i++)
+		leaf.ready[i] = e->until[i];
+	leaf.free = pool_place_free(e);
+	leaf.free_long = e->long_grants > 0 ? leaf.free : 0;
+	leaf.ms_per_token = pool_ms_per_token(pool, e);
+	pool_index_set(&pool->index, e->slot, &leaf);
+}
+
+/* Whether a request already failed on this endpoint. */
+bool pool_place_tried(const struct pool_want *want,
+		      const struct pool_endpoint *e)
+{
+	for (int i = 0; i < want->tried_n; i++)
+		if (want->tried[i] == e->by_name.hash)
+			return true;
+	return false;
+}
+
+/*
+ * Whether work of a higher level may still be put before what an endpoint has
+ * of lower levels.  For short prompts that arrive while a long one is being
+ * read: each of them delays it, and without this sum of delays a stream of
+ * short ones would carry the long one past the deadline it was granted for.
+ */
+static bool levels_allow(const struct pool_endpoint *e, uint8_t level,
+			 int64_t prefill_ms, int64_t now)
+{
+	for (int i = level + 1; i < POOL_LEVELS; i++)
+		if (e->until[i] > now && e->slack[i] < prefill_ms)
+			return false;
+	return true;
+}
+
+/* Whether a request could go to an endpoint now, but for its deadline. */
+bool pool_place_fits(const struct dl_pool *pool, const struct pool_want *want,
+		     const struct pool_endpoint *e, int64_t now)
+{
+	uint8_t level = pool_level(want);
+	double prefill = (double)want->prompt * pool_ms_per_token(pool, e);
+
+	if (!pool_endpoint_open(pool, e) || pool_place_tried(want, e))
+		return false;
+	if (want->need > pool_place_free(e))
+		return false;
+	if (e->grants + excess_low(&e->running_excess) >=
+	    pool_shift_slots(e, now))
+		return false;
+	if (e->in_hold && level > POOL_SHORT)
+		return false;
+	if (e->until[level] > now + BIND_AHEAD_MS)
+		return false;
+	return levels_allow(e, level, (int64_t)ceil(prefill), now);
+}
+
+/*
+ * What to expect of a request on an endpoint.  The time to the first token
+ * counts on the cache, the time by which all is done does not and has a
+ * margin: it is what admission promises.
+ */
+void pool_place_expect(const struct dl_pool *pool,
+		       const struct pool_endpoint *e,
+		       const struct pool_want *want, uint64_t tokens,
+		       int64_t now, struct pool_choice *out)
+{
+	uint8_t level = pool_level(want);
+	double per_token = pool_ms_per_token(pool, e);
+	double margin = e->deviation * MARGIN_DEVIATIONS;
+	double wait, whole, decode;
+
+	if (margin < MARGIN_MIN)
+		margin = MARGIN_MIN;
+	if (margin > MARGIN_MAX)
+		margin = MARGIN_MAX;
+	out->start = max_time(now, e->until[level]);
+	out->behind_lower = e->until[POOL_LEVELS - 1] > out->start;
+	wait = (double)(out->start - now);
+	if (out->behind_lower)
+		wait += e->interference_ms;
+	whole = wait + (double)tokens * per_token;
+	decode = (double)want->output * pool_decode_ms(e);
+	out->ttft_ms = (int64_t)ceil(whole - (double)out->saved * per_token);
+	out->total_ms =
+		(int64_t)ceil((whole + decode) * (1 + margin)) + OVERHEAD_MS;
+}
+
+/*
+ * Whether a choice keeps the request's deadline.  For every load: what is
+ * granted without this would occupy an engine for an answer that nobody waits
+ * for any more, which is what makes goodput collapse past saturation.
+ */
+bool pool_place_in_time(const struct pool_choice *choice,
+			const struct pool_want *want, int64_t now)
+{
+	return now + choice->total_ms <= want->deadline;
+}
+
+static double cost_at(const struct search *s, const struct pool_endpoint *e)
+{
+	uint32_t saved = pool_prefix_saved(s->pool, s->want, e, s->now);
+	double tokens = (double)(s->want->prompt - saved);
+	int64_t start = max_time(s->now, e->until[s->level]);
+	double cost = (double)start + tokens * pool_ms_per_token(s->pool, e);
+
+	if (e->until[POOL_LEVELS - 1] > start)
+		cost += e->interference_ms;
+	return cost;
+}
+
+static double bound_at(const struct search *s, uint32_t node)
+{
+	const struct pool_index_node *n = &s->pool->index.at[node];
+	uint64_t room = s->only_long ? n->free_long : n->free;
+
+	if (n->ready[s->level] > s->now + BIND_AHEAD_MS || room < s->want->need)
+		return DBL_MAX;
+	return (double)max_time(s->now, n->ready[s->level]) +
+	       (double)s->want->prompt * n->ms_per_token;
+}
+
+static void consider(struct search *s, struct pool_endpoint *e)
+{
+	double cost;
+
+	if (!pool_place_fits(s->pool, s->want, e, s->now))
+		return;
+	cost = cost_at(s, e);
+	if (cost >= s->best_cost)
+		return;
+	s->best = e;
+	s->best_cost = cost;
+}
+
+/*
+ * Walk the index, the better half first, and leave out whatever cannot beat
+ * the best found.  Between equals the one that became free first is taken,
+ * which spreads a light load over all of them.
+ */
+static void visit(struct search *s, uint32_t node)
+{
+	const struct pool_index *index = &s->pool->index;
+	uint32_t first = 2 * node, second = 2 * node + 1;
+	double a, b;
+
+	if (node >= index->room) {
+		if (node - index->room < s->pool->endpoints_n)
+			consider(s, s->pool->endpoints[node - index->room]);
+		return;
+	}
+	a = bound_at(s, first);
+	b = bound_at(s, second);
+	if (b < a || (b <= a && index->at[second].ready[s->level] <
+					index->at[first].ready[s->level])) {
+		double swap = a;
+
+		a = b;
+		b = swap;
+		first = second;
+		second = 4 * node + 1 - first;
+	}
+	if (a < s->best_cost)
+		visit(s, first);
+	if (b < s->best_cost)
+		visit(s, second);
+}
+
+static bool probe_choose(struct dl_pool *pool, const struct pool_want *want,
+			 int64_t now, struct pool_choice *out)
+{
+	struct pool_endpoint *e = pool_shift_probe(pool, want, now);
+
+	if (!e)
+		return false;
+	out->saved = 0;
+	pool_place_expect(pool, e, want, want->prompt, now, out);
+	if (!pool_place_in_time(out, want, now))
+		return false;
+	out->endpoint[0] = e;
+	out->n = 1;
+	out->share = want->need;
+	out->probe = true;
+	return true;
+}
+
+/*
+ * Choose for a request that waits or has just come: where its first token is
+ * expected earliest among the endpoints that have the memory and are free, or
+ * about to be.  False where none is; the request then waits in the pool's one
+ * queue and not in an engine's, which is what keeps it from standing behind a
+ * long prompt while another engine becomes free.
+ *
+ * The endpoint that was last given the same start of a prompt is looked at
+ * before the others and taken where its cache is expected to make up for a
+ * later start.
+ */
+bool pool_place_choose(struct dl_pool *pool, const struct pool_want *want,
+		       int64_t now, struct pool_choice *out)
+{
+	struct search s = { .pool = pool, .want = want, .now = now };
+	struct pool_endpoint *cached;
+
+	*out = (struct pool_choice){ 0 };
+	if (pool->hold.request && &pool->hold.request->want == want)
+		return pool_hold_choose(pool, now, out);
+	if (want->band == POOL_GIANT)
+		return pool_group_choose(pool, want, now, out);
+	if (pool->out && probe_choose(pool, want, now, out))
+		return true;
+	if (pool->index.room == 0)
+		return false;
+	s.best_cost = DBL_MAX;
+	s.level = pool_level(want);
+	s.only_long = want->band == POOL_LONG &&
+		      pool->long_endpoints >= pool_place_long_max(pool);
+	cached = pool_prefix_endpoint(pool, want);
+	if (cached && (!s.only_long || cached->long_grants > 0))
+		consider(&s, cached);
+	visit(&s, 1);
+	if (!s.best)
+		return false;
+	out->saved = pool_prefix_saved(pool, want, s.best, now);
+	pool_place_expect(pool, s.best, want, want->prompt, now, out);
+	out->endpoint[0] = s.best;
+	out->n = 1;
+	out->share = want->need;
+	return pool_place_in_time(out, want, now);
+}
+
+/*
+ * The priority given to the engine, 0 first: by length, so that a short prompt
+ * overtakes the long one under way; by class; and by how much of its time is
+ * to spare, so that among equals the tightest goes first.
+ */
+uint8_t pool_place_priority(const struct pool_want *want,
+			    const struct pool_choice *choice, int64_t now)
+{
+	int64_t left = want->deadline - now;
+	int64_t spare = left - choice->total_ms;
+	int64_t bucket = 0;
+
+	if (left > 0 && spare > 0)
+		bucket = spare * (PRIORITY_BUCKETS - 1) / left;
+	return (uint8_t)(pool_level(want) * PRIORITY_BAND +
+			 want->class * PRIORITY_CLASS + bucket);
+}
+
+/* Count a granted prefill, and how much later it may still end. */
+void pool_place_commit(struct pool_endpoint *e, const struct pool_want *want,
+		       int64_t prefill_ms, int64_t slack_ms, int64_t now)
+{
+	uint8_t level = pool_level(want);
+
+	if (e->last.memory_tokens == 0)
+		return;
+	for (int i = level; i < POOL_LEVELS; i++) {
+		if (e->until[i] <= now) {
+			e->until[i] = now;
+			e->slack[i] = SLACK_NONE;
+		}
+		e->until[i] += prefill_ms;
+		if (i > level)
+			e->slack[i] -= prefill_ms;
+	}
+	if (slack_ms < e->slack[level])
+		e->slack[level] = slack_ms;
+}
+
+/* Take back what is left of a prefill that ended before its time. */
+void pool_place_undo(struct pool_endpoint *e, uint8_t level, int64_t rest_ms,
+		     int64_t now)
+{
+	for (int i = level; i < POOL_LEVELS; i++)
+		e->until[i] = max_time(now, e->until[i] - rest_ms);
+}
+
+static uint64_t excess_low(const struct pool_excess *excess)
+{
+	uint64_t low = excess->seen[0];
+
+	for (int i = 1; i < POOL_EXCESS_REPORTS; i++)
+		if (excess->seen[i] < low)
+			low = excess->seen[i];
+	return low;
+}
+
+static void excess_note(struct pool_excess *excess, uint64_t seen, bool first)
+{
+	for (int i = 0; first && i < POOL_EXCESS_REPORTS; i++)
+		excess->seen[i] = seen;
+	excess->seen[excess->at] = seen;
+	excess->at = (uint8_t)((excess->at + 1) % POOL_EXCESS_REPORTS);
+}
+
+static void correct_backlog(struct dl_pool *pool, struct pool_endpoint *e,
+			    bool first, int64_t now)
+{
+	double per_token = pool_ms_per_token(pool, e);
+	int64_t own = max_time(0, e->until[POOL_LEVELS - 1] - now);
+	int64_t reported =
+		(int64_t)((double)e->last.prefill_backlog * per_token);
+	int64_t low;
+
+	excess_note(&e->backlog_excess,
+		    reported > own ? (uint64_t)(reported - own) : 0, first);
+	low = (int64_t)excess_low(&e->backlog_excess);
+	if (low <= BIND_AHEAD_MS)
+		return;
+	for (int i = 0; i < POOL_LEVELS; i++) {
+		if (e->long_grants > 0 && i < POOL_LEVELS - 1)
+			continue;
+		e->until[i] = max_time(now, e->until[i]) + low;
+	}
+	excess_note(&e->backlog_excess, 0, true);
+}
+
+/*
+ * Reconcile with an endpoint's own report.  Reports lag, so one that shows
+ * more than the pool's grants proves nothing; what three in a row show is
+ * somebody else's, or a grant reclaimed while the engine still works on it,
+ * and is kept free for that.  One that shows less is not believed at all: an
+ * endpoint that understates its load would otherwise be given everything.
+ * The first report of an incarnation counts by itself, since a dispatcher that
+ * has just begun knows of no grants.
+ */
+void pool_place_report(struct dl_pool *pool, struct pool_endpoint *e,
+		       bool first, int64_t now)
+{
+	uint64_t used = e->last.used_tokens;
+	uint32_t running = e->last.running;
+
+	excess_note(&e->memory_excess, used > e->held ? used - e->held : 0,
+		    first);
+	excess_note(&e->running_excess,
+		    running > e->grants ? running - e->grants : 0, first);
+	if (pool->conf.kind == DL_POOL_MODEL)
+		correct_backlog(pool, e, first, now);
+}
--- /dev/null
+++ b/src/coordination/pool_shift.c
@@ -0,0 +1,386 @@
+/*
+ * Which endpoints lose their share: what answers teach about each one, and
+ * when one is put out, probed and taken back.
+ */
+#include "pool_int.h"
+
+#include <stdlib.h>
+
+/*
+ * One in five of each sample: an endpoint that has become slow is known after
+ * a handful of answers, and one odd answer moves it little.
+ */
+#define GAIN		0.2
+#define DEVIATION_GAIN	0.1
+#define SLOW_MIN	0.1
+#define SLOW_MAX	50.0
+#define RATIO_MIN	0.25
+#define RATIO_MAX	4.0
+#define INTERFERENCE_MS 10000.0 /* at most */
+/* Added to both sides of a ratio: what short answers take on the way. */
+#define NOISE_MS 20.0
+
+/*
+ * Put out from three times the median on: below that the learnt speed alone
+ * already gives it less work, and less would put out the slower half of a
+ * mixed fleet.  Never on fewer samples than these, nor against a median of
+ * fewer endpoints.  Three failures in a row put out at once.
+ */
+#define OUTLIER_FACTOR	 3.0
+#define OUTLIER_SAMPLES	 5
+#define MEDIAN_ENDPOINTS 3
+#define OUTLIER_FAILURES 3
+#define BACK_FACTOR	 2.0
+#define MEDIAN_EVERY_MS	 1000
+#define OVERDUE_FACTOR	 3
+#define OVERDUE_EXTRA_MS 1000
+#define OVERDUE_LOOK_AT	 4
+#define PROBE_GAP_MS	 1000
+#define PROBE_GAP_MAX_MS 16000
+#define PROBE_SLACK	 4
+#define PROBE_NONE_MS	 30000
+#define SLOW_START_MS	 10000
+#define PERMILLE	 1000
+
+static double latency_of(const struct dl_pool *pool,
+			 const struct pool_endpoint *e);
+static int compare_doubles(const void *a, const void *b);
+static void find_median(struct dl_pool *pool, int64_t now);
+static double clamp(double v, double low, double high);
+static void learn_prefill(struct dl_pool *pool, struct pool_endpoint *e,
+			  const struct pool_grant *g,
+			  const struct dl_usage *usage);
+static void learn_decode(struct pool_endpoint *e, const struct pool_grant *g,
+			 const struct dl_usage *usage);
+static void learn_service(struct pool_endpoint *e,
+			  const struct dl_usage *usage);
+static void probe_ended(struct dl_pool *pool, struct pool_endpoint *e,
+			const struct pool_grant *g,
+			const struct dl_usage *usage, int64_t now);
+static void put_out(struct dl_pool *pool, struct pool_endpoint *e, int64_t now);
+
+static double clamp(double v, double low, double high)
+{
+	if (v < low)
+		return low;
+	return v > high ? high : v;
+}
+
+static double latency_of(const struct dl_pool *pool,
+			 const struct pool_endpoint *e)
+{
+	return pool_ms_per_token(pool, e);
+}
+
+static int compare_doubles(const void *a, const void *b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void find_median(struct dl_pool *pool, int64_t now)
+{
+	double *list;
+	uint32_t n = 0;
+
+	if (pool->median_at && now < pool->median_at + MEDIAN_EVERY_MS)
+		return;
+	pool->median_at = now;
+	pool->median = 0;
+	list = malloc((pool->endpoints_n + 1) * sizeof(*list));
+	if (!list)
+		abort();
+	for (uint32_t i = 0; i < pool->endpoints_n; i++)
+		if (pool->endpoints[i]->counted_open)
+			list[n++] = latency_of(pool, pool->endpoints[i]);
+	if (n >= MEDIAN_ENDPOINTS) {
+		qsort(list, n, sizeof(*list), compare_doubles);
+		pool->median = list[n / 2];
+	}
+	free(list);
+}
+
+static void learn_prefill(struct dl_pool *pool, struct pool_endpoint *e,
+			  const struct pool_grant *g,
+			  const struct dl_usage *usage)
+{
+	double measured = usage->ttft_ms;
+	double predicted = g->predicted_ttft_ms;
+	double ratio = clamp((measured + NOISE_MS) / (predicted + NOISE_MS),
+			     RATIO_MIN, RATIO_MAX);
+
+	if (g->saved && ratio > BACK_FACTOR) {
+		pool_prefix_forget(pool, g->want.prefix, e);
+		return;
+	}
+	if (g->behind_lower) {
+		double extra = measured - predicted + e->interference_ms;
+
+		e->interference_ms += GAIN * (extra - e->interference_ms);
+		e->interference_ms =
+			clamp(e->interference_ms, 0, INTERFERENCE_MS);
+		return;
+	}
+	e->slow = clamp(e->slow * (1 + GAIN * (ratio - 1)), SLOW_MIN, SLOW_MAX);
+	ratio = ratio > 1 ? ratio - 1 : 1 - ratio;
+	e->deviation += DEVIATION_GAIN * (ratio - e->deviation);
+}
+
+static void learn_decode(struct pool_endpoint *e, const struct pool_grant *g,
+			 const struct dl_usage *usage)
+{
+	double nominal = pool_decode_ms(e) / e->decode_slow;
+	double measured;
+
+	(void)g;
+	if (usage->output_tokens == 0 || usage->total_ms <= usage->ttft_ms)
+		return;
+	measured = (double)(usage->total_ms - usage->ttft_ms) /
+		   (double)usage->output_tokens;
+	e->decode_slow += GAIN * (measured / nominal - e->decode_slow);
+	e->decode_slow = clamp(e->decode_slow, SLOW_MIN, SLOW_MAX);
+}
+
+static void learn_service(struct pool_endpoint *e, const struct dl_usage *usage)
+{
+	double measured = usage->total_ms ? usage->total_ms : 1;
+	double error;
+
+	if (e->samples == 0)
+		e->service_ms = measured;
+	error = measured / e->service_ms - 1;
+	if (error < 0)
+		error = -error;
+	e->deviation +=
+		DEVIATION_GAIN * (clamp(error, 0, RATIO_MAX) - e->deviation);
+	e->service_ms += GAIN * (measured - e->service_ms);
+	e->service_ms = clamp(e->service_ms, 1, INTERFERENCE_MS);
+}
+
+/*
+ * Learn from the end of a grant.  From the endpoint's own answer to one
+ * request only: what a group took says little about each of its engines.
+ */
+void pool_shift_learn(struct dl_pool *pool, struct pool_grant *g,
+		      const struct dl_usage *usage, int64_t now)
+{
+	struct pool_endpoint *e = g->parts[0].endpoint;
+
+	if (!e || !usage->ran)
+		return;
+	if (usage->failed)
+		e->failures++;
+	else
+		e->failures = 0;
+	if (g->parts_n == 1 && !usage->failed) {
+		if (pool->conf.kind == DL_POOL_PLAIN) {
+			learn_service(e, usage);
+		} else if (usage->ttft_ms && !g->overdue_counted) {
+			learn_prefill(pool, e, g, usage);
+			learn_decode(e, g, usage);
+		}
+		e->samples++;
+	}
+	if (e->probe == g->id)
+		probe_ended(pool, e, g, usage, now);
+	pool_shift_judge(pool, e, now);
+}
+
+/*
+ * An endpoint that has stopped answering sends no sample at all; its oldest
+ * grants count as three times their prediction once they have taken longer.
+ */
+void pool_shift_overdue(struct dl_pool *pool, struct pool_endpoint *e,
+			int64_t now)
+{
+	struct pool_part *part = e->parts;
+
+	for (int i = 0; part && i < OVERDUE_LOOK_AT; i++) {
+		struct pool_grant *g = part->grant;
+		int64_t limit =
+			(int64_t)OVERDUE_FACTOR * g->predicted_total_ms +
+			OVERDUE_EXTRA_MS;
+
+		if (!g->overdue_counted && g->predicted_total_ms &&
+		    now - g->since > limit) {
+			g->overdue_counted = true;
+			e->samples++;
+			e->slow = clamp(
+				e->slow * (1 + GAIN * (OVERDUE_FACTOR - 1)),
+				SLOW_MIN, SLOW_MAX);
+		}
+		part = part->next;
+	}
+	pool_shift_judge(pool, e, now);
+}
+
+static void put_out(struct dl_pool *pool, struct pool_endpoint *e, int64_t now)
+{
+	e->shift = POOL_OUT;
+	e->shifted_at = now;
+	e->probe_gap_ms = PROBE_GAP_MS;
+	e->probe_at = now + PROBE_GAP_MS;
+	e->probe = 0;
+	pool->out++;
+	if (pool->out == 1 || pool->probe_at > e->probe_at)
+		pool->probe_at = e->probe_at;
+	pool_hold_lost(pool, e);
+	pool->recheck_all = true;
+}
+
+/*
+ * Put an outlier out: one whose answers take three times the pool's median,
+ * or fail.  For the one slow endpoint in a healthy pool, which would hold
+ * every request it is given past its prediction.  The configured share of the
+ * pool bounds it (one at the least, of two or more): where many are slow it is
+ * the load or something shared, and putting them out would only move the
+ * overload to the rest.
+ */
+void pool_shift_judge(struct dl_pool *pool, struct pool_endpoint *e,
+		      int64_t now)
+{
+	uint32_t all = pool->open + pool->out;
+	uint64_t max = (uint64_t)all * pool->conf.out_share_permille / PERMILLE;
+	bool failing = e->failures >= OUTLIER_FAILURES;
+	bool slow;
+
+	find_median(pool, now);
+	if (max < 1 && all > 1 && pool->conf.out_share_permille)
+		max = 1;
+	slow = pool->median > 0 && e->samples >= OUTLIER_SAMPLES &&
+	       latency_of(pool, e) > OUTLIER_FACTOR * pool->median;
+	if (e->shift != POOL_OUT && e->counted_open && (failing || slow) &&
+	    pool->out < max)
+		put_out(pool, e, now);
+	pool_place_refresh(pool, e, now);
+}
+
+/* Take an endpoint back in, with a share that grows over some seconds. */
+void pool_shift_back(struct dl_pool *pool, struct pool_endpoint *e, int64_t now)
+{
+	if (e->shift == POOL_OUT)
+		pool->out--;
+	e->shift = POOL_SLOW_START;
+	e->shifted_at = now;
+	e->failures = 0;
+	e->probe = 0;
+	pool_place_refresh(pool, e, now);
+}
+
+/* An endpoint is no longer there to be put out. */
+void pool_shift_gone(struct dl_pool *pool, struct pool_endpoint *e)
+{
+	if (e->shift == POOL_OUT)
+		pool->out--;
+	e->shift = POOL_IN;
+	e->probe = 0;
+}
+
+/* A new incarnation: what was learnt about the old one is void. */
+void pool_shift_reset(struct dl_pool *pool, struct pool_endpoint *e)
+{
+	pool_shift_gone(pool, e);
+	e->slow = 1;
+	e->decode_slow = 1;
+	e->deviation = 0;
+	e->interference_ms = 0;
+	e->service_ms = pool->median > 0 ? pool->median : 1;
+	e->samples = 0;
+	e->failures = 0;
+}
+
+/*
+ * How many requests an endpoint may have at once.  After its return from an
+ * outage this grows over ten seconds: its caches are cold, and if it is still
+ * ill, a few requests show that as well as all of them would.
+ */
+uint32_t pool_shift_slots(const struct pool_endpoint *e, int64_t now)
+{
+	int64_t passed = now - e->shifted_at;
+	uint64_t slots;
+
+	if (e->shift != POOL_SLOW_START || passed >= SLOW_START_MS)
+		return e->last.slots;
+	if (passed < 0)
+		passed = 0;
+	slots = (uint64_t)e->last.slots * (uint64_t)passed / SLOW_START_MS;
+	return slots ? (uint32_t)slots : 1;
+}
+
+static void probe_ended(struct dl_pool *pool, struct pool_endpoint *e,
+			const struct pool_grant *g,
+			const struct dl_usage *usage, int64_t now)
+{
+	double expected = (double)g->want.prompt * pool->median;
+	double measured = usage->ttft_ms ? usage->ttft_ms : usage->total_ms;
+
+	e->probe = 0;
+	if (!usage->failed &&
+	    measured <= BACK_FACTOR * expected + 2 * NOISE_MS) {
+		double now_is = latency_of(pool, e);
+
+		if (pool->median > 0 && now_is > pool->median) {
+			e->slow *= pool->median / now_is;
+			e->service_ms = pool->median;
+		}
+		pool_shift_back(pool, e, now);
+		return;
+	}
+	if (e->probe_gap_ms < PROBE_GAP_MAX_MS)
+		e->probe_gap_ms *= 2;
+	e->probe_at = now + e->probe_gap_ms;
+}
+
+/*
+ * An endpoint that is out and due for a probe, if this request may be it.
+ * Only short ones that are not urgent and have several times the time they
+ * need: a probe may fail, and its caller must be able to bear a second try.
+ * One at a time, after twice the gap each time it fails, so that an ill
+ * endpoint costs less and less.  Where no such request comes for half a
+ * minute, the endpoint is taken back with a slow start, for a pool of nothing
+ * but urgent requests would never know.
+ */
+struct pool_endpoint *pool_shift_probe(struct dl_pool *pool,
+				       const struct pool_want *want,
+				       int64_t now)
+{
+	struct pool_endpoint *found = NULL;
+	int64_t next = INT64_MAX;
+
+	if (now < pool->probe_at)
+		return NULL;
+	if (want->class == DL_CLASS_URGENT || want->band != POOL_SHORT)
+		return NULL;
+	if (want->deadline - now < PROBE_SLACK * pool_service_ms(pool, want))
+		return NULL;
+	for (uint32_t i = 0; i < pool->endpoints_n; i++) {
+		struct pool_endpoint *e = pool->endpoints[i];
+
+		if (e->shift != POOL_OUT || e->probe)
+			continue;
+		if (e->probe_at > now) {
+			next = e->probe_at < next ? e->probe_at : next;
+			continue;
+		}
+		if (!found && e->state == POOL_EP_LIVE && !e->drained &&
+		    !e->last.leaving && e->grants < e->last.slots &&
+		    want->need <= pool_place_free(e) &&
+		    !pool_place_tried(want, e))
+			found = e;
+	}
+	if (!found)
+		pool->probe_at = next < now + PROBE_GAP_MS ? next :
+							     now + PROBE_GAP_MS;
+	return found;
+}
+
+/* Take back an endpoint that nothing could probe, and end a slow start. */
+void pool_shift_tick(struct dl_pool *pool, struct pool_endpoint *e, int64_t now)
+{
+	if (e->shift == POOL_OUT && !e->probe &&
+	    now >= e->probe_at + PROBE_NONE_MS)
+		pool_shift_back(pool, e, now);
+	if (e->shift == POOL_SLOW_START && now >= e->shifted_at + SLOW_START_MS)
+		e->shift = POOL_IN;
+}
--- /dev/null
+++ b/src/coordination/pool_tree.c
@@ -0,0 +1,125 @@
+/*
+ * A treap: requests of one flow by deadline, with the sum of the work before
+ * any of them in logarithmic time.  Depth is logarithmic as long as ranks are
+ * random, which pool_queue.c sees to.
+ */
+#include "pool_int.h"
+
+static bool before(const struct pool_tree_node *a, int64_t key, uint64_t order);
+static void add_up(struct pool_tree_node *node);
+static void split(struct pool_tree_node *root, int64_t key, uint64_t order,
+		  struct pool_tree_node **left, struct pool_tree_node **right);
+static struct pool_tree_node *merge(struct pool_tree_node *left,
+				    struct pool_tree_node *right);
+
+static bool before(const struct pool_tree_node *a, int64_t key, uint64_t order)
+{
+	return a->key < key || (a->key == key && a->order < order);
+}
+
+static void add_up(struct pool_tree_node *node)
+{
+	node->sum = node->weight;
+	if (node->left)
+		node->sum += node->left->sum;
+	if (node->right)
+		node->sum += node->right->sum;
+}
+
+static void split(struct pool_tree_node *root, int64_t key, uint64_t order,
+		  struct pool_tree_node **left, struct pool_tree_node **right)
+{
+	if (!root) {
+		*left = NULL;
+		*right = NULL;
+		return;
+	}
+	if (before(root, key, order)) {
+		split(root->right, key, order, &root->right, right);
+		*left = root;
+	} else {
+		split(root->left, key, order, left, &root->left);
+		*right = root;
+	}
+	add_up(root);
+}
+
+static struct pool_tree_node *merge(struct pool_tree_node *left,
+				    struct pool_tree_node *right)
+{
+	if (!left)
+		return right;
+	if (!right)
+		return left;
+	if (left->rank > right->rank) {
+		left->right = merge(left->right, right);
+		add_up(left);
+		return left;
+	}
+	right->left = merge(left, right->left);
+	add_up(right);
+	return right;
+}
+
+/* Insert a node whose key, order, weight and rank are set. */
+void pool_tree_insert(struct pool_tree_node **root, struct pool_tree_node *node)
+{
+	struct pool_tree_node *left, *right;
+
+	node->left = NULL;
+	node->right = NULL;
+	add_up(node);
+	split(*root, node->key, node->order, &left, &right);
+	*root = merge(merge(left, node), right);
+}
+
+/* Remove a node that is in the tree. */
+void pool_tree_remove(struct pool_tree_node **root, struct pool_tree_node *node)
+{
+	struct pool_tree_node **link = root;
+
+	while (*link && *link != node) {
+		(*link)->sum -= node->weight;
+		if (before(*link, node->key, node->order))
+			link = &(*link)->right;
+		else
+			link = &(*link)->left;
+	}
+	if (*link)
+		*link = merge(node->left, node->right);
+}
+
+/* The node of the smallest key, or NULL. */
+struct pool_tree_node *pool_tree_first(struct pool_tree_node *root)
+{
+	while (root && root->left)
+		root = root->left;
+	return root;
+}
+
+/* The node of the largest key, or NULL. */
+struct pool_tree_node *pool_tree_last(struct pool_tree_node *root)
+{
+	while (root && root->right)
+		root = root->right;
+	return root;
+}
+
+/* The weights of all nodes before (key, order), added up. */
+uint64_t pool_tree_sum_before(const struct pool_tree_node *root, int64_t key,
+			      uint64_t order)
+{
+	uint64_t sum = 0;
+
+	while (root) {
+		if (!before(root, key, order)) {
+			root = root->left;
+			continue;
+		}
+		sum += root->weight;
+		if (root->left)
+			sum += root->left->sum;
+		root = root->right;
+	}
+	return sum;
+}
--- /dev/null
+++ b/test/fake/load.c
@@ -0,0 +1,359 @@
+/* Callers, entries and engines around pools; one step a millisecond. */
+#include "load.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ENTRIES	  6
+#define RENEW_MS  500
+#define TRAVEL_MS 1 /* of a grant and its prompt */
+#define PERMILLE  1000
+
+static void make_pool(struct load *load, uint32_t i, uint64_t seed);
+static void checked(struct load *load, uint32_t pool);
+static void ask_of(const struct load *load, uint32_t i, struct dl_ask *out,
+		   char name[16]);
+static void on_answer(struct load *load, const struct dl_answer *a);
+static void submit(struct load *load, uint32_t i);
+static void release(struct load *load, uint32_t i, enum load_outcome outcome);
+static void on_event(struct load *load, uint32_t engine,
+		     const struct sim_event *ev);
+static void step_engines(struct load *load);
+static void step_requests(struct load *load);
+static void drain(struct load *load, uint32_t pool);
+static int compare(const void *a, const void *b);
+
+static void make_pool(struct load *load, uint32_t i, uint64_t seed)
+{
+	load->pool[i] = dl_pool_new(&load->conf, load->policy, seed);
+}
+
+void load_init(struct load *load, uint32_t engines,
+	       const struct sim_engine_conf *engine,
+	       const struct dl_pool_conf *conf,
+	       const struct dl_pool_policy *policy, uint32_t pools)
+{
+	char name[32];
+
+	memset(load, 0, sizeof(*load));
+	load->policy = policy;
+	load->conf = *conf;
+	load->pools = pools;
+	load->engines = engines;
+	load->cut = engines;
+	for (uint32_t i = 0; i < engines; i++) {
+		snprintf(name, sizeof(name), "10.0.0.%u:80", i + 1);
+		sim_engine_init(&load->engine[i], name, engine);
+	}
+	for (uint32_t i = 0; i < pools; i++)
+		make_pool(load, i, i + 1);
+}
+
+void load_fini(struct load *load)
+{
+	for (uint32_t i = 0; i < load->engines; i++)
+		sim_engine_fini(&load->engine[i]);
+	for (uint32_t i = 0; i < load->pools; i++)
+		dl_pool_free(load->pool[i]);
+	free(load->request);
+}
+
+struct load_request *load_add(struct load *load, int64_t at,
+			      enum dl_class class, uint32_t workspace,
+			      uint64_t prompt, uint64_t output,
+			      int64_t within_ms)
+{
+	struct load_request *r;
+
+	if (load->requests == load->room) {
+		load->room = load->room * 2 + 1024;
+		load->request = realloc(load->request,
+					load->room * sizeof(*load->request));
+		if (!load->request)
+			abort();
+	}
+	r = &load->request[load->requests++];
+	memset(r, 0, sizeof(*r));
+	r->at = at;
+	r->class = class;
+	r->workspace = workspace;
+	r->prompt = prompt;
+	r->output = output;
+	r->deadline = at + within_ms;
+	return r;
+}
+
+static void checked(struct load *load, uint32_t pool)
+{
+	if (load->check && !load->broken)
+		load->broken = dl_pool_broken(load->pool[pool]);
+}
+
+static void ask_of(const struct load *load, uint32_t i, struct dl_ask *out,
+		   char name[16])
+{
+	const struct load_request *r = &load->request[i];
+
+	memset(out, 0, sizeof(*out));
+	out->request = i;
+	out->entry = i % ENTRIES + 1;
+	out->class = r->class;
+	out->prompt_tokens = r->prompt;
+	out->output_tokens = r->output;
+	out->prefix = r->prefix;
+	out->prefix_tokens = r->prefix_tokens;
+	out->deadline = r->deadline;
+	snprintf(name, 16, "ws-%u", r->workspace);
+	out->workspace = dl_str_of(name);
+}
+
+static void submit(struct load *load, uint32_t i)
+{
+	struct load_request *r = &load->request[i];
+
+	for (uint8_t k = 0; k < r->engines; k++) {
+		struct sim_job job = {
+			.id = i,
+			.priority = r->answer.priority,
+			.output = r->output,
+			.held = r->engines > 1,
+			.prompt = (r->prompt + r->engines - 1) / r->engines,
+			.memory = r->answer.share_tokens[k],
+		};
+
+		sim_engine_submit(&load->engine[r->engine[k]], &job,
+				   load->now);
+	}
+}
+
+static void on_answer(struct load *load, const struct dl_answer *a)
+{
+	struct load_request *r = &load->request[a->request];
+
+	if (a->verdict == DL_QUEUED) {
+		r->outcome = LOAD_QUEUED;
+		r->was_queued = true;
+		return;
+	}
+	if (a->verdict == DL_REFUSED) {
+		r->outcome = LOAD_REFUSED;
+		r->reason = a->reason;
+		r->retry_after = a->retry_after_ms;
+		r->ended = load->now;
+		return;
+	}
+	r->outcome = LOAD_RUNNING;
+	r->granted = load->now;
+	r->grant = a->grant;
+	r->answer = *a;
+	r->engines = a->endpoints;
+	for (uint8_t k = 0; k < a->endpoints; k++)
+		for (uint32_t e = 0; e < load->engines; e++)
+			if (dl_name_eq(&a->endpoint[k],
+				       dl_name_str(&load->engine[e].name)))
+				r->engine[k] = (uint8_t)e;
+}
+
+static void release(struct load *load, uint32_t i, enum load_outcome outcome)
+{
+	struct load_request *r = &load->request[i];
+	struct dl_usage usage = {
+		.ran = true,
+		.failed = outcome != LOAD_DONE,
+		.prompt_tokens = r->prompt,
+		.output_tokens = outcome == LOAD_DONE ? r->output : 0,
+		.ttft_ms = r->first ? (uint32_t)(r->first - r->granted) : 0,
+		.total_ms = (uint32_t)(load->now - r->granted),
+	};
+
+	for (uint8_t k = 0; k < r->engines; k++)
+		sim_engine_cancel(&load->engine[r->engine[k]], i, load->now);
+	r->outcome = outcome;
+	r->ended = load->now;
+	dl_pool_release(load->pool[i % load->pools], r->grant, &usage,
+			load->now);
+	checked(load, i % load->pools);
+	drain(load, i % load->pools);
+}
+
+static void on_event(struct load *load, uint32_t engine,
+		     const struct sim_event *ev)
+{
+	struct load_request *r = &load->request[ev->id];
+
+	if (r->outcome != LOAD_RUNNING)
+		return;
+	if (ev->done) {
+		release(load, (uint32_t)ev->id, LOAD_DONE);
+		return;
+	}
+	if (++r->firsts < r->engines)
+		return;
+	r->first = load->now;
+	if (r->engines > 1)
+		r->leaves = load->now +
+			    (int64_t)r->output * PERMILLE /
+				    load->engine[engine].conf.decode_rate;
+}
+
+static void step_engines(struct load *load)
+{
+	struct dl_endpoint_report report;
+	struct sim_event ev;
+
+	for (uint32_t i = 0; i < load->engines; i++) {
+		struct sim_engine *e = &load->engine[i];
+
+		while (sim_engine_next(e, load->now, &ev))
+			on_event(load, i, &ev);
+		if (!sim_engine_report(e, load->now, &report) ||
+		    i >= load->cut)
+			continue;
+		for (uint32_t k = 0; k < load->pools; k++) {
+			dl_pool_report(load->pool[k], &report, load->now);
+			checked(load, k);
+			drain(load, k);
+		}
+	}
+}
+
+static void step_requests(struct load *load)
+{
+	while (load->oldest < load->asked &&
+	       load->request[load->oldest].outcome >= LOAD_DONE)
+		load->oldest++;
+	for (uint32_t i = load->oldest; i < load->asked; i++) {
+		struct load_request *r = &load->request[i];
+
+		if (r->outcome != LOAD_RUNNING)
+			continue;
+		if (load->now == r->granted + TRAVEL_MS)
+			submit(load, i);
+		if (r->leaves && load->now >= r->leaves)
+			release(load, i, LOAD_DONE);
+		else if (load->now >= r->deadline)
+			release(load, i, LOAD_LATE);
+		else if ((load->now - r->granted) % RENEW_MS == 0)
+			dl_pool_renew(load->pool[i % load->pools], r->grant,
+				      load->now);
+	}
+}
+
+static void drain(struct load *load, uint32_t pool)
+{
+	struct dl_answer answer;
+
+	while (dl_pool_next(load->pool[pool], load->now, &answer)) {
+		checked(load, pool);
+		on_answer(load, &answer);
+	}
+	checked(load, pool);
+}
+
+void load_run(struct load *load, int64_t until)
+{
+	struct dl_answer answer;
+	struct dl_ask ask;
+	char name[16];
+
+	for (; load->now < until; load->now++) {
+		step_engines(load);
+		step_requests(load);
+		while (load->asked < load->requests &&
+		       load->request[load->asked].at <= load->now) {
+			uint32_t i = load->asked++;
+
+			ask_of(load, i, &ask, name);
+			dl_pool_ask(load->pool[i % load->pools], &ask,
+				    load->now, &answer);
+			checked(load, i % load->pools);
+			on_answer(load, &answer);
+			drain(load, i % load->pools);
+		}
+		for (uint32_t k = 0; k < load->pools; k++)
+			if (dl_pool_wakeup(load->pool[k]) <= load->now)
+				drain(load, k);
+	}
+}
+
+void load_hand_over(struct load *load)
+{
+	struct dl_answer answer;
+	struct dl_ask ask;
+	char name[16];
+
+	for (uint32_t k = 0; k < load->pools; k++) {
+		dl_pool_free(load->pool[k]);
+		make_pool(load, k, 1000 + (uint64_t)load->now + k);
+	}
+	for (uint32_t i = load->oldest; i < load->asked; i++) {
+		struct load_request *r = &load->request[i];
+
+		if (r->outcome != LOAD_RUNNING)
+			continue;
+		ask_of(load, i, &ask, name);
+		dl_pool_adopt(load->pool[i % load->pools], &r->answer, &ask,
+			      load->now);
+		checked(load, i % load->pools);
+	}
+	for (uint32_t e = 0; e < load->cut; e++) {
+		struct dl_endpoint_report report;
+
+		for (uint32_t k = 0; k < load->pools; k++)
+			if (sim_engine_report(
+				    &load->engine[e],
+				    load->now - load->now % SIM_REPORT_MS,
+				    &report))
+				dl_pool_report(load->pool[k], &report,
+					       load->now);
+	}
+	for (uint32_t i = load->oldest; i < load->asked; i++) {
+		if (load->request[i].outcome != LOAD_QUEUED)
+			continue;
+		ask_of(load, i, &ask, name);
+		dl_pool_ask(load->pool[i % load->pools], &ask, load->now,
+			    &answer);
+		on_answer(load, &answer);
+		drain(load, i % load->pools);
+	}
+}
+
+static int compare(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+int64_t load_ttft(const struct load *load, uint32_t tag, int permille)
+{
+	int64_t *list = malloc((load->requests + 1) * sizeof(*list));
+	uint32_t n = 0;
+	int64_t found = 0;
+
+	if (!list)
+		abort();
+	for (uint32_t i = 0; i < load->requests; i++) {
+		const struct load_request *r = &load->request[i];
+
+		if (r->first && (tag == LOAD_ANY || r->tag == tag))
+			list[n++] = r->first - r->at;
+	}
+	qsort(list, n, sizeof(*list), compare);
+	if (n)
+		found = list[(uint64_t)(n - 1) * (uint32_t)permille / PERMILLE];
+	free(list);
+	return found;
+}
+
+uint32_t load_count(const struct load *load, uint32_t tag,
+		    enum load_outcome outcome)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < load->requests; i++)
+		n += load->request[i].outcome == outcome &&
+		     (tag == LOAD_ANY || load->request[i].tag == tag);
+	return n;
+}
