--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -45,8 +45,6 @@
  * slow starts grow and outliers come back without one.
  */
 #define SERVE_RETRY_MS 25
-/* Kept in step with pool_place.c: an endpoint is asked this early. */
-#define BIND_AHEAD_MS 20
 #define RATE_FADE_MS  3000.0
 #define RETRY_FLAT_MS 1000
 
@@ -743,23 +741,12 @@
 
 static void plan_serve(struct dl_pool *pool, int64_t now)
 {
-	const struct pool_index_node *root = pool_index_root(&pool->index);
-
 	pool->serve_at = INT64_MAX;
-	for (uint8_t lane = 0; lane < POOL_LANES; lane++) {
-		int64_t at;
-		struct pool_want want = { .band = lane % POOL_BANDS };
-
-		if (pool->lane[lane].n == 0)
-			continue;
-		at = root->ready[pool_level(&want)];
-		if (at == INT64_MAX || at - BIND_AHEAD_MS <= now)
-			at = now + SERVE_RETRY_MS;
-		else
-			at -= BIND_AHEAD_MS;
-		if (at < pool->serve_at)
-			pool->serve_at = at;
-	}
+	if (pool->queued == 0)
+		return;
+	pool->serve_at = now + SERVE_RETRY_MS;
+	if (pool->bind_at > now && pool->bind_at < pool->serve_at)
+		pool->serve_at = pool->bind_at;
 }
 
 static bool take_refused(struct dl_pool *pool, struct dl_answer *out)
@@ -802,6 +789,7 @@
 bool dl_pool_next(struct dl_pool *pool, int64_t now, struct dl_answer *out)
 {
 	pool->now = now;
+	pool->bind_at = INT64_MAX;
 	expire_endpoints(pool, now);
 	pool_grant_expire(pool, now);
 	pool_hold_expire(pool, now);
--- a/src/coordination/pool_group.c
+++ b/src/coordination/pool_group.c
@@ -30,6 +30,8 @@
 static uint32_t group_max(const struct dl_pool *pool);
 static bool may_join(const struct pool_want *want,
 		     const struct pool_endpoint *e, uint32_t n);
+static bool fits_now(struct dl_pool *pool, const struct pool_want *part,
+		     const struct pool_endpoint *e, int64_t now);
 static uint64_t share_of(const struct pool_want *want, uint32_t n);
 static bool better(const struct member *a, const struct member *b);
 static void keep_best(struct member *best, uint32_t *n, uint32_t max,
@@ -40,13 +42,13 @@
 static void fill_choice(struct dl_pool *pool, const struct pool_want *want,
 			struct pool_endpoint **members, uint32_t n, int64_t now,
 			struct pool_choice *out);
-static bool leaves_one_free(const struct dl_pool *pool,
+static bool within_share(const struct dl_pool *pool,
 			    const struct member *members, uint32_t n);
 static void order_by_name(struct pool_endpoint **members, uint32_t n);
 
 /*
- * A group may pass the share for long prompts, since the longest need several
- * engines of a small pool; one engine is still kept free of long ones.
+ * A group alone may pass the share for long prompts, since the longest need
+ * several engines of a small pool; one engine is still kept free of them.
  */
 static uint32_t group_max(const struct dl_pool *pool)
 {
@@ -63,6 +65,13 @@
 	return e->counted_open && !pool_place_tried(want, e);
 }
 
+static bool fits_now(struct dl_pool *pool, const struct pool_want *part,
+		     const struct pool_endpoint *e, int64_t now)
+{
+	return pool_place_fits(pool, part, e, now) &&
+	       pool_place_ready(e, pool_level(part), now);
+}
+
 static uint64_t share_of(const struct pool_want *want, uint32_t n)
 {
 	return (want->need + n - 1) / n;
@@ -136,21 +145,24 @@
 
 		if (!may_join(want, e, n) || e->last.memory_tokens < part.need)
 			continue;
-		if (at_once && !pool_place_fits(pool, &part, e, now))
+		if (at_once && !fits_now(pool, &part, e, now))
 			continue;
 		keep_best(best, &found, n, m);
 	}
 	return found;
 }
 
-static bool leaves_one_free(const struct dl_pool *pool,
-			    const struct member *members, uint32_t n)
+static bool within_share(const struct dl_pool *pool,
+			 const struct member *members, uint32_t n)
 {
+	uint32_t max = pool_place_long_max(pool);
 	uint32_t added = 0;
 
+	if (max < n)
+		max = n;
 	for (uint32_t i = 0; i < n; i++)
 		added += !members[i].is_long;
-	return pool->open <= 1 || pool->long_endpoints + added < pool->open;
+	return pool->long_endpoints + added <= max;
 }
 
 /* Every dispatcher names a group's engines in the same order. */
@@ -211,7 +223,7 @@
 	for (; n <= max; n++) {
 		if (select_members(pool, want, n, true, now, best) < n)
 			continue;
-		if (!leaves_one_free(pool, best, n))
+		if (!within_share(pool, best, n))
 			continue;
 		for (uint32_t i = 0; i < n; i++)
 			members[i] = best[i].endpoint;
@@ -238,7 +250,7 @@
 
 		e->in_hold = false;
 		e->reserved = 0;
-		fits = pool_place_fits(pool, &part, e, now);
+		fits = fits_now(pool, &part, e, now);
 		e->in_hold = true;
 		e->reserved = hold->share;
 		if (!fits)
@@ -269,7 +281,7 @@
 		n = pool_group_size(pool, want, &share);
 	if (n == 0 || select_members(pool, want, n, false, now, best) < n)
 		return;
-	if (want->band >= POOL_LONG && !leaves_one_free(pool, best, n))
+	if (want->band >= POOL_LONG && !within_share(pool, best, n))
 		return;
 	hold->request = req;
 	hold->n = (uint8_t)n;
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -361,6 +361,7 @@
 	int64_t released_at;
 	int64_t returns; /* up to when refused work was told to return */
 	int64_t serve_at;
+	int64_t bind_at; /* when a request that waits for an endpoint gets it */
 	int64_t recheck_at;
 	bool recheck_all;
 
@@ -466,6 +467,8 @@
 		       int64_t now, struct pool_choice *out);
 bool pool_place_in_time(const struct pool_choice *choice,
 			const struct pool_want *want, int64_t now);
+bool pool_place_ready(const struct pool_endpoint *e, uint8_t level,
+		      int64_t now);
 bool pool_place_tried(const struct pool_want *want,
 		      const struct pool_endpoint *e);
 void pool_place_expect(const struct dl_pool *pool,
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -36,6 +36,14 @@
 #define DECODE_RATE_UNKNOWN  40.0
 #define MS_PER_S	     1000.0
 
+/*
+ * What a medium prompt on an endpoint clear of lower work costs the short ones
+ * that come meanwhile, as a share of its own time.  For the mix in which long
+ * prompts have most endpoints: medium ones then go before a long one rather
+ * than to the few endpoints kept free for short ones.
+ */
+#define KEEP_CLEAR_SHARE 0.25
+
 #define SLACK_NONE	 (INT64_MAX / 4)
 #define PRIORITY_BAND	 64
 #define PRIORITY_CLASS	 16
@@ -55,6 +63,8 @@
 static int64_t max_time(int64_t a, int64_t b);
 static bool levels_allow(const struct pool_endpoint *e, uint8_t level,
 			 int64_t prefill_ms, int64_t now);
+static void wait_for(struct dl_pool *pool, const struct pool_endpoint *e,
+		     uint8_t level);
 static double cost_at(const struct search *s, const struct pool_endpoint *e);
 static double bound_at(const struct search *s, uint32_t node);
 static void visit(struct search *s, uint32_t node);
@@ -241,8 +251,6 @@
 		return false;
 	if (e->in_hold && level > POOL_SHORT)
 		return false;
-	if (e->until[level] > now + BIND_AHEAD_MS)
-		return false;
 	return levels_allow(e, level, (int64_t)ceil(prefill), now);
 }
 
@@ -288,15 +296,33 @@
 	return now + choice->total_ms <= want->deadline;
 }
 
+/* Whether an endpoint is free for a level, or so soon that it may be bound. */
+bool pool_place_ready(const struct pool_endpoint *e, uint8_t level, int64_t now)
+{
+	return e->until[level] <= now + BIND_AHEAD_MS;
+}
+
+static void wait_for(struct dl_pool *pool, const struct pool_endpoint *e,
+		     uint8_t level)
+{
+	int64_t at = e->until[level] - BIND_AHEAD_MS;
+
+	if (at < pool->bind_at)
+		pool->bind_at = at;
+}
+
 static double cost_at(const struct search *s, const struct pool_endpoint *e)
 {
 	uint32_t saved = pool_prefix_saved(s->pool, s->want, e, s->now);
 	double tokens = (double)(s->want->prompt - saved);
 	int64_t start = max_time(s->now, e->until[s->level]);
-	double cost = (double)start + tokens * pool_ms_per_token(s->pool, e);
+	double per_token = pool_ms_per_token(s->pool, e);
+	double cost = (double)start + tokens * per_token;
 
 	if (e->until[POOL_LEVELS - 1] > start)
 		cost += e->interference_ms;
+	else if (s->level == POOL_MEDIUM)
+		cost += tokens * per_token * KEEP_CLEAR_SHARE;
 	return cost;
 }
 
@@ -377,10 +403,12 @@
 
 /*
  * Choose for a request that waits or has just come: where its first token is
- * expected earliest among the endpoints that have the memory and are free, or
- * about to be.  False where none is; the request then waits in the pool's one
- * queue and not in an engine's, which is what keeps it from standing behind a
- * long prompt while another engine becomes free.
+ * expected earliest among the endpoints that have the memory.  False where
+ * that one is not free yet; the request then waits in the pool's one queue and
+ * not in an engine's, which is what keeps it from standing behind a long
+ * prompt while another engine becomes free.  So a short prompt rather waits
+ * tens of milliseconds for an endpoint without long work than lies behind a
+ * step of it.
  *
  * The endpoint that was last given the same start of a prompt is looked at
  * before the others and taken where its cache is expected to make up for a
@@ -411,6 +439,10 @@
 	visit(&s, 1);
 	if (!s.best)
 		return false;
+	if (!pool_place_ready(s.best, s.level, now)) {
+		wait_for(pool, s.best, s.level);
+		return false;
+	}
 	out->saved = pool_prefix_saved(pool, want, s.best, now);
 	pool_place_expect(pool, s.best, want, want->prompt, now, out);
 	out->endpoint[0] = s.best;
--- a/src/coordination/pool_shift.c
+++ b/src/coordination/pool_shift.c
@@ -250,8 +250,8 @@
 		max = 1;
 	slow = pool->median > 0 && e->samples >= OUTLIER_SAMPLES &&
 	       latency_of(pool, e) > OUTLIER_FACTOR * pool->median;
-	if (e->shift != POOL_OUT && e->counted_open && (failing || slow) &&
-	    pool->out < max)
+	if (pool->policy->queues && e->shift != POOL_OUT && e->counted_open &&
+	    (failing || slow) && pool->out < max)
 		put_out(pool, e, now);
 	pool_place_refresh(pool, e, now);
 }
