--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -90,6 +90,8 @@
 			 const struct pool_want *want);
 static bool serve_lane(struct dl_pool *pool, uint8_t lane, int64_t now,
 		       struct dl_answer *out);
+static bool serve_holds(struct dl_pool *pool, int64_t now,
+			struct dl_answer *out);
 static bool serve_credit(struct dl_pool *pool, int64_t now,
 			 struct dl_answer *out);
 static bool serve(struct dl_pool *pool, int64_t now, struct dl_answer *out);
@@ -691,10 +693,20 @@
 		if (serve_request(pool, req, now, out))
 			return true;
 	}
-	if (first && !pool->hold.request && fits_nowhere(pool, &first->want)) {
-		pool_hold_begin(pool, first, now);
-		if (pool->hold.request)
-			return serve_request(pool, first, now, out);
+	if (first && fits_nowhere(pool, &first->want) &&
+	    pool_hold_begin(pool, first, now))
+		return serve_request(pool, first, now, out);
+	return false;
+}
+
+static bool serve_holds(struct dl_pool *pool, int64_t now,
+			struct dl_answer *out)
+{
+	for (int i = 0; i < POOL_HOLDS; i++) {
+		struct pool_request *req = pool->hold[i].request;
+
+		if (req && serve_request(pool, req, now, out))
+			return true;
 	}
 	return false;
 }
@@ -731,7 +743,7 @@
 {
 	if (pool->queued == 0)
 		return false;
-	if (serve_credit(pool, now, out))
+	if (serve_holds(pool, now, out) || serve_credit(pool, now, out))
 		return true;
 	for (uint8_t lane = 0; lane < POOL_LANES; lane++)
 		if (pool->lane[lane].n && serve_lane(pool, lane, now, out))
@@ -813,7 +825,7 @@
 /* When dl_pool_next must be called at the latest; INT64_MAX for never. */
 int64_t dl_pool_wakeup(const struct dl_pool *pool)
 {
-	int64_t at = pool->serve_at;
+	int64_t at = pool->serve_at, hold;
 
 	if (pool->refused)
 		return pool->now;
@@ -824,9 +836,8 @@
 		if (pool->recheck_at < at)
 			at = pool->recheck_at;
 	}
-	if (pool->hold.request && pool->hold.expires < at)
-		at = pool->hold.expires;
-	return at;
+	hold = pool_hold_expiry(pool);
+	return hold < at ? hold : at;
 }
 
 /* The pool in one line, for other pools, other domains and operators. */
--- a/src/coordination/pool_check.c
+++ b/src/coordination/pool_check.c
@@ -2,6 +2,7 @@
 #include "pool_int.h"
 
 static const char *endpoint_broken(const struct pool_endpoint *e);
+static bool is_held_long(const struct pool_endpoint *e);
 static const char *endpoints_broken(const struct dl_pool *pool);
 static const char *index_broken(const struct dl_pool *pool);
 static const char *lane_broken(const struct pool_lane *lane, uint8_t at,
@@ -27,7 +28,7 @@
 		return "memory held is not that of the live grants";
 	if (grants != e->grants || longs != e->long_grants)
 		return "grants counted on an endpoint are not those it has";
-	if (!e->in_hold && e->reserved)
+	if (!e->hold != !e->reserved)
 		return "memory gathered for nobody";
 	for (int i = 1; i < POOL_LEVELS; i++)
 		if (e->until[i] < e->until[i - 1])
@@ -35,6 +36,11 @@
 	return NULL;
 }
 
+static bool is_held_long(const struct pool_endpoint *e)
+{
+	return e->hold && e->hold->request->want.band >= POOL_LONG;
+}
+
 static const char *endpoints_broken(const struct dl_pool *pool)
 {
 	uint32_t open = 0, longs = 0, out = 0;
@@ -51,7 +57,8 @@
 		if (e->counted_open != pool_endpoint_open(pool, e))
 			return "an endpoint is counted as what it is not";
 		open += e->counted_open;
-		longs += e->counted_open && e->long_grants > 0;
+		longs += e->counted_open && (e->long_grants > 0 ||
+					     is_held_long(e));
 		out += e->shift == POOL_OUT;
 		if (e->counted_open && e->last.memory_tokens > memory)
 			memory = e->last.memory_tokens;
@@ -183,17 +190,23 @@
 
 static const char *hold_broken(const struct dl_pool *pool)
 {
-	uint32_t held = 0;
+	uint32_t held = 0, wanted = 0;
 
 	for (uint32_t i = 0; i < pool->endpoints_n; i++)
-		held += pool->endpoints[i]->in_hold;
-	if (held != pool->hold.n)
-		return "an endpoint gathers memory for nobody";
-	if (pool->hold.n && !pool->hold.request)
-		return "a hold without a request";
-	if (pool->hold.request && !pool->hold.request->flow)
-		return "a hold for a request that does not wait";
-	return NULL;
+		held += pool->endpoints[i]->hold != NULL;
+	for (int i = 0; i < POOL_HOLDS; i++) {
+		const struct pool_hold *hold = &pool->hold[i];
+
+		wanted += hold->n;
+		if (!hold->request != !hold->n)
+			return "a hold without a request";
+		if (hold->request && !hold->request->flow)
+			return "a hold for a request that does not wait";
+		for (uint8_t k = 0; k < hold->n; k++)
+			if (hold->endpoint[k]->hold != hold)
+				return "two holds share an endpoint";
+	}
+	return held == wanted ? NULL : "an endpoint is held for nobody";
 }
 
 /* NULL, or which invariant is broken. */
--- a/src/coordination/pool_group.c
+++ b/src/coordination/pool_group.c
@@ -3,8 +3,9 @@
  *
  * A group is taken whole or not at all, in one event, so nothing is ever held
  * by half a group.  Where it does not fit at once, memory is gathered for it
- * as engines free it (a hold).  One hold at a time: two giants that each
- * gathered a half would both wait for good.
+ * as engines free it (a hold).  A hold names all its engines when it begins
+ * and no engine is in two holds, so that a hold waits for running grants only
+ * and never for another hold: two giants cannot have half each.
  */
 #include "pool_int.h"
 
@@ -21,10 +22,19 @@
 #define GROUP_OVERHEAD_PERCENT 10
 #define PERCENT		       100
 
+/* After a hold could not begin, so long until the next is tried. */
+#define HOLD_RETRY_MS 100
+
+/* How members are chosen: what is ready soonest, or long ones first. */
+enum order {
+	BY_TIME,
+	BY_LONG,
+};
+
 struct member {
 	struct pool_endpoint *endpoint;
 	bool is_long;
-	uint64_t free;
+	int64_t ready;
 };
 
 static uint32_t group_max(const struct dl_pool *pool);
@@ -33,18 +43,26 @@
 static bool fits_now(struct dl_pool *pool, const struct pool_want *part,
 		     const struct pool_endpoint *e, int64_t now);
 static uint64_t share_of(const struct pool_want *want, uint32_t n);
-static bool better(const struct member *a, const struct member *b);
+static bool better(const struct member *a, const struct member *b,
+		   enum order order);
 static void keep_best(struct member *best, uint32_t *n, uint32_t max,
-		      struct member m);
+		      struct member m, enum order order);
+static int64_t ready_at(const struct pool_endpoint *e, uint64_t share,
+			int64_t now);
 static uint32_t select_members(struct dl_pool *pool,
 			       const struct pool_want *want, uint32_t n,
-			       bool at_once, int64_t now, struct member *best);
+			       bool at_once, enum order order, int64_t now,
+			       struct member *best);
+static bool select_within(struct dl_pool *pool, const struct pool_want *want,
+			  uint32_t n, bool at_once, int64_t now,
+			  struct member *best);
 static void fill_choice(struct dl_pool *pool, const struct pool_want *want,
 			struct pool_endpoint **members, uint32_t n, int64_t now,
 			struct pool_choice *out);
 static bool within_share(const struct dl_pool *pool,
 			    const struct member *members, uint32_t n);
 static void order_by_name(struct pool_endpoint **members, uint32_t n);
+static struct pool_hold *unused_hold(struct dl_pool *pool);
 
 /*
  * A group alone may pass the share for long prompts, since the longest need
@@ -103,36 +121,60 @@
 	return 0;
 }
 
-/* Engines that hold a long prompt already first, then the emptiest. */
-static bool better(const struct member *a, const struct member *b)
+static bool better(const struct member *a, const struct member *b,
+		   enum order order)
 {
-	if (a->is_long != b->is_long)
+	if (order == BY_LONG && a->is_long != b->is_long)
 		return a->is_long;
-	if (a->free != b->free)
-		return a->free > b->free;
+	if (a->ready != b->ready)
+		return a->ready < b->ready;
 	return a->endpoint->by_name.hash < b->endpoint->by_name.hash;
 }
 
 static void keep_best(struct member *best, uint32_t *n, uint32_t max,
-		      struct member m)
+		      struct member m, enum order order)
 {
 	uint32_t at = *n;
 
 	if (at == max) {
-		if (!better(&m, &best[max - 1]))
+		if (!better(&m, &best[max - 1], order))
 			return;
 		at--;
 	} else {
 		(*n)++;
 	}
-	for (; at > 0 && better(&m, &best[at - 1]); at--)
+	for (; at > 0 && better(&m, &best[at - 1], order); at--)
 		best[at] = best[at - 1];
 	best[at] = m;
 }
 
+/*
+ * When an engine is expected to have read what it has and to have a share of
+ * memory free: as its grants end, oldest first, at their predicted times.
+ */
+static int64_t ready_at(const struct pool_endpoint *e, uint64_t share,
+			int64_t now)
+{
+	uint64_t free = pool_place_free(e);
+	int64_t at = e->until[POOL_LEVELS - 1];
+
+	if (at < now)
+		at = now;
+	for (const struct pool_part *p = e->parts; p && free < share;
+	     p = p->next) {
+		int64_t ends = p->grant->since + p->grant->predicted_total_ms;
+
+		free += p->share;
+		if (ends > at)
+			at = ends;
+	}
+	return at;
+}
+
 static uint32_t select_members(struct dl_pool *pool,
 			       const struct pool_want *want, uint32_t n,
-			       bool at_once, int64_t now, struct member *best)
+			       bool at_once, enum order order, int64_t now,
+			       struct member *best)
 {
 	struct pool_want part = *want;
 	uint32_t found = 0;
@@ -141,17 +183,35 @@
 	part.prompt = (want->prompt + n - 1) / n;
 	for (uint32_t i = 0; i < pool->endpoints_n; i++) {
 		struct pool_endpoint *e = pool->endpoints[i];
-		struct member m = { e, e->long_grants > 0, pool_place_free(e) };
+		struct member m = { .endpoint = e, .is_long = e->counted_long };
 
-		if (!may_join(want, e, n) || e->last.memory_tokens < part.need)
+		if (!may_join(want, e, n) || e->hold ||
+		    e->last.memory_tokens < part.need)
 			continue;
 		if (at_once && !fits_now(pool, &part, e, now))
 			continue;
-		keep_best(best, &found, n, m);
+		m.ready = ready_at(e, part.need, now);
+		keep_best(best, &found, n, m, order);
 	}
 	return found;
 }
 
+/*
+ * The members that are ready soonest, or, where those would pass the share of
+ * the pool for long prompts, the ones that are in it already.
+ */
+static bool select_within(struct dl_pool *pool, const struct pool_want *want,
+			  uint32_t n, bool at_once, int64_t now,
+			  struct member *best)
+{
+	if (select_members(pool, want, n, at_once, BY_TIME, now, best) < n)
+		return false;
+	if (want->band < POOL_LONG || within_share(pool, best, n))
+		return true;
+	select_members(pool, want, n, at_once, BY_LONG, now, best);
+	return within_share(pool, best, n);
+}
+
 static bool within_share(const struct dl_pool *pool,
 			 const struct member *members, uint32_t n)
 {
@@ -221,9 +281,7 @@
 	if (n == 0)
 		return false;
 	for (; n <= max; n++) {
-		if (select_members(pool, want, n, true, now, best) < n)
-			continue;
-		if (!within_share(pool, best, n))
+		if (!select_within(pool, want, n, true, now, best))
 			continue;
 		for (uint32_t i = 0; i < n; i++)
 			members[i] = best[i].endpoint;
@@ -234,11 +292,21 @@
 	return false;
 }
 
-/* Choose the members of the hold once each has its share free. */
-bool pool_hold_choose(struct dl_pool *pool, int64_t now,
-		      struct pool_choice *out)
+/* The hold for a request, or NULL. */
+struct pool_hold *pool_hold_of(struct dl_pool *pool,
+			       const struct pool_want *want)
+{
+	for (int i = 0; i < POOL_HOLDS; i++)
+		if (pool->hold[i].request &&
+		    &pool->hold[i].request->want == want)
+			return &pool->hold[i];
+	return NULL;
+}
+
+/* Choose the members of a hold once each has its share free. */
+bool pool_hold_choose(struct dl_pool *pool, struct pool_hold *hold,
+		      int64_t now, struct pool_choice *out)
 {
-	struct pool_hold *hold = &pool->hold;
 	const struct pool_want *want = &hold->request->want;
 	struct pool_want part = *want;
 
@@ -248,10 +316,10 @@
 		struct pool_endpoint *e = hold->endpoint[i];
 		bool fits;
 
-		e->in_hold = false;
+		e->hold = NULL;
 		e->reserved = 0;
 		fits = fits_now(pool, &part, e, now);
-		e->in_hold = true;
+		e->hold = hold;
 		e->reserved = hold->share;
 		if (!fits)
 			return false;
@@ -260,29 +328,38 @@
 	return pool_place_in_time(out, want, now);
 }
 
+static struct pool_hold *unused_hold(struct dl_pool *pool)
+{
+	for (int i = 0; i < POOL_HOLDS; i++)
+		if (!pool->hold[i].request)
+			return &pool->hold[i];
+	return NULL;
+}
+
 /*
  * Begin to gather memory for a request at the head of its lane that fits
  * nowhere.  For long prompts under a steady load of short ones, which would
  * otherwise take each freed piece before enough of them lie together.  Short
- * ones go on in what is left of the members' memory.
+ * ones go on in what is left of the members' memory.  A few holds at a time:
+ * each idles some memory until its last member is ready.
  */
-void pool_hold_begin(struct dl_pool *pool, struct pool_request *req,
+bool pool_hold_begin(struct dl_pool *pool, struct pool_request *req,
 		     int64_t now)
 {
-	struct pool_hold *hold = &pool->hold;
+	struct pool_hold *hold = unused_hold(pool);
 	const struct pool_want *want = &req->want;
 	struct member best[DL_GROUP_MAX];
 	uint64_t share = want->need;
 	uint32_t n = 1;
 
-	if (hold->request)
-		return;
+	if (!hold || now < pool->hold_at || pool_hold_of(pool, want))
+		return false;
+	pool->hold_at = now + HOLD_RETRY_MS;
 	if (want->band == POOL_GIANT)
 		n = pool_group_size(pool, want, &share);
-	if (n == 0 || select_members(pool, want, n, false, now, best) < n)
-		return;
-	if (want->band >= POOL_LONG && !within_share(pool, best, n))
-		return;
+	if (n == 0 || !select_within(pool, want, n, false, now, best))
+		return false;
+	pool->hold_at = now;
 	hold->request = req;
 	hold->n = (uint8_t)n;
 	hold->share = share;
@@ -291,42 +368,56 @@
 		struct pool_endpoint *e = best[i].endpoint;
 
 		hold->endpoint[i] = e;
-		e->in_hold = true;
+		e->hold = hold;
 		e->reserved = share;
 		pool_place_refresh(pool, e, now);
 	}
+	return true;
 }
 
 /* Give up what was gathered. */
-void pool_hold_end(struct dl_pool *pool)
+void pool_hold_end(struct dl_pool *pool, struct pool_hold *hold)
 {
-	struct pool_hold *hold = &pool->hold;
+	uint8_t n = hold->n;
 
 	hold->request = NULL;
-	for (uint32_t i = 0; i < hold->n; i++) {
+	hold->n = 0;
+	for (uint8_t i = 0; i < n; i++) {
 		struct pool_endpoint *e = hold->endpoint[i];
 
-		e->in_hold = false;
+		e->hold = NULL;
 		e->reserved = 0;
 		pool_place_refresh(pool, e, pool->now);
 	}
-	hold->n = 0;
 }
 
-/* End a hold whose time is over; the next giant has its turn. */
+/* End the holds whose time is over; the next giant has its turn. */
 void pool_hold_expire(struct dl_pool *pool, int64_t now)
 {
-	struct pool_request *req = pool->hold.request;
+	for (int i = 0; i < POOL_HOLDS; i++) {
+		struct pool_request *req = pool->hold[i].request;
+
+		if (!req || pool->hold[i].expires > now)
+			continue;
+		pool_hold_end(pool, &pool->hold[i]);
+		pool_queue_yield(pool, req);
+	}
+}
+
+/* When the first hold ends, INT64_MAX for never. */
+int64_t pool_hold_expiry(const struct dl_pool *pool)
+{
+	int64_t at = INT64_MAX;
 
-	if (!req || pool->hold.expires > now)
-		return;
-	pool_hold_end(pool);
-	pool_queue_yield(pool, req);
+	for (int i = 0; i < POOL_HOLDS; i++)
+		if (pool->hold[i].request && pool->hold[i].expires < at)
+			at = pool->hold[i].expires;
+	return at;
 }
 
 /* A member was lost or closed: gather elsewhere. */
 void pool_hold_lost(struct dl_pool *pool, const struct pool_endpoint *e)
 {
-	if (e->in_hold)
-		pool_hold_end(pool);
+	if (e->hold)
+		pool_hold_end(pool, e->hold);
 }
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -124,7 +124,7 @@
 	struct dl_endpoint_report last;
 	enum pool_ep_state state;
 	bool drained;
-	bool in_hold; /* memory is being gathered for a request */
+	struct pool_hold *hold; /* memory is being gathered for a request */
 
 	/* What the pool's sums hold of it. */
 	bool counted_open;
@@ -297,6 +297,7 @@
 #define POOL_PREFIXES 4096
 
 /* Memory being gathered for a request that fits nowhere at once. */
+#define POOL_HOLDS 4
 struct pool_hold {
 	struct pool_request *request; /* NULL for none */
 	struct pool_endpoint *endpoint[DL_GROUP_MAX];
@@ -354,7 +355,8 @@
 	uint32_t workspaces_max;
 
 	struct pool_prefix *prefixes;
-	struct pool_hold hold;
+	struct pool_hold hold[POOL_HOLDS];
+	int64_t hold_at; /* no new hold is tried before */
 
 	struct pool_rate granted[DL_CLASS_COUNT];
 	double release_gap_ms; /* between two releases, while work waits */
@@ -505,13 +507,16 @@
 			 const struct pool_want *want, uint64_t *share);
 bool pool_group_choose(struct dl_pool *pool, const struct pool_want *want,
 		       int64_t now, struct pool_choice *out);
-bool pool_hold_choose(struct dl_pool *pool, int64_t now,
-		      struct pool_choice *out);
-void pool_hold_begin(struct dl_pool *pool, struct pool_request *req,
+struct pool_hold *pool_hold_of(struct dl_pool *pool,
+			       const struct pool_want *want);
+bool pool_hold_choose(struct dl_pool *pool, struct pool_hold *hold,
+		      int64_t now, struct pool_choice *out);
+bool pool_hold_begin(struct dl_pool *pool, struct pool_request *req,
 		     int64_t now);
-void pool_hold_end(struct dl_pool *pool);
+void pool_hold_end(struct dl_pool *pool, struct pool_hold *hold);
 void pool_hold_expire(struct dl_pool *pool, int64_t now);
 void pool_hold_lost(struct dl_pool *pool, const struct pool_endpoint *e);
+int64_t pool_hold_expiry(const struct dl_pool *pool);
 
 /* pool_shift.c */
 void pool_shift_learn(struct dl_pool *pool, struct pool_grant *g,
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -75,6 +75,7 @@
 static void excess_note(struct pool_excess *excess, uint64_t seen, bool first);
 static void correct_backlog(struct dl_pool *pool, struct pool_endpoint *e,
 			    bool first, int64_t now);
+static bool is_held_long(const struct pool_endpoint *e);
 static void count(struct dl_pool *pool, struct pool_endpoint *e);
 static void find_memory_max(struct dl_pool *pool);
 
@@ -156,10 +157,15 @@
 	}
 }
 
+static bool is_held_long(const struct pool_endpoint *e)
+{
+	return e->hold && e->hold->request->want.band >= POOL_LONG;
+}
+
 static void count(struct dl_pool *pool, struct pool_endpoint *e)
 {
 	bool open = pool_endpoint_open(pool, e);
-	bool is_long = open && e->long_grants > 0;
+	bool is_long = open && (e->long_grants > 0 || is_held_long(e));
 	uint64_t memory = open ? e->last.memory_tokens : 0;
 	uint64_t before = e->counted_memory;
 	double rate = 0, decode;
@@ -249,7 +255,7 @@
 	if (e->grants + excess_low(&e->running_excess) >=
 	    pool_shift_slots(e, now))
 		return false;
-	if (e->in_hold && level > POOL_SHORT)
+	if (e->hold && level > POOL_SHORT)
 		return false;
 	return levels_allow(e, level, (int64_t)ceil(prefill), now);
 }
@@ -418,11 +424,12 @@
 		       int64_t now, struct pool_choice *out)
 {
 	struct search s = { .pool = pool, .want = want, .now = now };
+	struct pool_hold *hold = pool_hold_of(pool, want);
 	struct pool_endpoint *cached;
 
 	*out = (struct pool_choice){ 0 };
-	if (pool->hold.request && &pool->hold.request->want == want)
-		return pool_hold_choose(pool, now, out);
+	if (hold)
+		return pool_hold_choose(pool, hold, now, out);
 	if (want->band == POOL_GIANT)
 		return pool_group_choose(pool, want, now, out);
 	if (pool->out && probe_choose(pool, want, now, out))
--- a/src/coordination/pool_queue.c
+++ b/src/coordination/pool_queue.c
@@ -202,9 +202,10 @@
 {
 	struct pool_flow *flow = req->flow;
 	struct pool_lane *lane = &pool->lane[flow->lane];
+	struct pool_hold *hold = pool_hold_of(pool, &req->want);
 
-	if (pool->hold.request == req)
-		pool_hold_end(pool);
+	if (hold)
+		pool_hold_end(pool, hold);
 	pool_tree_remove(&flow->root, &req->by_deadline);
 	pool_heap_remove(&pool->request_last_start, &req->last_start);
 	if (--flow->n == 0)
