--- a/src/coordination/pool_group.c
+++ b/src/coordination/pool_group.c
@@ -363,11 +363,14 @@
 	hold->request = req;
 	hold->n = (uint8_t)n;
 	hold->share = share;
+	hold->ready = now;
 	hold->expires = now + (int64_t)HOLD_LEASES * pool->conf.grant_lease_ms;
 	for (uint32_t i = 0; i < n; i++) {
 		struct pool_endpoint *e = best[i].endpoint;
 
 		hold->endpoint[i] = e;
+		if (best[i].ready > hold->ready)
+			hold->ready = best[i].ready;
 		e->hold = hold;
 		e->reserved = share;
 		pool_place_refresh(pool, e, now);
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -303,6 +303,7 @@
 	struct pool_endpoint *endpoint[DL_GROUP_MAX];
 	uint8_t n;
 	uint64_t share;
+	int64_t ready; /* expected, when it began */
 	int64_t expires;
 };
 
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -65,6 +65,10 @@
 			 int64_t prefill_ms, int64_t now);
 static void wait_for(struct dl_pool *pool, const struct pool_endpoint *e,
 		     uint8_t level);
+static uint64_t free_beside(const struct pool_endpoint *e, uint64_t reserved);
+static bool backfills(const struct dl_pool *pool, const struct pool_want *want,
+		      const struct pool_endpoint *e, int64_t now);
+static void consider_held(struct search *s);
 static double cost_at(const struct search *s, const struct pool_endpoint *e);
 static double bound_at(const struct search *s, uint32_t node);
 static void visit(struct search *s, uint32_t node);
@@ -119,7 +123,12 @@
 /* Memory that no grant, no hold and nobody unknown has. */
 uint64_t pool_place_free(const struct pool_endpoint *e)
 {
-	uint64_t taken = e->held + e->reserved + excess_low(&e->memory_excess);
+	return free_beside(e, e->reserved);
+}
+
+static uint64_t free_beside(const struct pool_endpoint *e, uint64_t reserved)
+{
+	uint64_t taken = e->held + reserved + excess_low(&e->memory_excess);
 
 	return e->last.memory_tokens > taken ? e->last.memory_tokens - taken :
 					       0;
@@ -241,22 +250,40 @@
 	return true;
 }
 
+/*
+ * Whether a request would be over before the hold on an endpoint is expected
+ * to be ready.  For giants: their engines are rarely free at the same time, and
+ * the first ones would idle until the last one is.
+ */
+static bool backfills(const struct dl_pool *pool, const struct pool_want *want,
+		      const struct pool_endpoint *e, int64_t now)
+{
+	struct pool_choice choice = { 0 };
+
+	pool_place_expect(pool, e, want, want->prompt, now, &choice);
+	return now + choice.total_ms <= e->hold->ready;
+}
+
 /* Whether a request could go to an endpoint now, but for its deadline. */
 bool pool_place_fits(const struct dl_pool *pool, const struct pool_want *want,
 		     const struct pool_endpoint *e, int64_t now)
 {
 	uint8_t level = pool_level(want);
 	double prefill = (double)want->prompt * pool_ms_per_token(pool, e);
+	uint64_t room = pool_place_free(e);
 
 	if (!pool_endpoint_open(pool, e) || pool_place_tried(want, e))
 		return false;
-	if (want->need > pool_place_free(e))
+	if (e->hold && level > POOL_SHORT) {
+		if (!backfills(pool, want, e, now))
+			return false;
+		room = free_beside(e, 0);
+	}
+	if (want->need > room)
 		return false;
 	if (e->grants + excess_low(&e->running_excess) >=
 	    pool_shift_slots(e, now))
 		return false;
-	if (e->hold && level > POOL_SHORT)
-		return false;
 	return levels_allow(e, level, (int64_t)ceil(prefill), now);
 }
 
@@ -356,6 +383,17 @@
 	s->best_cost = cost;
 }
 
+/* Endpoints in a hold: the index counts their gathered memory as taken. */
+static void consider_held(struct search *s)
+{
+	for (int i = 0; i < POOL_HOLDS; i++) {
+		const struct pool_hold *hold = &s->pool->hold[i];
+
+		for (uint8_t k = 0; k < hold->n; k++)
+			consider(s, hold->endpoint[k]);
+	}
+}
+
 /*
  * Walk the index, the better half first, and leave out whatever cannot beat
  * the best found.  Between equals the one that became free first is taken,
@@ -443,6 +481,8 @@
 	cached = pool_prefix_endpoint(pool, want);
 	if (cached && (!s.only_long || cached->long_grants > 0))
 		consider(&s, cached);
+	if (s.level > POOL_SHORT)
+		consider_held(&s);
 	visit(&s, 1);
 	if (!s.best)
 		return false;
