Dispatch: learn interference from short prompts, count what overtakes long ones

Interference was learnt from medium prompts too and came to 150-300 ms where a step of the engine is 51 ms. Ruled out: decoding (learnt factor 1.00 everywhere). Change: predictions add the work committed ahead while the request ran; interference comes from short prompts alone.

--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -147,6 +147,8 @@
 
 	/* When its prefill work of each level and above ends. */
 	int64_t until[POOL_LEVELS];
+	/* All the work of each level so far. */
+	int64_t committed_ms[POOL_LEVELS];
 	/* How much later that may become for the grants under way. */
 	int64_t slack[POOL_LEVELS];
 
@@ -200,6 +202,7 @@
 	uint32_t predicted_ttft_ms;
 	uint32_t predicted_total_ms;
 	uint32_t saved;	      /* tokens expected in the endpoint's cache */
+	int64_t higher_ms;    /* committed before it, of higher levels */
 	bool behind_lower;    /* lower work was under way on the endpoint */
 	bool overdue_counted; /* its lateness was learnt before its end */
 	uint8_t priority;
@@ -487,6 +490,7 @@
 double pool_ms_per_token(const struct dl_pool *pool,
 			 const struct pool_endpoint *e);
 double pool_decode_ms(const struct pool_endpoint *e);
+int64_t pool_place_higher_ms(const struct pool_endpoint *e, uint8_t level);
 void pool_place_commit(struct pool_endpoint *e, const struct pool_want *want,
 		       int64_t prefill_ms, int64_t slack_ms, int64_t now);
 void pool_place_undo(struct pool_endpoint *e, uint8_t level, int64_t rest_ms,
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -516,6 +516,16 @@
 			 want->class * PRIORITY_CLASS + bucket);
 }
 
+/* The work so far that engines do before that of a level. */
+int64_t pool_place_higher_ms(const struct pool_endpoint *e, uint8_t level)
+{
+	int64_t sum = 0;
+
+	for (uint8_t i = 0; i < level; i++)
+		sum += e->committed_ms[i];
+	return sum;
+}
+
 /* Count a granted prefill, and how much later it may still end. */
 void pool_place_commit(struct pool_endpoint *e, const struct pool_want *want,
 		       int64_t prefill_ms, int64_t slack_ms, int64_t now)
@@ -533,6 +543,7 @@
 		if (i > level)
 			e->slack[i] -= prefill_ms;
 	}
+	e->committed_ms[level] += prefill_ms;
 	if (slack_ms < e->slack[level])
 		e->slack[level] = slack_ms;
 }
--- a/src/coordination/pool_shift.c
+++ b/src/coordination/pool_shift.c
@@ -47,9 +47,13 @@
 static int compare_doubles(const void *a, const void *b);
 static void find_median(struct dl_pool *pool, int64_t now);
 static double clamp(double v, double low, double high);
+static void learn_interference(struct pool_endpoint *e, double error);
 static void learn_prefill(struct dl_pool *pool, struct pool_endpoint *e,
 			  const struct pool_grant *g,
 			  const struct dl_usage *usage);
+static double overtaken_ms(const struct pool_endpoint *e,
+			   const struct pool_grant *g,
+			   const struct dl_usage *usage);
 static void learn_decode(struct pool_endpoint *e, const struct pool_grant *g,
 			 const struct dl_usage *usage);
 static void learn_service(struct pool_endpoint *e,
@@ -101,12 +105,41 @@
 	free(list);
 }
 
+/*
+ * How much work overtook a request until its first token: all that was
+ * committed on its endpoint at higher levels while it ran, by the share of
+ * that time which its prefill took.  Without it every short prompt that goes
+ * before a long one would look like a slow engine.
+ */
+static double overtaken_ms(const struct pool_endpoint *e,
+			   const struct pool_grant *g,
+			   const struct dl_usage *usage)
+{
+	int64_t all = pool_place_higher_ms(e, pool_level(&g->want)) -
+		      g->higher_ms;
+
+	if (all <= 0 || usage->total_ms == 0)
+		return 0;
+	return (double)all * usage->ttft_ms / usage->total_ms;
+}
+
+/*
+ * How long lower work holds up higher work that was put before it: a step of
+ * an engine that honours priorities, the whole of a long prompt on one that
+ * does not.  Learnt from short prompts, whose own time hides least of it.
+ */
+static void learn_interference(struct pool_endpoint *e, double error)
+{
+	e->interference_ms += DEVIATION_GAIN * error;
+	e->interference_ms = clamp(e->interference_ms, 0, INTERFERENCE_MS);
+}
+
 static void learn_prefill(struct dl_pool *pool, struct pool_endpoint *e,
 			  const struct pool_grant *g,
 			  const struct dl_usage *usage)
 {
 	double measured = usage->ttft_ms;
-	double predicted = g->predicted_ttft_ms;
+	double predicted = g->predicted_ttft_ms + overtaken_ms(e, g, usage);
 	double ratio = clamp((measured + NOISE_MS) / (predicted + NOISE_MS),
 			     RATIO_MIN, RATIO_MAX);
 
@@ -115,11 +148,8 @@
 		return;
 	}
 	if (g->behind_lower) {
-		double extra = measured - predicted + e->interference_ms;
-
-		e->interference_ms += GAIN * (extra - e->interference_ms);
-		e->interference_ms =
-			clamp(e->interference_ms, 0, INTERFERENCE_MS);
+		if (g->want.band == POOL_SHORT)
+			learn_interference(e, measured - predicted);
 		return;
 	}
 	e->slow = clamp(e->slow * (1 + GAIN * (ratio - 1)), SLOW_MIN, SLOW_MAX);
