Dispatch: learn an engine's speed from requests that nothing overtook

Cause: urgent and tighter requests overtake others of their level in an engine; the overtaken ones measured two to four times their prediction, and healthy engines were learnt as up to 2.5 times too slow, so short prompts avoided idle engines for ones at work on long prompts. Change: both sides of an overtaking teach nothing, slack orders in quarters instead of sixteenths.

--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #define RELEASE_GAIN   0.1
+#define CROWD_LOOK_AT  8
 #define RELEASE_GAP_MS 10000.0 /* at most: longer ones are idle time */
 
 static void attach(struct pool_grant *g, uint8_t at, struct pool_endpoint *e,
@@ -19,6 +20,8 @@
 				    uint64_t entry, uint64_t request,
 				    struct pool_workspace *ws,
 				    const struct pool_want *want, uint8_t n);
+static void mark_crowded(struct pool_grant *g, struct pool_endpoint *e,
+			 int64_t now);
 static uint64_t new_id(struct dl_pool *pool);
 static void note_release(struct dl_pool *pool, struct pool_grant *g,
 			 int64_t now);
@@ -143,6 +146,28 @@
 		pool_endpoint_forget(pool, e);
 }
 
+/*
+ * Mark the requests of its level that a new one overtakes in the engine, and
+ * itself: what either takes is not what was predicted, and says nothing about
+ * the engine.  Only the latest few can still be waiting for their prefill.
+ */
+static void mark_crowded(struct pool_grant *g, struct pool_endpoint *e,
+			 int64_t now)
+{
+	struct pool_part *part = e->parts_last;
+
+	for (int i = 0; part && i < CROWD_LOOK_AT; i++, part = part->prev) {
+		struct pool_grant *other = part->grant;
+
+		if (other == g || other->priority <= g->priority ||
+		    pool_level(&other->want) != pool_level(&g->want) ||
+		    other->since + other->predicted_ttft_ms < now)
+			continue;
+		other->crowded = true;
+		g->crowded = true;
+	}
+}
+
 /* Grant a choice: hold its memory and count its work. */
 void pool_grant_make(struct dl_pool *pool, uint64_t request, uint64_t entry,
 		     struct pool_workspace *ws, const struct pool_want *want,
@@ -170,6 +195,7 @@
 		if (choice->behind_lower)
 			prefill -= (int64_t)e->interference_ms;
 		g->parts[i].prefill_ms = prefill > 0 ? prefill : 1;
+		mark_crowded(g, e, now);
 		pool_place_commit(e, want, g->parts[i].prefill_ms, slack, now);
 		attach(g, i, e, choice->share);
 		if (choice->probe) {
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -203,6 +203,7 @@
 	uint32_t predicted_total_ms;
 	uint32_t saved;	      /* tokens expected in the endpoint's cache */
 	int64_t higher_ms;    /* committed before it, of higher levels */
+	bool crowded; /* an equal of its level overtook it, or it one */
 	bool behind_lower;    /* lower work was under way on the endpoint */
 	bool overdue_counted; /* its lateness was learnt before its end */
 	uint8_t priority;
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -47,7 +47,7 @@
 #define SLACK_NONE	 (INT64_MAX / 4)
 #define PRIORITY_BAND	 64
 #define PRIORITY_CLASS	 16
-#define PRIORITY_BUCKETS 16
+#define PRIORITY_BUCKETS 4
 #define PERMILLE	 1000
 
 struct search {
@@ -501,7 +501,8 @@
 /*
  * The priority given to the engine, 0 first: by length, so that a short prompt
  * overtakes the long one under way; by class; and by how much of its time is
- * to spare, so that among equals the tightest goes first.
+ * to spare, so that among equals the tightest goes first.  In quarters only:
+ * finer steps reorder what came a few milliseconds apart for no one's good.
  */
 uint8_t pool_place_priority(const struct pool_want *want,
 			    const struct pool_choice *choice, int64_t now)
--- a/src/coordination/pool_shift.c
+++ b/src/coordination/pool_shift.c
@@ -20,6 +20,13 @@
 /* Added to both sides of a ratio: what short answers take on the way. */
 #define NOISE_MS 20.0
 
+/*
+ * A request that was overtaken for more than this share of its time says too
+ * little about the engine's own speed: how much of the overtaking fell before
+ * its first token is only estimated.
+ */
+#define OVERTAKEN_SHARE 0.1
+
 /*
  * Put out from three times the median on: below that the learnt speed alone
  * already gives it less work, and less would put out the slower half of a
@@ -139,10 +146,13 @@
 			  const struct dl_usage *usage)
 {
 	double measured = usage->ttft_ms;
-	double predicted = g->predicted_ttft_ms + overtaken_ms(e, g, usage);
+	double overtaken = overtaken_ms(e, g, usage);
+	double predicted = g->predicted_ttft_ms + overtaken;
 	double ratio = clamp((measured + NOISE_MS) / (predicted + NOISE_MS),
 			     RATIO_MIN, RATIO_MAX);
 
+	if (g->crowded)
+		return;
 	if (g->saved && ratio > BACK_FACTOR) {
 		pool_prefix_forget(pool, g->want.prefix, e);
 		return;
@@ -152,6 +162,8 @@
 			learn_interference(e, measured - predicted);
 		return;
 	}
+	if (overtaken > predicted * OVERTAKEN_SHARE)
+		return;
 	e->slow = clamp(e->slow * (1 + GAIN * (ratio - 1)), SLOW_MIN, SLOW_MAX);
 	ratio = ratio > 1 ? ratio - 1 : 1 - ratio;
 	e->deviation += DEVIATION_GAIN * (ratio - e->deviation);
