--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -36,14 +36,6 @@
 #define DECODE_RATE_UNKNOWN  40.0
 #define MS_PER_S	     1000.0
 
-/*
- * What a medium prompt on an endpoint clear of lower work costs the short ones
- * that come meanwhile, as a share of its own time.  For the mix in which long
- * prompts have most endpoints: medium ones then go before a long one rather
- * than to the few endpoints kept free for short ones.
- */
-#define KEEP_CLEAR_SHARE 0.25
-
 #define SLACK_NONE	 (INT64_MAX / 4)
 #define PRIORITY_BAND	 64
 #define PRIORITY_CLASS	 16
@@ -354,8 +346,6 @@
 
 	if (e->until[POOL_LEVELS - 1] > start)
 		cost += e->interference_ms;
-	else if (s->level == POOL_MEDIUM)
-		cost += tokens * per_token * KEEP_CLEAR_SHARE;
 	return cost;
 }
 
