--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -2,6 +2,7 @@
  * The dispatcher of a pool: its life, its endpoints, and the order in which an
  * event is dealt with.  What is decided stands in the files beside this one:
  *
+ *	pool_endpoint.c	which endpoints there are
  *	pool_limit.c	may this workspace ask now
  *	pool_admit.c	can this request make it
  *	pool_queue.c	who waits, who is next, who makes room
@@ -9,45 +10,25 @@
  *	pool_group.c	which endpoints take one that fits on none
  *	pool_grant.c	who holds what, and until when
  *	pool_shift.c	which endpoints lose their share
+ *	pool_serve.c	the late answers, in which order
  */
 #include "pool_int.h"
 
-#include <errno.h>
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 /*
- * Endpoints announce themselves; past this many a new one is turned away, so
- * that made-up announcements cannot use up the memory of a VM.  The target has
- * 600 in all pools together.
+ * A class's rate is its grants over about this long: more than one long
+ * prompt's grant, less than a wave of load lasts.
  */
-#define ENDPOINTS_MAX 4096
+#define RATE_FADE_MS 3000.0
+/* Where no endpoint takes work: a few of their announcements later. */
+#define RETRY_FLAT_MS 1000
 
 /* Below this a prompt is short: about what an engine reads in one step. */
 #define SHORT_TOKENS 4096
 
-/*
- * What a lower class gets at the least of what is given to the classes before
- * it, while it has something queued: one part in four, so a fifth in all.  For
- * one workspace that floods a higher class: without it the others' dossiers
- * would be admitted and then never served.
- */
-#define CREDIT_SHARE 4
-/* Credit kept for later, in tokens: one long prompt's worth. */
-#define CREDIT_MAX ((uint64_t)1 << 21)
-
-/* How many flows of a lane are tried when the first one's head fits nowhere. */
-#define LOOK_AHEAD 3
-
-/*
- * When nothing but an event can help, the queue is still looked at this often:
- * slow starts grow and outliers come back without one.
- */
-#define SERVE_RETRY_MS 25
-#define RATE_FADE_MS   3000.0
-#define RETRY_FLAT_MS  1000
-
 static const char *const reason_names[DL_REASON_COUNT] = {
 	[DL_REASON_NONE] = "none",
 	[DL_REASON_DEADLINE] = "deadline",
@@ -67,13 +48,6 @@
 
 static uint8_t band_of(const struct dl_pool *pool, uint64_t prompt,
 		       uint64_t need);
-static void close_endpoint(struct dl_pool *pool, struct pool_endpoint *e,
-			   int64_t now);
-static void expire_endpoints(struct dl_pool *pool, int64_t now);
-static int check_report(const struct dl_pool *pool,
-			const struct dl_endpoint_report *r);
-static void answer_refused(struct dl_answer *out, enum dl_reason reason,
-			   uint32_t retry_after_ms);
 static bool answer_again(struct dl_pool *pool, const struct dl_ask *ask,
 			 struct dl_answer *out);
 static enum dl_reason admit(struct dl_pool *pool, const struct pool_want *want,
@@ -83,21 +57,6 @@
 				const struct pool_want *want,
 				struct pool_workspace *ws, int64_t now,
 				uint32_t *retry_after_ms);
-static void credit_lower(struct dl_pool *pool, const struct pool_want *want);
-static bool serve_request(struct dl_pool *pool, struct pool_request *req,
-			  int64_t now, struct dl_answer *out);
-static bool fits_nowhere(const struct dl_pool *pool,
-			 const struct pool_want *want);
-static bool serve_lane(struct dl_pool *pool, uint8_t lane, int64_t now,
-		       struct dl_answer *out);
-static bool serve_holds(struct dl_pool *pool, int64_t now,
-			struct dl_answer *out);
-static bool serve_credit(struct dl_pool *pool, int64_t now,
-			 struct dl_answer *out);
-static bool serve(struct dl_pool *pool, int64_t now, struct dl_answer *out);
-static void plan_serve(struct dl_pool *pool, int64_t now);
-static bool take_refused(struct dl_pool *pool, struct dl_answer *out);
-static void refuse_late(struct dl_pool *pool, int64_t now);
 
 /* The name of a reason as callers and logs see it. */
 const char *dl_reason_name(enum dl_reason reason)
@@ -162,9 +121,9 @@
 	pool_map_init(&pool->grant_by_request);
 	pool_map_init(&pool->request_by_id);
 	pool_map_init(&pool->workspaces);
-	for (uint8_t i = 0; i < POOL_LANES; i++) {
-		pool->lane[i].class = i / POOL_BANDS;
-		pool->lane[i].band = i % POOL_BANDS;
+	for (unsigned i = 0; i < POOL_LANES; i++) {
+		pool->lane[i].class = (uint8_t)(i / POOL_BANDS);
+		pool->lane[i].band = (uint8_t)(i % POOL_BANDS);
 		pool->lane[i].bias = 1;
 	}
 	dl_pool_configure(pool, conf);
@@ -305,194 +264,9 @@
 			dl_hash(dl_name_str(&ask->tried_ids[i]), 0);
 }
 
-/* The endpoint of this name, or NULL. */
-struct pool_endpoint *pool_endpoint_find(const struct dl_pool *pool,
-					 struct dl_str id)
-{
-	struct pool_map_node *node =
-		pool_map_first(&pool->endpoint_by_name, dl_hash(id, 0));
-
-	return node ? POOL_OF(node, struct pool_endpoint, by_name) : NULL;
-}
-
-/* The endpoint of this name; one not heard of yet where there is none. */
-struct pool_endpoint *pool_endpoint_get(struct dl_pool *pool, struct dl_str id)
-{
-	struct pool_endpoint *e = pool_endpoint_find(pool, id);
-
-	if (e)
-		return e;
-	e = calloc(1, sizeof(*e));
-	if (!e)
-		abort();
-	if (pool->endpoints_n == pool->endpoints_room) {
-		pool->endpoints_room = pool->endpoints_room * 2 + 16;
-		pool->endpoints = realloc((void *)pool->endpoints,
-					  pool->endpoints_room * sizeof(e));
-		if (!pool->endpoints)
-			abort();
-	}
-	dl_name_set(&e->last.id, id);
-	e->slot = pool->endpoints_n;
-	pool->endpoints[pool->endpoints_n++] = e;
-	pool_index_resize(&pool->index, pool->endpoints_n);
-	pool_map_add(&pool->endpoint_by_name, &e->by_name, dl_hash(id, 0));
-	pool_shift_reset(pool, e);
-	return e;
-}
-
-/* Forget an endpoint that holds nothing. */
-void pool_endpoint_forget(struct dl_pool *pool, struct pool_endpoint *e)
-{
-	struct pool_endpoint *last = pool->endpoints[pool->endpoints_n - 1];
-
-	pool_hold_lost(pool, e);
-	pool_shift_gone(pool, e);
-	e->state = POOL_EP_GONE;
-	pool_place_refresh(pool, e, pool->now);
-	pool_heap_remove(&pool->endpoint_gone, &e->gone);
-	pool_map_remove(&pool->endpoint_by_name, &e->by_name);
-	pool_index_set(&pool->index, last->slot, NULL);
-	pool->endpoints_n--;
-	if (last != e) {
-		last->slot = e->slot;
-		pool->endpoints[last->slot] = last;
-		pool_place_refresh(pool, last, pool->now);
-	}
-	free(e);
-}
-
-static int check_report(const struct dl_pool *pool,
-			const struct dl_endpoint_report *r)
-{
-	if (r->id.n == 0 || r->id.n > DL_NAME_MAX || r->slots == 0)
-		return -EINVAL;
-	if (pool->conf.kind == DL_POOL_MODEL && r->memory_tokens == 0)
-		return -EINVAL;
-	return 0;
-}
-
-/*
- * An endpoint's heartbeat: -EINVAL where it makes no sense, -ENOSPC where the
- * pool has too many already.  A new incarnation has lost what the old one held.
- * One that was gone and is back gets its share back over some seconds.
- */
-int dl_pool_report(struct dl_pool *pool, const struct dl_endpoint_report *r,
-		   int64_t now)
-{
-	int rc = check_report(pool, r);
-	struct pool_endpoint *e;
-	enum pool_ep_state was;
-	bool first, was_open;
-
-	pool->now = now;
-	if (rc)
-		return rc;
-	e = pool_endpoint_find(pool, dl_name_str(&r->id));
-	if (!e && pool->endpoints_n >= ENDPOINTS_MAX)
-		return -ENOSPC;
-	if (!e)
-		e = pool_endpoint_get(pool, dl_name_str(&r->id));
-	was = e->state;
-	was_open = e->counted_open;
-	first = was == POOL_EP_UNKNOWN || e->last.incarnation != r->incarnation;
-	if (was != POOL_EP_UNKNOWN && first) {
-		pool_hold_lost(pool, e);
-		pool_grant_detach(pool, e);
-		pool_shift_reset(pool, e);
-		memset(e->until, 0, sizeof(e->until));
-	}
-	e->last = *r;
-	e->state = POOL_EP_LIVE;
-	pool_heap_set(&pool->endpoint_gone, &e->gone,
-		      now + pool->conf.report_gone_ms);
-	pool_place_report(pool, e, first, now);
-	if (r->leaving)
-		pool_hold_lost(pool, e);
-	if (was == POOL_EP_GONE)
-		pool_shift_back(pool, e, now);
-	pool_shift_tick(pool, e, now);
-	pool_place_refresh(pool, e, now);
-	pool_shift_overdue(pool, e, now);
-	if (was_open && !e->counted_open)
-		pool->recheck_all = true;
-	return 0;
-}
-
-static void close_endpoint(struct dl_pool *pool, struct pool_endpoint *e,
-			   int64_t now)
-{
-	pool_hold_lost(pool, e);
-	pool_shift_gone(pool, e);
-	pool_heap_remove(&pool->endpoint_gone, &e->gone);
-	e->state = POOL_EP_GONE;
-	pool_place_refresh(pool, e, now);
-	pool->recheck_all = true;
-	if (e->grants == 0 && !e->drained)
-		pool_endpoint_forget(pool, e);
-}
-
-static void expire_endpoints(struct dl_pool *pool, int64_t now)
-{
-	struct pool_heap_node *top;
-
-	while ((top = pool_heap_top(&pool->endpoint_gone)) && top->key <= now)
-		close_endpoint(pool, POOL_OF(top, struct pool_endpoint, gone),
-			       now);
-}
-
-/*
- * An endpoint is known to be unreachable.  Its grants stay until their entries
- * release them: it may only be cut off, and still work on them.
- */
-void dl_pool_endpoint_gone(struct dl_pool *pool, struct dl_str id, int64_t now)
-{
-	struct pool_endpoint *e = pool_endpoint_find(pool, id);
-
-	pool->now = now;
-	if (e && e->state == POOL_EP_LIVE)
-		close_endpoint(pool, e, now);
-}
-
-/* The operators' drain: no new work until lifted, whatever it reports. */
-void dl_pool_endpoint_drain(struct dl_pool *pool, struct dl_str id, bool drain,
-			    int64_t now)
-{
-	struct pool_endpoint *e = pool_endpoint_find(pool, id);
-
-	pool->now = now;
-	if (id.n == 0 || id.n > DL_NAME_MAX || (!e && !drain))
-		return;
-	e = pool_endpoint_get(pool, id);
-	e->drained = drain;
-	if (drain)
-		pool_hold_lost(pool, e);
-	pool_place_refresh(pool, e, now);
-	pool->recheck_all = true;
-	if (!drain && e->state != POOL_EP_LIVE && e->grants == 0)
-		pool_endpoint_forget(pool, e);
-}
-
-/*
- * An engine's cache event: that it holds the start of a prompt, or no longer.
- * These come late and with gaps; they only better an estimate.
- */
-void dl_pool_cached(struct dl_pool *pool, struct dl_str id, uint64_t prefix,
-		    uint32_t tokens, int64_t now)
-{
-	struct pool_endpoint *e = pool_endpoint_find(pool, id);
-
-	pool->now = now;
-	if (!e || prefix == 0)
-		return;
-	if (tokens)
-		pool_prefix_note(pool, prefix, tokens, e, now);
-	else
-		pool_prefix_forget(pool, prefix, e);
-}
-
-static void answer_refused(struct dl_answer *out, enum dl_reason reason,
-			   uint32_t retry_after_ms)
+/* Fill in a refusal. */
+void pool_answer_refused(struct dl_answer *out, enum dl_reason reason,
+			 uint32_t retry_after_ms)
 {
 	out->verdict = DL_REFUSED;
 	out->reason = reason;
@@ -577,7 +351,7 @@
 	memset(out, 0, sizeof(*out));
 	out->request = ask->request;
 	out->entry = ask->entry;
-	expire_endpoints(pool, now);
+	pool_endpoint_expire(pool, now);
 	pool_grant_expire(pool, now);
 	if (answer_again(pool, ask, out))
 		return;
@@ -587,13 +361,13 @@
 		if (reason == DL_REASON_NO_ENDPOINT ||
 		    reason == DL_REASON_DRAINING)
 			after = RETRY_FLAT_MS;
-		answer_refused(out, reason, after);
+		pool_answer_refused(out, reason, after);
 		return;
 	}
 	ws = pool_workspace_get(pool, ask->workspace);
 	reason = pool_limit_check(pool, ws, now, &after);
 	if (reason != DL_REASON_NONE) {
-		answer_refused(out, reason, after);
+		pool_answer_refused(out, reason, after);
 		return;
 	}
 	if (!pool->policy->queues || !pool_queue_ahead(pool, &want)) {
@@ -601,18 +375,18 @@
 			pool_queue_charge(pool, ws, &want);
 			pool_grant_make(pool, ask->request, ask->entry, ws,
 					&want, &choice, now, out);
-			credit_lower(pool, &want);
+			pool_serve_credit(pool, &want);
 			return;
 		}
 		if (!pool->policy->queues) {
-			answer_refused(out, DL_REASON_NO_ENDPOINT,
-				       RETRY_FLAT_MS);
+			pool_answer_refused(out, DL_REASON_NO_ENDPOINT,
+					    RETRY_FLAT_MS);
 			return;
 		}
 	}
 	reason = admit(pool, &want, ws, now, &after, &wait);
 	if (reason != DL_REASON_NONE) {
-		answer_refused(out, reason, after);
+		pool_answer_refused(out, reason, after);
 		return;
 	}
 	req = pool_queue_push(pool, ask, &want, ws, now);
@@ -632,214 +406,6 @@
 		pool_queue_drop(pool, req);
 }
 
-static void credit_lower(struct dl_pool *pool, const struct pool_want *want)
-{
-	for (int class = want->class + 1; class < DL_CLASS_COUNT; class ++) {
-		uint64_t *credit = &pool->class_credit[class];
-
-		*credit += want->prompt / CREDIT_SHARE + 1;
-		if (*credit > CREDIT_MAX)
-			*credit = CREDIT_MAX;
-	}
-}
-
-static bool serve_request(struct dl_pool *pool, struct pool_request *req,
-			  int64_t now, struct dl_answer *out)
-{
-	struct pool_choice choice;
-
-	if (!pool->policy->choose(pool, &req->want, now, &choice))
-		return false;
-	pool_admit_learn(pool, req, now);
-	pool_queue_take(pool, req);
-	memset(out, 0, sizeof(*out));
-	pool_grant_make(pool, req->request, req->entry, req->workspace,
-			&req->want, &choice, now, out);
-	credit_lower(pool, &req->want);
-	free(req);
-	return true;
-}
-
-static bool fits_nowhere(const struct dl_pool *pool,
-			 const struct pool_want *want)
-{
-	const struct pool_index_node *root = pool_index_root(&pool->index);
-
-	if (want->band == POOL_GIANT)
-		return true;
-	if (want->band == POOL_SHORT)
-		return false;
-	if (want->band == POOL_LONG &&
-	    pool->long_endpoints >= pool_place_long_max(pool))
-		return root->free_long < want->need;
-	return root->free < want->need;
-}
-
-/*
- * Serve a lane: the flow whose turn it is, or one of the next few where that
- * one's head fits nowhere now, so that one request which may not go where the
- * others may doesn't stop its lane.
- */
-static bool serve_lane(struct dl_pool *pool, uint8_t lane, int64_t now,
-		       struct dl_answer *out)
-{
-	struct pool_request *first = pool_queue_head(pool, lane, 0);
-
-	for (uint32_t nth = 0; nth < LOOK_AHEAD; nth++) {
-		struct pool_request *req = pool_queue_head(pool, lane, nth);
-
-		if (!req)
-			break;
-		if (serve_request(pool, req, now, out))
-			return true;
-	}
-	if (first && fits_nowhere(pool, &first->want) &&
-	    pool_hold_begin(pool, first, now))
-		return serve_request(pool, first, now, out);
-	return false;
-}
-
-static bool serve_holds(struct dl_pool *pool, int64_t now,
-			struct dl_answer *out)
-{
-	for (int i = 0; i < POOL_HOLDS; i++) {
-		struct pool_request *req = pool->hold[i].request;
-
-		if (req && serve_request(pool, req, now, out))
-			return true;
-	}
-	return false;
-}
-
-static bool serve_credit(struct dl_pool *pool, int64_t now,
-			 struct dl_answer *out)
-{
-	for (uint8_t class = DL_CLASS_COUNT - 1; class > 0; class --) {
-		uint64_t *credit = &pool->class_credit[class];
-
-		for (uint8_t band = 0; band < POOL_BANDS; band++) {
-			uint8_t lane = (uint8_t)(class * POOL_BANDS + band);
-			struct pool_request *head =
-				pool_queue_head(pool, lane, 0);
-			uint64_t cost = head ? head->want.prompt : 0;
-
-			if (!head || *credit < cost)
-				continue;
-			if (!serve_request(pool, head, now, out))
-				continue;
-			*credit -= cost;
-			return true;
-		}
-	}
-	return false;
-}
-
-/*
- * The next request to be granted: by class, within it short before long since
- * these go to different endpoints for the most part; but a lower class that
- * has credit first.
- */
-static bool serve(struct dl_pool *pool, int64_t now, struct dl_answer *out)
-{
-	if (pool->queued == 0)
-		return false;
-	if (serve_holds(pool, now, out) || serve_credit(pool, now, out))
-		return true;
-	for (uint8_t lane = 0; lane < POOL_LANES; lane++)
-		if (pool->lane[lane].n && serve_lane(pool, lane, now, out))
-			return true;
-	return false;
-}
-
-static void plan_serve(struct dl_pool *pool, int64_t now)
-{
-	pool->serve_at = INT64_MAX;
-	if (pool->queued == 0)
-		return;
-	pool->serve_at = now + SERVE_RETRY_MS;
-	if (pool->bind_at > now && pool->bind_at < pool->serve_at)
-		pool->serve_at = pool->bind_at;
-}
-
-static bool take_refused(struct dl_pool *pool, struct dl_answer *out)
-{
-	struct pool_request *req = pool_queue_refused(pool);
-
-	if (!req)
-		return false;
-	memset(out, 0, sizeof(*out));
-	out->request = req->request;
-	out->entry = req->entry;
-	answer_refused(out, req->reason, req->retry_after_ms);
-	free(req);
-	return true;
-}
-
-/*
- * Refuse what can no longer make it even if it started now, at that moment:
- * its caller gets the rest of its time.
- */
-static void refuse_late(struct dl_pool *pool, int64_t now)
-{
-	struct pool_heap_node *top;
-
-	while ((top = pool_heap_top(&pool->request_last_start)) &&
-	       top->key < now) {
-		struct pool_request *req =
-			POOL_OF(top, struct pool_request, last_start);
-		int64_t wait = pool_wait_ms(pool, &req->want, req,
-					    req->workspace, now);
-
-		pool_admit_learn(pool, req, now);
-		pool_queue_refuse(pool, req, DL_REASON_DEADLINE,
-				  pool_retry_after(pool, &req->want, wait,
-						   now));
-	}
-}
-
-/* Take the next late answer: a grant or refusal of a queued request. */
-bool dl_pool_next(struct dl_pool *pool, int64_t now, struct dl_answer *out)
-{
-	pool->now = now;
-	pool->bind_at = INT64_MAX;
-	expire_endpoints(pool, now);
-	pool_grant_expire(pool, now);
-	pool_hold_expire(pool, now);
-	refuse_late(pool, now);
-	pool_admit_recheck(pool, now);
-	if (take_refused(pool, out))
-		return true;
-	if (serve(pool, now, out))
-		return true;
-	plan_serve(pool, now);
-	return false;
-}
-
-static int64_t earlier(int64_t at, const struct pool_heap *heap)
-{
-	const struct pool_heap_node *top = pool_heap_top(heap);
-
-	return top && top->key < at ? top->key : at;
-}
-
-/* When dl_pool_next must be called at the latest; INT64_MAX for never. */
-int64_t dl_pool_wakeup(const struct dl_pool *pool)
-{
-	int64_t at = pool->serve_at, hold;
-
-	if (pool->refused)
-		return pool->now;
-	at = earlier(at, &pool->grant_lease);
-	at = earlier(at, &pool->endpoint_gone);
-	if (pool->request_last_start.n) {
-		at = earlier(at, &pool->request_last_start);
-		if (pool->recheck_at < at)
-			at = pool->recheck_at;
-	}
-	hold = pool_hold_expiry(pool);
-	return hold < at ? hold : at;
-}
-
 /* The pool in one line, for other pools, other domains and operators. */
 void dl_pool_summarize(const struct dl_pool *pool, int64_t now,
 		       struct dl_pool_summary *out)
@@ -861,25 +427,9 @@
 		out->free_tokens += pool_place_free(e);
 	}
 	for (int class = 0; class < DL_CLASS_COUNT; class ++)
-		tokens += (double)pool->lane[class * POOL_BANDS].tokens;
+		tokens += (double)pool->lane[class * (size_t)POOL_BANDS].tokens;
 	if (pool->rate > 0)
 		out->backlog_ms = (uint64_t)(tokens / pool->rate);
 	if (root->ready[0] != INT64_MAX && root->ready[0] > now)
 		out->backlog_ms += (uint64_t)(root->ready[0] - now);
 }
-
-/* Walk the endpoints by index for status; false past the last. */
-bool dl_pool_endpoint_at(const struct dl_pool *pool, uint32_t index,
-			 struct dl_endpoint_report *out, uint64_t *held_tokens,
-			 bool *put_out)
-{
-	const struct pool_endpoint *e;
-
-	if (index >= pool->endpoints_n)
-		return false;
-	e = pool->endpoints[index];
-	*out = e->last;
-	*held_tokens = e->held;
-	*put_out = e->shift == POOL_OUT;
-	return true;
-}
--- a/src/coordination/pool_check.c
+++ b/src/coordination/pool_check.c
@@ -127,8 +127,9 @@
 	uint64_t tokens = 0;
 	uint32_t n = 0, refused = 0;
 
-	for (uint8_t i = 0; i < POOL_LANES; i++) {
-		const char *broken = lane_broken(&pool->lane[i], i, pool);
+	for (unsigned i = 0; i < POOL_LANES; i++) {
+		const char *broken =
+			lane_broken(&pool->lane[i], (uint8_t)i, pool);
 
 		if (broken)
 			return broken;
--- /dev/null
+++ b/src/coordination/pool_endpoint.c
@@ -0,0 +1,222 @@
+/* The endpoints of a pool: announced, heard, closed and forgotten. */
+#include "pool_int.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Endpoints announce themselves; past this many a new one is turned away, so
+ * that made-up announcements cannot use up the memory of a VM.  The target has
+ * 600 in all pools together.
+ */
+#define ENDPOINTS_MAX 4096
+
+static int check_report(const struct dl_pool *pool,
+			const struct dl_endpoint_report *r);
+static void close_endpoint(struct dl_pool *pool, struct pool_endpoint *e,
+			   int64_t now);
+
+/* The endpoint of this name, or NULL. */
+struct pool_endpoint *pool_endpoint_find(const struct dl_pool *pool,
+					 struct dl_str id)
+{
+	struct pool_map_node *node =
+		pool_map_first(&pool->endpoint_by_name, dl_hash(id, 0));
+
+	return node ? POOL_OF(node, struct pool_endpoint, by_name) : NULL;
+}
+
+/* The endpoint of this name; one not heard of yet where there is none. */
+struct pool_endpoint *pool_endpoint_get(struct dl_pool *pool, struct dl_str id)
+{
+	struct pool_endpoint *e = pool_endpoint_find(pool, id);
+
+	if (e)
+		return e;
+	e = calloc(1, sizeof(*e));
+	if (!e)
+		abort();
+	if (pool->endpoints_n == pool->endpoints_room) {
+		pool->endpoints_room = pool->endpoints_room * 2 + 16;
+		pool->endpoints = realloc(
+			(void *)pool->endpoints,
+			pool->endpoints_room * sizeof(struct pool_endpoint *));
+		if (!pool->endpoints)
+			abort();
+	}
+	dl_name_set(&e->last.id, id);
+	e->slot = pool->endpoints_n;
+	pool->endpoints[pool->endpoints_n++] = e;
+	pool_index_resize(&pool->index, pool->endpoints_n);
+	pool_map_add(&pool->endpoint_by_name, &e->by_name, dl_hash(id, 0));
+	pool_shift_reset(pool, e);
+	return e;
+}
+
+/* Forget an endpoint that holds nothing. */
+void pool_endpoint_forget(struct dl_pool *pool, struct pool_endpoint *e)
+{
+	struct pool_endpoint *last = pool->endpoints[pool->endpoints_n - 1];
+
+	pool_hold_lost(pool, e);
+	pool_shift_gone(pool, e);
+	e->state = POOL_EP_GONE;
+	pool_place_refresh(pool, e, pool->now);
+	pool_heap_remove(&pool->endpoint_gone, &e->gone);
+	pool_map_remove(&pool->endpoint_by_name, &e->by_name);
+	pool_index_set(&pool->index, last->slot, NULL);
+	pool->endpoints_n--;
+	if (last != e) {
+		last->slot = e->slot;
+		pool->endpoints[last->slot] = last;
+		pool_place_refresh(pool, last, pool->now);
+	}
+	free(e);
+}
+
+static int check_report(const struct dl_pool *pool,
+			const struct dl_endpoint_report *r)
+{
+	if (r->id.n == 0 || r->id.n > DL_NAME_MAX || r->slots == 0)
+		return -EINVAL;
+	if (pool->conf.kind == DL_POOL_MODEL && r->memory_tokens == 0)
+		return -EINVAL;
+	return 0;
+}
+
+/*
+ * An endpoint's heartbeat: -EINVAL where it makes no sense, -ENOSPC where the
+ * pool has too many already.  A new incarnation has lost what the old one held.
+ * One that was gone and is back gets its share back over some seconds.
+ */
+int dl_pool_report(struct dl_pool *pool, const struct dl_endpoint_report *r,
+		   int64_t now)
+{
+	int rc = check_report(pool, r);
+	struct pool_endpoint *e;
+	enum pool_ep_state was;
+	bool first, was_open;
+
+	pool->now = now;
+	if (rc)
+		return rc;
+	e = pool_endpoint_find(pool, dl_name_str(&r->id));
+	if (!e && pool->endpoints_n >= ENDPOINTS_MAX)
+		return -ENOSPC;
+	if (!e)
+		e = pool_endpoint_get(pool, dl_name_str(&r->id));
+	was = e->state;
+	was_open = e->counted_open;
+	first = was == POOL_EP_UNKNOWN || e->last.incarnation != r->incarnation;
+	if (was != POOL_EP_UNKNOWN && first) {
+		pool_hold_lost(pool, e);
+		pool_grant_detach(pool, e);
+		pool_shift_reset(pool, e);
+		memset(e->until, 0, sizeof(e->until));
+	}
+	e->last = *r;
+	e->state = POOL_EP_LIVE;
+	pool_heap_set(&pool->endpoint_gone, &e->gone,
+		      now + pool->conf.report_gone_ms);
+	pool_place_report(pool, e, first, now);
+	if (r->leaving)
+		pool_hold_lost(pool, e);
+	if (was == POOL_EP_GONE)
+		pool_shift_back(pool, e, now);
+	pool_shift_tick(pool, e, now);
+	pool_place_refresh(pool, e, now);
+	pool_shift_overdue(pool, e, now);
+	if (was_open && !e->counted_open)
+		pool->recheck_all = true;
+	return 0;
+}
+
+static void close_endpoint(struct dl_pool *pool, struct pool_endpoint *e,
+			   int64_t now)
+{
+	pool_hold_lost(pool, e);
+	pool_shift_gone(pool, e);
+	pool_heap_remove(&pool->endpoint_gone, &e->gone);
+	e->state = POOL_EP_GONE;
+	pool_place_refresh(pool, e, now);
+	pool->recheck_all = true;
+	if (e->grants == 0 && !e->drained)
+		pool_endpoint_forget(pool, e);
+}
+
+/* Close the endpoints that have not been heard for too long. */
+void pool_endpoint_expire(struct dl_pool *pool, int64_t now)
+{
+	struct pool_heap_node *top;
+
+	while ((top = pool_heap_top(&pool->endpoint_gone)) && top->key <= now)
+		close_endpoint(pool, POOL_OF(top, struct pool_endpoint, gone),
+			       now);
+}
+
+/*
+ * An endpoint is known to be unreachable.  Its grants stay until their entries
+ * release them: it may only be cut off, and still work on them.
+ */
+void dl_pool_endpoint_gone(struct dl_pool *pool, struct dl_str id, int64_t now)
+{
+	struct pool_endpoint *e = pool_endpoint_find(pool, id);
+
+	pool->now = now;
+	if (e && e->state == POOL_EP_LIVE)
+		close_endpoint(pool, e, now);
+}
+
+/* The operators' drain: no new work until lifted, whatever it reports. */
+void dl_pool_endpoint_drain(struct dl_pool *pool, struct dl_str id, bool drain,
+			    int64_t now)
+{
+	struct pool_endpoint *e = pool_endpoint_find(pool, id);
+
+	pool->now = now;
+	if (id.n == 0 || id.n > DL_NAME_MAX || (!e && !drain))
+		return;
+	e = pool_endpoint_get(pool, id);
+	e->drained = drain;
+	if (drain)
+		pool_hold_lost(pool, e);
+	pool_place_refresh(pool, e, now);
+	pool->recheck_all = true;
+	if (!drain && e->state != POOL_EP_LIVE && e->grants == 0)
+		pool_endpoint_forget(pool, e);
+}
+
+/*
+ * An engine's cache event: that it holds the start of a prompt, or no longer.
+ * These come late and with gaps; they only better an estimate.
+ */
+void dl_pool_cached(struct dl_pool *pool, struct dl_str id, uint64_t prefix,
+		    uint32_t tokens, int64_t now)
+{
+	struct pool_endpoint *e = pool_endpoint_find(pool, id);
+
+	pool->now = now;
+	if (!e || prefix == 0)
+		return;
+	if (tokens)
+		pool_prefix_note(pool, prefix, tokens, e, now);
+	else
+		pool_prefix_forget(pool, prefix, e);
+}
+
+/* Walk the endpoints by index for status; false past the last. */
+bool dl_pool_endpoint_at(const struct dl_pool *pool, uint32_t index,
+			 struct dl_endpoint_report *out, uint64_t *held_tokens,
+			 bool *put_out)
+{
+	const struct pool_endpoint *e;
+
+	if (index >= pool->endpoints_n)
+		return false;
+	e = pool->endpoints[index];
+	*out = e->last;
+	*held_tokens = e->held;
+	*put_out = e->shift == POOL_OUT;
+	return true;
+}
--- a/src/coordination/pool_group.c
+++ b/src/coordination/pool_group.c
@@ -92,7 +92,7 @@
 
 static uint64_t share_of(const struct pool_want *want, uint32_t n)
 {
-	return (want->need + n - 1) / n;
+	return n ? (want->need + n - 1) / n : want->need;
 }
 
 /*
@@ -244,8 +244,11 @@
 			struct pool_endpoint **members, uint32_t n, int64_t now,
 			struct pool_choice *out)
 {
-	uint64_t tokens = (want->prompt + n - 1) / n;
+	uint64_t tokens;
 
+	if (n == 0)
+		return;
+	tokens = (want->prompt + n - 1) / n;
 	if (n > 1)
 		tokens += tokens * GROUP_OVERHEAD_PERCENT / PERCENT;
 	*out = (struct pool_choice){ .n = (uint8_t)n,
--- a/src/coordination/pool_heap.c
+++ b/src/coordination/pool_heap.c
@@ -60,8 +60,9 @@
 		if (heap->n + 1 >= heap->room) {
 			heap->room = heap->room ? heap->room * 2 :
 						  HEAP_FIRST_ROOM;
-			heap->at = realloc((void *)heap->at,
-					   heap->room * sizeof(node));
+			heap->at = realloc(
+				(void *)heap->at,
+				heap->room * sizeof(struct pool_heap_node *));
 			if (!heap->at)
 				abort();
 		}
--- a/src/coordination/pool_index.c
+++ b/src/coordination/pool_index.c
@@ -52,8 +52,8 @@
 
 static void combine(struct pool_index *index, uint32_t at)
 {
-	const struct pool_index_node *a = &index->at[2 * at];
-	const struct pool_index_node *b = &index->at[2 * at + 1];
+	const struct pool_index_node *a = &index->at[2 * (size_t)at];
+	const struct pool_index_node *b = &index->at[2 * (size_t)at + 1];
 	struct pool_index_node *up = &index->at[at];
 
 	for (int i = 0; i < POOL_LEVELS; i++)
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -77,8 +77,8 @@
 	POOL_MEDIUM,
 	POOL_LONG,
 	POOL_GIANT, /* longer than any one engine's memory */
-	POOL_BANDS,
 };
+#define POOL_BANDS 4
 
 /* Priorities that an engine tells apart; giants run as long ones. */
 #define POOL_LEVELS 3
@@ -403,13 +403,20 @@
 uint64_t pool_mix(uint64_t x);
 uint64_t pool_random(struct dl_pool *pool);
 uint8_t pool_level(const struct pool_want *want);
+/* pool_endpoint.c */
+void pool_endpoint_expire(struct dl_pool *pool, int64_t now);
 struct pool_endpoint *pool_endpoint_find(const struct dl_pool *pool,
 					 struct dl_str id);
 struct pool_endpoint *pool_endpoint_get(struct dl_pool *pool, struct dl_str id);
 void pool_endpoint_forget(struct dl_pool *pool, struct pool_endpoint *e);
+void pool_answer_refused(struct dl_answer *out, enum dl_reason reason,
+			 uint32_t retry_after_ms);
 double pool_rate_read(const struct pool_rate *rate, int64_t now);
 void pool_rate_add(struct pool_rate *rate, double amount, int64_t now);
 
+/* pool_serve.c */
+void pool_serve_credit(struct dl_pool *pool, const struct pool_want *want);
+
 /* pool_limit.c */
 struct pool_workspace *pool_workspace_get(struct dl_pool *pool,
 					  struct dl_str name);
--- a/test/fake/load.c
+++ b/test/fake/load.c
@@ -10,6 +10,7 @@
 #define TRAVEL_MS 1 /* of a grant and its prompt */
 #define PERMILLE  1000
 
+static uint32_t pool_of(const struct load *load, uint32_t i);
 static void make_pool(struct load *load, uint32_t i, uint64_t seed);
 static void checked(struct load *load, uint32_t pool);
 static void ask_of(const struct load *load, uint32_t i, struct dl_ask *out,
@@ -24,6 +25,11 @@
 static void drain(struct load *load, uint32_t pool);
 static int compare(const void *a, const void *b);
 
+static uint32_t pool_of(const struct load *load, uint32_t i)
+{
+	return load->pools > 1 ? i % load->pools : 0;
+}
+
 static void make_pool(struct load *load, uint32_t i, uint64_t seed)
 {
 	load->pool[i] = dl_pool_new(&load->conf, load->policy, seed);
@@ -171,10 +177,10 @@
 		sim_engine_cancel(&load->engine[r->engine[k]], i, load->now);
 	r->outcome = outcome;
 	r->ended = load->now;
-	dl_pool_release(load->pool[i % load->pools], r->grant, &usage,
+	dl_pool_release(load->pool[pool_of(load, i)], r->grant, &usage,
 			load->now);
-	checked(load, i % load->pools);
-	drain(load, i % load->pools);
+	checked(load, pool_of(load, i));
+	drain(load, pool_of(load, i));
 }
 
 static void on_event(struct load *load, uint32_t engine,
@@ -235,7 +241,7 @@
 		else if (load->now >= r->deadline)
 			release(load, i, LOAD_LATE);
 		else if ((load->now - r->granted) % RENEW_MS == 0)
-			dl_pool_renew(load->pool[i % load->pools], r->grant,
+			dl_pool_renew(load->pool[pool_of(load, i)], r->grant,
 				      load->now);
 	}
 }
@@ -265,11 +271,11 @@
 			uint32_t i = load->asked++;
 
 			ask_of(load, i, &ask, name);
-			dl_pool_ask(load->pool[i % load->pools], &ask,
+			dl_pool_ask(load->pool[pool_of(load, i)], &ask,
 				    load->now, &answer);
-			checked(load, i % load->pools);
+			checked(load, pool_of(load, i));
 			on_answer(load, &answer);
-			drain(load, i % load->pools);
+			drain(load, pool_of(load, i));
 		}
 		for (uint32_t k = 0; k < load->pools; k++)
 			if (dl_pool_wakeup(load->pool[k]) <= load->now)
@@ -293,9 +299,9 @@
 		if (r->outcome != LOAD_RUNNING)
 			continue;
 		ask_of(load, i, &ask, name);
-		dl_pool_adopt(load->pool[i % load->pools], &r->answer, &ask,
+		dl_pool_adopt(load->pool[pool_of(load, i)], &r->answer, &ask,
 			      load->now);
-		checked(load, i % load->pools);
+		checked(load, pool_of(load, i));
 	}
 	for (uint32_t e = 0; e < load->cut; e++) {
 		struct dl_endpoint_report report;
@@ -312,10 +318,10 @@
 		if (load->request[i].outcome != LOAD_QUEUED)
 			continue;
 		ask_of(load, i, &ask, name);
-		dl_pool_ask(load->pool[i % load->pools], &ask, load->now,
+		dl_pool_ask(load->pool[pool_of(load, i)], &ask, load->now,
 			    &answer);
 		on_answer(load, &answer);
-		drain(load, i % load->pools);
+		drain(load, pool_of(load, i));
 	}
 }
 
