--- a/src/coordination/pool_group.c
+++ b/src/coordination/pool_group.c
@@ -42,7 +42,7 @@
 		     const struct pool_endpoint *e, uint32_t n);
 static bool fits_now(struct dl_pool *pool, const struct pool_want *part,
 		     const struct pool_endpoint *e, int64_t now);
-static uint64_t share_of(const struct pool_want *want, uint32_t n);
+static uint64_t part_of(uint64_t tokens, uint32_t n);
 static bool better(const struct member *a, const struct member *b,
 		   enum order order);
 static void keep_best(struct member *best, uint32_t *n, uint32_t max,
@@ -90,9 +90,9 @@
 	       pool_place_ready(e, pool_level(part), now);
 }
 
-static uint64_t share_of(const struct pool_want *want, uint32_t n)
+static uint64_t part_of(uint64_t tokens, uint32_t n)
 {
-	return n ? (want->need + n - 1) / n : want->need;
+	return n ? (tokens + n - 1) / n : tokens;
 }
 
 /*
@@ -107,7 +107,7 @@
 	for (uint32_t n = 1; n <= max; n++) {
 		uint32_t able = 0;
 
-		*share = share_of(want, n);
+		*share = part_of(want->need, n);
 		for (uint32_t i = 0; i < pool->endpoints_n; i++) {
 			const struct pool_endpoint *e = pool->endpoints[i];
 
@@ -179,8 +179,8 @@
 	struct pool_want part = *want;
 	uint32_t found = 0;
 
-	part.need = share_of(want, n);
-	part.prompt = (want->prompt + n - 1) / n;
+	part.need = part_of(want->need, n);
+	part.prompt = part_of(want->prompt, n);
 	for (uint32_t i = 0; i < pool->endpoints_n; i++) {
 		struct pool_endpoint *e = pool->endpoints[i];
 		struct member m = { .endpoint = e, .is_long = e->counted_long };
@@ -244,15 +244,12 @@
 			struct pool_endpoint **members, uint32_t n, int64_t now,
 			struct pool_choice *out)
 {
-	uint64_t tokens;
+	uint64_t tokens = part_of(want->prompt, n);
 
-	if (n == 0)
-		return;
-	tokens = (want->prompt + n - 1) / n;
 	if (n > 1)
 		tokens += tokens * GROUP_OVERHEAD_PERCENT / PERCENT;
 	*out = (struct pool_choice){ .n = (uint8_t)n,
-				     .share = share_of(want, n) };
+				     .share = part_of(want->need, n) };
 	order_by_name(members, n);
 	for (uint32_t i = 0; i < n; i++) {
 		struct pool_choice part = { 0 };
@@ -314,7 +311,7 @@
 	struct pool_want part = *want;
 
 	part.need = hold->share;
-	part.prompt = (want->prompt + hold->n - 1) / hold->n;
+	part.prompt = part_of(want->prompt, hold->n);
 	for (uint32_t i = 0; i < hold->n; i++) {
 		struct pool_endpoint *e = hold->endpoint[i];
 		bool fits;
--- a/test/fake/load.c
+++ b/test/fake/load.c
@@ -128,8 +128,7 @@
 			.memory = r->answer.share_tokens[k],
 		};
 
-		sim_engine_submit(&load->engine[r->engine[k]], &job,
-				   load->now);
+		sim_engine_submit(&load->engine[r->engine[k]], &job, load->now);
 	}
 }
 
@@ -213,8 +212,7 @@
 
 		while (sim_engine_next(e, load->now, &ev))
 			on_event(load, i, &ev);
-		if (!sim_engine_report(e, load->now, &report) ||
-		    i >= load->cut)
+		if (!sim_engine_report(e, load->now, &report) || i >= load->cut)
 			continue;
 		for (uint32_t k = 0; k < load->pools; k++) {
 			dl_pool_report(load->pool[k], &report, load->now);
@@ -307,10 +305,10 @@
 		struct dl_endpoint_report report;
 
 		for (uint32_t k = 0; k < load->pools; k++)
-			if (sim_engine_report(
-				    &load->engine[e],
-				    load->now - load->now % SIM_REPORT_MS,
-				    &report))
+			if (sim_engine_report(&load->engine[e],
+					      load->now -
+						      load->now % SIM_REPORT_MS,
+					      &report))
 				dl_pool_report(load->pool[k], &report,
 					       load->now);
 	}
--- a/test/fake/sim_engine.c
+++ b/test/fake/sim_engine.c
@@ -17,7 +17,7 @@
 
 /* Begin an idle engine. */
 void sim_engine_init(struct sim_engine *e, const char *name,
-		      const struct sim_engine_conf *conf)
+		     const struct sim_engine_conf *conf)
 {
 	memset(e, 0, sizeof(*e));
 	e->conf = *conf;
@@ -102,7 +102,7 @@
 }
 
 void sim_engine_submit(struct sim_engine *e, const struct sim_job *job,
-			int64_t now)
+		       int64_t now)
 {
 	uint32_t i = 0;
 
@@ -137,8 +137,7 @@
 	}
 }
 
-bool sim_engine_next(struct sim_engine *e, int64_t now,
-		      struct sim_event *out)
+bool sim_engine_next(struct sim_engine *e, int64_t now, struct sim_event *out)
 {
 	if (e->dead || e->frozen)
 		return false;
@@ -196,7 +195,7 @@
 }
 
 bool sim_engine_report(struct sim_engine *e, int64_t now,
-			struct dl_endpoint_report *out)
+		       struct dl_endpoint_report *out)
 {
 	uint32_t back = e->conf.lag_ms / SIM_REPORT_MS;
 
--- a/test/fake/sim_engine.h
+++ b/test/fake/sim_engine.h
@@ -73,18 +73,17 @@
 };
 
 void sim_engine_init(struct sim_engine *e, const char *name,
-		      const struct sim_engine_conf *conf);
+		     const struct sim_engine_conf *conf);
 void sim_engine_fini(struct sim_engine *e);
 /* Lose everything and come back as a new incarnation. */
 void sim_engine_restart(struct sim_engine *e, int64_t now);
 void sim_engine_submit(struct sim_engine *e, const struct sim_job *job,
-			int64_t now);
+		       int64_t now);
 void sim_engine_cancel(struct sim_engine *e, uint64_t id, int64_t now);
 /* Take what happened up to now, one event a call. */
-bool sim_engine_next(struct sim_engine *e, int64_t now,
-		      struct sim_event *out);
+bool sim_engine_next(struct sim_engine *e, int64_t now, struct sim_event *out);
 /* The report that arrives now; false where none is due. */
 bool sim_engine_report(struct sim_engine *e, int64_t now,
-			struct dl_endpoint_report *out);
+		       struct dl_endpoint_report *out);
 
 #endif
