--- a/test/fake/http.h
+++ b/test/fake/http.h
@@ -50,6 +50,9 @@
 /* Break the connection off; no gone() follows. */
 void fake_reply_abort(struct fake_request *req);
 
+/* Writing to a peer that has left is an error, no signal; call it first. */
+void fake_ignore_sigpipe(void);
+
 /* The client: a connection of its own for each call. */
 struct fake_call;
 
--- a/test/fake/http_client.c
+++ b/test/fake/http_client.c
@@ -2,6 +2,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -52,6 +53,11 @@
 static void finish(struct fake_call *call, enum fake_end end);
 static void take_body(struct fake_call *call, const char *s, size_t n);
 
+void fake_ignore_sigpipe(void)
+{
+	signal(SIGPIPE, SIG_IGN);
+}
+
 struct dl_str fake_head_find(struct dl_str head, const char *name)
 {
 	size_t len = strlen(name);
--- a/test/tool_http.c
+++ b/test/tool_http.c
@@ -108,6 +108,7 @@
 				     .connect_ms = CONNECT_MS };
 	GError *err = NULL;
 
+	fake_ignore_sigpipe();
 	g_option_context_add_main_entries(ctx, options, NULL);
 	if (!g_option_context_parse(ctx, &argc, &argv, &err) || argc != 3 ||
 	    !dl_vm_parse(dl_str_of(argv[1]), &req.to)) {
--- a/test/tool_relay.c
+++ b/test/tool_relay.c
@@ -294,6 +294,7 @@
 	GError *err = NULL;
 	int rc;
 
+	fake_ignore_sigpipe();
 	g_option_context_add_main_entries(ctx, options, NULL);
 	if (!g_option_context_parse(ctx, &argc, &argv, &err) || !opt.listen ||
 	    !opt.to || !opt.control ||
