--- /dev/null
+++ b/test/test_system_random.sh
@@ -0,0 +1,109 @@
+#!/bin/sh
+# A seeded run of faults over the real binary: runners and VMs killed, frozen,
+# drained and struck by faults, alone and together, under load of all classes.
+#
+#   DL_RANDOM_SEED, DL_RANDOM_SECONDS   for long runs by hand
+#   DL_FIGURES=1                        print figures for the benchmark
+cd "$(dirname "$0")/.." || exit 2
+. test/deploy.sh
+SEED=${DL_RANDOM_SEED:-1}
+DURATION=${DL_RANDOM_SECONDS:-8}
+VMS_EACH=2
+DL_RUNNERS=9
+test_begin dala
+shorten_gaps 800
+deploy_start || fail "the deployment does not start"
+
+# The VMs that may be taken away; callers of the others must notice nothing.
+VICTIMS="2_1 1_2 3_2"
+
+# One line a fault: after so many seconds, what, and whom.
+plan() {
+	awk -v seed="$SEED" -v total="$DURATION" -v runners="$RUNNERS" \
+		-v victims="$VICTIMS" 'BEGIN {
+		srand(seed)
+		n = split("kill freeze drain die-first die-midstream " \
+			"silent-head silent-midstream not-run garble error " \
+			"vm-kill vm-freeze replica-kill", what, " ")
+		v = split(victims, vm, " ")
+		left = total - 1.5
+		while (left > 0) {
+			pause = 0.2 + rand() * 0.8
+			left -= pause
+			w = what[1 + int(rand() * n)]
+			whom = w ~ /^vm-/ ? vm[1 + int(rand() * v)] : \
+				1 + int(rand() * (w == "replica-kill" ? 3 : \
+				runners))
+			printf "%.2f %s %s\n", pause, w, whom
+		}
+	}'
+}
+
+strike() { # WHAT WHOM
+	case $1 in
+	kill)
+		kill -KILL "$(pid_of endpoint_$2)" 2>/dev/null
+		start_runner "$2"
+		;;
+	freeze)
+		kill -STOP "$(pid_of endpoint_$2)" 2>/dev/null
+		( sleep 1.2; kill -CONT "$(pid_of endpoint_$2)" ) 2>/dev/null &
+		remember thaw $!
+		;;
+	drain)
+		kill -TERM "$(pid_of endpoint_$2)" 2>/dev/null
+		;;
+	vm-kill)
+		vm_away "${2%_*}" "${2#*_}"
+		kill -KILL "$(pid_of entry_$2)" 2>/dev/null
+		sleep 0.3
+		start_entry "${2%_*}" "${2#*_}"
+		vm_back "${2%_*}" "${2#*_}"
+		;;
+	vm-freeze)
+		vm_away "${2%_*}" "${2#*_}"
+		kill -STOP "$(pid_of entry_$2)" 2>/dev/null
+		(
+			sleep 1.5
+			kill -CONT "$(pid_of entry_$2)" 2>/dev/null
+			vm_back "${2%_*}" "${2#*_}"
+		) &
+		remember thaw $!
+		;;
+	replica-kill)
+		kill -KILL "$(pid_of replica_${2}_1)" 2>/dev/null
+		sleep 0.3
+		start_replica "$2"
+		;;
+	*)
+		$DL_HTTP -t 300 -X POST -d "{\"fault\":\"$1\",\"times\":2}" \
+			"$(endpoint_address "$2")" /fake/fault >/dev/null
+		;;
+	esac
+}
+
+plan >"$DIR/plan"
+while read -r pause what whom; do
+	sleep "$pause"
+	echo "$what $whom" >>"$DIR/struck"
+	strike "$what" "$whom"
+done <"$DIR/plan" &
+remember striker $!
+run_load --seed "$SEED" --seconds "$DURATION" \
+	>"$DIR/table" 2>"$DIR/faults"
+status=$?
+injected=$(wc -l <"$DIR/struck")
+violations=$(awk -F'[(, ]+' '/judged/ { for (i = 2; i <= NF; i++)
+	if ($i ~ /^broken/ && $(i - 1) ~ /^[0-9]+$/) sum += $(i - 1) }
+	END { print sum + 0 }' "$DIR/table")
+if [ -n "${DL_FIGURES:-}" ]; then
+	printf 'faults_injected\t%d\tfaults\n' "$injected"
+	printf 'call_violations\t%d\tcalls\n' "$violations"
+	exit 0
+fi
+cat "$DIR/table"
+echo "seed $SEED: $injected faults, $violations violations"
+[ $status -eq 0 ] || {
+	cat "$DIR/struck" "$DIR/faults" >&2
+	fail "seed $SEED breaks a promise"
+}
--- /dev/null
+++ b/test/test_system_stop.sh
@@ -0,0 +1,31 @@
+#!/bin/sh
+# Planned stops: a VM with 200 streams in flight gets SIGTERM and cuts none;
+# a runner says that it leaves and gets nothing new after 2 s on any VM.
+cd "$(dirname "$0")/.." || exit 2
+. test/deploy.sh
+VMS_EACH=1
+DL_RUNNERS=6
+test_begin dala
+deploy_start || fail "the deployment does not start"
+
+# 220 streams of 2.5 s each begin within a second, all through one VM.
+test/tool_load --entries "$(vm_address 1 1):$HTTP_PORT" \
+	--classes test/data/load-streams.json --seconds 1 --seed 7 \
+	--out "$DIR/streams" --quiet --done-min 1000 2>"$DIR/streams.faults" &
+remember streams $!
+sleep 1.3
+kill -TERM "$(pid_of entry_1_1)"
+kill -TERM "$(pid_of endpoint_1)"
+ENTRIES=$(vm_address 2 1):$HTTP_PORT,$(vm_address 3 1):$HTTP_PORT
+run_load --seconds 4 --done-min 800 || fail "a check of the load is broken"
+wait "$(pid_of streams)"
+status=$?
+cut=$(grep -c ' nothing ' "$DIR/streams")
+echo "streams: $(wc -l <"$DIR/streams"), cut: $cut"
+[ "$cut" -eq 0 ] || fail "$cut streams were cut"
+[ $status -eq 0 ] || {
+	head "$DIR/streams.faults" >&2
+	fail "not every stream was done"
+}
+expect_exit 20 entry_1_1 0 || fail "the VM does not stop"
+expect_exit 10 endpoint_1 0 || fail "the runner does not stop"
