Orders to endpoints: planned by the leader alone, under its lease

Cause: models, versions and roles are wished in the operators' text, and nobody gave the orders. Change: a pure planner. A leader orders only while its lease lasts, with its term as fencing number, and asks again right before the bytes are written, as it may have been paused. For endpoints that ignore the number a new leader waits out lease, sender's time and network's time, with the clocks' drift. One order at a time for an endpoint; loads under one bucket for the fleet that is empty at a new term; no more endpoints of a service at once than the share of its pool that may be put out; ends are seen in announcements. Ruled out: a sequence number beside the term, as endpoints that ignore the term would ignore it as well. Conclusion: never two order-givers at a time as seen by an endpoint that ignores fencing, within the stated bounds of network and clocks.

--- /dev/null
+++ b/src/state/orders.c
@@ -0,0 +1,516 @@
+/* When orders may be given, one after the other, and what came of them. */
+#include "daisyledge/orders.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "state/orders_int.h"
+
+#define PERMILLE  1000
+#define MS_PER_S  1000
+#define STORE_MIN 1
+
+static void target_free(gpointer target);
+static void refill(struct dl_orders *orders, int64_t now);
+static int64_t load_cost(const struct dl_orders *orders);
+static bool is_load(const struct dl_orders *orders, const struct target *t);
+static bool has_lease(const struct dl_orders *orders, int64_t now);
+static int64_t ready_at(const struct dl_orders *orders, const struct target *t);
+static bool has_room(const struct dl_orders *orders, const struct target *t);
+static bool may_order(const struct dl_orders *orders, const struct target *t,
+		      int64_t now);
+static void settle(struct dl_orders *orders, struct target *t);
+static void forget(struct dl_orders *orders, struct target *t);
+static void rest(struct dl_orders *orders, struct target *t, int64_t until);
+static void expire(struct dl_orders *orders, struct target *t, int64_t now);
+static void emit(struct dl_orders *orders, struct target *t, int64_t now,
+		 struct dl_order *out);
+static struct target *find_order(const struct dl_orders *orders, uint64_t id);
+static bool is_under_way(const struct target *t);
+
+/*
+ * What holds where nothing else is known: leases of the replicated log under
+ * two seconds, orders answered or given up within five, an engine's load
+ * within ten minutes, a seven-billion-parameter model of sixteen bits.
+ */
+void dl_orders_defaults(struct dl_orders_conf *conf)
+{
+	*conf = (struct dl_orders_conf){
+		.lease_ms = 2000,
+		.under_way_ms = 5000,
+		.network_ms = 2000,
+		.drift_permille = 10,
+		.settle_ms = 600000,
+		.retry_ms = 2000,
+		.load_mb = 16000,
+	};
+}
+
+static void target_free(gpointer target)
+{
+	g_free(target);
+}
+
+/* A planner without endpoints, configuration or leadership. */
+struct dl_orders *dl_orders_new(const struct dl_orders_conf *conf)
+{
+	struct dl_orders *orders = calloc(1, sizeof(*orders));
+
+	if (!orders)
+		return NULL;
+	orders->conf = *conf;
+	orders->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	orders->targets = g_ptr_array_new_with_free_func(target_free);
+	orders->drained =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	orders->store_mb_per_s = STORE_MIN;
+	return orders;
+}
+
+/* Release a planner; NULL is nothing to do. */
+void dl_orders_free(struct dl_orders *orders)
+{
+	if (!orders)
+		return;
+	g_hash_table_destroy(orders->by_id);
+	g_hash_table_destroy(orders->drained);
+	g_ptr_array_free(orders->targets, TRUE);
+	g_free(orders->wishes);
+	g_free(orders->services);
+	free(orders);
+}
+
+/* What one load takes, in thousandths of a MB. */
+static int64_t load_cost(const struct dl_orders *orders)
+{
+	return (int64_t)orders->conf.load_mb * MS_PER_S;
+}
+
+/*
+ * Fill the bucket of the weight store.  It holds one load, so that loads are
+ * spread over time and never begin together after a pause.
+ */
+static void refill(struct dl_orders *orders, int64_t now)
+{
+	int64_t passed = now - orders->store_at;
+
+	if (passed <= 0)
+		return;
+	orders->store_mb_ms += passed * orders->store_mb_per_s;
+	orders->store_mb_ms = MIN(orders->store_mb_ms, load_cost(orders));
+	orders->store_at = now;
+}
+
+/*
+ * Take up or keep leadership.  A new term begins with an empty bucket, as the
+ * earlier leader may have emptied it, and with nothing known of orders under
+ * way.  For endpoints that ignore fencing it holds back: an earlier leader's
+ * lease ends at most lease_ms from now, its last order is given up by its
+ * sender under_way_ms later, and what was sent arrives within network_ms; all
+ * of this on a clock that may run slower than ours by the drift.
+ */
+int dl_orders_lead(struct dl_orders *orders, uint64_t term, int64_t lease_until,
+		   int64_t now)
+{
+	const struct dl_orders_conf *c = &orders->conf;
+	int64_t wait = (int64_t)c->lease_ms + c->under_way_ms + c->network_ms;
+
+	if (term < orders->term_seen || term == 0)
+		return -ESTALE;
+	if (term == orders->term) {
+		orders->lease_until = MAX(orders->lease_until, lease_until);
+		return 0;
+	}
+	orders->term = term;
+	orders->term_seen = term;
+	orders->fenced = false;
+	orders->lease_until = lease_until;
+	orders->hold_until = now + wait + wait * c->drift_permille / PERMILLE;
+	orders->store_mb_ms = 0;
+	orders->store_at = now;
+	orders->replan = true;
+	return 0;
+}
+
+/* Give no more orders; what is under way is the next leader's to wait for. */
+void dl_orders_lost(struct dl_orders *orders)
+{
+	orders->term = 0;
+}
+
+/* Take the orders, drains and limits of a configuration. */
+void dl_orders_configure(struct dl_orders *orders, const struct dl_conf *conf,
+			 int64_t now)
+{
+	uint32_t wishes = MIN(conf->orders_count, CONF_ORDERS_MAX);
+
+	refill(orders, now);
+	orders->store_mb_per_s = MAX(conf->weight_store_mb_per_s, STORE_MIN);
+	g_free(orders->wishes);
+	orders->wishes =
+		g_memdup2(conf->orders, wishes * sizeof(*orders->wishes));
+	orders->wishes_count = wishes;
+	g_free(orders->services);
+	orders->services = g_new0(struct order_service, conf->services_count);
+	orders->services_count = conf->services_count;
+	for (uint32_t i = 0; i < conf->services_count; i++) {
+		const struct dl_service_conf *s = &conf->services[i];
+
+		orders->services[i].name = s->name;
+		orders->services[i].ignores_fencing = s->ignores_fencing;
+		orders->services[i].out_share_permille =
+			s->pool.out_share_permille;
+	}
+	g_hash_table_remove_all(orders->drained);
+	for (uint32_t i = 0; i < conf->drain_endpoints_count; i++)
+		g_hash_table_add(orders->drained,
+				 g_strdup(conf->drain_endpoints[i].s));
+	for (guint i = 0; i < orders->targets->len; i++) {
+		struct target *t = g_ptr_array_index(orders->targets, i);
+		struct order_service *s =
+			orders_service(orders, &t->says.service);
+
+		if (s)
+			s->under_way += is_under_way(t);
+	}
+	orders_plan(orders);
+}
+
+/* Whether an endpoint holds one of the places that its service has. */
+static bool is_under_way(const struct target *t)
+{
+	return t->state != TARGET_IDLE;
+}
+
+/* An order is over: its service has room for another. */
+static void rest(struct dl_orders *orders, struct target *t, int64_t until)
+{
+	struct order_service *s = orders_service(orders, &t->says.service);
+
+	if (is_under_way(t) && s)
+		s->under_way--;
+	t->state = TARGET_IDLE;
+	t->not_before = MAX(t->not_before, until);
+}
+
+/* An endpoint that announces what it has accepted is done. */
+static void settle(struct dl_orders *orders, struct target *t)
+{
+	if (t->state == TARGET_ACCEPTED && orders_is_done(orders, t))
+		rest(orders, t, t->not_before);
+}
+
+/*
+ * An endpoint announces itself.  A new incarnation has forgotten what it
+ * accepted; an order to the old one may still arrive, so its time is waited
+ * out all the same.
+ */
+void dl_orders_endpoint(struct dl_orders *orders,
+			const struct dl_order_endpoint *endpoint, int64_t now)
+{
+	struct target *t = g_hash_table_lookup(orders->by_id, endpoint->id.s);
+
+	if (!t) {
+		t = g_new0(struct target, 1);
+		t->says = *endpoint;
+		t->wish = WISH_NONE;
+		t->not_before = now;
+		g_ptr_array_add(orders->targets, t);
+		g_hash_table_insert(orders->by_id, t->says.id.s, t);
+		orders->replan = true;
+		return;
+	}
+	if (t->says.incarnation != endpoint->incarnation) {
+		t->had = 0;
+		if (t->state == TARGET_ACCEPTED)
+			rest(orders, t, now);
+	}
+	if (!dl_name_eq(&t->says.service, dl_name_str(&endpoint->service)))
+		rest(orders, t,
+		     now + orders->conf.under_way_ms + orders->conf.network_ms);
+	if (memcmp(&t->says, endpoint, sizeof(*endpoint)) != 0)
+		orders->replan = true;
+	orders->replan = orders->replan || t->gone;
+	t->gone = false;
+	t->says = *endpoint;
+	settle(orders, t);
+}
+
+/* Forget an endpoint. */
+static void forget(struct dl_orders *orders, struct target *t)
+{
+	rest(orders, t, 0);
+	g_hash_table_remove(orders->by_id, t->says.id.s);
+	g_ptr_array_remove(orders->targets, t);
+	orders->replan = true;
+}
+
+/*
+ * An endpoint is gone.  While an order to it may still arrive it is kept, as
+ * it may come back sooner than that.
+ */
+void dl_orders_endpoint_gone(struct dl_orders *orders, struct dl_str id)
+{
+	struct dl_name name = { 0 };
+	struct target *t;
+
+	dl_name_set(&name, id);
+	t = g_hash_table_lookup(orders->by_id, name.s);
+	if (!t)
+		return;
+	t->gone = true;
+	orders->replan = true;
+	if (t->state != TARGET_UNDER_WAY)
+		forget(orders, t);
+}
+
+/* Whether this process may give orders at this moment. */
+static bool has_lease(const struct dl_orders *orders, int64_t now)
+{
+	return orders->term && !orders->fenced && now < orders->lease_until;
+}
+
+/* Whether an order makes an endpoint read from the weight store. */
+static bool is_load(const struct dl_orders *orders, const struct target *t)
+{
+	const struct dl_order_conf *wish = &orders->wishes[t->wish];
+
+	return !orders_has_model(t, wish) || !t->says.version.n ||
+	       !dl_name_eq(&t->says.version, dl_name_str(&wish->version));
+}
+
+/* When an endpoint may get its next order, as far as it alone is concerned. */
+static int64_t ready_at(const struct dl_orders *orders, const struct target *t)
+{
+	const struct order_service *s =
+		orders_service(orders, &t->says.service);
+	int64_t at = t->not_before;
+
+	if (s && s->ignores_fencing)
+		at = MAX(at, orders->hold_until);
+	return at;
+}
+
+/*
+ * Whether its service has room for one more order.  Load: a new version for a
+ * whole pool under traffic.  Harm prevented: endpoints that load serve nobody,
+ * so no more of them load at once than the share of the pool that may be put
+ * out, and one at least, else nothing would ever change.
+ */
+static bool has_room(const struct dl_orders *orders, const struct target *t)
+{
+	const struct order_service *s =
+		orders_service(orders, &t->says.service);
+	uint32_t most;
+
+	if (!s)
+		return false;
+	most = s->endpoints * s->out_share_permille / PERMILLE;
+	return s->under_way < MAX(most, 1);
+}
+
+/* Whether an endpoint may be sent an order now, but for the weight store. */
+static bool may_order(const struct dl_orders *orders, const struct target *t,
+		      int64_t now)
+{
+	return t->state == TARGET_IDLE && !orders_is_done(orders, t) &&
+	       ready_at(orders, t) <= now && has_room(orders, t);
+}
+
+/* Orders whose result never came, and accepted ones that came to nothing. */
+static void expire(struct dl_orders *orders, struct target *t, int64_t now)
+{
+	if (!is_under_way(t) || t->not_before > now)
+		return;
+	if (t->gone)
+		forget(orders, t);
+	else
+		rest(orders, t, now);
+}
+
+/* Write down an order and count it as under way. */
+static void emit(struct dl_orders *orders, struct target *t, int64_t now,
+		 struct dl_order *out)
+{
+	const struct dl_order_conf *wish = &orders->wishes[t->wish];
+	struct order_service *s = orders_service(orders, &t->says.service);
+
+	memset(out, 0, sizeof(*out));
+	out->id = ++orders->next_order;
+	out->endpoint = t->says.id;
+	out->service = wish->service;
+	out->model = wish->model;
+	out->version = wish->version;
+	out->role = wish->role;
+	out->fence = orders->term;
+	out->give_up = now + orders->conf.under_way_ms;
+	if (s)
+		s->under_way++;
+	t->state = TARGET_UNDER_WAY;
+	t->order = out->id;
+	t->had = 0;
+	t->asked = orders_wish_hash(wish);
+	t->not_before = out->give_up + orders->conf.network_ms;
+}
+
+/*
+ * The next order to send.  An endpoint gets one at a time: the next only when
+ * the last was answered, or can no longer arrive, since two of one leader
+ * carry the same fencing number and could overtake each other.  Loads wait
+ * for the fleet's bucket; other orders pass them.
+ */
+bool dl_orders_next(struct dl_orders *orders, int64_t now, struct dl_order *out)
+{
+	bool store;
+
+	refill(orders, now);
+	store = orders->store_mb_ms >= load_cost(orders);
+	for (guint i = orders->targets->len; i-- > 0;)
+		expire(orders, g_ptr_array_index(orders->targets, i), now);
+	if (!has_lease(orders, now))
+		return false;
+	if (orders->replan)
+		orders_plan(orders);
+	for (guint i = 0; i < orders->targets->len; i++) {
+		struct target *t = g_ptr_array_index(orders->targets, i);
+
+		if (!may_order(orders, t, now))
+			continue;
+		if (is_load(orders, t)) {
+			if (!store)
+				continue;
+			orders->store_mb_ms -= load_cost(orders);
+		}
+		emit(orders, t, now, out);
+		return true;
+	}
+	return false;
+}
+
+/* Whether an order that was planned may still be sent. */
+bool dl_orders_may_send(const struct dl_orders *orders,
+			const struct dl_order *order, int64_t now)
+{
+	return has_lease(orders, now) && order->fence == orders->term &&
+	       now < order->give_up;
+}
+
+/* The endpoint whose latest order is this one, or NULL. */
+static struct target *find_order(const struct dl_orders *orders, uint64_t id)
+{
+	for (guint i = 0; i < orders->targets->len; i++) {
+		struct target *t = g_ptr_array_index(orders->targets, i);
+
+		if (t->order == id && t->state == TARGET_UNDER_WAY)
+			return t;
+	}
+	return NULL;
+}
+
+/*
+ * What came of an order.  One that is late, or of an endpoint that has gone,
+ * changes nothing but the knowledge of a later leader.
+ */
+void dl_orders_result(struct dl_orders *orders, uint64_t id,
+		      enum dl_order_result result, int64_t now)
+{
+	struct target *t = find_order(orders, id);
+
+	if (result == DL_ORDER_FENCED)
+		orders->fenced = true;
+	if (!t)
+		return;
+	orders->replan = true;
+	switch (result) {
+	case DL_ORDER_ACCEPTED:
+		t->state = TARGET_ACCEPTED;
+		t->had = t->asked;
+		t->not_before = now + orders->conf.settle_ms;
+		settle(orders, t);
+		if (t->state == TARGET_IDLE)
+			t->not_before = now;
+		break;
+	case DL_ORDER_UNKNOWN:
+		/* It may still arrive: its time is waited out. */
+		break;
+	default:
+		t->not_before = now + orders->conf.retry_ms;
+		rest(orders, t, t->not_before);
+		break;
+	}
+}
+
+/* When something may be due; the caller asks dl_orders_next() then. */
+int64_t dl_orders_wakeup(const struct dl_orders *orders, int64_t now)
+{
+	int64_t at = INT64_MAX, lacks;
+
+	if (!has_lease(orders, now))
+		return INT64_MAX;
+	if (orders->replan)
+		return now;
+	for (guint i = 0; i < orders->targets->len; i++) {
+		const struct target *t = g_ptr_array_index(orders->targets, i);
+		int64_t ready = ready_at(orders, t);
+
+		if (orders_is_done(orders, t) && !is_under_way(t))
+			continue;
+		if (t->state == TARGET_IDLE && is_load(orders, t)) {
+			lacks = load_cost(orders) - orders->store_mb_ms;
+			ready = MAX(ready,
+				    orders->store_at +
+					    (lacks + orders->store_mb_per_s -
+					     1) / orders->store_mb_per_s);
+		}
+		if (is_under_way(t) || has_room(orders, t))
+			at = MIN(at, ready);
+	}
+	return at;
+}
+
+/* What status shows. */
+void dl_orders_summarize(const struct dl_orders *orders, int64_t now,
+			 struct dl_orders_summary *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->term = orders->term;
+	out->fenced = orders->fenced;
+	out->hold_until = orders->hold_until;
+	out->endpoints = orders->targets->len;
+	out->store_mb = orders->store_mb_ms / MS_PER_S;
+	for (guint i = 0; i < orders->targets->len; i++) {
+		const struct target *t = g_ptr_array_index(orders->targets, i);
+
+		out->under_way += is_under_way(t);
+		if (t->wish == WISH_NONE)
+			continue;
+		out->wished++;
+		out->done += orders_is_done(orders, t);
+	}
+}
+
+/* What the counts must always say; NULL, or what is broken. */
+const char *dl_orders_broken(const struct dl_orders *orders)
+{
+	if (g_hash_table_size(orders->by_id) != orders->targets->len)
+		return "the table of endpoints and their list differ";
+	if (orders->store_mb_ms < 0 || orders->store_mb_ms > load_cost(orders))
+		return "the weight store's bucket is out of its bounds";
+	for (uint32_t i = 0; i < orders->services_count; i++) {
+		const struct order_service *s = &orders->services[i];
+		uint32_t n = 0;
+
+		for (guint j = 0; j < orders->targets->len; j++) {
+			const struct target *t =
+				g_ptr_array_index(orders->targets, j);
+
+			n += is_under_way(t) &&
+			     dl_name_eq(&t->says.service,
+					dl_name_str(&s->name));
+		}
+		if (n != s->under_way)
+			return "orders under way are miscounted";
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/state/orders_int.h
@@ -0,0 +1,70 @@
+/* Inside the planner of orders: endpoints, their wishes and their service. */
+#ifndef DL_STATE_ORDERS_INT_H
+#define DL_STATE_ORDERS_INT_H
+
+#include <glib.h>
+
+#include "daisyledge/orders.h"
+
+#define WISH_NONE UINT32_MAX
+/* The configuration has no more orders than this. */
+#define CONF_ORDERS_MAX 1024
+
+enum target_state {
+	TARGET_IDLE,	  /* nothing under way */
+	TARGET_UNDER_WAY, /* until a result, or give_up and the network's time
+			   */
+	TARGET_ACCEPTED,  /* until it announces the wished end */
+};
+
+/* An endpoint as a target of orders. */
+struct target {
+	struct dl_order_endpoint says;
+	uint32_t wish; /* index into wishes, or WISH_NONE */
+	enum target_state state;
+	uint64_t order;	    /* the latest one */
+	uint64_t had;	    /* hash of the wished end last accepted, 0: none */
+	uint64_t asked;	    /* hash of what the latest order asked */
+	int64_t not_before; /* no order until then */
+	bool drained;
+	bool gone; /* kept until what is under way can no longer arrive */
+};
+
+/* A service with orders in the configuration. */
+struct order_service {
+	struct dl_name name;
+	bool ignores_fencing;
+	uint32_t out_share_permille;
+	uint32_t endpoints; /* that take orders */
+	uint32_t under_way; /* orders sent and not seen done */
+};
+
+struct dl_orders {
+	struct dl_orders_conf conf;
+	GHashTable *by_id; /* struct dl_name in struct target -> it */
+	GPtrArray *targets;
+	struct dl_order_conf *wishes;
+	uint32_t wishes_count;
+	struct order_service *services;
+	uint32_t services_count;
+	GHashTable *drained; /* names of endpoints under drain */
+	uint64_t term;
+	uint64_t term_seen;
+	bool fenced;
+	int64_t lease_until;
+	int64_t hold_until;
+	int64_t store_mb_ms; /* thousandths of a MB that may be loaded */
+	int64_t store_at;
+	uint32_t store_mb_per_s;
+	uint64_t next_order;
+	bool replan;
+};
+
+void orders_plan(struct dl_orders *orders);
+bool orders_is_done(const struct dl_orders *orders, const struct target *t);
+bool orders_has_model(const struct target *t, const struct dl_order_conf *wish);
+uint64_t orders_wish_hash(const struct dl_order_conf *wish);
+struct order_service *orders_service(const struct dl_orders *orders,
+				     const struct dl_name *name);
+
+#endif
--- /dev/null
+++ b/test/test_orders.c
@@ -0,0 +1,588 @@
+/*
+ * Orders to endpoints: one order-giver at a time as seen by an endpoint that
+ * ignores fencing numbers, whatever pauses, clocks and the network do; the
+ * wished end is reached; the weight store is never asked for more than it
+ * gives.
+ */
+#include <check.h>
+#include <errno.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daisyledge/orders.h"
+
+#define SEED	    20261202
+#define RUNS	    200
+#define CHAOS_MS    120000
+#define CALM_MS	    600000
+#define STEP_MS	    20
+#define LEADERS	    3
+#define ENDPOINTS   6
+#define STORE_MB_S  2000
+#define LOAD_MB	    4000
+#define FLIGHTS_MAX 256
+
+static struct dl_orders_conf limits(void)
+{
+	struct dl_orders_conf c;
+
+	dl_orders_defaults(&c);
+	c.load_mb = LOAD_MB;
+	c.settle_ms = 40000;
+	return c;
+}
+
+/* Two services: "strict" checks fencing numbers, "loose" ignores them. */
+static struct dl_conf *make_conf(const char *version, uint32_t endpoints)
+{
+	static struct dl_faults faults;
+	struct dl_conf *conf = NULL;
+	char *text = g_strdup_printf(
+		"{\"format\": 1, \"services\": {"
+		"\"strict\": {\"kind\": \"model\", \"models\": [\"a\"]},"
+		"\"loose\": {\"kind\": \"model\", \"models\": [\"b\"],"
+		"\"ignores_fencing\": true}}, \"replicas\": ["
+		"{\"name\": \"r1\", \"address\": \"10.0.0.1:7\"},"
+		"{\"name\": \"r2\", \"address\": \"10.0.0.2:7\"},"
+		"{\"name\": \"r3\", \"address\": \"10.0.0.3:7\"}],"
+		"\"drain\": {\"endpoints\": [\"10.0.0.9:1\"]},"
+		"\"weight_store_mb_per_s\": %d, \"orders\": ["
+		"{\"service\": \"strict\", \"model\": \"a\","
+		"\"version\": \"%s\", \"endpoints\": %u},"
+		"{\"service\": \"loose\", \"model\": \"b\","
+		"\"version\": \"%s\"}]}",
+		STORE_MB_S, version, endpoints, version);
+
+	dl_conf_parse(dl_str_of(text), &conf, &faults);
+	ck_assert_msg(conf != NULL, "%s", faults.at[0].text);
+	g_free(text);
+	return conf;
+}
+
+static struct dl_order_endpoint announce(const char *id, const char *service,
+					 const char *model, const char *version)
+{
+	struct dl_order_endpoint e = { .incarnation = 1 };
+
+	dl_name_set(&e.id, dl_str_of(id));
+	dl_name_set(&e.service, dl_str_of(service));
+	dl_name_set(&e.models[0], dl_str_of(model));
+	e.models_count = *model != '\0';
+	dl_name_set(&e.version, dl_str_of(version));
+	return e;
+}
+
+/* A planner that leads in term 1 from time 0, with its bucket filled. */
+static struct dl_orders *make_leader(const char *version, uint32_t endpoints)
+{
+	struct dl_orders_conf c = limits();
+	struct dl_orders *o = dl_orders_new(&c);
+	struct dl_conf *conf = make_conf(version, endpoints);
+
+	dl_orders_configure(o, conf, 0);
+	dl_conf_free(conf);
+	ck_assert_int_eq(dl_orders_lead(o, 1, 1000000, 0), 0);
+	return o;
+}
+
+START_TEST(those_as_wished_stay)
+{
+	struct dl_orders *o = make_leader("1", 2);
+	struct dl_order_endpoint e[] = {
+		announce("10.0.0.1:1", "strict", "", ""),
+		announce("10.0.0.2:1", "strict", "a", "0"),
+		announce("10.0.0.9:1", "strict", "a", "1"), /* drained */
+		announce("10.0.0.3:1", "strict", "a", "1"),
+	};
+	struct dl_orders_summary s;
+	struct dl_order order;
+
+	dl_name_set(&e[3].role, DL_STR("both"));
+	dl_name_set(&e[2].role, DL_STR("both"));
+	for (int i = 0; i < 4; i++)
+		dl_orders_endpoint(o, &e[i], 0);
+	ck_assert(dl_orders_next(o, 10000, &order));
+	ck_assert_str_eq(order.endpoint.s, "10.0.0.2:1");
+	ck_assert_str_eq(order.version.s, "1");
+	ck_assert_uint_eq(order.fence, 1);
+	ck_assert(!dl_orders_next(o, 10000, &order));
+	dl_orders_summarize(o, 10000, &s);
+	ck_assert_uint_eq(s.wished, 2);
+	ck_assert_uint_eq(s.done, 1);
+	dl_orders_free(o);
+}
+END_TEST
+
+START_TEST(loads_wait_for_the_store)
+{
+	struct dl_orders *o = make_leader("1", 0);
+	int64_t first = -1, second = -1;
+	struct dl_order order;
+	char id[24];
+
+	for (int i = 0; i < 10; i++) {
+		struct dl_order_endpoint e;
+
+		snprintf(id, sizeof(id), "10.0.1.%d:1", i + 1);
+		e = announce(id, "strict", "", "");
+		dl_orders_endpoint(o, &e, 0);
+	}
+	for (int64_t t = 0; t < 10000 && second < 0; t += 10) {
+		if (!dl_orders_next(o, t, &order))
+			continue;
+		if (first < 0)
+			first = t;
+		else
+			second = t;
+		ck_assert_ptr_null(dl_orders_broken(o));
+	}
+	/* An empty bucket at first, one load each two seconds after. */
+	ck_assert_int_eq(first, 2000);
+	ck_assert_int_eq(second, 4000);
+	dl_orders_free(o);
+}
+END_TEST
+
+/* No more endpoints load at once than the share that may be put out. */
+START_TEST(pool_keeps_its_capacity)
+{
+	struct dl_orders *o = make_leader("1", 0);
+	struct dl_order order;
+	char id[24];
+	int sent = 0;
+
+	for (int i = 0; i < 10; i++) {
+		struct dl_order_endpoint e;
+
+		snprintf(id, sizeof(id), "10.0.1.%d:1", i + 1);
+		e = announce(id, "strict", "a", "0");
+		dl_orders_endpoint(o, &e, 0);
+	}
+	for (int64_t t = 0; t < 30000; t += 100) {
+		if (!dl_orders_next(o, t, &order))
+			continue;
+		dl_orders_result(o, order.id, DL_ORDER_ACCEPTED, t);
+		sent++;
+	}
+	ck_assert_int_eq(sent, 3); /* 300 permille of ten */
+	dl_orders_free(o);
+}
+END_TEST
+
+/* What is seen done makes room at once; a restart forgets what was accepted. */
+START_TEST(announcements_tell_the_end)
+{
+	struct dl_orders *o = make_leader("1", 0);
+	struct dl_order_endpoint a = announce("10.0.0.1:1", "strict", "a", "");
+	struct dl_order_endpoint b = announce("10.0.0.2:1", "strict", "", "");
+	struct dl_order order;
+
+	dl_orders_endpoint(o, &a, 0);
+	dl_orders_endpoint(o, &b, 0);
+	ck_assert(dl_orders_next(o, 5000, &order));
+	ck_assert_str_eq(order.endpoint.s, "10.0.0.1:1");
+	dl_orders_result(o, order.id, DL_ORDER_ACCEPTED, 5100);
+	ck_assert(dl_orders_next(o, 7100, &order));
+	ck_assert_str_eq(order.endpoint.s, "10.0.0.2:1");
+	dl_orders_result(o, order.id, DL_ORDER_ACCEPTED, 7200);
+	a.incarnation++;
+	dl_orders_endpoint(o, &a, 9000);
+	ck_assert(!dl_orders_next(o, 9200, &order)); /* b has the one place */
+	b = announce("10.0.0.2:1", "strict", "a", "");
+	dl_orders_endpoint(o, &b, 9300);
+	ck_assert(dl_orders_next(o, 9400, &order));
+	ck_assert_str_eq(order.endpoint.s, "10.0.0.1:1");
+	dl_orders_free(o);
+}
+END_TEST
+
+/*
+ * The worst that clocks and the network may do: the earlier leader's clock is
+ * the slowest, its last order is sent at the end of a lease renewed when the
+ * new leader was elected, and arrives as late as it can; the new leader's
+ * clock is the fastest.
+ */
+START_TEST(hold_covers_the_worst)
+{
+	struct dl_orders *o = make_leader("1", 0);
+	struct dl_orders_conf c = limits();
+	struct dl_order_endpoint e = announce("10.0.0.1:1", "loose", "", "");
+	double slow = 1.0 - c.drift_permille / 2000.0;
+	double fast = 1.0 + c.drift_permille / 2000.0;
+	double latest = (c.lease_ms + c.under_way_ms) / slow + c.network_ms;
+	struct dl_order order;
+	int64_t t = 0;
+
+	dl_orders_endpoint(o, &e, 0);
+	while (!dl_orders_next(o, t, &order))
+		t++;
+	ck_assert_double_ge((double)t / fast, latest);
+	ck_assert_double_le((double)t / fast, latest * 1.01);
+	dl_orders_free(o);
+}
+END_TEST
+
+START_TEST(fenced_gives_no_more)
+{
+	struct dl_orders *o = make_leader("1", 0);
+	struct dl_order_endpoint e = announce("10.0.0.1:1", "strict", "", "");
+	struct dl_order order, again;
+
+	dl_orders_endpoint(o, &e, 0);
+	ck_assert(dl_orders_next(o, 5000, &order));
+	ck_assert(dl_orders_may_send(o, &order, 5000));
+	ck_assert(!dl_orders_may_send(o, &order, order.give_up));
+	dl_orders_result(o, order.id, DL_ORDER_FENCED, 5001);
+	ck_assert(!dl_orders_may_send(o, &order, 5001));
+	ck_assert(!dl_orders_next(o, 50000, &again));
+	ck_assert_int_eq(dl_orders_wakeup(o, 50000), INT64_MAX);
+	ck_assert_int_eq(dl_orders_lead(o, 0, 0, 0), -ESTALE);
+	ck_assert_int_eq(dl_orders_lead(o, 3, 1000000, 50000), 0);
+	ck_assert_int_eq(dl_orders_lead(o, 2, 1000000, 50000), -ESTALE);
+	ck_assert(dl_orders_next(o, 60000, &again));
+	ck_assert_uint_eq(again.fence, 3);
+	dl_orders_lost(o);
+	ck_assert(!dl_orders_may_send(o, &again, 60000));
+	dl_orders_free(o);
+}
+END_TEST
+
+/* An endpoint that may still get an order gets no second one meanwhile. */
+START_TEST(one_order_at_a_time)
+{
+	struct dl_orders *o = make_leader("1", 0);
+	struct dl_order_endpoint e = announce("10.0.0.1:1", "strict", "", "");
+	struct dl_conf *conf = make_conf("2", 0);
+	struct dl_order order, again;
+
+	dl_orders_endpoint(o, &e, 0);
+	ck_assert(dl_orders_next(o, 5000, &order));
+	dl_orders_configure(o, conf, 5100);
+	dl_orders_result(o, order.id, DL_ORDER_UNKNOWN, 5200);
+	dl_orders_endpoint_gone(o, DL_STR("10.0.0.1:1"));
+	e.incarnation++;
+	dl_orders_endpoint(o, &e, 5300);
+	ck_assert(!dl_orders_next(o, 11999, &again));
+	ck_assert(dl_orders_next(o, 12000, &again));
+	ck_assert_str_eq(again.version.s, "2");
+	dl_orders_endpoint_gone(o, DL_STR("10.0.0.1:1"));
+	ck_assert(!dl_orders_next(o, 30000, &again));
+	ck_assert_ptr_null(dl_orders_broken(o));
+	dl_conf_free(conf);
+	dl_orders_free(o);
+}
+END_TEST
+
+/*
+ * The fakes: processes that lead in turn, each with a clock of its own, and
+ * endpoints of both kinds.  An order is in flight for as long as its sender
+ * and the network may take.
+ */
+struct process {
+	struct dl_orders *orders;
+	double rate;
+	int64_t offset;
+	int64_t paused_until; /* true time */
+	bool holds;	      /* an order planned before a pause */
+	struct dl_order held;
+};
+
+struct fake_endpoint {
+	struct dl_order_endpoint says;
+	bool loose;
+	bool tells_version;
+	uint64_t max_fence;
+	struct dl_order loading;
+	int64_t loaded_at; /* 0: nothing is loaded */
+};
+
+struct flight {
+	struct dl_order order;
+	int from;
+	int64_t arrives;
+	int64_t answer_at; /* 0: not arrived yet */
+	int64_t give_up;
+	bool lost;
+	enum dl_order_result result;
+};
+
+struct world {
+	GRand *rand;
+	int64_t now;
+	struct process process[LEADERS];
+	struct fake_endpoint endpoint[ENDPOINTS];
+	struct flight flight[FLIGHTS_MAX];
+	int flights;
+	int leader;
+	uint64_t term;
+	uint64_t loads;
+	uint64_t orders;
+	bool calm;
+};
+
+static bool chance(struct world *w, int of_thousand)
+{
+	return !w->calm && g_rand_int_range(w->rand, 0, 1000) < of_thousand;
+}
+
+static int64_t clock_of(const struct world *w, int p)
+{
+	return w->process[p].offset +
+	       (int64_t)((double)w->now * w->process[p].rate);
+}
+
+static void world_init(struct world *w, uint32_t seed)
+{
+	struct dl_orders_conf c = limits();
+	struct dl_conf *conf = make_conf("1", 0);
+	char id[24];
+
+	memset(w, 0, sizeof(*w));
+	w->rand = g_rand_new_with_seed(seed);
+	w->leader = -1;
+	for (int p = 0; p < LEADERS; p++) {
+		w->process[p].orders = dl_orders_new(&c);
+		w->process[p].rate =
+			1.0 + g_rand_double_range(w->rand, -0.0049, 0.0049);
+		w->process[p].offset = g_rand_int_range(w->rand, 0, 1000000);
+		dl_orders_configure(w->process[p].orders, conf, clock_of(w, p));
+	}
+	for (int i = 0; i < ENDPOINTS; i++) {
+		struct fake_endpoint *e = &w->endpoint[i];
+
+		snprintf(id, sizeof(id), "10.0.1.%d:1", i + 1);
+		e->loose = i % 2;
+		e->tells_version = i % 3 != 0;
+		e->says = announce(id, e->loose ? "loose" : "strict", "", "");
+	}
+	dl_conf_free(conf);
+}
+
+static void world_free(struct world *w)
+{
+	for (int p = 0; p < LEADERS; p++)
+		dl_orders_free(w->process[p].orders);
+	g_rand_free(w->rand);
+}
+
+/*
+ * Elect at any time: the earlier leader's lease, renewed until now, may run on
+ * for its whole length.  Only the leader of the latest term renews.
+ */
+static void elect(struct world *w)
+{
+	struct process *p;
+	int64_t local;
+
+	if (w->leader < 0 || chance(w, 2)) {
+		w->leader = g_rand_int_range(w->rand, 0, LEADERS);
+		w->term++;
+	}
+	p = &w->process[w->leader];
+	local = clock_of(w, w->leader);
+	if (p->paused_until > w->now || chance(w, 300))
+		return;
+	dl_orders_lead(p->orders, w->term, local + limits().lease_ms, local);
+}
+
+/* Send what was planned, if it may still be sent after whatever pause. */
+static void send_held(struct world *w, int from)
+{
+	struct process *p = &w->process[from];
+	struct flight *f = &w->flight[w->flights];
+	int64_t local = clock_of(w, from);
+
+	p->holds = false;
+	if (!dl_orders_may_send(p->orders, &p->held, local) ||
+	    w->flights == FLIGHTS_MAX) {
+		dl_orders_result(p->orders, p->held.id, DL_ORDER_FAILED, local);
+		return;
+	}
+	memset(f, 0, sizeof(*f));
+	f->order = p->held;
+	f->from = from;
+	f->give_up =
+		w->now + (int64_t)((double)(p->held.give_up - local) / p->rate);
+	f->arrives = w->now + g_rand_int_range(w->rand, 0, 50);
+	if (chance(w, 200))
+		f->arrives = f->give_up +
+			     g_rand_int_range(w->rand, 0,
+					      (gint32)limits().network_ms);
+	f->lost = chance(w, 100);
+	w->flights++;
+	w->orders++;
+}
+
+static void plan(struct world *w, int from)
+{
+	struct process *p = &w->process[from];
+
+	if (p->paused_until > w->now)
+		return;
+	if (p->holds) {
+		send_held(w, from);
+		return;
+	}
+	if (!dl_orders_next(p->orders, clock_of(w, from), &p->held))
+		return;
+	p->holds = true;
+	if (chance(w, 100))
+		p->paused_until = w->now + g_rand_int_range(w->rand, 0, 20000);
+	else
+		send_held(w, from);
+}
+
+/* An endpoint takes an order: here is the invariant. */
+static void arrive(struct world *w, struct flight *f)
+{
+	struct fake_endpoint *e = NULL;
+
+	for (int i = 0; i < ENDPOINTS; i++) {
+		if (strcmp(w->endpoint[i].says.id.s, f->order.endpoint.s) == 0)
+			e = &w->endpoint[i];
+	}
+	f->result = DL_ORDER_ACCEPTED;
+	if (f->order.fence < e->max_fence) {
+		ck_assert_msg(!e->loose,
+			      "an order of term %d after one of term %d",
+			      (int)f->order.fence, (int)e->max_fence);
+		f->result = DL_ORDER_FENCED;
+		return;
+	}
+	e->max_fence = f->order.fence;
+	if (e->says.models_count &&
+	    strcmp(e->says.models[0].s, f->order.model.s) == 0 &&
+	    strcmp(e->loading.version.s, f->order.version.s) == 0)
+		return;
+	w->loads++;
+	e->loading = f->order;
+	e->loaded_at = w->now + g_rand_int_range(w->rand, 500, 20000);
+}
+
+static void fly(struct world *w)
+{
+	for (int i = 0; i < w->flights; i++) {
+		struct flight *f = &w->flight[i];
+		struct process *p = &w->process[f->from];
+
+		if (!f->answer_at && f->arrives <= w->now) {
+			if (!f->lost)
+				arrive(w, f);
+			f->answer_at = w->now + 10;
+			f->lost = f->lost || chance(w, 100);
+		}
+		if (p->paused_until > w->now || !f->answer_at ||
+		    (f->answer_at > w->now || (f->lost && f->give_up > w->now)))
+			continue;
+		dl_orders_result(p->orders, f->order.id,
+				 f->lost || f->answer_at > f->give_up ?
+					 DL_ORDER_UNKNOWN :
+					 f->result,
+				 clock_of(w, f->from));
+		*f = w->flight[--w->flights];
+		i--;
+	}
+}
+
+/* Endpoints finish loads, restart, and announce themselves. */
+static void live(struct world *w)
+{
+	for (int i = 0; i < ENDPOINTS; i++) {
+		struct fake_endpoint *e = &w->endpoint[i];
+
+		if (chance(w, 1)) {
+			e->says.incarnation++;
+			e->says.models_count = 0;
+			e->loaded_at = 0;
+			memset(&e->says.version, 0, sizeof(e->says.version));
+			memset(&e->loading, 0, sizeof(e->loading));
+		}
+		if (e->loaded_at && e->loaded_at <= w->now) {
+			e->says.models[0] = e->loading.model;
+			e->says.models_count = 1;
+			if (e->tells_version) {
+				e->says.version = e->loading.version;
+				e->says.role = e->loading.role;
+			}
+			e->loaded_at = 0;
+		}
+		for (int p = 0; p < LEADERS; p++) {
+			if (w->process[p].paused_until > w->now ||
+			    g_rand_int_range(w->rand, 0, 10))
+				continue;
+			dl_orders_endpoint(w->process[p].orders, &e->says,
+					   clock_of(w, p));
+		}
+	}
+}
+
+static void step(struct world *w)
+{
+	w->now += STEP_MS;
+	elect(w);
+	for (int p = 0; p < LEADERS; p++) {
+		if (chance(w, 1))
+			w->process[p].paused_until =
+				w->now + g_rand_int_range(w->rand, 0, 60000);
+		plan(w, p);
+		ck_assert_ptr_null(dl_orders_broken(w->process[p].orders));
+	}
+	fly(w);
+	live(w);
+}
+
+START_TEST(one_order_giver_at_a_time)
+{
+	struct dl_orders_summary s = { 0 };
+	struct world w;
+	uint64_t most;
+
+	world_init(&w, SEED + (uint32_t)_i);
+	while (w.now < CHAOS_MS)
+		step(&w);
+	w.calm = true;
+	while (w.now < CHAOS_MS + CALM_MS && (!s.wished || s.done < s.wished)) {
+		step(&w);
+		dl_orders_summarize(w.process[w.leader].orders,
+				    clock_of(&w, w.leader), &s);
+		s.wished = s.wished < ENDPOINTS || w.now < CHAOS_MS + 120000 ?
+				   0 :
+				   s.wished;
+	}
+	ck_assert_uint_eq(s.wished, ENDPOINTS);
+	ck_assert_uint_eq(s.done, ENDPOINTS);
+	for (int i = 0; i < ENDPOINTS; i++)
+		ck_assert_str_eq(w.endpoint[i].loading.version.s, "1");
+	most = (uint64_t)(w.now + (int64_t)w.term * limits().lease_ms) *
+		       STORE_MB_S / 1000 +
+	       LOAD_MB;
+	ck_assert_uint_le(w.loads * LOAD_MB, most);
+	ck_assert_uint_gt(w.orders, ENDPOINTS);
+	world_free(&w);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("orders");
+	TCase *t = tcase_create("orders");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_set_timeout(t, 0);
+	tcase_add_test(t, those_as_wished_stay);
+	tcase_add_test(t, loads_wait_for_the_store);
+	tcase_add_test(t, pool_keeps_its_capacity);
+	tcase_add_test(t, announcements_tell_the_end);
+	tcase_add_test(t, hold_covers_the_worst);
+	tcase_add_test(t, fenced_gives_no_more);
+	tcase_add_test(t, one_order_at_a_time);
+	tcase_add_loop_test(t, one_order_giver_at_a_time, 0, RUNS);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
