Offer an endpoint that refuses connections to nobody until it announces itself

Cause: a release told the pool that an attempt had not run, which the pool learnt nothing from; the killed engine stayed the least loaded one and drew the requests of its pool until its announcements were missed. Ruled out: the retry budget (mended before, the same engine was then drawn again by the next request). Change: a release says that no connection could be made, and the endpoint is closed until its next announcement.

--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -128,6 +128,7 @@
 struct dl_usage {
 	bool ran;		/* the endpoint was reached */
 	bool failed;		/* by the endpoint's fault */
+	bool unreachable;	/* no connection to it could be made */
 	uint64_t prompt_tokens; /* as the endpoint counted, 0 unknown */
 	uint64_t output_tokens;
 	uint32_t ttft_ms;  /* since the grant; 0 where none came */
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -117,6 +117,7 @@
 	}
 	e->last = *r;
 	e->state = POOL_EP_LIVE;
+	e->unreachable = false;
 	pool_heap_set(&pool->endpoint_gone, &e->gone,
 		      now + pool->conf.report_gone_ms);
 	pool_place_report(pool, e, first, now);
@@ -168,6 +169,22 @@
 		close_endpoint(pool, e, now);
 }
 
+/*
+ * No connection to an endpoint could be made: nothing new for it until it
+ * announces itself again.  For a killed engine among healthy ones: it looks the
+ * least loaded, refuses at once and would draw every request of the pool until
+ * its announcements are missed, seconds later.  Not bounded by the share that
+ * may be put out, since an engine that cannot be reached serves nobody.
+ */
+void pool_endpoint_unreachable(struct dl_pool *pool, struct pool_endpoint *e,
+			       int64_t now)
+{
+	e->unreachable = true;
+	pool_hold_lost(pool, e);
+	pool_place_refresh(pool, e, now);
+	pool->recheck_all = true;
+}
+
 /* The operators' drain: no new work until lifted, whatever it reports. */
 void dl_pool_endpoint_drain(struct dl_pool *pool, struct dl_str id, bool drain,
 			    int64_t now)
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -316,6 +316,8 @@
 	pool->now = now;
 	if (!g)
 		return -ENOENT;
+	if (usage && usage->unreachable && g->parts[0].endpoint)
+		pool_endpoint_unreachable(pool, g->parts[0].endpoint, now);
 	if (usage)
 		pool_shift_learn(pool, g, usage, now);
 	pool_grant_drop(pool, g, now);
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -124,6 +124,7 @@
 	struct dl_endpoint_report last;
 	enum pool_ep_state state;
 	bool drained;
+	bool unreachable;	/* until it announces itself again */
 	struct pool_hold *hold; /* memory is being gathered for a request */
 
 	/* What the pool's sums hold of it. */
@@ -405,6 +406,8 @@
 uint8_t pool_level(const struct pool_want *want);
 /* pool_endpoint.c */
 void pool_endpoint_expire(struct dl_pool *pool, int64_t now);
+void pool_endpoint_unreachable(struct dl_pool *pool, struct pool_endpoint *e,
+			       int64_t now);
 struct pool_endpoint *pool_endpoint_find(const struct dl_pool *pool,
 					 struct dl_str id);
 struct pool_endpoint *pool_endpoint_get(struct dl_pool *pool, struct dl_str id);
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -96,7 +96,7 @@
 {
 	(void)pool;
 	return e->state == POOL_EP_LIVE && !e->drained && !e->last.leaving &&
-	       e->shift != POOL_OUT;
+	       !e->unreachable && e->shift != POOL_OUT;
 }
 
 /* Milliseconds of prefill a token, as reported and corrected by answers. */
--- a/src/coordination/pool_shift.c
+++ b/src/coordination/pool_shift.c
@@ -406,7 +406,8 @@
 			continue;
 		}
 		if (!found && e->state == POOL_EP_LIVE && !e->drained &&
-		    !e->last.leaving && e->grants < e->last.slots &&
+		    !e->last.leaving && !e->unreachable &&
+		    e->grants < e->last.slots &&
 		    want->need <= pool_place_free(e) &&
 		    !pool_place_tried(want, e))
 			found = e;
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -320,6 +320,10 @@
 			const struct dl_announcement *a)
 {
 	dl_pool_report(p->pool, &a->report, entry_now(e));
+	for (uint32_t i = 0; i < a->events_count; i++)
+		dl_pool_cached(p->pool, dl_name_str(&a->report.id),
+			       a->events[i].prefix, a->events[i].tokens,
+			       entry_now(e));
 	drain_endpoint(e, p, &a->report.id);
 	remember(e, p, a);
 }
--- a/src/main/entry_try.c
+++ b/src/main/entry_try.c
@@ -441,6 +441,7 @@
 	c->usage.ran = attempt->sent != DL_SENT_NOTHING &&
 		       attempt->received != DL_RECV_NOT_RUN;
 	c->usage.failed = failed;
+	c->usage.unreachable = attempt->broke == DL_BROKE_CONNECT;
 	c->usage.prompt_tokens = c->used_prompt;
 	c->usage.output_tokens = c->used_output;
 	if (c->first_byte_at >= c->attempt_at)
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -6,7 +6,7 @@
 
 #define ASK_ITEMS     11
 #define ANSWER_ITEMS  13
-#define RELEASE_ITEMS 8
+#define RELEASE_ITEMS 9
 #define REPORT_ITEMS  17
 #define SUMMARY_ITEMS 9
 #define ADOPT_ITEMS   22
@@ -203,6 +203,7 @@
 	dl_pack_u64(p, grant);
 	dl_pack_bool(p, usage->ran);
 	dl_pack_bool(p, usage->failed);
+	dl_pack_bool(p, usage->unreachable);
 	dl_pack_u64(p, usage->prompt_tokens);
 	dl_pack_u64(p, usage->output_tokens);
 	dl_pack_u64(p, usage->ttft_ms);
@@ -220,6 +221,7 @@
 	*grant = dl_read_u64(&r);
 	out->ran = dl_read_bool(&r);
 	out->failed = dl_read_bool(&r);
+	out->unreachable = dl_read_bool(&r);
 	out->prompt_tokens = dl_read_u64(&r);
 	out->output_tokens = dl_read_u64(&r);
 	out->ttft_ms = (uint32_t)dl_read_u64(&r);
--- /dev/null
+++ b/test/test_pool_reach.c
@@ -0,0 +1,114 @@
+/*
+ * An endpoint that cannot be reached: its pool must not offer it again, to
+ * anybody, until it announces itself.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "daisyledge/pool.h"
+
+#define ENDPOINTS 3
+#define REQUESTS  60
+
+static const struct dl_pool_conf conf = {
+	.kind = DL_POOL_MODEL,
+	.queue_entries_max = 100,
+	.queue_tokens_max = 10000000,
+	.long_tokens = 100000,
+	.long_share_permille = 500,
+	.out_share_permille = 300,
+	.grant_lease_ms = 10000,
+	.report_gone_ms = 5000,
+	.weight_default = 1,
+};
+
+static struct dl_endpoint_report report_of(int i)
+{
+	struct dl_endpoint_report r = { .incarnation = 1,
+					.memory_tokens = 400000,
+					.slots = 8,
+					.prefill_rate = 400000,
+					.decode_rate = 200 };
+	char id[24];
+
+	snprintf(id, sizeof(id), "127.0.0.%d:9000", i + 1);
+	dl_name_set(&r.id, dl_str_of(id));
+	return r;
+}
+
+static struct dl_ask ask_of(uint64_t request, int64_t now)
+{
+	return (struct dl_ask){ .request = request,
+				.entry = 1,
+				.workspace = DL_STR("w"),
+				.class = DL_CLASS_INTERACTIVE,
+				.prompt_tokens = 1000,
+				.output_tokens = 10,
+				.deadline = now + 5000 };
+}
+
+/* One request after the other; the first endpoint refuses connections. */
+static int refused_connects(struct dl_pool *pool, uint64_t *request,
+			    int64_t *now)
+{
+	int refused = 0;
+
+	for (int i = 0; i < REQUESTS; i++) {
+		struct dl_ask ask = ask_of(++*request, ++*now);
+		struct dl_usage usage = { .ran = true,
+					  .ttft_ms = 4,
+					  .total_ms = 50,
+					  .prompt_tokens = 1000,
+					  .output_tokens = 10 };
+		struct dl_answer a;
+
+		dl_pool_ask(pool, &ask, *now, &a);
+		ck_assert_int_eq(a.verdict, DL_GRANTED);
+		if (dl_name_eq(&a.endpoint[0], DL_STR("127.0.0.1:9000"))) {
+			usage = (struct dl_usage){ .failed = true,
+						   .unreachable = true };
+			refused++;
+		}
+		ck_assert_int_eq(dl_pool_release(pool, a.grant, &usage, *now),
+				 0);
+		ck_assert_ptr_null(dl_pool_broken(pool));
+	}
+	return refused;
+}
+
+START_TEST(a_killed_endpoint_is_offered_once)
+{
+	struct dl_pool *pool = dl_pool_new(&conf, &dl_policy_late_binding, 7);
+	struct dl_endpoint_report r;
+	uint64_t request = 0;
+	int64_t now = 0;
+
+	for (int i = 0; i < ENDPOINTS; i++) {
+		r = report_of(i);
+		ck_assert_int_eq(dl_pool_report(pool, &r, 0), 0);
+	}
+	ck_assert_int_le(refused_connects(pool, &request, &now), 1);
+	ck_assert_int_eq(refused_connects(pool, &request, &now), 0);
+	/* It announces itself: offered again, and found out again at once. */
+	r = report_of(0);
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	ck_assert_int_le(refused_connects(pool, &request, &now), 1);
+	dl_pool_free(pool);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("pool_reach");
+	TCase *t = tcase_create("pool_reach");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_add_test(t, a_killed_endpoint_is_offered_once);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
