Send requests to another failure domain while their own is much worse off

Cause: a request left its domain only when the pool there refused it, that is when it would miss its deadline; a domain at its limit made everybody wait as long as just allowed beside domains that stood idle. The decision lies with the dispatcher, which sees all requests of its domain, so the damped share is one share; an entry asks the named domain, and its own again where that one refuses.

--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -37,6 +37,7 @@
 	struct dl_pool *pool;
 	bool leading;
 	GHashTable *announced; /* endpoint to its last struct announced */
+	struct dl_spill spill;
 };
 
 /* What an endpoint announced that only the order planner asks for. */
@@ -112,9 +113,11 @@
 	struct dl_name spill_tried[DL_SPILL_MAX + 1];
 	struct dl_answer last_refusal;
 	bool refused;
+	bool sent_away; /* by the own domain's dispatcher, which has not refused
+			 */
 
 	/* granted */
-	struct dl_ask ask; /* as last sent; its workspace is ours */
+	struct dl_ask_frame ask; /* as last sent; its workspace is ours */
 	struct dl_answer grant;
 	bool granted;
 	uint32_t lease_ms;
@@ -270,7 +273,7 @@
 void entry_pool_frame(struct entry *e, uint64_t from,
 		      const struct dl_frame *frame);
 void entry_pool_ask(struct entry *e, struct entry_pool *p,
-		    const struct dl_ask *ask, bool local);
+		    const struct dl_ask_frame *f, bool local);
 void entry_pool_member(struct entry *e, const struct dl_member *m);
 void entry_pool_tick(struct entry *e, int64_t now);
 
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -35,9 +35,11 @@
 
 static void fill_ask(struct call *c)
 {
-	struct dl_ask *ask = &c->ask;
+	struct dl_ask *ask = &c->ask.ask;
 
-	memset(ask, 0, sizeof(*ask));
+	memset(&c->ask, 0, sizeof(c->ask));
+	c->ask.service = c->service;
+	c->ask.settled = c->sent_away || c->refused;
 	ask->request = c->ask_id;
 	ask->entry = c->e->node.self;
 	ask->workspace = dl_name_str(&c->workspace);
@@ -66,7 +68,7 @@
 	struct entry *e = c->e;
 	struct dl_packer pk;
 
-	dl_ask_pack(&pk, service_of(c), &c->ask, entry_now(e));
+	dl_ask_pack(&pk, &c->ask, entry_now(e));
 	if (dl_peers_send(e->node.peers, c->dispatcher, DL_FRAME_ASK, c->ask_id,
 			  dl_packer_bytes(&pk)))
 		c->ask_again_at = entry_now(e) + ASK_AGAIN_MS;
@@ -247,6 +249,22 @@
 	c->last_refusal = *answer;
 }
 
+/* The dispatcher sends it to a pool that is much better off. */
+static void go_away(struct call *c, const struct dl_name *domain)
+{
+	c->sent_away = true;
+	c->domain = *domain;
+	entry_grant_ask(c);
+}
+
+/* The others refused: the own domain, which was better off, decides. */
+static void come_back(struct call *c)
+{
+	c->sent_away = false;
+	c->domain = c->e->node.settings.failure_domain;
+	entry_grant_ask(c);
+}
+
 static void take_refusal(struct call *c, const struct dl_answer_frame *f)
 {
 	enum dl_step step = c->state == CALL_QUEUED ? DL_STEP_QUEUE :
@@ -258,9 +276,17 @@
 		c->ask_again_at = entry_now(c->e) + ASK_AGAIN_MS;
 		return;
 	}
+	if (f->answer.reason == DL_REASON_NONE && f->spill_count) {
+		go_away(c, &f->spill[0]);
+		return;
+	}
 	note_refusal(c, &f->answer);
 	if (spill(c, f))
 		return;
+	if (c->sent_away) {
+		come_back(c);
+		return;
+	}
 	entry_call_refuse(c, c->last_refusal.reason, step, c->dispatcher,
 			  c->last_refusal.retry_after_ms);
 }
@@ -323,11 +349,11 @@
 	if (owner == e->node.self) {
 		p = entry_pool_find(e, service_of(c));
 		if (p)
-			dl_pool_adopt(p->pool, &c->grant, &c->ask,
+			dl_pool_adopt(p->pool, &c->grant, &c->ask.ask,
 				      entry_now(e));
 		return;
 	}
-	dl_adopt_pack(&pk, service_of(c), &c->grant, &c->ask, entry_now(e));
+	dl_adopt_pack(&pk, service_of(c), &c->grant, &c->ask.ask, entry_now(e));
 	dl_peers_send(e->node.peers, owner, DL_FRAME_ADOPT, c->ask_id,
 		      dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -105,6 +105,7 @@
 	if (!p)
 		return NULL;
 	p->service = service->name;
+	p->spill.seed = e->node.incarnation;
 	p->pool = dl_pool_new(&service->pool, &dl_policy_late_binding,
 			      e->node.incarnation ^
 				      dl_hash(dl_name_str(&service->name), 0));
@@ -160,6 +161,14 @@
 	}
 }
 
+/* Whether a summary is of this service and still says something. */
+static bool is_fresh(const struct entry *e, const struct entry_far *far,
+		     struct dl_str service)
+{
+	return dl_name_eq(&far->service, service) &&
+	       entry_now(e) - far->heard <= SUMMARY_OLD_MS;
+}
+
 /* Other domains that a refused request may try, the least loaded first. */
 static void add_spill(struct entry *e, struct dl_str service,
 		      struct dl_answer_frame *f)
@@ -171,9 +180,7 @@
 	if (f->answer.verdict != DL_REFUSED)
 		return;
 	for (far = e->far; far; far = far->next) {
-		if (!dl_name_eq(&far->service, service) ||
-		    far->summary.endpoints == 0 ||
-		    entry_now(e) - far->heard > SUMMARY_OLD_MS)
+		if (!is_fresh(e, far, service) || far->summary.endpoints == 0)
 			continue;
 		if (f->spill_count == DL_SPILL_MAX)
 			break;
@@ -188,23 +195,63 @@
 	}
 }
 
+static void answer_to(struct entry *e, const struct dl_answer_frame *f)
+{
+	struct dl_packer pk;
+
+	if (f->answer.entry == e->node.self) {
+		entry_grant_answer(e, e->node.self, f);
+		return;
+	}
+	dl_answer_pack(&pk, f, entry_now(e));
+	dl_peers_send(e->node.peers, f->answer.entry, DL_FRAME_ANSWER,
+		      f->answer.request, dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
+}
+
 static void send_answer(struct entry *e, struct entry_pool *p,
 			const struct dl_answer *answer)
 {
 	struct dl_answer_frame f = { .service = p->service, .answer = *answer };
-	struct dl_packer pk;
 
 	add_spill(e, dl_name_str(&p->service), &f);
 	if (answer->verdict == DL_GRANTED)
 		dl_count(DL_METRIC_grants_total, 1);
-	if (answer->entry == e->node.self) {
-		entry_grant_answer(e, e->node.self, &f);
-		return;
+	answer_to(e, &f);
+}
+
+/*
+ * Whether a request goes to another failure domain's pool, which is much
+ * better off.  Decided here and not by each entry: the one dispatcher sees all
+ * of its domain's requests, so the share that leaves is one share.
+ */
+static bool send_away(struct entry *e, struct entry_pool *p,
+		      const struct dl_ask *ask)
+{
+	struct dl_answer_frame f = { .service = p->service, .spill_count = 1 };
+	struct dl_pool_summary own, others[DL_SPILL_MAX];
+	const struct dl_name *domains[DL_SPILL_MAX];
+	const struct entry_far *far;
+	uint32_t n = 0;
+	int to;
+
+	for (far = e->far; far && n < DL_SPILL_MAX; far = far->next) {
+		if (!is_fresh(e, far, dl_name_str(&p->service)))
+			continue;
+		domains[n] = &far->domain;
+		others[n++] = far->summary;
 	}
-	dl_answer_pack(&pk, &f, entry_now(e));
-	dl_peers_send(e->node.peers, answer->entry, DL_FRAME_ANSWER,
-		      answer->request, dl_packer_bytes(&pk));
-	dl_packer_close(&pk);
+	dl_pool_summarize(p->pool, entry_now(e), &own);
+	to = dl_pool_spill(&p->spill, &own, others, n, ask, entry_now(e));
+	if (to < 0)
+		return false;
+	f.answer.request = ask->request;
+	f.answer.entry = ask->entry;
+	f.answer.verdict = DL_REFUSED;
+	f.answer.reason = DL_REASON_NONE;
+	f.spill[0] = *domains[to];
+	answer_to(e, &f);
+	return true;
 }
 
 /*
@@ -212,11 +259,14 @@
  * no dispatcher answers.
  */
 void entry_pool_ask(struct entry *e, struct entry_pool *p,
-		    const struct dl_ask *ask, bool local)
+		    const struct dl_ask_frame *f, bool local)
 {
+	const struct dl_ask *ask = &f->ask;
 	struct dl_answer answer;
 
 	update_leading(e, p);
+	if (p->leading && !local && !f->settled && send_away(e, p, ask))
+		return;
 	if (p->leading || local) {
 		dl_pool_ask(p->pool, ask, entry_now(e), &answer);
 	} else {
@@ -232,28 +282,23 @@
 static void on_ask(struct entry *e, uint64_t from, const struct dl_frame *f)
 {
 	struct dl_answer_frame none = { 0 };
+	struct dl_ask_frame asked;
 	struct entry_pool *p;
-	struct dl_packer pk;
-	struct dl_name service;
-	struct dl_ask ask;
 
-	if (dl_ask_read(f->body, &service, &ask, entry_now(e)))
+	if (dl_ask_read(f->body, &asked, entry_now(e)))
 		return;
-	ask.entry = from;
-	p = entry_pool_find(e, dl_name_str(&service));
+	asked.ask.entry = from;
+	p = entry_pool_find(e, dl_name_str(&asked.service));
 	if (p) {
-		entry_pool_ask(e, p, &ask, false);
+		entry_pool_ask(e, p, &asked, false);
 		return;
 	}
-	none.service = service;
-	none.answer.request = ask.request;
+	none.service = asked.service;
+	none.answer.request = asked.ask.request;
 	none.answer.entry = from;
 	none.answer.verdict = DL_REFUSED;
 	none.answer.reason = DL_REASON_NO_DISPATCHER;
-	dl_answer_pack(&pk, &none, entry_now(e));
-	dl_peers_send(e->node.peers, from, DL_FRAME_ANSWER, ask.request,
-		      dl_packer_bytes(&pk));
-	dl_packer_close(&pk);
+	answer_to(e, &none);
 }
 
 static void on_cancel(struct entry *e, uint64_t from, const struct dl_frame *f)
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -4,7 +4,7 @@
 #include <errno.h>
 #include <string.h>
 
-#define ASK_ITEMS     11
+#define ASK_ITEMS     12
 #define ANSWER_ITEMS  13
 #define RELEASE_ITEMS 9
 #define REPORT_ITEMS  17
@@ -90,23 +90,23 @@
 }
 
 /* Pack a request for an endpoint of a service. */
-void dl_ask_pack(struct dl_packer *p, struct dl_str service,
-		 const struct dl_ask *ask, int64_t now)
+void dl_ask_pack(struct dl_packer *p, const struct dl_ask_frame *f, int64_t now)
 {
 	dl_packer_open(p, ASK_ITEMS);
-	dl_pack_str(p, service);
-	put_ask(p, ask, now);
+	dl_pack_str(p, dl_name_str(&f->service));
+	put_ask(p, &f->ask, now);
+	dl_pack_bool(p, f->settled);
 }
 
 /* Read it; the workspace points into the body. */
-int dl_ask_read(struct dl_str body, struct dl_name *service, struct dl_ask *out,
-		int64_t now)
+int dl_ask_read(struct dl_str body, struct dl_ask_frame *out, int64_t now)
 {
 	struct dl_reader r;
 
 	dl_reader_open(&r, body);
-	dl_read_name(&r, service);
-	take_ask(&r, out, now);
+	dl_read_name(&r, &out->service);
+	take_ask(&r, &out->ask, now);
+	out->settled = dl_read_bool(&r);
 	return finish(&r);
 }
 
@@ -251,7 +251,7 @@
 
 static void put_events(struct dl_packer *p, const struct dl_announcement *a)
 {
-	msgpack_pack_array(&p->pk, a->events_count * 2);
+	msgpack_pack_array(&p->pk, (size_t)a->events_count * 2);
 	for (uint32_t i = 0; i < a->events_count; i++) {
 		dl_pack_u64(p, a->events[i].prefix);
 		dl_pack_u64(p, a->events[i].tokens);
--- a/src/protocol/pool_codec.h
+++ b/src/protocol/pool_codec.h
@@ -20,10 +20,15 @@
 };
 
 /* Each packer must be closed by the caller. */
-void dl_ask_pack(struct dl_packer *p, struct dl_str service,
-		 const struct dl_ask *ask, int64_t now);
-int dl_ask_read(struct dl_str body, struct dl_name *service, struct dl_ask *out,
-		int64_t now);
+struct dl_ask_frame {
+	struct dl_name service;
+	struct dl_ask ask;
+	bool settled; /* another pool was tried: do not send it elsewhere */
+};
+
+void dl_ask_pack(struct dl_packer *p, const struct dl_ask_frame *f,
+		 int64_t now);
+int dl_ask_read(struct dl_str body, struct dl_ask_frame *out, int64_t now);
 
 void dl_answer_pack(struct dl_packer *p, const struct dl_answer_frame *f,
 		    int64_t now);
