--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -194,6 +194,7 @@
 		pool->tokens_allowed = pool->queued_tokens;
 	for (uint32_t i = 0; i < pool->endpoints_n; i++)
 		pool_place_refresh(pool, pool->endpoints[i], pool->now);
+	pool_queue_weigh(pool);
 }
 
 /* Weight and limits of a workspace; a weight of 0 is the default one. */
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -453,6 +453,7 @@
 struct pool_request *pool_queue_head(const struct dl_pool *pool, uint8_t lane,
 				     uint32_t nth);
 uint8_t pool_lane_of(const struct pool_want *want);
+void pool_queue_weigh(struct dl_pool *pool);
 void pool_queue_yield(struct dl_pool *pool, struct pool_request *req);
 
 /* pool_admit.c */
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -556,8 +556,11 @@
 void pool_place_undo(struct pool_endpoint *e, uint8_t level, int64_t rest_ms,
 		     int64_t now)
 {
-	for (int i = level; i < POOL_LEVELS; i++)
+	for (int i = level; i < POOL_LEVELS; i++) {
 		e->until[i] = max_time(now, e->until[i] - rest_ms);
+		if (i > 0)
+			e->until[i] = max_time(e->until[i], e->until[i - 1]);
+	}
 }
 
 static uint64_t excess_low(const struct pool_excess *excess)
--- a/src/coordination/pool_queue.c
+++ b/src/coordination/pool_queue.c
@@ -304,6 +304,21 @@
 	return first_of(POOL_OF(heap->at[nth + 1], struct pool_flow, start));
 }
 
+/* Add the weights of all lanes up anew, after the default one changed. */
+void pool_queue_weigh(struct dl_pool *pool)
+{
+	for (int i = 0; i < POOL_LANES; i++) {
+		struct pool_lane *lane = &pool->lane[i];
+
+		lane->weights = 0;
+		for (uint32_t k = 1; k <= lane->by_start.n; k++)
+			lane->weights += pool_workspace_weight(
+				pool, POOL_OF(lane->by_start.at[k],
+					      struct pool_flow, start)
+					      ->workspace);
+	}
+}
+
 /* Let the other flows of its lane go before a request that cannot start. */
 void pool_queue_yield(struct dl_pool *pool, struct pool_request *req)
 {
--- /dev/null
+++ b/test/test_pool.c
@@ -0,0 +1,596 @@
+/* The contract of a pool, event by event. */
+#include <check.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daisyledge/pool.h"
+
+#define MEMORY 100000
+#define SLOTS  8
+#define RATE   10000
+#define DECODE 100
+#define LEASE  2000
+#define GONE   3000
+#define FAR    600000
+
+static struct dl_pool *pool;
+static int64_t now;
+static uint64_t next_request;
+
+static const struct dl_pool_conf conf = {
+	.kind = DL_POOL_MODEL,
+	.queue_entries_max = 8,
+	.queue_tokens_max = 400000,
+	.long_tokens = 20000,
+	.long_share_permille = 500,
+	.out_share_permille = 300,
+	.grant_lease_ms = LEASE,
+	.report_gone_ms = GONE,
+	.weight_default = 1,
+};
+
+static void begin(void)
+{
+	now = 1000;
+	next_request = 1;
+	pool = dl_pool_new(&conf, &dl_policy_late_binding, 42);
+}
+
+static void end(void)
+{
+	ck_assert_ptr_null(dl_pool_broken(pool));
+	dl_pool_free(pool);
+}
+
+static struct dl_endpoint_report report_of(const char *id)
+{
+	struct dl_endpoint_report r = { .incarnation = 1,
+					.memory_tokens = MEMORY,
+					.slots = SLOTS,
+					.prefill_rate = RATE,
+					.decode_rate = DECODE,
+					.takes_groups = true };
+
+	dl_name_set(&r.id, dl_str_of(id));
+	return r;
+}
+
+static void report(const char *id)
+{
+	struct dl_endpoint_report r = report_of(id);
+
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+}
+
+static struct dl_ask ask_of(uint64_t prompt, uint64_t output, int64_t within)
+{
+	return (struct dl_ask){ .request = next_request++,
+				.entry = 1,
+				.workspace = DL_STR("sweeps"),
+				.class = DL_CLASS_INTERACTIVE,
+				.prompt_tokens = prompt,
+				.output_tokens = output,
+				.deadline = now + within };
+}
+
+static struct dl_answer ask(uint64_t prompt, uint64_t output, int64_t within)
+{
+	struct dl_ask a = ask_of(prompt, output, within);
+	struct dl_answer out;
+
+	dl_pool_ask(pool, &a, now, &out);
+	ck_assert_ptr_null(dl_pool_broken(pool));
+	return out;
+}
+
+static void release(const struct dl_answer *a, uint32_t ttft)
+{
+	struct dl_usage usage = { .ran = true,
+				  .prompt_tokens = 1,
+				  .ttft_ms = ttft,
+				  .total_ms = ttft };
+
+	ck_assert_int_eq(dl_pool_release(pool, a->grant, &usage, now), 0);
+	ck_assert_ptr_null(dl_pool_broken(pool));
+}
+
+static uint64_t held(const char *id)
+{
+	struct dl_endpoint_report r;
+	uint64_t tokens;
+	bool out;
+
+	for (uint32_t i = 0; dl_pool_endpoint_at(pool, i, &r, &tokens, &out);
+	     i++)
+		if (dl_name_eq(&r.id, dl_str_of(id)))
+			return tokens;
+	return 0;
+}
+
+START_TEST(grant_holds_memory_until_release)
+{
+	struct dl_answer a;
+
+	report("a:1");
+	a = ask(1000, 500, FAR);
+	ck_assert_int_eq(a.verdict, DL_GRANTED);
+	ck_assert_uint_eq(a.endpoints, 1);
+	ck_assert_uint_eq(a.share_tokens[0], 1500);
+	ck_assert_uint_eq(held("a:1"), 1500);
+	release(&a, 100);
+	ck_assert_uint_eq(held("a:1"), 0);
+	ck_assert_int_eq(dl_pool_release(pool, a.grant, NULL, now), -ENOENT);
+}
+END_TEST
+
+START_TEST(lease_ends_unless_renewed)
+{
+	struct dl_answer a, none;
+
+	report("a:1");
+	a = ask(1000, 0, FAR);
+	now += LEASE - 1;
+	report("a:1");
+	ck_assert_int_eq(dl_pool_renew(pool, a.grant, now), 0);
+	now += LEASE - 1;
+	ck_assert(!dl_pool_next(pool, now, &none));
+	ck_assert_uint_eq(held("a:1"), 1000);
+	ck_assert_int_eq(dl_pool_wakeup(pool), now + 1);
+	now += 1;
+	ck_assert(!dl_pool_next(pool, now, &none));
+	ck_assert_uint_eq(held("a:1"), 0);
+	ck_assert_int_eq(dl_pool_renew(pool, a.grant, now), -ENOENT);
+}
+END_TEST
+
+START_TEST(dead_entry_gives_all_back)
+{
+	struct dl_answer a;
+	struct dl_ask other = ask_of(500, 0, FAR);
+
+	report("a:1");
+	ask(1000, 0, FAR);
+	now += 100;
+	ask(2000, 0, FAR);
+	now += 200;
+	other.entry = 2;
+	dl_pool_ask(pool, &other, now, &a);
+	dl_pool_entry_gone(pool, 1, now);
+	ck_assert_uint_eq(held("a:1"), 500);
+}
+END_TEST
+
+START_TEST(new_incarnation_holds_nothing)
+{
+	struct dl_endpoint_report r = report_of("a:1");
+	struct dl_answer a;
+
+	report("a:1");
+	a = ask(1000, 0, FAR);
+	r.incarnation = 2;
+	dl_pool_report(pool, &r, now);
+	ck_assert_uint_eq(held("a:1"), 0);
+	ck_assert_int_eq(dl_pool_release(pool, a.grant, NULL, now), 0);
+}
+END_TEST
+
+START_TEST(silent_endpoint_keeps_its_grants)
+{
+	struct dl_answer a;
+
+	report("a:1");
+	report("b:1");
+	a = ask(1000, 0, FAR);
+	now += GONE;
+	dl_pool_renew(pool, a.grant, now);
+	ck_assert_int_eq(ask(1000, 0, FAR).reason, DL_REASON_NO_ENDPOINT);
+}
+END_TEST
+
+START_TEST(ask_twice_is_one_request)
+{
+	struct dl_ask a = ask_of(1000, 0, FAR);
+	struct dl_answer first, again;
+
+	report("a:1");
+	dl_pool_ask(pool, &a, now, &first);
+	dl_pool_ask(pool, &a, now, &again);
+	ck_assert_uint_eq(first.grant, again.grant);
+	a.entry = 2; /* the same number of another entry is another request */
+	dl_pool_ask(pool, &a, now, &again);
+	ck_assert_uint_ne(first.grant, again.grant);
+}
+END_TEST
+
+START_TEST(incarnations_give_other_ids)
+{
+	struct dl_pool *other = dl_pool_new(&conf, &dl_policy_late_binding, 43);
+	struct dl_endpoint_report r = report_of("a:1");
+	struct dl_ask a = ask_of(1000, 0, FAR);
+	struct dl_answer x, y;
+
+	report("a:1");
+	dl_pool_report(other, &r, now);
+	dl_pool_ask(pool, &a, now, &x);
+	dl_pool_ask(other, &a, now, &y);
+	ck_assert_uint_ne(x.grant, y.grant);
+	ck_assert_int_eq(dl_pool_release(other, x.grant, NULL, now), -ENOENT);
+	dl_pool_free(other);
+}
+END_TEST
+
+START_TEST(adopted_grant_is_counted_before_its_endpoint)
+{
+	struct dl_ask a = ask_of(1000, 0, FAR);
+	struct dl_answer grant = { .grant = 77,
+				   .endpoints = 1,
+				   .share_tokens = { MEMORY - 500 } };
+
+	dl_name_set(&grant.endpoint[0], DL_STR("a:1"));
+	ck_assert_int_eq(dl_pool_adopt(pool, &grant, &a, now), 0);
+	ck_assert_int_eq(dl_pool_adopt(pool, &grant, &a, now), -EEXIST);
+	ck_assert_int_eq(ask(1000, 0, FAR).reason, DL_REASON_NO_ENDPOINT);
+	report("a:1");
+	ck_assert_int_eq(ask(400, 0, FAR).verdict, DL_GRANTED);
+	ck_assert_int_eq(ask(1000, 0, FAR).verdict, DL_QUEUED);
+	ck_assert_int_eq(dl_pool_release(pool, 77, NULL, now), 0);
+	grant.grant = 78;
+	grant.endpoints = 0;
+	ck_assert_int_eq(dl_pool_adopt(pool, &grant, &a, now), -EINVAL);
+}
+END_TEST
+
+/* What another dispatcher gave an engine is left free for it. */
+START_TEST(reported_excess_is_left_alone)
+{
+	struct dl_endpoint_report r = report_of("a:1");
+
+	r.used_tokens = MEMORY - 1000;
+	r.running = 3;
+	dl_pool_report(pool, &r, now);
+	ck_assert_int_eq(ask(900, 0, FAR).verdict, DL_GRANTED);
+	ck_assert_int_eq(ask(900, 0, FAR).verdict, DL_QUEUED);
+}
+END_TEST
+
+START_TEST(one_high_report_proves_nothing)
+{
+	struct dl_endpoint_report r = report_of("a:1");
+
+	report("a:1");
+	r.used_tokens = MEMORY;
+	dl_pool_report(pool, &r, now);
+	ck_assert_int_eq(ask(900, 0, FAR).verdict, DL_GRANTED);
+	for (int i = 0; i < 3; i++)
+		dl_pool_report(pool, &r, now += 100);
+	ck_assert_int_eq(ask(900, 0, FAR).verdict, DL_QUEUED);
+}
+END_TEST
+
+struct refusal {
+	uint64_t prompt;
+	uint64_t output;
+	int64_t within;
+	enum dl_reason reason;
+	bool comes_back;
+};
+
+static const struct refusal refusals[] = {
+	{ 5000, 0, 100, DL_REASON_DEADLINE, false },	/* 500 ms of prefill */
+	{ 100, 1000, 5000, DL_REASON_DEADLINE, false }, /* 10 s of decoding */
+	{ 1000, 0, 0, DL_REASON_DEADLINE, false },
+	{ 2 * MEMORY + 1, 0, FAR, DL_REASON_TOO_LONG, false },
+};
+
+START_TEST(refused_at_once)
+{
+	const struct refusal *c = &refusals[_i];
+	struct dl_answer a;
+
+	report("a:1");
+	report("b:1");
+	report("c:1");
+	a = ask(c->prompt, c->output, c->within);
+	ck_assert_int_eq(a.verdict, DL_REFUSED);
+	ck_assert_int_eq(a.reason, c->reason);
+	ck_assert_int_eq(a.retry_after_ms > 0, c->comes_back);
+}
+END_TEST
+
+START_TEST(no_endpoint_says_when)
+{
+	struct dl_answer a = ask(1000, 0, FAR);
+
+	ck_assert_int_eq(a.reason, DL_REASON_NO_ENDPOINT);
+	ck_assert_uint_gt(a.retry_after_ms, 0);
+	report("a:1");
+	dl_pool_endpoint_drain(pool, DL_STR("a:1"), true, now);
+	a = ask(1000, 0, FAR);
+	ck_assert_int_eq(a.reason, DL_REASON_DRAINING);
+	dl_pool_endpoint_drain(pool, DL_STR("a:1"), false, now);
+	ck_assert_int_eq(ask(1000, 0, FAR).verdict, DL_GRANTED);
+}
+END_TEST
+
+START_TEST(leaving_takes_nothing_new)
+{
+	struct dl_endpoint_report r = report_of("a:1");
+
+	report("a:1");
+	report("b:1");
+	r.leaving = true;
+	dl_pool_report(pool, &r, now);
+	for (int i = 0; i < 4; i++) {
+		struct dl_answer a = ask(10, 0, FAR);
+
+		ck_assert(dl_name_eq(&a.endpoint[0], DL_STR("b:1")));
+	}
+}
+END_TEST
+
+START_TEST(tried_endpoints_are_not_tried_again)
+{
+	struct dl_ask a = ask_of(100, 0, FAR);
+	struct dl_answer out;
+
+	report("a:1");
+	a.tried = 1;
+	dl_name_set(&a.tried_ids[0], DL_STR("a:1"));
+	dl_pool_ask(pool, &a, now, &out);
+	ck_assert_int_eq(out.reason, DL_REASON_NO_ENDPOINT);
+	report("b:1");
+	dl_pool_ask(pool, &a, now, &out);
+	ck_assert(dl_name_eq(&out.endpoint[0], DL_STR("b:1")));
+}
+END_TEST
+
+START_TEST(limits_of_a_workspace)
+{
+	struct dl_workspace_conf ws = { .concurrency_max = 2,
+					.requests_per_s = 3 };
+	struct dl_answer a, b;
+
+	dl_name_set(&ws.name, DL_STR("sweeps"));
+	dl_pool_workspace(pool, &ws);
+	report("a:1");
+	a = ask(10, 0, FAR);
+	b = ask(10, 0, FAR);
+	ck_assert_int_eq(ask(10, 0, FAR).reason, DL_REASON_CONCURRENCY);
+	release(&a, 10);
+	release(&b, 10);
+	a = ask(10, 0, FAR);
+	ck_assert_int_eq(a.verdict, DL_GRANTED);
+	release(&a, 10);
+	a = ask(10, 0, FAR);
+	ck_assert_int_eq(a.reason, DL_REASON_RATE);
+	now += a.retry_after_ms;
+	report("a:1");
+	ck_assert_int_eq(ask(10, 0, FAR).verdict, DL_GRANTED);
+}
+END_TEST
+
+/* A request that waits is refused when it is clear, not at its deadline. */
+START_TEST(hopeless_is_told_at_once)
+{
+	struct dl_answer a, late;
+
+	report("a:1");
+	a = ask(15000, 0, 20000); /* 1.5 s of the only engine */
+	ck_assert_int_eq(a.verdict, DL_GRANTED);
+	a = ask(10000, 0, 3000); /* 1.5 s of waiting, 1 s, 50 ms to spare */
+	ck_assert_int_eq(a.verdict, DL_QUEUED);
+	dl_pool_endpoint_gone(pool, DL_STR("a:1"), now);
+	ck_assert(dl_pool_next(pool, now, &late));
+	ck_assert_int_eq(late.verdict, DL_REFUSED);
+	ck_assert_int_eq(late.reason, DL_REASON_NO_ENDPOINT);
+}
+END_TEST
+
+START_TEST(full_queue_sheds_what_can_least_make_it)
+{
+	struct dl_ask ping = ask_of(500, 0, 20000);
+	struct dl_answer a, late;
+
+	report("a:1");
+	ck_assert_int_eq(ask(4000, 0, 20000).verdict, DL_GRANTED);
+	for (uint32_t i = 0; i < conf.queue_entries_max; i++)
+		ck_assert_int_eq(ask(2000, 0, 19000).verdict, DL_QUEUED);
+	ping.workspace = DL_STR("kiosk");
+	dl_pool_ask(pool, &ping, now, &a);
+	ck_assert_int_eq(a.verdict, DL_QUEUED);
+	ck_assert(dl_pool_next(pool, now, &late));
+	ck_assert_int_eq(late.reason, DL_REASON_SHED);
+	ck_assert_uint_eq(late.request, conf.queue_entries_max + 2);
+	ck_assert_uint_gt(late.retry_after_ms, 0);
+}
+END_TEST
+
+START_TEST(retry_times_are_spread)
+{
+	uint32_t last = 0;
+
+	report("a:1");
+	ask(4000, 0, 20000);
+	for (int i = 0; i < 20; i++) {
+		struct dl_answer a = ask(1000, 0, 200);
+
+		ck_assert_int_eq(a.reason, DL_REASON_DEADLINE);
+		ck_assert_uint_gt(a.retry_after_ms, last);
+		last = a.retry_after_ms;
+	}
+}
+END_TEST
+
+/* The prompt of a million: more than twice the memory of an engine. */
+START_TEST(group_is_whole_or_not_at_all)
+{
+	struct dl_answer a, b, late;
+
+	for (int i = 0; i < 4; i++)
+		report((const char *[]){ "a:1", "b:1", "c:1", "d:1" }[i]);
+	a = ask(250000, 1000, FAR);
+	ck_assert_int_eq(a.verdict, DL_GRANTED);
+	ck_assert_uint_eq(a.endpoints, 3);
+	ck_assert_str_lt(a.endpoint[0].s, a.endpoint[1].s);
+	ck_assert_str_lt(a.endpoint[1].s, a.endpoint[2].s);
+	b = ask(250000, 1000, FAR);
+	ck_assert_int_eq(b.verdict, DL_QUEUED);
+	ck_assert(!dl_pool_next(pool, now, &late));
+	release(&a, 100);
+	ck_assert(dl_pool_next(pool, now, &late));
+	ck_assert_int_eq(late.verdict, DL_GRANTED);
+	ck_assert_uint_eq(late.endpoints, 3);
+}
+END_TEST
+
+START_TEST(long_prompts_leave_an_endpoint_free)
+{
+	struct dl_answer a;
+	bool clear = false;
+
+	report("a:1");
+	report("b:1");
+	ck_assert_int_eq(ask(30000, 0, FAR).verdict, DL_GRANTED);
+	ck_assert_int_eq(ask(30000, 0, FAR).verdict, DL_QUEUED);
+	clear = held("a:1") == 0 || held("b:1") == 0;
+	ck_assert(clear);
+	a = ask(100, 0, FAR);
+	ck_assert_int_eq(a.verdict, DL_GRANTED);
+	ck_assert_uint_lt(a.predicted_ttft_ms, 100);
+}
+END_TEST
+
+START_TEST(prefix_goes_where_it_was)
+{
+	struct dl_ask a = ask_of(3000, 0, FAR);
+	struct dl_answer first, out;
+
+	report("a:1");
+	report("b:1");
+	a.prefix = 99;
+	a.prefix_tokens = 2500;
+	dl_pool_ask(pool, &a, now, &first);
+	release(&first, 300);
+	for (int i = 0; i < 6; i++) {
+		a.request = next_request++;
+		now += 400;
+		report("a:1");
+		report("b:1");
+		dl_pool_ask(pool, &a, now, &out);
+		ck_assert(dl_name_eq(&out.endpoint[0],
+				     dl_name_str(&first.endpoint[0])));
+		ck_assert_uint_lt(out.predicted_ttft_ms, 100);
+		release(&out, 50);
+	}
+	dl_pool_cached(pool, dl_name_str(&first.endpoint[0]), 99, 0, now);
+	a.request = next_request++;
+	dl_pool_ask(pool, &a, now, &out);
+	ck_assert_uint_gt(out.predicted_ttft_ms, 200);
+}
+END_TEST
+
+START_TEST(plain_services_hold_slots)
+{
+	struct dl_pool_conf plain = conf;
+	struct dl_endpoint_report r = report_of("a:1");
+	struct dl_answer a, late;
+
+	plain.kind = DL_POOL_PLAIN;
+	dl_pool_free(pool);
+	pool = dl_pool_new(&plain, &dl_policy_late_binding, 1);
+	r.memory_tokens = 0;
+	r.slots = 2;
+	dl_pool_report(pool, &r, now);
+	a = ask(0, 0, FAR);
+	ck_assert_int_eq(a.verdict, DL_GRANTED);
+	ck_assert_int_eq(ask(0, 0, FAR).verdict, DL_GRANTED);
+	ck_assert_int_eq(ask(0, 0, FAR).verdict, DL_QUEUED);
+	release(&a, 20);
+	ck_assert(dl_pool_next(pool, now, &late));
+	ck_assert_int_eq(late.verdict, DL_GRANTED);
+}
+END_TEST
+
+START_TEST(bad_reports_are_turned_away)
+{
+	struct dl_endpoint_report r = report_of("");
+
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), -EINVAL);
+	r = report_of("a:1");
+	r.slots = 0;
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), -EINVAL);
+	r = report_of("a:1");
+	r.memory_tokens = 0;
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), -EINVAL);
+}
+END_TEST
+
+START_TEST(spill_moves_slowly)
+{
+	struct dl_pool_summary own = { .endpoints = 4,
+				       .memory_tokens = MEMORY,
+				       .backlog_ms = 2000 };
+	struct dl_pool_summary others[2] = { own, own };
+	struct dl_spill spill = { .seed = 5 };
+	struct dl_ask a = ask_of(100, 0, FAR);
+	int first = 0, later = 0;
+
+	others[0].backlog_ms = 10;
+	others[1].backlog_ms = 20;
+	for (int i = 0; i < 1000; i++)
+		first += dl_pool_spill(&spill, &own, others, 2, &a, now) >= 0;
+	for (int i = 0; i < 4000; i++)
+		later += dl_pool_spill(&spill, &own, others, 2, &a, now + i) >=
+			 0;
+	ck_assert_int_lt(first, 200);
+	ck_assert_int_gt(later, 4 * first);
+	ck_assert_int_lt(later, 2200);
+	own.backlog_ms = 50;
+	ck_assert_int_lt(dl_pool_spill(&spill, &own, others, 2, &a, now), 0);
+	ck_assert_int_ge(dl_pool_spill(&spill, NULL, others, 2, &a, now), 0);
+	others[0].endpoints = 0;
+	others[1].endpoints = 0;
+	ck_assert_int_lt(dl_pool_spill(&spill, NULL, others, 2, &a, now), 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("pool");
+	TCase *t = tcase_create("pool");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_add_checked_fixture(t, begin, end);
+	tcase_add_test(t, grant_holds_memory_until_release);
+	tcase_add_test(t, lease_ends_unless_renewed);
+	tcase_add_test(t, dead_entry_gives_all_back);
+	tcase_add_test(t, new_incarnation_holds_nothing);
+	tcase_add_test(t, silent_endpoint_keeps_its_grants);
+	tcase_add_test(t, ask_twice_is_one_request);
+	tcase_add_test(t, incarnations_give_other_ids);
+	tcase_add_test(t, adopted_grant_is_counted_before_its_endpoint);
+	tcase_add_test(t, reported_excess_is_left_alone);
+	tcase_add_test(t, one_high_report_proves_nothing);
+	tcase_add_loop_test(t, refused_at_once, 0,
+			    sizeof(refusals) / sizeof(refusals[0]));
+	tcase_add_test(t, no_endpoint_says_when);
+	tcase_add_test(t, leaving_takes_nothing_new);
+	tcase_add_test(t, tried_endpoints_are_not_tried_again);
+	tcase_add_test(t, limits_of_a_workspace);
+	tcase_add_test(t, hopeless_is_told_at_once);
+	tcase_add_test(t, full_queue_sheds_what_can_least_make_it);
+	tcase_add_test(t, retry_times_are_spread);
+	tcase_add_test(t, group_is_whole_or_not_at_all);
+	tcase_add_test(t, long_prompts_leave_an_endpoint_free);
+	tcase_add_test(t, prefix_goes_where_it_was);
+	tcase_add_test(t, plain_services_hold_slots);
+	tcase_add_test(t, bad_reports_are_turned_away);
+	tcase_add_test(t, spill_moves_slowly);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
