Dispatch: no feedback loops in what is learnt; late requests leave the queue

Cause, found by the burst and saturation tests at twice the load: the pool stopped serving for good. Corrections of predictions were learnt from predictions that already held them, and their effect shows only seconds later, so they swung between their bounds; an engine's speed was learnt from times that held the wait there; and the first request of each flow that could not end in time any more, but not so late as to be refused, blocked all behind it. Ruled out: admission's rate, the index, outliers (none out at the onset). Change: waits are compared with uncorrected predictions, a broken-off wait teaches nothing unless it is long already; speed is learnt from the first token before to its own; what was learnt fades without answers; a request whose best endpoint is too late is refused.

--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -344,6 +344,7 @@
 	struct pool_request *req;
 	struct pool_want want;
 	struct pool_choice choice;
+	enum pool_found found;
 	enum dl_reason reason;
 	uint32_t after = 0;
 	int64_t wait;
@@ -372,7 +373,8 @@
 		return;
 	}
 	if (!pool->policy->queues || !pool_queue_ahead(pool, &want)) {
-		if (pool->policy->choose(pool, &want, now, &choice)) {
+		found = pool->policy->choose(pool, &want, now, &choice);
+		if (found == POOL_CHOSEN) {
 			pool_queue_charge(pool, ws, &want);
 			pool_grant_make(pool, ask->request, ask->entry, ws,
 					&want, &choice, now, out);
@@ -384,6 +386,13 @@
 					    RETRY_FLAT_MS);
 			return;
 		}
+		if (found == POOL_LATE) {
+			wait = now + choice.total_ms - want.deadline;
+			pool_answer_refused(out, DL_REASON_DEADLINE,
+					    pool_retry_after(pool, &want, wait,
+							     now));
+			return;
+		}
 	}
 	reason = admit(pool, &want, ws, now, &after, &wait);
 	if (reason != DL_REASON_NONE) {
@@ -392,6 +401,7 @@
 	}
 	req = pool_queue_push(pool, ask, &want, ws, now);
 	req->predicted_wait = wait;
+	req->bias = pool->lane[pool_lane_of(&want)].bias;
 	pool->serve_at = now;
 	out->verdict = DL_QUEUED;
 }
@@ -427,8 +437,8 @@
 		out->memory_tokens += e->last.memory_tokens;
 		out->free_tokens += pool_place_free(e);
 	}
-	for (int class = 0; class < DL_CLASS_COUNT; class ++)
-		tokens += (double)pool->lane[class * (size_t)POOL_BANDS].tokens;
+	for (size_t c = 0; c < DL_CLASS_COUNT; c++)
+		tokens += (double)pool->lane[c * (size_t)POOL_BANDS].tokens;
 	if (pool->rate > 0)
 		out->backlog_ms = (uint64_t)(tokens / pool->rate);
 	if (root->ready[0] != INT64_MAX && root->ready[0] > now)
--- a/src/coordination/pool_admit.c
+++ b/src/coordination/pool_admit.c
@@ -8,8 +8,6 @@
 #include <math.h>
 #include <stdlib.h>
 
-/* The least that pool_place.c keeps in hand; see there. */
-#define MARGIN	    0.05
 #define OVERHEAD_MS 10
 /* A prompt read by several engines: the exchange between them, a share. */
 #define GROUP_OVERHEAD 0.1
@@ -21,16 +19,13 @@
 #define LOWER_CLASS_SHARE 0.2
 
 /*
- * Feedback on predicted waits: one in ten of each measured error is taken
- * over, so that a single odd wait doesn't swing admission, and the whole
- * correction stays between these, so that a bad minute neither admits
- * everything nor refuses all.
+ * Feedback on predicted waits: the mean of measured over predicted, over some
+ * fifty requests, so that a single odd wait doesn't swing admission; between
+ * these, so that a bad minute neither admits everything nor refuses all.
  */
-#define BIAS_GAIN 0.1
+#define BIAS_GAIN 0.02
 #define BIAS_MIN  0.5
 #define BIAS_MAX  4.0
-#define ERROR_MIN 0.25
-#define ERROR_MAX 4.0
 /* Waits shorter than this say nothing about a prediction. */
 #define BIAS_WAIT_MS 20
 
@@ -91,7 +86,9 @@
 		n = pool_group_size(pool, want, &share);
 		prefill *= (1 + GROUP_OVERHEAD) / (n ? n : 1);
 	}
-	return (int64_t)ceil((prefill + decode) * (1 + MARGIN)) + OVERHEAD_MS;
+	return (int64_t)ceil(prefill * (1 + pool_margin(pool->deviation)) +
+			     decode * (1 + pool_margin(0))) +
+	       OVERHEAD_MS;
 }
 
 /* The share of the pool that the classes before this one were given lately. */
@@ -119,12 +116,12 @@
 	double tokens = 0;
 
 	*entries = 0;
-	for (int class = 0; class <= want->class; class ++) {
+	for (int c = 0; c <= want->class; c++) {
 		for (int band = 0; band <= want->band; band++) {
 			const struct pool_lane *lane =
-				&pool->lane[class * POOL_BANDS + band];
+				&pool->lane[c * POOL_BANDS + band];
 
-			if (class == want->class && band == want->band)
+			if (c == want->class && band == want->band)
 				continue;
 			tokens += (double)lane->tokens;
 			*entries += lane->n;
@@ -356,25 +353,31 @@
 	pool->recheck_at = now + RECHECK_MS;
 }
 
-/* Compare a wait with its prediction, at its end or where it proved longer. */
+/*
+ * Compare a wait with its prediction: at its end, or where the request was
+ * refused while waiting and the wait had proved longer already.  A wait broken
+ * off before would count as a short one, and the more are refused late the more
+ * would be let in.
+ * The prediction is taken without the correction that was in force when it
+ * was made: an error of the correction itself must not feed back into it,
+ * since its effect is only seen a whole wait later.
+ */
 void pool_admit_learn(struct dl_pool *pool, const struct pool_request *req,
-		      int64_t now)
+		      bool ended, int64_t now)
 {
 	struct pool_lane *lane = &pool->lane[pool_lane_of(&req->want)];
 	double waited = (double)(now - req->since);
-	double predicted = (double)req->predicted_wait;
+	double predicted = (double)req->predicted_wait / req->bias;
 	double error;
 
+	if (!ended && waited < (double)req->predicted_wait)
+		return;
 	if (waited < BIAS_WAIT_MS && predicted < BIAS_WAIT_MS)
 		return;
-	error = (waited + 1) / (predicted + 1);
-	if (error < ERROR_MIN)
-		error = ERROR_MIN;
-	if (error > ERROR_MAX)
-		error = ERROR_MAX;
-	lane->bias *= 1 + BIAS_GAIN * (error - 1);
-	if (lane->bias < BIAS_MIN)
-		lane->bias = BIAS_MIN;
-	if (lane->bias > BIAS_MAX)
-		lane->bias = BIAS_MAX;
+	error = (waited + BIAS_WAIT_MS) / (predicted + BIAS_WAIT_MS);
+	if (error < BIAS_MIN)
+		error = BIAS_MIN;
+	if (error > BIAS_MAX)
+		error = BIAS_MAX;
+	lane->bias += BIAS_GAIN * (error - lane->bias);
 }
--- a/src/coordination/pool_baseline.c
+++ b/src/coordination/pool_baseline.c
@@ -7,12 +7,12 @@
 
 #include <float.h>
 
-static bool choose_round_robin(struct dl_pool *pool,
-			       const struct pool_want *want, int64_t now,
-			       struct pool_choice *out);
-static bool choose_least_load(struct dl_pool *pool,
-			      const struct pool_want *want, int64_t now,
-			      struct pool_choice *out);
+static enum pool_found choose_round_robin(struct dl_pool *pool,
+					  const struct pool_want *want,
+					  int64_t now, struct pool_choice *out);
+static enum pool_found choose_least_load(struct dl_pool *pool,
+					 const struct pool_want *want,
+					 int64_t now, struct pool_choice *out);
 static bool could_hold(const struct pool_want *want,
 		       const struct pool_endpoint *e, uint64_t share,
 		       uint32_t n);
@@ -83,9 +83,9 @@
 }
 
 /* Each endpoint in its turn. */
-static bool choose_round_robin(struct dl_pool *pool,
-			       const struct pool_want *want, int64_t now,
-			       struct pool_choice *out)
+static enum pool_found choose_round_robin(struct dl_pool *pool,
+					  const struct pool_want *want,
+					  int64_t now, struct pool_choice *out)
 {
 	uint32_t n;
 
@@ -98,13 +98,13 @@
 		if (could_hold(want, e, out->share, n) && !already_in(out, e))
 			add(pool, want, e, n, now, out);
 	}
-	return n && out->n == n;
+	return n && out->n == n ? POOL_CHOSEN : POOL_WAIT;
 }
 
 /* The endpoint that last reported the least to read, then the least running. */
-static bool choose_least_load(struct dl_pool *pool,
-			      const struct pool_want *want, int64_t now,
-			      struct pool_choice *out)
+static enum pool_found choose_least_load(struct dl_pool *pool,
+					 const struct pool_want *want,
+					 int64_t now, struct pool_choice *out)
 {
 	uint32_t n;
 
@@ -127,8 +127,8 @@
 			}
 		}
 		if (!best)
-			return false;
+			return POOL_WAIT;
 		add(pool, want, best, n, now, out);
 	}
-	return n > 0;
+	return n ? POOL_CHOSEN : POOL_WAIT;
 }
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -113,6 +113,9 @@
 	e->parts_last = part;
 	e->held += share;
 	e->grants++;
+	e->order++;
+	if (at == 0)
+		g->order = e->order;
 	if (g->want.band >= POOL_LONG)
 		e->long_grants++;
 }
@@ -185,6 +188,7 @@
 	g->predicted_ttft_ms = (uint32_t)choice->ttft_ms;
 	g->predicted_total_ms = (uint32_t)choice->total_ms;
 	g->saved = choice->saved;
+	g->interference_ms = choice->endpoint[0]->interference_ms;
 	g->behind_lower = choice->behind_lower;
 	g->priority = pool_place_priority(want, choice, now);
 	g->higher_ms =
--- a/src/coordination/pool_group.c
+++ b/src/coordination/pool_group.c
@@ -269,8 +269,9 @@
  * Choose a group that is free now.  The smallest that holds the request and
  * ends in time: each further engine is one more that short prompts share.
  */
-bool pool_group_choose(struct dl_pool *pool, const struct pool_want *want,
-		       int64_t now, struct pool_choice *out)
+enum pool_found pool_group_choose(struct dl_pool *pool,
+				  const struct pool_want *want, int64_t now,
+				  struct pool_choice *out)
 {
 	struct member best[DL_GROUP_MAX];
 	struct pool_endpoint *members[DL_GROUP_MAX];
@@ -279,7 +280,7 @@
 	uint32_t n = pool_group_size(pool, want, &share);
 
 	if (n == 0)
-		return false;
+		return POOL_WAIT;
 	for (; n <= max; n++) {
 		if (!select_within(pool, want, n, true, now, best))
 			continue;
@@ -287,9 +288,9 @@
 			members[i] = best[i].endpoint;
 		fill_choice(pool, want, members, n, now, out);
 		if (pool_place_in_time(out, want, now))
-			return true;
+			return POOL_CHOSEN;
 	}
-	return false;
+	return POOL_WAIT;
 }
 
 /* The hold for a request, or NULL. */
@@ -304,8 +305,8 @@
 }
 
 /* Choose the members of a hold once each has its share free. */
-bool pool_hold_choose(struct dl_pool *pool, struct pool_hold *hold, int64_t now,
-		      struct pool_choice *out)
+enum pool_found pool_hold_choose(struct dl_pool *pool, struct pool_hold *hold,
+				 int64_t now, struct pool_choice *out)
 {
 	const struct pool_want *want = &hold->request->want;
 	struct pool_want part = *want;
@@ -322,10 +323,10 @@
 		e->hold = hold;
 		e->reserved = hold->share;
 		if (!fits)
-			return false;
+			return POOL_WAIT;
 	}
 	fill_choice(pool, want, hold->endpoint, hold->n, now, out);
-	return pool_place_in_time(out, want, now);
+	return pool_place_in_time(out, want, now) ? POOL_CHOSEN : POOL_LATE;
 }
 
 static struct pool_hold *unused_hold(struct dl_pool *pool)
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -119,6 +119,13 @@
 
 struct pool_part;
 
+/* When the grants of an endpoint, in their order, gave their first token. */
+#define POOL_FIRSTS 32
+struct pool_first {
+	uint64_t order;
+	int64_t at;
+};
+
 struct pool_endpoint {
 	struct pool_map_node by_name;
 	struct dl_endpoint_report last;
@@ -164,7 +171,10 @@
 	double deviation;	/* of measured from predicted, a share */
 	double interference_ms; /* a lower level's work before a higher's */
 	double service_ms;	/* of a plain service's request */
+	uint64_t order;		/* of its latest grant */
+	struct pool_first first[POOL_FIRSTS];
 	uint32_t samples;
+	int64_t learnt_at;
 
 	/* Whether it is an outlier. */
 	enum pool_shift shift;
@@ -202,8 +212,10 @@
 	int64_t valid_until;
 	uint32_t predicted_ttft_ms;
 	uint32_t predicted_total_ms;
-	uint32_t saved;	      /* tokens expected in the endpoint's cache */
-	int64_t higher_ms;    /* committed before it, of higher levels */
+	uint64_t order;		/* among its endpoint's grants */
+	double interference_ms; /* expected when it was granted */
+	uint32_t saved;		/* tokens expected in the endpoint's cache */
+	int64_t higher_ms;	/* committed before it, of higher levels */
 	bool crowded;	      /* an equal of its level overtook it, or it one */
 	bool behind_lower;    /* lower work was under way on the endpoint */
 	bool overdue_counted; /* its lateness was learnt before its end */
@@ -227,6 +239,7 @@
 	uint64_t entry;
 	int64_t since;
 	int64_t predicted_wait;
+	double bias; /* in force when it was predicted */
 	uint32_t retry_after_ms;
 	enum dl_reason reason;
 };
@@ -375,6 +388,7 @@
 
 	uint32_t out;
 	int64_t probe_at; /* no probe is due before */
+	double deviation; /* of all answers from their predictions */
 	double median;	  /* latency of the endpoints, see pool_shift.c */
 	int64_t median_at;
 };
@@ -392,12 +406,20 @@
 	bool probe;
 };
 
+/* What came of looking for an endpoint. */
+enum pool_found {
+	POOL_WAIT, /* none is free for it now */
+	POOL_CHOSEN,
+	POOL_LATE, /* the best there is would end past its deadline */
+};
+
 /* The ways to dispatch. */
 struct dl_pool_policy {
 	const char *name;
 	bool queues; /* late binding: wait for an endpoint to be free */
-	bool (*choose)(struct dl_pool *pool, const struct pool_want *want,
-		       int64_t now, struct pool_choice *out);
+	enum pool_found (*choose)(struct dl_pool *pool,
+				  const struct pool_want *want, int64_t now,
+				  struct pool_choice *out);
 };
 
 /* pool.c */
@@ -457,6 +479,7 @@
 void pool_queue_yield(struct dl_pool *pool, struct pool_request *req);
 
 /* pool_admit.c */
+double pool_margin(double deviation);
 int64_t pool_service_ms(const struct dl_pool *pool,
 			const struct pool_want *want);
 double pool_load(const struct dl_pool *pool, uint8_t classes, int64_t now);
@@ -472,7 +495,7 @@
 		   const struct pool_workspace *ws, int64_t now);
 void pool_admit_recheck(struct dl_pool *pool, int64_t now);
 void pool_admit_learn(struct dl_pool *pool, const struct pool_request *req,
-		      int64_t now);
+		      bool ended, int64_t now);
 
 /* pool_place.c */
 bool pool_endpoint_open(const struct dl_pool *pool,
@@ -481,8 +504,9 @@
 			int64_t now);
 bool pool_place_fits(const struct dl_pool *pool, const struct pool_want *want,
 		     const struct pool_endpoint *e, int64_t now);
-bool pool_place_choose(struct dl_pool *pool, const struct pool_want *want,
-		       int64_t now, struct pool_choice *out);
+enum pool_found pool_place_choose(struct dl_pool *pool,
+				  const struct pool_want *want, int64_t now,
+				  struct pool_choice *out);
 bool pool_place_in_time(const struct pool_choice *choice,
 			const struct pool_want *want, int64_t now);
 bool pool_place_ready(const struct pool_endpoint *e, uint8_t level,
@@ -522,12 +546,13 @@
 /* pool_group.c */
 uint32_t pool_group_size(const struct dl_pool *pool,
 			 const struct pool_want *want, uint64_t *share);
-bool pool_group_choose(struct dl_pool *pool, const struct pool_want *want,
-		       int64_t now, struct pool_choice *out);
+enum pool_found pool_group_choose(struct dl_pool *pool,
+				  const struct pool_want *want, int64_t now,
+				  struct pool_choice *out);
 struct pool_hold *pool_hold_of(struct dl_pool *pool,
 			       const struct pool_want *want);
-bool pool_hold_choose(struct dl_pool *pool, struct pool_hold *hold, int64_t now,
-		      struct pool_choice *out);
+enum pool_found pool_hold_choose(struct dl_pool *pool, struct pool_hold *hold,
+				 int64_t now, struct pool_choice *out);
 bool pool_hold_begin(struct dl_pool *pool, struct pool_request *req,
 		     int64_t now);
 void pool_hold_end(struct dl_pool *pool, struct pool_hold *hold);
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -289,6 +289,16 @@
 	return levels_allow(e, level, (int64_t)ceil(prefill), now);
 }
 
+/* What to keep in hand of a prediction, as a share of it. */
+double pool_margin(double deviation)
+{
+	double margin = deviation * MARGIN_DEVIATIONS;
+
+	if (margin < MARGIN_MIN)
+		return MARGIN_MIN;
+	return margin > MARGIN_MAX ? MARGIN_MAX : margin;
+}
+
 /*
  * What to expect of a request on an endpoint.  The time to the first token
  * counts on the cache, the time by which all is done does not and has a
@@ -301,13 +311,9 @@
 {
 	uint8_t level = pool_level(want);
 	double per_token = pool_ms_per_token(pool, e);
-	double margin = e->deviation * MARGIN_DEVIATIONS;
+	double margin = pool_margin(e->deviation);
 	double wait, whole, decode;
 
-	if (margin < MARGIN_MIN)
-		margin = MARGIN_MIN;
-	if (margin > MARGIN_MAX)
-		margin = MARGIN_MAX;
 	out->start = max_time(now, e->until[level]);
 	out->behind_lower = e->until[POOL_LEVELS - 1] > out->start;
 	wait = (double)(out->start - now);
@@ -316,8 +322,9 @@
 	whole = wait + (double)tokens * per_token;
 	decode = (double)want->output * pool_decode_ms(e);
 	out->ttft_ms = (int64_t)ceil(whole - (double)out->saved * per_token);
-	out->total_ms =
-		(int64_t)ceil((whole + decode) * (1 + margin)) + OVERHEAD_MS;
+	out->total_ms = (int64_t)ceil(whole * (1 + margin) +
+				      decode * (1 + MARGIN_MIN)) +
+			OVERHEAD_MS;
 }
 
 /*
@@ -350,15 +357,16 @@
 {
 	uint32_t saved = pool_prefix_saved(s->pool, s->want, e, s->now);
 	double tokens = (double)(s->want->prompt - saved);
+	double prefill = tokens * pool_ms_per_token(s->pool, e);
+	double margin = pool_margin(e->deviation);
 	int64_t start = max_time(s->now, e->until[s->level]);
-	double per_token = pool_ms_per_token(s->pool, e);
-	double cost = (double)start + tokens * per_token;
+	double cost = (double)start + prefill * (1 + margin);
 
 	if (e->until[POOL_LEVELS - 1] > start)
-		cost += e->interference_ms;
+		cost += e->interference_ms * (1 + margin);
 	else if (s->level == POOL_MEDIUM &&
 		 e->interference_ms >= KEEP_CLEAR_FROM_MS)
-		cost += tokens * per_token * KEEP_CLEAR_SHARE;
+		cost += prefill * KEEP_CLEAR_SHARE;
 	return cost;
 }
 
@@ -460,9 +468,14 @@
  * The endpoint that was last given the same start of a prompt is looked at
  * before the others and taken where its cache is expected to make up for a
  * later start.
+ *
+ * A request whose best endpoint would end past its deadline is late: waiting
+ * betters nothing, and while it waited it would stand before others that can
+ * still make it.
  */
-bool pool_place_choose(struct dl_pool *pool, const struct pool_want *want,
-		       int64_t now, struct pool_choice *out)
+enum pool_found pool_place_choose(struct dl_pool *pool,
+				  const struct pool_want *want, int64_t now,
+				  struct pool_choice *out)
 {
 	struct search s = { .pool = pool, .want = want, .now = now };
 	struct pool_hold *hold = pool_hold_of(pool, want);
@@ -474,9 +487,9 @@
 	if (want->band == POOL_GIANT)
 		return pool_group_choose(pool, want, now, out);
 	if (pool->out && probe_choose(pool, want, now, out))
-		return true;
+		return POOL_CHOSEN;
 	if (pool->index.room == 0)
-		return false;
+		return POOL_WAIT;
 	s.best_cost = DBL_MAX;
 	s.level = pool_level(want);
 	s.only_long = want->band == POOL_LONG &&
@@ -488,17 +501,18 @@
 		consider_held(&s);
 	visit(&s, 1);
 	if (!s.best)
-		return false;
-	if (!pool_place_ready(s.best, s.level, now)) {
-		wait_for(pool, s.best, s.level);
-		return false;
-	}
+		return POOL_WAIT;
 	out->saved = pool_prefix_saved(pool, want, s.best, now);
 	pool_place_expect(pool, s.best, want, want->prompt, now, out);
 	out->endpoint[0] = s.best;
 	out->n = 1;
 	out->share = want->need;
-	return pool_place_in_time(out, want, now);
+	if (!pool_place_in_time(out, want, now))
+		return POOL_LATE;
+	if (pool_place_ready(s.best, s.level, now))
+		return POOL_CHOSEN;
+	wait_for(pool, s.best, s.level);
+	return POOL_WAIT;
 }
 
 /*
--- a/src/coordination/pool_queue.c
+++ b/src/coordination/pool_queue.c
@@ -341,13 +341,13 @@
 				       const struct pool_want *want,
 				       double strain, int64_t now)
 {
-	for (int class = DL_CLASS_COUNT - 1; class >= want->class; class --) {
+	for (int c = DL_CLASS_COUNT - 1; c >= want->class; c--) {
 		struct pool_request *worst = NULL;
-		double most = class == want->class ? strain : 0;
+		double most = c == want->class ? strain : 0;
 
 		for (int band = 0; band < POOL_BANDS; band++) {
 			struct pool_lane *lane =
-				&pool->lane[class * POOL_BANDS + band];
+				&pool->lane[c * POOL_BANDS + band];
 			struct pool_request *req;
 			double s;
 
--- a/src/coordination/pool_serve.c
+++ b/src/coordination/pool_serve.c
@@ -39,14 +39,16 @@
 static bool serve(struct dl_pool *pool, int64_t now, struct dl_answer *out);
 static void plan_serve(struct dl_pool *pool, int64_t now);
 static bool take_refused(struct dl_pool *pool, struct dl_answer *out);
+static void refuse_one_late(struct dl_pool *pool, struct pool_request *req,
+			    int64_t now);
 static void refuse_late(struct dl_pool *pool, int64_t now);
 static int64_t earlier(int64_t at, const struct pool_heap *heap);
 
 /* A grant to a class earns the lower classes their part. */
 void pool_serve_credit(struct dl_pool *pool, const struct pool_want *want)
 {
-	for (int class = want->class + 1; class < DL_CLASS_COUNT; class ++) {
-		uint64_t *credit = &pool->class_credit[class];
+	for (int c = want->class + 1; c < DL_CLASS_COUNT; c++) {
+		uint64_t *credit = &pool->class_credit[c];
 
 		*credit += want->prompt / CREDIT_SHARE + 1;
 		if (*credit > CREDIT_MAX)
@@ -58,10 +60,16 @@
 			  int64_t now, struct dl_answer *out)
 {
 	struct pool_choice choice;
+	enum pool_found found;
 
-	if (!pool->policy->choose(pool, &req->want, now, &choice))
+	found = pool->policy->choose(pool, &req->want, now, &choice);
+	if (found == POOL_WAIT)
 		return false;
-	pool_admit_learn(pool, req, now);
+	if (found == POOL_LATE) {
+		refuse_one_late(pool, req, now);
+		return take_refused(pool, out);
+	}
+	pool_admit_learn(pool, req, true, now);
 	pool_queue_take(pool, req);
 	memset(out, 0, sizeof(*out));
 	pool_grant_make(pool, req->request, req->entry, req->workspace,
@@ -125,11 +133,11 @@
 static bool serve_credit(struct dl_pool *pool, int64_t now,
 			 struct dl_answer *out)
 {
-	for (uint8_t class = DL_CLASS_COUNT - 1; class > 0; class --) {
-		uint64_t *credit = &pool->class_credit[class];
+	for (unsigned c = DL_CLASS_COUNT - 1; c > 0; c--) {
+		uint64_t *credit = &pool->class_credit[c];
 
 		for (unsigned band = 0; band < POOL_BANDS; band++) {
-			uint8_t lane = (uint8_t)(class * POOL_BANDS + band);
+			uint8_t lane = (uint8_t)(c * POOL_BANDS + band);
 			struct pool_request *head =
 				pool_queue_head(pool, lane, 0);
 			uint64_t cost = head ? head->want.prompt : 0;
@@ -187,6 +195,16 @@
 	return true;
 }
 
+static void refuse_one_late(struct dl_pool *pool, struct pool_request *req,
+			    int64_t now)
+{
+	int64_t wait = pool_wait_ms(pool, &req->want, req, req->workspace, now);
+
+	pool_admit_learn(pool, req, false, now);
+	pool_queue_refuse(pool, req, DL_REASON_DEADLINE,
+			  pool_retry_after(pool, &req->want, wait, now));
+}
+
 /*
  * Refuse what can no longer make it even if it started now, at that moment:
  * its caller gets the rest of its time.
@@ -197,15 +215,9 @@
 
 	while ((top = pool_heap_top(&pool->request_last_start)) &&
 	       top->key < now) {
-		struct pool_request *req =
-			POOL_OF(top, struct pool_request, last_start);
-		int64_t wait = pool_wait_ms(pool, &req->want, req,
-					    req->workspace, now);
-
-		pool_admit_learn(pool, req, now);
-		pool_queue_refuse(pool, req, DL_REASON_DEADLINE,
-				  pool_retry_after(pool, &req->want, wait,
-						   now));
+		refuse_one_late(pool,
+				POOL_OF(top, struct pool_request, last_start),
+				now);
 	}
 }
 
--- a/src/coordination/pool_shift.c
+++ b/src/coordination/pool_shift.c
@@ -4,6 +4,7 @@
  */
 #include "pool_int.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 /*
@@ -11,6 +12,7 @@
  * a handful of answers, and one odd answer moves it little.
  */
 #define GAIN		0.2
+#define POOL_GAIN	0.01 /* over all endpoints */
 #define DEVIATION_GAIN	0.1
 #define SLOW_MIN	0.1
 #define SLOW_MAX	50.0
@@ -42,6 +44,9 @@
 #define OVERDUE_FACTOR	 3
 #define OVERDUE_EXTRA_MS 1000
 #define OVERDUE_LOOK_AT	 4
+/* Without answers for this long what was learnt fades, within about as long. */
+#define FORGET_AFTER_MS	 2000
+#define FORGET_MS	 5000.0
 #define PROBE_GAP_MS	 1000
 #define PROBE_GAP_MAX_MS 16000
 #define PROBE_SLACK	 4
@@ -54,7 +59,14 @@
 static int compare_doubles(const void *a, const void *b);
 static void find_median(struct dl_pool *pool, int64_t now);
 static double clamp(double v, double low, double high);
-static void learn_interference(struct pool_endpoint *e, double error);
+static void note_first(struct pool_endpoint *e, const struct pool_grant *g,
+		       const struct dl_usage *usage);
+static void learn_speed(struct dl_pool *pool, struct pool_endpoint *e,
+			const struct pool_grant *g,
+			const struct dl_usage *usage);
+static void learn_interference(struct pool_endpoint *e,
+			       const struct pool_grant *g, double error);
+static void forget(struct pool_endpoint *e, int64_t now);
 static void learn_prefill(struct dl_pool *pool, struct pool_endpoint *e,
 			  const struct pool_grant *g,
 			  const struct dl_usage *usage);
@@ -130,14 +142,47 @@
 	return (double)all * usage->ttft_ms / usage->total_ms;
 }
 
+/*
+ * The engine's speed: from the moment at which it was free for a request, its
+ * grant or the first token of the one before it, to its own first token.  The
+ * time it waited there is left out: it shows what the pool gave the engine
+ * before, and learning from it would answer an error in the speed seconds
+ * later by a larger one in the other direction.
+ */
+static void learn_speed(struct dl_pool *pool, struct pool_endpoint *e,
+			const struct pool_grant *g,
+			const struct dl_usage *usage)
+{
+	const struct pool_first *before =
+		&e->first[(g->order - 1) % POOL_FIRSTS];
+	double nominal = (double)(g->want.prompt - g->saved) *
+			 pool_ms_per_token(pool, e) / e->slow;
+	int64_t first = g->since + usage->ttft_ms;
+	int64_t start = g->since;
+	double ratio;
+
+	if (g->order > 1 && before->order != g->order - 1)
+		return;
+	if (g->order > 1 && before->at > start)
+		start = before->at;
+	if (first <= start)
+		return;
+	ratio = ((double)(first - start) + NOISE_MS) / (nominal + NOISE_MS);
+	ratio = clamp(ratio, SLOW_MIN, SLOW_MAX);
+	e->slow += GAIN * (ratio - e->slow);
+}
+
 /*
  * How long lower work holds up higher work that was put before it: a step of
  * an engine that honours priorities, the whole of a long prompt on one that
  * does not.  Learnt from short prompts, whose own time hides least of it.
  */
-static void learn_interference(struct pool_endpoint *e, double error)
+static void learn_interference(struct pool_endpoint *e,
+			       const struct pool_grant *g, double error)
 {
-	e->interference_ms += DEVIATION_GAIN * error;
+	double sample = g->interference_ms + error;
+
+	e->interference_ms += DEVIATION_GAIN * (sample - e->interference_ms);
 	e->interference_ms = clamp(e->interference_ms, 0, INTERFERENCE_MS);
 }
 
@@ -159,14 +204,15 @@
 	}
 	if (g->behind_lower) {
 		if (g->want.band == POOL_SHORT)
-			learn_interference(e, measured - predicted);
+			learn_interference(e, g, measured - predicted);
 		return;
 	}
 	if (overtaken > predicted * OVERTAKEN_SHARE)
 		return;
-	e->slow = clamp(e->slow * (1 + GAIN * (ratio - 1)), SLOW_MIN, SLOW_MAX);
+	learn_speed(pool, e, g, usage);
 	ratio = ratio > 1 ? ratio - 1 : 1 - ratio;
 	e->deviation += DEVIATION_GAIN * (ratio - e->deviation);
+	pool->deviation += POOL_GAIN * (ratio - pool->deviation);
 }
 
 static void learn_decode(struct pool_endpoint *e, const struct pool_grant *g,
@@ -200,6 +246,17 @@
 	e->service_ms = clamp(e->service_ms, 1, INTERFERENCE_MS);
 }
 
+static void note_first(struct pool_endpoint *e, const struct pool_grant *g,
+		       const struct dl_usage *usage)
+{
+	struct pool_first *first = &e->first[g->order % POOL_FIRSTS];
+
+	if (g->order < first->order || usage->ttft_ms == 0)
+		return;
+	first->order = g->order;
+	first->at = g->since + usage->ttft_ms;
+}
+
 /*
  * Learn from the end of a grant.  From the endpoint's own answer to one
  * request only: what a group took says little about each of its engines.
@@ -219,10 +276,12 @@
 		if (pool->conf.kind == DL_POOL_PLAIN) {
 			learn_service(e, usage);
 		} else if (usage->ttft_ms && !g->overdue_counted) {
+			note_first(e, g, usage);
 			learn_prefill(pool, e, g, usage);
 			learn_decode(e, g, usage);
 		}
 		e->samples++;
+		e->learnt_at = now;
 	}
 	if (e->probe == g->id)
 		probe_ended(pool, e, g, usage, now);
@@ -418,6 +477,25 @@
 	return found;
 }
 
+/*
+ * Without answers what was learnt fades: an endpoint that is believed slow
+ * gets no requests, and would otherwise be believed slow for good.  All of a
+ * pool could be, after a bad minute.
+ */
+static void forget(struct pool_endpoint *e, int64_t now)
+{
+	int64_t silent = now - e->learnt_at;
+	double keep;
+
+	if (silent < FORGET_AFTER_MS)
+		return;
+	keep = exp(-(double)(silent - FORGET_AFTER_MS) / FORGET_MS);
+	e->slow = 1 + (e->slow - 1) * keep;
+	e->deviation *= keep;
+	e->interference_ms *= keep;
+	e->learnt_at = now - FORGET_AFTER_MS;
+}
+
 /* Take back an endpoint that nothing could probe, and end a slow start. */
 void pool_shift_tick(struct dl_pool *pool, struct pool_endpoint *e, int64_t now)
 {
@@ -426,4 +504,6 @@
 		pool_shift_back(pool, e, now);
 	if (e->shift == POOL_SLOW_START && now >= e->shifted_at + SLOW_START_MS)
 		e->shift = POOL_IN;
+	if (e->shift != POOL_OUT)
+		forget(e, now);
 }
--- /dev/null
+++ b/test/test_pool_load.c
@@ -0,0 +1,437 @@
+/* What callers see under load and faults, over fake engines. */
+#include <check.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "fake/load.h"
+
+#define ENGINES	 16
+#define PREFILL	 10000
+#define CAPACITY (ENGINES * PREFILL / 1000.0) /* tokens a ms */
+#define P95	 950
+#define SHORT_MS 5000
+
+enum tag {
+	SHORT,
+	MEDIUM,
+	LONG,
+	GIANT,
+	FLOOD
+};
+
+static const struct sim_engine_conf engine_conf = {
+	.memory = 400000,
+	.slots = 64,
+	.prefill_rate = PREFILL,
+	.decode_rate = 50,
+	.chunk = 512,
+	.lag_ms = 300,
+};
+static const struct dl_pool_conf pool_conf = {
+	.kind = DL_POOL_MODEL,
+	.queue_entries_max = 4000,
+	.queue_tokens_max = 100000000,
+	.long_tokens = 50000,
+	.long_share_permille = 750,
+	.out_share_permille = 200,
+	.grant_lease_ms = 3000,
+	.report_gone_ms = 1000,
+	.weight_default = 1,
+};
+
+static struct load load;
+static GRand *rnd;
+
+static void begin(void)
+{
+	rnd = g_rand_new_with_seed(11);
+	load_init(&load, ENGINES, &engine_conf, &pool_conf,
+		  &dl_policy_late_binding, 1);
+	load.check = true;
+}
+
+static void end(void)
+{
+	ck_assert_ptr_null(load.broken);
+	load_fini(&load);
+	g_rand_free(rnd);
+}
+
+static void again(void)
+{
+	end();
+	begin();
+}
+
+static int64_t gap(double per_ms)
+{
+	return (int64_t)(-log(1 - g_rand_double(rnd)) / per_ms * 1000);
+}
+
+static void add_short(int64_t at, uint32_t workspace, uint32_t tag)
+{
+	uint64_t prompt = 500 + g_rand_int_range(rnd, 0, 1000);
+
+	load_add(&load, at, DL_CLASS_INTERACTIVE, workspace, prompt, 100,
+		 SHORT_MS)
+		->tag = tag;
+}
+
+/* Short prompts from ten workspaces at a part of the pool's capacity. */
+static void add_shorts(int64_t from, int64_t to, double part, bool skewed)
+{
+	int64_t us = from * 1000;
+
+	while ((us += gap(part * CAPACITY / 1000)) < to * 1000) {
+		uint32_t ws = (uint32_t)g_rand_int_range(rnd, 0, 10);
+
+		if (skewed && g_rand_double(rnd) < 0.9)
+			ws = 0;
+		add_short(us / 1000, ws, ws ? SHORT : FLOOD);
+	}
+}
+
+/* One in fifty over a hundred thousand tokens, some of a million. */
+static void add_mix(int64_t to, double part, bool with_long)
+{
+	double mean =
+		0.93 * 1000 + 0.05 * 10000 + 0.018 * 150000 + 0.002 * 1000000;
+	int64_t us = 0;
+
+	while ((us += gap(part * CAPACITY / mean)) < to * 1000) {
+		uint32_t ws = (uint32_t)g_rand_int_range(rnd, 0, 10);
+		int64_t at = us / 1000;
+		double u = g_rand_double(rnd);
+
+		if (u < 0.93)
+			add_short(at, ws, SHORT);
+		else if (u < 0.98)
+			load_add(&load, at, DL_CLASS_INTERACTIVE, ws, 10000,
+				 150, 30000)
+				->tag = MEDIUM;
+		else if (with_long && u < 0.998)
+			load_add(&load, at, DL_CLASS_BATCH, ws, 150000, 300,
+				 300000)
+				->tag = LONG;
+		else if (with_long)
+			load_add(&load, at, DL_CLASS_BATCH, ws, 1000000, 300,
+				 600000)
+				->tag = GIANT;
+	}
+}
+
+/* Everything ended, in time or refused, and nothing is held any more. */
+static void check_clean(void)
+{
+	struct dl_pool_summary s;
+
+	ck_assert_uint_eq(load_count(&load, LOAD_ANY, LOAD_LATE), 0);
+	ck_assert_uint_eq(load_count(&load, LOAD_ANY, LOAD_QUEUED), 0);
+	ck_assert_uint_eq(load_count(&load, LOAD_ANY, LOAD_RUNNING), 0);
+	dl_pool_summarize(load.pool[0], load.now, &s);
+	ck_assert_uint_eq(s.queued, 0);
+	ck_assert_uint_eq(s.grants, 0);
+	for (uint32_t i = 0; i < load.engines; i++)
+		ck_assert_uint_le(load.engine[i].used_peak, engine_conf.memory);
+}
+
+START_TEST(burst)
+{
+	uint32_t done;
+
+	for (int i = 0; i < 1500; i++) /* 1.5M tokens, 9.4 s of the pool */
+		add_short(1000 + i / 5, (uint32_t)i % 10, SHORT);
+	load_run(&load, 30000);
+	check_clean();
+	done = load_count(&load, SHORT, LOAD_DONE);
+	ck_assert_uint_ge(done, 400); /* 3 s of prefill, 2 of decoding */
+	for (uint32_t i = 0; i < load.requests; i++) {
+		const struct load_request *r = &load.request[i];
+
+		if (r->outcome != LOAD_REFUSED)
+			continue;
+		ck_assert_uint_gt(r->retry_after, 0);
+		if (!r->was_queued)
+			ck_assert_int_eq(r->ended, r->at);
+	}
+}
+END_TEST
+
+/* The callers refused in a burst come back when told, and make it. */
+START_TEST(retry_after_is_honest)
+{
+	uint32_t n, done = 0;
+
+	for (int i = 0; i < 1000; i++)
+		add_short(1000, (uint32_t)i % 10, SHORT);
+	load_run(&load, 6000);
+	n = load.requests;
+	for (int64_t t = load.now; t < 30000; t++)
+		for (uint32_t i = 0; i < n; i++)
+			if (load.request[i].outcome == LOAD_REFUSED &&
+			    load.request[i].ended +
+					    load.request[i].retry_after ==
+				    t - 5000)
+				add_short(t, load.request[i].workspace, MEDIUM);
+	load_run(&load, 60000);
+	check_clean();
+	ck_assert_uint_gt(load.requests, n + 100);
+	done = load_count(&load, MEDIUM, LOAD_DONE);
+	ck_assert_uint_ge(done * 100, (load.requests - n) * 95);
+}
+END_TEST
+
+START_TEST(skewed_demand)
+{
+	int64_t even;
+
+	add_shorts(0, 60000, 0.8, false);
+	load_run(&load, 80000);
+	check_clean();
+	even = load_ttft(&load, SHORT, P95);
+	again();
+	add_shorts(0, 60000, 0.8, true);
+	load_run(&load, 80000);
+	check_clean();
+	ck_assert_int_le(load_ttft(&load, SHORT, P95) * 10, even * 12);
+}
+END_TEST
+
+START_TEST(one_slow_endpoint)
+{
+	int64_t healthy;
+	uint64_t tokens;
+	struct dl_endpoint_report r;
+	bool out = false;
+
+	add_shorts(0, 60000, 0.6, false);
+	load_run(&load, 80000);
+	healthy = load_ttft(&load, SHORT, P95);
+	again();
+	load.engine[3].slow = 8;
+	add_shorts(0, 60000, 0.6, false);
+	load_run(&load, 40000);
+	for (uint32_t i = 0;
+	     dl_pool_endpoint_at(load.pool[0], i, &r, &tokens, &out) && !out;
+	     i++)
+		continue;
+	ck_assert(out);
+	ck_assert(dl_name_eq(&r.id, dl_name_str(&load.engine[3].name)));
+	load.engine[3].slow = 1;
+	load_run(&load, 80000);
+	ck_assert_int_le(load_ttft(&load, SHORT, P95) * 10, healthy * 15);
+	ck_assert_uint_le(load_count(&load, LOAD_ANY, LOAD_LATE), 8);
+	for (uint32_t i = 0;
+	     dl_pool_endpoint_at(load.pool[0], i, &r, &tokens, &out); i++)
+		ck_assert(!out); /* taken back once it is well */
+}
+END_TEST
+
+/* It reports a tenth of its load; it gets no more than the others. */
+START_TEST(lying_endpoint)
+{
+	uint32_t given = 0;
+
+	load.engine[5].conf.lie_permille = 100;
+	add_mix(60000, 0.8, true);
+	load_run(&load, 400000);
+	check_clean();
+	for (uint32_t i = 0; i < load.requests; i++)
+		given += load.request[i].engines == 1 &&
+			 load.request[i].engine[0] == 5;
+	ck_assert_uint_le(given, load.requests / 5);
+}
+END_TEST
+
+/* The short ones' own times, with and without long ones beside them. */
+START_TEST(long_beside_short)
+{
+	int64_t alone;
+
+	add_mix(120000, 0.8, false);
+	load_run(&load, 150000);
+	check_clean();
+	alone = load_ttft(&load, SHORT, P95);
+	again();
+	add_mix(120000, 0.8, true);
+	load_run(&load, 600000);
+	check_clean();
+	ck_assert_int_le(load_ttft(&load, SHORT, P95) * 100, alone * 115);
+	ck_assert_uint_ge(load_count(&load, LONG, LOAD_DONE) * 100,
+			  (load_count(&load, LONG, LOAD_DONE) +
+			   load_count(&load, LONG, LOAD_REFUSED)) *
+				  95);
+	ck_assert_uint_eq(load_count(&load, GIANT, LOAD_REFUSED), 0);
+}
+END_TEST
+
+static uint32_t goodput(double part)
+{
+	uint32_t good = 0;
+
+	again();
+	add_shorts(0, 60000, part, false);
+	load_run(&load, 80000);
+	check_clean();
+	for (uint32_t i = 0; i < load.requests; i++)
+		good += load.request[i].outcome == LOAD_DONE &&
+			load.request[i].ended < 60000;
+	return good;
+}
+
+START_TEST(no_collapse_at_twice_the_load)
+{
+	uint32_t once = goodput(1);
+
+	ck_assert_uint_ge(goodput(2) * 100, once * 95);
+}
+END_TEST
+
+static double jain(const double *x, int n)
+{
+	double sum = 0, squares = 0;
+
+	for (int i = 0; i < n; i++) {
+		sum += x[i];
+		squares += x[i] * x[i];
+	}
+	return sum * sum / (n * squares);
+}
+
+/* One workspace asks for fifty times its share of the pool. */
+START_TEST(one_workspace_floods)
+{
+	double done[9] = { 0 }, asked[9] = { 0 };
+	int64_t before;
+
+	add_shorts(0, 40000, 0.7, false);
+	load_run(&load, 60000);
+	before = load_ttft(&load, SHORT, P95);
+	again();
+	for (int64_t us = 0; us < 40000000;) {
+		us += gap(5.7 * CAPACITY / 1000);
+		if (g_rand_double(rnd) < 5 / 5.63)
+			add_short(us / 1000, 0, FLOOD);
+		else
+			add_short(us / 1000,
+				  1 + (uint32_t)g_rand_int_range(rnd, 0, 9),
+				  SHORT);
+	}
+	load_run(&load, 60000);
+	check_clean();
+	for (uint32_t i = 0; i < load.requests; i++) {
+		const struct load_request *r = &load.request[i];
+
+		if (r->tag == FLOOD)
+			continue;
+		asked[r->workspace - 1]++;
+		done[r->workspace - 1] += r->outcome == LOAD_DONE;
+	}
+	for (int i = 0; i < 9; i++)
+		done[i] /= asked[i];
+	ck_assert(jain(done, 9) >= 0.95);
+	ck_assert_uint_ge(load_count(&load, SHORT, LOAD_DONE) * 100,
+			  (load_count(&load, SHORT, LOAD_DONE) +
+			   load_count(&load, SHORT, LOAD_REFUSED)) *
+				  99);
+	ck_assert_int_le(load_ttft(&load, SHORT, P95) * 10, before * 12);
+}
+END_TEST
+
+/* Half of the engines are cut off for twenty seconds. */
+START_TEST(failure_domain_lost_and_back)
+{
+	uint32_t before = 0, after = 0;
+
+	add_shorts(0, 90000, 0.8, false);
+	load_run(&load, 30000);
+	load.cut = ENGINES / 2;
+	load_run(&load, 50000);
+	load.cut = ENGINES;
+	load_run(&load, 110000);
+	check_clean();
+	for (uint32_t i = 0; i < load.requests; i++) {
+		const struct load_request *r = &load.request[i];
+
+		if (r->outcome == LOAD_REFUSED && r->was_queued)
+			ck_assert_int_lt(r->ended, r->deadline - 1000);
+		before += r->at > 10000 && r->at < 30000 &&
+			  r->outcome == LOAD_DONE;
+		after += r->at > 70000 && r->at < 90000 &&
+			 r->outcome == LOAD_DONE;
+	}
+	ck_assert_uint_ge(after * 100, before * 97);
+}
+END_TEST
+
+START_TEST(dispatcher_killed_with_a_full_queue)
+{
+	add_shorts(0, 20000, 2, false);
+	load_run(&load, 10000);
+	ck_assert_uint_gt(load_count(&load, LOAD_ANY, LOAD_QUEUED), 100);
+	load_hand_over(&load);
+	load_run(&load, 40000);
+	check_clean();
+	ck_assert_uint_eq(load_count(&load, LOAD_ANY, LOAD_LOST), 0);
+}
+END_TEST
+
+/* Each needs three of four engines: one after the other, never half each. */
+START_TEST(two_giants)
+{
+	load.engines = 4;
+	load.cut = 4;
+	for (int i = 0; i < 2; i++)
+		load_add(&load, 1000, DL_CLASS_BATCH, (uint32_t)i, 1000000, 300,
+			 300000)
+			->tag = GIANT;
+	for (int i = 0; i < 400; i++)
+		add_short(1000 + i * 200, 5, SHORT);
+	load_run(&load, 320000);
+	check_clean();
+	ck_assert_uint_eq(load_count(&load, GIANT, LOAD_DONE), 2);
+	ck_assert_uint_eq(load_count(&load, SHORT, LOAD_DONE), 400);
+}
+END_TEST
+
+/* Engines that ignore priorities: the pool learns to keep short ones off. */
+START_TEST(engines_without_priority)
+{
+	for (uint32_t i = 0; i < load.engines; i++)
+		load.engine[i].conf.no_priority = true;
+	add_mix(120000, 0.5, true);
+	load_run(&load, 600000);
+	ck_assert_int_le(load_ttft(&load, SHORT, P95), 1000);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("pool_load");
+	TCase *t = tcase_create("pool_load");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_set_timeout(t, 120);
+	tcase_add_checked_fixture(t, begin, end);
+	tcase_add_test(t, burst);
+	tcase_add_test(t, retry_after_is_honest);
+	tcase_add_test(t, skewed_demand);
+	tcase_add_test(t, one_slow_endpoint);
+	tcase_add_test(t, lying_endpoint);
+	tcase_add_test(t, long_beside_short);
+	tcase_add_test(t, no_collapse_at_twice_the_load);
+	tcase_add_test(t, one_workspace_floods);
+	tcase_add_test(t, failure_domain_lost_and_back);
+	tcase_add_test(t, dispatcher_killed_with_a_full_queue);
+	tcase_add_test(t, two_giants);
+	tcase_add_test(t, engines_without_priority);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
