--- a/test/demo.sh
+++ b/test/demo.sh
@@ -17,6 +17,7 @@
 	status=$?
 	trap - EXIT
 	deploy_stop
+	release_net
 	if [ $status -eq 0 ]; then
 		rm -rf "$work"
 	else
@@ -80,7 +81,8 @@
 
 trap demo_end EXIT
 trap 'exit 130' INT TERM
-deploy_init "$kind" "${DL_DEMO_NET:-0}" "$work" || exit 2
+claim_net || exit 1
+deploy_init "$kind" "$CLAIMED_NET" "$work" || exit 2
 echo "starting $kind: 6 VMs, 3 replicas, $RUNNERS runners of" \
 	"$MODEL_SERVICE, $PLAINS endpoints of $PLAIN_SERVICE"
 deploy_start || exit 1
--- a/test/fake/verdict.c
+++ b/test/fake/verdict.c
@@ -69,7 +69,7 @@
 	char kind = field[FIELD_KIND][0];
 
 	v->records++;
-	if (leaving >= 0)
+	if (kind == 'L')
 		v->leavings++;
 	if ((kind == 'B' || kind == 'X') && leaving > LEAVING_MAX_MS)
 		v->late_begins++;
--- a/test/fake/verdict.h
+++ b/test/fake/verdict.h
@@ -73,7 +73,7 @@
 	GArray *away;	   /* of struct verdict_away */
 	GHashTable *begun; /* hash to executions begun */
 	guint late_begins; /* too long after leaving was said */
-	guint leavings;	   /* lines written by endpoints that leave */
+	guint leavings;	   /* endpoints that said that they leave */
 	guint records;
 	guint broken[PROMISE_COUNT];
 	guint judged[PROMISE_COUNT];
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -1202,9 +1202,12 @@
 
 static void on_term(uv_signal_t *sig, int number)
 {
+	const struct job line = { .id = "leaving", .key = "-", .path = "-" };
+
 	if (me.leaving_at)
 		exit(1);
 	me.leaving_at = now_ms();
+	record('L', &line, "leaving");
 	fprintf(stderr, "endpoint: leaving\n");
 	announce(ANNOUNCE_TRIES);
 }
