--- a/test/demo.sh
+++ b/test/demo.sh
@@ -19,7 +19,7 @@
 	deploy_stop
 	release_net
 	if [ $status -eq 0 ]; then
-		rm -rf "$work"
+		[ -n "${DL_KEEP:-}" ] || rm -rf "$work"
 	else
 		echo "logs and records are in $work"
 	fi
