--- a/bench/bench_rlog.c
+++ b/bench/bench_rlog.c
@@ -102,7 +102,7 @@
 /* From the loss of the leader until the next one can commit and be read. */
 static void bench_failover(void)
 {
-	int64_t took[FAILOVERS];
+	int64_t took[FAILOVERS], median;
 
 	for (uint32_t i = 0; i < FAILOVERS; i++) {
 		struct group *g = start(100 + i, 5, 0);
@@ -116,7 +116,8 @@
 		stop(g);
 	}
 	qsort(took, FAILOVERS, sizeof(took[0]), compare);
-	print("leader_failover_ms", (double)took[FAILOVERS / 2], "ms");
+	median = took[FAILOVERS / 2];
+	print("leader_failover_ms", (double)median, "ms");
 	print("leader_failover_ms_max", (double)took[FAILOVERS - 1], "ms");
 }
 
--- a/src/main/main.c
+++ b/src/main/main.c
@@ -7,6 +7,7 @@
 static const struct dl_subcommand subcommands[] = {
 	{ "entry", dl_main_entry, "serve callers, endpoints and operators" },
 	{ "replica", dl_main_replica, "keep and decide the configuration" },
+	{ "rescue", dl_main_rescue, "go on from one replica's disk alone" },
 	{ "check", dl_main_check, "check a configuration, offline" },
 	{ "apply", dl_main_apply, "put a configuration in force" },
 	{ "get", dl_main_get, "print a configuration" },
--- a/src/main/main.h
+++ b/src/main/main.h
@@ -23,6 +23,7 @@
 int dl_main_version(int argc, char **argv);
 int dl_main_entry(int argc, char **argv);
 int dl_main_replica(int argc, char **argv);
+int dl_main_rescue(int argc, char **argv);
 
 /* The value of -c; NULL, and said why, where it is missing. */
 char *dl_main_settings_option(int *argc, char ***argv);
