Give orders to endpoints from the leading replica

The planner was there but nobody carried its orders out. The leader fences its term by an entry of the log, learns from the dispatchers what endpoints announced, and sends under its lease; a call may be given up between connecting and writing, for a process that was paused. Test over the real binary: six runners as ordered, the leader killed, the rest ordered by its successor, the lost domain's runners once a VM of it is back.

--- a/src/main/cli_http.c
+++ b/src/main/cli_http.c
@@ -31,7 +31,7 @@
 		    const struct cli_request *req, int64_t timeout_ms,
 		    struct cli_answer *out);
 
-static const struct dl_httpc_ops ops = { on_head, on_body, on_end };
+static const struct dl_httpc_ops ops = { on_head, on_body, on_end, NULL };
 
 /* The monotonic clock. */
 int64_t cli_now_ms(void)
--- a/src/main/entry_try.c
+++ b/src/main/entry_try.c
@@ -25,8 +25,8 @@
 		   const struct dl_err *err);
 
 static const struct dl_httpc_ops ops_table[] = {
-	[DL_POOL_MODEL] = { on_head, on_model_body, on_end },
-	[DL_POOL_PLAIN] = { on_head, on_plain_body, on_end },
+	[DL_POOL_MODEL] = { on_head, on_model_body, on_end, NULL },
+	[DL_POOL_PLAIN] = { on_head, on_plain_body, on_end, NULL },
 };
 
 static const char *const hop_headers[] = {
@@ -200,6 +200,7 @@
 		on_cancel_head,
 		on_cancel_body,
 		on_cancel_end,
+		NULL,
 	};
 	struct dl_httpc_req req = { .method = DL_STR("DELETE") };
 	char path[REQUEST_ID_TEXT + 16];
--- a/src/main/replica.c
+++ b/src/main/replica.c
@@ -81,7 +81,8 @@
 		replica_query_frame(r, from, frame);
 		return;
 	case DL_FRAME_QUERY_REPLY:
-		replica_query_reply(r, frame);
+		if (!replica_orders_reply(r, frame))
+			replica_query_reply(r, frame);
 		return;
 	default:
 		return;
@@ -239,6 +240,7 @@
 
 	replica_cmd_tick(r, replica_now(r));
 	replica_query_tick(r, replica_now(r));
+	replica_orders_tick(r, replica_now(r));
 	end_if_stopped(r);
 }
 
@@ -315,6 +317,9 @@
 	code = open_log(r, err);
 	if (code)
 		return code;
+	if (replica_orders_open(r))
+		return dl_err_set(err, -ENOMEM, DL_STEP_NONE, NULL,
+				  "out of memory");
 	uv_prepare_init(r->node.loop, &r->prepare);
 	r->prepare.data = r;
 	uv_prepare_start(&r->prepare, on_prepare);
--- a/src/main/replica.h
+++ b/src/main/replica.h
@@ -3,6 +3,7 @@
 #define DL_MAIN_REPLICA_H
 
 #include <glib.h>
+#include <jansson.h>
 
 #include "daisyledge/cstore.h"
 #include "daisyledge/rlog.h"
@@ -44,6 +45,7 @@
 	GArray *pending;	/* of struct replica_pending */
 	GArray *forwarded;	/* of struct replica_forwarded */
 	uint64_t next_request;
+	struct replica_orders *orders;
 };
 
 /* replica.c */
@@ -68,4 +70,10 @@
 void replica_query_reply(struct replica *r, const struct dl_frame *frame);
 void replica_query_tick(struct replica *r, int64_t now);
 
+/* replica_orders.c */
+int replica_orders_open(struct replica *r);
+void replica_orders_tick(struct replica *r, int64_t now);
+bool replica_orders_reply(struct replica *r, const struct dl_frame *frame);
+json_t *replica_orders_json(struct replica *r);
+
 #endif
--- a/src/main/replica_query.c
+++ b/src/main/replica_query.c
@@ -148,6 +148,7 @@
 	for (uint32_t i = 0; i < s.count; i++)
 		json_array_append_new(list, peer_json(&s.peers[i]));
 	json_object_set_new(root, "others", list);
+	json_object_set_new(root, "orders", replica_orders_json(r));
 	return root;
 }
 
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -153,6 +153,12 @@
 		end_soon(call, DL_BROKE_CONNECT, DL_STEP_CONNECT, errstr);
 		return NULL;
 	}
+	if (call->ops->ready && !call->ops->ready(call->arg)) {
+		call->h2o = NULL; /* h2o closes it on our NULL */
+		end_soon(call, DL_BROKE_CONNECT, DL_STEP_SEND,
+			 "given up before it was sent");
+		return NULL;
+	}
 	call->attempt.sent = DL_SENT_ALL;
 	*bufs = call->bufs;
 	*count = call->bufs[1].len ? 2 : 1;
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -46,6 +46,11 @@
 	bool (*body)(void *arg, struct dl_str piece);
 	void (*end)(void *arg, const struct dl_attempt *attempt,
 		    const struct dl_err *err);
+	/*
+	 * Connected, nothing sent yet: false gives the call up as not sent.
+	 * May be NULL.
+	 */
+	bool (*ready)(void *arg);
 };
 
 int dl_httpc_open(uv_loop_t *loop, struct dl_httpc **out);
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -116,6 +116,7 @@
 	GQueue *cache_age;
 	json_t *events;
 	json_t *models;
+	char version[64], role[64]; /* as last ordered */
 	GRand *rand;
 	uint64_t self;
 	uint64_t advertised; /* where callers reach it */
@@ -348,6 +349,10 @@
 			    json_boolean(!opt.plain && !opt.no_groups));
 	json_object_set_new(o, "order_fence",
 			    json_integer((json_int_t)me.fence));
+	if (me.version[0])
+		json_object_set_new(o, "version", json_string(me.version));
+	if (me.role[0])
+		json_object_set_new(o, "role", json_string(me.role));
 	return o;
 }
 
@@ -1053,6 +1058,12 @@
 	fake_reply(req, 204, NULL, DL_STR(""));
 }
 
+static void keep_word(char word[64], const json_t *value)
+{
+	if (json_is_string(value))
+		g_strlcpy(word, json_string_value(value), 64);
+}
+
 /* An order to load a model or change role: the highest fence wins. */
 static void serve_order(struct fake_request *req, const json_t *o)
 {
@@ -1080,6 +1091,8 @@
 		json_array_clear(me.models);
 		json_array_append_new(me.models, json_string(model));
 	}
+	keep_word(me.version, json_object_get(o, "version"));
+	keep_word(me.role, json_object_get(o, "role"));
 	reply_json(req, 200, json_pack("{s:I}", "fence", (json_int_t)me.fence));
 }
 
