Configuration over the real binary: races, resends, losses and restarts

Cause: the command line and the replicas were proved apart only; 'get' of a version that is not kept printed nothing with exit status 0, and a refusal printed the same difference twice. Change: test_system_config.sh (operators racing at three entries, clients killed before their answer and sent again elsewhere, 150 changes while a replica is away, the leader's VM lost, all restarted at once, no majority); 'get' tells a text that is not kept with exit status 1.

--- a/src/main/cli_get.c
+++ b/src/main/cli_get.c
@@ -18,6 +18,7 @@
 
 static int ask(const struct cli *cli, const char *path,
 	       struct cli_answer *answer);
+static int print_text(const struct cli *cli, const json_t *json);
 
 /* Ask for a document and tell a failure. */
 static int ask(const struct cli *cli, const char *path,
@@ -31,6 +32,23 @@
 	return cli_fail(cli, answer);
 }
 
+/* Print a text; one that is no longer kept, or was never made, is a fault. */
+static int print_text(const struct cli *cli, const json_t *json)
+{
+	const json_t *text = json_object_get(json, "text");
+
+	if (cli->json)
+		cli_print_json(json);
+	if (!json_is_string(text) || json_string_length(text) == 0) {
+		fprintf(stderr, "the text of this version is not kept\n");
+		return DL_EXIT_FAULT;
+	}
+	if (!cli->json)
+		fwrite(json_string_value(text), 1, json_string_length(text),
+		       stdout);
+	return DL_EXIT_OK;
+}
+
 /* Print the text of a version, or of the one in force. */
 int dl_main_get(int argc, char **argv)
 {
@@ -41,7 +59,6 @@
 		{ NULL },
 	};
 	struct cli_answer answer = { 0 };
-	const json_t *text;
 	struct cli cli;
 	char path[64] = "/v1/config";
 	int rc = cli_options(&cli, own, NULL, 0, true, argc, argv);
@@ -51,13 +68,8 @@
 			 (int64_t)version);
 	if (rc == DL_EXIT_OK)
 		rc = ask(&cli, path, &answer);
-	if (rc == DL_EXIT_OK && cli.json) {
-		cli_print_json(answer.json);
-	} else if (rc == DL_EXIT_OK) {
-		text = json_object_get(answer.json, "text");
-		fwrite(json_string_value(text), 1, json_string_length(text),
-		       stdout);
-	}
+	if (rc == DL_EXIT_OK)
+		rc = print_text(&cli, answer.json);
 	cli_answer_free(&answer);
 	cli_free(&cli);
 	return rc;
--- a/src/main/cli_print.c
+++ b/src/main/cli_print.c
@@ -96,6 +96,8 @@
 {
 	const char *error =
 		json_string_value(json_object_get(answer->json, "error"));
+	const char *diff =
+		json_string_value(json_object_get(answer->json, "diff"));
 	json_t *fault;
 	size_t i;
 
@@ -113,7 +115,8 @@
 	print_member("step: ", answer->json, "step");
 	print_member("peer: ", answer->json, "peer");
 	print_member("version in force: ", answer->json, "version");
-	print_member("", answer->json, "diff");
+	if (!error || !diff || strcmp(error, diff) != 0)
+		print_member("", answer->json, "diff");
 	json_array_foreach(json_object_get(answer->json, "faults"), i, fault)
 	{
 		char line[CELL_MAX];
--- /dev/null
+++ b/test/test_system_config.sh
@@ -0,0 +1,136 @@
+#!/bin/sh
+# Configuration over the real binary: operators race under equal numbers, send
+# again after answers are lost, change hundreds of times while a replica is
+# away, and lose VMs; no accepted version reverts.
+cd "$(dirname "$0")/.." || exit 2
+. test/deploy.sh
+VMS_EACH=1
+DL_RUNNERS=3
+test_begin dala
+deploy_start || fail "the deployment does not start"
+
+entry() { # D
+	echo "--entry $(vm_address "$1" 1):$HTTP_PORT"
+}
+
+# A text that differs from any other: edition N FILE
+edition() {
+	sed "s/\"weight_store_mb_per_s\": [0-9]*/\"weight_store_mb_per_s\": $1/" \
+		"$DIR/config.json" >"$2"
+}
+
+version() { # D
+	# shellcheck disable=SC2046
+	"$DL_BIN" status --json --timeout 5 $(entry "$1") |
+		sed 's/^{"version":\([0-9]*\).*/\1/'
+}
+
+at_version() { # D N
+	[ "$(version "$1")" = "$2" ]
+}
+
+# Three operators at three entries, each from the same version: one wins.
+for round in 1 2 3 4 5 6 7 8; do
+	for d in 1 2 3; do
+		wait_for 5 "version $round at VM $d" at_version $d $round || exit 1
+	done
+	pids=
+	for d in 1 2 3; do
+		edition "1$round$d" "$DIR/race.$d"
+		# shellcheck disable=SC2046
+		"$DL_BIN" apply $(entry $d) --expect "$round" \
+			--author "operator-$d" "$DIR/race.$d" \
+			>"$DIR/race.$d.out" 2>&1 &
+		pids="$pids $!"
+	done
+	won=0 lost=0
+	for p in $pids; do
+		wait "$p"
+		case $? in
+		0) won=$((won + 1)) ;;
+		3) lost=$((lost + 1)) ;;
+		*) cat "$DIR"/race.*.out && fail "an operator got no answer" ;;
+		esac
+	done
+	[ "$won $lost" = "1 2" ] || fail "round $round: $won won, $lost lost"
+	grep -q "by operator-.* is in force" "$DIR"/race.*.out ||
+		fail "the losers are not told who won"
+done
+
+# The client dies with the answer; the same id again, elsewhere, counts once.
+for n in 1 2 3 4 5; do
+	edition "2$n" "$DIR/again"
+	# shellcheck disable=SC2046
+	"$DL_BIN" apply $(entry 1) --change-id "again-$n" "$DIR/again" \
+		>/dev/null 2>&1 &
+	p=$!
+	sleep "0.00$n"
+	kill -KILL $p 2>/dev/null
+	wait $p 2>/dev/null
+	for d in 2 3; do
+		# shellcheck disable=SC2046
+		"$DL_BIN" apply $(entry $d) --change-id "again-$n" \
+			"$DIR/again" >"$DIR/again.out" 2>&1 ||
+			fail "resend: $(cat "$DIR/again.out")"
+	done
+	# shellcheck disable=SC2046
+	made=$("$DL_BIN" history $(entry 2) | grep -c "again-$n\$")
+	[ "$made" -eq 1 ] || fail "again-$n made $made versions"
+	edition "3$n" "$DIR/other"
+	# shellcheck disable=SC2046
+	"$DL_BIN" apply $(entry 3) --change-id "again-$n" "$DIR/other" \
+		>/dev/null 2>&1
+	[ $? -eq 3 ] || fail "another text was taken under again-$n"
+done
+
+# A replica is away for 150 changes and catches up.
+kill -KILL "$(pid_of replica_3_1)"
+n=0
+while [ $n -lt 150 ]; do
+	n=$((n + 1))
+	edition "4$n" "$DIR/many"
+	# shellcheck disable=SC2046
+	"$DL_BIN" apply $(entry 1) "$DIR/many" >"$DIR/many.out" 2>&1 ||
+		fail "change $n: $(cat "$DIR/many.out")"
+done
+before=$(version 1)
+start_replica 3
+replica_caught_up() {
+	# shellcheck disable=SC2046
+	"$DL_BIN" status --json $(entry 1) |
+		grep -q "\"vm\":\"$(vm_address 3 1):$REPLICA_PORT\"[^}]*\"version\":$before,"
+}
+wait_for 15 "the replica to catch up" replica_caught_up || exit 1
+
+# The leader's VM is lost with its entry: the next entry is asked.
+kill -KILL "$(pid_of replica_1_1)" "$(pid_of entry_1_1)"
+edition 500 "$DIR/after"
+# shellcheck disable=SC2046
+"$DL_BIN" apply $(entry 1) $(entry 2) $(entry 3) --wait --timeout 20 \
+	"$DIR/after" >"$DIR/after.out" 2>&1 ||
+	fail "after the leader's VM was lost: $(cat "$DIR/after.out")"
+wait_for 5 "the new version at VM 3" at_version 3 $((before + 1)) || exit 1
+
+# All restart at once: the version stays.
+for p in replica_2_1 replica_3_1 entry_2_1 entry_3_1; do
+	kill -KILL "$(pid_of $p)"
+done
+for d in 1 2 3; do
+	start_replica $d
+	start_entry $d 1
+done
+for d in 1 2 3; do
+	wait_for 15 "the version at VM $d after all restarted" \
+		at_version $d $((before + 1)) || exit 1
+done
+
+# Without a majority nothing is accepted, and what is in force stays.
+kill -KILL "$(pid_of replica_2_1)" "$(pid_of replica_3_1)"
+edition 600 "$DIR/none"
+# shellcheck disable=SC2046
+"$DL_BIN" apply $(entry 1) --timeout 3 "$DIR/none" >"$DIR/none.out" 2>&1
+got=$?
+[ $got -eq 4 ] || fail "without a majority: $got, $(cat "$DIR/none.out")"
+# shellcheck disable=SC2046
+"$DL_BIN" get $(entry 3) | cmp -s - "$DIR/after" ||
+	fail "what was in force is not there"
