--- a/src/state/cstore.c
+++ b/src/state/cstore.c
@@ -11,6 +11,8 @@
 #include "state/cstore_int.h"
 
 #define TEXT_SEED 0x636f6e66
+/* The most that the clock moves at one command; more is a clock that jumped. */
+#define ADVANCE_MAX_MS 60000
 
 typedef void exec_fn(struct dl_cstore *store, const struct dl_cstore_cmd *cmd,
 		     struct dl_cstore_reply *reply);
@@ -192,8 +194,10 @@
 /*
  * Let the store's clock follow the leader's wall clock.  Only what passes
  * within one term counts: a new leader's clock may be days off, and time that
- * ran too fast would end claims early and run their requests twice.  Time that
- * is missed only keeps claims longer.
+ * ran too fast would end claims early and run their requests twice.  For the
+ * same reason one command moves the clock by a minute at most.  Time that is
+ * missed only keeps claims longer, and the store has room for them where
+ * commands come that seldom.
  */
 static void pass_time(struct dl_cstore *store, const struct dl_cstore_cmd *cmd)
 {
@@ -202,7 +206,8 @@
 	if (new_term || store->wall_ms == 0) {
 		store->wall_ms = cmd->wall_ms;
 	} else if (cmd->wall_ms > store->wall_ms) {
-		store->clock_ms += cmd->wall_ms - store->wall_ms;
+		store->clock_ms += MIN(cmd->wall_ms - store->wall_ms,
+				       ADVANCE_MAX_MS);
 		store->wall_ms = cmd->wall_ms;
 	}
 	claims_expire(&store->claims, store->clock_ms);
