Look at msgpack before it is unpacked, and test the log's codec

Cause: the library allocates what an array says it holds before it reads it, so that a changed byte made dl_rlog_decode() ask for 64 GB; AddressSanitizer ended 9 of 18 checks of the new test_rlog_codec. Ruled out: a bound on the arrays that the codec knows, as any object inside can say it.

--- a/src/protocol/rlog_codec.c
+++ b/src/protocol/rlog_codec.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/sound.h"
+
 /*
  * [kind, cluster, from id, to id, term, index, index term, commit, stamp,
  * flags, rest]; rest is nil, the entries, the members, or a snapshot's piece.
@@ -255,7 +257,8 @@
 	memset(&out->msg, 0, sizeof(out->msg));
 	out->entries = NULL;
 	msgpack_unpacked_init(&out->unpacked);
-	if (msgpack_unpack_next(&out->unpacked, body.s, body.n, NULL) ==
+	if (dl_msgpack_sound(body) &&
+	    msgpack_unpack_next(&out->unpacked, body.s, body.n, NULL) ==
 		    MSGPACK_UNPACK_SUCCESS &&
 	    fields(&out->unpacked.data, MSG_FIELDS, &f) &&
 	    take_head(f, &out->msg) && take_rest(&f[MSG_FIELDS - 1], out))
--- /dev/null
+++ b/test/test_rlog_codec.c
@@ -0,0 +1,118 @@
+/* The codec of log messages: there and back, and anything else is refused. */
+#include <check.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "protocol/rlog_codec.h"
+
+static const struct dl_rlog_entry entries[] = {
+	{ 8, 3, DL_RLOG_NOOP, { "", 0 } },
+	{ 9, 3, DL_RLOG_COMMAND, { "a command", 9 } },
+};
+
+static const struct dl_rlog_msg messages[] = {
+	{ .kind = DL_RLOG_HELLO, .from_id = 5, .index = 77, .commit = 1 },
+	{ .kind = DL_RLOG_BIRTH,
+	  .cluster = UINT64_MAX,
+	  .snapshot = { .members = { 2,
+				     { { 1, 2, true }, { 3, 4, false } } } } },
+	{ .kind = DL_RLOG_PREVOTE, .term = 4, .index = 9, .index_term = 3 },
+	{ .kind = DL_RLOG_VOTE, .term = 4, .transfer = true },
+	{ .kind = DL_RLOG_VOTE_REPLY, .term = 4, .ok = true },
+	{ .kind = DL_RLOG_APPEND,
+	  .term = 3,
+	  .index = 7,
+	  .stamp = -5,
+	  .count = 2,
+	  .entries = entries },
+	{ .kind = DL_RLOG_APPEND_REPLY, .index = 9, .fresh = true },
+	{ .kind = DL_RLOG_SNAPSHOT,
+	  .snapshot = { 9, 3, { 1, { { 1, 2, true } } }, { "piece", 5 } },
+	  .offset = 10,
+	  .total = 15 },
+	{ .kind = DL_RLOG_TRANSFER, .term = 4 },
+};
+
+static bool same_entry(const struct dl_rlog_entry *a,
+		       const struct dl_rlog_entry *b)
+{
+	return a->index == b->index && a->term == b->term &&
+	       a->kind == b->kind && dl_str_eq(a->data, b->data);
+}
+
+START_TEST(there_and_back)
+{
+	const struct dl_rlog_msg *m = &messages[_i];
+	struct dl_rlog_decoded d;
+	msgpack_sbuffer buf;
+
+	msgpack_sbuffer_init(&buf);
+	dl_rlog_encode(m, &buf);
+	ck_assert_int_eq(
+		dl_rlog_decode((struct dl_str){ buf.data, buf.size }, &d), 0);
+	ck_assert_int_eq(d.msg.kind, m->kind);
+	ck_assert_uint_eq(d.msg.cluster, m->cluster);
+	ck_assert_uint_eq(d.msg.term, m->term);
+	ck_assert_uint_eq(d.msg.index, m->index);
+	ck_assert_int_eq(d.msg.stamp, m->stamp);
+	ck_assert_int_eq(d.msg.ok, m->ok);
+	ck_assert_int_eq(d.msg.fresh, m->fresh);
+	ck_assert_int_eq(d.msg.transfer, m->transfer);
+	ck_assert_uint_eq(d.msg.count, m->count);
+	for (uint32_t i = 0; i < m->count; i++)
+		ck_assert(same_entry(&d.msg.entries[i], &m->entries[i]));
+	ck_assert_int_eq(memcmp(&d.msg.snapshot.members, &m->snapshot.members,
+				sizeof(m->snapshot.members)),
+			 0);
+	ck_assert(dl_str_eq(d.msg.snapshot.data, m->snapshot.data));
+	ck_assert_uint_eq(d.msg.offset, m->offset);
+	dl_rlog_decoded_free(&d);
+	msgpack_sbuffer_destroy(&buf);
+}
+END_TEST
+
+/* Cut anywhere it is refused; changed anywhere it is read or refused. */
+START_TEST(cut_and_changed)
+{
+	GRand *rand = g_rand_new_with_seed((guint32)_i);
+	struct dl_rlog_decoded d;
+	msgpack_sbuffer buf;
+
+	msgpack_sbuffer_init(&buf);
+	dl_rlog_encode(&messages[_i], &buf);
+	for (size_t n = 0; n < buf.size; n++)
+		ck_assert_int_eq(dl_rlog_decode((struct dl_str){ buf.data, n },
+						&d),
+				 -EINVAL);
+	for (int i = 0; i < 20000; i++) {
+		size_t at = (size_t)g_rand_int_range(rand, 0, (gint32)buf.size);
+		char *copy = g_memdup2(buf.data, buf.size);
+
+		copy[at] = (char)g_rand_int(rand);
+		if (dl_rlog_decode((struct dl_str){ copy, buf.size }, &d) == 0)
+			dl_rlog_decoded_free(&d);
+		g_free(copy);
+	}
+	msgpack_sbuffer_destroy(&buf);
+	g_rand_free(rand);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("rlog_codec");
+	TCase *t = tcase_create("codec");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_add_loop_test(t, there_and_back, 0, G_N_ELEMENTS(messages));
+	tcase_add_loop_test(t, cut_and_changed, 0, G_N_ELEMENTS(messages));
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
