Capacity: what the target size costs, from measured slopes

Cause: the users asked for the page; nobody had counted what one VM spends. Shown to fail: three numbers of the page changed by 2 to 9% give nine lines and exit status 1.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 #   make check      every test program; verdict by exit status
 #   make demo       a whole deployment of fakes on this machine
 #   make bench      one line "name<TAB>value<TAB>unit" a figure
+#   make capacity   the slopes behind docs/CAPACITY.md; fails where the page
+#                   does not follow from them; CAPACITY=write writes it
 #   make lint       clang-tidy and cppcheck
 #   make format     rewrite the sources in the house format
 
@@ -76,6 +78,13 @@
 bench: programs
 	@sh bench/run.sh $(BENCHES)
 
+# The slopes behind docs/CAPACITY.md, and whether the page follows from them.
+capacity: programs
+	@mkdir -p build
+	$(CC) $(ALLF) -Itest -o build/capacity bench/capacity.c $(ARCHIVES) \
+		$(CHECKL) $(LIBS)
+	@sh bench/capacity.sh $(CAPACITY)
+
 demo: deps
 	@$(MAKE) programs >build.log 2>&1 || { tail -20 build.log; exit 1; }
 	@sh test/demo.sh $(DEPLOYMENT)
@@ -94,7 +103,7 @@
 		test/fake/*.[od] bench/*.d examples/*.d $(TESTS) $(TOOLS) \
 		$(BENCHES) $(EXAMPLES)
 
-.PHONY: all programs deps check check-asan bench demo format format-check \
+.PHONY: all programs deps check check-asan bench capacity demo format format-check \
 	lint man-check clean
 
 -include $(LIBOBJ:.o=.d) $(IOOBJ:.o=.d) $(MAINOBJ:.o=.d) $(FAKEOBJ:.o=.d)
--- /dev/null
+++ b/bench/capacity.c
@@ -0,0 +1,563 @@
+/*
+ * What the parts cost by size, for docs/CAPACITY.md.
+ *
+ *   capacity points      one line "slope<TAB>x<TAB>value" a measured point
+ *   capacity faults      one line "name<TAB>value<TAB>unit" a fault at 370 VMs
+ *   capacity instr N X   do operation N at size X, to be counted from outside
+ */
+#include <malloc.h>
+#include <stdio.h>
+#include <time.h>
+
+#include "control_load.h"
+#include "daisyledge/conf.h"
+#include "daisyledge/cstore.h"
+#include "fake/group.h"
+#include "fake/memb_net.h"
+#include "protocol/api.h"
+#include "protocol/sse.h"
+
+#define MS_PER_S	  1000.0
+#define WARM_MS		  120000
+#define MEASURE_MS	  60000
+#define VMS		  370
+#define DOMAINS		  5
+#define TEXT_ROOM	  (4u << 20)
+#define CHANGE_BYTES	  4096
+#define CHANGE_WORKSPACES 62	 /* about 4 KB of text */
+#define LEASE_LONG	  600000 /* no renewal falls in the measure */
+#define LEASE_MS	  6000	 /* a renewal every two seconds */
+
+static char *text_buf;
+
+static void point(const char *slope, double x, double value)
+{
+	printf("%s\t%.10g\t%.10g\n", slope, x, value);
+}
+
+static double heap(void)
+{
+	return (double)mallinfo2().uordblks;
+}
+
+static void must(int code)
+{
+	if (code == 0)
+		return;
+	fprintf(stderr, "capacity: %d\n", code);
+	exit(1);
+}
+
+/* Order for the median. */
+static int by_size(const void *a, const void *b)
+{
+	const double *x = a, *y = b;
+
+	return (*x > *y) - (*x < *y);
+}
+
+/* Membership by VMs: the median member, and the busiest, which digests. */
+static void memb_points(uint32_t vms)
+{
+	double before = heap(), began, state, each[VMS] = { 0 };
+	double msgs[VMS] = { 0 };
+	struct memb_net_conf conf;
+	struct memb_net *net;
+
+	memb_net_defaults(&conf, vms, DOMAINS, 1);
+	net = memb_net_new(&conf);
+	memb_net_start_all(net);
+	memb_net_run(net, WARM_MS);
+	memb_net_clear_counts(net);
+	began = (double)clock();
+	memb_net_run(net, MEASURE_MS);
+	point("memb_cpu_us", vms,
+	      ((double)clock() - began) / CLOCKS_PER_SEC * 1e6 /
+		      (MEASURE_MS / MS_PER_S) / vms);
+	state = heap() - before;
+	point("memb_state", vms, state / vms);
+	for (uint32_t i = 0; i < vms; i++) {
+		const struct memb_net_vm *v = &net->vms[i];
+
+		each[i] = (double)(v->bytes_in + v->bytes_out) /
+			  (MEASURE_MS / MS_PER_S);
+		msgs[i] = (double)(v->msgs_in + v->msgs_out) /
+			  (MEASURE_MS / MS_PER_S);
+	}
+	qsort(msgs, vms, sizeof(msgs[0]), by_size);
+	qsort(each, vms, sizeof(each[0]), by_size);
+	point("memb_bytes", vms, each[vms / 2]);
+	point("memb_digest_bytes", vms, each[vms - 1]);
+	point("memb_msgs", vms, msgs[vms / 2]);
+	point("memb_digest_msgs", vms, msgs[vms - 1]);
+	memb_net_free(net);
+}
+
+/* Bytes a second at the one dispatcher of a small load. */
+static double dispatcher_bytes(const struct load_conf *conf, int64_t warm)
+{
+	struct load *l = load_new(conf);
+	uint64_t before;
+	double out;
+
+	load_run(l, warm);
+	before = l->vms[load_leader(l, 0)].bytes;
+	load_run(l, 10000);
+	out = (double)(l->vms[load_leader(l, 0)].bytes - before) / 10;
+	load_free(l);
+	return out;
+}
+
+static struct load_conf one_pool(void)
+{
+	struct load_conf conf = load_target();
+
+	conf.domains = 1;
+	conf.pools = 1;
+	conf.requests_per_s = 100;
+	conf.request_ms = 1000;
+	conf.lease_ms = LEASE_LONG;
+	return conf;
+}
+
+/* Dispatching by requests, open streams, endpoints and domains. */
+static void dispatch_points(void)
+{
+	static const uint32_t rates[] = { 50, 100, 200, 400 };
+	static const uint32_t lives[] = { 4000, 8000, 12000, 16000 };
+	static const uint32_t runners[] = { 8, 30, 60, 120 };
+	struct load_conf conf;
+
+	for (int i = 0; i < 4; i++) {
+		conf = one_pool();
+		conf.requests_per_s = rates[i];
+		point("request_bytes", rates[i], dispatcher_bytes(&conf, 5000));
+	}
+	for (int i = 0; i < 4; i++) {
+		conf = one_pool();
+		conf.lease_ms = LEASE_MS;
+		conf.request_ms = lives[i];
+		point("stream_bytes", lives[i] / 10.0,
+		      dispatcher_bytes(&conf, 20000));
+	}
+	for (int i = 0; i < 4; i++) {
+		conf = one_pool();
+		conf.runners = runners[i];
+		conf.requests_per_s = 0;
+		point("endpoint_bytes", runners[i],
+		      dispatcher_bytes(&conf, 5000));
+	}
+	for (uint32_t d = 2; d <= 5; d++) {
+		conf = one_pool();
+		conf.domains = d;
+		conf.requests_per_s = 0;
+		point("domain_bytes", d, dispatcher_bytes(&conf, 5000));
+	}
+}
+
+/* State of a pool by what it holds. */
+static void pool_points(void)
+{
+	static const uint32_t lives[] = { 2500, 5000, 10000, 20000 };
+	static const uint32_t runners[] = { 8, 30, 60, 120 };
+
+	for (int i = 0; i < 4; i++) {
+		struct load_conf conf = one_pool();
+		double before;
+		struct load *l;
+
+		conf.request_ms = lives[i];
+		conf.runners = 30;
+		l = load_new(&conf);
+		before = heap();
+		load_run(l, 25000);
+		point("grant_state", (double)l->in_flight,
+		      heap() - before -
+			      (double)l->in_flight * sizeof(struct load_req));
+		load_free(l);
+	}
+	for (int i = 0; i < 4; i++) {
+		struct load_conf conf = one_pool();
+		double before = heap();
+		struct load *l;
+
+		conf.runners = runners[i];
+		conf.requests_per_s = 0;
+		l = load_new(&conf);
+		load_run(l, 2000);
+		point("endpoint_state", runners[i],
+		      heap() - before - (double)l->asked_cap * sizeof(void *));
+		load_free(l);
+	}
+}
+
+/* The operators' text with so many workspaces. */
+static struct dl_str conf_text(uint32_t workspaces)
+{
+	size_t n = 0;
+
+	n += (size_t)snprintf(
+		text_buf + n, TEXT_ROOM - n,
+		"{\"format\": 1,\n\"classes\": {\"question\": {\"class\": "
+		"\"interactive\", \"deadline_ms\": 10000}},\n"
+		"\"services\": {\"pool\": {\"kind\": \"model\", \"models\": "
+		"[\"m\"], \"default_class\": \"question\"}},\n"
+		"\"replicas\": [{\"name\": \"a\", \"address\": "
+		"\"127.0.0.1:7200\"}, {\"name\": \"b\", \"address\": "
+		"\"127.0.0.2:7200\"}, {\"name\": \"c\", \"address\": "
+		"\"127.0.0.3:7200\"}],\n"
+		"\"workspaces\": {\n");
+	for (uint32_t i = 0; i < workspaces; i++)
+		n += (size_t)snprintf(text_buf + n, TEXT_ROOM - n,
+				      "\"workspace-%05u\": {\"weight\": 4, "
+				      "\"default_class\": \"question\"}%s\n",
+				      i, i + 1 < workspaces ? "," : "");
+	n += (size_t)snprintf(text_buf + n, TEXT_ROOM - n, "}\n}\n");
+	return (struct dl_str){ text_buf, n };
+}
+
+static struct dl_conf *parse(struct dl_str text)
+{
+	static struct dl_faults faults;
+	struct dl_conf *conf = NULL;
+
+	if (dl_conf_parse(text, &conf, &faults)) {
+		fprintf(stderr, "capacity: %s: %s\n", faults.at[0].path,
+			faults.at[0].text);
+		exit(1);
+	}
+	return conf;
+}
+
+/* Configuration by workspaces listed. */
+static void conf_points(void)
+{
+	static const uint32_t sizes[] = { 1000, 4000, 16000, 32000 };
+	struct dl_conf_diff diff;
+
+	for (int i = 0; i < 4; i++) {
+		struct dl_str text = conf_text(sizes[i]);
+		double before = heap(), began = (double)clock();
+		struct dl_conf *conf = parse(text);
+
+		point("conf_parse_us", sizes[i],
+		      ((double)clock() - began) / CLOCKS_PER_SEC * 1e6);
+		point("conf_state", sizes[i], heap() - before);
+		point("conf_text", sizes[i], (double)text.n);
+		began = (double)clock();
+		must(dl_conf_compare(conf, conf, &diff));
+		point("conf_compare_us", sizes[i],
+		      ((double)clock() - began) / CLOCKS_PER_SEC * 1e6);
+		dl_conf_diff_free(&diff);
+		dl_conf_free(conf);
+	}
+}
+
+static void exec(struct dl_cstore *store, const struct dl_cstore_cmd *cmd)
+{
+	struct dl_cstore_reply reply;
+	char *bytes;
+	size_t n;
+
+	must(dl_cstore_encode(cmd, &bytes, &n));
+	dl_cstore_exec(store, dl_cstore_index(store) + 1,
+		       (struct dl_str){ bytes, n }, &reply);
+	must(reply.code);
+	free(bytes);
+}
+
+/* A change of the configuration, or a claim and its outcome. */
+static void change(struct dl_cstore *store, struct dl_str text, uint32_t i)
+{
+	char id[24];
+	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_APPLY,
+				     .wall_ms = i,
+				     .text = text,
+				     .author = DL_STR("operator"),
+				     .expect = UINT64_MAX };
+
+	snprintf(id, sizeof(id), "change-%08u", i);
+	cmd.change_id = dl_str_of(id);
+	exec(store, &cmd);
+}
+
+static void claim(struct dl_cstore *store, uint32_t i)
+{
+	char key[64];
+	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_CLAIM,
+				     .wall_ms = i,
+				     .owner = i + 1,
+				     .body_hash = i,
+				     .expires_s = 86400 };
+
+	snprintf(key, sizeof(key), "8:termini14:homeowners-00112:booking-%05u",
+		 i);
+	cmd.key = dl_str_of(key);
+	exec(store, &cmd);
+	cmd.op = DL_CSTORE_OUTCOME;
+	cmd.status = 200;
+	cmd.outcome = DL_STR("{\"confirmed\":true,\"slot\":\"2026-12-02T10\"}");
+	exec(store, &cmd);
+}
+
+/* The replicated state by changes and by claims. */
+static void cstore_points(void)
+{
+	static const uint32_t changes[] = { 40, 80, 120, 160 };
+	static const uint32_t claims[] = { 5000, 10000, 20000, 40000 };
+	struct dl_str text = conf_text(CHANGE_WORKSPACES);
+
+	for (int i = 0; i < 4; i++) {
+		double before = heap();
+		struct dl_cstore *store = dl_cstore_new();
+
+		for (uint32_t k = 0; k < changes[i]; k++)
+			change(store, text, k);
+		point("change_state", changes[i], heap() - before);
+		dl_cstore_free(store);
+	}
+	for (int i = 0; i < 4; i++) {
+		double before = heap();
+		struct dl_cstore *store = dl_cstore_new();
+		char *snapshot;
+		size_t n;
+
+		for (uint32_t k = 0; k < claims[i]; k++)
+			claim(store, k);
+		point("claim_state", claims[i], heap() - before);
+		must(dl_cstore_snapshot(store, &snapshot, &n));
+		point("claim_snapshot", claims[i], (double)n);
+		free(snapshot);
+		dl_cstore_free(store);
+	}
+}
+
+/* The log of five replicas by changes in a minute: what the leader sends. */
+static void rlog_points(void)
+{
+	static const uint32_t changes[] = { 0, 50, 100, 200, 400 };
+
+	for (int i = 0; i < 5; i++) {
+		struct group_conf conf = {
+			.seed = 1,
+			.listed = 5,
+			.link = { .seed = 1,
+				  .delay_min_ms = 1,
+				  .delay_max_ms = 1 },
+			.sync_min_ms = 1,
+			.sync_max_ms = 2,
+			.snapshot_entries = 10000,
+			.piece_bytes = 65536,
+		};
+		struct group *g = group_new(&conf);
+		struct fake_link_count sent;
+		uint64_t leader;
+
+		for (uint64_t vm = 1; vm <= 5; vm++)
+			group_start(g, vm);
+		if (!group_settle(g, 60000))
+			must(-1);
+		leader = group_leader(g);
+		group_run(g, 5000);
+		sent = fake_link_sent(group_link(g), leader);
+		for (uint32_t k = 0; k < 600; k++) {
+			if (k % (600 / (changes[i] ? changes[i] : 600)) == 0 &&
+			    k * changes[i] / 600 < changes[i] && changes[i])
+				group_propose(g, leader, CHANGE_BYTES);
+			group_run(g, 100);
+		}
+		point("rlog_bytes", (double)group_counted(g)->acked,
+		      (double)(fake_link_sent(group_link(g), leader).bytes -
+			       sent.bytes) /
+			      60);
+		group_free(g);
+	}
+}
+
+/* One token of a stream as an entry reads it. */
+static void tokens(uint32_t count)
+{
+	struct dl_sse sse;
+	char event[160];
+	struct dl_str data;
+	uint64_t bytes = 0;
+
+	dl_sse_open(&sse);
+	for (uint32_t i = 0; i < count; i++) {
+		struct dl_chunk chunk;
+		json_t *text = NULL;
+		int n = snprintf(event, sizeof(event),
+				 "data: {\"id\":\"0a000001-1b58-0000000017-"
+				 "0001\",\"index\":%u,\"choices\":[{\"text\":"
+				 "\" word\"}]}\n\n",
+				 i);
+
+		bytes += (uint64_t)n;
+		must(dl_sse_feed(&sse, (struct dl_str){ event, (size_t)n }));
+		while (dl_sse_next(&sse, &data)) {
+			must(dl_chunk_parse(data, false, &chunk, &text));
+			json_decref(text);
+		}
+	}
+	dl_sse_close(&sse);
+	point("token_bytes", count, (double)bytes);
+}
+
+/* So many requests through one pool, its codecs and their renewals. */
+static void requests(uint32_t runners, uint32_t rate)
+{
+	struct load_conf conf = one_pool();
+	struct load *l;
+
+	conf.runners = runners;
+	conf.requests_per_s = rate;
+	conf.lease_ms = 5000;
+	conf.request_ms = 5000;
+	l = load_new(&conf);
+	load_run(l, 10000);
+	load_free(l);
+}
+
+static int instr(const char *name, uint32_t x)
+{
+	if (strcmp(name, "request_instr") == 0)
+		requests(8, x);
+	else if (strcmp(name, "endpoint_instr") == 0)
+		requests(x, 100);
+	else if (strcmp(name, "token_instr") == 0)
+		tokens(x);
+	else if (strcmp(name, "conf_instr") == 0)
+		dl_conf_free(parse(conf_text(x)));
+	else
+		return 2;
+	return 0;
+}
+
+/* Bytes sent and taken by all since the counts were cleared. */
+static double bytes_each(const struct memb_net *net)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < net->conf.vms; i++)
+		sum += (double)(net->vms[i].bytes_in + net->vms[i].bytes_out);
+	return sum / net->conf.vms;
+}
+
+static double busiest(const struct memb_net *net)
+{
+	double max = 0;
+
+	for (uint32_t i = 0; i < net->conf.vms; i++) {
+		const struct memb_net_vm *v = &net->vms[i];
+		double own = (double)(v->bytes_in + v->bytes_out);
+
+		max = own > max ? own : max;
+	}
+	return max;
+}
+
+/* Let all agree again, and say how long it took and what it cost. */
+static void settle(struct memb_net *net, const char *name)
+{
+	int64_t began = net->now, took;
+
+	memb_net_clear_counts(net);
+	took = memb_net_settle(net, 300000);
+	printf("%s_ms\t%lld\tms\n", name, (long long)took);
+	if (net->now - began < 30000)
+		memb_net_run(net, 30000 - (net->now - began));
+	printf("%s_bytes_per_s\t%.0f\tB/s\n", name,
+	       bytes_each(net) / (double)(net->now - began) * MS_PER_S);
+	printf("%s_bytes_per_s_max\t%.0f\tB/s\n", name,
+	       busiest(net) / (double)(net->now - began) * MS_PER_S);
+	fflush(stdout);
+	memb_net_run(net, WARM_MS);
+}
+
+static void kill_some(struct memb_net *net, uint32_t first, uint32_t n,
+		      uint32_t step)
+{
+	for (uint32_t i = 0; i < n; i++)
+		memb_net_kill(net, (first + i * step) % VMS);
+}
+
+static void start_some(struct memb_net *net, uint32_t first, uint32_t n,
+		       uint32_t step)
+{
+	for (uint32_t i = 0; i < n; i++)
+		memb_net_start(net, (first + i * step) % VMS);
+}
+
+/* Put some VMs on the other side of a partition. */
+static void part(struct memb_net *net, uint32_t domains, uint32_t side)
+{
+	for (uint32_t i = 0; i < VMS; i++) {
+		if (i % DOMAINS < domains)
+			net->vms[i].side = side;
+	}
+}
+
+/* The day of faults at the target's size. */
+static void faults(void)
+{
+	struct memb_net_conf conf;
+	struct memb_net *net;
+
+	memb_net_defaults(&conf, VMS, DOMAINS, 1);
+	net = memb_net_new(&conf);
+	memb_net_start_all(net);
+	settle(net, "all_start");
+	memb_net_kill(net, 7);
+	settle(net, "one_fails");
+	memb_net_start(net, 7);
+	settle(net, "one_restarts");
+	kill_some(net, 3, 14, 23);
+	settle(net, "fourteen_fail");
+	start_some(net, 3, 14, 23);
+	settle(net, "fourteen_return");
+	kill_some(net, 1, 55, 6);
+	start_some(net, 1, 55, 6);
+	settle(net, "fiftyfive_restart");
+	kill_some(net, 2, 20, DOMAINS);
+	settle(net, "rack_fails");
+	start_some(net, 2, 20, DOMAINS);
+	settle(net, "rack_returns");
+	part(net, 1, 1);
+	settle(net, "domain_cut");
+	part(net, 1, 0);
+	settle(net, "domain_back");
+	part(net, 2, 1);
+	settle(net, "regions_apart");
+	part(net, 2, 0);
+	settle(net, "regions_together");
+	memb_net_free(net);
+}
+
+int main(int argc, char **argv)
+{
+	static const uint32_t sizes[] = { 50, 100, 185, 370 };
+
+	text_buf = malloc(TEXT_ROOM);
+	if (!text_buf)
+		return 1;
+	if (argc == 2 && strcmp(argv[1], "points") == 0) {
+		for (int i = 0; i < 4; i++)
+			memb_points(sizes[i]);
+		dispatch_points();
+		pool_points();
+		conf_points();
+		cstore_points();
+		rlog_points();
+		for (uint32_t n = 1000; n <= 8000; n *= 2)
+			tokens(n);
+	} else if (argc == 2 && strcmp(argv[1], "faults") == 0) {
+		faults();
+	} else if (argc == 4 && strcmp(argv[1], "instr") == 0) {
+		return instr(argv[2], (uint32_t)atoi(argv[3]));
+	} else {
+		fprintf(stderr, "usage: capacity points|faults|instr NAME X\n");
+		return 2;
+	}
+	free(text_buf);
+	return 0;
+}
--- /dev/null
+++ b/bench/capacity.sh
@@ -0,0 +1,252 @@
+#!/bin/sh
+# The slopes behind docs/CAPACITY.md.
+#
+#   capacity.sh          measure, fit, plot, and compare the page with it;
+#                        fails where the page does not follow
+#   capacity.sh write    measure, fit, plot, and write the page's tables
+#   capacity.sh page     compare the page with the last measure
+#
+# DL_CAPACITY_PATH=no leaves out the part over real processes, and says so.
+#
+# The page holds three marked tables.  Slopes: a least-squares fit for each,
+# with the largest residual as a share of the largest value.  Faults: counts
+# at 370 VMs.  Derived: awk expressions over the slopes, where NAME(x) is the
+# fit at x and NAME_per its slope.  Tolerances by kind: count 1%, state and
+# instr 10%, time a factor of 3, both ways.
+set -eu
+cd "$(dirname "$0")/.."
+page=docs/CAPACITY.md
+mode=${1:-check}
+points=build/capacity.points
+table=build/capacity.tsv
+faults=build/capacity.faults
+plots=docs/capacity
+bin=build/capacity
+
+# name kind x unit target limit
+slopes() {
+	cat <<'END'
+memb_bytes count VMs B/s 370 12000
+memb_digest_bytes count VMs B/s 370 12000
+memb_msgs count VMs 1/s 370 0
+memb_digest_msgs count VMs 1/s 370 0
+memb_state state VMs B 370 64000000
+memb_cpu_us time VMs us/s 370 19000
+request_bytes count requests/s B/s 400 12000
+stream_bytes count streams B/s 1600 12000
+endpoint_bytes count endpoints B/s 120 12000
+domain_bytes count domains B/s 5 12000
+grant_state state grants B 2516 64000000
+endpoint_state state endpoints B 120 64000000
+request_instr instr requests/s instr 400 0
+endpoint_instr instr endpoints instr 120 0
+conf_text count workspaces B 32000 0
+conf_state state workspaces B 32000 64000000
+conf_parse_us time workspaces us 32000 42000
+conf_compare_us time workspaces us 32000 0
+conf_instr instr workspaces instr 32000 0
+change_state state changes B 200 64000000
+claim_state state claims B 100000 64000000
+claim_snapshot count claims B 100000 0
+rlog_bytes count changes/min B/s 600 12000
+token_bytes count tokens B 8000 0
+token_instr instr tokens instr 8000 0
+path_token_us time tokens/s us/s 4800 0
+path_request_us time requests/s us/s 200 0
+END
+}
+
+# Instructions of an operation at a size.
+instructions() {
+	valgrind --tool=cachegrind --cache-sim=no \
+		--cachegrind-out-file=/dev/null "$bin" instr "$1" "$2" 2>&1 |
+		awk -v s="$1" -v x="$2" '/I *refs/ {
+			gsub(",", "", $NF); print s "\t" x "\t" $NF }'
+}
+
+measure() {
+	mkdir -p build "$plots"
+	"$bin" points >"$points"
+	for x in 50 100 200 400; do
+		instructions request_instr $x
+	done >>"$points"
+	for x in 8 30 60 120; do
+		instructions endpoint_instr $x
+	done >>"$points"
+	for x in 1000 4000 16000 32000; do
+		instructions conf_instr $x
+	done >>"$points"
+	for x in 1000 2000 4000 8000; do
+		instructions token_instr $x
+	done >>"$points"
+	if [ "${DL_CAPACITY_PATH:-yes}" = yes ]; then
+		sh bench/capacity_path.sh >>"$points"
+	else
+		echo "capacity: not run: bench/capacity_path.sh" >&2
+	fi
+	"$bin" faults >"$faults"
+}
+
+# name kind x-unit unit intercept slope residual, tab separated
+fit() {
+	slopes | awk -v OFS='\t' '
+		NR == FNR { n[$1]++; x[$1, n[$1]] = $2; y[$1, n[$1]] = $3; next }
+		!n[$1] { next }
+		{
+			sx = sy = sxx = sxy = top = worst = 0
+			for (i = 1; i <= n[$1]; i++) {
+				sx += x[$1, i]; sy += y[$1, i]
+				sxx += x[$1, i] ^ 2
+				sxy += x[$1, i] * y[$1, i]
+				if (y[$1, i] > top) top = y[$1, i]
+			}
+			d = n[$1] * sxx - sx ^ 2
+			b = (n[$1] * sxy - sx * sy) / d
+			a = (sy - b * sx) / n[$1]
+			for (i = 1; i <= n[$1]; i++) {
+				r = y[$1, i] - a - b * x[$1, i]
+				if (r < 0) r = -r
+				if (r > worst) worst = r
+			}
+			printf "%s\t%s\t%s\t%s\t%.6g\t%.6g\t%.4f\n", $1, $2, \
+				$3, $4, a, b, top ? worst / top : 0
+		}' "$points" - >"$table"
+}
+
+plot() {
+	slopes | while read -r name _ xunit unit target limit; do
+		row=$(grep "^$name	" "$table") || continue
+		a=$(echo "$row" | cut -f5)
+		b=$(echo "$row" | cut -f6)
+		grep "^$name	" "$points" >build/plot.points
+		top=$(awk -v a="$a" -v b="$b" -v t="$target" '
+			$3 > m { m = $3 }
+			END { y = a + b * t; print (y > m ? y : m) }' \
+			build/plot.points)
+		# A limit far above all that is measured would flatten the plot.
+		limit=$(awk -v l="$limit" -v t="$top" \
+			'BEGIN { print (l < 4 * t ? l : 0) }')
+		xmax=$(awk -v t="$target" '$2 > t { t = $2 }
+			END { print t * 1.05 }' build/plot.points)
+		gnuplot -e "name='$name'; out='$plots/$name.svg'" \
+			-e "points='build/plot.points'; xlabel='$xunit'" \
+			-e "ylabel='$unit'; a=$a; b=$b; limit=$limit" \
+			-e "xmax=$xmax" bench/capacity.gp
+		# Groups without content are half of the file.
+		awk 'prev ~ /^<g / && $0 == "</g>" { prev = ""; next }
+			prev != "" { print prev }
+			{ prev = $0 }
+			END { print prev }' "$plots/$name.svg" >build/plot.svg
+		cp build/plot.svg "$plots/$name.svg"
+	done
+}
+
+# The rows of a marked table of the page, cells tab separated.
+rows() {
+	awk -v m="$1" '
+		index($0, "<!-- /" m " -->") { on = 0 }
+		on && /^\| / { row++; if (row > 1) {
+			gsub(/^\| | \|$/, ""); gsub(/ \| /, "\t"); print } }
+		index($0, "<!-- " m " -->") { on = 1 }' "$page" |
+		grep -v '^---'
+}
+
+# An awk program with a function and a slope for each row of slopes on stdin.
+functions() {
+	awk -F '\t' '{
+		printf "function %s(x) { return %s + %s * x }\n", $1, $5, $6
+		init = init sprintf("%s_per = %s;", $1, $6)
+	} END { print "BEGIN {" init "}" }'
+}
+
+# "name value" of each derived row, computed from the slopes on stdin.
+derive() {
+	functions >build/derive.awk
+	rows derived | awk -F '\t' '{
+		gsub(/`/, "", $3)
+		printf "BEGIN { printf \"%%s\\t%%.3g\\n\", \"%s\", %s }\n", $1, $3
+	}' >>build/derive.awk
+	awk -f build/derive.awk </dev/null
+}
+
+# Put new rows, from a file, into a marked table.
+replace() {
+	awk -v m="$1" -v f="$2" '
+		index($0, "<!-- /" m " -->") { on = 0 }
+		!on { print }
+		on && /^\| / && head < 1 { print; head++; next }
+		on && /^\|--/ {
+			print
+			while ((getline line < f) > 0) print line
+		}
+		index($0, "<!-- " m " -->") { on = 1; head = 0 }' \
+		"$page" >build/page && cp build/page "$page"
+}
+
+write_page() {
+	awk -F '\t' '{ printf "| %s | %s | %s | %s | %s | %s | %s |\n", \
+		$1, $2, $3, $4, $5, $6, $7 }' "$table" >build/rows
+	replace slopes build/rows
+	awk -F '\t' '{ printf "| %s | %s | %s |\n", $1, $2, $3 }' \
+		"$faults" >build/rows
+	replace faults build/rows
+	derive <"$table" >build/derived
+	rows derived | awk -F '\t' '
+		NR == FNR { v[$1] = $2; next }
+		{ printf "| %s | %s | %s | %s | %s |\n", $1, $2, $3, v[$1], $5 }
+		' build/derived - >build/rows
+	replace derived build/rows
+}
+
+# Whether the page follows from what was measured.
+check_page() {
+	rows slopes >build/page.slopes
+	rows faults >build/page.faults
+	rows derived | cut -f1,4 >build/page.derived
+	derive <build/page.slopes >build/derived
+	slopes | cut -d' ' -f1,5 >build/targets
+	awk -F '\t' -v ok=1 '
+		function off(a, b) { d = a - b; if (d < 0) d = -d; return d }
+		function far(name, page, now, kind, m) {
+			m = page < 0 ? -page : page
+			if (kind == "time")
+				bad = now > 3 * page || page > 3 * now
+			else
+				bad = off(page, now) > m * (kind == "count" || \
+					kind == "fault" ? 0.01 : 0.1)
+			if (!bad) return
+			print "capacity: " name ": the page says " page \
+				", measured " now
+			ok = 0
+		}
+		FILENAME == "build/targets" { split($0, p, " "); t[p[1]] = p[2]; next }
+		FILENAME == "build/page.slopes" {
+			pa[$1] = $5; pb[$1] = $6; kind[$1] = $2; next }
+		FILENAME == "build/page.faults" { pf[$1] = $2; next }
+		FILENAME == "build/page.derived" { pd[$1] = $2; next }
+		FILENAME == "build/derived" {
+			far($1, pd[$1], $2, "count"); seen++; next }
+		FILENAME == "build/capacity.tsv" {
+			if (!($1 in kind)) { print "capacity: " $1 \
+				": not on the page"; ok = 0; next }
+			far($1 " at " t[$1], pa[$1] + pb[$1] * t[$1], \
+				$5 + $6 * t[$1], $2); seen++; next }
+		FILENAME == "build/capacity.faults" {
+			far($1, pf[$1], $2, "fault"); seen++; next }
+		END {
+			if (ok) print "capacity: the page follows: " seen \
+				" numbers"
+			exit !ok
+		}' build/targets build/page.slopes build/page.faults \
+		build/page.derived build/derived "$table" "$faults"
+}
+
+if [ "$mode" != page ]; then
+	measure
+	fit
+	plot
+fi
+if [ "$mode" = write ]; then
+	write_page
+fi
+check_page
--- /dev/null
+++ b/bench/capacity_path.sh
@@ -0,0 +1,65 @@
+#!/bin/sh
+# What a token and a request cost an entry, over real processes on this
+# machine: one line "slope<TAB>x<TAB>value" a point, as build/capacity points.
+# x is a second's worth over three entries; the value is their processor time.
+set -eu
+cd "$(dirname "$0")/.."
+. test/deploy.sh
+
+SECONDS_EACH=${SECONDS_EACH:-6}
+TICKS=$(getconf CLK_TCK)
+export VMS_EACH=1 DL_RUNNERS=3
+DL_RUNNER_OPTIONS="--decode-rate 60 --slots 1000 --memory 64000000"
+DL_RUNNER_OPTIONS="$DL_RUNNER_OPTIONS --prefill-rate 10000000"
+
+# The processor time of the three entries, in ticks.
+entry_ticks() {
+	sum=0
+	for d in 1 2 3; do
+		t=$(sed 's/.*) //' "/proc/$(pid_of entry_${d}_1)/stat" |
+			awk '{ print $12 + $13 }')
+		sum=$((sum + t))
+	done
+	echo $sum
+}
+
+entry_rss_kb() {
+	for d in 1 2 3; do
+		awk '/^VmRSS/ { print $2 }' "/proc/$(pid_of entry_${d}_1)/status"
+	done | awk '{ s += $1 } END { print s }'
+}
+
+# One class of load: RATE MAX_TOKENS
+classes() {
+	printf '{"workspaces":["almaty-counter"],"classes":[{"name":"counter",'
+	printf '"tokens_min":1000,"tokens_max":1000,"max_tokens":%s,' "$2"
+	printf '"rate":%s,"deadline_ms":30000}]}\n' "$1"
+}
+
+# Offer a load and print the processor time it cost: SLOPE X RATE MAX_TOKENS
+measure() {
+	classes "$3" "$4" >"$DIR/classes.json"
+	before=$(entry_ticks)
+	test/tool_load --entries "$ENTRIES" --classes "$DIR/classes.json" \
+		--seconds "$SECONDS_EACH" --quiet --out "$DIR/out" \
+		>"$DIR/load.log" 2>&1 || true
+	after=$(entry_ticks)
+	awk -v s="$1" -v x="$2" -v t=$((after - before)) -v hz="$TICKS" \
+		-v secs="$SECONDS_EACH" \
+		'BEGIN { printf "%s\t%s\t%.1f\n", s, x, t / hz / secs * 1e6 }'
+}
+
+test_begin dala >/dev/null
+{
+	deploy_start || exit 1
+} >&2
+measure warm 0 5 10 >/dev/null
+for tokens in 600 1200 2400 4800; do
+	measure path_token_us $tokens $((tokens / 300)) 300
+done
+for rate in 25 50 100 200; do
+	measure path_request_us $rate $rate 1
+done
+rss=$(entry_rss_kb)
+echo "path_rss_kb	3	$rss"
+test_end >/dev/null
--- a/bench/control_load.h
+++ b/bench/control_load.h
@@ -253,6 +253,14 @@
 	l->wheel[slot] = r;
 }
 
+/* Its next renewal, or its end. */
+static inline void load_next(struct load *l, struct load_req *r)
+{
+	int64_t at = l->now + l->conf.lease_ms / LOAD_RENEWALS;
+
+	load_at(l, r, at < r->ends ? at : r->ends);
+}
+
 /* An answer on its way to its entry. */
 static inline void load_answer(struct load *l, uint32_t pool,
 			       const struct dl_answer *a)
@@ -279,7 +287,7 @@
 	l->in_flight++;
 	r->grant = a->grant;
 	r->ends = l->now + l->conf.request_ms;
-	load_at(l, r, l->now + l->conf.lease_ms / LOAD_RENEWALS);
+	load_next(l, r);
 }
 
 static inline void load_ask(struct load *l)
@@ -334,7 +342,6 @@
 				  .ttft_ms = 400,
 				  .total_ms = l->conf.request_ms };
 	struct dl_packer pk;
-	int64_t next;
 
 	if (l->now < r->ends) {
 		dl_number_pack(&pk, DL_STR("match-writer"), r->grant);
@@ -343,8 +350,7 @@
 		dl_packer_close(&pk);
 		dl_pool_renew(l->pools[r->pool], r->grant, l->now);
 		l->renewals++;
-		next = l->now + l->conf.lease_ms / LOAD_RENEWALS;
-		load_at(l, r, next < r->ends ? next : r->ends);
+		load_next(l, r);
 		return;
 	}
 	dl_release_pack(&pk, DL_STR("match-writer"), r->grant, &usage);
