Capacity: the same load whatever the pool decides; the planner; workspaces

Cause: the pool now refuses what cannot make it, and the load told it nonsense (half of each engine held by others, one time to the first token for all lengths), so that slopes counted refusals. Change: reports and usage follow the load; engines are fast enough that none is refused; byte slopes use prompts of 1,000 tokens.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -12,6 +12,7 @@
 #include "control_load.h"
 #include "daisyledge/conf.h"
 #include "daisyledge/cstore.h"
+#include "daisyledge/orders.h"
 #include "fake/group.h"
 #include "fake/memb_net.h"
 #include "protocol/api.h"
@@ -104,6 +105,10 @@
 	before = l->vms[load_leader(l, 0)].bytes;
 	load_run(l, 10000);
 	out = (double)(l->vms[load_leader(l, 0)].bytes - before) / 10;
+	if (l->refused)
+		fprintf(stderr, "capacity: %llu of %llu requests refused\n",
+			(unsigned long long)l->refused,
+			(unsigned long long)l->requests);
 	load_free(l);
 	return out;
 }
@@ -117,6 +122,8 @@
 	conf.requests_per_s = 100;
 	conf.request_ms = 1000;
 	conf.lease_ms = LEASE_LONG;
+	conf.runners = 30;
+	conf.prompt_tokens = 1000;
 	return conf;
 }
 
@@ -206,6 +213,10 @@
 		"\"127.0.0.1:7200\"}, {\"name\": \"b\", \"address\": "
 		"\"127.0.0.2:7200\"}, {\"name\": \"c\", \"address\": "
 		"\"127.0.0.3:7200\"}],\n"
+		"\"orders\": [{\"service\": \"pool\", \"model\": \"m\", "
+		"\"version\": \"2\", \"role\": \"both\", "
+		"\"endpoints\": 0}],\n"
+		"\"weight_store_mb_per_s\": 100000,\n"
 		"\"workspaces\": {\n");
 	for (uint32_t i = 0; i < workspaces; i++)
 		n += (size_t)snprintf(text_buf + n, TEXT_ROOM - n,
@@ -374,6 +385,91 @@
 	}
 }
 
+static void announce(struct dl_orders *orders, uint32_t i, const char *version,
+		     int64_t now)
+{
+	struct dl_order_endpoint e = { .incarnation = 1, .models_count = 1 };
+	char id[24];
+
+	dl_vm_text((UINT64_C(0x0a010000) + i) << 16 | 9000, id);
+	dl_name_set(&e.id, dl_str_of(id));
+	dl_name_set(&e.service, DL_STR("pool"));
+	dl_name_set(&e.models[0], DL_STR("m"));
+	dl_name_set(&e.version, dl_str_of(version));
+	dl_name_set(&e.role, DL_STR("both"));
+	dl_orders_endpoint(orders, &e, now);
+}
+
+/* The endpoint's number out of the address in an order. */
+static uint32_t ordered(const struct dl_order *order)
+{
+	uint64_t vm = 0;
+
+	dl_vm_parse(dl_name_str(&order->endpoint), &vm);
+	return (uint32_t)(vm >> 16) - 0x0a010000;
+}
+
+/* Bring so many endpoints to a new version; returns the planner's heap. */
+static double plan(uint32_t endpoints)
+{
+	struct dl_conf *conf = parse(conf_text(0));
+	double before = heap(), state;
+	struct dl_orders_conf oc;
+	struct dl_orders *orders;
+	struct dl_order order;
+	int64_t now = 1000, end;
+	uint32_t done = 0;
+
+	dl_orders_defaults(&oc);
+	orders = dl_orders_new(&oc);
+	dl_orders_configure(orders, conf, now);
+	must(dl_orders_lead(orders, 1, now + 900, now));
+	for (uint32_t i = 0; i < endpoints; i++)
+		announce(orders, i, "1", now);
+	for (end = now + 3600000; now < end && done < endpoints; now += 250) {
+		must(dl_orders_lead(orders, 1, now + 900, now));
+		while (dl_orders_next(orders, now, &order)) {
+			dl_orders_result(orders, order.id, DL_ORDER_ACCEPTED,
+					 now);
+			announce(orders, ordered(&order), "2", now);
+			done++;
+		}
+	}
+	if (done < endpoints)
+		fprintf(stderr, "capacity: %u of %u ordered\n", done,
+			endpoints);
+	state = heap() - before;
+	dl_orders_free(orders);
+	dl_conf_free(conf);
+	return state;
+}
+
+/* The planner by endpoints, and workspaces in one pool. */
+static void other_points(void)
+{
+	static const uint32_t endpoints[] = { 75, 150, 300, 600 };
+	static const uint32_t workspaces[] = { 1000, 4000, 16000, 32000 };
+	struct load_conf conf = one_pool();
+
+	for (int i = 0; i < 4; i++)
+		point("orders_state", endpoints[i], plan(endpoints[i]));
+	for (int i = 0; i < 4; i++) {
+		struct load *l = load_new(&conf);
+		double before = heap();
+
+		for (uint32_t k = 0; k < workspaces[i]; k++) {
+			struct dl_workspace_conf ws = { .weight = 4 };
+			char name[24];
+
+			snprintf(name, sizeof(name), "workspace-%05u", k);
+			dl_name_set(&ws.name, dl_str_of(name));
+			dl_pool_workspace(l->pools[0], &ws);
+		}
+		point("workspace_state", workspaces[i], heap() - before);
+		load_free(l);
+	}
+}
+
 /* One token of a stream as an entry reads it. */
 static void tokens(uint32_t count)
 {
@@ -428,6 +524,8 @@
 		tokens(x);
 	else if (strcmp(name, "conf_instr") == 0)
 		dl_conf_free(parse(conf_text(x)));
+	else if (strcmp(name, "orders_instr") == 0)
+		plan(x);
 	else
 		return 2;
 	return 0;
@@ -548,6 +646,7 @@
 		conf_points();
 		cstore_points();
 		rlog_points();
+		other_points();
 		for (uint32_t n = 1000; n <= 8000; n *= 2)
 			tokens(n);
 	} else if (argc == 2 && strcmp(argv[1], "faults") == 0) {
--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -45,6 +45,9 @@
 conf_parse_us time workspaces us 32000 42000
 conf_compare_us time workspaces us 32000 0
 conf_instr instr workspaces instr 32000 0
+orders_state state endpoints B 600 64000000
+orders_instr instr endpoints^2 instr 360000 0
+workspace_state state workspaces B 32000 64000000
 change_state state changes B 200 64000000
 claim_state state claims B 100000 64000000
 claim_snapshot count claims B 100000 0
@@ -76,6 +79,9 @@
 	for x in 1000 4000 16000 32000; do
 		instructions conf_instr $x
 	done >>"$points"
+	for x in 75 150 300 600; do
+		instructions orders_instr $x | awk -v OFS='\t' '{ $2 *= $2; print }'
+	done >>"$points"
 	for x in 1000 2000 4000 8000; do
 		instructions token_instr $x
 	done >>"$points"
--- a/bench/control_load.h
+++ b/bench/control_load.h
@@ -11,15 +11,17 @@
 
 #include "protocol/pool_codec.h"
 
-#define LOAD_TICK_MS	   10
-#define LOAD_REPORT_MS	   1000 /* an endpoint announces itself so often */
-#define LOAD_SUMMARY_MS	   500	/* a pool tells other domains so often */
-#define LOAD_RENEWALS	   3	/* a lease */
-#define LOAD_WHEEL	   4096 /* ticks; longer than any request */
-#define LOAD_FRAME_LENGTH  4
-#define LOAD_SLOTS	   256
-#define LOAD_KV_TOKENS	   8000000 /* KV memory of a runner of 8 accelerators */
-#define LOAD_PREFILL_RATE  60000
+#define LOAD_TICK_MS	  10
+#define LOAD_REPORT_MS	  1000 /* an endpoint announces itself so often */
+#define LOAD_SUMMARY_MS	  500  /* a pool tells other domains so often */
+#define LOAD_RENEWALS	  3    /* a lease */
+#define LOAD_WHEEL	  4096 /* ticks; longer than any request */
+#define LOAD_FRAME_LENGTH 4
+#define LOAD_SLOTS	  256
+#define LOAD_STEP_MS	  1
+#define LOAD_KV_TOKENS	  8000000 /* KV memory of a runner of 8 accelerators */
+/* Fast enough that nothing is refused: the load counts control, not engines. */
+#define LOAD_PREFILL_RATE  1000000
 #define LOAD_DECODE_RATE   24
 #define LOAD_OUTPUT_TOKENS 308 /* 1.2 million a second over 3,900 requests */
 #define LOAD_DEADLINE_MS   120000
@@ -33,6 +35,7 @@
 	uint32_t request_ms;	 /* how long a stream lasts */
 	uint32_t lease_ms;
 	uint32_t workspaces;
+	uint32_t prompt_tokens; /* of each; 0: the mix of the target */
 };
 
 /* What one VM sent and took, as an entry and as a dispatcher. */
@@ -41,12 +44,19 @@
 	uint64_t bytes;
 };
 
+/* What the endpoints of a pool hold, as they report it. */
+struct load_held {
+	uint64_t grants;
+	uint64_t tokens;
+};
+
 /* A request under way. */
 struct load_req {
 	struct load_req *next;
 	uint32_t pool;
 	uint32_t entry;
 	uint64_t grant;
+	uint64_t tokens;
 	int64_t ends;
 };
 
@@ -66,6 +76,7 @@
 	uint64_t refused;
 	uint64_t renewals;
 	uint64_t in_flight;
+	struct load_held *held; /* by pool */
 };
 
 /* splitmix64 */
@@ -139,15 +150,16 @@
 
 static inline void load_report(struct load *l, uint32_t pool, uint32_t runner)
 {
-	struct dl_endpoint_report r = { .incarnation = 1,
-					.memory_tokens = LOAD_KV_TOKENS,
-					.used_tokens = LOAD_KV_TOKENS / 2,
-					.slots = LOAD_SLOTS,
-					.running = LOAD_SLOTS / 2,
-					.prefill_rate = LOAD_PREFILL_RATE,
-					.decode_rate = LOAD_DECODE_RATE,
-					.prefill_backlog = 1000,
-					.takes_groups = true };
+	struct dl_endpoint_report r = {
+		.incarnation = 1,
+		.memory_tokens = LOAD_KV_TOKENS,
+		.used_tokens = l->held[pool].tokens / l->conf.runners,
+		.slots = LOAD_SLOTS,
+		.running = (uint32_t)(l->held[pool].grants / l->conf.runners),
+		.prefill_rate = LOAD_PREFILL_RATE,
+		.decode_rate = LOAD_DECODE_RATE,
+		.takes_groups = true
+	};
 	uint32_t entry = pool / l->conf.pools * l->conf.entries +
 			 (uint32_t)(load_random(l) % l->conf.entries);
 	struct dl_announcement said, read;
@@ -212,9 +224,10 @@
 	l->asked_cap = 1 << 20;
 	l->pools = calloc(pools, sizeof(struct dl_pool *));
 	l->vms = calloc((size_t)conf->domains * conf->entries, sizeof(*l->vms));
+	l->held = calloc(pools, sizeof(*l->held));
 	l->wheel = calloc(LOAD_WHEEL, sizeof(struct load_req *));
 	l->asked = calloc(l->asked_cap, sizeof(struct load_req *));
-	if (!l->pools || !l->vms || !l->wheel || !l->asked)
+	if (!l->held || !l->pools || !l->vms || !l->wheel || !l->asked)
 		abort();
 	for (uint32_t p = 0; p < pools; p++) {
 		l->pools[p] = dl_pool_new(&pc, &dl_policy_late_binding, p + 1);
@@ -238,6 +251,7 @@
 	}
 	for (uint32_t i = 0; i < l->asked_cap; i++)
 		free(l->asked[i]);
+	free(l->held);
 	free(l->pools);
 	free(l->vms);
 	free(l->wheel);
@@ -285,6 +299,8 @@
 	}
 	l->granted++;
 	l->in_flight++;
+	l->held[pool].grants++;
+	l->held[pool].tokens += r->tokens;
 	r->grant = a->grant;
 	r->ends = l->now + l->conf.request_ms;
 	load_next(l, r);
@@ -313,11 +329,13 @@
 	ask.entry = (UINT64_C(0x0a000001) + r->entry) << 16 | 7000;
 	ask.workspace = dl_str_of(workspace);
 	ask.class = (enum dl_class)(load_random(l) % DL_CLASS_COUNT);
-	ask.prompt_tokens = load_prompt(l);
+	ask.prompt_tokens = l->conf.prompt_tokens ? l->conf.prompt_tokens :
+						    load_prompt(l);
 	ask.output_tokens = LOAD_OUTPUT_TOKENS;
 	ask.prefix = load_random(l);
 	ask.prefix_tokens = 1000;
 	ask.deadline = l->now + LOAD_DEADLINE_MS;
+	r->tokens = ask.prompt_tokens + LOAD_OUTPUT_TOKENS;
 	l->asked[ask.request % l->asked_cap] = r;
 	l->requests++;
 	asked.ask = ask;
@@ -336,11 +354,14 @@
 static inline void load_due(struct load *l, struct load_req *r)
 {
 	uint32_t to = load_leader(l, r->pool);
-	struct dl_usage usage = { .ran = true,
-				  .prompt_tokens = 8000,
-				  .output_tokens = LOAD_OUTPUT_TOKENS,
-				  .ttft_ms = 400,
-				  .total_ms = l->conf.request_ms };
+	struct dl_usage usage = {
+		.ran = true,
+		.prompt_tokens = r->tokens - LOAD_OUTPUT_TOKENS,
+		.output_tokens = LOAD_OUTPUT_TOKENS,
+		.ttft_ms = LOAD_STEP_MS +
+			   (uint32_t)(r->tokens * 1000 / LOAD_PREFILL_RATE),
+		.total_ms = l->conf.request_ms
+	};
 	struct dl_packer pk;
 
 	if (l->now < r->ends) {
@@ -358,6 +379,8 @@
 	dl_packer_close(&pk);
 	dl_pool_release(l->pools[r->pool], r->grant, &usage, l->now);
 	l->in_flight--;
+	l->held[r->pool].grants--;
+	l->held[r->pool].tokens -= r->tokens;
 	free(r);
 }
 
