--- a/test/deploy.sh
+++ b/test/deploy.sh
@@ -266,7 +266,7 @@
 	n=$((10 + $$ % 240))
 	tries=240
 	while [ $tries -gt 0 ]; do
-		NET_CLAIM=${TMPDIR:-/tmp}/daisyledge-net.$n
+		NET_CLAIM=/tmp/daisyledge-net.$n
 		if mkdir "$NET_CLAIM" 2>/dev/null; then
 			echo $$ >"$NET_CLAIM/pid"
 			CLAIMED_NET=$n
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -85,7 +85,7 @@
 	bool refused;	   /* by one of the group */
 	int members;
 	uint64_t member[GROUP_MAX];
-	uint64_t share;
+	uint64_t share[GROUP_MAX];
 	int64_t renew_at;
 };
 
@@ -798,7 +798,8 @@
 		return;
 	}
 	record('B', job, "begun");
-	cache_put(job->prefix, FAKE_PREFIX_BYTES / FAKE_TOKEN_BYTES);
+	if (job->prefix)
+		cache_put(job->prefix, FAKE_PREFIX_BYTES / FAKE_TOKEN_BYTES);
 	job_register(job);
 }
 
@@ -825,49 +826,63 @@
 	call_free(c);
 }
 
-/* Ask the others for their shares, or renew them; a lease outlives nobody. */
-static void hold_members(struct job *job, bool renew)
+static void hold_member(struct job *job, int i, bool renew)
 {
 	static const struct fake_call_ops ops = { call_head, call_body,
 						  on_member_held };
 	json_t *o = json_pack("{s:s,s:I,s:i}", "request", job->id, "tokens",
-			      (json_int_t)job->share, "lease_ms",
+			      (json_int_t)job->share[i], "lease_ms",
 			      HOLD_LEASE_MS);
 	char *s = json_dumps(o, JSON_COMPACT);
+	struct fake_call_req req = { .to = job->member[i],
+				     .method = "POST",
+				     .path = "/v1/kv/hold",
+				     .headers = json_headers,
+				     .body = dl_str_of(s),
+				     .connect_ms = CALL_MS,
+				     .timeout_ms = CALL_MS };
+	struct call *c = g_new0(struct call, 1);
 
+	c->body = g_string_new(NULL);
+	c->job = renew ? NULL : job;
+	fake_call_start(me.loop, &req, &ops, c);
+	free(s);
+	json_decref(o);
+}
+
+/* Ask the others for their shares, or renew them; a lease outlives nobody. */
+static void hold_members(struct job *job, bool renew)
+{
 	job->renew_at = now_ms() + HOLD_RENEW_MS;
 	if (!renew)
 		job->waiting = job->members;
-	for (int i = 0; i < job->members; i++) {
-		struct fake_call_req req = { .to = job->member[i],
-					     .method = "POST",
-					     .path = "/v1/kv/hold",
-					     .headers = json_headers,
-					     .body = dl_str_of(s),
-					     .connect_ms = CALL_MS,
-					     .timeout_ms = CALL_MS };
-		struct call *c = g_new0(struct call, 1);
-
-		c->body = g_string_new(NULL);
-		c->job = renew ? NULL : job;
-		fake_call_start(me.loop, &req, &ops, c);
-	}
-	free(s);
-	json_decref(o);
+	for (int i = 0; i < job->members; i++)
+		hold_member(job, i, renew);
 }
 
-/* Read the group: all its members; the leader may or may not be named. */
-static void read_group(struct job *job, const json_t *group)
+/* Read the other members of the group and the share that each one holds. */
+static uint64_t read_group(struct job *job, const json_t *group)
 {
 	size_t n = json_array_size(group);
+	uint64_t sum = 0;
 
 	for (size_t i = 0; i < n && job->members < GROUP_MAX; i++) {
-		const char *s = json_string_value(json_array_get(group, i));
+		const json_t *o = json_array_get(group, i);
+		const char *s =
+			json_string_value(json_object_get(o, "address"));
+		json_int_t tokens =
+			json_integer_value(json_object_get(o, "tokens"));
 		uint64_t vm;
 
-		if (s && dl_vm_parse(dl_str_of(s), &vm) && vm != me.advertised)
-			job->member[job->members++] = vm;
+		if (!s || !dl_vm_parse(dl_str_of(s), &vm) || tokens <= 0 ||
+		    vm == me.advertised)
+			continue;
+		job->member[job->members] = vm;
+		job->share[job->members] = (uint64_t)tokens;
+		job->members++;
+		sum += (uint64_t)tokens;
 	}
+	return sum;
 }
 
 static void read_completion(struct job *job, const json_t *o)
@@ -877,22 +892,21 @@
 	struct dl_str text = { json_string_value(prompt),
 			       json_string_length(prompt) };
 	struct dl_str start = text;
-	uint64_t total;
+	uint64_t total, others;
 
 	if (start.n > FAKE_PREFIX_BYTES)
 		start.n = FAKE_PREFIX_BYTES;
 	job->hash = fake_hash(text);
-	job->prefix = fake_hash(start);
+	job->prefix = start.n == FAKE_PREFIX_BYTES ? fake_hash(start) : 0;
 	job->stream = json_is_true(json_object_get(o, "stream"));
 	job->seq.priority =
 		(int)json_integer_value(json_object_get(o, "priority"));
 	job->seq.prompt_tokens = fake_tokens(text);
 	job->seq.output_tokens = max > 0 ? (uint64_t)max : 1;
-	read_group(job, json_object_get(o, "group"));
+	others = read_group(job, json_object_get(o, "group"));
 	job->seq.engines = (uint32_t)job->members + 1;
 	total = job->seq.prompt_tokens + job->seq.output_tokens;
-	job->share = (total + job->seq.engines - 1) / job->seq.engines;
-	job->seq.held_tokens = job->share;
+	job->seq.held_tokens = total > others ? total - others : 1;
 	job->seq.prefilled = (double)cache_get(job->prefix);
 	if (job->seq.prefilled >= (double)job->seq.prompt_tokens)
 		job->seq.prefilled = (double)job->seq.prompt_tokens - 1;
