--- a/src/state/cstore.c
+++ b/src/state/cstore.c
@@ -206,8 +206,8 @@
 	if (new_term || store->wall_ms == 0) {
 		store->wall_ms = cmd->wall_ms;
 	} else if (cmd->wall_ms > store->wall_ms) {
-		store->clock_ms += MIN(cmd->wall_ms - store->wall_ms,
-				       ADVANCE_MAX_MS);
+		store->clock_ms +=
+			MIN(cmd->wall_ms - store->wall_ms, ADVANCE_MAX_MS);
 		store->wall_ms = cmd->wall_ms;
 	}
 	claims_expire(&store->claims, store->clock_ms);
--- a/src/state/rlog_follow.c
+++ b/src/state/rlog_follow.c
@@ -154,11 +154,10 @@
 	}
 	g_free((char *)r->snap.data.s);
 	r->snap = *s;
-	r->snap.data = (struct dl_str){ g_memdup2(r->incoming.data->data,
-						  r->incoming.data->len),
-					r->incoming.data->len };
+	r->snap.data.n = r->incoming.data->len;
+	r->snap.data.s = (char *)g_byte_array_free(r->incoming.data, FALSE);
+	r->incoming.data = g_byte_array_new();
 	r->incoming.from_id = 0;
-	g_byte_array_set_size(r->incoming.data, 0);
 	if (!rlog_term_at(&r->log, s->index, &term) || term != s->term) {
 		rlog_reset(&r->log, s->index, s->term);
 		r->synced_index = 0;
--- a/src/state/rlog_store.c
+++ b/src/state/rlog_store.c
@@ -34,6 +34,7 @@
 #define NAME_MAX_N  32
 #define ROOT_FIELDS 7
 #define UNIT_FIELDS 5
+#define BUFFER_KEPT (64u << 10)
 
 /* Little-endian on disk; daisyledge runs on little-endian VMs only. */
 struct unit_header {
@@ -86,6 +87,7 @@
 
 static void step_done(void *arg, int code);
 static void run_step(struct dl_rlog_store *s);
+static void release_large(struct dl_rlog_store *s);
 static enum store_step step_after(const struct dl_rlog_store *s);
 static uint64_t hash_of(const struct unit_header *h, const char *payload);
 static void begin_unit(struct dl_rlog_store *s);
@@ -252,6 +254,15 @@
 	return s->step + 1;
 }
 
+/* A generation's buffer is as large as the state: not to be kept. */
+static void release_large(struct dl_rlog_store *s)
+{
+	if (s->buf.alloc <= BUFFER_KEPT)
+		return;
+	msgpack_sbuffer_destroy(&s->buf);
+	msgpack_sbuffer_init(&s->buf);
+}
+
 static void run_step(struct dl_rlog_store *s)
 {
 	struct dl_disk_done done = { step_done, s };
@@ -285,6 +296,7 @@
 	case STEP_END:
 		s->old_generation = 0;
 		s->starting = false;
+		release_large(s);
 		s->done.fn(s->done.arg, 0);
 		return;
 	}
