Give memory back after a new version on a replica

Cause: a text with 32,000 workspaces (2 MB) is parsed into small blocks; the heap stays at its highest. Change: malloc_trim() after a version.

--- a/src/main/replica_conf.c
+++ b/src/main/replica_conf.c
@@ -7,6 +7,7 @@
  * After a start a replica shows no version until it has applied all that was
  * committed before, so that nobody sees it go back.
  */
+#include <malloc.h>
 #include <string.h>
 
 #include "daisyledge/conf.h"
@@ -127,6 +128,11 @@
 	want_replicas(r);
 	dl_memb_self(r->node.memb, false, version, dl_node_now(&r->node));
 	push(r, vms, audience(r, vms));
+	/*
+	 * Parsing a text of megabytes leaves the heap in pieces of which the
+	 * allocator gives none back by itself; a version is rare.
+	 */
+	malloc_trim(0);
 }
 
 /* An entry asks for anything newer than what it has. */
