Test slow disks; count suspended time in the replica's clock

A disk that takes 3 s to sync: on one follower or on the leader, 50 of 50 changes are acknowledged at once; on both followers commits wait, and the leader stays in its term.

A VM that was suspended must find its lease expired: CLOCK_BOOTTIME counts that time, the monotonic clock does not. Not brought about in a test: no VM can be suspended here.

--- a/src/main/replica.c
+++ b/src/main/replica.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
+#include <time.h>
 
 #include "base/metric.h"
 #include "base/msg.h"
@@ -18,6 +19,7 @@
 #include "protocol/rlog_codec.h"
 
 #define NS_PER_MS 1000000
+#define MS_PER_S  1000
 /* A planned stop waits so long for its successor. */
 #define STOP_MS 1500
 
@@ -37,11 +39,15 @@
 
 /*
  * The time by which the log decides, read afresh: the loop's time stands still
- * while a long turn lasts, and a lease must not.
+ * while a long turn lasts, and a lease must not.  It counts the time that the
+ * VM was suspended, too, which the monotonic clock leaves out.
  */
 int64_t replica_now(const struct replica *r)
 {
-	return (int64_t)(uv_hrtime() / NS_PER_MS);
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (int64_t)ts.tv_sec * MS_PER_S + ts.tv_nsec / NS_PER_MS;
 }
 
 /* Send a frame; a lost one is mended by whoever waits for the answer. */
--- a/test/test_rlog.c
+++ b/test/test_rlog.c
@@ -314,6 +314,31 @@
 }
 END_TEST
 
+/*
+ * A disk that takes seconds to sync costs neither the leader nor a commit;
+ * where a majority's are so slow, commits wait and the leader stays.
+ */
+START_TEST(slow_disk_costs_no_leader)
+{
+	struct group *g = three(40 + (uint32_t)_i);
+	uint64_t leader = group_leader(g);
+	uint64_t slow = _i == 1 ? leader : follower(g);
+	uint64_t term = status_of(g, leader).term;
+
+	for (uint64_t vm = 1; vm <= 3; vm++) {
+		if (vm == slow || (_i == 2 && vm != leader))
+			fake_disk_set_sync_ms(group_disk(g, vm), 3000, 3000);
+	}
+	changes(g, 50);
+	group_run(g, 20);
+	ck_assert(_i == 2 || group_counted(g)->acked == 50);
+	group_run(g, 10000);
+	ck_assert_uint_eq(group_leader(g), leader);
+	ck_assert_uint_eq(status_of(g, leader).term, term);
+	finish(g);
+}
+END_TEST
+
 /*
  * A voter that restarts has promised its leader not to vote for another; the
  * leader's lease goes on resting on that.
@@ -408,6 +433,7 @@
 	tcase_add_test(t, list_is_carried_out_one_by_one);
 	tcase_add_test(t, waits_for_a_replica_that_never_came);
 	tcase_add_test(t, all_restarted_at_once);
+	tcase_add_loop_test(t, slow_disk_costs_no_leader, 0, 3);
 	tcase_add_loop_test(t, restart_keeps_the_promise, 0, 10);
 	tcase_add_test(t, unborn_answer_is_no_promise);
 	tcase_add_loop_test(t, failed_sync_silences, 0, 2);
