Name the members of a group to the engine that leads it as it reads them

Ruled out: the dispatcher's placement (it granted groups with equal shares that fitted). A test now holds the body that an engine is sent to the letter.

--- a/src/protocol/api.c
+++ b/src/protocol/api.c
@@ -90,21 +90,15 @@
 	c->root = NULL;
 }
 
+/* The other members of a group; each holds an equal part of the prompt. */
 static json_t *group_of(const struct dl_answer *grant)
 {
 	json_t *group = json_array();
 
-	for (uint32_t i = 1; i < grant->endpoints; i++) {
-		const struct dl_name *name = &grant->endpoint[i];
-		json_t *member = json_object();
-
-		json_object_set_new(member, "address",
-				    json_stringn(name->s, name->n));
-		json_object_set_new(
-			member, "tokens",
-			json_integer((json_int_t)grant->share_tokens[i]));
-		json_array_append_new(group, member);
-	}
+	for (uint32_t i = 1; i < grant->endpoints; i++)
+		json_array_append_new(group,
+				      json_stringn(grant->endpoint[i].s,
+						   grant->endpoint[i].n));
 	return group;
 }
 
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -251,6 +251,36 @@
 }
 END_TEST
 
+/* What an engine is sent, to the letter. */
+START_TEST(endpoint_body)
+{
+	struct dl_answer_frame f = sample_answer();
+	struct dl_completion c;
+	struct dl_err err;
+	char *body;
+	size_t n;
+
+	ck_assert_int_eq(dl_completion_parse(DL_STR("{\"model\":\"m\","
+						    "\"prompt\":\"p\","
+						    "\"group\":7,"
+						    "\"top_p\":1}"),
+					     &c, &err),
+			 0);
+	f.answer.priority = 2;
+	body = dl_completion_body(&c, &f.answer, &n);
+	ck_assert_str_eq(body, "{\"model\":\"m\",\"prompt\":\"p\","
+			       "\"group\":[\"127.0.0.2:9000\"],\"top_p\":1,"
+			       "\"stream\":true,\"max_tokens\":256,"
+			       "\"priority\":2}");
+	free(body);
+	f.answer.endpoints = 1;
+	body = dl_completion_body(&c, &f.answer, &n);
+	ck_assert_ptr_null(strstr(body, "group"));
+	free(body);
+	dl_completion_free(&c);
+}
+END_TEST
+
 static const struct body_case announcement_cases[] = {
 	{ "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"slots\":1}", true },
 	{ "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"slots\":0}",
@@ -409,6 +439,7 @@
 	tcase_add_test(t, report_release_summary_round_trip);
 	tcase_add_test(t, damaged_frames);
 	tcase_add_loop_test(t, completions, 0, CASES(completion_cases));
+	tcase_add_test(t, endpoint_body);
 	tcase_add_loop_test(t, announcements, 0, CASES(announcement_cases));
 	tcase_add_test(t, events_in_any_pieces);
 	tcase_add_test(t, an_event_is_bounded);
