--- a/src/main/entry.c
+++ b/src/main/entry.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "base/metric.h"
 #include "base/msg.h"
 #include "main/main.h"
@@ -204,6 +206,8 @@
 
 	if (rc)
 		return rc;
+	/* Before any thread parses: the hash of JSON objects is seeded once. */
+	json_object_seed(0);
 	e->next_id = e->node.incarnation;
 	e->replica_heard = entry_now(e);
 	e->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -23,6 +23,7 @@
 #include "daisyledge/cstore.h"
 #include "daisyledge/pool.h"
 #include "main/node.h"
+#include "protocol/api.h"
 #include "protocol/pool_codec.h"
 #include "protocol/sse.h"
 #include "transport/httpd.h"
@@ -67,6 +68,7 @@
 };
 
 enum call_state {
+	CALL_READING,  /* its body is parsed beside the loop */
 	CALL_CLAIMING, /* its idempotency key */
 	CALL_ASKING,   /* no word from the dispatcher yet */
 	CALL_QUEUED,
@@ -125,8 +127,9 @@
 
 	/* attempts */
 	struct dl_httpc_call *attempt;
-	char *body;
-	size_t body_n;
+	struct dl_completion completion;
+	struct reading *reading; /* beside the loop, NULL when done */
+	char *body_first;	 /* of the attempt in flight */
 	uint32_t attempts;
 	uint8_t tried;
 	struct dl_name tried_ids[3];
--- a/src/main/entry_call.c
+++ b/src/main/entry_call.c
@@ -15,7 +15,11 @@
 /* Few workspaces are learned about; the rest use the default. */
 #define RATIOS_MAX 32768
 /* Retries that may come at once before the share of first tries bounds them. */
-#define RETRY_BURST	   10
+#define RETRY_BURST 10
+/* Up to here, a millisecond or so, parsing on the loop is cheaper. */
+#define READ_INLINE_MAX 32768
+/* Until its own deadline is read: no parse takes longer. */
+#define READ_DEADLINE_MS   10000
 #define RETRY_AFTER_MS	   1000
 #define CLAIM_MS	   2000
 #define RECORD_MS	   1000
@@ -31,6 +35,16 @@
 #define STATUS_KEY_REUSED  422
 #define STATUS_IN_PROGRESS 409
 
+/* A body on its way through the thread pool. */
+struct reading {
+	uv_work_t work;
+	struct call *call;  /* NULL once it is over */
+	struct dl_str body; /* a copy: the caller may leave */
+	struct dl_completion completion;
+	struct dl_err err;
+	int rc;
+};
+
 static void claim(struct call *c);
 
 static struct dl_str copy_str(struct dl_str s)
@@ -57,7 +71,10 @@
 	if (c->recording)
 		entry_cmd_forget(e, c->recording);
 	dl_sse_close(&c->sse);
-	free(c->body);
+	if (c->reading)
+		c->reading->call = NULL;
+	free(c->body_first);
+	dl_completion_free(&c->completion);
 	g_free((char *)c->key.s);
 	if (c->text)
 		g_string_free(c->text, TRUE);
@@ -403,6 +420,18 @@
 		dl_httpc_resume(c->attempt);
 }
 
+static enum dl_step waiting_step(enum call_state state)
+{
+	switch (state) {
+	case CALL_READING:
+		return DL_STEP_READ;
+	case CALL_CLAIMING:
+		return DL_STEP_CLAIM;
+	default:
+		return DL_STEP_QUEUE;
+	}
+}
+
 static void late(struct call *c)
 {
 	struct dl_attempt a = { 0 };
@@ -412,9 +441,7 @@
 	dl_count(DL_METRIC_requests_late, 1);
 	dl_msg(DL_MSG_ENTRY_LATE, "request=%s state=%d", c->id_text, c->state);
 	if (c->state != CALL_RUNNING) {
-		entry_call_refuse(c, DL_REASON_DEADLINE,
-				  c->state == CALL_CLAIMING ? DL_STEP_CLAIM :
-							      DL_STEP_QUEUE,
+		entry_call_refuse(c, DL_REASON_DEADLINE, waiting_step(c->state),
 				  c->dispatcher, RETRY_AFTER_MS);
 		return;
 	}
@@ -584,18 +611,18 @@
 	return NULL;
 }
 
-static void estimate(struct call *c, const struct dl_completion *completion)
+static void estimate(struct call *c)
 {
-	struct dl_str prompt = completion->prompt;
+	const struct dl_completion *completion = &c->completion;
 	uint64_t milli = BYTES_PER_TOKEN_MILLI;
 	gpointer known = g_hash_table_lookup(c->e->ratios, c->workspace.s);
 
 	if (known)
 		milli = GPOINTER_TO_SIZE(known);
-	c->prompt_bytes = prompt.n;
-	c->prompt_tokens = prompt.n * 1000 / milli + 1;
+	c->prompt_bytes = completion->prompt_bytes;
+	c->prompt_tokens = c->prompt_bytes * 1000 / milli + 1;
 	c->output_tokens = completion->max_tokens;
-	c->prefix = dl_prefix_hash(prompt);
+	c->prefix = completion->prefix;
 	if (c->prefix)
 		c->prefix_tokens = (uint32_t)(DL_PREFIX_BYTES * 1000 / milli);
 }
@@ -713,36 +740,96 @@
 	return true;
 }
 
-/* POST /v1/completions */
-void entry_call_completion(struct entry *e, struct dl_httpd_req *req)
+/* The request is read, or cannot be: go on with it. */
+static void on_read(struct call *c, int rc, const struct dl_err *err)
 {
 	const struct dl_service_conf *service;
-	struct dl_completion completion;
-	struct call *c = new_call(e, req);
 	const char *fault;
-	struct dl_err err;
 
-	if (no_conf(c))
-		return;
-	if (dl_completion_parse(dl_httpd_body(req), &completion, &err)) {
-		bad(c, 400, err.text);
+	if (rc) {
+		bad(c, 400, err->text);
 		return;
 	}
-	service = dl_conf_service_of_model(e->conf, completion.model);
+	service = dl_conf_service_of_model(c->e->conf,
+					   dl_name_str(&c->completion.model));
 	if (!service) {
-		dl_completion_free(&completion);
 		bad(c, 404, "no service has this model");
 		return;
 	}
-	c->stream = completion.stream;
+	c->stream = c->completion.stream;
 	fault = read_common(c, service, true);
-	if (!fault)
-		estimate(c, &completion);
-	dl_completion_free(&completion);
-	if (fault)
+	if (fault) {
 		bad(c, 400, fault);
-	else
-		submit(c);
+		return;
+	}
+	estimate(c);
+	submit(c);
+}
+
+static void read_beside(uv_work_t *work)
+{
+	struct reading *r = work->data;
+
+	r->rc = dl_completion_parse(r->body, &r->completion, &r->err);
+}
+
+static void on_read_beside(uv_work_t *work, int status)
+{
+	struct reading *r = work->data;
+	struct call *c = r->call;
+
+	if (c) {
+		c->reading = NULL;
+		c->completion = r->completion;
+		r->completion.rest = NULL;
+		entry_call_span(c, "read", c->begun, NULL);
+		on_read(c, r->rc, &r->err);
+	}
+	dl_completion_free(&r->completion);
+	g_free((char *)r->body.s);
+	g_free(r);
+}
+
+/*
+ * A prompt of a million tokens takes a tenth of a second to parse; on the loop
+ * every other request of this VM would wait for it.  Parsing is a pure
+ * function of a copy of the body, so it runs in the loop's thread pool and its
+ * result comes back to the loop.
+ */
+static void start_reading(struct call *c, struct dl_str body)
+{
+	struct reading *r = g_new0(struct reading, 1);
+
+	r->call = c;
+	r->body = copy_str(body);
+	r->work.data = r;
+	c->reading = r;
+	c->state = CALL_READING;
+	uv_queue_work(c->e->node.loop, &r->work, read_beside, on_read_beside);
+}
+
+/* POST /v1/completions */
+void entry_call_completion(struct entry *e, struct dl_httpd_req *req)
+{
+	struct dl_str body = dl_httpd_body(req);
+	struct call *c = new_call(e, req);
+	struct dl_err err = { 0 };
+	int rc;
+
+	if (no_conf(c))
+		return;
+	if (!has_room(e)) {
+		entry_call_refuse(c, DL_REASON_BUSY, DL_STEP_READ, e->node.self,
+				  RETRY_AFTER_MS);
+		return;
+	}
+	c->deadline = c->begun + READ_DEADLINE_MS;
+	if (body.n > READ_INLINE_MAX) {
+		start_reading(c, body);
+		return;
+	}
+	rc = dl_completion_parse(body, &c->completion, &err);
+	on_read(c, rc, &err);
 }
 
 /* The service named in "/s/SERVICE/...". */
--- a/src/main/entry_try.c
+++ b/src/main/entry_try.c
@@ -95,15 +95,9 @@
 
 static bool build_model_body(struct call *c)
 {
-	struct dl_completion completion;
-
-	free(c->body);
-	c->body = NULL;
-	if (dl_completion_parse(dl_httpd_body(c->http), &completion, NULL))
-		return false;
-	c->body = dl_completion_body(&completion, &c->grant, &c->body_n);
-	dl_completion_free(&completion);
-	return c->body != NULL;
+	free(c->body_first);
+	c->body_first = dl_completion_first(&c->completion, &c->grant);
+	return c->body_first != NULL;
 }
 
 static struct dl_str plain_path(const struct call *c)
@@ -135,7 +129,8 @@
 	} else {
 		req.method = DL_STR("POST");
 		req.path = DL_STR("/v1/completions");
-		req.body = (struct dl_str){ c->body, c->body_n };
+		req.body_first = dl_str_of(c->body_first);
+		req.body = dl_completion_rest(&c->completion);
 		headers[n++] = (struct dl_header){ DL_STR("Content-Type"),
 						   DL_STR("application/json") };
 	}
--- a/src/protocol/api.c
+++ b/src/protocol/api.c
@@ -46,24 +46,29 @@
 	return 0;
 }
 
-static int read_completion(struct dl_completion *c, struct dl_err *err)
+/* The keys that an entry sets itself; what the caller said of them is read. */
+static const char *const own_keys[] = { "stream", "max_tokens", "priority",
+					"group" };
+
+static int read_completion(const json_t *root, struct dl_completion *c,
+			   struct dl_err *err)
 {
-	const json_t *model = json_object_get(c->root, "model");
-	const json_t *prompt = json_object_get(c->root, "prompt");
-	const json_t *stream = json_object_get(c->root, "stream");
+	const json_t *model = json_object_get(root, "model");
+	const json_t *prompt = json_object_get(root, "prompt");
+	const json_t *stream = json_object_get(root, "stream");
 
-	if (!json_is_string(model))
-		return BAD(err, "model must be a string");
+	if (!json_is_string(model) || !dl_name_set(&c->model, json_str(model)))
+		return BAD(err, "model must be a name");
 	if (!json_is_string(prompt) || json_string_length(prompt) == 0)
 		return BAD(err, "prompt must be a string that is not empty");
 	if (stream && !json_is_boolean(stream))
 		return BAD(err, "stream must be true or false");
-	if (read_max_tokens(json_object_get(c->root, "max_tokens"),
+	if (read_max_tokens(json_object_get(root, "max_tokens"),
 			    &c->max_tokens))
 		return BAD(err, "max_tokens must be from 1 to %d",
 			   DL_MAX_TOKENS_MAX);
-	c->model = json_str(model);
-	c->prompt = json_str(prompt);
+	c->prompt_bytes = json_string_length(prompt);
+	c->prefix = dl_prefix_hash(json_str(prompt));
 	c->stream = json_is_true(stream);
 	return 0;
 }
@@ -72,22 +77,30 @@
 int dl_completion_parse(struct dl_str body, struct dl_completion *out,
 			struct dl_err *err)
 {
+	json_t *root = load_object(body, err);
+	int rc = 0;
+
 	memset(out, 0, sizeof(*out));
-	out->root = load_object(body, err);
-	if (!out->root)
-		return -EINVAL;
-	if (read_completion(out, err)) {
-		dl_completion_free(out);
+	if (!root)
 		return -EINVAL;
+	rc = read_completion(root, out, err);
+	for (size_t i = 0; i < sizeof(own_keys) / sizeof(own_keys[0]); i++)
+		json_object_del(root, own_keys[i]);
+	if (!rc) {
+		out->rest = json_dumps(root, JSON_COMPACT);
+		if (!out->rest)
+			rc = BAD(err, "out of memory");
 	}
-	return 0;
+	json_decref(root);
+	out->rest_n = rc ? 0 : strlen(out->rest);
+	return rc;
 }
 
 /* Free what was parsed. */
 void dl_completion_free(struct dl_completion *c)
 {
-	json_decref(c->root);
-	c->root = NULL;
+	free(c->rest);
+	c->rest = NULL;
 }
 
 /* The other members of a group; each holds an equal part of the prompt. */
@@ -102,25 +115,32 @@
 	return group;
 }
 
-/* Write the body that goes to an endpoint. */
-char *dl_completion_body(const struct dl_completion *c,
-			 const struct dl_answer *grant, size_t *n)
+/* The begin of the body that goes to an endpoint: our keys, and a comma. */
+char *dl_completion_first(const struct dl_completion *c,
+			  const struct dl_answer *grant)
 {
+	json_t *o = json_object();
 	char *text;
 
-	json_object_set_new(c->root, "stream", json_true());
-	json_object_set_new(c->root, "max_tokens",
+	json_object_set_new(o, "stream", json_true());
+	json_object_set_new(o, "max_tokens",
 			    json_integer((json_int_t)c->max_tokens));
-	json_object_set_new(c->root, "priority", json_integer(grant->priority));
+	json_object_set_new(o, "priority", json_integer(grant->priority));
 	if (grant->endpoints > 1)
-		json_object_set_new(c->root, "group", group_of(grant));
-	else
-		json_object_del(c->root, "group");
-	text = json_dumps(c->root, JSON_COMPACT);
-	*n = text ? strlen(text) : 0;
+		json_object_set_new(o, "group", group_of(grant));
+	text = json_dumps(o, JSON_COMPACT);
+	json_decref(o);
+	if (text)
+		text[strlen(text) - 1] = ',';
 	return text;
 }
 
+/* The rest of it: the caller's keys, and the closing brace. */
+struct dl_str dl_completion_rest(const struct dl_completion *c)
+{
+	return (struct dl_str){ c->rest + 1, c->rest_n - 1 };
+}
+
 static uint64_t read_count(const json_t *object, const char *key)
 {
 	json_int_t n = json_integer_value(json_object_get(object, key));
--- a/src/protocol/api.h
+++ b/src/protocol/api.h
@@ -9,28 +9,38 @@
 
 #include "daisyledge/pool.h"
 
-/* A caller's completion request; strings live in root. */
+/*
+ * A caller's completion request, checked.  What it holds is its own: the body
+ * may go once it is parsed.
+ */
 struct dl_completion {
-	json_t *root;
-	struct dl_str model;
-	struct dl_str prompt;
+	struct dl_name model;
 	uint64_t max_tokens;
 	bool stream;
+	uint64_t prompt_bytes;
+	uint64_t prefix; /* dl_prefix_hash() of the prompt */
+	char *rest;	 /* the JSON object without the keys that we set */
+	size_t rest_n;
 };
 
 #define DL_MAX_TOKENS_DEFAULT 256
 #define DL_MAX_TOKENS_MAX     1000000
 
-/* 0, or -EINVAL and why. */
+/*
+ * 0, or -EINVAL and why.  Takes some 25 ms a megabyte and touches nothing
+ * shared, so that a long prompt may be parsed beside the loop.
+ */
 int dl_completion_parse(struct dl_str body, struct dl_completion *out,
 			struct dl_err *err);
 void dl_completion_free(struct dl_completion *c);
 /*
- * The body for an endpoint: always streamed, with the priority and, for a
- * group, its other members.  Owned by the caller; NULL without memory.
+ * The body for an endpoint is what this returns followed by dl_completion_rest:
+ * always streamed, with the priority and, for a group, its other members.
+ * Owned by the caller; NULL without memory.
  */
-char *dl_completion_body(const struct dl_completion *c,
-			 const struct dl_answer *grant, size_t *n);
+char *dl_completion_first(const struct dl_completion *c,
+			  const struct dl_answer *grant);
+struct dl_str dl_completion_rest(const struct dl_completion *c);
 
 /* What a chunk of a completion stream says. */
 struct dl_chunk {
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -305,7 +305,7 @@
 
 static size_t head_size(const struct dl_httpc_req *req)
 {
-	size_t n = req->method.n + req->path.n + 256;
+	size_t n = req->method.n + req->path.n + req->body_first.n + 256;
 
 	for (size_t i = 0; i < req->headers_count; i++)
 		n += req->headers[i].name.n + req->headers[i].value.n + 4;
@@ -342,8 +342,9 @@
 		put(call, DL_STR("\r\n"));
 	}
 	snprintf(line, sizeof(line), "Content-Length: %zu\r\n\r\n",
-		 req->body.n);
+		 req->body_first.n + req->body.n);
 	put(call, dl_str_of(line));
+	put(call, req->body_first);
 	call->bufs[0] = h2o_iovec_init(call->head, call->head_n);
 	call->bufs[1] = h2o_iovec_init(req->body.s, req->body.n);
 	return true;
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -24,7 +24,8 @@
 	struct dl_str path;
 	const struct dl_header *headers; /* beside Host and Content-Length */
 	size_t headers_count;
-	struct dl_str body;  /* must stay until the end of the call */
+	struct dl_str body_first; /* begin of the body, copied; may be empty */
+	struct dl_str body;  /* the rest: must stay until the end of the call */
 	uint32_t connect_ms; /* time to connect */
 	uint32_t gap_ms;     /* longest silence after that */
 	uint32_t head_ms;    /* longest wait for the head; 0: gap_ms */
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -257,8 +257,7 @@
 	struct dl_answer_frame f = sample_answer();
 	struct dl_completion c;
 	struct dl_err err;
-	char *body;
-	size_t n;
+	char *first;
 
 	ck_assert_int_eq(dl_completion_parse(DL_STR("{\"model\":\"m\","
 						    "\"prompt\":\"p\","
@@ -266,17 +265,19 @@
 						    "\"top_p\":1}"),
 					     &c, &err),
 			 0);
+	ck_assert(dl_str_eq(dl_completion_rest(&c),
+			    DL_STR("\"model\":\"m\",\"prompt\":\"p\","
+				   "\"top_p\":1}")));
 	f.answer.priority = 2;
-	body = dl_completion_body(&c, &f.answer, &n);
-	ck_assert_str_eq(body, "{\"model\":\"m\",\"prompt\":\"p\","
-			       "\"group\":[\"127.0.0.2:9000\"],\"top_p\":1,"
-			       "\"stream\":true,\"max_tokens\":256,"
-			       "\"priority\":2}");
-	free(body);
+	first = dl_completion_first(&c, &f.answer);
+	ck_assert_str_eq(first, "{\"stream\":true,\"max_tokens\":256,"
+				"\"priority\":2,"
+				"\"group\":[\"127.0.0.2:9000\"],");
+	free(first);
 	f.answer.endpoints = 1;
-	body = dl_completion_body(&c, &f.answer, &n);
-	ck_assert_ptr_null(strstr(body, "group"));
-	free(body);
+	first = dl_completion_first(&c, &f.answer);
+	ck_assert_ptr_null(strstr(first, "group"));
+	free(first);
 	dl_completion_free(&c);
 }
 END_TEST
