--- a/src/main/replica_cmd.c
+++ b/src/main/replica_cmd.c
@@ -8,8 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <jansson.h>
-
 #include "daisyledge/conf.h"
 #include "main/replica.h"
 #include "protocol/cmd.h"
@@ -21,9 +19,7 @@
 		  const struct dl_cstore_reply *reply);
 static void refuse(struct replica *r, uint64_t to, uint64_t request, int code,
 		   const char *why);
-static bool same_replicas(const struct dl_conf *conf, const uint64_t *vms,
-			  uint32_t count);
-static uint32_t listed(struct dl_str text, uint64_t vms[DL_REPLICAS_MAX]);
+static bool same_replicas(const struct dl_conf *a, const struct dl_conf *b);
 static int check_replicas(struct replica *r, struct dl_str command,
 			  struct dl_err *err);
 static void append(struct replica *r, uint64_t from,
@@ -53,56 +49,37 @@
 	reply(r, to, request, &what);
 }
 
-static bool same_replicas(const struct dl_conf *conf, const uint64_t *vms,
-			  uint32_t count)
+static bool same_replicas(const struct dl_conf *a, const struct dl_conf *b)
 {
-	if (!conf || conf->replicas_count != count)
+	if (!a || a->replicas_count != b->replicas_count)
 		return false;
-	for (uint32_t i = 0; i < count; i++) {
-		if (conf->replicas[i].vm != vms[i])
+	for (uint32_t i = 0; i < a->replicas_count; i++) {
+		if (a->replicas[i].vm != b->replicas[i].vm)
 			return false;
 	}
 	return true;
 }
 
-/*
- * The replicas that a text lists; 0 where it makes no sense, which the store
- * itself will say.  The whole text is not checked twice: 4 MB of it would hold
- * up the leader's heartbeats for a third of a second.
- */
-static uint32_t listed(struct dl_str text, uint64_t vms[DL_REPLICAS_MAX])
-{
-	json_t *root = json_loadb(text.s, text.n, 0, NULL), *replica;
-	uint32_t count = 0;
-	size_t i;
-
-	json_array_foreach(json_object_get(root, "replicas"), i, replica)
-	{
-		const char *vm =
-			json_string_value(json_object_get(replica, "address"));
-
-		if (count < DL_REPLICAS_MAX &&
-		    dl_vm_parse(dl_str_of(vm), &vms[count]))
-			count++;
-	}
-	json_decref(root);
-	return count;
-}
-
 /* Refuse a new list of replicas that would lose the quorum. */
 static int check_replicas(struct replica *r, struct dl_str command,
 			  struct dl_err *err)
 {
 	uint64_t vms[DL_REPLICAS_MAX];
+	struct dl_conf *conf = NULL;
+	struct dl_faults faults;
 	struct dl_cstore_cmd cmd;
-	uint32_t count;
-
-	if (dl_cstore_decode(command, &cmd) || cmd.op != DL_CSTORE_APPLY)
-		return 0;
-	count = listed(cmd.text, vms);
-	if (same_replicas(dl_cstore_conf(r->cstore), vms, count))
-		return 0;
-	return dl_rlog_want_check(r->rlog, vms, count, replica_now(r), err);
+	int code = 0;
+
+	if (dl_cstore_decode(command, &cmd) || cmd.op != DL_CSTORE_APPLY ||
+	    dl_conf_parse(cmd.text, &conf, &faults))
+		return 0; /* the store itself says what is wrong */
+	for (uint32_t i = 0; i < conf->replicas_count; i++)
+		vms[i] = conf->replicas[i].vm;
+	if (!same_replicas(dl_cstore_conf(r->cstore), conf))
+		code = dl_rlog_want_check(r->rlog, vms, conf->replicas_count,
+					  replica_now(r), err);
+	dl_conf_free(conf);
+	return code;
 }
 
 /* Stamp and append a command, and note who waits for it. */
