--- a/test/fake/load.c
+++ b/test/fake/load.c
@@ -1,17 +1,23 @@
 /* Callers, entries and engines around pools; one step a millisecond. */
 #include "load.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define ENTRIES	  6
-#define RENEW_MS  500
-#define TRAVEL_MS 1 /* of a grant and its prompt */
-#define PERMILLE  1000
+#define ENTRIES	   6
+#define RENEW_MS   500
+#define TRAVEL_MS  1 /* of a grant and its prompt */
+#define PERMILLE   1000
+#define US_PER_MS  1000
+#define WORKSPACES 10
+#define SHORT_MEAN 1000.0
+#define MIX_MEAN   (930 + 500 + 2700 + 2000.0)
 
 static uint32_t pool_of(const struct load *load, uint32_t i);
 static void make_pool(struct load *load, uint32_t i, uint64_t seed);
+static int64_t gap(GRand *rnd, double per_ms);
 static void checked(struct load *load, uint32_t pool);
 static void ask_of(const struct load *load, uint32_t i, struct dl_ask *out,
 		   char name[16]);
@@ -90,6 +96,75 @@
 	return r;
 }
 
+void load_add_short(struct load *load, GRand *rnd, int64_t at,
+		    uint32_t workspace, uint32_t tag, int64_t within_ms)
+{
+	uint64_t prompt = 500 + (uint64_t)g_rand_int_range(rnd, 0, 1000);
+
+	load_add(load, at, DL_CLASS_INTERACTIVE, workspace, prompt, 100,
+		 within_ms)
+		->tag = tag;
+}
+
+/* Time to the next arrival, in microseconds. */
+static int64_t gap(GRand *rnd, double per_ms)
+{
+	return (int64_t)(-log(1 - g_rand_double(rnd)) / per_ms * US_PER_MS);
+}
+
+void load_add_shorts(struct load *load, GRand *rnd,
+		     const struct load_demand *demand)
+{
+	int64_t us = demand->from * US_PER_MS;
+
+	while ((us += gap(rnd, demand->tokens_per_ms / SHORT_MEAN)) <
+	       demand->to * US_PER_MS) {
+		uint32_t ws = (uint32_t)g_rand_int_range(rnd, 0, WORKSPACES);
+
+		if (demand->skew) {
+			ws = 1 + ws % (WORKSPACES - 1);
+			if (g_rand_int_range(rnd, 0, PERMILLE) <
+			    (gint32)demand->skew)
+				ws = 0;
+		}
+		load_add_short(load, rnd, us / US_PER_MS, ws,
+			       demand->skew && !ws ? LOAD_FLOOD : LOAD_SHORT,
+			       demand->short_ms);
+	}
+}
+
+void load_add_mix(struct load *load, GRand *rnd,
+		  const struct load_demand *demand)
+{
+	int64_t us = demand->from * US_PER_MS;
+
+	while ((us += gap(rnd, demand->tokens_per_ms / MIX_MEAN)) <
+	       demand->to * US_PER_MS) {
+		uint32_t ws = (uint32_t)g_rand_int_range(rnd, 0, WORKSPACES);
+		int64_t at = us / US_PER_MS;
+		int32_t kind = g_rand_int_range(rnd, 0, PERMILLE);
+		uint64_t more = (uint64_t)g_rand_int_range(rnd, 0, 100000);
+		struct load_request *r;
+
+		if (kind < 930) {
+			load_add_short(load, rnd, at, ws, LOAD_SHORT,
+				       demand->short_ms);
+		} else if (kind < 980) {
+			r = load_add(load, at, DL_CLASS_INTERACTIVE, ws,
+				     5000 + more / 10, 150, 30000);
+			r->tag = LOAD_MEDIUM;
+		} else if (demand->with_long && kind < 998) {
+			r = load_add(load, at, DL_CLASS_BATCH, ws,
+				     100000 + more, 300, 300000);
+			r->tag = LOAD_LONG;
+		} else if (demand->with_long) {
+			r = load_add(load, at, DL_CLASS_BATCH, ws, 1000000, 300,
+				     600000);
+			r->tag = LOAD_GIANT;
+		}
+	}
+}
+
 static void checked(struct load *load, uint32_t pool)
 {
 	if (load->check && !load->broken)
--- a/test/fake/load.h
+++ b/test/fake/load.h
@@ -5,6 +5,8 @@
 #ifndef SIM_LOAD_H
 #define SIM_LOAD_H
 
+#include <glib.h>
+
 #include "daisyledge/pool.h"
 #include "sim_engine.h"
 
@@ -22,6 +24,25 @@
 	LOAD_CANCELLED,
 };
 
+/* Lengths and kinds of requests, for counting them. */
+enum load_tag {
+	LOAD_SHORT,  /* about a thousand tokens */
+	LOAD_MEDIUM, /* ten thousand */
+	LOAD_LONG,   /* from a hundred thousand on */
+	LOAD_GIANT,  /* a million */
+	LOAD_FLOOD,
+};
+
+/* Demand over a stretch of time. */
+struct load_demand {
+	int64_t from;
+	int64_t to;
+	double tokens_per_ms;
+	bool with_long;	  /* in a mix */
+	uint32_t skew;	  /* permille that workspace 0 asks for, tagged flood */
+	int64_t short_ms; /* a short one's time */
+};
+
 struct load_request {
 	int64_t at;
 	int64_t deadline;
@@ -77,6 +98,18 @@
 			      enum dl_class class, uint32_t workspace,
 			      uint64_t prompt, uint64_t output,
 			      int64_t within_ms);
+/* A short request of 500 to 1,500 tokens. */
+void load_add_short(struct load *load, GRand *rnd, int64_t at,
+		    uint32_t workspace, uint32_t tag, int64_t within_ms);
+/* Short requests of ten workspaces. */
+void load_add_shorts(struct load *load, GRand *rnd,
+		     const struct load_demand *demand);
+/*
+ * Mixed lengths of ten workspaces, one in fifty from a hundred thousand tokens
+ * on; without long ones the others stay as they are.
+ */
+void load_add_mix(struct load *load, GRand *rnd,
+		  const struct load_demand *demand);
 /* Run until this time. */
 void load_run(struct load *load, int64_t until);
 /* Kill the dispatchers; new ones are told of what runs and asked again. */
--- a/test/test_pool_load.c
+++ b/test/test_pool_load.c
@@ -1,6 +1,5 @@
 /* What callers see under load and faults, over fake engines. */
 #include <check.h>
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,14 +13,6 @@
 #define P95	 950
 #define SHORT_MS 5000
 
-enum tag {
-	SHORT,
-	MEDIUM,
-	LONG,
-	GIANT,
-	FLOOD
-};
-
 static const struct sim_engine_conf engine_conf = {
 	.memory = 400000,
 	.slots = 64,
@@ -66,61 +57,30 @@
 	begin();
 }
 
-static int64_t gap(double per_ms)
-{
-	return (int64_t)(-log(1 - g_rand_double(rnd)) / per_ms * 1000);
-}
-
 static void add_short(int64_t at, uint32_t workspace, uint32_t tag)
 {
-	uint64_t prompt = 500 + g_rand_int_range(rnd, 0, 1000);
-
-	load_add(&load, at, DL_CLASS_INTERACTIVE, workspace, prompt, 100,
-		 SHORT_MS)
-		->tag = tag;
+	load_add_short(&load, rnd, at, workspace, tag, SHORT_MS);
 }
 
-/* Short prompts from ten workspaces at a part of the pool's capacity. */
-static void add_shorts(int64_t from, int64_t to, double part, bool skewed)
+/* Short prompts of ten workspaces at a part of the pool's capacity. */
+static void add_shorts(int64_t to, double part, uint32_t skew)
 {
-	int64_t us = from * 1000;
+	struct load_demand demand = { .to = to,
+				      .tokens_per_ms = part * CAPACITY,
+				      .skew = skew,
+				      .short_ms = SHORT_MS };
 
-	while ((us += gap(part * CAPACITY / 1000)) < to * 1000) {
-		uint32_t ws = (uint32_t)g_rand_int_range(rnd, 0, 10);
-
-		if (skewed && g_rand_double(rnd) < 0.9)
-			ws = 0;
-		add_short(us / 1000, ws, ws ? SHORT : FLOOD);
-	}
+	load_add_shorts(&load, rnd, &demand);
 }
 
-/* One in fifty over a hundred thousand tokens, some of a million. */
 static void add_mix(int64_t to, double part, bool with_long)
 {
-	double mean =
-		0.93 * 1000 + 0.05 * 10000 + 0.018 * 150000 + 0.002 * 1000000;
-	int64_t us = 0;
-
-	while ((us += gap(part * CAPACITY / mean)) < to * 1000) {
-		uint32_t ws = (uint32_t)g_rand_int_range(rnd, 0, 10);
-		int64_t at = us / 1000;
-		double u = g_rand_double(rnd);
-
-		if (u < 0.93)
-			add_short(at, ws, SHORT);
-		else if (u < 0.98)
-			load_add(&load, at, DL_CLASS_INTERACTIVE, ws, 10000,
-				 150, 30000)
-				->tag = MEDIUM;
-		else if (with_long && u < 0.998)
-			load_add(&load, at, DL_CLASS_BATCH, ws, 150000, 300,
-				 300000)
-				->tag = LONG;
-		else if (with_long)
-			load_add(&load, at, DL_CLASS_BATCH, ws, 1000000, 300,
-				 600000)
-				->tag = GIANT;
-	}
+	struct load_demand demand = { .to = to,
+				      .tokens_per_ms = part * CAPACITY,
+				      .with_long = with_long,
+				      .short_ms = SHORT_MS };
+
+	load_add_mix(&load, rnd, &demand);
 }
 
 /* Everything ended, in time or refused, and nothing is held any more. */
@@ -143,10 +103,10 @@
 	uint64_t done;
 
 	for (int i = 0; i < 1500; i++) /* 1.5M tokens, 9.4 s of the pool */
-		add_short(1000 + i / 5, (uint32_t)i % 10, SHORT);
+		add_short(1000 + i / 5, (uint32_t)i % 10, LOAD_SHORT);
 	load_run(&load, 30000);
 	check_clean();
-	done = load_count(&load, SHORT, LOAD_DONE);
+	done = load_count(&load, LOAD_SHORT, LOAD_DONE);
 	ck_assert_uint_ge(done, 400); /* 3 s of prefill, 2 of decoding */
 	for (uint32_t i = 0; i < load.requests; i++) {
 		const struct load_request *r = &load.request[i];
@@ -166,7 +126,7 @@
 	uint64_t n, done = 0;
 
 	for (int i = 0; i < 1000; i++)
-		add_short(1000, (uint32_t)i % 10, SHORT);
+		add_short(1000, (uint32_t)i % 10, LOAD_SHORT);
 	load_run(&load, 6000);
 	n = load.requests;
 	for (int64_t t = load.now; t < 30000; t++)
@@ -175,11 +135,12 @@
 			    load.request[i].ended +
 					    load.request[i].retry_after ==
 				    t - 5000)
-				add_short(t, load.request[i].workspace, MEDIUM);
+				add_short(t, load.request[i].workspace,
+					  LOAD_MEDIUM);
 	load_run(&load, 60000);
 	check_clean();
 	ck_assert_uint_gt(load.requests, n + 100);
-	done = load_count(&load, MEDIUM, LOAD_DONE);
+	done = load_count(&load, LOAD_MEDIUM, LOAD_DONE);
 	ck_assert_uint_ge(done * 100, (load.requests - n) * 95);
 }
 END_TEST
@@ -188,15 +149,15 @@
 {
 	int64_t even;
 
-	add_shorts(0, 60000, 0.8, false);
+	add_shorts(60000, 0.8, 0);
 	load_run(&load, 80000);
 	check_clean();
-	even = load_ttft(&load, SHORT, P95);
+	even = load_ttft(&load, LOAD_SHORT, P95);
 	again();
-	add_shorts(0, 60000, 0.8, true);
+	add_shorts(60000, 0.8, 900);
 	load_run(&load, 80000);
 	check_clean();
-	ck_assert_int_le(load_ttft(&load, SHORT, P95) * 10, even * 12);
+	ck_assert_int_le(load_ttft(&load, LOAD_SHORT, P95) * 10, even * 12);
 }
 END_TEST
 
@@ -207,12 +168,12 @@
 	struct dl_endpoint_report r;
 	bool out = false;
 
-	add_shorts(0, 60000, 0.6, false);
+	add_shorts(60000, 0.6, 0);
 	load_run(&load, 80000);
-	healthy = load_ttft(&load, SHORT, P95);
+	healthy = load_ttft(&load, LOAD_SHORT, P95);
 	again();
 	load.engine[3].slow = 8;
-	add_shorts(0, 60000, 0.6, false);
+	add_shorts(60000, 0.6, 0);
 	load_run(&load, 40000);
 	for (uint32_t i = 0;
 	     dl_pool_endpoint_at(load.pool[0], i, &r, &tokens, &out) && !out;
@@ -222,7 +183,7 @@
 	ck_assert(dl_name_eq(&r.id, dl_name_str(&load.engine[3].name)));
 	load.engine[3].slow = 1;
 	load_run(&load, 80000);
-	ck_assert_int_le(load_ttft(&load, SHORT, P95) * 10, healthy * 15);
+	ck_assert_int_le(load_ttft(&load, LOAD_SHORT, P95) * 10, healthy * 15);
 	/* What it was given before its first answers were due. */
 	ck_assert_uint_le(load_count(&load, LOAD_ANY, LOAD_LATE), 20);
 	for (uint32_t i = 0;
@@ -255,17 +216,17 @@
 	add_mix(120000, 0.8, false);
 	load_run(&load, 150000);
 	check_clean();
-	alone = load_ttft(&load, SHORT, P95);
+	alone = load_ttft(&load, LOAD_SHORT, P95);
 	again();
 	add_mix(120000, 0.8, true);
 	load_run(&load, 600000);
 	check_clean();
-	ck_assert_int_le(load_ttft(&load, SHORT, P95) * 100, alone * 115);
-	ck_assert_uint_ge(load_count(&load, LONG, LOAD_DONE) * 100,
-			  (load_count(&load, LONG, LOAD_DONE) +
-			   load_count(&load, LONG, LOAD_REFUSED)) *
+	ck_assert_int_le(load_ttft(&load, LOAD_SHORT, P95) * 100, alone * 115);
+	ck_assert_uint_ge(load_count(&load, LOAD_LONG, LOAD_DONE) * 100,
+			  (load_count(&load, LOAD_LONG, LOAD_DONE) +
+			   load_count(&load, LOAD_LONG, LOAD_REFUSED)) *
 				  95);
-	ck_assert_uint_eq(load_count(&load, GIANT, LOAD_REFUSED), 0);
+	ck_assert_uint_eq(load_count(&load, LOAD_GIANT, LOAD_REFUSED), 0);
 }
 END_TEST
 
@@ -274,7 +235,7 @@
 	uint64_t good = 0;
 
 	again();
-	add_shorts(0, 60000, part, false);
+	add_shorts(60000, part, 0);
 	load_run(&load, 80000);
 	check_clean();
 	for (uint32_t i = 0; i < load.requests; i++)
@@ -308,25 +269,17 @@
 	double done[9] = { 0 }, asked[9] = { 0 };
 	int64_t before;
 
-	add_shorts(0, 40000, 0.7, false);
+	add_shorts(40000, 0.7, 0);
 	load_run(&load, 60000);
-	before = load_ttft(&load, SHORT, P95);
+	before = load_ttft(&load, LOAD_SHORT, P95);
 	again();
-	for (int64_t us = 0; us < 40000000;) {
-		us += gap(5.7 * CAPACITY / 1000);
-		if (g_rand_double(rnd) < 5 / 5.63)
-			add_short(us / 1000, 0, FLOOD);
-		else
-			add_short(us / 1000,
-				  1 + (uint32_t)g_rand_int_range(rnd, 0, 9),
-				  SHORT);
-	}
+	add_shorts(40000, 5.63, 888); /* 5 times all, and 0.63 */
 	load_run(&load, 60000);
 	check_clean();
 	for (uint32_t i = 0; i < load.requests; i++) {
 		const struct load_request *r = &load.request[i];
 
-		if (r->tag == FLOOD)
+		if (r->tag == LOAD_FLOOD)
 			continue;
 		asked[r->workspace - 1]++;
 		done[r->workspace - 1] += r->outcome == LOAD_DONE;
@@ -334,11 +287,11 @@
 	for (int i = 0; i < 9; i++)
 		done[i] /= asked[i];
 	ck_assert(jain(done, 9) >= 0.95);
-	ck_assert_uint_ge(load_count(&load, SHORT, LOAD_DONE) * 100,
-			  (load_count(&load, SHORT, LOAD_DONE) +
-			   load_count(&load, SHORT, LOAD_REFUSED)) *
+	ck_assert_uint_ge(load_count(&load, LOAD_SHORT, LOAD_DONE) * 100,
+			  (load_count(&load, LOAD_SHORT, LOAD_DONE) +
+			   load_count(&load, LOAD_SHORT, LOAD_REFUSED)) *
 				  99);
-	ck_assert_int_le(load_ttft(&load, SHORT, P95) * 10, before * 12);
+	ck_assert_int_le(load_ttft(&load, LOAD_SHORT, P95) * 10, before * 12);
 }
 END_TEST
 
@@ -347,7 +300,7 @@
 {
 	uint64_t before = 0, after = 0;
 
-	add_shorts(0, 90000, 0.8, false);
+	add_shorts(90000, 0.8, 0);
 	load_run(&load, 30000);
 	load.cut = ENGINES / 2;
 	load_run(&load, 50000);
@@ -370,7 +323,7 @@
 
 START_TEST(dispatcher_killed_with_a_full_queue)
 {
-	add_shorts(0, 20000, 2, false);
+	add_shorts(20000, 2, 0);
 	load_run(&load, 10000);
 	ck_assert_uint_gt(load_count(&load, LOAD_ANY, LOAD_QUEUED), 100);
 	load_hand_over(&load);
@@ -388,13 +341,13 @@
 	for (int i = 0; i < 2; i++)
 		load_add(&load, 1000, DL_CLASS_BATCH, (uint32_t)i, 1000000, 300,
 			 300000)
-			->tag = GIANT;
+			->tag = LOAD_GIANT;
 	for (int i = 0; i < 400; i++)
-		add_short(1000 + i * 200, 5, SHORT);
+		add_short(1000 + i * 200, 5, LOAD_SHORT);
 	load_run(&load, 320000);
 	check_clean();
-	ck_assert_uint_eq(load_count(&load, GIANT, LOAD_DONE), 2);
-	ck_assert_uint_eq(load_count(&load, SHORT, LOAD_DONE), 400);
+	ck_assert_uint_eq(load_count(&load, LOAD_GIANT, LOAD_DONE), 2);
+	ck_assert_uint_eq(load_count(&load, LOAD_SHORT, LOAD_DONE), 400);
 }
 END_TEST
 
@@ -405,7 +358,7 @@
 		load.engine[i].conf.no_priority = true;
 	add_mix(120000, 0.5, true);
 	load_run(&load, 600000);
-	ck_assert_int_le(load_ttft(&load, SHORT, P95), 1000);
+	ck_assert_int_le(load_ttft(&load, LOAD_SHORT, P95), 1000);
 }
 END_TEST
 
