Membership: its budget at the target and its bounds are tested; entry's memory

Cause: that 370 members keep within 12,000 bytes a second, the busiest included, was only a figure; nothing held the bound on members. Change: two tests; make capacity measures the memory of entries by open streams.

--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -56,6 +56,7 @@
 token_instr instr tokens instr 8000 0
 path_token_us time tokens/s us/s 4800 0
 path_request_us time requests/s us/s 200 0
+path_peak_kb time streams kB 80 0
 END
 }
 
--- a/bench/capacity_path.sh
+++ b/bench/capacity_path.sh
@@ -23,9 +23,10 @@
 	echo $sum
 }
 
-entry_rss_kb() {
+# The most memory that the three entries have had, in kB.
+entry_peak_kb() {
 	for d in 1 2 3; do
-		awk '/^VmRSS/ { print $2 }' "/proc/$(pid_of entry_${d}_1)/status"
+		awk '/^VmHWM/ { print $2 }' "/proc/$(pid_of entry_${d}_1)/status"
 	done | awk '{ s += $1 } END { print s }'
 }
 
@@ -56,10 +57,9 @@
 measure warm 0 5 10 >/dev/null
 for tokens in 600 1200 2400 4800; do
 	measure path_token_us $tokens $((tokens / 300)) 300
+	echo "path_peak_kb	$((tokens / 60))	$(entry_peak_kb)"
 done
 for rate in 25 50 100 200; do
 	measure path_request_us $rate $rate 1
 done
-rss=$(entry_rss_kb)
-echo "path_rss_kb	3	$rss"
 test_end >/dev/null
--- a/test/test_memb.c
+++ b/test/test_memb.c
@@ -14,6 +14,13 @@
 #define HEAL_MS	      15000
 #define ALONE_MS      24000
 #define LONG_MS	      60000
+#define TARGET	      370
+#define TARGET_SLOW   60 /* under a sanitizer */
+#define BUDGET	      12000
+#define BUDGET_MS     20000
+#define ENVELOPE      46 /* of our frames, UDP and IP */
+#define FLOOD	      12000
+#define MEMBERS_MAX   4096
 #define LONG_PAUSE_MS 300000
 
 static struct memb_net *started(uint32_t vms, uint32_t domains, uint32_t seed)
@@ -329,6 +336,67 @@
 }
 END_TEST
 
+/*
+ * The users' budget for control, 12,000 bytes a second and 64 MB a node, for
+ * membership alone at the size they aim for; the busiest VM counts.
+ */
+START_TEST(within_the_budget_at_the_target)
+{
+	bool slow = getenv("DL_SANITIZED") != NULL;
+	struct memb_net_conf conf;
+	struct memb_net *net;
+
+	memb_net_defaults(&conf, slow ? TARGET_SLOW : TARGET, 5, 1);
+	net = memb_net_new(&conf);
+	memb_net_start_all(net);
+	ck_assert_int_ge(memb_net_settle(net, LONG_MS), 0);
+	memb_net_run(net, LONG_MS);
+	memb_net_clear_counts(net);
+	memb_net_run(net, BUDGET_MS);
+	for (uint32_t i = 0; i < conf.vms; i++) {
+		const struct memb_net_vm *v = &net->vms[i];
+		uint64_t bytes = v->bytes_in + v->bytes_out +
+				 (v->msgs_in + v->msgs_out) * ENVELOPE;
+
+		ck_assert_uint_lt(bytes * 1000 / BUDGET_MS, BUDGET);
+	}
+	memb_net_kill(net, 1);
+	ck_assert_int_ge(memb_net_settle(net, ALONE_MS), 0);
+	memb_net_free(net);
+}
+END_TEST
+
+/* All that the addresses and news of VMs may take is bounded. */
+START_TEST(members_are_bounded)
+{
+	struct memb_net *net = started(2, 1, 3);
+	struct dl_memb_conf conf = net->conf.memb;
+	struct dl_memb *memb = net->vms[0].memb;
+	char buf[DL_MEMB_DATAGRAM_MAX];
+	uint32_t count = 0;
+	uint64_t to;
+	size_t n;
+
+	for (uint32_t i = 0; i < FLOOD; i++) {
+		struct dl_memb *other;
+
+		conf.self = (UINT64_C(0x0b000000) + i) << 16 | 1;
+		conf.domain = memb_net_domain(i % 30);
+		other = dl_memb_new(&conf, 1, net->now);
+		dl_memb_seed(other, net->vms[0].vm, net->now);
+		while (dl_memb_out(other, net->now, &to, buf, &n))
+			dl_memb_in(memb, conf.self, (struct dl_str){ buf, n },
+				   net->now);
+		dl_memb_free(other);
+	}
+	while (dl_memb_at(memb, count))
+		count++;
+	ck_assert_uint_le(count, MEMBERS_MAX);
+	ck_assert(memb_net_sees(net, 0, 1));
+	memb_net_free(net);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("memb");
@@ -351,6 +419,8 @@
 	tcase_add_test(t, versions_and_draining_spread);
 	tcase_add_test(t, nonsense_is_refused);
 	tcase_add_test(t, the_gone_are_forgotten);
+	tcase_add_test(t, within_the_budget_at_the_target);
+	tcase_add_test(t, members_are_bounded);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
