--- a/bench/bench_entry.sh
+++ b/bench/bench_entry.sh
@@ -126,6 +126,7 @@
 	fault 1 die-first 1
 	fault 2 die-first 1
 	load_one "$DIR/failover" "$c" 2
+	not_running "$(pid_of endpoint_1)" || fail "the fault did not strike"
 	figure failover_ttft_ms "$(awk '$7 == "done" && $9 > max { max = $9 }
 		END { printf "%.0f", max }' "$DIR/failover")" ms
 	start_runner 1
@@ -141,7 +142,9 @@
 		"deadline_ms":10000')
 	( sleep 0.5; kill -TERM "$(pid_of endpoint_1)" ) &
 	remember leaver $!
-	load_one "$DIR/drain" "$c" 4
+	test/tool_load --entries "$ENTRIES" --quiet --classes "$c" \
+		--seconds 4 --out "$DIR/drain" 2>>"$DIR/load.faults"
+	[ "$(grep -c '^L' "$RECORD")" -eq 1 ] || fail "nobody left"
 	figure drain_ms "$(awk '$1 ~ /[BX]/ && $8 > max { max = $8 }
 		END { printf "%d", max }' "$RECORD")" ms
 	c=$(one_class stop '"name":"counter","class":"counter",
--- a/test/test_system_random.sh
+++ b/test/test_system_random.sh
@@ -3,6 +3,7 @@
 # drained and struck by faults, alone and together, under load of all classes.
 #
 #   DL_RANDOM_SEED, DL_RANDOM_SECONDS   for long runs by hand
+#   DL_RANDOM_RATE                      times the rates of the classes
 #   DL_FIGURES=1                        print figures for the benchmark
 cd "$(dirname "$0")/.." || exit 2
 . test/deploy.sh
@@ -90,6 +91,7 @@
 done <"$DIR/plan" &
 remember striker $!
 run_load --seed "$SEED" --seconds "$DURATION" \
+	--rate "${DL_RANDOM_RATE:-1}" \
 	>"$DIR/table" 2>"$DIR/faults"
 status=$?
 injected=$(wc -l <"$DIR/struck")
