--- a/bench/bench_memb.c
+++ b/bench/bench_memb.c
@@ -41,7 +41,7 @@
 
 static void line(const char *name, double value, const char *unit)
 {
-	printf("%s\t%.4g\t%s\n", name, value, unit);
+	printf("%s\t%.6g\t%s\n", name, value, unit);
 }
 
 static void sum_up(const struct memb_net *net, struct idle *out)
--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -24,6 +24,7 @@
 #define VMS		  370
 #define DOMAINS		  5
 #define TEXT_ROOM	  (4u << 20)
+#define LOG_STEPS	  600 /* of 100 ms */
 #define CHANGE_BYTES	  4096
 #define CHANGE_WORKSPACES 62	 /* about 4 KB of text */
 #define LEASE_LONG	  600000 /* no renewal falls in the measure */
@@ -343,45 +344,52 @@
 	}
 }
 
-/* The log of five replicas by changes in a minute: what the leader sends. */
+/* Five replicas for a minute; what the leader sends, in bytes a second. */
+static double log_minute(uint32_t changes, double *acked)
+{
+	struct group_conf conf = {
+		.seed = 1,
+		.listed = 5,
+		.link = { .seed = 1, .delay_min_ms = 1, .delay_max_ms = 1 },
+		.sync_min_ms = 1,
+		.sync_max_ms = 2,
+		.snapshot_entries = 10000,
+		.piece_bytes = 65536,
+	};
+	struct group *g = group_new(&conf);
+	struct fake_link_count before;
+	uint64_t leader;
+	double out;
+
+	for (uint64_t vm = 1; vm <= 5; vm++)
+		group_start(g, vm);
+	if (!group_settle(g, 60000))
+		must(-1);
+	leader = group_leader(g);
+	group_run(g, 5000);
+	before = fake_link_sent(group_link(g), leader);
+	for (uint32_t k = 0; k < LOG_STEPS; k++) {
+		if (k * changes / LOG_STEPS != (k + 1) * changes / LOG_STEPS)
+			group_propose(g, leader, CHANGE_BYTES);
+		group_run(g, 100);
+	}
+	*acked = (double)group_counted(g)->acked;
+	out = (double)(fake_link_sent(group_link(g), leader).bytes -
+		       before.bytes) /
+	      60;
+	group_free(g);
+	return out;
+}
+
+/* The log by changes a minute. */
 static void rlog_points(void)
 {
 	static const uint32_t changes[] = { 0, 50, 100, 200, 400 };
 
 	for (int i = 0; i < 5; i++) {
-		struct group_conf conf = {
-			.seed = 1,
-			.listed = 5,
-			.link = { .seed = 1,
-				  .delay_min_ms = 1,
-				  .delay_max_ms = 1 },
-			.sync_min_ms = 1,
-			.sync_max_ms = 2,
-			.snapshot_entries = 10000,
-			.piece_bytes = 65536,
-		};
-		struct group *g = group_new(&conf);
-		struct fake_link_count sent;
-		uint64_t leader;
-
-		for (uint64_t vm = 1; vm <= 5; vm++)
-			group_start(g, vm);
-		if (!group_settle(g, 60000))
-			must(-1);
-		leader = group_leader(g);
-		group_run(g, 5000);
-		sent = fake_link_sent(group_link(g), leader);
-		for (uint32_t k = 0; k < 600; k++) {
-			if (k % (600 / (changes[i] ? changes[i] : 600)) == 0 &&
-			    k * changes[i] / 600 < changes[i] && changes[i])
-				group_propose(g, leader, CHANGE_BYTES);
-			group_run(g, 100);
-		}
-		point("rlog_bytes", (double)group_counted(g)->acked,
-		      (double)(fake_link_sent(group_link(g), leader).bytes -
-			       sent.bytes) /
-			      60);
-		group_free(g);
+		double acked, bytes = log_minute(changes[i], &acked);
+
+		point("rlog_bytes", acked, bytes);
 	}
 }
 
@@ -516,6 +524,8 @@
 
 static int instr(const char *name, uint32_t x)
 {
+	double acked;
+
 	if (strcmp(name, "request_instr") == 0)
 		requests(8, x);
 	else if (strcmp(name, "endpoint_instr") == 0)
@@ -526,6 +536,8 @@
 		dl_conf_free(parse(conf_text(x)));
 	else if (strcmp(name, "orders_instr") == 0)
 		plan(x);
+	else if (strcmp(name, "rlog_instr") == 0)
+		log_minute(x, &acked);
 	else
 		return 2;
 	return 0;
--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -51,7 +51,8 @@
 change_state state changes B 200 64000000
 claim_state state claims B 100000 64000000
 claim_snapshot count claims B 100000 0
-rlog_bytes count changes/min B/s 600 12000
+rlog_bytes count changes/min B/s 400 12000
+rlog_instr instr changes/min instr 400 0
 token_bytes count tokens B 8000 0
 token_instr instr tokens instr 8000 0
 path_token_us time tokens/s us/s 4800 0
@@ -83,6 +84,9 @@
 	for x in 75 150 300 600; do
 		instructions orders_instr $x | awk -v OFS='\t' '{ $2 *= $2; print }'
 	done >>"$points"
+	for x in 0 100 200 400; do
+		instructions rlog_instr $x
+	done >>"$points"
 	for x in 1000 2000 4000 8000; do
 		instructions token_instr $x
 	done >>"$points"
@@ -173,7 +177,9 @@
 		gsub(/`/, "", $3)
 		printf "BEGIN { printf \"%%s\\t%%.3g\\n\", \"%s\", %s }\n", $1, $3
 	}' >>build/derive.awk
-	awk -f build/derive.awk </dev/null
+	awk -f build/derive.awk </dev/null | awk -v OFS='\t' '
+		$2 >= 1000 { $2 = sprintf("%.0f", $2) }
+		{ print $1, $2 }'
 }
 
 # Put new rows, from a file, into a marked table.
@@ -203,6 +209,17 @@
 		{ printf "| %s | %s | %s | %s | %s |\n", $1, $2, $3, v[$1], $5 }
 		' build/derived - >build/rows
 	replace derived build/rows
+	# Where a row is named in the text with its value, the value follows.
+	awk 'NR == FNR { v[$1] = $2; next }
+		{ for (k in v) gsub("`" k "` = [0-9.e+-]*[0-9]", \
+			"`" k "` = " v[k]); print }' \
+		build/derived "$page" >build/page && cp build/page "$page"
+}
+
+# "name value" wherever the text names a row with its value.
+said() {
+	grep -o '`[a-z_0-9]*` = [0-9.e+-]*[0-9]' "$page" |
+		sed 's/`//g; s/ = /	/'
 }
 
 # Whether the page follows from what was measured.
@@ -211,6 +228,7 @@
 	rows faults >build/page.faults
 	rows derived | cut -f1,4 >build/page.derived
 	derive <build/page.slopes >build/derived
+	said >build/page.said
 	slopes | cut -d' ' -f1,5 >build/targets
 	awk -F '\t' -v ok=1 '
 		function off(a, b) { d = a - b; if (d < 0) d = -d; return d }
@@ -231,6 +249,9 @@
 			pa[$1] = $5; pb[$1] = $6; kind[$1] = $2; next }
 		FILENAME == "build/page.faults" { pf[$1] = $2; next }
 		FILENAME == "build/page.derived" { pd[$1] = $2; next }
+		FILENAME == "build/page.said" {
+			far($1 " in the text", $2, pd[$1], "count")
+			seen++; next }
 		FILENAME == "build/derived" {
 			far($1, pd[$1], $2, "count"); seen++; next }
 		FILENAME == "build/capacity.tsv" {
@@ -245,7 +266,7 @@
 				" numbers"
 			exit !ok
 		}' build/targets build/page.slopes build/page.faults \
-		build/page.derived build/derived "$table" "$faults"
+		build/page.derived build/page.said build/derived "$table" "$faults"
 }
 
 if [ "$mode" != page ]; then
