Status and differences in words

Cause: status cut what replicas say of each other at 79 characters, and a difference gave classes and log levels as numbers. Change: one line a value for whatever is nested; words in differences. Conclusion: people can read both.

--- a/src/main/cli_status.c
+++ b/src/main/cli_status.c
@@ -54,30 +54,40 @@
 };
 
 static void print_status(const json_t *json);
+static void print_value(const char *key, const json_t *value, int depth);
 static void print_replicas(const json_t *json, int depth);
 
+/* Print one value after its key, or what is in it on lines of its own. */
+static void print_value(const char *key, const json_t *value, int depth)
+{
+	char cell[80];
+
+	if (json_is_object(value) || json_is_array(value)) {
+		printf("%*s%s:\n", depth * 2, "", key);
+		print_replicas(value, depth + 1);
+		return;
+	}
+	cli_cell(value, false, cell);
+	printf("%*s%s: %s\n", depth * 2, "", key,
+	       json_is_false(value) ? "no" : cell);
+}
+
 /* Print what the replicas say: whatever it is, one line a value. */
 static void print_replicas(const json_t *json, int depth)
 {
 	const char *key;
 	json_t *value;
-	char cell[80];
+	char number[24];
 	size_t i;
 
 	json_object_foreach((json_t *)json, key, value)
 	{
-		if (json_is_object(value) || json_is_array(value)) {
-			printf("%*s%s:\n", depth * 2, "", key);
-			print_replicas(value, depth + 1);
-			continue;
-		}
-		cli_cell(value, false, cell);
-		printf("%*s%s: %s\n", depth * 2, "", key, cell);
+		print_value(key, value, depth);
 	}
 	json_array_foreach(json, i, value)
 	{
-		cli_cell(value, false, cell);
-		printf("%*s%s\n", depth * 2, "", cell);
+		snprintf(number, sizeof(number), "%zu", i + 1);
+		print_value(number, value, depth);
 	}
 }
 
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -149,7 +149,8 @@
 	if (c->dispatcher == e->node.self) {
 		p = entry_pool_find(e, service_of(c));
 		if (p)
-			entry_pool_cancel(e, p, e->node.self, c->ask_id);
+			dl_pool_cancel(p->pool, e->node.self, c->ask_id,
+				       entry_now(e));
 	} else {
 		send_number(c, DL_FRAME_CANCEL, c->ask_id);
 	}
--- a/src/state/conf_diff.c
+++ b/src/state/conf_diff.c
@@ -74,6 +74,9 @@
 
 #define COUNT(table) (sizeof(table) / sizeof((table)[0]))
 
+static const char *const class_words[] = { "urgent", "interactive", "batch" };
+static const char *const level_words[] = { "debug", "info", "warn", "error" };
+
 static void line(struct diff *d, bool confirm, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 static uint64_t field_value(const struct diff_field *f, const void *from);
@@ -205,10 +208,10 @@
 		else if (a->class != b->class ||
 			 a->deadline_ms != b->deadline_ms)
 			line(d, false,
-			     "~ classes.%s: %u ms -> %u ms, urgency %d -> %d; "
-			     "for requests from now on",
-			     a->name.s, a->deadline_ms, b->deadline_ms,
-			     a->class, b->class);
+			     "~ classes.%s: %s, %u ms -> %s, %u ms; for "
+			     "requests from now on",
+			     a->name.s, class_words[a->class], a->deadline_ms,
+			     class_words[b->class], b->deadline_ms);
 	}
 	for (uint32_t i = 0; i < new->classes_count; i++) {
 		const struct dl_class_conf *b = &new->classes[i];
@@ -497,8 +500,9 @@
 			     old->weight_store_mb_per_s,
 			     new->weight_store_mb_per_s);
 		if (old->log_level != new->log_level)
-			line(&d, false, "~ log_level: %d -> %d", old->log_level,
-			     new->log_level);
+			line(&d, false, "~ log_level: %s -> %s",
+			     level_words[old->log_level],
+			     level_words[new->log_level]);
 	}
 	compare_classes(&d, old, new);
 	compare_services(&d, old, new);
--- a/test/test_conf.c
+++ b/test/test_conf.c
@@ -123,8 +123,8 @@
 };
 
 static const struct diff_case diff_cases[] = {
-	{ "\"log_level\": \"info\"", "\"log_level\": \"warn\"", "~ log_level",
-	  false },
+	{ "\"log_level\": \"info\"", "\"log_level\": \"warn\"",
+	  "~ log_level: info -> warn", false },
 	{ "\"gap_timeout_ms\": 10000", "\"gap_timeout_ms\": 9000",
 	  "match-writer.gap_timeout_ms: 10000 -> 9000", false },
 	{ "\"front-desk\": {", "\"back-desk\": {", "- services.front-desk",
@@ -142,7 +142,7 @@
 	  "+ replicas: medeu-hall-2", false },
 	{ "\"class\": \"urgent\", \"deadline_ms\": 2000",
 	  "\"class\": \"urgent\", \"deadline_ms\": 2500",
-	  "~ classes.ping: 2000 ms -> 2500 ms", false },
+	  "~ classes.ping: urgent, 2000 ms -> urgent, 2500 ms", false },
 	{ "\"version\": \"1\"", "\"version\": \"2\"",
 	  "+ orders: match-writer match-7b 2", false },
 	{ "\"kiosks\": {\"weight\": 4", "\"kiosks\": {\"weight\": 5",
