--- a/src/main/entry.c
+++ b/src/main/entry.c
@@ -16,6 +16,8 @@
 #define BODY_MAX (16u << 20)
 /* A request must have arrived whole within this time. */
 #define READ_MS 10000
+/* A stop waits so long for the outcomes that are being recorded. */
+#define LAST_COMMANDS_MS 3000
 /* How often the gauges that need a walk are set. */
 #define COUNT_EVERY_MS 500
 
@@ -125,7 +127,8 @@
 		e->counted_at = now;
 		count_live(e);
 	}
-	if (e->node.stopping && !e->calls)
+	if (e->node.stopping && !e->calls &&
+	    (!e->cmds || now - e->stop_at > LAST_COMMANDS_MS))
 		dl_node_end(&e->node, DL_EXIT_OK);
 }
 
@@ -141,6 +144,8 @@
 	dl_msg(DL_MSG_ENTRY_STOP, "requests=%u again=%d", e->calls_count,
 	       again);
 	e->draining = true;
+	if (!again)
+		e->stop_at = entry_now(e);
 	dl_memb_self(e->node.memb, true, e->version, entry_now(e));
 	if (again)
 		entry_calls_abort(e);
@@ -224,10 +229,13 @@
 	struct dl_err err = { 0 };
 	char text[24];
 	char *path = dl_main_settings_option(&argc, &argv);
+	int rc;
 
 	if (!path)
 		return DL_EXIT_USAGE;
-	if (start(&e, path, &err)) {
+	rc = start(&e, path, &err);
+	g_free(path);
+	if (rc) {
 		fprintf(stderr, "daisyledge entry: %s: %s %s\n",
 			dl_step_name(err.step), err.peer, err.text);
 		return DL_EXIT_FAULT;
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -39,6 +39,8 @@
 	bool leading;
 	GHashTable *announced; /* endpoint to its last struct announced */
 	struct dl_spill spill;
+	int64_t led_since;
+	struct held_ask *held; /* until the endpoints are known */
 };
 
 /* What an endpoint announced that only the order planner asks for. */
@@ -153,6 +155,7 @@
 	uint64_t body_hash;
 	bool claimed;
 	uint64_t recording; /* command id, 0 for none */
+	int64_t record_by;  /* the answer waits for it no longer */
 	uint64_t claiming;
 
 	/* the answer, kept while its outcome is recorded */
@@ -225,6 +228,7 @@
 	uint32_t traces_at;
 
 	bool draining; /* by signal or by the operators */
+	int64_t stop_at;
 };
 
 int64_t entry_now(const struct entry *e);
@@ -277,6 +281,8 @@
 		      const struct dl_frame *frame);
 void entry_pool_ask(struct entry *e, struct entry_pool *p,
 		    const struct dl_ask_frame *f, bool local);
+void entry_pool_cancel(struct entry *e, struct entry_pool *p, uint64_t entry,
+		       uint64_t request);
 void entry_pool_member(struct entry *e, const struct dl_member *m);
 void entry_pool_tick(struct entry *e, int64_t now);
 
--- a/src/main/entry_call.c
+++ b/src/main/entry_call.c
@@ -19,10 +19,13 @@
 /* Up to here, a millisecond or so, parsing on the loop is cheaper. */
 #define READ_INLINE_MAX 32768
 /* Until its own deadline is read: no parse takes longer. */
-#define READ_DEADLINE_MS   10000
-#define RETRY_AFTER_MS	   1000
-#define CLAIM_MS	   2000
-#define RECORD_MS	   1000
+#define READ_DEADLINE_MS 10000
+#define RETRY_AFTER_MS	 1000
+#define CLAIM_MS	 2000
+/* How long an answer waits for the record of its outcome, and how long the
+ * record itself is tried: a new leader is found within that. */
+#define RECORD_WAIT_MS	   1000
+#define RECORD_MS	   30000
 #define CLAIM_EXPIRES_S	   86400
 #define OUTCOME_KEPT_MAX   16384
 #define MIN_DEADLINE_MS	   1
@@ -205,6 +208,7 @@
 		cmd.outcome = (struct dl_str){ c->final_body->str,
 					       c->final_body->len };
 	c->recording = entry_cmd_send(c->e, &cmd, RECORD_MS, done);
+	c->record_by = entry_now(c->e) + RECORD_WAIT_MS;
 }
 
 /*
@@ -342,6 +346,15 @@
 	free_call(c);
 }
 
+/* The record takes its time: the caller does not wait for it. */
+static void record_late(struct call *c, int64_t now)
+{
+	if (now < c->record_by && now < c->deadline)
+		return;
+	answer_whole(c);
+	free_call(c);
+}
+
 /* What a workspace's text takes a token, as its endpoints count. */
 static void learn_ratio(struct call *c)
 {
@@ -462,7 +475,9 @@
 
 	for (c = e->calls; c; c = next) {
 		next = c->next;
-		if (now >= c->deadline && c->state != CALL_RECORDING)
+		if (c->state == CALL_RECORDING)
+			record_late(c, now);
+		else if (now >= c->deadline)
 			late(c);
 	}
 }
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -149,8 +149,7 @@
 	if (c->dispatcher == e->node.self) {
 		p = entry_pool_find(e, service_of(c));
 		if (p)
-			dl_pool_cancel(p->pool, e->node.self, c->ask_id,
-				       entry_now(e));
+			entry_pool_cancel(e, p, e->node.self, c->ask_id);
 	} else {
 		send_number(c, DL_FRAME_CANCEL, c->ask_id);
 	}
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -13,6 +13,8 @@
 
 /* Often enough that a spill sees the backlog of the last second. */
 #define SUMMARY_EVERY_MS 500
+/* Every endpoint announces itself within this time, and a margin. */
+#define KNOW_ENDPOINTS_MS 1500
 /* A pool that has not been heard of for so long takes no spill. */
 #define SUMMARY_OLD_MS 3000
 
@@ -26,6 +28,13 @@
 		       const struct dl_frame *f);
 static void on_adopt(struct entry *e, uint64_t from, const struct dl_frame *f);
 
+/* An ask that waits until a new dispatcher knows its endpoints. */
+struct held_ask {
+	struct held_ask *next;
+	struct dl_ask_frame frame;
+	struct dl_name workspace; /* what the frame's view points at */
+};
+
 struct frame_handler {
 	uint32_t kind;
 	void (*handle)(struct entry *e, uint64_t from,
@@ -69,8 +78,10 @@
 	uint64_t owner = entry_pool_owner(e, dl_name_str(&p->service), domain);
 	bool leading = owner == e->node.self;
 
-	if (leading && !p->leading)
+	if (leading && !p->leading) {
+		p->led_since = entry_now(e);
 		dl_msg(DL_MSG_POOL_LEAD, "service=%s", p->service.s);
+	}
 	p->leading = leading;
 }
 
@@ -120,6 +131,20 @@
 	return p;
 }
 
+static bool drop_held(struct entry_pool *p, uint64_t entry, uint64_t request)
+{
+	struct held_ask **at = &p->held, *h;
+
+	while ((h = *at) &&
+	       (h->frame.ask.request != request || h->frame.ask.entry != entry))
+		at = &h->next;
+	if (!h)
+		return false;
+	*at = h->next;
+	g_free(h);
+	return true;
+}
+
 static void remove_unlisted(struct entry *e)
 {
 	struct entry_pool **at = &e->pools;
@@ -132,6 +157,9 @@
 			continue;
 		}
 		*at = p->next;
+		while (p->held)
+			drop_held(p, p->held->frame.ask.entry,
+				  p->held->frame.ask.request);
 		dl_pool_free(p->pool);
 		g_hash_table_destroy(p->announced);
 		free(p);
@@ -254,6 +282,62 @@
 	return true;
 }
 
+/* A dispatcher that has just taken over and has heard no endpoint yet. */
+static bool knows_nobody(struct entry *e, struct entry_pool *p)
+{
+	struct dl_pool_summary s;
+
+	if (entry_now(e) - p->led_since > KNOW_ENDPOINTS_MS)
+		return false;
+	dl_pool_summarize(p->pool, entry_now(e), &s);
+	return s.endpoints == 0;
+}
+
+/*
+ * For the second after a VM that dispatched has died: its successor may have
+ * heard none of the endpoints, and a refusal for want of them would be wrong
+ * while they serve.  Held asks are bounded by the time they are held.
+ */
+static void hold(struct entry *e, struct entry_pool *p,
+		 const struct dl_ask_frame *f)
+{
+	struct held_ask *h = g_new0(struct held_ask, 1);
+	struct dl_answer_frame queued = { .service = p->service };
+
+	h->frame = *f;
+	dl_name_set(&h->workspace, f->ask.workspace);
+	h->frame.ask.workspace = dl_name_str(&h->workspace);
+	h->next = p->held;
+	p->held = h;
+	queued.answer.request = f->ask.request;
+	queued.answer.entry = f->ask.entry;
+	queued.answer.verdict = DL_QUEUED;
+	answer_to(e, &queued);
+}
+
+/* Ask the pool what was held, once it knows its endpoints. */
+static void let_go_held(struct entry *e, struct entry_pool *p)
+{
+	struct held_ask *h = p->held, *next;
+
+	if (!h || (p->leading && knows_nobody(e, p)))
+		return;
+	p->held = NULL;
+	for (; h; h = next) {
+		next = h->next;
+		entry_pool_ask(e, p, &h->frame, false);
+		g_free(h);
+	}
+}
+
+/* Take back an ask of an entry, wherever it waits. */
+void entry_pool_cancel(struct entry *e, struct entry_pool *p, uint64_t entry,
+		       uint64_t request)
+{
+	if (!drop_held(p, entry, request))
+		dl_pool_cancel(p->pool, entry, request, entry_now(e));
+}
+
 /*
  * Ask a pool kept here.  local: also where this VM does not lead it, because
  * no dispatcher answers.
@@ -265,6 +349,10 @@
 	struct dl_answer answer;
 
 	update_leading(e, p);
+	if (p->leading && !local && knows_nobody(e, p)) {
+		hold(e, p, f);
+		return;
+	}
 	if (p->leading && !local && !f->settled && send_away(e, p, ask))
 		return;
 	if (p->leading || local) {
@@ -311,7 +399,7 @@
 		return;
 	p = entry_pool_find(e, dl_name_str(&service));
 	if (p)
-		dl_pool_cancel(p->pool, from, request, entry_now(e));
+		entry_pool_cancel(e, p, from, request);
 }
 
 static void on_renew(struct entry *e, uint64_t from, const struct dl_frame *f)
@@ -537,6 +625,7 @@
 	int64_t queued = 0, endpoints = 0;
 
 	for (p = e->pools; p; p = p->next) {
+		let_go_held(e, p);
 		while (dl_pool_next(p->pool, now, &answer))
 			send_answer(e, p, &answer);
 		if (!summaries)
--- a/src/protocol/api.c
+++ b/src/protocol/api.c
@@ -103,15 +103,21 @@
 	c->rest = NULL;
 }
 
-/* The other members of a group; each holds an equal part of the prompt. */
+/* The other members of a group, and what each is to hold of the prompt. */
 static json_t *group_of(const struct dl_answer *grant)
 {
 	json_t *group = json_array();
 
-	for (uint32_t i = 1; i < grant->endpoints; i++)
-		json_array_append_new(group,
-				      json_stringn(grant->endpoint[i].s,
-						   grant->endpoint[i].n));
+	for (uint32_t i = 1; i < grant->endpoints; i++) {
+		const struct dl_name *name = &grant->endpoint[i];
+		json_int_t tokens = (json_int_t)grant->share_tokens[i];
+		json_t *member = json_object();
+
+		json_object_set_new(member, "address",
+				    json_stringn(name->s, name->n));
+		json_object_set_new(member, "tokens", json_integer(tokens));
+		json_array_append_new(group, member);
+	}
 	return group;
 }
 
@@ -182,7 +188,7 @@
 		out->done = true;
 		return 0;
 	}
-	if (data.n < 2 || data.s[0] != '{')
+	if (!data.s || data.n < 2 || data.s[0] != '{')
 		return -EBADMSG;
 	out->has_text = memmem(data.s, data.n, "\"text\"", 6) != NULL;
 	if (!want_text && !memmem(data.s, data.n, "\"usage\"", 7))
--- a/src/protocol/pack.c
+++ b/src/protocol/pack.c
@@ -1,6 +1,8 @@
 /* Small readers and writers over msgpack-c. */
 #include "protocol/pack.h"
 
+#include "base/sound.h"
+
 /* Open a body; bad where it is not one whole array. */
 void dl_reader_open(struct dl_reader *r, struct dl_str body)
 {
@@ -9,7 +11,8 @@
 	msgpack_unpacked_init(&r->unpacked);
 	r->at = NULL;
 	r->left = 0;
-	r->bad = msgpack_unpack_next(&r->unpacked, body.s, body.n, &off) !=
+	r->bad = !dl_msgpack_sound(body) ||
+		 msgpack_unpack_next(&r->unpacked, body.s, body.n, &off) !=
 			 MSGPACK_UNPACK_SUCCESS ||
 		 off != body.n || r->unpacked.data.type != MSGPACK_OBJECT_ARRAY;
 	if (r->bad)
--- a/src/transport/peers.c
+++ b/src/transport/peers.c
@@ -14,6 +14,7 @@
 
 #include "base/metric.h"
 #include "base/msg.h"
+#include "base/sound.h"
 
 #define LENGTH_BYTES   4
 #define FRAME_ITEMS    4
@@ -268,7 +269,8 @@
 	const msgpack_object *item;
 	size_t off = 0;
 
-	if (msgpack_unpack_next(u, p, n, &off) != MSGPACK_UNPACK_SUCCESS)
+	if (!dl_msgpack_sound((struct dl_str){ p, n }) ||
+	    msgpack_unpack_next(u, p, n, &off) != MSGPACK_UNPACK_SUCCESS)
 		return false;
 	if (off != n || u->data.type != MSGPACK_OBJECT_ARRAY ||
 	    u->data.via.array.size != FRAME_ITEMS)
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -272,7 +272,8 @@
 	first = dl_completion_first(&c, &f.answer);
 	ck_assert_str_eq(first, "{\"stream\":true,\"max_tokens\":256,"
 				"\"priority\":2,"
-				"\"group\":[\"127.0.0.2:9000\"],");
+				"\"group\":[{\"address\":\"127.0.0.2:9000\","
+				"\"tokens\":1}],");
 	free(first);
 	f.answer.endpoints = 1;
 	first = dl_completion_first(&c, &f.answer);
