--- a/test/fake/http.h
+++ b/test/fake/http.h
@@ -47,6 +47,8 @@
 		      const struct fake_header *headers);
 void fake_reply_write(struct fake_request *req, struct dl_str piece);
 void fake_reply_end(struct fake_request *req);
+/* Bytes written that the peer has not made room for. */
+size_t fake_reply_waiting(const struct fake_request *req);
 /* Break the connection off; no gone() follows. */
 void fake_reply_abort(struct fake_request *req);
 
--- a/test/fake/http_server.c
+++ b/test/fake/http_server.c
@@ -161,6 +161,11 @@
 	flush(r);
 }
 
+size_t fake_reply_waiting(const struct fake_request *r)
+{
+	return r->pending->len;
+}
+
 void fake_reply_end(struct fake_request *r)
 {
 	r->ending = true;
--- /dev/null
+++ b/test/test_system_slow.sh
@@ -0,0 +1,39 @@
+#!/bin/sh
+# Callers that stop reading long streams: the entry's memory stays bounded,
+# other callers notice nothing, and the engines get their memory back.
+cd "$(dirname "$0")/.." || exit 2
+. test/deploy.sh
+VMS_EACH=1
+DL_RUNNERS=3
+DL_RUNNER_OPTIONS="--decode-rate 20000 --memory 8000000"
+READERS=20
+GROWTH_MAX_KB=150000
+[ -z "${DL_SANITIZED:-}" ] || GROWTH_MAX_KB=600000
+test_begin dala
+deploy_start || fail "the deployment does not start"
+
+rss_kb() {
+	awk '/^VmRSS/ { print $2 }' "/proc/$(pid_of entry_1_1)/status"
+}
+
+# Each would be given 18 MB within 10 s.
+before=$(rss_kb)
+n=0
+while [ $n -lt $READERS ]; do
+	$DL_HTTP --stall 6000 -X POST -H 'Daisyledge-Deadline-Ms: 60000' \
+		-H 'Daisyledge-Workspace: almaty-counter' \
+		-d "{\"model\":\"$MODEL\",\"prompt\":\"slow $n\",\"stream\":true,\"max_tokens\":200000}" \
+		"$(vm_address 1 1):$HTTP_PORT" /v1/completions &
+	remember reader $!
+	n=$((n + 1))
+done
+sleep 4
+growth=$(($(rss_kb) - before))
+streams=$(grep -c '^B .* /v1/completions ' "$RECORD")
+echo "unread streams begun: $streams, growth of the entry: $growth KB"
+[ "$streams" -ge $READERS ] || fail "only $streams streams began"
+[ $growth -lt $GROWTH_MAX_KB ] || fail "the entry grew by $growth KB"
+
+ENTRIES=$(vm_address 1 1):$HTTP_PORT
+CLASSES=test/data/load-models.json
+run_load --seconds 2 --done-min 950 || fail "others notice"
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -34,6 +34,7 @@
 #define HOLD_LEASE_MS	 2000
 #define HOLD_RENEW_MS	 600
 #define DIE_AFTER_TOKENS 4
+#define WAITING_MAX	 (256u << 10) /* a slow reader holds up its stream */
 #define CHUNK_MAX	 512
 #define PLAIN_ANSWER_MAX 128
 #define SSE_HEADERS	 3
@@ -604,7 +605,8 @@
 {
 	uint64_t ready = fake_seq_ready(&job->seq);
 
-	while (job->reply && !job->muted && job->written < ready) {
+	while (job->reply && !job->muted && job->written < ready &&
+	       fake_reply_waiting(job->reply) < WAITING_MAX) {
 		if (!job->head_sent) {
 			job->head_sent = true;
 			fake_reply_begin(job->reply, 200, sse_headers);
@@ -716,7 +718,9 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct job *job = value;
 
-		if (job->ended && now >= job->until)
+		if (job->ended && job->reply && !job->muted)
+			pump_stream(job);
+		else if (job->ended && now >= job->until)
 			g_hash_table_iter_remove(&it);
 		else if (!job->ended && job->plain)
 			pump_plain(job, now);
--- a/test/tool_http.c
+++ b/test/tool_http.c
@@ -3,9 +3,12 @@
  * body, and with --head the head before it; exit status 0 where the status is
  * the one expected, 1 where it is another, 3 where no whole answer came.
  */
+#include <arpa/inet.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <uv.h>
 
 #include "fake/http.h"
@@ -27,6 +30,7 @@
 	char *file;
 	int expect;
 	int timeout_ms;
+	int stall_ms;
 	gboolean head;
 } opt = { .method = "GET", .timeout_ms = 10000 };
 
@@ -42,6 +46,8 @@
 	  "status expected; 0 for any of 200 to 299", "STATUS" },
 	{ "timeout", 't', 0, G_OPTION_ARG_INT, &opt.timeout_ms, "longest wait",
 	  "MS" },
+	{ "stall", 0, 0, G_OPTION_ARG_INT, &opt.stall_ms,
+	  "read nothing for so long, then leave", "MS" },
 	{ "head", 'i', 0, G_OPTION_ARG_NONE, &opt.head, "print the head too",
 	  NULL },
 	{ NULL },
@@ -98,6 +104,33 @@
 								 EXIT_OTHER;
 }
 
+/* Send the request, read nothing, and leave: a caller that has hung. */
+static int stall(const struct fake_call_req *req)
+{
+	struct sockaddr_in to = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	GString *s = g_string_new(NULL);
+	bool sent;
+
+	g_string_printf(s, "%s %s HTTP/1.1\r\nHost: a\r\n", req->method,
+			req->path);
+	for (const struct fake_header *h = req->headers; h->name; h++)
+		g_string_append_printf(s, "%s: %s\r\n", h->name, h->value);
+	g_string_append_printf(s, "Content-Length: %zu\r\n\r\n", req->body.n);
+	g_string_append_len(s, req->body.s, (gssize)req->body.n);
+	to.sin_port = htons((uint16_t)(req->to & 0xffff));
+	to.sin_addr.s_addr = htonl((uint32_t)(req->to >> 16));
+	sent = fd >= 0 &&
+	       connect(fd, (const struct sockaddr *)&to, sizeof(to)) == 0 &&
+	       write(fd, s->str, s->len) == (ssize_t)s->len;
+	g_string_free(s, TRUE);
+	if (sent)
+		g_usleep((gulong)opt.stall_ms * 1000);
+	if (fd >= 0)
+		close(fd);
+	return sent ? EXIT_EXPECTED : EXIT_NO_ANSWER;
+}
+
 int main(int argc, char **argv)
 {
 	static const struct fake_call_ops ops = { on_head, on_body, on_end };
@@ -127,6 +160,8 @@
 		fprintf(stderr, "http: %s\n", err->message);
 		return EXIT_BAD_USAGE;
 	}
+	if (opt.stall_ms)
+		return stall(&req);
 	fake_call_start(uv_default_loop(), &req, &ops, &outcome);
 	uv_run(uv_default_loop(), UV_RUN_DEFAULT);
 	return verdict(&outcome);
