--- a/bench/bench_pool.c
+++ b/bench/bench_pool.c
@@ -319,7 +319,7 @@
 	d->granted[(d->first + d->n++) % d->ring] = a->grant;
 }
 
-static void decide_one(struct decide *d)
+__attribute__((noinline)) static void decide_one(struct decide *d)
 {
 	char name[24];
 	struct dl_ask ask = { .request = d->asked++,
@@ -451,8 +451,22 @@
 	decide_end(&d);
 }
 
-int main(void)
+/*
+ * Two arguments, workspaces and endpoints: only decisions, for callgrind with
+ * --toggle-collect=decide_one where the machine has no counter.
+ */
+int main(int argc, char **argv)
 {
+	struct decide d;
+
+	if (argc == 3) {
+		decide_begin(&d, (uint32_t)strtoul(argv[1], NULL, 10),
+			     (uint32_t)strtoul(argv[2], NULL, 10));
+		decide_end(&d);
+		printf("decisions\t%llu\tdecisions\n",
+		       (unsigned long long)d.asked);
+		return EXIT_SUCCESS;
+	}
 	for (size_t i = 0; i < sizeof(sides) / sizeof(sides[0]); i++)
 		slowdown(&sides[i]);
 	saturation();
--- a/test/test_pool_load.c
+++ b/test/test_pool_load.c
@@ -264,7 +264,7 @@
 {
 	uint64_t once = goodput(1);
 
-	ck_assert_uint_ge(once, 60 * 140); /* the capacity is 160 a second */
+	ck_assert_uint_ge(once, 8400); /* of 9,600 */
 	ck_assert_uint_ge(goodput(2) * 100, once * 95);
 	ck_assert(prediction() > 0.9 && prediction() < 1.25);
 }
@@ -377,12 +377,12 @@
 	for (uint32_t i = 0; i < 4; i++)
 		load.engine[i].conf.memory = 100000;
 	for (int i = 0; i < 6000; i++) {
-		load_add(&load, i * 20, DL_CLASS_INTERACTIVE, 5, 1000, 1000,
-			 40000)
+		load_add(&load, (int64_t)i * 20, DL_CLASS_INTERACTIVE, 5, 1000,
+			 1000, 40000)
 			->tag = LOAD_SHORT;
 		if (i == 1500)
-			load_add(&load, i * 20, DL_CLASS_BATCH, 1, 250000, 300,
-				 70000)
+			load_add(&load, (int64_t)i * 20, DL_CLASS_BATCH, 1,
+				 250000, 300, 70000)
 				->tag = LOAD_GIANT;
 	}
 	load_run(&load, 200000);
