--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -82,6 +82,12 @@
 	return pool->random;
 }
 
+/* A number of tokens as claimed, cut to what is reckoned with. */
+uint64_t pool_tokens(uint64_t claimed)
+{
+	return claimed < POOL_TOKENS_MAX ? claimed : POOL_TOKENS_MAX;
+}
+
 /* A fading rate as of now, in units a millisecond. */
 double pool_rate_read(const struct pool_rate *rate, int64_t now)
 {
@@ -248,8 +254,8 @@
 				   .deadline = ask->deadline };
 	if (out->class >= DL_CLASS_COUNT)
 		out->class = DL_CLASS_BATCH;
-	out->prompt = ask->prompt_tokens ? ask->prompt_tokens : 1;
-	out->output = ask->output_tokens;
+	out->prompt = ask->prompt_tokens ? pool_tokens(ask->prompt_tokens) : 1;
+	out->output = pool_tokens(ask->output_tokens);
 	out->need = out->prompt + out->output;
 	if (pool->conf.kind == DL_POOL_PLAIN) {
 		out->prompt = 1;
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -116,6 +116,9 @@
 		memset(e->until, 0, sizeof(e->until));
 	}
 	e->last = *r;
+	e->last.memory_tokens = pool_tokens(r->memory_tokens);
+	e->last.used_tokens = pool_tokens(r->used_tokens);
+	e->last.prefill_backlog = pool_tokens(r->prefill_backlog);
 	e->state = POOL_EP_LIVE;
 	e->unreachable = false;
 	pool_heap_set(&pool->endpoint_gone, &e->gone,
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -80,6 +80,12 @@
 };
 #define POOL_BANDS 4
 
+/*
+ * The most tokens that are reckoned with; whatever a caller or an endpoint
+ * claims beyond is cut to it, so that no sum overflows.
+ */
+#define POOL_TOKENS_MAX ((uint64_t)1 << 40)
+
 /* Priorities that an engine tells apart; giants run as long ones. */
 #define POOL_LEVELS 3
 #define POOL_LANES  (DL_CLASS_COUNT * POOL_BANDS)
@@ -430,6 +436,7 @@
 /* pool.c */
 uint64_t pool_mix(uint64_t x);
 uint64_t pool_random(struct dl_pool *pool);
+uint64_t pool_tokens(uint64_t claimed);
 uint8_t pool_level(const struct pool_want *want);
 /* pool_endpoint.c */
 void pool_endpoint_expire(struct dl_pool *pool, int64_t now);
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -1,6 +1,7 @@
 /* The contract of a pool, event by event. */
 #include <check.h>
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -298,6 +299,71 @@
 }
 END_TEST
 
+START_TEST(absurd_numbers_are_cut)
+{
+	struct dl_endpoint_report r = report_of("a:1");
+
+	report("a:1");
+	ck_assert_int_eq(ask(UINT64_MAX, UINT64_MAX, FAR).reason,
+			 DL_REASON_TOO_LONG);
+	ck_assert_int_eq(ask(UINT64_MAX - 10, 100, FAR).reason,
+			 DL_REASON_TOO_LONG);
+	r.used_tokens = UINT64_MAX;
+	r.prefill_backlog = UINT64_MAX;
+	r.running = UINT32_MAX;
+	for (int i = 0; i < 3; i++)
+		dl_pool_report(pool, &r, now);
+	ck_assert_int_ne(ask(100, 0, FAR).verdict, DL_GRANTED);
+}
+END_TEST
+
+/* Names that callers make up don't pile up. */
+START_TEST(idle_names_are_forgotten)
+{
+	char name[16];
+
+	report("a:1");
+	for (int i = 0; i < 100000; i++) {
+		struct dl_ask a = ask_of(10, 0, FAR);
+		struct dl_answer out;
+
+		snprintf(name, sizeof(name), "made-up-%d", i);
+		a.workspace = dl_str_of(name);
+		dl_pool_ask(pool, &a, now, &out);
+		ck_assert_int_eq(out.verdict, DL_GRANTED);
+		dl_pool_release(pool, out.grant, NULL, now);
+	}
+}
+END_TEST
+
+struct baseline {
+	const struct dl_pool_policy *policy;
+	const char *second; /* where the second request goes */
+};
+
+static const struct baseline baselines[] = {
+	{ &dl_policy_round_robin, "b:1" },
+	{ &dl_policy_least_load, "a:1" },
+};
+
+START_TEST(baselines_place_at_once)
+{
+	const struct baseline *c = &baselines[_i];
+	struct dl_endpoint_report busy = report_of("b:1");
+	struct dl_answer a, b;
+
+	dl_pool_free(pool);
+	pool = dl_pool_new(&conf, c->policy, 1);
+	report("a:1");
+	busy.prefill_backlog = 5000;
+	dl_pool_report(pool, &busy, now);
+	a = ask(1000, 0, FAR);
+	b = ask(1000, 0, FAR);
+	ck_assert(dl_name_eq(&a.endpoint[0], DL_STR("a:1")));
+	ck_assert(dl_name_eq(&b.endpoint[0], dl_str_of(c->second)));
+}
+END_TEST
+
 START_TEST(no_endpoint_says_when)
 {
 	struct dl_answer a = ask(1000, 0, FAR);
@@ -576,6 +642,10 @@
 	tcase_add_test(t, one_high_report_proves_nothing);
 	tcase_add_loop_test(t, refused_at_once, 0,
 			    sizeof(refusals) / sizeof(refusals[0]));
+	tcase_add_test(t, absurd_numbers_are_cut);
+	tcase_add_test(t, idle_names_are_forgotten);
+	tcase_add_loop_test(t, baselines_place_at_once, 0,
+			    sizeof(baselines) / sizeof(baselines[0]));
 	tcase_add_test(t, no_endpoint_says_when);
 	tcase_add_test(t, leaving_takes_nothing_new);
 	tcase_add_test(t, tried_endpoints_are_not_tried_again);
