--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -553,6 +553,16 @@
 	return sum / net->conf.vms;
 }
 
+/* Messages in and out, as bytes_each(). */
+static double msgs_each(const struct memb_net *net)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < net->conf.vms; i++)
+		sum += (double)(net->vms[i].msgs_in + net->vms[i].msgs_out);
+	return sum / net->conf.vms;
+}
+
 static double busiest(const struct memb_net *net)
 {
 	double max = 0;
@@ -576,6 +586,8 @@
 	printf("%s_ms\t%lld\tms\n", name, (long long)took);
 	if (net->now - began < 30000)
 		memb_net_run(net, 30000 - (net->now - began));
+	printf("%s_msgs_per_s\t%.2f\t1/s\n", name,
+	       msgs_each(net) / (double)(net->now - began) * MS_PER_S);
 	printf("%s_bytes_per_s\t%.0f\tB/s\n", name,
 	       bytes_each(net) / (double)(net->now - began) * MS_PER_S);
 	printf("%s_bytes_per_s_max\t%.0f\tB/s\n", name,
