Dispatch: plain services use all their slots

Found by the first trial of a plain service under load, 3 endpoints of 8 slots at 80%: 11,808 of 14,347 requests refused. Cause: one, endpoints without a sample counted into the median with a default of 1 ms, so the first one with samples was put out for being 42 times slower; two, an endpoint of a plain service that reports memory was reckoned as an engine, one request after another. Change: the median is that of endpoints with samples; what a plain endpoint says of memory and prefill is left out.

--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -119,6 +119,11 @@
 	e->last.memory_tokens = pool_tokens(r->memory_tokens);
 	e->last.used_tokens = pool_tokens(r->used_tokens);
 	e->last.prefill_backlog = pool_tokens(r->prefill_backlog);
+	if (pool->conf.kind == DL_POOL_PLAIN) {
+		e->last.memory_tokens = 0;
+		e->last.used_tokens = 0;
+		e->last.prefill_backlog = 0;
+	}
 	e->state = POOL_EP_LIVE;
 	e->unreachable = false;
 	pool_heap_set(&pool->endpoint_gone, &e->gone,
--- a/src/coordination/pool_shift.c
+++ b/src/coordination/pool_shift.c
@@ -116,7 +116,8 @@
 	if (!list)
 		abort();
 	for (uint32_t i = 0; i < pool->endpoints_n; i++)
-		if (pool->endpoints[i]->counted_open)
+		if (pool->endpoints[i]->counted_open &&
+		    pool->endpoints[i]->samples >= OUTLIER_SAMPLES)
 			list[n++] = latency_of(pool, pool->endpoints[i]);
 	if (n >= MEDIAN_ENDPOINTS) {
 		qsort(list, n, sizeof(*list), compare_doubles);
--- a/test/test_pool_load.c
+++ b/test/test_pool_load.c
@@ -1,5 +1,6 @@
 /* What callers see under load and faults, over fake engines. */
 #include <check.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -437,6 +438,47 @@
 }
 END_TEST
 
+/* Three endpoints of a plain service, eight requests of 40 ms at once each. */
+static void plain(double part, uint32_t slow)
+{
+	struct dl_pool_conf conf = pool_conf;
+	struct sim_engine_conf engine = engine_conf;
+	int64_t us = 0;
+
+	load_fini(&load);
+	conf.kind = DL_POOL_PLAIN;
+	engine.slots = 8;
+	load_init(&load, 3, &engine, &conf, &dl_policy_late_binding, 1);
+	load.check = true;
+	load.engine[1].slow = slow;
+	while (us < 30000000) {
+		load_add(&load, us / 1000, DL_CLASS_URGENT, 1, 1, 2, 500);
+		us += (int64_t)(-1000 * 40 / 24.0 / part *
+				log(1 - g_rand_double(rnd)));
+	}
+	load_run(&load, 32000);
+}
+
+START_TEST(plain_service_at_twice_the_load)
+{
+	plain(0.8, 1);
+	check_clean();
+	ck_assert_uint_eq(load_count(&load, LOAD_ANY, LOAD_REFUSED), 0);
+	ck_assert_int_le(load_ttft(&load, LOAD_ANY, P95), 20);
+	plain(2, 1);
+	check_clean();
+	ck_assert_uint_ge(load_count(&load, LOAD_ANY, LOAD_DONE), 16200);
+}
+END_TEST
+
+START_TEST(plain_service_with_a_slow_endpoint)
+{
+	plain(0.5, 10);
+	ck_assert_uint_eq(load_count(&load, LOAD_ANY, LOAD_REFUSED), 0);
+	ck_assert_uint_le(load_count(&load, LOAD_ANY, LOAD_LATE), 10);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("pool_load");
@@ -462,6 +504,8 @@
 	tcase_add_test(t, long_keeps_its_promise);
 	tcase_add_test(t, unsteady_engines);
 	tcase_add_test(t, engines_without_priority);
+	tcase_add_test(t, plain_service_at_twice_the_load);
+	tcase_add_test(t, plain_service_with_a_slow_endpoint);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
