Let operators leave before their answer without taking the entry down

Cause: an operator's request kept no pointer of its own with the server, so its holder was never told that the caller had gone, and the answer seconds later went to a freed request: the entry died in h2o's assertion that no write is under way. Ruled out: answers told twice by the command queue. Change: every holder of a request begins with what the server calls when it goes.

--- a/src/main/entry.c
+++ b/src/main/entry.c
@@ -153,18 +153,18 @@
 
 static void on_gone(void *arg, struct dl_httpd_req *req)
 {
-	struct call *c = dl_httpd_data(req);
+	struct http_holder *holder = dl_httpd_data(req);
 
-	if (c)
-		entry_call_gone(c);
+	if (holder)
+		holder->gone(holder);
 }
 
 static void on_drained(void *arg, struct dl_httpd_req *req)
 {
-	struct call *c = dl_httpd_data(req);
+	struct http_holder *holder = dl_httpd_data(req);
 
-	if (c)
-		entry_call_drained(c);
+	if (holder && holder->drained)
+		holder->drained(holder);
 }
 
 static int open_door(struct entry *e, uint64_t address, unsigned uses,
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -80,8 +80,18 @@
 
 struct entry;
 
+/*
+ * Whoever holds a request of the server; the first member of what is kept with
+ * it.  gone: the request is freed afterwards, and must not be answered.
+ */
+struct http_holder {
+	void (*gone)(struct http_holder *self);
+	void (*drained)(struct http_holder *self); /* may be NULL */
+};
+
 /* One request of a caller, from its arrival to its answer. */
 struct call {
+	struct http_holder holder; /* first */
 	struct entry *e;
 	struct call *next, *prev;
 	struct dl_httpd_req *http; /* NULL once the caller has gone */
@@ -242,8 +252,7 @@
 /* entry_call.c */
 void entry_call_completion(struct entry *e, struct dl_httpd_req *req);
 void entry_call_plain(struct entry *e, struct dl_httpd_req *req);
-void entry_call_gone(struct call *c);
-void entry_call_drained(struct call *c);
+
 void entry_call_tick(struct entry *e, int64_t now);
 /* The final word: answers the caller, releases, traces, frees. */
 void entry_call_refuse(struct call *c, enum dl_reason reason, enum dl_step step,
@@ -309,7 +318,7 @@
 void entry_ops_config_get(struct entry *e, struct dl_httpd_req *req);
 void entry_ops_history(struct entry *e, struct dl_httpd_req *req);
 void entry_ops_status(struct entry *e, struct dl_httpd_req *req);
-void entry_ops_gone(void *data);
+
 /* Another VM asks what this one knows. */
 void entry_ops_frame(struct entry *e, uint64_t from,
 		     const struct dl_frame *frame);
--- a/src/main/entry_call.c
+++ b/src/main/entry_call.c
@@ -408,8 +408,9 @@
 }
 
 /* The caller has left: nobody reads the answer, so the work stops. */
-void entry_call_gone(struct call *c)
+static void on_gone(struct http_holder *self)
 {
+	struct call *c = (struct call *)self;
 	struct dl_attempt a = { 0 };
 	enum dl_outcome outcome;
 
@@ -427,8 +428,10 @@
 }
 
 /* The caller has read what it was sent. */
-void entry_call_drained(struct call *c)
+static void on_drained(struct http_holder *self)
 {
+	struct call *c = (struct call *)self;
+
 	if (c->attempt)
 		dl_httpc_resume(c->attempt);
 }
@@ -524,6 +527,8 @@
 {
 	struct call *c = g_new0(struct call, 1);
 
+	c->holder.gone = on_gone;
+	c->holder.drained = on_drained;
 	c->e = e;
 	c->http = req;
 	c->begun = entry_now(e);
--- a/src/main/entry_ops.c
+++ b/src/main/entry_ops.c
@@ -18,6 +18,7 @@
 #define ASK_MAX		 64   /* dispatchers asked for their pools */
 
 struct ops {
+	struct http_holder holder; /* first */
 	struct entry *e;
 	struct dl_httpd_req *http; /* NULL once the operator has gone */
 	uint32_t waiting;	   /* answers still to come */
@@ -26,13 +27,20 @@
 	bool needs_confirm;
 };
 
+/* The operator has gone: what was asked for goes on, its answer is dropped. */
+static void on_gone(struct http_holder *self)
+{
+	((struct ops *)self)->http = NULL;
+}
+
 static struct ops *ops_new(struct entry *e, struct dl_httpd_req *req)
 {
 	struct ops *o = g_new0(struct ops, 1);
 
+	o->holder.gone = on_gone;
 	o->e = e;
 	o->http = req;
-	dl_httpd_set_data(req, NULL);
+	dl_httpd_set_data(req, o);
 	return o;
 }
 
@@ -177,7 +185,6 @@
 	cmd.author = change->author;
 	cmd.expect = change->expect;
 	cmd.confirm = change->confirm;
-	dl_httpd_set_data(o->http, NULL);
 	entry_cmd_send(o->e, &cmd, APPLY_MS, done);
 }
 
