Dispatch: what an endpoint still has to do in a file of its own; given-up requests teach nothing

A plain request that its caller gave up on counted its length as the service's time, and cleared a run of failures. With the check off in a scratch copy given_up_requests_teach_nothing fails.

--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -7,6 +7,7 @@
  *	pool_admit.c	can this request make it
  *	pool_queue.c	who waits, who is next, who makes room
  *	pool_place.c	which endpoint takes it (pool_prefix.c: whose cache)
+ *	pool_backlog.c	what each endpoint still has to do
  *	pool_group.c	which endpoints take one that fits on none
  *	pool_grant.c	who holds what, and until when
  *	pool_shift.c	which endpoints lose their share
--- /dev/null
+++ b/src/coordination/pool_backlog.c
@@ -0,0 +1,156 @@
+/*
+ * What an endpoint still has to do, as far as the pool can reckon: prefill by
+ * levels of priority, moved by own grants at once and by reports later, and
+ * what its reports show beyond the grants.
+ */
+#include "pool_int.h"
+
+/* Less than this is not corrected: it is within what a grant may be early. */
+#define CORRECT_FROM_MS 20
+#define SLACK_NONE	(INT64_MAX / 4)
+
+static int64_t max_time(int64_t a, int64_t b);
+static uint64_t excess_high(const struct pool_excess *excess);
+static uint64_t excess_middle(const struct pool_excess *excess);
+static void excess_note(struct pool_excess *excess, uint64_t seen, bool first);
+static void correct_backlog(struct dl_pool *pool, struct pool_endpoint *e,
+			    bool first, int64_t now);
+
+static int64_t max_time(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+/* The work so far that engines do before that of a level. */
+int64_t pool_backlog_higher_ms(const struct pool_endpoint *e, uint8_t level)
+{
+	int64_t sum = 0;
+
+	for (uint8_t i = 0; i < level; i++)
+		sum += e->committed_ms[i];
+	return sum;
+}
+
+/* Count a granted prefill, and how much later it may still end. */
+void pool_backlog_commit(struct pool_endpoint *e, const struct pool_want *want,
+			 int64_t prefill_ms, int64_t slack_ms, int64_t now)
+{
+	uint8_t level = pool_level(want);
+
+	if (e->last.memory_tokens == 0)
+		return;
+	for (int i = level; i < POOL_LEVELS; i++) {
+		if (e->until[i] <= now) {
+			e->until[i] = now;
+			e->slack[i] = SLACK_NONE;
+		}
+		e->until[i] += prefill_ms;
+		if (i > level)
+			e->slack[i] -= prefill_ms;
+	}
+	e->committed_ms[level] += prefill_ms;
+	if (slack_ms < e->slack[level])
+		e->slack[level] = slack_ms;
+}
+
+/* Take back what is left of a prefill that ended before its time. */
+void pool_backlog_undo(struct pool_endpoint *e, uint8_t level, int64_t rest_ms,
+		       int64_t now)
+{
+	for (int i = level; i < POOL_LEVELS; i++) {
+		e->until[i] = max_time(now, e->until[i] - rest_ms);
+		if (i > 0)
+			e->until[i] = max_time(e->until[i], e->until[i - 1]);
+	}
+}
+
+/* The lowest of the last reports: what all of them show. */
+uint64_t pool_excess_low(const struct pool_excess *excess)
+{
+	uint64_t low = excess->seen[0];
+
+	for (int i = 1; i < POOL_EXCESS_REPORTS; i++)
+		if (excess->seen[i] < low)
+			low = excess->seen[i];
+	return low;
+}
+
+static uint64_t excess_high(const struct pool_excess *excess)
+{
+	uint64_t high = excess->seen[0];
+
+	for (int i = 1; i < POOL_EXCESS_REPORTS; i++)
+		if (excess->seen[i] > high)
+			high = excess->seen[i];
+	return high;
+}
+
+static uint64_t excess_middle(const struct pool_excess *excess)
+{
+	uint64_t sum = 0;
+
+	for (int i = 0; i < POOL_EXCESS_REPORTS; i++)
+		sum += excess->seen[i];
+	return sum - pool_excess_low(excess) - excess_high(excess);
+}
+
+static void excess_note(struct pool_excess *excess, uint64_t seen, bool first)
+{
+	for (int i = 0; first && i < POOL_EXCESS_REPORTS; i++)
+		excess->seen[i] = seen;
+	excess->seen[excess->at] = seen;
+	excess->at = (uint8_t)((excess->at + 1) % POOL_EXCESS_REPORTS);
+}
+
+/*
+ * Prefill that an endpoint reports beyond what was reckoned.  A report is up
+ * to a few of its periods old, so it is held against the most that was
+ * reckoned over the last ones; and the middle one of three counts, since the
+ * work there changes from one report to the next.
+ */
+static void correct_backlog(struct dl_pool *pool, struct pool_endpoint *e,
+			    bool first, int64_t now)
+{
+	double per_token = pool_ms_per_token(pool, e);
+	int64_t own = max_time(0, e->until[POOL_LEVELS - 1] - now);
+	int64_t reported =
+		(int64_t)((double)e->last.prefill_backlog * per_token);
+	int64_t more;
+
+	excess_note(&e->backlog_own, (uint64_t)own, first);
+	own = (int64_t)excess_high(&e->backlog_own);
+	excess_note(&e->backlog_excess,
+		    reported > own ? (uint64_t)(reported - own) : 0, first);
+	more = (int64_t)excess_middle(&e->backlog_excess);
+	if (more <= CORRECT_FROM_MS)
+		return;
+	for (int i = 0; i < POOL_LEVELS; i++) {
+		if (e->long_grants > 0 && i < POOL_LEVELS - 1)
+			continue;
+		e->until[i] = max_time(now, e->until[i]) + more;
+	}
+	excess_note(&e->backlog_excess, 0, true);
+}
+
+/*
+ * Reconcile with an endpoint's own report.  Reports lag, so one that shows
+ * more than the pool's grants proves nothing; what three in a row show is
+ * somebody else's, or a grant reclaimed while the engine still works on it,
+ * and is kept free for that.  One that shows less is not believed at all: an
+ * endpoint that understates its load would otherwise be given everything.
+ * The first report of an incarnation counts by itself, since a dispatcher that
+ * has just begun knows of no grants.
+ */
+void pool_backlog_report(struct dl_pool *pool, struct pool_endpoint *e,
+			 bool first, int64_t now)
+{
+	uint64_t used = e->last.used_tokens;
+	uint32_t running = e->last.running;
+
+	excess_note(&e->memory_excess, used > e->held ? used - e->held : 0,
+		    first);
+	excess_note(&e->running_excess,
+		    running > e->grants ? running - e->grants : 0, first);
+	if (pool->conf.kind == DL_POOL_MODEL)
+		correct_backlog(pool, e, first, now);
+}
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -128,7 +128,7 @@
 	e->unreachable = false;
 	pool_heap_set(&pool->endpoint_gone, &e->gone,
 		      now + pool->conf.report_gone_ms);
-	pool_place_report(pool, e, first, now);
+	pool_backlog_report(pool, e, first, now);
 	if (r->leaving)
 		pool_hold_lost(pool, e);
 	if (was == POOL_EP_GONE)
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -192,7 +192,7 @@
 	g->behind_lower = choice->behind_lower;
 	g->priority = pool_place_priority(want, choice, now);
 	g->higher_ms =
-		pool_place_higher_ms(choice->endpoint[0], pool_level(want));
+		pool_backlog_higher_ms(choice->endpoint[0], pool_level(want));
 	for (uint8_t i = 0; i < choice->n; i++) {
 		struct pool_endpoint *e = choice->endpoint[i];
 
@@ -200,7 +200,8 @@
 			prefill -= (int64_t)e->interference_ms;
 		g->parts[i].prefill_ms = prefill > 0 ? prefill : 1;
 		mark_crowded(g, e, now);
-		pool_place_commit(e, want, g->parts[i].prefill_ms, slack, now);
+		pool_backlog_commit(e, want, g->parts[i].prefill_ms, slack,
+				    now);
 		attach(g, i, e, choice->share);
 		if (choice->probe) {
 			e->probe = g->id;
@@ -264,8 +265,8 @@
 		if (rest > part->prefill_ms)
 			rest = part->prefill_ms;
 		if (part->endpoint && rest > 0)
-			pool_place_undo(part->endpoint, pool_level(&g->want),
-					rest, now);
+			pool_backlog_undo(part->endpoint, pool_level(&g->want),
+					  rest, now);
 		detach(pool, part, now);
 	}
 	g->workspace->running--;
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -533,16 +533,19 @@
 			    const struct pool_choice *choice, int64_t now);
 uint32_t pool_place_long_max(const struct dl_pool *pool);
 uint64_t pool_place_free(const struct pool_endpoint *e);
-void pool_place_report(struct dl_pool *pool, struct pool_endpoint *e,
-		       bool first, int64_t now);
 double pool_ms_per_token(const struct dl_pool *pool,
 			 const struct pool_endpoint *e);
 double pool_decode_ms(const struct pool_endpoint *e);
-int64_t pool_place_higher_ms(const struct pool_endpoint *e, uint8_t level);
-void pool_place_commit(struct pool_endpoint *e, const struct pool_want *want,
-		       int64_t prefill_ms, int64_t slack_ms, int64_t now);
-void pool_place_undo(struct pool_endpoint *e, uint8_t level, int64_t rest_ms,
-		     int64_t now);
+
+/* pool_backlog.c */
+int64_t pool_backlog_higher_ms(const struct pool_endpoint *e, uint8_t level);
+void pool_backlog_commit(struct pool_endpoint *e, const struct pool_want *want,
+			 int64_t prefill_ms, int64_t slack_ms, int64_t now);
+void pool_backlog_undo(struct pool_endpoint *e, uint8_t level, int64_t rest_ms,
+		       int64_t now);
+void pool_backlog_report(struct dl_pool *pool, struct pool_endpoint *e,
+			 bool first, int64_t now);
+uint64_t pool_excess_low(const struct pool_excess *excess);
 
 /* pool_prefix.c */
 uint32_t pool_prefix_saved(const struct dl_pool *pool,
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -46,7 +46,6 @@
 #define KEEP_CLEAR_FROM_MS 40.0
 #define KEEP_CLEAR_SHARE   0.5
 
-#define SLACK_NONE	 (INT64_MAX / 4)
 #define PRIORITY_BAND	 64
 #define PRIORITY_CLASS	 16
 #define PRIORITY_BUCKETS 4
@@ -77,12 +76,6 @@
 static void consider(struct search *s, struct pool_endpoint *e);
 static bool probe_choose(struct dl_pool *pool, const struct pool_want *want,
 			 int64_t now, struct pool_choice *out);
-static uint64_t excess_low(const struct pool_excess *excess);
-static uint64_t excess_high(const struct pool_excess *excess);
-static uint64_t excess_middle(const struct pool_excess *excess);
-static void excess_note(struct pool_excess *excess, uint64_t seen, bool first);
-static void correct_backlog(struct dl_pool *pool, struct pool_endpoint *e,
-			    bool first, int64_t now);
 static bool is_held_long(const struct pool_endpoint *e);
 static void count(struct dl_pool *pool, struct pool_endpoint *e);
 static void find_memory_max(struct dl_pool *pool);
@@ -132,7 +125,8 @@
 
 static uint64_t free_beside(const struct pool_endpoint *e, uint64_t reserved)
 {
-	uint64_t taken = e->held + reserved + excess_low(&e->memory_excess);
+	uint64_t taken =
+		e->held + reserved + pool_excess_low(&e->memory_excess);
 
 	return e->last.memory_tokens > taken ? e->last.memory_tokens - taken :
 					       0;
@@ -213,7 +207,7 @@
 			int64_t now)
 {
 	struct pool_index_node leaf;
-	uint64_t running = e->grants + excess_low(&e->running_excess);
+	uint64_t running = e->grants + pool_excess_low(&e->running_excess);
 
 	count(pool, e);
 	if (!pool_endpoint_open(pool, e) ||
@@ -285,7 +279,7 @@
 	}
 	if (want->need > room)
 		return false;
-	if (e->grants + excess_low(&e->running_excess) >=
+	if (e->grants + pool_excess_low(&e->running_excess) >=
 	    pool_shift_slots(e, now))
 		return false;
 	return levels_allow(e, level, (int64_t)ceil(prefill), now);
@@ -536,136 +530,3 @@
 	return (uint8_t)(pool_level(want) * PRIORITY_BAND +
 			 want->class * PRIORITY_CLASS + bucket);
 }
-
-/* The work so far that engines do before that of a level. */
-int64_t pool_place_higher_ms(const struct pool_endpoint *e, uint8_t level)
-{
-	int64_t sum = 0;
-
-	for (uint8_t i = 0; i < level; i++)
-		sum += e->committed_ms[i];
-	return sum;
-}
-
-/* Count a granted prefill, and how much later it may still end. */
-void pool_place_commit(struct pool_endpoint *e, const struct pool_want *want,
-		       int64_t prefill_ms, int64_t slack_ms, int64_t now)
-{
-	uint8_t level = pool_level(want);
-
-	if (e->last.memory_tokens == 0)
-		return;
-	for (int i = level; i < POOL_LEVELS; i++) {
-		if (e->until[i] <= now) {
-			e->until[i] = now;
-			e->slack[i] = SLACK_NONE;
-		}
-		e->until[i] += prefill_ms;
-		if (i > level)
-			e->slack[i] -= prefill_ms;
-	}
-	e->committed_ms[level] += prefill_ms;
-	if (slack_ms < e->slack[level])
-		e->slack[level] = slack_ms;
-}
-
-/* Take back what is left of a prefill that ended before its time. */
-void pool_place_undo(struct pool_endpoint *e, uint8_t level, int64_t rest_ms,
-		     int64_t now)
-{
-	for (int i = level; i < POOL_LEVELS; i++) {
-		e->until[i] = max_time(now, e->until[i] - rest_ms);
-		if (i > 0)
-			e->until[i] = max_time(e->until[i], e->until[i - 1]);
-	}
-}
-
-static uint64_t excess_low(const struct pool_excess *excess)
-{
-	uint64_t low = excess->seen[0];
-
-	for (int i = 1; i < POOL_EXCESS_REPORTS; i++)
-		if (excess->seen[i] < low)
-			low = excess->seen[i];
-	return low;
-}
-
-static uint64_t excess_high(const struct pool_excess *excess)
-{
-	uint64_t high = excess->seen[0];
-
-	for (int i = 1; i < POOL_EXCESS_REPORTS; i++)
-		if (excess->seen[i] > high)
-			high = excess->seen[i];
-	return high;
-}
-
-static uint64_t excess_middle(const struct pool_excess *excess)
-{
-	uint64_t sum = 0;
-
-	for (int i = 0; i < POOL_EXCESS_REPORTS; i++)
-		sum += excess->seen[i];
-	return sum - excess_low(excess) - excess_high(excess);
-}
-
-static void excess_note(struct pool_excess *excess, uint64_t seen, bool first)
-{
-	for (int i = 0; first && i < POOL_EXCESS_REPORTS; i++)
-		excess->seen[i] = seen;
-	excess->seen[excess->at] = seen;
-	excess->at = (uint8_t)((excess->at + 1) % POOL_EXCESS_REPORTS);
-}
-
-/*
- * Prefill that an endpoint reports beyond what was reckoned.  A report is up
- * to a few of its periods old, so it is held against the most that was
- * reckoned over the last ones; and the middle one of three counts, since the
- * work there changes from one report to the next.
- */
-static void correct_backlog(struct dl_pool *pool, struct pool_endpoint *e,
-			    bool first, int64_t now)
-{
-	double per_token = pool_ms_per_token(pool, e);
-	int64_t own = max_time(0, e->until[POOL_LEVELS - 1] - now);
-	int64_t reported =
-		(int64_t)((double)e->last.prefill_backlog * per_token);
-	int64_t more;
-
-	excess_note(&e->backlog_own, (uint64_t)own, first);
-	own = (int64_t)excess_high(&e->backlog_own);
-	excess_note(&e->backlog_excess,
-		    reported > own ? (uint64_t)(reported - own) : 0, first);
-	more = (int64_t)excess_middle(&e->backlog_excess);
-	if (more <= BIND_AHEAD_MS)
-		return;
-	for (int i = 0; i < POOL_LEVELS; i++) {
-		if (e->long_grants > 0 && i < POOL_LEVELS - 1)
-			continue;
-		e->until[i] = max_time(now, e->until[i]) + more;
-	}
-	excess_note(&e->backlog_excess, 0, true);
-}
-
-/*
- * Reconcile with an endpoint's own report.  Reports lag, so one that shows
- * more than the pool's grants proves nothing; what three in a row show is
- * somebody else's, or a grant reclaimed while the engine still works on it,
- * and is kept free for that.  One that shows less is not believed at all: an
- * endpoint that understates its load would otherwise be given everything.
- * The first report of an incarnation counts by itself, since a dispatcher that
- * has just begun knows of no grants.
- */
-void pool_place_report(struct dl_pool *pool, struct pool_endpoint *e,
-		       bool first, int64_t now)
-{
-	uint64_t used = e->last.used_tokens;
-	uint32_t running = e->last.running;
-
-	excess_note(&e->memory_excess, used > e->held ? used - e->held : 0,
-		    first);
-	excess_note(&e->running_excess,
-		    running > e->grants ? running - e->grants : 0, first);
-	if (pool->conf.kind == DL_POOL_MODEL)
-		correct_backlog(pool, e, first, now);
-}
--- a/src/coordination/pool_shift.c
+++ b/src/coordination/pool_shift.c
@@ -137,7 +137,7 @@
 			   const struct dl_usage *usage)
 {
 	int64_t all =
-		pool_place_higher_ms(e, pool_level(&g->want)) - g->higher_ms;
+		pool_backlog_higher_ms(e, pool_level(&g->want)) - g->higher_ms;
 
 	if (all <= 0 || usage->total_ms == 0)
 		return 0;
@@ -269,20 +269,22 @@
 /*
  * Learn from the end of a grant, unless another dispatcher gave it: its times
  * are not known here.  From the endpoint's own answer to one
- * request only: what a group took says little about each of its engines.
+ * request only: what a group took says little about each of its engines, and
+ * one that its caller gave up on nothing at all.
  */
 void pool_shift_learn(struct dl_pool *pool, struct pool_grant *g,
 		      const struct dl_usage *usage, int64_t now)
 {
+	bool answered = usage->ttft_ms || usage->total_ms <= 1;
 	struct pool_endpoint *e = g->parts[0].endpoint;
 
 	if (!e || !usage->ran || g->adopted)
 		return;
 	if (usage->failed)
 		e->failures++;
-	else
+	else if (answered)
 		e->failures = 0;
-	if (g->parts_n == 1 && !usage->failed) {
+	if (g->parts_n == 1 && answered && !usage->failed) {
 		if (pool->conf.kind == DL_POOL_PLAIN) {
 			learn_service(e, usage);
 		} else if (usage->ttft_ms && !g->overdue_counted) {
@@ -293,7 +295,7 @@
 		e->samples++;
 		e->learnt_at = now;
 	}
-	if (e->probe == g->id)
+	if (e->probe == g->id && (answered || usage->failed))
 		probe_ended(pool, e, g, usage, now);
 	pool_shift_judge(pool, e, now);
 }
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -578,6 +578,30 @@
 }
 END_TEST
 
+/* What a caller gave up on says nothing about the endpoint. */
+START_TEST(given_up_requests_teach_nothing)
+{
+	struct dl_pool_conf plain = conf;
+	struct dl_usage gone = { .ran = true, .total_ms = 400 };
+	struct dl_answer a;
+
+	plain.kind = DL_POOL_PLAIN;
+	dl_pool_free(pool);
+	pool = dl_pool_new(&plain, &dl_policy_late_binding, 1);
+	report("a:1");
+	for (int i = 0; i < 20; i++) {
+		a = ask(0, 0, FAR);
+		release(&a, 20);
+	}
+	for (int i = 0; i < 20; i++) {
+		a = ask(0, 0, FAR);
+		dl_pool_release(pool, a.grant, &gone, now);
+	}
+	a = ask(0, 0, FAR);
+	ck_assert_uint_eq(a.predicted_ttft_ms, 20);
+}
+END_TEST
+
 START_TEST(bad_reports_are_turned_away)
 {
 	struct dl_endpoint_report r = report_of("");
@@ -657,6 +681,7 @@
 	tcase_add_test(t, long_prompts_leave_an_endpoint_free);
 	tcase_add_test(t, prefix_goes_where_it_was);
 	tcase_add_test(t, plain_services_hold_slots);
+	tcase_add_test(t, given_up_requests_teach_nothing);
 	tcase_add_test(t, bad_reports_are_turned_away);
 	tcase_add_test(t, spill_moves_slowly);
 	srunner_run_all(r, CK_NORMAL);
