--- a/test/test_system_config.sh
+++ b/test/test_system_config.sh
@@ -88,6 +88,37 @@
 	[ $? -eq 3 ] || fail "another text was taken under again-$n"
 done
 
+# Operators who leave before their answer, which waits for a paused VM, do no
+# harm to the entry that they asked.
+kill -STOP "$(pid_of entry_3_1)"
+n=0
+while [ $n -lt 5 ]; do
+	n=$((n + 1))
+	$DL_HTTP -t 200 "$(vm_address 1 1):$HTTP_PORT" /v1/status >/dev/null 2>&1
+	sleep 0.6
+	$DL_HTTP -t 1000 "$(vm_address 1 1):$HTTP_PORT" /healthz >/dev/null ||
+		fail "the entry is gone after $n operators left early"
+done
+kill -CONT "$(pid_of entry_3_1)"
+for d in 1 2 3; do
+	wait_for 10 "status at VM $d" entry_ready $d 1 || exit 1
+done
+
+# A VM that is paused is named by --wait, and has the version once it is back.
+before=$(version 1)
+kill -STOP "$(pid_of entry_3_1)"
+edition 399 "$DIR/paused"
+# shellcheck disable=SC2046
+"$DL_BIN" apply $(entry 1) --wait --timeout 2 "$DIR/paused" \
+	>"$DIR/paused.out" 2>&1
+got=$?
+kill -CONT "$(pid_of entry_3_1)"
+[ $got -eq 5 ] || fail "with a VM paused: $got, $(cat "$DIR/paused.out")"
+grep -q "not yet in force at $(vm_address 3 1):$PEER_PORT" "$DIR/paused.out" ||
+	fail "the paused VM is not named: $(cat "$DIR/paused.out")"
+wait_for 5 "the version at the VM that was paused" \
+	at_version 3 $((before + 1)) || exit 1
+
 # A replica is away for 150 changes and catches up.
 kill -KILL "$(pid_of replica_3_1)"
 n=0
