Place by chance reports for a period and a half only; pass a dead dispatcher by

Cause (far dispatcher): a request that another domain's dispatcher did not answer asked the same one again until membership knew it dead. Now the next domain that was named is asked, and a lost connection takes its summary out. Ruled out: the pool's own look at leaving.

--- a/src/main/entry.c
+++ b/src/main/entry.c
@@ -88,6 +88,7 @@
 
 static void on_down(void *arg, uint64_t vm)
 {
+	entry_pool_down(arg, vm);
 	entry_grant_down(arg, vm);
 }
 
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -125,6 +125,8 @@
 	uint32_t asks_lost;
 	uint32_t spilled; /* domains tried beside the first */
 	struct dl_name spill_tried[DL_SPILL_MAX + 1];
+	struct dl_name hints[DL_SPILL_MAX]; /* domains that were named */
+	uint32_t hints_count;
 	struct dl_answer last_refusal;
 	bool refused;
 	bool sent_away; /* by the own domain's dispatcher, which has not refused
@@ -285,7 +287,8 @@
 uint64_t entry_pool_owner(struct entry *e, struct dl_str service,
 			  struct dl_str domain);
 void entry_pool_configure(struct entry *e);
-int entry_pool_report(struct entry *e, const struct dl_announcement *a);
+int entry_pool_report(struct entry *e, struct dl_announcement *a);
+void entry_pool_down(struct entry *e, uint64_t vm);
 void entry_pool_frame(struct entry *e, uint64_t from,
 		      const struct dl_frame *frame);
 void entry_pool_ask(struct entry *e, struct entry_pool *p,
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -204,6 +204,55 @@
 	return false;
 }
 
+/* Keep the domains that a dispatcher names. */
+static void note_hints(struct call *c, const struct dl_answer_frame *f)
+{
+	for (uint32_t i = 0; i < f->spill_count; i++) {
+		bool known = false;
+
+		for (uint32_t k = 0; k < c->hints_count; k++)
+			known |= dl_name_eq(&c->hints[k],
+					    dl_name_str(&f->spill[i]));
+		if (!known && c->hints_count < DL_SPILL_MAX)
+			c->hints[c->hints_count++] = f->spill[i];
+	}
+}
+
+/* Ask the next domain that was named and not tried; false where none is. */
+static bool next_domain(struct call *c)
+{
+	for (uint32_t i = 0; i < c->hints_count; i++) {
+		if (was_tried(c, &c->hints[i]) ||
+		    dl_name_eq(&c->domain, dl_name_str(&c->hints[i])))
+			continue;
+		if (c->spilled > DL_SPILL_MAX)
+			return false;
+		c->spill_tried[c->spilled++] = c->domain;
+		c->domain = c->hints[i];
+		c->asks_lost = 0;
+		entry_grant_ask(c);
+		return true;
+	}
+	return false;
+}
+
+/*
+ * The dispatcher of another domain does not answer: the next one, or the own
+ * domain again, which names those that it still hears.
+ */
+static void ask_elsewhere(struct call *c)
+{
+	if (next_domain(c))
+		return;
+	c->spilled = 0;
+	c->hints_count = 0;
+	c->sent_away = false;
+	c->refused = false;
+	c->asks_lost = 0;
+	c->domain = c->e->node.settings.failure_domain;
+	entry_grant_ask(c);
+}
+
 static bool may_spill(enum dl_reason reason)
 {
 	switch (reason) {
@@ -222,20 +271,7 @@
  */
 static bool spill(struct call *c, const struct dl_answer_frame *f)
 {
-	if (!may_spill(f->answer.reason))
-		return false;
-	for (uint32_t i = 0; i < f->spill_count; i++) {
-		if (was_tried(c, &f->spill[i]) ||
-		    dl_name_eq(&c->domain, dl_name_str(&f->spill[i])))
-			continue;
-		if (c->spilled > DL_SPILL_MAX)
-			return false;
-		c->spill_tried[c->spilled++] = c->domain;
-		c->domain = f->spill[i];
-		entry_grant_ask(c);
-		return true;
-	}
-	return false;
+	return may_spill(f->answer.reason) && next_domain(c);
 }
 
 /* The soonest of the retry times that the pools named. */
@@ -332,6 +368,7 @@
 		c->state = CALL_QUEUED;
 		return;
 	case DL_REFUSED:
+		note_hints(c, f);
 		take_refusal(c, f);
 		return;
 	}
@@ -410,6 +447,14 @@
 	return entry_pool_owner(c->e, service_of(c), dl_name_str(&c->domain));
 }
 
+static void ask_again(struct call *c)
+{
+	if (own_domain(c))
+		entry_grant_ask(c);
+	else
+		ask_elsewhere(c);
+}
+
 static void watch(struct call *c, int64_t now)
 {
 	uint64_t owner;
@@ -427,11 +472,11 @@
 	if (lost(c, now)) {
 		c->asks_lost++;
 		entry_grant_cancel(c);
-		entry_grant_ask(c);
+		ask_again(c);
 		return;
 	}
 	if (c->ask_again_at && now >= c->ask_again_at) {
-		entry_grant_ask(c);
+		ask_again(c);
 		return;
 	}
 	owner = owner_now(c);
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -15,6 +15,8 @@
 #define SUMMARY_EVERY_MS 500
 /* Every endpoint announces itself within this time, and a margin. */
 #define KNOW_ENDPOINTS_MS 1500
+/* How long a report is good where it came by chance. */
+#define KEPT_REPORT_MS 1500
 /* A pool that has not been heard of for so long takes no spill. */
 #define SUMMARY_OLD_MS 3000
 
@@ -72,6 +74,26 @@
 	return dl_name_eq(&e->node.settings.failure_domain, domain);
 }
 
+/*
+ * A pool that another VM dispatches is kept from the announcements that happen
+ * to reach this VM, not from all: a report is good for a period and a half
+ * there, so that an endpoint that has said elsewhere that it leaves is not
+ * placed on from here for seconds.
+ */
+static void put_conf(struct entry *e, struct entry_pool *p)
+{
+	const struct dl_service_conf *s =
+		dl_conf_service(e->conf, dl_name_str(&p->service));
+	struct dl_pool_conf conf;
+
+	if (!s)
+		return;
+	conf = s->pool;
+	if (!p->leading && conf.report_gone_ms > KEPT_REPORT_MS)
+		conf.report_gone_ms = KEPT_REPORT_MS;
+	dl_pool_configure(p->pool, &conf);
+}
+
 static void update_leading(struct entry *e, struct entry_pool *p)
 {
 	struct dl_str domain = dl_name_str(&e->node.settings.failure_domain);
@@ -82,7 +104,10 @@
 		p->led_since = entry_now(e);
 		dl_msg(DL_MSG_POOL_LEAD, "service=%s", p->service.s);
 	}
+	if (leading == p->leading)
+		return;
 	p->leading = leading;
+	put_conf(e, p);
 }
 
 /* Put the operators' drain of one endpoint in force, or lift it. */
@@ -181,7 +206,7 @@
 			p = pool_add(e, s);
 		if (!p)
 			continue;
-		dl_pool_configure(p->pool, &s->pool);
+		put_conf(e, p);
 		for (uint32_t k = 0; k < conf->workspaces_count; k++)
 			dl_pool_workspace(p->pool, &conf->workspaces[k].limits);
 		drain_endpoints(e, p);
@@ -431,11 +456,17 @@
 		dl_pool_release(p->pool, grant, &usage, entry_now(e));
 }
 
+/*
+ * Note what was announced.  Leaving is final for an incarnation: announcements
+ * come through any VM, and an older one may arrive last.
+ */
 static void remember(struct entry *e, struct entry_pool *p,
-		     const struct dl_announcement *a)
+		     struct dl_announcement *a)
 {
 	struct announced *n = g_hash_table_lookup(p->announced, a->report.id.s);
 
+	if (n && n->incarnation == a->report.incarnation && n->leaving)
+		a->report.leaving = true;
 	if (!n) {
 		n = g_new0(struct announced, 1);
 		g_hash_table_insert(p->announced, g_strdup(a->report.id.s), n);
@@ -450,15 +481,15 @@
 }
 
 static void report_here(struct entry *e, struct entry_pool *p,
-			const struct dl_announcement *a)
+			struct dl_announcement *a)
 {
+	remember(e, p, a);
 	dl_pool_report(p->pool, &a->report, entry_now(e));
 	for (uint32_t i = 0; i < a->events_count; i++)
 		dl_pool_cached(p->pool, dl_name_str(&a->report.id),
 			       a->events[i].prefix, a->events[i].tokens,
 			       entry_now(e));
 	drain_endpoint(e, p, &a->report.id);
-	remember(e, p, a);
 }
 
 static void on_report(struct entry *e, uint64_t from, const struct dl_frame *f)
@@ -541,7 +572,7 @@
  * An endpoint has announced itself here: keep it where the pool is ours, and
  * pass it on to the pool's dispatcher.  -ENOENT: no such service.
  */
-int entry_pool_report(struct entry *e, const struct dl_announcement *a)
+int entry_pool_report(struct entry *e, struct dl_announcement *a)
 {
 	struct dl_str service = dl_name_str(&a->service);
 	struct dl_str domain = dl_name_str(&a->failure_domain);
@@ -565,6 +596,18 @@
 	return 0;
 }
 
+/* A dispatcher elsewhere cannot be reached: spill there no more for now. */
+void entry_pool_down(struct entry *e, uint64_t vm)
+{
+	struct entry_far *far;
+
+	for (far = e->far; far; far = far->next) {
+		if (entry_pool_owner(e, dl_name_str(&far->service),
+				     dl_name_str(&far->domain)) == vm)
+			far->heard = -SUMMARY_OLD_MS - 1;
+	}
+}
+
 /* A VM has gone: what it held or queued is free again. */
 void entry_pool_member(struct entry *e, const struct dl_member *m)
 {
