Never take an answer that was cut at the end of a chunk for a whole one

Cause: h2o's client tells a connection that closes between two chunks as the end of the answer; a plain service that died there gave its caller a truncated answer as done, and a killed engine's stream was told as garbled and not resumed. Ruled out: closes within a chunk, within a counted length and before the head, which h2o tells as errors. Change: the end of a chunked answer counts only where bytes were read with it.

--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -37,7 +37,8 @@
 	size_t head_n;
 	h2o_iovec_t bufs[2];
 	bool is_head_method;
-	bool framed; /* the answer tells its own length */
+	bool has_length; /* as a number, not by chunks */
+	bool framed;	 /* the answer tells its own length */
 	bool paused;
 	bool ended;	       /* end() is due at the next timer */
 	h2o_socket_cb read_cb; /* what reads on after a pause */
@@ -186,8 +187,9 @@
 
 		out[i].name = (struct dl_str){ h->name->base, h->name->len };
 		out[i].value = (struct dl_str){ h->value.base, h->value.len };
-		if (header_is(h, "content-length") ||
-		    header_is(h, "transfer-encoding"))
+		if (header_is(h, "content-length"))
+			call->has_length = true;
+		if (call->has_length || header_is(h, "transfer-encoding"))
 			call->framed = true;
 		if (header_is(h, "daisyledge-not-run"))
 			call->attempt.received = DL_RECV_NOT_RUN;
@@ -200,8 +202,25 @@
 	return call->is_head_method || status == 204 || status == 304;
 }
 
+/*
+ * h2o tells a connection that closes at the end of a chunk as the end of the
+ * answer.  The end mark is bytes, and a close is none: an end without bytes
+ * read is a truncated answer.
+ */
+static bool is_cut(const struct dl_httpc_call *call)
+{
+	return call->framed && !call->has_length &&
+	       call->h2o->sock->bytes_read == 0;
+}
+
 static void end_whole(struct dl_httpc_call *call)
 {
+	if (is_cut(call)) {
+		call->h2o = NULL;
+		end_soon(call, DL_BROKE_RESET, DL_STEP_BODY,
+			 "closed before the last chunk");
+		return;
+	}
 	call->h2o = NULL;
 	if (!call->framed) {
 		end_soon(call, DL_BROKE_GARBLED, DL_STEP_BODY,
@@ -234,7 +253,7 @@
 	head.headers = views;
 	head.headers_count = view_headers(call, headers, count, views);
 	if (has_no_body(call, status))
-		call->framed = true;
+		call->framed = call->has_length = true;
 	arm(call, call->gap_ms);
 	call->ops->head(call->arg, &head);
 	if (errstr == h2o_http1client_error_is_eos) {
--- /dev/null
+++ b/test/test_httpc.c
@@ -0,0 +1,330 @@
+/*
+ * The client against a server that breaks at every stage: what was sent, what
+ * was received and how it ended must be told right, and a truncated answer
+ * must never pass for a whole one.
+ */
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "transport/httpc.h"
+
+#define ADDRESS	  ((UINT64_C(0x7f004301) << 16) | 7101)
+#define TURNS_MAX 3000
+
+/* What the server does once it has the request. */
+enum then {
+	THEN_CLOSE,
+	THEN_RESET,
+	THEN_SILENT
+};
+
+struct fault {
+	const char *what;
+	const char *script[3]; /* written one turn after the other */
+	enum then then;
+	enum dl_received received;
+	enum dl_broke broke;
+	const char *body;
+};
+
+#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define LENGTH	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+
+static const struct fault faults[] = {
+	{ "whole by length",
+	  { LENGTH "hello" },
+	  THEN_CLOSE,
+	  DL_RECV_WHOLE,
+	  DL_BROKE_NOTHING,
+	  "hello" },
+	{ "whole in pieces",
+	  { LENGTH, "he", "llo" },
+	  THEN_SILENT,
+	  DL_RECV_WHOLE,
+	  DL_BROKE_NOTHING,
+	  "hello" },
+	{ "whole by chunks",
+	  { CHUNKED "5\r\nhello\r\n0\r\n\r\n" },
+	  THEN_CLOSE,
+	  DL_RECV_WHOLE,
+	  DL_BROKE_NOTHING,
+	  "hello" },
+	{ "chunks in pieces",
+	  { CHUNKED, "5\r\nhello\r\n", "0\r\n\r\n" },
+	  THEN_SILENT,
+	  DL_RECV_WHOLE,
+	  DL_BROKE_NOTHING,
+	  "hello" },
+	{ "end mark alone",
+	  { CHUNKED "5\r\nhello\r\n", "0\r\n\r\n" },
+	  THEN_CLOSE,
+	  DL_RECV_WHOLE,
+	  DL_BROKE_NOTHING,
+	  "hello" },
+	{ "closed at a chunk's end",
+	  { CHUNKED, "5\r\nhello\r\n" },
+	  THEN_CLOSE,
+	  DL_RECV_HEAD,
+	  DL_BROKE_RESET,
+	  "hello" },
+	{ "closed at a chunk's end, one write",
+	  { CHUNKED "5\r\nhello\r\n" },
+	  THEN_CLOSE,
+	  DL_RECV_HEAD,
+	  DL_BROKE_RESET,
+	  "hello" },
+	{ "closed after a chunk's size",
+	  { CHUNKED "5\r\nhello\r\n", "7\r\n" },
+	  THEN_CLOSE,
+	  DL_RECV_HEAD,
+	  DL_BROKE_RESET,
+	  "hello" },
+	{ "closed within a chunk",
+	  { CHUNKED, "9\r\nhello" },
+	  THEN_CLOSE,
+	  DL_RECV_HEAD,
+	  DL_BROKE_RESET,
+	  "hello" },
+	{ "closed after the head",
+	  { CHUNKED },
+	  THEN_CLOSE,
+	  DL_RECV_HEAD,
+	  DL_BROKE_RESET,
+	  "" },
+	{ "closed within the length",
+	  { LENGTH "hel" },
+	  THEN_CLOSE,
+	  DL_RECV_HEAD,
+	  DL_BROKE_RESET,
+	  "hel" },
+	{ "reset within the length",
+	  { LENGTH, "hel" },
+	  THEN_RESET,
+	  DL_RECV_HEAD,
+	  DL_BROKE_RESET,
+	  "hel" },
+	{ "silent within the length",
+	  { LENGTH, "hel" },
+	  THEN_SILENT,
+	  DL_RECV_HEAD,
+	  DL_BROKE_SILENT,
+	  "hel" },
+	{ "silent after the head",
+	  { LENGTH },
+	  THEN_SILENT,
+	  DL_RECV_HEAD,
+	  DL_BROKE_SILENT,
+	  "" },
+	{ "silent before the head",
+	  { "" },
+	  THEN_SILENT,
+	  DL_RECV_NOTHING,
+	  DL_BROKE_SILENT,
+	  "" },
+	{ "closed before the head",
+	  { "" },
+	  THEN_CLOSE,
+	  DL_RECV_NOTHING,
+	  DL_BROKE_RESET,
+	  "" },
+	{ "reset before the head",
+	  { "" },
+	  THEN_RESET,
+	  DL_RECV_NOTHING,
+	  DL_BROKE_RESET,
+	  "" },
+	{ "half a head",
+	  { "HTTP/1.1 200 OK\r\nCont" },
+	  THEN_CLOSE,
+	  DL_RECV_NOTHING,
+	  DL_BROKE_RESET,
+	  "" },
+	{ "no answer at all",
+	  { "SSH-2.0-x\r\n\r\n" },
+	  THEN_CLOSE,
+	  DL_RECV_NOTHING,
+	  DL_BROKE_RESET,
+	  "" },
+	{ "no length told",
+	  { "HTTP/1.1 200 OK\r\n\r\nhello" },
+	  THEN_CLOSE,
+	  DL_RECV_HEAD,
+	  DL_BROKE_GARBLED,
+	  "hello" },
+	{ "not run, says the endpoint",
+	  { "HTTP/1.1 503 No\r\nDaisyledge-Not-Run: yes\r\n"
+	    "Content-Length: 0\r\n\r\n" },
+	  THEN_CLOSE,
+	  DL_RECV_NOT_RUN,
+	  DL_BROKE_NOTHING,
+	  "" },
+};
+
+static uv_loop_t loop;
+static uv_tcp_t listener, server;
+static uv_timer_t ticker;
+static const struct fault *fault;
+static int step, ended, connected;
+static struct dl_attempt got;
+static char body[64];
+static char request[1024];
+
+static void on_written(uv_write_t *req, int status)
+{
+	free(req);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t n, uv_buf_t *buf)
+{
+	*buf = uv_buf_init(request, sizeof(request));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	if (n < 0 && !uv_is_closing((uv_handle_t *)stream))
+		uv_close((uv_handle_t *)stream, NULL);
+}
+
+static void on_connection(uv_stream_t *stream, int status)
+{
+	uv_tcp_init(&loop, &server);
+	ck_assert_int_eq(uv_accept(stream, (uv_stream_t *)&server), 0);
+	uv_read_start((uv_stream_t *)&server, on_alloc, on_read);
+	uv_tcp_nodelay(&server, 1);
+	connected = 1;
+}
+
+/* One step of the script a tick, so that the pieces arrive apart. */
+static void on_tick(uv_timer_t *timer)
+{
+	const char *text;
+
+	if (!connected || step > 3 || uv_is_closing((uv_handle_t *)&server))
+		return;
+	text = step < 3 ? fault->script[step] : NULL;
+	step++;
+	if (text && text[0]) {
+		uv_write_t *req = malloc(sizeof(*req));
+		uv_buf_t buf =
+			uv_buf_init((char *)text, (unsigned)strlen(text));
+
+		uv_write(req, (uv_stream_t *)&server, &buf, 1, on_written);
+	}
+	if (step < 3 && fault->script[step])
+		return;
+	step = 4;
+	if (fault->then == THEN_CLOSE)
+		uv_close((uv_handle_t *)&server, NULL);
+	if (fault->then == THEN_RESET)
+		uv_tcp_close_reset(&server, NULL);
+}
+
+static void on_head(void *arg, const struct dl_httpc_head *head)
+{
+}
+
+static bool on_body(void *arg, struct dl_str piece)
+{
+	size_t n = strlen(body);
+
+	ck_assert_uint_lt(n + piece.n, sizeof(body));
+	memcpy(body + n, piece.s, piece.n);
+	return true;
+}
+
+static void on_end(void *arg, const struct dl_attempt *attempt,
+		   const struct dl_err *err)
+{
+	got = *attempt;
+	ended++;
+}
+
+static const struct dl_httpc_ops ops = { on_head, on_body, on_end, NULL };
+
+static void listen_here(void)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+
+	sin.sin_addr.s_addr = htonl((uint32_t)(ADDRESS >> 16));
+	sin.sin_port = htons((uint16_t)(ADDRESS & 0xffff));
+	uv_tcp_init(&loop, &listener);
+	ck_assert_int_eq(uv_tcp_bind(&listener, (void *)&sin, 0), 0);
+	ck_assert_int_eq(uv_listen((uv_stream_t *)&listener, 8, on_connection),
+			 0);
+}
+
+static void call_once(struct dl_httpc *client)
+{
+	struct dl_httpc_req req = { .to = ADDRESS,
+				    .method = DL_STR("GET"),
+				    .path = DL_STR("/"),
+				    .connect_ms = 1000,
+				    .gap_ms = 150 };
+
+	ck_assert_ptr_nonnull(dl_httpc_start(client, &req, &ops, NULL));
+	ck_assert_int_eq(ended, 0);
+	for (int i = 0; i < TURNS_MAX && !ended; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_eq(ended, 1);
+}
+
+static void open_all(struct dl_httpc **client)
+{
+	uv_loop_init(&loop);
+	uv_timer_init(&loop, &ticker);
+	uv_timer_start(&ticker, on_tick, 5, 15);
+	ck_assert_int_eq(dl_httpc_open(&loop, client), 0);
+	memset(body, 0, sizeof(body));
+	ended = 0;
+	step = 0;
+	connected = 0;
+}
+
+START_TEST(each_fault)
+{
+	struct dl_httpc *client;
+
+	fault = &faults[_i];
+	open_all(&client);
+	listen_here();
+	call_once(client);
+	ck_assert_msg(got.received == fault->received, "%s: received %d",
+		      fault->what, got.received);
+	ck_assert_msg(got.broke == fault->broke, "%s: broke %d", fault->what,
+		      got.broke);
+	ck_assert_msg(strcmp(body, fault->body) == 0, "%s: body '%s'",
+		      fault->what, body);
+	ck_assert_int_eq(got.sent, DL_SENT_ALL);
+}
+END_TEST
+
+START_TEST(nobody_listens)
+{
+	struct dl_httpc *client;
+
+	open_all(&client);
+	call_once(client);
+	ck_assert_int_eq(got.sent, DL_SENT_NOTHING);
+	ck_assert_int_eq(got.broke, DL_BROKE_CONNECT);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("httpc");
+	TCase *t = tcase_create("httpc");
+	SRunner *r = srunner_create(s);
+	int failed;
+
+	suite_add_tcase(s, t);
+	tcase_set_timeout(t, 60);
+	tcase_add_loop_test(t, each_fault, 0,
+			    (int)(sizeof(faults) / sizeof(faults[0])));
+	tcase_add_test(t, nobody_listens);
+	srunner_run_all(r, CK_NORMAL);
+	failed = srunner_ntests_failed(r);
+	srunner_free(r);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
