Renew all grants of an entry at a dispatcher by one frame

Cause: each of 50,310 grants at the target is renewed by a frame of its own three times a lease; more than half of what a dispatcher takes. Ruled out: a longer lease (a dead entry's memory would be held as long), no renewal (a lost release would never be mended), a count and a hash in place of the list (nine grants an entry and dispatcher: the list is 81 bytes, and a grant that crosses would make it a mismatch). The list of the grants that a dispatcher does not know comes back the same way. What is left at the busiest is asks and answers, which more shards divide.

--- a/bench/control_load.h
+++ b/bench/control_load.h
@@ -53,6 +53,7 @@
 /* A request under way. */
 struct load_req {
 	struct load_req *next;
+	struct load_req *peer; /* of the same entry at the same pool */
 	uint32_t pool;
 	uint32_t entry;
 	uint64_t grant;
@@ -76,7 +77,8 @@
 	uint64_t refused;
 	uint64_t renewals;
 	uint64_t in_flight;
-	struct load_held *held; /* by pool */
+	struct load_held *held;	   /* by pool */
+	struct load_req **renewed; /* by pool and entry of its domain */
 };
 
 /* splitmix64 */
@@ -225,9 +227,12 @@
 	l->pools = calloc(pools, sizeof(struct dl_pool *));
 	l->vms = calloc((size_t)conf->domains * conf->entries, sizeof(*l->vms));
 	l->held = calloc(pools, sizeof(*l->held));
+	l->renewed = calloc((size_t)pools * conf->entries,
+			    sizeof(struct load_req *));
 	l->wheel = calloc(LOAD_WHEEL, sizeof(struct load_req *));
 	l->asked = calloc(l->asked_cap, sizeof(struct load_req *));
-	if (!l->held || !l->pools || !l->vms || !l->wheel || !l->asked)
+	if (!l->renewed || !l->held || !l->pools || !l->vms || !l->wheel ||
+	    !l->asked)
 		abort();
 	for (uint32_t p = 0; p < pools; p++) {
 		l->pools[p] = dl_pool_new(&pc, &dl_policy_late_binding, p + 1);
@@ -252,6 +257,7 @@
 	for (uint32_t i = 0; i < l->asked_cap; i++)
 		free(l->asked[i]);
 	free(l->held);
+	free(l->renewed);
 	free(l->pools);
 	free(l->vms);
 	free(l->wheel);
@@ -267,12 +273,58 @@
 	l->wheel[slot] = r;
 }
 
-/* Its next renewal, or its end. */
-static inline void load_next(struct load *l, struct load_req *r)
+/* The grants that an entry renews at a pool together. */
+static inline struct load_req **load_renewed(struct load *l, uint32_t pool,
+					     uint32_t entry)
 {
-	int64_t at = l->now + l->conf.lease_ms / LOAD_RENEWALS;
+	return &l->renewed[(size_t)pool * l->conf.entries +
+			   entry % l->conf.entries];
+}
+
+static inline void load_unlink(struct load *l, struct load_req *r)
+{
+	struct load_req **at = load_renewed(l, r->pool, r->entry);
 
-	load_at(l, r, at < r->ends ? at : r->ends);
+	while (*at != r)
+		at = &(*at)->peer;
+	*at = r->peer;
+}
+
+/* One frame for all grants of an entry at a pool, a third of a lease apart. */
+static inline void load_renew(struct load *l, uint32_t pool, uint32_t entry)
+{
+	uint64_t grants[DL_RENEWED_MAX];
+	struct load_req *r = *load_renewed(l, pool, entry);
+	struct dl_packer pk;
+	uint32_t n = 0;
+
+	if (!r)
+		return;
+	for (; r && n < DL_RENEWED_MAX; r = r->peer) {
+		grants[n++] = r->grant;
+		dl_pool_renew(l->pools[pool], r->grant, l->now);
+		l->renewals++;
+	}
+	dl_numbers_pack(&pk, DL_STR("match-writer"), grants, n);
+	load_send(l, pool / l->conf.pools * l->conf.entries + entry,
+		  load_leader(l, pool), 23, 0, dl_packer_bytes(&pk).n);
+	dl_packer_close(&pk);
+}
+
+/* Every entry's turn comes once in a third of a lease. */
+static inline void load_renew_due(struct load *l)
+{
+	uint64_t turns =
+		(uint64_t)l->conf.lease_ms / LOAD_RENEWALS / LOAD_TICK_MS;
+	uint64_t tick = (uint64_t)(l->now / LOAD_TICK_MS);
+	uint32_t pools = l->conf.domains * l->conf.pools;
+
+	for (uint32_t p = 0; p < pools; p++)
+		for (uint32_t e = 0; e < l->conf.entries; e++)
+			if ((tick + (uint64_t)p * l->conf.entries + e) %
+				    turns ==
+			    0)
+				load_renew(l, p, e);
 }
 
 /* An answer on its way to its entry. */
@@ -303,7 +355,9 @@
 	l->held[pool].tokens += r->tokens;
 	r->grant = a->grant;
 	r->ends = l->now + l->conf.request_ms;
-	load_next(l, r);
+	r->peer = *load_renewed(l, r->pool, r->entry);
+	*load_renewed(l, r->pool, r->entry) = r;
+	load_at(l, r, r->ends);
 }
 
 static inline void load_ask(struct load *l)
@@ -350,7 +404,7 @@
 	dl_packer_close(&pk);
 }
 
-/* A grant's time has come: renewed, or given back at its end. */
+/* A grant's time has come: it is given back. */
 static inline void load_due(struct load *l, struct load_req *r)
 {
 	uint32_t to = load_leader(l, r->pool);
@@ -364,16 +418,7 @@
 	};
 	struct dl_packer pk;
 
-	if (l->now < r->ends) {
-		dl_number_pack(&pk, DL_STR("match-writer"), r->grant);
-		load_send(l, r->entry, to, 23, r->grant,
-			  dl_packer_bytes(&pk).n);
-		dl_packer_close(&pk);
-		dl_pool_renew(l->pools[r->pool], r->grant, l->now);
-		l->renewals++;
-		load_next(l, r);
-		return;
-	}
+	load_unlink(l, r);
 	dl_release_pack(&pk, DL_STR("match-writer"), r->grant, &usage);
 	load_send(l, r->entry, to, 24, r->grant, dl_packer_bytes(&pk).n);
 	dl_packer_close(&pk);
@@ -399,6 +444,7 @@
 			next = r->next;
 			load_due(l, r);
 		}
+		load_renew_due(l);
 		l->carry += (uint64_t)l->conf.requests_per_s * LOAD_TICK_MS;
 		for (; l->carry >= 1000; l->carry -= 1000)
 			load_ask(l);
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -395,29 +395,74 @@
 	dl_packer_close(&pk);
 }
 
-/* A dispatcher does not know a grant that we renewed: tell it again. */
-void entry_grant_gone(struct entry *e, uint64_t ask_id)
+static void adopt_if_named(struct call *c, uint64_t from,
+			   const uint64_t *grants, uint32_t count)
 {
-	struct call *c = g_hash_table_lookup(e->asks, &ask_id);
-
-	if (c && c->granted)
-		adopt(c, c->dispatcher);
+	for (uint32_t i = 0; i < count; i++) {
+		if (c->grant.grant == grants[i]) {
+			adopt(c, from);
+			return;
+		}
+	}
 }
 
-static void renew(struct call *c, int64_t now)
+/* A dispatcher does not know grants that we renewed: tell it again. */
+void entry_grant_gone(struct entry *e, uint64_t from, struct dl_str body)
 {
-	struct entry *e = c->e;
-	struct entry_pool *p;
+	uint64_t grants[DL_RENEWED_MAX];
+	struct dl_name service;
+	struct call *c;
+	uint32_t count;
 
+	if (dl_numbers_read(body, &service, grants, &count))
+		return;
+	for (c = e->calls; c; c = c->next) {
+		if (c->granted && c->dispatcher == from &&
+		    dl_name_eq(&c->service, dl_name_str(&service)))
+			adopt_if_named(c, from, grants, count);
+	}
+}
+
+static void note_renewed(struct call *c, int64_t now)
+{
 	c->renew_at = now + c->lease_ms / RENEWALS_PER_LEASE;
 	c->grant.valid_until = now + c->lease_ms;
-	if (c->dispatcher != e->node.self) {
-		send_number(c, DL_FRAME_RENEW, c->grant.grant);
-		return;
+}
+
+/*
+ * Renew what is due, and with it every other grant of the same dispatcher and
+ * service.  For a dispatcher of hundreds of grants: a frame for each was more
+ * than half of all that it took; together they are one frame an entry and a
+ * third of a lease.
+ */
+static void renew(struct call *due, int64_t now)
+{
+	struct entry *e = due->e;
+	uint64_t grants[DL_RENEWED_MAX];
+	struct dl_packer pk;
+	uint32_t n = 0;
+	struct call *c;
+
+	for (c = due; c && n < DL_RENEWED_MAX; c = c->next) {
+		if (!c->granted || c->dispatcher != due->dispatcher ||
+		    !dl_name_eq(&c->service, service_of(due)))
+			continue;
+		grants[n++] = c->grant.grant;
+		note_renewed(c, now);
 	}
-	p = entry_pool_find(e, service_of(c));
+	dl_numbers_pack(&pk, service_of(due), grants, n);
+	dl_peers_send(e->node.peers, due->dispatcher, DL_FRAME_RENEW, 0,
+		      dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
+}
+
+static void renew_here(struct call *c, int64_t now)
+{
+	struct entry_pool *p = entry_pool_find(c->e, service_of(c));
+
+	note_renewed(c, now);
 	if (p && dl_pool_renew(p->pool, c->grant.grant, now))
-		adopt(c, e->node.self);
+		adopt(c, c->e->node.self);
 }
 
 /* The connection to a VM is lost, and with it what was asked on it. */
@@ -463,6 +508,8 @@
 		owner = owner_now(c);
 		if (owner != c->dispatcher && owner != DL_VM_NONE)
 			adopt(c, owner);
+		else if (now >= c->renew_at && owner == c->e->node.self)
+			renew_here(c, now);
 		else if (now >= c->renew_at)
 			renew(c, now);
 		return;
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -429,17 +429,25 @@
 
 static void on_renew(struct entry *e, uint64_t from, const struct dl_frame *f)
 {
+	uint64_t grants[DL_RENEWED_MAX];
+	uint32_t count, gone = 0;
 	struct dl_name service;
 	struct entry_pool *p;
-	uint64_t grant;
+	struct dl_packer pk;
 
-	if (dl_number_read(f->body, &service, &grant))
+	if (dl_numbers_read(f->body, &service, grants, &count))
 		return;
 	p = entry_pool_find(e, dl_name_str(&service));
-	if (p && dl_pool_renew(p->pool, grant, entry_now(e)) == 0)
+	for (uint32_t i = 0; i < count; i++) {
+		if (!p || dl_pool_renew(p->pool, grants[i], entry_now(e)))
+			grants[gone++] = grants[i];
+	}
+	if (gone == 0)
 		return;
-	dl_peers_send(e->node.peers, from, DL_FRAME_RENEW_GONE, f->request,
-		      f->body);
+	dl_numbers_pack(&pk, dl_name_str(&service), grants, gone);
+	dl_peers_send(e->node.peers, from, DL_FRAME_RENEW_GONE, 0,
+		      dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
 }
 
 static void on_release(struct entry *e, uint64_t from, const struct dl_frame *f)
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -229,7 +229,33 @@
 	return finish(&r);
 }
 
-/* Pack a service and a number: a grant or a request. */
+/* Pack a service and grants of it. */
+void dl_numbers_pack(struct dl_packer *p, struct dl_str service,
+		     const uint64_t *numbers, uint32_t count)
+{
+	dl_packer_open(p, 1 + count);
+	dl_pack_str(p, service);
+	for (uint32_t i = 0; i < count; i++)
+		dl_pack_u64(p, numbers[i]);
+}
+
+/* Read them: numbers has room for DL_RENEWED_MAX. */
+int dl_numbers_read(struct dl_str body, struct dl_name *service,
+		    uint64_t *numbers, uint32_t *count)
+{
+	struct dl_reader r;
+
+	dl_reader_open(&r, body);
+	dl_read_name(&r, service);
+	*count = r.left;
+	if (r.left > DL_RENEWED_MAX)
+		r.bad = true;
+	for (uint32_t i = 0; !r.bad && i < *count; i++)
+		numbers[i] = dl_read_u64(&r);
+	return finish(&r);
+}
+
+/* Pack a service and a number: a request. */
 void dl_number_pack(struct dl_packer *p, struct dl_str service, uint64_t number)
 {
 	dl_packer_open(p, 2);
--- a/src/protocol/pool_codec.h
+++ b/src/protocol/pool_codec.h
@@ -40,7 +40,16 @@
 int dl_release_read(struct dl_str body, struct dl_name *service,
 		    uint64_t *grant, struct dl_usage *out);
 
-/* For renewals and cancellations: a service and a number. */
+/* Grants renewed by one frame; an entry with more sends more frames. */
+#define DL_RENEWED_MAX 512
+
+/* All grants of a service that an entry renews, or those that are gone. */
+void dl_numbers_pack(struct dl_packer *p, struct dl_str service,
+		     const uint64_t *numbers, uint32_t count);
+int dl_numbers_read(struct dl_str body, struct dl_name *service,
+		    uint64_t *numbers, uint32_t *count);
+
+/* For cancellations: a service and a number. */
 void dl_number_pack(struct dl_packer *p, struct dl_str service,
 		    uint64_t number);
 int dl_number_read(struct dl_str body, struct dl_name *service,
