--- a/bench/run.sh
+++ b/bench/run.sh
@@ -1,12 +1,28 @@
 #!/bin/sh
-# Run each benchmark program and then each benchmark script; every one prints
-# "name<TAB>value<TAB>unit" lines only.
+# Run each benchmark program and then each benchmark script.  Standard output
+# has "name<TAB>value<TAB>unit" lines only; whatever else they say is passed on
+# to standard error.
 set -eu
 cd "$(dirname "$0")/.."
-for b in "$@"; do
-	"./$b"
-done
-for s in bench/bench_*.sh; do
-	[ -e "$s" ] || continue
-	sh "$s"
+
+figures() {
+	awk -F '\t' 'NF == 3 { print; fflush(); next }
+		{ print >"/dev/stderr" }'
+}
+
+status=0
+out=build/bench.status
+mkdir -p build
+for b in "$@" bench/bench_*.sh; do
+	[ -e "$b" ] || continue
+	case "$b" in
+	*.sh) { sh "$b" || echo failed >"$out"; } | figures ;;
+	*) { "./$b" || echo failed >"$out"; } | figures ;;
+	esac
+	if [ -e "$out" ]; then
+		echo "bench: $b failed" >&2
+		rm -f "$out"
+		status=1
+	fi
 done
+exit $status
