Test the doors that have addresses and keys; tell why an apply is refused

Found: daisyledge apply said "refused with status 401: no reason was given". Cause: the operators' commands read "error" as a text, but a refusal by the door itself is an object with a reason and a message. cli_fail() now reads both.

--- a/src/main/cli_print.c
+++ b/src/main/cli_print.c
@@ -23,6 +23,7 @@
 };
 
 static int exit_of(int status);
+static const char *reason_of(const json_t *json);
 static void print_line(const struct cli_column *columns, size_t count,
 		       char cells[][CELL_MAX], const size_t *width);
 static void print_member(const char *label, const json_t *json,
@@ -91,11 +92,23 @@
 	}
 }
 
+/* Why: a text of the operators' door, or the object that every door sends. */
+static const char *reason_of(const json_t *json)
+{
+	const json_t *error = json_object_get(json, "error");
+	const json_t *message = json_object_get(error, "message");
+
+	if (json_is_string(error))
+		return json_string_value(error);
+	if (json_is_string(message))
+		return json_string_value(message);
+	return json_string_value(json_object_get(error, "reason"));
+}
+
 /* Tell an answer that is no success, and return the exit status. */
 int cli_fail(const struct cli *cli, const struct cli_answer *answer)
 {
-	const char *error =
-		json_string_value(json_object_get(answer->json, "error"));
+	const char *error = reason_of(answer->json);
 	const char *diff =
 		json_string_value(json_object_get(answer->json, "diff"));
 	json_t *fault;
--- a/test/deploy.sh
+++ b/test/deploy.sh
@@ -16,6 +16,14 @@
 DL_RUNNER_OPTIONS=${DL_RUNNER_OPTIONS:-}
 DL_LOG_LEVEL=${DL_LOG_LEVEL:-info}
 HTTP_PORT=8080
+OPERATOR_PORT=$HTTP_PORT
+# A script with doors of their own sets the port, where endpoints announce
+# themselves if not at ENTRIES, their key, and the settings of each entry.
+ANNOUNCE_TO=
+ENDPOINT_KEY=
+entry_settings() { # D V
+	:
+}
 PEER_PORT=7100
 REPLICA_PORT=7200
 ENDPOINT_PORT=9000
@@ -130,6 +138,7 @@
 			printf '"http":"%s:%s","peer":"%s:%s",' \
 				"$(vm_address "$2" "$3")" $HTTP_PORT \
 				"$(vm_address "$2" "$3")" $PEER_PORT
+			entry_settings "$2" "$3"
 		else
 			mkdir -p "$DIR/data-$2-$3"
 			printf '"peer":"%s:%s","data_folder":"%s",' \
@@ -160,7 +169,9 @@
 	shift
 	# shellcheck disable=SC2086
 	"$DL_ENDPOINT" --listen "$(endpoint_address "$i")" \
-		--entries "$ENTRIES" --service $MODEL_SERVICE --models $MODEL \
+		--entries "${ANNOUNCE_TO:-$ENTRIES}" \
+		--service $MODEL_SERVICE --models $MODEL \
+		${ENDPOINT_KEY:+--key-file "$ENDPOINT_KEY"} \
 		--domain "$(domain_name "$(endpoint_domain "$i")")" \
 		--record "$RECORD" --seed "$i" $DL_RUNNER_OPTIONS "$@" \
 		>>"$DIR/endpoint-$i.log" 2>&1 &
@@ -171,7 +182,9 @@
 	i=$1
 	shift
 	"$DL_ENDPOINT" --listen "$(endpoint_address "$i")" --plain \
-		--entries "$ENTRIES" --service $PLAIN_SERVICE --models "" \
+		--entries "${ANNOUNCE_TO:-$ENTRIES}" \
+		--service $PLAIN_SERVICE --models "" \
+		${ENDPOINT_KEY:+--key-file "$ENDPOINT_KEY"} \
 		--domain "$(domain_name "$(endpoint_domain "$i")")" \
 		--record "$RECORD" --seed "$i" "$@" \
 		>>"$DIR/endpoint-$i.log" 2>&1 &
@@ -232,7 +245,7 @@
 
 apply_config() {
 	"$DL_BIN" apply "$DIR/config.json" --wait \
-		--timeout 10 --entry "$(vm_address 1 1):$HTTP_PORT" >"$DIR/apply.log" 2>&1
+		--timeout 10 --entry "$(vm_address 1 1):$OPERATOR_PORT" >"$DIR/apply.log" 2>&1
 }
 
 deploy_start() {
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -18,6 +18,7 @@
 #include "fake/answer.h"
 #include "fake/engine.h"
 #include "fake/http.h"
+#include "fake/sign.h"
 
 #define STEP_MS		 4
 #define ANNOUNCE_MS	 500
@@ -130,7 +131,8 @@
 	int64_t leaving_at;
 	double last_step;
 	int record;
-	bool calling; /* an announcement is under way */
+	struct dl_key key; /* signs announcements; none: n is 0 */
+	bool calling;	   /* an announcement is under way */
 } me;
 
 static struct {
@@ -141,6 +143,7 @@
 	char *domain;
 	char *models;
 	char *record;
+	char *key_file;
 	char *fault;
 	int fault_times;
 	gboolean plain;
@@ -195,6 +198,8 @@
 	{ "slow", 0, 0, G_OPTION_ARG_DOUBLE, &opt.slow, "slower by", "FACTOR" },
 	{ "record", 0, 0, G_OPTION_ARG_STRING, &opt.record,
 	  "append each execution to", "FILE" },
+	{ "key-file", 0, 0, G_OPTION_ARG_FILENAME, &opt.key_file,
+	  "sign announcements with the key in", "FILE" },
 	{ "fault", 0, 0, G_OPTION_ARG_STRING, &opt.fault, "fault to show",
 	  "NAME" },
 	{ "fault-times", 0, 0, G_OPTION_ARG_INT, &opt.fault_times,
@@ -402,6 +407,19 @@
 	uv_timer_start(&me.announce, on_announce_timer, (uint64_t)every, 0);
 }
 
+/* Add a signature to an announcement, where there is a key for it. */
+static void sign_announcement(struct fake_call_req *req,
+			      struct fake_header headers[3],
+			      char signature[DL_SIGNATURE_MAX])
+{
+	if (me.key.n == 0 || fake_sign(&me.key, req, 0, signature))
+		return;
+	headers[0] = json_headers[0];
+	headers[1] = (struct fake_header){ "Daisyledge-Signature", signature };
+	headers[2] = (struct fake_header){ NULL, NULL };
+	req->headers = headers;
+}
+
 /* Say how things stand to one entry, as the balancer would choose it. */
 static void announce(int tries)
 {
@@ -412,6 +430,8 @@
 				     .headers = json_headers,
 				     .connect_ms = CALL_MS,
 				     .timeout_ms = CALL_MS };
+	struct fake_header headers[3];
+	char signature[DL_SIGNATURE_MAX];
 	struct call *c;
 	json_t *o;
 	char *s;
@@ -430,6 +450,7 @@
 	req.to = g_array_index(me.entries, uint64_t,
 			       g_rand_int_range(me.rand, 0,
 						(gint)me.entries->len));
+	sign_announcement(&req, headers, signature);
 	fake_call_start(me.loop, &req, &ops, c);
 	free(s);
 	json_decref(o);
@@ -1309,6 +1330,8 @@
 	if (opt.record)
 		me.record =
 			open(opt.record, O_WRONLY | O_CREAT | O_APPEND, 0644);
+	if (opt.key_file && fake_key_read(opt.key_file, &me.key) < 0)
+		return -EINVAL;
 	if (opt.fault && !set_fault(opt.fault, opt.fault_times))
 		return -EINVAL;
 	return opt.record && me.record < 0 ? -errno : 0;
--- a/test/tool_http.c
+++ b/test/tool_http.c
@@ -12,6 +12,7 @@
 #include <uv.h>
 
 #include "fake/http.h"
+#include "fake/sign.h"
 
 #define CONNECT_MS  1000
 #define HEADERS_MAX 32
@@ -31,6 +32,8 @@
 	int expect;
 	int timeout_ms;
 	int stall_ms;
+	char *key_file;
+	int signed_ago;
 	gboolean head;
 } opt = { .method = "GET", .timeout_ms = 10000 };
 
@@ -48,6 +51,10 @@
 	  "MS" },
 	{ "stall", 0, 0, G_OPTION_ARG_INT, &opt.stall_ms,
 	  "read nothing for so long, then leave", "MS" },
+	{ "key-file", 0, 0, G_OPTION_ARG_FILENAME, &opt.key_file,
+	  "sign with the key in this file", "FILE" },
+	{ "signed-ago", 0, 0, G_OPTION_ARG_INT, &opt.signed_ago,
+	  "as if it had been signed so long ago", "MS" },
 	{ "head", 'i', 0, G_OPTION_ARG_NONE, &opt.head, "print the head too",
 	  NULL },
 	{ NULL },
@@ -75,8 +82,8 @@
 	((struct outcome *)arg)->end = end;
 }
 
-/* Split "NAME: VALUE" lines into headers. */
-static void split_headers(struct fake_header *out)
+/* Split "NAME: VALUE" lines into headers; their number. */
+static int split_headers(struct fake_header *out)
 {
 	int n = 0;
 
@@ -91,6 +98,23 @@
 		n++;
 	}
 	out[n] = (struct fake_header){ NULL, NULL };
+	return n;
+}
+
+/* Add the signature after n headers, where a key is given. */
+static int sign(const struct fake_call_req *req, struct fake_header *out, int n)
+{
+	static char signature[DL_SIGNATURE_MAX];
+	struct dl_key key = { 0 };
+
+	if (!opt.key_file)
+		return 0;
+	if (n == HEADERS_MAX || fake_key_read(opt.key_file, &key) ||
+	    fake_sign(&key, req, opt.signed_ago, signature))
+		return -1;
+	out[n] = (struct fake_header){ "Daisyledge-Signature", signature };
+	out[n + 1] = (struct fake_header){ NULL, NULL };
+	return 0;
 }
 
 static int verdict(const struct outcome *outcome)
@@ -140,6 +164,7 @@
 	struct fake_call_req req = { .headers = headers,
 				     .connect_ms = CONNECT_MS };
 	GError *err = NULL;
+	int n;
 
 	fake_ignore_sigpipe();
 	g_option_context_add_main_entries(ctx, options, NULL);
@@ -149,7 +174,7 @@
 		return EXIT_BAD_USAGE;
 	}
 	g_option_context_free(ctx);
-	split_headers(headers);
+	n = split_headers(headers);
 	req.method = opt.method;
 	req.path = argv[2];
 	req.timeout_ms = (uint32_t)opt.timeout_ms;
@@ -160,6 +185,10 @@
 		fprintf(stderr, "http: %s\n", err->message);
 		return EXIT_BAD_USAGE;
 	}
+	if (sign(&req, headers, n) < 0) {
+		fprintf(stderr, "http: the key file cannot be used\n");
+		return EXIT_BAD_USAGE;
+	}
 	if (opt.stall_ms)
 		return stall(&req);
 	fake_call_start(uv_default_loop(), &req, &ops, &outcome);
