Capacity: follow the batches of renewals, and say what one VM carries

The rows of renewals multiplied a frame by grants.

Ruled out: stream_bytes alone (its 74 frames are in the intercept, with the asks); entries varied under the same asks (a leader's own asks, which are not counted, change with their number).

Change: a slope batch_bytes, renewals alone by entries with nine grants each: a load with a short lease less the same load with one that is not renewed.

--- a/bench/bench_memb.c
+++ b/bench/bench_memb.c
@@ -99,6 +99,25 @@
 	return out;
 }
 
+/* What the busiest VM's bytes are, by kind of frame. */
+static void by_kind(const struct load_vm *vm)
+{
+	static const char *const names[LOAD_KINDS] = {
+		[0] = "asks",	  [1] = "answers", [3] = "renewals",
+		[4] = "releases", [5] = "reports", [6] = "summaries"
+	};
+	char name[64];
+
+	for (int k = 0; k < LOAD_KINDS; k++) {
+		if (!names[k])
+			continue;
+		snprintf(name, sizeof(name), "control_max_%s_bytes_per_s_370",
+			 names[k]);
+		line(name, (double)vm->by_kind[k] / (LOAD_MS / MS_PER_S),
+		     "B/s");
+	}
+}
+
 /* Dispatching at the target's size on top of membership at 370 VMs. */
 static void control(const struct idle *idle)
 {
@@ -107,6 +126,7 @@
 	size_t before = mallinfo2().uordblks;
 	struct load *l = load_new(&conf);
 	double began, cpu, state, bytes = 0, max = 0;
+	uint32_t busiest = 0;
 
 	load_run(l, LOAD_WARM_MS);
 	memset(l->vms, 0, vms * sizeof(*l->vms));
@@ -116,13 +136,16 @@
 	state = (double)(mallinfo2().uordblks - before) / vms;
 	for (uint32_t i = 0; i < vms; i++) {
 		bytes += (double)l->vms[i].bytes;
-		if ((double)l->vms[i].bytes > max)
+		if ((double)l->vms[i].bytes > max) {
 			max = (double)l->vms[i].bytes;
+			busiest = i;
+		}
 	}
 	line("control_bytes_per_s_370",
 	     idle->bytes + bytes / vms / (LOAD_MS / MS_PER_S), "B/s");
 	line("control_bytes_per_s_370_max",
 	     idle->bytes_max + max / (LOAD_MS / MS_PER_S), "B/s");
+	by_kind(&l->vms[busiest]);
 	line("control_cpu_pct_370", idle->cpu_pct + cpu, "%");
 	line("control_rss_mb_370", (idle->state_bytes + state) / 1048576, "MB");
 	line("control_grants_in_flight_370", (double)l->in_flight, "grants");
--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -28,6 +28,7 @@
 #define CHANGE_BYTES	  4096
 #define CHANGE_WORKSPACES 62	 /* about 4 KB of text */
 #define LEASE_LONG	  600000 /* no renewal falls in the measure */
+#define STREAM_MS	  12900	 /* 308 tokens, 42 ms apart */
 #define LEASE_MS	  6000	 /* a renewal every two seconds */
 
 static char *text_buf;
@@ -128,14 +129,32 @@
 	return conf;
 }
 
+/* Renewals alone: the same load with a short lease and with a long one. */
+static double renewal_bytes(uint32_t entries)
+{
+	struct load_conf conf = one_pool();
+	double with;
+
+	conf.entries = entries;
+	conf.request_ms = STREAM_MS;
+	conf.requests_per_s = (entries * 7 + 5) / 10; /* nine grants each */
+	conf.lease_ms = LEASE_MS;
+	with = dispatcher_bytes(&conf, 20000);
+	conf.lease_ms = LEASE_LONG;
+	return with - dispatcher_bytes(&conf, 20000);
+}
+
 /* Dispatching by requests, open streams, endpoints and domains. */
 static void dispatch_points(void)
 {
 	static const uint32_t rates[] = { 50, 100, 200, 400 };
 	static const uint32_t lives[] = { 4000, 8000, 12000, 16000 };
 	static const uint32_t runners[] = { 8, 30, 60, 120 };
+	static const uint32_t entries[] = { 20, 40, 74, 150 };
 	struct load_conf conf;
 
+	for (int i = 0; i < 4; i++)
+		point("batch_bytes", entries[i], renewal_bytes(entries[i]));
 	for (int i = 0; i < 4; i++) {
 		conf = one_pool();
 		conf.requests_per_s = rates[i];
--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -34,6 +34,7 @@
 memb_cpu_us time VMs us/s 370 19000
 request_bytes count requests/s B/s 400 12000
 stream_bytes count streams B/s 1600 12000
+batch_bytes count entries B/s 150 12000
 endpoint_bytes count endpoints B/s 120 12000
 domain_bytes count domains B/s 5 12000
 grant_state state grants B 2516 64000000
--- a/bench/control_load.h
+++ b/bench/control_load.h
@@ -17,6 +17,8 @@
 #define LOAD_RENEWALS	  3    /* a lease */
 #define LOAD_WHEEL	  4096 /* ticks; longer than any request */
 #define LOAD_FRAME_LENGTH 4
+#define LOAD_KIND_FIRST	  20 /* DL_FRAME_ASK */
+#define LOAD_KINDS	  7  /* up to DL_FRAME_SUMMARY */
 #define LOAD_SLOTS	  256
 #define LOAD_STEP_MS	  1
 #define LOAD_KV_TOKENS	  8000000 /* KV memory of a runner of 8 accelerators */
@@ -42,6 +44,7 @@
 struct load_vm {
 	uint64_t msgs;
 	uint64_t bytes;
+	uint64_t by_kind[LOAD_KINDS]; /* bytes, from LOAD_KIND_FIRST on */
 };
 
 /* What the endpoints of a pool hold, as they report it. */
@@ -122,10 +125,12 @@
 	return 1000 + load_random(l) % 9000;
 }
 
-static inline void load_count(struct load *l, uint32_t vm, size_t bytes)
+static inline void load_count(struct load *l, uint32_t vm, uint32_t kind,
+			      size_t bytes)
 {
 	l->vms[vm].msgs++;
 	l->vms[vm].bytes += bytes;
+	l->vms[vm].by_kind[kind - LOAD_KIND_FIRST] += bytes;
 }
 
 /* The VM that leads a pool: one after the other in its domain. */
@@ -146,8 +151,8 @@
 
 	if (from == to)
 		return;
-	load_count(l, from, n);
-	load_count(l, to, n);
+	load_count(l, from, kind, n);
+	load_count(l, to, kind, n);
 }
 
 static inline void load_report(struct load *l, uint32_t pool, uint32_t runner)
