Cut a failure domain off over the real binary, and mend what that shows

The relay cuts links to endpoints only. Now a process can be told, for tests, to pass nothing to or from some peers; a silent partition under load: both sides serve, the side with the quorum changes the configuration, the other refuses, nothing reverts, and a change goes through the side that was cut off. Found: (1) a claim without a quorum was tried until the deadline and told as late; it is tried for half of what is left now and told as no-quorum. (2) A connection whose hello was lost was kept alive by its answered pings while its frames were dropped for want of a name: the replica that was cut off was not caught up for ten minutes. A frame before the hello closes the connection now. Ruled out for (2): the log (it offered entries to the right address) and membership (all were alive).

--- a/src/main/entry_claim.c
+++ b/src/main/entry_claim.c
@@ -113,6 +113,18 @@
 	entry_grant_ask(c);
 }
 
+/*
+ * How long a claim is tried: half of what is left at most, so that a request
+ * whose claim comes late can still run, and one without a quorum is told so
+ * before its caller has given up.
+ */
+static uint32_t claim_ms(const struct call *c)
+{
+	int64_t half = (c->deadline - entry_now(c->e)) / 2;
+
+	return (uint32_t)CLAMP(half, 1, CLAIM_MS);
+}
+
 /* The claim is in the log before the first byte leaves for an endpoint. */
 void call_claim(struct call *c)
 {
@@ -133,5 +145,5 @@
 	cmd.owner = c->owner;
 	cmd.body_hash = dl_hash(body, 0);
 	cmd.expires_s = CLAIM_EXPIRES_S;
-	c->claiming = entry_cmd_send(c->e, &cmd, CLAIM_MS, done);
+	c->claiming = entry_cmd_send(c->e, &cmd, claim_ms(c), done);
 }
--- a/src/main/node.c
+++ b/src/main/node.c
@@ -86,10 +86,31 @@
 	}
 }
 
+/* For tests: cut off the peers that the file names; none without it. */
+static void read_cut(struct dl_node *node)
+{
+	FILE *f = fopen(node->settings.cut_file, "re");
+	uint64_t vms[DL_PEERS_CUT_MAX];
+	char line[64];
+	uint32_t n = 0;
+
+	while (f && n < DL_PEERS_CUT_MAX && fgets(line, sizeof(line), f)) {
+		line[strcspn(line, "\n")] = '\0';
+		if (dl_vm_parse(dl_str_of(line), &vms[n]))
+			n++;
+	}
+	if (f)
+		fclose(f);
+	dl_peers_cut(node->peers, vms, n);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	struct dl_node *node = timer->data;
 
+	if (node->settings.cut_file[0])
+		read_cut(node);
+
 	dl_node_pump(node);
 	if (node->ops->tick)
 		node->ops->tick(node->arg, dl_node_now(node));
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -44,6 +44,7 @@
 	{ "peers", read_peers, 0, false },
 	{ "replicas", read_replicas, 0, false },
 	{ "data_folder", read_path, FIELD(data_folder), false },
+	{ "cut_file", read_path, FIELD(cut_file), false },
 	{ "log_file", read_path, FIELD(log_file), false },
 	{ "log_level", read_level, FIELD(log_level), false },
 	{ "buffer_mb", read_count, FIELD(buffer_mb), false },
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -25,6 +25,8 @@
 	uint32_t replicas_count;
 	char data_folder[DL_SETTINGS_PATH_MAX + 1];
 	char log_file[DL_SETTINGS_PATH_MAX + 1]; /* empty: standard error */
+	/* For tests: peers to be cut off, an address a line; read again. */
+	char cut_file[DL_SETTINGS_PATH_MAX + 1];
 	enum dl_level log_level;
 	uint32_t buffer_mb; /* request bodies held at once */
 	uint32_t connections_max;
--- a/src/transport/peers.c
+++ b/src/transport/peers.c
@@ -62,6 +62,8 @@
 	uv_udp_t udp;
 	uv_timer_t timer;
 	struct conn *conns;
+	uint64_t cut[DL_PEERS_CUT_MAX];
+	uint32_t cut_count;
 	unsigned handles; /* not yet closed */
 	bool closing;
 	char datagram[65536];
@@ -186,10 +188,34 @@
 	free(w);
 }
 
+/* Nothing passes to or from a VM that is cut off for a test. */
+static bool is_cut(const struct dl_peers *peers, uint64_t vm)
+{
+	for (uint32_t i = 0; i < peers->cut_count; i++) {
+		if (peers->cut[i] == vm)
+			return true;
+	}
+	return false;
+}
+
+/* Cut these off, and nobody else. */
+void dl_peers_cut(struct dl_peers *peers, const uint64_t *vms, uint32_t count)
+{
+	peers->cut_count = count < DL_PEERS_CUT_MAX ? count : DL_PEERS_CUT_MAX;
+	if (peers->cut_count)
+		memcpy(peers->cut, vms, peers->cut_count * sizeof(*vms));
+}
+
 static void conn_write(struct conn *c, struct write *w)
 {
 	uv_buf_t buf = uv_buf_init(w->bytes, (unsigned)w->n);
 
+	if (is_cut(c->peers, c->vm)) {
+		c->queued -= w->n;
+		free(w);
+		return;
+	}
+
 	w->req.data = w;
 	dl_count(DL_METRIC_peer_frames_out, 1);
 	dl_count(DL_METRIC_peer_bytes_out, (int64_t)w->n);
@@ -303,14 +329,24 @@
 	}
 }
 
+static void conn_bad(struct conn *c);
+
 static void conn_frame(struct conn *c, const struct dl_frame *f)
 {
 	struct dl_peers *peers = c->peers;
 
+	if (!c->outgoing && c->vm == DL_VM_NONE && f->kind != DL_FRAME_HELLO) {
+		/* Answering its pings would keep a connection that says
+		 * nothing we can use; closed, the other end opens anew. */
+		conn_bad(c);
+		return;
+	}
 	switch (f->kind) {
 	case DL_FRAME_HELLO:
 		c->vm = f->request;
 		c->incarnation = f->incarnation;
+		if (is_cut(c->peers, c->vm))
+			return;
 		drop_older(c);
 		return;
 	case DL_FRAME_PING:
@@ -384,6 +420,8 @@
 		conn_close(c, (int)n);
 		return;
 	}
+	if (is_cut(c->peers, c->vm))
+		return;
 	c->last_in = loop_now(c->peers);
 	c->filled += (size_t)n;
 	dl_count(DL_METRIC_peer_bytes_in, n);
@@ -488,6 +526,8 @@
 
 	if (body.n > POST_BODY_MAX)
 		return -EMSGSIZE;
+	if (is_cut(peers, to))
+		return 0;
 	msgpack_sbuffer_init(&out);
 	pack_frame(&out, peers, kind, request, body);
 	buf = uv_buf_init(out.data, (unsigned)out.size);
@@ -512,7 +552,8 @@
 	msgpack_unpacked u;
 	struct dl_frame f;
 
-	if (n <= 0 || !from || from->sa_family != AF_INET)
+	if (n <= 0 || !from || from->sa_family != AF_INET ||
+	    is_cut(peers, sockaddr_vm(from)))
 		return;
 	dl_count(DL_METRIC_peer_bytes_in, n);
 	dl_count(DL_METRIC_peer_frames_in, 1);
--- a/src/transport/peers.h
+++ b/src/transport/peers.h
@@ -72,6 +72,14 @@
 /* Stops listening and closes all; frees itself once the loop has run. */
 void dl_peers_close(struct dl_peers *peers);
 
+/*
+ * For tests: nothing more passes between this process and these, either way,
+ * and nobody is told, as behind a silent partition.  Replaces the last list.
+ */
+#define DL_PEERS_CUT_MAX 64
+
+void dl_peers_cut(struct dl_peers *peers, const uint64_t *vms, uint32_t count);
+
 /*
  * Queue a frame on the connection to a VM, opening one where needed.
  * 0, or -EAGAIN (its queue is full), -EMSGSIZE.  Delivery is not promised;
--- a/test/deploy.sh
+++ b/test/deploy.sh
@@ -145,6 +145,8 @@
 				"$(vm_address "$2" "$3")" $REPLICA_PORT \
 				"$DIR/data-$2-$3"
 		fi
+		[ -z "${CUTTABLE:-}" ] || printf '"cut_file":"%s",' \
+			"$DIR/cut-$2"
 		printf '"peers":[%s],"replicas":[%s],"log_level":"%s"}\n' \
 			"$(peer_list)" "$(replica_list)" "$DL_LOG_LEVEL"
 	} >"$file"
@@ -205,13 +207,13 @@
 
 # Poll a command until it succeeds: wait_for SECONDS WHAT COMMAND...
 wait_for() {
-	tries=$(($1 * 10))
+	wait_until=$(($(date +%s) + $1))
 	what=$2
 	shift 2
-	while [ $tries -gt 0 ]; do
+	while :; do
 		"$@" >/dev/null 2>&1 && return 0
+		[ "$(date +%s)" -le $wait_until ] || break
 		sleep 0.1
-		tries=$((tries - 1))
 	done
 	echo "deploy: waited in vain for $what" >&2
 	return 1
