Move asks that wait at a VM which no longer dispatches

Cause: the look at moved dispatchers passed over asks held by the own VM, since an entry that places by itself is its own dispatcher; a VM that was drained kept what it had queued in a pool that got no reports any more. And the next dispatcher, which had yet to hear of the drain, said so twice in 100 ms, which counted as lost: the entry placed by itself again. Ruled out: the pool. An entry that knows no VM of an endpoint's failure domain refuses its announcement, so that the endpoint asks another VM at once.

--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -126,7 +126,10 @@
 	struct dl_name domain; /* whose pool is asked */
 	int64_t asked_at, ask_again_at;
 	uint32_t asks_lost;
-	uint32_t spilled; /* domains tried beside the first */
+	uint32_t disowned; /* asks of a VM that did not know that it dispatches
+			    */
+	bool by_itself;	   /* placed here for want of a dispatcher */
+	uint32_t spilled;  /* domains tried beside the first */
 	struct dl_name spill_tried[DL_SPILL_MAX + 1];
 	struct dl_name hints[DL_SPILL_MAX]; /* domains that were named */
 	uint32_t hints_count;
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -15,6 +15,9 @@
 #define ASK_LOST_MS 400
 /* Two VMs may differ for a moment about who dispatches. */
 #define ASK_AGAIN_MS 50
+/* A VM that says that it does not dispatch is alive, and will hear that it
+ * does; only after a second of this is the ask counted as lost. */
+#define DISOWNED_MAX 20
 /* After so many lost asks an entry places by itself. */
 #define ASKS_LOST_MAX 2
 /* Renewed three times a lease, so that one lost renewal costs nothing. */
@@ -85,6 +88,7 @@
 	struct entry_pool *p = entry_pool_find(c->e, service_of(c));
 
 	c->dispatcher = c->e->node.self;
+	c->by_itself = local;
 	if (!p) {
 		entry_call_refuse(c, DL_REASON_NO_ENDPOINT, DL_STEP_PLACE,
 				  DL_VM_NONE, RETRY_DEFAULT_MS);
@@ -104,6 +108,7 @@
 	c->state = CALL_ASKING;
 	c->asked_at = entry_now(e);
 	c->ask_again_at = 0;
+	c->by_itself = false;
 	fill_ask(c);
 	c->dispatcher =
 		entry_pool_owner(e, service_of(c), dl_name_str(&c->domain));
@@ -307,7 +312,8 @@
 
 	if (f->answer.reason == DL_REASON_NO_DISPATCHER) {
 		c->state = CALL_ASKING;
-		c->asks_lost++;
+		if (++c->disowned % DISOWNED_MAX == 0)
+			c->asks_lost++;
 		c->ask_again_at = entry_now(c->e) + ASK_AGAIN_MS;
 		return;
 	}
@@ -527,7 +533,7 @@
 		return;
 	}
 	owner = owner_now(c);
-	if (owner != c->dispatcher && c->dispatcher != c->e->node.self) {
+	if (owner != c->dispatcher && !c->by_itself) {
 		entry_grant_cancel(c);
 		entry_grant_ask(c);
 	}
--- a/src/main/entry_http.c
+++ b/src/main/entry_http.c
@@ -106,13 +106,22 @@
 	struct dl_announcement a;
 	struct dl_err err;
 	char answer[96];
+	int rc;
 
 	if (dl_announcement_parse(dl_httpd_body(req), &a, &err)) {
 		entry_http_error(req, 400, "bad-request", &err);
 		return;
 	}
-	if (entry_pool_report(e, &a)) {
-		dl_err_set(&err, -1, DL_STEP_CHECK, NULL, "no such service");
+	rc = entry_pool_report(e, &a);
+	if (rc == -EHOSTUNREACH) {
+		/* Another VM may reach them: the endpoint asks it at once. */
+		dl_err_set(&err, rc, DL_STEP_PLACE, NULL,
+			   "no VM of this failure domain is reached from here");
+		entry_http_error(req, 503, "no-dispatcher", &err);
+		return;
+	}
+	if (rc) {
+		dl_err_set(&err, rc, DL_STEP_CHECK, NULL, "no such service");
 		entry_http_error(req, e->conf ? 404 : 503, "no-service", &err);
 		return;
 	}
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -578,7 +578,8 @@
 
 /*
  * An endpoint has announced itself here: keep it where the pool is ours, and
- * pass it on to the pool's dispatcher.  -ENOENT: no such service.
+ * pass it on to the pool's dispatcher.  -ENOENT: no such service;
+ * -EHOSTUNREACH: no VM of its failure domain is known here.
  */
 int entry_pool_report(struct entry *e, struct dl_announcement *a)
 {
@@ -595,7 +596,9 @@
 	owner = entry_pool_owner(e, service, domain);
 	if (is_own_domain(e, domain))
 		report_here(e, p, a);
-	if (owner == e->node.self || owner == DL_VM_NONE)
+	if (owner == DL_VM_NONE)
+		return -EHOSTUNREACH;
+	if (owner == e->node.self)
 		return 0;
 	dl_report_pack(&pk, a);
 	dl_peers_send(e->node.peers, owner, DL_FRAME_REPORT, 0,
