--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -320,7 +320,7 @@
 /* Names that callers make up don't pile up. */
 START_TEST(idle_names_are_forgotten)
 {
-	char name[16];
+	char name[24];
 
 	report("a:1");
 	for (int i = 0; i < 100000; i++) {
