--- a/test/tool_http.c
+++ b/test/tool_http.c
@@ -193,5 +193,7 @@
 		return stall(&req);
 	fake_call_start(uv_default_loop(), &req, &ops, &outcome);
 	uv_run(uv_default_loop(), UV_RUN_DEFAULT);
+	if (opt.file)
+		g_free((char *)req.body.s);
 	return verdict(&outcome);
 }
