--- a/Makefile
+++ b/Makefile
@@ -96,6 +96,8 @@
 soak: programs
 	DL_SEEDS=$${DL_SEEDS:-5000} ./test/test_rlog_random
 	DL_SEEDS=$${DL_SEEDS:-5000} ./test/test_memb_random
+	DL_RANDOM_SEED=11 DL_RANDOM_RATE=3 DL_RANDOM_SECONDS=40 \
+		sh test/test_system_random.sh
 
 demo: deps
 	@$(MAKE) programs >build.log 2>&1 || { tail -20 build.log; exit 1; }
