Let the cut-off side give the change up before the sides meet

Trace: the operator was told that nobody answered, not that it was refused, and the change id makes a resend harmless, so the case is allowed. The check on versions stays as strict; the operator waits for the entry's own answer.

--- a/test/test_system_partition.sh
+++ b/test/test_system_partition.sh
@@ -51,7 +51,9 @@
 "$DL_BIN" apply "$DIR/config-2.json" --change-id majority --timeout 8 \
 	--entry "$(vm_address 1 1):$HTTP_PORT" >"$DIR/apply-1.log" 2>&1 ||
 	fail "the side with the quorum accepts no change"
-"$DL_BIN" apply "$DIR/config-2.json" --change-id minority --timeout 2 \
+# Long enough for the entry itself to give up: an operator who leaves earlier
+# does not know what became of the change, and it may still go through.
+"$DL_BIN" apply "$DIR/config-2.json" --change-id minority --timeout 12 \
 	--entry "$(vm_address 3 1):$HTTP_PORT" >"$DIR/apply-3.log" 2>&1
 [ $? -eq 4 ] || fail "the side without the quorum did not say so"
 $DL_HTTP -t 5000 -X POST -H 'Idempotency-Key: k1' -d '{}' \
