Join a claim's key by the library's function for it

The entry joined service, workspace and key by itself beside dl_claim_key(), which is tested and bounded. One effect, and not only a clean-up: a key past 255 bytes is a fault of the request and gets 400; up to the store's own bound of 512 it was taken before, and past that it was told as no-quorum, which was not so.

--- a/src/main/entry_call.h
+++ b/src/main/entry_call.h
@@ -14,7 +14,7 @@
 void call_reading_forget(struct reading *reading);
 
 /* entry_claim.c */
-void call_claim(struct call *c);
+int call_claim(struct call *c);
 void call_settle_claim(struct call *c);
 void call_record_outcome(struct call *c, struct entry_cmd_done done);
 
--- a/src/main/entry_claim.c
+++ b/src/main/entry_claim.c
@@ -125,25 +125,28 @@
 	return (uint32_t)CLAMP(half, 1, CLAIM_MS);
 }
 
-/* The claim is in the log before the first byte leaves for an endpoint. */
-void call_claim(struct call *c)
+/*
+ * The claim is in the log before the first byte leaves for an endpoint.
+ * -EINVAL where the caller's key is longer than a claim may be.
+ */
+int call_claim(struct call *c)
 {
 	struct dl_str key = dl_httpd_header(c->http, "idempotency-key");
 	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_CLAIM };
 	struct entry_cmd_done done = { on_claimed, c };
 	struct dl_str body = dl_httpd_body(c->http);
-	GString *joined = g_string_new(NULL);
-
-	/* Lengths in front: no two different triples join to one key. */
-	g_string_printf(joined, "%u:%s%u:%s", c->service.n, c->service.s,
-			c->workspace.n, c->workspace.s);
-	g_string_append_len(joined, key.s, (gssize)key.n);
-	c->key = call_copy_str((struct dl_str){ joined->str, joined->len });
-	g_string_free(joined, TRUE);
+	char joined[DL_CLAIM_KEY_MAX];
+	int n = dl_claim_key(dl_name_str(&c->service),
+			     dl_name_str(&c->workspace), key, joined);
+
+	if (n < 0)
+		return n;
+	c->key = call_copy_str((struct dl_str){ joined, (size_t)n });
 	c->state = CALL_CLAIMING;
 	cmd.key = c->key;
 	cmd.owner = c->owner;
 	cmd.body_hash = dl_hash(body, 0);
 	cmd.expires_s = CLAIM_EXPIRES_S;
 	c->claiming = entry_cmd_send(c->e, &cmd, claim_ms(c), done);
+	return 0;
 }
--- a/src/main/entry_read.c
+++ b/src/main/entry_read.c
@@ -146,7 +146,8 @@
 		return;
 	}
 	if (key.n && !c->idempotent) {
-		call_claim(c);
+		if (call_claim(c))
+			bad(c, 400, "Idempotency-Key is too long");
 		return;
 	}
 	entry_grant_ask(c);
