Short prompts are never read by several engines

Cause: a prompt that is read in 20 ms was parted in two where its first event was foreseen after half its target, and the engine with the fewest writers led: so on a light load each engine got one short stream, whose 250 ms no part of a long prompt fits beside. Change: no parting of prompts that are read in 60 ms.

--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -395,6 +395,8 @@
 	for (uint32_t k = n; k >= s->least && !found; k--)
 		found = k == 1 ? choose_whole(s, budget, out) :
 				 choose_parts(s, k, budget, out);
+	if (s->read_ms <= WHOLE_MS)
+		return found;
 	for (uint32_t k = n + 1; found && (double)s->waited < s->target &&
 				 k <= DL_GROUP_MAX && k <= s->count &&
 				 (double)(s->waited + out->choice.ttft_ms) >
