--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -59,6 +59,7 @@
  * 0.399 with 150 ms; of their longest class in time 0.37, 0.42, 0.44.
  */
 #define AHEAD_MS 150
+#define AHEAD_WAITED_SHARE 0.3
 /* Memory is written in blocks, and an answer may be longer than said. */
 #define MEMORY_SHARE 0.97
 /* Of an engine's memory, what a prompt that needs several takes on each. */
@@ -117,6 +118,7 @@
 			      const struct dl_usage *usage);
 static double weight_of(const struct pool_want *want);
 static int64_t due_of(const struct pool_want *want);
+static void spread_memory(struct engine_search *s);
 static void look(struct engine_search *s);
 static uint32_t leaders_of(const struct pool_endpoint *e);
 static bool has_memory(const struct engine_search *s,
@@ -128,6 +130,8 @@
 			 struct place *out);
 static bool choose_parts(struct engine_search *s, uint32_t n, double budget,
 			 struct place *out);
+static bool choose_number(struct engine_search *s, double budget,
+			  struct place *out);
 static bool choose_within(struct engine_search *s, double budget,
 			  struct place *out);
 static void forecast_end(const struct engine_search *s,
@@ -177,8 +181,15 @@
 
 	s->least = 1;
 	s->share = s->want->need;
-	if (one <= 0 || (double)s->want->need <= one)
-		return;
+	if (one > 0 && (double)s->want->need > one)
+		spread_memory(s);
+}
+
+/* Each engine of a group holds a part of the memory. */
+static void spread_memory(struct engine_search *s)
+{
+	double one = (double)s->model->memory_tokens * MEMORY_SHARE;
+
 	s->least = (uint32_t)ceil((double)s->want->need /
 				  (one * SPREAD_MEMORY_SHARE));
 	s->share = s->want->need / s->least + 1;
@@ -187,6 +198,7 @@
 /* Look at every engine once. */
 static void look(struct engine_search *s)
 {
+	s->count = 0;
 	for (uint32_t i = 0;
 	     i < s->pool->endpoints_n && s->count < POOL_ENGINE_LOOK_MAX; i++) {
 		struct pool_endpoint *e = s->pool->endpoints[i];
@@ -333,13 +345,18 @@
 		if (s->least > 1 && !has_memory(s, c->endpoint))
 			continue;
 		if (c->endpoint->last.takes_groups &&
-		    harm_of(s, c, part_ms) <= budget / n)
+		    harm_of(s, c, part_ms) <= 2 * budget / n)
 			keep_first(chosen, &count, n, c, part_ms);
 	}
 	lead = count == n ? lead_of(chosen, n) : NULL;
 	if (!lead)
 		return false;
 	out->harm = 0;
+	for (uint32_t i = 0; i < n; i++)
+		out->harm += harm_of(s, chosen[i], part_ms);
+	if (out->harm > budget)
+		return false;
+	out->harm = 0;
 	out->choice.n = 0;
 	out->choice.endpoint[out->choice.n++] = lead->endpoint;
 	for (uint32_t i = 0; i < n; i++) {
@@ -386,7 +403,7 @@
  * gets no more: in a burst each would take a dozen engines for nothing (mean
  * worth of six loaded days of 57 engines 0.354 with, 0.386 without).
  */
-static bool choose_within(struct engine_search *s, double budget,
+static bool choose_number(struct engine_search *s, double budget,
 			  struct place *out)
 {
 	uint32_t n = parts_for(s);
@@ -397,10 +414,11 @@
 				 choose_parts(s, k, budget, out);
 	if (s->read_ms <= WHOLE_MS)
 		return found;
-	for (uint32_t k = n + 1; found && (double)s->waited < s->target &&
-				 k <= DL_GROUP_MAX && k <= s->count &&
-				 (double)(s->waited + out->choice.ttft_ms) >
-					 s->target * TARGET_SHARE;
+	for (uint32_t k = s->least > 1 ? s->least : 2;
+	     found && (double)s->waited < s->target && k <= DL_GROUP_MAX &&
+	     k <= s->count &&
+	     (double)(s->waited + out->choice.ttft_ms) >
+		     s->target * TARGET_SHARE;
 	     k++) {
 		struct place one = { 0 };
 
@@ -411,6 +429,26 @@
 	return found;
 }
 
+/*
+ * The memory on one engine, as that needs no orders; where none has it free and
+ * bears to lead, spread over the group.
+ */
+static bool choose_within(struct engine_search *s, double budget,
+			  struct place *out)
+{
+	if (choose_number(s, budget, out))
+		return true;
+	if (s->least > 1 || s->read_ms <= PART_MS)
+		return false;
+	spread_memory(s);
+	look(s);
+	if (choose_number(s, budget, out))
+		return true;
+	share_memory(s);
+	look(s);
+	return false;
+}
+
 /*
  * Whether a prompt is so long that even all engines together would each be at
  * it for most of what anybody is given: its work grows with the square of its
@@ -480,7 +518,8 @@
 			       POOL_LATE :
 			       POOL_WAIT;
 	if (s.read_ms > PART_MS && (double)s.waited < s.target &&
-	    place.choice.ttft_ms - place.choice.read_ms > AHEAD_MS)
+	    place.choice.ttft_ms - place.choice.read_ms >
+		    AHEAD_MS + (double)s.waited * AHEAD_WAITED_SHARE)
 		return POOL_WAIT;
 	forecast_end(&s, &place.choice);
 	*out = place.choice;
