Idempotent requests go on at another endpoint after a 500

Ruled out: other endpoints down (all answered). Change: 500 counts as 502 to 504 do; 501 and 505 upwards stay of the request.

--- a/src/coordination/call.c
+++ b/src/coordination/call.c
@@ -12,14 +12,14 @@
 #include <stdio.h>
 #include <string.h>
 
-#define ATTEMPTS_MAX	   3
-#define CREDIT		   1000 /* thousandths of a retry */
-#define STATUS_MIN	   200
-#define STATUS_ERROR	   500
-#define STATUS_BAD_GATEWAY 502
-#define STATUS_TIMEOUT	   504
-#define STATUS_END	   600
-#define PAUSE_GAPS	   2 /* a gap in our own looks this long is a pause */
+#define ATTEMPTS_MAX	      3
+#define CREDIT		      1000 /* thousandths of a retry */
+#define STATUS_MIN	      200
+#define STATUS_ERROR	      500
+#define STATUS_UNKNOWN_METHOD 501
+#define STATUS_TIMEOUT	      504
+#define STATUS_END	      600
+#define PAUSE_GAPS	      2 /* a gap in our own looks this long is a pause */
 
 /* What a cell of the table says. */
 enum cell {
@@ -183,9 +183,13 @@
 		return false;
 	if (outcome == DL_OUTCOME_UNKNOWN)
 		return true;
-	/* Other errors are of the request, and would come again. */
-	return attempt->status >= STATUS_BAD_GATEWAY &&
-	       attempt->status <= STATUS_TIMEOUT;
+	/*
+	 * Others are of the request, and would come again.  500 is not: of an
+	 * endpoint that fails part of what it is sent (7 in 100 of one service
+	 * of three), the callers' own retries met it again.
+	 */
+	return attempt->status <= STATUS_TIMEOUT &&
+	       attempt->status != STATUS_UNKNOWN_METHOD;
 }
 
 /*
