While the dispatcher does not answer, the next VM in line dispatches

Cause: a failure domain is cut off with the VM that dispatches. Ruled out: the queue (empty), the retry budget (unused). Change: a VM whose connection broke or that left an ask unanswered for 180 ms owns nothing in the eyes of this VM for three seconds (entry_reach.c, dl_memb_unreachable); VMs that see the same cut name the same successor, which takes asks that say so. Grants follow as at any move. Connections that are closed because nothing was to be said are not told as lost. Replaces asking one request now and then, and the check at announcements.

--- a/include/daisyledge/memb.h
+++ b/include/daisyledge/memb.h
@@ -70,6 +70,11 @@
 const struct dl_member *dl_memb_at(const struct dl_memb *memb, uint32_t index);
 /* The highest configuration version that any live VM shows, and one such VM. */
 uint64_t dl_memb_newest(const struct dl_memb *memb, uint64_t *vm);
+/*
+ * A VM that does not answer this one, whatever membership says of it, owns
+ * nothing in this VM's eyes until it is said to answer again.
+ */
+void dl_memb_unreachable(struct dl_memb *memb, uint64_t vm, bool unreachable);
 /*
  * The live, undrained entry of a failure domain that rendezvous hashing names
  * for a key; DL_VM_NONE where there is none.
--- a/src/coordination/memb.c
+++ b/src/coordination/memb.c
@@ -831,7 +831,8 @@
 		uint64_t score;
 
 		if (memb->peers[i].domain != domain || m->draining ||
-		    m->replica || !memb_peer_live(&memb->peers[i]))
+		    m->replica || memb->peers[i].unreachable ||
+		    !memb_peer_live(&memb->peers[i]))
 			continue;
 		score = dl_hash(vm, key);
 		if (owner == DL_VM_NONE || score > best) {
@@ -842,6 +843,25 @@
 	return owner;
 }
 
+/*
+ * Keep what another VM owns from it, or give it back, in this VM's eyes alone.
+ *
+ * Load: a failure domain that is cut off with the VM that dispatches.  Until
+ * membership is sure (four to six seconds) every VM placed by itself, and the
+ * streams of six seconds were late; VMs that see the same cut name the same
+ * successor within 0.2 s.
+ */
+void dl_memb_unreachable(struct dl_memb *memb, uint64_t vm, bool unreachable)
+{
+	struct memb_peer *peer = memb_peer(memb, vm);
+
+	if (!peer || peer == &memb->peers[0] ||
+	    peer->unreachable == unreachable)
+		return;
+	peer->unreachable = unreachable;
+	memb->epoch++;
+}
+
 /*
  * The live, undrained entry of a failure domain that rendezvous hashing names
  * for a key; DL_VM_NONE where there is none, and where it would be this VM
--- a/src/coordination/memb_int.h
+++ b/src/coordination/memb_int.h
@@ -98,6 +98,7 @@
 	uint8_t tells;		  /* repetitions left */
 	bool dirty;		  /* an event waits */
 	bool verify;		  /* this VM is to see whether it is dead */
+	bool unreachable;	  /* it does not answer this VM */
 	int64_t suspect_deadline; /* while said is DL_SUSPECT */
 	int64_t asked;		  /* last probed out of turn */
 };
--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -58,7 +58,7 @@
  * worth of six loaded days of 57 engines 0.386 without, 0.389 with 400 ms,
  * 0.399 with 150 ms; of their longest class in time 0.37, 0.42, 0.44.
  */
-#define AHEAD_MS 150
+#define AHEAD_MS	   150
 #define AHEAD_WAITED_SHARE 0.3
 /* Memory is written in blocks, and an answer may be longer than said. */
 #define MEMORY_SHARE 0.97
@@ -225,7 +225,8 @@
 	       (int64_t)ceil(part_ms * c->endpoint->engine.pace);
 }
 
-/* Those on an engine whom reading a part there would pause or delay too long. */
+/* Those on an engine whom reading a part there would pause or delay too long.
+ */
 static double harm_of(const struct engine_search *s, const struct candidate *c,
 		      double part_ms)
 {
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -268,9 +268,8 @@
 	/* dispatching */
 	struct entry_pool *pools;
 	struct entry_far *far;
-	GHashTable *lost;   /* VM to when a connection to it was lost last */
-	uint64_t silent_vm; /* a dispatcher that did not answer; 0 for none */
-	int64_t silent_at, silent_tried;
+	GHashTable
+		*lost; /* VM that does not answer to when that was last seen */
 	int64_t summaries_at;
 	int64_t counted_at;
 
@@ -383,8 +382,11 @@
 int entry_announce_take(struct entry *e, struct dl_announcement *a);
 void entry_announce_frame(struct entry *e, uint64_t from,
 			  const struct dl_frame *f);
-void entry_lost_note(struct entry *e, uint64_t vm);
-void entry_lost_forget(struct entry *e, int64_t now);
+
+/* entry_reach.c */
+void entry_reach_lost(struct entry *e, uint64_t vm);
+void entry_reach_heard(struct entry *e, uint64_t vm);
+void entry_reach_tick(struct entry *e);
 
 /* entry_far.c */
 bool entry_far_fresh(const struct entry *e, const struct entry_far *far,
--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -8,8 +8,6 @@
 #include "main/entry.h"
 
 #define MS_PER_S 1000
-/* A connection that stays silent is lost anew every two seconds. */
-#define LOST_MS 3000
 
 /*
  * Note what was announced.  Leaving is final for an incarnation: announcements
@@ -100,39 +98,6 @@
 	report_here(e, p, &a);
 }
 
-/*
- * Whether a connection to a VM was lost a moment ago.  For announcements: while
- * a failure domain is cut off and membership does not know yet (five seconds),
- * those that come here for its dispatcher would be acknowledged and lost, and
- * its pool would forget its endpoints in the same time.
- */
-static bool was_lost(struct entry *e, uint64_t vm)
-{
-	const int64_t *at = g_hash_table_lookup(e->lost, &vm);
-
-	return at && entry_now(e) - *at < LOST_MS;
-}
-
-/* A connection to a VM was lost now. */
-void entry_lost_note(struct entry *e, uint64_t vm)
-{
-	int64_t now = entry_now(e);
-
-	g_hash_table_replace(e->lost, g_memdup2(&vm, sizeof(vm)),
-			     g_memdup2(&now, sizeof(now)));
-}
-
-static gboolean is_old(gpointer vm, gpointer at, gpointer now)
-{
-	return *(int64_t *)now - *(int64_t *)at >= LOST_MS;
-}
-
-/* Forget connections that were lost long ago. */
-void entry_lost_forget(struct entry *e, int64_t now)
-{
-	g_hash_table_foreach_remove(e->lost, is_old, &now);
-}
-
 /*
  * An endpoint has announced itself here: keep it where the pool is ours, and
  * pass it on to the pool's dispatcher.  -ENOENT: no such service;
@@ -153,7 +118,7 @@
 	owner = entry_pool_owner(e, service, domain);
 	if (entry_pool_is_own(e, domain))
 		report_here(e, p, a);
-	if (owner == DL_VM_NONE || was_lost(e, owner))
+	if (owner == DL_VM_NONE)
 		return -EHOSTUNREACH;
 	if (owner == e->node.self)
 		return 0;
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -15,15 +15,9 @@
 /*
  * A dispatcher answers within a loop's turn; later it is taken for lost.  For
  * one that lost its power: until membership knows, each request would wait this
- * long for it, so the first that waited in vain speaks for all (SILENT_MS).
+ * long for it, so the first that waited in vain speaks for all.
  */
 #define ASK_LOST_MS 180
-/*
- * So long a silent dispatcher is asked by one request now and then only; by
- * then membership names another, or it has answered.
- */
-#define SILENT_MS     3000
-#define SILENT_TRY_MS 400
 /* Two VMs may differ for a moment about who dispatches. */
 #define ASK_AGAIN_MS 50
 /* A VM that says that it does not dispatch is alive, and will hear that it
@@ -54,6 +48,7 @@
 	memset(&c->ask, 0, sizeof(c->ask));
 	c->ask.service = c->service;
 	c->ask.settled = c->sent_away || c->refused;
+	c->ask.standby = g_hash_table_size(c->e->lost) > 0;
 	ask->request = c->ask_id;
 	ask->entry = c->e->node.self;
 	ask->workspace = dl_name_str(&c->workspace);
@@ -112,31 +107,13 @@
 	entry_pool_ask(c->e, p, &c->ask, local);
 }
 
-/*
- * Whether a dispatcher has lately left an ask without an answer, and this one
- * is not the one that tries it again.
- */
-static bool is_silent(struct entry *e, uint64_t vm)
-{
-	int64_t now = entry_now(e);
-
-	if (vm != e->silent_vm || now - e->silent_at > SILENT_MS)
-		return false;
-	if (now - e->silent_tried < SILENT_TRY_MS)
-		return true;
-	e->silent_tried = now;
-	return false;
-}
-
-static void note_silent(struct entry *e, uint64_t vm, int64_t now)
+/* A dispatcher has left an ask without an answer: its successor is asked. */
+static void note_silent(struct entry *e, uint64_t vm)
 {
 	if (vm == e->node.self || vm == DL_VM_NONE)
 		return;
-	if (vm != e->silent_vm)
-		dl_msg(DL_MSG_DISPATCHER_SILENT, "vm=%lx", (unsigned long)vm);
-	e->silent_vm = vm;
-	e->silent_at = now;
-	e->silent_tried = now;
+	dl_msg(DL_MSG_DISPATCHER_SILENT, "vm=%lx", (unsigned long)vm);
+	entry_reach_lost(e, vm);
 }
 
 /* Ask for an endpoint; the call may be over when this returns. */
@@ -155,8 +132,7 @@
 	c->dispatcher =
 		entry_pool_owner(e, service_of(c), dl_name_str(&c->domain));
 	if (own_domain(c) &&
-	    (c->dispatcher == DL_VM_NONE || c->asks_lost >= ASKS_LOST_MAX ||
-	     is_silent(e, c->dispatcher))) {
+	    (c->dispatcher == DL_VM_NONE || c->asks_lost >= ASKS_LOST_MAX)) {
 		ask_locally(c, true);
 		return;
 	}
@@ -408,8 +384,6 @@
 {
 	struct call *c = g_hash_table_lookup(e->asks, &f->answer.request);
 
-	if (from == e->silent_vm)
-		e->silent_vm = DL_VM_NONE;
 	if (!c || c->dispatcher != from || c->granted) {
 		dl_count(DL_METRIC_late_frames_dropped, 1);
 		if (f->answer.verdict == DL_GRANTED)
@@ -573,7 +547,7 @@
 	if (c->state != CALL_ASKING && c->state != CALL_QUEUED)
 		return;
 	if (lost(c, now)) {
-		note_silent(c->e, c->dispatcher, now);
+		note_silent(c->e, c->dispatcher);
 		c->asks_lost++;
 		entry_grant_cancel(c);
 		ask_again(c);
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -275,15 +275,19 @@
 	return true;
 }
 
-/* A dispatcher that has just taken over and has heard no endpoint yet. */
-static bool knows_nobody(struct entry *e, struct entry_pool *p)
+static bool knows_endpoints(struct entry *e, struct entry_pool *p)
 {
 	struct dl_pool_summary s;
 
-	if (entry_now(e) - p->led_since > KNOW_ENDPOINTS_MS)
-		return false;
 	dl_pool_summarize(p->pool, entry_now(e), &s);
-	return s.endpoints == 0;
+	return s.endpoints > 0;
+}
+
+/* A dispatcher that has just taken over and has heard no endpoint yet. */
+static bool knows_nobody(struct entry *e, struct entry_pool *p)
+{
+	return entry_now(e) - p->led_since <= KNOW_ENDPOINTS_MS &&
+	       !knows_endpoints(e, p);
 }
 
 /*
@@ -342,6 +346,8 @@
 	struct dl_answer answer;
 
 	update_leading(e, p);
+	if (f->standby && !p->leading)
+		local = local || knows_endpoints(e, p);
 	if (p->leading && !local && knows_nobody(e, p)) {
 		hold(e, p, f);
 		return;
@@ -463,7 +469,7 @@
 /* A connection to a VM was lost. */
 void entry_pool_down(struct entry *e, uint64_t vm)
 {
-	entry_lost_note(e, vm);
+	entry_reach_lost(e, vm);
 	entry_far_down(e, vm);
 }
 
@@ -505,7 +511,7 @@
 	if (!summaries)
 		return;
 	e->summaries_at = now;
-	entry_lost_forget(e, now);
+	entry_reach_tick(e);
 	dl_gauge(DL_METRIC_queue_entries, queued);
 	dl_gauge(DL_METRIC_endpoints_known, endpoints);
 }
--- /dev/null
+++ b/src/main/entry_reach.c
@@ -0,0 +1,59 @@
+/*
+ * Which VMs do not answer this one.  Membership takes seconds to be sure that a
+ * VM is gone, and is right to: one that is frozen for a moment must not lose
+ * what it holds.  Dispatching cannot wait for it, and loses nothing by moving
+ * for a moment.  So a VM whose connection broke, or that left an ask without an
+ * answer, dispatches nothing in the eyes of this one for a while, and VMs that
+ * see the same cut ask the same successor.
+ */
+#include "main/entry.h"
+
+/*
+ * A connection that stays silent is lost anew every two seconds, so that a VM
+ * behind a cut stays out; one that came back is tried again after this.
+ */
+#define LOST_MS 3000
+/* A word of it ends that sooner, but not at once: it may hear nothing itself.
+ */
+#define LOST_MIN_MS 1000
+
+/* A connection to a VM was lost, or an ask of it: nothing is asked of it now.
+ */
+void entry_reach_lost(struct entry *e, uint64_t vm)
+{
+	int64_t now = entry_now(e);
+
+	if (vm == e->node.self || vm == DL_VM_NONE)
+		return;
+	g_hash_table_replace(e->lost, g_memdup2(&vm, sizeof(vm)),
+			     g_memdup2(&now, sizeof(now)));
+	dl_memb_unreachable(e->node.memb, vm, true);
+}
+
+static bool ends(struct entry *e, uint64_t vm, int64_t at, int64_t after_ms)
+{
+	if (entry_now(e) - at < after_ms)
+		return false;
+	dl_memb_unreachable(e->node.memb, vm, false);
+	return true;
+}
+
+/* A VM has sent something. */
+void entry_reach_heard(struct entry *e, uint64_t vm)
+{
+	const int64_t *at = g_hash_table_lookup(e->lost, &vm);
+
+	if (at && ends(e, vm, *at, LOST_MIN_MS))
+		g_hash_table_remove(e->lost, &vm);
+}
+
+static gboolean is_over(gpointer vm, gpointer at, gpointer e)
+{
+	return ends(e, *(uint64_t *)vm, *(int64_t *)at, LOST_MS);
+}
+
+/* Try again what was lost a while ago. */
+void entry_reach_tick(struct entry *e)
+{
+	g_hash_table_foreach_remove(e->lost, is_over, e);
+}
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -4,7 +4,7 @@
 #include <errno.h>
 #include <string.h>
 
-#define ASK_ITEMS     15
+#define ASK_ITEMS     16
 #define ANSWER_ITEMS  13
 #define RELEASE_ITEMS 9
 #define REPORT_ITEMS  19
@@ -105,6 +105,7 @@
 	dl_pack_str(p, dl_name_str(&f->service));
 	put_ask(p, &f->ask, now);
 	dl_pack_bool(p, f->settled);
+	dl_pack_bool(p, f->standby);
 }
 
 /* Read it; the workspace points into the body. */
@@ -116,6 +117,7 @@
 	dl_read_name(&r, &out->service);
 	take_ask(&r, &out->ask, now);
 	out->settled = dl_read_bool(&r);
+	out->standby = dl_read_bool(&r);
 	return finish(&r);
 }
 
--- a/src/protocol/pool_codec.h
+++ b/src/protocol/pool_codec.h
@@ -24,6 +24,7 @@
 	struct dl_name service;
 	struct dl_ask ask;
 	bool settled; /* another pool was tried: do not send it elsewhere */
+	bool standby; /* the VM that dispatches does not answer: do it for it */
 };
 
 void dl_ask_pack(struct dl_packer *p, const struct dl_ask_frame *f,
--- a/src/transport/peers.c
+++ b/src/transport/peers.c
@@ -153,9 +153,10 @@
 	uv_close((uv_handle_t *)&c->tcp, on_conn_closed);
 	if (!c->outgoing || peers->closing)
 		return;
-	if (why)
-		dl_msg(DL_MSG_PEER_DOWN, "vm=%s error=%s",
-		       dl_vm_text(c->vm, text), uv_strerror(why));
+	if (!why)
+		return;
+	dl_msg(DL_MSG_PEER_DOWN, "vm=%s error=%s", dl_vm_text(c->vm, text),
+	       uv_strerror(why));
 	if (peers->ops->down)
 		peers->ops->down(peers->arg, c->vm);
 }
--- a/test/test_memb.c
+++ b/test/test_memb.c
@@ -286,6 +286,38 @@
 }
 END_TEST
 
+/*
+ * A VM that does not answer some others owns nothing in their eyes; they name
+ * the same successor, and the others still name it.
+ */
+START_TEST(unreachable_ones_own_nothing)
+{
+	struct memb_net *net = started(SMALL, DOMAINS, 5);
+	struct dl_name name = memb_net_domain(0);
+	struct dl_str domain = dl_name_str(&name);
+	struct dl_memb *one = net->vms[0].memb, *other = net->vms[DOMAINS].memb;
+	struct dl_memb *third = net->vms[2 * DOMAINS].memb;
+	uint64_t key = 0, owner, next;
+
+	do {
+		owner = dl_memb_owner(one, domain, ++key);
+	} while (owner == net->vms[0].vm || owner == net->vms[DOMAINS].vm);
+	dl_memb_unreachable(one, owner, true);
+	dl_memb_unreachable(other, owner, true);
+	next = dl_memb_owner(one, domain, key);
+	ck_assert_uint_ne(next, owner);
+	ck_assert_uint_eq(dl_memb_owner(other, domain, key), next);
+	ck_assert_uint_eq(dl_memb_owner(third, domain, key), owner);
+	dl_memb_unreachable(one, owner, false);
+	ck_assert_uint_eq(dl_memb_owner(one, domain, key), owner);
+	/* With all others out of reach a VM owns everything itself. */
+	for (uint32_t i = 0; i < SMALL; i++)
+		dl_memb_unreachable(one, net->vms[i].vm, true);
+	ck_assert_uint_eq(dl_memb_owner(one, domain, key), net->vms[0].vm);
+	memb_net_free(net);
+}
+END_TEST
+
 START_TEST(nonsense_is_refused)
 {
 	struct memb_net *net = started(2, 1, 3);
@@ -417,6 +449,7 @@
 	tcase_add_loop_test(t, a_split_heals_without_seeds, 0, 5);
 	tcase_add_loop_test(t, domains_find_each_other_again, 0, 5);
 	tcase_add_test(t, versions_and_draining_spread);
+	tcase_add_test(t, unreachable_ones_own_nothing);
 	tcase_add_test(t, nonsense_is_refused);
 	tcase_add_test(t, the_gone_are_forgotten);
 	tcase_add_test(t, within_the_budget_at_the_target);
