--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -138,6 +138,7 @@
 	uint64_t output_tokens;
 	uint32_t ttft_ms;  /* since the grant; 0 where none came */
 	uint32_t total_ms; /* likewise */
+	struct dl_name at_fault; /* unreachable for the first; n 0: none */
 };
 
 /* The pool in one line, for other pools, other domains and operators. */
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -25,6 +25,8 @@
 static uint64_t new_id(struct dl_pool *pool);
 static void note_release(struct dl_pool *pool, struct pool_grant *g,
 			 int64_t now);
+static void blame(struct dl_pool *pool, const struct pool_grant *g,
+		  const struct dl_name *id, int64_t now);
 
 /* The hash of a request's name: its id is unique only with its entry. */
 uint64_t pool_request_hash(uint64_t entry, uint64_t request)
@@ -315,6 +317,22 @@
 	return 0;
 }
 
+/*
+ * The first endpoint of a group could not reach another one of it.  For a
+ * failure domain that is cut off: a group fails after a stall (1.5 s) in which
+ * the whole engine that leads stands still, and the same helpers look free.
+ */
+static void blame(struct dl_pool *pool, const struct pool_grant *g,
+		  const struct dl_name *id, int64_t now)
+{
+	for (uint8_t i = 1; i < g->parts_n; i++) {
+		struct pool_endpoint *e = g->parts[i].endpoint;
+
+		if (e && dl_name_eq(&e->last.id, dl_name_str(id)))
+			pool_endpoint_unreachable(pool, e, now);
+	}
+}
+
 /* Give back what a grant holds and learn from it; -ENOENT as for renew. */
 int dl_pool_release(struct dl_pool *pool, uint64_t grant,
 		    const struct dl_usage *usage, int64_t now)
@@ -326,6 +344,8 @@
 		return -ENOENT;
 	if (usage && usage->unreachable && g->parts[0].endpoint)
 		pool_endpoint_unreachable(pool, g->parts[0].endpoint, now);
+	if (usage && usage->at_fault.n)
+		blame(pool, g, &usage->at_fault, now);
 	if (usage)
 		pool_shift_learn(pool, g, usage, now);
 	pool_grant_drop(pool, g, now);
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -84,6 +84,7 @@
 	bool foreign;  /* it answers another request */
 	bool events;   /* a stream, passed on event by event */
 	bool too_long; /* an event past its bound */
+	struct dl_name at_fault; /* a helper that is, as the lead says */
 	size_t length; /* SIZE_MAX: not said */
 };
 
--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -63,6 +63,19 @@
 	entry_grant_ask(c);
 }
 
+/*
+ * A group fails with the one that cannot be reached: its lead, which says so,
+ * is as good as before.
+ */
+static void blame(struct call *c)
+{
+	const struct dl_name *at_fault = &c->route.head.at_fault;
+
+	if (c->route.head.not_run && at_fault->n &&
+	    !dl_name_eq(at_fault, dl_name_str(&c->grant.endpoint[0])))
+		c->usage.at_fault = *at_fault;
+}
+
 /* Ask for another endpoint, beside those that were tried. */
 static void ask_again(struct call *c)
 {
@@ -209,6 +222,7 @@
 				head->status == STATUS_MISDIRECTED;
 	c->route.head.foreign = !is_ours(c, said.attempt_id);
 	c->route.head.length = said.length;
+	dl_name_set(&c->route.head.at_fault, said.at_fault);
 	c->route.head.events = c->stream && head->status == 200;
 	if (!c->answering)
 		keep_headers(c, head, c->route.head.events);
@@ -407,15 +421,17 @@
 		!(c->relayed && !c->route.head.events);
 	call_fill_usage(c, &a, c->prompt_tokens, c->output_tokens,
 			c->status >= STATUS_ERROR || !whole);
+	blame(c);
 	if (whole && (c->status < STATUS_ERROR || !may_go_on(c, &a))) {
 		finish(c);
 		return;
 	}
 	dl_msg(DL_MSG_ATTEMPT_BROKE,
 	       "request=%s endpoint=%s sent=%d received=%d broke=%d status=%u "
-	       "outcome=%s events=%lu step=%s why=\"%s\"",
+	       "outcome=%s events=%lu at_fault=%s step=%s why=\"%s\"",
 	       c->id_text, c->grant.endpoint[0].s, a.sent, a.received, a.broke,
 	       c->status, dl_outcome_name(outcome), (unsigned long)c->relayed,
+	       c->route.head.at_fault.s,
 	       dl_step_name(err->step), err->text);
 	if (!whole && !may_go_on(c, &a)) {
 		give_up(c, outcome, err);
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -49,7 +49,8 @@
 struct dl_answer_head {
 	bool not_run; /* it has not run the request and never will */
 	struct dl_str attempt_id;
-	size_t length; /* of the body; SIZE_MAX: not said */
+	struct dl_str at_fault; /* the endpoint that is, where it is another */
+	size_t length;		/* of the body; SIZE_MAX: not said */
 };
 
 /* What a call to the replicas' door asks for. */
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -6,7 +6,7 @@
 
 #define ASK_ITEMS     16
 #define ANSWER_ITEMS  13
-#define RELEASE_ITEMS 9
+#define RELEASE_ITEMS 10
 #define REPORT_ITEMS  19
 #define SUMMARY_ITEMS 9
 #define ADOPT_ITEMS   25
@@ -219,6 +219,7 @@
 	dl_pack_u64(p, usage->output_tokens);
 	dl_pack_u64(p, usage->ttft_ms);
 	dl_pack_u64(p, usage->total_ms);
+	dl_pack_str(p, dl_name_str(&usage->at_fault));
 }
 
 /* Read it. */
@@ -237,6 +238,7 @@
 	out->output_tokens = dl_read_u64(&r);
 	out->ttft_ms = (uint32_t)dl_read_u64(&r);
 	out->total_ms = (uint32_t)dl_read_u64(&r);
+	dl_read_name(&r, &out->at_fault);
 	return finish(&r);
 }
 
