Committed texts are carried out in pieces, and unread where the leader has checked them

Cause: after all processes were killed nothing with a key was served for five seconds. A new leader learns at once that all of its log is committed, and parsed a dozen texts of 250 to 800 KB in one go (1.9 s on 0.15 cores); its heartbeats were missed, the next replica was elected with the same ahead of it, and a third. Ruled out: the election itself (1.1 s), the disk (5 ms a sync). Change: 64 KB of commands in a turn of the loop; a command carries the number of a text that its leader has parsed without faults and that names no replicas, and such a text is put in force unread: parsed when it is asked for. Old logs have none and are read as before.

--- a/include/daisyledge/conf.h
+++ b/include/daisyledge/conf.h
@@ -146,6 +146,7 @@
 	struct dl_fault at[DL_FAULTS_MAX];
 };
 
+uint64_t dl_conf_digest(struct dl_str text);
 /* 0 and *out, or -EINVAL and every fault at once. */
 int dl_conf_parse(struct dl_str text, struct dl_conf **out,
 		  struct dl_faults *faults);
--- a/include/daisyledge/cstore.h
+++ b/include/daisyledge/cstore.h
@@ -56,6 +56,11 @@
 	struct dl_str author;
 	uint64_t expect; /* version replaced; UINT64_MAX: whichever */
 	bool confirm;	 /* the operator accepted the impact */
+	/*
+	 * The operators' own number of a text that its leader has parsed and
+	 * found without faults, and that names no replicas; 0: not looked at.
+	 */
+	uint64_t checked_number;
 	/* CLAIM, OUTCOME, UNCLAIM */
 	struct dl_str key;  /* service, workspace and key, joined */
 	uint64_t owner;	    /* the request that claims */
@@ -114,7 +119,9 @@
 struct dl_conf;
 struct dl_conf_diff;
 /* The parsed configuration in force; NULL before the first. */
-const struct dl_conf *dl_cstore_conf(const struct dl_cstore *store);
+const struct dl_conf *dl_cstore_conf(struct dl_cstore *store);
+/* The operators' own number of the text in force; 0 where it has none. */
+uint64_t dl_cstore_number(const struct dl_cstore *store);
 /* The difference of two versions; -ENOENT where a text is not kept. */
 int dl_cstore_diff(const struct dl_cstore *store, uint64_t from, uint64_t to,
 		   struct dl_conf_diff *out);
--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -136,8 +136,8 @@
 	bool unreachable;	/* no connection to it could be made */
 	uint64_t prompt_tokens; /* as the endpoint counted, 0 unknown */
 	uint64_t output_tokens;
-	uint32_t ttft_ms;  /* since the grant; 0 where none came */
-	uint32_t total_ms; /* likewise */
+	uint32_t ttft_ms;	 /* since the grant; 0 where none came */
+	uint32_t total_ms;	 /* likewise */
 	struct dl_name at_fault; /* unreachable for the first; n 0: none */
 };
 
--- a/src/main/replica.c
+++ b/src/main/replica.c
@@ -23,6 +23,8 @@
  * Longer than a restart or a short pause of a VM, shorter than the time after
  * which another loss may follow (some seconds).
  */
+/* Committed bytes that are carried out in one turn: one large text. */
+#define APPLY_BYTES   (64u << 10)
 #define VOTER_LOST_MS 2500
 /* Below this, deflating saves less than it takes. */
 #define SQUEEZE_FROM 4096
@@ -126,16 +128,36 @@
 	dl_rlog_halt(r->rlog, &err);
 }
 
-static void apply_all(struct replica *r)
+static void on_more(uv_idle_t *idle)
 {
-	struct dl_rlog_apply a;
+	/* It only keeps the loop from waiting. */
+}
 
-	while (dl_rlog_apply(r->rlog, &a)) {
+/*
+ * Carry out what is committed, a piece in each turn of the loop.  For a leader
+ * after a restart: it learns of all at once that they are committed, and a
+ * dozen texts of 800 KB in one go took 1.9 s of a VM with 0.15 cores, in which
+ * its heartbeats were missed and the next one was elected, with the same ahead
+ * of it.  Returns whether all is carried out.
+ */
+static bool apply_some(struct replica *r)
+{
+	struct dl_rlog_apply a;
+	size_t bytes = 0;
+
+	while (bytes < APPLY_BYTES) {
+		if (!dl_rlog_apply(r->rlog, &a)) {
+			uv_idle_stop(&r->more);
+			return true;
+		}
+		bytes += a.data.n;
 		if (a.kind == DL_RLOG_APPLY_RESTORE)
 			restore(r, &a);
 		else
 			replica_cmd_apply(r, &a);
 	}
+	uv_idle_start(&r->more, on_more);
+	return false;
 }
 
 static void snapshot(struct replica *r)
@@ -222,16 +244,19 @@
 static void pump(struct replica *r)
 {
 	int64_t now = replica_now(r);
+	bool all;
 
 	if (!r->started)
 		return;
 	if (now >= dl_rlog_wakeup(r->rlog))
 		dl_rlog_tick(r->rlog, now);
-	apply_all(r);
-	snapshot(r);
+	all = apply_some(r);
+	if (all)
+		snapshot(r);
 	write_next(r);
 	send_all(r);
-	replica_conf_check(r);
+	if (all)
+		replica_conf_check(r);
 	say_role(r);
 }
 
@@ -370,6 +395,7 @@
 	if (replica_orders_open(r))
 		return dl_err_set(err, -ENOMEM, DL_STEP_NONE, NULL,
 				  "out of memory");
+	uv_idle_init(r->node.loop, &r->more);
 	uv_prepare_init(r->node.loop, &r->prepare);
 	r->prepare.data = r;
 	uv_prepare_start(&r->prepare, on_prepare);
--- a/src/main/replica.h
+++ b/src/main/replica.h
@@ -37,6 +37,7 @@
 	struct dl_rlog *rlog;
 	struct dl_cstore *cstore;
 	uv_prepare_t prepare;
+	uv_idle_t more; /* runs while something committed is not applied */
 	int64_t started_at;
 	bool started; /* its first sync is done */
 	bool current; /* has shown, or may show, its version */
--- a/src/main/replica_door.c
+++ b/src/main/replica_door.c
@@ -172,13 +172,15 @@
 	reply_json(req, 200, DL_STR("{}"));
 }
 
-/* The number of a text, and whether it is without faults. */
-static bool check_text(struct dl_str text, uint64_t *number, char why[200])
+/* The number of a text, whether it is without faults, and names no replicas. */
+static bool check_text(struct dl_str text, uint64_t *number, bool *plain,
+		       char why[200])
 {
 	struct dl_faults *faults = g_new0(struct dl_faults, 1);
 	struct dl_conf *conf = NULL;
 	bool ok = dl_conf_parse(text, &conf, faults) == 0;
 
+	*plain = ok && conf->replicas_count == 0;
 	if (ok)
 		*number = conf->number;
 	else
@@ -191,13 +193,14 @@
 
 /* Append a checked text; answered when it is committed. */
 static void propose(struct replica_door *d, struct dl_httpd_req *req,
-		    struct dl_str text, uint64_t number)
+		    struct dl_str text, uint64_t number, bool plain)
 {
 	struct replica_pending p = { .http = req };
 	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_APPLY,
 				     .text = text,
 				     .expect = UINT64_MAX,
-				     .confirm = true };
+				     .confirm = true,
+				     .checked_number = plain ? number : 0 };
 	struct dl_str data;
 	char id[24], *command;
 	int code;
@@ -224,7 +227,7 @@
 
 static void on_apply(struct replica_door *d, struct dl_httpd_req *req)
 {
-	const struct dl_conf *conf = dl_cstore_conf(d->r->cstore);
+	bool first = dl_cstore_version(d->r->cstore) == 0, plain;
 	uint64_t number = 0;
 	struct dl_err err;
 	char why[200], *text;
@@ -233,12 +236,12 @@
 		answer_change(req, 0, 400, err.text);
 		return;
 	}
-	if (!check_text(dl_str_of(text), &number, why))
+	if (!check_text(dl_str_of(text), &number, &plain, why))
 		answer_change(req, 0, 400, why);
-	else if (conf && number <= conf->number)
+	else if (!first && number <= dl_cstore_number(d->r->cstore))
 		answer_change(req, number, 200, "in force already");
 	else if (leads(d, req))
-		propose(d, req, dl_str_of(text), number);
+		propose(d, req, dl_str_of(text), number, plain);
 	free(text);
 }
 
--- a/src/state/conf.c
+++ b/src/state/conf.c
@@ -592,12 +592,18 @@
 	if (rc == 0) {
 		read_top(r, json, conf);
 		conf_check(r, conf);
-		conf->digest = dl_hash(text, DIGEST_SEED);
+		conf->digest = dl_conf_digest(text);
 	}
 	json_decref(json);
 	return rc;
 }
 
+/* The digest of a text, also of one that is not parsed. */
+uint64_t dl_conf_digest(struct dl_str text)
+{
+	return dl_hash(text, DIGEST_SEED);
+}
+
 /* Order faults by where they stand. */
 static int by_line(const void *a, const void *b)
 {
--- a/src/state/cstore.c
+++ b/src/state/cstore.c
@@ -38,7 +38,7 @@
 			uint64_t version, struct dl_cstore_reply *reply);
 static void tell_faults(const struct dl_faults *faults,
 			struct dl_cstore_reply *reply);
-static int refuse(const struct dl_cstore *store, const struct dl_conf *next,
+static int refuse(struct dl_cstore *store, const struct dl_conf *next,
 		  bool confirm, struct dl_cstore_reply *reply);
 static void put_in_force(struct dl_cstore *store,
 			 const struct dl_cstore_cmd *cmd, struct dl_conf *next);
@@ -345,12 +345,13 @@
 }
 
 /* Whether a text without faults must be refused for what it would do. */
-static int refuse(const struct dl_cstore *store, const struct dl_conf *next,
+static int refuse(struct dl_cstore *store, const struct dl_conf *next,
 		  bool confirm, struct dl_cstore_reply *reply)
 {
 	struct dl_conf_diff diff;
 	bool ask;
 
+	dl_cstore_conf(store);
 	if (!store->conf)
 		return 0;
 	if (!dl_conf_keeps_majority(store->conf, next)) {
@@ -373,14 +374,15 @@
 	return ask ? DL_ECONFIRM : 0;
 }
 
-/* Make a text the version in force. */
+/* Make a text the version in force; next is NULL where it is yet to be parsed.
+ */
 static void put_in_force(struct dl_cstore *store,
 			 const struct dl_cstore_cmd *cmd, struct dl_conf *next)
 {
 	struct change c = {
 		.version = store->version + 1,
 		.wall_ms = cmd->wall_ms,
-		.digest = next->digest,
+		.digest = dl_conf_digest(cmd->text),
 		.bytes = cmd->text.n,
 	};
 
@@ -389,6 +391,8 @@
 	cstore_add_change(store, &c, cmd->text);
 	dl_conf_free(store->conf);
 	store->conf = next;
+	store->conf_unread = !next;
+	store->number = next ? next->number : cmd->checked_number;
 	store->version = c.version;
 }
 
@@ -397,15 +401,31 @@
  * reached.  Such a text is an old or repeated one: it changes nothing, and its
  * operator is told that the one in force holds.
  */
-static bool overtaken(const struct dl_cstore *store, const struct dl_conf *next,
+static bool overtaken(const struct dl_cstore *store, uint64_t number,
 		      struct dl_cstore_reply *reply)
 {
-	if (!next->number || !store->conf || next->number > store->conf->number)
+	if (!number || !store->version || number > store->number)
 		return false;
 	reply->repeated = true;
 	return true;
 }
 
+/*
+ * Whether a text can be put in force unread: its leader has found it without
+ * faults, its operator wants it whatever it changes, and no list of replicas is
+ * at stake.  For a replica that carries out a dozen texts after a restart and
+ * needs the last one only (818 KB take 40 ms to parse, and 0.27 s on 0.15
+ * cores).
+ */
+static bool is_checked(const struct dl_cstore *store,
+		       const struct dl_cstore_cmd *cmd)
+{
+	return cmd->checked_number && cmd->confirm &&
+	       cmd->expect == UINT64_MAX &&
+	       (store->conf_unread || !store->conf ||
+		store->conf->replicas_count == 0);
+}
+
 /*
  * Apply a text.  Answers that are final (applied, lost to another) are kept
  * under the change id; a text that was refused as faulty or unconfirmed
@@ -434,6 +454,14 @@
 		record(store, cmd, reply);
 		return;
 	}
+	if (is_checked(store, cmd)) {
+		if (overtaken(store, cmd->checked_number, reply))
+			return;
+		put_in_force(store, cmd, NULL);
+		reply->version = store->version;
+		record(store, cmd, reply);
+		return;
+	}
 	rc = dl_conf_parse(cmd->text, &next, &store->faults);
 	if (rc == -ENOMEM)
 		g_error("no memory to carry out a command");
@@ -441,7 +469,7 @@
 		tell_faults(&store->faults, reply);
 		return;
 	}
-	if (overtaken(store, next, reply)) {
+	if (overtaken(store, next->number, reply)) {
 		dl_conf_free(next);
 		return;
 	}
@@ -521,11 +549,19 @@
 }
 
 /* The parsed configuration in force; NULL before the first. */
-const struct dl_conf *dl_cstore_conf(const struct dl_cstore *store)
+const struct dl_conf *dl_cstore_conf(struct dl_cstore *store)
 {
+	if (store->conf_unread)
+		cstore_parse_in_force(store);
 	return store->conf;
 }
 
+/* The operators' own number of the text in force; 0 where it has none. */
+uint64_t dl_cstore_number(const struct dl_cstore *store)
+{
+	return store->number;
+}
+
 /* The text of a version, 0 for the one in force; false where not kept. */
 bool dl_cstore_text(const struct dl_cstore *store, uint64_t version,
 		    struct dl_str *out)
--- a/src/state/cstore_codec.c
+++ b/src/state/cstore_codec.c
@@ -42,7 +42,10 @@
 	msgpack_pack_uint16(&pk, cmd->status);
 	pack_put_str(&pk, cmd->outcome);
 	msgpack_pack_uint64(&pk, cmd->term);
-	msgpack_pack_nil(&pk);
+	if (cmd->checked_number)
+		msgpack_pack_uint64(&pk, cmd->checked_number);
+	else
+		msgpack_pack_nil(&pk);
 	if (!buf.data)
 		return -ENOMEM;
 	*n = buf.size;
@@ -81,6 +84,7 @@
 	out->status = (uint16_t)pack_u64(&f, UINT16_MAX);
 	out->outcome = pack_str(&f, TEXT_MAX);
 	out->term = pack_u64(&f, UINT64_MAX);
+	out->checked_number = pack_u64_or_nil(&f);
 	msgpack_unpacked_destroy(&u);
 	return f.bad ? -EBADMSG : 0;
 }
--- a/src/state/cstore_int.h
+++ b/src/state/cstore_int.h
@@ -92,7 +92,9 @@
 	uint32_t history_head, history_count;
 	size_t history_bytes; /* of texts, but for the one in force */
 	struct claims claims;
-	struct dl_conf *conf; /* NULL before the first version */
+	struct dl_conf *conf; /* NULL before the first version, and while */
+	bool conf_unread;     /* this says that the text is yet to be parsed */
+	uint64_t number;      /* the operators' own of the text in force */
 	struct dl_faults faults;
 	struct told_diff told;
 };
@@ -101,6 +103,7 @@
 gboolean cstore_str_equal(gconstpointer a, gconstpointer b);
 void cstore_init(struct dl_cstore *store);
 void cstore_drop(struct dl_cstore *store);
+void cstore_parse_in_force(struct dl_cstore *store);
 void cstore_add_answer(struct dl_cstore *store, const struct answer *answer);
 void cstore_add_change(struct dl_cstore *store, const struct change *change,
 		       struct dl_str text);
--- a/src/state/cstore_pack.h
+++ b/src/state/cstore_pack.h
@@ -61,6 +61,17 @@
 	return o->via.u64;
 }
 
+/* The next field as an unsigned number, 0 where it is nil. */
+static inline uint64_t pack_u64_or_nil(struct pack_fields *f)
+{
+	if (!f->bad && f->next < f->array.size &&
+	    f->array.ptr[f->next].type == MSGPACK_OBJECT_NIL) {
+		f->next++;
+		return 0;
+	}
+	return pack_u64(f, UINT64_MAX);
+}
+
 /* The next field as a signed number. */
 static inline int64_t pack_i64(struct pack_fields *f)
 {
--- a/src/state/cstore_snap.c
+++ b/src/state/cstore_snap.c
@@ -45,7 +45,6 @@
 static bool get_answer(struct snap_reader *r, struct dl_cstore *store);
 static bool get_claim(struct snap_reader *r, struct dl_cstore *store);
 static bool get_all(struct snap_reader *r, struct dl_cstore *store);
-static void parse_in_force(struct dl_cstore *store);
 
 /* What is one of a kind, and how many items follow. */
 static void put_head(msgpack_packer *pk, const struct dl_cstore *store)
@@ -284,10 +283,12 @@
  * by an earlier one and stays in force; the next change is then compared with
  * nothing.
  */
-static void parse_in_force(struct dl_cstore *store)
+void cstore_parse_in_force(struct dl_cstore *store)
 {
 	struct dl_str text;
 
+	store->conf = NULL;
+	store->conf_unread = false;
 	if (dl_cstore_text(store, 0, &text) &&
 	    dl_conf_parse(text, &store->conf, &store->faults) != 0)
 		store->conf = NULL;
@@ -314,7 +315,8 @@
 		dl_cstore_free(next);
 		return -EINVAL;
 	}
-	parse_in_force(next);
+	cstore_parse_in_force(next);
+	next->number = next->conf ? next->conf->number : 0;
 	cstore_drop(store);
 	memcpy(store, next, sizeof(*store));
 	free(next);
--- a/test/test_cstore.c
+++ b/test/test_cstore.c
@@ -121,6 +121,62 @@
 	}
 }
 
+/* A text with the operators' own number, as a leader's door appends it. */
+static int apply_checked(uint64_t number, bool checked)
+{
+	char text[512], id[24];
+	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_APPLY,
+				     .expect = UINT64_MAX,
+				     .confirm = true,
+				     .checked_number = checked ? number : 0 };
+
+	g_snprintf(text, sizeof(text),
+		   "{\"format\": 1, \"number\": %" G_GUINT64_FORMAT
+		   ", \"services\": {\"pool\": {\"kind\": \"model\"}}}",
+		   number);
+	g_snprintf(id, sizeof(id), "%" G_GUINT64_FORMAT, number);
+	cmd.text = dl_str_of(text);
+	cmd.change_id = dl_str_of(id);
+	return run(&cmd);
+}
+
+static void drive_numbers(bool checked, char **snapshot, size_t *n)
+{
+	static const uint64_t numbers[] = { 5, 9, 7, 9, 12, 3 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++)
+		ck_assert_int_eq(apply_checked(numbers[i], checked), 0);
+	ck_assert_uint_eq(dl_cstore_number(store), 12);
+	ck_assert_uint_eq(dl_cstore_version(store), 3);
+	ck_assert_uint_eq(dl_cstore_conf(store)->number, 12);
+	ck_assert_uint_eq(dl_cstore_conf(store)->services_count, 1);
+	ck_assert_int_eq(dl_cstore_snapshot(store, snapshot, n), 0);
+}
+
+/*
+ * Replicas of one group may carry out a text read or unread: what was checked
+ * by the leader comes to the same state, number by number.
+ */
+START_TEST(checked_texts_come_to_the_same)
+{
+	char *read, *unread;
+	size_t read_n, unread_n;
+
+	drive_numbers(false, &read, &read_n);
+	dl_cstore_free(store);
+	store = dl_cstore_new();
+	index_now = 0;
+	drive_numbers(true, &unread, &unread_n);
+	ck_assert_uint_eq(read_n, unread_n);
+	ck_assert_mem_eq(read, unread, read_n);
+	/* A text without the mark after some with it is compared with them. */
+	ck_assert_int_eq(apply_checked(11, false), 0);
+	ck_assert_uint_eq(dl_cstore_number(store), 12);
+	free(read);
+	free(unread);
+}
+END_TEST
+
 START_TEST(equal_numbers_one_wins)
 {
 	ck_assert_int_eq(apply_number(1, "one", 0), 0);
@@ -652,6 +708,7 @@
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 0);
 	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, checked_texts_come_to_the_same);
 	tcase_add_test(t, equal_numbers_one_wins);
 	tcase_add_test(t, resend_gets_the_first_answer);
 	tcase_add_test(t, refused_and_mended_under_one_id);
