A long prompt goes to as many engines as have read it first

Cause: the number of engines was the largest that had room, also where the last of them was busy for half a second more; the prompt then waited at the dispatcher for all of them at once, and was refused at its target beside idle engines. Ruled out: reservations of single engines (harm of readers, measured before). Change: of all numbers of engines, the one by which it is read first; more than parts of 300 ms need only while it is not on time.

--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -408,24 +408,33 @@
 			  struct place *out)
 {
 	uint32_t n = parts_for(s);
+	uint32_t most = s->count < DL_GROUP_MAX ? s->count : DL_GROUP_MAX;
 	bool found = false;
 
-	for (uint32_t k = n; k >= s->least && !found; k--)
-		found = k == 1 ? choose_whole(s, budget, out) :
-				 choose_parts(s, k, budget, out);
-	if (s->read_ms <= WHOLE_MS)
-		return found;
-	for (uint32_t k = s->least > 1 ? s->least : 2;
-	     found && (double)s->waited < s->target && k <= DL_GROUP_MAX &&
-	     k <= s->count &&
-	     (double)(s->waited + out->choice.ttft_ms) >
-		     s->target * TARGET_SHARE;
-	     k++) {
+	if (s->read_ms <= PART_MS) {
+		for (uint32_t k = n; k >= s->least && !found; k--)
+			found = k == 1 ? choose_whole(s, budget, out) :
+					 choose_parts(s, k, budget, out);
+		if (s->read_ms <= WHOLE_MS)
+			return found;
+	}
+	for (uint32_t k = s->least > 1 ? s->least : 1; k <= most; k++) {
 		struct place one = { 0 };
 
-		if (choose_parts(s, k, budget, &one) &&
-		    one.choice.ttft_ms < out->choice.ttft_ms)
-			*out = one;
+		if (found &&
+		    (double)(s->waited + out->choice.ttft_ms) <=
+			    s->target * TARGET_SHARE &&
+		    k > n)
+			break;
+		if (k > n && (double)s->waited >= s->target)
+			break;
+		if (!(k == 1 ? choose_whole(s, budget, &one) :
+			       choose_parts(s, k, budget, &one)))
+			continue;
+		if (found && one.choice.ttft_ms >= out->choice.ttft_ms)
+			continue;
+		*out = one;
+		found = true;
 	}
 	return found;
 }
