Endpoints that refuse memory, or cannot be reached for it, are left out of the next group

Ruled out: reservations left behind (none set aside for nobody). Change: what refused counts as tried; what could not be reached is told with the release.

--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -336,6 +336,7 @@
 /* entry_ticket.c */
 bool entry_ticket_needed(const struct call *c);
 void entry_ticket_reserve(struct call *c);
+void entry_ticket_note_refused(struct call *c);
 struct dl_str entry_ticket_name(const struct call *c, struct dl_str address);
 void entry_ticket_release(struct call *c);
 void entry_ticket_tick(struct entry *e, int64_t now);
--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -183,6 +183,7 @@
 /* Some engine of the group has not the memory: ask for another group. */
 void entry_relay_no_memory(struct call *c)
 {
+	entry_ticket_note_refused(c);
 	if (++c->route.tries < TRIES_MAX) {
 		ask_anew(c);
 		return;
@@ -431,8 +432,7 @@
 	       "outcome=%s events=%lu at_fault=%s step=%s why=\"%s\"",
 	       c->id_text, c->grant.endpoint[0].s, a.sent, a.received, a.broke,
 	       c->status, dl_outcome_name(outcome), (unsigned long)c->relayed,
-	       c->route.head.at_fault.s,
-	       dl_step_name(err->step), err->text);
+	       c->route.head.at_fault.s, dl_step_name(err->step), err->text);
 	if (!whole && !may_go_on(c, &a)) {
 		give_up(c, outcome, err);
 		return;
--- a/src/main/entry_ticket.c
+++ b/src/main/entry_ticket.c
@@ -32,6 +32,7 @@
 	uint64_t tokens;
 	bool held;
 	bool refused;
+	bool unreachable;
 	struct dl_httpc_call *order; /* in flight */
 };
 
@@ -107,6 +108,7 @@
 	struct ticket *t = arg;
 
 	t->order = NULL;
+	t->unreachable = attempt->broke == DL_BROKE_CONNECT;
 	if (attempt->broke != DL_BROKE_NOTHING && t->set->asked)
 		t->refused = true;
 	if (t->refused)
@@ -158,6 +160,24 @@
 	settle(set);
 }
 
+/*
+ * The endpoints that refused: the next group is without them, or the same ones
+ * are granted again within milliseconds, four times in vain.  One that could
+ * not be reached is told to the dispatcher.
+ */
+void entry_ticket_note_refused(struct call *c)
+{
+	for (uint8_t i = 0; c->tickets && i < c->tickets->count; i++) {
+		const struct ticket *t = &c->tickets->at[i];
+
+		if (!t->refused || c->tried == G_N_ELEMENTS(c->tried_ids))
+			continue;
+		c->tried_ids[c->tried++] = t->address;
+		if (t->unreachable)
+			c->usage.at_fault = t->address;
+	}
+}
+
 /* The name of the part on one engine, empty where none is reserved there. */
 struct dl_str entry_ticket_name(const struct call *c, struct dl_str address)
 {
