--- /dev/null
+++ b/test/fake/pass_engine.c
@@ -0,0 +1,160 @@
+/* An engine that works in passes; see the header. */
+#include "pass_engine.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+/* The published figures of the deployments that the tests stand for. */
+#define STEP_MS	       0.85
+#define PER_WRITER_MS  0.00425
+#define PER_CONTEXT_MS 0.00285 /* for 1,000 tokens */
+#define STRIDE	       51
+
+static void begin_pass(struct pass_engine *e, int64_t now);
+
+/* Those that have a slot: the ones that lead. */
+static uint32_t active(const struct pass_engine *e)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < e->count; i++)
+		n += e->item[i].leads && e->item[i].state != PASS_QUEUED;
+	return n;
+}
+
+/* Give queued ones the slots that are free, first come first. */
+static void admit(struct pass_engine *e)
+{
+	uint32_t n = active(e);
+
+	for (uint32_t i = 0; i < e->count && n < e->slots; i++) {
+		if (e->item[i].state != PASS_QUEUED)
+			continue;
+		e->item[i].state = PASS_WAITING;
+		n++;
+	}
+}
+
+/*
+ * A request, or a part to be read for one, arrives.  While nobody writes the
+ * engine goes on step by step and takes it in at once; what it reads is out
+ * when all that it took in is read.
+ */
+void pass_engine_give(struct pass_engine *e, struct pass_stream *s,
+		      double read_ms, double context, bool leads, int64_t now)
+{
+	struct pass_item *item;
+
+	if (e->count == PASS_ENGINE_ITEMS)
+		abort();
+	item = &e->item[e->count++];
+	*item = (struct pass_item){ s, read_ms, context, leads, PASS_QUEUED };
+	if (!leads)
+		item->state = PASS_WAITING;
+	admit(e);
+	if (e->ends <= now) {
+		begin_pass(e, now);
+	} else if (!e->writes && item->state == PASS_WAITING) {
+		item->state = PASS_READING;
+		e->ends += (int64_t)ceil(read_ms);
+	}
+}
+
+static void begin_pass(struct pass_engine *e, int64_t now)
+{
+	double writers = 0, context = 0, ms = 0;
+	bool any = false;
+
+	for (uint32_t i = 0; i < e->count; i++) {
+		struct pass_item *item = &e->item[i];
+
+		if (item->state == PASS_READ && item->leads &&
+		    item->stream->parts_left == 0)
+			item->state = PASS_WRITING;
+		if (item->state == PASS_WAITING) {
+			item->state = PASS_READING;
+			ms += item->read_ms;
+			any = true;
+		}
+		if (item->state == PASS_WRITING) {
+			writers++;
+			context += item->context;
+		}
+	}
+	e->writes = writers > 0;
+	if (e->writes)
+		ms += STRIDE * (STEP_MS + writers * PER_WRITER_MS +
+				context / 1000 * PER_CONTEXT_MS);
+	if (any || e->writes)
+		e->ends = now + (int64_t)ceil(ms > 1 ? ms : 1);
+}
+
+static void event(struct pass_stream *s, int64_t now)
+{
+	if (!s->first)
+		s->first = now;
+	else if (now - s->last > s->longest_gap)
+		s->longest_gap = now - s->last;
+	s->last = now;
+	s->events_left--;
+}
+
+/* What was read is out, and each writer has an event. */
+static void end_pass(struct pass_engine *e, int64_t now,
+		     void (*done)(struct pass_stream *s, int64_t now))
+{
+	struct pass_stream *ended[PASS_ENGINE_ITEMS];
+	uint32_t n = 0, ends = 0;
+
+	for (uint32_t i = 0; i < e->count; i++) {
+		struct pass_item item = e->item[i];
+
+		if (item.state == PASS_READING) {
+			/* The first token follows the last part. */
+			if (--item.stream->parts_left == 0)
+				event(item.stream, now);
+			item.state = PASS_READ;
+			if (!item.leads)
+				continue;
+		} else if (item.state == PASS_WRITING) {
+			event(item.stream, now);
+			if (item.stream->events_left == 0) {
+				ended[ends++] = item.stream;
+				continue;
+			}
+		}
+		e->item[n++] = item;
+	}
+	e->count = n;
+	admit(e);
+	for (uint32_t i = 0; i < ends; i++)
+		done(ended[i], now);
+}
+
+/* Whether something can begin now: a lead whose last part was read elsewhere.
+ */
+static bool can_begin(const struct pass_engine *e)
+{
+	for (uint32_t i = 0; i < e->count; i++) {
+		if (e->item[i].state == PASS_WAITING ||
+		    e->item[i].state == PASS_WRITING ||
+		    (e->item[i].state == PASS_READ &&
+		     e->item[i].stream->parts_left == 0))
+			return true;
+	}
+	return false;
+}
+
+/* Let time pass, in steps that are no longer than a pass. */
+void pass_engine_run(struct pass_engine *e, int64_t now,
+		     void (*done)(struct pass_stream *s, int64_t now))
+{
+	if (e->ends > now)
+		return;
+	if (e->ends) {
+		e->ends = 0;
+		end_pass(e, now, done);
+	}
+	if (e->ends <= now && can_begin(e))
+		begin_pass(e, now);
+}
