--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -34,11 +34,11 @@
  * Short prompts stay together: an engine without writers counts as if it were
  * later by this share of the target, so that it is kept for long prompts.
  */
-#define KEEP_FREE_SHARE 0.7
+#define KEEP_FREE_SHARE 1.2
 /* Of a target, what one engine may be kept by a part of one prompt. */
 #define PART_TARGET_SHARE 0.4
 /* With so many writers alike an engine is one for them. */
-#define TOGETHER 8
+#define TOGETHER 6
 /* A token written takes an engine about as long as ten that are read. */
 #define WRITTEN_WEIGHT 10.0
 /* What an answer that comes late is worth of one on time. */
