--- a/test/test_engine.c
+++ b/test/test_engine.c
@@ -205,6 +205,32 @@
 }
 END_TEST
 
+/*
+ * What is being read where nobody writes is out at the pass's end only: who
+ * makes it longer makes that late.  Beside writers the next pass counts.
+ */
+START_TEST(delay_counts_those_it_makes_late)
+{
+	struct dl_engine_item item = item_of(1, 200, true);
+
+	item.due = 1250;
+	item.last = 2000;
+	ck_assert_int_eq(dl_engine_add(&engine, &model, &item, 1000), 0);
+	ck_assert_int_eq(engine.pass_ends, 1200);
+	ck_assert_double_eq(dl_engine_delay_harm(&engine, 1200, 1240, 1000), 0);
+	ck_assert_double_eq(dl_engine_delay_harm(&engine, 1200, 1260, 1000),
+			    10);
+	/* Past its caller's patience it is worth nothing any more. */
+	ck_assert_double_eq(dl_engine_delay_harm(&engine, 1200, 2100, 1000),
+			    12.5);
+	/* It is late already: only the patience is left to lose. */
+	ck_assert_double_eq(dl_engine_delay_harm(&engine, 1300, 1900, 1000), 0);
+	/* Once it writes, another prompt is read in a later pass. */
+	dl_engine_advance(&engine, &model, 1200);
+	ck_assert_double_eq(dl_engine_delay_harm(&engine, 1200, 2100, 1200), 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("engine");
@@ -214,6 +240,7 @@
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, begin, NULL);
+	tcase_add_test(t, delay_counts_those_it_makes_late);
 	tcase_add_loop_test(t, reading_takes_its_pairs, 0,
 			    sizeof(readings) / sizeof(readings[0]));
 	tcase_add_test(t, writing_takes_a_stride);
--- a/test/test_placing.c
+++ b/test/test_placing.c
@@ -11,6 +11,7 @@
 #define ENGINES	 8
 #define FAR	 60000
 #define LEASE_MS 20000
+#define WAY_MS	 4 /* to an engine and back, in a forecast */
 
 static const struct dl_pool_conf conf = {
 	.kind = DL_POOL_MODEL,
@@ -98,6 +99,21 @@
 	return false;
 }
 
+static bool names(const struct dl_answer *a, const struct dl_name *endpoint)
+{
+	for (uint8_t i = 0; i < a->endpoints; i++) {
+		if (dl_name_eq(&a->endpoint[i], dl_name_str(endpoint)))
+			return true;
+	}
+	return false;
+}
+
+/* When the first prompt, granted at 1000, has been read at the latest. */
+static int64_t first_read(const struct dl_answer *a)
+{
+	return 1000 + a->predicted_ttft_ms;
+}
+
 START_TEST(short_prompt_is_read_by_one)
 {
 	struct dl_answer a = ask_short();
@@ -136,6 +152,83 @@
 }
 END_TEST
 
+/*
+ * Engines on which nobody writes give out what they read at the end only: a
+ * part that would follow does not keep a prompt that is being read waiting past
+ * its target.
+ */
+START_TEST(parts_do_not_delay_those_being_read)
+{
+	struct dl_answer first = ask(154000, 1100, 1000), next;
+
+	ck_assert_int_eq(first.verdict, DL_GRANTED);
+	ck_assert_uint_eq(first.endpoints, ENGINES);
+	next = ask(250000, 6000, 1000);
+	ck_assert_int_eq(next.verdict, DL_QUEUED);
+	ck_assert(next_within(3000, &next));
+	ck_assert_int_eq(next.verdict, DL_GRANTED);
+	ck_assert_int_ge(now, first_read(&first) - WAY_MS);
+}
+END_TEST
+
+/* One stream of a short prompt is not spread: the engine that has some gets it.
+ */
+START_TEST(short_streams_stay_together)
+{
+	struct dl_answer a = ask_short();
+
+	for (int i = 0; i < 5; i++) {
+		struct dl_answer b;
+
+		now += 200;
+		b = ask_short();
+		ck_assert_int_eq(b.verdict, DL_GRANTED);
+		ck_assert_uint_eq(b.endpoints, 1);
+		ck_assert(dl_name_eq(&a.endpoint[0],
+				     dl_name_str(&b.endpoint[0])));
+	}
+}
+END_TEST
+
+/* A short prompt is not parted, however late its first event is foreseen. */
+START_TEST(short_prompts_are_never_parted)
+{
+	for (int i = 0; i < 200; i++) {
+		struct dl_answer a = ask_short();
+
+		if (a.verdict == DL_GRANTED)
+			ck_assert_uint_eq(a.endpoints, 1);
+	}
+}
+END_TEST
+
+/*
+ * A helper that its lead cannot reach gets nothing until it is heard again; the
+ * lead stays in use.
+ */
+START_TEST(unreachable_helper_is_left_out)
+{
+	struct dl_answer first = ask_long(154000), next;
+	struct dl_usage usage = { .at_fault = first.endpoint[1] };
+	struct dl_endpoint_report r = { .incarnation = 1,
+					.memory_tokens = 315000,
+					.slots = 16,
+					.takes_groups = true,
+					.id = first.endpoint[1] };
+
+	ck_assert_uint_gt(first.endpoints, 1);
+	ck_assert_int_eq(dl_pool_release(pool, first.grant, &usage, now), 0);
+	next = ask_long(154000);
+	ck_assert_int_eq(next.verdict, DL_GRANTED);
+	ck_assert(!names(&next, &first.endpoint[1]));
+	ck_assert(names(&next, &first.endpoint[0]));
+	ck_assert_int_eq(dl_pool_release(pool, next.grant, NULL, now), 0);
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	next = ask_long(154000);
+	ck_assert(names(&next, &first.endpoint[1]));
+}
+END_TEST
+
 /* While one long prompt waits, a short one does not. */
 START_TEST(short_prompt_passes_a_waiting_long_one)
 {
@@ -189,6 +282,10 @@
 	tcase_add_test(t, long_prompt_is_parted);
 	tcase_add_test(t, long_prompt_waits_for_engines_that_read);
 	tcase_add_test(t, short_prompt_passes_a_waiting_long_one);
+	tcase_add_test(t, parts_do_not_delay_those_being_read);
+	tcase_add_test(t, short_streams_stay_together);
+	tcase_add_test(t, short_prompts_are_never_parted);
+	tcase_add_test(t, unreachable_helper_is_left_out);
 	tcase_add_test(t, too_much_is_refused_at_once);
 	tcase_add_test(t, overdue_prompts_are_not_parted_further);
 	srunner_run_all(r, CK_NORMAL);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -151,15 +151,18 @@
 		H("Daisyledge-Not-Executed", "1"),
 		H("Daisyledge-Attempt-Id", "9c41"),
 		H("Content-Length", "12"),
+		H("At-Server", "10.2.64.3:8080"),
 	};
 	struct dl_answer_head head;
 
-	d->answer(headers, 3, &head);
+	d->answer(headers, 4, &head);
+	ck_assert(dl_str_eq(head.at_fault, DL_STR("10.2.64.3:8080")));
 	ck_assert(head.not_run);
 	ck_assert(dl_str_eq(head.attempt_id, DL_STR("9c41")));
 	ck_assert_uint_eq(head.length, 12);
 	d->answer(headers + 1, 1, &head);
 	ck_assert(!head.not_run);
+	ck_assert_uint_eq(head.at_fault.n, 0);
 	ck_assert(head.length == SIZE_MAX);
 	ck_assert(d->passes(DL_STR("Daisyledge-Response-Stamp")));
 	ck_assert(!d->passes(DL_STR("Transfer-Encoding")));
