A refusal that ran nothing is none of a route's attempts

The test brings it about: cut, refused, a third endpoint idle; failed before. Ruled out by the same test: the retry budget, the caller's deadline.

--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -415,7 +415,9 @@
 
 	c->attempt = NULL;
 	c->route.tries++;
-	c->route.sent += a.sent != DL_SENT_NOTHING;
+	/* One that ran nothing is none of the route's attempts: a stream that
+	 * broke and was refused by the next full endpoint was cut there. */
+	c->route.sent += outcome != DL_OUTCOME_NOT_RUN;
 	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
 	/* A stream that goes on elsewhere got an error in place of events. */
 	whole = a.received == DL_RECV_WHOLE && a.broke == DL_BROKE_NOTHING &&
--- a/test/test_system_platform.sh
+++ b/test/test_system_platform.sh
@@ -180,8 +180,38 @@
 grep -q 'w-next-cut cut /chat/x team 2 -' "$RECORD" ||
 	fail "a stream does not go on behind its last event"
 
+# A stream that breaks, and is refused where it would go on, goes on at a third:
+# of the route's two attempts the refused one was none, as nothing ran.  Among
+# equals the first known is taken, once those from before are forgotten.
+sleep 7
+host=30
+for r in cut not-run none; do
+	runner "w-third-$r" $host --service writer --fault $r
+	for d in 1 2 3; do
+		wait_for 5 "three endpoints" grep -q "instance=w-third-$r" \
+			"$DIR/entry-$d.log" ||
+			fail "a new endpoint is not known"
+	done
+	host=$((host + 1))
+done
+chat 1 third >"$DIR/stream.third"
+grep -q 'w-third-cut third /chat/x team - -' "$RECORD" ||
+	fail "the first endpoint that is known is not the first taken"
+grep -q "endpoint=127.$NET.9.31:.*outcome=not-run" "$DIR/entry-1.log" ||
+	fail "the second endpoint was not tried"
+whole "$DIR/stream.third" ||
+	fail "a stream that broke and was refused does not go on"
+grep -q 'w-third-none third /chat/x team 2 -' "$RECORD" ||
+	fail "it does not go on behind its last event"
+for r in cut not_run none; do
+	retire "runner_w_third_$r"
+done
+
 # A start that nobody announced: the address answers 421, and nothing runs.
+# The address is free once its holder has ended, which takes a sanitized one
+# longer than the next one needs to start.
 kill -TERM "$(pid_of runner_d1)"
+wait "$(pid_of runner_d1)" 2>/dev/null
 runner d2 3 --service desk --plain --fault error
 wait_for 5 "the next start" grep -q 'instance=d2' "$DIR/entry-1.log" ||
 	fail "another start at an address is not known"
