--- a/include/daisyledge/engine.h
+++ b/include/daisyledge/engine.h
@@ -33,6 +33,9 @@
 double dl_engine_write_ms(const struct dl_engine_model *m, uint32_t writers,
 			  uint64_t context);
 
+/* What an answer that comes late is worth of one on time, as operators say. */
+#define DL_LATE_WORTH 0.25
+
 /* The most requests and parts of requests that are followed on one engine. */
 #define DL_ENGINE_ITEMS_MAX 64
 
--- a/src/coordination/engine.c
+++ b/src/coordination/engine.c
@@ -12,8 +12,6 @@
 #define HOPELESS       1000.0
 /* A stream that is late already is still hurt by a longer pause. */
 #define PER_MULTIPLE 0.5
-/* What an answer that comes late is worth of one on time. */
-#define LATE_WORTH 0.25
 
 static double strain(double pass_ms, double bears);
 static bool any_waits(const struct dl_engine *e);
@@ -230,7 +228,7 @@
 		if (item->due && from <= item->due && to > item->due)
 			sum += item->weight;
 		if (item->last && from <= item->last && to > item->last)
-			sum += item->weight * LATE_WORTH;
+			sum += item->weight * DL_LATE_WORTH;
 	}
 	return sum;
 }
--- /dev/null
+++ b/src/coordination/pool_engine.h
@@ -0,0 +1,57 @@
+/*
+ * Inside placing by the engine model: one search for one request.
+ * pool_engine_place.c finds places and what they cost others, pool_engine.c
+ * decides which a request may have, and when.
+ */
+#ifndef DL_COORDINATION_POOL_ENGINE_H
+#define DL_COORDINATION_POOL_ENGINE_H
+
+#include "pool_int.h"
+
+/* The way to an engine and back, and its connection. */
+#define WAY_MS 4
+/*
+ * A part that is read in this time, and the pass that it is read in, are within
+ * what streams of longer prompts bear (600 ms and more).
+ */
+#define PART_MS 300.0
+/* The most engines that are looked at for one request. */
+#define POOL_ENGINE_LOOK_MAX 1024
+
+struct candidate {
+	struct pool_endpoint *endpoint;
+	struct dl_engine_forecast forecast; /* of no reading at all */
+	bool leads; /* has the slot and the memory to write */
+};
+
+struct engine_search {
+	struct dl_pool *pool;
+	const struct dl_engine_model *model;
+	const struct pool_want *want;
+	int64_t now;
+	int64_t waited;
+	double target;
+	double read_ms;
+	double weight;
+	uint64_t share;	  /* of the memory, that each engine holds */
+	uint32_t least;	  /* engines, for the memory alone */
+	double gap_share; /* of a pause that a pass may take */
+	uint32_t count;
+	struct candidate at[POOL_ENGINE_LOOK_MAX];
+};
+
+/* A place for a request, and what it costs. */
+struct place {
+	struct pool_choice choice;
+	double harm; /* of others that it makes late, in weights */
+};
+
+double pool_engine_weight(const struct pool_want *want);
+int64_t pool_engine_due(const struct pool_want *want);
+void pool_engine_share(struct engine_search *s);
+void pool_engine_look(struct engine_search *s);
+bool pool_engine_place(struct engine_search *s, double budget,
+		       struct place *out);
+void pool_engine_end(const struct engine_search *s, struct pool_choice *out);
+
+#endif
--- a/test/test_placing_load.c
+++ b/test/test_placing_load.c
@@ -262,7 +262,7 @@
 	memset(refused, 0, sizeof(refused));
 	for (int i = 0; i < ENGINES; i++)
 		engines[i].slots = 16;
-	for (now = 0; now < (SECONDS + DRAIN_S) * MS; now++)
+	for (now = 0; now < (int64_t)(SECONDS + DRAIN_S) * MS; now++)
 		step(load);
 	ck_assert_ptr_null(dl_pool_broken(pool));
 	printf("%-12s %-12s", load->name, name);
