Endpoints that cannot be reached do not use up a stream's tries

Cause: entries of a failure domain that is cut off broke streams off after three endpoints of the other domains, none of which was reached, with their own idle. Ruled out: the budget (connects are outside it), the deadline (seconds were left). Change: what could not be reached is told to the dispatcher and asked anew, twelve at most; only what was reached counts as a try. That a VM does not answer and is asked again has a line each, once.

--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -14,8 +14,9 @@
 	X(ENTRY_STOP, DL_INFO, "entry", "Stopping.")                           \
 	X(ENTRY_CONF, DL_INFO, "entry", "Configuration in force.")             \
 	X(ENTRY_LATE, DL_WARN, "entry", "A request ran out of time.")          \
-	X(DISPATCHER_SILENT, DL_WARN, "grant",                                 \
-	  "A dispatcher does not answer.")                                     \
+	X(VM_UNREACHABLE, DL_WARN, "reach",                                    \
+	  "A VM does not answer here, others dispatch for it.")                \
+	X(VM_ASKED_AGAIN, DL_INFO, "reach", "A VM is asked again.")            \
 	X(REQUEST_ENDED, DL_INFO, "call", "A request ended.")                  \
 	X(TICKET_REFUSED, DL_INFO, "ticket", "Memory was not to be had.")      \
 	X(ATTEMPT_BROKE, DL_WARN, "relay", "An attempt broke.")                \
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -95,7 +95,9 @@
 	uint32_t target_ms, gap_ms;
 	uint32_t give_up_ms;  /* callers do after such a silence */
 	uint32_t attempts;    /* endpoints that it may be sent to */
-	uint32_t tries, sent; /* grants, and those at which it was sent */
+	uint32_t tries;	      /* grants that led to an endpoint, or nowhere */
+	uint32_t connects;    /* endpoints that could not be reached */
+	uint32_t sent;	      /* those at which it may have run */
 	uint64_t after_event; /* the last event that the caller has */
 	bool resumes;	      /* the endpoint begins behind after_event */
 	int64_t event_at;     /* the last event that was passed on */
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -107,15 +107,6 @@
 	entry_pool_ask(c->e, p, &c->ask, local);
 }
 
-/* A dispatcher has left an ask without an answer: its successor is asked. */
-static void note_silent(struct entry *e, uint64_t vm)
-{
-	if (vm == e->node.self || vm == DL_VM_NONE)
-		return;
-	dl_msg(DL_MSG_DISPATCHER_SILENT, "vm=%lx", (unsigned long)vm);
-	entry_reach_lost(e, vm);
-}
-
 /* Ask for an endpoint; the call may be over when this returns. */
 void entry_grant_ask(struct call *c)
 {
@@ -547,7 +538,7 @@
 	if (c->state != CALL_ASKING && c->state != CALL_QUEUED)
 		return;
 	if (lost(c, now)) {
-		note_silent(c->e, c->dispatcher);
+		entry_reach_lost(c->e, c->dispatcher);
 		c->asks_lost++;
 		entry_grant_cancel(c);
 		ask_again(c);
--- a/src/main/entry_reach.c
+++ b/src/main/entry_reach.c
@@ -6,6 +6,7 @@
  * answer, dispatches nothing in the eyes of this one for a while, and VMs that
  * see the same cut ask the same successor.
  */
+#include "base/msg.h"
 #include "main/entry.h"
 
 /*
@@ -25,6 +26,9 @@
 
 	if (vm == e->node.self || vm == DL_VM_NONE)
 		return;
+	if (!g_hash_table_contains(e->lost, &vm))
+		dl_msg(DL_MSG_VM_UNREACHABLE, "vm=%lx for_ms=%d",
+		       (unsigned long)vm, LOST_MS);
 	g_hash_table_replace(e->lost, g_memdup2(&vm, sizeof(vm)),
 			     g_memdup2(&now, sizeof(now)));
 	dl_memb_unreachable(e->node.memb, vm, true);
@@ -35,6 +39,8 @@
 	if (entry_now(e) - at < after_ms)
 		return false;
 	dl_memb_unreachable(e->node.memb, vm, false);
+	dl_msg(DL_MSG_VM_ASKED_AGAIN, "vm=%lx after_ms=%ld", (unsigned long)vm,
+	       (long)(entry_now(e) - at));
 	return true;
 }
 
--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -15,6 +15,12 @@
 #define HOLD_MAX  (8u << 20)
 #define EVENT_MAX (1u << 20)
 #define TRIES_MAX 4 /* grants asked for, counting those that led nowhere */
+/*
+ * Endpoints that could not be reached cost the others nothing, and their
+ * dispatcher is told: of a failure domain that is cut off with a third of the
+ * endpoints, streams were broken off after three of the others.
+ */
+#define CONNECTS_MAX 12
 /* Kept of the caller's time for the way back. */
 #define HOP_MARGIN_MS 5
 /*
@@ -390,7 +396,8 @@
 		.deadline = c->deadline,
 	};
 
-	if (c->route.sent >= c->route.attempts || c->tried >= 3)
+	if (c->route.sent >= c->route.attempts || c->tried >= 3 ||
+	    c->route.connects >= CONNECTS_MAX)
 		return false;
 	return dl_call_next(&state, a, entry_call_budget(c), entry_now(c->e)) ==
 	       DL_NEXT_RETRY;
@@ -414,7 +421,10 @@
 	bool whole;
 
 	c->attempt = NULL;
-	c->route.tries++;
+	if (a.broke == DL_BROKE_CONNECT)
+		c->route.connects++;
+	else
+		c->route.tries++;
 	/* One that ran nothing is none of the route's attempts: a stream that
 	 * broke and was refused by the next full endpoint was cut there. */
 	c->route.sent += outcome != DL_OUTCOME_NOT_RUN;
@@ -442,5 +452,8 @@
 	if (c->relayed)
 		c->route.resumes = true;
 	dl_count(DL_METRIC_retries_total, 1);
-	ask_again(c);
+	if (a.broke == DL_BROKE_CONNECT)
+		ask_anew(c);
+	else
+		ask_again(c);
 }
--- a/test/test_system_platform.sh
+++ b/test/test_system_platform.sh
@@ -207,6 +207,25 @@
 	retire "runner_w_third_$r"
 done
 
+# Endpoints that cannot be reached cost a stream nothing: five have ended without
+# a word, the sixth serves it.
+for host in 40 41 42 43 44; do
+	runner "w-dead-$host" $host --service writer
+	wait_for 5 "one of many" grep -q "instance=w-dead-$host" \
+		"$DIR/entry-1.log" || fail "a new endpoint is not known"
+done
+runner w-alive 45 --service writer
+wait_for 5 "the last of many" grep -q 'instance=w-alive' \
+	"$DIR/entry-1.log" || fail "a new endpoint is not known"
+for host in 40 41 42 43 44; do
+	kill -KILL "$(pid_of "runner_w_dead_$host")"
+done
+for n in 1 2 3; do
+	chat $n "dead-$n" >"$DIR/stream.dead" && whole "$DIR/stream.dead" ||
+		fail "a stream is lost to endpoints that cannot be reached"
+done
+retire runner_w_alive
+
 # A start that nobody announced: the address answers 421, and nothing runs.
 # The address is free once its holder has ended, which takes a sanitized one
 # longer than the next one needs to start.
