--- a/src/main/entry_attempt.c
+++ b/src/main/entry_attempt.c
@@ -1,16 +1,11 @@
 /* What every attempt notes of a request, whichever way it is spoken. */
 #include "main/entry_call.h"
 
-/*
- * The endpoint that was granted is not asked for again; where that one named
- * another at fault, it is the other that is not.
- */
+/* The endpoint that was granted is not asked for again. */
 void call_note_tried(struct call *c)
 {
-	if (c->tried == G_N_ELEMENTS(c->tried_ids))
-		return;
-	c->tried_ids[c->tried++] = c->usage.at_fault.n ? c->usage.at_fault :
-							 c->grant.endpoint[0];
+	if (c->tried < G_N_ELEMENTS(c->tried_ids))
+		c->tried_ids[c->tried++] = c->grant.endpoint[0];
 }
 
 /* What the attempt took, for the dispatcher; tokens as they are known. */
--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -412,6 +412,27 @@
 		       not_run ? "not-run" : "broken", err);
 }
 
+/* Whether an endpoint of the group could not be reached, which is known now. */
+static bool was_unreached(const struct call *c, const struct dl_attempt *a)
+{
+	return a->broke == DL_BROKE_CONNECT || c->usage.at_fault.n;
+}
+
+/*
+ * One that ran nothing is none of the route's attempts: a stream that broke and
+ * was refused by the next endpoint, which was full, was cut there.
+ */
+static void count_attempt(struct call *c, const struct dl_attempt *a,
+			  enum dl_outcome outcome)
+{
+	if (was_unreached(c, a))
+		c->route.connects++;
+	else
+		c->route.tries++;
+	c->route.sent += outcome != DL_OUTCOME_NOT_RUN;
+	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
+}
+
 static void on_end(void *arg, const struct dl_attempt *attempt,
 		   const struct dl_err *err)
 {
@@ -421,20 +442,13 @@
 	bool whole;
 
 	c->attempt = NULL;
-	if (a.broke == DL_BROKE_CONNECT)
-		c->route.connects++;
-	else
-		c->route.tries++;
-	/* One that ran nothing is none of the route's attempts: a stream that
-	 * broke and was refused by the next full endpoint was cut there. */
-	c->route.sent += outcome != DL_OUTCOME_NOT_RUN;
-	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
 	/* A stream that goes on elsewhere got an error in place of events. */
 	whole = a.received == DL_RECV_WHOLE && a.broke == DL_BROKE_NOTHING &&
 		!(c->relayed && !c->route.head.events);
 	call_fill_usage(c, &a, c->prompt_tokens, c->output_tokens,
 			c->status >= STATUS_ERROR || !whole);
 	blame(c);
+	count_attempt(c, &a, outcome);
 	if (whole && (c->status < STATUS_ERROR || !may_go_on(c, &a))) {
 		finish(c);
 		return;
@@ -452,7 +466,7 @@
 	if (c->relayed)
 		c->route.resumes = true;
 	dl_count(DL_METRIC_retries_total, 1);
-	if (a.broke == DL_BROKE_CONNECT)
+	if (was_unreached(c, &a))
 		ask_anew(c);
 	else
 		ask_again(c);
