--- a/test/test_memb.c
+++ b/test/test_memb.c
@@ -296,7 +296,7 @@
 	struct dl_name name = memb_net_domain(0);
 	struct dl_str domain = dl_name_str(&name);
 	struct dl_memb *one = net->vms[0].memb, *other = net->vms[DOMAINS].memb;
-	struct dl_memb *third = net->vms[2 * DOMAINS].memb;
+	struct dl_memb *third = net->vms[(size_t)2 * DOMAINS].memb;
 	uint64_t key = 0, owner, next;
 
 	do {
--- a/test/test_placing_load.c
+++ b/test/test_placing_load.c
@@ -210,7 +210,7 @@
 	struct dl_usage usage = {
 		.ran = true,
 		.prompt_tokens = c->tokens,
-		.output_tokens = kinds[c->kind].events * 51,
+		.output_tokens = (uint64_t)kinds[c->kind].events * 51,
 		.ttft_ms = (uint32_t)(s->first - s->granted),
 		.total_ms = (uint32_t)(at - s->granted),
 	};
@@ -241,7 +241,7 @@
 			c->renew_at = now + RENEW_MS;
 		}
 	}
-	for (int k = 0; k < KINDS && now < SECONDS * MS; k++) {
+	for (int k = 0; k < KINDS && now < (int64_t)SECONDS * MS; k++) {
 		if (g_rand_double(rnd) < load->rate[k] / MS)
 			arrive((enum kind)k);
 	}
