--- /dev/null
+++ b/test/fake/published_engine.h
@@ -0,0 +1,11 @@
+/* How the engines of the users' deployments work, as their operators publish.
+ */
+#ifndef TEST_FAKE_PUBLISHED_ENGINE_H
+#define TEST_FAKE_PUBLISHED_ENGINE_H
+
+#define PUBLISHED_ENGINE                                                       \
+	.slots = 16, .memory_tokens = 315000, .stride = 51, .chunk = 2048,     \
+	.step_ms = 0.85, .per_writer_ms = 0.00425, .per_context_ms = 0.00285,  \
+	.read_per_ms = 177, .per_pairs_ms = 0.184
+
+#endif
--- a/test/test_engine.c
+++ b/test/test_engine.c
@@ -7,17 +7,10 @@
 #include <stdlib.h>
 
 #include "daisyledge/engine.h"
+#include "fake/published_engine.h"
 
 static const struct dl_engine_model model = {
-	.slots = 16,
-	.memory_tokens = 315000,
-	.stride = 51,
-	.chunk = 2048,
-	.step_ms = 0.85,
-	.per_writer_ms = 0.00425,
-	.per_context_ms = 0.00285,
-	.read_per_ms = 177,
-	.per_pairs_ms = 0.184,
+	PUBLISHED_ENGINE,
 };
 
 static struct dl_engine engine;
--- a/test/test_placing.c
+++ b/test/test_placing.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 
 #include "daisyledge/pool.h"
+#include "fake/published_engine.h"
 
 #define ENGINES	 8
 #define FAR	 60000
@@ -21,16 +22,7 @@
 	.grant_lease_ms = LEASE_MS,
 	.report_gone_ms = LEASE_MS,
 	.weight_default = 1,
-	.engine = { .slots = 16,
-		    .memory_tokens = 315000,
-		    .stride = 51,
-		    .chunk = 2048,
-		    .step_ms = 0.85,
-		    .per_writer_ms = 0.00425,
-		    .per_context_ms = 0.00285,
-		    .read_per_ms = 177,
-		    .per_pairs_ms = 0.184,
-		    .hop_ms = 1 },
+	.engine = { PUBLISHED_ENGINE, .hop_ms = 1 },
 };
 
 static struct dl_pool *pool;
--- a/test/test_placing_load.c
+++ b/test/test_placing_load.c
@@ -11,6 +11,7 @@
 
 #include "daisyledge/pool.h"
 #include "fake/pass_engine.h"
+#include "fake/published_engine.h"
 
 #define ENGINES	   16
 #define SECONDS	   24
@@ -80,17 +81,7 @@
 	.grant_lease_ms = 5000,
 	.report_gone_ms = 6000,
 	.weight_default = 1,
-	.engine = { .slots = 16,
-		    .memory_tokens = 315000,
-		    .stride = 51,
-		    .chunk = 2048,
-		    .step_ms = 0.85,
-		    .per_writer_ms = 0.00425,
-		    .per_context_ms = 0.00285,
-		    .read_per_ms = 177,
-		    .per_pairs_ms = 0.184,
-		    .hop_ms = 0.05,
-		    .usual_output = 1622 },
+	.engine = { PUBLISHED_ENGINE, .hop_ms = 0.05, .usual_output = 1622 },
 };
 
 static void report(void)
