What a place costs others is reckoned once; a wrapper that held one field is gone

Read again: choose_parts() added the harm of its engines up twice, and what it kept of it was read nowhere; struct place then held nothing but the choice. A prototype in the middle of entry_conf.c stands with the others.

--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -77,9 +77,9 @@
 }
 
 /* The best place for a request that has waited and would still be late. */
-static bool choose_late(struct engine_search *s, struct place *out)
+static bool choose_late(struct engine_search *s, struct pool_choice *out)
 {
-	struct place harsh = { 0 };
+	struct pool_choice harsh = { 0 };
 	double budget = s->weight;
 
 	s->gap_share = GAP_SHARE_HARSH;
@@ -87,7 +87,7 @@
 		budget *= DL_LATE_WORTH;
 	if (!pool_engine_place(s, budget, &harsh))
 		return false;
-	if ((double)(s->waited + harsh.choice.ttft_ms) > s->target &&
+	if ((double)(s->waited + harsh.ttft_ms) > s->target &&
 	    s->read_ms > PART_MS && s->pool->queued > 1)
 		return false;
 	*out = harsh;
@@ -111,10 +111,10 @@
 				   .now = now,
 				   .waited = now - want->asked,
 				   .gap_share = GAP_SHARE };
-	struct place place = { 0 };
+	struct pool_choice place = { 0 };
 	bool found;
 
-	*out = place.choice;
+	*out = place;
 	s.target = want->target_ms ? want->target_ms : TARGET_DEFAULT_MS;
 	s.read_ms = dl_engine_read_ms(s.model, want->prompt);
 	s.weight = pool_engine_weight(want);
@@ -123,7 +123,7 @@
 	if (is_too_much(&s))
 		return POOL_LATE;
 	found = pool_engine_place(&s, 0, &place);
-	if (!found || (double)(s.waited + place.choice.ttft_ms) > s.target) {
+	if (!found || (double)(s.waited + place.ttft_ms) > s.target) {
 		if ((double)s.waited < s.target * PATIENCE_SHARE)
 			return POOL_WAIT;
 		found = choose_late(&s, &place);
@@ -133,11 +133,11 @@
 			       POOL_LATE :
 			       POOL_WAIT;
 	if (s.read_ms > PART_MS && (double)s.waited < s.target &&
-	    place.choice.ttft_ms - place.choice.read_ms >
+	    place.ttft_ms - place.read_ms >
 		    AHEAD_MS + (double)s.waited * AHEAD_WAITED_SHARE)
 		return POOL_WAIT;
-	pool_engine_end(&s, &place.choice);
-	*out = place.choice;
+	pool_engine_end(&s, &place);
+	*out = place;
 	if (!pool_place_in_time(out, want, now) ||
 	    (want->first_by && now + out->ttft_ms > want->first_by))
 		return (double)s.waited < s.target ? POOL_WAIT : POOL_LATE;
--- a/src/coordination/pool_engine.h
+++ b/src/coordination/pool_engine.h
@@ -40,18 +40,12 @@
 	struct candidate at[POOL_ENGINE_LOOK_MAX];
 };
 
-/* A place for a request, and what it costs. */
-struct place {
-	struct pool_choice choice;
-	double harm; /* of others that it makes late, in weights */
-};
-
 double pool_engine_weight(const struct pool_want *want);
 int64_t pool_engine_due(const struct pool_want *want);
 void pool_engine_share(struct engine_search *s);
 void pool_engine_look(struct engine_search *s);
 bool pool_engine_place(struct engine_search *s, double budget,
-		       struct place *out);
+		       struct pool_choice *out);
 void pool_engine_end(const struct engine_search *s, struct pool_choice *out);
 
 #endif
--- a/src/coordination/pool_engine_place.c
+++ b/src/coordination/pool_engine_place.c
@@ -37,12 +37,12 @@
 static int64_t keep_free_ms(const struct engine_search *s,
 			    const struct candidate *c);
 static bool choose_whole(struct engine_search *s, double budget,
-			 struct place *out);
+			 struct pool_choice *out);
 static bool choose_parts(struct engine_search *s, uint32_t n, double budget,
-			 struct place *out);
+			 struct pool_choice *out);
 static uint32_t parts_for(const struct engine_search *s);
 static bool choose_number(struct engine_search *s, double budget,
-			  struct place *out);
+			  struct pool_choice *out);
 
 /*
  * What a request counts for against others: its tokens, those written ten
@@ -170,7 +170,7 @@
  * already have writers alike are taken for earlier.
  */
 static bool choose_whole(struct engine_search *s, double budget,
-			 struct place *out)
+			 struct pool_choice *out)
 {
 	const struct candidate *best = NULL;
 	int64_t best_at = INT64_MAX;
@@ -193,12 +193,11 @@
 	}
 	if (!best)
 		return false;
-	out->harm = harm_of(s, best, s->read_ms);
-	out->choice.endpoint[0] = best->endpoint;
-	out->choice.n = 1;
-	out->choice.read_ms = s->read_ms;
-	out->choice.start = best->forecast.read_at;
-	out->choice.ttft_ms = read_at(best, s->read_ms) - s->now + WAY_MS;
+	out->endpoint[0] = best->endpoint;
+	out->n = 1;
+	out->read_ms = s->read_ms;
+	out->start = best->forecast.read_at;
+	out->ttft_ms = read_at(best, s->read_ms) - s->now + WAY_MS;
 	return true;
 }
 
@@ -239,13 +238,14 @@
 
 /* The n engines that have read their part first, one of which can write. */
 static bool choose_parts(struct engine_search *s, uint32_t n, double budget,
-			 struct place *out)
+			 struct pool_choice *out)
 {
 	double part_ms = s->read_ms / n;
 	const struct candidate *chosen[DL_GROUP_MAX] = { NULL };
 	const struct candidate *lead;
 	uint32_t count = 0;
 	int64_t last = 0;
+	double harm = 0;
 
 	for (uint32_t i = 0; i < s->count; i++) {
 		const struct candidate *c = &s->at[i];
@@ -259,25 +259,21 @@
 	lead = count == n ? lead_of(chosen, n) : NULL;
 	if (!lead)
 		return false;
-	out->harm = 0;
 	for (uint32_t i = 0; i < n; i++)
-		out->harm += harm_of(s, chosen[i], part_ms);
-	if (out->harm > budget)
+		harm += harm_of(s, chosen[i], part_ms);
+	if (harm > budget)
 		return false;
-	out->harm = 0;
-	out->choice.n = 0;
-	out->choice.endpoint[out->choice.n++] = lead->endpoint;
+	out->n = 0;
+	out->endpoint[out->n++] = lead->endpoint;
 	for (uint32_t i = 0; i < n; i++) {
 		if (chosen[i] != lead)
-			out->choice.endpoint[out->choice.n++] =
-				chosen[i]->endpoint;
-		out->harm += harm_of(s, chosen[i], part_ms);
+			out->endpoint[out->n++] = chosen[i]->endpoint;
 		if (read_at(chosen[i], part_ms) > last)
 			last = read_at(chosen[i], part_ms);
 	}
-	out->choice.read_ms = part_ms;
-	out->choice.start = lead->forecast.read_at;
-	out->choice.ttft_ms = last - s->now + WAY_MS;
+	out->read_ms = part_ms;
+	out->start = lead->forecast.read_at;
+	out->ttft_ms = last - s->now + WAY_MS;
 	return true;
 }
 
@@ -316,7 +312,7 @@
  * days of 57 engines 0.354 with, 0.386 without).
  */
 static bool choose_number(struct engine_search *s, double budget,
-			  struct place *out)
+			  struct pool_choice *out)
 {
 	uint32_t n = parts_for(s);
 	uint32_t most = s->count < DL_GROUP_MAX ? s->count : DL_GROUP_MAX;
@@ -330,10 +326,10 @@
 			return found;
 	}
 	for (uint32_t k = s->least > 1 ? s->least : 1; k <= most; k++) {
-		struct place one = { 0 };
+		struct pool_choice one = { 0 };
 
 		if (found &&
-		    (double)(s->waited + out->choice.ttft_ms) <=
+		    (double)(s->waited + out->ttft_ms) <=
 			    s->target * TARGET_SHARE &&
 		    k > n)
 			break;
@@ -342,7 +338,7 @@
 		if (!(k == 1 ? choose_whole(s, budget, &one) :
 			       choose_parts(s, k, budget, &one)))
 			continue;
-		if (found && one.choice.ttft_ms >= out->choice.ttft_ms)
+		if (found && one.ttft_ms >= out->ttft_ms)
 			continue;
 		*out = one;
 		found = true;
@@ -355,7 +351,7 @@
  * bears to lead, spread over the group.
  */
 bool pool_engine_place(struct engine_search *s, double budget,
-		       struct place *out)
+		       struct pool_choice *out)
 {
 	if (choose_number(s, budget, out))
 		return true;
--- a/src/main/entry_conf.c
+++ b/src/main/entry_conf.c
@@ -34,6 +34,8 @@
 	struct dl_faults faults;
 };
 
+static void start_reading(struct entry *e, struct conf_reading *r);
+
 static void apply_drain(struct entry *e)
 {
 	const struct dl_conf *conf = e->conf;
@@ -145,8 +147,6 @@
 	read_pushed(work->data);
 }
 
-static void start_reading(struct entry *e, struct conf_reading *r);
-
 static void on_read_beside(uv_work_t *work, int status)
 {
 	struct conf_reading *r = work->data, *next;
