Endpoints may start again under their name; other writers' words name nobody

The directory took a name that it knew for the same start: it stayed drained for good, and its grants were kept. An unknown state counted as ready, and a word of an unknown service took the address of an endpoint in use.

Ruled out: ordering starts of different names by `born` alone; a clock that stepped back would keep an endpoint out for as long as the step. It counts only while the one that is there still speaks.

Change: the directory keeps when a start began, per name; a later start begins with nothing, at the same address or another one, where the first is given up. The adapter reads a word whole or not at all (missing fields, other types, unknown states), and entries leave out services that the configuration lacks.

--- a/include/daisyledge/directory.h
+++ b/include/daisyledge/directory.h
@@ -1,8 +1,9 @@
 /*
  * Which endpoints there are, from announcements that may come late, twice, out
- * of order and by several ways.  Each start of an endpoint has a name of its
- * own, its instance; an address may be used again by another start, also of
- * another service.  Pure.
+ * of order and by several ways.  A start of an endpoint has a name, its
+ * instance, and a time at which it began, by the clock of its own machine.  An
+ * endpoint may start again under the name that it had; an address may be used
+ * again by another one, also of another service.  Pure.
  */
 #ifndef DAISYLEDGE_DIRECTORY_H
 #define DAISYLEDGE_DIRECTORY_H
@@ -20,18 +21,26 @@
 	struct dl_str instance;
 	struct dl_str service;
 	uint64_t sequence;
+	uint64_t born; /* when the start began, Unix ms; 0: not said */
 	bool leaving;
 };
 
+/* A start that another one has followed. */
+struct dl_directory_past {
+	struct dl_name instance;
+	uint64_t born;
+};
+
 struct dl_directory_entry {
 	struct dl_name address;
 	struct dl_name instance;
 	struct dl_name service;
 	uint64_t sequence;
+	uint64_t born;	      /* 0: not said */
 	uint64_t incarnation; /* of our own counting, higher for later starts */
-	bool leaving;	      /* final for an instance */
+	bool leaving;	      /* final for a start */
 	int64_t heard;
-	struct dl_name past[DL_DIRECTORY_PAST];
+	struct dl_directory_past past[DL_DIRECTORY_PAST];
 	uint32_t past_at;
 };
 
@@ -45,11 +54,16 @@
 
 struct dl_directory *dl_directory_new(void);
 void dl_directory_free(struct dl_directory *dir);
-/* The entry is set where one is known; good until the next call. */
+/*
+ * The entry is set where one is known; good until the next call.  left: where
+ * the start that is heard of had an earlier one of its name at another address,
+ * that one, which is gone; else NULL.
+ */
 enum dl_heard dl_directory_hear(struct dl_directory *dir,
 				const struct dl_directory_word *word,
 				int64_t now,
-				const struct dl_directory_entry **entry);
+				const struct dl_directory_entry **entry,
+				const struct dl_directory_entry **left);
 /* The start that is known at an address, or NULL. */
 const struct dl_directory_entry *
 dl_directory_find(const struct dl_directory *dir, struct dl_str address);
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -31,6 +31,8 @@
 	X(CHANGE_ANSWERED, DL_INFO, "door", "A change was answered.")          \
 	X(ENDPOINT_NEW, DL_INFO, "directory", "An endpoint started.")          \
 	X(ENDPOINT_LEAVING, DL_INFO, "directory", "An endpoint leaves.")       \
+	X(ENDPOINT_UNKNOWN, DL_WARN, "directory",                              \
+	  "An announcement of a service that is not known is left out.")       \
 	/* membership */                                                       \
 	X(MEMB_UP, DL_INFO, "memb", "A VM joined.")                            \
 	X(MEMB_DOWN, DL_WARN, "memb", "A VM is gone.")                         \
--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -14,11 +14,27 @@
 	uint64_t incarnations;
 };
 
-static bool was_here(const struct dl_directory_entry *e,
-		     struct dl_str instance);
+/*
+ * How long after its last word an endpoint is taken to be at its address
+ * still: two announcements of 1.2 s, and one that came late.
+ */
+#define FRESH_MS 3000
+
+static bool is_same_start(const struct dl_directory_entry *e,
+			  const struct dl_directory_word *word);
+static bool is_followed(const struct dl_directory_entry *e,
+			const struct dl_directory_word *word, int64_t now);
 static void begin(struct dl_directory *dir, struct dl_directory_entry *e,
 		  const struct dl_directory_word *word);
 static enum dl_heard hear_leaving(struct dl_directory_entry *e);
+static enum dl_heard hear_name(struct dl_directory *dir,
+			       const struct dl_directory_word *word,
+			       const struct dl_directory_entry **entry);
+static struct dl_directory_entry *entry_at(struct dl_directory *dir,
+					   struct dl_str address);
+static bool take_name(struct dl_directory *dir, struct dl_directory_entry *e,
+		      const struct dl_directory_word *word,
+		      const struct dl_directory_entry **left);
 
 /* An empty directory. */
 struct dl_directory *dl_directory_new(void)
@@ -41,27 +57,56 @@
 	g_free(dir);
 }
 
-static bool was_here(const struct dl_directory_entry *e, struct dl_str instance)
+/* Whether a word is of the start that an entry has. */
+static bool is_same_start(const struct dl_directory_entry *e,
+			  const struct dl_directory_word *word)
+{
+	return dl_name_eq(&e->instance, word->instance) &&
+	       (!word->born || !e->born || word->born == e->born);
+}
+
+/*
+ * Whether a word is of a start that the one known at its address has followed.
+ * Of one name the later start counts.  Of another name, one that was here does
+ * not return; one that was never heard of is late if it began before the one
+ * that is there and still speaks.  Without that one it is taken in whatever its
+ * clock says: a clock that stepped back must not keep an endpoint out.
+ */
+static bool is_followed(const struct dl_directory_entry *e,
+			const struct dl_directory_word *word, int64_t now)
 {
+	if (!e->instance.n)
+		return false;
+	if (dl_name_eq(&e->instance, word->instance))
+		return word->born < e->born;
 	for (uint32_t i = 0; i < DL_DIRECTORY_PAST; i++) {
-		if (dl_name_eq(&e->past[i], instance))
-			return true;
+		const struct dl_directory_past *p = &e->past[i];
+
+		if (dl_name_eq(&p->instance, word->instance))
+			return !word->born || !p->born || word->born <= p->born;
 	}
-	return false;
+	return word->born && word->born < e->born && !e->leaving &&
+	       now - e->heard < FRESH_MS;
 }
 
-/* Another start takes an address over. */
+/* Another start takes an address over; it holds nothing of the one before. */
 static void begin(struct dl_directory *dir, struct dl_directory_entry *e,
 		  const struct dl_directory_word *word)
 {
 	if (e->instance.n) {
-		g_hash_table_remove(dir->by_instance, e->instance.s);
-		e->past[e->past_at++ % DL_DIRECTORY_PAST] = e->instance;
+		struct dl_directory_past *past =
+			&e->past[e->past_at++ % DL_DIRECTORY_PAST];
+
+		if (g_hash_table_lookup(dir->by_instance, e->instance.s) == e)
+			g_hash_table_remove(dir->by_instance, e->instance.s);
+		past->instance = e->instance;
+		past->born = e->born;
 	}
 	dl_name_set(&e->instance, word->instance);
 	g_hash_table_replace(dir->by_instance, e->instance.s, e);
 	e->incarnation = ++dir->incarnations;
 	e->sequence = 0;
+	e->born = 0;
 	e->leaving = false;
 }
 
@@ -73,50 +118,100 @@
 	return DL_HEARD_LEAVING;
 }
 
+/* A word that has no address can only say that a start leaves. */
+static enum dl_heard hear_name(struct dl_directory *dir,
+			       const struct dl_directory_word *word,
+			       const struct dl_directory_entry **entry)
+{
+	struct dl_directory_entry *e;
+	struct dl_name name;
+
+	dl_name_set(&name, word->instance);
+	e = g_hash_table_lookup(dir->by_instance, name.s);
+	*entry = e;
+	if (!e || !word->leaving || !is_same_start(e, word))
+		return DL_HEARD_OLD;
+	return hear_leaving(e);
+}
+
+/* The entry of an address, made where there is none; NULL: there is no room. */
+static struct dl_directory_entry *entry_at(struct dl_directory *dir,
+					   struct dl_str address)
+{
+	struct dl_directory_entry *e;
+	struct dl_name name;
+
+	if (!dl_name_set(&name, address))
+		return NULL;
+	e = g_hash_table_lookup(dir->by_address, name.s);
+	if (e || dl_directory_count(dir) >= ENTRIES_MAX)
+		return e;
+	e = g_new0(struct dl_directory_entry, 1);
+	e->address = name;
+	g_hash_table_insert(dir->by_address, e->address.s, e);
+	return e;
+}
+
+/*
+ * Take a name over from another address, where an earlier start of it was;
+ * false where that one is the later.
+ */
+static bool take_name(struct dl_directory *dir, struct dl_directory_entry *e,
+		      const struct dl_directory_word *word,
+		      const struct dl_directory_entry **left)
+{
+	struct dl_directory_entry *other;
+	struct dl_name name;
+
+	dl_name_set(&name, word->instance);
+	other = g_hash_table_lookup(dir->by_instance, name.s);
+	if (!other || other == e)
+		return true;
+	if (word->born < other->born)
+		return false;
+	other->leaving = true;
+	*left = other;
+	return true;
+}
+
 /*
  * Take in an announcement.
  *
  * That a start leaves is final, however late the word comes and whatever its
  * sequence says: earlier announcements of the same start may still be under
- * way.  A start that another one has followed at its address never returns:
- * its announcement was held up on the way.
+ * way.  A start that another one has followed never returns: its announcement
+ * was held up on the way.
  */
 enum dl_heard dl_directory_hear(struct dl_directory *dir,
 				const struct dl_directory_word *word,
 				int64_t now,
-				const struct dl_directory_entry **entry)
+				const struct dl_directory_entry **entry,
+				const struct dl_directory_entry **left)
 {
 	struct dl_directory_entry *e;
 	struct dl_name name;
-	bool fresh = false;
+	bool fresh;
 
 	*entry = NULL;
+	*left = NULL;
 	if (!dl_name_set(&name, word->instance) || name.n == 0)
 		return DL_HEARD_OLD;
-	if (word->address.n == 0) {
-		e = g_hash_table_lookup(dir->by_instance, name.s);
-		*entry = e;
-		return e && word->leaving ? hear_leaving(e) : DL_HEARD_OLD;
-	}
-	if (!dl_name_set(&name, word->address))
+	if (word->address.n == 0)
+		return hear_name(dir, word, entry);
+	e = entry_at(dir, word->address);
+	if (!e)
 		return DL_HEARD_OLD;
-	e = g_hash_table_lookup(dir->by_address, name.s);
-	if (!e) {
-		if (dl_directory_count(dir) >= ENTRIES_MAX)
-			return DL_HEARD_OLD;
-		e = g_new0(struct dl_directory_entry, 1);
-		e->address = name;
-		g_hash_table_insert(dir->by_address, e->address.s, e);
-	}
 	*entry = e;
-	if (!dl_name_eq(&e->instance, word->instance)) {
-		if (was_here(e, word->instance))
-			return DL_HEARD_OLD;
+	fresh = !is_same_start(e, word);
+	if (fresh &&
+	    (is_followed(e, word, now) || !take_name(dir, e, word, left)))
+		return DL_HEARD_OLD;
+	if (fresh)
 		begin(dir, e, word);
-		fresh = true;
-	}
 	dl_name_set(&e->service, word->service);
 	e->heard = now;
+	if (word->born)
+		e->born = word->born;
 	if (word->sequence > e->sequence)
 		e->sequence = word->sequence;
 	if (word->leaving && !fresh)
@@ -146,7 +241,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&e)) {
 		if (e->heard >= before)
 			continue;
-		g_hash_table_remove(dir->by_instance, e->instance.s);
+		if (g_hash_table_lookup(dir->by_instance, e->instance.s) == e)
+			g_hash_table_remove(dir->by_instance, e->instance.s);
 		g_hash_table_iter_remove(&iter);
 	}
 }
--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "base/msg.h"
 #include "main/entry.h"
 
 #define MS_PER_S 1000
@@ -45,6 +46,31 @@
 	entry_pool_drain(e, p, &a->report.id);
 }
 
+/*
+ * Whether an announcement is of a service that there is.  Another writer's may
+ * name any: it must not take the address of an endpoint that is in use.  Before
+ * the first configuration all are taken in.
+ */
+static bool knows_service(struct entry *e, const struct dl_announcement *a)
+{
+	if (!a->service.n || !e->conf ||
+	    dl_conf_service(e->conf, dl_name_str(&a->service)))
+		return true;
+	dl_msg(DL_MSG_ENDPOINT_UNKNOWN, "endpoint=%s instance=%s service=%s",
+	       a->report.id.s, a->instance.s, a->service.s);
+	return false;
+}
+
+/* An endpoint has started again at another address: nobody is at this one. */
+static void forget_earlier(struct entry *e, const struct dl_directory_entry *d)
+{
+	struct entry_pool *p = entry_pool_find(e, dl_name_str(&d->service));
+
+	if (p)
+		dl_pool_endpoint_gone(p->pool, dl_name_str(&d->address),
+				      entry_now(e));
+}
+
 /*
  * Find out which start of an endpoint an announcement is of, where its starts
  * have names; false where it tells nothing new of one that is known.  One that
@@ -52,10 +78,13 @@
  */
 static bool place_instance(struct entry *e, struct dl_announcement *a)
 {
-	const struct dl_directory_entry *d;
+	const struct dl_directory_entry *d, *left;
 
-	if (dl_node_hear(e->directory, a, entry_now(e), &d) == DL_HEARD_OLD)
+	if (dl_node_hear(e->directory, a, entry_now(e), &d, &left) ==
+	    DL_HEARD_OLD)
 		return false;
+	if (left)
+		forget_earlier(e, left);
 	a->report.id = d->address;
 	a->service = d->service;
 	a->report.incarnation = d->incarnation;
@@ -89,7 +118,7 @@
 
 	if (dl_report_read(f->body, &a))
 		return;
-	if (a.instance.n && !place_instance(e, &a))
+	if (a.instance.n && (!knows_service(e, &a) || !place_instance(e, &a)))
 		return;
 	p = entry_pool_find(e, dl_name_str(&a.service));
 	if (!p)
--- a/src/main/node.h
+++ b/src/main/node.h
@@ -58,7 +58,8 @@
 /* node_hear.c */
 enum dl_heard dl_node_hear(struct dl_directory *directory,
 			   const struct dl_announcement *a, int64_t now,
-			   const struct dl_directory_entry **entry);
+			   const struct dl_directory_entry **entry,
+			   const struct dl_directory_entry **left);
 
 /* The monotonic time of the loop, in milliseconds. */
 int64_t dl_node_now(const struct dl_node *node);
--- a/src/main/node_hear.c
+++ b/src/main/node_hear.c
@@ -4,25 +4,34 @@
 
 /*
  * Take an announcement into a directory, and say what it changed there; entry
- * is the start that is known at its address then, or NULL.
+ * is the start that is known at its address then, or NULL, and left an earlier
+ * start of its name at another address, which is gone, or NULL.
  */
 enum dl_heard dl_node_hear(struct dl_directory *directory,
 			   const struct dl_announcement *a, int64_t now,
-			   const struct dl_directory_entry **entry)
+			   const struct dl_directory_entry **entry,
+			   const struct dl_directory_entry **left)
 {
 	struct dl_directory_word word = {
 		.address = dl_name_str(&a->report.id),
 		.instance = dl_name_str(&a->instance),
 		.service = dl_name_str(&a->service),
 		.sequence = a->sequence,
+		.born = a->born,
 		.leaving = a->report.leaving,
 	};
-	enum dl_heard heard = dl_directory_hear(directory, &word, now, entry);
+	enum dl_heard heard =
+		dl_directory_hear(directory, &word, now, entry, left);
 
 	if (heard == DL_HEARD_NEW || heard == DL_HEARD_LEAVING)
 		dl_msg(heard == DL_HEARD_NEW ? DL_MSG_ENDPOINT_NEW :
 					       DL_MSG_ENDPOINT_LEAVING,
-		       "endpoint=%s instance=%s", (*entry)->address.s,
-		       (*entry)->instance.s);
+		       "endpoint=%s instance=%s born=%lu", (*entry)->address.s,
+		       (*entry)->instance.s, (unsigned long)(*entry)->born);
+	if (*left)
+		dl_msg(DL_MSG_ENDPOINT_LEAVING,
+		       "endpoint=%s instance=%s born=%lu now_at=%s",
+		       (*left)->address.s, (*left)->instance.s,
+		       (unsigned long)(*left)->born, (*entry)->address.s);
 	return heard;
 }
--- a/src/main/replica_door.c
+++ b/src/main/replica_door.c
@@ -147,27 +147,25 @@
 static void on_announce(struct replica_door *d, struct dl_httpd_req *req,
 			struct dl_str id, bool leave)
 {
-	const struct dl_directory_entry *entry;
+	const struct dl_directory_entry *entry, *left;
 	struct dl_announcement a;
 	struct dl_err err;
+	int rc;
 
 	if (!in_touch(d)) {
 		reply_error(req, 503, "the group is not heard");
 		return;
 	}
-	if (leave) {
-		memset(&a, 0, sizeof(a));
-		a.report.leaving = true;
-		if (!dl_name_set(&a.instance, id)) {
-			reply_error(req, 400, "the name is too long");
-			return;
-		}
-	} else if (platform_dialect.announce(id, dl_httpd_body(req), &a,
-					     &err)) {
+	if (leave)
+		rc = platform_dialect.leave(id, dl_httpd_body(req), &a, &err);
+	else
+		rc = platform_dialect.announce(id, dl_httpd_body(req), &a,
+					       &err);
+	if (rc) {
 		reply_error(req, 400, err.text);
 		return;
 	}
-	dl_node_hear(d->directory, &a, replica_now(d->r), &entry);
+	dl_node_hear(d->directory, &a, replica_now(d->r), &entry, &left);
 	spread(d, &a);
 	reply_json(req, 200, DL_STR("{}"));
 }
--- a/src/protocol/api.h
+++ b/src/protocol/api.h
@@ -82,6 +82,8 @@
 	/* One start of the endpoint; empty: report.incarnation tells starts. */
 	struct dl_name instance;
 	uint64_t sequence; /* grows with each announcement of a start */
+	uint64_t born; /* when that start began, by the endpoint's clock; 0: not
+			  said */
 	uint64_t order_fence;
 	/* What orders are about; empty where it tells none. */
 	struct dl_name models[DL_ANNOUNCED_MODELS_MAX];
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -90,6 +90,9 @@
 	/* An announcement of the endpoint named by id; 0 or -EINVAL. */
 	int (*announce)(struct dl_str id, struct dl_str body,
 			struct dl_announcement *out, struct dl_err *err);
+	/* That it leaves, without its address; the body may be empty. */
+	int (*leave)(struct dl_str id, struct dl_str body,
+		     struct dl_announcement *out, struct dl_err *err);
 	/*
 	 * A configuration as the product's own text, which the caller frees
 	 * with free(); 0 or -EINVAL where it cannot be read.
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -7,7 +7,7 @@
 #define ASK_ITEMS     16
 #define ANSWER_ITEMS  13
 #define RELEASE_ITEMS 10
-#define REPORT_ITEMS  19
+#define REPORT_ITEMS  20
 #define SUMMARY_ITEMS 9
 #define ADOPT_ITEMS   25
 /* Stands for no time at all where what is left of one is told. */
@@ -345,6 +345,7 @@
 	dl_pack_u64(p, a->order_fence);
 	dl_pack_str(p, dl_name_str(&a->instance));
 	dl_pack_u64(p, a->sequence);
+	dl_pack_u64(p, a->born);
 	put_names(p, a->models, a->models_count);
 	dl_pack_str(p, dl_name_str(&a->version));
 	dl_pack_str(p, dl_name_str(&a->role));
@@ -374,6 +375,7 @@
 	out->order_fence = dl_read_u64(&r);
 	dl_read_name(&r, &out->instance);
 	out->sequence = dl_read_u64(&r);
+	out->born = dl_read_u64(&r);
 	out->models_count =
 		take_names(&r, out->models, DL_ANNOUNCED_MODELS_MAX);
 	dl_read_name(&r, &out->version);
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -126,6 +126,7 @@
 	a.report.incarnation = 3;
 	a.report.slots = 4;
 	a.report.leaving = true;
+	a.born = 1764728000123;
 	a.models_count = 1;
 	a.events_count = 1;
 	a.events[0].prefix = UINT64_MAX;
@@ -136,6 +137,7 @@
 	ck_assert_int_eq(dl_report_read(dl_packer_bytes(&p), &a2), 0);
 	ck_assert(a2.report.leaving && a2.report.slots == 4);
 	ck_assert_uint_eq(a2.report.incarnation, 3);
+	ck_assert_uint_eq(a2.born, 1764728000123);
 	ck_assert(dl_name_eq(&a2.models[0], DL_STR("match-7b")));
 	ck_assert_uint_eq(a2.events[0].prefix, UINT64_MAX);
 	dl_packer_close(&p);
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -18,8 +18,12 @@
 	dl_directory_free(dir);
 }
 
-static enum dl_heard hear(const char *address, const char *instance,
-			  uint64_t sequence, bool leaving)
+/* The endpoint whose name another start took over, at the last word. */
+static const struct dl_directory_entry *left;
+
+static enum dl_heard hear_born(const char *address, const char *instance,
+			       uint64_t born, uint64_t sequence, bool leaving,
+			       int64_t now)
 {
 	const struct dl_directory_entry *entry;
 	struct dl_directory_word word = {
@@ -27,10 +31,17 @@
 		.instance = dl_str_of(instance),
 		.service = DL_STR("writer"),
 		.sequence = sequence,
+		.born = born,
 		.leaving = leaving,
 	};
 
-	return dl_directory_hear(dir, &word, 1000, &entry);
+	return dl_directory_hear(dir, &word, now, &entry, &left);
+}
+
+static enum dl_heard hear(const char *address, const char *instance,
+			  uint64_t sequence, bool leaving)
+{
+	return hear_born(address, instance, 0, sequence, leaving, 1000);
 }
 
 static const struct dl_directory_entry *known(void)
@@ -97,6 +108,101 @@
 }
 END_TEST
 
+/* The same name at the same address: it holds nothing of before. */
+START_TEST(a_start_may_have_the_name_of_an_earlier_one)
+{
+	uint64_t first;
+
+	hear_born(AT, "i-1", 100, 9, true, 1000);
+	ck_assert(known()->leaving);
+	first = known()->incarnation;
+	ck_assert_int_eq(hear_born(AT, "i-1", 200, 1, false, 2000),
+			 DL_HEARD_NEW);
+	ck_assert_uint_gt(known()->incarnation, first);
+	ck_assert_uint_eq(known()->sequence, 1);
+	ck_assert(!known()->leaving);
+	/* Late words of the earlier start, in every form. */
+	ck_assert_int_eq(hear_born(AT, "i-1", 100, 10, false, 2100),
+			 DL_HEARD_OLD);
+	ck_assert_int_eq(hear_born(AT, "i-1", 100, 11, true, 2100),
+			 DL_HEARD_OLD);
+	ck_assert_int_eq(hear_born("", "i-1", 100, 0, true, 2100),
+			 DL_HEARD_OLD);
+	ck_assert(!known()->leaving);
+	ck_assert_uint_eq(known()->sequence, 1);
+	ck_assert_int_eq(hear_born("", "i-1", 200, 0, true, 2100),
+			 DL_HEARD_LEAVING);
+}
+END_TEST
+
+/* The same name at another address: nobody is at the first one. */
+START_TEST(a_start_may_take_its_name_to_another_address)
+{
+	const char *to = "10.0.0.8:8080";
+
+	hear_born(AT, "i-1", 100, 9, false, 1000);
+	ck_assert_int_eq(hear_born(to, "i-1", 200, 1, false, 2000),
+			 DL_HEARD_NEW);
+	ck_assert_ptr_eq(left, known());
+	ck_assert(known()->leaving);
+	/* The earlier start's late word brings nothing back. */
+	ck_assert_int_ne(hear_born(AT, "i-1", 100, 10, false, 2100),
+			 DL_HEARD_NEW);
+	ck_assert(known()->leaving);
+	ck_assert(!dl_directory_find(dir, dl_str_of(to))->leaving);
+	/* And the first address may be used again. */
+	ck_assert_int_eq(hear_born(AT, "i-2", 300, 1, false, 3000),
+			 DL_HEARD_NEW);
+	ck_assert_int_eq(hear_born("", "i-1", 200, 0, true, 3000),
+			 DL_HEARD_LEAVING);
+	ck_assert(dl_directory_find(dir, dl_str_of(to))->leaving);
+	ck_assert(!known()->leaving);
+}
+END_TEST
+
+/* The later start may be heard of first. */
+START_TEST(an_earlier_start_of_a_name_is_late_at_another_address)
+{
+	hear_born(AT, "i-1", 200, 1, false, 1000);
+	ck_assert_int_eq(hear_born("10.0.0.8:8080", "i-1", 100, 9, false, 1000),
+			 DL_HEARD_OLD);
+	ck_assert_int_eq(hear_born("", "i-1", 0, 0, true, 1000),
+			 DL_HEARD_LEAVING);
+	ck_assert(known()->leaving);
+}
+END_TEST
+
+/* A start that was never heard of while it was there. */
+START_TEST(a_start_before_the_one_there_is_late)
+{
+	hear_born(AT, "i-2", 200, 1, false, 1000);
+	ck_assert_int_eq(hear_born(AT, "i-1", 100, 1, false, 1500),
+			 DL_HEARD_OLD);
+	ck_assert(dl_name_eq(&known()->instance, DL_STR("i-2")));
+}
+END_TEST
+
+/* The clock of its machine stepped back; the one before has fallen silent. */
+START_TEST(a_clock_that_stepped_keeps_nobody_out)
+{
+	hear_born(AT, "i-1", 200, 1, false, 1000);
+	ck_assert_int_eq(hear_born(AT, "i-2", 100, 1, false, 5000),
+			 DL_HEARD_NEW);
+}
+END_TEST
+
+/* A start that does not say when it began, between others that do. */
+START_TEST(the_time_of_a_start_may_be_missing)
+{
+	hear_born(AT, "i-1", 100, 1, false, 1000);
+	ck_assert_int_eq(hear_born(AT, "i-1", 0, 2, false, 1000),
+			 DL_HEARD_SAME);
+	ck_assert_uint_eq(known()->born, 100);
+	ck_assert_int_eq(hear_born(AT, "i-1", 0, 3, true, 1000),
+			 DL_HEARD_LEAVING);
+}
+END_TEST
+
 START_TEST(nameless_starts_are_nothing)
 {
 	ck_assert_int_eq(hear(AT, "", 1, false), DL_HEARD_OLD);
@@ -130,6 +236,13 @@
 	tcase_add_test(t, leaving_by_name_alone);
 	tcase_add_test(t, an_earlier_start_never_returns);
 	tcase_add_test(t, a_new_start_does_not_leave);
+	tcase_add_test(t, a_start_may_have_the_name_of_an_earlier_one);
+	tcase_add_test(t, a_start_may_take_its_name_to_another_address);
+	tcase_add_test(t,
+		       an_earlier_start_of_a_name_is_late_at_another_address);
+	tcase_add_test(t, a_start_before_the_one_there_is_late);
+	tcase_add_test(t, a_clock_that_stepped_keeps_nobody_out);
+	tcase_add_test(t, the_time_of_a_start_may_be_missing);
 	tcase_add_test(t, nameless_starts_are_nothing);
 	tcase_add_test(t, silent_ones_are_forgotten);
 	srunner_run_all(r, CK_NORMAL);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -200,23 +200,55 @@
 }
 END_TEST
 
+#define BEAT(more)                                                             \
+	"{\"service\":\"w\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\"," more
+#define FULL(state, seq)                                                       \
+	BEAT("\"version\":\"v1\",\"slots\":16,\"state\":" state ",\"seq\":" seq)
+
 struct beat {
 	const char *body;
 	int rc;
 };
 
+/* What another writer may send: it names no endpoint to use. */
 static const struct beat beats[] = {
-	{ "{\"service\":\"w\",\"address\":\"10.0.0.9:80\",\"slots\":16,"
-	  "\"state\":\"ready\",\"seq\":4,\"new\":{}}",
-	  0 },
-	{ "{\"service\":\"w\",\"address\":\"10.0.0.9:80\"}", 0 },
-	{ "{\"service\":\"w\",\"address\":\"10.0.0.9:80\",\"slots\":\"x\","
-	  "\"seq\":-4,\"models\":7}",
-	  0 },
-	{ "{\"service\":\"w\",\"address\":\"nowhere\"}", -22 },
-	{ "{\"service\":7,\"address\":\"10.0.0.9:80\"}", -22 },
+	{ FULL("\"ready\"", "4") ",\"born\":1764728000123,\"new\":{}}", 0 },
+	{ FULL("\"ready\"", "4") "}", 0 },
+	{ FULL("\"draining\"", "4") "}", 0 },
+	{ FULL("\"ready\"", "4") ",\"models\":7}", 0 },
+	{ FULL("\"asleep\"", "4") "}", -22 },
+	{ FULL("\"\"", "4") "}", -22 },
+	{ FULL("7", "4") "}", -22 },
+	{ FULL("null", "4") "}", -22 },
+	{ FULL("\"ready\"", "-4") "}", -22 },
+	{ FULL("\"ready\"", "\"4\"") "}", -22 },
+	{ FULL("\"ready\"", "4.5") "}", -22 },
+	{ FULL("\"ready\"", "4") ",\"born\":\"1764728000123\"}", -22 },
+	{ FULL("\"ready\"", "4") ",\"born\":1764728000123.5}", -22 },
+	{ FULL("\"ready\"", "4") ",\"born\":-1}", -22 },
+	{ FULL("\"ready\"", "4") ",\"born\":null}", -22 },
+	{ BEAT("\"version\":\"v1\",\"slots\":16,\"seq\":4}"), -22 },
+	{ BEAT("\"version\":\"v1\",\"slots\":16,\"state\":\"ready\"}"), -22 },
+	{ BEAT("\"version\":\"v1\",\"state\":\"ready\",\"seq\":4}"), -22 },
+	{ BEAT("\"slots\":16,\"state\":\"ready\",\"seq\":4}"), -22 },
+	{ BEAT("\"version\":1,\"slots\":16,\"state\":\"ready\",\"seq\":4}"),
+	  -22 },
+	{ BEAT("\"version\":\"v1\",\"slots\":\"x\",\"state\":\"ready\","
+	       "\"seq\":4}"),
+	  -22 },
+	{ "{\"service\":\"w\",\"address\":\"10.0.0.9:80\",\"zone\":7,"
+	  "\"version\":\"v1\",\"slots\":16,\"state\":\"ready\",\"seq\":4}",
+	  -22 },
+	{ "{\"service\":\"w\",\"address\":\"nowhere\",\"zone\":\"z\","
+	  "\"version\":\"v1\",\"slots\":16,\"state\":\"ready\",\"seq\":4}",
+	  -22 },
+	{ "{\"service\":7,\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+	  "\"version\":\"v1\",\"slots\":16,\"state\":\"ready\",\"seq\":4}",
+	  -22 },
+	{ "{\"service\":\"w\",\"address\":\"10.0.0.9:80\"}", -22 },
 	{ "{\"address\":\"10.0.0.9:80\"}", -22 },
 	{ "{\"service\":\"w\",\"address\":\"10.0.0.9:80\"", -22 },
+	{ "\xff\xfe{}", -22 },
 	{ "[]", -22 },
 	{ "", -22 },
 };
@@ -235,10 +267,38 @@
 	ck_assert(dl_name_eq(&a.report.id, DL_STR("10.0.0.9:80")));
 	ck_assert_uint_eq(a.report.slots, 16);
 	ck_assert_uint_eq(a.sequence, 4);
+	ck_assert_uint_eq(a.born, 1764728000123);
 	ck_assert(!a.report.leaving);
 }
 END_TEST
 
+static const struct beat leavings[] = {
+	{ "", 0 },
+	{ "{}", 0 },
+	{ "{\"born\":1764728000123}", 0 },
+	{ "{\"born\":\"x\"}", -22 },
+	{ "{\"born\":1.5}", -22 },
+	{ "[]", -22 },
+	{ "{", -22 },
+};
+
+START_TEST(words_of_leaving)
+{
+	struct dl_announcement a;
+	struct dl_err err;
+
+	ck_assert_int_eq(d->leave(DL_STR("i-7"), dl_str_of(leavings[_i].body),
+				  &a, &err),
+			 leavings[_i].rc);
+	if (leavings[_i].rc)
+		return;
+	ck_assert(a.report.leaving);
+	ck_assert(dl_name_eq(&a.instance, DL_STR("i-7")));
+	ck_assert_uint_eq(a.report.id.n, 0);
+	ck_assert_uint_eq(a.born, _i == 2 ? 1764728000123 : 0);
+}
+END_TEST
+
 #define ROUTE(more)                                                            \
 	"{\"name\":\"r\",\"host\":\"h.example\",\"path_prefix\":\"/p/\","      \
 	"\"kind\":\"stream\",\"service\":\"w\"," more "}"
@@ -330,6 +390,8 @@
 	tcase_add_test(t, answers_are_read);
 	tcase_add_loop_test(t, control_calls, 0,
 			    sizeof(paths) / sizeof(paths[0]));
+	tcase_add_loop_test(t, words_of_leaving, 0,
+			    sizeof(leavings) / sizeof(leavings[0]));
 	tcase_add_loop_test(t, announcements, 0,
 			    sizeof(beats) / sizeof(beats[0]));
 	tcase_add_loop_test(t, configurations, 0,
--- a/test/test_system_platform.sh
+++ b/test/test_system_platform.sh
@@ -242,6 +242,39 @@
 [ "$(grep -c ' wrong-answer ' "$RECORD")" = 1 ] ||
 	fail "a request that may run once ran more often"
 
+# An endpoint that left starts again under the name that it had, and is used;
+# words of its earlier start, and words of another writer, change nothing.
+say() { # ID BODY
+	$DL_HTTP -t 2000 -X POST -d "$2" -e "${3:-200}" "$(control 1)" \
+		"/-/Instances.Heartbeat/$1" >/dev/null
+}
+beat() { # SERVICE ADDRESS STATE SEQ BORN
+	printf '{"service":"%s","address":"127.%s.9.%s:%s","zone":"r","version":"v1","slots":16,"state":%s,"seq":%s,"born":%s}' \
+		"$1" "$NET" "$2" $ENDPOINT_PORT "$3" "$4" "$5"
+}
+kill -USR1 "$(pid_of runner_d2)"
+wait_for 3 "its leaving" grep -q 'leaves.*instance=d2' "$DIR/entry-1.log" ||
+	fail "that an endpoint leaves is not known"
+kill -TERM "$(pid_of runner_d2)"
+wait "$(pid_of runner_d2)" 2>/dev/null
+runner d2 3 --service desk --plain --fault error
+wait_for 5 "the same name again" \
+	sh -c "[ \$(grep -c 'started.*instance=d2' '$DIR/entry-1.log') = 2 ]" ||
+	fail "another start under the same name is not known"
+say d2 "$(beat desk 3 '"draining"' 99 1000)" || fail "a late word is refused"
+say d9 "$(beat nobody 3 '"ready"' 1 9999999999999)" ||
+	fail "a word of an unknown service is not answered"
+say d2 "$(beat desk 3 '"asleep"' 99 9999999999999)" 400 ||
+	fail "an unknown state is taken in"
+say d2 "$(beat desk 3 '7' 99 9999999999999)" 400 ||
+	fail "a state of another type is taken in"
+say d2 '{"service":' 400 || fail "bytes that cannot be read are taken in"
+sleep 0.3
+book 1 reborn 500 -H "$KEY" >/dev/null ||
+	fail "another start under the same name is not used"
+[ "$(grep -c '^d2 reborn ' "$RECORD")" = 1 ] ||
+	fail "another start under the same name got no work"
+
 # Changes: older and equal ones change nothing, faulty ones are refused.
 put "$(config 5 4000 '"key-one"')" || fail "an equal number is refused"
 put "$(config 4 4000 '"key-one"')" || fail "a lower number is refused"
@@ -258,7 +291,8 @@
 wait_for 5 "one more endpoint" grep -q 'instance=d3' "$DIR/entry-1.log" ||
 	fail "one more endpoint is not known"
 kill -USR1 "$(pid_of runner_d2)"
-wait_for 3 "its leaving" grep -q 'leaves.*instance=d2' "$DIR/entry-2.log" ||
+wait_for 3 "its leaving" \
+	sh -c "[ \$(grep -c 'leaves.*instance=d2' '$DIR/entry-2.log') = 2 ]" ||
 	fail "that an endpoint leaves is not known"
 for n in 1 2 3 4 5 6; do
 	book 2 "leaving-$n" 200 -H 'X-Api-Key: key-two' >/dev/null ||
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -58,6 +58,7 @@
 static char **controls;
 static guint turn;
 static uint64_t sequence;
+static int64_t born; /* when this start began, Unix ms */
 static int record_fd = -1;
 static bool leaving, gone;
 static int64_t beat_at;
@@ -103,9 +104,9 @@
 		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
 		 "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
 		 "\"stage\":\"both\",\"models\":[{\"name\":\"m\"}],"
-		 "\"seq\":%" PRIu64 "}",
+		 "\"seq\":%" PRIu64 ",\"born\":%" PRId64 "}",
 		 opt.service, opt.listen, opt.zone, opt.slots,
-		 leaving ? "draining" : "ready", ++sequence);
+		 leaving ? "draining" : "ready", ++sequence, born);
 	call_control(path, body);
 }
 
@@ -292,6 +293,7 @@
 	}
 	g_option_context_free(ctx);
 	fake_ignore_sigpipe();
+	born = g_get_real_time() / 1000;
 	loop = uv_default_loop();
 	jobs = g_ptr_array_new();
 	controls = g_strsplit(opt.control, ",", CONTROLS);
