--- a/test/fake/pass_engine.c
+++ b/test/fake/pass_engine.c
@@ -3,15 +3,19 @@
 
 #include <math.h>
 #include <stdlib.h>
-
-/* The published figures of the deployments that the tests stand for. */
-#define STEP_MS	       0.85
-#define PER_WRITER_MS  0.00425
-#define PER_CONTEXT_MS 0.00285 /* for 1,000 tokens */
-#define STRIDE	       51
+#include <string.h>
 
 static void begin_pass(struct pass_engine *e, int64_t now);
 
+/* An engine that has nothing to do; the figures must outlast it. */
+void pass_engine_init(struct pass_engine *e,
+		      const struct dl_engine_model *figures)
+{
+	memset(e, 0, sizeof(*e));
+	e->figures = figures;
+	e->slots = figures->slots;
+}
+
 /* Those that have a slot: the ones that lead. */
 static uint32_t active(const struct pass_engine *e)
 {
@@ -83,8 +87,10 @@
 	}
 	e->writes = writers > 0;
 	if (e->writes)
-		ms += STRIDE * (STEP_MS + writers * PER_WRITER_MS +
-				context / 1000 * PER_CONTEXT_MS);
+		ms += e->figures->stride *
+		      (e->figures->step_ms +
+		       writers * e->figures->per_writer_ms +
+		       context / 1000 * e->figures->per_context_ms);
 	if (any || e->writes)
 		e->ends = now + (int64_t)ceil(ms > 1 ? ms : 1);
 }
--- a/test/fake/pass_engine.h
+++ b/test/fake/pass_engine.h
@@ -9,6 +9,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "daisyledge/engine.h"
+
 #define PASS_ENGINE_ITEMS 2048
 
 /* One caller's stream, over all the engines that work on it. */
@@ -40,6 +42,7 @@
 };
 
 struct pass_engine {
+	const struct dl_engine_model *figures; /* as they are published */
 	uint32_t slots;
 	int64_t ends; /* of the pass under way */
 	bool writes;  /* somebody writes in it */
@@ -47,6 +50,8 @@
 	struct pass_item item[PASS_ENGINE_ITEMS];
 };
 
+void pass_engine_init(struct pass_engine *e,
+		      const struct dl_engine_model *figures);
 void pass_engine_give(struct pass_engine *e, struct pass_stream *s,
 		      double read_ms, double context, bool leads, int64_t now);
 /* Let time pass; done is called for each stream that ends. */
