A prompt that needs several engines' memory holds an even part on each

Cause: such a prompt was reckoned to hold need / least on every engine of its group, least being the engines that its memory alone asks for. A group of ten where four would do held two and a half times the prompt's memory, in the dispatcher's books and, by reservations, on the engines.

Ruled out: memory of short streams (allowed output counts 32,000 tokens of 232,000 on an engine with sixteen); a group that could not be led.

Change: each holds need / n.

--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -26,7 +26,7 @@
 /* Nobody writes for a caller without a target within a fixed time. */
 #define TARGET_DEFAULT_MS 1000
 /* Of a target, what one engine may be kept by a part of one prompt. */
-#define PART_TARGET_SHARE 0.4
+#define PART_TARGET_SHARE 0.6
 /*
  * How long before engines begin to read it a long prompt is granted at most.
  * For many long prompts at once: engines read the parts that they have in
@@ -118,7 +118,6 @@
 	s.target = want->target_ms ? want->target_ms : TARGET_DEFAULT_MS;
 	s.read_ms = dl_engine_read_ms(s.model, want->prompt);
 	s.weight = pool_engine_weight(want);
-	pool_engine_share(&s);
 	pool_engine_look(&s);
 	if (is_too_much(&s))
 		return POOL_LATE;
--- a/src/coordination/pool_engine.h
+++ b/src/coordination/pool_engine.h
@@ -21,7 +21,7 @@
 struct candidate {
 	struct pool_endpoint *endpoint;
 	struct dl_engine_forecast forecast; /* of no reading at all */
-	bool leads; /* has the slot and the memory to write */
+	bool leads;			    /* has the slot to write */
 };
 
 struct engine_search {
@@ -33,8 +33,7 @@
 	double target;
 	double read_ms;
 	double weight;
-	uint64_t share;	  /* of the memory, that each engine holds */
-	uint32_t least;	  /* engines, for the memory alone */
+	uint32_t least; /* engines, for the memory alone; 1: the lead has it */
 	double gap_share; /* of a pause that a pass may take */
 	uint32_t count;
 	struct candidate at[POOL_ENGINE_LOOK_MAX];
@@ -42,7 +41,6 @@
 
 double pool_engine_weight(const struct pool_want *want);
 int64_t pool_engine_due(const struct pool_want *want);
-void pool_engine_share(struct engine_search *s);
 void pool_engine_look(struct engine_search *s);
 bool pool_engine_place(struct engine_search *s, double budget,
 		       struct pool_choice *out);
--- a/src/coordination/pool_engine_place.c
+++ b/src/coordination/pool_engine_place.c
@@ -27,10 +27,11 @@
 /* Of an engine's memory, what a prompt that needs several takes on each. */
 #define SPREAD_MEMORY_SHARE 0.35
 
+static void whole_memory(struct engine_search *s);
 static void spread_memory(struct engine_search *s);
 static uint32_t leaders_of(const struct pool_endpoint *e);
-static bool has_memory(const struct engine_search *s,
-		       const struct pool_endpoint *e);
+static bool has_memory(const struct pool_endpoint *e, uint64_t tokens);
+static uint64_t memory_at(const struct engine_search *s, uint32_t n);
 static int64_t read_at(const struct candidate *c, double part_ms);
 static double harm_of(const struct engine_search *s, const struct candidate *c,
 		      double part_ms);
@@ -69,25 +70,23 @@
 	return n;
 }
 
-static bool has_memory(const struct engine_search *s,
-		       const struct pool_endpoint *e)
+static bool has_memory(const struct pool_endpoint *e, uint64_t tokens)
 {
 	uint64_t all = (uint64_t)((double)e->last.memory_tokens * MEMORY_SHARE);
 
-	return e->held + s->share <= all;
+	return e->held + tokens <= all;
 }
 
 /*
- * How many engines a prompt needs for its memory alone, and what each then
- * holds: one holds all of it where it can, since memory on others has to be
- * reserved before and costs a round of orders.
+ * How many engines a prompt needs for its memory alone: one holds all of it
+ * where it can, since memory on others has to be reserved before and costs a
+ * round of orders.
  */
-void pool_engine_share(struct engine_search *s)
+static void whole_memory(struct engine_search *s)
 {
 	double one = (double)s->model->memory_tokens * MEMORY_SHARE;
 
 	s->least = 1;
-	s->share = s->want->need;
 	if (one > 0 && (double)s->want->need > one)
 		spread_memory(s);
 }
@@ -99,7 +98,15 @@
 
 	s->least = (uint32_t)ceil((double)s->want->need /
 				  (one * SPREAD_MEMORY_SHARE));
-	s->share = s->want->need / s->least + 1;
+}
+
+/*
+ * What each engine of a group of n holds: where memory is spread an even part,
+ * also of a group that is larger than the memory alone asks for.
+ */
+static uint64_t memory_at(const struct engine_search *s, uint32_t n)
+{
+	return s->least > 1 ? s->want->need / n + 1 : s->want->need;
 }
 
 /* Look at every engine once. */
@@ -120,7 +127,6 @@
 		dl_engine_forecast(&e->engine, s->model, 0, s->now,
 				   &c->forecast);
 		c->leads = leaders_of(e) < pool_shift_slots(e, s->now) &&
-			   has_memory(s, e) &&
 			   e->engine.count < DL_ENGINE_ITEMS_MAX;
 		s->count++;
 	}
@@ -179,7 +185,8 @@
 		const struct candidate *c = &s->at[i];
 		int64_t at = read_at(c, s->read_ms);
 
-		if (!c->leads || harm_of(s, c, s->read_ms) > budget)
+		if (!c->leads || !has_memory(c->endpoint, s->want->need) ||
+		    harm_of(s, c, s->read_ms) > budget)
 			continue;
 		at += keep_free_ms(s, c);
 		/* Its own writing would be paused by what others bear. */
@@ -195,6 +202,7 @@
 		return false;
 	out->endpoint[0] = best->endpoint;
 	out->n = 1;
+	out->share = s->want->need;
 	out->read_ms = s->read_ms;
 	out->start = best->forecast.read_at;
 	out->ttft_ms = read_at(best, s->read_ms) - s->now + WAY_MS;
@@ -221,12 +229,13 @@
 
 /* The one that writes: where pauses are borne that others' reading makes. */
 static const struct candidate *lead_of(const struct candidate **chosen,
-				       uint32_t n)
+				       uint32_t n, uint64_t tokens)
 {
 	const struct candidate *lead = NULL;
 
 	for (uint32_t i = 0; i < n; i++) {
-		if (!chosen[i]->leads)
+		if (!chosen[i]->leads ||
+		    !has_memory(chosen[i]->endpoint, tokens))
 			continue;
 		if (!lead || !chosen[i]->forecast.writers ||
 		    (lead->forecast.writers &&
@@ -241,6 +250,7 @@
 			 struct pool_choice *out)
 {
 	double part_ms = s->read_ms / n;
+	uint64_t share = memory_at(s, n);
 	const struct candidate *chosen[DL_GROUP_MAX] = { NULL };
 	const struct candidate *lead;
 	uint32_t count = 0;
@@ -250,13 +260,13 @@
 	for (uint32_t i = 0; i < s->count; i++) {
 		const struct candidate *c = &s->at[i];
 
-		if (s->least > 1 && !has_memory(s, c->endpoint))
+		if (s->least > 1 && !has_memory(c->endpoint, share))
 			continue;
 		if (c->endpoint->last.takes_groups &&
 		    harm_of(s, c, part_ms) <= 2 * budget / n)
 			keep_first(chosen, &count, n, c, part_ms);
 	}
-	lead = count == n ? lead_of(chosen, n) : NULL;
+	lead = count == n ? lead_of(chosen, n, share) : NULL;
 	if (!lead)
 		return false;
 	for (uint32_t i = 0; i < n; i++)
@@ -271,6 +281,7 @@
 		if (read_at(chosen[i], part_ms) > last)
 			last = read_at(chosen[i], part_ms);
 	}
+	out->share = share;
 	out->read_ms = part_ms;
 	out->start = lead->forecast.read_at;
 	out->ttft_ms = last - s->now + WAY_MS;
@@ -284,7 +295,6 @@
 	double passes = (double)s->want->output / (m->stride ? m->stride : 1);
 	double pass = dl_engine_write_ms(m, 1, 0);
 
-	out->share = s->share;
 	out->lead_holds = s->least == 1;
 	out->total_ms = out->ttft_ms + (int64_t)(passes * pass);
 }
@@ -353,15 +363,11 @@
 bool pool_engine_place(struct engine_search *s, double budget,
 		       struct pool_choice *out)
 {
+	whole_memory(s);
 	if (choose_number(s, budget, out))
 		return true;
 	if (s->least > 1 || s->read_ms <= PART_MS)
 		return false;
 	spread_memory(s);
-	pool_engine_look(s);
-	if (choose_number(s, budget, out))
-		return true;
-	pool_engine_share(s);
-	pool_engine_look(s);
-	return false;
+	return choose_number(s, budget, out);
 }
