A VM that stops says so to the others at once

That a VM drains went out with the next probes only and was known 0.3 to 2 s later; until then it was asked as dispatcher.

Ruled out: the move of the grants; the start of the VM that had been stopped (its first seconds are late for want of endpoints, which is less).

Tried with it and reverted: a VM that drains owns pools where no other is left (membership's tests say that it must not).

Test: all others know it within 60 ms; with the earlier code they do not.

--- a/src/coordination/memb.c
+++ b/src/coordination/memb.c
@@ -611,6 +611,24 @@
 	memb->next_seed = now;
 }
 
+/* Send some live peers a datagram now: each says how its sender is. */
+static void tell_directly(struct dl_memb *memb, enum memb_kind kind)
+{
+	uint32_t start = (uint32_t)(memb_random(memb) % memb->npeers);
+
+	for (uint32_t i = 0, told = 0; i < memb->npeers; i++) {
+		struct memb_peer *peer =
+			&memb->peers[(start + i) % memb->npeers];
+
+		if (peer->m.vm == memb->conf.self || !memb_peer_live(peer))
+			continue;
+		if (told++ == MEMB_LEAVE_TELL)
+			break;
+		memb_queue(memb, kind, peer->m.vm,
+			   kind == MEMB_PING ? ++memb->seq : 0, 0);
+	}
+}
+
 /*
  * What this VM says of itself from now on.  A version lower than the last
  * one is not taken.
@@ -626,6 +644,11 @@
 		self->m.incarnation++;
 		mark(memb, self);
 		tell(memb, self, state_tells(memb));
+		/*
+		 * A VM that stops dispatches no longer; by probes alone the
+		 * others knew 0.3 to 2 s later, and asked it all the while.
+		 */
+		tell_directly(memb, MEMB_PING);
 	}
 	if (self->m.config_version < config_version) {
 		self->m.config_version = config_version;
@@ -637,23 +660,11 @@
 /* Tell peers that this VM leaves, so that nobody need suspect it. */
 void dl_memb_leave(struct dl_memb *memb, int64_t now)
 {
-	uint32_t start;
-
 	if (memb->left)
 		return;
 	memb->left = true;
 	set_said(memb, &memb->peers[0], DL_LEFT, now);
-	start = (uint32_t)(memb_random(memb) % memb->npeers);
-	for (uint32_t i = 0, told = 0; i < memb->npeers; i++) {
-		struct memb_peer *peer =
-			&memb->peers[(start + i) % memb->npeers];
-
-		if (peer->m.vm == memb->conf.self || !memb_peer_live(peer))
-			continue;
-		if (told++ == MEMB_LEAVE_TELL)
-			break;
-		memb_queue(memb, MEMB_LEAVE, peer->m.vm, 0, 0);
-	}
+	tell_directly(memb, MEMB_LEAVE);
 }
 
 /* The newest version that the sender knows of, and who has it. */
--- a/test/test_memb.c
+++ b/test/test_memb.c
@@ -6,9 +6,11 @@
 
 #include "fake/memb_net.h"
 
-#define SMALL	      7
-#define DOMAINS	      3
-#define START_MS      3000
+#define SMALL	 7
+#define DOMAINS	 3
+#define START_MS 3000
+/* Two datagrams of a few milliseconds, and what a loaded loop adds. */
+#define AT_ONCE_MS    60
 #define DEAD_MS	      6000 /* probe, its failure, suspicion, a digest */
 #define CUT_MS	      9000 /* a whole domain at this size */
 #define HEAL_MS	      15000
@@ -286,6 +288,28 @@
 }
 END_TEST
 
+/* Whoever asks a VM that stops waits in vain: it is told at once, not probed.
+ */
+START_TEST(draining_is_known_at_once)
+{
+	struct memb_net *net = started(SMALL, DOMAINS, 9);
+	struct dl_name domain = memb_net_domain(0);
+	uint64_t owner =
+		dl_memb_owner(net->vms[0].memb, dl_name_str(&domain), 1);
+	uint32_t at = 0;
+
+	while (net->vms[at].vm != owner)
+		at++;
+	dl_memb_self(net->vms[at].memb, true, 3, net->now);
+	memb_net_run(net, AT_ONCE_MS);
+	for (uint32_t i = 0; i < SMALL; i++)
+		ck_assert_uint_ne(dl_memb_owner(net->vms[i].memb,
+						dl_name_str(&domain), 1),
+				  owner);
+	memb_net_free(net);
+}
+END_TEST
+
 /*
  * A VM that does not answer some others owns nothing in their eyes; they name
  * the same successor, and the others still name it.
@@ -448,6 +472,7 @@
 	tcase_add_loop_test(t, one_broken_link_is_no_suspicion, 0, 5);
 	tcase_add_loop_test(t, a_split_heals_without_seeds, 0, 5);
 	tcase_add_loop_test(t, domains_find_each_other_again, 0, 5);
+	tcase_add_test(t, draining_is_known_at_once);
 	tcase_add_test(t, versions_and_draining_spread);
 	tcase_add_test(t, unreachable_ones_own_nothing);
 	tcase_add_test(t, nonsense_is_refused);
