Prompts of one part have lanes of their own

Lanes were by 4,096 tokens, far below what an engine reads at once: a prompt of 5,000 tokens stood in the lane of those that wait for a dozen engines, behind them where its workspace was the same, or where three of other workspaces waited.

Ruled out: the choice of a place (the same prompt is placed at once without a queue).

Change: where the engines' figures are published, a prompt that is read in one part (300 ms) is a short one.

--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -13,7 +13,7 @@
  *	pool_shift.c	which endpoints lose their share
  *	pool_serve.c	the late answers, in which order
  */
-#include "pool_int.h"
+#include "pool_engine.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -242,6 +242,17 @@
 		return POOL_GIANT;
 	if (pool->conf.long_tokens && prompt >= pool->conf.long_tokens)
 		return POOL_LONG;
+	/*
+	 * Where the engines' figures are published a prompt of one part is
+	 * short: it goes to one engine, or to few, and need not wait.  Above
+	 * 4,096 tokens it stood in one lane with those that wait for a dozen
+	 * engines, behind them where its workspace was the same.
+	 */
+	if (pool->conf.engine.read_per_ms > 0)
+		return dl_engine_read_ms(&pool->conf.engine, prompt) <=
+				       PART_MS ?
+			       POOL_SHORT :
+			       POOL_MEDIUM;
 	if (pool->conf.long_tokens && pool->conf.long_tokens < short_tokens)
 		short_tokens = pool->conf.long_tokens;
 	return prompt < short_tokens ? POOL_SHORT : POOL_MEDIUM;
