A VM that starts is not told that an endpoint that left is ready

Cause, found in a last reading: a replica keeps the last word of each endpoint for VMs that start, and took an older word that came late for the last one.

Change: what the directory knows of leaving goes before the word.

Test: in test_system_platform.sh an older word follows, an entry is killed and starts again, and the endpoint gets nothing from it.

--- a/src/main/replica_door.c
+++ b/src/main/replica_door.c
@@ -156,14 +156,13 @@
 
 	if (!entry)
 		return;
-	if (a->report.id.n) {
+	if (a->report.id.n)
 		g_hash_table_replace(d->said, g_strdup(a->report.id.s),
 				     g_memdup2(a, sizeof(*a)));
-		return;
-	}
+	/* That a start leaves is final, also where an older word comes last. */
 	kept = g_hash_table_lookup(d->said, entry->address.s);
 	if (kept)
-		kept->report.leaving = true;
+		kept->report.leaving |= entry->leaving;
 }
 
 /*
--- a/test/test_system_platform.sh
+++ b/test/test_system_platform.sh
@@ -184,6 +184,23 @@
 done
 grep -q 'd2 leaving-' "$RECORD" && fail "an endpoint that left got new work"
 
+# An older word of it comes last; a VM that starts then is told that it leaves.
+for d in 1 2 3; do
+	$DL_HTTP -t 2000 -X POST -d "{\"service\":\"desk\",\"address\":\"127.$NET.9.3:$ENDPOINT_PORT\",\"zone\":\"r\",\"version\":\"v1\",\"slots\":16,\"state\":\"ready\",\"seq\":1}" \
+		"$(control $d)" /-/Instances.Heartbeat/d2 >/dev/null
+done
+kill -KILL "$(pid_of entry_3)"
+wait "$(pid_of entry_3)" 2>/dev/null
+start entry 3
+wait_for 5 "a VM that starts again" book 3 told 200 \
+	-H 'X-Api-Key: key-two' || fail "a VM that started again does not serve"
+for n in 1 2 3 4 5 6; do
+	book 3 "told-$n" 200 -H 'X-Api-Key: key-two' >/dev/null ||
+		fail "a request at a VM that started again"
+done
+grep -q 'd2 told' "$RECORD" &&
+	fail "an endpoint that left got new work of a VM that started"
+
 # The leader dies; a disk is lost.
 leader=$(grep -l 'Leading' "$DIR"/replica-*.log | head -1 |
 	sed 's/.*replica-\([0-9]\).log/\1/')
