A VM that starts does not ask replicas for endpoints any more

Ruled out: a lost word of leaving; every running entry had it within 30 ms.

Replicas would have to tell each other who leaves before they may answer such a question. The test of it stays: no VM that starts may use an endpoint that left.

--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -395,8 +395,6 @@
 
 /* entry_announce.c */
 int entry_announce_take(struct entry *e, struct dl_announcement *a);
-/* Ask the replicas which endpoints there are. */
-void entry_announce_ask(struct entry *e);
 void entry_announce_frame(struct entry *e, uint64_t from,
 			  const struct dl_frame *f);
 
--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -109,23 +109,6 @@
 	a->report.takes_groups = true;
 }
 
-/*
- * There are pools from now on: ask the replicas which endpoints they have heard
- * of; each endpoint announces itself to one of them.
- */
-void entry_announce_ask(struct entry *e)
-{
-	uint64_t all[ENTRY_REPLICAS_MAX];
-	uint32_t n;
-
-	if (!e->node.settings.foreign)
-		return;
-	n = entry_cmd_replicas(e, all);
-	for (uint32_t i = 0; i < n; i++)
-		dl_peers_send(e->node.peers, all[i], DL_FRAME_ENDPOINTS, 0,
-			      DL_STR(""));
-}
-
 /* An announcement that another VM passed on to this dispatcher. */
 void entry_announce_frame(struct entry *e, uint64_t from,
 			  const struct dl_frame *f)
--- a/src/main/entry_conf.c
+++ b/src/main/entry_conf.c
@@ -52,8 +52,6 @@
 static void put_in_force(struct entry *e, uint64_t version, struct dl_str text,
 			 struct dl_conf *conf)
 {
-	bool first = !e->conf;
-
 	dl_conf_free(e->conf);
 	g_free(e->conf_text);
 	e->conf = conf;
@@ -65,8 +63,6 @@
 	dl_main_log_level(conf->log_level);
 	dl_memb_self(e->node.memb, e->draining, version, entry_now(e));
 	dl_gauge(DL_METRIC_config_version, (int64_t)version);
-	if (first)
-		entry_announce_ask(e);
 	entry_lease_version(e);
 	dl_msg(DL_MSG_ENTRY_CONF, "version=%lu", (unsigned long)version);
 }
--- a/src/main/replica.c
+++ b/src/main/replica.c
@@ -104,9 +104,6 @@
 	case DL_FRAME_LEASE_ASK:
 		replica_lease_frame(r, from, frame);
 		return;
-	case DL_FRAME_ENDPOINTS:
-		replica_door_endpoints(r, from);
-		return;
 	case DL_FRAME_QUERY:
 		replica_query_frame(r, from, frame);
 		return;
--- a/src/main/replica.h
+++ b/src/main/replica.h
@@ -91,8 +91,6 @@
 
 /* replica_lease.c */
 bool replica_sure(struct replica *r, int64_t now);
-/* Tell an entry that asks which endpoints announce themselves here. */
-void replica_door_endpoints(struct replica *r, uint64_t entry);
 void replica_lease_tell(struct replica *r);
 void replica_lease_frame(struct replica *r, uint64_t from,
 			 const struct dl_frame *frame);
--- a/src/main/replica_door.c
+++ b/src/main/replica_door.c
@@ -26,9 +26,6 @@
 #define IDLE_MS	  30000
 /* An endpoint that is silent so long is forgotten here. */
 #define FORGET_MS 60000
-/* An endpoint's word is passed on to a VM that asks for so long: two of its
- * announcements. */
-#define TOLD_MS 2500
 /* A change that is not committed by then is better sent again elsewhere. */
 #define COMMIT_MS  3000
 #define PORT_MASK  ((uint64_t)0xffff)
@@ -38,7 +35,6 @@
 	struct replica *r;
 	struct dl_httpd *httpd;
 	struct dl_directory *directory;
-	GHashTable *said; /* address to the last announcement, owned */
 	int64_t forgotten_at;
 };
 
@@ -148,53 +144,6 @@
 	dl_packer_close(&pk);
 }
 
-/* Keep what was said last of an endpoint that is known. */
-static void keep(struct replica_door *d, const struct dl_announcement *a,
-		 const struct dl_directory_entry *entry)
-{
-	struct dl_announcement *kept;
-
-	if (!entry)
-		return;
-	if (a->report.id.n)
-		g_hash_table_replace(d->said, g_strdup(a->report.id.s),
-				     g_memdup2(a, sizeof(*a)));
-	/* That a start leaves is final, also where an older word comes last. */
-	kept = g_hash_table_lookup(d->said, entry->address.s);
-	if (kept)
-		kept->report.leaving |= entry->leaving;
-}
-
-/*
- * An entry that has just started asks which endpoints there are.  It may be the
- * dispatcher from its first moment, and would know all of them only after each
- * has announced itself again: 1.2 s, in which streams waited for the few known.
- */
-void replica_door_endpoints(struct replica *r, uint64_t entry)
-{
-	struct replica_door *d = r->door;
-	const struct dl_directory_entry *known;
-	struct dl_announcement *a;
-	struct dl_packer pk;
-	GHashTableIter it;
-
-	if (!d)
-		return;
-	g_hash_table_iter_init(&it, d->said);
-	while (g_hash_table_iter_next(&it, NULL, (gpointer *)&a)) {
-		known = dl_directory_find(d->directory,
-					  dl_name_str(&a->report.id));
-		if (!known ||
-		    !dl_name_eq(&known->instance, dl_name_str(&a->instance)) ||
-		    replica_now(r) - known->heard > TOLD_MS)
-			continue;
-		dl_report_pack(&pk, a);
-		replica_send(r, entry, DL_FRAME_REPORT, 0,
-			     dl_packer_bytes(&pk));
-		dl_packer_close(&pk);
-	}
-}
-
 static void on_announce(struct replica_door *d, struct dl_httpd_req *req,
 			struct dl_str id, bool leave)
 {
@@ -216,9 +165,7 @@
 		reply_error(req, 400, err.text);
 		return;
 	}
-	if (dl_node_hear(d->directory, &a, replica_now(d->r), &entry, &left) !=
-	    DL_HEARD_OLD)
-		keep(d, &a, entry);
+	dl_node_hear(d->directory, &a, replica_now(d->r), &entry, &left);
 	spread(d, &a);
 	reply_json(req, 200, DL_STR("{}"));
 }
@@ -391,13 +338,6 @@
 	return p->http && now - p->at > COMMIT_MS;
 }
 
-static gboolean is_forgotten(gpointer address, gpointer said,
-			     gpointer directory)
-{
-	(void)said;
-	return !dl_directory_find(directory, dl_str_of(address));
-}
-
 /* Forget endpoints that are long gone. */
 void replica_door_tick(struct replica *r, int64_t now)
 {
@@ -407,7 +347,6 @@
 		return;
 	d->forgotten_at = now;
 	dl_directory_forget(d->directory, now - FORGET_MS);
-	g_hash_table_foreach_remove(d->said, is_forgotten, d->directory);
 }
 
 /* Open the door, where the settings have one. */
@@ -426,8 +365,6 @@
 	d = g_new0(struct replica_door, 1);
 	d->r = r;
 	d->directory = dl_directory_new();
-	d->said =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	r->door = d;
 	return dl_httpd_open(r->node.loop, &conf, &httpd_ops, d, &d->httpd,
 			     err);
