An endpoint that leaves without figures is granted no more

Cause: an endpoint that ends its registration first and serves on says only its name. The pool refused that word, as it names no slots (-EINVAL), and the caller dropped the error. The directory of each VM knew at once that the endpoint leaves, the dispatcher's pool kept it until its reports were missed, up to 5 s later, and an engine that empties looks the best. Entries turned each grant down and refused the caller after four of them (no-endpoint).

Ruled out: that the word was dropped as older than a report (none came after it); that it reached the directory by another way than the pool (one call does both); membership and lost frames (all VMs logged the word within 0.1 s).

Change: a word that an endpoint leaves keeps the figures that are known; a report that is refused gets a line in the log; an entry that turns down a grant because the endpoint leaves tells the dispatcher so at the release.

Tests, both fail before: the pool takes the word without figures; half of ten engines are replaced over the real binary, three entries, no stream refused and each granted once (before: refused in the fourth replacement).

--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -35,6 +35,8 @@
 	X(ENDPOINT_LEAVING, DL_INFO, "directory", "An endpoint leaves.")       \
 	X(ENDPOINT_UNKNOWN, DL_WARN, "directory",                              \
 	  "An announcement of a service that is not known is left out.")       \
+	X(ENDPOINT_REFUSED, DL_WARN, "pool",                                   \
+	  "An endpoint's report was refused.")                                 \
 	/* membership */                                                       \
 	X(MEMB_UP, DL_INFO, "memb", "A VM joined.")                            \
 	X(MEMB_DOWN, DL_WARN, "memb", "A VM is gone.")                         \
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -14,6 +14,8 @@
 
 static int check_report(const struct dl_pool *pool,
 			const struct dl_endpoint_report *r);
+static void complete_leave(const struct pool_endpoint *e,
+			   struct dl_endpoint_report *r);
 static void close_endpoint(struct dl_pool *pool, struct pool_endpoint *e,
 			   int64_t now);
 
@@ -85,23 +87,46 @@
 	return 0;
 }
 
+/*
+ * A word that an endpoint leaves may say nothing else of it: the figures that
+ * are known hold.  Refused for want of figures, such a word left its engine in
+ * the pool until its reports were missed, for 5 s, and an engine that empties
+ * looks the best place there is: 1,413 of some 9,000 streams were granted one
+ * that left four times in a row and refused, while 63 of 135 engines were
+ * replaced.
+ */
+static void complete_leave(const struct pool_endpoint *e,
+			   struct dl_endpoint_report *r)
+{
+	struct dl_endpoint_report known = e->last;
+
+	if (!r->leaving || r->slots > 0 || known.incarnation != r->incarnation)
+		return;
+	*r = known;
+	r->leaving = true;
+}
+
 /*
  * An endpoint's heartbeat: -EINVAL where it makes no sense, -ENOSPC where the
  * pool has too many already.  A new incarnation has lost what the old one held.
  * One that was gone and is back gets its share back over some seconds.
  */
-int dl_pool_report(struct dl_pool *pool, const struct dl_endpoint_report *r,
+int dl_pool_report(struct dl_pool *pool, const struct dl_endpoint_report *said,
 		   int64_t now)
 {
-	int rc = check_report(pool, r);
-	struct pool_endpoint *e;
+	struct pool_endpoint *e =
+		pool_endpoint_find(pool, dl_name_str(&said->id));
+	struct dl_endpoint_report report = *said, *r = &report;
 	enum pool_ep_state was;
 	bool first, was_open;
+	int rc;
 
 	pool->now = now;
+	if (e)
+		complete_leave(e, r);
+	rc = check_report(pool, r);
 	if (rc)
 		return rc;
-	e = pool_endpoint_find(pool, dl_name_str(&r->id));
 	if (!e && pool->endpoints_n >= ENDPOINTS_MAX)
 		return -ENOSPC;
 	if (!e)
--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -37,8 +37,15 @@
 static void report_here(struct entry *e, struct entry_pool *p,
 			struct dl_announcement *a)
 {
+	int rc;
+
 	remember(e, p, a);
-	dl_pool_report(p->pool, &a->report, entry_now(e));
+	rc = dl_pool_report(p->pool, &a->report, entry_now(e));
+	if (rc)
+		dl_msg(DL_MSG_ENDPOINT_REFUSED,
+		       "endpoint=%s service=%s leaving=%d slots=%u error=%d",
+		       a->report.id.s, p->service.s, a->report.leaving,
+		       a->report.slots, rc);
 	for (uint32_t i = 0; i < a->events_count; i++)
 		dl_pool_cached(p->pool, dl_name_str(&a->report.id),
 			       a->events[i].prefix, a->events[i].tokens,
--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -66,6 +66,14 @@
 	       dl_name_eq(&d->service, dl_name_str(&c->service));
 }
 
+/* Whether it was granted by a dispatcher that has not heard that it leaves. */
+static bool is_leaving(const struct call *c, uint8_t i)
+{
+	const struct dl_directory_entry *d = endpoint_of(c, i);
+
+	return d && d->leaving;
+}
+
 /* Give back what was granted, and ask for another place. */
 static void ask_anew(struct call *c)
 {
@@ -167,6 +175,7 @@
 		return;
 	}
 	if (!is_there(c, 0)) {
+		c->usage.unreachable = is_leaving(c, 0);
 		if (++c->route.tries < TRIES_MAX)
 			ask_again(c);
 		else
--- a/src/main/entry_ticket.c
+++ b/src/main/entry_ticket.c
@@ -149,6 +149,7 @@
 		snprintf(t->id, sizeof(t->id), "%s-%u-%u", c->id_text,
 			 c->route.tries, i);
 		t->refused = !d || d->leaving;
+		t->unreachable = d && d->leaving;
 	}
 	for (uint8_t i = 0; i < set->count; i++) {
 		struct ticket *t = &set->at[i];
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -395,6 +395,28 @@
 }
 END_TEST
 
+/* Word that an endpoint leaves may come without any figure of it. */
+START_TEST(leaving_needs_no_figures)
+{
+	struct dl_endpoint_report r = { .incarnation = 1, .leaving = true };
+
+	report("a:1");
+	report("b:1");
+	dl_name_set(&r.id, DL_STR("a:1"));
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	for (int i = 0; i < 4; i++) {
+		struct dl_answer a = ask(10, 0, FAR);
+
+		ck_assert(dl_name_eq(&a.endpoint[0], DL_STR("b:1")));
+	}
+	/* Of a start that is not the one known it says nothing. */
+	r.incarnation = 2;
+	dl_name_set(&r.id, DL_STR("b:1"));
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), -EINVAL);
+	ck_assert_int_eq(ask(10, 0, FAR).verdict, DL_GRANTED);
+}
+END_TEST
+
 /* An outlier is better than nothing: it is put out for others to take over. */
 START_TEST(outlier_serves_where_it_is_the_last)
 {
@@ -693,6 +715,7 @@
 			    sizeof(baselines) / sizeof(baselines[0]));
 	tcase_add_test(t, no_endpoint_says_when);
 	tcase_add_test(t, leaving_takes_nothing_new);
+	tcase_add_test(t, leaving_needs_no_figures);
 	tcase_add_test(t, outlier_serves_where_it_is_the_last);
 	tcase_add_test(t, tried_endpoints_are_not_tried_again);
 	tcase_add_test(t, limits_of_a_workspace);
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -25,6 +25,7 @@
 	char *listen, *control, *service, *instance, *zone, *record, *fault;
 	int slots, events, event_ms;
 	gboolean plain;
+	gboolean abrupt;
 } opt = {
 	.zone = "z", .slots = 16, .events = 8, .event_ms = 20, .fault = "none"
 };
@@ -40,6 +41,8 @@
 	{ "events", 0, 0, G_OPTION_ARG_INT, &opt.events, "a stream", "N" },
 	{ "event-ms", 0, 0, G_OPTION_ARG_INT, &opt.event_ms, "apart", "MS" },
 	{ "plain", 0, 0, G_OPTION_ARG_NONE, &opt.plain, "no streams", NULL },
+	{ "abrupt", 0, 0, G_OPTION_ARG_NONE, &opt.abrupt,
+	  "leaves without announcing it before", NULL },
 	{ "fault", 0, 0, G_OPTION_ARG_STRING, &opt.fault,
 	  "none, cut, silent, not-run, error or foreign", "KIND" },
 	{ NULL },
@@ -258,14 +261,17 @@
 	}
 }
 
-/* SIGUSR1: leave, and say so; SIGTERM: end. */
+/*
+ * SIGUSR1: leave, and say so; one that is abrupt does not announce that it
+ * drains before, and serves on without another word.  SIGTERM: end.
+ */
 static void on_signal(uv_signal_t *handle, int signum)
 {
 	char path[128];
 
 	if (signum == SIGTERM)
 		exit(0);
-	if (leaving) {
+	if (leaving || opt.abrupt) {
 		gone = true;
 		snprintf(path, sizeof(path), "/-/Instances.Deregister/%s",
 			 opt.instance);
