Played loads: the load before counts, and the longest prompts' share is tested

Cause: a play was given a load before the one that counts and never used it, so that the case after a burst played none; and no test said whether the longest prompts are served where not all can be.

--- a/test/fake/play.c
+++ b/test/fake/play.c
@@ -17,6 +17,9 @@
 #define ALLOWED_X    2.5 /* output that callers allow, of what they use */
 #define LATE_WORTH   0.25
 #define WORST_SHARE  0.2
+#define TENTH	     0.1
+#define FIFTH_BELOW  0.3
+#define FIRM_MAX     16
 #define ENDPOINT_FMT "10.0.0.%u:80"
 #define ENDPOINT_IN  "10.0.0."
 
@@ -30,6 +33,7 @@
 	bool over, granted, in_time, late;
 	uint64_t grant;
 	int64_t renew_at;
+	char workspace[FIRM_MAX];
 };
 
 /* One run; the callbacks of the engines need it. */
@@ -122,7 +126,7 @@
 	struct dl_ask want = {
 		.request = c->stream.id,
 		.entry = 1,
-		.workspace = DL_STR("firm"),
+		.workspace = dl_str_of(c->workspace),
 		.class = DL_CLASS_INTERACTIVE,
 		.prompt_tokens = c->tokens,
 		.output_tokens = (uint32_t)(ALLOWED_X * k->events *
@@ -162,6 +166,10 @@
 		c->events =
 			(uint32_t)CLAMP(drawn(k->events, place->events_spread),
 					1, ALLOWED_X * k->events);
+	snprintf(c->workspace, sizeof(c->workspace), "firm-%d",
+		 place->workspaces > 1 ?
+			 g_rand_int_range(rnd, 0, (gint32)place->workspaces) :
+			 0);
 	c->begun = now;
 	c->stream.id = callers->len;
 	c->stream.owner = c;
@@ -199,6 +207,12 @@
 	return begins_at(load) + (int64_t)load->seconds * MS;
 }
 
+/* Requests of a kind that come in a second, at this moment. */
+static double rate_of(const struct play_load *load, uint32_t kind)
+{
+	return now < begins_at(load) ? load->before[kind] : load->rate[kind];
+}
+
 static void step(const struct play_load *load)
 {
 	struct dl_answer a;
@@ -219,9 +233,8 @@
 			c->renew_at = now + RENEW_MS;
 		}
 	}
-	for (uint32_t k = 0;
-	     k < PLAY_KINDS && now < (int64_t)load->seconds * MS; k++) {
-		if (g_rand_double(rnd) < load->rate[k] / MS)
+	for (uint32_t k = 0; k < PLAY_KINDS && now < ends_at(load); k++) {
+		if (g_rand_double(rnd) < rate_of(load, k) / MS)
 			arrive(k);
 	}
 	while (now >= dl_pool_wakeup(pool) && dl_pool_next(pool, now, &a))
@@ -241,7 +254,7 @@
 		  struct play_count *out, double *got, double *asked)
 {
 	GPtrArray *of = g_ptr_array_new();
-	guint longest;
+	guint longest, tenth, below;
 
 	memset(out, 0, sizeof(*out));
 	for (guint i = 0; i < callers->len; i++) {
@@ -252,6 +265,8 @@
 	}
 	g_ptr_array_sort(of, by_tokens);
 	longest = (guint)(WORST_SHARE * of->len);
+	tenth = (guint)(TENTH * of->len);
+	below = (guint)(FIFTH_BELOW * of->len);
 	for (guint i = 0; i < of->len; i++) {
 		const struct caller *c = of->pdata[i];
 
@@ -261,6 +276,11 @@
 		out->refused += !c->in_time && !c->late;
 		out->longest_asked += i < longest;
 		out->longest_in_time += i < longest && c->in_time;
+		out->tenth_asked += i < tenth;
+		out->tenth_served += i < tenth && (c->in_time || c->late);
+		out->fifth_asked += i >= tenth && i < below;
+		out->fifth_served += i >= tenth && i < below &&
+				     (c->in_time || c->late);
 		*asked += (double)c->tokens;
 		*got += (double)c->tokens * (c->in_time ? 1 :
 					     c->late	? LATE_WORTH :
--- a/test/fake/play.h
+++ b/test/fake/play.h
@@ -29,6 +29,7 @@
 	struct dl_engine_model engine;
 	struct play_kind kind[PLAY_KINDS];
 	double events_spread; /* of the logarithm of their number */
+	uint32_t workspaces;  /* that callers belong to; 0: one */
 };
 
 struct play_load {
@@ -48,6 +49,9 @@
 	uint32_t asked, in_time, late, refused;
 	/* Of the fifth of the prompts that are longest. */
 	uint32_t longest_asked, longest_in_time;
+	/* Served at all, late or not: the longest tenth, the fifth below it. */
+	uint32_t tenth_asked, tenth_served;
+	uint32_t fifth_asked, fifth_served;
 };
 
 struct play_result {
--- a/test/fake/published_engine.h
+++ b/test/fake/published_engine.h
@@ -14,4 +14,10 @@
 	.step_ms = 1.02, .per_writer_ms = 0.00226, .per_context_ms = 0.00431,  \
 	.read_per_ms = 206, .per_pairs_ms = 0.138
 
+/* And of a third: less memory and fewer slots still. */
+#define PUBLISHED_ENGINE_SMALLEST                                              \
+	.slots = 12, .memory_tokens = 197200, .stride = 48, .chunk = 2048,     \
+	.step_ms = 1.02, .per_writer_ms = 0.00226, .per_context_ms = 0.00431,  \
+	.read_per_ms = 206, .per_pairs_ms = 0.138
+
 #endif
--- a/test/test_placing_load.c
+++ b/test/test_placing_load.c
@@ -4,6 +4,7 @@
  * beside round robin and least load in one run.
  */
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "fake/play.h"
@@ -45,6 +46,29 @@
 /* The same after the loss of some. */
 static const struct play_deployment seventeen = SMALLER(17);
 
+/*
+ * Of 197,200 tokens: three in eight of the long prompts need several.  What is
+ * left of 69 engines when eleven have gone.
+ */
+static const struct play_deployment fifty_eight = {
+	.engines = 58,
+	.engine = { PUBLISHED_ENGINE_SMALLEST, .hop_ms = 0.075,
+		    .usual_output = 1500 },
+	.kind = {
+		{ "short", 4960, 0.9, 23800, 31, 300, 250, 10000 },
+		{ "middle", 45000, 0.5, 110000, 18, 1500, 600, 10000 },
+		{ "long", 190000, 0.55, 600000, 15, 3000, 1000, 15000 },
+	},
+	.events_spread = 0.6,
+	.workspaces = 24,
+};
+
+/* As much reading as they can do, right after a burst of short ones. */
+static const struct play_load full = {
+	"58, full", { 37, 10, 13.5 }, BURST_S, SEED, { 287, 3.9, 0.24 }, 8,
+};
+#define FULL_SEEDS 8
+
 struct play_case {
 	const struct play_deployment *deployment;
 	struct play_load load;
@@ -105,6 +129,41 @@
 }
 END_TEST
 
+/*
+ * Where not all can be served, the longest are not the ones that always go: the
+ * longest tenth and the fifth below it are served half as often as their kind
+ * at the least.
+ */
+START_TEST(the_longest_get_their_share)
+{
+	struct play_count sum = { 0 };
+	struct play_load load = full;
+
+	for (uint32_t i = 0; i < FULL_SEEDS; i++) {
+		const struct play_count *c;
+		struct play_result result;
+
+		load.seed = SEED + i;
+		play(&fifty_eight, &load, &dl_policy_engine, &result);
+		play_print(&load, "engine", &fifty_eight, &result);
+		c = &result.kind[PLAY_KINDS - 1];
+		sum.asked += c->asked;
+		sum.in_time += c->in_time + c->late;
+		sum.tenth_asked += c->tenth_asked;
+		sum.tenth_served += c->tenth_served;
+		sum.fifth_asked += c->fifth_asked;
+		sum.fifth_served += c->fifth_served;
+	}
+	printf("served of all %u of %u, longest tenth %u of %u, next fifth %u of %u\n",
+	       sum.in_time, sum.asked, sum.tenth_served, sum.tenth_asked,
+	       sum.fifth_served, sum.fifth_asked);
+	ck_assert_uint_ge(2 * sum.tenth_served * sum.asked,
+			  sum.in_time * sum.tenth_asked);
+	ck_assert_uint_ge(2 * sum.fifth_served * sum.asked,
+			  sum.in_time * sum.fifth_asked);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("placing load");
@@ -114,6 +173,7 @@
 
 	tcase_add_loop_test(tc, bursts_are_served_in_time, 0,
 			    sizeof(cases) / sizeof(cases[0]));
+	tcase_add_test(tc, the_longest_get_their_share);
 	tcase_set_timeout(tc, 300);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
