A replica makes the entries' text of the versions that it pushes only

Change: whether to wait goes by the size of the last text that was made; the heap is given back after the push.

--- a/src/main/replica_conf.c
+++ b/src/main/replica_conf.c
@@ -163,11 +163,11 @@
 void replica_conf_tick(struct replica *r, int64_t now)
 {
 	static uint64_t vms[ENTRIES_MAX];
-	struct dl_str text;
 
-	if (!r->push_due || !for_entries(r, &text))
+	if (!r->push_due)
 		return;
-	if (text.n > PUSH_SMALL && r->pushed_at &&
+	/* By the size of the last one, so that one passed over is not made. */
+	if (r->pushed_n > PUSH_SMALL && r->pushed_at &&
 	    now - r->pushed_at < PUSH_EVERY_MS)
 		return;
 	r->push_due = false;
@@ -175,6 +175,11 @@
 	dl_memb_self(r->node.memb, false, dl_cstore_version(r->cstore),
 		     dl_node_now(&r->node));
 	push(r, vms, audience(r, vms));
+	/*
+	 * Parsing a text of megabytes leaves the heap in pieces of which the
+	 * allocator gives none back by itself; a version is rare.
+	 */
+	malloc_trim(0);
 }
 
 /* A version that is new here is due to be shown and pushed. */
@@ -193,11 +198,6 @@
 	want_replicas(r);
 	r->push_due = true;
 	replica_conf_tick(r, replica_now(r));
-	/*
-	 * Parsing a text of megabytes leaves the heap in pieces of which the
-	 * allocator gives none back by itself; a version is rare.
-	 */
-	malloc_trim(0);
 }
 
 /* An entry asks for anything newer than what it has. */
