--- a/test/test_placing_load.c
+++ b/test/test_placing_load.c
@@ -157,10 +157,10 @@
 	printf("served of all %u of %u, longest tenth %u of %u, next fifth %u of %u\n",
 	       sum.in_time, sum.asked, sum.tenth_served, sum.tenth_asked,
 	       sum.fifth_served, sum.fifth_asked);
-	ck_assert_uint_ge(2 * sum.tenth_served * sum.asked,
-			  sum.in_time * sum.tenth_asked);
-	ck_assert_uint_ge(2 * sum.fifth_served * sum.asked,
-			  sum.in_time * sum.fifth_asked);
+	ck_assert_uint_ge(2ul * sum.tenth_served * sum.asked,
+			  (unsigned long)sum.in_time * sum.tenth_asked);
+	ck_assert_uint_ge(2ul * sum.fifth_served * sum.asked,
+			  (unsigned long)sum.in_time * sum.fifth_asked);
 }
 END_TEST
 
