--- a/test/test_reports.c
+++ b/test/test_reports.c
@@ -136,7 +136,7 @@
 	for (uint32_t i = 0; i < VMS; i++)
 		ck_assert_uint_eq(out.times[i], 1);
 	ck_assert_uint_le(out.deepest, 4);
-	printf("%u of %u VMs get it from another network\n", out.crossings,
+	printf("%u of %d VMs get it from another network\n", out.crossings,
 	       VMS);
 	ck_assert_uint_le(out.crossings, VMS / 10);
 }
