The test of operators without a quorum writes its text once

Cause: each of twelve changes wrote the same file anew while the one before was perhaps just reading it; beside a load of 14 on 8 cores one read an empty file ('[' or '{' expected near end of file) and did not end with 4.

Ruled out: the entry and the quorum, apply-5.log of that run is the command's own complaint of the file. Change: the file is written before the first of them; the checks are as they were.

--- a/test/test_system_ops.sh
+++ b/test/test_system_ops.sh
@@ -11,12 +11,13 @@
 
 # Changes whose operators leave; the entry gives each up some seconds later.
 ENTRY=$(vm_address 1 1):$HTTP_PORT
+# Written once: one that is written again while a change reads it is empty.
+sed "s/\"log_level\": \"info\"/\"log_level\": \"warn\"/" \
+	"$DIR/config.json" >"$DIR/config-2.json"
 n=0
 while [ $n -lt 12 ]; do
 	$DL_HTTP -t 300 -X POST -d "{\"text\":$(printf '%s' \
 		'"{}"'),\"change_id\":\"x$n\"}" "$ENTRY" /v1/config >/dev/null 2>&1
-	sed "s/\"log_level\": \"info\"/\"log_level\": \"warn\"/" \
-		"$DIR/config.json" >"$DIR/config-2.json"
 	"$DL_BIN" apply "$DIR/config-2.json" --change-id "c$n" --timeout 1 \
 		--entry "$ENTRY" >"$DIR/apply-$n.log" 2>&1 &
 	remember "apply_$n" $!
