One place compares a shown version with what is coming, one unnames a report

Found in a last reading of the change: entry_conf_member() compared a version with what is coming before entry_conf_shown() did the same, and forgetting reports had dropping's own check written out again.

--- a/src/coordination/reports.c
+++ b/src/coordination/reports.c
@@ -48,12 +48,12 @@
 	g_free(reports);
 }
 
-static void drop(struct dl_reports *reports, struct report *report)
+/* Its start has no words any more, unless it has said others since. */
+static void unname(struct dl_reports *reports, const struct report *report)
 {
 	if (g_hash_table_lookup(reports->by_instance, report->instance) ==
 	    report)
 		g_hash_table_remove(reports->by_instance, report->instance);
-	g_hash_table_remove(reports->by_key, &report->key);
 }
 
 /* Of each start the last words are kept, others make place. */
@@ -118,8 +118,10 @@
 	char *name = g_strndup(instance.s, instance.n);
 	struct report *report = g_hash_table_lookup(reports->by_instance, name);
 
-	if (report)
-		drop(reports, report);
+	if (report) {
+		unname(reports, report);
+		g_hash_table_remove(reports->by_key, &report->key);
+	}
 	g_free(name);
 }
 
@@ -133,10 +135,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&report)) {
 		if (report->heard >= before)
 			continue;
-		if (g_hash_table_lookup(reports->by_instance,
-					report->instance) == report)
-			g_hash_table_remove(reports->by_instance,
-					    report->instance);
+		unname(reports, report);
 		g_hash_table_iter_remove(&iter);
 	}
 }
--- a/src/main/entry_conf.c
+++ b/src/main/entry_conf.c
@@ -320,8 +320,7 @@
 /* A member shows its version: pull where it is higher than ours. */
 void entry_conf_member(struct entry *e, const struct dl_member *m)
 {
-	if (m->state == DL_ALIVE && m->vm != e->node.self &&
-	    m->config_version > coming(e))
+	if (m->state == DL_ALIVE && m->vm != e->node.self)
 		entry_conf_shown(e, m->config_version, m->vm);
 }
 
