A request stays in the failure domain of its VM where it is in time there

Cause: one dispatcher places for a region and did not know where an endpoint or an asking VM stands: by chance two of three short streams and plain calls ran in another failure domain, and a cut of one domain broke streams in all of them.

Change: settings name the failure domain and, apart, the region whose VMs share their pools; announcements and asks carry the failure domain; an engine or a plain endpoint of another domain counts as later by the request's target; the grant and the line at a request's end say how many of its endpoints are away.

--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -55,7 +55,8 @@
 
 /* What an endpoint says of itself; repeated as its heartbeat. */
 struct dl_endpoint_report {
-	struct dl_name id; /* "ip:port" where it serves HTTP */
+	struct dl_name id;	       /* "ip:port" where it serves HTTP */
+	struct dl_name failure_domain; /* empty: not said */
 	uint64_t incarnation;
 	uint64_t memory_tokens; /* KV memory in all; 0 for plain services */
 	uint64_t used_tokens;	/* of it, as the endpoint counts it */
@@ -73,6 +74,7 @@
 	uint64_t request; /* unique with entry */
 	uint64_t entry;	  /* the VM that asks */
 	struct dl_str workspace;
+	struct dl_name failure_domain; /* of that VM; empty: not said */
 	enum dl_class class;
 	uint64_t prompt_tokens;
 	uint64_t output_tokens;
@@ -124,6 +126,7 @@
 	int64_t valid_until;	 /* granted: unless renewed */
 	uint8_t priority;	 /* granted: 0 is the most urgent */
 	uint8_t endpoints;	 /* granted: 1, or a group's size */
+	uint8_t away; /* granted: so many are in another failure domain */
 	struct dl_name endpoint[DL_GROUP_MAX]; /* the first one leads */
 	uint64_t share_tokens[DL_GROUP_MAX];   /* memory held on each */
 	uint32_t predicted_ttft_ms;
--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -258,11 +258,24 @@
 	return prompt < short_tokens ? POOL_SHORT : POOL_MEDIUM;
 }
 
+/* A failure domain's name as a number; 0 where none is said. */
+uint64_t pool_domain(const struct dl_name *name)
+{
+	return name->n ? dl_hash(dl_name_str(name), 0) : 0;
+}
+
+/* Whether an endpoint is in another failure domain than a request's VM. */
+bool pool_is_away(const struct pool_want *want, const struct pool_endpoint *e)
+{
+	return want->domain && e->domain && want->domain != e->domain;
+}
+
 /* What a request wants, from what its entry says. */
 void pool_want_of(const struct dl_pool *pool, const struct dl_ask *ask,
 		  struct pool_want *out)
 {
 	*out = (struct pool_want){ .class = ask->class,
+				   .domain = pool_domain(&ask->failure_domain),
 				   .deadline = ask->deadline,
 				   .asked = pool->now,
 				   .first_by = ask->first_by,
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -141,6 +141,7 @@
 		memset(e->until, 0, sizeof(e->until));
 	}
 	e->last = *r;
+	e->domain = pool_domain(&r->failure_domain);
 	e->last.memory_tokens = pool_tokens(r->memory_tokens);
 	e->last.used_tokens = pool_tokens(r->used_tokens);
 	e->last.prefill_backlog = pool_tokens(r->prefill_backlog);
--- a/src/coordination/pool_engine_place.c
+++ b/src/coordination/pool_engine_place.c
@@ -39,6 +39,8 @@
 		      double part_ms);
 static int64_t keep_free_ms(const struct engine_search *s,
 			    const struct candidate *c);
+static int64_t away_ms(const struct engine_search *s,
+		       const struct candidate *c);
 static bool choose_whole(struct engine_search *s, double budget,
 			 struct pool_choice *out);
 static bool choose_parts(struct engine_search *s, uint32_t n, double budget,
@@ -173,6 +175,17 @@
 			 TOGETHER);
 }
 
+/*
+ * How much later an engine of another failure domain counts than one of the
+ * entry's own: by the target, so that a stream leaves its domain only where it
+ * would be late there.  Guards streams against a cut between the domains: those
+ * that stay at home are not broken by it.
+ */
+static int64_t away_ms(const struct engine_search *s, const struct candidate *c)
+{
+	return pool_is_away(s->want, c->endpoint) ? (int64_t)s->target : 0;
+}
+
 /*
  * The whole prompt on one engine: the first to have read it, where those that
  * already have writers alike are taken for earlier.
@@ -190,7 +203,7 @@
 		if (!c->leads || !has_memory(c->endpoint, s->want->need) ||
 		    harm_of(s, c, s->read_ms) > budget)
 			continue;
-		at += keep_free_ms(s, c);
+		at += keep_free_ms(s, c) + away_ms(s, c);
 		/* Its own writing would be paused by what others bear. */
 		if (s->want->gap_ms &&
 		    c->forecast.pass_ms > s->want->gap_ms * s->gap_share)
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -233,9 +233,11 @@
 	out->priority = g->priority;
 	out->predicted_ttft_ms = g->predicted_ttft_ms;
 	out->endpoints = 0;
+	out->away = 0;
 	for (uint8_t i = 0; i < g->parts_n; i++) {
 		if (!g->parts[i].endpoint)
 			continue;
+		out->away += pool_is_away(&g->want, g->parts[i].endpoint);
 		out->endpoint[out->endpoints] = g->parts[i].endpoint->last.id;
 		out->share_tokens[out->endpoints++] = g->parts[i].share;
 	}
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -96,6 +96,7 @@
 	uint64_t output;
 	uint64_t need; /* memory in tokens */
 	uint64_t prefix;
+	uint64_t domain; /* hash of its VM's failure domain; 0: not said */
 	uint32_t prefix_tokens;
 	uint8_t class;
 	uint8_t band;
@@ -139,6 +140,7 @@
 struct pool_endpoint {
 	struct pool_map_node by_name;
 	struct dl_endpoint_report last;
+	uint64_t domain; /* hash of its failure domain; 0: not said */
 	enum pool_ep_state state;
 	bool drained;
 	bool unreachable;	/* until it announces itself again */
@@ -463,6 +465,8 @@
 uint64_t pool_mix(uint64_t x);
 uint64_t pool_random(struct dl_pool *pool);
 uint64_t pool_tokens(uint64_t claimed);
+uint64_t pool_domain(const struct dl_name *name);
+bool pool_is_away(const struct pool_want *want, const struct pool_endpoint *e);
 uint8_t pool_level(const struct pool_want *want);
 /* pool_endpoint.c */
 void pool_endpoint_expire(struct dl_pool *pool, int64_t now);
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -359,6 +359,13 @@
 	int64_t start = max_time(s->now, e->until[s->level]);
 	double cost = (double)start + prefill * (1 + margin);
 
+	/*
+	 * One of another failure domain only where the own would be late: a
+	 * cut between the domains does not break what stays at home.
+	 */
+	if (pool_is_away(s->want, e))
+		cost += s->want->target_ms;
+
 	if (e->until[POOL_LEVELS - 1] > start)
 		cost += e->interference_ms * (1 + margin);
 	else if (s->level == POOL_MEDIUM &&
--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -187,15 +187,16 @@
 int entry_announce_take(struct entry *e, struct dl_announcement *a)
 {
 	struct dl_str service = dl_name_str(&a->service);
-	struct dl_str domain = dl_name_str(&a->failure_domain);
+	struct dl_str domain = dl_name_str(&a->report.failure_domain);
 	struct entry_pool *p = entry_pool_find(e, service);
 	struct dl_packer pk;
 	uint64_t owner;
 
 	if (!p)
 		return -ENOENT;
-	if (domain.n == 0)
-		domain = dl_name_str(&e->node.settings.failure_domain);
+	if (domain.n == 0 || e->node.settings.region.n)
+		domain =
+			dl_name_str(dl_settings_pool_domain(&e->node.settings));
 	owner = entry_pool_owner(e, service, domain);
 	if (entry_pool_is_own(e, domain))
 		report_here(e, p, a);
--- a/src/main/entry_call.c
+++ b/src/main/entry_call.c
@@ -113,13 +113,14 @@
 	dl_msg(DL_MSG_REQUEST_ENDED,
 	       "request=%s attempt=%s service=%s workspace=%s outcome=%s "
 	       "status=%u ms=%ld prompt=%lu version=%lu endpoint=%s "
-	       "helpers=%s parts=%u granted_ms=%ld predicted_ms=%u "
+	       "helpers=%s parts=%u away=%u granted_ms=%ld predicted_ms=%u "
 	       "first_ms=%ld pause_ms=%u tries=%u sent=%u reason=%s "
 	       "retry_ms=%u",
 	       c->id_text, c->route.attempt_id.s, c->service.s, c->workspace.s,
 	       dl_outcome_name(c->outcome), c->status, (long)(now - c->begun),
 	       (unsigned long)c->prompt_tokens, (unsigned long)c->e->version,
 	       c->grant.endpoint[0].s, helpers, c->grant.endpoints,
+	       c->grant.away,
 	       c->granted_at ? (long)(c->granted_at - c->begun) : -1,
 	       c->grant.predicted_ttft_ms,
 	       c->first_byte_at ? (long)(c->first_byte_at - c->begun) : -1,
--- a/src/main/entry_far.c
+++ b/src/main/entry_far.c
@@ -97,7 +97,8 @@
 void entry_far_tell(struct entry *e, const struct entry_pool *p,
 		    const struct dl_pool_summary *summary)
 {
-	struct dl_str own = dl_name_str(&e->node.settings.failure_domain);
+	struct dl_str own =
+		dl_name_str(dl_settings_pool_domain(&e->node.settings));
 	struct dl_name seen[DL_SPILL_MAX + 1];
 	const struct dl_member *m;
 	struct dl_packer pk;
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -36,7 +36,8 @@
 
 static bool own_domain(const struct call *c)
 {
-	const struct dl_name *own = &c->e->node.settings.failure_domain;
+	const struct dl_name *own =
+		dl_settings_pool_domain(&c->e->node.settings);
 
 	return dl_name_eq(own, dl_name_str(&c->domain));
 }
@@ -52,6 +53,7 @@
 	ask->request = c->ask_id;
 	ask->entry = c->e->node.self;
 	ask->workspace = dl_name_str(&c->workspace);
+	ask->failure_domain = c->e->node.settings.failure_domain;
 	ask->class = c->class;
 	ask->prompt_tokens = c->prompt_tokens;
 	ask->output_tokens = c->output_tokens;
@@ -113,7 +115,7 @@
 	struct entry *e = c->e;
 
 	if (c->domain.n == 0)
-		c->domain = e->node.settings.failure_domain;
+		c->domain = *dl_settings_pool_domain(&e->node.settings);
 	new_ask_id(c);
 	c->state = CALL_ASKING;
 	c->asked_at = entry_now(e);
@@ -289,7 +291,7 @@
 	c->sent_away = false;
 	c->refused = false;
 	c->asks_lost = 0;
-	c->domain = c->e->node.settings.failure_domain;
+	c->domain = *dl_settings_pool_domain(&c->e->node.settings);
 	entry_grant_ask(c);
 }
 
@@ -336,7 +338,7 @@
 static void come_back(struct call *c)
 {
 	c->sent_away = false;
-	c->domain = c->e->node.settings.failure_domain;
+	c->domain = *dl_settings_pool_domain(&c->e->node.settings);
 	entry_grant_ask(c);
 }
 
--- a/src/main/entry_ops.c
+++ b/src/main/entry_ops.c
@@ -376,8 +376,9 @@
 
 	dl_pool_summarize(p->pool, entry_now(e), &s);
 	json_object_set_new(o, "service", json_string(p->service.s));
-	json_object_set_new(o, "domain",
-			    json_string(e->node.settings.failure_domain.s));
+	json_object_set_new(
+		o, "domain",
+		json_string(dl_settings_pool_domain(&e->node.settings)->s));
 	json_object_set_new(o, "dispatcher",
 			    json_string(dl_vm_text(e->node.self, text)));
 	json_object_set_new(o, "endpoints", json_integer(s.endpoints));
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -72,10 +72,11 @@
 	return dl_memb_owner(e->node.memb, domain, dl_hash(service, 0));
 }
 
-/* Whether this VM is in a failure domain. */
+/* Whether the VMs that dispatch together with this one are those of a domain.
+ */
 bool entry_pool_is_own(const struct entry *e, struct dl_str domain)
 {
-	return dl_name_eq(&e->node.settings.failure_domain, domain);
+	return dl_name_eq(dl_settings_pool_domain(&e->node.settings), domain);
 }
 
 /*
@@ -101,7 +102,8 @@
 
 static void update_leading(struct entry *e, struct entry_pool *p)
 {
-	struct dl_str domain = dl_name_str(&e->node.settings.failure_domain);
+	struct dl_str domain =
+		dl_name_str(dl_settings_pool_domain(&e->node.settings));
 	uint64_t owner = entry_pool_owner(e, dl_name_str(&p->service), domain);
 	bool leading = owner == e->node.self;
 
--- a/src/main/node.c
+++ b/src/main/node.c
@@ -231,7 +231,7 @@
 	dl_memb_defaults(&conf);
 	conf.self = node->self;
 	conf.incarnation = node->incarnation;
-	conf.domain = s->failure_domain;
+	conf.domain = *dl_settings_pool_domain(s);
 	conf.replica = replica;
 	node->memb = dl_memb_new(&conf, node->incarnation, now);
 	if (!node->memb)
--- a/src/protocol/api.c
+++ b/src/protocol/api.c
@@ -291,7 +291,8 @@
 		return -EINVAL;
 	if (read_name(root, "service", true, &out->service))
 		rc = BAD(err, "service must be a name");
-	else if (read_name(root, "failure_domain", false, &out->failure_domain))
+	else if (read_name(root, "failure_domain", false,
+			   &out->report.failure_domain))
 		rc = BAD(err, "failure_domain must be a name");
 	else if (read_name(root, "address", true, &out->report.id) ||
 		 !dl_vm_parse(dl_name_str(&out->report.id), &address))
--- a/src/protocol/api.h
+++ b/src/protocol/api.h
@@ -77,7 +77,6 @@
 /* An endpoint's announcement. */
 struct dl_announcement {
 	struct dl_name service;
-	struct dl_name failure_domain; /* empty: that of the entry asked */
 	struct dl_endpoint_report report;
 	/* One start of the endpoint; empty: report.incarnation tells starts. */
 	struct dl_name instance;
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -4,12 +4,12 @@
 #include <errno.h>
 #include <string.h>
 
-#define ASK_ITEMS     16
-#define ANSWER_ITEMS  13
+#define ASK_ITEMS     17
+#define ANSWER_ITEMS  14
 #define RELEASE_ITEMS 10
-#define REPORT_ITEMS  20
+#define REPORT_ITEMS  21
 #define SUMMARY_ITEMS 9
-#define ADOPT_ITEMS   25
+#define ADOPT_ITEMS   27
 /* Stands for no time at all where what is left of one is told. */
 #define NEVER_MS INT64_MIN
 
@@ -61,6 +61,7 @@
 	dl_pack_u64(p, ask->request);
 	dl_pack_u64(p, ask->entry);
 	dl_pack_str(p, ask->workspace);
+	dl_pack_str(p, dl_name_str(&ask->failure_domain));
 	dl_pack_u64(p, ask->class);
 	dl_pack_u64(p, ask->prompt_tokens);
 	dl_pack_u64(p, ask->output_tokens);
@@ -81,6 +82,7 @@
 	out->request = dl_read_u64(r);
 	out->entry = dl_read_u64(r);
 	out->workspace = dl_read_str(r);
+	dl_read_name(r, &out->failure_domain);
 	class = dl_read_u64(r);
 	out->prompt_tokens = dl_read_u64(r);
 	out->output_tokens = dl_read_u64(r);
@@ -133,6 +135,7 @@
 	dl_pack_i64(p, a->valid_until - now);
 	dl_pack_u64(p, a->priority);
 	dl_pack_u64(p, a->predicted_ttft_ms);
+	dl_pack_u64(p, a->away);
 	put_names(p, a->endpoint, a->endpoints);
 	msgpack_pack_array(&p->pk, a->endpoints);
 	for (uint32_t i = 0; i < a->endpoints; i++)
@@ -173,6 +176,7 @@
 	out->valid_until = now + dl_read_i64(r);
 	out->priority = (uint8_t)dl_read_u64(r);
 	out->predicted_ttft_ms = (uint32_t)dl_read_u64(r);
+	out->away = (uint8_t)dl_read_u64(r);
 	out->endpoints = (uint8_t)take_names(r, out->endpoint, DL_GROUP_MAX);
 	take_shares(r, out);
 	if (verdict > DL_REFUSED || reason >= DL_REASON_COUNT) {
@@ -332,6 +336,7 @@
 	dl_packer_open(p, REPORT_ITEMS);
 	dl_pack_str(p, dl_name_str(&a->service));
 	dl_pack_str(p, dl_name_str(&r->id));
+	dl_pack_str(p, dl_name_str(&r->failure_domain));
 	dl_pack_u64(p, r->incarnation);
 	dl_pack_u64(p, r->memory_tokens);
 	dl_pack_u64(p, r->used_tokens);
@@ -362,6 +367,7 @@
 	dl_reader_open(&r, body);
 	dl_read_name(&r, &out->service);
 	dl_read_name(&r, &report->id);
+	dl_read_name(&r, &report->failure_domain);
 	report->incarnation = dl_read_u64(&r);
 	report->memory_tokens = dl_read_u64(&r);
 	report->used_tokens = dl_read_u64(&r);
--- a/src/protocol/pool_codec.h
+++ b/src/protocol/pool_codec.h
@@ -56,7 +56,7 @@
 int dl_number_read(struct dl_str body, struct dl_name *service,
 		   uint64_t *number);
 
-/* An announcement on its way to its dispatcher; its domain is known there. */
+/* An announcement on its way to its dispatcher. */
 void dl_report_pack(struct dl_packer *p, const struct dl_announcement *a);
 int dl_report_read(struct dl_str body, struct dl_announcement *out);
 
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -40,6 +40,7 @@
 static const struct key keys[] = {
 	{ "name", read_name, FIELD(name), true },
 	{ "failure_domain", read_name, FIELD(failure_domain), true },
+	{ "region", read_name, FIELD(region), false },
 	{ "http", read_address, FIELD(http), false },
 	{ "operators", read_address, FIELD(operators), false },
 	{ "endpoints", read_address, FIELD(endpoints), false },
@@ -290,3 +291,13 @@
 	free(text);
 	return rc;
 }
+
+/*
+ * Whose VMs dispatch together: those of a region where one is set, since a long
+ * prompt may need engines of several failure domains; else those of the failure
+ * domain.
+ */
+const struct dl_name *dl_settings_pool_domain(const struct dl_settings *s)
+{
+	return s->region.n ? &s->region : &s->failure_domain;
+}
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -13,9 +13,10 @@
 struct dl_settings {
 	struct dl_name name;
 	struct dl_name failure_domain;
-	uint64_t http;		      /* callers' door; 0 on a replica */
-	uint64_t operators;	      /* operators' door; 0: the callers' one */
-	uint64_t endpoints;	      /* endpoints' door; 0: the callers' one */
+	struct dl_name region; /* its VMs share their pools; empty: no such */
+	uint64_t http;	       /* callers' door; 0 on a replica */
+	uint64_t operators;    /* operators' door; 0: the callers' one */
+	uint64_t endpoints;    /* endpoints' door; 0: the callers' one */
 	struct dl_keys operator_keys; /* what operators send must be signed */
 	struct dl_keys endpoint_keys;
 	uint64_t metrics; /* counters and histograms; 0: no address */
@@ -49,5 +50,7 @@
 		     struct dl_err *err);
 int dl_settings_parse(struct dl_str text, struct dl_settings *out,
 		      struct dl_err *err);
+/* Whose VMs dispatch together: the region where one is set. */
+const struct dl_name *dl_settings_pool_domain(const struct dl_settings *s);
 
 #endif
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -39,6 +39,7 @@
 		.tried = 2,
 	};
 
+	dl_name_set(&ask.failure_domain, DL_STR("medeu-hall"));
 	dl_name_set(&ask.tried_ids[0], DL_STR("127.0.0.1:9000"));
 	dl_name_set(&ask.tried_ids[1], DL_STR("127.0.0.2:9000"));
 	return ask;
@@ -55,6 +56,7 @@
 	f.answer.grant = UINT64_MAX - 1;
 	f.answer.valid_until = 40000;
 	f.answer.endpoints = 2;
+	f.answer.away = 1;
 	dl_name_set(&f.answer.endpoint[0], DL_STR("127.0.0.1:9000"));
 	dl_name_set(&f.answer.endpoint[1], DL_STR("127.0.0.2:9000"));
 	f.answer.share_tokens[0] = 400000;
@@ -84,6 +86,7 @@
 	ck_assert_uint_eq(back.tried, 2);
 	ck_assert(dl_name_eq(&back.tried_ids[1], DL_STR("127.0.0.2:9000")));
 	ck_assert(dl_str_eq(back.workspace, ask.workspace));
+	ck_assert(dl_name_eq(&back.failure_domain, DL_STR("medeu-hall")));
 	dl_packer_close(&p);
 }
 END_TEST
@@ -101,6 +104,7 @@
 	ck_assert_int_eq(back.answer.valid_until, 10100);
 	ck_assert_uint_eq(back.answer.grant, f.answer.grant);
 	ck_assert_uint_eq(back.answer.share_tokens[0], 400000);
+	ck_assert_uint_eq(back.answer.away, 1);
 	ck_assert_uint_eq(back.spill_count, 1);
 	dl_packer_close(&p);
 	dl_adopt_pack(&p, DL_STR("s"), &f.answer, &ask, 30000);
@@ -132,11 +136,13 @@
 	a.events[0].prefix = UINT64_MAX;
 	dl_name_set(&a.service, DL_STR("s"));
 	dl_name_set(&a.report.id, DL_STR("127.0.0.1:9000"));
+	dl_name_set(&a.report.failure_domain, DL_STR("alatau-hall"));
 	dl_name_set(&a.models[0], DL_STR("match-7b"));
 	dl_report_pack(&p, &a);
 	ck_assert_int_eq(dl_report_read(dl_packer_bytes(&p), &a2), 0);
 	ck_assert(a2.report.leaving && a2.report.slots == 4);
 	ck_assert_uint_eq(a2.report.incarnation, 3);
+	ck_assert(dl_name_eq(&a2.report.failure_domain, DL_STR("alatau-hall")));
 	ck_assert_uint_eq(a2.born, 1764728000123);
 	ck_assert(dl_name_eq(&a2.models[0], DL_STR("match-7b")));
 	ck_assert_uint_eq(a2.events[0].prefix, UINT64_MAX);
@@ -392,6 +398,29 @@
 }
 END_TEST
 
+/* Without a region the VMs of a failure domain dispatch together. */
+START_TEST(settings_name_the_pools_domain)
+{
+	struct dl_settings out;
+	struct dl_err err = { 0 };
+
+	ck_assert_int_eq(dl_settings_parse(DL_STR("{\"name\":\"a\","
+						  "\"failure_domain\":\"d\","
+						  "\"peer\":\"127.0.0.1:1\"}"),
+					   &out, &err),
+			 0);
+	ck_assert_str_eq(dl_settings_pool_domain(&out)->s, "d");
+	ck_assert_int_eq(dl_settings_parse(DL_STR("{\"name\":\"a\","
+						  "\"failure_domain\":\"d\","
+						  "\"region\":\"r\","
+						  "\"peer\":\"127.0.0.1:1\"}"),
+					   &out, &err),
+			 0);
+	ck_assert_str_eq(dl_settings_pool_domain(&out)->s, "r");
+	ck_assert_str_eq(out.failure_domain.s, "d");
+}
+END_TEST
+
 static struct dl_key key_of(const char *secret)
 {
 	struct dl_key key = { .n = (uint8_t)strlen(secret) };
@@ -455,6 +484,7 @@
 	tcase_add_test(t, an_event_is_bounded);
 	tcase_add_test(t, signatures);
 	tcase_add_loop_test(t, settings, 0, CASES(settings_cases));
+	tcase_add_test(t, settings_name_the_pools_domain);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
--- a/test/test_placing.c
+++ b/test/test_placing.c
@@ -5,6 +5,7 @@
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "daisyledge/pool.h"
 #include "fake/published_engine.h"
@@ -28,11 +29,13 @@
 static struct dl_pool *pool;
 static int64_t now;
 static uint64_t next_request;
+static const char *entry_domain; /* of the VM that asks; NULL: not said */
 
 static void begin(void)
 {
 	now = 1000;
 	next_request = 1;
+	entry_domain = NULL;
 	pool = dl_pool_new(&conf, &dl_policy_engine, 42);
 	for (int i = 0; i < ENGINES; i++) {
 		struct dl_endpoint_report r = { .incarnation = 1,
@@ -67,11 +70,42 @@
 			    .gap_ms = gap_ms };
 	struct dl_answer out;
 
+	if (entry_domain)
+		dl_name_set(&a.failure_domain, dl_str_of(entry_domain));
 	dl_pool_ask(pool, &a, now, &out);
 	ck_assert_ptr_null(dl_pool_broken(pool));
 	return out;
 }
 
+/* Every other engine is in the north, the rest in the south. */
+static const char *domain_of(int engine)
+{
+	return engine % 2 ? "south" : "north";
+}
+
+static void place_engines(void)
+{
+	for (int i = 0; i < ENGINES; i++) {
+		struct dl_endpoint_report r = { .incarnation = 1,
+						.memory_tokens = 315000,
+						.slots = 16,
+						.takes_groups = true };
+		char id[32];
+
+		snprintf(id, sizeof(id), "10.0.0.%d:80", i + 1);
+		dl_name_set(&r.id, dl_str_of(id));
+		dl_name_set(&r.failure_domain, dl_str_of(domain_of(i)));
+		ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	}
+}
+
+static bool is_in(const struct dl_name *endpoint, const char *domain)
+{
+	int engine = atoi(endpoint->s + strlen("10.0.0.")) - 1;
+
+	return strcmp(domain_of(engine), domain) == 0;
+}
+
 static struct dl_answer ask_short(void)
 {
 	return ask(5000, 300, 250);
@@ -293,6 +327,70 @@
 }
 END_TEST
 
+/* Short streams run in the failure domain of the VM that asks for them. */
+START_TEST(short_streams_stay_in_their_domain)
+{
+	place_engines();
+	for (int i = 0; i < 40; i++) {
+		struct dl_answer a;
+
+		entry_domain = i % 3 ? "north" : "south";
+		a = ask_short();
+		ck_assert_int_eq(a.verdict, DL_GRANTED);
+		ck_assert(is_in(&a.endpoint[0], entry_domain));
+		ck_assert_uint_eq(a.away, 0);
+		now += 20;
+	}
+}
+END_TEST
+
+/* A burst in one domain that would be late there is served by the others. */
+START_TEST(what_is_late_at_home_goes_elsewhere)
+{
+	int away = 0, in_time = 0, granted = 0;
+
+	place_engines();
+	entry_domain = "north";
+	for (int i = 0; i < 100; i++) {
+		struct dl_answer a = ask_short();
+
+		if (a.verdict != DL_GRANTED)
+			continue;
+		granted++;
+		in_time += a.predicted_ttft_ms <= 300;
+		away += a.away;
+		ck_assert_int_eq(a.away, is_in(&a.endpoint[0], "south"));
+	}
+	ck_assert_int_gt(away, 10);
+	ck_assert_int_ge(in_time, granted * 9 / 10);
+}
+END_TEST
+
+/* A domain that has VMs and no engines is served by the others at once. */
+START_TEST(domain_without_engines_is_served)
+{
+	struct dl_answer a;
+
+	place_engines();
+	entry_domain = "west";
+	a = ask_short();
+	ck_assert_int_eq(a.verdict, DL_GRANTED);
+	ck_assert_uint_eq(a.away, 1);
+}
+END_TEST
+
+/* Where nobody says where it is, every engine is as near as the next. */
+START_TEST(unknown_domains_are_all_near)
+{
+	struct dl_answer a;
+
+	entry_domain = "north";
+	a = ask_short();
+	ck_assert_int_eq(a.verdict, DL_GRANTED);
+	ck_assert_uint_eq(a.away, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("placing");
@@ -314,6 +412,10 @@
 	tcase_add_test(t, unreachable_helper_is_left_out);
 	tcase_add_test(t, too_much_is_refused_at_once);
 	tcase_add_test(t, overdue_prompts_are_not_parted_further);
+	tcase_add_test(t, short_streams_stay_in_their_domain);
+	tcase_add_test(t, what_is_late_at_home_goes_elsewhere);
+	tcase_add_test(t, domain_without_engines_is_served);
+	tcase_add_test(t, unknown_domains_are_all_near);
 	srunner_run_all(r, CK_NORMAL);
 	failed = srunner_ntests_failed(r);
 	srunner_free(r);
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -621,6 +621,44 @@
 }
 END_TEST
 
+static void report_plain(const char *id, const char *domain)
+{
+	struct dl_endpoint_report r = report_of(id);
+
+	r.slots = 2;
+	dl_name_set(&r.failure_domain, dl_str_of(domain));
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+}
+
+/*
+ * A plain call runs in the failure domain of its VM while there is a slot, and
+ * elsewhere at once where there is none.
+ */
+START_TEST(plain_calls_stay_in_their_domain)
+{
+	struct dl_pool_conf plain = conf;
+
+	plain.kind = DL_POOL_PLAIN;
+	dl_pool_free(pool);
+	pool = dl_pool_new(&plain, &dl_policy_late_binding, 1);
+	report_plain("a:1", "north");
+	report_plain("b:1", "south");
+	report_plain("c:1", "south");
+	for (int i = 0; i < 6; i++) {
+		struct dl_ask a = ask_of(0, 0, FAR);
+		struct dl_answer out;
+
+		a.target_ms = 300;
+		dl_name_set(&a.failure_domain, DL_STR("north"));
+		dl_pool_ask(pool, &a, now, &out);
+		ck_assert_int_eq(out.verdict, DL_GRANTED);
+		ck_assert_int_eq(dl_name_eq(&out.endpoint[0], DL_STR("a:1")),
+				 i < 2);
+		ck_assert_uint_eq(out.away, i >= 2);
+	}
+}
+END_TEST
+
 /* What a caller gave up on says nothing about the endpoint. */
 START_TEST(given_up_requests_teach_nothing)
 {
@@ -726,6 +764,7 @@
 	tcase_add_test(t, long_prompts_leave_an_endpoint_free);
 	tcase_add_test(t, prefix_goes_where_it_was);
 	tcase_add_test(t, plain_services_hold_slots);
+	tcase_add_test(t, plain_calls_stay_in_their_domain);
 	tcase_add_test(t, given_up_requests_teach_nothing);
 	tcase_add_test(t, bad_reports_are_turned_away);
 	tcase_add_test(t, spill_moves_slowly);
