A replica shows nothing before a leader has told it what is committed

Ruled out: an old leader's late push (none was left); a pull answered by one that stands alone (that takes 5 s).

Change: current means that a leader has said since the start how much is committed, and that this has been applied; a leader's own is current with the first entry of its term. The test fails before.

--- a/src/state/rlog.c
+++ b/src/state/rlog.c
@@ -652,8 +652,6 @@
 void dl_rlog_get_status(const struct dl_rlog *r, int64_t now,
 			struct dl_rlog_status *out)
 {
-	uint64_t term = 0;
-
 	memset(out, 0, sizeof(*out));
 	out->role = r->role;
 	out->id = r->id;
@@ -667,9 +665,7 @@
 	out->snapshot = r->snap.index;
 	out->voter = rlog_is_voter(r);
 	out->lease = dl_rlog_lease(r, now, NULL);
-	out->current = r->role >= DL_RLOG_FOLLOWER &&
-		       rlog_term_at(&r->log, r->applied, &term) &&
-		       term == r->term;
+	out->current = rlog_is_current(r);
 	for (uint32_t i = 0; i < r->peers_count; i++) {
 		const struct rlog_peer *p = &r->peers[i];
 		struct dl_rlog_peer_status *s = &out->peers[out->count++];
--- a/src/state/rlog_follow.c
+++ b/src/state/rlog_follow.c
@@ -10,6 +10,7 @@
 /* What a piece may add up to; more is a fault of the sender. */
 #define SNAPSHOT_MAX (1u << 30)
 
+static void note_told(struct dl_rlog *r, uint64_t commit);
 static uint64_t skip_term(const struct dl_rlog *r, uint64_t index);
 static void reject(struct dl_rlog *r, const struct dl_rlog_msg *m,
 		   uint64_t hint);
@@ -90,6 +91,32 @@
 	rlog_queue(r, &reply, rlog_gate_of(r, match));
 }
 
+/* A leader says how much is committed, for the first time since the start. */
+static void note_told(struct dl_rlog *r, uint64_t commit)
+{
+	if (r->told)
+		return;
+	r->told = true;
+	r->told_commit = commit;
+}
+
+/*
+ * Whether all that was committed before this replica started, and before this
+ * term began, has been applied here.  A snapshot may be of the present term and
+ * yet be older than what was in force: pushed to VMs that had just started, such
+ * a text was read by all of them before the one in force.
+ */
+bool rlog_is_current(const struct dl_rlog *r)
+{
+	uint64_t term = 0;
+
+	if (r->role == DL_RLOG_LEADER)
+		return r->applied >= r->term_start;
+	return r->role >= DL_RLOG_FOLLOWER && r->told &&
+	       r->applied >= r->told_commit &&
+	       rlog_term_at(&r->log, r->applied, &term) && term == r->term;
+}
+
 /* Entries, or a heartbeat, of the leader of this term. */
 void rlog_on_append(struct dl_rlog *r, const struct dl_rlog_msg *m, int64_t now)
 {
@@ -112,6 +139,7 @@
 		if (!take_entry(r, &m->entries[i]))
 			return;
 	}
+	note_told(r, m->commit);
 	commit_to(r, m->commit, verified);
 	accept_until(r, m, verified);
 }
--- a/src/state/rlog_int.h
+++ b/src/state/rlog_int.h
@@ -91,6 +91,8 @@
 	uint64_t leader_id;
 	int64_t heard; /* the leader; or the start, as before is forgotten */
 	int64_t election_at;
+	bool told; /* by a leader since the start, how much is committed */
+	uint64_t told_commit;
 	bool start_owes; /* perhaps, to a leader of before the start */
 	int64_t start_stamp;
 	int64_t start_asks_at;
@@ -212,6 +214,7 @@
 		    int64_t now);
 void rlog_on_snapshot(struct dl_rlog *r, const struct dl_rlog_msg *m,
 		      int64_t now);
+bool rlog_is_current(const struct dl_rlog *r);
 void rlog_on_unborn(struct dl_rlog *r, const struct dl_rlog_msg *m,
 		    int64_t now);
 
--- a/test/test_rlog.c
+++ b/test/test_rlog.c
@@ -250,6 +250,43 @@
 }
 END_TEST
 
+/*
+ * A replica that has just started knows of its snapshot that it was committed,
+ * not how much was committed after it: until a leader has told it, what it has
+ * is not current, though the snapshot may be of the term that it was in.
+ */
+START_TEST(a_snapshot_alone_is_not_current)
+{
+	struct group *g = three(31);
+	uint64_t behind = follower(g);
+
+	changes(g, 100);
+	group_run(g, 500);
+	ck_assert(status_of(g, behind).current);
+	for (uint64_t vm = 1; vm <= 3; vm++)
+		group_crash(g, vm);
+	for (uint64_t vm = 1; vm <= 3; vm++)
+		group_start(g, vm);
+	group_run(g, 20);
+	for (uint64_t vm = 1; vm <= 3; vm++) {
+		ck_assert_uint_gt(status_of(g, vm).applied, 0);
+		ck_assert(!status_of(g, vm).current);
+	}
+	ck_assert(group_settle(g, 4000));
+	group_run(g, 500);
+	for (uint64_t vm = 1; vm <= 3; vm++)
+		ck_assert(status_of(g, vm).current);
+	behind = follower(g);
+	group_crash(g, behind);
+	fake_link_isolate(group_link(g), behind);
+	group_start(g, behind);
+	group_run(g, 500);
+	ck_assert(!status_of(g, behind).current);
+	fake_link_heal(group_link(g));
+	finish(g);
+}
+END_TEST
+
 /* A sync that failed is never answered: the replica goes silent. */
 START_TEST(failed_sync_silences)
 {
@@ -436,6 +473,7 @@
 	tcase_add_loop_test(t, slow_disk_costs_no_leader, 0, 3);
 	tcase_add_loop_test(t, restart_keeps_the_promise, 0, 10);
 	tcase_add_test(t, unborn_answer_is_no_promise);
+	tcase_add_test(t, a_snapshot_alone_is_not_current);
 	tcase_add_loop_test(t, failed_sync_silences, 0, 2);
 	tcase_add_loop_test(t, damage_is_refused, 0, 20);
 	tcase_add_loop_test(t, crash_at_every_disk_step, 0, 160);
