--- a/src/base/logring.h
+++ b/src/base/logring.h
@@ -12,8 +12,7 @@
 #define DL_LOGRING_BYTES 131072
 /*
  * Of debug and info lines, a second: ten times what an entry says at 40
- * requests a second (measured: 480 bytes a request).  Warnings are bounded by
- * room alone.
+ * requests a second.  Warnings are bounded by room alone.
  */
 #define DL_LOGRING_RATE 196608
 
--- a/src/coordination/lease.c
+++ b/src/coordination/lease.c
@@ -27,10 +27,9 @@
 /*
  * A group that lost its leader, or has just started, elects one in some hundred
  * ms.  Requests that come meanwhile wait: told to come back, callers used their
- * one return and were refused again (305 requests of a day of 4,100, of which
- * most within 2 s of a start of all VMs).  Nobody waits longer than this, nor
- * for more than this part of its time, and nobody where the group is not heard:
- * a VM that is cut off cannot know for how long.
+ * one return and were refused again.  Nobody waits longer than this, nor for
+ * more than this part of its time, and nobody where the group is not heard: a
+ * VM that is cut off cannot know for how long.
  */
 #define WAIT_MS	  1000
 #define WAIT_PART 4
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -90,10 +90,8 @@
 /*
  * A word that an endpoint leaves may say nothing else of it: the figures that
  * are known hold.  Refused for want of figures, such a word left its engine in
- * the pool until its reports were missed, for 5 s, and an engine that empties
- * looks the best place there is: 1,413 of some 9,000 streams were granted one
- * that left four times in a row and refused, while 63 of 135 engines were
- * replaced.
+ * the pool until its reports were missed, for seconds, and an engine that
+ * empties looks the best place there is.
  */
 static void complete_leave(const struct pool_endpoint *e,
 			   struct dl_endpoint_report *r)
--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -4,9 +4,9 @@
  *
  * Load: prompts from a thousand to some hundred thousand tokens on engines
  * that work in passes.  Harm: a long prompt that is read beside streams of
- * short ones stops all of them for as long as it is read (441 ms for 45,000
- * tokens, where they bear 250); one that is read by a single engine is late by
- * itself (3.05 s for 154,000 tokens, where 3 s are asked).  So a prompt is
+ * short ones stops all of them for as long as it is read, longer than the pause
+ * that they bear; one that is read by a single engine is late by itself.  So a
+ * prompt is
  * parted among engines that each can read their part without a pause that
  * their writers would not bear; and streams of short prompts are put together,
  * as far as their pauses allow, so that other engines stay free for the long.
@@ -26,25 +26,21 @@
 /* Nobody writes for a caller without a target within a fixed time. */
 #define TARGET_DEFAULT_MS 1000
 /*
- * Of a target, what one engine may be kept by a part of one prompt.  With 0.6
- * prompts of 480,000 tokens were parted in pieces of 1.14 s; where a stream ran
- * there that this dispatcher did not know of, its entry took the engine for
- * silent (1.2 s) and gave it up.  Worth of eleven played loads 0.939 and 0.942.
+ * Of a target, what one engine may be kept by a part of one prompt.  A longer
+ * part keeps a stream there waiting for as long as its entry takes for silence,
+ * where this dispatcher does not know of the stream.
  */
 #define PART_TARGET_SHARE 0.4
 /*
  * How long before engines begin to read it a long prompt is granted at most.
  * For many long prompts at once: engines read the parts that they have in
- * turn, so parts sent early end together, and late (some hundred ms foreseen,
- * 4 s seen); a prompt that waits here goes where it is read at once.  Mean
- * worth of six loaded days of 57 engines 0.386 without, 0.389 with 400 ms,
- * 0.399 with 150 ms; of their longest class in time 0.37, 0.42, 0.44.
+ * turn, so parts sent early end together, and late; a prompt that waits here
+ * goes where it is read at once.
  */
 #define AHEAD_MS 150
 /*
  * And of the time that it has waited, so much more: it needs several engines at
- * once, of which one or other always reads for a shorter prompt (mean worth of
- * 30 days of 14 engines 0.624 without, 0.636 with).
+ * once, of which one or other always reads for a shorter prompt.
  */
 #define AHEAD_WAITED_SHARE 0.3
 /*
@@ -55,9 +51,8 @@
 /*
  * A dispatcher that has just taken over is told of the grants of the one before
  * by their entries, within some ticks of 20 ms and the news of the change.
- * Until then it takes engines for idle on which streams run: a prompt of
- * 480,000 tokens that it parted among fifteen of them stopped those for 1.2 s,
- * and 45 streams were given up as silent.
+ * Until then it takes engines for idle on which streams run: a long prompt that
+ * it parts among them stops those streams until they are given up as silent.
  */
 #define STRANGE_MS 250
 /* However long an engine's grants are overdue, it is no slower than this. */
--- a/src/coordination/pool_engine_place.c
+++ b/src/coordination/pool_engine_place.c
@@ -11,9 +11,9 @@
 #define TARGET_SHARE 0.5
 /*
  * Short prompts stay together: an engine without writers counts as if it were
- * later by this share of the target, so that it is kept for long prompts.
- * Played value in time of a burst of long ones, 30 seeds: 0.827 with 0.7 and
- * eight together, 0.872 with 1.2 and six; above that short ones wait.
+ * later by this share of the target, so that it is kept for long prompts.  With
+ * less they open engines that long ones need, with more they wait for each
+ * other.
  */
 #define KEEP_FREE_SHARE 1.2
 /* With so many writers alike an engine is one for them. */
@@ -343,11 +343,10 @@
  * goes to one engine that has room, and to more only where that one is too
  * late, or free of writers: it is read by some that have writers, and written
  * by one of them.  A short one goes to one alone: single streams of short
- * prompts on many engines left none for parts of long ones (played loads, long
- * ones in time 642 of a thousand with, 956 without).  A longer one takes more
- * engines than its parts need only while it is not on time, and none once its
- * target has passed: in a burst each would take a dozen engines for nothing
- * (mean worth of six loaded days of 57 engines 0.354 with, 0.386 without).
+ * prompts on many engines leave none for parts of long ones.  A longer one
+ * takes more engines than its parts need only while it is not on time, and none
+ * once its target has passed: in a burst each would take a dozen engines for
+ * nothing.
  */
 static bool choose_number(struct engine_search *s, double budget,
 			  struct pool_choice *out)
--- a/src/main/entry_conf.c
+++ b/src/main/entry_conf.c
@@ -27,9 +27,8 @@
  * Reading takes a quarter of this VM's time, as long as a version waits no
  * longer than WAIT_MAX_MS for it: versions of 1,300 routes in quick succession
  * are 0.3 to 1 s of reading each on a VM with 0.12 cores, and streams that it
- * passes on paused meanwhile (684 of 3,049 for over 300 ms, 20 with half as
- * many versions).  A version has 2 s to be in force, and the one before it may
- * just be read: a rest of up to 900 ms after it made that 2.9 s.
+ * passes on pause meanwhile.  A version has 2 s to be in force, and the one
+ * before it may just be read: a longer rest after it would take those up.
  */
 #define REST_SHARE  3
 #define WAIT_MAX_MS 300
--- a/src/main/replica.c
+++ b/src/main/replica.c
@@ -148,9 +148,9 @@
 /*
  * Carry out what is committed, a piece in each turn of the loop.  For a leader
  * after a restart: it learns of all at once that they are committed, and a
- * dozen texts of 800 KB in one go took 1.9 s of a VM with 0.15 cores, in which
- * its heartbeats were missed and the next one was elected, with the same ahead
- * of it.  Returns whether all is carried out.
+ * dozen texts of 800 KB in one go take seconds of a VM with 0.15 cores, in
+ * which its heartbeats were missed and the next one was elected, with the same
+ * ahead of it.  Returns whether all is carried out.
  */
 static bool apply_some(struct replica *r)
 {
