An endpoint stays with the replica that it reached; its leaving stays with its words

Endpoints announce themselves to another replica each time; to each replica that has not heard one its words are new and go to all 295 entries whole, and each comes over a new connection.

Ruled out: that keys alone are the bytes (22 kB a second for each entry of 53).

Change: the answer to an announcement names the replica's own address, where the endpoint announces itself until a call there fails.

--- a/src/main/replica.h
+++ b/src/main/replica.h
@@ -97,6 +97,7 @@
 /* replica_door.c */
 int replica_door_open(struct replica *r, struct dl_err *err);
 void replica_door_tick(struct replica *r, int64_t now);
+void replica_door_left(struct replica *r, const struct dl_announcement *a);
 void replica_door_decided(const struct replica_pending *p,
 			  const struct dl_cstore_reply *reply);
 bool replica_door_late(const struct replica_pending *p, int64_t now);
--- a/src/main/replica_door.c
+++ b/src/main/replica_door.c
@@ -128,12 +128,31 @@
 	return s.role == DL_RLOG_FOLLOWER && s.leader != DL_VM_NONE;
 }
 
+/*
+ * What is known of a start goes with its words.  Its leaving is final: a word
+ * that comes later would make it known as ready to a VM that has just started.
+ * And one that only leaves names no address: those who have not heard of the
+ * start, other replicas and VMs that have just started, would not keep it.
+ */
+static void complete(struct dl_announcement *a,
+		     const struct dl_directory_entry *start)
+{
+	a->report.leaving = start->leaving;
+	if (a->report.id.n)
+		return;
+	a->report.id = start->address;
+	a->service = start->service;
+}
+
 static void on_announce(struct replica_door *d, struct dl_httpd_req *req,
 			struct dl_str id, bool leave)
 {
 	const struct dl_directory_entry *entry, *left;
 	struct dl_announcement a;
+	enum dl_heard heard;
+	char text[DL_DIALECT_TEXT_MAX];
 	struct dl_err err;
+	size_t n;
 	int rc;
 
 	if (!in_touch(d)) {
@@ -149,9 +168,19 @@
 		reply_error(req, 400, err.text);
 		return;
 	}
-	dl_node_hear(d->directory, &a, replica_now(d->r), &entry, &left);
+	heard = dl_node_hear(d->directory, &a, replica_now(d->r), &entry,
+			     &left);
+	if (heard != DL_HEARD_OLD)
+		complete(&a, entry);
 	replica_alive_pass(d->r, &a);
-	reply_json(req, 200, DL_STR("{}"));
+	/*
+	 * An endpoint stays with this replica.  One that goes to another each
+	 * time is new to each of them, and its words go to every VM each time;
+	 * and it comes over a new connection.
+	 */
+	n = platform_dialect.announced(
+		leave ? DL_VM_NONE : d->r->node.settings.operators, text);
+	reply_json(req, 200, (struct dl_str){ text, n });
 }
 
 /* The number of a text, whether it is without faults, and names no replicas. */
@@ -322,6 +351,16 @@
 	return p->http && now - p->at > COMMIT_MS;
 }
 
+/* Another replica has heard that an endpoint leaves. */
+void replica_door_left(struct replica *r, const struct dl_announcement *a)
+{
+	const struct dl_directory_entry *entry, *left;
+
+	if (r->door)
+		dl_node_hear(r->door->directory, a, replica_now(r), &entry,
+			     &left);
+}
+
 /* Forget endpoints that are long gone. */
 void replica_door_tick(struct replica *r, int64_t now)
 {
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -90,6 +90,12 @@
 	/* An announcement of the endpoint named by id; 0 or -EINVAL. */
 	int (*announce)(struct dl_str id, struct dl_str body,
 			struct dl_announcement *out, struct dl_err *err);
+	/*
+	 * The answer to an announcement; door: where the endpoint should
+	 * announce itself from now on, DL_VM_NONE for wherever it likes.
+	 * Returns its length in text, at most DL_DIALECT_TEXT_MAX.
+	 */
+	size_t (*announced)(uint64_t door, char *text);
 	/* That it leaves, without its address; the body may be empty. */
 	int (*leave)(struct dl_str id, struct dl_str body,
 		     struct dl_announcement *out, struct dl_err *err);
--- a/test/foreign.sh
+++ b/test/foreign.sh
@@ -50,7 +50,7 @@
 	shift 2
 	test/tool_runner --listen "127.$NET.9.$host:$ENDPOINT_PORT" \
 		--control "$(control 1),$(control 2),$(control 3)" \
-		--instance "$name" --record "$RECORD" "$@" \
+		--instance "$name" --zone r --record "$RECORD" "$@" \
 		>>"$DIR/runner-$name.log" 2>&1 &
 	remember "runner_$(echo "$name" | tr - _)" $!
 }
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -272,6 +272,22 @@
 }
 END_TEST
 
+/* Where an endpoint is to announce itself later, if anywhere. */
+START_TEST(answers_to_announcements)
+{
+	char text[DL_DIALECT_TEXT_MAX];
+	uint64_t door;
+	size_t n;
+
+	ck_assert(dl_vm_parse(DL_STR("10.0.0.9:80"), &door));
+	n = d->announced(door, text);
+	ck_assert(dl_str_eq((struct dl_str){ text, n },
+			    DL_STR("{\"heartbeat_addr\":\"10.0.0.9:80\"}")));
+	n = d->announced(DL_VM_NONE, text);
+	ck_assert(dl_str_eq((struct dl_str){ text, n }, DL_STR("{}")));
+}
+END_TEST
+
 static const struct beat leavings[] = {
 	{ "", 0 },
 	{ "{}", 0 },
@@ -394,6 +410,7 @@
 			    sizeof(leavings) / sizeof(leavings[0]));
 	tcase_add_loop_test(t, announcements, 0,
 			    sizeof(beats) / sizeof(beats[0]));
+	tcase_add_test(t, answers_to_announcements);
 	tcase_add_loop_test(t, configurations, 0,
 			    sizeof(texts) / sizeof(texts[0]));
 	srunner_run_all(r, CK_NORMAL);
--- a/test/test_system_platform.sh
+++ b/test/test_system_platform.sh
@@ -136,6 +136,13 @@
 	printf '{"service":"%s","address":"127.%s.9.%s:%s","zone":"r","version":"v1","slots":16,"state":%s,"seq":%s,"born":%s}' \
 		"$1" "$NET" "$2" $ENDPOINT_PORT "$3" "$4" "$5"
 }
+# An endpoint is told to stay with the replica that it reached.
+$DL_HTTP -t 2000 -X POST -d "$(beat desk 8 '"ready"' 1 1000)" "$(control 2)" \
+	/-/Instances.Heartbeat/d8 |
+	grep -q "\"heartbeat_addr\":\"$(control 2)\"" ||
+	fail "an endpoint is not told where to stay"
+$DL_HTTP -t 2000 -X POST "$(control 2)" /-/Instances.Deregister/d8 >/dev/null ||
+	fail "that an endpoint leaves is not taken"
 kill -USR1 "$(pid_of runner_d2)"
 wait_for 3 "its leaving" grep -q 'leaves.*instance=d2' "$DIR/entry-1.log" ||
 	fail "that an endpoint leaves is not known"
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -60,26 +60,46 @@
 static GPtrArray *jobs;
 static char **controls;
 static guint turn;
+static uint64_t stays_at = DL_VM_NONE; /* as told, until a call there fails */
 static uint64_t sequence;
 static int64_t born; /* when this start began, Unix ms */
 static int record_fd = -1;
 static bool leaving, gone;
 static int64_t beat_at;
 
+/* A call failed: the next one goes elsewhere. */
+static void go_on(void)
+{
+	stays_at = DL_VM_NONE;
+	turn++;
+}
+
 static void on_call_end(void *arg, enum fake_end end)
 {
 	if (end != FAKE_END_WHOLE)
-		turn++;
+		go_on();
 }
 
 static void on_call_head(void *arg, int status, struct dl_str head)
 {
 	if (status != 200)
-		turn++;
+		go_on();
 }
 
+/* The address after a name in a reply; DL_VM_NONE where there is none. */
 static void on_call_body(void *arg, struct dl_str piece)
 {
+	static const char name[] = "\"heartbeat_addr\":\"";
+	const char *at = memmem(piece.s, piece.n, name, sizeof(name) - 1);
+	const char *end = piece.s + piece.n, *quote;
+
+	if (!at)
+		return;
+	at += sizeof(name) - 1;
+	quote = memchr(at, '"', (size_t)(end - at));
+	if (!quote || !dl_vm_parse((struct dl_str){ at, (size_t)(quote - at) },
+				   &stays_at))
+		stays_at = DL_VM_NONE;
 }
 
 static const struct fake_call_ops call_ops = { on_call_head, on_call_body,
@@ -94,7 +114,9 @@
 				     .timeout_ms = CALL_MS };
 	guint n = g_strv_length(controls);
 
-	if (dl_vm_parse(dl_str_of(controls[turn % n]), &req.to))
+	req.to = stays_at;
+	if (stays_at != DL_VM_NONE ||
+	    dl_vm_parse(dl_str_of(controls[turn % n]), &req.to))
 		fake_call_start(loop, &req, &call_ops, NULL);
 }
 
