New words of many endpoints go together, and keys by a rate

Cause: 2,998 endpoints that start with their replicas were a frame each to each of 295 entries, 147,000 frames a replica; and each key went to every entry every 1.2 s, 22 kB a second for an entry.

Ruled out, weighed in docs/design/scale.md: sets that replicas vouch for (a dead endpoint would be said to live for a beat longer, and reopened each time), relays in each failure domain (one that is frozen takes the endpoints of all others with it), reports to dispatchers only.

Change: words that are new gather for 40 ms and go as one deflated body; so do the answers to questions for words. A key is told as often as 1,500 bytes a second and replica allow, and after 2 s at the latest. That an endpoint leaves goes at once.

--- a/include/daisyledge/reports.h
+++ b/include/daisyledge/reports.h
@@ -23,6 +23,11 @@
 /* Whether a key's words were heard since a time. */
 bool dl_reports_fresh(const struct dl_reports *reports, uint64_t key,
 		      int64_t since);
+/*
+ * Whether others are to be told that they were said again, and note that they
+ * are: of many endpoints each one more seldom.
+ */
+bool dl_reports_due(struct dl_reports *reports, uint64_t key, int64_t now);
 /* They were said again, as their key tells. */
 void dl_reports_again(struct dl_reports *reports, uint64_t key, int64_t now);
 /* A start leaves: nothing that it said before counts. */
--- a/src/coordination/reports.c
+++ b/src/coordination/reports.c
@@ -6,9 +6,21 @@
 /* More than any deployment has endpoints; what is said past it is not kept. */
 #define REPORTS_MAX 8192
 
+/*
+ * What a VM takes in of keys from one that passes them on, bytes a second, and
+ * how long an endpoint is not told of at the most for it: an endpoint that is
+ * not heard of for 6 s is taken for gone, and its own words may be late by
+ * seconds.
+ */
+#define KEYS_RATE     1500
+#define KEY_BYTES     9
+#define UNTOLD_MAX_MS 2000
+#define MS_PER_S      1000
+
 struct report {
 	uint64_t key;
 	int64_t heard;
+	int64_t told; /* to others, that they are said */
 	GBytes *words;
 	char *instance;
 };
@@ -74,6 +86,7 @@
 	report = g_new0(struct report, 1);
 	report->key = *key;
 	report->heard = now;
+	report->told = now;
 	report->words = g_bytes_new(words.s, words.n);
 	report->instance = g_strndup(instance.s, instance.n);
 	g_hash_table_insert(reports->by_key, &report->key, report);
@@ -103,6 +116,19 @@
 	return report && report->heard >= since;
 }
 
+/* They are due after a time that grows with the number of endpoints. */
+bool dl_reports_due(struct dl_reports *reports, uint64_t key, int64_t now)
+{
+	struct report *report = g_hash_table_lookup(reports->by_key, &key);
+	int64_t every = (int64_t)dl_reports_count(reports) * KEY_BYTES *
+			MS_PER_S / KEYS_RATE;
+
+	if (!report || now - report->told < MIN(every, UNTOLD_MAX_MS))
+		return false;
+	report->told = now;
+	return true;
+}
+
 /* They were said again. */
 void dl_reports_again(struct dl_reports *reports, uint64_t key, int64_t now)
 {
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -401,6 +401,8 @@
 int entry_announce_take(struct entry *e, struct dl_announcement *a);
 void entry_announce_alive(struct entry *e, uint64_t from,
 			  const struct dl_frame *f);
+void entry_announce_words(struct entry *e, uint64_t from,
+			  const struct dl_frame *f);
 void entry_announce_frame(struct entry *e, uint64_t from,
 			  const struct dl_frame *f);
 
--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -131,25 +131,43 @@
 }
 
 /*
- * An announcement that another VM passed on to this dispatcher.  The words of a
- * start with a name are kept: that it says the same is told by their key.
+ * The words of a start with a name are kept: that it says the same is told by
+ * their key.
  */
-void entry_announce_frame(struct entry *e, uint64_t from,
-			  const struct dl_frame *f)
+static void take_words(void *arg, struct dl_str words)
 {
+	struct entry *e = arg;
 	struct dl_announcement a;
 	uint64_t key;
 
-	if (dl_report_read(f->body, &a))
+	if (dl_report_read(words, &a))
 		return;
 	if (a.instance.n && a.report.leaving)
 		dl_reports_leave(e->reports, dl_name_str(&a.instance));
 	else if (a.instance.n)
-		dl_reports_hear(e->reports, dl_name_str(&a.instance), f->body,
+		dl_reports_hear(e->reports, dl_name_str(&a.instance), words,
 				entry_now(e), &key);
 	take_passed(e, &a);
 }
 
+/* An announcement that another VM passed on. */
+void entry_announce_frame(struct entry *e, uint64_t from,
+			  const struct dl_frame *f)
+{
+	take_words(e, f->body);
+}
+
+/* Those of many endpoints, passed on together. */
+void entry_announce_words(struct entry *e, uint64_t from,
+			  const struct dl_frame *f)
+{
+	int rc = dl_words_read(f->body, take_words, e);
+
+	if (rc)
+		dl_msg(DL_MSG_ENDPOINT_REFUSED, "from=%lx bytes=%zu error=%d",
+		       (unsigned long)from, f->body.n, rc);
+}
+
 /* Endpoints say what they said before: their keys, in place of their words. */
 void entry_announce_alive(struct entry *e, uint64_t from,
 			  const struct dl_frame *f)
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -48,6 +48,7 @@
 	{ DL_FRAME_RELEASE, on_release },
 	{ DL_FRAME_FIRST, on_first },
 	{ DL_FRAME_REPORT, entry_announce_frame },
+	{ DL_FRAME_WORDS, entry_announce_words },
 	{ DL_FRAME_ALIVE, entry_announce_alive },
 	{ DL_FRAME_SUMMARY, entry_far_frame },
 	{ DL_FRAME_ADOPT, on_adopt },
--- a/src/main/replica_alive.c
+++ b/src/main/replica_alive.c
@@ -1,13 +1,17 @@
 /*
- * Endpoints' announcements on their way to the entries.  Words that say
- * something new go to each entry at once; that an endpoint still says the same
- * goes as its key, with those of other endpoints, and an entry that does not
- * know a key asks for the words.
+ * Endpoints' announcements on their way to the entries.  That an endpoint
+ * leaves goes to each entry at once.  Words that say something else that is new
+ * go together with those of other endpoints, deflated; that an endpoint still
+ * says the same goes as its key, and an entry that does not know a key asks for
+ * the words.
  *
  * Load: 147 endpoints that announce themselves every 1.2 s to 295 entries are
  * 36,000 frames a second, for each entry 29,000 bytes a second, where all of
- * control may take 12,000.  As keys they are 2,700.
+ * control may take 12,000.  As keys they are 2,700.  And three thousand that
+ * start with their replicas: a frame for each of them to each entry kept the
+ * replicas from acknowledging changes for seconds.
  */
+#include <stdlib.h>
 #include <string.h>
 
 #include "daisyledge/reports.h"
@@ -19,6 +23,8 @@
  * dispatcher waits to hear its endpoints.
  */
 #define TOGETHER_MS 250
+/* And words that are new: a few turns of the loop. */
+#define WORDS_TOGETHER_MS 40
 /* Words that were said last before this are not told any more. */
 #define TELL_MS 2000
 /* An endpoint that is silent so long is forgotten. */
@@ -26,9 +32,12 @@
 
 struct replica_alive {
 	struct dl_reports *reports;
-	uint64_t key[DL_RENEWED_MAX];
+	uint64_t key[DL_RENEWED_MAX]; /* said again */
 	uint32_t count;
 	int64_t sent_at;
+	uint64_t new_key[DL_RENEWED_MAX]; /* of words that are new */
+	uint32_t new_count;
+	int64_t words_at;
 	int64_t forgotten_at;
 };
 
@@ -54,6 +63,43 @@
 	}
 }
 
+/* The words of keys in one body, those that are not known left out. */
+static uint32_t words_of(const struct replica_alive *alive,
+			 const uint64_t *keys, uint32_t count, char **body,
+			 size_t *n)
+{
+	struct dl_str words[DL_RENEWED_MAX];
+	uint32_t known = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		words[known] = dl_reports_find(alive->reports, keys[i]);
+		known += words[known].n > 0;
+	}
+	if (known && dl_words_pack(words, known, body, n))
+		known = 0;
+	return known;
+}
+
+/*
+ * Send the words that have gathered.  Those of a start that left meanwhile are
+ * not known any more: sent after the word that it leaves, they would make it
+ * known to an entry that had not heard of it.
+ */
+static void flush_words(struct replica *r, struct replica_alive *alive,
+			int64_t now)
+{
+	uint32_t count = alive->new_count;
+	char *body;
+	size_t n;
+
+	alive->new_count = 0;
+	alive->words_at = now;
+	if (!words_of(alive, alive->new_key, count, &body, &n))
+		return;
+	to_members(r, false, DL_FRAME_WORDS, (struct dl_str){ body, n });
+	free(body);
+}
+
 /* Send the keys that have gathered; those of starts that left meanwhile not. */
 static void flush(struct replica *r, struct replica_alive *alive, int64_t now)
 {
@@ -73,6 +119,22 @@
 	dl_packer_close(&pk);
 }
 
+static void gather_key(struct replica *r, struct replica_alive *alive,
+		       uint64_t key, int64_t now)
+{
+	if (alive->count == DL_RENEWED_MAX)
+		flush(r, alive, now);
+	alive->key[alive->count++] = key;
+}
+
+static void gather_words(struct replica *r, struct replica_alive *alive,
+			 uint64_t key, int64_t now)
+{
+	if (alive->new_count == DL_RENEWED_MAX)
+		flush_words(r, alive, now);
+	alive->new_key[alive->new_count++] = key;
+}
+
 /*
  * Pass an announcement on.  That an endpoint leaves also goes to the other
  * replicas: one that heard it a moment before still had its key to send.
@@ -85,7 +147,7 @@
 	int64_t now = replica_now(r);
 	struct dl_packer pk;
 	uint64_t key = 0;
-	bool fresh;
+	bool fresh, kept;
 
 	said.sequence = 0; /* else each word would be a new one */
 	dl_report_pack(&pk, &said);
@@ -94,15 +156,16 @@
 	fresh = a->report.leaving ||
 		dl_reports_hear(alive->reports, instance, dl_packer_bytes(&pk),
 				now, &key);
-	if (fresh)
+	/* One that there is no room to keep cannot be gathered. */
+	kept = fresh && dl_reports_find(alive->reports, key).n > 0;
+	if (fresh && !kept)
 		to_members(r, a->report.leaving, DL_FRAME_REPORT,
 			   dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
-	if (fresh)
-		return;
-	if (alive->count == DL_RENEWED_MAX)
-		flush(r, alive, now);
-	alive->key[alive->count++] = key;
+	if (kept)
+		gather_words(r, alive, key, now);
+	else if (!fresh && dl_reports_due(alive->reports, key, now))
+		gather_key(r, alive, key, now);
 }
 
 /* Another replica has heard that an endpoint leaves. */
@@ -110,8 +173,10 @@
 {
 	struct dl_announcement a;
 
-	if (dl_report_read(f->body, &a) == 0 && a.report.leaving)
-		dl_reports_leave(r->alive->reports, dl_name_str(&a.instance));
+	if (dl_report_read(f->body, &a) || !a.report.leaving)
+		return;
+	dl_reports_leave(r->alive->reports, dl_name_str(&a.instance));
+	replica_door_left(r, &a);
 }
 
 /* An entry asks for the words of keys that it does not know. */
@@ -122,15 +187,20 @@
 	int64_t since = replica_now(r) - TELL_MS;
 	uint64_t keys[DL_RENEWED_MAX];
 	struct dl_name none;
-	uint32_t count;
+	uint32_t count, known = 0;
+	char *body;
+	size_t n;
 
 	if (dl_numbers_read(f->body, &none, keys, &count))
 		return;
 	for (uint32_t i = 0; i < count; i++) {
 		if (dl_reports_fresh(reports, keys[i], since))
-			replica_send(r, from, DL_FRAME_REPORT, 0,
-				     dl_reports_find(reports, keys[i]));
+			keys[known++] = keys[i];
 	}
+	if (!words_of(r->alive, keys, known, &body, &n))
+		return;
+	replica_send(r, from, DL_FRAME_WORDS, 0, (struct dl_str){ body, n });
+	free(body);
 }
 
 /* Send what has gathered for long enough. */
@@ -138,6 +208,8 @@
 {
 	struct replica_alive *alive = r->alive;
 
+	if (alive->new_count && now - alive->words_at >= WORDS_TOGETHER_MS)
+		flush_words(r, alive, now);
 	if (now - alive->sent_at >= TOGETHER_MS)
 		flush(r, alive, now);
 	if (now - alive->forgotten_at < FORGET_MS / 2)
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -2,8 +2,13 @@
 #include "protocol/pool_codec.h"
 
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "protocol/squeeze.h"
+
+/* Of a body of many announcements, inflated. */
+#define WORDS_MAX     ((size_t)4 << 20)
 #define ASK_ITEMS     17
 #define ANSWER_ITEMS  14
 #define RELEASE_ITEMS 10
@@ -390,6 +395,44 @@
 	return finish(&r);
 }
 
+/* Pack the announcements of many endpoints. */
+int dl_words_pack(const struct dl_str *words, uint32_t count, char **out,
+		  size_t *n)
+{
+	struct dl_packer p;
+	int rc;
+
+	dl_packer_open(&p, count);
+	for (uint32_t i = 0; i < count; i++)
+		dl_pack_str(&p, words[i]);
+	rc = dl_squeeze(dl_packer_bytes(&p), out, n);
+	dl_packer_close(&p);
+	return rc;
+}
+
+/* Read them, one after the other. */
+int dl_words_read(struct dl_str body,
+		  void (*take)(void *arg, struct dl_str words), void *arg)
+{
+	struct dl_reader r;
+	char *plain;
+	size_t n;
+	int rc = dl_unsqueeze(body, WORDS_MAX, &plain, &n);
+
+	if (rc)
+		return rc;
+	dl_reader_open(&r, (struct dl_str){ plain, n });
+	while (!r.bad && r.left) {
+		struct dl_str words = dl_read_str(&r);
+
+		if (!r.bad)
+			take(arg, words);
+	}
+	rc = finish(&r);
+	free(plain);
+	return rc;
+}
+
 /* Pack a pool in one line. */
 void dl_summary_pack(struct dl_packer *p, struct dl_str service,
 		     struct dl_str domain, const struct dl_pool_summary *s)
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -117,6 +117,45 @@
 }
 END_TEST
 
+struct words_taken {
+	uint32_t count;
+	char all[64];
+};
+
+static void take_words(void *arg, struct dl_str words)
+{
+	struct words_taken *t = arg;
+
+	t->count++;
+	ck_assert_uint_lt(strlen(t->all) + words.n, sizeof(t->all));
+	strncat(t->all, words.s, words.n);
+}
+
+/* Many announcements in one body; damaged ones are refused, none is made up. */
+START_TEST(words_of_many_round_trip)
+{
+	struct dl_str words[] = { DL_STR("one"), DL_STR("two"),
+				  DL_STR("three") };
+	struct words_taken got = { 0 };
+	char *body;
+	size_t n;
+
+	ck_assert_int_eq(dl_words_pack(words, 3, &body, &n), 0);
+	ck_assert_int_eq(dl_words_read((struct dl_str){ body, n }, take_words,
+				       &got),
+			 0);
+	ck_assert_uint_eq(got.count, 3);
+	ck_assert_str_eq(got.all, "onetwothree");
+	memset(&got, 0, sizeof(got));
+	for (size_t cut = 0; cut < n; cut++)
+		ck_assert_int_eq(dl_words_read((struct dl_str){ body, cut },
+					       take_words, &got),
+				 -EBADMSG);
+	ck_assert_uint_eq(got.count, 0);
+	free(body);
+}
+END_TEST
+
 START_TEST(report_release_summary_round_trip)
 {
 	struct dl_announcement a, a2;
@@ -475,6 +514,7 @@
 	tcase_set_timeout(t, 120);
 	tcase_add_test(t, ask_times_are_what_is_left);
 	tcase_add_test(t, answer_and_adopt_round_trip);
+	tcase_add_test(t, words_of_many_round_trip);
 	tcase_add_test(t, report_release_summary_round_trip);
 	tcase_add_test(t, damaged_frames);
 	tcase_add_loop_test(t, completions, 0, CASES(completion_cases));
--- a/test/test_reports.c
+++ b/test/test_reports.c
@@ -53,6 +53,33 @@
 }
 END_TEST
 
+/*
+ * That an endpoint says the same is told each time while there are few, and of
+ * many so seldom that a VM takes in a bounded number of keys; never more than
+ * two seconds late, since one that is not told of for six is taken for gone.
+ */
+START_TEST(many_are_told_of_more_seldom)
+{
+	uint64_t key[2000], told = 0;
+	char name[16];
+
+	hear("one", "one", 0, &key[0]);
+	for (int64_t at = 1200; at <= 12000; at += 1200)
+		told += dl_reports_due(reports, key[0], at);
+	ck_assert_uint_eq(told, 10);
+	told = 0;
+	for (int i = 0; i < 2000; i++) {
+		snprintf(name, sizeof(name), "e%d", i);
+		hear(name, name, 0, &key[i]);
+	}
+	for (int64_t at = 1200; at <= 12000; at += 1200)
+		for (int i = 0; i < 2000; i++)
+			told += dl_reports_due(reports, key[i], at);
+	ck_assert_uint_eq(told, 2000 * 5);
+	ck_assert(!dl_reports_due(reports, 12345, 99999));
+}
+END_TEST
+
 START_TEST(silent_ones_are_forgotten)
 {
 	uint64_t a, b;
@@ -153,6 +180,7 @@
 	tcase_add_checked_fixture(t, begin, end);
 	tcase_add_test(t, the_same_words_have_one_key);
 	tcase_add_test(t, a_start_that_left_has_no_words);
+	tcase_add_test(t, many_are_told_of_more_seldom);
 	tcase_add_test(t, silent_ones_are_forgotten);
 	tcase_add_test(t, a_push_stays_in_its_network);
 	srunner_run_all(r, CK_NORMAL);
