--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -205,7 +205,8 @@
 int entry_announce_take(struct entry *e, struct dl_announcement *a)
 {
 	struct dl_str service = dl_name_str(&a->service);
-	struct dl_str domain = dl_name_str(&a->report.failure_domain);
+	struct dl_name said = a->report.failure_domain;
+	struct dl_str domain = dl_name_str(&said);
 	struct entry_pool *p = entry_pool_find(e, service);
 	struct dl_packer pk;
 	uint64_t owner;
@@ -215,6 +216,9 @@
 	if (domain.n == 0 || e->node.settings.region.n)
 		domain =
 			dl_name_str(dl_settings_pool_domain(&e->node.settings));
+	/* Where a pool is of one failure domain it says nothing. */
+	if (!e->node.settings.region.n)
+		dl_name_set(&a->report.failure_domain, DL_STR(""));
 	owner = entry_pool_owner(e, service, domain);
 	if (entry_pool_is_own(e, domain))
 		report_here(e, p, a);
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -53,7 +53,9 @@
 	ask->request = c->ask_id;
 	ask->entry = c->e->node.self;
 	ask->workspace = dl_name_str(&c->workspace);
-	ask->failure_domain = c->e->node.settings.failure_domain;
+	/* Where a pool is of one failure domain it says nothing. */
+	if (c->e->node.settings.region.n)
+		ask->failure_domain = c->e->node.settings.failure_domain;
 	ask->class = c->class;
 	ask->prompt_tokens = c->prompt_tokens;
 	ask->output_tokens = c->output_tokens;
--- a/src/state/rlog_follow.c
+++ b/src/state/rlog_follow.c
@@ -103,8 +103,8 @@
 /*
  * Whether all that was committed before this replica started, and before this
  * term began, has been applied here.  A snapshot may be of the present term and
- * yet be older than what was in force: pushed to VMs that had just started, such
- * a text was read by all of them before the one in force.
+ * yet be older than what was in force: pushed to VMs that had just started,
+ * such a text was read by all of them before the one in force.
  */
 bool rlog_is_current(const struct dl_rlog *r)
 {
