Endpoints that all fall silent at once are kept

No announcement came through for 6 s, and the pool closed all of its endpoints.

Change: where no endpoint of a pool has reported for half of the time after which one counts as gone, none is closed, for 30 s at the most; an endpoint that is really gone is found out by the first request that cannot reach it. A silent one among others is closed as before.

--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -11,6 +11,13 @@
  * 600 in all pools together.
  */
 #define ENDPOINTS_MAX 4096
+/*
+ * Reports of a whole pool that fail to come for this part of the time after
+ * which one endpoint counts as gone have stopped on their way.
+ */
+#define SILENT_PART 2
+/* An endpoint that nobody speaks of is not kept for longer. */
+#define SILENT_MAX_MS 30000
 
 static int check_report(const struct dl_pool *pool,
 			const struct dl_endpoint_report *r);
@@ -150,6 +157,7 @@
 	}
 	e->state = POOL_EP_LIVE;
 	e->unreachable = false;
+	pool->heard = now;
 	pool_heap_set(&pool->endpoint_gone, &e->gone,
 		      now + pool->conf.report_gone_ms);
 	pool_backlog_report(pool, e, first, now);
@@ -178,14 +186,41 @@
 		pool_endpoint_forget(pool, e);
 }
 
-/* Close the endpoints that have not been heard for too long. */
+/*
+ * Whether the reports of all have stopped: then the way of the reports is cut,
+ * not every endpoint gone at once.  One that is gone is found out by the first
+ * request that cannot reach it.
+ *
+ * Load: endpoints that cannot reach those who take their announcements, for
+ * some seconds, and go on serving.  Without it every request was refused for
+ * want of endpoints until the announcements came again.
+ */
+static bool all_are_silent(const struct dl_pool *pool, int64_t now)
+{
+	int64_t silent = now - pool->heard;
+
+	return silent > pool->conf.report_gone_ms / SILENT_PART &&
+	       silent < SILENT_MAX_MS;
+}
+
+/*
+ * Close the endpoints that have not been heard for too long.  Where all are
+ * silent none is closed, and each has the whole time again after that.
+ */
 void pool_endpoint_expire(struct dl_pool *pool, int64_t now)
 {
+	bool wait = all_are_silent(pool, now);
 	struct pool_heap_node *top;
 
-	while ((top = pool_heap_top(&pool->endpoint_gone)) && top->key <= now)
-		close_endpoint(pool, POOL_OF(top, struct pool_endpoint, gone),
-			       now);
+	while ((top = pool_heap_top(&pool->endpoint_gone)) && top->key <= now) {
+		if (wait)
+			pool_heap_set(&pool->endpoint_gone, top,
+				      now + pool->conf.report_gone_ms);
+		else
+			close_endpoint(pool,
+				       POOL_OF(top, struct pool_endpoint, gone),
+				       now);
+	}
 }
 
 /*
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -356,6 +356,7 @@
 	uint64_t random;
 	int64_t strange_until; /* others' grants may not be known yet */
 	int64_t now;	       /* of the event under way */
+	int64_t heard;	       /* when any endpoint last reported */
 
 	struct pool_endpoint **endpoints;
 	uint32_t endpoints_n;
