Silent endpoints are kept only where all reports come by one way, and it is said

Cause: a pool that hears its endpoints by chance (own protocol, another VM dispatches) would have kept one that had said elsewhere that it leaves. Where the platform's protocol is spoken nothing changes but the two lines.

--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -41,6 +41,7 @@
 	uint32_t out_share_permille;  /* of the pool that may be put out */
 	uint32_t grant_lease_ms;      /* unrenewed grants are reclaimed */
 	uint32_t report_gone_ms;      /* an unreported endpoint is gone */
+	bool reports_together; /* all by one way: if all stop, it is cut */
 	uint32_t weight_default;
 	struct dl_engine_model engine; /* dl_policy_engine places by it */
 };
@@ -176,6 +177,9 @@
 
 int dl_pool_report(struct dl_pool *pool, const struct dl_endpoint_report *r,
 		   int64_t now);
+/* Whether the reports of all endpoints have stopped, and all are kept for it.
+ */
+bool dl_pool_is_silent(const struct dl_pool *pool, int64_t now);
 void dl_pool_endpoint_gone(struct dl_pool *pool, struct dl_str id, int64_t now);
 /* The operators' drain: no new work until lifted, whatever it reports. */
 void dl_pool_endpoint_drain(struct dl_pool *pool, struct dl_str id, bool drain,
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -47,6 +47,9 @@
 	X(PEER_BAD, DL_WARN, "peers", "Bad frame, connection closed.")         \
 	/* pool */                                                             \
 	X(POOL_LEAD, DL_INFO, "pool", "Dispatching begins here.")              \
+	X(POOL_SILENT, DL_WARN, "pool",                                        \
+	  "No endpoint is heard, those known are kept.")                       \
+	X(POOL_HEARD, DL_INFO, "pool", "Endpoints are heard again.")           \
 	X(POOL_ENDPOINT_UP, DL_INFO, "pool", "An endpoint came.")              \
 	X(POOL_ENDPOINT_GONE, DL_INFO, "pool", "An endpoint went.")            \
 	/* replica */                                                          \
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -193,13 +193,16 @@
  *
  * Load: endpoints that cannot reach those who take their announcements, for
  * some seconds, and go on serving.  Without it every request was refused for
- * want of endpoints until the announcements came again.
+ * want of endpoints until the announcements came again.  Only where this pool
+ * is told all reports by those who take them: where it hears some by chance, an
+ * endpoint may have said elsewhere that it leaves.
  */
-static bool all_are_silent(const struct dl_pool *pool, int64_t now)
+bool dl_pool_is_silent(const struct dl_pool *pool, int64_t now)
 {
 	int64_t silent = now - pool->heard;
 
-	return silent > pool->conf.report_gone_ms / SILENT_PART &&
+	return pool->conf.reports_together && pool->endpoints_n &&
+	       silent > pool->conf.report_gone_ms / SILENT_PART &&
 	       silent < SILENT_MAX_MS;
 }
 
@@ -209,7 +212,7 @@
  */
 void pool_endpoint_expire(struct dl_pool *pool, int64_t now)
 {
-	bool wait = all_are_silent(pool, now);
+	bool wait = dl_pool_is_silent(pool, now);
 	struct pool_heap_node *top;
 
 	while ((top = pool_heap_top(&pool->endpoint_gone)) && top->key <= now) {
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -95,6 +95,7 @@
 	if (!s)
 		return;
 	conf = s->pool;
+	conf.reports_together = e->node.settings.foreign;
 	if (!p->leading && !e->node.settings.foreign &&
 	    conf.report_gone_ms > KEPT_REPORT_MS)
 		conf.report_gone_ms = KEPT_REPORT_MS;
@@ -507,6 +508,18 @@
 	}
 }
 
+/* Say that the reports of a pool's endpoints have stopped, or come again. */
+static void note_silence(struct entry_pool *p, int64_t now)
+{
+	bool silent = dl_pool_is_silent(p->pool, now);
+
+	if (silent == p->silent)
+		return;
+	p->silent = silent;
+	dl_msg(silent ? DL_MSG_POOL_SILENT : DL_MSG_POOL_HEARD,
+	       "service=%s leading=%d", p->service.s, p->leading);
+}
+
 /* Hand out what became ready, and tell other domains of the load. */
 void entry_pool_tick(struct entry *e, int64_t now)
 {
@@ -521,6 +534,7 @@
 			send_answer(e, p, &answer);
 		if (!summaries)
 			continue;
+		note_silence(p, now);
 		if (p->leading) {
 			struct dl_pool_summary s;
 
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -176,12 +176,28 @@
 }
 END_TEST
 
-/* One that is silent while another speaks gets nothing new. */
 START_TEST(silent_endpoint_keeps_its_grants)
+{
+	struct dl_answer a;
+
+	report("a:1");
+	report("b:1");
+	a = ask(1000, 0, FAR);
+	now += GONE;
+	dl_pool_renew(pool, a.grant, now);
+	ck_assert_int_eq(ask(1000, 0, FAR).reason, DL_REASON_NO_ENDPOINT);
+}
+END_TEST
+
+/* One that is silent while another speaks gets nothing new. */
+START_TEST(silent_one_gets_nothing_new)
 {
 	struct dl_answer a, b;
+	struct dl_pool_conf together = conf;
 	const char *other;
 
+	together.reports_together = true;
+	dl_pool_configure(pool, &together);
 	report("a:1");
 	report("b:1");
 	a = ask(1000, 0, FAR);
@@ -677,12 +693,17 @@
  */
 START_TEST(silence_of_all_closes_none)
 {
+	struct dl_pool_conf together = conf;
 	struct dl_pool_summary s;
 
+	together.reports_together = true;
+	dl_pool_configure(pool, &together);
 	report("a:1");
 	report("b:1");
 	report("c:1");
+	ck_assert(!dl_pool_is_silent(pool, now));
 	now += conf.report_gone_ms * 2;
+	ck_assert(dl_pool_is_silent(pool, now));
 	ck_assert_int_eq(ask(1000, 100, FAR).verdict, DL_GRANTED);
 	now += conf.report_gone_ms * 2;
 	ck_assert_int_eq(ask(1000, 100, FAR).verdict, DL_GRANTED);
@@ -701,6 +722,10 @@
 /* For ever nobody is kept without a word. */
 START_TEST(silence_ends)
 {
+	struct dl_pool_conf together = conf;
+
+	together.reports_together = true;
+	dl_pool_configure(pool, &together);
 	report("a:1");
 	for (int i = 0; i < 200; i++) {
 		ask(1000, 100, FAR);
@@ -791,6 +816,7 @@
 	tcase_add_test(t, dead_entry_gives_all_back);
 	tcase_add_test(t, new_incarnation_holds_nothing);
 	tcase_add_test(t, silent_endpoint_keeps_its_grants);
+	tcase_add_test(t, silent_one_gets_nothing_new);
 	tcase_add_test(t, ask_twice_is_one_request);
 	tcase_add_test(t, incarnations_give_other_ids);
 	tcase_add_test(t, adopted_grant_is_counted_before_its_endpoint);
