--- a/src/main/replica_alive.c
+++ b/src/main/replica_alive.c
@@ -63,7 +63,11 @@
 	}
 }
 
-/* The words of keys in one body, those that are not known left out. */
+/*
+ * The words of keys in one body, those that are not known left out; returns how
+ * many, 0 also where there is no memory for it: who misses words asks for them
+ * at the next key.
+ */
 static uint32_t words_of(const struct replica_alive *alive,
 			 const uint64_t *keys, uint32_t count, char **body,
 			 size_t *n)
