--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -47,7 +47,7 @@
 	struct dl_name service;
 	struct dl_pool *pool;
 	bool leading;
-	bool silent; /* no endpoint is heard */
+	bool silent;	       /* no endpoint is heard */
 	GHashTable *announced; /* endpoint to its last struct announced */
 	struct dl_spill spill;
 	int64_t led_since;
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -141,9 +141,8 @@
 	size_t n;
 
 	ck_assert_int_eq(dl_words_pack(words, 3, &body, &n), 0);
-	ck_assert_int_eq(dl_words_read((struct dl_str){ body, n }, take_words,
-				       &got),
-			 0);
+	ck_assert_int_eq(
+		dl_words_read((struct dl_str){ body, n }, take_words, &got), 0);
 	ck_assert_uint_eq(got.count, 3);
 	ck_assert_str_eq(got.all, "onetwothree");
 	memset(&got, 0, sizeof(got));
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -702,10 +702,10 @@
 	report("b:1");
 	report("c:1");
 	ck_assert(!dl_pool_is_silent(pool, now));
-	now += conf.report_gone_ms * 2;
+	now += (int64_t)conf.report_gone_ms * 2;
 	ck_assert(dl_pool_is_silent(pool, now));
 	ck_assert_int_eq(ask(1000, 100, FAR).verdict, DL_GRANTED);
-	now += conf.report_gone_ms * 2;
+	now += (int64_t)conf.report_gone_ms * 2;
 	ck_assert_int_eq(ask(1000, 100, FAR).verdict, DL_GRANTED);
 	/* Two are heard again, and go on; the third is not. */
 	for (int i = 0; i < 6; i++) {
--- a/test/test_reports.c
+++ b/test/test_reports.c
@@ -75,7 +75,7 @@
 	for (int64_t at = 1200; at <= 12000; at += 1200)
 		for (int i = 0; i < 2000; i++)
 			told += dl_reports_due(reports, key[i], at);
-	ck_assert_uint_eq(told, 2000 * 5);
+	ck_assert_uint_eq(told, 2000ul * 5);
 	ck_assert(!dl_reports_due(reports, 12345, 99999));
 }
 END_TEST
