Requests stay in the failure domain of their VM, over the real binary

Three failure domains of one region: streams and plain calls run at home, and with the others once a domain has no endpoint; the line at a request's end says so. The settings of the stand-in deployment name a failure domain for each process where APART is set.

--- a/test/foreign.sh
+++ b/test/foreign.sh
@@ -16,16 +16,27 @@
 
 SEEDS="\"$(control 1)\",\"$(control 2)\",\"$(control 3)\""
 
+# Where a process stands: all in one failure domain, or, with APART set, each in
+# one of its own, in one region.
+place() { # D
+	if [ -n "${APART:-}" ]; then
+		printf '"failure_domain":"place-%s","region":"r"' "$1"
+	else
+		printf '"failure_domain":"r"'
+	fi
+}
+
 settings() { # ROLE D FOUND
 	if [ "$1" = entry ]; then
-		printf '{"name":"entry-%s","failure_domain":"r","foreign":true,"http":"%s","ready":"127.%s.%s.1:%s","peer":"127.%s.%s.1:%s","seeds":[%s],"key_lease_ms":2500,"stop_s":8}\n' \
-			"$2" "$(front "$2")" "$NET" "$2" $READY_PORT \
+		printf '{"name":"entry-%s",%s,"foreign":true,"http":"%s","ready":"127.%s.%s.1:%s","peer":"127.%s.%s.1:%s","seeds":[%s],"key_lease_ms":2500,"stop_s":8}\n' \
+			"$2" "$(place "$2")" "$(front "$2")" \
+			"$NET" "$2" $READY_PORT \
 			"$NET" "$2" $PEER_PORT "$SEEDS"
 	else
 		mkdir -p "$DIR/data-$2"
-		printf '{"name":"replica-%s","failure_domain":"r","foreign":true,"operators":"%s","peer":"127.%s.%s.2:%s","seeds":[%s],"found":%s,"failures_max":1,"data_folder":"%s"}\n' \
-			"$2" "$(control "$2")" "$NET" "$2" $PEER_PORT \
-			"$(replica_seeds)" "$3" "$DIR/data-$2"
+		printf '{"name":"replica-%s",%s,"foreign":true,"operators":"%s","peer":"127.%s.%s.2:%s","seeds":[%s],"found":%s,"failures_max":1,"data_folder":"%s"}\n' \
+			"$2" "$(place "$2")" "$(control "$2")" \
+			"$NET" "$2" $PEER_PORT "$(replica_seeds)" "$3" "$DIR/data-$2"
 	fi >"$DIR/$1-$2.json"
 }
 
--- /dev/null
+++ b/test/test_system_places.sh
@@ -0,0 +1,65 @@
+#!/bin/sh
+# Three failure domains of one region, over the real binary: a request stays in
+# the failure domain of its VM, and is served by the others where that has no
+# endpoint.
+cd "$(dirname "$0")/.." || exit 2
+. test/deploy.sh
+test_begin dala
+APART=yes
+. test/foreign.sh
+
+for d in 1 2 3; do
+	start replica $d true
+	start entry $d
+done
+for d in 1 2 3; do
+	runner "w$d" $d --zone "place-$d" --service writer
+	runner "d$d" $((d + 3)) --zone "place-$d" --service desk --plain
+done
+wait_for 10 "the first change" put "$(config 5 5000 '"key-one"')" ||
+	fail "the first change is not taken"
+for d in 1 2 3; do
+	wait_for 10 "entry $d" ready $d || fail "entry $d is not ready"
+	for name in w1 w2 w3 d1 d2 d3; do
+		wait_for 5 "$name" grep -q "started.*instance=$name " \
+			"$DIR/entry-$d.log" || fail "an endpoint is not known"
+	done
+done
+
+# Streams and plain calls stay at home.
+for n in 1 2 3 4 5 6; do
+	for d in 1 2 3; do
+		chat $d "stream-$d-$n" >"$DIR/stream" && whole "$DIR/stream" ||
+			fail "a stream is not whole"
+		book $d "call-$d-$n" 200 -H "$KEY" >/dev/null ||
+			fail "a call is not served"
+	done
+done
+for d in 1 2 3; do
+	[ "$(grep -c "^w$d stream-$d-" "$RECORD")" = 6 ] ||
+		fail "a stream left the failure domain of its VM"
+	[ "$(grep -c "^d$d call-$d-" "$RECORD")" = 6 ] ||
+		fail "a call left the failure domain of its VM"
+done
+grep 'A request ended' "$DIR"/entry-?.log | grep -q 'away=[1-9]' &&
+	fail "the line of a request says that it left its failure domain"
+
+# A failure domain without endpoints is served by the others.
+retire runner_w3
+retire runner_d3
+for d in 1 2 3; do
+	for name in w3 d3; do
+		wait_for 3 "its leaving" grep -q "leaves.*instance=$name " \
+			"$DIR/entry-$d.log" || fail "a leaving is not known"
+	done
+done
+for n in 1 2 3; do
+	chat 3 "away-$n" >"$DIR/stream" && whole "$DIR/stream" ||
+		fail "a stream without an endpoint at home is not served"
+	book 3 "away-call-$n" 200 -H "$KEY" >/dev/null ||
+		fail "a call without an endpoint at home is not served"
+done
+[ "$(grep -c '^w[12] away-' "$RECORD")" = 3 ] ||
+	fail "a stream ran somewhere else"
+grep 'attempt=away-1 ' "$DIR/entry-3.log" | grep -q 'away=1' ||
+	fail "the line of a request does not say that it left"
