One piece completes an announcement, one says whose VMs dispatch together

Found by reading the change as a whole. replica_door.c had written again what entry_announce.c did: what is known of a start goes into its words; both call dl_node_complete() now. own_domain() in entry_grant.c was entry_pool_is_own(). A report is not copied before it is known that it only leaves.

--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -103,11 +103,10 @@
 static void complete_leave(const struct pool_endpoint *e,
 			   struct dl_endpoint_report *r)
 {
-	struct dl_endpoint_report known = e->last;
-
-	if (!r->leaving || r->slots > 0 || known.incarnation != r->incarnation)
+	if (!r->leaving || r->slots > 0 ||
+	    e->last.incarnation != r->incarnation)
 		return;
-	*r = known;
+	*r = e->last;
 	r->leaving = true;
 }
 
--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -92,10 +92,8 @@
 		return false;
 	if (left)
 		forget_earlier(e, left);
-	a->report.id = d->address;
-	a->service = d->service;
+	dl_node_complete(a, d);
 	a->report.incarnation = d->incarnation;
-	a->report.leaving = d->leaving;
 	return true;
 }
 
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -36,10 +36,7 @@
 
 static bool own_domain(const struct call *c)
 {
-	const struct dl_name *own =
-		dl_settings_pool_domain(&c->e->node.settings);
-
-	return dl_name_eq(own, dl_name_str(&c->domain));
+	return entry_pool_is_own(c->e, dl_name_str(&c->domain));
 }
 
 static void fill_ask(struct call *c)
--- a/src/main/node.h
+++ b/src/main/node.h
@@ -60,6 +60,8 @@
 			   const struct dl_announcement *a, int64_t now,
 			   const struct dl_directory_entry **entry,
 			   const struct dl_directory_entry **left);
+void dl_node_complete(struct dl_announcement *a,
+		      const struct dl_directory_entry *start);
 
 /* The monotonic time of the loop, in milliseconds. */
 int64_t dl_node_now(const struct dl_node *node);
--- a/src/main/node_hear.c
+++ b/src/main/node_hear.c
@@ -35,3 +35,16 @@
 		       (unsigned long)(*left)->born, (*entry)->address.s);
 	return heard;
 }
+
+/*
+ * What is known of a start goes with its words.  Its leaving is final: a word
+ * that comes later would make it known as ready to a VM that has just started.
+ * And one that only leaves names no address or service.
+ */
+void dl_node_complete(struct dl_announcement *a,
+		      const struct dl_directory_entry *start)
+{
+	a->report.id = start->address;
+	a->service = start->service;
+	a->report.leaving = start->leaving;
+}
--- a/src/main/replica_door.c
+++ b/src/main/replica_door.c
@@ -128,22 +128,6 @@
 	return s.role == DL_RLOG_FOLLOWER && s.leader != DL_VM_NONE;
 }
 
-/*
- * What is known of a start goes with its words.  Its leaving is final: a word
- * that comes later would make it known as ready to a VM that has just started.
- * And one that only leaves names no address: those who have not heard of the
- * start, other replicas and VMs that have just started, would not keep it.
- */
-static void complete(struct dl_announcement *a,
-		     const struct dl_directory_entry *start)
-{
-	a->report.leaving = start->leaving;
-	if (a->report.id.n)
-		return;
-	a->report.id = start->address;
-	a->service = start->service;
-}
-
 static void on_announce(struct replica_door *d, struct dl_httpd_req *req,
 			struct dl_str id, bool leave)
 {
@@ -171,7 +155,7 @@
 	heard = dl_node_hear(d->directory, &a, replica_now(d->r), &entry,
 			     &left);
 	if (heard != DL_HEARD_OLD)
-		complete(&a, entry);
+		dl_node_complete(&a, entry);
 	replica_alive_pass(d->r, &a);
 	/*
 	 * An endpoint stays with this replica.  One that goes to another each
