--- a/test/foreign.sh
+++ b/test/foreign.sh
@@ -56,6 +56,23 @@
 	remember "$1_$2" $!
 }
 
+# Three VMs, each with an entry and a replica, of a group that founds itself.
+start_all() {
+	for d in 1 2 3; do
+		start replica $d true
+		start entry $d
+	done
+}
+
+# The first change is taken, and all entries are ready.
+configure_all() { # KEYS
+	wait_for 10 "the first change" put "$(config 5 5000 "$1")" ||
+		fail "the first change is not taken"
+	for d in 1 2 3; do
+		wait_for 10 "entry $d" ready $d || fail "entry $d is not ready"
+	done
+}
+
 runner() { # NAME I [OPTION...]
 	name=$1 host=$2
 	shift 2
--- a/test/test_placing.c
+++ b/test/test_placing.c
@@ -31,12 +31,15 @@
 static uint64_t next_request;
 static const char *entry_domain; /* of the VM that asks; NULL: not said */
 
-static void begin(void)
+/* Every other engine is in the north, the rest in the south. */
+static const char *domain_of(int engine)
+{
+	return engine % 2 ? "south" : "north";
+}
+
+/* All engines report; apart: and say where they are. */
+static void report_engines(bool apart)
 {
-	now = 1000;
-	next_request = 1;
-	entry_domain = NULL;
-	pool = dl_pool_new(&conf, &dl_policy_engine, 42);
 	for (int i = 0; i < ENGINES; i++) {
 		struct dl_endpoint_report r = { .incarnation = 1,
 						.memory_tokens = 315000,
@@ -46,10 +49,21 @@
 
 		snprintf(id, sizeof(id), "10.0.0.%d:80", i + 1);
 		dl_name_set(&r.id, dl_str_of(id));
+		if (apart)
+			dl_name_set(&r.failure_domain, dl_str_of(domain_of(i)));
 		ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
 	}
 }
 
+static void begin(void)
+{
+	now = 1000;
+	next_request = 1;
+	entry_domain = NULL;
+	pool = dl_pool_new(&conf, &dl_policy_engine, 42);
+	report_engines(false);
+}
+
 static void end(void)
 {
 	ck_assert_ptr_null(dl_pool_broken(pool));
@@ -77,28 +91,6 @@
 	return out;
 }
 
-/* Every other engine is in the north, the rest in the south. */
-static const char *domain_of(int engine)
-{
-	return engine % 2 ? "south" : "north";
-}
-
-static void place_engines(void)
-{
-	for (int i = 0; i < ENGINES; i++) {
-		struct dl_endpoint_report r = { .incarnation = 1,
-						.memory_tokens = 315000,
-						.slots = 16,
-						.takes_groups = true };
-		char id[32];
-
-		snprintf(id, sizeof(id), "10.0.0.%d:80", i + 1);
-		dl_name_set(&r.id, dl_str_of(id));
-		dl_name_set(&r.failure_domain, dl_str_of(domain_of(i)));
-		ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
-	}
-}
-
 static bool is_in(const struct dl_name *endpoint, const char *domain)
 {
 	int engine = atoi(endpoint->s + strlen("10.0.0.")) - 1;
@@ -330,7 +322,7 @@
 /* Short streams run in the failure domain of the VM that asks for them. */
 START_TEST(short_streams_stay_in_their_domain)
 {
-	place_engines();
+	report_engines(true);
 	for (int i = 0; i < 40; i++) {
 		struct dl_answer a;
 
@@ -349,7 +341,7 @@
 {
 	int away = 0, in_time = 0, granted = 0;
 
-	place_engines();
+	report_engines(true);
 	entry_domain = "north";
 	for (int i = 0; i < 100; i++) {
 		struct dl_answer a = ask_short();
@@ -371,7 +363,7 @@
 {
 	struct dl_answer a;
 
-	place_engines();
+	report_engines(true);
 	entry_domain = "west";
 	a = ask_short();
 	ck_assert_int_eq(a.verdict, DL_GRANTED);
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -64,6 +64,15 @@
 	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
 }
 
+/* All reports come by one way. */
+static void hear_together(void)
+{
+	struct dl_pool_conf together = conf;
+
+	together.reports_together = true;
+	dl_pool_configure(pool, &together);
+}
+
 static struct dl_ask ask_of(uint64_t prompt, uint64_t output, int64_t within)
 {
 	return (struct dl_ask){ .request = next_request++,
@@ -193,11 +202,9 @@
 START_TEST(silent_one_gets_nothing_new)
 {
 	struct dl_answer a, b;
-	struct dl_pool_conf together = conf;
 	const char *other;
 
-	together.reports_together = true;
-	dl_pool_configure(pool, &together);
+	hear_together();
 	report("a:1");
 	report("b:1");
 	a = ask(1000, 0, FAR);
@@ -693,11 +700,9 @@
  */
 START_TEST(silence_of_all_closes_none)
 {
-	struct dl_pool_conf together = conf;
 	struct dl_pool_summary s;
 
-	together.reports_together = true;
-	dl_pool_configure(pool, &together);
+	hear_together();
 	report("a:1");
 	report("b:1");
 	report("c:1");
@@ -722,10 +727,7 @@
 /* For ever nobody is kept without a word. */
 START_TEST(silence_ends)
 {
-	struct dl_pool_conf together = conf;
-
-	together.reports_together = true;
-	dl_pool_configure(pool, &together);
+	hear_together();
 	report("a:1");
 	for (int i = 0; i < 200; i++) {
 		ask(1000, 100, FAR);
--- a/test/test_system_places.sh
+++ b/test/test_system_places.sh
@@ -8,15 +8,8 @@
 APART=yes
 . test/foreign.sh
 
-for d in 1 2 3; do
-	start replica $d true
-	start entry $d
-done
-wait_for 10 "the first change" put "$(config 5 5000 '"key-one"')" ||
-	fail "the first change is not taken"
-for d in 1 2 3; do
-	wait_for 10 "entry $d" ready $d || fail "entry $d is not ready"
-done
+start_all
+configure_all '"key-one"'
 # After the change: a dispatcher has no pool for an endpoint's words before.
 for d in 1 2 3; do
 	runner "w$d" $d --zone "place-$d" --service writer
--- a/test/test_system_platform.sh
+++ b/test/test_system_platform.sh
@@ -8,10 +8,7 @@
 test_begin dala
 . test/foreign.sh
 
-for d in 1 2 3; do
-	start replica $d true
-	start entry $d
-done
+start_all
 sleep 0.5
 book 1 early 503 -H "$KEY" >/dev/null ||
 	fail "a request before any configuration is not told to come back"
@@ -19,11 +16,7 @@
 
 runner w1 1 --service writer
 runner d1 3 --service desk --plain
-wait_for 10 "the first change" put "$(config 5 5000 '"key-one","key-two"')" ||
-	fail "the first change is not taken"
-for d in 1 2 3; do
-	wait_for 10 "entry $d" ready $d || fail "entry $d is not ready"
-done
+configure_all '"key-one","key-two"'
 reads 5 || fail "what was sent is not read back"
 
 # Keys, routes, streams.
--- a/test/test_system_replace.sh
+++ b/test/test_system_replace.sh
@@ -8,10 +8,7 @@
 test_begin dala
 . test/foreign.sh
 
-for d in 1 2 3; do
-	start replica $d true
-	start entry $d
-done
+start_all
 for n in 0 1 2 3 4 5 6 7 8 9; do
 	runner "old-$n" 1$n --service writer --abrupt
 done
--- a/test/test_system_restart.sh
+++ b/test/test_system_restart.sh
@@ -18,10 +18,7 @@
 	date +%s%3N
 }
 
-for d in 1 2 3; do
-	start replica $d true
-	start entry $d
-done
+start_all
 runner w1 1 --service writer
 runner d1 3 --service desk --plain
 wait_for 10 "the first configuration" put "$(config 5 4000 '"key-one"')" ||
--- a/test/test_system_texts.sh
+++ b/test/test_system_texts.sh
@@ -6,15 +6,8 @@
 test_begin dala
 . test/foreign.sh
 
-for d in 1 2 3; do
-	start replica $d true
-	start entry $d
-done
-wait_for 10 "the first change" put "$(config 5 5000 '"key-one"')" ||
-	fail "the first change is not taken"
-for d in 1 2 3; do
-	wait_for 10 "entry $d" ready $d || fail "entry $d is not ready"
-done
+start_all
+configure_all '"key-one"'
 
 # Five hundred more routes, each for a host of its own.
 routes=$(seq 1 500 | while read -r i; do
