Keys that gather at a replica are one structure, told in two ways

Two arrays with their counts and times, two ways to gather and two to flush differed by what is sent at the end; that is a function of the structure now.

--- a/src/main/replica_alive.c
+++ b/src/main/replica_alive.c
@@ -30,23 +30,32 @@
 /* An endpoint that is silent so long is forgotten. */
 #define FORGET_MS 30000
 
-struct replica_alive {
-	struct dl_reports *reports;
-	uint64_t key[DL_RENEWED_MAX]; /* said again */
+/* Keys that wait for others, and how what they stand for is told. */
+struct gathered {
+	uint64_t key[DL_RENEWED_MAX];
 	uint32_t count;
 	int64_t sent_at;
-	uint64_t new_key[DL_RENEWED_MAX]; /* of words that are new */
-	uint32_t new_count;
-	int64_t words_at;
+	void (*send)(struct replica *r, const uint64_t *keys, uint32_t count);
+};
+
+struct replica_alive {
+	struct dl_reports *reports;
+	struct gathered again;	   /* said again */
+	struct gathered new_words; /* said for the first time */
 	int64_t forgotten_at;
 };
 
+static void send_keys(struct replica *r, const uint64_t *keys, uint32_t count);
+static void send_words(struct replica *r, const uint64_t *keys, uint32_t count);
+
 /* Nothing heard yet. */
 struct replica_alive *replica_alive_new(void)
 {
 	struct replica_alive *alive = g_new0(struct replica_alive, 1);
 
 	alive->reports = dl_reports_new();
+	alive->again.send = send_keys;
+	alive->new_words.send = send_words;
 	return alive;
 }
 
@@ -64,79 +73,64 @@
 }
 
 /*
- * The words of keys in one body, those that are not known left out; returns how
- * many, 0 also where there is no memory for it: who misses words asks for them
- * at the next key.
+ * The words of keys that are known, in one body.  Without memory for it nothing
+ * is told: who misses words asks for them at the next key.
  */
-static uint32_t words_of(const struct replica_alive *alive,
-			 const uint64_t *keys, uint32_t count, char **body,
-			 size_t *n)
+static int words_of(const struct replica_alive *alive, const uint64_t *keys,
+		    uint32_t count, char **body, size_t *n)
 {
 	struct dl_str words[DL_RENEWED_MAX];
-	uint32_t known = 0;
 
-	for (uint32_t i = 0; i < count; i++) {
-		words[known] = dl_reports_find(alive->reports, keys[i]);
-		known += words[known].n > 0;
-	}
-	if (known && dl_words_pack(words, known, body, n))
-		known = 0;
-	return known;
+	for (uint32_t i = 0; i < count; i++)
+		words[i] = dl_reports_find(alive->reports, keys[i]);
+	return dl_words_pack(words, count, body, n);
 }
 
-/*
- * Send the words that have gathered.  Those of a start that left meanwhile are
- * not known any more: sent after the word that it leaves, they would make it
- * known to an entry that had not heard of it.
- */
-static void flush_words(struct replica *r, struct replica_alive *alive,
-			int64_t now)
+static void send_words(struct replica *r, const uint64_t *keys, uint32_t count)
 {
-	uint32_t count = alive->new_count;
 	char *body;
 	size_t n;
 
-	alive->new_count = 0;
-	alive->words_at = now;
-	if (!words_of(alive, alive->new_key, count, &body, &n))
+	if (words_of(r->alive, keys, count, &body, &n))
 		return;
 	to_members(r, false, DL_FRAME_WORDS, (struct dl_str){ body, n });
 	free(body);
 }
 
-/* Send the keys that have gathered; those of starts that left meanwhile not. */
-static void flush(struct replica *r, struct replica_alive *alive, int64_t now)
+static void send_keys(struct replica *r, const uint64_t *keys, uint32_t count)
 {
 	struct dl_packer pk;
-	uint32_t n = 0;
 
-	for (uint32_t i = 0; i < alive->count; i++) {
-		if (dl_reports_find(alive->reports, alive->key[i]).n)
-			alive->key[n++] = alive->key[i];
-	}
-	alive->count = 0;
-	alive->sent_at = now;
-	if (n == 0)
-		return;
-	dl_numbers_pack(&pk, DL_STR(""), alive->key, n);
+	dl_numbers_pack(&pk, DL_STR(""), keys, count);
 	to_members(r, false, DL_FRAME_ALIVE, dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
 }
 
-static void gather_key(struct replica *r, struct replica_alive *alive,
-		       uint64_t key, int64_t now)
+/*
+ * Tell what has gathered.  The words of a start that left meanwhile are not
+ * known any more: told after the word that it leaves, they would make it known
+ * to an entry that had not heard of it.
+ */
+static void flush(struct replica *r, struct gathered *g, int64_t now)
 {
-	if (alive->count == DL_RENEWED_MAX)
-		flush(r, alive, now);
-	alive->key[alive->count++] = key;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < g->count; i++) {
+		if (dl_reports_find(r->alive->reports, g->key[i]).n)
+			g->key[n++] = g->key[i];
+	}
+	g->count = 0;
+	g->sent_at = now;
+	if (n)
+		g->send(r, g->key, n);
 }
 
-static void gather_words(struct replica *r, struct replica_alive *alive,
-			 uint64_t key, int64_t now)
+static void gather(struct replica *r, struct gathered *g, uint64_t key,
+		   int64_t now)
 {
-	if (alive->new_count == DL_RENEWED_MAX)
-		flush_words(r, alive, now);
-	alive->new_key[alive->new_count++] = key;
+	if (g->count == DL_RENEWED_MAX)
+		flush(r, g, now);
+	g->key[g->count++] = key;
 }
 
 /*
@@ -167,9 +161,9 @@
 			   dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
 	if (kept)
-		gather_words(r, alive, key, now);
+		gather(r, &alive->new_words, key, now);
 	else if (!fresh && dl_reports_due(alive->reports, key, now))
-		gather_key(r, alive, key, now);
+		gather(r, &alive->again, key, now);
 }
 
 /* Another replica has heard that an endpoint leaves. */
@@ -201,7 +195,7 @@
 		if (dl_reports_fresh(reports, keys[i], since))
 			keys[known++] = keys[i];
 	}
-	if (!words_of(r->alive, keys, known, &body, &n))
+	if (known == 0 || words_of(r->alive, keys, known, &body, &n))
 		return;
 	replica_send(r, from, DL_FRAME_WORDS, 0, (struct dl_str){ body, n });
 	free(body);
@@ -212,10 +206,11 @@
 {
 	struct replica_alive *alive = r->alive;
 
-	if (alive->new_count && now - alive->words_at >= WORDS_TOGETHER_MS)
-		flush_words(r, alive, now);
-	if (now - alive->sent_at >= TOGETHER_MS)
-		flush(r, alive, now);
+	if (alive->new_words.count &&
+	    now - alive->new_words.sent_at >= WORDS_TOGETHER_MS)
+		flush(r, &alive->new_words, now);
+	if (now - alive->again.sent_at >= TOGETHER_MS)
+		flush(r, &alive->again, now);
 	if (now - alive->forgotten_at < FORGET_MS / 2)
 		return;
 	alive->forgotten_at = now;
