--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -6,10 +6,10 @@
  * that work in passes.  Harm: a long prompt that is read beside streams of
  * short ones stops all of them for as long as it is read, longer than the pause
  * that they bear; one that is read by a single engine is late by itself.  So a
- * prompt is
- * parted among engines that each can read their part without a pause that
- * their writers would not bear; and streams of short prompts are put together,
- * as far as their pauses allow, so that other engines stay free for the long.
+ * prompt is parted among engines that each can read their part without a pause
+ * that their writers would not bear; and streams of short prompts are put
+ * together, as far as their pauses allow, so that other engines stay free for
+ * the long.
  * Parting costs no work in sum: each part has its share of the pairs.
  */
 #include "pool_engine.h"
