Logs name what is the same about requests that come again

The logs of the incident could not tell whether broken requests were the same one: each attempt has an id of its own.

--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -94,6 +94,7 @@
 struct call_route {
 	enum dl_route_kind kind;
 	struct dl_name attempt_id; /* the caller's */
+	struct dl_name instance;   /* the start that it was sent to last */
 	uint32_t target_ms, gap_ms;
 	uint32_t give_up_ms;  /* callers do after such a silence */
 	uint32_t attempts;    /* endpoints that it may be sent to */
@@ -155,7 +156,8 @@
 	uint32_t prefix_tokens;
 	uint32_t connect_ms, gap_ms;
 	uint32_t retry_permille;
-	size_t buffered; /* counted against this VM's bound */
+	uint64_t content; /* hash of its path, workspace and body */
+	size_t buffered;  /* counted against this VM's bound */
 
 	struct tickets *tickets; /* memory on engines; NULL for none */
 	bool routed;		 /* passed on as it is, see entry_route.c */
--- a/src/main/entry_call.c
+++ b/src/main/entry_call.c
@@ -115,7 +115,7 @@
 	       "status=%u ms=%ld prompt=%lu version=%lu endpoint=%s "
 	       "helpers=%s parts=%u away=%u granted_ms=%ld predicted_ms=%u "
 	       "first_ms=%ld pause_ms=%u tries=%u sent=%u reason=%s "
-	       "retry_ms=%u",
+	       "retry_ms=%u content=%016lx",
 	       c->id_text, c->route.attempt_id.s, c->service.s, c->workspace.s,
 	       dl_outcome_name(c->outcome), c->status, (long)(now - c->begun),
 	       (unsigned long)c->prompt_tokens, (unsigned long)c->e->version,
@@ -125,7 +125,8 @@
 	       c->grant.predicted_ttft_ms,
 	       c->first_byte_at ? (long)(c->first_byte_at - c->begun) : -1,
 	       c->route.pause_ms, c->route.tries, c->route.sent,
-	       dl_reason_name(c->reason), c->retry_ms);
+	       dl_reason_name(c->reason), c->retry_ms,
+	       (unsigned long)c->content);
 }
 
 /* Let go of everything but the answer itself. */
--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -199,6 +199,7 @@
 	c->attempt_at = entry_now(c->e);
 	c->status = 0;
 	c->route.head = (struct relay_head){ .length = SIZE_MAX };
+	c->route.instance = endpoint_of(c, 0)->instance;
 	if (!c->text)
 		c->text = g_string_new(NULL);
 	g_string_truncate(c->text, 0);
@@ -474,11 +475,13 @@
 		return;
 	}
 	dl_msg(DL_MSG_ATTEMPT_BROKE,
-	       "request=%s endpoint=%s sent=%d received=%d broke=%d status=%u "
-	       "outcome=%s events=%lu at_fault=%s step=%s why=\"%s\"",
-	       c->id_text, c->grant.endpoint[0].s, a.sent, a.received, a.broke,
-	       c->status, dl_outcome_name(outcome), (unsigned long)c->relayed,
-	       c->route.head.at_fault.s, dl_step_name(err->step), err->text);
+	       "request=%s endpoint=%s instance=%s sent=%d received=%d broke=%d "
+	       "status=%u outcome=%s events=%lu at_fault=%s step=%s "
+	       "why=\"%s\" content=%016lx",
+	       c->id_text, c->grant.endpoint[0].s, c->route.instance.s, a.sent,
+	       a.received, a.broke, c->status, dl_outcome_name(outcome),
+	       (unsigned long)c->relayed, c->route.head.at_fault.s,
+	       dl_step_name(err->step), err->text, (unsigned long)c->content);
 	if (!whole && !may_go_on(c, &a)) {
 		give_up(c, outcome, err);
 		return;
