--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -1,7 +1,8 @@
 /*
  * An emulated endpoint of the platform's protocol: announces itself to the
  * replicas' doors, streams events that may be resumed, refuses what names
- * another start of it, breaks on order, and records all that it ran.
+ * another start of it, breaks on order, ends under requests that it is told of
+ * and starts again, and records all that it ran.
  */
 #include <fcntl.h>
 #include <glib.h>
@@ -19,10 +20,16 @@
 #define TICK_MS	  10
 #define CALL_MS	  600
 #define CONTROLS  8
-#define BROKEN_AT 3 /* the event at which a faulty one breaks off */
+#define BROKEN_AT 3   /* the event at which a faulty one breaks off */
+#define DOWN_MS	  700 /* from a crash to the next start */
+/* How many starts there were before this one; outlives a crash. */
+#define CRASHES_ENV "RUNNER_CRASHES"
 
 static struct {
 	char *listen, *control, *service, *instance, *zone, *record, *fault;
+	char *crash_on;
+	char **argv;
+	int instance_crashes;
 	int slots, events, event_ms;
 	gboolean plain;
 	gboolean abrupt;
@@ -43,6 +50,8 @@
 	{ "plain", 0, 0, G_OPTION_ARG_NONE, &opt.plain, "no streams", NULL },
 	{ "abrupt", 0, 0, G_OPTION_ARG_NONE, &opt.abrupt,
 	  "leaves without announcing it before", NULL },
+	{ "crash-on", 0, 0, G_OPTION_ARG_STRING, &opt.crash_on,
+	  "crash under a request whose path holds this", "TEXT" },
 	{ "fault", 0, 0, G_OPTION_ARG_STRING, &opt.fault,
 	  "none, cut, silent, not-run, error or foreign", "KIND" },
 	{ NULL },
@@ -168,6 +177,41 @@
 	fake_reply(req, status, headers, DL_STR(""));
 }
 
+/* End as by a crash: every socket closes, and the next start has a new name. */
+static void crash(void)
+{
+	int crashes = opt.instance_crashes + 1;
+	char text[16];
+
+	snprintf(text, sizeof(text), "%d", crashes);
+	setenv(CRASHES_ENV, text, 1);
+	execv("/proc/self/exe", opt.argv);
+	perror("crash");
+	_exit(1);
+}
+
+static bool is_crashing(const struct fake_request *req)
+{
+	struct dl_str path = fake_request_path(req);
+
+	return opt.crash_on &&
+	       memmem(path.s, path.n, opt.crash_on, strlen(opt.crash_on));
+}
+
+/* A start after a crash: down for a while, then under another name. */
+static void come_back(char **argv)
+{
+	const char *crashes = getenv(CRASHES_ENV);
+
+	opt.argv = argv;
+	if (!crashes)
+		return;
+	opt.instance_crashes = atoi(crashes);
+	opt.instance =
+		g_strdup_printf("%s-%d", opt.instance, opt.instance_crashes);
+	g_usleep(DOWN_MS * 1000);
+}
+
 static void begin_stream(struct fake_request *req, const char *attempt)
 {
 	const struct fake_header headers[] = {
@@ -216,6 +260,8 @@
 		return;
 	}
 	record(req);
+	if (is_crashing(req))
+		crash();
 	snprintf(attempt, sizeof(attempt), "%.*s", (int)MIN(id.n, 60), id.s);
 	if (strcmp(opt.fault, "foreign") == 0)
 		snprintf(attempt, sizeof(attempt), "another");
@@ -312,6 +358,8 @@
 	uint64_t address;
 	uv_timer_t timer;
 
+	char **args = g_strdupv(argv);
+
 	g_option_context_add_main_entries(ctx, options, NULL);
 	if (!g_option_context_parse(ctx, &argc, &argv, NULL) || !opt.listen ||
 	    !opt.control || !opt.service || !opt.instance ||
@@ -320,6 +368,7 @@
 		return 2;
 	}
 	g_option_context_free(ctx);
+	come_back(args);
 	fake_ignore_sigpipe();
 	born = g_get_real_time() / 1000;
 	loop = uv_default_loop();
