Requests under which endpoints crash are held back, on all VMs

Cause: nothing joined the attempts of one request. Retries were bounded within an attempt and by a share of the load; a failure that a request brings with it was answered like one of the endpoint, by going to another endpoint.

Change: attempts are known by a hash of method, host, path, workspace and body. A break counts as a crash where nobody listens at the endpoint afterwards, or another start is heard of there. Entries tell the replicas, replicas tell all entries, who is reached again is told all. After three starts a request is refused as not run, with Retry-After, for an hour; a whole answer clears it.

--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -110,7 +110,8 @@
 	DL_REASON_NO_QUORUM,   /* a claim could not be written */
 	DL_REASON_IN_PROGRESS, /* the same idempotency key runs already */
 	DL_REASON_NO_DISPATCHER,
-	DL_REASON_BUSY, /* this VM holds all it can */
+	DL_REASON_BUSY,	       /* this VM holds all it can */
+	DL_REASON_QUARANTINED, /* endpoints crash under it */
 	DL_REASON_COUNT,
 };
 
--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -16,6 +16,7 @@
 	X(requests_unknown, "ended as unknown")                                \
 	X(requests_late, "ended by their deadline")                            \
 	X(requests_unsure, "waited until the version in force was sure")       \
+	X(requests_quarantined, "requests held back, since endpoints crash")   \
 	X(bad_requests, "requests that made no sense")                         \
 	X(streams_open, "requests in flight now")                              \
 	X(buffered_bytes, "request bytes held now")                            \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -18,6 +18,13 @@
 	  "A VM does not answer here, others dispatch for it.")                \
 	X(VM_ASKED_AGAIN, DL_INFO, "reach", "A VM is asked again.")            \
 	X(REQUEST_ENDED, DL_INFO, "call", "A request ended.")                  \
+	X(CRASHED_UNDER, DL_WARN, "quarantine",                                \
+	  "An endpoint crashed under a request.")                              \
+	X(REQUEST_HELD_BACK, DL_WARN, "quarantine", "A request is held back.") \
+	X(REQUEST_LET_GO, DL_INFO, "quarantine",                               \
+	  "A request is not held back any more.")                              \
+	X(CRASHES_BAD, DL_WARN, "quarantine",                                  \
+	  "A word of crashes cannot be read.")                                 \
 	X(TICKET_REFUSED, DL_INFO, "ticket", "Memory was not to be had.")      \
 	X(ATTEMPT_BROKE, DL_WARN, "relay", "An attempt broke.")                \
 	X(LEASE_HELD, DL_INFO, "lease", "The version in force is sure.")       \
--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -45,6 +45,7 @@
 	[DL_REASON_IN_PROGRESS] = "in-progress",
 	[DL_REASON_NO_DISPATCHER] = "no-dispatcher",
 	[DL_REASON_BUSY] = "busy",
+	[DL_REASON_QUARANTINED] = "quarantined",
 };
 
 static uint8_t band_of(const struct dl_pool *pool, uint64_t prompt,
--- a/src/main/entry.c
+++ b/src/main/entry.c
@@ -29,6 +29,7 @@
 #define COUNT_EVERY_MS 500
 
 static void on_frame(void *arg, uint64_t from, const struct dl_frame *frame);
+static void on_up(void *arg, uint64_t vm);
 static void on_down(void *arg, uint64_t vm);
 static void on_member(void *arg, const struct dl_member *member);
 static void on_tick(void *arg, int64_t now);
@@ -38,6 +39,7 @@
 
 static const struct dl_node_ops node_ops = {
 	.frame = on_frame,
+	.up = on_up,
 	.down = on_down,
 	.member = on_member,
 	.tick = on_tick,
@@ -88,6 +90,9 @@
 	case DL_FRAME_LEASE:
 		entry_lease_frame(e, from, frame);
 		return;
+	case DL_FRAME_CRASHES:
+		entry_quarantine_frame(e, frame);
+		return;
 	case DL_FRAME_QUERY:
 		entry_ops_frame(e, from, frame);
 		return;
@@ -97,6 +102,11 @@
 	}
 }
 
+static void on_up(void *arg, uint64_t vm)
+{
+	entry_quarantine_up(arg, vm);
+}
+
 static void on_down(void *arg, uint64_t vm)
 {
 	entry_pool_down(arg, vm);
@@ -155,6 +165,7 @@
 	entry_cmd_tick(e, now);
 	entry_conf_tick(e, now);
 	entry_lease_tick(e, now);
+	entry_quarantine_tick(e, now);
 	if (now - e->counted_at >= COUNT_EVERY_MS) {
 		e->counted_at = now;
 		count_live(e);
@@ -260,6 +271,7 @@
 	e->started_at = entry_now(e);
 	e->directory = dl_directory_new();
 	e->reports = dl_reports_new();
+	entry_quarantine_open(e);
 	e->lost = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					g_free);
 	e->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -11,6 +11,7 @@
  *   entry_route.c requests that are passed on as they are: where they go
  *   entry_relay.c one attempt of such a request
  *   entry_ticket.c memory for prompts that no one engine holds
+ *   entry_quarantine.c requests under which endpoints crash
  *   entry_lease.c whether the configuration here may still be trusted
  *   entry_grant.c asking dispatchers, holding and giving back grants
  *   entry_pool.c  dispatching for the pools of this failure domain
@@ -33,6 +34,7 @@
 #include "daisyledge/lease.h"
 #include "daisyledge/pool.h"
 #include "main/node.h"
+#include "main/quarantine.h"
 #include "protocol/api.h"
 #include "protocol/pool_codec.h"
 #include "protocol/sse.h"
@@ -198,6 +200,7 @@
 	uint32_t attempts;
 	uint8_t tried;
 	struct dl_name tried_ids[3];
+	uint64_t start; /* of the endpoint that it was sent to; 0: not known */
 	int64_t attempt_at, first_byte_at;
 	struct dl_sse sse;
 	bool sse_done, sse_bad;
@@ -277,6 +280,8 @@
 	bool lease_noted;
 	struct dl_directory *directory;
 	struct dl_reports *reports; /* that replicas passed on */
+	struct quarantine quarantine;
+	GPtrArray *probes; /* of endpoints at which attempts broke off */
 
 	/* dispatching */
 	struct entry_pool *pools;
@@ -355,6 +360,19 @@
 void entry_ticket_release(struct call *c);
 void entry_ticket_tick(struct entry *e, int64_t now);
 
+/* entry_quarantine.c */
+void entry_quarantine_open(struct entry *e);
+uint64_t entry_quarantine_start(struct entry *e, struct dl_str service,
+				struct dl_str address);
+void entry_quarantine_crashed(struct entry *e, uint64_t start);
+void entry_quarantine_attempt(struct call *c, const struct dl_attempt *attempt,
+			      const struct dl_err *err);
+void entry_quarantine_answered(struct call *c);
+bool entry_quarantine_refuses(struct call *c);
+void entry_quarantine_frame(struct entry *e, const struct dl_frame *f);
+void entry_quarantine_up(struct entry *e, uint64_t vm);
+void entry_quarantine_tick(struct entry *e, int64_t now);
+
 /* entry_lease.c */
 bool entry_lease_holds(const struct entry *e);
 bool entry_lease_ready(const struct entry *e);
--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -18,7 +18,10 @@
 		     struct dl_announcement *a)
 {
 	struct announced *n = g_hash_table_lookup(p->announced, a->report.id.s);
+	struct dl_str id = dl_name_str(&a->report.id);
 
+	if (n && n->incarnation != a->report.incarnation && !n->leaving)
+		entry_quarantine_crashed(e, dl_hash(id, n->incarnation));
 	if (n && n->incarnation == a->report.incarnation && n->leaving)
 		a->report.leaving = true;
 	if (!n) {
@@ -86,10 +89,15 @@
 static bool place_instance(struct entry *e, struct dl_announcement *a)
 {
 	const struct dl_directory_entry *d, *left;
+	uint64_t before = entry_quarantine_start(e, dl_name_str(&a->service),
+						 dl_name_str(&a->report.id));
+	enum dl_heard heard =
+		dl_node_hear(e->directory, a, entry_now(e), &d, &left);
 
-	if (dl_node_hear(e->directory, a, entry_now(e), &d, &left) ==
-	    DL_HEARD_OLD)
+	if (heard == DL_HEARD_OLD)
 		return false;
+	if (heard == DL_HEARD_NEW)
+		entry_quarantine_crashed(e, before);
 	if (left)
 		forget_earlier(e, left);
 	dl_node_complete(a, d);
--- a/src/main/entry_call.c
+++ b/src/main/entry_call.c
@@ -139,6 +139,8 @@
 	/* An earlier attempt may have run, whatever became of the last one. */
 	if (outcome == DL_OUTCOME_NOT_RUN && c->may_have_run)
 		outcome = DL_OUTCOME_UNKNOWN;
+	if (outcome == DL_OUTCOME_DONE || outcome == DL_OUTCOME_FAILED)
+		entry_quarantine_answered(c);
 	c->outcome = outcome;
 	c->status = status;
 	count_outcome(outcome);
@@ -311,6 +313,7 @@
 	if (c->attempt)
 		a = dl_httpc_progress(c->attempt);
 	a.broke = DL_BROKE_CALLER;
+	entry_quarantine_attempt(c, &a, NULL);
 	outcome = dl_call_outcome(&a);
 	c->usage.ran = a.sent != DL_SENT_NOTHING;
 	call_settle(c, outcome, 499);
@@ -355,6 +358,7 @@
 	if (c->attempt)
 		a = dl_httpc_progress(c->attempt);
 	a.broke = DL_BROKE_DEADLINE;
+	entry_quarantine_attempt(c, &a, NULL);
 	outcome = dl_call_outcome(&a);
 	c->usage.ran = a.sent != DL_SENT_NOTHING;
 	dl_err_set(&err, -ETIMEDOUT, DL_STEP_BODY, c->grant.endpoint[0].s,
--- a/src/main/entry_call.h
+++ b/src/main/entry_call.h
@@ -11,6 +11,7 @@
 void call_settle(struct call *c, enum dl_outcome outcome, uint16_t status);
 
 /* entry_attempt.c */
+uint64_t call_content(const struct call *c);
 void call_note_tried(struct call *c);
 void call_fill_usage(struct call *c, const struct dl_attempt *attempt,
 		     uint64_t prompt, uint64_t output, bool failed);
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -10,7 +10,7 @@
 #include "base/hist.h"
 #include "base/metric.h"
 #include "base/msg.h"
-#include "main/entry.h"
+#include "main/entry_call.h"
 
 /*
  * A dispatcher answers within a loop's turn; later it is taken for lost.  For
@@ -113,6 +113,10 @@
 {
 	struct entry *e = c->e;
 
+	if (!c->content)
+		c->content = call_content(c);
+	if (entry_quarantine_refuses(c))
+		return;
 	if (c->domain.n == 0)
 		c->domain = *dl_settings_pool_domain(&e->node.settings);
 	new_ask_id(c);
@@ -230,6 +234,8 @@
 	entry_call_span(c, c->state == CALL_QUEUED ? "queue" : "ask",
 			c->asked_at, NULL);
 	c->state = CALL_RUNNING;
+	if (entry_quarantine_refuses(c))
+		return;
 	if (c->routed)
 		entry_relay_start(c);
 	else
--- /dev/null
+++ b/src/main/entry_quarantine.c
@@ -0,0 +1,217 @@
+/*
+ * Requests under which endpoints crash: what this entry sees of them, and which
+ * it holds back.  An attempt that breaks off is no crash yet, since a
+ * connection may be reset, or an endpoint fail one request.  It is one where
+ * nobody listens at the endpoint's address afterwards, or another start of it.
+ */
+#include "base/metric.h"
+#include "main/entry_call.h"
+
+#include <errno.h>
+#include <string.h>
+
+/* A process that ends closes its connections and its listener in turn. */
+#define PROBE_AFTER_MS	 60
+#define PROBE_CONNECT_MS 500
+
+/* Whether anybody listens where attempts broke off. */
+struct probe {
+	struct entry *e;
+	uint64_t start;
+	uint64_t address;
+	int64_t due;
+	bool under_way;
+};
+
+static bool on_connected(void *arg);
+static void on_probed(void *arg, const struct dl_attempt *attempt,
+		      const struct dl_err *err);
+
+static const struct dl_httpc_ops probe_ops = { .ready = on_connected,
+					       .end = on_probed };
+
+/* Nothing is known yet. */
+void entry_quarantine_open(struct entry *e)
+{
+	quarantine_open(&e->quarantine);
+	e->probes = g_ptr_array_new_with_free_func(g_free);
+}
+
+/* The number of a start whose endpoints' starts have names. */
+static uint64_t named_start(const struct dl_directory_entry *d)
+{
+	return dl_hash(dl_name_str(&d->instance), d->born);
+}
+
+/*
+ * The number of the start that runs at an address; 0 where none is known, or it
+ * leaves, and what it breaks off then is no crash.
+ */
+uint64_t entry_quarantine_start(struct entry *e, struct dl_str service,
+				struct dl_str address)
+{
+	const struct dl_directory_entry *d =
+		dl_directory_find(e->directory, address);
+	const struct entry_pool *p;
+	const struct announced *a;
+
+	if (d)
+		return d->leaving ? 0 : named_start(d);
+	p = entry_pool_find(e, service);
+	a = p ? g_hash_table_lookup(p->announced, address.s) : NULL;
+	return a && !a->leaving ? dl_hash(address, a->incarnation) : 0;
+}
+
+/* A start has ended without a word that it leaves. */
+void entry_quarantine_crashed(struct entry *e, uint64_t start)
+{
+	int64_t now = entry_now(e);
+	struct dl_crash crash;
+
+	while (start &&
+	       dl_quarantine_crashed(e->quarantine.known, start, now, &crash))
+		quarantine_note(&e->quarantine, &crash, now);
+}
+
+static void probe_soon(struct entry *e, uint64_t start, uint64_t address)
+{
+	struct probe *probe;
+
+	for (guint i = 0; i < e->probes->len; i++) {
+		probe = e->probes->pdata[i];
+		if (probe->start == start)
+			return;
+	}
+	probe = g_new0(struct probe, 1);
+	probe->e = e;
+	probe->start = start;
+	probe->address = address;
+	probe->due = entry_now(e) + PROBE_AFTER_MS;
+	g_ptr_array_add(e->probes, probe);
+}
+
+/* Somebody listens; a start that has already followed is heard of in time. */
+static bool on_connected(void *arg)
+{
+	return false;
+}
+
+static void on_probed(void *arg, const struct dl_attempt *attempt,
+		      const struct dl_err *err)
+{
+	struct probe *probe = arg;
+
+	if (err->code == -ECONNREFUSED)
+		entry_quarantine_crashed(probe->e, probe->start);
+	g_ptr_array_remove(probe->e->probes, probe);
+}
+
+static void probe_now(struct probe *probe)
+{
+	struct dl_httpc_req req = {
+		.to = probe->address,
+		.method = DL_STR("GET"),
+		.path = DL_STR("/"),
+		.connect_ms = PROBE_CONNECT_MS,
+		.gap_ms = PROBE_CONNECT_MS,
+	};
+
+	probe->under_way = true;
+	dl_httpc_start(probe->e->httpc, &req, &probe_ops, probe);
+}
+
+/* An attempt has ended, or is given up: note where it broke off. */
+void entry_quarantine_attempt(struct call *c, const struct dl_attempt *attempt,
+			      const struct dl_err *err)
+{
+	struct entry *e = c->e;
+	uint64_t address;
+
+	if (err && err->code == -ECONNREFUSED)
+		entry_quarantine_crashed(e, c->start);
+	if (!c->start || !c->content || attempt->sent == DL_SENT_NOTHING ||
+	    attempt->broke == DL_BROKE_NOTHING ||
+	    attempt->broke == DL_BROKE_GARBLED)
+		return;
+	dl_quarantine_broke(e->quarantine.known, c->content, c->start,
+			    entry_now(e));
+	if (attempt->broke == DL_BROKE_RESET &&
+	    dl_vm_parse(dl_name_str(&c->grant.endpoint[0]), &address))
+		probe_soon(e, c->start, address);
+}
+
+/* An endpoint has answered the request whole: it is harmless. */
+void entry_quarantine_answered(struct call *c)
+{
+	struct dl_crash harmless = { .request = c->content };
+
+	if (dl_quarantine_suspects(c->e->quarantine.known, c->content))
+		quarantine_note(&c->e->quarantine, &harmless, entry_now(c->e));
+}
+
+/*
+ * Whether a request is held back; it is refused then.  For a request that takes
+ * an engine down each time: with each of its runs all that run beside it break.
+ */
+bool entry_quarantine_refuses(struct call *c)
+{
+	uint32_t left = dl_quarantine_left_ms(c->e->quarantine.known,
+					      c->content, entry_now(c->e));
+
+	if (!left)
+		return false;
+	entry_call_refuse(c, DL_REASON_QUARANTINED, DL_STEP_ADMIT,
+			  c->e->node.self, left);
+	return true;
+}
+
+/* Those that wait for a place are refused as soon as it is known. */
+static void refuse_waiting(struct entry *e)
+{
+	struct call *c, *next;
+
+	for (c = e->calls; c; c = next) {
+		next = c->next;
+		if (c->state == CALL_ASKING || c->state == CALL_QUEUED)
+			entry_quarantine_refuses(c);
+	}
+}
+
+/* A replica tells of crashes. */
+void entry_quarantine_frame(struct entry *e, const struct dl_frame *f)
+{
+	quarantine_frame(&e->quarantine, f->body, false, entry_now(e));
+	refuse_waiting(e);
+}
+
+static void to_replicas(void *arg, struct dl_str body)
+{
+	uint64_t all[ENTRY_REPLICAS_MAX];
+	struct entry *e = arg;
+	uint32_t n = entry_cmd_replicas(e, all);
+
+	for (uint32_t i = 0; i < n; i++)
+		dl_peers_send(e->node.peers, all[i], DL_FRAME_CRASHES, 0, body);
+}
+
+/* A VM is reached, for the first time or again: a replica is told all. */
+void entry_quarantine_up(struct entry *e, uint64_t vm)
+{
+	const struct dl_member *m = dl_memb_find(e->node.memb, vm);
+
+	if (m && m->replica)
+		quarantine_tell_all(&e->quarantine, e->node.peers, vm,
+				    entry_now(e));
+}
+
+/* Look after endpoints at which attempts broke off, and tell what is new. */
+void entry_quarantine_tick(struct entry *e, int64_t now)
+{
+	for (guint i = 0; i < e->probes->len; i++) {
+		struct probe *probe = e->probes->pdata[i];
+
+		if (!probe->under_way && now >= probe->due)
+			probe_now(probe);
+	}
+	quarantine_tell(&e->quarantine, now, to_replicas, e);
+}
--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -200,6 +200,8 @@
 	c->status = 0;
 	c->route.head = (struct relay_head){ .length = SIZE_MAX };
 	c->route.instance = endpoint_of(c, 0)->instance;
+	c->start = entry_quarantine_start(c->e, dl_name_str(&c->service),
+					  dl_name_str(&c->grant.endpoint[0]));
 	if (!c->text)
 		c->text = g_string_new(NULL);
 	g_string_truncate(c->text, 0);
@@ -463,6 +465,7 @@
 	bool whole;
 
 	c->attempt = NULL;
+	entry_quarantine_attempt(c, &a, err);
 	/* A stream that goes on elsewhere got an error in place of events. */
 	whole = a.received == DL_RECV_WHOLE && a.broke == DL_BROKE_NOTHING &&
 		!(c->relayed && !c->route.head.events);
--- a/src/main/entry_route.c
+++ b/src/main/entry_route.c
@@ -245,17 +245,6 @@
 	return e->buffered <= (uint64_t)e->node.settings.buffer_mb << 20;
 }
 
-/* What the same request of the same workspace has in common each time. */
-static uint64_t content_of(const struct call *c)
-{
-	uint64_t hash = dl_hash(dl_name_str(&c->workspace), 0);
-
-	hash = dl_hash(dl_httpd_method(c->http), hash);
-	hash = dl_hash(dl_httpd_authority(c->http), hash);
-	hash = dl_hash(dl_httpd_path(c->http), hash);
-	return dl_hash(dl_httpd_body(c->http), hash);
-}
-
 /* Find out what a request is and where it goes, and ask for a place. */
 static void begin(struct call *c, const struct dl_inbound *in)
 {
@@ -266,7 +255,6 @@
 
 	if (!allow(c, in, &route))
 		return;
-	c->content = content_of(c);
 	left = in->patience_ms ? MIN(in->patience_ms, route->timeout_ms) :
 				 route->timeout_ms;
 	c->deadline = c->begun + left;
--- a/src/main/entry_try.c
+++ b/src/main/entry_try.c
@@ -146,6 +146,8 @@
 		entry_call_end(c, DL_OUTCOME_NOT_RUN, 503, "internal", &err);
 		return;
 	}
+	c->start = entry_quarantine_start(c->e, dl_name_str(&c->service),
+					  dl_name_str(&c->grant.endpoint[0]));
 	if (c->attempts > 1)
 		dl_count(DL_METRIC_retries_total, 1);
 	send_attempt(c, to);
@@ -453,6 +455,7 @@
 	};
 
 	c->attempt = NULL;
+	entry_quarantine_attempt(c, &a, err);
 	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
 	call_fill_usage(c, &a, c->used_prompt, c->used_output,
 			outcome != DL_OUTCOME_DONE);
--- /dev/null
+++ b/src/main/quarantine.c
@@ -0,0 +1,126 @@
+/* Crashes under requests, told between entries and replicas; see the header. */
+#include "main/quarantine.h"
+
+#include "base/metric.h"
+#include "base/msg.h"
+#include "protocol/quarantine_codec.h"
+
+#define FORGET_EVERY_MS 10000
+
+/* Nothing is known yet. */
+void quarantine_open(struct quarantine *q)
+{
+	q->known = dl_quarantine_new();
+	q->news = g_array_new(FALSE, FALSE, sizeof(struct dl_crash));
+}
+
+/* Take in a crash, and say where a request is held back from now on. */
+static bool take(struct quarantine *q, const struct dl_crash *crash,
+		 int64_t now)
+{
+	uint32_t held = dl_quarantine_left_ms(q->known, crash->request, now);
+	uint32_t left;
+
+	if (!dl_quarantine_note(q->known, crash, now))
+		return false;
+	left = dl_quarantine_left_ms(q->known, crash->request, now);
+	if (!held != !left)
+		dl_msg(left ? DL_MSG_REQUEST_HELD_BACK : DL_MSG_REQUEST_LET_GO,
+		       "content=%016lx crashes=%d for_ms=%u age_ms=%u",
+		       (unsigned long)crash->request, DL_QUARANTINE_CRASHES,
+		       left, crash->age_ms);
+	dl_gauge(DL_METRIC_requests_quarantined,
+		 dl_quarantine_count(q->known, now));
+	return true;
+}
+
+/* Note a crash that was seen here. */
+void quarantine_note(struct quarantine *q, const struct dl_crash *crash,
+		     int64_t now)
+{
+	if (!take(q, crash, now))
+		return;
+	g_array_append_val(q->news, *crash);
+	if (crash->start)
+		dl_msg(DL_MSG_CRASHED_UNDER,
+		       "content=%016lx start=%016lx age_ms=%u",
+		       (unsigned long)crash->request,
+		       (unsigned long)crash->start, crash->age_ms);
+}
+
+/* Take in what another VM tells. */
+void quarantine_frame(struct quarantine *q, struct dl_str body, bool pass_on,
+		      int64_t now)
+{
+	struct dl_crash crashes[DL_CRASHES_MAX];
+	uint32_t count;
+	int rc = dl_crashes_read(body, crashes, &count);
+
+	if (rc) {
+		dl_msg(DL_MSG_CRASHES_BAD, "bytes=%zu error=%d", body.n, rc);
+		return;
+	}
+	for (uint32_t i = 0; i < count; i++) {
+		if (take(q, &crashes[i], now) && pass_on)
+			g_array_append_val(q->news, crashes[i]);
+	}
+}
+
+static void send_crashes(const GArray *crashes,
+			 void (*send)(void *arg, struct dl_str body), void *arg)
+{
+	for (guint i = 0; i < crashes->len; i += DL_CRASHES_MAX) {
+		struct dl_packer pk;
+
+		dl_crashes_pack(&pk,
+				&g_array_index(crashes, struct dl_crash, i),
+				MIN(crashes->len - i, DL_CRASHES_MAX));
+		send(arg, dl_packer_bytes(&pk));
+		dl_packer_close(&pk);
+	}
+}
+
+/* Tell what is new. */
+void quarantine_tell(struct quarantine *q, int64_t now,
+		     void (*send)(void *arg, struct dl_str body), void *arg)
+{
+	send_crashes(q->news, send, arg);
+	g_array_set_size(q->news, 0);
+	if (now - q->forgotten_at < FORGET_EVERY_MS)
+		return;
+	q->forgotten_at = now;
+	dl_quarantine_forget(q->known, now);
+	dl_gauge(DL_METRIC_requests_quarantined,
+		 dl_quarantine_count(q->known, now));
+}
+
+static void gather(void *arg, const struct dl_crash *crash)
+{
+	GArray *all = arg;
+
+	g_array_append_val(all, *crash);
+}
+
+struct one {
+	struct dl_peers *peers;
+	uint64_t vm;
+};
+
+static void to_one(void *arg, struct dl_str body)
+{
+	const struct one *to = arg;
+
+	dl_peers_send(to->peers, to->vm, DL_FRAME_CRASHES, 0, body);
+}
+
+/* Tell a VM that may have missed some all that is known. */
+void quarantine_tell_all(struct quarantine *q, struct dl_peers *peers,
+			 uint64_t vm, int64_t now)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct dl_crash));
+	struct one to = { peers, vm };
+
+	dl_quarantine_each(q->known, now, gather, all);
+	send_crashes(all, to_one, &to);
+	g_array_free(all, TRUE);
+}
--- a/src/main/replica.c
+++ b/src/main/replica.c
@@ -32,6 +32,7 @@
 #define STOP_MS 1500
 
 static void on_frame(void *arg, uint64_t from, const struct dl_frame *frame);
+static void on_up(void *arg, uint64_t vm);
 static void on_tick(void *arg, int64_t now);
 static void on_stop(void *arg, bool again);
 static void on_prepare(uv_prepare_t *prepare);
@@ -41,6 +42,7 @@
 
 static const struct dl_node_ops node_ops = {
 	.frame = on_frame,
+	.up = on_up,
 	.tick = on_tick,
 	.stop = on_stop,
 };
@@ -62,6 +64,20 @@
 	dl_peers_send(r->node.peers, to, kind, request, body);
 }
 
+/* Send a frame to all that live, the other replicas left out or not. */
+void replica_to_members(struct replica *r, bool replicas, uint32_t kind,
+			struct dl_str body)
+{
+	const struct dl_member *m;
+
+	for (uint32_t i = 0; (m = dl_memb_at(r->node.memb, i)); i++) {
+		if (m->vm == r->node.self || (m->replica && !replicas))
+			continue;
+		if (m->state == DL_ALIVE || m->state == DL_SUSPECT)
+			replica_send(r, m->vm, kind, 0, body);
+	}
+}
+
 static void on_rlog(struct replica *r, uint64_t from, struct dl_str body)
 {
 	struct dl_rlog_decoded m;
@@ -107,6 +123,9 @@
 	case DL_FRAME_REPORT:
 		replica_alive_left(r, frame);
 		return;
+	case DL_FRAME_CRASHES:
+		replica_quarantine_frame(r, frame);
+		return;
 	case DL_FRAME_WORDS_ASK:
 		replica_alive_asked(r, from, frame);
 		return;
@@ -314,6 +333,11 @@
 	dl_node_end(&r->node, DL_EXIT_OK);
 }
 
+static void on_up(void *arg, uint64_t vm)
+{
+	replica_quarantine_up(arg, vm);
+}
+
 static void on_tick(void *arg, int64_t now)
 {
 	struct replica *r = arg;
@@ -323,6 +347,7 @@
 	replica_orders_tick(r, replica_now(r));
 	replica_door_tick(r, replica_now(r));
 	replica_alive_tick(r, replica_now(r));
+	replica_quarantine_tick(r, replica_now(r));
 	replica_conf_tick(r, replica_now(r));
 	end_if_stopped(r);
 }
@@ -407,6 +432,7 @@
 	if (code)
 		return code;
 	r->alive = replica_alive_new();
+	replica_quarantine_open(r);
 	code = replica_door_open(r, err);
 	if (code)
 		return code;
--- a/src/main/replica.h
+++ b/src/main/replica.h
@@ -8,6 +8,7 @@
 #include "daisyledge/cstore.h"
 #include "daisyledge/rlog.h"
 #include "main/node.h"
+#include "main/quarantine.h"
 #include "transport/disk_file.h"
 #include "transport/httpd.h"
 
@@ -65,6 +66,7 @@
 	struct replica_orders *orders;
 	struct replica_door *door; /* NULL where there is none */
 	struct replica_alive *alive;
+	struct quarantine quarantine;
 };
 
 /* replica.c */
@@ -73,6 +75,9 @@
 bool replica_caught_up(const struct replica *r);
 void replica_send(struct replica *r, uint64_t to, uint32_t kind,
 		  uint64_t request, struct dl_str body);
+/* To all entries that live, and, if asked for, to the other replicas. */
+void replica_to_members(struct replica *r, bool replicas, uint32_t kind,
+			struct dl_str body);
 
 /* replica_alive.c */
 struct replica_alive *replica_alive_new(void);
@@ -108,6 +113,12 @@
 void replica_lease_frame(struct replica *r, uint64_t from,
 			 const struct dl_frame *frame);
 
+/* replica_quarantine.c */
+void replica_quarantine_open(struct replica *r);
+void replica_quarantine_frame(struct replica *r, const struct dl_frame *f);
+void replica_quarantine_up(struct replica *r, uint64_t vm);
+void replica_quarantine_tick(struct replica *r, int64_t now);
+
 /* replica_query.c */
 void replica_query_frame(struct replica *r, uint64_t from,
 			 const struct dl_frame *frame);
--- a/src/main/replica_alive.c
+++ b/src/main/replica_alive.c
@@ -59,19 +59,6 @@
 	return alive;
 }
 
-static void to_members(struct replica *r, bool replicas, uint32_t kind,
-		       struct dl_str body)
-{
-	const struct dl_member *m;
-
-	for (uint32_t i = 0; (m = dl_memb_at(r->node.memb, i)); i++) {
-		if (m->vm == r->node.self || (m->replica && !replicas))
-			continue;
-		if (m->state == DL_ALIVE || m->state == DL_SUSPECT)
-			replica_send(r, m->vm, kind, 0, body);
-	}
-}
-
 /*
  * The words of keys that are known, in one body.  Without memory for it nothing
  * is told: who misses words asks for them at the next key.
@@ -93,7 +80,8 @@
 
 	if (words_of(r->alive, keys, count, &body, &n))
 		return;
-	to_members(r, false, DL_FRAME_WORDS, (struct dl_str){ body, n });
+	replica_to_members(r, false, DL_FRAME_WORDS,
+			   (struct dl_str){ body, n });
 	free(body);
 }
 
@@ -102,7 +90,7 @@
 	struct dl_packer pk;
 
 	dl_numbers_pack(&pk, DL_STR(""), keys, count);
-	to_members(r, false, DL_FRAME_ALIVE, dl_packer_bytes(&pk));
+	replica_to_members(r, false, DL_FRAME_ALIVE, dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
 }
 
@@ -157,8 +145,8 @@
 	/* One that there is no room to keep cannot be gathered. */
 	kept = fresh && dl_reports_find(alive->reports, key).n > 0;
 	if (fresh && !kept)
-		to_members(r, a->report.leaving, DL_FRAME_REPORT,
-			   dl_packer_bytes(&pk));
+		replica_to_members(r, a->report.leaving, DL_FRAME_REPORT,
+				   dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
 	if (kept)
 		gather(r, &alive->new_words, key, now);
--- /dev/null
+++ b/src/protocol/quarantine_codec.c
@@ -0,0 +1,42 @@
+/* Crashes of endpoints, three items each in one array. */
+#include "protocol/quarantine_codec.h"
+
+#include <errno.h>
+
+#define CRASH_ITEMS 3
+
+/* Pack crashes, DL_CRASHES_MAX at most. */
+void dl_crashes_pack(struct dl_packer *p, const struct dl_crash *crashes,
+		     uint32_t count)
+{
+	dl_packer_open(p, count * CRASH_ITEMS);
+	for (uint32_t i = 0; i < count; i++) {
+		dl_pack_u64(p, crashes[i].request);
+		dl_pack_u64(p, crashes[i].start);
+		dl_pack_u64(p, crashes[i].age_ms);
+	}
+}
+
+/* Read them again. */
+int dl_crashes_read(struct dl_str body, struct dl_crash *out, uint32_t *count)
+{
+	struct dl_reader r;
+	bool bad;
+
+	dl_reader_open(&r, body);
+	*count = r.left / CRASH_ITEMS;
+	if (r.left % CRASH_ITEMS || *count > DL_CRASHES_MAX)
+		r.bad = true;
+	for (uint32_t i = 0; !r.bad && i < *count; i++) {
+		uint64_t age_ms;
+
+		out[i].request = dl_read_u64(&r);
+		out[i].start = dl_read_u64(&r);
+		age_ms = dl_read_u64(&r);
+		out[i].age_ms = age_ms < UINT32_MAX ? (uint32_t)age_ms :
+						      UINT32_MAX;
+	}
+	bad = r.bad;
+	dl_reader_close(&r);
+	return bad ? -EBADMSG : 0;
+}
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -567,8 +567,11 @@
 	if (conn->closing || !conn->call)
 		return;
 	if (status) {
-		end_soon(conn->call, DL_BROKE_CONNECT, DL_STEP_CONNECT,
+		struct dl_httpc_call *call = conn->call;
+
+		end_soon(call, DL_BROKE_CONNECT, DL_STEP_CONNECT,
 			 uv_strerror(status));
+		call->err.code = status;
 		return;
 	}
 	uv_tcp_nodelay(&conn->tcp, 1);
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -58,8 +58,8 @@
 /*
  * Callbacks of one call: head once, body for each piece, end once and last.
  * body returns false to pause; dl_httpc_resume() goes on.  broke tells what
- * ended it; attempt is filled for dl_call_outcome().  NULL where nothing is to
- * be done.
+ * ended it; attempt is filled for dl_call_outcome(); err says -ECONNREFUSED
+ * where nobody listens.  NULL where nothing is to be done.
  */
 struct dl_httpc_ops {
 	void (*head)(void *arg, const struct dl_httpc_head *head);
--- a/test/foreign.sh
+++ b/test/foreign.sh
@@ -26,16 +26,21 @@
 	fi
 }
 
+# With CUTTABLE set, the addresses in a file of the place are cut off.
+cuttable() { # D
+	[ -z "${CUTTABLE:-}" ] || printf '"cut_file":"%s",' "$DIR/cut-$1"
+}
+
 settings() { # ROLE D FOUND
 	if [ "$1" = entry ]; then
-		printf '{"name":"entry-%s",%s,"foreign":true,"http":"%s","ready":"127.%s.%s.1:%s","peer":"127.%s.%s.1:%s","seeds":[%s],"key_lease_ms":2500,"stop_s":8}\n' \
-			"$2" "$(place "$2")" "$(front "$2")" \
+		printf '{%s"name":"entry-%s",%s,"foreign":true,"http":"%s","ready":"127.%s.%s.1:%s","peer":"127.%s.%s.1:%s","seeds":[%s],"key_lease_ms":2500,"stop_s":8}\n' \
+			"$(cuttable "$2")" "$2" "$(place "$2")" "$(front "$2")" \
 			"$NET" "$2" $READY_PORT \
 			"$NET" "$2" $PEER_PORT "$SEEDS"
 	else
 		mkdir -p "$DIR/data-$2"
-		printf '{"name":"replica-%s",%s,"foreign":true,"operators":"%s","peer":"127.%s.%s.2:%s","seeds":[%s],"found":%s,"failures_max":1,"data_folder":"%s"}\n' \
-			"$2" "$(place "$2")" "$(control "$2")" \
+		printf '{%s"name":"replica-%s",%s,"foreign":true,"operators":"%s","peer":"127.%s.%s.2:%s","seeds":[%s],"found":%s,"failures_max":1,"data_folder":"%s"}\n' \
+			"$(cuttable "$2")" "$2" "$(place "$2")" "$(control "$2")" \
 			"$NET" "$2" $PEER_PORT "$(replica_seeds)" "$3" "$DIR/data-$2"
 	fi >"$DIR/$1-$2.json"
 }
--- /dev/null
+++ b/test/test_quarantine.c
@@ -0,0 +1,243 @@
+/* Requests under which endpoints crash: when they are held back, how long. */
+#include <check.h>
+#include <stdlib.h>
+
+#include "daisyledge/quarantine.h"
+#include "protocol/quarantine_codec.h"
+
+#define REQUEST 77
+#define HOUR_MS ((int64_t)60 * 60 * 1000)
+#define DAY_MS	(24 * HOUR_MS)
+
+static struct dl_quarantine *q;
+
+static void begin(void)
+{
+	q = dl_quarantine_new();
+}
+
+static void end(void)
+{
+	dl_quarantine_free(q);
+}
+
+static bool crash(struct dl_quarantine *at, uint64_t request, uint64_t start,
+		  int64_t now)
+{
+	struct dl_crash c = { .request = request, .start = start };
+
+	return dl_quarantine_note(at, &c, now);
+}
+
+static bool is_held(const struct dl_quarantine *at, int64_t now)
+{
+	return dl_quarantine_left_ms(at, REQUEST, now) > 0;
+}
+
+static void crash_thrice(struct dl_quarantine *at, int64_t now)
+{
+	for (uint64_t start = 1; start <= DL_QUARANTINE_CRASHES; start++)
+		ck_assert(crash(at, REQUEST, start, now));
+}
+
+START_TEST(the_third_crash_holds_a_request_back)
+{
+	crash(q, REQUEST, 1, 10);
+	crash(q, REQUEST, 2, 20);
+	ck_assert(!is_held(q, 30));
+	crash(q, REQUEST, 3, 30);
+	ck_assert(is_held(q, 30));
+	ck_assert_uint_eq(dl_quarantine_left_ms(q, REQUEST + 1, 30), 0);
+	ck_assert_uint_eq(dl_quarantine_count(q, 30), 1);
+}
+END_TEST
+
+START_TEST(a_crash_that_many_saw_counts_once)
+{
+	ck_assert(crash(q, REQUEST, 1, 10));
+	for (int i = 0; i < 5; i++)
+		ck_assert(!crash(q, REQUEST, 1, 11 + i));
+	ck_assert(!is_held(q, 20));
+}
+END_TEST
+
+START_TEST(a_request_that_is_answered_is_not_held_back)
+{
+	crash(q, REQUEST, 1, 10);
+	crash(q, REQUEST, 2, 20);
+	ck_assert(dl_quarantine_suspects(q, REQUEST));
+	ck_assert(crash(q, REQUEST, 0, 25));
+	ck_assert(!dl_quarantine_suspects(q, REQUEST));
+	crash(q, REQUEST, 3, 30);
+	ck_assert(!is_held(q, 30));
+	/* Also one that was held back, and was on its way then. */
+	crash(q, REQUEST, 4, 40);
+	crash(q, REQUEST, 5, 50);
+	ck_assert(is_held(q, 50));
+	ck_assert(crash(q, REQUEST, 0, 60));
+	ck_assert(!is_held(q, 60));
+}
+END_TEST
+
+static void pass(void *arg, const struct dl_crash *c)
+{
+	dl_quarantine_note(arg, c, 1000);
+}
+
+START_TEST(crashes_on_both_sides_of_a_cut_are_counted_together)
+{
+	struct dl_quarantine *there = dl_quarantine_new();
+
+	crash(q, REQUEST, 1, 10);
+	crash(q, REQUEST, 2, 20);
+	crash(there, REQUEST, 2, 20);
+	crash(there, REQUEST, 3, 30);
+	ck_assert(!is_held(q, 1000) && !is_held(there, 1000));
+	dl_quarantine_each(q, 1000, pass, there);
+	dl_quarantine_each(there, 1000, pass, q);
+	ck_assert(is_held(q, 1000) && is_held(there, 1000));
+	dl_quarantine_free(there);
+}
+END_TEST
+
+START_TEST(a_vm_that_starts_holds_it_back_no_longer_than_the_others)
+{
+	struct dl_quarantine *started = dl_quarantine_new();
+
+	crash_thrice(q, 0);
+	dl_quarantine_each(q, 1000, pass, started);
+	ck_assert_uint_eq(dl_quarantine_left_ms(started, REQUEST, 1000),
+			  dl_quarantine_left_ms(q, REQUEST, 1000));
+	dl_quarantine_free(started);
+}
+END_TEST
+
+START_TEST(after_an_hour_one_more_crash_holds_it_back_again)
+{
+	crash_thrice(q, 0);
+	ck_assert(is_held(q, HOUR_MS - 1));
+	ck_assert(!is_held(q, HOUR_MS));
+	dl_quarantine_forget(q, HOUR_MS);
+	ck_assert(crash(q, REQUEST, 9, HOUR_MS + 5));
+	ck_assert(is_held(q, HOUR_MS + 5));
+	/* Known long enough for that, not for ever. */
+	dl_quarantine_forget(q, 3 * DAY_MS);
+	ck_assert(!dl_quarantine_suspects(q, REQUEST));
+}
+END_TEST
+
+START_TEST(crashes_that_are_long_apart_do_not_add_up)
+{
+	crash(q, REQUEST, 1, 0);
+	crash(q, REQUEST, 2, 1000);
+	dl_quarantine_forget(q, HOUR_MS);
+	crash(q, REQUEST, 3, HOUR_MS);
+	ck_assert(!is_held(q, HOUR_MS));
+}
+END_TEST
+
+START_TEST(many_that_were_beside_it_do_not_push_it_out)
+{
+	crash_thrice(q, 0);
+	for (uint64_t i = 0; i < 20000; i++)
+		crash(q, 1000 + i, i + 10, 10 + (int64_t)i);
+	ck_assert(is_held(q, 30000));
+}
+END_TEST
+
+START_TEST(only_what_broke_off_at_a_start_is_blamed_for_its_crash)
+{
+	struct dl_crash out;
+
+	dl_quarantine_broke(q, REQUEST, 1, 100);
+	dl_quarantine_broke(q, REQUEST + 1, 2, 110);
+	dl_quarantine_broke(q, REQUEST + 2, 1, 120);
+	ck_assert(dl_quarantine_crashed(q, 1, 150, &out));
+	ck_assert_uint_eq(out.request, REQUEST);
+	ck_assert_uint_eq(out.start, 1);
+	ck_assert_uint_eq(out.age_ms, 50);
+	ck_assert(dl_quarantine_crashed(q, 1, 150, &out));
+	ck_assert_uint_eq(out.request, REQUEST + 2);
+	ck_assert(!dl_quarantine_crashed(q, 1, 150, &out));
+	/* What broke off long before had another cause. */
+	ck_assert(!dl_quarantine_crashed(q, 2, 60000, &out));
+}
+END_TEST
+
+START_TEST(a_break_without_a_crash_blames_nobody)
+{
+	for (uint64_t start = 1; start <= 10; start++)
+		dl_quarantine_broke(q, REQUEST, start, 10);
+	ck_assert(!dl_quarantine_suspects(q, REQUEST));
+	ck_assert(!is_held(q, 10));
+}
+END_TEST
+
+START_TEST(crashes_survive_the_wire)
+{
+	struct dl_crash in[3] = { { 1, 2, 3 },
+				  { UINT64_MAX, 0, UINT32_MAX },
+				  { 7, UINT64_MAX, 0 } };
+	struct dl_crash out[DL_CRASHES_MAX];
+	struct dl_packer pk;
+	struct dl_str body;
+	uint32_t count;
+
+	dl_crashes_pack(&pk, in, 3);
+	body = dl_packer_bytes(&pk);
+	ck_assert_int_eq(dl_crashes_read(body, out, &count), 0);
+	ck_assert_uint_eq(count, 3);
+	for (int i = 0; i < 3; i++) {
+		ck_assert_uint_eq(out[i].request, in[i].request);
+		ck_assert_uint_eq(out[i].start, in[i].start);
+		ck_assert_uint_eq(out[i].age_ms, in[i].age_ms);
+	}
+	for (size_t n = 0; n < body.n; n++)
+		ck_assert(dl_crashes_read((struct dl_str){ body.s, n }, out,
+					  &count));
+	dl_packer_close(&pk);
+}
+END_TEST
+
+START_TEST(a_body_of_too_many_crashes_is_refused)
+{
+	static struct dl_crash many[DL_CRASHES_MAX + 1];
+	struct dl_crash out[DL_CRASHES_MAX];
+	struct dl_packer pk;
+	uint32_t count;
+
+	dl_crashes_pack(&pk, many, DL_CRASHES_MAX + 1);
+	ck_assert(dl_crashes_read(dl_packer_bytes(&pk), out, &count));
+	dl_packer_close(&pk);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("quarantine");
+	TCase *tc = tcase_create("quarantine");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tc, begin, end);
+	tcase_add_test(tc, the_third_crash_holds_a_request_back);
+	tcase_add_test(tc, a_crash_that_many_saw_counts_once);
+	tcase_add_test(tc, a_request_that_is_answered_is_not_held_back);
+	tcase_add_test(tc, crashes_on_both_sides_of_a_cut_are_counted_together);
+	tcase_add_test(
+		tc, a_vm_that_starts_holds_it_back_no_longer_than_the_others);
+	tcase_add_test(tc, after_an_hour_one_more_crash_holds_it_back_again);
+	tcase_add_test(tc, crashes_that_are_long_apart_do_not_add_up);
+	tcase_add_test(tc, many_that_were_beside_it_do_not_push_it_out);
+	tcase_add_test(tc,
+		       only_what_broke_off_at_a_start_is_blamed_for_its_crash);
+	tcase_add_test(tc, a_break_without_a_crash_blames_nobody);
+	tcase_add_test(tc, crashes_survive_the_wire);
+	tcase_add_test(tc, a_body_of_too_many_crashes_is_refused);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/test/test_system_crashing_request.sh
+++ b/test/test_system_crashing_request.sh
@@ -2,12 +2,14 @@
 # A request that crashes each endpoint that runs it, repeated at every VM.
 cd "$(dirname "$0")/.." || exit 2
 . test/deploy.sh
+CUTTABLE=1
 test_begin dala
 . test/foreign.sh
 
 CRASHES=3      # endpoints that may end before it is known
 AFTERWARDS=3   # runs after that which the rule allows
 STABLE_S=3     # by when each VM knows
+SERVING=3      # VMs that callers reach
 
 runs() { # PATH
 	grep -c " $1 " "$RECORD"
@@ -24,7 +26,7 @@
 		$DL_HTTP -t 4000 -X POST -H "$HOST" \
 			-H "Daisyledge-Attempt-Id: crash$sent" \
 			-H 'Daisyledge-Deadline-Ms: 3000' -d same "$@" \
-			"$(front $((n % 3 + 1)))" "$path" >/dev/null 2>&1
+			"$(front $((n % SERVING + 1)))" "$path" >/dev/null 2>&1
 	done
 }
 
@@ -58,23 +60,54 @@
 crash_kind /book/crash -H "$KEY"
 crash_kind /look/crash
 
-# A VM that has just started.
+# A VM refuses what it has not seen itself: D PATH
+refuses() {
+	d=$1 path=$2
+	sleep $STABLE_S
+	before=$(runs "$path")
+	for n in 1 2 3 4 5 6; do
+		$DL_HTTP -t 4000 -X POST -H "$HOST" -H "$KEY" \
+			-H "Daisyledge-Attempt-Id: late$d$n" \
+			-H 'Daisyledge-Deadline-Ms: 3000' -d same \
+			-e 503 "$(front "$d")" "$path" >/dev/null ||
+			fail "VM $d does not refuse $path"
+	done
+	[ "$(runs "$path")" -eq "$before" ] || fail "VM $d sent $path on"
+}
+
+# A VM that has just started, and one whose replicas all have.
 kill -KILL "$(pid_of entry_3)"
 sleep 0.5
 start entry 3
 wait_for 10 "entry 3" ready 3 || fail "entry 3 is not ready"
-sleep $STABLE_S
-before=$(runs /chat/crash)
-for n in 1 2 3 4 5 6; do
-	$DL_HTTP -t 4000 -X POST -H "$HOST" -H "$KEY" \
-		-H "Daisyledge-Attempt-Id: late$n" \
-		-H 'Daisyledge-Deadline-Ms: 3000' -d same \
-		-H 'Daisyledge-Token-Usage: 1000,50' \
-		-e 503 "$(front 3)" /chat/crash >/dev/null ||
-		fail "a VM that has started does not refuse it"
+refuses 3 /chat/crash
+for d in 1 2 3; do
+	kill -KILL "$(pid_of replica_$d)"
+done
+kill -KILL "$(pid_of entry_1)"
+sleep 0.5
+for d in 1 2 3; do
+	start replica $d false
+done
+start entry 1
+wait_for 10 "entry 1" ready 1 || fail "entry 1 is not ready"
+refuses 1 /chat/crash
+
+# A VM that was cut off while it crashed endpoints of the others.
+for d in 1 2; do
+	printf '127.%s.3.1:%s\n127.%s.3.2:%s\n' \
+		"$NET" $PEER_PORT "$NET" $PEER_PORT >"$DIR/cut-$d"
+	printf '127.%s.%s.1:%s\n127.%s.%s.2:%s\n' \
+		"$NET" $d $PEER_PORT "$NET" $d $PEER_PORT >>"$DIR/cut-3.new"
 done
-[ "$(runs /chat/crash)" -eq "$before" ] ||
-	fail "a VM that has started sent it on"
+mv "$DIR/cut-3.new" "$DIR/cut-3"
+sleep 3
+SERVING=2
+repeat 6 /look/crash/cut
+[ "$(runs /look/crash/cut)" -ge $CRASHES ] || fail "/look/crash/cut did not run"
+rm "$DIR/cut-1" "$DIR/cut-2" "$DIR/cut-3"
+wait_for 10 "entry 3" ready 3 || fail "entry 3 is not ready after the cut"
+refuses 3 /look/crash/cut
 
 # All others are served as before.
 for d in 1 2 3; do
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -209,7 +209,7 @@
 	opt.instance_crashes = atoi(crashes);
 	opt.instance =
 		g_strdup_printf("%s-%d", opt.instance, opt.instance_crashes);
-	g_usleep(DOWN_MS * 1000);
+	g_usleep((gulong)DOWN_MS * G_USEC_PER_SEC / 1000);
 }
 
 static void begin_stream(struct fake_request *req, const char *attempt)
