Words of crashes that cross come to rest

Replicas pass on what is news to them. That a request is cleared removed it, so a crash told before was news again behind it, and the other way round: two words that crossed at two replicas went round for ever.

Change: a word carries how often the request had been cleared. Later times win, words of one time add up, so each VM takes each word once at most.

--- a/include/daisyledge/quarantine.h
+++ b/include/daisyledge/quarantine.h
@@ -24,8 +24,9 @@
 /* What VMs tell each other: a crash under a request, or that it is harmless. */
 struct dl_crash {
 	uint64_t request;
-	uint64_t start;	 /* that crashed; 0: the request was answered */
-	uint32_t age_ms; /* since then */
+	uint64_t start;	  /* that crashed; 0: the request was answered */
+	uint32_t cleared; /* how often it had been, this time included */
+	uint32_t age_ms;  /* since then */
 };
 
 struct dl_quarantine *dl_quarantine_new(void);
@@ -44,11 +45,17 @@
 bool dl_quarantine_crashed(struct dl_quarantine *q, uint64_t start, int64_t now,
 			   struct dl_crash *out);
 
-/* Take in what is known here or was told; false where it is nothing new. */
+/*
+ * Take in what is known here or was told; false where it is nothing new.  VMs
+ * that pass on to each other what is new end with the same, in any order: what
+ * a request was blamed for before it was cleared never comes back.
+ */
 bool dl_quarantine_note(struct dl_quarantine *q, const struct dl_crash *crash,
 			int64_t now);
-/* Whether an endpoint crashed under a request, as far as is known. */
+/* Whether an endpoint crashed under a request and it was not cleared since. */
 bool dl_quarantine_suspects(const struct dl_quarantine *q, uint64_t request);
+/* How often a request has been cleared, as far as is known. */
+uint32_t dl_quarantine_cleared(const struct dl_quarantine *q, uint64_t request);
 /* How long a request is still held back, ms; 0: it may run. */
 uint32_t dl_quarantine_left_ms(const struct dl_quarantine *q, uint64_t request,
 			       int64_t now);
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -22,16 +22,19 @@
  * A restart shows within some seconds; until then it is open whether an
  * endpoint crashed under what broke off there.
  */
-#define BROKE_MS  10000
+#define BROKE_MS 10000
+/* A crash that is told later than this is of the hour before. */
+#define FRESH_MS  60000
 #define BROKE_MAX 512
 
 /* One request under which endpoints crashed. */
 struct record {
 	uint64_t request;
 	uint64_t start[DL_QUARANTINE_CRASHES];
-	uint32_t crashes;
-	uint32_t oldest; /* of start, once there are so many */
-	int64_t last;	 /* crash */
+	uint32_t crashes; /* since it was cleared */
+	uint32_t cleared; /* so often */
+	uint32_t oldest;  /* of start, once there are so many */
+	int64_t last;	  /* crash, or when it was cleared */
 };
 
 /* One attempt that broke off. */
@@ -84,8 +87,12 @@
 
 		if (!b->request || b->start != start || now - b->at >= BROKE_MS)
 			continue;
-		*out = (struct dl_crash){ b->request, start,
-					  (uint32_t)(now - b->at) };
+		*out = (struct dl_crash){
+			.request = b->request,
+			.start = start,
+			.cleared = dl_quarantine_cleared(q, b->request),
+			.age_ms = (uint32_t)(now - b->at),
+		};
 		b->request = 0;
 		return true;
 	}
@@ -145,42 +152,79 @@
 		make_place(q);
 	r = g_new0(struct record, 1);
 	r->request = request;
+	r->last = INT64_MIN / 2;
 	g_hash_table_insert(q->records, &r->request, r);
 	return r;
 }
 
+/* Begin anew: what the request was blamed for before counts no more. */
+static void clear(struct record *r, uint32_t cleared)
+{
+	r->cleared = cleared;
+	r->crashes = 0;
+	r->oldest = 0;
+}
+
+/*
+ * Count a start among those that crashed.  Past the number that holds a request
+ * back one counts only where it does so again: others are of attempts that were
+ * on their way.
+ */
+static bool add_start(struct record *r, const struct dl_crash *crash,
+		      int64_t now)
+{
+	if (has_start(r, crash->start))
+		return false;
+	if (r->crashes < DL_QUARANTINE_CRASHES) {
+		r->start[r->crashes++] = crash->start;
+		return true;
+	}
+	if (is_held(r, now) || crash->age_ms >= FRESH_MS)
+		return false;
+	r->start[r->oldest++ % DL_QUARANTINE_CRASHES] = crash->start;
+	return true;
+}
+
 /*
- * Crashes beyond those that hold a request back are no news while it is held:
- * they are of attempts that were on their way.
+ * Words are ordered by how often the request had been cleared; those of one
+ * such time add up in any order.
  */
 bool dl_quarantine_note(struct dl_quarantine *q, const struct dl_crash *crash,
 			int64_t now)
 {
 	int64_t at = now - crash->age_ms;
 	struct record *r;
-	bool held;
+	bool news;
 
-	if (!crash->start)
-		return g_hash_table_remove(q->records, &crash->request);
 	if (!crash->request || crash->age_ms >= KNOWN_MS)
 		return false;
 	r = record_of(q, crash->request);
-	held = is_held(r, now);
-	if (!r->crashes || at > r->last)
-		r->last = at;
-	if (held || has_start(r, crash->start))
+	if (crash->cleared < r->cleared)
 		return false;
-	if (r->crashes < DL_QUARANTINE_CRASHES)
-		r->start[r->crashes++] = crash->start;
-	else
-		r->start[r->oldest++ % DL_QUARANTINE_CRASHES] = crash->start;
-	return true;
+	news = crash->cleared > r->cleared;
+	if (news)
+		clear(r, crash->cleared);
+	if (crash->start && add_start(r, crash, now))
+		news = true;
+	if (news && at > r->last)
+		r->last = at;
+	return news;
 }
 
-/* Whether a request is known here. */
+/* Whether crashes under a request are known. */
 bool dl_quarantine_suspects(const struct dl_quarantine *q, uint64_t request)
 {
-	return g_hash_table_contains(q->records, &request);
+	const struct record *r = g_hash_table_lookup(q->records, &request);
+
+	return r && r->crashes;
+}
+
+/* How often a request has been cleared. */
+uint32_t dl_quarantine_cleared(const struct dl_quarantine *q, uint64_t request)
+{
+	const struct record *r = g_hash_table_lookup(q->records, &request);
+
+	return r ? r->cleared : 0;
 }
 
 /* How long a request is still held back; 0 where it is not. */
@@ -206,9 +250,14 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct record *r = value;
 		struct dl_crash crash = { .request = r->request,
+					  .cleared = r->cleared,
 					  .age_ms = (uint32_t)(now - r->last) };
 
-		for (uint32_t i = 0; i < r->crashes && !is_over(r, now); i++) {
+		if (is_over(r, now))
+			continue;
+		if (!r->crashes)
+			each(arg, &crash);
+		for (uint32_t i = 0; i < r->crashes; i++) {
 			crash.start = r->start[i];
 			each(arg, &crash);
 		}
--- a/src/main/entry_quarantine.c
+++ b/src/main/entry_quarantine.c
@@ -143,10 +143,13 @@
 /* An endpoint has answered the request whole: it is harmless. */
 void entry_quarantine_answered(struct call *c)
 {
+	const struct dl_quarantine *known = c->e->quarantine.known;
 	struct dl_crash harmless = { .request = c->content };
 
-	if (dl_quarantine_suspects(c->e->quarantine.known, c->content))
-		quarantine_note(&c->e->quarantine, &harmless, entry_now(c->e));
+	if (!dl_quarantine_suspects(known, c->content))
+		return;
+	harmless.cleared = dl_quarantine_cleared(known, c->content) + 1;
+	quarantine_note(&c->e->quarantine, &harmless, entry_now(c->e));
 }
 
 /*
--- a/src/protocol/quarantine_codec.c
+++ b/src/protocol/quarantine_codec.c
@@ -1,9 +1,9 @@
-/* Crashes of endpoints, three items each in one array. */
+/* Crashes of endpoints, four items each in one array. */
 #include "protocol/quarantine_codec.h"
 
 #include <errno.h>
 
-#define CRASH_ITEMS 3
+#define CRASH_ITEMS 4
 
 /* Pack crashes, DL_CRASHES_MAX at most. */
 void dl_crashes_pack(struct dl_packer *p, const struct dl_crash *crashes,
@@ -13,10 +13,19 @@
 	for (uint32_t i = 0; i < count; i++) {
 		dl_pack_u64(p, crashes[i].request);
 		dl_pack_u64(p, crashes[i].start);
+		dl_pack_u64(p, crashes[i].cleared);
 		dl_pack_u64(p, crashes[i].age_ms);
 	}
 }
 
+/* A number that is cut to what it can be. */
+static uint32_t read_u32(struct dl_reader *r)
+{
+	uint64_t v = dl_read_u64(r);
+
+	return v < UINT32_MAX ? (uint32_t)v : UINT32_MAX;
+}
+
 /* Read them again. */
 int dl_crashes_read(struct dl_str body, struct dl_crash *out, uint32_t *count)
 {
@@ -28,13 +37,10 @@
 	if (r.left % CRASH_ITEMS || *count > DL_CRASHES_MAX)
 		r.bad = true;
 	for (uint32_t i = 0; !r.bad && i < *count; i++) {
-		uint64_t age_ms;
-
 		out[i].request = dl_read_u64(&r);
 		out[i].start = dl_read_u64(&r);
-		age_ms = dl_read_u64(&r);
-		out[i].age_ms = age_ms < UINT32_MAX ? (uint32_t)age_ms :
-						      UINT32_MAX;
+		out[i].cleared = read_u32(&r);
+		out[i].age_ms = read_u32(&r);
 	}
 	bad = r.bad;
 	dl_reader_close(&r);
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -1,6 +1,7 @@
 /* Requests under which endpoints crash: when they are held back, how long. */
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "daisyledge/quarantine.h"
 #include "protocol/quarantine_codec.h"
@@ -24,8 +25,11 @@
 static bool crash(struct dl_quarantine *at, uint64_t request, uint64_t start,
 		  int64_t now)
 {
-	struct dl_crash c = { .request = request, .start = start };
+	struct dl_crash c = { .request = request,
+			      .start = start,
+			      .cleared = dl_quarantine_cleared(at, request) };
 
+	c.cleared += start == 0;
 	return dl_quarantine_note(at, &c, now);
 }
 
@@ -100,6 +104,68 @@
 }
 END_TEST
 
+/* VMs that each pass on what is news to them, in any order. */
+#define VMS	  4
+#define WORDS_MAX 4096
+
+struct word {
+	int to;
+	struct dl_crash crash;
+};
+
+static struct {
+	struct dl_quarantine *at[VMS];
+	struct word word[WORDS_MAX];
+	uint32_t words, passed;
+} net;
+
+static void tell_others(int from, const struct dl_crash *c)
+{
+	for (int to = 0; to < VMS; to++) {
+		if (to == from)
+			continue;
+		ck_assert_uint_lt(net.words, WORDS_MAX);
+		net.word[net.words++] = (struct word){ to, *c };
+	}
+}
+
+static void happens(int vm, struct dl_crash c)
+{
+	c.cleared = dl_quarantine_cleared(net.at[vm], c.request) + !c.start;
+	if (dl_quarantine_note(net.at[vm], &c, 100))
+		tell_others(vm, &c);
+}
+
+START_TEST(words_that_cross_come_to_rest)
+{
+	srand((unsigned)_i);
+	memset(&net, 0, sizeof(net));
+	for (int vm = 0; vm < VMS; vm++)
+		net.at[vm] = dl_quarantine_new();
+	for (uint64_t n = 0; n < 12; n++) {
+		uint64_t start = rand() % 3 ? n / 2 + 1 : 0;
+
+		happens(rand() % VMS, (struct dl_crash){ .request = REQUEST,
+							 .start = start });
+	}
+	while (net.words) {
+		uint32_t i = (uint32_t)rand() % net.words;
+		struct word w = net.word[i];
+
+		net.word[i] = net.word[--net.words];
+		ck_assert_uint_lt(net.passed++, WORDS_MAX);
+		if (dl_quarantine_note(net.at[w.to], &w.crash, 100))
+			tell_others(w.to, &w.crash);
+	}
+	for (int vm = 1; vm < VMS; vm++)
+		ck_assert_uint_eq(
+			dl_quarantine_left_ms(net.at[vm], REQUEST, 100),
+			dl_quarantine_left_ms(net.at[0], REQUEST, 100));
+	for (int vm = 0; vm < VMS; vm++)
+		dl_quarantine_free(net.at[vm]);
+}
+END_TEST
+
 START_TEST(a_vm_that_starts_holds_it_back_no_longer_than_the_others)
 {
 	struct dl_quarantine *started = dl_quarantine_new();
@@ -175,9 +241,9 @@
 
 START_TEST(crashes_survive_the_wire)
 {
-	struct dl_crash in[3] = { { 1, 2, 3 },
-				  { UINT64_MAX, 0, UINT32_MAX },
-				  { 7, UINT64_MAX, 0 } };
+	struct dl_crash in[3] = { { 1, 2, 3, 4 },
+				  { UINT64_MAX, 0, 1, UINT32_MAX },
+				  { 7, UINT64_MAX, UINT32_MAX, 0 } };
 	struct dl_crash out[DL_CRASHES_MAX];
 	struct dl_packer pk;
 	struct dl_str body;
@@ -190,6 +256,7 @@
 	for (int i = 0; i < 3; i++) {
 		ck_assert_uint_eq(out[i].request, in[i].request);
 		ck_assert_uint_eq(out[i].start, in[i].start);
+		ck_assert_uint_eq(out[i].cleared, in[i].cleared);
 		ck_assert_uint_eq(out[i].age_ms, in[i].age_ms);
 	}
 	for (size_t n = 0; n < body.n; n++)
@@ -223,6 +290,7 @@
 	tcase_add_test(tc, the_third_crash_holds_a_request_back);
 	tcase_add_test(tc, a_crash_that_many_saw_counts_once);
 	tcase_add_test(tc, a_request_that_is_answered_is_not_held_back);
+	tcase_add_loop_test(tc, words_that_cross_come_to_rest, 0, 200);
 	tcase_add_test(tc, crashes_on_both_sides_of_a_cut_are_counted_together);
 	tcase_add_test(
 		tc, a_vm_that_starts_holds_it_back_no_longer_than_the_others);
