Endpoints get no more requests than they name, from all VMs together

What endpoints saw: engines in need that named 2.1 and 1 requests a second got 22 and 18 in 4 s, where 17.6 and 11 are allowed (LIMIT).

Cause: nothing read the header in which they name it; dispatching went by slots and forecasts, which put short streams together on few engines.

Ruled out: entries that keep to a limit each for itself, and requests past a dispatcher that knows one: no code knew it.

Change: entries tell the dispatcher what answers name, and it grants an endpoint's requests at that rate, parts of prompts and retries among them, without bursts. A dispatcher that takes over is told by all that read a limit of late; an entry that places without a dispatcher leaves such endpoints out. What a limit lets through bounds what is admitted.

--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -87,6 +87,7 @@
 	int64_t first_by; /* the caller leaves without an event; 0: deadline */
 	uint8_t tried;	  /* endpoints in tried_ids not to be used again */
 	struct dl_name tried_ids[3];
+	bool alone; /* placed by its entry, for want of a dispatcher */
 };
 
 enum dl_verdict {
@@ -128,6 +129,7 @@
 	int64_t valid_until;	 /* granted: unless renewed */
 	uint8_t priority;	 /* granted: 0 is the most urgent */
 	uint8_t endpoints;	 /* granted: 1, or a group's size */
+	bool limited; /* granted: the first endpoint has named a limit */
 	uint8_t away; /* granted: so many are in another failure domain */
 	struct dl_name endpoint[DL_GROUP_MAX]; /* the first one leads */
 	uint64_t share_tokens[DL_GROUP_MAX];   /* memory held on each */
@@ -190,6 +192,9 @@
  */
 bool dl_pool_limit(struct dl_pool *pool, struct dl_str id, uint32_t limit,
 		   int64_t now);
+/* Walk the limits named since a time, from index 0; false past the last. */
+bool dl_pool_limit_next(const struct dl_pool *pool, uint32_t *index,
+			int64_t since, struct dl_name *id, uint32_t *limit);
 void dl_pool_endpoint_gone(struct dl_pool *pool, struct dl_str id, int64_t now);
 /* The operators' drain: no new work until lifted, whatever it reports. */
 void dl_pool_endpoint_drain(struct dl_pool *pool, struct dl_str id, bool drain,
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -55,7 +55,7 @@
 			abort();
 	}
 	dl_name_set(&e->last.id, id);
-	e->limit = DL_UNLIMITED;
+	pool_throttle_reset(e);
 	e->slot = pool->endpoints_n;
 	pool->endpoints[pool->endpoints_n++] = e;
 	pool_index_resize(&pool->index, pool->endpoints_n);
@@ -144,7 +144,7 @@
 		pool_grant_detach(pool, e);
 		pool_shift_reset(pool, e);
 		memset(e->until, 0, sizeof(e->until));
-		e->limit = DL_UNLIMITED;
+		pool_throttle_reset(e);
 	}
 	e->last = *r;
 	e->domain = pool_domain(&r->failure_domain);
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -206,6 +206,7 @@
 		pool_backlog_commit(e, want, g->parts[i].prefill_ms, slack,
 				    now);
 		attach(g, i, e, i && choice->lead_holds ? 0 : choice->share);
+		pool_throttle_take(e, now);
 		if (choice->probe) {
 			e->probe = g->id;
 			e->probe_at = now + e->probe_gap_ms;
@@ -234,6 +235,8 @@
 	out->predicted_ttft_ms = g->predicted_ttft_ms;
 	out->endpoints = 0;
 	out->away = 0;
+	out->limited = g->parts[0].endpoint &&
+		       g->parts[0].endpoint->limit != DL_UNLIMITED;
 	for (uint8_t i = 0; i < g->parts_n; i++) {
 		if (!g->parts[i].endpoint)
 			continue;
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -107,6 +107,7 @@
 	int64_t first_by;   /* the caller leaves without an event; 0: never */
 	uint32_t target_ms; /* to the first event; 0: not said */
 	uint32_t gap_ms;    /* the longest pause that is on time; 0: any */
+	bool alone;	    /* its entry places it without the dispatcher */
 };
 
 /* Lowest of the last reports of something the pool cannot account for. */
@@ -193,6 +194,9 @@
 	struct dl_engine engine; /* followed by dl_policy_engine */
 
 	uint32_t limit; /* requests in 1,000 s, as it named; or DL_UNLIMITED */
+	int64_t limit_named;	 /* last */
+	double limit_credit;	 /* requests that may go there, */
+	int64_t limit_credit_at; /* at that time */
 
 	/* Whether it is an outlier. */
 	enum pool_shift shift;
@@ -570,6 +574,14 @@
 			 const struct pool_endpoint *e);
 double pool_decode_ms(const struct pool_endpoint *e);
 
+/* pool_throttle.c */
+bool pool_throttle_takes(const struct pool_endpoint *e,
+			 const struct pool_want *want, int64_t now);
+void pool_throttle_take(struct pool_endpoint *e, int64_t now);
+double pool_throttle_rate(const struct dl_pool *pool,
+			  const struct pool_endpoint *e, double rate);
+void pool_throttle_reset(struct pool_endpoint *e);
+
 /* pool_backlog.c */
 int64_t pool_backlog_higher_ms(const struct pool_endpoint *e, uint8_t level);
 void pool_backlog_commit(struct pool_endpoint *e, const struct pool_want *want,
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -181,6 +181,7 @@
 		rate = 1 / pool_ms_per_token(pool, e);
 	if (open && pool->conf.kind == DL_POOL_PLAIN)
 		rate *= e->last.slots;
+	rate = pool_throttle_rate(pool, e, rate);
 	pool->slots += open ? e->last.slots : 0;
 	pool->slots -= e->counted_slots;
 	e->counted_slots = open ? e->last.slots : 0;
@@ -270,7 +271,8 @@
 	double prefill = (double)want->prompt * pool_ms_per_token(pool, e);
 	uint64_t room = pool_place_free(e);
 
-	if (!pool_endpoint_open(pool, e) || pool_place_tried(want, e))
+	if (!pool_endpoint_open(pool, e) || pool_place_tried(want, e) ||
+	    !pool_throttle_takes(e, want, now))
 		return false;
 	if (e->hold && level > POOL_SHORT) {
 		if (!backfills(pool, want, e, now))
--- a/src/main/entry.c
+++ b/src/main/entry.c
@@ -166,6 +166,7 @@
 	entry_conf_tick(e, now);
 	entry_lease_tick(e, now);
 	entry_quarantine_tick(e, now);
+	entry_limit_tick(e, now);
 	if (now - e->counted_at >= COUNT_EVERY_MS) {
 		e->counted_at = now;
 		count_live(e);
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -55,6 +55,7 @@
 	struct dl_spill spill;
 	int64_t led_since;
 	struct held_ask *held; /* until the endpoints are known */
+	uint64_t limits_told;  /* the dispatcher that was told of limits */
 };
 
 /* What an endpoint announced that only the order planner asks for. */
@@ -363,8 +364,6 @@
 
 /* entry_quarantine.c */
 void entry_quarantine_open(struct entry *e);
-uint64_t entry_quarantine_start(struct entry *e, struct dl_str service,
-				struct dl_str address);
 void entry_quarantine_crashed(struct entry *e, uint64_t start);
 void entry_quarantine_attempt(struct call *c, const struct dl_attempt *attempt,
 			      const struct dl_err *err);
@@ -376,6 +375,9 @@
 
 /* entry_limit.c */
 void entry_limit_named(struct call *c, uint32_t limit);
+void entry_limit_frame(struct entry *e, uint64_t from,
+		       const struct dl_frame *frame);
+void entry_limit_tick(struct entry *e, int64_t now);
 
 /* entry_lease.c */
 bool entry_lease_holds(const struct entry *e);
@@ -423,6 +425,9 @@
 void entry_pool_tick(struct entry *e, int64_t now);
 
 /* entry_announce.c */
+/* Number of the start at an address, the same on all VMs; 0: not known. */
+uint64_t entry_endpoint_start(struct entry *e, struct dl_str service,
+			      struct dl_str address);
 int entry_announce_take(struct entry *e, struct dl_announcement *a);
 void entry_announce_alive(struct entry *e, uint64_t from,
 			  const struct dl_frame *f);
--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -10,6 +10,31 @@
 
 #define MS_PER_S 1000
 
+/* The number of a start whose endpoints' starts have names. */
+static uint64_t named_start(const struct dl_directory_entry *d)
+{
+	return dl_hash(dl_name_str(&d->instance), d->born);
+}
+
+/*
+ * The number of the start that runs at an address; 0 where none is known, or it
+ * leaves, and what it breaks off then is no crash.
+ */
+uint64_t entry_endpoint_start(struct entry *e, struct dl_str service,
+			      struct dl_str address)
+{
+	const struct dl_directory_entry *d =
+		dl_directory_find(e->directory, address);
+	const struct entry_pool *p;
+	const struct announced *a;
+
+	if (d)
+		return d->leaving ? 0 : named_start(d);
+	p = entry_pool_find(e, service);
+	a = p ? g_hash_table_lookup(p->announced, address.s) : NULL;
+	return a && !a->leaving ? dl_hash(address, a->incarnation) : 0;
+}
+
 /*
  * Note what was announced.  Leaving is final for an incarnation: announcements
  * come through any VM, and an older one may arrive last.
@@ -89,8 +114,8 @@
 static bool place_instance(struct entry *e, struct dl_announcement *a)
 {
 	const struct dl_directory_entry *d, *left;
-	uint64_t before = entry_quarantine_start(e, dl_name_str(&a->service),
-						 dl_name_str(&a->report.id));
+	uint64_t before = entry_endpoint_start(e, dl_name_str(&a->service),
+					       dl_name_str(&a->report.id));
 	enum dl_heard heard =
 		dl_node_hear(e->directory, a, entry_now(e), &d, &left);
 
--- a/src/main/entry_limit.c
+++ b/src/main/entry_limit.c
@@ -1,25 +1,114 @@
-/* Limits that endpoints name in their answers, on requests from all VMs. */
+/*
+ * Limits that endpoints name in their answers, on requests from all VMs: each
+ * entry tells the dispatcher what it reads, and a new dispatcher what it has
+ * read of late.
+ */
 #include "base/msg.h"
 #include "main/entry.h"
 
+/*
+ * What was named before is not told to a new dispatcher: an endpoint that still
+ * has a limit gets a request in this time, and names it again.
+ */
+#define RECENT_MS 10000
+
+/* Take in a limit where the pool is kept here; one that changes is logged. */
+static void note(struct entry *e, struct entry_pool *p,
+		 const struct dl_limit_frame *f, uint64_t from)
+{
+	struct dl_str address = dl_name_str(&f->endpoint);
+
+	/* It may be of a start that another one has followed. */
+	if (f->start !=
+	    entry_endpoint_start(e, dl_name_str(&f->service), address))
+		return;
+	if (!dl_pool_limit(p->pool, address, f->limit, entry_now(e)))
+		return;
+	if (f->limit == DL_UNLIMITED)
+		dl_msg(DL_MSG_LIMIT_OVER, "endpoint=%s from=%lx leading=%d",
+		       address.s, (unsigned long)from, p->leading);
+	else
+		dl_msg(DL_MSG_LIMIT_NAMED,
+		       "endpoint=%s limit_per_1000s=%u from=%lx leading=%d",
+		       address.s, f->limit, (unsigned long)from, p->leading);
+}
+
+static void tell(struct entry *e, uint64_t dispatcher,
+		 const struct dl_limit_frame *f)
+{
+	struct dl_packer pk;
+
+	dl_limit_pack(&pk, f);
+	dl_peers_send(e->node.peers, dispatcher, DL_FRAME_LIMIT, 0,
+		      dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
+}
+
 /* The head of an answer has come, which names a limit or none. */
 void entry_limit_named(struct call *c, uint32_t limit)
 {
+	struct dl_limit_frame f = { .service = c->service,
+				    .endpoint = c->grant.endpoint[0],
+				    .start = c->start,
+				    .limit = limit };
 	struct entry *e = c->e;
-	struct dl_str service = dl_name_str(&c->service);
-	struct dl_str address = dl_name_str(&c->grant.endpoint[0]);
-	struct entry_pool *p = entry_pool_find(e, service);
+	struct entry_pool *p = entry_pool_find(e, dl_name_str(&c->service));
+
+	if (p && entry_pool_is_own(e, dl_name_str(&c->domain)))
+		note(e, p, &f, e->node.self);
+	if ((limit == DL_UNLIMITED && !c->grant.limited) ||
+	    c->dispatcher == e->node.self)
+		return;
+	tell(e, c->dispatcher, &f);
+}
+
+/* Another entry tells what an endpoint of a pool here named. */
+void entry_limit_frame(struct entry *e, uint64_t from,
+		       const struct dl_frame *frame)
+{
+	struct dl_limit_frame f;
+	struct entry_pool *p;
+
+	if (dl_limit_read(frame->body, &f))
+		return;
+	p = entry_pool_find(e, dl_name_str(&f.service));
+	if (p)
+		note(e, p, &f, from);
+}
 
-	/* It may be the answer of a start that another one has followed. */
-	if (!p || c->start != entry_quarantine_start(e, service, address))
+/*
+ * A dispatcher that takes over knows the limits that its own answers showed.
+ * Without the others' an endpoint in need would look free to it.
+ */
+static void tell_successor(struct entry *e, struct entry_pool *p, int64_t now)
+{
+	struct dl_str domain =
+		dl_name_str(dl_settings_pool_domain(&e->node.settings));
+	struct dl_str service = dl_name_str(&p->service);
+	struct dl_limit_frame f = { .service = p->service };
+	uint64_t owner;
+	uint32_t at = 0;
+
+	if (!dl_pool_limit_next(p->pool, &at, now - RECENT_MS, &f.endpoint,
+				&f.limit))
 		return;
-	if (!dl_pool_limit(p->pool, address, limit, entry_now(e)))
+	owner = entry_pool_owner(e, service, domain);
+	if (owner == p->limits_told || owner == DL_VM_NONE)
 		return;
-	if (limit == DL_UNLIMITED)
-		dl_msg(DL_MSG_LIMIT_OVER, "endpoint=%s request=%s", address.s,
-		       c->id_text);
-	else
-		dl_msg(DL_MSG_LIMIT_NAMED,
-		       "endpoint=%s limit_per_1000s=%u request=%s", address.s,
-		       limit, c->id_text);
+	p->limits_told = owner;
+	at = 0;
+	while (owner != e->node.self &&
+	       dl_pool_limit_next(p->pool, &at, now - RECENT_MS, &f.endpoint,
+				  &f.limit)) {
+		f.start = entry_endpoint_start(e, service,
+					       dl_name_str(&f.endpoint));
+		tell(e, owner, &f);
+	}
+}
+
+/* Tell each dispatcher that has taken over what is known here. */
+void entry_limit_tick(struct entry *e, int64_t now)
+{
+	for (struct entry_pool *p = e->pools; p; p = p->next)
+		tell_successor(e, p, now);
 }
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -52,6 +52,7 @@
 	{ DL_FRAME_ALIVE, entry_announce_alive },
 	{ DL_FRAME_SUMMARY, entry_far_frame },
 	{ DL_FRAME_ADOPT, on_adopt },
+	{ DL_FRAME_LIMIT, entry_limit_frame },
 };
 
 /* The pool of a service in this failure domain; NULL where unknown. */
@@ -352,10 +353,11 @@
 void entry_pool_ask(struct entry *e, struct entry_pool *p,
 		    const struct dl_ask_frame *f, bool local)
 {
-	const struct dl_ask *ask = &f->ask;
+	struct dl_ask asked = f->ask, *ask = &asked;
 	struct dl_answer answer;
 
 	update_leading(e, p);
+	asked.alone = local && !p->leading;
 	if (f->standby && !p->leading)
 		local = local || knows_endpoints(e, p);
 	if (p->leading && !local && knows_nobody(e, p)) {
--- a/src/main/entry_quarantine.c
+++ b/src/main/entry_quarantine.c
@@ -37,31 +37,6 @@
 	e->probes = g_ptr_array_new_with_free_func(g_free);
 }
 
-/* The number of a start whose endpoints' starts have names. */
-static uint64_t named_start(const struct dl_directory_entry *d)
-{
-	return dl_hash(dl_name_str(&d->instance), d->born);
-}
-
-/*
- * The number of the start that runs at an address; 0 where none is known, or it
- * leaves, and what it breaks off then is no crash.
- */
-uint64_t entry_quarantine_start(struct entry *e, struct dl_str service,
-				struct dl_str address)
-{
-	const struct dl_directory_entry *d =
-		dl_directory_find(e->directory, address);
-	const struct entry_pool *p;
-	const struct announced *a;
-
-	if (d)
-		return d->leaving ? 0 : named_start(d);
-	p = entry_pool_find(e, service);
-	a = p ? g_hash_table_lookup(p->announced, address.s) : NULL;
-	return a && !a->leaving ? dl_hash(address, a->incarnation) : 0;
-}
-
 /* A start has ended without a word that it leaves. */
 void entry_quarantine_crashed(struct entry *e, uint64_t start)
 {
--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -200,8 +200,8 @@
 	c->status = 0;
 	c->route.head = (struct relay_head){ .length = SIZE_MAX };
 	c->route.instance = endpoint_of(c, 0)->instance;
-	c->start = entry_quarantine_start(c->e, dl_name_str(&c->service),
-					  dl_name_str(&c->grant.endpoint[0]));
+	c->start = entry_endpoint_start(c->e, dl_name_str(&c->service),
+					dl_name_str(&c->grant.endpoint[0]));
 	if (!c->text)
 		c->text = g_string_new(NULL);
 	g_string_truncate(c->text, 0);
--- a/src/main/entry_try.c
+++ b/src/main/entry_try.c
@@ -146,8 +146,8 @@
 		entry_call_end(c, DL_OUTCOME_NOT_RUN, 503, "internal", &err);
 		return;
 	}
-	c->start = entry_quarantine_start(c->e, dl_name_str(&c->service),
-					  dl_name_str(&c->grant.endpoint[0]));
+	c->start = entry_endpoint_start(c->e, dl_name_str(&c->service),
+					dl_name_str(&c->grant.endpoint[0]));
 	if (c->attempts > 1)
 		dl_count(DL_METRIC_retries_total, 1);
 	send_attempt(c, to);
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -10,11 +10,12 @@
 /* Of a body of many announcements, inflated. */
 #define WORDS_MAX     ((size_t)4 << 20)
 #define ASK_ITEMS     17
-#define ANSWER_ITEMS  14
+#define ANSWER_ITEMS  15
 #define RELEASE_ITEMS 10
 #define REPORT_ITEMS  21
 #define SUMMARY_ITEMS 9
-#define ADOPT_ITEMS   27
+#define LIMIT_ITEMS   4
+#define ADOPT_ITEMS   28
 /* Stands for no time at all where what is left of one is told. */
 #define NEVER_MS INT64_MIN
 
@@ -141,6 +142,7 @@
 	dl_pack_u64(p, a->priority);
 	dl_pack_u64(p, a->predicted_ttft_ms);
 	dl_pack_u64(p, a->away);
+	dl_pack_bool(p, a->limited);
 	put_names(p, a->endpoint, a->endpoints);
 	msgpack_pack_array(&p->pk, a->endpoints);
 	for (uint32_t i = 0; i < a->endpoints; i++)
@@ -182,6 +184,7 @@
 	out->priority = (uint8_t)dl_read_u64(r);
 	out->predicted_ttft_ms = (uint32_t)dl_read_u64(r);
 	out->away = (uint8_t)dl_read_u64(r);
+	out->limited = dl_read_bool(r);
 	out->endpoints = (uint8_t)take_names(r, out->endpoint, DL_GROUP_MAX);
 	take_shares(r, out);
 	if (verdict > DL_REFUSED || reason >= DL_REASON_COUNT) {
@@ -277,6 +280,33 @@
 	return finish(&r);
 }
 
+/* Pack what an endpoint named. */
+void dl_limit_pack(struct dl_packer *p, const struct dl_limit_frame *f)
+{
+	dl_packer_open(p, LIMIT_ITEMS);
+	dl_pack_str(p, dl_name_str(&f->service));
+	dl_pack_str(p, dl_name_str(&f->endpoint));
+	dl_pack_u64(p, f->start);
+	dl_pack_u64(p, f->limit);
+}
+
+/* Read it. */
+int dl_limit_read(struct dl_str body, struct dl_limit_frame *out)
+{
+	struct dl_reader r;
+	uint64_t limit;
+
+	dl_reader_open(&r, body);
+	dl_read_name(&r, &out->service);
+	dl_read_name(&r, &out->endpoint);
+	out->start = dl_read_u64(&r);
+	limit = dl_read_u64(&r);
+	if (limit > DL_UNLIMITED)
+		r.bad = true;
+	out->limit = (uint32_t)limit;
+	return finish(&r);
+}
+
 /* Pack a service and a number: a request. */
 void dl_number_pack(struct dl_packer *p, struct dl_str service, uint64_t number)
 {
--- a/src/protocol/pool_codec.h
+++ b/src/protocol/pool_codec.h
@@ -50,6 +50,17 @@
 int dl_numbers_read(struct dl_str body, struct dl_name *service,
 		    uint64_t *numbers, uint32_t *count);
 
+/* What an endpoint named, on its way to the dispatcher. */
+struct dl_limit_frame {
+	struct dl_name service;
+	struct dl_name endpoint;
+	uint64_t start; /* number of the start that named it */
+	uint32_t limit; /* as dl_pool_limit() takes it */
+};
+
+void dl_limit_pack(struct dl_packer *p, const struct dl_limit_frame *f);
+int dl_limit_read(struct dl_str body, struct dl_limit_frame *out);
+
 /* For cancellations: a service and a number. */
 void dl_number_pack(struct dl_packer *p, struct dl_str service,
 		    uint64_t number);
--- a/src/transport/peers.h
+++ b/src/transport/peers.h
@@ -36,6 +36,7 @@
 	DL_FRAME_WORDS_ASK = 31,  /* entry to replica: the words of keys */
 	DL_FRAME_WORDS = 32,	  /* announcements of many endpoints */
 	DL_FRAME_CRASHES = 33,	  /* of endpoints under requests */
+	DL_FRAME_LIMIT = 34,	  /* entry to dispatcher: an endpoint's own */
 	DL_FRAME_RLOG = 40,	  /* replica to replica */
 	DL_FRAME_RLOG_SMALL = 50, /* the same, deflated */
 	DL_FRAME_CMD = 41,	  /* entry to replica: a cstore command */
--- /dev/null
+++ b/test/test_throttle.c
@@ -0,0 +1,366 @@
+/*
+ * Endpoints that name a limit of themselves: what they and the others are
+ * granted under load, as the endpoints and callers see it.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daisyledge/pool.h"
+#include "fake/published_engine.h"
+#include "protocol/pool_codec.h"
+
+#define ENDPOINTS  4
+#define LIMITED	   "10.0.0.1:80"
+#define STEP_MS	   10
+#define SERVICE_MS 300
+#define WINDOW_MS  4000
+#define GRANTS_MAX 8192
+#define TARGET_MS  300
+
+struct granted {
+	uint64_t id;
+	int64_t at;
+	int64_t ends;
+	struct dl_answer answer;
+};
+
+static struct dl_pool *pool;
+static int64_t now;
+static uint64_t next_request;
+static bool alone;
+static uint64_t prompt;
+static struct granted grants[GRANTS_MAX];
+static uint32_t grants_n, first_open;
+static uint32_t refused;
+
+static const struct dl_pool_conf engines = {
+	.kind = DL_POOL_MODEL,
+	.queue_entries_max = 1000,
+	.queue_tokens_max = 100000000,
+	.out_share_permille = 300,
+	.grant_lease_ms = 20000,
+	.report_gone_ms = 60000,
+	.weight_default = 1,
+	.engine = { PUBLISHED_ENGINE, .hop_ms = 1 },
+};
+
+static const struct dl_pool_conf plain = {
+	.kind = DL_POOL_PLAIN,
+	.queue_entries_max = 1000,
+	.queue_tokens_max = 100000000,
+	.out_share_permille = 300,
+	.grant_lease_ms = 20000,
+	.report_gone_ms = 60000,
+	.weight_default = 1,
+};
+
+static void report(int endpoint, uint64_t incarnation)
+{
+	struct dl_endpoint_report r = { .incarnation = incarnation,
+					.memory_tokens = 315000,
+					.slots = 16,
+					.takes_groups = true };
+	char id[32];
+
+	snprintf(id, sizeof(id), "10.0.0.%d:80", endpoint + 1);
+	dl_name_set(&r.id, dl_str_of(id));
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+}
+
+static void open_pool(bool model)
+{
+	now = 1000;
+	next_request = 1;
+	alone = false;
+	prompt = 5000;
+	grants_n = first_open = refused = 0;
+	pool = dl_pool_new(model ? &engines : &plain,
+			   model ? &dl_policy_engine : &dl_policy_late_binding,
+			   42);
+	for (int i = 0; i < ENDPOINTS; i++)
+		report(i, 1);
+}
+
+static void end(void)
+{
+	ck_assert_ptr_null(dl_pool_broken(pool));
+	dl_pool_free(pool);
+}
+
+static void take(const struct dl_answer *a)
+{
+	refused += a->verdict == DL_REFUSED;
+	if (a->verdict != DL_GRANTED)
+		return;
+	ck_assert_uint_lt(grants_n, GRANTS_MAX);
+	grants[grants_n++] =
+		(struct granted){ a->grant, now, now + SERVICE_MS, *a };
+}
+
+static void ask(void)
+{
+	struct dl_ask a = { .request = next_request++,
+			    .entry = 1,
+			    .workspace = DL_STR("sweeps"),
+			    .class = DL_CLASS_INTERACTIVE,
+			    .prompt_tokens = prompt,
+			    .output_tokens = 200,
+			    .deadline = now + 3000,
+			    .target_ms = TARGET_MS,
+			    .gap_ms = 250,
+			    .alone = alone };
+	struct dl_answer out;
+
+	dl_pool_ask(pool, &a, now, &out);
+	take(&out);
+}
+
+/* Requests a second that need all endpoints, of engines and of plain services.
+ */
+static int busy(bool model)
+{
+	return model ? 90 : 40;
+}
+
+/* Play a load of so many requests a second. */
+static void play(int64_t ms, int per_s)
+{
+	struct dl_usage usage = { .ran = true, .ttft_ms = 100 };
+	struct dl_answer out;
+	int due = 0; /* thousandths of a request */
+
+	for (int64_t until = now + ms; now < until; now += STEP_MS) {
+		while (first_open < grants_n && grants[first_open].ends <= now)
+			dl_pool_release(pool, grants[first_open++].id, &usage,
+					now);
+		for (due += per_s * STEP_MS; due >= 1000; due -= 1000)
+			ask();
+		while (dl_pool_next(pool, now, &out))
+			take(&out);
+		ck_assert_ptr_null(dl_pool_broken(pool));
+	}
+}
+
+static bool name_limit(uint32_t limit)
+{
+	return dl_pool_limit(pool, DL_STR(LIMITED), limit, now);
+}
+
+static bool is_at(const struct granted *g, const char *endpoint)
+{
+	for (uint8_t i = 0; i < g->answer.endpoints; i++) {
+		if (dl_name_eq(&g->answer.endpoint[i], dl_str_of(endpoint)))
+			return true;
+	}
+	return false;
+}
+
+static uint32_t granted_at(const char *endpoint, int64_t since, int64_t until)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < grants_n; i++)
+		n += grants[i].at >= since && grants[i].at < until &&
+		     is_at(&grants[i], endpoint);
+	return n;
+}
+
+/* The most that went to an endpoint in any window since a time. */
+static uint32_t most_at(const char *endpoint, int64_t since)
+{
+	uint32_t most = 0;
+
+	for (int64_t at = since; at < now; at += STEP_MS) {
+		uint32_t n = granted_at(endpoint, at, at + WINDOW_MS);
+
+		most = n > most ? n : most;
+	}
+	return most;
+}
+
+START_TEST(an_endpoint_gets_what_it_named_and_others_the_rest)
+{
+	int per_s = busy(_i);
+	uint32_t before;
+	int64_t since;
+
+	open_pool(_i);
+	play(4000, per_s);
+	since = now;
+	ck_assert(name_limit(2000));
+	before = grants_n;
+	play(12000, per_s);
+	ck_assert_uint_le(most_at(LIMITED, since), 2 * WINDOW_MS / 1000 + 1);
+	ck_assert_uint_ge(granted_at(LIMITED, since, now), 12);
+	/* What the others take is not held up. */
+	ck_assert_uint_ge(grants_n - before, 12 * per_s * 95 / 100);
+}
+END_TEST
+
+START_TEST(where_all_named_a_limit_what_is_beyond_is_refused)
+{
+	static const char *const id[ENDPOINTS] = { "10.0.0.1:80", "10.0.0.2:80",
+						   "10.0.0.3:80",
+						   "10.0.0.4:80" };
+	int64_t since;
+
+	open_pool(_i);
+	for (int i = 0; i < ENDPOINTS; i++)
+		dl_pool_limit(pool, dl_str_of(id[i]), 2000, now);
+	since = now;
+	play(12000, 20);
+	for (int i = 0; i < ENDPOINTS; i++) {
+		ck_assert_uint_le(most_at(id[i], since),
+				  2 * WINDOW_MS / 1000 + 1);
+		ck_assert_uint_ge(granted_at(id[i], since, now), 16);
+	}
+	/* Nobody waits for what cannot be had. */
+	ck_assert_uint_ge(refused + grants_n, 12 * 20 * 70 / 100);
+}
+END_TEST
+
+START_TEST(a_limit_that_is_named_no_more_is_over)
+{
+	open_pool(_i);
+	name_limit(1000);
+	play(2000, 40);
+	/* A late answer from before the limit is no word that it is over. */
+	name_limit(1000);
+	now += 100;
+	ck_assert(!name_limit(DL_UNLIMITED));
+	now += 1000;
+	ck_assert(name_limit(DL_UNLIMITED));
+	play(4000, 80);
+	ck_assert_uint_ge(granted_at(LIMITED, now - 4000, now), 30);
+}
+END_TEST
+
+START_TEST(a_new_start_has_no_limit)
+{
+	open_pool(_i);
+	name_limit(0);
+	report(0, 2);
+	play(4000, 80);
+	ck_assert_uint_ge(granted_at(LIMITED, 0, now), 30);
+}
+END_TEST
+
+START_TEST(one_that_takes_none_is_asked_now_and_then)
+{
+	open_pool(_i);
+	name_limit(0);
+	play(20000, busy(_i));
+	ck_assert_uint_ge(granted_at(LIMITED, 0, now), 3);
+	ck_assert_uint_le(granted_at(LIMITED, 0, now), 4);
+}
+END_TEST
+
+START_TEST(an_entry_alone_leaves_limited_endpoints_out)
+{
+	open_pool(_i);
+	name_limit(5000);
+	alone = true;
+	play(6000, 40);
+	ck_assert_uint_eq(granted_at(LIMITED, 0, now), 0);
+	ck_assert_uint_ge(grants_n, 6 * 40 * 95 / 100);
+}
+END_TEST
+
+START_TEST(parts_of_prompts_count_as_requests)
+{
+	int64_t since;
+
+	open_pool(true);
+	prompt = 100000;
+	name_limit(1000);
+	since = now;
+	play(12000, 5);
+	ck_assert_uint_le(most_at(LIMITED, since), WINDOW_MS / 1000 + 1);
+}
+END_TEST
+
+START_TEST(grants_say_that_an_endpoint_has_a_limit)
+{
+	open_pool(true);
+	name_limit(5000);
+	play(3000, 40);
+	for (uint32_t i = 0; i < grants_n; i++)
+		ck_assert_int_eq(grants[i].answer.limited,
+				 dl_name_eq(&grants[i].answer.endpoint[0],
+					    DL_STR(LIMITED)));
+}
+END_TEST
+
+START_TEST(a_successor_is_told_recent_limits_only)
+{
+	struct dl_name id;
+	uint32_t at = 0, limit;
+
+	open_pool(true);
+	name_limit(2500);
+	ck_assert(dl_pool_limit_next(pool, &at, now, &id, &limit));
+	ck_assert(dl_name_eq(&id, DL_STR(LIMITED)));
+	ck_assert_uint_eq(limit, 2500);
+	ck_assert(!dl_pool_limit_next(pool, &at, now, &id, &limit));
+	at = 0;
+	ck_assert(!dl_pool_limit_next(pool, &at, now + 1, &id, &limit));
+}
+END_TEST
+
+START_TEST(limits_survive_the_wire)
+{
+	struct dl_limit_frame in = { .start = UINT64_MAX,
+				     .limit = DL_UNLIMITED };
+	struct dl_limit_frame out;
+	struct dl_packer pk;
+	struct dl_str body;
+
+	dl_name_set(&in.service, DL_STR("writer"));
+	dl_name_set(&in.endpoint, DL_STR(LIMITED));
+	dl_limit_pack(&pk, &in);
+	body = dl_packer_bytes(&pk);
+	ck_assert_int_eq(dl_limit_read(body, &out), 0);
+	ck_assert(dl_name_eq(&out.service, DL_STR("writer")));
+	ck_assert(dl_name_eq(&out.endpoint, DL_STR(LIMITED)));
+	ck_assert_uint_eq(out.start, in.start);
+	ck_assert_uint_eq(out.limit, in.limit);
+	for (size_t n = 0; n < body.n; n++)
+		ck_assert(dl_limit_read((struct dl_str){ body.s, n }, &out));
+	dl_packer_close(&pk);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("throttle");
+	TCase *tc = tcase_create("throttle");
+	SRunner *runner;
+	int failed;
+
+	/* Of plain services, and of engines. */
+	tcase_add_loop_test(
+		tc, an_endpoint_gets_what_it_named_and_others_the_rest, 0, 2);
+	tcase_add_loop_test(
+		tc, where_all_named_a_limit_what_is_beyond_is_refused, 0, 2);
+	tcase_add_loop_test(tc, a_limit_that_is_named_no_more_is_over, 0, 2);
+	tcase_add_loop_test(tc, a_new_start_has_no_limit, 0, 2);
+	tcase_add_loop_test(tc, one_that_takes_none_is_asked_now_and_then, 0,
+			    2);
+	tcase_add_loop_test(tc, an_entry_alone_leaves_limited_endpoints_out, 0,
+			    2);
+	tcase_add_test(tc, parts_of_prompts_count_as_requests);
+	tcase_add_test(tc, grants_say_that_an_endpoint_has_a_limit);
+	tcase_add_test(tc, a_successor_is_told_recent_limits_only);
+	tcase_add_checked_fixture(tc, NULL, end);
+	suite_add_tcase(suite, tc);
+	tc = tcase_create("wire");
+	tcase_add_test(tc, limits_survive_the_wire);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
