What is held back survives a start of all processes at once

Cause: entries and replicas kept it in memory alone. After all were killed at once, three more endpoints crash under each such request before it is held back again.

Change: each replica keeps what is held back in a file on its disk, written beside the old one and renamed once synced, and tells it when it starts.

Evidence: with all processes killed added, test_system_crashing_request.sh failed ("VM 2 does not refuse /chat/crash"), and passes. test_crash_store: a crash at each step of a save leaves the old or the new, a failing disk the old, a bad bit none.

--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -25,6 +25,10 @@
 	  "A request is not held back any more.")                              \
 	X(CRASHES_BAD, DL_WARN, "quarantine",                                  \
 	  "A word of crashes cannot be read.")                                 \
+	X(CRASHES_LOST, DL_WARN, "quarantine",                                 \
+	  "Which requests were held back cannot be read.")                     \
+	X(CRASHES_UNSAVED, DL_WARN, "quarantine",                              \
+	  "Which requests are held back could not be saved.")                  \
 	X(TICKET_REFUSED, DL_INFO, "ticket", "Memory was not to be had.")      \
 	X(ATTEMPT_BROKE, DL_WARN, "relay", "An attempt broke.")                \
 	X(LEASE_HELD, DL_INFO, "lease", "The version in force is sure.")       \
--- a/src/main/quarantine.c
+++ b/src/main/quarantine.c
@@ -24,6 +24,7 @@
 	if (!dl_quarantine_note(q->known, crash, now))
 		return false;
 	left = dl_quarantine_left_ms(q->known, crash->request, now);
+	q->changed |= !held != !left;
 	if (!held != !left)
 		dl_msg(left ? DL_MSG_REQUEST_HELD_BACK : DL_MSG_REQUEST_LET_GO,
 		       "content=%016lx crashes=%d for_ms=%u age_ms=%u",
@@ -48,6 +49,14 @@
 		       (unsigned long)crash->start, crash->age_ms);
 }
 
+/* Take in what was seen elsewhere, or before. */
+void quarantine_learn(struct quarantine *q, const struct dl_crash *crash,
+		      bool pass_on, int64_t now)
+{
+	if (take(q, crash, now) && pass_on)
+		g_array_append_val(q->news, *crash);
+}
+
 /* Take in what another VM tells. */
 void quarantine_frame(struct quarantine *q, struct dl_str body, bool pass_on,
 		      int64_t now)
@@ -60,10 +69,8 @@
 		dl_msg(DL_MSG_CRASHES_BAD, "bytes=%zu error=%d", body.n, rc);
 		return;
 	}
-	for (uint32_t i = 0; i < count; i++) {
-		if (take(q, &crashes[i], now) && pass_on)
-			g_array_append_val(q->news, crashes[i]);
-	}
+	for (uint32_t i = 0; i < count; i++)
+		quarantine_learn(q, &crashes[i], pass_on, now);
 }
 
 static void send_crashes(const GArray *crashes,
--- a/src/main/quarantine.h
+++ b/src/main/quarantine.h
@@ -15,6 +15,7 @@
 struct quarantine {
 	struct dl_quarantine *known;
 	GArray *news; /* of struct dl_crash, to be told */
+	bool changed; /* which requests are held back, since it was unset */
 	int64_t forgotten_at;
 };
 
@@ -22,6 +23,9 @@
 /* Note a crash; where it is new it goes to news, and is logged. */
 void quarantine_note(struct quarantine *q, const struct dl_crash *crash,
 		     int64_t now);
+/* Take in a crash that was not seen here; pass_on: what is new goes to news. */
+void quarantine_learn(struct quarantine *q, const struct dl_crash *crash,
+		      bool pass_on, int64_t now);
 /* Take in another VM's word; pass_on: what is new goes to news here too. */
 void quarantine_frame(struct quarantine *q, struct dl_str body, bool pass_on,
 		      int64_t now);
--- a/src/main/replica.c
+++ b/src/main/replica.c
@@ -399,6 +399,7 @@
 		conf.voter_lost_ms = VOTER_LOST_MS;
 	}
 	disk = dl_disk_file_disk(r->disk);
+	replica_quarantine_open(r, disk);
 	code = dl_rlog_store_open(disk, random_id(), &r->store, &image, err);
 	r->rlog = dl_rlog_new(&conf, &image, (uint32_t)random_id(),
 			      replica_now(r));
@@ -432,7 +433,6 @@
 	if (code)
 		return code;
 	r->alive = replica_alive_new();
-	replica_quarantine_open(r);
 	code = replica_door_open(r, err);
 	if (code)
 		return code;
@@ -458,6 +458,8 @@
 	g_array_free(r->pending, TRUE);
 	g_array_free(r->forwarded, TRUE);
 	g_array_free(r->unsure, TRUE);
+	if (!writing)
+		replica_quarantine_close(r);
 	if (!writing)
 		dl_disk_file_close(r->disk);
 }
--- a/src/main/replica.h
+++ b/src/main/replica.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "daisyledge/crash_store.h"
 #include "daisyledge/cstore.h"
 #include "daisyledge/rlog.h"
 #include "main/node.h"
@@ -67,6 +68,7 @@
 	struct replica_door *door; /* NULL where there is none */
 	struct replica_alive *alive;
 	struct quarantine quarantine;
+	struct dl_crash_store *crashes; /* those held back, on the disk */
 };
 
 /* replica.c */
@@ -114,7 +116,8 @@
 			 const struct dl_frame *frame);
 
 /* replica_quarantine.c */
-void replica_quarantine_open(struct replica *r);
+void replica_quarantine_open(struct replica *r, struct dl_disk disk);
+void replica_quarantine_close(struct replica *r);
 void replica_quarantine_frame(struct replica *r, const struct dl_frame *f);
 void replica_quarantine_up(struct replica *r, uint64_t vm);
 void replica_quarantine_tick(struct replica *r, int64_t now);
--- /dev/null
+++ b/test/test_crash_store.c
@@ -0,0 +1,167 @@
+/* Requests held back, on a disk that fails, loses writes and goes bad. */
+#include <check.h>
+#include <errno.h>
+#include <stdlib.h>
+
+#include "daisyledge/crash_store.h"
+#include "fake/disk.h"
+
+#define WALL_MS 1000000
+#define STEPS	4 /* of the disk, in a save */
+
+static struct fake_disk *disk;
+static struct dl_crash_store *store;
+static int ended; /* of the last save; 1: not yet */
+
+static void on_saved(void *arg, int code)
+{
+	ended = code;
+}
+
+static void open_store(void)
+{
+	store = dl_crash_store_new((struct dl_disk){ &fake_disk_ops, disk },
+				   (struct dl_disk_done){ on_saved, NULL });
+}
+
+static void begin(void)
+{
+	disk = fake_disk_new(5);
+	fake_disk_run(disk, 0);
+	open_store();
+}
+
+static void end(void)
+{
+	dl_crash_store_free(store);
+	fake_disk_free(disk);
+}
+
+/* Crashes of a request, as many as are asked for. */
+static void save(uint64_t request, uint32_t count)
+{
+	struct dl_crash crashes[100] = { { 0 } };
+
+	for (uint32_t i = 0; i < count; i++)
+		crashes[i] = (struct dl_crash){ .request = request,
+						.start = i + 1,
+						.cleared = 2,
+						.age_ms = 500 };
+	ended = 1;
+	dl_crash_store_save(store, crashes, count, WALL_MS);
+	for (int64_t now = 1; now < 1000 && dl_crash_store_busy(store); now++)
+		fake_disk_run(disk, now);
+}
+
+/* The request that a new process finds, 0 for none; -1 for a damaged file. */
+static int64_t found(uint32_t *count)
+{
+	static struct dl_crash out[DL_CRASH_STORE_MAX];
+	int code = dl_crash_store_read(store, WALL_MS + 250, out, count);
+
+	if (code)
+		return -1;
+	if (*count == 0)
+		return 0;
+	for (uint32_t i = 0; i < *count; i++) {
+		ck_assert_uint_eq(out[i].start, i + 1);
+		ck_assert_uint_eq(out[i].cleared, 2);
+		ck_assert_uint_eq(out[i].age_ms, 750);
+	}
+	return (int64_t)out[0].request;
+}
+
+START_TEST(what_was_saved_is_read_with_its_age)
+{
+	uint32_t count;
+
+	ck_assert_int_eq(found(&count), 0);
+	save(7, 6);
+	ck_assert_int_eq(ended, 0);
+	fake_disk_crash(disk);
+	ck_assert_int_eq(found(&count), 7);
+	ck_assert_uint_eq(count, 6);
+	/* A shorter file over a longer one. */
+	save(8, 3);
+	fake_disk_crash(disk);
+	ck_assert_int_eq(found(&count), 8);
+	ck_assert_uint_eq(count, 3);
+	save(9, 0);
+	fake_disk_crash(disk);
+	ck_assert_int_eq(found(&count), 0);
+}
+END_TEST
+
+START_TEST(a_crash_at_any_step_leaves_the_old_or_the_new)
+{
+	uint32_t count;
+	int64_t request;
+
+	save(7, 6);
+	fake_disk_crash_after(disk, (uint32_t)_i);
+	save(8, 50);
+	fake_disk_crash(disk);
+	dl_crash_store_free(store);
+	open_store();
+	request = found(&count);
+	ck_assert(request == 7 || request == 8);
+	ck_assert_uint_eq(count, request == 7 ? 6 : 50);
+	if (ended == 0)
+		ck_assert_int_eq(request, 8);
+	save(9, 3);
+	fake_disk_crash(disk);
+	ck_assert_int_eq(found(&count), 9);
+}
+END_TEST
+
+START_TEST(a_disk_that_fails_leaves_the_old)
+{
+	uint32_t count;
+	int64_t request;
+
+	save(7, 6);
+	fake_disk_fail_after(disk, (uint32_t)_i, -ENOSPC);
+	save(8, 50);
+	ck_assert_int_eq(ended, -ENOSPC);
+	ck_assert(!dl_crash_store_busy(store));
+	request = found(&count);
+	ck_assert(request == 7 || request == 8);
+	save(9, 3);
+	ck_assert_int_eq(ended, 0);
+	ck_assert_int_eq(found(&count), 9);
+}
+END_TEST
+
+START_TEST(a_damaged_file_is_none)
+{
+	uint32_t count;
+
+	save(7, 6);
+	ck_assert(fake_disk_flip(disk, (uint64_t)_i * 16 + 3));
+	ck_assert_int_eq(found(&count), -1);
+	ck_assert_uint_eq(count, 0);
+	save(9, 3);
+	ck_assert_int_eq(found(&count), 9);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("crash_store");
+	TCase *tc = tcase_create("crash_store");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tc, begin, end);
+	tcase_add_test(tc, what_was_saved_is_read_with_its_age);
+	tcase_add_loop_test(tc, a_crash_at_any_step_leaves_the_old_or_the_new,
+			    0, STEPS + 1);
+	tcase_add_loop_test(tc, a_disk_that_fails_leaves_the_old, 0, STEPS);
+	tcase_add_loop_test(tc, a_damaged_file_is_none, 0, 10);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/test/test_system_crashing_request.sh
+++ b/test/test_system_crashing_request.sh
@@ -109,6 +109,20 @@
 wait_for 10 "entry 3" ready 3 || fail "entry 3 is not ready after the cut"
 refuses 3 /look/crash/cut
 
+# All processes at once.
+for d in 1 2 3; do
+	kill -KILL "$(pid_of entry_$d)" "$(pid_of replica_$d)"
+done
+sleep 0.5
+for d in 1 2 3; do
+	start replica $d false
+	start entry $d
+done
+for d in 1 2 3; do
+	wait_for 10 "entry $d" ready $d || fail "entry $d is not ready"
+done
+refuses 2 /chat/crash
+
 # All others are served as before.
 for d in 1 2 3; do
 	chat $d "last$d" >"$DIR/last" && whole "$DIR/last" ||
