A standby grants half of what an endpoint named

Cause: entries that do not reach the dispatcher ask a standby, while others still reach it, for three seconds at a time; each of the two granted the whole rate of a limited endpoint, twice what it named in all.

Ruled out: an entry that places by itself; it leaves such endpoints out.

Change: a grant of a standby costs two requests of the limit. Together they give half as much again as was named.

--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -87,7 +87,8 @@
 	int64_t first_by; /* the caller leaves without an event; 0: deadline */
 	uint8_t tried;	  /* endpoints in tried_ids not to be used again */
 	struct dl_name tried_ids[3];
-	bool alone; /* placed by its entry, for want of a dispatcher */
+	bool alone;   /* placed by its entry, for want of a dispatcher */
+	bool standby; /* of a dispatcher that others may still reach */
 };
 
 enum dl_verdict {
--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -282,7 +282,8 @@
 				   .first_by = ask->first_by,
 				   .target_ms = ask->target_ms,
 				   .gap_ms = ask->gap_ms,
-				   .alone = ask->alone };
+				   .alone = ask->alone,
+				   .standby = ask->standby };
 	if (out->class >= DL_CLASS_COUNT)
 		out->class = DL_CLASS_BATCH;
 	out->prompt = ask->prompt_tokens ? pool_tokens(ask->prompt_tokens) : 1;
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -206,7 +206,7 @@
 		pool_backlog_commit(e, want, g->parts[i].prefill_ms, slack,
 				    now);
 		attach(g, i, e, i && choice->lead_holds ? 0 : choice->share);
-		pool_throttle_take(e, now);
+		pool_throttle_take(e, want, now);
 		if (choice->probe) {
 			e->probe = g->id;
 			e->probe_at = now + e->probe_gap_ms;
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -108,6 +108,7 @@
 	uint32_t target_ms; /* to the first event; 0: not said */
 	uint32_t gap_ms;    /* the longest pause that is on time; 0: any */
 	bool alone;	    /* its entry places it without the dispatcher */
+	bool standby;	    /* others may still reach the dispatcher */
 };
 
 /* Lowest of the last reports of something the pool cannot account for. */
@@ -577,7 +578,8 @@
 /* pool_throttle.c */
 bool pool_throttle_takes(const struct pool_endpoint *e,
 			 const struct pool_want *want, int64_t now);
-void pool_throttle_take(struct pool_endpoint *e, int64_t now);
+void pool_throttle_take(struct pool_endpoint *e, const struct pool_want *want,
+			int64_t now);
 double pool_throttle_rate(const struct dl_pool *pool,
 			  const struct pool_endpoint *e, double rate);
 void pool_throttle_reset(struct pool_endpoint *e);
--- a/src/coordination/pool_throttle.c
+++ b/src/coordination/pool_throttle.c
@@ -51,12 +51,16 @@
 	return credit(e, now) >= 1;
 }
 
-/* A request goes to an endpoint, or a part of one. */
-void pool_throttle_take(struct pool_endpoint *e, int64_t now)
+/*
+ * A request goes to an endpoint, or a part of one.  A standby gives half of the
+ * rate: the dispatcher, which others may reach, gives all of it.
+ */
+void pool_throttle_take(struct pool_endpoint *e, const struct pool_want *want,
+			int64_t now)
 {
 	if (e->limit == DL_UNLIMITED)
 		return;
-	e->limit_credit = credit(e, now) - 1;
+	e->limit_credit = credit(e, now) - (want->standby ? 2 : 1);
 	e->limit_credit_at = now;
 }
 
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -358,6 +358,7 @@
 
 	update_leading(e, p);
 	asked.alone = local && !p->leading;
+	asked.standby = f->standby && !p->leading;
 	if (f->standby && !p->leading)
 		local = local || knows_endpoints(e, p);
 	if (p->leading && !local && knows_nobody(e, p)) {
--- a/test/test_throttle.c
+++ b/test/test_throttle.c
@@ -29,7 +29,7 @@
 static struct dl_pool *pool;
 static int64_t now;
 static uint64_t next_request;
-static bool alone;
+static bool alone, standby;
 static uint64_t prompt;
 static struct granted grants[GRANTS_MAX];
 static uint32_t grants_n, first_open;
@@ -73,7 +73,7 @@
 {
 	now = 1000;
 	next_request = 1;
-	alone = false;
+	alone = standby = false;
 	prompt = 5000;
 	grants_n = first_open = refused = 0;
 	pool = dl_pool_new(model ? &engines : &plain,
@@ -110,7 +110,8 @@
 			    .deadline = now + 3000,
 			    .target_ms = TARGET_MS,
 			    .gap_ms = 250,
-			    .alone = alone };
+			    .alone = alone,
+			    .standby = standby };
 	struct dl_answer out;
 
 	dl_pool_ask(pool, &a, now, &out);
@@ -268,6 +269,21 @@
 }
 END_TEST
 
+/* The other one grants at the whole rate; half as much again is borne. */
+START_TEST(a_standby_gives_half_of_what_an_endpoint_named)
+{
+	int64_t since;
+
+	open_pool(_i);
+	name_limit(4000);
+	standby = true;
+	since = now;
+	play(12000, busy(_i));
+	ck_assert_uint_le(most_at(LIMITED, since), 2 * WINDOW_MS / 1000 + 1);
+	ck_assert_uint_ge(granted_at(LIMITED, since, now), 16);
+}
+END_TEST
+
 START_TEST(parts_of_prompts_count_as_requests)
 {
 	int64_t since;
@@ -350,6 +366,8 @@
 			    2);
 	tcase_add_loop_test(tc, an_entry_alone_leaves_limited_endpoints_out, 0,
 			    2);
+	tcase_add_loop_test(tc, a_standby_gives_half_of_what_an_endpoint_named,
+			    0, 2);
 	tcase_add_test(tc, parts_of_prompts_count_as_requests);
 	tcase_add_test(tc, grants_say_that_an_endpoint_has_a_limit);
 	tcase_add_test(tc, a_successor_is_told_recent_limits_only);
