The same request is the same one, whatever host it names

Cause: the number by which a request is known held its host. In the product's own API callers name the VM that they ask, so at each VM it was another request.

Ruled out: the count of crashes itself; each VM alone held it back at three.

Change: method, path, workspace and body make the number.

Evidence: test_system_crashing_completion.sh, nine engines that crash under one completion sent to three VMs in turn: nine ended before, three or four are allowed; passes now. test_system_crashing_request.sh passes.

--- a/src/main/entry_attempt.c
+++ b/src/main/entry_attempt.c
@@ -1,13 +1,15 @@
 /* What every attempt notes of a request, whichever way it is spoken. */
 #include "main/entry_call.h"
 
-/* What the same request of the same workspace has in common each time. */
+/*
+ * What the same request of the same workspace has in common each time.  Not the
+ * host: callers may name the VM that they ask.
+ */
 uint64_t call_content(const struct call *c)
 {
 	uint64_t hash = dl_hash(dl_name_str(&c->workspace), 0);
 
 	hash = dl_hash(dl_httpd_method(c->http), hash);
-	hash = dl_hash(dl_httpd_authority(c->http), hash);
 	hash = dl_hash(dl_httpd_path(c->http), hash);
 	return dl_hash(dl_httpd_body(c->http), hash);
 }
--- /dev/null
+++ b/test/test_system_crashing_completion.sh
@@ -0,0 +1,41 @@
+#!/bin/sh
+# A completion under which each engine crashes, repeated at every VM, in the
+# product's own API.
+cd "$(dirname "$0")/.." || exit 2
+. test/deploy.sh
+VMS_EACH=1
+DL_RUNNERS=9
+test_begin dala
+deploy_start || fail "the deployment does not start"
+
+complete() { # D PROMPT [OPTION...]
+	d=$1 prompt=$2
+	shift 2
+	$DL_HTTP -t 5000 -X POST -H 'Daisyledge-Deadline-Ms: 4000' \
+		-d "{\"model\":\"$MODEL\",\"prompt\":\"$prompt\",\"max_tokens\":1}" \
+		"$@" "$(vm_address "$d" 1):$HTTP_PORT" /v1/completions
+}
+
+ended() {
+	n=0
+	for i in 1 2 3 4 5 6 7 8 9; do
+		not_running "$(pid_of endpoint_$i)" && n=$((n + 1))
+	done
+	echo $n
+}
+
+for i in 1 2 3 4 5 6 7 8 9; do
+	fault $i die-first 1
+done
+n=0
+while [ $n -lt 8 ]; do
+	n=$((n + 1))
+	complete $((n % 3 + 1)) crash >/dev/null 2>&1
+	sleep 0.3
+done
+[ "$(ended)" -ge 3 ] || fail "$(ended) engines ended, the request did not run"
+[ "$(ended)" -le 4 ] || fail "$(ended) engines ended under one request"
+for d in 1 2 3; do
+	complete $d crash -e 503 | grep -q '"quarantined"' ||
+		fail "VM $d does not say that it holds the request back"
+done
