--- /dev/null
+++ b/test/fake/suite.h
@@ -0,0 +1,20 @@
+/* The end of each test program: run its suite, and say how it went. */
+#ifndef TEST_FAKE_SUITE_H
+#define TEST_FAKE_SUITE_H
+
+#include <check.h>
+#include <stdlib.h>
+
+/* Run a suite, which is freed; returns the program's exit status. */
+static inline int suite_run(Suite *suite)
+{
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+#endif
--- a/test/test_base.c
+++ b/test/test_base.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "daisyledge/base.h"
+#include "fake/suite.h"
 
 struct vm_case {
 	const char *text;
@@ -57,16 +58,11 @@
 {
 	Suite *s = suite_create("base");
 	TCase *t = tcase_create("base");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, vm_text_round_trip, 0,
 			    sizeof(vm_cases) / sizeof(vm_cases[0]));
 	tcase_add_test(t, name_bounds);
 	tcase_add_test(t, numbers);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "daisyledge/call.h"
+#include "fake/suite.h"
 
 #define N 0 /* not run */
 #define U 1 /* unknown */
@@ -314,8 +315,6 @@
 {
 	Suite *s = suite_create("call");
 	TCase *t = tcase_create("call");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, outcome_of_each_cell, 0, STATUSES);
@@ -329,8 +328,5 @@
 	tcase_add_test(t, connections_are_not_trusted_for_long);
 	tcase_add_test(t, silence_is_found_and_a_pause_is_not_silence);
 	tcase_add_test(t, claim_keys_are_unambiguous);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fake/suite.h"
 #include "protocol/api.h"
 #include "protocol/pool_codec.h"
 #include "protocol/settings.h"
@@ -506,8 +507,6 @@
 {
 	Suite *s = suite_create("codec");
 	TCase *t = tcase_create("codec");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 120);
@@ -524,8 +523,5 @@
 	tcase_add_test(t, signatures);
 	tcase_add_loop_test(t, settings, 0, CASES(settings_cases));
 	tcase_add_test(t, settings_name_the_pools_domain);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_conf.c
+++ b/test/test_conf.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "daisyledge/conf.h"
+#include "fake/suite.h"
 
 #define FUZZ_RUNS   1500
 #define FUZZ_SEED   20261202
@@ -411,8 +412,6 @@
 {
 	Suite *s = suite_create("conf");
 	TCase *t = tcase_create("conf");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 0);
@@ -424,8 +423,5 @@
 	tcase_add_loop_test(t, fuzz, 0, 2);
 	tcase_add_loop_test(t, difference, 0, DIFF_CASES);
 	tcase_add_test(t, majority_of_replicas);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_crash_store.c
+++ b/test/test_crash_store.c
@@ -5,6 +5,7 @@
 
 #include "daisyledge/crash_store.h"
 #include "fake/disk.h"
+#include "fake/suite.h"
 
 #define WALL_MS 1000000
 #define STEPS	4 /* of the disk, in a save */
@@ -149,8 +150,6 @@
 {
 	Suite *suite = suite_create("crash_store");
 	TCase *tc = tcase_create("crash_store");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tc, begin, end);
 	tcase_add_test(tc, what_was_saved_is_read_with_its_age);
@@ -159,9 +158,5 @@
 	tcase_add_loop_test(tc, a_disk_that_fails_leaves_the_old, 0, STEPS);
 	tcase_add_loop_test(tc, a_damaged_file_is_none, 0, 10);
 	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite);
 }
--- a/test/test_cstore.c
+++ b/test/test_cstore.c
@@ -12,6 +12,7 @@
 
 #include "daisyledge/conf.h"
 #include "daisyledge/cstore.h"
+#include "fake/suite.h"
 #include "protocol/cmd.h"
 
 #define WALL	   1700000000000
@@ -716,8 +717,6 @@
 {
 	Suite *s = suite_create("cstore");
 	TCase *t = tcase_create("cstore");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 0);
@@ -741,8 +740,5 @@
 	tcase_add_loop_test(t, mutated_bytes, 0, 4);
 	tcase_add_loop_test(t, operators_race, 0, RACE_RUNS);
 	tcase_add_test(t, reply_round_trip);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "daisyledge/directory.h"
+#include "fake/suite.h"
 
 #define AT "10.0.0.9:8080"
 
@@ -225,8 +226,6 @@
 {
 	Suite *s = suite_create("directory");
 	TCase *t = tcase_create("directory");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, begin, end);
@@ -245,8 +244,5 @@
 	tcase_add_test(t, the_time_of_a_start_may_be_missing);
 	tcase_add_test(t, nameless_starts_are_nothing);
 	tcase_add_test(t, silent_ones_are_forgotten);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_disk.c
+++ b/test/test_disk.c
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include "daisyledge/rlog.h"
+#include "fake/suite.h"
 #include "transport/disk_file.h"
 
 static char folder[64];
@@ -156,8 +157,6 @@
 {
 	Suite *s = suite_create("disk");
 	TCase *t = tcase_create("disk");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, begin, end);
@@ -165,8 +164,5 @@
 	tcase_add_test(t, failures_are_told);
 	tcase_add_test(t, second_process_is_kept_out);
 	tcase_add_test(t, journal_over_files);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_engine.c
+++ b/test/test_engine.c
@@ -8,6 +8,7 @@
 
 #include "daisyledge/engine.h"
 #include "fake/published_engine.h"
+#include "fake/suite.h"
 
 static const struct dl_engine_model model = {
 	PUBLISHED_ENGINE,
@@ -269,8 +270,6 @@
 {
 	Suite *s = suite_create("engine");
 	TCase *t = tcase_create("engine");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, begin, NULL);
@@ -292,8 +291,5 @@
 	tcase_add_loop_test(t, harm_grows_with_the_pause, 0,
 			    sizeof(pauses) / sizeof(pauses[0]));
 	tcase_add_test(t, random_events);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fake/suite.h"
 #include "transport/httpc.h"
 
 #define ADDRESS	  ((UINT64_C(0x7f004301) << 16) | 7101)
@@ -352,8 +353,6 @@
 {
 	Suite *s = suite_create("httpc");
 	TCase *t = tcase_create("httpc");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 60);
@@ -362,8 +361,5 @@
 	tcase_add_loop_test(t, each_close, 0,
 			    sizeof(close_faults) / sizeof(close_faults[0]));
 	tcase_add_test(t, nobody_listens);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_lease.c
+++ b/test/test_lease.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "daisyledge/lease.h"
+#include "fake/suite.h"
 
 #define LEASE	 5000
 #define FOLLOWER 11
@@ -193,8 +194,6 @@
 {
 	Suite *s = suite_create("lease");
 	TCase *t = tcase_create("lease");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, begin, NULL);
@@ -211,8 +210,5 @@
 	tcase_add_test(t, silence_is_noticed_however_often_asked);
 	tcase_add_test(t, late_answers_change_nothing);
 	tcase_add_test(t, without_a_bound_one_word_is_enough);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_link.c
+++ b/test/test_link.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "fake/link.h"
+#include "fake/suite.h"
 
 #define A 1
 #define B 2
@@ -85,15 +86,10 @@
 {
 	Suite *s = suite_create("link");
 	TCase *t = tcase_create("link");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_test(t, delivers_in_time_and_counts);
 	tcase_add_test(t, cuts_one_way_and_pauses);
 	tcase_add_test(t, loses_and_doubles_by_the_seed);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_logring.c
+++ b/test/test_logring.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/logring.h"
+#include "fake/suite.h"
 
 static struct dl_logring ring;
 
@@ -88,16 +89,11 @@
 {
 	Suite *s = suite_create("logring");
 	TCase *t = tcase_create("logring");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, begin, NULL);
 	tcase_add_test(t, lines_come_out_in_order);
 	tcase_add_test(t, a_log_that_is_not_read_is_bounded);
 	tcase_add_test(t, a_flood_is_bounded_in_a_second);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_memb.c
+++ b/test/test_memb.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "fake/memb_net.h"
+#include "fake/suite.h"
 
 #define SMALL	 7
 #define DOMAINS	 3
@@ -457,8 +458,6 @@
 {
 	Suite *s = suite_create("memb");
 	TCase *t = tcase_create("memb");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 60);
@@ -479,8 +478,5 @@
 	tcase_add_test(t, the_gone_are_forgotten);
 	tcase_add_test(t, within_the_budget_at_the_target);
 	tcase_add_test(t, members_are_bounded);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_memb_random.c
+++ b/test/test_memb_random.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "fake/memb_net.h"
+#include "fake/suite.h"
 
 #define VMS_MAX	      12
 #define VMS_MIN	      3
@@ -265,14 +266,9 @@
 {
 	Suite *s = suite_create("memb random");
 	TCase *t = tcase_create("memb random");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 120);
 	tcase_add_test(t, random_faults);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_orders.c
+++ b/test/test_orders.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "daisyledge/orders.h"
+#include "fake/suite.h"
 
 #define SEED	    20261202
 #define RUNS	    200
@@ -569,8 +570,6 @@
 {
 	Suite *s = suite_create("orders");
 	TCase *t = tcase_create("orders");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 0);
@@ -583,8 +582,5 @@
 	tcase_add_test(t, one_order_at_a_time);
 	tcase_add_loop_test(t, one_order_giver_at_a_time, 0,
 			    g_getenv("DL_SANITIZED") ? RUNS_SLOW : RUNS);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "base/metric.h"
+#include "fake/suite.h"
 #include "transport/peers.h"
 
 #define VM(last, port)                                                         \
@@ -231,8 +232,6 @@
 {
 	Suite *s = suite_create("peers");
 	TCase *t = tcase_create("peers");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 60);
@@ -242,8 +241,5 @@
 	tcase_add_test(t, silence_is_found);
 	tcase_add_test(t, bytes_that_are_no_frame);
 	tcase_add_test(t, a_restarted_process_speaks_alone);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_placing.c
+++ b/test/test_placing.c
@@ -9,6 +9,7 @@
 
 #include "daisyledge/pool.h"
 #include "fake/published_engine.h"
+#include "fake/suite.h"
 
 #define ENGINES	 8
 #define FAR	 60000
@@ -387,8 +388,6 @@
 {
 	Suite *s = suite_create("placing");
 	TCase *t = tcase_create("placing");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, begin, end);
@@ -408,8 +407,5 @@
 	tcase_add_test(t, what_is_late_at_home_goes_elsewhere);
 	tcase_add_test(t, domain_without_engines_is_served);
 	tcase_add_test(t, unknown_domains_are_all_near);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_placing_load.c
+++ b/test/test_placing_load.c
@@ -9,6 +9,7 @@
 
 #include "fake/play.h"
 #include "fake/published_engine.h"
+#include "fake/suite.h"
 
 #define SECONDS 24
 /* As long as such a burst lasts. */
@@ -168,16 +169,11 @@
 {
 	Suite *suite = suite_create("placing load");
 	TCase *tc = tcase_create("load");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_loop_test(tc, bursts_are_served_in_time, 0,
 			    sizeof(cases) / sizeof(cases[0]));
 	tcase_add_test(tc, the_longest_get_their_share);
 	tcase_set_timeout(tc, 300);
 	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite);
 }
--- a/test/test_placing_random.c
+++ b/test/test_placing_random.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 
 #include "fake/play.h"
+#include "fake/suite.h"
 
 #define DEPLOYMENTS 40
 #define SECONDS	    10
@@ -138,14 +139,9 @@
 {
 	Suite *suite = suite_create("placing random");
 	TCase *tc = tcase_create("drawn");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_loop_test(tc, none_loses_to_a_baseline, 0, DEPLOYMENTS);
 	tcase_set_timeout(tc, 120);
 	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite);
 }
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "daisyledge/conf.h"
+#include "fake/suite.h"
 #include "platform/platform.h"
 
 #define H(name, value)                                                         \
@@ -428,8 +429,6 @@
 {
 	Suite *s = suite_create("platform");
 	TCase *t = tcase_create("platform");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_test(t, callers_words_are_read);
@@ -448,8 +447,5 @@
 	tcase_add_test(t, answers_to_announcements);
 	tcase_add_loop_test(t, configurations, 0,
 			    sizeof(texts) / sizeof(texts[0]));
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "daisyledge/pool.h"
+#include "fake/suite.h"
 
 #define MEMORY 100000
 #define SLOTS  8
@@ -808,8 +809,6 @@
 {
 	Suite *s = suite_create("pool");
 	TCase *t = tcase_create("pool");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, begin, end);
@@ -849,8 +848,5 @@
 	tcase_add_test(t, given_up_requests_teach_nothing);
 	tcase_add_test(t, bad_reports_are_turned_away);
 	tcase_add_test(t, spill_moves_slowly);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_pool_load.c
+++ b/test/test_pool_load.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "fake/load.h"
+#include "fake/suite.h"
 
 #define ENGINES	 16
 #define PREFILL	 10000
@@ -483,8 +484,6 @@
 {
 	Suite *s = suite_create("pool_load");
 	TCase *t = tcase_create("pool_load");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 120);
@@ -506,8 +505,5 @@
 	tcase_add_test(t, engines_without_priority);
 	tcase_add_test(t, plain_service_at_twice_the_load);
 	tcase_add_test(t, plain_service_with_a_slow_endpoint);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_pool_random.c
+++ b/test/test_pool_random.c
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "daisyledge/pool.h"
+#include "fake/suite.h"
 
 #define EVENTS	   250000
 #define SANITIZED  20 /* times fewer under the sanitizers */
@@ -339,15 +340,10 @@
 {
 	Suite *s = suite_create("pool_random");
 	TCase *t = tcase_create("pool_random");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 120);
 	tcase_add_loop_test(t, invariants_hold, 0,
 			    sizeof(seeds) / sizeof(seeds[0]));
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_pool_reach.c
+++ b/test/test_pool_reach.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 
 #include "daisyledge/pool.h"
+#include "fake/suite.h"
 
 #define ENDPOINTS 3
 #define REQUESTS  60
@@ -102,13 +103,8 @@
 {
 	Suite *s = suite_create("pool_reach");
 	TCase *t = tcase_create("pool_reach");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_test(t, a_killed_endpoint_is_offered_once);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "daisyledge/quarantine.h"
+#include "fake/suite.h"
 #include "protocol/quarantine_codec.h"
 
 #define REQUEST 77
@@ -283,8 +284,6 @@
 {
 	Suite *suite = suite_create("quarantine");
 	TCase *tc = tcase_create("quarantine");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tc, begin, end);
 	tcase_add_test(tc, the_third_crash_holds_a_request_back);
@@ -303,9 +302,5 @@
 	tcase_add_test(tc, crashes_survive_the_wire);
 	tcase_add_test(tc, a_body_of_too_many_crashes_is_refused);
 	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite);
 }
--- a/test/test_reports.c
+++ b/test/test_reports.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "daisyledge/reports.h"
+#include "fake/suite.h"
 #include "protocol/conf_push.h"
 
 static struct dl_reports *reports;
@@ -173,8 +174,6 @@
 {
 	Suite *s = suite_create("reports");
 	TCase *t = tcase_create("reports");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_checked_fixture(t, begin, end);
@@ -183,8 +182,5 @@
 	tcase_add_test(t, many_are_told_of_more_seldom);
 	tcase_add_test(t, silent_ones_are_forgotten);
 	tcase_add_test(t, a_push_stays_in_its_network);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_rlog.c
+++ b/test/test_rlog.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "fake/group.h"
+#include "fake/suite.h"
 
 static const uint64_t first_three[] = { 1, 2, 3 };
 
@@ -453,8 +454,6 @@
 {
 	Suite *s = suite_create("rlog");
 	TCase *t = tcase_create("rlog");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 60);
@@ -477,8 +476,5 @@
 	tcase_add_loop_test(t, failed_sync_silences, 0, 2);
 	tcase_add_loop_test(t, damage_is_refused, 0, 20);
 	tcase_add_loop_test(t, crash_at_every_disk_step, 0, 160);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_rlog_codec.c
+++ b/test/test_rlog_codec.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 
+#include "fake/suite.h"
 #include "protocol/rlog_codec.h"
 
 static const struct dl_rlog_entry entries[] = {
@@ -112,14 +113,9 @@
 {
 	Suite *s = suite_create("rlog_codec");
 	TCase *t = tcase_create("codec");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, there_and_back, 0, G_N_ELEMENTS(messages));
 	tcase_add_loop_test(t, cut_and_changed, 0, G_N_ELEMENTS(messages));
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_rlog_random.c
+++ b/test/test_rlog_random.c
@@ -14,6 +14,7 @@
 #include <glib.h>
 
 #include "fake/group.h"
+#include "fake/suite.h"
 
 #define CI_STEPS	1000000
 #define SANITIZED_STEPS 100000
@@ -375,16 +376,11 @@
 {
 	Suite *s = suite_create("rlog_random");
 	TCase *t = tcase_create("random");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 0);
 	tcase_add_loop_test(t, kept, 0, G_N_ELEMENTS(kept_seeds));
 	tcase_add_test(t, many_seeds);
 	tcase_add_test(t, many_seeds_of_starts);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_squeeze.c
+++ b/test/test_squeeze.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fake/suite.h"
 #include "protocol/squeeze.h"
 
 #define MAX (1u << 20)
@@ -60,15 +61,10 @@
 {
 	Suite *s = suite_create("squeeze");
 	TCase *t = tcase_create("squeeze");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	suite_add_tcase(s, t);
 	tcase_add_loop_test(t, comes_back, 0, 3);
 	tcase_add_test(t, every_cut_is_told);
 	tcase_add_test(t, claimed_sizes_are_bounded);
-	srunner_run_all(r, CK_NORMAL);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
--- a/test/test_throttle.c
+++ b/test/test_throttle.c
@@ -9,6 +9,7 @@
 
 #include "daisyledge/pool.h"
 #include "fake/published_engine.h"
+#include "fake/suite.h"
 #include "protocol/pool_codec.h"
 
 #define ENDPOINTS  4
@@ -352,8 +353,6 @@
 {
 	Suite *suite = suite_create("throttle");
 	TCase *tc = tcase_create("throttle");
-	SRunner *runner;
-	int failed;
 
 	/* Of plain services, and of engines. */
 	tcase_add_loop_test(
@@ -376,9 +375,5 @@
 	tc = tcase_create("wire");
 	tcase_add_test(tc, limits_survive_the_wire);
 	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(suite);
 }
--- a/test/test_verdict.c
+++ b/test/test_verdict.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "fake/suite.h"
 #include "fake/verdict.h"
 
 #define HASH	    0x00000000000000abULL
@@ -151,14 +152,9 @@
 {
 	Suite *s = suite_create("verdict");
 	TCase *t = tcase_create("verdict");
-	SRunner *r = srunner_create(s);
-	int failed;
 
 	tcase_add_loop_test(t, breaks_just_that, 0, (int)CASES);
 	tcase_add_test(t, sees_memory_left);
 	suite_add_tcase(s, t);
-	srunner_run_all(r, CK_ENV);
-	failed = srunner_ntests_failed(r);
-	srunner_free(r);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run(s);
 }
