--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -89,6 +89,13 @@
 	       now - e->heard < FRESH_MS;
 }
 
+/* Its start has its name no more, unless another address has taken it over. */
+static void unname(struct dl_directory *dir, const struct dl_directory_entry *e)
+{
+	if (g_hash_table_lookup(dir->by_instance, e->instance.s) == e)
+		g_hash_table_remove(dir->by_instance, e->instance.s);
+}
+
 /* Another start takes an address over; it holds nothing of the one before. */
 static void begin(struct dl_directory *dir, struct dl_directory_entry *e,
 		  const struct dl_directory_word *word)
@@ -97,8 +104,7 @@
 		struct dl_directory_past *past =
 			&e->past[e->past_at++ % DL_DIRECTORY_PAST];
 
-		if (g_hash_table_lookup(dir->by_instance, e->instance.s) == e)
-			g_hash_table_remove(dir->by_instance, e->instance.s);
+		unname(dir, e);
 		past->instance = e->instance;
 		past->born = e->born;
 	}
@@ -241,8 +247,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&e)) {
 		if (e->heard >= before)
 			continue;
-		if (g_hash_table_lookup(dir->by_instance, e->instance.s) == e)
-			g_hash_table_remove(dir->by_instance, e->instance.s);
+		unname(dir, e);
 		g_hash_table_iter_remove(&iter);
 	}
 }
