--- a/test/foreign.sh
+++ b/test/foreign.sh
@@ -31,6 +31,21 @@
 	[ -z "${CUTTABLE:-}" ] || printf '"cut_file":"%s",' "$DIR/cut-$1"
 }
 
+# Cut VM 3 off from the two others, silently; callers and endpoints reach it.
+cut_off_3() {
+	for d in 1 2; do
+		printf '127.%s.3.1:%s\n127.%s.3.2:%s\n' \
+			"$NET" $PEER_PORT "$NET" $PEER_PORT >"$DIR/cut-$d"
+		printf '127.%s.%s.1:%s\n127.%s.%s.2:%s\n' \
+			"$NET" $d $PEER_PORT "$NET" $d $PEER_PORT
+	done >"$DIR/cut-3.new"
+	mv "$DIR/cut-3.new" "$DIR/cut-3"
+}
+
+heal_3() {
+	rm "$DIR/cut-1" "$DIR/cut-2" "$DIR/cut-3"
+}
+
 settings() { # ROLE D FOUND
 	if [ "$1" = entry ]; then
 		printf '{%s"name":"entry-%s",%s,"foreign":true,"http":"%s","ready":"127.%s.%s.1:%s","peer":"127.%s.%s.1:%s","seeds":[%s],"key_lease_ms":2500,"stop_s":8}\n' \
--- a/test/test_system_crashing_request.sh
+++ b/test/test_system_crashing_request.sh
@@ -94,18 +94,12 @@
 refuses 1 /chat/crash
 
 # A VM that was cut off while it crashed endpoints of the others.
-for d in 1 2; do
-	printf '127.%s.3.1:%s\n127.%s.3.2:%s\n' \
-		"$NET" $PEER_PORT "$NET" $PEER_PORT >"$DIR/cut-$d"
-	printf '127.%s.%s.1:%s\n127.%s.%s.2:%s\n' \
-		"$NET" $d $PEER_PORT "$NET" $d $PEER_PORT >>"$DIR/cut-3.new"
-done
-mv "$DIR/cut-3.new" "$DIR/cut-3"
+cut_off_3
 sleep 3
 SERVING=2
 repeat 6 /look/crash/cut
 [ "$(runs /look/crash/cut)" -ge $CRASHES ] || fail "/look/crash/cut did not run"
-rm "$DIR/cut-1" "$DIR/cut-2" "$DIR/cut-3"
+heal_3
 wait_for 10 "entry 3" ready 3 || fail "entry 3 is not ready after the cut"
 refuses 3 /look/crash/cut
 
--- a/test/test_system_endpoint_limit.sh
+++ b/test/test_system_endpoint_limit.sh
@@ -1,17 +1,20 @@
 #!/bin/sh
 # Endpoints that name a limit on the requests from all VMs together, while the
-# VM that dispatches is killed and comes back.
+# VM that dispatches is killed and comes back, and while a VM is cut off.
 cd "$(dirname "$0")/.." || exit 2
 . test/deploy.sh
+CUTTABLE=1
+APART=1
 test_begin dala
 . test/foreign.sh
 
 STABLE_MS=3000 # by when each VM knows of a limit
 WINDOW_MS=4000 # in which requests are counted
 
-# The most requests of a start in any window, from STABLE_MS after its first.
-most() { # INSTANCE
-	grep " $1\$" "$DIR/arrivals" | sort -n | awk -v w=$WINDOW_MS \
+# The most requests of a start from some VMs in any window, from STABLE_MS after
+# its first.  Attempts are named by the VM that they were sent to.
+most() { # INSTANCE VMS
+	grep " $1 [cbel][$2]x" "$DIR/arrivals" | sort -n | awk -v w=$WINDOW_MS \
 		-v stable=$STABLE_MS '
 		{ at[n++] = $1 }
 		END {
@@ -29,12 +32,12 @@
 }
 
 # Half as much again as the limit allows, and five.
-keeps() { # INSTANCE LIMIT
+keeps() { # INSTANCE LIMIT VMS
 	allowed=$((3 * $2 * WINDOW_MS / 2000 + 5))
-	got=$(most "$1")
-	echo "$1: $got requests in $WINDOW_MS ms, $allowed are allowed"
+	got=$(most "$1" "$3")
+	echo "$1: $got requests of VMs $3 in $WINDOW_MS ms, $allowed are allowed"
 	[ "$got" -le $allowed ] || fail "$1 got $got, allowed $allowed"
-	[ "$(grep -c " $1\$" "$DIR/arrivals")" -ge 5 ] ||
+	[ "$(grep -c " $1 " "$DIR/arrivals")" -ge 5 ] ||
 		fail "$1 got next to nothing"
 }
 
@@ -42,11 +45,12 @@
 	n=0
 	while :; do
 		n=$((n + 1))
-		chat "$1" "c$2x$n" >/dev/null
-		book "$1" "b$2x$n" 200 -H "$KEY" >/dev/null 2>&1
-		book "$1" "e$2x$n" 200 -H "$KEY" >/dev/null 2>&1
-		$DL_HTTP -t 2000 -H "$HOST" "$(front "$1")" /look/x \
-			>/dev/null 2>&1
+		chat "$1" "c$1x$2x$n" >/dev/null
+		book "$1" "b$1x$2x$n" 200 -H "$KEY" >/dev/null 2>&1
+		book "$1" "e$1x$2x$n" 200 -H "$KEY" >/dev/null 2>&1
+		$DL_HTTP -t 2000 -H "$HOST" \
+			-H "Daisyledge-Attempt-Id: l$1x$2x$n" \
+			"$(front "$1")" /look/x >/dev/null 2>&1
 	done
 }
 
@@ -57,8 +61,8 @@
 
 start_all
 for i in 1 2 3; do
-	limits="--arrivals $DIR/arrivals"
-	[ $i -ne 1 ] || limits="$limits --limit 2"
+	limits="--zone place-$i --arrivals $DIR/arrivals"
+	[ $i -eq 2 ] || limits="$limits --limit 2"
 	# shellcheck disable=SC2086
 	runner w$i $((10 + i)) --service writer $limits
 	# shellcheck disable=SC2086
@@ -68,7 +72,7 @@
 for d in 1 2 3; do
 	wait_for 5 "a stream at $d" chat $d "first$d" || fail "no stream"
 	for l in 1 2 3; do
-		load $d "$d$l" &
+		load $d $l &
 		remember load_$d$l $!
 	done
 done
@@ -79,5 +83,18 @@
 start entry "$d"
 wait_for 10 "entry $d" ready "$d" || fail "entry $d is not ready"
 sleep 6
-keeps w1 2
-keeps d1 2
+for i in w1 w3 d1 d3; do
+	keeps $i 2 123
+done
+
+# A VM that is cut off has a dispatcher of its own; the others keep the limit,
+# and so does it.
+: >"$DIR/arrivals"
+cut_off_3
+sleep 9
+heal_3
+sleep 6
+for i in w1 w3 d1 d3; do
+	keeps $i 2 12
+	keeps $i 2 3
+done
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -56,7 +56,7 @@
 	{ "limit", 0, 0, G_OPTION_ARG_STRING, &opt.limit,
 	  "requests a second that answers name", "N" },
 	{ "arrivals", 0, 0, G_OPTION_ARG_FILENAME, &opt.arrivals,
-	  "Unix ms and instance of each request that comes", "F" },
+	  "Unix ms, instance and attempt of each request", "F" },
 	{ "fault", 0, 0, G_OPTION_ARG_STRING, &opt.fault,
 	  "none, cut, silent, not-run, error or foreign", "KIND" },
 	{ NULL },
@@ -252,12 +252,14 @@
 	fake_reply(req, error ? 500 : 200, headers, DL_STR("answer\n"));
 }
 
-/* When a request came, whatever becomes of it. */
-static void note_arrival(void)
+/* When a request came, whatever becomes of it: Unix ms, instance, attempt. */
+static void note_arrival(const struct fake_request *req)
 {
-	char line[128];
-	int n = snprintf(line, sizeof(line), "%" PRId64 " %s\n",
-			 g_get_real_time() / 1000, opt.instance);
+	struct dl_str attempt = header(req, "daisyledge-attempt-id");
+	char line[256];
+	int n = snprintf(line, sizeof(line), "%" PRId64 " %s %.*s\n",
+			 g_get_real_time() / 1000, opt.instance,
+			 (int)MIN(attempt.n, 60), attempt.s);
 
 	if (arrivals_fd >= 0 && write(arrivals_fd, line, (size_t)n) != n)
 		perror("arrivals");
@@ -269,7 +271,7 @@
 	struct dl_str id = header(req, "daisyledge-attempt-id");
 	char attempt[64];
 
-	note_arrival();
+	note_arrival(req);
 	if (target.n && !dl_str_eq(target, dl_str_of(opt.instance))) {
 		refuse(req, 421);
 		return;
