An entry walks its endpoints for limits only while one names any

Cause: entry_limit_tick() walked all endpoints of a pool in each tick of 20 ms, 3,000 of them at 300 machines, to see whether a dispatcher must be told of a limit.

Change: a pool notes when an answer named a limit last, and is walked only within the ten seconds in which a successor would be told.

--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -56,6 +56,7 @@
 	int64_t led_since;
 	struct held_ask *held; /* until the endpoints are known */
 	uint64_t limits_told;  /* the dispatcher that was told of limits */
+	int64_t limit_named;   /* when an answer named one last; 0: never */
 };
 
 /* What an endpoint announced that only the order planner asks for. */
--- a/src/main/entry_limit.c
+++ b/src/main/entry_limit.c
@@ -22,6 +22,8 @@
 	if (f->start !=
 	    entry_endpoint_start(e, dl_name_str(&f->service), address))
 		return;
+	if (f->limit != DL_UNLIMITED)
+		p->limit_named = entry_now(e);
 	if (!dl_pool_limit(p->pool, address, f->limit, entry_now(e)))
 		return;
 	if (f->limit == DL_UNLIMITED)
@@ -89,14 +91,12 @@
 	uint64_t owner;
 	uint32_t at = 0;
 
-	if (!dl_pool_limit_next(p->pool, &at, now - RECENT_MS, &f.endpoint,
-				&f.limit))
+	if (!p->limit_named || now - p->limit_named > RECENT_MS)
 		return;
 	owner = entry_pool_owner(e, service, domain);
 	if (owner == p->limits_told || owner == DL_VM_NONE)
 		return;
 	p->limits_told = owner;
-	at = 0;
 	while (owner != e->node.self &&
 	       dl_pool_limit_next(p->pool, &at, now - RECENT_MS, &f.endpoint,
 				  &f.limit)) {
