--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -46,6 +46,7 @@
 	X(ENDPOINT_LEAVING, DL_INFO, "directory", "An endpoint leaves.")       \
 	X(LIMIT_NAMED, DL_INFO, "limit",                                       \
 	  "An endpoint takes so many requests and no more.")                   \
+	X(LIMIT_BAD, DL_WARN, "limit", "A word of a limit cannot be read.")    \
 	X(LIMIT_OVER, DL_INFO, "limit",                                        \
 	  "An endpoint names no limit any more.")                              \
 	X(ENDPOINT_UNKNOWN, DL_WARN, "directory",                              \
--- a/src/coordination/pool_throttle.c
+++ b/src/coordination/pool_throttle.c
@@ -3,9 +3,9 @@
  *
  * Load: an endpoint in need, that still takes what it is sent.  Harm: requests
  * beyond what it can bear; it looks no worse than others, and is taken as
- * often. The one dispatcher of its pool sees all that goes there and grants
- * them at the rate that was named, without bursts, as several may be on their
- * way at once.
+ * often.  The one dispatcher of its pool sees all that goes there and grants it
+ * at the rate that was named, without bursts, as several requests may be on
+ * their way at once.
  */
 #include "pool_int.h"
 
--- a/src/main/entry_limit.c
+++ b/src/main/entry_limit.c
@@ -70,9 +70,13 @@
 {
 	struct dl_limit_frame f;
 	struct entry_pool *p;
+	int rc = dl_limit_read(frame->body, &f);
 
-	if (dl_limit_read(frame->body, &f))
+	if (rc) {
+		dl_msg(DL_MSG_LIMIT_BAD, "from=%lx bytes=%zu error=%d",
+		       (unsigned long)from, frame->body.n, rc);
 		return;
+	}
 	p = entry_pool_find(e, dl_name_str(&f.service));
 	if (p)
 		note(e, p, &f, from);
