A word of a crash no longer counts all requests that are held back

From a last reading of the change, behaviour as before: - the gauge of requests held back was counted over all that are known, up to 1,024, for each word that is news, of which a frame holds 512; now where one begins or ceases to be held, and every ten seconds as before; - two constants of broken attempts stand together, two includes are gone; - test_throttle has one pool configuration in place of two that differ in their kind; its checks and bounds are as they were.

--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -22,10 +22,10 @@
  * A restart shows within some seconds; until then it is open whether an
  * endpoint crashed under what broke off there.
  */
-#define BROKE_MS 10000
-/* A crash that is told later than this is of the hour before. */
-#define FRESH_MS  60000
+#define BROKE_MS  10000
 #define BROKE_MAX 512
+/* A crash that is told later than this is of the hour before. */
+#define FRESH_MS 60000
 
 /* One request under which endpoints crashed. */
 struct record {
--- a/src/main/entry_quarantine.c
+++ b/src/main/entry_quarantine.c
@@ -4,11 +4,9 @@
  * connection may be reset, or an endpoint fail one request.  It is one where
  * nobody listens at the endpoint's address afterwards, or another start of it.
  */
-#include "base/metric.h"
 #include "main/entry_call.h"
 
 #include <errno.h>
-#include <string.h>
 
 /* A process that ends closes its connections and its listener in turn. */
 #define PROBE_AFTER_MS	 60
--- a/src/main/quarantine.c
+++ b/src/main/quarantine.c
@@ -14,6 +14,12 @@
 	q->news = g_array_new(FALSE, FALSE, sizeof(struct dl_crash));
 }
 
+static void count_held(const struct quarantine *q, int64_t now)
+{
+	dl_gauge(DL_METRIC_requests_quarantined,
+		 dl_quarantine_count(q->known, now));
+}
+
 /* Take in a crash, and say where a request is held back from now on. */
 static bool take(struct quarantine *q, const struct dl_crash *crash,
 		 int64_t now)
@@ -24,14 +30,14 @@
 	if (!dl_quarantine_note(q->known, crash, now))
 		return false;
 	left = dl_quarantine_left_ms(q->known, crash->request, now);
-	q->changed |= !held != !left;
-	if (!held != !left)
-		dl_msg(left ? DL_MSG_REQUEST_HELD_BACK : DL_MSG_REQUEST_LET_GO,
-		       "content=%016lx crashes=%d for_ms=%u age_ms=%u",
-		       (unsigned long)crash->request, DL_QUARANTINE_CRASHES,
-		       left, crash->age_ms);
-	dl_gauge(DL_METRIC_requests_quarantined,
-		 dl_quarantine_count(q->known, now));
+	if (!held == !left)
+		return true;
+	q->changed = true;
+	dl_msg(left ? DL_MSG_REQUEST_HELD_BACK : DL_MSG_REQUEST_LET_GO,
+	       "content=%016lx crashes=%d for_ms=%u age_ms=%u",
+	       (unsigned long)crash->request, DL_QUARANTINE_CRASHES, left,
+	       crash->age_ms);
+	count_held(q, now);
 	return true;
 }
 
@@ -97,8 +103,7 @@
 		return;
 	q->forgotten_at = now;
 	dl_quarantine_forget(q->known, now);
-	dl_gauge(DL_METRIC_requests_quarantined,
-		 dl_quarantine_count(q->known, now));
+	count_held(q, now);
 }
 
 static void gather(void *arg, const struct dl_crash *crash)
--- a/test/test_throttle.c
+++ b/test/test_throttle.c
@@ -47,16 +47,6 @@
 	.engine = { PUBLISHED_ENGINE, .hop_ms = 1 },
 };
 
-static const struct dl_pool_conf plain = {
-	.kind = DL_POOL_PLAIN,
-	.queue_entries_max = 1000,
-	.queue_tokens_max = 100000000,
-	.out_share_permille = 300,
-	.grant_lease_ms = 20000,
-	.report_gone_ms = 60000,
-	.weight_default = 1,
-};
-
 static void report(int endpoint, uint64_t incarnation)
 {
 	struct dl_endpoint_report r = { .incarnation = incarnation,
@@ -72,14 +62,19 @@
 
 static void open_pool(bool model)
 {
+	struct dl_pool_conf conf = engines;
+
 	now = 1000;
 	next_request = 1;
 	alone = standby = false;
 	prompt = 5000;
 	grants_n = first_open = refused = 0;
-	pool = dl_pool_new(model ? &engines : &plain,
-			   model ? &dl_policy_engine : &dl_policy_late_binding,
-			   42);
+	if (!model) {
+		conf.kind = DL_POOL_PLAIN;
+		conf.engine = (struct dl_engine_model){ 0 };
+	}
+	pool = dl_pool_new(
+		&conf, model ? &dl_policy_engine : &dl_policy_late_binding, 42);
 	for (int i = 0; i < ENDPOINTS; i++)
 		report(i, 1);
 }
