What endpoints ask of a VM is read and logged: Retry-After and that they leave

The lines of attempts that were turned away did not say whether the endpoint had named a time, so that a request sent without knowing it could not be told from one that was granted against it. They now carry retry_after_ms= and leaving=. Nothing decides by either yet.

--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -91,6 +91,8 @@
 	bool foreign;		 /* it answers another request */
 	bool events;		 /* a stream, passed on event by event */
 	bool too_long;		 /* an event past its bound */
+	bool leaving;		 /* the endpoint is */
+	uint32_t retry_after_ms; /* as the endpoint says; 0: not said */
 	struct dl_name at_fault; /* a helper that is, as the lead says */
 	size_t length;		 /* SIZE_MAX: not said */
 };
--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -253,6 +253,8 @@
 	if (!c->route.head.foreign)
 		entry_limit_named(c, said.limit);
 	c->route.head.length = said.length;
+	c->route.head.leaving = said.leaving;
+	c->route.head.retry_after_ms = said.retry_after_ms;
 	dl_name_set(&c->route.head.at_fault, said.at_fault);
 	c->route.head.events = c->stream && head->status == 200;
 	if (!c->answering)
@@ -481,10 +483,11 @@
 	}
 	dl_msg(DL_MSG_ATTEMPT_BROKE,
 	       "request=%s endpoint=%s instance=%s sent=%d received=%d broke=%d "
-	       "status=%u outcome=%s events=%lu at_fault=%s step=%s "
-	       "why=\"%s\" content=%016lx",
+	       "status=%u retry_after_ms=%u leaving=%d outcome=%s events=%lu "
+	       "at_fault=%s step=%s why=\"%s\" content=%016lx",
 	       c->id_text, c->grant.endpoint[0].s, c->route.instance.s, a.sent,
-	       a.received, a.broke, c->status, dl_outcome_name(outcome),
+	       a.received, a.broke, c->status, c->route.head.retry_after_ms,
+	       c->route.head.leaving, dl_outcome_name(outcome),
 	       (unsigned long)c->relayed, c->route.head.at_fault.s,
 	       dl_step_name(err->step), err->text, (unsigned long)c->content);
 	if (!whole && !may_go_on(c, &a)) {
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -56,6 +56,8 @@
 	 * DL_UNLIMITED: as many as it has room for.
 	 */
 	uint32_t limit;
+	uint32_t retry_after_ms; /* until which it takes no more; 0: not said */
+	bool leaving;
 };
 
 /* What a call to the replicas' door asks for. */
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -204,6 +204,35 @@
 }
 END_TEST
 
+START_TEST(what_endpoints_ask_of_a_vm_is_read)
+{
+	static const struct {
+		const char *name, *value;
+		uint32_t retry_after_ms;
+		bool leaving;
+	} cases[] = {
+		{ "Retry-After", "3", 3000, false },
+		{ "retry-after", "0.25", 250, false },
+		{ "Retry-After", "Fri, 31 Dec 2027 23:59:59 GMT", 0, false },
+		{ "Retry-After", "-1", 0, false },
+		{ "Retry-After", "", 0, false },
+		{ "Server-Leaving", "1", 0, true },
+		{ "server-leaving", "1", 0, true },
+		{ "Server-Leaving", "0", 0, false },
+	};
+	struct dl_answer_head head;
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		const struct dl_header said = { dl_str_of(cases[i].name),
+						dl_str_of(cases[i].value) };
+
+		d->answer(&said, 1, &head);
+		ck_assert_uint_eq(head.retry_after_ms, cases[i].retry_after_ms);
+		ck_assert_int_eq(head.leaving, cases[i].leaving);
+	}
+}
+END_TEST
+
 struct path {
 	const char *method, *path;
 	enum dl_control_call call;
@@ -438,6 +467,7 @@
 	tcase_add_test(t, a_forged_resumption_is_replaced);
 	tcase_add_test(t, answers_are_read);
 	tcase_add_test(t, limits_are_read);
+	tcase_add_test(t, what_endpoints_ask_of_a_vm_is_read);
 	tcase_add_loop_test(t, control_calls, 0,
 			    sizeof(paths) / sizeof(paths[0]));
 	tcase_add_loop_test(t, words_of_leaving, 0,
