Endpoints that ask a VM to wait, or say that they leave, get its requests: two tests that fail

Emulated endpoints turn requests away with a Retry-After (--shed), and leave with no sign of it but Server-Leaving in their answers (--unheard).

--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -28,12 +28,13 @@
 static struct {
 	char *listen, *control, *service, *instance, *zone, *record, *fault;
 	char *crash_on;
-	char *limit, *arrivals;
+	char *limit, *arrivals, *shed;
 	char **argv;
 	int instance_crashes;
 	int slots, events, event_ms;
 	gboolean plain;
 	gboolean abrupt;
+	gboolean unheard;
 } opt = {
 	.zone = "z", .slots = 16, .events = 8, .event_ms = 20, .fault = "none"
 };
@@ -51,12 +52,16 @@
 	{ "plain", 0, 0, G_OPTION_ARG_NONE, &opt.plain, "no streams", NULL },
 	{ "abrupt", 0, 0, G_OPTION_ARG_NONE, &opt.abrupt,
 	  "leaves without announcing it before", NULL },
+	{ "unheard", 0, 0, G_OPTION_ARG_NONE, &opt.unheard,
+	  "says in its answers alone that it leaves", NULL },
+	{ "shed", 0, 0, G_OPTION_ARG_FILENAME, &opt.shed,
+	  "while F is there turn all away, with the Retry-After in it", "F" },
 	{ "crash-on", 0, 0, G_OPTION_ARG_STRING, &opt.crash_on,
 	  "crash under a request whose path holds this", "TEXT" },
 	{ "limit", 0, 0, G_OPTION_ARG_STRING, &opt.limit,
 	  "requests a second that answers name", "N" },
 	{ "arrivals", 0, 0, G_OPTION_ARG_FILENAME, &opt.arrivals,
-	  "Unix ms, instance and attempt of each request", "F" },
+	  "Unix ms, instance, attempt and what came of each request", "F" },
 	{ "fault", 0, 0, G_OPTION_ARG_STRING, &opt.fault,
 	  "none, cut, silent, not-run, error or foreign", "KIND" },
 	{ NULL },
@@ -145,7 +150,8 @@
 		 "\"stage\":\"both\",\"models\":[{\"name\":\"m\"}],"
 		 "\"seq\":%" PRIu64 ",\"born\":%" PRId64 "}",
 		 opt.service, opt.listen, opt.zone, opt.slots,
-		 leaving ? "draining" : "ready", ++sequence, born);
+		 leaving && !opt.unheard ? "draining" : "ready", ++sequence,
+		 born);
 	call_control(path, body);
 }
 
@@ -173,15 +179,38 @@
 		perror("record");
 }
 
-static void refuse(struct fake_request *req, int status)
+/* Refuse as not run; retry_after: "" for none. */
+static void refuse(struct fake_request *req, int status,
+		   const char *retry_after)
 {
-	const struct fake_header headers[] = {
-		{ "Daisyledge-Not-Executed", "1" }, { NULL, NULL }
-	};
-
+	struct fake_header headers[] = { { "Daisyledge-Not-Executed", "1" },
+					 { NULL, NULL },
+					 { NULL, NULL },
+					 { NULL, NULL } };
+	size_t n = 1;
+
+	if (leaving)
+		headers[n++] = (struct fake_header){ "Server-Leaving", "1" };
+	if (*retry_after)
+		headers[n] = (struct fake_header){ "Retry-After", retry_after };
 	fake_reply(req, status, headers, DL_STR(""));
 }
 
+/* What is to be named where requests are turned away now; false: they run. */
+static bool is_shedding(char *retry_after, size_t size)
+{
+	FILE *f = opt.shed ? fopen(opt.shed, "r") : NULL;
+
+	retry_after[0] = '\0';
+	if (!f)
+		return false;
+	if (!fgets(retry_after, (int)size, f))
+		retry_after[0] = '\0';
+	retry_after[strcspn(retry_after, "\n")] = '\0';
+	fclose(f);
+	return true;
+}
+
 /* End as by a crash: every socket closes, and the next start has a new name. */
 static void crash(void)
 {
@@ -217,13 +246,26 @@
 	g_usleep((gulong)DOWN_MS * G_USEC_PER_SEC / 1000);
 }
 
+/* What the endpoint says of itself in its answers: that it leaves, a limit. */
+static const char *said_name(void)
+{
+	if (leaving)
+		return "Server-Leaving";
+	return opt.limit ? "Server-Limit" : NULL;
+}
+
+static const char *said_value(void)
+{
+	return leaving ? "1" : opt.limit;
+}
+
 static void begin_stream(struct fake_request *req, const char *attempt)
 {
 	const struct fake_header headers[] = {
 		{ "Content-Type", "text/event-stream" },
 		{ "Daisyledge-Attempt-Id", attempt },
 		{ "Daisyledge-Response-Stamp", opt.instance },
-		{ opt.limit ? "Server-Limit" : NULL, opt.limit },
+		{ said_name(), said_value() },
 		{ NULL, NULL },
 	};
 	struct dl_str last = header(req, "last-event-id");
@@ -244,7 +286,7 @@
 	const struct fake_header headers[] = {
 		{ "Daisyledge-Attempt-Id", attempt },
 		{ "Daisyledge-Response-Stamp", opt.instance },
-		{ opt.limit ? "Server-Limit" : NULL, opt.limit },
+		{ said_name(), said_value() },
 		{ NULL, NULL },
 	};
 	bool error = strcmp(opt.fault, "error") == 0;
@@ -252,14 +294,17 @@
 	fake_reply(req, error ? 500 : 200, headers, DL_STR("answer\n"));
 }
 
-/* When a request came, whatever becomes of it: Unix ms, instance, attempt. */
-static void note_arrival(const struct fake_request *req)
+/*
+ * When a request came, and what of it: Unix ms, instance, attempt, and "shed"
+ * with a Retry-After, "leaving", or "taken".
+ */
+static void note_arrival(const struct fake_request *req, const char *what)
 {
 	struct dl_str attempt = header(req, "daisyledge-attempt-id");
 	char line[256];
-	int n = snprintf(line, sizeof(line), "%" PRId64 " %s %.*s\n",
+	int n = snprintf(line, sizeof(line), "%" PRId64 " %s %.*s %s\n",
 			 g_get_real_time() / 1000, opt.instance,
-			 (int)MIN(attempt.n, 60), attempt.s);
+			 (int)MIN(attempt.n, 60), attempt.s, what);
 
 	if (arrivals_fd >= 0 && write(arrivals_fd, line, (size_t)n) != n)
 		perror("arrivals");
@@ -269,15 +314,17 @@
 {
 	struct dl_str target = header(req, "daisyledge-target-instance");
 	struct dl_str id = header(req, "daisyledge-attempt-id");
-	char attempt[64];
+	char attempt[64], retry_after[16], what[32];
+	bool shed = is_shedding(retry_after, sizeof(retry_after));
 
-	note_arrival(req);
+	snprintf(what, sizeof(what), "shed %s", retry_after);
+	note_arrival(req, shed ? what : leaving ? "leaving" : "taken");
 	if (target.n && !dl_str_eq(target, dl_str_of(opt.instance))) {
-		refuse(req, 421);
+		refuse(req, 421, "");
 		return;
 	}
-	if (strcmp(opt.fault, "not-run") == 0) {
-		refuse(req, 503);
+	if (shed || strcmp(opt.fault, "not-run") == 0) {
+		refuse(req, 503, retry_after);
 		return;
 	}
 	record(req);
