A VM leaves endpoints alone that have asked it to wait

Callers were served by a second try, with its delay.

Cause: nothing read Retry-After in answers of endpoints. One that turns requests away holds nothing, so it looked like the best place there is for the next request.

Ruled out: requests that were on their way (each had a grant of its own, 1.3 to 2.9 s after the answer).

Change: an entry keeps until when it leaves a start of an endpoint alone, and holds each send back: at the grant, and again when the connection stands. The release of a grant tells the dispatcher, which grants the endpoint to other VMs only; one that does not know, since it took over, is told with each grant that comes back unused. Parts of prompts, reservations, probes and resumed streams go by it too, in both protocols. Where all endpoints have asked a VM to wait its requests are refused at once, with the time until the first takes them. A request that was turned away for some time goes on to others, up to twelve, as after an endpoint that could not be reached. Requests that wait for what is left of the endpoints do not stand before those of other VMs.

--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -114,6 +114,7 @@
 	DL_REASON_NO_DISPATCHER,
 	DL_REASON_BUSY,	       /* this VM holds all it can */
 	DL_REASON_QUARANTINED, /* endpoints crash under it */
+	DL_REASON_BACKOFF,     /* all endpoints have asked its VM to wait */
 	DL_REASON_COUNT,
 };
 
@@ -147,9 +148,11 @@
 	bool unreachable;	/* no connection to it could be made */
 	uint64_t prompt_tokens; /* as the endpoint counted, 0 unknown */
 	uint64_t output_tokens;
-	uint32_t ttft_ms;	 /* since the grant; 0 where none came */
-	uint32_t total_ms;	 /* likewise */
-	struct dl_name at_fault; /* unreachable for the first; n 0: none */
+	uint32_t ttft_ms;	      /* since the grant; 0 where none came */
+	uint32_t total_ms;	      /* likewise */
+	struct dl_name at_fault;      /* unreachable for the first; n 0: none */
+	struct dl_name asked_to_wait; /* that asked the VM to; n 0: none */
+	uint32_t wait_ms;	      /* for so long from now */
 };
 
 /* The pool in one line, for other pools, other domains and operators. */
--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -22,6 +22,8 @@
 	X(buffered_bytes, "request bytes held now")                            \
 	X(retries_total, "second and later tries")                             \
 	X(grants_total, "grants given by this VM's dispatchers")               \
+	X(backoffs_total, "times that an endpoint asked this VM to wait")      \
+	X(grants_unused, "given back, as an endpoint asked to wait")           \
 	X(queue_entries, "requests queued in this VM's dispatchers")           \
 	X(endpoints_known, "endpoints announced to this VM")                   \
 	X(vms_live, "VMs believed live")                                       \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -49,6 +49,9 @@
 	X(LIMIT_BAD, DL_WARN, "limit", "A word of a limit cannot be read.")    \
 	X(LIMIT_OVER, DL_INFO, "limit",                                        \
 	  "An endpoint names no limit any more.")                              \
+	X(BACKOFF, DL_INFO, "backoff", "An endpoint asked this VM to wait.")   \
+	X(GRANT_UNUSED, DL_INFO, "backoff",                                    \
+	  "A grant is given back, its endpoint asked this VM to wait.")        \
 	X(ENDPOINT_UNKNOWN, DL_WARN, "directory",                              \
 	  "An announcement of a service that is not known is left out.")       \
 	X(ENDPOINT_REFUSED, DL_WARN, "pool",                                   \
--- /dev/null
+++ b/src/coordination/backoff.c
@@ -0,0 +1,91 @@
+/* Endpoints that have asked a VM to wait; see the header. */
+#include "daisyledge/backoff.h"
+
+#include <glib.h>
+
+/* From so many on, ended ones are dropped whenever their number has doubled. */
+#define SWEEP_MIN 64
+
+struct wait {
+	uint64_t key;
+	int64_t until;
+};
+
+struct dl_backoff {
+	GHashTable *waits;
+	uint32_t sweep_at; /* entries */
+};
+
+/* Nobody has asked to wait. */
+struct dl_backoff *dl_backoff_new(void)
+{
+	struct dl_backoff *b = g_new0(struct dl_backoff, 1);
+
+	b->waits = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					 g_free);
+	b->sweep_at = SWEEP_MIN;
+	return b;
+}
+
+/* Release it; NULL is nothing to do. */
+void dl_backoff_free(struct dl_backoff *b)
+{
+	if (!b)
+		return;
+	g_hash_table_destroy(b->waits);
+	g_free(b);
+}
+
+static gboolean has_ended(gpointer key, gpointer value, gpointer now)
+{
+	return ((const struct wait *)value)->until <= *(const int64_t *)now;
+}
+
+/* Make room by dropping what has ended; false where there is none. */
+static bool make_room(struct dl_backoff *b, int64_t now)
+{
+	uint32_t n = g_hash_table_size(b->waits);
+
+	if (n < b->sweep_at)
+		return true;
+	g_hash_table_foreach_remove(b->waits, has_ended, &now);
+	n = g_hash_table_size(b->waits);
+	b->sweep_at = CLAMP(2 * n, SWEEP_MIN, DL_BACKOFF_MAX);
+	return n < b->sweep_at;
+}
+
+/* Wait until a time, or until the later one that is known. */
+bool dl_backoff_note(struct dl_backoff *b, uint64_t key, int64_t until,
+		     int64_t now)
+{
+	struct wait *w = g_hash_table_lookup(b->waits, &key);
+
+	if (until <= now || (w && until <= w->until))
+		return false;
+	if (!w) {
+		if (!make_room(b, now))
+			return false;
+		w = g_new(struct wait, 1);
+		w->key = key;
+		g_hash_table_insert(b->waits, &w->key, w);
+	}
+	w->until = until;
+	return true;
+}
+
+/* How much longer to wait. */
+uint32_t dl_backoff_left_ms(const struct dl_backoff *b, uint64_t key,
+			    int64_t now)
+{
+	const struct wait *w = g_hash_table_lookup(b->waits, &key);
+
+	if (!w || w->until <= now)
+		return 0;
+	return (uint32_t)MIN(w->until - now, UINT32_MAX);
+}
+
+/* Whether nothing was noted that is still kept. */
+bool dl_backoff_is_empty(const struct dl_backoff *b)
+{
+	return g_hash_table_size(b->waits) == 0;
+}
--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -11,6 +11,8 @@
  *	pool_group.c	which endpoints take one that fits on none
  *	pool_grant.c	who holds what, and until when
  *	pool_shift.c	which endpoints lose their share
+ *	pool_throttle.c	how much an endpoint takes of all VMs
+ *	pool_backoff.c	which endpoints a VM leaves alone for now
  *	pool_serve.c	the late answers, in which order
  */
 #include "pool_engine.h"
@@ -46,6 +48,7 @@
 	[DL_REASON_NO_DISPATCHER] = "no-dispatcher",
 	[DL_REASON_BUSY] = "busy",
 	[DL_REASON_QUARANTINED] = "quarantined",
+	[DL_REASON_BACKOFF] = "backoff",
 };
 
 static uint8_t band_of(const struct dl_pool *pool, uint64_t prompt,
@@ -119,6 +122,7 @@
 	pool->prefixes = calloc(POOL_PREFIXES, sizeof(*pool->prefixes));
 	if (!pool->prefixes)
 		abort();
+	pool->backoff = dl_backoff_new();
 	pool->policy = policy;
 	pool->seed = seed;
 	pool->random = seed;
@@ -184,6 +188,7 @@
 	pool_index_free(&pool->index);
 	free((void *)pool->endpoints);
 	free(pool->prefixes);
+	dl_backoff_free(pool->backoff);
 	free(pool);
 }
 
@@ -276,6 +281,7 @@
 		  struct pool_want *out)
 {
 	*out = (struct pool_want){ .class = ask->class,
+				   .entry = ask->entry,
 				   .domain = pool_domain(&ask->failure_domain),
 				   .deadline = ask->deadline,
 				   .asked = pool->now,
@@ -403,6 +409,8 @@
 		if (reason == DL_REASON_NO_ENDPOINT ||
 		    reason == DL_REASON_DRAINING)
 			after = RETRY_FLAT_MS;
+		else if (reason == DL_REASON_BACKOFF)
+			after = pool_backoff_wait_ms(pool, &want, now);
 		pool_answer_refused(out, reason, after);
 		return;
 	}
--- a/src/coordination/pool_admit.c
+++ b/src/coordination/pool_admit.c
@@ -241,7 +241,9 @@
  * Whether a request could run here if nothing else did, and why not.  A
  * request that no group of engines could hold, or that could not end in time
  * even on an idle engine, is told so at once: its caller can use the time, and
- * coming back would not help.
+ * coming back would not help.  One whose VM all endpoints have asked to wait
+ * does not wait here: another VM may be served now, and it would stand before
+ * the requests of others that can be.
  */
 enum dl_reason pool_admit_ever(const struct dl_pool *pool,
 			       const struct pool_want *want, int64_t now)
@@ -256,6 +258,8 @@
 	}
 	if (!any_untried(pool, want))
 		return DL_REASON_NO_ENDPOINT;
+	if (pool_backoff_wait_ms(pool, want, now))
+		return DL_REASON_BACKOFF;
 	if (want->band == POOL_GIANT && !pool_group_size(pool, want, &share))
 		return DL_REASON_TOO_LONG;
 	if (now + pool_service_ms(pool, want) > want->deadline)
@@ -329,7 +333,9 @@
 	}
 	if (reason == DL_REASON_NONE)
 		reason = DL_REASON_DEADLINE;
-	if (reason != DL_REASON_TOO_LONG)
+	if (reason == DL_REASON_BACKOFF)
+		after = pool_backoff_wait_ms(pool, &req->want, now);
+	else if (reason != DL_REASON_TOO_LONG)
 		after = pool_retry_after(pool, &req->want, late, now);
 	pool_queue_refuse(pool, req, reason, after);
 	return true;
--- a/src/coordination/pool_group.c
+++ b/src/coordination/pool_group.c
@@ -186,7 +186,8 @@
 		struct member m = { .endpoint = e, .is_long = e->counted_long };
 
 		if (!may_join(want, e, n) || e->hold ||
-		    e->last.memory_tokens < part.need)
+		    e->last.memory_tokens < part.need ||
+		    pool_backoff_holds(pool, want, e, now))
 			continue;
 		if (at_once && !fits_now(pool, &part, e, now))
 			continue;
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -5,6 +5,7 @@
 #ifndef DL_COORDINATION_POOL_INT_H
 #define DL_COORDINATION_POOL_INT_H
 
+#include "daisyledge/backoff.h"
 #include "daisyledge/pool.h"
 
 /* The member of a structure back to the structure. */
@@ -68,6 +69,8 @@
 		      struct pool_tree_node *node);
 struct pool_tree_node *pool_tree_first(struct pool_tree_node *root);
 struct pool_tree_node *pool_tree_last(struct pool_tree_node *root);
+struct pool_tree_node *pool_tree_next(struct pool_tree_node *root,
+				      const struct pool_tree_node *node);
 uint64_t pool_tree_sum_before(const struct pool_tree_node *root, int64_t key,
 			      uint64_t order);
 
@@ -96,6 +99,7 @@
 	uint64_t output;
 	uint64_t need; /* memory in tokens */
 	uint64_t prefix;
+	uint64_t entry;	 /* the VM that asks */
 	uint64_t domain; /* hash of its VM's failure domain; 0: not said */
 	uint32_t prefix_tokens;
 	uint8_t class;
@@ -399,6 +403,7 @@
 	struct pool_map workspaces;
 	uint32_t workspaces_max;
 
+	struct dl_backoff *backoff; /* of endpoints towards VMs */
 	struct pool_prefix *prefixes;
 	struct pool_hold hold[POOL_HOLDS];
 	int64_t hold_at; /* no new hold is tried before */
@@ -524,6 +529,7 @@
 struct pool_flow *pool_flow_find(const struct pool_workspace *ws, uint8_t lane);
 struct pool_request *pool_queue_head(const struct dl_pool *pool, uint8_t lane,
 				     uint32_t nth);
+struct pool_request *pool_queue_next(const struct pool_request *req);
 uint8_t pool_lane_of(const struct pool_want *want);
 void pool_queue_weigh(struct dl_pool *pool);
 void pool_queue_yield(struct dl_pool *pool, struct pool_request *req);
@@ -563,6 +569,8 @@
 		      int64_t now);
 bool pool_place_tried(const struct pool_want *want,
 		      const struct pool_endpoint *e);
+bool pool_place_lets(const struct dl_pool *pool, const struct pool_want *want,
+		     const struct pool_endpoint *e, int64_t now);
 void pool_place_expect(const struct dl_pool *pool,
 		       const struct pool_endpoint *e,
 		       const struct pool_want *want, uint64_t tokens,
@@ -584,6 +592,15 @@
 			  const struct pool_endpoint *e, double rate);
 void pool_throttle_reset(struct pool_endpoint *e);
 
+/* pool_backoff.c */
+bool pool_backoff_holds(const struct dl_pool *pool,
+			const struct pool_want *want,
+			const struct pool_endpoint *e, int64_t now);
+void pool_backoff_note(struct dl_pool *pool, const struct pool_grant *g,
+		       const struct dl_name *id, uint32_t ms, int64_t now);
+uint32_t pool_backoff_wait_ms(const struct dl_pool *pool,
+			      const struct pool_want *want, int64_t now);
+
 /* pool_backlog.c */
 int64_t pool_backlog_higher_ms(const struct pool_endpoint *e, uint8_t level);
 void pool_backlog_commit(struct pool_endpoint *e, const struct pool_want *want,
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -234,6 +234,18 @@
 	return false;
 }
 
+/*
+ * Whether nothing that an endpoint has said or done keeps a request away from
+ * it, however free it is.
+ */
+bool pool_place_lets(const struct dl_pool *pool, const struct pool_want *want,
+		     const struct pool_endpoint *e, int64_t now)
+{
+	return !pool_place_tried(want, e) &&
+	       pool_throttle_takes(e, want, now) &&
+	       !pool_backoff_holds(pool, want, e, now);
+}
+
 /*
  * Whether work of a higher level may still be put before what an endpoint has
  * of lower levels.  For short prompts that arrive while a long one is being
@@ -271,8 +283,8 @@
 	double prefill = (double)want->prompt * pool_ms_per_token(pool, e);
 	uint64_t room = pool_place_free(e);
 
-	if (!pool_endpoint_open(pool, e) || pool_place_tried(want, e) ||
-	    !pool_throttle_takes(e, want, now))
+	if (!pool_endpoint_open(pool, e) ||
+	    !pool_place_lets(pool, want, e, now))
 		return false;
 	if (e->hold && level > POOL_SHORT) {
 		if (!backfills(pool, want, e, now))
--- a/src/coordination/pool_queue.c
+++ b/src/coordination/pool_queue.c
@@ -320,6 +320,15 @@
 	return first_of(POOL_OF(heap->at[nth + 1], struct pool_flow, start));
 }
 
+/* The request behind another one of its flow, or NULL. */
+struct pool_request *pool_queue_next(const struct pool_request *req)
+{
+	struct pool_tree_node *next =
+		pool_tree_next(req->flow->root, &req->by_deadline);
+
+	return next ? POOL_OF(next, struct pool_request, by_deadline) : NULL;
+}
+
 /* Add the weights of all lanes up anew, after the default one changed. */
 void pool_queue_weigh(struct dl_pool *pool)
 {
--- a/src/coordination/pool_serve.c
+++ b/src/coordination/pool_serve.c
@@ -19,6 +19,8 @@
 
 /* How many flows of a lane are tried when the first one's head fits nowhere. */
 #define LOOK_AHEAD 3
+/* How many requests behind a flow's head, where endpoints hold its VM back. */
+#define LOOK_BEHIND 8
 
 /*
  * When nothing but an event can help, the queue is still looked at this often:
@@ -30,6 +32,8 @@
 			  int64_t now, struct dl_answer *out);
 static bool fits_nowhere(const struct dl_pool *pool,
 			 const struct pool_want *want);
+static bool serve_behind(struct dl_pool *pool, struct pool_request *head,
+			 int64_t now, struct dl_answer *out);
 static bool serve_lane(struct dl_pool *pool, uint8_t lane, int64_t now,
 		       struct dl_answer *out);
 static bool serve_holds(struct dl_pool *pool, int64_t now,
@@ -94,6 +98,28 @@
 	return root->free < want->need;
 }
 
+/*
+ * Serve a request behind one that fits nowhere: a VM that endpoints have asked
+ * to wait must not keep those of other VMs from them.
+ */
+static bool serve_behind(struct dl_pool *pool, struct pool_request *head,
+			 int64_t now, struct dl_answer *out)
+{
+	struct pool_request *req = head;
+
+	if (dl_backoff_is_empty(pool->backoff))
+		return false;
+	for (int i = 0; i < LOOK_BEHIND; i++) {
+		req = pool_queue_next(req);
+		if (!req)
+			return false;
+		if (req->entry != head->entry &&
+		    serve_request(pool, req, now, out))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Serve a lane: the flow whose turn it is, or one of the next few where that
  * one's head fits nowhere now, so that one request which may not go where the
@@ -112,6 +138,8 @@
 		if (serve_request(pool, req, now, out))
 			return true;
 	}
+	if (first && serve_behind(pool, first, now, out))
+		return true;
 	if (first && pool->policy->gathers &&
 	    fits_nowhere(pool, &first->want) &&
 	    pool_hold_begin(pool, first, now))
--- a/src/coordination/pool_shift.c
+++ b/src/coordination/pool_shift.c
@@ -504,8 +504,7 @@
 		    !e->last.leaving && !e->unreachable &&
 		    e->grants < e->last.slots &&
 		    want->need <= pool_place_free(e) &&
-		    !pool_place_tried(want, e) &&
-		    pool_throttle_takes(e, want, now))
+		    pool_place_lets(pool, want, e, now))
 			found = e;
 	}
 	if (!found)
--- a/src/coordination/pool_tree.c
+++ b/src/coordination/pool_tree.c
@@ -105,6 +105,23 @@
 	return root;
 }
 
+/* The node next after another one of the tree, or NULL. */
+struct pool_tree_node *pool_tree_next(struct pool_tree_node *root,
+				      const struct pool_tree_node *node)
+{
+	struct pool_tree_node *next = NULL;
+
+	while (root) {
+		if (root == node || before(root, node->key, node->order)) {
+			root = root->right;
+			continue;
+		}
+		next = root;
+		root = root->left;
+	}
+	return next;
+}
+
 /* The weights of all nodes before (key, order), added up. */
 uint64_t pool_tree_sum_before(const struct pool_tree_node *root, int64_t key,
 			      uint64_t order)
--- a/src/main/entry.c
+++ b/src/main/entry.c
@@ -272,6 +272,7 @@
 	e->started_at = entry_now(e);
 	e->directory = dl_directory_new();
 	e->reports = dl_reports_new();
+	e->backoff = dl_backoff_new();
 	entry_quarantine_open(e);
 	e->lost = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					g_free);
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -13,6 +13,7 @@
  *   entry_ticket.c memory for prompts that no one engine holds
  *   entry_quarantine.c requests under which endpoints crash
  *   entry_limit.c limits that endpoints name of themselves
+ *   entry_backoff.c endpoints that ask this VM to wait
  *   entry_lease.c whether the configuration here may still be trusted
  *   entry_grant.c asking dispatchers, holding and giving back grants
  *   entry_pool.c  dispatching for the pools of this failure domain
@@ -27,6 +28,7 @@
 #include <glib.h>
 #include <inttypes.h>
 
+#include "daisyledge/backoff.h"
 #include "daisyledge/call.h"
 #include "daisyledge/conf.h"
 #include "daisyledge/cstore.h"
@@ -92,6 +94,7 @@
 	bool events;		 /* a stream, passed on event by event */
 	bool too_long;		 /* an event past its bound */
 	bool leaving;		 /* the endpoint is */
+	bool turned_away;	 /* until retry_after_ms from then */
 	uint32_t retry_after_ms; /* as the endpoint says; 0: not said */
 	struct dl_name at_fault; /* a helper that is, as the lead says */
 	size_t length;		 /* SIZE_MAX: not said */
@@ -194,6 +197,7 @@
 	struct dl_ask_frame ask; /* as last sent; its workspace is ours */
 	struct dl_answer grant;
 	bool granted;
+	uint32_t unused; /* grants given back, as an endpoint asked to wait */
 	uint32_t lease_ms;
 	int64_t renew_at;
 
@@ -203,6 +207,7 @@
 	struct reading *reading; /* beside the loop, NULL when done */
 	char *body_first;	 /* of the attempt in flight */
 	uint32_t attempts;
+	bool held_back; /* the attempt was given up before it was sent */
 	uint8_t tried;
 	struct dl_name tried_ids[3];
 	uint64_t start; /* of the endpoint that it was sent to; 0: not known */
@@ -285,6 +290,7 @@
 	bool lease_noted;
 	struct dl_directory *directory;
 	struct dl_reports *reports; /* that replicas passed on */
+	struct dl_backoff *backoff; /* of endpoints towards this VM */
 	struct quarantine quarantine;
 	GPtrArray *probes; /* of endpoints at which attempts broke off */
 
@@ -382,6 +388,16 @@
 		       const struct dl_frame *frame);
 void entry_limit_tick(struct entry *e, int64_t now);
 
+/* entry_backoff.c */
+uint32_t entry_backoff_left_ms(const struct entry *e, struct dl_str address,
+			       uint64_t start);
+bool entry_backoff_named(struct entry *e, struct dl_str service,
+			 const struct dl_name *address, uint16_t status,
+			 uint32_t retry_after_ms);
+void entry_backoff_tell(struct call *c);
+bool entry_backoff_holds(const struct call *c);
+void entry_backoff_give_back(struct call *c);
+
 /* entry_lease.c */
 bool entry_lease_holds(const struct entry *e);
 bool entry_lease_ready(const struct entry *e);
--- /dev/null
+++ b/src/main/entry_backoff.c
@@ -0,0 +1,117 @@
+/*
+ * Endpoints that turn requests away and ask this VM to wait: nothing goes there
+ * from here until the time that they named is over, whoever granted it.  The
+ * dispatcher is told with the grant that is given back, so that it offers the
+ * endpoint to other VMs only; one that does not know it yet, because it has
+ * just taken over, is told with each grant that is not used.
+ */
+#include "base/metric.h"
+#include "base/msg.h"
+#include "main/entry_call.h"
+
+/*
+ * An endpoint that names less is left alone for so long all the same, or one
+ * request would come back to it with each of its tries.
+ */
+#define LEAST_MS 100
+/*
+ * Grants that one request gives back unused.  A dispatcher that has just taken
+ * over may offer each endpoint that another one had learnt to leave out.
+ */
+#define UNUSED_MAX	   16
+#define STATUS_TURNED_AWAY 503
+
+/*
+ * How much longer this VM leaves an endpoint alone, ms; 0: not at all.  start:
+ * as entry_endpoint_start() numbers it.
+ */
+uint32_t entry_backoff_left_ms(const struct entry *e, struct dl_str address,
+			       uint64_t start)
+{
+	return dl_backoff_left_ms(e->backoff, dl_hash(address, start),
+				  entry_now(e));
+}
+
+/*
+ * An endpoint has answered with a status and named a time after which to come
+ * back; 0: none.  True where it turned the request away for that time.
+ */
+bool entry_backoff_named(struct entry *e, struct dl_str service,
+			 const struct dl_name *address, uint16_t status,
+			 uint32_t retry_after_ms)
+{
+	struct dl_str text = dl_name_str(address);
+	int64_t now = entry_now(e);
+	uint64_t key;
+
+	if (status != STATUS_TURNED_AWAY || !retry_after_ms)
+		return false;
+	key = dl_hash(text, entry_endpoint_start(e, service, text));
+	if (dl_backoff_note(e->backoff, key,
+			    now + MAX(retry_after_ms, LEAST_MS), now)) {
+		dl_count(DL_METRIC_backoffs_total, 1);
+		dl_msg(DL_MSG_BACKOFF, "endpoint=%s service=%.*s for_ms=%u",
+		       address->s, (int)service.n, service.s, retry_after_ms);
+	}
+	return true;
+}
+
+/* The first endpoint of a grant that this VM leaves alone, or NULL. */
+static const struct dl_name *first_left_alone(const struct call *c,
+					      uint32_t *left_ms)
+{
+	struct dl_str service = dl_name_str(&c->service);
+
+	if (dl_backoff_is_empty(c->e->backoff))
+		return NULL;
+	for (uint8_t i = 0; i < c->grant.endpoints; i++) {
+		const struct dl_name *name = &c->grant.endpoint[i];
+		struct dl_str address = dl_name_str(name);
+		uint64_t start = entry_endpoint_start(c->e, service, address);
+
+		*left_ms = entry_backoff_left_ms(c->e, address, start);
+		if (*left_ms)
+			return name;
+	}
+	return NULL;
+}
+
+/* Note for the dispatcher of a grant which of its endpoints is left alone. */
+void entry_backoff_tell(struct call *c)
+{
+	uint32_t left_ms;
+	const struct dl_name *address = first_left_alone(c, &left_ms);
+
+	if (!address)
+		return;
+	c->usage.asked_to_wait = *address;
+	c->usage.wait_ms = left_ms;
+}
+
+/* Whether a grant cannot be used now, as an endpoint of it is left alone. */
+bool entry_backoff_holds(const struct call *c)
+{
+	uint32_t left_ms;
+
+	return first_left_alone(c, &left_ms) != NULL;
+}
+
+/* Give a grant back that cannot be used, and ask for another place. */
+void entry_backoff_give_back(struct call *c)
+{
+	entry_backoff_tell(c);
+	dl_count(DL_METRIC_grants_unused, 1);
+	dl_msg(DL_MSG_GRANT_UNUSED,
+	       "request=%s endpoint=%s left_ms=%u dispatcher=%lx unused=%u",
+	       c->id_text, c->usage.asked_to_wait.s, c->usage.wait_ms,
+	       (unsigned long)c->dispatcher, c->unused);
+	if (++c->unused > UNUSED_MAX) {
+		entry_call_refuse(c, DL_REASON_BACKOFF, DL_STEP_PLACE,
+				  c->e->node.self, c->usage.wait_ms);
+		return;
+	}
+	entry_ticket_release(c);
+	entry_grant_release(c);
+	c->first_byte_at = 0;
+	entry_grant_ask(c);
+}
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -206,6 +206,7 @@
 	if (!c->granted)
 		return;
 	c->granted = false;
+	entry_backoff_tell(c);
 	if (c->dispatcher == e->node.self) {
 		p = entry_pool_find(e, service_of(c));
 		if (p)
@@ -236,6 +237,10 @@
 	c->state = CALL_RUNNING;
 	if (entry_quarantine_refuses(c))
 		return;
+	if (entry_backoff_holds(c)) {
+		entry_backoff_give_back(c);
+		return;
+	}
 	if (c->routed)
 		entry_relay_start(c);
 	else
--- a/src/main/entry_quarantine.c
+++ b/src/main/entry_quarantine.c
@@ -180,13 +180,24 @@
 				    entry_now(e));
 }
 
+/* Whether an endpoint may be connected to now; else a next start shows it. */
+static bool is_due(const struct probe *probe, int64_t now)
+{
+	char text[24];
+
+	if (probe->under_way || now < probe->due)
+		return false;
+	dl_vm_text(probe->address, text);
+	return !entry_backoff_left_ms(probe->e, dl_str_of(text), probe->start);
+}
+
 /* Look after endpoints at which attempts broke off, and tell what is new. */
 void entry_quarantine_tick(struct entry *e, int64_t now)
 {
 	for (guint i = 0; i < e->probes->len; i++) {
 		struct probe *probe = e->probes->pdata[i];
 
-		if (!probe->under_way && now >= probe->due)
+		if (is_due(probe, now))
 			probe_now(probe);
 	}
 	quarantine_tell(&e->quarantine, now, to_replicas, e);
--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -16,9 +16,10 @@
 #define EVENT_MAX (1u << 20)
 #define TRIES_MAX 4 /* grants asked for, counting those that led nowhere */
 /*
- * Endpoints that could not be reached cost the others nothing, and their
- * dispatcher is told: of a failure domain that is cut off with a third of the
- * endpoints, streams were broken off after three of the others.
+ * Endpoints that could not be reached, or that turned the request away for some
+ * time, cost the others nothing, and their dispatcher is told: of a failure
+ * domain that is cut off with a third of the endpoints, streams were broken off
+ * after three of the others.
  */
 #define CONNECTS_MAX 12
 /* Kept of the caller's time for the way back. */
@@ -48,7 +49,10 @@
 static void on_end(void *arg, const struct dl_attempt *attempt,
 		   const struct dl_err *err);
 
-static const struct dl_httpc_ops relay_ops = { on_head, on_body, on_end, NULL };
+static bool on_ready(void *arg);
+
+static const struct dl_httpc_ops relay_ops = { on_head, on_body, on_end,
+					       on_ready };
 
 static const struct dl_directory_entry *endpoint_of(const struct call *c,
 						    uint8_t i)
@@ -162,6 +166,17 @@
 	c->attempt = dl_httpc_start(c->e->httpc, &req, &relay_ops, c);
 }
 
+/* The endpoint that was granted is not there any more, or leaves. */
+static void not_there(struct call *c)
+{
+	c->usage.unreachable = is_leaving(c, 0);
+	if (++c->route.tries < TRIES_MAX)
+		ask_again(c);
+	else
+		entry_call_refuse(c, DL_REASON_NO_ENDPOINT, DL_STEP_PLACE,
+				  c->e->node.self, RETRY_SOON_MS);
+}
+
 /* Begin an attempt at the endpoint that was granted. */
 void entry_relay_start(struct call *c)
 {
@@ -175,13 +190,7 @@
 		return;
 	}
 	if (!is_there(c, 0)) {
-		c->usage.unreachable = is_leaving(c, 0);
-		if (++c->route.tries < TRIES_MAX)
-			ask_again(c);
-		else
-			entry_call_refuse(c, DL_REASON_NO_ENDPOINT,
-					  DL_STEP_PLACE, c->e->node.self,
-					  RETRY_SOON_MS);
+		not_there(c);
 		return;
 	}
 	if (entry_ticket_needed(c))
@@ -208,6 +217,30 @@
 	send_to(c, to);
 }
 
+/*
+ * The connection stands.  What was known of the endpoint when the attempt began
+ * may have changed while it was made.
+ */
+static bool on_ready(void *arg)
+{
+	struct call *c = arg;
+
+	c->held_back = !is_there(c, 0) || entry_backoff_holds(c);
+	return !c->held_back;
+}
+
+/* The attempt was given up before it was sent. */
+static void go_elsewhere(struct call *c)
+{
+	c->held_back = false;
+	if (!is_there(c, 0))
+		not_there(c);
+	else if (entry_backoff_holds(c))
+		entry_backoff_give_back(c);
+	else
+		entry_relay_send(c);
+}
+
 /* Some engine of the group has not the memory: ask for another group. */
 void entry_relay_no_memory(struct call *c)
 {
@@ -255,6 +288,9 @@
 	c->route.head.length = said.length;
 	c->route.head.leaving = said.leaving;
 	c->route.head.retry_after_ms = said.retry_after_ms;
+	c->route.head.turned_away = entry_backoff_named(
+		c->e, dl_name_str(&c->service), &c->grant.endpoint[0],
+		head->status, said.retry_after_ms);
 	dl_name_set(&c->route.head.at_fault, said.at_fault);
 	c->route.head.events = c->stream && head->status == 200;
 	if (!c->answering)
@@ -445,6 +481,16 @@
 	return a->broke == DL_BROKE_CONNECT || c->usage.at_fault.n;
 }
 
+/*
+ * Whether an attempt cost its endpoint nothing and taught the dispatcher not to
+ * offer that one again: its caller is not the worse for it either, while there
+ * are others.
+ */
+static bool is_free(const struct call *c, const struct dl_attempt *a)
+{
+	return was_unreached(c, a) || c->route.head.turned_away;
+}
+
 /*
  * One that ran nothing is none of the route's attempts: a stream that broke and
  * was refused by the next endpoint, which was full, was cut there.
@@ -452,7 +498,7 @@
 static void count_attempt(struct call *c, const struct dl_attempt *a,
 			  enum dl_outcome outcome)
 {
-	if (was_unreached(c, a))
+	if (is_free(c, a))
 		c->route.connects++;
 	else
 		c->route.tries++;
@@ -469,6 +515,10 @@
 	bool whole;
 
 	c->attempt = NULL;
+	if (c->held_back) {
+		go_elsewhere(c);
+		return;
+	}
 	entry_quarantine_attempt(c, &a, err);
 	/* A stream that goes on elsewhere got an error in place of events. */
 	whole = a.received == DL_RECV_WHOLE && a.broke == DL_BROKE_NOTHING &&
@@ -497,7 +547,7 @@
 	if (c->relayed)
 		c->route.resumes = true;
 	dl_count(DL_METRIC_retries_total, 1);
-	if (was_unreached(c, &a))
+	if (is_free(c, &a))
 		ask_anew(c);
 	else
 		ask_again(c);
--- a/src/main/entry_ticket.c
+++ b/src/main/entry_ticket.c
@@ -78,7 +78,11 @@
 static void on_head(void *arg, const struct dl_httpc_head *head)
 {
 	struct ticket *t = arg;
+	struct dl_answer_head said;
 
+	platform_dialect.answer(head->headers, head->headers_count, &said);
+	entry_backoff_named(t->set->c->e, dl_name_str(&t->set->c->service),
+			    &t->address, head->status, said.retry_after_ms);
 	if (head->status == 200)
 		t->held = true;
 	else
--- a/src/main/entry_try.c
+++ b/src/main/entry_try.c
@@ -17,6 +17,7 @@
 #define FIRST_TOKEN_FACTOR 3
 /* What is kept for the way back of the endpoint's last bytes. */
 #define HOP_MARGIN_MS 20
+#define MS_PER_S      1000
 
 static void on_head(void *arg, const struct dl_httpc_head *head);
 static bool on_model_body(void *arg, struct dl_str piece);
@@ -24,9 +25,11 @@
 static void on_end(void *arg, const struct dl_attempt *attempt,
 		   const struct dl_err *err);
 
+static bool on_ready(void *arg);
+
 static const struct dl_httpc_ops ops_table[] = {
-	[DL_POOL_MODEL] = { on_head, on_model_body, on_end, NULL },
-	[DL_POOL_PLAIN] = { on_head, on_plain_body, on_end, NULL },
+	[DL_POOL_MODEL] = { on_head, on_model_body, on_end, on_ready },
+	[DL_POOL_PLAIN] = { on_head, on_plain_body, on_end, on_ready },
 };
 
 /* The endpoint's own host is named in place of the caller's. */
@@ -205,12 +208,40 @@
 	}
 }
 
+/* The connection stands; the endpoint may have asked to wait meanwhile. */
+static bool on_ready(void *arg)
+{
+	struct call *c = arg;
+
+	c->held_back = entry_backoff_holds(c);
+	return !c->held_back;
+}
+
+/* The whole seconds of a Retry-After header, in ms; 0: none. */
+static uint32_t retry_after_ms(const struct dl_httpc_head *head)
+{
+	uint64_t seconds;
+
+	for (size_t i = 0; i < head->headers_count; i++) {
+		const struct dl_header *h = &head->headers[i];
+
+		if (dl_header_is(h->name, "retry-after") &&
+		    dl_str_to_u64(h->value, &seconds))
+			return (uint32_t)MIN(seconds, UINT32_MAX / MS_PER_S) *
+			       MS_PER_S;
+	}
+	return 0;
+}
+
 static void on_head(void *arg, const struct dl_httpc_head *head)
 {
 	struct call *c = arg;
 
 	entry_call_span(c, "connect", c->attempt_at, c->grant.endpoint[0].s);
 	c->status = head->status;
+	entry_backoff_named(c->e, dl_name_str(&c->service),
+			    &c->grant.endpoint[0], head->status,
+			    retry_after_ms(head));
 	if (c->kind == DL_POOL_PLAIN)
 		keep_headers(c, head);
 	if (!c->text)
@@ -447,7 +478,8 @@
 	struct dl_call_state state = {
 		.idempotent = c->idempotent,
 		.resumable = c->kind == DL_POOL_MODEL && c->pieces > 0 &&
-			     a.broke != DL_BROKE_GARBLED,
+			     a.broke != DL_BROKE_GARBLED &&
+			     !entry_backoff_holds(c),
 		.attempts = c->attempts,
 		.bytes_to_caller = c->relayed,
 		.deadline = c->deadline,
@@ -455,6 +487,10 @@
 	};
 
 	c->attempt = NULL;
+	if (c->held_back && !c->pieces) {
+		entry_backoff_give_back(c);
+		return;
+	}
 	entry_quarantine_attempt(c, &a, err);
 	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
 	call_fill_usage(c, &a, c->used_prompt, c->used_output,
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -11,7 +11,7 @@
 #define WORDS_MAX     ((size_t)4 << 20)
 #define ASK_ITEMS     17
 #define ANSWER_ITEMS  15
-#define RELEASE_ITEMS 10
+#define RELEASE_ITEMS 12
 #define REPORT_ITEMS  21
 #define SUMMARY_ITEMS 9
 #define LIMIT_ITEMS   4
@@ -232,6 +232,8 @@
 	dl_pack_u64(p, usage->ttft_ms);
 	dl_pack_u64(p, usage->total_ms);
 	dl_pack_str(p, dl_name_str(&usage->at_fault));
+	dl_pack_str(p, dl_name_str(&usage->asked_to_wait));
+	dl_pack_u64(p, usage->wait_ms);
 }
 
 /* Read it. */
@@ -251,6 +253,8 @@
 	out->ttft_ms = (uint32_t)dl_read_u64(&r);
 	out->total_ms = (uint32_t)dl_read_u64(&r);
 	dl_read_name(&r, &out->at_fault);
+	dl_read_name(&r, &out->asked_to_wait);
+	out->wait_ms = (uint32_t)dl_read_u64(&r);
 	return finish(&r);
 }
 
--- /dev/null
+++ b/test/test_system_completion_backoff.sh
@@ -0,0 +1,67 @@
+#!/bin/sh
+# An engine and a plain service that ask the VM to wait whose completion or call
+# they turn away, in the product's own API.
+cd "$(dirname "$0")/.." || exit 2
+. test/deploy.sh
+VMS_EACH=1
+DL_RUNNERS=6
+WAIT_MS=2000 # as the emulated endpoints name it
+GRACE_MS=500
+ALLOWED=2
+test_begin dala
+deploy_start || fail "the deployment does not start"
+
+# The most that came to an endpoint of one VM in a time in which it had asked
+# that VM to wait.  The id of a request begins with the VM that it came to.
+most_while_asked_to_wait() {
+	awk -v wait=$WAIT_MS -v grace=$GRACE_MS '
+		$1 != "B" && $1 != "X" { next }
+		{
+			n++
+			at[n] = $2
+			who[n] = $3 " " substr($4, 1, 12)
+			asked[n] = $1 == "X" && $NF == "busy"
+		}
+		END {
+			for (i = 1; i <= n; i++) {
+				got = 0
+				for (k = 1; k <= n && asked[i]; k++)
+					got += who[k] == who[i] &&
+						at[k] > at[i] + grace &&
+						at[k] <= at[i] + wait
+				if (got > most)
+					most = got
+			}
+			print most + 0
+		}' "$RECORD"
+}
+
+load() { # D
+	while :; do
+		$DL_HTTP -t 5000 -X POST -H 'Daisyledge-Deadline-Ms: 4000' \
+			-d "{\"model\":\"$MODEL\",\"prompt\":\"p\",\"max_tokens\":1}" \
+			"$(vm_address "$1" 1):$HTTP_PORT" /v1/completions \
+			>/dev/null 2>&1 || echo "completion $1"
+		$DL_HTTP -t 5000 "$(vm_address "$1" 1):$HTTP_PORT" \
+			"/s/$PLAIN_SERVICE/call" >/dev/null 2>&1 ||
+			echo "call $1"
+	done >>"$DIR/unserved"
+}
+
+for d in 1 2 3; do
+	load $d &
+	remember load_$d $!
+done
+sleep 1
+: >"$DIR/unserved"
+# One engine of each of two failure domains, and the plain service of another.
+fault 1 busy -1
+fault 5 busy -1
+fault 9 busy -1
+sleep 8
+got=$(most_while_asked_to_wait)
+asked=$(grep -c 'busy$' "$RECORD")
+echo "$asked turned away, $got requests of a VM in a time to wait"
+[ "$asked" -gt 0 ] || fail "nothing was turned away"
+[ "$got" -le $ALLOWED ] || fail "$got came, $ALLOWED are allowed"
+[ ! -s "$DIR/unserved" ] || fail "unserved: $(sort "$DIR/unserved" | uniq -c | tr '\n' ' ')"
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -47,6 +47,7 @@
 	FAULT_SILENT_HEAD,
 	FAULT_SILENT_MIDSTREAM,
 	FAULT_NOT_RUN,
+	FAULT_BUSY,
 	FAULT_GARBLE,
 	FAULT_ERROR,
 	FAULT_LIE_LOAD,
@@ -60,6 +61,7 @@
 	[FAULT_SILENT_HEAD] = "silent-head",
 	[FAULT_SILENT_MIDSTREAM] = "silent-midstream",
 	[FAULT_NOT_RUN] = "not-run",
+	[FAULT_BUSY] = "busy",
 	[FAULT_GARBLE] = "garble",
 	[FAULT_ERROR] = "error",
 	[FAULT_LIE_LOAD] = "lie-load",
@@ -275,6 +277,14 @@
 	{ NULL, NULL },
 };
 
+/* Come back in so many seconds: what a busy one names. */
+static const struct fake_header busy_headers[] = {
+	{ "Content-Type", "application/json" },
+	{ "Daisyledge-Not-Run", "yes" },
+	{ "Retry-After", "2" },
+	{ NULL, NULL },
+};
+
 static void reply_json(struct fake_request *req, int status, json_t *body)
 {
 	char *s = json_dumps(body, JSON_COMPACT);
@@ -784,6 +794,15 @@
 
 static bool refuses_all(struct job *job)
 {
+	if (struck(FAULT_BUSY)) {
+		struct fake_request *req = job->reply;
+
+		record('X', job, "busy");
+		detach(job);
+		fake_reply(req, 503, busy_headers, DL_STR("{}"));
+		job_free(job);
+		return true;
+	}
 	if (struck(FAULT_NOT_RUN)) {
 		job_refuse(job, "fault");
 		return true;
