What waits at the last VM of a failure domain that stops is served

Cause: a VM that stops dispatches no more, and where it is the only one of its failure domain nobody does. It places itself what waits with it. But announcements of the domain's endpoints that came to other VMs were turned away, as nobody dispatches there; one that came to the VM itself was taken in and turned away as well, so that its endpoint tried the others. Missed by chance for long enough the endpoints were gone.

Change: such announcements go to the domain's VMs that stop, and count as taken.

--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -261,6 +261,30 @@
 	dl_packer_close(&pk);
 }
 
+/*
+ * Pass an announcement on to the VMs of a failure domain that stop, where none
+ * dispatches there any more; returns how many there are.  What waits with them
+ * they place themselves, and without announcements they take the endpoints for
+ * gone.
+ */
+static uint32_t tell_stopping(struct entry *e, struct dl_str domain,
+			      struct dl_str body)
+{
+	const struct dl_member *m;
+	uint32_t told = 0;
+
+	for (uint32_t i = 0; (m = dl_memb_at(e->node.memb, i)); i++) {
+		if (!m->draining || m->replica || m->state != DL_ALIVE ||
+		    !dl_name_eq(&m->domain, domain))
+			continue;
+		told++;
+		if (m->vm != e->node.self)
+			dl_peers_send(e->node.peers, m->vm, DL_FRAME_REPORT, 0,
+				      body);
+	}
+	return told;
+}
+
 /*
  * An endpoint has announced itself here: keep it where the pool is ours, and
  * pass it on to the pool's dispatcher.  -ENOENT: no such service;
@@ -274,6 +298,7 @@
 	struct entry_pool *p = entry_pool_find(e, service);
 	struct dl_packer pk;
 	uint64_t owner;
+	int rc = 0;
 
 	if (!p)
 		return -ENOENT;
@@ -286,13 +311,14 @@
 	owner = entry_pool_owner(e, service, domain);
 	if (entry_pool_is_own(e, domain))
 		report_here(e, p, a);
-	if (owner == DL_VM_NONE)
-		return -EHOSTUNREACH;
 	if (owner == e->node.self)
 		return 0;
 	dl_report_pack(&pk, a);
-	dl_peers_send(e->node.peers, owner, DL_FRAME_REPORT, 0,
-		      dl_packer_bytes(&pk));
+	if (owner != DL_VM_NONE)
+		dl_peers_send(e->node.peers, owner, DL_FRAME_REPORT, 0,
+			      dl_packer_bytes(&pk));
+	else if (!tell_stopping(e, domain, dl_packer_bytes(&pk)))
+		rc = -EHOSTUNREACH;
 	dl_packer_close(&pk);
-	return 0;
+	return rc;
 }
--- /dev/null
+++ b/test/test_system_stop_alone.sh
@@ -0,0 +1,23 @@
+#!/bin/sh
+# The only VM of its failure domain stops, while the endpoints there announce
+# themselves to VMs of other domains: what waits at it is served all the same.
+cd "$(dirname "$0")/.." || exit 2
+. test/deploy.sh
+VMS_EACH=1
+DL_RUNNERS=3
+test_begin dala
+ANNOUNCE_TO=$(vm_address 2 1):$HTTP_PORT
+deploy_start || fail "the deployment does not start"
+
+test/tool_load --entries "$(vm_address 1 1):$HTTP_PORT" \
+	--classes test/data/load-streams.json --seconds 1 --seed 7 \
+	--out "$DIR/streams" --quiet --done-min 1000 2>"$DIR/streams.faults" &
+remember streams $!
+sleep 1.3
+kill -TERM "$(pid_of entry_1_1)"
+wait "$(pid_of streams)"
+status=$?
+awk '{ n[$6 " " $7 " " $8]++ } END { for (k in n) print n[k], k }' \
+	"$DIR/streams" | sort -rn | head -3
+[ $status -eq 0 ] || fail "not every stream was done"
+expect_exit 20 entry_1_1 0 || fail "the VM does not stop"
