--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -412,7 +412,7 @@
 	double release_gap_ms; /* between two releases, while work waits */
 	int64_t released_at;
 	int64_t waited_since; /* when the queue was last no longer empty */
-	int64_t returns; /* up to when refused work was told to return */
+	int64_t returns;      /* up to when refused work was told to return */
 	int64_t serve_at;
 	int64_t bind_at; /* when a request that waits for an endpoint gets it */
 	int64_t recheck_at;
