An answer that is there at its deadline is given to its caller

What callers saw: one of 24 sanitized runs of test_system_random.sh, eight at a time: a call was answered 504, with the outcome done.

Cause: the tick ends what is past its deadline before the loop takes in what has come. An answer that had been read whole in that turn was dropped, and the outcome was its; one that had come while the process stood still was not even read.

Who waits for a place is refused at the first, as before.

Figures: test_system_ready_answer.sh, three VMs that stand still from 0.1 s to 0.9 s of a call that takes 0.3 s and may take 0.6 s: 504 before, 200 now.

--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -217,6 +217,7 @@
 	uint64_t pieces;    /* chunks of text from the endpoint */
 	uint64_t relayed;   /* chunks given to the caller */
 	uint64_t skip;	    /* chunks of a resumed stream already relayed */
+	bool overdue;	    /* its deadline had passed at the last tick */
 	bool may_have_run;  /* some attempt is not provably "not run" */
 	bool answering;	    /* the caller has the head of the answer */
 	uint16_t status;    /* the endpoint's */
--- a/src/main/entry_call.c
+++ b/src/main/entry_call.c
@@ -348,6 +348,14 @@
 	enum dl_outcome outcome;
 	struct dl_err err;
 
+	/*
+	 * What came of the attempt until now is taken in before the next tick:
+	 * where this process stood still its answer may be there, unread.
+	 */
+	if (c->attempt && !c->overdue) {
+		c->overdue = true;
+		return;
+	}
 	dl_count(DL_METRIC_requests_late, 1);
 	dl_msg(DL_MSG_ENTRY_LATE, "request=%s state=%d", c->id_text, c->state);
 	if (c->state != CALL_RUNNING) {
