A VM that is told to stop again cuts none of its streams

What callers saw: 128 of 235 streams cut and the rest refused where SIGTERM came a second time, 0.1 s after the first.

Cause: a second signal of either kind ended the process at once, as an impatient person wants it. A supervisor that repeats itself is not one.

Change: SIGTERM changes nothing in a process that stops, and is logged; SIGINT ends it.

--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -35,6 +35,8 @@
 	X(LEASE_LOST, DL_WARN, "lease",                                        \
 	  "Which version is in force is unsure.")                              \
 	/* both programs */                                                    \
+	X(STOP_REPEATED, DL_INFO, "node",                                      \
+	  "Told to stop again, which changes nothing.")                        \
 	X(RELOAD, DL_INFO, "node", "Settings read again.")                     \
 	X(RELOAD_FAILED, DL_WARN, "node", "Settings kept, the new are bad.")   \
 	X(CONF_BAD, DL_ERROR, "entry", "A pushed configuration is unusable.")  \
--- a/src/main/entry.c
+++ b/src/main/entry.c
@@ -180,8 +180,8 @@
 
 /*
  * A planned stop: not ready at once, dispatching moves to others, what is in
- * flight goes on to its end or its deadline.  The second signal ends it now,
- * with each caller told.
+ * flight goes on to its end or its deadline.  An interrupt meanwhile ends it
+ * now, with each caller told.
  */
 static void on_stop(void *arg, bool again)
 {
--- a/src/main/entry_call.c
+++ b/src/main/entry_call.c
@@ -412,7 +412,7 @@
 	entry_call_end(c, outcome, status, "stopping", &err);
 }
 
-/* End every request now, each with an honest word; for a second SIGTERM. */
+/* End every request now, each with an honest word. */
 void entry_calls_abort(struct entry *e)
 {
 	struct call *c, *next;
--- a/src/main/node.c
+++ b/src/main/node.c
@@ -199,6 +199,11 @@
 		dl_main_log_louder();
 		return;
 	}
+	/* A supervisor may repeat itself; only a person's interrupt hurries. */
+	if (again && signum == SIGTERM) {
+		dl_msg(DL_MSG_STOP_REPEATED, "signal=%d", signum);
+		return;
+	}
 	node->stopping = true;
 	node->ops->stop(node->arg, again);
 }
--- a/src/main/node.h
+++ b/src/main/node.h
@@ -27,7 +27,7 @@
 	void (*tick)(void *arg, int64_t now);
 	/* The settings were read again; those that changed are in force. */
 	void (*reload)(void *arg);
-	/* SIGTERM or SIGINT; again is true from the second on. */
+	/* SIGTERM or SIGINT; again: SIGINT to a process that stops. */
 	void (*stop)(void *arg, bool again);
 };
 
