Loads of the system tests in the platform's protocol stand in one place

The same loops over streams and calls, the wait before them and the search for the first dispatcher stood in three scripts.

--- a/test/foreign.sh
+++ b/test/foreign.sh
@@ -166,3 +166,48 @@
 	sleep 0.5
 	kill -TERM "$(pid_of "$1")"
 }
+
+# Streams and calls through a VM, on and on, each attempt with the VM's number as
+# its second letter; those that are not served are named in a file.
+load() { # D TAG
+	n=0
+	while :; do
+		n=$((n + 1))
+		chat "$1" "c$1x$2x$n" >/dev/null || echo "c$1x$2x$n"
+		for kind in b e; do
+			book "$1" "$kind$1x$2x$n" 200 -H "$KEY" >/dev/null 2>&1 ||
+				echo "$kind$1x$2x$n"
+		done
+		$DL_HTTP -t 2000 -H "$HOST" \
+			-H "Daisyledge-Attempt-Id: l$1x$2x$n" \
+			"$(front "$1")" /look/x >/dev/null 2>&1 ||
+			echo "l$1x$2x$n"
+	done >>"$DIR/unserved"
+}
+
+# So many of them through each VM, once it serves.
+load_all() { # LOADS
+	for d in 1 2 3; do
+		wait_for 5 "a stream at $d" chat $d "first$d" ||
+			fail "no stream at $d"
+		wait_for 5 "a call at $d" book $d "call$d" 200 -H "$KEY" ||
+			fail "no call at $d"
+		l=0
+		while [ $l -lt "$1" ]; do
+			l=$((l + 1))
+			load $d $l &
+			remember load_$d$l $!
+		done
+	done
+}
+
+none_unserved() { # WHEN
+	[ ! -s "$DIR/unserved" ] ||
+		fail "$1: unserved: $(head -5 "$DIR/unserved" | tr '\n' ' ')"
+}
+
+# The VM that dispatched first for a service.
+dispatcher_of() { # SERVICE
+	grep -l "Dispatching begins here. service=$1" "$DIR"/entry-?.log |
+		head -1 | sed 's/.*entry-\(.\).log/\1/'
+}
--- a/test/test_system_endpoint_backoff.sh
+++ b/test/test_system_endpoint_backoff.sh
@@ -43,30 +43,6 @@
 	[ "$got" -le $ALLOWED ] || fail "$1: $got came, $ALLOWED are allowed"
 }
 
-load() { # D TAG
-	n=0
-	while :; do
-		n=$((n + 1))
-		chat "$1" "c$1x$2x$n" >/dev/null || echo "c$1x$2x$n"
-		book "$1" "b$1x$2x$n" 200 -H "$KEY" >/dev/null 2>&1 ||
-			echo "b$1x$2x$n"
-		$DL_HTTP -t 2000 -H "$HOST" \
-			-H "Daisyledge-Attempt-Id: l$1x$2x$n" \
-			"$(front "$1")" /look/x >/dev/null 2>&1 ||
-			echo "l$1x$2x$n"
-	done >>"$DIR/unserved"
-}
-
-none_unserved() { # WHEN
-	[ ! -s "$DIR/unserved" ] ||
-		fail "$1: unserved: $(head -5 "$DIR/unserved" | tr '\n' ' ')"
-}
-
-dispatcher() {
-	grep -l 'Dispatching begins here. service=writer' "$DIR"/entry-?.log |
-		head -1 | sed 's/.*entry-\(.\).log/\1/'
-}
-
 shed() { # RETRY_AFTER NAME...
 	after=$1
 	shift
@@ -86,15 +62,7 @@
 		--shed "$DIR/shed-d$i"
 done
 configure_all '"key-one"'
-for d in 1 2 3; do
-	wait_for 5 "a stream at $d" chat $d "first$d" || fail "no stream"
-	wait_for 5 "a call at $d" book $d "b$d" 200 -H "$KEY" ||
-		fail "no call"
-	for l in 1 2 3; do
-		load $d $l &
-		remember load_$d$l $!
-	done
-done
+load_all 3
 sleep 1
 
 # Some turn everything away; whoever is turned away is served by the others.
@@ -106,7 +74,7 @@
 none_unserved "some turn away"
 
 # A dispatcher that takes over was not there when the endpoints asked to wait.
-d=$(dispatcher)
+d=$(dispatcher_of writer)
 kill -KILL "$(pid_of entry_$d)"
 sleep 4
 start entry "$d"
--- a/test/test_system_endpoint_limit.sh
+++ b/test/test_system_endpoint_limit.sh
@@ -41,24 +41,6 @@
 		fail "$1 got next to nothing"
 }
 
-load() { # D TAG
-	n=0
-	while :; do
-		n=$((n + 1))
-		chat "$1" "c$1x$2x$n" >/dev/null
-		book "$1" "b$1x$2x$n" 200 -H "$KEY" >/dev/null 2>&1
-		book "$1" "e$1x$2x$n" 200 -H "$KEY" >/dev/null 2>&1
-		$DL_HTTP -t 2000 -H "$HOST" \
-			-H "Daisyledge-Attempt-Id: l$1x$2x$n" \
-			"$(front "$1")" /look/x >/dev/null 2>&1
-	done
-}
-
-dispatcher() {
-	grep -l 'Dispatching begins here. service=writer' "$DIR"/entry-?.log |
-		head -1 | sed 's/.*entry-\(.\).log/\1/'
-}
-
 start_all
 for i in 1 2 3; do
 	limits="--zone place-$i --arrivals $DIR/arrivals"
@@ -69,15 +51,9 @@
 	runner d$i $((20 + i)) --service desk --plain $limits
 done
 configure_all '"key-one"'
-for d in 1 2 3; do
-	wait_for 5 "a stream at $d" chat $d "first$d" || fail "no stream"
-	for l in 1 2 3; do
-		load $d $l &
-		remember load_$d$l $!
-	done
-done
+load_all 3
 sleep 8
-d=$(dispatcher)
+d=$(dispatcher_of writer)
 kill -KILL "$(pid_of entry_$d)"
 sleep 5
 start entry "$d"
--- a/test/test_system_leaving_answers.sh
+++ b/test/test_system_leaving_answers.sh
@@ -30,16 +30,6 @@
 	[ "$got" -eq 0 ] || fail "$1: $got requests came to one that leaves"
 }
 
-load() { # D TAG
-	n=0
-	while :; do
-		n=$((n + 1))
-		chat "$1" "c$1x$2x$n" >/dev/null || echo "c$1x$2x$n"
-		book "$1" "b$1x$2x$n" 200 -H "$KEY" >/dev/null 2>&1 ||
-			echo "b$1x$2x$n"
-	done >>"$DIR/unserved"
-}
-
 leave() { # NAME...
 	for name in "$@"; do
 		kill -USR1 "$(pid_of "runner_$name")"
@@ -55,22 +45,13 @@
 	runner d$i $((20 + i)) --service desk --plain $options
 done
 configure_all '"key-one"'
-for d in 1 2 3; do
-	wait_for 5 "a stream at $d" chat $d "first$d" || fail "no stream"
-	wait_for 5 "a call at $d" book $d "b$d" 200 -H "$KEY" ||
-		fail "no call"
-	for l in 1 2; do
-		load $d $l &
-		remember load_$d$l $!
-	done
-done
+load_all 2
 sleep 1
 : >"$DIR/unserved"
 leave w1 d1
 sleep 5
 stays_away "in touch"
-[ ! -s "$DIR/unserved" ] ||
-	fail "unserved: $(head -5 "$DIR/unserved" | tr '\n' ' ')"
+none_unserved "in touch"
 
 # A VM that is cut off learns it from the answers that it gets itself.
 cut_off_3
