--- a/src/main/entry.c
+++ b/src/main/entry.c
@@ -77,7 +77,7 @@
 		on_answer(e, from, frame);
 		return;
 	case DL_FRAME_RENEW_GONE:
-		entry_grant_gone(e, from, frame->body);
+		entry_renew_gone(e, from, frame->body);
 		return;
 	case DL_FRAME_CMD_REPLY:
 	case DL_FRAME_QUERY_REPLY:
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -16,6 +16,7 @@
  *   entry_backoff.c endpoints that ask this VM to wait
  *   entry_lease.c whether the configuration here may still be trusted
  *   entry_grant.c asking dispatchers, holding and giving back grants
+ *   entry_renew.c keeping what was granted
  *   entry_pool.c  dispatching for the pools of this failure domain
  *   entry_cmd.c   commands to the replicas
  *   entry_conf.c  the configuration in force
@@ -427,10 +428,12 @@
 /* Its first event has come. */
 void entry_grant_first(struct call *c);
 void entry_grant_cancel(struct call *c);
-void entry_grant_gone(struct entry *e, uint64_t from, struct dl_str body);
 void entry_grant_down(struct entry *e, uint64_t vm);
 void entry_grant_tick(struct entry *e, int64_t now);
 
+/* entry_renew.c */
+void entry_renew_gone(struct entry *e, uint64_t from, struct dl_str body);
+
 /* entry_pool.c */
 struct entry_pool *entry_pool_find(struct entry *e, struct dl_str service);
 uint64_t entry_pool_owner(struct entry *e, struct dl_str service,
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -24,10 +24,8 @@
  * does; only after a second of this is the ask counted as lost. */
 #define DISOWNED_MAX 20
 /* After so many lost asks an entry places by itself. */
-#define ASKS_LOST_MAX 2
-/* Renewed three times a lease, so that one lost renewal costs nothing. */
-#define RENEWALS_PER_LEASE 3
-#define RETRY_DEFAULT_MS   1000
+#define ASKS_LOST_MAX	 2
+#define RETRY_DEFAULT_MS 1000
 
 static struct dl_str service_of(const struct call *c)
 {
@@ -244,7 +242,7 @@
 	c->granted_at = now;
 	c->asks_lost = 0;
 	c->lease_ms = (uint32_t)MAX(answer->valid_until - now, 1);
-	c->renew_at = now + c->lease_ms / RENEWALS_PER_LEASE;
+	call_note_renewed(c, now);
 	memset(&c->usage, 0, sizeof(c->usage));
 	dl_observe(DL_HIST_queue_ms, now - c->asked_at);
 	entry_call_span(c, c->state == CALL_QUEUED ? "queue" : "ask",
@@ -445,97 +443,6 @@
 	}
 }
 
-static void adopt(struct call *c, uint64_t owner)
-{
-	struct entry *e = c->e;
-	struct entry_pool *p;
-	struct dl_packer pk;
-
-	c->dispatcher = owner;
-	c->grant.valid_until = entry_now(e) + c->lease_ms;
-	if (owner == e->node.self) {
-		p = entry_pool_find(e, service_of(c));
-		if (p)
-			dl_pool_adopt(p->pool, &c->grant, &c->ask.ask,
-				      entry_now(e));
-		return;
-	}
-	dl_adopt_pack(&pk, service_of(c), &c->grant, &c->ask.ask, entry_now(e));
-	dl_peers_send(e->node.peers, owner, DL_FRAME_ADOPT, c->ask_id,
-		      dl_packer_bytes(&pk));
-	dl_packer_close(&pk);
-}
-
-static void adopt_if_named(struct call *c, uint64_t from,
-			   const uint64_t *grants, uint32_t count)
-{
-	for (uint32_t i = 0; i < count; i++) {
-		if (c->grant.grant == grants[i]) {
-			adopt(c, from);
-			return;
-		}
-	}
-}
-
-/* A dispatcher does not know grants that we renewed: tell it again. */
-void entry_grant_gone(struct entry *e, uint64_t from, struct dl_str body)
-{
-	uint64_t grants[DL_RENEWED_MAX];
-	struct dl_name service;
-	struct call *c;
-	uint32_t count;
-
-	if (dl_numbers_read(body, &service, grants, &count))
-		return;
-	for (c = e->calls; c; c = c->next) {
-		if (c->granted && c->dispatcher == from &&
-		    dl_name_eq(&c->service, dl_name_str(&service)))
-			adopt_if_named(c, from, grants, count);
-	}
-}
-
-static void note_renewed(struct call *c, int64_t now)
-{
-	c->renew_at = now + c->lease_ms / RENEWALS_PER_LEASE;
-	c->grant.valid_until = now + c->lease_ms;
-}
-
-/*
- * Renew what is due, and with it every other grant of the same dispatcher and
- * service.  For a dispatcher of hundreds of grants: a frame for each was more
- * than half of all that it took; together they are one frame an entry and a
- * third of a lease.
- */
-static void renew(struct call *due, int64_t now)
-{
-	struct entry *e = due->e;
-	uint64_t grants[DL_RENEWED_MAX];
-	struct dl_packer pk;
-	uint32_t n = 0;
-	struct call *c;
-
-	for (c = due; c && n < DL_RENEWED_MAX; c = c->next) {
-		if (!c->granted || c->dispatcher != due->dispatcher ||
-		    !dl_name_eq(&c->service, service_of(due)))
-			continue;
-		grants[n++] = c->grant.grant;
-		note_renewed(c, now);
-	}
-	dl_numbers_pack(&pk, service_of(due), grants, n);
-	dl_peers_send(e->node.peers, due->dispatcher, DL_FRAME_RENEW, 0,
-		      dl_packer_bytes(&pk));
-	dl_packer_close(&pk);
-}
-
-static void renew_here(struct call *c, int64_t now)
-{
-	struct entry_pool *p = entry_pool_find(c->e, service_of(c));
-
-	note_renewed(c, now);
-	if (p && dl_pool_renew(p->pool, c->grant.grant, now))
-		adopt(c, c->e->node.self);
-}
-
 /* The connection to a VM is lost, and with it what was asked on it. */
 void entry_grant_down(struct entry *e, uint64_t vm)
 {
@@ -576,13 +483,7 @@
 	uint64_t owner;
 
 	if (c->granted) {
-		owner = owner_now(c);
-		if (owner != c->dispatcher && owner != DL_VM_NONE)
-			adopt(c, owner);
-		else if (now >= c->renew_at && owner == c->e->node.self)
-			renew_here(c, now);
-		else if (now >= c->renew_at)
-			renew(c, now);
+		call_renew(c, owner_now(c), now);
 		return;
 	}
 	if (c->state != CALL_ASKING && c->state != CALL_QUEUED)
--- /dev/null
+++ b/src/main/entry_renew.c
@@ -0,0 +1,113 @@
+/*
+ * What is granted is held under a lease: renewed, and told to the VM that
+ * dispatches now where that has changed.
+ */
+#include "main/entry_call.h"
+
+/* Renewed three times a lease, so that one lost renewal costs nothing. */
+#define RENEWALS_PER_LEASE 3
+
+/* Tell whoever dispatches now of a grant of another one. */
+static void adopt(struct call *c, uint64_t owner)
+{
+	struct entry *e = c->e;
+	struct entry_pool *p;
+	struct dl_packer pk;
+
+	c->dispatcher = owner;
+	c->grant.valid_until = entry_now(e) + c->lease_ms;
+	if (owner == e->node.self) {
+		p = entry_pool_find(e, dl_name_str(&c->service));
+		if (p)
+			dl_pool_adopt(p->pool, &c->grant, &c->ask.ask,
+				      entry_now(e));
+		return;
+	}
+	dl_adopt_pack(&pk, dl_name_str(&c->service), &c->grant, &c->ask.ask,
+		      entry_now(e));
+	dl_peers_send(e->node.peers, owner, DL_FRAME_ADOPT, c->ask_id,
+		      dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
+}
+
+static void adopt_if_named(struct call *c, uint64_t from,
+			   const uint64_t *grants, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		if (c->grant.grant == grants[i]) {
+			adopt(c, from);
+			return;
+		}
+	}
+}
+
+/* A dispatcher does not know grants that we renewed: tell it again. */
+void entry_renew_gone(struct entry *e, uint64_t from, struct dl_str body)
+{
+	uint64_t grants[DL_RENEWED_MAX];
+	struct dl_name service;
+	struct call *c;
+	uint32_t count;
+
+	if (dl_numbers_read(body, &service, grants, &count))
+		return;
+	for (c = e->calls; c; c = c->next) {
+		if (c->granted && c->dispatcher == from &&
+		    dl_name_eq(&c->service, dl_name_str(&service)))
+			adopt_if_named(c, from, grants, count);
+	}
+}
+
+/* A lease begins anew: it is renewed again in a part of it. */
+void call_note_renewed(struct call *c, int64_t now)
+{
+	c->renew_at = now + c->lease_ms / RENEWALS_PER_LEASE;
+	c->grant.valid_until = now + c->lease_ms;
+}
+
+/*
+ * Renew what is due, and with it every other grant of the same dispatcher and
+ * service.  For a dispatcher of hundreds of grants: a frame for each was more
+ * than half of all that it took; together they are one frame an entry and a
+ * third of a lease.
+ */
+static void renew_there(struct call *due, int64_t now)
+{
+	struct entry *e = due->e;
+	uint64_t grants[DL_RENEWED_MAX];
+	struct dl_packer pk;
+	uint32_t n = 0;
+	struct call *c;
+
+	for (c = due; c && n < DL_RENEWED_MAX; c = c->next) {
+		if (!c->granted || c->dispatcher != due->dispatcher ||
+		    !dl_name_eq(&c->service, dl_name_str(&due->service)))
+			continue;
+		grants[n++] = c->grant.grant;
+		call_note_renewed(c, now);
+	}
+	dl_numbers_pack(&pk, dl_name_str(&due->service), grants, n);
+	dl_peers_send(e->node.peers, due->dispatcher, DL_FRAME_RENEW, 0,
+		      dl_packer_bytes(&pk));
+	dl_packer_close(&pk);
+}
+
+static void renew_here(struct call *c, int64_t now)
+{
+	struct entry_pool *p = entry_pool_find(c->e, dl_name_str(&c->service));
+
+	call_note_renewed(c, now);
+	if (p && dl_pool_renew(p->pool, c->grant.grant, now))
+		adopt(c, c->e->node.self);
+}
+
+/* Keep a grant: follow a dispatcher that has moved, renew what is due. */
+void call_renew(struct call *c, uint64_t owner, int64_t now)
+{
+	if (owner != c->dispatcher && owner != DL_VM_NONE)
+		adopt(c, owner);
+	else if (now >= c->renew_at && owner == c->e->node.self)
+		renew_here(c, now);
+	else if (now >= c->renew_at)
+		renew_there(c, now);
+}
