--- /dev/null
+++ b/test/test_system_backoff_random.sh
@@ -0,0 +1,145 @@
+#!/bin/sh
+# A seeded run of endpoints that turn requests away or say in answers that they
+# leave, while VMs are killed, stopped, frozen and cut off, alone and together.
+#
+#   DL_RANDOM_SEED, DL_RANDOM_SECONDS   for long runs by hand
+cd "$(dirname "$0")/.." || exit 2
+. test/deploy.sh
+SEED=${DL_RANDOM_SEED:-1}
+DURATION=${DL_RANDOM_SECONDS:-12}
+CUTTABLE=1
+APART=1
+test_begin dala
+. test/foreign.sh
+
+GRACE_MS=500
+ALLOWED=2
+DRAIN_MS=2000
+
+# One line a step: after so many seconds, what, and whom.
+plan() {
+	awk -v seed="$SEED" -v left="$DURATION" 'BEGIN {
+		srand(seed)
+		n = split("shed shed shed-short unshed leave kill stop freeze " \
+			"cut all-desks", what, " ")
+		while (left > 0) {
+			pause = 0.2 + rand() * 1.2
+			left -= pause
+			w = what[1 + int(rand() * n)]
+			kind = rand() < 0.5 ? "w" : "d"
+			whom = w ~ /kill|stop|freeze/ ? 1 + int(rand() * 3) : \
+				kind (1 + int(rand() * 4))
+			printf "%.2f %s %s\n", pause, w, whom
+		}
+	}'
+}
+
+shed() { # RETRY_AFTER NAME...
+	after=$1
+	shift
+	for name in "$@"; do
+		echo "$after" >"$DIR/shed-$name.new"
+		mv "$DIR/shed-$name.new" "$DIR/shed-$name"
+	done
+}
+
+# A VM that starts anew, or stood still, knows or could do nothing else.
+excuse() { # VM
+	echo "$(wall_ms) excused x$1x" >>"$DIR/arrivals"
+}
+
+again() { # VM
+	start entry "$1"
+	excuse "$1"
+}
+
+step() { # WHAT WHOM
+	case $1 in
+	shed) shed 2.5 "$2" ;;
+	shed-short) shed 0.8 "$2" ;;
+	unshed) rm -f "$DIR/shed-$2" ;;
+	leave) kill -USR1 "$(pid_of "runner_$2")" ;;
+	kill)
+		kill -KILL "$(pid_of "entry_$2")"
+		again "$2"
+		;;
+	stop)
+		kill -TERM "$(pid_of "entry_$2")"
+		sleep 0.5
+		kill -KILL "$(pid_of "entry_$2")" 2>/dev/null
+		again "$2"
+		;;
+	freeze)
+		kill -STOP "$(pid_of "entry_$2")"
+		sleep 0.7
+		kill -CONT "$(pid_of "entry_$2")"
+		excuse "$2"
+		;;
+	cut) if [ -e "$DIR/cut-3" ]; then heal_3; else cut_off_3; fi ;;
+	all-desks) shed 1.5 d1 d2 d3 d4 ;;
+	esac
+}
+
+# What came although its VM had been asked to wait, and what came later than
+# DRAIN_MS after its VM had been told that the endpoint leaves; at most.
+judge() {
+	sort -n "$DIR/arrivals" | awk -v grace=$GRACE_MS -v drain=$DRAIN_MS '
+		{
+			vm = substr($3, 2, 1)
+			at[NR] = $1
+			who[NR] = $2 " " vm
+			by[NR] = vm
+			excused[NR] = $2 == "excused"
+			wait[NR] = $4 == "shed" ? $5 * 1000 : 0
+			if (excused[NR])
+				for (w in told)
+					if (w ~ " " vm "$")
+						delete told[w]
+			if (told[who[NR]] && $1 > told[who[NR]] + drain)
+				leaving++
+			if ($4 == "leaving" && !told[who[NR]])
+				told[who[NR]] = $1
+		}
+		END {
+			for (i = 1; i <= NR; i++) {
+				got = 0
+				for (k = i + 1; k <= NR && wait[i] > grace &&
+				     at[k] <= at[i] + wait[i]; k++) {
+					if (excused[k] && by[k] == by[i])
+						break
+					got += who[k] == who[i] &&
+						at[k] > at[i] + grace
+				}
+				if (got > most)
+					most = got
+				asked += wait[i] > 0
+			}
+			print most + 0, leaving + 0, asked + 0
+		}'
+}
+
+start_all
+for i in 1 2 3 4; do
+	options="--zone place-$((i % 3 + 1)) --arrivals $DIR/arrivals --unheard"
+	# shellcheck disable=SC2086
+	runner w$i $((10 + i)) --service writer $options --shed "$DIR/shed-w$i"
+	# shellcheck disable=SC2086
+	runner d$i $((20 + i)) --service desk --plain $options \
+		--shed "$DIR/shed-d$i"
+done
+configure_all '"key-one"'
+load_all 2
+: >"$DIR/arrivals"
+plan >"$DIR/plan"
+while read -r pause what whom; do
+	sleep "$pause"
+	step "$what" "$whom" 2>/dev/null
+done <"$DIR/plan"
+read -r most leaving asked <<JUDGED
+$(judge)
+JUDGED
+echo "seed $SEED: $(wc -l <"$DIR/plan") steps, $asked turned away," \
+	"$most in a time to wait, $leaving at one that leaves"
+[ "$asked" -gt 0 ] || fail "nothing was turned away"
+[ "$most" -le $ALLOWED ] || fail "$most came in a time to wait"
+[ "$leaving" -eq 0 ] || fail "$leaving came to an endpoint that leaves"
