A backoff that is over costs nothing, and its code uses the field's words

Whether any endpoint has asked to wait was answered by a table that keeps what has ended until it is swept, so that from the first backoff on every candidate of every placement was looked up. The latest end is kept beside it.

--- a/include/daisyledge/backoff.h
+++ b/include/daisyledge/backoff.h
@@ -23,8 +23,8 @@
 /* How much longer to wait, ms; 0: not at all. */
 uint32_t dl_backoff_left_ms(const struct dl_backoff *b, uint64_t key,
 			    int64_t now);
-/* Whether none is known, ended ones included: a quick look. */
-bool dl_backoff_is_empty(const struct dl_backoff *b);
+/* Whether any time has not ended: a quick look for the ordinary case. */
+bool dl_backoff_any(const struct dl_backoff *b, int64_t now);
 
 #define DL_BACKOFF_MAX 65536
 
--- a/src/coordination/backoff.c
+++ b/src/coordination/backoff.c
@@ -14,6 +14,7 @@
 struct dl_backoff {
 	GHashTable *waits;
 	uint32_t sweep_at; /* entries */
+	int64_t latest;	   /* end of all that were noted */
 };
 
 /* Nobody has asked to wait. */
@@ -70,6 +71,7 @@
 		g_hash_table_insert(b->waits, &w->key, w);
 	}
 	w->until = until;
+	b->latest = MAX(b->latest, until);
 	return true;
 }
 
@@ -84,8 +86,8 @@
 	return (uint32_t)MIN(w->until - now, UINT32_MAX);
 }
 
-/* Whether nothing was noted that is still kept. */
-bool dl_backoff_is_empty(const struct dl_backoff *b)
+/* Whether any time has not ended. */
+bool dl_backoff_any(const struct dl_backoff *b, int64_t now)
 {
-	return g_hash_table_size(b->waits) == 0;
+	return now < b->latest;
 }
--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -12,7 +12,7 @@
  *	pool_grant.c	who holds what, and until when
  *	pool_shift.c	which endpoints lose their share
  *	pool_throttle.c	how much an endpoint takes of all VMs
- *	pool_backoff.c	which endpoints a VM leaves alone for now
+ *	pool_backoff.c	which endpoints a VM backs off from
  *	pool_serve.c	the late answers, in which order
  */
 #include "pool_engine.h"
--- a/src/coordination/pool_backoff.c
+++ b/src/coordination/pool_backoff.c
@@ -5,8 +5,8 @@
  * Load: an endpoint that turns requests away, of all VMs or of one.  Harm: it
  * holds nothing, so it looks like the best place there is and gets the next
  * request of the same VM as well, which costs that one a second try and the
- * endpoint the rest that it needs.  Other VMs are not held back: what it wants
- * of them it tells them itself.
+ * endpoint the time to recover.  Other VMs are not held back: it answers each
+ * of them for itself.
  */
 #include "pool_int.h"
 
@@ -17,7 +17,7 @@
 		pool_mix(e->by_name.hash ^ pool_mix(e->last.incarnation)) ^ vm);
 }
 
-/* How much longer an endpoint is left alone by a request's VM, ms. */
+/* How much longer a request's VM backs off from an endpoint, ms. */
 static uint32_t left_ms(const struct dl_pool *pool,
 			const struct pool_want *want,
 			const struct pool_endpoint *e, int64_t now)
@@ -30,7 +30,7 @@
 			const struct pool_want *want,
 			const struct pool_endpoint *e, int64_t now)
 {
-	return !dl_backoff_is_empty(pool->backoff) &&
+	return dl_backoff_any(pool->backoff, now) &&
 	       left_ms(pool, want, e, now) > 0;
 }
 
@@ -58,7 +58,7 @@
 {
 	uint32_t first = 0;
 
-	if (dl_backoff_is_empty(pool->backoff))
+	if (!dl_backoff_any(pool->backoff, now))
 		return 0;
 	for (uint32_t i = 0; i < pool->endpoints_n; i++) {
 		const struct pool_endpoint *e = pool->endpoints[i];
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -401,7 +401,7 @@
 bool entry_backoff_named(struct entry *e, struct dl_str service,
 			 const struct dl_name *address, uint16_t status,
 			 uint32_t retry_after_ms);
-void entry_backoff_tell(struct call *c);
+void entry_backoff_add(struct call *c);
 bool entry_backoff_holds(const struct call *c);
 void entry_backoff_give_back(struct call *c);
 
--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -202,8 +202,8 @@
 /*
  * A start of an endpoint says in an answer that it leaves.  It may not have
  * been able to announce it, or the announcement is late: this VM goes by it at
- * once, the dispatcher that granted it and the replicas are told.  An
- * announcement without an address says just that, and is final like any other.
+ * once, and sends it to the dispatcher that granted it and to the replicas.  An
+ * announcement without an address means just that, and is final like any other.
  */
 void entry_announce_leaves(struct entry *e, struct dl_str address,
 			   struct dl_str instance, uint64_t dispatcher)
@@ -211,7 +211,7 @@
 	const struct dl_directory_entry *d =
 		dl_directory_find(e->directory, address);
 	struct dl_announcement a = { .report = { .leaving = true } };
-	uint64_t told[ENTRY_REPLICAS_MAX + 1];
+	uint64_t to[ENTRY_REPLICAS_MAX + 1];
 	struct dl_packer pk;
 	uint32_t n;
 
@@ -223,11 +223,11 @@
 	a.born = d->born;
 	dl_report_pack(&pk, &a);
 	take_words(e, dl_packer_bytes(&pk));
-	n = entry_cmd_replicas(e, told);
+	n = entry_cmd_replicas(e, to);
 	if (dispatcher != e->node.self)
-		told[n++] = dispatcher;
+		to[n++] = dispatcher;
 	for (uint32_t i = 0; i < n; i++)
-		dl_peers_send(e->node.peers, told[i], DL_FRAME_REPORT, 0,
+		dl_peers_send(e->node.peers, to[i], DL_FRAME_REPORT, 0,
 			      dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
 }
@@ -267,22 +267,22 @@
  * they place themselves, and without announcements they take the endpoints for
  * gone.
  */
-static uint32_t tell_stopping(struct entry *e, struct dl_str domain,
-			      struct dl_str body)
+static uint32_t send_to_stopping(struct entry *e, struct dl_str domain,
+				 struct dl_str body)
 {
 	const struct dl_member *m;
-	uint32_t told = 0;
+	uint32_t n = 0;
 
 	for (uint32_t i = 0; (m = dl_memb_at(e->node.memb, i)); i++) {
 		if (!m->draining || m->replica || m->state != DL_ALIVE ||
 		    !dl_name_eq(&m->domain, domain))
 			continue;
-		told++;
+		n++;
 		if (m->vm != e->node.self)
 			dl_peers_send(e->node.peers, m->vm, DL_FRAME_REPORT, 0,
 				      body);
 	}
-	return told;
+	return n;
 }
 
 /*
@@ -317,7 +317,7 @@
 	if (owner != DL_VM_NONE)
 		dl_peers_send(e->node.peers, owner, DL_FRAME_REPORT, 0,
 			      dl_packer_bytes(&pk));
-	else if (!tell_stopping(e, domain, dl_packer_bytes(&pk)))
+	else if (!send_to_stopping(e, domain, dl_packer_bytes(&pk)))
 		rc = -EHOSTUNREACH;
 	dl_packer_close(&pk);
 	return rc;
--- a/src/main/entry_backoff.c
+++ b/src/main/entry_backoff.c
@@ -1,17 +1,17 @@
 /*
- * Endpoints that turn requests away and ask this VM to wait: nothing goes there
- * from here until the time that they named is over, whoever granted it.  The
- * dispatcher is told with the grant that is given back, so that it offers the
- * endpoint to other VMs only; one that does not know it yet, because it has
- * just taken over, is told with each grant that is not used.
+ * Endpoints that turn requests away and ask this VM to wait: it backs off from
+ * them until the time that they named is over, whoever granted them.  The
+ * release of a grant carries this to the dispatcher, which then grants the
+ * endpoint to other VMs only; one that has just taken over learns it from the
+ * grants that come back unused.
  */
 #include "base/metric.h"
 #include "base/msg.h"
 #include "main/entry_call.h"
 
 /*
- * An endpoint that names less is left alone for so long all the same, or one
- * request would come back to it with each of its tries.
+ * The shortest backoff: with less, one request could come back to the endpoint
+ * with each of its tries.
  */
 #define LEAST_MS 100
 /*
@@ -22,8 +22,8 @@
 #define STATUS_TURNED_AWAY 503
 
 /*
- * How much longer this VM leaves an endpoint alone, ms; 0: not at all.  start:
- * as entry_endpoint_start() numbers it.
+ * How much longer this VM backs off from an endpoint, ms; 0: not at all.
+ * start: as entry_endpoint_start() numbers it.
  */
 uint32_t entry_backoff_left_ms(const struct entry *e, struct dl_str address,
 			       uint64_t start)
@@ -56,13 +56,13 @@
 	return true;
 }
 
-/* The first endpoint of a grant that this VM leaves alone, or NULL. */
-static const struct dl_name *first_left_alone(const struct call *c,
+/* The first endpoint of a grant that this VM backs off from, or NULL. */
+static const struct dl_name *first_backed_off(const struct call *c,
 					      uint32_t *left_ms)
 {
 	struct dl_str service = dl_name_str(&c->service);
 
-	if (dl_backoff_is_empty(c->e->backoff))
+	if (!dl_backoff_any(c->e->backoff, entry_now(c->e)))
 		return NULL;
 	for (uint8_t i = 0; i < c->grant.endpoints; i++) {
 		const struct dl_name *name = &c->grant.endpoint[i];
@@ -76,11 +76,11 @@
 	return NULL;
 }
 
-/* Note for the dispatcher of a grant which of its endpoints is left alone. */
-void entry_backoff_tell(struct call *c)
+/* Add to the release of a grant which of its endpoints to back off from. */
+void entry_backoff_add(struct call *c)
 {
 	uint32_t left_ms;
-	const struct dl_name *address = first_left_alone(c, &left_ms);
+	const struct dl_name *address = first_backed_off(c, &left_ms);
 
 	if (!address)
 		return;
@@ -88,18 +88,19 @@
 	c->usage.wait_ms = left_ms;
 }
 
-/* Whether a grant cannot be used now, as an endpoint of it is left alone. */
+/* Whether a grant cannot be used now, as this VM backs off from its endpoint.
+ */
 bool entry_backoff_holds(const struct call *c)
 {
 	uint32_t left_ms;
 
-	return first_left_alone(c, &left_ms) != NULL;
+	return first_backed_off(c, &left_ms) != NULL;
 }
 
 /* Give a grant back that cannot be used, and ask for another place. */
 void entry_backoff_give_back(struct call *c)
 {
-	entry_backoff_tell(c);
+	entry_backoff_add(c);
 	dl_count(DL_METRIC_grants_unused, 1);
 	dl_msg(DL_MSG_GRANT_UNUSED,
 	       "request=%s endpoint=%s left_ms=%u dispatcher=%lx unused=%u",
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -219,7 +219,7 @@
 	if (!c->granted)
 		return;
 	c->granted = false;
-	entry_backoff_tell(c);
+	entry_backoff_add(c);
 	if (c->dispatcher == e->node.self) {
 		p = entry_pool_find(e, service_of(c));
 		if (p)
--- a/test/test_backoff.c
+++ b/test/test_backoff.c
@@ -282,14 +282,15 @@
 {
 	struct dl_backoff *b = dl_backoff_new();
 
-	ck_assert(dl_backoff_is_empty(b));
+	ck_assert(!dl_backoff_any(b, 0));
 	ck_assert(!dl_backoff_note(b, 1, 1000, 1000));
 	ck_assert(dl_backoff_note(b, 1, 4000, 1000));
 	ck_assert(!dl_backoff_note(b, 1, 3000, 1000));
 	ck_assert_uint_eq(dl_backoff_left_ms(b, 1, 1500), 2500);
 	ck_assert_uint_eq(dl_backoff_left_ms(b, 1, 4000), 0);
 	ck_assert_uint_eq(dl_backoff_left_ms(b, 2, 1500), 0);
-	ck_assert(!dl_backoff_is_empty(b));
+	ck_assert(dl_backoff_any(b, 3999));
+	ck_assert(!dl_backoff_any(b, 4000));
 	dl_backoff_free(b);
 }
 END_TEST
