A backoff holds for the start that asked, known or not, and to its end

Cause: the loop's time is that of its turn, some milliseconds behind the endpoint's, so that the backoff ended 2,000 ms after a moment before the answer. Found beside it by reading: a backoff from an endpoint whose start was not known here was forgotten once it became known, and one from a start that another had followed meanwhile held for that one.

Change: a backoff is 20 ms longer than named; it is kept for the start that the attempt was sent to, and one without a known start holds for any.

--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -398,8 +398,8 @@
 /* entry_backoff.c */
 uint32_t entry_backoff_left_ms(const struct entry *e, struct dl_str address,
 			       uint64_t start);
-bool entry_backoff_named(struct entry *e, struct dl_str service,
-			 const struct dl_name *address, uint16_t status,
+bool entry_backoff_named(const struct call *c, const struct dl_name *address,
+			 uint64_t start, uint16_t status,
 			 uint32_t retry_after_ms);
 void entry_backoff_add(struct call *c);
 bool entry_backoff_holds(const struct call *c);
--- a/src/main/entry_backoff.c
+++ b/src/main/entry_backoff.c
@@ -14,6 +14,8 @@
  * with each of its tries.
  */
 #define LEAST_MS 100
+/* The loop's time is that of its turn, and may be behind the endpoint's. */
+#define TURN_MS 20
 /*
  * Grants that one request gives back unused.  A dispatcher that has just taken
  * over may offer each endpoint that another one had learnt to leave out.
@@ -23,35 +25,41 @@
 
 /*
  * How much longer this VM backs off from an endpoint, ms; 0: not at all.
- * start: as entry_endpoint_start() numbers it.
+ * start: as entry_endpoint_start() numbers it; one that was not known when the
+ * endpoint asked may be any.
  */
 uint32_t entry_backoff_left_ms(const struct entry *e, struct dl_str address,
 			       uint64_t start)
 {
-	return dl_backoff_left_ms(e->backoff, dl_hash(address, start),
-				  entry_now(e));
+	int64_t now = entry_now(e);
+	uint32_t any = dl_backoff_left_ms(e->backoff, dl_hash(address, 0), now);
+	uint32_t its =
+		dl_backoff_left_ms(e->backoff, dl_hash(address, start), now);
+
+	return MAX(any, its);
 }
 
 /*
- * An endpoint has answered with a status and named a time after which to come
- * back; 0: none.  True where it turned the request away for that time.
+ * A start of an endpoint has answered a request with a status and named a time
+ * after which to come back; 0: none.  True where it turned the request away for
+ * that time.
  */
-bool entry_backoff_named(struct entry *e, struct dl_str service,
-			 const struct dl_name *address, uint16_t status,
+bool entry_backoff_named(const struct call *c, const struct dl_name *address,
+			 uint64_t start, uint16_t status,
 			 uint32_t retry_after_ms)
 {
-	struct dl_str text = dl_name_str(address);
-	int64_t now = entry_now(e);
-	uint64_t key;
+	struct entry *e = c->e;
+	uint64_t key = dl_hash(dl_name_str(address), start);
+	int64_t now = entry_now(e), until;
 
 	if (status != STATUS_TURNED_AWAY || !retry_after_ms)
 		return false;
-	key = dl_hash(text, entry_endpoint_start(e, service, text));
-	if (dl_backoff_note(e->backoff, key,
-			    now + MAX(retry_after_ms, LEAST_MS), now)) {
+	until = now + MAX(retry_after_ms, LEAST_MS) + TURN_MS;
+	if (dl_backoff_note(e->backoff, key, until, now)) {
 		dl_count(DL_METRIC_backoffs_total, 1);
-		dl_msg(DL_MSG_BACKOFF, "endpoint=%s service=%.*s for_ms=%u",
-		       address->s, (int)service.n, service.s, retry_after_ms);
+		dl_msg(DL_MSG_BACKOFF,
+		       "request=%s endpoint=%s service=%s for_ms=%u",
+		       c->id_text, address->s, c->service.s, retry_after_ms);
 	}
 	return true;
 }
--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -303,9 +303,9 @@
 				      dl_name_str(&c->route.instance),
 				      c->dispatcher);
 	c->route.head.retry_after_ms = said.retry_after_ms;
-	c->route.head.turned_away = entry_backoff_named(
-		c->e, dl_name_str(&c->service), &c->grant.endpoint[0],
-		head->status, said.retry_after_ms);
+	c->route.head.turned_away =
+		entry_backoff_named(c, &c->grant.endpoint[0], c->start,
+				    head->status, said.retry_after_ms);
 	dl_name_set(&c->route.head.at_fault, said.at_fault);
 	c->route.head.events = c->stream && head->status == 200;
 	if (!c->answering)
--- a/src/main/entry_ticket.c
+++ b/src/main/entry_ticket.c
@@ -79,15 +79,17 @@
 static void on_head(void *arg, const struct dl_httpc_head *head)
 {
 	struct ticket *t = arg;
+	struct call *c = t->set->c;
 	struct dl_answer_head said;
 
 	platform_dialect.answer(head->headers, head->headers_count, &said);
-	entry_backoff_named(t->set->c->e, dl_name_str(&t->set->c->service),
-			    &t->address, head->status, said.retry_after_ms);
+	entry_backoff_named(c, &t->address,
+			    entry_endpoint_start(c->e, dl_name_str(&c->service),
+						 dl_name_str(&t->address)),
+			    head->status, said.retry_after_ms);
 	if (said.leaving && head->status != STATUS_MISDIRECTED)
-		entry_announce_leaves(t->set->c->e, dl_name_str(&t->address),
-				      dl_name_str(&t->instance),
-				      t->set->c->dispatcher);
+		entry_announce_leaves(c->e, dl_name_str(&t->address),
+				      dl_name_str(&t->instance), c->dispatcher);
 	if (head->status == 200)
 		t->held = true;
 	else
--- a/src/main/entry_try.c
+++ b/src/main/entry_try.c
@@ -239,8 +239,7 @@
 
 	entry_call_span(c, "connect", c->attempt_at, c->grant.endpoint[0].s);
 	c->status = head->status;
-	entry_backoff_named(c->e, dl_name_str(&c->service),
-			    &c->grant.endpoint[0], head->status,
+	entry_backoff_named(c, &c->grant.endpoint[0], c->start, head->status,
 			    retry_after_ms(head));
 	if (c->kind == DL_POOL_PLAIN)
 		keep_headers(c, head);
