Endpoints that shed are started and told in one place of the system tests

The loop that starts them stood in three scripts, the way to have them shed in two; both are in foreign.sh. Assertions and bounds are as they were.

--- a/test/foreign.sh
+++ b/test/foreign.sh
@@ -211,3 +211,27 @@
 	grep -l "Dispatching begins here. service=$1" "$DIR"/entry-?.log |
 		head -1 | sed 's/.*entry-\(.\).log/\1/'
 }
+
+# Have endpoints turn everything away, naming a time in seconds.
+shed() { # RETRY_AFTER NAME...
+	after=$1
+	shift
+	for name in "$@"; do
+		echo "$after" >"$DIR/shed-$name.new"
+		mv "$DIR/shed-$name.new" "$DIR/shed-$name"
+	done
+}
+
+# Four endpoints of each service, in the three places, that note what arrives and
+# shed while they are told to.
+start_shedding_runners() { # [OPTION...]
+	for i in 1 2 3 4; do
+		at="--zone place-$((i % 3 + 1)) --arrivals $DIR/arrivals"
+		# shellcheck disable=SC2086
+		runner w$i $((10 + i)) --service writer $at \
+			--shed "$DIR/shed-w$i" "$@"
+		# shellcheck disable=SC2086
+		runner d$i $((20 + i)) --service desk --plain $at \
+			--shed "$DIR/shed-d$i" "$@"
+	done
+}
--- a/test/test_system_backoff_random.sh
+++ b/test/test_system_backoff_random.sh
@@ -34,15 +34,6 @@
 	}'
 }
 
-shed() { # RETRY_AFTER NAME...
-	after=$1
-	shift
-	for name in "$@"; do
-		echo "$after" >"$DIR/shed-$name.new"
-		mv "$DIR/shed-$name.new" "$DIR/shed-$name"
-	done
-}
-
 # A VM that starts anew, or stood still, knows or could do nothing else.
 excuse() { # VM
 	echo "$(wall_ms) excused x$1x" >>"$DIR/arrivals"
@@ -119,14 +110,7 @@
 }
 
 start_all
-for i in 1 2 3 4; do
-	options="--zone place-$((i % 3 + 1)) --arrivals $DIR/arrivals --unheard"
-	# shellcheck disable=SC2086
-	runner w$i $((10 + i)) --service writer $options --shed "$DIR/shed-w$i"
-	# shellcheck disable=SC2086
-	runner d$i $((20 + i)) --service desk --plain $options \
-		--shed "$DIR/shed-d$i"
-done
+start_shedding_runners --unheard
 configure_all '"key-one"'
 load_all 2
 : >"$DIR/arrivals"
--- a/test/test_system_endpoint_backoff.sh
+++ b/test/test_system_endpoint_backoff.sh
@@ -43,24 +43,8 @@
 	[ "$got" -le $ALLOWED ] || fail "$1: $got came, $ALLOWED are allowed"
 }
 
-shed() { # RETRY_AFTER NAME...
-	after=$1
-	shift
-	for name in "$@"; do
-		echo "$after" >"$DIR/shed-$name.new"
-		mv "$DIR/shed-$name.new" "$DIR/shed-$name"
-	done
-}
-
 start_all
-for i in 1 2 3 4; do
-	options="--zone place-$((i % 3 + 1)) --arrivals $DIR/arrivals"
-	# shellcheck disable=SC2086
-	runner w$i $((10 + i)) --service writer $options --shed "$DIR/shed-w$i"
-	# shellcheck disable=SC2086
-	runner d$i $((20 + i)) --service desk --plain $options \
-		--shed "$DIR/shed-d$i"
-done
+start_shedding_runners
 configure_all '"key-one"'
 load_all 3
 sleep 1
--- a/test/test_system_leaving_answers.sh
+++ b/test/test_system_leaving_answers.sh
@@ -37,13 +37,7 @@
 }
 
 start_all
-for i in 1 2 3 4; do
-	options="--zone place-$((i % 3 + 1)) --arrivals $DIR/arrivals --unheard"
-	# shellcheck disable=SC2086
-	runner w$i $((10 + i)) --service writer $options
-	# shellcheck disable=SC2086
-	runner d$i $((20 + i)) --service desk --plain $options
-done
+start_shedding_runners --unheard
 configure_all '"key-one"'
 load_all 2
 sleep 1
