--- a/include/daisyledge/rlog.h
+++ b/include/daisyledge/rlog.h
@@ -76,6 +76,7 @@
 	DL_RLOG_TRANSFER = 11,	    /* start an election now */
 	DL_RLOG_STARTUP_QUERY = 12, /* asks a voter whether it leads */
 	DL_RLOG_STARTUP_REPLY = 13, /* the sender does not lead */
+	DL_RLOG_JOIN_REPLY = 14,    /* who leads, for a non-member */
 	DL_RLOG_MSG_KIND_COUNT,
 };
 
@@ -92,7 +93,10 @@
 	 * entries.  APPEND_REPLY: the last entry known to match, or where the
 	 * leader should probe next.  JOIN: a digest of the configured replicas;
 	 * commit is the VM that wants to join, since other replicas forward the
-	 * message.
+	 * message.  JOIN, APPEND_REPLY: index_term is the failure domain of
+	 * that VM, see dl_rlog_conf.  JOIN_REPLY: commit is the leader's VM,
+	 * DL_VM_NONE if none is known; ok if the sender is a member in contact
+	 * with it, and snapshot then has the members.
 	 */
 	uint64_t index;
 	uint64_t index_term;
@@ -150,7 +154,8 @@
 };
 
 struct dl_rlog_conf {
-	uint64_t self; /* the VM of this replica */
+	uint64_t self;	 /* the VM of this replica */
+	uint64_t domain; /* hash of its failure domain; 0: unknown */
 	uint32_t heartbeat_ms;
 	/*
 	 * A follower that heard from its leader within this time grants no
@@ -217,6 +222,12 @@
 	uint64_t snapshot;
 	bool voter;
 	bool lease;
+	/*
+	 * A leader can be reached: this replica holds the lease, follows, or
+	 * is not a member and was told so recently by one.
+	 */
+	bool contact;
+	uint64_t joins_ignored; /* join requests beyond those kept */
 	/*
 	 * Everything committed before this term began has been applied: the
 	 * state is not older than what was visible before a restart.
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -84,6 +84,8 @@
 	X(REPLICA_START, DL_INFO, "replica", "Started.")                       \
 	X(REPLICA_LEADER, DL_INFO, "replica", "Leading.")                      \
 	X(REPLICA_FOLLOWER, DL_INFO, "replica", "Following.")                  \
+	X(JOINS_IGNORED, DL_INFO, "replica",                                   \
+	  "More VMs ask to join the group than are kept as candidates.")       \
 	X(REPLICA_DAMAGED, DL_ERROR, "replica",                                \
 	  "The stored state is damaged.")                                      \
 	X(REPLICA_DISK_FAILED, DL_ERROR, "replica", "The disk failed.")
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -308,6 +308,8 @@
 
 	struct dl_lease lease;
 	bool lease_logged_valid;
+	uint32_t lease_asked; /* replicas asked while there was no lease */
+	struct dl_evacuations evacuations; /* as the replicas last named them */
 	struct dl_directory *directory;
 	struct dl_reports *reports; /* forwarded by replicas */
 	struct dl_backoff *backoff; /* asked of this VM by endpoints */
@@ -511,10 +513,11 @@
 void entry_cmd_tick(struct entry *e, int64_t now);
 /* Choose a replica to contact as the leader. */
 void entry_cmd_choose_leader(struct entry *e);
-/* Most members of the replica group, including those joining or leaving. */
-#define ENTRY_REPLICAS_MAX 16
-/* List the known replicas; returns how many. */
-uint32_t entry_cmd_replicas(const struct entry *e, uint64_t *out);
+/* List every VM that may be a replica, as uint64_t; the caller frees it. */
+GArray *entry_cmd_replicas(const struct entry *e);
+/* Send a frame to every VM that may be a replica. */
+void entry_cmd_send_replicas(struct entry *e, uint32_t kind,
+			     struct dl_str body);
 bool entry_cmd_is_replica(struct entry *e, uint64_t vm);
 
 /* entry_conf.c */
--- a/src/main/entry_announce.c
+++ b/src/main/entry_announce.c
@@ -221,9 +221,7 @@
 	const struct dl_directory_entry *d =
 		dl_directory_find(e->directory, address);
 	struct dl_announcement a = { .report = { .leaving = true } };
-	uint64_t to[ENTRY_REPLICAS_MAX + 1];
 	struct dl_packer pk;
-	uint32_t n;
 
 	if (!d || d->leaving || !dl_name_eq(&d->instance, instance))
 		return;
@@ -233,11 +231,9 @@
 	a.born = d->born;
 	dl_report_pack(&pk, &a);
 	handle_report(e, dl_packer_bytes(&pk));
-	n = entry_cmd_replicas(e, to);
+	entry_cmd_send_replicas(e, DL_FRAME_REPORT, dl_packer_bytes(&pk));
 	if (dispatcher != e->node.self)
-		to[n++] = dispatcher;
-	for (uint32_t i = 0; i < n; i++)
-		dl_peers_send(e->node.peers, to[i], DL_FRAME_REPORT, 0,
+		dl_peers_send(e->node.peers, dispatcher, DL_FRAME_REPORT, 0,
 			      dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
 }
--- a/src/main/entry_cmd.c
+++ b/src/main/entry_cmd.c
@@ -32,83 +32,96 @@
 	struct entry_cmd_done done;
 };
 
-static bool contains_vm(const uint64_t *vms, uint32_t n, uint64_t vm)
+static bool contains_vm(const GArray *vms, uint64_t vm)
 {
-	for (uint32_t i = 0; i < n; i++) {
-		if (vms[i] == vm)
+	for (guint i = 0; i < vms->len; i++) {
+		if (g_array_index(vms, uint64_t, i) == vm)
 			return true;
 	}
 	return false;
 }
 
+static void add_vm(GArray *vms, uint64_t vm)
+{
+	if (!contains_vm(vms, vm))
+		g_array_append_val(vms, vm);
+}
+
 /*
  * Lists the replicas: those configured by the operators; else those alive,
  * since a group that repairs itself moves to other VMs; else those of the
- * settings.
+ * settings. The caller frees the list.
  */
-static uint32_t list_replicas(const struct entry *e, uint64_t *out)
+static GArray *list_replicas(const struct entry *e)
 {
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	const struct dl_member *m;
-	uint32_t n = 0;
 
 	if (e->conf && e->conf->replicas_count) {
-		for (; n < e->conf->replicas_count; n++)
-			out[n] = e->conf->replicas[n].vm;
-		return n;
+		for (uint32_t i = 0; i < e->conf->replicas_count; i++)
+			add_vm(out, e->conf->replicas[i].vm);
+		return out;
 	}
 	for (uint32_t i = 0; (m = dl_memb_at(e->node.memb, i)); i++) {
-		if (m->replica && m->state == DL_ALIVE &&
-		    n < ENTRY_REPLICAS_MAX)
-			out[n++] = m->vm;
+		if (m->replica && m->state == DL_ALIVE)
+			g_array_append_val(out, m->vm);
 	}
-	if (n)
-		return n;
-	for (; n < e->node.settings.replicas_count; n++)
-		out[n] = e->node.settings.replicas[n];
-	return n;
+	if (out->len)
+		return out;
+	for (uint32_t i = 0; i < e->node.settings.replicas_count; i++)
+		add_vm(out, e->node.settings.replicas[i]);
+	return out;
 }
 
 /*
  * Lists every VM that may be a replica, including those that membership
  * considers dead: it still does so for a second after a partition has healed.
  */
-uint32_t entry_cmd_replicas(const struct entry *e, uint64_t *out)
+GArray *entry_cmd_replicas(const struct entry *e)
 {
+	GArray *out = list_replicas(e);
 	const struct dl_member *m;
-	uint32_t n = list_replicas(e, out);
 
 	for (uint32_t i = 0; (m = dl_memb_at(e->node.memb, i)); i++) {
-		if (m->replica && n < ENTRY_REPLICAS_MAX &&
-		    !contains_vm(out, n, m->vm))
-			out[n++] = m->vm;
+		if (m->replica)
+			add_vm(out, m->vm);
 	}
-	for (uint32_t i = 0; i < e->node.settings.replicas_count; i++) {
-		uint64_t vm = e->node.settings.replicas[i];
+	for (uint32_t i = 0; i < e->node.settings.replicas_count; i++)
+		add_vm(out, e->node.settings.replicas[i]);
+	return out;
+}
 
-		if (n < ENTRY_REPLICAS_MAX && !contains_vm(out, n, vm))
-			out[n++] = vm;
-	}
-	return n;
+/* Sends a frame to every VM that may be a replica. */
+void entry_cmd_send_replicas(struct entry *e, uint32_t kind, struct dl_str body)
+{
+	GArray *all = entry_cmd_replicas(e);
+
+	for (guint i = 0; i < all->len; i++)
+		dl_peers_send(e->node.peers, g_array_index(all, uint64_t, i),
+			      kind, 0, body);
+	g_array_free(all, TRUE);
 }
 
 /* Whether a VM is one of the known replicas. */
 bool entry_cmd_is_replica(struct entry *e, uint64_t vm)
 {
-	uint64_t all[ENTRY_REPLICAS_MAX];
-	uint32_t n = list_replicas(e, all);
+	GArray *all = list_replicas(e);
+	bool found = contains_vm(all, vm);
 
-	return contains_vm(all, n, vm);
+	g_array_free(all, TRUE);
+	return found;
 }
 
 static uint64_t next_replica(struct entry *e)
 {
-	uint64_t all[ENTRY_REPLICAS_MAX];
-	uint32_t n = list_replicas(e, all);
+	GArray *all = list_replicas(e);
+	uint64_t vm = DL_VM_NONE;
 
-	if (n == 0)
-		return DL_VM_NONE;
 	e->next_replica++;
-	return all[e->next_replica % n];
+	if (all->len)
+		vm = g_array_index(all, uint64_t, e->next_replica % all->len);
+	g_array_free(all, TRUE);
+	return vm;
 }
 
 /* Chooses a replica as the presumed leader if there is none. */
--- a/src/main/entry_conf.c
+++ b/src/main/entry_conf.c
@@ -34,8 +34,6 @@
  */
 #define PARSE_REST_FACTOR 3
 #define PARSE_WAIT_MAX_MS 300
-/* Most VMs that one push names. A superfluous pull is cheap. */
-#define RELAY_TARGETS_MAX 1024
 /* Texts are limited when they are accepted; rewriting them adds a little. */
 #define INFLATED_MAX (2 * (size_t)DL_CONF_TEXT_MAX)
 /* A text of 30 KB compresses to this size and is parsed in a millisecond. */
@@ -112,15 +110,18 @@
 	}
 }
 
-static uint32_t read_relay_targets(struct dl_reader *r, uint64_t *out)
+/* Reads the VMs that a push names; the caller frees the list. */
+static uint32_t read_relay_targets(struct dl_reader *r, uint64_t **out)
 {
 	const msgpack_object *o = r->next;
 
+	*out = NULL;
 	if (r->bad || r->remaining == 0 || o->type != MSGPACK_OBJECT_ARRAY ||
-	    o->via.array.size > RELAY_TARGETS_MAX)
+	    o->via.array.size == 0)
 		return 0;
+	*out = g_new(uint64_t, o->via.array.size);
 	for (uint32_t i = 0; i < o->via.array.size; i++)
-		out[i] = o->via.array.ptr[i].via.u64;
+		(*out)[i] = o->via.array.ptr[i].via.u64;
 	return o->via.array.size;
 }
 
@@ -249,7 +250,7 @@
 
 static void on_push(struct entry *e, uint64_t from, const struct dl_frame *f)
 {
-	static uint64_t targets[RELAY_TARGETS_MAX];
+	uint64_t *targets;
 	struct dl_reader r;
 	struct dl_str text;
 	uint64_t version;
@@ -262,9 +263,10 @@
 		dl_reader_close(&r);
 		return;
 	}
-	count = read_relay_targets(&r, targets);
+	count = read_relay_targets(&r, &targets);
 	if (count)
 		relay(e, version, text, targets, count);
+	g_free(targets);
 	if (version > e->version)
 		queue_version(e, version, text);
 	dl_reader_close(&r);
--- a/src/main/entry_lease.c
+++ b/src/main/entry_lease.c
@@ -8,6 +8,19 @@
 #include "main/entry.h"
 #include "protocol/pack.h"
 
+/*
+ * Interval of requests where leases decide nothing, and the answers only carry
+ * the version in force and the evacuations.
+ */
+#define INFORM_INTERVAL_MS 1000
+
+/*
+ * Replicas asked at once while this VM has no valid lease. Each answer names
+ * the leader, so that a few are enough: with all of them, a thousand VMs that
+ * start together would send each replica thousands of requests a second.
+ */
+#define REPLICAS_ASKED 8
+
 static void log_validity_change(struct entry *e)
 {
 	bool holds = entry_lease_is_valid(e);
@@ -95,20 +108,43 @@
 	dl_packer_close(&pk);
 }
 
+static bool request_due(const struct entry *e)
+{
+	int64_t now = dl_node_boot_ms();
+
+	if (e->node.settings.foreign)
+		return dl_lease_renewal_due(&e->lease,
+					    e->node.settings.key_lease_ms, now);
+	return now - e->lease.requested_at >= INFORM_INTERVAL_MS;
+}
+
+/* Asks the leader and some other replicas, another few each time. */
+static void ask_some_replicas(struct entry *e)
+{
+	GArray *all = entry_cmd_replicas(e);
+	guint n = MIN(all->len, REPLICAS_ASKED);
+
+	for (guint i = 0; i < n; i++) {
+		uint64_t vm = g_array_index(all, uint64_t,
+					    (e->lease_asked + i) % all->len);
+
+		if (vm != e->leader)
+			send_request(e, vm);
+	}
+	e->lease_asked += n;
+	send_request(e, e->leader);
+	g_array_free(all, TRUE);
+}
+
 /*
  * Requests a renewal when it is due, and changes to another replica if the last
- * one did not answer in time. Without a valid lease all replicas are asked,
+ * one did not answer in time. Without a valid lease others are asked as well,
  * since whichever becomes the leader answers as soon as it can confirm the
  * version.
  */
 void entry_lease_tick(struct entry *e, int64_t now)
 {
-	uint64_t all[ENTRY_REPLICAS_MAX];
-	uint32_t n;
-
-	if (!e->node.settings.foreign ||
-	    !dl_lease_renewal_due(&e->lease, e->node.settings.key_lease_ms,
-				  dl_node_boot_ms()))
+	if (!request_due(e))
 		return;
 	log_validity_change(e);
 	if (dl_lease_timed_out(&e->lease, dl_node_boot_ms())) {
@@ -119,11 +155,8 @@
 	if (e->leader == DL_VM_NONE)
 		return;
 	dl_lease_request_sent(&e->lease, dl_node_boot_ms());
-	if (entry_lease_ready(e)) {
+	if (entry_lease_ready(e))
 		send_request(e, e->leader);
-		return;
-	}
-	n = entry_cmd_replicas(e, all);
-	for (uint32_t i = 0; i < n; i++)
-		send_request(e, all[i]);
+	else
+		ask_some_replicas(e);
 }
--- a/src/main/entry_quarantine.c
+++ b/src/main/entry_quarantine.c
@@ -178,12 +178,7 @@
 
 static void send_to_replicas(void *arg, struct dl_str body)
 {
-	uint64_t all[ENTRY_REPLICAS_MAX];
-	struct entry *e = arg;
-	uint32_t n = entry_cmd_replicas(e, all);
-
-	for (uint32_t i = 0; i < n; i++)
-		dl_peers_send(e->node.peers, all[i], DL_FRAME_CRASHES, 0, body);
+	entry_cmd_send_replicas(arg, DL_FRAME_CRASHES, body);
 }
 
 /* Handles a connection to a VM: a replica is sent all crash reports. */
--- a/src/main/replica.c
+++ b/src/main/replica.c
@@ -265,6 +265,11 @@
 	char leader[24];
 
 	dl_rlog_get_status(r->rlog, replica_now(r), &s);
+	dl_gauge(DL_METRIC_joins_ignored, (int64_t)s.joins_ignored);
+	if (s.joins_ignored && !r->joins_ignored_logged) {
+		r->joins_ignored_logged = true;
+		dl_msg(DL_MSG_JOINS_IGNORED, "members=%u", s.count + 1);
+	}
 	if (s.role == r->logged_role)
 		return;
 	r->logged_role = s.role;
@@ -402,6 +407,7 @@
 		return code;
 	dl_rlog_defaults(&conf);
 	conf.self = r->node.self;
+	conf.domain = dl_hash(dl_name_str(&s->failure_domain), 0);
 	conf.listed_count = s->replicas_count;
 	memcpy(conf.listed, s->replicas,
 	       s->replicas_count * sizeof(conf.listed[0]));
@@ -440,8 +446,8 @@
 	r->pending = g_array_new(FALSE, FALSE, sizeof(struct replica_pending));
 	r->forwarded =
 		g_array_new(FALSE, FALSE, sizeof(struct replica_forwarded));
-	r->lease_waiters =
-		g_array_new(FALSE, FALSE, sizeof(struct replica_lease_waiter));
+	r->lease_waiters = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 NULL, g_free);
 	code = open_log(r, err);
 	if (code)
 		return code;
@@ -470,7 +476,7 @@
 	dl_cstore_free(r->cstore);
 	g_array_free(r->pending, TRUE);
 	g_array_free(r->forwarded, TRUE);
-	g_array_free(r->lease_waiters, TRUE);
+	g_hash_table_destroy(r->lease_waiters);
 	if (!writing)
 		replica_quarantine_close(r);
 	if (!writing)
--- a/src/main/replica.h
+++ b/src/main/replica.h
@@ -56,13 +56,15 @@
 	bool push_due;
 	int64_t pushed_at;
 	enum dl_rlog_role logged_role; /* role last written to the log */
+	bool joins_ignored_logged;
 	uint64_t writing_seq; /* sequence number of the record being written */
 	int64_t write_started_at;
 	int64_t wall_offset_ms; /* wall clock minus boot time, at the start */
 	int64_t stop_deadline;	/* end of a planned stop; 0 if not stopping */
 	GArray *pending;	/* of struct replica_pending */
 	GArray *forwarded;	/* of struct replica_forwarded */
-	GArray *lease_waiters;	/* of struct replica_lease_waiter */
+	GHashTable
+		*lease_waiters; /* entry to its struct replica_lease_waiter */
 	uint64_t next_request;
 	struct replica_orders *orders;
 	struct replica_http *http; /* NULL if not configured */
--- a/src/main/replica_conf.c
+++ b/src/main/replica_conf.c
@@ -17,7 +17,6 @@
 #include "protocol/conf_push.h"
 #include "protocol/deflate.h"
 
-#define ENTRIES_MAX 1024
 /*
  * Minimum interval between pushes; of versions that follow each other sooner
  * only the last is pushed. Forwarding a configuration of 1,300 routes takes
@@ -41,7 +40,7 @@
 
 static void push(struct replica *r, const uint64_t *vms, uint32_t count);
 static bool pushes_to(struct replica *r, struct dl_str domain, bool is_leader);
-static uint32_t push_targets(struct replica *r, uint64_t *out);
+static GArray *push_targets(struct replica *r);
 static void set_target_replicas(struct replica *r);
 
 /*
@@ -98,9 +97,22 @@
 	}
 }
 
+/* Whether a replica is a member of the group, and so gets each version. */
+static bool is_group_member(const struct replica *r, uint64_t vm)
+{
+	const struct dl_rlog_members *members = dl_rlog_members(r->rlog);
+
+	for (uint32_t i = 0; i < members->count; i++) {
+		if (members->at[i].vm == vm)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Whether this replica pushes to a failure domain. That is done by the domain's
- * live replica with the lowest address, or by the leader if it has none.
+ * live member of the group with the lowest address, or by the leader if it has
+ * none.
  */
 static bool pushes_to(struct replica *r, struct dl_str domain, bool is_leader)
 {
@@ -109,6 +121,7 @@
 
 	for (uint32_t i = 0; (m = dl_memb_at(r->node.memb, i)); i++) {
 		if (m->replica && m->state == DL_ALIVE &&
+		    is_group_member(r, m->vm) &&
 		    dl_name_eq(&m->domain, domain) &&
 		    (lowest == DL_VM_NONE || m->vm < lowest))
 			lowest = m->vm;
@@ -123,24 +136,34 @@
 	return x < y ? -1 : x > y;
 }
 
-/* Lists the live entries that this replica pushes to, sorted by address. */
-static uint32_t push_targets(struct replica *r, uint64_t *out)
+/*
+ * Lists the live entries that this replica pushes to, sorted by address; the
+ * caller frees the list. The decision for a domain is kept until a member of
+ * another one follows, since each takes a scan of all members.
+ */
+static GArray *push_targets(struct replica *r)
 {
-	struct dl_rlog_status s;
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	const struct dl_name *domain = NULL;
 	const struct dl_member *m;
-	uint32_t n = 0;
+	struct dl_rlog_status s;
+	bool pushes = false;
 
 	dl_rlog_get_status(r->rlog, replica_now(r), &s);
 	for (uint32_t i = 0; (m = dl_memb_at(r->node.memb, i)); i++) {
-		if (m->replica || n == ENTRIES_MAX ||
+		if (m->replica ||
 		    (m->state != DL_ALIVE && m->state != DL_SUSPECT))
 			continue;
-		if (pushes_to(r, dl_name_str(&m->domain),
-			      s.role == DL_RLOG_LEADER))
-			out[n++] = m->vm;
+		if (!domain || !dl_name_eq(domain, dl_name_str(&m->domain))) {
+			domain = &m->domain;
+			pushes = pushes_to(r, dl_name_str(domain),
+					   s.role == DL_RLOG_LEADER);
+		}
+		if (pushes)
+			g_array_append_val(out, m->vm);
 	}
-	qsort(out, n, sizeof(*out), compare_vms);
-	return n;
+	g_array_sort(out, compare_vms);
+	return out;
 }
 
 /* Passes the configured replicas to the log as the target membership. */
@@ -169,7 +192,7 @@
  */
 void replica_conf_tick(struct replica *r, int64_t now)
 {
-	static uint64_t vms[ENTRIES_MAX];
+	GArray *targets;
 
 	if (!r->push_due)
 		return;
@@ -181,7 +204,9 @@
 	r->pushed_at = now;
 	dl_memb_update_self(r->node.memb, false, dl_cstore_version(r->cstore),
 			    dl_node_now(&r->node));
-	push(r, vms, push_targets(r, vms));
+	targets = push_targets(r);
+	push(r, (const uint64_t *)(void *)targets->data, targets->len);
+	g_array_free(targets, TRUE);
 	/*
 	 * Parsing a configuration of megabytes fragments the heap, and the
 	 * allocator does not return that memory by itself. New versions are
--- a/src/main/replica_http.c
+++ b/src/main/replica_http.c
@@ -123,13 +123,10 @@
  */
 static bool has_leader_contact(struct replica_http *h)
 {
-	int64_t now = replica_now(h->r), until;
 	struct dl_rlog_status s;
 
-	dl_rlog_get_status(h->r->rlog, now, &s);
-	if (s.role == DL_RLOG_LEADER)
-		return dl_rlog_lease(h->r->rlog, now, &until);
-	return s.role == DL_RLOG_FOLLOWER && s.leader != DL_VM_NONE;
+	dl_rlog_get_status(h->r->rlog, replica_now(h->r), &s);
+	return s.contact;
 }
 
 static void on_announce(struct replica_http *h, struct dl_httpd_req *req,
--- a/src/main/replica_lease.c
+++ b/src/main/replica_lease.c
@@ -4,10 +4,7 @@
  * for a limited time, counted from when it sent its request.
  */
 #include "main/replica.h"
-#include "protocol/pack.h"
-
-/* More than the entries of any deployment; others have to retry. */
-#define WAITERS_MAX 1024
+#include "protocol/evacuation_codec.h"
 
 /*
  * Whether this replica can serve a linearizable read: it is the leader, no
@@ -33,30 +30,28 @@
 	struct dl_packer pk;
 
 	dl_rlog_get_status(r->rlog, replica_now(r), &s);
-	dl_packer_open(&pk, 3);
+	dl_packer_open(&pk, 3 + DL_EVACUATIONS_ITEMS);
 	dl_pack_bool(&pk, confirmed);
 	dl_pack_u64(&pk, confirmed ? dl_cstore_version(r->cstore) : 0);
 	dl_pack_u64(&pk, s.leader);
+	replica_evacuation_pack(r, &pk);
 	replica_send(r, to, DL_FRAME_LEASE, request, dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
 }
 
-/* Stores the latest unanswered request of each entry. */
+/*
+ * Stores the latest unanswered request of each entry. Senders that are not
+ * members have to retry, so there are at most as many as members.
+ */
 static void add_waiter(struct replica *r, uint64_t from, uint64_t request)
 {
-	struct replica_lease_waiter waiter = { from, request };
+	struct replica_lease_waiter *w;
 
-	for (guint i = 0; i < r->lease_waiters->len; i++) {
-		struct replica_lease_waiter *w = &g_array_index(
-			r->lease_waiters, struct replica_lease_waiter, i);
-
-		if (w->vm != from)
-			continue;
-		w->request = request;
+	if (!dl_memb_find(r->node.memb, from))
 		return;
-	}
-	if (r->lease_waiters->len < WAITERS_MAX)
-		g_array_append_val(r->lease_waiters, waiter);
+	w = g_new(struct replica_lease_waiter, 1);
+	*w = (struct replica_lease_waiter){ from, request };
+	g_hash_table_replace(r->lease_waiters, &w->vm, w);
 }
 
 /* Answers an entry's lease request; the reply has the same request id. */
@@ -76,13 +71,14 @@
  */
 void replica_lease_answer_waiters(struct replica *r)
 {
-	if (!r->lease_waiters->len || !replica_can_read(r, replica_now(r)))
-		return;
-	for (guint i = 0; i < r->lease_waiters->len; i++) {
-		const struct replica_lease_waiter *w = &g_array_index(
-			r->lease_waiters, struct replica_lease_waiter, i);
+	struct replica_lease_waiter *w;
+	GHashTableIter iter;
 
+	if (!g_hash_table_size(r->lease_waiters) ||
+	    !replica_can_read(r, replica_now(r)))
+		return;
+	g_hash_table_iter_init(&iter, r->lease_waiters);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&w))
 		send_lease(r, w->vm, w->request, true);
-	}
-	g_array_set_size(r->lease_waiters, 0);
+	g_hash_table_remove_all(r->lease_waiters);
 }
--- a/src/main/replica_query.c
+++ b/src/main/replica_query.c
@@ -162,7 +162,7 @@
 	struct dl_rlog_status s;
 
 	dl_rlog_get_status(r->rlog, replica_now(r), &s);
-	if (s.role != DL_RLOG_FOLLOWER || s.leader == DL_VM_NONE ||
+	if (s.role == DL_RLOG_LEADER || s.leader == DL_VM_NONE ||
 	    r->forwarded->len >= FORWARDED_MAX)
 		return false;
 	f.request = ++r->next_request;
--- a/src/state/rlog.c
+++ b/src/state/rlog.c
@@ -65,6 +65,7 @@
 	[DL_RLOG_TRANSFER] = rlog_on_transfer,
 	[DL_RLOG_STARTUP_QUERY] = rlog_on_startup_query,
 	[DL_RLOG_STARTUP_REPLY] = rlog_on_startup_reply,
+	[DL_RLOG_JOIN_REPLY] = rlog_on_join_reply,
 };
 
 /* Defaults for failure domains that are a few milliseconds apart. */
@@ -293,7 +294,8 @@
 	if (m->to_id != r->id || m->from_id == r->id)
 		return false;
 	if (r->role == DL_RLOG_UNINITIALIZED)
-		return m->kind == DL_RLOG_BOOTSTRAP || is_from_leader(m->kind);
+		return m->kind == DL_RLOG_BOOTSTRAP ||
+		       m->kind == DL_RLOG_JOIN_REPLY || is_from_leader(m->kind);
 	return m->cluster == r->cluster;
 }
 
@@ -311,6 +313,7 @@
 	case DL_RLOG_BOOTSTRAP:
 	case DL_RLOG_STARTUP_QUERY:
 	case DL_RLOG_STARTUP_REPLY:
+	case DL_RLOG_JOIN_REPLY:
 		return false;
 	case DL_RLOG_PREVOTE_REPLY:
 		return !m->ok;
@@ -412,6 +415,7 @@
 	reply.stamp = is_from_leader(m->kind) ? rlog_vote_promise(r, m) :
 						m->stamp;
 	reply.commit = m->index;
+	reply.index_term = r->conf.domain;
 	return reply;
 }
 
@@ -437,6 +441,7 @@
 {
 	switch (q->msg.kind) {
 	case DL_RLOG_JOIN:
+	case DL_RLOG_JOIN_REPLY:
 	case DL_RLOG_BOOTSTRAP:
 		return false;
 	case DL_RLOG_STARTUP_REPLY:
@@ -682,7 +687,11 @@
 	out->id = r->id;
 	out->cluster = r->cluster;
 	out->term = r->term;
+	out->contact = rlog_has_contact(r, now);
+	out->joins_ignored = r->joins_ignored;
 	out->leader = r->role == DL_RLOG_LEADER ? r->conf.self : r->leader_vm;
+	if (out->leader == DL_VM_NONE && out->contact)
+		out->leader = r->contact_vm;
 	out->commit = r->commit;
 	out->last = rlog_last(&r->log);
 	out->synced = r->synced_index;
--- a/src/state/rlog_int.h
+++ b/src/state/rlog_int.h
@@ -8,6 +8,13 @@
 
 #define RLOG_INDEX_NONE UINT64_MAX
 
+/* A join request counts for this long; they are sent twice a second. */
+#define RLOG_JOIN_VALID_MS 3000
+/* Requests kept of VMs that are neither configured nor members. */
+#define RLOG_CANDIDATES_MAX 8
+/* And those of VMs that are configured at start or by operators, or members. */
+#define RLOG_JOINS_MAX (3 * DL_RLOG_MEMBERS_MAX + RLOG_CANDIDATES_MAX)
+
 /* Entries after a base, in one array. */
 struct rlog_entries {
 	uint64_t base_index;
@@ -28,6 +35,7 @@
 /* Another member, as this replica knows it in its current role. */
 struct rlog_peer {
 	struct dl_rlog_member member;
+	uint64_t domain;  /* its failure domain; 0: unknown */
 	bool granted;	  /* granted its (pre-)vote in this election */
 	bool not_leading; /* has said so since this replica started */
 	int64_t heard;
@@ -48,6 +56,7 @@
 	uint64_t vm;
 	uint64_t id;
 	uint64_t digest; /* of its configured replicas */
+	uint64_t domain; /* its failure domain; 0: unknown */
 	bool fresh;	 /* it has no log yet */
 	int64_t at;
 };
@@ -109,7 +118,17 @@
 	int64_t transfer_until;
 
 	uint32_t joins_count;
-	struct rlog_join_request joins[DL_RLOG_MEMBERS_MAX];
+	struct rlog_join_request joins[RLOG_JOINS_MAX];
+	uint64_t joins_ignored;
+
+	/* What members told this replica while it is not one of them. */
+	uint64_t contact_vm; /* the leader, or DL_VM_NONE */
+	uint64_t contact_term;
+	int64_t contact_at;
+	struct dl_rlog_members contact_members;
+	uint32_t contact_next; /* the member to be asked next */
+	uint64_t hint_vm;      /* leader named by another non-member */
+
 	uint32_t wanted_count;
 	uint64_t wanted[DL_RLOG_MEMBERS_MAX];
 	char waiting_for[160];
@@ -226,6 +245,9 @@
 void rlog_on_join(struct dl_rlog *r, const struct dl_rlog_msg *m, int64_t now);
 void rlog_on_bootstrap(struct dl_rlog *r, const struct dl_rlog_msg *m,
 		       int64_t now);
+void rlog_on_join_reply(struct dl_rlog *r, const struct dl_rlog_msg *m,
+			int64_t now);
+bool rlog_has_contact(const struct dl_rlog *r, int64_t now);
 
 /* rlog_reconfig.c */
 void rlog_reconfigure(struct dl_rlog *r, int64_t now);
--- a/src/state/rlog_lead.c
+++ b/src/state/rlog_lead.c
@@ -55,6 +55,7 @@
 	r->last_tick = now;
 	r->transferring = false;
 	r->joins_count = 0;
+	r->contact_vm = DL_VM_NONE;
 	for (uint32_t i = 0; i < r->peers_count; i++)
 		begin_peer(r, &r->peers[i]);
 	r->term_start = rlog_last(&r->log) + 1;
@@ -322,6 +323,8 @@
 
 	if (r->role != DL_RLOG_LEADER || !p || m->term != r->term)
 		return;
+	if (m->index_term)
+		p->domain = m->index_term;
 	if (m->fresh) {
 		if (p->mode != RLOG_SNAPSHOT) {
 			begin_snapshot(r, p);
--- a/src/state/rlog_members.c
+++ b/src/state/rlog_members.c
@@ -145,6 +145,10 @@
 		p->next = rlog_last(&r->log) + 1;
 		p->mode = RLOG_PROBE;
 		p->send_now = true;
+		for (uint32_t j = 0; j < r->joins_count; j++) {
+			if (r->joins[j].id == r->members.at[i].id)
+				p->domain = r->joins[j].domain;
+		}
 		for (uint32_t j = 0; j < old_count; j++) {
 			if (old[j].member.id == r->members.at[i].id)
 				*p = old[j];
--- a/src/state/rlog_reconfig.c
+++ b/src/state/rlog_reconfig.c
@@ -11,9 +11,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A join request counts for this long; they are sent twice a second. */
-#define JOIN_VALID_MS 3000
-
 /* The search for the next change; next is the membership that it leads to. */
 struct reconfig {
 	struct dl_rlog *r;
@@ -170,7 +167,7 @@
 	for (uint32_t i = 0; i < s->r->joins_count; i++) {
 		const struct rlog_join_request *join = &s->r->joins[i];
 
-		if (s->now - join->at > JOIN_VALID_MS ||
+		if (s->now - join->at > RLOG_JOIN_VALID_MS ||
 		    !is_wanted(s->r, join->vm) ||
 		    rlog_member_find(&s->r->members, join->id))
 			continue;
@@ -314,7 +311,7 @@
 		for (uint32_t j = 0; j < r->joins_count; j++)
 			heard = heard ||
 				(r->joins[j].vm == vms[i] &&
-				 now - r->joins[j].at <= JOIN_VALID_MS);
+				 now - r->joins[j].at <= RLOG_JOIN_VALID_MS);
 		live += heard;
 		if (!heard)
 			memcpy(silent_vm, dl_vm_text(vms[i], text),
--- a/src/state/rlog_voters.c
+++ b/src/state/rlog_voters.c
@@ -7,16 +7,25 @@
  * notice to the group: a voter that has been silent for longer than a restart
  * takes is replaced as soon as another identity asks to join.  Without one, the
  * silent voter stays a member.
+ *
+ * Of several VMs that ask, one in the failure domain with the fewest voters is
+ * taken: otherwise the loss of one domain could take the majority with it.
  */
 #include "state/rlog_int.h"
 
-/* A join request counts for this long; they are sent twice a second. */
-#define JOIN_VALID_MS 3000
+#include <string.h>
 
 static int64_t last_heard(const struct dl_rlog *r, uint64_t id, int64_t now);
 static bool listed(const uint64_t *vms, uint32_t n, uint64_t vm);
+static uint64_t domain_of(const struct dl_rlog *r, uint64_t vm);
+static uint32_t count_in_domain(const struct dl_rlog *r, const uint64_t *vms,
+				uint32_t n, uint64_t domain);
 static uint64_t joining_vm(const struct dl_rlog *r, const uint64_t *vms,
 			   uint32_t n, int64_t now);
+static uint32_t list_voters(const struct dl_rlog *r, bool silent, int64_t now,
+			    uint64_t out[DL_RLOG_MEMBERS_MAX]);
+static uint32_t remove_crowded(const struct dl_rlog *r, uint64_t *vms,
+			       uint32_t n);
 
 /* When a member was last heard; this replica counts as heard now. */
 static int64_t last_heard(const struct dl_rlog *r, uint64_t id, int64_t now)
@@ -39,71 +48,124 @@
 	return false;
 }
 
-/* A VM that asks to join or is a learner already, and is not among vms. */
+/* The failure domain of a VM, as far as it is known; 0 otherwise. */
+static uint64_t domain_of(const struct dl_rlog *r, uint64_t vm)
+{
+	if (vm == r->conf.self)
+		return r->conf.domain;
+	for (uint32_t i = 0; i < r->peers_count; i++) {
+		if (r->peers[i].member.vm == vm && r->peers[i].domain)
+			return r->peers[i].domain;
+	}
+	for (uint32_t i = 0; i < r->joins_count; i++) {
+		if (r->joins[i].vm == vm)
+			return r->joins[i].domain;
+	}
+	return 0;
+}
+
+/* How many of vms are in a failure domain. */
+static uint32_t count_in_domain(const struct dl_rlog *r, const uint64_t *vms,
+				uint32_t n, uint64_t domain)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < n; i++)
+		count += domain_of(r, vms[i]) == domain;
+	return count;
+}
+
+/*
+ * A VM that is not among vms: a learner, which was chosen before, or else one
+ * that asks to join, in the failure domain with the fewest of vms.
+ */
 static uint64_t joining_vm(const struct dl_rlog *r, const uint64_t *vms,
 			   uint32_t n, int64_t now)
 {
+	uint64_t best = DL_VM_NONE;
+	uint32_t fewest = UINT32_MAX, count;
+
 	for (uint32_t i = 0; i < r->members.count; i++) {
 		const struct dl_rlog_member *m = &r->members.at[i];
 
 		if (!m->voter && !listed(vms, n, m->vm) &&
-		    now - last_heard(r, m->id, now) < JOIN_VALID_MS)
+		    now - last_heard(r, m->id, now) < RLOG_JOIN_VALID_MS)
 			return m->vm;
 	}
 	for (uint32_t i = 0; i < r->joins_count; i++) {
-		if (now - r->joins[i].at < JOIN_VALID_MS &&
-		    !listed(vms, n, r->joins[i].vm))
-			return r->joins[i].vm;
+		const struct rlog_join_request *join = &r->joins[i];
+
+		if (now - join->at >= RLOG_JOIN_VALID_MS ||
+		    listed(vms, n, join->vm))
+			continue;
+		count = count_in_domain(r, vms, n, join->domain);
+		if (count >= fewest)
+			continue;
+		best = join->vm;
+		fewest = count;
 	}
-	return DL_VM_NONE;
+	return best;
 }
 
-/* Chooses the VMs that should have replicas, before each membership change. */
-void rlog_choose_voters(struct dl_rlog *r, int64_t now)
+/* Lists the VMs of voters that are silent, or of those that are not. */
+static uint32_t list_voters(const struct dl_rlog *r, bool silent, int64_t now,
+			    uint64_t out[DL_RLOG_MEMBERS_MAX])
 {
-	uint64_t vms[DL_RLOG_MEMBERS_MAX];
 	uint32_t n = 0;
-	uint64_t vm;
 
-	if (!r->conf.voters_wanted)
-		return;
 	for (uint32_t i = 0; i < r->members.count; i++) {
 		const struct dl_rlog_member *m = &r->members.at[i];
+		bool is_silent = now - last_heard(r, m->id, now) >=
+				 (int64_t)r->conf.voter_timeout_ms;
 
-		if (m->voter && !listed(vms, n, m->vm))
-			vms[n++] = m->vm;
+		if (m->voter && is_silent == silent && !listed(out, n, m->vm))
+			out[n++] = m->vm;
 	}
-	while (n < r->conf.voters_wanted &&
-	       (vm = joining_vm(r, vms, n, now)) != DL_VM_NONE)
-		vms[n++] = vm;
-	for (uint32_t i = 0; i < r->members.count; i++) {
-		const struct dl_rlog_member *m = &r->members.at[i];
-		int64_t silent_ms = now - last_heard(r, m->id, now);
+	return n;
+}
 
-		if (!m->voter || silent_ms < (int64_t)r->conf.voter_timeout_ms)
+/* Removes a VM of the failure domain that has most, but not this one. */
+static uint32_t remove_crowded(const struct dl_rlog *r, uint64_t *vms,
+			       uint32_t n)
+{
+	uint32_t worst = 0, most = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		uint32_t same =
+			count_in_domain(r, vms, n, domain_of(r, vms[i]));
+
+		if (vms[i] == r->conf.self || same < most)
 			continue;
-		vm = joining_vm(r, vms, n, now);
-		if (vm == DL_VM_NONE)
-			break;
-		for (uint32_t k = 0; k < n; k++) {
-			if (vms[k] == m->vm)
-				vms[k] = vm;
-		}
+		worst = i;
+		most = same;
 	}
-	/* A voter added before the silent one is removed is one too many. */
-	for (uint32_t i = 0; n > r->conf.voters_wanted && i < r->members.count;
-	     i++) {
-		const struct dl_rlog_member *m = &r->members.at[i];
-		int64_t silent_ms = now - last_heard(r, m->id, now);
-
-		for (uint32_t k = 0;
-		     silent_ms >= (int64_t)r->conf.voter_timeout_ms && k < n;
-		     k++) {
-			if (vms[k] == m->vm) {
-				vms[k] = vms[--n];
-				break;
-			}
-		}
+	memmove(&vms[worst], &vms[worst + 1], (n - worst - 1) * sizeof(vms[0]));
+	return n - 1;
+}
+
+/*
+ * Chooses the VMs that should have replicas, before each membership change: the
+ * voters that are heard, then VMs that ask, then silent voters for want of
+ * others.
+ */
+void rlog_choose_voters(struct dl_rlog *r, int64_t now)
+{
+	uint64_t vms[DL_RLOG_MEMBERS_MAX], silent[DL_RLOG_MEMBERS_MAX];
+	uint32_t wanted = MIN(r->conf.voters_wanted, DL_RLOG_MEMBERS_MAX);
+	uint32_t n, silent_count;
+	uint64_t vm;
+
+	if (!wanted)
+		return;
+	n = list_voters(r, false, now, vms);
+	silent_count = list_voters(r, true, now, silent);
+	while (n > wanted)
+		n = remove_crowded(r, vms, n);
+	while (n < wanted && (vm = joining_vm(r, vms, n, now)) != DL_VM_NONE)
+		vms[n++] = vm;
+	for (uint32_t i = 0; i < silent_count && n < wanted; i++) {
+		if (!listed(vms, n, silent[i]))
+			vms[n++] = silent[i];
 	}
 	dl_rlog_set_replicas(r, vms, n);
 }
--- a/test/fake/group.c
+++ b/test/fake/group.c
@@ -10,7 +10,8 @@
 
 #include "protocol/rlog_codec.h"
 
-#define LAST_BUCKET 63
+#define LAST_BUCKET	 63
+#define VOTER_TIMEOUT_MS 2500
 
 /* The state machine: a running hash of the applied commands. */
 struct state_hash {
@@ -89,6 +90,8 @@
 	struct group *g = g_new0(struct group, 1);
 
 	g->conf = *conf;
+	if (!g->conf.vms)
+		g->conf.vms = GROUP_USUAL;
 	g->conf.link.seed = conf->seed;
 	g->rand = g_rand_new_with_seed(conf->seed);
 	g->link = fake_link_new(&g->conf.link);
@@ -96,7 +99,7 @@
 					   g_free);
 	g->references = g_array_new(FALSE, TRUE, sizeof(struct reference));
 	g->proposals = g_array_new(FALSE, FALSE, sizeof(struct proposal));
-	for (uint64_t vm = 1; vm <= GROUP_MAX; vm++) {
+	for (uint64_t vm = 1; vm <= g->conf.vms; vm++) {
 		struct node *n = &g->nodes[vm];
 
 		n->vm = vm;
@@ -124,7 +127,7 @@
 
 void group_free(struct group *g)
 {
-	for (uint64_t vm = 1; vm <= GROUP_MAX; vm++) {
+	for (uint64_t vm = 1; vm <= g->conf.vms; vm++) {
 		stop_node(&g->nodes[vm]);
 		fake_disk_free(g->nodes[vm].disk);
 	}
@@ -156,6 +159,11 @@
 	dl_rlog_set_replicas(n->rlog, n->group->wanted, n->group->wanted_count);
 }
 
+uint64_t group_domain(const struct group *g, uint64_t vm)
+{
+	return 1 + vm % g->conf.domains;
+}
+
 void group_start(struct group *g, uint64_t vm)
 {
 	struct node *n = &g->nodes[vm];
@@ -178,7 +186,15 @@
 	if (g->conf.chunk_bytes)
 		conf.chunk_bytes = g->conf.chunk_bytes;
 	for (uint32_t i = 0; i < g->conf.listed; i++)
-		conf.listed[i] = i + 1;
+		conf.listed[i] = (g->now && g->conf.late_listed ?
+					  g->conf.late_listed :
+					  1) +
+				 i;
+	conf.joins_only = g->conf.voters_wanted && g->now;
+	conf.voters_wanted = g->conf.voters_wanted;
+	conf.voter_timeout_ms = VOTER_TIMEOUT_MS;
+	if (g->conf.domains)
+		conf.domain = group_domain(g, vm);
 	n->state_hash = (struct state_hash){ 0 };
 	n->term = 0;
 	code = dl_rlog_store_open((struct dl_disk){ &fake_disk_ops, n->disk },
@@ -269,7 +285,7 @@
 
 	if (!dl_rlog_lease(n->rlog, local_now(n), NULL))
 		return;
-	for (uint64_t vm = 1; vm <= GROUP_MAX; vm++) {
+	for (uint64_t vm = 1; vm <= g->conf.vms; vm++) {
 		struct node *o = &g->nodes[vm];
 
 		if (o != n && o->rlog && o->started &&
@@ -438,7 +454,7 @@
 	struct node *n = &g->nodes[d->to];
 	struct dl_rlog_decoded m;
 
-	if (d->to > GROUP_MAX || !is_running(n))
+	if (d->to > g->conf.vms || !is_running(n))
 		return;
 	g->count.steps++;
 	begin_timing(n);
@@ -466,7 +482,7 @@
 {
 	int64_t at = fake_link_wakeup(g->link);
 
-	for (uint64_t vm = 1; vm <= GROUP_MAX; vm++) {
+	for (uint64_t vm = 1; vm <= g->conf.vms; vm++) {
 		const struct node *n = &g->nodes[vm];
 
 		at = MIN(at, fake_disk_wakeup(n->disk));
@@ -480,13 +496,13 @@
 {
 	struct fake_datagram d;
 
-	for (uint64_t vm = 1; vm <= GROUP_MAX; vm++) {
+	for (uint64_t vm = 1; vm <= g->conf.vms; vm++) {
 		if (!fake_link_paused(g->link, vm, g->now))
 			fake_disk_run(g->nodes[vm].disk, g->now);
 	}
 	while (fake_link_next(g->link, g->now, &d))
 		deliver(g, &d);
-	for (uint64_t vm = 1; vm <= GROUP_MAX; vm++) {
+	for (uint64_t vm = 1; vm <= g->conf.vms; vm++) {
 		struct node *n = &g->nodes[vm];
 
 		if (!is_running(n) || dl_rlog_wakeup(n->rlog) > local_now(n))
@@ -524,7 +540,7 @@
 {
 	uint64_t best = DL_VM_NONE, term = 0;
 
-	for (uint64_t vm = 1; vm <= GROUP_MAX; vm++) {
+	for (uint64_t vm = 1; vm <= g->conf.vms; vm++) {
 		const struct node *n = &g->nodes[vm];
 		struct dl_rlog_status s;
 
@@ -668,7 +684,7 @@
 {
 	memcpy(g->wanted, vms, n * sizeof(*vms));
 	g->wanted_count = n;
-	for (uint64_t vm = 1; vm <= GROUP_MAX; vm++) {
+	for (uint64_t vm = 1; vm <= g->conf.vms; vm++) {
 		if (g->nodes[vm].rlog)
 			dl_rlog_set_replicas(g->nodes[vm].rlog, vms, n);
 	}
--- a/test/fake/group.h
+++ b/test/fake/group.h
@@ -9,13 +9,22 @@
 #include "disk.h"
 #include "link.h"
 
-#define GROUP_MAX 8
+#define GROUP_MAX   128
+#define GROUP_USUAL 8
 
 struct group;
 
 struct group_conf {
 	uint32_t seed;
+	uint32_t vms;	 /* VMs 1 to vms may run; 0: GROUP_USUAL */
 	uint32_t listed; /* VMs 1 to listed create the log */
+	/* VMs that start later list those from here on; 0: the same as others
+	 */
+	uint32_t late_listed;
+	/* the leader chooses voters by itself if this is not 0 */
+	uint32_t voters_wanted;
+	uint32_t
+		domains; /* VM v is in failure domain v % domains; 0: unknown */
 	struct fake_link_conf link;
 	uint32_t sync_min_ms;
 	uint32_t sync_max_ms;
@@ -39,6 +48,8 @@
 struct group *group_new(const struct group_conf *conf);
 void group_free(struct group *group);
 
+/* The failure domain of a VM, if the group has domains. */
+uint64_t group_domain(const struct group *group, uint64_t vm);
 /* Starts a VM's process from its disk. */
 void group_start(struct group *group, uint64_t vm);
 void group_kill(struct group *group, uint64_t vm);
--- a/test/test_rlog.c
+++ b/test/test_rlog.c
@@ -462,6 +462,214 @@
 }
 END_TEST
 
+#define DOMAINS 5
+#define VOTERS	5
+
+/*
+ * A group that maintains its voters by itself, of which three are listed and
+ * all others ask to join.  Those that are not listed start first.
+ */
+static struct group *start_many(uint32_t seed, uint32_t vms)
+{
+	struct group *g = group_new(&(struct group_conf){
+		.seed = seed,
+		.vms = vms,
+		.listed = 3,
+		.late_listed = vms - 3,
+		.voters_wanted = VOTERS,
+		.domains = DOMAINS,
+		.link = { .delay_min_ms = 1, .delay_max_ms = 3 },
+		.sync_min_ms = 1,
+		.sync_max_ms = 8,
+		.snapshot_entries = 40,
+	});
+
+	for (uint64_t vm = vms - 1; vm >= 1; vm--)
+		group_start(g, vm);
+	return g;
+}
+
+/* The most voters in one failure domain. */
+static uint32_t most_in_a_domain(struct group *g)
+{
+	const struct dl_rlog_members *m =
+		dl_rlog_members(group_rlog(g, group_leader(g)));
+	uint32_t count[DOMAINS + 1] = { 0 }, most = 0;
+
+	for (uint32_t i = 0; i < m->count; i++) {
+		uint32_t *n = &count[group_domain(g, m->at[i].vm)];
+
+		*n += m->at[i].voter;
+		most = *n > most ? *n : most;
+	}
+	return most;
+}
+
+static uint32_t voters(struct group *g)
+{
+	const struct dl_rlog_members *m =
+		dl_rlog_members(group_rlog(g, group_leader(g)));
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < m->count; i++)
+		n += m->at[i].voter;
+	return n;
+}
+
+static bool is_member(struct group *g, uint64_t vm)
+{
+	const struct dl_rlog_members *m =
+		dl_rlog_members(group_rlog(g, group_leader(g)));
+
+	for (uint32_t i = 0; i < m->count; i++) {
+		if (m->at[i].vm == vm)
+			return true;
+	}
+	return false;
+}
+
+/* Three listed and 24, 47 and 97 others. */
+static const uint32_t sizes[] = { 28, 51, 101 };
+
+/* Many join requests displaced those of the listed VMs. */
+START_TEST(many_joiners_do_not_keep_a_group_from_being_created)
+{
+	struct group *g = start_many(40 + (uint32_t)_i, sizes[_i]);
+
+	ck_assert(group_wait_leader(g, 3000));
+	group_run(g, 4000);
+	ck_assert_uint_eq(voters(g), VOTERS);
+	ck_assert_uint_eq(
+		dl_rlog_members(group_rlog(g, group_leader(g)))->count, VOTERS);
+	ck_assert_uint_eq(most_in_a_domain(g), 1);
+	finish_group(g);
+}
+END_TEST
+
+/* Every process knows the leader, also after it has changed. */
+START_TEST(non_members_know_the_leader)
+{
+	struct group *g = start_many(50, 25);
+	uint64_t old;
+
+	ck_assert(group_wait_leader(g, 3000));
+	group_run(g, 4000);
+	for (int round = 0; round < 2; round++) {
+		for (uint64_t vm = 1; vm < 25; vm++) {
+			struct dl_rlog_status s;
+
+			if (!group_is_up(g, vm))
+				continue;
+			s = get_status(g, vm);
+			ck_assert(s.contact);
+			ck_assert_uint_eq(s.leader, group_leader(g));
+		}
+		old = group_leader(g);
+		group_kill(g, old);
+		group_run(g, 3000);
+	}
+	ck_assert_str_eq(group_violation(g), "");
+	group_free(g);
+}
+END_TEST
+
+/* One that lists no member learns the leader from those that it lists. */
+START_TEST(late_process_that_lists_no_member_finds_the_group)
+{
+	struct group *g = start_many(51, 25);
+
+	ck_assert(group_wait_leader(g, 3000));
+	group_run(g, 4000);
+	for (uint64_t vm = 22; vm < 25; vm++)
+		ck_assert(!is_member(g, vm));
+	group_start(g, 25);
+	group_run(g, 2000);
+	ck_assert(get_status(g, 25).contact);
+	ck_assert_uint_eq(get_status(g, 25).leader, group_leader(g));
+	finish_group(g);
+}
+END_TEST
+
+START_TEST(non_member_that_is_cut_off_has_no_contact)
+{
+	struct group *g = start_many(52, 25);
+
+	ck_assert(group_wait_leader(g, 3000));
+	group_run(g, 4000);
+	ck_assert(!is_member(g, 24));
+	fake_link_isolate(group_link(g), 24);
+	group_run(g, 2500);
+	ck_assert(!get_status(g, 24).contact);
+	finish_group(g);
+}
+END_TEST
+
+/* Commands go on, and the voters are spread over the domains that are left. */
+START_TEST(lost_domain_is_replaced_by_others)
+{
+	struct group *g = start_many(60 + (uint32_t)_i, 25);
+	uint64_t gone = group_domain(g, (uint64_t)_i + 1);
+
+	ck_assert(group_wait_leader(g, 3000));
+	group_run(g, 4000);
+	for (uint64_t vm = 1; vm < 25; vm++) {
+		if (group_domain(g, vm) == gone)
+			group_crash(g, vm);
+	}
+	ck_assert(group_wait_leader(g, 5000));
+	propose_and_run(g, 20);
+	group_run(g, 8000);
+	ck_assert_uint_eq(voters(g), VOTERS);
+	ck_assert_uint_le(most_in_a_domain(g), 2);
+	for (uint64_t vm = 1; vm < 25; vm++)
+		group_start(g, vm);
+	group_run(g, 3000);
+	finish_group(g);
+}
+END_TEST
+
+/* Two disks are lost right after an acknowledgement. */
+START_TEST(two_lost_disks_are_replaced_without_loss)
+{
+	struct group *g = start_many(70 + (uint32_t)_i, 25);
+	uint32_t wiped = 0;
+
+	ck_assert(group_wait_leader(g, 3000));
+	group_run(g, 4000);
+	propose_and_run(g, 60);
+	for (uint64_t vm = 1; vm < 25 && wiped < 2; vm++) {
+		if (vm == group_leader(g) || !is_member(g, vm))
+			continue;
+		group_wipe(g, vm);
+		group_start(g, vm);
+		wiped++;
+	}
+	ck_assert(group_wait_leader(g, 5000));
+	propose_and_run(g, 20);
+	group_run(g, 8000);
+	ck_assert_uint_eq(voters(g), VOTERS);
+	finish_group(g);
+}
+END_TEST
+
+START_TEST(all_killed_at_once_serve_again)
+{
+	struct group *g = start_many(80 + (uint32_t)_i, 25);
+
+	ck_assert(group_wait_leader(g, 3000));
+	group_run(g, 4000);
+	propose_and_run(g, 20);
+	for (uint64_t vm = 1; vm < 25; vm++)
+		group_crash(g, vm);
+	group_run(g, 500);
+	for (uint64_t vm = 24; vm >= 1; vm--)
+		group_start(g, vm);
+	ck_assert(group_wait_leader(g, 2500));
+	propose_and_run(g, 20);
+	finish_group(g);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("rlog");
@@ -488,5 +696,17 @@
 	tcase_add_loop_test(t, failed_sync_halts, 0, 2);
 	tcase_add_loop_test(t, damage_is_refused, 0, 20);
 	tcase_add_loop_test(t, crash_at_every_disk_step, 0, 160);
+	t = tcase_create("many");
+	suite_add_tcase(s, t);
+	tcase_set_timeout(t, 60);
+	tcase_add_loop_test(t,
+			    many_joiners_do_not_keep_a_group_from_being_created,
+			    0, sizeof(sizes) / sizeof(sizes[0]));
+	tcase_add_test(t, non_members_know_the_leader);
+	tcase_add_test(t, late_process_that_lists_no_member_finds_the_group);
+	tcase_add_test(t, non_member_that_is_cut_off_has_no_contact);
+	tcase_add_loop_test(t, lost_domain_is_replaced_by_others, 0, 5);
+	tcase_add_loop_test(t, two_lost_disks_are_replaced_without_loss, 0, 5);
+	tcase_add_loop_test(t, all_killed_at_once_serve_again, 0, 5);
 	return suite_run(s);
 }
