--- a/include/daisyledge/cstore.h
+++ b/include/daisyledge/cstore.h
@@ -1,14 +1,15 @@
 /*
  * The state machine of the replicated log: versions of the configuration,
- * answers to change ids, idempotency claims, and the fencing term of orders. It
- * is deterministic: the same commands in the same order give the same state and
- * replies on every replica. Commands and snapshots are opaque bytes to the log.
- * Times in commands are the leader's wall clock and are used for expiry only.
+ * answers to change ids, idempotency claims, evacuated failure domains, and the
+ * fencing term of orders. It is deterministic: the same commands in the same
+ * order give the same state and replies on every replica. Commands and
+ * snapshots are opaque bytes to the log. Times in commands are the leader's
+ * wall clock and are used for expiry only.
  */
 #ifndef DAISYLEDGE_CSTORE_H
 #define DAISYLEDGE_CSTORE_H
 
-#include "daisyledge/base.h"
+#include "daisyledge/evacuation.h"
 
 struct dl_cstore;
 
@@ -37,11 +38,12 @@
 };
 
 enum dl_cstore_op {
-	DL_CSTORE_APPLY,   /* create a version of the configuration */
-	DL_CSTORE_CLAIM,   /* claim a key */
-	DL_CSTORE_OUTCOME, /* record a claim's outcome */
-	DL_CSTORE_UNCLAIM, /* the request provably did not run */
-	DL_CSTORE_FENCE,   /* a new leader's first entry: raise the term */
+	DL_CSTORE_APPLY,    /* create a version of the configuration */
+	DL_CSTORE_CLAIM,    /* claim a key */
+	DL_CSTORE_OUTCOME,  /* record a claim's outcome */
+	DL_CSTORE_UNCLAIM,  /* the request provably did not run */
+	DL_CSTORE_FENCE,    /* a new leader's first entry: raise the term */
+	DL_CSTORE_EVACUATE, /* begin or end the evacuation of a domain */
 	DL_CSTORE_OP_COUNT,
 };
 
@@ -54,14 +56,16 @@
 	struct dl_str change_id; /* chosen by the operator's client */
 	struct dl_str author;
 	uint64_t expect; /* version to replace; UINT64_MAX: any */
-	bool confirm;	 /* the operator accepted the impact */
+	/* the operator accepted the impact; EVACUATE: begin, otherwise end */
+	bool confirm;
 	/*
 	 * Serial number of a text that the leader has parsed without faults and
 	 * that names no replicas; 0 if it was not checked.
 	 */
 	uint64_t checked_number;
 	/* DL_CSTORE_CLAIM, DL_CSTORE_OUTCOME and DL_CSTORE_UNCLAIM */
-	struct dl_str key;  /* service, workspace and key, joined */
+	/* service, workspace and key, joined; EVACUATE: the failure domain */
+	struct dl_str key;
 	uint64_t owner;	    /* the request that claims the key */
 	uint64_t body_hash; /* reusing the key for another body is an error */
 	uint32_t expires_s;
@@ -80,13 +84,13 @@
  * key was used with another body); -ENOSPC. OUTCOME, UNCLAIM: -ENOENT (no such
  * claim); -EPERM (claimed by another request); -EALREADY (it has an outcome);
  * -ENOSPC (recorded without its body). FENCE: DL_ECONFLICT (a higher term is in
- * force). Any command: -EINVAL; -EALREADY (this index was executed before);
- * -EBADMSG (not a command).
+ * force). EVACUATE: -ENOSPC. Any command: -EINVAL; -EALREADY (this index was
+ * executed before); -EBADMSG (not a command).
  */
 struct dl_cstore_reply {
 	int code;
 	uint64_t version; /* APPLY: created, or in force at a conflict */
-	bool repeated;	  /* APPLY: answered before, nothing changed */
+	bool repeated;	  /* nothing changed: answered before, or so already */
 	enum dl_claim_state claim;
 	uint64_t owner; /* owner of the claim */
 	uint16_t status;
@@ -113,6 +117,8 @@
 uint64_t dl_cstore_index(const struct dl_cstore *store);
 uint64_t dl_cstore_version(const struct dl_cstore *store);
 uint64_t dl_cstore_fence(const struct dl_cstore *store);
+const struct dl_evacuations *
+dl_cstore_evacuations(const struct dl_cstore *store);
 /*
  * Look up the text of a version, 0 for the one in force. Returns false if it is
  * not kept.
--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -13,6 +13,7 @@
 
 #include "daisyledge/base.h"
 #include "daisyledge/engine.h"
+#include "daisyledge/evacuation.h"
 
 struct dl_pool;
 
@@ -49,6 +50,8 @@
 	uint32_t report_gone_ms;
 	bool shared_report_path; /* one path for all; if all stop, it failed */
 	uint32_t weight_default;
+	/* that a cold endpoint bears from all VMs together; 0: no limit */
+	uint32_t cold_requests_per_s;
 	struct dl_engine_model engine; /* cost model of dl_policy_engine */
 };
 
@@ -60,6 +63,9 @@
 	uint32_t requests_per_s; /* burst: one second's worth */
 };
 
+/* Longest time for which an endpoint can say that it stays cold. */
+#define DL_COLD_MAX_MS 600000
+
 /* State that an endpoint reports of itself; also its heartbeat. */
 struct dl_endpoint_report {
 	struct dl_name id;	       /* "ip:port" of its HTTP server */
@@ -74,6 +80,7 @@
 	uint64_t prefill_backlog; /* tokens waiting for prefill */
 	bool leaving;
 	bool takes_groups; /* can share a prompt with other endpoints */
+	uint32_t cold_ms;  /* it stays cold for this long; 0: it is warm */
 };
 
 /* A request for an endpoint. */
@@ -123,6 +130,7 @@
 	DL_REASON_BUSY,	       /* this VM is at its capacity */
 	DL_REASON_QUARANTINED, /* endpoints crash while serving it */
 	DL_REASON_BACKOFF,     /* all endpoints have told the VM to back off */
+	DL_REASON_EVACUATED,   /* all endpoints are in evacuated domains */
 	DL_REASON_COUNT,
 };
 
@@ -218,6 +226,16 @@
 void dl_pool_endpoint_drain(struct dl_pool *pool, struct dl_str id, bool drain,
 			    int64_t now);
 
+/*
+ * Sets the evacuated failure domains, of which no endpoint gets new work; runs
+ * that are granted go on. An empty name stands for endpoints that report none.
+ */
+void dl_pool_set_evacuations(struct dl_pool *pool,
+			     const struct dl_evacuations *evacuations,
+			     int64_t now);
+/* Whether the domain of an endpoint is evacuated; false if it is unknown. */
+bool dl_pool_endpoint_evacuated(const struct dl_pool *pool, struct dl_str id);
+
 /*
  * A cache event of an engine: it caches this many tokens of a prompt prefix,
  * or, with 0, none of it any more.  Events may be late, repeated or missing.
--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -27,6 +27,9 @@
 	X(backoffs_total, "times an endpoint asked this VM to back off")       \
 	X(grants_unused,                                                       \
 	  "grants returned because the endpoint asked to back off")            \
+	X(grants_evacuated,                                                    \
+	  "grants returned because the endpoint's domain is evacuated")        \
+	X(evacuated_domains, "failure domains that are evacuated")             \
 	X(queue_entries, "requests queued in this VM's dispatchers")           \
 	X(endpoints_known, "endpoints announced to this VM")                   \
 	X(vms_live, "VMs considered live")                                     \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -61,6 +61,12 @@
 	  "An endpoint asked this VM to back off.")                            \
 	X(GRANT_UNUSED, DL_INFO, "backoff",                                    \
 	  "A grant is given back, its endpoint asked this VM to wait.")        \
+	X(EVACUATIONS, DL_INFO, "evacuation",                                  \
+	  "The evacuated failure domains changed.")                            \
+	X(EVACUATION_ANSWERED, DL_INFO, "door",                                \
+	  "A request to evacuate a failure domain was answered.")              \
+	X(GRANT_EVACUATED, DL_INFO, "evacuation",                              \
+	  "A grant is given back, its endpoint's domain is evacuated.")        \
 	X(SERVICE_UNKNOWN, DL_WARN, "directory",                               \
 	  "An announcement of an unknown service is ignored.")                 \
 	X(ENDPOINT_REFUSED, DL_WARN, "pool",                                   \
--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -49,6 +49,7 @@
 	[DL_REASON_BUSY] = "busy",
 	[DL_REASON_QUARANTINED] = "quarantined",
 	[DL_REASON_BACKOFF] = "backoff",
+	[DL_REASON_EVACUATED] = "evacuated",
 };
 
 static uint8_t band_of(const struct dl_pool *pool, uint64_t prompt,
@@ -416,7 +417,8 @@
 	reason = pool_admit_feasible(pool, &want, now);
 	if (reason != DL_REASON_NONE) {
 		if (reason == DL_REASON_NO_ENDPOINT ||
-		    reason == DL_REASON_DRAINING)
+		    reason == DL_REASON_DRAINING ||
+		    reason == DL_REASON_EVACUATED)
 			after = RETRY_NO_ENDPOINT_MS;
 		else if (reason == DL_REASON_BACKOFF)
 			after = pool_backoff_wait_ms(pool, &want, now);
--- a/src/coordination/pool_admit.c
+++ b/src/coordination/pool_admit.c
@@ -256,13 +256,21 @@
 enum dl_reason pool_admit_feasible(const struct dl_pool *pool,
 				   const struct pool_want *want, int64_t now)
 {
+	enum dl_reason reason = DL_REASON_NO_ENDPOINT;
 	uint64_t share;
 
 	if (pool->open_endpoints == 0) {
-		for (uint32_t i = 0; i < pool->endpoints_n; i++)
-			if (pool->endpoints[i]->state == POOL_EP_LIVE)
-				return DL_REASON_DRAINING;
-		return DL_REASON_NO_ENDPOINT;
+		for (uint32_t i = 0; i < pool->endpoints_n; i++) {
+			const struct pool_endpoint *e = pool->endpoints[i];
+
+			if (e->state == POOL_EP_LIVE)
+				reason = e->evacuated && !e->last.leaving ?
+						 DL_REASON_EVACUATED :
+						 DL_REASON_DRAINING;
+			if (reason == DL_REASON_EVACUATED)
+				break;
+		}
+		return reason;
 	}
 	if (!any_untried(pool, want))
 		return DL_REASON_NO_ENDPOINT;
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -25,6 +25,8 @@
 				    struct dl_endpoint_report *r);
 static void close_endpoint(struct dl_pool *pool, struct pool_endpoint *e,
 			   int64_t now);
+static bool is_evacuated(const struct dl_pool *pool,
+			 const struct pool_endpoint *e);
 
 /* Find an endpoint by name, or NULL. */
 struct pool_endpoint *pool_endpoint_find(const struct dl_pool *pool,
@@ -47,6 +49,7 @@
 	e = calloc(1, sizeof(*e));
 	if (!e)
 		abort();
+	e->evacuated = is_evacuated(pool, e);
 	if (pool->endpoints_n == pool->endpoints_room) {
 		pool->endpoints_room = pool->endpoints_room * 2 + 16;
 		pool->endpoints = realloc(
@@ -150,6 +153,8 @@
 	}
 	e->last = *r;
 	e->domain = pool_domain(&r->failure_domain);
+	e->evacuated = is_evacuated(pool, e);
+	pool_throttle_set_cold(e, r->cold_ms, now);
 	e->last.memory_tokens = pool_tokens(r->memory_tokens);
 	e->last.used_tokens = pool_tokens(r->used_tokens);
 	e->last.prefill_backlog = pool_tokens(r->prefill_backlog);
@@ -164,7 +169,7 @@
 	pool_heap_set(&pool->endpoint_expiry, &e->expiry,
 		      now + pool->conf.report_gone_ms);
 	pool_backlog_report(pool, e, first, now);
-	if (r->leaving)
+	if (r->leaving || e->evacuated)
 		pool_hold_lost(pool, e);
 	if (was == POOL_EP_GONE)
 		pool_outlier_readmit(pool, e, now);
@@ -284,6 +289,46 @@
 		pool_endpoint_forget(pool, e);
 }
 
+/*
+ * Whether the domain of an endpoint is evacuated. An empty name in the list
+ * stands for endpoints that report no domain.
+ */
+static bool is_evacuated(const struct dl_pool *pool,
+			 const struct pool_endpoint *e)
+{
+	return dl_evacuations_contain(&pool->evacuations,
+				      dl_name_str(&e->last.failure_domain));
+}
+
+/* Sets the evacuated failure domains; see the header. */
+void dl_pool_set_evacuations(struct dl_pool *pool,
+			     const struct dl_evacuations *evacuations,
+			     int64_t now)
+{
+	pool->now = now;
+	pool->evacuations = *evacuations;
+	for (uint32_t i = 0; i < pool->endpoints_n; i++) {
+		struct pool_endpoint *e = pool->endpoints[i];
+		bool evacuated = is_evacuated(pool, e);
+
+		if (evacuated == e->evacuated)
+			continue;
+		e->evacuated = evacuated;
+		if (evacuated)
+			pool_hold_lost(pool, e);
+		pool_place_refresh(pool, e, now);
+	}
+	pool->recheck_all = true;
+}
+
+/* Whether the domain of an endpoint is evacuated; false if it is unknown. */
+bool dl_pool_endpoint_evacuated(const struct dl_pool *pool, struct dl_str id)
+{
+	const struct pool_endpoint *e = pool_endpoint_find(pool, id);
+
+	return e && e->evacuated;
+}
+
 /*
  * An engine started or stopped caching the start of a prompt.  Such events are
  * late and incomplete; they only improve an estimate.
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -218,7 +218,7 @@
 				    now);
 		attach_part(g, i, e,
 			    i && choice->memory_on_leader ? 0 : choice->share);
-		pool_throttle_charge(e, want, now);
+		pool_throttle_charge(pool, e, want, now);
 		if (choice->probe) {
 			e->probe = g->id;
 			e->probe_at = now + e->probe_gap_ms;
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -150,6 +150,7 @@
 	uint64_t domain; /* hash of its failure domain; 0 if unknown */
 	enum pool_ep_state state;
 	bool drained;
+	bool evacuated;		/* its failure domain is */
 	bool unreachable;	/* until its next report */
 	struct pool_hold *hold; /* memory is being reserved for a request */
 
@@ -205,6 +206,7 @@
 	int64_t limit_set_at;	 /* time of the last answer that set it */
 	double limit_credit;	 /* requests that may be sent */
 	int64_t limit_credit_at; /* time of that credit */
+	int64_t cold_until; /* has the limit of cold endpoints until then */
 
 	/* Outlier detection. */
 	enum pool_ejection ejection;
@@ -381,6 +383,7 @@
 	struct pool_heap endpoint_expiry;
 	struct pool_index index;
 	uint32_t next_round_robin; /* of the round robin policy */
+	struct dl_evacuations evacuations;
 
 	/*
 	 * Sums over the endpoints that accept work, see pool_place_refresh().
@@ -605,13 +608,19 @@
 double pool_decode_ms(const struct pool_endpoint *e);
 
 /* pool_throttle.c */
-bool pool_throttle_allows(const struct pool_endpoint *e,
+bool pool_throttle_allows(const struct dl_pool *pool,
+			  const struct pool_endpoint *e,
+			  const struct pool_want *want, int64_t now);
+void pool_throttle_charge(const struct dl_pool *pool, struct pool_endpoint *e,
 			  const struct pool_want *want, int64_t now);
-void pool_throttle_charge(struct pool_endpoint *e, const struct pool_want *want,
-			  int64_t now);
 double pool_throttle_rate(const struct dl_pool *pool,
-			  const struct pool_endpoint *e, double rate);
+			  const struct pool_endpoint *e, double rate,
+			  int64_t now);
 void pool_throttle_reset(struct pool_endpoint *e);
+void pool_throttle_set_cold(struct pool_endpoint *e, uint32_t cold_ms,
+			    int64_t now);
+bool pool_throttle_is_limited(const struct dl_pool *pool,
+			      const struct pool_endpoint *e, int64_t now);
 
 /* pool_backoff.c */
 bool pool_backoff_active(const struct dl_pool *pool,
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -80,7 +80,8 @@
 static bool choose_probe(struct dl_pool *pool, const struct pool_want *want,
 			 int64_t now, struct pool_choice *out);
 static bool held_for_long(const struct pool_endpoint *e);
-static void update_totals(struct dl_pool *pool, struct pool_endpoint *e);
+static void update_totals(struct dl_pool *pool, struct pool_endpoint *e,
+			  int64_t now);
 static void update_memory_max(struct dl_pool *pool);
 
 static int64_t max_time(int64_t a, int64_t b)
@@ -93,8 +94,9 @@
 			const struct pool_endpoint *e)
 {
 	(void)pool;
-	return e->state == POOL_EP_LIVE && !e->drained && !e->last.leaving &&
-	       !e->unreachable && e->ejection != POOL_EJECTED;
+	return e->state == POOL_EP_LIVE && !e->drained && !e->evacuated &&
+	       !e->last.leaving && !e->unreachable &&
+	       e->ejection != POOL_EJECTED;
 }
 
 /* Prefill milliseconds per token, as reported and corrected by answers. */
@@ -173,7 +175,8 @@
 	return e->hold && e->hold->request->want.band >= POOL_LONG;
 }
 
-static void update_totals(struct dl_pool *pool, struct pool_endpoint *e)
+static void update_totals(struct dl_pool *pool, struct pool_endpoint *e,
+			  int64_t now)
 {
 	bool open = pool_endpoint_open(pool, e);
 	bool is_long = open && (e->long_grants > 0 || held_for_long(e));
@@ -185,7 +188,7 @@
 		rate = 1 / pool_ms_per_token(pool, e);
 	if (open && pool->conf.kind == DL_POOL_PLAIN)
 		rate *= e->last.slots;
-	rate = pool_throttle_rate(pool, e, rate);
+	rate = pool_throttle_rate(pool, e, rate, now);
 	pool->slots += open ? e->last.slots : 0;
 	pool->slots -= e->counted_slots;
 	e->counted_slots = open ? e->last.slots : 0;
@@ -214,7 +217,7 @@
 	struct pool_index_node leaf;
 	uint64_t running = e->grants + pool_excess_min(&e->running_excess);
 
-	update_totals(pool, e);
+	update_totals(pool, e, now);
 	if (!pool_endpoint_open(pool, e) ||
 	    running >= pool_outlier_slots(e, now)) {
 		pool_index_set(&pool->index, e->index, NULL);
@@ -247,7 +250,7 @@
 			const struct pool_endpoint *e, int64_t now)
 {
 	return !pool_place_failed_before(want, e) &&
-	       pool_throttle_allows(e, want, now) &&
+	       pool_throttle_allows(pool, e, want, now) &&
 	       !pool_backoff_active(pool, want, e, now);
 }
 
--- a/src/main/cli_opt.c
+++ b/src/main/cli_opt.c
@@ -13,6 +13,7 @@
 #define READ_CHUNK	  65536
 
 static int usage_error(const char *name, const char *what);
+static int args_error(const char *name, const char *usage, unsigned args_count);
 static int add_entry(struct cli *cli, const char *name, const char *address);
 static int find_entries(struct cli *cli, const char *name);
 static int read_key(struct cli *cli, const char *name);
@@ -25,6 +26,17 @@
 	return DL_EXIT_USAGE;
 }
 
+/* Reports a wrong number of arguments. */
+static int args_error(const char *name, const char *usage, unsigned args_count)
+{
+	char text[64];
+
+	if (!args_count)
+		return usage_error(name, "unexpected argument");
+	snprintf(text, sizeof(text), "expected %s", usage);
+	return usage_error(name, text);
+}
+
 /* Adds the address of an entry. */
 static int add_entry(struct cli *cli, const char *name, const char *address)
 {
@@ -133,8 +145,7 @@
 		return rc;
 	if (args_count != CLI_ANY_ARGS &&
 	    (cli->args ? g_strv_length(cli->args) : 0) != args_count)
-		return usage_error(argv[0], args_count ? "expected one file" :
-							 "unexpected argument");
+		return args_error(argv[0], usage, args_count);
 	if (!online)
 		return DL_EXIT_OK;
 	if (cli->timeout_s < 1 || cli->timeout_s > TIMEOUT_S_MAX)
--- a/src/main/cli_status.c
+++ b/src/main/cli_status.c
@@ -47,7 +47,12 @@
 	size_t count;
 };
 
+static const struct cli_column evacuation_columns[] = {
+	{ .key = "domain", .title = "EVACUATED DOMAIN" },
+};
+
 static const struct section sections[] = {
+	{ "evacuated", evacuation_columns, COUNT(evacuation_columns) },
 	{ "vms", vm_columns, COUNT(vm_columns) },
 	{ "pools", pool_columns, COUNT(pool_columns) },
 	{ "endpoints", endpoint_columns, COUNT(endpoint_columns) },
--- a/src/main/entry.c
+++ b/src/main/entry.c
@@ -89,6 +89,9 @@
 	case DL_FRAME_CONF_PULL:
 		entry_conf_frame(e, from, frame);
 		return;
+	case DL_FRAME_EVACUATIONS:
+		entry_evacuation_frame(e, from, frame);
+		return;
 	case DL_FRAME_LEASE:
 		entry_lease_frame(e, from, frame);
 		return;
--- a/src/main/entry.h
+++ b/src/main/entry.h
@@ -17,6 +17,7 @@
  *   entry_quarantine.c requests that crash endpoints
  *   entry_limit.c      request rate limits that endpoints announce themselves
  *   entry_backoff.c    endpoints that asked this VM to back off
+ *   entry_evacuation.c evacuated failure domains
  *   entry_lease.c      whether the local configuration is known to be current
  *   entry_grant.c      requesting grants from dispatchers, returning them
  *   entry_renew.c      renewing the leases of grants
@@ -215,6 +216,7 @@
 	struct dl_answer grant;
 	bool granted;
 	uint32_t grants_unused; /* returned because of an endpoint's backoff */
+	uint32_t grants_evacuated; /* returned because of an evacuation */
 	uint32_t lease_ms;
 	int64_t renew_at;
 
@@ -421,6 +423,15 @@
 bool entry_backoff_blocks_grant(const struct call *c);
 void entry_backoff_return_grant(struct call *c);
 
+/* entry_evacuation.c */
+void entry_evacuation_pool_added(struct entry *e, struct entry_pool *p);
+void entry_evacuation_read(struct entry *e, struct dl_reader *r, uint64_t from);
+void entry_evacuation_frame(struct entry *e, uint64_t from,
+			    const struct dl_frame *f);
+bool entry_evacuation_covers(const struct call *c, uint8_t endpoint);
+bool entry_evacuation_blocks_grant(const struct call *c);
+void entry_evacuation_return_grant(struct call *c);
+
 /* entry_lease.c */
 bool entry_lease_is_valid(const struct entry *e);
 bool entry_lease_ready(const struct entry *e);
@@ -532,6 +543,11 @@
 void entry_ops_config_get(struct entry *e, struct dl_httpd_req *req);
 void entry_ops_history(struct entry *e, struct dl_httpd_req *req);
 void entry_ops_status(struct entry *e, struct dl_httpd_req *req);
+void entry_ops_evacuate(struct entry *e, struct dl_httpd_req *req);
+void entry_ops_evacuate_end(struct entry *e, struct dl_httpd_req *req);
+
+/* The failure domain follows. */
+#define ENTRY_EVACUATIONS_PATH "/v1/evacuations/"
 
 /* Handle a status query of another VM. */
 void entry_ops_frame(struct entry *e, uint64_t from,
--- a/src/main/entry_grant.c
+++ b/src/main/entry_grant.c
@@ -258,6 +258,10 @@
 		entry_backoff_return_grant(c);
 		return;
 	}
+	if (entry_evacuation_blocks_grant(c)) {
+		entry_evacuation_return_grant(c);
+		return;
+	}
 	if (c->routed)
 		entry_relay_start(c);
 	else
--- a/src/main/entry_lease.c
+++ b/src/main/entry_lease.c
@@ -86,6 +86,7 @@
 	a.leader = dl_read_u64(&r);
 	a.requested_at = (int64_t)frame->request;
 	bad = r.bad;
+	entry_evacuation_read(e, &r, from);
 	dl_reader_close(&r);
 	if (bad)
 		return;
--- a/src/main/entry_ops.c
+++ b/src/main/entry_ops.c
@@ -259,6 +259,46 @@
 	json_decref(change.root);
 }
 
+/* Sends the begin or end of an evacuation to the leading replica. */
+static void evacuate(struct entry *e, struct dl_httpd_req *req, bool begin)
+{
+	struct dl_str path = dl_httpd_path(req);
+	size_t skip = strlen(ENTRY_EVACUATIONS_PATH);
+	char *domain =
+		g_uri_unescape_segment(path.s + skip, path.s + path.n, NULL);
+	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_EVACUATE,
+				     .confirm = begin };
+	struct ops_request *o;
+	struct dl_err err;
+
+	if (!domain || !domain[0] || strlen(domain) > DL_NAME_MAX) {
+		dl_err_set(&err, -EINVAL, DL_STEP_READ, NULL,
+			   "a failure domain must have 1 to %d bytes",
+			   DL_NAME_MAX);
+		entry_http_error(req, 400, "bad-request", &err);
+		g_free(domain);
+		return;
+	}
+	o = ops_new(e, req);
+	cmd.key = dl_str_of(domain);
+	o->change_cmd =
+		entry_cmd_send(e, &cmd, APPLY_TIMEOUT_MS,
+			       (struct entry_cmd_done){ on_applied, o });
+	g_free(domain);
+}
+
+/* Handles PUT /v1/evacuations/DOMAIN. */
+void entry_ops_evacuate(struct entry *e, struct dl_httpd_req *req)
+{
+	evacuate(e, req, true);
+}
+
+/* Handles DELETE /v1/evacuations/DOMAIN. */
+void entry_ops_evacuate_end(struct entry *e, struct dl_httpd_req *req)
+{
+	evacuate(e, req, false);
+}
+
 static uint64_t version_in_query(struct dl_str path)
 {
 	const char *at = memmem(path.s, path.n, "version=", 8);
@@ -593,6 +633,20 @@
 	}
 }
 
+static json_t *evacuations_json(const struct entry *e)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < e->evacuations.count; i++) {
+		json_t *o = json_object();
+
+		json_object_set_new(o, "domain",
+				    json_string(e->evacuations.domain[i].s));
+		json_array_append_new(list, o);
+	}
+	return list;
+}
+
 /*
  * Handles GET /v1/status: the state of this VM, and that of the pools as
  * reported by their dispatchers.
@@ -609,6 +663,7 @@
 	json_object_set_new(o->root, "draining", json_boolean(e->draining));
 	json_object_set_new(o->root, "replica_heard_ms_ago",
 			    json_integer(entry_now(e) - e->replica_heard_at));
+	json_object_set_new(o->root, "evacuated", evacuations_json(e));
 	json_object_set_new(o->root, "vms", vms_json(e));
 	json_object_set_new(o->root, "pools", json_array());
 	json_object_set_new(o->root, "endpoints", json_array());
--- a/src/main/entry_pool.c
+++ b/src/main/entry_pool.c
@@ -165,6 +165,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->next = e->pools;
 	e->pools = p;
+	entry_evacuation_pool_added(e, p);
 	return p;
 }
 
--- a/src/main/entry_relay.c
+++ b/src/main/entry_relay.c
@@ -223,14 +223,16 @@
 
 /*
  * The connection is established.  Returns false to abort the attempt where the
- * endpoint has become unavailable, or asked to back off, in the meantime.
+ * endpoint has become unavailable, has asked to back off, or is to be
+ * evacuated.
  */
 static bool on_connected(void *arg)
 {
 	struct call *c = arg;
 
 	c->aborted_unsent = !is_available(c, 0) ||
-			    entry_backoff_blocks_grant(c);
+			    entry_backoff_blocks_grant(c) ||
+			    entry_evacuation_blocks_grant(c);
 	return !c->aborted_unsent;
 }
 
@@ -242,6 +244,8 @@
 		retry_unavailable(c);
 	else if (entry_backoff_blocks_grant(c))
 		entry_backoff_return_grant(c);
+	else if (entry_evacuation_blocks_grant(c))
+		entry_evacuation_return_grant(c);
 	else
 		entry_relay_send(c);
 }
--- a/src/main/entry_try.c
+++ b/src/main/entry_try.c
@@ -212,13 +212,15 @@
 
 /*
  * The connection is established; returns false to abort the attempt before it
- * is sent, where the endpoint has asked this VM to back off in the meantime.
+ * is sent, where the endpoint has asked this VM to back off in the meantime, or
+ * its failure domain is evacuated.
  */
 static bool on_connected(void *arg)
 {
 	struct call *c = arg;
 
-	c->aborted_unsent = entry_backoff_blocks_grant(c);
+	c->aborted_unsent = entry_backoff_blocks_grant(c) ||
+			    entry_evacuation_blocks_grant(c);
 	return !c->aborted_unsent;
 }
 
--- a/src/main/main.c
+++ b/src/main/main.c
@@ -11,6 +11,8 @@
 	  "start a new group from one replica's disk" },
 	{ "check", dl_main_check, "validate a configuration, offline" },
 	{ "apply", dl_main_apply, "put a configuration in force" },
+	{ "evacuate", dl_main_evacuate,
+	  "begin or end the evacuation of a failure domain" },
 	{ "get", dl_main_get, "print a configuration" },
 	{ "history", dl_main_history,
 	  "list the versions of the configuration" },
--- a/src/main/main.h
+++ b/src/main/main.h
@@ -29,6 +29,7 @@
 char *dl_main_settings_option(int *argc, char ***argv);
 int dl_main_check(int argc, char **argv);
 int dl_main_apply(int argc, char **argv);
+int dl_main_evacuate(int argc, char **argv);
 int dl_main_get(int argc, char **argv);
 int dl_main_history(int argc, char **argv);
 int dl_main_status(int argc, char **argv);
--- a/src/main/replica.c
+++ b/src/main/replica.c
@@ -299,6 +299,7 @@
 	send_rlog_messages(r);
 	if (caught_up) {
 		replica_conf_check(r);
+		replica_evacuation_check(r);
 		replica_lease_answer_waiters(r);
 	}
 	log_role(r);
--- a/src/main/replica.h
+++ b/src/main/replica.h
@@ -10,6 +10,7 @@
 #include "daisyledge/rlog.h"
 #include "main/node.h"
 #include "main/quarantine.h"
+#include "protocol/pack.h"
 #include "transport/disk_file.h"
 #include "transport/httpd.h"
 
@@ -21,6 +22,8 @@
 	uint64_t request;
 	int64_t at;
 	uint64_t config_number; /* number of a configuration sent over HTTP */
+	struct dl_name domain;	/* of an evacuation sent over HTTP; or empty */
+	bool evacuate;		/* it begins; otherwise it ends */
 	struct dl_httpd_req *http_req; /* to answer; vm is then none */
 };
 
@@ -50,6 +53,7 @@
 	bool started; /* the first sync of the journal has finished */
 	bool current; /* has caught up, so its version may be advertised */
 	uint64_t advertised_version;
+	uint64_t evacuations_sent; /* revision last sent to the entries */
 	char *push_body; /* configuration as sent to entries, deflated */
 	size_t push_body_n;
 	uint64_t push_body_version;
@@ -103,6 +107,12 @@
 void replica_conf_check(struct replica *r);
 void replica_conf_tick(struct replica *r, int64_t now);
 
+/* replica_evacuation.c */
+void replica_evacuation_pack(struct replica *r, struct dl_packer *pk);
+void replica_evacuation_check(struct replica *r);
+int replica_evacuation_validate(const struct replica *r, struct dl_str domain,
+				struct dl_err *err);
+
 /* replica_http.c */
 int replica_http_open(struct replica *r, struct dl_err *err);
 void replica_http_tick(struct replica *r, int64_t now);
--- a/src/main/replica_cmd.c
+++ b/src/main/replica_cmd.c
@@ -20,8 +20,10 @@
 static void send_error(struct replica *r, uint64_t to, uint64_t request,
 		       int code, const char *why);
 static bool same_replicas(const struct dl_conf *a, const struct dl_conf *b);
-static int check_replicas(struct replica *r, struct dl_str command,
+static int check_replicas(struct replica *r, const struct dl_cstore_cmd *cmd,
 			  struct dl_err *err);
+static int check_command(struct replica *r, struct dl_str command,
+			 struct dl_err *err);
 static void propose_command(struct replica *r, uint64_t from,
 			    const struct dl_frame *frame, char *command);
 
@@ -61,17 +63,15 @@
 }
 
 /* Rejects a configuration whose list of replicas would lose the quorum. */
-static int check_replicas(struct replica *r, struct dl_str command,
+static int check_replicas(struct replica *r, const struct dl_cstore_cmd *cmd,
 			  struct dl_err *err)
 {
 	uint64_t vms[DL_REPLICAS_MAX];
 	struct dl_conf *conf = NULL;
 	struct dl_faults faults;
-	struct dl_cstore_cmd cmd;
 	int code = 0;
 
-	if (dl_cstore_decode(command, &cmd) || cmd.op != DL_CSTORE_APPLY ||
-	    dl_conf_parse(cmd.text, &conf, &faults))
+	if (dl_conf_parse(cmd->text, &conf, &faults))
 		return 0; /* applying it reports the fault */
 	for (uint32_t i = 0; i < conf->replicas_count; i++)
 		vms[i] = conf->replicas[i].vm;
@@ -83,6 +83,24 @@
 	return code;
 }
 
+/*
+ * Checks what the state machine cannot know: which replicas are reachable, and
+ * which failure domains exist.
+ */
+static int check_command(struct replica *r, struct dl_str command,
+			 struct dl_err *err)
+{
+	struct dl_cstore_cmd cmd;
+
+	if (dl_cstore_decode(command, &cmd))
+		return 0; /* executing it reports the fault */
+	if (cmd.op == DL_CSTORE_EVACUATE)
+		return replica_evacuation_validate(r, cmd.key, err);
+	if (cmd.op == DL_CSTORE_APPLY)
+		return check_replicas(r, &cmd, err);
+	return 0;
+}
+
 /* Stamps and proposes a command and records its sender as waiting. */
 static void propose_command(struct replica *r, uint64_t from,
 			    const struct dl_frame *frame, char *command)
@@ -124,7 +142,7 @@
 			   "another replica is the leader");
 		return;
 	}
-	if (check_replicas(r, frame->body, &err)) {
+	if (check_command(r, frame->body, &err)) {
 		send_error(r, from, frame->request, err.code, err.text);
 		return;
 	}
--- a/src/main/replica_http.c
+++ b/src/main/replica_http.c
@@ -247,6 +247,60 @@
 	free(text);
 }
 
+/* Answers a request to evacuate a failure domain and logs the result. */
+static void answer_evacuation(struct dl_httpd_req *req,
+			      const struct dl_name *domain, bool evacuate,
+			      uint16_t status, const char *why)
+{
+	dl_msg(DL_MSG_EVACUATION_ANSWERED,
+	       "domain=%s evacuate=%d status=%u why=\"%s\"", domain->s,
+	       evacuate, status, why);
+	if (status == 200)
+		reply_json(req, status, DL_STR("{}"));
+	else
+		reply_error(req, status, why);
+}
+
+/* Proposes the begin or end of an evacuation; answered when committed. */
+static void on_evacuate(struct replica_http *h, struct dl_httpd_req *req,
+			struct dl_str domain, bool evacuate)
+{
+	struct replica_pending p = { .http_req = req, .evacuate = evacuate };
+	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_EVACUATE,
+				     .key = domain,
+				     .confirm = evacuate };
+	struct dl_str data;
+	struct dl_err err;
+	char *command;
+	int code;
+
+	if (!dl_name_set(&p.domain, domain) ||
+	    replica_evacuation_validate(h->r, domain, &err)) {
+		answer_evacuation(req, &p.domain, evacuate, 400,
+				  "no such failure domain");
+		return;
+	}
+	if (!require_leader(h, req))
+		return;
+	p.at = replica_now(h->r);
+	cmd.wall_ms = h->r->wall_offset_ms + p.at;
+	if (dl_cstore_encode(&cmd, &command, &data.n)) {
+		answer_evacuation(req, &p.domain, evacuate, 503,
+				  "out of memory");
+		return;
+	}
+	data.s = command;
+	code = dl_rlog_propose(h->r->rlog, data, p.at, &p.index, &p.term);
+	free(command);
+	if (code) {
+		answer_evacuation(req, &p.domain, evacuate, 503,
+				  "the change cannot be accepted now");
+		return;
+	}
+	dl_httpd_set_data(req, h);
+	g_array_append_val(h->r->pending, p);
+}
+
 /* Answers with the original source kept in the configuration in force. */
 static void reply_source(struct dl_httpd_req *req, struct dl_str text)
 {
@@ -300,6 +354,12 @@
 	case DL_CONTROL_READ:
 		on_get_config(h, req);
 		return;
+	case DL_CONTROL_EVACUATE:
+		on_evacuate(h, req, id, true);
+		return;
+	case DL_CONTROL_EVACUATE_END:
+		on_evacuate(h, req, id, false);
+		return;
 	case DL_CONTROL_UNKNOWN:
 		reply_error(req, 404, "no such method or path");
 		return;
@@ -334,6 +394,11 @@
 			  reply->code == -EINVAL ? 400 :
 						   503;
 
+	if (p->domain.n) {
+		answer_evacuation(p->http_req, &p->domain, p->evacuate, status,
+				  reply->text);
+		return;
+	}
 	answer_change(p->http_req, p->config_number, status, reply->text);
 }
 
--- a/src/protocol/api.c
+++ b/src/protocol/api.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/param.h>
 
 #include <xxhash.h>
 
@@ -233,6 +234,7 @@
 	r->prefill_rate = (uint32_t)read_count(root, "prefill_rate");
 	r->decode_rate = (uint32_t)read_count(root, "decode_rate");
 	r->prefill_backlog = read_count(root, "prefill_backlog");
+	r->cold_ms = (uint32_t)MIN(read_count(root, "cold_ms"), DL_COLD_MAX_MS);
 	r->leaving = json_is_true(json_object_get(root, "leaving"));
 	r->takes_groups = json_is_true(json_object_get(root, "takes_groups"));
 }
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -68,6 +68,8 @@
 	DL_CONTROL_LEAVE,
 	DL_CONTROL_APPLY,
 	DL_CONTROL_READ,
+	DL_CONTROL_EVACUATE,	 /* the argument is a failure domain */
+	DL_CONTROL_EVACUATE_END, /* the same */
 };
 
 #define DL_DIALECT_HEADERS_MAX 64
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -12,7 +12,7 @@
 #define ASK_ITEMS	17
 #define ANSWER_ITEMS	15
 #define RELEASE_ITEMS	12
-#define REPORT_ITEMS	21
+#define REPORT_ITEMS	22
 #define SUMMARY_ITEMS	9
 #define LIMIT_ITEMS	4
 #define ADOPT_ITEMS	28
@@ -394,6 +394,7 @@
 	dl_pack_str(p, dl_name_str(&a->version));
 	dl_pack_str(p, dl_name_str(&a->role));
 	pack_events(p, a);
+	dl_pack_u64(p, r->cold_ms);
 }
 
 int dl_report_read(struct dl_str body, struct dl_announcement *out)
@@ -425,6 +426,9 @@
 	dl_read_name(&r, &out->version);
 	dl_read_name(&r, &out->role);
 	read_events(&r, out);
+	/* Older releases send none. */
+	if (r.remaining)
+		report->cold_ms = (uint32_t)dl_read_u64(&r);
 	return close_reader(&r);
 }
 
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -24,6 +24,7 @@
 };
 
 static int read_name(const json_t *value, void *to);
+static int read_domains(const json_t *value, void *to);
 static int read_address(const json_t *value, void *to);
 static int read_path(const json_t *value, void *to);
 static int read_level(const json_t *value, void *to);
@@ -41,6 +42,7 @@
 	{ "name", read_name, FIELD(name), true },
 	{ "failure_domain", read_name, FIELD(failure_domain), true },
 	{ "region", read_name, FIELD(region), false },
+	{ "failure_domains", read_domains, 0, false },
 	{ "http", read_address, FIELD(http), false },
 	{ "operators", read_address, FIELD(operators), false },
 	{ "endpoints", read_address, FIELD(endpoints), false },
@@ -95,6 +97,21 @@
 	return 0;
 }
 
+static int read_domains(const json_t *value, void *to)
+{
+	struct dl_settings *s = to;
+	size_t n = json_array_size(value);
+
+	if (!json_is_array(value) || n > DL_SETTINGS_DOMAINS_MAX)
+		return -EINVAL;
+	for (size_t i = 0; i < n; i++) {
+		if (read_name(json_array_get(value, i), &s->failure_domains[i]))
+			return -EINVAL;
+	}
+	s->failure_domains_count = (uint32_t)n;
+	return 0;
+}
+
 static int read_path(const json_t *value, void *to)
 {
 	struct dl_str s;
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -8,12 +8,16 @@
 
 #define DL_SETTINGS_PEERS_MAX	 64
 #define DL_SETTINGS_REPLICAS_MAX 7
+#define DL_SETTINGS_DOMAINS_MAX	 64
 #define DL_SETTINGS_PATH_MAX	 255
 
 struct dl_settings {
 	struct dl_name name;
 	struct dl_name failure_domain;
 	struct dl_name region; /* its VMs share pools; empty: none */
+	/* the failure domains of the deployment, as far as they are known */
+	struct dl_name failure_domains[DL_SETTINGS_DOMAINS_MAX];
+	uint32_t failure_domains_count;
 	/* Listen addresses, one per kind of client. */
 	uint64_t http;		      /* callers; 0 on a replica */
 	uint64_t operators;	      /* 0: same as callers */
--- a/src/state/conf.c
+++ b/src/state/conf.c
@@ -133,6 +133,8 @@
 	{ "report_gone_ms", CONF_U32, false, 500, 600000, 5000,
 	  POOL(report_gone_ms) },
 	{ "weight_default", CONF_U32, false, 1, 1000, 1, POOL(weight_default) },
+	{ "cold_requests_per_s", CONF_U32, false, 0, 1000000, 0,
+	  POOL(cold_requests_per_s) },
 };
 #undef POOL
 
--- a/src/state/conf_diff.c
+++ b/src/state/conf_diff.c
@@ -59,6 +59,9 @@
 	  "how soon an endpoint without reports is gone" },
 	{ "pool.weight_default", CONF_U32, SERVICE(pool.weight_default),
 	  "the weight of workspaces that are not listed" },
+	{ "pool.cold_requests_per_s", CONF_U32,
+	  SERVICE(pool.cold_requests_per_s),
+	  "requests beyond it wait while an endpoint is cold; 0 is no limit" },
 };
 #undef SERVICE
 
--- a/src/state/cstore.c
+++ b/src/state/cstore.c
@@ -1,6 +1,6 @@
 /*
  * The replicated state machine: versions of the configuration, answers to
- * change ids, claims, and the fencing term of orders.
+ * change ids, claims, evacuated domains, and the fencing term of orders.
  */
 #include <errno.h>
 #include <inttypes.h>
@@ -20,12 +20,12 @@
 typedef void exec_fn(struct dl_cstore *store, const struct dl_cstore_cmd *cmd,
 		     struct dl_cstore_reply *reply);
 
-static exec_fn do_apply, do_claims, do_fence;
+static exec_fn do_apply, do_claims, do_fence, do_evacuate;
 
 static exec_fn *const ops[DL_CSTORE_OP_COUNT] = {
 	[DL_CSTORE_APPLY] = do_apply,	 [DL_CSTORE_CLAIM] = do_claims,
 	[DL_CSTORE_OUTCOME] = do_claims, [DL_CSTORE_UNCLAIM] = do_claims,
-	[DL_CSTORE_FENCE] = do_fence,
+	[DL_CSTORE_FENCE] = do_fence,	 [DL_CSTORE_EVACUATE] = do_evacuate,
 };
 
 static void advance_clock(struct dl_cstore *store,
@@ -513,6 +513,27 @@
 	store->fence = cmd->term;
 }
 
+/* Begin or end the evacuation of a failure domain; a repeat is accepted. */
+static void do_evacuate(struct dl_cstore *store,
+			const struct dl_cstore_cmd *cmd,
+			struct dl_cstore_reply *reply)
+{
+	reply->version = store->version;
+	reply->code =
+		dl_evacuations_set(&store->evacuations, cmd->key, cmd->confirm);
+	reply->repeated = reply->code == -EALREADY;
+	if (reply->repeated)
+		reply->code = 0;
+	if (reply->code == -ENOSPC)
+		snprintf(reply->text, sizeof(reply->text),
+			 "%d failure domains are evacuated, which is the limit",
+			 DL_EVACUATIONS_MAX);
+	else if (reply->code)
+		snprintf(reply->text, sizeof(reply->text),
+			 "a failure domain must have 1 to %d bytes",
+			 DL_NAME_MAX);
+}
+
 /*
  * Execute the command at a log index. Returns 0 and the result in reply->code;
  * -EALREADY for an index that was executed before, which changes nothing; or
@@ -558,6 +579,13 @@
 	return store->fence;
 }
 
+/* Return the evacuated failure domains. */
+const struct dl_evacuations *
+dl_cstore_evacuations(const struct dl_cstore *store)
+{
+	return &store->evacuations;
+}
+
 /* Return whether the text in force has not been parsed. */
 bool dl_cstore_conf_unparsed(const struct dl_cstore *store)
 {
--- a/src/state/cstore_int.h
+++ b/src/state/cstore_int.h
@@ -94,6 +94,7 @@
 	uint32_t history_head, history_count;
 	size_t history_bytes; /* of texts other than the one in force */
 	struct claims claims;
+	struct dl_evacuations evacuations;
 	struct dl_conf *conf; /* NULL without a version or if unparsed */
 	bool conf_unparsed;   /* the text in force has not been parsed */
 	uint64_t number;      /* serial number of the text in force */
--- a/src/state/cstore_snap.c
+++ b/src/state/cstore_snap.c
@@ -1,7 +1,10 @@
 /*
  * Snapshots of the store: a msgpack header with counts, one array for each
- * version, answer and claim, and a 64-bit checksum in network order. Equal
- * states give equal bytes.
+ * version, answer, claim and evacuated domain, and a 64-bit checksum in network
+ * order. Equal states give equal bytes.
+ *
+ * The header of a store without evacuations omits them, so that a release that
+ * does not know them can read it.
  */
 #include <errno.h>
 #include <stdlib.h>
@@ -15,6 +18,8 @@
 #define CHECKSUM_SEED  0x64616973
 #define CHECKSUM_BYTES 8
 #define HEAD_FIELDS    10
+#define HEAD_EVACUATED 12 /* fields of a header with evacuations */
+#define DOMAIN_FIELDS  1
 #define CHANGE_FIELDS  8
 #define ANSWER_FIELDS  5
 #define CLAIM_FIELDS   8
@@ -28,13 +33,15 @@
 };
 
 struct snap_counts {
-	uint32_t history, answers, claims;
+	uint32_t history, answers, claims, evacuations;
 };
 
 static void put_head(msgpack_packer *pk, const struct dl_cstore *store);
 static void put_change(msgpack_packer *pk, const struct change *c);
 static void put_answer(msgpack_packer *pk, const struct answer *a);
 static void put_claims(msgpack_packer *pk, const struct claims *claims);
+static void put_evacuations(msgpack_packer *pk,
+			    const struct dl_evacuations *evacuations);
 static void put_checksum(msgpack_sbuffer *buf);
 static bool checksum_ok(struct dl_str snapshot);
 static struct pack_fields next_item(struct snap_reader *r, uint32_t fields);
@@ -44,12 +51,14 @@
 		       bool newest);
 static bool get_answer(struct snap_reader *r, struct dl_cstore *store);
 static bool get_claim(struct snap_reader *r, struct dl_cstore *store);
+static bool get_evacuation(struct snap_reader *r, struct dl_cstore *store);
 static bool get_items(struct snap_reader *r, struct dl_cstore *store);
 
 /* Write the header: the scalar state and the number of items of each type. */
 static void put_head(msgpack_packer *pk, const struct dl_cstore *store)
 {
-	msgpack_pack_array(pk, HEAD_FIELDS);
+	msgpack_pack_array(pk, store->evacuations.revision ? HEAD_EVACUATED :
+							     HEAD_FIELDS);
 	pack_put_str(pk, SNAP_MAGIC);
 	msgpack_pack_uint8(pk, SNAP_FORMAT);
 	msgpack_pack_uint64(pk, store->index);
@@ -60,6 +69,10 @@
 	msgpack_pack_uint32(pk, store->history_count);
 	msgpack_pack_uint32(pk, store->answers_count);
 	msgpack_pack_uint32(pk, claims_count(&store->claims));
+	if (!store->evacuations.revision)
+		return;
+	msgpack_pack_uint64(pk, store->evacuations.revision);
+	msgpack_pack_uint32(pk, store->evacuations.count);
 }
 
 /* Write a version, with its text if that is kept. */
@@ -109,6 +122,16 @@
 	}
 }
 
+/* Write the evacuated domains, in the order in which they were. */
+static void put_evacuations(msgpack_packer *pk,
+			    const struct dl_evacuations *evacuations)
+{
+	for (uint32_t i = 0; i < evacuations->count; i++) {
+		msgpack_pack_array(pk, DOMAIN_FIELDS);
+		pack_put_str(pk, dl_name_str(&evacuations->domain[i]));
+	}
+}
+
 /* Append the checksum of what was written. */
 static void put_checksum(msgpack_sbuffer *buf)
 {
@@ -150,6 +173,7 @@
 	for (uint32_t i = 0; i < store->answers_count; i++)
 		put_answer(&pk, cstore_answer_at(store, i));
 	put_claims(&pk, &store->claims);
+	put_evacuations(&pk, &store->evacuations);
 	put_checksum(&buf);
 	*n = buf.size;
 	*out = msgpack_sbuffer_release(&buf);
@@ -172,7 +196,10 @@
 		     struct snap_counts *counts)
 {
 	struct pack_fields f = next_item(r, HEAD_FIELDS);
+	bool evacuated = f.bad;
 
+	if (evacuated)
+		f = pack_begin(&r->item.data, HEAD_EVACUATED);
 	if (!dl_str_eq(pack_str(&f, SNAP_MAGIC.n), SNAP_MAGIC) ||
 	    pack_u64(&f, UINT8_MAX) != SNAP_FORMAT)
 		return false;
@@ -184,6 +211,12 @@
 	counts->history = (uint32_t)pack_u64(&f, DL_CSTORE_HISTORY_MAX);
 	counts->answers = (uint32_t)pack_u64(&f, DL_CSTORE_CHANGES_MAX);
 	counts->claims = (uint32_t)pack_u64(&f, DL_CSTORE_CLAIMS_MAX);
+	counts->evacuations = 0;
+	if (evacuated) {
+		store->evacuations.revision = pack_u64(&f, UINT64_MAX);
+		counts->evacuations =
+			(uint32_t)pack_u64(&f, DL_EVACUATIONS_MAX);
+	}
 	return !f.bad;
 }
 
@@ -256,6 +289,19 @@
 	       !f.bad;
 }
 
+/* Read an evacuated domain; the revision is that of the header. */
+static bool get_evacuation(struct snap_reader *r, struct dl_cstore *store)
+{
+	struct pack_fields f = next_item(r, DOMAIN_FIELDS);
+	struct dl_str domain = pack_str(&f, DL_NAME_MAX);
+	uint64_t revision = store->evacuations.revision;
+	bool ok = !f.bad &&
+		  dl_evacuations_set(&store->evacuations, domain, true) == 0;
+
+	store->evacuations.revision = revision;
+	return ok;
+}
+
 /* Read all items into an empty store. */
 static bool get_items(struct snap_reader *r, struct dl_cstore *store)
 {
@@ -275,6 +321,10 @@
 		if (!get_claim(r, store))
 			return false;
 	}
+	for (uint32_t i = 0; i < n.evacuations; i++) {
+		if (!get_evacuation(r, store))
+			return false;
+	}
 	return r->offset == r->data.n;
 }
 
--- a/src/transport/peers.h
+++ b/src/transport/peers.h
@@ -38,7 +38,8 @@
 	DL_FRAME_REPORTS = 32,	       /* announcements of many endpoints */
 	DL_FRAME_CRASHES = 33,	       /* endpoint crashes during requests */
 	DL_FRAME_LIMIT = 34, /* entry to dispatcher: limit set by an endpoint */
-	DL_FRAME_RLOG = 40,  /* replica to replica */
+	DL_FRAME_EVACUATIONS = 35,   /* replica to entry: evacuated domains */
+	DL_FRAME_RLOG = 40,	     /* replica to replica */
 	DL_FRAME_RLOG_DEFLATED = 50, /* DL_FRAME_RLOG, deflated */
 	DL_FRAME_CMD = 41,	     /* entry to replica: a cstore command */
 	DL_FRAME_CMD_REPLY = 42,
--- a/test/platform_deploy.sh
+++ b/test/platform_deploy.sh
@@ -21,6 +21,7 @@
 domain_settings() { # D
 	if [ -n "${SEPARATE_DOMAINS:-}" ]; then
 		printf '"failure_domain":"place-%s","region":"r"' "$1"
+		printf ',"failure_domains":["place-1","place-2","place-3"]'
 	else
 		printf '"failure_domain":"r"'
 	fi
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -11,6 +11,7 @@
 
 #include "fake/suite.h"
 #include "protocol/api.h"
+#include "protocol/evacuation_codec.h"
 #include "protocol/pool_codec.h"
 #include "protocol/settings.h"
 #include "protocol/sign.h"
@@ -172,6 +173,7 @@
 	a.report.incarnation = 3;
 	a.report.slots = 4;
 	a.report.leaving = true;
+	a.report.cold_ms = 3000;
 	a.born = 1764728000123;
 	a.models_count = 1;
 	a.events_count = 1;
@@ -186,6 +188,7 @@
 	ck_assert_uint_eq(a2.report.incarnation, 3);
 	ck_assert(dl_name_eq(&a2.report.failure_domain, DL_STR("alatau-hall")));
 	ck_assert_uint_eq(a2.born, 1764728000123);
+	ck_assert_uint_eq(a2.report.cold_ms, 3000);
 	ck_assert(dl_name_eq(&a2.models[0], DL_STR("match-7b")));
 	ck_assert_uint_eq(a2.events[0].prefix, UINT64_MAX);
 	dl_packer_close(&p);
@@ -209,6 +212,41 @@
 }
 END_TEST
 
+static int read_evacuations(struct dl_str body, struct dl_evacuations *out)
+{
+	struct dl_reader r;
+	bool bad;
+
+	dl_reader_open(&r, body);
+	dl_evacuations_read(&r, out);
+	bad = r.bad;
+	dl_reader_close(&r);
+	return bad ? -EBADMSG : 0;
+}
+
+START_TEST(evacuations_round_trip)
+{
+	struct dl_evacuations in = { .revision = 7 }, out;
+	struct dl_packer p;
+	struct dl_str body;
+
+	dl_evacuations_set(&in, DL_STR("north"), true);
+	dl_evacuations_set(&in, DL_STR("south"), true);
+	dl_packer_open(&p, DL_EVACUATIONS_ITEMS);
+	dl_evacuations_pack(&p, &in);
+	body = dl_packer_bytes(&p);
+	ck_assert_int_eq(read_evacuations(body, &out), 0);
+	ck_assert_uint_eq(out.revision, 9);
+	ck_assert_uint_eq(out.count, 2);
+	ck_assert(dl_name_eq(&out.domain[1], DL_STR("south")));
+	for (size_t n = 0; n < body.n; n++)
+		ck_assert_int_eq(read_evacuations((struct dl_str){ body.s, n },
+						  &out),
+				 -EBADMSG);
+	dl_packer_close(&p);
+}
+END_TEST
+
 /*
  * Decodes a damaged body as each kind of frame; no decoder may crash or read
  * past its end.
@@ -222,6 +260,7 @@
 	struct dl_name service, domain;
 	struct dl_answer grant;
 	struct dl_usage usage;
+	struct dl_evacuations evacuations;
 	struct dl_ask ask;
 	uint64_t number;
 
@@ -232,6 +271,7 @@
 	dl_report_read(body, &report);
 	dl_summary_read(body, &service, &domain, &summary);
 	dl_adopt_read(body, &service, &grant, &ask, 0);
+	read_evacuations(body, &evacuations);
 }
 
 /*
@@ -259,20 +299,24 @@
 	struct dl_ask ask = sample_ask();
 	GRand *rnd = g_rand_new_with_seed(SEED);
 	struct dl_announcement a = { .events_count = 2, .models_count = 1 };
-	struct dl_packer p[4];
+	struct dl_evacuations evacuations = { 0 };
+	struct dl_packer p[5];
 
+	dl_evacuations_set(&evacuations, DL_STR("north"), true);
+	dl_packer_open(&p[4], DL_EVACUATIONS_ITEMS);
+	dl_evacuations_pack(&p[4], &evacuations);
 	dl_report_pack(&p[3], &a);
 	dl_ask_pack(&p[0], &asked, 0);
 	dl_answer_pack(&p[1], &f, 0);
 	dl_adopt_pack(&p[2], DL_STR("s"), &f.answer, &ask, 0);
 	for (uint32_t i = 0; i < fuzz_rounds(); i++) {
-		struct dl_str good = dl_packer_bytes(&p[i % 4]);
+		struct dl_str good = dl_packer_bytes(&p[i % 5]);
 		char *buf = malloc(good.n);
 
 		read_all(damage(rnd, good, buf));
 		free(buf);
 	}
-	for (int i = 0; i < 4; i++)
+	for (int i = 0; i < 5; i++)
 		dl_packer_close(&p[i]);
 	g_rand_free(rnd);
 }
@@ -434,6 +478,15 @@
 	{ "{\"name\":\"a\",\"failure_domain\":\"d\",\"peer\":\"127.0.0.1:1\","
 	  "\"log_level\":\"loud\"}",
 	  "bad value of log_level" },
+	{ "{\"name\":\"a\",\"failure_domain\":\"d\",\"peer\":\"127.0.0.1:1\","
+	  "\"failure_domains\":[\"d\",\"e\"]}",
+	  NULL },
+	{ "{\"name\":\"a\",\"failure_domain\":\"d\",\"peer\":\"127.0.0.1:1\","
+	  "\"failure_domains\":[\"d\",7]}",
+	  "bad value of failure_domains" },
+	{ "{\"name\":\"a\",\"failure_domain\":\"d\",\"peer\":\"127.0.0.1:1\","
+	  "\"failure_domains\":\"d\"}",
+	  "bad value of failure_domains" },
 	{ "[]", "not an object" },
 };
 
@@ -530,6 +583,7 @@
 	tcase_add_test(t, answer_and_adopt_round_trip);
 	tcase_add_test(t, report_batch_round_trip);
 	tcase_add_test(t, report_release_summary_round_trip);
+	tcase_add_test(t, evacuations_round_trip);
 	tcase_add_test(t, damaged_frames);
 	tcase_add_loop_test(t, completions, 0, CASES(completion_cases));
 	tcase_add_test(t, endpoint_body);
--- a/test/test_cstore.c
+++ b/test/test_cstore.c
@@ -407,6 +407,98 @@
 END_TEST
 
 /* A full store refuses new claims until others expire. */
+static int evacuate(const char *domain, bool begin)
+{
+	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_EVACUATE,
+				     .key = dl_str_of(domain),
+				     .confirm = begin };
+
+	return run(&cmd);
+}
+
+static bool is_evacuated(const struct dl_cstore *of, const char *domain)
+{
+	return dl_evacuations_contain(dl_cstore_evacuations(of),
+				      dl_str_of(domain));
+}
+
+START_TEST(evacuations_begin_and_end_once)
+{
+	ck_assert_int_eq(evacuate("north", true), 0);
+	ck_assert(!reply.repeated);
+	ck_assert_int_eq(evacuate("north", true), 0);
+	ck_assert(reply.repeated);
+	ck_assert_uint_eq(dl_cstore_evacuations(store)->revision, 1);
+	ck_assert_int_eq(evacuate("south", true), 0);
+	ck_assert_int_eq(evacuate("north", false), 0);
+	ck_assert(!is_evacuated(store, "north"));
+	ck_assert(is_evacuated(store, "south"));
+	ck_assert_int_eq(evacuate("north", false), 0);
+	ck_assert(reply.repeated);
+	ck_assert_uint_eq(dl_cstore_evacuations(store)->revision, 3);
+	ck_assert_uint_eq(dl_cstore_version(store), 0);
+}
+END_TEST
+
+START_TEST(evacuations_are_bounded)
+{
+	char name[DL_NAME_MAX + 2];
+
+	memset(name, 'x', sizeof(name) - 1);
+	name[sizeof(name) - 1] = '\0';
+	ck_assert_int_eq(evacuate("", true), -EINVAL);
+	ck_assert_int_eq(evacuate(name, true), -EINVAL);
+	ck_assert_int_gt(strlen(reply.text), 0);
+	for (int i = 0; i < DL_EVACUATIONS_MAX; i++) {
+		g_snprintf(name, sizeof(name), "d%d", i);
+		ck_assert_int_eq(evacuate(name, true), 0);
+	}
+	ck_assert_int_eq(evacuate("one-more", true), -ENOSPC);
+	ck_assert_int_gt(strlen(reply.text), 0);
+	ck_assert_int_eq(evacuate("d0", true), 0);
+	ck_assert_int_eq(evacuate("d0", false), 0);
+	ck_assert_int_eq(evacuate("one-more", true), 0);
+}
+END_TEST
+
+START_TEST(snapshot_keeps_evacuations_and_their_revision)
+{
+	struct dl_cstore *copy = dl_cstore_new();
+	char *bytes;
+	size_t n;
+
+	evacuate("north", true);
+	evacuate("south", true);
+	evacuate("north", false);
+	ck_assert_int_eq(dl_cstore_snapshot(store, &bytes, &n), 0);
+	ck_assert_int_eq(dl_cstore_restore(copy, (struct dl_str){ bytes, n }),
+			 0);
+	ck_assert(is_evacuated(copy, "south"));
+	ck_assert(!is_evacuated(copy, "north"));
+	ck_assert_uint_eq(dl_cstore_evacuations(copy)->revision, 3);
+	free(bytes);
+	dl_cstore_free(copy);
+}
+END_TEST
+
+/* The first byte of a snapshot tells the number of fields of its header. */
+START_TEST(snapshot_without_evacuations_has_the_older_format)
+{
+	struct dl_cstore *copy = dl_cstore_new();
+	char *bytes;
+	size_t n;
+
+	apply_variant(1, "c1", 0);
+	ck_assert_int_eq(dl_cstore_snapshot(store, &bytes, &n), 0);
+	ck_assert_int_eq((unsigned char)bytes[0], 0x90 + 10);
+	ck_assert_int_eq(dl_cstore_restore(copy, (struct dl_str){ bytes, n }),
+			 0);
+	ck_assert_uint_eq(dl_cstore_evacuations(copy)->revision, 0);
+	free(bytes);
+	dl_cstore_free(copy);
+}
+END_TEST
+
 START_TEST(claims_are_bounded)
 {
 	static char body[DL_CSTORE_OUTCOME_MAX];
@@ -747,6 +839,10 @@
 	tcase_add_test(t, clock_jump_between_terms);
 	tcase_add_test(t, clock_jump_within_a_term);
 	tcase_add_test(t, fence_never_decreases);
+	tcase_add_test(t, evacuations_begin_and_end_once);
+	tcase_add_test(t, evacuations_are_bounded);
+	tcase_add_test(t, snapshot_keeps_evacuations_and_their_revision);
+	tcase_add_test(t, snapshot_without_evacuations_has_the_older_format);
 	tcase_add_test(t, claims_are_bounded);
 	tcase_add_test(t, index_is_executed_once);
 	tcase_add_loop_test(t, restore_is_exact, 0, 5);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -246,6 +246,11 @@
 	{ "GET", "/-/Config.Get", DL_CONTROL_READ, "" },
 	{ "GET", "/-/Config.Get?x=1", DL_CONTROL_READ, "?x=1" },
 	{ "GET", "/-/Config.Put", DL_CONTROL_UNKNOWN, "" },
+	{ "POST", "/-/Evacuate.Start/z-a", DL_CONTROL_EVACUATE, "z-a" },
+	{ "POST", "/-/Evacuate.End/z-a", DL_CONTROL_EVACUATE_END, "z-a" },
+	{ "GET", "/-/Evacuate.Start/z-a", DL_CONTROL_UNKNOWN, "" },
+	{ "POST", "/-/Evacuate.Start/", DL_CONTROL_UNKNOWN, "" },
+	{ "POST", "/-/Evacuate.Stop/z-a", DL_CONTROL_UNKNOWN, "" },
 	{ "POST", "/-/Instances.Heartbeat/", DL_CONTROL_UNKNOWN, "" },
 	{ "POST", "/-/Config.Putting", DL_CONTROL_UNKNOWN, "" },
 	{ "POST", "/", DL_CONTROL_UNKNOWN, "" },
@@ -299,6 +304,12 @@
 	  -22 },
 	{ ANNOUNCEMENT_WITH("\"ready\"", "4") ",\"born\":-1}", -22 },
 	{ ANNOUNCEMENT_WITH("\"ready\"", "4") ",\"born\":null}", -22 },
+	{ ANNOUNCEMENT_WITH("\"ready\"", "4") ",\"cold_remaining_ms\":-1}",
+	  -22 },
+	{ ANNOUNCEMENT_WITH("\"ready\"", "4") ",\"cold_remaining_ms\":\"9\"}",
+	  -22 },
+	{ ANNOUNCEMENT_WITH("\"ready\"", "4") ",\"cold_remaining_ms\":null}",
+	  -22 },
 	{ ANNOUNCEMENT("\"version\":\"v1\",\"slots\":16,\"seq\":4}"), -22 },
 	{ ANNOUNCEMENT("\"version\":\"v1\",\"slots\":16,\"state\":\"ready\"}"),
 	  -22 },
@@ -348,6 +359,35 @@
 }
 END_TEST
 
+struct cold_case {
+	const char *value;
+	uint32_t cold_ms;
+};
+
+static const struct cold_case cold_cases[] = {
+	{ "0", 0 },
+	{ "3000", 3000 },
+	{ "0.5", 1 },
+	{ "1e300", DL_COLD_MAX_MS },
+	{ "9223372036854775807", DL_COLD_MAX_MS },
+};
+
+START_TEST(cold_times)
+{
+	struct dl_announcement a;
+	struct dl_err err;
+	char body[512];
+
+	snprintf(body, sizeof(body),
+		 ANNOUNCEMENT_WITH("\"ready\"",
+				   "4") ",\"cold_remaining_ms\":%s}",
+		 cold_cases[_i].value);
+	ck_assert_int_eq(d->announce(DL_STR("i-7"), dl_str_of(body), &a, &err),
+			 0);
+	ck_assert_uint_eq(a.report.cold_ms, cold_cases[_i].cold_ms);
+}
+END_TEST
+
 /* The reply names the address for the next announcements, if any. */
 START_TEST(announcement_replies)
 {
@@ -400,7 +440,8 @@
 	"],\"services\":[{\"name\":\"w\",\"max_conns\":9,\"engine\":{"         \
 	"\"slots\":16,\"kv_capacity\":315000,\"stride\":51,\"step_ms\":0.85,"  \
 	"\"per_seq_ms\":0.00425,\"context_per_k\":0.00285,"                    \
-	"\"read_per_s\":177000.0,\"pairs_per_m\":0.184,\"chunk\":2048}}],"     \
+	"\"read_per_s\":177000.0,\"pairs_per_m\":0.184,\"chunk\":2048},"       \
+	"\"cold_per_s\":26.0}],"                                               \
 	"\"limits\":{\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":"       \
 	"\"t\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1}]}"
 
@@ -464,6 +505,8 @@
 		ck_assert_ptr_null(
 			dl_conf_workspace_of_key(conf, DL_STR("k3")));
 		ck_assert_uint_eq(conf->number, 7);
+		ck_assert_uint_eq(conf->services[0].pool.cold_requests_per_s,
+				  26);
 		ck_assert_double_eq_tol(
 			conf->services[0].pool.engine.read_per_ms, 177, 0.001);
 	}
@@ -495,6 +538,8 @@
 	tcase_add_loop_test(t, announcements, 0,
 			    sizeof(announcement_cases) /
 				    sizeof(announcement_cases[0]));
+	tcase_add_loop_test(t, cold_times, 0,
+			    sizeof(cold_cases) / sizeof(cold_cases[0]));
 	tcase_add_test(t, announcement_replies);
 	tcase_add_loop_test(t, configurations, 0,
 			    sizeof(config_cases) / sizeof(config_cases[0]));
--- a/test/test_throttle.c
+++ b/test/test_throttle.c
@@ -3,6 +3,7 @@
  * under load, as endpoints and callers see it.
  */
 #include <check.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -19,6 +20,8 @@
 #define WINDOW_MS  4000
 #define GRANTS_MAX 8192
 #define TARGET_MS  300
+#define COLD_PER_S 8
+#define COLD_MS	   5000
 
 struct granted {
 	uint64_t id;
@@ -44,20 +47,28 @@
 	.grant_lease_ms = 20000,
 	.report_gone_ms = 60000,
 	.weight_default = 1,
+	.cold_requests_per_s = COLD_PER_S,
 	.engine = { PUBLISHED_ENGINE, .hop_ms = 1 },
 };
 
-static void report(int endpoint, uint64_t incarnation)
+static void report_cold(struct dl_pool *to, int endpoint, uint64_t incarnation,
+			uint32_t cold_ms)
 {
 	struct dl_endpoint_report r = { .incarnation = incarnation,
 					.memory_tokens = 315000,
 					.slots = 16,
-					.takes_groups = true };
+					.takes_groups = true,
+					.cold_ms = cold_ms };
 	char id[32];
 
 	snprintf(id, sizeof(id), "10.0.0.%d:80", endpoint + 1);
 	dl_name_set(&r.id, dl_str_of(id));
-	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	ck_assert_int_eq(dl_pool_report(to, &r, now), 0);
+}
+
+static void report(int endpoint, uint64_t incarnation)
+{
+	report_cold(pool, endpoint, incarnation, 0);
 }
 
 static void open_pool(bool model)
@@ -327,6 +338,163 @@
 }
 END_TEST
 
+/* A cold endpoint gets part of what it bears, and all it can do once warm. */
+START_TEST(cold_endpoint_gets_its_limit_until_it_is_warm)
+{
+	int64_t since;
+
+	open_pool(_i);
+	run_load(2000, load_per_s(_i));
+	since = now;
+	report_cold(pool, 0, 1, COLD_MS);
+	run_load(COLD_MS - 1000, load_per_s(_i));
+	ck_assert_uint_le(most_at(LIMITED, since),
+			  COLD_PER_S * WINDOW_MS / 1000);
+	ck_assert_uint_ge(granted_at(LIMITED, since, now), 8);
+	run_load(2000, load_per_s(_i));
+	since = now;
+	run_load(4000, 2 * load_per_s(_i));
+	ck_assert_uint_ge(granted_at(LIMITED, since, now), 30);
+}
+END_TEST
+
+START_TEST(later_report_does_not_end_the_cold_time)
+{
+	int64_t since;
+
+	open_pool(_i);
+	report_cold(pool, 0, 1, COLD_MS);
+	report_cold(pool, 0, 1, 0);
+	since = now;
+	run_load(COLD_MS - 100, load_per_s(_i));
+	ck_assert_uint_le(most_at(LIMITED, since),
+			  COLD_PER_S * WINDOW_MS / 1000);
+}
+END_TEST
+
+START_TEST(new_incarnation_is_cold_only_if_it_says_so)
+{
+	open_pool(_i);
+	report_cold(pool, 0, 1, COLD_MS);
+	report(0, 2);
+	run_load(4000, 80);
+	ck_assert_uint_ge(granted_at(LIMITED, 0, now), 30);
+}
+END_TEST
+
+START_TEST(self_placing_entry_avoids_cold_endpoints)
+{
+	open_pool(_i);
+	report_cold(pool, 0, 1, COLD_MS);
+	self_placed = true;
+	run_load(COLD_MS - 100, 40);
+	ck_assert_uint_eq(granted_at(LIMITED, 0, now), 0);
+}
+END_TEST
+
+/* Requests granted to the cold endpoint in each second, by all dispatchers. */
+static uint32_t most_a_second(const int64_t *at, uint32_t n)
+{
+	uint32_t most = 0, from = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		while (at[i] - at[from] >= 1000)
+			from++;
+		if (i - from + 1 > most)
+			most = i - from + 1;
+	}
+	return most;
+}
+
+/*
+ * Two VMs dispatch at the same time, one of them takes over again and again,
+ * and a stand-in grants as well: the cold endpoint gets no more than it bears.
+ */
+START_TEST(cold_limit_holds_for_two_dispatchers_and_a_standby)
+{
+	enum {
+		POOLS = 3,
+		SECONDS = 20
+	};
+	static int64_t at[POOLS * SECONDS * 1000 / STEP_MS * 4];
+	GRand *rnd = g_rand_new_with_seed((guint32)_i);
+	struct dl_usage usage = { .ran = true, .ttft_ms = 100 };
+	struct dl_pool *pools[POOLS];
+	uint64_t open[POOLS][64] = { { 0 } };
+	uint32_t n = 0;
+
+	open_pool(false);
+	for (int p = 0; p < POOLS; p++) {
+		pools[p] = p ? NULL : pool;
+		if (p) {
+			struct dl_pool_conf conf = engines;
+
+			conf.kind = DL_POOL_PLAIN;
+			conf.engine = (struct dl_engine_model){ 0 };
+			pools[p] = dl_pool_new(&conf, &dl_policy_late_binding,
+					       (uint64_t)p);
+		}
+	}
+	for (int step = 0; step < SECONDS * 1000 / STEP_MS; step++) {
+		now += STEP_MS;
+		for (int p = 0; p < POOLS; p++) {
+			struct dl_answer out;
+
+			if (step % 100 == 0)
+				report_cold(pools[p], 0, 1, COLD_MS);
+			/* A takeover by a VM that knows nothing. */
+			if (p == 1 && g_rand_int_range(rnd, 0, 60) == 0) {
+				struct dl_pool_conf conf = engines;
+
+				dl_pool_free(pools[p]);
+				conf.kind = DL_POOL_PLAIN;
+				conf.engine = (struct dl_engine_model){ 0 };
+				pools[p] = dl_pool_new(&conf,
+						       &dl_policy_late_binding,
+						       g_rand_int(rnd));
+				memset(open[p], 0, sizeof(open[p]));
+				report_cold(pools[p], 0, 1, COLD_MS);
+				dl_pool_start_dispatching(pools[p], now);
+			}
+			for (int k = 0; k < 64; k++) {
+				if (open[p][k] && g_rand_boolean(rnd))
+					dl_pool_release(pools[p], open[p][k],
+							&usage, now);
+				if (open[p][k] && g_rand_boolean(rnd))
+					open[p][k] = 0;
+			}
+			struct dl_ask a = { .request = next_request++,
+					    .entry = 1,
+					    .workspace = DL_STR("sweeps"),
+					    .class = DL_CLASS_INTERACTIVE,
+					    .prompt_tokens = 1,
+					    .deadline = now + 3000,
+					    .standby = p == 2 };
+
+			dl_pool_ask(pools[p], &a, now, &out);
+			do {
+				if (out.verdict != DL_GRANTED)
+					continue;
+				if (dl_name_eq(&out.endpoint[0],
+					       DL_STR(LIMITED)))
+					at[n++] = now;
+				for (int k = 0; k < 64; k++) {
+					if (open[p][k])
+						continue;
+					open[p][k] = out.grant;
+					break;
+				}
+			} while (dl_pool_next(pools[p], now, &out));
+		}
+	}
+	ck_assert_uint_ge(n, SECONDS * COLD_PER_S / 2);
+	ck_assert_uint_le(most_a_second(at, n), COLD_PER_S * 3 / 2 + 5);
+	for (int p = 1; p < POOLS; p++)
+		dl_pool_free(pools[p]);
+	g_rand_free(rnd);
+}
+END_TEST
+
 START_TEST(limit_frame_round_trip)
 {
 	struct dl_limit_frame in = { .start = UINT64_MAX,
@@ -369,6 +537,14 @@
 	tcase_add_test(tc, parts_of_prompts_count_as_requests);
 	tcase_add_test(tc, grants_tell_whether_endpoint_is_limited);
 	tcase_add_test(tc, iteration_returns_recent_limits_only);
+	tcase_add_loop_test(tc, cold_endpoint_gets_its_limit_until_it_is_warm,
+			    0, 2);
+	tcase_add_loop_test(tc, later_report_does_not_end_the_cold_time, 0, 2);
+	tcase_add_loop_test(tc, new_incarnation_is_cold_only_if_it_says_so, 0,
+			    2);
+	tcase_add_loop_test(tc, self_placing_entry_avoids_cold_endpoints, 0, 2);
+	tcase_add_loop_test(
+		tc, cold_limit_holds_for_two_dispatchers_and_a_standby, 1, 9);
 	tcase_add_checked_fixture(tc, NULL, end);
 	suite_add_tcase(suite, tc);
 	tc = tcase_create("wire");
