Waiting: the first releases of a wave do not refuse the rest

The first to end raised two estimates: the mean time between releases, averaged over as many as run at once, doubled; and the correction of predicted waits rose, since a wait of a whole run had been predicted as that of one release.

Change: releases are averaged over four waves, with the running requests counted as one more; an error of a wait is taken relative to the usual run of a request.

--- a/src/coordination/pool_admit.c
+++ b/src/coordination/pool_admit.c
@@ -399,6 +399,11 @@
  * The error is computed against the prediction without the correction applied
  * at that time.  Otherwise the error of the correction itself would feed back
  * into it, with the delay of a whole wait.
+ *
+ * An endpoint becomes free at any time within the run of a request, so errors
+ * below the usual length of a run are mostly chance.  Without allowing for it,
+ * the first of many requests that started together raised the correction when
+ * it ended, and others were refused that were still in time.
  */
 void pool_admit_learn(struct dl_pool *pool, const struct pool_request *req,
 		      bool ended, int64_t now)
@@ -406,13 +411,14 @@
 	struct pool_lane *lane = &pool->lane[pool_lane_of(&req->want)];
 	double waited = (double)(now - req->since);
 	double predicted = (double)req->predicted_wait / req->bias;
+	double scale = fmax(BIAS_WAIT_MS, pool->run_ms);
 	double error;
 
 	if (!ended && waited < (double)req->predicted_wait)
 		return;
 	if (waited < BIAS_WAIT_MS && predicted < BIAS_WAIT_MS)
 		return;
-	error = (waited + BIAS_WAIT_MS) / (predicted + BIAS_WAIT_MS);
+	error = (waited + scale) / (predicted + scale);
 	if (error < BIAS_MIN)
 		error = BIAS_MIN;
 	if (error > BIAS_MAX)
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -13,12 +13,13 @@
 #define MEAN_GAIN	 0.1
 #define REORDER_SCAN_MAX 8
 /*
- * The release gap is averaged over as many releases as the pool runs requests
- * at once, and over at least this many: requests that started together end
- * together after a long gap, and that gap alone says nothing about the rest of
- * the wave.
+ * The release gap is averaged over the releases of this many waves, a wave
+ * being as many releases as the pool runs requests at once, and at least
+ * RELEASES_MIN.  Requests that started together end together after a long gap,
+ * and that gap alone says nothing about the rest of the wave.
  */
-#define RELEASES_MIN 10
+#define RELEASE_WAVES 4
+#define RELEASES_MIN  10
 
 static void attach_part(struct pool_grant *g, uint8_t at,
 			struct pool_endpoint *e, uint64_t share);
@@ -259,6 +260,12 @@
 	}
 }
 
+/*
+ * Learns the mean time between releases while requests wait.  The time waited
+ * is part of the running requests' own time, so they count as releases too:
+ * otherwise the first release of a wave would double the mean, and requests
+ * that are still in time would be refused.
+ */
 static void record_release(struct dl_pool *pool, struct pool_grant *g,
 			   int64_t now)
 {
@@ -267,12 +274,18 @@
 				pool->released_at :
 				pool->waited_since;
 	double gap = (double)(now - since);
-	double over = (double)(pool->slots > RELEASES_MIN ? pool->slots :
+	double wave = (double)(pool->slots > RELEASES_MIN ? pool->slots :
 							    RELEASES_MIN);
+	double kept = 1 - 1 / (RELEASE_WAVES * wave);
 	double took = (double)(now - g->since);
 
-	if (pool->queued)
-		pool->release_gap_ms += (gap - pool->release_gap_ms) / over;
+	if (pool->queued) {
+		pool->release_wait_ms = pool->release_wait_ms * kept + gap;
+		pool->releases = pool->releases * kept + 1;
+		pool->release_gap_ms =
+			pool->release_wait_ms / (pool->releases + wave);
+	}
+	pool->run_ms += (took - pool->run_ms) / wave;
 	pool->released_at = now;
 	ws->mean_ms += MEAN_GAIN * (took - ws->mean_ms);
 }
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -423,8 +423,11 @@
 	int64_t hold_at; /* no new hold before this time */
 
 	struct pool_rate granted[DL_CLASS_COUNT];
-	/* mean time between releases while requests wait */
+	/* mean time between releases while requests wait, and its parts */
 	double release_gap_ms;
+	double release_wait_ms;
+	double releases;
+	double run_ms; /* mean time from a grant to its release */
 	int64_t released_at;
 	int64_t waited_since; /* when the queue last became non-empty */
 	/* refused work is told to retry up to here */
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -759,6 +759,166 @@
 }
 END_TEST
 
+/*
+ * The same for the waves after the first, of which the queue is still three
+ * times as long as the last: the deadline leaves a seventh beyond what is
+ * needed.
+ */
+START_TEST(first_release_of_a_later_wave_refuses_no_request)
+{
+	enum {
+		AT_ONCE = 64,
+		REQUESTS = 234,
+		LEARNT = 200,
+		SERVICE = 2500,
+		SPREAD_MS = 800,
+		DEADLINE_MS = 12100,
+		TICK_MS = 20,
+	};
+	struct dl_answer running[REQUESTS];
+	int64_t ends[REQUESTS];
+	struct dl_pool_conf wide = conf;
+	struct dl_endpoint_report r = report_of("a:1");
+	uint32_t granted = 0, ended = 0;
+
+	wide.kind = DL_POOL_PLAIN;
+	wide.queue_entries_max = REQUESTS;
+	wide.grant_lease_ms = FAR;
+	wide.report_gone_ms = FAR;
+	dl_pool_configure(pool, &wide);
+	r.slots = AT_ONCE;
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	/* The pool learns how long a request takes. */
+	for (int i = 0; i < LEARNT; i++) {
+		running[0] = ask(1, 1, FAR);
+		now += SERVICE;
+		release(&running[0], SERVICE);
+	}
+	for (int i = 0; i < REQUESTS; i++) {
+		running[granted] = ask(1, 1, DEADLINE_MS);
+		ck_assert_int_ne(running[granted].verdict, DL_REFUSED);
+		if (running[granted].verdict != DL_GRANTED)
+			continue;
+		ends[granted++] =
+			now + SERVICE + (int64_t)SPREAD_MS * i / AT_ONCE;
+	}
+	while (ended < REQUESTS) {
+		uint32_t before = granted;
+
+		now += TICK_MS;
+		while (ended < granted && ends[ended] <= now)
+			release(&running[ended++], SERVICE);
+		granted += take_grants(&running[granted]);
+		for (uint32_t i = before; i < granted; i++)
+			ends[i] = now + SERVICE;
+	}
+	ck_assert_uint_eq(granted, REQUESTS);
+}
+END_TEST
+
+static void evacuate(const char *domain, bool begin)
+{
+	static struct dl_evacuations list;
+
+	if (!domain)
+		list = (struct dl_evacuations){ 0 };
+	else
+		dl_evacuations_set(&list, dl_str_of(domain), begin);
+	dl_pool_set_evacuations(pool, &list, now);
+}
+
+/* One engine in each of two failure domains; none is evacuated. */
+static void report_two_domains(void)
+{
+	struct dl_endpoint_report r = report_of("a:1");
+
+	evacuate(NULL, false);
+	dl_name_set(&r.failure_domain, DL_STR("north"));
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	r = report_of("b:1");
+	dl_name_set(&r.failure_domain, DL_STR("south"));
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+}
+
+START_TEST(evacuated_endpoints_get_nothing_new_and_finish_their_work)
+{
+	struct dl_answer a, b;
+
+	report_two_domains();
+	a = ask(1000, 10, FAR);
+	ck_assert(dl_name_eq(&a.endpoint[0], DL_STR("a:1")));
+	evacuate("north", true);
+	ck_assert(dl_pool_endpoint_evacuated(pool, DL_STR("a:1")));
+	ck_assert(!dl_pool_endpoint_evacuated(pool, DL_STR("b:1")));
+	ck_assert_int_eq(dl_pool_renew(pool, a.grant, now), 0);
+	for (int i = 0; i < SLOTS; i++) {
+		b = ask(100, 10, FAR);
+		ck_assert_int_eq(b.verdict, DL_GRANTED);
+		ck_assert(dl_name_eq(&b.endpoint[0], DL_STR("b:1")));
+		release(&b, 10);
+	}
+	release(&a, 100);
+	evacuate("north", false);
+	ck_assert(!dl_pool_endpoint_evacuated(pool, DL_STR("a:1")));
+	b = ask(100, 10, FAR);
+	ck_assert_int_eq(b.verdict, DL_GRANTED);
+	ck_assert(dl_name_eq(&b.endpoint[0], DL_STR("a:1")));
+}
+END_TEST
+
+/* Also one that reports for the first time, or under another incarnation. */
+START_TEST(evacuation_covers_endpoints_that_report_later)
+{
+	struct dl_endpoint_report r = report_of("c:1");
+	struct dl_answer a;
+
+	report_two_domains();
+	evacuate("north", true);
+	dl_name_set(&r.failure_domain, DL_STR("north"));
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	r.incarnation++;
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	for (int i = 0; i < SLOTS; i++) {
+		a = ask(100, 10, FAR);
+		if (a.verdict == DL_GRANTED)
+			ck_assert(dl_name_eq(&a.endpoint[0], DL_STR("b:1")));
+	}
+}
+END_TEST
+
+START_TEST(queued_requests_go_elsewhere_or_are_refused_when_all_is_evacuated)
+{
+	struct dl_answer out;
+
+	report_two_domains();
+	do {
+		out = ask(100, 10, FAR);
+	} while (out.verdict == DL_GRANTED);
+	ck_assert_int_eq(out.verdict, DL_QUEUED);
+	evacuate("north", true);
+	ck_assert(!dl_pool_next(pool, now, &out));
+	evacuate("south", true);
+	ck_assert(dl_pool_next(pool, now, &out));
+	ck_assert_int_eq(out.verdict, DL_REFUSED);
+	ck_assert_int_eq(out.reason, DL_REASON_EVACUATED);
+	ck_assert_uint_gt(out.retry_after_ms, 0);
+	out = ask(100, 10, FAR);
+	ck_assert_int_eq(out.reason, DL_REASON_EVACUATED);
+	ck_assert_uint_gt(out.retry_after_ms, 0);
+}
+END_TEST
+
+/* Where endpoints report no domain, the list has an empty name for them. */
+START_TEST(empty_name_evacuates_endpoints_without_a_domain)
+{
+	struct dl_evacuations all = { .count = 1 };
+
+	report("a:1");
+	dl_pool_set_evacuations(pool, &all, now);
+	ck_assert_int_eq(ask(100, 10, FAR).reason, DL_REASON_EVACUATED);
+}
+END_TEST
+
 /*
  * Endpoints that all stop reporting at once are cut off from the receivers of
  * their reports and stay in use; one that stops alone is gone.
@@ -895,6 +1055,14 @@
 			    sizeof(baselines) / sizeof(baselines[0]));
 	tcase_add_test(t, refusal_without_endpoints_has_retry_time);
 	tcase_add_test(t, leaving_endpoint_gets_no_new_requests);
+	tcase_add_test(
+		t, evacuated_endpoints_get_nothing_new_and_finish_their_work);
+	tcase_add_test(t, evacuation_covers_endpoints_that_report_later);
+	tcase_add_test(t, first_release_of_a_later_wave_refuses_no_request);
+	tcase_add_test(
+		t,
+		queued_requests_go_elsewhere_or_are_refused_when_all_is_evacuated);
+	tcase_add_test(t, empty_name_evacuates_endpoints_without_a_domain);
 	tcase_add_test(t, leaving_report_needs_no_figures);
 	tcase_add_test(t, last_endpoint_serves_though_ejected);
 	tcase_add_test(t, tried_endpoints_are_not_tried_again);
