Limits that hold for any number of replicas, VMs and engines

The interval counts all relays now, and each collects keys for longer where there are more than seven; - the search by the engine model considered the first 1,024 engines only: the rest of a larger pool stayed idle (test: 1,300 engines, 1,024 used before); - each frame was sent after a search of all connections, thousands at a replica.

Nothing changes up to seven replicas and about 200 endpoints.

--- a/include/daisyledge/reports.h
+++ b/include/daisyledge/reports.h
@@ -26,10 +26,11 @@
 			       int64_t since);
 /*
  * Whether peers must be told that a report is unchanged; if so, records that
- * they are. The interval grows with the number of endpoints.
+ * they are. The interval grows with the number of endpoints, here and at the
+ * other VMs that relay; relays is the number of these VMs, this one included.
  */
 bool dl_reports_relay_due(struct dl_reports *reports, uint64_t key,
-			  int64_t now);
+			  uint32_t relays, int64_t now);
 /* Records that a report was received again, by its key alone. */
 void dl_reports_refresh(struct dl_reports *reports, uint64_t key, int64_t now);
 /* Removes the report of an instance that is leaving. */
--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -167,6 +167,7 @@
 			pool->now);
 	while (pool->endpoints_n)
 		pool_endpoint_forget(pool, pool->endpoints[0]);
+	free(pool->candidates);
 	map = &pool->workspaces;
 	for (uint32_t i = 0; i <= map->mask; i++) {
 		struct pool_map_node *node = map->bucket[i];
--- a/src/coordination/pool_engine.h
+++ b/src/coordination/pool_engine.h
@@ -15,9 +15,6 @@
  * gap that streams of longer prompts tolerate (600 ms and more).
  */
 #define PART_PREFILL_MS 300.0
-/* The most engines considered for one request. */
-#define POOL_ENGINE_CANDIDATES_MAX 1024
-
 struct candidate {
 	struct pool_endpoint *endpoint;
 	struct dl_engine_forecast forecast; /* without this request */
@@ -36,7 +33,7 @@
 	uint32_t engines_min; /* for the memory; 1: the lead holds all of it */
 	double gap_share;     /* of a tolerated gap that a pass may use */
 	uint32_t count;
-	struct candidate candidate[POOL_ENGINE_CANDIDATES_MAX];
+	struct candidate *candidate; /* room for every endpoint of the pool */
 };
 
 double pool_engine_weight(const struct pool_want *want);
--- a/src/coordination/pool_engine_place.c
+++ b/src/coordination/pool_engine_place.c
@@ -5,6 +5,7 @@
 #include "pool_engine.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* No engines are added once the first event is forecast within this share. */
@@ -32,6 +33,7 @@
 /* Share of an engine's memory that a prompt may use if it needs several. */
 #define SPREAD_MEMORY_SHARE 0.35
 
+static struct candidate *candidates_of(struct dl_pool *pool);
 static void place_memory_on_lead(struct engine_search *s);
 static void place_memory_on_group(struct engine_search *s);
 static uint32_t count_led_grants(const struct pool_endpoint *e);
@@ -113,13 +115,29 @@
 	return s->engines_min > 1 ? s->want->need / n + 1 : s->want->need;
 }
 
+/*
+ * Returns room for all endpoints, which the pool keeps: a limit on those that
+ * are considered would leave the last ones of a large pool idle.
+ */
+static struct candidate *candidates_of(struct dl_pool *pool)
+{
+	if (pool->candidates_room >= pool->endpoints_n)
+		return pool->candidates;
+	pool->candidates_room = pool->endpoints_room;
+	pool->candidates =
+		realloc(pool->candidates,
+			pool->candidates_room * sizeof(struct candidate));
+	if (!pool->candidates)
+		abort();
+	return pool->candidates;
+}
+
 /* Collects the engines that may take the request, with their forecasts. */
 void pool_engine_collect(struct engine_search *s)
 {
 	s->count = 0;
-	for (uint32_t i = 0;
-	     i < s->pool->endpoints_n && s->count < POOL_ENGINE_CANDIDATES_MAX;
-	     i++) {
+	s->candidate = candidates_of(s->pool);
+	for (uint32_t i = 0; i < s->pool->endpoints_n; i++) {
 		struct pool_endpoint *e = s->pool->endpoints[i];
 		struct candidate *c = &s->candidate[s->count];
 
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -365,6 +365,8 @@
 	int64_t at;
 };
 
+struct candidate;
+
 struct dl_pool {
 	struct dl_pool_conf conf;
 	const struct dl_pool_policy *policy;
@@ -382,7 +384,9 @@
 	struct pool_map endpoint_by_name;
 	struct pool_heap endpoint_expiry;
 	struct pool_index index;
-	uint32_t next_round_robin; /* of the round robin policy */
+	uint32_t next_round_robin;    /* of the round robin policy */
+	struct candidate *candidates; /* of the search by the engine model */
+	uint32_t candidates_room;
 	struct dl_evacuations evacuations;
 
 	/*
--- a/src/coordination/reports.c
+++ b/src/coordination/reports.c
@@ -7,8 +7,8 @@
 #define REPORTS_MAX 8192
 
 /*
- * Limit on the rate of keys that a VM receives from the one that relays them,
- * in bytes per second, and the longest interval between relays of an endpoint
+ * Limit on the rate of keys that a VM receives from all that relay them, in
+ * bytes per second, and the longest interval between relays of an endpoint
  * that this limit may cause. An endpoint that is not reported for 6 s is taken
  * for gone, and its own reports may be late by seconds.
  */
@@ -119,12 +119,16 @@
 	return report && report->last_received >= since;
 }
 
-/* Whether a relay is due; the interval grows with the number of endpoints. */
-bool dl_reports_relay_due(struct dl_reports *reports, uint64_t key, int64_t now)
+/*
+ * Whether a relay is due. The interval grows with the number of endpoints, here
+ * and, by estimate, at the other VMs that relay.
+ */
+bool dl_reports_relay_due(struct dl_reports *reports, uint64_t key,
+			  uint32_t relays, int64_t now)
 {
 	struct report *report = g_hash_table_lookup(reports->by_key, &key);
-	int64_t every = (int64_t)dl_reports_count(reports) * KEY_BYTES *
-			MS_PER_S / KEY_BYTES_PER_S;
+	int64_t every = (int64_t)dl_reports_count(reports) * relays *
+			KEY_BYTES * MS_PER_S / KEY_BYTES_PER_S;
 
 	if (!report ||
 	    now - report->last_relayed < MIN(every, RELAY_DELAY_MAX_MS))
--- a/src/main/replica_announce.c
+++ b/src/main/replica_announce.c
@@ -20,13 +20,18 @@
 
 /*
  * How long keys are collected before they are sent: a sixth of the 1.5 s for
- * which a new dispatcher waits for the reports of its endpoints.
+ * which a new dispatcher waits for the reports of its endpoints. With more
+ * replicas than RELAYS_USUAL each collects for longer, so that the number of
+ * frames that an entry receives stays the same.
  */
 #define RENEWAL_BATCH_MS 250
+#define RELAYS_USUAL	 7
 /* How long new reports are collected: a few event loop iterations. */
 #define REPORT_BATCH_MS 40
 /* A report last received longer ago than this is not sent on request. */
 #define REPORT_FRESH_MS 2000
+/* Interval of counting the replicas. */
+#define RELAYS_COUNT_MS 1000
 /* Reports not received for this long are removed. */
 #define REPORT_EXPIRY_MS 30000
 
@@ -43,8 +48,11 @@
 	struct key_batch renewals;    /* of unchanged reports */
 	struct key_batch new_reports; /* of new reports */
 	int64_t last_expiry;
+	uint32_t relays; /* live replicas */
+	int64_t relays_counted_at;
 };
 
+static uint32_t count_relays(const struct replica *r);
 static void send_keys(struct replica *r, const uint64_t *keys, uint32_t count);
 static void send_reports(struct replica *r, const uint64_t *keys,
 			 uint32_t count);
@@ -54,11 +62,23 @@
 	struct replica_announce *announce = g_new0(struct replica_announce, 1);
 
 	announce->reports = dl_reports_new();
+	announce->relays = 1;
 	announce->renewals.send = send_keys;
 	announce->new_reports.send = send_reports;
 	return announce;
 }
 
+/* The live replicas, this one included; each relays to all entries. */
+static uint32_t count_relays(const struct replica *r)
+{
+	const struct dl_member *m;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; (m = dl_memb_at(r->node.memb, i)); i++)
+		n += m->replica && m->state == DL_ALIVE;
+	return MAX(n, 1);
+}
+
 /*
  * Packs the reports of known keys into one body. If memory is short nothing is
  * sent: an entry that misses a report requests it when it next gets the key.
@@ -153,7 +173,8 @@
 	dl_packer_close(&pk);
 	if (stored)
 		add_to_batch(r, &announce->new_reports, key, now);
-	else if (!is_new && dl_reports_relay_due(announce->reports, key, now))
+	else if (!is_new && dl_reports_relay_due(announce->reports, key,
+						 announce->relays, now))
 		add_to_batch(r, &announce->renewals, key, now);
 }
 
@@ -197,10 +218,16 @@
 {
 	struct replica_announce *announce = r->announce;
 
+	if (now - announce->relays_counted_at >= RELAYS_COUNT_MS) {
+		announce->relays_counted_at = now;
+		announce->relays = count_relays(r);
+	}
 	if (announce->new_reports.count &&
 	    now - announce->new_reports.sent_at >= REPORT_BATCH_MS)
 		flush_batch(r, &announce->new_reports, now);
-	if (now - announce->renewals.sent_at >= RENEWAL_BATCH_MS)
+	if (now - announce->renewals.sent_at >=
+	    (int64_t)RENEWAL_BATCH_MS * MAX(announce->relays, RELAYS_USUAL) /
+		    RELAYS_USUAL)
 		flush_batch(r, &announce->renewals, now);
 	if (now - announce->last_expiry < REPORT_EXPIRY_MS / 2)
 		return;
--- a/src/transport/peers.c
+++ b/src/transport/peers.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
 #include <msgpack.h>
 
 #include "base/metric.h"
@@ -30,7 +31,7 @@
 	uv_tcp_t tcp; /* must be first: handles are cast to struct conn */
 	uv_connect_t connecting;
 	struct dl_peers *peers;
-	struct conn *next;
+	struct conn *next, *prev;
 	uint64_t vm; /* DL_VM_NONE on an accepted one before its hello */
 	uint64_t incarnation; /* the peer's, from its hello */
 	bool outgoing;
@@ -64,6 +65,7 @@
 	uv_udp_t udp;
 	uv_timer_t timer;
 	struct conn *conns;
+	GHashTable *by_vm; /* VM to the connection opened to it */
 	uint64_t blocked[DL_PEERS_BLOCKED_MAX];
 	uint32_t blocked_count;
 	unsigned handles; /* open handles */
@@ -121,8 +123,10 @@
 static void handle_closed(struct dl_peers *peers)
 {
 	peers->handles--;
-	if (peers->closing && peers->handles == 0 && !peers->conns)
-		free(peers);
+	if (!peers->closing || peers->handles || peers->conns)
+		return;
+	g_hash_table_destroy(peers->by_vm);
+	free(peers);
 }
 
 static void on_handle_closed(uv_handle_t *handle)
@@ -152,15 +156,19 @@
 static void conn_close(struct conn *c, int why)
 {
 	struct dl_peers *peers = c->peers;
-	struct conn **at = &peers->conns;
 	char text[24];
 
 	if (c->closing)
 		return;
 	c->closing = true;
-	while (*at != c)
-		at = &(*at)->next;
-	*at = c->next;
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		peers->conns = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	if (c->outgoing && g_hash_table_lookup(peers->by_vm, &c->vm) == c)
+		g_hash_table_remove(peers->by_vm, &c->vm);
 	uv_close((uv_handle_t *)&c->tcp, on_conn_closed);
 	if (!c->outgoing || peers->closing)
 		return;
@@ -187,6 +195,8 @@
 	c->last_ping = c->last_read;
 	c->last_frame = c->last_read;
 	c->next = peers->conns;
+	if (c->next)
+		c->next->prev = c;
 	peers->conns = c;
 	return c;
 }
@@ -502,6 +512,7 @@
 	c->outgoing = true;
 	c->vm = vm;
 	c->connecting.data = c;
+	g_hash_table_replace(peers->by_vm, &c->vm, c);
 	return c;
 }
 
@@ -515,12 +526,10 @@
 
 static struct conn *conn_to(struct dl_peers *peers, uint64_t vm)
 {
-	struct conn *c;
+	struct conn *c = g_hash_table_lookup(peers->by_vm, &vm);
 
-	for (c = peers->conns; c; c = c->next) {
-		if (c->outgoing && c->vm == vm)
-			return c;
-	}
+	if (c)
+		return c;
 	c = conn_new_outgoing(peers, vm);
 	if (!c)
 		return NULL;
@@ -715,6 +724,7 @@
 	peers->conf = *conf;
 	peers->ops = ops;
 	peers->arg = arg;
+	peers->by_vm = g_hash_table_new(g_int64_hash, g_int64_equal);
 	uv_tcp_init(loop, &peers->listener);
 	uv_udp_init(loop, &peers->udp);
 	uv_timer_init(loop, &peers->timer);
--- a/test/test_placing.c
+++ b/test/test_placing.c
@@ -387,6 +387,32 @@
 }
 END_TEST
 
+/* Those beyond a thousand stayed idle while requests waited. */
+START_TEST(every_engine_of_a_large_pool_is_used)
+{
+	enum {
+		MORE = 1300,
+	};
+	uint32_t granted = 0;
+
+	for (int i = 0; i < MORE; i++) {
+		struct dl_endpoint_report r = { .incarnation = 1,
+						.memory_tokens = 315000,
+						.slots = 1 };
+		char id[32];
+
+		snprintf(id, sizeof(id), "10.1.%d.%d:80", i / 200, i % 200 + 1);
+		dl_name_set(&r.id, dl_str_of(id));
+		ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	}
+	for (int i = 0; i < MORE; i++) {
+		now += 2;
+		granted += ask_short().verdict == DL_GRANTED;
+	}
+	ck_assert_uint_eq(granted, MORE);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("placing");
@@ -410,5 +436,6 @@
 	tcase_add_test(t, burst_spills_to_other_domains);
 	tcase_add_test(t, domain_without_engines_is_served_remotely);
 	tcase_add_test(t, unknown_domains_count_as_local);
+	tcase_add_test(t, every_engine_of_a_large_pool_is_used);
 	return suite_run(s);
 }
--- a/test/test_reports.c
+++ b/test/test_reports.c
@@ -70,7 +70,7 @@
 
 	add_report("one", "one", 0, &key[0]);
 	for (int64_t at = 1200; at <= 12000; at += 1200)
-		relayed += dl_reports_relay_due(reports, key[0], at);
+		relayed += dl_reports_relay_due(reports, key[0], 1, at);
 	ck_assert_uint_eq(relayed, 10);
 	relayed = 0;
 	for (int i = 0; i < 2000; i++) {
@@ -79,9 +79,9 @@
 	}
 	for (int64_t at = 1200; at <= 12000; at += 1200)
 		for (int i = 0; i < 2000; i++)
-			relayed += dl_reports_relay_due(reports, key[i], at);
+			relayed += dl_reports_relay_due(reports, key[i], 1, at);
 	ck_assert_uint_eq(relayed, 2000ul * 5);
-	ck_assert(!dl_reports_relay_due(reports, 12345, 99999));
+	ck_assert(!dl_reports_relay_due(reports, 12345, 1, 99999));
 }
 END_TEST
 
@@ -174,6 +174,39 @@
 }
 END_TEST
 
+/*
+ * Forty endpoints at each of 25 relays are a thousand: their keys may not come
+ * as often as if there were one relay.
+ */
+START_TEST(relay_interval_grows_with_the_relays)
+{
+	enum {
+		EACH = 40,
+		BEAT_MS = 1200,
+		BEATS = 50,
+	};
+	uint32_t relayed[2] = { 0 };
+
+	for (int many = 0; many < 2; many++) {
+		for (int beat = 1; beat <= BEATS; beat++) {
+			for (int i = 0; i < EACH; i++) {
+				int64_t at = (many * BEATS + beat) * BEAT_MS;
+				char name[16];
+				uint64_t key;
+
+				snprintf(name, sizeof(name), "i-%d", i);
+				dl_reports_add(reports, dl_str_of(name),
+					       dl_str_of(name), at, &key);
+				relayed[many] += dl_reports_relay_due(
+					reports, key, many ? 25 : 1, at);
+			}
+		}
+	}
+	ck_assert_uint_ge(relayed[0], EACH * (BEATS - 1));
+	ck_assert_uint_le(relayed[1], EACH * (BEATS + 1) / 2);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("reports");
@@ -184,6 +217,7 @@
 	tcase_add_test(t, equal_reports_share_a_key);
 	tcase_add_test(t, removed_instance_has_no_report);
 	tcase_add_test(t, relay_interval_grows_with_endpoints);
+	tcase_add_test(t, relay_interval_grows_with_the_relays);
 	tcase_add_test(t, silent_endpoints_expire);
 	tcase_add_test(t, push_prefers_own_network);
 	return suite_run(s);
