--- a/test/test_placing.c
+++ b/test/test_placing.c
@@ -413,6 +413,46 @@
 }
 END_TEST
 
+/*
+ * Groups of a large pool are of engines that are free, and a prompt that waits
+ * for one does not look at all engines for each size of a group.
+ */
+START_TEST(groups_of_a_large_pool_take_free_engines)
+{
+	enum {
+		MORE = 600,
+		GROUPS = 30,
+	};
+	struct dl_name used[GROUPS * DL_GROUP_MAX];
+	uint32_t n = 0;
+
+	for (int i = 0; i < MORE; i++) {
+		struct dl_endpoint_report r = { .incarnation = 1,
+						.memory_tokens = 315000,
+						.slots = 16,
+						.takes_groups = true };
+		char id[32];
+
+		snprintf(id, sizeof(id), "10.1.%d.%d:80", i / 200, i % 200 + 1);
+		dl_name_set(&r.id, dl_str_of(id));
+		ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	}
+	for (int i = 0; i < GROUPS; i++) {
+		struct dl_answer a = ask_long(220000);
+
+		ck_assert_int_eq(a.verdict, DL_GRANTED);
+		ck_assert_uint_gt(a.endpoints, 1);
+		for (uint8_t k = 0; k < a.endpoints; k++) {
+			for (uint32_t j = 0; j < n; j++)
+				ck_assert(!dl_name_eq(
+					&used[j], dl_name_str(&a.endpoint[k])));
+		}
+		for (uint8_t k = 0; k < a.endpoints; k++)
+			used[n++] = a.endpoint[k];
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("placing");
@@ -437,5 +477,6 @@
 	tcase_add_test(t, domain_without_engines_is_served_remotely);
 	tcase_add_test(t, unknown_domains_count_as_local);
 	tcase_add_test(t, every_engine_of_a_large_pool_is_used);
+	tcase_add_test(t, groups_of_a_large_pool_take_free_engines);
 	return suite_run(s);
 }
