Lease: versions faster than they are applied do not end it

Only the latest confirmation was kept; where each answer names a version newer than the one applied here, none ever became valid, and the lease ended though each version was applied within half a second.

Ruled out: a longer lease, which says how old an admitted configuration may be; counting from the time of applying, which is later than what the replica confirmed.

Change: the earliest confirmation that waits for its version is kept beside the latest one; when it is applied the lease counts from its request.

Test: versions_faster_than_applied_keep_the_lease, failed before.

--- a/include/daisyledge/lease.h
+++ b/include/daisyledge/lease.h
@@ -16,6 +16,13 @@
 	int64_t answered_at;   /* request that was answered last */
 	int64_t confirmed_at;  /* request behind the latest confirmation */
 	uint64_t version;      /* in force by that confirmation */
+	/*
+	 * Earliest confirmation whose version is not applied here, 0 if none,
+	 * and that version: kept beside the latest one, so that versions that
+	 * come faster than they are applied do not end the lease.
+	 */
+	int64_t waiting_at;
+	uint64_t waiting_version;
 	/*
 	 * Request behind the latest confirmation whose version is applied here;
 	 * 0 if none.
--- a/src/coordination/lease.c
+++ b/src/coordination/lease.c
@@ -115,13 +115,23 @@
 }
 
 /*
- * Records the version applied here; a confirmation that waited for it becomes
- * valid.
+ * Records the version applied here; the confirmations that waited for it become
+ * valid. The latest one waits next where an earlier one no longer does.
  */
 void dl_lease_version_applied(struct dl_lease *l, uint64_t version)
 {
-	if (l->confirmed_at && version >= l->version)
+	if (l->waiting_at && version >= l->waiting_version) {
+		l->valid_from = l->waiting_at;
+		l->waiting_at = 0;
+	}
+	if (l->confirmed_at && version >= l->version) {
 		l->valid_from = l->confirmed_at;
+		l->waiting_at = 0;
+	}
+	if (!l->waiting_at && l->confirmed_at > l->valid_from) {
+		l->waiting_at = l->confirmed_at;
+		l->waiting_version = l->version;
+	}
 }
 
 /*
--- a/test/test_lease.c
+++ b/test/test_lease.c
@@ -66,6 +66,25 @@
  * Three of eight replicas do not vote and know no leader, so the leader named
  * by a follower must be asked before the next replica in turn.
  */
+/* Each version is applied 600 ms after it came into force, four a second. */
+START_TEST(versions_faster_than_applied_keep_the_lease)
+{
+	uint64_t applied = 0;
+
+	for (int64_t now = 1000; now < 1000 + 3 * LEASE; now += 250) {
+		uint64_t in_force = (uint64_t)now / 250;
+
+		dl_lease_request_sent(&lease, now);
+		answer(now, LEADER, true, in_force, applied, now + 1);
+		applied = (uint64_t)(now - 350) / 250;
+		dl_lease_version_applied(&lease, applied);
+		if (now > 3000)
+			ck_assert(dl_lease_ready(&lease, LEASE, now));
+		ck_assert_int_le(lease.valid_from, (int64_t)applied * 250);
+	}
+}
+END_TEST
+
 START_TEST(named_leader_is_asked_next)
 {
 	dl_lease_request_sent(&lease, 100000);
@@ -206,6 +225,7 @@
 			    sizeof(waits) / sizeof(waits[0]));
 	tcase_add_test(t, lease_starts_at_request);
 	tcase_add_test(t, lease_waits_for_newer_version);
+	tcase_add_test(t, versions_faster_than_applied_keep_the_lease);
 	tcase_add_test(t, named_leader_is_asked_next);
 	tcase_add_test(t, unconfirmed_leader_is_dropped);
 	tcase_add_test(t, missing_answer_times_out);
