Membership: a full table prefers live VMs, and says so

Cause: by the audit of fixed tables. At 4,096 VMs, records of VMs that are gone included, or at 16 failure domains, a live VM was not known, in silence.

Change: the record that has been gone longest gives way to a live VM; without one the VM is ignored with one line and the counter members_ignored.

Test: full_member_table_takes_a_live_vm_for_one_that_is_gone, and the flood of the older test is counted now.

--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -75,6 +75,7 @@
 	  "An endpoint's report was rejected.")                                \
 	/* membership */                                                       \
 	X(MEMB_UP, DL_INFO, "memb", "A VM joined.")                            \
+	X(MEMB_FULL, DL_ERROR, "memb", "A VM is ignored, too many are known.") \
 	X(MEMB_DOWN, DL_WARN, "memb", "A VM left or failed.")                  \
 	/* peers */                                                            \
 	X(PEER_UP, DL_DEBUG, "peers", "Connected.")                            \
--- a/src/coordination/memb.c
+++ b/src/coordination/memb.c
@@ -357,15 +357,55 @@
 	publish_state(memb, peer, now);
 }
 
-/* Adds an unknown member; false if there is no room. */
+/* Removes a member; the last one moves to its index. */
+static void drop_peer(struct dl_memb *memb, uint32_t index)
+{
+	struct memb_peer *peer = &memb->peers[index];
+
+	if (peer->dirty)
+		memb->dirty--;
+	if (peer->retransmits)
+		memb->gossip_pending--;
+	if (peer->gossip_state == DL_SUSPECT)
+		memb->suspects--;
+	memb->domains[peer->domain].hash ^= peer_hash(peer);
+	memb->domains[peer->domain].members--;
+	memb->domains[peer->domain].live -= memb_gossip_live(peer);
+	memb->npeers--;
+	memb->epoch++;
+	*peer = memb->peers[memb->npeers];
+	rehash(memb);
+}
+
+/* Removes the member that has been gone longest; false if none is gone. */
+static bool drop_oldest_gone(struct dl_memb *memb)
+{
+	uint32_t oldest = 0;
+
+	for (uint32_t i = 1; i < memb->npeers; i++) {
+		if (memb_peer_live(&memb->peers[i]))
+			continue;
+		if (!oldest ||
+		    memb->peers[i].m.since < memb->peers[oldest].m.since)
+			oldest = i;
+	}
+	if (oldest)
+		drop_peer(memb, oldest);
+	return oldest != 0;
+}
+
+/* Adds an unknown member; false if there is no room, which is counted. */
 static bool add_peer(struct dl_memb *memb, const struct memb_update *u,
 		     int64_t now)
 {
 	int domain = intern_domain(memb, u->domain, now);
 	struct memb_peer *peer;
 
-	if (domain < 0 || !grow(memb))
+	/* A record of a member that is gone is needed less than a live one. */
+	if (domain < 0 || (!grow(memb) && !drop_oldest_gone(memb))) {
+		memb->ignored++;
 		return false;
+	}
 	peer = &memb->peers[memb->npeers];
 	memset(peer, 0, sizeof(*peer));
 	peer->domain = (uint8_t)domain;
@@ -390,26 +430,6 @@
 	return true;
 }
 
-/* Removes a member; the last one moves to its index. */
-static void drop_peer(struct dl_memb *memb, uint32_t index)
-{
-	struct memb_peer *peer = &memb->peers[index];
-
-	if (peer->dirty)
-		memb->dirty--;
-	if (peer->retransmits)
-		memb->gossip_pending--;
-	if (peer->gossip_state == DL_SUSPECT)
-		memb->suspects--;
-	memb->domains[peer->domain].hash ^= peer_hash(peer);
-	memb->domains[peer->domain].members--;
-	memb->domains[peer->domain].live -= memb_gossip_live(peer);
-	memb->npeers--;
-	memb->epoch++;
-	*peer = memb->peers[memb->npeers];
-	rehash(memb);
-}
-
 /*
  * Removes members that have been gone for a day, and the oldest of more than
  * TOMBSTONES_MAX. Until then their records keep stale updates from reviving
@@ -417,7 +437,7 @@
  */
 void memb_expire_dead(struct dl_memb *memb, int64_t now)
 {
-	uint32_t gone = 0, oldest = 0;
+	uint32_t gone = 0;
 
 	for (uint32_t i = memb->npeers; i-- > 1;) {
 		const struct memb_peer *peer = &memb->peers[i];
@@ -430,16 +450,8 @@
 		}
 		gone++;
 	}
-	if (gone <= TOMBSTONES_MAX)
-		return;
-	for (uint32_t i = 1; i < memb->npeers; i++) {
-		if (memb_peer_live(&memb->peers[i]))
-			continue;
-		if (!oldest ||
-		    memb->peers[i].m.since < memb->peers[oldest].m.since)
-			oldest = i;
-	}
-	drop_peer(memb, oldest);
+	if (gone > TOMBSTONES_MAX)
+		drop_oldest_gone(memb);
 }
 
 /* Suspects a member that did not answer this VM's probe. */
@@ -620,6 +632,12 @@
 	intent->page = 0;
 }
 
+/* Returns how often a live VM was ignored because the tables are full. */
+uint64_t dl_memb_ignored(const struct dl_memb *memb)
+{
+	return memb->ignored;
+}
+
 /* Adds an address from the settings, which is contacted until it answers. */
 void dl_memb_add_seed(struct dl_memb *memb, uint64_t vm, int64_t now)
 {
--- a/src/main/node.c
+++ b/src/main/node.c
@@ -88,6 +88,19 @@
 		node->ops->down(node->arg, vm);
 }
 
+/* Counts VMs that membership has no room for; the first one is logged. */
+static void note_ignored_members(struct dl_node *node)
+{
+	uint64_t ignored = dl_memb_ignored(node->memb);
+
+	if (ignored == node->members_ignored)
+		return;
+	if (!node->members_ignored)
+		dl_msg(DL_MSG_MEMB_FULL, "ignored=%lu", (unsigned long)ignored);
+	dl_count(DL_METRIC_members_ignored, ignored - node->members_ignored);
+	node->members_ignored = ignored;
+}
+
 /* Sends pending membership datagrams and delivers membership events. */
 void dl_node_pump(struct dl_node *node)
 {
@@ -104,6 +117,7 @@
 		if (node->ops->member)
 			node->ops->member(node->arg, &member);
 	}
+	note_ignored_members(node);
 }
 
 /* For tests: blocks the peers listed in the file; none if it is missing. */
--- a/src/main/node.h
+++ b/src/main/node.h
@@ -40,6 +40,8 @@
 	uint64_t incarnation;
 	struct dl_peers *peers;
 	struct dl_memb *memb;
+	uint64_t members_ignored; /* as counted and logged, see
+				     dl_memb_ignored() */
 	const struct dl_node_ops *ops;
 	void *arg;
 	struct dl_httpd *metrics; /* NULL if not configured */
--- a/src/main/node_announce.c
+++ b/src/main/node_announce.c
@@ -31,7 +31,8 @@
 		dl_msg(DL_MSG_DIRECTORY_FULL, "endpoint=%s instance=%s",
 		       a->report.id.s, a->instance.s);
 	}
-	if (result == DL_DIRECTORY_NEW || result == DL_DIRECTORY_LEAVING)
+	if (*entry &&
+	    (result == DL_DIRECTORY_NEW || result == DL_DIRECTORY_LEAVING))
 		dl_msg(result == DL_DIRECTORY_NEW ? DL_MSG_ENDPOINT_NEW :
 						    DL_MSG_ENDPOINT_LEAVING,
 		       "endpoint=%s instance=%s born=%lu", (*entry)->address.s,
--- a/test/test_memb.c
+++ b/test/test_memb.c
@@ -28,6 +28,7 @@
 #define BUDGET_MS	   20000
 #define HEADER_BYTES	   46 /* framing, UDP and IP headers */
 #define FLOOD_VMS	   12000
+#define MANY_DOMAINS	   30 /* more than are kept */
 #define MEMBERS_MAX	   4096
 #define LONG_PAUSE_MS	   300000
 
@@ -472,37 +473,71 @@
 }
 END_TEST
 
+/* Passes what one VM has to send to another, whatever it is addressed to. */
+static void pass(struct dl_memb *from, uint64_t vm, struct dl_memb *to,
+		 int64_t now)
+{
+	char buf[DL_MEMB_DATAGRAM_MAX];
+	uint64_t addressee;
+	size_t n;
+
+	while (dl_memb_next_datagram(from, now, &addressee, buf, &n))
+		dl_memb_receive(to, vm, (struct dl_str){ buf, n }, now);
+}
+
+/* A VM with the number i, of one of so many domains, greets VM 0 of the net. */
+static uint64_t greet(struct memb_net *net, uint32_t i, uint32_t domains)
+{
+	struct dl_memb_conf conf = net->conf.memb;
+	struct dl_memb *other;
+
+	conf.self = (UINT64_C(0x0b000000) + i) << 16 | 1;
+	conf.domain = memb_net_domain(i % domains);
+	other = dl_memb_new(&conf, 1, net->now);
+	dl_memb_add_seed(other, net->vms[0].vm, net->now);
+	pass(other, conf.self, net->vms[0].memb, net->now);
+	dl_memb_free(other);
+	return conf.self;
+}
+
 /* Memory for the addresses and updates of VMs is bounded. */
 START_TEST(member_table_is_bounded)
 {
 	struct memb_net *net = started(2, 1, 3);
-	struct dl_memb_conf conf = net->conf.memb;
 	struct dl_memb *memb = net->vms[0].memb;
-	char buf[DL_MEMB_DATAGRAM_MAX];
 	uint32_t count = 0;
-	uint64_t to;
-	size_t n;
 
-	for (uint32_t i = 0; i < FLOOD_VMS; i++) {
-		struct dl_memb *other;
-
-		conf.self = (UINT64_C(0x0b000000) + i) << 16 | 1;
-		conf.domain = memb_net_domain(i % 30);
-		other = dl_memb_new(&conf, 1, net->now);
-		dl_memb_add_seed(other, net->vms[0].vm, net->now);
-		while (dl_memb_next_datagram(other, net->now, &to, buf, &n))
-			dl_memb_receive(memb, conf.self,
-					(struct dl_str){ buf, n }, net->now);
-		dl_memb_free(other);
-	}
+	for (uint32_t i = 0; i < FLOOD_VMS; i++)
+		greet(net, i, MANY_DOMAINS);
 	while (dl_memb_at(memb, count))
 		count++;
 	ck_assert_uint_le(count, MEMBERS_MAX);
+	ck_assert_uint_ge(dl_memb_ignored(memb), FLOOD_VMS + 2 - MEMBERS_MAX);
 	ck_assert(memb_net_sees(net, 0, 1));
 	memb_net_free(net);
 }
 END_TEST
 
+START_TEST(full_member_table_takes_a_live_vm_for_one_that_is_gone)
+{
+	struct memb_net *net = started(2, 1, 3);
+	struct dl_memb *memb = net->vms[0].memb;
+	uint64_t vm;
+
+	for (uint32_t i = 0; i < MEMBERS_MAX - 2; i++)
+		greet(net, i, 1);
+	ck_assert_uint_eq(dl_memb_ignored(memb), 0);
+	vm = greet(net, MEMBERS_MAX, 1);
+	ck_assert(!dl_memb_find(memb, vm));
+	dl_memb_leave(net->vms[1].memb, net->now);
+	pass(net->vms[1].memb, net->vms[1].vm, memb, net->now);
+	vm = greet(net, MEMBERS_MAX + 1, 1);
+	ck_assert(dl_memb_find(memb, vm));
+	ck_assert(!dl_memb_find(memb, net->vms[1].vm));
+	memb_net_free(net);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("memb");
@@ -529,5 +564,7 @@
 	tcase_add_test(t, traffic_within_budget);
 	tcase_add_test(t, many_vms_of_one_domain_agree);
 	tcase_add_test(t, member_table_is_bounded);
+	tcase_add_test(t,
+		       full_member_table_takes_a_live_vm_for_one_that_is_gone);
 	return suite_run(s);
 }
--- a/test/test_reports.c
+++ b/test/test_reports.c
@@ -190,7 +190,8 @@
 	for (int many = 0; many < 2; many++) {
 		for (int beat = 1; beat <= BEATS; beat++) {
 			for (int i = 0; i < EACH; i++) {
-				int64_t at = (many * BEATS + beat) * BEAT_MS;
+				int64_t at = (int64_t)BEAT_MS *
+					     (many * BEATS + beat);
 				char name[16];
 				uint64_t key;
 
@@ -202,8 +203,8 @@
 			}
 		}
 	}
-	ck_assert_uint_ge(relayed[0], EACH * (BEATS - 1));
-	ck_assert_uint_le(relayed[1], EACH * (BEATS + 1) / 2);
+	ck_assert_uint_ge(relayed[0], (uint64_t)EACH * (BEATS - 1));
+	ck_assert_uint_le(relayed[1], (uint64_t)EACH * (BEATS + 1) / 2);
 }
 END_TEST
 
