--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 # The embeddable library contains the code that does no input or output.
 LIBSRC != ls src/base/*.c src/coordination/*.c src/state/*.c 2>/dev/null || true
 IOSRC != ls src/transport/*.c src/protocol/*.c platform/*.c 2>/dev/null || true
-MAINSRC != ls src/main/*.c 2>/dev/null || true
+MAINSRC != ls src/main/*.c src/entry/*.c src/replica/*.c src/cli/*.c \
+	src/node/*.c 2>/dev/null || true
 FAKESRC != ls test/fake/*.c 2>/dev/null || true
 TESTSRC != ls test/test_*.c 2>/dev/null || true
 TOOLSRC != ls test/tool_*.c 2>/dev/null || true
--- a/src/main/cli.h
+++ b/src/cli/cli.h
@@ -2,8 +2,8 @@
  * Common parts of the operators' subcommands: options, requests to entries and
  * printing of results.
  */
-#ifndef DL_MAIN_CLI_H
-#define DL_MAIN_CLI_H
+#ifndef DL_CLI_CLI_H
+#define DL_CLI_CLI_H
 
 #include <glib.h>
 #include <jansson.h>
--- a/src/main/cli_check.c
+++ b/src/cli/cli_check.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "main/cli.h"
+#include "cli/cli.h"
 #include "main/main.h"
 
 static void print_ok(const struct cli *cli, const struct dl_conf *conf);
--- a/src/main/cli_evacuate.c
+++ b/src/cli/cli_evacuate.c
@@ -1,7 +1,7 @@
 /* daisyledge evacuate: begins or ends the evacuation of a failure domain. */
 #include <string.h>
 
-#include "main/cli.h"
+#include "cli/cli.h"
 #include "main/main.h"
 
 #define OK	       200
--- a/src/main/cli_explain.c
+++ b/src/cli/cli_explain.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "main/cli.h"
+#include "cli/cli.h"
 #include "main/main.h"
 #include "protocol/explain.h"
 
--- a/src/main/cli_get.c
+++ b/src/cli/cli_get.c
@@ -2,7 +2,7 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "main/cli.h"
+#include "cli/cli.h"
 #include "main/main.h"
 
 #define OK 200
--- a/src/main/cli_http.c
+++ b/src/cli/cli_http.c
@@ -1,7 +1,7 @@
 /* Synchronous HTTP requests to entries. */
 #include <string.h>
 
-#include "main/cli.h"
+#include "cli/cli.h"
 #include "transport/httpc.h"
 
 #define CONNECT_MS     2000
--- a/src/main/cli_opt.c
+++ b/src/cli/cli_opt.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "main/cli.h"
+#include "cli/cli.h"
 #include "main/main.h"
 
 #define ENTRY_ENV	  "DAISYLEDGE_ENTRY"
--- a/src/main/cli_status.c
+++ b/src/cli/cli_status.c
@@ -1,7 +1,7 @@
 /* daisyledge status: lists VMs, replicas, pools and endpoints. */
 #include <string.h>
 
-#include "main/cli.h"
+#include "cli/cli.h"
 #include "main/main.h"
 
 #define OK 200
--- a/src/main/entry.c
+++ b/src/entry/entry.c
@@ -1,5 +1,5 @@
 /* Starts and stops the entry and dispatches received frames to its parts. */
-#include "main/entry.h"
+#include "entry/entry.h"
 
 #include <errno.h>
 #include <stdio.h>
--- a/src/main/entry.h
+++ b/src/entry/entry.h
@@ -30,8 +30,8 @@
  *   entry_ops.c        operators' HTTP API
  *   entry_trace.c      traces of recent requests
  */
-#ifndef DL_MAIN_ENTRY_H
-#define DL_MAIN_ENTRY_H
+#ifndef DL_ENTRY_ENTRY_H
+#define DL_ENTRY_ENTRY_H
 
 #include <glib.h>
 #include <inttypes.h>
@@ -44,8 +44,8 @@
 #include "daisyledge/reports.h"
 #include "daisyledge/lease.h"
 #include "daisyledge/pool.h"
-#include "main/node.h"
-#include "main/quarantine.h"
+#include "node/node.h"
+#include "node/quarantine.h"
 #include "protocol/api.h"
 #include "protocol/pool_codec.h"
 #include "protocol/sse.h"
--- a/src/main/entry_announce.c
+++ b/src/entry/entry_announce.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "base/msg.h"
-#include "main/entry.h"
+#include "entry/entry.h"
 
 #define MS_PER_S 1000
 
--- a/src/main/entry_answer.c
+++ b/src/entry/entry_answer.c
@@ -2,7 +2,7 @@
  */
 #include <stdlib.h>
 
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 
 static size_t fill_headers(const struct call *c, struct dl_header *out,
 			   const char *retry_after)
--- a/src/main/entry_attempt.c
+++ b/src/entry/entry_attempt.c
@@ -1,5 +1,5 @@
 /* Bookkeeping of attempts that API requests and routed requests share. */
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 
 /*
  * Hashes workspace, method, path and body, to recognise a request that is sent
--- a/src/main/entry_backoff.c
+++ b/src/entry/entry_backoff.c
@@ -7,7 +7,7 @@
  */
 #include "base/metric.h"
 #include "base/msg.h"
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 
 /*
  * Shortest backoff. If it were shorter, each retry of one request could reach
--- a/src/main/entry_call.c
+++ b/src/entry/entry_call.c
@@ -6,7 +6,7 @@
 #include "base/hist.h"
 #include "base/metric.h"
 #include "base/msg.h"
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 
 /* Bounds the table of bytes a token; further workspaces use the default. */
 #define RATIOS_MAX	32768
--- a/src/main/entry_call.h
+++ b/src/entry/entry_call.h
@@ -1,8 +1,8 @@
 /* Functions on a request that only the files that handle requests share. */
-#ifndef DL_MAIN_ENTRY_CALL_H
-#define DL_MAIN_ENTRY_CALL_H
+#ifndef DL_ENTRY_ENTRY_CALL_H
+#define DL_ENTRY_ENTRY_CALL_H
 
-#include "main/entry.h"
+#include "entry/entry.h"
 
 /* entry_call.c */
 struct dl_str call_copy_str(struct dl_str s);
--- a/src/main/entry_claim.c
+++ b/src/entry/entry_claim.c
@@ -4,7 +4,7 @@
  */
 #include <errno.h>
 
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 
 #define CLAIM_MS	2000
 #define CLAIM_EXPIRES_S 86400
--- a/src/main/entry_cmd.c
+++ b/src/entry/entry_cmd.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "main/entry.h"
+#include "entry/entry.h"
 #include "protocol/cmd.h"
 
 /*
--- a/src/main/entry_conf.c
+++ b/src/entry/entry_conf.c
@@ -8,8 +8,8 @@
 
 #include "base/metric.h"
 #include "base/msg.h"
-#include "main/entry.h"
-#include "main/log.h"
+#include "entry/entry.h"
+#include "node/log.h"
 #include "protocol/conf_push.h"
 #include "protocol/deflate.h"
 
--- a/src/main/entry_evacuation.c
+++ b/src/entry/entry_evacuation.c
@@ -11,7 +11,7 @@
 
 #include "base/metric.h"
 #include "base/msg.h"
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 #include "protocol/evacuation_codec.h"
 
 /* Grants that one request may give back because of an evacuation. */
--- a/src/main/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -10,7 +10,7 @@
 #include "base/hist.h"
 #include "base/metric.h"
 #include "base/msg.h"
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 
 /*
  * A dispatcher replies within one iteration of its event loop; after this time
--- a/src/main/entry_http.c
+++ b/src/entry/entry_http.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "base/metric.h"
-#include "main/entry.h"
+#include "entry/entry.h"
 #include "protocol/api.h"
 
 /* An endpoint that has not announced itself for this long counts as gone; it
--- a/src/main/entry_lease.c
+++ b/src/entry/entry_lease.c
@@ -5,7 +5,7 @@
  * no API key once its lease has expired: the key may have been revoked.
  */
 #include "base/msg.h"
-#include "main/entry.h"
+#include "entry/entry.h"
 #include "protocol/pack.h"
 
 /*
--- a/src/main/entry_limit.c
+++ b/src/entry/entry_limit.c
@@ -5,7 +5,7 @@
  * reports recent limits to it.
  */
 #include "base/msg.h"
-#include "main/entry.h"
+#include "entry/entry.h"
 
 /*
  * Older limits are not reported to a new dispatcher: an endpoint that still has
--- a/src/main/entry_ops.c
+++ b/src/entry/entry_ops.c
@@ -8,7 +8,7 @@
 
 #include <jansson.h>
 
-#include "main/entry.h"
+#include "entry/entry.h"
 #include "protocol/api.h"
 
 #define APPLY_TIMEOUT_MS  8000
--- a/src/main/entry_pool.c
+++ b/src/entry/entry_pool.c
@@ -9,7 +9,7 @@
 
 #include "base/metric.h"
 #include "base/msg.h"
-#include "main/entry.h"
+#include "entry/entry.h"
 
 /* Frequent enough for spilling to use a backlog at most a second old. */
 #define SUMMARY_INTERVAL_MS 500
--- a/src/main/entry_quarantine.c
+++ b/src/entry/entry_quarantine.c
@@ -5,7 +5,7 @@
  * endpoint's address then refuses connections, or another instance is running
  * there.
  */
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 
 #include <errno.h>
 
--- a/src/main/entry_reach.c
+++ b/src/entry/entry_reach.c
@@ -7,7 +7,7 @@
  * a partition choose the same successor.
  */
 #include "base/msg.h"
-#include "main/entry.h"
+#include "entry/entry.h"
 
 /*
  * A silent connection is closed and reported as lost every two seconds, so that
--- a/src/main/entry_read.c
+++ b/src/entry/entry_read.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "base/metric.h"
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 
 /* Thousandths of bytes a token, until endpoints have reported token counts. */
 #define BYTES_PER_TOKEN_MILLI 4000
--- a/src/main/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -9,7 +9,7 @@
 
 #include "base/metric.h"
 #include "base/msg.h"
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 #include "platform/platform.h"
 
 #define HELD_BODY_MAX (8u << 20)
--- a/src/main/entry_remote.c
+++ b/src/entry/entry_remote.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "main/entry.h"
+#include "entry/entry.h"
 
 /* Requests spill only to pools whose summary is newer than this. */
 #define SUMMARY_MAX_AGE_MS 3000
--- a/src/main/entry_renew.c
+++ b/src/entry/entry_renew.c
@@ -2,7 +2,7 @@
  * Leases of grants: renews them, and transfers a grant when another VM becomes
  * the dispatcher.
  */
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 
 /* Three renewals per lease, so that a lost one does no harm. */
 #define RENEWALS_PER_LEASE 3
--- a/src/main/entry_reservation.c
+++ b/src/entry/entry_reservation.c
@@ -9,7 +9,7 @@
 #include <string.h>
 
 #include "base/msg.h"
-#include "main/entry.h"
+#include "entry/entry.h"
 #include "platform/platform.h"
 
 /*
--- a/src/main/entry_route.c
+++ b/src/entry/entry_route.c
@@ -8,7 +8,7 @@
 
 #include "base/metric.h"
 #include "base/msg.h"
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 #include "platform/platform.h"
 
 /*
--- a/src/main/entry_trace.c
+++ b/src/entry/entry_trace.c
@@ -5,7 +5,7 @@
 #include <jansson.h>
 
 #include "base/metric.h"
-#include "main/entry.h"
+#include "entry/entry.h"
 
 #define TRACES_MAX 256
 
--- a/src/main/entry_try.c
+++ b/src/entry/entry_try.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "base/metric.h"
-#include "main/entry_call.h"
+#include "entry/entry_call.h"
 #include "protocol/api.h"
 
 #define HEADERS_MAX 64
--- a/src/main/log.c
+++ b/src/node/log.c
@@ -1,5 +1,5 @@
 /* Connects the library's log messages to log4c and a ring buffer. */
-#include "main/log.h"
+#include "node/log.h"
 
 #include <errno.h>
 #include <fcntl.h>
--- a/src/main/log.h
+++ b/src/node/log.h
@@ -1,6 +1,6 @@
 /* Logging through log4c: one line per message, prefixed with its part. */
-#ifndef DL_MAIN_LOG_H
-#define DL_MAIN_LOG_H
+#ifndef DL_NODE_LOG_H
+#define DL_NODE_LOG_H
 
 #include "daisyledge/base.h"
 
--- a/src/main/node.c
+++ b/src/node/node.c
@@ -1,5 +1,5 @@
 /* The parts that entries and replicas have in common. */
-#include "main/node.h"
+#include "node/node.h"
 
 #include <errno.h>
 #include <log4c.h>
@@ -11,7 +11,7 @@
 
 #include "base/metric.h"
 #include "base/msg.h"
-#include "main/log.h"
+#include "node/log.h"
 
 #define INCARNATION_SHIFT 10
 #define NS_PER_S	  1000000000
--- a/src/main/node.h
+++ b/src/node/node.h
@@ -2,8 +2,8 @@
  * Common base of the entry and replica processes: event loop, peer connections,
  * membership, log, settings, metrics and signals.
  */
-#ifndef DL_MAIN_NODE_H
-#define DL_MAIN_NODE_H
+#ifndef DL_NODE_NODE_H
+#define DL_NODE_NODE_H
 
 #include <uv.h>
 
--- a/src/main/node_announce.c
+++ b/src/node/node_announce.c
@@ -1,7 +1,7 @@
 /* Announcements of endpoints whose instances have names. */
 #include "base/metric.h"
 #include "base/msg.h"
-#include "main/node.h"
+#include "node/node.h"
 
 /*
  * Applies an announcement to a directory, logs the change and returns it. Sets
--- a/src/main/node_metrics.c
+++ b/src/node/node_metrics.c
@@ -4,7 +4,7 @@
 
 #include "base/hist.h"
 #include "base/metric.h"
-#include "main/node.h"
+#include "node/node.h"
 #include "transport/httpd.h"
 
 #define CONNS_MAX	16
--- a/src/main/quarantine.c
+++ b/src/node/quarantine.c
@@ -1,5 +1,5 @@
 /* Crash reports exchanged between entries and replicas; see the header. */
-#include "main/quarantine.h"
+#include "node/quarantine.h"
 
 #include "base/metric.h"
 #include "base/msg.h"
--- a/src/main/quarantine.h
+++ b/src/node/quarantine.h
@@ -5,8 +5,8 @@
  * failure domain still learns of the crashes there; a VM that reconnects is
  * sent all reports.
  */
-#ifndef DL_MAIN_QUARANTINE_H
-#define DL_MAIN_QUARANTINE_H
+#ifndef DL_NODE_QUARANTINE_H
+#define DL_NODE_QUARANTINE_H
 
 #include <glib.h>
 
--- a/src/main/replica.c
+++ b/src/replica/replica.c
@@ -5,7 +5,7 @@
  * event loop are processed together before the loop waits again, so that their
  * entries share one sync.
  */
-#include "main/replica.h"
+#include "replica/replica.h"
 
 #include <errno.h>
 #include <stdio.h>
--- a/src/main/replica.h
+++ b/src/replica/replica.h
@@ -1,6 +1,6 @@
-/* State of the replica process, shared by src/main/replica_*.c. */
-#ifndef DL_MAIN_REPLICA_H
-#define DL_MAIN_REPLICA_H
+/* State of the replica process, shared by src/replica. */
+#ifndef DL_REPLICA_REPLICA_H
+#define DL_REPLICA_REPLICA_H
 
 #include <glib.h>
 #include <jansson.h>
@@ -8,8 +8,8 @@
 #include "daisyledge/crash_store.h"
 #include "daisyledge/cstore.h"
 #include "daisyledge/rlog.h"
-#include "main/node.h"
-#include "main/quarantine.h"
+#include "node/node.h"
+#include "node/quarantine.h"
 #include "protocol/pack.h"
 #include "transport/disk_file.h"
 #include "transport/httpd.h"
--- a/src/main/replica_announce.c
+++ b/src/replica/replica_announce.c
@@ -15,7 +15,7 @@
 #include <string.h>
 
 #include "daisyledge/reports.h"
-#include "main/replica.h"
+#include "replica/replica.h"
 #include "protocol/pool_codec.h"
 
 /*
--- a/src/main/replica_cmd.c
+++ b/src/replica/replica_cmd.c
@@ -9,7 +9,7 @@
 #include <string.h>
 
 #include "daisyledge/conf.h"
-#include "main/replica.h"
+#include "replica/replica.h"
 #include "protocol/cmd.h"
 
 /* A sender that waited longer has retried at another replica. */
--- a/src/main/replica_conf.c
+++ b/src/replica/replica_conf.c
@@ -13,7 +13,7 @@
 #include <string.h>
 
 #include "daisyledge/conf.h"
-#include "main/replica.h"
+#include "replica/replica.h"
 #include "protocol/conf_push.h"
 #include "protocol/deflate.h"
 
--- a/src/main/replica_evacuation.c
+++ b/src/replica/replica_evacuation.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 #include "base/msg.h"
-#include "main/replica.h"
+#include "replica/replica.h"
 #include "protocol/evacuation_codec.h"
 
 /* Adds the list to a frame for an entry. */
--- a/src/main/replica_http.c
+++ b/src/replica/replica_http.c
@@ -17,7 +17,7 @@
 #include "base/msg.h"
 #include "daisyledge/directory.h"
 #include "main/main.h"
-#include "main/replica.h"
+#include "replica/replica.h"
 #include "platform/platform.h"
 #include "protocol/pool_codec.h"
 #include "transport/httpd.h"
--- a/src/main/replica_lease.c
+++ b/src/replica/replica_lease.c
@@ -3,7 +3,7 @@
  * only while no other leader can exist. An entry may accept its callers' keys
  * for a limited time, counted from when it sent its request.
  */
-#include "main/replica.h"
+#include "replica/replica.h"
 #include "protocol/evacuation_codec.h"
 
 /*
--- a/src/main/replica_orders.c
+++ b/src/replica/replica_orders.c
@@ -13,7 +13,7 @@
 
 #include "daisyledge/conf.h"
 #include "daisyledge/orders.h"
-#include "main/replica.h"
+#include "replica/replica.h"
 #include "transport/httpc.h"
 
 /* Endpoints announce every second, so faster queries would learn nothing. */
--- a/src/main/replica_quarantine.c
+++ b/src/replica/replica_quarantine.c
@@ -3,7 +3,7 @@
  * observed them to all VMs, and stores the active quarantines on disk.
  */
 #include "base/msg.h"
-#include "main/replica.h"
+#include "replica/replica.h"
 
 static void on_saved(void *arg, int code);
 
--- a/src/main/replica_query.c
+++ b/src/replica/replica_query.c
@@ -11,7 +11,7 @@
 
 #include <jansson.h>
 
-#include "main/replica.h"
+#include "replica/replica.h"
 
 #define FORWARD_TIMEOUT_MS 250
 #define FORWARDED_MAX	   256
