--- a/include/daisyledge/rlog.h
+++ b/include/daisyledge/rlog.h
@@ -224,7 +224,7 @@
 	bool lease;
 	/*
 	 * A leader can be reached: this replica holds the lease, follows, or
-	 * is not a member and was told so recently by one.
+	 * is not a member and had a reply of one recently.
 	 */
 	bool contact;
 	uint64_t joins_ignored; /* join requests beyond those kept */
--- a/src/state/rlog_bootstrap.c
+++ b/src/state/rlog_bootstrap.c
@@ -27,7 +27,7 @@
 
 /* A join request counts for the first start for this many intervals. */
 #define JOIN_VALID_INTERVALS 4
-/* What a member said about the leader holds for this many intervals. */
+/* A member's reply about the leader holds for this many intervals. */
 #define CONTACT_INTERVALS 4
 
 static uint64_t listed_digest(const struct dl_rlog *r);
@@ -273,7 +273,7 @@
 
 /*
  * Whether a leader can be reached, as the leader, as a follower, or by what a
- * member said of late.
+ * member replied recently.
  */
 bool rlog_has_contact(const struct dl_rlog *r, int64_t now)
 {
@@ -288,7 +288,7 @@
 
 /*
  * Names the leader to a VM that asked to join.  A replica that only knows the
- * leader by the word of others passes the name on, but does not vouch for it.
+ * leader from such replies passes its address on, marked as unconfirmed.
  */
 static void send_join_reply(struct dl_rlog *r, const struct dl_rlog_msg *m,
 			    int64_t now)
@@ -311,7 +311,7 @@
 	rlog_queue(r, &reply, 0);
 }
 
-/* Handles who leads, as said by another replica. */
+/* Handles a reply to a join request, which names the leader. */
 void rlog_on_join_reply(struct dl_rlog *r, const struct dl_rlog_msg *m,
 			int64_t now)
 {
--- a/src/state/rlog_int.h
+++ b/src/state/rlog_int.h
@@ -121,7 +121,7 @@
 	struct rlog_join_request joins[RLOG_JOINS_MAX];
 	uint64_t joins_ignored;
 
-	/* What members told this replica while it is not one of them. */
+	/* From members' replies while this replica is not one of them. */
 	uint64_t contact_vm; /* the leader, or DL_VM_NONE */
 	uint64_t contact_term;
 	int64_t contact_at;
