Membership: while gossip is behind, pull from VMs that know more

Change: they are due only from a VM that knows more live members.

Test: vms_that_miss_a_mass_start_learn_of_the_rest holds.

--- a/src/coordination/memb_digest.c
+++ b/src/coordination/memb_digest.c
@@ -145,16 +145,18 @@
 
 /*
  * Whether a pull of a domain with a different hash is due. Gossip is given time
- * to converge, but not while there is more news than one datagram takes: after
- * a start of a thousand VMs it would take minutes, during which VMs disagree
- * about who dispatches.
+ * to converge, but not while there is more news than one datagram takes and the
+ * sender knows more live members: after a start of a thousand VMs gossip alone
+ * would take minutes, during which VMs disagree about who dispatches. Other
+ * differences, such as versions, are left to gossip then too: a pull of them by
+ * every VM at once would cost more than they are worth.
  */
 static bool pull_due(const struct dl_memb *memb, const struct memb_domain *d,
-		     bool digest, int64_t now)
+		     bool digest, bool sender_knows_more, int64_t now)
 {
 	if (digest)
 		return now - d->last_pull >= DIGEST_PULL_MS;
-	if (memb->gossip_pending > MEMB_PIGGYBACK_MAX)
+	if (sender_knows_more && memb->gossip_pending > MEMB_PIGGYBACK_MAX)
 		return now - d->last_pull >= PULL_BEHIND_MS;
 	if (now - d->last_pull < PULL_EVERY_MS)
 		return false;
@@ -198,7 +200,8 @@
 		    now - (int64_t)s->age_ms > d->last_contact)
 			d->last_contact = now - (int64_t)s->age_ms;
 		if (s->hash == d->hash ||
-		    !pull_due(memb, d, digest && s->tag == sender_tag, now))
+		    !pull_due(memb, d, digest && s->tag == sender_tag,
+			      s->tag == sender_tag && msg->live > d->live, now))
 			continue;
 		d->last_pull = now;
 		memb_queue(memb, MEMB_PULL, from, ++memb->seq, s->tag);
