Read as a newcomer: one way to replace a grant, plain names

- Release of reservations and grant and the next ask stood three times, in entry_relay.c, entry_backoff.c and, added with evacuations, entry_evacuation.c: entry_grant_replace() now.
- log_role() also counted join requests: note_ignored_joins() does.
- Tests: wait_endpoints_known and one_plain_endpoint instead of copies.

--- a/src/coordination/pool_engine.h
+++ b/src/coordination/pool_engine.h
@@ -18,8 +18,8 @@
 /*
  * The most engines from which a group is chosen: those that are free first,
  * ten times the largest group.  Each request that waits is tried again and
- * again for each size of a group; with all engines of a large pool its
- * dispatcher did little else, and every request was granted late.
+ * again for each size of a group; with all engines the time of a decision would
+ * grow with the pool, and other requests of its dispatcher wait for it.
  */
 #define POOL_ENGINE_GROUP_CANDIDATES (10 * DL_GROUP_MAX)
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -452,6 +452,7 @@
 void entry_grant_answer(struct entry *e, uint64_t from,
 			const struct dl_answer_frame *f);
 void entry_grant_release(struct call *c);
+void entry_grant_replace(struct call *c);
 void entry_grant_first_event(struct call *c);
 void entry_grant_cancel(struct call *c);
 void entry_grant_down(struct entry *e, uint64_t vm);
--- a/src/entry/entry_backoff.c
+++ b/src/entry/entry_backoff.c
@@ -130,8 +130,5 @@
 				  c->e->node.self, c->usage.backoff_ms);
 		return;
 	}
-	entry_reservation_release(c);
-	entry_grant_release(c);
-	c->first_byte_at = 0;
-	entry_grant_ask(c);
+	entry_grant_replace(c);
 }
--- a/src/entry/entry_evacuation.c
+++ b/src/entry/entry_evacuation.c
@@ -136,8 +136,5 @@
 		return;
 	}
 	call_note_tried(c);
-	entry_reservation_release(c);
-	entry_grant_release(c);
-	c->first_byte_at = 0;
-	entry_grant_ask(c);
+	entry_grant_replace(c);
 }
--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -236,6 +236,15 @@
 	dl_packer_close(&pk);
 }
 
+/* Releases the grant and the reservations, and asks for another endpoint. */
+void entry_grant_replace(struct call *c)
+{
+	entry_reservation_release(c);
+	entry_grant_release(c);
+	c->first_byte_at = 0;
+	entry_grant_ask(c);
+}
+
 static void accept_grant(struct call *c, const struct dl_answer *answer)
 {
 	int64_t now = entry_now(c->e);
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -79,15 +79,6 @@
 	return d && d->leaving;
 }
 
-/* Releases the grant and the reservations, and asks for another endpoint. */
-static void release_and_ask(struct call *c)
-{
-	entry_reservation_release(c);
-	entry_grant_release(c);
-	c->first_byte_at = 0;
-	entry_grant_ask(c);
-}
-
 /*
  * Reports the helper that the lead of a group could not reach as at fault; the
  * lead itself has not failed.
@@ -105,7 +96,7 @@
 static void ask_without_tried(struct call *c)
 {
 	call_note_tried(c);
-	release_and_ask(c);
+	entry_grant_replace(c);
 }
 
 static void fill_outbound(struct call *c, struct dl_outbound *out)
@@ -255,7 +246,7 @@
 {
 	entry_reservation_note_refused(c);
 	if (++c->route.tries < TRIES_MAX) {
-		release_and_ask(c);
+		entry_grant_replace(c);
 		return;
 	}
 	entry_call_refuse(c, DL_REASON_QUEUE_FULL, DL_STEP_PLACE,
@@ -578,7 +569,7 @@
 		c->route.resumes = true;
 	dl_count(DL_METRIC_retries_total, 1);
 	if (costs_no_attempt(c, &a))
-		release_and_ask(c);
+		entry_grant_replace(c);
 	else
 		ask_without_tried(c);
 }
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -258,18 +258,25 @@
 	       "reason=\"%s\"", s->halt_reason);
 }
 
-/* Logs a change of role. */
-static void log_role(struct replica *r)
+/* Counts join requests that were not kept; the first one is logged. */
+static void note_ignored_joins(struct replica *r,
+			       const struct dl_rlog_status *s)
+{
+	dl_gauge(DL_METRIC_joins_ignored, (int64_t)s->joins_ignored);
+	if (!s->joins_ignored || r->joins_ignored_logged)
+		return;
+	r->joins_ignored_logged = true;
+	dl_msg(DL_MSG_JOINS_IGNORED, "members=%u", s->count + 1);
+}
+
+/* Logs a change of role, and the first join request that was not kept. */
+static void log_status(struct replica *r)
 {
 	struct dl_rlog_status s;
 	char leader[24];
 
 	dl_rlog_get_status(r->rlog, replica_now(r), &s);
-	dl_gauge(DL_METRIC_joins_ignored, (int64_t)s.joins_ignored);
-	if (s.joins_ignored && !r->joins_ignored_logged) {
-		r->joins_ignored_logged = true;
-		dl_msg(DL_MSG_JOINS_IGNORED, "members=%u", s.count + 1);
-	}
+	note_ignored_joins(r, &s);
 	if (s.role == r->logged_role)
 		return;
 	r->logged_role = s.role;
@@ -302,7 +309,7 @@
 		replica_evacuation_check(r);
 		replica_lease_answer_waiters(r);
 	}
-	log_role(r);
+	log_status(r);
 }
 
 static void on_prepare(uv_prepare_t *prepare)
--- a/test/platform_deploy.sh
+++ b/test/platform_deploy.sh
@@ -242,3 +242,13 @@
 			--shed "$DIR/shed-d$i" "$@"
 	done
 }
+
+# Wait until every entry knows these endpoints.
+wait_endpoints_known() { # NAME...
+	for d in 1 2 3; do
+		for name in "$@"; do
+			wait_for 5 "$name" grep -q "started.*instance=$name " \
+				"$DIR/entry-$d.log" || fail "an endpoint is not known"
+		done
+	done
+}
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -709,6 +709,21 @@
 	return n;
 }
 
+/* A plain pool with one endpoint, whose queue and leases limit no test. */
+static void one_plain_endpoint(uint32_t queue, uint32_t slots)
+{
+	struct dl_pool_conf wide = conf;
+	struct dl_endpoint_report r = report_of("a:1");
+
+	wide.kind = DL_POOL_PLAIN;
+	wide.queue_entries_max = queue;
+	wide.grant_lease_ms = FAR;
+	wide.report_gone_ms = FAR;
+	dl_pool_configure(pool, &wide);
+	r.slots = slots;
+	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+}
+
 /*
  * Requests that started together end together, one of them a little earlier.
  * The long gap before that first release must not be taken as the release rate
@@ -724,18 +739,10 @@
 		TICK_MS = 20,
 	};
 	struct dl_answer running[REQUESTS];
-	struct dl_pool_conf wide = conf;
-	struct dl_endpoint_report r = report_of("a:1");
 	uint32_t granted = 0, ended = 0;
 
-	wide.kind = DL_POOL_PLAIN;
-	wide.queue_entries_max = REQUESTS;
-	wide.grant_lease_ms = FAR;
-	wide.report_gone_ms = FAR;
-	dl_pool_configure(pool, &wide);
-	r.slots = AT_ONCE;
 	now += FAR; /* after a long idle period */
-	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	one_plain_endpoint(REQUESTS, AT_ONCE);
 	for (int i = 0; i < REQUESTS; i++) {
 		running[granted] = ask(1, 1, 15000);
 		ck_assert_int_ne(running[granted].verdict, DL_REFUSED);
@@ -777,17 +784,9 @@
 	};
 	struct dl_answer running[REQUESTS];
 	int64_t ends[REQUESTS];
-	struct dl_pool_conf wide = conf;
-	struct dl_endpoint_report r = report_of("a:1");
 	uint32_t granted = 0, ended = 0;
 
-	wide.kind = DL_POOL_PLAIN;
-	wide.queue_entries_max = REQUESTS;
-	wide.grant_lease_ms = FAR;
-	wide.report_gone_ms = FAR;
-	dl_pool_configure(pool, &wide);
-	r.slots = AT_ONCE;
-	ck_assert_int_eq(dl_pool_report(pool, &r, now), 0);
+	one_plain_endpoint(REQUESTS, AT_ONCE);
 	/* The pool learns how long a request takes. */
 	for (int i = 0; i < LEARNT; i++) {
 		running[0] = ask(1, 1, FAR);
--- a/test/test_system_failure_domains.sh
+++ b/test/test_system_failure_domains.sh
@@ -15,12 +15,7 @@
 	start_platform_endpoint "w$d" $d --zone "place-$d" --service writer
 	start_platform_endpoint "d$d" $((d + 3)) --zone "place-$d" --service desk --plain
 done
-for d in 1 2 3; do
-	for name in w1 w2 w3 d1 d2 d3; do
-		wait_for 5 "$name" grep -q "started.*instance=$name " \
-			"$DIR/entry-$d.log" || fail "an endpoint is not known"
-	done
-done
+wait_endpoints_known w1 w2 w3 d1 d2 d3
 
 # Streams and plain calls stay in their failure domain.
 for n in 1 2 3 4 5 6; do
