Replica: log failed disk operations, silent voters and a missing leader

A group without a leader looked the same in the logs whether its disk, its voters or its votes were the cause: one line on the disk, then none.

New lines: each kind of failed disk operation with its step, a voter that is silent or heard again (at the leader), a leader that is not known for three seconds with the voters and how many are heard, and each leader that is followed. Gauges disk_errors, voters, voters_heard. No decision changes.

--- a/include/daisyledge/rlog.h
+++ b/include/daisyledge/rlog.h
@@ -337,4 +337,14 @@
 /* The current size of the journal in bytes. */
 uint64_t dl_rlog_store_bytes(const struct dl_rlog_store *store);
 
+/* Disk operations that failed, whether or not the write failed with them. */
+struct dl_rlog_store_errors {
+	uint64_t count;	  /* since the start */
+	const char *step; /* the latest: "write", "sync", ...; NULL: none */
+	int code;	  /* its negative errno */
+};
+
+struct dl_rlog_store_errors
+dl_rlog_store_errors(const struct dl_rlog_store *store);
+
 #endif
--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -44,6 +44,9 @@
 	X(members_ignored, "messages about VMs ignored for want of room")      \
 	X(joins_ignored,                                                       \
 	  "requests to join the replica group beyond those kept")              \
+	X(disk_errors, "disk operations of the replicated log that failed")    \
+	X(voters, "voters of the replica group")                               \
+	X(voters_heard, "voters heard recently, this replica included")        \
 	X(config_version, "configuration version in force")                    \
 	X(replica_heard_ms_ago, "milliseconds since a replica was last heard")
 
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -97,7 +97,11 @@
 	  "More VMs ask to join the group than are kept as candidates.")       \
 	X(REPLICA_DAMAGED, DL_ERROR, "replica",                                \
 	  "The stored state is damaged.")                                      \
-	X(REPLICA_DISK_FAILED, DL_ERROR, "replica", "The disk failed.")
+	X(REPLICA_DISK_FAILED, DL_ERROR, "replica", "The disk failed.")        \
+	X(REPLICA_DISK_ERROR, DL_WARN, "replica", "A disk operation failed.")  \
+	X(REPLICA_NO_LEADER, DL_WARN, "replica", "No leader is known.")        \
+	X(VOTER_SILENT, DL_WARN, "replica", "A voter is silent.")              \
+	X(VOTER_HEARD, DL_INFO, "replica", "A silent voter is heard again.")
 
 enum dl_msg {
 #define X(name, level, part, text) DL_MSG_##name,
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -250,46 +250,6 @@
 	msgpack_sbuffer_destroy(&buf);
 }
 
-static void log_halt(const struct dl_rlog_status *s)
-{
-	bool damaged = strstr(s->halt_reason, "damaged") != NULL;
-
-	dl_msg(damaged ? DL_MSG_REPLICA_DAMAGED : DL_MSG_REPLICA_DISK_FAILED,
-	       "reason=\"%s\"", s->halt_reason);
-}
-
-/* Counts join requests that were not kept; the first one is logged. */
-static void note_ignored_joins(struct replica *r,
-			       const struct dl_rlog_status *s)
-{
-	dl_gauge(DL_METRIC_joins_ignored, (int64_t)s->joins_ignored);
-	if (!s->joins_ignored || r->joins_ignored_logged)
-		return;
-	r->joins_ignored_logged = true;
-	dl_msg(DL_MSG_JOINS_IGNORED, "members=%u", s->count + 1);
-}
-
-/* Logs a change of role, and the first join request that was not kept. */
-static void log_status(struct replica *r)
-{
-	struct dl_rlog_status s;
-	char leader[24];
-
-	dl_rlog_get_status(r->rlog, replica_now(r), &s);
-	note_ignored_joins(r, &s);
-	if (s.role == r->logged_role)
-		return;
-	r->logged_role = s.role;
-	if (s.role == DL_RLOG_LEADER)
-		dl_msg(DL_MSG_REPLICA_LEADER, "term=%lu",
-		       (unsigned long)s.term);
-	else if (s.role == DL_RLOG_FOLLOWER)
-		dl_msg(DL_MSG_REPLICA_FOLLOWER, "term=%lu leader=%s",
-		       (unsigned long)s.term, dl_vm_text(s.leader, leader));
-	else if (s.role == DL_RLOG_HALTED)
-		log_halt(&s);
-}
-
 static void pump(struct replica *r)
 {
 	int64_t now = replica_now(r);
@@ -309,7 +269,7 @@
 		replica_evacuation_check(r);
 		replica_lease_answer_waiters(r);
 	}
-	log_status(r);
+	replica_health_check(r);
 }
 
 static void on_prepare(uv_prepare_t *prepare)
@@ -447,7 +407,7 @@
 	if (!r->node.settings.data_folder[0])
 		return dl_err_set(err, -EINVAL, DL_STEP_READ, NULL,
 				  "data_folder is missing in the settings");
-	r->logged_role = DL_RLOG_ROLE_COUNT;
+	replica_health_init(r);
 	r->started_at = replica_now(r);
 	r->wall_offset_ms = dl_node_wall_ms() - r->started_at;
 	r->cstore = dl_cstore_new();
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -41,6 +41,21 @@
 	uint64_t request;
 };
 
+/* What the log output last said of the group and the disk. */
+struct replica_health {
+	enum dl_rlog_role role;
+	uint64_t leader;
+	int64_t led_since;	 /* when this replica became the leader */
+	int64_t leader_known_at; /* when a leader was last known */
+	bool no_leader;
+	bool joins_ignored;
+	uint64_t disk_errors;
+	const char *disk_step; /* of the error logged last */
+	int disk_code;
+	uint32_t silent_count;
+	uint64_t silent[DL_RLOG_MEMBERS_MAX]; /* voters, by identity */
+};
+
 struct replica {
 	struct dl_node node;
 	struct dl_disk_file *disk;
@@ -59,8 +74,7 @@
 	uint64_t push_body_version;
 	bool push_due;
 	int64_t pushed_at;
-	enum dl_rlog_role logged_role; /* role last written to the log */
-	bool joins_ignored_logged;
+	struct replica_health health;
 	uint64_t writing_seq; /* sequence number of the record being written */
 	int64_t write_started_at;
 	int64_t wall_offset_ms; /* wall clock minus boot time, at the start */
@@ -113,6 +127,10 @@
 int replica_evacuation_validate(const struct replica *r, struct dl_str domain,
 				struct dl_err *err);
 
+/* replica_health.c */
+void replica_health_init(struct replica *r);
+void replica_health_check(struct replica *r);
+
 /* replica_http.c */
 int replica_http_open(struct replica *r, struct dl_err *err);
 void replica_http_tick(struct replica *r, int64_t now);
--- /dev/null
+++ b/src/replica/replica_health.c
@@ -0,0 +1,179 @@
+/*
+ * Logs what this replica believes of its group and of its disk when it changes:
+ * role, leader, voters that are silent, failed disk operations.  These tell
+ * apart why a group has no leader: too few voters, a disk, or votes.
+ */
+#include <string.h>
+
+#include "base/metric.h"
+#include "base/msg.h"
+#include "replica/replica.h"
+
+/* Silence after which a voter counts as lost; as long as for its replacement.
+ */
+#define SILENT_MS 2500
+/* Time without a leader that is logged: longer than an election takes. */
+#define NO_LEADER_MS 3000
+
+/* Initializes the state; nothing has been logged yet. */
+void replica_health_init(struct replica *r)
+{
+	r->health.role = DL_RLOG_ROLE_COUNT;
+	r->health.leader_known_at = replica_now(r);
+}
+
+static void log_halt(const struct dl_rlog_status *s)
+{
+	bool damaged = strstr(s->halt_reason, "damaged") != NULL;
+
+	dl_msg(damaged ? DL_MSG_REPLICA_DAMAGED : DL_MSG_REPLICA_DISK_FAILED,
+	       "reason=\"%s\"", s->halt_reason);
+}
+
+/* Counts join requests that were not kept; the first one is logged. */
+static void check_joins(struct replica *r, const struct dl_rlog_status *s)
+{
+	dl_gauge(DL_METRIC_joins_ignored, (int64_t)s->joins_ignored);
+	if (!s->joins_ignored || r->health.joins_ignored)
+		return;
+	r->health.joins_ignored = true;
+	dl_msg(DL_MSG_JOINS_IGNORED, "members=%u", s->count + 1);
+}
+
+/* Logs a change of role, or of the leader that is followed. */
+static void check_role(struct replica *r, const struct dl_rlog_status *s,
+		       int64_t now)
+{
+	struct replica_health *h = &r->health;
+	bool new_leader = s->role == DL_RLOG_FOLLOWER &&
+			  s->leader != DL_VM_NONE && s->leader != h->leader;
+	char leader[24];
+
+	if (s->role == h->role && !new_leader)
+		return;
+	if (s->role == DL_RLOG_LEADER) {
+		h->led_since = now;
+		h->silent_count = 0;
+		dl_msg(DL_MSG_REPLICA_LEADER, "term=%lu",
+		       (unsigned long)s->term);
+	} else if (s->role == DL_RLOG_FOLLOWER) {
+		dl_msg(DL_MSG_REPLICA_FOLLOWER, "term=%lu leader=%s",
+		       (unsigned long)s->term, dl_vm_text(s->leader, leader));
+	} else if (s->role == DL_RLOG_HALTED) {
+		log_halt(s);
+	}
+	h->role = s->role;
+	h->leader = s->leader;
+}
+
+static bool is_silent(const struct dl_rlog_peer_status *p, int64_t led_ms)
+{
+	if (p->heard_ms_ago < 0)
+		return led_ms > SILENT_MS;
+	return p->heard_ms_ago > SILENT_MS;
+}
+
+static bool remove_silent(struct replica_health *h, uint64_t id)
+{
+	for (uint32_t i = 0; i < h->silent_count; i++) {
+		if (h->silent[i] != id)
+			continue;
+		h->silent[i] = h->silent[--h->silent_count];
+		return true;
+	}
+	return false;
+}
+
+/* Logs at the leader which voter fell silent or is heard again. */
+static void check_voter(struct replica *r, const struct dl_rlog_peer_status *p,
+			int64_t now)
+{
+	struct replica_health *h = &r->health;
+	bool was = remove_silent(h, p->member.id);
+	bool silent = is_silent(p, now - h->led_since);
+	char vm[24];
+
+	if (silent)
+		h->silent[h->silent_count++] = p->member.id;
+	if (silent == was)
+		return;
+	dl_msg(silent ? DL_MSG_VOTER_SILENT : DL_MSG_VOTER_HEARD,
+	       "vm=%s age_ms=%ld match=%lu", dl_vm_text(p->member.vm, vm),
+	       (long)p->heard_ms_ago, (unsigned long)p->match);
+}
+
+/* Counts the voters, and those that were heard recently. */
+static void count_voters(const struct dl_rlog_status *s, uint32_t *voters,
+			 uint32_t *heard)
+{
+	*voters = s->voter;
+	*heard = s->voter;
+	for (uint32_t i = 0; i < s->count; i++) {
+		const struct dl_rlog_peer_status *p = &s->peers[i];
+
+		*voters += p->member.voter;
+		*heard += p->member.voter && p->heard_ms_ago >= 0 &&
+			  p->heard_ms_ago <= SILENT_MS;
+	}
+	dl_gauge(DL_METRIC_voters, *voters);
+	dl_gauge(DL_METRIC_voters_heard, *heard);
+}
+
+/* Logs once that no leader has been known for some time. */
+static void check_leader(struct replica *r, const struct dl_rlog_status *s,
+			 int64_t now)
+{
+	struct replica_health *h = &r->health;
+	uint32_t voters, heard;
+
+	count_voters(s, &voters, &heard);
+	if (s->contact) {
+		h->leader_known_at = now;
+		h->no_leader = false;
+		return;
+	}
+	if (h->no_leader || now - h->leader_known_at < NO_LEADER_MS)
+		return;
+	h->no_leader = true;
+	dl_msg(DL_MSG_REPLICA_NO_LEADER,
+	       "age_ms=%ld term=%lu voters=%u heard=%u",
+	       (long)(now - h->leader_known_at), (unsigned long)s->term, voters,
+	       heard);
+}
+
+/* Logs a failed disk operation, unless the one before failed alike. */
+static void check_disk(struct replica *r)
+{
+	struct dl_rlog_store_errors e = dl_rlog_store_errors(r->store);
+	struct replica_health *h = &r->health;
+
+	if (e.count == h->disk_errors)
+		return;
+	dl_gauge(DL_METRIC_disk_errors, (int64_t)e.count);
+	h->disk_errors = e.count;
+	if (e.step == h->disk_step && e.code == h->disk_code)
+		return;
+	h->disk_step = e.step;
+	h->disk_code = e.code;
+	dl_msg(DL_MSG_REPLICA_DISK_ERROR, "step=\"%s\" error=\"%s\"", e.step,
+	       strerror(-e.code));
+}
+
+/* Logs what has changed since the last call. */
+void replica_health_check(struct replica *r)
+{
+	int64_t now = replica_now(r);
+	struct dl_rlog_status s;
+
+	dl_rlog_get_status(r->rlog, now, &s);
+	check_disk(r);
+	check_role(r, &s, now);
+	check_joins(r, &s);
+	check_leader(r, &s, now);
+	if (s.role != DL_RLOG_LEADER)
+		return;
+	for (uint32_t i = 0; i < s.count; i++) {
+		if (s.peers[i].member.voter)
+			check_voter(r, &s.peers[i], now);
+	}
+}
--- a/src/state/rlog_store.c
+++ b/src/state/rlog_store.c
@@ -57,6 +57,12 @@
 	STEP_END,
 };
 
+static const char *const step_names[] = {
+	[STEP_WRITE] = "write",	  [STEP_SYNC] = "sync",
+	[STEP_RENAME] = "rename", [STEP_SYNC_DIR] = "sync of the folder",
+	[STEP_UNLINK] = "unlink", [STEP_MARKER] = "write of the marker",
+};
+
 struct dl_rlog_store {
 	struct dl_disk disk;
 	uint64_t id;
@@ -75,6 +81,7 @@
 	msgpack_sbuffer buf;
 	struct record_header marker;
 	struct dl_disk_done done;
+	struct dl_rlog_store_errors errors;
 };
 
 /* The position of the reader. */
@@ -316,6 +323,11 @@
 {
 	struct dl_rlog_store *s = arg;
 
+	if (code) {
+		s->errors.count++;
+		s->errors.step = step_names[s->step];
+		s->errors.code = code;
+	}
 	if (code && s->step != STEP_UNLINK && s->step != STEP_MARKER) {
 		s->done.fn(s->done.arg, code);
 		return;
@@ -353,6 +365,12 @@
 	return s->end;
 }
 
+/* The disk operations that failed, those without consequence included. */
+struct dl_rlog_store_errors dl_rlog_store_errors(const struct dl_rlog_store *s)
+{
+	return s->errors;
+}
+
 /* Frees the store; its files remain. */
 void dl_rlog_store_free(struct dl_rlog_store *s)
 {
