--- a/test/fake/disk.c
+++ b/test/fake/disk.c
@@ -51,6 +51,7 @@
 	uint64_t count;
 	uint32_t fail_in; /* 0: never */
 	int fail_code;
+	bool full;
 	uint32_t crash_in;
 	bool down;
 	GHashTable *names; /* name to struct file */
@@ -137,6 +138,11 @@
 	d->fail_code = code;
 }
 
+void fake_disk_set_full(struct fake_disk *d, bool full)
+{
+	d->full = full;
+}
+
 void fake_disk_crash_after(struct fake_disk *d, uint32_t ops)
 {
 	d->crash_in = ops + 1;
@@ -209,10 +215,16 @@
 {
 	struct fake_disk *d = disk;
 	struct change change = { offset, data.n, NULL };
+	struct pending *x = begin(d, done, 0);
 	struct file *f;
 
-	if (!begin(d, done, 0))
+	if (!x)
 		return;
+	if (d->full) {
+		x->code = -ENOSPC;
+		data.n = (size_t)g_rand_int_range(d->rand, 0, (gint32)data.n);
+		change.n = data.n;
+	}
 	f = g_hash_table_lookup(d->names, name);
 	if (!f) {
 		f = g_new0(struct file, 1);
--- a/test/fake/disk.h
+++ b/test/fake/disk.h
@@ -26,6 +26,8 @@
 
 /* After this many operations, fails the next one, once, with this code. */
 void fake_disk_fail_after(struct fake_disk *disk, uint32_t ops, int code);
+/* While a disk is full, each write stores a part of its data and fails. */
+void fake_disk_set_full(struct fake_disk *disk, bool full);
 /* After this many operations, the VM goes down before the next one. */
 void fake_disk_crash_after(struct fake_disk *disk, uint32_t ops);
 /* Whether such a crash has happened. */
