Replicated log: a replica whose write failed takes part again by itself

Cause: dl_rlog_written() halted the replica for good on any error of the disk. A disk that had no room for 4.5 s cost the group a voter until somebody restarted that process; the next loss of one replica, which the group is meant to bear, left one of three.

Ruled out by the new log lines: damage found at a restart (there is no restart), and two voters that cannot agree (the one left hears nobody).

Change: the log goes on in memory and promises nothing while writes fail: no vote, no acknowledgement, what waited for the write is dropped. A leader hands over, always to the same voter, since two candidates split the votes when the third disk fails. A failed first sync is handled likewise. Old files that could not be removed are removed with the next generation.

--- a/include/daisyledge/rlog.h
+++ b/include/daisyledge/rlog.h
@@ -194,7 +194,7 @@
 };
 
 enum dl_rlog_role {
-	DL_RLOG_HALTED,	       /* damaged or failed disk; sends nothing */
+	DL_RLOG_HALTED,	       /* damaged state; sends nothing */
 	DL_RLOG_UNINITIALIZED, /* has an identity but no log yet */
 	DL_RLOG_FOLLOWER,
 	DL_RLOG_PRECANDIDATE,
@@ -237,6 +237,9 @@
 	struct dl_rlog_peer_status peers[DL_RLOG_MEMBERS_MAX];
 	char waiting_for[160]; /* what a membership change needs */
 	char halt_reason[224];
+	int write_error;	 /* negative errno while writes fail, or 0 */
+	uint32_t write_failures; /* of this or else the last such time */
+	int64_t write_failed_ms; /* since the first of them */
 };
 
 enum dl_rlog_apply_kind {
@@ -268,8 +271,11 @@
 /* The next message; its pointers are valid until the next call. */
 bool dl_rlog_out(struct dl_rlog *rlog, int64_t now, struct dl_rlog_msg *msg);
 /* The next record to write; its pointers are valid until the next call. */
-bool dl_rlog_write(struct dl_rlog *rlog, struct dl_rlog_record *rec);
+bool dl_rlog_write(struct dl_rlog *rlog, int64_t now,
+		   struct dl_rlog_record *rec);
 void dl_rlog_written(struct dl_rlog *rlog, uint64_t seq, int code, int64_t now);
+/* dl_rlog_store_start() failed: everything is written anew. */
+void dl_rlog_start_failed(struct dl_rlog *rlog, int code, int64_t now);
 /* The next committed command or snapshot; data is valid until the next call. */
 bool dl_rlog_apply(struct dl_rlog *rlog, struct dl_rlog_apply *out);
 
@@ -323,9 +329,14 @@
 int dl_rlog_store_open(struct dl_disk disk, uint64_t new_id,
 		       struct dl_rlog_store **out, struct dl_rlog_image *image,
 		       struct dl_err *err);
-/* Syncs everything that was read; must complete before any other use. */
+/* Syncs everything that was read; must succeed before any other use, except
+ * for a write of a record with a snapshot.
+ */
 void dl_rlog_store_start(struct dl_rlog_store *store, struct dl_disk_done done);
-/* Only one write at a time; the record is copied. */
+/*
+ * Only one write at a time; the record is copied.  After a failure the next
+ * record must have a snapshot.
+ */
 void dl_rlog_store_write(struct dl_rlog_store *store,
 			 const struct dl_rlog_record *rec,
 			 struct dl_disk_done done);
--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -45,6 +45,7 @@
 	X(joins_ignored,                                                       \
 	  "requests to join the replica group beyond those kept")              \
 	X(disk_errors, "disk operations of the replicated log that failed")    \
+	X(disk_failing, "1 while the disk of the replicated log fails")        \
 	X(voters, "voters of the replica group")                               \
 	X(voters_heard, "voters heard recently, this replica included")        \
 	X(config_version, "configuration version in force")                    \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -98,6 +98,7 @@
 	X(REPLICA_DAMAGED, DL_ERROR, "replica",                                \
 	  "The stored state is damaged.")                                      \
 	X(REPLICA_DISK_FAILED, DL_ERROR, "replica", "The disk failed.")        \
+	X(REPLICA_DISK_WORKS, DL_INFO, "replica", "The disk works again.")     \
 	X(REPLICA_DISK_ERROR, DL_WARN, "replica", "A disk operation failed.")  \
 	X(REPLICA_NO_LEADER, DL_WARN, "replica", "No leader is known.")        \
 	X(VOTER_SILENT, DL_WARN, "replica", "A voter is silent.")              \
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -210,7 +210,7 @@
 {
 	struct dl_rlog_record record;
 
-	if (!dl_rlog_write(r->rlog, &record))
+	if (!dl_rlog_write(r->rlog, replica_now(r), &record))
 		return;
 	r->writing_seq = record.seq;
 	r->write_started_at = replica_now(r);
@@ -255,8 +255,11 @@
 	int64_t now = replica_now(r);
 	bool caught_up;
 
-	if (!r->started)
+	if (!r->started) {
+		start_write(r);
+		replica_health_check(r);
 		return;
+	}
 	if (now >= dl_rlog_wakeup(r->rlog))
 		dl_rlog_tick(r->rlog, now);
 	caught_up = apply_batch(r);
@@ -282,20 +285,19 @@
 	struct replica *r = arg;
 
 	dl_observe(DL_HIST_fsync_ms, replica_now(r) - r->write_started_at);
+	r->started = r->started || !code;
 	dl_rlog_written(r->rlog, r->writing_seq, code, replica_now(r));
 }
 
+/* If the first sync fails, the first write that succeeds takes its place. */
 static void on_first_sync(void *arg, int code)
 {
 	struct replica *r = arg;
-	struct dl_err err;
 
-	r->started = true;
-	if (!code)
-		return;
-	dl_err_set(&err, code, DL_STEP_STORE, NULL, "the first sync failed: %s",
-		   strerror(-code));
-	dl_rlog_halt(r->rlog, &err);
+	if (code)
+		dl_rlog_start_failed(r->rlog, code, replica_now(r));
+	else
+		r->started = true;
 }
 
 static void finish_stop(struct replica *r)
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -49,6 +49,7 @@
 	int64_t leader_known_at; /* when a leader was last known */
 	bool no_leader;
 	bool joins_ignored;
+	int64_t disk_failed_at; /* 0: it works */
 	uint64_t disk_errors;
 	const char *disk_step; /* of the error logged last */
 	int disk_code;
--- a/src/replica/replica_health.c
+++ b/src/replica/replica_health.c
@@ -22,14 +22,6 @@
 	r->health.leader_known_at = replica_now(r);
 }
 
-static void log_halt(const struct dl_rlog_status *s)
-{
-	bool damaged = strstr(s->halt_reason, "damaged") != NULL;
-
-	dl_msg(damaged ? DL_MSG_REPLICA_DAMAGED : DL_MSG_REPLICA_DISK_FAILED,
-	       "reason=\"%s\"", s->halt_reason);
-}
-
 /* Counts join requests that were not kept; the first one is logged. */
 static void check_joins(struct replica *r, const struct dl_rlog_status *s)
 {
@@ -60,7 +52,7 @@
 		dl_msg(DL_MSG_REPLICA_FOLLOWER, "term=%lu leader=%s",
 		       (unsigned long)s->term, dl_vm_text(s->leader, leader));
 	} else if (s->role == DL_RLOG_HALTED) {
-		log_halt(s);
+		dl_msg(DL_MSG_REPLICA_DAMAGED, "reason=\"%s\"", s->halt_reason);
 	}
 	h->role = s->role;
 	h->leader = s->leader;
@@ -142,7 +134,7 @@
 }
 
 /* Logs a failed disk operation, unless the one before failed alike. */
-static void check_disk(struct replica *r)
+static void check_disk_operations(struct replica *r)
 {
 	struct dl_rlog_store_errors e = dl_rlog_store_errors(r->store);
 	struct replica_health *h = &r->health;
@@ -159,6 +151,34 @@
 	       strerror(-e.code));
 }
 
+/* Logs that writes fail, and that they succeed again. */
+static void check_disk(struct replica *r, const struct dl_rlog_status *s,
+		       int64_t now)
+{
+	struct replica_health *h = &r->health;
+
+	check_disk_operations(r);
+	if (!s->write_error == !h->disk_failed_at)
+		return;
+	if (s->write_error) {
+		h->disk_failed_at = now - s->write_failed_ms;
+		dl_gauge(DL_METRIC_disk_failing, 1);
+		dl_msg(DL_MSG_REPLICA_DISK_FAILED,
+		       "error=\"%s\" term=%lu leader=%d synced=%lu last=%lu",
+		       strerror(-s->write_error), (unsigned long)s->term,
+		       s->role == DL_RLOG_LEADER, (unsigned long)s->synced,
+		       (unsigned long)s->last);
+		return;
+	}
+	dl_gauge(DL_METRIC_disk_failing, 0);
+	dl_msg(DL_MSG_REPLICA_DISK_WORKS,
+	       "failed_ms=%ld tries=%u synced=%lu last=%lu",
+	       (long)(now - h->disk_failed_at), s->write_failures,
+	       (unsigned long)s->synced, (unsigned long)s->last);
+	h->disk_failed_at = 0;
+	h->disk_step = NULL;
+}
+
 /* Logs what has changed since the last call. */
 void replica_health_check(struct replica *r)
 {
@@ -166,7 +186,7 @@
 	struct dl_rlog_status s;
 
 	dl_rlog_get_status(r->rlog, now, &s);
-	check_disk(r);
+	check_disk(r, &s, now);
 	check_role(r, &s, now);
 	check_joins(r, &s);
 	check_leader(r, &s, now);
--- a/src/replica/replica_query.c
+++ b/src/replica/replica_query.c
@@ -146,6 +146,9 @@
 		json_object_set_new(root, "waits", json_string(s.waiting_for));
 	if (s.halt_reason[0])
 		json_object_set_new(root, "halted", json_string(s.halt_reason));
+	if (s.write_error)
+		json_object_set_new(root, "disk_error",
+				    json_string(strerror(-s.write_error)));
 	for (uint32_t i = 0; i < s.count; i++)
 		json_array_append_new(list, peer_json(&s.peers[i]));
 	json_object_set_new(root, "others", list);
--- a/src/state/rlog.c
+++ b/src/state/rlog.c
@@ -1,13 +1,12 @@
 /*
  * The core of the replicated log: creation, time, messages, writes, and entries
  * handed to the state machine.  Elections are in rlog_vote.c, the leader in
- * rlog_lead.c, the follower in rlog_follow.c.
+ * rlog_lead.c, the follower in rlog_follow.c, records for the disk in
+ * rlog_write.c.
  *
  * Whatever is promised to another replica is synced first: a message that
  * depends on a term, a vote or an entry carries the number of the record that
- * holds it and is sent only once that record has been synced.  Records are made
- * from the state at the time of writing, so that several changes share one
- * write.
+ * holds it and is sent only once that record has been synced.
  */
 #include "state/rlog_int.h"
 
@@ -179,28 +178,6 @@
 	return false;
 }
 
-/*
- * Marks term, vote or cluster as changed; replies wait for the record that
- * holds them.
- */
-void rlog_dirty_state(struct dl_rlog *r)
-{
-	r->dirty_state = true;
-	r->state_seq = r->writing_seq + 1;
-}
-
-/* The record after which an entry, the term and the vote are synced. */
-uint64_t rlog_seq_of(const struct dl_rlog *r, uint64_t index)
-{
-	uint64_t wait_seq = r->state_seq;
-
-	if (r->dirty_snapshot || index >= r->dirty_from)
-		wait_seq = r->writing_seq + 1;
-	else if (index > r->synced_index && r->writing_seq > wait_seq)
-		wait_seq = r->writing_seq;
-	return wait_seq;
-}
-
 /*
  * Chooses when to start an election unless a leader is heard before.  After all
  * replicas have restarted nobody waits for a leader, so split votes are retried
@@ -367,14 +344,13 @@
 	if (now - r->heard >=
 	    (int64_t)r->conf.election_ms * JOIN_AFTER_ELECTIONS)
 		rlog_send_joins(r, now);
-	if (rlog_is_voter(r))
+	if (rlog_is_voter(r) && !r->write_error)
 		rlog_prevote_begin(r, now);
 	else
 		rlog_reset_election(r, now);
 }
 
-/* When dl_rlog_tick() must be called next. */
-int64_t dl_rlog_wakeup(const struct dl_rlog *r)
+static int64_t role_wakeup(const struct dl_rlog *r)
 {
 	switch (r->role) {
 	case DL_RLOG_HALTED:
@@ -388,6 +364,14 @@
 	}
 }
 
+/*
+ * When dl_rlog_tick() must be called next, or a failed write can be repeated.
+ */
+int64_t dl_rlog_wakeup(const struct dl_rlog *r)
+{
+	return MIN(role_wakeup(r), rlog_write_wakeup(r));
+}
+
 /* A message with the fields that every message carries. */
 struct dl_rlog_msg rlog_msg_to(const struct dl_rlog *r,
 			       enum dl_rlog_msg_kind kind, uint64_t vm,
@@ -424,7 +408,7 @@
 {
 	struct rlog_outgoing *q;
 
-	if (r->queue.length >= QUEUE_MAX)
+	if (r->queue.length >= QUEUE_MAX || rlog_must_not_wait(r, wait_seq))
 		return;
 	q = g_new(struct rlog_outgoing, 1);
 	q->msg = *m;
@@ -482,70 +466,6 @@
 	return r->role == DL_RLOG_LEADER && rlog_lead_out(r, now, msg);
 }
 
-/* Returns the next record to write, one at a time. */
-bool dl_rlog_write(struct dl_rlog *r, struct dl_rlog_record *rec)
-{
-	uint64_t from = r->dirty_from;
-
-	if (r->role == DL_RLOG_HALTED || r->writing)
-		return false;
-	if (!r->dirty_state && !r->dirty_snapshot &&
-	    r->dirty_from > rlog_last(&r->log))
-		return false;
-	memset(rec, 0, sizeof(*rec));
-	rec->seq = ++r->writing_seq;
-	rec->cluster = r->cluster;
-	rec->term = r->term;
-	rec->vote = r->vote;
-	rec->base_index = r->log.base_index;
-	rec->base_term = r->log.base_term;
-	if (r->dirty_snapshot) {
-		rec->snapshot = &r->snap;
-		from = r->log.base_index + 1;
-	}
-	rec->count = (uint32_t)(rlog_last(&r->log) + 1 - from);
-	if (rec->count)
-		rec->entries = rlog_at(&r->log, from);
-	r->dirty_state = false;
-	r->dirty_snapshot = false;
-	r->dirty_from = rlog_last(&r->log) + 1;
-	r->writing_last = rlog_last(&r->log);
-	r->writing = true;
-	return true;
-}
-
-/*
- * Handles the result of a write.  If it failed, nothing that depends on it may
- * be sent, and the replica halts.
- */
-void dl_rlog_written(struct dl_rlog *r, uint64_t seq, int code, int64_t now)
-{
-	struct dl_err err;
-
-	if (r->role == DL_RLOG_HALTED)
-		return;
-	if (code) {
-		dl_err_set(&err, code, DL_STEP_STORE, NULL,
-			   "a disk write failed: %s", strerror(-code));
-		dl_rlog_halt(r, &err);
-		return;
-	}
-	if (!rlog_invariant(r, r->writing && seq == r->writing_seq,
-			    "a record was written out of order"))
-		return;
-	r->writing = false;
-	r->synced_seq = seq;
-	/*
-	 * A snapshot received in the meantime may have replaced those entries.
-	 */
-	if (!r->dirty_snapshot)
-		r->synced_index = MIN(r->writing_last, r->dirty_from - 1);
-	if (r->role == DL_RLOG_CANDIDATE && r->state_seq <= r->synced_seq)
-		rlog_vote_synced(r, now);
-	if (r->role == DL_RLOG_LEADER)
-		rlog_lead_synced(r, now);
-}
-
 static void mark_applied(struct dl_rlog *r, const struct dl_rlog_entry *e)
 {
 	r->applied = e->index;
@@ -709,5 +629,8 @@
 		s->heard_ms_ago = p->heard == INT64_MIN ? -1 : now - p->heard;
 	}
 	memcpy(out->waiting_for, r->waiting_for, sizeof(out->waiting_for));
+	out->write_error = r->write_error;
+	out->write_failures = r->write_failures;
+	out->write_failed_ms = r->write_error ? now - r->write_failed_at : 0;
 	memcpy(out->halt_reason, r->halt_reason, sizeof(out->halt_reason));
 }
--- a/src/state/rlog_int.h
+++ b/src/state/rlog_int.h
@@ -116,6 +116,7 @@
 	uint64_t term_start; /* index of the first entry of this leader */
 	bool transferring;
 	int64_t transfer_until;
+	uint64_t transfer_to; /* the voter that was asked; 0: none */
 
 	uint32_t joins_count;
 	struct rlog_join_request joins[RLOG_JOINS_MAX];
@@ -145,6 +146,11 @@
 	uint64_t synced_seq;
 	uint64_t synced_index;
 	uint64_t state_seq; /* the record that holds term and vote */
+	int write_error;    /* of the last write; 0: it succeeded */
+	uint32_t write_failures;
+	uint32_t write_retry_ms;
+	int64_t write_failed_at; /* the first of these failures */
+	int64_t write_retry_at;
 };
 
 /* rlog_entries.c */
@@ -179,8 +185,6 @@
 void rlog_heard_leader(struct dl_rlog *r, const struct dl_rlog_msg *m,
 		       int64_t now);
 void rlog_reset_election(struct dl_rlog *r, int64_t now);
-void rlog_dirty_state(struct dl_rlog *r);
-uint64_t rlog_seq_of(const struct dl_rlog *r, uint64_t index);
 void rlog_queue(struct dl_rlog *r, struct dl_rlog_msg *m, uint64_t wait_seq);
 struct dl_rlog_msg rlog_msg_to(const struct dl_rlog *r,
 			       enum dl_rlog_msg_kind kind, uint64_t vm,
@@ -189,6 +193,12 @@
 				 enum dl_rlog_msg_kind kind,
 				 const struct dl_rlog_msg *m);
 
+/* rlog_write.c */
+void rlog_dirty_state(struct dl_rlog *r);
+uint64_t rlog_seq_of(const struct dl_rlog *r, uint64_t index);
+bool rlog_must_not_wait(const struct dl_rlog *r, uint64_t wait_seq);
+int64_t rlog_write_wakeup(const struct dl_rlog *r);
+
 /* rlog_vote.c */
 void rlog_prevote_begin(struct dl_rlog *r, int64_t now);
 void rlog_election_begin(struct dl_rlog *r, bool transfer, int64_t now);
--- a/src/state/rlog_lead.c
+++ b/src/state/rlog_lead.c
@@ -376,15 +376,17 @@
 	if (r->transferring)
 		return 0;
 	r->transferring = true;
+	r->transfer_to = 0;
 	r->transfer_until = now + r->conf.election_ms;
 	transfer_step(r, now);
 	return 0;
 }
 
 /*
- * Asks a voter that holds the whole log to start an election.  The lease has
- * ended for this term even if the transfer fails; if it times out, the leader
- * steps down.
+ * Asks a voter that holds the whole log to start an election, always the same
+ * one: two candidates would split the votes if this replica's disk fails, so
+ * that it gives none.  The lease has ended for this term even if the transfer
+ * fails; if it times out, the leader steps down.
  */
 static void transfer_step(struct dl_rlog *r, int64_t now)
 {
@@ -397,8 +399,10 @@
 		struct dl_rlog_msg m;
 
 		if (!p->member.voter || p->match != rlog_last(&r->log) ||
-		    now - p->heard >= (int64_t)r->conf.election_ms)
+		    now - p->heard >= (int64_t)r->conf.election_ms ||
+		    (r->transfer_to && r->transfer_to != p->member.id))
 			continue;
+		r->transfer_to = p->member.id;
 		m = rlog_msg_to(r, DL_RLOG_TRANSFER, p->member.vm,
 				p->member.id);
 		rlog_queue(r, &m, 0);
--- a/src/state/rlog_store.c
+++ b/src/state/rlog_store.c
@@ -16,6 +16,13 @@
  *
  * A snapshot starts a new generation: a new file is written, synced and
  * renamed, the directory synced, then the old file unlinked.
+ *
+ * After a failed write the state of the file is unknown, and a further sync of
+ * it proves nothing: the kernel may have dropped the data that it could not
+ * write, and report that only once.  So the next record must begin a new
+ * generation.  The process may also end before it does.  Therefore a journal
+ * whose last record has no marker, so that its sync may have failed, is copied
+ * to a new file at startup.
  */
 #include "state/rlog_int.h"
 
@@ -48,6 +55,7 @@
 
 /* The steps of a write, in order; each waits for the one before. */
 enum store_step {
+	STEP_DISCARD, /* a temporary file of an earlier attempt */
 	STEP_WRITE,
 	STEP_SYNC,
 	STEP_RENAME,
@@ -58,27 +66,33 @@
 };
 
 static const char *const step_names[] = {
-	[STEP_WRITE] = "write",	  [STEP_SYNC] = "sync",
-	[STEP_RENAME] = "rename", [STEP_SYNC_DIR] = "sync of the folder",
-	[STEP_UNLINK] = "unlink", [STEP_MARKER] = "write of the marker",
+	[STEP_DISCARD] = "unlink of the temporary file",
+	[STEP_WRITE] = "write",
+	[STEP_SYNC] = "sync",
+	[STEP_RENAME] = "rename",
+	[STEP_SYNC_DIR] = "sync of the folder",
+	[STEP_UNLINK] = "unlink of an old file",
+	[STEP_MARKER] = "write of the marker",
 };
 
 struct dl_rlog_store {
 	struct dl_disk disk;
 	uint64_t id;
-	uint64_t generation;
-	uint64_t old_generation; /* to unlink; 0 if none */
+	uint64_t generation; /* the newest whose file may exist */
+	uint64_t oldest;     /* the oldest whose file may exist */
 	uint64_t seq;
 	uint64_t prev;
 	uint64_t end;	/* offset of the next record */
 	bool empty;	/* nothing is stored yet */
-	bool stale_tmp; /* left by an earlier start */
+	bool failed;	/* only a new generation may be written */
+	bool stale_tmp; /* a temporary file may exist */
 	char name[NAME_SIZE];
 	/* The write in progress. */
 	enum store_step step;
-	bool new_generation; /* it creates a generation */
+	bool new_file; /* it replaces the file, as this generation: */
+	uint64_t target;
 	bool starting;	     /* it syncs what was read at startup */
-	msgpack_sbuffer buf;
+	msgpack_sbuffer buf; /* what to write */
 	struct record_header marker;
 	struct dl_disk_done done;
 	struct dl_rlog_store_errors errors;
@@ -96,7 +110,10 @@
 static void step_done(void *arg, int code);
 static void run_step(struct dl_rlog_store *s);
 static void release_large_buffer(struct dl_rlog_store *s);
-static enum store_step step_after(const struct dl_rlog_store *s);
+static void write_new_file(struct dl_rlog_store *s, uint64_t generation);
+static enum store_step step_after(const struct dl_rlog_store *s, bool failed);
+static void note_error(struct dl_rlog_store *s, int code);
+static bool may_fail(enum store_step step);
 static uint64_t hash_of(const struct record_header *h, const char *payload);
 static void begin_record(struct dl_rlog_store *s);
 static void seal_record(struct dl_rlog_store *s);
@@ -113,6 +130,7 @@
 static bool next_record(const struct reader *rd, struct record_header *h);
 static bool valid_record_at(const struct reader *rd, size_t at, uint64_t seq);
 static bool valid_record_after(const struct reader *rd);
+static bool ends_with_marker(const struct reader *rd);
 static bool decode_payload(struct reader *rd, struct dl_str payload,
 			   bool first);
 static bool decode_snapshot_record(struct reader *rd, const msgpack_object *f);
@@ -233,38 +251,60 @@
 	pack_entries(&pk, rec);
 }
 
-/* Starts writing a record; done is called once it is synced or has failed. */
+/* Starts to replace the file by the content of the buffer. */
+static void write_new_file(struct dl_rlog_store *s, uint64_t generation)
+{
+	s->new_file = true;
+	s->target = generation;
+	s->end = 0;
+	s->step = s->stale_tmp ? STEP_DISCARD : STEP_WRITE;
+	run_step(s);
+}
+
+/*
+ * Starts writing a record; done is called once it is synced or has failed.
+ * Fails at once for a record without a snapshot after a failed write.
+ */
 void dl_rlog_store_write(struct dl_rlog_store *s,
 			 const struct dl_rlog_record *rec,
 			 struct dl_disk_done done)
 {
+	if (s->failed && !rec->snapshot) {
+		done.fn(done.arg, -EIO);
+		return;
+	}
 	s->done = done;
-	s->new_generation = rec->snapshot != NULL;
 	begin_record(s);
-	if (s->new_generation) {
-		s->old_generation = s->generation++;
-		name_of(s->generation, s->name);
+	if (rec->snapshot) {
 		s->seq = 0;
-		s->prev = s->generation;
-		s->end = 0;
+		s->prev = s->generation + 1;
 		pack_snapshot_record(s, rec);
-	} else {
-		pack_record(s, rec);
+		seal_record(s);
+		write_new_file(s, s->generation + 1);
+		return;
 	}
+	pack_record(s, rec);
 	seal_record(s);
+	s->new_file = false;
 	s->step = STEP_WRITE;
 	run_step(s);
 }
 
-static enum store_step step_after(const struct dl_rlog_store *s)
+/* The step after one that has been done, or whose failure does not matter. */
+static enum store_step step_after(const struct dl_rlog_store *s, bool failed)
 {
-	if (s->step == STEP_SYNC && s->starting)
-		return STEP_SYNC_DIR;
-	if (s->step == STEP_SYNC && !s->new_generation)
-		return STEP_MARKER;
-	if (s->step == STEP_SYNC_DIR && !s->old_generation)
-		return STEP_MARKER;
-	return s->step + 1;
+	switch (s->step) {
+	case STEP_SYNC:
+		if (s->new_file)
+			return STEP_RENAME;
+		return s->starting ? STEP_SYNC_DIR : STEP_MARKER;
+	case STEP_SYNC_DIR:
+	case STEP_UNLINK:
+		return s->oldest < s->generation && !failed ? STEP_UNLINK :
+							      STEP_MARKER;
+	default:
+		return s->step + 1;
+	}
 }
 
 /* Frees a large buffer: that of a new generation is as large as the state. */
@@ -280,25 +320,31 @@
 {
 	struct dl_disk_done done = { step_done, s };
 	const struct dl_disk_ops *ops = s->disk.ops;
-	const char *name = s->new_generation ? TMP_NAME : s->name;
+	const char *name = s->new_file ? TMP_NAME : s->name;
 	struct dl_str data = { s->buf.data, s->buf.size };
 	char old[NAME_SIZE];
 
 	switch (s->step) {
+	case STEP_DISCARD:
+		ops->unlink(s->disk.disk, TMP_NAME, done);
+		return;
 	case STEP_WRITE:
+		s->stale_tmp = s->stale_tmp || s->new_file;
 		ops->write(s->disk.disk, name, s->end, data, done);
 		return;
 	case STEP_SYNC:
 		ops->sync(s->disk.disk, name, done);
 		return;
 	case STEP_RENAME:
+		s->generation = s->target;
+		name_of(s->generation, s->name);
 		ops->rename(s->disk.disk, TMP_NAME, s->name, done);
 		return;
 	case STEP_SYNC_DIR:
 		ops->sync_dir(s->disk.disk, done);
 		return;
 	case STEP_UNLINK:
-		name_of(s->old_generation, old);
+		name_of(s->oldest, old);
 		ops->unlink(s->disk.disk, old, done);
 		return;
 	case STEP_MARKER:
@@ -307,32 +353,51 @@
 		ops->write(s->disk.disk, s->name, s->end, data, done);
 		return;
 	case STEP_END:
-		s->old_generation = 0;
 		s->starting = false;
+		s->failed = false;
 		release_large_buffer(s);
 		s->done.fn(s->done.arg, 0);
 		return;
 	}
 }
 
+static void note_error(struct dl_rlog_store *s, int code)
+{
+	s->errors.count++;
+	s->errors.step = step_names[s->step];
+	s->errors.code = code;
+}
+
+/* Whether a step may fail: the record is durable all the same. */
+static bool may_fail(enum store_step step)
+{
+	return step == STEP_UNLINK || step == STEP_MARKER;
+}
+
 /*
- * Runs the next step.  A failed unlink or marker does not undo the sync before
- * it, so its error is ignored.
+ * Runs the next step, or reports the failure of the write.  An old file that
+ * could not be unlinked is left for the next generation.
  */
 static void step_done(void *arg, int code)
 {
 	struct dl_rlog_store *s = arg;
+	bool unlinks = s->step == STEP_DISCARD || s->step == STEP_UNLINK;
 
-	if (code) {
-		s->errors.count++;
-		s->errors.step = step_names[s->step];
-		s->errors.code = code;
-	}
-	if (code && s->step != STEP_UNLINK && s->step != STEP_MARKER) {
+	if (unlinks && code == -ENOENT)
+		code = 0;
+	if (code)
+		note_error(s, code);
+	if (code && !may_fail(s->step)) {
+		s->failed = true;
+		s->starting = false;
 		s->done.fn(s->done.arg, code);
 		return;
 	}
-	s->step = step_after(s);
+	if (s->step == STEP_DISCARD || s->step == STEP_RENAME)
+		s->stale_tmp = false;
+	if (s->step == STEP_UNLINK && !code)
+		s->oldest++;
+	s->step = step_after(s, code != 0);
 	run_step(s);
 }
 
@@ -351,10 +416,13 @@
 		return;
 	}
 	s->done = done;
-	s->new_generation = false;
 	s->starting = true;
-	msgpack_sbuffer_clear(&s->buf);
 	make_marker(s);
+	if (s->buf.size) {
+		write_new_file(s, s->generation);
+		return;
+	}
+	s->new_file = false;
 	s->step = STEP_SYNC;
 	run_step(s);
 }
@@ -560,6 +628,18 @@
 	return 0;
 }
 
+/* Whether the file ends with the marker that its last record was synced. */
+static bool ends_with_marker(const struct reader *rd)
+{
+	struct record_header h;
+
+	if (rd->file.n - rd->at != sizeof(h))
+		return false;
+	memcpy(&h, rd->file.s + rd->at, sizeof(h));
+	return h.magic == MARKER_MAGIC && h.seq == rd->seq &&
+	       h.prev == rd->prev && valid_record_at(rd, rd->at, rd->seq);
+}
+
 static int read_journal(struct dl_rlog_store *s, struct dl_rlog_image *image,
 			struct dl_err *err)
 {
@@ -578,29 +658,25 @@
 	s->prev = rd.prev;
 	s->end = rd.at;
 	s->id = image->id;
-	if (!code && rd.at < rd.file.n)
-		code = s->disk.ops->truncate(s->disk.disk, s->name, rd.at);
-	if (code && code != DL_EDAMAGED)
-		dl_err_set(err, code, DL_STEP_STORE, NULL,
-			   "cannot truncate %s: %s", s->name, strerror(-code));
+	if (!code && !ends_with_marker(&rd))
+		msgpack_sbuffer_write(&s->buf, rd.file.s, rd.at);
 	free(data);
 	return code;
 }
 
-/* Finds the newest generation and the one it replaced, if still there. */
+/* Finds the newest and the oldest generation. */
 static void scan_name(void *arg, const char *name)
 {
 	struct dl_rlog_store *s = arg;
 	uint64_t generation;
 
-	if (strcmp(name, TMP_NAME) == 0)
+	if (strcmp(name, TMP_NAME) == 0) {
 		s->stale_tmp = true;
-	else if (strncmp(name, NAME_PREFIX, strlen(NAME_PREFIX)) == 0) {
+	} else if (strncmp(name, NAME_PREFIX, strlen(NAME_PREFIX)) == 0) {
 		generation =
 			g_ascii_strtoull(name + strlen(NAME_PREFIX), NULL, 16);
-		s->old_generation =
-			MAX(s->old_generation, MIN(s->generation, generation));
 		s->generation = MAX(s->generation, generation);
+		s->oldest = MIN(s->oldest, generation);
 	}
 }
 
@@ -615,20 +691,16 @@
 	memset(image, 0, sizeof(*image));
 	*out = s;
 	s->disk = disk;
+	s->oldest = UINT64_MAX;
 	msgpack_sbuffer_init(&s->buf);
 	code = disk.ops->list(disk.disk, scan_name, s);
 	if (code)
 		return dl_err_set(err, code, DL_STEP_STORE, NULL,
 				  "cannot list the data folder: %s",
 				  strerror(-code));
-	if (s->stale_tmp)
-		code = disk.ops->truncate(disk.disk, TMP_NAME, 0);
-	if (code)
-		return dl_err_set(err, code, DL_STEP_STORE, NULL,
-				  "cannot truncate " TMP_NAME ": %s",
-				  strerror(-code));
 	if (!s->generation) {
 		s->empty = true;
+		s->oldest = 1;
 		s->id = new_id;
 		image->id = new_id;
 		return 0;
