Replicated log: a learner becomes a voter only once it has promised

What callers saw: about a second without a leader each time a replica that had lost its disk was replaced: no change is acknowledged, no lease granted.

Cause: a learner was promoted at the reply that first held the whole log. That reply carries no promise, since the members it names are not synced yet. As one voter more the majority grew to three of four, the old identity being silent; the time of the majority's promises fell back to when the leader was elected, and check-quorum deposed it.

--- a/src/state/rlog_reconfig.c
+++ b/src/state/rlog_reconfig.c
@@ -27,6 +27,8 @@
 static bool is_superseded(const struct dl_rlog *r,
 			  const struct dl_rlog_member *m, int64_t now);
 static bool keeps_quorum(const struct reconfig *s);
+static bool has_promised(const struct dl_rlog *r, const struct rlog_peer *p,
+			 int64_t now);
 static void set_waiting_for(struct reconfig *s, const char *what, uint64_t vm);
 static bool try_promote(struct reconfig *s);
 static bool try_add(struct reconfig *s);
@@ -133,6 +135,18 @@
 		 dl_vm_text(vm, text));
 }
 
+/*
+ * Whether a learner has promised this leader to grant no vote.  As a voter
+ * without a promise it would end the lease, and depose a leader that needs it
+ * for its majority.
+ */
+static bool has_promised(const struct dl_rlog *r, const struct rlog_peer *p,
+			 int64_t now)
+{
+	return p->acked_stamp != INT64_MIN &&
+	       now - p->acked_stamp < (int64_t)r->conf.lease_ms;
+}
+
 /* Promotes a learner that holds the whole log to a voter. */
 static bool try_promote(struct reconfig *s)
 {
@@ -142,7 +156,8 @@
 
 		if (m->voter || !p || !is_wanted(s->r, m->vm))
 			continue;
-		if (!is_live(s->r, m->id, s->now)) {
+		if (!is_live(s->r, m->id, s->now) ||
+		    !has_promised(s->r, p, s->now)) {
 			set_waiting_for(s, "for contact with the learner",
 					m->vm);
 			continue;
--- a/test/test_rlog.c
+++ b/test/test_rlog.c
@@ -297,6 +297,28 @@
 }
 END_TEST
 
+/* A new voter that has promised nothing yet does not depose its leader. */
+START_TEST(replacing_a_lost_disk_keeps_the_leader)
+{
+	struct group *g = start_three(70 + (uint32_t)_i);
+	uint64_t leader = group_leader(g), lost = follower(g);
+	uint64_t term = get_status(g, leader).term;
+
+	propose_and_run(g, 10);
+	group_run(g, 2000);
+	group_wipe(g, lost);
+	group_run(g, 200 * (uint32_t)_i);
+	group_start(g, lost);
+	for (int i = 0; i < 100; i++) {
+		group_run(g, 50);
+		ck_assert_uint_eq(group_leader(g), leader);
+		ck_assert_uint_eq(get_status(g, leader).term, term);
+	}
+	ck_assert(group_members_are(g, first_three, 3));
+	finish_group(g);
+}
+END_TEST
+
 /*
  * A leader whose sync failed does not acknowledge it and hands over; it takes
  * part again by itself, or if its process ends first.
@@ -701,6 +723,7 @@
 	tcase_add_loop_test(t, restart_keeps_vote_promise, 0, 10);
 	tcase_add_test(t, uninitialized_reply_is_no_promise);
 	tcase_add_test(t, snapshot_alone_is_not_current);
+	tcase_add_loop_test(t, replacing_a_lost_disk_keeps_the_leader, 0, 20);
 	tcase_add_loop_test(t, failed_sync_is_not_acknowledged, 0, 4);
 	tcase_add_loop_test(t, damage_is_refused, 0, 20);
 	tcase_add_loop_test(t, crash_at_every_disk_step, 0, 160);
