Replicated log: a replica that cannot write does not ask to join

What could go wrong: a voter is lost and the other VMs of its failure domain have full disks. Each of them asks to join, is preferred since its domain has the fewest voters, stores nothing as a learner, is dropped, asks again; the voter is not replaced while VMs with good disks stand by.

A process that is no member and cannot write has no contact to the leader meanwhile.

--- a/src/state/rlog_bootstrap.c
+++ b/src/state/rlog_bootstrap.c
@@ -216,6 +216,10 @@
 	struct dl_rlog_members members;
 
 	r->join_at = now + r->conf.join_interval_ms;
+	/* A replica that cannot write would be chosen in place of one that can.
+	 */
+	if (r->write_error)
+		return;
 	if (rlog_has_contact(r, now)) {
 		ask_members(r);
 		return;
--- a/test/test_rlog.c
+++ b/test/test_rlog.c
@@ -658,6 +658,33 @@
 }
 END_TEST
 
+/* VMs whose disks fail must not be chosen again and again. */
+START_TEST(full_disks_do_not_keep_a_lost_voter_from_being_replaced)
+{
+	struct group *g = start_many(90 + (uint32_t)_i, 25);
+	uint64_t lost;
+
+	ck_assert(group_wait_leader(g, 3000));
+	group_run(g, 4000);
+	lost = group_leader(g) == 1 ? 2 : 1;
+	ck_assert(is_member(g, lost));
+	for (uint64_t vm = 1; vm < 25; vm++) {
+		if (group_domain(g, vm) == group_domain(g, lost))
+			fake_disk_set_full(group_disk(g, vm), true);
+	}
+	group_crash(g, lost);
+	propose_and_run(g, 20);
+	group_run(g, 25000);
+	ck_assert_uint_eq(voters(g), VOTERS);
+	for (uint64_t vm = 1; vm < 25; vm++) {
+		if (group_domain(g, vm) == group_domain(g, lost))
+			ck_assert(!is_member(g, vm));
+		fake_disk_set_full(group_disk(g, vm), false);
+	}
+	finish_group(g);
+}
+END_TEST
+
 /* Two disks are lost right after an acknowledgement. */
 START_TEST(two_lost_disks_are_replaced_without_loss)
 {
@@ -737,6 +764,9 @@
 	tcase_add_test(t, late_process_that_lists_no_member_finds_the_group);
 	tcase_add_test(t, non_member_that_is_cut_off_has_no_contact);
 	tcase_add_loop_test(t, lost_domain_is_replaced_by_others, 0, 5);
+	tcase_add_loop_test(
+		t, full_disks_do_not_keep_a_lost_voter_from_being_replaced, 0,
+		4);
 	tcase_add_loop_test(t, two_lost_disks_are_replaced_without_loss, 0, 5);
 	tcase_add_loop_test(t, all_killed_at_once_serve_again, 0, 5);
 	return suite_run(s);
