Replicated log: a voter whose disk hangs is replaced

A disk that answers nothing for good leaves its voter heard, since heartbeats need no disk, so it was never replaced though VMs with good disks asked to join; the group bore one loss less without a word. The leader now notes when a member last stored more or lacked nothing; one that has lacked committed entries for four times the timeout of a silent voter is replaced like a silent one.

--- a/src/state/rlog_int.h
+++ b/src/state/rlog_int.h
@@ -46,6 +46,7 @@
 	uint64_t commit_sent;
 	int64_t sent;	     /* time of the last APPEND or SNAPSHOT */
 	int64_t acked_stamp; /* the newest stamp echoed */
+	int64_t stored_at;   /* when it last stored more, or lacked nothing */
 	bool send_now;	     /* a message is due at once */
 	uint64_t snap_index;
 	uint64_t snap_offset;
--- a/src/state/rlog_lead.c
+++ b/src/state/rlog_lead.c
@@ -14,7 +14,7 @@
 /* After a silence of this many election timeouts a member is only probed. */
 #define SILENT_ELECTIONS 2
 
-static void begin_peer(struct dl_rlog *r, struct rlog_peer *p);
+static void begin_peer(struct dl_rlog *r, struct rlog_peer *p, int64_t now);
 static void advance_commit(struct dl_rlog *r, int64_t now);
 static int compare_down(const void *a, const void *b);
 static uint64_t quorum_match(const struct dl_rlog *r);
@@ -28,11 +28,12 @@
 static void begin_snapshot(struct dl_rlog *r, struct rlog_peer *p);
 static void transfer_step(struct dl_rlog *r, int64_t now);
 static void acknowledge(struct dl_rlog *r, struct rlog_peer *p,
-			const struct dl_rlog_msg *m);
+			const struct dl_rlog_msg *m, int64_t now);
 
-static void begin_peer(struct dl_rlog *r, struct rlog_peer *p)
+static void begin_peer(struct dl_rlog *r, struct rlog_peer *p, int64_t now)
 {
 	p->mode = RLOG_REPLICATE;
+	p->stored_at = now;
 	p->next = rlog_last(&r->log) + 1;
 	p->match = 0;
 	p->commit_sent = 0;
@@ -57,7 +58,7 @@
 	r->joins_count = 0;
 	r->contact_vm = DL_VM_NONE;
 	for (uint32_t i = 0; i < r->peers_count; i++)
-		begin_peer(r, &r->peers[i]);
+		begin_peer(r, &r->peers[i], now);
 	r->term_start = rlog_last(&r->log) + 1;
 	rlog_lead_append(r, DL_RLOG_NOOP, (struct dl_str){ NULL, 0 }, now);
 }
@@ -300,12 +301,14 @@
 
 /* Handles that a follower has synced the entries up to an index. */
 static void acknowledge(struct dl_rlog *r, struct rlog_peer *p,
-			const struct dl_rlog_msg *m)
+			const struct dl_rlog_msg *m, int64_t now)
 {
 	if (!rlog_invariant(
 		    r, m->index <= rlog_last(&r->log),
 		    "a follower acknowledged more than its leader holds"))
 		return;
+	if (m->index > p->match || m->index >= r->commit)
+		p->stored_at = now;
 	p->match = MAX(p->match, m->index);
 	p->next = MAX(p->next, p->match + 1);
 	if (p->mode == RLOG_SNAPSHOT && p->match < p->snap_index)
@@ -335,7 +338,7 @@
 	if (m->stamp)
 		p->acked_stamp = MAX(p->acked_stamp, m->stamp);
 	if (m->ok) {
-		acknowledge(r, p, m);
+		acknowledge(r, p, m, now);
 		if (r->role == DL_RLOG_LEADER)
 			advance_commit(r, now);
 		if (r->role == DL_RLOG_LEADER && r->transferring)
@@ -365,6 +368,7 @@
 	    m->offset == p->snap_offset || m->offset > r->snap.data.n)
 		return;
 	p->snap_offset = m->offset;
+	p->stored_at = now;
 	p->send_now = true;
 }
 
--- a/src/state/rlog_voters.c
+++ b/src/state/rlog_voters.c
@@ -5,8 +5,9 @@
  *
  * This serves machines that are replaced by others at new addresses without any
  * notice to the group: a voter that has been silent for longer than a restart
- * takes is replaced as soon as another identity asks to join.  Without one, the
- * silent voter stays a member.
+ * takes is replaced as soon as another identity asks to join, and so is one
+ * that stores nothing for longer than a disk usually hangs.  Without another
+ * identity the voter stays a member.
  *
  * Of several VMs that ask, one in the failure domain with the fewest voters is
  * taken: otherwise the loss of one domain could take the majority with it.
@@ -15,7 +16,14 @@
 
 #include <string.h>
 
+/*
+ * A voter that stores nothing is replaced after this many times the timeout of
+ * a silent one: disks that hang for some seconds recover.
+ */
+#define HANGING_TIMEOUTS 4
+
 static int64_t last_heard(const struct dl_rlog *r, uint64_t id, int64_t now);
+static bool stores_nothing(const struct dl_rlog *r, uint64_t id, int64_t now);
 static bool listed(const uint64_t *vms, uint32_t n, uint64_t vm);
 static uint64_t domain_of(const struct dl_rlog *r, uint64_t vm);
 static uint32_t count_in_domain(const struct dl_rlog *r, const uint64_t *vms,
@@ -39,6 +47,24 @@
 	return r->leader_since;
 }
 
+/*
+ * Whether a member has lacked committed entries for long and stored none of
+ * them, though it may answer heartbeats: its disk hangs.
+ */
+static bool stores_nothing(const struct dl_rlog *r, uint64_t id, int64_t now)
+{
+	for (uint32_t i = 0; i < r->peers_count; i++) {
+		const struct rlog_peer *p = &r->peers[i];
+
+		if (p->member.id == id)
+			return p->match < r->commit &&
+			       now - MAX(p->stored_at, r->leader_since) >=
+				       (int64_t)r->conf.voter_timeout_ms *
+					       HANGING_TIMEOUTS;
+	}
+	return false;
+}
+
 static bool listed(const uint64_t *vms, uint32_t n, uint64_t vm)
 {
 	for (uint32_t i = 0; i < n; i++) {
@@ -107,7 +133,9 @@
 	return best;
 }
 
-/* Lists the VMs of voters that are silent, or of those that are not. */
+/*
+ * Lists the VMs of voters that are silent or store nothing, or of the others.
+ */
 static uint32_t list_voters(const struct dl_rlog *r, bool silent, int64_t now,
 			    uint64_t out[DL_RLOG_MEMBERS_MAX])
 {
@@ -116,7 +144,8 @@
 	for (uint32_t i = 0; i < r->members.count; i++) {
 		const struct dl_rlog_member *m = &r->members.at[i];
 		bool is_silent = now - last_heard(r, m->id, now) >=
-				 (int64_t)r->conf.voter_timeout_ms;
+					 (int64_t)r->conf.voter_timeout_ms ||
+				 stores_nothing(r, m->id, now);
 
 		if (m->voter && is_silent == silent && !listed(out, n, m->vm))
 			out[n++] = m->vm;
--- a/test/test_rlog.c
+++ b/test/test_rlog.c
@@ -658,6 +658,30 @@
 }
 END_TEST
 
+/* A voter whose disk hangs is heard, but would not survive another loss. */
+START_TEST(voter_whose_disk_hangs_is_replaced)
+{
+	struct group *g = start_many(95 + (uint32_t)_i, 25);
+	uint64_t stuck;
+
+	ck_assert(group_wait_leader(g, 3000));
+	group_run(g, 4000);
+	stuck = group_leader(g) == 1 ? 2 : 1;
+	fake_disk_set_sync_ms(group_disk(g, stuck), 1000000, 1000000);
+	propose_and_run(g, 20);
+	group_run(g, 5000);
+	ck_assert(is_member(g, stuck));
+	propose_and_run(g, 20);
+	group_run(g, 10000);
+	ck_assert_uint_eq(voters(g), VOTERS);
+	ck_assert(!is_member(g, stuck));
+	fake_disk_set_sync_ms(group_disk(g, stuck), 1, 8);
+	group_kill(g, stuck);
+	group_start(g, stuck);
+	finish_group(g);
+}
+END_TEST
+
 /* VMs whose disks fail must not be chosen again and again. */
 START_TEST(full_disks_do_not_keep_a_lost_voter_from_being_replaced)
 {
@@ -767,6 +791,7 @@
 	tcase_add_loop_test(
 		t, full_disks_do_not_keep_a_lost_voter_from_being_replaced, 0,
 		4);
+	tcase_add_loop_test(t, voter_whose_disk_hangs_is_replaced, 0, 4);
 	tcase_add_loop_test(t, two_lost_disks_are_replaced_without_loss, 0, 5);
 	tcase_add_loop_test(t, all_killed_at_once_serve_again, 0, 5);
 	return suite_run(s);
