Replicated log: a learner whose leader was lost asks to join again

What could go wrong: a replica that lost its disk stays out of the group for good, and the group bears one loss less.

Cause: a follower that is no voter keeps the leader it last heard, since only elections forget it. It took that for contact with a leader, and asked the members that such a contact had named, of which there are none after a restart: it asked nobody. If the leader lost the entry that added it, no other leader knows of it.

--- a/src/state/rlog_bootstrap.c
+++ b/src/state/rlog_bootstrap.c
@@ -276,18 +276,21 @@
 }
 
 /*
- * Whether a leader can be reached, as the leader, as a follower, or by what a
- * member replied recently.
+ * Whether a leader can be reached, as the leader, as a follower that hears it,
+ * or by what a member replied recently.
  */
 bool rlog_has_contact(const struct dl_rlog *r, int64_t now)
 {
+	int64_t valid_ms =
+		(int64_t)r->conf.join_interval_ms * CONTACT_INTERVALS;
+
 	if (r->role == DL_RLOG_LEADER)
 		return dl_rlog_lease(r, now, NULL);
-	if (r->role == DL_RLOG_FOLLOWER && r->leader_vm != DL_VM_NONE)
+	if (r->role == DL_RLOG_FOLLOWER && r->leader_vm != DL_VM_NONE &&
+	    now - r->heard < valid_ms)
 		return true;
 	return r->role != DL_RLOG_HALTED && r->contact_vm != DL_VM_NONE &&
-	       now - r->contact_at <
-		       (int64_t)r->conf.join_interval_ms * CONTACT_INTERVALS;
+	       now - r->contact_at < valid_ms;
 }
 
 /*
--- a/test/test_rlog.c
+++ b/test/test_rlog.c
@@ -297,6 +297,41 @@
 }
 END_TEST
 
+/*
+ * A learner whose addition was lost with its leader must ask to join again: no
+ * other leader knows of it.
+ */
+START_TEST(learner_of_a_lost_leader_asks_to_join)
+{
+	struct group *g = start_three(100 + (uint32_t)_i);
+	uint64_t leader = group_leader(g), lost = follower(g);
+	uint64_t other = 6 - leader - lost;
+
+	propose_and_run(g, 60);
+	group_run(g, 500);
+	group_wipe(g, lost);
+	fake_link_cut(group_link(g), leader, other);
+	fake_disk_set_sync_ms(group_disk(g, leader), 60000, 60000);
+	group_start(g, lost);
+	for (int i = 0; i < 900 && !get_status(g, lost).synced; i++)
+		group_run(g, 1);
+	ck_assert_int_eq(get_status(g, lost).role, DL_RLOG_FOLLOWER);
+	group_kill(g, lost);
+	group_start(g, lost);
+	for (int i = 0; i < 900 && get_status(g, lost).leader != leader; i++)
+		group_run(g, 1);
+	ck_assert_uint_eq(get_status(g, lost).leader, leader);
+	group_crash(g, leader);
+	fake_link_heal(group_link(g));
+	fake_disk_set_sync_ms(group_disk(g, leader), 1, 5);
+	group_start(g, leader);
+	ck_assert(group_wait_leader(g, 5000));
+	group_run(g, 10000);
+	ck_assert(group_members_are(g, first_three, 3));
+	finish_group(g);
+}
+END_TEST
+
 /* A new voter that has promised nothing yet does not depose its leader. */
 START_TEST(replacing_a_lost_disk_keeps_the_leader)
 {
@@ -774,6 +809,7 @@
 	tcase_add_loop_test(t, restart_keeps_vote_promise, 0, 10);
 	tcase_add_test(t, uninitialized_reply_is_no_promise);
 	tcase_add_test(t, snapshot_alone_is_not_current);
+	tcase_add_loop_test(t, learner_of_a_lost_leader_asks_to_join, 0, 6);
 	tcase_add_loop_test(t, replacing_a_lost_disk_keeps_the_leader, 0, 20);
 	tcase_add_loop_test(t, failed_sync_is_not_acknowledged, 0, 4);
 	tcase_add_loop_test(t, damage_is_refused, 0, 20);
--- a/test/test_rlog_random.c
+++ b/test/test_rlog_random.c
@@ -24,9 +24,9 @@
 /*
  * Seeds that once failed: 22, a lost disk whose settings do not list the
  * leader; 272, a learner whose addition was never committed; 231, a failed
- * first sync.
+ * first sync; 114, a learner whose leader was lost.
  */
-static const uint32_t failing_seeds[] = { 22, 231, 272 };
+static const uint32_t failing_seeds[] = { 22, 114, 231, 272 };
 
 struct trial {
 	struct group *group;
