Replicated log: full disks of a majority do not end the leader's lease

What callers would see: with two of three disks full nobody leads, leases end after revoke_ms and the entries refuse every request, though only changes of the configuration need a disk.

Cause: while writes failed a replica sent nothing, heartbeat replies included, and a leader handed over at once, to voters that cannot store a vote. Hanging disks of a majority did the same under steady changes: each heartbeat carried entries, and its reply waited for the disk.

Change: a replica whose disk fails or is slow answers entries at once for what is stored, which renews its promise, and says that its disk fails (a flag that older processes ignore). A leader goes on while its own disk fails, since the others' disks commit, and hands over after two heartbeats if a majority of voters with working disks is heard. A voter that says so is replaced like a silent one. New lines at the leader: "The disk of a voter fails", "A voter can be counted on again".

--- a/include/daisyledge/rlog.h
+++ b/include/daisyledge/rlog.h
@@ -108,8 +108,9 @@
 	 */
 	int64_t stamp;
 	bool ok;
-	bool fresh;    /* APPEND_REPLY: the sender has no log */
-	bool transfer; /* VOTE: the leader requested this election */
+	bool fresh;	 /* APPEND_REPLY: the sender has no log */
+	bool transfer;	 /* VOTE: the leader requested this election */
+	bool disk_fails; /* replies to APPEND, SNAPSHOT: of the sender */
 	uint32_t count;
 	const struct dl_rlog_entry *entries;
 	/* SNAPSHOT: its data is the chunk at offset, of total bytes. */
@@ -207,6 +208,7 @@
 	struct dl_rlog_member member;
 	uint64_t match;
 	int64_t heard_ms_ago; /* -1: never */
+	bool disk_fails;      /* by its last reply */
 };
 
 struct dl_rlog_status {
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -102,7 +102,8 @@
 	X(REPLICA_DISK_ERROR, DL_WARN, "replica", "A disk operation failed.")  \
 	X(REPLICA_NO_LEADER, DL_WARN, "replica", "No leader is known.")        \
 	X(VOTER_SILENT, DL_WARN, "replica", "A voter is silent.")              \
-	X(VOTER_HEARD, DL_INFO, "replica", "A silent voter is heard again.")
+	X(VOTER_DISK_FAILS, DL_WARN, "replica", "The disk of a voter fails.")  \
+	X(VOTER_BACK, DL_INFO, "replica", "A voter can be counted on again.")
 
 enum dl_msg {
 #define X(name, level, part, text) DL_MSG_##name,
--- a/src/protocol/rlog_codec.c
+++ b/src/protocol/rlog_codec.c
@@ -17,9 +17,10 @@
 #define MEMBER_FIELDS 3
 #define CHUNK_FIELDS  6
 
-#define FLAG_OK	      1u
-#define FLAG_FRESH    2u
-#define FLAG_TRANSFER 4u
+#define FLAG_OK		1u
+#define FLAG_FRESH	2u
+#define FLAG_TRANSFER	4u
+#define FLAG_DISK_FAILS 8u
 
 /* The type of the payload of each message kind. */
 enum payload {
@@ -98,7 +99,8 @@
 {
 	unsigned flags = (msg->ok ? FLAG_OK : 0) |
 			 (msg->fresh ? FLAG_FRESH : 0) |
-			 (msg->transfer ? FLAG_TRANSFER : 0);
+			 (msg->transfer ? FLAG_TRANSFER : 0) |
+			 (msg->disk_fails ? FLAG_DISK_FAILS : 0);
 	msgpack_packer pk;
 
 	msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
@@ -249,6 +251,7 @@
 	msg->ok = flags & FLAG_OK;
 	msg->fresh = flags & FLAG_FRESH;
 	msg->transfer = flags & FLAG_TRANSFER;
+	msg->disk_fails = flags & FLAG_DISK_FAILS;
 	return true;
 }
 
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -41,6 +41,17 @@
 	uint64_t request;
 };
 
+enum replica_voter_state {
+	REPLICA_VOTER_OK,
+	REPLICA_VOTER_SILENT,
+	REPLICA_VOTER_DISK_FAILS,
+};
+
+struct replica_lost_voter {
+	uint64_t id; /* its identity */
+	enum replica_voter_state state;
+};
+
 /* What the log output last said of the group and the disk. */
 struct replica_health {
 	enum dl_rlog_role role;
@@ -53,8 +64,8 @@
 	uint64_t disk_errors;
 	const char *disk_step; /* of the error logged last */
 	int disk_code;
-	uint32_t silent_count;
-	uint64_t silent[DL_RLOG_MEMBERS_MAX]; /* voters, by identity */
+	uint32_t lost_count;
+	struct replica_lost_voter lost[DL_RLOG_MEMBERS_MAX];
 };
 
 struct replica {
--- a/src/replica/replica_health.c
+++ b/src/replica/replica_health.c
@@ -1,6 +1,6 @@
 /*
  * Logs what this replica believes of its group and of its disk when it changes:
- * role, leader, voters that are silent, failed disk operations.  These tell
+ * role, leader, voters that are lost, failed disk operations.  These tell
  * apart why a group has no leader: too few voters, a disk, or votes.
  */
 #include <string.h>
@@ -45,7 +45,7 @@
 		return;
 	if (s->role == DL_RLOG_LEADER) {
 		h->led_since = now;
-		h->silent_count = 0;
+		h->lost_count = 0;
 		dl_msg(DL_MSG_REPLICA_LEADER, "term=%lu",
 		       (unsigned long)s->term);
 	} else if (s->role == DL_RLOG_FOLLOWER) {
@@ -58,40 +58,53 @@
 	h->leader = s->leader;
 }
 
-static bool is_silent(const struct dl_rlog_peer_status *p, int64_t led_ms)
+static enum replica_voter_state state_of(const struct dl_rlog_peer_status *p,
+					 int64_t led_ms)
 {
-	if (p->heard_ms_ago < 0)
-		return led_ms > SILENT_MS;
-	return p->heard_ms_ago > SILENT_MS;
+	int64_t silent_ms = p->heard_ms_ago < 0 ? led_ms : p->heard_ms_ago;
+
+	if (silent_ms > SILENT_MS)
+		return REPLICA_VOTER_SILENT;
+	return p->disk_fails ? REPLICA_VOTER_DISK_FAILS : REPLICA_VOTER_OK;
 }
 
-static bool remove_silent(struct replica_health *h, uint64_t id)
+/* The state of a voter that was logged last; stores the new one. */
+static enum replica_voter_state replace_state(struct replica_health *h,
+					      uint64_t id,
+					      enum replica_voter_state state)
 {
-	for (uint32_t i = 0; i < h->silent_count; i++) {
-		if (h->silent[i] != id)
-			continue;
-		h->silent[i] = h->silent[--h->silent_count];
-		return true;
+	enum replica_voter_state old = REPLICA_VOTER_OK;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < h->lost_count; i++) {
+		if (h->lost[i].id == id)
+			old = h->lost[i].state;
+		else
+			h->lost[n++] = h->lost[i];
 	}
-	return false;
+	if (state != REPLICA_VOTER_OK && n < DL_RLOG_MEMBERS_MAX)
+		h->lost[n++] = (struct replica_lost_voter){ id, state };
+	h->lost_count = n;
+	return old;
 }
 
-/* Logs at the leader which voter fell silent or is heard again. */
+/* Logs at the leader that a voter is lost to the group, or back. */
 static void check_voter(struct replica *r, const struct dl_rlog_peer_status *p,
 			int64_t now)
 {
-	struct replica_health *h = &r->health;
-	bool was = remove_silent(h, p->member.id);
-	bool silent = is_silent(p, now - h->led_since);
+	static const enum dl_msg msgs[] = {
+		[REPLICA_VOTER_OK] = DL_MSG_VOTER_BACK,
+		[REPLICA_VOTER_SILENT] = DL_MSG_VOTER_SILENT,
+		[REPLICA_VOTER_DISK_FAILS] = DL_MSG_VOTER_DISK_FAILS,
+	};
+	enum replica_voter_state state = state_of(p, now - r->health.led_since);
 	char vm[24];
 
-	if (silent)
-		h->silent[h->silent_count++] = p->member.id;
-	if (silent == was)
+	if (replace_state(&r->health, p->member.id, state) == state)
 		return;
-	dl_msg(silent ? DL_MSG_VOTER_SILENT : DL_MSG_VOTER_HEARD,
-	       "vm=%s age_ms=%ld match=%lu", dl_vm_text(p->member.vm, vm),
-	       (long)p->heard_ms_ago, (unsigned long)p->match);
+	dl_msg(msgs[state], "vm=%s age_ms=%ld match=%lu",
+	       dl_vm_text(p->member.vm, vm), (long)p->heard_ms_ago,
+	       (unsigned long)p->match);
 }
 
 /* Counts the voters, and those that were heard recently. */
--- a/src/replica/replica_query.c
+++ b/src/replica/replica_query.c
@@ -119,6 +119,8 @@
 	json_object_set_new(o, "learner", json_boolean(!p->member.voter));
 	set_u64(o, "match", p->match);
 	json_object_set_new(o, "heard_ms_ago", json_integer(p->heard_ms_ago));
+	if (p->disk_fails)
+		json_object_set_new(o, "disk_fails", json_true());
 	return o;
 }
 
--- a/src/state/rlog.c
+++ b/src/state/rlog.c
@@ -400,6 +400,7 @@
 						m->stamp;
 	reply.commit = m->index;
 	reply.index_term = r->conf.domain;
+	reply.disk_fails = is_from_leader(m->kind) && r->write_error;
 	return reply;
 }
 
@@ -627,6 +628,7 @@
 		s->member = p->member;
 		s->match = p->match;
 		s->heard_ms_ago = p->heard == INT64_MIN ? -1 : now - p->heard;
+		s->disk_fails = p->disk_failed_at != INT64_MIN;
 	}
 	memcpy(out->waiting_for, r->waiting_for, sizeof(out->waiting_for));
 	out->write_error = r->write_error;
--- a/src/state/rlog_follow.c
+++ b/src/state/rlog_follow.c
@@ -18,7 +18,7 @@
 static bool append_entry(struct dl_rlog *r, const struct dl_rlog_entry *e);
 static void commit_to(struct dl_rlog *r, uint64_t commit, uint64_t verified);
 static void accept_until(struct dl_rlog *r, const struct dl_rlog_msg *m,
-			 uint64_t match);
+			 uint64_t match, int64_t now);
 static bool append_chunk(struct dl_rlog *r, const struct dl_rlog_msg *m);
 static void install_snapshot(struct dl_rlog *r, const struct dl_rlog_msg *m,
 			     int64_t now);
@@ -81,8 +81,13 @@
 	r->commit = MAX(r->commit, MIN(commit, verified));
 }
 
+/*
+ * Replies to entries or a heartbeat.  While the disk is slow or fails, entries
+ * get a reply at once as well, for what is stored: the leader's lease and its
+ * majority depend on hearing this replica, not on its disk.
+ */
 static void accept_until(struct dl_rlog *r, const struct dl_rlog_msg *m,
-			 uint64_t match)
+			 uint64_t match, int64_t now)
 {
 	struct dl_rlog_msg reply = rlog_reply_to(r, DL_RLOG_APPEND_REPLY, m);
 
@@ -92,6 +97,8 @@
 		rlog_queue(r, &reply, r->state_seq);
 		return;
 	}
+	if (rlog_write_is_slow(r, now))
+		rlog_queue(r, &reply, r->state_seq);
 	reply.index = match;
 	rlog_queue(r, &reply, rlog_seq_of(r, match));
 }
@@ -149,7 +156,7 @@
 	}
 	note_leader_commit(r, m->commit);
 	commit_to(r, m->commit, verified);
-	accept_until(r, m, verified);
+	accept_until(r, m, verified, now);
 }
 
 /* Adds a chunk to those received; false if it does not fit. */
--- a/src/state/rlog_int.h
+++ b/src/state/rlog_int.h
@@ -44,10 +44,11 @@
 	uint64_t next;
 	uint64_t match;
 	uint64_t commit_sent;
-	int64_t sent;	     /* time of the last APPEND or SNAPSHOT */
-	int64_t acked_stamp; /* the newest stamp echoed */
-	int64_t stored_at;   /* when it last stored more, or lacked nothing */
-	bool send_now;	     /* a message is due at once */
+	int64_t sent;		/* time of the last APPEND or SNAPSHOT */
+	int64_t acked_stamp;	/* the newest stamp echoed */
+	int64_t disk_failed_at; /* its disk has failed since; INT64_MIN: no */
+	int64_t stored_at; /* when it last stored more, or lacked nothing */
+	bool send_now;	   /* a message is due at once */
 	uint64_t snap_index;
 	uint64_t snap_offset;
 };
@@ -148,6 +149,7 @@
 	uint64_t synced_index;
 	uint64_t state_seq; /* the record that holds term and vote */
 	int write_error;    /* of the last write; 0: it succeeded */
+	int64_t write_started_at;
 	uint32_t write_failures;
 	uint32_t write_retry_ms;
 	int64_t write_failed_at; /* the first of these failures */
@@ -197,6 +199,8 @@
 /* rlog_write.c */
 void rlog_dirty_state(struct dl_rlog *r);
 uint64_t rlog_seq_of(const struct dl_rlog *r, uint64_t index);
+bool rlog_write_is_slow(const struct dl_rlog *r, int64_t now);
+int64_t rlog_disk_failed_ms(const struct dl_rlog *r, int64_t now);
 bool rlog_must_not_wait(const struct dl_rlog *r, uint64_t wait_seq);
 int64_t rlog_write_wakeup(const struct dl_rlog *r);
 
--- a/src/state/rlog_lead.c
+++ b/src/state/rlog_lead.c
@@ -13,6 +13,8 @@
 
 /* After a silence of this many election timeouts a member is only probed. */
 #define SILENT_ELECTIONS 2
+/* A leader whose disk fails waits for so many heartbeats and their replies. */
+#define HAND_OVER_HEARTBEATS 2
 
 static void begin_peer(struct dl_rlog *r, struct rlog_peer *p, int64_t now);
 static void advance_commit(struct dl_rlog *r, int64_t now);
@@ -26,6 +28,9 @@
 static void fill_snapshot(struct dl_rlog *r, struct rlog_peer *p,
 			  struct dl_rlog_msg *msg);
 static void begin_snapshot(struct dl_rlog *r, struct rlog_peer *p);
+static const struct rlog_peer *transfer_target(const struct dl_rlog *r,
+					       int64_t now);
+static bool should_hand_over(const struct dl_rlog *r, int64_t now);
 static void transfer_step(struct dl_rlog *r, int64_t now);
 static void acknowledge(struct dl_rlog *r, struct rlog_peer *p,
 			const struct dl_rlog_msg *m, int64_t now);
@@ -34,6 +39,7 @@
 {
 	p->mode = RLOG_REPLICATE;
 	p->stored_at = now;
+	p->disk_failed_at = INT64_MIN;
 	p->next = rlog_last(&r->log) + 1;
 	p->match = 0;
 	p->commit_sent = 0;
@@ -177,6 +183,8 @@
 			p->next = p->match + 1;
 		}
 	}
+	if (!r->transferring && should_hand_over(r, now))
+		dl_rlog_transfer(r, now);
 	if (r->transferring)
 		transfer_step(r, now);
 	else
@@ -318,6 +326,16 @@
 	p->mode = RLOG_REPLICATE;
 }
 
+/* Notes whether a follower's disk fails, and since when. */
+static void note_disk(struct rlog_peer *p, const struct dl_rlog_msg *m,
+		      int64_t now)
+{
+	if (!m->disk_fails)
+		p->disk_failed_at = INT64_MIN;
+	else if (p->disk_failed_at == INT64_MIN)
+		p->disk_failed_at = now;
+}
+
 /* Handles a follower's reply to entries, a heartbeat or a whole snapshot. */
 void rlog_on_append_reply(struct dl_rlog *r, const struct dl_rlog_msg *m,
 			  int64_t now)
@@ -326,6 +344,7 @@
 
 	if (r->role != DL_RLOG_LEADER || !p || m->term != r->term)
 		return;
+	note_disk(p, m, now);
 	if (m->index_term)
 		p->domain = m->index_term;
 	if (m->fresh) {
@@ -362,6 +381,7 @@
 
 	if (r->role != DL_RLOG_LEADER || !p || m->term != r->term)
 		return;
+	note_disk(p, m, now);
 	if (!m->fresh && m->stamp)
 		p->acked_stamp = MAX(p->acked_stamp, m->stamp);
 	if (p->mode != RLOG_SNAPSHOT || m->index != p->snap_index ||
@@ -386,6 +406,44 @@
 	return 0;
 }
 
+/* A voter that holds the whole log, or NULL; always the same in a transfer. */
+static const struct rlog_peer *transfer_target(const struct dl_rlog *r,
+					       int64_t now)
+{
+	for (uint32_t i = 0; i < r->peers_count; i++) {
+		const struct rlog_peer *p = &r->peers[i];
+
+		if (p->member.voter && p->match == rlog_last(&r->log) &&
+		    p->disk_failed_at == INT64_MIN &&
+		    now - p->heard < (int64_t)r->conf.election_ms &&
+		    (!r->transferring || !r->transfer_to ||
+		     r->transfer_to == p->member.id))
+			return p;
+	}
+	return NULL;
+}
+
+/*
+ * Whether this replica's disk fails and others can lead: a majority of voters
+ * whose disks work is heard.  Waits until these can have said whether theirs
+ * fail too, since a voter that cannot store a vote cannot elect.
+ */
+static bool should_hand_over(const struct dl_rlog *r, int64_t now)
+{
+	uint32_t working = 0;
+
+	if (rlog_disk_failed_ms(r, now) <
+	    (int64_t)r->conf.heartbeat_ms * HAND_OVER_HEARTBEATS)
+		return false;
+	for (uint32_t i = 0; i < r->peers_count; i++) {
+		const struct rlog_peer *p = &r->peers[i];
+
+		working += p->member.voter && p->disk_failed_at == INT64_MIN &&
+			   now - p->heard < (int64_t)r->conf.election_ms;
+	}
+	return working >= rlog_majority(&r->members);
+}
+
 /*
  * Asks a voter that holds the whole log to start an election, always the same
  * one: two candidates would split the votes if this replica's disk fails, so
@@ -394,22 +452,17 @@
  */
 static void transfer_step(struct dl_rlog *r, int64_t now)
 {
+	const struct rlog_peer *to;
+	struct dl_rlog_msg m;
+
 	if (now >= r->transfer_until) {
 		rlog_become_follower(r, r->term, now);
 		return;
 	}
-	for (uint32_t i = 0; i < r->peers_count; i++) {
-		struct rlog_peer *p = &r->peers[i];
-		struct dl_rlog_msg m;
-
-		if (!p->member.voter || p->match != rlog_last(&r->log) ||
-		    now - p->heard >= (int64_t)r->conf.election_ms ||
-		    (r->transfer_to && r->transfer_to != p->member.id))
-			continue;
-		r->transfer_to = p->member.id;
-		m = rlog_msg_to(r, DL_RLOG_TRANSFER, p->member.vm,
-				p->member.id);
-		rlog_queue(r, &m, 0);
+	to = transfer_target(r, now);
+	if (!to)
 		return;
-	}
+	r->transfer_to = to->member.id;
+	m = rlog_msg_to(r, DL_RLOG_TRANSFER, to->member.vm, to->member.id);
+	rlog_queue(r, &m, 0);
 }
--- a/src/state/rlog_members.c
+++ b/src/state/rlog_members.c
@@ -143,6 +143,7 @@
 		p->sent = INT64_MIN;
 		p->acked_stamp = INT64_MIN;
 		p->stored_at = INT64_MIN;
+		p->disk_failed_at = INT64_MIN;
 		p->next = rlog_last(&r->log) + 1;
 		p->mode = RLOG_PROBE;
 		p->send_now = true;
--- a/src/state/rlog_voters.c
+++ b/src/state/rlog_voters.c
@@ -48,19 +48,25 @@
 }
 
 /*
- * Whether a member has lacked committed entries for long and stored none of
- * them, though it may answer heartbeats: its disk hangs.
+ * Whether a member stores nothing though it may answer heartbeats: its disk has
+ * failed for as long as a silent voter is waited for, or hangs, so that it has
+ * lacked committed entries for long and stored none of them.
  */
 static bool stores_nothing(const struct dl_rlog *r, uint64_t id, int64_t now)
 {
 	for (uint32_t i = 0; i < r->peers_count; i++) {
 		const struct rlog_peer *p = &r->peers[i];
 
-		if (p->member.id == id)
-			return p->match < r->commit &&
-			       now - MAX(p->stored_at, r->leader_since) >=
-				       (int64_t)r->conf.voter_timeout_ms *
-					       HANGING_TIMEOUTS;
+		if (p->member.id != id)
+			continue;
+		if (p->disk_failed_at != INT64_MIN &&
+		    now - p->disk_failed_at >=
+			    (int64_t)r->conf.voter_timeout_ms)
+			return true;
+		return p->match < r->commit &&
+		       now - MAX(p->stored_at, r->leader_since) >=
+			       (int64_t)r->conf.voter_timeout_ms *
+				       HANGING_TIMEOUTS;
 	}
 	return false;
 }
--- a/src/state/rlog_write.c
+++ b/src/state/rlog_write.c
@@ -13,6 +13,8 @@
  */
 #define RETRY_MIN_MS 100u
 #define RETRY_MAX_MS 1000u
+/* A write that takes longer than disks usually hang. */
+#define HANGING_MS 10000
 
 static void drop_waiting_messages(struct dl_rlog *r);
 static void handle_failure(struct dl_rlog *r, int code, int64_t now);
@@ -69,6 +71,7 @@
 	r->dirty_from = rlog_last(&r->log) + 1;
 	r->writing_last = rlog_last(&r->log);
 	r->writing = true;
+	r->write_started_at = now;
 	return true;
 }
 
@@ -107,6 +110,7 @@
 	if (r->role == DL_RLOG_HALTED)
 		return;
 	r->synced_index = 0;
+	rlog_dirty_state(r);
 	handle_failure(r, code, now);
 }
 
@@ -144,10 +148,13 @@
 }
 
 /*
- * A replica whose disk fails goes on in memory, but promises nothing: it gives
- * no vote and acknowledges no entry, and a leader hands over to another voter.
- * Failures of a disk pass, such as one without room, so the write is repeated
- * until it succeeds; the replica is then as good a voter as before.
+ * A replica whose disk fails goes on in memory.  It promises nothing that would
+ * have to be stored: it gives no vote and acknowledges no entry.  It still
+ * answers heartbeats, and a leader goes on until another voter can take over,
+ * so that a group without room on most of its disks keeps its leader and
+ * serves; only changes wait.  Failures of a disk pass, such as
+ * one without room, so the write is repeated until it succeeds; the replica is
+ * then as good a voter as before.
  *
  * What the failed write left on the disk is not known, and after a failed sync
  * the kernel may report the next one as successful without writing the data.
@@ -165,10 +172,25 @@
 	r->write_retry_at = now + (int64_t)r->write_retry_ms;
 	r->write_retry_ms = MIN(r->write_retry_ms * 2, RETRY_MAX_MS);
 	r->dirty_snapshot = true;
-	rlog_dirty_state(r);
 	drop_waiting_messages(r);
-	if (r->role == DL_RLOG_LEADER)
-		dl_rlog_transfer(r, now);
-	else if (r->role > DL_RLOG_FOLLOWER)
+	if (r->role == DL_RLOG_PRECANDIDATE || r->role == DL_RLOG_CANDIDATE)
 		rlog_become_follower(r, r->term, now);
 }
+
+/* Whether writes fail, or one takes longer than the leader's heartbeats. */
+bool rlog_write_is_slow(const struct dl_rlog *r, int64_t now)
+{
+	return r->write_error ||
+	       (r->writing && now - r->write_started_at >=
+				      (int64_t)r->conf.heartbeat_ms);
+}
+
+/* How long this replica's disk has failed or hung, in ms; 0 if it works. */
+int64_t rlog_disk_failed_ms(const struct dl_rlog *r, int64_t now)
+{
+	if (r->write_error)
+		return now - r->write_failed_at;
+	if (r->writing && now - r->write_started_at >= HANGING_MS)
+		return now - r->write_started_at;
+	return 0;
+}
--- a/test/test_rlog_codec.c
+++ b/test/test_rlog_codec.c
@@ -29,6 +29,7 @@
 	  .count = 2,
 	  .entries = entries },
 	{ .kind = DL_RLOG_APPEND_REPLY, .index = 9, .fresh = true },
+	{ .kind = DL_RLOG_APPEND_REPLY, .index = 9, .disk_fails = true },
 	{ .kind = DL_RLOG_SNAPSHOT,
 	  .snapshot = { 9, 3, { 1, { { 1, 2, true } } }, { "piece", 5 } },
 	  .offset = 10,
@@ -66,6 +67,7 @@
 	ck_assert_int_eq(d.msg.stamp, m->stamp);
 	ck_assert_int_eq(d.msg.ok, m->ok);
 	ck_assert_int_eq(d.msg.fresh, m->fresh);
+	ck_assert_int_eq(d.msg.disk_fails, m->disk_fails);
 	ck_assert_int_eq(d.msg.transfer, m->transfer);
 	ck_assert_uint_eq(d.msg.count, m->count);
 	for (uint32_t i = 0; i < m->count; i++)
--- a/test/test_rlog_disk.c
+++ b/test/test_rlog_disk.c
@@ -73,6 +73,52 @@
 }
 END_TEST
 
+/* A leader that cannot store anything must not stay the leader. */
+START_TEST(leader_whose_disk_is_full_hands_over)
+{
+	struct group *g = start_three(30 + (uint32_t)_i);
+	uint64_t full = group_leader(g), index;
+
+	fake_disk_set_full(group_disk(g, full), true);
+	run_with_load(g, 1000);
+	ck_assert_uint_ne(group_leader(g), full);
+	ck_assert_int_eq(dl_rlog_read(group_rlog(g, group_leader(g)),
+				      group_local(g, group_leader(g)), &index),
+			 0);
+	fake_disk_set_full(group_disk(g, full), false);
+	group_run(g, 2000);
+	finish_group(g);
+}
+END_TEST
+
+/*
+ * Without room on a majority of the disks nothing can be changed, but the lease
+ * by which requests are served must go on.
+ */
+START_TEST(full_disks_of_a_majority_keep_the_leader)
+{
+	struct group *g = start_three(50 + (uint32_t)_i);
+	uint64_t leader = group_leader(g), index;
+	uint64_t spared = _i % 2 ? leader : leader % 3 + 1;
+
+	for (uint64_t vm = 1; vm <= 3; vm++) {
+		if (vm != spared || _i >= 8)
+			fake_disk_set_full(group_disk(g, vm), true);
+	}
+	for (int i = 0; i < 100; i++) {
+		group_propose(g, leader, 30);
+		group_run(g, 50);
+		ck_assert_uint_eq(group_leader(g), leader);
+		ck_assert_int_eq(dl_rlog_read(group_rlog(g, leader),
+					      group_local(g, leader), &index),
+				 0);
+	}
+	for (uint64_t vm = 1; vm <= 3; vm++)
+		fake_disk_set_full(group_disk(g, vm), false);
+	finish_group(g);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("rlog_disk");
@@ -81,5 +127,7 @@
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 60);
 	tcase_add_loop_test(t, full_disk_takes_no_voter_out_for_good, 0, 12);
+	tcase_add_loop_test(t, leader_whose_disk_is_full_hands_over, 0, 12);
+	tcase_add_loop_test(t, full_disks_of_a_majority_keep_the_leader, 0, 12);
 	return suite_run(s);
 }
