Entry: a silent endpoint is given up only if the retry budget covers it

Cause: an attempt ends after 1.2 s of silence so that another endpoint can go on in time. An endpoint that stalls is silent for all of its streams at once; the budget covers ten, the others ended with 502 though their answers would have come.

Change: when the limit has passed, the HTTP client asks its caller, which takes the retry from the budget first and waits on without it, until the deadline. Attempts that hold memory on other engines still end at their own limit.

--- a/include/daisyledge/call.h
+++ b/include/daisyledge/call.h
@@ -76,6 +76,7 @@
 			  uint32_t burst);
 void dl_retry_budget_deposit(struct dl_retry_budget *budget);
 bool dl_retry_budget_withdraw(struct dl_retry_budget *budget);
+void dl_retry_budget_refund(struct dl_retry_budget *budget);
 
 /* Input of the retry decision. */
 struct dl_call_state {
--- a/src/cli/cli_http.c
+++ b/src/cli/cli_http.c
@@ -31,7 +31,9 @@
 		      const struct cli_request *req, int64_t timeout_ms,
 		      struct cli_answer *out);
 
-static const struct dl_httpc_ops ops = { on_head, on_body, on_end, NULL };
+static const struct dl_httpc_ops ops = { .head = on_head,
+					 .body = on_body,
+					 .end = on_end };
 
 /* Returns the monotonic clock in milliseconds. */
 int64_t cli_now_ms(void)
--- a/src/coordination/call.c
+++ b/src/coordination/call.c
@@ -153,6 +153,16 @@
 	return true;
 }
 
+/* Returns a retry that was withdrawn and not used. */
+void dl_retry_budget_refund(struct dl_retry_budget *budget)
+{
+	uint64_t max = (uint64_t)budget->burst * CREDITS_PER_RETRY;
+
+	budget->credit += CREDITS_PER_RETRY;
+	if (budget->credit > max)
+		budget->credit = max;
+}
+
 /*
  * Whether the stream can continue at its offset over a new connection: the
  * endpoint received the whole request and started to answer, and only the
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -123,6 +123,7 @@
 	uint32_t tries;		    /* grants used up, sent or not */
 	uint32_t free_failures;	    /* failures that use up no try */
 	uint32_t sent;		    /* attempts that may have run it */
+	bool retry_paid;	    /* the budget has given its next retry */
 	uint64_t last_event_id;	    /* the last one the caller has */
 	bool resumes;		    /* starts after last_event_id */
 	int64_t last_event_at;	    /* when it was forwarded */
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -30,6 +30,8 @@
  */
 #define SILENCE_PERMILLE 600
 #define PERMILLE	 1000
+/* How often it is tried again to give up a silent endpoint. */
+#define SILENCE_RECHECK_MS 200
 /*
  * The same limit where memory is reserved on other engines: two thirds of the
  * 9 s after which engines count reserved memory as withheld from others.  An
@@ -51,9 +53,15 @@
 		   const struct dl_err *err);
 
 static bool on_connected(void *arg);
+static uint32_t on_idle(void *arg);
 
-static const struct dl_httpc_ops relay_ops = { on_head, on_body, on_end,
-					       on_connected };
+static const struct dl_httpc_ops relay_ops = {
+	.head = on_head,
+	.body = on_body,
+	.end = on_end,
+	.connected = on_connected,
+	.idle = on_idle,
+};
 
 static const struct dl_directory_entry *endpoint_of(const struct call *c,
 						    uint8_t i)
@@ -120,6 +128,13 @@
 	}
 }
 
+/* Whether the limits on attempts allow another one after so many. */
+static bool has_attempts_left(const struct call *c, uint32_t sent)
+{
+	return sent < c->route.attempts_max && c->tried_count < 3 &&
+	       c->route.free_failures < FREE_FAILURES_MAX;
+}
+
 static uint32_t silence_limit_ms(const struct call *c)
 {
 	uint32_t limit_ms = (uint32_t)MAX(c->deadline - entry_now(c->e), 1);
@@ -241,6 +256,27 @@
 		entry_relay_send(c);
 }
 
+/*
+ * The endpoint has been silent for the limit.  Giving it up only helps if
+ * another one may continue: without that the response may still come, so it is
+ * waited for.  Endpoints that stall cut off all of their streams at once, more
+ * than the retry budget covers.
+ */
+static uint32_t on_idle(void *arg)
+{
+	struct call *c = arg;
+	int64_t left = c->deadline - entry_now(c->e);
+
+	if (left <= 0 || c->reservations || !c->stream || !c->idempotent)
+		return 0;
+	if (has_attempts_left(c, c->route.sent + 1) &&
+	    dl_retry_budget_withdraw(entry_call_retry_budget(c))) {
+		c->route.retry_paid = true;
+		return 0;
+	}
+	return (uint32_t)MIN(left, SILENCE_RECHECK_MS);
+}
+
 /* A reservation failed on an engine of the group: asks for another group. */
 void entry_relay_no_memory(struct call *c)
 {
@@ -478,8 +514,10 @@
 		.deadline = c->deadline,
 	};
 
-	if (c->route.sent >= c->route.attempts_max || c->tried_count >= 3 ||
-	    c->route.free_failures >= FREE_FAILURES_MAX)
+	if (c->route.retry_paid)
+		dl_retry_budget_refund(entry_call_retry_budget(c));
+	c->route.retry_paid = false;
+	if (!has_attempts_left(c, c->route.sent))
 		return false;
 	return dl_call_next(&state, a, entry_call_retry_budget(c),
 			    entry_now(c->e)) == DL_NEXT_RETRY;
--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -28,8 +28,14 @@
 static bool on_connected(void *arg);
 
 static const struct dl_httpc_ops ops_table[] = {
-	[DL_POOL_MODEL] = { on_head, on_model_body, on_end, on_connected },
-	[DL_POOL_PLAIN] = { on_head, on_plain_body, on_end, on_connected },
+	[DL_POOL_MODEL] = { .head = on_head,
+			    .body = on_model_body,
+			    .end = on_end,
+			    .connected = on_connected },
+	[DL_POOL_PLAIN] = { .head = on_head,
+			    .body = on_plain_body,
+			    .end = on_end,
+			    .connected = on_connected },
 };
 
 /* Host counts as hop-by-hop: the endpoint's replaces the caller's. */
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -254,6 +254,18 @@
 	return DL_STEP_BODY;
 }
 
+/* Whether the owner of a call wants to go on waiting for the response. */
+static bool waits_longer(struct dl_httpc_call *call)
+{
+	uint32_t ms = 0;
+
+	if (call->attempt.sent != DL_SENT_NOTHING && call->ops->idle)
+		ms = call->ops->idle(call->arg);
+	if (ms)
+		start_timeout(call, ms);
+	return ms != 0;
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	struct dl_httpc_call *call = timer->data;
@@ -265,7 +277,7 @@
 		call_free(call);
 		return;
 	}
-	if (call->paused)
+	if (call->paused || waits_longer(call))
 		return;
 	schedule_end(call,
 		     step == DL_STEP_CONNECT ? DL_FAILURE_CONNECT :
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -74,6 +74,11 @@
 	 * call as not sent.
 	 */
 	bool (*connected)(void *arg);
+	/*
+	 * The request was sent and nothing was received for the idle timeout.
+	 * Returns for how long to go on waiting, ms; 0 ends the call.
+	 */
+	uint32_t (*idle)(void *arg);
 };
 
 int dl_httpc_open(uv_loop_t *loop, struct dl_httpc **out);
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -265,7 +265,9 @@
 	ended++;
 }
 
-static const struct dl_httpc_ops ops = { on_head, on_body, on_end, NULL };
+static const struct dl_httpc_ops ops = {
+	.head = on_head, .body = on_body, .end = on_end
+};
 
 static void listen_on_address(void)
 {
