Entry: a resumed stream asks for the rest of its answer only

What callers saw: LOST, streams that end in the middle shortly before their deadline: the endpoint they were moved from was well, and none was granted.

Cause: the request for another endpoint named the output of the whole answer, so the dispatcher predicted its whole length and refused it as past the deadline.

Change: what the caller has counts as prompt, which the next engine reads again, the rest as output. Events hold a pass's tokens, as published.

test_system_late_resume.sh: failed before (the stream ends after 34 of 40 events), passes now.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -125,6 +125,7 @@
 	uint32_t sent;		    /* attempts that may have run it */
 	bool retry_paid;	    /* the budget has given its next retry */
 	uint64_t last_event_id;	    /* the last one the caller has */
+	uint32_t event_tokens;	    /* output tokens of one event */
 	bool resumes;		    /* starts after last_event_id */
 	int64_t last_event_at;	    /* when it was forwarded */
 	uint32_t longest_pause_ms;  /* between two events */
@@ -379,6 +380,7 @@
 void entry_route_resume(struct entry *e);
 /* Refuse a request because the version in force is not confirmed. */
 void entry_route_refuse_no_quorum(struct call *c);
+uint64_t entry_route_output_made(const struct call *c);
 bool entry_route_authorize(struct call *c, const struct dl_route_conf **route);
 bool entry_route_has_service(const struct call *c,
 			     const struct dl_route_conf *route);
--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -41,6 +41,7 @@
 static void fill_ask(struct call *c)
 {
 	struct dl_ask *ask = &c->ask.ask;
+	uint64_t made = entry_route_output_made(c);
 
 	memset(&c->ask, 0, sizeof(c->ask));
 	c->ask.service = c->service;
@@ -53,8 +54,8 @@
 	if (c->e->node.settings.region.n)
 		ask->failure_domain = c->e->node.settings.failure_domain;
 	ask->class = c->class;
-	ask->prompt_tokens = c->prompt_tokens;
-	ask->output_tokens = c->output_tokens;
+	ask->prompt_tokens = c->prompt_tokens + made;
+	ask->output_tokens = c->output_tokens - made;
 	ask->prefix = c->prefix;
 	ask->prefix_tokens = c->prefix_tokens;
 	ask->deadline = c->deadline;
--- a/src/entry/entry_route.c
+++ b/src/entry/entry_route.c
@@ -119,6 +119,7 @@
 				   service->pool.engine.usual_output;
 	c->prefix = in->prefix;
 	c->prefix_tokens = in->prefix_tokens;
+	c->route.event_tokens = service->pool.engine.stride;
 	c->route.last_event_id = in->after_event;
 	c->route.resumes = in->resumes;
 }
@@ -249,6 +250,21 @@
 	       c->e->stop_at + stop_ms - STOP_MARGIN_MS;
 }
 
+/*
+ * Output tokens that the caller of a stream has; less than the most that it
+ * asked for.  A resumed stream reads them as part of its prompt, and has to fit
+ * only the rest of its answer into the time that is left.
+ */
+uint64_t entry_route_output_made(const struct call *c)
+{
+	uint64_t most = c->output_tokens ? c->output_tokens - 1 : 0;
+
+	if (!c->route.event_tokens)
+		return 0;
+	return MIN(c->route.last_event_id, most / c->route.event_tokens) *
+	       c->route.event_tokens;
+}
+
 static bool has_room(const struct entry *e)
 {
 	return e->buffered <= (uint64_t)e->node.settings.buffer_mb << 20;
