Crash store: a save that failed is repeated until it succeeds

What could go wrong: a replica held requests in quarantine in memory while its file on the disk had none, since a save failed (no room, an error of the disk). Nothing repeated it until the next change of the quarantine, so a restart forgot it, and requests that crash endpoints ran again. A second fault: the next save wrote to the temporary file whose sync had failed; Linux reports such an error once and may have dropped the data, so the next sync could succeed for a file that is not on the disk.

Change: dl_crash_store_due() asks for a save after a change, and a second after the start of one that failed, until one succeeds. A temporary file that may have been left is unlinked before a save, so it is never synced twice. One line when saves begin to fail, with step and error, one when they work again; counter quarantine_unsaved.

Test: test_crash_store with an error at each of the five steps, and at each step of the second attempt, on a fake disk that loses a file whose sync failed.

--- a/include/daisyledge/crash_store.h
+++ b/include/daisyledge/crash_store.h
@@ -27,10 +27,27 @@
  */
 int dl_crash_store_read(const struct dl_crash_store *store, int64_t wall_ms,
 			struct dl_crash *out, uint32_t *count);
+/*
+ * Whether a save is to be started: what is to be saved has changed since the
+ * last call of dl_crash_store_save(), or that save failed some time ago.
+ */
+bool dl_crash_store_due(const struct dl_crash_store *store, bool changed,
+			int64_t now);
 /* Start to save all crashes; must not be called while a save is in progress. */
 void dl_crash_store_save(struct dl_crash_store *store,
 			 const struct dl_crash *crashes, uint32_t count,
-			 int64_t wall_ms);
+			 int64_t wall_ms, int64_t now);
+
+/* Results of the saves. */
+struct dl_crash_store_status {
+	int error;	   /* negative errno if the last one failed, or 0 */
+	const char *step;  /* of the latest failure: "write", "sync", ... */
+	uint32_t tries;	   /* failures in a row, the latest or current row */
+	int64_t failed_at; /* start of the first of them */
+};
+
+struct dl_crash_store_status
+dl_crash_store_status(const struct dl_crash_store *store);
 bool dl_crash_store_busy(const struct dl_crash_store *store);
 
 #endif
--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -19,6 +19,7 @@
 	  "requests that waited for the version in force to be confirmed")     \
 	X(requests_quarantined,                                                \
 	  "requests quarantined because endpoints crashed")                    \
+	X(quarantine_unsaved, "saves of the quarantine that failed")           \
 	X(bad_requests, "invalid requests")                                    \
 	X(streams_open, "requests in flight")                                  \
 	X(buffered_bytes, "request bytes buffered")                            \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -30,6 +30,8 @@
 	  "The stored quarantine cannot be read.")                             \
 	X(CRASH_STORE_UNSAVED, DL_WARN, "quarantine",                          \
 	  "The quarantine could not be saved.")                                \
+	X(CRASH_STORE_SAVED, DL_INFO, "quarantine",                            \
+	  "The quarantine is saved again.")                                    \
 	X(RESERVATION_REFUSED, DL_INFO, "ticket", "Memory was not to be had.") \
 	X(ATTEMPT_FAILED, DL_WARN, "relay", "An attempt broke.")               \
 	X(LEASE_VALID, DL_INFO, "lease", "The configuration lease is valid.")  \
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -90,6 +90,7 @@
 	struct replica_announce *announce;
 	struct quarantine quarantine;
 	struct dl_crash_store *crashes; /* the active ones, on disk */
+	bool crashes_unsaved;		/* the last save of them failed */
 };
 
 /* replica.c */
--- a/src/replica/replica_quarantine.c
+++ b/src/replica/replica_quarantine.c
@@ -2,6 +2,9 @@
  * Distributes crashes of endpoints under requests from the entries that
  * observed them to all VMs, and stores the active quarantines on disk.
  */
+#include <string.h>
+
+#include "base/metric.h"
 #include "base/msg.h"
 #include "replica/replica.h"
 
@@ -32,11 +35,23 @@
 	dl_crash_store_free(r->crashes);
 }
 
-/* Logs a failed write; the next change writes everything again. */
+/* Counts failed saves; logs the first of several and the end of them. */
 static void on_saved(void *arg, int code)
 {
+	struct replica *r = arg;
+	struct dl_crash_store_status s = dl_crash_store_status(r->crashes);
+
+	if (code)
+		dl_count(DL_METRIC_quarantine_unsaved, 1);
+	if (!code == !r->crashes_unsaved)
+		return;
+	r->crashes_unsaved = code != 0;
 	if (code)
-		dl_msg(DL_MSG_CRASH_STORE_UNSAVED, "error=%d", code);
+		dl_msg(DL_MSG_CRASH_STORE_UNSAVED, "step=\"%s\" error=\"%s\"",
+		       s.step, strerror(-code));
+	else
+		dl_msg(DL_MSG_CRASH_STORE_SAVED, "failed_ms=%ld tries=%u",
+		       (long)(replica_now(r) - s.failed_at), s.tries);
 }
 
 struct active_crashes {
@@ -63,7 +78,7 @@
 			      &active);
 	dl_crash_store_save(r->crashes,
 			    (const struct dl_crash *)active.crashes->data,
-			    active.crashes->len, dl_node_wall_ms());
+			    active.crashes->len, dl_node_wall_ms(), now);
 	g_array_free(active.crashes, TRUE);
 	r->quarantine.changed = false;
 }
@@ -88,7 +103,7 @@
 /* Forwards new crashes and saves a changed set of active quarantines. */
 void replica_quarantine_tick(struct replica *r, int64_t now)
 {
-	if (r->quarantine.changed && !dl_crash_store_busy(r->crashes))
+	if (dl_crash_store_due(r->crashes, r->quarantine.changed, now))
 		save_active(r, now);
 	quarantine_flush(&r->quarantine, now, broadcast, r);
 }
--- a/src/state/crash_store.c
+++ b/src/state/crash_store.c
@@ -8,6 +8,8 @@
 #define FILE_NAME "crashes"
 #define TMP_NAME  "crashes.tmp"
 #define FORMAT	  1
+/* Pause from the start of a failed save to the next attempt. */
+#define RETRY_MS 1000
 
 /*
  * Header of the file, which is followed by the crashes. The hash covers all
@@ -20,17 +22,38 @@
 	uint64_t count;
 };
 
+/* The steps of a save, in order; each waits for the one before. */
+enum save_step {
+	STEP_DISCARD, /* a temporary file that an earlier save left */
+	STEP_WRITE,
+	STEP_SYNC,
+	STEP_RENAME,
+	STEP_SYNC_DIR,
+	STEP_END,
+};
+
 struct dl_crash_store {
 	struct dl_disk disk;
 	struct dl_disk_done saved;
 	GByteArray *file; /* kept until the save has ended */
+	enum save_step step;
 	bool busy;
+	bool stale_tmp;	  /* a temporary file may exist */
+	int64_t saved_at; /* start of the latest save */
+	struct dl_crash_store_status status;
 };
 
-static void on_written(void *arg, int code);
-static void on_synced(void *arg, int code);
-static void on_renamed(void *arg, int code);
-static void on_saved(void *arg, int code);
+static void run_step(struct dl_crash_store *store);
+static void step_done(void *arg, int code);
+static void end_save(struct dl_crash_store *store, int code);
+
+static const char *const step_names[] = {
+	[STEP_DISCARD] = "unlink of the temporary file",
+	[STEP_WRITE] = "write",
+	[STEP_SYNC] = "sync",
+	[STEP_RENAME] = "rename",
+	[STEP_SYNC_DIR] = "sync of the folder",
+};
 
 /* Create a store; it reads and writes nothing yet. */
 struct dl_crash_store *dl_crash_store_new(struct dl_disk disk,
@@ -41,6 +64,7 @@
 	store->disk = disk;
 	store->saved = saved;
 	store->file = g_byte_array_new();
+	store->stale_tmp = true;
 	return store;
 }
 
@@ -104,63 +128,96 @@
 	return code;
 }
 
-static struct dl_disk_done callback(struct dl_crash_store *store,
-				    void (*fn)(void *arg, int code))
-{
-	return (struct dl_disk_done){ fn, store };
-}
-
+/* Notes the result of a save, and reports it. */
 static void end_save(struct dl_crash_store *store, int code)
 {
+	struct dl_crash_store_status *s = &store->status;
+
+	if (code && !s->error) {
+		s->failed_at = store->saved_at;
+		s->tries = 0;
+	}
+	if (code) {
+		s->step = step_names[store->step];
+		s->tries++;
+	}
+	s->error = code;
 	store->busy = false;
 	store->saved.fn(store->saved.arg, code);
 }
 
-static void on_written(void *arg, int code)
+static void run_step(struct dl_crash_store *store)
 {
-	struct dl_crash_store *store = arg;
-
-	if (code)
-		end_save(store, code);
-	else
-		store->disk.ops->sync(store->disk.disk, TMP_NAME,
-				      callback(store, on_synced));
-}
-
-static void on_synced(void *arg, int code)
-{
-	struct dl_crash_store *store = arg;
+	const struct dl_disk_ops *ops = store->disk.ops;
+	struct dl_disk_done done = { step_done, store };
+	void *disk = store->disk.disk;
 
-	if (code)
-		end_save(store, code);
-	else
-		store->disk.ops->rename(store->disk.disk, TMP_NAME, FILE_NAME,
-					callback(store, on_renamed));
+	switch (store->step) {
+	case STEP_DISCARD:
+		ops->unlink(disk, TMP_NAME, done);
+		return;
+	case STEP_WRITE:
+		store->stale_tmp = true;
+		ops->write(disk, TMP_NAME, 0,
+			   (struct dl_str){ (const char *)store->file->data,
+					    store->file->len },
+			   done);
+		return;
+	case STEP_SYNC:
+		ops->sync(disk, TMP_NAME, done);
+		return;
+	case STEP_RENAME:
+		ops->rename(disk, TMP_NAME, FILE_NAME, done);
+		return;
+	case STEP_SYNC_DIR:
+		store->stale_tmp = false;
+		ops->sync_dir(disk, done);
+		return;
+	case STEP_END:
+		end_save(store, 0);
+		return;
+	}
 }
 
-static void on_renamed(void *arg, int code)
+/* Runs the next step, or ends a save that failed. */
+static void step_done(void *arg, int code)
 {
 	struct dl_crash_store *store = arg;
 
-	if (code)
+	if (store->step == STEP_DISCARD && code == -ENOENT)
+		code = 0;
+	if (code) {
 		end_save(store, code);
-	else
-		store->disk.ops->sync_dir(store->disk.disk,
-					  callback(store, on_saved));
+		return;
+	}
+	store->step++;
+	run_step(store);
 }
 
-static void on_saved(void *arg, int code)
+/*
+ * Whether to save now: there is something new to save, or the last save failed.
+ * A save that failed is repeated until one succeeds, since a failure of a disk
+ * may pass, and without it a restart forgets what is held back.
+ */
+bool dl_crash_store_due(const struct dl_crash_store *store, bool changed,
+			int64_t now)
 {
-	end_save(arg, code);
+	if (store->busy)
+		return false;
+	if (store->status.error)
+		return now - store->saved_at >= RETRY_MS;
+	return changed;
 }
 
 /*
  * Write a temporary file and rename it over the old one, which stays in
- * place until the new one is synced.
+ * place until the new one is synced.  A temporary file that an earlier save
+ * left is removed first: once its sync has failed, a further one may succeed
+ * although the kernel has dropped what it could not write.
  */
 void dl_crash_store_save(struct dl_crash_store *store,
 			 const struct dl_crash *crashes, uint32_t count,
-			 int64_t wall_ms)
+			 int64_t wall_ms, int64_t now)
 {
 	struct file_header h = { .format = FORMAT,
 				 .wall_ms = wall_ms,
@@ -174,12 +231,19 @@
 	h.hash = hash_of((const char *)file->data, file->len);
 	memcpy(file->data, &h, sizeof(h));
 	store->busy = true;
-	store->disk.ops->write(store->disk.disk, TMP_NAME, 0,
-			       (struct dl_str){ (const char *)file->data,
-						file->len },
-			       callback(store, on_written));
+	store->saved_at = now;
+	store->step = store->stale_tmp ? STEP_DISCARD : STEP_WRITE;
+	run_step(store);
+}
+
+/* Returns the result of the saves so far. */
+struct dl_crash_store_status
+dl_crash_store_status(const struct dl_crash_store *store)
+{
+	return store->status;
 }
 
+/* Whether a save is in progress. */
 bool dl_crash_store_busy(const struct dl_crash_store *store)
 {
 	return store->busy;
--- a/test/test_crash_store.c
+++ b/test/test_crash_store.c
@@ -12,6 +12,18 @@
 
 #define WALL_MS	   1000000
 #define SAVE_STEPS 4 /* disk operations in a save */
+/* Operations of a save that first removes what an earlier one may have left. */
+#define FIRST_STEPS 5
+#define RETRY_MS    ((int64_t)1000)
+#define TMP_NAME    "crashes.tmp"
+
+/*
+ * The fake disk, except that a file whose sync failed is lost: as on Linux, its
+ * next sync succeeds, and what was written is not on the disk.
+ */
+static struct dl_disk_ops lossy_ops;
+static bool tmp_lost;
+static struct dl_disk_done sync_done;
 
 static struct fake_disk *disk;
 static struct dl_crash_store *store;
@@ -22,14 +34,45 @@
 	save_code = code;
 }
 
+static void on_synced(void *arg, int code)
+{
+	tmp_lost = tmp_lost || code;
+	sync_done.fn(sync_done.arg, code);
+}
+
+static void lossy_sync(void *d, const char *name, struct dl_disk_done done)
+{
+	sync_done = done;
+	fake_disk_ops.sync(d, name, (struct dl_disk_done){ on_synced, NULL });
+}
+
+static void lossy_unlink(void *d, const char *name, struct dl_disk_done done)
+{
+	ck_assert_str_eq(name, TMP_NAME);
+	tmp_lost = false;
+	fake_disk_ops.unlink(d, name, done);
+}
+
+static void lossy_rename(void *d, const char *from, const char *to,
+			 struct dl_disk_done done)
+{
+	ck_assert(!tmp_lost);
+	fake_disk_ops.rename(d, from, to, done);
+}
+
 static void open_store(void)
 {
-	store = dl_crash_store_new((struct dl_disk){ &fake_disk_ops, disk },
+	store = dl_crash_store_new((struct dl_disk){ &lossy_ops, disk },
 				   (struct dl_disk_done){ on_saved, NULL });
 }
 
 static void setup(void)
 {
+	lossy_ops = fake_disk_ops;
+	lossy_ops.sync = lossy_sync;
+	lossy_ops.unlink = lossy_unlink;
+	lossy_ops.rename = lossy_rename;
+	tmp_lost = false;
 	disk = fake_disk_new(5);
 	fake_disk_run(disk, 0);
 	open_store();
@@ -41,8 +84,14 @@
 	fake_disk_free(disk);
 }
 
-/* Save a number of crashes of one request. */
-static void save(uint64_t request, uint32_t count)
+/* The steps of the first save. */
+static const char *const step_names[] = {
+	"unlink of the temporary file", "write", "sync", "rename",
+	"sync of the folder",
+};
+
+/* Save a number of crashes of one request, at a time. */
+static void save_at(uint64_t request, uint32_t count, int64_t at)
 {
 	struct dl_crash crashes[100] = { { 0 } };
 
@@ -52,11 +101,17 @@
 						.cleared = 2,
 						.age_ms = 500 };
 	save_code = 1;
-	dl_crash_store_save(store, crashes, count, WALL_MS);
-	for (int64_t now = 1; now < 1000 && dl_crash_store_busy(store); now++)
+	dl_crash_store_save(store, crashes, count, WALL_MS, at);
+	for (int64_t now = at; now < at + 10 && dl_crash_store_busy(store);
+	     now++)
 		fake_disk_run(disk, now);
 }
 
+static void save(uint64_t request, uint32_t count)
+{
+	save_at(request, count, 1);
+}
+
 /*
  * Read the file as a new process does, and return the request; 0 if there is
  * none, -1 for a damaged file.
@@ -139,6 +194,81 @@
 }
 END_TEST
 
+/* A failed save is repeated, though nothing changes, until it succeeds. */
+START_TEST(failed_save_is_repeated)
+{
+	struct dl_crash_store_status s;
+	uint32_t count;
+
+	read_request(&count);
+	ck_assert(!dl_crash_store_due(store, false, 1));
+	ck_assert(dl_crash_store_due(store, true, 1));
+	fake_disk_fail_after(disk, (uint32_t)_i, -ENOSPC);
+	save_at(7, 6, 1);
+	ck_assert_int_eq(save_code, -ENOSPC);
+	s = dl_crash_store_status(store);
+	ck_assert_int_eq(s.error, -ENOSPC);
+	ck_assert_int_eq(s.failed_at, 1);
+	ck_assert_uint_eq(s.tries, 1);
+	ck_assert_str_eq(s.step, step_names[_i]);
+	ck_assert(dl_crash_store_due(store, false, RETRY_MS + 1));
+	ck_assert(!dl_crash_store_due(store, false, RETRY_MS));
+	ck_assert(!dl_crash_store_due(store, true, RETRY_MS));
+	save_at(7, 6, RETRY_MS + 1);
+	ck_assert_int_eq(save_code, 0);
+	ck_assert_int_eq(dl_crash_store_status(store).error, 0);
+	ck_assert(!dl_crash_store_due(store, false, INT64_MAX));
+	fake_disk_crash(disk);
+	ck_assert_int_eq(read_request(&count), 7);
+	ck_assert_uint_eq(count, 6);
+}
+END_TEST
+
+/* So is one that fails at any step of the second attempt. */
+START_TEST(second_failure_is_repeated)
+{
+	uint32_t count;
+
+	read_request(&count);
+	fake_disk_fail_after(disk, 2, -EIO);
+	save_at(7, 6, 1);
+	ck_assert_int_eq(save_code, -EIO);
+	fake_disk_fail_after(disk, (uint32_t)_i, -EIO);
+	save_at(7, 6, RETRY_MS + 1);
+	ck_assert_int_eq(save_code, -EIO);
+	ck_assert_uint_eq(dl_crash_store_status(store).tries, 2);
+	ck_assert(!dl_crash_store_due(store, true, 2 * RETRY_MS));
+	ck_assert(dl_crash_store_due(store, false, 2 * RETRY_MS + 1));
+	save_at(7, 6, 2 * RETRY_MS + 1);
+	ck_assert_int_eq(save_code, 0);
+	fake_disk_crash(disk);
+	ck_assert_int_eq(read_request(&count), 7);
+}
+END_TEST
+
+/* A full disk cuts the temporary file short; a crash keeps the old file. */
+START_TEST(full_disk_is_borne)
+{
+	uint32_t count;
+
+	save(7, 6);
+	fake_disk_set_full(disk, true);
+	for (int64_t now = 1; now < 10 * RETRY_MS; now += RETRY_MS)
+		save_at(8, 50, now);
+	ck_assert_int_eq(save_code, -ENOSPC);
+	ck_assert_uint_eq(dl_crash_store_status(store).tries, 10);
+	fake_disk_crash(disk);
+	ck_assert_int_eq(read_request(&count), 7);
+	dl_crash_store_free(store);
+	open_store();
+	fake_disk_set_full(disk, false);
+	save_at(8, 50, 10 * RETRY_MS);
+	fake_disk_crash(disk);
+	ck_assert_int_eq(read_request(&count), 8);
+	ck_assert_uint_eq(count, 50);
+}
+END_TEST
+
 START_TEST(damaged_file_is_rejected)
 {
 	uint32_t count;
@@ -162,6 +292,9 @@
 	tcase_add_loop_test(tc, disk_crash_keeps_the_old_or_the_new_file, 0,
 			    SAVE_STEPS + 1);
 	tcase_add_loop_test(tc, disk_error_keeps_a_valid_file, 0, SAVE_STEPS);
+	tcase_add_loop_test(tc, failed_save_is_repeated, 0, FIRST_STEPS);
+	tcase_add_loop_test(tc, second_failure_is_repeated, 0, FIRST_STEPS);
+	tcase_add_test(tc, full_disk_is_borne);
 	tcase_add_loop_test(tc, damaged_file_is_rejected, 0, 10);
 	suite_add_tcase(suite, tc);
 	return suite_run(suite);
