Crash store: a file that could not be read is read again, not replaced

What could go wrong: a replica whose file of quarantines could not be read at its start (EIO, no descriptor or memory left) went on without them. The next change saved what was in memory over the file, which was as good as before: what was held back ran again, and was lost for good.

Change: dl_crash_store_read_due() asks for another read after 1 s, then after longer pauses up to a minute, since a read blocks the process. Until one succeeds no save is due. This ends after an hour: a quarantine lasts no longer, so nothing in the file counts any more. Until then new quarantines are in memory and at the other replicas. A damaged file stays as it is however often it is read, so the next change replaces it as before. A line says that the file is read after all; the failure is logged once, as text.

--- a/include/daisyledge/crash_store.h
+++ b/include/daisyledge/crash_store.h
@@ -21,15 +21,18 @@
 /* Must not be called while a save is in progress. */
 void dl_crash_store_free(struct dl_crash_store *store);
 /*
- * Read the last save, at startup. Returns 0 and the number of crashes in
- * *count, which may be 0; DL_EDAMAGED; or a negative errno. wall_ms is the time
- * of day.
+ * Read the last save, at startup and when dl_crash_store_read_due(). Blocks.
+ * Returns 0 and the number of crashes in *count, which may be 0; DL_EDAMAGED;
+ * or a negative errno. wall_ms is the time of day.
  */
-int dl_crash_store_read(const struct dl_crash_store *store, int64_t wall_ms,
-			struct dl_crash *out, uint32_t *count);
+int dl_crash_store_read(struct dl_crash_store *store, int64_t wall_ms,
+			int64_t now, struct dl_crash *out, uint32_t *count);
+/* Whether a read failed, though not for damage, and is to be repeated. */
+bool dl_crash_store_read_due(const struct dl_crash_store *store, int64_t now);
 /*
  * Whether a save is to be started: what is to be saved has changed since the
- * last call of dl_crash_store_save(), or that save failed some time ago.
+ * last call of dl_crash_store_save(), or that save failed some time ago. Never
+ * while a file that could not be read may still hold something that counts.
  */
 bool dl_crash_store_due(const struct dl_crash_store *store, bool changed,
 			int64_t now);
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -28,6 +28,8 @@
 	X(CRASHES_BAD, DL_WARN, "quarantine", "A crash report is malformed.")  \
 	X(CRASH_STORE_UNREADABLE, DL_WARN, "quarantine",                       \
 	  "The stored quarantine cannot be read.")                             \
+	X(CRASH_STORE_READ, DL_INFO, "quarantine",                             \
+	  "The stored quarantine is read after all.")                          \
 	X(CRASH_STORE_UNSAVED, DL_WARN, "quarantine",                          \
 	  "The quarantine could not be saved.")                                \
 	X(CRASH_STORE_SAVED, DL_INFO, "quarantine",                            \
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -91,6 +91,7 @@
 	struct quarantine quarantine;
 	struct dl_crash_store *crashes; /* the active ones, on disk */
 	bool crashes_unsaved;		/* the last save of them failed */
+	int64_t crashes_unread_at; /* when reading them failed first, or 0 */
 };
 
 /* replica.c */
--- a/src/replica/replica_quarantine.c
+++ b/src/replica/replica_quarantine.c
@@ -10,22 +10,41 @@
 
 static void on_saved(void *arg, int code);
 
-/* Loads the quarantines that were active when this replica stopped. */
-void replica_quarantine_open(struct replica *r, struct dl_disk disk)
+/* Logs that the stored quarantines cannot be read, or now can. */
+static void log_read(struct replica *r, int code, int64_t now)
+{
+	if (code && !r->crashes_unread_at)
+		dl_msg(DL_MSG_CRASH_STORE_UNREADABLE, "error=\"%s\"",
+		       code == DL_EDAMAGED ? "damaged" : strerror(-code));
+	if (!code && r->crashes_unread_at)
+		dl_msg(DL_MSG_CRASH_STORE_READ, "failed_ms=%ld",
+		       (long)(now - r->crashes_unread_at));
+	if (!code || !r->crashes_unread_at)
+		r->crashes_unread_at = code ? now : 0;
+}
+
+/* Merges the quarantines that are stored on the disk. */
+static void read_stored(struct replica *r, int64_t now)
 {
 	static struct dl_crash read[DL_CRASH_STORE_MAX];
-	struct dl_disk_done saved = { on_saved, r };
 	uint32_t count;
 	int code;
 
+	code = dl_crash_store_read(r->crashes, dl_node_wall_ms(), now, read,
+				   &count);
+	log_read(r, code, now);
+	for (uint32_t i = 0; i < count; i++)
+		quarantine_merge_remote(&r->quarantine, &read[i], true, now);
+}
+
+/* Loads the quarantines that were active when this replica stopped. */
+void replica_quarantine_open(struct replica *r, struct dl_disk disk)
+{
+	struct dl_disk_done saved = { on_saved, r };
+
 	quarantine_init(&r->quarantine);
 	r->crashes = dl_crash_store_new(disk, saved);
-	code = dl_crash_store_read(r->crashes, dl_node_wall_ms(), read, &count);
-	if (code)
-		dl_msg(DL_MSG_CRASH_STORE_UNREADABLE, "error=%d", code);
-	for (uint32_t i = 0; i < count; i++)
-		quarantine_merge_remote(&r->quarantine, &read[i], true,
-					replica_now(r));
+	read_stored(r, replica_now(r));
 	r->quarantine.changed = false;
 }
 
@@ -100,9 +119,14 @@
 	quarantine_send_all(&r->quarantine, r->node.peers, vm, replica_now(r));
 }
 
-/* Forwards new crashes and saves a changed set of active quarantines. */
+/*
+ * Forwards new crashes, saves a changed set of active quarantines, and repeats
+ * reads and saves that failed.
+ */
 void replica_quarantine_tick(struct replica *r, int64_t now)
 {
+	if (dl_crash_store_read_due(r->crashes, now))
+		read_stored(r, now);
 	if (dl_crash_store_due(r->crashes, r->quarantine.changed, now))
 		save_active(r, now);
 	quarantine_flush(&r->quarantine, now, broadcast, r);
--- a/src/state/crash_store.c
+++ b/src/state/crash_store.c
@@ -10,6 +10,13 @@
 #define FORMAT	  1
 /* Pause from the start of a failed save to the next attempt. */
 #define RETRY_MS 1000
+/* Longest pause between reads that fail: a read blocks the process. */
+#define READ_PAUSE_MAX_MS 60000
+/*
+ * When to give up reading: a quarantine lasts an hour at most, so nothing that
+ * was saved before this process started counts any more.
+ */
+#define READ_GIVE_UP_MS ((int64_t)60 * 60 * 1000)
 
 /*
  * Header of the file, which is followed by the crashes. The hash covers all
@@ -40,6 +47,10 @@
 	bool busy;
 	bool stale_tmp;	  /* a temporary file may exist */
 	int64_t saved_at; /* start of the latest save */
+	bool unread;	  /* the file could not be read */
+	int64_t unread_since;
+	int64_t read_at; /* latest attempt to read */
+	int64_t read_pause_ms;
 	struct dl_crash_store_status status;
 };
 
@@ -111,15 +122,14 @@
 	return 0;
 }
 
-/* Read the file; a missing file is not an error. */
-int dl_crash_store_read(const struct dl_crash_store *store, int64_t wall_ms,
-			struct dl_crash *out, uint32_t *count)
+/* Read and decode the file; a missing file is not an error. */
+static int read_file(const struct dl_crash_store *store, int64_t wall_ms,
+		     struct dl_crash *out, uint32_t *count)
 {
 	char *file;
 	size_t n;
 	int code;
 
-	*count = 0;
 	code = store->disk.ops->read(store->disk.disk, FILE_NAME, &file, &n);
 	if (code)
 		return code == -ENOENT ? 0 : code;
@@ -128,6 +138,41 @@
 	return code;
 }
 
+/*
+ * Read the last save.  A file that cannot be read may be read later, as a
+ * failure of a disk may pass; one that was read but is damaged stays so.
+ */
+int dl_crash_store_read(struct dl_crash_store *store, int64_t wall_ms,
+			int64_t now, struct dl_crash *out, uint32_t *count)
+{
+	bool was_unread = store->unread;
+	int code;
+
+	*count = 0;
+	code = read_file(store, wall_ms, out, count);
+	store->unread = code && code != DL_EDAMAGED;
+	store->read_at = now;
+	store->read_pause_ms =
+		was_unread ? MIN(store->read_pause_ms * 2, READ_PAUSE_MAX_MS) :
+			     RETRY_MS;
+	if (!was_unread)
+		store->unread_since = now;
+	return code;
+}
+
+/* Whether the file is still to be read, and none may replace it yet. */
+static bool awaits_read(const struct dl_crash_store *store, int64_t now)
+{
+	return store->unread && now - store->unread_since < READ_GIVE_UP_MS;
+}
+
+/* Whether to read again, after a read that failed. */
+bool dl_crash_store_read_due(const struct dl_crash_store *store, int64_t now)
+{
+	return awaits_read(store, now) &&
+	       now - store->read_at >= store->read_pause_ms;
+}
+
 /* Notes the result of a save, and reports it. */
 static void end_save(struct dl_crash_store *store, int code)
 {
@@ -197,12 +242,13 @@
 /*
  * Whether to save now: there is something new to save, or the last save failed.
  * A save that failed is repeated until one succeeds, since a failure of a disk
- * may pass, and without it a restart forgets what is held back.
+ * may pass, and without it a restart forgets what is held back.  Nothing is
+ * saved over a file that may still be read: what it holds would be lost.
  */
 bool dl_crash_store_due(const struct dl_crash_store *store, bool changed,
 			int64_t now)
 {
-	if (store->busy)
+	if (store->busy || awaits_read(store, now))
 		return false;
 	if (store->status.error)
 		return now - store->saved_at >= RETRY_MS;
--- a/test/test_crash_store.c
+++ b/test/test_crash_store.c
@@ -15,15 +15,18 @@
 /* Operations of a save that first removes what an earlier one may have left. */
 #define FIRST_STEPS 5
 #define RETRY_MS    ((int64_t)1000)
+#define GIVE_UP_MS  (RETRY_MS * 60 * 60)
 #define TMP_NAME    "crashes.tmp"
 
 /*
  * The fake disk, except that a file whose sync failed is lost: as on Linux, its
- * next sync succeeds, and what was written is not on the disk.
+ * next sync succeeds, and what was written is not on the disk.  It can also
+ * fail to read.
  */
 static struct dl_disk_ops lossy_ops;
 static bool tmp_lost;
 static struct dl_disk_done sync_done;
+static int read_error;
 
 static struct fake_disk *disk;
 static struct dl_crash_store *store;
@@ -60,6 +63,11 @@
 	fake_disk_ops.rename(d, from, to, done);
 }
 
+static int lossy_read(void *d, const char *name, char **out, size_t *n)
+{
+	return read_error ? read_error : fake_disk_ops.read(d, name, out, n);
+}
+
 static void open_store(void)
 {
 	store = dl_crash_store_new((struct dl_disk){ &lossy_ops, disk },
@@ -72,7 +80,9 @@
 	lossy_ops.sync = lossy_sync;
 	lossy_ops.unlink = lossy_unlink;
 	lossy_ops.rename = lossy_rename;
+	lossy_ops.read = lossy_read;
 	tmp_lost = false;
+	read_error = 0;
 	disk = fake_disk_new(5);
 	fake_disk_run(disk, 0);
 	open_store();
@@ -116,10 +126,10 @@
  * Read the file as a new process does, and return the request; 0 if there is
  * none, -1 for a damaged file.
  */
-static int64_t read_request(uint32_t *count)
+static int64_t read_request_at(int64_t at, uint32_t *count)
 {
 	static struct dl_crash out[DL_CRASH_STORE_MAX];
-	int code = dl_crash_store_read(store, WALL_MS + 250, out, count);
+	int code = dl_crash_store_read(store, WALL_MS + 250, at, out, count);
 
 	if (code)
 		return -1;
@@ -133,6 +143,11 @@
 	return (int64_t)out[0].request;
 }
 
+static int64_t read_request(uint32_t *count)
+{
+	return read_request_at(0, count);
+}
+
 START_TEST(read_returns_the_saved_crashes_and_their_age)
 {
 	uint32_t count;
@@ -269,6 +284,73 @@
 }
 END_TEST
 
+/* A file that cannot be read is read again, and not replaced meanwhile. */
+START_TEST(unreadable_file_is_kept)
+{
+	uint32_t count;
+
+	save(7, 6);
+	dl_crash_store_free(store);
+	open_store();
+	ck_assert(!dl_crash_store_read_due(store, 0));
+	read_error = -EIO;
+	ck_assert_int_eq(read_request(&count), -1);
+	ck_assert_uint_eq(count, 0);
+	ck_assert(!dl_crash_store_due(store, true, 1));
+	ck_assert(!dl_crash_store_read_due(store, RETRY_MS - 1));
+	ck_assert(dl_crash_store_read_due(store, RETRY_MS));
+	ck_assert_int_eq(read_request_at(RETRY_MS, &count), -1);
+	ck_assert(!dl_crash_store_due(store, true, RETRY_MS));
+	ck_assert(!dl_crash_store_read_due(store, 3 * RETRY_MS - 1));
+	ck_assert(dl_crash_store_read_due(store, 3 * RETRY_MS));
+	read_error = 0;
+	ck_assert_int_eq(read_request_at(3 * RETRY_MS, &count), 7);
+	ck_assert_uint_eq(count, 6);
+	ck_assert(!dl_crash_store_read_due(store, INT64_MAX));
+	ck_assert(dl_crash_store_due(store, true, 3 * RETRY_MS));
+}
+END_TEST
+
+/* Once nothing that it may hold counts any more, the file may be replaced. */
+START_TEST(unreadable_file_is_replaced_at_last)
+{
+	int64_t now = 0, reads = 0;
+	uint32_t count;
+
+	save(7, 6);
+	read_error = -EIO;
+	read_request(&count);
+	for (; !dl_crash_store_due(store, true, now); now += RETRY_MS) {
+		ck_assert_int_lt(now, GIVE_UP_MS);
+		if (!dl_crash_store_read_due(store, now))
+			continue;
+		reads++;
+		ck_assert_int_eq(read_request_at(now, &count), -1);
+	}
+	ck_assert_int_eq(now, GIVE_UP_MS);
+	/* A read blocks the caller, so the pauses become longer. */
+	ck_assert_int_gt(reads, 60);
+	ck_assert_int_lt(reads, 70);
+	ck_assert(!dl_crash_store_read_due(store, now));
+	save_at(8, 3, now);
+	read_error = 0;
+	ck_assert_int_eq(read_request_at(now, &count), 8);
+}
+END_TEST
+
+/* A damaged file stays so: the next change replaces it. */
+START_TEST(damaged_file_is_replaced)
+{
+	uint32_t count;
+
+	save(7, 6);
+	ck_assert(fake_disk_flip_bit(disk, 3));
+	ck_assert_int_eq(read_request(&count), -1);
+	ck_assert(!dl_crash_store_read_due(store, INT64_MAX));
+	ck_assert(dl_crash_store_due(store, true, 0));
+}
+END_TEST
+
 START_TEST(damaged_file_is_rejected)
 {
 	uint32_t count;
@@ -295,6 +377,9 @@
 	tcase_add_loop_test(tc, failed_save_is_repeated, 0, FIRST_STEPS);
 	tcase_add_loop_test(tc, second_failure_is_repeated, 0, FIRST_STEPS);
 	tcase_add_test(tc, full_disk_is_borne);
+	tcase_add_test(tc, unreadable_file_is_kept);
+	tcase_add_test(tc, unreadable_file_is_replaced_at_last);
+	tcase_add_test(tc, damaged_file_is_replaced);
 	tcase_add_loop_test(tc, damaged_file_is_rejected, 0, 10);
 	suite_add_tcase(suite, tc);
 	return suite_run(suite);
