Disk: the folder itself is locked, so a full disk can be opened

What could go wrong: on a full disk with an empty folder the file "lock" could not be created, the process ended, and its supervisor started it again and again. And a lock on a file that somebody removed kept no second process out.

Change: flock() on the folder's descriptor. The file is locked as well: a process of an older build that holds it is kept apart, and some network file systems lock only files. Only where the file does not exist, so that nobody can hold it, may creating it fail. If it cannot be created and an older build starts later, once there is room, that one is not kept out by the lock (only by the replica's address).

Test: test_disk; folder_is_locked_without_a_file failed before (the second process got 0 instead of -EBUSY). The file that cannot be created is a link into a folder that does not exist: a full file system can't be had without a mount. Locks of the file alone, and a file that cannot be opened (-ELOOP) are refused before and after.

--- a/src/transport/disk_file.c
+++ b/src/transport/disk_file.c
@@ -340,22 +340,54 @@
 	.truncate = disk_truncate,
 };
 
-/* Locks the folder; a second process using it would corrupt the journal. */
-static int take_lock(struct dl_disk_file *f, struct dl_err *err)
+static int busy(const struct dl_disk_file *f, struct dl_err *err)
+{
+	return dl_err_set(err, -EBUSY, DL_STEP_STORE, NULL,
+			  "%s is locked by another process", f->folder);
+}
+
+/*
+ * Opens the file "lock", or creates it.  Only if it does not exist, so that no
+ * process can hold a lock on it, may that fail: -1 is then left as descriptor.
+ */
+static int open_lock_file(struct dl_disk_file *f, bool needed,
+			  struct dl_err *err)
 {
 	char path[PATH_BYTES];
 
 	make_path(f, LOCK_NAME, path);
-	f->lock_fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, FILE_MODE);
+	f->lock_fd = open(path, O_RDWR | O_CLOEXEC);
+	if (f->lock_fd < 0 && errno == ENOENT) {
+		f->lock_fd =
+			open(path, O_RDWR | O_CREAT | O_CLOEXEC, FILE_MODE);
+		if (f->lock_fd < 0 && !needed)
+			return 0;
+	}
 	if (f->lock_fd < 0)
 		return dl_err_set(err, -errno, DL_STEP_STORE, NULL,
 				  "cannot open %s: %s", path, strerror(errno));
-	if (flock(f->lock_fd, LOCK_EX | LOCK_NB))
-		return dl_err_set(err, -EBUSY, DL_STEP_STORE, NULL,
-				  "%s is locked by another process", f->folder);
 	return 0;
 }
 
+/*
+ * Locks the folder; a second process using it would corrupt the journal.  The
+ * folder itself can be locked on a full disk, where no file can be created.
+ * Processes of older versions lock only a file in it, and some network file
+ * systems lock only files; so that is locked too if it can be.
+ */
+static int take_lock(struct dl_disk_file *f, struct dl_err *err)
+{
+	bool locked = flock(f->dir_fd, LOCK_EX | LOCK_NB) == 0;
+	int code;
+
+	if (!locked && errno == EWOULDBLOCK)
+		return busy(f, err);
+	code = open_lock_file(f, !locked, err);
+	if (code || f->lock_fd < 0)
+		return code;
+	return flock(f->lock_fd, LOCK_EX | LOCK_NB) ? busy(f, err) : 0;
+}
+
 /*
  * Opens a data folder, which must exist, and locks it against other processes.
  * Returns 0, -EBUSY if another process holds the lock, or a negative errno.
--- a/test/test_disk.c
+++ b/test/test_disk.c
@@ -4,9 +4,11 @@
  */
 #include <check.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/file.h>
 #include <unistd.h>
 
 #include <glib.h>
@@ -20,15 +22,20 @@
 static struct dl_disk disk;
 static int completed, last_code;
 
-static void setup(void)
+static void open_folder(void)
 {
 	struct dl_err err;
 
-	strcpy(folder, "/tmp/daisyledge-disk.XXXXXX");
-	ck_assert_ptr_nonnull(mkdtemp(folder));
 	ck_assert_int_eq(
 		dl_disk_file_open(uv_default_loop(), folder, &file, &err), 0);
 	disk = dl_disk_file_disk(file);
+}
+
+static void setup(void)
+{
+	strcpy(folder, "/tmp/daisyledge-disk.XXXXXX");
+	ck_assert_ptr_nonnull(mkdtemp(folder));
+	open_folder();
 	completed = 0;
 }
 
@@ -113,6 +120,79 @@
 }
 END_TEST
 
+static int open_second(void)
+{
+	struct dl_disk_file *second;
+	struct dl_err err;
+	int code = dl_disk_file_open(uv_default_loop(), folder, &second, &err);
+
+	if (!code)
+		dl_disk_file_close(second);
+	return code;
+}
+
+static void make_lock_path(char path[200])
+{
+	snprintf(path, 200, "%s/lock", folder);
+}
+
+/*
+ * On a full disk no file can be created in an empty folder.  Here "lock" cannot
+ * be created as it leads into a folder that does not exist.
+ */
+START_TEST(folder_is_locked_without_a_file)
+{
+	char path[200];
+
+	make_lock_path(path);
+	ck_assert_int_eq(unlink(path), 0);
+	ck_assert_int_eq(open_second(), -EBUSY);
+	ck_assert_int_eq(symlink("/nowhere/lock", path), 0);
+	dl_disk_file_close(file);
+	open_folder();
+	ck_assert_int_eq(open_second(), -EBUSY);
+}
+END_TEST
+
+/* Processes of older versions lock only the file. */
+START_TEST(lock_of_the_file_is_respected)
+{
+	char path[200];
+	int fd;
+
+	make_lock_path(path);
+	dl_disk_file_close(file);
+	fd = open(path, O_RDWR | O_CLOEXEC);
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(flock(fd, LOCK_EX | LOCK_NB), 0);
+	ck_assert_int_eq(open_second(), -EBUSY);
+	close(fd);
+	ck_assert_int_eq(open_second(), 0);
+	ck_assert_int_eq(open_second(), 0);
+	open_folder();
+	fd = open(path, O_RDWR | O_CLOEXEC);
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(flock(fd, LOCK_EX | LOCK_NB), -1);
+	close(fd);
+}
+END_TEST
+
+/* A file that is there but cannot be opened may be locked by another process.
+ */
+START_TEST(lock_that_cannot_be_opened_is_an_error)
+{
+	char path[200];
+
+	make_lock_path(path);
+	ck_assert_int_eq(unlink(path), 0);
+	ck_assert_int_eq(symlink("lock", path), 0);
+	dl_disk_file_close(file);
+	ck_assert_int_eq(open_second(), -ELOOP);
+	ck_assert_int_eq(unlink(path), 0);
+	open_folder();
+}
+END_TEST
+
 /* The journal is read back after entries and a snapshot were written. */
 START_TEST(journal_over_files)
 {
@@ -166,6 +246,9 @@
 	tcase_add_test(t, operations_keep_their_order);
 	tcase_add_test(t, failures_are_reported);
 	tcase_add_test(t, second_process_is_locked_out);
+	tcase_add_test(t, folder_is_locked_without_a_file);
+	tcase_add_test(t, lock_of_the_file_is_respected);
+	tcase_add_test(t, lock_that_cannot_be_opened_is_an_error);
 	tcase_add_test(t, journal_over_files);
 	return suite_run(s);
 }
