Disk: a file stays open from its write to the sync that answers for it

What could go wrong: one descriptor was kept, so a write of another file (the quarantine's, between a write and the sync of the log) closed a file before its sync. Linux reports an error of writeback to descriptors that were open when it occurred; one opened later gets it only if no other has been told, and never once the file has left the memory. A write that was lost could be taken for stored. And a sync created a file that was not there any more, and succeeded.

Change: a list of open files; only files that are synced are closed when another one is opened, so there are as many as there are writes that wait for their sync. A renamed file goes on under its new name. A sync opens a file but never creates it. A comment says why an error of close() does not matter.

No error of writeback was produced: that takes a device that fails.

--- a/src/transport/disk_file.c
+++ b/src/transport/disk_file.c
@@ -1,6 +1,11 @@
 /*
  * Disk over the files of one data folder: a queue of operations, each carried
  * out by one or more uv_fs requests.
+ *
+ * Linux reports an error of writeback once to each descriptor that was open
+ * when it occurred.  To a descriptor opened later it reports the error only if
+ * no other has been told, and not at all once the file has left the memory.  So
+ * a file stays open from a write to the sync that answers for it.
  */
 #include "transport/disk_file.h"
 
@@ -37,14 +42,22 @@
 	struct dl_disk_done done;
 };
 
+struct open_file {
+	int fd;
+	char name[NAME_BYTES];
+	bool unsynced; /* written since the last sync that succeeded */
+};
+
 struct dl_disk_file {
 	uv_loop_t *loop;
 	char folder[PATH_BYTES - NAME_BYTES];
 	int dir_fd;
 	int lock_fd;
-	/* The file used most recently is kept open. */
-	int fd;
-	char fd_name[NAME_BYTES];
+	/*
+	 * struct open_file: those written since their sync, and the file used
+	 * most recently.
+	 */
+	GList *open_files;
 	GQueue ops; /* of struct op; the first is in progress */
 	uv_fs_t req;
 };
@@ -54,19 +67,23 @@
 static void op_rename(struct dl_disk_file *f, struct op *op);
 static void op_sync_folder(struct dl_disk_file *f, struct op *op);
 static void op_unlink(struct dl_disk_file *f, struct op *op);
+static void close_file(struct dl_disk_file *f, struct open_file *file);
+static void close_synced_files(struct dl_disk_file *f);
 static void start_next(struct dl_disk_file *f);
 static void run_op(struct dl_disk_file *f);
 static void end_op(struct dl_disk_file *f, int code);
 static void on_opened(uv_fs_t *req);
 static void on_op_done(uv_fs_t *req);
 static void on_op_written(uv_fs_t *req);
+static void on_op_synced(uv_fs_t *req);
+static void on_op_renamed(uv_fs_t *req);
 static void enqueue(struct dl_disk_file *f, enum op_kind kind, const char *name,
 		    struct op *op, struct dl_disk_done done);
 
-/* Operations that need an open file descriptor. */
-static const bool needs_open_file[OP_KIND_COUNT] = {
-	[OP_WRITE] = true,
-	[OP_SYNC] = true,
+/* Flags to open the file of an operation; 0: it needs none. */
+static const int open_flags[OP_KIND_COUNT] = {
+	[OP_WRITE] = O_RDWR | O_CREAT,
+	[OP_SYNC] = O_RDWR,
 };
 
 static void (*const op_handlers[OP_KIND_COUNT])(struct dl_disk_file *f,
@@ -87,12 +104,43 @@
 	return f->ops.head ? f->ops.head->data : NULL;
 }
 
-static void close_fd(struct dl_disk_file *f)
+static struct open_file *find_file(const struct dl_disk_file *f,
+				   const char *name)
+{
+	for (GList *l = f->open_files; l; l = l->next) {
+		struct open_file *file = l->data;
+
+		if (strcmp(file->name, name) == 0)
+			return file;
+	}
+	return NULL;
+}
+
+/*
+ * Closes a file; NULL is ignored.  An error of close() is about writes that
+ * were synced before, or about a file that is removed or replaced, so nobody
+ * waits for it.  The descriptor is gone in any case.
+ */
+static void close_file(struct dl_disk_file *f, struct open_file *file)
+{
+	if (!file)
+		return;
+	close(file->fd);
+	f->open_files = g_list_remove(f->open_files, file);
+	g_free(file);
+}
+
+static void close_synced_files(struct dl_disk_file *f)
 {
-	if (f->fd >= 0)
-		close(f->fd);
-	f->fd = -1;
-	f->fd_name[0] = '\0';
+	GList *next;
+
+	for (GList *l = f->open_files; l; l = next) {
+		struct open_file *file = l->data;
+
+		next = l->next;
+		if (!file->unsynced)
+			close_file(f, file);
+	}
 }
 
 static void start_next(struct dl_disk_file *f)
@@ -102,13 +150,13 @@
 
 	if (!op)
 		return;
-	if (!needs_open_file[op->kind] || strcmp(f->fd_name, op->name) == 0) {
+	if (!open_flags[op->kind] || find_file(f, op->name)) {
 		run_op(f);
 		return;
 	}
-	close_fd(f);
+	close_synced_files(f);
 	make_path(f, op->name, path);
-	uv_fs_open(f->loop, &f->req, path, O_RDWR | O_CREAT, FILE_MODE,
+	uv_fs_open(f->loop, &f->req, path, open_flags[op->kind], FILE_MODE,
 		   on_opened);
 }
 
@@ -116,14 +164,17 @@
 {
 	struct dl_disk_file *f = req->data;
 	int result = (int)req->result;
+	struct open_file *file;
 
 	uv_fs_req_cleanup(req);
 	if (result < 0) {
 		end_op(f, result);
 		return;
 	}
-	f->fd = result;
-	g_strlcpy(f->fd_name, current_op(f)->name, sizeof(f->fd_name));
+	file = g_new0(struct open_file, 1);
+	file->fd = result;
+	g_strlcpy(file->name, current_op(f)->name, sizeof(file->name));
+	f->open_files = g_list_prepend(f->open_files, file);
 	run_op(f);
 }
 
@@ -158,9 +209,11 @@
 
 static void op_write(struct dl_disk_file *f, struct op *op)
 {
+	struct open_file *file = find_file(f, op->name);
 	uv_buf_t buf = uv_buf_init((char *)op->data.s, (unsigned)op->data.n);
 
-	uv_fs_write(f->loop, &f->req, f->fd, &buf, 1, (int64_t)op->offset,
+	file->unsynced = true;
+	uv_fs_write(f->loop, &f->req, file->fd, &buf, 1, (int64_t)op->offset,
 		    on_op_written);
 }
 
@@ -189,17 +242,41 @@
 
 static void op_sync(struct dl_disk_file *f, struct op *op)
 {
-	uv_fs_fdatasync(f->loop, &f->req, f->fd, on_op_done);
+	uv_fs_fdatasync(f->loop, &f->req, find_file(f, op->name)->fd,
+			on_op_synced);
+}
+
+static void on_op_synced(uv_fs_t *req)
+{
+	struct dl_disk_file *f = req->data;
+
+	if (req->result >= 0)
+		find_file(f, current_op(f)->name)->unsynced = false;
+	on_op_done(req);
 }
 
 static void op_rename(struct dl_disk_file *f, struct op *op)
 {
 	char from[PATH_BYTES], to[PATH_BYTES];
 
-	close_fd(f);
 	make_path(f, op->name, from);
 	make_path(f, op->to, to);
-	uv_fs_rename(f->loop, &f->req, from, to, on_op_done);
+	uv_fs_rename(f->loop, &f->req, from, to, on_op_renamed);
+}
+
+/* The open file, if any, goes on under its new name. */
+static void on_op_renamed(uv_fs_t *req)
+{
+	struct dl_disk_file *f = req->data;
+	const struct op *op = current_op(f);
+	struct open_file *file = find_file(f, op->name);
+
+	if (req->result >= 0) {
+		close_file(f, find_file(f, op->to));
+		if (file)
+			g_strlcpy(file->name, op->to, sizeof(file->name));
+	}
+	on_op_done(req);
 }
 
 static void op_sync_folder(struct dl_disk_file *f, struct op *op)
@@ -211,8 +288,7 @@
 {
 	char path[PATH_BYTES];
 
-	if (strcmp(f->fd_name, op->name) == 0)
-		close_fd(f);
+	close_file(f, find_file(f, op->name));
 	make_path(f, op->name, path);
 	uv_fs_unlink(f->loop, &f->req, path, on_op_done);
 }
@@ -399,7 +475,6 @@
 	int code;
 
 	f->loop = loop;
-	f->fd = -1;
 	f->lock_fd = -1;
 	f->req.data = f;
 	g_queue_init(&f->ops);
@@ -437,7 +512,8 @@
  */
 void dl_disk_file_close(struct dl_disk_file *f)
 {
-	close_fd(f);
+	while (f->open_files)
+		close_file(f, f->open_files->data);
 	if (f->dir_fd >= 0)
 		close(f->dir_fd);
 	if (f->lock_fd >= 0)
--- a/test/test_disk.c
+++ b/test/test_disk.c
@@ -120,6 +120,90 @@
 }
 END_TEST
 
+/* The descriptor of an open file of the folder; -1: it is not open. */
+static int fd_of(const char *name)
+{
+	char path[200], link[64], target[200];
+
+	snprintf(path, sizeof(path), "%s/%s", folder, name);
+	for (int fd = 0; fd < 256; fd++) {
+		ssize_t n;
+
+		snprintf(link, sizeof(link), "/proc/self/fd/%d", fd);
+		n = readlink(link, target, sizeof(target) - 1);
+		if (n > 0 && (size_t)n == strlen(path) &&
+		    memcmp(target, path, (size_t)n) == 0)
+			return fd;
+	}
+	return -1;
+}
+
+/*
+ * An error of writeback is reported to descriptors that were open when it
+ * occurred, so a file stays open from its write to its sync, whatever is done
+ * to other files in between.
+ */
+START_TEST(written_file_stays_open_until_its_sync)
+{
+	int fd;
+
+	disk.ops->write(disk.disk, "a", 0, DL_STR("one"), DONE(0));
+	disk.ops->write(disk.disk, "b", 0, DL_STR("two"), DONE(1));
+	run_loop();
+	fd = fd_of("a");
+	ck_assert_int_ge(fd, 0);
+	disk.ops->write(disk.disk, "c.tmp", 0, DL_STR("three"), DONE(2));
+	disk.ops->sync(disk.disk, "c.tmp", DONE(3));
+	disk.ops->rename(disk.disk, "c.tmp", "c", DONE(4));
+	disk.ops->sync_dir(disk.disk, DONE(5));
+	disk.ops->unlink(disk.disk, "b", DONE(6));
+	run_loop();
+	ck_assert_int_eq(fd_of("a"), fd);
+	disk.ops->sync(disk.disk, "a", DONE(7));
+	run_loop();
+	ck_assert_int_eq(last_code, 0);
+	/* Synced files are closed once another one is opened. */
+	disk.ops->write(disk.disk, "d", 0, DL_STR("four"), DONE(8));
+	run_loop();
+	ck_assert_int_eq(fd_of("a"), -1);
+	ck_assert_int_eq(fd_of("c"), -1);
+	ck_assert_int_ge(fd_of("d"), 0);
+}
+END_TEST
+
+START_TEST(rename_over_an_open_file)
+{
+	char *got;
+	size_t n;
+
+	disk.ops->write(disk.disk, "a", 0, DL_STR("old old"), DONE(0));
+	disk.ops->write(disk.disk, "a.tmp", 0, DL_STR("new"), DONE(1));
+	disk.ops->rename(disk.disk, "a.tmp", "a", DONE(2));
+	disk.ops->write(disk.disk, "a", 3, DL_STR("er"), DONE(3));
+	disk.ops->sync(disk.disk, "a", DONE(4));
+	disk.ops->write(disk.disk, "a.tmp", 0, DL_STR("other"), DONE(5));
+	disk.ops->rename(disk.disk, "missing", "a", DONE(6));
+	run_loop();
+	ck_assert_int_eq(last_code, -ENOENT);
+	ck_assert_int_eq(disk.ops->read(disk.disk, "a", &got, &n), 0);
+	ck_assert(dl_str_eq((struct dl_str){ got, n }, DL_STR("newer")));
+	free(got);
+	ck_assert_int_eq(disk.ops->read(disk.disk, "a.tmp", &got, &n), 0);
+	ck_assert(dl_str_eq((struct dl_str){ got, n }, DL_STR("other")));
+	free(got);
+}
+END_TEST
+
+/* A sync that found nothing to sync would hide that the data is gone. */
+START_TEST(sync_of_a_missing_file_fails)
+{
+	disk.ops->sync(disk.disk, "missing", DONE(0));
+	run_loop();
+	ck_assert_int_eq(last_code, -ENOENT);
+	ck_assert_int_eq(fd_of("missing"), -1);
+}
+END_TEST
+
 static int open_second(void)
 {
 	struct dl_disk_file *second;
@@ -245,6 +329,9 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, operations_keep_their_order);
 	tcase_add_test(t, failures_are_reported);
+	tcase_add_test(t, written_file_stays_open_until_its_sync);
+	tcase_add_test(t, rename_over_an_open_file);
+	tcase_add_test(t, sync_of_a_missing_file_fails);
 	tcase_add_test(t, second_process_is_locked_out);
 	tcase_add_test(t, folder_is_locked_without_a_file);
 	tcase_add_test(t, lock_of_the_file_is_respected);
