Disk: once a sync has failed, the file's syncs fail until it is removed

What could go wrong: Linux reports an error of writeback once and may drop the data, so a second sync of the same file succeeds for nothing. The log and the crash store write a new file after a failure, but the disk itself would have said yes to whoever asked twice.

Change: an open file keeps the error of its sync; it ends when the file is unlinked or another one is renamed over it.

Test: failed_sync_is_final in test_disk failed before (0 instead of -EINVAL). The error comes from a device that can't be synced, put in place of the file for its descriptor.

--- a/src/transport/disk_file.c
+++ b/src/transport/disk_file.c
@@ -5,7 +5,9 @@
  * Linux reports an error of writeback once to each descriptor that was open
  * when it occurred.  To a descriptor opened later it reports the error only if
  * no other has been told, and not at all once the file has left the memory.  So
- * a file stays open from a write to the sync that answers for it.
+ * a file stays open from a write to the sync that answers for it.  After a sync
+ * that failed, the next one would succeed though the data may have been
+ * dropped; so all syncs of that file fail until it is removed or replaced.
  */
 #include "transport/disk_file.h"
 
@@ -45,7 +47,8 @@
 struct open_file {
 	int fd;
 	char name[NAME_BYTES];
-	bool unsynced; /* written since the last sync that succeeded */
+	bool unsynced;	/* written since the last sync that succeeded */
+	int sync_error; /* of the first sync that failed, or 0 */
 };
 
 struct dl_disk_file {
@@ -242,16 +245,22 @@
 
 static void op_sync(struct dl_disk_file *f, struct op *op)
 {
-	uv_fs_fdatasync(f->loop, &f->req, find_file(f, op->name)->fd,
-			on_op_synced);
+	const struct open_file *file = find_file(f, op->name);
+
+	if (file->sync_error) {
+		end_op(f, file->sync_error);
+		return;
+	}
+	uv_fs_fdatasync(f->loop, &f->req, file->fd, on_op_synced);
 }
 
 static void on_op_synced(uv_fs_t *req)
 {
 	struct dl_disk_file *f = req->data;
+	struct open_file *file = find_file(f, current_op(f)->name);
 
-	if (req->result >= 0)
-		find_file(f, current_op(f)->name)->unsynced = false;
+	file->unsynced = req->result < 0;
+	file->sync_error = req->result < 0 ? (int)req->result : 0;
 	on_op_done(req);
 }
 
--- a/src/transport/disk_file.h
+++ b/src/transport/disk_file.h
@@ -1,7 +1,8 @@
 /*
  * Implementation of struct dl_disk_ops on the files of one data folder.  Writes
  * and syncs run in libuv's thread pool, one at a time, in the order in which
- * they were requested.
+ * they were requested.  After a sync that failed, all further ones of the file
+ * fail until it is removed or replaced.
  */
 #ifndef DL_TRANSPORT_DISK_FILE_H
 #define DL_TRANSPORT_DISK_FILE_H
--- a/test/test_disk.c
+++ b/test/test_disk.c
@@ -204,6 +204,56 @@
 }
 END_TEST
 
+/* Makes a descriptor refer to a file of the folder, or to a device. */
+static void replace_fd(int fd, const char *by)
+{
+	char path[200];
+	int other;
+
+	snprintf(path, sizeof(path), "%s/%s", folder, by);
+	other = open(by[0] == '/' ? by : path, O_RDWR | O_CLOEXEC);
+	ck_assert_int_ge(other, 0);
+	ck_assert_int_eq(dup3(other, fd, O_CLOEXEC), fd);
+	close(other);
+}
+
+/*
+ * Linux reports an error of writeback once, and the next sync succeeds though
+ * the data is gone.  Until the file is removed, its syncs must go on failing.
+ * For an error, a device that cannot be synced takes the place of the file.
+ */
+START_TEST(failed_sync_is_final)
+{
+	int fd;
+
+	disk.ops->write(disk.disk, "a", 0, DL_STR("one"), DONE(0));
+	run_loop();
+	fd = fd_of("a");
+	ck_assert_int_ge(fd, 0);
+	replace_fd(fd, "/dev/null");
+	disk.ops->sync(disk.disk, "a", DONE(1));
+	run_loop();
+	ck_assert_int_eq(last_code, -EINVAL);
+	replace_fd(fd, "a");
+	disk.ops->sync(disk.disk, "a", DONE(2));
+	run_loop();
+	ck_assert_int_eq(last_code, -EINVAL);
+	disk.ops->write(disk.disk, "a", 0, DL_STR("two"), DONE(3));
+	run_loop();
+	ck_assert_int_eq(last_code, 0);
+	disk.ops->sync(disk.disk, "a", DONE(4));
+	disk.ops->write(disk.disk, "b", 0, DL_STR("three"), DONE(5));
+	disk.ops->sync(disk.disk, "a", DONE(6));
+	run_loop();
+	ck_assert_int_eq(last_code, -EINVAL);
+	disk.ops->unlink(disk.disk, "a", DONE(7));
+	disk.ops->write(disk.disk, "a", 0, DL_STR("four"), DONE(8));
+	disk.ops->sync(disk.disk, "a", DONE(9));
+	run_loop();
+	ck_assert_int_eq(last_code, 0);
+}
+END_TEST
+
 static int open_second(void)
 {
 	struct dl_disk_file *second;
@@ -332,6 +382,7 @@
 	tcase_add_test(t, written_file_stays_open_until_its_sync);
 	tcase_add_test(t, rename_over_an_open_file);
 	tcase_add_test(t, sync_of_a_missing_file_fails);
+	tcase_add_test(t, failed_sync_is_final);
 	tcase_add_test(t, second_process_is_locked_out);
 	tcase_add_test(t, folder_is_locked_without_a_file);
 	tcase_add_test(t, lock_of_the_file_is_respected);
