Disk: a file whose size is not known is not read as empty

Change: the error is returned.

Test: unreadable_files_are_errors in test_disk failed before (0 instead of -ESPIPE for a pipe). Two more tests hold before and after: a write without room (RLIMIT_FSIZE: a short write, then EFBIG) fails and can be repeated, and a write of nothing succeeds. EINTR is left to libuv, which repeats writes and syncs; not tested.

--- a/src/transport/disk_file.c
+++ b/src/transport/disk_file.c
@@ -369,26 +369,37 @@
 	return 0;
 }
 
+/* Reads an open file from its start into new memory. */
+static int read_file(int fd, char **out, size_t *n)
+{
+	off_t size = lseek(fd, 0, SEEK_END);
+	int code;
+
+	if (size < 0 || lseek(fd, 0, SEEK_SET) < 0)
+		return -errno;
+	*n = (size_t)size;
+	*out = malloc(*n + 1);
+	if (!*out)
+		return -ENOMEM;
+	code = read_all(fd, *out, *n);
+	if (code) {
+		free(*out);
+		*out = NULL;
+	}
+	return code;
+}
+
 static int disk_read(void *disk, const char *name, char **out, size_t *n)
 {
 	char path[PATH_BYTES];
-	off_t size;
 	int fd, code;
 
 	make_path(disk, name, path);
 	fd = open(path, O_RDONLY | O_CLOEXEC);
 	if (fd < 0)
 		return -errno;
-	size = lseek(fd, 0, SEEK_END);
-	lseek(fd, 0, SEEK_SET);
-	*n = size > 0 ? (size_t)size : 0;
-	*out = malloc(*n + 1);
-	code = *out ? read_all(fd, *out, *n) : -ENOMEM;
+	code = read_file(fd, out, n);
 	close(fd);
-	if (code) {
-		free(*out);
-		*out = NULL;
-	}
 	return code;
 }
 
--- a/test/test_disk.c
+++ b/test/test_disk.c
@@ -5,10 +5,13 @@
 #include <check.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/file.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <glib.h>
@@ -254,6 +257,93 @@
 }
 END_TEST
 
+/* Limits the size of files: writes beyond it are short, then fail. */
+static void limit_file_size(rlim_t bytes)
+{
+	struct rlimit limit;
+
+	ck_assert_int_eq(getrlimit(RLIMIT_FSIZE, &limit), 0);
+	limit.rlim_cur = bytes == RLIM_INFINITY ? limit.rlim_max : bytes;
+	signal(SIGXFSZ, SIG_IGN);
+	ck_assert_int_eq(setrlimit(RLIMIT_FSIZE, &limit), 0);
+}
+
+static void check_file(const char *name, const char *data, size_t n)
+{
+	char *got;
+	size_t got_n;
+
+	ck_assert_int_eq(disk.ops->read(disk.disk, name, &got, &got_n), 0);
+	ck_assert_uint_eq(got_n, n);
+	ck_assert_int_eq(memcmp(got, data, n), 0);
+	free(got);
+}
+
+/* As on a disk without room: a part is written, then an error follows. */
+START_TEST(write_without_room_fails_and_can_be_repeated)
+{
+	char data[3000];
+
+	for (size_t i = 0; i < sizeof(data); i++)
+		data[i] = (char)(i % 251);
+	limit_file_size(1000);
+	disk.ops->write(disk.disk, "a", 10,
+			(struct dl_str){ data, sizeof(data) }, DONE(0));
+	run_loop();
+	ck_assert_int_eq(last_code, -EFBIG);
+	disk.ops->write(disk.disk, "a", 1000, DL_STR("x"), DONE(1));
+	run_loop();
+	ck_assert_int_eq(last_code, -EFBIG);
+	disk.ops->write(disk.disk, "a", 999, DL_STR("x"), DONE(2));
+	run_loop();
+	ck_assert_int_eq(last_code, 0);
+	limit_file_size(RLIM_INFINITY);
+	disk.ops->write(disk.disk, "a", 0,
+			(struct dl_str){ data, sizeof(data) }, DONE(3));
+	disk.ops->sync(disk.disk, "a", DONE(4));
+	run_loop();
+	ck_assert_int_eq(last_code, 0);
+	check_file("a", data, sizeof(data));
+}
+END_TEST
+
+START_TEST(write_of_nothing_succeeds)
+{
+	disk.ops->write(disk.disk, "a", 0, DL_STR(""), DONE(0));
+	disk.ops->sync(disk.disk, "a", DONE(1));
+	run_loop();
+	ck_assert_int_eq(last_code, 0);
+	check_file("a", "", 0);
+	disk.ops->write(disk.disk, "a", 0, DL_STR("one"), DONE(2));
+	disk.ops->write(disk.disk, "a", 7, DL_STR(""), DONE(3));
+	run_loop();
+	ck_assert_int_eq(last_code, 0);
+	check_file("a", "one", 3);
+}
+END_TEST
+
+/* A file that cannot be read is an error, and not an empty file. */
+START_TEST(unreadable_files_are_errors)
+{
+	char path[200], *got;
+	size_t n;
+	int fd;
+
+	snprintf(path, sizeof(path), "%s/pipe", folder);
+	ck_assert_int_eq(mkfifo(path, 0600), 0);
+	fd = open(path, O_RDWR | O_CLOEXEC);
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(disk.ops->read(disk.disk, "pipe", &got, &n), -ESPIPE);
+	close(fd);
+	snprintf(path, sizeof(path), "%s/loop", folder);
+	ck_assert_int_eq(symlink("loop", path), 0);
+	ck_assert_int_eq(disk.ops->read(disk.disk, "loop", &got, &n), -ELOOP);
+	disk.ops->write(disk.disk, "loop", 0, DL_STR("x"), DONE(0));
+	run_loop();
+	ck_assert_int_eq(last_code, -ELOOP);
+}
+END_TEST
+
 static int open_second(void)
 {
 	struct dl_disk_file *second;
@@ -383,6 +473,9 @@
 	tcase_add_test(t, rename_over_an_open_file);
 	tcase_add_test(t, sync_of_a_missing_file_fails);
 	tcase_add_test(t, failed_sync_is_final);
+	tcase_add_test(t, write_without_room_fails_and_can_be_repeated);
+	tcase_add_test(t, write_of_nothing_succeeds);
+	tcase_add_test(t, unreadable_files_are_errors);
 	tcase_add_test(t, second_process_is_locked_out);
 	tcase_add_test(t, folder_is_locked_without_a_file);
 	tcase_add_test(t, lock_of_the_file_is_respected);
