Replica: a log that could not be read is read again until it can be

Change: only damage halts, which an operator decides on. After any other error the replica stays halted with the reason, without an identity, sends and writes nothing, and reads again once a second; then it starts as after any start. One line at the first failure with step and reason, one when the log is read.

--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -101,6 +101,10 @@
 	  "More VMs ask to join the group than are kept as candidates.")       \
 	X(REPLICA_DAMAGED, DL_ERROR, "replica",                                \
 	  "The stored state is damaged.")                                      \
+	X(REPLICA_UNREADABLE, DL_ERROR, "replica",                             \
+	  "The stored state cannot be read yet.")                              \
+	X(REPLICA_READ, DL_INFO, "replica",                                    \
+	  "The stored state is read after all.")                               \
 	X(REPLICA_DISK_FAILED, DL_ERROR, "replica", "The disk failed.")        \
 	X(REPLICA_DISK_WORKS, DL_INFO, "replica", "The disk works again.")     \
 	X(REPLICA_DISK_ERROR, DL_WARN, "replica", "A disk operation failed.")  \
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -32,6 +32,8 @@
 #define DEFLATE_MIN_BYTES 4096
 /* How long a planned stop waits for a successor to be elected. */
 #define STOP_TIMEOUT_MS 1500
+/* Pause between attempts to read a log that cannot be read. */
+#define LOG_RETRY_MS 1000
 
 static void on_frame(void *arg, uint64_t from, const struct dl_frame *frame);
 static void on_up(void *arg, uint64_t vm);
@@ -41,6 +43,8 @@
 static void on_first_sync(void *arg, int code);
 static void on_written(void *arg, int code);
 static void pump(struct replica *r);
+static int read_log(struct replica *r, int64_t now, struct dl_err *err);
+static void start_log(struct replica *r, int64_t now);
 
 static const struct dl_node_ops node_ops = {
 	.frame = on_frame,
@@ -323,6 +327,8 @@
 {
 	struct replica *r = arg;
 
+	if (r->log_retry_at && replica_now(r) >= r->log_retry_at)
+		start_log(r, replica_now(r));
 	replica_cmd_tick(r, replica_now(r));
 	replica_query_tick(r, replica_now(r));
 	replica_orders_tick(r, replica_now(r));
@@ -359,44 +365,86 @@
 	return id;
 }
 
+static void set_log_conf(const struct replica *r, struct dl_rlog_conf *conf)
+{
+	const struct dl_settings *s = &r->node.settings;
+
+	dl_rlog_defaults(conf);
+	conf->self = r->node.self;
+	conf->domain = dl_hash(dl_name_str(&s->failure_domain), 0);
+	conf->listed_count = s->replicas_count;
+	memcpy(conf->listed, s->replicas,
+	       s->replicas_count * sizeof(conf->listed[0]));
+	if (!s->failures_max)
+		return;
+	conf->joins_only = !s->found;
+	conf->voters_wanted = 2 * s->failures_max + 1;
+	conf->voter_timeout_ms = VOTER_TIMEOUT_MS;
+}
+
 /*
- * Opens the log in the data folder. If it is damaged, the process goes on with
- * a halted log and reports the reason.
+ * Reads the log, in place of one whose reading failed.  If this fails, the log
+ * is halted: it has no identity, sends nothing and writes nothing.
  */
-static int open_log(struct replica *r, struct dl_err *err)
+static int read_log(struct replica *r, int64_t now, struct dl_err *err)
 {
-	const struct dl_settings *s = &r->node.settings;
-	struct dl_disk_done done = { on_first_sync, r };
 	struct dl_rlog_image image;
 	struct dl_rlog_conf conf;
-	struct dl_disk disk;
 	int code;
 
-	code = dl_disk_file_open(r->node.loop, s->data_folder, &r->disk, err);
+	set_log_conf(r, &conf);
+	dl_rlog_free(r->rlog);
+	dl_rlog_store_free(r->store);
+	code = dl_rlog_store_open(dl_disk_file_disk(r->disk), random_id(),
+				  &r->store, &image, err);
+	r->rlog = dl_rlog_new(&conf, &image, (uint32_t)random_id(), now);
 	if (code)
-		return code;
-	dl_rlog_defaults(&conf);
-	conf.self = r->node.self;
-	conf.domain = dl_hash(dl_name_str(&s->failure_domain), 0);
-	conf.listed_count = s->replicas_count;
-	memcpy(conf.listed, s->replicas,
-	       s->replicas_count * sizeof(conf.listed[0]));
-	if (s->failures_max) {
-		conf.joins_only = !s->found;
-		conf.voters_wanted = 2 * s->failures_max + 1;
-		conf.voter_timeout_ms = VOTER_TIMEOUT_MS;
+		dl_rlog_halt(r->rlog, err);
+	return code;
+}
+
+/*
+ * Reads the log and starts it.  If it is damaged, the process goes on with a
+ * halted log and reports the reason, since an operator has to decide.  Other
+ * errors may pass, so reading is repeated until it succeeds.
+ */
+static void start_log(struct replica *r, int64_t now)
+{
+	struct dl_disk_done done = { on_first_sync, r };
+	struct dl_err err;
+	int code = read_log(r, now, &err);
+
+	r->log_retry_at = 0;
+	if (code == DL_EDAMAGED) {
+		r->started = true;
+		return;
 	}
-	disk = dl_disk_file_disk(r->disk);
-	replica_quarantine_open(r, disk);
-	code = dl_rlog_store_open(disk, random_id(), &r->store, &image, err);
-	r->rlog = dl_rlog_new(&conf, &image, (uint32_t)random_id(),
-			      replica_now(r));
-	if (!code) {
-		dl_rlog_store_start(r->store, done);
-		return 0;
+	if (code) {
+		if (!r->log_failures++) {
+			r->log_failed_at = now;
+			dl_msg(DL_MSG_REPLICA_UNREADABLE,
+			       "step=\"%s\" reason=\"%s\"",
+			       dl_step_name(err.step), err.text);
+		}
+		r->log_retry_at = now + LOG_RETRY_MS;
+		return;
 	}
-	dl_rlog_halt(r->rlog, err);
-	r->started = true;
+	if (r->log_failures)
+		dl_msg(DL_MSG_REPLICA_READ, "failed_ms=%ld tries=%u",
+		       (long)(now - r->log_failed_at), r->log_failures);
+	dl_rlog_store_start(r->store, done);
+}
+
+/* Opens the data folder and what is stored in it. */
+static int open_log(struct replica *r, struct dl_err *err)
+{
+	int code = dl_disk_file_open(r->node.loop, r->node.settings.data_folder,
+				     &r->disk, err);
+
+	if (code)
+		return code;
+	replica_quarantine_open(r, dl_disk_file_disk(r->disk));
+	start_log(r, replica_now(r));
 	return 0;
 }
 
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -66,6 +66,9 @@
 	uv_prepare_t prepare;
 	uv_idle_t apply_idle; /* active while entries wait to be applied */
 	int64_t started_at;
+	int64_t log_retry_at;  /* when to read the log again; 0: it was read */
+	int64_t log_failed_at; /* when reading it failed first */
+	uint32_t log_failures;
 	bool started; /* the first sync of the journal has finished */
 	bool current; /* has caught up, so its version may be advertised */
 	uint64_t advertised_version;
--- a/src/replica/replica_health.c
+++ b/src/replica/replica_health.c
@@ -32,7 +32,10 @@
 	dl_msg(DL_MSG_JOINS_IGNORED, "members=%u", s->count + 1);
 }
 
-/* Logs a change of role, or of the leader that is followed. */
+/*
+ * Logs a change of role, or of the leader that is followed.  A log that cannot
+ * be read yet has no role.
+ */
 static void check_role(struct replica *r, const struct dl_rlog_status *s,
 		       int64_t now)
 {
@@ -41,7 +44,7 @@
 			  s->leader != DL_VM_NONE && s->leader != h->leader;
 	char leader[24];
 
-	if (s->role == h->role && !new_leader)
+	if (r->log_retry_at || (s->role == h->role && !new_leader))
 		return;
 	if (s->role == DL_RLOG_LEADER) {
 		h->led_since = now;
