Node: settings that could not be read are read again

What callers saw: a process whose settings file changed while it could not be read (no descriptor left, for one) kept the old list of replicas until the file changed once more: the time of the change was noted before the file was read. And a read that failed after the file was opened passed for an empty text, so for an invalid file.

Change: a file that cannot be opened or read is read again at each poll, once a second; the first failure has a line of its own. Invalid settings are tried again only once they change, as before. dl_settings_load() says when reading failed.

--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -45,6 +45,8 @@
 	X(RELOAD, DL_INFO, "node", "Settings reloaded.")                       \
 	X(RELOAD_FAILED, DL_WARN, "node",                                      \
 	  "Settings not reloaded: the file is invalid.")                       \
+	X(SETTINGS_UNREADABLE, DL_WARN, "node",                                \
+	  "Settings cannot be read yet.")                                      \
 	X(CONF_BAD, DL_ERROR, "entry", "A pushed configuration is invalid.")   \
 	/* endpoints */                                                        \
 	X(CHANGE_ANSWERED, DL_INFO, "door",                                    \
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -159,6 +159,21 @@
 	}
 }
 
+/*
+ * Handles settings that were not loaded.  If the file could not be read, which
+ * may pass, it is read again at the next poll; the first failure is logged.
+ */
+static void reload_failed(struct dl_node *node, const struct dl_err *err)
+{
+	bool unread = err->step == DL_STEP_READ;
+
+	if (!unread)
+		dl_msg(DL_MSG_RELOAD_FAILED, "reason=\"%s\"", err->text);
+	else if (!node->settings_unread)
+		dl_msg(DL_MSG_SETTINGS_UNREADABLE, "reason=\"%s\"", err->text);
+	node->settings_unread = unread;
+}
+
 /*
  * Reloads the settings. Only the list of replicas takes effect in a running
  * process; its own addresses and folders need a restart. Settings that cannot
@@ -171,9 +186,10 @@
 
 	node->settings_mtime = file_mtime(node->settings_path);
 	if (dl_settings_load(node->settings_path, &next, &err)) {
-		dl_msg(DL_MSG_RELOAD_FAILED, "reason=\"%s\"", err.text);
+		reload_failed(node, &err);
 		return;
 	}
+	node->settings_unread = false;
 	memcpy(node->settings.replicas, next.replicas, sizeof(next.replicas));
 	node->settings.replicas_count = next.replicas_count;
 	seed_replicas(node);
@@ -182,13 +198,17 @@
 		node->ops->reload(node->arg);
 }
 
-/* Reloads the settings if the file changed without a SIGHUP. */
+/*
+ * Reloads the settings if the file changed without a SIGHUP, or could not be
+ * read the last time.
+ */
 static void poll_settings(struct dl_node *node, int64_t now)
 {
 	if (now - node->settings_polled_at < SETTINGS_POLL_MS)
 		return;
 	node->settings_polled_at = now;
-	if (file_mtime(node->settings_path) != node->settings_mtime)
+	if (node->settings_unread ||
+	    file_mtime(node->settings_path) != node->settings_mtime)
 		reload(node);
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -50,6 +50,7 @@
 	char *settings_path;
 	int64_t settings_mtime; /* modification time in ns */
 	int64_t settings_polled_at;
+	bool settings_unread; /* the file could not be read the last time */
 	bool stopping;
 };
 
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -306,8 +306,15 @@
 		rc = dl_err_set(err, f ? -ENOMEM : -errno, DL_STEP_READ, NULL,
 				"cannot open %.100s", path);
 	} else {
+		errno = 0;
 		n = fread(text, 1, SETTINGS_TEXT_MAX, f);
-		rc = dl_settings_parse((struct dl_str){ text, n }, out, err);
+		if (ferror(f))
+			rc = dl_err_set(err, errno ? -errno : -EIO,
+					DL_STEP_READ, NULL,
+					"cannot read %.100s", path);
+		else
+			rc = dl_settings_parse((struct dl_str){ text, n }, out,
+					       err);
 	}
 	if (f)
 		fclose(f);
