Log: a log file that has no room yet does not keep a process from starting

What callers saw: a process with a log_file that had to be created on a full disk ended at its start, and its supervisor started it again and again: an entry that could have served did not, for want of a log.

Change: after an error that may pass (no room, no descriptor, EIO) the file is opened again about once a second; lines wait in the ring meanwhile. A line on standard error and one in the log say so. An error of the settings, such as a missing folder, ends the process as before.

--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -42,6 +42,8 @@
 	/* both programs */                                                    \
 	X(STOP_REPEATED, DL_INFO, "node",                                      \
 	  "Already stopping; a repeated SIGTERM is ignored.")                  \
+	X(LOG_UNOPENED, DL_WARN, "node",                                       \
+	  "The log file could not be opened at first.")                        \
 	X(RELOAD, DL_INFO, "node", "Settings reloaded.")                       \
 	X(RELOAD_FAILED, DL_WARN, "node",                                      \
 	  "Settings not reloaded: the file is invalid.")                       \
--- a/src/node/log.c
+++ b/src/node/log.c
@@ -8,16 +8,20 @@
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
 #include <unistd.h>
 
 #include "base/logring.h"
+#include "base/msg.h"
 
 #define LINE_BYTES_MAX 1280
 #define NS_PER_MS      1000000
 #define MS_PER_S       1000
 /* Writes of up to PIPE_BUF bytes; limits the time per loop iteration. */
 #define WRITES_PER_FLUSH 32
+/* Pause between attempts to open a log file that cannot be opened. */
+#define OPEN_RETRY_MS 1000
 
 static enum dl_level level_of(int priority)
 {
@@ -31,6 +35,9 @@
 static enum dl_level level_of(int priority);
 static int on_append(log4c_appender_t *self,
 		     const log4c_logging_event_t *event);
+static bool open_may_succeed_later(int code);
+static int open_file(const char *path);
+static void open_again(void);
 
 static const int priorities[] = {
 	[DL_DEBUG] = LOG4C_PRIORITY_DEBUG,
@@ -47,7 +54,9 @@
 static log4c_category_t *category;
 static enum dl_level current_level;
 static struct dl_logring ring;
-static int log_fd = STDOUT_FILENO;
+static int log_fd = STDOUT_FILENO; /* -1: the file is not open yet */
+static char *unopened_path;	   /* of that file */
+static int64_t open_retry_at;	   /* monotonic time, ms */
 
 static int on_append(log4c_appender_t *self, const log4c_logging_event_t *event)
 {
@@ -74,17 +83,67 @@
 	return n;
 }
 
+/*
+ * Whether a file that cannot be opened may be opened later.  Other errors, such
+ * as a folder that is missing, are faults of the settings.
+ */
+static bool open_may_succeed_later(int code)
+{
+	switch (code) {
+	case -ENOSPC:
+	case -EDQUOT:
+	case -EIO:
+	case -EMFILE:
+	case -ENFILE:
+	case -ENOMEM:
+		return true;
+	default:
+		return false;
+	}
+}
+
+/* Opens a file to append to; returns a descriptor, or a negative errno. */
+static int open_file(const char *path)
+{
+	int fd = open(path, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0640);
+
+	return fd < 0 ? -errno : fd;
+}
+
+/* Tries from time to time to open a file that could not be opened. */
+static void open_again(void)
+{
+	struct timespec ts;
+	int64_t now;
+	int fd;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	now = (int64_t)ts.tv_sec * MS_PER_S + ts.tv_nsec / NS_PER_MS;
+	if (now < open_retry_at)
+		return;
+	open_retry_at = now + OPEN_RETRY_MS;
+	fd = open_file(unopened_path);
+	if (fd >= 0)
+		log_fd = fd;
+}
+
 /*
  * Writes as much as the log accepts without blocking. A pipe that polls as
  * writable accepts PIPE_BUF bytes. If nobody reads it, nothing is written and
- * lines are dropped once the ring is full.
+ * lines are dropped once the ring is full.  A file on a full disk is tried
+ * again at the next call.
  */
 void dl_main_log_flush(void)
 {
-	struct pollfd p = { .fd = log_fd, .events = POLLOUT };
+	struct pollfd p = { .events = POLLOUT };
 	struct dl_str next;
 	ssize_t n;
 
+	if (log_fd < 0)
+		open_again();
+	if (log_fd < 0)
+		return;
+	p.fd = log_fd;
 	for (int i = 0; i < WRITES_PER_FLUSH; i++) {
 		next = dl_logring_next(&ring);
 		if (next.n == 0 || poll(&p, 1, 0) != 1 ||
@@ -104,16 +163,25 @@
 	log4c_category_log(category, priorities[level], "%s: %s", part, text);
 }
 
-/* Opens the log; called once, before the first message. */
+/*
+ * Opens the log; called once, before the first message.  A file that cannot be
+ * opened on a disk without room must not keep the process from serving: lines
+ * wait in the ring until it can be.
+ */
 int dl_main_log_open(const char *path, enum dl_level level)
 {
 	log4c_appender_t *appender;
-
-	if (path[0])
-		log_fd = open(path, O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC,
-			      0640);
-	if (log_fd < 0)
-		return -errno;
+	int code = path[0] ? open_file(path) : STDOUT_FILENO;
+
+	log_fd = code;
+	if (code < 0) {
+		unopened_path = strdup(path);
+		if (!unopened_path || !open_may_succeed_later(code))
+			return code;
+		fprintf(stderr,
+			"daisyledge: cannot open the log file yet: %s\n",
+			strerror(-code));
+	}
 	atexit(dl_main_log_flush);
 	/* log4c reports a missing log4crc file on standard error. */
 	if (log4c_init())
@@ -126,6 +194,8 @@
 	log4c_category_set_additivity(category, 0);
 	dl_main_log_set_level(level);
 	dl_log_set_sink((struct dl_log_sink){ on_message, NULL });
+	if (code < 0)
+		dl_msg(DL_MSG_LOG_UNOPENED, "error=\"%s\"", strerror(-code));
 	return 0;
 }
 
