--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -28,8 +28,12 @@
 	X(CRASHES_BAD, DL_WARN, "quarantine", "A crash report is malformed.")  \
 	X(CRASH_STORE_UNREADABLE, DL_WARN, "quarantine",                       \
 	  "The stored quarantine cannot be read.")                             \
+	X(CRASH_STORE_READ, DL_INFO, "quarantine",                             \
+	  "The stored quarantine is read after all.")                          \
 	X(CRASH_STORE_UNSAVED, DL_WARN, "quarantine",                          \
 	  "The quarantine could not be saved.")                                \
+	X(CRASH_STORE_SAVED, DL_INFO, "quarantine",                            \
+	  "The quarantine is saved again.")                                    \
 	X(RESERVATION_REFUSED, DL_INFO, "ticket", "Memory was not to be had.") \
 	X(ATTEMPT_FAILED, DL_WARN, "relay", "An attempt broke.")               \
 	X(LEASE_VALID, DL_INFO, "lease", "The configuration lease is valid.")  \
@@ -38,9 +42,13 @@
 	/* both programs */                                                    \
 	X(STOP_REPEATED, DL_INFO, "node",                                      \
 	  "Already stopping; a repeated SIGTERM is ignored.")                  \
+	X(LOG_UNOPENED, DL_WARN, "node",                                       \
+	  "The log file could not be opened at first.")                        \
 	X(RELOAD, DL_INFO, "node", "Settings reloaded.")                       \
 	X(RELOAD_FAILED, DL_WARN, "node",                                      \
 	  "Settings not reloaded: the file is invalid.")                       \
+	X(SETTINGS_UNREADABLE, DL_WARN, "node",                                \
+	  "Settings cannot be read yet.")                                      \
 	X(CONF_BAD, DL_ERROR, "entry", "A pushed configuration is invalid.")   \
 	/* endpoints */                                                        \
 	X(CHANGE_ANSWERED, DL_INFO, "door",                                    \
@@ -97,6 +105,10 @@
 	  "More VMs ask to join the group than are kept as candidates.")       \
 	X(REPLICA_DAMAGED, DL_ERROR, "replica",                                \
 	  "The stored state is damaged.")                                      \
+	X(REPLICA_UNREADABLE, DL_ERROR, "replica",                             \
+	  "The stored state cannot be read yet.")                              \
+	X(REPLICA_READ, DL_INFO, "replica",                                    \
+	  "The stored state is read after all.")                               \
 	X(REPLICA_DISK_FAILED, DL_ERROR, "replica", "The disk failed.")        \
 	X(REPLICA_DISK_WORKS, DL_INFO, "replica", "The disk works again.")     \
 	X(REPLICA_DISK_ERROR, DL_WARN, "replica", "A disk operation failed.")  \
--- a/src/transport/disk_file.c
+++ b/src/transport/disk_file.c
@@ -1,6 +1,13 @@
 /*
  * Disk over the files of one data folder: a queue of operations, each carried
  * out by one or more uv_fs requests.
+ *
+ * Linux reports an error of writeback once to each descriptor that was open
+ * when it occurred.  To a descriptor opened later it reports the error only if
+ * no other has been told, and not at all once the file has left the memory.  So
+ * a file stays open from a write to the sync that answers for it.  After a sync
+ * that failed, the next one would succeed though the data may have been
+ * dropped; so all syncs of that file fail until it is removed or replaced.
  */
 #include "transport/disk_file.h"
 
@@ -37,14 +44,23 @@
 	struct dl_disk_done done;
 };
 
+struct open_file {
+	int fd;
+	char name[NAME_BYTES];
+	bool unsynced;	/* written since the last sync that succeeded */
+	int sync_error; /* of the first sync that failed, or 0 */
+};
+
 struct dl_disk_file {
 	uv_loop_t *loop;
 	char folder[PATH_BYTES - NAME_BYTES];
 	int dir_fd;
 	int lock_fd;
-	/* The file used most recently is kept open. */
-	int fd;
-	char fd_name[NAME_BYTES];
+	/*
+	 * struct open_file: those written since their sync, and the file used
+	 * most recently.
+	 */
+	GList *open_files;
 	GQueue ops; /* of struct op; the first is in progress */
 	uv_fs_t req;
 };
@@ -54,19 +70,23 @@
 static void op_rename(struct dl_disk_file *f, struct op *op);
 static void op_sync_folder(struct dl_disk_file *f, struct op *op);
 static void op_unlink(struct dl_disk_file *f, struct op *op);
+static void close_file(struct dl_disk_file *f, struct open_file *file);
+static void close_synced_files(struct dl_disk_file *f);
 static void start_next(struct dl_disk_file *f);
 static void run_op(struct dl_disk_file *f);
 static void end_op(struct dl_disk_file *f, int code);
 static void on_opened(uv_fs_t *req);
 static void on_op_done(uv_fs_t *req);
 static void on_op_written(uv_fs_t *req);
+static void on_op_synced(uv_fs_t *req);
+static void on_op_renamed(uv_fs_t *req);
 static void enqueue(struct dl_disk_file *f, enum op_kind kind, const char *name,
 		    struct op *op, struct dl_disk_done done);
 
-/* Operations that need an open file descriptor. */
-static const bool needs_open_file[OP_KIND_COUNT] = {
-	[OP_WRITE] = true,
-	[OP_SYNC] = true,
+/* Flags to open the file of an operation; 0: it needs none. */
+static const int open_flags[OP_KIND_COUNT] = {
+	[OP_WRITE] = O_RDWR | O_CREAT,
+	[OP_SYNC] = O_RDWR,
 };
 
 static void (*const op_handlers[OP_KIND_COUNT])(struct dl_disk_file *f,
@@ -87,12 +107,43 @@
 	return f->ops.head ? f->ops.head->data : NULL;
 }
 
-static void close_fd(struct dl_disk_file *f)
+static struct open_file *find_file(const struct dl_disk_file *f,
+				   const char *name)
 {
-	if (f->fd >= 0)
-		close(f->fd);
-	f->fd = -1;
-	f->fd_name[0] = '\0';
+	for (GList *l = f->open_files; l; l = l->next) {
+		struct open_file *file = l->data;
+
+		if (strcmp(file->name, name) == 0)
+			return file;
+	}
+	return NULL;
+}
+
+/*
+ * Closes a file; NULL is ignored.  An error of close() is about writes that
+ * were synced before, or about a file that is removed or replaced, so nobody
+ * waits for it.  The descriptor is gone in any case.
+ */
+static void close_file(struct dl_disk_file *f, struct open_file *file)
+{
+	if (!file)
+		return;
+	close(file->fd);
+	f->open_files = g_list_remove(f->open_files, file);
+	g_free(file);
+}
+
+static void close_synced_files(struct dl_disk_file *f)
+{
+	GList *next;
+
+	for (GList *l = f->open_files; l; l = next) {
+		struct open_file *file = l->data;
+
+		next = l->next;
+		if (!file->unsynced)
+			close_file(f, file);
+	}
 }
 
 static void start_next(struct dl_disk_file *f)
@@ -102,13 +153,13 @@
 
 	if (!op)
 		return;
-	if (!needs_open_file[op->kind] || strcmp(f->fd_name, op->name) == 0) {
+	if (!open_flags[op->kind] || find_file(f, op->name)) {
 		run_op(f);
 		return;
 	}
-	close_fd(f);
+	close_synced_files(f);
 	make_path(f, op->name, path);
-	uv_fs_open(f->loop, &f->req, path, O_RDWR | O_CREAT, FILE_MODE,
+	uv_fs_open(f->loop, &f->req, path, open_flags[op->kind], FILE_MODE,
 		   on_opened);
 }
 
@@ -116,14 +167,17 @@
 {
 	struct dl_disk_file *f = req->data;
 	int result = (int)req->result;
+	struct open_file *file;
 
 	uv_fs_req_cleanup(req);
 	if (result < 0) {
 		end_op(f, result);
 		return;
 	}
-	f->fd = result;
-	g_strlcpy(f->fd_name, current_op(f)->name, sizeof(f->fd_name));
+	file = g_new0(struct open_file, 1);
+	file->fd = result;
+	g_strlcpy(file->name, current_op(f)->name, sizeof(file->name));
+	f->open_files = g_list_prepend(f->open_files, file);
 	run_op(f);
 }
 
@@ -158,9 +212,11 @@
 
 static void op_write(struct dl_disk_file *f, struct op *op)
 {
+	struct open_file *file = find_file(f, op->name);
 	uv_buf_t buf = uv_buf_init((char *)op->data.s, (unsigned)op->data.n);
 
-	uv_fs_write(f->loop, &f->req, f->fd, &buf, 1, (int64_t)op->offset,
+	file->unsynced = true;
+	uv_fs_write(f->loop, &f->req, file->fd, &buf, 1, (int64_t)op->offset,
 		    on_op_written);
 }
 
@@ -189,17 +245,47 @@
 
 static void op_sync(struct dl_disk_file *f, struct op *op)
 {
-	uv_fs_fdatasync(f->loop, &f->req, f->fd, on_op_done);
+	const struct open_file *file = find_file(f, op->name);
+
+	if (file->sync_error) {
+		end_op(f, file->sync_error);
+		return;
+	}
+	uv_fs_fdatasync(f->loop, &f->req, file->fd, on_op_synced);
+}
+
+static void on_op_synced(uv_fs_t *req)
+{
+	struct dl_disk_file *f = req->data;
+	struct open_file *file = find_file(f, current_op(f)->name);
+
+	file->unsynced = req->result < 0;
+	file->sync_error = req->result < 0 ? (int)req->result : 0;
+	on_op_done(req);
 }
 
 static void op_rename(struct dl_disk_file *f, struct op *op)
 {
 	char from[PATH_BYTES], to[PATH_BYTES];
 
-	close_fd(f);
 	make_path(f, op->name, from);
 	make_path(f, op->to, to);
-	uv_fs_rename(f->loop, &f->req, from, to, on_op_done);
+	uv_fs_rename(f->loop, &f->req, from, to, on_op_renamed);
+}
+
+/* The open file, if any, goes on under its new name. */
+static void on_op_renamed(uv_fs_t *req)
+{
+	struct dl_disk_file *f = req->data;
+	const struct op *op = current_op(f);
+	struct open_file *file = find_file(f, op->name);
+
+	if (req->result >= 0) {
+		close_file(f, find_file(f, op->to));
+		if (file)
+			g_strlcpy(file->name, op->to, sizeof(file->name));
+	}
+	on_op_done(req);
 }
 
 static void op_sync_folder(struct dl_disk_file *f, struct op *op)
@@ -211,8 +297,7 @@
 {
 	char path[PATH_BYTES];
 
-	if (strcmp(f->fd_name, op->name) == 0)
-		close_fd(f);
+	close_file(f, find_file(f, op->name));
 	make_path(f, op->name, path);
 	uv_fs_unlink(f->loop, &f->req, path, on_op_done);
 }
@@ -284,26 +369,37 @@
 	return 0;
 }
 
+/* Reads an open file from its start into new memory. */
+static int read_file(int fd, char **out, size_t *n)
+{
+	off_t size = lseek(fd, 0, SEEK_END);
+	int code;
+
+	if (size < 0 || lseek(fd, 0, SEEK_SET) < 0)
+		return -errno;
+	*n = (size_t)size;
+	*out = malloc(*n + 1);
+	if (!*out)
+		return -ENOMEM;
+	code = read_all(fd, *out, *n);
+	if (code) {
+		free(*out);
+		*out = NULL;
+	}
+	return code;
+}
+
 static int disk_read(void *disk, const char *name, char **out, size_t *n)
 {
 	char path[PATH_BYTES];
-	off_t size;
 	int fd, code;
 
 	make_path(disk, name, path);
 	fd = open(path, O_RDONLY | O_CLOEXEC);
 	if (fd < 0)
 		return -errno;
-	size = lseek(fd, 0, SEEK_END);
-	lseek(fd, 0, SEEK_SET);
-	*n = size > 0 ? (size_t)size : 0;
-	*out = malloc(*n + 1);
-	code = *out ? read_all(fd, *out, *n) : -ENOMEM;
+	code = read_file(fd, out, n);
 	close(fd);
-	if (code) {
-		free(*out);
-		*out = NULL;
-	}
 	return code;
 }
 
@@ -340,22 +436,54 @@
 	.truncate = disk_truncate,
 };
 
-/* Locks the folder; a second process using it would corrupt the journal. */
-static int take_lock(struct dl_disk_file *f, struct dl_err *err)
+static int busy(const struct dl_disk_file *f, struct dl_err *err)
+{
+	return dl_err_set(err, -EBUSY, DL_STEP_STORE, NULL,
+			  "%s is locked by another process", f->folder);
+}
+
+/*
+ * Opens the file "lock", or creates it.  Only if it does not exist, so that no
+ * process can hold a lock on it, may that fail: -1 is then left as descriptor.
+ */
+static int open_lock_file(struct dl_disk_file *f, bool needed,
+			  struct dl_err *err)
 {
 	char path[PATH_BYTES];
 
 	make_path(f, LOCK_NAME, path);
-	f->lock_fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, FILE_MODE);
+	f->lock_fd = open(path, O_RDWR | O_CLOEXEC);
+	if (f->lock_fd < 0 && errno == ENOENT) {
+		f->lock_fd =
+			open(path, O_RDWR | O_CREAT | O_CLOEXEC, FILE_MODE);
+		if (f->lock_fd < 0 && !needed)
+			return 0;
+	}
 	if (f->lock_fd < 0)
 		return dl_err_set(err, -errno, DL_STEP_STORE, NULL,
 				  "cannot open %s: %s", path, strerror(errno));
-	if (flock(f->lock_fd, LOCK_EX | LOCK_NB))
-		return dl_err_set(err, -EBUSY, DL_STEP_STORE, NULL,
-				  "%s is locked by another process", f->folder);
 	return 0;
 }
 
+/*
+ * Locks the folder; a second process using it would corrupt the journal.  The
+ * folder itself can be locked on a full disk, where no file can be created.
+ * Processes of older versions lock only a file in it, and some network file
+ * systems lock only files; so that is locked too if it can be.
+ */
+static int take_lock(struct dl_disk_file *f, struct dl_err *err)
+{
+	bool locked = flock(f->dir_fd, LOCK_EX | LOCK_NB) == 0;
+	int code;
+
+	if (!locked && errno == EWOULDBLOCK)
+		return busy(f, err);
+	code = open_lock_file(f, !locked, err);
+	if (code || f->lock_fd < 0)
+		return code;
+	return flock(f->lock_fd, LOCK_EX | LOCK_NB) ? busy(f, err) : 0;
+}
+
 /*
  * Opens a data folder, which must exist, and locks it against other processes.
  * Returns 0, -EBUSY if another process holds the lock, or a negative errno.
@@ -367,7 +495,6 @@
 	int code;
 
 	f->loop = loop;
-	f->fd = -1;
 	f->lock_fd = -1;
 	f->req.data = f;
 	g_queue_init(&f->ops);
@@ -405,7 +532,8 @@
  */
 void dl_disk_file_close(struct dl_disk_file *f)
 {
-	close_fd(f);
+	while (f->open_files)
+		close_file(f, f->open_files->data);
 	if (f->dir_fd >= 0)
 		close(f->dir_fd);
 	if (f->lock_fd >= 0)
