Test: a fake disk whose failures last and whose failed sync loses data

What could go wrong: the simulated tests did not see that a replica whose disk failed stayed out of its group. The fake disk failed one operation and worked perfectly afterwards; the next sync even made durable what the failed one had not.

Change in the fake disk: what a failed sync covers is dropped, stays readable until power is lost, and is durable only if it is written again; a failed sync of the folder drops the names in half of the cases; a failed write stores a part; a full disk does not always create the file; errors of a chosen kind last until lifted, those of read and list included; a stall, which ends with success or an error. The fake group checks, at each start, that the disk still holds the term, the vote and the acknowledged entries that the replica last sent from that disk, and counts starts refused by an error apart from those refused because of damage.

test_rlog_disk: for the leader and each follower no room, one error of every step of appends, new generations, the first and later starts, lasting errors, stalls, ends of the process or the VM after each step of a repeated write, all disks at once, a group of one; afterwards the disk of another replica is wiped, and the group must commit with this one.

--- a/test/fake/disk.c
+++ b/test/fake/disk.c
@@ -12,6 +12,7 @@
 	uint64_t offset;
 	uint64_t n;
 	guint8 *data;
+	bool dropped; /* by a failed sync; no later one makes it durable */
 };
 
 static void change_clear(gpointer p)
@@ -37,7 +38,7 @@
 	int64_t due;
 	int code;
 	struct dl_disk_done done;
-	struct file *sync; /* the file to mark as synced on completion */
+	struct file *sync; /* the file that a sync covers */
 	guint changes;	   /* number of writes that the sync covers */
 	bool syncs_dir;
 	guint names;
@@ -51,7 +52,9 @@
 	uint64_t count;
 	uint32_t fail_in; /* 0: never */
 	int fail_code;
+	int errors[FAKE_DISK_OP_COUNT]; /* 0: none */
 	bool full;
+	bool stalled;
 	uint32_t crash_in;
 	bool down;
 	GHashTable *names; /* name to struct file */
@@ -143,6 +146,31 @@
 	d->full = full;
 }
 
+void fake_disk_set_error(struct fake_disk *d, enum fake_disk_op op, int code)
+{
+	d->errors[op] = code;
+}
+
+void fake_disk_stall(struct fake_disk *d)
+{
+	d->stalled = true;
+}
+
+void fake_disk_end_stall(struct fake_disk *d, int code)
+{
+	d->stalled = false;
+	for (GList *l = d->pending.head; code && l; l = l->next)
+		((struct pending *)l->data)->code = code;
+}
+
+void fake_disk_repair(struct fake_disk *d)
+{
+	d->fail_in = 0;
+	d->full = false;
+	d->stalled = false;
+	memset(d->errors, 0, sizeof(d->errors));
+}
+
 void fake_disk_crash_after(struct fake_disk *d, uint32_t ops)
 {
 	d->crash_in = ops + 1;
@@ -158,9 +186,12 @@
 	return d->count;
 }
 
-/* Counts an operation; returns NULL if it fails or the VM goes down. */
-static struct pending *begin(struct fake_disk *d, struct dl_disk_done done,
-			     uint32_t ms)
+/*
+ * Counts an operation and decides whether it fails; returns NULL if the VM goes
+ * down.
+ */
+static struct pending *begin(struct fake_disk *d, enum fake_disk_op op,
+			     struct dl_disk_done done, uint32_t ms)
 {
 	struct pending *x;
 
@@ -172,10 +203,11 @@
 	x = g_new0(struct pending, 1);
 	x->done = done;
 	x->due = d->now + ms;
+	x->code = d->errors[op];
 	if (d->fail_in && --d->fail_in == 0)
 		x->code = d->fail_code;
 	g_queue_push_tail(&d->pending, x);
-	return x->code ? NULL : x;
+	return x;
 }
 
 static void name_op(struct fake_disk *d, const char *from, const char *to,
@@ -210,33 +242,45 @@
 		g_byte_array_set_size(to, (guint)s->offset);
 }
 
+static struct file *create(struct fake_disk *d, const char *name)
+{
+	struct file *f = g_new0(struct file, 1);
+
+	f->refs = 1;
+	f->now = g_byte_array_new();
+	f->synced = g_byte_array_new();
+	f->unsynced = g_array_new(FALSE, FALSE, sizeof(struct change));
+	g_array_set_clear_func(f->unsynced, change_clear);
+	g_hash_table_insert(d->names, g_strdup(name), f);
+	name_op(d, NULL, name, f);
+	return f;
+}
+
 static void disk_write(void *disk, const char *name, uint64_t offset,
 		       struct dl_str data, struct dl_disk_done done)
 {
 	struct fake_disk *d = disk;
-	struct change change = { offset, data.n, NULL };
-	struct pending *x = begin(d, done, 0);
+	struct change change = { .offset = offset };
+	struct pending *x = begin(d, FAKE_DISK_WRITE, done, 0);
 	struct file *f;
 
 	if (!x)
 		return;
-	if (d->full) {
+	if (d->full)
 		x->code = -ENOSPC;
-		data.n = (size_t)g_rand_int_range(d->rand, 0, (gint32)data.n);
-		change.n = data.n;
-	}
 	f = g_hash_table_lookup(d->names, name);
-	if (!f) {
-		f = g_new0(struct file, 1);
-		f->refs = 1;
-		f->now = g_byte_array_new();
-		f->synced = g_byte_array_new();
-		f->unsynced = g_array_new(FALSE, FALSE, sizeof(struct change));
-		g_array_set_clear_func(f->unsynced, change_clear);
-		g_hash_table_insert(d->names, g_strdup(name), f);
-		name_op(d, NULL, name, f);
+	if (x->code) {
+		if (!f && g_rand_boolean(d->rand))
+			return;
+		data.n = (size_t)g_rand_int_range(
+			d->rand, 0, MAX((gint32)data.n + !d->full, 1));
 	}
+	if (!f)
+		f = create(d, name);
+	if (x->code && !data.n)
+		return;
 	put_bytes(f->now, offset, (const guint8 *)data.s, data.n);
+	change.n = data.n;
 	change.data = g_memdup2(data.s, data.n);
 	g_array_append_val(f->unsynced, change);
 }
@@ -247,7 +291,7 @@
 	struct file *f = g_hash_table_lookup(d->names, name);
 	uint32_t ms = (uint32_t)g_rand_int_range(d->rand, (gint32)d->sync_min,
 						 (gint32)d->sync_max + 1);
-	struct pending *x = begin(d, done, ms);
+	struct pending *x = begin(d, FAKE_DISK_SYNC, done, ms);
 
 	if (!x)
 		return;
@@ -263,9 +307,10 @@
 			struct dl_disk_done done)
 {
 	struct fake_disk *d = disk;
+	struct pending *x = begin(d, FAKE_DISK_RENAME, done, 0);
 	struct file *f;
 
-	if (!begin(d, done, 0))
+	if (!x || x->code)
 		return;
 	f = g_hash_table_lookup(d->names, from);
 	g_assert(f);
@@ -277,7 +322,7 @@
 static void disk_sync_dir(void *disk, struct dl_disk_done done)
 {
 	struct fake_disk *d = disk;
-	struct pending *x = begin(d, done, d->sync_min);
+	struct pending *x = begin(d, FAKE_DISK_SYNC_DIR, done, d->sync_min);
 
 	if (!x)
 		return;
@@ -288,10 +333,14 @@
 static void disk_unlink(void *disk, const char *name, struct dl_disk_done done)
 {
 	struct fake_disk *d = disk;
+	struct pending *x = begin(d, FAKE_DISK_UNLINK, done, 0);
 
-	if (!begin(d, done, 0))
+	if (!x || x->code)
+		return;
+	if (!g_hash_table_remove(d->names, name)) {
+		x->code = -ENOENT;
 		return;
-	g_hash_table_remove(d->names, name);
+	}
 	name_op(d, name, NULL, NULL);
 }
 
@@ -300,6 +349,8 @@
 	struct fake_disk *d = disk;
 	struct file *f = g_hash_table_lookup(d->names, name);
 
+	if (d->errors[FAKE_DISK_READ])
+		return d->errors[FAKE_DISK_READ];
 	if (!f)
 		return -ENOENT;
 	*n = f->now->len;
@@ -316,6 +367,8 @@
 	GHashTableIter iter;
 	gpointer name;
 
+	if (d->errors[FAKE_DISK_LIST])
+		return d->errors[FAKE_DISK_LIST];
 	g_hash_table_iter_init(&iter, d->names);
 	while (g_hash_table_iter_next(&iter, &name, NULL))
 		each(arg, name);
@@ -326,7 +379,7 @@
 {
 	struct fake_disk *d = disk;
 	struct file *f = g_hash_table_lookup(d->names, name);
-	struct change change = { size, 0, NULL };
+	struct change change = { .offset = size };
 
 	if (!f)
 		return -ENOENT;
@@ -361,21 +414,79 @@
 		g_ptr_array_remove_range(d->name_ops, 0, n);
 }
 
+/*
+ * Data that is now durable hides what a failed sync dropped at the same place;
+ * of a dropped write around it only the beginning is kept.
+ */
+static void hide_dropped(struct file *f, const struct change *by)
+{
+	uint64_t end = by->offset + by->n;
+
+	for (guint i = 0; i < f->unsynced->len; i++) {
+		struct change *c =
+			&g_array_index(f->unsynced, struct change, i);
+		uint64_t cut;
+
+		if (!c->dropped || !c->data || c->offset >= end ||
+		    c->offset + c->n <= by->offset)
+			continue;
+		if (c->offset < by->offset) {
+			c->n = by->offset - c->offset;
+			continue;
+		}
+		cut = MIN(end - c->offset, c->n);
+		memmove(c->data, c->data + cut, c->n - cut);
+		c->offset += cut;
+		c->n -= cut;
+	}
+}
+
+/* Makes the first writes that are not synced durable, except dropped ones. */
+static void persist(struct file *f, guint n)
+{
+	guint i = 0;
+
+	for (; n; n--) {
+		struct change *c =
+			&g_array_index(f->unsynced, struct change, i);
+
+		if (c->dropped) {
+			i++;
+			continue;
+		}
+		apply_change(f->synced, c);
+		if (c->data)
+			hide_dropped(f, c);
+		g_array_remove_index(f->unsynced, i);
+	}
+}
+
+static void drop(struct file *f, guint n)
+{
+	for (guint i = 0; i < n; i++)
+		g_array_index(f->unsynced, struct change, i).dropped = true;
+}
+
+/* A failed sync of the folder may drop the changes of names, too. */
+static void finish_sync_dir(struct fake_disk *d, guint n, int code)
+{
+	if (!code)
+		apply_name_ops(d, n);
+	else if (n && g_rand_boolean(d->rand))
+		g_ptr_array_remove_range(d->name_ops, 0, n);
+}
+
 static void finish(struct fake_disk *d, struct pending *x)
 {
 	struct dl_disk_done done = x->done;
 	int code = x->code;
 
-	if (x->sync && !code) {
-		for (guint i = 0; i < x->changes; i++)
-			apply_change(x->sync->synced,
-				     &g_array_index(x->sync->unsynced,
-						    struct change, i));
-		if (x->changes)
-			g_array_remove_range(x->sync->unsynced, 0, x->changes);
-	}
-	if (x->syncs_dir && !code)
-		apply_name_ops(d, x->names);
+	if (x->sync && code)
+		drop(x->sync, x->changes);
+	else if (x->sync)
+		persist(x->sync, x->changes);
+	if (x->syncs_dir)
+		finish_sync_dir(d, x->names, code);
 	pending_free(x);
 	done.fn(done.arg, code);
 }
@@ -383,7 +494,7 @@
 void fake_disk_run(struct fake_disk *d, int64_t now)
 {
 	d->now = now;
-	while (!d->down && d->pending.head) {
+	while (!d->down && !d->stalled && d->pending.head) {
 		struct pending *x = d->pending.head->data;
 
 		if (x->due > now)
@@ -395,7 +506,7 @@
 
 int64_t fake_disk_wakeup(const struct fake_disk *d)
 {
-	if (d->down || !d->pending.head)
+	if (d->down || d->stalled || !d->pending.head)
 		return INT64_MAX;
 	return ((struct pending *)d->pending.head->data)->due;
 }
@@ -484,6 +595,7 @@
 void fake_disk_wipe(struct fake_disk *d)
 {
 	fake_disk_kill(d);
+	fake_disk_repair(d);
 	g_ptr_array_set_size(d->name_ops, 0);
 	g_hash_table_remove_all(d->names);
 	g_hash_table_remove_all(d->synced_names);
@@ -510,6 +622,11 @@
 	return f ? f->now->len : 0;
 }
 
+uint32_t fake_disk_files(const struct fake_disk *d)
+{
+	return g_hash_table_size(d->names);
+}
+
 bool fake_disk_flip_bit(struct fake_disk *d, uint64_t at)
 {
 	struct file *f = largest(d);
--- a/test/fake/group.c
+++ b/test/fake/group.c
@@ -19,6 +19,18 @@
 	uint64_t hash;
 };
 
+/*
+ * The latest that a replica has told others and must still hold after a
+ * restart from the same disk.
+ */
+struct promise {
+	uint64_t term;
+	uint64_t vote_term;
+	uint64_t vote;
+	uint64_t ack_term; /* the term in which it acknowledged */
+	uint64_t ack;	   /* everything up to this index */
+};
+
 struct node {
 	uint64_t vm;
 	struct group *group;
@@ -33,6 +45,7 @@
 	uint64_t seq;  /* of the record being written */
 	uint64_t term; /* the last one in which it led */
 	uint64_t id;
+	struct promise promise;
 	uint64_t busy_ns; /* real time in the log and codec */
 	uint64_t timing_since;
 };
@@ -157,6 +170,60 @@
 	dl_rlog_set_replicas(n->rlog, n->group->wanted, n->group->wanted_count);
 }
 
+/* What a replica promised must be on its disk when it starts again. */
+static void check_promise(struct node *n, const struct dl_rlog_image *image)
+{
+	const struct promise *p = &n->promise;
+	uint64_t last = image->base_index + image->count;
+
+	if (image->term < p->term)
+		report_violation(n->group, n, "a term was lost in a restart");
+	if (image->term == p->vote_term && p->vote && image->vote != p->vote)
+		report_violation(n->group, n, "a vote was lost in a restart");
+	if (image->term == p->ack_term && last < p->ack)
+		report_violation(n->group, n,
+				 "an acknowledged entry was lost in a restart");
+}
+
+static void note_ack(struct node *n, uint64_t term, uint64_t index)
+{
+	struct promise *p = &n->promise;
+
+	if (p->ack_term != term)
+		p->ack = 0;
+	p->ack_term = term;
+	p->ack = MAX(p->ack, index);
+}
+
+static void note_promise(struct node *n, const struct dl_rlog_msg *m)
+{
+	struct promise *p = &n->promise;
+
+	switch (m->kind) {
+	case DL_RLOG_VOTE:
+	case DL_RLOG_APPEND:
+	case DL_RLOG_SNAPSHOT:
+		p->term = MAX(p->term, m->term);
+		return;
+	case DL_RLOG_VOTE_REPLY:
+		p->term = MAX(p->term, m->term);
+		if (!m->ok)
+			return;
+		p->vote_term = m->term;
+		p->vote = m->to_id;
+		return;
+	case DL_RLOG_APPEND_REPLY:
+		if (m->fresh)
+			return;
+		p->term = MAX(p->term, m->term);
+		if (m->ok)
+			note_ack(n, m->term, m->index);
+		return;
+	default:
+		return;
+	}
+}
+
 uint64_t group_domain(const struct group *g, uint64_t vm)
 {
 	return 1 + vm % g->conf.domains;
@@ -197,12 +264,17 @@
 	n->term = 0;
 	code = dl_rlog_store_open((struct dl_disk){ &fake_disk_ops, n->disk },
 				  id, &n->store, &image, &err);
+	if (!code)
+		check_promise(n, &image);
 	n->id = image.id;
 	n->rlog = dl_rlog_new(&conf, &image, g_rand_int(g->rand), local_now(n));
 	n->up = true;
 	n->started = false;
 	if (code) {
-		g->count.damaged++;
+		if (code == DL_EDAMAGED)
+			g->count.damaged++;
+		else
+			g->count.unreadable++;
 		dl_rlog_halt(n->rlog, &err);
 		return;
 	}
@@ -226,6 +298,7 @@
 	stop_node(&g->nodes[vm]);
 	fake_disk_wipe(g->nodes[vm].disk);
 	g->nodes[vm].id = 0;
+	g->nodes[vm].promise = (struct promise){ 0 };
 }
 
 void group_pause(struct group *g, uint64_t vm, uint32_t ms)
@@ -400,6 +473,7 @@
 
 	msgpack_sbuffer_init(&buf);
 	while (dl_rlog_out(n->rlog, local_now(n), &m)) {
+		note_promise(n, &m);
 		msgpack_sbuffer_clear(&buf);
 		dl_rlog_encode(&m, &buf);
 		fake_link_send(n->group->link, n->vm, m.to_vm,
@@ -445,6 +519,8 @@
 	send_messages(n);
 	n->busy_ns += clock_ns() - n->timing_since;
 	dl_rlog_get_status(n->rlog, local_now(n), &s);
+	if (s.role == DL_RLOG_LEADER)
+		note_ack(n, s.term, s.synced);
 	check_leader(n, &s);
 	check_lease(n);
 	if (s.role == DL_RLOG_HALTED && strstr(s.halt_reason, "invariant"))
--- a/test/fake/group.h
+++ b/test/fake/group.h
@@ -42,6 +42,7 @@
 	uint64_t reads;
 	uint64_t restores;
 	uint64_t damaged;	/* starts refused because of damage */
+	uint64_t unreadable;	/* starts refused by an error of the disk */
 	uint64_t commit_ms[64]; /* commands by commit time in ms */
 };
 
--- a/test/test_rlog_disk.c
+++ b/test/test_rlog_disk.c
@@ -3,32 +3,71 @@
  * restarted unless a test says so.
  */
 #include <check.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include <glib.h>
 
 #include "fake/group.h"
 #include "fake/suite.h"
 
+/* The longest time without commits, while one disk fails or after faults. */
+#define RECOVERY_MS 5000
+/* The longest time until a leader whose disk fails has been replaced. */
+#define HANDOVER_MS 1000
+/*
+ * Disk operations from which on the first error is tried: more than lie between
+ * two new generations, each of which has 6, while an append has 3.
+ */
+#define STEPS_TRIED 48
 static const uint64_t first_three[] = { 1, 2, 3 };
 
-static struct group *start_three(uint32_t seed)
+static const int codes[] = { -EIO, -ENOSPC };
+
+static struct group *new_group(uint32_t seed, uint32_t listed)
 {
 	struct group_conf conf = {
 		.seed = seed,
-		.listed = 3,
+		.listed = listed,
 		.link = { .delay_min_ms = 1, .delay_max_ms = 4 },
 		.sync_max_ms = 5,
-		.snapshot_entries = 40,
+		.snapshot_entries = 8,
 	};
-	struct group *g = group_new(&conf);
 
-	for (uint64_t vm = 1; vm <= 3; vm++)
+	return group_new(&conf);
+}
+
+static struct group *start_group(uint32_t seed, uint32_t listed)
+{
+	struct group *g = new_group(seed, listed);
+
+	for (uint64_t vm = 1; vm <= listed; vm++)
 		group_start(g, vm);
 	ck_assert(group_wait_leader(g, 10000));
 	group_run(g, 1000);
 	return g;
 }
 
+static struct group *start_three(uint32_t seed)
+{
+	return start_group(seed, 3);
+}
+
+/* The leader, or one of the followers. */
+static uint64_t victim_of(const struct group *g, int which)
+{
+	return (group_leader(g) - 1 + (uint64_t)which) % 3 + 1;
+}
+
+static struct dl_rlog_status status_of(struct group *g, uint64_t vm)
+{
+	struct dl_rlog_status s;
+
+	dl_rlog_get_status(group_rlog(g, vm), group_local(g, vm), &s);
+	return s;
+}
+
 /* Proposes commands for some seconds, wherever the leader is. */
 static void run_with_load(struct group *g, uint32_t ms)
 {
@@ -41,36 +80,467 @@
 	}
 }
 
+/* Whether a command proposed from now on is committed in time. */
+static bool commits_within(struct group *g, uint32_t ms)
+{
+	uint64_t before = group_get_counters(g)->acked;
+	int64_t end = group_now(g) + ms;
+
+	while (group_now(g) < end) {
+		uint64_t leader = group_leader(g);
+
+		if (leader)
+			group_propose(g, leader, 30);
+		group_run(g, 20);
+		if (group_get_counters(g)->acked > before)
+			return true;
+	}
+	return false;
+}
+
+/* Runs under load; false if no command was committed for too long. */
+static bool serves_for(struct group *g, uint32_t ms)
+{
+	int64_t end = group_now(g) + ms;
+
+	while (group_now(g) < end) {
+		if (!commits_within(g, RECOVERY_MS))
+			return false;
+		group_run(g, 20);
+	}
+	return true;
+}
+
 static void finish_group(struct group *g)
 {
-	ck_assert(group_wait_leader(g, 5000));
+	ck_assert_str_eq(group_violation(g), "");
+	ck_assert(group_wait_leader(g, RECOVERY_MS));
 	ck_assert_int_eq(group_propose(g, group_leader(g), 30), 0);
 	ck_assert(group_wait_converged(g, 10000));
 	ck_assert_str_eq(group_violation(g), "");
+	ck_assert_uint_eq(group_get_counters(g)->damaged, 0);
 	group_free(g);
 }
 
-/* A replica whose disk had no room for a time must still count as a voter. */
-START_TEST(full_disk_takes_no_voter_out_for_good)
+/*
+ * Checks that the faults of a disk have left a full voter: the group serves,
+ * and still does once another replica has lost its disk, which needs the vote
+ * and the acknowledgements of this one.
+ */
+static void finish_with_voter(struct group *g, uint64_t vm)
 {
-	struct group *g = start_three(1 + (uint32_t)_i);
-	uint64_t full = _i % 2 ? group_leader(g) : 1 + (uint64_t)_i / 2 % 3;
 	uint64_t lost;
 
-	fake_disk_set_full(group_disk(g, full), true);
-	run_with_load(g, 4500);
-	fake_disk_set_full(group_disk(g, full), false);
-	run_with_load(g, 4000);
-	lost = group_leader(g) != full ? group_leader(g) : full % 3 + 1;
+	ck_assert_str_eq(group_violation(g), "");
+	ck_assert(commits_within(g, RECOVERY_MS));
+	ck_assert(group_wait_converged(g, RECOVERY_MS));
+	lost = group_leader(g) != vm ? group_leader(g) : vm % 3 + 1;
 	ck_assert_uint_ne(lost, DL_VM_NONE);
 	group_wipe(g, lost);
-	group_run(g, 1600);
+	ck_assert(commits_within(g, RECOVERY_MS));
+	ck_assert_int_eq(status_of(g, vm).write_error, 0);
+	ck_assert(status_of(g, vm).voter);
 	group_start(g, lost);
 	group_run(g, 5000);
-	ck_assert(group_wait_leader(g, 5000));
+	ck_assert(group_wait_leader(g, RECOVERY_MS));
 	ck_assert(group_members_are(g, first_three, 3));
 	finish_group(g);
 }
+
+/* --- the fake disk itself --- */
+
+static int last_code;
+
+static void note_code(void *arg, int code)
+{
+	last_code = code;
+}
+
+static const struct dl_disk_done noting = { note_code, NULL };
+
+static int write_file(struct fake_disk *d, uint64_t offset, const char *text)
+{
+	last_code = 1;
+	fake_disk_ops.write(d, "f", offset,
+			    (struct dl_str){ text, strlen(text) }, noting);
+	fake_disk_run(d, 0);
+	return last_code;
+}
+
+static int sync_file(struct fake_disk *d)
+{
+	last_code = 1;
+	fake_disk_ops.sync(d, "f", noting);
+	fake_disk_run(d, 0);
+	if (last_code)
+		return last_code;
+	last_code = 1;
+	fake_disk_ops.sync_dir(d, noting);
+	fake_disk_run(d, 0);
+	return last_code;
+}
+
+/* Whether the file has this text; false if there is no file. */
+static bool file_is(struct fake_disk *d, const char *text)
+{
+	char *data;
+	size_t n;
+	bool same;
+
+	if (fake_disk_ops.read(d, "f", &data, &n))
+		return false;
+	same = n == strlen(text) && memcmp(data, text, n) == 0;
+	free(data);
+	return same;
+}
+
+/* After a failed sync the next one succeeds and makes nothing durable. */
+START_TEST(failed_sync_drops_data)
+{
+	struct fake_disk *d = fake_disk_new((uint32_t)_i);
+	bool rewritten = _i % 2;
+
+	ck_assert_int_eq(write_file(d, 0, "old text"), 0);
+	ck_assert_int_eq(sync_file(d), 0);
+	ck_assert_int_eq(write_file(d, 4, "news"), 0);
+	fake_disk_fail_after(d, 0, -EIO);
+	ck_assert_int_eq(sync_file(d), -EIO);
+	if (rewritten)
+		ck_assert_int_eq(write_file(d, 4, "news"), 0);
+	ck_assert_int_eq(sync_file(d), 0);
+	ck_assert(file_is(d, "old news"));
+	fake_disk_kill(d);
+	ck_assert(file_is(d, "old news"));
+	fake_disk_crash(d);
+	if (rewritten)
+		ck_assert(file_is(d, "old news"));
+	fake_disk_free(d);
+}
+END_TEST
+
+/* Over many seeds, dropped data is lost in some crashes. */
+START_TEST(dropped_data_is_lost_in_a_crash)
+{
+	uint32_t lost = 0;
+
+	for (uint32_t seed = 0; seed < 40; seed++) {
+		struct fake_disk *d = fake_disk_new(seed);
+
+		ck_assert_int_eq(write_file(d, 0, "old text"), 0);
+		ck_assert_int_eq(sync_file(d), 0);
+		ck_assert_int_eq(write_file(d, 4, "news"), 0);
+		fake_disk_fail_after(d, 0, -EIO);
+		ck_assert_int_eq(sync_file(d), -EIO);
+		ck_assert_int_eq(sync_file(d), 0);
+		fake_disk_crash(d);
+		lost += file_is(d, "old text");
+		fake_disk_free(d);
+	}
+	ck_assert_uint_gt(lost, 0);
+}
+END_TEST
+
+/* Lasting errors and stalls hold across a process end until they are lifted. */
+START_TEST(lasting_faults_end_when_lifted)
+{
+	struct fake_disk *d = fake_disk_new(1);
+
+	fake_disk_set_error(d, FAKE_DISK_WRITE, -EROFS);
+	ck_assert_int_eq(write_file(d, 0, "text"), -EROFS);
+	fake_disk_kill(d);
+	ck_assert_int_eq(write_file(d, 0, "text"), -EROFS);
+	fake_disk_set_error(d, FAKE_DISK_WRITE, 0);
+	ck_assert_int_eq(write_file(d, 0, "text"), 0);
+	fake_disk_stall(d);
+	ck_assert_int_eq(sync_file(d), 1);
+	fake_disk_end_stall(d, -EIO);
+	fake_disk_run(d, 0);
+	ck_assert_int_eq(last_code, -EIO);
+	fake_disk_set_error(d, FAKE_DISK_READ, -EIO);
+	ck_assert(!file_is(d, "text"));
+	fake_disk_repair(d);
+	ck_assert(file_is(d, "text"));
+	fake_disk_free(d);
+}
+END_TEST
+
+/* --- one disk --- */
+
+/* A replica whose disk had no room for a time must still count as a voter. */
+START_TEST(full_disk_takes_no_voter_out_for_good)
+{
+	struct group *g = start_three(1 + (uint32_t)_i);
+	uint64_t full = victim_of(g, _i % 3);
+
+	fake_disk_set_full(group_disk(g, full), true);
+	ck_assert(serves_for(g, 4500));
+	fake_disk_set_full(group_disk(g, full), false);
+	finish_with_voter(g, full);
+}
+END_TEST
+
+/* One error of any step of the disk, at any replica. */
+START_TEST(error_at_every_disk_step)
+{
+	struct group *g = start_three(100 + (uint32_t)_i);
+	uint64_t bad = victim_of(g, _i % 3);
+
+	fake_disk_fail_after(group_disk(g, bad), (uint32_t)_i / 6,
+			     codes[_i / 3 % 2]);
+	ck_assert(serves_for(g, 2500));
+	finish_with_voter(g, bad);
+}
+END_TEST
+
+/* One error of any step of the first start, also of that of the whole group. */
+START_TEST(error_at_every_step_of_the_first_start)
+{
+	struct group *g = new_group(600 + (uint32_t)_i, 3);
+	uint64_t bad = 1 + (uint64_t)_i % 3;
+
+	fake_disk_fail_after(group_disk(g, bad), (uint32_t)_i / 6,
+			     codes[_i / 3 % 2]);
+	for (uint64_t vm = 1; vm <= 3; vm++)
+		group_start(g, vm);
+	ck_assert(commits_within(g, RECOVERY_MS));
+	finish_with_voter(g, bad);
+}
+END_TEST
+
+/*
+ * One error of any step of a later start, after a process end, with or without
+ * an unfinished record.
+ */
+START_TEST(error_at_every_step_of_a_restart)
+{
+	struct group *g = start_three(700 + (uint32_t)_i);
+	uint64_t bad = victim_of(g, _i % 3);
+	struct fake_disk *disk = group_disk(g, bad);
+
+	fake_disk_crash_after(disk, 10 + (uint32_t)_i / 6 % 3);
+	for (int i = 0; i < 100 && group_is_up(g, bad); i++)
+		run_with_load(g, 50);
+	ck_assert(!group_is_up(g, bad));
+	group_kill(g, bad);
+	fake_disk_fail_after(disk, (uint32_t)_i / 18, codes[_i / 3 % 2]);
+	group_start(g, bad);
+	ck_assert(serves_for(g, 2500));
+	finish_with_voter(g, bad);
+}
+END_TEST
+
+static const enum fake_disk_op lasting[] = {
+	FAKE_DISK_WRITE,    FAKE_DISK_SYNC,   FAKE_DISK_RENAME,
+	FAKE_DISK_SYNC_DIR, FAKE_DISK_UNLINK,
+};
+
+/* All operations of a kind fail for a time. */
+START_TEST(lasting_error_takes_no_voter_out_for_good)
+{
+	struct group *g = start_three(800 + (uint32_t)_i);
+	uint64_t bad = victim_of(g, _i % 3);
+	enum fake_disk_op op = lasting[_i / 3 % G_N_ELEMENTS(lasting)];
+
+	fake_disk_set_error(group_disk(g, bad), op, codes[_i % 2]);
+	ck_assert(serves_for(g, 4500));
+	fake_disk_set_error(group_disk(g, bad), op, 0);
+	finish_with_voter(g, bad);
+}
+END_TEST
+
+/* A leader that cannot write is replaced within a second. */
+START_TEST(failing_leader_hands_over)
+{
+	struct group *g = start_three(900 + (uint32_t)_i);
+	uint64_t bad = group_leader(g);
+
+	if (_i % 3 == 0)
+		fake_disk_set_full(group_disk(g, bad), true);
+	else
+		fake_disk_set_error(group_disk(g, bad), lasting[_i % 3 - 1],
+				    -EIO);
+	group_propose(g, bad, 30);
+	group_run(g, 30);
+	ck_assert_int_ne(status_of(g, bad).write_error, 0);
+	ck_assert(!status_of(g, bad).lease);
+	ck_assert(commits_within(g, HANDOVER_MS));
+	ck_assert_uint_ne(group_leader(g), bad);
+	run_with_load(g, 1000);
+	fake_disk_repair(group_disk(g, bad));
+	finish_with_voter(g, bad);
+}
+END_TEST
+
+/* The disk does not answer for a time; then the operation succeeds or fails. */
+START_TEST(stalled_disk_takes_no_voter_out_for_good)
+{
+	struct group *g = start_three(1000 + (uint32_t)_i);
+	uint64_t bad = victim_of(g, _i % 3);
+	int code = _i / 3 % 2 ? -EIO : 0;
+
+	run_with_load(g, 50 * ((uint32_t)_i / 6));
+	group_run(g, (uint32_t)_i % 7);
+	fake_disk_stall(group_disk(g, bad));
+	ck_assert(serves_for(g, 4500));
+	fake_disk_end_stall(group_disk(g, bad), code);
+	finish_with_voter(g, bad);
+}
+END_TEST
+
+/* --- ends of the process and of the VM --- */
+
+enum {
+	ENDS_PROCESS,
+	ENDS_VM,
+	ENDS_BOTH,
+	ENDS_COUNT
+};
+
+/*
+ * The process or the VM ends between any two steps of a write that failed and
+ * was repeated, or the VM ends while the new process starts.  The fake group
+ * checks that what was acknowledged is still held.
+ */
+START_TEST(end_at_every_step_after_an_error)
+{
+	uint32_t i = (uint32_t)_i, ends = i % ENDS_COUNT, which;
+	uint32_t fails = i / ENDS_COUNT % 12, steps;
+	struct fake_disk *disk;
+	struct group *g;
+	uint64_t bad;
+
+	steps = i / ENDS_COUNT / 12 % 9;
+	which = i / ENDS_COUNT / 12 / 9;
+	g = start_three(2000 + i);
+	bad = victim_of(g, (int)which);
+	disk = group_disk(g, bad);
+	fake_disk_fail_after(disk, fails, codes[i % 2]);
+	fake_disk_crash_after(disk, fails + 1 + steps);
+	for (int j = 0; j < 100 && group_is_up(g, bad); j++)
+		run_with_load(g, 50);
+	ck_assert(!group_is_up(g, bad));
+	if (ends == ENDS_VM)
+		group_crash(g, bad);
+	else
+		group_kill(g, bad);
+	if (ends == ENDS_BOTH)
+		fake_disk_crash_after(disk, i % 6);
+	group_start(g, bad);
+	run_with_load(g, 200);
+	if (ends == ENDS_BOTH) {
+		group_crash(g, bad);
+		group_start(g, bad);
+	}
+	finish_with_voter(g, bad);
+}
+END_TEST
+
+/*
+ * A record whose sync failed is read by the next process; what this one
+ * promises then must survive the VM.
+ */
+START_TEST(failed_sync_then_process_end_then_power_loss)
+{
+	struct group *g = start_three(5000 + (uint32_t)_i);
+	uint64_t bad = victim_of(g, _i % 3);
+
+	fake_disk_set_error(group_disk(g, bad), FAKE_DISK_SYNC, -EIO);
+	run_with_load(g, 50 + 50 * ((uint32_t)_i % 5));
+	group_kill(g, bad);
+	fake_disk_set_error(group_disk(g, bad), FAKE_DISK_SYNC, 0);
+	group_start(g, bad);
+	group_run(g, (uint32_t)_i % 400);
+	group_crash(g, bad);
+	group_start(g, bad);
+	finish_with_voter(g, bad);
+}
+END_TEST
+
+/* --- all disks --- */
+
+/* All disks are full at the same time; nobody restarts anything. */
+START_TEST(all_disks_full_and_room_again)
+{
+	uint32_t replicas = _i % 2 ? 3 : 1;
+	struct group *g = start_group(6000 + (uint32_t)_i, replicas);
+
+	for (uint64_t vm = 1; vm <= replicas; vm++)
+		fake_disk_set_full(group_disk(g, vm), true);
+	run_with_load(g, 4500);
+	for (uint64_t vm = 1; vm <= replicas; vm++)
+		fake_disk_set_full(group_disk(g, vm), false);
+	ck_assert(commits_within(g, RECOVERY_MS));
+	finish_group(g);
+}
+END_TEST
+
+/* All disks fail in another way at the same time. */
+START_TEST(all_disks_fail_and_work_again)
+{
+	uint32_t replicas = _i % 2 ? 3 : 1;
+	struct group *g = start_group(7000 + (uint32_t)_i, replicas);
+	uint32_t kind = (uint32_t)_i / 2 % 6;
+
+	for (uint64_t vm = 1; vm <= replicas; vm++) {
+		if (kind < G_N_ELEMENTS(lasting))
+			fake_disk_set_error(group_disk(g, vm), lasting[kind],
+					    -EIO);
+		else
+			fake_disk_stall(group_disk(g, vm));
+	}
+	run_with_load(g, 4500);
+	for (uint64_t vm = 1; vm <= replicas; vm++) {
+		if (_i / 12 % 2)
+			fake_disk_end_stall(group_disk(g, vm), -EIO);
+		fake_disk_repair(group_disk(g, vm));
+	}
+	ck_assert(commits_within(g, RECOVERY_MS));
+	finish_group(g);
+}
+END_TEST
+
+/* --- files and the start --- */
+
+/* An old file that could not be removed goes with the next generation. */
+START_TEST(old_files_are_removed_later)
+{
+	struct group *g = start_three(8000 + (uint32_t)_i);
+	uint64_t bad = victim_of(g, _i % 3);
+
+	fake_disk_set_error(group_disk(g, bad), FAKE_DISK_UNLINK, -EIO);
+	run_with_load(g, 2000);
+	ck_assert_uint_gt(fake_disk_files(group_disk(g, bad)), 2);
+	fake_disk_set_error(group_disk(g, bad), FAKE_DISK_UNLINK, 0);
+	run_with_load(g, 2000);
+	ck_assert_uint_eq(fake_disk_files(group_disk(g, bad)), 1);
+	finish_group(g);
+}
+END_TEST
+
+/*
+ * A start that cannot read the disk takes nothing for damage or for an empty
+ * disk: a later start finds everything.
+ */
+START_TEST(unreadable_start_changes_nothing)
+{
+	struct group *g = start_three(8200 + (uint32_t)_i);
+	uint64_t bad = victim_of(g, _i % 3);
+	uint64_t id = group_identity(g, bad);
+	enum fake_disk_op op = _i / 3 ? FAKE_DISK_READ : FAKE_DISK_LIST;
+
+	run_with_load(g, 500);
+	group_kill(g, bad);
+	fake_disk_set_error(group_disk(g, bad), op, -EIO);
+	group_start(g, bad);
+	ck_assert_uint_eq(group_get_counters(g)->unreadable, 1);
+	ck_assert_int_eq(status_of(g, bad).role, DL_RLOG_HALTED);
+	ck_assert(serves_for(g, 2000));
+	fake_disk_repair(group_disk(g, bad));
+	group_kill(g, bad);
+	group_start(g, bad);
+	ck_assert_uint_eq(group_identity(g, bad), id);
+	finish_with_voter(g, bad);
+}
 END_TEST
 
 int main(void)
@@ -80,6 +550,25 @@
 
 	suite_add_tcase(s, t);
 	tcase_set_timeout(t, 60);
+	tcase_add_loop_test(t, failed_sync_drops_data, 0, 20);
+	tcase_add_test(t, dropped_data_is_lost_in_a_crash);
+	tcase_add_test(t, lasting_faults_end_when_lifted);
 	tcase_add_loop_test(t, full_disk_takes_no_voter_out_for_good, 0, 12);
+	tcase_add_loop_test(t, error_at_every_disk_step, 0, STEPS_TRIED * 6);
+	tcase_add_loop_test(t, error_at_every_step_of_the_first_start, 0,
+			    20 * 6);
+	tcase_add_loop_test(t, error_at_every_step_of_a_restart, 0, 8 * 18);
+	tcase_add_loop_test(t, lasting_error_takes_no_voter_out_for_good, 0,
+			    30);
+	tcase_add_loop_test(t, failing_leader_hands_over, 0, 12);
+	tcase_add_loop_test(t, stalled_disk_takes_no_voter_out_for_good, 0, 48);
+	tcase_add_loop_test(t, end_at_every_step_after_an_error, 0,
+			    ENDS_COUNT * 12 * 9 * 3);
+	tcase_add_loop_test(t, failed_sync_then_process_end_then_power_loss, 0,
+			    60);
+	tcase_add_loop_test(t, all_disks_full_and_room_again, 0, 8);
+	tcase_add_loop_test(t, all_disks_fail_and_work_again, 0, 24);
+	tcase_add_loop_test(t, old_files_are_removed_later, 0, 3);
+	tcase_add_loop_test(t, unreadable_start_changes_nothing, 0, 6);
 	return suite_run(s);
 }
