--- a/src/state/rlog_store.c
+++ b/src/state/rlog_store.c
@@ -15,7 +15,9 @@
  * vote.
  *
  * A snapshot starts a new generation: a new file is written, synced and
- * renamed, the directory synced, then the old file unlinked.
+ * renamed, the directory synced, then the old file unlinked.  It is in use from
+ * the sync of the directory on: an attempt that fails before is repeated under
+ * the same name, so that a long failure leaves no more files than one attempt.
  *
  * After a failed write the state of the file is unknown, and a further sync of
  * it proves nothing: the kernel may have dropped the data that it could not
@@ -78,7 +80,7 @@
 struct dl_rlog_store {
 	struct dl_disk disk;
 	uint64_t id;
-	uint64_t generation; /* the newest whose file may exist */
+	uint64_t generation; /* of the file in use; 0: none yet */
 	uint64_t oldest;     /* the oldest whose file may exist */
 	uint64_t seq;
 	uint64_t prev;
@@ -91,6 +93,7 @@
 	enum store_step step;
 	bool new_file; /* it replaces the file, as this generation: */
 	uint64_t target;
+	char target_name[NAME_SIZE];
 	bool starting;	     /* it syncs what was read at startup */
 	msgpack_sbuffer buf; /* what to write */
 	struct record_header marker;
@@ -113,6 +116,7 @@
 static void write_new_file(struct dl_rlog_store *s, uint64_t generation);
 static enum store_step step_after(const struct dl_rlog_store *s, bool failed);
 static void note_error(struct dl_rlog_store *s, int code);
+static void adopt_new_file(struct dl_rlog_store *s);
 static bool may_fail(enum store_step step);
 static uint64_t hash_of(const struct record_header *h, const char *payload);
 static void begin_record(struct dl_rlog_store *s);
@@ -256,6 +260,7 @@
 {
 	s->new_file = true;
 	s->target = generation;
+	name_of(generation, s->target_name);
 	s->end = 0;
 	s->step = s->stale_tmp ? STEP_DISCARD : STEP_WRITE;
 	run_step(s);
@@ -336,9 +341,7 @@
 		ops->sync(s->disk.disk, name, done);
 		return;
 	case STEP_RENAME:
-		s->generation = s->target;
-		name_of(s->generation, s->name);
-		ops->rename(s->disk.disk, TMP_NAME, s->name, done);
+		ops->rename(s->disk.disk, TMP_NAME, s->target_name, done);
 		return;
 	case STEP_SYNC_DIR:
 		ops->sync_dir(s->disk.disk, done);
@@ -368,6 +371,13 @@
 	s->errors.code = code;
 }
 
+/* Takes the new file into use, which is durable under its name. */
+static void adopt_new_file(struct dl_rlog_store *s)
+{
+	s->generation = s->target;
+	name_of(s->generation, s->name);
+}
+
 /* Whether a step may fail: the record is durable all the same. */
 static bool may_fail(enum store_step step)
 {
@@ -395,6 +405,8 @@
 	}
 	if (s->step == STEP_DISCARD || s->step == STEP_RENAME)
 		s->stale_tmp = false;
+	if (s->step == STEP_SYNC_DIR && s->new_file)
+		adopt_new_file(s);
 	if (s->step == STEP_UNLINK && !code)
 		s->oldest++;
 	s->step = step_after(s, code != 0);
--- a/test/test_rlog_disk.c
+++ b/test/test_rlog_disk.c
@@ -21,6 +21,9 @@
  * two new generations, each of which has 6, while an append has 3.
  */
 #define STEPS_TRIED 48
+/* A journal, a newer one whose name may not be durable, a temporary file. */
+#define FILES_MAX 3
+
 static const uint64_t first_three[] = { 1, 2, 3 };
 
 static const int codes[] = { -EIO, -ENOSPC };
@@ -517,6 +520,26 @@
 }
 END_TEST
 
+/* The repeated attempts of a long failure do not fill the disk with files. */
+START_TEST(long_failure_leaves_few_files)
+{
+	struct group *g = start_three(8100 + (uint32_t)_i);
+	uint64_t bad = victim_of(g, _i % 3);
+	uint32_t most = 0;
+
+	fake_disk_set_error(group_disk(g, bad), lasting[_i / 3], -EIO);
+	for (int i = 0; i < 60; i++) {
+		run_with_load(g, 500);
+		most = MAX(most, fake_disk_files(group_disk(g, bad)));
+	}
+	ck_assert_uint_le(most, FILES_MAX);
+	fake_disk_repair(group_disk(g, bad));
+	run_with_load(g, 2000);
+	ck_assert_uint_eq(fake_disk_files(group_disk(g, bad)), 1);
+	finish_with_voter(g, bad);
+}
+END_TEST
+
 /*
  * A start that cannot read the disk takes nothing for damage or for an empty
  * disk: a later start finds everything.
@@ -569,6 +592,8 @@
 	tcase_add_loop_test(t, all_disks_full_and_room_again, 0, 8);
 	tcase_add_loop_test(t, all_disks_fail_and_work_again, 0, 24);
 	tcase_add_loop_test(t, old_files_are_removed_later, 0, 3);
+	tcase_add_loop_test(t, long_failure_leaves_few_files, 0,
+			    3 * G_N_ELEMENTS(lasting) - 3);
 	tcase_add_loop_test(t, unreadable_start_changes_nothing, 0, 6);
 	return suite_run(s);
 }
