Fake group: a wakeup at once is not converted to simulated time

What went wrong: test_rlog_disk with a group of one replica stopped under UBSan: signed overflow in node_wakeup(). dl_rlog_wakeup() returns INT64_MIN for "at once" when a replica that has started has no other voter to ask.

Change: a time that is not later than the node's clock is now. The time was clamped to the next millisecond already, so the runs stay the same: the step counts of test_rlog_random do not change.

Test: all_disks_full_and_room_again and all_disks_fail_and_work_again with one replica failed in 16 loops with ASan and UBSan, and pass.

--- a/test/fake/group.c
+++ b/test/fake/group.c
@@ -564,6 +564,8 @@
 
 	if (at == INT64_MAX)
 		return at;
+	if (at <= local_now(n))
+		return n->group->now;
 	return ((at - n->offset) * 1000 + n->rate - 1) / n->rate;
 }
 
