Test: a group that chooses its voters replaces one whose disk fails

While the disk of a voter, and also that of one of two spare VMs, is full for 20 s, the group must commit at least every 5 s, end with three voters whose disks work, and then bear the loss of its leader. 24 loops pass. No fault was found by it.

--- a/test/test_rlog_disk.c
+++ b/test/test_rlog_disk.c
@@ -390,6 +390,77 @@
 }
 END_TEST
 
+/* --- a group that chooses its voters --- */
+
+#define SPARE_FROM 4
+#define SPARE_TO   5
+
+/* Three voters, and two VMs that ask to join. */
+static struct group *start_with_spares(uint32_t seed)
+{
+	struct group_conf conf = {
+		.seed = seed,
+		.listed = 3,
+		.voters_wanted = 3,
+		.link = { .delay_min_ms = 1, .delay_max_ms = 4 },
+		.sync_max_ms = 5,
+		.snapshot_entries = 8,
+	};
+	struct group *g = group_new(&conf);
+
+	for (uint64_t vm = 1; vm <= 3; vm++)
+		group_start(g, vm);
+	ck_assert(group_wait_leader(g, 10000));
+	group_run(g, 1000);
+	for (uint64_t vm = SPARE_FROM; vm <= SPARE_TO; vm++)
+		group_start(g, vm);
+	run_with_load(g, 2000);
+	ck_assert(group_members_are(g, first_three, 3));
+	return g;
+}
+
+/* The number of voters that run and whose disk works. */
+static uint32_t working_voters(struct group *g)
+{
+	const struct dl_rlog_members *m;
+	uint32_t n = 0;
+
+	if (!group_leader(g))
+		return 0;
+	m = dl_rlog_members(group_rlog(g, group_leader(g)));
+	for (uint32_t i = 0; i < m->count; i++)
+		n += m->at[i].voter && group_is_up(g, m->at[i].vm) &&
+		     !status_of(g, m->at[i].vm).write_error;
+	return n;
+}
+
+/*
+ * A voter whose disk fails for long is replaced, also if the disk of one of
+ * those that could take its place fails: the group then bears another loss.
+ */
+START_TEST(failing_voter_is_replaced)
+{
+	struct group *g = start_with_spares(1500 + (uint32_t)_i);
+	uint64_t bad = victim_of(g, _i % 3);
+	uint64_t spare = SPARE_FROM + (uint64_t)_i / 3 % 2, lost;
+
+	fake_disk_set_full(group_disk(g, bad), true);
+	if (_i >= 6)
+		fake_disk_set_full(group_disk(g, spare), true);
+	ck_assert(serves_for(g, 20000));
+	ck_assert_uint_eq(working_voters(g), 3);
+	lost = group_leader(g);
+	group_kill(g, lost);
+	ck_assert(commits_within(g, RECOVERY_MS));
+	group_start(g, lost);
+	fake_disk_repair(group_disk(g, bad));
+	fake_disk_repair(group_disk(g, spare));
+	ck_assert(serves_for(g, 10000));
+	ck_assert_uint_eq(working_voters(g), 3);
+	finish_group(g);
+}
+END_TEST
+
 /* --- ends of the process and of the VM --- */
 
 enum {
@@ -585,6 +656,7 @@
 			    30);
 	tcase_add_loop_test(t, failing_leader_hands_over, 0, 12);
 	tcase_add_loop_test(t, stalled_disk_takes_no_voter_out_for_good, 0, 48);
+	tcase_add_loop_test(t, failing_voter_is_replaced, 0, 24);
 	tcase_add_loop_test(t, end_at_every_step_after_an_error, 0,
 			    ENDS_COUNT * 12 * 9 * 3);
 	tcase_add_loop_test(t, failed_sync_then_process_end_then_power_loss, 0,
