Test: random disk faults that last, and no restarts because of a disk

What could go wrong: restart_some() restarted halted replicas as an operator would, so a replica that its disk took out of the group for good was back in the next round.

Change: only processes that are down are started. A third mode adds faults of disks for up to 6 s: no room, lasting errors of each kind of operation, stalls that end with success or an error, from the first start on; on one disk at a time in half of the seeds, on any number in the others, with joint restarts in half of them. At the end all replicas must converge without restarts of running processes; then one disk fails for 6 s, and the group must commit at least every 5 s, also after it, and converge again. Errors of read and list are not among the random faults: a start that cannot read its disk halts, which only a restart ends (test_rlog_disk).

The modes without disk faults, their seeds and bounds are as before.

--- a/test/test_rlog_random.c
+++ b/test/test_rlog_random.c
@@ -1,7 +1,9 @@
 /*
  * The replicated log under random faults: crashes, kills, pauses, lost disks,
- * partitioned and lossy links, clock drift, changes of the replica list.  The
- * fake group checks the invariants after every step.
+ * partitioned and lossy links, clock drift, changes of the replica list, and in
+ * one mode disks that fail for seconds.  The fake group checks the invariants
+ * after every step.  A process that runs is never restarted because of its
+ * disk.
  *
  *   DL_SEEDS=N    run N seeds instead of a million steps
  *   DL_SEED=N     run this one seed and print its events
@@ -20,6 +22,9 @@
 #define SANITIZED_STEPS 100000
 #define ROUNDS		150
 #define CALM_MS		60000
+/* The longest time without commits while one disk fails and nothing else. */
+#define ONE_DISK_MS   5000
+#define DISK_FAULT_MS 6000
 
 /*
  * Seeds that once failed: 22, a lost disk whose settings do not list the
@@ -28,15 +33,35 @@
  */
 static const uint32_t failing_seeds[] = { 22, 231, 272 };
 
+#define VMS 5
+
+enum mode {
+	MODE_PLAIN,
+	MODE_RESTARTS, /* replicas often restart together */
+	MODE_DISKS,    /* disks fail for a time; half of the seeds restart */
+	MODE_COUNT,
+};
+
+static const char *const mode_names[MODE_COUNT] = {
+	[MODE_PLAIN] = "",
+	[MODE_RESTARTS] = " with joint restarts",
+	[MODE_DISKS] = " with failing disks",
+};
+
 struct trial {
 	struct group *group;
 	GRand *rand;
 	bool verbose;
-	bool restarts; /* replicas often restart together */
+	bool restarts;
+	bool disks;
+	bool any_disks; /* all disks may fail at once, not only a minority */
+	int64_t disk_fails_until[VMS + 1];
 };
 
 /* One in this many faults is a joint restart, where these are enabled. */
 #define RESTART_ONE_IN 5
+/* One in this many rounds begins a fault of a disk, where these are enabled. */
+#define DISK_FAULT_ONE_IN 3
 
 static uint32_t below(struct trial *t, uint32_t n)
 {
@@ -210,21 +235,66 @@
 		fake_link_heal(group_link(g));
 }
 
-/* Restarts replicas that are down or halted. */
-static void restart_some(struct trial *t, bool all)
+/* Begins a fault of a disk that lasts; a stall may end with an error. */
+static void disk_fault(struct trial *t, uint64_t vm)
 {
-	for (uint64_t vm = 1; vm <= 5; vm++) {
-		struct dl_rlog *rlog = group_rlog(t->group, vm);
-		struct dl_rlog_status s = { .role = DL_RLOG_FOLLOWER };
+	static const enum fake_disk_op ops[] = {
+		FAKE_DISK_WRITE,    FAKE_DISK_SYNC,   FAKE_DISK_RENAME,
+		FAKE_DISK_SYNC_DIR, FAKE_DISK_UNLINK,
+	};
+	struct fake_disk *disk = group_disk(t->group, vm);
+	uint32_t kind = below(t, G_N_ELEMENTS(ops) + 3);
+
+	t->disk_fails_until[vm] = group_now(t->group) + below(t, DISK_FAULT_MS);
+	if (kind < G_N_ELEMENTS(ops)) {
+		log_event(t, "lasting error", vm);
+		fake_disk_set_error(disk, ops[kind],
+				    below(t, 2) ? -EIO : -ENOSPC);
+	} else if (kind == G_N_ELEMENTS(ops)) {
+		log_event(t, "stalled", vm);
+		fake_disk_stall(disk);
+	} else {
+		log_event(t, "full", vm);
+		fake_disk_set_full(disk, true);
+	}
+}
 
+/* Begins a fault, unless too many disks fail. */
+static void begin_disk_fault(struct trial *t)
+{
+	uint64_t vm = 1 + below(t, VMS);
+	uint32_t failing = 0;
+
+	for (uint64_t v = 1; v <= VMS; v++)
+		failing += t->disk_fails_until[v] != 0;
+	if (!t->disk_fails_until[vm] && (t->any_disks || !failing))
+		disk_fault(t, vm);
+}
+
+/* Ends the faults of disks whose time is over, or all. */
+static void end_disk_faults(struct trial *t, bool all)
+{
+	for (uint64_t vm = 1; vm <= VMS; vm++) {
+		struct fake_disk *disk = group_disk(t->group, vm);
+
+		if (!t->disk_fails_until[vm] ||
+		    (!all && group_now(t->group) < t->disk_fails_until[vm]))
+			continue;
+		log_event(t, "disk works", vm);
+		fake_disk_end_stall(disk, below(t, 2) ? -EIO : 0);
+		fake_disk_repair(disk);
+		t->disk_fails_until[vm] = 0;
+	}
+}
+
+/* Starts replicas that are down; one that runs is left alone. */
+static void restart_some(struct trial *t, bool all)
+{
+	for (uint64_t vm = 1; vm <= VMS; vm++) {
 		if (!all && below(t, 4))
 			continue;
-		if (rlog)
-			dl_rlog_get_status(rlog, 0, &s);
-		if (rlog && !group_is_up(t->group, vm))
+		if (group_rlog(t->group, vm) && !group_is_up(t->group, vm))
 			group_crash(t->group, vm);
-		else if (s.role == DL_RLOG_HALTED)
-			group_kill(t->group, vm);
 		group_start(t->group, vm);
 	}
 }
@@ -266,11 +336,48 @@
 	}
 }
 
+/* Whether a command proposed from now on is committed in time. */
+static bool commits_within(struct trial *t, uint32_t ms)
+{
+	uint64_t before = group_get_counters(t->group)->acked;
+	int64_t end = group_now(t->group) + ms;
+
+	while (group_now(t->group) < end) {
+		uint64_t leader = group_leader(t->group);
+
+		if (leader)
+			group_propose(t->group, leader, 8);
+		group_run(t->group, 20);
+		if (group_get_counters(t->group)->acked > before)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * While one disk fails and nothing else, the group goes on committing, and all
+ * replicas converge afterwards.
+ */
+static bool serves_with_one_failing_disk(struct trial *t)
+{
+	int64_t end;
+
+	disk_fault(t, 1 + below(t, VMS));
+	end = group_now(t->group) + DISK_FAULT_MS;
+	while (group_now(t->group) < end) {
+		if (!commits_within(t, ONE_DISK_MS))
+			return false;
+	}
+	end_disk_faults(t, true);
+	return commits_within(t, ONE_DISK_MS) &&
+	       group_wait_converged(t->group, CALM_MS);
+}
+
 /*
  * Runs one seed: a phase of faults, then one without, in which all replicas
  * must converge.
  */
-static void run_seed(uint32_t seed, bool restarts, bool verbose,
+static void run_seed(uint32_t seed, enum mode mode, bool verbose,
 		     struct group_counters *sum)
 {
 	struct group_conf conf = {
@@ -286,22 +393,31 @@
 	struct trial t = { .group = group_new(&conf),
 			   .rand = g_rand_new_with_seed(seed ^ 0x5eed),
 			   .verbose = verbose,
-			   .restarts = restarts };
+			   .restarts = mode == MODE_RESTARTS ||
+				       (mode == MODE_DISKS && seed % 2),
+			   .disks = mode == MODE_DISKS,
+			   .any_disks = seed / 2 % 2 };
 	struct fake_link_conf calm = { .delay_min_ms = 1, .delay_max_ms = 4 };
 	const struct group_counters *count = group_get_counters(t.group);
-	bool same;
+	bool same, served;
 
+	if (t.disks && below(&t, 2))
+		begin_disk_fault(&t);
 	restart_some(&t, true);
 	group_run(t.group, 3000);
 	for (int i = 0; i < ROUNDS && !count->violations; i++) {
-		if (restarts && below(&t, RESTART_ONE_IN) == 0)
+		if (t.disks && below(&t, DISK_FAULT_ONE_IN) == 0)
+			begin_disk_fault(&t);
+		if (t.restarts && below(&t, RESTART_ONE_IN) == 0)
 			restart_together(&t);
 		else
 			inject_fault(&t);
 		propose_some(&t);
 		group_run(t.group, below(&t, 400));
 		restart_some(&t, false);
+		end_disk_faults(&t, false);
 	}
+	end_disk_faults(&t, true);
 	fake_link_heal(group_link(t.group));
 	fake_link_set(group_link(t.group), &calm);
 	for (uint64_t vm = 1; vm <= 5; vm++) {
@@ -317,11 +433,16 @@
 	if (same && group_leader(t.group))
 		group_propose(t.group, group_leader(t.group), 8);
 	same = same && group_wait_converged(t.group, CALM_MS);
+	served = !same || !t.disks || serves_with_one_failing_disk(&t);
 	print_status(&t);
 	ck_assert_str_eq(group_violation(t.group), "");
 	ck_assert_msg(same,
 		      "seed %u: replicas do not converge after the faults",
 		      seed);
+	ck_assert_msg(served,
+		      "seed %u: no commits or no convergence with one failing "
+		      "disk",
+		      seed);
 	ck_assert_msg(count->damaged == 0, "seed %u: a torn tail was refused",
 		      seed);
 	sum->steps += count->steps;
@@ -337,12 +458,12 @@
 {
 	struct group_counters sum = { 0 };
 
-	run_seed(failing_seeds[_i], false, false, &sum);
+	run_seed(failing_seeds[_i], MODE_PLAIN, false, &sum);
 }
 END_TEST
 
 /* Runs seeds until the step limit, or as many as requested. */
-static void run_seeds(bool restarts)
+static void run_seeds(enum mode mode)
 {
 	const char *seeds = getenv("DL_SEEDS"), *one = getenv("DL_SEED");
 	uint64_t steps = getenv("DL_SANITIZED") ? SANITIZED_STEPS : CI_STEPS;
@@ -353,27 +474,32 @@
 	if (seeds)
 		steps = UINT64_MAX;
 	for (i = 0; i < n && sum.steps < steps; i++) {
-		run_seed(from + i, restarts, one != NULL, &sum);
+		run_seed(from + i, mode, one != NULL, &sum);
 		if (one)
 			break;
 	}
 	printf("%u seeds%s, %llu steps, %llu acknowledged, %llu leaders, "
 	       "%llu reads, %llu restores\n",
-	       i, restarts ? " with joint restarts" : "",
-	       (unsigned long long)sum.steps, (unsigned long long)sum.acked,
-	       (unsigned long long)sum.leaders, (unsigned long long)sum.reads,
-	       (unsigned long long)sum.restores);
+	       i, mode_names[mode], (unsigned long long)sum.steps,
+	       (unsigned long long)sum.acked, (unsigned long long)sum.leaders,
+	       (unsigned long long)sum.reads, (unsigned long long)sum.restores);
 }
 
 START_TEST(many_seeds)
 {
-	run_seeds(false);
+	run_seeds(MODE_PLAIN);
 }
 END_TEST
 
 START_TEST(many_seeds_with_restarts)
 {
-	run_seeds(true);
+	run_seeds(MODE_RESTARTS);
+}
+END_TEST
+
+START_TEST(many_seeds_with_failing_disks)
+{
+	run_seeds(MODE_DISKS);
 }
 END_TEST
 
@@ -388,5 +514,6 @@
 			    G_N_ELEMENTS(failing_seeds));
 	tcase_add_test(t, many_seeds);
 	tcase_add_test(t, many_seeds_with_restarts);
+	tcase_add_test(t, many_seeds_with_failing_disks);
 	return suite_run(s);
 }
