Replica: log writes that do not finish

A disk that answers nothing leaves no line: no operation fails, heartbeats go on, changes wait. One test failed that way once, with three journals whose last record had no marker, and the logs could not tell it from anything else.

--- a/include/daisyledge/rlog.h
+++ b/include/daisyledge/rlog.h
@@ -350,6 +350,9 @@
 /* The current size of the journal in bytes. */
 uint64_t dl_rlog_store_bytes(const struct dl_rlog_store *store);
 
+/* The disk operation in progress, or NULL. */
+const char *dl_rlog_store_step(const struct dl_rlog_store *store);
+
 /* Disk operations that failed, whether or not the write failed with them. */
 struct dl_rlog_store_errors {
 	uint64_t count;	  /* since the start */
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -111,6 +111,9 @@
 	  "The stored state is read after all.")                               \
 	X(REPLICA_DISK_FAILED, DL_ERROR, "replica", "The disk failed.")        \
 	X(REPLICA_DISK_WORKS, DL_INFO, "replica", "The disk works again.")     \
+	X(REPLICA_DISK_HANGS, DL_WARN, "replica", "A write does not finish.")  \
+	X(REPLICA_DISK_ANSWERS, DL_INFO, "replica",                            \
+	  "A write that took long has ended.")                                 \
 	X(REPLICA_DISK_ERROR, DL_WARN, "replica", "A disk operation failed.")  \
 	X(REPLICA_NO_LEADER, DL_WARN, "replica", "No leader is known.")        \
 	X(VOTER_SILENT, DL_WARN, "replica", "A voter is silent.")              \
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -432,6 +432,7 @@
 	if (r->log_failures)
 		dl_msg(DL_MSG_REPLICA_READ, "failed_ms=%ld tries=%u",
 		       (long)(now - r->log_failed_at), r->log_failures);
+	r->write_started_at = now;
 	dl_rlog_store_start(r->store, done);
 }
 
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -61,6 +61,7 @@
 	bool no_leader;
 	bool joins_ignored;
 	int64_t disk_failed_at; /* 0: it works */
+	int64_t hanging_since;	/* start of the write that was logged */
 	uint64_t disk_errors;
 	const char *disk_step; /* of the error logged last */
 	int disk_code;
--- a/src/replica/replica_health.c
+++ b/src/replica/replica_health.c
@@ -14,6 +14,8 @@
 #define SILENT_MS 2500
 /* Time without a leader that is logged: longer than an election takes. */
 #define NO_LEADER_MS 3000
+/* Time of a write that is logged: callers begin to notice. */
+#define HANGING_WRITE_MS 1000
 
 /* Initializes the state; nothing has been logged yet. */
 void replica_health_init(struct replica *r)
@@ -167,6 +169,26 @@
 	       strerror(-e.code));
 }
 
+/* Logs that a write does not finish, and how long it took in the end. */
+static void check_hanging(struct replica *r, int64_t now)
+{
+	const char *step = dl_rlog_store_step(r->store);
+	struct replica_health *h = &r->health;
+
+	if (h->hanging_since &&
+	    (!step || r->write_started_at != h->hanging_since)) {
+		dl_msg(DL_MSG_REPLICA_DISK_ANSWERS, "ms=%ld",
+		       (long)(now - h->hanging_since));
+		h->hanging_since = 0;
+	}
+	if (!step || h->hanging_since ||
+	    now - r->write_started_at < HANGING_WRITE_MS)
+		return;
+	h->hanging_since = r->write_started_at;
+	dl_msg(DL_MSG_REPLICA_DISK_HANGS, "step=\"%s\" age_ms=%ld", step,
+	       (long)(now - r->write_started_at));
+}
+
 /* Logs that writes fail, and that they succeed again. */
 static void check_disk(struct replica *r, const struct dl_rlog_status *s,
 		       int64_t now)
@@ -174,6 +196,7 @@
 	struct replica_health *h = &r->health;
 
 	check_disk_operations(r);
+	check_hanging(r, now);
 	if (!s->write_error == !h->disk_failed_at)
 		return;
 	if (s->write_error) {
--- a/src/state/rlog_store.c
+++ b/src/state/rlog_store.c
@@ -91,6 +91,7 @@
 	char name[NAME_SIZE];
 	/* The write in progress. */
 	enum store_step step;
+	bool busy;
 	bool new_file; /* it replaces the file, as this generation: */
 	uint64_t target;
 	char target_name[NAME_SIZE];
@@ -329,6 +330,7 @@
 	struct dl_str data = { s->buf.data, s->buf.size };
 	char old[NAME_SIZE];
 
+	s->busy = s->step != STEP_END;
 	switch (s->step) {
 	case STEP_DISCARD:
 		ops->unlink(s->disk.disk, TMP_NAME, done);
@@ -400,6 +402,7 @@
 	if (code && !may_fail(s->step)) {
 		s->failed = true;
 		s->starting = false;
+		s->busy = false;
 		s->done.fn(s->done.arg, code);
 		return;
 	}
@@ -445,6 +448,12 @@
 	return s->end;
 }
 
+/* Names the disk operation in progress; NULL if there is none. */
+const char *dl_rlog_store_step(const struct dl_rlog_store *s)
+{
+	return s->busy ? step_names[s->step] : NULL;
+}
+
 /* The disk operations that failed, those without consequence included. */
 struct dl_rlog_store_errors dl_rlog_store_errors(const struct dl_rlog_store *s)
 {
