Entry: an attempt ends when its endpoint instance is gone

Cause: nothing but silence ended an attempt whose connection stays open. The entry knew of another instance at the lead's address at 8.78 s and used that only for new attempts; renewals answered 421 at 9.22 s were only logged.

Ruled out: a lost release (the first one was sent at 10.79 s), a reset that was not handled (none came; other entries' connects timed out at 7.24 s), a renewed grant that keeps the attempt (grants play no part in ending it).

Change: attempts at an instance that was replaced, or that use memory on one, end once nothing has arrived for 250 ms. With each renewal (1.1 s) the lead of a group is asked whether it runs, unless events arrive; after three questions in a row without an answer the attempt ends and the endpoint is reported as unreachable. Reservations at a replaced instance are not renewed. Silence alone ends nothing sooner than before.

Evidence: test_system_dark_lead.sh. A lead that takes 4 s to its first event, without heartbeats, is waited for, before and after.

--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -32,6 +32,8 @@
 	  "The quarantine could not be saved.")                                \
 	X(RESERVATION_REFUSED, DL_INFO, "ticket", "Memory was not to be had.") \
 	X(ATTEMPT_FAILED, DL_WARN, "relay", "An attempt broke.")               \
+	X(ENDPOINT_LOST, DL_WARN, "relay",                                     \
+	  "The endpoint of an attempt is gone.")                               \
 	X(LEASE_VALID, DL_INFO, "lease", "The configuration lease is valid.")  \
 	X(LEASE_EXPIRED, DL_WARN, "lease",                                     \
 	  "The configuration lease has expired.")                              \
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -167,6 +167,7 @@
 	entry_call_tick(e, now);
 	entry_grant_tick(e, now);
 	entry_reservation_tick(e, now);
+	entry_lost_tick(e, now);
 	entry_pool_tick(e, now);
 	entry_cmd_tick(e, now);
 	entry_conf_tick(e, now);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -14,6 +14,7 @@
  *   entry_route.c      routing and admission of requests passed on unchanged
  *   entry_relay.c      one attempt of such a request
  *   entry_reservation.c memory reserved for prompts too large for one engine
+ *   entry_lost.c       attempts at endpoint instances that are gone
  *   entry_quarantine.c requests that crash endpoints
  *   entry_limit.c      request rate limits that endpoints announce themselves
  *   entry_backoff.c    endpoints that asked this VM to back off
@@ -232,6 +233,8 @@
 	/* Number of the endpoint instance it was sent to; 0: unknown. */
 	uint64_t endpoint_instance_id;
 	int64_t attempt_at, first_byte_at;
+	int64_t endpoint_lost_at;  /* when it was known to be gone; 0: not */
+	bool endpoint_unreachable; /* it did not answer when asked */
 	struct dl_sse sse;
 	bool sse_done, sse_bad;
 	uint64_t chunks_received;    /* bytes for a plain service */
@@ -393,8 +396,15 @@
 void entry_reservation_note_refused(struct call *c);
 struct dl_str entry_reservation_id(const struct call *c, struct dl_str address);
 void entry_reservation_release(struct call *c);
+bool entry_reservation_lost(struct call *c, struct dl_str address);
 void entry_reservation_tick(struct entry *e, int64_t now);
 
+/* entry_lost.c */
+void entry_lost_end_attempt(struct call *c, const char *why);
+void entry_lost_note(struct call *c);
+void entry_lost_instance(struct entry *e, struct dl_str address);
+void entry_lost_tick(struct entry *e, int64_t now);
+
 /* entry_quarantine.c */
 void entry_quarantine_init(struct entry *e);
 void entry_quarantine_instance_crashed(struct entry *e, uint64_t start);
--- a/src/entry/entry_announce.c
+++ b/src/entry/entry_announce.c
@@ -128,10 +128,14 @@
 
 	if (result == DL_DIRECTORY_STALE)
 		return false;
-	if (result == DL_DIRECTORY_NEW)
+	if (result == DL_DIRECTORY_NEW) {
 		entry_quarantine_instance_crashed(e, previous_id);
-	if (superseded)
+		entry_lost_instance(e, dl_name_str(&d->address));
+	}
+	if (superseded) {
 		remove_previous_address(e, superseded);
+		entry_lost_instance(e, dl_name_str(&superseded->address));
+	}
 	dl_node_fill_announcement(a, d);
 	a->report.incarnation = d->incarnation;
 	return true;
--- a/src/entry/entry_attempt.c
+++ b/src/entry/entry_attempt.c
@@ -31,8 +31,9 @@
 	c->usage.ran = attempt->sent != DL_SENT_NOTHING &&
 		       attempt->received != DL_RECV_NOT_RUN;
 	c->usage.failed = failed;
-	c->usage.unreachable = attempt->failure == DL_FAILURE_CONNECT &&
-			       !c->aborted_unsent;
+	c->usage.unreachable =
+		c->endpoint_unreachable ||
+		(attempt->failure == DL_FAILURE_CONNECT && !c->aborted_unsent);
 	c->usage.prompt_tokens = prompt;
 	c->usage.output_tokens = output;
 	if (c->first_byte_at >= c->attempt_at)
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -200,6 +200,8 @@
 
 	dl_vm_parse(dl_name_str(&c->grant.endpoint[0]), &to);
 	c->attempt_at = entry_now(c->e);
+	c->endpoint_lost_at = 0;
+	c->endpoint_unreachable = false;
 	c->status = 0;
 	c->route.head = (struct response_head){ .content_length = SIZE_MAX };
 	c->route.instance = endpoint_of(c, 0)->instance;
--- a/src/entry/entry_reservation.c
+++ b/src/entry/entry_reservation.c
@@ -4,6 +4,7 @@
  * short and renewed, so that memory is not held after a failure for longer than
  * the engines themselves take to free it.
  */
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,14 @@
  */
 #define HOLD_MS	 3500
 #define RENEW_MS 1100
+/*
+ * The lead of a group is asked at each renewal whether it still runs, unless
+ * its response goes on.  It is gone after this number of questions in a row
+ * without an answer, since a lost packet may cost one answer.
+ */
+#define LEAD_CHECKS_MAX 3
+/* A response of which something was received within this time goes on. */
+#define LEAD_HEARD_MS 500
 /* Engines reply to a reservation at once. */
 #define CONNECT_MS	   400
 #define RESPONSE_MS	   600
@@ -34,23 +43,40 @@
 	bool held;
 	bool refused;
 	bool unreachable;
+	bool lost; /* another instance runs there, without the memory */
 	struct dl_httpc_call *in_flight; /* to reserve or renew it */
 };
 
+/*
+ * Questions to the lead.  Each releases a reservation that was never made,
+ * which an engine answers at once, without a slot.
+ */
+struct lead_check {
+	struct reservation nothing;
+	uint32_t unanswered; /* in a row */
+	uint16_t status;     /* of the answer; 0: none yet */
+};
+
 struct reservations {
 	struct call *c;
 	uint8_t count;
 	bool pending; /* some have not been replied to yet */
 	int64_t renew_at;
 	struct reservation parts[DL_GROUP_MAX];
+	struct lead_check lead;
 };
 
 static void on_head(void *arg, const struct dl_httpc_head *head);
 static void on_end(void *arg, const struct dl_attempt *attempt,
 		   const struct dl_err *err);
+static void on_lead_head(void *arg, const struct dl_httpc_head *head);
+static void on_lead_end(void *arg, const struct dl_attempt *attempt,
+			const struct dl_err *err);
 
 static const struct dl_httpc_ops reserve_ops = { .head = on_head,
 						 .end = on_end };
+static const struct dl_httpc_ops lead_ops = { .head = on_lead_head,
+					      .end = on_lead_end };
 /* Without callbacks: a lost release is made up for by the hold's expiry. */
 static const struct dl_httpc_ops release_ops = { 0 };
 
@@ -99,6 +125,10 @@
 		r->held = true;
 	else
 		r->refused = true;
+	if (head->status != STATUS_MISDIRECTED)
+		return;
+	r->lost = true;
+	entry_lost_note(c);
 }
 
 /*
@@ -222,6 +252,8 @@
 	if (!set)
 		return;
 	c->reservations = NULL;
+	if (set->lead.nothing.in_flight)
+		dl_httpc_cancel(set->lead.nothing.in_flight);
 	for (uint8_t i = 0; i < set->count; i++) {
 		struct reservation *r = &set->parts[i];
 
@@ -233,21 +265,111 @@
 	g_free(set);
 }
 
-/* Renews the reservations that are due. */
+/*
+ * Handles that another instance runs at an address: a reservation there is lost
+ * and not renewed.  Returns whether the call had one.
+ */
+bool entry_reservation_lost(struct call *c, struct dl_str address)
+{
+	for (uint8_t i = 0; c->reservations && i < c->reservations->count;
+	     i++) {
+		struct reservation *r = &c->reservations->parts[i];
+
+		if (!dl_name_eq(&r->address, address))
+			continue;
+		r->lost = true;
+		return true;
+	}
+	return false;
+}
+
+static void ask_lead(struct reservations *set)
+{
+	struct reservation *nothing = &set->lead.nothing;
+
+	set->lead.status = 0;
+	nothing->in_flight =
+		send_reservation(set->c->e, nothing, 0, &lead_ops, set);
+}
+
+static void on_lead_head(void *arg, const struct dl_httpc_head *head)
+{
+	struct reservations *set = arg;
+
+	set->lead.status = head->status;
+}
+
+/* Whether the response to the request itself shows that the lead runs. */
+static bool is_lead_heard(const struct call *c)
+{
+	return !c->attempt || dl_httpc_silent_ms(c->attempt) < LEAD_HEARD_MS;
+}
+
+static void on_lead_end(void *arg, const struct dl_attempt *attempt,
+			const struct dl_err *err)
+{
+	struct reservations *set = arg;
+	struct lead_check *lead = &set->lead;
+
+	lead->nothing.in_flight = NULL;
+	if (is_lead_heard(set->c) ||
+	    (lead->status && lead->status != STATUS_MISDIRECTED)) {
+		lead->unanswered = 0;
+		return;
+	}
+	if (lead->status == STATUS_MISDIRECTED) {
+		entry_lost_end_attempt(set->c, "another instance answers");
+		return;
+	}
+	if (err->code != -ECONNREFUSED &&
+	    ++lead->unanswered < LEAD_CHECKS_MAX) {
+		ask_lead(set);
+		return;
+	}
+	set->c->endpoint_unreachable = true;
+	entry_lost_end_attempt(set->c, "no answer when asked");
+}
+
+/* Asks the lead whether it runs, unless its response goes on. */
+static void check_lead(struct reservations *set)
+{
+	struct reservation *nothing = &set->lead.nothing;
+	struct call *c = set->c;
+
+	if (nothing->in_flight || is_lead_heard(c))
+		return;
+	nothing->address = c->grant.endpoint[0];
+	nothing->instance = c->route.instance;
+	snprintf(nothing->id, sizeof(nothing->id), "%s-%u-0", c->id_text,
+		 c->route.tries);
+	ask_lead(set);
+}
+
+static void renew_parts(struct reservations *set)
+{
+	for (uint8_t i = 0; i < set->count; i++) {
+		struct reservation *r = &set->parts[i];
+
+		if (!r->in_flight && !r->lost)
+			r->in_flight = send_reservation(set->c->e, r, HOLD_MS,
+							&reserve_ops, r);
+	}
+}
+
+/*
+ * Renews the reservations that are due, as long as the attempt that uses them
+ * is not known to be lost.
+ */
 void entry_reservation_tick(struct entry *e, int64_t now)
 {
 	for (struct call *c = e->calls; c; c = c->next) {
 		struct reservations *set = c->reservations;
 
-		if (!set || set->pending || now < set->renew_at)
+		if (!set || set->pending || now < set->renew_at ||
+		    c->endpoint_lost_at)
 			continue;
 		set->renew_at = now + RENEW_MS;
-		for (uint8_t i = 0; i < set->count; i++) {
-			struct reservation *r = &set->parts[i];
-
-			if (!r->in_flight)
-				r->in_flight = send_reservation(
-					e, r, HOLD_MS, &reserve_ops, r);
-		}
+		renew_parts(set);
+		check_lead(set);
 	}
 }
--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -137,6 +137,8 @@
 
 	c->attempts++;
 	c->attempt_at = entry_now(c->e);
+	c->endpoint_lost_at = 0;
+	c->endpoint_unreachable = false;
 	c->status = 0;
 	c->sse_done = false;
 	c->sse_bad = false;
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -68,6 +68,7 @@
 	struct dl_attempt attempt;
 	struct dl_err err;
 	uint64_t address;
+	int64_t sent_at;
 	uint32_t idle_ms, head_ms;
 	char *head; /* request line and headers */
 	size_t head_n;
@@ -257,7 +258,6 @@
 static void on_timer(uv_timer_t *timer)
 {
 	struct dl_httpc_call *call = timer->data;
-	enum dl_step step = current_step(call);
 
 	if (call->ended) {
 		if (call->ops->end)
@@ -267,10 +267,7 @@
 	}
 	if (call->paused)
 		return;
-	schedule_end(call,
-		     step == DL_STEP_CONNECT ? DL_FAILURE_CONNECT :
-					       DL_FAILURE_IDLE_TIMEOUT,
-		     step, "timed out");
+	dl_httpc_give_up(call, "timed out");
 }
 
 static struct dl_httpc_call *call_of(http_parser *parser)
@@ -561,6 +558,7 @@
 	conn->idle_ms = POOL_IDLE_MS;
 	conn->write.data = conn;
 	call->attempt.sent = DL_SENT_ALL;
+	call->sent_at = client_now(call->client);
 	conn->writing = true;
 	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, bufs,
 		     call->body.n ? 2 : 1, on_written)) {
@@ -659,6 +657,27 @@
 	return call->attempt;
 }
 
+/* Returns for how long nothing was received although it was waited for, ms. */
+int64_t dl_httpc_silent_ms(const struct dl_httpc_call *call)
+{
+	if (!call->conn || call->ended || call->paused ||
+	    call->attempt.sent == DL_SENT_NOTHING)
+		return 0;
+	return client_now(call->client) -
+	       MAX(call->sent_at, call->conn->usage.last_read);
+}
+
+/* Ends a call as if it had timed out; end() is called from the loop. */
+void dl_httpc_give_up(struct dl_httpc_call *call, const char *why)
+{
+	enum dl_step step = current_step(call);
+
+	schedule_end(call,
+		     step == DL_STEP_CONNECT ? DL_FAILURE_CONNECT :
+					       DL_FAILURE_IDLE_TIMEOUT,
+		     step, why);
+}
+
 static size_t request_head_size(const struct dl_httpc_req *req)
 {
 	size_t n = req->method.n + req->path.n + req->host.n +
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -88,6 +88,13 @@
 void dl_httpc_set_idle_timeout(struct dl_httpc_call *call, uint32_t idle_ms);
 /* Returns what has been sent and received so far. */
 struct dl_attempt dl_httpc_progress(const struct dl_httpc_call *call);
+/*
+ * Returns for how long nothing was received although it was waited for, ms; 0
+ * before the request was sent, while reading is paused and after the end.
+ */
+int64_t dl_httpc_silent_ms(const struct dl_httpc_call *call);
+/* Ends a call whose peer is known to be gone, as if it had timed out. */
+void dl_httpc_give_up(struct dl_httpc_call *call, const char *why);
 /* Cancels a call: closes its connection; no callback follows. */
 void dl_httpc_cancel(struct dl_httpc_call *call);
 
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -2,7 +2,7 @@
  * Emulated endpoint that speaks the platform's protocol.  It announces itself
  * to the replicas, streams resumable events, rejects requests addressed to
  * another instance, shows faults on command, crashes and restarts under
- * selected requests, and records every execution.
+ * selected requests, reserves memory, and records every execution.
  */
 #include <fcntl.h>
 #include <glib.h>
@@ -22,17 +22,18 @@
 #define CONTROLS_MAX	 8
 #define FAULT_EVENT	 3   /* event at which a fault interrupts the stream */
 #define RESTART_DELAY_MS 700 /* from a crash to the next start */
+#define ORDER_PATH	 "/-/order"
 /* Number of crashes so far; the environment survives execv(). */
 #define CRASHES_ENV "RUNNER_CRASHES"
 
 static struct {
 	char *listen, *control, *service, *instance, *zone, *record, *fault;
 	char *crash_on;
-	char *limit, *arrivals, *shed;
+	char *limit, *arrivals, *shed, *orders;
 	char **argv;
 	int instance_crashes;
-	int slots, events, event_ms;
-	gboolean plain;
+	int slots, events, event_ms, first_event_ms;
+	gboolean plain, quiet_while_busy;
 	gboolean abrupt;
 	gboolean unheard;
 } opt = {
@@ -57,6 +58,12 @@
 	  "N" },
 	{ "event-ms", 0, 0, G_OPTION_ARG_INT, &opt.event_ms,
 	  "time between events", "MS" },
+	{ "first-event-ms", 0, 0, G_OPTION_ARG_INT, &opt.first_event_ms,
+	  "time to the first event", "MS" },
+	{ "quiet-while-busy", 0, 0, G_OPTION_ARG_NONE, &opt.quiet_while_busy,
+	  "send no heartbeats while a stream is open", NULL },
+	{ "orders", 0, 0, G_OPTION_ARG_FILENAME, &opt.orders,
+	  "append time, instance, event and id of each reservation", "F" },
 	{ "plain", 0, 0, G_OPTION_ARG_NONE, &opt.plain,
 	  "reply without streaming", NULL },
 	{ "abrupt", 0, 0, G_OPTION_ARG_NONE, &opt.abrupt,
@@ -86,13 +93,14 @@
 
 static uv_loop_t *loop;
 static GPtrArray *jobs;
+static GHashTable *reservations; /* id to when it expires, in loop time */
 static char **controls;
 static guint next_control;
 /* from the last reply, until a call there fails */
 static uint64_t heartbeat_address = DL_VM_NONE;
 static uint64_t sequence;
 static int64_t started_ms; /* start time of this instance, Unix ms */
-static int record_fd = -1, arrivals_fd = -1;
+static int record_fd = -1, arrivals_fd = -1, orders_fd = -1;
 static bool leaving, deregistered;
 static int64_t next_heartbeat;
 
@@ -288,7 +296,7 @@
 	dl_str_to_u64(last, &after);
 	job->req = req;
 	job->next = (int)after + 1;
-	job->at = (int64_t)uv_now(loop);
+	job->at = (int64_t)uv_now(loop) + opt.first_event_ms;
 	fake_request_set_owner(req, job);
 	g_ptr_array_add(jobs, job);
 	fake_reply_begin(req, 200, headers);
@@ -323,6 +331,74 @@
 		perror("arrivals");
 }
 
+/*
+ * Records what became of a reservation: Unix ms, instance, id, and "reserved",
+ * "renewed", "released" or "expired".
+ */
+static void record_reservation(const char *id, const char *what)
+{
+	char line[256];
+	int n = snprintf(line, sizeof(line), "%" PRId64 " %s %s %s\n",
+			 g_get_real_time() / 1000, opt.instance, id, what);
+
+	if (orders_fd >= 0 && write(orders_fd, line, (size_t)n) != n)
+		perror("orders");
+}
+
+/* Returns a copy of what follows a key in a body, up to the end character. */
+static char *value_in(struct dl_str body, const char *key, const char *end)
+{
+	const char *at = memmem(body.s, body.n, key, strlen(key));
+	size_t n = 0;
+
+	if (!at)
+		return g_strdup("");
+	at += strlen(key);
+	while (at + n < body.s + body.n && !strchr(end, at[n]))
+		n++;
+	return g_strndup(at, n);
+}
+
+/* Reserves memory, renews or releases it; ample memory is assumed. */
+static void handle_order(struct fake_request *req)
+{
+	static const struct fake_header headers[] = { { NULL, NULL } };
+	struct dl_str body = fake_request_body(req);
+	char *op = value_in(body, "\"op\":\"", "\"");
+	char *id = value_in(body, "\"id\":\"", "\"");
+	char *hold = value_in(body, "\"hold_ms\":", ",}");
+	bool known = g_hash_table_contains(reservations, id);
+	int64_t *expiry;
+
+	if (strcmp(op, "reserve") == 0) {
+		expiry = g_new(int64_t, 1);
+		*expiry = (int64_t)uv_now(loop) + atoi(hold);
+		g_hash_table_replace(reservations, g_strdup(id), expiry);
+		record_reservation(id, known ? "renewed" : "reserved");
+	} else if (known) {
+		g_hash_table_remove(reservations, id);
+		record_reservation(id, "released");
+	}
+	g_free(op);
+	g_free(id);
+	g_free(hold);
+	fake_reply(req, 200, headers, DL_STR("{\"free\":1}"));
+}
+
+static void expire_reservations(int64_t now)
+{
+	GHashTableIter iter;
+	gpointer id, expiry;
+
+	g_hash_table_iter_init(&iter, reservations);
+	while (g_hash_table_iter_next(&iter, &id, &expiry)) {
+		if (now < *(int64_t *)expiry)
+			continue;
+		record_reservation(id, "expired");
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
 static void on_request(void *arg, struct fake_request *req)
 {
 	struct dl_str target = header(req, "daisyledge-target-instance");
@@ -330,6 +406,13 @@
 	char attempt[64], retry_after[16], what[32];
 	bool shed = is_shedding(retry_after, sizeof(retry_after));
 
+	if (dl_str_eq(fake_request_path(req), DL_STR(ORDER_PATH))) {
+		if (target.n && !dl_str_eq(target, dl_str_of(opt.instance)))
+			refuse(req, 421, "");
+		else
+			handle_order(req);
+		return;
+	}
 	snprintf(what, sizeof(what), "shed %s", retry_after);
 	record_arrival(req, shed ? what : leaving ? "leaving" : "taken");
 	if (target.n && !dl_str_eq(target, dl_str_of(opt.instance))) {
@@ -397,7 +480,9 @@
 {
 	int64_t now = (int64_t)uv_now(loop);
 
-	if (now >= next_heartbeat && !deregistered) {
+	expire_reservations(now);
+	if (now >= next_heartbeat && !deregistered &&
+	    !(opt.quiet_while_busy && jobs->len)) {
 		next_heartbeat = now + HEARTBEAT_MS;
 		announce();
 	}
@@ -456,6 +541,8 @@
 	started_ms = g_get_real_time() / 1000;
 	loop = uv_default_loop();
 	jobs = g_ptr_array_new();
+	reservations =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	controls = g_strsplit(opt.control, ",", CONTROLS_MAX);
 	if (opt.record)
 		record_fd =
@@ -463,6 +550,9 @@
 	if (opt.arrivals)
 		arrivals_fd =
 			open(opt.arrivals, O_WRONLY | O_APPEND | O_CREAT, 0600);
+	if (opt.orders)
+		orders_fd =
+			open(opt.orders, O_WRONLY | O_APPEND | O_CREAT, 0600);
 	if (fake_server_open(loop, address, &server_ops, NULL, &server)) {
 		fprintf(stderr, "runner: cannot listen\n");
 		return 1;
