Entry: release memory whose reservation was not answered

What could go wrong: an engine that carries out a reservation and does not answer within 600 ms kept the memory until the hold expired, 3.5 s, for a request that had gone to other engines by then.

Cause: only reservations with an answer, or still in flight, were released.

Ruled out: a release that was lost; the engine's log shows that none came.

Evidence: test_system_dark_lead.sh, part mute. Before, the engine's record ends with "expired" 3.5 s after the reservation; after, with "released".

Change: a reservation that was sent and not answered is released too.

--- a/src/entry/entry_reservation.c
+++ b/src/entry/entry_reservation.c
@@ -41,6 +41,7 @@
 	char id[TEXT_MAX];
 	uint64_t tokens;
 	bool held;
+	bool unanswered; /* sent, so that the memory may be reserved */
 	bool refused;
 	bool unreachable;
 	bool lost; /* another instance runs there, without the memory */
@@ -157,6 +158,8 @@
 	struct reservation *r = arg;
 
 	r->in_flight = NULL;
+	r->unanswered = attempt->sent != DL_SENT_NOTHING &&
+			attempt->received == DL_RECV_NOTHING;
 	r->unreachable = attempt->failure == DL_FAILURE_CONNECT;
 	if (attempt->failure != DL_FAILURE_NONE && r->set->pending)
 		r->refused = true;
@@ -244,7 +247,7 @@
 	return (struct dl_str){ "", 0 };
 }
 
-/* Releases all reservations, including those not replied to yet. */
+/* Releases all reservations, including those without a reply. */
 void entry_reservation_release(struct call *c)
 {
 	struct reservations *set = c->reservations;
@@ -259,7 +262,7 @@
 
 		if (r->in_flight)
 			dl_httpc_cancel(r->in_flight);
-		if (r->held || r->in_flight)
+		if (r->held || r->in_flight || r->unanswered)
 			send_reservation(c->e, r, 0, &release_ops, NULL);
 	}
 	g_free(set);
--- a/test/test_system_dark_lead.sh
+++ b/test/test_system_dark_lead.sh
@@ -2,7 +2,8 @@
 # Memory that a group's engines set aside for a long prompt whose lead engine
 # goes dark: its connections stay open and silent, as after a loss of power.
 # The memory must be free 4 s later, and the request must be served elsewhere.
-# A lead that only takes long to its first event must not be broken off.
+# A lead that only takes long to its first event must not be broken off.  Memory
+# whose reservation is not answered must be released, too.
 cd "$(dirname "$0")/.." || exit 2
 . test/deploy.sh
 test_begin dala
@@ -20,15 +21,22 @@
 		s/"gap_target_ms":250/"gap_target_ms":1000/'
 }
 
-# Start five engines that log their reservations: start_group TAG HOST [OPTION...]
+# Start an engine that logs its reservations: start_engine NAME HOST [OPTION...]
+start_engine() {
+	engine=$1 at=$2
+	shift 2
+	start_platform_endpoint "$engine" "$at" \
+		--service writer --orders "$DIR/orders" "$@"
+	wait_endpoints_known "$engine"
+}
+
+# Start five engines: start_group TAG HOST [OPTION...]
 start_group() {
 	tag=$1 first=$2
 	shift 2
 	for i in 1 2 3 4 5; do
-		start_platform_endpoint "$tag$i" $((first + i)) \
-			--service writer --orders "$DIR/orders" "$@"
+		start_engine "$tag$i" $((first + i)) "$@"
 	done
-	wait_endpoints_known "${tag}1" "${tag}2" "${tag}3" "${tag}4" "${tag}5"
 }
 
 retire_group() { # TAG
@@ -105,6 +113,24 @@
 	wait_for 10 "entry $d" entry_is_ready $d || fail "entry $d is not ready"
 done
 
+# A helper that reserves memory without an answer: the request goes to other
+# engines, and the memory is released and does not stay until it expires.  Among
+# idle engines those registered first form the group, the first one leads it.
+start_engine mute1 41
+start_engine mute2 42 --mute-orders
+for i in 3 4 5; do
+	start_engine mute$i $((40 + i))
+done
+begin_chat mute
+end_chat mute
+check_stream mute
+wait_for 5 "the end of the unanswered reservation" \
+	grep -q ' mute2 .* \(released\|expired\)' "$DIR/orders" ||
+	fail "mute: no memory was reserved without an answer"
+grep ' mute2 .* expired' "$DIR/orders" &&
+	fail "mute: memory stays reserved until it expires"
+retire_group mute
+
 # A lead that takes 4 s to its first event and sends no heartbeats meanwhile:
 # it answers when asked, so it is waited for.
 start_group slow 10 --first-event-ms 4000 --quiet-while-busy
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -33,7 +33,7 @@
 	char **argv;
 	int instance_crashes;
 	int slots, events, event_ms, first_event_ms;
-	gboolean plain, quiet_while_busy;
+	gboolean plain, quiet_while_busy, mute_orders;
 	gboolean abrupt;
 	gboolean unheard;
 } opt = {
@@ -62,6 +62,8 @@
 	  "time to the first event", "MS" },
 	{ "quiet-while-busy", 0, 0, G_OPTION_ARG_NONE, &opt.quiet_while_busy,
 	  "send no heartbeats while a stream is open", NULL },
+	{ "mute-orders", 0, 0, G_OPTION_ARG_NONE, &opt.mute_orders,
+	  "carry out reservations without an answer", NULL },
 	{ "orders", 0, 0, G_OPTION_ARG_FILENAME, &opt.orders,
 	  "append time, instance, event and id of each reservation", "F" },
 	{ "plain", 0, 0, G_OPTION_ARG_NONE, &opt.plain,
@@ -382,7 +384,8 @@
 	g_free(op);
 	g_free(id);
 	g_free(hold);
-	fake_reply(req, 200, headers, DL_STR("{\"free\":1}"));
+	if (!opt.mute_orders)
+		fake_reply(req, 200, headers, DL_STR("{\"free\":1}"));
 }
 
 static void expire_reservations(int64_t now)
