Test: a disk that fails on order, for the real binary

No test ran the real binary over a disk that fails: the fake disk of the unit tests stands in for disk_file.c and libuv, so nothing showed what a full disk or a failed sync does to a process.

test/fake/preload_disk.c is preloaded and replaces the calls that libuv and the binary end up in for the files of one folder (open, open64, pwrite64, read, fdatasync, fsync, rename, unlink, scandir64). A script orders faults while the process runs, and reads from a list of calls which ones took place and which bytes a loss of power would lose. It is built without the flags of a sanitizer, since it is loaded before it. test/disk_deploy.sh has the shell functions.

uv_fs_write() itself continues a short write, so a full disk is an error only at the second call.

No effect on the product.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,10 @@
 IOSRC != ls src/transport/*.c src/protocol/*.c platform/*.c 2>/dev/null || true
 MAINSRC != ls src/main/*.c src/entry/*.c src/replica/*.c src/cli/*.c \
 	src/node/*.c 2>/dev/null || true
-FAKESRC != ls test/fake/*.c 2>/dev/null || true
+# Preloaded into the binary by tests, so in no archive.
+PRELOADSRC = test/fake/preload_disk.c
+PRELOAD = test/fault_disk.so
+FAKESRC != ls test/fake/*.c 2>/dev/null | grep -v /preload_ || true
 TESTSRC != ls test/test_*.c 2>/dev/null || true
 TOOLSRC != ls test/tool_*.c 2>/dev/null || true
 BENCHSRC != ls bench/bench_*.c 2>/dev/null || true
@@ -45,7 +48,7 @@
 EXAMPLES = $(EXSRC:.c=)
 ARCHIVES = libdlfake.a libdlio.a libdaisyledge.a
 SOURCES = $(LIBSRC) $(IOSRC) $(MAINSRC) $(FAKESRC) $(TESTSRC) $(TOOLSRC) \
-	$(BENCHSRC) $(EXSRC)
+	$(BENCHSRC) $(EXSRC) $(PRELOADSRC)
 HEADERS != ls include/daisyledge/*.h src/*/*.h platform/*.h test/fake/*.h 2>/dev/null || true
 
 all: daisyledge $(EXAMPLES)
@@ -65,8 +68,12 @@
 daisyledge: $(MAINOBJ) libdlio.a libdaisyledge.a
 	$(CC) $(ALLF) -o $@ $(MAINOBJ) libdlio.a libdaisyledge.a $(LIBS)
 $(TESTS) $(TOOLS) $(BENCHES) $(EXAMPLES): $(ARCHIVES)
+# Without the flags of a sanitizer, whose functions are loaded after it.
+$(PRELOAD): $(PRELOADSRC)
+	$(CC) -std=gnu11 $(OPT) $(WARN) -D_GNU_SOURCE -fPIC -shared -o $@ \
+		$(PRELOADSRC) -ldl
 
-programs: all $(TESTS) $(TOOLS) $(BENCHES)
+programs: all $(TESTS) $(TOOLS) $(BENCHES) $(PRELOAD)
 
 deps:
 	@sh .ci/deps
@@ -115,7 +122,7 @@
 clean:
 	rm -rf build build.log daisyledge *.a src/*/*.[od] platform/*.[od] test/*.[od] \
 		test/fake/*.[od] bench/*.d examples/*.d $(TESTS) $(TOOLS) \
-		$(BENCHES) $(EXAMPLES)
+		$(BENCHES) $(EXAMPLES) $(PRELOAD)
 
 .PHONY: all programs deps check check-asan bench capacity demo format format-check \
 	lint man-check clean
--- a/test/asan.sh
+++ b/test/asan.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p build/asan
-tar cf - --exclude='*.o' --exclude='*.d' --exclude='*.a' Makefile .ci src \
+tar cf - --exclude='*.o' --exclude='*.d' --exclude='*.a' --exclude='*.so' Makefile .ci src \
 	include platform deploy test bench examples $(ls KNOWN-RED.txt 2>/dev/null) |
 	tar xf - -C build/asan
 find build/asan -type f -perm -100 -name 'test_*' ! -name '*.sh' -delete
