Test: disks that fail at each step of a write, under constant change

Faults of a disk were tried on the emulated disk only; nothing showed that the processes, libuv and the real files agree with it.

Each replica in turn gets one fault: no room, short writes, an error, a stall or the end of the process, at each step of a write or of a new generation. An operator applies one change after another, each expecting the version before it, so a lost acknowledgement shows as a conflict. Checked after each fault: further changes are accepted, all replicas and entries get what was acknowledged, no entry goes back, and the replica counts for the quorum again (another one is suspended). After some kills the VM loses power as well: the bytes that no sync covers are zeroed, for good after a failed sync. With two disks that store nothing, no change is acknowledged. At the end all replicas lose power at once.

--- a/test/fake/preload_disk.c
+++ b/test/fake/preload_disk.c
@@ -22,7 +22,8 @@
  *	kill-after   the same after the call
  *
  * The count of the first three is the number of calls that fail; without one,
- * all do.
+ * all do.  Of several orders for one kind the first that is due applies, and
+ * the later ones do not count that call.
  *
  * As with Linux, a sync reports an error once: the data written before it stays
  * readable, but is not on the disk, and the next sync of the file succeeds
--- /dev/null
+++ b/test/test_system_disk_faults.sh
@@ -0,0 +1,201 @@
+#!/bin/sh
+# Disks that fail, under constant change of the configuration by an operator:
+# each replica in turn, whether it leads or not, and each fault at each step of a
+# write in turn.  During a fault the two others accept changes; after it the
+# replica takes part again by itself, nothing acknowledged is lost and no version
+# goes back.  At the end all replicas lose power at once.
+#
+#   DL_DISK_SEED    chooses the cases (2)
+#   DL_DISK_CASES   how many; "all" for every fault at every replica (9)
+#   DL_DISK_ONLY    only faults whose line matches this expression
+cd "$(dirname "$0")/.." || exit 2
+. test/deploy.sh
+VMS_EACH=1
+DL_RUNNERS=0
+SEED=${DL_DISK_SEED:-2}
+CASES=${DL_DISK_CASES:-9}
+test_begin zveza
+. test/disk_deploy.sh
+
+# Each line: how long the fault lasts (s), the call and outcome that show that it
+# took place, and the orders, separated by commas.  A write error begins a new
+# generation of the journal, so the orders behind it meet its steps.  "kill": the
+# process is killed and started again; "power": the VM has lost power as well;
+# "twice": it loses power only after the process was started again, which must not
+# rely on what had not been synced.
+print_faults() {
+	cat <<-END
+		1.5 write no-room write no-room,create no-room
+		0.2 write no-room write no-room 2
+		0.5 write short write short
+		1.5 write error write error
+		0.2 write error write error 1
+		1.5 sync error sync error
+		0.2 sync error sync error 1
+		0.2 sync no-room sync no-room 1
+		0.5 create error write error 1,create error 2
+		1.5 rename error write error 1,rename error
+		0.5 rename error write error 1,rename error 1
+		1.5 sync-folder error write error 1,sync-folder error
+		0.5 sync-folder error write error 1,sync-folder error 1
+		0.5 unlink error write error 1,unlink error
+		0.5 unlink error write error 1,rename error 1,unlink error 1
+		2.0 write stall write stall
+		2.0 sync stall sync stall
+		2.0 rename stall write error 1,rename stall
+		2.0 sync-folder stall write error 1,sync-folder stall
+		kill write kill-before write kill-before 3
+		kill write kill-after write kill-after 3
+		power write kill-after write kill-after 4
+		kill sync kill-before sync kill-before 2
+		power sync kill-before sync kill-before 2
+		power sync kill-after sync kill-after 2
+		kill create kill-after write error 1,create kill-after
+		kill rename kill-before write error 1,rename kill-before
+		power rename kill-after write error 1,rename kill-after
+		kill sync-folder kill-before write error 1,sync-folder kill-before
+		power sync-folder kill-after write error 1,sync-folder kill-after
+		kill unlink kill-before write error 1,unlink kill-before
+		kill unlink kill-after write error 1,unlink kill-after
+		power sync kill-after sync error 1,sync kill-after 2
+		power write kill-after sync error 1,write kill-after 3
+		twice sync kill-before sync error 1,sync kill-before
+		twice sync kill-before sync kill-before 2
+	END
+}
+
+# Each fault at each of the replicas: "ROLE FAULT"; role 0 leads, 1 and 2 do not.
+print_cases() {
+	print_faults | grep -e "${DL_DISK_ONLY:-}" | awk '{
+		for (role = 0; role < 3; role++)
+			print role " " $0
+	}' | choose_cases "$SEED" "$CASES"
+}
+
+leader() {
+	leading_replica "$DIR"/replica-1-1.log "$DIR"/replica-2-1.log \
+		"$DIR"/replica-3-1.log
+}
+
+# Order faults, separated by commas, and wait until the expected one has taken
+# place.
+begin_fault() { # D KIND OUTCOME ORDERS WHEN
+	seen=$(disk_calls "$1" "$2" "$3")
+	order_disk "$1" "$4"
+	wait_for 5 "$2 $3" disk_calls_beyond "$1" "$2" "$3" "${seen:-0}" ||
+		fail "$5: the fault did not take place"
+}
+
+# The process was killed by its disk: start it again on one that works.
+restart_killed() { # D HOW WHEN
+	expect_exit 3 "replica_$1_1" 137 ||
+		fail "$3: the replica was not killed"
+	order_disk "$1"
+	[ "$2" != power ] || lose_power "$1" "$DIR/data-$1-1"
+	start_faulty_replica "$1"
+	[ "$2" = twice ] || return 0
+	check_agreement "$3"
+	kill_process "replica_$1_1"
+	lose_power "$1" "$DIR/data-$1-1"
+	start_faulty_replica "$1"
+}
+
+run_case() { # ROLE DURATION KIND OUTCOME ORDERS...
+	role=$1 lasts=$2 kind=$3 outcome=$4
+	shift 4
+	lead=$(leader)
+	at=$(((lead + role - 1) % 3 + 1))
+	case="replica $at (leader $lead), $lasts, $*"
+	begin_fault $at "$kind" "$outcome" "$*" "$case"
+	before=$(acked_version)
+	case $lasts in
+	kill | power | twice)
+		restart_killed $at "$lasts" "$case"
+		;;
+	*)
+		wait_for $ACCEPT_S "a change" acked_beyond "$before" ||
+			fail "$case: no change is accepted while the disk fails"
+		sleep "$lasts"
+		order_disk $at
+		;;
+	esac
+	check_agreement "$case"
+	check_voter $at "$case"
+	for d in 1 2 3; do
+		not_running "$(pid_of "replica_${d}_1")" &&
+			fail "$case: replica $d has ended"
+	done
+	echo "passed: $case"
+}
+
+# With two disks that store nothing no change is acknowledged.
+check_no_majority() {
+	lead=$(leader)
+	one=$((lead % 3 + 1)) two=$((one % 3 + 1))
+	begin_fault $one sync error "sync error" "two disks fail"
+	begin_fault $two write no-room "write no-room" "two disks fail"
+	sleep 0.2
+	before=$(acked_version)
+	sleep 2
+	if acked_beyond "$before"; then
+		fail "a change is acknowledged though two disks store nothing"
+	fi
+	order_disk $one
+	order_disk $two
+	check_agreement "after two disks failed"
+	echo "passed: two disks fail"
+}
+
+# Large configurations, so that snapshots are written all the time: a fault then
+# meets the generation that a snapshot begins.
+check_snapshots() {
+	at=$(($(leader) % 3 + 1))
+	set_change_size 6000
+	for order in "rename error 2" "sync-folder error 2" "unlink error 2" \
+		"write no-room 20"; do
+		begin_fault $at "${order%% *}" \
+			"$(echo "$order" | cut -d' ' -f2)" "$order" \
+			"snapshot, $order"
+		sleep 0.5
+		order_disk $at
+		check_agreement "snapshot, $order"
+	done
+	set_change_size 0
+	echo "passed: faults with snapshots"
+}
+
+# All replicas lose power at once; what was acknowledged is still there.
+check_power_loss() {
+	: >"$DIR/stop"
+	wait_for 10 "the end of the changes" not_running "$(pid_of writer)" ||
+		fail "the writer does not end"
+	for d in 1 2 3; do
+		kill_process "replica_${d}_1"
+	done
+	for d in 1 2 3; do
+		lose_power $d "$DIR/data-$d-1"
+		start_faulty_replica $d
+	done
+	target=$(acked_version)
+	for d in 1 2 3; do
+		wait_for 10 "version $target" replica_has $d "$target" ||
+			fail "replica $d lacks version $target after all lost power"
+		"$DL_BIN" get --version "$target" --timeout 3 \
+			--entry "$(vm_address $d 1):$HTTP_PORT" |
+			cmp -s - "$DIR/last.json" ||
+			fail "entry $d: the last version acknowledged is another"
+	done
+}
+
+set_change_size 0
+start_changing_group
+print_cases >"$DIR/cases"
+while read -r line; do
+	# shellcheck disable=SC2086
+	run_case $line </dev/null
+done <"$DIR/cases"
+check_no_majority
+check_snapshots
+check_power_loss
+no_violation "at the end"
+echo "$(wc -l <"$DIR/acked") changes acknowledged, $(wc -l <"$DIR/cases") cases, seed $SEED"
--- a/test/test_system_disk_full_keeps_voter.sh
+++ b/test/test_system_disk_full_keeps_voter.sh
@@ -66,7 +66,7 @@
 # The processes must be those that were started.
 check_running() {
 	for name in replica_$full replica_$kept entry_1 entry_2 entry_3; do
-		if not_running "$(pid_of $name)"; then
+		if not_running "$(pid_of "$name")"; then
 			fail "$name has ended"
 		fi
 	done
@@ -82,7 +82,7 @@
 
 full=$(leading_replica "$DIR/replica-1.log" "$DIR/replica-2.log" "$DIR/replica-3.log")
 [ -n "$full" ] || fail "no replica leads"
-order_disk "$full" 'write no-room' 'create no-room'
+order_disk "$full" 'write no-room,create no-room'
 until_ms=$(($(wall_ms) + FULL_MS))
 accepted_in $CHANGE_MS 6 || fail "no change is accepted while a disk is full"
 wait_for 4 "version 6" any_replica_reads 6 ||
@@ -90,7 +90,7 @@
 [ "$(disk_calls "$full" write no-room)" -gt 0 ] ||
 	fail "the disk was not full: no write failed"
 left_ms=$((until_ms - $(wall_ms)))
-[ $left_ms -le 0 ] || sleep $((left_ms / 1000)).$(printf %03d $((left_ms % 1000)))
+[ $left_ms -le 0 ] || sleep "$((left_ms / 1000)).$(printf %03d $((left_ms % 1000)))"
 order_disk "$full"
 sleep $WORKS_S
 
