Test: two or three disks that fail at once, the leader's among them

So far two followers' disks failed. Now also the leader's with one other, and all three: nothing is acknowledged meanwhile, and the group works by itself once the disks do.

--- a/test/test_system_disk_faults.sh
+++ b/test/test_system_disk_faults.sh
@@ -128,22 +128,33 @@
 	echo "passed: $case"
 }
 
-# With two disks that store nothing no change is acknowledged.
-check_no_majority() {
+# Disks that store nothing, at two replicas or at all: no change is acknowledged,
+# and the group works again by itself once they do.  Once two fail, the third need
+# not write at all.
+check_no_majority() { # ROLE...
 	lead=$(leader)
-	one=$((lead % 3 + 1)) two=$((one % 3 + 1))
-	begin_fault $one sync error "sync error" "two disks fail"
-	begin_fault $two write no-room "write no-room" "two disks fail"
+	case="disks fail at once, roles $* (0 leads)"
+	fault="sync error"
+	for role in "$@"; do
+		at=$(((lead + role - 1) % 3 + 1))
+		if [ "$fault" = either ]; then
+			order_disk $at "write no-room,sync error"
+			continue
+		fi
+		begin_fault $at "${fault% *}" "${fault#* }" "$fault" "$case"
+		[ "$fault" = "sync error" ] && fault="write no-room" || fault=either
+	done
 	sleep 0.2
 	before=$(acked_version)
 	sleep 2
 	if acked_beyond "$before"; then
-		fail "a change is acknowledged though two disks store nothing"
+		fail "$case: a change is acknowledged"
 	fi
-	order_disk $one
-	order_disk $two
-	check_agreement "after two disks failed"
-	echo "passed: two disks fail"
+	for d in 1 2 3; do
+		order_disk $d
+	done
+	check_agreement "$case"
+	echo "passed: $case"
 }
 
 # Large configurations, so that snapshots are written all the time: a fault then
@@ -194,7 +205,9 @@
 	# shellcheck disable=SC2086
 	run_case $line </dev/null
 done <"$DIR/cases"
-check_no_majority
+check_no_majority 1 2
+check_no_majority 2 0
+check_no_majority 1 0 2
 check_snapshots
 check_power_loss
 no_violation "at the end"
