--- a/test/disk_deploy.sh
+++ b/test/disk_deploy.sh
@@ -1,9 +1,18 @@
 # Shell functions for system tests with a disk that fails: replicas run with
 # test/fake/preload_disk.c, whose orders are changed while they run.  To be
-# sourced after test/deploy.sh and test_begin.
+# sourced after test/deploy.sh and before test_begin.
 FAULT_LIBRARY=$PWD/test/fault_disk.so
 ORDER_SERIAL=0
 
+# The files are in memory where there is room for them: a disk of this machine on
+# which other processes write can stall for seconds, at all replicas at once.
+MEMORY_FOLDER=/dev/shm
+MEMORY_MIN_KB=1000000
+memory_kb=$(df -k "$MEMORY_FOLDER" 2>/dev/null | awk 'NR == 2 { print $4 }')
+if [ "${memory_kb:-0}" -ge $MEMORY_MIN_KB ] && [ -w "$MEMORY_FOLDER" ]; then
+	export TMPDIR="$MEMORY_FOLDER"
+fi
+
 # Run a function that starts replica D on a disk whose faults can be ordered.
 # FOLDER is the data folder of the replica.
 on_fault_disk() { # D FOLDER COMMAND...
--- a/test/test_system_disk_full_keeps_voter.sh
+++ b/test/test_system_disk_full_keeps_voter.sh
@@ -5,9 +5,9 @@
 # configuration is read and changed on.
 cd "$(dirname "$0")/.." || exit 2
 . test/deploy.sh
+. test/disk_deploy.sh
 test_begin zveza
 . test/platform_deploy.sh
-. test/disk_deploy.sh
 
 # How long the disk has no room (ms), and how long it then works before the next
 # loss (s).
--- a/test/test_system_disk_reads.sh
+++ b/test/test_system_disk_reads.sh
@@ -4,9 +4,9 @@
 # or it leads or not.
 cd "$(dirname "$0")/.." || exit 2
 . test/deploy.sh
+. test/disk_deploy.sh
 test_begin zveza
 . test/platform_deploy.sh
-. test/disk_deploy.sh
 
 ACCEPT_S=4
 [ -z "${DL_SANITIZED:-}" ] || ACCEPT_S=8
--- a/test/test_system_disk_start.sh
+++ b/test/test_system_disk_start.sh
@@ -7,10 +7,10 @@
 #   DL_DISK_CASES   how many; "all" for all of them (6)
 cd "$(dirname "$0")/.." || exit 2
 . test/deploy.sh
+. test/disk_deploy.sh
 VMS_EACH=1
 DL_RUNNERS=0
 test_begin zveza
-. test/disk_deploy.sh
 
 choose_cases "${DL_DISK_SEED:-1}" "${DL_DISK_CASES:-6}" >"$DIR/chosen" <<-END
 	synced sync error sync error 1
--- a/test/test_system_disk_start_open.sh
+++ b/test/test_system_disk_start_open.sh
@@ -4,10 +4,10 @@
 # itself, with its journal and with an empty folder.
 cd "$(dirname "$0")/.." || exit 2
 . test/deploy.sh
+. test/disk_deploy.sh
 VMS_EACH=1
 DL_RUNNERS=0
 test_begin zveza
-. test/disk_deploy.sh
 
 run_start_cases <<-END
 	synced read error read error
