Replicated log: promises rest on the members that a restart may find

What could go wrong: - Two leaders hold a lease. A replica stored an entry that removes a voter, which then leads the next term; the replica drops the entry in memory, its disk cannot, and promises that leader not to vote.

Cause: a promise was made if the newest members in memory were stored. That says nothing of members that are stored and dropped in memory, and asks too much of ones that are only added.

Change: the members in the last stored record and in one written since are kept; a promise needs the leader as a voter in these and in memory.

--- a/src/state/rlog.c
+++ b/src/state/rlog.c
@@ -122,6 +122,8 @@
 	rlog_startup_begin(r, now);
 	rlog_reset_election(r, now);
 	rlog_members_refresh(r);
+	r->stored_members = r->members;
+	r->unsure_members = r->members;
 	return r;
 }
 
--- a/src/state/rlog_int.h
+++ b/src/state/rlog_int.h
@@ -148,7 +148,12 @@
 	uint64_t synced_seq;
 	uint64_t synced_index;
 	uint64_t state_seq; /* the record that holds term and vote */
-	int write_error;    /* of the last write; 0: it succeeded */
+	struct dl_rlog_members writing_members; /* in the last record */
+	struct dl_rlog_members stored_members;	/* in the last synced record */
+	/* In a record since then, whether or not it reached the disk. */
+	struct dl_rlog_members unsure_members;
+	bool unsure_many; /* other members were in such records as well */
+	int write_error;  /* of the last write; 0: it succeeded */
 	int64_t write_started_at;
 	uint32_t write_failures;
 	uint32_t write_retry_ms;
@@ -201,6 +206,7 @@
 uint64_t rlog_seq_of(const struct dl_rlog *r, uint64_t index);
 bool rlog_write_is_slow(const struct dl_rlog *r, int64_t now);
 int64_t rlog_disk_failed_ms(const struct dl_rlog *r, int64_t now);
+bool rlog_is_stored_voter(const struct dl_rlog *r, uint64_t id);
 bool rlog_must_not_wait(const struct dl_rlog *r, uint64_t wait_seq);
 int64_t rlog_write_wakeup(const struct dl_rlog *r);
 
--- a/src/state/rlog_startup.c
+++ b/src/state/rlog_startup.c
@@ -144,15 +144,10 @@
 /*
  * The stamp of a reply to a leader: the leader's own, which promises to grant
  * no vote for an election timeout, or 0 for no promise.  Promises are made only
- * to voters of the members synced on this disk, so that this replica knows whom
- * to query after a restart.
+ * to voters of all members that a restart may find on this disk, so that this
+ * replica knows whom to query then.
  */
 int64_t rlog_vote_promise(const struct dl_rlog *r, const struct dl_rlog_msg *m)
 {
-	const struct dl_rlog_member *leader =
-		rlog_member_find(&r->members, m->from_id);
-
-	if (!leader || !leader->voter || r->members_index > r->synced_index)
-		return 0;
-	return m->stamp;
+	return rlog_is_stored_voter(r, m->from_id) ? m->stamp : 0;
 }
--- a/src/state/rlog_write.c
+++ b/src/state/rlog_write.c
@@ -18,6 +18,9 @@
 
 static void drop_waiting_messages(struct dl_rlog *r);
 static void handle_failure(struct dl_rlog *r, int code, int64_t now);
+static bool same_members(const struct dl_rlog_members *a,
+			 const struct dl_rlog_members *b);
+static void note_members(struct dl_rlog *r);
 
 /*
  * Marks term, vote or cluster as changed; replies wait for the record that
@@ -70,6 +73,7 @@
 	r->dirty_snapshot = false;
 	r->dirty_from = rlog_last(&r->log) + 1;
 	r->writing_last = rlog_last(&r->log);
+	note_members(r);
 	r->writing = true;
 	r->write_started_at = now;
 	return true;
@@ -93,6 +97,9 @@
 	}
 	r->write_error = 0;
 	r->synced_seq = seq;
+	r->stored_members = r->writing_members;
+	r->unsure_members = r->writing_members;
+	r->unsure_many = false;
 	/*
 	 * A snapshot received in the meantime may have replaced those entries.
 	 */
@@ -110,10 +117,58 @@
 	if (r->role == DL_RLOG_HALTED)
 		return;
 	r->synced_index = 0;
+	r->unsure_many = true;
 	rlog_dirty_state(r);
 	handle_failure(r, code, now);
 }
 
+static bool same_members(const struct dl_rlog_members *a,
+			 const struct dl_rlog_members *b)
+{
+	if (a->count != b->count)
+		return false;
+	for (uint32_t i = 0; i < a->count; i++) {
+		if (a->at[i].id != b->at[i].id ||
+		    a->at[i].voter != b->at[i].voter)
+			return false;
+	}
+	return true;
+}
+
+/* Notes the members in a record that is about to be written. */
+static void note_members(struct dl_rlog *r)
+{
+	if (!same_members(&r->members, &r->stored_members) &&
+	    !same_members(&r->members, &r->unsure_members)) {
+		r->unsure_many =
+			r->unsure_many ||
+			!same_members(&r->unsure_members, &r->stored_members);
+		r->unsure_members = r->members;
+	}
+	r->writing_members = r->members;
+}
+
+/*
+ * Whether an identity is a voter in all members that may be read after a
+ * restart, and in those in effect.
+ */
+bool rlog_is_stored_voter(const struct dl_rlog *r, uint64_t id)
+{
+	const struct dl_rlog_members *lists[] = { &r->members,
+						  &r->stored_members,
+						  &r->unsure_members };
+
+	if (r->unsure_many)
+		return false;
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+		const struct dl_rlog_member *m = rlog_member_find(lists[i], id);
+
+		if (!m || !m->voter)
+			return false;
+	}
+	return true;
+}
+
 /* When a failed write can be repeated; INT64_MAX if none failed. */
 int64_t rlog_write_wakeup(const struct dl_rlog *r)
 {
@@ -181,8 +236,8 @@
 bool rlog_write_is_slow(const struct dl_rlog *r, int64_t now)
 {
 	return r->write_error ||
-	       (r->writing && now - r->write_started_at >=
-				      (int64_t)r->conf.heartbeat_ms);
+	       (r->writing &&
+		now - r->write_started_at >= (int64_t)r->conf.heartbeat_ms);
 }
 
 /* How long this replica's disk has failed or hung, in ms; 0 if it works. */
--- a/test/test_rlog_disk.c
+++ b/test/test_rlog_disk.c
@@ -671,6 +671,192 @@
 }
 END_TEST
 
+/* --- the lease while disks fail or hang --- */
+
+/* Runs under load; returns for how long nobody could serve a read, ms. */
+static uint32_t unserved_ms(struct group *g, uint32_t ms)
+{
+	uint32_t sum = 0;
+
+	for (uint32_t i = 0; i < ms / 50; i++) {
+		uint64_t leader = group_leader(g), index;
+
+		if (leader)
+			group_propose(g, leader, 30);
+		group_run(g, 50);
+		leader = group_leader(g);
+		if (!leader || dl_rlog_read(group_rlog(g, leader),
+					    group_local(g, leader), &index))
+			sum += 50;
+	}
+	return sum;
+}
+
+static void repair_and_finish(struct group *g, uint64_t vms)
+{
+	for (uint64_t vm = 1; vm <= vms; vm++) {
+		fake_disk_repair(group_disk(g, vm));
+		fake_disk_set_sync_ms(group_disk(g, vm), 1, 5);
+	}
+	unserved_ms(g, 10000);
+	finish_group(g);
+}
+
+static struct group *start_with_many_spares(uint32_t seed)
+{
+	struct group *g = group_new(&(struct group_conf){
+		.seed = seed,
+		.vms = 7,
+		.listed = 3,
+		.late_listed = 1,
+		.voters_wanted = 3,
+		.domains = 3,
+		.link = { .delay_min_ms = 1, .delay_max_ms = 3 },
+		.sync_min_ms = 1,
+		.sync_max_ms = 8,
+		.snapshot_entries = 40,
+	});
+
+	for (uint64_t vm = 6; vm >= 1; vm--)
+		group_start(g, vm);
+	ck_assert(group_wait_leader(g, 5000));
+	group_run(g, 5000);
+	return g;
+}
+
+static bool votes(struct group *g, uint64_t vm)
+{
+	const struct dl_rlog_members *m =
+		dl_rlog_members(group_rlog(g, group_leader(g)));
+
+	for (uint32_t i = 0; i < m->count; i++) {
+		if (m->at[i].vm == vm)
+			return m->at[i].voter;
+	}
+	return false;
+}
+
+/*
+ * A change of the members that full disks cannot store must not end the
+ * promises of their replicas: two of three voters are full, or one is and the
+ * other is lost, and other VMs ask to join.
+ */
+START_TEST(lease_outlives_members_that_cannot_be_stored)
+{
+	struct group *g = start_with_many_spares(9200 + (uint32_t)_i);
+	uint64_t leader = group_leader(g);
+	bool lose_one = _i % 2;
+
+	for (uint64_t vm = 1; vm < 7; vm++) {
+		if (vm == leader || !votes(g, vm))
+			continue;
+		if (lose_one)
+			group_crash(g, vm);
+		else
+			fake_disk_set_full(group_disk(g, vm), true);
+		lose_one = false;
+	}
+	ck_assert_uint_eq(unserved_ms(g, 8000), 0);
+	repair_and_finish(g, 7);
+}
+END_TEST
+
+START_TEST(lease_outlives_a_lost_disk_beside_a_full_one)
+{
+	struct group *g = start_three(9300 + (uint32_t)_i);
+	uint64_t leader = group_leader(g), full = leader % 3 + 1;
+	uint64_t lost = 6 - leader - full;
+
+	fake_disk_set_full(group_disk(g, full), true);
+	group_wipe(g, lost);
+	ck_assert_uint_eq(unserved_ms(g, 1000), 0);
+	group_start(g, lost);
+	ck_assert_uint_eq(unserved_ms(g, 5000), 0);
+	repair_and_finish(g, 3);
+}
+END_TEST
+
+static void cut_both_ways(struct group *g, uint64_t a, uint64_t b)
+{
+	fake_link_cut(group_link(g), a, b);
+	fake_link_cut(group_link(g), b, a);
+}
+
+/* Seeds with which two leaders held a lease. */
+static const uint32_t two_lease_seeds[] = { 230, 1562, 2140, 2539, 2825, 2970 };
+
+/*
+ * A replica that cannot yet drop an entry by which a voter was removed must not
+ * promise that voter anything: after a power loss it finds the entry on its
+ * disk, and would not ask that voter whether it leads.
+ */
+START_TEST(no_promise_to_a_leader_that_the_disk_does_not_know)
+{
+	static const uint64_t four[] = { 1, 2, 3, 4 };
+	static const uint64_t five[] = { 1, 2, 3, 4, 5 };
+	uint32_t seed = two_lease_seeds[_i / 2], n = 0;
+	uint64_t old, removed = 5, holder, third, other, v[3] = { 0 };
+	struct group *g = group_new(&(struct group_conf){
+		.seed = seed,
+		.listed = 5,
+		.link = { .delay_min_ms = 1, .delay_max_ms = 3 },
+		.sync_max_ms = 3,
+	});
+
+	for (uint64_t vm = 1; vm <= 5; vm++)
+		group_start(g, vm);
+	ck_assert(group_wait_leader(g, 10000));
+	group_run(g, 1500);
+	old = group_leader(g);
+	ck_assert_uint_ne(old, removed);
+	for (uint64_t vm = 1; vm <= 4; vm++) {
+		if (vm != old)
+			v[n++] = vm;
+	}
+	holder = v[seed % 3];
+	third = v[(seed + 1) % 3];
+	other = v[(seed + 2) % 3];
+	/* The removal reaches one replica only, and its leader is cut off. */
+	fake_link_cut(group_link(g), old, third);
+	fake_link_cut(group_link(g), old, other);
+	fake_link_cut(group_link(g), old, removed);
+	group_set_replicas(g, four, 4);
+	group_run(g, 400);
+	group_set_replicas(g, five, 5);
+	fake_link_isolate(group_link(g), old);
+	for (int i = 0; i < 6000 && group_leader(g) != removed; i++)
+		group_run(g, 1);
+	ck_assert_uint_eq(group_leader(g), removed);
+	/* The holder knows the new term, and cannot drop the entry. */
+	if (_i % 2)
+		fake_disk_set_full(group_disk(g, holder), true);
+	else
+		fake_disk_set_sync_ms(group_disk(g, holder), 60000, 60000);
+	group_run(g, 30);
+	fake_link_heal(group_link(g));
+	cut_both_ways(g, removed, other);
+	cut_both_ways(g, removed, old);
+	cut_both_ways(g, third, other);
+	cut_both_ways(g, old, third);
+	for (int i = 0; i < 1500; i++) {
+		struct dl_rlog *r = group_rlog(g, other);
+		int64_t left = dl_rlog_wakeup(r) - group_local(g, other);
+
+		group_run(g, 1);
+		if (i > 1100 && left < 60 && left > 40)
+			break;
+	}
+	cut_both_ways(g, removed, holder);
+	group_crash(g, holder);
+	fake_disk_repair(group_disk(g, holder));
+	fake_disk_set_sync_ms(group_disk(g, holder), 0, 3);
+	group_start(g, holder);
+	group_run(g, 900);
+	ck_assert_str_eq(group_violation(g), "");
+	group_free(g);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("rlog_disk");
@@ -702,5 +888,12 @@
 			    3 * G_N_ELEMENTS(lasting) - 3);
 	tcase_add_loop_test(t, unreadable_start_changes_nothing, 0, 6);
 	tcase_add_loop_test(t, full_disks_of_a_majority_keep_the_leader, 0, 12);
+	tcase_add_loop_test(t, lease_outlives_members_that_cannot_be_stored, 0,
+			    8);
+	tcase_add_loop_test(t, lease_outlives_a_lost_disk_beside_a_full_one, 0,
+			    6);
+	tcase_add_loop_test(t,
+			    no_promise_to_a_leader_that_the_disk_does_not_know,
+			    0, 2 * G_N_ELEMENTS(two_lease_seeds));
 	return suite_run(s);
 }
