Replicated log: a disk that hangs counts as one that fails

What could go wrong: a leader whose disk is full hands over while the disk of another voter hangs. That voter does not know it, and cannot store its vote: nobody leads until one of the disks works, 7 of 7.5 seconds in the test. A leader whose own disk hangs for ten seconds did the same. A replica whose disk hangs could stand for election and depose the leader once its disk answers. A change of the members begun while too few disks work blocks all later ones.

Cause: only failed writes counted, which a hanging disk does not report.

Change: the leader counts a voter as storing if it does not leave what it was sent unstored for longer than a heartbeat; it hands over, and changes the members, only if a majority does. A replica with a write that takes longer than a heartbeat does not stand.

--- a/src/state/rlog.c
+++ b/src/state/rlog.c
@@ -346,7 +346,7 @@
 	if (now - r->heard >=
 	    (int64_t)r->conf.election_ms * JOIN_AFTER_ELECTIONS)
 		rlog_send_joins(r, now);
-	if (rlog_is_voter(r) && !r->write_error)
+	if (rlog_is_voter(r) && !rlog_write_is_slow(r, now))
 		rlog_prevote_begin(r, now);
 	else
 		rlog_reset_election(r, now);
--- a/src/state/rlog_int.h
+++ b/src/state/rlog_int.h
@@ -47,6 +47,7 @@
 	int64_t sent;		/* time of the last APPEND or SNAPSHOT */
 	int64_t acked_stamp;	/* the newest stamp echoed */
 	int64_t disk_failed_at; /* its disk has failed since; INT64_MIN: no */
+	int64_t unstored_since; /* it stores nothing of what was sent; 0: no */
 	int64_t stored_at; /* when it last stored more, or lacked nothing */
 	bool send_now;	   /* a message is due at once */
 	uint64_t snap_index;
@@ -240,6 +241,8 @@
 void rlog_lead_tick(struct dl_rlog *r, int64_t now);
 int64_t rlog_lead_wakeup(const struct dl_rlog *r);
 bool rlog_lead_out(struct dl_rlog *r, int64_t now, struct dl_rlog_msg *msg);
+bool rlog_peer_stores(const struct dl_rlog *r, const struct rlog_peer *p,
+		      int64_t now);
 void rlog_lead_synced(struct dl_rlog *r, int64_t now);
 void rlog_lead_append(struct dl_rlog *r, enum dl_rlog_entry_kind kind,
 		      struct dl_str data, int64_t now);
--- a/src/state/rlog_lead.c
+++ b/src/state/rlog_lead.c
@@ -23,7 +23,7 @@
 static bool window_open(const struct dl_rlog *r, const struct rlog_peer *p);
 static bool wants_message(const struct dl_rlog *r, const struct rlog_peer *p,
 			  int64_t now);
-static void fill_append(struct dl_rlog *r, struct rlog_peer *p,
+static void fill_append(struct dl_rlog *r, struct rlog_peer *p, int64_t now,
 			struct dl_rlog_msg *msg);
 static void fill_snapshot(struct dl_rlog *r, struct rlog_peer *p,
 			  struct dl_rlog_msg *msg);
@@ -40,6 +40,7 @@
 	p->mode = RLOG_REPLICATE;
 	p->stored_at = now;
 	p->disk_failed_at = INT64_MIN;
+	p->unstored_since = 0;
 	p->next = rlog_last(&r->log) + 1;
 	p->match = 0;
 	p->commit_sent = 0;
@@ -181,6 +182,7 @@
 		    now - MAX(p->heard, r->leader_since) > silent_ms) {
 			p->mode = RLOG_PROBE;
 			p->next = p->match + 1;
+			p->unstored_since = 0;
 		}
 	}
 	if (!r->transferring && should_hand_over(r, now))
@@ -250,7 +252,7 @@
 		if (p->mode == RLOG_SNAPSHOT)
 			fill_snapshot(r, p, msg);
 		else
-			fill_append(r, p, msg);
+			fill_append(r, p, now, msg);
 		p->send_now = false;
 		p->sent = now;
 		p->commit_sent = r->commit;
@@ -262,7 +264,7 @@
 /*
  * Adds the entries that the follower needs next, at least one if there is any.
  */
-static void fill_append(struct dl_rlog *r, struct rlog_peer *p,
+static void fill_append(struct dl_rlog *r, struct rlog_peer *p, int64_t now,
 			struct dl_rlog_msg *msg)
 {
 	uint64_t last = rlog_last(&r->log);
@@ -279,6 +281,8 @@
 	msg->count = (uint32_t)(upto + 1 - p->next);
 	msg->entries = rlog_at(&r->log, p->next);
 	p->next = upto + 1;
+	if (!p->unstored_since)
+		p->unstored_since = now;
 }
 
 static void begin_snapshot(struct dl_rlog *r, struct rlog_peer *p)
@@ -317,8 +321,12 @@
 		return;
 	if (m->index > p->match || m->index >= r->commit)
 		p->stored_at = now;
+	if (m->index > p->match)
+		p->unstored_since = now;
 	p->match = MAX(p->match, m->index);
 	p->next = MAX(p->next, p->match + 1);
+	if (p->match + 1 == p->next)
+		p->unstored_since = 0;
 	if (p->mode == RLOG_SNAPSHOT && p->match < p->snap_index)
 		return;
 	if (p->mode != RLOG_REPLICATE)
@@ -423,6 +431,20 @@
 	return NULL;
 }
 
+/*
+ * Whether a voter is heard and stores what it is sent: its disk does not fail,
+ * and it did not leave entries unstored for longer than a heartbeat.
+ */
+bool rlog_peer_stores(const struct dl_rlog *r, const struct rlog_peer *p,
+		      int64_t now)
+{
+	return p->member.voter && p->disk_failed_at == INT64_MIN &&
+	       p->heard != INT64_MIN &&
+	       now - p->heard < (int64_t)r->conf.election_ms &&
+	       (!p->unstored_since ||
+		now - p->unstored_since < (int64_t)r->conf.heartbeat_ms);
+}
+
 /*
  * Whether this replica's disk fails and others can lead: a majority of voters
  * whose disks work is heard.  Waits until these can have said whether theirs
@@ -435,12 +457,8 @@
 	if (rlog_disk_failed_ms(r, now) <
 	    (int64_t)r->conf.heartbeat_ms * HAND_OVER_HEARTBEATS)
 		return false;
-	for (uint32_t i = 0; i < r->peers_count; i++) {
-		const struct rlog_peer *p = &r->peers[i];
-
-		working += p->member.voter && p->disk_failed_at == INT64_MIN &&
-			   now - p->heard < (int64_t)r->conf.election_ms;
-	}
+	for (uint32_t i = 0; i < r->peers_count; i++)
+		working += rlog_peer_stores(r, &r->peers[i], now);
 	return working >= rlog_majority(&r->members);
 }
 
--- a/src/state/rlog_reconfig.c
+++ b/src/state/rlog_reconfig.c
@@ -27,6 +27,7 @@
 static bool is_superseded(const struct dl_rlog *r,
 			  const struct dl_rlog_member *m, int64_t now);
 static bool keeps_quorum(const struct reconfig *s);
+static bool can_commit(const struct dl_rlog *r, int64_t now);
 static bool has_promised(const struct dl_rlog *r, const struct rlog_peer *p,
 			 int64_t now);
 static void set_waiting_for(struct reconfig *s, const char *what, uint64_t vm);
@@ -147,6 +148,19 @@
 	       now - p->acked_stamp < (int64_t)r->conf.lease_ms;
 }
 
+/*
+ * Whether a majority of the voters stores what is appended now.  A change of
+ * the members that cannot be committed would hold up every later one.
+ */
+static bool can_commit(const struct dl_rlog *r, int64_t now)
+{
+	uint32_t working = rlog_is_voter(r) && !r->write_error;
+
+	for (uint32_t i = 0; i < r->peers_count; i++)
+		working += rlog_peer_stores(r, &r->peers[i], now);
+	return working >= rlog_majority(&r->members);
+}
+
 /* Promotes a learner that holds the whole log to a voter. */
 static bool try_promote(struct reconfig *s)
 {
@@ -287,6 +301,11 @@
 				r->conf.self);
 		return;
 	}
+	if (!can_commit(r, now)) {
+		set_waiting_for(&s, "for working disks of a majority with",
+				r->conf.self);
+		return;
+	}
 	if (!try_promote(&s) && !try_add(&s) && !try_remove(&s))
 		return;
 	data = rlog_members_encode(&s.next);
--- a/src/state/rlog_vote.c
+++ b/src/state/rlog_vote.c
@@ -167,7 +167,8 @@
 		      int64_t now)
 {
 	if (m->term != r->term || r->role != DL_RLOG_FOLLOWER ||
-	    r->leader_id != m->from_id || !rlog_is_voter(r) || r->write_error)
+	    r->leader_id != m->from_id || !rlog_is_voter(r) ||
+	    rlog_write_is_slow(r, now))
 		return;
 	rlog_election_begin(r, true, now);
 }
--- a/test/test_rlog_disk.c
+++ b/test/test_rlog_disk.c
@@ -702,6 +702,31 @@
 	finish_group(g);
 }
 
+/* Nobody could elect a successor: its disk hangs, which it does not know. */
+START_TEST(full_leader_does_not_hand_over_to_hanging_disks)
+{
+	struct group *g = start_three(9000 + (uint32_t)_i);
+	uint64_t leader = group_leader(g);
+
+	fake_disk_set_full(group_disk(g, leader), true);
+	fake_disk_set_sync_ms(group_disk(g, leader % 3 + 1), 8000, 8000);
+	ck_assert_uint_eq(unserved_ms(g, 7500), 0);
+	repair_and_finish(g, 3);
+}
+END_TEST
+
+START_TEST(hanging_leader_does_not_hand_over_to_hanging_disks)
+{
+	struct group *g = start_three(9100 + (uint32_t)_i);
+	uint64_t leader = group_leader(g);
+
+	fake_disk_set_sync_ms(group_disk(g, leader), 20000, 20000);
+	fake_disk_set_sync_ms(group_disk(g, leader % 3 + 1), 20000, 20000);
+	ck_assert_uint_eq(unserved_ms(g, 19000), 0);
+	repair_and_finish(g, 3);
+}
+END_TEST
+
 static struct group *start_with_many_spares(uint32_t seed)
 {
 	struct group *g = group_new(&(struct group_conf){
@@ -888,6 +913,10 @@
 			    3 * G_N_ELEMENTS(lasting) - 3);
 	tcase_add_loop_test(t, unreadable_start_changes_nothing, 0, 6);
 	tcase_add_loop_test(t, full_disks_of_a_majority_keep_the_leader, 0, 12);
+	tcase_add_loop_test(t, full_leader_does_not_hand_over_to_hanging_disks,
+			    0, 6);
+	tcase_add_loop_test(
+		t, hanging_leader_does_not_hand_over_to_hanging_disks, 0, 6);
 	tcase_add_loop_test(t, lease_outlives_members_that_cannot_be_stored, 0,
 			    8);
 	tcase_add_loop_test(t, lease_outlives_a_lost_disk_beside_a_full_one, 0,
