Disk: a folder that cannot be opened for now is opened later

What could go wrong: a replica that starts while its disk answers with an error, or while it has no descriptor left, ends; its supervisor starts it again and again, and the first time that works it begins anew.

Change: such errors, of a kind that passes, leave the disk closed; the first operations open it, and reading the log is repeated already. A folder that is missing or in use still ends the process. One list of such errors serves the log file too.

--- a/include/daisyledge/base.h
+++ b/include/daisyledge/base.h
@@ -76,6 +76,7 @@
 
 const char *dl_step_name(enum dl_step step);
 
+bool dl_open_may_succeed_later(int code);
 int dl_err_set(struct dl_err *err, int code, enum dl_step step,
 	       const char *peer, const char *fmt, ...)
 	__attribute__((format(printf, 5, 6)));
--- a/src/base/base.c
+++ b/src/base/base.c
@@ -1,6 +1,7 @@
 /* Length-counted strings, names, hashes, VM addresses and errors. */
 #include "daisyledge/base.h"
 
+#include <errno.h>
 #include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -145,3 +146,23 @@
 		 (unsigned)(ip & 255), (unsigned)(vm & PORT_MAX));
 	return out;
 }
+
+/*
+ * Whether a file that cannot be opened, by a negative errno, may be opened
+ * later.  Other errors, such as a folder that is missing, are faults of the
+ * settings.
+ */
+bool dl_open_may_succeed_later(int code)
+{
+	switch (code) {
+	case -ENOSPC:
+	case -EDQUOT:
+	case -EIO:
+	case -EMFILE:
+	case -ENFILE:
+	case -ENOMEM:
+		return true;
+	default:
+		return false;
+	}
+}
--- a/src/node/log.c
+++ b/src/node/log.c
@@ -35,7 +35,6 @@
 static enum dl_level level_of(int priority);
 static int on_append(log4c_appender_t *self,
 		     const log4c_logging_event_t *event);
-static bool open_may_succeed_later(int code);
 static int open_file(const char *path);
 static void open_again(void);
 
@@ -83,25 +82,6 @@
 	return n;
 }
 
-/*
- * Whether a file that cannot be opened may be opened later.  Other errors, such
- * as a folder that is missing, are faults of the settings.
- */
-static bool open_may_succeed_later(int code)
-{
-	switch (code) {
-	case -ENOSPC:
-	case -EDQUOT:
-	case -EIO:
-	case -EMFILE:
-	case -ENFILE:
-	case -ENOMEM:
-		return true;
-	default:
-		return false;
-	}
-}
-
 /* Opens a file to append to; returns a descriptor, or a negative errno. */
 static int open_file(const char *path)
 {
@@ -176,7 +156,7 @@
 	log_fd = code;
 	if (code < 0) {
 		unopened_path = strdup(path);
-		if (!unopened_path || !open_may_succeed_later(code))
+		if (!unopened_path || !dl_open_may_succeed_later(code))
 			return code;
 		fprintf(stderr,
 			"daisyledge: cannot open the log file yet: %s\n",
--- a/src/transport/disk_file.c
+++ b/src/transport/disk_file.c
@@ -80,6 +80,9 @@
 static void on_op_written(uv_fs_t *req);
 static void on_op_synced(uv_fs_t *req);
 static void on_op_renamed(uv_fs_t *req);
+static void close_folder(struct dl_disk_file *f);
+static int open_folder(struct dl_disk_file *f, struct dl_err *err);
+static int ensure_open(struct dl_disk_file *f);
 static void enqueue(struct dl_disk_file *f, enum op_kind kind, const char *name,
 		    struct op *op, struct dl_disk_done done);
 
@@ -150,9 +153,15 @@
 {
 	struct op *op = current_op(f);
 	char path[PATH_BYTES];
+	int code;
 
 	if (!op)
 		return;
+	code = ensure_open(f);
+	if (code) {
+		end_op(f, code);
+		return;
+	}
 	if (!open_flags[op->kind] || find_file(f, op->name)) {
 		run_op(f);
 		return;
@@ -394,6 +403,9 @@
 	char path[PATH_BYTES];
 	int fd, code;
 
+	code = ensure_open(disk);
+	if (code)
+		return code;
 	make_path(disk, name, path);
 	fd = open(path, O_RDONLY | O_CLOEXEC);
 	if (fd < 0)
@@ -409,8 +421,11 @@
 	struct dl_disk_file *f = disk;
 	uv_dirent_t entry;
 	uv_fs_t req;
-	int code = uv_fs_scandir(NULL, &req, f->folder, 0, NULL);
+	int code = ensure_open(f);
 
+	if (code)
+		return code;
+	code = uv_fs_scandir(NULL, &req, f->folder, 0, NULL);
 	while (code >= 0 && uv_fs_scandir_next(&req, &entry) == 0)
 		each(arg, entry.name);
 	uv_fs_req_cleanup(&req);
@@ -484,9 +499,43 @@
 	return flock(f->lock_fd, LOCK_EX | LOCK_NB) ? busy(f, err) : 0;
 }
 
+static void close_folder(struct dl_disk_file *f)
+{
+	if (f->dir_fd >= 0)
+		close(f->dir_fd);
+	if (f->lock_fd >= 0)
+		close(f->lock_fd);
+	f->dir_fd = f->lock_fd = -1;
+}
+
+static int open_folder(struct dl_disk_file *f, struct dl_err *err)
+{
+	int code;
+
+	f->dir_fd = open(f->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	if (f->dir_fd < 0)
+		return dl_err_set(err, -errno, DL_STEP_STORE, NULL,
+				  "cannot open %s: %s", f->folder,
+				  strerror(errno));
+	code = take_lock(f, err);
+	if (code)
+		close_folder(f);
+	return code;
+}
+
+/* Opens the folder unless it is open; returns 0 or a negative errno. */
+static int ensure_open(struct dl_disk_file *f)
+{
+	struct dl_err err;
+
+	return f->dir_fd >= 0 ? 0 : open_folder(f, &err);
+}
+
 /*
  * Opens a data folder, which must exist, and locks it against other processes.
- * Returns 0, -EBUSY if another process holds the lock, or a negative errno.
+ * If it cannot be opened now, but may be later, the first operations try again,
+ * and fail until one succeeds.  Returns 0, -EBUSY if another process holds the
+ * lock, or a negative errno.
  */
 int dl_disk_file_open(uv_loop_t *loop, const char *folder,
 		      struct dl_disk_file **out, struct dl_err *err)
@@ -495,18 +544,12 @@
 	int code;
 
 	f->loop = loop;
-	f->lock_fd = -1;
+	f->dir_fd = f->lock_fd = -1;
 	f->req.data = f;
 	g_queue_init(&f->ops);
 	g_strlcpy(f->folder, folder, sizeof(f->folder));
-	f->dir_fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-	if (f->dir_fd < 0)
-		code = dl_err_set(err, -errno, DL_STEP_STORE, NULL,
-				  "cannot open %s: %s", folder,
-				  strerror(errno));
-	else
-		code = take_lock(f, err);
-	if (code) {
+	code = open_folder(f, err);
+	if (code && !dl_open_may_succeed_later(code)) {
 		dl_disk_file_close(f);
 		return code;
 	}
@@ -534,9 +577,6 @@
 {
 	while (f->open_files)
 		close_file(f, f->open_files->data);
-	if (f->dir_fd >= 0)
-		close(f->dir_fd);
-	if (f->lock_fd >= 0)
-		close(f->lock_fd);
+	close_folder(f);
 	g_free(f);
 }
