--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -265,9 +265,9 @@
 	ended++;
 }
 
-static const struct dl_httpc_ops ops = {
-	.head = on_head, .body = on_body, .end = on_end
-};
+static const struct dl_httpc_ops ops = { .head = on_head,
+					 .body = on_body,
+					 .end = on_end };
 
 static void listen_on_address(void)
 {
