--- a/src/state/cstore_snap.c
+++ b/src/state/cstore_snap.c
@@ -159,14 +159,32 @@
 	return dl_hash(snapshot, CHECKSUM_SEED) == sum;
 }
 
-/* Write the whole state into *out, which the caller frees with free(). */
+/* A buffer that remembers if it lacks a part for want of memory. */
+struct snap_buffer {
+	msgpack_sbuffer buf;
+	bool out_of_memory;
+};
+
+static int snap_write(void *arg, const char *data, size_t n)
+{
+	struct snap_buffer *b = arg;
+
+	if (msgpack_sbuffer_write(&b->buf, data, n))
+		b->out_of_memory = true;
+	return b->out_of_memory ? -1 : 0;
+}
+
+/*
+ * Write the whole state into *out, which the caller frees with free().  Return
+ * 0, or -ENOMEM.
+ */
 int dl_cstore_snapshot(const struct dl_cstore *store, char **out, size_t *n)
 {
-	msgpack_sbuffer buf;
+	struct snap_buffer b = { .out_of_memory = false };
 	msgpack_packer pk;
 
-	msgpack_sbuffer_init(&buf);
-	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+	msgpack_sbuffer_init(&b.buf);
+	msgpack_packer_init(&pk, &b, snap_write);
 	put_head(&pk, store);
 	for (uint32_t i = store->history_count; i-- > 0;)
 		put_change(&pk, cstore_change_at(store, i));
@@ -174,9 +192,13 @@
 		put_answer(&pk, cstore_answer_at(store, i));
 	put_claims(&pk, &store->claims);
 	put_evacuations(&pk, &store->evacuations);
-	put_checksum(&buf);
-	*n = buf.size;
-	*out = msgpack_sbuffer_release(&buf);
+	if (b.out_of_memory) {
+		msgpack_sbuffer_destroy(&b.buf);
+		return -ENOMEM;
+	}
+	put_checksum(&b.buf);
+	*n = b.buf.size;
+	*out = msgpack_sbuffer_release(&b.buf);
 	return *out ? 0 : -ENOMEM;
 }
 
--- a/src/state/rlog_store.c
+++ b/src/state/rlog_store.c
@@ -97,6 +97,7 @@
 	char target_name[NAME_SIZE];
 	bool starting;	     /* it syncs what was read at startup */
 	msgpack_sbuffer buf; /* what to write */
+	bool out_of_memory;  /* the buffer lacks a part of it */
 	struct record_header marker;
 	struct dl_disk_done done;
 	struct dl_rlog_store_errors errors;
@@ -120,6 +121,7 @@
 static void adopt_new_file(struct dl_rlog_store *s);
 static bool may_fail(enum store_step step);
 static uint64_t hash_of(const struct record_header *h, const char *payload);
+static int buffer_write(void *arg, const char *data, size_t n);
 static void begin_record(struct dl_rlog_store *s);
 static void seal_record(struct dl_rlog_store *s);
 static void make_marker(struct dl_rlog_store *s);
@@ -163,13 +165,27 @@
 
 /* --- writing --- */
 
+/*
+ * Adds data to the buffer.  The packing functions do not report a failure in
+ * the middle of a record, which must not be written without that part.
+ */
+static int buffer_write(void *arg, const char *data, size_t n)
+{
+	struct dl_rlog_store *s = arg;
+
+	if (msgpack_sbuffer_write(&s->buf, data, n))
+		s->out_of_memory = true;
+	return s->out_of_memory ? -1 : 0;
+}
+
 /* Starts a record, with space reserved for the header. */
 static void begin_record(struct dl_rlog_store *s)
 {
 	struct record_header h = { 0 };
 
 	msgpack_sbuffer_clear(&s->buf);
-	msgpack_sbuffer_write(&s->buf, (const char *)&h, sizeof(h));
+	s->out_of_memory = false;
+	buffer_write(s, (const char *)&h, sizeof(h));
 }
 
 /* Fills in the header of the record in the buffer, and the marker behind it. */
@@ -221,7 +237,7 @@
 	struct dl_str members = rlog_members_encode(&snap->members);
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, &s->buf, msgpack_sbuffer_write);
+	msgpack_packer_init(&pk, s, buffer_write);
 	msgpack_pack_array(&pk, SNAPSHOT_RECORD_FIELDS);
 	msgpack_pack_uint64(&pk, s->id);
 	msgpack_pack_uint64(&pk, rec->cluster);
@@ -247,7 +263,7 @@
 {
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, &s->buf, msgpack_sbuffer_write);
+	msgpack_packer_init(&pk, s, buffer_write);
 	msgpack_pack_array(&pk, RECORD_FIELDS);
 	msgpack_pack_uint64(&pk, rec->cluster);
 	msgpack_pack_uint64(&pk, rec->term);
@@ -281,15 +297,24 @@
 	}
 	s->done = done;
 	begin_record(s);
+	if (rec->snapshot)
+		pack_snapshot_record(s, rec);
+	else
+		pack_record(s, rec);
+	if (s->out_of_memory) {
+		s->failed = true;
+		msgpack_sbuffer_destroy(&s->buf);
+		msgpack_sbuffer_init(&s->buf);
+		done.fn(done.arg, -ENOMEM);
+		return;
+	}
 	if (rec->snapshot) {
 		s->seq = 0;
 		s->prev = s->generation + 1;
-		pack_snapshot_record(s, rec);
 		seal_record(s);
 		write_new_file(s, s->generation + 1);
 		return;
 	}
-	pack_record(s, rec);
 	seal_record(s);
 	s->new_file = false;
 	s->step = STEP_WRITE;
@@ -679,8 +704,10 @@
 	s->prev = rd.prev;
 	s->end = rd.at;
 	s->id = image->id;
-	if (!code && !ends_with_marker(&rd))
-		msgpack_sbuffer_write(&s->buf, rd.file.s, rd.at);
+	if (!code && !ends_with_marker(&rd) &&
+	    buffer_write(s, rd.file.s, rd.at))
+		code = dl_err_set(err, -ENOMEM, DL_STEP_STORE, NULL,
+				  "no memory to copy %s", s->name);
 	free(data);
 	return code;
 }
--- a/test/test_rlog_disk.c
+++ b/test/test_rlog_disk.c
@@ -671,6 +671,54 @@
 }
 END_TEST
 
+/* --- memory --- */
+
+static void run_disk(struct fake_disk *disk, int64_t *now)
+{
+	for (int i = 0; i < 50; i++)
+		fake_disk_run(disk, (*now)++);
+}
+
+/* A record that memory does not suffice for must not be stored in part. */
+START_TEST(record_without_memory_is_not_written)
+{
+	struct fake_disk *d = fake_disk_new(1);
+	struct dl_disk disk = { &fake_disk_ops, d };
+	struct dl_rlog_snapshot snap = { .index = 9, .term = 1 };
+	struct dl_rlog_record rec = { .seq = 1,
+				      .cluster = 5,
+				      .term = 1,
+				      .base_index = 9,
+				      .base_term = 1,
+				      .snapshot = &snap };
+	struct dl_rlog_store *store;
+	struct dl_rlog_image image;
+	struct dl_err err;
+	int64_t now = 0;
+
+	ck_assert_int_eq(dl_rlog_store_open(disk, 77, &store, &image, &err), 0);
+	dl_rlog_store_start(store, noting);
+	run_disk(d, &now);
+	ck_assert_int_eq(last_code, 0);
+	/* More than there can be; it is never read. */
+	snap.data = (struct dl_str){ "x", SIZE_MAX / 4 };
+	dl_rlog_store_write(store, &rec, noting);
+	run_disk(d, &now);
+	ck_assert_int_eq(last_code, -ENOMEM);
+	snap.data = DL_STR("state");
+	dl_rlog_store_write(store, &rec, noting);
+	run_disk(d, &now);
+	ck_assert_int_eq(last_code, 0);
+	dl_rlog_store_free(store);
+	ck_assert_int_eq(dl_rlog_store_open(disk, 78, &store, &image, &err), 0);
+	ck_assert_uint_eq(image.snapshot.index, 9);
+	ck_assert(dl_str_eq(image.snapshot.data, DL_STR("state")));
+	dl_rlog_image_free(&image);
+	dl_rlog_store_free(store);
+	fake_disk_free(d);
+}
+END_TEST
+
 /* --- the lease while disks fail or hang --- */
 
 /* Runs under load; returns for how long nobody could serve a read, ms. */
@@ -924,5 +972,8 @@
 	tcase_add_loop_test(t,
 			    no_promise_to_a_leader_that_the_disk_does_not_know,
 			    0, 2 * G_N_ELEMENTS(two_lease_seeds));
+	/* The sanitizer ends a process that asks for so much memory. */
+	if (!getenv("DL_SANITIZED"))
+		tcase_add_test(t, record_without_memory_is_not_written);
 	return suite_run(s);
 }
