--- a/src/state/rlog_lead.c
+++ b/src/state/rlog_lead.c
@@ -414,23 +414,6 @@
 	return 0;
 }
 
-/* A voter that holds the whole log, or NULL; always the same in a transfer. */
-static const struct rlog_peer *transfer_target(const struct dl_rlog *r,
-					       int64_t now)
-{
-	for (uint32_t i = 0; i < r->peers_count; i++) {
-		const struct rlog_peer *p = &r->peers[i];
-
-		if (p->member.voter && p->match == rlog_last(&r->log) &&
-		    p->disk_failed_at == INT64_MIN &&
-		    now - p->heard < (int64_t)r->conf.election_ms &&
-		    (!r->transferring || !r->transfer_to ||
-		     r->transfer_to == p->member.id))
-			return p;
-	}
-	return NULL;
-}
-
 /*
  * Whether a voter is heard and stores what it is sent: its disk does not fail,
  * and it did not leave entries unstored for longer than a heartbeat.
@@ -445,6 +428,24 @@
 		now - p->unstored_since < (int64_t)r->conf.heartbeat_ms);
 }
 
+/*
+ * The voter that takes over: it stores what it is sent, and holds the whole
+ * log.  NULL if there is none; always the same one in a transfer.
+ */
+static const struct rlog_peer *transfer_target(const struct dl_rlog *r,
+					       int64_t now)
+{
+	for (uint32_t i = 0; i < r->peers_count; i++) {
+		const struct rlog_peer *p = &r->peers[i];
+
+		if (rlog_peer_stores(r, p, now) &&
+		    p->match == rlog_last(&r->log) &&
+		    (!r->transfer_to || r->transfer_to == p->member.id))
+			return p;
+	}
+	return NULL;
+}
+
 /*
  * Whether this replica's disk fails and others can lead: a majority of voters
  * whose disks work is heard.  Waits until these can have said whether theirs
--- a/src/state/rlog_write.c
+++ b/src/state/rlog_write.c
@@ -207,9 +207,9 @@
  * have to be stored: it gives no vote and acknowledges no entry.  It still
  * answers heartbeats, and a leader goes on until another voter can take over,
  * so that a group without room on most of its disks keeps its leader and
- * serves; only changes wait.  Failures of a disk pass, such as
- * one without room, so the write is repeated until it succeeds; the replica is
- * then as good a voter as before.
+ * serves; only changes wait.  Failures of a disk pass, such as one without
+ * room, so the write is repeated until it succeeds; the replica is then as good
+ * a voter as before.
  *
  * What the failed write left on the disk is not known, and after a failed sync
  * the kernel may report the next one as successful without writing the data.
