Entry: a stream that has begun waits for an endpoint

What callers saw: a stream that ends in the middle with 502, though an endpoint is there a moment later.

Cause: a stream whose attempt broke, or was given up, asked for another endpoint once; if none was left at that moment it ended.

The second part of test_system_late_resume.sh brings the cause about at will: the only endpoint ends, another one is there 0.3 s later.

Change: such a stream asks again every 200 ms until its deadline. Tried and dropped: asking for endpoints tried before as well; a dead one was granted again and used up the attempts.

--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -21,6 +21,9 @@
 #define ASK_TIMEOUT_MS 180
 /* Two VMs may briefly disagree about which of them is the dispatcher. */
 #define ASK_AGAIN_MS 50
+/* How often a stream that has begun asks for an endpoint while there is none.
+ */
+#define RESUME_AGAIN_MS 200
 /* A VM that replies that it is not the dispatcher is alive and will learn that
  * it is; such replies count as one lost ask only after a second of them. */
 #define NOT_DISPATCHER_MAX 20
@@ -383,6 +386,30 @@
 	entry_grant_ask(c);
 }
 
+/*
+ * Whether a refused request is to be asked for again: a stream that has begun,
+ * for which no endpoint is left at the moment.  It would be broken off, though
+ * endpoints that were silent, or new ones, may be there before its deadline.
+ */
+static bool waits_for_endpoint(const struct call *c)
+{
+	return c->routed && c->stream && c->relayed && c->idempotent &&
+	       c->last_refusal.reason == DL_REASON_NO_ENDPOINT &&
+	       c->deadline - entry_now(c->e) > RESUME_AGAIN_MS;
+}
+
+/* Asks again later, for an endpoint that has not been tried. */
+static void ask_later(struct call *c)
+{
+	note_wait(c);
+	c->state = CALL_ASKING;
+	c->spill_tried_count = 0;
+	c->redirected = false;
+	c->refused = false;
+	c->domain = *dl_settings_pool_domain(&c->e->node.settings);
+	c->ask_again_at = entry_now(c->e) + RESUME_AGAIN_MS;
+}
+
 static void handle_refusal(struct call *c, const struct dl_answer_frame *f)
 {
 	enum dl_step step = c->state == CALL_QUEUED ? DL_STEP_QUEUE :
@@ -407,6 +434,10 @@
 		return_to_own_domain(c);
 		return;
 	}
+	if (waits_for_endpoint(c)) {
+		ask_later(c);
+		return;
+	}
 	entry_call_refuse(c, c->last_refusal.reason, step, c->dispatcher,
 			  c->last_refusal.retry_after_ms);
 }
--- a/test/test_system_late_resume.sh
+++ b/test/test_system_late_resume.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # A stream that breaks shortly before its deadline must be resumed: only the
-# rest of its answer has to fit into the time that is left.
+# rest of its answer has to fit into the time that is left.  One whose only
+# endpoint ends must wait for another.
 cd "$(dirname "$0")/.." || exit 2
 . test/deploy.sh
 test_begin dala
@@ -28,3 +29,21 @@
 }
 grep -q 'An attempt broke.*endpoint=[^ ]*9.1:' "$DIR/entry-1.log" ||
 	fail "the stream did not break"
+
+# The only endpoint ends, and another one is there soon after.
+kill -KILL "$(pid_of runner_writer_2)"
+start_platform_endpoint writer-3 3 --service writer --events $EVENTS \
+	--event-ms 50
+wait_for 5 "a stream from the third" chat 1 third || fail "no stream is served"
+chat 1 alone -H 'Daisyledge-Token-Usage: 1000,2040' >"$DIR/stream" &
+record_pid alone $!
+sleep 1
+kill -KILL "$(pid_of runner_writer_3)"
+sleep 0.3
+start_platform_endpoint writer-4 4 --service writer --events $EVENTS \
+	--event-ms 50
+wait "$(pid_of alone)"
+seq 1 $EVENTS | sed 's/.*/id: &\ndata: e&\n/' | cmp -s - "$DIR/stream" || {
+	grep 'attempt=alone' "$DIR"/entry-1.log >&2
+	fail "alone: the stream ends after $(grep -c id: "$DIR/stream") events"
+}
