Test: VMs cut off from all endpoints, over the real binary, failing

The test runs three VMs and seven endpoints; a preloaded connect() makes connections of the VMs named go to an address that refuses them or answers no packet, and relays of one VM's open connections drop or close them. It sends first tries at all VMs and compares what the two kinds of VM serve from a second after the cut, by the aim of the rule (two thirds) and 95 in 100 at the others.

--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,8 @@
 MAINSRC != ls src/main/*.c src/entry/*.c src/replica/*.c src/cli/*.c \
 	src/node/*.c 2>/dev/null || true
 # Preloaded into the binary by tests, so in no archive.
-PRELOADSRC = test/fake/preload_disk.c
-PRELOAD = test/fault_disk.so
+PRELOADSRC = test/fake/preload_disk.c test/fake/preload_net.c
+PRELOAD = test/fault_disk.so test/fault_net.so
 FAKESRC != ls test/fake/*.c 2>/dev/null | grep -v /preload_ || true
 TESTSRC != ls test/test_*.c 2>/dev/null || true
 TOOLSRC != ls test/tool_*.c 2>/dev/null || true
@@ -69,9 +69,12 @@
 	$(CC) $(ALLF) -o $@ $(MAINOBJ) libdlio.a libdaisyledge.a $(LIBS)
 $(TESTS) $(TOOLS) $(BENCHES) $(EXAMPLES): $(ARCHIVES)
 # Without the flags of a sanitizer, whose functions are loaded after it.
-$(PRELOAD): $(PRELOADSRC)
+test/fault_disk.so: test/fake/preload_disk.c
 	$(CC) -std=gnu11 $(OPT) $(WARN) -D_GNU_SOURCE -fPIC -shared -o $@ \
-		$(PRELOADSRC) -ldl
+		test/fake/preload_disk.c -ldl
+test/fault_net.so: test/fake/preload_net.c
+	$(CC) -std=gnu11 $(OPT) $(WARN) -D_GNU_SOURCE -fPIC -shared -o $@ \
+		test/fake/preload_net.c -ldl
 
 programs: all $(TESTS) $(TOOLS) $(BENCHES) $(PRELOAD)
 
