--- a/test/tool_tarpit.c
+++ b/test/tool_tarpit.c
@@ -34,7 +34,7 @@
 	for (int i = 0; i < FILL; i++) {
 		int c = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
-		connect(c, (struct sockaddr *)&at, sizeof(at));
+		(void)connect(c, (struct sockaddr *)&at, sizeof(at));
 	}
 	for (;;)
 		pause();
