Transport: frames in a file of their own

A move: encoding, decoding and reading of frames leave peers.c, so that another kind of connection can use them. No change on the wire; test_peers passes.

--- a/src/transport/peers.c
+++ b/src/transport/peers.c
@@ -12,16 +12,10 @@
 #include <string.h>
 
 #include <glib.h>
-#include <msgpack.h>
 
 #include "base/metric.h"
 #include "base/msg.h"
-#include "base/msgpack_check.h"
 
-#define LENGTH_BYTES	  4
-#define FRAME_ITEMS	  4
-#define FRAME_OVERHEAD	  64
-#define READ_BUF_INITIAL  4096
 #define LISTEN_BACKLOG	  512
 #define DATAGRAM_BODY_MAX 1200
 #define PORT_BITS	  16
@@ -44,8 +38,7 @@
 	size_t queued;	    /* bytes not yet written */
 	struct write *pending; /* held until connected, oldest first */
 	struct write **pending_tail;
-	char *buf;
-	size_t filled, size;
+	struct dl_frame_reader in;
 };
 
 struct write {
@@ -53,7 +46,7 @@
 	struct write *next;
 	struct conn *conn;
 	size_t n;
-	char bytes[];
+	char *bytes;
 };
 
 struct dl_peers {
@@ -134,6 +127,12 @@
 	handle_closed(handle->data);
 }
 
+static void write_free(struct write *w)
+{
+	free(w->bytes);
+	free(w);
+}
+
 static void on_conn_closed(uv_handle_t *handle)
 {
 	struct conn *c = (struct conn *)handle;
@@ -142,9 +141,9 @@
 
 	while ((w = c->pending)) {
 		c->pending = w->next;
-		free(w);
+		write_free(w);
 	}
-	free(c->buf);
+	dl_frame_reader_free(&c->in);
 	free(c);
 	handle_closed(peers);
 }
@@ -208,7 +207,7 @@
 	w->conn->queued -= w->n;
 	if (status < 0)
 		conn_close(w->conn, status);
-	free(w);
+	write_free(w);
 }
 
 /* Reports whether traffic to and from a VM is dropped, for a test. */
@@ -237,7 +236,7 @@
 
 	if (is_blocked(c->peers, c->vm)) {
 		c->queued -= w->n;
-		free(w);
+		write_free(w);
 		return;
 	}
 
@@ -245,45 +244,23 @@
 	dl_count(DL_METRIC_peer_frames_out, 1);
 	dl_count(DL_METRIC_peer_bytes_out, (int64_t)w->n);
 	if (uv_write(&w->req, (uv_stream_t *)&c->tcp, &buf, 1, on_written))
-		free(w);
-}
-
-static void pack_frame(msgpack_sbuffer *out, const struct dl_peers *peers,
-		       uint32_t kind, uint64_t request, struct dl_str body)
-{
-	msgpack_packer pk;
-
-	msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, FRAME_ITEMS);
-	msgpack_pack_uint32(&pk, kind);
-	msgpack_pack_uint64(&pk, request);
-	msgpack_pack_uint64(&pk, peers->conf.incarnation);
-	msgpack_pack_bin(&pk, body.n);
-	msgpack_pack_bin_body(&pk, body.s, body.n);
+		write_free(w);
 }
 
 /* Queues a frame on a connection, holding it until it is connected. */
 static int conn_send(struct conn *c, uint32_t kind, uint64_t request,
 		     struct dl_str body)
 {
-	msgpack_sbuffer out;
-	struct write *w;
-	uint32_t length;
+	struct dl_frame f = { kind, request, c->peers->conf.incarnation, body };
+	struct write *w = calloc(1, sizeof(*w));
 
-	msgpack_sbuffer_init(&out);
-	pack_frame(&out, c->peers, kind, request, body);
-	w = malloc(sizeof(*w) + LENGTH_BYTES + out.size);
-	if (!w) {
-		msgpack_sbuffer_destroy(&out);
+	if (w)
+		w->bytes = dl_frame_bytes(&f, &w->n);
+	if (!w || !w->bytes) {
+		free(w);
 		return -ENOMEM;
 	}
-	memset(w, 0, sizeof(*w));
-	length = htonl((uint32_t)out.size);
-	memcpy(w->bytes, &length, LENGTH_BYTES);
-	memcpy(w->bytes + LENGTH_BYTES, out.data, out.size);
-	w->n = LENGTH_BYTES + out.size;
 	w->conn = c;
-	msgpack_sbuffer_destroy(&out);
 	c->queued += w->n;
 	if (c->connected) {
 		conn_write(c, w);
@@ -297,48 +274,13 @@
 static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
 	struct conn *c = (struct conn *)handle;
-	char *grown;
-
-	if (c->filled == c->size) {
-		size_t size = c->size ? c->size * 2 : READ_BUF_INITIAL;
+	size_t n;
+	char *to;
 
-		grown = realloc(c->buf, size);
-		if (!grown) {
-			*buf = uv_buf_init(NULL, 0);
-			return;
-		}
-		c->buf = grown;
-		c->size = size;
-	}
-	*buf = uv_buf_init(c->buf + c->filled, (unsigned)(c->size - c->filled));
-}
-
-/* Decodes a frame; its body points into the bytes given. */
-static bool parse_frame(msgpack_unpacked *u, const char *p, size_t n,
-			struct dl_frame *out)
-{
-	const msgpack_object *item;
-	size_t off = 0;
-
-	if (!dl_msgpack_well_formed((struct dl_str){ p, n }) ||
-	    msgpack_unpack_next(u, p, n, &off) != MSGPACK_UNPACK_SUCCESS)
-		return false;
-	if (off != n || u->data.type != MSGPACK_OBJECT_ARRAY ||
-	    u->data.via.array.size != FRAME_ITEMS)
-		return false;
-	item = u->data.via.array.ptr;
-	for (int i = 0; i < FRAME_ITEMS - 1; i++) {
-		if (item[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
-			return false;
-	}
-	if (item[3].type != MSGPACK_OBJECT_BIN || item[0].via.u64 > UINT32_MAX)
-		return false;
-	out->kind = (uint32_t)item[0].via.u64;
-	out->request = item[1].via.u64;
-	out->incarnation = item[2].via.u64;
-	out->body.s = item[3].via.bin.ptr;
-	out->body.n = item[3].via.bin.size;
-	return true;
+	if (dl_frame_reader_room(&c->in, &to, &n))
+		*buf = uv_buf_init(to, (unsigned)n);
+	else
+		*buf = uv_buf_init(NULL, 0);
 }
 
 /* Closes the connections accepted from earlier incarnations of a VM. */
@@ -403,40 +345,12 @@
 	conn_close(c, UV_EPROTO);
 }
 
-/* Handles every complete frame in the buffer and keeps the rest. */
-static void conn_read_frames(struct conn *c)
+static bool on_conn_frame(void *arg, const struct dl_frame *f)
 {
-	size_t at = 0;
+	struct conn *c = arg;
 
-	while (!c->closing && c->filled - at >= LENGTH_BYTES) {
-		msgpack_unpacked u;
-		struct dl_frame f;
-		uint32_t n;
-		bool ok;
-
-		memcpy(&n, c->buf + at, LENGTH_BYTES);
-		n = ntohl(n);
-		if (n > DL_FRAME_BODY_MAX + FRAME_OVERHEAD) {
-			conn_protocol_error(c);
-			return;
-		}
-		if (c->filled - at - LENGTH_BYTES < n)
-			break;
-		msgpack_unpacked_init(&u);
-		ok = parse_frame(&u, c->buf + at + LENGTH_BYTES, n, &f);
-		if (ok)
-			conn_handle_frame(c, &f);
-		msgpack_unpacked_destroy(&u);
-		if (!ok) {
-			conn_protocol_error(c);
-			return;
-		}
-		at += LENGTH_BYTES + n;
-	}
-	if (at) {
-		memmove(c->buf, c->buf + at, c->filled - at);
-		c->filled -= at;
-	}
+	conn_handle_frame(c, f);
+	return !c->closing;
 }
 
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
@@ -450,9 +364,10 @@
 	if (is_blocked(c->peers, c->vm))
 		return;
 	c->last_read = peers_now(c->peers);
-	c->filled += (size_t)n;
+	c->in.filled += (size_t)n;
 	dl_count(DL_METRIC_peer_bytes_in, n);
-	conn_read_frames(c);
+	if (dl_frame_reader_take(&c->in, on_conn_frame, c) == -EPROTO)
+		conn_protocol_error(c);
 }
 
 static void on_accept(uv_stream_t *listener, int status)
@@ -596,6 +511,7 @@
 int dl_peers_send_datagram(struct dl_peers *peers, uint64_t to, uint32_t kind,
 			   uint64_t request, struct dl_str body)
 {
+	struct dl_frame f = { kind, request, peers->conf.incarnation, body };
 	struct sockaddr_in sin = vm_sockaddr(to);
 	msgpack_sbuffer out;
 	uv_buf_t buf;
@@ -606,7 +522,7 @@
 	if (is_blocked(peers, to))
 		return 0;
 	msgpack_sbuffer_init(&out);
-	pack_frame(&out, peers, kind, request, body);
+	dl_frame_pack(&out, &f);
 	buf = uv_buf_init(out.data, (unsigned)out.size);
 	rc = uv_udp_try_send(&peers->udp, &buf, 1, (void *)&sin);
 	dl_count(DL_METRIC_peer_bytes_out, (int64_t)out.size);
@@ -635,7 +551,7 @@
 	dl_count(DL_METRIC_peer_bytes_in, n);
 	dl_count(DL_METRIC_peer_frames_in, 1);
 	msgpack_unpacked_init(&u);
-	if (parse_frame(&u, buf->base, (size_t)n, &f))
+	if (dl_frame_parse(&u, buf->base, (size_t)n, &f))
 		peers->ops->frame(peers->arg, sockaddr_vm(from), &f);
 	else
 		dl_count(DL_METRIC_peer_bad_frames, 1);
