Transport: two VMs have to find an endpoint at fault

Cause: an endpoint was blamed on the word of one other VM. Where several VMs have lost their links to just this endpoint, the one asked may be among them: it reaches others of the service, not this one, and a working endpoint loses its work for a second or until its next report.

Ruled out: asking all VMs (their answers take up to 200 ms each; three are asked in all).

Change: two VMs have to find it at fault if two can tell; if the direct connection hangs they are asked together, as they need their time to find out as well. A lost connection to a forwarding VM gives up only attempts that have been silent for a while, and the tick parses an address only for those.

Test: endpoint_is_not_blamed_by_one_vm_alone failed before.

--- a/src/entry/entry_path.c
+++ b/src/entry/entry_path.c
@@ -414,11 +414,12 @@
 	return n;
 }
 
-/* The connection to a VM is lost: so are those that it forwards. */
+/* The connection to a VM is lost: so are those it forwards that are silent. */
 void entry_path_vm_lost(struct entry *e, uint64_t vm)
 {
 	for (struct call *c = e->calls; c; c = c->next) {
-		if (c->attempt && c->via == vm)
+		if (c->attempt && c->via == vm &&
+		    dl_httpc_silent_ms(c->attempt) >= ABANDON_SILENCE_MS)
 			dl_httpc_give_up(c->attempt,
 					 "the VM that forwards is lost");
 	}
@@ -518,11 +519,13 @@
 		uint64_t endpoint;
 
 		if (!c->attempt || c->via != DL_VM_NONE ||
-		    dl_httpc_progress(c->attempt).sent == DL_SENT_NOTHING ||
-		    !dl_vm_parse(dl_name_str(&c->grant.endpoint[0]), &endpoint))
+		    dl_httpc_progress(c->attempt).sent == DL_SENT_NOTHING)
 			continue;
 		silent_ms = dl_httpc_silent_ms(c->attempt);
 		heard_ms = MIN(heard_ms, silent_ms);
+		if (silent_ms < SILENCE_MS ||
+		    !dl_vm_parse(dl_name_str(&c->grant.endpoint[0]), &endpoint))
+			continue;
 		if (silent_ms > overdue_ms(c) && (!overdue || !interrupted)) {
 			overdue = c;
 			interrupted = dl_paths_interrupted(
--- a/src/transport/httpc_conn.c
+++ b/src/transport/httpc_conn.c
@@ -27,6 +27,11 @@
  * asked as well.  A VM takes longer only if it is overloaded or cut off itself.
  */
 #define NEXT_VM_MS 60
+/*
+ * VMs that have to find an endpoint at fault, if there are so many: one may
+ * have lost its link to just this endpoint, as this VM has.
+ */
+#define BLAMES_MIN 2
 /*
  * From when VMs are asked: the time for one that is cut off itself, and for the
  * answer of another that the endpoint is silent.
@@ -272,15 +277,14 @@
 {
 	const struct dl_httpc_paths *paths = paths_of(call);
 	struct connecting *c = call->connecting;
-	bool found = c->endpoint_refused || c->endpoint_silent;
-	bool doubtful = paths && !c->alone && !found;
+	bool doubtful = paths && !c->alone && !c->blames;
 	int error = c->direct_error;
 	uint64_t address = call->address;
 
-	if (!error && c->endpoint_refused)
-		error = UV_ECONNREFUSED;
 	if (c->endpoint_silent)
 		error = UV_ETIMEDOUT;
+	else if (!error && c->blames)
+		error = UV_ECONNREFUSED;
 	drop_candidates(call, NULL);
 	httpc_call_not_connected(call, error ? error : UV_ETIMEDOUT, doubtful,
 				 error ? uv_strerror(error) : "timed out");
@@ -308,9 +312,10 @@
 	}
 	note_forwarded(call, conn->via, result);
 	httpc_conn_close(conn, true);
-	c->endpoint_refused |= result == DL_FORWARD_ENDPOINT_REFUSED;
+	c->blames += result == DL_FORWARD_ENDPOINT_REFUSED ||
+		     result == DL_FORWARD_ENDPOINT_SILENT;
 	c->endpoint_silent |= result == DL_FORWARD_ENDPOINT_SILENT;
-	if (c->endpoint_refused || c->endpoint_silent) {
+	if (c->blames >= BLAMES_MIN) {
 		if (is_direct_silent(call))
 			note_direct(call, DL_DIRECT_SILENT);
 		fail(call);
@@ -561,7 +566,12 @@
 	}
 	if (httpc_now(call->client) < c->deadline ||
 	    (paths_of(call) && !c->vms_listed)) {
+		bool first = !c->vms_listed && c->forwarded_at_ms;
+
 		ask_next_vm(call);
+		/* The answers of VMs to which it is silent too take long. */
+		if (first)
+			ask_next_vm(call);
 		check_all_failed(call);
 		return;
 	}
--- a/src/transport/httpc_int.h
+++ b/src/transport/httpc_int.h
@@ -62,9 +62,9 @@
 	int64_t started_at, deadline;
 	int64_t next_at; /* when the next VM is asked */
 	uint32_t forwarded_at_ms;
-	int direct_error;      /* of libuv; 0: none */
-	bool endpoint_refused; /* as another VM found */
-	bool endpoint_silent;
+	int direct_error;     /* of libuv; 0: none */
+	uint32_t blames;      /* VMs that found the endpoint at fault */
+	bool endpoint_silent; /* for one of them */
 };
 
 struct dl_httpc_call {
--- a/test/test_paths_random.c
+++ b/test/test_paths_random.c
@@ -16,6 +16,7 @@
 #define ENDPOINTS_MAX 16 /* of one service */
 #define GROUPS	      2
 #define ASKED_MAX     3 /* VMs that one connection may ask, as the client does */
+#define BLAMES_MIN    2 /* VMs that have to find an endpoint at fault */
 #define CHECKS	      2 /* other endpoints that such a VM tries */
 #define STEP_MS	      5
 #define STEPS	      3000
@@ -137,7 +138,7 @@
 {
 	struct dl_paths *paths = run->vm[vm].paths;
 	uint64_t endpoint = endpoint_at(group, i);
-	uint32_t asked[ASKED_MAX], n;
+	uint32_t asked[ASKED_MAX], n, blames = 0;
 	struct dl_path_plan plan;
 
 	dl_paths_plan(paths, group, endpoint, run->now, &plan);
@@ -151,15 +152,17 @@
 				   run->now);
 		if (r == DL_FORWARD_CONNECTED)
 			return true;
-		if (r == DL_FORWARD_ENDPOINT_REFUSED ||
-		    r == DL_FORWARD_ENDPOINT_SILENT) {
-			ck_assert_msg(run->dead[group][i],
-				      "a working endpoint is blamed");
+		blames += r == DL_FORWARD_ENDPOINT_REFUSED ||
+			  r == DL_FORWARD_ENDPOINT_SILENT;
+		ck_assert_msg(!blames || run->dead[group][i],
+			      "a working endpoint is blamed");
+		if (blames >= BLAMES_MIN)
 			return false;
-		}
 	}
 	if (!plan.direct && connect_direct(run, vm, group, i))
 		return true;
+	if (blames)
+		return false;
 	dl_paths_undecided(paths, group, run->now);
 	return false;
 }
--- a/test/test_tunnel.c
+++ b/test/test_tunnel.c
@@ -312,6 +312,39 @@
 }
 END_TEST
 
+/* One VM has lost its link to just this endpoint, another one has not. */
+START_TEST(endpoint_is_not_blamed_by_one_vm_alone)
+{
+	struct dl_httpc *client = setup();
+	struct dl_frame failed = { .kind = DL_FRAME_TUNNEL_FAILED,
+				   .request = DL_FORWARD_ENDPOINT_REFUSED };
+	struct server lost, endpoint;
+	struct result r;
+	char reply[64] = { 0 };
+	size_t n = 0;
+	char *bytes = dl_frame_bytes(&failed, &n);
+
+	serve(&lost, VM_ONE, NULL);
+	serve(&endpoint, ENDPOINT, REPLY);
+	open_tunnels(VM_TWO, 4);
+	paths_seen.vms[paths_seen.vms_count++] = VM_TWO;
+	start(client, ENDPOINT, DL_STR(""), &r);
+	for (int i = 0; i < ITERATIONS_MAX && !lost.received; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	memcpy(reply, bytes, n);
+	free(bytes);
+	{
+		uv_write_t *req = malloc(sizeof(*req));
+		uv_buf_t buf = uv_buf_init(reply, (unsigned)n);
+
+		uv_write(req, (uv_stream_t *)lost.conn, &buf, 1, on_written);
+	}
+	run_until_ended(&r);
+	ck_assert_int_eq(r.attempt.failure, DL_FAILURE_NONE);
+	ck_assert_int_eq(r.attempt.received, DL_RECV_COMPLETE);
+}
+END_TEST
+
 /* Several endpoints have died together; one of the others still works. */
 START_TEST(endpoint_is_blamed_where_most_others_are_dead_too)
 {
@@ -664,6 +697,7 @@
 	tcase_set_timeout(t, 60);
 	tcase_add_test(t, response_that_its_vm_cuts_short_is_not_complete);
 	tcase_add_test(t, endpoint_is_blamed_by_a_vm_that_reaches_others);
+	tcase_add_test(t, endpoint_is_not_blamed_by_one_vm_alone);
 	tcase_add_test(t, endpoint_is_blamed_where_most_others_are_dead_too);
 	tcase_add_test(t, endpoint_is_not_blamed_by_vms_that_reach_no_other);
 	tcase_add_test(t, vm_alone_blames_the_endpoint);
