Entry: say how each response ended, and by what its end is marked

No decision is changed: the value is only logged.

Tests: response_without_its_end_is_not_whole, end_that_shows_a_broken_stream_is_named.

--- a/include/daisyledge/call.h
+++ b/include/daisyledge/call.h
@@ -60,6 +60,43 @@
 
 enum dl_outcome dl_call_outcome(const struct dl_attempt *attempt);
 
+/* What marks the end of a message's body. */
+enum dl_framing {
+	DL_FRAMING_NONE, /* there is no message */
+	DL_FRAMING_LENGTH,
+	DL_FRAMING_CHUNKS,
+	DL_FRAMING_CLOSE, /* only the end of its connection */
+	DL_FRAMING_COUNT,
+};
+
+/* Returns "none", "length", "chunks" or "close". */
+const char *dl_framing_name(enum dl_framing framing);
+
+/* What the end of an endpoint's response says of whether it is whole. */
+enum dl_ending {
+	DL_ENDING_BROKEN,   /* before the end that was marked, or none came */
+	DL_ENDING_MARKED,   /* by its length or the last chunk */
+	DL_ENDING_UNMARKED, /* its connection was closed in order */
+	DL_ENDING_INSIDE_EVENT, /* the same, or marked, but inside an event */
+	DL_ENDING_NO_EVENT,	/* closed in order before the first event */
+	DL_ENDING_COUNT,
+};
+
+/* What is known of a response whose connection has ended. */
+struct dl_response_seen {
+	enum dl_framing framing;
+	bool ended;	   /* at its mark, or, without one, in order */
+	bool stream;	   /* of events */
+	bool any_event;	   /* a whole one has come */
+	size_t unfinished; /* bytes of an event that is not whole */
+};
+
+enum dl_ending dl_response_ending(const struct dl_response_seen *seen);
+/* Returns "broken", "marked", "unmarked", "inside-event" or "no-event". */
+const char *dl_ending_name(enum dl_ending ending);
+/* Whether the response is whole, as far as its receiver can tell. */
+bool dl_ending_is_whole(enum dl_ending ending);
+
 /* What to do after an unsuccessful attempt. */
 enum dl_next {
 	DL_NEXT_ANSWER, /* report the outcome to the caller now */
--- a/src/coordination/call.c
+++ b/src/coordination/call.c
@@ -90,6 +90,58 @@
 	return outcome_names[outcome];
 }
 
+/* Returns "none", "length", "chunks" or "close". */
+const char *dl_framing_name(enum dl_framing framing)
+{
+	static const char *const names[DL_FRAMING_COUNT] = {
+		[DL_FRAMING_NONE] = "none",
+		[DL_FRAMING_LENGTH] = "length",
+		[DL_FRAMING_CHUNKS] = "chunks",
+		[DL_FRAMING_CLOSE] = "close",
+	};
+
+	return (unsigned)framing < DL_FRAMING_COUNT ? names[framing] : "none";
+}
+
+/* Returns "broken", "marked", "unmarked", "inside-event" or "no-event". */
+const char *dl_ending_name(enum dl_ending ending)
+{
+	static const char *const names[DL_ENDING_COUNT] = {
+		[DL_ENDING_BROKEN] = "broken",
+		[DL_ENDING_MARKED] = "marked",
+		[DL_ENDING_UNMARKED] = "unmarked",
+		[DL_ENDING_INSIDE_EVENT] = "inside-event",
+		[DL_ENDING_NO_EVENT] = "no-event",
+	};
+
+	return (unsigned)ending < DL_ENDING_COUNT ? names[ending] : "broken";
+}
+
+/*
+ * Returns how a response ended.  A process that crashes closes its connections
+ * in order, as one does that has finished a response without a length.  In a
+ * stream an unfinished event tells them apart, and so does a stream without any
+ * event; a crash between two events cannot be told from the end.
+ */
+enum dl_ending dl_response_ending(const struct dl_response_seen *seen)
+{
+	if (!seen->ended || seen->framing == DL_FRAMING_NONE)
+		return DL_ENDING_BROKEN;
+	if (seen->stream && seen->unfinished)
+		return DL_ENDING_INSIDE_EVENT;
+	if (seen->framing != DL_FRAMING_CLOSE)
+		return DL_ENDING_MARKED;
+	if (seen->stream && !seen->any_event)
+		return DL_ENDING_NO_EVENT;
+	return DL_ENDING_UNMARKED;
+}
+
+/* Whether the response is whole, as far as its receiver can tell. */
+bool dl_ending_is_whole(enum dl_ending ending)
+{
+	return ending == DL_ENDING_MARKED || ending == DL_ENDING_UNMARKED;
+}
+
 /* Returns the outcome for the status of a complete or partial response. */
 static enum dl_outcome outcome_from_status(enum cell cell, uint16_t status)
 {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -251,6 +251,10 @@
 	bool may_have_run;	     /* an attempt is not provably "not run" */
 	bool response_started;	     /* its head was sent to the caller */
 	uint16_t status;	     /* of the endpoint's response */
+	uint64_t attempt_events;     /* that the attempt has received */
+	enum dl_framing framing;     /* of the endpoint's response */
+	enum dl_ending ending;	     /* of the endpoint's response */
+	enum dl_framing framing_out; /* of the response to the caller */
 	GString *response_buf;	     /* received, not sent yet */
 	GPtrArray *response_headers; /* alternating names and values */
 	size_t response_length;	     /* Content-Length; SIZE_MAX: unknown */
--- a/src/entry/entry_attempt.c
+++ b/src/entry/entry_attempt.c
@@ -18,6 +18,37 @@
 	return dl_hash(dl_httpd_body(c->http), hash);
 }
 
+/* Resets what is known of the response of an attempt that begins now. */
+void call_attempt_begin(struct call *c)
+{
+	c->attempt_at = entry_now(c->e);
+	c->endpoint_lost_at = 0;
+	c->endpoint_unreachable = false;
+	c->via = DL_VM_NONE;
+	c->status = 0;
+	c->attempt_events = 0;
+	c->framing = DL_FRAMING_NONE;
+	c->ending = DL_ENDING_BROKEN;
+}
+
+/*
+ * Notes how the response of an attempt ended; unfinished: bytes of an event
+ * that did not come to its end.
+ */
+void call_note_ending(struct call *c, const struct dl_attempt *attempt,
+		      bool stream, size_t unfinished)
+{
+	struct dl_response_seen seen = {
+		.framing = c->framing,
+		.ended = attempt->failure == DL_FAILURE_NONE,
+		.stream = stream,
+		.any_event = c->attempt_events > 0,
+		.unfinished = unfinished,
+	};
+
+	c->ending = dl_response_ending(&seen);
+}
+
 /* Excludes the granted endpoint from further asks of this request. */
 void call_note_tried(struct call *c)
 {
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -16,6 +16,9 @@
 
 /* entry_attempt.c */
 uint64_t call_content(const struct call *c);
+void call_attempt_begin(struct call *c);
+void call_note_ending(struct call *c, const struct dl_attempt *attempt,
+		      bool stream, size_t unfinished);
 void call_note_tried(struct call *c);
 void call_fill_usage(struct call *c, const struct dl_attempt *attempt,
 		     uint64_t prompt, uint64_t output, bool failed);
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -215,11 +215,7 @@
 	uint64_t to = DL_VM_NONE;
 
 	dl_vm_parse(dl_name_str(&c->grant.endpoint[0]), &to);
-	c->attempt_at = entry_now(c->e);
-	c->endpoint_lost_at = 0;
-	c->endpoint_unreachable = false;
-	c->via = DL_VM_NONE;
-	c->status = 0;
+	call_attempt_begin(c);
 	c->route.head = (struct response_head){ .content_length = SIZE_MAX };
 	c->route.instance = endpoint_of(c, 0)->instance;
 	c->endpoint_instance_id =
@@ -340,6 +336,7 @@
 	entry_call_span(c, "connect", c->attempt_at, c->grant.endpoint[0].s);
 	platform_dialect.response(head->headers, head->headers_count, &said);
 	c->status = head->status;
+	c->framing = head->framing;
 	c->route.head.not_run = said.not_run ||
 				head->status == STATUS_MISDIRECTED;
 	c->route.head.wrong_request = !is_own_attempt(c, said.attempt_id);
@@ -394,7 +391,8 @@
 	size_t n = call_headers_fill(c, headers, DL_DIALECT_HEADERS_MAX);
 
 	c->response_started = true;
-	dl_httpd_begin(c->http, c->status, headers, n, c->response_length);
+	c->framing_out = dl_httpd_begin(c->http, c->status, headers, n,
+					c->response_length);
 }
 
 /* Updates the longest pause between two events sent to the caller. */
@@ -414,6 +412,7 @@
 {
 	uint64_t id = event_id(event);
 
+	c->attempt_events++;
 	if (id && (c->route.resumes || c->relayed) &&
 	    id <= c->route.last_event_id)
 		return true;
@@ -590,6 +589,8 @@
 		retry_unsent(c);
 		return;
 	}
+	call_note_ending(c, attempt, c->route.head.is_event_stream,
+			 c->response_buf->len);
 	entry_quarantine_attempt_ended(c, &a, err);
 	/* A resumed stream that gets an error is not complete. */
 	complete = a.received == DL_RECV_COMPLETE &&
@@ -610,14 +611,16 @@
 	dl_msg(DL_MSG_ATTEMPT_FAILED,
 	       "request=%s endpoint=%s instance=%s sent=%d received=%d broke=%d "
 	       "status=%u retry_after_ms=%u leaving=%d outcome=%s events=%lu "
-	       "at_fault=%s step=%s why=\"%s\" content=%016lx via=%s",
+	       "at_fault=%s step=%s why=\"%s\" content=%016lx via=%s "
+	       "framing=%s end=%s",
 	       c->id_text, c->grant.endpoint[0].s, c->route.instance.s, a.sent,
 	       a.received, a.failure, c->status, c->route.head.retry_after_ms,
 	       c->route.head.leaving, dl_outcome_name(outcome),
 	       (unsigned long)c->relayed, c->route.head.at_fault.s,
 	       dl_step_name(err->step), err->text,
 	       (unsigned long)c->content_hash,
-	       c->via == DL_VM_NONE ? "" : dl_vm_text(c->via, via));
+	       c->via == DL_VM_NONE ? "" : dl_vm_text(c->via, via),
+	       dl_framing_name(c->framing), dl_ending_name(c->ending));
 	if (!complete && !may_retry(c, &a)) {
 		end_failed(c, outcome, err);
 		return;
--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -143,11 +143,7 @@
 	uint64_t to;
 
 	c->attempts++;
-	c->attempt_at = entry_now(c->e);
-	c->endpoint_lost_at = 0;
-	c->endpoint_unreachable = false;
-	c->via = DL_VM_NONE;
-	c->status = 0;
+	call_attempt_begin(c);
 	c->sse_done = false;
 	c->sse_bad = false;
 	dl_sse_close(&c->sse);
@@ -257,6 +253,7 @@
 
 	entry_call_span(c, "connect", c->attempt_at, c->grant.endpoint[0].s);
 	c->status = head->status;
+	c->framing = head->framing;
 	entry_backoff_note_response(c, &c->grant.endpoint[0],
 				    c->endpoint_instance_id, head->status,
 				    retry_after_ms(head));
@@ -306,7 +303,7 @@
 	};
 
 	c->response_started = true;
-	dl_httpd_begin(c->http, 200, headers, 3, SIZE_MAX);
+	c->framing_out = dl_httpd_begin(c->http, 200, headers, 3, SIZE_MAX);
 }
 
 static bool relay_chunk(struct call *c, struct dl_str data)
@@ -355,6 +352,7 @@
 	bool drop, go_on = true;
 	json_t *text;
 
+	c->attempt_events++;
 	if (dl_chunk_parse(data, !c->stream, &chunk, &text)) {
 		c->sse_bad = true;
 		return true;
@@ -422,7 +420,8 @@
 					   dl_str_of(c->id_text) };
 	n += call_headers_fill(c, headers + n, HEADERS_MAX - n);
 	c->response_started = true;
-	dl_httpd_begin(c->http, c->status, headers, n, c->response_length);
+	c->framing_out = dl_httpd_begin(c->http, c->status, headers, n,
+					c->response_length);
 	dl_httpd_send(c->http, (struct dl_str){ c->response_buf->str,
 						c->response_buf->len });
 	g_string_truncate(c->response_buf, 0);
@@ -522,6 +521,9 @@
 		entry_backoff_return_grant(c);
 		return;
 	}
+	call_note_ending(c, attempt,
+			 c->kind == DL_POOL_MODEL && c->status == 200,
+			 c->sse.n - c->sse.consumed);
 	entry_quarantine_attempt_ended(c, &a, err);
 	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
 	call_fill_usage(c, &a, c->used_prompt, c->used_output,
--- a/src/protocol/explain.c
+++ b/src/protocol/explain.c
@@ -178,7 +178,7 @@
 	return DL_REASON_NONE;
 }
 
-static void describe_served(const struct dl_logline *l, char *out)
+static void describe_service(const struct dl_logline *l, char *out)
 {
 	int64_t ms[EXPLAIN_PARTS];
 	struct dl_str endpoint = field(l, "endpoint");
@@ -206,6 +206,18 @@
 			 dl_logline_number(l, "target_ms", 0));
 }
 
+static void describe_served(const struct dl_logline *l, char *out)
+{
+	size_t n;
+
+	describe_service(l, out);
+	n = strlen(out);
+	if (field_is(l, "end", "unmarked"))
+		snprintf(out + n, EXPLAIN_TEXT_MAX - n,
+			 "; only the end of the connection marked the end of "
+			 "the response");
+}
+
 static void describe_end(const struct dl_logline *l, char *out)
 {
 	enum dl_reason reason = reason_of(field(l, "reason"));
@@ -245,12 +257,18 @@
 	struct dl_str endpoint = field(l, "endpoint");
 	struct dl_str at_fault = field(l, "at_fault");
 	int64_t wait = dl_logline_number(l, "retry_after_ms", 0);
+	const char *failure;
 	int n;
 
 	if (broke < 0 || broke >= DL_FAILURE_COUNT)
 		broke = DL_FAILURE_NONE;
+	failure = failure_texts[broke];
+	if (field_is(l, "end", "inside-event"))
+		failure = "ended its stream inside an event";
+	else if (field_is(l, "end", "no-event"))
+		failure = "ended its stream before the first event";
 	n = snprintf(out, EXPLAIN_TEXT_MAX, "%.*s %s after %" PRId64 " events",
-		     (int)endpoint.n, endpoint.s, failure_texts[broke],
+		     (int)endpoint.n, endpoint.s, failure,
 		     dl_logline_number(l, "events", 0));
 	if (field_is(l, "outcome", "not-run"))
 		n += snprintf(out + n, EXPLAIN_TEXT_MAX - (size_t)n,
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -254,6 +254,9 @@
 /* Fills in views of the headers, and acts on those meant for this client. */
 static size_t read_headers(struct dl_httpc_call *call, struct dl_header *out)
 {
+	bool has_coding = false;
+
+	call->framing = DL_FRAMING_CLOSE;
 	for (uint32_t i = 0; i < call->fields; i++) {
 		const char *text = call->header_text->str;
 
@@ -261,14 +264,17 @@
 					       call->field[i].name_n };
 		out[i].value = (struct dl_str){ text + call->field[i].value,
 						call->field[i].value_n };
-		if (dl_header_is(out[i].name, "content-length") ||
-		    dl_header_is(out[i].name, "transfer-encoding"))
-			call->framed = true;
+		if (dl_header_is(out[i].name, "content-length"))
+			call->framing = DL_FRAMING_LENGTH;
+		if (dl_header_is(out[i].name, "transfer-encoding"))
+			has_coding = true;
 		if (dl_header_is(out[i].name, "daisyledge-not-run"))
 			call->attempt.received = DL_RECV_NOT_RUN;
 		if (dl_header_is(out[i].name, "keep-alive"))
 			read_keep_alive(call->conn, out[i].value);
 	}
+	if (has_coding)
+		call->framing = DL_FRAMING_CHUNKS;
 	return call->fields;
 }
 
@@ -291,7 +297,8 @@
 	head.headers = views;
 	head.headers_count = read_headers(call, views);
 	if (no_body)
-		call->framed = true;
+		call->framing = DL_FRAMING_LENGTH;
+	head.framing = call->framing;
 	httpc_call_timer(call, call->idle_ms);
 	if (call->ops->head)
 		call->ops->head(call->arg, &head);
@@ -330,7 +337,7 @@
 {
 	struct conn *conn = call->conn;
 
-	if (!call->framed && !call->close_delimited) {
+	if (call->framing == DL_FRAMING_CLOSE && !call->close_delimited) {
 		schedule_end(
 			call, DL_FAILURE_BAD_RESPONSE, DL_STEP_BODY,
 			"response has neither a length nor chunked encoding");
@@ -338,8 +345,9 @@
 	}
 	if (call->attempt.received != DL_RECV_NOT_RUN)
 		call->attempt.received = DL_RECV_COMPLETE;
-	if (call->reuse && call->framed && !trailing_data && !conn->writing &&
-	    conn->idle_ms && http_should_keep_alive(&conn->parser))
+	if (call->reuse && call->framing != DL_FRAMING_CLOSE &&
+	    !trailing_data && !conn->writing && conn->idle_ms &&
+	    http_should_keep_alive(&conn->parser))
 		httpc_pool_add(conn);
 	schedule_end(call, DL_FAILURE_NONE, DL_STEP_NONE, "");
 }
@@ -351,7 +359,7 @@
 	struct dl_httpc_call *call = conn->call;
 
 	if (err == UV_EOF && call->attempt.received != DL_RECV_NOTHING &&
-	    !call->framed) {
+	    call->framing == DL_FRAMING_CLOSE) {
 		end_complete(call, false);
 		return;
 	}
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -55,6 +55,7 @@
 
 struct dl_httpc_head {
 	uint16_t status;
+	enum dl_framing framing; /* LENGTH for a response without a body */
 	const struct dl_header *headers;
 	size_t headers_count;
 };
--- a/src/transport/httpc_int.h
+++ b/src/transport/httpc_int.h
@@ -87,8 +87,8 @@
 	bool is_head_method;
 	bool close_delimited;
 	bool reuse;
-	bool direct; /* no VM may forward the connection */
-	bool framed; /* the end is marked by a length or by chunks */
+	bool direct;		 /* no VM may forward the connection */
+	enum dl_framing framing; /* NONE before the head */
 	bool paused;
 	bool ended; /* end() is called when the timer fires next */
 
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -17,6 +17,7 @@
 #define DISCONNECT_POLL_MS   250
 #define STATUS_CLIENT_CLOSED 499
 #define MS_PER_S	     1000
+#define HTTP_1_1	     0x101
 #define US_PER_MS	     1000
 
 struct handler {
@@ -494,10 +495,23 @@
 	send_response(req, status, headers, count, body);
 }
 
-/* Begins a streamed response; length is SIZE_MAX if not known. */
-void dl_httpd_begin(struct dl_httpd_req *req, uint16_t status,
-		    const struct dl_header *headers, size_t count,
-		    size_t length)
+/*
+ * Returns what marks the end of a response; h2o sends chunks in HTTP/1.1 alone.
+ */
+static enum dl_framing framing_of(const h2o_req_t *h2o, size_t length)
+{
+	if (length != SIZE_MAX)
+		return DL_FRAMING_LENGTH;
+	return h2o->version == HTTP_1_1 ? DL_FRAMING_CHUNKS : DL_FRAMING_CLOSE;
+}
+
+/*
+ * Begins a streamed response; length is SIZE_MAX if not known. Returns what
+ * marks its end.
+ */
+enum dl_framing dl_httpd_begin(struct dl_httpd_req *req, uint16_t status,
+			       const struct dl_header *headers, size_t count,
+			       size_t length)
 {
 	set_response_head(req, status, headers, count);
 	req->h2o->res.content_length = length;
@@ -505,6 +519,7 @@
 	h2o_buffer_init(&req->pending, &h2o_socket_buffer_prototype);
 	h2o_buffer_init(&req->in_flight, &h2o_socket_buffer_prototype);
 	h2o_start_response(req->h2o, &req->generator);
+	return framing_of(req->h2o, length);
 }
 
 /*
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -67,10 +67,13 @@
 void dl_httpd_reply(struct dl_httpd_req *req, uint16_t status,
 		    const struct dl_header *headers, size_t count,
 		    struct dl_str body);
-/* Begins a streamed response; length is SIZE_MAX if not known. */
-void dl_httpd_begin(struct dl_httpd_req *req, uint16_t status,
-		    const struct dl_header *headers, size_t count,
-		    size_t length);
+/*
+ * Begins a streamed response; length is SIZE_MAX if not known. Returns what
+ * marks its end, which depends on the client's version of HTTP.
+ */
+enum dl_framing dl_httpd_begin(struct dl_httpd_req *req, uint16_t status,
+			       const struct dl_header *headers, size_t count,
+			       size_t length);
 /* Queues bytes; false: the client is slow, wait for drained(). */
 bool dl_httpd_send(struct dl_httpd_req *req, struct dl_str bytes);
 /* Ends a stream; if it is not complete, breaks the connection to show that. */
--- a/test/test_call.c
+++ b/test/test_call.c
@@ -29,6 +29,48 @@
 };
 /* clang-format on */
 
+struct ending_case {
+	struct dl_response_seen seen;
+	enum dl_ending ending;
+	bool whole;
+};
+
+/* Framing, ended, stream, any event, unfinished bytes. */
+static const struct ending_case endings[] = {
+	{ { DL_FRAMING_NONE, true, false, false, 0 }, DL_ENDING_BROKEN, false },
+	{ { DL_FRAMING_LENGTH, false, false, false, 0 },
+	  DL_ENDING_BROKEN,
+	  false },
+	{ { DL_FRAMING_CLOSE, false, true, true, 0 }, DL_ENDING_BROKEN, false },
+	{ { DL_FRAMING_CHUNKS, false, true, true, 7 },
+	  DL_ENDING_BROKEN,
+	  false },
+	{ { DL_FRAMING_LENGTH, true, false, false, 0 },
+	  DL_ENDING_MARKED,
+	  true },
+	{ { DL_FRAMING_CLOSE, true, false, false, 0 },
+	  DL_ENDING_UNMARKED,
+	  true },
+	{ { DL_FRAMING_CHUNKS, true, true, true, 0 }, DL_ENDING_MARKED, true },
+	{ { DL_FRAMING_CHUNKS, true, true, false, 0 }, DL_ENDING_MARKED, true },
+	{ { DL_FRAMING_CLOSE, true, true, true, 0 }, DL_ENDING_UNMARKED, true },
+	{ { DL_FRAMING_CLOSE, true, true, false, 0 },
+	  DL_ENDING_NO_EVENT,
+	  false },
+	{ { DL_FRAMING_CLOSE, true, true, true, 1 },
+	  DL_ENDING_INSIDE_EVENT,
+	  false },
+	{ { DL_FRAMING_CLOSE, true, true, false, 1 },
+	  DL_ENDING_INSIDE_EVENT,
+	  false },
+	{ { DL_FRAMING_CHUNKS, true, true, true, 1 },
+	  DL_ENDING_INSIDE_EVENT,
+	  false },
+	{ { DL_FRAMING_LENGTH, true, true, true, 1 },
+	  DL_ENDING_INSIDE_EVENT,
+	  false },
+};
+
 struct status_case {
 	uint16_t status;
 	enum dl_outcome whole;
@@ -244,6 +286,15 @@
 }
 END_TEST
 
+START_TEST(response_without_its_end_is_not_whole)
+{
+	const struct ending_case *c = &endings[_i];
+
+	ck_assert_int_eq(dl_response_ending(&c->seen), c->ending);
+	ck_assert(dl_ending_is_whole(c->ending) == c->whole);
+}
+END_TEST
+
 START_TEST(stream_by_offset)
 {
 	struct dl_stream s = { .request = 7, .incarnation = 2, .offset = 10 };
@@ -341,6 +392,8 @@
 			    sizeof(nexts) / sizeof(nexts[0]));
 	tcase_add_test(t, refused_connects_leave_budget_unchanged);
 	tcase_add_test(t, retry_budget_is_proportional);
+	tcase_add_loop_test(t, response_without_its_end_is_not_whole, 0,
+			    sizeof(endings) / sizeof(endings[0]));
 	tcase_add_test(t, stream_by_offset);
 	tcase_add_test(t, hop_time_excludes_margin);
 	tcase_add_test(t, connection_reuse_is_limited);
--- a/test/test_explain.c
+++ b/test/test_explain.c
@@ -208,6 +208,42 @@
 }
 END_TEST
 
+/* Log lines whose response ended without a mark, or inside an event. */
+START_TEST(end_that_shows_a_broken_stream_is_named)
+{
+	static const struct {
+		const char *line, *part;
+	} cases[] = {
+		{ STAMP "WARN  relay: An attempt broke. endpoint=e broke=2 "
+			"events=3 end=inside-event",
+		  "e ended its stream inside an event after 3 events" },
+		{ STAMP "WARN  relay: An attempt broke. endpoint=e broke=2 "
+			"events=0 end=no-event",
+		  "e ended its stream before the first event" },
+		{ STAMP "WARN  relay: An attempt broke. endpoint=e broke=2 "
+			"events=3 end=broken",
+		  "e closed the connection after 3 events" },
+		{ ENDED "outcome=done endpoint=e ms=5 end=unmarked",
+		  "only the end of the connection marked" },
+	};
+	char out[EXPLAIN_TEXT_MAX];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct dl_logline l = read_line(cases[i].line);
+
+		explain_line(&l, out);
+		ck_assert_msg(strstr(out, cases[i].part) != NULL, "%s", out);
+	}
+	{
+		struct dl_logline l =
+			read_line(ENDED "outcome=done ms=5 end=marked");
+
+		explain_line(&l, out);
+		ck_assert_ptr_null(strstr(out, "only the end"));
+	}
+}
+END_TEST
+
 START_TEST(unknown_id_has_no_lines)
 {
 	json_t *all = lines_of("none");
@@ -229,6 +265,7 @@
 	tcase_add_test(t, largest_part_of_late_requests);
 	tcase_add_test(t, call_is_late_by_its_total_time);
 	tcase_add_test(t, all_lines_of_one_request_in_order);
+	tcase_add_test(t, end_that_shows_a_broken_stream_is_named);
 	tcase_add_test(t, unknown_id_has_no_lines);
 	suite_add_tcase(s, t);
 	return suite_run(s);
