Test: responses that end early, walked by a table, failing

Callers of HTTP/1.0, 1.0 that keeps the connection, 1.1 and a later minor version walk the whole table for resumable streams, streams that run once, repeatable and unrepeatable calls, the same forwarded by another VM, groups, and the native API; LF and CR LF. A cell holds if the caller gets the whole body, or sees that it is broken off; a whole stream has to reach its caller as it comes, or its endpoint does not go on.

--- /dev/null
+++ b/test/fake/ending.c
@@ -0,0 +1,318 @@
+/* Responses that end as the request says; see the header. */
+#include "ending.h"
+
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define TICK_MS 10
+
+const char *const fake_framing_names[FAKE_FRAMINGS] = {
+	[FAKE_FRAMED_BY_LENGTH] = "length",
+	[FAKE_FRAMED_BY_CHUNKS] = "chunks",
+	[FAKE_FRAMED_BY_CLOSE] = "close",
+};
+const char *const fake_stop_names[FAKE_STOPS] = {
+	[FAKE_STOP_NO_BODY] = "nobody",
+	[FAKE_STOP_IN_LINE] = "inline",
+	[FAKE_STOP_AFTER_LINE] = "afterline",
+	[FAKE_STOP_BEFORE_BLANK] = "beforeblank",
+	[FAKE_STOP_BETWEEN] = "between",
+	[FAKE_STOP_LAST] = "last",
+};
+const char *const fake_how_names[FAKE_HOWS] = {
+	[FAKE_HOW_WHOLE] = "whole", [FAKE_HOW_CLOSE] = "close",
+	[FAKE_HOW_RESET] = "reset", [FAKE_HOW_SILENCE] = "silence",
+	[FAKE_HOW_CRASH] = "crash",
+};
+const char *const fake_eol_names[FAKE_EOLS] = {
+	[FAKE_EOL_LF] = "lf",
+	[FAKE_EOL_CRLF] = "crlf",
+};
+
+/* A response under way. */
+struct response {
+	struct fake_request *req;
+	struct fake_ending ending;
+	fake_ending_event *event;
+	char *request, *heard;
+	int next; /* event to be sent */
+	bool first;
+	bool waits; /* for the caller to have an event */
+	bool held;  /* silent from now on */
+};
+
+static uv_timer_t timer;
+static GPtrArray *responses; /* NULL before the first one */
+
+static void response_free(gpointer p)
+{
+	struct response *r = p;
+
+	g_free(r->request);
+	g_free(r->heard);
+	g_free(r);
+}
+
+void fake_ending_numbered(int n, const char *request, GString *out)
+{
+	g_string_append_printf(out, "id: %d\ndata: e%d\n\n", n, n);
+}
+
+/* Appends a text whose lines end in LF with the ends of line asked for. */
+static void append_text(enum fake_eol eol, const char *s, size_t n,
+			GString *out)
+{
+	for (size_t i = 0; i < n; i++) {
+		if (s[i] == '\n' && eol == FAKE_EOL_CRLF)
+			g_string_append_c(out, '\r');
+		g_string_append_c(out, s[i]);
+	}
+}
+
+void fake_ending_events(const struct fake_ending *ending,
+			fake_ending_event *event, const char *request, int from,
+			int to, GString *out)
+{
+	GString *text = g_string_new(NULL);
+
+	for (int n = from; n <= to; n++)
+		event(n, request, text);
+	append_text(ending->eol, text->str, text->len, out);
+	g_string_free(text, TRUE);
+}
+
+void fake_ending_format(const struct fake_ending *ending, GString *out)
+{
+	g_string_append_printf(out, "ending-%s-%s-%s-%s-%s",
+			       fake_framing_names[ending->framing],
+			       fake_stop_names[ending->stop],
+			       fake_how_names[ending->how],
+			       fake_eol_names[ending->eol], ending->key);
+}
+
+static int index_of(const char *const *names, int n, const char *word)
+{
+	for (int i = 0; i < n; i++) {
+		if (g_str_equal(names[i], word))
+			return i;
+	}
+	return -1;
+}
+
+bool fake_ending_find(struct dl_str text, struct fake_ending *out)
+{
+	static const char mark[] = "ending-";
+	const char *at = memmem(text.s, text.n, mark, sizeof(mark) - 1);
+	char framing[16], stop[16], how[16], eol[16], *copy;
+	int found[4], words;
+
+	if (!at)
+		return false;
+	copy = g_strndup(at, (size_t)(text.s + text.n - at));
+	words = sscanf(copy,
+		       "ending-%15[a-z]-%15[a-z]-%15[a-z]-%15[a-z]-"
+		       "%31[a-zA-Z0-9_]",
+		       framing, stop, how, eol, out->key);
+	g_free(copy);
+	if (words != 5)
+		return false;
+	found[0] = index_of(fake_framing_names, FAKE_FRAMINGS, framing);
+	found[1] = index_of(fake_stop_names, FAKE_STOPS, stop);
+	found[2] = index_of(fake_how_names, FAKE_HOWS, how);
+	found[3] = index_of(fake_eol_names, FAKE_EOLS, eol);
+	out->framing = (enum fake_framing)found[0];
+	out->stop = (enum fake_stop)found[1];
+	out->how = (enum fake_how)found[2];
+	out->eol = (enum fake_eol)found[3];
+	return found[0] >= 0 && found[1] >= 0 && found[2] >= 0 && found[3] >= 0;
+}
+
+char *fake_ending_begun_file(const char *folder, const char *key)
+{
+	return g_strdup_printf("%s/%s", folder, key);
+}
+
+char *fake_ending_heard_file(const char *folder, const char *key)
+{
+	return g_strdup_printf("%s/%s.heard", folder, key);
+}
+
+/* Whether this endpoint is the first that gets the key. */
+static bool is_first(const char *folder, const char *key)
+{
+	char *path = fake_ending_begun_file(folder, key);
+	int fd = open(path, O_WRONLY | O_CREAT | O_EXCL, 0600);
+
+	g_free(path);
+	if (fd >= 0)
+		close(fd);
+	return fd >= 0;
+}
+
+/* Sends a part of the body, framed. */
+static void send_body(const struct response *r, const char *s, size_t n)
+{
+	GString *out = g_string_new(NULL);
+
+	if (n == 0) {
+		g_string_free(out, TRUE);
+		return;
+	}
+	if (r->ending.framing == FAKE_FRAMED_BY_CHUNKS)
+		g_string_append_printf(out, "%zx\r\n", n);
+	g_string_append_len(out, s, (gssize)n);
+	if (r->ending.framing == FAKE_FRAMED_BY_CHUNKS)
+		g_string_append(out, "\r\n");
+	fake_reply_raw(r->req, (struct dl_str){ out->str, out->len });
+	g_string_free(out, TRUE);
+}
+
+static void send_head(const struct response *r,
+		      const struct fake_ending_conf *conf)
+{
+	GString *out = g_string_new("HTTP/1.1 200 OK\r\n");
+	GString *whole = g_string_new(NULL);
+
+	for (const struct fake_header *h = conf->headers; h->name; h++)
+		g_string_append_printf(out, "%s: %s\r\n", h->name, h->value);
+	fake_ending_events(&r->ending, r->event, r->request, r->next,
+			   FAKE_ENDING_EVENTS, whole);
+	if (r->ending.framing == FAKE_FRAMED_BY_LENGTH)
+		g_string_append_printf(out, "Content-Length: %zu\r\n",
+				       whole->len);
+	if (r->ending.framing == FAKE_FRAMED_BY_CHUNKS)
+		g_string_append(out, "Transfer-Encoding: chunked\r\n");
+	g_string_append(out, "Connection: close\r\n\r\n");
+	fake_reply_raw(r->req, (struct dl_str){ out->str, out->len });
+	g_string_free(whole, TRUE);
+	g_string_free(out, TRUE);
+}
+
+/* Sends the part of an event that comes before the stop. */
+static void send_part(const struct response *r)
+{
+	GString *event = g_string_new(NULL), *part = g_string_new(NULL);
+	size_t n = 0;
+
+	r->event(FAKE_ENDING_BROKEN, r->request, event);
+	switch (r->ending.stop) {
+	case FAKE_STOP_IN_LINE:
+		n = strlen("id");
+		break;
+	case FAKE_STOP_AFTER_LINE:
+		n = strcspn(event->str, "\n") + 1;
+		break;
+	case FAKE_STOP_BEFORE_BLANK:
+		n = event->len - 1;
+		break;
+	default:
+		break;
+	}
+	append_text(r->ending.eol, event->str, n, part);
+	send_body(r, part->str, part->len);
+	g_string_free(event, TRUE);
+	g_string_free(part, TRUE);
+}
+
+static void finish(struct response *r)
+{
+	enum fake_how how = r->first ? r->ending.how : FAKE_HOW_WHOLE;
+
+	switch (how) {
+	case FAKE_HOW_SILENCE:
+	case FAKE_HOW_CRASH:
+		r->held = true;
+		return;
+	case FAKE_HOW_WHOLE:
+		if (r->ending.framing == FAKE_FRAMED_BY_CHUNKS)
+			fake_reply_raw(r->req, DL_STR("0\r\n\r\n"));
+		break;
+	default:
+		break;
+	}
+	fake_reply_drop(r->req, how == FAKE_HOW_RESET);
+	g_ptr_array_remove(responses, r);
+}
+
+/* Whether the response has come to where it stops. */
+static bool is_at_stop(const struct response *r)
+{
+	if (r->next > FAKE_ENDING_EVENTS)
+		return true;
+	if (!r->first || r->ending.stop == FAKE_STOP_LAST)
+		return false;
+	return r->ending.stop == FAKE_STOP_NO_BODY ||
+	       r->next >= FAKE_ENDING_BROKEN;
+}
+
+/* Sends the next event, or ends the response. */
+static void step(struct response *r)
+{
+	GString *out;
+
+	if (r->held)
+		return;
+	if (is_at_stop(r)) {
+		if (r->next == FAKE_ENDING_BROKEN)
+			send_part(r);
+		finish(r);
+		return;
+	}
+	if (r->waits && r->next == FAKE_ENDING_EVENTS &&
+	    access(r->heard, F_OK) != 0)
+		return;
+	out = g_string_new(NULL);
+	fake_ending_events(&r->ending, r->event, r->request, r->next, r->next,
+			   out);
+	send_body(r, out->str, out->len);
+	g_string_free(out, TRUE);
+	r->next++;
+}
+
+static void on_tick(uv_timer_t *handle)
+{
+	for (guint i = responses->len; i > 0; i--)
+		step(responses->pdata[i - 1]);
+}
+
+bool fake_ending_serve(uv_loop_t *loop, struct fake_request *req,
+		       struct dl_str text, const struct fake_ending_conf *conf)
+{
+	struct fake_ending ending;
+	struct response *r;
+
+	if (!conf->folder || !fake_ending_find(text, &ending))
+		return false;
+	if (!responses) {
+		responses = g_ptr_array_new_with_free_func(response_free);
+		uv_timer_init(loop, &timer);
+		uv_timer_start(&timer, on_tick, 0, TICK_MS);
+	}
+	r = g_new0(struct response, 1);
+	r->req = req;
+	r->ending = ending;
+	r->event = conf->event;
+	r->request = g_strdup(conf->request);
+	r->heard = fake_ending_heard_file(conf->folder, ending.key);
+	r->next = conf->after + 1;
+	r->first = is_first(conf->folder, ending.key);
+	r->waits = conf->stream && r->first && ending.how == FAKE_HOW_WHOLE;
+	g_ptr_array_add(responses, r);
+	send_head(r, conf);
+	return true;
+}
+
+bool fake_ending_closed(const struct fake_request *req)
+{
+	for (guint i = 0; responses && i < responses->len; i++) {
+		const struct response *r = responses->pdata[i];
+
+		if (r->req != req)
+			continue;
+		g_ptr_array_remove_index(responses, i);
+		return true;
+	}
+	return false;
+}
--- a/test/fake/http.h
+++ b/test/fake/http.h
@@ -52,6 +52,14 @@
 /* Aborts the reply and its connection; closed() is not called. */
 void fake_reply_abort(struct fake_request *req);
 
+/* Writes bytes to the client as they are, in place of a reply. */
+void fake_reply_raw(struct fake_request *req, struct dl_str bytes);
+/*
+ * Ends the connection after raw bytes, in order or by a reset; closed() is not
+ * called.
+ */
+void fake_reply_drop(struct fake_request *req, bool reset);
+
 /* Ignores SIGPIPE, so that writes fail with EPIPE; must be called first. */
 void fake_ignore_sigpipe(void);
 
--- a/test/fake/http_server.c
+++ b/test/fake/http_server.c
@@ -3,8 +3,11 @@
 #include <errno.h>
 #include <glib.h>
 #include <h2o.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "http.h"
 
@@ -190,6 +193,27 @@
 	flush(r);
 }
 
+void fake_reply_raw(struct fake_request *r, struct dl_str bytes)
+{
+	int fd = h2o_socket_get_fd(r->sock);
+
+	/* A client that has left is reported by closed(). */
+	if (write(fd, bytes.s, bytes.n) < 0 && errno != EPIPE &&
+	    errno != ECONNRESET)
+		perror("raw reply");
+}
+
+void fake_reply_drop(struct fake_request *r, bool reset)
+{
+	const struct sockaddr none = { .sa_family = AF_UNSPEC };
+	int fd = h2o_socket_get_fd(r->sock);
+
+	/* h2o's own bytes find the connection ended. */
+	if (reset ? connect(fd, &none, sizeof(none)) : shutdown(fd, SHUT_RDWR))
+		perror("drop");
+	fake_reply_abort(r);
+}
+
 static int on_request(h2o_handler_t *self, h2o_req_t *req)
 {
 	struct fake_server *server = ((struct handler *)self)->server;
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -16,6 +16,7 @@
 #include <uv.h>
 
 #include "fake/answer.h"
+#include "fake/ending.h"
 #include "fake/engine.h"
 #include "fake/http.h"
 #include "fake/sign.h"
@@ -147,6 +148,7 @@
 	char *record;
 	char *key_file;
 	char *fault;
+	char *endings;
 	int fault_times;
 	gboolean plain;
 	gboolean ignores_fencing;
@@ -207,6 +209,8 @@
 	  "NAME" },
 	{ "fault-times", 0, 0, G_OPTION_ARG_INT, &opt.fault_times,
 	  "how often to simulate it; -1 for always", "N" },
+	{ "endings", 0, 0, G_OPTION_ARG_FILENAME, &opt.endings,
+	  "end responses as requests say, with the state in", "FOLDER" },
 	{ "ignores-fencing", 0, 0, G_OPTION_ARG_NONE, &opt.ignores_fencing,
 	  "accept orders with outdated fences", NULL },
 	{ "no-groups", 0, 0, G_OPTION_ARG_NONE, &opt.no_groups,
@@ -1253,11 +1257,52 @@
 	return true;
 }
 
+/* One event of a completion; the last one is its usage and its end. */
+static void completion_event(int n, const char *request, GString *out)
+{
+	if (n < FAKE_ENDING_EVENTS)
+		g_string_append_printf(out,
+				       "data: {\"id\":\"%s\",\"index\":%d,"
+				       "\"choices\":[{\"text\":\"e%d\"}]}\n\n",
+				       request, n - 1, n);
+	else
+		g_string_append_printf(
+			out,
+			"data: {\"id\":\"%s\",\"choices\":[{\"text\":\"\"}],"
+			"\"usage\":{\"prompt_tokens\":9,"
+			"\"completion_tokens\":3}}\n\ndata: [DONE]\n\n",
+			request);
+}
+
+/* Responds to a request that says how its response ends; false for others. */
+static bool serve_ending(struct fake_request *req)
+{
+	struct dl_str text = opt.plain ? fake_request_path(req) :
+					 fake_request_body(req);
+	char *id = dup_str(fake_request_header(req, "daisyledge-request"));
+	uint64_t after = 0;
+	struct fake_ending_conf conf = {
+		.folder = opt.endings,
+		.event = opt.plain ? fake_ending_numbered : completion_event,
+		.headers = opt.plain ? json_headers : sse_headers,
+		.request = id,
+		.stream = !opt.plain,
+	};
+	bool served;
+
+	dl_str_to_u64(fake_request_header(req, "daisyledge-resume-offset"),
+		      &after);
+	conf.after = (int)after;
+	served = fake_ending_serve(state.loop, req, text, &conf);
+	g_free(id);
+	return served;
+}
+
 static void on_request(void *arg, struct fake_request *req)
 {
 	char *path = dup_str(fake_request_path(req));
 	struct dl_str method = fake_request_method(req);
-	bool served = serve_delete(req, path);
+	bool served = serve_delete(req, path) || serve_ending(req);
 
 	for (size_t i = 0; i < ROUTES && !served; i++) {
 		const struct route *d = &routes[i];
@@ -1279,7 +1324,7 @@
 {
 	struct job *job = fake_request_owner(req);
 
-	if (!job)
+	if (fake_ending_closed(req) || !job)
 		return;
 	job->reply = NULL;
 	job->detached_at = now_ms();
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -14,6 +14,7 @@
 #include <unistd.h>
 #include <uv.h>
 
+#include "fake/ending.h"
 #include "fake/http.h"
 
 #define HEARTBEAT_MS	 300
@@ -29,7 +30,7 @@
 static struct {
 	char *listen, *control, *service, *instance, *zone, *record, *fault;
 	char *crash_on;
-	char *limit, *arrivals, *shed, *orders;
+	char *limit, *arrivals, *shed, *orders, *endings;
 	char **argv;
 	int instance_crashes;
 	int slots, events, event_ms, first_event_ms;
@@ -78,6 +79,8 @@
 	  "crash on a request whose path contains this", "TEXT" },
 	{ "limit", 0, 0, G_OPTION_ARG_STRING, &opt.limit,
 	  "requests per second to announce in responses", "N" },
+	{ "endings", 0, 0, G_OPTION_ARG_FILENAME, &opt.endings,
+	  "end responses as requests say, with the state in folder F", "F" },
 	{ "arrivals", 0, 0, G_OPTION_ARG_FILENAME, &opt.arrivals,
 	  "append time, instance, attempt and result of each request", "F" },
 	{ "fault", 0, 0, G_OPTION_ARG_STRING, &opt.fault,
@@ -282,6 +285,28 @@
 	return leaving ? "1" : opt.limit;
 }
 
+/* Responds to a request that says how its response ends; false for others. */
+static bool serve_ending(struct fake_request *req, const char *attempt)
+{
+	const struct fake_header headers[] = {
+		{ "Content-Type",
+		  opt.plain ? "text/plain" : "text/event-stream" },
+		{ "Daisyledge-Attempt-Id", attempt },
+		{ "Daisyledge-Response-Stamp", opt.instance },
+		{ NULL, NULL },
+	};
+	uint64_t after = 0;
+	struct fake_ending_conf conf = { .folder = opt.endings,
+					 .event = fake_ending_numbered,
+					 .headers = headers,
+					 .request = attempt,
+					 .stream = !opt.plain };
+
+	dl_str_to_u64(header(req, "last-event-id"), &after);
+	conf.after = (int)after;
+	return fake_ending_serve(loop, req, fake_request_path(req), &conf);
+}
+
 static void begin_stream(struct fake_request *req, const char *attempt)
 {
 	const struct fake_header headers[] = {
@@ -432,6 +457,8 @@
 	snprintf(attempt, sizeof(attempt), "%.*s", (int)MIN(id.n, 60), id.s);
 	if (strcmp(opt.fault, "foreign") == 0)
 		snprintf(attempt, sizeof(attempt), "another");
+	if (serve_ending(req, attempt))
+		return;
 	if (opt.plain)
 		reply_plain(req, attempt);
 	else
@@ -442,6 +469,8 @@
 {
 	struct job *job = fake_request_owner(req);
 
+	if (fake_ending_closed(req))
+		return;
 	if (job)
 		g_ptr_array_remove(jobs, job);
 	g_free(job);
