Protocol: one reader of server-sent events, for LF, CR LF and CR

What callers saw: of a stream whose lines end in CR LF nothing until its end, in one piece. Events were split in two places, by LF LF alone: in dl_sse_next() for the native API and in entry_relay.c for routed streams.

Change: dl_sse_next() returns each event with its bytes, type, data and id, at the byte that ends it, in any of the three ends of line; relay and native API both use it.

Tests: events_in_any_fragments now also checks bytes, type, data and id, for four mixes of line ends; it was one mix and a count. event_is_not_held_back and rest_of_a_stream_that_is_no_event are new.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -516,7 +516,7 @@
 {
 	struct dl_sse sse;
 	char event[160];
-	struct dl_str data;
+	struct dl_sse_event sse_event;
 	uint64_t bytes = 0;
 
 	dl_sse_open(&sse);
@@ -532,9 +532,9 @@
 		bytes += (uint64_t)n;
 		die_on_error(
 			dl_sse_feed(&sse, (struct dl_str){ event, (size_t)n }));
-		while (dl_sse_next(&sse, &data)) {
-			die_on_error(
-				dl_chunk_parse(data, false, &chunk, &text));
+		while (dl_sse_next(&sse, &sse_event)) {
+			die_on_error(dl_chunk_parse(sse_event.data, false,
+						    &chunk, &text));
 			json_decref(text);
 		}
 	}
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -109,7 +109,7 @@
 	bool not_run;		 /* the request was not executed */
 	bool wrong_request;	 /* its id is of another request */
 	bool is_event_stream;	 /* forwarded event by event */
-	bool event_too_long;	 /* an event exceeds EVENT_MAX */
+	bool event_too_long;	 /* an event exceeds the limit */
 	bool leaving;		 /* the endpoint is shutting down */
 	bool backoff_requested;	 /* for retry_after_ms */
 	uint32_t retry_after_ms; /* 0: not given */
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -14,7 +14,6 @@
 #include "platform/platform.h"
 
 #define HELD_BODY_MAX (8u << 20)
-#define EVENT_MAX     (1u << 20)
 #define TRIES_MAX     4 /* grants of a request, usable or not */
 /*
  * Failures that cost the endpoint nothing and are reported to the dispatcher:
@@ -224,6 +223,7 @@
 	if (!c->response_buf)
 		c->response_buf = g_string_new(NULL);
 	g_string_truncate(c->response_buf, 0);
+	dl_sse_close(&c->sse);
 	send_to(c, to);
 }
 
@@ -358,33 +358,6 @@
 		keep_headers(c, head, c->route.head.is_event_stream);
 }
 
-/* Returns the id of an event; 0: none. */
-static uint64_t event_id(struct dl_str event)
-{
-	const char *at = event.s, *end = event.s + event.n;
-	uint64_t id = 0;
-
-	while (at < end) {
-		const char *line = memchr(at, '\n', (size_t)(end - at));
-		size_t n = (size_t)((line ? line : end) - at);
-
-		if (n > 3 && memcmp(at, "id:", 3) == 0) {
-			struct dl_str digits = { at + 3, n - 3 };
-
-			while (digits.n && digits.s[0] == ' ') {
-				digits.s++;
-				digits.n--;
-			}
-			if (digits.n && digits.s[digits.n - 1] == '\r')
-				digits.n--;
-			if (dl_str_to_u64(digits, &id))
-				return id;
-		}
-		at += n + 1;
-	}
-	return 0;
-}
-
 static void begin_response(struct call *c)
 {
 	struct dl_header headers[DL_DIALECT_HEADERS_MAX];
@@ -408,13 +381,11 @@
 }
 
 /* Forwards a complete event; drops one that the caller already has. */
-static bool relay_event(struct call *c, struct dl_str event)
+static bool relay_event(struct call *c, const struct dl_sse_event *event)
 {
-	uint64_t id = event_id(event);
-
 	c->attempt_events++;
-	if (id && (c->route.resumes || c->relayed) &&
-	    id <= c->route.last_event_id)
+	if (event->id && (c->route.resumes || c->relayed) &&
+	    event->id <= c->route.last_event_id)
 		return true;
 	if (!c->first_byte_at) {
 		c->first_byte_at = entry_now(c->e);
@@ -424,32 +395,25 @@
 	}
 	if (!c->response_started)
 		begin_response(c);
-	if (id)
-		c->route.last_event_id = id;
+	if (event->id)
+		c->route.last_event_id = event->id;
 	note_pause(c);
 	c->relayed++;
-	return dl_httpd_send(c->http, event);
+	return dl_httpd_send(c->http, event->bytes);
 }
 
-/* Forwards the complete events among the bytes received. */
-static bool relay_events(struct call *c)
+/* Forwards the events that are whole with the bytes received now. */
+static bool relay_events(struct call *c, struct dl_str piece)
 {
-	size_t used = 0;
+	struct dl_sse_event event;
 	bool go_on = true;
 
-	while (used < c->response_buf->len) {
-		const char *from = c->response_buf->str + used;
-		const char *end =
-			memmem(from, c->response_buf->len - used, "\n\n", 2);
-		struct dl_str event;
-
-		if (!end)
-			break;
-		event = (struct dl_str){ from, (size_t)(end - from) + 2 };
-		used += event.n;
-		go_on = relay_event(c, event);
+	if (dl_sse_feed(&c->sse, piece)) {
+		c->route.head.event_too_long = true;
+		return true;
 	}
-	g_string_erase(c->response_buf, 0, (gssize)used);
+	while (dl_sse_next(&c->sse, &event))
+		go_on = relay_event(c, &event);
 	return go_on;
 }
 
@@ -461,11 +425,9 @@
 		return true;
 	if (c->response_started && !c->route.head.is_event_stream)
 		return dl_httpd_send(c->http, piece);
+	if (c->route.head.is_event_stream)
+		return relay_events(c, piece);
 	g_string_append_len(c->response_buf, piece.s, (gssize)piece.n);
-	if (c->route.head.is_event_stream) {
-		c->route.head.event_too_long = c->response_buf->len > EVENT_MAX;
-		return relay_events(c);
-	}
 	if (c->response_buf->len > HELD_BODY_MAX) {
 		begin_response(c);
 		dl_httpd_send(c->http, (struct dl_str){ c->response_buf->str,
@@ -498,6 +460,9 @@
 	struct dl_str rest = { c->response_buf->str, c->response_buf->len };
 	size_t n;
 
+	if (c->route.head.is_event_stream)
+		rest = dl_sse_rest(&c->sse);
+
 	call_settle(c,
 		    c->status >= STATUS_ERROR ? DL_OUTCOME_FAILED :
 						DL_OUTCOME_DONE,
@@ -590,7 +555,7 @@
 		return;
 	}
 	call_note_ending(c, attempt, c->route.head.is_event_stream,
-			 c->response_buf->len);
+			 dl_sse_unfinished(&c->sse));
 	entry_quarantine_attempt_ended(c, &a, err);
 	/* A resumed stream that gets an error is not complete. */
 	complete = a.received == DL_RECV_COMPLETE &&
--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -389,7 +389,7 @@
 static bool on_model_body(void *arg, struct dl_str piece)
 {
 	struct call *c = arg;
-	struct dl_str data;
+	struct dl_sse_event event;
 	bool go_on = true;
 
 	if (c->status != 200) {
@@ -402,8 +402,11 @@
 		c->sse_bad = true;
 		return true;
 	}
-	while (!c->sse_bad && dl_sse_next(&c->sse, &data))
-		go_on = handle_chunk(c, data);
+	while (!c->sse_bad && dl_sse_next(&c->sse, &event)) {
+		/* Other types of events are not a part of the completion. */
+		if (event.data.n && event.type.n == 0)
+			go_on = handle_chunk(c, event.data);
+	}
 	return go_on;
 }
 
@@ -523,7 +526,7 @@
 	}
 	call_note_ending(c, attempt,
 			 c->kind == DL_POOL_MODEL && c->status == 200,
-			 c->sse.n - c->sse.consumed);
+			 dl_sse_unfinished(&c->sse));
 	entry_quarantine_attempt_ended(c, &a, err);
 	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
 	call_fill_usage(c, &a, c->used_prompt, c->used_output,
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -477,29 +477,127 @@
 }
 END_TEST
 
+#define SSE_EVENTS 4
+
+/* A stream in each end of line, and its events. */
+static const char *const sse_streams[] = {
+	": hello\n\ndata: {\"a\":1}\n\n"
+	"id: 7\nevent: x\ndata: y\n\ndata: [DONE]\n\n",
+	": hello\r\n\r\ndata: {\"a\":1}\r\n\r\n"
+	"id: 7\r\nevent: x\r\ndata: y\r\n\r\ndata: [DONE]\r\n\r\n",
+	": hello\r\rdata: {\"a\":1}\r\r"
+	"id: 7\revent: x\rdata: y\r\rdata: [DONE]\r\r",
+	": hello\r\n\ndata: {\"a\":1}\n\r\n"
+	"id: 7\nevent: x\r\ndata: y\r\n\r\ndata: [DONE]\n\n",
+};
+
+static const struct {
+	const char *type, *data;
+	uint64_t id;
+} sse_events[SSE_EVENTS] = {
+	{ "", "", 0 },
+	{ "", "{\"a\":1}", 0 },
+	{ "x", "y", 7 },
+	{ "", "[DONE]", 0 },
+};
+
 START_TEST(events_in_any_fragments)
 {
-	static const char stream[] = ": hello\n\ndata: {\"a\":1}\n\n"
-				     "event: x\ndata: y\n\ndata: [DONE]\n\n";
-	size_t n = sizeof(stream) - 1;
+	struct dl_str stream = dl_str_of(sse_streams[_i]);
 
-	for (size_t cut = 1; cut < n; cut++) {
-		struct dl_str data;
+	for (size_t cut = 1; cut <= stream.n; cut++) {
+		GString *forwarded = g_string_new(NULL);
+		struct dl_sse_event event;
 		struct dl_sse sse;
 		int events = 0;
 
 		dl_sse_open(&sse);
-		for (size_t at = 0; at < n; at += cut) {
+		for (size_t at = 0; at < stream.n; at += cut) {
 			ck_assert_int_eq(
-				dl_sse_feed(
-					&sse,
-					(struct dl_str){ stream + at,
-							 MIN(cut, n - at) }),
+				dl_sse_feed(&sse,
+					    (struct dl_str){
+						    stream.s + at,
+						    MIN(cut, stream.n - at) }),
 				0);
-			while (dl_sse_next(&sse, &data))
+			while (dl_sse_next(&sse, &event)) {
+				ck_assert_int_lt(events, SSE_EVENTS);
+				ck_assert(dl_str_eq(
+					event.type,
+					dl_str_of(sse_events[events].type)));
+				ck_assert(dl_str_eq(
+					event.data,
+					dl_str_of(sse_events[events].data)));
+				ck_assert_uint_eq(event.id,
+						  sse_events[events].id);
+				g_string_append_len(forwarded, event.bytes.s,
+						    (gssize)event.bytes.n);
 				events++;
+			}
 		}
-		ck_assert_int_eq(events, 2);
+		ck_assert_int_eq(events, SSE_EVENTS);
+		ck_assert_uint_eq(dl_sse_unfinished(&sse), 0);
+		ck_assert_uint_eq(dl_sse_rest(&sse).n, 0);
+		ck_assert_str_eq(forwarded->str, stream.s);
+		g_string_free(forwarded, TRUE);
+		dl_sse_close(&sse);
+	}
+}
+END_TEST
+
+/* Each event is returned with the byte that ends it, and not before. */
+START_TEST(event_is_not_held_back)
+{
+	struct dl_str stream = dl_str_of(sse_streams[_i]);
+	struct dl_sse_event event;
+	struct dl_sse sse;
+	size_t whole = 0;
+
+	dl_sse_open(&sse);
+	for (size_t at = 0; at < stream.n; at++) {
+		ck_assert_int_eq(
+			dl_sse_feed(&sse, (struct dl_str){ stream.s + at, 1 }),
+			0);
+		if (!dl_sse_next(&sse, &event))
+			continue;
+		whole += event.bytes.n;
+		ck_assert_uint_eq(whole, at + 1);
+	}
+	ck_assert_uint_eq(whole, stream.n);
+	dl_sse_close(&sse);
+}
+END_TEST
+
+START_TEST(rest_of_a_stream_that_is_no_event)
+{
+	static const struct {
+		const char *stream;
+		size_t unfinished;
+	} cases[] = {
+		{ "", 0 },
+		{ "data: a\n\n", 0 },
+		{ "data: a\n\n\n", 0 },
+		{ "data: a\r\n\r\n\r\n", 0 },
+		{ "data: a\n\n: end\n", 0 },
+		{ "data: a\n\n: en", 4 },
+		{ "data: a\n\nd", 1 },
+		{ "data: a\n\ndata: b\n", 8 },
+		{ "data: a\n\n\ndata: b", 8 },
+		{ "data: a\r\n\r\ndata: b\r\n", 9 },
+		{ "data: a\n\nid: 4\n", 6 },
+		{ "data: a", 7 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct dl_sse_event event;
+		struct dl_sse sse;
+
+		dl_sse_open(&sse);
+		ck_assert_int_eq(dl_sse_feed(&sse, dl_str_of(cases[i].stream)),
+				 0);
+		while (dl_sse_next(&sse, &event))
+			;
+		ck_assert_msg(dl_sse_unfinished(&sse) == cases[i].unfinished,
+			      "%zu: %zu", i, dl_sse_unfinished(&sse));
 		dl_sse_close(&sse);
 	}
 }
@@ -649,7 +747,11 @@
 	tcase_add_loop_test(t, completions, 0, CASES(completion_cases));
 	tcase_add_test(t, endpoint_body);
 	tcase_add_loop_test(t, announcements, 0, CASES(announcement_cases));
-	tcase_add_test(t, events_in_any_fragments);
+	tcase_add_loop_test(t, events_in_any_fragments, 0,
+			    G_N_ELEMENTS(sse_streams));
+	tcase_add_loop_test(t, event_is_not_held_back, 0,
+			    G_N_ELEMENTS(sse_streams));
+	tcase_add_test(t, rest_of_a_stream_that_is_no_event);
 	tcase_add_test(t, event_size_is_bounded);
 	tcase_add_test(t, signatures);
 	tcase_add_loop_test(t, settings, 0, CASES(settings_cases));
