Entry: a stream that ends inside an event has been broken off

What callers saw: a stream whose endpoint crashed in the middle of an event came as a complete answer, without the rest; nobody was asked to go on.

Cause: a response with neither a length nor chunks ends with its connection, and the entry took every orderly end of it for the end of the response. A process that crashes closes its connections in order. What had come of the last event was sent on, and the caller's own framing was ended as complete.

Fix: on_end() asks dl_ending_is_whole(), whatever frames the response; a stream that ended inside an event, or, without a length or chunks, before the first one, counts as reset in its body: it is resumed where that is allowed, else broken off. The counter streams_cut_short tells how often. A stream that stops between two events and has neither length nor chunks cannot be told from a whole one.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -23,6 +23,8 @@
 	X(bad_requests, "invalid requests")                                    \
 	X(streams_open, "requests in flight")                                  \
 	X(buffered_bytes, "request bytes buffered")                            \
+	X(streams_cut_short,                                                   \
+	  "streams that ended early though their connection ended in order")   \
 	X(retries_total, "attempts after the first one of a request")          \
 	X(grants_total, "grants issued by this VM's dispatchers")              \
 	X(backoffs_total, "times an endpoint asked this VM to back off")       \
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -437,9 +437,14 @@
 	return true;
 }
 
-/* Returns the result of the attempt, adjusted by the head of the response. */
+/*
+ * Returns the result of the attempt, adjusted by the head of the response and
+ * by how that ended; sets err where only the latter shows that it is broken
+ * off.
+ */
 static struct dl_attempt classify_attempt(const struct call *c,
-					  const struct dl_attempt *attempt)
+					  const struct dl_attempt *attempt,
+					  struct dl_err *err)
 {
 	struct dl_attempt a = *attempt;
 
@@ -449,6 +454,16 @@
 		a.received = DL_RECV_HEAD;
 	} else if (c->route.head.not_run && a.received != DL_RECV_NOTHING) {
 		a.received = DL_RECV_NOT_RUN;
+	} else if (a.received == DL_RECV_COMPLETE &&
+		   !dl_ending_is_whole(c->ending)) {
+		a.failure = DL_FAILURE_RESET;
+		a.received = DL_RECV_HEAD;
+		dl_err_set(err, -EIO, DL_STEP_BODY, c->grant.endpoint[0].s,
+			   "the stream ended %s",
+			   c->ending == DL_ENDING_INSIDE_EVENT ?
+				   "inside an event" :
+				   "before its first event");
+		dl_count(DL_METRIC_streams_cut_short, 1);
 	}
 	return a;
 }
@@ -541,11 +556,12 @@
 }
 
 static void on_end(void *arg, const struct dl_attempt *attempt,
-		   const struct dl_err *err)
+		   const struct dl_err *transport_err)
 {
 	struct call *c = arg;
-	struct dl_attempt a = classify_attempt(c, attempt);
-	enum dl_outcome outcome = dl_call_outcome(&a);
+	struct dl_err err = *transport_err;
+	enum dl_outcome outcome;
+	struct dl_attempt a;
 	char via[24];
 	bool complete;
 
@@ -556,14 +572,16 @@
 	}
 	call_note_ending(c, attempt, c->route.head.is_event_stream,
 			 dl_sse_unfinished(&c->sse));
-	entry_quarantine_attempt_ended(c, &a, err);
+	a = classify_attempt(c, attempt, &err);
+	outcome = dl_call_outcome(&a);
+	entry_quarantine_attempt_ended(c, &a, &err);
 	/* A resumed stream that gets an error is not complete. */
 	complete = a.received == DL_RECV_COMPLETE &&
 		   a.failure == DL_FAILURE_NONE &&
 		   !(c->relayed && !c->route.head.is_event_stream);
 	call_fill_usage(c, &a, c->prompt_tokens, c->output_tokens,
 			c->status >= STATUS_ERROR || !complete);
-	c->usage.silent = err->code == -ETIMEDOUT;
+	c->usage.silent = err.code == -ETIMEDOUT;
 	c->usage.unjudged = !complete && entry_check_attempt_broke(c, &a);
 	if (c->usage.unjudged)
 		c->usage.failed = false;
@@ -582,12 +600,11 @@
 	       a.received, a.failure, c->status, c->route.head.retry_after_ms,
 	       c->route.head.leaving, dl_outcome_name(outcome),
 	       (unsigned long)c->relayed, c->route.head.at_fault.s,
-	       dl_step_name(err->step), err->text,
-	       (unsigned long)c->content_hash,
+	       dl_step_name(err.step), err.text, (unsigned long)c->content_hash,
 	       c->via == DL_VM_NONE ? "" : dl_vm_text(c->via, via),
 	       dl_framing_name(c->framing), dl_ending_name(c->ending));
 	if (!complete && !may_retry(c, &a)) {
-		end_failed(c, outcome, err);
+		end_failed(c, outcome, &err);
 		return;
 	}
 	if (c->relayed)
