HTTP server: a response that only its connection ends is reset where it breaks off

What callers saw: to HTTP/1.0 a stream has neither a length nor chunks, and one that was broken off came to its end in order, as a whole one does: complete and short, whatever the endpoint had done. A caller of HTTP/1.0 that keeps its connection got no end at all, since that connection was kept open, also for whole streams.

Cause: dl_httpd_finish(false) shut the socket down, which is a FIN; that is enough where a length or chunks mark the end, as HTTP/1.1 has them.

Fix: such a response has its socket reset on close from its first byte until it is complete, so that a broken one ends with a reset also where this process itself is killed, and its connection is not kept. Where a length or chunks mark the end, all is as before: a reset could lose events that the caller has not read.

--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -105,6 +105,9 @@
 	X(MEMB_UP, DL_INFO, "memb", "A VM joined.")                            \
 	X(MEMB_FULL, DL_ERROR, "memb", "A VM is ignored, too many are known.") \
 	X(MEMB_DOWN, DL_WARN, "memb", "A VM left or failed.")                  \
+	/* callers */                                                          \
+	X(CALLER_SOCKET, DL_WARN, "http",                                      \
+	  "An option of a caller's socket could not be set.")                  \
 	/* peers */                                                            \
 	X(PEER_UP, DL_DEBUG, "peers", "Connected.")                            \
 	X(PEER_DOWN, DL_INFO, "peers", "Connection lost.")                     \
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -8,6 +8,7 @@
 
 #include <h2o.h>
 
+#include "base/msg.h"
 #include "transport/sock.h"
 
 #define LISTEN_BACKLOG 1024
@@ -52,6 +53,7 @@
 	bool sending; /* h2o is sending in_flight */
 	bool finishing;
 	bool complete;
+	enum dl_framing framing; /* of a stream */
 	h2o_buffer_t *pending;	 /* not yet passed to h2o */
 	h2o_buffer_t *in_flight; /* passed to h2o */
 };
@@ -172,15 +174,24 @@
 	report_aborted((struct dl_httpd_req *)self);
 }
 
-static bool is_socket_closed(h2o_req_t *h2o)
+/* Returns the socket of a request's connection; -1 if it is gone. */
+static int socket_of(const struct dl_httpd_req *req)
 {
-	h2o_socket_t *sock = h2o->conn->callbacks->get_socket(h2o->conn);
+	h2o_conn_t *conn = req->h2o->conn;
+	h2o_socket_t *sock = conn->callbacks->get_socket(conn);
+
+	return sock ? h2o_socket_get_fd(sock) : -1;
+}
+
+static bool is_socket_closed(const struct dl_httpd_req *req)
+{
+	int fd = socket_of(req);
 	char byte;
 	ssize_t n;
 
-	if (!sock)
+	if (fd < 0)
 		return false;
-	n = recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 	if (n == 0)
 		return true;
 	return n < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
@@ -208,7 +219,7 @@
 
 	for (req = server->requests; req; req = next) {
 		next = req->next;
-		if (req->finishing || !is_socket_closed(req->h2o))
+		if (req->finishing || !is_socket_closed(req))
 			continue;
 		report_aborted(req);
 		finish_aborted(req);
@@ -505,6 +516,20 @@
 	return h2o->version == HTTP_1_1 ? DL_FRAMING_CHUNKS : DL_FRAMING_CLOSE;
 }
 
+/*
+ * Has the connection reset when it is closed, also by the end of this process,
+ * or closed in order.
+ */
+static void reset_on_close(const struct dl_httpd_req *req, bool reset)
+{
+	const struct linger linger = { .l_onoff = reset, .l_linger = 0 };
+	int fd = socket_of(req);
+
+	if (fd >= 0 &&
+	    setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger)))
+		dl_msg(DL_MSG_CALLER_SOCKET, "reset=%d error=%d", reset, errno);
+}
+
 /*
  * Begins a streamed response; length is SIZE_MAX if not known. Returns what
  * marks its end.
@@ -518,22 +543,29 @@
 	req->streaming = true;
 	h2o_buffer_init(&req->pending, &h2o_socket_buffer_prototype);
 	h2o_buffer_init(&req->in_flight, &h2o_socket_buffer_prototype);
+	req->framing = framing_of(req->h2o, length);
+	if (req->framing == DL_FRAMING_CLOSE) {
+		/* Only the end of the connection ends this response. */
+		req->h2o->http1_is_persistent = 0;
+		reset_on_close(req, true);
+	}
 	h2o_start_response(req->h2o, &req->generator);
-	return framing_of(req->h2o, length);
+	return req->framing;
 }
 
 /*
- * Shuts the socket down without h2o, which would end an incomplete chunked
- * response with bytes that are not a chunk.  The client must see a connection
- * that ended early, and no byte that is not part of the response.
+ * Breaks the connection of a response that is not complete.  The client must
+ * see that it ended early, and no byte that is not part of the response, so
+ * that the socket is shut down without h2o, which would end chunks with bytes
+ * that are none.  Where nothing but the connection marks the end, only a reset
+ * shows it.
  */
-static void shutdown_connection(struct dl_httpd_req *req)
+static void break_connection(struct dl_httpd_req *req)
 {
-	h2o_conn_t *conn = req->h2o->conn;
-	h2o_socket_t *sock = conn->callbacks->get_socket(conn);
+	int fd = socket_of(req);
 
-	if (sock)
-		shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+	if (fd >= 0 && req->framing != DL_FRAMING_CLOSE)
+		shutdown(fd, SHUT_RDWR);
 }
 
 /* Passes the queued bytes to h2o, unless it is still sending the last ones. */
@@ -546,12 +578,14 @@
 	if (req->sending)
 		return;
 	if (req->finishing && !req->complete && req->pending->size == 0)
-		shutdown_connection(req);
+		break_connection(req);
 	if (req->finishing && (req->complete || req->pending->size == 0))
 		state = req->complete ? H2O_SEND_STATE_FINAL :
 					H2O_SEND_STATE_ERROR;
 	else if (req->pending->size == 0)
 		return;
+	if (state == H2O_SEND_STATE_FINAL && req->framing == DL_FRAMING_CLOSE)
+		reset_on_close(req, false);
 	req->in_flight = req->pending;
 	req->pending = empty;
 	req->sending = true;
