Entry: a native stream that is broken off is not framed as complete

What callers saw: a completion of the native API whose endpoint had broken it off ended with the event "daisyledge", which says so, and then as a complete response. A caller that reads data events alone got a short text and no sign of it but the missing "data: [DONE]".

Cause: call_answer_error() ended such a stream as complete; the last event alone was to tell.

Evidence: test_system_short_as_complete_api, about 170 of 456 completions.

Change: the event is sent as before, and then the response is broken off as routed ones are. daisyledge-api(7) says so.

--- a/src/entry/entry_answer.c
+++ b/src/entry/entry_answer.c
@@ -35,7 +35,8 @@
 
 /*
  * Sends an error to the caller: as a response, or, where the head of a response
- * has been sent, as the end of the stream or by closing the connection.
+ * has been sent, by breaking it off, after an event of a native stream that
+ * says why.
  */
 void call_answer_error(struct call *c, const char *reason,
 		       const struct dl_err *err, uint32_t retry_ms)
@@ -47,14 +48,10 @@
 
 	if (!c->http)
 		return;
-	if (c->response_started && c->routed) {
-		dl_httpd_finish(c->http, false);
-		return;
-	}
 	if (c->response_started) {
-		if (c->kind == DL_POOL_MODEL)
+		if (c->kind == DL_POOL_MODEL && !c->routed)
 			send_end_event(c, reason);
-		dl_httpd_finish(c->http, c->kind == DL_POOL_MODEL);
+		dl_httpd_finish(c->http, false);
 		return;
 	}
 	if (c->routed)
