Entry: native responses that their connection ends are taken by what they say

What callers saw: 502 for each whole response of a native endpoint that has neither a length nor chunks; the whole text of a completion was there, with its "data: [DONE]". A completion that a close broke off before that was not resumed.

Cause: dl_httpc_start() was told to reject them, as nothing marks their end. But the last event of a completion does, whatever the connection does, and a plain call is no worse off than a routed one, where an orderly close counts.

Change: they are accepted. A completion is whole with its last event and broken off without it, however its connection ends, so that it is also resumed after an orderly close; a plain response without a length or chunks ends with an orderly close, and daisyledge-endpoint(7) says what that means.

--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -133,6 +133,7 @@
 					    dl_str_of(offset) };
 	}
 	req.headers_count = n;
+	req.close_delimited = true;
 	c->attempt = dl_httpc_start(c->e->httpc, &req, &ops_table[c->kind], c);
 }
 
@@ -464,16 +465,28 @@
 	entry_try_start(c);
 }
 
-/* Returns the result of an attempt; an incomplete or bad stream is garbled. */
+/*
+ * Returns the result of an attempt.  The last event of a completion marks its
+ * end, however the connection ended, and without it the completion was broken
+ * off; a bad one is garbled.
+ */
 static struct dl_attempt classify_attempt(const struct call *c,
 					  const struct dl_attempt *attempt)
 {
 	struct dl_attempt a = *attempt;
 
-	if (c->kind == DL_POOL_MODEL && a.failure == DL_FAILURE_NONE &&
-	    a.status == 200 && (c->sse_bad || !c->sse_done)) {
+	if (c->kind != DL_POOL_MODEL || a.status != 200 ||
+	    a.received == DL_RECV_NOT_RUN)
+		return a;
+	if (c->sse_bad) {
 		a.failure = DL_FAILURE_BAD_RESPONSE;
 		a.received = DL_RECV_HEAD;
+	} else if (c->sse_done) {
+		a.failure = DL_FAILURE_NONE;
+		a.received = DL_RECV_COMPLETE;
+	} else if (a.failure == DL_FAILURE_NONE) {
+		a.failure = DL_FAILURE_RESET;
+		a.received = DL_RECV_HEAD;
 	}
 	return a;
 }
