Entry: the body of an error is not joined to a stream that has begun

What callers saw: a stream that was resumed at an endpoint which answered with an error had that error's body among its events, before it went on elsewhere or was broken off.

Cause: on_body() forwards what comes once a response has begun, which is meant for large plain responses; a second attempt of a stream is one too, whatever it answers. The emulated endpoints refuse without a body, so that no test had seen it.

Test: test_system_error_joined_to_stream, before: "data: e2 answer", after: passed.

--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -423,6 +423,9 @@
 
 	if (c->route.head.wrong_request || c->route.head.event_too_long)
 		return true;
+	/* The body of an error is no part of a stream that has begun. */
+	if (c->stream && c->response_started && !c->route.head.is_event_stream)
+		return true;
 	if (c->response_started && !c->route.head.is_event_stream)
 		return dl_httpd_send(c->http, piece);
 	if (c->route.head.is_event_stream)
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -459,7 +459,7 @@
 		snprintf(attempt, sizeof(attempt), "another");
 	if (serve_ending(req, attempt))
 		return;
-	if (opt.plain)
+	if (opt.plain || strcmp(opt.fault, "error") == 0)
 		reply_plain(req, attempt);
 	else
 		begin_stream(req, attempt);
