Entry: a native request that may have run is not answered 429 or 503

What callers saw: 503 or 429 with the outcome unknown for a completion that an endpoint had broken off before its first event and for which none was left. The status is that of a refusal, which says that nothing ran.

Cause: entry_call_refuse() turns it into 502 for routed requests alone.

Test: test_system_ran_and_refused, before: 503, "daisyledge-outcome: unknown"; after: passed, 502.

--- a/src/entry/entry_call.c
+++ b/src/entry/entry_call.c
@@ -228,9 +228,10 @@
 		retry_ms = RETRY_AFTER_MS;
 	c->reason = reason;
 	c->retry_ms = retry_ms;
-	if (c->routed)
-		status = c->may_have_run ? STATUS_BAD_GATEWAY :
-					   STATUS_UNAVAILABLE;
+	if (c->may_have_run)
+		status = STATUS_BAD_GATEWAY;
+	else if (c->routed)
+		status = STATUS_UNAVAILABLE;
 	dl_err_set(&err, -EAGAIN, step,
 		   peer == DL_VM_NONE ? "" : dl_vm_text(peer, text), "%s", "");
 	call_settle(c, DL_OUTCOME_NOT_RUN, status);
