Entry: an engine's rejection is not a native completion

What callers saw: a completion that the engine rejects with a status from 400 to 499, and does not say that it has not run, came as a stream with status 200, without text, with the outcome "done" and "data: [DONE]"; a stream that was resumed at such an answer ended like that after half of its text.

Cause: a whole response below status 500 is "done" (call.c), which is right for a call that is passed on, and entry_call_complete() makes a completion of whatever is done. Routed streams had the check.

The engine is not counted as failing for it, as before.

--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -19,6 +19,7 @@
 /* Reserved of the deadline for the transfer of the endpoint's last bytes. */
 #define HOP_MARGIN_MS 20
 #define MS_PER_S      1000
+#define STATUS_OK     200
 
 static void on_head(void *arg, const struct dl_httpc_head *head);
 static bool on_model_body(void *arg, struct dl_str piece);
@@ -393,7 +394,7 @@
 	struct dl_sse_event event;
 	bool go_on = true;
 
-	if (c->status != 200) {
+	if (c->status != STATUS_OK) {
 		if (c->response_buf->len + piece.n <= HELD_BODY_MAX)
 			g_string_append_len(c->response_buf, piece.s,
 					    (gssize)piece.n);
@@ -475,7 +476,7 @@
 {
 	struct dl_attempt a = *attempt;
 
-	if (c->kind != DL_POOL_MODEL || a.status != 200 ||
+	if (c->kind != DL_POOL_MODEL || a.status != STATUS_OK ||
 	    a.received == DL_RECV_NOT_RUN)
 		return a;
 	if (c->sse_bad) {
@@ -514,12 +515,27 @@
 	return c->status >= 400 ? c->status : 502;
 }
 
+/*
+ * Returns the outcome of an attempt.  Only status 200 brings a completion; with
+ * another one the engine has rejected it, however complete its response is.
+ */
+static enum dl_outcome outcome_of(const struct call *c,
+				  const struct dl_attempt *a)
+{
+	enum dl_outcome outcome = dl_call_outcome(a);
+
+	if (c->kind == DL_POOL_MODEL && outcome == DL_OUTCOME_DONE &&
+	    a->status != STATUS_OK)
+		return DL_OUTCOME_FAILED;
+	return outcome;
+}
+
 static void on_end(void *arg, const struct dl_attempt *attempt,
 		   const struct dl_err *err)
 {
 	struct call *c = arg;
 	struct dl_attempt a = classify_attempt(c, attempt);
-	enum dl_outcome outcome = dl_call_outcome(&a);
+	enum dl_outcome outcome = outcome_of(c, &a);
 	struct dl_call_state state = {
 		.idempotent = c->idempotent,
 		.resumable = c->kind == DL_POOL_MODEL &&
@@ -538,12 +554,13 @@
 		return;
 	}
 	call_note_ending(c, attempt,
-			 c->kind == DL_POOL_MODEL && c->status == 200,
+			 c->kind == DL_POOL_MODEL && c->status == STATUS_OK,
 			 dl_sse_unfinished(&c->sse));
 	entry_quarantine_attempt_ended(c, &a, err);
 	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
+	/* A request that it rejects is no failure of the engine. */
 	call_fill_usage(c, &a, c->used_prompt, c->used_output,
-			outcome != DL_OUTCOME_DONE);
+			dl_call_outcome(&a) != DL_OUTCOME_DONE);
 	c->usage.silent = err->code == -ETIMEDOUT;
 	c->usage.unjudged = outcome != DL_OUTCOME_DONE &&
 			    entry_check_attempt_broke(c, &a);
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -51,6 +51,7 @@
 	FAULT_BUSY,
 	FAULT_GARBLE,
 	FAULT_ERROR,
+	FAULT_INVALID,
 	FAULT_MISREPORT_LOAD,
 	FAULT_COUNT
 };
@@ -65,6 +66,7 @@
 	[FAULT_BUSY] = "busy",
 	[FAULT_GARBLE] = "garble",
 	[FAULT_ERROR] = "error",
+	[FAULT_INVALID] = "invalid",
 	[FAULT_MISREPORT_LOAD] = "lie-load",
 };
 
@@ -807,6 +809,14 @@
 
 static bool reject_early(struct job *job)
 {
+	if (fault_triggers(FAULT_INVALID)) {
+		struct fake_request *req = job->reply;
+
+		detach(job);
+		fake_reply(req, 422, json_headers, DL_STR("{}"));
+		job_free(job);
+		return true;
+	}
 	if (fault_triggers(FAULT_BUSY)) {
 		struct fake_request *req = job->reply;
 
@@ -1292,6 +1302,11 @@
 
 	dl_str_to_u64(fake_request_header(req, "daisyledge-resume-offset"),
 		      &after);
+	if (after && fault_triggers(FAULT_INVALID)) {
+		fake_reply(req, 422, json_headers, DL_STR("{}"));
+		g_free(id);
+		return true;
+	}
 	conf.after = (int)after;
 	served = fake_ending_serve(state.loop, req, text, &conf);
 	g_free(id);
