Test: the VM is killed while it sends streams on

Where a response has neither a length nor chunks the reset that shows its caller that it was broken off must also come from the kernel, once the process is gone.

--- a/test/test_system_short_as_complete.sh
+++ b/test/test_system_short_as_complete.sh
@@ -100,4 +100,13 @@
 begin_calls "unrepeatable, forwarded" 1 /book/
 finish_walks
 grep -q 'via=127' "$DIR/entry-1.log" || fail "no connection was forwarded"
+
+# The VM itself is killed while it sends responses on.
+START_OTHER=:
+for version in 1.0 1.1; do
+	walk_crash entry_3 $version "chat, VM killed" "$(entry_address 3)" /chat/ \
+		stream -H "$KEY" -H "$STREAM"
+	with_mapped_links 3 start_process entry 3
+	wait_for 10 "entry 3" entry_is_ready 3 || fail "entry 3 is not ready again"
+done
 end_walks
