Entry: a stream that waits for an endpoint may go back to one that it tried

What callers saw: a stream whose endpoint was silent for 1.7 s got nothing more until its deadline, then was broken off, although its endpoint worked again two seconds before.

Cause: requests exclude the endpoints that they have tried. A stream that waits as no other one is left kept excluding them, so that it waited for a third endpoint to appear. Ruled out: a lost ask (each got its refusal, no-endpoint), an endpoint that stayed unknown (it served others meanwhile).

--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -408,10 +408,14 @@
 	       c->deadline - entry_now(c->e) > RESUME_AGAIN_MS;
 }
 
-/* Asks again later, for an endpoint that has not been tried. */
+/*
+ * Asks again later.  Endpoints that were tried may be granted again: there is no
+ * other, and one that was silent for a moment can go on with the stream.
+ */
 static void ask_later(struct call *c)
 {
 	note_wait(c);
+	c->tried_count = 0;
 	c->state = CALL_ASKING;
 	c->spill_tried_count = 0;
 	c->redirected = false;
