Entry: a whole response of another type is no broken stream

Change: a response whose type is given and is not text/event-stream is judged by its length or chunks alone. Without either it is judged as a stream, whatever it says.

Test: test_system_stream_of_other_type, before: broken off, 502; after: passed.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -110,6 +110,7 @@
 	bool wrong_request;	 /* its id is of another request */
 	bool is_event_stream;	 /* forwarded event by event */
 	bool event_too_long;	 /* an event exceeds the limit */
+	bool other_type;	 /* its type is given, and not that of events */
 	bool leaving;		 /* the endpoint is shutting down */
 	bool backoff_requested;	 /* for retry_after_ms */
 	uint32_t retry_after_ms; /* 0: not given */
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -328,6 +328,32 @@
 	       (at_fault.n && !dl_name_eq(&c->grant.endpoint[0], at_fault));
 }
 
+/* Whether a response says that it is something else than events. */
+static bool has_other_type(const struct dl_httpc_head *head)
+{
+	static const char events[] = "text/event-stream";
+
+	for (size_t i = 0; i < head->headers_count; i++) {
+		const struct dl_header *h = &head->headers[i];
+
+		if (dl_header_is(h->name, "content-type"))
+			return h->value.n < sizeof(events) - 1 ||
+			       g_ascii_strncasecmp(h->value.s, events,
+						   sizeof(events) - 1) != 0;
+	}
+	return false;
+}
+
+/*
+ * Whether the end of the response has to be that of an event: a stream, unless
+ * it is marked as whole by a length or chunks and is of another type.
+ */
+static bool ends_with_event(const struct call *c)
+{
+	return c->route.head.is_event_stream &&
+	       (c->framing == DL_FRAMING_CLOSE || !c->route.head.other_type);
+}
+
 static void on_head(void *arg, const struct dl_httpc_head *head)
 {
 	struct call *c = arg;
@@ -354,6 +380,7 @@
 		said.retry_after_ms);
 	dl_name_set(&c->route.head.at_fault, said.at_fault);
 	c->route.head.is_event_stream = c->stream && head->status == 200;
+	c->route.head.other_type = has_other_type(head);
 	if (!c->response_started)
 		keep_headers(c, head, c->route.head.is_event_stream);
 }
@@ -573,7 +600,7 @@
 		retry_unsent(c);
 		return;
 	}
-	call_note_ending(c, attempt, c->route.head.is_event_stream,
+	call_note_ending(c, attempt, ends_with_event(c),
 			 dl_sse_unfinished(&c->sse));
 	a = classify_attempt(c, attempt, &err);
 	outcome = dl_call_outcome(&a);
