Entry: a stream whose events have no ids is not begun anew in its middle

What callers saw: a resumable stream without ids that broke off after some events was sent again from its start at another endpoint, and they got those events twice: pieces of two runs in one answer.

Cause: such a stream is resumed after the last event's id, which was 0 where none had come, and nothing was dropped.

Change: may_run_again() asks for an id among the events that the caller has, at the four places that asked for a stream that may be repeated. An id of 0 counts as one.

--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -135,13 +135,24 @@
 	       c->route.free_failures < FREE_FAILURES_MAX;
 }
 
+/*
+ * Whether a request may run at another endpoint after this one.  A stream goes
+ * on there after the last event that the caller has, by its id; without one it
+ * would begin anew, and events would come twice.
+ */
+static bool may_run_again(const struct call *c)
+{
+	return c->idempotent &&
+	       (!c->stream || !c->relayed || c->route.sent_event_id);
+}
+
 static uint32_t silence_limit_ms(const struct call *c)
 {
 	uint32_t limit_ms = (uint32_t)MAX(c->deadline - entry_now(c->e), 1);
 	uint32_t expected = c->grant.predicted_ttft_ms * 2;
 
 	/* Ending the last attempt early would gain nothing. */
-	if (c->stream && c->idempotent &&
+	if (c->stream && may_run_again(c) &&
 	    c->route.sent + 1 < c->route.attempts_max)
 		limit_ms = MAX(c->route.caller_silence_ms * SILENCE_PERMILLE /
 				       PERMILLE,
@@ -265,7 +276,7 @@
  */
 bool entry_relay_may_continue(struct call *c)
 {
-	if (!c->idempotent || !has_attempts_left(c, c->route.sent + 1) ||
+	if (!may_run_again(c) || !has_attempts_left(c, c->route.sent + 1) ||
 	    (!c->route.retry_paid &&
 	     !dl_retry_budget_withdraw(entry_call_retry_budget(c))))
 		return false;
@@ -279,7 +290,7 @@
 	struct call *c = arg;
 	int64_t left = c->deadline - entry_now(c->e);
 
-	if (left <= 0 || c->reservations || !c->stream || !c->idempotent ||
+	if (left <= 0 || c->reservations || !c->stream || !may_run_again(c) ||
 	    entry_relay_may_continue(c))
 		return 0;
 	return (uint32_t)MIN(left, SILENCE_RECHECK_MS);
@@ -411,7 +422,7 @@
 static bool relay_event(struct call *c, const struct dl_sse_event *event)
 {
 	c->attempt_events++;
-	if (event->id && (c->route.resumes || c->relayed) &&
+	if (event->has_id && (c->route.resumes || c->relayed) &&
 	    event->id <= c->route.last_event_id)
 		return true;
 	if (!c->first_byte_at) {
@@ -422,8 +433,10 @@
 	}
 	if (!c->response_started)
 		begin_response(c);
-	if (event->id)
+	if (event->has_id) {
+		c->route.sent_event_id = true;
 		c->route.last_event_id = event->id;
+	}
 	note_pause(c);
 	c->relayed++;
 	return dl_httpd_send(c->http, event->bytes);
@@ -531,7 +544,8 @@
 	struct dl_call_state state = {
 		.idempotent = c->idempotent,
 		.attempts = c->route.tries,
-		.bytes_to_caller = c->stream && c->idempotent ? 0 : c->relayed,
+		.bytes_to_caller = c->stream && may_run_again(c) ? 0 :
+								   c->relayed,
 		.deadline = c->deadline,
 	};
 
--- a/src/protocol/sse.c
+++ b/src/protocol/sse.c
@@ -135,7 +135,7 @@
 		struct dl_str line = { at, n };
 
 		if (is_field(line, DL_STR("id:"), &value))
-			dl_str_to_u64(value, &event->id);
+			event->has_id = dl_str_to_u64(value, &event->id);
 		else if (is_field(line, DL_STR("event:"), &value))
 			event->type = value;
 		else if (is_field(line, DL_STR("data:"), &value))
--- a/src/protocol/sse.h
+++ b/src/protocol/sse.h
@@ -20,7 +20,8 @@
 	 * between them if there are several.
 	 */
 	struct dl_str data;
-	uint64_t id; /* of its "id" field; 0 if absent or not a number */
+	bool has_id; /* an "id" field that is a number */
+	uint64_t id;
 };
 
 struct dl_sse {
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -529,6 +529,8 @@
 					dl_str_of(sse_events[events].data)));
 				ck_assert_uint_eq(event.id,
 						  sse_events[events].id);
+				ck_assert(event.has_id ==
+					  (sse_events[events].id != 0));
 				g_string_append_len(forwarded, event.bytes.s,
 						    (gssize)event.bytes.n);
 				events++;
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -37,6 +37,7 @@
 	gboolean plain, quiet_while_busy, mute_orders;
 	gboolean abrupt;
 	gboolean unheard;
+	gboolean no_ids;
 } opt = {
 	.zone = "z", .slots = 16, .events = 8, .event_ms = 20, .fault = "none"
 };
@@ -75,6 +76,8 @@
 	  "announce leaving in responses only", NULL },
 	{ "shed", 0, 0, G_OPTION_ARG_FILENAME, &opt.shed,
 	  "while F exists, reject all with the Retry-After in it", "F" },
+	{ "no-ids", 0, 0, G_OPTION_ARG_NONE, &opt.no_ids,
+	  "send events without ids", NULL },
 	{ "crash-on", 0, 0, G_OPTION_ARG_STRING, &opt.crash_on,
 	  "crash on a request whose path contains this", "TEXT" },
 	{ "limit", 0, 0, G_OPTION_ARG_STRING, &opt.limit,
@@ -502,8 +505,11 @@
 		fake_reply_end(job->req);
 		return false;
 	}
-	n = snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n", job->next,
-		     job->next);
+	if (opt.no_ids)
+		n = snprintf(event, sizeof(event), "data: e%d\n\n", job->next);
+	else
+		n = snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n",
+			     job->next, job->next);
 	fake_reply_write(job->req, (struct dl_str){ event, (size_t)n });
 	job->next++;
 	job->at = now + opt.event_ms;
