Test: a stop or a drain begins once the VM has read all requests

On a busy machine the last requests were sent after the drain had begun and refused, rightly: reason=draining, ms=0, all within milliseconds.

Change: the load tool writes how many requests it has sent once it has sent the last one (--sent), and the tests wait until requests_total of the VM has grown by that. What they assert is unchanged: every stream completes.

--- a/test/deploy.sh
+++ b/test/deploy.sh
@@ -354,6 +354,32 @@
 		--out "$DIR/results" --promises "$@"
 }
 
+# The value of a counter of an entry that serves metrics to operators.
+metric() { # ADDRESS NAME
+	$DL_HTTP -t 2000 "$1" /metrics 2>/dev/null |
+		sed -n "s/^[a-z_]*$2 //p"
+}
+
+# Send streams of 2.5 s each, which begin within a second, through one VM, and wait
+# until the VM has read them all: start_streams ADDRESS [OPTION...]
+start_streams() {
+	to=$1
+	shift
+	read_before=$(metric "$to" requests_total)
+	test/tool_load --entries "$to" --classes test/data/load-streams.json \
+		--seconds 1 --seed 7 --out "$DIR/streams" --quiet --done-min 1000 \
+		--sent "$DIR/sent" "$@" 2>"$DIR/streams.faults" &
+	record_pid streams $!
+	wait_for 20 "the last stream to be sent" test -s "$DIR/sent" ||
+		fail "the streams are not sent"
+	wait_for 20 "the VM to read all streams" all_streams_read ||
+		fail "the streams are not read"
+}
+
+all_streams_read() {
+	[ "$(metric "$to" requests_total)" -ge $((read_before + $(cat "$DIR/sent"))) ]
+}
+
 wall_ms() {
 	date +%s%3N
 }
--- a/test/net_deploy.sh
+++ b/test/net_deploy.sh
@@ -31,12 +31,6 @@
 	record_pid tarpit $!
 }
 
-# The value of a counter of an entry that serves metrics to operators.
-metric() { # ADDRESS NAME
-	$DL_HTTP -t 2000 "$1" /metrics 2>/dev/null |
-		sed -n "s/^[a-z_]*$2 //p"
-}
-
 # The rest is for deployments in the platform's protocol.  ENDPOINTS lists the
 # endpoints as NAME:HOST.  Connections of VM 1 pass relays, so that open ones can
 # be cut too.
--- a/test/test_system_drain.sh
+++ b/test/test_system_drain.sh
@@ -68,11 +68,7 @@
 *) fail "domain 1 has the dispatcher $first" ;;
 esac
 RUNNER=$(endpoint_address 1)
-test/tool_load --entries "$VM" --classes test/data/load-streams.json \
-	--seconds 1 --rate 0.45 --seed 7 --out "$DIR/streams" --quiet --done-min 1000 \
-	2>"$DIR/streams.faults" &
-record_pid streams $!
-sleep 1.3
+start_streams "$VM" --rate 0.45
 [ "$(executions_since "$RUNNER" 0)" -gt 0 ] || fail "the endpoint had no request before the drain"
 sed "s/\"drain\": {\"vms\": \[\], \"endpoints\": \[\]}/\"drain\": {\"vms\": \
 [\"$first\"], \"endpoints\": [\"$RUNNER\"]}/" "$DIR/config.json" \
--- a/test/test_system_drain_queue.sh
+++ b/test/test_system_drain_queue.sh
@@ -14,11 +14,7 @@
 	grep "\"service\":\"$MODEL_SERVICE\"" | grep '"dispatcher"' |
 	sed 's/.*"dispatcher":"\([^"]*\)".*/\1/')
 VM=${first%:*}:$HTTP_PORT
-test/tool_load --entries "$VM" --classes test/data/load-streams.json \
-	--seconds 1 --seed 7 --out "$DIR/streams" --quiet --done-min 1000 \
-	2>"$DIR/streams.faults" &
-record_pid streams $!
-sleep 1.3
+start_streams "$VM"
 sed "s/\"drain\": {\"vms\": \[\]/\"drain\": {\"vms\": [\"$first\"]/" \
 	"$DIR/config.json" >"$DIR/drain.json"
 "$DL_BIN" apply "$DIR/drain.json" --wait --timeout 10 --entry "$ASK" \
--- a/test/test_system_stop_again.sh
+++ b/test/test_system_stop_again.sh
@@ -8,11 +8,7 @@
 deploy_start || fail "the deployment does not start"
 
 # 220 streams of 2.5 s each begin within a second; some of them are queued.
-test/tool_load --entries "$(vm_address 1 1):$HTTP_PORT" \
-	--classes test/data/load-streams.json --seconds 1 --seed 7 \
-	--out "$DIR/streams" --quiet --done-min 1000 2>"$DIR/streams.faults" &
-record_pid streams $!
-sleep 1.3
+start_streams "$(vm_address 1 1):$HTTP_PORT"
 for pause in 0.1 0.4 1 2; do
 	kill -TERM "$(pid_of entry_1_1)" "$(pid_of replica_1_1)" 2>/dev/null
 	sleep $pause
--- a/test/test_system_stop_alone.sh
+++ b/test/test_system_stop_alone.sh
@@ -10,11 +10,7 @@
 ANNOUNCE_TO=$(vm_address 2 1):$HTTP_PORT
 deploy_start || fail "the deployment does not start"
 
-test/tool_load --entries "$(vm_address 1 1):$HTTP_PORT" \
-	--classes test/data/load-streams.json --seconds 1 --seed 7 \
-	--out "$DIR/streams" --quiet --done-min 1000 2>"$DIR/streams.faults" &
-record_pid streams $!
-sleep 1.3
+start_streams "$(vm_address 1 1):$HTTP_PORT"
 kill -TERM "$(pid_of entry_1_1)"
 wait "$(pid_of streams)"
 status=$?
--- a/test/tool_load.c
+++ b/test/tool_load.c
@@ -104,6 +104,7 @@
 	char *away;
 	char *endpoints;
 	char *out;
+	char *sent;
 	char **check;
 	double seconds;
 	double rate;
@@ -135,6 +136,9 @@
 	  "check against this execution record", "FILE" },
 	{ "out", 0, 0, G_OPTION_ARG_FILENAME, &opt.out,
 	  "write one line per result to", "FILE" },
+	{ "sent", 0, 0, G_OPTION_ARG_FILENAME, &opt.sent,
+	  "write the number of requests to, once the last one is sent",
+	  "FILE" },
 	{ "promises", 0, 0, G_OPTION_ARG_NONE, &opt.promises,
 	  "print one line per promise", NULL },
 	{ "done-min", 0, 0, G_OPTION_ARG_INT, &opt.done_min,
@@ -631,6 +635,20 @@
 	fake_call_start(gen.loop, &req, &ops, f);
 }
 
+/* Tells that the load is over; the responses still come. */
+static void report_sent(void)
+{
+	char text[24];
+
+	if (!opt.sent)
+		return;
+	snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT "\n",
+		 (guint64)gen.number);
+	if (!g_file_set_contents(opt.sent, text, -1, NULL))
+		fprintf(stderr, "load: cannot write %s\n", opt.sent);
+	opt.sent = NULL;
+}
+
 /* Open-loop load: new requests do not wait for earlier responses. */
 static void on_tick(uv_timer_t *timer)
 {
@@ -651,6 +669,8 @@
 			c->next_at += -log(u) / c->rate * 1000.0;
 		}
 	}
+	if (now >= gen.ends)
+		report_sent();
 	if (now >= gen.ends && gen.in_flight == 0)
 		uv_timer_stop(timer);
 }
