--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -409,8 +409,8 @@
 }
 
 /*
- * Asks again later.  Endpoints that were tried may be granted again: there is no
- * other, and one that was silent for a moment can go on with the stream.
+ * Asks again later.  Endpoints that were tried may be granted again: there is
+ * no other, and one that was silent for a moment can go on with the stream.
  */
 static void ask_later(struct call *c)
 {
