--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -131,7 +131,7 @@
 	uint32_t sent;		    /* attempts that may have run it */
 	bool retry_paid;	    /* the budget has given its next retry */
 	uint64_t last_event_id;	    /* the last one the caller has */
-	bool sent_event_id;	    /* an event with an id was sent to it */
+	bool last_event_unnumbered; /* its last event has no id */
 	uint32_t event_tokens;	    /* output tokens of one event */
 	bool resumes;		    /* starts after last_event_id */
 	int64_t last_event_at;	    /* when it was forwarded */
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -137,13 +137,12 @@
 
 /*
  * Whether a request may run at another endpoint after this one.  A stream goes
- * on there after the last event that the caller has, by its id; without one it
- * would begin anew, and events would come twice.
+ * on there after the last event that the caller has, by its id; without one
+ * events would come twice.
  */
 static bool may_run_again(const struct call *c)
 {
-	return c->idempotent &&
-	       (!c->stream || !c->relayed || c->route.sent_event_id);
+	return c->idempotent && !c->route.last_event_unnumbered;
 }
 
 static uint32_t silence_limit_ms(const struct call *c)
@@ -290,7 +289,7 @@
 	struct call *c = arg;
 	int64_t left = c->deadline - entry_now(c->e);
 
-	if (left <= 0 || c->reservations || !c->stream || !may_run_again(c) ||
+	if (left <= 0 || c->reservations || !c->stream || !c->idempotent ||
 	    entry_relay_may_continue(c))
 		return 0;
 	return (uint32_t)MIN(left, SILENCE_RECHECK_MS);
@@ -421,7 +420,7 @@
 /* Forwards a complete event; drops one that the caller already has. */
 static bool relay_event(struct call *c, const struct dl_sse_event *event)
 {
-	c->attempt_events++;
+	c->attempt_events += !event->is_comment;
 	if (event->has_id && (c->route.resumes || c->relayed) &&
 	    event->id <= c->route.last_event_id)
 		return true;
@@ -433,10 +432,10 @@
 	}
 	if (!c->response_started)
 		begin_response(c);
-	if (event->has_id) {
-		c->route.sent_event_id = true;
+	if (event->has_id)
 		c->route.last_event_id = event->id;
-	}
+	if (!event->is_comment)
+		c->route.last_event_unnumbered = !event->has_id;
 	note_pause(c);
 	c->relayed++;
 	return dl_httpd_send(c->http, event->bytes);
@@ -464,10 +463,8 @@
 	if (c->route.head.wrong_request || c->route.head.event_too_long)
 		return true;
 	/* The body of an error is no part of a stream that has begun. */
-	if (c->stream && c->response_started && !c->route.head.is_event_stream)
-		return true;
 	if (c->response_started && !c->route.head.is_event_stream)
-		return dl_httpd_send(c->http, piece);
+		return c->stream || dl_httpd_send(c->http, piece);
 	if (c->route.head.is_event_stream)
 		return relay_events(c, piece);
 	g_string_append_len(c->response_buf, piece.s, (gssize)piece.n);
@@ -520,7 +517,6 @@
 
 	if (c->route.head.is_event_stream)
 		rest = dl_sse_rest(&c->sse);
-
 	call_settle(c,
 		    c->status >= STATUS_ERROR ? DL_OUTCOME_FAILED :
 						DL_OUTCOME_DONE,
@@ -622,7 +618,8 @@
 	/* A resumed stream that gets an error is not complete. */
 	complete = a.received == DL_RECV_COMPLETE &&
 		   a.failure == DL_FAILURE_NONE &&
-		   !(c->relayed && !c->route.head.is_event_stream);
+		   !(c->stream && c->response_started &&
+		     !c->route.head.is_event_stream);
 	call_fill_usage(c, &a, c->prompt_tokens, c->output_tokens,
 			c->status >= STATUS_ERROR || !complete);
 	c->usage.silent = err.code == -ETIMEDOUT;
--- a/src/protocol/explain.c
+++ b/src/protocol/explain.c
@@ -178,7 +178,7 @@
 	return DL_REASON_NONE;
 }
 
-static void describe_service(const struct dl_logline *l, char *out)
+static void describe_time(const struct dl_logline *l, char *out)
 {
 	int64_t ms[EXPLAIN_PARTS];
 	struct dl_str endpoint = field(l, "endpoint");
@@ -210,7 +210,7 @@
 {
 	size_t n;
 
-	describe_service(l, out);
+	describe_time(l, out);
 	n = strlen(out);
 	if (field_is(l, "end", "unmarked"))
 		snprintf(out + n, EXPLAIN_TEXT_MAX - n,
--- a/src/protocol/sse.c
+++ b/src/protocol/sse.c
@@ -96,6 +96,8 @@
 			return false;
 		sse->bare_cr = next == sse->n || sse->buf[next] != '\n';
 		next += !sse->bare_cr;
+	} else {
+		sse->bare_cr = false;
 	}
 	*line = (struct dl_str){ sse->buf + sse->line, at - sse->line };
 	sse->line = sse->searched = next;
@@ -163,6 +165,7 @@
 		*event = (struct dl_sse_event){
 			.bytes = { sse->buf + sse->event,
 				   sse->line - sse->event },
+			.is_comment = !sse->has_field,
 		};
 		sse->event = sse->line;
 		sse->has_line = sse->has_field = false;
--- a/src/protocol/sse.h
+++ b/src/protocol/sse.h
@@ -22,6 +22,7 @@
 	struct dl_str data;
 	bool has_id; /* an "id" field that is a number */
 	uint64_t id;
+	bool is_comment; /* it has no field */
 };
 
 struct dl_sse {
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -487,7 +487,7 @@
 	"id: 7\r\nevent: x\r\ndata: y\r\n\r\ndata: [DONE]\r\n\r\n",
 	": hello\r\rdata: {\"a\":1}\r\r"
 	"id: 7\revent: x\rdata: y\r\rdata: [DONE]\r\r",
-	": hello\r\n\ndata: {\"a\":1}\n\r\n"
+	": hello\r\rdata: {\"a\":1}\n\r\n"
 	"id: 7\nevent: x\r\ndata: y\r\n\r\ndata: [DONE]\n\n",
 };
 
@@ -531,6 +531,7 @@
 						  sse_events[events].id);
 				ck_assert(event.has_id ==
 					  (sse_events[events].id != 0));
+				ck_assert(event.is_comment == (events == 0));
 				g_string_append_len(forwarded, event.bytes.s,
 						    (gssize)event.bytes.n);
 				events++;
