Entry: a stream that has begun also waits where endpoints are to be avoided for a time

Cause: since a stream that waits may go back to an endpoint that it tried. Here that one is dead, the VM finds no way to it and avoids it for a second, and the pool then refuses with backoff instead of no-endpoint, which ended the stream although a new endpoint came 0.1 s later.

Change: waits_for_endpoint() waits for each reason that passes by itself: no endpoint, unreachable, backoff.

--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -396,6 +396,13 @@
 	entry_grant_ask(c);
 }
 
+/* Whether a pool that refuses for a reason may have an endpoint soon. */
+static bool is_passing(enum dl_reason reason)
+{
+	return reason == DL_REASON_NO_ENDPOINT ||
+	       reason == DL_REASON_UNREACHABLE || reason == DL_REASON_BACKOFF;
+}
+
 /*
  * Whether a refused request is to be asked for again: a stream that has begun,
  * for which no endpoint is left at the moment.  It would be broken off, though
@@ -404,7 +411,7 @@
 static bool waits_for_endpoint(const struct call *c)
 {
 	return c->routed && c->stream && c->relayed && c->idempotent &&
-	       c->last_refusal.reason == DL_REASON_NO_ENDPOINT &&
+	       is_passing(c->last_refusal.reason) &&
 	       c->deadline - entry_now(c->e) > RESUME_AGAIN_MS;
 }
 
