Protocol: the event reader takes an empty piece before the first byte

Harmless here, undefined by the standard.

Change: nothing is copied or searched where there is nothing.

--- a/src/protocol/sse.c
+++ b/src/protocol/sse.c
@@ -44,6 +44,8 @@
 int dl_sse_feed(struct dl_sse *sse, struct dl_str bytes)
 {
 	discard_events(sse);
+	if (bytes.n == 0)
+		return 0;
 	if (sse->n + bytes.n > DL_SSE_EVENT_MAX)
 		return -EMSGSIZE;
 	if (sse->n + bytes.n > sse->size) {
@@ -82,10 +84,13 @@
  */
 static bool take_line(struct dl_sse *sse, struct dl_str *line)
 {
-	size_t at = sse->searched + end_of_line(sse->buf + sse->searched,
-						sse->n - sse->searched);
-	size_t next = at + 1;
+	size_t at, next;
 
+	if (sse->searched == sse->n)
+		return false;
+	at = sse->searched +
+	     end_of_line(sse->buf + sse->searched, sse->n - sse->searched);
+	next = at + 1;
 	sse->searched = at;
 	if (at == sse->n)
 		return false;
