Test: side by side, tests kill only their own and listen at their own addresses

Cause of the first: deploy_stop() killed every process id that the test had recorded, also of processes long ended, and ids (up to 32,768) come round within minutes. Now an id is recorded with the start time of its process. Cause of the second: fixed loopback addresses in three programs; suite_address() derives them from the process.

--- a/test/deploy.sh
+++ b/test/deploy.sh
@@ -101,9 +101,14 @@
 	echo "$DOMAINS" | cut -d' ' -f"$1"
 }
 
+# When a process was started, which tells it from a later one with its id.
+process_start() { # PID
+	sed 's/.*) //' "/proc/$1/stat" 2>/dev/null | cut -d' ' -f20
+}
+
 # Record the process id of a started process under a name.
 record_pid() {
-	echo "$1 $2" >>"$DIR/pids"
+	echo "$1 $2 $(process_start "$2")" >>"$DIR/pids"
 	eval "PID_$1=$2"
 }
 
@@ -270,10 +275,13 @@
 		wait_for 15 "services at all entries" for_each_vm entry_serves_plain
 }
 
-# Kill all processes that were started, by process id, and wait for them.
+# Kill all processes that were started, by process id, and wait for them.  The id of
+# one that has ended may be that of another test's process by now.
 deploy_stop() {
 	[ -f "$DIR/pids" ] || return 0
-	while read -r _ pid; do
+	while read -r _ pid started; do
+		[ -n "$started" ] && [ "$(process_start "$pid")" = "$started" ] ||
+			continue
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
 	done <"$DIR/pids"
--- a/test/fake/suite.h
+++ b/test/fake/suite.h
@@ -3,7 +3,20 @@
 #define TEST_FAKE_SUITE_H
 
 #include <check.h>
+#include <stdint.h>
 #include <stdlib.h>
+#include <unistd.h>
+
+/*
+ * A packed address on loopback, from the last two octets of its IP address:
+ * each process has others, so that two runs of a test can be side by side.
+ */
+static inline uint64_t suite_address(uint32_t octets, uint16_t port)
+{
+	uint32_t subnet = 1 + (uint32_t)getpid() % 250;
+
+	return (uint64_t)(0x7f000000u | subnet << 16 | octets) << 16 | port;
+}
 
 /* Runs and frees a suite; returns the exit status of the program. */
 static inline int suite_run(Suite *suite)
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -12,7 +12,7 @@
 #include "transport/httpc.h"
 #include "transport/tunnel.h"
 
-#define ADDRESS	       ((UINT64_C(0x7f004301) << 16) | 7101)
+#define ADDRESS	       suite_address(0x4301, 7101)
 #define ITERATIONS_MAX 3000
 
 /* What the server does after its last write. */
@@ -187,7 +187,7 @@
 };
 
 /* Where connections are accepted to be forwarded to ADDRESS. */
-#define TUNNEL ((UINT64_C(0x7f004302) << 16) | 7102)
+#define TUNNEL suite_address(0x4302, 7102)
 
 static uv_loop_t loop;
 static uv_tcp_t listener, server;
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -13,8 +13,7 @@
 #include "fake/suite.h"
 #include "transport/peers.h"
 
-#define VM(last, port)                                                         \
-	((uint64_t)(0x7f000000u | 0x4200 | (last)) << 16 | (port))
+#define VM(last, port) suite_address(0x4200 | (last), port)
 #define ITERATIONS_MAX 2000 /* of about 10 ms; far more than any wait needs */
 
 struct node {
--- a/test/test_tunnel.c
+++ b/test/test_tunnel.c
@@ -16,8 +16,7 @@
 #include "transport/sock.h"
 #include "transport/tunnel.h"
 
-#define AT(last, port)                                                         \
-	((uint64_t)(0x7f000000u | 0x4400 | (last)) << 16 | (port))
+#define AT(last, port) suite_address(0x4400 | (last), port)
 #define ENDPOINT       AT(1, 9001)
 #define OTHER	       AT(2, 9002)
 #define CLOSED	       AT(3, 9003) /* nobody listens */
