--- a/test/tool_load.c
+++ b/test/tool_load.c
@@ -94,6 +94,7 @@
 	double started;
 	double ends;
 	guint in_flight;
+	bool sent_reported;
 	int64_t ready_at;
 	uint64_t number;
 } gen;
@@ -640,13 +641,13 @@
 {
 	char text[24];
 
-	if (!opt.sent)
+	if (!opt.sent || gen.sent_reported)
 		return;
 	snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT "\n",
 		 (guint64)gen.number);
 	if (!g_file_set_contents(opt.sent, text, -1, NULL))
 		fprintf(stderr, "load: cannot write %s\n", opt.sent);
-	opt.sent = NULL;
+	gen.sent_reported = true;
 }
 
 /* Open-loop load: new requests do not wait for earlier responses. */
