Tunnels: send the endpoint's report to the VM that is to forward

Callers of a VM that dispatched and had lost its links got 503 no-path though another VM of the domain reached the endpoints: test_system_cut_off_api.sh failed in 5 of 19 runs.

Cause: in the native protocol an endpoint announces itself to one VM, which tells the dispatcher. A VM forwards only to endpoints that it has a report of, so of three tries within a millisecond each was refused as unavailable (tries=3 ms=0 in the logs of two runs). Ruled out: load, as it failed on an idle machine; the links of the forwarding VM, which served its own callers.

The VM that asks now sends its report in the body of DL_FRAME_TUNNEL_OPEN, and without one asks the dispatcher first. The service of a granted endpoint that has not been heard of is remembered in the own domain too; before, all paths to such endpoints shared the group 0.

--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -294,6 +294,9 @@
 
 void dl_pool_summarize(const struct dl_pool *pool, int64_t now,
 		       struct dl_pool_summary *out);
+/* The last report of an endpoint; false if there is none. */
+bool dl_pool_endpoint_report(const struct dl_pool *pool, struct dl_str id,
+			     struct dl_endpoint_report *out);
 /* The number of endpoints, in any state. */
 uint32_t dl_pool_endpoint_count(const struct dl_pool *pool);
 /* Iterate over the endpoints by index, for status; false at the end. */
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -406,6 +406,18 @@
 		pool_prefix_forget(pool, prefix, e);
 }
 
+/* Returns the last report of an endpoint; false if there is none. */
+bool dl_pool_endpoint_report(const struct dl_pool *pool, struct dl_str id,
+			     struct dl_endpoint_report *out)
+{
+	const struct pool_endpoint *e = pool_endpoint_find(pool, id);
+
+	if (!e || e->state == POOL_EP_UNKNOWN)
+		return false;
+	*out = e->last;
+	return true;
+}
+
 /* Return the number of endpoints, in any state. */
 uint32_t dl_pool_endpoint_count(const struct dl_pool *pool)
 {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -348,10 +348,10 @@
 
 	/* connecting to endpoints */
 	struct dl_paths *paths;
-	struct dl_tunnels *tunnels;   /* NULL: none are forwarded */
-	GHashTable *remote_endpoints; /* of other failure domains, by address */
-	GPtrArray *checks;	      /* of endpoints that broke attempts off */
-	uint64_t path_draws;	      /* random choices made so far */
+	struct dl_tunnels *tunnels;	  /* NULL: none are forwarded */
+	GHashTable *unreported_endpoints; /* that were granted, by address */
+	GPtrArray *checks;   /* of endpoints that broke attempts off */
+	uint64_t path_draws; /* random choices made so far */
 	int64_t path_checked_at;
 	int64_t forwarding_at; /* the last time; 0: not, or long ago */
 	bool isolated_logged;
@@ -545,6 +545,7 @@
 			    const struct dl_frame *f);
 void entry_announce_batch(struct entry *e, uint64_t from,
 			  const struct dl_frame *f);
+void entry_announce_forwarded(struct entry *e, struct dl_str report);
 void entry_announce_frame(struct entry *e, uint64_t from,
 			  const struct dl_frame *f);
 
@@ -559,9 +560,9 @@
 /* The group of the paths to a service's endpoints, see daisyledge/paths.h. */
 uint64_t entry_path_group(struct dl_str service);
 bool entry_path_is_isolated(struct entry *e, struct dl_str service);
-void entry_path_note_remote(struct entry *e, const struct dl_name *endpoint,
-			    const struct dl_name *domain,
-			    struct dl_str service);
+void entry_path_note_granted(struct entry *e, const struct dl_name *endpoint,
+			     const struct dl_name *domain,
+			     const struct dl_name *service);
 void entry_path_vm_lost(struct entry *e, uint64_t vm);
 void entry_path_vm_gone(struct entry *e, uint64_t vm);
 void entry_path_stop(struct entry *e);
--- a/src/entry/entry_announce.c
+++ b/src/entry/entry_announce.c
@@ -193,6 +193,12 @@
 	apply_forwarded(e, &a);
 }
 
+/* Handles the report of an endpoint that another VM has forwarded. */
+void entry_announce_forwarded(struct entry *e, struct dl_str report)
+{
+	handle_report(e, report);
+}
+
 /* Handles an announcement forwarded by another VM. */
 void entry_announce_frame(struct entry *e, uint64_t from,
 			  const struct dl_frame *f)
--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -276,9 +276,9 @@
 			c->asked_at, NULL);
 	note_wait(c);
 	c->state = CALL_RUNNING;
-	if (!own_domain(c))
-		entry_path_note_remote(c->e, &answer->endpoint[0], &c->domain,
-				       service_of(c));
+	for (uint8_t i = 0; i < answer->endpoints; i++)
+		entry_path_note_granted(c->e, &answer->endpoint[i], &c->domain,
+					&c->service);
 	if (entry_quarantine_refuses(c))
 		return;
 	if (c->probes && !c->ask.probed_cause.id) {
--- a/src/entry/entry_path.c
+++ b/src/entry/entry_path.c
@@ -10,6 +10,7 @@
 #include "base/metric.h"
 #include "base/msg.h"
 #include "entry/entry_call.h"
+#include "protocol/pool_codec.h"
 
 /*
  * Connections forwarded at a time. Each takes two descriptors and up to 128 kB;
@@ -18,8 +19,8 @@
 #define TUNNELS_MAX 128
 /* VMs that those asked to forward a connection are drawn from. */
 #define VMS_MAX 1024
-/* Endpoints of other failure domains that are remembered. */
-#define REMOTE_MAX 1024
+/* Granted endpoints that this VM has no report of, which are remembered. */
+#define UNREPORTED_MAX 1024
 /* Endpoints looked at to find some that this VM may reach. */
 #define OTHERS_SCAN_MAX 16
 /*
@@ -49,14 +50,19 @@
 static void on_forwarded(void *arg, uint64_t endpoint, uint64_t vm,
 			 enum dl_forward_result result);
 static void on_undecided(void *arg, uint64_t endpoint);
-static enum dl_forward_result admit(void *arg, uint64_t endpoint);
+static enum dl_forward_result admit(void *arg, uint64_t endpoint,
+				    struct dl_str report);
+static char *report_of(void *arg, uint64_t endpoint, size_t *n);
 static uint32_t list_others(void *arg, uint64_t endpoint, uint64_t *out,
 			    uint32_t max);
 
-/* An endpoint that the dispatcher of another failure domain granted. */
-struct remote_endpoint {
+/*
+ * An endpoint that was granted and that this VM has no report of: it is of
+ * another failure domain, or has announced itself to other VMs only.
+ */
+struct unreported_endpoint {
 	uint64_t address;
-	uint64_t group;
+	struct dl_name service;
 	struct dl_name domain;
 };
 
@@ -76,12 +82,13 @@
 		.direct = on_direct,
 		.forwarded = on_forwarded,
 		.undecided = on_undecided,
+		.report = report_of,
 		.arg = e,
 	};
 
 	e->paths = dl_paths_new();
-	e->remote_endpoints = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						    NULL, g_free);
+	e->unreported_endpoints = g_hash_table_new_full(
+		g_int64_hash, g_int64_equal, NULL, g_free);
 	entry_check_init(e);
 	if (!e->node.settings.tunnel)
 		return 0;
@@ -119,44 +126,46 @@
 static uint64_t group_of(struct entry *e, uint64_t endpoint)
 {
 	const struct entry_pool *p = pool_of(e, endpoint);
-	const struct remote_endpoint *remote;
+	const struct unreported_endpoint *u;
 
 	if (p)
 		return entry_path_group(dl_name_str(&p->service));
-	remote = g_hash_table_lookup(e->remote_endpoints, &endpoint);
-	return remote ? remote->group : 0;
+	u = g_hash_table_lookup(e->unreported_endpoints, &endpoint);
+	return u ? entry_path_group(dl_name_str(&u->service)) : 0;
 }
 
-/* Records of which failure domain an endpoint is that another one granted. */
-void entry_path_note_remote(struct entry *e, const struct dl_name *endpoint,
-			    const struct dl_name *domain, struct dl_str service)
+/* Records the service and failure domain of an endpoint that was granted. */
+void entry_path_note_granted(struct entry *e, const struct dl_name *endpoint,
+			     const struct dl_name *domain,
+			     const struct dl_name *service)
 {
-	struct remote_endpoint *remote;
+	struct unreported_endpoint *u;
 	uint64_t address;
 
-	if (!dl_vm_parse(dl_name_str(endpoint), &address))
+	if (!dl_vm_parse(dl_name_str(endpoint), &address) ||
+	    pool_of(e, address))
 		return;
-	remote = g_hash_table_lookup(e->remote_endpoints, &address);
-	if (!remote) {
-		if (g_hash_table_size(e->remote_endpoints) >= REMOTE_MAX)
-			g_hash_table_remove_all(e->remote_endpoints);
-		remote = g_new0(struct remote_endpoint, 1);
-		remote->address = address;
-		g_hash_table_insert(e->remote_endpoints, &remote->address,
-				    remote);
+	u = g_hash_table_lookup(e->unreported_endpoints, &address);
+	if (!u) {
+		if (g_hash_table_size(e->unreported_endpoints) >=
+		    UNREPORTED_MAX)
+			g_hash_table_remove_all(e->unreported_endpoints);
+		u = g_new0(struct unreported_endpoint, 1);
+		u->address = address;
+		g_hash_table_insert(e->unreported_endpoints, &u->address, u);
 	}
-	remote->domain = *domain;
-	remote->group = entry_path_group(service);
+	u->domain = *domain;
+	u->service = *service;
 }
 
 /* Returns the failure domain, or region, whose VMs know an endpoint. */
 static struct dl_str domain_of(struct entry *e, uint64_t endpoint)
 {
-	const struct remote_endpoint *remote =
-		g_hash_table_lookup(e->remote_endpoints, &endpoint);
+	const struct unreported_endpoint *u =
+		g_hash_table_lookup(e->unreported_endpoints, &endpoint);
 
-	if (remote && !pool_of(e, endpoint))
-		return dl_name_str(&remote->domain);
+	if (u && !pool_of(e, endpoint))
+		return dl_name_str(&u->domain);
 	return dl_name_str(dl_settings_pool_domain(&e->node.settings));
 }
 
@@ -234,6 +243,35 @@
 	       dl_name_eq(&m->domain, domain);
 }
 
+/*
+ * Returns the dispatcher of an endpoint that this VM has no report of: of the
+ * other VMs only that one is sure to have one.  Where this VM has a report, it
+ * sends that, and any VM can forward; returns DL_VM_NONE.
+ */
+static uint64_t vm_with_report(struct entry *e, uint64_t endpoint)
+{
+	const struct unreported_endpoint *u =
+		g_hash_table_lookup(e->unreported_endpoints, &endpoint);
+
+	if (!u || pool_of(e, endpoint))
+		return DL_VM_NONE;
+	return entry_pool_owner(e, dl_name_str(&u->service),
+				dl_name_str(&u->domain));
+}
+
+/* Puts a VM first in a list, in place of the last one where it is not there. */
+static void put_first(uint64_t *vms, uint32_t n, uint64_t vm)
+{
+	uint32_t i = 0;
+
+	if (!n)
+		return;
+	while (i < n - 1 && vms[i] != vm)
+		i++;
+	vms[i] = vms[0];
+	vms[0] = vm;
+}
+
 /*
  * Lists VMs to be asked to forward a connection.  Sets alone where there is no
  * other VM.
@@ -243,6 +281,8 @@
 {
 	struct entry *e = arg;
 	struct dl_str domain = domain_of(e, endpoint);
+	uint64_t informed = vm_with_report(e, endpoint);
+	bool informed_found = false;
 	uint64_t vms[VMS_MAX];
 	const struct dl_member *m;
 	uint32_t n = 0;
@@ -256,9 +296,12 @@
 		if (!m->draining &&
 		    !g_hash_table_contains(e->unreachable_vms, &m->vm))
 			vms[n++] = m->vm;
+		informed_found |= n && vms[n - 1] == informed;
 	}
 	n = dl_paths_choose(e->paths, vms, n, max, random_bits(e),
 			    entry_now(e));
+	if (informed_found)
+		put_first(vms, n, informed);
 	memcpy(out, vms, n * sizeof(*out));
 	return n;
 }
@@ -318,15 +361,51 @@
 	return true;
 }
 
+/*
+ * Returns the last report of an endpoint that this VM has, packed; NULL if it
+ * has none. Where replicas relay announcements all VMs have all reports.
+ */
+static char *report_of(void *arg, uint64_t endpoint, size_t *n)
+{
+	struct entry *e = arg;
+	const struct entry_pool *p = pool_of(e, endpoint);
+	struct dl_announcement a = { 0 };
+	struct dl_packer pk;
+	char text[24], *copy;
+
+	*n = 0;
+	dl_vm_text(endpoint, text);
+	if (!p || e->node.settings.foreign ||
+	    !dl_pool_endpoint_report(p->pool, dl_str_of(text), &a.report))
+		return NULL;
+	a.service = p->service;
+	dl_report_pack(&pk, &a);
+	*n = dl_packer_bytes(&pk).n;
+	copy = malloc(*n);
+	if (copy)
+		memcpy(copy, dl_packer_bytes(&pk).s, *n);
+	else
+		*n = 0;
+	dl_packer_close(&pk);
+	return copy;
+}
+
 /*
  * Decides on another VM's connection. This VM connects to endpoints only, and
  * not where it has lost its own links, which it tries now and then.
+ *
+ * Announcements go to one VM and to the dispatcher, so this VM may hear of an
+ * endpoint from the VM that asks only: without its report, a VM that dispatched
+ * and was cut off found no VM to forward for it.
  */
-static enum dl_forward_result admit(void *arg, uint64_t endpoint)
+static enum dl_forward_result admit(void *arg, uint64_t endpoint,
+				    struct dl_str report)
 {
 	struct entry *e = arg;
 	struct dl_path_plan own;
 
+	if (report.n && !e->node.settings.foreign && !pool_of(e, endpoint))
+		entry_announce_forwarded(e, report);
 	if (!pool_of(e, endpoint))
 		return DL_FORWARD_UNAVAILABLE;
 	plan(e, endpoint, &own);
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -101,6 +101,11 @@
 	void (*forwarded)(void *arg, uint64_t endpoint, uint64_t vm,
 			  enum dl_forward_result result);
 	void (*undecided)(void *arg, uint64_t endpoint);
+	/*
+	 * Returns the endpoint's last report, which the caller frees with
+	 * free(), or NULL; a VM that forwards may not have heard of it.
+	 */
+	char *(*report)(void *arg, uint64_t endpoint, size_t *n);
 	void *arg;
 };
 
--- a/src/transport/httpc_conn.c
+++ b/src/transport/httpc_conn.c
@@ -335,12 +335,18 @@
 /* Asks the VM that was connected to for the endpoint. */
 static int send_open(struct conn *conn)
 {
+	const struct dl_httpc_paths *paths = paths_of(conn->call);
 	struct dl_frame f = { .kind = DL_FRAME_TUNNEL_OPEN,
 			      .request = conn->address };
+	char *report = NULL;
 	uv_buf_t buf;
 	size_t n = 0;
 
+	if (paths && paths->report)
+		report = paths->report(paths->arg, conn->address, &f.body.n);
+	f.body.s = report;
 	conn->open_frame = dl_frame_bytes(&f, &n);
+	free(report);
 	if (!conn->open_frame)
 		return UV_ENOMEM;
 	buf = uv_buf_init(conn->open_frame, (unsigned)n);
--- a/src/transport/tunnel.c
+++ b/src/transport/tunnel.c
@@ -441,7 +441,7 @@
 	}
 	t->to = f->request;
 	verdict = server->accepting && server->count <= server->max ?
-			  server->ops->admit(server->arg, t->to) :
+			  server->ops->admit(server->arg, t->to, f->body) :
 			  DL_FORWARD_UNAVAILABLE;
 	if (verdict != DL_FORWARD_CONNECTED) {
 		refuse(t, verdict);
--- a/src/transport/tunnel.h
+++ b/src/transport/tunnel.h
@@ -4,7 +4,8 @@
  * httpc_conn.c.
  *
  * The client opens a TCP connection and sends DL_FRAME_TUNNEL_OPEN with the
- * endpoint's address as the frame's request id.  The answer is
+ * endpoint's address as the frame's request id, and the endpoint's last report
+ * as its body if the client has one.  The answer is
  * DL_FRAME_TUNNEL_OPENED, or DL_FRAME_TUNNEL_FAILED with an enum
  * dl_forward_result as the request id, and the end.  What the client sends
  * after the answer goes to the endpoint as it is.  What the endpoint sends
@@ -27,9 +28,10 @@
 struct dl_tunnels_ops {
 	/*
 	 * Whether to connect to an address for another VM, and, if not, what
-	 * to answer.
+	 * to answer; report is the endpoint's report that it sent, or empty.
 	 */
-	enum dl_forward_result (*admit)(void *arg, uint64_t endpoint);
+	enum dl_forward_result (*admit)(void *arg, uint64_t endpoint,
+					struct dl_str report);
 	/*
 	 * Lists other endpoints, to find out whether this VM reaches any;
 	 * returns how many. Without any, the one that fails is blamed.
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -319,7 +319,8 @@
 {
 }
 
-static enum dl_forward_result admit(void *arg, uint64_t endpoint)
+static enum dl_forward_result admit(void *arg, uint64_t endpoint,
+				    struct dl_str report)
 {
 	return DL_FORWARD_CONNECTED;
 }
--- a/test/test_tunnel.c
+++ b/test/test_tunnel.c
@@ -170,7 +170,8 @@
 	paths_seen.undecided++;
 }
 
-static enum dl_forward_result admit(void *arg, uint64_t endpoint)
+static enum dl_forward_result admit(void *arg, uint64_t endpoint,
+				    struct dl_str report)
 {
 	return verdict;
 }
