--- a/test/test_system_disk_faults.sh
+++ b/test/test_system_disk_faults.sh
@@ -77,17 +77,31 @@
 		"$DIR"/replica-3-1.log
 }
 
-# Within this time an ordered fault takes place, in seconds; the next snapshot on a
-# busy machine takes longest.
+# An ordered fault takes place before this many more changes have been accepted:
+# with 255 kB a change, a journal that grows to the size of a snapshot of 8 MiB,
+# the most that is kept of old texts, holds 34.
+FAULT_CHANGES=50
+# How long none of both may happen, in seconds.
 FAULT_S=20
 
+fault_or_change() { # D KIND OUTCOME COUNT VERSION
+	disk_calls_beyond "$1" "$2" "$3" "$4" || acked_beyond "$5"
+}
+
 # Order faults, separated by commas, and wait until the expected one has taken
 # place.
 begin_fault() { # D KIND OUTCOME ORDERS WHEN
 	seen=$(disk_calls "$1" "$2" "$3")
+	first=$(acked_version)
 	order_disk "$1" "$4"
-	wait_for $FAULT_S "$2 $3" disk_calls_beyond "$1" "$2" "$3" "${seen:-0}" ||
-		fail "$5: the fault did not take place"
+	until disk_calls_beyond "$1" "$2" "$3" "${seen:-0}"; do
+		last=$(acked_version)
+		[ $((last - first)) -lt $FAULT_CHANGES ] ||
+			fail "$5: the fault did not take place in $FAULT_CHANGES changes"
+		wait_for $FAULT_S "$2 $3, or a change" fault_or_change "$1" "$2" \
+			"$3" "${seen:-0}" "$last" ||
+			fail "$5: the fault did not take place, nor a change"
+	done
 }
 
 # The process was killed by its disk: start it again on one that works.
