Quarantine: save crashes of probes, count what is dropped

After a start of all entries and replicas, up to three more probes of a quarantined cause could crash endpoints: replicas saved only when a quarantine began, ended or became certain, so crashes of probes were not on disk.

A save is due now when the crashes of candidates differ from those that were saved. crash_of_blamed_cause_is_to_be_saved fails if the digest leaves out the number of crashes (1 of 229 checks), and passes with it. Full tables are counted in quarantine_dropped.

--- a/include/daisyledge/quarantine.h
+++ b/include/daisyledge/quarantine.h
@@ -110,6 +110,15 @@
 bool dl_quarantine_is_candidate(struct dl_quarantine *q,
 				const struct dl_cause *cause, int64_t now);
 
+/*
+ * Whether the crashes of candidates differ from those at the last call of
+ * dl_quarantine_note_saved(), so that they have to be saved.
+ */
+bool dl_quarantine_unsaved(struct dl_quarantine *q);
+void dl_quarantine_note_saved(struct dl_quarantine *q);
+/* Number of causes, crashes and attempts that were dropped for lack of room. */
+uint64_t dl_quarantine_dropped(const struct dl_quarantine *q);
+
 enum dl_quarantine_rule {
 	DL_QUARANTINE_RUN,
 	DL_QUARANTINE_PROBE, /* it may run if no other probe does */
--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -25,6 +25,7 @@
 	X(quarantine_refusals, "requests refused for a quarantine")            \
 	X(quarantine_probes, "requests let through to tell causes apart")      \
 	X(quarantine_unsaved, "saves of the quarantine that failed")           \
+	X(quarantine_dropped, "crash records dropped for lack of room")        \
 	X(bad_requests, "invalid requests")                                    \
 	X(streams_open, "requests in flight")                                  \
 	X(buffered_bytes, "request bytes buffered")                            \
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -106,6 +106,7 @@
 	if (slot >= q->interrupted->len)
 		g_array_set_size(q->interrupted, slot + 1);
 	in = &g_array_index(q->interrupted, struct interrupted, slot);
+	q->dropped += in->start && now - in->at < INTERRUPTED_MS;
 	g_free(in->part);
 	*in = (struct interrupted){
 		.start = start,
@@ -274,6 +275,7 @@
 	g_array_sort(all, by_rank);
 	for (guint i = 0; i < all->len && i < EVICT_AT_ONCE; i++)
 		remove_record(q, g_array_index(all, struct ranked, i).record);
+	q->dropped += MIN(all->len, EVICT_AT_ONCE);
 	g_array_free(all, TRUE);
 }
 
@@ -319,8 +321,10 @@
 	    (has_request(r, crash->request) ||
 	     quarantine_requests(r) >= REQUESTS_ENOUGH))
 		return false;
-	if (r->crashes->len >= EVIDENCE_MAX)
+	if (r->crashes->len >= EVIDENCE_MAX) {
+		q->dropped++;
 		return false;
+	}
 	while (i > 0 &&
 	       g_array_index(r->crashes, struct evidence, i - 1).at > at)
 		i--;
@@ -429,6 +433,26 @@
 	return r && r->candidate && now - r->last < HOLD_MS;
 }
 
+/* Whether crashes of candidates were added or cleared since the last save. */
+bool dl_quarantine_unsaved(struct dl_quarantine *q)
+{
+	quarantine_judge(q);
+	return q->candidates_digest != q->saved_digest;
+}
+
+/* The crashes of all candidates are saved as they are now. */
+void dl_quarantine_note_saved(struct dl_quarantine *q)
+{
+	quarantine_judge(q);
+	q->saved_digest = q->candidates_digest;
+}
+
+/* Returns how much was dropped for lack of room. */
+uint64_t dl_quarantine_dropped(const struct dl_quarantine *q)
+{
+	return q->dropped;
+}
+
 static int held_state(const struct record *r, int64_t now)
 {
 	if (!quarantine_is_held(r, now))
--- a/src/coordination/quarantine_int.h
+++ b/src/coordination/quarantine_int.h
@@ -38,6 +38,9 @@
 	uint32_t interrupted_next;
 	uint32_t suspects;
 	bool stale; /* records changed since they were last judged */
+	uint64_t candidates_digest; /* of the crashes of all candidates */
+	uint64_t saved_digest;	    /* the same when they were last saved */
+	uint64_t dropped;
 };
 
 struct record *quarantine_find(const struct dl_quarantine *q,
--- a/src/coordination/quarantine_judge.c
+++ b/src/coordination/quarantine_judge.c
@@ -235,6 +235,27 @@
 	g_ptr_array_add(r->rivals, pair[1]);
 }
 
+/*
+ * Returns a digest of the crashes of all candidates, in any order of them. Each
+ * crash is a part of it, also one of a probe, which changes no blame: crashes
+ * that are forgotten in a restart allow as many more probes.
+ */
+static uint64_t digest_of(const GPtrArray *candidates)
+{
+	uint64_t digest = 0;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		const struct record *r = candidates->pdata[i];
+		uint64_t of_cause[] = { r->cause.id, r->cause.scope,
+					r->crashes->len };
+
+		digest += dl_hash((struct dl_str){ (const char *)of_cause,
+						   sizeof(of_cause) },
+				  r->cleared);
+	}
+	return digest;
+}
+
 /* Judges all causes anew if their records have changed. */
 void quarantine_judge(struct dl_quarantine *q)
 {
@@ -254,6 +275,7 @@
 		if (r->blamed)
 			find_rivals(candidates, r);
 	}
+	q->candidates_digest = digest_of(candidates);
 	g_hash_table_destroy(explained);
 	g_ptr_array_free(candidates, TRUE);
 }
--- a/src/node/quarantine.c
+++ b/src/node/quarantine.c
@@ -150,10 +150,14 @@
 				   struct dl_str body),
 		      void *arg)
 {
+	uint64_t dropped = dl_quarantine_dropped(q->records);
+
 	send_crashes(q->unsent, true, send, arg);
 	send_crashes(q->unsent, false, send, arg);
 	g_array_set_size(q->unsent, 0);
 	quarantine_log_changes(q, now);
+	dl_count(DL_METRIC_quarantine_dropped, (int64_t)(dropped - q->dropped));
+	q->dropped = dropped;
 	if (now - q->expired_at < EXPIRE_INTERVAL_MS)
 		return;
 	q->expired_at = now;
--- a/src/node/quarantine.h
+++ b/src/node/quarantine.h
@@ -15,8 +15,9 @@
 
 struct quarantine {
 	struct dl_quarantine *records;
-	GArray *unsent; /* struct dl_crash, not sent yet */
-	bool changed;	/* quarantined causes, since it was reset */
+	GArray *unsent;	  /* struct dl_crash, not sent yet */
+	bool changed;	  /* quarantined causes, since it was reset */
+	uint64_t dropped; /* as last added to the counter */
 	int64_t expired_at;
 };
 
--- a/src/replica/replica_quarantine.c
+++ b/src/replica/replica_quarantine.c
@@ -52,7 +52,7 @@
 	r->crashes = dl_crash_store_new(disk, saved);
 	read_stored(r, replica_now(r));
 	quarantine_log_changes(&r->quarantine, replica_now(r));
-	r->quarantine.changed = false;
+	dl_quarantine_note_saved(r->quarantine.records);
 }
 
 /* Frees the crash store; the disk must not be busy. */
@@ -106,7 +106,7 @@
 			    (const struct dl_crash *)active.crashes->data,
 			    active.crashes->len, dl_node_wall_ms(), now);
 	g_array_free(active.crashes, TRUE);
-	r->quarantine.changed = false;
+	dl_quarantine_note_saved(r->quarantine.records);
 }
 
 /* Handles crashes reported by an entry or another replica. */
@@ -127,14 +127,16 @@
 }
 
 /*
- * Forwards new crashes, saves a changed set of active quarantines, and repeats
- * reads and saves that failed.
+ * Forwards new crashes, saves those of active quarantines if there are new
+ * ones, and repeats reads and saves that failed.
  */
 void replica_quarantine_tick(struct replica *r, int64_t now)
 {
 	if (dl_crash_store_read_due(r->crashes, now))
 		read_stored(r, now);
-	if (dl_crash_store_due(r->crashes, r->quarantine.changed, now))
+	if (dl_crash_store_due(r->crashes,
+			       dl_quarantine_unsaved(r->quarantine.records),
+			       now))
 		save_active(r, now);
 	quarantine_flush(&r->quarantine, now, broadcast, r);
 }
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -485,6 +485,36 @@
 }
 END_TEST
 
+/* A crash of a probe changes no blame, and is forgotten unless it is saved. */
+START_TEST(crash_of_blamed_cause_is_to_be_saved)
+{
+	ck_assert(!dl_quarantine_unsaved(q));
+	crash(q, REQUEST, 1, 10);
+	ck_assert(!dl_quarantine_unsaved(q));
+	crash(q, REQUEST, 2, 20);
+	crash(q, REQUEST, 3, 30);
+	ck_assert(dl_quarantine_unsaved(q));
+	dl_quarantine_note_saved(q);
+	ck_assert(!dl_quarantine_unsaved(q));
+	crash(q, REQUEST, 9, HOUR_MS);
+	ck_assert(dl_quarantine_unsaved(q));
+	dl_quarantine_note_saved(q);
+	crash(q, REQUEST, 0, HOUR_MS);
+	ck_assert(dl_quarantine_unsaved(q));
+}
+END_TEST
+
+/* Full tables drop causes; operators see how many. */
+START_TEST(dropped_causes_are_counted)
+{
+	for (uint64_t i = 1; i <= 4096; i++)
+		crash(q, 1000 + i, i, 10);
+	ck_assert_uint_eq(dl_quarantine_dropped(q), 0);
+	crash(q, 1000, 1, 10);
+	ck_assert_uint_gt(dl_quarantine_dropped(q), 0);
+}
+END_TEST
+
 START_TEST(quarantine_changes_are_reported_once)
 {
 	struct dl_quarantine_change change;
@@ -635,6 +665,8 @@
 	tcase_add_test(tc, part_held_by_chance_is_probed_later);
 	tcase_add_test(tc, few_probes_crash_within_the_hold);
 	tcase_add_test(tc, part_crashes_survive_a_full_table);
+	tcase_add_test(tc, crash_of_blamed_cause_is_to_be_saved);
+	tcase_add_test(tc, dropped_causes_are_counted);
 	tcase_add_test(tc, quarantine_changes_are_reported_once);
 	tcase_add_test(tc, crash_reports_name_the_request_and_its_parts);
 	tcase_add_test(tc, crashes_round_trip);
