Configuration: routes are reference-counted, and a benchmark of 1,300 routes

Cause: a delta shares the routes that did not change between two versions; routes in one array, owned by one configuration, cannot be shared. Change: struct dl_conf.routes is a list of pointers to routes with an atomic reference count. Routes keep a hash of host and prefix, so that the check for two routes with the same ones needs no strings built, and works on routes that were not parsed again. bench_conf prints conf_parse_us for 1,300 routes.

--- a/bench/bench_conf.c
+++ b/bench/bench_conf.c
@@ -17,9 +17,14 @@
 #define WALL	    1700000000000
 #define PARSE_TRIES 5
 #define BATCH	    2000
-#define CLAIM_S	    (1u << 20)
-#define US_PER_MS   1000.0
-#define NS_PER_US   1000.0
+/* A large deployment: 300 kB of text. */
+#define ROUTES		 1300
+#define ROUTE_SERVICES	 12
+#define ROUTE_WORKSPACES 40
+#define ROUTE_TRIES	 30
+#define CLAIM_S		 (1u << 20)
+#define US_PER_MS	 1000.0
+#define NS_PER_US	 1000.0
 
 static const uint32_t workspaces[] = { 10, 1000, 8000, 32000 };
 static const uint32_t fills[] = { 0, 1000, 10000, 50000, 95000 };
@@ -51,6 +56,43 @@
 	return s;
 }
 
+/*
+ * A configuration text of routes like those of a large deployment, some 210
+ * bytes each; one route has another timeout.
+ */
+static GString *make_routes_text(uint64_t number, uint32_t changed)
+{
+	GString *s = g_string_new("{\"format\":1,\"services\":{");
+
+	for (uint32_t i = 0; i < ROUTE_SERVICES; i++)
+		g_string_append_printf(s,
+				       "%s\"service-%u\":{\"kind\":\"model\","
+				       "\"pool\":{\"long_tokens\":24000,"
+				       "\"queue_entries_max\":2000}}",
+				       i ? "," : "", i);
+	g_string_append(s, "},\"workspaces\":{");
+	for (uint32_t i = 0; i < ROUTE_WORKSPACES; i++)
+		g_string_append_printf(s,
+				       "%s\"workspace-%u\":{\"weight\":2,"
+				       "\"keys\":[\"key-%u\"]}",
+				       i ? "," : "", i, i);
+	g_string_append_printf(s, "},\"number\":%" PRIu64 ",\"routes\":[",
+			       number);
+	for (uint32_t i = 0; i < ROUTES; i++)
+		g_string_append_printf(
+			s,
+			"%s{\"name\":\"route-%u\",\"host\":"
+			"\"host-%u.example\",\"path_prefix\":\"/v1/%u/\","
+			"\"kind\":\"stream\",\"timeout_ms\":%d,"
+			"\"target_ms\":300,\"gap_ms\":200,\"priority\":1,"
+			"\"attempts\":3,\"resumable\":true,\"targets\":"
+			"[{\"service\":\"service-%u\",\"weight\":1}]}",
+			i ? "," : "", i, i % 50, i,
+			i == changed ? 20000 : 30000, i % ROUTE_SERVICES);
+	g_string_append(s, "]}");
+	return s;
+}
+
 /* The best of several parses, since other processes share the machine. */
 static void bench_parse(uint32_t count)
 {
@@ -72,6 +114,25 @@
 	g_string_free(text, TRUE);
 }
 
+static void bench_routes(void)
+{
+	GString *text = make_routes_text(1, ROUTES);
+	int64_t best = INT64_MAX;
+
+	for (int i = 0; i < ROUTE_TRIES; i++) {
+		struct dl_conf *conf;
+		int64_t begin = g_get_monotonic_time();
+
+		if (dl_conf_parse((struct dl_str){ text->str, text->len },
+				  &conf, &faults))
+			exit(EXIT_FAILURE);
+		best = MIN(best, g_get_monotonic_time() - begin);
+		dl_conf_free(conf);
+	}
+	printf("conf_parse_us\t%" PRId64 "\tus\n", best);
+	g_string_free(text, TRUE);
+}
+
 static void run_command(struct dl_cstore *store,
 			const struct dl_cstore_cmd *cmd)
 {
@@ -194,6 +255,7 @@
 {
 	for (size_t i = 0; i < sizeof(workspaces) / sizeof(workspaces[0]); i++)
 		bench_parse(workspaces[i]);
+	bench_routes();
 	bench_store();
 	return EXIT_SUCCESS;
 }
--- a/include/daisyledge/conf.h
+++ b/include/daisyledge/conf.h
@@ -66,7 +66,8 @@
 
 /*
  * Route of the requests for a host and path prefix, which are forwarded
- * unchanged.
+ * unchanged. Versions of a configuration share the routes that did not change
+ * (conf_delta.h), so a route is never modified after parsing.
  */
 struct dl_route_conf {
 	struct dl_name name;
@@ -82,6 +83,8 @@
 	bool resumable;	     /* a broken stream may resume elsewhere */
 	struct dl_route_target targets[DL_ROUTE_TARGETS_MAX];
 	uint32_t targets_count;
+	uint64_t match_hash; /* of host and path_prefix, internal */
+	int references;	     /* atomic, internal */
 };
 
 /* Limits on the size and duration of callers' requests. */
@@ -116,7 +119,7 @@
 	uint32_t services_count;
 	struct dl_conf_workspace *workspaces;
 	uint32_t workspaces_count;
-	struct dl_route_conf *routes;
+	struct dl_route_conf **routes; /* in the order of the text */
 	uint32_t routes_count;
 	struct dl_caller_limits caller_limits;
 	/*
--- a/src/state/conf_int.h
+++ b/src/state/conf_int.h
@@ -114,6 +114,13 @@
 /* conf_route.c */
 void conf_read_routes(struct conf_reader *r, const struct conf_path *path,
 		      json_t *json, struct dl_conf *conf);
+struct dl_route_conf *conf_read_route(struct conf_reader *r,
+				      const struct conf_path *path,
+				      json_t *json, const struct dl_conf *conf);
+void conf_check_route_matches(struct conf_reader *r,
+			      const struct conf_path *path,
+			      const struct dl_conf *conf);
+struct dl_route_conf *conf_route_ref(struct dl_route_conf *route);
 void conf_read_keys(struct conf_reader *r, const struct conf_path *path,
 		    json_t *json, struct dl_conf_workspace *out);
 void conf_index_keys(struct conf_reader *r, struct dl_conf *conf);
--- a/src/state/conf_route.c
+++ b/src/state/conf_route.c
@@ -56,6 +56,10 @@
 static void check_path_prefix(struct conf_reader *r,
 			      const struct conf_path *path,
 			      const struct dl_route_conf *route);
+static uint64_t match_hash(const struct dl_route_conf *route);
+static guint hash_route(gconstpointer route);
+static gboolean routes_match_same(gconstpointer a, gconstpointer b);
+static void route_free(struct dl_route_conf *route);
 
 /* Return a copy of a host or path prefix, or NULL. */
 static char *read_string(struct conf_reader *r, const struct conf_path *path,
@@ -135,40 +139,116 @@
 		conf_fault(r, &child, "must begin and end with \"/\"");
 }
 
+/* Return the hash of a host and a path prefix. */
+static uint64_t match_hash(const struct dl_route_conf *route)
+{
+	uint64_t host = dl_hash(dl_str_of(route->host), 0);
+
+	return dl_hash(dl_str_of(route->path_prefix), host);
+}
+
+/*
+ * Read a route; the services must have been read. Returns a route with one
+ * reference, which has unset fields where there are faults, or NULL without
+ * memory.
+ */
+struct dl_route_conf *conf_read_route(struct conf_reader *r,
+				      const struct conf_path *path,
+				      json_t *json, const struct dl_conf *conf)
+{
+	struct dl_route_conf *route = calloc(1, sizeof(*route));
+
+	if (!route) {
+		r->out_of_memory = true;
+		return NULL;
+	}
+	route->references = 1;
+	if (!conf_read_object(r, path, json, CONF_FIELDS(route_fields), route))
+		return route;
+	route->host = read_string(r, path, json, "host");
+	route->path_prefix = read_string(r, path, json, "path_prefix");
+	check_path_prefix(r, path, route);
+	read_targets(r, path, json, conf, route);
+	if (route->host && route->path_prefix)
+		route->match_hash = match_hash(route);
+	return route;
+}
+
+static guint hash_route(gconstpointer route)
+{
+	return (guint)((const struct dl_route_conf *)route)->match_hash;
+}
+
+static gboolean routes_match_same(gconstpointer a, gconstpointer b)
+{
+	const struct dl_route_conf *ra = a, *rb = b;
+
+	return ra->match_hash == rb->match_hash &&
+	       strcmp(ra->host, rb->host) == 0 &&
+	       strcmp(ra->path_prefix, rb->path_prefix) == 0;
+}
+
+/*
+ * Check that no two routes have the same host and prefix. Routes keep the hash
+ * of both, so that the check of a large list that changed little is cheap.
+ */
+void conf_check_route_matches(struct conf_reader *r,
+			      const struct conf_path *path,
+			      const struct dl_conf *conf)
+{
+	GHashTable *seen = g_hash_table_new(hash_route, routes_match_same);
+
+	for (uint32_t i = 0; i < conf->routes_count; i++) {
+		struct dl_route_conf *route = conf->routes[i];
+		struct conf_path child;
+
+		if (!route->host || !route->path_prefix ||
+		    g_hash_table_add(seen, route))
+			continue;
+		child = conf_path_index(path, i);
+		conf_fault(r, &child, "another route has this host and prefix");
+	}
+	g_hash_table_destroy(seen);
+}
+
 /* Read the routes; the services must have been read. */
 void conf_read_routes(struct conf_reader *r, const struct conf_path *path,
 		      json_t *json, struct dl_conf *conf)
 {
 	size_t n = json_array_size(json);
-	GHashTable *seen;
 
 	conf->routes = conf_alloc_list(r, path, n, CONF_ROUTES_MAX,
 				       sizeof(*conf->routes));
 	if (!conf->routes)
 		return;
-	seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (size_t i = 0; i < n; i++) {
 		struct conf_path child = conf_path_index(path, i);
-		struct dl_route_conf *route = &conf->routes[i];
-		json_t *value = json_array_get(json, i);
+		struct dl_route_conf *route;
 
-		conf->routes_count++;
-		if (!conf_read_object(r, &child, value,
-				      CONF_FIELDS(route_fields), route))
-			continue;
-		route->host = read_string(r, &child, value, "host");
-		route->path_prefix =
-			read_string(r, &child, value, "path_prefix");
-		check_path_prefix(r, &child, route);
-		read_targets(r, &child, value, conf, route);
-		if (route->host && route->path_prefix &&
-		    !g_hash_table_add(seen,
-				      g_strdup_printf("%s\n%s", route->host,
-						      route->path_prefix)))
-			conf_fault(r, &child,
-				   "another route has this host and prefix");
+		route = conf_read_route(r, &child, json_array_get(json, i),
+					conf);
+		if (!route)
+			return;
+		conf->routes[conf->routes_count++] = route;
 	}
-	g_hash_table_destroy(seen);
+	conf_check_route_matches(r, path, conf);
+}
+
+/* Take a reference to a route, for another configuration that contains it. */
+struct dl_route_conf *conf_route_ref(struct dl_route_conf *route)
+{
+	g_atomic_int_inc(&route->references);
+	return route;
+}
+
+/* Release a reference to a route. */
+static void route_free(struct dl_route_conf *route)
+{
+	if (!g_atomic_int_dec_and_test(&route->references))
+		return;
+	free(route->host);
+	free(route->path_prefix);
+	free(route);
 }
 
 void conf_read_keys(struct conf_reader *r, const struct conf_path *path,
@@ -203,13 +283,11 @@
 	}
 }
 
-/* Free the routes, the keys and their index. */
+/* Release the routes; free the keys and their index. */
 void conf_routes_free(struct dl_conf *conf)
 {
-	for (uint32_t i = 0; i < conf->routes_count; i++) {
-		free(conf->routes[i].host);
-		free(conf->routes[i].path_prefix);
-	}
+	for (uint32_t i = 0; i < conf->routes_count; i++)
+		route_free(conf->routes[i]);
 	free(conf->routes);
 	for (uint32_t i = 0; i < conf->workspaces_count; i++)
 		free(conf->workspaces[i].keys);
@@ -231,7 +309,7 @@
 	size_t best_n = 0;
 
 	for (uint32_t i = 0; i < conf->routes_count; i++) {
-		const struct dl_route_conf *route = &conf->routes[i];
+		const struct dl_route_conf *route = conf->routes[i];
 		size_t n = strlen(route->path_prefix);
 
 		if (n <= best_n || strlen(route->host) != host.n ||
