Configuration deltas: split, make and apply

Cause: a VM reads each version whole although versions differ by some tens of bytes (docs/design/hard-load.md). Against the header committed first: dl_conf_sections_split() has no limit of length, dl_conf_delta_make() refuses a version that is not higher (-EINVAL), and faults have line 1.

--- a/bench/bench_conf.c
+++ b/bench/bench_conf.c
@@ -1,6 +1,7 @@
 /*
  * Cost of the configuration and the replicated state machine: the time to parse
- * a configuration by number of workspaces, the time of a command by number of
+ * a configuration by number of workspaces, the time to parse one with many
+ * routes and to apply a delta instead, the time of a command by number of
  * stored entries, and the bytes in memory and in snapshots.  Prints lines
  * "name<TAB>value<TAB>unit" only.
  */
@@ -12,6 +13,7 @@
 #include <string.h>
 
 #include "daisyledge/conf.h"
+#include "daisyledge/conf_delta.h"
 #include "daisyledge/cstore.h"
 
 #define WALL	    1700000000000
@@ -114,9 +116,9 @@
 	g_string_free(text, TRUE);
 }
 
-static void bench_routes(void)
+/* Best time of a parse of the whole text, in us. */
+static int64_t time_parse(const GString *text)
 {
-	GString *text = make_routes_text(1, ROUTES);
 	int64_t best = INT64_MAX;
 
 	for (int i = 0; i < ROUTE_TRIES; i++) {
@@ -129,7 +131,114 @@
 		best = MIN(best, g_get_monotonic_time() - begin);
 		dl_conf_free(conf);
 	}
-	printf("conf_parse_us\t%" PRId64 "\tus\n", best);
+	return best;
+}
+
+/* Best time of a split of the whole text, in us; *out is the last result. */
+static int64_t time_split(const GString *text, struct dl_conf_sections **out)
+{
+	int64_t best = INT64_MAX;
+
+	*out = NULL;
+	for (int i = 0; i < ROUTE_TRIES; i++) {
+		int64_t begin;
+
+		dl_conf_sections_free(*out);
+		begin = g_get_monotonic_time();
+		if (dl_conf_sections_split(
+			    (struct dl_str){ text->str, text->len }, out))
+			exit(EXIT_FAILURE);
+		best = MIN(best, g_get_monotonic_time() - begin);
+	}
+	return best;
+}
+
+/* Best time of making the delta between two versions, in us. */
+static int64_t time_make(const struct dl_conf_sections *base,
+			 const struct dl_conf_sections *next,
+			 struct dl_str *delta)
+{
+	int64_t best = INT64_MAX;
+	char *bytes = NULL;
+
+	for (int i = 0; i < ROUTE_TRIES; i++) {
+		int64_t begin;
+
+		free(bytes);
+		begin = g_get_monotonic_time();
+		if (dl_conf_delta_make(base, 1, next, 2, &bytes, &delta->n))
+			exit(EXIT_FAILURE);
+		best = MIN(best, g_get_monotonic_time() - begin);
+	}
+	delta->s = bytes;
+	return best;
+}
+
+/* Best time of applying a delta, in us, without freeing the result. */
+static int64_t time_apply(struct dl_str delta,
+			  const struct dl_conf_sections *base,
+			  const struct dl_conf *base_conf)
+{
+	int64_t best = INT64_MAX;
+
+	for (int i = 0; i < ROUTE_TRIES; i++) {
+		struct dl_conf_sections *next;
+		struct dl_conf *conf;
+		int64_t begin = g_get_monotonic_time();
+
+		if (dl_conf_delta_apply(delta, 1, base, base_conf, &next, &conf,
+					&faults))
+			exit(EXIT_FAILURE);
+		best = MIN(best, g_get_monotonic_time() - begin);
+		dl_conf_sections_free(next);
+		dl_conf_free(conf);
+	}
+	return best;
+}
+
+/* A new version with another timeout of a route, and possibly another number.
+ */
+static void bench_delta(const char *suffix, uint64_t number,
+			const struct dl_conf_sections *base,
+			const struct dl_conf *base_conf)
+{
+	GString *text = make_routes_text(number, ROUTES / 2);
+	struct dl_conf_sections *next;
+	struct dl_str delta;
+	int64_t make;
+
+	time_split(text, &next);
+	make = time_make(base, next, &delta);
+	printf("conf_delta_make%s_us\t%" PRId64 "\tus\n", suffix, make);
+	printf("conf_delta_apply%s_us\t%" PRId64 "\tus\n", suffix,
+	       time_apply(delta, base, base_conf));
+	printf("conf_delta%s_bytes\t%zu\tbytes\n", suffix, delta.n);
+	free((char *)delta.s);
+	dl_conf_sections_free(next);
+	g_string_free(text, TRUE);
+}
+
+/*
+ * The whole text of a large deployment, compared with deltas in which one route
+ * changes. The texts of some operators also have a number that changes with
+ * each version, and with it the head.
+ */
+static void bench_routes(void)
+{
+	GString *text = make_routes_text(1, ROUTES);
+	struct dl_conf_sections *base;
+	struct dl_conf *conf;
+
+	printf("conf_routes_text_bytes\t%zu\tbytes\n", text->len);
+	printf("conf_parse_us\t%" PRId64 "\tus\n", time_parse(text));
+	printf("conf_split_us\t%" PRId64 "\tus\n", time_split(text, &base));
+	if (dl_conf_parse((struct dl_str){ text->str, text->len }, &conf,
+			  &faults))
+		exit(EXIT_FAILURE);
+	bench_delta("", 1, base, conf);
+	bench_delta("_numbered", 2, base, conf);
+	dl_conf_free(conf);
+	dl_conf_sections_free(base);
 	g_string_free(text, TRUE);
 }
 
--- a/include/daisyledge/conf_delta.h
+++ b/include/daisyledge/conf_delta.h
@@ -27,8 +27,8 @@
 
 /*
  * Splits the JSON text of a configuration, which need not be a valid one.
- * Returns 0 and *out with one reference, -EINVAL if the text is too long or is
- * not a JSON object whose "routes", if any, is a list, or -ENOMEM.
+ * Returns 0 and *out with one reference, -EINVAL if the text is not a JSON
+ * object whose "routes", if any, is a list, or -ENOMEM.
  */
 int dl_conf_sections_split(struct dl_str text, struct dl_conf_sections **out);
 /* Takes another reference; returns s. */
@@ -37,8 +37,9 @@
 void dl_conf_sections_free(struct dl_conf_sections *s);
 uint64_t dl_conf_sections_digest(const struct dl_conf_sections *s);
 /*
- * Builds one JSON text of the whole configuration: NUL-terminated, n without
- * the NUL, to be freed with free(). Returns 0 or -ENOMEM.
+ * Builds one JSON text of the whole configuration, of one line, the routes as
+ * its last member: NUL-terminated, n without the NUL, to be freed with free().
+ * Returns 0 or -ENOMEM.
  */
 int dl_conf_sections_text(const struct dl_conf_sections *s, char **out,
 			  size_t *n);
@@ -53,7 +54,8 @@
 
 /*
  * Builds the delta from one version to a newer one: msgpack bytes, to be freed
- * with free(). Returns 0 or -ENOMEM.
+ * with free(). Returns 0, -EINVAL if next_version is not the higher one, or
+ * -ENOMEM.
  */
 int dl_conf_delta_make(const struct dl_conf_sections *base,
 		       uint64_t base_version,
@@ -65,13 +67,15 @@
  * Applies a delta to the version that it leads from. base_conf is the
  * configuration of base; its routes that did not change are shared, not parsed
  * again. *conf equals in every field what dl_conf_parse() returns for the text
- * of *sections.
+ * of *sections. base and base_conf must stay valid until the function returns,
+ * but need not outlive it. They may be NULL on a VM that has no version yet:
+ * the result is then -ESTALE.
  *
  * Returns 0, *sections with one reference and *conf; -ESTALE if base is another
  * version or has another digest; -EBADMSG if the delta is damaged or its result
  * has another digest than it says; -EINVAL and all faults if the result is not
- * a valid configuration; or -ENOMEM. The outputs are set only with 0. Lines of
- * faults are 0, as there is no text that the operators wrote; the path names
+ * a valid configuration; or -ENOMEM. The outputs are set only with 0. The line
+ * of each fault is 1, as dl_conf_sections_text() has one line; the path names
  * the route ("routes[17].timeout_ms"). faults must not be NULL.
  */
 int dl_conf_delta_apply(struct dl_str delta, uint64_t base_version,
--- a/src/state/conf.c
+++ b/src/state/conf.c
@@ -182,8 +182,6 @@
 
 static bool read_key(struct conf_reader *r, const struct conf_path *path,
 		     const char *key, struct dl_name *out);
-static void read_top_level(struct conf_reader *r, json_t *root,
-			   struct dl_conf *conf);
 static void read_classes(struct conf_reader *r, const struct conf_path *path,
 			 json_t *json, struct dl_conf *conf);
 static void set_default_classes(struct conf_reader *r, struct dl_conf *conf);
@@ -524,8 +522,8 @@
 }
 
 /* Read the parts of the text. Parts that others refer to come first. */
-static void read_top_level(struct conf_reader *r, json_t *root,
-			   struct dl_conf *conf)
+void conf_read_top_level(struct conf_reader *r, json_t *root,
+			 struct dl_conf *conf)
 {
 	struct conf_path path = conf_path_root(), child;
 	struct top_level top;
@@ -576,6 +574,18 @@
 		       &conf->drain_endpoints, &conf->drain_endpoints_count);
 }
 
+/* Check the length of a text. */
+bool conf_check_text_size(struct conf_reader *r, size_t n)
+{
+	struct conf_path root = conf_path_root();
+
+	if (n <= DL_CONF_TEXT_MAX)
+		return true;
+	conf_fault(r, &root, "the text has %zu bytes, at most %u are allowed",
+		   n, DL_CONF_TEXT_MAX);
+	return false;
+}
+
 /* Parse and check a text; faults are added to the reader's. */
 static int read_text(struct conf_reader *r, struct dl_str text,
 		     struct dl_conf *conf)
@@ -585,12 +595,8 @@
 	json_t *json;
 	int rc;
 
-	if (text.n > DL_CONF_TEXT_MAX) {
-		conf_fault(r, &root,
-			   "the text has %zu bytes, at most %u are allowed",
-			   text.n, DL_CONF_TEXT_MAX);
+	if (!conf_check_text_size(r, text.n))
 		return -EINVAL;
-	}
 	json = json_loadb(text.s ? text.s : "", text.n, 0, &error);
 	if (!json) {
 		conf_fault(r, &root, "%.*s", SYNTAX_TEXT_MAX, error.text);
@@ -600,9 +606,9 @@
 			       -ENOMEM :
 			       -EINVAL;
 	}
-	rc = conf_lines_scan(r, text);
+	rc = conf_lines_scan(r, &root, 0, text);
 	if (rc == 0) {
-		read_top_level(r, json, conf);
+		conf_read_top_level(r, json, conf);
 		conf_check(r, conf);
 		conf->digest = dl_conf_digest(text);
 	}
@@ -627,24 +633,18 @@
 }
 
 /*
- * Parse and check a configuration text. Returns 0 and *out, which the caller
- * frees; -EINVAL and all faults, ordered by line; or -ENOMEM. faults must not
- * be NULL; its count may exceed DL_FAULTS_MAX.
+ * End reading with a result: set *out, or free the configuration and order its
+ * faults by line. Returns the result, or -ENOMEM or -EINVAL if the reader met a
+ * lack of memory or faults.
  */
-int dl_conf_parse(struct dl_str text, struct dl_conf **out,
-		  struct dl_faults *faults)
+int conf_finish(struct conf_reader *r, int rc, struct dl_conf *conf,
+		struct dl_conf **out)
 {
-	struct conf_reader r = { .faults = faults };
-	struct dl_conf *conf = calloc(1, sizeof(*conf));
+	struct dl_faults *faults = r->faults;
 	uint32_t kept;
-	int rc;
 
-	faults->count = 0;
-	if (!conf)
-		return -ENOMEM;
-	rc = read_text(&r, text, conf);
-	conf_lines_free(&r.lines);
-	if (rc == 0 && r.out_of_memory)
+	conf_lines_free(&r->lines);
+	if (rc == 0 && r->out_of_memory)
 		rc = -ENOMEM;
 	if (rc == 0 && faults->count)
 		rc = -EINVAL;
@@ -658,6 +658,23 @@
 	return rc;
 }
 
+/*
+ * Parse and check a configuration text. Returns 0 and *out, which the caller
+ * frees; -EINVAL and all faults, ordered by line; or -ENOMEM. faults must not
+ * be NULL; its count may exceed DL_FAULTS_MAX.
+ */
+int dl_conf_parse(struct dl_str text, struct dl_conf **out,
+		  struct dl_faults *faults)
+{
+	struct conf_reader r = { .faults = faults };
+	struct dl_conf *conf = calloc(1, sizeof(*conf));
+
+	faults->count = 0;
+	if (!conf)
+		return -ENOMEM;
+	return conf_finish(&r, read_text(&r, text, conf), conf, out);
+}
+
 /* Free a configuration, which may be NULL. */
 void dl_conf_free(struct dl_conf *conf)
 {
--- a/src/state/conf_int.h
+++ b/src/state/conf_int.h
@@ -46,7 +46,8 @@
 	bool out_of_memory;
 };
 
-int conf_lines_scan(struct conf_reader *r, struct dl_str text);
+int conf_lines_scan(struct conf_reader *r, const struct conf_path *path,
+		    int depth, struct dl_str text);
 uint32_t conf_lines_find(const struct conf_lines *lines, uint64_t hash);
 void conf_lines_free(struct conf_lines *lines);
 
@@ -129,6 +130,11 @@
 /* conf.c */
 void *conf_alloc_list(struct conf_reader *r, const struct conf_path *path,
 		      size_t n, size_t max, size_t size);
+bool conf_check_text_size(struct conf_reader *r, size_t n);
+void conf_read_top_level(struct conf_reader *r, json_t *root,
+			 struct dl_conf *conf);
+int conf_finish(struct conf_reader *r, int rc, struct dl_conf *conf,
+		struct dl_conf **out);
 
 #define CONF_FIELDS(table)                                                     \
 	(struct conf_fields)                                                   \
--- a/src/state/conf_scan.c
+++ b/src/state/conf_scan.c
@@ -295,15 +295,16 @@
 }
 
 /*
- * Record the line of each path in a text that jansson has parsed. Returns 0,
- * -ENOMEM, or -EINVAL if it is nested too deeply.
+ * Record the line of each path in a text that jansson has parsed. The text is
+ * the value at the given path, nested in depth others. Returns 0, -ENOMEM, or
+ * -EINVAL if it is nested too deeply.
  */
-int conf_lines_scan(struct conf_reader *r, struct dl_str text)
+int conf_lines_scan(struct conf_reader *r, const struct conf_path *path,
+		    int depth, struct dl_str text)
 {
 	struct scan s = { text.s, text.s + text.n, 1, 0, r };
-	struct conf_path root = conf_path_root();
 
-	if (record_line(&s, &root, 0) && scan_value(&s, &root, 0))
+	if (record_line(&s, path, 0) && scan_value(&s, path, depth))
 		return 0;
 	return r->out_of_memory ? -ENOMEM : -EINVAL;
 }
