--- a/src/state/conf_delta.c
+++ b/src/state/conf_delta.c
@@ -14,13 +14,11 @@
 #include "state/conf_delta_int.h"
 #include "state/cstore_pack.h"
 
-#define DELTA_FORMAT   1
-#define DELTA_FIELDS   7
-#define HEAD_FIELDS    3
-#define COPY_FIELDS    2
-#define CHECKSUM_SEED  0x64656c74
-#define CHECKSUM_BYTES 8
-#define NOT_FOUND      UINT32_MAX
+#define DELTA_FORMAT 1
+#define DELTA_FIELDS 7
+#define HEAD_FIELDS  3
+#define COPY_FIELDS  2
+#define NOT_FOUND    UINT32_MAX
 
 /* Finds sections among the routes of a base. */
 struct matcher {
@@ -150,7 +148,7 @@
 /* Return the checksum in network order. */
 static uint64_t checksum(struct dl_str bytes)
 {
-	return GUINT64_TO_BE(dl_hash(bytes, CHECKSUM_SEED));
+	return GUINT64_TO_BE(dl_hash(bytes, CONF_DELTA_CHECKSUM_SEED));
 }
 
 /* Build the delta from base to next. */
@@ -216,9 +214,9 @@
 
 	memset(delta, 0, sizeof(*delta));
 	msgpack_unpacked_init(&delta->unpacked);
-	if (bytes.n <= CHECKSUM_BYTES)
+	if (bytes.n <= CONF_DELTA_CHECKSUM_BYTES)
 		return -EBADMSG;
-	array.n -= CHECKSUM_BYTES;
+	array.n -= CONF_DELTA_CHECKSUM_BYTES;
 	memcpy(&sum, bytes.s + array.n, sizeof(sum));
 	if (sum != checksum(array) || !dl_msgpack_well_formed(array) ||
 	    msgpack_unpack_next(&delta->unpacked, array.s, array.n, &offset) !=
--- a/src/state/conf_delta_int.h
+++ b/src/state/conf_delta_int.h
@@ -6,6 +6,10 @@
 
 #include "state/conf_sections.h"
 
+/* The checksum is the last bytes of a delta, in network order. */
+#define CONF_DELTA_CHECKSUM_SEED  0x64656c74
+#define CONF_DELTA_CHECKSUM_BYTES 8
+
 /* A delta; its texts point into the bytes that it was decoded from. */
 struct conf_delta {
 	struct dl_conf_delta_head head;
