--- a/src/transport/frame.h
+++ b/src/transport/frame.h
@@ -49,7 +49,8 @@
 	DL_FRAME_CMD_REPLY = 42,
 	DL_FRAME_CONF_PULL = 43, /* request for a newer configuration version */
 	DL_FRAME_CONF_PUSH = 44, /* a configuration version and its text */
-	DL_FRAME_QUERY = 45,	 /* entry to replica: history, status, get */
+	DL_FRAME_CONF_DELTA = 54, /* a version as a delta from an earlier one */
+	DL_FRAME_QUERY = 45,	  /* entry to replica: history, status, get */
 	DL_FRAME_QUERY_REPLY = 46,
 	DL_FRAME_LEASE_REQUEST = 48, /* entry to replica: version in force */
 	DL_FRAME_LEASE = 49,	     /* reply of the leader */
