Entries: apply configuration deltas, answer pulls with deltas

Cause: an entry inflated, parsed and indexed the whole text of each version for a change of some bytes, and its streams stalled meanwhile.

Ruled out: splitting the text in the job that parses it, because a version would be in force later than today by the time of splitting; it is split in a second job, after it came into force. Building the whole body at once, because most entries are never asked for it.

Change: entry_conf.c reads what conf_arrival.c says is next: small deltas between two events, large ones and whole texts in a worker thread. A worker that applies a delta holds a reference to its base. entry_conf_store.c, split off, keeps sections, deltas and the whole body, which is built in a worker thread when it is first pulled. The text for GET /v1/config is no longer kept; it is inflated or rebuilt on demand.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -68,6 +68,10 @@
 	X(voters, "voters of the replica group")                               \
 	X(voters_heard, "voters heard recently, this replica included")        \
 	X(config_version, "configuration version in force")                    \
+	X(conf_deltas_applied,                                                 \
+	  "configuration versions put in force by a delta")                    \
+	X(conf_deltas_unusable, "configuration deltas that were not used")     \
+	X(conf_whole_reads, "configuration versions read as a whole text")     \
 	X(replica_heard_ms_ago, "milliseconds since a replica was last heard")
 
 enum dl_metric {
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -13,6 +13,8 @@
 	X(ENTRY_START, DL_INFO, "entry", "Started.")                           \
 	X(ENTRY_STOP, DL_INFO, "entry", "Stopping.")                           \
 	X(ENTRY_CONF, DL_INFO, "entry", "Configuration in force.")             \
+	X(CONF_DELTA_UNUSABLE, DL_WARN, "entry",                               \
+	  "A configuration delta cannot be used.")                             \
 	X(REQUEST_TIMED_OUT, DL_WARN, "entry",                                 \
 	  "A request reached its deadline.")                                   \
 	X(VM_UNREACHABLE, DL_WARN, "reach",                                    \
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -86,6 +86,7 @@
 		entry_cmd_frame(e, from, frame);
 		return;
 	case DL_FRAME_CONF_PUSH:
+	case DL_FRAME_CONF_DELTA:
 	case DL_FRAME_CONF_PULL:
 		entry_conf_frame(e, from, frame);
 		return;
@@ -290,6 +291,7 @@
 	 * threads parse JSON.
 	 */
 	json_object_seed(0);
+	entry_conf_init(e);
 	e->next_id = e->node.incarnation;
 	e->replica_heard_at = entry_now(e);
 	e->started_at = entry_now(e);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -30,6 +30,7 @@
  *   entry_check.c      whose fault it is that attempts broke
  *   entry_cmd.c        commands and queries to the replicas
  *   entry_conf.c       the configuration in force
+ *   entry_conf_store.c what is kept of it, answers to pulls
  *   entry_ops.c        operators' HTTP API
  *   entry_trace.c      traces of recent requests
  */
@@ -321,15 +322,8 @@
 
 	/* configuration in force */
 	struct dl_conf *conf;
-	char *conf_text;
-	size_t conf_text_n;
-	struct conf_parse *conf_parse; /* being parsed, in a thread */
-	struct conf_parse *conf_next;  /* waiting to be parsed */
-	int64_t conf_parse_not_before; /* earliest next parse, */
-	int64_t conf_waiting_since;    /* unless conf_next waits too long */
-	int64_t conf_last_parsed_at;   /* end of the last parse; 0: none */
-	char *conf_pushed;	       /* as received, to send to other VMs */
-	size_t conf_pushed_n;
+	struct entry_conf *confs;  /* see entry_conf_int.h */
+	int64_t conf_last_read_at; /* end of the last read; 0: none */
 	uint64_t version;
 	int64_t conf_pulled_at;
 	int64_t replica_heard_at;
@@ -610,12 +604,16 @@
 bool entry_cmd_is_replica(struct entry *e, uint64_t vm);
 
 /* entry_conf.c */
+void entry_conf_init(struct entry *e);
 void entry_conf_frame(struct entry *e, uint64_t from,
 		      const struct dl_frame *frame);
 void entry_conf_member(struct entry *e, const struct dl_member *m);
 void entry_conf_version_seen(struct entry *e, uint64_t version, uint64_t vm);
 void entry_conf_tick(struct entry *e, int64_t now);
 
+/* entry_conf_store.c */
+bool entry_conf_text(const struct entry *e, char **out, size_t *n);
+
 /* entry_ops.c */
 void entry_ops_config_post(struct entry *e, struct dl_httpd_req *req);
 void entry_ops_config_get(struct entry *e, struct dl_httpd_req *req);
--- a/src/entry/entry_conf.c
+++ b/src/entry/entry_conf.c
@@ -1,14 +1,16 @@
 /*
  * The configuration in force on this VM. It is pushed by a replica or another
- * VM, pulled if a peer has a higher version, replaced as a whole between two
- * events, and never replaced by a lower version.
+ * VM, as a whole text or as a delta, pulled if a peer has a higher version,
+ * replaced as a whole between two events, and never replaced by a lower
+ * version. Which version is read next is decided in src/state/conf_arrival.c.
  */
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/metric.h"
 #include "base/msg.h"
-#include "entry/entry.h"
+#include "entry/entry_conf_int.h"
 #include "node/log.h"
 #include "protocol/conf_push.h"
 #include "protocol/deflate.h"
@@ -16,46 +18,70 @@
 /* A lost push is recovered from within a second. */
 #define PULL_INTERVAL_MS 500
 /*
- * A version that is being parsed, or is queued for parsing, is not pulled
- * again; others are pulled at most this often. Without the limit, each sign of
- * a new version in gossip and in lease answers caused a pull, and each of 295
- * VMs received a text of 1,300 routes several times. A push may be late or
- * lost, as the replica that pushes to a domain may be slow, so a pull does not
- * wait for it.
+ * A version that is being read, or waits to be read, is not pulled again;
+ * others are pulled at most this often. Without the limit, each sign of a new
+ * version in gossip and in lease answers caused a pull, and each of 295 VMs
+ * received a text of 1,300 routes several times. A push may be late or lost, as
+ * the replica that pushes to a domain may be slow, so a pull does not wait for
+ * it.
  */
 #define PULL_MIN_GAP_MS 100
 /*
- * Parsing takes at most a quarter of this VM's time, unless a version has
- * waited for PARSE_WAIT_MAX_MS. On a VM with 0.12 cores, parsing one version
- * with 1,300 routes takes 0.3 to 1 s, during which the streams that it forwards
- * stall; versions may follow each other quickly. A version must be in force
- * within 2 s, and parsing of the previous one may only have begun when it
- * arrives: a longer pause after that would use up the time.
+ * While the text in force is being split into sections, its digest is not known
+ * and a pull would be answered with another whole text. Pulls wait this long
+ * for it.
  */
-#define PARSE_REST_FACTOR 3
-#define PARSE_WAIT_MAX_MS 300
-/* Texts are limited when they are accepted; rewriting them adds a little. */
-#define INFLATED_MAX (2 * (size_t)DL_CONF_TEXT_MAX)
-/* A text of 30 KB compresses to this size and is parsed in a millisecond. */
-#define PARSE_INLINE_MAX 4096
-
-/* The parsing of a pushed version. */
-struct conf_parse {
+#define PULL_SPLIT_WAIT_MS 500
+/* A larger delta is applied in a worker thread, however well it deflates. */
+#define INLINE_DELTA_MAX (32u << 10)
+
+/* The reading of a pushed version. */
+struct conf_job {
 	uv_work_t work;
 	struct entry *e;
+	struct dl_conf_received received;
+	uint64_t from; /* VM that sent it */
 	int64_t started_at;
 	uint32_t waited_ms;    /* including versions that it replaced */
-	int64_t since_last_ms; /* since the last parse; -1: none */
-	uint64_t version;
-	char *pushed; /* as received */
-	size_t pushed_n;
-	char *text; /* decompressed; NULL if that failed */
+	int64_t since_last_ms; /* since the last read; -1: none */
+	char *body;	       /* as received */
+	size_t body_n;
+	char *text; /* inflated text or delta; NULL if that failed */
 	size_t text_n;
-	struct dl_conf *conf; /* NULL if it has errors */
+	struct conf_parsed *base; /* of a delta */
+	int rc;			  /* of reading */
+	struct dl_conf *conf;
+	struct dl_conf_sections *sections; /* of a delta */
 	struct dl_faults faults;
 };
 
-static void start_parsing(struct entry *e, struct conf_parse *r);
+static void pull(struct entry *e, uint64_t vm);
+static void pull_from(struct entry *e, uint64_t version, uint64_t vm);
+
+static bool is_delta(const struct conf_job *job)
+{
+	return dl_conf_is_delta(&job->received);
+}
+
+static void free_job(void *arg)
+{
+	struct conf_job *job = arg;
+
+	free(job->body);
+	free(job->text);
+	conf_parsed_unref(job->base);
+	dl_conf_free(job->conf);
+	dl_conf_sections_free(job->sections);
+	g_free(job);
+}
+
+/* Prepares an entry for its first version. */
+void entry_conf_init(struct entry *e)
+{
+	e->confs = g_new0(struct entry_conf, 1);
+	e->confs->arrivals.drop = free_job;
+	e->confs->waiting_pullers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+}
 
 static void apply_drain(struct entry *e)
 {
@@ -69,272 +95,380 @@
 	e->draining = drain || e->node.stopping;
 }
 
-/* Replaces the configuration, then updates everything that depends on it. */
-static void apply_conf(struct entry *e, const struct conf_parse *r,
-		       struct dl_conf *conf)
+/* Replaces the configuration by a version that was read. */
+static void replace_parsed(struct entry *e, struct conf_job *job)
+{
+	struct conf_parsed *p = g_new0(struct conf_parsed, 1);
+
+	p->references = 1;
+	p->version = job->received.id.version;
+	p->conf = job->conf;
+	p->sections = job->sections;
+	job->conf = NULL;
+	job->sections = NULL;
+	conf_parsed_unref(e->confs->parsed);
+	e->confs->parsed = p;
+	e->conf = p->conf;
+	e->version = p->version;
+}
+
+/* Keeps what answers pulls and what the next delta leads from. */
+static void keep(struct entry *e, struct conf_job *job)
+{
+	struct dl_conf_delta_head head = {
+		.base_version = job->received.base.version,
+		.base_digest = job->received.base.digest,
+		.version = job->received.id.version,
+		.digest = job->received.id.digest,
+	};
+
+	if (is_delta(job)) {
+		entry_conf_keep_delta(
+			e, &head, (struct dl_str){ job->body, job->body_n });
+		return;
+	}
+	entry_conf_keep_whole(e, job->text, job->text_n, job->body,
+			      job->body_n);
+	job->text = NULL;
+	job->body = NULL;
+}
+
+static void log_in_force(const struct entry *e, const struct conf_job *job)
+{
+	char delta[48] = "";
+
+	if (is_delta(job))
+		snprintf(delta, sizeof(delta), " delta=%d base=%lu", 1,
+			 (unsigned long)job->received.base.version);
+	dl_msg(DL_MSG_ENTRY_CONF,
+	       "version=%lu bytes=%zu waited_ms=%u rested_ms=%ld read_ms=%ld%s",
+	       (unsigned long)job->received.id.version, job->received.bytes,
+	       job->waited_ms, (long)job->since_last_ms,
+	       (long)(entry_now(e) - job->started_at), delta);
+}
+
+/* Puts a version in force, then updates everything that depends on it. */
+static void put_in_force(struct entry *e, struct conf_job *job)
 {
-	dl_conf_free(e->conf);
-	g_free(e->conf_text);
-	e->conf = conf;
-	e->conf_text = g_memdup2(r->text, r->text_n);
-	e->conf_text_n = r->text_n;
-	e->version = r->version;
+	if (!dl_conf_arrivals_put_in_force(&e->confs->arrivals,
+					   job->received.id, !is_delta(job)))
+		return;
+	replace_parsed(e, job);
+	e->confs->ask_whole = false;
 	entry_pool_configure(e);
 	apply_drain(e);
-	dl_main_log_set_level(conf->log_level);
-	dl_memb_update_self(e->node.memb, e->draining, r->version,
+	dl_main_log_set_level(e->conf->log_level);
+	dl_memb_update_self(e->node.memb, e->draining, e->version,
 			    entry_now(e));
-	dl_gauge(DL_METRIC_config_version, (int64_t)r->version);
+	dl_gauge(DL_METRIC_config_version, (int64_t)e->version);
+	dl_count(is_delta(job) ? DL_METRIC_conf_deltas_applied :
+				 DL_METRIC_conf_whole_reads,
+		 1);
 	entry_lease_version_applied(e);
-	dl_msg(DL_MSG_ENTRY_CONF,
-	       "version=%lu bytes=%zu waited_ms=%u rested_ms=%ld read_ms=%ld",
-	       (unsigned long)r->version, r->pushed_n, r->waited_ms,
-	       (long)r->since_last_ms, (long)(entry_now(e) - r->started_at));
+	log_in_force(e, job);
+	keep(e, job);
 }
 
 /*
  * Forwards a push to some of the VMs that it names, each with a share of the
  * others to forward it to.
  */
-static void relay(struct entry *e, uint64_t version, struct dl_str text,
-		  const uint64_t *targets, uint32_t count)
+static void relay(struct entry *e, uint32_t kind, const struct dl_conf_push *p)
 {
-	for (uint32_t i = 0; i < dl_conf_push_children(count); i++) {
+	for (uint32_t i = 0; i < dl_conf_push_children(p->vms_count); i++) {
 		struct dl_packer pk;
-		uint64_t to = dl_conf_push_pack(&pk, version, text, targets,
-						count, i);
+		uint64_t to = dl_conf_push_pack(&pk, p->version, p->body,
+						p->vms, p->vms_count, i);
 
-		dl_peers_send(e->node.peers, to, DL_FRAME_CONF_PUSH, 0,
-			      dl_packer_bytes(&pk));
+		dl_peers_send(e->node.peers, to, kind, 0, dl_packer_bytes(&pk));
 		dl_packer_close(&pk);
 	}
 }
 
-/* Reads the VMs that a push names; the caller frees the list. */
-static uint32_t read_relay_targets(struct dl_reader *r, uint64_t **out)
+/*
+ * Logs why a delta was not used, and pulls from the VM that sent it. A digest
+ * in the pull is answered with a delta from that version; after a delta that
+ * led to a bad result the whole text is pulled instead.
+ */
+static void reject_delta(struct entry *e, const struct conf_job *job,
+			 const char *reason)
 {
-	const msgpack_object *o = r->next;
-
-	*out = NULL;
-	if (r->bad || r->remaining == 0 || o->type != MSGPACK_OBJECT_ARRAY ||
-	    o->via.array.size == 0)
-		return 0;
-	*out = g_new(uint64_t, o->via.array.size);
-	for (uint32_t i = 0; i < o->via.array.size; i++)
-		(*out)[i] = o->via.array.ptr[i].via.u64;
-	return o->via.array.size;
+	char peer[24];
+	bool is_bad = strcmp(reason, "base") != 0;
+
+	dl_count(DL_METRIC_conf_deltas_unusable, 1);
+	dl_msg(DL_MSG_CONF_DELTA_UNUSABLE,
+	       "version=%lu base=%lu reason=%s peer=%s",
+	       (unsigned long)job->received.id.version,
+	       (unsigned long)job->received.base.version, reason,
+	       dl_vm_text(job->from, peer));
+	e->confs->ask_whole |= is_bad;
+	pull_from(e, job->received.id.version, job->from);
 }
 
-/*
- * Decompresses and parses a pushed version; in a worker thread if it is large.
- */
-static void parse_pushed(struct conf_parse *r)
+/* Reads a version; in a worker thread if it is large. */
+static void read_version(struct conf_job *job)
 {
-	if (dl_inflate((struct dl_str){ r->pushed, r->pushed_n }, INFLATED_MAX,
-		       &r->text, &r->text_n)) {
-		r->text = NULL;
+	if (is_delta(job)) {
+		job->rc = dl_conf_delta_apply(
+			(struct dl_str){ job->text, job->text_n },
+			job->base->version, job->base->sections,
+			job->base->conf, &job->sections, &job->conf,
+			&job->faults);
 		return;
 	}
-	if (dl_conf_parse((struct dl_str){ r->text, r->text_n }, &r->conf,
-			  &r->faults))
-		r->conf = NULL;
+	job->rc = dl_inflate((struct dl_str){ job->body, job->body_n },
+			     CONF_INFLATED_MAX, &job->text, &job->text_n);
+	if (job->rc) {
+		job->text = NULL;
+		job->rc = -EBADMSG;
+		return;
+	}
+	job->rc = dl_conf_parse((struct dl_str){ job->text, job->text_n },
+				&job->conf, &job->faults);
 }
 
-/* Applies a parsed version unless a newer one is in force by now. */
-static void apply_parsed(struct entry *e, struct conf_parse *r)
+/* Handles a delta that led to no version. */
+static void handle_bad_delta(struct entry *e, const struct conf_job *job)
 {
-	if (!r->text) {
+	bool other_base = job->base->version != job->received.base.version;
+
+	if (job->rc == -ESTALE)
+		reject_delta(e, job, other_base ? "base" : "digest");
+	else if (job->rc == -EINVAL)
+		reject_delta(e, job, "faults");
+	else
+		reject_delta(e, job, "damaged");
+}
+
+/* Puts a version that was read in force unless a newer one is by now. */
+static void handle_read(struct entry *e, struct conf_job *job)
+{
+	if (job->rc == 0)
+		put_in_force(e, job);
+	else if (is_delta(job))
+		handle_bad_delta(e, job);
+	else if (!job->text)
 		dl_msg(DL_MSG_CONF_BAD, "version=%lu reason=garbled",
-		       (unsigned long)r->version);
-	} else if (!r->conf) {
+		       (unsigned long)job->received.id.version);
+	else
 		dl_msg(DL_MSG_CONF_BAD, "version=%lu reason=\"%s: %s\"",
-		       (unsigned long)r->version, r->faults.items[0].path,
-		       r->faults.items[0].text);
-	} else if (r->version > e->version) {
-		g_free(e->conf_pushed);
-		e->conf_pushed = r->pushed;
-		e->conf_pushed_n = r->pushed_n;
-		r->pushed = NULL;
-		apply_conf(e, r, r->conf);
-		r->conf = NULL;
-	}
-	dl_conf_free(r->conf);
-	free(r->text);
-	g_free(r->pushed);
-	g_free(r);
+		       (unsigned long)job->received.id.version,
+		       job->faults.items[0].path, job->faults.items[0].text);
+	free_job(job);
 }
 
-static void parse_in_thread(uv_work_t *work)
+static void read_in_thread(uv_work_t *work)
 {
-	parse_pushed(work->data);
+	read_version(work->data);
 }
 
-static void on_parsed(uv_work_t *work, int status)
+static void on_read(uv_work_t *work, int status)
 {
-	struct conf_parse *r = work->data;
-	struct entry *e = r->e;
+	struct conf_job *job = work->data;
+	struct entry *e = job->e;
 	int64_t now = entry_now(e);
 
-	e->conf_parse = NULL;
-	e->conf_last_parsed_at = now;
-	e->conf_parse_not_before =
-		now + PARSE_REST_FACTOR * (now - r->started_at);
-	if (status == 0)
-		apply_parsed(e, r);
+	e->conf_last_read_at = now;
+	dl_conf_arrivals_read(&e->confs->arrivals, &job->received,
+			      now - job->started_at, now);
+	handle_read(e, job);
+	entry_conf_pump(e, now);
 }
 
-/* Parses the newest version received meanwhile, once the pause is over. */
-static void parse_next(struct entry *e, int64_t now)
+/*
+ * Large versions are read in a worker thread, small ones at once. On a VM with
+ * 0.12 cores, changes in quick succession of a configuration with 1,300 routes
+ * each blocked the event loop, and with it all streams, for 250 to 360 ms,
+ * which is more than short streams tolerate.
+ */
+static void start_reading(struct entry *e, struct conf_job *job)
 {
-	struct conf_parse *next = e->conf_next;
-
-	if (!next || e->conf_parse)
-		return;
-	if (now < e->conf_parse_not_before &&
-	    now - e->conf_waiting_since < PARSE_WAIT_MAX_MS)
+	struct entry_conf *c = e->confs;
+
+	job->started_at = entry_now(e);
+	job->waited_ms =
+		(uint32_t)(job->started_at - c->arrivals.waiting_since);
+	job->since_last_ms = e->conf_last_read_at ?
+				     job->started_at - e->conf_last_read_at :
+				     -1;
+	if (is_delta(job))
+		job->base = conf_parsed_ref(c->parsed);
+	if (job->received.small) {
+		read_version(job);
+		handle_read(e, job);
 		return;
-	e->conf_next = NULL;
-	start_parsing(e, next);
+	}
+	uv_queue_work(e->node.loop, &job->work, read_in_thread, on_read);
 }
 
-/*
- * Large versions are parsed in a worker thread, small ones at once. On a VM
- * with 0.12 cores, changes in quick succession of a configuration with 1,300
- * routes each blocked the event loop, and with it all streams, for 250 to 360
- * ms, which is more than short streams tolerate.
- */
-static void start_parsing(struct entry *e, struct conf_parse *r)
+/* Reads the versions whose turn it is. */
+void entry_conf_pump(struct entry *e, int64_t now)
 {
-	r->started_at = entry_now(e);
-	r->waited_ms = (uint32_t)(r->started_at - e->conf_waiting_since);
-	r->since_last_ms = e->conf_last_parsed_at ?
-				   r->started_at - e->conf_last_parsed_at :
-				   -1;
-	if (r->pushed_n <= PARSE_INLINE_MAX) {
-		parse_pushed(r);
-		apply_parsed(e, r);
-		return;
+	struct dl_conf_received r;
+
+	for (;;) {
+		switch (dl_conf_arrivals_next(&e->confs->arrivals, now, &r)) {
+		case DL_CONF_WAIT:
+			return;
+		case DL_CONF_READ:
+			start_reading(e, r.job);
+			break;
+		case DL_CONF_BASE_GONE:
+			reject_delta(e, r.job, "base");
+			free_job(r.job);
+			break;
+		case DL_CONF_BASE_OTHER:
+			reject_delta(e, r.job, "digest");
+			free_job(r.job);
+			break;
+		}
 	}
-	e->conf_parse = r;
-	uv_queue_work(e->node.loop, &r->work, parse_in_thread, on_parsed);
 }
 
-/*
- * Queues a newer version as it was pushed. One version is parsed at a time; of
- * those that arrive meanwhile, the newest is parsed next.
- */
-static void queue_version(struct entry *e, uint64_t version,
-			  struct dl_str pushed)
+static struct conf_job *job_new(struct entry *e, uint64_t from,
+				const struct dl_conf_push *p)
 {
-	struct conf_parse *r;
+	struct conf_job *job = g_new0(struct conf_job, 1);
+
+	job->e = e;
+	job->from = from;
+	job->work.data = job;
+	job->body = malloc(p->body.n ? p->body.n : 1);
+	if (!job->body)
+		abort();
+	memcpy(job->body, p->body.s, p->body.n);
+	job->body_n = p->body.n;
+	job->received = (struct dl_conf_received){
+		.id.version = p->version,
+		.small = p->body.n <= DL_CONF_SMALL_BYTES,
+		.bytes = p->body.n,
+		.job = job,
+	};
+	return job;
+}
 
-	if (e->conf_parse && e->conf_parse->version >= version)
-		return;
-	if (e->conf_next && e->conf_next->version >= version)
+/* Queues a version; one whose base is not known is pulled instead. */
+static void queue_version(struct entry *e, struct conf_job *job)
+{
+	int64_t now = entry_now(e);
+
+	switch (dl_conf_arrivals_add(&e->confs->arrivals, &job->received,
+				     now)) {
+	case DL_CONF_QUEUED:
+		entry_conf_pump(e, now);
 		return;
-	r = g_new0(struct conf_parse, 1);
-	r->e = e;
-	r->version = version;
-	r->pushed = g_memdup2(pushed.s, pushed.n);
-	r->pushed_n = pushed.n;
-	r->work.data = r;
-	if (e->conf_next) {
-		g_free(e->conf_next->pushed);
-		g_free(e->conf_next);
-	} else {
-		e->conf_waiting_since = entry_now(e);
+	case DL_CONF_NO_BASE:
+		reject_delta(e, job, "base");
+		break;
+	case DL_CONF_OTHER_BASE:
+		reject_delta(e, job, "digest");
+		break;
+	case DL_CONF_KNOWN:
+	case DL_CONF_FULL:
+		break;
 	}
-	e->conf_next = r;
-	parse_next(e, entry_now(e));
+	free_job(job);
 }
 
-static void on_push(struct entry *e, uint64_t from, const struct dl_frame *f)
+/* Inflates a delta and queues it. */
+static void queue_delta(struct entry *e, struct conf_job *job)
 {
-	uint64_t *targets;
-	struct dl_reader r;
-	struct dl_str text;
-	uint64_t version;
-	uint32_t count;
-
-	dl_reader_open(&r, f->body);
-	version = dl_read_u64(&r);
-	text = dl_read_str(&r);
-	if (r.bad) {
-		dl_reader_close(&r);
+	struct dl_conf_delta_head head;
+
+	if (dl_inflate((struct dl_str){ job->body, job->body_n },
+		       CONF_INFLATED_MAX, &job->text, &job->text_n)) {
+		job->text = NULL;
+		reject_delta(e, job, "damaged");
+		free_job(job);
 		return;
 	}
-	count = read_relay_targets(&r, &targets);
-	if (count)
-		relay(e, version, text, targets, count);
-	g_free(targets);
-	if (version > e->version)
-		queue_version(e, version, text);
-	dl_reader_close(&r);
-	if (entry_cmd_is_replica(e, from))
-		e->replica_heard_at = entry_now(e);
+	if (dl_conf_delta_head((struct dl_str){ job->text, job->text_n },
+			       &head) ||
+	    head.version != job->received.id.version) {
+		reject_delta(e, job, "damaged");
+		free_job(job);
+		return;
+	}
+	job->received.id.digest = head.digest;
+	job->received.base =
+		(struct dl_conf_id){ head.base_version, head.base_digest };
+	job->received.small &= job->text_n <= INLINE_DELTA_MAX;
+	queue_version(e, job);
 }
 
-static void on_pull(struct entry *e, uint64_t from, const struct dl_frame *f)
+static void on_push(struct entry *e, uint64_t from, const struct dl_frame *f)
 {
-	struct dl_packer pk;
-	struct dl_reader r;
-	uint64_t have;
+	struct dl_conf_push p;
 
-	dl_reader_open(&r, f->body);
-	have = dl_read_u64(&r);
-	if (r.bad || have >= e->version) {
-		dl_reader_close(&r);
+	if (dl_conf_push_read(f->body, &p))
 		return;
+	relay(e, f->kind, &p);
+	free(p.vms);
+	if (p.version > e->version) {
+		if (f->kind == DL_FRAME_CONF_DELTA)
+			queue_delta(e, job_new(e, from, &p));
+		else
+			queue_version(e, job_new(e, from, &p));
 	}
-	dl_reader_close(&r);
-	dl_conf_push_pack(&pk, e->version,
-			  (struct dl_str){ e->conf_pushed, e->conf_pushed_n },
-			  &from, 1, 0);
-	dl_peers_send(e->node.peers, from, DL_FRAME_CONF_PUSH, 0,
-		      dl_packer_bytes(&pk));
-	dl_packer_close(&pk);
+	if (entry_cmd_is_replica(e, from))
+		e->replica_heard_at = entry_now(e);
 }
 
 /* Handles a push or a pull of a configuration. */
 void entry_conf_frame(struct entry *e, uint64_t from,
 		      const struct dl_frame *frame)
 {
-	if (frame->kind == DL_FRAME_CONF_PUSH)
-		on_push(e, from, frame);
+	if (frame->kind == DL_FRAME_CONF_PULL)
+		entry_conf_pulled(e, from, frame);
 	else
-		on_pull(e, from, frame);
+		on_push(e, from, frame);
 }
 
 /* Requests a newer version from a VM. */
 static void pull(struct entry *e, uint64_t vm)
 {
+	const struct entry_conf *c = e->confs;
 	struct dl_packer pk;
 
-	dl_packer_open(&pk, 1);
-	dl_pack_u64(&pk, e->version);
+	e->conf_pulled_at = entry_now(e);
+	dl_conf_pull_pack(&pk, e->version,
+			  c->ask_whole ? 0 : c->arrivals.in_force.digest);
 	dl_peers_send(e->node.peers, vm, DL_FRAME_CONF_PULL, 0,
 		      dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
 }
 
-/* Returns the newest version that is in force, being parsed or queued. */
-static uint64_t newest_pending_version(const struct entry *e)
+/* Whether a pull has to wait. */
+static bool pull_is_early(const struct entry *e, int64_t now)
+{
+	const struct entry_conf *c = e->confs;
+
+	if (now - e->conf_pulled_at < PULL_MIN_GAP_MS)
+		return true;
+	return !c->ask_whole && c->split &&
+	       now - c->split_started_at < PULL_SPLIT_WAIT_MS;
+}
+
+/* Pulls from a VM that has this version, soon if that must not be done yet. */
+static void pull_from(struct entry *e, uint64_t version, uint64_t vm)
 {
-	if (e->conf_next)
-		return e->conf_next->version;
-	return e->conf_parse ? MAX(e->conf_parse->version, e->version) :
-			       e->version;
+	struct entry_conf *c = e->confs;
+
+	c->pull_vm = vm;
+	c->pull_version = version;
+	if (pull_is_early(e, entry_now(e)))
+		return;
+	c->pull_vm = DL_VM_NONE;
+	pull(e, vm);
 }
 
 /* Pulls from a VM whose version is newer than any known here. */
 void entry_conf_version_seen(struct entry *e, uint64_t version, uint64_t vm)
 {
-	int64_t now = entry_now(e);
-
-	if (version <= newest_pending_version(e) ||
-	    now - e->conf_pulled_at < PULL_MIN_GAP_MS)
+	if (version <= dl_conf_arrivals_newest(&e->confs->arrivals) ||
+	    pull_is_early(e, entry_now(e)))
 		return;
-	e->conf_pulled_at = now;
 	pull(e, vm);
 }
 
@@ -345,23 +479,38 @@
 		entry_conf_version_seen(e, m->config_version, m->vm);
 }
 
+/* Pulls what is still missing after a delta that could not be used. */
+static void pull_missing(struct entry *e, int64_t now)
+{
+	struct entry_conf *c = e->confs;
+
+	if (c->pull_vm == DL_VM_NONE)
+		return;
+	if (c->pull_version <= dl_conf_arrivals_newest(&c->arrivals))
+		c->pull_vm = DL_VM_NONE;
+	else
+		pull_from(e, c->pull_version, c->pull_vm);
+}
+
 /* Pulls periodically if this VM has no configuration or an old one. */
 void entry_conf_tick(struct entry *e, int64_t now)
 {
 	const struct dl_settings *s = &e->node.settings;
-	uint64_t newest, vm;
+	uint64_t newest, vm, known;
 
 	dl_gauge(DL_METRIC_replica_heard_ms_ago, now - e->replica_heard_at);
-	parse_next(e, now);
+	entry_conf_pump(e, now);
+	pull_missing(e, now);
 	if (now - e->conf_pulled_at < PULL_INTERVAL_MS)
 		return;
 	newest = dl_memb_newest_config(e->node.memb, &vm);
-	if (newest > newest_pending_version(e)) {
+	known = dl_conf_arrivals_newest(&e->confs->arrivals);
+	if (newest > known) {
 		entry_conf_version_seen(e, newest, vm);
 		return;
 	}
 	e->conf_pulled_at = now;
-	if (newest_pending_version(e) || !s->replicas_count)
+	if (known || !s->replicas_count)
 		return;
 	pull(e,
 	     s->replicas[(uint64_t)now / PULL_INTERVAL_MS % s->replicas_count]);
--- /dev/null
+++ b/src/entry/entry_conf_int.h
@@ -0,0 +1,65 @@
+/*
+ * Internals of the configuration of an entry, shared by the code that puts
+ * versions in force and the code that keeps them and answers pulls.
+ */
+#ifndef DL_ENTRY_ENTRY_CONF_INT_H
+#define DL_ENTRY_ENTRY_CONF_INT_H
+
+#include "entry/entry.h"
+#include "state/conf_arrival.h"
+
+/*
+ * Sizes of inflated texts and deltas. Texts are limited when they are accepted;
+ * rewriting them adds a little.
+ */
+#define CONF_INFLATED_MAX (2 * (size_t)DL_CONF_TEXT_MAX)
+
+/*
+ * A parsed version. A worker thread that applies a delta to it may outlast its
+ * time in force; references are counted by the event loop only.
+ */
+struct conf_parsed {
+	uint32_t references;
+	uint64_t version;
+	struct dl_conf *conf;
+	struct dl_conf_sections *sections; /* NULL: not split (yet) */
+};
+
+struct conf_parsed *conf_parsed_ref(struct conf_parsed *p);
+void conf_parsed_unref(struct conf_parsed *p);
+
+/* Splitting a text, or building a whole body, in a worker thread. */
+struct conf_work;
+
+/* What an entry keeps of the version in force. */
+struct entry_conf {
+	struct conf_parsed *parsed; /* NULL before the first version */
+	struct dl_conf_arrivals arrivals;
+	struct dl_conf_history history;
+	char *text; /* until it is split; NULL otherwise */
+	size_t text_n;
+	struct conf_work *split; /* at work; NULL: none */
+	int64_t split_started_at;
+	bool exact;    /* body is the text as pushed by a replica */
+	char *body;    /* whole, deflated; NULL: not built */
+	size_t body_n; /* of the last whole body, also if body is NULL */
+	struct conf_work *build; /* of body, at work; NULL: none */
+	GArray *waiting_pullers; /* uint64_t VMs that wait for it */
+	bool ask_whole;		 /* a delta was damaged: pull without digest */
+	uint64_t pull_vm;	 /* VM to pull from soon; DL_VM_NONE: none */
+	uint64_t pull_version;	 /* that is expected from it */
+};
+
+/* entry_conf.c */
+void entry_conf_pump(struct entry *e, int64_t now);
+
+/* entry_conf_store.c */
+void entry_conf_keep_whole(struct entry *e, char *text, size_t text_n,
+			   char *body, size_t body_n);
+void entry_conf_keep_delta(struct entry *e,
+			   const struct dl_conf_delta_head *head,
+			   struct dl_str body);
+void entry_conf_pulled(struct entry *e, uint64_t from,
+		       const struct dl_frame *frame);
+
+#endif
--- a/src/entry/entry_ops.c
+++ b/src/entry/entry_ops.c
@@ -350,8 +350,9 @@
 void entry_ops_config_get(struct entry *e, struct dl_httpd_req *req)
 {
 	uint64_t version = version_in_query(dl_httpd_path(req));
-	char question[32];
+	char question[32], *text = NULL;
 	json_t *root;
+	size_t n = 0;
 
 	if (version && version != e->version) {
 		snprintf(question, sizeof(question), "text %lu",
@@ -359,12 +360,14 @@
 		ask_replica(e, req, question);
 		return;
 	}
+	if (!entry_conf_text(e, &text, &n))
+		n = 0;
 	root = json_object();
 	json_object_set_new(root, "version",
 			    json_integer((json_int_t)e->version));
-	json_object_set_new(root, "text",
-			    json_stringn(e->conf_text ? e->conf_text : "",
-					 e->conf_text_n));
+	json_object_set_new(root, "text", json_stringn(n ? text : "", n));
+	if (n)
+		free(text);
 	reply_json(req, 200, root);
 	json_decref(root);
 }
