Replicas: push configuration deltas, split each version once

Cause: for each version that was pushed, a replica parsed the text with its source, wrote it again without it and deflated it, and pushed 20 KB for a change of some bytes.

Change: each version is parsed once and split from the same tree, without its source (conf_pushed.c). The delta from the version pushed before is pushed if it is smaller than a quarter of the whole body, whose size is estimated from the last one built unless the delta is large. The whole body is built when somebody needs it. Small bodies are not held back; large ones are, as before. Pulls are answered with a delta from the four versions pushed last.

--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -493,6 +493,7 @@
 	/* A write in progress still reads from the store's buffer. */
 	if (!writing)
 		dl_rlog_store_free(r->store);
+	replica_conf_close(r);
 	dl_cstore_free(r->cstore);
 	g_array_free(r->pending, TRUE);
 	g_array_free(r->forwarded, TRUE);
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -11,6 +11,7 @@
 #include "node/node.h"
 #include "node/quarantine.h"
 #include "protocol/pack.h"
+#include "state/conf_history.h"
 #include "transport/disk_file.h"
 #include "transport/httpd.h"
 
@@ -69,6 +70,20 @@
 	struct replica_lost_voter lost[DL_RLOG_MEMBERS_MAX];
 };
 
+/* The configuration as it is sent to entries. */
+struct replica_push {
+	bool due;	      /* a new version is to be pushed */
+	int64_t pushed_at;    /* the last large body; 0: none */
+	struct dl_conf_id id; /* the newest version; digest 0: not split */
+	size_t text_n;	      /* length of its text */
+	bool had_source;      /* its text has a source, which is not sent */
+	struct dl_conf_sections *sections; /* NULL: not split */
+	char *body;	    /* whole, deflated; NULL: not built */
+	size_t body_n;	    /* of the last body that was built */
+	size_t body_text_n; /* length of the text that it was built from */
+	struct dl_conf_versions pushed;
+};
+
 struct replica {
 	struct dl_node node;
 	struct dl_disk_file *disk;
@@ -85,11 +100,7 @@
 	bool current; /* has caught up, so its version may be advertised */
 	uint64_t advertised_version;
 	uint64_t evacuations_sent; /* revision last sent to the entries */
-	char *push_body; /* configuration as sent to entries, deflated */
-	size_t push_body_n;
-	uint64_t push_body_version;
-	bool push_due;
-	int64_t pushed_at;
+	struct replica_push push;
 	struct replica_health health;
 	uint64_t writing_seq; /* sequence number of the record being written */
 	int64_t write_started_at;
@@ -138,6 +149,7 @@
 		       const struct dl_frame *frame);
 void replica_conf_check(struct replica *r);
 void replica_conf_tick(struct replica *r, int64_t now);
+void replica_conf_close(struct replica *r);
 
 /* replica_evacuation.c */
 void replica_evacuation_pack(struct replica *r, struct dl_packer *pk);
--- a/src/replica/replica_conf.c
+++ b/src/replica/replica_conf.c
@@ -16,20 +16,17 @@
 #include "replica/replica.h"
 #include "protocol/conf_push.h"
 #include "protocol/deflate.h"
+#include "state/conf_pushed.h"
 
 /*
- * Minimum interval between pushes; of versions that follow each other sooner
- * only the last is pushed. Forwarding a configuration of 1,300 routes takes
- * some 150 ms of an entry's link. With a push for each of several changes 0.3 s
- * apart, streams stalled behind them. A version is allowed at least two
- * seconds to come into force everywhere.
+ * Minimum interval between pushes of large bodies; of versions that follow each
+ * other sooner only the last is pushed. Small deltas are pushed at once.
+ * Forwarding a configuration of 1,300 routes takes some 150 ms of an entry's
+ * link. With a push for each of several changes 0.3 s apart, streams stalled
+ * behind them. A version is allowed at least two seconds to come into force
+ * everywhere.
  */
 #define PUSH_INTERVAL_MS 400
-/*
- * Bodies up to this deflated size are pushed without a delay. They hold about
- * 30 KB of text, which VMs read within a millisecond.
- */
-#define PUSH_UNTHROTTLED_BYTES 4096
 /*
  * Once this time has passed since the start, a replica that is still cut off
  * from the others answers a pull with the version it has, if no VM advertises a
@@ -38,61 +35,146 @@
  */
 #define ISOLATED_MS 5000
 
-static void push(struct replica *r, const uint64_t *vms, uint32_t count);
+/* A body to push. */
+struct push_body {
+	uint32_t kind; /* of its frame */
+	struct dl_str bytes;
+};
+
+static bool prepare(struct replica *r);
+static bool get_whole(struct replica *r, struct push_body *out);
+static size_t whole_size(struct replica *r);
+static bool get_delta(struct replica *r, struct dl_conf_kept *base,
+		      struct push_body *out);
+static void push(struct replica *r, const struct push_body *body,
+		 const uint64_t *vms, uint32_t count);
 static bool pushes_to(struct replica *r, struct dl_str domain, bool is_leader);
 static GArray *push_targets(struct replica *r);
 static void set_target_replicas(struct replica *r);
 
 /*
- * Returns the configuration in force as pushed to entries: deflated, without
- * the original source, which is only needed to answer reads, and built once per
- * version. Forwarding the full text of 1,300 routes took 2.6 s of an entry's
- * link.
+ * Splits the newest version into the sections that entries get, once per
+ * version. A text that cannot be split is always pushed whole.
  */
-static bool get_push_body(struct replica *r, struct dl_str *out)
+static bool prepare(struct replica *r)
 {
 	uint64_t version = dl_cstore_version(r->cstore);
+	struct replica_push *p = &r->push;
 	struct dl_str text;
-	json_t *root;
-	char *plain;
-	int rc;
 
-	if (r->push_body && r->push_body_version == version) {
-		*out = (struct dl_str){ r->push_body, r->push_body_n };
+	if (p->id.version == version)
 		return true;
-	}
 	if (!dl_cstore_text(r->cstore, 0, &text))
 		return false;
-	root = json_loadb(text.s, text.n, 0, NULL);
-	plain = NULL;
-	if (root && json_object_del(root, "source") == 0)
-		plain = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	free(r->push_body);
-	r->push_body = NULL;
-	rc = dl_deflate(plain ? dl_str_of(plain) : text, &r->push_body,
-			&r->push_body_n);
+	dl_conf_versions_drop_deltas(&p->pushed);
+	dl_conf_sections_free(p->sections);
+	p->sections = NULL;
+	free(p->body);
+	p->body = NULL;
+	p->had_source = false;
+	if (dl_conf_pushed_split(text, &p->sections, &p->had_source))
+		p->sections = NULL;
+	p->text_n = text.n;
+	p->id.version = version;
+	p->id.digest = p->sections ? dl_conf_sections_digest(p->sections) : 0;
+	return true;
+}
+
+/*
+ * Returns the whole configuration, deflated, and without the original source,
+ * which is only needed to answer reads. It is built when it is first needed:
+ * most versions are only sent as deltas. Forwarding the full text of 1,300
+ * routes took 2.6 s of an entry's link.
+ */
+static bool get_whole(struct replica *r, struct push_body *out)
+{
+	struct replica_push *p = &r->push;
+	struct dl_str text;
+	char *rebuilt = NULL;
+	size_t n = 0;
+
+	if (!p->body) {
+		if (!dl_cstore_text(r->cstore, 0, &text))
+			return false;
+		if (p->sections && p->had_source &&
+		    dl_conf_sections_text(p->sections, &rebuilt, &n) == 0)
+			text = (struct dl_str){ rebuilt, n };
+		if (dl_deflate(text, &p->body, &p->body_n))
+			p->body = NULL;
+		free(rebuilt);
+		if (!p->body)
+			return false;
+		p->body_text_n = p->text_n;
+	}
+	out->kind = DL_FRAME_CONF_PUSH;
+	out->bytes = (struct dl_str){ p->body, p->body_n };
+	return true;
+}
+
+/* Returns the size of the whole body, about; it is built only if none was. */
+static size_t whole_size(struct replica *r)
+{
+	struct replica_push *p = &r->push;
+	struct push_body whole;
+
+	if (!p->body_text_n && !get_whole(r, &whole))
+		return 0;
+	if (p->body)
+		return p->body_n;
+	return dl_conf_whole_estimate(p->body_n, p->body_text_n, p->text_n);
+}
+
+/* Makes the delta from a kept version to the newest one. */
+static bool make_delta(const struct replica_push *p, struct dl_conf_kept *base)
+{
+	char *plain;
+	size_t n;
+	int rc;
+
+	if (dl_conf_delta_make(base->sections, base->id.version, p->sections,
+			       p->id.version, &plain, &n))
+		return false;
+	rc = dl_deflate((struct dl_str){ plain, n }, &base->delta,
+			&base->delta_n);
 	free(plain);
 	if (rc)
+		base->delta = NULL;
+	return rc == 0;
+}
+
+/*
+ * Returns the delta from a kept version to the newest one, made once; false if
+ * the whole body is to be sent instead. base may be NULL.
+ */
+static bool get_delta(struct replica *r, struct dl_conf_kept *base,
+		      struct push_body *out)
+{
+	struct replica_push *p = &r->push;
+
+	if (!base || !p->sections || base->id.version >= p->id.version ||
+	    whole_size(r) <= DL_CONF_SMALL_BYTES)
+		return false;
+	if (!base->delta && !make_delta(p, base))
+		return false;
+	/* The estimate is far off after a change of most of the text. */
+	if (base->delta_n > DL_CONF_SMALL_BYTES && !get_whole(r, out))
 		return false;
-	r->push_body_version = version;
-	*out = (struct dl_str){ r->push_body, r->push_body_n };
+	if (!dl_conf_delta_pays(base->delta_n, whole_size(r)))
+		return false;
+	out->kind = DL_FRAME_CONF_DELTA;
+	out->bytes = (struct dl_str){ base->delta, base->delta_n };
 	return true;
 }
 
-static void push(struct replica *r, const uint64_t *vms, uint32_t count)
+static void push(struct replica *r, const struct push_body *body,
+		 const uint64_t *vms, uint32_t count)
 {
-	struct dl_str text;
-
-	if (!get_push_body(r, &text))
-		return;
 	for (uint32_t i = 0; i < dl_conf_push_children(count); i++) {
 		struct dl_packer pk;
-		uint64_t to = dl_conf_push_pack(
-			&pk, dl_cstore_version(r->cstore), text, vms, count, i);
+		uint64_t to = dl_conf_push_pack(&pk, r->push.id.version,
+						body->bytes, vms, count, i);
 
-		replica_send(r, to, DL_FRAME_CONF_PUSH, 0,
-			     dl_packer_bytes(&pk));
+		replica_send(r, to, body->kind, 0, dl_packer_bytes(&pk));
 		dl_packer_close(&pk);
 	}
 }
@@ -185,28 +267,62 @@
 	dl_rlog_set_replicas(r->rlog, vms, conf->replicas_count);
 }
 
+/* Keeps the version that was pushed as the base of later deltas. */
+static void keep_pushed(struct replica_push *p)
+{
+	const struct dl_conf_kept *last = dl_conf_versions_last(&p->pushed);
+
+	if (p->sections && (!last || last->id.version != p->id.version))
+		dl_conf_versions_add(&p->pushed, p->id,
+				     dl_conf_sections_ref(p->sections));
+}
+
+/*
+ * Chooses what to push: the delta from the version pushed before, or the whole
+ * body. Returns false if there is nothing to push, or not yet, because the body
+ * is large and the last large one was pushed recently. A whole body is not
+ * built before that unless a large delta is compared with it, as the next
+ * version may follow.
+ */
+static bool choose_body(struct replica *r, int64_t now, struct push_body *out)
+{
+	struct replica_push *p = &r->push;
+	bool waits = p->pushed_at && now - p->pushed_at < PUSH_INTERVAL_MS;
+	bool is_delta, is_large;
+
+	if (!prepare(r))
+		return false;
+	is_delta = get_delta(r, dl_conf_versions_last(&p->pushed), out);
+	is_large = (is_delta ? out->bytes.n : whole_size(r)) >
+		   DL_CONF_SMALL_BYTES;
+	if (is_large && waits)
+		return false;
+	if (!is_delta && !get_whole(r, out))
+		return false;
+	if (is_large)
+		p->pushed_at = now;
+	return true;
+}
+
 /*
- * Advertises and pushes the newest version if a push is due and the last one
- * was long enough ago. Advertising waits too, because a VM that sees a version
- * newer than its own pulls it.
+ * Advertises and pushes the newest version if a push is due. Advertising waits
+ * as long as the push, because a VM that sees a version newer than its own
+ * pulls it.
  */
 void replica_conf_tick(struct replica *r, int64_t now)
 {
+	struct push_body body;
 	GArray *targets;
 
-	if (!r->push_due)
-		return;
-	/* By the last body's size: building the next one may be needless. */
-	if (r->push_body_n > PUSH_UNTHROTTLED_BYTES && r->pushed_at &&
-	    now - r->pushed_at < PUSH_INTERVAL_MS)
+	if (!r->push.due || !choose_body(r, now, &body))
 		return;
-	r->push_due = false;
-	r->pushed_at = now;
-	dl_memb_update_self(r->node.memb, false, dl_cstore_version(r->cstore),
+	r->push.due = false;
+	dl_memb_update_self(r->node.memb, false, r->push.id.version,
 			    dl_node_now(&r->node));
 	targets = push_targets(r);
-	push(r, (const uint64_t *)(void *)targets->data, targets->len);
+	push(r, &body, (const uint64_t *)(void *)targets->data, targets->len);
 	g_array_free(targets, TRUE);
+	keep_pushed(&r->push);
 	/*
 	 * Parsing a configuration of megabytes fragments the heap, and the
 	 * allocator does not return that memory by itself. New versions are
@@ -229,27 +345,38 @@
 		return;
 	r->advertised_version = version;
 	set_target_replicas(r);
-	r->push_due = true;
+	r->push.due = true;
 	replica_conf_tick(r, replica_now(r));
 }
 
-/* Answers an entry that requests a version newer than its own. */
+/*
+ * Answers an entry that requests a version newer than its own: with a delta, if
+ * it has one of the versions pushed last, or with the whole body.
+ */
 void replica_conf_pull(struct replica *r, uint64_t from,
 		       const struct dl_frame *frame)
 {
 	uint64_t version = dl_cstore_version(r->cstore), vm;
-	struct dl_reader reader;
-	uint64_t have;
-	bool malformed;
-
-	dl_reader_open(&reader, frame->body);
-	have = dl_read_u64(&reader);
-	malformed = reader.bad;
-	dl_reader_close(&reader);
-	if (malformed || have >= version)
+	struct push_body body;
+	struct dl_conf_id have;
+
+	if (dl_conf_pull_read(frame->body, &have.version, &have.digest) ||
+	    have.version >= version)
 		return;
 	if (!r->current && (replica_now(r) - r->started_at < ISOLATED_MS ||
 			    dl_memb_newest_config(r->node.memb, &vm) > version))
 		return;
-	push(r, &from, 1);
+	if (!prepare(r))
+		return;
+	if (get_delta(r, dl_conf_versions_find(&r->push.pushed, have), &body) ||
+	    get_whole(r, &body))
+		push(r, &body, &from, 1);
+}
+
+/* Frees what is kept of the configuration for pushes. */
+void replica_conf_close(struct replica *r)
+{
+	dl_conf_versions_clear(&r->push.pushed);
+	dl_conf_sections_free(r->push.sections);
+	free(r->push.body);
 }
