Test of bursts: each change alters all routes

Cause: test_system_config_burst.sh checks the limits on reading whole texts, but its changes alter one number, which is now pushed as a delta of 63 bytes and applied at once. It failed with 'entry 1 parsed each of the changes'.

Change: each version alters all 500 routes, so that whole texts are pushed as before. All checks are as they were.

--- a/test/test_system_config_burst.sh
+++ b/test/test_system_config_burst.sh
@@ -1,6 +1,8 @@
 #!/bin/sh
 # Changes of a large configuration in quick succession: the last one takes
 # effect on all VMs within two seconds, and VMs need not parse each earlier one.
+# Each change alters all routes, so it is pushed as a whole text and not as a
+# delta; test_system_conf_delta.sh has changes of a few routes.
 cd "$(dirname "$0")/.." || exit 2
 . test/deploy.sh
 test_begin dala
@@ -16,7 +18,7 @@
 done)
 large_config() { # VERSION
 	config "$1" 5000 '"key-one"' | sed "s|\"routes\":\[|&@|" |
-		awk -v r="$routes" '{ i = index($0, "@"); print substr($0, 1, i - 1) r substr($0, i + 1) }'
+		awk -v r="$(echo "$routes" | sed "s/:2000,/:$((2000 + $1)),/g")" '{ i = index($0, "@"); print substr($0, 1, i - 1) r substr($0, i + 1) }'
 }
 n=6
 while [ $n -le 25 ]; do
