Replicas: bases of deltas also from the store

Cause: a replica that was restarted has pushed no version yet, so it pushed the next one as a whole text. test_system_conf_delta.sh found that: after the restart of a replica, entry 1, which was up all along, read version 43 as a whole text of 22,060 bytes.

Ruled out: keeping sections of each version that is applied: a replica executes a dozen versions at its start, and only the last ones are of use.

Kept versions are ordered by number.

--- a/src/replica/replica_conf.c
+++ b/src/replica/replica_conf.c
@@ -46,6 +46,7 @@
 static size_t whole_size(struct replica *r);
 static bool get_delta(struct replica *r, struct dl_conf_kept *base,
 		      struct push_body *out);
+static void keep_stored(struct replica *r, uint64_t version);
 static void push(struct replica *r, const struct push_body *body,
 		 const uint64_t *vms, uint32_t count);
 static bool pushes_to(struct replica *r, struct dl_str domain, bool is_leader);
@@ -166,6 +167,29 @@
 	return true;
 }
 
+/*
+ * Keeps one of the last versions, read from the store, as the base of deltas. A
+ * replica that was restarted has pushed none yet, and all entries of its domain
+ * would read the whole text after the next change.
+ */
+static void keep_stored(struct replica *r, uint64_t version)
+{
+	struct replica_push *p = &r->push;
+	struct dl_conf_sections *sections;
+	struct dl_conf_id id = { .version = version };
+	struct dl_str text;
+	bool had_source;
+
+	if (!version || version >= p->id.version ||
+	    p->id.version - version >= DL_CONF_VERSIONS_MAX ||
+	    !dl_conf_versions_wants(&p->pushed, version) ||
+	    !dl_cstore_text(r->cstore, version, &text) ||
+	    dl_conf_pushed_split(text, &sections, &had_source))
+		return;
+	id.digest = dl_conf_sections_digest(sections);
+	dl_conf_versions_add(&p->pushed, id, sections);
+}
+
 static void push(struct replica *r, const struct push_body *body,
 		 const uint64_t *vms, uint32_t count)
 {
@@ -270,9 +294,7 @@
 /* Keeps the version that was pushed as the base of later deltas. */
 static void keep_pushed(struct replica_push *p)
 {
-	const struct dl_conf_kept *last = dl_conf_versions_last(&p->pushed);
-
-	if (p->sections && (!last || last->id.version != p->id.version))
+	if (p->sections && dl_conf_versions_wants(&p->pushed, p->id.version))
 		dl_conf_versions_add(&p->pushed, p->id,
 				     dl_conf_sections_ref(p->sections));
 }
@@ -292,6 +314,8 @@
 
 	if (!prepare(r))
 		return false;
+	if (!p->pushed.count && whole_size(r) > DL_CONF_SMALL_BYTES)
+		keep_stored(r, p->id.version - 1);
 	is_delta = get_delta(r, dl_conf_versions_last(&p->pushed), out);
 	is_large = (is_delta ? out->bytes.n : whole_size(r)) >
 		   DL_CONF_SMALL_BYTES;
@@ -368,6 +392,8 @@
 		return;
 	if (!prepare(r))
 		return;
+	if (have.digest)
+		keep_stored(r, have.version);
 	if (get_delta(r, dl_conf_versions_find(&r->push.pushed, have), &body) ||
 	    get_whole(r, &body))
 		push(r, &body, &from, 1);
--- a/src/state/conf_history.c
+++ b/src/state/conf_history.c
@@ -19,17 +19,31 @@
 	free(kept->delta);
 }
 
-/* Adds the version pushed last and forgets the oldest one if there are many. */
+/* Whether a version would be kept: it is not yet, and is not too old. */
+bool dl_conf_versions_wants(const struct dl_conf_versions *v, uint64_t version)
+{
+	for (uint32_t i = 0; i < v->count; i++) {
+		if (v->at[i].id.version == version)
+			return false;
+	}
+	return v->count < DL_CONF_VERSIONS_MAX || version > v->at[0].id.version;
+}
+
+/* Adds a version that is wanted; the oldest one goes if there are many. */
 void dl_conf_versions_add(struct dl_conf_versions *v, struct dl_conf_id id,
 			  struct dl_conf_sections *sections)
 {
+	uint32_t i;
+
 	if (v->count == DL_CONF_VERSIONS_MAX) {
 		free_kept(&v->at[0]);
 		v->count--;
 		memmove(&v->at[0], &v->at[1], v->count * sizeof(v->at[0]));
 	}
-	v->at[v->count++] =
-		(struct dl_conf_kept){ .id = id, .sections = sections };
+	for (i = v->count; i > 0 && v->at[i - 1].id.version > id.version; i--)
+		v->at[i] = v->at[i - 1];
+	v->at[i] = (struct dl_conf_kept){ .id = id, .sections = sections };
+	v->count++;
 }
 
 /*
@@ -47,7 +61,7 @@
 	return NULL;
 }
 
-/* Returns the version pushed last, or NULL. */
+/* Returns the newest version that is kept, or NULL. */
 struct dl_conf_kept *dl_conf_versions_last(struct dl_conf_versions *v)
 {
 	return v->count ? &v->at[v->count - 1] : NULL;
--- a/src/state/conf_history.h
+++ b/src/state/conf_history.h
@@ -42,19 +42,23 @@
 	size_t delta_n;
 };
 
-/* What a replica keeps: versions that it pushed last, the newest one last. */
+/*
+ * What a replica keeps: versions that it pushed last, or that it read from its
+ * store, the newest one last.
+ */
 struct dl_conf_versions {
 	struct dl_conf_kept at[DL_CONF_VERSIONS_MAX];
 	uint32_t count;
 };
 
+bool dl_conf_versions_wants(const struct dl_conf_versions *v, uint64_t version);
 /* Takes the reference to the sections; their digest must be set in id. */
 void dl_conf_versions_add(struct dl_conf_versions *v, struct dl_conf_id id,
 			  struct dl_conf_sections *sections);
 /* The kept version with this number and digest, or NULL. */
 struct dl_conf_kept *dl_conf_versions_find(struct dl_conf_versions *v,
 					   struct dl_conf_id id);
-/* The version pushed last, or NULL. */
+/* The newest version that is kept, or NULL. */
 struct dl_conf_kept *dl_conf_versions_last(struct dl_conf_versions *v);
 /* Frees the deltas, which no longer lead to the newest version. */
 void dl_conf_versions_drop_deltas(struct dl_conf_versions *v);
