Tests of configuration deltas between VMs

Cause: deltas are new; what they must not cause is a version that goes back, is in force in part, or never arrives.

GET /v1/config?version=N of the version in force asks a replica if the text here was rebuilt.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -613,6 +613,7 @@
 
 /* entry_conf_store.c */
 bool entry_conf_text(const struct entry *e, char **out, size_t *n);
+bool entry_conf_text_is_rebuilt(const struct entry *e);
 
 /* entry_ops.c */
 void entry_ops_config_post(struct entry *e, struct dl_httpd_req *req);
--- a/src/entry/entry_conf_store.c
+++ b/src/entry/entry_conf_store.c
@@ -282,3 +282,9 @@
 	return c->parsed && c->parsed->sections &&
 	       dl_conf_sections_text(c->parsed->sections, out, n) == 0;
 }
+
+/* Whether the text that this entry has is not the one that was submitted. */
+bool entry_conf_text_is_rebuilt(const struct entry *e)
+{
+	return e->version && !e->confs->exact;
+}
--- a/src/entry/entry_ops.c
+++ b/src/entry/entry_ops.c
@@ -345,7 +345,8 @@
 }
 
 /*
- * Handles GET /v1/config: returns the version in force here, or an older one.
+ * Handles GET /v1/config: returns the version in force here, or the one that
+ * is named, as it was submitted.
  */
 void entry_ops_config_get(struct entry *e, struct dl_httpd_req *req)
 {
@@ -354,7 +355,8 @@
 	json_t *root;
 	size_t n = 0;
 
-	if (version && version != e->version) {
+	if (version &&
+	    (version != e->version || entry_conf_text_is_rebuilt(e))) {
 		snprintf(question, sizeof(question), "text %lu",
 			 (unsigned long)version);
 		ask_replica(e, req, question);
--- /dev/null
+++ b/test/test_conf_arrival.c
@@ -0,0 +1,420 @@
+/*
+ * Tests of the order in which received configuration versions are put in force.
+ * They guard against versions that go back, deltas applied to another version
+ * than their base, whole texts read without pause, and versions that are
+ * neither put in force nor pulled.
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake/suite.h"
+#include "state/conf_arrival.h"
+
+#define STEPS_MAX 24
+#define SMALL	  100	/* deflated size of a small body */
+#define LARGE	  20000 /* of a large one */
+#define READ_MS	  100	/* time that reading a large body takes */
+
+enum op {
+	END,
+	WHOLE,	 /* a large whole text arrives */
+	DELTA,	 /* a small delta arrives */
+	OTHER,	 /* the same, whose base has another digest */
+	BAD,	 /* the same, which turns out to be damaged when it is read */
+	BIG,	 /* a large delta arrives */
+	DONE,	 /* the thread has read its version */
+	FAILED,	 /* the thread found its version invalid */
+	SPLIT,	 /* the sections of the version in force are known */
+	UNSPLIT, /* they cannot be split */
+	LATER,	 /* time passes, in ms: base */
+};
+
+struct step {
+	enum op op;
+	uint64_t base, version;
+	enum dl_conf_arrival arrival; /* expected, of what arrives */
+	uint64_t in_force;	      /* expected after the step */
+	uint32_t pulls;		      /* expected until now */
+};
+
+struct job {
+	enum op op;
+	struct dl_conf_received received;
+};
+
+static struct dl_conf_arrivals arrivals;
+static struct job *in_thread;
+static int64_t now;
+static uint32_t jobs, pulls;
+
+static uint64_t digest_of(uint64_t version)
+{
+	return version ? 1000 + version : 0;
+}
+
+static void drop(void *job)
+{
+	free(job);
+	jobs--;
+}
+
+/* What an entry does with a version that was read. */
+static void finish(struct job *job, bool valid)
+{
+	uint64_t before = arrivals.in_force.version;
+	bool delta = dl_conf_is_delta(&job->received);
+
+	dl_conf_arrivals_read(&arrivals, &job->received, READ_MS, now);
+	if (valid) {
+		bool newer = job->received.id.version > before;
+
+		ck_assert(dl_conf_arrivals_put_in_force(&arrivals,
+							job->received.id,
+							!delta) == newer);
+	} else if (delta) {
+		pulls++;
+	}
+	ck_assert_uint_ge(arrivals.in_force.version, before);
+	drop(job);
+}
+
+static void pump(void)
+{
+	struct dl_conf_received r;
+	enum dl_conf_next next;
+
+	while ((next = dl_conf_arrivals_next(&arrivals, now, &r)) !=
+	       DL_CONF_WAIT) {
+		struct job *job = r.job;
+
+		if (next != DL_CONF_READ) {
+			pulls++;
+			drop(job);
+		} else if (r.small) {
+			/* Only to the version that it leads from. */
+			ck_assert(
+				!dl_conf_is_delta(&r) ||
+				(r.base.version == arrivals.in_force.version &&
+				 r.base.digest == arrivals.in_force.digest));
+			finish(job, job->op != BAD);
+		} else {
+			ck_assert_ptr_null(in_thread);
+			in_thread = job;
+		}
+	}
+}
+
+static enum dl_conf_arrival arrive(const struct step *s)
+{
+	struct job *job = calloc(1, sizeof(*job));
+	bool large = s->op == WHOLE || s->op == BIG;
+	enum dl_conf_arrival a;
+
+	jobs++;
+	job->op = s->op;
+	job->received = (struct dl_conf_received){
+		.id.version = s->version,
+		.small = !large,
+		.bytes = large ? LARGE : SMALL,
+		.job = job,
+	};
+	if (s->op != WHOLE) {
+		job->received.id.digest = digest_of(s->version);
+		job->received.base = (struct dl_conf_id){
+			s->base, digest_of(s->base) + (s->op == OTHER)
+		};
+	}
+	a = dl_conf_arrivals_add(&arrivals, &job->received, now);
+	if (a == DL_CONF_NO_BASE || a == DL_CONF_OTHER_BASE)
+		pulls++;
+	if (a != DL_CONF_QUEUED)
+		drop(job);
+	return a;
+}
+
+static void take_step(const struct step *s)
+{
+	struct dl_conf_id id = arrivals.in_force;
+	struct job *job = in_thread;
+
+	switch (s->op) {
+	case DONE:
+	case FAILED:
+		ck_assert_ptr_nonnull(job);
+		in_thread = NULL;
+		finish(job, s->op == DONE);
+		break;
+	case SPLIT:
+	case UNSPLIT:
+		id.digest = s->op == SPLIT ? digest_of(id.version) : 0;
+		dl_conf_arrivals_split(&arrivals, id);
+		break;
+	case LATER:
+		now += (int64_t)s->base;
+		break;
+	default:
+		ck_assert_int_eq(arrive(s), s->arrival);
+	}
+	pump();
+}
+
+static const struct {
+	const char *name;
+	struct step steps[STEPS_MAX];
+} cases[] = {
+	{ "a VM starts without a version",
+	  { { DELTA, 4, 5, DL_CONF_NO_BASE, 0, 1 },
+	    { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 1 },
+	    { DONE, .in_force = 5, .pulls = 1 },
+	    { SPLIT, .in_force = 5, .pulls = 1 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 6, 1 } } },
+	{ "a delta waits until its base is split",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 5, 0 },
+	    { DELTA, 6, 7, DL_CONF_QUEUED, 5, 0 },
+	    { SPLIT, .in_force = 7 } } },
+	{ "a base that cannot be split needs a pull",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 5, 0 },
+	    { DELTA, 6, 7, DL_CONF_QUEUED, 5, 0 },
+	    { UNSPLIT, .in_force = 5, .pulls = 1 } } },
+	{ "a base with another digest needs a pull, if found out late",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { OTHER, 5, 6, DL_CONF_QUEUED, 5, 0 },
+	    { SPLIT, .in_force = 5, .pulls = 1 } } },
+	{ "a base with another digest needs a pull",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { SPLIT, .in_force = 5 },
+	    { OTHER, 5, 6, DL_CONF_OTHER_BASE, 5, 1 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 6, 1 } } },
+	{ "a version skipped, pulled as the two deltas that are missing",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { SPLIT, .in_force = 5 },
+	    { DELTA, 6, 7, DL_CONF_NO_BASE, 5, 1 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 6, 1 },
+	    { DELTA, 6, 7, DL_CONF_QUEUED, 7, 1 } } },
+	{ "a version repeated",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { WHOLE, 0, 5, DL_CONF_KNOWN, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { WHOLE, 0, 5, DL_CONF_KNOWN, 5, 0 },
+	    { SPLIT, .in_force = 5 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 6, 0 },
+	    { DELTA, 5, 6, DL_CONF_KNOWN, 6, 0 },
+	    { DELTA, 4, 5, DL_CONF_KNOWN, 6, 0 } } },
+	{ "deltas out of order",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { SPLIT, .in_force = 5 },
+	    { DELTA, 6, 7, DL_CONF_NO_BASE, 5, 1 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 6, 1 },
+	    { DELTA, 6, 8, DL_CONF_QUEUED, 8, 1 },
+	    { DELTA, 6, 7, DL_CONF_KNOWN, 8, 1 } } },
+	{ "a damaged delta is never in force and is pulled as a whole text",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { SPLIT, .in_force = 5 },
+	    { BAD, 5, 6, DL_CONF_QUEUED, 5, 1 },
+	    { LATER, 400, .in_force = 5, .pulls = 1 },
+	    { WHOLE, 0, 6, DL_CONF_QUEUED, 5, 1 },
+	    { DONE, .in_force = 6, .pulls = 1 } } },
+	{ "deltas behind a damaged one are pulled",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { BAD, 5, 6, DL_CONF_QUEUED, 5, 0 },
+	    { DELTA, 6, 7, DL_CONF_QUEUED, 5, 0 },
+	    { DELTA, 7, 8, DL_CONF_QUEUED, 5, 0 },
+	    { SPLIT, .in_force = 5, .pulls = 2 } } },
+	{ "deltas behind an invalid text are pulled",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 0, 0 },
+	    { DELTA, 6, 7, DL_CONF_QUEUED, 0, 0 },
+	    { FAILED, .in_force = 0, .pulls = 1 },
+	    { LATER, 400, .in_force = 0, .pulls = 1 },
+	    { WHOLE, 0, 7, DL_CONF_QUEUED, 0, 1 },
+	    { DONE, .in_force = 7, .pulls = 1 } } },
+	{ "a peer of an older release sends whole texts",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { SPLIT, .in_force = 5 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 6, 0 },
+	    { WHOLE, 0, 6, DL_CONF_KNOWN, 6, 0 },
+	    { LATER, 400, .in_force = 6 },
+	    { WHOLE, 0, 7, DL_CONF_QUEUED, 6, 0 },
+	    { DONE, .in_force = 7 },
+	    { SPLIT, .in_force = 7 },
+	    { DELTA, 7, 8, DL_CONF_QUEUED, 8, 0 } } },
+	{ "a delta overtakes the text that is being read",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { SPLIT, .in_force = 5 },
+	    { LATER, 400, .in_force = 5 },
+	    { WHOLE, 0, 7, DL_CONF_QUEUED, 5, 0 },
+	    { DELTA, 5, 6, DL_CONF_KNOWN, 5, 0 },
+	    { DELTA, 5, 8, DL_CONF_QUEUED, 8, 0 },
+	    { DONE, .in_force = 8 },
+	    { DELTA, 8, 9, DL_CONF_QUEUED, 9, 0 } } },
+	{ "a delta makes the text that waits needless",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { SPLIT, .in_force = 5 },
+	    { WHOLE, 0, 6, DL_CONF_QUEUED, 5, 0 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 6, 0 },
+	    { LATER, 400, .in_force = 6 },
+	    { DELTA, 6, 7, DL_CONF_QUEUED, 7, 0 } } },
+	{ "an older delta does not replace the text that waits",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { SPLIT, .in_force = 5 },
+	    { WHOLE, 0, 8, DL_CONF_QUEUED, 5, 0 },
+	    { DELTA, 5, 6, DL_CONF_KNOWN, 5, 0 },
+	    { DELTA, 7, 8, DL_CONF_KNOWN, 5, 0 },
+	    { DELTA, 8, 9, DL_CONF_QUEUED, 5, 0 },
+	    { LATER, 300, .in_force = 5 },
+	    { DONE, .in_force = 8 },
+	    { SPLIT, .in_force = 9 } } },
+	{ "of texts that wait only the newest is read",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { WHOLE, 0, 6, DL_CONF_QUEUED, 0, 0 },
+	    { DELTA, 6, 7, DL_CONF_QUEUED, 0, 0 },
+	    { WHOLE, 0, 9, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { LATER, 300, .in_force = 5 },
+	    { DONE, .in_force = 9 } } },
+	{ "large deltas are read one at a time, in order, with a pause",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { SPLIT, .in_force = 5 },
+	    { BIG, 5, 6, DL_CONF_QUEUED, 5, 0 },
+	    { BIG, 6, 7, DL_CONF_QUEUED, 5, 0 },
+	    { DELTA, 7, 8, DL_CONF_QUEUED, 5, 0 },
+	    { LATER, 300, .in_force = 5 },
+	    { DONE, .in_force = 6 },
+	    { LATER, 300, .in_force = 6 },
+	    { DONE, .in_force = 8 } } },
+	{ "a large delta whose base is replaced meanwhile is pulled",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { SPLIT, .in_force = 5 },
+	    { LATER, 400, .in_force = 5 },
+	    { WHOLE, 0, 6, DL_CONF_QUEUED, 5, 0 },
+	    { BIG, 5, 7, DL_CONF_QUEUED, 5, 0 },
+	    { DONE, .in_force = 6, .pulls = 1 } } },
+};
+
+static void begin(void)
+{
+	memset(&arrivals, 0, sizeof(arrivals));
+	arrivals.drop = drop;
+	in_thread = NULL;
+	now = 1000;
+	jobs = 0;
+	pulls = 0;
+}
+
+START_TEST(versions_come_into_force_in_order)
+{
+	const struct step *steps = cases[_i].steps;
+
+	for (uint32_t i = 0; steps[i].op != END; i++) {
+		take_step(&steps[i]);
+		ck_assert_msg(arrivals.in_force.version == steps[i].in_force &&
+				      pulls == steps[i].pulls,
+			      "%s: step %u: version %lu in force, %u pulls",
+			      cases[_i].name, i,
+			      (unsigned long)arrivals.in_force.version, pulls);
+	}
+	/* Each version that arrived is freed, waits, or is being read. */
+	ck_assert_uint_eq(jobs, arrivals.count + (in_thread != NULL));
+}
+END_TEST
+
+/* Two whole texts are read with a pause of three times the first one's time. */
+START_TEST(whole_texts_are_read_with_pauses)
+{
+	struct step first = { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 };
+	struct step second = { WHOLE, 0, 6, DL_CONF_QUEUED, 0, 0 };
+	struct step third = { WHOLE, 0, 7, DL_CONF_QUEUED, 0, 0 };
+
+	take_step(&first);
+	take_step(&(struct step){ .op = DONE });
+	take_step(&(struct step){ LATER, .base = 250 });
+	take_step(&second);
+	ck_assert_ptr_null(in_thread);
+	take_step(&(struct step){ LATER, .base = 49 });
+	ck_assert_ptr_null(in_thread);
+	take_step(&(struct step){ LATER, .base = 1 });
+	ck_assert_ptr_nonnull(in_thread);
+	/* One that arrives meanwhile waits for the thread, however long. */
+	take_step(&third);
+	take_step(&(struct step){ LATER, .base = 1000 });
+	ck_assert_uint_eq(in_thread->received.id.version, 6);
+	/* It has waited for over 300 ms, so that it is read without a pause. */
+	take_step(&(struct step){ .op = DONE });
+	ck_assert_uint_eq(in_thread->received.id.version, 7);
+}
+END_TEST
+
+/* Newest version known, as the base of the decision whether to pull. */
+START_TEST(newest_version_includes_what_waits)
+{
+	struct step whole = { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 };
+	struct step delta = { DELTA, 5, 6, DL_CONF_QUEUED, 0, 0 };
+
+	ck_assert_uint_eq(dl_conf_arrivals_newest(&arrivals), 0);
+	take_step(&whole);
+	ck_assert_uint_eq(dl_conf_arrivals_newest(&arrivals), 5);
+	take_step(&delta);
+	ck_assert_uint_eq(dl_conf_arrivals_newest(&arrivals), 6);
+	take_step(&(struct step){ .op = FAILED });
+	ck_assert_uint_eq(dl_conf_arrivals_newest(&arrivals), 0);
+}
+END_TEST
+
+/* A VM that is stalled must not keep deltas without limit. */
+START_TEST(waiting_deltas_are_limited)
+{
+	struct step whole = { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 };
+	struct step delta = { _i ? BIG : DELTA, 5, 6, DL_CONF_QUEUED, 0, 0 };
+	size_t each = _i ? LARGE : SMALL, n = 0;
+
+	take_step(&whole);
+	while (n < DL_CONF_ARRIVALS_MAX &&
+	       (n + 1) * each <= DL_CONF_ARRIVAL_BYTES_MAX) {
+		take_step(&delta);
+		delta.base++;
+		delta.version++;
+		n++;
+	}
+	delta.arrival = DL_CONF_FULL;
+	take_step(&delta);
+	ck_assert_uint_eq(arrivals.count, n);
+	/* A whole text takes the place of all of them. */
+	whole.version = 100;
+	take_step(&whole);
+	ck_assert_uint_eq(arrivals.count, 1);
+	ck_assert_uint_eq(arrivals.bytes, 0);
+	ck_assert_uint_eq(jobs, 2);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("conf_arrival");
+	TCase *tc = tcase_create("arrival");
+
+	tcase_add_checked_fixture(tc, begin, NULL);
+	tcase_add_loop_test(tc, versions_come_into_force_in_order, 0,
+			    sizeof(cases) / sizeof(cases[0]));
+	tcase_add_test(tc, whole_texts_are_read_with_pauses);
+	tcase_add_test(tc, newest_version_includes_what_waits);
+	tcase_add_loop_test(tc, waiting_deltas_are_limited, 0, 2);
+	suite_add_tcase(suite, tc);
+	return suite_run(suite);
+}
