--- a/src/state/conf_delta_apply.c
+++ b/src/state/conf_delta_apply.c
@@ -202,7 +202,8 @@
 	struct conf_path path = routes_path();
 
 	conf->routes = conf_alloc_list(&a->r, &path, a->next->routes_count,
-				       CONF_ROUTES_MAX, sizeof(*conf->routes));
+				       CONF_ROUTES_MAX,
+				       sizeof(struct dl_route_conf *));
 	if (!conf->routes)
 		return;
 	for (uint32_t i = 0; i < a->next->routes_count; i++) {
--- a/src/state/conf_route.c
+++ b/src/state/conf_route.c
@@ -218,7 +218,7 @@
 	size_t n = json_array_size(json);
 
 	conf->routes = conf_alloc_list(r, path, n, CONF_ROUTES_MAX,
-				       sizeof(*conf->routes));
+				       sizeof(struct dl_route_conf *));
 	if (!conf->routes)
 		return;
 	for (size_t i = 0; i < n; i++) {
--- a/src/state/conf_sections.c
+++ b/src/state/conf_sections.c
@@ -79,7 +79,7 @@
 {
 	struct dl_conf_sections *s;
 
-	s = calloc(1, sizeof(*s) + routes * sizeof(s->routes[0]));
+	s = calloc(1, sizeof(*s) + routes * sizeof(struct conf_section *));
 	if (s)
 		s->references = 1;
 	return s;
--- a/test/test_conf_delta.c
+++ b/test/test_conf_delta.c
@@ -701,11 +701,13 @@
 			rc = apply((struct dl_str){ copy, delta.n }, &base,
 				   &next);
 			rejected += rc == -EBADMSG;
-			if (rc == 0)
+			if (rc == 0) {
+				ck_assert_uint_gt(next.version, base.version);
 				check_version(&next, &after);
-			else
+			} else {
 				ck_assert(rc == -EBADMSG || rc == -ESTALE ||
 					  rc == -EINVAL);
+			}
 			version_clear(&next);
 		}
 	}
@@ -820,6 +822,8 @@
 	  "routes[1].name[0][0][0][0][0][0]", "nested too deeply" },
 	{ HEAD_WITH(",\"log_level\":\"info\",\"log_level\":\"warn\""), NULL,
 	  -EINVAL, "log_level", "duplicate key" },
+	{ HEAD_WITH(",\"replicas\":[]"), NULL, -EINVAL, "replicas",
+	  "at least 3 replicas" },
 	{ HEAD_WITH(",\"routes\":[]"), NULL, -EINVAL, "routes",
 	  "must not have routes" },
 	{ "{\"format\":}", NULL, -EINVAL, "", "" },
