Configuration deltas: parse and split a whole text in one step

Cause: a VM that reads a whole text must parse it, and split it to apply the next delta. Ruled out: cutting sections out of the text, as its JSON need not be written the way jansson does, and digests would then differ between VMs. Change: dl_conf_sections_parse() does both; an addition to the interface.

--- a/bench/bench_conf.c
+++ b/bench/bench_conf.c
@@ -153,6 +153,27 @@
 	return best;
 }
 
+/* Best time of a parse and a split of the whole text in one, in us. */
+static int64_t time_parse_split(const GString *text)
+{
+	int64_t best = INT64_MAX;
+
+	for (int i = 0; i < ROUTE_TRIES; i++) {
+		struct dl_conf_sections *sections;
+		struct dl_conf *conf;
+		int64_t begin = g_get_monotonic_time();
+
+		if (dl_conf_sections_parse((struct dl_str){ text->str,
+							    text->len },
+					   &sections, &conf, &faults))
+			exit(EXIT_FAILURE);
+		best = MIN(best, g_get_monotonic_time() - begin);
+		dl_conf_free(conf);
+		dl_conf_sections_free(sections);
+	}
+	return best;
+}
+
 /* Best time of making the delta between two versions, in us. */
 static int64_t time_make(const struct dl_conf_sections *base,
 			 const struct dl_conf_sections *next,
@@ -232,6 +253,8 @@
 	printf("conf_routes_text_bytes\t%zu\tbytes\n", text->len);
 	printf("conf_parse_us\t%" PRId64 "\tus\n", time_parse(text));
 	printf("conf_split_us\t%" PRId64 "\tus\n", time_split(text, &base));
+	printf("conf_parse_split_us\t%" PRId64 "\tus\n",
+	       time_parse_split(text));
 	if (dl_conf_parse((struct dl_str){ text->str, text->len }, &conf,
 			  &faults))
 		exit(EXIT_FAILURE);
--- a/include/daisyledge/conf_delta.h
+++ b/include/daisyledge/conf_delta.h
@@ -31,6 +31,14 @@
  * object whose "routes", if any, is a list, or -ENOMEM.
  */
 int dl_conf_sections_split(struct dl_str text, struct dl_conf_sections **out);
+/*
+ * Does what dl_conf_parse() and dl_conf_sections_split() do for the same text,
+ * but reads its JSON once, which takes most of the time of a split. Returns 0
+ * and both, -EINVAL and all faults, or -ENOMEM.
+ */
+int dl_conf_sections_parse(struct dl_str text,
+			   struct dl_conf_sections **sections,
+			   struct dl_conf **conf, struct dl_faults *faults);
 /* Takes another reference; returns s. */
 struct dl_conf_sections *dl_conf_sections_ref(struct dl_conf_sections *s);
 /* Releases a reference; s may be NULL. */
--- a/src/state/conf.c
+++ b/src/state/conf.c
@@ -214,7 +214,7 @@
 static int compare_workspaces(const void *a, const void *b);
 static int compare_faults(const void *a, const void *b);
 static int read_text(struct conf_reader *r, struct dl_str text,
-		     struct dl_conf *conf);
+		     struct dl_conf *conf, json_t **root_json);
 
 /* Allocate a list, unless it has more elements than allowed. */
 void *conf_alloc_list(struct conf_reader *r, const struct conf_path *path,
@@ -586,9 +586,12 @@
 	return false;
 }
 
-/* Parse and check a text; faults are added to the reader's. */
+/*
+ * Parse and check a text; faults are added to the reader's. *root_json, which
+ * may be NULL, is set to the value of the text with 0 only.
+ */
 static int read_text(struct conf_reader *r, struct dl_str text,
-		     struct dl_conf *conf)
+		     struct dl_conf *conf, json_t **root_json)
 {
 	struct conf_path root = conf_path_root();
 	json_error_t error;
@@ -612,6 +615,8 @@
 		conf_check(r, conf);
 		conf->digest = dl_conf_digest(text);
 	}
+	if (rc == 0 && root_json)
+		*root_json = json_incref(json);
 	json_decref(json);
 	return rc;
 }
@@ -659,20 +664,38 @@
 }
 
 /*
- * Parse and check a configuration text. Returns 0 and *out, which the caller
- * frees; -EINVAL and all faults, ordered by line; or -ENOMEM. faults must not
- * be NULL; its count may exceed DL_FAULTS_MAX.
+ * As dl_conf_parse(); with 0, *root_json is the value of the text, which the
+ * caller releases.
  */
-int dl_conf_parse(struct dl_str text, struct dl_conf **out,
-		  struct dl_faults *faults)
+int conf_parse(struct dl_str text, struct dl_conf **out, json_t **root_json,
+	       struct dl_faults *faults)
 {
 	struct conf_reader r = { .faults = faults };
 	struct dl_conf *conf = calloc(1, sizeof(*conf));
+	json_t *json = NULL;
+	int rc;
 
 	faults->count = 0;
 	if (!conf)
 		return -ENOMEM;
-	return conf_finish(&r, read_text(&r, text, conf), conf, out);
+	rc = read_text(&r, text, conf, root_json ? &json : NULL);
+	rc = conf_finish(&r, rc, conf, out);
+	if (rc)
+		json_decref(json);
+	else if (root_json)
+		*root_json = json;
+	return rc;
+}
+
+/*
+ * Parse and check a configuration text. Returns 0 and *out, which the caller
+ * frees; -EINVAL and all faults, ordered by line; or -ENOMEM. faults must not
+ * be NULL; its count may exceed DL_FAULTS_MAX.
+ */
+int dl_conf_parse(struct dl_str text, struct dl_conf **out,
+		  struct dl_faults *faults)
+{
+	return conf_parse(text, out, NULL, faults);
 }
 
 /* Free a configuration, which may be NULL. */
--- a/src/state/conf_int.h
+++ b/src/state/conf_int.h
@@ -133,6 +133,8 @@
 bool conf_check_text_size(struct conf_reader *r, size_t n);
 void conf_read_top_level(struct conf_reader *r, json_t *root,
 			 struct dl_conf *conf);
+int conf_parse(struct dl_str text, struct dl_conf **out, json_t **root_json,
+	       struct dl_faults *faults);
 int conf_finish(struct conf_reader *r, int rc, struct dl_conf *conf,
 		struct dl_conf **out);
 
--- a/src/state/conf_sections.c
+++ b/src/state/conf_sections.c
@@ -8,9 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <jansson.h>
 #include <xxhash.h>
 
+#include "state/conf_int.h"
 #include "state/conf_sections.h"
 
 #define DIGEST_SEED  0
@@ -208,6 +208,29 @@
 	return *out ? 0 : -ENOMEM;
 }
 
+/* Parse a whole text, and split it without reading its JSON twice. */
+int dl_conf_sections_parse(struct dl_str text,
+			   struct dl_conf_sections **sections,
+			   struct dl_conf **conf, struct dl_faults *faults)
+{
+	struct dl_conf_sections *s;
+	struct dl_conf *parsed;
+	json_t *root;
+	int rc = conf_parse(text, &parsed, &root, faults);
+
+	if (rc)
+		return rc;
+	s = split_json(root);
+	json_decref(root);
+	if (!s) {
+		dl_conf_free(parsed);
+		return -ENOMEM;
+	}
+	*sections = s;
+	*conf = parsed;
+	return 0;
+}
+
 struct dl_conf_sections *dl_conf_sections_ref(struct dl_conf_sections *s)
 {
 	g_atomic_int_inc(&s->references);
--- a/test/test_conf_delta.c
+++ b/test/test_conf_delta.c
@@ -190,9 +190,16 @@
 static void version_read(struct version *v, uint64_t version,
 			 const struct model *m)
 {
+	GString *text = model_text(m);
+
 	v->version = version;
-	v->sections = split(m);
-	ck_assert_int_eq(parse_whole(v->sections, &v->conf), 0);
+	ck_assert_int_eq(
+		dl_conf_sections_parse((struct dl_str){ text->str, text->len },
+				       &v->sections, &v->conf, &faults),
+		0);
+	ck_assert_uint_eq(v->conf->digest, dl_conf_digest((struct dl_str){
+						   text->str, text->len }));
+	g_string_free(text, TRUE);
 }
 
 static void version_clear(struct version *v)
@@ -719,6 +726,29 @@
 }
 END_TEST
 
+/* A text with faults sets neither output. */
+START_TEST(faulty_whole_text_is_not_split)
+{
+	struct dl_conf_sections *sections = NULL;
+	struct dl_conf *conf = NULL;
+	struct model m;
+	GString *text;
+
+	model_init(&m, ROUTES);
+	route_at(&m, 3)->flaw = FLAW_RANGE;
+	text = model_text(&m);
+	ck_assert_int_eq(
+		dl_conf_sections_parse((struct dl_str){ text->str, text->len },
+				       &sections, &conf, &faults),
+		-EINVAL);
+	ck_assert_str_eq(faults.items[0].path, "routes[3].timeout_ms");
+	ck_assert_ptr_null(sections);
+	ck_assert_ptr_null(conf);
+	g_string_free(text, TRUE);
+	model_clear(&m);
+}
+END_TEST
+
 /* A fault in a route, and where it is reported. */
 struct fault_case {
 	uint32_t route;
@@ -1178,6 +1208,7 @@
 	tcase_add_test(t, delta_to_a_lower_version_is_not_made);
 	tcase_add_test(t, damaged_delta_is_rejected);
 	tcase_add_test(t, result_with_other_digest_is_rejected);
+	tcase_add_test(t, faulty_whole_text_is_not_split);
 	tcase_add_loop_test(t, fault_names_the_route, 0, FAULT_CASES);
 	tcase_add_test(t, fault_between_new_and_old_parts);
 	tcase_add_loop_test(t, literal_section_is_checked_like_a_whole_text, 0,
