--- a/src/state/conf_delta_apply.c
+++ b/src/state/conf_delta_apply.c
@@ -32,7 +32,7 @@
 		       struct dl_conf **conf);
 static size_t count_routes(const struct apply *a);
 static int build_sections(struct apply *a);
-static struct conf_section *build_head(const struct apply *a);
+static int build_head(struct apply *a);
 static bool build_route(struct apply *a, struct conf_section *section,
 			uint32_t origin);
 static int build_routes(struct apply *a);
@@ -63,39 +63,35 @@
 	return n;
 }
 
-/*
- * Return the head of the new version; NULL with errno ENOMEM, or EBADMSG if the
- * delta does not fit the base or makes no object.
- */
-static struct conf_section *build_head(const struct apply *a)
+/* Build the head of the new version; -EBADMSG if it would be no object. */
+static int build_head(struct apply *a)
 {
 	const struct conf_delta *d = &a->delta;
 	struct dl_str base = conf_section_str(a->base->head);
 	size_t n = d->head_prefix + d->head_text.n + d->head_suffix;
-	struct conf_section *section;
 	char *text;
 
-	if (!d->head_changed)
-		return conf_section_ref(a->base->head);
-	errno = EBADMSG;
+	if (!d->head_changed) {
+		a->next->head = conf_section_ref(a->base->head);
+		return 0;
+	}
 	if (d->head_prefix > base.n ||
 	    d->head_suffix > base.n - d->head_prefix || n < HEAD_MIN)
-		return NULL;
-	errno = ENOMEM;
+		return -EBADMSG;
 	text = malloc(n);
 	if (!text)
-		return NULL;
+		return -ENOMEM;
 	memcpy(text, base.s, d->head_prefix);
 	memcpy(text + d->head_prefix, d->head_text.s, d->head_text.n);
 	memcpy(text + n - d->head_suffix, base.s + base.n - d->head_suffix,
 	       d->head_suffix);
-	section = NULL;
-	if (text[0] != '{' || text[n - 1] != '}')
-		errno = EBADMSG;
-	else
-		section = conf_section_new((struct dl_str){ text, n });
+	if (text[0] != '{' || text[n - 1] != '}') {
+		free(text);
+		return -EBADMSG;
+	}
+	a->next->head = conf_section_new((struct dl_str){ text, n });
 	free(text);
-	return section;
+	return a->next->head ? 0 : -ENOMEM;
 }
 
 /* Append a route, whose reference is taken over. */
@@ -144,13 +140,11 @@
 	a->next = conf_sections_new(n);
 	if (!a->next)
 		return -ENOMEM;
-	a->next->head = build_head(a);
-	if (!a->next->head)
-		return -errno;
-	rc = build_routes(a);
-	if (rc)
-		return rc;
-	rc = conf_sections_finish(a->next);
+	rc = build_head(a);
+	if (rc == 0)
+		rc = build_routes(a);
+	if (rc == 0)
+		rc = conf_sections_finish(a->next);
 	if (rc)
 		return rc;
 	return a->next->digest == a->delta.head.digest ? 0 : -EBADMSG;
