Entries: split from the JSON that was read, costly deltas in the worker thread

Cause: an entry read the JSON of a whole text twice, once to parse and once to split it (conf_parse_us 12538, conf_split_us 10027 by the commit of dl_conf_sections_parse()). And a delta of few bytes was applied in the event loop also where it renames a service, which makes all routes be parsed, or where the head is large, which is parsed for each delta.

Ruled out: dl_conf_sections_parse() in the worker, since a version read as a whole would be in force later by the time of writing the sections.

Change: the job that parses a text keeps its JSON tree (conf_pushed.c), from which the second job writes the sections. conf_delta_cost.c tells from the delta and its base whether applying it parses more than a small head and some routes; such deltas go to the worker thread, with the limits of whole texts.

--- a/src/entry/entry_conf.c
+++ b/src/entry/entry_conf.c
@@ -14,6 +14,7 @@
 #include "node/log.h"
 #include "protocol/conf_push.h"
 #include "protocol/deflate.h"
+#include "state/conf_delta_cost.h"
 
 /* A lost push is recovered from within a second. */
 #define PULL_INTERVAL_MS 500
@@ -32,8 +33,6 @@
  * for it.
  */
 #define PULL_SPLIT_WAIT_MS 500
-/* A larger delta is applied in a worker thread, however well it deflates. */
-#define INLINE_DELTA_MAX (32u << 10)
 
 /* The reading of a pushed version. */
 struct conf_job {
@@ -51,6 +50,7 @@
 	struct conf_parsed *base; /* of a delta */
 	int rc;			  /* of reading */
 	struct dl_conf *conf;
+	struct dl_conf_tree *tree;	   /* of a whole text */
 	struct dl_conf_sections *sections; /* of a delta */
 	struct dl_faults faults;
 };
@@ -71,6 +71,7 @@
 	free(job->text);
 	conf_parsed_unref(job->base);
 	dl_conf_free(job->conf);
+	dl_conf_tree_free(job->tree);
 	dl_conf_sections_free(job->sections);
 	g_free(job);
 }
@@ -127,9 +128,8 @@
 			e, &head, (struct dl_str){ job->body, job->body_n });
 		return;
 	}
-	entry_conf_keep_whole(e, job->text, job->text_n, job->body,
-			      job->body_n);
-	job->text = NULL;
+	entry_conf_keep_whole(e, job->tree, job->body, job->body_n);
+	job->tree = NULL;
 	job->body = NULL;
 }
 
@@ -224,8 +224,8 @@
 		job->rc = -EBADMSG;
 		return;
 	}
-	job->rc = dl_conf_parse((struct dl_str){ job->text, job->text_n },
-				&job->conf, &job->faults);
+	job->rc = dl_conf_tree_parse((struct dl_str){ job->text, job->text_n },
+				     &job->conf, &job->tree, &job->faults);
 }
 
 /* Handles a delta that led to no version. */
@@ -302,6 +302,31 @@
 	uv_queue_work(e->node.loop, &job->work, read_in_thread, on_read);
 }
 
+/*
+ * Whether a version that is to be read at once would stall the event loop, as
+ * shown by its base.
+ */
+static bool takes_long(const struct entry *e, const struct conf_job *job)
+{
+	const struct conf_parsed *base = e->confs->parsed;
+
+	return job->received.small && is_delta(job) &&
+	       !dl_conf_delta_is_cheap((struct dl_str){ job->text,
+							job->text_n },
+				       base->sections, base->conf);
+}
+
+/* Reads a version, or leaves it to a worker thread. */
+static void read_or_put_back(struct entry *e, struct conf_job *job)
+{
+	if (!takes_long(e, job)) {
+		start_reading(e, job);
+		return;
+	}
+	job->received.small = false;
+	dl_conf_arrivals_put_back(&e->confs->arrivals, &job->received);
+}
+
 /* Reads the versions whose turn it is. */
 void entry_conf_pump(struct entry *e, int64_t now)
 {
@@ -312,7 +337,7 @@
 		case DL_CONF_WAIT:
 			return;
 		case DL_CONF_READ:
-			start_reading(e, r.job);
+			read_or_put_back(e, r.job);
 			break;
 		case DL_CONF_BASE_GONE:
 			reject_delta(e, r.job, "base");
@@ -393,7 +418,6 @@
 	job->received.id.digest = head.digest;
 	job->received.base =
 		(struct dl_conf_id){ head.base_version, head.base_digest };
-	job->received.small &= job->text_n <= INLINE_DELTA_MAX;
 	queue_version(e, job);
 }
 
--- a/src/entry/entry_conf_int.h
+++ b/src/entry/entry_conf_int.h
@@ -7,6 +7,7 @@
 
 #include "entry/entry.h"
 #include "state/conf_arrival.h"
+#include "state/conf_pushed.h"
 
 /*
  * Sizes of inflated texts and deltas. Texts are limited when they are accepted;
@@ -36,9 +37,8 @@
 	struct conf_parsed *parsed; /* NULL before the first version */
 	struct dl_conf_arrivals arrivals;
 	struct dl_conf_history history;
-	char *text; /* until it is split; NULL otherwise */
-	size_t text_n;
-	struct conf_work *split; /* at work; NULL: none */
+	struct dl_conf_tree *tree; /* to be split; NULL: none */
+	struct conf_work *split;   /* at work; NULL: none */
 	int64_t split_started_at;
 	bool exact;    /* body is the text as pushed by a replica */
 	char *body;    /* whole, deflated; NULL: not built */
@@ -54,7 +54,7 @@
 void entry_conf_pump(struct entry *e, int64_t now);
 
 /* entry_conf_store.c */
-void entry_conf_keep_whole(struct entry *e, char *text, size_t text_n,
+void entry_conf_keep_whole(struct entry *e, struct dl_conf_tree *tree,
 			   char *body, size_t body_n);
 void entry_conf_keep_delta(struct entry *e,
 			   const struct dl_conf_delta_head *head,
--- a/src/entry/entry_conf_store.c
+++ b/src/entry/entry_conf_store.c
@@ -20,8 +20,7 @@
 	uv_work_t work;
 	struct entry *e;
 	uint64_t version;
-	char *in; /* text to split */
-	size_t in_n;
+	struct dl_conf_tree *tree;	   /* to split */
 	struct dl_conf_sections *sections; /* to build from, or the result */
 	char *body;			   /* result; NULL if it failed */
 	size_t body_n;
@@ -52,9 +51,9 @@
 {
 	struct conf_work *w = work->data;
 
-	if (dl_conf_sections_split((struct dl_str){ w->in, w->in_n },
-				   &w->sections))
+	if (dl_conf_tree_split(w->tree, &w->sections))
 		w->sections = NULL;
+	dl_conf_tree_free(w->tree);
 }
 
 /* Hands the sections to the version that they belong to. */
@@ -81,7 +80,6 @@
 
 	e->confs->split = NULL;
 	set_sections(e, w->version, w->sections);
-	free(w->in);
 	g_free(w);
 	start_split(e);
 	entry_conf_pump(e, entry_now(e));
@@ -89,27 +87,24 @@
 
 /*
  * Splits the text of the version in force in a worker thread, after that
- * version came into force: splitting takes about as long as reading, and only
- * the next delta needs the sections.
+ * version came into force, as only the next delta needs the sections.
  */
 static void start_split(struct entry *e)
 {
 	struct entry_conf *c = e->confs;
 	struct conf_work *w;
 
-	if (c->split || !c->text)
+	if (c->split || !c->tree)
 		return;
 	w = g_new0(struct conf_work, 1);
 	w->e = e;
 	w->version = e->version;
-	w->in = c->text;
-	w->in_n = c->text_n;
-	c->text = NULL;
+	w->tree = c->tree;
+	c->tree = NULL;
 	w->work.data = w;
 	if (c->body_n <= DL_CONF_SMALL_BYTES) {
 		split_in_thread(&w->work);
 		set_sections(e, w->version, w->sections);
-		free(w->in);
 		g_free(w);
 		return;
 	}
@@ -127,10 +122,10 @@
 }
 
 /*
- * Keeps a version that was read as a whole and is in force now. Takes the text
- * and the body, which were allocated with malloc().
+ * Keeps a version that was read as a whole and is in force now. Takes the tree
+ * and the body, which was allocated with malloc().
  */
-void entry_conf_keep_whole(struct entry *e, char *text, size_t text_n,
+void entry_conf_keep_whole(struct entry *e, struct dl_conf_tree *tree,
 			   char *body, size_t body_n)
 {
 	struct entry_conf *c = e->confs;
@@ -138,9 +133,8 @@
 	dl_conf_history_clear(&c->history);
 	set_body(c, body, body_n);
 	c->exact = true;
-	free(c->text);
-	c->text = text;
-	c->text_n = text_n;
+	dl_conf_tree_free(c->tree);
+	c->tree = tree;
 	start_split(e);
 }
 
@@ -154,8 +148,8 @@
 	dl_conf_history_add(&c->history, head, body);
 	set_body(c, NULL, 0);
 	c->exact = false;
-	free(c->text);
-	c->text = NULL;
+	dl_conf_tree_free(c->tree);
+	c->tree = NULL;
 }
 
 static void send_body(struct entry *e, uint64_t to, uint64_t version,
--- a/src/state/conf_arrival.c
+++ b/src/state/conf_arrival.c
@@ -177,6 +177,20 @@
 	return next;
 }
 
+/* Puts the version that was taken last at the head of the line, as a large one.
+ */
+void dl_conf_arrivals_put_back(struct dl_conf_arrivals *a,
+			       const struct dl_conf_received *r)
+{
+	memmove(&a->waiting[1], &a->waiting[0],
+		a->count * sizeof(a->waiting[0]));
+	a->waiting[0] = *r;
+	a->waiting[0].small = false;
+	a->count++;
+	if (dl_conf_is_delta(r))
+		a->bytes += r->bytes;
+}
+
 /* Records that a version was read; the pause begins if that took long. */
 void dl_conf_arrivals_read(struct dl_conf_arrivals *a,
 			   const struct dl_conf_received *r, int64_t took_ms,
--- a/src/state/conf_arrival.h
+++ b/src/state/conf_arrival.h
@@ -73,6 +73,12 @@
 /* Hands the next version back to the owner, unless it has to wait. */
 enum dl_conf_next dl_conf_arrivals_next(struct dl_conf_arrivals *a, int64_t now,
 					struct dl_conf_received *out);
+/*
+ * Takes back a small version from dl_conf_arrivals_next() that turned out to
+ * take long to read. It is handed out as a large one, when its turn comes.
+ */
+void dl_conf_arrivals_put_back(struct dl_conf_arrivals *a,
+			       const struct dl_conf_received *r);
 /* A version was read, which took this long; it need not be in force. */
 void dl_conf_arrivals_read(struct dl_conf_arrivals *a,
 			   const struct dl_conf_received *r, int64_t took_ms,
--- a/src/state/conf_pushed.c
+++ b/src/state/conf_pushed.c
@@ -4,8 +4,7 @@
 #include <errno.h>
 #include <stdlib.h>
 
-#include <jansson.h>
-
+#include "state/conf_int.h"
 #include "state/conf_sections.h"
 
 #define KEY_SOURCE "source"
@@ -40,11 +39,8 @@
 	return conf_sections_finish(s);
 }
 
-/*
- * Splits the JSON tree of a text. The text is parsed once: writing it without
- * its source, for dl_conf_sections_split() to parse, takes as long again.
- */
-static int split_tree(json_t *root, struct dl_conf_sections **out)
+/* Splits the JSON of a text, from which the routes are removed. */
+static int split_json(json_t *root, struct dl_conf_sections **out)
 {
 	json_t *routes = json_incref(json_object_get(root, KEY_ROUTES));
 	struct dl_conf_sections *s;
@@ -76,8 +72,32 @@
 
 	if (json_is_object(root)) {
 		*had_source = json_object_del(root, KEY_SOURCE) == 0;
-		rc = split_tree(root, out);
+		rc = split_json(root, out);
 	}
 	json_decref(root);
 	return rc;
 }
+
+/* Parses a text and keeps its JSON. */
+int dl_conf_tree_parse(struct dl_str text, struct dl_conf **conf,
+		       struct dl_conf_tree **tree, struct dl_faults *faults)
+{
+	json_t *root = NULL;
+	int rc = conf_parse(text, conf, &root, faults);
+
+	if (rc == 0)
+		*tree = (struct dl_conf_tree *)root;
+	return rc;
+}
+
+/* Splits a tree that is still complete. */
+int dl_conf_tree_split(struct dl_conf_tree *tree, struct dl_conf_sections **out)
+{
+	return split_json((json_t *)tree, out);
+}
+
+/* Frees a tree. */
+void dl_conf_tree_free(struct dl_conf_tree *tree)
+{
+	json_decref((json_t *)tree);
+}
--- a/test/test_conf_arrival.c
+++ b/test/test_conf_arrival.c
@@ -23,6 +23,7 @@
 	OTHER,	 /* the same, whose base has another digest */
 	BAD,	 /* the same, which turns out to be damaged when it is read */
 	BIG,	 /* a large delta arrives */
+	SLOW,	 /* a small delta that turns out to take long to read */
 	DONE,	 /* the thread has read its version */
 	FAILED,	 /* the thread found its version invalid */
 	SPLIT,	 /* the sections of the version in force are known */
@@ -91,6 +92,9 @@
 		if (next != DL_CONF_READ) {
 			pulls++;
 			drop(job);
+		} else if (r.small && job->op == SLOW) {
+			dl_conf_arrivals_put_back(&arrivals, &r);
+			job->received.small = false;
 		} else if (r.small) {
 			/* Only to the version that it leads from. */
 			ck_assert(
@@ -298,6 +302,15 @@
 	    { DONE, .in_force = 6 },
 	    { LATER, 300, .in_force = 6 },
 	    { DONE, .in_force = 8 } } },
+	{ "a small delta that takes long is read as a large one",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 0, 0 },
+	    { SLOW, 6, 7, DL_CONF_QUEUED, 0, 0 },
+	    { DELTA, 7, 8, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { SPLIT, .in_force = 6 },
+	    { LATER, 300, .in_force = 6 },
+	    { DONE, .in_force = 8 } } },
 	{ "a large delta whose base is replaced meanwhile is pulled",
 	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
 	    { DONE, .in_force = 5 },
