Replicas: answer pulls with the deltas that were pushed

Cause: in one of six runs of test_system_conf_delta.sh an entry that was up all along read a third whole text. The replica that pushed had been killed; until another one took over, the entry missed four versions, one more than the bases that replicas keep.

Ruled out: more bases, as each takes the memory of a text.

Change: a replica also keeps the deltas that it pushed, as entries do (8, 64 KiB), and answers with those that lead from the entry's version.

Conclusion: up to eight versions missed are made up for without a whole text.

--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -82,6 +82,7 @@
 	size_t body_n;	    /* of the last body that was built */
 	size_t body_text_n; /* length of the text that it was built from */
 	struct dl_conf_versions pushed;
+	struct dl_conf_history deltas; /* that were pushed */
 };
 
 struct replica {
--- a/src/replica/replica_conf.c
+++ b/src/replica/replica_conf.c
@@ -47,8 +47,10 @@
 static bool get_delta(struct replica *r, struct dl_conf_kept *base,
 		      struct push_body *out);
 static void keep_stored(struct replica *r, uint64_t version);
-static void push(struct replica *r, const struct push_body *body,
-		 const uint64_t *vms, uint32_t count);
+static void push(struct replica *r, uint64_t version,
+		 const struct push_body *body, const uint64_t *vms,
+		 uint32_t count);
+static bool send_deltas(struct replica *r, struct dl_conf_id have, uint64_t to);
 static bool pushes_to(struct replica *r, struct dl_str domain, bool is_leader);
 static GArray *push_targets(struct replica *r);
 static void set_target_replicas(struct replica *r);
@@ -190,19 +192,42 @@
 	dl_conf_versions_add(&p->pushed, id, sections);
 }
 
-static void push(struct replica *r, const struct push_body *body,
-		 const uint64_t *vms, uint32_t count)
+static void push(struct replica *r, uint64_t version,
+		 const struct push_body *body, const uint64_t *vms,
+		 uint32_t count)
 {
 	for (uint32_t i = 0; i < dl_conf_push_children(count); i++) {
 		struct dl_packer pk;
-		uint64_t to = dl_conf_push_pack(&pk, r->push.id.version,
-						body->bytes, vms, count, i);
+		uint64_t to = dl_conf_push_pack(&pk, version, body->bytes, vms,
+						count, i);
 
 		replica_send(r, to, body->kind, 0, dl_packer_bytes(&pk));
 		dl_packer_close(&pk);
 	}
 }
 
+/*
+ * Sends the deltas that lead from an entry's version to the one pushed last, if
+ * they are kept. An entry misses some versions while a replica that died is
+ * replaced as the one that pushes to its domain.
+ */
+static bool send_deltas(struct replica *r, struct dl_conf_id have, uint64_t to)
+{
+	const struct dl_conf_step *steps;
+	uint32_t count = dl_conf_history_answer(&r->push.deltas, have,
+						whole_size(r), &steps);
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct push_body body = {
+			.kind = DL_FRAME_CONF_DELTA,
+			.bytes = { steps[i].body, steps[i].body_n },
+		};
+
+		push(r, steps[i].head.version, &body, &to, 1);
+	}
+	return count > 0;
+}
+
 /* Whether a replica is a member of the group, and so gets each version. */
 static bool is_group_member(const struct replica *r, uint64_t vm)
 {
@@ -291,9 +316,21 @@
 	dl_rlog_set_replicas(r->rlog, vms, conf->replicas_count);
 }
 
-/* Keeps the version that was pushed as the base of later deltas. */
-static void keep_pushed(struct replica_push *p)
+/*
+ * Keeps the version that was pushed as the base of later deltas, and the delta
+ * that led to it. p->pushed still has the base as its newest version.
+ */
+static void keep_pushed(struct replica_push *p, const struct push_body *body)
 {
+	const struct dl_conf_kept *base = dl_conf_versions_last(&p->pushed);
+	struct dl_conf_delta_head head = { .version = p->id.version,
+					   .digest = p->id.digest };
+
+	if (body->kind == DL_FRAME_CONF_DELTA) {
+		head.base_version = base->id.version;
+		head.base_digest = base->id.digest;
+		dl_conf_history_add(&p->deltas, &head, body->bytes);
+	}
 	if (p->sections && dl_conf_versions_wants(&p->pushed, p->id.version))
 		dl_conf_versions_add(&p->pushed, p->id,
 				     dl_conf_sections_ref(p->sections));
@@ -344,9 +381,10 @@
 	dl_memb_update_self(r->node.memb, false, r->push.id.version,
 			    dl_node_now(&r->node));
 	targets = push_targets(r);
-	push(r, &body, (const uint64_t *)(void *)targets->data, targets->len);
+	push(r, r->push.id.version, &body,
+	     (const uint64_t *)(void *)targets->data, targets->len);
 	g_array_free(targets, TRUE);
-	keep_pushed(&r->push);
+	keep_pushed(&r->push, &body);
 	/*
 	 * Parsing a configuration of megabytes fragments the heap, and the
 	 * allocator does not return that memory by itself. New versions are
@@ -375,7 +413,8 @@
 
 /*
  * Answers an entry that requests a version newer than its own: with a delta, if
- * it has one of the versions pushed last, or with the whole body.
+ * it has one of the versions pushed last, with the deltas that were pushed
+ * since then, or with the whole body.
  */
 void replica_conf_pull(struct replica *r, uint64_t from,
 		       const struct dl_frame *frame)
@@ -394,15 +433,17 @@
 		return;
 	if (have.digest)
 		keep_stored(r, have.version);
-	if (get_delta(r, dl_conf_versions_find(&r->push.pushed, have), &body) ||
-	    get_whole(r, &body))
-		push(r, &body, &from, 1);
+	if (get_delta(r, dl_conf_versions_find(&r->push.pushed, have), &body))
+		push(r, version, &body, &from, 1);
+	else if (!send_deltas(r, have, from) && get_whole(r, &body))
+		push(r, version, &body, &from, 1);
 }
 
 /* Frees what is kept of the configuration for pushes. */
 void replica_conf_close(struct replica *r)
 {
 	dl_conf_versions_clear(&r->push.pushed);
+	dl_conf_history_clear(&r->push.deltas);
 	dl_conf_sections_free(r->push.sections);
 	free(r->push.body);
 }
--- a/src/state/conf_history.h
+++ b/src/state/conf_history.h
@@ -16,7 +16,8 @@
  */
 #define DL_CONF_VERSIONS_MAX 4
 /*
- * Deltas that an entry keeps, and their total size. A change of one route
+ * Deltas that an entry applied, or a replica pushed, that are kept, and their
+ * total size. A change of one route
  * deflates to some hundred bytes; nine versions arrive within 19 s.
  */
 #define DL_CONF_DELTAS_MAX	8
@@ -67,7 +68,7 @@
 size_t dl_conf_whole_estimate(size_t whole_bytes, size_t whole_text_bytes,
 			      size_t text_bytes);
 
-/* A delta that an entry applied, as received. */
+/* A delta that an entry applied, as received, or that a replica pushed. */
 struct dl_conf_step {
 	struct dl_conf_delta_head head;
 	char *body; /* deflated */
@@ -75,8 +76,9 @@
 };
 
 /*
- * The deltas that led to the version in force of an entry, oldest first; each
- * leads from the version to which the one before leads.
+ * The deltas that led to the version in force of an entry, or to the one that a
+ * replica pushed last, oldest first; each leads from the version to which the
+ * one before leads.
  */
 struct dl_conf_history {
 	struct dl_conf_step steps[DL_CONF_DELTAS_MAX];
