Tests of configuration deltas: rules that mutations passed

Cause: of 22 mutations of conf_arrival.c and conf_history.c, 6 passed the tests.

Change: cases for the size of what waits, sections of a version that was replaced, two ways to a version, deltas to another version or text than the last one, and the digest 0.

--- a/test/test_conf_arrival.c
+++ b/test/test_conf_arrival.c
@@ -151,6 +151,8 @@
 		break;
 	case SPLIT:
 	case UNSPLIT:
+		if (s->version)
+			id.version = s->version;
 		id.digest = s->op == SPLIT ? digest_of(id.version) : 0;
 		dl_conf_arrivals_split(&arrivals, id);
 		break;
@@ -179,6 +181,22 @@
 	    { DELTA, 5, 6, DL_CONF_QUEUED, 5, 0 },
 	    { DELTA, 6, 7, DL_CONF_QUEUED, 5, 0 },
 	    { SPLIT, .in_force = 7 } } },
+	{ "sections of a version that was replaced are ignored",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { LATER, 400, .in_force = 5 },
+	    { WHOLE, 0, 6, DL_CONF_QUEUED, 5, 0 },
+	    { DONE, .in_force = 6 },
+	    { SPLIT, .version = 5, .in_force = 6 },
+	    { DELTA, 6, 7, DL_CONF_QUEUED, 6, 0 },
+	    { SPLIT, .in_force = 7 } } },
+	{ "two ways to a version that waits",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 5, 0 },
+	    { DELTA, 6, 7, DL_CONF_QUEUED, 5, 0 },
+	    { DELTA, 5, 7, DL_CONF_KNOWN, 5, 0 },
+	    { SPLIT, .in_force = 7 } } },
 	{ "a base that cannot be split needs a pull",
 	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
 	    { DONE, .in_force = 5 },
@@ -331,6 +349,17 @@
 	pulls = 0;
 }
 
+static size_t bytes_waiting(void)
+{
+	size_t bytes = 0;
+
+	for (uint32_t i = 0; i < arrivals.count; i++) {
+		if (dl_conf_is_delta(&arrivals.waiting[i]))
+			bytes += arrivals.waiting[i].bytes;
+	}
+	return bytes;
+}
+
 START_TEST(versions_come_into_force_in_order)
 {
 	const struct step *steps = cases[_i].steps;
@@ -342,6 +371,7 @@
 			      "%s: step %u: version %lu in force, %u pulls",
 			      cases[_i].name, i,
 			      (unsigned long)arrivals.in_force.version, pulls);
+		ck_assert_uint_eq(arrivals.bytes, bytes_waiting());
 	}
 	/* Each version that arrived is freed, waits, or is being read. */
 	ck_assert_uint_eq(jobs, arrivals.count + (in_thread != NULL));
--- a/test/test_conf_history.c
+++ b/test/test_conf_history.c
@@ -108,6 +108,22 @@
 }
 END_TEST
 
+/* A delta must follow the last one in number and in digest. */
+START_TEST(delta_to_another_version_forgets_the_others)
+{
+	static const struct dl_conf_delta_head others[] = {
+		{ 7, 1006, 8, 1008 }, /* the text of 6 came back as 7 */
+		{ 6, 1007, 8, 1008 }, /* another text of 6 */
+	};
+	const struct dl_conf_step *steps;
+
+	add(5, 6, 100);
+	dl_conf_history_add(&history, &others[_i], DL_STR("delta"));
+	ck_assert_uint_eq(answer(5, 1005, WHOLE, &steps), 0);
+	ck_assert_uint_eq(history.count, 1);
+}
+END_TEST
+
 START_TEST(deltas_kept_are_limited)
 {
 	const struct dl_conf_step *steps;
@@ -170,6 +186,9 @@
 	ck_assert_ptr_null(dl_conf_versions_find(&versions, id));
 	dl_conf_versions_drop_deltas(&versions);
 	ck_assert_ptr_null(versions.at[0].delta);
+	/* 0 stands for an unknown digest, also if a version has it. */
+	versions.at[0].id.digest = 0;
+	ck_assert_ptr_null(dl_conf_versions_find(&versions, versions.at[0].id));
 }
 END_TEST
 
@@ -219,6 +238,8 @@
 	tcase_add_loop_test(tc, pull_is_answered_from_the_version_named, 0,
 			    sizeof(pulls) / sizeof(pulls[0]));
 	tcase_add_test(tc, deltas_with_a_gap_are_forgotten);
+	tcase_add_loop_test(tc, delta_to_another_version_forgets_the_others, 0,
+			    2);
 	tcase_add_test(tc, deltas_kept_are_limited);
 	tcase_add_test(tc, replica_finds_versions_by_number_and_digest);
 	tcase_add_test(tc, versions_are_kept_in_order);
