--- a/bench/bench_conf.c
+++ b/bench/bench_conf.c
@@ -1,6 +1,7 @@
 /*
  * Cost of the configuration and the replicated state machine: the time to parse
- * a configuration by number of workspaces, the time of a command by number of
+ * a configuration by number of workspaces, the time to parse one with many
+ * routes and to apply a delta instead, the time of a command by number of
  * stored entries, and the bytes in memory and in snapshots.  Prints lines
  * "name<TAB>value<TAB>unit" only.
  */
@@ -12,14 +13,20 @@
 #include <string.h>
 
 #include "daisyledge/conf.h"
+#include "daisyledge/conf_delta.h"
 #include "daisyledge/cstore.h"
 
 #define WALL	    1700000000000
 #define PARSE_TRIES 5
 #define BATCH	    2000
-#define CLAIM_S	    (1u << 20)
-#define US_PER_MS   1000.0
-#define NS_PER_US   1000.0
+/* A large deployment: 300 kB of text. */
+#define ROUTES		 1300
+#define ROUTE_SERVICES	 12
+#define ROUTE_WORKSPACES 40
+#define ROUTE_TRIES	 30
+#define CLAIM_S		 (1u << 20)
+#define US_PER_MS	 1000.0
+#define NS_PER_US	 1000.0
 
 static const uint32_t workspaces[] = { 10, 1000, 8000, 32000 };
 static const uint32_t fills[] = { 0, 1000, 10000, 50000, 95000 };
@@ -51,6 +58,43 @@
 	return s;
 }
 
+/*
+ * A configuration text of routes like those of a large deployment, some 210
+ * bytes each; one route has another timeout.
+ */
+static GString *make_routes_text(uint64_t number, uint32_t changed)
+{
+	GString *s = g_string_new("{\"format\":1,\"services\":{");
+
+	for (uint32_t i = 0; i < ROUTE_SERVICES; i++)
+		g_string_append_printf(s,
+				       "%s\"service-%u\":{\"kind\":\"model\","
+				       "\"pool\":{\"long_tokens\":24000,"
+				       "\"queue_entries_max\":2000}}",
+				       i ? "," : "", i);
+	g_string_append(s, "},\"workspaces\":{");
+	for (uint32_t i = 0; i < ROUTE_WORKSPACES; i++)
+		g_string_append_printf(s,
+				       "%s\"workspace-%u\":{\"weight\":2,"
+				       "\"keys\":[\"key-%u\"]}",
+				       i ? "," : "", i, i);
+	g_string_append_printf(s, "},\"number\":%" PRIu64 ",\"routes\":[",
+			       number);
+	for (uint32_t i = 0; i < ROUTES; i++)
+		g_string_append_printf(
+			s,
+			"%s{\"name\":\"route-%u\",\"host\":"
+			"\"host-%u.example\",\"path_prefix\":\"/v1/%u/\","
+			"\"kind\":\"stream\",\"timeout_ms\":%d,"
+			"\"target_ms\":300,\"gap_ms\":200,\"priority\":1,"
+			"\"attempts\":3,\"resumable\":true,\"targets\":"
+			"[{\"service\":\"service-%u\",\"weight\":1}]}",
+			i ? "," : "", i, i % 50, i,
+			i == changed ? 20000 : 30000, i % ROUTE_SERVICES);
+	g_string_append(s, "]}");
+	return s;
+}
+
 /* The best of several parses, since other processes share the machine. */
 static void bench_parse(uint32_t count)
 {
@@ -72,6 +116,155 @@
 	g_string_free(text, TRUE);
 }
 
+/* Best time of a parse of the whole text, in us. */
+static int64_t time_parse(const GString *text)
+{
+	int64_t best = INT64_MAX;
+
+	for (int i = 0; i < ROUTE_TRIES; i++) {
+		struct dl_conf *conf;
+		int64_t begin = g_get_monotonic_time();
+
+		if (dl_conf_parse((struct dl_str){ text->str, text->len },
+				  &conf, &faults))
+			exit(EXIT_FAILURE);
+		best = MIN(best, g_get_monotonic_time() - begin);
+		dl_conf_free(conf);
+	}
+	return best;
+}
+
+/* Best time of a split of the whole text, in us; *out is the last result. */
+static int64_t time_split(const GString *text, struct dl_conf_sections **out)
+{
+	int64_t best = INT64_MAX;
+
+	*out = NULL;
+	for (int i = 0; i < ROUTE_TRIES; i++) {
+		int64_t begin;
+
+		dl_conf_sections_free(*out);
+		begin = g_get_monotonic_time();
+		if (dl_conf_sections_split(
+			    (struct dl_str){ text->str, text->len }, out))
+			exit(EXIT_FAILURE);
+		best = MIN(best, g_get_monotonic_time() - begin);
+	}
+	return best;
+}
+
+/* Best time of a parse and a split of the whole text in one, in us. */
+static int64_t time_parse_split(const GString *text)
+{
+	int64_t best = INT64_MAX;
+
+	for (int i = 0; i < ROUTE_TRIES; i++) {
+		struct dl_conf_sections *sections;
+		struct dl_conf *conf;
+		int64_t begin = g_get_monotonic_time();
+
+		if (dl_conf_sections_parse((struct dl_str){ text->str,
+							    text->len },
+					   &sections, &conf, &faults))
+			exit(EXIT_FAILURE);
+		best = MIN(best, g_get_monotonic_time() - begin);
+		dl_conf_free(conf);
+		dl_conf_sections_free(sections);
+	}
+	return best;
+}
+
+/* Best time of making the delta between two versions, in us. */
+static int64_t time_make(const struct dl_conf_sections *base,
+			 const struct dl_conf_sections *next,
+			 struct dl_str *delta)
+{
+	int64_t best = INT64_MAX;
+	char *bytes = NULL;
+
+	for (int i = 0; i < ROUTE_TRIES; i++) {
+		int64_t begin;
+
+		free(bytes);
+		begin = g_get_monotonic_time();
+		if (dl_conf_delta_make(base, 1, next, 2, &bytes, &delta->n))
+			exit(EXIT_FAILURE);
+		best = MIN(best, g_get_monotonic_time() - begin);
+	}
+	delta->s = bytes;
+	return best;
+}
+
+/* Best time of applying a delta, in us, without freeing the result. */
+static int64_t time_apply(struct dl_str delta,
+			  const struct dl_conf_sections *base,
+			  const struct dl_conf *base_conf)
+{
+	int64_t best = INT64_MAX;
+
+	for (int i = 0; i < ROUTE_TRIES; i++) {
+		struct dl_conf_sections *next;
+		struct dl_conf *conf;
+		int64_t begin = g_get_monotonic_time();
+
+		if (dl_conf_delta_apply(delta, 1, base, base_conf, &next, &conf,
+					&faults))
+			exit(EXIT_FAILURE);
+		best = MIN(best, g_get_monotonic_time() - begin);
+		dl_conf_sections_free(next);
+		dl_conf_free(conf);
+	}
+	return best;
+}
+
+/* A new version with another timeout of a route, and possibly another number.
+ */
+static void bench_delta(const char *suffix, uint64_t number,
+			const struct dl_conf_sections *base,
+			const struct dl_conf *base_conf)
+{
+	GString *text = make_routes_text(number, ROUTES / 2);
+	struct dl_conf_sections *next;
+	struct dl_str delta;
+	int64_t make;
+
+	time_split(text, &next);
+	make = time_make(base, next, &delta);
+	printf("conf_delta_make%s_us\t%" PRId64 "\tus\n", suffix, make);
+	printf("conf_delta_apply%s_us\t%" PRId64 "\tus\n", suffix,
+	       time_apply(delta, base, base_conf));
+	printf("conf_delta%s_bytes\t%zu\tbytes\n", suffix, delta.n);
+	free((char *)delta.s);
+	dl_conf_sections_free(next);
+	g_string_free(text, TRUE);
+}
+
+/*
+ * The whole text of a large deployment, compared with deltas in which one route
+ * changes. The texts of some operators also have a number that changes with
+ * each version, and with it the head.
+ */
+static void bench_routes(void)
+{
+	GString *text = make_routes_text(1, ROUTES);
+	struct dl_conf_sections *base;
+	struct dl_conf *conf;
+
+	printf("conf_routes_text_bytes\t%zu\tbytes\n", text->len);
+	printf("conf_parse_us\t%" PRId64 "\tus\n", time_parse(text));
+	printf("conf_split_us\t%" PRId64 "\tus\n", time_split(text, &base));
+	printf("conf_parse_split_us\t%" PRId64 "\tus\n",
+	       time_parse_split(text));
+	if (dl_conf_parse((struct dl_str){ text->str, text->len }, &conf,
+			  &faults))
+		exit(EXIT_FAILURE);
+	bench_delta("", 1, base, conf);
+	bench_delta("_numbered", 2, base, conf);
+	dl_conf_free(conf);
+	dl_conf_sections_free(base);
+	g_string_free(text, TRUE);
+}
+
 static void run_command(struct dl_cstore *store,
 			const struct dl_cstore_cmd *cmd)
 {
@@ -194,6 +387,7 @@
 {
 	for (size_t i = 0; i < sizeof(workspaces) / sizeof(workspaces[0]); i++)
 		bench_parse(workspaces[i]);
+	bench_routes();
 	bench_store();
 	return EXIT_SUCCESS;
 }
--- a/src/state/conf.c
+++ b/src/state/conf.c
@@ -182,8 +182,6 @@
 
 static bool read_key(struct conf_reader *r, const struct conf_path *path,
 		     const char *key, struct dl_name *out);
-static void read_top_level(struct conf_reader *r, json_t *root,
-			   struct dl_conf *conf);
 static void read_classes(struct conf_reader *r, const struct conf_path *path,
 			 json_t *json, struct dl_conf *conf);
 static void set_default_classes(struct conf_reader *r, struct dl_conf *conf);
@@ -216,7 +214,7 @@
 static int compare_workspaces(const void *a, const void *b);
 static int compare_faults(const void *a, const void *b);
 static int read_text(struct conf_reader *r, struct dl_str text,
-		     struct dl_conf *conf);
+		     struct dl_conf *conf, json_t **root_json);
 
 /* Allocate a list, unless it has more elements than allowed. */
 void *conf_alloc_list(struct conf_reader *r, const struct conf_path *path,
@@ -524,8 +522,8 @@
 }
 
 /* Read the parts of the text. Parts that others refer to come first. */
-static void read_top_level(struct conf_reader *r, json_t *root,
-			   struct dl_conf *conf)
+void conf_read_top_level(struct conf_reader *r, json_t *root,
+			 struct dl_conf *conf)
 {
 	struct conf_path path = conf_path_root(), child;
 	struct top_level top;
@@ -576,21 +574,32 @@
 		       &conf->drain_endpoints, &conf->drain_endpoints_count);
 }
 
-/* Parse and check a text; faults are added to the reader's. */
+/* Check the length of a text. */
+bool conf_check_text_size(struct conf_reader *r, size_t n)
+{
+	struct conf_path root = conf_path_root();
+
+	if (n <= DL_CONF_TEXT_MAX)
+		return true;
+	conf_fault(r, &root, "the text has %zu bytes, at most %u are allowed",
+		   n, DL_CONF_TEXT_MAX);
+	return false;
+}
+
+/*
+ * Parse and check a text; faults are added to the reader's. *root_json, which
+ * may be NULL, is set to the value of the text with 0 only.
+ */
 static int read_text(struct conf_reader *r, struct dl_str text,
-		     struct dl_conf *conf)
+		     struct dl_conf *conf, json_t **root_json)
 {
 	struct conf_path root = conf_path_root();
 	json_error_t error;
 	json_t *json;
 	int rc;
 
-	if (text.n > DL_CONF_TEXT_MAX) {
-		conf_fault(r, &root,
-			   "the text has %zu bytes, at most %u are allowed",
-			   text.n, DL_CONF_TEXT_MAX);
+	if (!conf_check_text_size(r, text.n))
 		return -EINVAL;
-	}
 	json = json_loadb(text.s ? text.s : "", text.n, 0, &error);
 	if (!json) {
 		conf_fault(r, &root, "%.*s", SYNTAX_TEXT_MAX, error.text);
@@ -600,12 +609,14 @@
 			       -ENOMEM :
 			       -EINVAL;
 	}
-	rc = conf_lines_scan(r, text);
+	rc = conf_lines_scan(r, &root, 0, text);
 	if (rc == 0) {
-		read_top_level(r, json, conf);
+		conf_read_top_level(r, json, conf);
 		conf_check(r, conf);
 		conf->digest = dl_conf_digest(text);
 	}
+	if (rc == 0 && root_json)
+		*root_json = json_incref(json);
 	json_decref(json);
 	return rc;
 }
@@ -627,24 +638,18 @@
 }
 
 /*
- * Parse and check a configuration text. Returns 0 and *out, which the caller
- * frees; -EINVAL and all faults, ordered by line; or -ENOMEM. faults must not
- * be NULL; its count may exceed DL_FAULTS_MAX.
+ * End reading with a result: set *out, or free the configuration and order its
+ * faults by line. Returns the result, or -ENOMEM or -EINVAL if the reader met a
+ * lack of memory or faults.
  */
-int dl_conf_parse(struct dl_str text, struct dl_conf **out,
-		  struct dl_faults *faults)
+int conf_finish(struct conf_reader *r, int rc, struct dl_conf *conf,
+		struct dl_conf **out)
 {
-	struct conf_reader r = { .faults = faults };
-	struct dl_conf *conf = calloc(1, sizeof(*conf));
+	struct dl_faults *faults = r->faults;
 	uint32_t kept;
-	int rc;
 
-	faults->count = 0;
-	if (!conf)
-		return -ENOMEM;
-	rc = read_text(&r, text, conf);
-	conf_lines_free(&r.lines);
-	if (rc == 0 && r.out_of_memory)
+	conf_lines_free(&r->lines);
+	if (rc == 0 && r->out_of_memory)
 		rc = -ENOMEM;
 	if (rc == 0 && faults->count)
 		rc = -EINVAL;
@@ -658,6 +663,41 @@
 	return rc;
 }
 
+/*
+ * As dl_conf_parse(); with 0, *root_json is the value of the text, which the
+ * caller releases.
+ */
+int conf_parse(struct dl_str text, struct dl_conf **out, json_t **root_json,
+	       struct dl_faults *faults)
+{
+	struct conf_reader r = { .faults = faults };
+	struct dl_conf *conf = calloc(1, sizeof(*conf));
+	json_t *json = NULL;
+	int rc;
+
+	faults->count = 0;
+	if (!conf)
+		return -ENOMEM;
+	rc = read_text(&r, text, conf, root_json ? &json : NULL);
+	rc = conf_finish(&r, rc, conf, out);
+	if (rc)
+		json_decref(json);
+	else if (root_json)
+		*root_json = json;
+	return rc;
+}
+
+/*
+ * Parse and check a configuration text. Returns 0 and *out, which the caller
+ * frees; -EINVAL and all faults, ordered by line; or -ENOMEM. faults must not
+ * be NULL; its count may exceed DL_FAULTS_MAX.
+ */
+int dl_conf_parse(struct dl_str text, struct dl_conf **out,
+		  struct dl_faults *faults)
+{
+	return conf_parse(text, out, NULL, faults);
+}
+
 /* Free a configuration, which may be NULL. */
 void dl_conf_free(struct dl_conf *conf)
 {
