Pools: adopted grants carry their progress

Cause: a new dispatcher took every adopted grant for a stream that decodes, however much of its prompt was still to be prefilled. Engines that prefill long prompts looked as if they would begin a short one at once, and short streams granted there began late.

Ruled out: sending the remaining prefill itself, which the entry does not know; the prediction made at the grant is already part of the frame.

Change: the adopt frame has two more items at its end, for how long the grant has been held and whether its first event has arrived. An older release sends 28 items and is handled as before; it skips the two that it does not know. dl_pool_adopt() takes them as struct dl_adoption, or NULL. What is left is bounded by 15 s, since callers give up by then. The target of an adopted request counts from its grant, not from its adoption.

Changes to existing tests: dl_pool_adopt(), dl_adopt_pack() and dl_adopt_read() have other arguments; no assertion is weaker.

Tests: test_codec (frame with both items, without them, cut between them), test_placing (600 ms of prefill left on every engine: forecast between 600 and 760 ms; 400 ms later 200 to 360; overdue, begun or reported by an older release: up to 160).

--- a/include/daisyledge/engine.h
+++ b/include/daisyledge/engine.h
@@ -79,6 +79,13 @@
 /* Returns -ENOSPC if DL_ENGINE_ITEMS_MAX items are tracked already. */
 int dl_engine_add(struct dl_engine *e, const struct dl_engine_model *m,
 		  const struct dl_engine_item *item, int64_t now);
+/*
+ * Adds a request that the engine has had for a while and whose first event is
+ * due in rest_ms; 0: it is past it.  Returns -ENOSPC as dl_engine_add() does.
+ */
+int dl_engine_resume(struct dl_engine *e, const struct dl_engine_model *m,
+		     const struct dl_engine_item *item, double rest_ms,
+		     int64_t now);
 /*
  * Corrects the forecast: a request's first event left the engine at this time,
  * so a pass ended and the next one began then.
--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -159,6 +159,12 @@
 /* Limit of an endpoint that has set none. */
 #define DL_UNLIMITED UINT32_MAX
 
+/* Progress of a grant that another dispatcher adopts. */
+struct dl_adoption {
+	uint32_t held_ms; /* since it was granted */
+	bool began;	  /* the first event has arrived */
+};
+
 /* Outcome of a grant, reported at its release. */
 struct dl_usage {
 	bool ran;	  /* the request reached the endpoint */
@@ -282,9 +288,13 @@
 int dl_pool_first_event(struct dl_pool *pool, uint64_t grant, int64_t now);
 int dl_pool_release(struct dl_pool *pool, uint64_t grant,
 		    const struct dl_usage *usage, int64_t now);
-/* Take over a grant of a previous dispatcher, as reported by its entry. */
+/*
+ * Take over a grant of a previous dispatcher, as reported by its entry; NULL if
+ * the entry does not report its progress.
+ */
 int dl_pool_adopt(struct dl_pool *pool, const struct dl_answer *grant,
-		  const struct dl_ask *ask, int64_t now);
+		  const struct dl_ask *ask, const struct dl_adoption *adoption,
+		  int64_t now);
 void dl_pool_entry_gone(struct dl_pool *pool, uint64_t entry, int64_t now);
 
 /* Return the next decision on a queued request: a grant or a refusal. */
--- a/src/coordination/engine.c
+++ b/src/coordination/engine.c
@@ -162,6 +162,70 @@
 	return 0;
 }
 
+/*
+ * Adds a request that is being prefilled or waits for it.  Its first event is
+ * due at the end of the pass that prefills it, which tells when the current
+ * pass ends.
+ */
+static void resume_prefill(struct dl_engine *e, const struct dl_engine_model *m,
+			   struct dl_engine_item *item, double rest_ms,
+			   int64_t now)
+{
+	double own_ms = item->prefill_ms, waiting_ms = 0;
+	uint64_t context;
+	uint32_t streams;
+	int64_t ends;
+
+	count_streams(e, &streams, &context);
+	for (uint32_t i = 0; i < e->count; i++) {
+		if (e->item[i].waiting)
+			waiting_ms += e->item[i].prefill_ms;
+	}
+	own_ms += dl_engine_decode_pass_ms(m, streams, context);
+	item->waiting = rest_ms > (own_ms + waiting_ms) * e->slowdown;
+	item->prefilling = !item->waiting;
+	if (item->waiting)
+		rest_ms -= (own_ms + waiting_ms) * e->slowdown;
+	else
+		item->prefill_ms = (float)fmin(item->prefill_ms, rest_ms);
+	ends = now + (int64_t)ceil(rest_ms);
+	if (e->pass_ends <= now) {
+		e->pass_began = now;
+		e->pass_ends = now;
+		e->decoding = streams > 0;
+	}
+	if (ends > e->pass_ends)
+		e->pass_ends = ends;
+}
+
+/*
+ * Adds a request that the engine has had for a while.  A pass that decodes one
+ * of its streams decodes them all, and admits no more prompts.
+ */
+int dl_engine_resume(struct dl_engine *e, const struct dl_engine_model *m,
+		     const struct dl_engine_item *item, double rest_ms,
+		     int64_t now)
+{
+	struct dl_engine_item one = *item;
+
+	dl_engine_advance(e, m, now);
+	if (e->count == DL_ENGINE_ITEMS_MAX)
+		return -ENOSPC;
+	one.prefilling = false;
+	one.waiting = false;
+	if (rest_ms > 0)
+		resume_prefill(e, m, &one, rest_ms, now);
+	else if (!item->decodes)
+		return 0;
+	e->item[e->count++] = one;
+	if (rest_ms > 0)
+		return 0;
+	if (e->pass_ends <= now)
+		begin_pass(e, m, now);
+	e->decoding = true;
+	return 0;
+}
+
 /*
  * Marks the waiting items up to the last one as prefilling in the current pass,
  * since items are admitted in order of arrival.
--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -56,6 +56,11 @@
  * them would pause their streams until their endpoints are taken for silent.
  */
 #define TAKEOVER_MS 250
+/*
+ * Longest prefill that an adopted grant may still have: callers give up by
+ * then, so a longer one is a fault of the VM that reported it.
+ */
+#define ADOPTED_REST_MAX_MS 15000.0
 /* Bound on the slowdown that overdue grants can give an engine. */
 #define SLOWDOWN_MAX 6.0
 
@@ -69,6 +74,11 @@
 static void pool_engine_granted(struct dl_pool *pool,
 				const struct pool_grant *g, double prefill_ms,
 				int64_t now);
+static void pool_engine_adopted(struct dl_pool *pool,
+				const struct pool_grant *g,
+				uint32_t predicted_ttft_ms,
+				const struct dl_adoption *adoption,
+				int64_t now);
 static void pool_engine_take_over(struct dl_pool *pool, int64_t now);
 static void pool_engine_first_event(struct dl_pool *pool,
 				    const struct pool_grant *g, int64_t now);
@@ -205,9 +215,26 @@
 	return (n ? sum / n : 0) + target / 2;
 }
 
+/* What the engine model tracks of one part of a grant. */
+static struct dl_engine_item item_of_part(const struct pool_grant *g,
+					  uint8_t part, double prefill_ms)
+{
+	return (struct dl_engine_item){
+		.id = g->id,
+		.context = g->want.prompt / g->parts_n,
+		.gap_ms = part == 0 ? g->want.gap_ms : 0,
+		.weight = (float)pool_engine_weight(&g->want),
+		.prefill_ms = (float)prefill_ms,
+		.target_at = pool_engine_target_at(&g->want),
+		.first_by = g->want.first_event_deadline,
+		.decodes = part == 0,
+	};
+}
+
 /*
- * Adds a grant, made here or adopted from another dispatcher, to the model of
- * its engines.  prefill_ms is the prefill time of each part, 0 if it is done.
+ * Adds a grant, made here or adopted from a dispatcher that does not report its
+ * progress, to the model of its engines.  prefill_ms is the prefill time of
+ * each part, 0 if it is done.
  */
 static void pool_engine_granted(struct dl_pool *pool,
 				const struct pool_grant *g, double prefill_ms,
@@ -215,16 +242,7 @@
 {
 	for (uint8_t i = 0; i < g->parts_n; i++) {
 		struct pool_endpoint *e = g->parts[i].endpoint;
-		struct dl_engine_item item = {
-			.id = g->id,
-			.context = g->want.prompt / g->parts_n,
-			.gap_ms = i == 0 ? g->want.gap_ms : 0,
-			.weight = (float)pool_engine_weight(&g->want),
-			.prefill_ms = (float)prefill_ms,
-			.target_at = pool_engine_target_at(&g->want),
-			.first_by = g->want.first_event_deadline,
-			.decodes = i == 0,
-		};
+		struct dl_engine_item item = item_of_part(g, i, prefill_ms);
 
 		if (e)
 			dl_engine_add(&e->engine, &pool->conf.engine, &item,
@@ -232,6 +250,33 @@
 	}
 }
 
+/*
+ * Adds an adopted grant to the model of its engines.  Without what its prefill
+ * still takes, engines that prefill long prompts look as if they would begin a
+ * short one at once, and short streams granted there begin late.
+ */
+static void pool_engine_adopted(struct dl_pool *pool,
+				const struct pool_grant *g,
+				uint32_t predicted_ttft_ms,
+				const struct dl_adoption *adoption, int64_t now)
+{
+	const struct dl_engine_model *m = &pool->conf.engine;
+	double part_ms = dl_engine_prefill_ms(m, g->want.prompt) / g->parts_n;
+	double rest_ms = (double)predicted_ttft_ms - ROUND_TRIP_MS / 2 -
+			 (double)adoption->held_ms;
+
+	rest_ms = fmin(fmax(rest_ms, 0), ADOPTED_REST_MAX_MS);
+	if (adoption->began)
+		rest_ms = 0;
+	for (uint8_t i = 0; i < g->parts_n; i++) {
+		struct pool_endpoint *e = g->parts[i].endpoint;
+		struct dl_engine_item item = item_of_part(g, i, part_ms);
+
+		if (e)
+			dl_engine_resume(&e->engine, m, &item, rest_ms, now);
+	}
+}
+
 /* Holds back long prompts until the grants on the engines are known. */
 static void pool_engine_take_over(struct dl_pool *pool, int64_t now)
 {
@@ -275,6 +320,7 @@
 	.service_ms = pool_engine_service_ms,
 	.retry_ms = pool_engine_retry_ms,
 	.granted = pool_engine_granted,
+	.adopted = pool_engine_adopted,
 	.start_dispatching = pool_engine_take_over,
 	.first_event = pool_engine_first_event,
 	.learn = pool_engine_learn,
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -419,7 +419,8 @@
  * endpoint, -EEXIST if it is known.
  */
 int dl_pool_adopt(struct dl_pool *pool, const struct dl_answer *grant,
-		  const struct dl_ask *ask, int64_t now)
+		  const struct dl_ask *ask, const struct dl_adoption *adoption,
+		  int64_t now)
 {
 	struct pool_workspace *ws;
 	struct pool_request *queued;
@@ -438,6 +439,8 @@
 	pool_want_of(pool, ask, &want);
 	if (grant->endpoints > 1)
 		want.band = POOL_OVERSIZED;
+	if (adoption)
+		want.asked_at = now - adoption->held_ms;
 	ws = pool_workspace_get(pool, ask->workspace);
 	g = grant_new(pool, grant->grant, ask->entry, ask->request, ws, &want,
 		      grant->endpoints);
@@ -453,7 +456,10 @@
 		attach_part(g, i, e, grant->share_tokens[i]);
 		pool_place_refresh(pool, e, now);
 	}
-	if (pool->policy->granted)
+	if (adoption && pool->policy->adopted)
+		pool->policy->adopted(pool, g, grant->predicted_ttft_ms,
+				      adoption, now);
+	else if (pool->policy->granted)
 		pool->policy->granted(pool, g, 0, now);
 	return 0;
 }
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -495,6 +495,11 @@
 			    const struct pool_want *want, int64_t now);
 	void (*granted)(struct dl_pool *pool, const struct pool_grant *g,
 			double read_ms, int64_t now);
+	/* A grant of a previous dispatcher is adopted; its progress is known.
+	 */
+	void (*adopted)(struct dl_pool *pool, const struct pool_grant *g,
+			uint32_t predicted_ttft_ms,
+			const struct dl_adoption *adoption, int64_t now);
 	/* Dispatching starts. */
 	void (*start_dispatching)(struct dl_pool *pool, int64_t now);
 	/* The first event of an answer arrived. */
--- a/src/entry/entry_pool.c
+++ b/src/entry/entry_pool.c
@@ -511,18 +511,18 @@
 
 static void on_adopt(struct entry *e, uint64_t from, const struct dl_frame *f)
 {
-	struct dl_answer grant;
-	struct dl_name service;
+	struct dl_adopt_frame adopt;
 	struct entry_pool *p;
-	struct dl_ask ask;
 
-	if (dl_adopt_read(f->body, &service, &grant, &ask, entry_now(e)))
+	if (dl_adopt_read(f->body, &adopt, entry_now(e)))
 		return;
-	ask.entry = from;
-	grant.entry = from;
-	p = entry_pool_find(e, dl_name_str(&service));
+	adopt.ask.entry = from;
+	adopt.grant.entry = from;
+	p = entry_pool_find(e, dl_name_str(&adopt.service));
 	if (p)
-		dl_pool_adopt(p->pool, &grant, &ask, entry_now(e));
+		dl_pool_adopt(p->pool, &adopt.grant, &adopt.ask,
+			      adopt.has_progress ? &adopt.progress : NULL,
+			      entry_now(e));
 }
 
 /* Handles a frame of the kinds in handlers[]. */
--- a/src/entry/entry_renew.c
+++ b/src/entry/entry_renew.c
@@ -7,24 +7,43 @@
 /* Three renewals per lease, so that a lost one does no harm. */
 #define RENEWALS_PER_LEASE 3
 
+/*
+ * How far the request of a grant is.  The last event may still be that of an
+ * attempt before this grant.
+ */
+static struct dl_adoption progress_of(const struct call *c)
+{
+	int64_t held = entry_now(c->e) - c->granted_at;
+
+	return (struct dl_adoption){
+		.held_ms = (uint32_t)CLAMP(held, 0, (int64_t)UINT32_MAX),
+		.began = c->attempt_first_at &&
+			 c->attempt_first_at >= c->granted_at,
+	};
+}
+
 /* Transfers a grant to the current dispatcher. */
 static void transfer_grant(struct call *c, uint64_t owner)
 {
 	struct entry *e = c->e;
+	struct dl_adopt_frame adopt = { .service = c->service,
+					.ask = c->ask.ask,
+					.has_progress = true,
+					.progress = progress_of(c) };
 	struct entry_pool *p;
 	struct dl_packer pk;
 
 	c->dispatcher = owner;
 	c->grant.valid_until = entry_now(e) + c->lease_ms;
+	adopt.grant = c->grant;
 	if (owner == e->node.self) {
 		p = entry_pool_find(e, dl_name_str(&c->service));
 		if (p)
-			dl_pool_adopt(p->pool, &c->grant, &c->ask.ask,
-				      entry_now(e));
+			dl_pool_adopt(p->pool, &adopt.grant, &adopt.ask,
+				      &adopt.progress, entry_now(e));
 		return;
 	}
-	dl_adopt_pack(&pk, dl_name_str(&c->service), &c->grant, &c->ask.ask,
-		      entry_now(e));
+	dl_adopt_pack(&pk, &adopt, entry_now(e));
 	dl_peers_send(e->node.peers, owner, DL_FRAME_ADOPT, c->ask_id,
 		      dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -16,7 +16,8 @@
 #define SUMMARY_ITEMS	9
 #define LIMIT_ITEMS	4
 #define FAULT_ITEMS	4
-#define ADOPT_ITEMS	28
+#define ADOPT_ITEMS	28 /* without the progress */
+#define PROGRESS_ITEMS	2
 /* Encodes an unset time in place of the time that remains. */
 #define UNSET_MS INT64_MIN
 
@@ -548,26 +549,38 @@
 
 /*
  * Packs a grant of the previous dispatcher with the request that it answered,
- * so that the new dispatcher can adopt it.
+ * so that the new dispatcher can adopt it.  Without its progress the frame is
+ * that of older releases.
  */
-void dl_adopt_pack(struct dl_packer *p, struct dl_str service,
-		   const struct dl_answer *grant, const struct dl_ask *ask,
+void dl_adopt_pack(struct dl_packer *p, const struct dl_adopt_frame *f,
 		   int64_t now)
 {
-	dl_packer_open(p, ADOPT_ITEMS);
-	dl_pack_str(p, service);
-	pack_answer(p, grant, now);
-	pack_ask(p, ask, now);
+	dl_packer_open(p, ADOPT_ITEMS + (f->has_progress ? PROGRESS_ITEMS : 0));
+	dl_pack_str(p, dl_name_str(&f->service));
+	pack_answer(p, &f->grant, now);
+	pack_ask(p, &f->ask, now);
+	if (!f->has_progress)
+		return;
+	dl_pack_u64(p, f->progress.held_ms);
+	dl_pack_bool(p, f->progress.began);
 }
 
-int dl_adopt_read(struct dl_str body, struct dl_name *service,
-		  struct dl_answer *grant, struct dl_ask *ask, int64_t now)
+int dl_adopt_read(struct dl_str body, struct dl_adopt_frame *out, int64_t now)
 {
 	struct dl_reader r;
+	uint64_t held;
 
+	memset(out, 0, sizeof(*out));
 	dl_reader_open(&r, body);
-	dl_read_name(&r, service);
-	read_answer(&r, grant, now);
-	read_ask(&r, ask, now);
+	dl_read_name(&r, &out->service);
+	read_answer(&r, &out->grant, now);
+	read_ask(&r, &out->ask, now);
+	out->has_progress = !r.bad && r.remaining;
+	if (out->has_progress) {
+		held = dl_read_u64(&r);
+		out->progress.held_ms = held < UINT32_MAX ? (uint32_t)held :
+							    UINT32_MAX;
+		out->progress.began = dl_read_bool(&r);
+	}
 	return close_reader(&r);
 }
--- a/src/protocol/pool_codec.h
+++ b/src/protocol/pool_codec.h
@@ -105,10 +105,17 @@
 int dl_summary_read(struct dl_str body, struct dl_name *service,
 		    struct dl_name *domain, struct dl_pool_summary *out);
 
-void dl_adopt_pack(struct dl_packer *p, struct dl_str service,
-		   const struct dl_answer *grant, const struct dl_ask *ask,
+/* A grant that the new dispatcher adopts, with the request it answered. */
+struct dl_adopt_frame {
+	struct dl_name service;
+	struct dl_answer grant;
+	struct dl_ask ask; /* its workspace points into the body */
+	bool has_progress; /* older releases send no progress */
+	struct dl_adoption progress;
+};
+
+void dl_adopt_pack(struct dl_packer *p, const struct dl_adopt_frame *f,
 		   int64_t now);
-int dl_adopt_read(struct dl_str body, struct dl_name *service,
-		  struct dl_answer *grant, struct dl_ask *ask, int64_t now);
+int dl_adopt_read(struct dl_str body, struct dl_adopt_frame *out, int64_t now);
 
 #endif
--- a/test/fake/load.c
+++ b/test/fake/load.c
@@ -376,7 +376,7 @@
 			continue;
 		ask_of(load, i, &ask, name);
 		dl_pool_adopt(load->pool[pool_of(load, i)], &r->answer, &ask,
-			      load->now);
+			      NULL, load->now);
 		check_invariants(load, pool_of(load, i));
 	}
 	for (uint32_t e = 0; e < load->reporting_engines; e++) {
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -97,9 +97,9 @@
 START_TEST(answer_and_adopt_round_trip)
 {
 	struct dl_answer_frame f = sample_answer(), back;
-	struct dl_ask ask = sample_ask(), ask_back;
-	struct dl_answer grant;
-	struct dl_name service;
+	struct dl_adopt_frame adopt = { .grant = f.answer,
+					.ask = sample_ask() };
+	struct dl_adopt_frame adopt_back;
 	struct dl_packer p;
 
 	dl_answer_pack(&p, &f, 30000);
@@ -110,13 +110,64 @@
 	ck_assert_uint_eq(back.answer.away, 1);
 	ck_assert_uint_eq(back.spill_count, 1);
 	dl_packer_close(&p);
-	dl_adopt_pack(&p, DL_STR("s"), &f.answer, &ask, 30000);
-	ck_assert_int_eq(dl_adopt_read(dl_packer_bytes(&p), &service, &grant,
-				       &ask_back, 30000),
+	dl_adopt_pack(&p, &adopt, 30000);
+	ck_assert_int_eq(dl_adopt_read(dl_packer_bytes(&p), &adopt_back, 30000),
 			 0);
-	ck_assert_uint_eq(grant.endpoints, 2);
-	ck_assert_uint_eq(ask_back.output_tokens, 500);
+	ck_assert_uint_eq(adopt_back.grant.endpoints, 2);
+	ck_assert_uint_eq(adopt_back.ask.output_tokens, 500);
+	ck_assert(!adopt_back.has_progress);
+	dl_packer_close(&p);
+}
+END_TEST
+
+/* Repacks the first items of an array, as a release that knows fewer sends. */
+static void pack_items(struct dl_packer *p, struct dl_str body, uint32_t items)
+{
+	msgpack_unpacked u;
+
+	msgpack_unpacked_init(&u);
+	ck_assert_int_eq(msgpack_unpack_next(&u, body.s, body.n, NULL),
+			 MSGPACK_UNPACK_SUCCESS);
+	ck_assert_uint_ge(u.data.via.array.size, items);
+	dl_packer_open(p, items);
+	for (uint32_t i = 0; i < items; i++)
+		msgpack_pack_object(&p->pk, u.data.via.array.ptr[i]);
+	msgpack_unpacked_destroy(&u);
+}
+
+/*
+ * The progress of an adopted grant stands at the end of its frame.  An older
+ * release sends 28 items without it, and a frame that ends between the two
+ * items is malformed.
+ */
+START_TEST(adopted_grants_carry_their_progress)
+{
+	struct dl_answer_frame answer = sample_answer();
+	struct dl_adopt_frame f = { .grant = answer.answer,
+				    .ask = sample_ask(),
+				    .has_progress = true,
+				    .progress = { 1250, true } };
+	struct dl_adopt_frame back;
+	struct dl_packer p, older, cut;
+	struct dl_str body;
+
+	dl_adopt_pack(&p, &f, 100);
+	body = dl_packer_bytes(&p);
+	ck_assert_int_eq(dl_adopt_read(body, &back, 100), 0);
+	ck_assert(back.has_progress);
+	ck_assert(back.progress.began);
+	ck_assert_uint_eq(back.progress.held_ms, 1250);
+	pack_items(&older, body, 28);
+	ck_assert_int_eq(dl_adopt_read(dl_packer_bytes(&older), &back, 100), 0);
+	ck_assert(!back.has_progress);
+	ck_assert_uint_eq(back.grant.grant, f.grant.grant);
+	ck_assert_uint_eq(back.ask.output_tokens, 500);
+	pack_items(&cut, body, 29);
+	ck_assert_int_eq(dl_adopt_read(dl_packer_bytes(&cut), &back, 100),
+			 -EBADMSG);
 	dl_packer_close(&p);
+	dl_packer_close(&older);
+	dl_packer_close(&cut);
 }
 END_TEST
 
@@ -315,11 +366,10 @@
 	struct dl_pool_summary summary;
 	struct dl_ask_frame asked;
 	struct dl_name service, domain;
-	struct dl_answer grant;
+	struct dl_adopt_frame adopt;
 	struct dl_usage usage;
 	struct dl_evacuations evacuations;
 	struct dl_fault_frame fault;
-	struct dl_ask ask;
 	uint64_t number;
 
 	dl_fault_read(body, &fault);
@@ -329,7 +379,7 @@
 	dl_id_read(body, &service, &number);
 	dl_report_read(body, &report);
 	dl_summary_read(body, &service, &domain, &summary);
-	dl_adopt_read(body, &service, &grant, &ask, 0);
+	dl_adopt_read(body, &adopt, 0);
 	read_evacuations(body, &evacuations);
 }
 
@@ -355,7 +405,9 @@
 {
 	struct dl_answer_frame f = sample_answer();
 	struct dl_ask_frame asked = { .ask = sample_ask() };
-	struct dl_ask ask = sample_ask();
+	struct dl_adopt_frame adopt = { .grant = f.answer,
+					.ask = sample_ask(),
+					.has_progress = true };
 	GRand *rnd = g_rand_new_with_seed(SEED);
 	struct dl_announcement a = { .events_count = 2, .models_count = 1 };
 	struct dl_evacuations evacuations = { 0 };
@@ -367,7 +419,7 @@
 	dl_report_pack(&p[3], &a);
 	dl_ask_pack(&p[0], &asked, 0);
 	dl_answer_pack(&p[1], &f, 0);
-	dl_adopt_pack(&p[2], DL_STR("s"), &f.answer, &ask, 0);
+	dl_adopt_pack(&p[2], &adopt, 0);
 	for (uint32_t i = 0; i < fuzz_rounds(); i++) {
 		struct dl_str good = dl_packer_bytes(&p[i % 5]);
 		char *buf = malloc(good.n);
@@ -741,6 +793,7 @@
 	tcase_set_timeout(t, 120);
 	tcase_add_test(t, ask_times_are_relative);
 	tcase_add_test(t, answer_and_adopt_round_trip);
+	tcase_add_test(t, adopted_grants_carry_their_progress);
 	tcase_add_test(t, report_batch_round_trip);
 	tcase_add_test(t, report_release_summary_round_trip);
 	tcase_add_test(t, evacuations_round_trip);
--- a/test/test_placing.c
+++ b/test/test_placing.c
@@ -179,6 +179,58 @@
  * takes an engine for silent is refused: it could pause streams that the
  * dispatcher does not know of.
  */
+struct adopt_case {
+	struct dl_adoption progress;
+	bool known; /* an older release reports none */
+	int64_t ttft_min, ttft_max;
+};
+
+static const struct adopt_case adopt_cases[] = {
+	{ { 0, false }, true, 600, 760 },   /* 600 ms of prefill are left */
+	{ { 400, false }, true, 200, 360 }, /* 200 ms are left */
+	{ { 900, false }, true, 0, 160 },   /* overdue */
+	{ { 400, true }, true, 0, 160 },    /* it decodes */
+	{ { 400, false }, false, 0, 160 },  /* as before */
+};
+
+/*
+ * Every engine prefills a prompt that another dispatcher granted.  A new
+ * dispatcher that takes them for streams promises a first event that is late.
+ */
+START_TEST(adopted_prompts_are_prefilled_to_their_end)
+{
+	const struct adopt_case *c = &adopt_cases[_i];
+	struct dl_answer a;
+
+	for (int i = 0; i < ENGINES; i++) {
+		struct dl_ask other = { .request = 1000 + (uint64_t)i,
+					.entry = 2,
+					.workspace = DL_STR("sweeps"),
+					.prompt_tokens = 62000,
+					.output_tokens = 200,
+					.deadline = now + DEADLINE_MS,
+					.target_ms = 3000,
+					.gap_ms = 1000 };
+		struct dl_answer grant = { .grant = 77 + (uint64_t)i,
+					   .endpoints = 1,
+					   .share_tokens = { 62200 },
+					   .predicted_ttft_ms = 602 };
+		char id[32];
+
+		snprintf(id, sizeof(id), "10.0.0.%d:80", i + 1);
+		dl_name_set(&grant.endpoint[0], dl_str_of(id));
+		ck_assert_int_eq(dl_pool_adopt(pool, &grant, &other,
+					       c->known ? &c->progress : NULL,
+					       now),
+				 0);
+	}
+	a = ask(5000, 1000, 250);
+	ck_assert_int_eq(a.verdict, DL_GRANTED);
+	ck_assert_int_ge(a.predicted_ttft_ms, c->ttft_min);
+	ck_assert_int_le(a.predicted_ttft_ms, c->ttft_max);
+}
+END_TEST
+
 START_TEST(refuses_parts_longer_than_the_silence_timeout)
 {
 	struct dl_answer a = ask_long(480000);
@@ -463,6 +515,8 @@
 	tcase_add_test(t, short_prompt_uses_one_engine);
 	tcase_add_test(t, long_prompt_is_split);
 	tcase_add_test(t, long_prompts_wait_after_takeover);
+	tcase_add_loop_test(t, adopted_prompts_are_prefilled_to_their_end, 0,
+			    sizeof(adopt_cases) / sizeof(adopt_cases[0]));
 	tcase_add_test(t, refuses_parts_longer_than_the_silence_timeout);
 	tcase_add_test(t, long_prompt_waits_for_busy_engines);
 	tcase_add_test(t, short_prompt_overtakes_a_queued_long_one);
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -265,8 +265,8 @@
 				   .share_tokens = { MEMORY - 500 } };
 
 	dl_name_set(&grant.endpoint[0], DL_STR("a:1"));
-	ck_assert_int_eq(dl_pool_adopt(pool, &grant, &a, now), 0);
-	ck_assert_int_eq(dl_pool_adopt(pool, &grant, &a, now), -EEXIST);
+	ck_assert_int_eq(dl_pool_adopt(pool, &grant, &a, NULL, now), 0);
+	ck_assert_int_eq(dl_pool_adopt(pool, &grant, &a, NULL, now), -EEXIST);
 	ck_assert_int_eq(ask(1000, 0, FAR).reason, DL_REASON_NO_ENDPOINT);
 	report("a:1");
 	ck_assert_int_eq(ask(400, 0, FAR).verdict, DL_GRANTED);
@@ -274,7 +274,7 @@
 	ck_assert_int_eq(dl_pool_release(pool, 77, NULL, now), 0);
 	grant.grant = 78;
 	grant.endpoints = 0;
-	ck_assert_int_eq(dl_pool_adopt(pool, &grant, &a, now), -EINVAL);
+	ck_assert_int_eq(dl_pool_adopt(pool, &grant, &a, NULL, now), -EINVAL);
 }
 END_TEST
 
--- a/test/test_pool_random.c
+++ b/test/test_pool_random.c
@@ -238,7 +238,7 @@
 		r->ask.workspace = DL_STR("w1");
 		if (r->state == GRANTED && below(10))
 			ck_assert_int_eq(dl_pool_adopt(pool, &r->grant, &r->ask,
-						       now),
+						       NULL, now),
 					 0);
 		else
 			r->state = NONE;
