Pools: load of engines that no grant explains, after a takeover

Cause: a VM that begins to dispatch knows an engine only by grants. After a start of all VMs, engines still work for callers that are gone; after a takeover, entries report their grants within some tens of milliseconds. Until then engines look idle, and short streams granted there begin late.

Change: pool_recover.c decides which engines to query for their load and what the answers mean. Each engine is queried as soon as it is known, within 2 s, and again 400 ms after an answer with requests that no grant explains, three times at most. These requests become foreign items of the engine model: they take slots and memory, are prefilled if they wait, and end by the model. A grant that is adopted later replaces one of them, unless it was made after the state that the answer tells (100 ms old). The policy by the engine model alone uses it.

Chosen: what still runs when the model has ended it is told by the next answer.

--- a/include/daisyledge/engine.h
+++ b/include/daisyledge/engine.h
@@ -49,6 +49,7 @@
 	float prefill_ms;  /* of its prompt, or its part, on this engine */
 	int64_t target_at; /* target time of its first event; 0: none */
 	int64_t first_by;  /* caller gives up without an event; 0: never */
+	int64_t ends_at;   /* of foreign work; 0: until it is removed */
 	bool decodes;	   /* decodes on this engine after its prefill */
 	bool prefilling;   /* in the current pass */
 	bool waiting;	   /* for the next pass */
@@ -95,6 +96,13 @@
 				   int64_t at);
 /* Removes a request that ended or was cancelled. */
 void dl_engine_remove(struct dl_engine *e, uint64_t id, int64_t now);
+/*
+ * Foreign work: requests that the engine reports and no grant explains.  Their
+ * items have an ends_at; they end with the first pass that ends after it.
+ */
+uint32_t dl_engine_foreign(const struct dl_engine *e, uint64_t *tokens);
+/* Removes all but this many foreign items, those that end first. */
+void dl_engine_keep_foreign(struct dl_engine *e, uint32_t keep, int64_t now);
 /*
  * Weighted cost to the streams whose tolerated gap is exceeded when a pass
  * grows from from_ms to to_ms.  A pass may use up to share of that gap.
--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -165,6 +165,20 @@
 	bool began;	  /* the first event has arrived */
 };
 
+/* Load of an engine as it says itself, about 100 ms old. */
+struct dl_engine_load {
+	uint32_t queued;      /* requests that wait in it */
+	uint32_t active;      /* requests that it prefills or decodes */
+	uint64_t used_tokens; /* KV memory in use; 0: unknown */
+};
+
+/* What was learnt of the engines after a takeover. */
+struct dl_recovery {
+	uint32_t engines;    /* that told their load */
+	uint32_t unanswered; /* that did not */
+	uint32_t foreign;    /* requests that no grant explained at first */
+};
+
 /* Outcome of a grant, reported at its release. */
 struct dl_usage {
 	bool ran;	  /* the request reached the endpoint */
@@ -284,6 +298,19 @@
 int dl_pool_renew(struct dl_pool *pool, uint64_t grant, int64_t now);
 /* This VM becomes the dispatcher; grants of the previous one may be adopted. */
 void dl_pool_start_dispatching(struct dl_pool *pool, int64_t now);
+/*
+ * After a takeover: the next engine to query for its load; false if there is
+ * none now.  Each engine is queried three times at most, and only if the pool
+ * has an engine model.
+ */
+bool dl_pool_recover_next(struct dl_pool *pool, int64_t now,
+			  struct dl_name *endpoint);
+/* The answer to that query; NULL if the engine did not answer. */
+void dl_pool_recover_answer(struct dl_pool *pool, struct dl_str id,
+			    const struct dl_engine_load *load, int64_t now);
+/* Returns true once, when all engines of a takeover have been queried. */
+bool dl_pool_recover_end(struct dl_pool *pool, int64_t now,
+			 struct dl_recovery *out);
 /* The first event of the answer to a granted request arrived. */
 int dl_pool_first_event(struct dl_pool *pool, uint64_t grant, int64_t now);
 int dl_pool_release(struct dl_pool *pool, uint64_t grant,
--- a/src/coordination/engine.c
+++ b/src/coordination/engine.c
@@ -18,7 +18,7 @@
 
 static double gap_penalty(double pass_ms, double gap_ms);
 static bool any_waiting(const struct dl_engine *e);
-static void end_pass(struct dl_engine *e);
+static void end_pass(struct dl_engine *e, int64_t at);
 static void begin_pass(struct dl_engine *e, const struct dl_engine_model *m,
 		       int64_t at);
 static void count_streams(const struct dl_engine *e, uint32_t *streams,
@@ -76,9 +76,9 @@
 
 /*
  * Ends the current pass: prefilled requests decode from now on, and parts that
- * were prefilled for other engines are removed.
+ * were prefilled for other engines and foreign work that has ended are removed.
  */
-static void end_pass(struct dl_engine *e)
+static void end_pass(struct dl_engine *e, int64_t at)
 {
 	uint32_t n = 0;
 
@@ -87,6 +87,8 @@
 
 		if (item.prefilling && !item.decodes)
 			continue;
+		if (item.ends_at && item.ends_at <= at)
+			continue;
 		item.prefilling = false;
 		e->item[n++] = item;
 	}
@@ -124,7 +126,7 @@
 		uint64_t context;
 		int64_t at = e->pass_ends;
 
-		end_pass(e);
+		end_pass(e, at);
 		count_streams(e, &streams, &context);
 		if (!streams && !any_waiting(e))
 			break;
@@ -271,7 +273,7 @@
 	}
 	if (item->waiting)
 		mark_prefilled_until(e, item);
-	end_pass(e);
+	end_pass(e, at);
 	begin_pass(e, m, at);
 }
 
@@ -299,6 +301,51 @@
 		e->pass_ends = now;
 }
 
+/* Counts the foreign items and, unless tokens is NULL, their context. */
+uint32_t dl_engine_foreign(const struct dl_engine *e, uint64_t *tokens)
+{
+	uint64_t sum = 0;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < e->count; i++) {
+		n += e->item[i].ends_at != 0;
+		sum += e->item[i].ends_at ? e->item[i].context : 0;
+	}
+	if (tokens)
+		*tokens = sum;
+	return n;
+}
+
+/* Removes one item; the pass that prefills it becomes shorter. */
+static void remove_item(struct dl_engine *e, uint32_t at, int64_t now)
+{
+	const struct dl_engine_item *item = &e->item[at];
+
+	if (item->prefilling)
+		e->pass_ends -= (int64_t)(item->prefill_ms * e->slowdown);
+	e->count--;
+	memmove(&e->item[at], &e->item[at + 1],
+		(e->count - at) * sizeof(e->item[0]));
+	if (e->pass_ends < now)
+		e->pass_ends = now;
+}
+
+/* Removes foreign items until keep are left, those that end first. */
+void dl_engine_keep_foreign(struct dl_engine *e, uint32_t keep, int64_t now)
+{
+	for (uint32_t n = dl_engine_foreign(e, NULL); n > keep; n--) {
+		uint32_t next = e->count;
+
+		for (uint32_t i = 0; i < e->count; i++) {
+			if (e->item[i].ends_at &&
+			    (next == e->count ||
+			     e->item[i].ends_at < e->item[next].ends_at))
+				next = i;
+		}
+		remove_item(e, next, now);
+	}
+}
+
 /*
  * Penalty of a gap: 0 up to the tolerated gap, at least 1 beyond it, rising
  * with each multiple up to the gap at which callers give up.
--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -10,6 +10,7 @@
  *	pool_backlog.c	outstanding work of each endpoint
  *	pool_group.c	groups for requests that fit on no single endpoint
  *	pool_grant.c	grants and their leases
+ *	pool_recover.c	load of engines that no known grant explains
  *	pool_outlier.c	ejection of slow or failing endpoints
  *	pool_throttle.c	rate limits that endpoints set for all VMs
  *	pool_backoff.c	endpoints that a VM backs off from
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -153,6 +153,7 @@
 		pool_hold_lost(pool, e);
 		pool_grant_detach(pool, e);
 		pool_outlier_reset(pool, e);
+		pool_recover_restarted(e);
 		memset(e->busy_until, 0, sizeof(e->busy_until));
 		pool_throttle_reset(e);
 	}
--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -262,7 +262,7 @@
 {
 	const struct dl_engine_model *m = &pool->conf.engine;
 	double part_ms = dl_engine_prefill_ms(m, g->want.prompt) / g->parts_n;
-	double rest_ms = (double)predicted_ttft_ms - ROUND_TRIP_MS / 2 -
+	double rest_ms = (double)predicted_ttft_ms - ROUND_TRIP_MS / 2.0 -
 			 (double)adoption->held_ms;
 
 	rest_ms = fmin(fmax(rest_ms, 0), ADOPTED_REST_MAX_MS);
--- a/src/coordination/pool_engine_place.c
+++ b/src/coordination/pool_engine_place.c
@@ -80,8 +80,10 @@
 static bool has_memory(const struct pool_endpoint *e, uint64_t tokens)
 {
 	uint64_t all = (uint64_t)((double)e->last.memory_tokens * MEMORY_SHARE);
+	uint64_t foreign;
 
-	return e->held + tokens <= all;
+	dl_engine_foreign(&e->engine, &foreign);
+	return e->held + foreign + tokens <= all;
 }
 
 /*
@@ -150,9 +152,11 @@
 		c->endpoint = e;
 		dl_engine_forecast(&e->engine, s->model, 0, s->now,
 				   &c->forecast);
-		c->can_decode = count_led_grants(e) <
-					pool_outlier_slots(e, s->now) &&
-				e->engine.count < DL_ENGINE_ITEMS_MAX;
+		c->can_decode =
+			count_led_grants(e) +
+					dl_engine_foreign(&e->engine, NULL) <
+				pool_outlier_slots(e, s->now) &&
+			e->engine.count < DL_ENGINE_ITEMS_MAX;
 		s->count++;
 	}
 }
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -375,6 +375,7 @@
 {
 	if (pool->policy->start_dispatching)
 		pool->policy->start_dispatching(pool, now);
+	pool_recover_start(pool, now);
 }
 
 /* The first event of the answer to a grant arrived; -ENOENT as for renew. */
@@ -461,6 +462,7 @@
 				      adoption, now);
 	else if (pool->policy->granted)
 		pool->policy->granted(pool, g, 0, now);
+	pool_recover_adopted(pool, g, adoption, now);
 	return 0;
 }
 
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -123,6 +123,17 @@
 	uint8_t next;
 };
 
+/* Queries of an engine for its load after a takeover. */
+struct pool_load_query {
+	uint32_t takeover; /* that they belong to */
+	uint8_t sent;
+	bool pending;
+	int64_t sent_at;
+	int64_t again_at; /* 0: not again */
+	/* The load of this time is known by an answer; 0: it is not. */
+	int64_t known_at;
+};
+
 enum pool_ep_state {
 	POOL_EP_UNKNOWN, /* named by a grant or an operator, no report yet */
 	POOL_EP_LIVE,
@@ -202,6 +213,7 @@
 	int64_t learnt_at;
 
 	struct dl_engine engine; /* model of dl_policy_engine */
+	struct pool_load_query load_query;
 
 	/* requests per 1,000 s, set by the endpoint; or DL_UNLIMITED */
 	uint32_t limit;
@@ -361,6 +373,14 @@
 	int64_t expires;
 };
 
+/* Queries of engines for their load since this VM began to dispatch. */
+struct pool_recover {
+	bool active;
+	uint32_t takeover; /* number of the current one */
+	int64_t since;
+	struct dl_recovery result;
+};
+
 /* A rate that decays exponentially over a few seconds. */
 struct pool_rate {
 	double per_ms;
@@ -378,6 +398,7 @@
 	uint64_t random;
 	/* grants of other dispatchers may be unknown */
 	int64_t unknown_grants_until;
+	struct pool_recover recover;
 	int64_t now;		/* of the current event */
 	int64_t last_report_at; /* by any endpoint */
 	int64_t reopen_at;	/* when an unreachable one may be tried again */
@@ -704,6 +725,12 @@
 					 const struct pool_want *want,
 					 int64_t now);
 
+/* pool_recover.c */
+void pool_recover_start(struct dl_pool *pool, int64_t now);
+void pool_recover_adopted(struct dl_pool *pool, const struct pool_grant *g,
+			  const struct dl_adoption *adoption, int64_t now);
+void pool_recover_restarted(struct pool_endpoint *e);
+
 /* pool_grant.c */
 struct pool_grant *pool_grant_find(const struct dl_pool *pool, uint64_t id);
 struct pool_grant *pool_grant_of_request(const struct dl_pool *pool,
--- a/test/test_engine.c
+++ b/test/test_engine.c
@@ -277,6 +277,93 @@
 }
 END_TEST
 
+static void resume(uint64_t id, float prefill_ms, bool decodes, double rest_ms,
+		   int64_t now)
+{
+	struct dl_engine_item item = item_of(id, prefill_ms, decodes);
+
+	ck_assert_int_eq(dl_engine_resume(&engine, &model, &item, rest_ms, now),
+			 0);
+}
+
+/*
+ * A prompt that another dispatcher granted is prefilled for another 60 ms of
+ * 100; a new one joins that pass.
+ */
+START_TEST(resumed_prompt_takes_what_is_left_of_its_prefill)
+{
+	resume(1, 100, true, 60, 1000);
+	ck_assert_int_eq(forecast(28, 1000).prefilled_at, 1088);
+	dl_engine_remove(&engine, 1, 1000);
+	ck_assert_int_eq(forecast(28, 1000).prefilled_at, 1028);
+}
+END_TEST
+
+/* In either order, streams and prompts of a resumed pass admit no more. */
+START_TEST(resumed_pass_that_decodes_admits_no_prompt)
+{
+	if (_i) {
+		resume(2, 100, true, 60, 1000);
+		resume(1, 100, true, 0, 1000);
+	} else {
+		resume(1, 100, true, 0, 1000);
+		resume(2, 100, true, 60, 1000);
+	}
+	ck_assert_int_eq(engine.pass_ends, 1060);
+	ck_assert_int_eq(forecast(28, 1000).prefilled_at, 1060 + 72);
+}
+END_TEST
+
+/* Due after more than its own pass, a prompt waits for the next pass. */
+START_TEST(resumed_prompt_may_still_wait)
+{
+	resume(1, 100, true, 0, 1000);
+	resume(2, 100, true, 300, 1000);
+	ck_assert_int_eq(engine.pass_ends, 1157);
+	dl_engine_advance(&engine, &model, 1157);
+	ck_assert_int_eq(engine.pass_ends, 1301);
+}
+END_TEST
+
+START_TEST(resumed_part_that_is_done_is_no_work)
+{
+	resume(1, 100, false, 0, 1000);
+	ck_assert_uint_eq(engine.count, 0);
+}
+END_TEST
+
+static void add_foreign(int64_t ends_at)
+{
+	struct dl_engine_item item = { .context = 1000,
+				       .decodes = true,
+				       .ends_at = ends_at };
+
+	ck_assert_int_eq(dl_engine_resume(&engine, &model, &item, 0, 1000), 0);
+}
+
+/* Foreign streams end by the model or are removed, own ones never are. */
+START_TEST(foreign_streams_end_first_come_first)
+{
+	uint64_t tokens;
+
+	resume(1, 100, true, 0, 1000);
+	add_foreign(1300);
+	add_foreign(1200);
+	add_foreign(1400);
+	ck_assert_uint_eq(dl_engine_foreign(&engine, &tokens), 3);
+	ck_assert_uint_eq(tokens, 3000);
+	dl_engine_keep_foreign(&engine, 2, 1000);
+	ck_assert_uint_eq(engine.count, 3);
+	dl_engine_advance(&engine, &model, 1290);
+	ck_assert_uint_eq(dl_engine_foreign(&engine, NULL), 2);
+	dl_engine_advance(&engine, &model, 1350);
+	ck_assert_uint_eq(dl_engine_foreign(&engine, NULL), 1);
+	dl_engine_advance(&engine, &model, 1500);
+	ck_assert_uint_eq(dl_engine_foreign(&engine, NULL), 0);
+	ck_assert_uint_eq(engine.count, 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("engine");
@@ -303,5 +390,11 @@
 	tcase_add_loop_test(t, gap_cost_grows_with_the_pause, 0,
 			    sizeof(pause_cases) / sizeof(pause_cases[0]));
 	tcase_add_test(t, invariants_hold_under_random_events);
+	tcase_add_test(t, resumed_prompt_takes_what_is_left_of_its_prefill);
+	tcase_add_loop_test(t, resumed_pass_that_decodes_admits_no_prompt, 0,
+			    2);
+	tcase_add_test(t, resumed_prompt_may_still_wait);
+	tcase_add_test(t, resumed_part_that_is_done_is_no_work);
+	tcase_add_test(t, foreign_streams_end_first_come_first);
 	return suite_run(s);
 }
