Entries: query engines for their load after a takeover

The dialect has two new functions, load_request() and load(); platform/load.c translates GET /-/report. A missing or malformed number of requests makes the answer malformed, a huge one is cut to 32 bits.

The log line "Load of engines read after a takeover." and the counters takeover_reports and takeover_foreign_requests tell the result.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -42,6 +42,10 @@
 	X(endpoints_known, "endpoints announced to this VM")                   \
 	X(endpoints_unreachable,                                               \
 	  "times an endpoint was given no work as a VM could not reach it")    \
+	X(takeover_reports,                                                    \
+	  "engines whose load was read after this VM began to dispatch")       \
+	X(takeover_foreign_requests,                                           \
+	  "requests on these engines that no grant explained")                 \
 	X(tunnels_opened, "connections to endpoints forwarded for other VMs")  \
 	X(tunnels_refused, "connections to endpoints that were not forwarded") \
 	X(tunnels_forwarded, "forwarded connections that are open")            \
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -177,6 +177,7 @@
 	entry_reservation_tick(e, now);
 	entry_lost_tick(e, now);
 	entry_path_tick(e, now);
+	entry_recover_tick(e, now);
 	entry_pool_tick(e, now);
 	entry_cmd_tick(e, now);
 	entry_conf_tick(e, now);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -25,6 +25,7 @@
  *   entry_pool.c       dispatching for the pools of this failure domain
  *   entry_announce.c   announcements of endpoints
  *   entry_reach.c      VMs that do not respond to this one
+ *   entry_recover.c    load of engines after this VM has begun to dispatch
  *   entry_remote.c     pools of other failure domains
  *   entry_path.c       endpoints that this VM cannot connect to by itself
  *   entry_check.c      whose fault it is that attempts broke
@@ -350,6 +351,7 @@
 	struct dl_paths *paths;
 	struct dl_tunnels *tunnels;	  /* NULL: none are forwarded */
 	GHashTable *unreported_endpoints; /* that were granted, by address */
+	GPtrArray *load_queries;	  /* to engines, after a takeover */
 	GPtrArray *checks;   /* of endpoints that broke attempts off */
 	uint64_t path_draws; /* random choices made so far */
 	int64_t path_checked_at;
@@ -569,6 +571,11 @@
 uint32_t entry_path_tunnels(const struct entry *e);
 void entry_path_tick(struct entry *e, int64_t now);
 
+/* entry_recover.c */
+void entry_recover_init(struct entry *e);
+void entry_recover_query(struct entry *e, struct entry_pool *p);
+void entry_recover_tick(struct entry *e, int64_t now);
+
 /* entry_check.c */
 void entry_check_init(struct entry *e);
 bool entry_check_attempt_broke(struct call *c,
--- a/src/entry/entry_path.c
+++ b/src/entry/entry_path.c
@@ -90,6 +90,7 @@
 	e->unreported_endpoints = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, NULL, g_free);
 	entry_check_init(e);
+	entry_recover_init(e);
 	if (!e->node.settings.tunnel)
 		return 0;
 	dl_httpc_set_paths(e->httpc, &paths);
--- a/src/entry/entry_pool.c
+++ b/src/entry/entry_pool.c
@@ -120,6 +120,7 @@
 		return;
 	p->dispatching = dispatching;
 	configure_pool(e, p);
+	entry_recover_query(e, p);
 }
 
 /* Applies or lifts the operators' drain of one endpoint. */
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -6,6 +6,7 @@
 #ifndef DL_PROTOCOL_DIALECT_H
 #define DL_PROTOCOL_DIALECT_H
 
+#include "daisyledge/pool.h"
 #include "protocol/api.h"
 #include "transport/httpc.h"
 
@@ -101,6 +102,10 @@
 	void (*reservation)(const struct dl_reservation *what,
 			    struct dl_httpc_req *req, struct dl_header *headers,
 			    char *text);
+	/* Builds the request that queries an engine for its load. */
+	void (*load_request)(struct dl_httpc_req *req);
+	/* Parses the body of the answer; 0 or -EINVAL. */
+	int (*load)(struct dl_str body, struct dl_engine_load *out);
 	/* Looks up a call; *arg is the part of the path after its prefix. */
 	enum dl_control_call (*control)(struct dl_str method,
 					struct dl_str path, struct dl_str *arg);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -3,6 +3,7 @@
  * duplicated, unknown and wrongly typed input is handled.
  */
 #include <check.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -577,6 +578,66 @@
 }
 END_TEST
 
+struct load_case {
+	const char *body;
+	int rc;
+	uint32_t queued, active;
+	uint64_t used;
+};
+
+static const struct load_case load_cases[] = {
+	{ "{\"queued\":2,\"active\":7,\"kv_used\":41000,\"kv_total\":382500}",
+	  0, 2, 7, 41000 },
+	{ "{\"active\":0,\"queued\":0,\"kv_used\":0,\"more\":[{}]}", 0, 0, 0,
+	  0 },
+	{ "{\"queued\":2,\"active\":7}", 0, 2, 7, 0 },
+	/* Numbers that no engine has; the last one is no number in JSON. */
+	{ "{\"queued\":4294967296,\"active\":9223372036854775807}", 0,
+	  UINT32_MAX, UINT32_MAX, 0 },
+	{ "{\"queued\":1,\"active\":1,\"kv_used\":9223372036854775807}", 0, 1,
+	  1, INT64_MAX },
+	{ "{\"queued\":1,\"active\":9223372036854775808}", -EINVAL, 0, 0, 0 },
+	/* Missing. */
+	{ "{\"queued\":2}", -EINVAL, 0, 0, 0 },
+	{ "{\"active\":2}", -EINVAL, 0, 0, 0 },
+	{ "{}", -EINVAL, 0, 0, 0 },
+	{ "", -EINVAL, 0, 0, 0 },
+	/* Malformed. */
+	{ "{\"queued\":2,\"active\":-1}", -EINVAL, 0, 0, 0 },
+	{ "{\"queued\":2,\"active\":1.5}", -EINVAL, 0, 0, 0 },
+	{ "{\"queued\":\"2\",\"active\":1}", -EINVAL, 0, 0, 0 },
+	{ "{\"queued\":2,\"active\":1,\"kv_used\":-1}", -EINVAL, 0, 0, 0 },
+	{ "{\"queued\":2,\"active\":1,\"kv_used\":null}", -EINVAL, 0, 0, 0 },
+	{ "{\"queued\":2,\"active\":1", -EINVAL, 0, 0, 0 },
+	{ "[2,1]", -EINVAL, 0, 0, 0 },
+	{ "null", -EINVAL, 0, 0, 0 },
+};
+
+START_TEST(loads_of_engines)
+{
+	const struct load_case *c = &load_cases[_i];
+	struct dl_engine_load load;
+
+	ck_assert_int_eq(d->load(dl_str_of(c->body), &load), c->rc);
+	if (c->rc)
+		return;
+	ck_assert_uint_eq(load.queued, c->queued);
+	ck_assert_uint_eq(load.active, c->active);
+	ck_assert_uint_eq(load.used_tokens, c->used);
+}
+END_TEST
+
+START_TEST(query_for_the_load)
+{
+	struct dl_httpc_req req = { 0 };
+
+	d->load_request(&req);
+	ck_assert(dl_str_eq(req.method, DL_STR("GET")));
+	ck_assert(dl_str_eq(req.path, DL_STR("/-/report")));
+	ck_assert_uint_eq(req.headers_count, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("platform");
@@ -608,5 +669,8 @@
 	tcase_add_test(t, announcement_replies);
 	tcase_add_loop_test(t, configurations, 0,
 			    sizeof(config_cases) / sizeof(config_cases[0]));
+	tcase_add_loop_test(t, loads_of_engines, 0,
+			    sizeof(load_cases) / sizeof(load_cases[0]));
+	tcase_add_test(t, query_for_the_load);
 	return suite_run(s);
 }
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -25,16 +25,17 @@
 #define FAULT_EVENT	 3   /* event at which a fault interrupts the stream */
 #define RESTART_DELAY_MS 700 /* from a crash to the next start */
 #define ORDER_PATH	 "/-/order"
+#define REPORT_PATH	 "/-/report"
 /* Number of crashes so far; the environment survives execv(). */
 #define CRASHES_ENV "RUNNER_CRASHES"
 
 static struct {
 	char *listen, *control, *service, *instance, *zone, *record, *fault;
 	char *crash_on, *crash_part;
-	char *limit, *arrivals, *shed, *orders, *endings;
+	char *limit, *arrivals, *shed, *orders, *endings, *reports;
 	char **argv;
 	int instance_crashes;
-	int slots, events, event_ms, first_event_ms;
+	int slots, events, event_ms, first_event_ms, orphans;
 	gboolean plain, quiet_while_busy, mute_orders;
 	gboolean abrupt;
 	gboolean unheard;
@@ -69,6 +70,11 @@
 	  "carry out reservations without an answer", NULL },
 	{ "orders", 0, 0, G_OPTION_ARG_FILENAME, &opt.orders,
 	  "append time, instance, event and id of each reservation", "F" },
+	{ "orphans", 0, 0, G_OPTION_ARG_INT, &opt.orphans,
+	  "requests to report as active besides open streams; -1: no report",
+	  "N" },
+	{ "reports", 0, 0, G_OPTION_ARG_FILENAME, &opt.reports,
+	  "append the instance of each report", "F" },
 	{ "plain", 0, 0, G_OPTION_ARG_NONE, &opt.plain,
 	  "reply without streaming", NULL },
 	{ "abrupt", 0, 0, G_OPTION_ARG_NONE, &opt.abrupt,
@@ -116,7 +122,7 @@
 static uint64_t heartbeat_address = DL_VM_NONE;
 static uint64_t sequence;
 static int64_t started_ms; /* start time of this instance, Unix ms */
-static int record_fd = -1, arrivals_fd = -1, orders_fd = -1;
+static int record_fd = -1, arrivals_fd = -1, orders_fd = -1, reports_fd = -1;
 static bool leaving, deregistered;
 static int64_t next_heartbeat;
 
@@ -506,6 +512,29 @@
 	}
 }
 
+/* Reports the load; this is not recorded as an execution. */
+static void serve_report(struct fake_request *req)
+{
+	const struct fake_header headers[] = {
+		{ "Content-Type", "application/json" },
+		{ NULL, NULL },
+	};
+	char body[128], line[80];
+	int n = snprintf(line, sizeof(line), "%.70s\n", opt.instance);
+
+	if (reports_fd >= 0 && write(reports_fd, line, (size_t)n) != n)
+		perror("reports");
+	if (opt.orphans < 0) {
+		fake_reply(req, 404, headers, DL_STR("{}"));
+		return;
+	}
+	n = snprintf(body, sizeof(body),
+		     "{\"queued\":0,\"active\":%u,\"kv_used\":0,"
+		     "\"kv_total\":315000}",
+		     jobs->len + (guint)opt.orphans);
+	fake_reply(req, 200, headers, (struct dl_str){ body, (size_t)n });
+}
+
 static void on_request(void *arg, struct fake_request *req)
 {
 	struct dl_str target = header(req, "daisyledge-target-instance");
@@ -520,6 +549,10 @@
 			handle_order(req);
 		return;
 	}
+	if (dl_str_eq(fake_request_path(req), DL_STR(REPORT_PATH))) {
+		serve_report(req);
+		return;
+	}
 	snprintf(what, sizeof(what), "shed %s", retry_after);
 	record_arrival(req, shed ? what : leaving ? "leaving" : "taken");
 	if (target.n && !dl_str_eq(target, dl_str_of(opt.instance))) {
@@ -662,6 +695,9 @@
 	reservations =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	controls = g_strsplit(opt.control, ",", CONTROLS_MAX);
+	if (opt.reports)
+		reports_fd =
+			open(opt.reports, O_WRONLY | O_APPEND | O_CREAT, 0600);
 	if (opt.record)
 		record_fd =
 			open(opt.record, O_WRONLY | O_APPEND | O_CREAT, 0600);
