--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -159,6 +159,26 @@
 /* Limit of an endpoint that has set none. */
 #define DL_UNLIMITED UINT32_MAX
 
+/* Progress of a grant that another dispatcher adopts. */
+struct dl_adoption {
+	uint32_t held_ms; /* since it was granted */
+	bool began;	  /* the first event has arrived */
+};
+
+/* Load of an engine as it says itself, about 100 ms old. */
+struct dl_engine_load {
+	uint32_t queued;      /* requests that wait in it */
+	uint32_t active;      /* requests that it prefills or decodes */
+	uint64_t used_tokens; /* KV memory in use; 0: unknown */
+};
+
+/* What was learnt of the engines after a takeover. */
+struct dl_recovery {
+	uint32_t engines;    /* that told their load */
+	uint32_t unanswered; /* that did not */
+	uint32_t foreign;    /* requests that no grant explained at first */
+};
+
 /* Outcome of a grant, reported at its release. */
 struct dl_usage {
 	bool ran;	  /* the request reached the endpoint */
@@ -278,13 +298,30 @@
 int dl_pool_renew(struct dl_pool *pool, uint64_t grant, int64_t now);
 /* This VM becomes the dispatcher; grants of the previous one may be adopted. */
 void dl_pool_start_dispatching(struct dl_pool *pool, int64_t now);
+/*
+ * After a takeover: the next engine to query for its load; false if there is
+ * none now.  Each engine is queried three times at most, and only if the pool
+ * has an engine model.
+ */
+bool dl_pool_recover_next(struct dl_pool *pool, int64_t now,
+			  struct dl_name *endpoint);
+/* The answer to that query; NULL if the engine did not answer. */
+void dl_pool_recover_answer(struct dl_pool *pool, struct dl_str id,
+			    const struct dl_engine_load *load, int64_t now);
+/* Returns true once, when all engines of a takeover have been queried. */
+bool dl_pool_recover_end(struct dl_pool *pool, int64_t now,
+			 struct dl_recovery *out);
 /* The first event of the answer to a granted request arrived. */
 int dl_pool_first_event(struct dl_pool *pool, uint64_t grant, int64_t now);
 int dl_pool_release(struct dl_pool *pool, uint64_t grant,
 		    const struct dl_usage *usage, int64_t now);
-/* Take over a grant of a previous dispatcher, as reported by its entry. */
+/*
+ * Take over a grant of a previous dispatcher, as reported by its entry; NULL if
+ * the entry does not report its progress.
+ */
 int dl_pool_adopt(struct dl_pool *pool, const struct dl_answer *grant,
-		  const struct dl_ask *ask, int64_t now);
+		  const struct dl_ask *ask, const struct dl_adoption *adoption,
+		  int64_t now);
 void dl_pool_entry_gone(struct dl_pool *pool, uint64_t entry, int64_t now);
 
 /* Return the next decision on a queued request: a grant or a refusal. */
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -375,6 +375,7 @@
 {
 	if (pool->policy->start_dispatching)
 		pool->policy->start_dispatching(pool, now);
+	pool_recover_start(pool, now);
 }
 
 /* The first event of the answer to a grant arrived; -ENOENT as for renew. */
@@ -384,6 +385,7 @@
 
 	if (!g)
 		return -ENOENT;
+	g->began = true;
 	if (pool->policy->first_event)
 		pool->policy->first_event(pool, g, now);
 	return 0;
@@ -419,7 +421,8 @@
  * endpoint, -EEXIST if it is known.
  */
 int dl_pool_adopt(struct dl_pool *pool, const struct dl_answer *grant,
-		  const struct dl_ask *ask, int64_t now)
+		  const struct dl_ask *ask, const struct dl_adoption *adoption,
+		  int64_t now)
 {
 	struct pool_workspace *ws;
 	struct pool_request *queued;
@@ -438,6 +441,8 @@
 	pool_want_of(pool, ask, &want);
 	if (grant->endpoints > 1)
 		want.band = POOL_OVERSIZED;
+	if (adoption)
+		want.asked_at = now - adoption->held_ms;
 	ws = pool_workspace_get(pool, ask->workspace);
 	g = grant_new(pool, grant->grant, ask->entry, ask->request, ws, &want,
 		      grant->endpoints);
@@ -453,8 +458,12 @@
 		attach_part(g, i, e, grant->share_tokens[i]);
 		pool_place_refresh(pool, e, now);
 	}
-	if (pool->policy->granted)
+	if (adoption && pool->policy->adopted)
+		pool->policy->adopted(pool, g, grant->predicted_ttft_ms,
+				      adoption, now);
+	else if (pool->policy->granted)
 		pool->policy->granted(pool, g, 0, now);
+	pool_recover_adopted(pool, g, adoption, now);
 	return 0;
 }
 
