Pools: endpoints that leave serve while no other one is open

Ruled out: counting from when each VM hears of the departure alone; a VM that starts, or hears late, would begin the time anew.

Whether an endpoint is open is stored, so queue, groups, holds and placement agree. Refusals name `evacuated` only if an endpoint there would serve. With endpoint_drain_ms 0 nothing changes. The directory keeps the date of each departure.

--- a/include/daisyledge/directory.h
+++ b/include/daisyledge/directory.h
@@ -10,7 +10,7 @@
 #ifndef DAISYLEDGE_DIRECTORY_H
 #define DAISYLEDGE_DIRECTORY_H
 
-#include "daisyledge/base.h"
+#include "daisyledge/leaving.h"
 
 struct dl_directory;
 
@@ -28,6 +28,12 @@
 	uint64_t sequence;
 	uint64_t born; /* start time of the instance, Unix ms; 0 if not given */
 	bool leaving;
+	/*
+	 * The earliest time of its departure and the present time, on the clock
+	 * that departures are counted on. 0 for since: not known.
+	 */
+	int64_t left_since;
+	int64_t left_now;
 };
 
 /* An instance that a later one replaced at the same address. */
@@ -44,6 +50,8 @@
 	uint64_t born;	      /* start time, Unix ms; 0 if not given */
 	uint64_t incarnation; /* local counter, higher for later instances */
 	bool leaving;	      /* final for an instance */
+	struct dl_leaving departure;
+	int64_t staying_at; /* when it did not leave yet; 0: not known */
 	int64_t last_seen;
 	struct dl_directory_previous previous[DL_DIRECTORY_PREVIOUS_MAX];
 	uint32_t previous_next;
@@ -72,6 +80,16 @@
 /* The instance known at an address, or NULL. */
 const struct dl_directory_entry *
 dl_directory_find(const struct dl_directory *dir, struct dl_str address);
+/* The latest instance of a name, or NULL. */
+const struct dl_directory_entry *
+dl_directory_find_instance(const struct dl_directory *dir,
+			   struct dl_str instance);
+/*
+ * Records that the instance at an address was not leaving at a time, on the
+ * clock that departures are counted on.
+ */
+void dl_directory_note_staying(struct dl_directory *dir, struct dl_str address,
+			       struct dl_str instance, int64_t at);
 /* Removes entries that were last seen before a given time. */
 void dl_directory_expire(struct dl_directory *dir, int64_t before);
 uint32_t dl_directory_count(const struct dl_directory *dir);
--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -14,6 +14,7 @@
 #include "daisyledge/base.h"
 #include "daisyledge/engine.h"
 #include "daisyledge/evacuation.h"
+#include "daisyledge/leaving.h"
 
 struct dl_pool;
 
@@ -52,6 +53,8 @@
 	uint32_t weight_default;
 	/* that a cold endpoint bears from all VMs together; 0: no limit */
 	uint32_t cold_requests_per_s;
+	/* for which an endpoint that is leaving serves; 0: not at all */
+	uint32_t endpoint_drain_ms;
 	struct dl_engine_model engine; /* cost model of dl_policy_engine */
 };
 
@@ -79,6 +82,8 @@
 	uint32_t decode_rate;	  /* tokens per second of one stream */
 	uint64_t prefill_backlog; /* tokens waiting for prefill */
 	bool leaving;
+	/* leaving: for at most how long; see dl_leaving_age_ms() */
+	uint32_t leaving_ms;
 	bool takes_groups; /* can share a prompt with other endpoints */
 	uint32_t cold_ms;  /* it stays cold for this long; 0: it is warm */
 };
@@ -150,6 +155,11 @@
 	uint8_t endpoints;	 /* granted: 1, or the size of the group */
 	bool limited; /* granted: the first endpoint has set a rate limit */
 	uint8_t away; /* granted: endpoints in other failure domains */
+	/*
+	 * granted: age of the departure of an endpoint that is leaving, as of
+	 * dl_leaving_age_ms(); 0: none is leaving
+	 */
+	uint32_t leaving_ms;
 	/* the first one leads the group */
 	struct dl_name endpoint[DL_GROUP_MAX];
 	uint64_t share_tokens[DL_GROUP_MAX]; /* memory held on each */
@@ -258,6 +268,27 @@
 			     int64_t now);
 /* Whether the domain of an endpoint is evacuated; false if it is unknown. */
 bool dl_pool_endpoint_evacuated(const struct dl_pool *pool, struct dl_str id);
+/* Whether an endpoint that stays is outside the domains of a list. */
+bool dl_pool_has_endpoint_outside(const struct dl_pool *pool,
+				  const struct dl_evacuations *evacuations);
+
+/* Which endpoints of a pool are open, and why none is. */
+enum dl_pool_service {
+	DL_SERVICE_OPEN,
+	DL_SERVICE_OPEN_LEAVING, /* only endpoints that are leaving */
+	DL_SERVICE_EVACUATED,	 /* one would serve but for the evacuation */
+	DL_SERVICE_LEAVING,	 /* those that are left have left */
+	DL_SERVICE_GONE,	 /* none is known that could be reached */
+	DL_SERVICE_EJECTED,
+};
+
+enum dl_pool_service dl_pool_service_state(const struct dl_pool *pool);
+/*
+ * The age of the departure of the endpoint of a grant that left first, for
+ * dl_answer.leaving_ms; 0: none of them is leaving.
+ */
+uint32_t dl_pool_leaving_age_ms(const struct dl_pool *pool,
+				const struct dl_answer *grant, int64_t now);
 
 /*
  * A cache event of an engine: it caches this many tokens of a prompt prefix,
--- a/src/coordination/directory.c
+++ b/src/coordination/directory.c
@@ -30,7 +30,9 @@
 static void begin_instance(struct dl_directory *dir,
 			   struct dl_directory_entry *e,
 			   const struct dl_directory_update *update);
-static enum dl_directory_result mark_leaving(struct dl_directory_entry *e);
+static enum dl_directory_result
+mark_leaving(struct dl_directory_entry *e,
+	     const struct dl_directory_update *update);
 static enum dl_directory_result
 apply_by_instance(struct dl_directory *dir,
 		  const struct dl_directory_update *update,
@@ -131,10 +133,22 @@
 	e->sequence = 0;
 	e->born = 0;
 	e->leaving = false;
+	e->departure = (struct dl_leaving){ 0 };
+	e->staying_at = 0;
 }
 
-static enum dl_directory_result mark_leaving(struct dl_directory_entry *e)
+/*
+ * Records that an instance is leaving. An instance that is new here may have
+ * left at any time before, as far as the announcement does not date it.
+ */
+static enum dl_directory_result
+mark_leaving(struct dl_directory_entry *e,
+	     const struct dl_directory_update *update)
 {
+	dl_leaving_note(&e->departure,
+			update->left_since ? update->left_since :
+					     DL_LEAVING_UNDATED,
+			update->left_now);
 	if (e->leaving)
 		return DL_DIRECTORY_KNOWN;
 	e->leaving = true;
@@ -158,7 +172,7 @@
 	*entry = e;
 	if (!e || !update->leaving || !is_same_instance(e, update))
 		return DL_DIRECTORY_STALE;
-	return mark_leaving(e);
+	return mark_leaving(e, update);
 }
 
 /*
@@ -246,8 +260,9 @@
 	if (update->sequence > e->sequence)
 		e->sequence = update->sequence;
 	if (update->leaving && !is_new)
-		return mark_leaving(e);
-	e->leaving |= update->leaving;
+		return mark_leaving(e, update);
+	if (update->leaving)
+		mark_leaving(e, update);
 	return is_new ? DL_DIRECTORY_NEW : DL_DIRECTORY_KNOWN;
 }
 
@@ -262,6 +277,33 @@
 	return g_hash_table_lookup(dir->by_address, name.s);
 }
 
+/* Returns the latest instance of a name, or NULL. */
+const struct dl_directory_entry *
+dl_directory_find_instance(const struct dl_directory *dir,
+			   struct dl_str instance)
+{
+	struct dl_name name;
+
+	if (!dl_name_set(&name, instance))
+		return NULL;
+	return g_hash_table_lookup(dir->by_instance, name.s);
+}
+
+/* Records that an instance was not leaving at a time. */
+void dl_directory_note_staying(struct dl_directory *dir, struct dl_str address,
+			       struct dl_str instance, int64_t at)
+{
+	struct dl_directory_entry *e;
+	struct dl_name name;
+
+	if (!dl_name_set(&name, address))
+		return;
+	e = g_hash_table_lookup(dir->by_address, name.s);
+	if (e && !e->leaving && dl_name_eq(&e->instance, instance) &&
+	    at > e->staying_at)
+		e->staying_at = at;
+}
+
 /* Removes entries that were last seen before a given time. */
 void dl_directory_expire(struct dl_directory *dir, int64_t before)
 {
--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -3,6 +3,7 @@
  * The decisions are made in the other files:
  *
  *	pool_endpoint.c	set of endpoints and their reports
+ *	pool_leaving.c	endpoints that leave while no other one is open
  *	pool_workspace.c	weights and limits of workspaces
  *	pool_admit.c	admission: can a request meet its deadline
  *	pool_queue.c	queueing, fair order and shedding
@@ -216,6 +217,7 @@
 		pool->tokens_allowed = pool->queued_tokens;
 	for (uint32_t i = 0; i < pool->endpoints_n; i++)
 		pool_place_refresh(pool, pool->endpoints[i], pool->now);
+	pool->leaving_at = pool->now;
 	pool_queue_sum_weights(pool);
 }
 
@@ -414,6 +416,7 @@
 	pool_grant_expire(pool, now);
 	if (repeat_answer(pool, ask, out))
 		return;
+	pool_leaving_update(pool, now);
 	if (pool->open_endpoints == 0 && pool->ejected)
 		pool_outlier_readmit_all(pool, now);
 	pool_want_of(pool, ask, &want);
--- a/src/coordination/pool_admit.c
+++ b/src/coordination/pool_admit.c
@@ -265,8 +265,12 @@
 
 			if (e->state != POOL_EP_LIVE)
 				continue;
-			if (e->evacuated && !e->last.leaving)
+			if (e->evacuated && !e->last.leaving &&
+			    (!pool->conf.endpoint_drain_ms ||
+			     pool_leaving_evacuated_serves(pool)))
 				return DL_REASON_EVACUATED;
+			if (e->evacuated && pool->conf.endpoint_drain_ms)
+				continue;
 			if (e->unreachable && !e->last.leaving && !e->drained)
 				reason = DL_REASON_UNREACHABLE;
 			else if (reason == DL_REASON_NO_ENDPOINT)
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -116,8 +116,11 @@
 	if (!r->leaving || r->slots > 0 ||
 	    e->last.incarnation != r->incarnation)
 		return;
+	uint32_t leaving_ms = r->leaving_ms;
+
 	*r = e->last;
 	r->leaving = true;
+	r->leaving_ms = leaving_ms;
 }
 
 /*
@@ -174,16 +177,19 @@
 	e->unreachable = false;
 	e->reported_at = now;
 	pool->last_report_at = now;
+	pool_leaving_report(pool, e, r, first, now);
 	pool_heap_set(&pool->endpoint_expiry, &e->expiry,
-		      now + pool->conf.report_gone_ms);
+		      pool_leaving_expiry(pool, e,
+					  now + pool->conf.report_gone_ms));
 	pool_backlog_report(pool, e, first, now);
-	if (r->leaving || e->evacuated)
+	if ((r->leaving && !e->serves_leaving) || e->evacuated)
 		pool_hold_lost(pool, e);
 	if (was == POOL_EP_GONE)
 		pool_outlier_readmit(pool, e, now);
 	pool_outlier_tick(pool, e, now);
 	pool_place_refresh(pool, e, now);
 	pool_outlier_check_overdue(pool, e, now);
+	pool_leaving_update(pool, now);
 	if (was_open && !e->counted_open)
 		pool->recheck_all = true;
 	return 0;
@@ -377,6 +383,7 @@
 			pool_hold_lost(pool, e);
 		pool_place_refresh(pool, e, now);
 	}
+	pool_leaving_update(pool, now);
 	pool->recheck_all = true;
 }
 
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -150,7 +150,9 @@
 	uint64_t domain; /* hash of its failure domain; 0 if unknown */
 	enum pool_ep_state state;
 	bool drained;
-	bool evacuated;	  /* its failure domain is */
+	bool evacuated;	     /* its failure domain is */
+	bool serves_leaving; /* it is leaving, and no other one is open */
+	struct dl_leaving departure;
 	bool unreachable; /* until its next report, or this time */
 	int64_t unreachable_until;
 	int64_t reported_at;	/* its last report; 0: none */
@@ -381,6 +383,7 @@
 	int64_t now;		/* of the current event */
 	int64_t last_report_at; /* by any endpoint */
 	int64_t reopen_at;	/* when an unreachable one may be tried again */
+	int64_t leaving_at;	/* next update of those that are leaving */
 
 	struct pool_endpoint **endpoints;
 	uint32_t endpoints_n;
@@ -587,9 +590,18 @@
 void pool_admit_learn(struct dl_pool *pool, const struct pool_request *req,
 		      bool ended, int64_t now);
 
-/* pool_place.c */
+/* pool_leaving.c */
 bool pool_endpoint_open(const struct dl_pool *pool,
 			const struct pool_endpoint *e);
+void pool_leaving_report(struct dl_pool *pool, struct pool_endpoint *e,
+			 const struct dl_endpoint_report *r, bool first,
+			 int64_t now);
+int64_t pool_leaving_expiry(const struct dl_pool *pool,
+			    const struct pool_endpoint *e, int64_t expiry);
+void pool_leaving_update(struct dl_pool *pool, int64_t now);
+bool pool_leaving_evacuated_serves(const struct dl_pool *pool);
+
+/* pool_place.c */
 void pool_place_refresh(struct dl_pool *pool, struct pool_endpoint *e,
 			int64_t now);
 bool pool_place_fits(const struct dl_pool *pool, const struct pool_want *want,
--- a/src/coordination/pool_place.c
+++ b/src/coordination/pool_place.c
@@ -89,16 +89,6 @@
 	return a > b ? a : b;
 }
 
-/* Whether an endpoint accepts new requests. */
-bool pool_endpoint_open(const struct dl_pool *pool,
-			const struct pool_endpoint *e)
-{
-	(void)pool;
-	return e->state == POOL_EP_LIVE && !e->drained && !e->evacuated &&
-	       !e->last.leaving && !e->unreachable &&
-	       e->ejection != POOL_EJECTED;
-}
-
 /* Prefill milliseconds per token, as reported and corrected by answers. */
 double pool_ms_per_token(const struct dl_pool *pool,
 			 const struct pool_endpoint *e)
@@ -195,6 +185,8 @@
 	decode = open ? pool_decode_ms(e) : 0;
 	pool->decode_sum += decode - e->counted_decode;
 	e->counted_decode = decode;
+	if (open != e->counted_open)
+		pool->leaving_at = now;
 	pool->open_endpoints += (uint32_t)open - (uint32_t)e->counted_open;
 	pool->long_endpoints += (uint32_t)is_long - (uint32_t)e->counted_long;
 	pool->rate += rate - e->counted_rate;
--- a/src/coordination/pool_serve.c
+++ b/src/coordination/pool_serve.c
@@ -261,6 +261,7 @@
 	pool_endpoint_expire(pool, now);
 	pool_grant_expire(pool, now);
 	pool_hold_expire(pool, now);
+	pool_leaving_update(pool, now);
 	refuse_late(pool, now);
 	pool_admit_recheck(pool, now);
 	if (take_refused(pool, out))
@@ -292,6 +293,8 @@
 		if (pool->recheck_at < at)
 			at = pool->recheck_at;
 	}
+	if (pool->conf.endpoint_drain_ms && pool->leaving_at < at)
+		at = pool->leaving_at;
 	hold = pool_hold_expiry(pool);
 	return hold < at ? hold : at;
 }
