Peers: bound the age of frames by the heartbeats of their connection

Cause: a frame may have been under way for seconds when it is read: the receiver was suspended, or its link was cut off. An endpoint's departure must count from when it was acknowledged, not from when it is heard of.

Ruled out: the machines' clocks, which may differ or step without any sign; heartbeats of our own on every accepted connection, which cost a VM that dispatches for a hundred others several hundred frames a second more; asking the sender for the age, which leaves the last endpoint closed for a round trip.

Change: the reply to a heartbeat carries the replying process's time since boot, and the next heartbeat returns it. A connection keeps the order of frames, so what follows was sent after that time (dl_frame.sent_after). Only with the new setting endpoint_drain_ms; older releases echo what they do not know.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -24,10 +24,23 @@
 static void on_tick(uv_timer_t *timer);
 static void on_signal(uv_signal_t *handle, int signum);
 
+/*
+ * Whether a VM is a replica: departures of endpoints mostly come from one, and
+ * there are few.
+ */
+static bool is_replica(void *arg, uint64_t vm)
+{
+	const struct dl_node *node = arg;
+	const struct dl_member *m = dl_memb_find(node->memb, vm);
+
+	return m && m->replica;
+}
+
 static const struct dl_peers_ops peers_ops = {
 	.frame = on_frame,
 	.up = on_up,
 	.down = on_down,
+	.dated_soon = is_replica,
 };
 
 /*
@@ -263,6 +276,7 @@
 	dl_peers_defaults(&conf);
 	conf.self = node->self;
 	conf.incarnation = node->incarnation;
+	conf.date_frames = node->settings.endpoint_drain_ms > 0;
 	return dl_peers_open(node->loop, &conf, &peers_ops, node, &node->peers,
 			     err);
 }
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -35,6 +35,7 @@
 static int read_flag(const json_t *value, void *to);
 static int read_seeds(const json_t *value, void *to);
 static int read_seconds(const json_t *value, void *to);
+static int read_drain(const json_t *value, void *to);
 
 #define FIELD(f) offsetof(struct dl_settings, f)
 
@@ -55,6 +56,7 @@
 	{ "failures_max", read_count, FIELD(failures_max), false },
 	{ "key_lease_ms", read_count, FIELD(key_lease_ms), false },
 	{ "stop_s", read_seconds, FIELD(stop_ms), false },
+	{ "endpoint_drain_ms", read_drain, FIELD(endpoint_drain_ms), false },
 	{ "peer", read_address, FIELD(peer), true },
 	{ "tunnel", read_address, FIELD(tunnel), false },
 	{ "seeds", read_seeds, 0, false },
@@ -190,6 +192,17 @@
 	return 0;
 }
 
+/* Reads a number of milliseconds, where 0 stands for off. */
+static int read_drain(const json_t *value, void *to)
+{
+	json_int_t n = json_integer_value(value);
+
+	if (!json_is_integer(value) || n < 0 || n > COUNT_MAX)
+		return -EINVAL;
+	*(uint32_t *)to = (uint32_t)n;
+	return 0;
+}
+
 static int read_flag(const json_t *value, void *to)
 {
 	if (!json_is_boolean(value))
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -37,7 +37,9 @@
 	uint32_t failures_max; /* replicas that may fail at the same time */
 	uint32_t key_lease_ms; /* validity of unconfirmed keys; 0: forever */
 	uint32_t stop_ms;      /* time limit of a shutdown; 0: none */
-	uint64_t peer;	       /* listen address for other VMs */
+	/* for which an endpoint that is leaving serves; 0: not at all */
+	uint32_t endpoint_drain_ms;
+	uint64_t peer; /* listen address for other VMs */
 	/*
 	 * Where connections of other VMs to endpoints are accepted, to be
 	 * forwarded; its port is the same on all VMs.  0: none are forwarded.
--- a/src/transport/frame.c
+++ b/src/transport/frame.c
@@ -52,6 +52,7 @@
 	out->incarnation = item[2].via.u64;
 	out->body.s = item[3].via.bin.ptr;
 	out->body.n = item[3].via.bin.size;
+	out->sent_after = 0;
 	return true;
 }
 
--- a/src/transport/frame.h
+++ b/src/transport/frame.h
@@ -61,6 +61,11 @@
 	uint64_t request;
 	uint64_t incarnation; /* the sender's */
 	struct dl_str body;
+	/*
+	 * Not part of the frame: it was sent after this time, in ms since boot;
+	 * 0: not known. See dl_peers_conf.date_frames.
+	 */
+	int64_t sent_after;
 };
 
 /* Appends a frame, without its length. */
--- a/src/transport/peers.c
+++ b/src/transport/peers.c
@@ -18,6 +18,8 @@
 
 #define LISTEN_BACKLOG	  512
 #define DATAGRAM_BODY_MAX 1200
+/* A time in the reply to a heartbeat, in network byte order. */
+#define TIME_BYTES 8
 
 struct conn {
 	uv_tcp_t tcp; /* must be first: handles are cast to struct conn */
@@ -32,8 +34,11 @@
 	int64_t last_read;	 /* time of the last byte read */
 	int64_t connect_started; /* time of the connect() */
 	int64_t last_ping;
-	int64_t last_frame; /* last frame of the owner, in either direction */
-	size_t queued;	    /* bytes not yet written */
+	int64_t confirmed_at; /* what arrives was sent after this, boot ms */
+	int64_t time_of_peer; /* in its last reply to a heartbeat, its boot ms
+			       */
+	int64_t last_frame;   /* last frame of the owner, in either direction */
+	size_t queued;	      /* bytes not yet written */
 	struct write *pending; /* held until connected, oldest first */
 	struct write **pending_tail;
 	struct dl_frame_reader in;
@@ -232,7 +237,8 @@
 static int conn_send(struct conn *c, uint32_t kind, uint64_t request,
 		     struct dl_str body)
 {
-	struct dl_frame f = { kind, request, c->peers->conf.incarnation, body };
+	struct dl_frame f = { kind, request, c->peers->conf.incarnation, body,
+			      0 };
 	struct write *w = calloc(1, sizeof(*w));
 
 	if (w)
@@ -279,9 +285,78 @@
 
 static void conn_protocol_error(struct conn *c);
 
+/* Milliseconds since boot: goes on while the VM is suspended. */
+static int64_t boot_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+/*
+ * Sends a heartbeat. On the connection that this process opened it returns the
+ * time that the other end put into its last reply; on an accepted one it
+ * carries our own, which the reply repeats.
+ */
+static void conn_ping(struct conn *c)
+{
+	int64_t time = c->outgoing ? c->time_of_peer : boot_ms();
+
+	c->last_ping = peers_now(c->peers);
+	conn_send(c, DL_FRAME_PING,
+		  c->peers->conf.date_frames ? (uint64_t)time : 0, DL_STR(""));
+}
+
+/*
+ * Our own time returned on a connection that frames arrive on. The connection
+ * keeps their order, so later ones were sent after that time.
+ */
+static void note_time_returned(struct conn *c, uint64_t time)
+{
+	int64_t at = (int64_t)time;
+
+	if (c->peers->conf.date_frames && !c->outgoing &&
+	    at > c->confirmed_at && at <= boot_ms())
+		c->confirmed_at = at;
+}
+
+/* Answers a heartbeat, with our time for the next one to return. */
+static void on_ping(struct conn *c, const struct dl_frame *f)
+{
+	unsigned char time[TIME_BYTES];
+	uint64_t now = (uint64_t)boot_ms();
+
+	note_time_returned(c, f->request);
+	if (!c->peers->conf.date_frames || c->outgoing) {
+		conn_send(c, DL_FRAME_PONG, f->request, f->body);
+		return;
+	}
+	for (int i = TIME_BYTES - 1; i >= 0; i--) {
+		time[i] = (unsigned char)now;
+		now >>= 8;
+	}
+	conn_send(c, DL_FRAME_PONG, f->request,
+		  (struct dl_str){ (char *)time, sizeof(time) });
+}
+
+/* Handles the reply to a heartbeat. */
+static void on_pong(struct conn *c, const struct dl_frame *f)
+{
+	int64_t time = 0;
+
+	note_time_returned(c, f->request);
+	if (!c->outgoing || f->body.n != TIME_BYTES)
+		return;
+	for (int i = 0; i < TIME_BYTES; i++)
+		time = time << 8 | (unsigned char)f->body.s[i];
+	c->time_of_peer = time;
+}
+
 static void conn_handle_frame(struct conn *c, const struct dl_frame *f)
 {
 	struct dl_peers *peers = c->peers;
+	struct dl_frame dated;
 
 	if (!c->outgoing && c->vm == DL_VM_NONE && f->kind != DL_FRAME_HELLO) {
 		/*
@@ -298,11 +373,14 @@
 		if (is_blocked(c->peers, c->vm))
 			return;
 		close_older(c);
+		if (peers->conf.date_frames)
+			conn_ping(c);
 		return;
 	case DL_FRAME_PING:
-		conn_send(c, DL_FRAME_PONG, f->request, f->body);
+		on_ping(c, f);
 		return;
 	case DL_FRAME_PONG:
+		on_pong(c, f);
 		return;
 	default:
 		break;
@@ -314,7 +392,9 @@
 	}
 	c->last_frame = peers_now(peers);
 	dl_count(DL_METRIC_peer_frames_in, 1);
-	peers->ops->frame(peers->arg, c->vm, f);
+	dated = *f;
+	dated.sent_after = c->confirmed_at;
+	peers->ops->frame(peers->arg, c->vm, &dated);
 }
 
 static void conn_protocol_error(struct conn *c)
@@ -492,7 +572,7 @@
 int dl_peers_send_datagram(struct dl_peers *peers, uint64_t to, uint32_t kind,
 			   uint64_t request, struct dl_str body)
 {
-	struct dl_frame f = { kind, request, peers->conf.incarnation, body };
+	struct dl_frame f = { kind, request, peers->conf.incarnation, body, 0 };
 	struct sockaddr_in sin = dl_sock_addr(to);
 	msgpack_sbuffer out;
 	uv_buf_t buf;
@@ -544,6 +624,20 @@
 	return now - c->last_read > c->peers->conf.silent_ms;
 }
 
+/*
+ * Whether frames of a peer are dated by heartbeats of our own. Those of others
+ * are dated by the peer's, at no cost, but up to twice as late: a VM that
+ * dispatches has a connection from each of a hundred others.
+ */
+static bool is_dated_soon(const struct conn *c)
+{
+	const struct dl_peers *peers = c->peers;
+
+	return peers->conf.date_frames && c->vm != DL_VM_NONE &&
+	       peers->ops->dated_soon &&
+	       peers->ops->dated_soon(peers->arg, c->vm);
+}
+
 /*
  * Closes silent and unused connections, repeats connection attempts, and sends
  * heartbeats on the connections that this process opened.
@@ -566,8 +660,12 @@
 			next = peers->conns;
 			continue;
 		}
-		if (!c->outgoing)
+		if (!c->outgoing) {
+			if (now - c->last_ping >= peers->conf.heartbeat_ms &&
+			    is_dated_soon(c))
+				conn_ping(c);
 			continue;
+		}
 		if (!c->connected) {
 			if (now - c->connect_started >=
 			    peers->conf.connect_ms) {
@@ -583,8 +681,7 @@
 		}
 		if (now - c->last_ping < peers->conf.heartbeat_ms)
 			continue;
-		c->last_ping = now;
-		conn_send(c, DL_FRAME_PING, 0, DL_STR(""));
+		conn_ping(c);
 	}
 }
 
--- a/src/transport/peers.h
+++ b/src/transport/peers.h
@@ -18,6 +18,8 @@
 	void (*frame)(void *arg, uint64_t from, const struct dl_frame *frame);
 	void (*up)(void *arg, uint64_t vm);
 	void (*down)(void *arg, uint64_t vm);
+	/* Whether the age of frames from a VM is bounded closely; or NULL. */
+	bool (*dated_soon)(void *arg, uint64_t vm);
 };
 
 struct dl_peers_conf {
@@ -28,6 +30,12 @@
 	uint32_t connect_ms;	  /* connect timeout before a new attempt */
 	uint32_t idle_close_ms;	  /* close after this long without use */
 	uint32_t queue_bytes_max; /* per connection; beyond it, sends fail */
+	/*
+	 * Sets dl_frame.sent_after: heartbeats and their replies return the
+	 * time of the other end to it on each connection, whose order bounds
+	 * the age of what follows.
+	 */
+	bool date_frames;
 };
 
 void dl_peers_defaults(struct dl_peers_conf *conf);
