Entries: send to endpoints that leave while no other one is open

The pool decides by what its VM knows; the entry that sends may know more, or may get the grant late.

Refusing the call in that race: the dispatcher decides again, told of the departure first on the same connection.

Change: an announcement and a grant carry the age of the departure, and each receiver adds the time for which the frame can have been under way. A replica dates a departure by the announcements before it, an entry that reads of it in a response by the last response that did not say so. The entry checks when it gets the grant and when the connection stands, until 0.9 of endpoint_drain_ms (entry_leaving.c); it uses a connection of its own for such a request, and none that another VM forwards. Without the setting nothing changes.

Over the native API an endpoint is used only if it told the VM that it announces its departure to that it is ready.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -498,6 +498,7 @@
 void entry_leaving_grant_accepted(struct call *c);
 bool entry_leaving_may_send(const struct call *c,
 			    const struct dl_directory_entry *d);
+bool entry_leaving_is_forwarded(const struct call *c);
 bool entry_leaving_blocks_grant(const struct call *c);
 void entry_leaving_return_grant(struct call *c);
 void entry_leaving_log_service(struct entry_pool *p);
--- a/src/entry/entry_leaving.c
+++ b/src/entry/entry_leaving.c
@@ -54,6 +54,7 @@
 		dl_leaving_since(c->grant.leaving_ms, dl_node_boot_ms());
 	if (!c->grant.leaving_ms)
 		return;
+	c->via = DL_VM_NONE; /* of the last attempt */
 	dl_count(DL_METRIC_grants_leaving, 1);
 	dl_msg(DL_MSG_GRANT_LEAVING,
 	       "request=%s endpoint=%s dispatcher=%lx age_ms=%ld", c->id_text,
@@ -96,6 +97,15 @@
 	return may_send(c, &d->departure);
 }
 
+/*
+ * Whether the connection to an endpoint that is leaving is forwarded by another
+ * VM. What that VM holds while it is suspended would arrive too late.
+ */
+bool entry_leaving_is_forwarded(const struct call *c)
+{
+	return c->grant.leaving_ms && c->via != DL_VM_NONE;
+}
+
 /*
  * Whether the grant cannot be used because an endpoint that announces no
  * instance name is leaving. Applies only where leaving endpoints are granted:
@@ -107,6 +117,8 @@
 
 	if (c->routed || !c->e->node.settings.endpoint_drain_ms)
 		return false;
+	if (entry_leaving_is_forwarded(c))
+		return true;
 	p = entry_pool_find(c->e, dl_name_str(&c->service));
 	for (uint8_t i = 0; i < c->grant.endpoints; i++) {
 		static const struct dl_leaving stays;
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -184,7 +184,8 @@
 	req.connect_ms = c->connect_ms;
 	req.idle_ms = silence_limit_ms(c);
 	req.close_delimited = true;
-	req.reuse = c->idempotent && !c->route.sent;
+	/* On a connection that was cut off the request could arrive late. */
+	req.reuse = c->idempotent && !c->route.sent && !c->grant.leaving_ms;
 	c->attempt = dl_httpc_start(c->e->httpc, &req, &relay_ops, c);
 }
 
@@ -266,6 +267,7 @@
 
 	entry_call_connected(c);
 	c->aborted_unsent = !is_available(c, 0) ||
+			    entry_leaving_is_forwarded(c) ||
 			    entry_backoff_blocks_grant(c) ||
 			    entry_evacuation_blocks_grant(c);
 	return !c->aborted_unsent;
@@ -275,7 +277,7 @@
 static void retry_unsent(struct call *c)
 {
 	c->aborted_unsent = false;
-	if (!is_available(c, 0))
+	if (!is_available(c, 0) || entry_leaving_is_forwarded(c))
 		retry_unavailable(c);
 	else if (entry_backoff_blocks_grant(c))
 		entry_backoff_return_grant(c);
--- a/src/protocol/explain.c
+++ b/src/protocol/explain.c
@@ -29,7 +29,7 @@
 	[DL_REASON_BUSY] = "because the VM's limit on held bytes is reached",
 	[DL_REASON_QUARANTINED] = "because endpoints crash when they run it",
 	[DL_REASON_BACKOFF] = "because every endpoint asked the VM to wait",
-	[DL_REASON_EVACUATED] = "because every endpoint's domain is evacuated",
+	[DL_REASON_EVACUATED] = "because only evacuated domains have endpoints",
 	[DL_REASON_UNREACHABLE] = "because no endpoint could be reached",
 };
 
--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -60,6 +60,7 @@
 	f.answer.valid_until = 40000;
 	f.answer.endpoints = 2;
 	f.answer.away = 1;
+	f.answer.leaving_ms = 77;
 	dl_name_set(&f.answer.endpoint[0], DL_STR("127.0.0.1:9000"));
 	dl_name_set(&f.answer.endpoint[1], DL_STR("127.0.0.2:9000"));
 	f.answer.share_tokens[0] = 400000;
@@ -108,6 +109,7 @@
 	ck_assert_uint_eq(back.answer.grant, f.answer.grant);
 	ck_assert_uint_eq(back.answer.share_tokens[0], 400000);
 	ck_assert_uint_eq(back.answer.away, 1);
+	ck_assert_uint_eq(back.answer.leaving_ms, 77);
 	ck_assert_uint_eq(back.spill_count, 1);
 	dl_packer_close(&p);
 	dl_adopt_pack(&p, DL_STR("s"), &f.answer, &ask, 30000);
@@ -174,6 +176,7 @@
 	a.report.slots = 4;
 	a.report.leaving = true;
 	a.report.cold_ms = 3000;
+	a.report.leaving_ms = 1234;
 	a.born = 1764728000123;
 	a.models_count = 1;
 	a.events_count = 1;
@@ -189,6 +192,7 @@
 	ck_assert(dl_name_eq(&a2.report.failure_domain, DL_STR("alatau-hall")));
 	ck_assert_uint_eq(a2.born, 1764728000123);
 	ck_assert_uint_eq(a2.report.cold_ms, 3000);
+	ck_assert_uint_eq(a2.report.leaving_ms, 1234);
 	ck_assert(dl_name_eq(&a2.models[0], DL_STR("match-7b")));
 	ck_assert_uint_eq(a2.events[0].prefix, UINT64_MAX);
 	dl_packer_close(&p);
--- a/test/test_explain.c
+++ b/test/test_explain.c
@@ -105,6 +105,33 @@
 }
 END_TEST
 
+/*
+ * A request that went to an endpoint that leaves, or was kept from it, says so:
+ * its caller's complaint is otherwise taken for a fault of the dispatcher.
+ */
+START_TEST(grant_of_a_leaving_endpoint_is_described)
+{
+	struct dl_logline l = read_line(
+		STAMP "INFO  pool: A grant names an endpoint that leaves, no "
+		      "other one is open. request=1 endpoint=10.0.0.1:9 "
+		      "dispatcher=a age_ms=845");
+	char out[EXPLAIN_TEXT_MAX];
+
+	explain_line(&l, out);
+	ck_assert_str_eq(
+		out, "10.0.0.1:9 was granted although it has been leaving "
+		     "for 845 ms: no other endpoint of the service is open");
+	l = read_line(STAMP "INFO  pool: A grant is given back, its endpoint "
+			    "has left. request=1 endpoint=10.0.0.1:9 "
+			    "dispatcher=a");
+	explain_line(&l, out);
+	ck_assert_str_eq(out,
+			 "10.0.0.1:9 was granted, but the time for which it "
+			 "serves on after its departure is over: another grant "
+			 "is requested");
+}
+END_TEST
+
 START_TEST(largest_part_of_late_requests)
 {
 	static const struct {
@@ -263,6 +290,7 @@
 	tcase_add_test(t, damaged_lines_do_not_crash);
 	tcase_add_test(t, each_refusal_has_a_reason);
 	tcase_add_test(t, largest_part_of_late_requests);
+	tcase_add_test(t, grant_of_a_leaving_endpoint_is_described);
 	tcase_add_test(t, call_is_late_by_its_total_time);
 	tcase_add_test(t, all_lines_of_one_request_in_order);
 	tcase_add_test(t, end_that_shows_a_broken_stream_is_named);
