Entries: send nothing right after a suspension

Cause: a VM that was suspended may have news of a departure in its sockets that it has not read, while it goes on with requests and connections that it had: what it takes for an endpoint that stays may have left longer ago than was promised.

Ruled out: a threshold of a tenth of the promised time; a busy VM with 0.084 cores is late by some hundred ms at times, and would hold up requests for nothing.

Change: where the loop did not run for half of endpoint_drain_ms, routed requests that are not sent yet ask again 50 ms later, until two ticks have passed.

Conclusion: only with the setting; test_system_last_endpoint.sh passes.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -174,6 +174,7 @@
 {
 	struct entry *e = arg;
 
+	entry_leaving_tick(e);
 	entry_call_tick(e, now);
 	entry_grant_tick(e, now);
 	entry_reservation_tick(e, now);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -340,6 +340,8 @@
 	uint64_t version;
 	int64_t conf_pulled_at;
 	int64_t replica_heard_at;
+	int64_t ticked_at;  /* ms since boot, see entry_leaving.c */
+	int64_t resumed_at; /* the same, after a suspension; 0: none */
 
 	struct dl_lease lease;
 	bool lease_logged_valid;
@@ -501,6 +503,8 @@
 bool entry_leaving_is_forwarded(const struct call *c);
 bool entry_leaving_blocks_grant(const struct call *c);
 void entry_leaving_return_grant(struct call *c);
+void entry_leaving_tick(struct entry *e);
+bool entry_leaving_may_be_late(const struct entry *e);
 void entry_leaving_log_service(struct entry_pool *p);
 uint32_t
 entry_leaving_services_without(const struct entry *e,
@@ -528,6 +532,7 @@
 			const struct dl_answer_frame *f);
 void entry_grant_release(struct call *c);
 void entry_grant_replace(struct call *c);
+void entry_grant_replace_later(struct call *c);
 void entry_grant_first_event(struct call *c);
 void entry_grant_cancel(struct call *c);
 void entry_grant_down(struct entry *e, uint64_t vm);
--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -261,6 +261,17 @@
 	entry_grant_ask(c);
 }
 
+/* The same, a moment later. */
+void entry_grant_replace_later(struct call *c)
+{
+	entry_reservation_release(c);
+	entry_grant_release(c);
+	c->first_byte_at = 0;
+	note_wait(c);
+	c->state = CALL_ASKING;
+	c->ask_again_at = entry_now(c->e) + ASK_AGAIN_MS;
+}
+
 static void accept_grant(struct call *c, const struct dl_answer *answer)
 {
 	int64_t now = entry_now(c->e);
--- a/src/entry/entry_leaving.c
+++ b/src/entry/entry_leaving.c
@@ -6,8 +6,12 @@
  * the age of the departure. This VM may have heard of the departure earlier, or
  * the grant may have been under way for seconds: the VM was suspended, or its
  * connection was cut off. It therefore decides again when it gets the grant and
- * when the connection stands, by the earliest time of the departure that it
- * knows of. Nothing is sent where that time is not known.
+ * when the connection stands, by the earliest time at which the departure can
+ * have been acknowledged. Nothing is sent where that time is not known.
+ *
+ * A VM that was suspended may have news of departures in its sockets that it
+ * has not read, while it goes on with the requests that it had. For a moment it
+ * sends nothing at all.
  */
 #include <string.h>
 
@@ -17,6 +21,15 @@
 
 /* Endpoints of a service may be announced again within this time. */
 #define RETRY_MS 1000
+/*
+ * A loop that did not run for this share of the promised time was suspended.
+ * After less, what this VM has not read is recent enough. A busy VM is late by
+ * some hundred ms at times, and must not hold up its requests for that.
+ */
+#define SUSPENDED_PERMILLE 500
+#define PERMILLE	   1000
+/* Two ticks: what was in the sockets has been read by then. */
+#define CATCH_UP_MS (2 * DL_NODE_TICK_MS)
 
 static const char *const state_names[] = {
 	[DL_SERVICE_OPEN] = "none",
@@ -148,6 +161,41 @@
 	entry_grant_replace(c);
 }
 
+static bool is_suspended(const struct entry *e, int64_t now)
+{
+	return e->ticked_at &&
+	       now - e->ticked_at >
+		       (int64_t)e->node.settings.endpoint_drain_ms *
+			       SUSPENDED_PERMILLE / PERMILLE;
+}
+
+/* Notes that the loop runs, and whether it did not for a while. */
+void entry_leaving_tick(struct entry *e)
+{
+	int64_t now = dl_node_boot_ms();
+
+	if (!e->node.settings.endpoint_drain_ms)
+		return;
+	if (is_suspended(e, now))
+		e->resumed_at = now;
+	e->ticked_at = now;
+}
+
+/*
+ * Whether this VM may not have read yet that an endpoint is leaving: it was
+ * suspended until just now.
+ */
+bool entry_leaving_may_be_late(const struct entry *e)
+{
+	int64_t now;
+
+	if (!e->node.settings.endpoint_drain_ms)
+		return false;
+	now = dl_node_boot_ms();
+	return is_suspended(e, now) ||
+	       (e->resumed_at && now - e->resumed_at < CATCH_UP_MS);
+}
+
 /* Logs when a service loses its last open endpoint, or has one again. */
 void entry_leaving_log_service(struct entry_pool *p)
 {
