--- a/src/entry/entry_leaving.c
+++ b/src/entry/entry_leaving.c
@@ -28,8 +28,8 @@
  */
 #define SUSPENDED_PERMILLE 500
 #define PERMILLE	   1000
-/* Two ticks: what was in the sockets has been read by then. */
-#define CATCH_UP_MS (2 * DL_NODE_TICK_MS)
+/* Two ticks of 20 ms: what was in the sockets has been read by then. */
+#define CATCH_UP_MS 40
 
 static const char *const state_names[] = {
 	[DL_SERVICE_OPEN] = "none",
