Configuration deltas: apply in steps

Cause: a delta with 1,300 new routes is parsed at once, 12 ms of this machine and over 100 ms of a VM with a tenth of a core. Change: dl_conf_delta_begin(), _step() and _end(); dl_conf_delta_apply() uses them. A step parses at most the given number of routes, or copies, shares or compares at most 256. The lines of routes are dropped route by route, as the growth of one table of all lines is a step that grows with the routes. Ruled out: dropping the lines of the head as well; a later check needs them (literal_section_is_checked_like_a_whole_text failed). Every application in test_conf_delta is repeated in steps of 1, 7 and 1,000 routes and compared.

--- a/bench/bench_conf.c
+++ b/bench/bench_conf.c
@@ -24,6 +24,8 @@
 #define ROUTE_SERVICES	 12
 #define ROUTE_WORKSPACES 40
 #define ROUTE_TRIES	 30
+#define ALL_ROUTES	 UINT32_MAX /* each route is changed */
+#define STEP_ROUTES	 8
 #define CLAIM_S		 (1u << 20)
 #define US_PER_MS	 1000.0
 #define NS_PER_US	 1000.0
@@ -90,7 +92,8 @@
 			"\"attempts\":3,\"resumable\":true,\"targets\":"
 			"[{\"service\":\"service-%u\",\"weight\":1}]}",
 			i ? "," : "", i, i % 50, i,
-			i == changed ? 20000 : 30000, i % ROUTE_SERVICES);
+			i == changed || changed == ALL_ROUTES ? 20000 : 30000,
+			i % ROUTE_SERVICES);
 	g_string_append(s, "]}");
 	return s;
 }
@@ -217,6 +220,56 @@
 	return best;
 }
 
+/*
+ * All routes are new: the time of the whole application, of its longest step,
+ * and of freeing the version before, in us. The longest step is the smallest of
+ * several runs, since other processes share the machine.
+ */
+static void bench_steps(const struct dl_conf_sections *base,
+			const struct dl_conf *base_conf)
+{
+	GString *text = make_routes_text(1, ALL_ROUTES);
+	int64_t best = INT64_MAX, longest_best = INT64_MAX;
+	int64_t free_best = INT64_MAX;
+	struct dl_conf_sections *next;
+	struct dl_str delta;
+
+	time_split(text, &next);
+	time_make(base, next, &delta);
+	dl_conf_sections_free(next);
+	for (int i = 0; i < ROUTE_TRIES; i++) {
+		int64_t begin = g_get_monotonic_time(), last = begin, now;
+		struct dl_conf_delta_work *work;
+		int64_t longest = 0;
+		struct dl_conf *conf;
+		int rc;
+
+		if (dl_conf_delta_begin(delta, 1, base, base_conf, &faults,
+					&work))
+			exit(EXIT_FAILURE);
+		do {
+			rc = dl_conf_delta_step(work, STEP_ROUTES);
+			now = g_get_monotonic_time();
+			longest = MAX(longest, now - last);
+			last = now;
+		} while (rc == -EAGAIN);
+		if (dl_conf_delta_end(work, &next, &conf))
+			exit(EXIT_FAILURE);
+		best = MIN(best, now - begin);
+		longest_best = MIN(longest_best, longest);
+		begin = g_get_monotonic_time();
+		dl_conf_sections_free(next);
+		dl_conf_free(conf);
+		free_best = MIN(free_best, g_get_monotonic_time() - begin);
+	}
+	printf("conf_delta_apply_all_us\t%" PRId64 "\tus\n", best);
+	printf("conf_delta_step_us\t%" PRId64 "\tus\n", longest_best);
+	printf("conf_free_us\t%" PRId64 "\tus\n", free_best);
+	printf("conf_delta_all_bytes\t%zu\tbytes\n", delta.n);
+	free((char *)delta.s);
+	g_string_free(text, TRUE);
+}
+
 /* A new version with another timeout of a route, and possibly another number.
  */
 static void bench_delta(const char *suffix, uint64_t number,
@@ -260,6 +313,7 @@
 		exit(EXIT_FAILURE);
 	bench_delta("", 1, base, conf);
 	bench_delta("_numbered", 2, base, conf);
+	bench_steps(base, conf);
 	dl_conf_free(conf);
 	dl_conf_sections_free(base);
 	g_string_free(text, TRUE);
--- a/include/daisyledge/conf_delta.h
+++ b/include/daisyledge/conf_delta.h
@@ -92,4 +92,35 @@
 			struct dl_conf_sections **sections,
 			struct dl_conf **conf, struct dl_faults *faults);
 
+/*
+ * The same in steps, for an event loop that must not stand still while many
+ * routes are parsed.
+ */
+struct dl_conf_delta_work;
+
+/*
+ * Begins. The bytes of the delta, base, base_conf and faults must stay valid
+ * until dl_conf_delta_end(). Returns 0 and *out, or -ENOMEM.
+ */
+int dl_conf_delta_begin(struct dl_str delta, uint64_t base_version,
+			const struct dl_conf_sections *base,
+			const struct dl_conf *base_conf,
+			struct dl_faults *faults,
+			struct dl_conf_delta_work **out);
+/*
+ * Carries out a step, which parses at most this many routes (at least one).
+ * Returns -EAGAIN until the work is done, then what dl_conf_delta_apply()
+ * returns.
+ */
+int dl_conf_delta_step(struct dl_conf_delta_work *work, uint32_t routes_max);
+/* How many routes were parsed so far. */
+uint32_t dl_conf_delta_parsed(const struct dl_conf_delta_work *work);
+/*
+ * Frees the work. Returns what the last step did, with the outputs if that was
+ * 0; -ECANCELED, without outputs, if the work is not done.
+ */
+int dl_conf_delta_end(struct dl_conf_delta_work *work,
+		      struct dl_conf_sections **sections,
+		      struct dl_conf **conf);
+
 #endif
--- a/src/state/conf_delta_apply.c
+++ b/src/state/conf_delta_apply.c
@@ -3,11 +3,13 @@
  * digest, and parses the sections that changed.
  *
  * Load: a configuration of 1,300 routes of which one changes, several times
- * within seconds. Harm: parsing all of it takes 200 ms of a VM with 0.1 cores,
- * and its streams stall meanwhile. So routes are parsed only if their text
- * changed, or the services, which they refer to by index.
+ * within seconds, or all change at once. Harm: parsing all of it takes 200 ms
+ * of a VM with 0.1 cores, and its streams stall meanwhile. So routes are parsed
+ * only if their text changed, or the services, which they refer to by index;
+ * and all work that grows with the number of routes is done in steps.
  */
 #include <errno.h>
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -17,32 +19,72 @@
 #define NO_ROUTE    UINT32_MAX
 #define ROUTE_DEPTH 2 /* a route is an element of a member of the text */
 #define HEAD_MIN    2 /* the length of "{}" */
+/*
+ * Routes that a step copies, shares or compares at most, and operations that it
+ * carries out. Each takes some tenths of a microsecond, a hundredth of what it
+ * takes to parse a route, so their number is not adapted to the VM.
+ */
+#define PASS_ROUTES 256
+
+/* The parts of an application, in order. */
+enum phase {
+	PHASE_OPEN,
+	PHASE_COUNT,
+	PHASE_HEAD,
+	PHASE_SECTIONS,
+	PHASE_DIGEST,
+	PHASE_TOP_LEVEL,
+	PHASE_ROUTES,
+	PHASE_MATCHES,
+	PHASE_CHECK,
+	PHASE_DONE,
+};
 
 /* State of the application of one delta. */
-struct apply {
+struct dl_conf_delta_work {
 	struct conf_reader r;
-	struct conf_delta delta;
+	struct dl_str bytes;
+	uint64_t base_version;
 	const struct dl_conf_sections *base;
 	const struct dl_conf *base_conf;
+	struct conf_delta delta;
 	struct dl_conf_sections *next;
+	struct dl_conf *conf;
 	uint32_t *origin; /* of each route: index in the base, or NO_ROUTE */
+	struct conf_matches matches;
+	enum phase phase;
+	uint32_t at;	 /* next operation or route of the phase */
+	uint32_t copied; /* routes of the operation that are copied already */
+	size_t routes;	 /* that the operations produce */
+	uint32_t parsed; /* routes that were parsed */
+	bool shares;	 /* routes that did not change are not parsed */
+	int rc;		 /* -EAGAIN until the end */
 };
 
-static int apply_delta(struct apply *a, uint64_t base_version,
-		       struct dl_conf **conf);
-static size_t count_routes(const struct apply *a);
-static int build_sections(struct apply *a);
-static int build_head(struct apply *a);
-static bool build_route(struct apply *a, struct conf_section *section,
-			uint32_t origin);
-static int build_routes(struct apply *a);
+/* A step of a phase: 0 at its end, -EAGAIN before, or an error. */
+typedef int step_fn(struct dl_conf_delta_work *a, uint32_t routes_max);
+
+static step_fn step_open, step_count, step_head, step_sections, step_digest,
+	step_top_level, step_routes, step_matches, step_check;
+static bool build_route(struct dl_conf_delta_work *a,
+			struct conf_section *section, uint32_t origin);
+static int run_op(struct dl_conf_delta_work *a, uint32_t max, uint32_t *done);
 static struct conf_path routes_path(void);
-static json_t *load_section(struct apply *a, const struct conf_path *path,
-			    int depth, const struct conf_section *section);
-static int parse_sections(struct apply *a, struct dl_conf *conf);
-static void read_routes(struct apply *a, struct dl_conf *conf);
+static json_t *load_section(struct dl_conf_delta_work *a,
+			    const struct conf_path *path, int depth,
+			    const struct conf_section *section);
+static int parse_route(struct dl_conf_delta_work *a);
+static void set_result(struct dl_conf_delta_work *a, int rc);
 static bool same_services(const struct dl_conf *a, const struct dl_conf *b);
 
+static step_fn *const steps[PHASE_DONE] = {
+	[PHASE_OPEN] = step_open,     [PHASE_COUNT] = step_count,
+	[PHASE_HEAD] = step_head,     [PHASE_SECTIONS] = step_sections,
+	[PHASE_DIGEST] = step_digest, [PHASE_TOP_LEVEL] = step_top_level,
+	[PHASE_ROUTES] = step_routes, [PHASE_MATCHES] = step_matches,
+	[PHASE_CHECK] = step_check,
+};
+
 static struct conf_path routes_path(void)
 {
 	struct conf_path root = conf_path_root();
@@ -50,21 +92,44 @@
 	return conf_path_key(&root, DL_STR("routes"));
 }
 
-/* Return the number of routes that the operations produce. */
-static size_t count_routes(const struct apply *a)
+/* Decode the delta and compare its base. */
+static int step_open(struct dl_conf_delta_work *a, uint32_t routes_max)
 {
+	const struct dl_conf_delta_head *head = &a->delta.head;
+	int rc = conf_delta_open(&a->delta, a->bytes);
+
+	if (rc)
+		return rc;
+	if (!a->base || !a->base_conf ||
+	    a->base_version != head->base_version ||
+	    a->base->digest != head->base_digest)
+		return -ESTALE;
+	return 0;
+}
+
+/* Count the routes that the operations produce, and make room for them. */
+static int step_count(struct dl_conf_delta_work *a, uint32_t routes_max)
+{
+	struct conf_path path = routes_path();
 	struct conf_delta_op op;
-	size_t n = 0;
 
-	for (uint32_t i = 0; i < a->delta.ops.size; i++) {
-		if (conf_delta_op(&a->delta, i, &op))
-			n += op.count ? op.count : 1;
+	for (uint32_t i = 0; i < PASS_ROUTES && a->at < a->delta.ops.size;
+	     i++, a->at++) {
+		if (conf_delta_op(&a->delta, a->at, &op))
+			a->routes += op.count ? op.count : 1;
 	}
-	return n;
+	if (a->at < a->delta.ops.size)
+		return -EAGAIN;
+	a->origin = conf_alloc_list(&a->r, &path, a->routes, CONF_ROUTES_MAX,
+				    sizeof(*a->origin));
+	if (!a->origin)
+		return a->r.out_of_memory ? -ENOMEM : -EINVAL;
+	a->next = conf_sections_new(a->routes);
+	return a->next ? 0 : -ENOMEM;
 }
 
 /* Build the head of the new version; -EBADMSG if it would be no object. */
-static int build_head(struct apply *a)
+static int step_head(struct dl_conf_delta_work *a, uint32_t routes_max)
 {
 	const struct conf_delta *d = &a->delta;
 	struct dl_str base = conf_section_str(a->base->head);
@@ -95,8 +160,8 @@
 }
 
 /* Append a route, whose reference is taken over. */
-static bool build_route(struct apply *a, struct conf_section *section,
-			uint32_t origin)
+static bool build_route(struct dl_conf_delta_work *a,
+			struct conf_section *section, uint32_t origin)
 {
 	if (!section)
 		return false;
@@ -105,46 +170,64 @@
 	return true;
 }
 
-/* Carry out the operations. */
-static int build_routes(struct apply *a)
+/*
+ * Carry out the next operation, or a part of it. *done is increased by the
+ * number of routes that were built.
+ */
+static int run_op(struct dl_conf_delta_work *a, uint32_t max, uint32_t *done)
 {
 	const struct dl_conf_sections *base = a->base;
 	struct conf_delta_op op;
+	uint32_t n;
 
-	for (uint32_t i = 0; i < a->delta.ops.size; i++) {
-		if (!conf_delta_op(&a->delta, i, &op))
-			return -EBADMSG;
-		if (op.count == 0 &&
-		    !build_route(a, conf_section_new(op.text), NO_ROUTE))
+	if (!conf_delta_op(&a->delta, a->at, &op))
+		return -EBADMSG;
+	if (op.count == 0) {
+		if (!build_route(a, conf_section_new(op.text), NO_ROUTE))
 			return -ENOMEM;
-		if (op.count > base->routes_count ||
-		    op.first > base->routes_count - op.count)
-			return -EBADMSG;
-		for (uint32_t j = op.first; j < op.first + op.count; j++)
-			build_route(a, conf_section_ref(base->routes[j]), j);
+		++*done;
+		a->at++;
+		return 0;
+	}
+	if (op.count > base->routes_count ||
+	    op.first > base->routes_count - op.count)
+		return -EBADMSG;
+	n = MIN(op.count - a->copied, max);
+	for (uint32_t i = 0; i < n; i++) {
+		uint32_t from = op.first + a->copied++;
+
+		build_route(a, conf_section_ref(base->routes[from]), from);
+	}
+	*done += n;
+	if (a->copied == op.count) {
+		a->copied = 0;
+		a->at++;
 	}
 	return 0;
 }
 
-/* Build the sections of the new version and verify their digest. */
-static int build_sections(struct apply *a)
+/* Build the sections of the routes. */
+static int step_sections(struct dl_conf_delta_work *a, uint32_t routes_max)
 {
-	struct conf_path path = routes_path();
-	size_t n = count_routes(a);
-	int rc;
+	uint32_t done = 0;
+
+	while (a->at < a->delta.ops.size) {
+		int rc;
+
+		if (done == PASS_ROUTES)
+			return -EAGAIN;
+		rc = run_op(a, PASS_ROUTES - done, &done);
+		if (rc)
+			return rc;
+	}
+	return 0;
+}
+
+/* Verify the digest of the new version, before anything is parsed. */
+static int step_digest(struct dl_conf_delta_work *a, uint32_t routes_max)
+{
+	int rc = conf_sections_finish(a->next);
 
-	a->origin = conf_alloc_list(&a->r, &path, n, CONF_ROUTES_MAX,
-				    sizeof(*a->origin));
-	if (!a->origin)
-		return a->r.out_of_memory ? -ENOMEM : -EINVAL;
-	a->next = conf_sections_new(n);
-	if (!a->next)
-		return -ENOMEM;
-	rc = build_head(a);
-	if (rc == 0)
-		rc = build_routes(a);
-	if (rc == 0)
-		rc = conf_sections_finish(a->next);
 	if (rc)
 		return rc;
 	return a->next->digest == a->delta.head.digest ? 0 : -EBADMSG;
@@ -154,8 +237,9 @@
  * Return the value of a section, or NULL with a fault at its path. A key that
  * is in an object twice is a fault too, as in a whole text.
  */
-static json_t *load_section(struct apply *a, const struct conf_path *path,
-			    int depth, const struct conf_section *section)
+static json_t *load_section(struct dl_conf_delta_work *a,
+			    const struct conf_path *path, int depth,
+			    const struct conf_section *section)
 {
 	struct dl_str text = conf_section_str(section);
 	json_error_t error;
@@ -188,48 +272,15 @@
 	return true;
 }
 
-/* Share the routes that did not change, and parse the others. */
-static void read_routes(struct apply *a, struct dl_conf *conf)
-{
-	bool shares = same_services(conf, a->base_conf) &&
-		      a->base_conf->routes_count == a->base->routes_count;
-	struct conf_path path = routes_path();
-
-	conf->routes = conf_alloc_list(&a->r, &path, a->next->routes_count,
-				       CONF_ROUTES_MAX,
-				       sizeof(struct dl_route_conf *));
-	if (!conf->routes)
-		return;
-	for (uint32_t i = 0; i < a->next->routes_count; i++) {
-		struct dl_route_conf *route;
-		struct conf_path child;
-		json_t *json;
-
-		if (shares && a->origin[i] != NO_ROUTE) {
-			route = a->base_conf->routes[a->origin[i]];
-			conf->routes[conf->routes_count++] =
-				conf_route_ref(route);
-			continue;
-		}
-		child = conf_path_index(&path, i);
-		json = load_section(a, &child, ROUTE_DEPTH, a->next->routes[i]);
-		if (!json)
-			continue;
-		route = conf_read_route(&a->r, &child, json, conf);
-		json_decref(json);
-		if (!route)
-			return;
-		conf->routes[conf->routes_count++] = route;
-	}
-	conf_check_route_matches(&a->r, &path, conf);
-}
-
-/* Parse what changed, and check the configuration as a whole. */
-static int parse_sections(struct apply *a, struct dl_conf *conf)
+/* Parse the head, and prepare to read the routes. */
+static int step_top_level(struct dl_conf_delta_work *a, uint32_t routes_max)
 {
 	struct conf_path root = conf_path_root(), routes = routes_path();
 	json_t *json;
 
+	a->conf = calloc(1, sizeof(*a->conf));
+	if (!a->conf)
+		return -ENOMEM;
 	if (!conf_check_text_size(&a->r, a->next->text_n))
 		return -EINVAL;
 	json = load_section(a, &root, 0, a->next->head);
@@ -238,37 +289,174 @@
 	if (json_object_get(json, "routes"))
 		conf_fault(&a->r, &routes, "the head must not have routes");
 	else
-		conf_read_top_level(&a->r, json, conf);
+		conf_read_top_level(&a->r, json, a->conf);
 	json_decref(json);
-	if (a->next->routes_count && !conf->routes)
-		read_routes(a, conf);
-	conf_check(&a->r, conf);
-	return conf_sections_text_digest(a->next, &conf->digest);
+	if (!a->next->routes_count || a->conf->routes)
+		return 0;
+	a->shares = same_services(a->conf, a->base_conf) &&
+		    a->base_conf->routes_count == a->base->routes_count;
+	a->conf->routes = conf_alloc_list(&a->r, &routes, a->next->routes_count,
+					  CONF_ROUTES_MAX,
+					  sizeof(struct dl_route_conf *));
+	return 0;
 }
 
-/* Apply a delta; a->next and *conf are the result. */
-static int apply_delta(struct apply *a, uint64_t base_version,
-		       struct dl_conf **conf)
+/*
+ * Parse the next route; one with faults is left out. Its lines are dropped,
+ * unlike those of the head, which later checks use: they are not reported, and
+ * growing a table of the lines of all routes is one step that takes ever
+ * longer.
+ */
+static int parse_route(struct dl_conf_delta_work *a)
+{
+	struct conf_path path = routes_path();
+	struct conf_path child = conf_path_index(&path, a->at);
+	struct conf_lines head_lines = a->r.lines;
+	struct dl_route_conf *route = NULL;
+	struct dl_conf *conf = a->conf;
+	json_t *json;
+
+	a->parsed++;
+	a->r.lines = (struct conf_lines){ 0 };
+	json = load_section(a, &child, ROUTE_DEPTH, a->next->routes[a->at]);
+	if (json)
+		route = conf_read_route(&a->r, &child, json, conf);
+	json_decref(json);
+	conf_lines_free(&a->r.lines);
+	a->r.lines = head_lines;
+	if (route)
+		conf->routes[conf->routes_count++] = route;
+	return a->r.out_of_memory ? -ENOMEM : 0;
+}
+
+/* Share the routes that did not change, and parse the others. */
+static int step_routes(struct dl_conf_delta_work *a, uint32_t routes_max)
+{
+	struct dl_conf *conf = a->conf;
+	uint32_t shared = 0, parsed = 0;
+
+	if (!conf->routes)
+		return 0;
+	for (; a->at < a->next->routes_count; a->at++) {
+		uint32_t origin = a->origin[a->at];
+		int rc;
+
+		if (shared == PASS_ROUTES || parsed == routes_max)
+			return -EAGAIN;
+		if (a->shares && origin != NO_ROUTE) {
+			conf->routes[conf->routes_count++] =
+				conf_route_ref(a->base_conf->routes[origin]);
+			shared++;
+			continue;
+		}
+		rc = parse_route(a);
+		if (rc)
+			return rc;
+		parsed++;
+	}
+	return 0;
+}
+
+/* Check that no two routes have the same host and prefix. */
+static int step_matches(struct dl_conf_delta_work *a, uint32_t routes_max)
+{
+	struct conf_path path = routes_path();
+
+	if (conf_check_some_matches(&a->matches, &a->r, &path, a->conf,
+				    PASS_ROUTES))
+		return 0;
+	return -EAGAIN;
+}
+
+/* Check the configuration as a whole. */
+static int step_check(struct dl_conf_delta_work *a, uint32_t routes_max)
+{
+	conf_check(&a->r, a->conf);
+	return conf_sections_text_digest(a->next, &a->conf->digest);
+}
+
+/* Record the result, and order and complete the faults. */
+static void set_result(struct dl_conf_delta_work *a, int rc)
 {
-	const struct dl_conf_delta_head *head = &a->delta.head;
 	struct dl_faults *faults = a->r.faults;
-	struct dl_conf *next;
-	int rc;
+	struct dl_conf *conf = a->conf;
 
-	if (!a->base || !a->base_conf || base_version != head->base_version ||
-	    a->base->digest != head->base_digest)
-		return -ESTALE;
-	rc = build_sections(a);
-	if (rc)
-		return rc;
-	next = calloc(1, sizeof(*next));
-	if (!next)
-		return -ENOMEM;
-	rc = parse_sections(a, next);
 	/* The text has one line. Paths that were not parsed again have none. */
 	for (uint32_t i = 0; i < faults->count && i < DL_FAULTS_MAX; i++)
 		faults->items[i].line = 1;
-	return conf_finish(&a->r, rc, next, conf);
+	/* conf_finish() frees the configuration unless it is valid. */
+	a->conf = NULL;
+	a->rc = conf_finish(&a->r, rc, conf, &a->conf);
+	a->phase = PHASE_DONE;
+}
+
+/* Begin to apply a delta. */
+int dl_conf_delta_begin(struct dl_str delta, uint64_t base_version,
+			const struct dl_conf_sections *base,
+			const struct dl_conf *base_conf,
+			struct dl_faults *faults,
+			struct dl_conf_delta_work **out)
+{
+	struct dl_conf_delta_work *a = calloc(1, sizeof(*a));
+
+	faults->count = 0;
+	if (!a)
+		return -ENOMEM;
+	a->r.faults = faults;
+	a->bytes = delta;
+	a->base_version = base_version;
+	a->base = base;
+	a->base_conf = base_conf;
+	a->rc = -EAGAIN;
+	*out = a;
+	return 0;
+}
+
+/* Carry out the next step. */
+int dl_conf_delta_step(struct dl_conf_delta_work *a, uint32_t routes_max)
+{
+	int rc;
+
+	if (a->phase == PHASE_DONE)
+		return a->rc;
+	rc = steps[a->phase](a, MAX(routes_max, 1));
+	if (rc == -EAGAIN)
+		return rc;
+	if (rc == 0) {
+		a->at = 0;
+		a->phase++;
+		if (a->phase < PHASE_DONE)
+			return -EAGAIN;
+	}
+	set_result(a, rc);
+	return a->rc;
+}
+
+/* Return how many routes were parsed so far. */
+uint32_t dl_conf_delta_parsed(const struct dl_conf_delta_work *a)
+{
+	return a->parsed;
+}
+
+/* Hand over the result, or drop an application that is not complete. */
+int dl_conf_delta_end(struct dl_conf_delta_work *a,
+		      struct dl_conf_sections **sections, struct dl_conf **conf)
+{
+	int rc = a->phase == PHASE_DONE ? a->rc : -ECANCELED;
+
+	if (rc == 0) {
+		*sections = a->next;
+		*conf = a->conf;
+	} else {
+		dl_conf_sections_free(a->next);
+		dl_conf_free(a->conf);
+	}
+	conf_lines_free(&a->r.lines);
+	conf_matches_free(&a->matches);
+	free(a->origin);
+	conf_delta_close(&a->delta);
+	free(a);
+	return rc;
 }
 
 /* Apply a delta to the sections and the configuration that it leads from. */
@@ -278,20 +466,14 @@
 			struct dl_conf_sections **sections,
 			struct dl_conf **conf, struct dl_faults *faults)
 {
-	struct apply a = { .r = { .faults = faults },
-			   .base = base,
-			   .base_conf = base_conf };
-	int rc;
+	struct dl_conf_delta_work *work;
+	int rc = dl_conf_delta_begin(delta, base_version, base, base_conf,
+				     faults, &work);
 
-	faults->count = 0;
-	rc = conf_delta_open(&a.delta, delta);
-	if (rc == 0)
-		rc = apply_delta(&a, base_version, conf);
-	if (rc == 0)
-		*sections = a.next;
-	else
-		dl_conf_sections_free(a.next);
-	free(a.origin);
-	conf_delta_close(&a.delta);
-	return rc;
+	if (rc)
+		return rc;
+	do {
+		rc = dl_conf_delta_step(work, UINT32_MAX);
+	} while (rc == -EAGAIN);
+	return dl_conf_delta_end(work, sections, conf);
 }
--- a/src/state/conf_int.h
+++ b/src/state/conf_int.h
@@ -5,6 +5,7 @@
 #ifndef DL_STATE_CONF_INT_H
 #define DL_STATE_CONF_INT_H
 
+#include <glib.h>
 #include <jansson.h>
 
 #include "daisyledge/conf.h"
@@ -118,9 +119,17 @@
 struct dl_route_conf *conf_read_route(struct conf_reader *r,
 				      const struct conf_path *path,
 				      json_t *json, const struct dl_conf *conf);
-void conf_check_route_matches(struct conf_reader *r,
-			      const struct conf_path *path,
-			      const struct dl_conf *conf);
+
+/* The routes whose host and prefix were compared so far. */
+struct conf_matches {
+	GHashTable *seen;
+	uint32_t next;
+};
+
+bool conf_check_some_matches(struct conf_matches *m, struct conf_reader *r,
+			     const struct conf_path *path,
+			     const struct dl_conf *conf, uint32_t max);
+void conf_matches_free(struct conf_matches *m);
 struct dl_route_conf *conf_route_ref(struct dl_route_conf *route);
 void conf_read_keys(struct conf_reader *r, const struct conf_path *path,
 		    json_t *json, struct dl_conf_workspace *out);
--- a/src/state/conf_route.c
+++ b/src/state/conf_route.c
@@ -189,32 +189,41 @@
 }
 
 /*
- * Check that no two routes have the same host and prefix. Routes keep the hash
- * of both, so that the check of a large list that changed little is cheap.
+ * Check that no two routes have the same host and prefix: at most max further
+ * routes, true if none is left. Routes keep the hash of both, so that the check
+ * of a large list that changed little is cheap.
  */
-void conf_check_route_matches(struct conf_reader *r,
-			      const struct conf_path *path,
-			      const struct dl_conf *conf)
+bool conf_check_some_matches(struct conf_matches *m, struct conf_reader *r,
+			     const struct conf_path *path,
+			     const struct dl_conf *conf, uint32_t max)
 {
-	GHashTable *seen = g_hash_table_new(hash_route, routes_match_same);
-
-	for (uint32_t i = 0; i < conf->routes_count; i++) {
-		struct dl_route_conf *route = conf->routes[i];
+	if (!m->seen)
+		m->seen = g_hash_table_new(hash_route, routes_match_same);
+	for (; max > 0 && m->next < conf->routes_count; max--, m->next++) {
+		struct dl_route_conf *route = conf->routes[m->next];
 		struct conf_path child;
 
 		if (!route->host || !route->path_prefix ||
-		    g_hash_table_add(seen, route))
+		    g_hash_table_add(m->seen, route))
 			continue;
-		child = conf_path_index(path, i);
+		child = conf_path_index(path, m->next);
 		conf_fault(r, &child, "another route has this host and prefix");
 	}
-	g_hash_table_destroy(seen);
+	return m->next == conf->routes_count;
+}
+
+void conf_matches_free(struct conf_matches *m)
+{
+	if (m->seen)
+		g_hash_table_destroy(m->seen);
+	m->seen = NULL;
 }
 
 /* Read the routes; the services must have been read. */
 void conf_read_routes(struct conf_reader *r, const struct conf_path *path,
 		      json_t *json, struct dl_conf *conf)
 {
+	struct conf_matches matches = { 0 };
 	size_t n = json_array_size(json);
 
 	conf->routes = conf_alloc_list(r, path, n, CONF_ROUTES_MAX,
@@ -231,7 +240,8 @@
 			return;
 		conf->routes[conf->routes_count++] = route;
 	}
-	conf_check_route_matches(r, path, conf);
+	conf_check_some_matches(&matches, r, path, conf, UINT32_MAX);
+	conf_matches_free(&matches);
 }
 
 /* Take a reference to a route, for another configuration that contains it. */
--- a/test/test_conf_delta.c
+++ b/test/test_conf_delta.c
@@ -27,6 +27,8 @@
 #define CHAIN_GROWTH   (64 << 10) /* bytes; one version has 12 KB */
 #define THREADS	       4
 #define THREAD_APPLIES 200
+#define MANY_ROUTES    1300
+#define SHARED_ROUTES  256 /* of a step */
 
 /* What is wrong with a route. */
 enum flaw {
@@ -62,7 +64,9 @@
 	struct dl_conf *conf;
 };
 
-static struct dl_faults faults, whole_faults;
+static struct dl_faults faults, step_faults, whole_faults;
+/* Routes parsed per step. */
+static const uint32_t step_sizes[] = { 1, 7, 1000 };
 
 static struct route_model *route_at(struct model *m, uint32_t i)
 {
@@ -221,6 +225,64 @@
 	return delta;
 }
 
+static void check_equal(const struct dl_conf *a, const struct dl_conf *b);
+
+/* Applies a delta in steps; returns the number of steps. */
+static uint32_t apply_in_steps(struct dl_str delta, const struct version *base,
+			       uint32_t routes_max, struct version *next,
+			       int *rc)
+{
+	struct dl_conf_delta_work *work;
+	uint32_t steps = 0, parsed = 0;
+
+	memset(next, 0, sizeof(*next));
+	ck_assert_int_eq(dl_conf_delta_begin(delta, base->version,
+					     base->sections, base->conf,
+					     &step_faults, &work),
+			 0);
+	do {
+		*rc = dl_conf_delta_step(work, routes_max);
+		ck_assert_uint_le(dl_conf_delta_parsed(work) - parsed,
+				  routes_max);
+		parsed = dl_conf_delta_parsed(work);
+		steps++;
+	} while (*rc == -EAGAIN);
+	ck_assert_int_eq(dl_conf_delta_step(work, routes_max), *rc);
+	ck_assert_int_eq(dl_conf_delta_end(work, &next->sections, &next->conf),
+			 *rc);
+	return steps;
+}
+
+/* Checks that steps have the same result as the application at once. */
+static void check_steps(struct dl_str delta, const struct version *base,
+			const struct version *whole, int whole_rc)
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS(step_sizes); i++) {
+		struct version next;
+		int rc;
+
+		apply_in_steps(delta, base, step_sizes[i], &next, &rc);
+		ck_assert_int_eq(rc, whole_rc);
+		ck_assert_uint_eq(step_faults.count, faults.count);
+		for (uint32_t k = 0; k < faults.count && k < DL_FAULTS_MAX;
+		     k++) {
+			ck_assert_str_eq(step_faults.items[k].path,
+					 faults.items[k].path);
+			ck_assert_str_eq(step_faults.items[k].text,
+					 faults.items[k].text);
+		}
+		if (rc) {
+			ck_assert_ptr_null(next.sections);
+			ck_assert_ptr_null(next.conf);
+			continue;
+		}
+		ck_assert_uint_eq(dl_conf_sections_digest(next.sections),
+				  dl_conf_sections_digest(whole->sections));
+		check_equal(next.conf, whole->conf);
+		version_clear(&next);
+	}
+}
+
 /* Applies a delta; next is set only if that succeeds. */
 static int apply(struct dl_str delta, const struct version *base,
 		 struct version *next)
@@ -232,6 +294,7 @@
 	rc = dl_conf_delta_apply(delta, base->version, base->sections,
 				 base->conf, &next->sections, &next->conf,
 				 &faults);
+	check_steps(delta, base, next, rc);
 	if (rc) {
 		ck_assert_ptr_null(next->sections);
 		ck_assert_ptr_null(next->conf);
@@ -1195,6 +1258,91 @@
 }
 END_TEST
 
+/*
+ * Guards against a step that grows with the number of routes: so many new
+ * routes take at least as many steps as the limits per step require.
+ */
+START_TEST(many_routes_take_many_steps)
+{
+	struct version base, next, whole;
+	struct model before, after;
+	struct dl_str delta;
+	uint32_t steps;
+	int rc;
+
+	model_init(&before, ROUTES);
+	model_init(&after, MANY_ROUTES);
+	for (uint32_t i = 0; i < MANY_ROUTES; i++)
+		route_at(&after, i)->timeout_ms = 77;
+	version_read(&base, 1, &before);
+	version_read(&whole, 2, &after);
+	delta = make_delta(&base, 2, whole.sections);
+	steps = apply_in_steps(delta, &base, 7, &next, &rc);
+	ck_assert_int_eq(rc, 0);
+	check_version(&next, &after);
+	ck_assert_uint_gt(steps, MANY_ROUTES / 7);
+	version_clear(&next);
+	free((char *)delta.s);
+	/* Routes that are shared are not parsed, but take steps as well. */
+	model_clear(&before);
+	model_copy(&before, &after);
+	edit_route(&after);
+	version_clear(&base);
+	base = whole;
+	version_read(&whole, 3, &after);
+	delta = make_delta(&base, 3, whole.sections);
+	steps = apply_in_steps(delta, &base, MANY_ROUTES, &next, &rc);
+	ck_assert_int_eq(rc, 0);
+	check_version(&next, &after);
+	ck_assert_uint_gt(steps, 3 * MANY_ROUTES / SHARED_ROUTES);
+	version_clear(&next);
+	free((char *)delta.s);
+	version_clear(&base);
+	version_clear(&whole);
+	model_clear(&before);
+	model_clear(&after);
+}
+END_TEST
+
+/*
+ * A VM that stops while a delta is applied: nothing is leaked (run with a
+ * sanitizer) and no reference to the base remains.
+ */
+START_TEST(work_is_dropped_after_any_step)
+{
+	struct version base, next = { 0 };
+	struct model after;
+	struct dl_str delta = make_example(&base, &after);
+	bool done = false;
+
+	for (uint32_t steps = 0; !done; steps++) {
+		struct dl_conf_delta_work *work;
+		int rc = -EAGAIN;
+
+		ck_assert_int_eq(dl_conf_delta_begin(delta, base.version,
+						     base.sections, base.conf,
+						     &faults, &work),
+				 0);
+		for (uint32_t i = 0; i < steps && rc == -EAGAIN; i++)
+			rc = dl_conf_delta_step(work, 1);
+		done = rc == 0;
+		ck_assert_int_eq(dl_conf_delta_end(work, &next.sections,
+						   &next.conf),
+				 done ? 0 : -ECANCELED);
+		if (done)
+			version_clear(&next);
+		for (uint32_t i = 0; i < ROUTES; i++) {
+			ck_assert_int_eq(base.sections->routes[i]->references,
+					 1);
+			ck_assert_int_eq(base.conf->routes[i]->references, 1);
+		}
+	}
+	free((char *)delta.s);
+	version_clear(&base);
+	model_clear(&after);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("conf_delta");
@@ -1219,5 +1367,7 @@
 	tcase_add_test(t, random_changes_equal_parses_of_whole_texts);
 	tcase_add_test(t, thousand_deltas_keep_no_old_version);
 	tcase_add_test(t, threads_share_sections_and_routes);
+	tcase_add_test(t, many_routes_take_many_steps);
+	tcase_add_test(t, work_is_dropped_after_any_step);
 	return suite_run(s);
 }
