Configuration deltas: apply large ones in slices

Cause: a read of a large delta in the worker thread takes the VM's share of its core for as long; streams pause and begin late. Change: conf_pace.c decides steps and rests; entries apply deltas above 4,096 bytes deflated in slices on the event loop, one at a time, in order. A replica sends a delta whenever it is smaller than the whole body. A large delta has no rest before or after it in conf_arrival.c, as its time contains its own. Ruled out: the mean time of a route over the last steps (a stalled step made the following steps small; 39 s and 77 s in two cases of test_conf_pace); the shorter one of the last two steps is used.

--- a/bench/bench_conf.c
+++ b/bench/bench_conf.c
@@ -15,6 +15,7 @@
 #include "daisyledge/conf.h"
 #include "daisyledge/conf_delta.h"
 #include "daisyledge/cstore.h"
+#include "protocol/deflate.h"
 
 #define WALL	    1700000000000
 #define PARSE_TRIES 5
@@ -220,6 +221,36 @@
 	return best;
 }
 
+/* The time, in us, of what is done at once when a delta arrives. */
+static void bench_arrival(struct dl_str delta)
+{
+	int64_t inflate = INT64_MAX, head = INT64_MAX;
+	struct dl_conf_delta_head h;
+	struct dl_str body;
+	char *bytes, *text;
+
+	if (dl_deflate(delta, &bytes, &body.n))
+		exit(EXIT_FAILURE);
+	body.s = bytes;
+	for (int i = 0; i < ROUTE_TRIES; i++) {
+		int64_t begin = g_get_monotonic_time(), inflated;
+		size_t n;
+
+		if (dl_inflate(body, delta.n, &text, &n))
+			exit(EXIT_FAILURE);
+		inflated = g_get_monotonic_time();
+		inflate = MIN(inflate, inflated - begin);
+		if (dl_conf_delta_head((struct dl_str){ text, n }, &h))
+			exit(EXIT_FAILURE);
+		head = MIN(head, g_get_monotonic_time() - inflated);
+		free(text);
+	}
+	printf("conf_delta_inflate_us\t%" PRId64 "\tus\n", inflate);
+	printf("conf_delta_head_us\t%" PRId64 "\tus\n", head);
+	printf("conf_delta_all_deflated_bytes\t%zu\tbytes\n", body.n);
+	free(bytes);
+}
+
 /*
  * All routes are new: the time of the whole application, of its longest step,
  * and of freeing the version before, in us. The longest step is the smallest of
@@ -266,6 +297,7 @@
 	printf("conf_delta_step_us\t%" PRId64 "\tus\n", longest_best);
 	printf("conf_free_us\t%" PRId64 "\tus\n", free_best);
 	printf("conf_delta_all_bytes\t%zu\tbytes\n", delta.n);
+	bench_arrival(delta);
 	free((char *)delta.s);
 	g_string_free(text, TRUE);
 }
--- a/include/daisyledge/conf_delta.h
+++ b/include/daisyledge/conf_delta.h
@@ -117,7 +117,8 @@
 uint32_t dl_conf_delta_parsed(const struct dl_conf_delta_work *work);
 /*
  * Frees the work. Returns what the last step did, with the outputs if that was
- * 0; -ECANCELED, without outputs, if the work is not done.
+ * 0; -ECANCELED, without outputs, if the work is not done. Without pointers to
+ * outputs, a result is dropped.
  */
 int dl_conf_delta_end(struct dl_conf_delta_work *work,
 		      struct dl_conf_sections **sections,
--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -73,6 +73,10 @@
 	  "configuration versions put in force by a delta")                    \
 	X(conf_deltas_unusable, "configuration deltas that were not used")     \
 	X(conf_whole_reads, "configuration versions read as a whole text")     \
+	X(conf_slice_ms,                                                       \
+	  "milliseconds spent on configuration deltas applied in slices")      \
+	X(conf_slice_max_us,                                                   \
+	  "longest slice of a configuration delta in microseconds")            \
 	X(replica_heard_ms_ago, "milliseconds since a replica was last heard")
 
 enum dl_metric {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -329,5 +329,7 @@
 	}
 	dl_msg(DL_MSG_ENTRY_START, "vm=%s http=%s", e.node.settings.name.s,
 	       dl_vm_text(e.node.settings.http, text));
-	return dl_node_run(&e.node);
+	rc = dl_node_run(&e.node);
+	entry_conf_slices_stop(&e);
+	return rc;
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -30,6 +30,7 @@
  *   entry_check.c      whose fault it is that attempts broke
  *   entry_cmd.c        commands and queries to the replicas
  *   entry_conf.c       the configuration in force
+ *   entry_conf_slices.c large deltas, applied in slices
  *   entry_conf_store.c what is kept of it, answers to pulls
  *   entry_ops.c        operators' HTTP API
  *   entry_trace.c      traces of recent requests
@@ -611,6 +612,9 @@
 void entry_conf_version_seen(struct entry *e, uint64_t version, uint64_t vm);
 void entry_conf_tick(struct entry *e, int64_t now);
 
+/* entry_conf_slices.c */
+void entry_conf_slices_stop(struct entry *e);
+
 /* entry_conf_store.c */
 bool entry_conf_text(const struct entry *e, char **out, size_t *n);
 bool entry_conf_text_is_rebuilt(const struct entry *e);
--- a/src/entry/entry_conf.c
+++ b/src/entry/entry_conf.c
@@ -32,29 +32,10 @@
  * for it.
  */
 #define PULL_SPLIT_WAIT_MS 500
-/* A larger delta is applied in a worker thread, however well it deflates. */
+#define NS_PER_US	   1000
+/* A larger delta is applied in slices, however well it deflates. */
 #define INLINE_DELTA_MAX (32u << 10)
 
-/* The reading of a pushed version. */
-struct conf_job {
-	uv_work_t work;
-	struct entry *e;
-	struct dl_conf_received received;
-	uint64_t from; /* VM that sent it */
-	int64_t started_at;
-	uint32_t waited_ms;    /* including versions that it replaced */
-	int64_t since_last_ms; /* since the last read; -1: none */
-	char *body;	       /* as received */
-	size_t body_n;
-	char *text; /* inflated text or delta; NULL if that failed */
-	size_t text_n;
-	struct conf_parsed *base; /* of a delta */
-	int rc;			  /* of reading */
-	struct dl_conf *conf;
-	struct dl_conf_sections *sections; /* of a delta */
-	struct dl_faults faults;
-};
-
 static void pull(struct entry *e, uint64_t vm);
 static void pull_from(struct entry *e, uint64_t version, uint64_t vm);
 
@@ -63,10 +44,13 @@
 	return dl_conf_is_delta(&job->received);
 }
 
-static void free_job(void *arg)
+/* Frees the reading of a version, also one that is not complete. */
+void entry_conf_job_free(void *arg)
 {
 	struct conf_job *job = arg;
 
+	if (job->steps)
+		dl_conf_delta_end(job->steps, NULL, NULL);
 	free(job->body);
 	free(job->text);
 	conf_parsed_unref(job->base);
@@ -79,8 +63,9 @@
 void entry_conf_init(struct entry *e)
 {
 	e->confs = g_new0(struct entry_conf, 1);
-	e->confs->arrivals.drop = free_job;
+	e->confs->arrivals.drop = entry_conf_job_free;
 	e->confs->waiting_pullers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	entry_conf_slices_init(e);
 }
 
 static void apply_drain(struct entry *e)
@@ -135,11 +120,12 @@
 
 static void log_in_force(const struct entry *e, const struct conf_job *job)
 {
-	char delta[48] = "";
+	char delta[96] = "";
 
 	if (is_delta(job))
-		snprintf(delta, sizeof(delta), " delta=%d base=%lu", 1,
-			 (unsigned long)job->received.base.version);
+		snprintf(delta, sizeof(delta), " delta=1 base=%lu slices=%u",
+			 (unsigned long)job->received.base.version,
+			 job->slices);
 	dl_msg(DL_MSG_ENTRY_CONF,
 	       "version=%lu bytes=%zu waited_ms=%u rested_ms=%ld read_ms=%ld%s",
 	       (unsigned long)job->received.id.version, job->received.bytes,
@@ -206,7 +192,7 @@
 	pull_from(e, job->received.id.version, job->from);
 }
 
-/* Reads a version; in a worker thread if it is large. */
+/* Reads a small version, or, in a worker thread, a whole text. */
 static void read_version(struct conf_job *job)
 {
 	if (is_delta(job)) {
@@ -246,6 +232,8 @@
 {
 	if (job->rc == 0)
 		put_in_force(e, job);
+	else if (job->rc == -ECANCELED)
+		; /* a newer version came into force before it was read */
 	else if (is_delta(job))
 		handle_bad_delta(e, job);
 	else if (!job->text)
@@ -255,7 +243,7 @@
 		dl_msg(DL_MSG_CONF_BAD, "version=%lu reason=\"%s: %s\"",
 		       (unsigned long)job->received.id.version,
 		       job->faults.items[0].path, job->faults.items[0].text);
-	free_job(job);
+	entry_conf_job_free(job);
 }
 
 static void read_in_thread(uv_work_t *work)
@@ -263,10 +251,9 @@
 	read_version(work->data);
 }
 
-static void on_read(uv_work_t *work, int status)
+/* Handles a large version that was read, and goes on with those that wait. */
+void entry_conf_read(struct entry *e, struct conf_job *job)
 {
-	struct conf_job *job = work->data;
-	struct entry *e = job->e;
 	int64_t now = entry_now(e);
 
 	e->conf_last_read_at = now;
@@ -276,11 +263,18 @@
 	entry_conf_pump(e, now);
 }
 
+static void on_read(uv_work_t *work, int status)
+{
+	struct conf_job *job = work->data;
+
+	entry_conf_read(job->e, job);
+}
+
 /*
- * Large versions are read in a worker thread, small ones at once. On a VM with
- * 0.12 cores, changes in quick succession of a configuration with 1,300 routes
- * each blocked the event loop, and with it all streams, for 250 to 360 ms,
- * which is more than short streams tolerate.
+ * Large whole texts are read in a worker thread, large deltas in slices, and
+ * small versions at once. On a VM with 0.12 cores, changes in quick succession
+ * of a configuration with 1,300 routes each blocked the event loop, and with it
+ * all streams, for 250 to 360 ms, which is more than short streams tolerate.
  */
 static void start_reading(struct entry *e, struct conf_job *job)
 {
@@ -299,7 +293,11 @@
 		handle_read(e, job);
 		return;
 	}
-	uv_queue_work(e->node.loop, &job->work, read_in_thread, on_read);
+	if (is_delta(job))
+		entry_conf_slices_start(e, job);
+	else
+		uv_queue_work(e->node.loop, &job->work, read_in_thread,
+			      on_read);
 }
 
 /* Reads the versions whose turn it is. */
@@ -316,11 +314,11 @@
 			break;
 		case DL_CONF_BASE_GONE:
 			reject_delta(e, r.job, "base");
-			free_job(r.job);
+			entry_conf_job_free(r.job);
 			break;
 		case DL_CONF_BASE_OTHER:
 			reject_delta(e, r.job, "digest");
-			free_job(r.job);
+			entry_conf_job_free(r.job);
 			break;
 		}
 	}
@@ -334,6 +332,7 @@
 	job->e = e;
 	job->from = from;
 	job->work.data = job;
+	job->arrived_us = (int64_t)(uv_hrtime() / NS_PER_US);
 	job->body = malloc(p->body.n ? p->body.n : 1);
 	if (!job->body)
 		abort();
@@ -368,7 +367,7 @@
 	case DL_CONF_FULL:
 		break;
 	}
-	free_job(job);
+	entry_conf_job_free(job);
 }
 
 /* Inflates a delta and queues it. */
@@ -380,14 +379,14 @@
 		       CONF_INFLATED_MAX, &job->text, &job->text_n)) {
 		job->text = NULL;
 		reject_delta(e, job, "damaged");
-		free_job(job);
+		entry_conf_job_free(job);
 		return;
 	}
 	if (dl_conf_delta_head((struct dl_str){ job->text, job->text_n },
 			       &head) ||
 	    head.version != job->received.id.version) {
 		reject_delta(e, job, "damaged");
-		free_job(job);
+		entry_conf_job_free(job);
 		return;
 	}
 	job->received.id.digest = head.digest;
--- /dev/null
+++ b/src/entry/entry_conf_slices.c
@@ -0,0 +1,114 @@
+/*
+ * Applies a large delta in slices on the event loop. The pace, with the load
+ * that it is for, is decided in src/state/conf_pace.c.
+ */
+#include <stdlib.h>
+
+#include "base/metric.h"
+#include "entry/entry_conf_int.h"
+
+#define NS_PER_US 1000
+#define US_PER_MS 1000
+
+static int64_t now_us(void)
+{
+	return (int64_t)(uv_hrtime() / NS_PER_US);
+}
+
+/* Whether a version that is at least as new came into force meanwhile. */
+static bool is_superseded(const struct entry *e, const struct conf_job *job)
+{
+	return e->version >= job->received.id.version;
+}
+
+/* Ends the work on a delta, whose result is then in the job. */
+static void finish(struct entry *e, struct conf_job *job)
+{
+	struct entry_conf *c = e->confs;
+
+	job->rc = dl_conf_delta_end(job->steps, &job->sections, &job->conf);
+	job->steps = NULL;
+	job->slices = job->pace.steps;
+	c->slicing = NULL;
+	entry_conf_read(e, job);
+}
+
+static void on_slice(uv_timer_t *timer);
+
+/* Waits for the next step, in whole ms, so that the loop turns in between. */
+static void wait_for_step(struct entry *e, const struct conf_job *job)
+{
+	int64_t us = dl_conf_pace_wait(&job->pace, now_us());
+
+	uv_timer_start(&e->confs->slice_timer, on_slice,
+		       (uint64_t)((us + US_PER_MS - 1) / US_PER_MS), 0);
+}
+
+/* Carries out the next step of the delta that is applied. */
+static void on_slice(uv_timer_t *timer)
+{
+	struct entry *e = timer->data;
+	struct conf_job *job = e->confs->slicing;
+	uint32_t parsed = dl_conf_delta_parsed(job->steps), routes;
+	int64_t begun = now_us(), ended;
+	int rc;
+
+	if (is_superseded(e, job)) {
+		finish(e, job);
+		return;
+	}
+	routes = dl_conf_pace_begin(&job->pace, begun);
+	rc = dl_conf_delta_step(job->steps, routes);
+	ended = now_us();
+	dl_conf_pace_end(&job->pace, dl_conf_delta_parsed(job->steps) - parsed,
+			 ended);
+	/* The counter has ms; what steps of less add up to is not lost. */
+	dl_count(DL_METRIC_conf_slice_ms,
+		 (uint64_t)(job->pace.busy_us / US_PER_MS - job->counted_ms));
+	job->counted_ms = job->pace.busy_us / US_PER_MS;
+	if (ended - begun > e->confs->slice_max_us) {
+		e->confs->slice_max_us = ended - begun;
+		dl_gauge(DL_METRIC_conf_slice_max_us, ended - begun);
+	}
+	if (rc == -EAGAIN)
+		wait_for_step(e, job);
+	else
+		finish(e, job);
+}
+
+/* Prepares to apply deltas in slices. */
+void entry_conf_slices_init(struct entry *e)
+{
+	struct entry_conf *c = e->confs;
+
+	uv_timer_init(e->node.loop, &c->slice_timer);
+	c->slice_timer.data = e;
+}
+
+/*
+ * Begins to apply a delta to the version in force, which the job refers to. The
+ * first step is taken in the next turn of the loop.
+ */
+void entry_conf_slices_start(struct entry *e, struct conf_job *job)
+{
+	struct dl_str delta = { job->text, job->text_n };
+
+	if (dl_conf_delta_begin(delta, job->base->version, job->base->sections,
+				job->base->conf, &job->faults, &job->steps))
+		abort();
+	dl_conf_pace_init(&job->pace, job->arrived_us, now_us());
+	e->confs->slicing = job;
+	wait_for_step(e, job);
+}
+
+/* Drops the delta that is applied, if any, when the entry ends. */
+void entry_conf_slices_stop(struct entry *e)
+{
+	struct entry_conf *c = e->confs;
+
+	uv_timer_stop(&c->slice_timer);
+	if (!c->slicing)
+		return;
+	entry_conf_job_free(c->slicing);
+	c->slicing = NULL;
+}
--- a/src/state/conf_arrival.c
+++ b/src/state/conf_arrival.c
@@ -121,8 +121,8 @@
 }
 
 /*
- * Whether a whole text or a large delta may be read now: one at a time, and
- * with a pause after the one before.
+ * Whether a whole text may be read now: one version at a time, and with a pause
+ * after the text before.
  */
 static bool may_read(const struct dl_conf_arrivals *a, int64_t now)
 {
@@ -147,7 +147,8 @@
 		return DL_CONF_WAIT;
 	if (r->base.digest != a->in_force.digest)
 		return DL_CONF_BASE_OTHER;
-	return r->small || may_read(a, now) ? DL_CONF_READ : DL_CONF_WAIT;
+	/* Of the reading of a large delta, conf_pace.c decides the pauses. */
+	return r->small || !a->reading.version ? DL_CONF_READ : DL_CONF_WAIT;
 }
 
 /*
@@ -177,7 +178,10 @@
 	return next;
 }
 
-/* Records that a version was read; the pause begins if that took long. */
+/*
+ * Records that a version was read; a pause begins after a whole text. The time
+ * that a large delta took contains its own pauses.
+ */
 void dl_conf_arrivals_read(struct dl_conf_arrivals *a,
 			   const struct dl_conf_received *r, int64_t took_ms,
 			   int64_t now)
@@ -185,7 +189,8 @@
 	if (r->small)
 		return;
 	a->reading = (struct dl_conf_id){ 0 };
-	a->read_not_before = now + READ_REST_FACTOR * took_ms;
+	if (!dl_conf_is_delta(r))
+		a->read_not_before = now + READ_REST_FACTOR * took_ms;
 }
 
 /* Puts a version in force unless it is not newer than the one that is. */
--- a/src/state/conf_arrival.h
+++ b/src/state/conf_arrival.h
@@ -41,8 +41,8 @@
 	void (*drop)(void *job);
 	struct dl_conf_id in_force; /* digest 0: its sections are not known */
 	bool splitting;		    /* in_force.digest will be known soon */
-	struct dl_conf_id reading;  /* in another thread; version 0: none */
-	int64_t read_not_before;    /* of whole texts and large deltas */
+	struct dl_conf_id reading;  /* large version at work; 0: none */
+	int64_t read_not_before;    /* of whole texts */
 	int64_t waiting_since; /* when the first version that waits arrived */
 	struct dl_conf_received waiting[DL_CONF_ARRIVALS_MAX];
 	uint32_t count;
--- a/src/state/conf_delta_apply.c
+++ b/src/state/conf_delta_apply.c
@@ -444,7 +444,7 @@
 {
 	int rc = a->phase == PHASE_DONE ? a->rc : -ECANCELED;
 
-	if (rc == 0) {
+	if (rc == 0 && sections && conf) {
 		*sections = a->next;
 		*conf = a->conf;
 	} else {
--- a/src/state/conf_history.c
+++ b/src/state/conf_history.c
@@ -6,13 +6,6 @@
 
 #include <glib.h>
 
-/*
- * A replica sends a delta only if it is smaller than the whole body by this
- * factor. A larger one replaces most routes, so applying it takes about as long
- * as reading the whole text, and is limited in the same way by entries.
- */
-#define DELTA_SHARE 4
-
 static void free_kept(struct dl_conf_kept *kept)
 {
 	dl_conf_sections_free(kept->sections);
@@ -84,11 +77,14 @@
 	v->count = 0;
 }
 
-/* Whether a replica sends a delta of this size instead of the whole body. */
+/*
+ * Whether a replica sends a delta of this size instead of the whole body. A
+ * large delta replaces most routes and takes as much work as the whole text,
+ * but is applied in slices between which streams go on.
+ */
 bool dl_conf_delta_pays(size_t delta_bytes, size_t whole_bytes)
 {
-	return whole_bytes > DL_CONF_SMALL_BYTES &&
-	       delta_bytes < whole_bytes / DELTA_SHARE;
+	return whole_bytes > DL_CONF_SMALL_BYTES && delta_bytes < whole_bytes;
 }
 
 /*
