--- a/src/entry/entry_conf.c
+++ b/src/entry/entry_conf.c
@@ -33,6 +33,7 @@
  */
 #define PULL_SPLIT_WAIT_MS 500
 #define NS_PER_US	   1000
+#define US_PER_MS	   1000
 /* A larger delta is applied in slices, however well it deflates. */
 #define INLINE_DELTA_MAX (32u << 10)
 
@@ -123,9 +124,10 @@
 	char delta[96] = "";
 
 	if (is_delta(job))
-		snprintf(delta, sizeof(delta), " delta=1 base=%lu slices=%u",
-			 (unsigned long)job->received.base.version,
-			 job->slices);
+		snprintf(delta, sizeof(delta),
+			 " delta=%d base=%lu slices=%u slice_ms=%ld", 1,
+			 (unsigned long)job->received.base.version, job->slices,
+			 (long)(job->pace.busy_us / US_PER_MS));
 	dl_msg(DL_MSG_ENTRY_CONF,
 	       "version=%lu bytes=%zu waited_ms=%u rested_ms=%ld read_ms=%ld%s",
 	       (unsigned long)job->received.id.version, job->received.bytes,
--- a/src/entry/entry_conf_slices.c
+++ b/src/entry/entry_conf_slices.c
@@ -2,6 +2,7 @@
  * Applies a large delta in slices on the event loop. The pace, with the load
  * that it is for, is decided in src/state/conf_pace.c.
  */
+#include <errno.h>
 #include <stdlib.h>
 
 #include "base/metric.h"
@@ -10,6 +11,8 @@
 #define NS_PER_US 1000
 #define US_PER_MS 1000
 
+static void on_slice(uv_timer_t *timer);
+
 static int64_t now_us(void)
 {
 	return (int64_t)(uv_hrtime() / NS_PER_US);
@@ -33,8 +36,6 @@
 	entry_conf_read(e, job);
 }
 
-static void on_slice(uv_timer_t *timer);
-
 /* Waits for the next step, in whole ms, so that the loop turns in between. */
 static void wait_for_step(struct entry *e, const struct conf_job *job)
 {
@@ -44,38 +45,55 @@
 		       (uint64_t)((us + US_PER_MS - 1) / US_PER_MS), 0);
 }
 
+/* Counts a step. What steps of less than a millisecond add up to is not lost.
+ */
+static void count_step(struct conf_job *job)
+{
+	int64_t ms = job->pace.busy_us / US_PER_MS;
+
+	dl_count(DL_METRIC_conf_slice_ms, (uint64_t)(ms - job->counted_ms));
+	job->counted_ms = ms;
+}
+
 /* Carries out the next step of the delta that is applied. */
-static void on_slice(uv_timer_t *timer)
+static void take_step(struct entry *e, struct conf_job *job)
 {
-	struct entry *e = timer->data;
-	struct conf_job *job = e->confs->slicing;
 	uint32_t parsed = dl_conf_delta_parsed(job->steps), routes;
-	int64_t begun = now_us(), ended;
 	int rc;
 
 	if (is_superseded(e, job)) {
 		finish(e, job);
 		return;
 	}
-	routes = dl_conf_pace_begin(&job->pace, begun);
+	routes = dl_conf_pace_begin(&job->pace, now_us());
 	rc = dl_conf_delta_step(job->steps, routes);
-	ended = now_us();
 	dl_conf_pace_end(&job->pace, dl_conf_delta_parsed(job->steps) - parsed,
-			 ended);
-	/* The counter has ms; what steps of less add up to is not lost. */
-	dl_count(DL_METRIC_conf_slice_ms,
-		 (uint64_t)(job->pace.busy_us / US_PER_MS - job->counted_ms));
-	job->counted_ms = job->pace.busy_us / US_PER_MS;
-	if (ended - begun > e->confs->slice_max_us) {
-		e->confs->slice_max_us = ended - begun;
-		dl_gauge(DL_METRIC_conf_slice_max_us, ended - begun);
-	}
+			 now_us());
+	count_step(job);
 	if (rc == -EAGAIN)
 		wait_for_step(e, job);
 	else
 		finish(e, job);
 }
 
+/*
+ * The longest time without a turn of the loop contains that of putting the
+ * version in force, with the last step.
+ */
+static void on_slice(uv_timer_t *timer)
+{
+	struct entry *e = timer->data;
+	struct entry_conf *c = e->confs;
+	int64_t begun = now_us(), took;
+
+	take_step(e, c->slicing);
+	took = now_us() - begun;
+	if (took <= c->slice_max_us)
+		return;
+	c->slice_max_us = took;
+	dl_gauge(DL_METRIC_conf_slice_max_us, took);
+}
+
 /* Prepares to apply deltas in slices. */
 void entry_conf_slices_init(struct entry *e)
 {
