--- a/test/test_conf_pace.c
+++ b/test/test_conf_pace.c
@@ -11,7 +11,7 @@
 #include "fake/suite.h"
 #include "state/conf_pace.h"
 
-#define MS	  1000
+#define MS	  1000L
 #define ROUTES	  1300
 #define ARRIVED	  (5000 * MS)
 #define OTHER_US  100 /* work of a step apart from routes, on a fast VM */
@@ -155,7 +155,7 @@
 	dl_conf_pace_init(&p, now, now);
 	for (int i = 0; i < 20; i++) {
 		routes = dl_conf_pace_begin(&p, now);
-		now += routes * 10;
+		now += (int64_t)routes * 10;
 		dl_conf_pace_end(&p, routes, now);
 	}
 	ck_assert_uint_eq(routes, 400);
@@ -165,7 +165,7 @@
 	ck_assert_int_le(dl_conf_pace_wait(&p, now), PERIOD_US);
 	while (steps++ < 10) {
 		routes = dl_conf_pace_begin(&p, now);
-		now += routes * 10;
+		now += (int64_t)routes * 10;
 		dl_conf_pace_end(&p, routes, now);
 	}
 	ck_assert_uint_ge(routes, 200);
@@ -184,7 +184,7 @@
 	dl_conf_pace_end(&p, 0, now + 50 * MS);
 	ck_assert_uint_eq(dl_conf_pace_begin(&p, now), first);
 	dl_conf_pace_end(&p, first, now);
-	ck_assert_uint_eq(dl_conf_pace_begin(&p, now), 2 * first);
+	ck_assert_uint_eq(dl_conf_pace_begin(&p, now), (uintmax_t)2 * first);
 }
 END_TEST
 
