--- a/src/state/conf_history.c
+++ b/src/state/conf_history.c
@@ -6,9 +6,6 @@
 
 #include <glib.h>
 
-/* A delta may be larger than the whole body by this part of it. */
-#define DELTA_EXCESS 8
-
 static void free_kept(struct dl_conf_kept *kept)
 {
 	dl_conf_sections_free(kept->sections);
@@ -83,14 +80,11 @@
 /*
  * Whether a replica sends a delta of this size instead of the whole body. A
  * large delta replaces most routes and takes as much work as the whole text,
- * but is applied in slices between which streams go on. One that replaces all
- * routes may even be larger than the whole body, by the length of each route
- * and the digests: 8,890 instead of 8,886 bytes with 500 routes.
+ * but is applied in slices between which streams go on.
  */
 bool dl_conf_delta_pays(size_t delta_bytes, size_t whole_bytes)
 {
-	return whole_bytes > DL_CONF_SMALL_BYTES &&
-	       delta_bytes < whole_bytes + whole_bytes / DELTA_EXCESS;
+	return whole_bytes > DL_CONF_SMALL_BYTES && delta_bytes < whole_bytes;
 }
 
 /*
--- a/test/test_conf_history.c
+++ b/test/test_conf_history.c
@@ -239,14 +239,12 @@
 }
 END_TEST
 
-START_TEST(delta_pays_unless_it_is_much_larger)
+START_TEST(delta_pays_if_it_is_smaller)
 {
 	ck_assert(dl_conf_delta_pays(100, WHOLE));
 	ck_assert(dl_conf_delta_pays(WHOLE / 4, WHOLE));
-	ck_assert(dl_conf_delta_pays(WHOLE, WHOLE));
-	/* One that replaces all routes is a little larger. */
-	ck_assert(dl_conf_delta_pays(WHOLE + WHOLE / 8 - 1, WHOLE));
-	ck_assert(!dl_conf_delta_pays(WHOLE + WHOLE / 8, WHOLE));
+	ck_assert(dl_conf_delta_pays(WHOLE - 1, WHOLE));
+	ck_assert(!dl_conf_delta_pays(WHOLE, WHOLE));
 	/* Small configurations are always sent whole. */
 	ck_assert(!dl_conf_delta_pays(1, DL_CONF_SMALL_BYTES));
 	ck_assert(dl_conf_delta_pays(1, DL_CONF_SMALL_BYTES + 1));
@@ -270,7 +268,7 @@
 	tcase_add_test(tc, pushed_sections_lack_the_source);
 	tcase_add_loop_test(tc, texts_that_are_no_configuration_are_not_split,
 			    0, 4);
-	tcase_add_test(tc, delta_pays_unless_it_is_much_larger);
+	tcase_add_test(tc, delta_pays_if_it_is_smaller);
 	suite_add_tcase(suite, tc);
 	return suite_run(suite);
 }
