Replicas: a pause between splits of versions

Cause: each version was split when it was applied, where formerly one in 400 ms was rewritten. A burst of changes could thus keep the loop of a replica busy, which serves the log.

Change: at most a quarter of the time goes into splits; no version waits longer than the 400 ms that it did before.

--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -72,11 +72,12 @@
 
 /* The configuration as it is sent to entries. */
 struct replica_push {
-	bool due;	      /* a new version is to be pushed */
-	int64_t pushed_at;    /* the last large body; 0: none */
-	struct dl_conf_id id; /* the newest version; digest 0: not split */
-	size_t text_n;	      /* length of its text */
-	bool had_source;      /* its text has a source, which is not sent */
+	bool due;		  /* a new version is to be pushed */
+	int64_t split_not_before; /* unless a version is pulled */
+	int64_t pushed_at;	  /* the last large body; 0: none */
+	struct dl_conf_id id;	  /* the newest version; digest 0: not split */
+	size_t text_n;		  /* length of its text */
+	bool had_source;	  /* its text has a source, which is not sent */
 	struct dl_conf_sections *sections; /* NULL: not split */
 	char *body;	    /* whole, deflated; NULL: not built */
 	size_t body_n;	    /* of the last body that was built */
--- a/src/replica/replica_conf.c
+++ b/src/replica/replica_conf.c
@@ -27,6 +27,14 @@
  * everywhere.
  */
 #define PUSH_INTERVAL_MS 400
+/*
+ * Splitting versions takes at most a quarter of a replica's time, as its event
+ * loop also serves the log: a text of 1,300 routes and its source takes 20 ms
+ * of a core. Versions that follow each other sooner are left out; none waits
+ * longer than PUSH_INTERVAL_MS for this.
+ */
+#define SPLIT_REST_FACTOR 3
+#define NS_PER_MS	  1000000
 /*
  * Once this time has passed since the start, a replica that is still cut off
  * from the others answers a pull with the version it has, if no VM advertises a
@@ -336,6 +344,29 @@
 				     dl_conf_sections_ref(p->sections));
 }
 
+/*
+ * Splits the newest version if it was not yet, after a pause. Returns false if
+ * there is none, or the pause is not over.
+ */
+static bool prepare_after_pause(struct replica *r, int64_t now)
+{
+	struct replica_push *p = &r->push;
+	uint64_t begin;
+	int64_t took_ms;
+
+	if (p->id.version == dl_cstore_version(r->cstore))
+		return true;
+	if (now < p->split_not_before)
+		return false;
+	begin = uv_hrtime();
+	if (!prepare(r))
+		return false;
+	took_ms = (int64_t)((uv_hrtime() - begin) / NS_PER_MS);
+	p->split_not_before = now + MIN((1 + SPLIT_REST_FACTOR) * took_ms,
+					(int64_t)PUSH_INTERVAL_MS);
+	return true;
+}
+
 /*
  * Chooses what to push: the delta from the version pushed before, or the whole
  * body. Returns false if there is nothing to push, or not yet, because the body
@@ -349,7 +380,7 @@
 	bool waits = p->pushed_at && now - p->pushed_at < PUSH_INTERVAL_MS;
 	bool is_delta, is_large;
 
-	if (!prepare(r))
+	if (!prepare_after_pause(r, now))
 		return false;
 	if (!p->pushed.count && whole_size(r) > DL_CONF_SMALL_BYTES)
 		keep_stored(r, p->id.version - 1);
