--- a/src/entry/entry_conf.c
+++ b/src/entry/entry_conf.c
@@ -14,6 +14,7 @@
 #include "node/log.h"
 #include "protocol/conf_push.h"
 #include "protocol/deflate.h"
+#include "state/conf_delta_cost.h"
 
 /* A lost push is recovered from within a second. */
 #define PULL_INTERVAL_MS 500
@@ -34,8 +35,6 @@
 #define PULL_SPLIT_WAIT_MS 500
 #define NS_PER_US	   1000
 #define US_PER_MS	   1000
-/* A larger delta is applied in slices, however well it deflates. */
-#define INLINE_DELTA_MAX (32u << 10)
 
 static void pull(struct entry *e, uint64_t vm);
 static void pull_from(struct entry *e, uint64_t version, uint64_t vm);
@@ -56,6 +55,7 @@
 	free(job->text);
 	conf_parsed_unref(job->base);
 	dl_conf_free(job->conf);
+	dl_conf_tree_free(job->tree);
 	dl_conf_sections_free(job->sections);
 	g_free(job);
 }
@@ -113,9 +113,8 @@
 			e, &head, (struct dl_str){ job->body, job->body_n });
 		return;
 	}
-	entry_conf_keep_whole(e, job->text, job->text_n, job->body,
-			      job->body_n);
-	job->text = NULL;
+	entry_conf_keep_whole(e, job->tree, job->body, job->body_n);
+	job->tree = NULL;
 	job->body = NULL;
 }
 
@@ -194,9 +193,20 @@
 	pull_from(e, job->received.id.version, job->from);
 }
 
-/* Reads a whole text; in a worker thread if it is large. */
-static void read_whole(struct conf_job *job)
+/*
+ * Reads a whole text, or a delta to a large head; in a worker thread unless it
+ * is small.
+ */
+static void read_version(struct conf_job *job)
 {
+	if (is_delta(job)) {
+		job->rc = dl_conf_delta_apply(
+			(struct dl_str){ job->text, job->text_n },
+			job->base->version, job->base->sections,
+			job->base->conf, &job->sections, &job->conf,
+			&job->faults);
+		return;
+	}
 	job->rc = dl_inflate((struct dl_str){ job->body, job->body_n },
 			     CONF_INFLATED_MAX, &job->text, &job->text_n);
 	if (job->rc) {
@@ -204,8 +214,8 @@
 		job->rc = -EBADMSG;
 		return;
 	}
-	job->rc = dl_conf_parse((struct dl_str){ job->text, job->text_n },
-				&job->conf, &job->faults);
+	job->rc = dl_conf_tree_parse((struct dl_str){ job->text, job->text_n },
+				     &job->conf, &job->tree, &job->faults);
 }
 
 /* Handles a delta that led to no version. */
@@ -242,7 +252,7 @@
 
 static void read_in_thread(uv_work_t *work)
 {
-	read_whole(work->data);
+	read_version(work->data);
 }
 
 /* Handles a large version that was read, and goes on with those that wait. */
@@ -281,12 +291,13 @@
 	job->since_last_ms = e->conf_last_read_at ?
 				     job->started_at - e->conf_last_read_at :
 				     -1;
-	if (is_delta(job)) {
+	if (is_delta(job))
 		job->base = conf_parsed_ref(c->parsed);
+	if (job->received.own_pace) {
 		if (entry_conf_slices_start(e, job))
 			handle_read(e, job);
 	} else if (job->received.small) {
-		read_whole(job);
+		read_version(job);
 		handle_read(e, job);
 	} else {
 		uv_queue_work(e->node.loop, &job->work, read_in_thread,
@@ -294,6 +305,46 @@
 	}
 }
 
+/*
+ * Whether a version that is to be read at once would stall the event loop, as
+ * shown by its base.
+ */
+static bool takes_long(const struct entry *e, const struct conf_job *job)
+{
+	const struct conf_parsed *base = e->confs->parsed;
+
+	return job->received.small && is_delta(job) &&
+	       !dl_conf_delta_is_cheap((struct dl_str){ job->text,
+							job->text_n },
+				       base->sections, base->conf);
+}
+
+/*
+ * Whether a delta is to be applied in a worker thread: its head, which may have
+ * tens of thousands of workspaces, is parsed in one step.
+ */
+static bool needs_thread(const struct entry *e, const struct conf_job *job)
+{
+	return job->received.own_pace &&
+	       dl_conf_delta_has_large_head((struct dl_str){ job->text,
+							     job->text_n },
+					    e->confs->parsed->sections);
+}
+
+/* Reads a version, or puts it back to be read in another way. */
+static void read_or_put_back(struct entry *e, struct conf_job *job)
+{
+	bool thread = needs_thread(e, job);
+
+	if (!thread && !takes_long(e, job)) {
+		start_reading(e, job);
+		return;
+	}
+	job->received.own_pace &= !thread;
+	job->received.small = false;
+	dl_conf_arrivals_put_back(&e->confs->arrivals, &job->received);
+}
+
 /* Reads the versions whose turn it is. */
 void entry_conf_pump(struct entry *e, int64_t now)
 {
@@ -304,7 +355,7 @@
 		case DL_CONF_WAIT:
 			return;
 		case DL_CONF_READ:
-			start_reading(e, r.job);
+			read_or_put_back(e, r.job);
 			break;
 		case DL_CONF_BASE_GONE:
 			reject_delta(e, r.job, "base");
@@ -386,7 +437,7 @@
 	job->received.id.digest = head.digest;
 	job->received.base =
 		(struct dl_conf_id){ head.base_version, head.base_digest };
-	job->received.small &= job->text_n <= INLINE_DELTA_MAX;
+	job->received.own_pace = true;
 	queue_version(e, job);
 }
 
--- a/src/entry/entry_conf_int.h
+++ b/src/entry/entry_conf_int.h
@@ -8,6 +8,7 @@
 #include "entry/entry.h"
 #include "state/conf_arrival.h"
 #include "state/conf_pace.h"
+#include "state/conf_pushed.h"
 
 /*
  * Sizes of inflated texts and deltas. Texts are limited when they are accepted;
@@ -53,6 +54,7 @@
 	uint32_t slices;		  /* steps that it took; 0: at once */
 	int rc;				  /* of reading */
 	struct dl_conf *conf;
+	struct dl_conf_tree *tree;	   /* of a whole text */
 	struct dl_conf_sections *sections; /* of a delta */
 	struct dl_faults faults;
 };
@@ -62,9 +64,8 @@
 	struct conf_parsed *parsed; /* NULL before the first version */
 	struct dl_conf_arrivals arrivals;
 	struct dl_conf_history history;
-	char *text; /* until it is split; NULL otherwise */
-	size_t text_n;
-	struct conf_work *split; /* at work; NULL: none */
+	struct dl_conf_tree *tree; /* to be split; NULL: none */
+	struct conf_work *split;   /* at work; NULL: none */
 	int64_t split_started_at;
 	bool exact;    /* body is the text as pushed by a replica */
 	char *body;    /* whole, deflated; NULL: not built */
@@ -89,7 +90,7 @@
 bool entry_conf_slices_start(struct entry *e, struct conf_job *job);
 
 /* entry_conf_store.c */
-void entry_conf_keep_whole(struct entry *e, char *text, size_t text_n,
+void entry_conf_keep_whole(struct entry *e, struct dl_conf_tree *tree,
 			   char *body, size_t body_n);
 void entry_conf_keep_delta(struct entry *e,
 			   const struct dl_conf_delta_head *head,
--- a/src/replica/replica_conf.c
+++ b/src/replica/replica_conf.c
@@ -27,6 +27,14 @@
  * everywhere.
  */
 #define PUSH_INTERVAL_MS 400
+/*
+ * Splitting versions takes at most a quarter of a replica's time, as its event
+ * loop also serves the log: a text of 1,300 routes and its source takes 20 ms
+ * of a core. Versions that follow each other sooner are left out; none waits
+ * longer than PUSH_INTERVAL_MS for this.
+ */
+#define SPLIT_REST_FACTOR 3
+#define NS_PER_MS	  1000000
 /*
  * Once this time has passed since the start, a replica that is still cut off
  * from the others answers a pull with the version it has, if no VM advertises a
@@ -47,8 +55,10 @@
 static bool get_delta(struct replica *r, struct dl_conf_kept *base,
 		      struct push_body *out);
 static void keep_stored(struct replica *r, uint64_t version);
-static void push(struct replica *r, const struct push_body *body,
-		 const uint64_t *vms, uint32_t count);
+static void push(struct replica *r, uint64_t version,
+		 const struct push_body *body, const uint64_t *vms,
+		 uint32_t count);
+static bool send_deltas(struct replica *r, struct dl_conf_id have, uint64_t to);
 static bool pushes_to(struct replica *r, struct dl_str domain, bool is_leader);
 static GArray *push_targets(struct replica *r);
 static void set_target_replicas(struct replica *r);
@@ -190,19 +200,42 @@
 	dl_conf_versions_add(&p->pushed, id, sections);
 }
 
-static void push(struct replica *r, const struct push_body *body,
-		 const uint64_t *vms, uint32_t count)
+static void push(struct replica *r, uint64_t version,
+		 const struct push_body *body, const uint64_t *vms,
+		 uint32_t count)
 {
 	for (uint32_t i = 0; i < dl_conf_push_children(count); i++) {
 		struct dl_packer pk;
-		uint64_t to = dl_conf_push_pack(&pk, r->push.id.version,
-						body->bytes, vms, count, i);
+		uint64_t to = dl_conf_push_pack(&pk, version, body->bytes, vms,
+						count, i);
 
 		replica_send(r, to, body->kind, 0, dl_packer_bytes(&pk));
 		dl_packer_close(&pk);
 	}
 }
 
+/*
+ * Sends the deltas that lead from an entry's version to the one pushed last, if
+ * they are kept. An entry misses some versions while a replica that died is
+ * replaced as the one that pushes to its domain.
+ */
+static bool send_deltas(struct replica *r, struct dl_conf_id have, uint64_t to)
+{
+	const struct dl_conf_step *steps;
+	uint32_t count = dl_conf_history_answer(&r->push.deltas, have,
+						whole_size(r), &steps);
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct push_body body = {
+			.kind = DL_FRAME_CONF_DELTA,
+			.bytes = { steps[i].body, steps[i].body_n },
+		};
+
+		push(r, steps[i].head.version, &body, &to, 1);
+	}
+	return count > 0;
+}
+
 /* Whether a replica is a member of the group, and so gets each version. */
 static bool is_group_member(const struct replica *r, uint64_t vm)
 {
@@ -291,14 +324,49 @@
 	dl_rlog_set_replicas(r->rlog, vms, conf->replicas_count);
 }
 
-/* Keeps the version that was pushed as the base of later deltas. */
-static void keep_pushed(struct replica_push *p)
+/*
+ * Keeps the version that was pushed as the base of later deltas, and the delta
+ * that led to it. p->pushed still has the base as its newest version.
+ */
+static void keep_pushed(struct replica_push *p, const struct push_body *body)
 {
+	const struct dl_conf_kept *base = dl_conf_versions_last(&p->pushed);
+	struct dl_conf_delta_head head = { .version = p->id.version,
+					   .digest = p->id.digest };
+
+	if (body->kind == DL_FRAME_CONF_DELTA) {
+		head.base_version = base->id.version;
+		head.base_digest = base->id.digest;
+		dl_conf_history_add(&p->deltas, &head, body->bytes);
+	}
 	if (p->sections && dl_conf_versions_wants(&p->pushed, p->id.version))
 		dl_conf_versions_add(&p->pushed, p->id,
 				     dl_conf_sections_ref(p->sections));
 }
 
+/*
+ * Splits the newest version if it was not yet, after a pause. Returns false if
+ * there is none, or the pause is not over.
+ */
+static bool prepare_after_pause(struct replica *r, int64_t now)
+{
+	struct replica_push *p = &r->push;
+	uint64_t begin;
+	int64_t took_ms;
+
+	if (p->id.version == dl_cstore_version(r->cstore))
+		return true;
+	if (now < p->split_not_before)
+		return false;
+	begin = uv_hrtime();
+	if (!prepare(r))
+		return false;
+	took_ms = (int64_t)((uv_hrtime() - begin) / NS_PER_MS);
+	p->split_not_before = now + MIN((1 + SPLIT_REST_FACTOR) * took_ms,
+					(int64_t)PUSH_INTERVAL_MS);
+	return true;
+}
+
 /*
  * Chooses what to push: the delta from the version pushed before, or the whole
  * body. Returns false if there is nothing to push, or not yet, because the body
@@ -312,7 +380,7 @@
 	bool waits = p->pushed_at && now - p->pushed_at < PUSH_INTERVAL_MS;
 	bool is_delta, is_large;
 
-	if (!prepare(r))
+	if (!prepare_after_pause(r, now))
 		return false;
 	if (!p->pushed.count && whole_size(r) > DL_CONF_SMALL_BYTES)
 		keep_stored(r, p->id.version - 1);
@@ -344,9 +412,10 @@
 	dl_memb_update_self(r->node.memb, false, r->push.id.version,
 			    dl_node_now(&r->node));
 	targets = push_targets(r);
-	push(r, &body, (const uint64_t *)(void *)targets->data, targets->len);
+	push(r, r->push.id.version, &body,
+	     (const uint64_t *)(void *)targets->data, targets->len);
 	g_array_free(targets, TRUE);
-	keep_pushed(&r->push);
+	keep_pushed(&r->push, &body);
 	/*
 	 * Parsing a configuration of megabytes fragments the heap, and the
 	 * allocator does not return that memory by itself. New versions are
@@ -375,7 +444,8 @@
 
 /*
  * Answers an entry that requests a version newer than its own: with a delta, if
- * it has one of the versions pushed last, or with the whole body.
+ * it has one of the versions pushed last, with the deltas that were pushed
+ * since then, or with the whole body.
  */
 void replica_conf_pull(struct replica *r, uint64_t from,
 		       const struct dl_frame *frame)
@@ -394,15 +464,17 @@
 		return;
 	if (have.digest)
 		keep_stored(r, have.version);
-	if (get_delta(r, dl_conf_versions_find(&r->push.pushed, have), &body) ||
-	    get_whole(r, &body))
-		push(r, &body, &from, 1);
+	if (get_delta(r, dl_conf_versions_find(&r->push.pushed, have), &body))
+		push(r, version, &body, &from, 1);
+	else if (!send_deltas(r, have, from) && get_whole(r, &body))
+		push(r, version, &body, &from, 1);
 }
 
 /* Frees what is kept of the configuration for pushes. */
 void replica_conf_close(struct replica *r)
 {
 	dl_conf_versions_clear(&r->push.pushed);
+	dl_conf_history_clear(&r->push.deltas);
 	dl_conf_sections_free(r->push.sections);
 	free(r->push.body);
 }
--- a/src/state/conf_arrival.c
+++ b/src/state/conf_arrival.c
@@ -121,8 +121,8 @@
 }
 
 /*
- * Whether a whole text may be read now: one version at a time, and with a pause
- * after the text before.
+ * Whether a whole text, or a delta in a worker thread, may be read now: one
+ * version at a time, and with a pause after the one before.
  */
 static bool may_read(const struct dl_conf_arrivals *a, int64_t now)
 {
@@ -147,8 +147,12 @@
 		return DL_CONF_WAIT;
 	if (r->base.digest != a->in_force.digest)
 		return DL_CONF_BASE_OTHER;
-	/* Of the reading of a large delta, conf_pace.c decides the pauses. */
-	return r->small || !a->reading.version ? DL_CONF_READ : DL_CONF_WAIT;
+	if (r->small)
+		return DL_CONF_READ;
+	/* The pauses of steps are decided in conf_pace.c. */
+	if (r->own_pace)
+		return a->reading.version ? DL_CONF_WAIT : DL_CONF_READ;
+	return may_read(a, now) ? DL_CONF_READ : DL_CONF_WAIT;
 }
 
 /*
@@ -187,9 +191,25 @@
 	a->reading = r->id;
 }
 
+/* Puts the version that was taken last at the head of the line, as a large one.
+ */
+void dl_conf_arrivals_put_back(struct dl_conf_arrivals *a,
+			       const struct dl_conf_received *r)
+{
+	memmove(&a->waiting[1], &a->waiting[0],
+		a->count * sizeof(a->waiting[0]));
+	a->waiting[0] = *r;
+	a->waiting[0].small = false;
+	a->count++;
+	if (a->reading.version == r->id.version)
+		a->reading = (struct dl_conf_id){ 0 };
+	if (dl_conf_is_delta(r))
+		a->bytes += r->bytes;
+}
+
 /*
- * Records that a version was read; a pause begins after a whole text. The time
- * that a large delta took contains its own pauses.
+ * Records that a version was read; a pause begins, unless the time that it took
+ * contains its pauses.
  */
 void dl_conf_arrivals_read(struct dl_conf_arrivals *a,
 			   const struct dl_conf_received *r, int64_t took_ms,
@@ -200,7 +220,7 @@
 	/* A small delta that takes long may have overtaken a whole text. */
 	if (a->reading.version == r->id.version)
 		a->reading = (struct dl_conf_id){ 0 };
-	if (!dl_conf_is_delta(r))
+	if (!r->own_pace)
 		a->read_not_before = now + READ_REST_FACTOR * took_ms;
 }
 
--- a/src/state/conf_arrival.h
+++ b/src/state/conf_arrival.h
@@ -32,8 +32,9 @@
 	struct dl_conf_id id;	/* digest 0 for a whole text */
 	struct dl_conf_id base; /* of a delta; version 0 for a whole text */
 	bool small;		/* it is read at once, between two events */
-	size_t bytes;		/* deflated */
-	void *job;		/* the owner's */
+	bool own_pace; /* a delta applied in steps, which rest by themselves */
+	size_t bytes;  /* deflated */
+	void *job;     /* the owner's */
 };
 
 struct dl_conf_arrivals {
@@ -80,6 +81,12 @@
  */
 void dl_conf_arrivals_continue(struct dl_conf_arrivals *a,
 			       struct dl_conf_received *r);
+/*
+ * Takes back a version from dl_conf_arrivals_next() that turned out to take
+ * long to read. It is handed out as a large one, when its turn comes.
+ */
+void dl_conf_arrivals_put_back(struct dl_conf_arrivals *a,
+			       const struct dl_conf_received *r);
 /* A version was read, which took this long; it need not be in force. */
 void dl_conf_arrivals_read(struct dl_conf_arrivals *a,
 			   const struct dl_conf_received *r, int64_t took_ms,
--- a/test/test_conf_arrival.c
+++ b/test/test_conf_arrival.c
@@ -23,6 +23,7 @@
 	OTHER,	 /* the same, whose base has another digest */
 	BAD,	 /* the same, which turns out to be damaged when it is read */
 	BIG,	 /* a large delta arrives */
+	SLOW,	 /* a small delta that turns out to take long to read */
 	DONE,	 /* the thread has read its version */
 	FAILED,	 /* the thread found its version invalid */
 	SPLIT,	 /* the sections of the version in force are known */
@@ -91,6 +92,9 @@
 		if (next != DL_CONF_READ) {
 			pulls++;
 			drop(job);
+		} else if (r.small && job->op == SLOW) {
+			dl_conf_arrivals_put_back(&arrivals, &r);
+			job->received.small = false;
 		} else if (r.small) {
 			/* Only to the version that it leads from. */
 			ck_assert(
@@ -147,6 +151,8 @@
 		break;
 	case SPLIT:
 	case UNSPLIT:
+		if (s->version)
+			id.version = s->version;
 		id.digest = s->op == SPLIT ? digest_of(id.version) : 0;
 		dl_conf_arrivals_split(&arrivals, id);
 		break;
@@ -175,6 +181,22 @@
 	    { DELTA, 5, 6, DL_CONF_QUEUED, 5, 0 },
 	    { DELTA, 6, 7, DL_CONF_QUEUED, 5, 0 },
 	    { SPLIT, .in_force = 7 } } },
+	{ "sections of a version that was replaced are ignored",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { LATER, 400, .in_force = 5 },
+	    { WHOLE, 0, 6, DL_CONF_QUEUED, 5, 0 },
+	    { DONE, .in_force = 6 },
+	    { SPLIT, .version = 5, .in_force = 6 },
+	    { DELTA, 6, 7, DL_CONF_QUEUED, 6, 0 },
+	    { SPLIT, .in_force = 7 } } },
+	{ "two ways to a version that waits",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 5, 0 },
+	    { DELTA, 6, 7, DL_CONF_QUEUED, 5, 0 },
+	    { DELTA, 5, 7, DL_CONF_KNOWN, 5, 0 },
+	    { SPLIT, .in_force = 7 } } },
 	{ "a base that cannot be split needs a pull",
 	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
 	    { DONE, .in_force = 5 },
@@ -298,6 +320,15 @@
 	    { DONE, .in_force = 6 },
 	    { LATER, 300, .in_force = 6 },
 	    { DONE, .in_force = 8 } } },
+	{ "a small delta that takes long is read as a large one",
+	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+	    { DELTA, 5, 6, DL_CONF_QUEUED, 0, 0 },
+	    { SLOW, 6, 7, DL_CONF_QUEUED, 0, 0 },
+	    { DELTA, 7, 8, DL_CONF_QUEUED, 0, 0 },
+	    { DONE, .in_force = 5 },
+	    { SPLIT, .in_force = 6 },
+	    { LATER, 300, .in_force = 6 },
+	    { DONE, .in_force = 8 } } },
 	{ "a large delta whose base is replaced meanwhile is pulled",
 	  { { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
 	    { DONE, .in_force = 5 },
@@ -318,6 +349,17 @@
 	pulls = 0;
 }
 
+static size_t bytes_waiting(void)
+{
+	size_t bytes = 0;
+
+	for (uint32_t i = 0; i < arrivals.count; i++) {
+		if (dl_conf_is_delta(&arrivals.waiting[i]))
+			bytes += arrivals.waiting[i].bytes;
+	}
+	return bytes;
+}
+
 START_TEST(versions_come_into_force_in_order)
 {
 	const struct step *steps = cases[_i].steps;
@@ -329,6 +371,7 @@
 			      "%s: step %u: version %lu in force, %u pulls",
 			      cases[_i].name, i,
 			      (unsigned long)arrivals.in_force.version, pulls);
+		ck_assert_uint_eq(arrivals.bytes, bytes_waiting());
 	}
 	/* Each version that arrived is freed, waits, or is being read. */
 	ck_assert_uint_eq(jobs, arrivals.count + (in_thread != NULL));
@@ -446,6 +489,41 @@
 }
 END_TEST
 
+/*
+ * A delta that is applied in steps begins without a pause and is followed by
+ * none, as its steps rest. One that is put back for the worker thread is read
+ * under the limits of whole texts.
+ */
+START_TEST(delta_with_its_own_pace_needs_no_pause)
+{
+	struct dl_conf_received paced = { .id = { 2, 22 },
+					  .base = { 1, 11 },
+					  .own_pace = true,
+					  .bytes = LARGE };
+	struct dl_conf_arrivals a = { .in_force = { 1, 11 },
+				      .read_not_before = 9000 };
+	struct dl_conf_received r;
+
+	ck_assert_int_eq(dl_conf_arrivals_add(&a, &paced, 1000),
+			 DL_CONF_QUEUED);
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1000, &r), DL_CONF_READ);
+	/* It is for the worker thread. */
+	r.own_pace = false;
+	dl_conf_arrivals_put_back(&a, &r);
+	ck_assert_uint_eq(a.reading.version, 0);
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1000, &r), DL_CONF_WAIT);
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1300, &r), DL_CONF_READ);
+	dl_conf_arrivals_read(&a, &r, 100, 1400);
+	ck_assert_int_eq(a.read_not_before, 1700);
+	/* It failed; applied in steps there is no pause afterwards. */
+	ck_assert_int_eq(dl_conf_arrivals_add(&a, &paced, 1410),
+			 DL_CONF_QUEUED);
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1410, &r), DL_CONF_READ);
+	dl_conf_arrivals_read(&a, &r, 900, 2310);
+	ck_assert_int_eq(a.read_not_before, 1700);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("conf_arrival");
@@ -459,5 +537,6 @@
 	tcase_add_loop_test(tc, waiting_deltas_are_limited, 0, 2);
 	suite_add_tcase(suite, tc);
 	tcase_add_test(tc, small_delta_that_takes_long_is_waited_for);
+	tcase_add_test(tc, delta_with_its_own_pace_needs_no_pause);
 	return suite_run(suite);
 }
--- a/test/test_conf_history.c
+++ b/test/test_conf_history.c
@@ -108,6 +108,22 @@
 }
 END_TEST
 
+/* A delta must follow the last one in number and in digest. */
+START_TEST(delta_to_another_version_forgets_the_others)
+{
+	static const struct dl_conf_delta_head others[] = {
+		{ 7, 1006, 8, 1008 }, /* the text of 6 came back as 7 */
+		{ 6, 1007, 8, 1008 }, /* another text of 6 */
+	};
+	const struct dl_conf_step *steps;
+
+	add(5, 6, 100);
+	dl_conf_history_add(&history, &others[_i], DL_STR("delta"));
+	ck_assert_uint_eq(answer(5, 1005, WHOLE, &steps), 0);
+	ck_assert_uint_eq(history.count, 1);
+}
+END_TEST
+
 START_TEST(deltas_kept_are_limited)
 {
 	const struct dl_conf_step *steps;
@@ -170,6 +186,9 @@
 	ck_assert_ptr_null(dl_conf_versions_find(&versions, id));
 	dl_conf_versions_drop_deltas(&versions);
 	ck_assert_ptr_null(versions.at[0].delta);
+	/* 0 stands for an unknown digest, also if a version has it. */
+	versions.at[0].id.digest = 0;
+	ck_assert_ptr_null(dl_conf_versions_find(&versions, versions.at[0].id));
 }
 END_TEST
 
@@ -197,48 +216,6 @@
 }
 END_TEST
 
-/*
- * Entries split the text that they receive, and must come to the digest of the
- * replica.
- */
-START_TEST(pushed_sections_lack_the_source)
-{
-	struct dl_conf_sections *s, *entry;
-	bool had_source = false;
-	char *text;
-	size_t n;
-
-	s = split(7, &had_source);
-	ck_assert(had_source);
-	ck_assert_int_eq(dl_conf_sections_text(s, &text, &n), 0);
-	ck_assert_str_eq(text, "{\"number\":7,\"routes\":[{\"host\":\"a\"}]}");
-	ck_assert_int_eq(
-		dl_conf_sections_split((struct dl_str){ text, n }, &entry), 0);
-	ck_assert_uint_eq(dl_conf_sections_digest(s),
-			  dl_conf_sections_digest(entry));
-	dl_conf_sections_free(s);
-	dl_conf_sections_free(entry);
-	free(text);
-	ck_assert_int_eq(dl_conf_pushed_split(DL_STR("{\"a\":0.1}"), &s,
-					      &had_source),
-			 0);
-	ck_assert(!had_source);
-	dl_conf_sections_free(s);
-}
-END_TEST
-
-START_TEST(texts_that_are_no_configuration_are_not_split)
-{
-	static const char *const texts[] = { "", "[]", "{\"routes\":1}",
-					     "{\"routes\":[" };
-	struct dl_conf_sections *s;
-	bool had_source;
-
-	ck_assert_int_ne(
-		dl_conf_pushed_split(dl_str_of(texts[_i]), &s, &had_source), 0);
-}
-END_TEST
-
 START_TEST(delta_pays_if_it_is_smaller)
 {
 	ck_assert(dl_conf_delta_pays(100, WHOLE));
@@ -262,12 +239,11 @@
 	tcase_add_loop_test(tc, pull_is_answered_from_the_version_named, 0,
 			    sizeof(pulls) / sizeof(pulls[0]));
 	tcase_add_test(tc, deltas_with_a_gap_are_forgotten);
+	tcase_add_loop_test(tc, delta_to_another_version_forgets_the_others, 0,
+			    2);
 	tcase_add_test(tc, deltas_kept_are_limited);
 	tcase_add_test(tc, replica_finds_versions_by_number_and_digest);
 	tcase_add_test(tc, versions_are_kept_in_order);
-	tcase_add_test(tc, pushed_sections_lack_the_source);
-	tcase_add_loop_test(tc, texts_that_are_no_configuration_are_not_split,
-			    0, 4);
 	tcase_add_test(tc, delta_pays_if_it_is_smaller);
 	suite_add_tcase(suite, tc);
 	return suite_run(suite);
