Entries: one delta replaces several large ones that wait

Ruled out: parsing only the last of them, as each names sections of the one before it; a longer pause between them, which makes the last one late.

Change: where three large deltas or more wait in line, they are dropped, and one from the version in force to the newest is pulled from a replica. Another entry would send its chain of deltas again. The replica is chosen by the VM's address, so that not all VMs pull from the same one.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -603,6 +603,7 @@
 void entry_cmd_send_replicas(struct entry *e, uint32_t kind,
 			     struct dl_str body);
 bool entry_cmd_is_replica(struct entry *e, uint64_t vm);
+uint64_t entry_cmd_any_replica(const struct entry *e);
 
 /* entry_conf.c */
 void entry_conf_init(struct entry *e);
--- a/src/entry/entry_cmd.c
+++ b/src/entry/entry_cmd.c
@@ -124,6 +124,23 @@
 	return vm;
 }
 
+/* Returns a replica, a different one on different VMs; DL_VM_NONE: none. */
+uint64_t entry_cmd_any_replica(const struct entry *e)
+{
+	GArray *all = list_replicas(e);
+	uint64_t vm = DL_VM_NONE;
+
+	if (all->len)
+		vm = g_array_index(
+			all, uint64_t,
+			dl_hash((struct dl_str){ (const char *)&e->node.self,
+						 sizeof(e->node.self) },
+				e->version) %
+				all->len);
+	g_array_free(all, TRUE);
+	return vm;
+}
+
 /* Chooses a replica as the presumed leader if there is none. */
 void entry_cmd_choose_leader(struct entry *e)
 {
--- a/src/entry/entry_conf.c
+++ b/src/entry/entry_conf.c
@@ -365,6 +365,14 @@
 			reject_delta(e, r.job, "digest");
 			entry_conf_job_free(r.job);
 			break;
+		case DL_CONF_SUPERSEDED:
+			/*
+			 * A replica has one delta past all of them; another
+			 * entry would send them again.
+			 */
+			pull_from(e, r.id.version, entry_cmd_any_replica(e));
+			entry_conf_job_free(r.job);
+			break;
 		}
 	}
 }
@@ -501,7 +509,7 @@
 
 	c->pull_vm = vm;
 	c->pull_version = version;
-	if (pull_is_early(e, entry_now(e)))
+	if (vm == DL_VM_NONE || pull_is_early(e, entry_now(e)))
 		return;
 	c->pull_vm = DL_VM_NONE;
 	pull(e, vm);
--- a/src/state/conf_arrival.c
+++ b/src/state/conf_arrival.c
@@ -13,6 +13,11 @@
  */
 #define READ_REST_FACTOR 3
 #define READ_WAIT_MAX_MS 300
+/*
+ * From this many large deltas in line, one that replaces them is pulled: that
+ * costs the replica one delta more, and this VM a round trip.
+ */
+#define SUPERSEDED_MIN 3
 
 /* Whether a delta with this base can be applied to a version. */
 static bool is_base(struct dl_conf_id base, struct dl_conf_id version)
@@ -155,6 +160,34 @@
 	return may_read(a, now) ? DL_CONF_READ : DL_CONF_WAIT;
 }
 
+static bool is_large_delta(const struct dl_conf_received *r)
+{
+	return dl_conf_is_delta(r) && !r->small;
+}
+
+/*
+ * Whether several large deltas wait, which are not worth being applied one
+ * after the other: a VM that was suspended while ten versions of 500 changed
+ * routes came into force would read each of them.
+ */
+static bool is_superseded(const struct dl_conf_arrivals *a)
+{
+	uint32_t large = 0;
+
+	while (large < a->count && is_large_delta(&a->waiting[large]))
+		large++;
+	return large >= SUPERSEDED_MIN;
+}
+
+/* Hands out the newest version that waits, and drops the others. */
+static enum dl_conf_next supersede(struct dl_conf_arrivals *a,
+				   struct dl_conf_received *out)
+{
+	*out = a->waiting[--a->count];
+	drop_waiting(a);
+	return DL_CONF_SUPERSEDED;
+}
+
 /*
  * Returns the next version to read. Deltas that follow one whose base is gone
  * are dropped with it, since the pull that is due replaces them.
@@ -170,6 +203,8 @@
 	next = check_first(a, out, now);
 	if (next == DL_CONF_WAIT)
 		return next;
+	if (next == DL_CONF_READ && is_superseded(a))
+		return supersede(a, out);
 	if (dl_conf_is_delta(out))
 		a->bytes -= out->bytes;
 	a->count--;
--- a/src/state/conf_arrival.h
+++ b/src/state/conf_arrival.h
@@ -69,6 +69,8 @@
 	DL_CONF_READ,	    /* read it, then dl_conf_arrivals_read() */
 	DL_CONF_BASE_GONE,  /* its base did not come into force: pull */
 	DL_CONF_BASE_OTHER, /* its base has another digest: pull */
+	/* several large deltas wait: pull one that replaces them all */
+	DL_CONF_SUPERSEDED,
 };
 
 /* Hands the next version back to the owner, unless it has to wait. */
--- a/test/test_conf_arrival.c
+++ b/test/test_conf_arrival.c
@@ -524,6 +524,37 @@
 }
 END_TEST
 
+/*
+ * Of several large deltas that wait only one is pulled that replaces them: each
+ * of ten versions that a suspended VM had missed was read.
+ */
+START_TEST(large_deltas_that_wait_are_replaced_by_one)
+{
+	const struct step steps[] = {
+		{ WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+		{ DONE, .in_force = 5 },
+		{ SPLIT, .in_force = 5 },
+		{ LATER, 400, .in_force = 5 },
+		{ BIG, 5, 6, DL_CONF_QUEUED, 5, 0 },
+		{ BIG, 6, 7, DL_CONF_QUEUED, 5, 0 },
+		{ BIG, 7, 8, DL_CONF_QUEUED, 5, 0 },
+		{ BIG, 8, 9, DL_CONF_QUEUED, 5, 0 },
+		{ DELTA, 9, 10, DL_CONF_QUEUED, 5, 0 },
+		{ DONE, .in_force = 6 },
+		{ LATER, 400, .in_force = 6 },
+		{ BIG, 6, 10, DL_CONF_QUEUED, 6, 0 },
+		{ DONE, .in_force = 10 },
+	};
+
+	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+		take_step(&steps[i]);
+		ck_assert_uint_eq(arrivals.in_force.version, steps[i].in_force);
+	}
+	ck_assert_uint_eq(pulls, 1);
+	ck_assert_uint_eq(jobs, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("conf_arrival");
@@ -538,5 +569,6 @@
 	suite_add_tcase(suite, tc);
 	tcase_add_test(tc, small_delta_that_takes_long_is_waited_for);
 	tcase_add_test(tc, delta_with_its_own_pace_needs_no_pause);
+	tcase_add_test(tc, large_deltas_that_wait_are_replaced_by_one);
 	return suite_run(suite);
 }
