--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -32,6 +32,7 @@
  *   entry_check.c      whose fault it is that attempts broke
  *   entry_cmd.c        commands and queries to the replicas
  *   entry_conf.c       the configuration in force
+ *   entry_conf_slices.c large deltas, applied in slices
  *   entry_conf_store.c what is kept of it, answers to pulls
  *   entry_ops.c        operators' HTTP API
  *   entry_trace.c      traces of recent requests
@@ -639,6 +640,7 @@
 void entry_cmd_send_replicas(struct entry *e, uint32_t kind,
 			     struct dl_str body);
 bool entry_cmd_is_replica(struct entry *e, uint64_t vm);
+uint64_t entry_cmd_any_replica(const struct entry *e);
 
 /* entry_conf.c */
 void entry_conf_init(struct entry *e);
@@ -648,6 +650,9 @@
 void entry_conf_version_seen(struct entry *e, uint64_t version, uint64_t vm);
 void entry_conf_tick(struct entry *e, int64_t now);
 
+/* entry_conf_slices.c */
+void entry_conf_slices_stop(struct entry *e);
+
 /* entry_conf_store.c */
 bool entry_conf_text(const struct entry *e, char **out, size_t *n);
 bool entry_conf_text_is_rebuilt(const struct entry *e);
--- a/src/state/conf_arrival.c
+++ b/src/state/conf_arrival.c
@@ -13,6 +13,11 @@
  */
 #define READ_REST_FACTOR 3
 #define READ_WAIT_MAX_MS 300
+/*
+ * From this many large deltas in line, one that replaces them is pulled: that
+ * costs the replica one delta more, and this VM a round trip.
+ */
+#define SUPERSEDED_MIN 3
 
 /* Whether a delta with this base can be applied to a version. */
 static bool is_base(struct dl_conf_id base, struct dl_conf_id version)
@@ -121,8 +126,8 @@
 }
 
 /*
- * Whether a whole text or a large delta may be read now: one at a time, and
- * with a pause after the one before.
+ * Whether a whole text, or a delta in a worker thread, may be read now: one
+ * version at a time, and with a pause after the one before.
  */
 static bool may_read(const struct dl_conf_arrivals *a, int64_t now)
 {
@@ -147,7 +152,40 @@
 		return DL_CONF_WAIT;
 	if (r->base.digest != a->in_force.digest)
 		return DL_CONF_BASE_OTHER;
-	return r->small || may_read(a, now) ? DL_CONF_READ : DL_CONF_WAIT;
+	if (r->small)
+		return DL_CONF_READ;
+	/* The pauses of steps are decided in conf_pace.c. */
+	if (r->own_pace)
+		return a->reading.version ? DL_CONF_WAIT : DL_CONF_READ;
+	return may_read(a, now) ? DL_CONF_READ : DL_CONF_WAIT;
+}
+
+static bool is_large_delta(const struct dl_conf_received *r)
+{
+	return dl_conf_is_delta(r) && !r->small;
+}
+
+/*
+ * Whether several large deltas wait, which are not worth being applied one
+ * after the other: a VM that was suspended while ten versions of 500 changed
+ * routes came into force would read each of them.
+ */
+static bool is_superseded(const struct dl_conf_arrivals *a)
+{
+	uint32_t large = 0;
+
+	while (large < a->count && is_large_delta(&a->waiting[large]))
+		large++;
+	return large >= SUPERSEDED_MIN;
+}
+
+/* Hands out the newest version that waits, and drops the others. */
+static enum dl_conf_next supersede(struct dl_conf_arrivals *a,
+				   struct dl_conf_received *out)
+{
+	*out = a->waiting[--a->count];
+	drop_waiting(a);
+	return DL_CONF_SUPERSEDED;
 }
 
 /*
@@ -165,6 +203,8 @@
 	next = check_first(a, out, now);
 	if (next == DL_CONF_WAIT)
 		return next;
+	if (next == DL_CONF_READ && is_superseded(a))
+		return supersede(a, out);
 	if (dl_conf_is_delta(out))
 		a->bytes -= out->bytes;
 	a->count--;
@@ -177,6 +217,15 @@
 	return next;
 }
 
+/* Records that a small delta takes long; those that wait for it go on to wait.
+ */
+void dl_conf_arrivals_continue(struct dl_conf_arrivals *a,
+			       struct dl_conf_received *r)
+{
+	r->small = false;
+	a->reading = r->id;
+}
+
 /* Puts the version that was taken last at the head of the line, as a large one.
  */
 void dl_conf_arrivals_put_back(struct dl_conf_arrivals *a,
@@ -187,19 +236,27 @@
 	a->waiting[0] = *r;
 	a->waiting[0].small = false;
 	a->count++;
+	if (a->reading.version == r->id.version)
+		a->reading = (struct dl_conf_id){ 0 };
 	if (dl_conf_is_delta(r))
 		a->bytes += r->bytes;
 }
 
-/* Records that a version was read; the pause begins if that took long. */
+/*
+ * Records that a version was read; a pause begins, unless the time that it took
+ * contains its pauses.
+ */
 void dl_conf_arrivals_read(struct dl_conf_arrivals *a,
 			   const struct dl_conf_received *r, int64_t took_ms,
 			   int64_t now)
 {
 	if (r->small)
 		return;
-	a->reading = (struct dl_conf_id){ 0 };
-	a->read_not_before = now + READ_REST_FACTOR * took_ms;
+	/* A small delta that takes long may have overtaken a whole text. */
+	if (a->reading.version == r->id.version)
+		a->reading = (struct dl_conf_id){ 0 };
+	if (!r->own_pace)
+		a->read_not_before = now + READ_REST_FACTOR * took_ms;
 }
 
 /* Puts a version in force unless it is not newer than the one that is. */
--- a/src/state/conf_arrival.h
+++ b/src/state/conf_arrival.h
@@ -32,8 +32,9 @@
 	struct dl_conf_id id;	/* digest 0 for a whole text */
 	struct dl_conf_id base; /* of a delta; version 0 for a whole text */
 	bool small;		/* it is read at once, between two events */
-	size_t bytes;		/* deflated */
-	void *job;		/* the owner's */
+	bool own_pace; /* a delta applied in steps, which rest by themselves */
+	size_t bytes;  /* deflated */
+	void *job;     /* the owner's */
 };
 
 struct dl_conf_arrivals {
@@ -41,8 +42,8 @@
 	void (*drop)(void *job);
 	struct dl_conf_id in_force; /* digest 0: its sections are not known */
 	bool splitting;		    /* in_force.digest will be known soon */
-	struct dl_conf_id reading;  /* in another thread; version 0: none */
-	int64_t read_not_before;    /* of whole texts and large deltas */
+	struct dl_conf_id reading;  /* large version at work; 0: none */
+	int64_t read_not_before;    /* of whole texts */
 	int64_t waiting_since; /* when the first version that waits arrived */
 	struct dl_conf_received waiting[DL_CONF_ARRIVALS_MAX];
 	uint32_t count;
@@ -68,14 +69,23 @@
 	DL_CONF_READ,	    /* read it, then dl_conf_arrivals_read() */
 	DL_CONF_BASE_GONE,  /* its base did not come into force: pull */
 	DL_CONF_BASE_OTHER, /* its base has another digest: pull */
+	/* several large deltas wait: pull one that replaces them all */
+	DL_CONF_SUPERSEDED,
 };
 
 /* Hands the next version back to the owner, unless it has to wait. */
 enum dl_conf_next dl_conf_arrivals_next(struct dl_conf_arrivals *a, int64_t now,
 					struct dl_conf_received *out);
 /*
- * Takes back a small version from dl_conf_arrivals_next() that turned out to
- * take long to read. It is handed out as a large one, when its turn comes.
+ * A small delta, as returned by dl_conf_arrivals_next(), takes long to read: it
+ * is treated as a large one from now on. A large one that is being read is
+ * older, and its result would not be put in force; the owner drops it.
+ */
+void dl_conf_arrivals_continue(struct dl_conf_arrivals *a,
+			       struct dl_conf_received *r);
+/*
+ * Takes back a version from dl_conf_arrivals_next() that turned out to take
+ * long to read. It is handed out as a large one, when its turn comes.
  */
 void dl_conf_arrivals_put_back(struct dl_conf_arrivals *a,
 			       const struct dl_conf_received *r);
--- a/src/state/conf_delta_cost.c
+++ b/src/state/conf_delta_cost.c
@@ -50,6 +50,12 @@
 	return keeps;
 }
 
+static bool has_large_head(const struct conf_delta *d,
+			   const struct dl_conf_sections *base)
+{
+	return base->head->n > CHEAP_BYTES || d->head_text.n > CHEAP_BYTES;
+}
+
 /* Whether a decoded delta is cheap to apply. */
 static bool is_cheap(const struct conf_delta *d,
 		     const struct dl_conf_sections *base,
@@ -57,7 +63,7 @@
 {
 	struct dl_str head = conf_section_str(base->head);
 
-	if (head.n > CHEAP_BYTES || d->head_text.n > CHEAP_BYTES)
+	if (has_large_head(d, base))
 		return false;
 	return !d->head_changed || keeps_services(d, head, base_conf);
 }
@@ -77,3 +83,15 @@
 	conf_delta_close(&d);
 	return cheap;
 }
+
+/* Whether the head of the result is too large to be parsed at once. */
+bool dl_conf_delta_has_large_head(struct dl_str delta,
+				  const struct dl_conf_sections *base)
+{
+	struct conf_delta d;
+	bool large = conf_delta_open(&d, delta) == 0 &&
+		     has_large_head(&d, base);
+
+	conf_delta_close(&d);
+	return large;
+}
--- a/src/state/conf_delta_cost.h
+++ b/src/state/conf_delta_cost.h
@@ -18,5 +18,11 @@
 bool dl_conf_delta_is_cheap(struct dl_str delta,
 			    const struct dl_conf_sections *base,
 			    const struct dl_conf *base_conf);
+/*
+ * Whether the head of the base, or what a delta adds to it, is large: the head
+ * is parsed in one step. False for a damaged delta.
+ */
+bool dl_conf_delta_has_large_head(struct dl_str delta,
+				  const struct dl_conf_sections *base);
 
 #endif
--- a/test/test_conf_arrival.c
+++ b/test/test_conf_arrival.c
@@ -447,6 +447,114 @@
 }
 END_TEST
 
+/*
+ * A small delta that takes long, after it overtook a whole text in the worker
+ * thread: deltas that lead from it wait for it, also once the thread is done.
+ */
+START_TEST(small_delta_that_takes_long_is_waited_for)
+{
+	struct dl_conf_received whole = { .id = { 2, 0 }, .bytes = LARGE };
+	struct dl_conf_received slow = { .id = { 3, 33 },
+					 .base = { 1, 11 },
+					 .small = true,
+					 .bytes = SMALL };
+	struct dl_conf_received after = { .id = { 4, 44 },
+					  .base = { 3, 33 },
+					  .small = true,
+					  .bytes = SMALL };
+	struct dl_conf_arrivals a = { .in_force = { 1, 11 } };
+	struct dl_conf_received r;
+
+	ck_assert_int_eq(dl_conf_arrivals_add(&a, &whole, 1000),
+			 DL_CONF_QUEUED);
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1000, &r), DL_CONF_READ);
+	ck_assert_int_eq(dl_conf_arrivals_add(&a, &slow, 1010), DL_CONF_QUEUED);
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1010, &r), DL_CONF_READ);
+	ck_assert_uint_eq(r.id.version, 3);
+	dl_conf_arrivals_continue(&a, &r);
+	ck_assert(!r.small);
+	slow = r;
+	ck_assert_uint_eq(dl_conf_arrivals_newest(&a), 3);
+	ck_assert_int_eq(dl_conf_arrivals_add(&a, &after, 1020),
+			 DL_CONF_QUEUED);
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1020, &r), DL_CONF_WAIT);
+	/* The thread is done with the older text. */
+	dl_conf_arrivals_read(&a, &whole, 50, 1050);
+	ck_assert(dl_conf_arrivals_put_in_force(&a, whole.id, true));
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1050, &r), DL_CONF_WAIT);
+	dl_conf_arrivals_read(&a, &slow, 80, 1090);
+	ck_assert(dl_conf_arrivals_put_in_force(&a, slow.id, false));
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1090, &r), DL_CONF_READ);
+	ck_assert_uint_eq(r.id.version, 4);
+}
+END_TEST
+
+/*
+ * A delta that is applied in steps begins without a pause and is followed by
+ * none, as its steps rest. One that is put back for the worker thread is read
+ * under the limits of whole texts.
+ */
+START_TEST(delta_with_its_own_pace_needs_no_pause)
+{
+	struct dl_conf_received paced = { .id = { 2, 22 },
+					  .base = { 1, 11 },
+					  .own_pace = true,
+					  .bytes = LARGE };
+	struct dl_conf_arrivals a = { .in_force = { 1, 11 },
+				      .read_not_before = 9000 };
+	struct dl_conf_received r;
+
+	ck_assert_int_eq(dl_conf_arrivals_add(&a, &paced, 1000),
+			 DL_CONF_QUEUED);
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1000, &r), DL_CONF_READ);
+	/* It is for the worker thread. */
+	r.own_pace = false;
+	dl_conf_arrivals_put_back(&a, &r);
+	ck_assert_uint_eq(a.reading.version, 0);
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1000, &r), DL_CONF_WAIT);
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1300, &r), DL_CONF_READ);
+	dl_conf_arrivals_read(&a, &r, 100, 1400);
+	ck_assert_int_eq(a.read_not_before, 1700);
+	/* It failed; applied in steps there is no pause afterwards. */
+	ck_assert_int_eq(dl_conf_arrivals_add(&a, &paced, 1410),
+			 DL_CONF_QUEUED);
+	ck_assert_int_eq(dl_conf_arrivals_next(&a, 1410, &r), DL_CONF_READ);
+	dl_conf_arrivals_read(&a, &r, 900, 2310);
+	ck_assert_int_eq(a.read_not_before, 1700);
+}
+END_TEST
+
+/*
+ * Of several large deltas that wait only one is pulled that replaces them: each
+ * of ten versions that a suspended VM had missed was read.
+ */
+START_TEST(large_deltas_that_wait_are_replaced_by_one)
+{
+	const struct step steps[] = {
+		{ WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 },
+		{ DONE, .in_force = 5 },
+		{ SPLIT, .in_force = 5 },
+		{ LATER, 400, .in_force = 5 },
+		{ BIG, 5, 6, DL_CONF_QUEUED, 5, 0 },
+		{ BIG, 6, 7, DL_CONF_QUEUED, 5, 0 },
+		{ BIG, 7, 8, DL_CONF_QUEUED, 5, 0 },
+		{ BIG, 8, 9, DL_CONF_QUEUED, 5, 0 },
+		{ DELTA, 9, 10, DL_CONF_QUEUED, 5, 0 },
+		{ DONE, .in_force = 6 },
+		{ LATER, 400, .in_force = 6 },
+		{ BIG, 6, 10, DL_CONF_QUEUED, 6, 0 },
+		{ DONE, .in_force = 10 },
+	};
+
+	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+		take_step(&steps[i]);
+		ck_assert_uint_eq(arrivals.in_force.version, steps[i].in_force);
+	}
+	ck_assert_uint_eq(pulls, 1);
+	ck_assert_uint_eq(jobs, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("conf_arrival");
@@ -459,5 +567,8 @@
 	tcase_add_test(tc, newest_version_includes_what_waits);
 	tcase_add_loop_test(tc, waiting_deltas_are_limited, 0, 2);
 	suite_add_tcase(suite, tc);
+	tcase_add_test(tc, small_delta_that_takes_long_is_waited_for);
+	tcase_add_test(tc, delta_with_its_own_pace_needs_no_pause);
+	tcase_add_test(tc, large_deltas_that_wait_are_replaced_by_one);
 	return suite_run(suite);
 }
