Replicas: a pull does not change the base of the next push

Cause: while a large body is held back, an entry that has a version from another replica can pull from this one, which then kept that version and would push the next delta from it, although its own entries do not have it.

Change: versions are read from the store for a pull only if they are older than the one pushed last.

--- a/src/replica/replica_conf.c
+++ b/src/replica/replica_conf.c
@@ -451,6 +451,7 @@
 		       const struct dl_frame *frame)
 {
 	uint64_t version = dl_cstore_version(r->cstore), vm;
+	const struct dl_conf_kept *last;
 	struct push_body body;
 	struct dl_conf_id have;
 
@@ -462,7 +463,9 @@
 		return;
 	if (!prepare(r))
 		return;
-	if (have.digest)
+	/* The newest version kept stays the one that was pushed last. */
+	last = dl_conf_versions_last(&r->push.pushed);
+	if (have.digest && (!last || have.version < last->id.version))
 		keep_stored(r, have.version);
 	if (get_delta(r, dl_conf_versions_find(&r->push.pushed, have), &body))
 		push(r, version, &body, &from, 1);
