Tests: simulated deployments with failure domains, waves and message delays

Cause: loads that shift between short and long prompts, at different moments in different failure domains, could not be simulated: rates were constant, and neither callers nor engines had a domain.

Change: deployment_sim gets failure domains, a factor on the rates by time, domain and kind, an optional delay of messages, and an observer that sees what each caller received. struct dl_pool_conf gets mix_horizon_ms, which nothing reads yet.

Without these fields a simulation draws the same random numbers as before, so that test_placing_load is unchanged.

--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -53,6 +53,8 @@
 	/* that a cold endpoint bears from all VMs together; 0: no limit */
 	uint32_t cold_requests_per_s;
 	struct dl_engine_model engine; /* cost model of dl_policy_engine */
+	/* how far dl_policy_engine forecasts the mix of prompts; 0: off */
+	uint32_t mix_horizon_ms;
 };
 
 /* Weight and limits of a workspace; a limit of 0 means no limit. */
--- a/test/fake/deployment_sim.c
+++ b/test/fake/deployment_sim.c
@@ -27,14 +27,17 @@
 
 struct caller {
 	struct pass_stream stream;
-	uint32_t kind;
+	uint32_t kind, domain;
 	uint64_t tokens;
 	uint32_t events;
 	int64_t arrived, retry_at;
 	uint32_t tries;
-	bool done, granted, in_time, late;
+	bool done, granted, in_time, late, away;
 	uint64_t grant;
 	int64_t renew_at;
+	int64_t submit_at; /* when the request reaches its engines; 0: no */
+	int64_t event_delay;
+	struct dl_answer answer;
 	char workspace[WORKSPACE_NAME_MAX];
 };
 
@@ -46,6 +49,17 @@
 static GRand *rnd;
 static int64_t now;
 
+/* Names the failure domain of an engine or a caller. */
+static void set_domain(struct dl_name *to, uint32_t i)
+{
+	char name[32];
+
+	if (!current->domains)
+		return;
+	snprintf(name, sizeof(name), "domain-%u", i % current->domains);
+	dl_name_set(to, dl_str_of(name));
+}
+
 static void report_engines(void)
 {
 	const struct dl_engine_model *m = &current->engine;
@@ -72,6 +86,7 @@
 		}
 		snprintf(id, sizeof(id), ENDPOINT_FMT, i);
 		dl_name_set(&r.id, dl_str_of(id));
+		set_domain(&r.failure_domain, i);
 		g_assert(dl_pool_report(pool, &r, now) == 0);
 	}
 }
@@ -84,15 +99,21 @@
 	       tokens * tokens / 2 / 1e6 * m->per_pairs_ms;
 }
 
+/* Draws the time that a message takes, from an exponential distribution. */
+static int64_t draw_delay(void)
+{
+	if (current->way_ms <= 0)
+		return 0;
+	return (int64_t)(-current->way_ms * log(1 - g_rand_double(rnd)));
+}
+
 /* Submits a granted prompt to its engines. */
-static void start_on_engines(struct caller *c, const struct dl_answer *a)
+static void submit(struct caller *c)
 {
+	const struct dl_answer *a = &c->answer;
 	double part = prefill_ms((double)c->tokens) / a->endpoints;
 
-	c->granted = true;
-	c->grant = a->grant;
-	c->renew_at = now + RENEW_MS;
-	c->stream.granted = now;
+	c->submit_at = 0;
 	c->stream.parts_left = a->endpoints;
 	c->stream.events_left = c->events;
 	for (uint8_t i = 0; i < a->endpoints; i++) {
@@ -104,6 +125,20 @@
 	}
 }
 
+static void start_on_engines(struct caller *c, const struct dl_answer *a)
+{
+	c->granted = true;
+	c->grant = a->grant;
+	c->away = a->away > 0;
+	c->renew_at = now + RENEW_MS;
+	c->stream.granted = now;
+	c->answer = *a;
+	c->submit_at = now + draw_delay();
+	c->event_delay = draw_delay();
+	if (c->submit_at == now)
+		submit(c);
+}
+
 static void handle_answer(const struct dl_answer *a)
 {
 	struct caller *c = callers->pdata[a->request];
@@ -128,7 +163,7 @@
 	const struct sim_kind *k = &current->kind[c->kind];
 	struct dl_ask want = {
 		.request = c->stream.id,
-		.entry = 1,
+		.entry = 1 + c->domain,
 		.workspace = dl_str_of(c->workspace),
 		.class = DL_CLASS_INTERACTIVE,
 		.prompt_tokens = c->tokens,
@@ -141,6 +176,7 @@
 	};
 	struct dl_answer a;
 
+	set_domain(&want.failure_domain, c->domain);
 	c->retry_at = 0;
 	c->stream.asked = now;
 	dl_pool_ask(pool, &want, now, &a);
@@ -156,13 +192,14 @@
 	return mean * exp(spread * normal - spread * spread / 2);
 }
 
-static void add_caller(uint32_t kind)
+static void add_caller(uint32_t kind, uint32_t domain)
 {
 	const struct sim_kind *k = &current->kind[kind];
 	struct caller *c = g_new0(struct caller, 1);
 	double tokens = draw_lognormal(k->tokens, k->spread);
 
 	c->kind = kind;
+	c->domain = domain;
 	c->tokens = (uint64_t)CLAMP(tokens, 200, k->longest);
 	c->events = k->events;
 	if (current->events_spread > 0)
@@ -193,6 +230,7 @@
 	};
 
 	c->done = true;
+	s->first += c->event_delay;
 	dl_pool_release(pool, c->grant, &usage, at);
 	c->in_time = s->first - c->arrived <= k->target_ms &&
 		     s->longest_gap <= k->gap_ms;
@@ -210,11 +248,25 @@
 	return counted_from(load) + (int64_t)load->seconds * MS_PER_S;
 }
 
-/* Current arrival rate of a kind, in requests per second. */
-static double arrival_rate(const struct sim_load *load, uint32_t kind)
+/* Current arrival rate of a kind in a domain, in requests per second. */
+static double arrival_rate(const struct sim_load *load, uint32_t domain,
+			   uint32_t kind)
 {
-	return now < counted_from(load) ? load->warmup_rate[kind] :
-					  load->rate[kind];
+	double rate = now < counted_from(load) ? load->warmup_rate[kind] :
+						 load->rate[kind];
+
+	if (load->factor)
+		rate *= load->factor(now - counted_from(load), domain, kind);
+	return rate / MAX(current->domains, 1);
+}
+
+static void add_callers(const struct sim_load *load, uint32_t domain)
+{
+	for (uint32_t k = 0; k < SIM_KINDS; k++) {
+		if (g_rand_double(rnd) <
+		    arrival_rate(load, domain, k) / MS_PER_S)
+			add_caller(k, domain);
+	}
 }
 
 static void step(const struct sim_load *load)
@@ -232,15 +284,16 @@
 			continue;
 		if (c->retry_at && now >= c->retry_at)
 			ask_pool(c);
+		if (c->submit_at && now >= c->submit_at)
+			submit(c);
 		if (c->granted && now >= c->renew_at) {
 			dl_pool_renew(pool, c->grant, now);
 			c->renew_at = now + RENEW_MS;
 		}
 	}
-	for (uint32_t k = 0; k < SIM_KINDS && now < arrivals_end(load); k++) {
-		if (g_rand_double(rnd) < arrival_rate(load, k) / MS_PER_S)
-			add_caller(k);
-	}
+	for (uint32_t d = 0;
+	     d < MAX(current->domains, 1) && now < arrivals_end(load); d++)
+		add_callers(load, d);
 	while (now >= dl_pool_wakeup(pool) && dl_pool_next(pool, now, &a))
 		handle_answer(&a);
 }
@@ -300,6 +353,31 @@
 	g_ptr_array_free(of, TRUE);
 }
 
+/* Passes what each counted caller received to the observer of the load. */
+static void report_outcomes(const struct sim_load *load)
+{
+	for (guint i = 0; load->observe && i < callers->len; i++) {
+		const struct caller *c = callers->pdata[i];
+		struct sim_outcome o = {
+			.kind = c->kind,
+			.domain = c->domain,
+			.arrived = c->arrived - counted_from(load),
+			.first = c->stream.first,
+			.longest_gap = c->stream.longest_gap,
+			.granted = c->stream.granted,
+			.predicted_ms = c->answer.predicted_ttft_ms,
+			.in_time = c->in_time,
+			.served = c->in_time || c->late,
+			.away = c->away,
+		};
+
+		o.granted -= o.granted ? counted_from(load) : 0;
+		o.first -= c->stream.first ? counted_from(load) : 0;
+		if (o.arrived >= 0)
+			load->observe(load->observe_arg, &o);
+	}
+}
+
 /* Simulates a load under a dispatch policy. */
 void sim_run(const struct sim_deployment *deployment,
 	     const struct sim_load *load, const struct dl_pool_policy *policy,
@@ -314,6 +392,7 @@
 		.report_gone_ms = 6000,
 		.weight_default = 1,
 		.engine = deployment->engine,
+		.mix_horizon_ms = load->mix_horizon_ms,
 	};
 	double got = 0, asked = 0;
 
@@ -329,6 +408,7 @@
 	     now++)
 		step(load);
 	g_assert(!dl_pool_check_invariants(pool));
+	report_outcomes(load);
 	for (uint32_t k = 0; k < SIM_KINDS; k++)
 		summarize(load, k, &out->kind[k], &got, &asked);
 	out->value_permille = asked > 0 ? (uint32_t)(got / asked * 1000) : 1000;
--- a/test/fake/deployment_sim.h
+++ b/test/fake/deployment_sim.h
@@ -30,6 +30,21 @@
 	struct sim_kind kind[SIM_KINDS];
 	double events_spread; /* standard deviation of log(events) */
 	uint32_t workspaces;  /* number of workspaces; 0: one */
+	/* failure domains, each with an equal share of engines and callers */
+	uint32_t domains; /* 0: none is named */
+	/* mean delay of a grant's request, and of its first event; 0: none */
+	double way_ms;
+};
+
+/* What one caller received, for tests that count by time or domain. */
+struct sim_outcome {
+	uint32_t kind, domain;
+	int64_t arrived;
+	int64_t first;	       /* time of the first event; 0: none */
+	int64_t granted;       /* 0: never */
+	uint32_t predicted_ms; /* from the grant to the first event */
+	int64_t longest_gap;
+	bool in_time, served, away;
 };
 
 struct sim_load {
@@ -43,6 +58,12 @@
 	 */
 	double warmup_rate[SIM_KINDS];
 	uint32_t warmup_s;
+	/* Factor on the rates of a domain at a time; NULL: 1. */
+	double (*factor)(int64_t now, uint32_t domain, uint32_t kind);
+	uint32_t mix_horizon_ms; /* of the pool; 0: off */
+	/* Called for each counted caller at the end; may be NULL. */
+	void (*observe)(void *arg, const struct sim_outcome *outcome);
+	void *observe_arg;
 };
 
 struct sim_count {
