Pool: placement by the engine model follows the mix of prompts

Change: with mix_horizon_ms set, consolidation_penalty_ms() and remote_penalty_ms() take their strength from pool_mix.c, which is fed by each request that is not a repetition and not a further attempt, also if it is refused at once. Without it nothing is counted and the penalties are those of the former constants.

--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -417,6 +417,8 @@
 	if (pool->open_endpoints == 0 && pool->ejected)
 		pool_outlier_readmit_all(pool, now);
 	pool_want_of(pool, ask, &want);
+	if (pool->policy->requested && !ask->tried)
+		pool->policy->requested(pool, &want, now);
 	reason = pool_admit_feasible(pool, &want, now);
 	if (reason != DL_REASON_NONE) {
 		if (reason == DL_REASON_NO_ENDPOINT ||
--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -274,6 +274,7 @@
 	.choose = pool_engine_choose,
 	.service_ms = pool_engine_service_ms,
 	.retry_ms = pool_engine_retry_ms,
+	.requested = pool_engine_count,
 	.granted = pool_engine_granted,
 	.start_dispatching = pool_engine_take_over,
 	.first_event = pool_engine_first_event,
--- a/src/coordination/pool_engine.h
+++ b/src/coordination/pool_engine.h
@@ -40,6 +40,8 @@
 	double weight;
 	uint32_t engines_min; /* for the memory; 1: the lead holds all of it */
 	double gap_share;     /* of a tolerated gap that a pass may use */
+	double consolidated_streams; /* on an engine that gets no penalty */
+	double remote_share;	     /* of the preference for the own domain */
 	uint32_t count;
 	struct candidate *candidate; /* room for every endpoint of the pool */
 	/* those that a group is chosen from, once one is */
@@ -49,6 +51,8 @@
 
 double pool_engine_weight(const struct pool_want *want);
 int64_t pool_engine_target_at(const struct pool_want *want);
+void pool_engine_count(struct dl_pool *pool, const struct pool_want *want,
+		       int64_t now);
 void pool_engine_collect(struct engine_search *s);
 bool pool_engine_place(struct engine_search *s, double budget,
 		       struct pool_choice *out);
--- a/src/coordination/pool_engine_place.c
+++ b/src/coordination/pool_engine_place.c
@@ -17,8 +17,6 @@
  * ones need; a higher one makes short prompts wait for each other.
  */
 #define CONSOLIDATION_SHARE 1.2
-/* An engine with this many similar streams gets no penalty. */
-#define CONSOLIDATED_STREAMS 6
 /* Decoding a token takes an engine about as long as prefilling ten. */
 #define DECODED_TOKEN_WEIGHT 10.0
 /* The most engines that prefill a prompt short enough for one part. */
@@ -132,9 +130,56 @@
 	return pool->candidates;
 }
 
+/* What the forecast of the mix makes of the preferences of a placement. */
+static void follow_mix(struct engine_search *s)
+{
+	uint32_t horizon = s->pool->conf.mix_horizon_ms;
+	struct pool_mix_room room = { .domain = s->want->domain };
+
+	s->consolidated_streams = POOL_MIX_STREAMS_MAX;
+	s->remote_share = 1;
+	if (!horizon)
+		return;
+	for (uint32_t i = 0; i < s->pool->endpoints_n; i++) {
+		const struct pool_endpoint *e = s->pool->endpoints[i];
+
+		if (!e->counted_open)
+			continue;
+		if (pool_in_other_domain(s->want, e))
+			room.other_slots += s->model->slots;
+		else
+			room.own_slots += s->model->slots;
+	}
+	s->consolidated_streams = pool_mix_streams(
+		&s->pool->mix, s->pool->open_endpoints, horizon, s->now);
+	s->remote_share =
+		pool_mix_remote_share(&s->pool->mix, &room, horizon, s->now);
+}
+
+/* Counts a request as one of the light or the heavy prompts. */
+void pool_engine_count(struct dl_pool *pool, const struct pool_want *want,
+		       int64_t now)
+{
+	const struct dl_engine_model *m = &pool->conf.engine;
+	double prefill = dl_engine_prefill_ms(m, want->prompt);
+	double passes = (double)m->usual_output / (m->stride ? m->stride : 1);
+
+	if (!pool->conf.mix_horizon_ms)
+		return;
+	if (prefill > UNSPLIT_PREFILL_MS)
+		pool_mix_add_heavy(&pool->mix, prefill, now);
+	else
+		pool_mix_add_light(
+			&pool->mix, want->domain,
+			prefill + passes * dl_engine_decode_pass_ms(
+						   m, POOL_MIX_STREAMS_MAX, 0),
+			now);
+}
+
 /* Collects the engines that may take the request, with their forecasts. */
 void pool_engine_collect(struct engine_search *s)
 {
+	follow_mix(s);
 	s->count = 0;
 	s->earliest_count = 0;
 	s->candidate = candidates_of(s->pool);
@@ -254,23 +299,24 @@
 	for (uint32_t i = 0; i < e->count; i++)
 		similar += e->item[i].decodes && e->item[i].gap_ms &&
 			   e->item[i].gap_ms <= s->want->gap_ms;
-	if (similar >= CONSOLIDATED_STREAMS)
+	if (similar >= s->consolidated_streams)
 		return 0;
 	return (int64_t)(s->target_ms * CONSOLIDATION_SHARE *
-			 (CONSOLIDATED_STREAMS - similar) /
-			 CONSOLIDATED_STREAMS);
+			 (s->consolidated_streams - similar) /
+			 POOL_MIX_STREAMS_MAX);
 }
 
 /*
  * Penalty of an engine in another failure domain: the whole target, so that a
  * stream leaves the entry's domain only if it would be late there.  A partition
- * between the domains does not break streams that stay within one.
+ * between the domains does not break streams that stay within one.  A share of
+ * it remains where the own domain is forecast to be full.
  */
 static int64_t remote_penalty_ms(const struct engine_search *s,
 				 const struct candidate *c)
 {
 	return pool_in_other_domain(s->want, c->endpoint) ?
-		       (int64_t)s->target_ms :
+		       (int64_t)(s->target_ms * s->remote_share) :
 		       0;
 }
 
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -8,6 +8,7 @@
 
 #include "daisyledge/backoff.h"
 #include "daisyledge/pool.h"
+#include "pool_mix.h"
 
 /* Get the structure that contains a member, as container_of() does. */
 #define POOL_CONTAINER_OF(node, type, member)                                  \
@@ -389,6 +390,7 @@
 	struct pool_heap endpoint_expiry;
 	struct pool_index index;
 	uint32_t next_round_robin;    /* of the round robin policy */
+	struct pool_mix mix;	      /* of the prompts, for the engine model */
 	struct candidate *candidates; /* of the search by the engine model */
 	uint32_t candidates_room;
 	struct dl_evacuations evacuations;
@@ -493,6 +495,9 @@
 	/* When a retry of a request refused as late may fit, ms from now. */
 	int64_t (*retry_ms)(const struct dl_pool *pool,
 			    const struct pool_want *want, int64_t now);
+	/* A request arrived that is not a repetition. */
+	void (*requested)(struct dl_pool *pool, const struct pool_want *want,
+			  int64_t now);
 	void (*granted)(struct dl_pool *pool, const struct pool_grant *g,
 			double read_ms, int64_t now);
 	/* Dispatching starts. */
