--- a/src/state/conf.c
+++ b/src/state/conf.c
@@ -135,6 +135,8 @@
 	{ "weight_default", CONF_U32, false, 1, 1000, 1, POOL(weight_default) },
 	{ "cold_requests_per_s", CONF_U32, false, 0, 1000000, 0,
 	  POOL(cold_requests_per_s) },
+	{ "mix_horizon_ms", CONF_U32, false, 0, 10000, 0,
+	  POOL(mix_horizon_ms) },
 };
 #undef POOL
 
--- a/src/state/conf_diff.c
+++ b/src/state/conf_diff.c
@@ -62,6 +62,8 @@
 	{ "pool.cold_requests_per_s", CONF_U32,
 	  SERVICE(pool.cold_requests_per_s),
 	  "requests beyond it wait while an endpoint is cold; 0 is no limit" },
+	{ "pool.mix_horizon_ms", CONF_U32, SERVICE(pool.mix_horizon_ms),
+	  "how far ahead placement follows the mix of prompts; 0 is off" },
 };
 #undef SERVICE
 
