Tests: shifts of a simulated load in a struct of their own

Further fields in struct sim_load made the loads of test_placing_load, which name no fields, fail to compile (-Wmissing-field-initializers).

--- a/test/fake/deployment_sim.c
+++ b/test/fake/deployment_sim.c
@@ -43,6 +43,7 @@
 
 /* State of the current run; global because engine callbacks use it. */
 static const struct sim_deployment *current;
+static const struct sim_shift *shifting;
 static struct dl_pool *pool;
 static struct pass_engine engines[SIM_ENGINES_MAX];
 static GPtrArray *callers;
@@ -255,8 +256,9 @@
 	double rate = now < counted_from(load) ? load->warmup_rate[kind] :
 						 load->rate[kind];
 
-	if (load->factor)
-		rate *= load->factor(now - counted_from(load), domain, kind);
+	if (shifting->factor)
+		rate *= shifting->factor(now - counted_from(load), domain,
+					 kind);
 	return rate / MAX(current->domains, 1);
 }
 
@@ -356,7 +358,7 @@
 /* Passes what each counted caller received to the observer of the load. */
 static void report_outcomes(const struct sim_load *load)
 {
-	for (guint i = 0; load->observe && i < callers->len; i++) {
+	for (guint i = 0; shifting->observe && i < callers->len; i++) {
 		const struct caller *c = callers->pdata[i];
 		struct sim_outcome o = {
 			.kind = c->kind,
@@ -374,7 +376,7 @@
 		o.granted -= o.granted ? counted_from(load) : 0;
 		o.first -= c->stream.first ? counted_from(load) : 0;
 		if (o.arrived >= 0)
-			load->observe(load->observe_arg, &o);
+			shifting->observe(shifting->observe_arg, &o);
 	}
 }
 
@@ -382,6 +384,16 @@
 void sim_run(const struct sim_deployment *deployment,
 	     const struct sim_load *load, const struct dl_pool_policy *policy,
 	     struct sim_result *out)
+{
+	static const struct sim_shift none = { 0 };
+
+	sim_run_shift(deployment, load, &none, policy, out);
+}
+
+/* Simulates a load that shifts, and passes each outcome to its observer. */
+void sim_run_shift(const struct sim_deployment *deployment,
+		   const struct sim_load *load, const struct sim_shift *shift,
+		   const struct dl_pool_policy *policy, struct sim_result *out)
 {
 	struct dl_pool_conf conf = {
 		.kind = DL_POOL_MODEL,
@@ -392,12 +404,13 @@
 		.report_gone_ms = 6000,
 		.weight_default = 1,
 		.engine = deployment->engine,
-		.mix_horizon_ms = load->mix_horizon_ms,
+		.mix_horizon_ms = shift->mix_horizon_ms,
 	};
 	double got = 0, asked = 0;
 
 	g_assert(deployment->engines <= SIM_ENGINES_MAX);
 	current = deployment;
+	shifting = shift;
 	pool = dl_pool_new(&conf, policy, 7);
 	rnd = g_rand_new_with_seed(load->seed);
 	callers = g_ptr_array_new_with_free_func(g_free);
--- a/test/fake/deployment_sim.h
+++ b/test/fake/deployment_sim.h
@@ -58,6 +58,10 @@
 	 */
 	double warmup_rate[SIM_KINDS];
 	uint32_t warmup_s;
+};
+
+/* How a load changes over time, and who sees its outcome; 0: neither. */
+struct sim_shift {
 	/* Factor on the rates of a domain at a time; NULL: 1. */
 	double (*factor)(int64_t now, uint32_t domain, uint32_t kind);
 	uint32_t mix_horizon_ms; /* of the pool; 0: off */
@@ -87,6 +91,10 @@
 void sim_run(const struct sim_deployment *deployment,
 	     const struct sim_load *load, const struct dl_pool_policy *policy,
 	     struct sim_result *out);
+/* The same for a load that shifts, with the horizon of the pool. */
+void sim_run_shift(const struct sim_deployment *deployment,
+		   const struct sim_load *load, const struct sim_shift *shift,
+		   const struct dl_pool_policy *policy, struct sim_result *out);
 /* Permille of a kind served in time; 1000 if there were no requests. */
 uint32_t sim_in_time_permille(const struct sim_result *result, uint32_t kind);
 void sim_print(const struct sim_load *load, const char *way,
