--- a/test/test_conf.c
+++ b/test/test_conf.c
@@ -44,6 +44,8 @@
 	{ TOP("\"format\": 2"), "format", 2, "duplicate key" },
 	{ TOP("\"f\\u006frmat\": 1"), "format", 2, "duplicate key" },
 	{ TOP("\"log_level\": \"loud\""), "log_level", 2, "\"debug\"" },
+	{ TOP("\"services\": {\"w\":\n{\"pool\": {\"mix_horizon_ms\": 10001}}}"),
+	  "services.w.pool.mix_horizon_ms", 3, "from 0 to 10000" },
 	{ TOP("\"weight_store_mb_per_s\": 0"), "weight_store_mb_per_s", 2,
 	  "from 1 to" },
 	{ TOP("\"weight_store_mb_per_s\": 1.5"), "weight_store_mb_per_s", 2,
--- a/test/test_pool_mix.c
+++ b/test/test_pool_mix.c
@@ -7,6 +7,7 @@
 #include <math.h>
 
 #include "coordination/pool_mix.h"
+#include "daisyledge/pool.h"
 #include "fake/suite.h"
 
 #define HORIZON 2000
@@ -201,6 +202,96 @@
 }
 END_TEST
 
+/* A pool of one engine that has been dispatching for 2 s. */
+static struct dl_pool *new_pool(void)
+{
+	struct dl_pool_conf conf = {
+		.kind = DL_POOL_MODEL,
+		.queue_entries_max = 10,
+		.queue_tokens_max = 100000000,
+		.grant_lease_ms = 60000,
+		.report_gone_ms = 60000,
+		.weight_default = 1,
+		.mix_horizon_ms = HORIZON,
+		.engine = { .slots = 12,
+			    .memory_tokens = 400000,
+			    .stride = 52,
+			    .step_ms = 0.925,
+			    .read_per_ms = 256,
+			    .per_pairs_ms = 0.0917,
+			    .usual_output = 1600 },
+	};
+	struct dl_endpoint_report r = { .incarnation = 1,
+					.memory_tokens = 400000,
+					.slots = 12,
+					.prefill_rate = 256000,
+					.decode_rate = 1000,
+					.takes_groups = true };
+	struct dl_pool *pool = dl_pool_new(&conf, &dl_policy_engine, 1);
+
+	dl_name_set(&r.id, dl_str_of("10.0.0.1:80"));
+	ck_assert_int_eq(dl_pool_report(pool, &r, 0), 0);
+	return pool;
+}
+
+static enum dl_verdict ask(struct dl_pool *pool, uint64_t request,
+			   uint64_t prompt, uint8_t tried, int64_t now)
+{
+	struct dl_ask a = { .request = request,
+			    .entry = 1,
+			    .workspace = dl_str_of("w"),
+			    .class = DL_CLASS_INTERACTIVE,
+			    .prompt_tokens = prompt,
+			    .output_tokens = 1000,
+			    .deadline = now + 30000,
+			    .target_ms = 1500,
+			    .tried = tried };
+	struct dl_answer out;
+
+	if (tried)
+		dl_name_set(&a.tried_ids[0], dl_str_of("10.0.0.9:80"));
+	dl_pool_ask(pool, &a, now, &out);
+	return out.verdict;
+}
+
+static uint32_t long_permille(struct dl_pool *pool, int64_t now)
+{
+	struct dl_pool_summary s;
+
+	dl_pool_summarize(pool, now, &s);
+	return s.mix_long_permille;
+}
+
+/* Asks that are repeated after a lost answer, and attempts after a failure. */
+START_TEST(request_counts_only_once)
+{
+	struct dl_pool *pool = new_pool();
+	uint32_t counted;
+
+	ask(pool, 1, 45000, 0, 1000);
+	counted = long_permille(pool, 3000);
+	ck_assert_uint_gt(counted, 0);
+	ask(pool, 1, 45000, 0, 1000);
+	ck_assert_uint_eq(long_permille(pool, 3000), counted);
+	ask(pool, 2, 45000, 1, 1000);
+	ck_assert_uint_eq(long_permille(pool, 3000), counted);
+	ask(pool, 3, 45000, 0, 1000);
+	ck_assert_uint_gt(long_permille(pool, 3000), counted);
+	dl_pool_free(pool);
+}
+END_TEST
+
+/* Demand that is refused at once is demand all the same. */
+START_TEST(refused_request_counts)
+{
+	struct dl_pool *pool = new_pool();
+
+	ck_assert_int_eq(ask(pool, 1, 390000, 0, 1000), DL_REFUSED);
+	ck_assert_uint_gt(long_permille(pool, 3000), 0);
+	dl_pool_free(pool);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("pool_mix");
@@ -221,5 +312,7 @@
 	tcase_add_test(t, failure_domains_are_counted_apart);
 	tcase_add_test(t, domains_beyond_the_bound_are_not_counted);
 	tcase_add_test(t, full_domain_prefers_itself_less);
+	tcase_add_test(t, request_counts_only_once);
+	tcase_add_test(t, refused_request_counts);
 	return suite_run(s);
 }
