Platform: services with mixed targets follow the mix of prompts

Sets pool.mix_horizon_ms to 2,000 where the operators' text gives a service an engine model with usual figures and its routes have at least two different targets.

--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -577,6 +577,50 @@
 }
 END_TEST
 
+#define MIX_ROUTE(n, target)                                                   \
+	"{\"name\":\"" n "\",\"host\":\"h.example\",\"path_prefix\":\"/" n     \
+	"/\",\"kind\":\"stream\",\"timeout_ms\":9000,\"service\":\"w\","       \
+	"\"target_latency_ms\":" target "}"
+#define MIX_CONFIG(usual, routes)                                              \
+	"{\"version\":1,\"routes\":[" routes                                   \
+	"],\"services\":[{\"name\":\"w\",\"engine\":{\"slots\":16,"            \
+	"\"kv_capacity\":315000,\"stride\":51,\"step_ms\":0.85,"               \
+	"\"read_per_s\":177000.0" usual "}}]}"
+#define USUAL ",\"usual\":{\"prompt\":4960,\"answer\":1622}"
+
+struct mix_case {
+	const char *body;
+	uint32_t horizon_ms;
+};
+
+static const struct mix_case mix_cases[] = {
+	{ MIX_CONFIG(USUAL, MIX_ROUTE("a", "300") "," MIX_ROUTE("b", "4000")),
+	  2000 },
+	{ MIX_CONFIG(USUAL, MIX_ROUTE("a", "300") "," MIX_ROUTE("b", "300")),
+	  0 },
+	{ MIX_CONFIG(USUAL, MIX_ROUTE("a", "300")), 0 },
+	{ MIX_CONFIG("", MIX_ROUTE("a", "300") "," MIX_ROUTE("b", "4000")), 0 },
+};
+
+/* A service of one kind of request must keep the constants of placement. */
+START_TEST(mix_is_followed_where_targets_differ)
+{
+	struct dl_faults faults;
+	struct dl_conf *conf = NULL;
+	struct dl_err err;
+	char *text = NULL;
+
+	ck_assert_int_eq(d->configuration(dl_str_of(mix_cases[_i].body), &text,
+					  &err),
+			 0);
+	ck_assert_int_eq(dl_conf_parse(dl_str_of(text), &conf, &faults), 0);
+	ck_assert_uint_eq(conf->services[0].pool.mix_horizon_ms,
+			  mix_cases[_i].horizon_ms);
+	dl_conf_free(conf);
+	free(text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("platform");
@@ -591,6 +635,8 @@
 			    sizeof(malformed_headers) /
 				    sizeof(malformed_headers[0]));
 	tcase_add_test(t, outbound_headers);
+	tcase_add_loop_test(t, mix_is_followed_where_targets_differ, 0,
+			    sizeof(mix_cases) / sizeof(mix_cases[0]));
 	tcase_add_test(t, forged_last_event_id_is_replaced);
 	tcase_add_test(t, response_headers_are_parsed);
 	tcase_add_test(t, limits_are_parsed);
