Test of hedged grant requests: a cancelled request leaves the queue

Guards against a cancellation that is not sent when the second VM's grant is used: the VM that goes on after a freeze would queue the request and grant it later. One place at each engine did not fill them, as endpoints announce their own slots; memory for one stream each does. Without the cancellation (mutation) queue_entries stays at 1 and the test fails; with it, 0.

The other grants that moved away and back with the dispatching end with their lease at the VM that dispatched meanwhile, as at any move.

--- a/test/test_system_hedged_ask.sh
+++ b/test/test_system_hedged_ask.sh
@@ -154,3 +154,45 @@
 	sleep 4
 done
 freeze_dispatcher writer 0.13 short 0
+
+# With memory for one stream at each engine, the VM that goes on finds all engines
+# full and queues the request.  The cancellation that follows must remove it.  Without
+# that, it would be granted a place later that nobody uses.
+wait_for 5 "an end of all grants" nothing_held || fail "grants are held before the queue"
+put_config "$(config 6 5000 '"key-one"' | sed 's/"kv_capacity":315000/"kv_capacity":1500/')" ||
+	fail "the second configuration is not accepted"
+for d in 1 2 3; do
+	wait_for 5 "the second version at $d" grep -q "in force. version=2 " \
+		"$DIR/entry-$d.log" ||
+		fail "the second configuration is not in force at $d"
+done
+sleep 4
+frozen=$(current_dispatcher writer queue)
+wait_for 2 "an end of all grants" nothing_held || fail "grants are held before the queue"
+asker=$((frozen % 3 + 1))
+for n in 1 2 3; do
+	chat $asker "full$n" >"$DIR/full-$n" &
+	record_pid "full_$n" $!
+done
+three_held() {
+	[ "$(value "$frozen" grants_held)" = 3 ]
+}
+wait_for 3 "three streams" three_held || fail "three streams do not fill the engines"
+won=$(value $asker asks_hedged_won)
+granted=$(value "$frozen" grants_total)
+kill -STOP "$(pid_of "entry_$frozen")"
+chat $asker hedged >"$DIR/hedged" &
+record_pid hedged $!
+sleep 0.5
+kill -CONT "$(pid_of "entry_$frozen")"
+sleep 0.7
+[ "$(value "$frozen" queue_entries)" = 0 ] || fail "a cancelled request is queued"
+wait "$(pid_of hedged)" || fail "the stream is not served"
+stream_is_complete "$DIR/hedged" || fail "the stream is not whole"
+[ "$(value $asker asks_hedged_won)" = $((won + 1)) ] ||
+	fail "the grant of the second VM was not used"
+[ "$(value "$frozen" grants_total)" = "$granted" ] ||
+	fail "the VM that was frozen has granted a cancelled request"
+# The three other grants moved to another VM and back while the frozen one was
+# unreachable; what a VM that dispatched keeps of them ends with their lease.
+wait_for 10 "an end of all grants" nothing_held || fail "a grant is held after the queue"
