--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -161,6 +161,7 @@
 	call_note_wait(c);
 	c->state = CALL_ASKING;
 	c->asked_at = entry_now(e);
+	c->asked_at_boot = dl_node_boot_ms();
 	c->ask_again_at = 0;
 	c->placed_locally = false;
 	fill_ask(c);
@@ -280,6 +281,17 @@
 	entry_grant_ask(c);
 }
 
+/* The same, a moment later. */
+void entry_grant_replace_later(struct call *c)
+{
+	entry_reservation_release(c);
+	entry_grant_release(c);
+	c->first_byte_at = 0;
+	call_note_wait(c);
+	c->state = CALL_ASKING;
+	c->ask_again_at = entry_now(c->e) + ASK_AGAIN_MS;
+}
+
 static void accept_grant(struct call *c, const struct dl_answer *answer)
 {
 	int64_t now = entry_now(c->e);
@@ -296,6 +308,7 @@
 			c->asked_at, NULL);
 	call_note_wait(c);
 	c->state = CALL_RUNNING;
+	entry_leaving_grant_accepted(c);
 	for (uint8_t i = 0; i < answer->endpoints; i++)
 		entry_path_note_granted(c->e, &answer->endpoint[i], &c->domain,
 					&c->service);
@@ -313,6 +326,10 @@
 		entry_evacuation_return_grant(c);
 		return;
 	}
+	if (entry_leaving_blocks_grant(c)) {
+		entry_leaving_return_grant(c);
+		return;
+	}
 	if (c->routed)
 		entry_relay_start(c);
 	else
