--- a/include/daisyledge/leaving.h
+++ b/include/daisyledge/leaving.h
@@ -30,9 +30,10 @@
 };
 
 /*
- * Records news of a departure; since is the earliest time at which it can have
- * been acknowledged, or DL_LEAVING_UNDATED. Later news may bound it more
- * closely, but never beyond the time at which this process first heard of it.
+ * Records a report of a departure; since is the earliest time at which it can
+ * have been acknowledged, or DL_LEAVING_UNDATED. A later report may bound it
+ * more closely, but never beyond the time at which this process first heard of
+ * it.
  */
 void dl_leaving_note(struct dl_leaving *l, int64_t since, int64_t now);
 /* Until when a dispatcher may grant the endpoint; DL_LEAVING_UNDATED: never. */
--- a/src/coordination/leaving.c
+++ b/src/coordination/leaving.c
@@ -19,7 +19,7 @@
 	return (int64_t)ms * permille / PERMILLE;
 }
 
-/* Records news of a departure; see the header. */
+/* Records a report of a departure; see the header. */
 void dl_leaving_note(struct dl_leaving *l, int64_t since, int64_t now)
 {
 	if (!l->known) {
@@ -71,7 +71,7 @@
 					      DL_LEAVING_AGE_UNKNOWN;
 }
 
-/* Adds the time that the news was under way; see the header. */
+/* Adds the time that a report was in transit; see the header. */
 uint32_t dl_leaving_add_delay(uint32_t age_ms, int64_t delay_ms)
 {
 	if (age_ms == 0 || age_ms == DL_LEAVING_AGE_UNKNOWN || delay_ms < 0 ||
--- a/src/entry/entry_leaving.c
+++ b/src/entry/entry_leaving.c
@@ -9,7 +9,7 @@
  * when the connection stands, by the earliest time at which the departure can
  * have been acknowledged. Nothing is sent where that time is not known.
  *
- * A VM that was suspended may have news of departures in its sockets that it
+ * A VM that was suspended may have reports of departures in its sockets that it
  * has not read, while it goes on with the requests that it had. For a moment it
  * sends nothing at all.
  */
