Quarantine: keep the last probe for requests without another quarantined cause

A part is probed three times at most after it is known. The last probe was kept for requests without a rival of that part, but a request with an unrelated quarantined part was let through, crashed, and used it up, so the part that all prompts begin with was refused for an hour. Since crashes of probes are saved over a restart, the system test can get there; which probes crash depends on when its VMs are killed.

Change: the last probe is for requests without any other quarantined cause.

--- a/src/coordination/quarantine_judge.c
+++ b/src/coordination/quarantine_judge.c
@@ -306,6 +306,24 @@
 	return held;
 }
 
+/* Whether a request holds a quarantined cause other than a given one. */
+static bool holds_other(const struct dl_quarantine *q, const struct record *r,
+			const struct dl_causes *causes, int64_t now)
+{
+	struct dl_cause cause = { causes->request, 0 };
+	const struct record *other = quarantine_find(q, &cause);
+
+	if (other && other != r && quarantine_is_held(other, now))
+		return true;
+	for (uint32_t i = 0; i < causes->parts; i++) {
+		cause = (struct dl_cause){ causes->part[i], causes->scope };
+		other = quarantine_find(q, &cause);
+		if (other && other != r && quarantine_is_held(other, now))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Number of instances that crashed under a cause although all VMs could know of
  * FEW_CRASHES of them.
@@ -333,10 +351,12 @@
  * other causes explain the crashes too, one that does not hold all of them
  * tells them apart, whether it crashes or not. A part that seems to blame for
  * certain may still have run beside three crashes by chance, so it is probed
- * too, after a pause; *wait_ms is when.
+ * too, after a pause; *wait_ms is when. The last probe is for requests without
+ * any other quarantined cause, since a crash under that one counts here too.
  */
-static bool may_probe(const struct record *r, const struct dl_causes *causes,
-		      int64_t now, uint32_t *wait_ms)
+static bool may_probe(const struct dl_quarantine *q, const struct record *r,
+		      const struct dl_causes *causes, int64_t now,
+		      uint32_t *wait_ms)
 {
 	uint32_t left = PROBES_MAX - MIN(late_crashes(r), PROBES_MAX);
 	guint held = rivals_held(r, causes);
@@ -346,7 +366,8 @@
 		return false;
 	if (r->rivals->len) {
 		*wait_ms = RETRY_MS;
-		return left > 1 ? held < r->rivals->len : held == 0;
+		return left > 1 ? held < r->rivals->len :
+				  held == 0 && !holds_other(q, r, causes, now);
 	}
 	if (!r->cause.scope || (left == 1 && !r->cleared))
 		return false;
@@ -367,7 +388,7 @@
 
 	if (!r || !quarantine_is_held(r, now))
 		return;
-	probe = may_probe(r, causes, now, &wait_ms);
+	probe = may_probe(q, r, causes, now, &wait_ms);
 	if (verdict->rule == DL_QUARANTINE_REFUSE && (probe || wait_ms))
 		return;
 	verdict->rule = probe ? DL_QUARANTINE_PROBE : DL_QUARANTINE_REFUSE;
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -271,6 +271,7 @@
 #define FIRST	5 /* a part that most prompts begin with */
 #define PART	6
 #define OTHER	7
+#define BESIDE	8 /* in the requests that crash, and harmless */
 
 /* A crash under a part, of a request that was sent a while before. */
 static void crash_part(uint64_t part, uint64_t request, uint64_t start,
@@ -447,6 +448,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a crash of a request with another culprit that uses up the
+ * last probe of the part that all prompts begin with: every request of the
+ * service would be refused for an hour.
+ */
+START_TEST(other_culprit_does_not_use_up_last_probe)
+{
+	int64_t now = 20000;
+
+	crash_part_times(OTHER, 1, 6);
+	crash_part_times(BESIDE, 10, 8);
+	crash_part_times(FIRST, 10, 8);
+	crash_part_times(PART, 10, 8);
+	for (uint64_t start = 100; start < 102; start++) {
+		ck_assert_int_eq(rule_for(FIRST, PART, now),
+				 DL_QUARANTINE_PROBE);
+		crash_part(FIRST, start, start, now, now + 100);
+		crash_part(PART, start, start, now, now + 100);
+		now += 3000;
+	}
+	ck_assert_int_eq(rule_for(FIRST, OTHER, now), DL_QUARANTINE_REFUSE);
+	ck_assert_int_eq(rule_for(FIRST, 0, now), DL_QUARANTINE_PROBE);
+	clear_part(FIRST, now);
+	ck_assert_int_eq(rule_for(FIRST, 0, now), DL_QUARANTINE_RUN);
+	ck_assert_int_eq(rule_for(FIRST, OTHER, now), DL_QUARANTINE_PROBE);
+}
+END_TEST
+
 START_TEST(part_held_by_chance_is_probed_later)
 {
 	crash_part_times(PART, 1, 3);
@@ -662,6 +691,7 @@
 	tcase_add_test(tc, tied_parts_are_told_apart_by_crashed_probes);
 	tcase_add_test(tc, part_common_to_two_culprits_comes_free);
 	tcase_add_test(tc, shared_part_comes_free_after_crashed_probes);
+	tcase_add_test(tc, other_culprit_does_not_use_up_last_probe);
 	tcase_add_test(tc, part_held_by_chance_is_probed_later);
 	tcase_add_test(tc, few_probes_crash_within_the_hold);
 	tcase_add_test(tc, part_crashes_survive_a_full_table);
