Replicas: do not deny a version before knowing what is committed

A replica answered for any version that it lacks that it is no longer stored; one that has just started, or is behind, lacks versions that were acknowledged.

Ruled out: a lost write; the version was there in the next moment, and the replica that was asked had not heard of a leader yet.

Change: a query for a version that a replica does not know goes to the leader; only a leader that can serve a linearizable read denies a version. A query is not forwarded to the VM that sent it.

--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -34,6 +34,7 @@
 	uint64_t vm;
 	uint64_t sender_request;
 	int64_t at;
+	bool status; /* answered here if the leader does not reply */
 };
 
 /* An entry whose lease request could not be confirmed yet. */
--- a/src/replica/replica_query.c
+++ b/src/replica/replica_query.c
@@ -2,7 +2,9 @@
  * Queries to a replica: "history", "text N" and "status", each answered with a
  * JSON document. A follower forwards status queries to the leader, which alone
  * knows the progress of each replica, and answers them itself if no reply
- * arrives.
+ * arrives. It also forwards queries for versions that it does not know: only a
+ * leader that no other can replace now can tell that there is no such version.
+ * Without a leader these get no answer, and the entry asks another replica.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -23,7 +25,9 @@
 static json_t *peer_json(const struct dl_rlog_peer_status *p);
 static json_t *status_json(struct replica *r);
 static bool forward(struct replica *r, uint64_t from,
-		    const struct dl_frame *frame);
+		    const struct dl_frame *frame, bool status);
+static void query_text(struct replica *r, uint64_t from,
+		       const struct dl_frame *frame, uint64_t version);
 
 static const char *const role_names[DL_RLOG_ROLE_COUNT] = {
 	[DL_RLOG_HALTED] = "halted",
@@ -160,15 +164,16 @@
 
 /* Forwards a query to the leader; returns false if that is not possible. */
 static bool forward(struct replica *r, uint64_t from,
-		    const struct dl_frame *frame)
+		    const struct dl_frame *frame, bool status)
 {
 	struct replica_forwarded f = { .vm = from,
-				       .sender_request = frame->request };
+				       .sender_request = frame->request,
+				       .status = status };
 	struct dl_rlog_status s;
 
 	dl_rlog_get_status(r->rlog, replica_now(r), &s);
 	if (s.role == DL_RLOG_LEADER || s.leader == DL_VM_NONE ||
-	    r->forwarded->len >= FORWARDED_MAX)
+	    s.leader == from || r->forwarded->len >= FORWARDED_MAX)
 		return false;
 	f.request = ++r->next_request;
 	f.at = replica_now(r);
@@ -177,6 +182,20 @@
 	return true;
 }
 
+/*
+ * Answers a query for a version. A replica that has just started, or is behind,
+ * has not applied all versions that were acknowledged.
+ */
+static void query_text(struct replica *r, uint64_t from,
+		       const struct dl_frame *frame, uint64_t version)
+{
+	if (version <= dl_cstore_version(r->cstore) ||
+	    replica_can_read(r, replica_now(r)))
+		send_answer(r, from, frame->request, text_json(r, version));
+	else
+		forward(r, from, frame, false);
+}
+
 /* Handles a query from an entry or a follower. */
 void replica_query_frame(struct replica *r, uint64_t from,
 			 const struct dl_frame *frame)
@@ -189,7 +208,7 @@
 		return;
 	}
 	if (dl_str_eq(body, DL_STR("status"))) {
-		if (!forward(r, from, frame))
+		if (!forward(r, from, frame, true))
 			send_answer(r, from, frame->request, status_json(r));
 		return;
 	}
@@ -197,7 +216,7 @@
 		return;
 	if (dl_str_to_u64((struct dl_str){ body.s + text.n, body.n - text.n },
 			  &version))
-		send_answer(r, from, frame->request, text_json(r, version));
+		query_text(r, from, frame, version);
 }
 
 /* Passes the leader's reply to the sender of a forwarded query. */
@@ -216,7 +235,7 @@
 	}
 }
 
-/* Answers forwarded queries to which the leader did not reply in time. */
+/* Ends forwarded queries to which the leader did not reply in time. */
 void replica_query_tick(struct replica *r, int64_t now)
 {
 	for (guint i = r->forwarded->len; i > 0; i--) {
@@ -226,6 +245,7 @@
 		if (now - f.at < FORWARD_TIMEOUT_MS)
 			continue;
 		g_array_remove_index_fast(r->forwarded, i - 1);
-		send_answer(r, f.vm, f.sender_request, status_json(r));
+		if (f.status)
+			send_answer(r, f.vm, f.sender_request, status_json(r));
 	}
 }
