Hand dispatching over to the next VM at once

The VM that dispatches was told to stop. It tells 16 VMs at once, and gossip the rest of 122: the VM that dispatches next heard of it 2.6 s later. Until then both refused requests with no-dispatcher, and each request was sent again every 50 ms.

Ruled out: the dispatcher's share of CPU time (its log lines are on time), hedged requests (both VMs answered at once), links.

Change: a VM that stops to dispatch sends its state to the next dispatcher, and while it drains to each VM that still asks it. Logged ("Dispatching ends here. next="); a request's line has how many VMs refused it that way (misdirected=).

--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -136,6 +136,7 @@
 	X(PEER_BAD_FRAME, DL_WARN, "peers", "Bad frame, connection closed.")   \
 	/* pool */                                                             \
 	X(POOL_DISPATCHING, DL_INFO, "pool", "Dispatching begins here.")       \
+	X(POOL_NOT_DISPATCHING, DL_INFO, "pool", "Dispatching ends here.")     \
 	X(POOL_LOAD_READ, DL_INFO, "pool",                                     \
 	  "Load of engines read after a takeover.")                            \
 	X(POOL_ENDPOINTS_SILENT, DL_WARN, "pool",                              \
--- a/src/coordination/memb.c
+++ b/src/coordination/memb.c
@@ -673,6 +673,19 @@
 	}
 }
 
+/*
+ * Sends this VM's own state to another VM at once. A change reaches only some
+ * VMs that way, and through gossip the rest: of 122 the last one learned after
+ * 2.6 s that a VM drains, which is too late for the VM that dispatches next.
+ */
+void dl_memb_announce_to(struct dl_memb *memb, uint64_t vm)
+{
+	const struct memb_peer *peer = memb_peer(memb, vm);
+
+	if (peer && peer != &memb->peers[0])
+		memb_queue(memb, MEMB_PING, vm, ++memb->seq, 0);
+}
+
 /*
  * Sets the state that this VM announces of itself. A version lower than the
  * last one is ignored.
--- a/src/entry/entry_call.c
+++ b/src/entry/entry_call.c
@@ -120,8 +120,8 @@
 	       "helpers=%s parts=%u away=%u granted_ms=%ld predicted_ms=%u "
 	       "first_ms=%ld pause_ms=%u tries=%u sent=%u reason=%s "
 	       "retry_ms=%u content=%016lx target_ms=%u gap_ms=%u "
-	       "unsure_ms=%u asking_ms=%u queued_ms=%u via=%s framing=%s "
-	       "end=%s to_caller=%s shared=%s part=%lx",
+	       "unsure_ms=%u asking_ms=%u misdirected=%u queued_ms=%u via=%s "
+	       "framing=%s end=%s to_caller=%s shared=%s part=%lx",
 	       c->id_text, c->route.attempt_id.s, c->service.s, c->workspace.s,
 	       dl_outcome_name(c->outcome), c->status,
 	       (long)(now - c->arrived_at), (unsigned long)c->prompt_tokens,
@@ -136,7 +136,7 @@
 	       dl_reason_name(c->reason), c->retry_ms,
 	       (unsigned long)c->content_hash, c->route.target_ms,
 	       c->stream ? c->route.gap_ms : 0, c->unsure_ms, c->asking_ms,
-	       c->queued_ms,
+	       c->not_dispatcher_replies, c->queued_ms,
 	       c->via == DL_VM_NONE ? "" : dl_vm_text(c->via, via),
 	       dl_framing_name(c->framing), dl_ending_name(c->ending),
 	       dl_framing_name(c->framing_out),
--- a/src/entry/entry_pool.c
+++ b/src/entry/entry_pool.c
@@ -119,6 +119,15 @@
 	}
 	if (dispatching == p->dispatching)
 		return;
+	/*
+	 * Asks are refused here and at the next dispatcher until that one has
+	 * learned that it is, so it is told at once.
+	 */
+	if (!dispatching) {
+		dl_msg(DL_MSG_POOL_NOT_DISPATCHING, "service=%s next=%lx",
+		       p->service.s, (unsigned long)owner);
+		dl_memb_announce_to(e->node.memb, owner);
+	}
 	p->dispatching = dispatching;
 	configure_pool(e, p);
 	entry_recover_query(e, p);
@@ -393,6 +402,24 @@
 	};
 }
 
+/*
+ * Tells a VM that asks a draining VM, and the VM that dispatches now, that it
+ * drains. What was sent when draining began may have been lost.
+ */
+static void announce_draining(struct entry *e, struct entry_pool *p,
+			      uint64_t asker)
+{
+	struct dl_str domain =
+		dl_name_str(dl_settings_pool_domain(&e->node.settings));
+
+	if (!e->draining)
+		return;
+	dl_memb_announce_to(e->node.memb, asker);
+	dl_memb_announce_to(e->node.memb,
+			    entry_pool_owner(e, dl_name_str(&p->service),
+					     domain));
+}
+
 /*
  * Processes an ask for a pool kept here. local: process it even if this VM is
  * not the dispatcher, because no dispatcher responds.
@@ -426,6 +453,7 @@
 		answer.entry = ask->entry;
 		answer.verdict = DL_REFUSED;
 		answer.reason = DL_REASON_NO_DISPATCHER;
+		announce_draining(e, p, ask->entry);
 	}
 	send_answer(e, p, &answer);
 }
--- a/test/test_memb.c
+++ b/test/test_memb.c
@@ -20,6 +20,7 @@
 #define HEAL_MS		   15000
 #define ISOLATION_MS	   24000
 #define LONG_MS		   60000
+#define LARGE		   120 /* VMs of one region */
 #define TARGET_VMS	   370
 #define MANY_VMS	   1000
 #define MANY_BUDGET_MS	   5000
@@ -359,6 +360,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a planned stop of the VM that dispatches after which nobody
+ * does: in a large deployment its successor learned of it after seconds.
+ */
+START_TEST(successor_learns_of_draining_at_once)
+{
+	struct memb_net *net = started(LARGE, 1, (uint32_t)_i);
+	struct dl_name name = memb_net_domain(0);
+	struct dl_str domain = dl_name_str(&name);
+	uint64_t key = (uint64_t)_i;
+	uint64_t owner = dl_memb_owner(net->vms[0].memb, domain, key);
+	uint64_t next =
+		dl_memb_owner_without(net->vms[0].memb, domain, key, owner);
+	uint32_t at = 0, successor = 0;
+
+	while (net->vms[at].vm != owner)
+		at++;
+	while (net->vms[successor].vm != next)
+		successor++;
+	dl_memb_update_self(net->vms[at].memb, true, 3, net->now);
+	dl_memb_announce_to(net->vms[at].memb, next);
+	memb_net_run(net, DRAIN_MS);
+	ck_assert_uint_eq(dl_memb_owner(net->vms[successor].memb, domain, key),
+			  next);
+	memb_net_free(net);
+}
+END_TEST
+
 /*
  * A VM that does not answer some others owns nothing from their point of view.
  * They agree on its successor, and the other VMs still see it as the owner.
@@ -615,6 +644,7 @@
 	tcase_add_loop_test(t, partition_heals_without_seeds, 0, 5);
 	tcase_add_loop_test(t, domains_reconnect_after_gateway_loss, 0, 5);
 	tcase_add_test(t, draining_is_sent_immediately);
+	tcase_add_loop_test(t, successor_learns_of_draining_at_once, 1, 9);
 	tcase_add_test(t, versions_and_draining_propagate);
 	tcase_add_test(t, unreachable_vm_owns_nothing);
 	tcase_add_test(t, malformed_datagrams_are_rejected);
