Tell who dispatched before, and who still asks there, that dispatching moved

Ruled out: a slow start ("Dispatching begins here" 0.3 s after "Started").

Change: a VM that begins to dispatch tells the VM that would dispatch without it. A VM that is asked and does not dispatch tells the VM that asks which one does; without that it would refuse until gossip arrives. An ack without a probe carries both states, so no reply is sent (dl_memb_tell() replaces dl_memb_announce_to()).

--- a/include/daisyledge/memb.h
+++ b/include/daisyledge/memb.h
@@ -66,10 +66,11 @@
 bool dl_memb_next_datagram(struct dl_memb *memb, int64_t now, uint64_t *to,
 			   char *buf, size_t *n);
 /*
- * Sends this VM's own state to another VM at once, which would learn of a
- * change through gossip otherwise. Does nothing for a VM that is not known.
+ * Sends this VM's own state and that of another VM, which may be DL_VM_NONE, to
+ * a VM at once, which would learn of changes through gossip otherwise. Does
+ * nothing if the receiver is not known.
  */
-void dl_memb_announce_to(struct dl_memb *memb, uint64_t vm);
+void dl_memb_tell(struct dl_memb *memb, uint64_t to, uint64_t about);
 int64_t dl_memb_next_wakeup(const struct dl_memb *memb);
 /*
  * Gets the next change of a member's state since the last call; false if there
--- a/src/coordination/memb.c
+++ b/src/coordination/memb.c
@@ -674,16 +674,17 @@
 }
 
 /*
- * Sends this VM's own state to another VM at once. A change reaches only some
- * VMs that way, and through gossip the rest: of 122 the last one learned after
- * 2.6 s that a VM drains, which is too late for the VM that dispatches next.
+ * Sends this VM's own state and that of another VM to a VM at once. A change
+ * reaches only some VMs that way, and through gossip the rest: of 122 the last
+ * one learned after 2.6 s that a VM drains, which is too late for the VM that
+ * dispatches next. An ack without a probe carries the states; nothing answers.
  */
-void dl_memb_announce_to(struct dl_memb *memb, uint64_t vm)
+void dl_memb_tell(struct dl_memb *memb, uint64_t to, uint64_t about)
 {
-	const struct memb_peer *peer = memb_peer(memb, vm);
+	const struct memb_peer *peer = memb_peer(memb, to);
 
 	if (peer && peer != &memb->peers[0])
-		memb_queue(memb, MEMB_PING, vm, ++memb->seq, 0);
+		memb_queue(memb, MEMB_ACK, to, 0, about);
 }
 
 /*
--- a/src/entry/entry_pool.c
+++ b/src/entry/entry_pool.c
@@ -105,28 +105,47 @@
 	dl_pool_configure(p->pool, &conf);
 }
 
+static struct dl_str pool_domain(const struct entry *e)
+{
+	return dl_name_str(dl_settings_pool_domain(&e->node.settings));
+}
+
+/*
+ * Tells the VM to which or from which dispatching moves. Until the next one has
+ * learned that it dispatches, both refuse; until the last one has learned that
+ * it does not, both grant.
+ */
+static void announce_dispatching(struct entry *e, struct entry_pool *p,
+				 uint64_t owner)
+{
+	uint64_t self = e->node.self;
+
+	if (owner != self) {
+		dl_msg(DL_MSG_POOL_NOT_DISPATCHING, "service=%s next=%lx",
+		       p->service.s, (unsigned long)owner);
+		dl_memb_tell(e->node.memb, owner, self);
+		return;
+	}
+	dl_msg(DL_MSG_POOL_DISPATCHING, "service=%s", p->service.s);
+	dl_memb_tell(e->node.memb,
+		     dl_memb_owner_without(e->node.memb, pool_domain(e),
+					   dl_hash(dl_name_str(&p->service), 0),
+					   self),
+		     self);
+}
+
 static void update_dispatching(struct entry *e, struct entry_pool *p)
 {
-	struct dl_str domain =
-		dl_name_str(dl_settings_pool_domain(&e->node.settings));
-	uint64_t owner = entry_pool_owner(e, dl_name_str(&p->service), domain);
+	uint64_t owner =
+		entry_pool_owner(e, dl_name_str(&p->service), pool_domain(e));
 	bool dispatching = owner == e->node.self;
 
-	if (dispatching && !p->dispatching) {
-		p->dispatching_since = entry_now(e);
-		dl_msg(DL_MSG_POOL_DISPATCHING, "service=%s", p->service.s);
-		dl_pool_start_dispatching(p->pool, entry_now(e));
-	}
 	if (dispatching == p->dispatching)
 		return;
-	/*
-	 * Asks are refused here and at the next dispatcher until that one has
-	 * learned that it is, so it is told at once.
-	 */
-	if (!dispatching) {
-		dl_msg(DL_MSG_POOL_NOT_DISPATCHING, "service=%s next=%lx",
-		       p->service.s, (unsigned long)owner);
-		dl_memb_announce_to(e->node.memb, owner);
+	announce_dispatching(e, p, owner);
+	if (dispatching) {
+		p->dispatching_since = entry_now(e);
+		dl_pool_start_dispatching(p->pool, entry_now(e));
 	}
 	p->dispatching = dispatching;
 	configure_pool(e, p);
@@ -403,21 +422,18 @@
 }
 
 /*
- * Tells a VM that asks a draining VM, and the VM that dispatches now, that it
- * drains. What was sent when draining began may have been lost.
+ * Tells a VM that asks here which VM dispatches, and that one again that this
+ * VM drains: what was sent when dispatching moved may have been lost.
  */
-static void announce_draining(struct entry *e, struct entry_pool *p,
-			      uint64_t asker)
+static void announce_dispatcher(struct entry *e, struct entry_pool *p,
+				uint64_t asker)
 {
-	struct dl_str domain =
-		dl_name_str(dl_settings_pool_domain(&e->node.settings));
+	uint64_t owner =
+		entry_pool_owner(e, dl_name_str(&p->service), pool_domain(e));
 
-	if (!e->draining)
-		return;
-	dl_memb_announce_to(e->node.memb, asker);
-	dl_memb_announce_to(e->node.memb,
-			    entry_pool_owner(e, dl_name_str(&p->service),
-					     domain));
+	dl_memb_tell(e->node.memb, asker, owner);
+	if (e->draining)
+		dl_memb_tell(e->node.memb, owner, e->node.self);
 }
 
 /*
@@ -453,7 +469,7 @@
 		answer.entry = ask->entry;
 		answer.verdict = DL_REFUSED;
 		answer.reason = DL_REASON_NO_DISPATCHER;
-		announce_draining(e, p, ask->entry);
+		announce_dispatcher(e, p, ask->entry);
 	}
 	send_answer(e, p, &answer);
 }
--- a/test/test_memb.c
+++ b/test/test_memb.c
@@ -20,6 +20,7 @@
 #define HEAL_MS		   15000
 #define ISOLATION_MS	   24000
 #define LONG_MS		   60000
+#define ASKERS		   8
 #define LARGE		   120 /* VMs of one region */
 #define TARGET_VMS	   370
 #define MANY_VMS	   1000
@@ -380,7 +381,7 @@
 	while (net->vms[successor].vm != next)
 		successor++;
 	dl_memb_update_self(net->vms[at].memb, true, 3, net->now);
-	dl_memb_announce_to(net->vms[at].memb, next);
+	dl_memb_tell(net->vms[at].memb, next, owner);
 	memb_net_run(net, DRAIN_MS);
 	ck_assert_uint_eq(dl_memb_owner(net->vms[successor].memb, domain, key),
 			  next);
@@ -388,6 +389,45 @@
 }
 END_TEST
 
+/*
+ * Guards against two VMs that dispatch for seconds after one of them has
+ * started again, and against requests that go on to the one that stopped.
+ */
+START_TEST(start_is_told_to_the_last_dispatcher_and_who_asks_it)
+{
+	struct memb_net *net = started(LARGE, 1, (uint32_t)_i);
+	struct dl_name name = memb_net_domain(0);
+	struct dl_str domain = dl_name_str(&name);
+	uint64_t key = (uint64_t)_i;
+	uint64_t owner = dl_memb_owner(net->vms[0].memb, domain, key);
+	uint64_t last =
+		dl_memb_owner_without(net->vms[0].memb, domain, key, owner);
+	uint32_t at = 0, before = 0;
+
+	while (net->vms[at].vm != owner)
+		at++;
+	while (net->vms[before].vm != last)
+		before++;
+	memb_net_kill(net, at);
+	ck_assert_int_ge(memb_net_converge(net, LONG_MS), 0);
+	memb_net_start(net, at);
+	while (dl_memb_owner_without(net->vms[at].memb, domain, key, owner) !=
+	       last)
+		memb_net_run(net, 1);
+	dl_memb_tell(net->vms[at].memb, last, owner);
+	memb_net_run(net, DRAIN_MS);
+	ck_assert_uint_eq(dl_memb_owner(net->vms[before].memb, domain, key),
+			  owner);
+	for (uint32_t i = 0; i < ASKERS; i++)
+		dl_memb_tell(net->vms[before].memb, net->vms[i].vm, owner);
+	memb_net_run(net, DRAIN_MS);
+	for (uint32_t i = 0; i < ASKERS; i++)
+		ck_assert_uint_eq(dl_memb_owner(net->vms[i].memb, domain, key),
+				  owner);
+	memb_net_free(net);
+}
+END_TEST
+
 /*
  * A VM that does not answer some others owns nothing from their point of view.
  * They agree on its successor, and the other VMs still see it as the owner.
@@ -645,6 +685,8 @@
 	tcase_add_loop_test(t, domains_reconnect_after_gateway_loss, 0, 5);
 	tcase_add_test(t, draining_is_sent_immediately);
 	tcase_add_loop_test(t, successor_learns_of_draining_at_once, 1, 9);
+	tcase_add_loop_test(
+		t, start_is_told_to_the_last_dispatcher_and_who_asks_it, 1, 9);
 	tcase_add_test(t, versions_and_draining_propagate);
 	tcase_add_test(t, unreachable_vm_owns_nothing);
 	tcase_add_test(t, malformed_datagrams_are_rejected);
