Configuration: one function splits JSON into sections

Cause: conf_pushed.c repeated section_of_json() and split_json() of conf_sections.c, some 50 lines. The two had to produce the same sections, or replicas and entries would have computed different digests.

Ruled out: a difference that had to be kept. Both dump with the same flags and fill in the same fields; the copy in conf_pushed.c checked that the routes are a list, for which dl_conf_sections_split() had its own check before the call.

--- a/src/state/conf_sections.c
+++ b/src/state/conf_sections.c
@@ -25,7 +25,8 @@
 typedef void put_fn(void *arg, struct dl_str piece);
 
 static struct conf_section *section_of_json(const json_t *json);
-static struct dl_conf_sections *split_json(json_t *root);
+static int fill(struct dl_conf_sections *s, const json_t *head,
+		const json_t *routes);
 static void put_text(const struct dl_conf_sections *s, put_fn *put, void *arg);
 static put_fn put_count, put_copy, put_hash;
 
@@ -162,29 +163,46 @@
 	return 0;
 }
 
+/* Fill in the sections of a head and its routes. Returns 0 or -ENOMEM. */
+static int fill(struct dl_conf_sections *s, const json_t *head,
+		const json_t *routes)
+{
+	s->head = section_of_json(head);
+	if (!s->head)
+		return -ENOMEM;
+	for (size_t i = 0; i < json_array_size(routes); i++) {
+		struct conf_section *section =
+			section_of_json(json_array_get(routes, i));
+
+		if (!section)
+			return -ENOMEM;
+		s->routes[s->routes_count++] = section;
+	}
+	return conf_sections_finish(s);
+}
+
 /* Split a JSON object, of which the routes are removed. */
-static struct dl_conf_sections *split_json(json_t *root)
+int conf_sections_split_json(json_t *root, struct dl_conf_sections **out)
 {
 	json_t *routes = json_incref(json_object_get(root, KEY_ROUTES));
-	struct dl_conf_sections *s = conf_sections_new(json_array_size(routes));
-	bool ok = s != NULL;
+	struct dl_conf_sections *s;
+	int rc = -ENOMEM;
 
+	if (routes && !json_is_array(routes)) {
+		json_decref(routes);
+		return -EINVAL;
+	}
 	if (routes)
 		json_object_del(root, KEY_ROUTES);
-	if (ok) {
-		s->head = section_of_json(root);
-		ok = s->head != NULL;
-	}
-	for (size_t i = 0; ok && i < json_array_size(routes); i++) {
-		s->routes[i] = section_of_json(json_array_get(routes, i));
-		ok = s->routes[i] != NULL;
-		s->routes_count += ok;
-	}
+	s = conf_sections_new(json_array_size(routes));
+	if (s)
+		rc = fill(s, root, routes);
 	json_decref(routes);
-	if (ok && conf_sections_finish(s) == 0)
-		return s;
-	dl_conf_sections_free(s);
-	return NULL;
+	if (rc)
+		dl_conf_sections_free(s);
+	else
+		*out = s;
+	return rc;
 }
 
 /*
@@ -195,17 +213,14 @@
 {
 	json_error_t error;
 	json_t *root = json_loadb(text.s ? text.s : "", text.n, 0, &error);
-	json_t *routes = json_object_get(root, KEY_ROUTES);
+	int rc = -EINVAL;
 
 	if (!root && json_error_code(&error) == json_error_out_of_memory)
 		return -ENOMEM;
-	if (!json_is_object(root) || (routes && !json_is_array(routes))) {
-		json_decref(root);
-		return -EINVAL;
-	}
-	*out = split_json(root);
+	if (json_is_object(root))
+		rc = conf_sections_split_json(root, out);
 	json_decref(root);
-	return *out ? 0 : -ENOMEM;
+	return rc;
 }
 
 /* Parse a whole text, and split it without reading its JSON twice. */
@@ -220,11 +235,11 @@
 
 	if (rc)
 		return rc;
-	s = split_json(root);
+	rc = conf_sections_split_json(root, &s);
 	json_decref(root);
-	if (!s) {
+	if (rc) {
 		dl_conf_free(parsed);
-		return -ENOMEM;
+		return rc;
 	}
 	*sections = s;
 	*conf = parsed;
--- a/src/state/conf_sections.h
+++ b/src/state/conf_sections.h
@@ -5,6 +5,8 @@
 #ifndef DL_STATE_CONF_SECTIONS_H
 #define DL_STATE_CONF_SECTIONS_H
 
+#include <jansson.h>
+
 #include "daisyledge/conf_delta.h"
 
 /* The text of a section, shared by all versions that contain it. */
@@ -42,6 +44,11 @@
  * Returns 0 or -ENOMEM.
  */
 int conf_sections_finish(struct dl_conf_sections *s);
+/*
+ * Splits a JSON object, from which the routes are removed. Results as of
+ * dl_conf_sections_split(); *out is set only with 0.
+ */
+int conf_sections_split_json(json_t *root, struct dl_conf_sections **out);
 /*
  * Computes what dl_conf_digest() returns for the text of the whole
  * configuration, without building that text. Returns 0 or -ENOMEM.
