Configuration: count deltas dropped because too many versions wait

Cause: an entry keeps 16 versions, or deltas of 256 KiB in all, that wait to be read. Further deltas were dropped without a counter or a line, so an operator could not see that the limit is too low for the VM.

Change: conf_arrivals_dropped, incremented in add_delta(), which decides to drop them. It is in the state layer, which may use the counters of src/base, rather than in the entry, where no unit test reaches it. Both limits count. A whole text that replaces versions that wait is not counted: it makes them needless.

Figures: waiting_deltas_are_limited fills the table up to either limit and now reads the counter.

Conclusion: each delta that is dropped is visible; what is queued, read and pulled is as before.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -84,6 +84,8 @@
 	X(conf_deltas_applied,                                                 \
 	  "configuration versions put in force by a delta")                    \
 	X(conf_deltas_unusable, "configuration deltas that were not used")     \
+	X(conf_arrivals_dropped,                                               \
+	  "configuration deltas dropped because too many versions waited")     \
 	X(conf_whole_reads, "configuration versions read as a whole text")     \
 	X(conf_slice_ms,                                                       \
 	  "milliseconds spent on configuration deltas applied in slices")      \
--- a/src/state/conf_arrival.c
+++ b/src/state/conf_arrival.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "base/metric.h"
+
 /*
  * Reading takes at most a quarter of this VM's time, unless a version has
  * waited for READ_WAIT_MAX_MS. On a VM with 0.12 cores, reading one version
@@ -100,8 +102,10 @@
 		   !a->reading.version || !is_base(r->base, a->reading))
 		return why_no_base(a, r);
 	if (a->count == DL_CONF_ARRIVALS_MAX ||
-	    a->bytes + r->bytes > DL_CONF_ARRIVAL_BYTES_MAX)
+	    a->bytes + r->bytes > DL_CONF_ARRIVAL_BYTES_MAX) {
+		dl_count(DL_METRIC_conf_arrivals_dropped, 1);
 		return DL_CONF_FULL;
+	}
 	if (!a->count)
 		a->waiting_since = now;
 	append(a, r);
--- a/src/state/conf_arrival.h
+++ b/src/state/conf_arrival.h
@@ -24,7 +24,7 @@
 	DL_CONF_QUEUED,	 /* see dl_conf_arrivals_next() */
 	DL_CONF_NO_BASE, /* a delta whose base is not known: pull */
 	DL_CONF_OTHER_BASE, /* as above; the base has another digest here */
-	DL_CONF_FULL,	    /* too many versions wait: pull later */
+	DL_CONF_FULL, /* too many versions wait; it is counted: pull later */
 };
 
 /* A version that has arrived. */
--- a/test/test_conf_arrival.c
+++ b/test/test_conf_arrival.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/metric.h"
 #include "fake/suite.h"
 #include "state/conf_arrival.h"
 
@@ -420,11 +421,16 @@
 }
 END_TEST
 
-/* A VM that is stalled must not keep deltas without limit. */
+/*
+ * A VM that is stalled must not keep deltas without limit, and operators must
+ * see that deltas were dropped: each is counted, and none that is queued,
+ * known, or replaced by a newer version.
+ */
 START_TEST(waiting_deltas_are_limited)
 {
 	struct step whole = { WHOLE, 0, 5, DL_CONF_QUEUED, 0, 0 };
 	struct step delta = { _i ? BIG : DELTA, 5, 6, DL_CONF_QUEUED, 0, 0 };
+	int64_t dropped = dl_metric_read(DL_METRIC_conf_arrivals_dropped);
 	size_t each = _i ? LARGE : SMALL, n = 0;
 
 	take_step(&whole);
@@ -435,15 +441,29 @@
 		delta.version++;
 		n++;
 	}
+	ck_assert_int_eq(dl_metric_read(DL_METRIC_conf_arrivals_dropped),
+			 dropped);
 	delta.arrival = DL_CONF_FULL;
 	take_step(&delta);
 	ck_assert_uint_eq(arrivals.count, n);
+	ck_assert_int_eq(dl_metric_read(DL_METRIC_conf_arrivals_dropped),
+			 dropped + 1);
+	take_step(&delta);
+	ck_assert_int_eq(dl_metric_read(DL_METRIC_conf_arrivals_dropped),
+			 dropped + 2);
+	/* One that waits already is not dropped. */
+	delta.base--;
+	delta.version--;
+	delta.arrival = DL_CONF_KNOWN;
+	take_step(&delta);
 	/* A whole text takes the place of all of them. */
 	whole.version = 100;
 	take_step(&whole);
 	ck_assert_uint_eq(arrivals.count, 1);
 	ck_assert_uint_eq(arrivals.bytes, 0);
 	ck_assert_uint_eq(jobs, 2);
+	ck_assert_int_eq(dl_metric_read(DL_METRIC_conf_arrivals_dropped),
+			 dropped + 2);
 }
 END_TEST
 
