Configuration: count pulls dropped because too many VMs wait

Cause: an entry that builds a whole configuration body keeps the 64 VMs that wait for it. The pulls of further VMs were dropped without a counter or a line. The list was part of entry_conf_store.c, where no unit test reaches it, and a system test would need 65 VMs that pull within the few milliseconds of a build.

Change: the list is a module without I/O, src/state/conf_pullers.c, which counts the drop in conf_pulls_dropped. A VM that waits already is now found before the list is seen to be full, so that a repeated pull of it does not count as dropped; it gets the body once, as before.

Conclusion: each pull that a full list drops is visible; callers see no change.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -86,6 +86,8 @@
 	X(conf_deltas_unusable, "configuration deltas that were not used")     \
 	X(conf_arrivals_dropped,                                               \
 	  "configuration deltas dropped because too many versions waited")     \
+	X(conf_pulls_dropped,                                                  \
+	  "configuration pulls dropped because too many VMs waited")           \
 	X(conf_whole_reads, "configuration versions read as a whole text")     \
 	X(conf_slice_ms,                                                       \
 	  "milliseconds spent on configuration deltas applied in slices")      \
--- a/src/entry/entry_conf.c
+++ b/src/entry/entry_conf.c
@@ -65,7 +65,6 @@
 {
 	e->confs = g_new0(struct entry_conf, 1);
 	e->confs->arrivals.drop = entry_conf_job_free;
-	e->confs->waiting_pullers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	entry_conf_slices_init(e);
 }
 
--- a/src/entry/entry_conf_int.h
+++ b/src/entry/entry_conf_int.h
@@ -8,6 +8,7 @@
 #include "entry/entry.h"
 #include "state/conf_arrival.h"
 #include "state/conf_pace.h"
+#include "state/conf_pullers.h"
 #include "state/conf_pushed.h"
 
 /*
@@ -70,11 +71,11 @@
 	bool exact;    /* body is the text as pushed by a replica */
 	char *body;    /* whole, deflated; NULL: not built */
 	size_t body_n; /* of the last whole body, also if body is NULL */
-	struct conf_work *build; /* of body, at work; NULL: none */
-	GArray *waiting_pullers; /* uint64_t VMs that wait for it */
-	bool ask_whole;		 /* a delta was damaged: pull without digest */
-	uint64_t pull_vm;	 /* VM to pull from soon; DL_VM_NONE: none */
-	uint64_t pull_version;	 /* that is expected from it */
+	struct conf_work *build;	/* of body, at work; NULL: none */
+	struct dl_conf_pullers pullers; /* VMs that wait for it */
+	bool ask_whole;	       /* a delta was damaged: pull without digest */
+	uint64_t pull_vm;      /* VM to pull from soon; DL_VM_NONE: none */
+	uint64_t pull_version; /* that is expected from it */
 	uv_timer_t slice_timer;
 	struct conf_job *slicing; /* delta applied in slices; NULL: none */
 	int64_t slice_max_us;	  /* longest step so far */
--- a/src/entry/entry_conf_store.c
+++ b/src/entry/entry_conf_store.c
@@ -10,12 +10,6 @@
 #include "protocol/conf_push.h"
 #include "protocol/deflate.h"
 
-/*
- * VMs that wait for the whole body while it is built. A VM beyond these pulls
- * again, from this VM or another one.
- */
-#define WAITING_PULLERS_MAX 64
-
 struct conf_work {
 	uv_work_t work;
 	struct entry *e;
@@ -184,10 +178,10 @@
 	struct entry_conf *c = e->confs;
 
 	c->build = NULL;
-	for (guint i = 0; w->body && i < c->waiting_pullers->len; i++)
-		send_body(e, g_array_index(c->waiting_pullers, uint64_t, i),
-			  w->version, (struct dl_str){ w->body, w->body_n });
-	g_array_set_size(c->waiting_pullers, 0);
+	for (uint32_t i = 0; w->body && i < c->pullers.count; i++)
+		send_body(e, c->pullers.vms[i], w->version,
+			  (struct dl_str){ w->body, w->body_n });
+	c->pullers.count = 0;
 	dl_conf_sections_free(w->sections);
 	if (w->body && w->version == e->version && !c->body)
 		set_body(c, w->body, w->body_n);
@@ -224,13 +218,8 @@
 		return;
 	}
 	start_build(e);
-	if (!c->build || c->waiting_pullers->len == WAITING_PULLERS_MAX)
-		return;
-	for (guint i = 0; i < c->waiting_pullers->len; i++) {
-		if (g_array_index(c->waiting_pullers, uint64_t, i) == to)
-			return;
-	}
-	g_array_append_val(c->waiting_pullers, to);
+	if (c->build)
+		dl_conf_pullers_add(&c->pullers, to);
 }
 
 /* Answers a VM that requests a version newer than its own. */
