Paths: count granted endpoints dropped from the full table

Cause: an entry remembers 1,024 granted endpoints that it has no report of, with the failure domain whose VMs can forward a connection to them. A full table was emptied without a counter or a line. Until the next grant of such an endpoint the entry asks VMs of its own domain, which do not know it. The table was part of entry_path.c, where no unit test reaches it.

Change: the table is a module without I/O, src/coordination/unreported.c, which counts each endpoint that it drops in unreported_endpoints_dropped: 1,024 each time the table is emptied. When it is emptied, and that it is emptied as a whole, is as before.

Conclusion: each endpoint that is dropped is visible; paths are chosen as before.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -62,6 +62,8 @@
 	  "connections to endpoints that other VMs forwarded for this one")    \
 	X(connects_failed,                                                     \
 	  "direct connections to endpoints that failed or were not answered")  \
+	X(unreported_endpoints_dropped,                                        \
+	  "granted endpoints without a report dropped for lack of room")       \
 	X(services_cut_off,                                                    \
 	  "services whose endpoints this VM is cut off from")                  \
 	X(directory_full, "announcements ignored for want of room")            \
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -45,6 +45,7 @@
 #include <inttypes.h>
 
 #include "coordination/ask_timer.h"
+#include "coordination/unreported.h"
 #include "daisyledge/backoff.h"
 #include "daisyledge/call.h"
 #include "daisyledge/conf.h"
@@ -367,7 +368,7 @@
 	/* connecting to endpoints */
 	struct dl_paths *paths;
 	struct dl_tunnels *tunnels;	  /* NULL: none are forwarded */
-	GHashTable *unreported_endpoints; /* that were granted, by address */
+	struct dl_unreported *unreported; /* endpoints that were granted */
 	GPtrArray *load_queries;	  /* to engines, after a takeover */
 	GPtrArray *checks;   /* of endpoints that broke attempts off */
 	uint64_t path_draws; /* random choices made so far */
--- a/src/entry/entry_path.c
+++ b/src/entry/entry_path.c
@@ -19,8 +19,6 @@
 #define TUNNELS_MAX 128
 /* VMs that those asked to forward a connection are drawn from. */
 #define VMS_MAX 1024
-/* Granted endpoints that this VM has no report of, which are remembered. */
-#define UNREPORTED_MAX 1024
 /* Endpoints looked at to find some that this VM may reach. */
 #define OTHERS_SCAN_MAX 16
 /*
@@ -56,16 +54,6 @@
 static uint32_t list_others(void *arg, uint64_t endpoint, uint64_t *out,
 			    uint32_t max);
 
-/*
- * An endpoint that was granted and that this VM has no report of: it is of
- * another failure domain, or has announced itself to other VMs only.
- */
-struct unreported_endpoint {
-	uint64_t address;
-	struct dl_name service;
-	struct dl_name domain;
-};
-
 static const struct dl_tunnels_ops tunnels_ops = {
 	.admit = admit,
 	.others = list_others,
@@ -87,8 +75,7 @@
 	};
 
 	e->paths = dl_paths_new();
-	e->unreported_endpoints = g_hash_table_new_full(
-		g_int64_hash, g_int64_equal, NULL, g_free);
+	e->unreported = dl_unreported_new();
 	entry_check_init(e);
 	entry_recover_init(e);
 	if (!e->node.settings.tunnel)
@@ -127,11 +114,11 @@
 static uint64_t group_of(struct entry *e, uint64_t endpoint)
 {
 	const struct entry_pool *p = pool_of(e, endpoint);
-	const struct unreported_endpoint *u;
+	const struct dl_unreported_endpoint *u;
 
 	if (p)
 		return entry_path_group(dl_name_str(&p->service));
-	u = g_hash_table_lookup(e->unreported_endpoints, &endpoint);
+	u = dl_unreported_find(e->unreported, endpoint);
 	return u ? entry_path_group(dl_name_str(&u->service)) : 0;
 }
 
@@ -140,30 +127,19 @@
 			     const struct dl_name *domain,
 			     const struct dl_name *service)
 {
-	struct unreported_endpoint *u;
 	uint64_t address;
 
 	if (!dl_vm_parse(dl_name_str(endpoint), &address) ||
 	    pool_of(e, address))
 		return;
-	u = g_hash_table_lookup(e->unreported_endpoints, &address);
-	if (!u) {
-		if (g_hash_table_size(e->unreported_endpoints) >=
-		    UNREPORTED_MAX)
-			g_hash_table_remove_all(e->unreported_endpoints);
-		u = g_new0(struct unreported_endpoint, 1);
-		u->address = address;
-		g_hash_table_insert(e->unreported_endpoints, &u->address, u);
-	}
-	u->domain = *domain;
-	u->service = *service;
+	dl_unreported_add(e->unreported, address, service, domain);
 }
 
 /* Returns the failure domain, or region, whose VMs know an endpoint. */
 static struct dl_str domain_of(struct entry *e, uint64_t endpoint)
 {
-	const struct unreported_endpoint *u =
-		g_hash_table_lookup(e->unreported_endpoints, &endpoint);
+	const struct dl_unreported_endpoint *u =
+		dl_unreported_find(e->unreported, endpoint);
 
 	if (u && !pool_of(e, endpoint))
 		return dl_name_str(&u->domain);
@@ -251,8 +227,8 @@
  */
 static uint64_t vm_with_report(struct entry *e, uint64_t endpoint)
 {
-	const struct unreported_endpoint *u =
-		g_hash_table_lookup(e->unreported_endpoints, &endpoint);
+	const struct dl_unreported_endpoint *u =
+		dl_unreported_find(e->unreported, endpoint);
 
 	if (!u || pool_of(e, endpoint))
 		return DL_VM_NONE;
