Paths: look up a granted endpoint in the pool of its service only

Cause: at each grant entry_path_note_granted() searched all pools for the address of the endpoint, to learn whether this VM has a report of it: the address was parsed and printed again, and looked up in pool after pool. The same search comes again when the connection is planned.

Ruled out: an endpoint of a grant that only another pool has announced, for which the search would matter. Such an address is now recorded, but all readers of the table look for a pool with the address first, so that the result is the same.

Change: the call is passed. Its service names the pool, in which the endpoint is looked up by the name in the grant; the address is parsed only if it is recorded.

Once each, at a load average of about 20: test_system_failure_domains, test_system_cut_off_unheard, test_system_cut_off_group, test_system_hedged_ask, test_system_leaving_answers and test_system_end_to_end passed. Lint is clean.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -618,9 +618,7 @@
 /* The group of the paths to a service's endpoints, see daisyledge/paths.h. */
 uint64_t entry_path_group(struct dl_str service);
 bool entry_path_is_isolated(struct entry *e, struct dl_str service);
-void entry_path_note_granted(struct entry *e, const struct dl_name *endpoint,
-			     const struct dl_name *domain,
-			     const struct dl_name *service);
+void entry_path_note_granted(const struct call *c);
 void entry_path_vm_lost(struct entry *e, uint64_t vm);
 void entry_path_vm_gone(struct entry *e, uint64_t vm);
 void entry_path_stop(struct entry *e);
--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -309,9 +309,7 @@
 	call_note_wait(c);
 	c->state = CALL_RUNNING;
 	entry_leaving_grant_accepted(c);
-	for (uint8_t i = 0; i < answer->endpoints; i++)
-		entry_path_note_granted(c->e, &answer->endpoint[i], &c->domain,
-					&c->service);
+	entry_path_note_granted(c);
 	if (entry_quarantine_refuses(c))
 		return;
 	if (c->probes && !c->ask.probed_cause.id) {
--- a/src/entry/entry_path.c
+++ b/src/entry/entry_path.c
@@ -122,17 +122,26 @@
 	return u ? entry_path_group(dl_name_str(&u->service)) : 0;
 }
 
-/* Records the service and failure domain of an endpoint that was granted. */
-void entry_path_note_granted(struct entry *e, const struct dl_name *endpoint,
-			     const struct dl_name *domain,
-			     const struct dl_name *service)
+/*
+ * Records the service and failure domain of the endpoints of a grant that this
+ * VM has no report of. Endpoints are granted for the service that they have
+ * announced, so that no other pool is searched for their address.
+ */
+void entry_path_note_granted(const struct call *c)
 {
-	uint64_t address;
+	const struct entry_pool *p =
+		entry_pool_find(c->e, dl_name_str(&c->service));
 
-	if (!dl_vm_parse(dl_name_str(endpoint), &address) ||
-	    pool_of(e, address))
-		return;
-	dl_unreported_add(e->unreported, address, service, domain);
+	for (uint8_t i = 0; i < c->grant.endpoints; i++) {
+		const struct dl_name *endpoint = &c->grant.endpoint[i];
+		uint64_t address;
+
+		if (p && g_hash_table_contains(p->announced, endpoint->s))
+			continue;
+		if (dl_vm_parse(dl_name_str(endpoint), &address))
+			dl_unreported_add(c->e->unreported, address,
+					  &c->service, &c->domain);
+	}
 }
 
 /* Returns the failure domain, or region, whose VMs know an endpoint. */
