--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -62,6 +62,8 @@
 	  "connections to endpoints that other VMs forwarded for this one")    \
 	X(connects_failed,                                                     \
 	  "direct connections to endpoints that failed or were not answered")  \
+	X(unreported_endpoints_dropped,                                        \
+	  "granted endpoints without a report dropped for lack of room")       \
 	X(services_cut_off,                                                    \
 	  "services whose endpoints this VM is cut off from")                  \
 	X(directory_full, "announcements ignored for want of room")            \
@@ -84,6 +86,10 @@
 	X(conf_deltas_applied,                                                 \
 	  "configuration versions put in force by a delta")                    \
 	X(conf_deltas_unusable, "configuration deltas that were not used")     \
+	X(conf_arrivals_dropped,                                               \
+	  "configuration deltas dropped because too many versions waited")     \
+	X(conf_pulls_dropped,                                                  \
+	  "configuration pulls dropped because too many VMs waited")           \
 	X(conf_whole_reads, "configuration versions read as a whole text")     \
 	X(conf_slice_ms,                                                       \
 	  "milliseconds spent on configuration deltas applied in slices")      \
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -45,6 +45,7 @@
 #include <inttypes.h>
 
 #include "coordination/ask_timer.h"
+#include "coordination/unreported.h"
 #include "daisyledge/backoff.h"
 #include "daisyledge/call.h"
 #include "daisyledge/conf.h"
@@ -367,7 +368,7 @@
 	/* connecting to endpoints */
 	struct dl_paths *paths;
 	struct dl_tunnels *tunnels;	  /* NULL: none are forwarded */
-	GHashTable *unreported_endpoints; /* that were granted, by address */
+	struct dl_unreported *unreported; /* endpoints that were granted */
 	GPtrArray *load_queries;	  /* to engines, after a takeover */
 	GPtrArray *checks;   /* of endpoints that broke attempts off */
 	uint64_t path_draws; /* random choices made so far */
@@ -617,9 +618,7 @@
 /* The group of the paths to a service's endpoints, see daisyledge/paths.h. */
 uint64_t entry_path_group(struct dl_str service);
 bool entry_path_is_isolated(struct entry *e, struct dl_str service);
-void entry_path_note_granted(struct entry *e, const struct dl_name *endpoint,
-			     const struct dl_name *domain,
-			     const struct dl_name *service);
+void entry_path_note_granted(const struct call *c);
 void entry_path_vm_lost(struct entry *e, uint64_t vm);
 void entry_path_vm_gone(struct entry *e, uint64_t vm);
 void entry_path_stop(struct entry *e);
