Entry: count the CPU time of slices of configuration deltas

An operator cannot tell a long slice from a VM that stood still either.

Change: conf_slice_cpu_max_us is the most CPU time of a slice, by CLOCK_THREAD_CPUTIME_ID, and slice_cpu_ms of "Configuration in force." that of all slices of the version. The pace is still decided in wall-clock time, as a VM with a small share of a core is stretched in the same way.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -89,6 +89,8 @@
 	  "milliseconds spent on configuration deltas applied in slices")      \
 	X(conf_slice_max_us,                                                   \
 	  "longest slice of a configuration delta in microseconds")            \
+	X(conf_slice_cpu_max_us,                                               \
+	  "most CPU time of a slice of a configuration delta in microseconds") \
 	X(replica_heard_ms_ago, "milliseconds since a replica was last heard")
 
 enum dl_metric {
--- a/src/entry/entry_conf.c
+++ b/src/entry/entry_conf.c
@@ -120,13 +120,15 @@
 
 static void log_in_force(const struct entry *e, const struct conf_job *job)
 {
-	char delta[96] = "";
+	char delta[128] = "";
 
 	if (is_delta(job))
-		snprintf(delta, sizeof(delta),
-			 " delta=%d base=%lu slices=%u slice_ms=%ld", 1,
-			 (unsigned long)job->received.base.version, job->slices,
-			 (long)(job->pace.busy_us / US_PER_MS));
+		snprintf(
+			delta, sizeof(delta),
+			" delta=%d base=%lu slices=%u slice_ms=%ld slice_cpu_ms=%ld",
+			1, (unsigned long)job->received.base.version,
+			job->slices, (long)(job->pace.busy_us / US_PER_MS),
+			(long)(job->cpu_us / US_PER_MS));
 	dl_msg(DL_MSG_ENTRY_CONF,
 	       "version=%lu bytes=%zu waited_ms=%u rested_ms=%ld read_ms=%ld%s",
 	       (unsigned long)job->received.id.version, job->received.bytes,
--- a/src/entry/entry_conf_int.h
+++ b/src/entry/entry_conf_int.h
@@ -51,6 +51,7 @@
 	struct dl_conf_delta_work *steps; /* of a large delta, at work */
 	struct dl_conf_pace pace;	  /* of the steps */
 	int64_t counted_ms;		  /* of the steps, in the counter */
+	int64_t cpu_us;			  /* CPU time of the steps */
 	uint32_t slices;		  /* steps that it took; 0: at once */
 	int rc;				  /* of reading */
 	struct dl_conf *conf;
@@ -78,6 +79,7 @@
 	uv_timer_t slice_timer;
 	struct conf_job *slicing; /* delta applied in slices; NULL: none */
 	int64_t slice_max_us;	  /* longest step so far */
+	int64_t slice_cpu_max_us; /* longest by CPU time */
 };
 
 /* entry_conf.c */
--- a/src/entry/entry_conf_slices.c
+++ b/src/entry/entry_conf_slices.c
@@ -5,12 +5,14 @@
  */
 #include <errno.h>
 #include <stdlib.h>
+#include <time.h>
 
 #include "base/metric.h"
 #include "entry/entry_conf_int.h"
 
 #define NS_PER_US 1000
 #define US_PER_MS 1000
+#define US_PER_S  1000000
 
 static void on_slice(uv_timer_t *timer);
 
@@ -19,6 +21,18 @@
 	return (int64_t)(uv_hrtime() / NS_PER_US);
 }
 
+/*
+ * Returns the CPU time of this thread. Unlike wall-clock time it does not grow
+ * while other processes have the core, so it shows how much work a slice is.
+ */
+static int64_t cpu_us(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
+	return (int64_t)ts.tv_sec * US_PER_S + ts.tv_nsec / NS_PER_US;
+}
+
 /* Whether a version that is at least as new came into force meanwhile. */
 static bool is_superseded(const struct entry *e, const struct conf_job *job)
 {
@@ -60,6 +74,7 @@
 static void take_step(struct entry *e, struct conf_job *job)
 {
 	uint32_t parsed = dl_conf_delta_parsed(job->steps), routes;
+	int64_t cpu_begun = cpu_us();
 	int rc;
 
 	if (is_superseded(e, job)) {
@@ -70,6 +85,7 @@
 	rc = dl_conf_delta_step(job->steps, routes);
 	dl_conf_pace_end(&job->pace, dl_conf_delta_parsed(job->steps) - parsed,
 			 now_us());
+	job->cpu_us += cpu_us() - cpu_begun;
 	count_step(job);
 	if (rc == -EAGAIN)
 		wait_for_step(e, job);
@@ -85,14 +101,13 @@
 {
 	struct entry *e = timer->data;
 	struct entry_conf *c = e->confs;
-	int64_t begun = now_us(), took;
+	int64_t begun = now_us(), cpu_begun = cpu_us();
 
 	take_step(e, c->slicing);
-	took = now_us() - begun;
-	if (took <= c->slice_max_us)
-		return;
-	c->slice_max_us = took;
-	dl_gauge(DL_METRIC_conf_slice_max_us, took);
+	c->slice_max_us = MAX(c->slice_max_us, now_us() - begun);
+	c->slice_cpu_max_us = MAX(c->slice_cpu_max_us, cpu_us() - cpu_begun);
+	dl_gauge(DL_METRIC_conf_slice_max_us, c->slice_max_us);
+	dl_gauge(DL_METRIC_conf_slice_cpu_max_us, c->slice_cpu_max_us);
 }
 
 /* Prepares to apply deltas in slices. */
@@ -112,6 +127,7 @@
 static bool apply_at_once(struct conf_job *job)
 {
 	uint32_t routes = dl_conf_pace_begin(&job->pace, now_us());
+	int64_t cpu_begun = cpu_us();
 	int rc;
 
 	do {
@@ -119,6 +135,7 @@
 	} while (rc == -EAGAIN && dl_conf_pace_goes_on(&job->pace, now_us()));
 	dl_conf_pace_end(&job->pace, dl_conf_delta_parsed(job->steps),
 			 now_us());
+	job->cpu_us += cpu_us() - cpu_begun;
 	if (rc == -EAGAIN)
 		return false;
 	job->rc = dl_conf_delta_end(job->steps, &job->sections, &job->conf);
