Replica: answer changes early when the leader steps down, and say why

Cause: a change that a replica had accepted and could not commit was answered 503 after 3 s, with an empty reason. Callers that wait for 3 s never read that answer, among them the tests. A leader that had lost its lease, and so could not commit anything, answered no earlier than one whose disks hang.

Ruled out: that syncs which hang cost the leader its lease (heartbeats are answered without the disk: with syncs of all replicas stalled for 5 s it led on and confirmed the version in force); that a change is applied twice (the number decides: two attempts during a stall make one version); that the answer is untrue (a change that was refused so may take effect, and its repetition is acknowledged).

Change: 500 ms after the leader of a change has stepped down the change is answered, with the reason; within that time the successor of a planned transfer commits it. Both answers say that the change may take effect later and is to be repeated.

--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -22,9 +22,10 @@
 	uint64_t vm;
 	uint64_t request;
 	int64_t at;
-	uint64_t config_number; /* number of a configuration sent over HTTP */
-	struct dl_name domain;	/* of an evacuation sent over HTTP; or empty */
-	bool evacuate;		/* it begins; otherwise it ends */
+	int64_t stepped_down_at; /* when its leader had; 0: it has not */
+	uint64_t config_number;	 /* number of a configuration sent over HTTP */
+	struct dl_name domain;	 /* of an evacuation sent over HTTP; or empty */
+	bool evacuate;		 /* it begins; otherwise it ends */
 	struct dl_httpd_req *http_req; /* to answer; vm is then none */
 };
 
--- a/src/replica/replica_cmd.c
+++ b/src/replica/replica_cmd.c
@@ -14,6 +14,12 @@
 
 /* A sender that waited longer has retried at another replica. */
 #define PENDING_TIMEOUT_MS 10000
+/*
+ * How long a change waits after its leader has stepped down. A successor in a
+ * planned transfer commits it within milliseconds; after a lost lease none is
+ * elected for a second, and the operator had better repeat the change.
+ */
+#define STEPPED_DOWN_MS 500
 
 static void send_reply(struct replica *r, uint64_t to, uint64_t request,
 		       const struct dl_cstore_reply *reply);
@@ -156,7 +162,10 @@
 			const struct dl_rlog_apply *a,
 			const struct dl_cstore_reply *reply)
 {
-	struct dl_cstore_reply lost = { .code = DL_ENOLEADER };
+	struct dl_cstore_reply lost = {
+		.code = DL_ENOLEADER,
+		.text = "another replica became the leader",
+	};
 
 	if (p->http_req)
 		replica_http_change_decided(p,
@@ -189,18 +198,64 @@
 	}
 }
 
+/*
+ * Whether the term in which this replica proposed a command has ended here for
+ * so long that the command's sender is not to wait for a successor.
+ */
+static bool lost_leader(struct replica_pending *p,
+			const struct dl_rlog_status *s, int64_t now)
+{
+	if (s->role == DL_RLOG_LEADER && s->term == p->term)
+		return false;
+	if (!p->stepped_down_at)
+		p->stepped_down_at = now;
+	return now - p->stepped_down_at >= STEPPED_DOWN_MS;
+}
+
+/*
+ * Answers changes sent over HTTP that are not committed in time, or whose
+ * leader has stepped down. They may be committed later all the same: what is in
+ * the log of a majority stays.
+ */
+static bool give_up_http(struct replica_pending *p,
+			 const struct dl_rlog_status *s, int64_t now)
+{
+	struct dl_cstore_reply timed_out = {
+		.code = DL_ENOQUORUM,
+		.text = "not committed in time; it may take effect later, "
+			"repeat it",
+	};
+	struct dl_cstore_reply lost = {
+		.code = DL_ENOLEADER,
+		.text = "this replica no longer leads; the change may take "
+			"effect later, repeat it",
+	};
+
+	if (!p->http_req)
+		return false;
+	if (lost_leader(p, s, now))
+		replica_http_change_decided(p, &lost);
+	else if (replica_http_change_timed_out(p, now))
+		replica_http_change_decided(p, &timed_out);
+	else
+		return false;
+	return true;
+}
+
 /* Drops commands whose sender has waited too long. */
 void replica_cmd_tick(struct replica *r, int64_t now)
 {
-	struct dl_cstore_reply timed_out = { .code = DL_ENOQUORUM };
+	struct dl_rlog_status s;
 
+	if (!r->pending->len)
+		return;
+	dl_rlog_get_status(r->rlog, now, &s);
 	for (guint i = r->pending->len; i > 0; i--) {
 		struct replica_pending *p = &g_array_index(
 			r->pending, struct replica_pending, i - 1);
 
-		if (replica_http_change_timed_out(p, now))
-			replica_http_change_decided(p, &timed_out);
-		else if (now - p->at <= PENDING_TIMEOUT_MS)
+		if (!give_up_http(p, &s, now) &&
+		    now - p->at <= PENDING_TIMEOUT_MS)
 			continue;
 		g_array_remove_index_fast(r->pending, i - 1);
 	}
