Quarantine: reports of crashes count the time that they wait to be sent

A VM that had just restarted ran a request with a known part, in two attempts. The logs of all three replicas lack the blame of that part, which both other VMs had; the VM had its reports from them. Reports carry the age of a crash as of when it was detected, and then wait for the next tick of 20 ms, at the VM and again at the replica. A crash counts as the successor of another if its attempt was sent after that one, with a slack of half the time that it ran: 12 ms in the trace. So the order of crashes was lost, and with it the third crash of a sequence.

Ruled out: probes (no probe was admitted, see the log of the dispatcher), lost reports (the fifth crash alone quarantined the part at once, so the four others were there), the check of the test, which is unchanged.

What remains: the delay between the sending process and the receiving one is not known, so a machine that delays processes by more than 12 ms between two frames can still confuse the order.

--- a/include/daisyledge/quarantine.h
+++ b/include/daisyledge/quarantine.h
@@ -164,4 +164,19 @@
 /* Number of requests, or of parts, in quarantine. */
 uint32_t dl_quarantine_count(struct dl_quarantine *q, bool parts, int64_t now);
 
+/* Reports that wait to be sent to other VMs. */
+struct dl_crash_queue;
+
+struct dl_crash_queue *dl_crash_queue_new(void);
+void dl_crash_queue_free(struct dl_crash_queue *queue);
+/* Appends a report whose age is as of now. */
+void dl_crash_queue_add(struct dl_crash_queue *queue,
+			const struct dl_crash *crash, int64_t now);
+/*
+ * Removes the oldest reports of parts, or of whole requests, and stores them
+ * with their ages as of now; at most this many. Returns their number.
+ */
+uint32_t dl_crash_queue_take(struct dl_crash_queue *queue, bool parts,
+			     int64_t now, struct dl_crash *out, uint32_t most);
+
 #endif
--- a/src/node/quarantine.c
+++ b/src/node/quarantine.c
@@ -10,7 +10,7 @@
 void quarantine_init(struct quarantine *q)
 {
 	q->records = dl_quarantine_new();
-	q->unsent = g_array_new(FALSE, FALSE, sizeof(struct dl_crash));
+	q->unsent = dl_crash_queue_new();
 }
 
 static void update_gauges(const struct quarantine *q, int64_t now)
@@ -67,7 +67,7 @@
 {
 	if (!dl_quarantine_merge(q->records, crash, now))
 		return;
-	g_array_append_val(q->unsent, *crash);
+	dl_crash_queue_add(q->unsent, crash, now);
 	if (crash->start && !crash->cause.scope)
 		dl_msg(DL_MSG_ENDPOINT_CRASHED,
 		       "content=%016lx start=%016lx age_ms=%u ran_ms=%u",
@@ -89,7 +89,7 @@
 			     bool pass_on, int64_t now)
 {
 	if (dl_quarantine_merge(q->records, crash, now) && pass_on)
-		g_array_append_val(q->unsent, *crash);
+		dl_crash_queue_add(q->unsent, crash, now);
 }
 
 /* Merges the reports of a received frame. */
@@ -114,25 +114,18 @@
 	}
 }
 
-/* Sends those crashes whose cause is a part, or those of whole requests. */
-static void send_crashes(const GArray *crashes, bool parts,
+/* Sends the reports of parts that wait, or those of whole requests. */
+static void send_crashes(struct dl_crash_queue *queue, bool parts, int64_t now,
 			 void (*send)(void *arg, uint32_t kind,
 				      struct dl_str body),
 			 void *arg)
 {
 	struct dl_crash batch[DL_CRASHES_MAX];
-	uint32_t count = 0;
-
-	for (guint i = 0; i < crashes->len; i++) {
-		const struct dl_crash *crash =
-			&g_array_index(crashes, struct dl_crash, i);
-		struct dl_packer pk;
-
-		if (parts == (crash->cause.scope != 0))
-			batch[count++] = *crash;
-		if (count == 0 ||
-		    (count < DL_CRASHES_MAX && i + 1 < crashes->len))
-			continue;
+	struct dl_packer pk;
+	uint32_t count;
+
+	while ((count = dl_crash_queue_take(queue, parts, now, batch,
+					    DL_CRASHES_MAX)) > 0) {
 		if (parts)
 			dl_part_crashes_pack(&pk, batch, count);
 		else
@@ -140,7 +133,6 @@
 		send(arg, parts ? DL_FRAME_PART_CRASHES : DL_FRAME_CRASHES,
 		     dl_packer_bytes(&pk));
 		dl_packer_close(&pk);
-		count = 0;
 	}
 }
 
@@ -152,9 +144,8 @@
 {
 	uint64_t dropped = dl_quarantine_dropped(q->records);
 
-	send_crashes(q->unsent, true, send, arg);
-	send_crashes(q->unsent, false, send, arg);
-	g_array_set_size(q->unsent, 0);
+	send_crashes(q->unsent, true, now, send, arg);
+	send_crashes(q->unsent, false, now, send, arg);
 	quarantine_log_changes(q, now);
 	dl_count(DL_METRIC_quarantine_dropped, (int64_t)(dropped - q->dropped));
 	q->dropped = dropped;
@@ -165,11 +156,16 @@
 	update_gauges(q, now);
 }
 
+struct unsent_all {
+	struct dl_crash_queue *queue;
+	int64_t now;
+};
+
 static void append_crash(void *arg, const struct dl_crash *crash)
 {
-	GArray *all = arg;
+	const struct unsent_all *all = arg;
 
-	g_array_append_val(all, *crash);
+	dl_crash_queue_add(all->queue, crash, all->now);
 }
 
 struct recipient {
@@ -188,11 +184,11 @@
 void quarantine_send_all(struct quarantine *q, struct dl_peers *peers,
 			 uint64_t vm, int64_t now)
 {
-	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct dl_crash));
+	struct unsent_all all = { dl_crash_queue_new(), now };
 	struct recipient to = { peers, vm };
 
-	dl_quarantine_foreach(q->records, now, UINT32_MAX, append_crash, all);
-	send_crashes(all, true, send_to_recipient, &to);
-	send_crashes(all, false, send_to_recipient, &to);
-	g_array_free(all, TRUE);
+	dl_quarantine_foreach(q->records, now, UINT32_MAX, append_crash, &all);
+	send_crashes(all.queue, true, now, send_to_recipient, &to);
+	send_crashes(all.queue, false, now, send_to_recipient, &to);
+	dl_crash_queue_free(all.queue);
 }
--- a/src/node/quarantine.h
+++ b/src/node/quarantine.h
@@ -15,7 +15,7 @@
 
 struct quarantine {
 	struct dl_quarantine *records;
-	GArray *unsent;	  /* struct dl_crash, not sent yet */
+	struct dl_crash_queue *unsent;
 	bool changed;	  /* quarantined causes, since it was reset */
 	uint64_t dropped; /* as last added to the counter */
 	int64_t expired_at;
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -10,6 +10,7 @@
 #define REQUEST 77
 #define HOUR_MS ((int64_t)60 * 60 * 1000)
 #define DAY_MS	(24 * HOUR_MS)
+#define TICK_MS 20 /* of the processes that send reports */
 
 static struct dl_quarantine *q;
 
@@ -584,6 +585,99 @@
 }
 END_TEST
 
+/*
+ * Crashes of a part in a row, with about the times of a trace: when one of two
+ * VMs learned of each, and its report then. Two are known only once a
+ * connection to their endpoint is refused, which takes up to another tick.
+ */
+static const struct {
+	int vm;
+	int64_t known_at;
+	bool checked;
+	struct dl_crash crash;
+} in_a_row[] = {
+	{ 0, 55, false, { { PART, SERVICE }, 1, 2, 0, 4, 24 } },
+	{ 1, 91, false, { { PART, SERVICE }, 2, 3, 0, 9, 22 } },
+	{ 0, 94, true, { { PART, SERVICE }, 1, 1, 0, 70, 24 } },
+	{ 1, 183, true, { { PART, SERVICE }, 2, 4, 0, 73, 25 } },
+};
+
+/* Merges the reports of in_a_row that the VMs send at their ticks. */
+static void send_in_a_row(const int64_t tick[2], int64_t later)
+{
+	struct dl_crash_queue *queue[] = { dl_crash_queue_new(),
+					   dl_crash_queue_new() };
+	struct dl_crash c;
+
+	for (int64_t now = 0; now < 300; now++) {
+		for (int n = 0; n < 4; n++) {
+			int64_t wait = in_a_row[n].checked ? later : 0;
+
+			c = in_a_row[n].crash;
+			c.age_ms += (uint32_t)wait;
+			if (in_a_row[n].known_at + wait == now)
+				dl_crash_queue_add(queue[in_a_row[n].vm], &c,
+						   now);
+		}
+		for (int vm = 0; vm < 2; vm++) {
+			while (now % TICK_MS == tick[vm] &&
+			       dl_crash_queue_take(queue[vm], true, now, &c, 1))
+				dl_quarantine_merge(q, &c, now);
+		}
+	}
+	dl_crash_queue_free(queue[0]);
+	dl_crash_queue_free(queue[1]);
+}
+
+/*
+ * Guards against reports whose ages leave out how long they waited to be sent:
+ * that put a crash after the next attempt, and a VM that had its reports from a
+ * replica ran a part that all others refused.
+ */
+START_TEST(waiting_reports_keep_the_order_of_crashes)
+{
+	int released = 0;
+
+	for (int n = 0; n < TICK_MS * TICK_MS * TICK_MS; n++) {
+		const int64_t tick[] = { n % TICK_MS, n / TICK_MS % TICK_MS };
+
+		send_in_a_row(tick, n / TICK_MS / TICK_MS);
+		released += !part_is_held(PART, 300);
+		dl_quarantine_free(q);
+		q = dl_quarantine_new();
+	}
+	ck_assert_int_eq(released, 0);
+}
+END_TEST
+
+START_TEST(waiting_reports_of_parts_and_requests_are_taken_apart)
+{
+	struct dl_crash_queue *queue = dl_crash_queue_new();
+	struct dl_crash c = { .cause = { REQUEST, 0 },
+			      .start = 1,
+			      .age_ms = 5 };
+	struct dl_crash out[4];
+
+	for (uint32_t n = 0; n < 3; n++) {
+		c.cause = (struct dl_cause){ REQUEST + n, 0 };
+		dl_crash_queue_add(queue, &c, 100);
+		c.cause = (struct dl_cause){ PART + n, SERVICE };
+		dl_crash_queue_add(queue, &c, 100);
+	}
+	ck_assert_uint_eq(dl_crash_queue_take(queue, true, 130, out, 2), 2);
+	ck_assert_uint_eq(out[0].cause.id, PART);
+	ck_assert_uint_eq(out[1].cause.id, PART + 1);
+	ck_assert_uint_eq(out[1].age_ms, 35);
+	ck_assert_uint_eq(dl_crash_queue_take(queue, false, 130, out, 4), 3);
+	ck_assert_uint_eq(out[2].cause.id, REQUEST + 2);
+	ck_assert_uint_eq(dl_crash_queue_take(queue, true, 140, out, 4), 1);
+	ck_assert_uint_eq(out[0].cause.id, PART + 2);
+	ck_assert_uint_eq(out[0].age_ms, 45);
+	ck_assert_uint_eq(dl_crash_queue_take(queue, true, 140, out, 4), 0);
+	dl_crash_queue_free(queue);
+}
+END_TEST
+
 static void check_crash_eq(const struct dl_crash *a, const struct dl_crash *b)
 {
 	ck_assert_uint_eq(a->cause.id, b->cause.id);
@@ -699,6 +793,9 @@
 	tcase_add_test(tc, dropped_causes_are_counted);
 	tcase_add_test(tc, quarantine_changes_are_reported_once);
 	tcase_add_test(tc, crash_reports_name_the_request_and_its_parts);
+	tcase_add_test(tc, waiting_reports_keep_the_order_of_crashes);
+	tcase_add_test(tc,
+		       waiting_reports_of_parts_and_requests_are_taken_apart);
 	tcase_add_test(tc, crashes_round_trip);
 	tcase_add_test(tc, part_crashes_round_trip);
 	tcase_add_test(tc, oversized_crash_list_is_rejected);
