Leaving endpoints: after a suspension, wait for a report of the endpoint

A VM was suspended while the endpoint left. By its log it resumed at 06:18:00.712 and replaced all of its connections as silent; it had a lease at .815 and sent a call to the endpoint at .838, 0.4 s after the promised time. The others had given up its connections before the departure, so the report of it was in no socket, and the 40 ms for which a resumed VM sends nothing do not cover the time until the endpoint's next report, 1.2 s apart. A departure is sent once and then with each report.

Ruled out: a late arrival of a call that was sent in time (granted and sent at .838), and a dispatcher that did not know (the VM dispatched itself).

At most for the promised time, when a departure from before is over. Only where endpoint_drain_ms is set.

Test: test_system_last_endpoint_resumed.sh cuts the VM off while it is suspended, and keeps the endpoint silent until the VM has its lease.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -349,8 +349,9 @@
 	uint64_t version;
 	int64_t conf_pulled_at;
 	int64_t replica_heard_at;
-	int64_t ticked_at;  /* ms since boot, see entry_leaving.c */
-	int64_t resumed_at; /* the same, after a suspension; 0: none */
+	int64_t ticked_at;    /* ms since boot, see entry_leaving.c */
+	int64_t resumed_at;   /* the same, after a suspension; 0: none */
+	int64_t caught_up_at; /* when its sockets had been read after it */
 
 	struct dl_lease lease;
 	bool lease_logged_valid;
@@ -515,7 +516,7 @@
 bool entry_leaving_blocks_grant(const struct call *c);
 void entry_leaving_return_grant(struct call *c);
 void entry_leaving_tick(struct entry *e);
-bool entry_leaving_may_be_late(const struct entry *e);
+bool entry_leaving_may_be_late(const struct call *c);
 void entry_leaving_log_service(struct entry_pool *p);
 uint32_t
 entry_leaving_services_without(const struct entry *e,
--- a/src/entry/entry_leaving.c
+++ b/src/entry/entry_leaving.c
@@ -11,7 +11,9 @@
  *
  * A VM that was suspended may have reports of departures in its sockets that it
  * has not read, while it goes on with the requests that it had. For a moment it
- * sends nothing at all.
+ * sends nothing at all. Others may have given up its connections, and the
+ * reports in them are lost: it sends nothing to an endpoint until that reports
+ * again.
  */
 #include <string.h>
 
@@ -176,24 +178,35 @@
 
 	if (!e->node.settings.endpoint_drain_ms)
 		return;
-	if (is_suspended(e, now))
+	if (is_suspended(e, now)) {
 		e->resumed_at = now;
+		e->caught_up_at = entry_now(e) + CATCH_UP_MS;
+	}
 	e->ticked_at = now;
 }
 
 /*
- * Whether this VM may not have read yet that an endpoint is leaving: it was
- * suspended until just now.
+ * Whether this VM may not know yet that the endpoint of a grant is leaving: it
+ * was suspended, and has not caught up or got no report of the endpoint since.
+ * Once the promised time has passed, a departure from before is over.
  */
-bool entry_leaving_may_be_late(const struct entry *e)
+bool entry_leaving_may_be_late(const struct call *c)
 {
-	int64_t now;
+	uint32_t drain_ms = c->e->node.settings.endpoint_drain_ms;
+	const struct dl_directory_entry *d;
+	const struct entry *e = c->e;
+	int64_t now, since;
 
-	if (!e->node.settings.endpoint_drain_ms)
+	if (!drain_ms)
 		return false;
 	now = dl_node_boot_ms();
-	return is_suspended(e, now) ||
-	       (e->resumed_at && now - e->resumed_at < CATCH_UP_MS);
+	if (is_suspended(e, now))
+		return true;
+	since = now - e->resumed_at;
+	if (!e->resumed_at || since >= drain_ms)
+		return false;
+	d = dl_directory_find(e->directory, dl_name_str(&c->grant.endpoint[0]));
+	return since < CATCH_UP_MS || (d && d->last_seen < e->caught_up_at);
 }
 
 /* Logs when a service loses its last open endpoint, or has one again. */
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -268,7 +268,7 @@
 	entry_call_connected(c);
 	c->aborted_unsent = !is_available(c, 0) ||
 			    entry_leaving_is_forwarded(c) ||
-			    entry_leaving_may_be_late(c->e) ||
+			    entry_leaving_may_be_late(c) ||
 			    entry_backoff_blocks_grant(c) ||
 			    entry_evacuation_blocks_grant(c);
 	return !c->aborted_unsent;
@@ -284,7 +284,7 @@
 		entry_backoff_return_grant(c);
 	else if (entry_evacuation_blocks_grant(c))
 		entry_evacuation_return_grant(c);
-	else if (entry_leaving_may_be_late(c->e))
+	else if (entry_leaving_may_be_late(c))
 		entry_grant_replace_later(c);
 	else
 		entry_relay_send(c);
