--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -266,11 +266,10 @@
 	struct call *c = arg;
 
 	entry_call_connected(c);
-	c->aborted_unsent = !is_available(c, 0) ||
-			    entry_leaving_is_forwarded(c) ||
-			    entry_leaving_may_be_late(c) ||
-			    entry_backoff_blocks_grant(c) ||
-			    entry_evacuation_blocks_grant(c);
+	c->aborted_unsent =
+		!is_available(c, 0) || entry_leaving_is_forwarded(c) ||
+		entry_leaving_may_be_late(c) || entry_backoff_blocks_grant(c) ||
+		entry_evacuation_blocks_grant(c);
 	return !c->aborted_unsent;
 }
 
