Dispatching: endpoints known at a takeover get time to report

Cause: test_system_drain_queue.sh, sanitized, at a load of 30, failed in a round of all tests (1 of 234 streams refused as no-endpoint) and in 1 of 16 runs of its own (59 of 217). A VM that does not dispatch gets only the reports that happen to reach it and keeps them for 1.5 s. By the logs of the second run it took over at 06:32:36.584, knew one of two endpoints, and granted and queued requests for it; the report expired, and from .641 to .663 it refused all queued requests (retry_ms=60000: no capacity). The requests after that were deferred until the endpoints reported, and were served. In the first run six requests were granted at the one endpoint that it knew; the next was the one that expired it (retry_ms=1000: refused on arrival), since awaits_endpoints() counts endpoints that dl_pool_ask() then expires; the rest were deferred.

Change: dl_pool_start_dispatching() gives each known endpoint 1.5 s to report, in which every endpoint reports to a new dispatcher; dl_pool_has_endpoints() expires reports before it answers, and replaces the count of the summary.

Tests: takeover_keeps_queue_until_endpoints_report (a queued request was refused before) and endpoint_is_known_until_its_report_expires (failed before).

--- a/include/daisyledge/pool.h
+++ b/include/daisyledge/pool.h
@@ -362,6 +362,11 @@
 
 void dl_pool_summarize(const struct dl_pool *pool, int64_t now,
 		       struct dl_pool_summary *out);
+/*
+ * Whether an endpoint is open; closes those that have not reported in time, as
+ * dl_pool_ask() does.
+ */
+bool dl_pool_has_endpoints(struct dl_pool *pool, int64_t now);
 /* The last report of an endpoint; false if there is none. */
 bool dl_pool_endpoint_report(const struct dl_pool *pool, struct dl_str id,
 			     struct dl_endpoint_report *out);
--- a/src/coordination/pool.c
+++ b/src/coordination/pool.c
@@ -511,3 +511,11 @@
 	if (root->ready[0] != INT64_MAX && root->ready[0] > now)
 		out->backlog_ms += (uint64_t)(root->ready[0] - now);
 }
+
+/* Whether an endpoint is open, once those that are silent have been closed. */
+bool dl_pool_has_endpoints(struct dl_pool *pool, int64_t now)
+{
+	pool->now = now;
+	pool_endpoint_expire(pool, now);
+	return pool->open_endpoints > 0;
+}
--- a/src/coordination/pool_endpoint.c
+++ b/src/coordination/pool_endpoint.c
@@ -11,6 +11,8 @@
  * deployment has 600 in all pools together.
  */
 #define ENDPOINTS_MAX 4096
+/* Every endpoint reports to a new dispatcher within this time. */
+#define TAKEOVER_REPORT_MS 1500
 /*
  * If no endpoint of a pool has reported for this fraction of report_gone_ms,
  * the report path is assumed to be broken.
@@ -254,6 +256,25 @@
 	}
 }
 
+/*
+ * Keeps the endpoints that a new dispatcher knows until each has had time to
+ * report to it. Before, it got only the reports that happened to reach it, and
+ * one that expires right after the takeover takes along all requests that were
+ * queued for it.
+ */
+void pool_endpoint_await_reports(struct dl_pool *pool, int64_t now)
+{
+	pool_endpoint_expire(pool, now);
+	for (uint32_t i = 0; i < pool->endpoints_n; i++) {
+		struct pool_endpoint *e = pool->endpoints[i];
+
+		if (e->state == POOL_EP_LIVE &&
+		    e->expiry.key < now + TAKEOVER_REPORT_MS)
+			pool_heap_set(&pool->endpoint_expiry, &e->expiry,
+				      now + TAKEOVER_REPORT_MS);
+	}
+}
+
 /*
  * An endpoint is known to be unreachable.  Its grants stay until their entries
  * release them: it may only be partitioned, and still work on them.
--- a/src/coordination/pool_grant.c
+++ b/src/coordination/pool_grant.c
@@ -373,6 +373,7 @@
 /* Start dispatching in this pool. */
 void dl_pool_start_dispatching(struct dl_pool *pool, int64_t now)
 {
+	pool_endpoint_await_reports(pool, now);
 	if (pool->policy->start_dispatching)
 		pool->policy->start_dispatching(pool, now);
 	pool_recover_start(pool, now);
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -544,6 +544,7 @@
 uint8_t pool_level(const struct pool_want *want);
 /* pool_endpoint.c */
 void pool_endpoint_expire(struct dl_pool *pool, int64_t now);
+void pool_endpoint_await_reports(struct dl_pool *pool, int64_t now);
 void pool_endpoint_unreachable(struct dl_pool *pool, struct pool_endpoint *e,
 			       uint64_t vm, bool silent, int64_t now);
 struct pool_endpoint *pool_endpoint_find(const struct dl_pool *pool,
--- a/src/entry/entry_pool.c
+++ b/src/entry/entry_pool.c
@@ -321,19 +321,11 @@
 	return true;
 }
 
-static bool has_endpoints(struct entry *e, struct entry_pool *p)
-{
-	struct dl_pool_summary s;
-
-	dl_pool_summarize(p->pool, entry_now(e), &s);
-	return s.endpoints > 0;
-}
-
 /* Whether a dispatcher has just taken over and knows no endpoint yet. */
 static bool awaits_endpoints(struct entry *e, struct entry_pool *p)
 {
 	return entry_now(e) - p->dispatching_since <= ENDPOINTS_WAIT_MS &&
-	       !has_endpoints(e, p);
+	       !dl_pool_has_endpoints(p->pool, entry_now(e));
 }
 
 /*
@@ -407,7 +399,7 @@
 	asked.self_placed = local && !p->dispatching;
 	asked.standby = f->standby && !p->dispatching;
 	if (f->standby && !p->dispatching)
-		local = local || has_endpoints(e, p);
+		local = local || dl_pool_has_endpoints(p->pool, entry_now(e));
 	if (p->dispatching && !local && awaits_endpoints(e, p)) {
 		defer_ask(e, p, f);
 		return;
--- a/test/test_pool.c
+++ b/test/test_pool.c
@@ -199,6 +199,57 @@
 }
 END_TEST
 
+/*
+ * A dispatcher that has just taken over defers requests until an endpoint is
+ * known. Guards against one whose report expires meanwhile: it was known until
+ * the next request, which was refused for lack of endpoints instead.
+ */
+START_TEST(endpoint_is_known_until_its_report_expires)
+{
+	report("a:1");
+	ck_assert(dl_pool_has_endpoints(pool, now));
+	now += GONE - 1;
+	ck_assert(dl_pool_has_endpoints(pool, now));
+	ck_assert_int_eq(ask(1000, 0, FAR).verdict, DL_GRANTED);
+	now++;
+	ck_assert(!dl_pool_has_endpoints(pool, now));
+	ck_assert_int_eq(ask(1000, 0, FAR).reason, DL_REASON_NO_ENDPOINT);
+	report("a:1");
+	ck_assert(dl_pool_has_endpoints(pool, now));
+}
+END_TEST
+
+/*
+ * A dispatcher that has just taken over knows endpoints by reports of which it
+ * got only some. Guards against one that expires then: all requests queued for
+ * it were refused for lack of endpoints.
+ */
+START_TEST(takeover_keeps_queue_until_endpoints_report)
+{
+	struct dl_pool_conf standby = conf;
+	struct dl_answer running, out;
+
+	standby.report_gone_ms = 1500;
+	dl_pool_configure(pool, &standby);
+	report("a:1");
+	now += 1450;
+	dl_pool_start_dispatching(pool, now);
+	dl_pool_configure(pool, &conf);
+	running = ask(1000, 0, FAR);
+	ck_assert_int_eq(running.verdict, DL_GRANTED);
+	ck_assert_int_eq(ask(1000, 0, FAR).verdict, DL_QUEUED);
+	now += 1400;
+	ck_assert_int_eq(dl_pool_renew(pool, running.grant, now), 0);
+	while (dl_pool_next(pool, now, &out))
+		ck_assert_int_eq(out.verdict, DL_GRANTED);
+	report("a:1");
+	now += 1400;
+	ck_assert_int_ne(ask(1000, 0, FAR).verdict, DL_REFUSED);
+	now += GONE;
+	ck_assert(!dl_pool_has_endpoints(pool, now));
+}
+END_TEST
+
 /* A silent endpoint among reporting ones gets no new requests. */
 START_TEST(single_silent_endpoint_gets_no_new_requests)
 {
@@ -1040,6 +1091,8 @@
 	tcase_add_test(t, dead_entry_releases_its_grants);
 	tcase_add_test(t, new_incarnation_holds_nothing);
 	tcase_add_test(t, silent_endpoint_keeps_its_grants);
+	tcase_add_test(t, endpoint_is_known_until_its_report_expires);
+	tcase_add_test(t, takeover_keeps_queue_until_endpoints_report);
 	tcase_add_test(t, single_silent_endpoint_gets_no_new_requests);
 	tcase_add_test(t, duplicate_ask_gets_the_same_grant);
 	tcase_add_test(t, incarnations_give_other_ids);
