--- a/test/run.sh
+++ b/test/run.sh
@@ -21,6 +21,10 @@
 		printf "%d %d %s\n", name in rank ? rank[name] : 1000, FNR, $1
 	}' test/longest-first - | sort -n -k1,1 -k2,2 | cut -d' ' -f3 >"$out/list"
 export CK_VERBOSITY=normal OUT="$out"
+# A test program that hangs ends after this, unless it sets a time itself. The 4 s
+# of check are too short for 1.3 s of CPU time, sanitized, at a load of 60 on 7
+# cores.
+export CK_DEFAULT_TIMEOUT=30
 
 # Tests mostly wait for wall-clock time: together they take 0.3 of a core each on
 # average, so one a core leaves room for a second run beside this one.
