Quarantine: an instance counts as one crash in a sequence

Cause: test_system_crashing_part_unmarked.sh, sanitized, failed in 1 of 5 runs ("the part did not run: 2", make check in build/asan at a load of 30 to 66). By the logs all VMs quarantined the part "51", with which every prompt begins, after two instances had crashed (crashes=2 requests=2 certain=1), and refused all requests with it. The sequence of three crashes counted evidence, which an instance has for two requests: responses that only their connection ends look interrupted if the endpoint crashes within a second, at the times at which each of them ended, so one crash came out as two in a row. The header says "crashes, each of an attempt that was sent after the one before it". The trace of test_system_crashing_part.sh shows "crashes=2" as well, for a few hundred ms.

Ruled out: more than two endpoints that crashed (two runs are in the record), a probe (certain=1).

Change: sequence_length() takes the first evidence of each instance.

Test: instance_under_two_requests_is_one_crash (the part is held after two instances before, after the third now).

--- a/src/coordination/quarantine_judge.c
+++ b/src/coordination/quarantine_judge.c
@@ -49,7 +49,8 @@
 /*
  * Returns the length of the longest sequence of crashes of which each attempt
  * was sent after the crash before; crashes of instances in explained, which may
- * be NULL, do not count.
+ * be NULL, do not count, and an instance that crashed under two requests counts
+ * once.
  */
 static uint32_t sequence_length(const struct record *r, GHashTable *explained)
 {
@@ -62,7 +63,7 @@
 
 		if ((explained &&
 		     g_hash_table_contains(explained, &ev->start)) ||
-		    !quarantine_follows(ev, last))
+		    !quarantine_is_first(r, i) || !quarantine_follows(ev, last))
 			continue;
 		last = ev->at;
 		length++;
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -355,6 +355,22 @@
 }
 END_TEST
 
+/*
+ * Guards against an instance that counts as two crashes, as it does where two
+ * requests had ended there shortly before and their ends are marked by the
+ * connection alone.
+ */
+START_TEST(instance_under_two_requests_is_one_crash)
+{
+	crash_part(PART, 1, 1, 0, 100);
+	crash_part(PART, 2, 1, 150, 250);
+	crash_part(PART, 3, 2, 300, 400);
+	ck_assert(!part_is_held(PART, 410));
+	crash_part(PART, 4, 3, 450, 600);
+	ck_assert(part_is_held(PART, 610));
+}
+END_TEST
+
 START_TEST(simultaneous_crashes_blame_nothing)
 {
 	for (uint64_t start = 1; start <= 12; start++)
@@ -778,6 +794,7 @@
 	tcase_add_test(tc, interruption_without_crash_is_ignored);
 	tcase_add_test(tc, part_of_distinct_requests_is_blamed);
 	tcase_add_test(tc, parts_of_one_repeated_request_are_not_blamed);
+	tcase_add_test(tc, instance_under_two_requests_is_one_crash);
 	tcase_add_test(tc, simultaneous_crashes_blame_nothing);
 	tcase_add_test(tc, explained_crashes_count_against_no_other);
 	tcase_add_test(tc, late_report_does_not_release_culprit);
