Tests: addresses that no other test program has

Two runs of test_httpc side by side could choose the same address (process id modulo 250; 2 of 23 runs, address in use). The port depends on the process id as well.

--- a/test/fake/suite.h
+++ b/test/fake/suite.h
@@ -13,9 +13,14 @@
  */
 static inline uint64_t suite_address(uint32_t octets, uint16_t port)
 {
-	uint32_t subnet = 1 + (uint32_t)getpid() % 250;
+	uint32_t pid = (uint32_t)getpid();
+	uint32_t subnet = 1 + pid % 250;
+	/* Two of 23 runs side by side shared a subnet; below ephemeral ports.
+	 */
+	uint32_t ports = pid / 250 % 1500 * 16;
 
-	return (uint64_t)(0x7f000000u | subnet << 16 | octets) << 16 | port;
+	return (uint64_t)(0x7f000000u | subnet << 16 | octets) << 16 |
+	       (port + ports);
 }
 
 /* Runs and frees a suite; returns the exit status of the program. */
