Replicated log: a leader that stood still asks before it steps down

Cause: test_system_conf_delta.sh, sanitized, beside 10 busy processes at a load of 34: "change 45 is not accepted". One of three replicas is dead in that part of the test. By the logs the others led for 1.03, 1.07 and 1.8 s, one after the other, and each lost its majority to the next attempt of the same change: reading a configuration of 1,300 routes held its event loop for almost as long as the 1,000 ms after which a leader without replies steps down. It had sent no heartbeats meanwhile, so that there were none to reply to.

Ruled out: the disk (one write of 1.25 s in the whole run, minutes before).

Change: a leader that did not run for two heartbeats (500 ms), and had replies of a majority until then, waits as long for replies before it steps down. Its lease ends in time as before, and a second stall gives no more time.

--- a/src/state/rlog_int.h
+++ b/src/state/rlog_int.h
@@ -116,6 +116,7 @@
 	bool self_voted;    /* the own vote has been synced */
 	int64_t leader_since;
 	int64_t last_tick;
+	int64_t stall_answers_until; /* see note_stall(); 0: no stall */
 	uint64_t term_start; /* index of the first entry of this leader */
 	bool transferring;
 	int64_t transfer_until;
--- a/src/state/rlog_lead.c
+++ b/src/state/rlog_lead.c
@@ -15,8 +15,14 @@
 #define SILENT_ELECTIONS 2
 /* A leader whose disk fails waits for so many heartbeats and their replies. */
 #define HAND_OVER_HEARTBEATS 2
+/*
+ * A leader that did not run for so many heartbeats has stood still, and waits
+ * as long for replies before it steps down.
+ */
+#define STALL_HEARTBEATS 2
 
 static void begin_peer(struct dl_rlog *r, struct rlog_peer *p, int64_t now);
+static void note_stall(struct dl_rlog *r, int64_t stamp, int64_t now);
 static void advance_commit(struct dl_rlog *r, int64_t now);
 static int compare_down(const void *a, const void *b);
 static uint64_t quorum_match(const struct dl_rlog *r);
@@ -61,6 +67,7 @@
 	r->leader_id = r->id;
 	r->leader_since = now;
 	r->last_tick = now;
+	r->stall_answers_until = 0;
 	r->transferring = false;
 	r->joins_count = 0;
 	r->contact_vm = DL_VM_NONE;
@@ -161,15 +168,34 @@
 	advance_commit(r, now);
 }
 
+/*
+ * Notes that this leader stood still while its majority had not been silent for
+ * long: it has sent no heartbeats, so their silence says nothing. With
+ * configurations of 1,300 routes on a busy machine, each new leader stood still
+ * for the time of its lease and stepped down, and none was left that could
+ * commit the change. The lease itself ends in time. A second stall gives no
+ * more time, so that a leader that is cut off steps down.
+ */
+static void note_stall(struct dl_rlog *r, int64_t stamp, int64_t now)
+{
+	int64_t stall_ms = (int64_t)r->conf.heartbeat_ms * STALL_HEARTBEATS;
+
+	if (now - r->last_tick >= stall_ms &&
+	    r->last_tick - stamp < (int64_t)r->conf.election_ms)
+		r->stall_answers_until = now + stall_ms;
+}
+
 /* Runs check-quorum, membership changes and leadership transfer. */
 void rlog_lead_tick(struct dl_rlog *r, int64_t now)
 {
 	int64_t stamp = rlog_quorum_stamp(r, now);
 
-	r->last_tick = now;
 	if (stamp < r->leader_since)
 		stamp = r->leader_since;
-	if (now - stamp >= (int64_t)r->conf.election_ms) {
+	note_stall(r, stamp, now);
+	r->last_tick = now;
+	if (now - stamp >= (int64_t)r->conf.election_ms &&
+	    now >= r->stall_answers_until) {
 		rlog_become_follower(r, r->term, now);
 		return;
 	}
@@ -203,6 +229,7 @@
 
 	if (stamp > r->leader_since)
 		at = stamp + r->conf.election_ms;
+	at = MAX(at, r->stall_answers_until);
 	for (uint32_t i = 0; i < r->peers_count; i++) {
 		const struct rlog_peer *p = &r->peers[i];
 		int64_t beat = p->sent == INT64_MIN ?
--- a/test/test_rlog.c
+++ b/test/test_rlog.c
@@ -506,11 +506,8 @@
 		dl_rlog_written(r, u.seq, 0, now);
 }
 
-/*
- * A reply of a replica without a log promises nothing, so the lease does not
- * count it.
- */
-START_TEST(uninitialized_reply_is_no_promise)
+/* Creates the replica of these tests, which leads two others from 2000 on. */
+static struct dl_rlog *lead_alone(void)
 {
 	struct dl_rlog_image image = { .id = 1, .cluster = 9 };
 	struct dl_rlog_conf conf;
@@ -525,6 +522,71 @@
 	dl_rlog_tick(r, 2000);
 	deliver_reply(r, DL_RLOG_PREVOTE_REPLY, 2, 1, false, 2000);
 	deliver_reply(r, DL_RLOG_VOTE_REPLY, 2, 1, false, 2000);
+	return r;
+}
+
+static bool leads(const struct dl_rlog *r, int64_t now)
+{
+	struct dl_rlog_status s;
+
+	dl_rlog_get_status(r, now, &s);
+	return s.role == DL_RLOG_LEADER;
+}
+
+/*
+ * A leader whose process stood still for almost as long as its lease, for a
+ * large configuration on a busy machine, has sent nothing meanwhile.  If it
+ * stepped down before it asks the others again, each leader after it would be
+ * lost to the next attempt of the same change.  It has no lease until they
+ * answer, and steps down if they don't, also if it stands still again.
+ */
+START_TEST(leader_that_stood_still_asks_before_it_steps_down)
+{
+	static const struct stall_case {
+		int64_t ticks[8]; /* 0: no more */
+		int64_t reply_at; /* 0: none after the first */
+		bool leads;
+	} cases[] = {
+		{ { 2250, 3100, 3150 }, 3150, true },
+		{ { 2250, 3100, 3350, 3590 }, 0, true },
+		{ { 2250, 3100, 3350, 3600 }, 0, false },
+		{ { 2250, 3100, 3700 }, 0, false },
+		{ { 2250, 2500, 2750, 3000 }, 0, false },
+		{ { 2250, 2500, 3000, 3250 }, 0, true },
+	};
+	const struct stall_case *c = &cases[_i];
+	struct dl_rlog *r = lead_alone();
+	struct dl_rlog_msg m;
+	int64_t now = 2000;
+
+	deliver_reply(r, DL_RLOG_APPEND_REPLY, 3, 1, false, now);
+	for (int i = 0; c->ticks[i]; i++) {
+		now = c->ticks[i];
+		dl_rlog_tick(r, now);
+		while (dl_rlog_out(r, now, &m))
+			;
+		ck_assert(now < 2900 || !dl_rlog_lease(r, now, NULL));
+		if (now == c->reply_at)
+			deliver_reply(r, DL_RLOG_APPEND_REPLY, 3, 1, false,
+				      now);
+	}
+	ck_assert_int_eq(leads(r, now), c->leads);
+	ck_assert_int_eq(dl_rlog_lease(r, now, NULL), c->reply_at > 0);
+	ck_assert(!leads(r, now) || dl_rlog_wakeup(r) > now);
+	dl_rlog_free(r);
+}
+END_TEST
+
+#define STALL_CASES 6
+
+/*
+ * A reply of a replica without a log promises nothing, so the lease does not
+ * count it.
+ */
+START_TEST(uninitialized_reply_is_no_promise)
+{
+	struct dl_rlog *r = lead_alone();
+
 	ck_assert_int_eq(dl_rlog_propose(r, DL_STR("c"), 2000, &(uint64_t){ 0 },
 					 &(uint64_t){ 0 }),
 			 0);
@@ -817,6 +879,9 @@
 	tcase_add_loop_test(t, slow_disk_keeps_leader, 0, 3);
 	tcase_add_loop_test(t, restart_keeps_vote_promise, 0, 10);
 	tcase_add_test(t, uninitialized_reply_is_no_promise);
+	tcase_add_loop_test(t,
+			    leader_that_stood_still_asks_before_it_steps_down,
+			    0, STALL_CASES);
 	tcase_add_test(t, snapshot_alone_is_not_current);
 	tcase_add_loop_test(t, learner_of_a_lost_leader_asks_to_join, 0, 6);
 	tcase_add_loop_test(t, replacing_a_lost_disk_keeps_the_leader, 0, 20);
