Hedged grant requests: decisions in a module without I/O

Cause: what follows from each order of answers to a request that two VMs were asked for was decided in several functions of entry_grant.c and entry_hedge.c, between calls that send frames, so that most orders could not be tested.

Change: src/coordination/hedge.c holds the states of a request at both VMs and returns for each event what to use, cancel, release, ask anew or move. entry_hedge.c maps VMs to their roles and sends the cancellations; entry_grant.c does the rest. No change of behavior is intended.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -45,6 +45,7 @@
 #include <inttypes.h>
 
 #include "coordination/ask_timer.h"
+#include "coordination/hedge.h"
 #include "daisyledge/backoff.h"
 #include "daisyledge/call.h"
 #include "daisyledge/conf.h"
@@ -163,11 +164,11 @@
 
 /* The VM that a grant request was sent to besides the dispatcher. */
 struct call_hedge {
-	uint64_t vm; /* it is asked or has queued it; else DL_VM_NONE */
-	bool tried;  /* one VM at most for each request */
-	bool queued; /* by that VM */
+	struct dl_hedge order;
+	uint64_t vm; /* valid while order.second is not DL_HEDGE_NONE */
 	int64_t asked_at;
-	/* Dispatcher that had not answered when that VM's grant was used. */
+	/* Dispatcher that had not answered when that VM's grant was used, if
+	 * order.unanswered. */
 	uint64_t unanswered;
 };
 
@@ -559,10 +560,11 @@
 void entry_hedge_tick(struct entry *e, int64_t now);
 void entry_hedge_note_answer(struct entry *e, const struct call *c,
 			     uint64_t from, uint64_t request);
-void entry_hedge_withdraw(struct call *c);
-bool entry_hedge_answer(struct call *c, const struct dl_answer *answer);
-bool entry_hedge_promote(struct call *c, uint64_t owner);
-bool entry_hedge_vm_down(struct call *c, uint64_t vm, uint64_t owner);
+uint32_t entry_hedge_step(struct call *c, struct dl_hedge_event ev);
+uint32_t entry_hedge_answer(struct call *c, uint64_t from,
+			    enum dl_verdict verdict);
+uint32_t entry_hedge_vm_down(struct call *c, uint64_t vm, uint64_t owner);
+uint32_t entry_hedge_moved(struct call *c, uint64_t owner);
 uint64_t entry_hedge_holder(struct call *c, uint64_t owner);
 
 /* entry_renew.c */
--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -143,9 +143,8 @@
 {
 	struct entry *e = c->e;
 
-	entry_hedge_withdraw(c);
-	c->hedge = (struct call_hedge){ .vm = DL_VM_NONE,
-					.unanswered = DL_VM_NONE };
+	entry_hedge_step(c,
+			 (struct dl_hedge_event){ .kind = DL_HEDGE_RESTART });
 	if (!c->content_hash)
 		c->content_hash = call_content(c);
 	if (entry_quarantine_refuses(c))
@@ -166,6 +165,7 @@
 	c->placed_locally = false;
 	fill_ask(c);
 	c->dispatcher = current_dispatcher(c);
+	entry_hedge_step(c, (struct dl_hedge_event){ .kind = DL_HEDGE_ASK });
 	if (own_domain(c) &&
 	    (c->dispatcher == DL_VM_NONE || c->asks_lost >= ASKS_LOST_MAX)) {
 		ask_locally(c, true);
@@ -236,15 +236,10 @@
 
 	if (!c->ask_id)
 		return;
-	entry_hedge_withdraw(c);
 	if (!c->granted)
 		call_note_wait(c);
 	g_hash_table_remove(e->asks, &c->ask_id);
-	if (c->granted || c->dispatcher == DL_VM_NONE) {
-		c->ask_id = 0;
-		return;
-	}
-	call_cancel_at(c, c->dispatcher);
+	entry_hedge_step(c, (struct dl_hedge_event){ .kind = DL_HEDGE_END });
 	c->ask_id = 0;
 }
 
@@ -258,6 +253,8 @@
 	if (!c->granted)
 		return;
 	c->granted = false;
+	entry_hedge_step(c,
+			 (struct dl_hedge_event){ .kind = DL_HEDGE_RELEASED });
 	entry_backoff_add_to_release(c);
 	if (c->dispatcher == e->node.self) {
 		p = entry_pool_find(e, service_of(c));
@@ -544,28 +541,21 @@
 			const struct dl_answer_frame *f)
 {
 	struct call *c = g_hash_table_lookup(e->asks, &f->answer.request);
+	uint32_t actions = DL_HEDGE_DROP;
 
 	entry_hedge_note_answer(e, c, from, f->answer.request);
-	if (!c || c->granted ||
-	    (c->dispatcher != from && c->hedge.vm != from)) {
+	if (c)
+		actions = entry_hedge_answer(c, from, f->answer.verdict);
+	if (actions & DL_HEDGE_DROP) {
 		drop_late_answer(e, from, f);
-		return;
-	}
-	if (c->dispatcher != from && !entry_hedge_answer(c, &f->answer))
-		return;
-	switch (f->answer.verdict) {
-	case DL_GRANTED:
-		entry_hedge_withdraw(c);
+	} else if (actions & DL_HEDGE_USE) {
 		accept_grant(c, &f->answer);
-		return;
-	case DL_QUEUED:
+	} else if (actions & DL_HEDGE_WAIT) {
 		call_note_wait(c);
 		c->state = CALL_QUEUED;
-		return;
-	case DL_REFUSED:
+	} else if (actions & DL_HEDGE_REFUSED) {
 		note_hints(c, f);
 		handle_refusal(c, f);
-		return;
 	}
 }
 
@@ -575,11 +565,10 @@
 	struct call *c;
 
 	for (c = e->calls; c; c = c->next) {
-		if (c->granted ||
-		    entry_hedge_vm_down(c, vm, current_dispatcher(c)) ||
-		    c->dispatcher != vm)
+		if (c->state != CALL_ASKING && c->state != CALL_QUEUED)
 			continue;
-		if (c->state == CALL_ASKING || c->state == CALL_QUEUED) {
+		if (entry_hedge_vm_down(c, vm, current_dispatcher(c)) &
+		    DL_HEDGE_ASK_LATER) {
 			c->asks_lost++;
 			c->ask_again_at = entry_now(e) + ASK_AGAIN_MS;
 		}
@@ -614,10 +603,9 @@
 	if (ask_timed_out(c, now)) {
 		entry_reach_mark_unreachable(c->e, c->dispatcher);
 		c->asks_lost++;
-		if (entry_hedge_promote(c, current_dispatcher(c)))
-			return;
-		entry_grant_cancel(c);
-		ask_again(c);
+		if (entry_hedge_moved(c, current_dispatcher(c)) &
+		    DL_HEDGE_ASK_ANEW)
+			ask_again(c);
 		return;
 	}
 	if (c->ask_again_at && now >= c->ask_again_at) {
@@ -629,10 +617,8 @@
 		entry_hedge_tick_call(c, now);
 		return;
 	}
-	if (entry_hedge_promote(c, owner))
-		return;
-	entry_grant_cancel(c);
-	entry_grant_ask(c);
+	if (entry_hedge_moved(c, owner) & DL_HEDGE_ASK_ANEW)
+		entry_grant_ask(c);
 }
 
 /*
--- a/src/entry/entry_hedge.c
+++ b/src/entry/entry_hedge.c
@@ -4,6 +4,7 @@
  * dispatch if the first were gone.  Both know the request by the same id; the
  * first grant is used, and the request is cancelled at the other VM.  Nothing
  * is sent to an endpoint before the grant, so the request cannot run twice.
+ * What each order of answers leads to is decided in coordination/hedge.c.
  */
 #include "base/metric.h"
 #include "base/msg.h"
@@ -18,7 +19,7 @@
 	const struct entry *e = c->e;
 
 	return e->node.settings.region.n && c->state == CALL_ASKING &&
-	       !c->ask_again_at && !c->hedge.tried && !c->probes &&
+	       !c->ask_again_at && !c->hedge.order.tried && !c->probes &&
 	       !c->placed_locally && c->dispatcher != e->node.self &&
 	       entry_pool_is_local_domain(e, dl_name_str(&c->domain));
 }
@@ -41,6 +42,13 @@
 		       c->service.s, (long)(entry_now(e) - c->asked_at));
 }
 
+/* The request could not be sent to the second VM, as after a refusal. */
+static void drop_second(struct call *c)
+{
+	entry_hedge_step(c, (struct dl_hedge_event){ .kind = DL_HEDGE_REFUSAL,
+						     .vm = DL_HEDGE_SECOND });
+}
+
 /* Asks this VM; the call may have been freed when this returns. */
 static void ask_this_vm(struct call *c, const struct dl_ask_frame *ask)
 {
@@ -49,7 +57,7 @@
 	if (p)
 		entry_pool_ask(c->e, p, ask, false);
 	else
-		c->hedge.vm = DL_VM_NONE;
+		drop_second(c);
 }
 
 /* Sends the request to a second VM; the call may then have been freed. */
@@ -63,9 +71,9 @@
 	if (vm == DL_VM_NONE || dl_ask_timer_is_overdue(&e->ask_timer, vm) ||
 	    !dl_ask_timer_take_token(&e->ask_timer))
 		return;
-	c->hedge.tried = true;
+	entry_hedge_step(
+		c, (struct dl_hedge_event){ .kind = DL_HEDGE_ASK_SECOND });
 	c->hedge.vm = vm;
-	c->hedge.queued = false;
 	c->hedge.asked_at = entry_now(e);
 	dl_count(DL_METRIC_asks_hedged, 1);
 	log_series(c);
@@ -78,7 +86,7 @@
 	dl_ask_pack(&pk, &ask, entry_now(e));
 	if (dl_peers_send(e->node.peers, vm, DL_FRAME_GRANT_REQUEST, c->ask_id,
 			  dl_packer_bytes(&pk)))
-		c->hedge.vm = DL_VM_NONE;
+		drop_second(c);
 	dl_packer_close(&pk);
 }
 
@@ -141,93 +149,102 @@
 		dl_ask_timer_add_answer(&e->ask_timer, entry_now(e) - asked_at);
 }
 
-/* Cancels the request at the second VM. */
-void entry_hedge_withdraw(struct call *c)
-{
-	if (c->hedge.vm == DL_VM_NONE)
-		return;
-	call_cancel_at(c, c->hedge.vm);
-	c->hedge.vm = DL_VM_NONE;
-}
-
-/* The second VM has granted the request: the first one must forget it. */
-static void use_standby_grant(struct call *c)
+/* The request stays with the second VM, as far as it got there. */
+static void promote(struct call *c)
 {
-	dl_count(DL_METRIC_asks_hedged_won, 1);
-	call_cancel_at(c, c->dispatcher);
-	c->hedge.unanswered = c->dispatcher;
-	c->dispatcher = c->hedge.vm;
-	c->hedge.vm = DL_VM_NONE;
+	call_note_wait(c);
+	c->state = c->hedge.order.first == DL_HEDGE_QUEUED ? CALL_QUEUED :
+							     CALL_ASKING;
+	c->asked_at = c->hedge.asked_at;
+	c->ask_again_at = 0;
 }
 
 /*
- * Handles the reply of the second VM; returns whether it is a grant, which the
- * call then holds from that VM.  A refusal is never final: the second VM may
- * know no endpoint, or less than the first, which decides unless it is lost.
+ * Applies an event to a pending request, cancels it where it must be forgotten,
+ * and returns the other actions, which are left to the caller.
  */
-bool entry_hedge_answer(struct call *c, const struct dl_answer *answer)
-{
-	switch (answer->verdict) {
-	case DL_GRANTED:
-		use_standby_grant(c);
-		return true;
-	case DL_QUEUED:
-		c->hedge.queued = true;
-		return false;
-	case DL_REFUSED:
-		c->hedge.vm = DL_VM_NONE;
-		return false;
+uint32_t entry_hedge_step(struct call *c, struct dl_hedge_event ev)
+{
+	uint32_t actions = dl_hedge_step(&c->hedge.order, &ev);
+
+	if (actions & DL_HEDGE_CANCEL_FIRST && c->dispatcher != DL_VM_NONE)
+		call_cancel_at(c, c->dispatcher);
+	if (actions & DL_HEDGE_CANCEL_SECOND)
+		call_cancel_at(c, c->hedge.vm);
+	if (actions & DL_HEDGE_PROMOTE) {
+		c->hedge.unanswered = c->dispatcher;
+		c->dispatcher = c->hedge.vm;
+		if (actions & DL_HEDGE_USE)
+			dl_count(DL_METRIC_asks_hedged_won, 1);
+		else
+			promote(c);
 	}
-	return false;
+	return actions;
 }
 
-/*
- * The VM that was asked second dispatches now: the request stays where it is
- * there, and is cancelled at the first VM.  Returns false if another VM
- * dispatches, or if that VM refused it.
- */
-bool entry_hedge_promote(struct call *c, uint64_t owner)
+/* Returns which of its VMs an answer to a request came from, or a loss. */
+static enum dl_hedge_vm role_of(const struct call *c, uint64_t vm)
 {
-	if (c->hedge.vm == DL_VM_NONE || c->hedge.vm != owner)
-		return false;
-	call_cancel_at(c, c->dispatcher);
-	call_note_wait(c);
-	c->state = c->hedge.queued ? CALL_QUEUED : CALL_ASKING;
-	c->dispatcher = owner;
-	c->asked_at = c->hedge.asked_at;
-	c->ask_again_at = 0;
-	c->hedge.vm = DL_VM_NONE;
-	return true;
+	if (vm == c->dispatcher)
+		return DL_HEDGE_FIRST;
+	if (vm == c->hedge.vm && c->hedge.order.second != DL_HEDGE_NONE)
+		return DL_HEDGE_SECOND;
+	return DL_HEDGE_OTHER;
 }
 
-/*
- * The connection to a VM is lost.  Returns whether a request that was sent
- * there remains with the second VM.
- */
-bool entry_hedge_vm_down(struct call *c, uint64_t vm, uint64_t owner)
+/* Returns what is to be done about an answer, except for cancellations. */
+uint32_t entry_hedge_answer(struct call *c, uint64_t from,
+			    enum dl_verdict verdict)
 {
-	if (c->hedge.vm == vm)
-		c->hedge.vm = DL_VM_NONE;
-	return c->dispatcher == vm && entry_hedge_promote(c, owner);
+	static const enum dl_hedge_kind kinds[] = {
+		[DL_GRANTED] = DL_HEDGE_GRANT,
+		[DL_QUEUED] = DL_HEDGE_QUEUE,
+		[DL_REFUSED] = DL_HEDGE_REFUSAL,
+	};
+
+	return entry_hedge_step(
+		c, (struct dl_hedge_event){ .kind = kinds[verdict],
+					    .vm = role_of(c, from) });
 }
 
-/*
- * Returns the VM that is to hold a grant.  A grant of a second VM stays there
- * until the first one has answered, since a VM that is gone would not renew it.
- * When it moves, the second VM releases it at once and not with its lease: it
- * does not dispatch, and nothing else tells it when the request ends.
- */
+/* Handles a lost connection to a VM; owner: the VM that dispatches now. */
+uint32_t entry_hedge_vm_down(struct call *c, uint64_t vm, uint64_t owner)
+{
+	return entry_hedge_step(
+		c, (struct dl_hedge_event){ .kind = DL_HEDGE_LOST,
+					    .vm = role_of(c, vm),
+					    .second_dispatches = owner ==
+								 c->hedge.vm });
+}
+
+/* The dispatcher has not answered in time, or owner dispatches instead. */
+uint32_t entry_hedge_moved(struct call *c, uint64_t owner)
+{
+	return entry_hedge_step(
+		c, (struct dl_hedge_event){ .kind = DL_HEDGE_MOVED,
+					    .vm = DL_HEDGE_FIRST,
+					    .second_dispatches = owner ==
+								 c->hedge.vm });
+}
+
+/* Returns the VM that is to hold a grant, which the caller moves there. */
 uint64_t entry_hedge_holder(struct call *c, uint64_t owner)
 {
-	if (c->hedge.unanswered == DL_VM_NONE || owner == DL_VM_NONE ||
-	    owner == c->dispatcher)
+	struct dl_hedge_event ev = { .kind = DL_HEDGE_OWNER,
+				     .vm = DL_HEDGE_OTHER };
+	uint32_t actions;
+
+	if (owner == DL_VM_NONE)
 		return owner;
-	if (owner == c->hedge.unanswered &&
-	    dl_ask_timer_is_overdue(&c->e->ask_timer, owner))
-		return c->dispatcher;
-	c->hedge.unanswered = DL_VM_NONE;
-	entry_grant_release_unused(c->e, c->dispatcher,
-				   dl_name_str(&c->service), c->grant.grant,
-				   c->ask_id);
-	return owner;
+	if (owner == c->dispatcher)
+		ev.vm = DL_HEDGE_FIRST;
+	else if (owner == c->hedge.unanswered)
+		ev.vm = DL_HEDGE_SECOND;
+	ev.overdue = dl_ask_timer_is_overdue(&c->e->ask_timer, owner);
+	actions = entry_hedge_step(c, ev);
+	if (actions & DL_HEDGE_RELEASE_OLD)
+		entry_grant_release_unused(c->e, c->dispatcher,
+					   dl_name_str(&c->service),
+					   c->grant.grant, c->ask_id);
+	return actions & DL_HEDGE_MOVE ? owner : c->dispatcher;
 }
