A lost connection to a dispatcher: cancel there what is asked anew

Cause: when the connection to a dispatcher was lost, the entry asked for the request anew under another id and sent nothing more under the first. A VM keeps what it has queued when a connection ends, so the request stayed in its queue until it was granted a place that nobody used, or until its deadline. This does not need a second VM.

Change: the state of a request tells what may be pending at the first VM; that is cancelled before the request is asked anew. It is no longer cancelled at a VM that has refused it or whose grant was used, which was a frame without effect.

Ruled out: dropping the queue when the connection ends, since an entry that reconnects may still wait for it.

--- a/src/coordination/hedge.c
+++ b/src/coordination/hedge.c
@@ -51,6 +51,18 @@
 	return 0;
 }
 
+/*
+ * Cancels what the first VM may have queued: it does not notice that a
+ * connection was lost, and keeps the request.
+ */
+static uint32_t cancel_first(struct dl_hedge *h)
+{
+	if (h->first == DL_HEDGE_NONE)
+		return 0;
+	h->first = DL_HEDGE_NONE;
+	return DL_HEDGE_CANCEL_FIRST;
+}
+
 static uint32_t cancel_second(struct dl_hedge *h)
 {
 	if (h->second == DL_HEDGE_NONE)
@@ -76,13 +88,15 @@
 /* The first grant is used; the other VM must forget the request. */
 static uint32_t on_grant(struct dl_hedge *h, const struct dl_hedge_event *ev)
 {
+	uint32_t actions = DL_HEDGE_USE;
+
 	if (is_late(h, ev->vm))
 		return DL_HEDGE_DROP;
 	h->granted = true;
-	if (ev->vm == DL_HEDGE_FIRST)
-		return DL_HEDGE_USE | cancel_second(h);
-	h->unanswered = true;
-	return DL_HEDGE_USE | promote_second(h);
+	h->unanswered = ev->vm == DL_HEDGE_SECOND;
+	actions |= h->unanswered ? promote_second(h) : cancel_second(h);
+	h->first = DL_HEDGE_NONE;
+	return actions;
 }
 
 static uint32_t on_queue(struct dl_hedge *h, const struct dl_hedge_event *ev)
@@ -136,7 +150,7 @@
 {
 	if (can_promote(h, ev))
 		return promote_second(h);
-	return DL_HEDGE_CANCEL_FIRST | cancel_second(h) | DL_HEDGE_ASK_ANEW;
+	return cancel_first(h) | cancel_second(h) | DL_HEDGE_ASK_ANEW;
 }
 
 /*
@@ -165,7 +179,7 @@
 
 static uint32_t on_restart(struct dl_hedge *h, const struct dl_hedge_event *ev)
 {
-	uint32_t actions = cancel_second(h);
+	uint32_t actions = cancel_first(h) | cancel_second(h);
 
 	*h = (struct dl_hedge){ 0 };
 	return actions;
@@ -173,11 +187,7 @@
 
 static uint32_t on_end(struct dl_hedge *h, const struct dl_hedge_event *ev)
 {
-	uint32_t actions = cancel_second(h);
-
-	if (!h->granted)
-		actions |= DL_HEDGE_CANCEL_FIRST;
-	return actions;
+	return cancel_first(h) | cancel_second(h);
 }
 
 /* Applies an event to the state of a request. */
