A lost connection to a second VM: cancel the request there

Cause: when the connection to the second VM was lost, the entry forgot that it had asked that VM.

Change: the request is cancelled there; the cancellation opens a new connection.

Figures: test_hedge passes the order that failed ("B queues, B's connection is lost, A's grant"), and stops at the next fault.

--- a/src/coordination/hedge.c
+++ b/src/coordination/hedge.c
@@ -138,10 +138,8 @@
 {
 	if (h->granted || ev->vm == DL_HEDGE_OTHER)
 		return 0;
-	if (ev->vm == DL_HEDGE_SECOND) {
-		h->second = DL_HEDGE_NONE;
-		return 0;
-	}
+	if (ev->vm == DL_HEDGE_SECOND)
+		return cancel_second(h);
 	return can_promote(h, ev) ? promote_second(h) : DL_HEDGE_ASK_LATER;
 }
 
