Hedged grant requests: drop answers to what was cancelled

Cause: an answer counted if it came from the VM that the request was asked at or whose grant it held, and no grant was held. After a second VM's grant has been used, the request is cancelled at the first; the grant then moves to the first VM. If the endpoint fails at that moment, the answer of the first VM that crossed with the cancellation was taken for one to the next try: a refusal ended the request, although it was about to be asked anew.

Change: an answer counts only while the request is pending at its VM.

--- a/src/coordination/hedge.c
+++ b/src/coordination/hedge.c
@@ -79,10 +79,12 @@
 	return DL_HEDGE_CANCEL_FIRST | DL_HEDGE_PROMOTE;
 }
 
-/* Whether an answer is of a request that has been granted or cancelled. */
+/* Whether nothing is pending at the VM of an answer, so that it is late. */
 static bool is_late(const struct dl_hedge *h, enum dl_hedge_vm vm)
 {
-	return h->granted || vm == DL_HEDGE_OTHER;
+	if (vm == DL_HEDGE_OTHER)
+		return true;
+	return (vm == DL_HEDGE_FIRST ? h->first : h->second) == DL_HEDGE_NONE;
 }
 
 /* The first grant is used; the other VM must forget the request. */
