Test of hedged grant requests: requests that no VM has, places in queues

Trials with single mutations of hedge.c found three that the walk did not see: a second VM that is promoted though it has refused, a second VM's refusal that decides, and a queued request that is asked anew although its VM dispatches now. Each is checked now.

--- a/test/test_hedge.c
+++ b/test/test_hedge.c
@@ -312,6 +312,7 @@
 	refused = actions & DL_HEDGE_REFUSED;
 	check(!(actions & (DL_HEDGE_WAIT | DL_HEDGE_REFUSED)) || asked,
 	      "an answer to a cancelled request counts");
+	check(!refused || v == s.first, "the second VM's refusal decides");
 	if (refused) {
 		struct state ended = s;
 
@@ -322,15 +323,30 @@
 	add(s);
 }
 
+/*
+ * Checks that a request stays with the second VM if that VM has it and
+ * dispatches now; it would lose its place in the queue there.
+ */
+static void check_promoted(const struct state *before,
+			   const struct state *after, uint8_t owner)
+{
+	if (before->h.second != DL_HEDGE_NONE && owner == before->second)
+		check(after->first == owner && !after->again &&
+			      after->h.first == before->h.second,
+		      "the request leaves the VM that dispatches");
+}
+
 /* The first VM is late, or its connection is lost; another one dispatches. */
 static void moves(struct state s, uint8_t owner)
 {
 	struct dl_hedge_event ev = { .kind = DL_HEDGE_MOVED,
 				     .second_dispatches = owner == s.second };
+	const struct state before = s;
 
 	label = "dispatching moves";
 	if (step(&s, ev) & DL_HEDGE_ASK_ANEW)
 		ask(&s, owner);
+	check_promoted(&before, &s, owner);
 	add(s);
 }
 
@@ -339,12 +355,15 @@
 	struct dl_hedge_event ev = { .kind = DL_HEDGE_LOST,
 				     .vm = role_of(&s, v),
 				     .second_dispatches = owner == s.second };
+	const struct state before = s;
 
 	label = v ? "B's connection is lost" : "A's connection is lost";
 	clear_link(&s.vm[v], &s.vm[v].to);
 	s.faults += !s.vm[v].dead;
 	if (s.phase == PENDING && step(&s, ev) & DL_HEDGE_ASK_LATER)
 		s.again = true;
+	if (s.phase == PENDING && ev.vm == DL_HEDGE_FIRST)
+		check_promoted(&before, &s, owner);
 	add(s);
 }
 
@@ -496,6 +515,9 @@
 {
 	struct state next = *s;
 
+	label = "waits";
+	check(s->phase != PENDING || s->again || s->h.first != DL_HEDGE_NONE,
+	      "a request waits that no VM has");
 	label = "is quiet";
 	for (uint32_t v = 0; v < VM_COUNT; v++) {
 		const struct vm *vm = &s->vm[v];
