Tests of hedged grant requests: share the functions of a deployment

test/hedge_deploy.sh holds what a second system test of hedged requests needs: entries with metrics, which VM grants, and whether any VM holds a grant.

--- a/test/test_system_hedged_ask.sh
+++ b/test/test_system_hedged_ask.sh
@@ -9,7 +9,7 @@
 test_begin dala
 SEPARATE_DOMAINS=yes
 . test/platform_deploy.sh
-METRICS_PORT=7500
+. test/hedge_deploy.sh
 # Answers are late after 60 ms, as few have been seen; the rest is a margin for
 # a busy machine.  Without a second VM it is more than 180.  Sanitized processes
 # are too slow for a bound below that: there the grants that the second VM won
@@ -17,21 +17,6 @@
 ASKING_MAX_MS=150
 [ -z "${DL_SANITIZED:-}" ] || ASKING_MAX_MS=1000
 
-# As in platform_deploy.sh, and entries have an address for metrics.
-start_process() { # ROLE D FOUND
-	write_platform_settings "$@"
-	[ "$1" != entry ] ||
-		sed -i "s/\"foreign\":true,/&\"metrics\":\"127.$NET.$2.1:$METRICS_PORT\",/" \
-			"$DIR/entry-$2.json"
-	DAISYLEDGE_SETTINGS="$DIR/$1-$2.json" "$DL_BIN" "$1" \
-		>>"$DIR/$1-$2.log" 2>&1 &
-	record_pid "$1_$2" $!
-}
-
-value() { # D NAME
-	metric "127.$NET.$1.1:$METRICS_PORT" "$2"
-}
-
 # The sum of a metric over all VMs but one.
 sum_without() { # D NAME
 	sum=0
@@ -41,29 +26,6 @@
 	echo $sum
 }
 
-# Print the VM that grants a request for a service.
-current_dispatcher() { # SERVICE TAG
-	for vm in 1 2 3; do
-		eval "grants_$vm=$(value $vm grants_total)"
-	done
-	if [ "$1" = writer ]; then
-		chat 1 "find$2" >/dev/null
-	else
-		book 1 "find$2" 200 -H "$KEY" >/dev/null
-	fi || return 1
-	for vm in 1 2 3; do
-		[ "$(value $vm grants_total)" = "$(eval echo \$grants_$vm)" ] || echo $vm
-	done
-}
-
-# No grant is held and no request is queued at any VM.
-nothing_held() {
-	for vm in 1 2 3; do
-		[ "$(value $vm grants_held)" = 0 ] &&
-			[ "$(value $vm queue_entries)" = 0 ] || return 1
-	done
-}
-
 request_at() { # D TAG
 	chat "$1" "s$1x$2" >"$DIR/stream-$1-$2" &
 	record_pid "stream_$1_$2" $!
@@ -148,15 +110,7 @@
 
 start_all
 configure_all '"key-one"'
-for d in 1 2 3; do
-	start_platform_endpoint "w$d" $d --zone "place-$d" --service writer --event-ms 500
-	start_platform_endpoint "d$d" $((d + 3)) --zone "place-$d" --service desk --plain
-done
-wait_endpoints_known w1 w2 w3 d1 d2 d3
-for d in 1 2 3; do
-	wait_for 5 "a stream at $d" chat $d "first$d" || fail "no stream at $d"
-	wait_for 5 "a call at $d" book $d "call$d" 200 -H "$KEY" || fail "no call at $d"
-done
+start_endpoints_of_both --event-ms 500
 
 # VMs that did not answer during the start are asked again after 3 s.
 sleep 4
