--- a/test/test_system_hedge_orders.sh
+++ b/test/test_system_hedge_orders.sh
@@ -341,7 +341,7 @@
 		[ "$5" = none ] || wait_for 5 "a late grant" granted_late || order=1
 		# The gauges are set twice a second.
 		sleep 1
-		wait_for "$6" "the release of grants" nothing_held ||
+		wait_for $(($6 - 1)) "the release of grants" nothing_held ||
 			fail "$row: a VM holds: $(for d in 1 2 3; do
 				value $d grants_held
 				value $d queue_entries
