--- a/include/daisyledge/memb.h
+++ b/include/daisyledge/memb.h
@@ -65,12 +65,6 @@
  */
 bool dl_memb_next_datagram(struct dl_memb *memb, int64_t now, uint64_t *to,
 			   char *buf, size_t *n);
-/*
- * Sends this VM's own state and that of another VM, which may be DL_VM_NONE, to
- * a VM at once, which would learn of changes through gossip otherwise. Does
- * nothing if the receiver is not known.
- */
-void dl_memb_tell(struct dl_memb *memb, uint64_t to, uint64_t about);
 int64_t dl_memb_next_wakeup(const struct dl_memb *memb);
 /*
  * Gets the next change of a member's state since the last call; false if there
@@ -96,6 +90,12 @@
  */
 void dl_memb_set_unreachable(struct dl_memb *memb, uint64_t vm,
 			     bool unreachable);
+/*
+ * Sends this VM's own state and that of another VM, which may be DL_VM_NONE, to
+ * a VM at once, which would learn of changes through gossip otherwise. Does
+ * nothing if the receiver is not known.
+ */
+void dl_memb_tell(struct dl_memb *memb, uint64_t to, uint64_t about);
 /*
  * The live, non-draining entry of a failure domain that rendezvous hashing
  * selects for a key; DL_VM_NONE if there is none.
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -45,8 +45,8 @@
 #include <inttypes.h>
 
 #include "coordination/ask_timer.h"
-#include "coordination/unreported.h"
 #include "coordination/hedge.h"
+#include "coordination/unreported.h"
 #include "daisyledge/backoff.h"
 #include "daisyledge/call.h"
 #include "daisyledge/conf.h"
