--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -226,7 +226,7 @@
 	static uv_tcp_t silent_listener;
 
 	sin.sin_addr.s_addr = htonl((uint32_t)(VM(9, 7003) >> 16));
-	sin.sin_port = htons(7003);
+	sin.sin_port = htons((uint16_t)VM(9, 7003));
 	uv_tcp_init(&loop, &silent_listener);
 	silent_listener.data = NULL;
 	ck_assert_int_eq(uv_tcp_bind(&silent_listener, (void *)&sin, 0), 0);
@@ -277,7 +277,7 @@
 	open_node(&a, VM(1, 7004), 1);
 	open_node(&b, VM(2, 7004), 1);
 	sin.sin_addr.s_addr = htonl((uint32_t)(VM(1, 7004) >> 16));
-	sin.sin_port = htons(7004);
+	sin.sin_port = htons((uint16_t)VM(1, 7004));
 	uv_tcp_init(&loop, &raw);
 	uv_tcp_connect(&connect, &raw, (void *)&sin, on_raw_connect);
 	raw_written = 0;
