Retries: log and count each decision with the state of the budget

A line for each decision now gives how the repeat came about, whether it was charged, what this VM has left and what the deployment allows; counters by way. retry_ratio, retry_slack and retry_window_s are read from the settings and only logged so far. No decision changes.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -32,6 +32,13 @@
 	X(streams_cut_short,                                                   \
 	  "streams that ended early though their connection ended in order")   \
 	X(retries_total, "attempts after the first one of a request")          \
+	X(retries_failed, "of these, after an endpoint's error")               \
+	X(retries_rejected, "of these, after an endpoint did not run it")      \
+	X(retries_broken, "of these, after no whole response")                 \
+	X(retries_resumed, "of these, streams continued after their events")   \
+	X(retries_silent, "attempts given up for their silence")               \
+	X(retries_unsent, "of these, not charged, as nothing had been sent")   \
+	X(retries_denied, "repeats that the retry budget did not cover")       \
 	X(grants_total, "grants issued by this VM's dispatchers")              \
 	X(backoffs_total, "times an endpoint asked this VM to back off")       \
 	X(grants_unused,                                                       \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -48,6 +48,7 @@
 	  "The quarantine is saved again.")                                    \
 	X(RESERVATION_REFUSED, DL_INFO, "ticket", "Memory was not to be had.") \
 	X(ATTEMPT_FAILED, DL_WARN, "relay", "An attempt broke.")               \
+	X(RETRY, DL_INFO, "retry", "A repeat was decided on.")                 \
 	X(ENDPOINT_LOST, DL_WARN, "relay",                                     \
 	  "The endpoint of an attempt is gone.")                               \
 	X(PATH_INTERRUPTED, DL_WARN, "path",                                   \
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -13,6 +13,7 @@
  *   entry_attempt.c    what all kinds of attempts share
  *   entry_route.c      routing and admission of requests passed on unchanged
  *   entry_relay.c      one attempt of such a request
+ *   entry_retry.c      whether the retry budget covers a repeat
  *   entry_reservation.c memory reserved for prompts too large for one engine
  *   entry_lost.c       attempts at endpoint instances that are gone
  *   entry_quarantine.c requests that crash endpoints
@@ -56,6 +57,7 @@
 #include "daisyledge/lease.h"
 #include "daisyledge/paths.h"
 #include "daisyledge/pool.h"
+#include "daisyledge/retry.h"
 #include "node/node.h"
 #include "node/quarantine.h"
 #include "protocol/api.h"
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -563,6 +563,20 @@
 	call_free(c);
 }
 
+static bool log_decision(struct call *c, const struct dl_call_state *state,
+			 const struct dl_attempt *a)
+{
+	int64_t now = entry_now(c->e);
+	struct dl_retry_budget full = { .credit = UINT64_MAX };
+	bool wanted = dl_call_next(state, a, &full, now) == DL_NEXT_RETRY;
+	bool allowed = dl_call_next(state, a, entry_call_retry_budget(c),
+				    now) == DL_NEXT_RETRY;
+
+	if (wanted)
+		call_log_retry(c, dl_retry_way_of(a, c->relayed > 0), allowed);
+	return allowed;
+}
+
 /* Whether another endpoint may be tried after this attempt. */
 static bool may_retry(struct call *c, const struct dl_attempt *a)
 {
@@ -579,8 +593,7 @@
 	c->route.retry_paid = false;
 	if (!has_attempts_left(c, c->route.sent))
 		return false;
-	return dl_call_next(&state, a, entry_call_retry_budget(c),
-			    entry_now(c->e)) == DL_NEXT_RETRY;
+	return log_decision(c, &state, a);
 }
 
 static void end_failed(struct call *c, enum dl_outcome outcome,
--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -531,6 +531,22 @@
 	return outcome;
 }
 
+static enum dl_next log_decision(struct call *c,
+				 const struct dl_call_state *state,
+				 const struct dl_attempt *a)
+{
+	int64_t now = entry_now(c->e);
+	struct dl_retry_budget full = { .credit = UINT64_MAX };
+	enum dl_next wanted = dl_call_next(state, a, &full, now);
+	enum dl_next next =
+		dl_call_next(state, a, entry_call_retry_budget(c), now);
+
+	if (wanted != DL_NEXT_ANSWER)
+		call_log_retry(c, dl_retry_way_of(a, wanted == DL_NEXT_RESUME),
+			       next != DL_NEXT_ANSWER);
+	return next;
+}
+
 static void on_end(void *arg, const struct dl_attempt *attempt,
 		   const struct dl_err *err)
 {
@@ -577,8 +593,7 @@
 	}
 	entry_call_span(c, failure_name(a.failure), c->attempt_at,
 			c->grant.endpoint[0].s);
-	switch (dl_call_next(&state, &a, entry_call_retry_budget(c),
-			     entry_now(c->e))) {
+	switch (log_decision(c, &state, &a)) {
 	case DL_NEXT_RETRY:
 		retry(c);
 		return;
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -14,7 +14,12 @@
 #define KEY_MIN		    16
 #define COUNT_MAX	    1000000
 #define MS_PER_S	    1000
-#define PORT_MASK	    ((uint64_t)0xffff)
+#define PERMILLE	    1000
+/* 0.29 * 1000 is less than 290 in binary fractions. */
+#define ROUNDING	1e-9
+#define RETRY_SLACK	200
+#define RETRY_WINDOW_MS 10000
+#define PORT_MASK	((uint64_t)0xffff)
 
 struct key {
 	const char *name;
@@ -35,7 +40,8 @@
 static int read_flag(const json_t *value, void *to);
 static int read_seeds(const json_t *value, void *to);
 static int read_seconds(const json_t *value, void *to);
-static int read_drain(const json_t *value, void *to);
+static int read_count_or_off(const json_t *value, void *to);
+static int read_ratio(const json_t *value, void *to);
 
 #define FIELD(f) offsetof(struct dl_settings, f)
 
@@ -56,7 +62,11 @@
 	{ "failures_max", read_count, FIELD(failures_max), false },
 	{ "key_lease_ms", read_count, FIELD(key_lease_ms), false },
 	{ "stop_s", read_seconds, FIELD(stop_ms), false },
-	{ "endpoint_drain_ms", read_drain, FIELD(endpoint_drain_ms), false },
+	{ "endpoint_drain_ms", read_count_or_off, FIELD(endpoint_drain_ms),
+	  false },
+	{ "retry_ratio", read_ratio, FIELD(retry_permille), false },
+	{ "retry_slack", read_count_or_off, FIELD(retry_slack), false },
+	{ "retry_window_s", read_seconds, FIELD(retry_window_ms), false },
 	{ "peer", read_address, FIELD(peer), true },
 	{ "tunnel", read_address, FIELD(tunnel), false },
 	{ "seeds", read_seeds, 0, false },
@@ -192,8 +202,8 @@
 	return 0;
 }
 
-/* Reads a number of milliseconds, where 0 stands for off. */
-static int read_drain(const json_t *value, void *to)
+/* Reads a number, where 0 stands for off. */
+static int read_count_or_off(const json_t *value, void *to)
 {
 	json_int_t n = json_integer_value(value);
 
@@ -203,6 +213,17 @@
 	return 0;
 }
 
+/* Reads a share of 0 to 1 as thousandths, rounded down. */
+static int read_ratio(const json_t *value, void *to)
+{
+	double ratio = json_number_value(value);
+
+	if (!json_is_number(value) || ratio < 0 || ratio > 1)
+		return -EINVAL;
+	*(uint32_t *)to = (uint32_t)(ratio * PERMILLE + ROUNDING);
+	return 0;
+}
+
 static int read_flag(const json_t *value, void *to)
 {
 	if (!json_is_boolean(value))
@@ -289,6 +310,9 @@
 	out->log_level = DL_INFO;
 	out->buffer_mb = BUFFER_MB_DEFAULT;
 	out->connections_max = CONNECTIONS_DEFAULT;
+	out->retry_permille = PERMILLE;
+	out->retry_slack = RETRY_SLACK;
+	out->retry_window_ms = RETRY_WINDOW_MS;
 	root = json_loadb(text.s, text.n, JSON_REJECT_DUPLICATES, &fault);
 	if (!root)
 		return dl_err_set(err, -EINVAL, DL_STEP_CHECK, NULL,
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -39,6 +39,13 @@
 	uint32_t stop_ms;      /* time limit of a shutdown; 0: none */
 	/* for which an endpoint that is leaving serves; 0: not at all */
 	uint32_t endpoint_drain_ms;
+	/*
+	 * Repeats of requests that endpoints may receive in any such window,
+	 * from all VMs together: a share of the requests, and the slack.
+	 */
+	uint32_t retry_permille; /* bounds that of each service */
+	uint32_t retry_slack;
+	uint32_t retry_window_ms;
 	uint64_t peer; /* listen address for other VMs */
 	/*
 	 * Where connections of other VMs to endpoints are accepted, to be
