Retries: one budget for all VMs, of credit that is made once

What callers saw: endpoints of a service that failed together, seen by all VMs, got up to twice the repeats that the deployment allows, which kept them busy with requests that they failed again.

Cause: the allowance of a service was held by each VM in full, ten saved up at the start and after each restart; 90 VMs have 900, the deployment allows 256. The class: a limit stated for the whole and held by each part.

Now each request brings its share of a repeat and each VM earns its part of the slack; credit is sent once, to the dispatcher with the request for a grant that is sent anyway, and a repeat is paid from it before another grant is asked for. The sum holds whoever dispatches. A denied caller gets the endpoint's own answer at once. The bound comes from the settings, the share from the configuration in force, not from the first one seen.

--- a/include/daisyledge/call.h
+++ b/include/daisyledge/call.h
@@ -104,21 +104,6 @@
 	DL_NEXT_RESUME, /* on the same endpoint, at the offset */
 };
 
-/* Retry budget of a service: retries as a share of first attempts. */
-struct dl_retry_budget {
-	uint32_t permille;
-	uint32_t burst;
-	uint64_t credit; /* in thousandths of a retry */
-};
-
-void dl_retry_budget_init(struct dl_retry_budget *budget, uint32_t permille,
-			  uint32_t burst);
-void dl_retry_budget_deposit(struct dl_retry_budget *budget);
-bool dl_retry_budget_withdraw(struct dl_retry_budget *budget);
-/* Whether a withdrawal would succeed. */
-bool dl_retry_budget_has_one(const struct dl_retry_budget *budget);
-void dl_retry_budget_refund(struct dl_retry_budget *budget);
-
 /* Input of the retry decision. */
 struct dl_call_state {
 	bool idempotent;
@@ -130,8 +115,7 @@
 };
 
 enum dl_next dl_call_next(const struct dl_call_state *state,
-			  const struct dl_attempt *attempt,
-			  struct dl_retry_budget *budget, int64_t now);
+			  const struct dl_attempt *attempt, int64_t now);
 
 /* Position in a stream: late and duplicate bytes are dropped. */
 struct dl_stream {
--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -39,6 +39,8 @@
 	X(retries_silent, "attempts given up for their silence")               \
 	X(retries_unsent, "of these, not charged, as nothing had been sent")   \
 	X(retries_denied, "repeats that the retry budget did not cover")       \
+	X(retry_budget_left_milli,                                             \
+	  "thousandths of repeats that this VM's dispatchers can allow")       \
 	X(grants_total, "grants issued by this VM's dispatchers")              \
 	X(backoffs_total, "times an endpoint asked this VM to back off")       \
 	X(grants_unused,                                                       \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -49,6 +49,7 @@
 	X(RESERVATION_REFUSED, DL_INFO, "ticket", "Memory was not to be had.") \
 	X(ATTEMPT_FAILED, DL_WARN, "relay", "An attempt broke.")               \
 	X(RETRY, DL_INFO, "retry", "A repeat was decided on.")                 \
+	X(RETRY_BUDGET, DL_INFO, "retry", "Repeats were decided on here.")     \
 	X(ENDPOINT_LOST, DL_WARN, "relay",                                     \
 	  "The endpoint of an attempt is gone.")                               \
 	X(PATH_INTERRUPTED, DL_WARN, "path",                                   \
--- a/src/coordination/call.c
+++ b/src/coordination/call.c
@@ -13,7 +13,6 @@
 #include <string.h>
 
 #define ATTEMPTS_MAX	      3
-#define CREDITS_PER_RETRY     1000 /* thousandths of a retry */
 #define STATUS_MIN	      200
 #define STATUS_ERROR	      500
 #define STATUS_UNKNOWN_METHOD 501
@@ -170,57 +169,6 @@
 	return outcome_from_status(cell, attempt->status);
 }
 
-/*
- * Initialises a retry budget: permille retries for each thousand first
- * attempts, with at most burst retries saved up. It starts full.
- *
- * The budget limits the load that retries add when a failure domain comes back
- * or when endpoints fail every request, which is when there is least spare
- * capacity.
- */
-void dl_retry_budget_init(struct dl_retry_budget *budget, uint32_t permille,
-			  uint32_t burst)
-{
-	budget->permille = permille;
-	budget->burst = burst;
-	budget->credit = (uint64_t)burst * CREDITS_PER_RETRY;
-}
-
-/* Credits the budget for a first attempt. */
-void dl_retry_budget_deposit(struct dl_retry_budget *budget)
-{
-	uint64_t max = (uint64_t)budget->burst * CREDITS_PER_RETRY;
-
-	budget->credit += budget->permille;
-	if (budget->credit > max)
-		budget->credit = max;
-}
-
-/* Whether the budget covers one retry. */
-bool dl_retry_budget_has_one(const struct dl_retry_budget *budget)
-{
-	return budget->credit >= CREDITS_PER_RETRY;
-}
-
-/* Takes one retry from the budget; false if none is left. */
-bool dl_retry_budget_withdraw(struct dl_retry_budget *budget)
-{
-	if (!dl_retry_budget_has_one(budget))
-		return false;
-	budget->credit -= CREDITS_PER_RETRY;
-	return true;
-}
-
-/* Returns a retry that was withdrawn and not used. */
-void dl_retry_budget_refund(struct dl_retry_budget *budget)
-{
-	uint64_t max = (uint64_t)budget->burst * CREDITS_PER_RETRY;
-
-	budget->credit += CREDITS_PER_RETRY;
-	if (budget->credit > max)
-		budget->credit = max;
-}
-
 /*
  * Whether the stream can continue at its offset over a new connection: the
  * endpoint received the whole request and started to answer, and only the
@@ -261,18 +209,13 @@
 }
 
 /*
- * Decides what to do after an attempt. A request that is not idempotent is only
- * retried if it provably did not run. There is no retry that cannot finish in
- * time, that the budget does not cover, or that would start over after response
- * bytes reached the caller.
- *
- * An attempt of which nothing was sent does not use the budget: it cost its
- * endpoint nothing, and its dispatcher is told not to offer that endpoint
- * again, so the limit on attempts is enough.
+ * Decides what to do after an attempt, as far as it may be repeated at all. A
+ * request that is not idempotent is only retried if it provably did not run.
+ * There is no retry that cannot finish in time, or that would start over after
+ * response bytes reached the caller.
  */
 enum dl_next dl_call_next(const struct dl_call_state *state,
-			  const struct dl_attempt *attempt,
-			  struct dl_retry_budget *budget, int64_t now)
+			  const struct dl_attempt *attempt, int64_t now)
 {
 	enum dl_outcome outcome = dl_call_outcome(attempt);
 	bool resume = may_resume(state, attempt);
@@ -287,9 +230,6 @@
 		return DL_NEXT_ANSWER;
 	if (!resume && !may_retry(state, attempt, outcome))
 		return DL_NEXT_ANSWER;
-	if (attempt->sent != DL_SENT_NOTHING &&
-	    !dl_retry_budget_withdraw(budget))
-		return DL_NEXT_ANSWER;
 	return resume ? DL_NEXT_RESUME : DL_NEXT_RETRY;
 }
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -80,6 +80,9 @@
 	case DL_FRAME_GRANT_REPLY:
 		on_answer(e, from, frame);
 		return;
+	case DL_FRAME_RETRY_REPLY:
+		entry_retry_reply(e, from, frame);
+		return;
 	case DL_FRAME_RENEW_UNKNOWN:
 		entry_renew_gone(e, from, frame->body);
 		return;
@@ -178,6 +181,7 @@
 	entry_leaving_tick(e);
 	entry_call_tick(e, now);
 	entry_grant_tick(e, now);
+	entry_retry_tick(e, now);
 	entry_reservation_tick(e, now);
 	entry_lost_tick(e, now);
 	entry_path_tick(e, now);
@@ -307,7 +311,7 @@
 						   g_free, g_free);
 	dl_ask_timer_init(&e->ask_timer);
 	e->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
-	e->retry_budgets = g_hash_table_new(g_str_hash, g_str_equal);
+	entry_retry_init(e);
 	e->bytes_per_token =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	rc = start_http(e, err);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -89,6 +89,10 @@
 	int64_t limit_seen_at;	      /* in a response, latest; 0: never */
 	struct dl_cause probed_cause; /* of the last probe */
 	int64_t probe_until;	      /* no other one before */
+	struct dl_retry_share retry_share;
+	struct dl_retry_budget retry_budget; /* collected from other VMs */
+	struct dl_retry_limit retry_limit;
+	uint32_t retries_charged, retries_denied; /* since the last line */
 };
 
 /* What an endpoint announced that only the planner of orders uses. */
@@ -145,7 +149,6 @@
 	uint32_t tries;		    /* grants used up, sent or not */
 	uint32_t free_failures;	    /* failures that use up no try */
 	uint32_t sent;		    /* attempts that may have run it */
-	bool retry_paid;	    /* the budget has given its next retry */
 	uint64_t last_event_id;	    /* the last one the caller has */
 	bool last_event_unnumbered; /* its last event has no id */
 	uint32_t event_tokens;	    /* output tokens of one event */
@@ -175,6 +178,31 @@
 	uint64_t unanswered;
 };
 
+enum call_retry_state {
+	CALL_RETRY_NONE,
+	CALL_RETRY_ASKED,   /* the dispatcher has not answered yet */
+	CALL_RETRY_ALLOWED, /* the next attempt is covered */
+	CALL_RETRY_DENIED,
+};
+
+/* Whether the retry budget covers the next attempt; see entry_retry.c. */
+struct call_retry {
+	enum call_retry_state state;
+	enum dl_retry_way way;
+	bool credit_sent; /* that of this request */
+	uint64_t id;	  /* of the question to the dispatcher */
+	uint64_t vm;	  /* that was asked */
+	int64_t asked_at;
+	uint32_t lost; /* questions that were not answered */
+	/* What has ended, while the answer is waited for. */
+	bool attempt_ended;
+	enum dl_next next;
+	enum dl_outcome outcome;
+	struct dl_attempt attempt;
+	struct dl_err err;
+	bool complete; /* a whole response is at hand */
+};
+
 struct entry;
 
 /*
@@ -214,7 +242,6 @@
 	uint64_t prefix;
 	uint32_t prefix_tokens;
 	uint32_t connect_ms, gap_ms;
-	uint32_t retry_permille;
 	uint64_t content_hash; /* see call_content() */
 	/* Parts of the prompt that other requests may have too; allocated. */
 	uint64_t *shared_parts;
@@ -265,6 +292,8 @@
 	uint32_t lease_ms;
 	int64_t renew_at;
 
+	struct call_retry retry;
+
 	/* attempts */
 	struct dl_httpc_call *attempt;
 	struct dl_completion completion;
@@ -392,8 +421,11 @@
 	struct call *calls;
 	uint32_t calls_count;
 	uint64_t next_id;
-	GHashTable *asks;	     /* ask id to struct call */
-	GHashTable *retry_budgets;   /* service to struct dl_retry_budget */
+	GHashTable *asks;	/* ask id to struct call */
+	GHashTable *retry_asks; /* id of a question to struct call */
+	struct dl_retry_vms retry_vms;
+	uint32_t retry_reached; /* live VMs of this pool domain */
+	int64_t retry_ticked_at;
 	GHashTable *bytes_per_token; /* workspace to bytes * 1000 a token */
 	uint64_t buffered;	     /* bytes of requests in memory */
 
@@ -435,7 +467,34 @@
 void entry_calls_abort(struct entry *e);
 /* The connection of an attempt is established; nothing has been sent. */
 void entry_call_connected(struct call *c);
-struct dl_retry_budget *entry_call_retry_budget(struct call *c);
+/* entry_retry.c */
+void entry_retry_init(struct entry *e);
+/* Sets the limit of a pool from the settings and the configuration. */
+void entry_retry_configure(struct entry *e, struct entry_pool *p);
+uint64_t entry_retry_take_credit(struct call *c);
+void entry_retry_add_credit(struct entry *e, struct entry_pool *p,
+			    uint64_t credit, bool local);
+/* Asks for the budget to cover the next attempt, unless it does already. */
+enum call_retry_state entry_retry_ask(struct call *c, enum dl_retry_way way);
+/*
+ * Decides on an attempt that has ended.  ALLOWED: go on as next says; DENIED:
+ * answer the caller; ASKED: entry_relay_retry_decided() or
+ * entry_try_retry_decided() is called later.
+ */
+enum call_retry_state entry_retry_after(struct call *c, enum dl_next next,
+					const struct dl_attempt *attempt,
+					enum dl_outcome outcome,
+					const struct dl_err *err,
+					bool complete);
+/* The next attempt is being sent. */
+void entry_retry_used(struct call *c);
+/* The request ends: gives back what it has not used. */
+void entry_retry_forget(struct call *c);
+void entry_retry_request(struct entry *e, uint64_t from,
+			 const struct dl_frame *f);
+void entry_retry_reply(struct entry *e, uint64_t from,
+		       const struct dl_frame *f);
+void entry_retry_tick(struct entry *e, int64_t now);
 
 /* entry_route.c */
 void entry_route_request(struct entry *e, struct dl_httpd_req *req);
@@ -454,6 +513,8 @@
 void entry_relay_no_memory(struct call *c);
 /* Whether a request whose attempt is given up may continue elsewhere. */
 bool entry_relay_may_continue(struct call *c);
+/* Continues after the budget's decision on an attempt that has ended. */
+void entry_relay_retry_decided(struct call *c, bool allowed);
 
 /* entry_reservation.c */
 bool entry_reservation_needed(const struct call *c);
@@ -540,6 +601,8 @@
 /* entry_try.c */
 void entry_try_start(struct call *c);
 void entry_try_cancel(struct call *c);
+/* Continues after the budget's decision on an attempt that has ended. */
+void entry_try_retry_decided(struct call *c, bool allowed);
 void entry_try_begin_stream(struct call *c);
 
 /* entry_grant.c */
--- a/src/entry/entry_call.c
+++ b/src/entry/entry_call.c
@@ -13,7 +13,6 @@
 #define RATIO_MIN_MILLI 250
 #define RATIO_MAX_MILLI 16000
 /* Retries allowed in a burst, before their share of first tries bounds them. */
-#define RETRY_BURST		 10
 #define RETRY_AFTER_MS		 1000
 #define STATUS_GATEWAY_TIMEOUT	 504
 #define STATUS_UNAVAILABLE	 503
@@ -154,6 +153,7 @@
 	entry_reservation_release(c);
 	entry_grant_release(c);
 	entry_grant_cancel(c);
+	entry_retry_forget(c);
 	/* An earlier attempt may have run even if the last one did not. */
 	if (outcome == DL_OUTCOME_NOT_RUN && c->may_have_run)
 		outcome = DL_OUTCOME_UNKNOWN;
@@ -462,19 +462,3 @@
 	/* Not set yet where a pooled connection is used at once. */
 	c->via = c->attempt ? dl_httpc_via(c->attempt) : DL_VM_NONE;
 }
-
-/* Returns this VM's retry budget for the call's service, created on demand. */
-struct dl_retry_budget *entry_call_retry_budget(struct call *c)
-{
-	struct entry *e = c->e;
-	struct dl_retry_budget *b =
-		g_hash_table_lookup(e->retry_budgets, c->service.s);
-
-	if (!b) {
-		b = g_new0(struct dl_retry_budget, 1);
-		dl_retry_budget_init(b, c->retry_permille, RETRY_BURST);
-		g_hash_table_insert(e->retry_budgets, g_strdup(c->service.s),
-				    b);
-	}
-	return b;
-}
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -38,9 +38,6 @@
 size_t call_headers_fill(const struct call *c, struct dl_header *out,
 			 size_t max);
 
-/* entry_retry.c */
-void call_log_retry(struct call *c, enum dl_retry_way way, bool allowed);
-
 /* entry_read.c */
 void call_parse_forget(struct parse_job *job);
 
--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -60,6 +60,7 @@
 	c->ask.standby = g_hash_table_size(c->e->unreachable_vms) > 0;
 	if (c->probes)
 		c->ask.probed_cause = c->probed_cause;
+	c->ask.retry_credit = entry_retry_take_credit(c);
 	ask->request = c->ask_id;
 	ask->entry = c->e->node.self;
 	ask->workspace = dl_name_str(&c->workspace);
@@ -123,6 +124,7 @@
 				  DL_VM_NONE, RETRY_DEFAULT_MS);
 		return;
 	}
+	entry_retry_add_credit(c->e, p, c->ask.retry_credit, local);
 	entry_pool_ask(c->e, p, &c->ask, local);
 }
 
--- a/src/entry/entry_hedge.c
+++ b/src/entry/entry_hedge.c
@@ -79,6 +79,7 @@
 	log_series(c);
 	ask.standby = true;
 	ask.no_spill = true;
+	ask.retry_credit = 0; /* the first VM has it */
 	if (vm == e->node.self) {
 		ask_this_vm(c, &ask);
 		return;
--- a/src/entry/entry_path.c
+++ b/src/entry/entry_path.c
@@ -484,7 +484,7 @@
 	if (c->routed)
 		return entry_relay_may_continue(c);
 	return c->idempotent &&
-	       dl_retry_budget_has_one(entry_call_retry_budget(c));
+	       entry_retry_ask(c, DL_RETRY_SILENT) == CALL_RETRY_ALLOWED;
 }
 
 /*
--- a/src/entry/entry_pool.c
+++ b/src/entry/entry_pool.c
@@ -55,6 +55,7 @@
 	{ DL_FRAME_SUMMARY, entry_remote_frame },
 	{ DL_FRAME_ADOPT, on_adopt },
 	{ DL_FRAME_LIMIT, entry_limit_frame },
+	{ DL_FRAME_RETRY_REQUEST, entry_retry_request },
 };
 
 /* Returns the pool of a service in this failure domain, or NULL. */
@@ -103,6 +104,7 @@
 	    conf.report_gone_ms > STANDBY_REPORT_GONE_MS)
 		conf.report_gone_ms = STANDBY_REPORT_GONE_MS;
 	dl_pool_configure(p->pool, &conf);
+	entry_retry_configure(e, p);
 }
 
 static struct dl_str pool_domain(const struct entry *e)
@@ -477,6 +479,7 @@
 	asked.ask.entry = from;
 	p = entry_pool_find(e, dl_name_str(&asked.service));
 	if (p) {
+		entry_retry_add_credit(e, p, asked.retry_credit, false);
 		entry_pool_ask(e, p, &asked, false);
 		return;
 	}
--- a/src/entry/entry_read.c
+++ b/src/entry/entry_read.c
@@ -100,7 +100,6 @@
 	c->kind = service->kind;
 	c->connect_ms = service->connect_timeout_ms;
 	c->gap_ms = service->gap_timeout_ms;
-	c->retry_permille = service->retry_budget_permille;
 	if (!dl_name_set(&c->workspace,
 			 dl_httpd_header(c->http, "daisyledge-workspace")))
 		return "Daisyledge-Workspace is too long";
@@ -148,7 +147,6 @@
 {
 	struct dl_str key = dl_httpd_header(c->http, "idempotency-key");
 
-	dl_retry_budget_deposit(entry_call_retry_budget(c));
 	if (c->e->draining) {
 		entry_call_refuse(c, DL_REASON_DRAINING, DL_STEP_ADMIT,
 				  c->e->node.self, RETRY_AFTER_MS);
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -32,6 +32,8 @@
 #define PERMILLE	 1000
 /* How often it is tried again to give up a silent endpoint. */
 #define SILENCE_RECHECK_MS 200
+/* The same, while the dispatcher is asked whether the budget covers it. */
+#define ANSWER_RECHECK_MS 20
 /*
  * The same limit where memory is reserved on other engines: two thirds of the
  * 9 s after which engines count reserved memory as withheld from others.  An
@@ -270,6 +272,8 @@
 		!is_available(c, 0) || entry_leaving_is_forwarded(c) ||
 		entry_leaving_may_be_late(c) || entry_backoff_blocks_grant(c) ||
 		entry_evacuation_blocks_grant(c);
+	if (!c->aborted_unsent)
+		entry_retry_used(c);
 	return !c->aborted_unsent;
 }
 
@@ -290,19 +294,15 @@
 }
 
 /*
- * Whether a stream whose attempt is given up may continue at another endpoint;
- * takes the retry from the budget.  Without that the response may still come,
- * so it is waited for.  Endpoints that stall cut off all of their streams at
- * once, more than the retry budget covers.
+ * Whether a stream whose attempt is given up may continue at another endpoint.
+ * Unless the retry budget covers that, the response may still come, so it is
+ * waited for.  Endpoints that stall cut off all of their streams at once, more
+ * than the retry budget covers.
  */
 bool entry_relay_may_continue(struct call *c)
 {
-	if (!may_run_again(c) || !has_attempts_left(c, c->route.sent + 1) ||
-	    (!c->route.retry_paid &&
-	     !dl_retry_budget_withdraw(entry_call_retry_budget(c))))
-		return false;
-	c->route.retry_paid = true;
-	return true;
+	return may_run_again(c) && has_attempts_left(c, c->route.sent + 1) &&
+	       entry_retry_ask(c, DL_RETRY_SILENT) == CALL_RETRY_ALLOWED;
 }
 
 /* The endpoint has been silent for the limit. */
@@ -314,6 +314,8 @@
 	if (left <= 0 || c->reservations || !c->stream || !c->idempotent ||
 	    entry_relay_may_continue(c))
 		return 0;
+	if (c->retry.state == CALL_RETRY_ASKED)
+		return (uint32_t)MIN(left, ANSWER_RECHECK_MS);
 	return (uint32_t)MIN(left, SILENCE_RECHECK_MS);
 }
 
@@ -563,22 +565,8 @@
 	call_free(c);
 }
 
-static bool log_decision(struct call *c, const struct dl_call_state *state,
-			 const struct dl_attempt *a)
-{
-	int64_t now = entry_now(c->e);
-	struct dl_retry_budget full = { .credit = UINT64_MAX };
-	bool wanted = dl_call_next(state, a, &full, now) == DL_NEXT_RETRY;
-	bool allowed = dl_call_next(state, a, entry_call_retry_budget(c),
-				    now) == DL_NEXT_RETRY;
-
-	if (wanted)
-		call_log_retry(c, dl_retry_way_of(a, c->relayed > 0), allowed);
-	return allowed;
-}
-
-/* Whether another endpoint may be tried after this attempt. */
-static bool may_retry(struct call *c, const struct dl_attempt *a)
+/* Returns what to do after an attempt, if the retry budget covers it. */
+static enum dl_next next_after(struct call *c, const struct dl_attempt *a)
 {
 	struct dl_call_state state = {
 		.idempotent = c->idempotent,
@@ -588,12 +576,9 @@
 		.deadline = c->deadline,
 	};
 
-	if (c->route.retry_paid)
-		dl_retry_budget_refund(entry_call_retry_budget(c));
-	c->route.retry_paid = false;
 	if (!has_attempts_left(c, c->route.sent))
-		return false;
-	return log_decision(c, &state, a);
+		return DL_NEXT_ANSWER;
+	return dl_call_next(&state, a, entry_now(c->e));
 }
 
 static void end_failed(struct call *c, enum dl_outcome outcome,
@@ -637,12 +622,39 @@
 	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
 }
 
+/* Asks for another endpoint after an attempt that has failed. */
+static void repeat(struct call *c, const struct dl_attempt *a)
+{
+	if (c->relayed)
+		c->route.resumes = true;
+	dl_count(DL_METRIC_retries_total, 1);
+	if (costs_no_attempt(c, a))
+		entry_grant_replace(c);
+	else
+		ask_without_tried(c);
+}
+
+/*
+ * Answers a request whose repeat the retry budget does not cover: with the
+ * endpoint's response, if that is whole.
+ */
+static void answer_denied(struct call *c, enum dl_outcome outcome,
+			  const struct dl_err *err, bool complete)
+{
+	c->reason = DL_REASON_RETRY_BUDGET;
+	if (complete)
+		finish_response(c);
+	else
+		end_failed(c, outcome, err);
+}
+
 static void on_end(void *arg, const struct dl_attempt *attempt,
 		   const struct dl_err *transport_err)
 {
 	struct call *c = arg;
 	struct dl_err err = *transport_err;
 	enum dl_outcome outcome;
+	enum dl_next next;
 	struct dl_attempt a;
 	char via[24], shared[SHARED_PARTS_TEXT_MAX];
 	bool complete;
@@ -670,7 +682,12 @@
 		c->usage.failed = false;
 	note_at_fault(c);
 	count_attempt(c, &a, outcome);
-	if (complete && (c->status < STATUS_ERROR || !may_retry(c, &a))) {
+	if (complete && c->status < STATUS_ERROR) {
+		finish_response(c);
+		return;
+	}
+	next = next_after(c, &a);
+	if (complete && next == DL_NEXT_ANSWER) {
 		finish_response(c);
 		return;
 	}
@@ -687,15 +704,29 @@
 	       call_shared_parts_text(c, shared, sizeof(shared)),
 	       c->via == DL_VM_NONE ? "" : dl_vm_text(c->via, via),
 	       dl_framing_name(c->framing), dl_ending_name(c->ending));
-	if (!complete && !may_retry(c, &a)) {
+	if (next == DL_NEXT_ANSWER) {
 		end_failed(c, outcome, &err);
 		return;
 	}
-	if (c->relayed)
-		c->route.resumes = true;
-	dl_count(DL_METRIC_retries_total, 1);
-	if (costs_no_attempt(c, &a))
-		entry_grant_replace(c);
+	switch (entry_retry_after(c, next, &a, outcome, &err, complete)) {
+	case CALL_RETRY_ALLOWED:
+		repeat(c, &a);
+		return;
+	case CALL_RETRY_DENIED:
+		answer_denied(c, outcome, &err, complete);
+		return;
+	default:
+		return;
+	}
+}
+
+/* Continues after the budget's decision on an attempt that has ended. */
+void entry_relay_retry_decided(struct call *c, bool allowed)
+{
+	struct call_retry *r = &c->retry;
+
+	if (allowed)
+		repeat(c, &r->attempt);
 	else
-		ask_without_tried(c);
+		answer_denied(c, r->outcome, &r->err, r->complete);
 }
--- a/src/entry/entry_route.c
+++ b/src/entry/entry_route.c
@@ -105,7 +105,6 @@
 	c->service = service->name;
 	c->kind = service->kind;
 	c->connect_ms = MIN(service->connect_timeout_ms, CONNECT_MS);
-	c->retry_permille = service->retry_budget_permille;
 }
 
 static void fill_size(struct call *c, const struct dl_inbound *in,
@@ -301,7 +300,6 @@
 	fill_service(c, service);
 	fill_size(c, in, service);
 	read_shared_parts(c);
-	dl_retry_budget_deposit(entry_call_retry_budget(c));
 	if (e->node.stopping && !ends_before_stop(c, service)) {
 		entry_call_refuse(c, DL_REASON_DRAINING, DL_STEP_ADMIT,
 				  e->node.self, RETRY_OTHER_VM_MS);
--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -231,6 +231,8 @@
 	c->aborted_unsent = entry_backoff_blocks_grant(c) ||
 			    entry_evacuation_blocks_grant(c) ||
 			    entry_leaving_blocks_grant(c);
+	if (!c->aborted_unsent)
+		entry_retry_used(c);
 	return !c->aborted_unsent;
 }
 
@@ -531,20 +533,27 @@
 	return outcome;
 }
 
-static enum dl_next log_decision(struct call *c,
-				 const struct dl_call_state *state,
-				 const struct dl_attempt *a)
+static void go_on(struct call *c, enum dl_next next)
 {
-	int64_t now = entry_now(c->e);
-	struct dl_retry_budget full = { .credit = UINT64_MAX };
-	enum dl_next wanted = dl_call_next(state, a, &full, now);
-	enum dl_next next =
-		dl_call_next(state, a, entry_call_retry_budget(c), now);
+	if (next == DL_NEXT_RESUME)
+		resume(c);
+	else
+		retry(c);
+}
+
+static void end_failed(struct call *c, const struct dl_attempt *a,
+		       enum dl_outcome outcome, const struct dl_err *err)
+{
+	entry_call_end(c, outcome, error_status(c, outcome),
+		       failure_name(a->failure), err);
+}
 
-	if (wanted != DL_NEXT_ANSWER)
-		call_log_retry(c, dl_retry_way_of(a, wanted == DL_NEXT_RESUME),
-			       next != DL_NEXT_ANSWER);
-	return next;
+/* Answers a request whose repeat the retry budget does not cover. */
+static void answer_denied(struct call *c, const struct dl_attempt *a,
+			  enum dl_outcome outcome, const struct dl_err *err)
+{
+	c->reason = DL_REASON_RETRY_BUDGET;
+	end_failed(c, a, outcome, err);
 }
 
 static void on_end(void *arg, const struct dl_attempt *attempt,
@@ -564,6 +573,7 @@
 		.deadline = c->deadline,
 		.expected_ms = c->grant.predicted_ttft_ms,
 	};
+	enum dl_next next;
 
 	c->attempt = NULL;
 	if (c->aborted_unsent && !c->chunks_received) {
@@ -593,16 +603,30 @@
 	}
 	entry_call_span(c, failure_name(a.failure), c->attempt_at,
 			c->grant.endpoint[0].s);
-	switch (log_decision(c, &state, &a)) {
-	case DL_NEXT_RETRY:
-		retry(c);
+	next = dl_call_next(&state, &a, entry_now(c->e));
+	if (next == DL_NEXT_ANSWER) {
+		end_failed(c, &a, outcome, err);
 		return;
-	case DL_NEXT_RESUME:
-		resume(c);
+	}
+	switch (entry_retry_after(c, next, &a, outcome, err, false)) {
+	case CALL_RETRY_ALLOWED:
+		go_on(c, next);
 		return;
-	case DL_NEXT_ANSWER:
-		entry_call_end(c, outcome, error_status(c, outcome),
-			       failure_name(a.failure), err);
+	case CALL_RETRY_DENIED:
+		answer_denied(c, &a, outcome, err);
+		return;
+	default:
 		return;
 	}
 }
+
+/* Continues after the budget's decision on an attempt that has ended. */
+void entry_try_retry_decided(struct call *c, bool allowed)
+{
+	struct call_retry *r = &c->retry;
+
+	if (allowed)
+		go_on(c, r->next);
+	else
+		answer_denied(c, &r->attempt, r->outcome, &r->err);
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -188,9 +188,9 @@
 }
 
 /*
- * Reloads the settings. Only the list of replicas takes effect in a running
- * process; its own addresses and folders need a restart. Settings that cannot
- * be read change nothing.
+ * Reloads the settings. Only the list of replicas and the bounds on repeats
+ * take effect in a running process; its own addresses and folders need a
+ * restart. Settings that cannot be read change nothing.
  */
 static void reload(struct dl_node *node)
 {
@@ -205,6 +205,9 @@
 	node->settings_unread = false;
 	memcpy(node->settings.replicas, next.replicas, sizeof(next.replicas));
 	node->settings.replicas_count = next.replicas_count;
+	node->settings.retry_permille = next.retry_permille;
+	node->settings.retry_slack = next.retry_slack;
+	node->settings.retry_window_ms = next.retry_window_ms;
 	seed_replicas(node);
 	dl_msg(DL_MSG_RELOAD, "replicas=%u", next.replicas_count);
 	if (node->ops->reload)
--- a/src/protocol/pool_codec.c
+++ b/src/protocol/pool_codec.c
@@ -9,13 +9,14 @@
 
 /* Largest inflated size of a batch of announcements. */
 #define BATCH_BYTES_MAX ((size_t)4 << 20)
-#define ASK_ITEMS	19
+#define ASK_ITEMS	20
 #define ANSWER_ITEMS	16
 #define RELEASE_ITEMS	14
 #define REPORT_ITEMS	23
 #define SUMMARY_ITEMS	9
 #define LIMIT_ITEMS	4
 #define FAULT_ITEMS	4
+#define RETRY_ITEMS	3
 #define ADOPT_ITEMS	28 /* without the progress */
 #define PROGRESS_ITEMS	2
 /* Encodes an unset time in place of the time that remains. */
@@ -123,6 +124,7 @@
 	dl_pack_bool(p, f->standby);
 	dl_pack_u64(p, f->probed_cause.id);
 	dl_pack_u64(p, f->probed_cause.scope);
+	dl_pack_u64(p, f->retry_credit);
 }
 
 /* Reads a request for a grant; its workspace points into the body. */
@@ -142,6 +144,8 @@
 	} else {
 		out->probed_cause = (struct dl_cause){ 0 };
 	}
+	/* Older builds send no credit. */
+	out->retry_credit = r.remaining ? dl_read_u64(&r) : 0;
 	return close_reader(&r);
 }
 
@@ -290,6 +294,49 @@
 	return close_reader(&r);
 }
 
+/* Packs the question whether a request may be repeated. */
+void dl_retry_request_pack(struct dl_packer *p,
+			   const struct dl_retry_request_frame *f)
+{
+	dl_packer_open(p, RETRY_ITEMS);
+	dl_pack_str(p, dl_name_str(&f->service));
+	dl_pack_u64(p, f->id);
+	dl_pack_u64(p, f->credit);
+}
+
+int dl_retry_request_read(struct dl_str body,
+			  struct dl_retry_request_frame *out)
+{
+	struct dl_reader r;
+
+	dl_reader_open(&r, body);
+	dl_read_name(&r, &out->service);
+	out->id = dl_read_u64(&r);
+	out->credit = dl_read_u64(&r);
+	return close_reader(&r);
+}
+
+/* Packs the answer to such a question. */
+void dl_retry_reply_pack(struct dl_packer *p,
+			 const struct dl_retry_reply_frame *f)
+{
+	dl_packer_open(p, RETRY_ITEMS);
+	dl_pack_u64(p, f->id);
+	dl_pack_bool(p, f->allowed);
+	dl_pack_u64(p, f->left);
+}
+
+int dl_retry_reply_read(struct dl_str body, struct dl_retry_reply_frame *out)
+{
+	struct dl_reader r;
+
+	dl_reader_open(&r, body);
+	out->id = dl_read_u64(&r);
+	out->allowed = dl_read_bool(&r);
+	out->left = dl_read_u64(&r);
+	return close_reader(&r);
+}
+
 /* Packs a service and a list of ids. */
 void dl_id_list_pack(struct dl_packer *p, struct dl_str service,
 		     const uint64_t *ids, uint32_t count)
--- a/src/protocol/pool_codec.h
+++ b/src/protocol/pool_codec.h
@@ -28,6 +28,7 @@
 	bool standby;  /* the dispatcher does not answer; act in its place */
 	/* Quarantined cause that the request is a probe of; id 0: none. */
 	struct dl_cause probed_cause;
+	uint64_t retry_credit; /* for the dispatcher's retry budget */
 };
 
 void dl_ask_pack(struct dl_packer *p, const struct dl_ask_frame *f,
@@ -44,6 +45,28 @@
 int dl_release_read(struct dl_str body, struct dl_name *service,
 		    uint64_t *grant, struct dl_usage *out);
 
+/* Asks a dispatcher whether its budget covers a repeat, and adds credit. */
+struct dl_retry_request_frame {
+	struct dl_name service;
+	uint64_t id; /* of the question */
+	uint64_t credit;
+};
+
+void dl_retry_request_pack(struct dl_packer *p,
+			   const struct dl_retry_request_frame *f);
+int dl_retry_request_read(struct dl_str body,
+			  struct dl_retry_request_frame *out);
+
+struct dl_retry_reply_frame {
+	uint64_t id;
+	bool allowed;
+	uint64_t left; /* credit that the dispatcher has left */
+};
+
+void dl_retry_reply_pack(struct dl_packer *p,
+			 const struct dl_retry_reply_frame *f);
+int dl_retry_reply_read(struct dl_str body, struct dl_retry_reply_frame *out);
+
 /* Ids in one frame; a sender with more splits them over several frames. */
 #define DL_ID_LIST_MAX 512
 
--- a/src/transport/frame.h
+++ b/src/transport/frame.h
@@ -33,7 +33,9 @@
 	DL_FRAME_REPORTS_REQUEST = 31, /* entry to replica: reports by key */
 	DL_FRAME_REPORTS = 32,	       /* announcements of many endpoints */
 	DL_FRAME_CRASHES = 33,	       /* endpoint crashes during requests */
-	DL_FRAME_PART_CRASHES = 53,    /* the same, for parts of prompts */
+	DL_FRAME_RETRY_REQUEST = 55, /* entry to dispatcher: is one covered? */
+	DL_FRAME_RETRY_REPLY = 56,   /* dispatcher to entry */
+	DL_FRAME_PART_CRASHES = 53,  /* the same, for parts of prompts */
 	DL_FRAME_LIMIT = 34, /* entry to dispatcher: limit set by an endpoint */
 	DL_FRAME_EVACUATIONS = 35, /* replica to entry: evacuated domains */
 	/* On connections of their own, see tunnel.h. */
--- a/test/test_system_error_joined_to_stream.sh
+++ b/test/test_system_error_joined_to_stream.sh
@@ -11,6 +11,7 @@
 start_platform_endpoint w1 11 --service writer --fault cut
 wait_endpoints_known w1
 chat 1 warm >/dev/null
+sleep 5 # until the VM has earned a part of the retry budget
 start_platform_endpoint w2 12 --service writer --fault error
 wait_endpoints_known w2
 resumed=0
