Explain: whether the retry budget covered a repeat

A caller whose repeat was denied could not be told why: its request ended as failed, as if there had been no other endpoint. explain gives the decision, what was left, and says so at the end of the request. test_explain failed before: the line was not described.

--- a/src/protocol/explain.c
+++ b/src/protocol/explain.c
@@ -8,6 +8,7 @@
 
 #include "daisyledge/call.h"
 #include "daisyledge/pool.h"
+#include "daisyledge/retry.h"
 
 #define ENDED "A request ended."
 
@@ -62,6 +63,7 @@
 static void describe_no_memory(const struct dl_logline *l, char *out);
 static void describe_leaving_grant(const struct dl_logline *l, char *out);
 static void describe_left_grant(const struct dl_logline *l, char *out);
+static void describe_retry(const struct dl_logline *l, char *out);
 
 /* The log messages that record a decision about one request. */
 static const struct {
@@ -79,6 +81,7 @@
 	  describe_leaving_grant },
 	{ "A grant is given back, its endpoint has left.",
 	  describe_left_grant },
+	{ "A repeat was decided on.", describe_retry },
 };
 
 const char *explain_part_name(enum explain_part part)
@@ -237,6 +240,16 @@
 			 (int)part.n, part.s);
 }
 
+/* Says that a request that may have run was not repeated, and why. */
+static void describe_denied_repeat(enum dl_reason reason, char *out)
+{
+	size_t n = strlen(out);
+
+	if (reason == DL_REASON_RETRY_BUDGET)
+		snprintf(out + n, EXPLAIN_TEXT_MAX - n,
+			 "; it was not repeated %s", reason_texts[reason]);
+}
+
 static void describe_end(const struct dl_logline *l, char *out)
 {
 	enum dl_reason reason = reason_of(field(l, "reason"));
@@ -264,14 +277,48 @@
 		snprintf(out, EXPLAIN_TEXT_MAX,
 			 "it ran at %.*s and ended with status %" PRId64,
 			 (int)endpoint.n, endpoint.s, status);
+		describe_denied_repeat(reason, out);
 	} else {
 		snprintf(out, EXPLAIN_TEXT_MAX,
 			 "it was sent to %.*s and may have run: no complete "
 			 "response came, the caller got status %" PRId64,
 			 (int)endpoint.n, endpoint.s, status);
+		describe_denied_repeat(reason, out);
 	}
 }
 
+/* What was before a repeat, by the way in the log. */
+static const char *const way_texts[DL_RETRY_WAY_COUNT] = {
+	[DL_RETRY_UNSENT] = "the attempt before was not sent",
+	[DL_RETRY_FAILED] = "the endpoint failed the request",
+	[DL_RETRY_REJECTED] = "the endpoint did not run the request",
+	[DL_RETRY_BROKEN] = "no whole response came",
+	[DL_RETRY_RESUMED] = "the stream broke off",
+	[DL_RETRY_SILENT] = "the endpoint is silent",
+};
+
+static void describe_retry(const struct dl_logline *l, char *out)
+{
+	int64_t left = dl_logline_number(l, "left_milli", 0);
+	const char *before = "an attempt ended";
+	const char *decision = "a repeat is not charged";
+
+	for (int i = 0; i < DL_RETRY_WAY_COUNT; i++) {
+		if (field_is(l, "way", dl_retry_way_name(i)))
+			before = way_texts[i];
+	}
+	if (field_is(l, "decision", "denied") &&
+	    field_is(l, "by", "unanswered"))
+		decision = "no dispatcher answered whether it may be repeated";
+	else if (field_is(l, "decision", "denied"))
+		decision = "the retry budget does not cover a repeat";
+	else if (field_is(l, "decision", "charged"))
+		decision = "the retry budget covers a repeat";
+	snprintf(out, EXPLAIN_TEXT_MAX,
+		 "%s: %s (%" PRId64 ".%03" PRId64 " left)", before, decision,
+		 left / 1000, left % 1000);
+}
+
 static void describe_failed_attempt(const struct dl_logline *l, char *out)
 {
 	int64_t broke = dl_logline_number(l, "broke", 0);
--- a/test/test_explain.c
+++ b/test/test_explain.c
@@ -132,6 +132,26 @@
 }
 END_TEST
 
+START_TEST(denied_repeat_is_described)
+{
+	struct dl_logline l = read_line(
+		STAMP
+		"INFO  retry: A repeat was decided on. request=1 way=failed "
+		"decision=denied by=dispatcher left_milli=250");
+	char out[EXPLAIN_TEXT_MAX];
+
+	explain_line(&l, out);
+	ck_assert_str_eq(out, "the endpoint failed the request: the retry "
+			      "budget does not cover a repeat (0.250 left)");
+	l = read_line(ENDED "outcome=failed status=500 endpoint=e "
+			    "reason=retry-budget");
+	explain_line(&l, out);
+	ck_assert_str_eq(out, "it ran at e and ended with status 500; it was "
+			      "not repeated because the retry budget is used "
+			      "up");
+}
+END_TEST
+
 START_TEST(largest_part_of_late_requests)
 {
 	static const struct {
@@ -291,6 +311,7 @@
 	tcase_add_test(t, each_refusal_has_a_reason);
 	tcase_add_test(t, largest_part_of_late_requests);
 	tcase_add_test(t, grant_of_a_leaving_endpoint_is_described);
+	tcase_add_test(t, denied_repeat_is_described);
 	tcase_add_test(t, call_is_late_by_its_total_time);
 	tcase_add_test(t, all_lines_of_one_request_in_order);
 	tcase_add_test(t, end_that_shows_a_broken_stream_is_named);
