--- a/test/test_codec.c
+++ b/test/test_codec.c
@@ -74,7 +74,8 @@
 {
 	struct dl_ask_frame f = { .ask = sample_ask(),
 				  .no_spill = true,
-				  .standby = true },
+				  .standby = true,
+				  .retry_credit = 5 },
 			    got;
 	struct dl_ask ask = f.ask, back;
 	struct dl_packer p;
@@ -84,6 +85,7 @@
 	back = got.ask;
 	ck_assert(got.no_spill);
 	ck_assert(got.standby);
+	ck_assert_uint_eq(got.retry_credit, 5);
 	ck_assert_int_eq(back.deadline, 10500);
 	ck_assert_uint_eq(back.request, ask.request);
 	ck_assert_uint_eq(back.prompt_tokens, ask.prompt_tokens);
@@ -324,6 +326,28 @@
 }
 END_TEST
 
+START_TEST(retry_credit_round_trip)
+{
+	struct dl_retry_request_frame asked = { .id = 7, .credit = 250 };
+	struct dl_retry_reply_frame reply = { 7, true, UINT64_MAX };
+	struct dl_retry_request_frame asked2;
+	struct dl_retry_reply_frame reply2;
+	struct dl_packer p;
+
+	dl_name_set(&asked.service, DL_STR("s"));
+	dl_retry_request_pack(&p, &asked);
+	ck_assert_int_eq(dl_retry_request_read(dl_packer_bytes(&p), &asked2),
+			 0);
+	ck_assert(asked2.id == 7 && asked2.credit == 250);
+	dl_packer_close(&p);
+	dl_retry_reply_pack(&p, &reply);
+	ck_assert_int_eq(dl_retry_reply_read(dl_packer_bytes(&p), &reply2), 0);
+	ck_assert(reply2.id == 7 && reply2.allowed &&
+		  reply2.left == UINT64_MAX);
+	dl_packer_close(&p);
+}
+END_TEST
+
 static int read_evacuations(struct dl_str body, struct dl_evacuations *out)
 {
 	struct dl_reader r;
@@ -374,9 +398,13 @@
 	struct dl_usage usage;
 	struct dl_evacuations evacuations;
 	struct dl_fault_frame fault;
+	struct dl_retry_request_frame repeat;
+	struct dl_retry_reply_frame reply;
 	uint64_t number;
 
 	dl_fault_read(body, &fault);
+	dl_retry_request_read(body, &repeat);
+	dl_retry_reply_read(body, &reply);
 	dl_ask_read(body, &asked, 0);
 	dl_answer_read(body, &answer, 0);
 	dl_release_read(body, &service, &number, &usage);
@@ -801,6 +829,7 @@
 	tcase_add_test(t, report_batch_round_trip);
 	tcase_add_test(t, report_release_summary_round_trip);
 	tcase_add_test(t, evacuations_round_trip);
+	tcase_add_test(t, retry_credit_round_trip);
 	tcase_add_test(t, release_of_an_older_entry_is_read);
 	tcase_add_test(t, endpoint_faults_round_trip);
 	tcase_add_test(t, damaged_frames);
