Configuration: ask a replica for a delta before a whole text is read

Cause: a late push is pulled from a peer, and a peer that went over the version in force here by one delta has none from it and sends the whole text, which takes a small VM 0.2 to 1 s to read. Replicas keep the deltas.

A large text from an entry that answers a pull now waits for 200 ms while a replica is asked; its delta replaces it, else it is read. The unit test was red before (read at once).

--- a/src/entry/entry_conf.c
+++ b/src/entry/entry_conf.c
@@ -450,6 +450,33 @@
 	queue_version(e, job);
 }
 
+/*
+ * Whether a whole text may be spared by a delta: it answers a pull, and its
+ * sender, an entry, has no delta from the version in force here.
+ */
+static bool has_better_source(struct entry *e, uint64_t from,
+			      const struct dl_conf_received *r)
+{
+	const struct entry_conf *c = e->confs;
+
+	return !r->small && !c->ask_whole && c->arrivals.in_force.digest &&
+	       from == c->pulled_from && !entry_cmd_is_replica(e, from) &&
+	       r->id.version > dl_conf_arrivals_newest(&c->arrivals);
+}
+
+/* Queues a whole text; replicas keep more deltas than entries have applied. */
+static void queue_whole(struct entry *e, struct conf_job *job, uint64_t from)
+{
+	uint64_t replica = entry_cmd_any_replica(e);
+	bool pulls = replica != DL_VM_NONE &&
+		     has_better_source(e, from, &job->received);
+
+	job->received.awaits_delta = pulls;
+	queue_version(e, job);
+	if (pulls)
+		pull(e, replica);
+}
+
 static void on_push(struct entry *e, uint64_t from, const struct dl_frame *f)
 {
 	struct dl_conf_push p;
@@ -462,7 +489,7 @@
 		if (f->kind == DL_FRAME_CONF_DELTA)
 			queue_delta(e, job_new(e, from, &p));
 		else
-			queue_version(e, job_new(e, from, &p));
+			queue_whole(e, job_new(e, from, &p), from);
 	}
 	if (entry_cmd_is_replica(e, from))
 		e->replica_heard_at = entry_now(e);
@@ -485,6 +512,7 @@
 	struct dl_packer pk;
 
 	e->conf_pulled_at = entry_now(e);
+	e->confs->pulled_from = vm;
 	dl_conf_pull_pack(&pk, e->version,
 			  c->ask_whole ? 0 : c->arrivals.in_force.digest);
 	dl_peers_send(e->node.peers, vm, DL_FRAME_CONF_PULL, 0,
--- a/src/entry/entry_conf_int.h
+++ b/src/entry/entry_conf_int.h
@@ -77,6 +77,7 @@
 	bool ask_whole;	       /* a delta was damaged: pull without digest */
 	uint64_t pull_vm;      /* VM to pull from soon; DL_VM_NONE: none */
 	uint64_t pull_version; /* that is expected from it */
+	uint64_t pulled_from;  /* VM that was asked last */
 	uv_timer_t slice_timer;
 	struct conf_job *slicing; /* delta applied in slices; NULL: none */
 	int64_t slice_max_us;	  /* longest step so far */
--- a/src/state/conf_arrival.c
+++ b/src/state/conf_arrival.c
@@ -15,6 +15,8 @@
  */
 #define READ_REST_FACTOR 3
 #define READ_WAIT_MAX_MS 300
+/* How long a whole text waits for the delta that was pulled in its place. */
+#define DELTA_WAIT_MS 200
 /*
  * From this many large deltas in line, one that replaces them is pulled: that
  * costs the replica one delta more, and this VM a round trip.
@@ -146,8 +148,11 @@
 				     const struct dl_conf_received *r,
 				     int64_t now)
 {
-	if (!dl_conf_is_delta(r))
+	if (!dl_conf_is_delta(r)) {
+		if (r->awaits_delta && now - a->waiting_since < DELTA_WAIT_MS)
+			return DL_CONF_WAIT;
 		return may_read(a, now) ? DL_CONF_READ : DL_CONF_WAIT;
+	}
 	if (r->base.version != a->in_force.version)
 		return a->reading.version == r->base.version ?
 			       DL_CONF_WAIT :
--- a/src/state/conf_arrival.h
+++ b/src/state/conf_arrival.h
@@ -33,8 +33,10 @@
 	struct dl_conf_id base; /* of a delta; version 0 for a whole text */
 	bool small;		/* it is read at once, between two events */
 	bool own_pace; /* a delta applied in steps, which rest by themselves */
-	size_t bytes;  /* deflated */
-	void *job;     /* the owner's */
+	/* A whole text in place of which a delta has been pulled. */
+	bool awaits_delta;
+	size_t bytes; /* deflated */
+	void *job;    /* the owner's */
 };
 
 struct dl_conf_arrivals {
--- a/test/test_conf_arrival.c
+++ b/test/test_conf_arrival.c
@@ -61,6 +61,10 @@
 	jobs--;
 }
 
+static void ignore(void *job)
+{
+}
+
 /* What an entry does with a version that was read. */
 static void finish(struct job *job, bool valid)
 {
@@ -467,6 +471,38 @@
 }
 END_TEST
 
+/* A whole text must not be read if the delta that was pulled instead arrives.
+ */
+START_TEST(whole_text_waits_for_delta_that_replaces_it)
+{
+	struct dl_conf_received whole = { .id = { 4, 0 },
+					  .awaits_delta = true,
+					  .bytes = LARGE };
+	struct dl_conf_received delta = { .id = { 4, 44 },
+					  .base = { 1, 11 },
+					  .small = true,
+					  .bytes = SMALL };
+	struct dl_conf_received r;
+
+	for (int arrives = 0; arrives < 2; arrives++) {
+		struct dl_conf_arrivals a = { .in_force = { 1, 11 },
+					      .drop = ignore };
+
+		ck_assert_int_eq(dl_conf_arrivals_add(&a, &whole, 1000),
+				 DL_CONF_QUEUED);
+		ck_assert_int_eq(dl_conf_arrivals_next(&a, 1199, &r),
+				 DL_CONF_WAIT);
+		if (arrives)
+			ck_assert_int_eq(dl_conf_arrivals_add(&a, &delta, 1199),
+					 DL_CONF_QUEUED);
+		ck_assert_int_eq(dl_conf_arrivals_next(&a, 1200, &r),
+				 DL_CONF_READ);
+		ck_assert(dl_conf_is_delta(&r) == arrives);
+		ck_assert_uint_eq(a.count, 0);
+	}
+}
+END_TEST
+
 /*
  * A small delta that takes long, after it overtook a whole text in the worker
  * thread: deltas that lead from it wait for it, also once the thread is done.
@@ -587,6 +623,7 @@
 	tcase_add_test(tc, newest_version_includes_what_waits);
 	tcase_add_loop_test(tc, waiting_deltas_are_limited, 0, 2);
 	suite_add_tcase(suite, tc);
+	tcase_add_test(tc, whole_text_waits_for_delta_that_replaces_it);
 	tcase_add_test(tc, small_delta_that_takes_long_is_waited_for);
 	tcase_add_test(tc, delta_with_its_own_pace_needs_no_pause);
 	tcase_add_test(tc, large_deltas_that_wait_are_replaced_by_one);
