--- a/src/coordination/retry.c
+++ b/src/coordination/retry.c
@@ -113,12 +113,13 @@
 			   int64_t now)
 {
 	int64_t ms = share->accrued_at ? now - share->accrued_at : 0;
-	uint64_t rate = slack_credit(limit, ACCRUED_PARTS) /
-			((uint64_t)limit->window_ms * vms);
+	uint64_t vm_ms = (uint64_t)limit->window_ms * vms;
+	uint64_t rate = vm_ms ? slack_credit(limit, ACCRUED_PARTS) / vm_ms : 0;
 
 	share->accrued_at = now;
 	dl_retry_budget_set_max(&share->budget,
-				slack_credit(limit, SHARE_PARTS) / vms);
+				slack_credit(limit, SHARE_PARTS) /
+					(vms ? vms : 1));
 	if (ms > (int64_t)limit->window_ms)
 		ms = limit->window_ms;
 	if (ms > 0)
