--- a/test/test_retry.c
+++ b/test/test_retry.c
@@ -36,7 +36,7 @@
 static uint32_t draw(uint32_t n)
 {
 	random_state = random_state * 1664525u + 1013904223u;
-	return (random_state >> 8) % n;
+	return n ? (random_state >> 8) % n : 0;
 }
 
 static struct dl_retry_limit limit_of(const struct day *d)
