--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -467,10 +467,12 @@
 void entry_calls_abort(struct entry *e);
 /* The connection of an attempt is established; nothing has been sent. */
 void entry_call_connected(struct call *c);
+
 /* entry_retry.c */
 void entry_retry_init(struct entry *e);
 /* Sets the limit of a pool from the settings and the configuration. */
 void entry_retry_configure(struct entry *e, struct entry_pool *p);
+/* The credit that goes with the first request for a grant, and its receipt. */
 uint64_t entry_retry_take_credit(struct call *c);
 void entry_retry_add_credit(struct entry *e, struct entry_pool *p,
 			    uint64_t credit, bool local);
