Test of storage: wait until all endpoints are known

Traced by the logs: the six requests that each crash an endpoint were sent from 09:17:31.109 to .126, when only two of the six endpoints had announced themselves (the others did at .155 to .195), so that four were refused and nothing was quarantined. The test now waits for the six; what it checks is the same. The product did as it should: the refusals say backoff, not run.

--- a/test/test_system_storage.sh
+++ b/test/test_system_storage.sh
@@ -41,6 +41,7 @@
 	start_platform_endpoint d$i $((20 + i)) --service desk --plain --crash-on crash
 done
 configure_all '"key-one"'
+wait_endpoints_known d1 d2 d3 d4 d5 d6
 for d in 1 2 3; do
 	wait_for 5 "a call at $d" book $d "book$d" 200 -H "$KEY" || fail "no call"
 done
