--- a/src/entry/entry_retry.c
+++ b/src/entry/entry_retry.c
@@ -213,8 +213,8 @@
 }
 
 /*
- * Asks for the budget to cover the next attempt.  An attempt whose endpoint is
- * silent was not allowed a moment ago is not asked for again at once.
+ * Asks for the budget to cover the next attempt.  For an attempt whose endpoint
+ * is silent, a denial stands for a while before the question is repeated.
  */
 enum call_retry_state entry_retry_ask(struct call *c, enum dl_retry_way way)
 {
