--- a/review/standins/standin.c
+++ b/review/standins/standin.c
@@ -30,7 +30,8 @@
 #include <time.h>
 #include <unistd.h>
 
-#define HEARTBEAT_MS 400
+#define HEARTBEAT_MS 1200 /* heartbeat_ms of the settings */
+#define POLL_MS	     20
 #define HEAD_MAX     65536
 #define LINE_BYTES   64
 #define PIECE_BYTES  65536
@@ -241,6 +242,7 @@
 	char *control[8];
 	int controls;
 	long slots, body, pause_at, pause_ms, work_ms;
+	long linger_ms, late_ms, home;
 	volatile long sequence;
 	volatile long running;
 } runner;
@@ -396,26 +398,77 @@
 	return status;
 }
 
+static void make_beat(char *path, size_t path_size, char *body, size_t size)
+{
+	snprintf(path, path_size, "/-/Instances.Heartbeat/%s", runner.instance);
+	snprintf(body, size,
+		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+		 "\"version\":\"v1\",\"slots\":%ld,\"state\":\"ready\","
+		 "\"cold_remaining_ms\":0,\"seq\":%ld}",
+		 runner.service, runner.listen, runner.zone, runner.slots,
+		 ++runner.sequence);
+}
+
+/*
+ * Deregisters without having said that it drains, and goes on to serve.  The
+ * next replica is called where one does not acknowledge.  With --late-ms the
+ * last heartbeat was sent before to the replica at hand, is under way for so
+ * long, and the runner has turned to the next one.
+ */
+static void deregister(int at)
+{
+	char path[128], beat_path[128], beat[512];
+	int beat_to = at, status;
+
+	if (runner.late_ms) {
+		make_beat(beat_path, sizeof(beat_path), beat, sizeof(beat));
+		note(runner.record, "runner %s sends heartbeat %ld to %s",
+		     runner.instance, runner.sequence, runner.control[at]);
+		at = (at + 1) % runner.controls;
+	}
+	snprintf(path, sizeof(path), "/-/Instances.Deregister/%s",
+		 runner.instance);
+	while (control_call(runner.control[at], "POST", path, "", 0, NULL, 0) !=
+	       200)
+		at = (at + 1) % runner.controls;
+	note(runner.record, "runner %s deregistered, acknowledged by %s",
+	     runner.instance, runner.control[at]);
+	if (runner.late_ms) {
+		sleep_ms(runner.late_ms);
+		status = control_call(runner.control[beat_to], "POST", beat_path,
+				      beat, strlen(beat), NULL, 0);
+		note(runner.record,
+		     "heartbeat of runner %s arrives late at %s: %d",
+		     runner.instance, runner.control[beat_to], status);
+	}
+	sleep_ms(runner.linger_ms);
+	note(runner.record, "runner %s exits", runner.instance);
+	_exit(0);
+}
+
+static volatile sig_atomic_t leaves;
+
+static void on_leave(int signum)
+{
+	leaves = 1;
+}
+
 static void *beat(void *arg)
 {
-	int at = 0;
+	int at = (int)runner.home;
 
 	for (;;) {
 		char path[128], body[512];
 
-		snprintf(path, sizeof(path), "/-/Instances.Heartbeat/%s",
-			 runner.instance);
-		snprintf(body, sizeof(body),
-			 "{\"service\":\"%s\",\"address\":\"%s\","
-			 "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%ld,"
-			 "\"state\":\"ready\",\"cold_remaining_ms\":0,"
-			 "\"seq\":%ld}",
-			 runner.service, runner.listen, runner.zone,
-			 runner.slots, ++runner.sequence);
+		if (leaves)
+			deregister(at);
+
+		make_beat(path, sizeof(path), body, sizeof(body));
 		if (control_call(runner.control[at], "POST", path, body,
 				 strlen(body), NULL, 0) != 200)
 			at = (at + 1) % runner.controls;
-		sleep_ms(HEARTBEAT_MS);
+		for (int i = 0; i < HEARTBEAT_MS / POLL_MS && !leaves; i++)
+			sleep_ms(POLL_MS);
 	}
 	return NULL;
 }
@@ -435,6 +488,9 @@
 	runner.slots = opt_number(argc, argv, "--slots", 6);
 	runner.body = opt_number(argc, argv, "--body", 800);
 	runner.work_ms = opt_number(argc, argv, "--work-ms", 0);
+	runner.linger_ms = opt_number(argc, argv, "--linger-ms", 3000);
+	runner.late_ms = opt_number(argc, argv, "--late-ms", 0);
+	runner.home = opt_number(argc, argv, "--home", 0);
 	runner.pause_at = opt_number(argc, argv, "--pause-at", 0);
 	runner.pause_ms = opt_number(argc, argv, "--pause-ms", 0);
 	for (char *s = strtok(controls, ","); s; s = strtok(NULL, ","))
@@ -445,6 +501,7 @@
 		perror("standin runner");
 		return 2;
 	}
+	signal(SIGUSR1, on_leave);
 	pthread_create(&thread, NULL, beat, NULL);
 	for (;;) {
 		int peer = accept(fd, NULL, NULL);
