--- a/review/deployment.sh
+++ b/review/deployment.sh
@@ -1,7 +1,8 @@
 # Shell functions that run a small deployment in the platform's protocol: three
 # VMs, each with an entry and a replica, on loopback addresses.  The settings
 # have the fields of deploy/entry.json.in and deploy/replica.json.in, with the
-# bounds of sites/dimzveza.toml.  To be sourced in the root of the repository.
+# bounds of sites/dimzveza.toml, or, with RETRY_SLACK and DRAIN_MS set, of a site
+# with evacuations.  To be sourced in the root of the repository.
 
 BIN=target/daisyledge
 STANDIN=target/review/standin
@@ -70,8 +71,8 @@
 "foreign":true,"metrics":"127.$NET.$1.1:9901","http":"127.$NET.$1.1:$FRONT_PORT",
 "ready":"127.$NET.$1.1:$READY_PORT","peer":"127.$NET.$1.1:$PEER_PORT",
 "tunnel":"127.$NET.$1.1:$TUNNEL_PORT","seeds":[$(quoted_seeds)],
-"key_lease_ms":5000,"stop_s":8,"retry_ratio":0.2,"retry_slack":100,
-"retry_window_s":10,"buffer_mb":64,"connections_max":3000}
+"key_lease_ms":5000,"stop_s":8,"retry_ratio":0.2,"retry_slack":${RETRY_SLACK:-100},
+"retry_window_s":10,${DRAIN_MS:+\"endpoint_drain_ms\":$DRAIN_MS,}"buffer_mb":64,"connections_max":3000}
 END
 	DAISYLEDGE_SETTINGS="$DIR/entry-$1.json" "$BIN" entry \
 		>>"$DIR/entry-$1.log" 2>&1 &
@@ -84,7 +85,7 @@
 {"name":"replica-$1","failure_domain":"z$1","region":"r","failure_domains":["z1","z2","z3"],
 "foreign":true,"metrics":"127.$NET.$1.2:9901","operators":"127.$NET.$1.2:$CONTROL_PORT",
 "peer":"127.$NET.$1.2:$PEER_PORT","seeds":[$(quoted_seeds)],"found":$2,
-"failures_max":1,"data_folder":"$DIR/data-$1"}
+"failures_max":1,${DRAIN_MS:+\"endpoint_drain_ms\":$DRAIN_MS,}"data_folder":"$DIR/data-$1"}
 END
 	DAISYLEDGE_SETTINGS="$DIR/replica-$1.json" "$BIN" replica \
 		>>"$DIR/replica-$1.log" 2>&1 &
--- a/review/standins/standin.c
+++ b/review/standins/standin.c
@@ -4,6 +4,7 @@
  *
  *   standin runner OPTION...   a runner that serves plain requests
  *   standin call OPTION...     a client that sends one request
+ *   standin keep OPTION...     a client that sends many on a kept connection
  *   standin put ADDRESSES FILE the operator: submits a configuration
  *   standin get ADDRESS PATH   exits with 0 if the answer is 200
  *   standin free ADDRESS       exits with 0 if the address can be bound
@@ -314,7 +315,7 @@
 	}
 	note(runner.record, "runner %s runs %s %s", runner.instance, attempt,
 	     line);
-	if (runner.work_ms)
+	if (runner.work_ms && !strstr(line, "/archive/"))
 		sleep_ms(runner.work_ms);
 	snprintf(text, sizeof(text), "%ld,0,%ld", runner.running, runner.slots);
 	snprintf(headers, sizeof(headers),
@@ -694,6 +695,52 @@
 	return 0;
 }
 
+/*
+ * Sends requests one after the other on one connection, as long as that is kept
+ * and --for-ms have not passed.  Records what became of each.
+ */
+static int main_keep(int argc, char **argv)
+{
+	const char *tag = opt(argc, argv, "--attempt", "k");
+	const char *record = opt(argc, argv, "--record", NULL);
+	const char *to = opt(argc, argv, "--to", "");
+	int64_t end = wall_ms() + opt_number(argc, argv, "--for-ms", 10000);
+	struct input *in = calloc(1, sizeof(*in));
+	struct timeval wait = { 10, 0 };
+	char head[1024], length[32], how[32];
+
+	in->fd = dial(to, 1000, 0);
+	if (in->fd < 0)
+		return 3;
+	setsockopt(in->fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+	for (int i = 1; wall_ms() < end; i++) {
+		int n = snprintf(head, sizeof(head),
+				 "POST %s HTTP/1.1\r\nHost: h.example\r\n"
+				 "Daisyledge-Attempt-Id: %s.%d\r\n"
+				 "Daisyledge-Deadline-Ms: 4000\r\n"
+				 "X-Api-Key: %s\r\nContent-Length: 0\r\n\r\n",
+				 opt(argc, argv, "--path", "/"), tag, i,
+				 opt(argc, argv, "--key", ""));
+
+		note(record, "client %s.%d sent to %s on a connection %s", tag,
+		     i, to, i > 1 ? "that was kept" : "of its own");
+		if (!send_all(in->fd, head, (size_t)n) || !read_head(in)) {
+			note(record, "client %s.%d no answer, closed", tag, i);
+			return 1;
+		}
+		note(record, "client %s.%d got status=%d", tag, i,
+		     atoi(in->bytes + strlen("HTTP/1.1 ")));
+		header(in, "content-length", length, sizeof(length));
+		header(in, "connection", how, sizeof(how));
+		consume(in, in->head);
+		if (!skip_body(in, (size_t)atol(length)) ||
+		    strcasecmp(how, "close") == 0)
+			break;
+	}
+	close(in->fd);
+	return 0;
+}
+
 /* ---- operator ---- */
 
 static int main_put(int argc, char **argv)
@@ -740,8 +787,8 @@
 		int (*run)(int argc, char **argv);
 	} commands[] = {
 		{ "runner", main_runner }, { "call", main_call },
-		{ "put", main_put },	   { "get", main_get },
-		{ "free", main_free },
+		{ "keep", main_keep },	   { "put", main_put },
+		{ "get", main_get },	   { "free", main_free },
 	};
 
 	signal(SIGPIPE, SIG_IGN);
@@ -750,6 +797,6 @@
 		if (strcmp(argv[1], commands[i].name) == 0)
 			return commands[i].run(argc, argv);
 	}
-	fprintf(stderr, "usage: standin runner|call|put|get|free ...\n");
+	fprintf(stderr, "usage: standin runner|call|keep|put|get|free ...\n");
 	return 2;
 }
