--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 cc -std=gnu11 -O2 -g -Wall -Wextra -Wno-unused-parameter -pthread \
-	-o target/review/standin review/standins/standin.c
+	-o target/review/standin review/standin.c
--- a/review/standins/standin.c
+++ b/review/standin.c
@@ -252,8 +252,8 @@
 static void body_line(char *out, const char *attempt, long number)
 {
 	char text[LINE_BYTES + 1];
-	int n = snprintf(text, sizeof(text), "%.20s %.20s %ld",
-			 runner.instance, attempt, number);
+	int n = snprintf(text, sizeof(text), "%.20s %.20s %ld", runner.instance,
+			 attempt, number);
 
 	memset(out, '.', LINE_BYTES);
 	memcpy(out, text, (size_t)n);
@@ -436,8 +436,8 @@
 	     runner.instance, runner.control[at]);
 	if (runner.late_ms) {
 		sleep_ms(runner.late_ms);
-		status = control_call(runner.control[beat_to], "POST", beat_path,
-				      beat, strlen(beat), NULL, 0);
+		status = control_call(runner.control[beat_to], "POST",
+				      beat_path, beat, strlen(beat), NULL, 0);
 		note(runner.record,
 		     "heartbeat of runner %s arrives late at %s: %d",
 		     runner.instance, runner.control[beat_to], status);
@@ -639,16 +639,16 @@
 	bool complete = false;
 	int status, n;
 
-	n = snprintf(head, sizeof(head),
-		     "%s %s HTTP/1.1\r\nHost: %s\r\n"
-		     "Daisyledge-Attempt-Id: %s\r\n"
-		     "Daisyledge-Deadline-Ms: %ld\r\n%s%s%sContent-Length: 0\r\n\r\n",
-		     opt(argc, argv, "--method", "GET"),
-		     opt(argc, argv, "--path", "/"),
-		     opt(argc, argv, "--host", "h.example"), attempt,
-		     opt_number(argc, argv, "--deadline-ms", 10000),
-		     key ? "X-Api-Key: " : "", key ? key : "",
-		     key ? "\r\n" : "");
+	n = snprintf(
+		head, sizeof(head),
+		"%s %s HTTP/1.1\r\nHost: %s\r\n"
+		"Daisyledge-Attempt-Id: %s\r\n"
+		"Daisyledge-Deadline-Ms: %ld\r\n%s%s%sContent-Length: 0\r\n\r\n",
+		opt(argc, argv, "--method", "GET"),
+		opt(argc, argv, "--path", "/"),
+		opt(argc, argv, "--host", "h.example"), attempt,
+		opt_number(argc, argv, "--deadline-ms", 10000),
+		key ? "X-Api-Key: " : "", key ? key : "", key ? "\r\n" : "");
 	in->fd = dial(to, 1000, (int)opt_number(argc, argv, "--rcvbuf", 0));
 	if (in->fd < 0) {
 		note(record, "client %s no connection to %s", attempt, to);
@@ -792,8 +792,8 @@
 	};
 
 	signal(SIGPIPE, SIG_IGN);
-	for (size_t i = 0; argc > 1 && i < sizeof(commands) / sizeof(commands[0]);
-	     i++) {
+	for (size_t i = 0;
+	     argc > 1 && i < sizeof(commands) / sizeof(commands[0]); i++) {
 		if (strcmp(argv[1], commands[i].name) == 0)
 			return commands[i].run(argc, argv);
 	}
