--- a/review/standin.c
+++ b/review/standin.c
@@ -112,7 +112,7 @@
 }
 
 /* Connects within a time; -1: it did not. */
-static int dial(const char *address, int ms, int rcvbuf)
+static int dial(const char *address, int ms, int rcvbuf, int mss)
 {
 	struct sockaddr_in sin;
 	struct pollfd p;
@@ -126,6 +126,8 @@
 		return -1;
 	if (rcvbuf)
 		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &rcvbuf, sizeof(rcvbuf));
+	if (mss)
+		setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &mss, sizeof(mss));
 	p = (struct pollfd){ fd, POLLOUT, 0 };
 	if (connect(fd, (void *)&sin, sizeof(sin)) &&
 	    (errno != EINPROGRESS || poll(&p, 1, ms) != 1 ||
@@ -384,7 +386,7 @@
 			   "Content-Length: %zu\r\nConnection: close\r\n\r\n",
 			   method, path, n);
 
-	in->fd = dial(address, 1000, 0);
+	in->fd = dial(address, 1000, 0, 0);
 	if (in->fd >= 0) {
 		setsockopt(in->fd, SOL_SOCKET, SO_RCVTIMEO, &wait,
 			   sizeof(wait));
@@ -649,7 +651,8 @@
 		opt(argc, argv, "--host", "h.example"), attempt,
 		opt_number(argc, argv, "--deadline-ms", 10000),
 		key ? "X-Api-Key: " : "", key ? key : "", key ? "\r\n" : "");
-	in->fd = dial(to, 1000, (int)opt_number(argc, argv, "--rcvbuf", 0));
+	in->fd = dial(to, 1000, (int)opt_number(argc, argv, "--rcvbuf", 0),
+		      (int)opt_number(argc, argv, "--mss", 0));
 	if (in->fd < 0) {
 		note(record, "client %s no connection to %s", attempt, to);
 		return 3;
@@ -709,7 +712,7 @@
 	struct timeval wait = { 10, 0 };
 	char head[1024], length[32], how[32];
 
-	in->fd = dial(to, 1000, 0);
+	in->fd = dial(to, 1000, 0, 0);
 	if (in->fd < 0)
 		return 3;
 	setsockopt(in->fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
