--- a/review/lab-2.c
+++ b/review/lab-2.c
@@ -702,6 +702,7 @@
 				r->beat_at = lab_now();
 			} else {
 				r->control = r->control % LAB_VMS + 1;
+				lab_sleep(100);
 				continue;
 			}
 		}
