--- a/review/lab-2.c
+++ b/review/lab-2.c
@@ -41,6 +41,8 @@
 	int runners;
 } lab = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
+int lab_drain_ms;
+
 int64_t lab_now(void)
 {
 	struct timespec t;
@@ -267,6 +269,8 @@
 		"\"zone-2\",\"zone-3\"],\"foreign\":true,"
 		"\"metrics\":\"%s:%d\",\"peer\":\"%s:%d\",\"seeds\":[%s],",
 		role, i, i, a, METRICS_PORT, a, PEER_PORT, seeds);
+	if (lab_drain_ms)
+		fprintf(f, "\"endpoint_drain_ms\":%d,", lab_drain_ms);
 	if (entry) {
 		fprintf(f,
 			"\"http\":\"%s:%d\",\"ready\":\"%s:%d\","
--- a/review/lab-2.h
+++ b/review/lab-2.h
@@ -58,6 +58,12 @@
 	void *arg;
 };
 
+/*
+ * The setting endpoint_drain_ms, of deployments with evacuations; 0: none, as in
+ * the others.
+ */
+extern int lab_drain_ms;
+
 /* Starts a case; argv[1] is its folder. */
 void lab_begin(int argc, char **argv);
 /* Whether the disruption is on. */
