--- a/review/lab-2.c
+++ b/review/lab-2.c
@@ -151,18 +151,25 @@
 	return out;
 }
 
+/* The addresses of the machines, once the second octet is known. */
+static char entry_ips[LAB_VMS + 1][32], control_ips[LAB_VMS + 1][32];
+
 const char *lab_entry_ip(int i)
 {
-	static char text[LAB_VMS + 1][32];
-
-	return ip_text(text[i], i, 1);
+	return entry_ips[i];
 }
 
 const char *lab_control_ip(int i)
 {
-	static char text[LAB_VMS + 1][32];
+	return control_ips[i];
+}
 
-	return ip_text(text[i], i, 2);
+static void set_ips(void)
+{
+	for (int i = 1; i <= LAB_VMS; i++) {
+		ip_text(entry_ips[i], i, 1);
+		ip_text(control_ips[i], i, 2);
+	}
 }
 
 static struct sockaddr_in address_of(const char *ip, int port)
@@ -244,6 +251,7 @@
 		lab_end(LAB_NOT_RUN, "no temporary folder");
 	}
 	pick_net();
+	set_ips();
 	pthread_create(&t, NULL, watchdog, NULL);
 	lab_note("the disruption is %s", lab.trouble ? "on" : "off");
 }
