--- a/review/lab-2.c
+++ b/review/lab-2.c
@@ -347,6 +347,11 @@
 	lab_note("%s %d gets %s", role, i, strsignal(sig));
 }
 
+pid_t lab_pid(const char *role, int i)
+{
+	return *pid_of(role, i);
+}
+
 void lab_kill(const char *role, int i)
 {
 	pid_t *pid = pid_of(role, i);
--- a/review/lab-2.h
+++ b/review/lab-2.h
@@ -79,6 +79,7 @@
 void lab_start_entry(int i);
 void lab_kill(const char *role, int i); /* SIGKILL */
 void lab_signal(const char *role, int i, int sig);
+pid_t lab_pid(const char *role, int i); /* 0: it does not run */
 const char *lab_entry_ip(int i);
 const char *lab_control_ip(int i);
 /* Whether the log of a process has a line with this text. */
