--- a/review/6/case.c
+++ b/review/6/case.c
@@ -1,7 +1,7 @@
 /*
  * An entry stands still for two seconds, in which a runner leaves.
  *
- * Each of twelve services has two runners. An entry is stopped. One runner of
+ * Each of 24 services has two runners. An entry is stopped. One runner of
  * each service deregisters, is acknowledged, and serves on for some seconds
  * before it exits, as some runners do. The entry goes on 2.1 s after it was
  * stopped.
@@ -14,10 +14,13 @@
 
 #include "lab-2.h"
 
-#define SERVICES   12
+#define SERVICES   24
 #define DRAIN_MS   2000 /* bounds.drain_ms of the site */
 #define TOUCH_MS   3000 /* bounds.stability_window_ms of the site */
 #define FREEZE_MS  2100
+#define BUSY_MS	   150 /* between requests of a client of entry 1 */
+#define QUIET_MS   8000 /* of a client of another entry */
+#define LAST_BEAT_MS 2400 /* before the last heartbeat: twice heartbeat_ms */
 #define SERVES_MS  11000 /* from the deregistration to the exit */
 
 static struct lab_runner *staying[SERVICES], *leaving[SERVICES];
@@ -84,6 +87,10 @@
 {
 	struct client *c = arg;
 
+	/* Those of the quiet entries do not all come at once. */
+	if (c->entry != 1)
+		lab_sleep(QUIET_MS * c->service / SERVICES +
+			  QUIET_MS / 2 / SERVICES * c->entry);
 	while (!stop) {
 		char headers[256], path[32];
 		struct lab_answer a;
@@ -98,7 +105,7 @@
 		c->sent++;
 		c->served += a.status == 200;
 		lab_answer_free(&a);
-		lab_sleep(c->entry == 1 ? 150 : 1000);
+		lab_sleep(c->entry == 1 ? BUSY_MS : QUIET_MS);
 	}
 	return NULL;
 }
@@ -133,7 +140,7 @@
 	/* The last heartbeats of the runners that leave. */
 	for (int i = 0; i < SERVICES; i++)
 		leaving[i]->beating = false;
-	lab_sleep(1300);
+	lab_sleep(LAST_BEAT_MS);
 	for (int i = 0; i < SERVICES; i++) {
 		if (!lab_beat(leaving[i], leaving[i]->control,
 			      ++leaving[i]->seq, "ready"))
