Headers of a request or response are not dropped for their number

A response with 70 headers reached the caller without its stamp.

Change: a request lists its headers once, all of them, in h2o's memory; the lists to endpoints and callers have the size that they need. The HTTP client's head of a response is bounded by its bytes (64 KiB, counted in response_heads_too_long) in place of 100 fields, and trailers no longer count towards it. What h2o itself refuses before this program sees it (over 100 headers, malformed) gets 400, and is logged and counted (requests_malformed).

Open: h2o is built with at most 100 headers; a request with more is refused with 400 and has not run, although limits.max_header_bytes would allow it.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -27,6 +27,9 @@
 	X(quarantine_unsaved, "saves of the quarantine that failed")           \
 	X(quarantine_dropped, "crash records dropped for lack of room")        \
 	X(bad_requests, "invalid requests")                                    \
+	X(requests_malformed, "requests refused before they were read whole")  \
+	X(response_heads_too_long,                                             \
+	  "responses given up because their headers exceed 64 KiB")            \
 	X(streams_open, "requests in flight")                                  \
 	X(buffered_bytes, "request bytes buffered")                            \
 	X(streams_cut_short,                                                   \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -129,6 +129,8 @@
 	X(MEMB_FULL, DL_ERROR, "memb", "A VM is ignored, too many are known.") \
 	X(MEMB_DOWN, DL_WARN, "memb", "A VM left or failed.")                  \
 	/* callers */                                                          \
+	X(REQUEST_MALFORMED, DL_WARN, "http",                                  \
+	  "A request was refused before it was read whole.")                   \
 	X(CALLER_SOCKET, DL_WARN, "http",                                      \
 	  "An option of a caller's socket could not be set.")                  \
 	/* peers */                                                            \
--- a/src/entry/entry_answer.c
+++ b/src/entry/entry_answer.c
@@ -4,6 +4,8 @@
 
 #include "entry/entry_call.h"
 
+#define OWN_HEADERS_MAX 4
+
 static size_t fill_headers(const struct call *c, struct dl_header *out,
 			   const char *retry_after)
 {
@@ -41,7 +43,7 @@
 void call_answer_error(struct call *c, const char *reason,
 		       const struct dl_err *err, uint32_t retry_ms)
 {
-	struct dl_header headers[4];
+	struct dl_header headers[OWN_HEADERS_MAX];
 	char seconds[16];
 	char *body;
 	size_t n, count;
@@ -101,7 +103,7 @@
 /* Sends the caller its complete response, or the end of a started one. */
 void call_answer_complete(struct call *c)
 {
-	struct dl_header headers[64];
+	struct dl_header *headers;
 	size_t n;
 
 	if (!c->http)
@@ -114,13 +116,16 @@
 		dl_httpd_finish(c->http, true);
 		return;
 	}
+	headers = g_new(struct dl_header,
+			OWN_HEADERS_MAX + call_headers_count(c));
 	n = fill_headers(c, headers, NULL);
 	if (c->kind == DL_POOL_PLAIN)
-		n += call_headers_fill(c, headers + n, 63 - n);
+		n += call_headers_fill(c, headers + n);
 	else
 		headers[n++] = (struct dl_header){ DL_STR("Content-Type"),
 						   DL_STR("application/json") };
 	dl_httpd_reply(c->http, c->status, headers, n,
 		       (struct dl_str){ c->final_body->str,
 					c->final_body->len });
+	g_free(headers);
 }
--- a/src/entry/entry_attempt.c
+++ b/src/entry/entry_attempt.c
@@ -156,18 +156,21 @@
 	g_ptr_array_add(c->response_headers, g_strndup(h->value.s, h->value.n));
 }
 
-/* Lists at most max of the headers that were kept; returns how many. */
-size_t call_headers_fill(const struct call *c, struct dl_header *out,
-			 size_t max)
+/* Returns how many headers were kept. */
+size_t call_headers_count(const struct call *c)
 {
-	size_t n = 0;
-
-	for (guint i = 0;
-	     c->response_headers && i + 1 < c->response_headers->len && n < max;
-	     i += 2)
-		out[n++] = (struct dl_header){
-			dl_str_of(c->response_headers->pdata[i]),
-			dl_str_of(c->response_headers->pdata[i + 1]),
+	return c->response_headers ? c->response_headers->len / 2 : 0;
+}
+
+/* Lists the headers that were kept; returns how many. */
+size_t call_headers_fill(const struct call *c, struct dl_header *out)
+{
+	size_t count = call_headers_count(c);
+
+	for (size_t i = 0; i < count; i++)
+		out[i] = (struct dl_header){
+			dl_str_of(c->response_headers->pdata[2 * i]),
+			dl_str_of(c->response_headers->pdata[2 * i + 1]),
 		};
-	return n;
+	return count;
 }
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -35,8 +35,8 @@
 		     uint64_t prompt, uint64_t output, bool failed);
 void call_headers_begin(struct call *c);
 void call_headers_keep(struct call *c, const struct dl_header *h);
-size_t call_headers_fill(const struct call *c, struct dl_header *out,
-			 size_t max);
+size_t call_headers_count(const struct call *c);
+size_t call_headers_fill(const struct call *c, struct dl_header *out);
 
 /* entry_read.c */
 void call_parse_forget(struct parse_job *job);
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -168,15 +168,17 @@
 
 static void send_to(struct call *c, uint64_t to)
 {
-	struct dl_header callers[DL_DIALECT_HEADERS_MAX];
-	struct dl_header headers[DL_DIALECT_HEADERS_MAX + 8];
+	const struct dl_header *callers;
+	struct dl_header *headers;
 	char text[DL_DIALECT_TEXT_MAX];
-	struct dl_httpc_req req = { .address = to, .headers = headers };
+	struct dl_httpc_req req = { .address = to };
 	struct dl_outbound out;
 	size_t n;
 
 	fill_outbound(c, &out);
-	n = dl_httpd_headers(c->http, callers, DL_DIALECT_HEADERS_MAX);
+	callers = dl_httpd_headers(c->http, &n);
+	headers = g_new(struct dl_header, n + DL_DIALECT_OWN_HEADERS_MAX);
+	req.headers = headers;
 	req.headers_count =
 		platform_dialect.outbound(callers, n, &out, headers, text);
 	req.method = dl_httpd_method(c->http);
@@ -189,6 +191,7 @@
 	/* On a connection that was cut off the request could arrive late. */
 	req.reuse = c->idempotent && !c->route.sent && !c->grant.leaving_ms;
 	c->attempt = dl_httpc_start(c->e->httpc, &req, &relay_ops, c);
+	g_free(headers);
 }
 
 /*
@@ -427,12 +430,14 @@
 
 static void begin_response(struct call *c)
 {
-	struct dl_header headers[DL_DIALECT_HEADERS_MAX];
-	size_t n = call_headers_fill(c, headers, DL_DIALECT_HEADERS_MAX);
+	struct dl_header *headers =
+		g_new(struct dl_header, call_headers_count(c));
+	size_t n = call_headers_fill(c, headers);
 
 	c->response_started = true;
 	c->framing_out = dl_httpd_begin(c->http, c->status, headers, n,
 					c->response_length);
+	g_free(headers);
 }
 
 /* Updates the longest pause between two events sent to the caller. */
@@ -542,8 +547,8 @@
 /* Sends the endpoint's complete response to the caller, whatever its status. */
 static void finish_response(struct call *c)
 {
-	struct dl_header headers[DL_DIALECT_HEADERS_MAX];
 	struct dl_str rest = { c->response_buf->str, c->response_buf->len };
+	struct dl_header *headers;
 	size_t n;
 
 	if (c->route.head.is_event_stream)
@@ -559,8 +564,10 @@
 			dl_httpd_send(c->http, rest);
 		dl_httpd_finish(c->http, true);
 	} else {
-		n = call_headers_fill(c, headers, DL_DIALECT_HEADERS_MAX);
+		headers = g_new(struct dl_header, call_headers_count(c));
+		n = call_headers_fill(c, headers);
 		dl_httpd_reply(c->http, c->status, headers, n, rest);
+		g_free(headers);
 	}
 	call_free(c);
 }
--- a/src/entry/entry_reservation.c
+++ b/src/entry/entry_reservation.c
@@ -95,7 +95,7 @@
 				       .instance = dl_name_str(&r->instance),
 				       .tokens = r->tokens,
 				       .hold_ms = hold_ms };
-	struct dl_header headers[DL_DIALECT_HEADERS_MAX];
+	struct dl_header headers[DL_DIALECT_OWN_HEADERS_MAX];
 	char text[DL_DIALECT_TEXT_MAX];
 	struct dl_httpc_req req = { .headers = headers,
 				    .connect_ms = CONNECT_MS,
--- a/src/entry/entry_route.c
+++ b/src/entry/entry_route.c
@@ -191,17 +191,19 @@
 
 static void read_inbound(struct dl_httpd_req *req, struct dl_inbound *in)
 {
-	struct dl_header headers[DL_DIALECT_HEADERS_MAX];
-	size_t n = dl_httpd_headers(req, headers, DL_DIALECT_HEADERS_MAX);
+	const struct dl_header *headers;
+	size_t n;
 
+	headers = dl_httpd_headers(req, &n);
 	platform_dialect.inbound(headers, n, in);
 }
 
 static void read_shared_parts(struct call *c)
 {
-	struct dl_header headers[DL_DIALECT_HEADERS_MAX];
-	size_t n = dl_httpd_headers(c->http, headers, DL_DIALECT_HEADERS_MAX);
+	const struct dl_header *headers;
+	size_t n;
 
+	headers = dl_httpd_headers(c->http, &n);
 	call_read_shared_parts(c, headers, n);
 }
 
--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -10,7 +10,7 @@
 #include "entry/entry_call.h"
 #include "protocol/api.h"
 
-#define HEADERS_MAX 64
+#define OWN_HEADERS_MAX 6 /* besides those of the caller or the endpoint */
 /* A response up to this size is held until it is complete, so that the attempt
  * can still be retried; a larger one is forwarded as it arrives. */
 #define HELD_BODY_MAX (1u << 20)
@@ -72,14 +72,13 @@
 	       g_ascii_strncasecmp(name.s, "daisyledge-", 11) == 0;
 }
 
-static size_t fill_caller_headers(struct call *c, struct dl_header *out,
-				  size_t max)
+static size_t fill_caller_headers(struct call *c, struct dl_header *out)
 {
-	struct dl_header all[HEADERS_MAX];
-	size_t n = dl_httpd_headers(c->http, all, HEADERS_MAX);
-	size_t count = 0;
+	const struct dl_header *all;
+	size_t n, count = 0;
 
-	for (size_t i = 0; i < n && count < max; i++) {
+	all = dl_httpd_headers(c->http, &n);
+	for (size_t i = 0; i < n; i++) {
 		if (!is_hop_header(all[i].name) && !is_own_header(all[i].name))
 			out[count++] = all[i];
 	}
@@ -105,11 +104,15 @@
 
 static void send_attempt(struct call *c, uint64_t to)
 {
-	struct dl_header headers[HEADERS_MAX];
-	struct dl_httpc_req req = { .address = to, .headers = headers };
+	struct dl_httpc_req req = { .address = to };
+	struct dl_header *headers;
 	char left[24], offset[24];
-	size_t n;
+	size_t n = 0;
 
+	if (c->kind == DL_POOL_PLAIN)
+		dl_httpd_headers(c->http, &n);
+	headers = g_new(struct dl_header, OWN_HEADERS_MAX + n);
+	req.headers = headers;
 	n = fill_own_headers(c, headers, left, sizeof(left));
 	req.connect_ms = c->connect_ms;
 	req.idle_ms =
@@ -118,7 +121,7 @@
 		req.method = dl_httpd_method(c->http);
 		req.path = plain_path(c);
 		req.body = dl_httpd_body(c->http);
-		n += fill_caller_headers(c, headers + n, HEADERS_MAX - n);
+		n += fill_caller_headers(c, headers + n);
 	} else {
 		req.method = DL_STR("POST");
 		req.path = DL_STR("/v1/completions");
@@ -136,6 +139,7 @@
 	req.headers_count = n;
 	req.close_delimited = true;
 	c->attempt = dl_httpc_start(c->e->httpc, &req, &ops_table[c->kind], c);
+	g_free(headers);
 }
 
 /* Starts an attempt at the endpoint that was granted. */
@@ -421,15 +425,17 @@
  */
 static void begin_plain_response(struct call *c)
 {
-	struct dl_header headers[HEADERS_MAX];
+	struct dl_header *headers = g_new(
+		struct dl_header, OWN_HEADERS_MAX + call_headers_count(c));
 	size_t n = 0;
 
 	headers[n++] = (struct dl_header){ DL_STR("Daisyledge-Request"),
 					   dl_str_of(c->id_text) };
-	n += call_headers_fill(c, headers + n, HEADERS_MAX - n);
+	n += call_headers_fill(c, headers + n);
 	c->response_started = true;
 	c->framing_out = dl_httpd_begin(c->http, c->status, headers, n,
 					c->response_length);
+	g_free(headers);
 	dl_httpd_send(c->http, (struct dl_str){ c->response_buf->str,
 						c->response_buf->len });
 	g_string_truncate(c->response_buf, 0);
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -73,7 +73,8 @@
 	DL_CONTROL_EVACUATE_END, /* the same */
 };
 
-#define DL_DIALECT_HEADERS_MAX 64
+/* Headers that a dialect adds to those of a caller at most. */
+#define DL_DIALECT_OWN_HEADERS_MAX 8
 /* Size of the buffer to which a dialect writes values. */
 #define DL_DIALECT_TEXT_MAX 4096
 
@@ -88,8 +89,8 @@
 				 uint64_t *out, uint32_t max);
 	/*
 	 * Builds the headers for an endpoint: those of what, and the caller's
-	 * that may be forwarded. Values are written into text. Returns the
-	 * number of headers.
+	 * that may be forwarded. Values are written into text. out has room for
+	 * n + DL_DIALECT_OWN_HEADERS_MAX. Returns the number of headers.
 	 */
 	size_t (*outbound)(const struct dl_header *callers, size_t n,
 			   const struct dl_outbound *what,
@@ -98,7 +99,10 @@
 			 struct dl_response_head *out);
 	/* Whether a header of an endpoint is forwarded to the caller. */
 	bool (*forwards_header)(struct dl_str name);
-	/* Builds the request for a reservation; values go into text. */
+	/*
+	 * Builds the request for a reservation; values go into text, and at
+	 * most DL_DIALECT_OWN_HEADERS_MAX headers into headers.
+	 */
 	void (*reservation)(const struct dl_reservation *what,
 			    struct dl_httpc_req *req, struct dl_header *headers,
 			    char *text);
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -8,10 +8,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/metric.h"
 #include "transport/httpc_int.h"
 
 #define HOST_TEXT_MAX 24
-#define HEAD_MAX      65536
+#define HEAD_MAX      65536 /* names and values of a response's headers */
 #define MS_PER_S      1000
 /* Subtracted from the timeout that an endpoint announces: transit time. */
 #define KEEP_ALIVE_MARGIN_MS 500
@@ -85,6 +86,7 @@
 
 	if (call->header_text)
 		g_string_free(call->header_text, TRUE);
+	g_array_free(call->fields, TRUE);
 	free(call->head);
 	free(call);
 }
@@ -190,43 +192,71 @@
 	if (!call)
 		return 1;
 	g_string_truncate(call->header_text, 0);
-	call->fields = 0;
+	g_array_set_size(call->fields, 0);
 	call->in_value = false;
 	return 0;
 }
 
+/* Whether the head is complete: fields after it are trailers, which are
+ * dropped.
+ */
+static bool has_head(const struct dl_httpc_call *call)
+{
+	return call->attempt.received != DL_RECV_NOTHING;
+}
+
+/* Appends to the current field; false if the head is longer than HEAD_MAX. */
+static bool append_to_head(struct dl_httpc_call *call, const char *at, size_t n)
+{
+	if (call->header_text->len + n > HEAD_MAX) {
+		dl_count(DL_METRIC_response_heads_too_long, 1);
+		return false;
+	}
+	g_string_append_len(call->header_text, at, (gssize)n);
+	return true;
+}
+
 /* The parser may deliver a name or a value in several pieces. */
 static int on_field(http_parser *parser, const char *at, size_t n)
 {
 	struct dl_httpc_call *call = call_of(parser);
+	struct header_field field = { 0 };
 
-	if (!call || call->header_text->len + n > HEAD_MAX)
+	if (!call)
 		return 1;
-	if (call->fields == 0 || call->in_value) {
-		if (call->fields == HEADERS_MAX)
-			return 1;
-		call->field[call->fields].name = call->header_text->len;
-		call->field[call->fields].name_n = 0;
-		call->field[call->fields].value_n = 0;
-		call->fields++;
+	if (has_head(call))
+		return 0;
+	if (call->fields->len == 0 || call->in_value) {
+		field.name = call->header_text->len;
+		g_array_append_val(call->fields, field);
 		call->in_value = false;
 	}
-	g_string_append_len(call->header_text, at, (gssize)n);
-	call->field[call->fields - 1].name_n += n;
+	if (!append_to_head(call, at, n))
+		return 1;
+	g_array_index(call->fields, struct header_field, call->fields->len - 1)
+		.name_n += n;
 	return 0;
 }
 
 static int on_value(http_parser *parser, const char *at, size_t n)
 {
 	struct dl_httpc_call *call = call_of(parser);
+	struct header_field *field;
 
-	if (!call || call->fields == 0 || call->header_text->len + n > HEAD_MAX)
+	if (!call)
+		return 1;
+	if (has_head(call))
+		return 0;
+	if (call->fields->len == 0)
 		return 1;
+	field = &g_array_index(call->fields, struct header_field,
+			       call->fields->len - 1);
 	if (!call->in_value)
-		call->field[call->fields - 1].value = call->header_text->len;
+		field->value = call->header_text->len;
 	call->in_value = true;
-	g_string_append_len(call->header_text, at, (gssize)n);
-	call->field[call->fields - 1].value_n += n;
+	if (!append_to_head(call, at, n))
+		return 1;
+	field->value_n += n;
 	return 0;
 }
 
@@ -251,19 +281,25 @@
 			0;
 }
 
-/* Fills in views of the headers, and acts on those meant for this client. */
-static size_t read_headers(struct dl_httpc_call *call, struct dl_header *out)
+/*
+ * Returns views of the headers, to be freed with g_free(), and acts on those
+ * meant for this client.
+ */
+static struct dl_header *read_headers(struct dl_httpc_call *call)
 {
+	struct dl_header *out = g_new(struct dl_header, call->fields->len);
+	const char *text = call->header_text->str;
 	bool has_coding = false;
 
 	call->framing = DL_FRAMING_CLOSE;
-	for (uint32_t i = 0; i < call->fields; i++) {
-		const char *text = call->header_text->str;
-
-		out[i].name = (struct dl_str){ text + call->field[i].name,
-					       call->field[i].name_n };
-		out[i].value = (struct dl_str){ text + call->field[i].value,
-						call->field[i].value_n };
+	for (guint i = 0; i < call->fields->len; i++) {
+		const struct header_field *field =
+			&g_array_index(call->fields, struct header_field, i);
+
+		out[i].name =
+			(struct dl_str){ text + field->name, field->name_n };
+		out[i].value =
+			(struct dl_str){ text + field->value, field->value_n };
 		if (dl_header_is(out[i].name, "content-length"))
 			call->framing = DL_FRAMING_LENGTH;
 		if (dl_header_is(out[i].name, "transfer-encoding"))
@@ -275,13 +311,13 @@
 	}
 	if (has_coding)
 		call->framing = DL_FRAMING_CHUNKS;
-	return call->fields;
+	return out;
 }
 
 static int on_headers(http_parser *parser)
 {
 	struct dl_httpc_call *call = call_of(parser);
-	struct dl_header views[HEADERS_MAX];
+	struct dl_header *views;
 	struct dl_httpc_head head;
 	bool no_body;
 
@@ -294,14 +330,16 @@
 	call->attempt.received = DL_RECV_HEAD;
 	call->attempt.status = (uint16_t)parser->status_code;
 	head.status = call->attempt.status;
+	views = read_headers(call);
 	head.headers = views;
-	head.headers_count = read_headers(call, views);
+	head.headers_count = call->fields->len;
 	if (no_body)
 		call->framing = DL_FRAMING_LENGTH;
 	head.framing = call->framing;
 	httpc_call_timer(call, call->idle_ms);
 	if (call->ops->head)
 		call->ops->head(call->arg, &head);
+	g_free(views);
 	return no_body ? 1 : 0;
 }
 
@@ -572,6 +610,7 @@
 	call->direct = req->direct;
 	call->is_head_method = dl_str_eq(req->method, DL_STR("HEAD"));
 	call->header_text = g_string_new(NULL);
+	call->fields = g_array_new(FALSE, FALSE, sizeof(struct header_field));
 	uv_timer_init(client->loop, &call->timer);
 	call->timer.data = call;
 	uv_update_time(client->loop);
--- a/src/transport/httpc_int.h
+++ b/src/transport/httpc_int.h
@@ -8,8 +8,7 @@
 #include "transport/frame.h"
 #include "transport/httpc.h"
 
-#define HEADERS_MAX 100
-#define READ_MAX    65536
+#define READ_MAX 65536
 /* Longest idle time of a connection in the pool. */
 #define POOL_IDLE_MS 1500
 /* VMs that one call asks to forward its connection. */
@@ -67,6 +66,11 @@
 	bool endpoint_silent; /* for one of them */
 };
 
+/* A header field, as offsets into header_text. */
+struct header_field {
+	size_t name, name_n, value, value_n;
+};
+
 struct dl_httpc_call {
 	struct dl_httpc *client;
 	struct conn
@@ -92,12 +96,8 @@
 	bool paused;
 	bool ended; /* end() is called when the timer fires next */
 
-	/* header fields, as offsets into header_text */
 	GString *header_text;
-	struct {
-		size_t name, name_n, value, value_n;
-	} field[HEADERS_MAX];
-	uint32_t fields;
+	GArray *fields; /* of struct header_field */
 	bool in_value;
 };
 
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -8,6 +8,7 @@
 
 #include <h2o.h>
 
+#include "base/metric.h"
 #include "base/msg.h"
 #include "transport/sock.h"
 
@@ -48,6 +49,7 @@
 	struct dl_httpd_req *next, *prev;
 	h2o_req_t *h2o;
 	void *data;
+	struct dl_header *headers; /* in h2o's pool; NULL: not listed yet */
 	bool done; /* answered, or the client has disconnected */
 	bool streaming;
 	bool sending; /* h2o is sending in_flight */
@@ -61,6 +63,8 @@
 struct client {
 	uv_tcp_t tcp; /* must be first */
 	struct dl_httpd *server;
+	h2o_socket_t *sock;
+	size_t answered; /* bytes written when the last request ended */
 };
 
 static int on_request(h2o_handler_t *self, h2o_req_t *h2o);
@@ -85,6 +89,22 @@
 	free(handle);
 }
 
+/*
+ * Logs a request that h2o refused by itself as the connection closes: it was
+ * malformed, or had more than H2O_MAX_HEADERS headers. h2o has no hook for
+ * that.
+ */
+static void on_client_closing(void *data)
+{
+	const struct client *client = data;
+
+	if (client->sock->bytes_written == client->answered)
+		return;
+	dl_count(DL_METRIC_requests_malformed, 1);
+	dl_msg(DL_MSG_REQUEST_MALFORMED, "bytes=%zu headers_max=%d",
+	       client->sock->bytes_read, H2O_MAX_HEADERS);
+}
+
 /* Closes connections beyond conns_max before h2o allocates memory for them. */
 static void on_accept(uv_stream_t *listener, int status)
 {
@@ -108,6 +128,9 @@
 	uv_tcp_nodelay(&client->tcp, 1);
 	sock = h2o_uv_socket_create((uv_stream_t *)&client->tcp,
 				    on_client_closed);
+	client->sock = sock;
+	sock->on_close.cb = on_client_closing;
+	sock->on_close.data = client;
 	h2o_accept(&server->accept_ctx, sock);
 }
 
@@ -121,11 +144,30 @@
 		req->next->prev = req->prev;
 }
 
+/* Returns the socket of a request's connection; NULL if it is gone. */
+static h2o_socket_t *socket_of(const struct dl_httpd_req *req)
+{
+	h2o_conn_t *conn = req->h2o->conn;
+
+	return conn->callbacks->get_socket(conn);
+}
+
+/* What was written up to now belongs to requests that the owner has handled. */
+static void note_answered(const struct dl_httpd_req *req)
+{
+	const h2o_socket_t *sock = socket_of(req);
+	struct client *client = sock ? sock->on_close.data : NULL;
+
+	if (client)
+		client->answered = sock->bytes_written;
+}
+
 /* Called when h2o frees the request, whether it was answered or not. */
 static void on_dispose(void *self)
 {
 	struct dl_httpd_req *req = self;
 
+	note_answered(req);
 	if (!req->done && !req->finishing)
 		req->server->ops->aborted(req->server->arg, req);
 	if (!req->done)
@@ -174,18 +216,17 @@
 	report_aborted((struct dl_httpd_req *)self);
 }
 
-/* Returns the socket of a request's connection; -1 if it is gone. */
-static int socket_of(const struct dl_httpd_req *req)
+/* The same as a file descriptor; -1 if it is gone. */
+static int socket_fd_of(const struct dl_httpd_req *req)
 {
-	h2o_conn_t *conn = req->h2o->conn;
-	h2o_socket_t *sock = conn->callbacks->get_socket(conn);
+	h2o_socket_t *sock = socket_of(req);
 
 	return sock ? h2o_socket_get_fd(sock) : -1;
 }
 
 static bool is_socket_closed(const struct dl_httpd_req *req)
 {
-	int fd = socket_of(req);
+	int fd = socket_fd_of(req);
 	char byte;
 	ssize_t n;
 
@@ -378,21 +419,27 @@
 	};
 }
 
-/* Fills in views of at most max headers; returns their number. */
-size_t dl_httpd_headers(const struct dl_httpd_req *req, struct dl_header *out,
-			size_t max)
-{
-	size_t n = req->h2o->headers.size;
-
-	if (n > max)
-		n = max;
-	for (size_t i = 0; i < n; i++) {
-		const h2o_header_t *h = &req->h2o->headers.entries[i];
-
-		out[i].name = (struct dl_str){ h->name->base, h->name->len };
-		out[i].value = (struct dl_str){ h->value.base, h->value.len };
+/* Returns all headers, which are valid as long as the request, and their count.
+ */
+const struct dl_header *dl_httpd_headers(struct dl_httpd_req *req,
+					 size_t *count)
+{
+	const h2o_headers_t *from = &req->h2o->headers;
+
+	*count = from->size;
+	if (req->headers)
+		return req->headers;
+	req->headers = h2o_mem_alloc_pool(
+		&req->h2o->pool, (from->size + 1) * sizeof(*req->headers));
+	for (size_t i = 0; i < from->size; i++) {
+		const h2o_header_t *h = &from->entries[i];
+
+		req->headers[i] = (struct dl_header){
+			{ h->name->base, h->name->len },
+			{ h->value.base, h->value.len },
+		};
 	}
-	return n;
+	return req->headers;
 }
 
 /*
@@ -523,7 +570,7 @@
 static void reset_on_close(const struct dl_httpd_req *req, bool reset)
 {
 	const struct linger linger = { .l_onoff = reset, .l_linger = 0 };
-	int fd = socket_of(req);
+	int fd = socket_fd_of(req);
 
 	if (fd >= 0 &&
 	    setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger)))
@@ -562,7 +609,7 @@
  */
 static void break_connection(struct dl_httpd_req *req)
 {
-	int fd = socket_of(req);
+	int fd = socket_fd_of(req);
 
 	if (fd >= 0 && req->framing != DL_FRAMING_CLOSE)
 		shutdown(fd, SHUT_RDWR);
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -51,8 +51,9 @@
 struct dl_str dl_httpd_body(const struct dl_httpd_req *req);
 /* The value of a header, empty if absent; name is in lower case. */
 struct dl_str dl_httpd_header(const struct dl_httpd_req *req, const char *name);
-size_t dl_httpd_headers(const struct dl_httpd_req *req, struct dl_header *out,
-			size_t max);
+/* All headers, valid as long as the request; *count is their number. */
+const struct dl_header *dl_httpd_headers(struct dl_httpd_req *req,
+					 size_t *count);
 /*
  * The time since the first byte of a request arrived, in ms, which the client
  * has spent waiting.  Measured with the wall clock, which is what h2o records:
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -168,7 +168,8 @@
 		H("transfer-encoding", "chunked"),
 		H("accept", "*/*"),
 	};
-	struct dl_header out[DL_DIALECT_HEADERS_MAX + 8];
+	struct dl_header out[sizeof(callers) / sizeof(callers[0]) +
+			     DL_DIALECT_OWN_HEADERS_MAX];
 	char text[DL_DIALECT_TEXT_MAX];
 	struct dl_outbound what = { .workspace = DL_STR("hule"),
 				    .instance = DL_STR("i-7f"),
@@ -200,7 +201,7 @@
 START_TEST(forged_last_event_id_is_replaced)
 {
 	const struct dl_header callers[] = { H("last-event-id", "3") };
-	struct dl_header out[DL_DIALECT_HEADERS_MAX + 8];
+	struct dl_header out[1 + DL_DIALECT_OWN_HEADERS_MAX];
 	char text[DL_DIALECT_TEXT_MAX];
 	struct dl_outbound what = { .resumes = true, .after_event = 17 };
 	size_t n = d->outbound(callers, 1, &what, out, text);
@@ -209,6 +210,28 @@
 }
 END_TEST
 
+/* Guards against headers that are dropped for their number. */
+START_TEST(headers_beyond_any_number_are_forwarded)
+{
+	struct dl_header callers[300];
+	struct dl_header out[300 + DL_DIALECT_OWN_HEADERS_MAX];
+	char text[DL_DIALECT_TEXT_MAX];
+	struct dl_outbound what = { .deadline_ms = 900, .priority = 10 };
+	struct dl_inbound in;
+	size_t n;
+
+	for (size_t i = 0; i < 300; i++)
+		callers[i] = (struct dl_header)H("x-trace", "0");
+	callers[298] = (struct dl_header)H("x-api-key", "secret");
+	callers[299] = (struct dl_header)H("daisyledge-model", "m");
+	n = d->outbound(callers, 300, &what, out, text);
+	ck_assert_uint_eq(n, 300);
+	ck_assert(dl_str_eq(find(out, n, "daisyledge-model"), DL_STR("m")));
+	d->inbound(callers, 300, &in);
+	ck_assert(dl_str_eq(in.key, DL_STR("secret")));
+}
+END_TEST
+
 START_TEST(response_headers_are_parsed)
 {
 	const struct dl_header headers[] = {
@@ -653,6 +676,7 @@
 				    sizeof(malformed_headers[0]));
 	tcase_add_test(t, outbound_headers);
 	tcase_add_test(t, forged_last_event_id_is_replaced);
+	tcase_add_test(t, headers_beyond_any_number_are_forwarded);
 	tcase_add_test(t, response_headers_are_parsed);
 	tcase_add_test(t, limits_are_parsed);
 	tcase_add_test(t, retry_after_and_leaving_are_parsed);
--- a/test/tool_http.c
+++ b/test/tool_http.c
@@ -16,7 +16,7 @@
 #include "fake/sign.h"
 
 #define CONNECT_MS  1000
-#define HEADERS_MAX 32
+#define HEADERS_MAX 128
 
 enum tool_exit {
 	EXIT_EXPECTED = 0,
@@ -87,16 +87,19 @@
 	((struct result *)arg)->end = end;
 }
 
-/* Splits "NAME: VALUE" options into headers; returns their number. */
+/*
+ * Splits "NAME: VALUE" options into headers; returns their number, or -1 if one
+ * is malformed or there are too many.
+ */
 static int split_headers(struct fake_header *out)
 {
 	int n = 0;
 
-	for (char **h = opt.headers; h && *h && n < HEADERS_MAX; h++) {
+	for (char **h = opt.headers; h && *h; h++) {
 		char *colon = strchr(*h, ':');
 
-		if (!colon)
-			continue;
+		if (!colon || n == HEADERS_MAX)
+			return -1;
 		*colon = '\0';
 		out[n].name = *h;
 		out[n].value = g_strstrip(colon + 1);
@@ -222,6 +225,11 @@
 	}
 	g_option_context_free(ctx);
 	n = split_headers(headers);
+	if (n < 0) {
+		fprintf(stderr,
+			"http: a header is malformed or one too many\n");
+		return EXIT_BAD_USAGE;
+	}
 	req.method = opt.method;
 	req.path = argv[2];
 	req.timeout_ms = (uint32_t)opt.timeout_ms;
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -35,11 +35,11 @@
 	char *limit, *arrivals, *shed, *orders, *endings, *reports;
 	char **argv;
 	int instance_crashes;
-	int slots, events, event_ms, first_event_ms, orphans;
+	int slots, events, event_ms, first_event_ms, orphans, pad_headers;
 	gboolean plain, quiet_while_busy, mute_orders;
 	gboolean abrupt;
 	gboolean unheard;
-	gboolean no_ids, by_close;
+	gboolean no_ids, by_close, echo;
 } opt = {
 	.zone = "z", .slots = 16, .events = 8, .event_ms = 20, .fault = "none"
 };
@@ -92,6 +92,10 @@
 	  "ID,ID" },
 	{ "by-close", 0, 0, G_OPTION_ARG_NONE, &opt.by_close,
 	  "streams have neither a length nor chunks", NULL },
+	{ "echo", 0, 0, G_OPTION_ARG_NONE, &opt.echo,
+	  "reply with the model, usage and prompt of the request", NULL },
+	{ "pad-headers", 0, 0, G_OPTION_ARG_INT, &opt.pad_headers,
+	  "headers to send before those of a plain reply", "N" },
 	{ "limit", 0, 0, G_OPTION_ARG_STRING, &opt.limit,
 	  "requests per second to announce in responses", "N" },
 	{ "endings", 0, 0, G_OPTION_ARG_FILENAME, &opt.endings,
@@ -413,9 +417,20 @@
 		fake_reply_begin(req, 200, headers);
 }
 
+/* Returns what a request says of its prompt, to be freed with g_free(). */
+static char *echo_of(const struct fake_request *req)
+{
+	struct dl_str model = header(req, "daisyledge-model");
+	struct dl_str usage = header(req, "daisyledge-token-usage");
+	struct dl_str prompt = header(req, "daisyledge-prompt-prefix");
+
+	return g_strdup_printf("%.*s %.*s %.*s\n", (int)model.n, model.s,
+			       (int)usage.n, usage.s, (int)prompt.n, prompt.s);
+}
+
 static void reply_plain(struct fake_request *req, const char *attempt)
 {
-	const struct fake_header headers[] = {
+	const struct fake_header own[] = {
 		{ "Daisyledge-Attempt-Id", attempt },
 		{ "Daisyledge-Response-Stamp", opt.instance },
 		{ "Content-Type", "application/json" },
@@ -423,8 +438,17 @@
 		{ NULL, NULL },
 	};
 	bool error = strcmp(opt.fault, "error") == 0;
-
-	fake_reply(req, error ? 500 : 200, headers, DL_STR("answer\n"));
+	char *body = opt.echo ? echo_of(req) : g_strdup("answer\n");
+	size_t pad = (size_t)opt.pad_headers;
+	struct fake_header *headers =
+		g_new(struct fake_header, pad + G_N_ELEMENTS(own));
+
+	for (size_t i = 0; i < pad; i++)
+		headers[i] = (struct fake_header){ "X-Pad", "0123456789" };
+	memcpy(headers + pad, own, sizeof(own));
+	fake_reply(req, error ? 500 : 200, headers, dl_str_of(body));
+	g_free(headers);
+	g_free(body);
 }
 
 /*
