An attempt id of over 63 bytes is compared as a whole

Found on the walk of limits that drop what lies beyond them. A caller's attempt id longer than a name (63 bytes) was taken for none, and then each response that repeated it was rejected as that of another request: no such request could be answered. The id is kept as it stands in the request's headers, which live as long as the request.

test_system_many_headers sends one of 80 bytes: "a request with a long attempt id is not served" before, passes now.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -140,9 +140,10 @@
 /* State that only routed requests have. */
 struct call_route {
 	enum dl_route_kind kind;
-	struct dl_name attempt_id; /* the caller's id for it */
-	struct dl_name instance;   /* endpoint instance sent to last */
-	int64_t sent_at_boot;	   /* start of that attempt, ms since boot */
+	struct dl_str
+		attempt_id;	 /* the caller's id, in its request's headers */
+	struct dl_name instance; /* endpoint instance sent to last */
+	int64_t sent_at_boot;	 /* start of that attempt, ms since boot */
 	uint32_t target_ms, gap_ms;
 	uint32_t caller_silence_ms; /* silence after which callers give up */
 	uint32_t attempts_max;	    /* endpoints it may be sent to */
--- a/src/entry/entry_call.c
+++ b/src/entry/entry_call.c
@@ -114,14 +114,15 @@
 
 	format_helpers(c, helpers, sizeof(helpers));
 	dl_msg(DL_MSG_REQUEST_ENDED,
-	       "request=%s attempt=%s service=%s workspace=%s outcome=%s "
+	       "request=%s attempt=%.*s service=%s workspace=%s outcome=%s "
 	       "status=%u ms=%ld prompt=%lu version=%lu endpoint=%s "
 	       "helpers=%s parts=%u away=%u granted_ms=%ld predicted_ms=%u "
 	       "first_ms=%ld pause_ms=%u tries=%u sent=%u reason=%s "
 	       "retry_ms=%u content=%016lx target_ms=%u gap_ms=%u "
 	       "unsure_ms=%u asking_ms=%u misdirected=%u queued_ms=%u via=%s "
 	       "framing=%s end=%s to_caller=%s shared=%s part=%lx",
-	       c->id_text, c->route.attempt_id.s, c->service.s, c->workspace.s,
+	       c->id_text, (int)MIN(c->route.attempt_id.n, DL_NAME_MAX),
+	       c->route.attempt_id.s, c->service.s, c->workspace.s,
 	       dl_outcome_name(c->outcome), c->status,
 	       (long)(now - c->arrived_at), (unsigned long)c->prompt_tokens,
 	       (unsigned long)c->e->version, c->grant.endpoint[0].s, helpers,
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -350,7 +350,7 @@
 /* Whether a response carries the caller's attempt id, or none. */
 static bool is_own_attempt(const struct call *c, struct dl_str id)
 {
-	return id.n == 0 || dl_name_eq(&c->route.attempt_id, id);
+	return id.n == 0 || dl_str_eq(c->route.attempt_id, id);
 }
 
 /*
--- a/src/entry/entry_route.c
+++ b/src/entry/entry_route.c
@@ -345,8 +345,7 @@
 
 	c->routed = true;
 	read_inbound(req, &in);
-	if (!dl_name_set(&c->route.attempt_id, in.attempt_id))
-		c->route.attempt_id.n = 0;
+	c->route.attempt_id = in.attempt_id;
 	c->deadline = c->arrived_at + 1;
 	if (!entry_lease_is_valid(e) && wait_for_config(c, in.timeout_ms))
 		return;
--- a/test/test_system_many_headers.sh
+++ b/test/test_system_many_headers.sh
@@ -35,6 +35,11 @@
 	done
 done
 
+# An attempt id longer than a name of this system.
+LONG_ID=$(printf 'a%079d' 1)
+book 1 "$LONG_ID" 200 -H "$KEY" >/dev/null ||
+	fail "a request with a long attempt id is not served"
+
 for d in 1 2 3; do
 	book $d "r$d" 200 --head -H "$KEY" >"$DIR/answer" ||
 		fail "entry $d does not serve a request"
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -110,7 +110,7 @@
 /* An open stream. */
 struct job {
 	struct fake_request *req;
-	char attempt[64];
+	char attempt[256];
 	int next; /* number of the next event */
 	int64_t at;
 	bool begun;
@@ -563,7 +563,7 @@
 {
 	struct dl_str target = header(req, "daisyledge-target-instance");
 	struct dl_str id = header(req, "daisyledge-attempt-id");
-	char attempt[64], retry_after[16], what[32];
+	char attempt[256], retry_after[16], what[32];
 	bool shed = is_shedding(retry_after, sizeof(retry_after));
 
 	if (dl_str_eq(fake_request_path(req), DL_STR(ORDER_PATH))) {
@@ -590,7 +590,7 @@
 	record_execution(req);
 	if (is_crashing(req))
 		crash();
-	snprintf(attempt, sizeof(attempt), "%.*s", (int)MIN(id.n, 60), id.s);
+	snprintf(attempt, sizeof(attempt), "%.*s", (int)MIN(id.n, 255), id.s);
 	if (strcmp(opt.fault, "foreign") == 0)
 		snprintf(attempt, sizeof(attempt), "another");
 	if (serve_ending(req, attempt))
