An empty list of workspaces admits nobody

Cause, shown by the run: authorize() asked for a key where the configuration had workspaces, a count, and the adapter made the same text of no list and of an empty one. Ruled out: a version that had not arrived (a wrong key got 401 at the same entries before it), the key lease (the foreign key ran as well).

Change: dl_conf.keys_required, true where the text lists workspaces, maybe none. The adapter writes the list where the operator's configuration has one, and refuses with 400 what the conversion would leave out: null or another type for tenants, lists, objects and numbers of another type, two tenants or services of one name (the first one's keys were lost). Weights of a split below 1 were cut to 0; they are scaled. The difference between versions, check and the log line "Configuration in force" tell whether keys are required.

--- a/include/daisyledge/conf.h
+++ b/include/daisyledge/conf.h
@@ -119,6 +119,11 @@
 	uint32_t services_count;
 	struct dl_conf_workspace *workspaces;
 	uint32_t workspaces_count;
+	/*
+	 * The text lists workspaces, maybe none: requests of routes that are
+	 * not public need the key of one.
+	 */
+	bool keys_required;
 	struct dl_route_conf **routes; /* in the order of the text */
 	uint32_t routes_count;
 	struct dl_caller_limits caller_limits;
--- a/src/cli/cli_check.c
+++ b/src/cli/cli_check.c
@@ -13,9 +13,13 @@
 	json_t *json;
 
 	if (!cli->json) {
-		printf("%s: good; %u services, %u workspaces, %u replicas\n",
+		printf("%s: good; %u services, %u workspaces, %s, %u "
+		       "replicas\n",
 		       cli->args[0], conf->services_count,
-		       conf->workspaces_count, conf->replicas_count);
+		       conf->workspaces_count,
+		       conf->keys_required ? "keys required" :
+					     "no keys required",
+		       conf->replicas_count);
 		return;
 	}
 	json = json_pack("{s:b, s:[]}", "good", 1, "faults");
--- a/src/entry/entry_conf.c
+++ b/src/entry/entry_conf.c
@@ -129,10 +129,12 @@
 			job->slices, (long)(job->pace.busy_us / US_PER_MS),
 			(long)(job->cpu_us / US_PER_MS));
 	dl_msg(DL_MSG_ENTRY_CONF,
-	       "version=%lu bytes=%zu waited_ms=%u rested_ms=%ld read_ms=%ld%s",
+	       "version=%lu bytes=%zu waited_ms=%u rested_ms=%ld read_ms=%ld "
+	       "keys_required=%d%s",
 	       (unsigned long)job->received.id.version, job->received.bytes,
 	       job->waited_ms, (long)job->since_last_ms,
-	       (long)(entry_now(e) - job->started_at), delta);
+	       (long)(entry_now(e) - job->started_at), e->conf->keys_required,
+	       delta);
 }
 
 /* Puts a version in force, then updates everything that depends on it. */
--- a/src/entry/entry_route.c
+++ b/src/entry/entry_route.c
@@ -174,7 +174,9 @@
 		reject(c, STATUS_NOT_FOUND, "no route matches this path");
 		return false;
 	}
-	if (!(*route)->public && conf->workspaces_count) {
+	c->workspace.n = 0;
+	c->workspace.s[0] = '\0';
+	if (!(*route)->public && conf->keys_required) {
 		ws = dl_conf_workspace_of_key(conf, in->key);
 		if (!ws) {
 			reject(c, STATUS_UNAUTHORIZED,
--- a/src/state/conf.c
+++ b/src/state/conf.c
@@ -534,6 +534,8 @@
 	conf->weight_store_mb_per_s = top.weight_store_mb_per_s;
 	conf->log_level = (enum dl_level)top.log_level;
 	conf->number = top.number;
+	/* Also by an empty list: then no key admits. */
+	conf->keys_required = json_object_get(root, "workspaces") != NULL;
 	read_caller_limits(r, &path, root, conf);
 	child = conf_path_key(&path, DL_STR("classes"));
 	json = conf_child(root, "classes", JSON_OBJECT);
--- a/src/state/conf_diff.c
+++ b/src/state/conf_diff.c
@@ -104,6 +104,8 @@
 			     const struct dl_conf *new);
 static void compare_workspaces(struct diff *d, const struct dl_conf *old,
 			       const struct dl_conf *new);
+static void compare_keys_required(struct diff *d, const struct dl_conf *old,
+				  const struct dl_conf *new);
 static void compare_replicas(struct diff *d, const struct dl_conf *old,
 			     const struct dl_conf *new);
 static bool has_replica(const struct dl_conf *conf,
@@ -496,6 +498,21 @@
 			 new->drain_endpoints_count);
 }
 
+/* Compare whether requests need a key. */
+static void compare_keys_required(struct diff *d, const struct dl_conf *old,
+				  const struct dl_conf *new)
+{
+	if (old->keys_required && !new->keys_required)
+		add_line(
+			d, true,
+			"! workspaces: no list any more; requests need no key");
+	else if (!old->keys_required && new->keys_required)
+		add_line(
+			d, false,
+			"+ workspaces: a list; requests of routes that are not "
+			"public need a key");
+}
+
 /*
  * Compare two configurations: a line for each change with its impact, and
  * whether one of them needs the operator's confirmation. old is NULL for the
@@ -512,6 +529,7 @@
 		old = &empty;
 	} else {
 		compare_replicas(&d, old, new);
+		compare_keys_required(&d, old, new);
 		if (old->weight_store_mb_per_s != new->weight_store_mb_per_s)
 			add_line(&d, false,
 				 "~ weight_store_mb_per_s: %u -> %u; for loads "
--- a/test/test_conf.c
+++ b/test/test_conf.c
@@ -50,6 +50,7 @@
 	  "a whole number" },
 	{ TOP("\"workspace\": {}"), "workspace", 2, "\"workspaces\"" },
 	{ TOP("\"workspaces\": []"), "workspaces", 2, "must be an object" },
+	{ TOP("\"workspaces\": null"), "workspaces", 2, "must be an object" },
 	{ TOP("\"workspaces\": {\n\"w\": 4}"), "workspaces.w", 3,
 	  "must be an object" },
 	{ TOP("\"workspaces\": {\"w\":\n{\"weight\": -1}}"),
@@ -153,6 +154,21 @@
 	  "~ workspaces.kiosks.weight: 4 -> 5", false },
 };
 
+/* No list of workspaces is not an empty one, whose change shuts requests out.
+ */
+#define NO_LIST	   "\"log_level\": \"info\""
+#define EMPTY_LIST "\"workspaces\": {}"
+#define ONE_LISTED "\"workspaces\": {\"w\": {\"keys\": [\"k\"]}}"
+static const struct diff_case workspace_list_cases[] = {
+	{ TOP(NO_LIST), TOP(EMPTY_LIST), "+ workspaces: a list", false },
+	{ TOP(EMPTY_LIST), TOP(NO_LIST), "! workspaces: no list any more",
+	  true },
+	{ TOP(ONE_LISTED), TOP(NO_LIST), "! workspaces: no list any more",
+	  true },
+	{ TOP(ONE_LISTED), TOP(EMPTY_LIST), "! workspaces: 1 of 1 are removed",
+	  true },
+};
+
 #define DIFF_CASES (sizeof(diff_cases) / sizeof(diff_cases[0]))
 
 static struct dl_faults faults;
@@ -375,6 +391,23 @@
 }
 END_TEST
 
+START_TEST(diff_of_the_list_of_workspaces)
+{
+	const struct diff_case *c = &workspace_list_cases[_i];
+	struct dl_conf *old, *new;
+	struct dl_conf_diff diff;
+
+	ck_assert_int_eq(dl_conf_parse(dl_str_of(c->from), &old, &faults), 0);
+	ck_assert_int_eq(dl_conf_parse(dl_str_of(c->to), &new, &faults), 0);
+	ck_assert_int_eq(dl_conf_compare(old, new, &diff), 0);
+	ck_assert_msg(strstr(diff.text, c->expected) != NULL, "%s", diff.text);
+	ck_assert_int_eq(diff.needs_confirm, c->needs_confirm);
+	dl_conf_diff_free(&diff);
+	dl_conf_free(old);
+	dl_conf_free(new);
+}
+END_TEST
+
 START_TEST(diff_of_an_edit)
 {
 	const struct diff_case *c = &diff_cases[_i];
@@ -430,6 +463,7 @@
 	tcase_add_test(t, all_faults_are_reported);
 	tcase_add_test(t, text_too_long);
 	tcase_add_loop_test(t, fuzz, 0, 2);
+	tcase_add_loop_test(t, diff_of_the_list_of_workspaces, 0, 4);
 	tcase_add_loop_test(t, diff_of_an_edit, 0, DIFF_CASES);
 	tcase_add_test(t, majority_of_replicas);
 	return suite_run(s);
--- a/test/test_conf_delta.c
+++ b/test/test_conf_delta.c
@@ -53,8 +53,9 @@
 struct model {
 	uint32_t number;
 	uint32_t workspaces;
-	GArray *services; /* uint32_t, numbers of services */
-	GArray *routes;	  /* struct route_model */
+	bool no_workspaces; /* no list of them, which is not an empty one */
+	GArray *services;   /* uint32_t, numbers of services */
+	GArray *routes;	    /* struct route_model */
 };
 
 /* A version as a VM holds it. */
@@ -156,11 +157,16 @@
 		write_route(s,
 			    &g_array_index(m->routes, struct route_model, i));
 	}
-	g_string_append(s, "],\n \"workspaces\": {");
-	for (uint32_t i = 0; i < m->workspaces; i++)
-		g_string_append_printf(s, "%s\"w-%u\": {\"keys\": [\"k-%u\"]}",
-				       i ? ", " : "", i, i);
-	g_string_append_printf(s, "}, \"number\": %u}\n", m->number);
+	g_string_append(s, "],\n ");
+	if (!m->no_workspaces) {
+		g_string_append(s, "\"workspaces\": {");
+		for (uint32_t i = 0; i < m->workspaces; i++)
+			g_string_append_printf(
+				s, "%s\"w-%u\": {\"keys\": [\"k-%u\"]}",
+				i ? ", " : "", i, i);
+		g_string_append(s, "}, ");
+	}
+	g_string_append_printf(s, "\"number\": %u}\n", m->number);
 	return s;
 }
 
@@ -1076,6 +1082,7 @@
 		break;
 	case 11:
 		m->workspaces = (uint32_t)g_rand_int_range(rand, 0, 5);
+		m->no_workspaces = g_rand_int_range(rand, 0, 4) == 0;
 		break;
 	case 12:
 		rename_service(m);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -531,6 +531,11 @@
 	"\"limits\":{\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":"       \
 	"\"t\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1}]}"
 
+/* One service, and these lists of tenants and routes. */
+#define LISTS(tenants, routes)                                                 \
+	"{\"version\":7,\"services\":[{\"name\":\"w\",\"max_conns\":9}],"      \
+	"\"tenants\":" tenants ",\"routes\":" routes "}"
+
 struct config_case {
 	const char *body;
 	bool valid;
@@ -561,6 +566,44 @@
 	  "{\"name\":\"a\",\"api_keys\":[\"k\"]},"
 	  "{\"name\":\"b\",\"api_keys\":[\"k\"]}]}",
 	  false },
+	/* Of another type, or twice: nothing of it may be left out. */
+	{ LISTS("null", "[]"), false },
+	{ LISTS("{}", "[]"), false },
+	{ LISTS("5", "[]"), false },
+	{ LISTS("[4]", "[]"), false },
+	{ LISTS("[{\"name\":\"t\",\"api_keys\":\"k\"}]", "[]"), false },
+	{ LISTS("[{\"name\":\"t\",\"api_keys\":[\"k\"]},"
+		"{\"name\":\"t\",\"api_keys\":[\"l\"]}]",
+		"[]"),
+	  false },
+	{ LISTS("[{\"name\":\"t\",\"api_keys\":[\"\"]}]", "[]"), false },
+	{ LISTS("[]", "null"), true },
+	{ LISTS("[]", "{}"), false },
+	{ LISTS("[]", "[" ROUTE("\"timeout_ms\":9,\"traffic_split\":[]") "]"),
+	  true },
+	{ LISTS("[]", "[" ROUTE("\"timeout_ms\":9,\"traffic_split\":null") "]"),
+	  true },
+	{ LISTS("[]", "[" ROUTE("\"timeout_ms\":9,\"attempts\":null") "]"),
+	  true },
+	{ "{\"version\":7}", false },
+	{ "{\"version\":7,\"services\":null}", false },
+	{ "{\"version\":7,\"services\":[{\"name\":\"w\",\"engine\":null}]}",
+	  false },
+	{ "{\"version\":7,\"services\":[{\"name\":\"w\",\"engine\":{}}]}",
+	  false },
+	{ LISTS("[]", "[" ROUTE("\"timeout_ms\":\"9\"") "]"), false },
+	{ LISTS("[]", "[" ROUTE("\"timeout_ms\":9,\"attempts\":\"2\"") "]"),
+	  false },
+	{ LISTS("[]", "[" ROUTE("\"timeout_ms\":9,\"public\":1") "]"), false },
+	{ LISTS("[]", "[" ROUTE("\"timeout_ms\":9,\"public\":null") "]"),
+	  true },
+	{ LISTS("[]", "[" ROUTE("\"timeout_ms\":9,\"traffic_split\":{}") "]"),
+	  false },
+	{ "{\"version\":7,\"services\":[{\"name\":\"w\",\"max_conns\":9},"
+	  "{\"name\":\"w\",\"max_conns\":8}]}",
+	  false },
+	{ "{\"version\":7,\"services\":{}}", false },
+	{ "{\"version\":7,\"services\":[],\"limits\":[]}", false },
 };
 
 START_TEST(configurations)
@@ -601,6 +644,72 @@
 }
 END_TEST
 
+struct key_policy_case {
+	const char *body;
+	bool keys_required;
+	bool admits_one; /* the key "one" */
+};
+
+#define TENANTS(more)                                                          \
+	"{\"version\":7,\"services\":[{\"name\":\"w\",\"max_conns\":9}]" more  \
+	"}"
+
+static const struct key_policy_case key_policy_cases[] = {
+	{ TENANTS(""), false, false },
+	{ TENANTS(",\"tenants\":[]"), true, false },
+	{ TENANTS(",\"tenants\":[{\"name\":\"t\"}]"), true, false },
+	{ TENANTS(",\"tenants\":[{\"name\":\"t\",\"api_keys\":null}]"), true,
+	  false },
+	{ TENANTS(",\"tenants\":[{\"name\":\"t\",\"api_keys\":[]}]"), true,
+	  false },
+	{ TENANTS(",\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"one\"]}]"),
+	  true, true },
+};
+
+/* Guards against an empty list of tenants that lets everybody in. */
+START_TEST(empty_list_of_tenants_admits_nobody)
+{
+	const struct key_policy_case *c = &key_policy_cases[_i];
+	struct dl_faults faults;
+	struct dl_conf *conf;
+	struct dl_err err;
+	char *text;
+
+	ck_assert_int_eq(d->configuration(dl_str_of(c->body), &text, &err), 0);
+	ck_assert_int_eq(dl_conf_parse(dl_str_of(text), &conf, &faults), 0);
+	ck_assert(conf->keys_required == c->keys_required);
+	ck_assert((dl_conf_workspace_of_key(conf, DL_STR("one")) != NULL) ==
+		  c->admits_one);
+	ck_assert_ptr_null(dl_conf_workspace_of_key(conf, DL_STR("")));
+	dl_conf_free(conf);
+	free(text);
+}
+END_TEST
+
+/* Guards against a service that gets nothing for a weight below 1. */
+START_TEST(fractional_weights_keep_their_shares)
+{
+	static const char body[] =
+		"{\"version\":7,\"services\":[{\"name\":\"a\"},"
+		"{\"name\":\"b\"}],\"routes\":[{\"name\":\"r\","
+		"\"host\":\"h\",\"path_prefix\":\"/p/\","
+		"\"kind\":\"stream\",\"timeout_ms\":9,\"traffic_split\":["
+		"{\"service\":\"a\",\"weight\":0.25},"
+		"{\"service\":\"b\",\"weight\":1}]}]}";
+	struct dl_faults faults;
+	struct dl_conf *conf;
+	struct dl_err err;
+	char *text;
+
+	ck_assert_int_eq(d->configuration(dl_str_of(body), &text, &err), 0);
+	ck_assert_int_eq(dl_conf_parse(dl_str_of(text), &conf, &faults), 0);
+	ck_assert_uint_eq(conf->routes[0]->targets[0].weight, 250);
+	ck_assert_uint_eq(conf->routes[0]->targets[1].weight, 1000);
+	dl_conf_free(conf);
+	free(text);
+}
+END_TEST
+
 struct load_case {
 	const char *body;
 	int rc;
@@ -693,6 +802,10 @@
 	tcase_add_test(t, announcement_replies);
 	tcase_add_loop_test(t, configurations, 0,
 			    sizeof(config_cases) / sizeof(config_cases[0]));
+	tcase_add_loop_test(t, empty_list_of_tenants_admits_nobody, 0,
+			    sizeof(key_policy_cases) /
+				    sizeof(key_policy_cases[0]));
+	tcase_add_test(t, fractional_weights_keep_their_shares);
 	tcase_add_loop_test(t, loads_of_engines, 0,
 			    sizeof(load_cases) / sizeof(load_cases[0]));
 	tcase_add_test(t, query_for_the_load);
