A pause of this process is not the silence of its peers

Cause, shown by the logs of a run: in the millisecond in which entry 1 goes on it logs "Silent connection replaced" for all its connections, and "An endpoint leaves" never, 24 times at each other entry. libuv runs timers before it polls, and epoll_wait returns with EINTR after SIGCONT, so that on_timer() in peers.c closed connections with departures in them that it had not read. Ruled out: that they were not sent, and that the entry was left out as dead.

Change: peers do not count the time for which their timer was late; timers of the HTTP client and of tunnels that fire 100 ms late or more are put off until what has arrived is read; the node leaves one tick out after a pause of 200 ms, and counts pauses (pauses) and logs those of 1 s.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -79,6 +79,12 @@
 	X(services_cut_off,                                                    \
 	  "services whose endpoints this VM is cut off from")                  \
 	X(directory_full, "announcements ignored for want of room")            \
+	X(departures_known, "departures of endpoints that are remembered")     \
+	X(departures_recovered,                                                \
+	  "departures learned from another VM's list, not as they happened")   \
+	X(departures_unconfirmed,                                              \
+	  "departures not acknowledged, as no other replica confirmed them")   \
+	X(pauses, "times that the process did not run for 200 ms or longer")   \
 	X(vms_live, "VMs considered live")                                     \
 	X(peer_frames_in, "frames received from other VMs")                    \
 	X(peer_frames_out, "frames sent to other VMs")                         \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -74,6 +74,7 @@
 	X(LEASE_EXPIRED, DL_WARN, "lease",                                     \
 	  "The configuration lease has expired.")                              \
 	/* both programs */                                                    \
+	X(PAUSED, DL_WARN, "node", "The process did not run for a while.")     \
 	X(STOP_REPEATED, DL_INFO, "node",                                      \
 	  "Already stopping; a repeated SIGTERM is ignored.")                  \
 	X(LOG_UNOPENED, DL_WARN, "node",                                       \
@@ -93,6 +94,12 @@
 	X(ENDPOINT_LEAVING, DL_INFO, "directory", "An endpoint leaves.")       \
 	X(DIRECTORY_FULL, DL_ERROR, "directory",                               \
 	  "An endpoint is ignored, too many are known.")                       \
+	X(DEPARTURES_RECOVERED, DL_INFO, "directory",                          \
+	  "Departures are known from another VM's list.")                      \
+	X(DEPARTURES_IN_SYNC, DL_INFO, "directory",                            \
+	  "Departures were compared after the start.")                         \
+	X(DEPARTURE_UNCONFIRMED, DL_WARN, "directory",                         \
+	  "A departure is not acknowledged, no other replica confirmed it.")   \
 	X(ENDPOINT_LEAVING_REPLY, DL_INFO, "directory",                        \
 	  "A response says that its endpoint leaves.")                         \
 	X(LIMIT_ANNOUNCED, DL_INFO, "limit",                                   \
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -21,6 +21,11 @@
 static void on_frame(void *arg, uint64_t from, const struct dl_frame *frame);
 static void on_up(void *arg, uint64_t vm);
 static void on_down(void *arg, uint64_t vm);
+/* A tick after this long shows that the process did not run; 10 are missing. */
+#define PAUSE_MS (10 * DL_NODE_TICK_MS)
+/* Shorter pauses are counted only: a busy VM has many. */
+#define PAUSE_LOGGED_MS 1000
+
 static void on_tick(uv_timer_t *timer);
 static void on_signal(uv_signal_t *handle, int signum);
 
@@ -228,10 +233,28 @@
 		reload(node);
 }
 
+/*
+ * Whether this process did not run for a while. Its sockets are then read
+ * before the next tick, which may take what has arrived for silence otherwise.
+ */
+static bool was_paused(struct dl_node *node, int64_t now)
+{
+	int64_t ms = now - node->ticked_at;
+	bool paused = node->ticked_at && ms >= PAUSE_MS;
+
+	node->ticked_at = now;
+	if (paused && ms >= PAUSE_LOGGED_MS)
+		dl_msg(DL_MSG_PAUSED, "paused_ms=%ld", (long)ms);
+	dl_count(DL_METRIC_pauses, paused);
+	return paused;
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	struct dl_node *node = timer->data;
 
+	if (was_paused(node, dl_node_now(node)))
+		return;
 	poll_settings(node, dl_node_now(node));
 
 	if (node->settings.cut_file[0])
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -117,7 +117,7 @@
 void httpc_call_timer(struct dl_httpc_call *call, uint32_t ms)
 {
 	if (!call->ended)
-		uv_timer_start(&call->timer, on_timer, ms, 0);
+		dl_timer_once(&call->timer, on_timer, ms, &call->due);
 }
 
 /*
@@ -171,6 +171,8 @@
 		call_free(call);
 		return;
 	}
+	if (dl_timer_put_off(timer, on_timer, &call->due))
+		return;
 	if (call->connecting) {
 		httpc_connect_timer(call);
 		return;
--- a/src/transport/httpc_int.h
+++ b/src/transport/httpc_int.h
@@ -7,6 +7,7 @@
 
 #include "transport/frame.h"
 #include "transport/httpc.h"
+#include "transport/late_timer.h"
 
 #define READ_MAX 65536
 /* Longest idle time of a connection in the pool. */
@@ -77,6 +78,7 @@
 		*conn; /* NULL before it is made, and once closed or pooled */
 	struct connecting *connecting; /* NULL: not any more */
 	uv_timer_t timer;
+	uint64_t due; /* when the timer fires */
 	const struct dl_httpc_ops *ops;
 	void *arg;
 	struct dl_attempt attempt;
--- a/src/transport/peers.c
+++ b/src/transport/peers.c
@@ -14,6 +14,7 @@
 
 #include "base/metric.h"
 #include "base/msg.h"
+#include "transport/late_timer.h"
 #include "transport/sock.h"
 
 #define LISTEN_BACKLOG	  512
@@ -60,6 +61,7 @@
 	uv_tcp_t listener;
 	uv_udp_t udp;
 	uv_timer_t timer;
+	int64_t timer_at; /* when it fired last */
 	struct conn *conns;
 	GHashTable *by_vm; /* VM to the connection opened to it */
 	uint64_t blocked[DL_PEERS_BLOCKED_MAX];
@@ -619,6 +621,29 @@
 	msgpack_unpacked_destroy(&u);
 }
 
+/*
+ * Returns for how long this process did not run since the timer fired last, ms.
+ */
+static int64_t pause_ms(struct dl_peers *peers, int64_t now)
+{
+	int64_t late = now - peers->timer_at - peers->conf.connect_ms / 2;
+
+	peers->timer_at = now;
+	return late < DL_TIMER_LATE_MS ? 0 : late;
+}
+
+/*
+ * Does not count a pause of this process as silence of its peers, whose frames
+ * wait to be read: they may be told of only once.
+ */
+static void allow_for_pause(struct dl_peers *peers, int64_t pause)
+{
+	for (struct conn *c = peers->conns; c; c = c->next) {
+		c->last_read += pause;
+		c->connect_started += pause;
+	}
+}
+
 static bool conn_timed_out(const struct conn *c, int64_t now)
 {
 	return now - c->last_read > c->peers->conf.silent_ms;
@@ -649,6 +674,7 @@
 	struct conn *c, *next;
 	char text[24];
 
+	allow_for_pause(peers, pause_ms(peers, now));
 	for (c = peers->conns; c; c = next) {
 		next = c->next;
 		if (conn_timed_out(c, now)) {
@@ -733,6 +759,7 @@
 				  dl_vm_text(conf->self, text),
 				  "cannot listen: %s", uv_strerror(rc));
 	}
+	peers->timer_at = peers_now(peers);
 	uv_timer_start(&peers->timer, on_timer, conf->connect_ms / 2,
 		       conf->connect_ms / 2);
 	*out = peers;
--- a/src/transport/tunnel.c
+++ b/src/transport/tunnel.c
@@ -14,6 +14,7 @@
 
 #include "base/metric.h"
 #include "transport/frame.h"
+#include "transport/late_timer.h"
 #include "transport/sock.h"
 
 /* Time for the client's first frame. */
@@ -62,6 +63,7 @@
 	struct tunnel *next, *prev;
 	struct side client, endpoint;
 	uv_timer_t timer;
+	uint64_t due; /* when the timer fires */
 	uv_connect_t connect;
 	struct dl_frame_reader in;
 	enum tunnel_state state;
@@ -356,7 +358,7 @@
 	if (!t->checks_pending)
 		answer_failed(t, t->reaches_others);
 	else
-		uv_timer_start(&t->timer, on_timer, CONNECT_MS, 0);
+		dl_timer_once(&t->timer, on_timer, CONNECT_MS, &t->due);
 }
 
 static void on_check_connected(uv_connect_t *req, int status)
@@ -405,6 +407,8 @@
 {
 	struct tunnel *t = timer->data;
 
+	if (dl_timer_put_off(timer, on_timer, &t->due))
+		return;
 	switch (t->state) {
 	case TUNNEL_AWAITS_OPEN:
 		tunnel_close(t, true);
@@ -412,8 +416,8 @@
 	case TUNNEL_CONNECTING:
 		if (!t->checked) {
 			start_checks(t);
-			uv_timer_start(&t->timer, on_timer,
-				       CONNECT_MS - CHECK_AFTER_MS, 0);
+			dl_timer_once(&t->timer, on_timer,
+				      CONNECT_MS - CHECK_AFTER_MS, &t->due);
 			return;
 		}
 		t->result = DL_DIRECT_SILENT;
@@ -450,7 +454,7 @@
 	t->state = TUNNEL_CONNECTING;
 	side_init(t, &t->endpoint);
 	t->connect.data = t;
-	uv_timer_start(&t->timer, on_timer, CHECK_AFTER_MS, 0);
+	dl_timer_once(&t->timer, on_timer, CHECK_AFTER_MS, &t->due);
 	if (start_connect(&t->endpoint.tcp, &t->connect, t->to,
 			  on_endpoint_connected))
 		endpoint_failed(t, DL_DIRECT_REFUSED);
@@ -553,7 +557,7 @@
 	}
 	t->from_ip = peer_ip(&t->client.tcp);
 	uv_tcp_nodelay(&t->client.tcp, 1);
-	uv_timer_start(&t->timer, on_timer, OPEN_MS, 0);
+	dl_timer_once(&t->timer, on_timer, OPEN_MS, &t->due);
 }
 
 static void on_listener_closed(uv_handle_t *handle)
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -7,6 +7,7 @@
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "fake/suite.h"
 #include "transport/httpc.h"
@@ -229,6 +230,9 @@
 	uv_tcp_nodelay(&server, 1);
 }
 
+/* Nothing runs for this long after each write of the server. */
+static uint32_t pause_ms;
+
 /* Sends one write per tick, so that the pieces arrive separately. */
 static void on_tick(uv_timer_t *timer)
 {
@@ -244,6 +248,8 @@
 			uv_buf_init((char *)text, (unsigned)strlen(text));
 
 		uv_write(req, (uv_stream_t *)&server, &buf, 1, on_written);
+		if (pause_ms)
+			usleep(pause_ms * 1000);
 	}
 	if (step < 3 && response->writes[step])
 		return;
@@ -366,6 +372,8 @@
  */
 static uint32_t idle_ms(void)
 {
+	if (pause_ms)
+		return pause_ms / 2;
 	return response && response->failure == DL_FAILURE_IDLE_TIMEOUT ? 600 :
 									  3000;
 }
@@ -446,6 +454,19 @@
 }
 END_TEST
 
+/*
+ * Guards against a process that stood still and gives up calls whose responses
+ * it has not read.
+ */
+START_TEST(response_sent_during_a_pause_is_read)
+{
+	response = &responses[1]; /* complete by length, in pieces */
+	pause_ms = 600;
+	check_response(false);
+	pause_ms = 0;
+}
+END_TEST
+
 START_TEST(connection_refused)
 {
 	struct dl_httpc *client;
@@ -475,6 +496,7 @@
 			    0,
 			    sizeof(close_delimited_responses) /
 				    sizeof(close_delimited_responses[0]));
+	tcase_add_test(t, response_sent_during_a_pause_is_read);
 	tcase_add_test(t, connection_refused);
 	return suite_run(s);
 }
--- a/test/test_peers.c
+++ b/test/test_peers.c
@@ -8,6 +8,7 @@
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/metric.h"
 #include "fake/suite.h"
@@ -316,6 +317,31 @@
 }
 END_TEST
 
+/*
+ * Guards against a process that stood still and closes its connections with
+ * frames in them that it has not read.
+ */
+START_TEST(frames_sent_during_a_pause_are_read)
+{
+	struct node a, b;
+
+	open_node(&a, VM(1, 7006), 1);
+	open_node(&b, VM(2, 7006), 1);
+	dl_peers_send(a.peers, VM(2, 7006), DL_FRAME_REPORT, 1, DL_STR("x"));
+	run_until(&b.frames, 1);
+	dl_peers_send(a.peers, VM(2, 7006), DL_FRAME_REPORT, 2, DL_STR("xy"));
+	/* Longer than silent_ms. */
+	usleep(500 * 1000);
+	run_until(&b.frames, 2);
+	ck_assert_uint_eq(b.last_n, 2);
+	for (int i = 0; i < 20; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_eq(a.downs, 0);
+	dl_peers_close(a.peers);
+	dl_peers_close(b.peers);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("peers");
@@ -331,5 +357,6 @@
 	tcase_add_test(t, silent_connection_is_closed);
 	tcase_add_test(t, invalid_frame_closes_only_its_connection);
 	tcase_add_test(t, restarted_process_replaces_the_old_one);
+	tcase_add_test(t, frames_sent_during_a_pause_are_read);
 	return suite_run(s);
 }
