Departures of endpoints are compared between processes, and outlive their teller

A departure was told once, to the processes that lived then, and kept in memory by each for itself. Ruled out: the sequence number (nothing to compare it with), the caches of the other replicas (they remove the report with the departure).

Change: each process keeps a list of departures for 120 s, also of instances that it does not know. Lists are offered on each new connection, and compared after each departure and once a second; who lacks some requests them. A departure is acknowledged once another replica has confirmed it, else 503 after 500 ms. A replica that has just started holds announcements until it has compared its list, for 1 s of contact at most. In the directory the start time and the sequence number decide between two words: a departure covers earlier starts, a departed instance takes no address from another, one that an older instance displaced returns, and addresses that are silent make room where 8,192 are known.

--- a/include/daisyledge/directory.h
+++ b/include/daisyledge/directory.h
@@ -10,7 +10,7 @@
 #ifndef DAISYLEDGE_DIRECTORY_H
 #define DAISYLEDGE_DIRECTORY_H
 
-#include "daisyledge/leaving.h"
+#include "daisyledge/departures.h"
 
 struct dl_directory;
 
@@ -34,12 +34,14 @@
 	 */
 	int64_t left_since;
 	int64_t left_now;
+	int64_t left_heard; /* when the first process heard of it; 0: now */
 };
 
 /* An instance that a later one replaced at the same address. */
 struct dl_directory_previous {
 	struct dl_name instance;
 	uint64_t born;
+	uint64_t sequence; /* of its last announcement */
 };
 
 struct dl_directory_entry {
@@ -67,6 +69,11 @@
 
 struct dl_directory *dl_directory_new(void);
 void dl_directory_free(struct dl_directory *dir);
+/*
+ * The departures of instances, also of those that the directory does not know.
+ * dl_directory_apply() adds to them.
+ */
+struct dl_departures *dl_directory_departures(const struct dl_directory *dir);
 /*
  * Applies an announcement. Sets entry to the known instance, or NULL; it is
  * valid until the next call. Sets superseded to the entry of an earlier
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -108,6 +108,11 @@
 	case DL_FRAME_QUERY:
 		entry_ops_frame(e, from, frame);
 		return;
+	case DL_FRAME_DEPARTURES_AT:
+	case DL_FRAME_DEPARTURES_REQUEST:
+	case DL_FRAME_DEPARTURES:
+		entry_announce_departures_frame(e, from, frame);
+		return;
 	case DL_FRAME_ENDPOINT_FAULT:
 		entry_check_frame(e, from, frame);
 		return;
@@ -120,6 +125,7 @@
 static void on_up(void *arg, uint64_t vm)
 {
 	entry_quarantine_vm_up(arg, vm);
+	entry_announce_vm_up(arg, vm);
 }
 
 static void on_down(void *arg, uint64_t vm)
@@ -192,6 +198,7 @@
 	entry_lease_tick(e, now);
 	entry_quarantine_tick(e, now);
 	entry_limit_tick(e, now);
+	departures_tick(&e->departures);
 	if (now - e->metrics_updated_at >= GAUGES_INTERVAL_MS) {
 		e->metrics_updated_at = now;
 		update_live_vms(e);
@@ -304,6 +311,8 @@
 	e->replica_heard_at = entry_now(e);
 	e->started_at = entry_now(e);
 	e->directory = dl_directory_new();
+	departures_init(&e->departures, dl_directory_departures(e->directory),
+			e->node.peers);
 	e->reports = dl_reports_new();
 	e->backoff = dl_backoff_new();
 	entry_quarantine_init(e);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -58,6 +58,7 @@
 #include "daisyledge/paths.h"
 #include "daisyledge/pool.h"
 #include "daisyledge/retry.h"
+#include "node/departures.h"
 #include "node/node.h"
 #include "node/quarantine.h"
 #include "protocol/api.h"
@@ -392,6 +393,7 @@
 	uint32_t lease_asked; /* replicas asked while there was no lease */
 	struct dl_evacuations evacuations; /* as the replicas last named them */
 	struct dl_directory *directory;
+	struct departures departures; /* of the directory, and of other VMs */
 	struct dl_reports *reports; /* forwarded by replicas */
 	struct dl_backoff *backoff; /* asked of this VM by endpoints */
 	struct quarantine quarantine;
@@ -664,6 +666,9 @@
 uint64_t entry_endpoint_instance_id(struct entry *e, struct dl_str service,
 				    struct dl_str address);
 int entry_announce_receive(struct entry *e, struct dl_announcement *a);
+void entry_announce_departures_frame(struct entry *e, uint64_t from,
+				     const struct dl_frame *f);
+void entry_announce_vm_up(struct entry *e, uint64_t vm);
 void entry_announce_departure(struct entry *e,
 			      const struct dl_directory_entry *d,
 			      uint64_t dispatcher);
--- a/src/entry/entry_announce.c
+++ b/src/entry/entry_announce.c
@@ -248,6 +248,40 @@
 		       (unsigned long)from, f->body.n, rc);
 }
 
+/* Applies a departure that another process handed over. */
+static void apply_departure(void *arg, struct dl_announcement *a)
+{
+	struct entry *e = arg;
+
+	dl_reports_remove(e->reports, dl_name_str(&a->instance));
+	apply_forwarded(e, a);
+}
+
+/* Handles a frame by which departures are compared. */
+void entry_announce_departures_frame(struct entry *e, uint64_t from,
+				     const struct dl_frame *f)
+{
+	if (f->kind == DL_FRAME_DEPARTURES_AT)
+		departures_at_frame(&e->departures, from, f, false);
+	else if (f->kind == DL_FRAME_DEPARTURES_REQUEST)
+		departures_request_frame(&e->departures, from, f, false);
+	else
+		departures_list_frame(&e->departures, from, f, false,
+				      apply_departure, e);
+}
+
+/*
+ * Offers the departures known here to a replica that may have just started. All
+ * replicas may have started again at the same time.
+ */
+void entry_announce_vm_up(struct entry *e, uint64_t vm)
+{
+	const struct dl_member *m = dl_memb_find(e->node.memb, vm);
+
+	if (m && m->replica && dl_departures_last(e->departures.list))
+		departures_offer(&e->departures, vm);
+}
+
 /*
  * Handles a response in which an endpoint instance reports that it is leaving.
  * Its announcement may be late, or the endpoint may have been unable to send
--- a/src/node/node_announce.c
+++ b/src/node/node_announce.c
@@ -29,6 +29,7 @@
 		.leaving = a->report.leaving,
 		.left_since = MAX(since, 0),
 		.left_now = boot,
+		.left_heard = a->departure_heard_at,
 	};
 	enum dl_directory_result result =
 		dl_directory_apply(directory, &update, now, entry, superseded);
@@ -63,6 +64,8 @@
 {
 	a->report.id = start->address;
 	a->service = start->service;
+	if (!a->born)
+		a->born = start->born;
 	a->report.leaving = start->leaving;
 	a->report.leaving_ms = start->leaving ?
 				       dl_leaving_age_ms(&start->departure,
--- a/src/protocol/api.h
+++ b/src/protocol/api.h
@@ -88,6 +88,11 @@
 	uint64_t sequence; /* increases with each announcement of an instance */
 	uint64_t born; /* start time of the instance by the endpoint's clock; 0:
 			  unknown */
+	/*
+	 * When the first process heard of its departure, in ms since boot; 0:
+	 * now. Only for departures that another process handed over.
+	 */
+	int64_t departure_heard_at;
 	uint64_t order_fence;
 	/* What orders change; empty if the endpoint announces none of it. */
 	struct dl_name models[DL_ANNOUNCED_MODELS_MAX];
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -140,6 +140,11 @@
 	case DL_FRAME_UNCHANGED:
 		replica_services_refresh(r, from, frame);
 		return;
+	case DL_FRAME_DEPARTURES_AT:
+	case DL_FRAME_DEPARTURES_REQUEST:
+	case DL_FRAME_DEPARTURES:
+		replica_departures_frame(r, from, frame);
+		return;
 	case DL_FRAME_REPORTS_REQUEST:
 		replica_announce_request(r, from, frame);
 		return;
@@ -328,6 +333,7 @@
 static void on_up(void *arg, uint64_t vm)
 {
 	replica_quarantine_up(arg, vm);
+	replica_departures_up(arg, vm);
 }
 
 static void on_tick(void *arg, int64_t now)
@@ -340,6 +346,7 @@
 	replica_query_tick(r, replica_now(r));
 	replica_orders_tick(r, replica_now(r));
 	replica_http_tick(r, replica_now(r));
+	replica_departures_tick(r, replica_now(r));
 	replica_announce_tick(r, replica_now(r));
 	replica_services_tick(r, replica_now(r));
 	replica_quarantine_tick(r, replica_now(r));
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -8,6 +8,7 @@
 #include "daisyledge/crash_store.h"
 #include "daisyledge/cstore.h"
 #include "daisyledge/rlog.h"
+#include "node/departures.h"
 #include "node/node.h"
 #include "node/quarantine.h"
 #include "protocol/pack.h"
@@ -119,6 +120,7 @@
 	struct replica_http *http; /* NULL if not configured */
 	struct replica_announce *announce;
 	struct replica_services *services;
+	struct replica_departures *departures; /* NULL if not configured */
 	struct quarantine quarantine;
 	struct dl_crash_store *crashes; /* the active ones, on disk */
 	bool crashes_unsaved;		/* the last save of them failed */
@@ -139,6 +141,8 @@
 struct replica_announce *replica_announce_new(void);
 void replica_announce_relay(struct replica *r, const struct dl_announcement *a);
 void replica_announce_leaving(struct replica *r, const struct dl_frame *f);
+void replica_announce_departed(struct replica *r,
+			       const struct dl_announcement *a);
 void replica_announce_request(struct replica *r, uint64_t from,
 			      const struct dl_frame *f);
 void replica_announce_tick(struct replica *r, int64_t now);
@@ -156,6 +160,21 @@
 void replica_conf_tick(struct replica *r, int64_t now);
 void replica_conf_close(struct replica *r);
 
+/* replica_departures.c */
+void replica_departures_open(struct replica *r, struct dl_departures *list);
+void replica_departures_up(struct replica *r, uint64_t vm);
+bool replica_departures_hold(struct replica *r,
+			     const struct dl_announcement *a);
+void replica_departures_acknowledge(struct replica *r,
+				    struct dl_httpd_req *http_req,
+				    const struct dl_announcement *a,
+				    bool deregistered);
+void replica_departures_gone(struct replica *r,
+			     const struct dl_httpd_req *http_req);
+void replica_departures_frame(struct replica *r, uint64_t from,
+			      const struct dl_frame *f);
+void replica_departures_tick(struct replica *r, int64_t now);
+
 /* replica_evacuation.c */
 void replica_evacuation_pack(struct replica *r, struct dl_packer *pk);
 void replica_evacuation_check(struct replica *r);
@@ -169,6 +188,10 @@
 /* replica_http.c */
 int replica_http_open(struct replica *r, struct dl_err *err);
 void replica_http_tick(struct replica *r, int64_t now);
+void replica_http_announce(struct replica *r, struct dl_announcement *a);
+void replica_http_accept(struct replica *r, struct dl_httpd_req *req,
+			 bool deregistered);
+void replica_http_refuse_leaving(struct dl_httpd_req *req, const char *why);
 void replica_http_endpoint_leaving(struct replica *r,
 				   const struct dl_announcement *a);
 void replica_http_change_decided(const struct replica_pending *p,
--- a/src/replica/replica_announce.c
+++ b/src/replica/replica_announce.c
@@ -189,9 +189,16 @@
 	a.report.leaving_ms = dl_leaving_add_delay(
 		a.report.leaving_ms,
 		f->sent_after ? dl_node_boot_ms() - f->sent_after : -1);
-	dl_reports_remove(r->announce->reports, dl_name_str(&a.instance));
-	replica_services_note(r, &a);
-	replica_http_endpoint_leaving(r, &a);
+	replica_announce_departed(r, &a);
+}
+
+/* Records that an endpoint is leaving, as another process knows. */
+void replica_announce_departed(struct replica *r,
+			       const struct dl_announcement *a)
+{
+	dl_reports_remove(r->announce->reports, dl_name_str(&a->instance));
+	replica_services_note(r, a);
+	replica_http_endpoint_leaving(r, a);
 }
 
 /* Sends an entry the reports of keys that it does not know. */
--- a/src/replica/replica_http.c
+++ b/src/replica/replica_http.c
@@ -129,15 +129,73 @@
 	return s.contact;
 }
 
+/*
+ * Replies that an announcement is accepted. Unless the endpoint deregistered,
+ * it is told to stay with this replica: if it used a different one each time,
+ * it would be new to each of them, its report would be sent to every VM again,
+ * and it would need a new connection.
+ */
+void replica_http_accept(struct replica *r, struct dl_httpd_req *req,
+			 bool deregistered)
+{
+	char text[DL_DIALECT_TEXT_MAX];
+	size_t n = platform_dialect.announce_reply(
+		deregistered ? DL_VM_NONE : r->node.settings.operators, text);
+
+	reply_json(req, 200, (struct dl_str){ text, n });
+}
+
+/* Replies that a departure is not acknowledged here. */
+void replica_http_refuse_leaving(struct dl_httpd_req *req, const char *why)
+{
+	reply_error(req, 503, why);
+}
+
+/* Marks an announcement of an instance whose departure is known as leaving. */
+static void apply_departure(const struct replica_http *h,
+			    struct dl_announcement *a)
+{
+	const struct dl_departure *d =
+		dl_departures_find(dl_directory_departures(h->directory),
+				   dl_name_str(&a->instance), a->born);
+	struct dl_leaving dated = { .known = true };
+
+	if (!d || a->report.leaving)
+		return;
+	dated.since = d->since;
+	a->report.leaving = true;
+	a->report.leaving_ms = dl_leaving_age_ms(&dated, dl_node_boot_ms());
+}
+
+/* Applies an announcement that an endpoint made here, and relays it. */
+void replica_http_announce(struct replica *r, struct dl_announcement *a)
+{
+	const struct dl_directory_entry *entry, *superseded;
+	struct replica_http *h = r->http;
+	enum dl_directory_result result;
+
+	dl_node_date_announcement(h->directory, a);
+	result = dl_node_apply_announcement(h->directory, a, replica_now(r),
+					    &entry, &superseded);
+	if (result != DL_DIRECTORY_STALE)
+		dl_node_fill_announcement(a, entry);
+	apply_departure(h, a);
+	if (result != DL_DIRECTORY_STALE && !a->report.leaving)
+		dl_directory_note_staying(h->directory,
+					  dl_name_str(&a->report.id),
+					  dl_name_str(&a->instance),
+					  dl_node_boot_ms());
+	if (result != DL_DIRECTORY_STALE)
+		replica_services_note(r, a);
+	replica_announce_relay(r, a);
+}
+
 static void on_announce(struct replica_http *h, struct dl_httpd_req *req,
 			struct dl_str id, bool leave)
 {
-	const struct dl_directory_entry *entry, *superseded;
 	struct dl_announcement a;
-	enum dl_directory_result result;
-	char text[DL_DIALECT_TEXT_MAX];
 	struct dl_err err;
-	size_t n;
+	bool leaving;
 	int rc;
 
 	if (!has_leader_contact(h)) {
@@ -154,27 +212,13 @@
 		reply_error(req, 400, err.text);
 		return;
 	}
-	dl_node_date_announcement(h->directory, &a);
-	result = dl_node_apply_announcement(h->directory, &a, replica_now(h->r),
-					    &entry, &superseded);
-	if (result != DL_DIRECTORY_STALE)
-		dl_node_fill_announcement(&a, entry);
-	if (result != DL_DIRECTORY_STALE && !a.report.leaving)
-		dl_directory_note_staying(h->directory,
-					  dl_name_str(&a.report.id),
-					  dl_name_str(&a.instance),
-					  dl_node_boot_ms());
-	if (result != DL_DIRECTORY_STALE)
-		replica_services_note(h->r, &a);
-	replica_announce_relay(h->r, &a);
-	/*
-	 * Tell the endpoint to stay with this replica. If it used a different
-	 * one each time, it would be new to each of them, its report would be
-	 * sent to every VM again, and it would need a new connection.
-	 */
-	n = platform_dialect.announce_reply(
-		leave ? DL_VM_NONE : h->r->node.settings.operators, text);
-	reply_json(req, 200, (struct dl_str){ text, n });
+	leaving = a.report.leaving;
+	if (!replica_departures_hold(h->r, &a))
+		replica_http_announce(h->r, &a);
+	if (leaving)
+		replica_departures_acknowledge(h->r, req, &a, leave);
+	else
+		replica_http_accept(h->r, req, false);
 }
 
 /*
@@ -415,6 +459,7 @@
 		if (p->http_req == req)
 			p->http_req = NULL;
 	}
+	replica_departures_gone(h->r, req);
 }
 
 static void on_drained(void *arg, struct dl_httpd_req *req)
@@ -489,6 +534,7 @@
 	h->r = r;
 	h->directory = dl_directory_new();
 	r->http = h;
+	replica_departures_open(r, dl_directory_departures(h->directory));
 	return dl_httpd_open(r->node.loop, &conf, &httpd_ops, h, &h->httpd,
 			     err);
 }
--- a/src/transport/frame.h
+++ b/src/transport/frame.h
@@ -57,6 +57,9 @@
 	DL_FRAME_LEASE_REQUEST = 48, /* entry to replica: version in force */
 	DL_FRAME_LEASE = 49,	     /* reply of the leader */
 	DL_FRAME_CONF_ACK = 47,	     /* the version is in force at the sender */
+	DL_FRAME_DEPARTURES_AT = 57, /* how far the sender's departures go */
+	DL_FRAME_DEPARTURES_REQUEST = 58,
+	DL_FRAME_DEPARTURES = 59,
 };
 
 struct dl_frame {
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -241,6 +241,84 @@
 }
 END_TEST
 
+/* Guards against a late announcement that brings back an instance that left. */
+START_TEST(departure_is_known_before_its_instance)
+{
+	ck_assert_int_eq(announce_born("", "i-1", 100, 0, true, 1000),
+			 DL_DIRECTORY_STALE);
+	announce_born(AT, "i-1", 100, 7, false, 4000);
+	ck_assert(known()->leaving);
+	/* An older start of it departed as well, a later one did not. */
+	announce_born("10.0.0.8:80", "i-1", 90, 7, false, 4000);
+	ck_assert_int_ne(announce_born("10.0.0.8:80", "i-1", 90, 7, false,
+				       4000),
+			 DL_DIRECTORY_NEW);
+	ck_assert_int_eq(announce_born(AT, "i-1", 200, 1, false, 4000),
+			 DL_DIRECTORY_NEW);
+	ck_assert(!known()->leaving);
+}
+END_TEST
+
+START_TEST(departed_instance_takes_no_address)
+{
+	announce("", "i-1", 0, true);
+	announce(AT, "i-2", 1, false);
+	ck_assert_int_eq(announce(AT, "i-1", 7, false), DL_DIRECTORY_STALE);
+	ck_assert(dl_name_eq(&known()->instance, DL_STR("i-2")));
+}
+END_TEST
+
+/* A deregistration that names no start is one of the start that is known. */
+START_TEST(departure_without_start_time_spares_a_restart)
+{
+	announce_born(AT, "i-1", 100, 1, false, 1000);
+	announce_born("", "i-1", 0, 0, true, 1000);
+	ck_assert(known()->leaving);
+	ck_assert_int_eq(announce_born(AT, "i-1", 200, 1, false, 2000),
+			 DL_DIRECTORY_NEW);
+	ck_assert(!known()->leaving);
+}
+END_TEST
+
+/*
+ * Guards against a live instance that is shut out for good, since an older one
+ * announced itself late while it was silent.
+ */
+START_TEST(later_start_returns_after_an_older_one)
+{
+	announce_born(AT, "i-2", 200, 5, false, 1000);
+	ck_assert_int_eq(announce_born(AT, "i-1", 100, 9, false, 5000),
+			 DL_DIRECTORY_NEW);
+	/* Late itself, which shows nothing. */
+	ck_assert_int_eq(announce_born(AT, "i-2", 200, 5, false, 5100),
+			 DL_DIRECTORY_STALE);
+	ck_assert_int_eq(announce_born(AT, "i-2", 200, 6, false, 5200),
+			 DL_DIRECTORY_NEW);
+	ck_assert_int_eq(announce_born(AT, "i-1", 100, 10, false, 5300),
+			 DL_DIRECTORY_STALE);
+	ck_assert(dl_name_eq(&known()->instance, DL_STR("i-2")));
+}
+END_TEST
+
+/* Guards against new endpoints that are ignored for good once it was full. */
+START_TEST(silent_endpoints_make_room)
+{
+	char address[32], name[32];
+	int n = 0;
+
+	do {
+		snprintf(address, sizeof(address), "10.%d.%d.%d:80", n >> 16,
+			 n >> 8 & 255, n & 255);
+		snprintf(name, sizeof(name), "i-%d", n++);
+	} while (announce_born(address, name, 0, 1, false, 1000) ==
+			 DL_DIRECTORY_NEW &&
+		 n < 100000);
+	ck_assert_int_lt(n, 100000);
+	ck_assert_int_eq(announce_born(address, name, 0, 1, false, 62000),
+			 DL_DIRECTORY_NEW);
+}
+END_TEST
+
 START_TEST(silent_endpoints_expire)
 {
 	announce(AT, "i-1", 1, false);
@@ -274,6 +352,11 @@
 	tcase_add_test(t, unnamed_instance_is_ignored);
 	tcase_add_test(t,
 		       endpoint_beyond_the_limit_is_ignored_without_an_entry);
+	tcase_add_test(t, departure_is_known_before_its_instance);
+	tcase_add_test(t, departed_instance_takes_no_address);
+	tcase_add_test(t, departure_without_start_time_spares_a_restart);
+	tcase_add_test(t, later_start_returns_after_an_older_one);
+	tcase_add_test(t, silent_endpoints_make_room);
 	tcase_add_test(t, silent_endpoints_expire);
 	return suite_run(s);
 }
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -33,6 +33,7 @@
 	char *listen, *control, *service, *instance, *zone, *record, *fault;
 	char *crash_on, *crash_part;
 	char *limit, *arrivals, *shed, *orders, *endings, *reports;
+	char *late_to;
 	char **argv;
 	int instance_crashes;
 	int slots, events, event_ms, first_event_ms, orphans, pad_headers;
@@ -79,6 +80,9 @@
 	  "reply without streaming", NULL },
 	{ "abrupt", 0, 0, G_OPTION_ARG_NONE, &opt.abrupt,
 	  "leave without announcing it first", NULL },
+	{ "late-to", 0, 0, G_OPTION_ARG_FILENAME, &opt.late_to,
+	  "on SIGUSR2, repeat the last ready heartbeat to the address in",
+	  "F" },
 	{ "unheard", 0, 0, G_OPTION_ARG_NONE, &opt.unheard,
 	  "announce leaving in responses only", NULL },
 	{ "shed", 0, 0, G_OPTION_ARG_FILENAME, &opt.shed,
@@ -125,7 +129,8 @@
 /* from the last reply, until a call there fails */
 static uint64_t heartbeat_address = DL_VM_NONE;
 static uint64_t sequence;
-static int64_t started_ms; /* start time of this instance, Unix ms */
+static uint64_t ready_sequence; /* of the last heartbeat before leaving */
+static int64_t started_ms;	/* start time of this instance, Unix ms */
 static int record_fd = -1, arrivals_fd = -1, orders_fd = -1, reports_fd = -1;
 static bool leaving, deregistered;
 static int64_t next_heartbeat;
@@ -168,6 +173,38 @@
 static const struct fake_call_ops call_ops = { on_call_head, on_call_body,
 					       on_call_end };
 
+static void ignore_head(void *arg, int status, struct dl_str head)
+{
+}
+
+static void ignore_body(void *arg, struct dl_str piece)
+{
+}
+
+static void ignore_end(void *arg, enum fake_end end)
+{
+}
+
+static const struct fake_call_ops ignore_ops = { ignore_head, ignore_body,
+						 ignore_end };
+
+/* Sends a call that nothing depends on to the address in the file --late-to. */
+static void call_late(const char *path, const char *body)
+{
+	struct fake_call_req req = { .method = "POST",
+				     .path = path,
+				     .body = dl_str_of(body),
+				     .connect_ms = CALL_MS,
+				     .timeout_ms = CALL_MS };
+	char *address = NULL;
+
+	if (opt.late_to &&
+	    g_file_get_contents(opt.late_to, &address, NULL, NULL) &&
+	    dl_vm_parse(dl_str_of(g_strstrip(address)), &req.address))
+		fake_call_start(loop, &req, &ignore_ops, NULL);
+	g_free(address);
+}
+
 static void call_control(const char *path, const char *body)
 {
 	struct fake_call_req req = { .method = "POST",
@@ -183,7 +220,8 @@
 		fake_call_start(loop, &req, &call_ops, NULL);
 }
 
-static void announce(void)
+static void announce_as(const char *state, uint64_t number,
+			void (*call)(const char *path, const char *body))
 {
 	char path[128], body[512];
 
@@ -193,10 +231,17 @@
 		 "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
 		 "\"stage\":\"both\",\"models\":[{\"name\":\"m\"}],"
 		 "\"seq\":%" PRIu64 ",\"born\":%" PRId64 "}",
-		 opt.service, opt.listen, opt.zone, opt.slots,
-		 leaving && !opt.unheard ? "draining" : "ready", ++sequence,
+		 opt.service, opt.listen, opt.zone, opt.slots, state, number,
 		 started_ms);
-	call_control(path, body);
+	call(path, body);
+}
+
+static void announce(void)
+{
+	if (!leaving)
+		ready_sequence = sequence + 1;
+	announce_as(leaving && !opt.unheard ? "draining" : "ready", ++sequence,
+		    call_control);
 }
 
 static struct dl_str header(const struct fake_request *req, const char *name)
@@ -674,7 +719,7 @@
 /*
  * SIGUSR1 announces draining, and the second one deregisters the instance,
  * which continues to serve without heartbeats; with --abrupt, the first one
- * deregisters.  SIGTERM exits.
+ * deregisters.  SIGUSR2 repeats the last ready heartbeat.  SIGTERM exits.
  */
 static void on_signal(uv_signal_t *handle, int signum)
 {
@@ -682,6 +727,10 @@
 
 	if (signum == SIGTERM)
 		exit(0);
+	if (signum == SIGUSR2) {
+		announce_as("ready", ready_sequence, call_late);
+		return;
+	}
 	if (leaving || opt.abrupt) {
 		deregistered = true;
 		snprintf(path, sizeof(path), "/-/Instances.Deregister/%s",
@@ -696,7 +745,7 @@
 int main(int argc, char **argv)
 {
 	GOptionContext *ctx = g_option_context_new(NULL);
-	uv_signal_t sigusr1, sigterm;
+	uv_signal_t sigusr1, sigusr2, sigterm;
 	struct fake_server *server;
 	uint64_t address;
 	uv_timer_t timer;
@@ -739,6 +788,8 @@
 	uv_timer_start(&timer, on_tick, 0, TICK_MS);
 	uv_signal_init(loop, &sigusr1);
 	uv_signal_start(&sigusr1, on_signal, SIGUSR1);
+	uv_signal_init(loop, &sigusr2);
+	uv_signal_start(&sigusr2, on_signal, SIGUSR2);
 	uv_signal_init(loop, &sigterm);
 	uv_signal_start(&sigterm, on_signal, SIGTERM);
 	return uv_run(loop, UV_RUN_DEFAULT);
