Responses without end are given up, and the request goes on elsewhere

Walked with an emulated endpoint, ten kinds, some bytes each 10 ms and as fast as they are taken.

By reading, the same for the body of an error, of a rejection, of another request's response, and for an event that does not end: each byte put off the idle timeout, so that a request that could go to another endpoint waited until its deadline; a reservation had no limit of its own.

Change: a call of the HTTP client can have a limit on its whole time, and more than 16 interim responses end it. The relay gives up a response to another request and an event over 1 MiB at once, the body of an error or rejection after 500 ms or 1 MiB, and a stream whose bytes make no event as if it were silent. The same for native completions, also after their last event. Heads were bounded already (64 KiB, 80 KB with trailers), and a body of a success is: 8 MiB are held, the rest is forwarded with backpressure, until the route's timeout, since nothing tells it from a slow answer.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -157,6 +157,8 @@
 	bool resumes;		    /* starts after last_event_id */
 	int64_t last_event_at;	    /* when it was forwarded */
 	uint32_t longest_pause_ms;  /* between two events */
+	int64_t trickle_checked_at; /* when bytes without an event were judged
+				     */
 	struct response_head head;
 };
 
@@ -394,8 +396,8 @@
 	struct dl_evacuations evacuations; /* as the replicas last named them */
 	struct dl_directory *directory;
 	struct departures departures; /* of the directory, and of other VMs */
-	struct dl_reports *reports; /* forwarded by replicas */
-	struct dl_backoff *backoff; /* asked of this VM by endpoints */
+	struct dl_reports *reports;   /* forwarded by replicas */
+	struct dl_backoff *backoff;   /* asked of this VM by endpoints */
 	struct quarantine quarantine;
 	GPtrArray *crash_checks;     /* of endpoints after broken attempts */
 	GPtrArray *unmarked_answers; /* struct unmarked_answer */
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -41,9 +41,16 @@
  * 9.6 s.
  */
 #define RESERVED_SILENCE_MS 6000
-#define RETRY_SOON_MS	    100
+/*
+ * Bounds on the body of a response that is no success, from its head on. Its
+ * bytes may come without end, while the request could go to another endpoint.
+ */
+#define ERROR_BODY_MS  500
+#define ERROR_BODY_MAX (1u << 20)
+#define RETRY_SOON_MS  100
 /* The memory is held by other streams, which take about two seconds. */
 #define NO_MEMORY_RETRY_MS 2000
+#define STATUS_NO_SUCCESS  400
 #define STATUS_ERROR	   500
 #define STATUS_MISDIRECTED 421
 #define STATUS_NOT_RUN	   503
@@ -426,6 +433,10 @@
 	c->route.head.other_type = has_other_type(head);
 	if (!c->response_started)
 		keep_headers(c, head, c->route.head.is_event_stream);
+	if (c->route.head.wrong_request)
+		dl_httpc_give_up(c->attempt, "response to another request");
+	else if (c->route.head.not_run || head->status >= STATUS_NO_SUCCESS)
+		dl_httpc_end_within(c->attempt, ERROR_BODY_MS);
 }
 
 static void begin_response(struct call *c)
@@ -477,6 +488,23 @@
 	return dl_httpd_send(c->http, event->bytes);
 }
 
+/*
+ * Gives up a stream whose bytes have made no event for as long as an endpoint
+ * may be silent; they put off the idle timeout.
+ */
+static void check_trickle(struct call *c)
+{
+	int64_t now = entry_now(c->e);
+	int64_t since = MAX(c->attempt_at, c->attempt_last_at);
+
+	if (now - since < silence_limit_ms(c) ||
+	    now - c->route.trickle_checked_at < SILENCE_RECHECK_MS)
+		return;
+	c->route.trickle_checked_at = now;
+	if (!on_idle(c))
+		dl_httpc_give_up(c->attempt, "bytes without an event");
+}
+
 /* Forwards the events that are whole with the bytes received now. */
 static bool relay_events(struct call *c, struct dl_str piece)
 {
@@ -485,10 +513,12 @@
 
 	if (dl_sse_feed(&c->sse, piece)) {
 		c->route.head.event_too_long = true;
+		dl_httpc_give_up(c->attempt, "an event is too long");
 		return true;
 	}
 	while (dl_sse_next(&c->sse, &event))
 		go_on = relay_event(c, &event);
+	check_trickle(c);
 	return go_on;
 }
 
@@ -504,6 +534,12 @@
 	if (c->route.head.is_event_stream)
 		return relay_events(c, piece);
 	g_string_append_len(c->response_buf, piece.s, (gssize)piece.n);
+	if (c->status >= STATUS_NO_SUCCESS &&
+	    c->response_buf->len > ERROR_BODY_MAX) {
+		dl_httpc_give_up(c->attempt,
+				 "the body of an error is too long");
+		return true;
+	}
 	if (c->response_buf->len > HELD_BODY_MAX) {
 		begin_response(c);
 		dl_httpd_send(c->http, (struct dl_str){ c->response_buf->str,
--- a/src/entry/entry_reservation.c
+++ b/src/entry/entry_reservation.c
@@ -100,6 +100,7 @@
 	struct dl_httpc_req req = { .headers = headers,
 				    .connect_ms = CONNECT_MS,
 				    .idle_ms = RESPONSE_MS,
+				    .total_ms = CONNECT_MS + RESPONSE_MS,
 				    .close_delimited = true };
 
 	if (!dl_vm_parse(dl_name_str(&r->address), &req.address))
--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -19,7 +19,13 @@
 /* Reserved of the deadline for the transfer of the endpoint's last bytes. */
 #define HOP_MARGIN_MS 20
 #define MS_PER_S      1000
-#define STATUS_OK     200
+/*
+ * For the rest of a response whose result is known: after the last event of a
+ * completion, or the head of an error. It may come without end.
+ */
+#define LAST_BYTES_MS	  500
+#define STATUS_OK	  200
+#define STATUS_NO_SUCCESS 400
 
 static void on_head(void *arg, const struct dl_httpc_head *head);
 static bool on_model_body(void *arg, struct dl_str piece);
@@ -270,6 +276,8 @@
 		keep_headers(c, head);
 	if (!c->response_buf)
 		c->response_buf = g_string_new(NULL);
+	if (head->status >= STATUS_NO_SUCCESS)
+		dl_httpc_end_within(c->attempt, LAST_BYTES_MS);
 }
 
 /* Finds the number that follows a key in a chunk, without parsing the JSON. */
@@ -407,15 +415,16 @@
 					    (gssize)piece.n);
 		return true;
 	}
-	if (dl_sse_feed(&c->sse, piece)) {
-		c->sse_bad = true;
-		return true;
-	}
+	c->sse_bad = dl_sse_feed(&c->sse, piece) != 0;
 	while (!c->sse_bad && dl_sse_next(&c->sse, &event)) {
 		/* Other types of events are not a part of the completion. */
 		if (event.data.n && event.type.n == 0)
 			go_on = handle_chunk(c, event.data);
 	}
+	if (c->sse_bad)
+		dl_httpc_give_up(c->attempt, "malformed completion");
+	else if (c->sse_done)
+		dl_httpc_end_within(c->attempt, LAST_BYTES_MS);
 	return go_on;
 }
 
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -14,6 +14,7 @@
 #define HOST_TEXT_MAX 24
 #define HEAD_MAX      65536 /* names and values of a response's headers */
 #define MS_PER_S      1000
+#define INTERIM_MAX   16 /* interim responses before a final one */
 /* Subtracted from the timeout that an endpoint announces: transit time. */
 #define KEEP_ALIVE_MARGIN_MS 500
 #define POOL_SWEEP_MS	     500
@@ -113,9 +114,20 @@
 	uv_close((uv_handle_t *)&call->timer, on_call_closed);
 }
 
+/* Returns the time that is left to a call, ms; UINT32_MAX: no limit. */
+static uint32_t time_left(const struct dl_httpc_call *call)
+{
+	uint64_t now = uv_now(call->client->loop);
+
+	if (call->ends_at == UINT64_MAX)
+		return UINT32_MAX;
+	return call->ends_at > now ? (uint32_t)(call->ends_at - now) : 0;
+}
+
 /* Starts the timer of a call that has not ended, ms. */
 void httpc_call_timer(struct dl_httpc_call *call, uint32_t ms)
 {
+	ms = MIN(ms, time_left(call));
 	if (!call->ended)
 		dl_timer_once(&call->timer, on_timer, ms, &call->due);
 }
@@ -177,7 +189,7 @@
 		httpc_connect_timer(call);
 		return;
 	}
-	if (call->paused || waits_longer(call))
+	if (call->paused || (time_left(call) && waits_longer(call)))
 		return;
 	dl_httpc_give_up(call, "timed out");
 }
@@ -325,8 +337,8 @@
 
 	if (!call)
 		return -1;
-	if (parser->status_code < 200)
-		return 0; /* interim response; the final one follows */
+	if (parser->status_code < 200) /* the final one follows */
+		return ++call->interim > INTERIM_MAX ? -1 : 0;
 	no_body = call->is_head_method || parser->status_code == 204 ||
 		  parser->status_code == 304;
 	call->attempt.received = DL_RECV_HEAD;
@@ -530,6 +542,16 @@
 	return call->via;
 }
 
+/*
+ * Ends a call after this time at the latest. Bytes that come without end put
+ * off the idle timeout for ever.
+ */
+void dl_httpc_end_within(struct dl_httpc_call *call, uint32_t ms)
+{
+	call->ends_at = MIN(call->ends_at, uv_now(call->client->loop) + ms);
+	httpc_call_timer(call, call->idle_ms);
+}
+
 /* Ends a call as if it had timed out; end() is called from the loop. */
 void dl_httpc_give_up(struct dl_httpc_call *call, const char *why)
 {
@@ -616,6 +638,9 @@
 	uv_timer_init(client->loop, &call->timer);
 	call->timer.data = call;
 	uv_update_time(client->loop);
+	call->ends_at = UINT64_MAX;
+	if (req->total_ms)
+		call->ends_at = uv_now(client->loop) + req->total_ms;
 	if (!build_request_head(call, req)) {
 		call_free(call);
 		return NULL;
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -37,7 +37,8 @@
 	struct dl_str body;	   /* the rest, which must outlive the call */
 	uint32_t connect_ms;	   /* connect timeout */
 	uint32_t idle_ms;	   /* longest time without a byte after that */
-	uint32_t head_ms; /* longest wait for the response head; 0: idle_ms */
+	uint32_t head_ms;  /* longest wait for the response head; 0: idle_ms */
+	uint32_t total_ms; /* longest time of the whole call; 0: any */
 	/*
 	 * Accept a response that is delimited only by an orderly close of the
 	 * connection; without this, such a response is malformed.
@@ -131,7 +132,9 @@
 int64_t dl_httpc_silent_ms(const struct dl_httpc_call *call);
 /* The VM that forwards the connection that was used; DL_VM_NONE: none does. */
 uint64_t dl_httpc_via(const struct dl_httpc_call *call);
-/* Ends a call whose peer is known to be gone, as if it had timed out. */
+/* Ends a call after this time at the latest, also where bytes go on coming. */
+void dl_httpc_end_within(struct dl_httpc_call *call, uint32_t ms);
+/* Ends a call that makes no sense any more, as if it had timed out. */
 void dl_httpc_give_up(struct dl_httpc_call *call, const char *why);
 /* Cancels a call: closes its connection; no callback follows. */
 void dl_httpc_cancel(struct dl_httpc_call *call);
--- a/src/transport/httpc_int.h
+++ b/src/transport/httpc_int.h
@@ -78,7 +78,9 @@
 		*conn; /* NULL before it is made, and once closed or pooled */
 	struct connecting *connecting; /* NULL: not any more */
 	uv_timer_t timer;
-	uint64_t due; /* when the timer fires */
+	uint64_t due;	  /* when the timer fires */
+	uint64_t ends_at; /* by then in any case; UINT64_MAX: no limit */
+	uint32_t interim; /* responses before the final one */
 	const struct dl_httpc_ops *ops;
 	void *arg;
 	struct dl_attempt attempt;
--- a/test/fake/http.h
+++ b/test/fake/http.h
@@ -52,8 +52,11 @@
 /* Aborts the reply and its connection; closed() is not called. */
 void fake_reply_abort(struct fake_request *req);
 
-/* Writes bytes to the client as they are, in place of a reply. */
-void fake_reply_raw(struct fake_request *req, struct dl_str bytes);
+/*
+ * Writes bytes to the client as they are, in place of a reply; those that it
+ * does not take are left out. false: the client has closed the connection.
+ */
+bool fake_reply_raw(struct fake_request *req, struct dl_str bytes);
 /*
  * Ends the connection after raw bytes, in order or by a reset; closed() is not
  * called.
--- a/test/fake/http_server.c
+++ b/test/fake/http_server.c
@@ -193,14 +193,15 @@
 	flush(r);
 }
 
-void fake_reply_raw(struct fake_request *r, struct dl_str bytes)
+bool fake_reply_raw(struct fake_request *r, struct dl_str bytes)
 {
 	int fd = h2o_socket_get_fd(r->sock);
 
-	/* A client that has left is reported by closed(). */
-	if (write(fd, bytes.s, bytes.n) < 0 && errno != EPIPE &&
-	    errno != ECONNRESET)
+	if (write(fd, bytes.s, bytes.n) >= 0 || errno == EAGAIN)
+		return true;
+	if (errno != EPIPE && errno != ECONNRESET)
 		perror("raw reply");
+	return false;
 }
 
 void fake_reply_drop(struct fake_request *r, bool reset)
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -33,7 +33,8 @@
 	char *listen, *control, *service, *instance, *zone, *record, *fault;
 	char *crash_on, *crash_part;
 	char *limit, *arrivals, *shed, *orders, *endings, *reports;
-	char *late_to;
+	char *late_to, *endless;
+	gboolean endless_fast;
 	char **argv;
 	int instance_crashes;
 	int slots, events, event_ms, first_event_ms, orphans, pad_headers;
@@ -80,6 +81,12 @@
 	  "reply without streaming", NULL },
 	{ "abrupt", 0, 0, G_OPTION_ARG_NONE, &opt.abrupt,
 	  "leave without announcing it first", NULL },
+	{ "endless", 0, 0, G_OPTION_ARG_STRING, &opt.endless,
+	  "bytes without end: garbage, head, interim, body, extension, trailer, "
+	  "event, error, not-run or foreign",
+	  "KIND" },
+	{ "endless-fast", 0, 0, G_OPTION_ARG_NONE, &opt.endless_fast,
+	  "as fast as they are taken, not some each 10 ms", NULL },
 	{ "late-to", 0, 0, G_OPTION_ARG_FILENAME, &opt.late_to,
 	  "on SIGUSR2, repeat the last ready heartbeat to the address in",
 	  "F" },
@@ -111,6 +118,44 @@
 	{ NULL },
 };
 
+/* What an endless response begins with, and what follows again and again. */
+struct endless {
+	const char *kind;
+	const char *begin;
+	const char *more;
+};
+
+#define ENDLESS_OK	"HTTP/1.1 200 OK\r\n"
+#define ENDLESS_CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+#define ENDLESS_ERROR	"HTTP/1.1 500 Error\r\n" ENDLESS_CHUNKED "7fffffff\r\n"
+static const struct endless endless_kinds[] = {
+	{ "garbage", "", "no response " },
+	{ "head", ENDLESS_OK, "X-Pad: 0123456789\r\n" },
+	{ "interim", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+	{ "body", ENDLESS_OK "Content-Type: text/plain\r\n\r\n", "0123456789" },
+	{ "extension", ENDLESS_OK ENDLESS_CHUNKED "5;a=", "0123456789" },
+	{ "trailer", ENDLESS_OK ENDLESS_CHUNKED "0\r\n", "X-Pad: 0123\r\n" },
+	{ "event",
+	  ENDLESS_OK "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
+	  "0123456789" },
+	{ "error", ENDLESS_ERROR, "0123456789" },
+	{ "not-run",
+	  "HTTP/1.1 503 Full\r\nDaisyledge-Not-Executed: "
+	  "1\r\n" ENDLESS_CHUNKED "7fffffff\r\n",
+	  "0123456789" },
+	{ "foreign",
+	  ENDLESS_OK "Daisyledge-Attempt-Id: another\r\n" ENDLESS_CHUNKED
+		     "7fffffff\r\n",
+	  "0123456789" },
+};
+
+/* An endless response that its client has not closed yet. */
+struct endless_job {
+	struct fake_request *req;
+	const struct endless *kind;
+	bool begun;
+};
+
 /* An open stream. */
 struct job {
 	struct fake_request *req;
@@ -123,6 +168,7 @@
 
 static uv_loop_t *loop;
 static GPtrArray *jobs;
+static GPtrArray *endless_jobs;
 static GHashTable *reservations; /* id to when it expires, in loop time */
 static char **controls;
 static guint next_control;
@@ -604,6 +650,47 @@
 	fake_reply(req, 200, headers, (struct dl_str){ body, (size_t)n });
 }
 
+/* Answers with bytes without end; false if that is not wanted. */
+static bool serve_endless(struct fake_request *req)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(endless_kinds); i++) {
+		struct endless_job *job;
+
+		if (!opt.endless ||
+		    strcmp(opt.endless, endless_kinds[i].kind) != 0)
+			continue;
+		job = g_new0(struct endless_job, 1);
+		job->req = req;
+		job->kind = &endless_kinds[i];
+		g_ptr_array_add(endless_jobs, job);
+		return true;
+	}
+	return false;
+}
+
+/* Sends more of an endless response; false once its client has closed. */
+static bool send_endless(struct endless_job *job)
+{
+	size_t times = opt.endless_fast ? 4096 : 1;
+	GString *bytes = g_string_new(NULL);
+	bool open = true;
+
+	if (!job->begun)
+		open = fake_reply_raw(job->req, dl_str_of(job->kind->begin));
+	job->begun = true;
+	for (size_t i = 0; i < times; i++)
+		g_string_append(bytes, job->kind->more);
+	for (int i = 0; open && i < (opt.endless_fast ? 16 : 1); i++)
+		open = fake_reply_raw(job->req, (struct dl_str){ bytes->str,
+								 bytes->len });
+	g_string_free(bytes, TRUE);
+	if (!open) {
+		record_arrival(job->req, "closed");
+		fake_reply_drop(job->req, false);
+	}
+	return open;
+}
+
 static void on_request(void *arg, struct fake_request *req)
 {
 	struct dl_str target = header(req, "daisyledge-target-instance");
@@ -638,7 +725,7 @@
 	snprintf(attempt, sizeof(attempt), "%.*s", (int)MIN(id.n, 255), id.s);
 	if (strcmp(opt.fault, "foreign") == 0)
 		snprintf(attempt, sizeof(attempt), "another");
-	if (serve_ending(req, attempt))
+	if (serve_endless(req) || serve_ending(req, attempt))
 		return;
 	if (opt.plain || strcmp(opt.fault, "error") == 0 ||
 	    strcmp(opt.fault, "json") == 0)
@@ -653,6 +740,16 @@
 
 	if (fake_ending_closed(req))
 		return;
+	for (guint i = 0; i < endless_jobs->len; i++) {
+		struct endless_job *e = endless_jobs->pdata[i];
+
+		if (e->req != req)
+			continue;
+		record_arrival(req, "closed");
+		g_ptr_array_remove_index(endless_jobs, i);
+		g_free(e);
+		return;
+	}
 	if (job)
 		g_ptr_array_remove(jobs, job);
 	g_free(job);
@@ -706,6 +803,14 @@
 		next_heartbeat = now + HEARTBEAT_MS;
 		announce();
 	}
+	for (guint i = endless_jobs->len; i > 0; i--) {
+		struct endless_job *job = endless_jobs->pdata[i - 1];
+
+		if (send_endless(job))
+			continue;
+		g_ptr_array_remove_index(endless_jobs, i - 1);
+		g_free(job);
+	}
 	for (guint i = jobs->len; i > 0; i--) {
 		struct job *job = jobs->pdata[i - 1];
 
@@ -765,6 +870,7 @@
 	started_ms = g_get_real_time() / 1000;
 	loop = uv_default_loop();
 	jobs = g_ptr_array_new();
+	endless_jobs = g_ptr_array_new();
 	reservations =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	controls = g_strsplit(opt.control, ",", CONTROLS_MAX);
