--- a/include/daisyledge/memb.h
+++ b/include/daisyledge/memb.h
@@ -80,6 +80,8 @@
  * failure domains are known.
  */
 uint64_t dl_memb_ignored(const struct dl_memb *memb);
+/* How many datagrams were dropped since the start, as the queue was full. */
+uint64_t dl_memb_dropped(const struct dl_memb *memb);
 /*
  * The highest configuration version that any live VM reports, and one such VM.
  */
--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -93,6 +93,8 @@
 	X(peer_silent, "peer connections replaced because they were silent")   \
 	X(peer_bad_frames, "malformed frames from other VMs")                  \
 	X(late_frames_dropped, "late or mismatched frames that were dropped")  \
+	X(memb_dropped,                                                        \
+	  "membership datagrams dropped because too many were to be sent")     \
 	X(members_ignored, "messages about VMs ignored for want of room")      \
 	X(joins_ignored,                                                       \
 	  "requests to join the replica group beyond those kept")              \
--- a/src/coordination/memb.c
+++ b/src/coordination/memb.c
@@ -620,8 +620,10 @@
 {
 	struct memb_intent *intent;
 
-	if (memb->queue_len == MEMB_QUEUE_MAX)
+	if (memb->queue_len == MEMB_QUEUE_MAX) {
+		memb->dropped++;
 		return;
+	}
 	intent = &memb->queue[(memb->queue_head + memb->queue_len) %
 			      MEMB_QUEUE_MAX];
 	memb->queue_len++;
@@ -638,6 +640,12 @@
 	return memb->ignored;
 }
 
+/* Returns how many datagrams were dropped because the queue was full. */
+uint64_t dl_memb_dropped(const struct dl_memb *memb)
+{
+	return memb->dropped;
+}
+
 /* Adds an address from the settings, which is contacted until it answers. */
 void dl_memb_add_seed(struct dl_memb *memb, uint64_t vm, int64_t now)
 {
--- a/src/coordination/memb_int.h
+++ b/src/coordination/memb_int.h
@@ -148,6 +148,7 @@
 	uint32_t gossip_pending; /* members with retransmits left */
 	uint32_t suspects;
 	uint64_t ignored;	   /* live VMs for which there was no room */
+	uint64_t dropped;	   /* datagrams for which the queue was full */
 	uint64_t epoch;		   /* incremented at each change of members */
 	struct memb_owner *owners; /* MEMB_OWNERS entries, indexed by key */
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -22,7 +22,7 @@
 static void on_up(void *arg, uint64_t vm);
 static void on_down(void *arg, uint64_t vm);
 /* A tick after this long shows that the process did not run; 10 are missing. */
-#define PAUSE_MS (10 * DL_NODE_TICK_MS)
+#define PAUSE_MS ((int64_t)10 * DL_NODE_TICK_MS)
 /* Shorter pauses are counted only: a busy VM has many. */
 #define PAUSE_LOGGED_MS 1000
 
@@ -110,7 +110,11 @@
 static void note_ignored_members(struct dl_node *node)
 {
 	uint64_t ignored = dl_memb_ignored(node->memb);
+	uint64_t dropped = dl_memb_dropped(node->memb);
 
+	dl_count(DL_METRIC_memb_dropped,
+		 (int64_t)(dropped - node->memb_dropped));
+	node->memb_dropped = dropped;
 	if (ignored == node->members_ignored)
 		return;
 	if (!node->members_ignored)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -42,6 +42,7 @@
 	struct dl_memb *memb;
 	uint64_t members_ignored; /* as counted and logged, see
 				     dl_memb_ignored() */
+	uint64_t memb_dropped;	  /* datagrams, as counted */
 	const struct dl_node_ops *ops;
 	void *arg;
 	struct dl_httpd *metrics; /* NULL if not configured */
