--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -312,7 +312,7 @@
 	e->started_at = entry_now(e);
 	e->directory = dl_directory_new();
 	departures_init(&e->departures, dl_directory_departures(e->directory),
-			e->node.peers);
+			&e->node);
 	e->reports = dl_reports_new();
 	e->backoff = dl_backoff_new();
 	entry_quarantine_init(e);
--- a/src/node/departures.c
+++ b/src/node/departures.c
@@ -15,10 +15,11 @@
 };
 
 void departures_init(struct departures *d, struct dl_departures *list,
-		     struct dl_peers *peers)
+		     const struct dl_node *node)
 {
 	d->list = list;
-	d->peers = peers;
+	d->peers = node->peers;
+	d->incarnation = node->incarnation;
 	d->positions = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					     g_free);
 }
@@ -51,22 +52,23 @@
 	dl_packer_close(&pk);
 }
 
-static void send_request(struct departures *d, uint64_t to, uint64_t have,
-			 bool wants_list)
+/* The id of a request is the incarnation whose list it is about. */
+static void send_request(struct departures *d, uint64_t to,
+			 uint64_t incarnation, uint64_t have, bool wants_list)
 {
 	struct dl_departures_request request = { .have = have,
 						 .wants_list = wants_list };
 	struct dl_packer pk;
 
 	dl_departures_request_pack(&pk, &request);
-	dl_peers_send(d->peers, to, DL_FRAME_DEPARTURES_REQUEST, 0,
+	dl_peers_send(d->peers, to, DL_FRAME_DEPARTURES_REQUEST, incarnation,
 		      dl_packer_bytes(&pk));
 	dl_packer_close(&pk);
 }
 
 void departures_request(struct departures *d, uint64_t to)
 {
-	send_request(d, to, 0, true);
+	send_request(d, to, 0, 0, true);
 }
 
 /* Whether all departures of a frame are known here. */
@@ -92,9 +94,9 @@
 	if (p->have >= at.first && p->have < at.last && knows_all(d, &at))
 		p->have = at.last;
 	if (p->have < at.last)
-		send_request(d, from, p->have, true);
+		send_request(d, from, p->incarnation, p->have, true);
 	else if (confirms)
-		send_request(d, from, p->have, false);
+		send_request(d, from, p->incarnation, p->have, false);
 }
 
 uint64_t departures_request_frame(struct departures *d, uint64_t from,
@@ -105,6 +107,8 @@
 
 	if (dl_departures_request_read(f->body, &request))
 		return 0;
+	if (f->request != d->incarnation)
+		request.have = 0;
 	if (!request.wants_list)
 		return request.have;
 	dl_departures_list_pack(&pk, d->list, request.have, in_sync,
@@ -147,7 +151,7 @@
 		in_sync = list.in_sync;
 		position_of(d, from, f->incarnation)->have = list.upto;
 		if (confirms)
-			send_request(d, from, list.upto, false);
+			send_request(d, from, f->incarnation, list.upto, false);
 	}
 	dl_departures_list_close(&list);
 	if (added) {
--- a/src/node/departures.h
+++ b/src/node/departures.h
@@ -14,13 +14,14 @@
 struct departures {
 	struct dl_departures *list;
 	struct dl_peers *peers;
+	uint64_t incarnation; /* of this process, and so of its list */
 	GHashTable
 		*positions; /* how far the lists of others are known, by VM */
 	int64_t expired_at;
 };
 
 void departures_init(struct departures *d, struct dl_departures *list,
-		     struct dl_peers *peers);
+		     const struct dl_node *node);
 /* Tells a VM how far the list goes, without keys: it requests what it lacks. */
 void departures_offer(struct departures *d, uint64_t to);
 /*
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -240,13 +240,15 @@
 /*
  * Whether this process did not run for a while. Its sockets are then read
  * before the next tick, which may take what has arrived for silence otherwise.
+ * One tick is left out at most: on a busy VM each may be late.
  */
 static bool was_paused(struct dl_node *node, int64_t now)
 {
 	int64_t ms = now - node->ticked_at;
-	bool paused = node->ticked_at && ms >= PAUSE_MS;
+	bool paused = node->ticked_at && ms >= PAUSE_MS && !node->tick_left_out;
 
 	node->ticked_at = now;
+	node->tick_left_out = paused;
 	if (paused && ms >= PAUSE_LOGGED_MS)
 		dl_msg(DL_MSG_PAUSED, "paused_ms=%ld", (long)ms);
 	dl_count(DL_METRIC_pauses, paused);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -47,7 +47,8 @@
 	void *arg;
 	struct dl_httpd *metrics; /* NULL if not configured */
 	uv_timer_t timer;
-	int64_t ticked_at; /* 0: not yet */
+	int64_t ticked_at;  /* 0: not yet */
+	bool tick_left_out; /* the last one */
 	uv_signal_t sigterm, sigint, sigusr1, sighup;
 	char *settings_path;
 	int64_t settings_mtime; /* modification time in ns */
--- a/src/replica/replica_departures.c
+++ b/src/replica/replica_departures.c
@@ -51,7 +51,7 @@
 {
 	struct replica_departures *d = g_new0(struct replica_departures, 1);
 
-	departures_init(&d->sync, list, r->node.peers);
+	departures_init(&d->sync, list, &r->node);
 	d->held =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->waiting = g_array_new(FALSE, FALSE, sizeof(struct waiting));
--- a/src/transport/late_timer.h
+++ b/src/transport/late_timer.h
@@ -19,7 +19,8 @@
 		   uint64_t *due);
 /*
  * Called first when such a timer fires. Returns whether it is late; it then
- * fires again after the next round of reading.
+ * fires again after the next round of reading. It is put off once only: on a
+ * busy VM it may be late each time.
  */
 bool dl_timer_put_off(uv_timer_t *timer, uv_timer_cb callback, uint64_t *due);
 
