Keep-alive comments of a stream count as progress; a shorter wait after a start

An endpoint that sends comments while a prompt waits is alive: only bytes that make no event at all count as silence. A replica that has just started waits 500 ms for one that is in sync in place of 1 s: entries offer their lists within a round of their connections, and after the start of a whole deployment endpoints are known that much sooner. A replica confirms to whoever offers, so that one which membership does not know yet is confirmed too.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -157,6 +157,7 @@
 	bool resumes;		    /* starts after last_event_id */
 	int64_t last_event_at;	    /* when it was forwarded */
 	uint32_t longest_pause_ms;  /* between two events */
+	int64_t whole_event_at; /* the last one arrived, comments included */
 	int64_t trickle_checked_at; /* when bytes without an event were judged
 				     */
 	struct response_head head;
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -495,7 +495,7 @@
 static void check_trickle(struct call *c)
 {
 	int64_t now = entry_now(c->e);
-	int64_t since = MAX(c->attempt_at, c->attempt_last_at);
+	int64_t since = MAX(c->attempt_at, c->route.whole_event_at);
 
 	if (now - since < silence_limit_ms(c) ||
 	    now - c->route.trickle_checked_at < SILENCE_RECHECK_MS)
@@ -516,8 +516,10 @@
 		dl_httpc_give_up(c->attempt, "an event is too long");
 		return true;
 	}
-	while (dl_sse_next(&c->sse, &event))
+	while (dl_sse_next(&c->sse, &event)) {
+		c->route.whole_event_at = entry_now(c->e);
 		go_on = relay_event(c, &event);
+	}
 	check_trickle(c);
 	return go_on;
 }
--- a/src/replica/replica_departures.c
+++ b/src/replica/replica_departures.c
@@ -16,7 +16,7 @@
  * How long announcements are held in contact with the group while no replica
  * that is in sync replies: all of them have just started.
  */
-#define SYNC_MAX_MS 1000
+#define SYNC_MAX_MS 500
 /* Entries whose lists a replica requests after its start; all have the same. */
 #define ENTRIES_ASKED_MAX 8
 /* How long keys of new departures are collected for the entries. */
@@ -227,7 +227,7 @@
 		return;
 	switch (f->kind) {
 	case DL_FRAME_DEPARTURES_AT:
-		departures_at_frame(&d->sync, from, f, is_replica(r, from));
+		departures_at_frame(&d->sync, from, f, true);
 		return;
 	case DL_FRAME_DEPARTURES_REQUEST:
 		have = departures_request_frame(&d->sync, from, f, d->in_sync);
@@ -235,9 +235,8 @@
 			on_confirmed(r, have);
 		return;
 	default:
-		if (departures_list_frame(&d->sync, from, f,
-					  is_replica(r, from), apply_departure,
-					  r))
+		if (departures_list_frame(&d->sync, from, f, true,
+					  apply_departure, r))
 			set_in_sync(r, from);
 		return;
 	}
