--- a/src/replica/replica_departures.c
+++ b/src/replica/replica_departures.c
@@ -13,8 +13,8 @@
 #include "replica/replica.h"
 
 /*
- * How long announcements are held in contact with the group while no replica
- * that is in sync replies: all of them have just started.
+ * How long announcements are held in contact with the group at most: a process
+ * that is asked may not reply.
  */
 #define SYNC_MAX_MS 500
 /* Entries whose lists a replica requests after its start; all have the same. */
@@ -38,7 +38,9 @@
 	struct departures sync;
 	bool in_sync;
 	int64_t contact_since; /* 0: no contact with the group yet */
-	uint32_t entries_asked;
+	GHashTable *asked; /* VMs whose lists were requested, until in sync */
+	GHashTable *answered; /* those that sent them */
+	uint32_t entries_asked, entries_answered;
 	GHashTable *held;   /* instance to its announcement, until in sync */
 	GArray *waiting;    /* of struct waiting */
 	uint64_t confirmed; /* up to here, by another replica */
@@ -55,9 +57,18 @@
 	d->held =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	d->waiting = g_array_new(FALSE, FALSE, sizeof(struct waiting));
+	d->asked = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					 NULL);
+	d->answered = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    NULL);
 	r->departures = d;
 }
 
+static bool is_live(const struct dl_member *m)
+{
+	return m->state == DL_ALIVE || m->state == DL_SUSPECT;
+}
+
 /* Finds whether a VM runs a replica, as far as this process knows. */
 static bool is_replica(const struct replica *r, uint64_t vm)
 {
@@ -66,11 +77,6 @@
 	return m && m->replica;
 }
 
-static bool is_live(const struct dl_member *m)
-{
-	return m->state == DL_ALIVE || m->state == DL_SUSPECT;
-}
-
 static bool has_other_replica(const struct replica *r)
 {
 	const struct dl_member *m;
@@ -82,6 +88,18 @@
 	return false;
 }
 
+/* Requests the list of a VM, unless enough entries were asked already. */
+static void ask(struct replica *r, uint64_t vm)
+{
+	struct replica_departures *d = r->departures;
+	bool again = !g_hash_table_add(d->asked, g_memdup2(&vm, sizeof(vm)));
+
+	if (!again && !is_replica(r, vm) &&
+	    d->entries_asked++ >= ENTRIES_ASKED_MAX)
+		return;
+	departures_request(&d->sync, vm);
+}
+
 /* Compares lists with a VM to which a connection has been established. */
 void replica_departures_up(struct replica *r, uint64_t vm)
 {
@@ -90,11 +108,39 @@
 	if (!d)
 		return;
 	departures_offer(&d->sync, vm);
-	if (d->in_sync)
-		return;
-	if (!is_replica(r, vm) && d->entries_asked++ >= ENTRIES_ASKED_MAX)
-		return;
-	departures_request(&d->sync, vm);
+	if (!d->in_sync)
+		ask(r, vm);
+}
+
+/* Asks the live VMs that were not asked yet. */
+static void ask_members(struct replica *r)
+{
+	struct replica_departures *d = r->departures;
+	const struct dl_member *m;
+
+	for (uint32_t i = 0; (m = dl_memb_at(r->node.memb, i)); i++) {
+		if (m->vm != r->node.self && is_live(m) &&
+		    !g_hash_table_contains(d->asked, &m->vm) &&
+		    (m->replica || d->entries_asked < ENTRIES_ASKED_MAX))
+			ask(r, m->vm);
+	}
+}
+
+/*
+ * Whether all replicas have sent their lists, and an entry: where all replicas
+ * have just started, entries may know more.
+ */
+static bool has_all_lists(const struct replica *r)
+{
+	const struct replica_departures *d = r->departures;
+	const struct dl_member *m;
+
+	for (uint32_t i = 0; (m = dl_memb_at(r->node.memb, i)); i++) {
+		if (m->replica && m->vm != r->node.self && is_live(m) &&
+		    !g_hash_table_contains(d->answered, &m->vm))
+			return false;
+	}
+	return d->entries_answered > 0;
 }
 
 static void set_in_sync(struct replica *r, uint64_t with)
@@ -114,6 +160,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&a))
 		replica_http_announce(r, a);
 	g_hash_table_remove_all(d->held);
+	g_hash_table_remove_all(d->asked);
+	g_hash_table_remove_all(d->answered);
 }
 
 /*
@@ -211,6 +259,20 @@
 	}
 }
 
+/* Notes that a VM has sent its list, and whether it was in sync itself. */
+static void note_list(struct replica *r, uint64_t from, bool in_sync)
+{
+	struct replica_departures *d = r->departures;
+
+	if (d->in_sync)
+		return;
+	if (g_hash_table_add(d->answered, g_memdup2(&from, sizeof(from))) &&
+	    !is_replica(r, from))
+		d->entries_answered++;
+	if (in_sync)
+		set_in_sync(r, from);
+}
+
 static void apply_departure(void *arg, struct dl_announcement *a)
 {
 	replica_announce_departed(arg, a);
@@ -235,27 +297,30 @@
 			on_confirmed(r, have);
 		return;
 	default:
-		if (departures_list_frame(&d->sync, from, f, true,
-					  apply_departure, r))
-			set_in_sync(r, from);
+		note_list(r, from,
+			  departures_list_frame(&d->sync, from, f, true,
+						apply_departure, r));
 		return;
 	}
 }
 
-/* Gives up waiting for a replica that is in sync. */
-static void check_contact(struct replica *r, int64_t now)
+/* Decides whether the list has been compared, in contact with the group. */
+static void check_sync(struct replica *r, int64_t now)
 {
 	struct replica_departures *d = r->departures;
 	struct dl_rlog_status s;
 
 	if (d->in_sync)
 		return;
+	ask_members(r);
 	dl_rlog_get_status(r->rlog, now, &s);
-	if (!s.contact)
+	if (!s.contact) {
 		d->contact_since = 0;
-	else if (!d->contact_since)
+		return;
+	}
+	if (!d->contact_since)
 		d->contact_since = now;
-	else if (now - d->contact_since >= SYNC_MAX_MS)
+	if (has_all_lists(r) || now - d->contact_since >= SYNC_MAX_MS)
 		set_in_sync(r, DL_VM_NONE);
 }
 
@@ -291,7 +356,7 @@
 	if (!d)
 		return;
 	departures_tick(&d->sync);
-	check_contact(r, now);
+	check_sync(r, now);
 	refuse_unconfirmed(r, now);
 	is_new = dl_departures_last(d->sync.list) > d->told;
 	if (now - d->told_at < (is_new ? BATCH_MS : COMPARE_MS) ||
--- a/test/test_late_timer.c
+++ b/test/test_late_timer.c
@@ -9,7 +9,7 @@
 #include "fake/suite.h"
 #include "transport/late_timer.h"
 
-#define PAUSE_MS (DL_TIMER_LATE_MS + 50)
+#define PAUSE_MS (4 * DL_TIMER_LATE_MS)
 
 static uv_loop_t loop;
 static uv_timer_t timer;
@@ -17,15 +17,17 @@
 static uint64_t due;
 static int rounds;    /* of reading */
 static int put_off;   /* times that the timer was */
-static int fired_in;  /* this round; 0: not yet */
+static int fired_in;  /* after so many rounds */
 static int pause_all; /* each round is late, not the first alone */
 
 static void on_timer(uv_timer_t *t)
 {
-	if (dl_timer_put_off(t, on_timer, &due))
+	if (dl_timer_put_off(t, on_timer, &due)) {
 		put_off++;
-	else
-		fired_in = rounds;
+		return;
+	}
+	fired_in = rounds;
+	uv_stop(&loop);
 }
 
 static void on_round(uv_check_t *check)
@@ -41,19 +43,16 @@
 	uv_timer_init(&loop, &timer);
 	uv_check_init(&loop, &after_reading);
 	uv_check_start(&after_reading, on_round);
-	dl_timer_once(&timer, on_timer, 5, &due);
 	/* The first round is over before the timer is due. */
-	usleep(1000);
-	uv_run(&loop, UV_RUN_NOWAIT);
-	for (int i = 0; i < 10 && !fired_in; i++)
-		uv_run(&loop, UV_RUN_ONCE);
+	dl_timer_once(&timer, on_timer, PAUSE_MS / 2, &due);
+	uv_run(&loop, UV_RUN_DEFAULT);
 }
 
 START_TEST(late_timer_fires_after_reading)
 {
 	run(false);
 	ck_assert_int_eq(put_off, 1);
-	ck_assert_int_ge(fired_in, 2);
+	ck_assert_int_eq(fired_in, 2);
 }
 END_TEST
 
