--- a/test/test_conf_delta.c
+++ b/test/test_conf_delta.c
@@ -92,6 +92,7 @@
 {
 	m->number = 1;
 	m->workspaces = 2;
+	m->no_workspaces = false;
 	m->services = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	m->routes = g_array_new(FALSE, FALSE, sizeof(struct route_model));
 	for (uint32_t i = 0; i < SERVICES; i++)
