Log which connection a response came on, its ids, and the bytes around it

'An attempt broke' and 'A request ended' carry conn_responses, bytes_before, bytes_after and ids; counters connections_unread, responses_with_bytes_after and responses_of_others. No decision is changed.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -30,6 +30,12 @@
 	X(requests_malformed, "requests refused before they were read whole")  \
 	X(response_heads_too_long,                                             \
 	  "responses given up because their headers exceed 64 KiB")            \
+	X(connections_unread,                                                  \
+	  "requests sent on a connection on which bytes lay already")          \
+	X(responses_with_bytes_after,                                          \
+	  "responses of endpoints with bytes after their end")                 \
+	X(responses_of_others,                                                 \
+	  "responses of endpoints to another request than that sent")          \
 	X(streams_open, "requests in flight")                                  \
 	X(buffered_bytes, "request bytes buffered")                            \
 	X(streams_cut_short,                                                   \
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -128,6 +128,7 @@
 struct response_head {
 	bool not_run;		 /* the request was not executed */
 	bool wrong_request;	 /* its id is of another request */
+	const char *ids;	 /* own, other, none or several; for logs */
 	bool is_event_stream;	 /* forwarded event by event */
 	bool event_too_long;	 /* an event exceeds the limit */
 	bool other_type;	 /* its type is given, and not that of events */
@@ -311,6 +312,7 @@
 	/* Number of the endpoint instance it was sent to; 0: unknown. */
 	uint64_t endpoint_instance_id;
 	uint64_t via; /* VM that forwards its connection; DL_VM_NONE: none */
+	struct dl_httpc_conn_info conn_info; /* of the last attempt */
 	int64_t attempt_at, first_byte_at;
 	int64_t attempt_first_at, attempt_last_at; /* events; 0: none */
 	int64_t endpoint_lost_at;  /* when it was known to be gone; 0: not */
--- a/src/entry/entry_attempt.c
+++ b/src/entry/entry_attempt.c
@@ -65,6 +65,7 @@
 	c->endpoint_lost_at = 0;
 	c->endpoint_unreachable = false;
 	c->via = DL_VM_NONE;
+	c->conn_info = (struct dl_httpc_conn_info){ 0 };
 	c->status = 0;
 	c->attempt_events = 0;
 	c->attempt_first_at = 0;
@@ -98,6 +99,8 @@
 		.unfinished = unfinished,
 	};
 
+	if (c->attempt)
+		c->conn_info = dl_httpc_conn_info(c->attempt);
 	c->ending = dl_response_ending(&seen);
 }
 
--- a/src/entry/entry_call.c
+++ b/src/entry/entry_call.c
@@ -120,6 +120,7 @@
 	       "first_ms=%ld pause_ms=%u tries=%u sent=%u reason=%s "
 	       "retry_ms=%u content=%016lx target_ms=%u gap_ms=%u "
 	       "unsure_ms=%u asking_ms=%u misdirected=%u queued_ms=%u via=%s "
+	       "conn_responses=%u bytes_before=%zu bytes_after=%zu ids=%s "
 	       "framing=%s end=%s to_caller=%s shared=%s part=%lx",
 	       c->id_text, (int)MIN(c->route.attempt_id.n, DL_NAME_MAX),
 	       c->route.attempt_id.s, c->service.s, c->workspace.s,
@@ -138,6 +139,9 @@
 	       c->stream ? c->route.gap_ms : 0, c->unsure_ms, c->asking_ms,
 	       c->not_dispatcher_replies, c->queued_ms,
 	       c->via == DL_VM_NONE ? "" : dl_vm_text(c->via, via),
+	       c->conn_info.carried, c->conn_info.bytes_before,
+	       c->conn_info.bytes_after,
+	       c->route.head.ids ? c->route.head.ids : "",
 	       dl_framing_name(c->framing), dl_ending_name(c->ending),
 	       dl_framing_name(c->framing_out),
 	       call_shared_parts_text(c, shared, sizeof(shared)),
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -360,6 +360,17 @@
 	return id.n == 0 || dl_str_eq(c->route.attempt_id, id);
 }
 
+/* Names which attempt ids a response carries, for the log. */
+static const char *ids_name(const struct call *c,
+			    const struct dl_response_head *said)
+{
+	if (said->attempt_ids == 0)
+		return "none";
+	if (said->attempt_ids > 1)
+		return "several";
+	return is_own_attempt(c, said->attempt_id) ? "own" : "other";
+}
+
 /*
  * Whether a response comes from the endpoint instance that was addressed.
  * Another instance at the same address answers 421, and names no other endpoint
@@ -410,6 +421,9 @@
 	c->route.head.not_run = said.not_run ||
 				head->status == STATUS_MISDIRECTED;
 	c->route.head.wrong_request = !is_own_attempt(c, said.attempt_id);
+	c->route.head.ids = ids_name(c, &said);
+	if (c->route.head.wrong_request)
+		dl_count(DL_METRIC_responses_of_others, 1);
 	if (!c->route.head.wrong_request)
 		entry_limit_note_response(c, said.limit);
 	c->route.head.content_length = said.length;
@@ -704,13 +718,14 @@
 	char via[24], shared[SHARED_PARTS_TEXT_MAX];
 	bool complete;
 
-	c->attempt = NULL;
 	if (c->aborted_unsent) {
+		c->attempt = NULL;
 		retry_unsent(c);
 		return;
 	}
 	call_note_ending(c, attempt, ends_with_event(c),
 			 dl_sse_unfinished(&c->sse));
+	c->attempt = NULL;
 	a = classify_attempt(c, attempt, &err);
 	outcome = dl_call_outcome(&a);
 	entry_quarantine_attempt_ended(c, &a, &err);
@@ -740,7 +755,8 @@
 	       "request=%s endpoint=%s instance=%s sent=%d received=%d broke=%d "
 	       "status=%u retry_after_ms=%u leaving=%d outcome=%s events=%lu "
 	       "at_fault=%s step=%s why=\"%s\" content=%016lx shared=%s "
-	       "via=%s framing=%s end=%s",
+	       "via=%s conn_responses=%u bytes_before=%zu bytes_after=%zu "
+	       "ids=%s framing=%s end=%s",
 	       c->id_text, c->grant.endpoint[0].s, c->route.instance.s, a.sent,
 	       a.received, a.failure, c->status, c->route.head.retry_after_ms,
 	       c->route.head.leaving, dl_outcome_name(outcome),
@@ -748,6 +764,9 @@
 	       dl_step_name(err.step), err.text, (unsigned long)c->content_hash,
 	       call_shared_parts_text(c, shared, sizeof(shared)),
 	       c->via == DL_VM_NONE ? "" : dl_vm_text(c->via, via),
+	       c->conn_info.carried, c->conn_info.bytes_before,
+	       c->conn_info.bytes_after,
+	       c->route.head.ids ? c->route.head.ids : "",
 	       dl_framing_name(c->framing), dl_ending_name(c->ending));
 	if (next == DL_NEXT_ANSWER) {
 		end_failed(c, outcome, &err);
--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -590,8 +590,8 @@
 	};
 	enum dl_next next;
 
-	c->attempt = NULL;
 	if (c->aborted_unsent && !c->chunks_received) {
+		c->attempt = NULL;
 		if (entry_leaving_blocks_grant(c))
 			entry_leaving_return_grant(c);
 		else
@@ -601,6 +601,7 @@
 	call_note_ending(c, attempt,
 			 c->kind == DL_POOL_MODEL && c->status == STATUS_OK,
 			 dl_sse_unfinished(&c->sse));
+	c->attempt = NULL;
 	entry_quarantine_attempt_ended(c, &a, err);
 	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
 	/* A request that it rejects is no failure of the engine. */
--- a/src/protocol/dialect.h
+++ b/src/protocol/dialect.h
@@ -50,9 +50,10 @@
 /* The headers of an endpoint's response. */
 struct dl_response_head {
 	bool not_run; /* it has not run the request and never will */
-	struct dl_str attempt_id;
-	struct dl_str at_fault; /* endpoint that failed, if another one */
-	size_t length;		/* of the body; SIZE_MAX: unknown */
+	struct dl_str attempt_id; /* the last one */
+	uint32_t attempt_ids;	  /* how many there are */
+	struct dl_str at_fault;	  /* endpoint that failed, if another one */
+	size_t length;		  /* of the body; SIZE_MAX: unknown */
 	/*
 	 * Requests that the endpoint accepts per 1,000 s from all VMs together;
 	 * DL_UNLIMITED: as many as it has capacity for.
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -10,6 +10,7 @@
 
 #include "base/metric.h"
 #include "transport/httpc_int.h"
+#include "transport/sock.h"
 
 #define HOST_TEXT_MAX 24
 #define HEAD_MAX      65536 /* names and values of a response's headers */
@@ -18,6 +19,7 @@
 /* Subtracted from the timeout that an endpoint announces: transit time. */
 #define KEEP_ALIVE_MARGIN_MS 500
 #define POOL_SWEEP_MS	     500
+#define UNREAD_COUNTED	     512 /* bytes */
 
 static int on_field(http_parser *parser, const char *at, size_t n);
 static int on_value(http_parser *parser, const char *at, size_t n);
@@ -384,11 +386,14 @@
 	return 0;
 }
 
-/* Ends a call whose response is complete; trailing_data: bytes followed it. */
-static void end_complete(struct dl_httpc_call *call, bool trailing_data)
+/* Ends a call whose response is complete; n bytes were read behind it. */
+static void end_complete(struct dl_httpc_call *call, size_t n)
 {
 	struct conn *conn = call->conn;
 
+	call->conn_info.bytes_after = n;
+	if (n)
+		dl_count(DL_METRIC_responses_with_bytes_after, 1);
 	if (call->framing == DL_FRAMING_CLOSE && !call->close_delimited) {
 		schedule_end(
 			call, DL_FAILURE_BAD_RESPONSE, DL_STEP_BODY,
@@ -397,8 +402,8 @@
 	}
 	if (call->attempt.received != DL_RECV_NOT_RUN)
 		call->attempt.received = DL_RECV_COMPLETE;
-	if (call->reuse && call->framing != DL_FRAMING_CLOSE &&
-	    !trailing_data && !conn->writing && conn->idle_ms &&
+	if (call->reuse && call->framing != DL_FRAMING_CLOSE && n == 0 &&
+	    !conn->writing && conn->idle_ms &&
 	    http_should_keep_alive(&conn->parser))
 		httpc_pool_add(conn);
 	schedule_end(call, DL_FAILURE_NONE, DL_STEP_NONE, "");
@@ -412,7 +417,7 @@
 
 	if (err == UV_EOF && call->attempt.received != DL_RECV_NOTHING &&
 	    call->framing == DL_FRAMING_CLOSE) {
-		end_complete(call, false);
+		end_complete(call, 0);
 		return;
 	}
 	schedule_end(call, DL_FAILURE_RESET, current_step(call),
@@ -429,7 +434,7 @@
 	if (!conn->call)
 		return; /* cancelled by a callback */
 	if (conn->response_ended)
-		end_complete(call, used < n);
+		end_complete(call, n - used);
 	else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
 		schedule_end(call, DL_FAILURE_RESET, current_step(call),
 			     http_errno_description(
@@ -449,6 +454,23 @@
 			     uv_strerror(status));
 }
 
+/*
+ * Notes what the connection has carried, and the bytes on it that came before
+ * the request.
+ */
+static void note_conn(struct dl_httpc_call *call)
+{
+	const struct conn *conn = call->conn;
+
+	call->conn_info.carried = conn->usage.requests;
+	/* Those of a forwarded one are frames of the VM that forwards. */
+	if (conn->via == DL_VM_NONE)
+		call->conn_info.bytes_before =
+			dl_sock_unread(&conn->tcp, UNREAD_COUNTED);
+	if (call->conn_info.bytes_before)
+		dl_count(DL_METRIC_connections_unread, 1);
+}
+
 /* Sends the request on an established connection. */
 static void send_request(struct dl_httpc_call *call)
 {
@@ -468,6 +490,7 @@
 	conn->response_ended = false;
 	conn->idle_ms = POOL_IDLE_MS;
 	conn->write.data = conn;
+	note_conn(call);
 	call->attempt.sent = DL_SENT_ALL;
 	call->sent_at = httpc_now(call->client);
 	conn->writing = true;
@@ -542,6 +565,12 @@
 	return call->via;
 }
 
+/* Returns what is known of the connection that was used. */
+struct dl_httpc_conn_info dl_httpc_conn_info(const struct dl_httpc_call *call)
+{
+	return call->conn_info;
+}
+
 /*
  * Ends a call after this time at the latest. Bytes that come without end put
  * off the idle timeout for ever.
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -61,6 +61,13 @@
 	size_t headers_count;
 };
 
+/* The connection of a call, and the bytes on it that are not the response's. */
+struct dl_httpc_conn_info {
+	uint32_t carried; /* responses before this one; 0: a new connection */
+	size_t bytes_before; /* unread as the request was sent, up to 512 */
+	size_t bytes_after;  /* read together with the response's end */
+};
+
 /*
  * Callbacks of one call; any of them may be NULL.  head() is called once,
  * body() for each piece of the body, and end() once and last.  body() returns
@@ -132,6 +139,8 @@
 int64_t dl_httpc_silent_ms(const struct dl_httpc_call *call);
 /* The VM that forwards the connection that was used; DL_VM_NONE: none does. */
 uint64_t dl_httpc_via(const struct dl_httpc_call *call);
+/* What is known of the connection that was used; valid until end() returns. */
+struct dl_httpc_conn_info dl_httpc_conn_info(const struct dl_httpc_call *call);
 /* Ends a call after this time at the latest, also where bytes go on coming. */
 void dl_httpc_end_within(struct dl_httpc_call *call, uint32_t ms);
 /* Ends a call that makes no sense any more, as if it had timed out. */
--- a/src/transport/httpc_int.h
+++ b/src/transport/httpc_int.h
@@ -87,6 +87,7 @@
 	struct dl_err err;
 	uint64_t address;
 	uint64_t via; /* of the connection that was used */
+	struct dl_httpc_conn_info conn_info;
 	int64_t sent_at;
 	uint32_t idle_ms, head_ms;
 	char *head; /* request line and headers */
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -2,10 +2,13 @@
 #include "transport/sock.h"
 
 #include <arpa/inet.h>
+#include <sys/param.h>
 #include <sys/socket.h>
 
 #define PORT_BITS 16
 #define PORT_MASK 0xffff
+/* Unread bytes that are counted. */
+#define UNREAD_MAX 512
 
 /* Returns the socket address of a packed IP address and port. */
 struct sockaddr_in dl_sock_addr(uint64_t address)
@@ -38,3 +41,19 @@
 		return true;
 	return err != 0;
 }
+
+/*
+ * Returns how many bytes have arrived and were not read: at most max, and at
+ * most UNREAD_MAX.
+ */
+size_t dl_sock_unread(const uv_tcp_t *tcp, size_t max)
+{
+	char buf[UNREAD_MAX];
+	uv_os_fd_t fd;
+	ssize_t n;
+
+	if (uv_fileno((const uv_handle_t *)tcp, &fd))
+		return 0;
+	n = recv(fd, buf, MIN(max, sizeof(buf)), MSG_PEEK | MSG_DONTWAIT);
+	return n > 0 ? (size_t)n : 0;
+}
