HTTP client: the bytes of a cut head are not read as the start of the next

Cause: http-parser reads a head as far as the next empty line, and is built here without its strict checks: a reason phrase and a value take any bytes, the letters of HTTP and the line end after the empty line are not compared.

Every response is now checked byte by byte until its head is complete: it starts with a status line at its first byte, field names are tokens, the empty line is whole, and no status line starts anywhere within a line. A cut head that another response follows is thereby found at each of its bytes.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -34,6 +34,8 @@
 	  "requests sent on a connection on which bytes lay already")          \
 	X(responses_with_bytes_after,                                          \
 	  "responses of endpoints with bytes after their end")                 \
+	X(response_heads_malformed,                                            \
+	  "responses whose head is none, or has another one in it")            \
 	X(responses_of_others,                                                 \
 	  "responses of endpoints to another request than that sent")          \
 	X(streams_open, "requests in flight")                                  \
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -428,9 +428,18 @@
 void httpc_call_bytes(struct conn *conn, const char *bytes, size_t n)
 {
 	struct dl_httpc_call *call = conn->call;
-	size_t used =
-		http_parser_execute(&conn->parser, &parser_settings, bytes, n);
+	const char *why = NULL;
+	size_t used;
 
+	if (!call)
+		return;
+	if (!dl_head_check(&conn->head_check, (struct dl_str){ bytes, n },
+			   &why)) {
+		dl_count(DL_METRIC_response_heads_malformed, 1);
+		schedule_end(call, DL_FAILURE_RESET, current_step(call), why);
+		return;
+	}
+	used = http_parser_execute(&conn->parser, &parser_settings, bytes, n);
 	if (!conn->call)
 		return; /* cancelled by a callback */
 	if (conn->response_ended)
@@ -487,6 +496,7 @@
 	}
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
+	conn->head_check = (struct dl_head_check){ 0 };
 	conn->response_ended = false;
 	conn->idle_ms = POOL_IDLE_MS;
 	conn->write.data = conn;
--- a/src/transport/httpc_int.h
+++ b/src/transport/httpc_int.h
@@ -8,6 +8,7 @@
 #include "transport/frame.h"
 #include "transport/httpc.h"
 #include "transport/late_timer.h"
+#include "transport/response_head.h"
 
 #define READ_MAX 65536
 /* Longest idle time of a connection in the pool. */
@@ -21,6 +22,7 @@
 	uv_connect_t connect;
 	uv_write_t write;
 	http_parser parser;
+	struct dl_head_check head_check;
 	struct dl_httpc *client;
 	struct dl_httpc_call *call; /* NULL while pooled or closing */
 	struct conn *next;	    /* in the pool */
--- /dev/null
+++ b/src/transport/response_head.c
@@ -0,0 +1,123 @@
+/* Check of the head of a response; see the header. */
+#include "transport/response_head.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define STATUS_FINAL 200 /* the lowest status of a final response */
+
+/* The start of a status line; '#' stands for a digit. */
+static const char status_start[] = "HTTP/#.# ###";
+#define STATUS_START_N (sizeof(status_start) - 1)
+#define STATUS_DIGITS  3
+
+static bool matches(char pattern, char c)
+{
+	return pattern == '#' ? g_ascii_isdigit(c) : pattern == c;
+}
+
+/* Whether a byte may be part of a field name (RFC 9110, token). */
+static bool is_token(char c)
+{
+	return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
+}
+
+/*
+ * Whether a status line starts within the current line, at any byte: the
+ * response before was broken off there.
+ */
+static bool has_inner_start(struct dl_head_check *check, char c)
+{
+	if (!matches(status_start[check->inner_n], c))
+		check->inner_n = 0;
+	if (matches(status_start[check->inner_n], c))
+		check->inner_n++;
+	return check->inner_n == STATUS_START_N;
+}
+
+/* Handles the end of a line. */
+static void end_line(struct dl_head_check *check)
+{
+	check->state = DL_HEAD_LINE_START;
+	check->inner_n = 0;
+}
+
+/* Handles the end of the head; an interim response is followed by another. */
+static void end_head(struct dl_head_check *check)
+{
+	bool interim = check->status < STATUS_FINAL;
+
+	*check = (struct dl_head_check){ 0 };
+	if (!interim)
+		check->state = DL_HEAD_COMPLETE;
+}
+
+/* Checks a byte of the status line. */
+static const char *check_status_line(struct dl_head_check *check, char c)
+{
+	if (check->line_n < STATUS_START_N) {
+		if (!matches(status_start[check->line_n], c))
+			return "response does not start with a status line";
+		if (check->line_n++ >= STATUS_START_N - STATUS_DIGITS)
+			check->status =
+				check->status * 10 + (uint32_t)(c - '0');
+		return NULL;
+	}
+	if (c == '\n')
+		end_line(check);
+	else if (has_inner_start(check, c))
+		return "another response starts in the status line";
+	return NULL;
+}
+
+/* Checks a byte of a header field, or of the empty line. */
+static const char *check_field(struct dl_head_check *check, char c)
+{
+	switch (check->state) {
+	case DL_HEAD_LINE_START:
+		if (c == '\r')
+			check->state = DL_HEAD_LAST_LF;
+		else if (c == '\n')
+			end_head(check);
+		else if (c == ' ' || c == '\t')
+			check->state = DL_HEAD_VALUE; /* a folded line */
+		else if (is_token(c))
+			check->state = DL_HEAD_NAME;
+		else
+			return "header name is malformed";
+		return NULL;
+	case DL_HEAD_LAST_LF:
+		if (c != '\n')
+			return "head does not end with a line end";
+		end_head(check);
+		return NULL;
+	case DL_HEAD_NAME:
+		if (c == ':')
+			check->state = DL_HEAD_VALUE;
+		else if (!is_token(c))
+			return "header name is malformed";
+		return NULL;
+	default:
+		if (c == '\n')
+			end_line(check);
+		else if (has_inner_start(check, c))
+			return "another response starts in a header";
+		return NULL;
+	}
+}
+
+/* Checks the bytes that follow; false: this is no head of a response. */
+bool dl_head_check(struct dl_head_check *check, struct dl_str bytes,
+		   const char **why)
+{
+	for (size_t i = 0; i < bytes.n; i++) {
+		if (check->state >= DL_HEAD_COMPLETE)
+			break;
+		*why = check->state == DL_HEAD_STATUS_LINE ?
+			       check_status_line(check, bytes.s[i]) :
+			       check_field(check, bytes.s[i]);
+		if (*why)
+			check->state = DL_HEAD_BAD;
+	}
+	return check->state != DL_HEAD_BAD;
+}
--- /dev/null
+++ b/src/transport/response_head.h
@@ -0,0 +1,36 @@
+/*
+ * Checks the head of a response byte by byte, for what http-parser lets pass.
+ * Bytes of a response that stopped in its head, followed by another response,
+ * must not be read as one head.
+ */
+#ifndef DL_TRANSPORT_RESPONSE_HEAD_H
+#define DL_TRANSPORT_RESPONSE_HEAD_H
+
+#include "daisyledge/base.h"
+
+enum dl_head_state {
+	DL_HEAD_STATUS_LINE,
+	DL_HEAD_LINE_START, /* of a header field, or the empty line */
+	DL_HEAD_NAME,
+	DL_HEAD_VALUE,
+	DL_HEAD_LAST_LF, /* of the empty line */
+	DL_HEAD_COMPLETE,
+	DL_HEAD_BAD,
+};
+
+/* Zero-initialised for the first byte of a response. */
+struct dl_head_check {
+	enum dl_head_state state;
+	uint32_t line_n;  /* bytes of the status line so far */
+	uint32_t status;  /* its digits so far */
+	uint32_t inner_n; /* bytes of a status line within a line */
+};
+
+/*
+ * Checks the bytes that follow. An interim response is followed by the next
+ * head. false: this is no head of a response; *why is set to a constant.
+ */
+bool dl_head_check(struct dl_head_check *check, struct dl_str bytes,
+		   const char **why);
+
+#endif
--- /dev/null
+++ b/test/test_response_head.c
@@ -0,0 +1,116 @@
+/*
+ * Check of the head of a response: what is one head, and what is the beginning
+ * of one that another response follows.
+ */
+#include <check.h>
+#include <string.h>
+#include <sys/param.h>
+
+#include "fake/suite.h"
+#include "transport/response_head.h"
+
+static const char head[] = "HTTP/1.1 200 OK\r\n"
+			   "Daisyledge-Attempt-Id: 9c41d07be2a35f68\r\n"
+			   "Content-Type: text/plain\r\n"
+			   "Via: HTTP/1.1 front\r\n"
+			   "X-Empty:\r\n"
+			   "Content-Length: 5\r\n"
+			   "\r\n";
+
+static const char *const valid[] = {
+	"HTTP/1.1 200 OK\r\n\r\n",
+	"HTTP/1.0 404 Not Found\r\nA: b\r\n\r\n",
+	"HTTP/1.1 200\r\n\r\n",
+	"HTTP/1.1 200 OK\nA: b\n\n",
+	"HTTP/1.1 200 OK\r\nA: b\r\n folded\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+	"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+};
+
+static const char *const bad[] = {
+	"\r\nHTTP/1.1 200 OK\r\n\r\n",
+	"hello",
+	"HXXP/1.1 200 OK\r\n\r\n",
+	"HTTP/1.1 2x0 OK\r\n\r\n",
+	"HTTP/1.1 200 OHTTP/1.1 200 OK\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nA: bHHTTP/1.1 503 Full\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nA b: c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n\rHTTP/1.1 200 OK\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: HTTP/1.1 200 OK",
+};
+
+/* Checks a text in pieces of n bytes; returns the state after it. */
+static enum dl_head_state check_in_pieces(const char *text, size_t n)
+{
+	struct dl_head_check check = { 0 };
+	const char *why = NULL;
+	bool good = true;
+
+	for (size_t i = 0, all = strlen(text); i < all && good; i += n)
+		good = dl_head_check(
+			&check, (struct dl_str){ text + i, MIN(n, all - i) },
+			&why);
+	ck_assert_int_eq(good, check.state != DL_HEAD_BAD);
+	ck_assert_int_eq(why == NULL, good);
+	return check.state;
+}
+
+START_TEST(valid_heads_are_complete)
+{
+	for (size_t n = 1; n <= strlen(valid[_i]); n++)
+		ck_assert_int_eq(check_in_pieces(valid[_i], n),
+				 DL_HEAD_COMPLETE);
+}
+END_TEST
+
+START_TEST(bad_heads_are_found)
+{
+	for (size_t n = 1; n <= strlen(bad[_i]); n++)
+		ck_assert_int_eq(check_in_pieces(bad[_i], n), DL_HEAD_BAD);
+}
+END_TEST
+
+/* Guards against two heads that are read as one, wherever the first is cut. */
+START_TEST(head_after_cut_head_is_bad)
+{
+	char text[2 * sizeof(head)];
+
+	for (size_t cut = 1; cut < sizeof(head) - 1; cut++) {
+		memcpy(text, head, cut);
+		memcpy(text + cut, head, sizeof(head));
+		for (size_t n = 1; n <= 8; n++)
+			ck_assert_msg(check_in_pieces(text, n) == DL_HEAD_BAD,
+				      "cut at %zu", cut);
+		ck_assert_int_eq(check_in_pieces(text, sizeof(text)),
+				 DL_HEAD_BAD);
+	}
+}
+END_TEST
+
+START_TEST(bytes_after_the_head_are_not_checked)
+{
+	struct dl_head_check check = { 0 };
+	const char *why = NULL;
+
+	ck_assert(dl_head_check(&check, DL_STR("HTTP/1.1 200 OK\r\n\r\n\1\2"),
+				&why));
+	ck_assert(
+		dl_head_check(&check, DL_STR("HTTP/1.1 200 OK\r\n\r\n"), &why));
+	ck_assert_int_eq(check.state, DL_HEAD_COMPLETE);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *s = suite_create("response_head");
+	TCase *tc = tcase_create("response_head");
+
+	tcase_add_loop_test(tc, valid_heads_are_complete, 0,
+			    sizeof(valid) / sizeof(valid[0]));
+	tcase_add_loop_test(tc, bad_heads_are_found, 0,
+			    sizeof(bad) / sizeof(bad[0]));
+	tcase_add_test(tc, head_after_cut_head_is_bad);
+	tcase_add_test(tc, bytes_after_the_head_are_not_checked);
+	suite_add_tcase(s, tc);
+	return suite_run(s);
+}
