HTTP client: a chunk has to end where its size says

Cause: http-parser, built without its strict checks, skips any two bytes after a chunk and goes on with what follows as the size of the next one.

The two bytes are now compared with a line end, also where they come in pieces.

Four rows of test_httpc, each also through another VM; six of their checks were red before ('received 2', complete): a chunk longer than its size, in one write and in pieces, and a chunk filled up by the start of the next response.

--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -20,6 +20,7 @@
 #define KEEP_ALIVE_MARGIN_MS 500
 #define POOL_SWEEP_MS	     500
 #define UNREAD_COUNTED	     512 /* bytes */
+#define CHUNK_END	     "\r\n"
 
 static int on_field(http_parser *parser, const char *at, size_t n);
 static int on_value(http_parser *parser, const char *at, size_t n);
@@ -27,6 +28,7 @@
 static int on_body(http_parser *parser, const char *at, size_t n);
 static int on_message_complete(http_parser *parser);
 static int on_message_begin(http_parser *parser);
+static int on_chunk_header(http_parser *parser);
 static void on_timer(uv_timer_t *timer);
 static void on_sweep(uv_timer_t *timer);
 
@@ -37,6 +39,7 @@
 	.on_headers_complete = on_headers,
 	.on_body = on_body,
 	.on_message_complete = on_message_complete,
+	.on_chunk_header = on_chunk_header,
 };
 
 /* Creates the HTTP client of a loop, with its pool of idle connections. */
@@ -359,12 +362,46 @@
 	return no_body ? 1 : 0;
 }
 
+/* Notes the size of the chunk that begins; 0 for the last one. */
+static int on_chunk_header(http_parser *parser)
+{
+	struct conn *conn = parser->data;
+
+	conn->chunk_left = parser->content_length;
+	return conn->call ? 0 : 1;
+}
+
+/*
+ * Compares bytes with what is still to come of the line end after a chunk,
+ * which the parser does not do. Returns false where they differ.
+ */
+static bool is_chunk_end(struct conn *conn, const char *at)
+{
+	while (conn->chunk_end && *conn->chunk_end && at < conn->input_end) {
+		if (*at++ != *conn->chunk_end++)
+			return false;
+	}
+	return true;
+}
+
+/* Whether a piece of the body is followed by a line end where it has to be. */
+static bool has_chunk_end(struct conn *conn, const char *at, size_t n)
+{
+	if (!(conn->parser.flags & F_CHUNKED))
+		return true;
+	conn->chunk_left -= n;
+	if (conn->chunk_left)
+		return true;
+	conn->chunk_end = CHUNK_END;
+	return is_chunk_end(conn, at + n);
+}
+
 static int on_body(http_parser *parser, const char *at, size_t n)
 {
 	struct dl_httpc_call *call = call_of(parser);
 	struct dl_str piece = { at, n };
 
-	if (!call)
+	if (!call || !has_chunk_end(parser->data, at, n))
 		return 1;
 	httpc_call_timer(call, call->idle_ms);
 	if (call->ops->body && !call->ops->body(call->arg, piece) &&
@@ -439,6 +476,12 @@
 		schedule_end(call, DL_FAILURE_RESET, current_step(call), why);
 		return;
 	}
+	conn->input_end = bytes + n;
+	if (!is_chunk_end(conn, bytes)) {
+		schedule_end(call, DL_FAILURE_RESET, current_step(call),
+			     "chunk is not followed by a line end");
+		return;
+	}
 	used = http_parser_execute(&conn->parser, &parser_settings, bytes, n);
 	if (!conn->call)
 		return; /* cancelled by a callback */
@@ -497,6 +540,7 @@
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 	conn->head_check = (struct dl_head_check){ 0 };
+	conn->chunk_end = NULL;
 	conn->response_ended = false;
 	conn->idle_ms = POOL_IDLE_MS;
 	conn->write.data = conn;
