HTTP client: bytes that came before a request are no response to it

Nothing looked at the socket between two requests; of the loop's own turn it depends whether the pool sees such bytes first.

A connection is looked at when it is taken from the pool, and a new one before the request is written. One with unread bytes, or closed by its peer, is not used; a new one ends as not sent. After bytes that belong to no request (unread ones, unsolicited ones on an idle connection, or behind a response's end) the endpoint's other kept connections are closed and none is reused for 5 s: more may be under way on each. Endpoints in that state are counted to 4,096; beyond, no connection is reused at all. Counter stray_bytes.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -36,6 +36,8 @@
 	  "responses of endpoints with bytes after their end")                 \
 	X(response_heads_malformed,                                            \
 	  "responses whose head is none, or has another one in it")            \
+	X(stray_bytes,                                                         \
+	  "times bytes came from an endpoint that belong to no request")       \
 	X(responses_of_others,                                                 \
 	  "responses of endpoints to another request than that sent")          \
 	X(streams_open, "requests in flight")                                  \
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -50,6 +50,8 @@
 	if (!client)
 		return -ENOMEM;
 	client->loop = loop;
+	client->stray = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					      g_free, g_free);
 	uv_timer_init(loop, &client->sweep);
 	uv_unref((uv_handle_t *)&client->sweep);
 	client->sweep.data = client;
@@ -83,6 +85,7 @@
 void dl_httpc_close(struct dl_httpc *client)
 {
 	httpc_pool_close(client);
+	g_hash_table_destroy(client->stray);
 	uv_close((uv_handle_t *)&client->sweep, on_client_closed);
 }
 
@@ -429,8 +432,10 @@
 	struct conn *conn = call->conn;
 
 	call->conn_info.bytes_after = n;
-	if (n)
+	if (n) {
 		dl_count(DL_METRIC_responses_with_bytes_after, 1);
+		httpc_stray_bytes(call->client, call->address);
+	}
 	if (call->framing == DL_FRAMING_CLOSE && !call->close_delimited) {
 		schedule_end(
 			call, DL_FAILURE_BAD_RESPONSE, DL_STEP_BODY,
@@ -517,8 +522,8 @@
 	call->conn_info.carried = conn->usage.requests;
 	/* Those of a forwarded one are frames of the VM that forwards. */
 	if (conn->via == DL_VM_NONE)
-		call->conn_info.bytes_before =
-			dl_sock_unread(&conn->tcp, UNREAD_COUNTED);
+		call->conn_info.bytes_before = (size_t)MAX(
+			dl_sock_unread(&conn->tcp, UNREAD_COUNTED), 0);
 	if (call->conn_info.bytes_before)
 		dl_count(DL_METRIC_connections_unread, 1);
 }
@@ -532,6 +537,13 @@
 		uv_buf_init((char *)call->body.s, (unsigned)call->body.n),
 	};
 
+	note_conn(call);
+	if (call->conn_info.bytes_before) {
+		httpc_stray_bytes(call->client, call->address);
+		schedule_end(call, DL_FAILURE_RESET, DL_STEP_SEND,
+			     "endpoint sent bytes before the request");
+		return;
+	}
 	if (call->ops->connected && !call->ops->connected(call->arg)) {
 		schedule_end(call, DL_FAILURE_CONNECT, DL_STEP_SEND,
 			     "request abandoned before it was sent");
@@ -544,7 +556,6 @@
 	conn->response_ended = false;
 	conn->idle_ms = POOL_IDLE_MS;
 	conn->write.data = conn;
-	note_conn(call);
 	call->attempt.sent = DL_SENT_ALL;
 	call->sent_at = httpc_now(call->client);
 	conn->writing = true;
--- a/src/transport/httpc_conn.c
+++ b/src/transport/httpc_conn.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/metric.h"
 #include "transport/httpc_int.h"
 #include "transport/sock.h"
 
@@ -88,15 +89,56 @@
 	client->pool_count--;
 }
 
+static gboolean is_over(gpointer address, gpointer until, gpointer now)
+{
+	return *(int64_t *)until <= *(int64_t *)now;
+}
+
+/* Whether connections to an endpoint are reused at the moment. */
+bool httpc_may_reuse(const struct dl_httpc *client, uint64_t address)
+{
+	const int64_t *until = g_hash_table_lookup(client->stray, &address);
+	int64_t now = httpc_now(client);
+
+	return now >= client->no_reuse_until && (!until || now >= *until);
+}
+
+/*
+ * Closes an endpoint's connections in the pool, and has new ones used for a
+ * while: more such bytes may be under way on any of them.
+ */
+void httpc_stray_bytes(struct dl_httpc *client, uint64_t address)
+{
+	int64_t until = httpc_now(client) + STRAY_BYTES_MS;
+	struct conn *conn, *next;
+
+	dl_count(DL_METRIC_stray_bytes, 1);
+	if (g_hash_table_size(client->stray) < STRAY_ENDPOINTS_MAX ||
+	    g_hash_table_contains(client->stray, &address))
+		g_hash_table_replace(client->stray,
+				     g_memdup2(&address, sizeof(address)),
+				     g_memdup2(&until, sizeof(until)));
+	else
+		client->no_reuse_until = until;
+	for (conn = client->pool; conn; conn = next) {
+		next = conn->next;
+		if (conn->address != address)
+			continue;
+		pool_remove(conn);
+		httpc_conn_close(conn, false);
+	}
+}
+
 /* Closes connections that have been idle for too long. */
 void httpc_pool_sweep(struct dl_httpc *client)
 {
 	struct conn *conn, *next;
+	int64_t now = httpc_now(client);
 
+	g_hash_table_foreach_remove(client->stray, is_over, &now);
 	for (conn = client->pool; conn; conn = next) {
 		next = conn->next;
-		if (httpc_now(client) - conn->usage.last_read <
-		    (int64_t)conn->idle_ms)
+		if (now - conn->usage.last_read < (int64_t)conn->idle_ms)
 			continue;
 		pool_remove(conn);
 		httpc_conn_close(conn, false);
@@ -122,7 +164,8 @@
 {
 	struct dl_httpc *client = conn->client;
 
-	if (conn->via != DL_VM_NONE || client->pool_count >= POOL_CONNS_MAX)
+	if (conn->via != DL_VM_NONE || client->pool_count >= POOL_CONNS_MAX ||
+	    !httpc_may_reuse(client, conn->address))
 		return;
 	conn->call->conn = NULL;
 	conn->call = NULL;
@@ -133,8 +176,8 @@
 	client->pool_count++;
 }
 
-/* Takes a usable connection to an address from the pool; NULL if none. */
-struct conn *httpc_pool_take(struct dl_httpc *client, uint64_t to)
+/* Finds a usable connection to an address in the pool; NULL if none. */
+static struct conn *pool_find(const struct dl_httpc *client, uint64_t to)
 {
 	struct conn *conn;
 
@@ -144,10 +187,29 @@
 		limits.idle_ms = conn->idle_ms;
 		if (conn->address == to &&
 		    dl_conn_usable(&limits, &conn->usage, true,
-				   httpc_now(client))) {
-			pool_remove(conn);
+				   httpc_now(client)))
 			return conn;
-		}
+	}
+	return NULL;
+}
+
+/*
+ * Takes a usable connection to an address from the pool; NULL if none.  What
+ * has arrived on it since its last response is no part of the next one.
+ */
+struct conn *httpc_pool_take(struct dl_httpc *client, uint64_t to)
+{
+	struct conn *conn;
+
+	while ((conn = pool_find(client, to))) {
+		int unread = dl_sock_unread(&conn->tcp, 1);
+
+		pool_remove(conn);
+		if (!unread)
+			return conn;
+		httpc_conn_close(conn, false);
+		if (unread > 0)
+			httpc_stray_bytes(client, to);
 	}
 	return NULL;
 }
@@ -476,8 +538,7 @@
 	}
 	if (!conn->call) {
 		/* Unsolicited data: the connection cannot be reused. */
-		pool_remove(conn);
-		httpc_conn_close(conn, false);
+		httpc_stray_bytes(conn->client, conn->address);
 		return;
 	}
 	conn->usage.last_read = httpc_now(conn->client);
--- a/src/transport/httpc_int.h
+++ b/src/transport/httpc_int.h
@@ -15,6 +15,12 @@
 #define POOL_IDLE_MS 1500
 /* VMs that one call asks to forward its connection. */
 #define FORWARDERS_MAX 3
+/*
+ * For how long connections to an endpoint are not reused after bytes of it that
+ * belong to no request, and for how many endpoints that is known.
+ */
+#define STRAY_BYTES_MS	    5000
+#define STRAY_ENDPOINTS_MAX 4096
 
 /* A connection: being made, in use by a call, or idle in the pool. */
 struct conn {
@@ -47,6 +53,8 @@
 	uv_timer_t sweep;
 	struct conn *pool;
 	uint32_t pool_count;
+	GHashTable *stray;	/* address to when its connections are reused */
+	int64_t no_reuse_until; /* of any, as there are too many of these */
 	struct dl_httpc_paths paths;
 	bool has_paths;
 	char buf[READ_MAX];
@@ -126,6 +134,12 @@
 void httpc_pool_add(struct conn *conn);
 void httpc_pool_close(struct dl_httpc *client);
 void httpc_pool_sweep(struct dl_httpc *client);
+/*
+ * Bytes that belong to no request came from an endpoint: closes its connections
+ * in the pool, and has new ones used for a while.
+ */
+void httpc_stray_bytes(struct dl_httpc *client, uint64_t address);
+bool httpc_may_reuse(const struct dl_httpc *client, uint64_t address);
 
 /* httpc.c */
 void httpc_call_timer(struct dl_httpc_call *call, uint32_t ms);
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -2,6 +2,7 @@
 #include "transport/sock.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <sys/param.h>
 #include <sys/socket.h>
 
@@ -44,9 +45,9 @@
 
 /*
  * Returns how many bytes have arrived and were not read: at most max, and at
- * most UNREAD_MAX.
+ * most UNREAD_MAX; -EPIPE if the peer has closed the connection.
  */
-size_t dl_sock_unread(const uv_tcp_t *tcp, size_t max)
+int dl_sock_unread(const uv_tcp_t *tcp, size_t max)
 {
 	char buf[UNREAD_MAX];
 	uv_os_fd_t fd;
@@ -55,5 +56,7 @@
 	if (uv_fileno((const uv_handle_t *)tcp, &fd))
 		return 0;
 	n = recv(fd, buf, MIN(max, sizeof(buf)), MSG_PEEK | MSG_DONTWAIT);
-	return n > 0 ? (size_t)n : 0;
+	if (n == 0 || (n < 0 && errno == ECONNRESET))
+		return -EPIPE;
+	return n > 0 ? (int)n : 0;
 }
--- a/src/transport/sock.h
+++ b/src/transport/sock.h
@@ -17,7 +17,10 @@
  * the error is then still pending on the socket.
  */
 bool dl_sock_was_reset(const uv_tcp_t *tcp);
-/* Returns how many bytes have arrived and were not read, as far as max. */
-size_t dl_sock_unread(const uv_tcp_t *tcp, size_t max);
+/*
+ * Returns how many bytes have arrived and were not read, as far as max; 0 also
+ * where that is not known, and -EPIPE if the peer has closed the connection.
+ */
+int dl_sock_unread(const uv_tcp_t *tcp, size_t max);
 
 #endif
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -7,6 +7,7 @@
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "fake/suite.h"
@@ -524,6 +525,109 @@
 }
 END_TEST
 
+/* Listens on ADDRESS with a socket of which each step is the test's own. */
+static int listen_by_hand(void)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), on = 1;
+
+	sin.sin_addr.s_addr = htonl((uint32_t)(ADDRESS >> 16));
+	sin.sin_port = htons((uint16_t)(ADDRESS & 0xffff));
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	ck_assert_int_eq(bind(fd, (void *)&sin, sizeof(sin)), 0);
+	ck_assert_int_eq(listen(fd, 8), 0);
+	return fd;
+}
+
+/* Runs the loop until a connection is accepted; -1 if the call ends first. */
+static int accept_by_hand(int fd)
+{
+	int conn = -1;
+
+	for (int i = 0; i < ITERATIONS_MAX && conn < 0 && !ended; i++) {
+		uv_run(&loop, UV_RUN_ONCE);
+		conn = accept(fd, NULL, NULL);
+	}
+	return conn;
+}
+
+static void start_reusing_call(struct dl_httpc *client)
+{
+	struct dl_httpc_req req = { .address = ADDRESS,
+				    .method = DL_STR("GET"),
+				    .path = DL_STR("/"),
+				    .connect_ms = 1000,
+				    .idle_ms = 3000,
+				    .reuse = true };
+
+	ended = 0;
+	memset(body, 0, sizeof(body));
+	ck_assert_ptr_nonnull(dl_httpc_start(client, &req, &ops, NULL));
+}
+
+/* Answers what comes next on a connection, and runs the loop until the end. */
+static void answer_by_hand(int conn, const char *text)
+{
+	ck_assert_int_ge(conn, 0);
+	while (read(conn, request, sizeof(request)) <= 0)
+		;
+	ck_assert_int_eq(write(conn, text, strlen(text)), strlen(text));
+	for (int i = 0; i < ITERATIONS_MAX && !ended; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_eq(ended, 1);
+	ck_assert_int_eq(result.failure, DL_FAILURE_NONE);
+}
+
+/*
+ * Guards against a late second answer that lies on a kept connection and is
+ * taken for the response to the next request.
+ */
+START_TEST(unread_bytes_are_no_response_to_the_next_request)
+{
+	struct dl_httpc *client;
+	int fd, first, second;
+
+	setup_client(&client);
+	fd = listen_by_hand();
+	start_reusing_call(client);
+	first = accept_by_hand(fd);
+	answer_by_hand(first, LENGTH "hello");
+	ck_assert_int_eq(write(first, LENGTH "wrong", sizeof(LENGTH) + 4),
+			 sizeof(LENGTH) + 4);
+	start_reusing_call(client);
+	second = accept_by_hand(fd);
+	ck_assert_msg(second >= 0, "body '%s'", body);
+	answer_by_hand(second, LENGTH "right");
+	ck_assert_str_eq(body, "right");
+	/* Its connections are not reused for a while. */
+	start_reusing_call(client);
+	answer_by_hand(accept_by_hand(fd), LENGTH "other");
+}
+END_TEST
+
+/* Guards against a response that came before its request was sent. */
+START_TEST(bytes_before_the_request_are_no_response)
+{
+	struct dl_httpc *client;
+	int fd, conn;
+
+	setup_client(&client);
+	fd = listen_by_hand();
+	start_reusing_call(client);
+	/* The client's loop has not seen the connection yet. */
+	while ((conn = accept(fd, NULL, NULL)) < 0)
+		;
+	ck_assert_int_eq(write(conn, LENGTH "wrong", sizeof(LENGTH) + 4),
+			 sizeof(LENGTH) + 4);
+	for (int i = 0; i < ITERATIONS_MAX && !ended; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_eq(ended, 1);
+	ck_assert_str_eq(body, "");
+	ck_assert_int_eq(result.sent, DL_SENT_NOTHING);
+	ck_assert_int_eq(result.failure, DL_FAILURE_RESET);
+}
+END_TEST
+
 START_TEST(connection_refused)
 {
 	struct dl_httpc *client;
@@ -554,6 +658,8 @@
 			    sizeof(close_delimited_responses) /
 				    sizeof(close_delimited_responses[0]));
 	tcase_add_test(t, response_sent_during_a_pause_is_read);
+	tcase_add_test(t, unread_bytes_are_no_response_to_the_next_request);
+	tcase_add_test(t, bytes_before_the_request_are_no_response);
 	tcase_add_test(t, connection_refused);
 	return suite_run(s);
 }
