--- a/Makefile
+++ b/Makefile
@@ -106,6 +106,7 @@
 soak: programs
 	DL_SEEDS=$${DL_SEEDS:-5000} ./test/test_rlog_random
 	DL_SEEDS=$${DL_SEEDS:-5000} ./test/test_memb_random
+	DL_SEEDS=$${DL_SEEDS:-5000} ./test/test_httpc_random
 	DL_RANDOM_SEED=11 DL_RANDOM_RATE=3 DL_RANDOM_SECONDS=40 \
 		sh test/test_system_random.sh
 
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -187,11 +187,50 @@
 	  "hel" },
 };
 
+#define HELLO "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+/* A response that must not be taken for complete. */
+struct broken {
+	const char *name;
+	const char *writes[3];
+};
+
+/* A head that stops, and a response behind it. */
+static const struct broken joined_heads[] = {
+	{ "in the status line", { "HTTP/1.1 204 N" HELLO } },
+	{ "in the status line, in two reads", { "HTTP/1.1 204 N", HELLO } },
+	{ "in the first field", { "HTTP/1.1 201 OK\r\nDate: a" HELLO } },
+	{ "in the id", { "HTTP/1.1 200 OK\r\nDate: a\r\nId: " HELLO } },
+	{ "in the id, in two reads",
+	  { "HTTP/1.1 200 OK\r\nDate: a\r\nId: ", HELLO } },
+	{ "before the last line feed",
+	  { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r" HELLO } },
+	{ "before the first line feed",
+	  { "HTTP/1.1 204 No Content\r", "\r\n" HELLO } },
+	{ "in an interim response", { "HTTP/1.1 100 Cont" HELLO } },
+	{ "in a field of an interim response",
+	  { "HTTP/1.1 103 Early Hints\r\nLink: <a" HELLO } },
+};
+
+/* A body in chunks that goes on with other bytes than due. */
+static const struct broken broken_chunks[] = {
+	{ "other bytes behind a chunk", { CHUNKED "5\r\nhelloab0\r\n\r\n" } },
+	{ "other bytes behind a chunk, in two reads",
+	  { CHUNKED "5\r\nhello", "ab0\r\n\r\n" } },
+	{ "no carriage return", { CHUNKED "5\r\nhelloa\n0\r\n\r\n" } },
+	{ "no line feed", { CHUNKED "5\r\nhello\ra0\r\n\r\n" } },
+	{ "size too small", { CHUNKED "3\r\nhello0\r\n\r\n" } },
+	{ "no line feed behind the size",
+	  { CHUNKED "5\rahello\r\n0\r\n\r\n" } },
+	{ "no line feed at the end", { CHUNKED "5\r\nhello\r\n0\r\n\ra" } },
+};
+
 /* Where connections are accepted to be forwarded to ADDRESS. */
 #define TUNNEL suite_address(0x4302, 7102)
 
 static uv_loop_t loop;
-static uv_tcp_t listener, server;
+static uv_tcp_t listener, servers[2], *server = servers; /* the last one */
+static int accepted;
 static uv_timer_t ticker;
 static const struct response *response;
 static int step, ended;
@@ -224,10 +263,12 @@
 
 static void on_connection(uv_stream_t *stream, int status)
 {
-	uv_tcp_init(&loop, &server);
-	ck_assert_int_eq(uv_accept(stream, (uv_stream_t *)&server), 0);
-	uv_read_start((uv_stream_t *)&server, on_alloc, on_read);
-	uv_tcp_nodelay(&server, 1);
+	ck_assert_int_lt(accepted, 2);
+	server = &servers[accepted++];
+	uv_tcp_init(&loop, server);
+	ck_assert_int_eq(uv_accept(stream, (uv_stream_t *)server), 0);
+	uv_read_start((uv_stream_t *)server, on_alloc, on_read);
+	uv_tcp_nodelay(server, 1);
 }
 
 /* Nothing runs for this long after each write of the server. */
@@ -238,7 +279,7 @@
 {
 	const char *text;
 
-	if (!asked || step > 3 || uv_is_closing((uv_handle_t *)&server))
+	if (!asked || step > 3 || uv_is_closing((uv_handle_t *)server))
 		return;
 	text = step < 3 ? response->writes[step] : NULL;
 	step++;
@@ -247,7 +288,7 @@
 		uv_buf_t buf =
 			uv_buf_init((char *)text, (unsigned)strlen(text));
 
-		uv_write(req, (uv_stream_t *)&server, &buf, 1, on_written);
+		uv_write(req, (uv_stream_t *)server, &buf, 1, on_written);
 		if (pause_ms)
 			usleep(pause_ms * 1000);
 	}
@@ -255,9 +296,9 @@
 		return;
 	step = 4;
 	if (response->end == SERVER_CLOSES)
-		uv_close((uv_handle_t *)&server, NULL);
+		uv_close((uv_handle_t *)server, NULL);
 	if (response->end == SERVER_RESETS)
-		uv_tcp_close_reset(&server, NULL);
+		uv_tcp_close_reset(server, NULL);
 }
 
 static void on_head(void *arg, const struct dl_httpc_head *head)
@@ -378,6 +419,8 @@
 									  3000;
 }
 
+static bool reuse;
+
 static void run_call(struct dl_httpc *client)
 {
 	struct dl_httpc_req req = { .address = ADDRESS,
@@ -385,7 +428,8 @@
 				    .path = DL_STR("/"),
 				    .connect_ms = 1000,
 				    .idle_ms = idle_ms(),
-				    .close_delimited = close_delimited };
+				    .close_delimited = close_delimited,
+				    .reuse = reuse };
 
 	ck_assert_ptr_nonnull(dl_httpc_start(client, &req, &ops, NULL));
 	ck_assert_int_eq(ended, 0);
@@ -467,6 +511,87 @@
 }
 END_TEST
 
+/* Runs a call whose response must not be taken for complete. */
+static void check_broken(const struct broken *broken)
+{
+	static struct response sent;
+	struct dl_httpc *client;
+
+	sent.name = broken->name;
+	sent.end = SERVER_CLOSES;
+	memcpy(sent.writes, broken->writes, sizeof(sent.writes));
+	response = &sent;
+	setup_client(&client);
+	listen_on_address();
+	run_call(client);
+	ck_assert_msg(result.failure != DL_FAILURE_NONE &&
+			      result.received != DL_RECV_COMPLETE,
+		      "%s: failure %d, received %d, body '%s'", broken->name,
+		      result.failure, result.received, body);
+}
+
+/*
+ * An answer that stops in its head, followed by another on its connection, was
+ * read on to the next empty line: the status and the first fields of one, and
+ * the other's body.
+ */
+START_TEST(two_heads_are_not_read_as_one)
+{
+	check_broken(&joined_heads[_i]);
+	ck_assert_msg(result.received == DL_RECV_NOTHING && body[0] == 0,
+		      "%s: received %d, body '%s'", joined_heads[_i].name,
+		      result.received, body);
+}
+END_TEST
+
+/* A body in chunks found its way again in other bytes. */
+START_TEST(chunk_not_followed_by_line_end_breaks_response)
+{
+	check_broken(&broken_chunks[_i]);
+}
+END_TEST
+
+START_TEST(coding_given_twice_breaks_response)
+{
+	static const struct broken twice = {
+		"coding given twice",
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n"
+		  "5\r\nhello\r\n0\r\n\r\n" }
+	};
+
+	check_broken(&twice);
+}
+END_TEST
+
+/*
+ * A second answer to the last request lies on its connection, unread, as the
+ * next request is sent: another connection is used.
+ */
+START_TEST(bytes_of_last_response_are_not_read_as_next)
+{
+	static const char stale[] = LENGTH "stale";
+	uv_buf_t buf = uv_buf_init((char *)stale, sizeof(stale) - 1);
+	struct dl_httpc *client;
+
+	response = &responses[1]; /* complete by length; it is kept */
+	reuse = true;
+	setup_client(&client);
+	listen_on_address();
+	run_call(client);
+	ck_assert_str_eq(body, "hello");
+	ck_assert_int_eq(uv_try_write((uv_stream_t *)server, &buf, 1),
+			 sizeof(stale) - 1);
+	memset(body, 0, sizeof(body));
+	ended = step = 0;
+	asked = false;
+	run_call(client);
+	ck_assert_str_eq(body, "hello");
+	ck_assert_int_eq(result.failure, DL_FAILURE_NONE);
+	ck_assert_int_eq(accepted, 2);
+}
+END_TEST
+
 START_TEST(connection_refused)
 {
 	struct dl_httpc *client;
@@ -497,6 +622,14 @@
 			    sizeof(close_delimited_responses) /
 				    sizeof(close_delimited_responses[0]));
 	tcase_add_test(t, response_sent_during_a_pause_is_read);
+	tcase_add_loop_test(
+		t, two_heads_are_not_read_as_one, 0,
+		(int)(sizeof(joined_heads) / sizeof(joined_heads[0])));
+	tcase_add_loop_test(
+		t, chunk_not_followed_by_line_end_breaks_response, 0,
+		(int)(sizeof(broken_chunks) / sizeof(broken_chunks[0])));
+	tcase_add_test(t, coding_given_twice_breaks_response);
+	tcase_add_test(t, bytes_of_last_response_are_not_read_as_next);
 	tcase_add_test(t, connection_refused);
 	return suite_run(s);
 }
