test_httpc_random: faults drawn more often where a receiver has to look

With single rules of a strict receiver taken out of a scratch copy, the default seeds missed some: of chunks that end otherwise, and of heads that stop in their first line. Calls sent with bytes unread are counted.

--- a/test/test_httpc_random.c
+++ b/test/test_httpc_random.c
@@ -22,13 +22,14 @@
 #include "transport/httpc.h"
 
 #define ADDRESS	     suite_address(0x4303, 7103)
-#define SEEDS	     25
+#define SEEDS	     35
 #define CALLS	     30
 #define OPEN_MAX     3
 #define LATE_MAX_MS  8
 #define IDLE_MS	     60
 #define CHECK_MS     1
 #define QUIET_CHECKS 10 /* without a byte, until a call is given up */
+#define FIRST_LINE   20 /* bytes */
 #define RUN_MAX_MS   20000
 #define SHOWN_MAX    10 /* failures of a program that are printed */
 
@@ -113,6 +114,7 @@
 struct count {
 	uint32_t calls, complete, shown;
 	uint32_t wrong;	   /* complete, but not with one answer to them */
+	uint32_t unread;   /* sent on a connection with bytes on it */
 	uint32_t headless; /* got a part of a body before a head */
 	uint32_t exempt[FRAMINGS];
 };
@@ -214,6 +216,8 @@
 	CHUNK_TOO_SMALL,
 	CHUNK_TOO_LARGE,
 	CHUNK_OTHER_END,
+	CHUNK_NO_RETURN,
+	CHUNK_NO_FEED,
 	CHUNK_NO_END,
 	CHUNK_HALF_END,
 	CHUNK_FAULTS
@@ -224,9 +228,7 @@
 			 enum chunk_fault fault)
 {
 	static const char *const ends[CHUNK_FAULTS] = {
-		[CHUNK_SOUND] = "\r\n",	    [CHUNK_TOO_SMALL] = "\r\n",
-		[CHUNK_TOO_LARGE] = "\r\n", [CHUNK_OTHER_END] = "ab",
-		[CHUNK_NO_END] = "",	    [CHUNK_HALF_END] = "\n",
+		"\r\n", "\r\n", "\r\n", "ab", "a\n", "\ra", "", "\n",
 	};
 	size_t said = n;
 
@@ -403,6 +405,30 @@
 			g_string_new_len(a->bytes->str, (gssize)a->bytes->len));
 }
 
+/*
+ * Draws where bytes are cut: a fourth of all cuts is in the first line or near
+ * it, a fourth inside the end of a line.
+ */
+static size_t draw_cut(GRand *rand, const GString *bytes, size_t from,
+		       size_t to)
+{
+	size_t n = from + draw(rand, (uint32_t)(to - from));
+	const char *end;
+
+	switch (draw(rand, 4)) {
+	case 0:
+		return from + draw(rand, (uint32_t)MIN(to - from, FIRST_LINE));
+	case 1:
+		break;
+	default:
+		return n;
+	}
+	end = memchr(bytes->str + n, '\r', to - n);
+	return end && (size_t)(end + 1 - bytes->str) < to ?
+		       (size_t)(end + 1 - bytes->str) :
+		       n;
+}
+
 /* Returns the bytes of an answer once more, cut or not, with its id or not. */
 static struct sent *draw_copy(struct peer *peer, const struct answer *a)
 {
@@ -419,14 +445,12 @@
 		sent->whole_n -= line;
 	}
 	if (cut == 1)
-		g_string_truncate(sent->bytes,
-				  draw(peer->rand, (uint32_t)sent->head_n));
+		g_string_truncate(sent->bytes, draw_cut(peer->rand, sent->bytes,
+							0, sent->head_n));
 	if (cut == 2 && sent->whole_n > sent->head_n)
-		g_string_truncate(
-			sent->bytes,
-			sent->head_n +
-				draw(peer->rand,
-				     (uint32_t)(sent->whole_n - sent->head_n)));
+		g_string_truncate(sent->bytes,
+				  draw_cut(peer->rand, sent->bytes,
+					   sent->head_n, sent->whole_n));
 	g_string_append_printf(peer->stream->drawn,
 			       "; copy %s id, %zu of %zu, head %zu",
 			       with_id ? "with" : "without", sent->bytes->len,
@@ -637,15 +661,14 @@
 	switch (draw(peer->rand, 8)) {
 	case 0:
 	case 1:
-	case 2:
 		push_end(peer, STEP_CLOSES);
 		break;
-	case 3:
+	case 2:
 		push_end(peer, STEP_RESETS);
 		break;
-	case 4: /* silent */
+	case 3: /* silent */
 		break;
-	case 5:
+	case 4:
 		push_bytes(peer, draw_garbage(peer->rand));
 		push_end(peer, STEP_CLOSES);
 		break;
@@ -696,15 +719,16 @@
 		g_string_append(peer->stream->drawn, "; garbage before");
 		push_bytes(peer, draw_garbage(peer->rand));
 	}
-	if (draw(peer->rand, 5) == 0)
-		fault = 1 + draw(peer->rand, ANSWER_LENGTHS_DIFFER);
+	if (draw(peer->rand, 4) == 0)
+		fault = draw(peer->rand, 5) < 3 ?
+				ANSWER_CHUNK :
+				1 + draw(peer->rand, ANSWER_LENGTHS_DIFFER);
 	a = draw_answer(peer->rand, subject, fault);
 	n = a->bytes->len;
 	if (draw(peer->rand, 5) == 0) {
 		a->cut = true;
-		n = draw(peer->rand,
-			 (uint32_t)(draw(peer->rand, 2) ? a->head_n :
-							  a->bytes->len));
+		n = draw_cut(peer->rand, a->bytes, 0,
+			     draw(peer->rand, 2) ? a->head_n : n);
 	}
 	push_answer(peer, a, n);
 	if (is_whole(a))
@@ -1029,6 +1053,7 @@
 	if (attempt->failure == DL_FAILURE_NONE &&
 	    attempt->received == DL_RECV_COMPLETE)
 		check_complete(call);
+	count.unread += dl_httpc_conn_info(call->http).bytes_before > 0;
 	call->http = NULL;
 	open_calls--;
 }
@@ -1194,9 +1219,9 @@
 		       count.headless - before.headless);
 	}
 	printf("%u seeds, %u fail; %u calls, %u complete, %u of them wrong, "
-	       "%u headless; exempt: %u by length, %u by chunks, %u by close\n",
+	       "%u headless; %u sent with bytes unread; exempt: %u by length, %u by chunks, %u by close\n",
 	       n, failing, count.calls, count.complete, count.wrong,
-	       count.headless, count.exempt[FRAMED_BY_LENGTH],
+	       count.headless, count.unread, count.exempt[FRAMED_BY_LENGTH],
 	       count.exempt[FRAMED_BY_CHUNKS], count.exempt[FRAMED_BY_CLOSE]);
 	fflush(stdout);
 	ck_assert_msg(count.wrong == 0,
