Relay: a response without an attempt id is no proof on a kept connection

Cause: is_own_attempt() took a response without an id for the request's own, and of several ids the last one decided. What such a response said of its endpoint (not run, Retry-After, leaving) was used before it was given up.

A response is now taken only with exactly one id, the request's, or without one on a connection that has carried no other request. A request that has no id itself uses a connection of its own.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -127,7 +127,7 @@
 /* The head of an endpoint's response to a routed request. */
 struct response_head {
 	bool not_run;		 /* the request was not executed */
-	bool wrong_request;	 /* its id is of another request */
+	bool wrong_request;	 /* not proved to be of this request */
 	const char *ids;	 /* own, other, none or several; for logs */
 	bool is_event_stream;	 /* forwarded event by event */
 	bool event_too_long;	 /* an event exceeds the limit */
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -195,8 +195,12 @@
 	req.connect_ms = c->connect_ms;
 	req.idle_ms = silence_limit_ms(c);
 	req.close_delimited = true;
-	/* On a connection that was cut off the request could arrive late. */
-	req.reuse = c->idempotent && !c->route.sent && !c->grant.leaving_ms;
+	/*
+	 * On a connection that was cut off the request could arrive late, and
+	 * without an id no response on a used one is proved to be its own.
+	 */
+	req.reuse = c->idempotent && !c->route.sent && !c->grant.leaving_ms &&
+		    c->route.attempt_id.n;
 	c->attempt = dl_httpc_start(c->e->httpc, &req, &relay_ops, c);
 	g_free(headers);
 }
@@ -354,21 +358,40 @@
 	c->response_length = events ? SIZE_MAX : c->route.head.content_length;
 }
 
-/* Whether a response carries the caller's attempt id, or none. */
-static bool is_own_attempt(const struct call *c, struct dl_str id)
-{
-	return id.n == 0 || dl_str_eq(c->route.attempt_id, id);
-}
+/* Which attempt ids a response carries. */
+enum ids {
+	IDS_NONE,
+	IDS_OWN,
+	IDS_OTHER,
+	IDS_SEVERAL,
+};
+
+static const char *const ids_names[] = {
+	[IDS_NONE] = "none",
+	[IDS_OWN] = "own",
+	[IDS_OTHER] = "other",
+	[IDS_SEVERAL] = "several",
+};
 
-/* Names which attempt ids a response carries, for the log. */
-static const char *ids_name(const struct call *c,
-			    const struct dl_response_head *said)
+static enum ids ids_of(const struct call *c,
+		       const struct dl_response_head *said)
 {
 	if (said->attempt_ids == 0)
-		return "none";
+		return IDS_NONE;
 	if (said->attempt_ids > 1)
-		return "several";
-	return is_own_attempt(c, said->attempt_id) ? "own" : "other";
+		return IDS_SEVERAL;
+	return dl_str_eq(c->route.attempt_id, said->attempt_id) ? IDS_OWN :
+								  IDS_OTHER;
+}
+
+/*
+ * Whether a response is proved to be that of this request: by its id, or,
+ * without one, by a connection that has carried no other request.
+ */
+static bool is_proved_own(const struct call *c, enum ids ids)
+{
+	return ids == IDS_OWN ||
+	       (ids == IDS_NONE && !dl_httpc_conn_info(c->attempt).carried);
 }
 
 /*
@@ -409,31 +432,41 @@
 	       (c->framing == DL_FRAMING_CLOSE || !c->route.head.other_type);
 }
 
+/* A response may be of another request: nothing that it says is used. */
+static void reject_response(struct call *c)
+{
+	c->route.head.wrong_request = true;
+	dl_count(DL_METRIC_responses_of_others, 1);
+	dl_httpc_reject(c->attempt,
+			"response is not proved to be of this request");
+}
+
 static void on_head(void *arg, const struct dl_httpc_head *head)
 {
 	struct call *c = arg;
 	struct dl_response_head said;
+	enum ids ids;
 
 	entry_call_span(c, "connect", c->attempt_at, c->grant.endpoint[0].s);
 	platform_dialect.response(head->headers, head->headers_count, &said);
+	ids = ids_of(c, &said);
 	c->status = head->status;
 	c->framing = head->framing;
+	c->route.head.ids = ids_names[ids];
+	if (!is_proved_own(c, ids)) {
+		reject_response(c);
+		return;
+	}
 	c->route.head.not_run = said.not_run ||
 				head->status == STATUS_MISDIRECTED;
-	c->route.head.wrong_request = !is_own_attempt(c, said.attempt_id);
-	c->route.head.ids = ids_name(c, &said);
-	if (c->route.head.wrong_request)
-		dl_count(DL_METRIC_responses_of_others, 1);
-	if (!c->route.head.wrong_request)
-		entry_limit_note_response(c, said.limit);
+	entry_limit_note_response(c, said.limit);
 	c->route.head.content_length = said.length;
 	c->route.head.leaving = said.leaving;
 	if (said.leaving && is_from_instance(c, head->status, said.at_fault))
 		entry_announce_endpoint_leaving(
 			c->e, dl_name_str(&c->grant.endpoint[0]),
 			dl_name_str(&c->route.instance), c->dispatcher);
-	else if (!said.leaving && !c->route.head.wrong_request &&
-		 head->status != STATUS_MISDIRECTED)
+	else if (!said.leaving && head->status != STATUS_MISDIRECTED)
 		dl_directory_note_staying(c->e->directory,
 					  dl_name_str(&c->grant.endpoint[0]),
 					  dl_name_str(&c->route.instance),
@@ -447,9 +480,7 @@
 	c->route.head.other_type = has_other_type(head);
 	if (!c->response_started)
 		keep_headers(c, head, c->route.head.is_event_stream);
-	if (c->route.head.wrong_request)
-		dl_httpc_give_up(c->attempt, "response to another request");
-	else if (c->route.head.not_run || head->status >= STATUS_NO_SUCCESS)
+	if (c->route.head.not_run || head->status >= STATUS_NO_SUCCESS)
 		dl_httpc_end_within(c->attempt, ERROR_BODY_MS);
 }
 
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -657,6 +657,13 @@
 		     step, why);
 }
 
+/* Gives up a call whose response may be of another request. */
+void dl_httpc_reject(struct dl_httpc_call *call, const char *why)
+{
+	httpc_stray_bytes(call->client, call->address);
+	dl_httpc_give_up(call, why);
+}
+
 static size_t request_head_size(const struct dl_httpc_req *req)
 {
 	size_t n = req->method.n + req->path.n + req->host.n +
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -145,6 +145,11 @@
 void dl_httpc_end_within(struct dl_httpc_call *call, uint32_t ms);
 /* Ends a call that makes no sense any more, as if it had timed out. */
 void dl_httpc_give_up(struct dl_httpc_call *call, const char *why);
+/*
+ * Gives up a call whose response is not proved to be that of its request: the
+ * endpoint's connections are not reused for a while.
+ */
+void dl_httpc_reject(struct dl_httpc_call *call, const char *why);
 /* Cancels a call: closes its connection; no callback follows. */
 void dl_httpc_cancel(struct dl_httpc_call *call);
 
