Relay: a stale kept connection uses up no attempt of its request

Cause: the foreign response was an attempt of the request, and its endpoint was excluded from the next one.

The request now goes to the same endpoint again, on a new connection and under the same grant, if the retry budget covers that. It is counted neither as an attempt nor as a failure of the endpoint. Once for a request, as the second time is on a new connection; only requests that may be repeated use kept connections.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -128,6 +128,7 @@
 struct response_head {
 	bool not_run;		 /* the request was not executed */
 	bool wrong_request;	 /* not proved to be of this request */
+	bool stale_connection;	 /* that, where others had used it before */
 	const char *ids;	 /* own, other, none or several; for logs */
 	bool is_event_stream;	 /* forwarded event by event */
 	bool event_too_long;	 /* an event exceeds the limit */
@@ -141,6 +142,7 @@
 
 /* State that only routed requests have. */
 struct call_route {
+	bool new_connection; /* the next attempt may not use a kept one */
 	enum dl_route_kind kind;
 	struct dl_str
 		attempt_id;	 /* the caller's id, in its request's headers */
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -200,7 +200,7 @@
 	 * without an id no response on a used one is proved to be its own.
 	 */
 	req.reuse = c->idempotent && !c->route.sent && !c->grant.leaving_ms &&
-		    c->route.attempt_id.n;
+		    c->route.attempt_id.n && !c->route.new_connection;
 	c->attempt = dl_httpc_start(c->e->httpc, &req, &relay_ops, c);
 	g_free(headers);
 }
@@ -246,7 +246,7 @@
 		retry_unavailable(c);
 		return;
 	}
-	if (entry_reservation_needed(c))
+	if (entry_reservation_needed(c) && !c->reservations)
 		entry_reservation_start(c);
 	else
 		entry_relay_send(c);
@@ -436,6 +436,8 @@
 static void reject_response(struct call *c)
 {
 	c->route.head.wrong_request = true;
+	c->route.head.stale_connection =
+		dl_httpc_conn_info(c->attempt).carried > 0;
 	dl_count(DL_METRIC_responses_of_others, 1);
 	dl_httpc_reject(c->attempt,
 			"response is not proved to be of this request");
@@ -689,11 +691,13 @@
 
 /*
  * Whether an attempt cost its endpoint nothing and the dispatcher will not
- * offer that endpoint again.  Such an attempt uses up no try of the request.
+ * offer that endpoint again, or is not over with it.  Such an attempt uses up
+ * no try of the request.
  */
 static bool costs_no_attempt(const struct call *c, const struct dl_attempt *a)
 {
-	return was_unreachable(c, a) || c->route.head.backoff_requested;
+	return was_unreachable(c, a) || c->route.head.backoff_requested ||
+	       c->route.head.stale_connection;
 }
 
 /*
@@ -708,17 +712,33 @@
 		c->route.free_failures++;
 	else
 		c->route.tries++;
-	c->route.sent += outcome != DL_OUTCOME_NOT_RUN;
+	if (!c->route.head.stale_connection)
+		c->route.sent += outcome != DL_OUTCOME_NOT_RUN;
 	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
 }
 
-/* Asks for another endpoint after an attempt that has failed. */
+/*
+ * Sends a request again to the same endpoint, on a new connection.  What came
+ * on the kept one says nothing about the endpoint.
+ */
+static void send_on_new_connection(struct call *c)
+{
+	c->route.new_connection = true;
+	if (c->granted && c->state == CALL_RUNNING)
+		entry_relay_start(c);
+	else
+		entry_grant_replace(c);
+}
+
+/* Starts another attempt after one that has failed. */
 static void repeat(struct call *c, const struct dl_attempt *a)
 {
 	if (c->relayed)
 		c->route.resumes = true;
 	dl_count(DL_METRIC_retries_total, 1);
-	if (costs_no_attempt(c, a))
+	if (c->route.head.stale_connection)
+		send_on_new_connection(c);
+	else if (costs_no_attempt(c, a))
 		entry_grant_replace(c);
 	else
 		ask_without_tried(c);
