Relay: a body in which another response begins is broken off

No framing shows this. A body is now searched for a status line that is followed, before an empty line, by the request's own attempt id: event by event in streams, else in what is held of it. Then the response is broken off as any other. A body that echoes its request has the id, but no status line before it.

Not found: a length filled up by less of the next answer than its id, and a response of over 8 MiB, which is sent on as it comes.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -36,6 +36,7 @@
 	  "responses of endpoints with bytes after their end")                 \
 	X(response_heads_malformed,                                            \
 	  "responses whose head is none, or has another one in it")            \
+	X(responses_joined, "responses in whose body another response begins") \
 	X(stray_bytes,                                                         \
 	  "times bytes came from an endpoint that belong to no request")       \
 	X(responses_of_others,                                                 \
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -12,6 +12,7 @@
 #include "base/msg.h"
 #include "entry/entry_call.h"
 #include "platform/platform.h"
+#include "transport/response_head.h"
 
 #define HELD_BODY_MAX (8u << 20)
 #define TRIES_MAX     4 /* grants of a request, usable or not */
@@ -552,6 +553,14 @@
 		dl_httpc_give_up(c->attempt, "bytes without an event");
 }
 
+/* The body is filled up with another response to this request. */
+static void note_holds_response(struct call *c)
+{
+	c->route.head.holds_response = true;
+	dl_count(DL_METRIC_responses_joined, 1);
+	dl_httpc_reject(c->attempt, "another response begins in its body");
+}
+
 /* Forwards the events that are whole with the bytes received now. */
 static bool relay_events(struct call *c, struct dl_str piece)
 {
@@ -564,6 +573,10 @@
 		return true;
 	}
 	while (dl_sse_next(&c->sse, &event)) {
+		if (dl_holds_response(event.bytes, c->route.attempt_id)) {
+			note_holds_response(c);
+			return true;
+		}
 		c->route.whole_event_at = entry_now(c->e);
 		go_on = relay_event(c, &event);
 	}
@@ -575,7 +588,8 @@
 {
 	struct call *c = arg;
 
-	if (c->route.head.wrong_request || c->route.head.event_too_long)
+	if (c->route.head.wrong_request || c->route.head.event_too_long ||
+	    c->route.head.holds_response)
 		return true;
 	/* The body of an error is no part of a stream that has begun. */
 	if (c->response_started && !c->route.head.is_event_stream)
@@ -610,7 +624,12 @@
 	struct dl_attempt a = *attempt;
 
 	if (a.received != DL_RECV_NOTHING &&
-	    (c->route.head.wrong_request || c->route.head.event_too_long)) {
+	    (c->route.head.wrong_request || c->route.head.event_too_long ||
+	     c->route.head.holds_response)) {
+		if (a.failure == DL_FAILURE_NONE)
+			dl_err_set(err, -EIO, DL_STEP_BODY,
+				   c->grant.endpoint[0].s,
+				   "another response begins in its body");
 		a.failure = DL_FAILURE_BAD_RESPONSE;
 		a.received = DL_RECV_HEAD;
 	} else if (c->route.head.not_run && a.received != DL_RECV_NOTHING) {
@@ -758,6 +777,21 @@
 		end_failed(c, outcome, err);
 }
 
+/*
+ * Looks for another response in what is held of the body; of a response without
+ * a length, and of one that was broken off, the next one's bytes are a part.
+ */
+static void check_whole_body(struct call *c, const struct dl_attempt *attempt)
+{
+	struct dl_str held = { c->response_buf->str, c->response_buf->len };
+
+	if (c->route.head.is_event_stream)
+		held = dl_sse_rest(&c->sse);
+	if (attempt->received != DL_RECV_NOTHING &&
+	    dl_holds_response(held, c->route.attempt_id))
+		note_holds_response(c);
+}
+
 static void on_end(void *arg, const struct dl_attempt *attempt,
 		   const struct dl_err *transport_err)
 {
@@ -774,6 +808,7 @@
 		retry_unsent(c);
 		return;
 	}
+	check_whole_body(c, attempt);
 	call_note_ending(c, attempt, ends_with_event(c),
 			 dl_sse_unfinished(&c->sse));
 	c->attempt = NULL;
--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -121,3 +121,49 @@
 	}
 	return check->state != DL_HEAD_BAD;
 }
+
+static bool is_status_start(const char *at)
+{
+	for (size_t i = 0; i < STATUS_START_N; i++) {
+		if (!matches(status_start[i], at[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Whether a status line begins in the lines that end at a place. */
+static bool follows_status_line(struct dl_str body, size_t end)
+{
+	bool line_end = false;
+
+	for (size_t i = end; i-- > 0;) {
+		if (body.s[i] == '\n') {
+			if (line_end)
+				return false; /* an empty line */
+			line_end = true;
+		} else if (body.s[i] != '\r') {
+			line_end = false;
+		}
+		if (body.n - i >= STATUS_START_N && is_status_start(body.s + i))
+			return true;
+	}
+	return false;
+}
+
+/* Whether the head of a response with an id begins within a body. */
+bool dl_holds_response(struct dl_str body, struct dl_str id)
+{
+	size_t from = 0;
+
+	while (id.n && body.n - from >= id.n) {
+		const char *at =
+			memmem(body.s + from, body.n - from, id.s, id.n);
+
+		if (!at)
+			return false;
+		if (follows_status_line(body, (size_t)(at - body.s)))
+			return true;
+		from = (size_t)(at - body.s) + id.n;
+	}
+	return false;
+}
--- a/src/transport/response_head.h
+++ b/src/transport/response_head.h
@@ -33,4 +33,10 @@
 bool dl_head_check(struct dl_head_check *check, struct dl_str bytes,
 		   const char **why);
 
+/*
+ * Whether the head of a response with an id begins within a body: a status
+ * line, and the id before the next empty line. The body was broken off there.
+ */
+bool dl_holds_response(struct dl_str body, struct dl_str id);
+
 #endif
--- a/test/test_response_head.c
+++ b/test/test_response_head.c
@@ -100,6 +100,31 @@
 }
 END_TEST
 
+static const struct {
+	const char *body;
+	bool holds;
+} bodies[] = {
+	{ "", false },
+	{ "id-1", false },
+	{ "HTTP/1.1 200 OK\r\n\r\nid-1", false },
+	{ "text of HTTP/1.1 200 OK, no id", false },
+	{ "{\"headers\":{\"Daisyledge-Attempt-Id\":\"id-1\"}}", false },
+	{ "heHTTP/1.1 200 OK\r\nDaisyledge-Attempt-Id: id-1\r\n\r\n", true },
+	{ "heHTTP/1.1 503 Full\nA: b\nDaisyledge-Attempt-Id: id-1", true },
+	{ "id-1 HTTP/1.1 200 OK\r\nA: id-2\r\nB: id-1\r\n\r\nx", true },
+	{ "HTTP/1.1 200 OK\r\nA: id-2\r\n\r\nid-1", false },
+};
+
+/* Guards against a body that is filled up from the response after it. */
+START_TEST(response_within_a_body_is_found)
+{
+	ck_assert_int_eq(dl_holds_response(dl_str_of(bodies[_i].body),
+					   DL_STR("id-1")),
+			 bodies[_i].holds);
+	ck_assert(!dl_holds_response(dl_str_of(bodies[_i].body), DL_STR("")));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("response_head");
@@ -111,6 +136,8 @@
 			    sizeof(bad) / sizeof(bad[0]));
 	tcase_add_test(tc, head_after_cut_head_is_bad);
 	tcase_add_test(tc, bytes_after_the_head_are_not_checked);
+	tcase_add_loop_test(tc, response_within_a_body_is_found, 0,
+			    sizeof(bodies) / sizeof(bodies[0]));
 	suite_add_tcase(s, tc);
 	return suite_run(s);
 }
