--- a/src/protocol/explain.c
+++ b/src/protocol/explain.c
@@ -319,6 +319,19 @@
 		 left / 1000, left % 1000);
 }
 
+/* What is wrong with a response that was not taken for the request's. */
+static const char *bad_response_text(const struct dl_logline *l)
+{
+	if (field_is(l, "ids", "other"))
+		return "sent a response to another request";
+	if (field_is(l, "ids", "none"))
+		return "sent a response without an attempt id on a kept "
+		       "connection";
+	if (field_is(l, "ids", "several"))
+		return "sent a response with several attempt ids";
+	return failure_texts[DL_FAILURE_BAD_RESPONSE];
+}
+
 static void describe_failed_attempt(const struct dl_logline *l, char *out)
 {
 	int64_t broke = dl_logline_number(l, "broke", 0);
@@ -330,7 +343,8 @@
 
 	if (broke < 0 || broke >= DL_FAILURE_COUNT)
 		broke = DL_FAILURE_NONE;
-	failure = failure_texts[broke];
+	failure = broke == DL_FAILURE_BAD_RESPONSE ? bad_response_text(l) :
+						     failure_texts[broke];
 	if (field_is(l, "end", "inside-event"))
 		failure = "ended its stream inside an event";
 	else if (field_is(l, "end", "no-event"))
--- a/test/test_explain.c
+++ b/test/test_explain.c
@@ -270,6 +270,15 @@
 		{ STAMP "WARN  relay: An attempt broke. endpoint=e broke=2 "
 			"events=3 end=broken",
 		  "e closed the connection after 3 events" },
+		{ STAMP "WARN  relay: An attempt broke. endpoint=e broke=6 "
+			"events=0 ids=other",
+		  "e sent a response to another request" },
+		{ STAMP "WARN  relay: An attempt broke. endpoint=e broke=6 "
+			"events=0 ids=none",
+		  "e sent a response without an attempt id on a kept" },
+		{ STAMP "WARN  relay: An attempt broke. endpoint=e broke=6 "
+			"events=0 ids=own",
+		  "e sent an invalid response" },
 		{ ENDED "outcome=done endpoint=e ms=5 end=unmarked",
 		  "only the end of the connection marked" },
 	};
