HTTP client: a body in chunks is checked to its end, a coding given twice is refused

The check of the two bytes behind a chunk left gaps, found by test_httpc_random and its rows of test_httpc: the byte after the CR of a chunk's size and of the last empty line was not compared, and Transfer-Encoding given twice, which two heads in one have, was taken. A body in chunks is now checked byte by byte beside the parser (dl_chunk_check), as heads are; the pointers into the parser's input are gone again.

--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -20,7 +20,6 @@
 #define KEEP_ALIVE_MARGIN_MS 500
 #define POOL_SWEEP_MS	     500
 #define UNREAD_COUNTED	     512 /* bytes */
-#define CHUNK_END	     "\r\n"
 
 static int on_field(http_parser *parser, const char *at, size_t n);
 static int on_value(http_parser *parser, const char *at, size_t n);
@@ -28,7 +27,6 @@
 static int on_body(http_parser *parser, const char *at, size_t n);
 static int on_message_complete(http_parser *parser);
 static int on_message_begin(http_parser *parser);
-static int on_chunk_header(http_parser *parser);
 static void on_timer(uv_timer_t *timer);
 static void on_sweep(uv_timer_t *timer);
 
@@ -39,7 +37,6 @@
 	.on_headers_complete = on_headers,
 	.on_body = on_body,
 	.on_message_complete = on_message_complete,
-	.on_chunk_header = on_chunk_header,
 };
 
 /* Creates the HTTP client of a loop, with its pool of idle connections. */
@@ -305,9 +302,9 @@
 
 /*
  * Returns views of the headers, to be freed with g_free(), and acts on those
- * meant for this client.
+ * meant for this client. Sets *bad if the framing is given twice.
  */
-static struct dl_header *read_headers(struct dl_httpc_call *call)
+static struct dl_header *read_headers(struct dl_httpc_call *call, bool *bad)
 {
 	struct dl_header *out = g_new(struct dl_header, call->fields->len);
 	const char *text = call->header_text->str;
@@ -324,8 +321,10 @@
 			(struct dl_str){ text + field->value, field->value_n };
 		if (dl_header_is(out[i].name, "content-length"))
 			call->framing = DL_FRAMING_LENGTH;
-		if (dl_header_is(out[i].name, "transfer-encoding"))
+		if (dl_header_is(out[i].name, "transfer-encoding")) {
+			*bad |= has_coding;
 			has_coding = true;
+		}
 		if (dl_header_is(out[i].name, "daisyledge-not-run"))
 			call->attempt.received = DL_RECV_NOT_RUN;
 		if (dl_header_is(out[i].name, "keep-alive"))
@@ -341,7 +340,7 @@
 	struct dl_httpc_call *call = call_of(parser);
 	struct dl_header *views;
 	struct dl_httpc_head head;
-	bool no_body;
+	bool no_body, bad = false;
 
 	if (!call)
 		return -1;
@@ -349,10 +348,15 @@
 		return ++call->interim > INTERIM_MAX ? -1 : 0;
 	no_body = call->is_head_method || parser->status_code == 204 ||
 		  parser->status_code == 304;
-	call->attempt.received = DL_RECV_HEAD;
+	views = read_headers(call, &bad);
+	if (bad) {
+		g_free(views);
+		return -1;
+	}
+	if (call->attempt.received == DL_RECV_NOTHING)
+		call->attempt.received = DL_RECV_HEAD;
 	call->attempt.status = (uint16_t)parser->status_code;
 	head.status = call->attempt.status;
-	views = read_headers(call);
 	head.headers = views;
 	head.headers_count = call->fields->len;
 	if (no_body)
@@ -365,46 +369,12 @@
 	return no_body ? 1 : 0;
 }
 
-/* Notes the size of the chunk that begins; 0 for the last one. */
-static int on_chunk_header(http_parser *parser)
-{
-	struct conn *conn = parser->data;
-
-	conn->chunk_left = parser->content_length;
-	return conn->call ? 0 : 1;
-}
-
-/*
- * Compares bytes with what is still to come of the line end after a chunk,
- * which the parser does not do. Returns false where they differ.
- */
-static bool is_chunk_end(struct conn *conn, const char *at)
-{
-	while (conn->chunk_end && *conn->chunk_end && at < conn->input_end) {
-		if (*at++ != *conn->chunk_end++)
-			return false;
-	}
-	return true;
-}
-
-/* Whether a piece of the body is followed by a line end where it has to be. */
-static bool has_chunk_end(struct conn *conn, const char *at, size_t n)
-{
-	if (!(conn->parser.flags & F_CHUNKED))
-		return true;
-	conn->chunk_left -= n;
-	if (conn->chunk_left)
-		return true;
-	conn->chunk_end = CHUNK_END;
-	return is_chunk_end(conn, at + n);
-}
-
 static int on_body(http_parser *parser, const char *at, size_t n)
 {
 	struct dl_httpc_call *call = call_of(parser);
 	struct dl_str piece = { at, n };
 
-	if (!call || !has_chunk_end(parser->data, at, n))
+	if (!call)
 		return 1;
 	httpc_call_timer(call, call->idle_ms);
 	if (call->ops->body && !call->ops->body(call->arg, piece) &&
@@ -466,6 +436,41 @@
 		     uv_strerror(err));
 }
 
+/*
+ * Checks and parses bytes that the endpoint sent. Returns how many were parsed;
+ * *why is set to a constant where they are no part of a response.
+ */
+static size_t parse(struct conn *conn, const char *bytes, size_t n,
+		    const char **why)
+{
+	size_t head = dl_head_check(&conn->head_check,
+				    (struct dl_str){ bytes, n }, why);
+	struct dl_str rest = { bytes + head, n - head };
+	size_t used;
+
+	if (*why) {
+		dl_count(DL_METRIC_response_heads_malformed, 1);
+		return 0;
+	}
+	/* Only the head says whether chunks follow; 0 bytes stand for the end.
+	 */
+	if (head) {
+		used = http_parser_execute(&conn->parser, &parser_settings,
+					   bytes, head);
+		if (used < head || !conn->call)
+			return used;
+	}
+	if (!rest.n || conn->response_ended)
+		return head;
+	if (conn->parser.flags & F_CHUNKED &&
+	    !dl_chunk_check(&conn->chunk_check, rest)) {
+		*why = "body in chunks is malformed";
+		return head;
+	}
+	return head + http_parser_execute(&conn->parser, &parser_settings,
+					  rest.s, rest.n);
+}
+
 /* Handles bytes that the endpoint sent. */
 void httpc_call_bytes(struct conn *conn, const char *bytes, size_t n)
 {
@@ -475,23 +480,13 @@
 
 	if (!call)
 		return;
-	if (!dl_head_check(&conn->head_check, (struct dl_str){ bytes, n },
-			   &why)) {
-		dl_count(DL_METRIC_response_heads_malformed, 1);
-		schedule_end(call, DL_FAILURE_RESET, current_step(call), why);
-		return;
-	}
-	conn->input_end = bytes + n;
-	if (!is_chunk_end(conn, bytes)) {
-		schedule_end(call, DL_FAILURE_RESET, current_step(call),
-			     "chunk is not followed by a line end");
-		return;
-	}
-	used = http_parser_execute(&conn->parser, &parser_settings, bytes, n);
+	used = parse(conn, bytes, n, &why);
 	if (!conn->call)
 		return; /* cancelled by a callback */
 	if (conn->response_ended)
 		end_complete(call, n - used);
+	else if (why)
+		schedule_end(call, DL_FAILURE_RESET, current_step(call), why);
 	else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
 		schedule_end(call, DL_FAILURE_RESET, current_step(call),
 			     http_errno_description(
@@ -552,7 +547,7 @@
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 	conn->head_check = (struct dl_head_check){ 0 };
-	conn->chunk_end = NULL;
+	conn->chunk_check = (struct dl_chunk_check){ 0 };
 	conn->response_ended = false;
 	conn->idle_ms = POOL_IDLE_MS;
 	conn->write.data = conn;
--- a/src/transport/httpc_int.h
+++ b/src/transport/httpc_int.h
@@ -29,10 +29,7 @@
 	uv_write_t write;
 	http_parser parser;
 	struct dl_head_check head_check;
-	const char *input_end; /* of the bytes that the parser reads */
-	uint64_t chunk_left;   /* of the current chunk */
-	/* What of the line end after a chunk has not come; "": nothing. */
-	const char *chunk_end;
+	struct dl_chunk_check chunk_check;
 	struct dl_httpc *client;
 	struct dl_httpc_call *call; /* NULL while pooled or closing */
 	struct conn *next;	    /* in the pool */
--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -1,8 +1,9 @@
-/* Check of the head of a response; see the header. */
+/* Checks of a response; see the header. */
 #include "transport/response_head.h"
 
 #include <glib.h>
 #include <string.h>
+#include <sys/param.h>
 
 #define STATUS_FINAL 200 /* the lowest status of a final response */
 
@@ -10,6 +11,8 @@
 static const char status_start[] = "HTTP/#.# ###";
 #define STATUS_START_N (sizeof(status_start) - 1)
 #define STATUS_DIGITS  3
+#define SIZE_BITS      64 /* of a chunk's size */
+#define DIGIT_BITS     4
 
 static bool matches(char pattern, char c)
 {
@@ -106,20 +109,82 @@
 	}
 }
 
-/* Checks the bytes that follow; false: this is no head of a response. */
-bool dl_head_check(struct dl_head_check *check, struct dl_str bytes,
-		   const char **why)
+/* Checks the bytes that follow; returns how many of them are of the head. */
+size_t dl_head_check(struct dl_head_check *check, struct dl_str bytes,
+		     const char **why)
 {
-	for (size_t i = 0; i < bytes.n; i++) {
-		if (check->state >= DL_HEAD_COMPLETE)
-			break;
+	size_t i;
+
+	for (i = 0; i < bytes.n && check->state < DL_HEAD_COMPLETE; i++) {
 		*why = check->state == DL_HEAD_STATUS_LINE ?
 			       check_status_line(check, bytes.s[i]) :
 			       check_field(check, bytes.s[i]);
 		if (*why)
 			check->state = DL_HEAD_BAD;
 	}
-	return check->state != DL_HEAD_BAD;
+	return i;
+}
+
+/* Handles the first digit of a chunk's size, or one that follows. */
+static enum dl_chunk_state take_digit(struct dl_chunk_check *check, char c)
+{
+	if (!g_ascii_isxdigit(c) || check->left >> (SIZE_BITS - DIGIT_BITS))
+		return DL_CHUNK_BAD;
+	check->left = check->left << DIGIT_BITS |
+		      (uint64_t)g_ascii_xdigit_value(c);
+	return DL_CHUNK_DIGITS;
+}
+
+/* Returns the state after a byte that is none of a chunk's data. */
+static enum dl_chunk_state after_byte(struct dl_chunk_check *check, char c)
+{
+	switch (check->state) {
+	case DL_CHUNK_SIZE:
+		check->left = 0;
+		return take_digit(check, c);
+	case DL_CHUNK_DIGITS:
+		if (c == '\r')
+			return DL_CHUNK_SIZE_LF;
+		if (c == ';' || c == ' ')
+			return DL_CHUNK_EXTENSION;
+		return take_digit(check, c);
+	case DL_CHUNK_EXTENSION:
+		return c == '\r' ? DL_CHUNK_SIZE_LF : DL_CHUNK_EXTENSION;
+	case DL_CHUNK_SIZE_LF:
+		if (c != '\n')
+			return DL_CHUNK_BAD;
+		return check->left ? DL_CHUNK_DATA : DL_CHUNK_TRAILER_START;
+	case DL_CHUNK_DATA_CR:
+		return c == '\r' ? DL_CHUNK_DATA_LF : DL_CHUNK_BAD;
+	case DL_CHUNK_DATA_LF:
+		return c == '\n' ? DL_CHUNK_SIZE : DL_CHUNK_BAD;
+	case DL_CHUNK_TRAILER_START:
+		if (c == '\n')
+			return DL_CHUNK_COMPLETE;
+		return c == '\r' ? DL_CHUNK_LAST_LF : DL_CHUNK_TRAILER;
+	case DL_CHUNK_TRAILER:
+		return c == '\n' ? DL_CHUNK_TRAILER_START : DL_CHUNK_TRAILER;
+	default:
+		return c == '\n' ? DL_CHUNK_COMPLETE : DL_CHUNK_BAD;
+	}
+}
+
+/* Checks the bytes of a body in chunks that follow; false: these are none. */
+bool dl_chunk_check(struct dl_chunk_check *check, struct dl_str bytes)
+{
+	for (size_t i = 0; i < bytes.n && check->state < DL_CHUNK_COMPLETE;) {
+		size_t n = MIN(check->left, bytes.n - i);
+
+		if (check->state != DL_CHUNK_DATA) {
+			check->state = after_byte(check, bytes.s[i++]);
+			continue;
+		}
+		check->left -= n;
+		i += n;
+		if (!check->left)
+			check->state = DL_CHUNK_DATA_CR;
+	}
+	return check->state != DL_CHUNK_BAD;
 }
 
 static bool is_status_start(const char *at)
--- a/src/transport/response_head.h
+++ b/src/transport/response_head.h
@@ -1,5 +1,5 @@
 /*
- * Checks the head of a response byte by byte, for what http-parser lets pass.
+ * Checks a response byte by byte, for what http-parser lets pass.
  * Bytes of a response that stopped in its head, followed by another response,
  * must not be read as one head.
  */
@@ -27,11 +27,36 @@
 };
 
 /*
- * Checks the bytes that follow. An interim response is followed by the next
- * head. false: this is no head of a response; *why is set to a constant.
+ * Checks the bytes that follow, and returns how many of them are of the head.
+ * An interim response is followed by the next head. Where this is no head of a
+ * response, *why is set to a constant.
  */
-bool dl_head_check(struct dl_head_check *check, struct dl_str bytes,
-		   const char **why);
+size_t dl_head_check(struct dl_head_check *check, struct dl_str bytes,
+		     const char **why);
+
+enum dl_chunk_state {
+	DL_CHUNK_SIZE, /* its first digit */
+	DL_CHUNK_DIGITS,
+	DL_CHUNK_EXTENSION,
+	DL_CHUNK_SIZE_LF,
+	DL_CHUNK_DATA,
+	DL_CHUNK_DATA_CR,
+	DL_CHUNK_DATA_LF,
+	DL_CHUNK_TRAILER_START, /* or the empty line */
+	DL_CHUNK_TRAILER,
+	DL_CHUNK_LAST_LF,
+	DL_CHUNK_COMPLETE,
+	DL_CHUNK_BAD,
+};
+
+/* Zero-initialised for the first byte of a body in chunks. */
+struct dl_chunk_check {
+	enum dl_chunk_state state;
+	uint64_t left; /* of the current chunk, bytes */
+};
+
+/* Checks the bytes of a body in chunks that follow; false: these are none. */
+bool dl_chunk_check(struct dl_chunk_check *check, struct dl_str bytes);
 
 /*
  * Whether the head of a response with an id begins within a body: a status
--- a/test/test_response_head.c
+++ b/test/test_response_head.c
@@ -44,14 +44,12 @@
 {
 	struct dl_head_check check = { 0 };
 	const char *why = NULL;
-	bool good = true;
-
-	for (size_t i = 0, all = strlen(text); i < all && good; i += n)
-		good = dl_head_check(
-			&check, (struct dl_str){ text + i, MIN(n, all - i) },
-			&why);
-	ck_assert_int_eq(good, check.state != DL_HEAD_BAD);
-	ck_assert_int_eq(why == NULL, good);
+
+	for (size_t i = 0, all = strlen(text); i < all && !why; i += n)
+		dl_head_check(&check,
+			      (struct dl_str){ text + i, MIN(n, all - i) },
+			      &why);
+	ck_assert_int_eq(why != NULL, check.state == DL_HEAD_BAD);
 	return check.state;
 }
 
@@ -92,14 +90,55 @@
 	struct dl_head_check check = { 0 };
 	const char *why = NULL;
 
-	ck_assert(dl_head_check(&check, DL_STR("HTTP/1.1 200 OK\r\n\r\n\1\2"),
-				&why));
-	ck_assert(
-		dl_head_check(&check, DL_STR("HTTP/1.1 200 OK\r\n\r\n"), &why));
+	ck_assert_uint_eq(dl_head_check(&check,
+					DL_STR("HTTP/1.1 200 OK\r\n\r\n\1\2"),
+					&why),
+			  19);
+	ck_assert_uint_eq(dl_head_check(&check, DL_STR("HTTP/1.1"), &why), 0);
 	ck_assert_int_eq(check.state, DL_HEAD_COMPLETE);
 }
 END_TEST
 
+static const struct {
+	const char *body;
+	enum dl_chunk_state state;
+} chunks[] = {
+	{ "0\r\n\r\n", DL_CHUNK_COMPLETE },
+	{ "5\r\nhello\r\n0\r\n\r\n", DL_CHUNK_COMPLETE },
+	{ "5;a=b\r\nhello\r\n000\r\nA: b\r\n\r\n", DL_CHUNK_COMPLETE },
+	{ "0a\r\n0123456789\r\n0\r\n", DL_CHUNK_TRAILER_START },
+	{ "5\r\nhello\r\n0\r\n\r", DL_CHUNK_LAST_LF },
+	{ "5\r\nhel", DL_CHUNK_DATA },
+	{ "", DL_CHUNK_SIZE },
+	{ "\r\n", DL_CHUNK_BAD },
+	{ "x\r\n", DL_CHUNK_BAD },
+	{ "5\rhello", DL_CHUNK_BAD },
+	{ "5\r\nhelloXY", DL_CHUNK_BAD },
+	{ "5\r\nhello\rX", DL_CHUNK_BAD },
+	{ "5\r\nhello\r\nHTTP/1.1 200 OK\r\n", DL_CHUNK_BAD },
+	{ "0\r\n\rHTTP", DL_CHUNK_BAD },
+	{ "10000000000000000\r\n", DL_CHUNK_BAD },
+};
+
+/* Guards against a body in chunks that goes on in another response. */
+START_TEST(chunk_syntax_is_checked)
+{
+	struct dl_str text = dl_str_of(chunks[_i].body);
+
+	for (size_t n = 1; n <= text.n + 1; n++) {
+		struct dl_chunk_check check = { 0 };
+		bool good = true;
+
+		for (size_t i = 0; i < text.n && good; i += n)
+			good = dl_chunk_check(
+				&check, (struct dl_str){ text.s + i,
+							 MIN(n, text.n - i) });
+		ck_assert_int_eq(check.state, chunks[_i].state);
+		ck_assert_int_eq(good, check.state != DL_CHUNK_BAD);
+	}
+}
+END_TEST
+
 static const struct {
 	const char *body;
 	bool holds;
@@ -136,6 +175,8 @@
 			    sizeof(bad) / sizeof(bad[0]));
 	tcase_add_test(tc, head_after_cut_head_is_bad);
 	tcase_add_test(tc, bytes_after_the_head_are_not_checked);
+	tcase_add_loop_test(tc, chunk_syntax_is_checked, 0,
+			    sizeof(chunks) / sizeof(chunks[0]));
 	tcase_add_loop_test(tc, response_within_a_body_is_found, 0,
 			    sizeof(bodies) / sizeof(bodies[0]));
 	suite_add_tcase(s, tc);
