--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -127,10 +127,12 @@
 /* The head of an endpoint's response to a routed request. */
 struct response_head {
 	bool not_run;		 /* the request was not executed */
-	bool wrong_request;	 /* its id is of another request */
+	bool wrong_request;	 /* not proved to be of this request */
+	bool stale_connection;	 /* that, where others had used it before */
 	const char *ids;	 /* own, other, none or several; for logs */
 	bool is_event_stream;	 /* forwarded event by event */
 	bool event_too_long;	 /* an event exceeds the limit */
+	bool holds_response;	 /* another response begins in its body */
 	bool other_type;	 /* its type is given, and not that of events */
 	bool leaving;		 /* the endpoint is shutting down */
 	bool backoff_requested;	 /* for retry_after_ms */
@@ -141,6 +143,7 @@
 
 /* State that only routed requests have. */
 struct call_route {
+	bool new_connection; /* the next attempt may not use a kept one */
 	enum dl_route_kind kind;
 	struct dl_str
 		attempt_id;	 /* the caller's id, in its request's headers */
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -12,6 +12,7 @@
 #include "base/msg.h"
 #include "entry/entry_call.h"
 #include "platform/platform.h"
+#include "transport/response_head.h"
 
 #define HELD_BODY_MAX (8u << 20)
 #define TRIES_MAX     4 /* grants of a request, usable or not */
@@ -195,8 +196,12 @@
 	req.connect_ms = c->connect_ms;
 	req.idle_ms = silence_limit_ms(c);
 	req.close_delimited = true;
-	/* On a connection that was cut off the request could arrive late. */
-	req.reuse = c->idempotent && !c->route.sent && !c->grant.leaving_ms;
+	/*
+	 * On a connection that was cut off the request could arrive late, and
+	 * without an id no response on a used one is proved to be its own.
+	 */
+	req.reuse = c->idempotent && !c->route.sent && !c->grant.leaving_ms &&
+		    c->route.attempt_id.n && !c->route.new_connection;
 	c->attempt = dl_httpc_start(c->e->httpc, &req, &relay_ops, c);
 	g_free(headers);
 }
@@ -242,7 +247,7 @@
 		retry_unavailable(c);
 		return;
 	}
-	if (entry_reservation_needed(c))
+	if (entry_reservation_needed(c) && !c->reservations)
 		entry_reservation_start(c);
 	else
 		entry_relay_send(c);
@@ -354,21 +359,40 @@
 	c->response_length = events ? SIZE_MAX : c->route.head.content_length;
 }
 
-/* Whether a response carries the caller's attempt id, or none. */
-static bool is_own_attempt(const struct call *c, struct dl_str id)
-{
-	return id.n == 0 || dl_str_eq(c->route.attempt_id, id);
-}
+/* Which attempt ids a response carries. */
+enum ids {
+	IDS_NONE,
+	IDS_OWN,
+	IDS_OTHER,
+	IDS_SEVERAL,
+};
+
+static const char *const ids_names[] = {
+	[IDS_NONE] = "none",
+	[IDS_OWN] = "own",
+	[IDS_OTHER] = "other",
+	[IDS_SEVERAL] = "several",
+};
 
-/* Names which attempt ids a response carries, for the log. */
-static const char *ids_name(const struct call *c,
-			    const struct dl_response_head *said)
+static enum ids ids_of(const struct call *c,
+		       const struct dl_response_head *said)
 {
 	if (said->attempt_ids == 0)
-		return "none";
+		return IDS_NONE;
 	if (said->attempt_ids > 1)
-		return "several";
-	return is_own_attempt(c, said->attempt_id) ? "own" : "other";
+		return IDS_SEVERAL;
+	return dl_str_eq(c->route.attempt_id, said->attempt_id) ? IDS_OWN :
+								  IDS_OTHER;
+}
+
+/*
+ * Whether a response is proved to be that of this request: by its id, or,
+ * without one, by a connection that has carried no other request.
+ */
+static bool is_proved_own(const struct call *c, enum ids ids)
+{
+	return ids == IDS_OWN ||
+	       (ids == IDS_NONE && !dl_httpc_conn_info(c->attempt).carried);
 }
 
 /*
@@ -409,31 +433,43 @@
 	       (c->framing == DL_FRAMING_CLOSE || !c->route.head.other_type);
 }
 
+/* A response may be of another request: nothing that it says is used. */
+static void reject_response(struct call *c)
+{
+	c->route.head.wrong_request = true;
+	c->route.head.stale_connection =
+		dl_httpc_conn_info(c->attempt).carried > 0;
+	dl_count(DL_METRIC_responses_of_others, 1);
+	dl_httpc_reject(c->attempt,
+			"response is not proved to be of this request");
+}
+
 static void on_head(void *arg, const struct dl_httpc_head *head)
 {
 	struct call *c = arg;
 	struct dl_response_head said;
+	enum ids ids;
 
 	entry_call_span(c, "connect", c->attempt_at, c->grant.endpoint[0].s);
 	platform_dialect.response(head->headers, head->headers_count, &said);
+	ids = ids_of(c, &said);
 	c->status = head->status;
 	c->framing = head->framing;
+	c->route.head.ids = ids_names[ids];
+	if (!is_proved_own(c, ids)) {
+		reject_response(c);
+		return;
+	}
 	c->route.head.not_run = said.not_run ||
 				head->status == STATUS_MISDIRECTED;
-	c->route.head.wrong_request = !is_own_attempt(c, said.attempt_id);
-	c->route.head.ids = ids_name(c, &said);
-	if (c->route.head.wrong_request)
-		dl_count(DL_METRIC_responses_of_others, 1);
-	if (!c->route.head.wrong_request)
-		entry_limit_note_response(c, said.limit);
+	entry_limit_note_response(c, said.limit);
 	c->route.head.content_length = said.length;
 	c->route.head.leaving = said.leaving;
 	if (said.leaving && is_from_instance(c, head->status, said.at_fault))
 		entry_announce_endpoint_leaving(
 			c->e, dl_name_str(&c->grant.endpoint[0]),
 			dl_name_str(&c->route.instance), c->dispatcher);
-	else if (!said.leaving && !c->route.head.wrong_request &&
-		 head->status != STATUS_MISDIRECTED)
+	else if (!said.leaving && head->status != STATUS_MISDIRECTED)
 		dl_directory_note_staying(c->e->directory,
 					  dl_name_str(&c->grant.endpoint[0]),
 					  dl_name_str(&c->route.instance),
@@ -447,9 +483,7 @@
 	c->route.head.other_type = has_other_type(head);
 	if (!c->response_started)
 		keep_headers(c, head, c->route.head.is_event_stream);
-	if (c->route.head.wrong_request)
-		dl_httpc_give_up(c->attempt, "response to another request");
-	else if (c->route.head.not_run || head->status >= STATUS_NO_SUCCESS)
+	if (c->route.head.not_run || head->status >= STATUS_NO_SUCCESS)
 		dl_httpc_end_within(c->attempt, ERROR_BODY_MS);
 }
 
@@ -519,6 +553,14 @@
 		dl_httpc_give_up(c->attempt, "bytes without an event");
 }
 
+/* The body is filled up with another response to this request. */
+static void note_holds_response(struct call *c)
+{
+	c->route.head.holds_response = true;
+	dl_count(DL_METRIC_responses_joined, 1);
+	dl_httpc_reject(c->attempt, "another response begins in its body");
+}
+
 /* Forwards the events that are whole with the bytes received now. */
 static bool relay_events(struct call *c, struct dl_str piece)
 {
@@ -531,6 +573,10 @@
 		return true;
 	}
 	while (dl_sse_next(&c->sse, &event)) {
+		if (dl_holds_response(event.bytes, c->route.attempt_id)) {
+			note_holds_response(c);
+			return true;
+		}
 		c->route.whole_event_at = entry_now(c->e);
 		go_on = relay_event(c, &event);
 	}
@@ -542,7 +588,8 @@
 {
 	struct call *c = arg;
 
-	if (c->route.head.wrong_request || c->route.head.event_too_long)
+	if (c->route.head.wrong_request || c->route.head.event_too_long ||
+	    c->route.head.holds_response)
 		return true;
 	/* The body of an error is no part of a stream that has begun. */
 	if (c->response_started && !c->route.head.is_event_stream)
@@ -577,7 +624,12 @@
 	struct dl_attempt a = *attempt;
 
 	if (a.received != DL_RECV_NOTHING &&
-	    (c->route.head.wrong_request || c->route.head.event_too_long)) {
+	    (c->route.head.wrong_request || c->route.head.event_too_long ||
+	     c->route.head.holds_response)) {
+		if (a.failure == DL_FAILURE_NONE)
+			dl_err_set(err, -EIO, DL_STEP_BODY,
+				   c->grant.endpoint[0].s,
+				   "another response begins in its body");
 		a.failure = DL_FAILURE_BAD_RESPONSE;
 		a.received = DL_RECV_HEAD;
 	} else if (c->route.head.not_run && a.received != DL_RECV_NOTHING) {
@@ -658,11 +710,13 @@
 
 /*
  * Whether an attempt cost its endpoint nothing and the dispatcher will not
- * offer that endpoint again.  Such an attempt uses up no try of the request.
+ * offer that endpoint again, or is not over with it.  Such an attempt uses up
+ * no try of the request.
  */
 static bool costs_no_attempt(const struct call *c, const struct dl_attempt *a)
 {
-	return was_unreachable(c, a) || c->route.head.backoff_requested;
+	return was_unreachable(c, a) || c->route.head.backoff_requested ||
+	       c->route.head.stale_connection;
 }
 
 /*
@@ -677,17 +731,33 @@
 		c->route.free_failures++;
 	else
 		c->route.tries++;
-	c->route.sent += outcome != DL_OUTCOME_NOT_RUN;
+	if (!c->route.head.stale_connection)
+		c->route.sent += outcome != DL_OUTCOME_NOT_RUN;
 	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
 }
 
-/* Asks for another endpoint after an attempt that has failed. */
+/*
+ * Sends a request again to the same endpoint, on a new connection.  What came
+ * on the kept one says nothing about the endpoint.
+ */
+static void send_on_new_connection(struct call *c)
+{
+	c->route.new_connection = true;
+	if (c->granted && c->state == CALL_RUNNING)
+		entry_relay_start(c);
+	else
+		entry_grant_replace(c);
+}
+
+/* Starts another attempt after one that has failed. */
 static void repeat(struct call *c, const struct dl_attempt *a)
 {
 	if (c->relayed)
 		c->route.resumes = true;
 	dl_count(DL_METRIC_retries_total, 1);
-	if (costs_no_attempt(c, a))
+	if (c->route.head.stale_connection)
+		send_on_new_connection(c);
+	else if (costs_no_attempt(c, a))
 		entry_grant_replace(c);
 	else
 		ask_without_tried(c);
@@ -707,6 +777,21 @@
 		end_failed(c, outcome, err);
 }
 
+/*
+ * Looks for another response in what is held of the body; of a response without
+ * a length, and of one that was broken off, the next one's bytes are a part.
+ */
+static void check_whole_body(struct call *c, const struct dl_attempt *attempt)
+{
+	struct dl_str held = { c->response_buf->str, c->response_buf->len };
+
+	if (c->route.head.is_event_stream)
+		held = dl_sse_rest(&c->sse);
+	if (attempt->received != DL_RECV_NOTHING &&
+	    dl_holds_response(held, c->route.attempt_id))
+		note_holds_response(c);
+}
+
 static void on_end(void *arg, const struct dl_attempt *attempt,
 		   const struct dl_err *transport_err)
 {
@@ -723,6 +808,7 @@
 		retry_unsent(c);
 		return;
 	}
+	check_whole_body(c, attempt);
 	call_note_ending(c, attempt, ends_with_event(c),
 			 dl_sse_unfinished(&c->sse));
 	c->attempt = NULL;
