--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -55,6 +55,15 @@
 		check->state = DL_HEAD_COMPLETE;
 }
 
+/* A CR ends a line, or is none. */
+static const char *check_line_end(struct dl_head_check *check, char c)
+{
+	if (check->line_feed && c != '\n')
+		return "line does not end with CR LF";
+	check->line_feed = c == '\r';
+	return NULL;
+}
+
 /* Checks a byte of the status line. */
 static const char *check_status_line(struct dl_head_check *check, char c)
 {
@@ -90,8 +99,6 @@
 			return "header name is malformed";
 		return NULL;
 	case DL_HEAD_LAST_LF:
-		if (c != '\n')
-			return "head does not end with a line end";
 		end_head(check);
 		return NULL;
 	case DL_HEAD_NAME:
@@ -115,13 +122,19 @@
 {
 	size_t i;
 
+	*why = NULL;
 	for (i = 0; i < bytes.n && check->state < DL_HEAD_COMPLETE; i++) {
+		*why = check_line_end(check, bytes.s[i]);
+		if (*why)
+			break;
 		*why = check->state == DL_HEAD_STATUS_LINE ?
 			       check_status_line(check, bytes.s[i]) :
 			       check_field(check, bytes.s[i]);
 		if (*why)
-			check->state = DL_HEAD_BAD;
+			break;
 	}
+	if (*why)
+		check->state = DL_HEAD_BAD;
 	return i;
 }
 
