--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -16,12 +16,10 @@
 #include <uv.h>
 
 #include "fake/ending.h"
+#include "fake/heartbeat.h"
 #include "fake/http.h"
 
-#define HEARTBEAT_MS	 300
 #define TICK_MS		 10
-#define CALL_MS		 600
-#define CONTROLS_MAX	 8
 #define FAULT_EVENT	 3   /* event at which a fault interrupts the stream */
 #define RESTART_DELAY_MS 700 /* from a crash to the next start */
 #define ORDER_PATH	 "/-/order"
@@ -170,124 +168,31 @@
 static GPtrArray *jobs;
 static GPtrArray *endless_jobs;
 static GHashTable *reservations; /* id to when it expires, in loop time */
-static char **controls;
-static guint next_control;
-/* from the last reply, until a call there fails */
-static uint64_t heartbeat_address = DL_VM_NONE;
-static uint64_t sequence;
-static uint64_t ready_sequence; /* of the last heartbeat before leaving */
-static int64_t started_ms;	/* start time of this instance, Unix ms */
+static uint64_t ready_sequence;	 /* of the last heartbeat before leaving */
 static int record_fd = -1, arrivals_fd = -1, orders_fd = -1, reports_fd = -1;
 static bool leaving, deregistered;
 static int64_t next_heartbeat;
 
-/* After a failed call, sends the next one to another replica. */
-static void try_next_control(void)
+/* Repeats the last ready heartbeat to the address in the file --late-to. */
+static void repeat_ready(void)
 {
-	heartbeat_address = DL_VM_NONE;
-	next_control++;
-}
-
-static void on_call_end(void *arg, enum fake_end end)
-{
-	if (end != FAKE_END_COMPLETE)
-		try_next_control();
-}
-
-static void on_call_head(void *arg, int status, struct dl_str head)
-{
-	if (status != 200)
-		try_next_control();
-}
-
-/* Reads the address for heartbeats from a reply, if it contains one. */
-static void on_call_body(void *arg, struct dl_str piece)
-{
-	static const char name[] = "\"heartbeat_addr\":\"";
-	const char *at = memmem(piece.s, piece.n, name, sizeof(name) - 1);
-	const char *end = piece.s + piece.n, *quote;
-
-	if (!at)
-		return;
-	at += sizeof(name) - 1;
-	quote = memchr(at, '"', (size_t)(end - at));
-	if (!quote || !dl_vm_parse((struct dl_str){ at, (size_t)(quote - at) },
-				   &heartbeat_address))
-		heartbeat_address = DL_VM_NONE;
-}
-
-static const struct fake_call_ops call_ops = { on_call_head, on_call_body,
-					       on_call_end };
-
-static void ignore_head(void *arg, int status, struct dl_str head)
-{
-}
-
-static void ignore_body(void *arg, struct dl_str piece)
-{
-}
-
-static void ignore_end(void *arg, enum fake_end end)
-{
-}
-
-static const struct fake_call_ops ignore_ops = { ignore_head, ignore_body,
-						 ignore_end };
-
-/* Sends a call that nothing depends on to the address in the file --late-to. */
-static void call_late(const char *path, const char *body)
-{
-	struct fake_call_req req = { .method = "POST",
-				     .path = path,
-				     .body = dl_str_of(body),
-				     .connect_ms = CALL_MS,
-				     .timeout_ms = CALL_MS };
 	char *address = NULL;
+	uint64_t to;
 
 	if (opt.late_to &&
 	    g_file_get_contents(opt.late_to, &address, NULL, NULL) &&
-	    dl_vm_parse(dl_str_of(g_strstrip(address)), &req.address))
-		fake_call_start(loop, &req, &ignore_ops, NULL);
+	    dl_vm_parse(dl_str_of(g_strstrip(address)), &to))
+		fake_heartbeat_send_to(to, "ready", ready_sequence);
 	g_free(address);
 }
 
-static void call_control(const char *path, const char *body)
-{
-	struct fake_call_req req = { .method = "POST",
-				     .path = path,
-				     .body = dl_str_of(body),
-				     .connect_ms = CALL_MS,
-				     .timeout_ms = CALL_MS };
-	guint n = g_strv_length(controls);
-
-	req.address = heartbeat_address;
-	if (heartbeat_address != DL_VM_NONE ||
-	    dl_vm_parse(dl_str_of(controls[next_control % n]), &req.address))
-		fake_call_start(loop, &req, &call_ops, NULL);
-}
-
-static void announce_as(const char *state, uint64_t number,
-			void (*call)(const char *path, const char *body))
-{
-	char path[128], body[512];
-
-	snprintf(path, sizeof(path), "/-/Instances.Heartbeat/%s", opt.instance);
-	snprintf(body, sizeof(body),
-		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-		 "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
-		 "\"stage\":\"both\",\"models\":[{\"name\":\"m\"}],"
-		 "\"seq\":%" PRIu64 ",\"born\":%" PRId64 "}",
-		 opt.service, opt.listen, opt.zone, opt.slots, state, number,
-		 started_ms);
-	call(path, body);
-}
-
 static void announce(void)
 {
+	uint64_t number = fake_heartbeat_send(
+		leaving && !opt.unheard ? "draining" : "ready");
+
 	if (!leaving)
-		ready_sequence = sequence + 1;
-	announce_as(leaving && !opt.unheard ? "draining" : "ready", ++sequence,
-		    call_control);
+		ready_sequence = number;
 }
 
 static struct dl_str header(const struct fake_request *req, const char *name)
@@ -800,7 +705,7 @@
 	expire_reservations(now);
 	if (now >= next_heartbeat && !deregistered &&
 	    !(opt.quiet_while_busy && jobs->len)) {
-		next_heartbeat = now + HEARTBEAT_MS;
+		next_heartbeat = now + FAKE_HEARTBEAT_MS;
 		announce();
 	}
 	for (guint i = endless_jobs->len; i > 0; i--) {
@@ -828,19 +733,15 @@
  */
 static void on_signal(uv_signal_t *handle, int signum)
 {
-	char path[128];
-
 	if (signum == SIGTERM)
 		exit(0);
 	if (signum == SIGUSR2) {
-		announce_as("ready", ready_sequence, call_late);
+		repeat_ready();
 		return;
 	}
 	if (leaving || opt.abrupt) {
 		deregistered = true;
-		snprintf(path, sizeof(path), "/-/Instances.Deregister/%s",
-			 opt.instance);
-		call_control(path, "");
+		fake_heartbeat_deregister();
 		return;
 	}
 	leaving = true;
@@ -867,13 +768,18 @@
 	g_option_context_free(ctx);
 	restart_after_crash(args);
 	fake_ignore_sigpipe();
-	started_ms = g_get_real_time() / 1000;
 	loop = uv_default_loop();
+	fake_heartbeat_init(
+		loop, &(struct fake_heartbeat_conf){ .control = opt.control,
+						     .service = opt.service,
+						     .listen = opt.listen,
+						     .instance = opt.instance,
+						     .zone = opt.zone,
+						     .slots = opt.slots });
 	jobs = g_ptr_array_new();
 	endless_jobs = g_ptr_array_new();
 	reservations =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	controls = g_strsplit(opt.control, ",", CONTROLS_MAX);
 	if (opt.reports)
 		reports_fd =
 			open(opt.reports, O_WRONLY | O_APPEND | O_CREAT, 0600);
