--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -174,9 +174,16 @@
 	case DL_CHUNK_TRAILER_START:
 		if (c == '\n')
 			return DL_CHUNK_COMPLETE;
-		return c == '\r' ? DL_CHUNK_LAST_LF : DL_CHUNK_TRAILER;
-	case DL_CHUNK_TRAILER:
-		return c == '\n' ? DL_CHUNK_TRAILER_START : DL_CHUNK_TRAILER;
+		if (c == '\r')
+			return DL_CHUNK_LAST_LF;
+		return is_token(c) ? DL_CHUNK_TRAILER_NAME : DL_CHUNK_BAD;
+	case DL_CHUNK_TRAILER_NAME:
+		if (c == ':')
+			return DL_CHUNK_TRAILER_VALUE;
+		return is_token(c) ? DL_CHUNK_TRAILER_NAME : DL_CHUNK_BAD;
+	case DL_CHUNK_TRAILER_VALUE:
+		return c == '\n' ? DL_CHUNK_TRAILER_START :
+				   DL_CHUNK_TRAILER_VALUE;
 	default:
 		return c == '\n' ? DL_CHUNK_COMPLETE : DL_CHUNK_BAD;
 	}
