Endings: responses that stop in their head

The table of endings had nothing before the end of the head. It now stops in the status, after its line, in the name and the value of the header that frames the body, after it, before the blank line and between its CR and LF, after an interim response, in a 503 that says it was not run, and in a 204; with CR LF and with LF alone, closed, reset, silent and by a crash. A 2xx of any number that is whole and not the body counts as a fault now, not 200 alone.

To keep the time, cut heads are walked in HTTP/1.0 and 1.1 only, and silence and crashes only where a length would frame the body.

test_httpc has the same cuts as rows and cuts six heads after each byte, direct and through another VM: the client never reports a head, a status or an end.

--- a/test/endings.sh
+++ b/test/endings.sh
@@ -3,7 +3,7 @@
 ENDINGS=$DIR/endings
 mkdir -p "$ENDINGS"
 # Cells of responses whose endpoint crashes, in one version of HTTP.
-CRASHES=36
+CRASHES=56
 violations=
 walks=0
 walking=
--- a/test/fake/ending.c
+++ b/test/fake/ending.c
@@ -14,6 +14,16 @@
 	[FAKE_FRAMED_BY_CLOSE] = "close",
 };
 const char *const fake_stop_names[FAKE_STOPS] = {
+	[FAKE_STOP_IN_STATUS] = "instatus",
+	[FAKE_STOP_AFTER_STATUS] = "afterstatus",
+	[FAKE_STOP_IN_NAME] = "inname",
+	[FAKE_STOP_IN_VALUE] = "invalue",
+	[FAKE_STOP_AFTER_FRAMING] = "afterframing",
+	[FAKE_STOP_BEFORE_END] = "beforeend",
+	[FAKE_STOP_IN_END] = "inend",
+	[FAKE_STOP_AFTER_INTERIM] = "afterinterim",
+	[FAKE_STOP_IN_REFUSAL] = "inrefusal",
+	[FAKE_STOP_IN_EMPTY] = "inempty",
 	[FAKE_STOP_NO_BODY] = "nobody",
 	[FAKE_STOP_IN_LINE] = "inline",
 	[FAKE_STOP_AFTER_LINE] = "afterline",
@@ -169,24 +179,100 @@
 	g_string_free(out, TRUE);
 }
 
-static void send_head(const struct response *r,
-		      const struct fake_ending_conf *conf)
+bool fake_stop_is_in_head(enum fake_stop stop)
+{
+	return stop < FAKE_STOP_NO_BODY;
+}
+
+/* Whether this response is the one that stops in its head. */
+static bool stops_in_head(const struct response *r)
+{
+	return r->first && fake_stop_is_in_head(r->ending.stop);
+}
+
+/* Appends the header that frames the body; without one, that of the close. */
+static void append_framing(const struct response *r, GString *out)
 {
-	GString *out = g_string_new("HTTP/1.1 200 OK\r\n");
 	GString *whole = g_string_new(NULL);
 
-	for (const struct fake_header *h = conf->headers; h->name; h++)
-		g_string_append_printf(out, "%s: %s\r\n", h->name, h->value);
 	fake_ending_events(&r->ending, r->event, r->request, r->next,
 			   FAKE_ENDING_EVENTS, whole);
 	if (r->ending.framing == FAKE_FRAMED_BY_LENGTH)
-		g_string_append_printf(out, "Content-Length: %zu\r\n",
+		g_string_append_printf(out, "Content-Length: %zu\n",
 				       whole->len);
 	if (r->ending.framing == FAKE_FRAMED_BY_CHUNKS)
-		g_string_append(out, "Transfer-Encoding: chunked\r\n");
-	g_string_append(out, "Connection: close\r\n\r\n");
-	fake_reply_raw(r->req, (struct dl_str){ out->str, out->len });
+		g_string_append(out, "Transfer-Encoding: chunked\n");
+	if (r->ending.framing == FAKE_FRAMED_BY_CLOSE)
+		g_string_append(out, "Connection: close\n");
 	g_string_free(whole, TRUE);
+}
+
+/* Returns the status line, and what comes before it or belongs to it. */
+static const char *first_lines(const struct response *r)
+{
+	if (stops_in_head(r) && r->ending.stop == FAKE_STOP_AFTER_INTERIM)
+		return "HTTP/1.1 103 Early Hints\nLink: </a>\n\n"
+		       "HTTP/1.1 200 OK\n";
+	if (stops_in_head(r) && r->ending.stop == FAKE_STOP_IN_REFUSAL)
+		return "HTTP/1.1 503 Full\nDaisyledge-Not-Executed: 1\n"
+		       "Daisyledge-Not-Run: full\n";
+	if (stops_in_head(r) && r->ending.stop == FAKE_STOP_IN_EMPTY)
+		return "HTTP/1.1 204 No Content\n";
+	return "HTTP/1.1 200 OK\n";
+}
+
+/* Cuts a head off where it stops; framing: where its framing header begins. */
+static void cut_head(const struct response *r, size_t framing, GString *head)
+{
+	const char *line = head->str + framing;
+	size_t n = head->len - 1;
+
+	switch (r->ending.stop) {
+	case FAKE_STOP_IN_STATUS:
+		n = strlen("HTTP/1.1 20");
+		break;
+	case FAKE_STOP_AFTER_STATUS:
+		n = strcspn(head->str, "\n") + 1;
+		break;
+	case FAKE_STOP_IN_NAME:
+		n = framing + strcspn(line, ":") - 2;
+		break;
+	case FAKE_STOP_IN_VALUE:
+		n = framing + strcspn(line, "\n") - 1;
+		break;
+	case FAKE_STOP_AFTER_FRAMING:
+		n = framing + strcspn(line, "\n") + 1;
+		break;
+	default:
+		break;
+	}
+	g_string_truncate(head, n);
+}
+
+static void send_head(const struct response *r,
+		      const struct fake_ending_conf *conf)
+{
+	GString *head = g_string_new(first_lines(r));
+	GString *out = g_string_new(NULL);
+	enum fake_eol eol = FAKE_EOL_CRLF;
+	size_t framing;
+
+	for (const struct fake_header *h = conf->headers; h->name; h++)
+		g_string_append_printf(head, "%s: %s\n", h->name, h->value);
+	framing = head->len;
+	append_framing(r, head);
+	if (r->ending.framing != FAKE_FRAMED_BY_CLOSE)
+		g_string_append(head, "Connection: close\n");
+	g_string_append(head, "X-Last: 1\n\n");
+	if (stops_in_head(r)) {
+		cut_head(r, framing, head);
+		eol = r->ending.eol;
+	}
+	append_text(eol, head->str, head->len, out);
+	if (stops_in_head(r) && r->ending.stop == FAKE_STOP_IN_END)
+		g_string_append_c(out, '\r');
+	fake_reply_raw(r->req, (struct dl_str){ out->str, out->len });
+	g_string_free(head, TRUE);
 	g_string_free(out, TRUE);
 }
 
@@ -243,7 +329,7 @@
 		return true;
 	if (!r->first || r->ending.stop == FAKE_STOP_LAST)
 		return false;
-	return r->ending.stop == FAKE_STOP_NO_BODY ||
+	return stops_in_head(r) || r->ending.stop == FAKE_STOP_NO_BODY ||
 	       r->next >= FAKE_ENDING_BROKEN;
 }
 
@@ -255,7 +341,7 @@
 	if (r->held)
 		return;
 	if (is_at_stop(r)) {
-		if (r->next == FAKE_ENDING_BROKEN)
+		if (r->next == FAKE_ENDING_BROKEN && !stops_in_head(r))
 			send_part(r);
 		finish(r);
 		return;
--- a/test/fake/ending.h
+++ b/test/fake/ending.h
@@ -26,9 +26,22 @@
 	FAKE_FRAMINGS,
 };
 
-/* Where the response stops. */
+/*
+ * Where the response stops.  In the head, its lines have the ends of line that
+ * the body would have.
+ */
 enum fake_stop {
-	FAKE_STOP_NO_BODY,
+	FAKE_STOP_IN_STATUS,	 /* in the status code */
+	FAKE_STOP_AFTER_STATUS,	 /* after the status line */
+	FAKE_STOP_IN_NAME,	 /* of the header that frames the body */
+	FAKE_STOP_IN_VALUE,	 /* of that header */
+	FAKE_STOP_AFTER_FRAMING, /* after its line */
+	FAKE_STOP_BEFORE_END,	 /* before the blank line */
+	FAKE_STOP_IN_END,	 /* between CR and LF of the blank line */
+	FAKE_STOP_AFTER_INTERIM, /* response, before the final blank line */
+	FAKE_STOP_IN_REFUSAL, /* that it was not run; before the blank line */
+	FAKE_STOP_IN_EMPTY,   /* head without a body; before the blank line */
+	FAKE_STOP_NO_BODY,    /* after the head */
 	FAKE_STOP_IN_LINE,
 	FAKE_STOP_AFTER_LINE,
 	FAKE_STOP_BEFORE_BLANK, /* line that ends the event */
@@ -66,6 +79,9 @@
 extern const char *const fake_how_names[FAKE_HOWS];
 extern const char *const fake_eol_names[FAKE_EOLS];
 
+/* Whether the response stops before the end of its head. */
+bool fake_stop_is_in_head(enum fake_stop stop);
+
 /* Appends an event, with LF as the end of its lines; n is 1 for the first. */
 typedef void fake_ending_event(int n, const char *request, GString *out);
 
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -5,6 +5,7 @@
  */
 #include <arpa/inet.h>
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -35,6 +36,51 @@
 #define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define LENGTH	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
 
+/* A response that stops in its head, whatever it says up to there. */
+#define CUT_HEAD(title, how, ...)                                              \
+	{                                                                      \
+		.name = title, .writes = { __VA_ARGS__ }, .end = how,          \
+		.received = DL_RECV_NOTHING, .failure = DL_FAILURE_RESET,      \
+		.body = ""                                                     \
+	}
+/* clang-format off */
+#define CUT_HEADS(end, how)                                                \
+	CUT_HEAD("in the status, " end, how, "HTTP/1.1 20"),               \
+	CUT_HEAD("after the status, no end of line, " end, how,            \
+		 "HTTP/1.1 200"),                                          \
+	CUT_HEAD("after the status line, " end, how,                       \
+		 "HTTP/1.1 200 OK\r\n"),                                   \
+	CUT_HEAD("in a name, " end, how,                                   \
+		 "HTTP/1.1 200 OK\r\nContent-Le"),                         \
+	CUT_HEAD("in a length, " end, how,                                 \
+		 "HTTP/1.1 200 OK\r\nContent-Length: 1"),                  \
+	CUT_HEAD("after the length 0, " end, how,                          \
+		 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"),              \
+	CUT_HEAD("after the coding, " end, how, "HTTP/1.1 200 OK\r\n",     \
+		 "Transfer-Encoding: chunked\r\n"),                        \
+	CUT_HEAD("between CR and LF of the blank line, " end, how,         \
+		 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", "\r"),         \
+	CUT_HEAD("without a length, between CR and LF, " end, how,         \
+		 "HTTP/1.1 200 OK\r\nA: b\r\n\r"),                          \
+	CUT_HEAD("LF alone, " end, how,                                    \
+		 "HTTP/1.1 200 OK\nContent-Length: 0\n"),                  \
+	CUT_HEAD("LF alone, a CR, " end, how,                              \
+		 "HTTP/1.1 200 OK\nContent-Length: 0\n\r"),                \
+	CUT_HEAD("after an interim response, " end, how,                   \
+		 "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"),              \
+	CUT_HEAD("in the head after an interim response, " end, how,       \
+		 "HTTP/1.1 100 Continue\r\n\r\n",                          \
+		 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"),              \
+	CUT_HEAD("without a body, " end, how,                              \
+		 "HTTP/1.1 204 No Content\r\n"),                           \
+	CUT_HEAD("without a body, between CR and LF, " end, how,           \
+		 "HTTP/1.1 304 Not Modified\r\nA: b\r\n\r"),               \
+	CUT_HEAD("an error, " end, how,                                    \
+		 "HTTP/1.1 500 No\r\nContent-Length: 0\r\n"),              \
+	CUT_HEAD("says that it was not run, " end, how,                    \
+		 "HTTP/1.1 503 No\r\nDaisyledge-Not-Run: yes\r\n")
+/* clang-format on */
+
 static const struct response responses[] = {
 	{ "complete by length",
 	  { LENGTH "hello" },
@@ -156,6 +202,14 @@
 	  DL_RECV_HEAD,
 	  DL_FAILURE_BAD_RESPONSE,
 	  "hello" },
+	{ "silent inside the head",
+	  { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" },
+	  SERVER_SILENT,
+	  DL_RECV_NOTHING,
+	  DL_FAILURE_IDLE_TIMEOUT,
+	  "" },
+	CUT_HEADS("closed", SERVER_CLOSES),
+	CUT_HEADS("reset", SERVER_RESETS),
 	{ "endpoint reports that it did not run",
 	  { "HTTP/1.1 503 No\r\nDaisyledge-Not-Run: yes\r\n"
 	    "Content-Length: 0\r\n\r\n" },
@@ -179,6 +233,8 @@
 	  DL_RECV_HEAD,
 	  DL_FAILURE_RESET,
 	  "hello" },
+	CUT_HEADS("closed, close-delimited allowed", SERVER_CLOSES),
+	CUT_HEADS("reset, close-delimited allowed", SERVER_RESETS),
 	{ "closed before the end of the body, close-delimited allowed",
 	  { LENGTH, "hel" },
 	  SERVER_CLOSES,
@@ -187,6 +243,16 @@
 	  "hel" },
 };
 
+/* Heads that are cut after each byte but the last. */
+static const char *const heads[] = {
+	LENGTH,
+	CHUNKED,
+	"HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+	"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+	"HTTP/1.1 204 No Content\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+};
+
 /* Where connections are accepted to be forwarded to ADDRESS. */
 #define TUNNEL suite_address(0x4302, 7102)
 
@@ -194,7 +260,7 @@
 static uv_tcp_t listener, server;
 static uv_timer_t ticker;
 static const struct response *response;
-static int step, ended;
+static int step, ended, heads_seen;
 static bool asked;
 static bool close_delimited;
 static struct dl_attempt result;
@@ -262,6 +328,7 @@
 
 static void on_head(void *arg, const struct dl_httpc_head *head)
 {
+	heads_seen++;
 }
 
 static bool on_body(void *arg, struct dl_str piece)
@@ -402,6 +469,7 @@
 	ck_assert_int_eq(dl_httpc_open(&loop, client), 0);
 	memset(body, 0, sizeof(body));
 	ended = 0;
+	heads_seen = 0;
 	step = 0;
 	asked = false;
 }
@@ -422,8 +490,50 @@
 	ck_assert_msg(strcmp(body, response->body) == 0, "%s: body '%s'",
 		      response->name, body);
 	ck_assert_int_eq(result.sent, DL_SENT_ALL);
+	ck_assert_msg(heads_seen == (result.received != DL_RECV_NOTHING),
+		      "%s: %d heads", response->name, heads_seen);
+	if (result.received == DL_RECV_NOTHING)
+		ck_assert_uint_eq(result.status, 0);
+}
+
+/* Returns how many cuts of heads there are. */
+static int count_cuts(void)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < sizeof(heads) / sizeof(heads[0]); i++)
+		n += strlen(heads[i]) - 1;
+	return (int)n;
 }
 
+/* Checks a head that is cut after one of its bytes and closed in order. */
+static void check_cut(size_t cut, bool forwarded)
+{
+	static char text[128], name[200];
+	static struct response r = CUT_HEAD(name, SERVER_CLOSES, text);
+	const char *const *head = heads;
+
+	for (; cut >= strlen(*head) - 1; head++)
+		cut -= strlen(*head) - 1;
+	memcpy(text, *head, cut + 1);
+	snprintf(name, sizeof(name), "'%s', closed", text);
+	response = &r;
+	close_delimited = true;
+	check_response(forwarded);
+}
+
+START_TEST(each_cut_of_a_head)
+{
+	check_cut((size_t)_i, false);
+}
+END_TEST
+
+START_TEST(each_cut_of_a_head_through_another_vm)
+{
+	check_cut((size_t)_i, true);
+}
+END_TEST
+
 START_TEST(each_response)
 {
 	response = &responses[_i];
@@ -496,6 +606,9 @@
 			    0,
 			    sizeof(close_delimited_responses) /
 				    sizeof(close_delimited_responses[0]));
+	tcase_add_loop_test(t, each_cut_of_a_head, 0, count_cuts());
+	tcase_add_loop_test(t, each_cut_of_a_head_through_another_vm, 0,
+			    count_cuts());
 	tcase_add_test(t, response_sent_during_a_pause_is_read);
 	tcase_add_test(t, connection_refused);
 	return suite_run(s);
--- a/test/tool_ending.c
+++ b/test/tool_ending.c
@@ -145,18 +145,42 @@
 	cells_count++;
 }
 
+/*
+ * Whether a way to end is walked in a version.  Of a response that stops in its
+ * head nothing is sent on, so that two versions stand for all.
+ */
+static bool has_version(int stop, int version)
+{
+	if (opt.versions && !listed(opt.versions, versions[version].name))
+		return false;
+	return !fake_stop_is_in_head((enum fake_stop)stop) ||
+	       version == VERSION_1_0 || version == VERSION_1_1;
+}
+
 /* Lists the cells of one way to end, in each version and end of line. */
 static void add_cells(int framing, int stop, int how)
 {
 	for (int version = 0; version < VERSIONS; version++) {
-		if (opt.versions &&
-		    !listed(opt.versions, versions[version].name))
+		if (!has_version(stop, version))
 			continue;
 		for (int eol = 0; eol < FAKE_EOLS; eol++)
 			add_cell(framing, stop, how, eol, version);
 	}
 }
 
+/*
+ * Whether the table has a cell.  A response that falls silent in its head looks
+ * the same whatever would frame its body.
+ */
+static bool has_cell(int framing, int stop, int how)
+{
+	if (how == FAKE_HOW_WHOLE)
+		return stop == FAKE_STOP_LAST;
+	return !fake_stop_is_in_head((enum fake_stop)stop) ||
+	       how == FAKE_HOW_CLOSE || how == FAKE_HOW_RESET ||
+	       framing == FAKE_FRAMED_BY_LENGTH;
+}
+
 static void list_cells(void)
 {
 	for (int how = 0; how < FAKE_HOWS; how++) {
@@ -164,8 +188,7 @@
 			continue;
 		for (int framing = 0; framing < FAKE_FRAMINGS; framing++) {
 			for (int stop = 0; stop < FAKE_STOPS; stop++) {
-				if (how != FAKE_HOW_WHOLE ||
-				    stop == FAKE_STOP_LAST)
+				if (has_cell(framing, stop, how))
 					add_cells(framing, stop, how);
 			}
 		}
@@ -326,7 +349,8 @@
 	const struct fake_ending *e = &c->ending;
 
 	if (e->framing != FAKE_FRAMED_BY_CLOSE ||
-	    (e->how != FAKE_HOW_CLOSE && e->how != FAKE_HOW_CRASH))
+	    (e->how != FAKE_HOW_CLOSE && e->how != FAKE_HOW_CRASH) ||
+	    fake_stop_is_in_head(e->stop))
 		return false;
 	/* A stream of the native API has a last event that says so. */
 	if (kind == KIND_MODEL)
@@ -334,6 +358,11 @@
 	return kind == KIND_PLAIN || e->stop == FAKE_STOP_BETWEEN;
 }
 
+static bool is_success(const struct cell *c)
+{
+	return status_of(c) >= 200 && status_of(c) < 300;
+}
+
 static bool is_whole_body(const struct cell *c, const GString *body)
 {
 	GString *whole_body;
@@ -371,7 +400,8 @@
 {
 	bool refused = seen == SEEN_WHOLE &&
 		       (status_of(c) == 503 || status_of(c) == 429);
-	bool full = seen == SEEN_WHOLE && is_whole_body(c, body);
+	bool full = seen == SEEN_WHOLE && status_of(c) == 200 &&
+		    is_whole_body(c, body);
 	const char *fault = NULL;
 
 	if (refused && !was_begun(c) && c->tries < TRIES_MAX) {
@@ -386,7 +416,7 @@
 	}
 	if (seen == SEEN_TIMEOUT)
 		fault = "HANGS";
-	else if (seen == SEEN_WHOLE && status_of(c) == 200 && !full &&
+	else if (seen == SEEN_WHOLE && is_success(c) && !full &&
 		 !cannot_be_told(c))
 		fault = "COMPLETE AND SHORT";
 	else if (refused)
