Tests: reservations, load reports, orders and the command line, cut off

What else reads a response: a 200 to a reserve order, to the question for an engine's load, to a replica's order and to the command line, cut in its head (close and reset) or in its body. A reservation that was broken off is never used and is released within a second, a report that was cut counts as unanswered, an order as unknown, and the command line says that no entry answered.

--- a/test/fake/ending.c
+++ b/test/fake/ending.c
@@ -190,21 +190,33 @@
 	return r->first && fake_stop_is_in_head(r->ending.stop);
 }
 
-/* Appends the header that frames the body; without one, that of the close. */
-static void append_framing(const struct response *r, GString *out)
+/* Returns the length of what is left of the body. */
+static size_t body_length(const struct response *r)
 {
 	GString *whole = g_string_new(NULL);
+	size_t n;
 
 	fake_ending_events(&r->ending, r->event, r->request, r->next,
 			   FAKE_ENDING_EVENTS, whole);
-	if (r->ending.framing == FAKE_FRAMED_BY_LENGTH)
-		g_string_append_printf(out, "Content-Length: %zu\n",
-				       whole->len);
-	if (r->ending.framing == FAKE_FRAMED_BY_CHUNKS)
-		g_string_append(out, "Transfer-Encoding: chunked\n");
-	if (r->ending.framing == FAKE_FRAMED_BY_CLOSE)
-		g_string_append(out, "Connection: close\n");
+	n = whole->len;
 	g_string_free(whole, TRUE);
+	return n;
+}
+
+/*
+ * Appends the header that frames a body of n bytes, or else that of the close,
+ * and the end of the head.  Returns where that header begins.
+ */
+static size_t append_framing(enum fake_framing framing, size_t n, GString *out)
+{
+	size_t at = out->len;
+
+	if (framing == FAKE_FRAMED_BY_LENGTH)
+		g_string_append_printf(out, "Content-Length: %zu\n", n);
+	if (framing == FAKE_FRAMED_BY_CHUNKS)
+		g_string_append(out, "Transfer-Encoding: chunked\n");
+	g_string_append(out, "Connection: close\nX-Last: 1\n\n");
+	return at;
 }
 
 /* Returns the status line, and what comes before it or belongs to it. */
@@ -222,12 +234,12 @@
 }
 
 /* Cuts a head off where it stops; framing: where its framing header begins. */
-static void cut_head(const struct response *r, size_t framing, GString *head)
+static void cut_head(enum fake_stop stop, size_t framing, GString *head)
 {
 	const char *line = head->str + framing;
 	size_t n = head->len - 1;
 
-	switch (r->ending.stop) {
+	switch (stop) {
 	case FAKE_STOP_IN_STATUS:
 		n = strlen("HTTP/1.1 20");
 		break;
@@ -259,13 +271,9 @@
 
 	for (const struct fake_header *h = conf->headers; h->name; h++)
 		g_string_append_printf(head, "%s: %s\n", h->name, h->value);
-	framing = head->len;
-	append_framing(r, head);
-	if (r->ending.framing != FAKE_FRAMED_BY_CLOSE)
-		g_string_append(head, "Connection: close\n");
-	g_string_append(head, "X-Last: 1\n\n");
+	framing = append_framing(r->ending.framing, body_length(r), head);
 	if (stops_in_head(r)) {
-		cut_head(r, framing, head);
+		cut_head(r->ending.stop, framing, head);
 		eol = r->ending.eol;
 	}
 	append_text(eol, head->str, head->len, out);
@@ -390,6 +398,61 @@
 	return true;
 }
 
+/* Reads FRAMING-STOP-HOW; false if it is malformed. */
+static bool read_cut(const char *text, struct fake_ending *out)
+{
+	char framing[16], stop[16], how[16];
+	int found[3];
+
+	if (sscanf(text, "%15[a-z]-%15[a-z]-%15[a-z]", framing, stop, how) != 3)
+		return false;
+	found[0] = index_of(fake_framing_names, FAKE_FRAMINGS, framing);
+	found[1] = index_of(fake_stop_names, FAKE_STOPS, stop);
+	found[2] = index_of(fake_how_names, FAKE_HOWS, how);
+	out->framing = (enum fake_framing)found[0];
+	out->stop = (enum fake_stop)found[1];
+	out->how = (enum fake_how)found[2];
+	return found[0] >= 0 && found[1] >= 0 && found[2] >= 0;
+}
+
+/* Appends half of a body, framed. */
+static void append_half(enum fake_framing framing, struct dl_str body,
+			GString *out)
+{
+	if (framing == FAKE_FRAMED_BY_CHUNKS)
+		g_string_append_printf(out, "%zx\r\n", body.n);
+	g_string_append_len(out, body.s, (gssize)(body.n / 2));
+}
+
+bool fake_ending_cut(struct fake_request *req, const char *text, int status,
+		     struct dl_str body)
+{
+	struct fake_ending ending;
+	GString *head, *out;
+	size_t framing;
+
+	if (!read_cut(text, &ending))
+		return false;
+	head = g_string_new(NULL);
+	out = g_string_new(NULL);
+	g_string_printf(head,
+			"HTTP/1.1 %d Said\nContent-Type: application/json\n",
+			status);
+	framing = append_framing(ending.framing, body.n, head);
+	if (fake_stop_is_in_head(ending.stop))
+		cut_head(ending.stop, framing, head);
+	append_text(FAKE_EOL_CRLF, head->str, head->len, out);
+	if (ending.stop == FAKE_STOP_IN_END)
+		g_string_append_c(out, '\r');
+	if (ending.stop > FAKE_STOP_NO_BODY)
+		append_half(ending.framing, body, out);
+	fake_reply_raw(req, (struct dl_str){ out->str, out->len });
+	fake_reply_drop(req, ending.how == FAKE_HOW_RESET);
+	g_string_free(head, TRUE);
+	g_string_free(out, TRUE);
+	return true;
+}
+
 bool fake_ending_closed(const struct fake_request *req)
 {
 	for (guint i = 0; responses && i < responses->len; i++) {
--- a/test/fake/ending.h
+++ b/test/fake/ending.h
@@ -116,6 +116,14 @@
  */
 bool fake_ending_serve(uv_loop_t *loop, struct fake_request *req,
 		       struct dl_str text, const struct fake_ending_conf *conf);
+/*
+ * Responds with the status and a JSON body, and ends early as the text says:
+ *	FRAMING-STOP-HOW
+ * Any stop behind the head stands for half of the body.  false: it says nothing
+ * of that kind.
+ */
+bool fake_ending_cut(struct fake_request *req, const char *text, int status,
+		     struct dl_str body);
 /* Forgets a request that is closed; false if it is none of these. */
 bool fake_ending_closed(const struct fake_request *req);
 
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -53,6 +53,7 @@
 	FAULT_ERROR,
 	FAULT_INVALID,
 	FAULT_MISREPORT_LOAD,
+	FAULT_CUT_ORDER,
 	FAULT_COUNT
 };
 
@@ -68,6 +69,7 @@
 	[FAULT_ERROR] = "error",
 	[FAULT_INVALID] = "invalid",
 	[FAULT_MISREPORT_LOAD] = "lie-load",
+	[FAULT_CUT_ORDER] = "cut-order",
 };
 
 /* One request, until its response is no longer kept for resumption. */
@@ -151,6 +153,7 @@
 	char *key_file;
 	char *fault;
 	char *endings;
+	char *cut;
 	int fault_times;
 	gboolean plain;
 	gboolean ignores_fencing;
@@ -213,6 +216,10 @@
 	  "how often to simulate it; -1 for always", "N" },
 	{ "endings", 0, 0, G_OPTION_ARG_FILENAME, &opt.endings,
 	  "end responses as requests say, with the state in", "FOLDER" },
+	{ "cut", 0, 0, G_OPTION_ARG_STRING, &opt.cut,
+	  "where the fault cut-order ends the response to an order that it does "
+	  "not carry out (fake/ending.h)",
+	  "TEXT" },
 	{ "ignores-fencing", 0, 0, G_OPTION_ARG_NONE, &opt.ignores_fencing,
 	  "accept orders with outdated fences", NULL },
 	{ "no-groups", 0, 0, G_OPTION_ARG_NONE, &opt.no_groups,
@@ -1169,6 +1176,13 @@
 		reply_not_run(req, 409, "fence");
 		return;
 	}
+	if (fault_triggers(FAULT_CUT_ORDER)) {
+		record('C', &line, opt.cut);
+		if (!fake_ending_cut(req, opt.cut, 200,
+				     DL_STR("{\"fence\": 1}")))
+			abort();
+		return;
+	}
 	record('O', &line, note);
 	if (n > state.fence)
 		state.fence = n;
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -32,7 +32,7 @@
 static struct {
 	char *listen, *control, *service, *instance, *zone, *record, *fault;
 	char *crash_on, *crash_part;
-	char *limit, *arrivals, *shed, *orders, *endings, *reports;
+	char *limit, *arrivals, *shed, *orders, *endings, *reports, *cut;
 	char *late_to, *endless;
 	gboolean endless_fast;
 	char **argv;
@@ -111,6 +111,10 @@
 	  "requests per second to announce in responses", "N" },
 	{ "endings", 0, 0, G_OPTION_ARG_FILENAME, &opt.endings,
 	  "end responses as requests say, with the state in folder F", "F" },
+	{ "cut", 0, 0, G_OPTION_ARG_FILENAME, &opt.cut,
+	  "while the file exists, end responses to orders and reports early, "
+	  "as it says (fake/ending.h)",
+	  "FILE" },
 	{ "arrivals", 0, 0, G_OPTION_ARG_FILENAME, &opt.arrivals,
 	  "append time, instance, attempt and result of each request", "F" },
 	{ "fault", 0, 0, G_OPTION_ARG_STRING, &opt.fault,
@@ -586,10 +590,24 @@
 	return g_strndup(at, n);
 }
 
+/* Answers an order or a question with 200, cut where that is asked for. */
+static void reply_or_cut(struct fake_request *req, struct dl_str body)
+{
+	const struct fake_header headers[] = {
+		{ "Content-Type", "application/json" },
+		{ NULL, NULL },
+	};
+	char *text = NULL;
+
+	if (!opt.cut || !g_file_get_contents(opt.cut, &text, NULL, NULL) ||
+	    !fake_ending_cut(req, text, 200, body))
+		fake_reply(req, 200, headers, body);
+	g_free(text);
+}
+
 /* Reserves memory, renews or releases it; ample memory is assumed. */
 static void handle_order(struct fake_request *req)
 {
-	static const struct fake_header headers[] = { { NULL, NULL } };
 	struct dl_str body = fake_request_body(req);
 	char *op = value_in(body, "\"op\":\"", "\"");
 	char *id = value_in(body, "\"id\":\"", "\"");
@@ -610,7 +628,7 @@
 	g_free(id);
 	g_free(hold);
 	if (!opt.mute_orders)
-		fake_reply(req, 200, headers, DL_STR("{\"free\":1}"));
+		reply_or_cut(req, DL_STR("{\"free\":1}"));
 }
 
 static void expire_reservations(int64_t now)
@@ -647,7 +665,7 @@
 		     "{\"queued\":0,\"active\":%u,\"kv_used\":0,"
 		     "\"kv_total\":315000}",
 		     jobs->len + (guint)opt.orphans);
-	fake_reply(req, 200, headers, (struct dl_str){ body, (size_t)n });
+	reply_or_cut(req, (struct dl_str){ body, (size_t)n });
 }
 
 /* Answers with bytes without end; false if that is not wanted. */
