A resend with an idempotency key got 200 with an empty body

Found while looking for callers that get a 200 with an empty body, framed as whole. It does not take a broken runner: a call with a key was answered with more than 16 KiB (by length or sent on as it came), or with a stream, and was sent again with its key. The resend got "200, Content-Length: 0, outcome done".

Cause: such a body is not recorded with the outcome, and the replay could not tell a body that was not kept from an empty one. Nor could the store, which drops a body where all outcomes exceed 16 MiB and kept the status 200.

An outcome whose body is not kept, and that was no error, is recorded as 409 with a body that says answer-not-kept, and the store makes its status 409 where it drops the body. A resend is told that the request was done (outcome done); it does not run, and there is no 2xx without its body. No new format: older entries replay the record as it is.

--- a/include/daisyledge/cstore.h
+++ b/include/daisyledge/cstore.h
@@ -24,6 +24,11 @@
 #define DL_CSTORE_KEY_MAX     512
 #define DL_CSTORE_OUTCOME_MAX 16384
 #define DL_CSTORE_CLAIM_BYTES (16u << 20)
+/*
+ * The status of an outcome whose body is not kept and that was no error:
+ * without the body it would look whole.
+ */
+#define DL_CSTORE_NOT_KEPT 409
 /* Longest lifetime of a claim; lifetimes are rounded up to 2^n s. */
 #define DL_CSTORE_EXPIRES_MAX_S (1u << 20)
 
--- a/src/entry/entry_claim.c
+++ b/src/entry/entry_claim.c
@@ -4,7 +4,10 @@
  */
 #include <errno.h>
 
+#include <stdlib.h>
+
 #include "entry/entry_call.h"
+#include "protocol/api.h"
 
 #define CLAIM_MS	2000
 #define CLAIM_EXPIRES_S 86400
@@ -16,6 +19,7 @@
 #define OUTCOME_BYTES_MAX  16384
 #define STATUS_KEY_REUSED  422
 #define STATUS_IN_PROGRESS 409
+#define STATUS_ERROR	   500
 
 static void send_unclaim(struct call *c)
 {
@@ -27,19 +31,44 @@
 	entry_cmd_send(c->e, &cmd, CLAIM_MS * 2, no_callback);
 }
 
-/* Records the outcome of a claimed request; done is called once. */
+/*
+ * Whether the whole body of the answer can be recorded.  What was sent on as it
+ * came, a stream or a long body, is not here any more.
+ */
+static bool is_body_kept(const struct call *c)
+{
+	return c->final_body && !c->response_started &&
+	       c->final_body->len <= OUTCOME_BYTES_MAX;
+}
+
+/*
+ * Records the outcome of a claimed request; done is called once.  An answer
+ * whose body is not kept would reach a resend without one, framed as whole: an
+ * error that says so is recorded in its place.
+ */
 void call_record_outcome(struct call *c, struct entry_cmd_done done)
 {
 	struct dl_cstore_cmd cmd = { .op = DL_CSTORE_OUTCOME };
+	char *error = NULL;
 
 	cmd.key = c->key;
 	cmd.owner = c->claim_owner;
 	cmd.status = c->status;
-	if (c->final_body && c->final_body->len <= OUTCOME_BYTES_MAX)
+	if (is_body_kept(c)) {
 		cmd.outcome = (struct dl_str){ c->final_body->str,
 					       c->final_body->len };
+	} else if (c->status < STATUS_ERROR) {
+		cmd.status = DL_CSTORE_NOT_KEPT;
+		error = dl_error_body("answer-not-kept",
+				      dl_step_name(DL_STEP_CLAIM), "", 0,
+				      "the request was done, but its answer "
+				      "is not kept",
+				      &cmd.outcome.n);
+		cmd.outcome.s = error;
+	}
 	c->outcome_cmd = entry_cmd_send(c->e, &cmd, RECORD_TIMEOUT_MS, done);
 	c->outcome_deadline = entry_now(c->e) + RECORD_WAIT_MS;
+	free(error);
 }
 
 /*
--- a/src/state/cstore_claims.c
+++ b/src/state/cstore_claims.c
@@ -15,6 +15,8 @@
 		      struct claim *claim, int64_t clock_ms,
 		      struct dl_cstore_reply *reply);
 
+#define STATUS_ERROR 500
+
 static claim_fn do_claim, do_outcome, do_unclaim;
 
 static claim_fn *const ops[DL_CSTORE_OP_COUNT] = {
@@ -239,8 +241,12 @@
 	}
 	claim->done = true;
 	claim->status = cmd->status;
-	if (!claims_set_outcome(claims, claim, cmd->outcome))
+	if (!claims_set_outcome(claims, claim, cmd->outcome)) {
 		reply->code = -ENOSPC;
+		/* Without its body the answer would look whole and be empty. */
+		if (claim->status < STATUS_ERROR)
+			claim->status = DL_CSTORE_NOT_KEPT;
+	}
 	if (cmd->expires_s && cmd->expires_s <= DL_CSTORE_EXPIRES_MAX_S) {
 		dequeue(claims, claim);
 		claim->queue = (uint8_t)queue_for(cmd->expires_s);
--- a/test/test_cstore.c
+++ b/test/test_cstore.c
@@ -523,6 +523,7 @@
 	ck_assert_int_eq(rc, -ENOSPC);
 	ck_assert_int_eq(reply.claim, DL_CLAIM_DONE);
 	ck_assert_uint_eq(reply.outcome.n, 0);
+	ck_assert_uint_eq(reply.status, DL_CSTORE_NOT_KEPT);
 	dl_cstore_count(store, &n);
 	ck_assert_uint_le(n.claim_bytes, DL_CSTORE_CLAIM_BYTES);
 	pass_time(65000);
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -38,7 +38,6 @@
 #define FAULT_AFTER_TOKENS 4
 #define PENDING_BYTES_MAX  (256u << 10) /* unsent data per stream */
 #define CHUNK_MAX	   512
-#define PLAIN_ANSWER_MAX   128
 #define SSE_HEADERS	   3
 
 enum fault {
@@ -81,6 +80,7 @@
 	uint64_t prefix;
 	struct fake_seq seq;
 	struct fake_request *reply; /* NULL without a client */
+	int pad; /* spaces behind the answer of a plain service */
 	bool plain;
 	bool stream;
 	bool ended; /* completed or stopped; its memory is released */
@@ -705,8 +705,8 @@
 
 static void pump_plain(struct job *job, int64_t now)
 {
-	char text[PLAIN_ANSWER_MAX];
 	struct fake_request *reply = job->reply;
+	GString *text;
 
 	if (now < job->until)
 		return;
@@ -718,10 +718,24 @@
 	job_end(job, "whole");
 	if (!reply || job->silenced)
 		return;
-	snprintf(text, sizeof(text), "{\"answer\":\"%016" PRIx64 "\"}\n",
-		 job->hash);
+	text = g_string_new(NULL);
+	g_string_printf(text, "{\"answer\":\"%016" PRIx64 "\"}%*s\n", job->hash,
+			job->pad, "");
 	detach(job);
-	fake_reply(reply, 200, json_headers, dl_str_of(text));
+	fake_reply(reply, 200, json_headers,
+		   (struct dl_str){ text->str, text->len });
+	g_string_free(text, TRUE);
+}
+
+/* Returns how many spaces a call asks for behind its answer: ?pad=N. */
+static int padding_of(struct fake_request *req)
+{
+	char *query = dup_str(fake_request_query(req));
+	const char *pad = strstr(query, "pad=");
+	int n = pad ? atoi(pad + strlen("pad=")) : 0;
+
+	g_free(query);
+	return n;
 }
 
 static void expire_holds(int64_t now)
@@ -1065,6 +1079,7 @@
 		return;
 	}
 	state.running_plain++;
+	job->pad = padding_of(req);
 	job->until = now_ms() + (int64_t)(opt.service_ms * opt.slow);
 	record('B', job, "begun");
 	job_register(job);
