--- a/test/test_system_short_as_complete_api.sh
+++ b/test/test_system_short_as_complete_api.sh
@@ -28,4 +28,10 @@
 begin_walk completions "$to" /v1/completions model $HOWS --body $MODEL --deadline 3000
 begin_walk calls "$to" "/s/$PLAIN_SERVICE/" plain $HOWS --deadline 2000
 finish_walks
+# With keys, so that they may run once; each is sent again with its key.
+begin_walk "keyed completions" "$to" /v1/completions model $HOWS --body $MODEL \
+	--deadline 3000 --keyed --versions 1.1
+begin_walk "keyed calls" "$to" "/s/$PLAIN_SERVICE/" plain $HOWS --deadline 2000 \
+	--keyed --versions 1.1
+finish_walks
 end_walks
--- a/test/tool_ending.c
+++ b/test/tool_ending.c
@@ -59,6 +59,7 @@
 
 static struct {
 	char *to, *path, *kind, *how, *tag, *folder, *body, *versions;
+	gboolean keyed;
 	char **headers;
 	int at_once, timeout_ms, deadline_ms;
 	gboolean verbose;
@@ -87,6 +88,8 @@
 	  "add a header", "H" },
 	{ "body", 0, 0, G_OPTION_ARG_STRING, &opt.body, "body of requests",
 	  "B" },
+	{ "keyed", 0, 0, G_OPTION_ARG_NONE, &opt.keyed,
+	  "give each request an idempotency key, and send it again", NULL },
 	{ "at-once", 0, 0, G_OPTION_ARG_INT, &opt.at_once, "requests under way",
 	  "N" },
 	{ "timeout", 0, 0, G_OPTION_ARG_INT, &opt.timeout_ms,
@@ -106,6 +109,7 @@
 	int64_t begun_at, not_before;
 	GString *in;
 	bool reset, heard, done;
+	bool again; /* its request is sent again with its key */
 };
 
 static struct cell cells[CELLS_MAX];
@@ -236,6 +240,11 @@
 			versions[c->version].headers);
 	for (char **h = opt.headers; h && *h; h++)
 		g_string_append_printf(out, "%s\r\n", *h);
+	if (opt.keyed)
+		g_string_append_printf(out,
+				       "Daisyledge-Idempotent: no\r\n"
+				       "Idempotency-Key: %s\r\n",
+				       c->ending.key);
 	g_string_append_printf(out,
 			       "Daisyledge-Attempt-Id: %s-%d\r\n"
 			       "Daisyledge-Deadline-Ms: %d\r\n"
@@ -395,6 +404,29 @@
 	g_string_free(name, TRUE);
 }
 
+/* Whether a caller has got a success that looks whole and is not. */
+static bool is_short(const struct cell *c, enum seen seen, bool full)
+{
+	return seen == SEEN_WHOLE && is_success(c) && !full &&
+	       !cannot_be_told(c);
+}
+
+/* Judges what a caller has got that sent a request again with its key. */
+static void judge_again(struct cell *c, enum seen seen, const GString *body)
+{
+	bool full = seen == SEEN_WHOLE && status_of(c) == 200 &&
+		    is_whole_body(c, body);
+
+	c->done = true;
+	if (seen != SEEN_TIMEOUT && !is_short(c, seen, full))
+		return;
+	violations++;
+	print_cell(c,
+		   seen == SEEN_TIMEOUT ? "HANGS, SENT AGAIN" :
+					  "COMPLETE AND SHORT, SENT AGAIN",
+		   body);
+}
+
 /* Judges what a caller has got at the end. */
 static void judge(struct cell *c, enum seen seen, const GString *body)
 {
@@ -416,8 +448,7 @@
 	}
 	if (seen == SEEN_TIMEOUT)
 		fault = "HANGS";
-	else if (seen == SEEN_WHOLE && is_success(c) && !full &&
-		 !cannot_be_told(c))
+	else if (is_short(c, seen, full))
 		fault = "COMPLETE AND SHORT";
 	else if (refused)
 		fault = "RAN, AND IS SAID NOT TO HAVE";
@@ -442,7 +473,15 @@
 {
 	close(c->fd);
 	c->fd = -1;
+	if (c->again) {
+		judge_again(c, seen, body);
+		return;
+	}
 	judge(c, seen, body);
+	if (c->done && opt.keyed) {
+		c->again = true;
+		c->done = false;
+	}
 }
 
 /* Reads what has come; ends the cell where the response has ended. */
