--- a/test/fake/ending.c
+++ b/test/fake/ending.c
@@ -14,6 +14,16 @@
 	[FAKE_FRAMED_BY_CLOSE] = "close",
 };
 const char *const fake_stop_names[FAKE_STOPS] = {
+	[FAKE_STOP_IN_STATUS] = "instatus",
+	[FAKE_STOP_AFTER_STATUS] = "afterstatus",
+	[FAKE_STOP_IN_NAME] = "inname",
+	[FAKE_STOP_IN_VALUE] = "invalue",
+	[FAKE_STOP_AFTER_FRAMING] = "afterframing",
+	[FAKE_STOP_BEFORE_END] = "beforeend",
+	[FAKE_STOP_IN_END] = "inend",
+	[FAKE_STOP_AFTER_INTERIM] = "afterinterim",
+	[FAKE_STOP_IN_REFUSAL] = "inrefusal",
+	[FAKE_STOP_IN_EMPTY] = "inempty",
 	[FAKE_STOP_NO_BODY] = "nobody",
 	[FAKE_STOP_IN_LINE] = "inline",
 	[FAKE_STOP_AFTER_LINE] = "afterline",
@@ -24,7 +34,7 @@
 const char *const fake_how_names[FAKE_HOWS] = {
 	[FAKE_HOW_WHOLE] = "whole", [FAKE_HOW_CLOSE] = "close",
 	[FAKE_HOW_RESET] = "reset", [FAKE_HOW_SILENCE] = "silence",
-	[FAKE_HOW_CRASH] = "crash",
+	[FAKE_HOW_CRASH] = "crash", [FAKE_HOW_AGAIN] = "again",
 };
 const char *const fake_eol_names[FAKE_EOLS] = {
 	[FAKE_EOL_LF] = "lf",
@@ -37,8 +47,8 @@
 	struct fake_ending ending;
 	fake_ending_event *event;
 	char *request, *heard;
-	int next; /* event to be sent */
-	bool first;
+	int next;   /* event to be sent */
+	bool first; /* ends early */
 	bool waits; /* for the caller to have an event */
 	bool held;  /* silent from now on */
 };
@@ -151,6 +161,26 @@
 	return fd >= 0;
 }
 
+/*
+ * Whether the endpoint ends its response early: the first that gets the key,
+ * and of those that go on the first, in its head.
+ */
+static bool ends_early(const char *folder, struct fake_ending *ending)
+{
+	char *next;
+	bool early;
+
+	if (is_first(folder, ending->key))
+		return true;
+	if (ending->how != FAKE_HOW_AGAIN)
+		return false;
+	next = g_strconcat(ending->key, ".again", NULL);
+	early = is_first(folder, next);
+	ending->stop = FAKE_STOP_BEFORE_END;
+	g_free(next);
+	return early;
+}
+
 /* Sends a part of the body, framed. */
 static void send_body(const struct response *r, const char *s, size_t n)
 {
@@ -169,24 +199,108 @@
 	g_string_free(out, TRUE);
 }
 
-static void send_head(const struct response *r,
-		      const struct fake_ending_conf *conf)
+bool fake_stop_is_in_head(enum fake_stop stop)
+{
+	return stop < FAKE_STOP_NO_BODY;
+}
+
+/* Whether this response is the one that stops in its head. */
+static bool stops_in_head(const struct response *r)
+{
+	return r->first && fake_stop_is_in_head(r->ending.stop);
+}
+
+/* Returns the length of what is left of the body. */
+static size_t body_length(const struct response *r)
 {
-	GString *out = g_string_new("HTTP/1.1 200 OK\r\n");
 	GString *whole = g_string_new(NULL);
+	size_t n;
 
-	for (const struct fake_header *h = conf->headers; h->name; h++)
-		g_string_append_printf(out, "%s: %s\r\n", h->name, h->value);
 	fake_ending_events(&r->ending, r->event, r->request, r->next,
 			   FAKE_ENDING_EVENTS, whole);
-	if (r->ending.framing == FAKE_FRAMED_BY_LENGTH)
-		g_string_append_printf(out, "Content-Length: %zu\r\n",
-				       whole->len);
-	if (r->ending.framing == FAKE_FRAMED_BY_CHUNKS)
-		g_string_append(out, "Transfer-Encoding: chunked\r\n");
-	g_string_append(out, "Connection: close\r\n\r\n");
-	fake_reply_raw(r->req, (struct dl_str){ out->str, out->len });
+	n = whole->len;
 	g_string_free(whole, TRUE);
+	return n;
+}
+
+/*
+ * Appends the header that frames a body of n bytes, or else that of the close,
+ * and the end of the head.  Returns where that header begins.
+ */
+static size_t append_framing(enum fake_framing framing, size_t n, GString *out)
+{
+	size_t at = out->len;
+
+	if (framing == FAKE_FRAMED_BY_LENGTH)
+		g_string_append_printf(out, "Content-Length: %zu\n", n);
+	if (framing == FAKE_FRAMED_BY_CHUNKS)
+		g_string_append(out, "Transfer-Encoding: chunked\n");
+	g_string_append(out, "Connection: close\nX-Last: 1\n\n");
+	return at;
+}
+
+/* Returns the status line, and what comes before it or belongs to it. */
+static const char *first_lines(const struct response *r)
+{
+	if (stops_in_head(r) && r->ending.stop == FAKE_STOP_AFTER_INTERIM)
+		return "HTTP/1.1 103 Early Hints\nLink: </a>\n\n"
+		       "HTTP/1.1 200 OK\n";
+	if (stops_in_head(r) && r->ending.stop == FAKE_STOP_IN_REFUSAL)
+		return "HTTP/1.1 503 Full\nDaisyledge-Not-Executed: 1\n"
+		       "Daisyledge-Not-Run: full\n";
+	if (stops_in_head(r) && r->ending.stop == FAKE_STOP_IN_EMPTY)
+		return "HTTP/1.1 204 No Content\n";
+	return "HTTP/1.1 200 OK\n";
+}
+
+/* Cuts a head off where it stops; framing: where its framing header begins. */
+static void cut_head(enum fake_stop stop, size_t framing, GString *head)
+{
+	const char *line = head->str + framing;
+	size_t n = head->len - 1;
+
+	switch (stop) {
+	case FAKE_STOP_IN_STATUS:
+		n = strlen("HTTP/1.1 20");
+		break;
+	case FAKE_STOP_AFTER_STATUS:
+		n = strcspn(head->str, "\n") + 1;
+		break;
+	case FAKE_STOP_IN_NAME:
+		n = framing + strcspn(line, ":") - 2;
+		break;
+	case FAKE_STOP_IN_VALUE:
+		n = framing + strcspn(line, "\n") - 1;
+		break;
+	case FAKE_STOP_AFTER_FRAMING:
+		n = framing + strcspn(line, "\n") + 1;
+		break;
+	default:
+		break;
+	}
+	g_string_truncate(head, n);
+}
+
+static void send_head(const struct response *r,
+		      const struct fake_ending_conf *conf)
+{
+	GString *head = g_string_new(first_lines(r));
+	GString *out = g_string_new(NULL);
+	enum fake_eol eol = FAKE_EOL_CRLF;
+	size_t framing;
+
+	for (const struct fake_header *h = conf->headers; h->name; h++)
+		g_string_append_printf(head, "%s: %s\n", h->name, h->value);
+	framing = append_framing(r->ending.framing, body_length(r), head);
+	if (stops_in_head(r)) {
+		cut_head(r->ending.stop, framing, head);
+		eol = r->ending.eol;
+	}
+	append_text(eol, head->str, head->len, out);
+	if (stops_in_head(r) && r->ending.stop == FAKE_STOP_IN_END)
+		g_string_append_c(out, '\r');
+	fake_reply_raw(r->req, (struct dl_str){ out->str, out->len });
+	g_string_free(head, TRUE);
 	g_string_free(out, TRUE);
 }
 
@@ -243,7 +357,7 @@
 		return true;
 	if (!r->first || r->ending.stop == FAKE_STOP_LAST)
 		return false;
-	return r->ending.stop == FAKE_STOP_NO_BODY ||
+	return stops_in_head(r) || r->ending.stop == FAKE_STOP_NO_BODY ||
 	       r->next >= FAKE_ENDING_BROKEN;
 }
 
@@ -255,7 +369,7 @@
 	if (r->held)
 		return;
 	if (is_at_stop(r)) {
-		if (r->next == FAKE_ENDING_BROKEN)
+		if (r->next == FAKE_ENDING_BROKEN && !stops_in_head(r))
 			send_part(r);
 		finish(r);
 		return;
@@ -292,18 +406,73 @@
 	}
 	r = g_new0(struct response, 1);
 	r->req = req;
+	r->first = ends_early(conf->folder, &ending);
 	r->ending = ending;
 	r->event = conf->event;
 	r->request = g_strdup(conf->request);
 	r->heard = fake_ending_heard_file(conf->folder, ending.key);
 	r->next = conf->after + 1;
-	r->first = is_first(conf->folder, ending.key);
 	r->waits = conf->stream && r->first && ending.how == FAKE_HOW_WHOLE;
 	g_ptr_array_add(responses, r);
 	send_head(r, conf);
 	return true;
 }
 
+/* Reads FRAMING-STOP-HOW; false if it is malformed. */
+static bool read_cut(const char *text, struct fake_ending *out)
+{
+	char framing[16], stop[16], how[16];
+	int found[3];
+
+	if (sscanf(text, "%15[a-z]-%15[a-z]-%15[a-z]", framing, stop, how) != 3)
+		return false;
+	found[0] = index_of(fake_framing_names, FAKE_FRAMINGS, framing);
+	found[1] = index_of(fake_stop_names, FAKE_STOPS, stop);
+	found[2] = index_of(fake_how_names, FAKE_HOWS, how);
+	out->framing = (enum fake_framing)found[0];
+	out->stop = (enum fake_stop)found[1];
+	out->how = (enum fake_how)found[2];
+	return found[0] >= 0 && found[1] >= 0 && found[2] >= 0;
+}
+
+/* Appends half of a body, framed. */
+static void append_half(enum fake_framing framing, struct dl_str body,
+			GString *out)
+{
+	if (framing == FAKE_FRAMED_BY_CHUNKS)
+		g_string_append_printf(out, "%zx\r\n", body.n);
+	g_string_append_len(out, body.s, (gssize)(body.n / 2));
+}
+
+bool fake_ending_cut(struct fake_request *req, const char *text, int status,
+		     struct dl_str body)
+{
+	struct fake_ending ending;
+	GString *head, *out;
+	size_t framing;
+
+	if (!read_cut(text, &ending))
+		return false;
+	head = g_string_new(NULL);
+	out = g_string_new(NULL);
+	g_string_printf(head,
+			"HTTP/1.1 %d Said\nContent-Type: application/json\n",
+			status);
+	framing = append_framing(ending.framing, body.n, head);
+	if (fake_stop_is_in_head(ending.stop))
+		cut_head(ending.stop, framing, head);
+	append_text(FAKE_EOL_CRLF, head->str, head->len, out);
+	if (ending.stop == FAKE_STOP_IN_END)
+		g_string_append_c(out, '\r');
+	if (ending.stop > FAKE_STOP_NO_BODY)
+		append_half(ending.framing, body, out);
+	fake_reply_raw(req, (struct dl_str){ out->str, out->len });
+	fake_reply_drop(req, ending.how == FAKE_HOW_RESET);
+	g_string_free(head, TRUE);
+	g_string_free(out, TRUE);
+	return true;
+}
+
 bool fake_ending_closed(const struct fake_request *req)
 {
 	for (guint i = 0; responses && i < responses->len; i++) {
--- a/test/tool_ending.c
+++ b/test/tool_ending.c
@@ -59,6 +59,7 @@
 
 static struct {
 	char *to, *path, *kind, *how, *tag, *folder, *body, *versions;
+	gboolean keyed;
 	char **headers;
 	int at_once, timeout_ms, deadline_ms;
 	gboolean verbose;
@@ -87,6 +88,8 @@
 	  "add a header", "H" },
 	{ "body", 0, 0, G_OPTION_ARG_STRING, &opt.body, "body of requests",
 	  "B" },
+	{ "keyed", 0, 0, G_OPTION_ARG_NONE, &opt.keyed,
+	  "give each request an idempotency key, and send it again", NULL },
 	{ "at-once", 0, 0, G_OPTION_ARG_INT, &opt.at_once, "requests under way",
 	  "N" },
 	{ "timeout", 0, 0, G_OPTION_ARG_INT, &opt.timeout_ms,
@@ -106,6 +109,7 @@
 	int64_t begun_at, not_before;
 	GString *in;
 	bool reset, heard, done;
+	bool again; /* its request is sent again with its key */
 };
 
 static struct cell cells[CELLS_MAX];
@@ -145,18 +149,46 @@
 	cells_count++;
 }
 
+/*
+ * Whether a way to end is walked in a version.  Of a response that stops in its
+ * head nothing is sent on, so that two versions stand for all.
+ */
+static bool has_version(int stop, int how, int version)
+{
+	if (opt.versions && !listed(opt.versions, versions[version].name))
+		return false;
+	return (!fake_stop_is_in_head((enum fake_stop)stop) &&
+		how != FAKE_HOW_AGAIN) ||
+	       version == VERSION_1_0 || version == VERSION_1_1;
+}
+
 /* Lists the cells of one way to end, in each version and end of line. */
 static void add_cells(int framing, int stop, int how)
 {
 	for (int version = 0; version < VERSIONS; version++) {
-		if (opt.versions &&
-		    !listed(opt.versions, versions[version].name))
+		if (!has_version(stop, how, version))
 			continue;
 		for (int eol = 0; eol < FAKE_EOLS; eol++)
 			add_cell(framing, stop, how, eol, version);
 	}
 }
 
+/*
+ * Whether the table has a cell.  A response that falls silent in its head looks
+ * the same whatever would frame its body.
+ */
+static bool has_cell(int framing, int stop, int how)
+{
+	if (how == FAKE_HOW_WHOLE)
+		return stop == FAKE_STOP_LAST;
+	if (how == FAKE_HOW_AGAIN)
+		return !fake_stop_is_in_head((enum fake_stop)stop) &&
+		       stop != FAKE_STOP_LAST;
+	return !fake_stop_is_in_head((enum fake_stop)stop) ||
+	       how == FAKE_HOW_CLOSE || how == FAKE_HOW_RESET ||
+	       framing == FAKE_FRAMED_BY_LENGTH;
+}
+
 static void list_cells(void)
 {
 	for (int how = 0; how < FAKE_HOWS; how++) {
@@ -164,8 +196,7 @@
 			continue;
 		for (int framing = 0; framing < FAKE_FRAMINGS; framing++) {
 			for (int stop = 0; stop < FAKE_STOPS; stop++) {
-				if (how != FAKE_HOW_WHOLE ||
-				    stop == FAKE_STOP_LAST)
+				if (has_cell(framing, stop, how))
 					add_cells(framing, stop, how);
 			}
 		}
@@ -213,6 +244,11 @@
 			versions[c->version].headers);
 	for (char **h = opt.headers; h && *h; h++)
 		g_string_append_printf(out, "%s\r\n", *h);
+	if (opt.keyed)
+		g_string_append_printf(out,
+				       "Daisyledge-Idempotent: no\r\n"
+				       "Idempotency-Key: %s\r\n",
+				       c->ending.key);
 	g_string_append_printf(out,
 			       "Daisyledge-Attempt-Id: %s-%d\r\n"
 			       "Daisyledge-Deadline-Ms: %d\r\n"
@@ -326,7 +362,9 @@
 	const struct fake_ending *e = &c->ending;
 
 	if (e->framing != FAKE_FRAMED_BY_CLOSE ||
-	    (e->how != FAKE_HOW_CLOSE && e->how != FAKE_HOW_CRASH))
+	    (e->how != FAKE_HOW_CLOSE && e->how != FAKE_HOW_CRASH &&
+	     e->how != FAKE_HOW_AGAIN) ||
+	    fake_stop_is_in_head(e->stop))
 		return false;
 	/* A stream of the native API has a last event that says so. */
 	if (kind == KIND_MODEL)
@@ -334,6 +372,11 @@
 	return kind == KIND_PLAIN || e->stop == FAKE_STOP_BETWEEN;
 }
 
+static bool is_success(const struct cell *c)
+{
+	return status_of(c) >= 200 && status_of(c) < 300;
+}
+
 static bool is_whole_body(const struct cell *c, const GString *body)
 {
 	GString *whole_body;
@@ -366,12 +409,36 @@
 	g_string_free(name, TRUE);
 }
 
+/* Whether a caller has got a success that looks whole and is not. */
+static bool is_short(const struct cell *c, enum seen seen, bool full)
+{
+	return seen == SEEN_WHOLE && is_success(c) && !full &&
+	       !cannot_be_told(c);
+}
+
+/* Judges what a caller has got that sent a request again with its key. */
+static void judge_again(struct cell *c, enum seen seen, const GString *body)
+{
+	bool full = seen == SEEN_WHOLE && status_of(c) == 200 &&
+		    is_whole_body(c, body);
+
+	c->done = true;
+	if (seen != SEEN_TIMEOUT && !is_short(c, seen, full))
+		return;
+	violations++;
+	print_cell(c,
+		   seen == SEEN_TIMEOUT ? "HANGS, SENT AGAIN" :
+					  "COMPLETE AND SHORT, SENT AGAIN",
+		   body);
+}
+
 /* Judges what a caller has got at the end. */
 static void judge(struct cell *c, enum seen seen, const GString *body)
 {
 	bool refused = seen == SEEN_WHOLE &&
 		       (status_of(c) == 503 || status_of(c) == 429);
-	bool full = seen == SEEN_WHOLE && is_whole_body(c, body);
+	bool full = seen == SEEN_WHOLE && status_of(c) == 200 &&
+		    is_whole_body(c, body);
 	const char *fault = NULL;
 
 	if (refused && !was_begun(c) && c->tries < TRIES_MAX) {
@@ -386,8 +453,7 @@
 	}
 	if (seen == SEEN_TIMEOUT)
 		fault = "HANGS";
-	else if (seen == SEEN_WHOLE && status_of(c) == 200 && !full &&
-		 !cannot_be_told(c))
+	else if (is_short(c, seen, full))
 		fault = "COMPLETE AND SHORT";
 	else if (refused)
 		fault = "RAN, AND IS SAID NOT TO HAVE";
@@ -412,7 +478,15 @@
 {
 	close(c->fd);
 	c->fd = -1;
+	if (c->again) {
+		judge_again(c, seen, body);
+		return;
+	}
 	judge(c, seen, body);
+	if (c->done && opt.keyed) {
+		c->again = true;
+		c->done = false;
+	}
 }
 
 /* Reads what has come; ends the cell where the response has ended. */
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -38,7 +38,6 @@
 #define FAULT_AFTER_TOKENS 4
 #define PENDING_BYTES_MAX  (256u << 10) /* unsent data per stream */
 #define CHUNK_MAX	   512
-#define PLAIN_ANSWER_MAX   128
 #define SSE_HEADERS	   3
 
 enum fault {
@@ -53,6 +52,7 @@
 	FAULT_ERROR,
 	FAULT_INVALID,
 	FAULT_MISREPORT_LOAD,
+	FAULT_CUT_ORDER,
 	FAULT_COUNT
 };
 
@@ -68,6 +68,7 @@
 	[FAULT_ERROR] = "error",
 	[FAULT_INVALID] = "invalid",
 	[FAULT_MISREPORT_LOAD] = "lie-load",
+	[FAULT_CUT_ORDER] = "cut-order",
 };
 
 /* One request, until its response is no longer kept for resumption. */
@@ -79,6 +80,7 @@
 	uint64_t prefix;
 	struct fake_seq seq;
 	struct fake_request *reply; /* NULL without a client */
+	int pad; /* spaces behind the answer of a plain service */
 	bool plain;
 	bool stream;
 	bool ended; /* completed or stopped; its memory is released */
@@ -151,6 +153,7 @@
 	char *key_file;
 	char *fault;
 	char *endings;
+	char *cut;
 	int fault_times;
 	gboolean plain;
 	gboolean ignores_fencing;
@@ -213,6 +216,10 @@
 	  "how often to simulate it; -1 for always", "N" },
 	{ "endings", 0, 0, G_OPTION_ARG_FILENAME, &opt.endings,
 	  "end responses as requests say, with the state in", "FOLDER" },
+	{ "cut", 0, 0, G_OPTION_ARG_STRING, &opt.cut,
+	  "where the fault cut-order ends the response to an order that it does "
+	  "not carry out (fake/ending.h)",
+	  "TEXT" },
 	{ "ignores-fencing", 0, 0, G_OPTION_ARG_NONE, &opt.ignores_fencing,
 	  "accept orders with outdated fences", NULL },
 	{ "no-groups", 0, 0, G_OPTION_ARG_NONE, &opt.no_groups,
@@ -698,8 +705,8 @@
 
 static void pump_plain(struct job *job, int64_t now)
 {
-	char text[PLAIN_ANSWER_MAX];
 	struct fake_request *reply = job->reply;
+	GString *text;
 
 	if (now < job->until)
 		return;
@@ -711,10 +718,24 @@
 	job_end(job, "whole");
 	if (!reply || job->silenced)
 		return;
-	snprintf(text, sizeof(text), "{\"answer\":\"%016" PRIx64 "\"}\n",
-		 job->hash);
+	text = g_string_new(NULL);
+	g_string_printf(text, "{\"answer\":\"%016" PRIx64 "\"}%*s\n", job->hash,
+			job->pad, "");
 	detach(job);
-	fake_reply(reply, 200, json_headers, dl_str_of(text));
+	fake_reply(reply, 200, json_headers,
+		   (struct dl_str){ text->str, text->len });
+	g_string_free(text, TRUE);
+}
+
+/* Returns how many spaces a call asks for behind its answer: ?pad=N. */
+static int padding_of(struct fake_request *req)
+{
+	char *query = dup_str(fake_request_query(req));
+	const char *pad = strstr(query, "pad=");
+	int n = pad ? atoi(pad + strlen("pad=")) : 0;
+
+	g_free(query);
+	return n;
 }
 
 static void expire_holds(int64_t now)
@@ -1058,6 +1079,7 @@
 		return;
 	}
 	state.running_plain++;
+	job->pad = padding_of(req);
 	job->until = now_ms() + (int64_t)(opt.service_ms * opt.slow);
 	record('B', job, "begun");
 	job_register(job);
@@ -1169,6 +1191,13 @@
 		reply_not_run(req, 409, "fence");
 		return;
 	}
+	if (fault_triggers(FAULT_CUT_ORDER)) {
+		record('C', &line, opt.cut);
+		if (!fake_ending_cut(req, opt.cut, 200,
+				     DL_STR("{\"fence\": 1}")))
+			abort();
+		return;
+	}
 	record('O', &line, note);
 	if (n > state.fence)
 		state.fence = n;
