Ask the writer of an answer whether its caller has got any of it

An answer over 8 MiB (native: 1 MiB) is handed over as it comes. Whether another run may follow was asked of a count of the events handed over, 0 for an answer that is no stream.

dl_httpd_begun() tells whether a response has begun, from the structure that writes it; the flag beside it is gone, and whoever asked the count asks that. A response that has begun is continued only where it is a stream of events, after the id of the last one. So no length, kind or number of events is left for which the answer is wrong, and a decision on the retry budget comes after the question. An attempt whose endpoint is out of reach is not given up either, where its response cannot be continued. What cannot be finished is logged with its id and counted.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -40,6 +40,7 @@
 	X(buffered_bytes, "request bytes buffered")                            \
 	X(streams_cut_short,                                                   \
 	  "streams that ended early though their connection ended in order")   \
+	X(answers_broken_off, "answers that began and could not be finished")  \
 	X(retries_total, "attempts after the first one of a request")          \
 	X(retries_failed, "of these, after an endpoint's error")               \
 	X(retries_rejected, "of these, after an endpoint did not run it")      \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -48,6 +48,7 @@
 	  "The quarantine is saved again.")                                    \
 	X(RESERVATION_REFUSED, DL_INFO, "ticket", "Memory was not to be had.") \
 	X(ATTEMPT_FAILED, DL_WARN, "relay", "An attempt broke.")               \
+	X(ANSWER_BROKEN_OFF, DL_WARN, "relay", "An answer was broken off.")    \
 	X(RETRY, DL_INFO, "retry", "A repeat was decided on.")                 \
 	X(RETRY_BUDGET, DL_INFO, "retry", "Repeats were decided on here.")     \
 	X(ENDPOINT_LOST, DL_WARN, "relay",                                     \
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -154,6 +154,7 @@
 	uint32_t sent;		    /* attempts that may have run it */
 	uint64_t last_event_id;	    /* the last one the caller has */
 	bool last_event_unnumbered; /* its last event has no id */
+	bool events_begun;	    /* the caller's response is of events */
 	uint32_t event_tokens;	    /* output tokens of one event */
 	bool resumes;		    /* starts after last_event_id */
 	int64_t last_event_at;	    /* when it was forwarded */
@@ -324,7 +325,7 @@
 	uint64_t resume_offset;	     /* chunks that a resumed stream skips */
 	bool deadline_passed;	     /* at the last tick */
 	bool may_have_run;	     /* an attempt is not provably "not run" */
-	bool response_started;	     /* its head was sent to the caller */
+	bool continues;		     /* a response that has begun */
 	uint16_t status;	     /* of the endpoint's response */
 	uint64_t attempt_events;     /* that the attempt has received */
 	enum dl_framing framing;     /* of the endpoint's response */
--- a/src/entry/entry_answer.c
+++ b/src/entry/entry_answer.c
@@ -2,6 +2,8 @@
  */
 #include <stdlib.h>
 
+#include "base/metric.h"
+#include "base/msg.h"
 #include "entry/entry_call.h"
 
 #define OWN_HEADERS_MAX 4
@@ -50,7 +52,13 @@
 
 	if (!c->http)
 		return;
-	if (c->response_started) {
+	if (dl_httpd_begun(c->http)) {
+		dl_count(DL_METRIC_answers_broken_off, 1);
+		dl_msg(DL_MSG_ANSWER_BROKEN_OFF,
+		       "request=%s attempt=%.*s status=%u bytes=%zu why=\"%s\"",
+		       c->id_text, (int)MIN(c->route.attempt_id.n, DL_NAME_MAX),
+		       c->route.attempt_id.s, c->status,
+		       dl_httpd_body_bytes(c->http), reason);
 		if (c->kind == DL_POOL_MODEL && !c->routed)
 			send_end_event(c, reason);
 		dl_httpd_finish(c->http, false);
@@ -108,7 +116,7 @@
 
 	if (!c->http)
 		return;
-	if (c->response_started) {
+	if (dl_httpd_begun(c->http)) {
 		if (c->kind == DL_POOL_MODEL) {
 			send_end_event(c, "");
 			dl_httpd_send(c->http, DL_STR("data: [DONE]\n\n"));
--- a/src/entry/entry_attempt.c
+++ b/src/entry/entry_attempt.c
@@ -62,6 +62,7 @@
 void call_attempt_begin(struct call *c)
 {
 	c->attempt_at = entry_now(c->e);
+	c->continues = dl_httpd_begun(c->http);
 	c->endpoint_lost_at = 0;
 	c->endpoint_unreachable = false;
 	c->via = DL_VM_NONE;
--- a/src/entry/entry_call.c
+++ b/src/entry/entry_call.c
@@ -311,7 +311,7 @@
 		learn_bytes_per_token(c);
 		if (!c->stream)
 			c->final_body = call_completion_json(c);
-		else if (!c->response_started)
+		else if (!dl_httpd_begun(c->http))
 			entry_try_begin_stream(c);
 	} else {
 		if (c->status >= 500)
--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -75,7 +75,7 @@
 	ask->deadline = c->deadline;
 	ask->target_ms = c->route.target_ms;
 	ask->gap_ms = c->stream ? c->route.gap_ms : 0;
-	if (c->routed && c->stream && !c->relayed)
+	if (c->routed && c->stream && !dl_httpd_begun(c->http))
 		ask->first_event_deadline =
 			c->arrived_at + c->route.caller_silence_ms;
 	ask->tried = c->tried_count;
@@ -151,7 +151,8 @@
 		c->content_hash = call_content(c);
 	if (entry_quarantine_refuses(c))
 		return;
-	if (!c->relayed && entry_path_is_isolated(e, service_of(c))) {
+	if (!dl_httpd_begun(c->http) &&
+	    entry_path_is_isolated(e, service_of(c))) {
 		entry_call_refuse(c, DL_REASON_UNREACHABLE, DL_STEP_PLACE,
 				  e->node.self, ISOLATED_RETRY_MS);
 		return;
@@ -452,8 +453,8 @@
  */
 static bool waits_for_endpoint(const struct call *c)
 {
-	return c->routed && c->stream && c->relayed && c->idempotent &&
-	       is_passing(c->last_refusal.reason) &&
+	return c->routed && c->stream && dl_httpd_begun(c->http) &&
+	       c->idempotent && is_passing(c->last_refusal.reason) &&
 	       c->deadline - entry_now(c->e) > RESUME_AGAIN_MS;
 }
 
--- a/src/entry/entry_path.c
+++ b/src/entry/entry_path.c
@@ -483,6 +483,8 @@
 {
 	if (c->routed)
 		return entry_relay_may_continue(c);
+	if (c->kind == DL_POOL_PLAIN && dl_httpd_begun(c->http))
+		return false;
 	return c->idempotent &&
 	       entry_retry_ask(c, DL_RETRY_SILENT) == CALL_RETRY_ALLOWED;
 }
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -148,13 +148,17 @@
 }
 
 /*
- * Whether a request may run at another endpoint after this one.  A stream goes
- * on there after the last event that the caller has, by its id; without one
- * events would come twice.
+ * Whether a request may run at another endpoint after this one.  A response
+ * that has begun can only go on there if it is a stream, after the last event
+ * that the caller has, by its id; another run's bytes have no place in any
+ * other.
  */
 static bool may_run_again(const struct call *c)
 {
-	return c->idempotent && !c->route.last_event_unnumbered;
+	if (!c->idempotent)
+		return false;
+	return !dl_httpd_begun(c->http) ||
+	       (c->route.events_begun && !c->route.last_event_unnumbered);
 }
 
 static uint32_t silence_limit_ms(const struct call *c)
@@ -445,7 +449,7 @@
 	dl_name_set(&c->route.head.at_fault, said.at_fault);
 	c->route.head.is_event_stream = c->stream && head->status == 200;
 	c->route.head.other_type = has_other_type(head);
-	if (!c->response_started)
+	if (!c->continues)
 		keep_headers(c, head, c->route.head.is_event_stream);
 	if (c->route.head.wrong_request)
 		dl_httpc_give_up(c->attempt, "response to another request");
@@ -459,7 +463,7 @@
 		g_new(struct dl_header, call_headers_count(c));
 	size_t n = call_headers_fill(c, headers);
 
-	c->response_started = true;
+	c->route.events_begun = c->route.head.is_event_stream;
 	c->framing_out = dl_httpd_begin(c->http, c->status, headers, n,
 					c->response_length);
 	g_free(headers);
@@ -482,7 +486,7 @@
 {
 	if (!event->is_comment)
 		call_note_event(c);
-	if (event->has_id && (c->route.resumes || c->relayed) &&
+	if (event->has_id && (c->route.resumes || dl_httpd_begun(c->http)) &&
 	    event->id <= c->route.last_event_id)
 		return true;
 	if (!c->first_byte_at) {
@@ -491,7 +495,7 @@
 				c->grant.endpoint[0].s);
 		entry_grant_first_event(c);
 	}
-	if (!c->response_started)
+	if (!dl_httpd_begun(c->http))
 		begin_response(c);
 	if (event->has_id)
 		c->route.last_event_id = event->id;
@@ -545,7 +549,7 @@
 	if (c->route.head.wrong_request || c->route.head.event_too_long)
 		return true;
 	/* The body of an error is no part of a stream that has begun. */
-	if (c->response_started && !c->route.head.is_event_stream)
+	if (dl_httpd_begun(c->http) && !c->route.head.is_event_stream)
 		return c->stream || dl_httpd_send(c->http, piece);
 	if (c->route.head.is_event_stream)
 		return relay_events(c, piece);
@@ -609,9 +613,9 @@
 		    c->status >= STATUS_ERROR ? DL_OUTCOME_FAILED :
 						DL_OUTCOME_DONE,
 		    c->status);
-	if (c->route.head.is_event_stream && !c->response_started)
+	if (c->route.head.is_event_stream && !dl_httpd_begun(c->http))
 		begin_response(c);
-	if (c->response_started) {
+	if (dl_httpd_begun(c->http)) {
 		if (rest.n)
 			dl_httpd_send(c->http, rest);
 		dl_httpd_finish(c->http, true);
@@ -630,8 +634,7 @@
 	struct dl_call_state state = {
 		.idempotent = c->idempotent,
 		.attempts = c->route.tries,
-		.bytes_to_caller = c->stream && may_run_again(c) ? 0 :
-								   c->relayed,
+		.bytes_to_caller = dl_httpd_begun(c->http) && !may_run_again(c),
 		.deadline = c->deadline,
 	};
 
@@ -684,7 +687,7 @@
 /* Asks for another endpoint after an attempt that has failed. */
 static void repeat(struct call *c, const struct dl_attempt *a)
 {
-	if (c->relayed)
+	if (dl_httpd_begun(c->http))
 		c->route.resumes = true;
 	dl_count(DL_METRIC_retries_total, 1);
 	if (costs_no_attempt(c, a))
@@ -732,7 +735,7 @@
 	/* A resumed stream that gets an error is not complete. */
 	complete = a.received == DL_RECV_COMPLETE &&
 		   a.failure == DL_FAILURE_NONE &&
-		   !(c->stream && c->response_started &&
+		   !(c->stream && dl_httpd_begun(c->http) &&
 		     !c->route.head.is_event_stream);
 	call_fill_usage(c, &a, c->prompt_tokens, c->output_tokens,
 			c->status >= STATUS_ERROR || !complete);
--- a/src/entry/entry_retry.c
+++ b/src/entry/entry_retry.c
@@ -238,7 +238,8 @@
 					enum dl_outcome outcome,
 					const struct dl_err *err, bool complete)
 {
-	enum dl_retry_way way = dl_retry_way_of(attempt, c->relayed > 0);
+	enum dl_retry_way way =
+		dl_retry_way_of(attempt, dl_httpd_begun(c->http));
 	struct call_retry *r = &c->retry;
 
 	if (!dl_retry_way_is_charged(way)) {
--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -319,13 +319,12 @@
 		{ DL_STR("Daisyledge-Request"), dl_str_of(c->id_text) },
 	};
 
-	c->response_started = true;
 	c->framing_out = dl_httpd_begin(c->http, 200, headers, 3, SIZE_MAX);
 }
 
 static bool relay_chunk(struct call *c, struct dl_str data)
 {
-	if (!c->response_started)
+	if (!dl_httpd_begun(c->http))
 		entry_try_begin_stream(c);
 	c->relayed++;
 	dl_httpd_send(c->http, DL_STR("data: "));
@@ -441,7 +440,6 @@
 	headers[n++] = (struct dl_header){ DL_STR("Daisyledge-Request"),
 					   dl_str_of(c->id_text) };
 	n += call_headers_fill(c, headers + n);
-	c->response_started = true;
 	c->framing_out = dl_httpd_begin(c->http, c->status, headers, n,
 					c->response_length);
 	g_free(headers);
@@ -457,7 +455,7 @@
 	if (!c->first_byte_at)
 		note_first_byte(c);
 	c->chunks_received += piece.n;
-	if (c->response_started)
+	if (dl_httpd_begun(c->http))
 		return dl_httpd_send(c->http, piece);
 	g_string_append_len(c->response_buf, piece.s, (gssize)piece.n);
 	if (c->response_buf->len > HELD_BODY_MAX)
@@ -584,7 +582,7 @@
 			     a.failure != DL_FAILURE_BAD_RESPONSE &&
 			     !entry_backoff_blocks_grant(c),
 		.attempts = c->attempts,
-		.bytes_to_caller = c->relayed,
+		.bytes_to_caller = dl_httpd_begun(c->http),
 		.deadline = c->deadline,
 		.expected_ms = c->grant.predicted_ttft_ms,
 	};
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -56,6 +56,7 @@
 	bool finishing;
 	bool complete;
 	enum dl_framing framing; /* of a stream */
+	size_t body_bytes;	 /* queued of a stream */
 	h2o_buffer_t *pending;	 /* not yet passed to h2o */
 	h2o_buffer_t *in_flight; /* passed to h2o */
 };
@@ -667,10 +668,23 @@
 	if (bytes.n)
 		memcpy(space.base, bytes.s, bytes.n);
 	req->pending->size += bytes.n;
+	req->body_bytes += bytes.n;
 	send_pending(req);
 	return req->pending->size < STREAM_HIGH_WATER;
 }
 
+/* Whether bytes of a response may have reached the client. */
+bool dl_httpd_begun(const struct dl_httpd_req *req)
+{
+	return req->streaming;
+}
+
+/* Returns how many bytes of a streamed response's body were queued. */
+size_t dl_httpd_body_bytes(const struct dl_httpd_req *req)
+{
+	return req->body_bytes;
+}
+
 /*
  * Ends a stream once its bytes are sent.  If it is not complete, breaks the
  * connection so that the client can tell.
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -77,6 +77,13 @@
 			       size_t length);
 /* Queues bytes; false: the client is slow, wait for drained(). */
 bool dl_httpd_send(struct dl_httpd_req *req, struct dl_str bytes);
+/*
+ * Whether a response has begun: bytes of it may have reached the client, so
+ * that only more of the same response may follow.
+ */
+bool dl_httpd_begun(const struct dl_httpd_req *req);
+/* How many bytes of a streamed response's body were queued. */
+size_t dl_httpd_body_bytes(const struct dl_httpd_req *req);
 /* Ends a stream; if it is not complete, breaks the connection to show that. */
 void dl_httpd_finish(struct dl_httpd_req *req, bool complete);
 
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -19,6 +19,7 @@
 #include "fake/ending.h"
 #include "fake/engine.h"
 #include "fake/http.h"
+#include "fake/long.h"
 #include "fake/sign.h"
 
 #define STEP_MS		   4
@@ -1308,7 +1309,9 @@
 		return true;
 	}
 	conf.after = (int)after;
-	served = fake_ending_serve(state.loop, req, text, &conf);
+	served = fake_ending_serve(state.loop, req, text, &conf) ||
+		 fake_long_serve(state.loop, req, text, opt.endings,
+				 conf.headers);
 	g_free(id);
 	return served;
 }
@@ -1339,7 +1342,7 @@
 {
 	struct job *job = fake_request_owner(req);
 
-	if (fake_ending_closed(req) || !job)
+	if (fake_ending_closed(req) || fake_long_closed(req) || !job)
 		return;
 	job->reply = NULL;
 	job->detached_at = now_ms();
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -17,6 +17,7 @@
 
 #include "fake/ending.h"
 #include "fake/http.h"
+#include "fake/long.h"
 
 #define HEARTBEAT_MS	 300
 #define TICK_MS		 10
@@ -432,6 +433,7 @@
 /* Responds to a request that says how its response ends; false for others. */
 static bool serve_ending(struct fake_request *req, const char *attempt)
 {
+	struct dl_str path = fake_request_path(req);
 	const struct fake_header headers[] = {
 		{ "Content-Type",
 		  opt.plain ? "text/plain" : "text/event-stream" },
@@ -448,7 +450,8 @@
 
 	dl_str_to_u64(header(req, "last-event-id"), &after);
 	conf.after = (int)after;
-	return fake_ending_serve(loop, req, fake_request_path(req), &conf);
+	return fake_ending_serve(loop, req, path, &conf) ||
+	       fake_long_serve(loop, req, path, opt.endings, headers);
 }
 
 /* Begins a stream whose end only its connection marks. */
@@ -738,7 +741,7 @@
 {
 	struct job *job = fake_request_owner(req);
 
-	if (fake_ending_closed(req))
+	if (fake_ending_closed(req) || fake_long_closed(req))
 		return;
 	for (guint i = 0; i < endless_jobs->len; i++) {
 		struct endless_job *e = endless_jobs->pdata[i];
