Hand over all of a long answer to a stream's request that is no stream

Callers of a route of streams, whose run answered with another success than 200 and more than 8 MiB, got what had been held when handing over began: 8,391,879 of 12,000,000 bytes, to HTTP/1.1 without a length, so that the answer looked whole.

The rest was dropped as the body of an error that follows a stream: for requests of streams, every response that is no stream of events counted as one, also that of the attempt with which the answer had begun.

An attempt knows since it began whether it goes on with a response (`continues`, set when it starts); only then is a response that is no stream of events dropped, and the answer not complete.

--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -549,8 +549,10 @@
 	if (c->route.head.wrong_request || c->route.head.event_too_long)
 		return true;
 	/* The body of an error is no part of a stream that has begun. */
+	if (c->continues && !c->route.head.is_event_stream)
+		return true;
 	if (dl_httpd_begun(c->http) && !c->route.head.is_event_stream)
-		return c->stream || dl_httpd_send(c->http, piece);
+		return dl_httpd_send(c->http, piece);
 	if (c->route.head.is_event_stream)
 		return relay_events(c, piece);
 	g_string_append_len(c->response_buf, piece.s, (gssize)piece.n);
@@ -735,8 +737,7 @@
 	/* A resumed stream that gets an error is not complete. */
 	complete = a.received == DL_RECV_COMPLETE &&
 		   a.failure == DL_FAILURE_NONE &&
-		   !(c->stream && dl_httpd_begun(c->http) &&
-		     !c->route.head.is_event_stream);
+		   !(c->continues && !c->route.head.is_event_stream);
 	call_fill_usage(c, &a, c->prompt_tokens, c->output_tokens,
 			c->status >= STATUS_ERROR || !complete);
 	c->usage.silent = err.code == -ETIMEDOUT;
--- a/test/test_system_long_answer_broken.sh
+++ b/test/test_system_long_answer_broken.sh
@@ -31,6 +31,9 @@
 call whole 200 4000000 look
 call broken 200 10000000 look
 call broken 200 10000000 book
+# Answers to streams that are no events.
+call whole 201 12000000 chat
+call whole 201 4000000 chat
 end_long_answers
 ids=$(grep -c 'An answer was broken off' "$DIR/entry-1.log")
 [ "$ids" -eq 2 ] || fail "$ids answers are logged as broken off"
