Reset broken answers that h2o does not send in chunks

Callers of HTTP/1.1 whose answer had another success than 200 and no length, and broke off after handing over had begun, took it for whole: 10,000,000 of 12,000,000 bytes, ended by a close in order.

framing_of() held such a response for chunks, so breaking it off meant to shut its connection down. h2o (2.2.5, as measured) sends chunks with status 200 alone and ends any other response without a length by its connection, where only a reset tells.

framing_of() asks the status as well; the rest of httpd.c goes by it: the socket is set to be reset from the head on, also if the process ends, and to close in order with the last byte.

test_system_long_answer_broken.sh, two cases more, on the version before: "whole with bytes" at both routes; broken off on this one.

--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -17,6 +17,7 @@
 	(256u << 10) /* most bytes queued for a slow client                    \
 		      */
 #define DISCONNECT_POLL_MS   250
+#define STATUS_OK	     200
 #define STATUS_CLIENT_CLOSED 499
 #define MS_PER_S	     1000
 #define HTTP_1_1	     0x101
@@ -555,13 +556,16 @@
 }
 
 /*
- * Returns what marks the end of a response; h2o sends chunks in HTTP/1.1 alone.
+ * Returns what marks the end of a response; h2o sends chunks in HTTP/1.1 alone,
+ * and with status 200 alone.
  */
 static enum dl_framing framing_of(const h2o_req_t *h2o, size_t length)
 {
 	if (length != SIZE_MAX)
 		return DL_FRAMING_LENGTH;
-	return h2o->version == HTTP_1_1 ? DL_FRAMING_CHUNKS : DL_FRAMING_CLOSE;
+	return h2o->version == HTTP_1_1 && h2o->res.status == STATUS_OK ?
+		       DL_FRAMING_CHUNKS :
+		       DL_FRAMING_CLOSE;
 }
 
 /*
--- a/test/test_system_long_answer_broken.sh
+++ b/test/test_system_long_answer_broken.sh
@@ -34,6 +34,8 @@
 # Answers to streams that are no events.
 call whole 201 12000000 chat
 call whole 201 4000000 chat
+call broken 201 10000000 chat
+call broken 201 10000000 look
 end_long_answers
 ids=$(grep -c 'An answer was broken off' "$DIR/entry-1.log")
-[ "$ids" -eq 2 ] || fail "$ids answers are logged as broken off"
+[ "$ids" -eq 4 ] || fail "$ids answers are logged as broken off"
