End no resumed stream with an answer of another type

A caller whose stream broke off after two events got, as its rest, the JSON that the next endpoint answered with status 200, and the stream ended as complete.

A response to a stream's request that has a length or chunks and another type is delivered as it is, so its bytes need not end with an event; that held also where events of another run had been handed over before them.

An attempt that goes on with a begun response has to end with an event, whatever its type says: its unfinished bytes mark it as broken off, another endpoint is tried as far as the route allows, and the answer is broken off otherwise.

--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -405,12 +405,14 @@
 
 /*
  * Whether the end of the response has to be that of an event: a stream, unless
- * it is marked as whole by a length or chunks and is of another type.
+ * it is marked as whole by a length or chunks and is of another type, and no
+ * events of another run come before it.
  */
 static bool ends_with_event(const struct call *c)
 {
 	return c->route.head.is_event_stream &&
-	       (c->framing == DL_FRAMING_CLOSE || !c->route.head.other_type);
+	       (c->framing == DL_FRAMING_CLOSE || !c->route.head.other_type ||
+		c->continues);
 }
 
 static void on_head(void *arg, const struct dl_httpc_head *head)
