Continue no stream with events that cannot be placed

A caller whose stream broke off after the events 1 and 2 got the rest from an endpoint that gives its events no ids, and the stream ended as complete: where that run's events belong, nobody knows. It may as well have begun anew.

The id of an event was asked only for what the caller already has; an event without one passed.

A run that goes on with a stream has to give its first event an id; after that, an event without one has its place. Otherwise the attempt is given up, another endpoint is tried as far as the route allows, and the answer is broken off.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -131,6 +131,8 @@
 	const char *ids;	 /* own, other, none or several; for logs */
 	bool is_event_stream;	 /* forwarded event by event */
 	bool event_too_long;	 /* an event exceeds the limit */
+	bool placed;		 /* an event of it has an id */
+	bool unplaced;		 /* it continues a stream with no id */
 	bool other_type;	 /* its type is given, and not that of events */
 	bool leaving;		 /* the endpoint is shutting down */
 	bool backoff_requested;	 /* for retry_after_ms */
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -483,6 +483,16 @@
 	c->route.last_event_at = now;
 }
 
+/*
+ * Whether an event's place among those that another run has sent is unknown:
+ * neither it nor one before it in its run has an id.
+ */
+static bool is_unplaced(struct call *c, const struct dl_sse_event *event)
+{
+	c->route.head.placed |= event->has_id;
+	return c->continues && !c->route.head.placed && !event->is_comment;
+}
+
 /* Forwards a complete event; drops one that the caller already has. */
 static bool relay_event(struct call *c, const struct dl_sse_event *event)
 {
@@ -538,6 +548,12 @@
 	}
 	while (dl_sse_next(&c->sse, &event)) {
 		c->route.whole_event_at = entry_now(c->e);
+		if (is_unplaced(c, &event)) {
+			c->route.head.unplaced = true;
+			dl_httpc_give_up(c->attempt,
+					 "the stream goes on without an id");
+			return true;
+		}
 		go_on = relay_event(c, &event);
 	}
 	check_trickle(c);
@@ -548,7 +564,8 @@
 {
 	struct call *c = arg;
 
-	if (c->route.head.wrong_request || c->route.head.event_too_long)
+	if (c->route.head.wrong_request || c->route.head.event_too_long ||
+	    c->route.head.unplaced)
 		return true;
 	/* The body of an error is no part of a stream that has begun. */
 	if (c->continues && !c->route.head.is_event_stream)
@@ -585,7 +602,8 @@
 	struct dl_attempt a = *attempt;
 
 	if (a.received != DL_RECV_NOTHING &&
-	    (c->route.head.wrong_request || c->route.head.event_too_long)) {
+	    (c->route.head.wrong_request || c->route.head.event_too_long ||
+	     c->route.head.unplaced)) {
 		a.failure = DL_FAILURE_BAD_RESPONSE;
 		a.received = DL_RECV_HEAD;
 	} else if (c->route.head.not_run && a.received != DL_RECV_NOTHING) {
