Stop once answers are written, not once they are handed over

It ended once it had no requests, and a request was over when its answer had been handed to the HTTP server.

The HTTP server keeps requests in a list until h2o has freed them, which it does when the answer is written or the connection gone. The process ends when the lists of its listeners are empty, or 0.2 s before stop_s (30 s after the signal where there is none, 0.2 s after a second one). What is not written by then is broken off so that callers can tell, logged with its id and counted.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -27,6 +27,12 @@
 #define LOAD_BALANCER_DELAY_MS 3500
 /* Time reserved to send the last responses before the process is killed. */
 #define STOP_MARGIN_MS 400
+/* The same, to end the process while callers still read. */
+#define EXIT_MARGIN_MS 200
+/* For callers that still read, where the settings give a stop no limit. */
+#define READERS_WAIT_MS 30000
+/* The same, after an interrupt during the stop. */
+#define INTERRUPTED_WAIT_MS 200
 /* Interval of updating the gauges that need a scan. */
 #define GAUGES_INTERVAL_MS 500
 
@@ -180,6 +186,35 @@
 	       now - e->stop_at >= stop_ms - STOP_MARGIN_MS;
 }
 
+/* Whether callers that still read their answers are waited for no longer. */
+static bool reading_is_over(const struct entry *e, int64_t now)
+{
+	int64_t stop_ms = e->node.settings.stop_ms;
+
+	if (e->interrupted_at)
+		return now - e->interrupted_at >= INTERRUPTED_WAIT_MS;
+	return now - e->stop_at >=
+	       (stop_ms ? stop_ms - EXIT_MARGIN_MS : READERS_WAIT_MS);
+}
+
+/* Whether all answers are written, or their callers gone. */
+static bool answers_are_written(const struct entry *e)
+{
+	for (uint32_t i = 0; i < e->listeners_count; i++) {
+		if (dl_httpd_has_unwritten(e->listeners[i].httpd))
+			return false;
+	}
+	return true;
+}
+
+/* Ends the process; answers that callers still read are broken off. */
+static void end(struct entry *e)
+{
+	for (uint32_t i = 0; i < e->listeners_count; i++)
+		dl_httpd_abandon_unwritten(e->listeners[i].httpd);
+	dl_node_end(&e->node, DL_EXIT_OK);
+}
+
 static void on_tick(void *arg, int64_t now)
 {
 	struct entry *e = arg;
@@ -207,15 +242,16 @@
 		entry_calls_abort(e);
 	if (e->node.stopping && !e->calls && load_balancer_informed(e, now) &&
 	    (!entry_path_tunnels(e) || stop_deadline_near(e, now)) &&
-	    (!e->cmds || now - e->stop_at > COMMANDS_WAIT_MS))
-		dl_node_end(&e->node, DL_EXIT_OK);
+	    (!e->cmds || now - e->stop_at > COMMANDS_WAIT_MS) &&
+	    (answers_are_written(e) || reading_is_over(e, now)))
+		end(e);
 }
 
 /*
  * Starts a graceful stop: the VM reports that it is not ready, dispatching
- * moves to other VMs, and requests in flight run until they end or reach their
- * deadlines. An interrupt during the stop aborts them at once and sends each
- * caller an error.
+ * moves to other VMs, requests in flight run until they end or reach their
+ * deadlines, and callers read their answers. An interrupt during the stop
+ * aborts them at once and sends each caller an error.
  */
 static void on_stop(void *arg, bool again)
 {
@@ -224,7 +260,9 @@
 	dl_msg(DL_MSG_ENTRY_STOP, "requests=%u again=%d", e->calls_count,
 	       again);
 	e->draining = true;
-	if (!again)
+	if (again)
+		e->interrupted_at = entry_now(e);
+	else
 		e->stop_at = entry_now(e);
 	for (uint32_t i = 0; i < e->listeners_count; i++)
 		dl_httpd_close_after_responses(e->listeners[i].httpd);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -452,6 +452,7 @@
 	int64_t started_at;
 	bool draining; /* by signal or by operators */
 	int64_t stop_at;
+	int64_t interrupted_at; /* again, while it stopped; 0: not */
 };
 
 int64_t entry_now(const struct entry *e);
--- a/src/entry/entry_call.c
+++ b/src/entry/entry_call.c
@@ -200,6 +200,7 @@
 	e->calls_count++;
 	e->buffered += c->buffered;
 	dl_httpd_set_data(req, c);
+	dl_httpd_set_name(req, c->id_text);
 	dl_count(DL_METRIC_requests_total, 1);
 	dl_gauge(DL_METRIC_streams_open, e->calls_count);
 	dl_gauge(DL_METRIC_buffered_bytes, (int64_t)e->buffered);
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -39,6 +39,7 @@
 	uv_tcp_t listener;
 	uv_timer_t disconnect_poll;
 	struct dl_httpd_req *requests;
+	struct dl_httpd_req *unwritten; /* answered, until h2o has written it */
 	uint32_t conns;
 	bool accepting;
 	bool close_after_responses;
@@ -47,7 +48,9 @@
 struct dl_httpd_req {
 	h2o_generator_t generator; /* must be first: h2o passes it back */
 	struct dl_httpd *server;
+	struct dl_httpd_req **list; /* that it is in; NULL: none */
 	struct dl_httpd_req *next, *prev;
+	const char *name; /* for the log */
 	h2o_req_t *h2o;
 	void *data;
 	struct dl_header *headers; /* in h2o's pool; NULL: not listed yet */
@@ -57,7 +60,7 @@
 	bool finishing;
 	bool complete;
 	enum dl_framing framing; /* of a stream */
-	size_t body_bytes;	 /* queued of a stream */
+	size_t body_bytes;	 /* queued */
 	h2o_buffer_t *pending;	 /* not yet passed to h2o */
 	h2o_buffer_t *in_flight; /* passed to h2o */
 };
@@ -138,12 +141,27 @@
 
 static void req_unlink(struct dl_httpd_req *req)
 {
+	if (!req->list)
+		return;
 	if (req->prev)
 		req->prev->next = req->next;
 	else
-		req->server->requests = req->next;
+		*req->list = req->next;
 	if (req->next)
 		req->next->prev = req->prev;
+	req->list = NULL;
+}
+
+/* Moves a request to a list. */
+static void req_move(struct dl_httpd_req *req, struct dl_httpd_req **list)
+{
+	req_unlink(req);
+	req->list = list;
+	req->prev = NULL;
+	req->next = *list;
+	if (req->next)
+		req->next->prev = req;
+	*list = req;
 }
 
 /* Returns the socket of a request's connection; NULL if it is gone. */
@@ -172,8 +190,7 @@
 	note_answered(req);
 	if (!req->done && !req->finishing)
 		req->server->ops->aborted(req->server->arg, req);
-	if (!req->done)
-		req_unlink(req);
+	req_unlink(req);
 	if (req->pending)
 		h2o_buffer_dispose(&req->pending);
 	if (req->in_flight)
@@ -191,10 +208,8 @@
 	req->generator.stop = on_stop;
 	req->server = server;
 	req->h2o = h2o;
-	req->next = server->requests;
-	if (req->next)
-		req->next->prev = req;
-	server->requests = req;
+	req->name = "";
+	req_move(req, &server->requests);
 	server->ops->request(server->arg, req);
 	return 0;
 }
@@ -468,6 +483,12 @@
 	req->data = data;
 }
 
+/* Stores the name by which the log has the request. */
+void dl_httpd_set_name(struct dl_httpd_req *req, const char *name)
+{
+	req->name = h2o_strdup(&req->h2o->pool, name, SIZE_MAX).base;
+}
+
 /* Returns the pointer stored by the owner. */
 void *dl_httpd_data(const struct dl_httpd_req *req)
 {
@@ -551,7 +572,8 @@
 		    struct dl_str body)
 {
 	req->done = true;
-	req_unlink(req);
+	req->body_bytes = body.n;
+	req_move(req, &req->server->unwritten);
 	send_response(req, status, headers, count, body);
 }
 
@@ -683,7 +705,7 @@
 	return req->streaming;
 }
 
-/* Returns how many bytes of a streamed response's body were queued. */
+/* Returns how many bytes of a response's body were queued. */
 size_t dl_httpd_body_bytes(const struct dl_httpd_req *req)
 {
 	return req->body_bytes;
@@ -697,5 +719,33 @@
 {
 	req->finishing = true;
 	req->complete = complete;
+	if (!req->done)
+		req_move(req, &req->server->unwritten);
 	send_pending(req);
 }
+
+/*
+ * Whether a client still reads a response that has been handed over; false once
+ * it is written or the client has gone.
+ */
+bool dl_httpd_has_unwritten(const struct dl_httpd *server)
+{
+	return server->unwritten != NULL;
+}
+
+/*
+ * Logs the responses that are not written yet, and sees to it that the end of
+ * this process breaks them off in a way that their clients can tell.
+ */
+void dl_httpd_abandon_unwritten(struct dl_httpd *server)
+{
+	for (struct dl_httpd_req *req = server->unwritten; req;
+	     req = req->next) {
+		if (req->framing == DL_FRAMING_CLOSE)
+			reset_on_close(req, true);
+		dl_count(DL_METRIC_answers_broken_off, 1);
+		dl_msg(DL_MSG_ANSWER_BROKEN_OFF,
+		       "request=%s bytes=%zu why=\"stopping\"", req->name,
+		       req->body_bytes);
+	}
+}
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -63,6 +63,8 @@
 /* A pointer for the owner's use. */
 void dl_httpd_set_data(struct dl_httpd_req *req, void *data);
 void *dl_httpd_data(const struct dl_httpd_req *req);
+/* The name by which the log has the request; it is copied. */
+void dl_httpd_set_name(struct dl_httpd_req *req, const char *name);
 
 /* Sends a whole response, copying it; the request is invalid afterwards. */
 void dl_httpd_reply(struct dl_httpd_req *req, uint16_t status,
@@ -82,9 +84,13 @@
  * that only more of the same response may follow.
  */
 bool dl_httpd_begun(const struct dl_httpd_req *req);
-/* How many bytes of a streamed response's body were queued. */
+/* How many bytes of a response's body were queued. */
 size_t dl_httpd_body_bytes(const struct dl_httpd_req *req);
 /* Ends a stream; if it is not complete, breaks the connection to show that. */
 void dl_httpd_finish(struct dl_httpd_req *req, bool complete);
+/* Whether a client still reads a response that has been handed over. */
+bool dl_httpd_has_unwritten(const struct dl_httpd *server);
+/* Before the process ends: logs these, which its end breaks off. */
+void dl_httpd_abandon_unwritten(struct dl_httpd *server);
 
 #endif
--- a/test/tool_http.c
+++ b/test/tool_http.c
@@ -6,6 +6,7 @@
  */
 #include <arpa/inet.h>
 #include <glib.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -34,6 +35,7 @@
 	int timeout_ms;
 	int stall_ms;
 	int slow_ms;
+	int rate;
 	char *key_file;
 	int signed_ago;
 	gboolean head;
@@ -56,6 +58,10 @@
 	  "read nothing for this long, then disconnect", "MS" },
 	{ "slow", 0, 0, G_OPTION_ARG_INT, &opt.slow_ms,
 	  "delay between the head and the body", "MS" },
+	{ "rate", 0, 0, G_OPTION_ARG_INT, &opt.rate,
+	  "read this many bytes a second, and print what came of a response "
+	  "with a length",
+	  "N" },
 	{ "key-file", 0, 0, G_OPTION_ARG_FILENAME, &opt.key_file,
 	  "sign with the key in this file", "FILE" },
 	{ "signed-ago", 0, 0, G_OPTION_ARG_INT, &opt.signed_ago,
@@ -141,6 +147,15 @@
 	return fd >= 0 && write(fd, s, n) == (ssize_t)n;
 }
 
+/* Has the kernel take in little beyond what is read, as on a usual network. */
+static void keep_buffers_small(int fd)
+{
+	int received = 16384, segment = 1460;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &received, sizeof(received));
+	setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+}
+
 /* Connects and sends the head of the request; returns the socket, or -1. */
 static int send_head(const struct fake_call_req *req)
 {
@@ -154,6 +169,8 @@
 	for (const struct fake_header *h = req->headers; h->name; h++)
 		g_string_append_printf(s, "%s: %s\r\n", h->name, h->value);
 	g_string_append_printf(s, "Content-Length: %zu\r\n\r\n", req->body.n);
+	if (opt.rate)
+		keep_buffers_small(fd);
 	to.sin_port = htons((uint16_t)(req->address & 0xffff));
 	to.sin_addr.s_addr = htonl((uint32_t)(req->address >> 16));
 	sent = fd >= 0 &&
@@ -203,6 +220,50 @@
 	return status == opt.expect ? EXIT_EXPECTED : EXIT_UNEXPECTED;
 }
 
+/* Reads until the end at a rate; returns the bytes, whose start is in head. */
+static size_t read_at_rate(int fd, char *head, size_t size)
+{
+	gint64 begun = g_get_monotonic_time();
+	char buf[16384];
+	size_t n = 0;
+	ssize_t got;
+
+	while ((got = read(fd, buf, sizeof(buf))) > 0) {
+		gint64 due =
+			(gint64)(n + (size_t)got) * G_USEC_PER_SEC / opt.rate;
+		gint64 now = g_get_monotonic_time() - begun;
+
+		if (n < size)
+			memcpy(head + n, buf, MIN((size_t)got, size - n));
+		n += (size_t)got;
+		if (due > now)
+			g_usleep((gulong)(due - now));
+	}
+	return n;
+}
+
+/* Sends a request, reads its response at a rate, and says what came of it. */
+static int read_slowly(const struct fake_call_req *req)
+{
+	char head[4096] = "";
+	const char *end, *length;
+	size_t n, body, whole = 0;
+	int fd = send_head(req), status = 0;
+
+	if (!send_all(fd, req->body.s, req->body.n))
+		return EXIT_NO_RESPONSE;
+	n = read_at_rate(fd, head, sizeof(head) - 1);
+	close(fd);
+	end = strstr(head, "\r\n\r\n");
+	length = strcasestr(head, "\r\ncontent-length:");
+	if (!end || !length || sscanf(head, "HTTP/1.1 %d", &status) != 1 ||
+	    sscanf(strchr(length, ':') + 1, " %zu", &whole) != 1)
+		return EXIT_NO_RESPONSE;
+	body = n - (size_t)(end + 4 - head);
+	printf("status=%d bytes=%zu of %zu\n", status, body, whole);
+	return body == whole ? EXIT_EXPECTED : EXIT_NO_RESPONSE;
+}
+
 int main(int argc, char **argv)
 {
 	static const struct fake_call_ops ops = { on_head, on_body, on_end };
@@ -248,6 +309,8 @@
 		return send_without_reading(&req);
 	if (opt.slow_ms)
 		return send_slowly(&req);
+	if (opt.rate)
+		return read_slowly(&req);
 	fake_call_start(uv_default_loop(), &req, &ops, &result);
 	uv_run(uv_default_loop(), UV_RUN_DEFAULT);
 	if (opt.file)
