--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -133,6 +133,8 @@
 	bool is_event_stream;	 /* forwarded event by event */
 	bool event_too_long;	 /* an event exceeds the limit */
 	bool holds_response;	 /* another response begins in its body */
+	bool placed;		 /* an event of it has an id */
+	bool unplaced;		 /* it continues a stream with no id */
 	bool other_type;	 /* its type is given, and not that of events */
 	bool leaving;		 /* the endpoint is shutting down */
 	bool backoff_requested;	 /* for retry_after_ms */
@@ -157,6 +159,7 @@
 	uint32_t sent;		    /* attempts that may have run it */
 	uint64_t last_event_id;	    /* the last one the caller has */
 	bool last_event_unnumbered; /* its last event has no id */
+	bool events_begun;	    /* the caller's response is of events */
 	uint32_t event_tokens;	    /* output tokens of one event */
 	bool resumes;		    /* starts after last_event_id */
 	int64_t last_event_at;	    /* when it was forwarded */
@@ -327,7 +330,7 @@
 	uint64_t resume_offset;	     /* chunks that a resumed stream skips */
 	bool deadline_passed;	     /* at the last tick */
 	bool may_have_run;	     /* an attempt is not provably "not run" */
-	bool response_started;	     /* its head was sent to the caller */
+	bool continues;		     /* a response that has begun */
 	uint16_t status;	     /* of the endpoint's response */
 	uint64_t attempt_events;     /* that the attempt has received */
 	enum dl_framing framing;     /* of the endpoint's response */
@@ -452,6 +455,7 @@
 	int64_t started_at;
 	bool draining; /* by signal or by operators */
 	int64_t stop_at;
+	int64_t interrupted_at; /* again, while it stopped; 0: not */
 };
 
 int64_t entry_now(const struct entry *e);
--- a/src/entry/entry_claim.c
+++ b/src/entry/entry_claim.c
@@ -37,7 +37,7 @@
  */
 static bool is_body_kept(const struct call *c)
 {
-	return c->final_body && !c->response_started &&
+	return c->final_body && c->http && !dl_httpd_begun(c->http) &&
 	       c->final_body->len <= OUTCOME_BYTES_MAX;
 }
 
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -149,13 +149,17 @@
 }
 
 /*
- * Whether a request may run at another endpoint after this one.  A stream goes
- * on there after the last event that the caller has, by its id; without one
- * events would come twice.
+ * Whether a request may run at another endpoint after this one.  A response
+ * that has begun can only go on there if it is a stream, after the last event
+ * that the caller has, by its id; another run's bytes have no place in any
+ * other.
  */
 static bool may_run_again(const struct call *c)
 {
-	return c->idempotent && !c->route.last_event_unnumbered;
+	if (!c->idempotent)
+		return false;
+	return !dl_httpd_begun(c->http) ||
+	       (c->route.events_begun && !c->route.last_event_unnumbered);
 }
 
 static uint32_t silence_limit_ms(const struct call *c)
@@ -425,12 +429,14 @@
 
 /*
  * Whether the end of the response has to be that of an event: a stream, unless
- * it is marked as whole by a length or chunks and is of another type.
+ * it is marked as whole by a length or chunks and is of another type, and no
+ * events of another run come before it.
  */
 static bool ends_with_event(const struct call *c)
 {
 	return c->route.head.is_event_stream &&
-	       (c->framing == DL_FRAMING_CLOSE || !c->route.head.other_type);
+	       (c->framing == DL_FRAMING_CLOSE || !c->route.head.other_type ||
+		c->continues);
 }
 
 /* A response may be of another request: nothing that it says is used. */
@@ -481,7 +487,7 @@
 	dl_name_set(&c->route.head.at_fault, said.at_fault);
 	c->route.head.is_event_stream = c->stream && head->status == 200;
 	c->route.head.other_type = has_other_type(head);
-	if (!c->response_started)
+	if (!c->continues)
 		keep_headers(c, head, c->route.head.is_event_stream);
 	if (c->route.head.not_run || head->status >= STATUS_NO_SUCCESS)
 		dl_httpc_end_within(c->attempt, ERROR_BODY_MS);
@@ -493,7 +499,7 @@
 		g_new(struct dl_header, call_headers_count(c));
 	size_t n = call_headers_fill(c, headers);
 
-	c->response_started = true;
+	c->route.events_begun = c->route.head.is_event_stream;
 	c->framing_out = dl_httpd_begin(c->http, c->status, headers, n,
 					c->response_length);
 	g_free(headers);
@@ -511,12 +517,22 @@
 	c->route.last_event_at = now;
 }
 
+/*
+ * Whether an event's place among those that another run has sent is unknown:
+ * neither it nor one before it in its run has an id.
+ */
+static bool is_unplaced(struct call *c, const struct dl_sse_event *event)
+{
+	c->route.head.placed |= event->has_id;
+	return c->continues && !c->route.head.placed && !event->is_comment;
+}
+
 /* Forwards a complete event; drops one that the caller already has. */
 static bool relay_event(struct call *c, const struct dl_sse_event *event)
 {
 	if (!event->is_comment)
 		call_note_event(c);
-	if (event->has_id && (c->route.resumes || c->relayed) &&
+	if (event->has_id && (c->route.resumes || dl_httpd_begun(c->http)) &&
 	    event->id <= c->route.last_event_id)
 		return true;
 	if (!c->first_byte_at) {
@@ -525,7 +541,7 @@
 				c->grant.endpoint[0].s);
 		entry_grant_first_event(c);
 	}
-	if (!c->response_started)
+	if (!dl_httpd_begun(c->http))
 		begin_response(c);
 	if (event->has_id)
 		c->route.last_event_id = event->id;
@@ -578,22 +594,38 @@
 			return true;
 		}
 		c->route.whole_event_at = entry_now(c->e);
+		if (is_unplaced(c, &event)) {
+			c->route.head.unplaced = true;
+			dl_httpc_give_up(c->attempt,
+					 "the stream goes on without an id");
+			return true;
+		}
 		go_on = relay_event(c, &event);
 	}
 	check_trickle(c);
 	return go_on;
 }
 
+/* Whether the response of an attempt is not used any further. */
+static bool is_rejected(const struct call *c)
+{
+	const struct response_head *head = &c->route.head;
+
+	return head->wrong_request || head->event_too_long ||
+	       head->holds_response || head->unplaced;
+}
+
 static bool on_body(void *arg, struct dl_str piece)
 {
 	struct call *c = arg;
 
-	if (c->route.head.wrong_request || c->route.head.event_too_long ||
-	    c->route.head.holds_response)
+	if (is_rejected(c))
 		return true;
 	/* The body of an error is no part of a stream that has begun. */
-	if (c->response_started && !c->route.head.is_event_stream)
-		return c->stream || dl_httpd_send(c->http, piece);
+	if (c->continues && !c->route.head.is_event_stream)
+		return true;
+	if (dl_httpd_begun(c->http) && !c->route.head.is_event_stream)
+		return dl_httpd_send(c->http, piece);
 	if (c->route.head.is_event_stream)
 		return relay_events(c, piece);
 	g_string_append_len(c->response_buf, piece.s, (gssize)piece.n);
@@ -623,10 +655,9 @@
 {
 	struct dl_attempt a = *attempt;
 
-	if (a.received != DL_RECV_NOTHING &&
-	    (c->route.head.wrong_request || c->route.head.event_too_long ||
-	     c->route.head.holds_response)) {
-		if (a.failure == DL_FAILURE_NONE)
+	if (a.received != DL_RECV_NOTHING && is_rejected(c)) {
+		if (c->route.head.holds_response &&
+		    a.failure == DL_FAILURE_NONE)
 			dl_err_set(err, -EIO, DL_STEP_BODY,
 				   c->grant.endpoint[0].s,
 				   "another response begins in its body");
@@ -661,9 +692,9 @@
 		    c->status >= STATUS_ERROR ? DL_OUTCOME_FAILED :
 						DL_OUTCOME_DONE,
 		    c->status);
-	if (c->route.head.is_event_stream && !c->response_started)
+	if (c->route.head.is_event_stream && !dl_httpd_begun(c->http))
 		begin_response(c);
-	if (c->response_started) {
+	if (dl_httpd_begun(c->http)) {
 		if (rest.n)
 			dl_httpd_send(c->http, rest);
 		dl_httpd_finish(c->http, true);
@@ -682,8 +713,7 @@
 	struct dl_call_state state = {
 		.idempotent = c->idempotent,
 		.attempts = c->route.tries,
-		.bytes_to_caller = c->stream && may_run_again(c) ? 0 :
-								   c->relayed,
+		.bytes_to_caller = dl_httpd_begun(c->http) && !may_run_again(c),
 		.deadline = c->deadline,
 	};
 
@@ -752,7 +782,7 @@
 /* Starts another attempt after one that has failed. */
 static void repeat(struct call *c, const struct dl_attempt *a)
 {
-	if (c->relayed)
+	if (dl_httpd_begun(c->http))
 		c->route.resumes = true;
 	dl_count(DL_METRIC_retries_total, 1);
 	if (c->route.head.stale_connection)
@@ -818,8 +848,7 @@
 	/* A resumed stream that gets an error is not complete. */
 	complete = a.received == DL_RECV_COMPLETE &&
 		   a.failure == DL_FAILURE_NONE &&
-		   !(c->stream && c->response_started &&
-		     !c->route.head.is_event_stream);
+		   !(c->continues && !c->route.head.is_event_stream);
 	call_fill_usage(c, &a, c->prompt_tokens, c->output_tokens,
 			c->status >= STATUS_ERROR || !complete);
 	c->usage.silent = err.code == -ETIMEDOUT;
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -17,6 +17,7 @@
 	(256u << 10) /* most bytes queued for a slow client                    \
 		      */
 #define DISCONNECT_POLL_MS   250
+#define STATUS_OK	     200
 #define STATUS_CLIENT_CLOSED 499
 #define MS_PER_S	     1000
 #define HTTP_1_1	     0x101
@@ -38,6 +39,7 @@
 	uv_tcp_t listener;
 	uv_timer_t disconnect_poll;
 	struct dl_httpd_req *requests;
+	struct dl_httpd_req *unwritten; /* answered, until h2o has written it */
 	uint32_t conns;
 	bool accepting;
 	bool close_after_responses;
@@ -46,7 +48,9 @@
 struct dl_httpd_req {
 	h2o_generator_t generator; /* must be first: h2o passes it back */
 	struct dl_httpd *server;
+	struct dl_httpd_req **list; /* that it is in; NULL: none */
 	struct dl_httpd_req *next, *prev;
+	const char *name; /* for the log */
 	h2o_req_t *h2o;
 	void *data;
 	struct dl_header *headers; /* in h2o's pool; NULL: not listed yet */
@@ -56,6 +60,7 @@
 	bool finishing;
 	bool complete;
 	enum dl_framing framing; /* of a stream */
+	size_t body_bytes;	 /* queued */
 	h2o_buffer_t *pending;	 /* not yet passed to h2o */
 	h2o_buffer_t *in_flight; /* passed to h2o */
 };
@@ -136,12 +141,27 @@
 
 static void req_unlink(struct dl_httpd_req *req)
 {
+	if (!req->list)
+		return;
 	if (req->prev)
 		req->prev->next = req->next;
 	else
-		req->server->requests = req->next;
+		*req->list = req->next;
 	if (req->next)
 		req->next->prev = req->prev;
+	req->list = NULL;
+}
+
+/* Moves a request to a list. */
+static void req_move(struct dl_httpd_req *req, struct dl_httpd_req **list)
+{
+	req_unlink(req);
+	req->list = list;
+	req->prev = NULL;
+	req->next = *list;
+	if (req->next)
+		req->next->prev = req;
+	*list = req;
 }
 
 /* Returns the socket of a request's connection; NULL if it is gone. */
@@ -170,8 +190,7 @@
 	note_answered(req);
 	if (!req->done && !req->finishing)
 		req->server->ops->aborted(req->server->arg, req);
-	if (!req->done)
-		req_unlink(req);
+	req_unlink(req);
 	if (req->pending)
 		h2o_buffer_dispose(&req->pending);
 	if (req->in_flight)
@@ -189,10 +208,8 @@
 	req->generator.stop = on_stop;
 	req->server = server;
 	req->h2o = h2o;
-	req->next = server->requests;
-	if (req->next)
-		req->next->prev = req;
-	server->requests = req;
+	req->name = "";
+	req_move(req, &server->requests);
 	server->ops->request(server->arg, req);
 	return 0;
 }
@@ -466,6 +483,12 @@
 	req->data = data;
 }
 
+/* Stores the name by which the log has the request. */
+void dl_httpd_set_name(struct dl_httpd_req *req, const char *name)
+{
+	req->name = h2o_strdup(&req->h2o->pool, name, SIZE_MAX).base;
+}
+
 /* Returns the pointer stored by the owner. */
 void *dl_httpd_data(const struct dl_httpd_req *req)
 {
@@ -549,18 +572,22 @@
 		    struct dl_str body)
 {
 	req->done = true;
-	req_unlink(req);
+	req->body_bytes = body.n;
+	req_move(req, &req->server->unwritten);
 	send_response(req, status, headers, count, body);
 }
 
 /*
- * Returns what marks the end of a response; h2o sends chunks in HTTP/1.1 alone.
+ * Returns what marks the end of a response; h2o sends chunks in HTTP/1.1 alone,
+ * and with status 200 alone.
  */
 static enum dl_framing framing_of(const h2o_req_t *h2o, size_t length)
 {
 	if (length != SIZE_MAX)
 		return DL_FRAMING_LENGTH;
-	return h2o->version == HTTP_1_1 ? DL_FRAMING_CHUNKS : DL_FRAMING_CLOSE;
+	return h2o->version == HTTP_1_1 && h2o->res.status == STATUS_OK ?
+		       DL_FRAMING_CHUNKS :
+		       DL_FRAMING_CLOSE;
 }
 
 /*
@@ -667,10 +694,23 @@
 	if (bytes.n)
 		memcpy(space.base, bytes.s, bytes.n);
 	req->pending->size += bytes.n;
+	req->body_bytes += bytes.n;
 	send_pending(req);
 	return req->pending->size < STREAM_HIGH_WATER;
 }
 
+/* Whether bytes of a response may have reached the client. */
+bool dl_httpd_begun(const struct dl_httpd_req *req)
+{
+	return req->streaming;
+}
+
+/* Returns how many bytes of a response's body were queued. */
+size_t dl_httpd_body_bytes(const struct dl_httpd_req *req)
+{
+	return req->body_bytes;
+}
+
 /*
  * Ends a stream once its bytes are sent.  If it is not complete, breaks the
  * connection so that the client can tell.
@@ -679,5 +719,33 @@
 {
 	req->finishing = true;
 	req->complete = complete;
+	if (!req->done)
+		req_move(req, &req->server->unwritten);
 	send_pending(req);
 }
+
+/*
+ * Whether a client still reads a response that has been handed over; false once
+ * it is written or the client has gone.
+ */
+bool dl_httpd_has_unwritten(const struct dl_httpd *server)
+{
+	return server->unwritten != NULL;
+}
+
+/*
+ * Logs the responses that are not written yet, and sees to it that the end of
+ * this process breaks them off in a way that their clients can tell.
+ */
+void dl_httpd_abandon_unwritten(struct dl_httpd *server)
+{
+	for (struct dl_httpd_req *req = server->unwritten; req;
+	     req = req->next) {
+		if (req->framing == DL_FRAMING_CLOSE)
+			reset_on_close(req, true);
+		dl_count(DL_METRIC_answers_broken_off, 1);
+		dl_msg(DL_MSG_ANSWER_BROKEN_OFF,
+		       "request=%s bytes=%zu why=\"stopping\"", req->name,
+		       req->body_bytes);
+	}
+}
--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -18,6 +18,7 @@
 #include "fake/ending.h"
 #include "fake/heartbeat.h"
 #include "fake/http.h"
+#include "fake/long.h"
 
 #define TICK_MS		 10
 #define FAULT_EVENT	 3   /* event at which a fault interrupts the stream */
@@ -341,6 +342,7 @@
 /* Responds to a request that says how its response ends; false for others. */
 static bool serve_ending(struct fake_request *req, const char *attempt)
 {
+	struct dl_str path = fake_request_path(req);
 	const struct fake_header headers[] = {
 		{ "Content-Type",
 		  opt.plain ? "text/plain" : "text/event-stream" },
@@ -357,7 +359,8 @@
 
 	dl_str_to_u64(header(req, "last-event-id"), &after);
 	conf.after = (int)after;
-	return fake_ending_serve(loop, req, fake_request_path(req), &conf);
+	return fake_ending_serve(loop, req, path, &conf) ||
+	       fake_long_serve(loop, req, path, opt.endings, headers);
 }
 
 /* Begins a stream whose end only its connection marks. */
@@ -661,7 +664,7 @@
 {
 	struct job *job = fake_request_owner(req);
 
-	if (fake_ending_closed(req))
+	if (fake_ending_closed(req) || fake_long_closed(req))
 		return;
 	for (guint i = 0; i < endless_jobs->len; i++) {
 		struct endless_job *e = endless_jobs->pdata[i];
