--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -172,8 +172,6 @@
 	case DL_CHUNK_DATA_LF:
 		return c == '\n' ? DL_CHUNK_SIZE : DL_CHUNK_BAD;
 	case DL_CHUNK_TRAILER_START:
-		if (c == '\n')
-			return DL_CHUNK_COMPLETE;
 		if (c == '\r')
 			return DL_CHUNK_LAST_LF;
 		return is_token(c) ? DL_CHUNK_TRAILER_NAME : DL_CHUNK_BAD;
--- a/test/test_response_head.c
+++ b/test/test_response_head.c
@@ -117,6 +117,7 @@
 	{ "5\r\nhello\rX", DL_CHUNK_BAD },
 	{ "5\r\nhello\r\nHTTP/1.1 200 OK\r\n", DL_CHUNK_BAD },
 	{ "0\r\n\rHTTP", DL_CHUNK_BAD },
+	{ "4\r\n1234\r\n0\r\n\n\r\n0\r\n\r\n", DL_CHUNK_BAD },
 	{ "4\r\n1234\r\n0\r\n5\r\n0\r\n\r\n", DL_CHUNK_BAD },
 	{ "10000000000000000\r\n", DL_CHUNK_BAD },
 };
