Relay: bytes that are no head make a kept connection stale too

Callers of an endpoint whose second answer is cut in its status line lost the request: 16 and 18 of 24 served in test_system_second_answer_kept.sh, rows 'copy-cut-line next', while the endpoint is sound on a new connection. The bad head was a reset, which uses up an attempt and blames the endpoint.

What a kept connection brings that is no head of a response now counts as bytes of an earlier request, as a foreign response does: the request goes to the same endpoint on a new connection, and the endpoint is not reported as failed.

--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -443,8 +443,6 @@
 static void reject_response(struct call *c)
 {
 	c->route.head.wrong_request = true;
-	c->route.head.stale_connection =
-		dl_httpc_conn_info(c->attempt).carried > 0;
 	dl_count(DL_METRIC_responses_of_others, 1);
 	dl_httpc_reject(c->attempt,
 			"response is not proved to be of this request");
@@ -807,6 +805,18 @@
 		end_failed(c, outcome, err);
 }
 
+/*
+ * Notes that a connection which others had used before brought what is no
+ * response to this request.
+ */
+static void note_stale_connection(struct call *c)
+{
+	struct dl_httpc_conn_info conn = dl_httpc_conn_info(c->attempt);
+
+	c->route.head.stale_connection =
+		conn.carried && (c->route.head.wrong_request || conn.no_head);
+}
+
 /*
  * Looks for another response in what is held of the body; of a response without
  * a length, and of one that was broken off, the next one's bytes are a part.
@@ -839,6 +849,7 @@
 		return;
 	}
 	check_whole_body(c, attempt);
+	note_stale_connection(c);
 	call_note_ending(c, attempt, ends_with_event(c),
 			 dl_sse_unfinished(&c->sse));
 	c->attempt = NULL;
@@ -852,8 +863,9 @@
 	call_fill_usage(c, &a, c->prompt_tokens, c->output_tokens,
 			c->status >= STATUS_ERROR || !complete);
 	c->usage.silent = err.code == -ETIMEDOUT;
-	c->usage.unjudged = !complete && entry_check_attempt_broke(c, &a);
-	if (c->usage.unjudged)
+	c->usage.unjudged = !complete && !c->route.head.stale_connection &&
+			    entry_check_attempt_broke(c, &a);
+	if (c->usage.unjudged || c->route.head.stale_connection)
 		c->usage.failed = false;
 	note_at_fault(c);
 	count_attempt(c, &a, outcome);
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -450,6 +450,8 @@
 
 	if (*why) {
 		dl_count(DL_METRIC_response_heads_malformed, 1);
+		conn->call->conn_info.no_head = true;
+		httpc_stray_bytes(conn->client, conn->address);
 		return 0;
 	}
 	/* Only the head says whether chunks follow; 0 bytes stand for the end.
--- a/src/transport/httpc.h
+++ b/src/transport/httpc.h
@@ -66,6 +66,7 @@
 	uint32_t carried; /* responses before this one; 0: a new connection */
 	size_t bytes_before; /* unread as the request was sent, up to 512 */
 	size_t bytes_after;  /* read together with the response's end */
+	bool no_head;	     /* what came began with no head of a response */
 };
 
 /*
