--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -146,6 +146,7 @@
 /* State that only routed requests have. */
 struct call_route {
 	bool new_connection; /* the next attempt may not use a kept one */
+	struct dl_name stale_endpoint; /* of the last one, if it was stale */
 	enum dl_route_kind kind;
 	struct dl_str
 		attempt_id;	 /* the caller's id, in its request's headers */
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -251,18 +251,32 @@
 		retry_unavailable(c);
 		return;
 	}
-	if (entry_reservation_needed(c) && !c->reservations)
+	if (entry_reservation_needed(c))
 		entry_reservation_start(c);
 	else
 		entry_relay_send(c);
 }
 
+/*
+ * Counts an attempt on a stale connection once the request goes to another
+ * endpoint: both may run it.
+ */
+static void count_stale_attempt(struct call *c)
+{
+	struct dl_name *stale = &c->route.stale_endpoint;
+
+	if (stale->n && !dl_name_eq(stale, dl_name_str(&c->grant.endpoint[0])))
+		c->route.sent++;
+	stale->n = 0;
+}
+
 /* Sends the request; memory on other engines is reserved where needed. */
 void entry_relay_send(struct call *c)
 {
 	uint64_t to = DL_VM_NONE;
 
 	dl_vm_parse(dl_name_str(&c->grant.endpoint[0]), &to);
+	count_stale_attempt(c);
 	call_attempt_begin(c);
 	c->route.head = (struct response_head){ .content_length = SIZE_MAX };
 	c->route.instance = endpoint_of(c, 0)->instance;
@@ -653,7 +667,8 @@
 {
 	struct dl_attempt a = *attempt;
 
-	if (a.received != DL_RECV_NOTHING && is_rejected(c)) {
+	if (c->route.head.stale_connection ||
+	    (a.received != DL_RECV_NOTHING && is_rejected(c))) {
 		if (c->route.head.holds_response &&
 		    a.failure == DL_FAILURE_NONE)
 			dl_err_set(err, -EIO, DL_STEP_BODY,
@@ -759,7 +774,9 @@
 		c->route.free_failures++;
 	else
 		c->route.tries++;
-	if (!c->route.head.stale_connection)
+	if (c->route.head.stale_connection)
+		c->route.stale_endpoint = c->grant.endpoint[0];
+	else
 		c->route.sent += outcome != DL_OUTCOME_NOT_RUN;
 	c->may_have_run |= outcome != DL_OUTCOME_NOT_RUN;
 }
@@ -771,7 +788,7 @@
 static void send_on_new_connection(struct call *c)
 {
 	c->route.new_connection = true;
-	if (c->granted && c->state == CALL_RUNNING)
+	if (c->granted && c->state == CALL_RUNNING && !c->reservations)
 		entry_relay_start(c);
 	else
 		entry_grant_replace(c);
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -335,6 +335,13 @@
 	return out;
 }
 
+/* Whether a head says that a body follows, which an interim one may not. */
+static bool has_body(const http_parser *parser)
+{
+	return parser->flags & F_CHUNKED ||
+	       (parser->flags & F_CONTENTLENGTH && parser->content_length);
+}
+
 static int on_headers(http_parser *parser)
 {
 	struct dl_httpc_call *call = call_of(parser);
@@ -345,11 +352,13 @@
 	if (!call)
 		return -1;
 	if (parser->status_code < 200) /* the final one follows */
-		return ++call->interim > INTERIM_MAX ? -1 : 0;
+		return has_body(parser) || ++call->interim > INTERIM_MAX ? -1 :
+									   0;
 	no_body = call->is_head_method || parser->status_code == 204 ||
 		  parser->status_code == 304;
 	views = read_headers(call, &bad);
 	if (bad) {
+		call->attempt.received = DL_RECV_NOTHING;
 		g_free(views);
 		return -1;
 	}
@@ -467,6 +476,7 @@
 	if (conn->parser.flags & F_CHUNKED &&
 	    !dl_chunk_check(&conn->chunk_check, rest)) {
 		*why = "body in chunks is malformed";
+		httpc_stray_bytes(conn->client, conn->address);
 		return head;
 	}
 	return head + http_parser_execute(&conn->parser, &parser_settings,
--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -158,7 +158,7 @@
 	case DL_CHUNK_DIGITS:
 		if (c == '\r')
 			return DL_CHUNK_SIZE_LF;
-		if (c == ';' || c == ' ')
+		if (c == ';' || c == ' ' || c == '\t')
 			return DL_CHUNK_EXTENSION;
 		return take_digit(check, c);
 	case DL_CHUNK_EXTENSION:
@@ -205,48 +205,60 @@
 	return check->state != DL_CHUNK_BAD;
 }
 
-static bool is_status_start(const char *at)
+/* Whether a status line begins anywhere within a line. */
+static bool holds_status_start(struct dl_str line)
 {
-	for (size_t i = 0; i < STATUS_START_N; i++) {
-		if (!matches(status_start[i], at[i]))
-			return false;
+	struct dl_head_check check = { 0 };
+
+	for (size_t i = 0; i < line.n; i++) {
+		if (has_inner_start(&check, line.s[i]))
+			return true;
 	}
-	return true;
+	return false;
 }
 
-/* Whether a status line begins in the lines that end at a place. */
-static bool follows_status_line(struct dl_str body, size_t end)
+/* Returns the value of a header field without spaces around it. */
+static struct dl_str field_value(struct dl_str line)
 {
-	bool line_end = false;
-
-	for (size_t i = end; i-- > 0;) {
-		if (body.s[i] == '\n') {
-			if (line_end)
-				return false; /* an empty line */
-			line_end = true;
-		} else if (body.s[i] != '\r') {
-			line_end = false;
-		}
-		if (body.n - i >= STATUS_START_N && is_status_start(body.s + i))
-			return true;
+	const char *colon = memchr(line.s, ':', line.n);
+	struct dl_str value = { line.s + line.n, 0 };
+
+	if (!colon)
+		return value;
+	value.s = colon + 1;
+	value.n = line.n - (size_t)(value.s - line.s);
+	while (value.n && g_ascii_isspace(value.s[0])) {
+		value.s++;
+		value.n--;
 	}
-	return false;
+	while (value.n && g_ascii_isspace(value.s[value.n - 1]))
+		value.n--;
+	return value;
 }
 
 /* Whether the head of a response with an id begins within a body. */
 bool dl_holds_response(struct dl_str body, struct dl_str id)
 {
-	size_t from = 0;
+	bool in_head = false;
 
-	while (id.n && body.n - from >= id.n) {
-		const char *at =
-			memmem(body.s + from, body.n - from, id.s, id.n);
+	/* Most bodies do not have the id at all. */
+	if (!id.n || !memmem(body.s, body.n, id.s, id.n))
+		return false;
+	while (body.n) {
+		const char *end = memchr(body.s, '\n', body.n);
+		size_t n = end ? (size_t)(end - body.s) : body.n;
+		struct dl_str line = { body.s, n };
 
-		if (!at)
-			return false;
-		if (follows_status_line(body, (size_t)(at - body.s)))
+		if (n == 0 || (n == 1 && line.s[0] == '\r'))
+			in_head = false;
+		else if (in_head && dl_str_eq(field_value(line), id))
 			return true;
-		from = (size_t)(at - body.s) + id.n;
+		else if (!in_head)
+			in_head = holds_status_start(line);
+		if (!end)
+			break;
+		body.s += n + 1;
+		body.n -= n + 1;
 	}
 	return false;
 }
--- a/src/transport/response_head.h
+++ b/src/transport/response_head.h
@@ -62,7 +62,8 @@
 
 /*
  * Whether the head of a response with an id begins within a body: a status
- * line, and the id before the next empty line. The body was broken off there.
+ * line, and a header whose value is the id before the next empty line. The body
+ * was broken off there.
  */
 bool dl_holds_response(struct dl_str body, struct dl_str id);
 
--- a/src/transport/tunnel.c
+++ b/src/transport/tunnel.c
@@ -67,6 +67,7 @@
 	uv_connect_t connect;
 	struct dl_frame_reader in;
 	enum tunnel_state state;
+	bool asked; /* bytes of the client were sent to the endpoint */
 	uint64_t to;
 	uint32_t from_ip;
 	struct check *checks[CHECKS_MAX];
@@ -481,6 +482,7 @@
 		return;
 	}
 	if (t->state == TUNNEL_OPEN) {
+		t->asked = true;
 		write_bytes(t, &t->endpoint, g_memdup2(buf->base, (gsize)n),
 			    (size_t)n);
 		return;
@@ -496,6 +498,7 @@
 		tunnel_close(t, true);
 }
 
+/* Bytes that come before a request are no response: they end the tunnel. */
 static void on_endpoint_read(uv_stream_t *stream, ssize_t n,
 			     const uv_buf_t *buf)
 {
@@ -503,7 +506,7 @@
 
 	if (n == 0 || t->closing || t->state != TUNNEL_OPEN)
 		return;
-	if (n > 0)
+	if (n > 0 && t->asked)
 		send_frame(t, DL_FRAME_TUNNEL_DATA, 0,
 			   (struct dl_str){ buf->base, (size_t)n });
 	else if (n == UV_EOF && !dl_sock_was_reset(&t->endpoint.tcp))
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -322,6 +322,9 @@
 	{ "before the first line feed",
 	  { "HTTP/1.1 204 No Content\r", "\r\n" HELLO } },
 	{ "in an interim response", { "HTTP/1.1 100 Cont" HELLO } },
+	{ "in the body of an interim response",
+	  { "HTTP/1.1 100 A\r\nContent-Length: 18\r\n\r\n"
+	    "HTTP/1.1 103 X\r\n\r\n" HELLO } },
 	{ "in a field of an interim response",
 	  { "HTTP/1.1 103 Early Hints\r\nLink: <a" HELLO } },
 };
@@ -782,6 +785,28 @@
 }
 END_TEST
 
+/* The same through another VM, which cannot tell the client of them in time. */
+START_TEST(bytes_before_the_request_are_not_forwarded)
+{
+	struct dl_httpc *client;
+	int fd, conn;
+
+	setup_client(&client);
+	forward(client);
+	fd = listen_by_hand();
+	start_reusing_call(client);
+	conn = accept_by_hand(fd);
+	ck_assert_int_ge(conn, 0);
+	ck_assert_int_eq(write(conn, LENGTH "wrong", sizeof(LENGTH) + 4),
+			 sizeof(LENGTH) + 4);
+	for (int i = 0; i < ITERATIONS_MAX && !ended; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_eq(ended, 1);
+	ck_assert_str_eq(body, "");
+	ck_assert_int_eq(result.failure, DL_FAILURE_RESET);
+}
+END_TEST
+
 /* Runs a call whose response must not be taken for complete. */
 static void check_broken(const struct broken *broken)
 {
@@ -898,6 +923,7 @@
 	tcase_add_test(t, response_sent_during_a_pause_is_read);
 	tcase_add_test(t, unread_bytes_are_no_response_to_the_next_request);
 	tcase_add_test(t, bytes_before_the_request_are_no_response);
+	tcase_add_test(t, bytes_before_the_request_are_not_forwarded);
 	tcase_add_loop_test(
 		t, two_heads_are_not_read_as_one, 0,
 		(int)(sizeof(joined_heads) / sizeof(joined_heads[0])));
--- a/test/test_response_head.c
+++ b/test/test_response_head.c
@@ -3,6 +3,7 @@
  * of one that another response follows.
  */
 #include <check.h>
+#include <glib.h>
 #include <string.h>
 #include <sys/param.h>
 
@@ -166,6 +167,21 @@
 }
 END_TEST
 
+/* Guards against a scan that takes time for each pair of two places. */
+START_TEST(large_body_is_searched_once)
+{
+	GString *large = g_string_new("HTTP/1.1 200 OK of a text ");
+
+	while (large->len < 4u << 20)
+		g_string_append(large, "{\"id\":\"id-1\",\"HTTP/1.1 200\"}");
+	ck_assert(!dl_holds_response((struct dl_str){ large->str, large->len },
+				     DL_STR("id-1")));
+	ck_assert(!dl_holds_response((struct dl_str){ large->str, large->len },
+				     DL_STR("1")));
+	g_string_free(large, TRUE);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *s = suite_create("response_head");
@@ -181,6 +197,7 @@
 			    sizeof(chunks) / sizeof(chunks[0]));
 	tcase_add_loop_test(tc, response_within_a_body_is_found, 0,
 			    sizeof(bodies) / sizeof(bodies[0]));
+	tcase_add_test(tc, large_body_is_searched_once);
 	suite_add_tcase(s, tc);
 	return suite_run(s);
 }
