--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -242,7 +242,7 @@
 	bool in_head = false;
 
 	/* Most bodies do not have the id at all. */
-	if (!id.n || !memmem(body.s, body.n, id.s, id.n))
+	if (!id.n || body.n < id.n || !memmem(body.s, body.n, id.s, id.n))
 		return false;
 	while (body.n) {
 		const char *end = memchr(body.s, '\n', body.n);
--- a/test/test_response_head.c
+++ b/test/test_response_head.c
@@ -164,6 +164,8 @@
 					   DL_STR("id-1")),
 			 bodies[_i].holds);
 	ck_assert(!dl_holds_response(dl_str_of(bodies[_i].body), DL_STR("")));
+	ck_assert(
+		!dl_holds_response((struct dl_str){ NULL, 0 }, DL_STR("id-1")));
 }
 END_TEST
 
