Stops: logs and metrics that tell why a request was cut off

No decision changes. An answer that is broken off says how long its request was expected to take when it was admitted, how long it waited and ran, what its caller had not read, and for how long the process had been stopping; so does the line of each request that ends. Requests that a stopping VM admits, refuses and cuts off are counted, and said once as it ends.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -57,6 +57,10 @@
 	X(retry_budget_left_milli,                                             \
 	  "thousandths of repeats that this VM's dispatchers can allow")       \
 	X(grants_total, "grants issued by this VM's dispatchers")              \
+	X(stop_admitted, "requests admitted while this VM was stopping")       \
+	X(stop_refused,                                                        \
+	  "requests refused because they might not end before this VM exits")  \
+	X(stop_cut, "requests ended because this VM had to exit")              \
 	X(backoffs_total, "times an endpoint asked this VM to back off")       \
 	X(grants_unused,                                                       \
 	  "grants returned because the endpoint asked to back off")            \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -12,6 +12,7 @@
 	/* entry */                                                            \
 	X(ENTRY_START, DL_INFO, "entry", "Started.")                           \
 	X(ENTRY_STOP, DL_INFO, "entry", "Stopping.")                           \
+	X(ENTRY_STOPPED, DL_INFO, "entry", "Stopped.")                         \
 	X(ENTRY_CONF, DL_INFO, "entry", "Configuration in force.")             \
 	X(CONF_DELTA_UNUSABLE, DL_WARN, "entry",                               \
 	  "A configuration delta cannot be used.")                             \
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -207,9 +207,20 @@
 	return true;
 }
 
+/* How long this process has been stopping, ms; 0 if it is not. */
+long entry_stop_ms(const struct entry *e)
+{
+	return e->node.stopping ? (long)(entry_now(e) - e->stop_at) : 0;
+}
+
 /* Ends the process; answers that callers still read are broken off. */
 static void end(struct entry *e)
 {
+	dl_msg(DL_MSG_ENTRY_STOPPED,
+	       "stop_ms=%ld admitted=%ld refused=%ld cut=%ld", entry_stop_ms(e),
+	       (long)dl_metric_read(DL_METRIC_stop_admitted),
+	       (long)dl_metric_read(DL_METRIC_stop_refused),
+	       (long)dl_metric_read(DL_METRIC_stop_cut));
 	for (uint32_t i = 0; i < e->listeners_count; i++)
 		dl_httpd_abandon_unwritten(e->listeners[i].httpd);
 	dl_node_end(&e->node, DL_EXIT_OK);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -256,6 +256,8 @@
 	uint32_t prefix_tokens;
 	uint32_t connect_ms, gap_ms;
 	uint64_t content_hash; /* see call_content() */
+	/* From its admission to its end, as expected then; 0: not known. */
+	uint32_t expected_ms;
 	/* Parts of the prompt that other requests may have too; allocated. */
 	uint64_t *shared_parts;
 	uint32_t shared_parts_count;
@@ -460,6 +462,7 @@
 };
 
 int64_t entry_now(const struct entry *e);
+long entry_stop_ms(const struct entry *e);
 
 /* entry_http.c */
 void entry_http_request(void *arg, struct dl_httpd_req *req);
--- a/src/entry/entry_answer.c
+++ b/src/entry/entry_answer.c
@@ -37,6 +37,25 @@
 	dl_httpd_send(c->http, (struct dl_str){ event, (size_t)n });
 }
 
+/*
+ * Logs an answer that is broken off, with what tells why: how long the request
+ * was expected to take, how long it waited and ran, whether its caller reads,
+ * and for how long this process has been stopping.
+ */
+static void log_broken_off(const struct call *c, const char *reason)
+{
+	dl_msg(DL_MSG_ANSWER_BROKEN_OFF,
+	       "request=%s attempt=%.*s status=%u bytes=%zu why=\"%s\" "
+	       "ms=%ld expected_ms=%u granted_ms=%ld first_ms=%ld tries=%u "
+	       "unread=%zu stop_ms=%ld",
+	       c->id_text, (int)MIN(c->route.attempt_id.n, DL_NAME_MAX),
+	       c->route.attempt_id.s, c->status, dl_httpd_body_bytes(c->http),
+	       reason, call_ms(c, entry_now(c->e)), c->expected_ms,
+	       call_ms(c, c->granted_at), call_ms(c, c->first_byte_at),
+	       call_tries(c), dl_httpd_unread_bytes(c->http),
+	       entry_stop_ms(c->e));
+}
+
 /*
  * Sends an error to the caller: as a response, or, where the head of a response
  * has been sent, by breaking it off, after an event of a native stream that
@@ -54,11 +73,7 @@
 		return;
 	if (dl_httpd_begun(c->http)) {
 		dl_count(DL_METRIC_answers_broken_off, 1);
-		dl_msg(DL_MSG_ANSWER_BROKEN_OFF,
-		       "request=%s attempt=%.*s status=%u bytes=%zu why=\"%s\"",
-		       c->id_text, (int)MIN(c->route.attempt_id.n, DL_NAME_MAX),
-		       c->route.attempt_id.s, c->status,
-		       dl_httpd_body_bytes(c->http), reason);
+		log_broken_off(c, reason);
 		if (c->kind == DL_POOL_MODEL && !c->routed)
 			send_end_event(c, reason);
 		dl_httpd_finish(c->http, false);
--- a/src/entry/entry_call.c
+++ b/src/entry/entry_call.c
@@ -106,11 +106,22 @@
 				       c->grant.endpoint[i].s);
 }
 
+/* Time from a request's arrival to a later moment, ms; -1 if that is 0. */
+long call_ms(const struct call *c, int64_t at)
+{
+	return at ? (long)(at - c->arrived_at) : -1;
+}
+
+/* How often a request was given an endpoint. */
+uint32_t call_tries(const struct call *c)
+{
+	return c->routed ? c->route.tries : c->attempts;
+}
+
 /* Logs one line for each request, with its outcome, size and timing. */
 static void log_request_ended(const struct call *c)
 {
 	char helpers[DL_GROUP_MAX * 24], via[24], shared[SHARED_PARTS_TEXT_MAX];
-	int64_t now = entry_now(c->e);
 
 	format_helpers(c, helpers, sizeof(helpers));
 	dl_msg(DL_MSG_REQUEST_ENDED,
@@ -121,18 +132,16 @@
 	       "retry_ms=%u content=%016lx target_ms=%u gap_ms=%u "
 	       "unsure_ms=%u asking_ms=%u misdirected=%u queued_ms=%u via=%s "
 	       "conn_responses=%u bytes_before=%zu bytes_after=%zu ids=%s "
-	       "framing=%s end=%s to_caller=%s shared=%s part=%lx",
+	       "framing=%s end=%s to_caller=%s shared=%s part=%lx "
+	       "expected_ms=%u stop_ms=%ld",
 	       c->id_text, (int)MIN(c->route.attempt_id.n, DL_NAME_MAX),
 	       c->route.attempt_id.s, c->service.s, c->workspace.s,
 	       dl_outcome_name(c->outcome), c->status,
-	       (long)(now - c->arrived_at), (unsigned long)c->prompt_tokens,
+	       call_ms(c, entry_now(c->e)), (unsigned long)c->prompt_tokens,
 	       (unsigned long)c->e->version, c->grant.endpoint[0].s, helpers,
-	       c->grant.endpoints, c->grant.away,
-	       c->granted_at ? (long)(c->granted_at - c->arrived_at) : -1,
-	       c->grant.predicted_ttft_ms,
-	       c->first_byte_at ? (long)(c->first_byte_at - c->arrived_at) : -1,
-	       c->route.longest_pause_ms,
-	       c->routed ? c->route.tries : c->attempts,
+	       c->grant.endpoints, c->grant.away, call_ms(c, c->granted_at),
+	       c->grant.predicted_ttft_ms, call_ms(c, c->first_byte_at),
+	       c->route.longest_pause_ms, call_tries(c),
 	       c->routed ? c->route.sent : c->attempts,
 	       dl_reason_name(c->reason), c->retry_ms,
 	       (unsigned long)c->content_hash, c->route.target_ms,
@@ -145,7 +154,8 @@
 	       dl_framing_name(c->framing), dl_ending_name(c->ending),
 	       dl_framing_name(c->framing_out),
 	       call_shared_parts_text(c, shared, sizeof(shared)),
-	       (unsigned long)c->blamed_part);
+	       (unsigned long)c->blamed_part, c->expected_ms,
+	       entry_stop_ms(c->e));
 }
 
 /*
@@ -437,6 +447,7 @@
 		call_free(c);
 		return;
 	}
+	dl_count(DL_METRIC_stop_cut, 1);
 	if (c->attempt)
 		a = dl_httpc_progress(c->attempt);
 	a.failure = DL_FAILURE_RESET;
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -11,6 +11,8 @@
 struct dl_str call_copy_str(struct dl_str s);
 struct call *call_new(struct entry *e, struct dl_httpd_req *req);
 void call_free(struct call *c);
+long call_ms(const struct call *c, int64_t at);
+uint32_t call_tries(const struct call *c);
 void call_settle(struct call *c, enum dl_outcome outcome, uint16_t status);
 
 /* entry_grant.c */
--- a/src/entry/entry_route.c
+++ b/src/entry/entry_route.c
@@ -238,27 +238,33 @@
 	return false;
 }
 
-/* Whether a request is expected to end before this process has to exit. */
-static bool ends_before_stop(const struct call *c,
-			     const struct dl_service_conf *service)
+/* How long a request is expected to take on an otherwise idle engine, ms. */
+static uint32_t expected_ms(const struct call *c,
+			    const struct dl_service_conf *service)
 {
 	const struct dl_engine_model *m = &service->pool.engine;
-	int64_t stop_ms = c->e->node.settings.stop_ms;
 	double takes = c->route.target_ms;
 	uint64_t output = c->output_tokens;
 
-	if (!stop_ms)
-		return true;
 	/* Most responses stay far below the bound that callers give. */
 	if (m->usual_output && m->usual_output < output &&
-	    c->arrived_at <= c->e->stop_at + STOP_USUAL_OUTPUT_MS)
+	    (!c->e->node.stopping ||
+	     c->arrived_at <= c->e->stop_at + STOP_USUAL_OUTPUT_MS))
 		output = m->usual_output;
 	if (c->stream && m->slots)
 		takes += STREAM_FACTOR * (double)output /
 			 (m->stride ? m->stride : 1) *
 			 dl_engine_decode_pass_ms(m, 1, 0);
-	return c->arrived_at + (int64_t)takes <=
-	       c->e->stop_at + stop_ms - STOP_MARGIN_MS;
+	return (uint32_t)MIN(takes, UINT32_MAX);
+}
+
+/* Whether a request is expected to end before this process has to exit. */
+static bool ends_before_stop(const struct call *c)
+{
+	int64_t stop_ms = c->e->node.settings.stop_ms;
+
+	return !stop_ms || c->arrived_at + c->expected_ms <=
+				   c->e->stop_at + stop_ms - STOP_MARGIN_MS;
 }
 
 /*
@@ -304,7 +310,9 @@
 	fill_service(c, service);
 	fill_size(c, in, service);
 	read_shared_parts(c);
-	if (e->node.stopping && !ends_before_stop(c, service)) {
+	c->expected_ms = expected_ms(c, service);
+	if (e->node.stopping && !ends_before_stop(c)) {
+		dl_count(DL_METRIC_stop_refused, 1);
 		entry_call_refuse(c, DL_REASON_DRAINING, DL_STEP_ADMIT,
 				  e->node.self, RETRY_OTHER_VM_MS);
 		return;
@@ -314,6 +322,7 @@
 				  e->node.self, RETRY_SOON_MS);
 		return;
 	}
+	dl_count(DL_METRIC_stop_admitted, e->node.stopping);
 	entry_grant_ask(c);
 }
 
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -711,6 +711,12 @@
 	return req->body_bytes;
 }
 
+/* Returns how many bytes of a response's body wait for the client to read. */
+size_t dl_httpd_unread_bytes(const struct dl_httpd_req *req)
+{
+	return req->pending ? req->pending->size : 0;
+}
+
 /*
  * Ends a stream once its bytes are sent.  If it is not complete, breaks the
  * connection so that the client can tell.
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -86,6 +86,7 @@
 bool dl_httpd_begun(const struct dl_httpd_req *req);
 /* How many bytes of a response's body were queued. */
 size_t dl_httpd_body_bytes(const struct dl_httpd_req *req);
+size_t dl_httpd_unread_bytes(const struct dl_httpd_req *req);
 /* Ends a stream; if it is not complete, breaks the connection to show that. */
 void dl_httpd_finish(struct dl_httpd_req *req, bool complete);
 /* Whether a client still reads a response that has been handed over. */
