Replicas: answer those that wait for an answer before a stop ends

Operators whose change was proposed, but not committed when the replica's 1.5 s for a stop were over, got a closed connection; so did endpoints that wait for the acknowledgement of their departure.

Cause: finish_stop() asked for leadership and the disk alone.

Change: a stopping replica waits for the answers that are due, up to the same limit; then it answers the rest (503, the change may take effect later, repeat it), and has 200 ms to write them. Kept connections are closed after their answer.

No test stops a replica while an endpoint waits for an acknowledgement.

--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -32,6 +32,8 @@
 #define DEFLATE_MIN_BYTES 4096
 /* How long a planned stop waits for a successor to be elected. */
 #define STOP_TIMEOUT_MS 1500
+/* After that, for the answers to those that still wait. */
+#define STOP_ANSWERS_MS 200
 /* Pause between attempts to read a log that cannot be read. */
 #define LOG_RETRY_MS 1000
 
@@ -325,7 +327,12 @@
 		return;
 	dl_rlog_get_status(r->rlog, now, &s);
 	if (now < r->stop_deadline &&
-	    (s.role == DL_RLOG_LEADER || dl_disk_file_busy(r->disk)))
+	    (s.role == DL_RLOG_LEADER || dl_disk_file_busy(r->disk) ||
+	     replica_http_awaited(r)))
+		return;
+	replica_cmd_abandon(r);
+	replica_departures_abandon(r);
+	if (replica_http_awaited(r) && now < r->stop_deadline + STOP_ANSWERS_MS)
 		return;
 	dl_node_end(&r->node, DL_EXIT_OK);
 }
@@ -356,7 +363,8 @@
 
 /*
  * Starts a planned stop by transferring leadership, so that no one has to wait
- * for an election timeout. A repeated request stops at once.
+ * for an election timeout. Whoever waits for an answer gets one before the end.
+ * A repeated request stops at once.
  */
 static void on_stop(void *arg, bool repeated)
 {
@@ -368,6 +376,7 @@
 		return;
 	}
 	r->stop_deadline = now + STOP_TIMEOUT_MS;
+	replica_http_stop(r);
 	dl_rlog_transfer(r->rlog, now);
 }
 
--- a/src/replica/replica.h
+++ b/src/replica/replica.h
@@ -152,6 +152,7 @@
 		       const struct dl_frame *frame);
 void replica_cmd_apply(struct replica *r, const struct dl_rlog_apply *a);
 void replica_cmd_tick(struct replica *r, int64_t now);
+void replica_cmd_abandon(struct replica *r);
 
 /* replica_conf.c */
 void replica_conf_pull(struct replica *r, uint64_t from,
@@ -169,6 +170,8 @@
 				    struct dl_httpd_req *http_req,
 				    const struct dl_announcement *a,
 				    bool deregistered);
+bool replica_departures_awaited(const struct replica *r);
+void replica_departures_abandon(struct replica *r);
 void replica_departures_gone(struct replica *r,
 			     const struct dl_httpd_req *http_req);
 void replica_departures_frame(struct replica *r, uint64_t from,
@@ -192,6 +195,8 @@
 void replica_http_accept(struct replica *r, struct dl_httpd_req *req,
 			 bool deregistered);
 void replica_http_refuse_leaving(struct dl_httpd_req *req, const char *why);
+void replica_http_stop(struct replica *r);
+bool replica_http_awaited(const struct replica *r);
 void replica_http_endpoint_leaving(struct replica *r,
 				   const struct dl_announcement *a);
 void replica_http_change_decided(const struct replica_pending *p,
--- a/src/replica/replica_cmd.c
+++ b/src/replica/replica_cmd.c
@@ -242,6 +242,29 @@
 	return true;
 }
 
+/*
+ * Answers the changes that were sent over HTTP and are not committed, as this
+ * process ends.
+ */
+void replica_cmd_abandon(struct replica *r)
+{
+	struct dl_cstore_reply stopping = {
+		.code = DL_ENOLEADER,
+		.text = "this replica is stopping; the change may take effect "
+			"later, repeat it",
+	};
+
+	for (guint i = r->pending->len; i > 0; i--) {
+		struct replica_pending *p = &g_array_index(
+			r->pending, struct replica_pending, i - 1);
+
+		if (!p->http_req)
+			continue;
+		replica_http_change_decided(p, &stopping);
+		g_array_remove_index_fast(r->pending, i - 1);
+	}
+}
+
 /* Drops commands whose sender has waited too long. */
 void replica_cmd_tick(struct replica *r, int64_t now)
 {
--- a/src/replica/replica_departures.c
+++ b/src/replica/replica_departures.c
@@ -246,6 +246,25 @@
 	}
 }
 
+/* Whether an endpoint waits for an acknowledgement. */
+bool replica_departures_awaited(const struct replica *r)
+{
+	return r->departures && r->departures->waiting->len;
+}
+
+/* Tells the endpoints that wait to call another replica: this one ends. */
+void replica_departures_abandon(struct replica *r)
+{
+	while (replica_departures_awaited(r)) {
+		GArray *waiting = r->departures->waiting;
+		struct dl_httpd_req *req =
+			g_array_index(waiting, struct waiting, 0).http_req;
+
+		g_array_remove_index_fast(waiting, 0);
+		replica_http_refuse_leaving(req, "stopping");
+	}
+}
+
 /* Forgets an endpoint that disconnected. */
 void replica_departures_gone(struct replica *r,
 			     const struct dl_httpd_req *http_req)
--- a/src/replica/replica_http.c
+++ b/src/replica/replica_http.c
@@ -506,6 +506,27 @@
 					   replica_now(r), &entry, &superseded);
 }
 
+/* Takes no further request on connections that are answered. */
+void replica_http_stop(struct replica *r)
+{
+	if (r->http)
+		dl_httpd_close_after_responses(r->http->httpd);
+}
+
+/* Whether a client waits for an answer, or still reads one. */
+bool replica_http_awaited(const struct replica *r)
+{
+	if (!r->http)
+		return false;
+	for (guint i = 0; i < r->pending->len; i++) {
+		if (g_array_index(r->pending, struct replica_pending, i)
+			    .http_req)
+			return true;
+	}
+	return replica_departures_awaited(r) ||
+	       dl_httpd_has_unwritten(r->http->httpd);
+}
+
 /* Removes endpoints that have not been heard from for long. */
 void replica_http_tick(struct replica *r, int64_t now)
 {
--- /dev/null
+++ b/test/test_system_stop_change.sh
@@ -0,0 +1,43 @@
+#!/bin/sh
+# A replica that stops answers the changes that operators have sent to it, also those that its
+# successor commits.
+cd "$(dirname "$0")/.." || exit 2
+. test/deploy.sh
+. test/disk_deploy.sh
+test_begin dala
+. test/platform_deploy.sh
+
+for d in 1 2 3; do
+	on_fault_disk $d "$DIR/data-$d" start_process replica $d true
+	start_process entry $d
+done
+configure_all '"key-one"'
+log_of() {
+	echo "$DIR/replica-$1.log"
+}
+leader=$(leading_replica "$(log_of 1)" "$(log_of 2)" "$(log_of 3)")
+
+# The disks of the others hold changes up for longer than a replica may take to stop.
+for d in 1 2 3; do
+	[ $d = "$leader" ] || order_disk $d "sync stall"
+done
+for v in 6 7 8; do
+	$DL_HTTP -t 5000 -X POST -d "$(config $v 5000 '"key-one"')" \
+		"$(control_address "$leader")" /-/Config.Put >"$DIR/change-$v" 2>&1 &
+	record_pid "change_$v" $!
+	sleep 0.1
+done
+kill -TERM "$(pid_of "replica_$leader")"
+sleep 2
+for d in 1 2 3; do
+	[ $d = "$leader" ] || order_disk $d
+done
+lost=
+for v in 6 7 8; do
+	wait "$(pid_of change_$v)"
+	status=$?
+	echo "change $v: exit status $status, $(cat "$DIR/change-$v")"
+	[ $status -le 1 ] || lost="$lost $v"
+done
+[ -z "$lost" ] || fail "changes were not answered:$lost"
+expect_exit 5 "replica_$leader" 0 || fail "the replica does not stop"
