Stops: a VM does not end while a request is on its way in

A stopping VM without calls ended 3.5 s after its SIGTERM; callers that had sent the head of a request and were sending the body got a closed connection.

Cause: a call exists once its request is whole; nothing knew of the others.

Change: the HTTP server tells whether bytes have come that belong to no whole request. The VM waits for them until its limit, without one until the server's read timeout; an interrupt ends it as before.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -197,6 +197,16 @@
 	       (stop_ms ? stop_ms - EXIT_MARGIN_MS : READERS_WAIT_MS);
 }
 
+/* Whether a request is on its way in, which is to be answered. */
+static bool is_reading(const struct entry *e)
+{
+	for (uint32_t i = 0; i < e->listeners_count; i++) {
+		if (dl_httpd_is_reading(e->listeners[i].httpd))
+			return true;
+	}
+	return false;
+}
+
 /* Whether all answers are written, or their callers gone. */
 static bool answers_are_written(const struct entry *e)
 {
@@ -254,6 +264,8 @@
 		entry_calls_abort(e);
 	if (e->node.stopping && !e->calls && load_balancer_informed(e, now) &&
 	    (!entry_path_tunnels(e) || stop_deadline_near(e, now)) &&
+	    (!is_reading(e) || stop_deadline_near(e, now) ||
+	     e->interrupted_at) &&
 	    (!e->cmds || now - e->stop_at > COMMANDS_WAIT_MS) &&
 	    (answers_are_written(e) || reading_is_over(e, now)))
 		end(e);
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -40,6 +40,7 @@
 	uv_timer_t disconnect_poll;
 	struct dl_httpd_req *requests;
 	struct dl_httpd_req *unwritten; /* answered, until h2o has written it */
+	struct client *clients;
 	uint32_t conns;
 	bool accepting;
 	bool close_after_responses;
@@ -68,8 +69,10 @@
 struct client {
 	uv_tcp_t tcp; /* must be first */
 	struct dl_httpd *server;
+	struct client *next, *prev;
 	h2o_socket_t *sock;
 	size_t answered; /* bytes written when the last request ended */
+	size_t taken;	 /* bytes read when the last request was whole */
 };
 
 static int on_request(h2o_handler_t *self, h2o_req_t *h2o);
@@ -81,6 +84,24 @@
 			  const struct dl_header *headers, size_t count,
 			  struct dl_str body);
 
+static void client_link(struct client *client)
+{
+	client->next = client->server->clients;
+	if (client->next)
+		client->next->prev = client;
+	client->server->clients = client;
+}
+
+static void client_unlink(struct client *client)
+{
+	if (client->next)
+		client->next->prev = client->prev;
+	if (client->prev)
+		client->prev->next = client->next;
+	else
+		client->server->clients = client->next;
+}
+
 static void on_client_closed(uv_handle_t *handle)
 {
 	struct client *client = (struct client *)handle;
@@ -101,8 +122,9 @@
  */
 static void on_client_closing(void *data)
 {
-	const struct client *client = data;
+	struct client *client = data;
 
+	client_unlink(client);
 	if (client->sock->bytes_written == client->answered)
 		return;
 	dl_count(DL_METRIC_requests_malformed, 1);
@@ -136,6 +158,7 @@
 	client->sock = sock;
 	sock->on_close.cb = on_client_closing;
 	sock->on_close.data = client;
+	client_link(client);
 	h2o_accept(&server->accept_ctx, sock);
 }
 
@@ -172,14 +195,30 @@
 	return conn->callbacks->get_socket(conn);
 }
 
+/* Returns the connection that a request came on; NULL if it is gone. */
+static struct client *client_of(const struct dl_httpd_req *req)
+{
+	const h2o_socket_t *sock = socket_of(req);
+
+	return sock ? sock->on_close.data : NULL;
+}
+
 /* What was written up to now belongs to requests that the owner has handled. */
 static void note_answered(const struct dl_httpd_req *req)
 {
-	const h2o_socket_t *sock = socket_of(req);
-	struct client *client = sock ? sock->on_close.data : NULL;
+	struct client *client = client_of(req);
 
 	if (client)
-		client->answered = sock->bytes_written;
+		client->answered = client->sock->bytes_written;
+}
+
+/* What was read up to now belongs to requests that the owner has got. */
+static void note_taken(const struct dl_httpd_req *req)
+{
+	struct client *client = client_of(req);
+
+	if (client)
+		client->taken = client->sock->bytes_read;
 }
 
 /* Called when h2o frees the request, whether it was answered or not. */
@@ -210,6 +249,7 @@
 	req->h2o = h2o;
 	req->name = "";
 	req_move(req, &server->requests);
+	note_taken(req);
 	server->ops->request(server->arg, req);
 	return 0;
 }
@@ -366,6 +406,16 @@
 	server->close_after_responses = true;
 }
 
+/* Whether a client has sent a part of a request, and the rest is awaited. */
+bool dl_httpd_is_reading(const struct dl_httpd *server)
+{
+	for (const struct client *c = server->clients; c; c = c->next) {
+		if (c->sock->bytes_read != c->taken)
+			return true;
+	}
+	return false;
+}
+
 /* Stops accepting connections; open ones continue. */
 void dl_httpd_stop_accepting(struct dl_httpd *server)
 {
--- a/test/tool_callers.c
+++ b/test/tool_callers.c
@@ -31,14 +31,15 @@
 	char **headers;
 	gint64 begin_ms;
 	int from_ms, until_ms, every_ms, body_ms, timeout_ms, refuse_ms;
-	int whole_min;
+	int whole_min, gone_max;
 	gboolean kept;
 } opt = { .path = "/",
 	  .tag = "t",
 	  .until_ms = 1,
 	  .every_ms = 100,
 	  .timeout_ms = 12000,
-	  .refuse_ms = 400 };
+	  .refuse_ms = 400,
+	  .gone_max = CALLERS_MAX };
 
 static const GOptionEntry options[] = {
 	{ "to", 0, 0, G_OPTION_ARG_STRING, &opt.to, "address of the entry",
@@ -68,6 +69,8 @@
 	  "a refusal later than this is late", "MS" },
 	{ "whole-min", 0, 0, G_OPTION_ARG_INT, &opt.whole_min,
 	  "fail if fewer answers are whole", "N" },
+	{ "gone-max", 0, 0, G_OPTION_ARG_INT, &opt.gone_max,
+	  "fail if more connections were closed before", "N" },
 	{ NULL },
 };
 
@@ -305,7 +308,8 @@
 		printf(" %s %d", result_names[r], counts[r]);
 	printf(" late %d\n", late);
 	return counts[RESULT_CUT] || counts[RESULT_NONE] || late ||
-	       counts[RESULT_WHOLE] < opt.whole_min;
+	       counts[RESULT_WHOLE] < opt.whole_min ||
+	       counts[RESULT_GONE] > opt.gone_max;
 }
 
 static void run(void)
