test_system_full_log: no signal is sent while one is pending

Cause: the test counts on one reload for each SIGHUP, sent 50 ms apart. A signal that comes while one is pending is lost, so where the process does not run for 50 ms there are fewer reloads than the test waits for.

The check is as strict: exactly as many lines as signals.

--- a/test/test_system_full_log.sh
+++ b/test/test_system_full_log.sh
@@ -22,13 +22,21 @@
 	record_pid entry_1 $!
 }
 
-# Reloads that say how many there were.
+hangup_pending() { # the first of the pending signals
+	grep -q '^ShdPnd:.*[13579bdf]$' "/proc/$(pid_of entry_1)/status"
+}
+
+# Reloads that say how many there were.  A second signal before the first one is delivered
+# would be lost.
 reload() { # TIMES
 	n=0
 	while [ $n -lt "$1" ]; do
 		n=$((n + 1))
 		kill -HUP "$(pid_of entry_1)" || fail "the entry ended"
 		sleep 0.05
+		while hangup_pending; do
+			sleep 0.01
+		done
 	done
 }
 
