--- a/src/protocol/explain.c
+++ b/src/protocol/explain.c
@@ -64,6 +64,7 @@
 static void describe_leaving_grant(const struct dl_logline *l, char *out);
 static void describe_left_grant(const struct dl_logline *l, char *out);
 static void describe_retry(const struct dl_logline *l, char *out);
+static void describe_broken_off(const struct dl_logline *l, char *out);
 
 /* The log messages that record a decision about one request. */
 static const struct {
@@ -82,6 +83,7 @@
 	{ "A grant is given back, its endpoint has left.",
 	  describe_left_grant },
 	{ "A repeat was decided on.", describe_retry },
+	{ "An answer was broken off.", describe_broken_off },
 };
 
 const char *explain_part_name(enum explain_part part)
@@ -415,6 +417,30 @@
 		 dl_logline_number(l, "tokens", 0));
 }
 
+/*
+ * An answer that was broken off because the VM had to exit: says when its
+ * request arrived, and how long it was expected to take.
+ */
+static void describe_broken_off(const struct dl_logline *l, char *out)
+{
+	int64_t ms = dl_logline_number(l, "ms", -1);
+	int64_t after_ms = dl_logline_number(l, "stop_ms", 0) - ms;
+	struct dl_str why = field(l, "why");
+
+	if (!field_is(l, "why", "stopping") || ms < 0) {
+		snprintf(out, EXPLAIN_TEXT_MAX,
+			 "the answer was broken off: %.*s", (int)why.n, why.s);
+		return;
+	}
+	snprintf(out, EXPLAIN_TEXT_MAX,
+		 "the answer was broken off as the VM had to exit: its request "
+		 "arrived %" PRId64 " ms %s the stop began and ran for %" PRId64
+		 " ms, %" PRId64 " ms were expected",
+		 after_ms < 0 ? -after_ms : after_ms,
+		 after_ms < 0 ? "before" : "after", ms,
+		 dl_logline_number(l, "expected_ms", 0));
+}
+
 /* Describes the decision of a line; the line's own message if it has none. */
 void explain_line(const struct dl_logline *l, char out[EXPLAIN_TEXT_MAX])
 {
--- a/test/test_explain.c
+++ b/test/test_explain.c
@@ -279,6 +279,16 @@
 		{ STAMP "WARN  relay: An attempt broke. endpoint=e broke=6 "
 			"events=0 ids=own",
 		  "e sent an invalid response" },
+		{ STAMP "WARN  relay: An answer was broken off. "
+			"why=\"stopping\" ms=4000 expected_ms=900 stop_ms=7600",
+		  "arrived 3600 ms after the stop began and ran for 4000 ms, "
+		  "900 ms were expected" },
+		{ STAMP "WARN  relay: An answer was broken off. "
+			"why=\"stopping\" ms=8000 expected_ms=900 stop_ms=7600",
+		  "arrived 400 ms before the stop began" },
+		{ STAMP "WARN  relay: An answer was broken off. "
+			"why=\"deadline\" ms=8000",
+		  "the answer was broken off: deadline" },
 		{ ENDED "outcome=done endpoint=e ms=5 end=unmarked",
 		  "only the end of the connection marked" },
 	};
