Stops: requests of services without an engine model are judged too

Cause: without a model nothing is expected of a request, and the factor by which requests take longer was not kept.

Change: where nothing is expected, 1 ms is, so that the factor is the time that requests take or have run for.

--- a/src/coordination/stop.c
+++ b/src/coordination/stop.c
@@ -20,9 +20,10 @@
  */
 #define SHARE_PERMILLE 900
 
+/* Of requests that nothing is known of, 1 ms is expected. */
 static double factor_of(uint32_t expected_ms, int64_t took_ms)
 {
-	return expected_ms ? (double)took_ms / expected_ms : 0;
+	return (double)took_ms / MAX(expected_ms, 1);
 }
 
 /*
@@ -34,7 +35,7 @@
 {
 	double factor = factor_of(expected_ms, took_ms);
 
-	if (!expected_ms || (!complete && factor <= 1))
+	if (!complete && factor <= 1)
 		return;
 	o->ended[o->next] = (struct dl_overrun_sample){ now, factor };
 	o->next = (o->next + 1) % DL_OVERRUN_SAMPLES;
@@ -50,7 +51,7 @@
 void dl_overrun_running(struct dl_overrun *o, uint32_t expected_ms,
 			int64_t age_ms)
 {
-	if (expected_ms && o->running_count < DL_OVERRUN_SAMPLES)
+	if (o->running_count < DL_OVERRUN_SAMPLES)
 		o->running[o->running_count++] = factor_of(expected_ms, age_ms);
 }
 
@@ -115,5 +116,5 @@
 	    (req->longest_ms > left_ms || (stop->others_admit && !bounded)))
 		return false;
 	factor = dl_overrun_factor(overrun, SHARE_PERMILLE, now);
-	return bounded || req->expected_ms * factor <= left_ms;
+	return bounded || MAX(req->expected_ms, 1) * factor <= left_ms;
 }
--- a/src/coordination/stop.h
+++ b/src/coordination/stop.h
@@ -41,7 +41,7 @@
 
 /* A request that has not begun to be answered. */
 struct dl_stop_request {
-	uint32_t expected_ms; /* with the usual length of output */
+	uint32_t expected_ms; /* with the usual length of output; 0: unknown */
 	uint32_t longest_ms;  /* with all the output that the caller allows */
 	int64_t deadline;
 	bool waits; /* it was admitted before, and has a place in a queue */
