Replicas: do not end while an upload is on its way in

A replica that does not lead ended at once on SIGTERM; operators that were sending a configuration to it got a closed connection.

Cause: as with requests of callers, nothing knew of requests that are not whole.

--- a/src/replica/replica_http.c
+++ b/src/replica/replica_http.c
@@ -513,7 +513,7 @@
 		dl_httpd_close_after_responses(r->http->httpd);
 }
 
-/* Whether a client waits for an answer, or still reads one. */
+/* Whether a client waits for an answer, still reads one or sends a request. */
 bool replica_http_awaited(const struct replica *r)
 {
 	if (!r->http)
@@ -524,7 +524,8 @@
 			return true;
 	}
 	return replica_departures_awaited(r) ||
-	       dl_httpd_has_unwritten(r->http->httpd);
+	       dl_httpd_has_unwritten(r->http->httpd) ||
+	       dl_httpd_is_reading(r->http->httpd);
 }
 
 /* Removes endpoints that have not been heard from for long. */
--- a/test/test_system_stop_change.sh
+++ b/test/test_system_stop_change.sh
@@ -1,6 +1,5 @@
 #!/bin/sh
-# A replica that stops answers the changes that operators have sent to it, also those that its
-# successor commits.
+# A replica that stops answers the changes that operators have sent to it, or are sending.
 cd "$(dirname "$0")/.." || exit 2
 . test/deploy.sh
 . test/disk_deploy.sh
@@ -41,3 +40,17 @@
 done
 [ -z "$lost" ] || fail "changes were not answered:$lost"
 expect_exit 5 "replica_$leader" 0 || fail "the replica does not stop"
+
+# Uploads of which the second part comes 0.8 s later; they are no configuration.
+follower=$((leader % 3 + 1))
+test/tool_callers --to "$(control_address $follower)" --tag upload \
+	--begin "$(date +%s%3N)" --path /-/Config.Put --until 400 --body-after 800 \
+	--gone-max 0 >"$DIR/uploads" &
+record_pid uploads $!
+sleep 0.6
+kill -TERM "$(pid_of replica_$follower)"
+wait "$(pid_of uploads)"
+status=$?
+cat "$DIR/uploads"
+[ $status -eq 0 ] || fail "an upload was not answered"
+expect_exit 5 "replica_$follower" 0 || fail "the other replica does not stop"
