Stops: what admission goes by is computed once a tick

Read on the whole change: each request that waits at a stopping VM scanned the members and sorted the samples of its service at every tick. Both are done once a tick now. Running requests of up to 256 a service are looked at, in place of the 64 newest, whose ages say less about how long they take.

--- a/src/coordination/stop.c
+++ b/src/coordination/stop.c
@@ -51,7 +51,7 @@
 void dl_overrun_running(struct dl_overrun *o, uint32_t expected_ms,
 			int64_t age_ms)
 {
-	if (o->running_count < DL_OVERRUN_SAMPLES)
+	if (o->running_count < DL_OVERRUN_RUNNING)
 		o->running[o->running_count++] = factor_of(expected_ms, age_ms);
 }
 
@@ -62,24 +62,25 @@
 	return (*x > *y) - (*x < *y);
 }
 
-/* Returns the value that this share of n values does not exceed; 0 for none. */
-static double quantile(double *values, uint32_t n, uint32_t permille)
+/*
+ * Returns the value that SHARE_PERMILLE of n values do not exceed; 0 for none.
+ */
+static double quantile(double *values, uint32_t n)
 {
 	if (!n)
 		return 0;
 	qsort(values, n, sizeof(*values), compare);
-	return values[(n - 1) * permille / 1000];
+	return values[(n - 1) * SHARE_PERMILLE / 1000];
 }
 
 /*
- * Returns how many times longer than expected this share of the requests take
- * at most, at least 1: by those that ended lately, and by those that run where
- * these have run for longer already.
+ * Returns how many times longer than expected SHARE_PERMILLE of the requests
+ * take at most, at least 1: by those that ended lately, and by those that run
+ * where these have run for longer already.
  */
-double dl_overrun_factor(const struct dl_overrun *o, uint32_t permille,
-			 int64_t now)
+double dl_overrun_factor(const struct dl_overrun *o, int64_t now)
 {
-	double values[DL_OVERRUN_SAMPLES];
+	double values[DL_OVERRUN_RUNNING];
 	double factor;
 	uint32_t n = 0;
 
@@ -89,10 +90,10 @@
 		if (s->at && now - s->at <= SAMPLE_MAX_AGE_MS)
 			values[n++] = s->factor;
 	}
-	factor = MAX(1, quantile(values, n, permille));
+	factor = MAX(1, quantile(values, n));
 	for (n = 0; n < o->running_count; n++)
 		values[n] = o->running[n];
-	return MAX(factor, quantile(values, n, permille));
+	return MAX(factor, quantile(values, n));
 }
 
 /*
@@ -102,19 +103,16 @@
  * off there, except those that have waited here.
  */
 bool dl_stop_admits(const struct dl_stop *stop,
-		    const struct dl_stop_request *req,
-		    const struct dl_overrun *overrun, int64_t now)
+		    const struct dl_stop_request *req, int64_t now)
 {
 	int64_t ends_by = stop->began_at + stop->limit_ms - MARGIN_MS;
 	bool bounded = req->deadline <= ends_by;
 	double left_ms = (double)(ends_by - now);
-	double factor;
 
 	if (!stop->limit_ms)
 		return true;
 	if (!req->waits && now - stop->began_at >= LOAD_BALANCER_DELAY_MS &&
 	    (req->longest_ms > left_ms || (stop->others_admit && !bounded)))
 		return false;
-	factor = dl_overrun_factor(overrun, SHARE_PERMILLE, now);
-	return bounded || MAX(req->expected_ms, 1) * factor <= left_ms;
+	return bounded || MAX(req->expected_ms, 1) * req->factor <= left_ms;
 }
--- a/src/coordination/stop.h
+++ b/src/coordination/stop.h
@@ -8,8 +8,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Requests of one kind that are remembered, and as many that run. */
+/* Requests of one kind that are remembered, and those that run. */
 #define DL_OVERRUN_SAMPLES 64
+#define DL_OVERRUN_RUNNING 256
 
 struct dl_overrun_sample {
 	int64_t at; /* its end; 0: none */
@@ -20,7 +21,7 @@
 struct dl_overrun {
 	struct dl_overrun_sample ended[DL_OVERRUN_SAMPLES];
 	uint32_t next; /* of the above, to be replaced */
-	double running[DL_OVERRUN_SAMPLES];
+	double running[DL_OVERRUN_RUNNING];
 	uint32_t running_count;
 };
 
@@ -29,8 +30,7 @@
 void dl_overrun_restart_running(struct dl_overrun *o);
 void dl_overrun_running(struct dl_overrun *o, uint32_t expected_ms,
 			int64_t age_ms);
-double dl_overrun_factor(const struct dl_overrun *o, uint32_t permille,
-			 int64_t now);
+double dl_overrun_factor(const struct dl_overrun *o, int64_t now);
 
 /* A stop in progress. */
 struct dl_stop {
@@ -44,11 +44,11 @@
 	uint32_t expected_ms; /* with the usual length of output; 0: unknown */
 	uint32_t longest_ms;  /* with all the output that the caller allows */
 	int64_t deadline;
-	bool waits; /* it was admitted before, and has a place in a queue */
+	double factor; /* from dl_overrun_factor() */
+	bool waits;    /* it was admitted before, and has a place in a queue */
 };
 
 bool dl_stop_admits(const struct dl_stop *stop,
-		    const struct dl_stop_request *req,
-		    const struct dl_overrun *overrun, int64_t now);
+		    const struct dl_stop_request *req, int64_t now);
 
 #endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -292,6 +292,7 @@
 		dl_httpd_close_after_responses(e->listeners[i].httpd);
 	dl_memb_update_self(e->node.memb, true, e->version, entry_now(e));
 	entry_path_stop(e);
+	entry_stop_tick(e, entry_now(e));
 	if (again)
 		entry_calls_abort(e);
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -71,6 +71,12 @@
 #define REQUEST_ID_TEXT 48
 #define SPANS_MAX	12
 
+/* How much longer than expected the requests of a pool take. */
+struct pool_overrun {
+	struct dl_overrun requests;
+	double factor; /* as of the last tick of a stop */
+};
+
 /*
  * A pool of this failure domain: dispatched by this VM, or kept as a standby
  * for the case that its dispatcher fails.
@@ -95,7 +101,7 @@
 	struct dl_retry_budget retry_budget; /* collected from other VMs */
 	struct dl_retry_limit retry_limit;
 	uint32_t retries_charged, retries_denied; /* since the last line */
-	struct dl_overrun overrun[2];		  /* of calls, and of streams */
+	struct pool_overrun overrun[2];		  /* of calls, and of streams */
 };
 
 /* What an endpoint announced that only the planner of orders uses. */
@@ -462,6 +468,7 @@
 	int64_t started_at;
 	bool draining; /* by signal or by operators */
 	int64_t stop_at;
+	bool others_admit;	/* as of the last tick of a stop */
 	int64_t interrupted_at; /* again, while it stopped; 0: not */
 };
 
--- a/src/entry/entry_stop.c
+++ b/src/entry/entry_stop.c
@@ -42,7 +42,7 @@
 	c->longest_ms = forecast_ms(c, m, c->output_tokens);
 }
 
-static struct dl_overrun *overrun_of(const struct call *c)
+static struct pool_overrun *overrun_of(const struct call *c)
 {
 	struct entry_pool *p = entry_pool_find(c->e, dl_name_str(&c->service));
 
@@ -52,11 +52,12 @@
 /* Learns from a request that has ended how long requests take now. */
 void entry_stop_note_ended(const struct call *c)
 {
-	struct dl_overrun *o = c->granted_at ? overrun_of(c) : NULL;
+	struct pool_overrun *o = c->granted_at ? overrun_of(c) : NULL;
 	int64_t now = entry_now(c->e);
 
 	if (o)
-		dl_overrun_ended(o, c->expected_ms, now - c->expected_from,
+		dl_overrun_ended(&o->requests, c->expected_ms,
+				 now - c->expected_from,
 				 c->outcome == DL_OUTCOME_DONE, now);
 }
 
@@ -80,20 +81,20 @@
 	return ready && 2 * ready >= all;
 }
 
-static bool admits(const struct call *c, bool others)
+static bool admits(const struct call *c)
 {
-	static const struct dl_overrun unknown;
 	const struct entry *e = c->e;
-	const struct dl_overrun *o = overrun_of(c);
+	const struct pool_overrun *o = overrun_of(c);
 	struct dl_stop stop = { .began_at = e->stop_at,
 				.limit_ms = e->node.settings.stop_ms,
-				.others_admit = others };
+				.others_admit = e->others_admit };
 	struct dl_stop_request req = { .expected_ms = c->expected_ms,
 				       .longest_ms = c->longest_ms,
 				       .deadline = c->deadline,
+				       .factor = o ? o->factor : 1,
 				       .waits = c->asked_at != 0 };
 
-	return dl_stop_admits(&stop, &req, o ? o : &unknown, entry_now(e));
+	return dl_stop_admits(&stop, &req, entry_now(e));
 }
 
 /*
@@ -103,44 +104,51 @@
 bool entry_stop_refuses(struct call *c)
 {
 	struct entry *e = c->e;
-	bool others;
 
-	if (!e->node.stopping || dl_httpd_begun(c->http))
-		return false;
-	others = others_admit(e);
-	if (admits(c, others))
+	if (!e->node.stopping || dl_httpd_begun(c->http) || admits(c))
 		return false;
 	dl_count(DL_METRIC_stop_refused, 1);
 	entry_call_refuse(c, DL_REASON_DRAINING, DL_STEP_ADMIT, e->node.self,
-			  others ? RETRY_OTHER_VM_MS : RETRY_NO_VM_MS);
+			  e->others_admit ? RETRY_OTHER_VM_MS : RETRY_NO_VM_MS);
 	return true;
 }
 
-static void note_running(struct entry *e, int64_t now)
+/* Updates how long the requests of each service take. */
+static void update_overruns(struct entry *e, int64_t now)
 {
 	for (struct entry_pool *p = e->pools; p; p = p->next) {
 		for (size_t i = 0; i < G_N_ELEMENTS(p->overrun); i++)
-			dl_overrun_restart_running(&p->overrun[i]);
+			dl_overrun_restart_running(&p->overrun[i].requests);
 	}
 	for (const struct call *c = e->calls; c; c = c->next) {
-		struct dl_overrun *o =
+		struct pool_overrun *o =
 			c->state == CALL_RUNNING ? overrun_of(c) : NULL;
 
 		if (o)
-			dl_overrun_running(o, c->expected_ms,
+			dl_overrun_running(&o->requests, c->expected_ms,
 					   now - c->expected_from);
 	}
+	for (struct entry_pool *p = e->pools; p; p = p->next) {
+		for (size_t i = 0; i < G_N_ELEMENTS(p->overrun); i++)
+			p->overrun[i].factor =
+				dl_overrun_factor(&p->overrun[i].requests, now);
+	}
 }
 
-/* Refuses the requests that wait and may not end before this VM exits. */
+/*
+ * While this VM stops, updates what admission goes by, and refuses the requests
+ * that wait and may not end before it exits.
+ */
 void entry_stop_tick(struct entry *e, int64_t now)
 {
-	struct call *c = e->calls;
+	struct call *c;
 
 	if (!e->node.stopping)
 		return;
-	note_running(e, now);
+	e->others_admit = others_admit(e);
+	update_overruns(e, now);
 	/* A refusal may end other calls, so start over after each. */
+	c = e->calls;
 	while (c) {
 		bool waits = c->state == CALL_ASKING || c->state == CALL_QUEUED;
 
--- a/test/test_stop.c
+++ b/test/test_stop.c
@@ -55,10 +55,10 @@
 	const struct row *r = &rows[_i];
 	struct dl_stop stop = { BEGAN_AT, r->limit_ms, r->others_admit };
 	struct dl_stop_request req = { r->expected_ms, r->longest_ms,
-				       BEGAN_AT + r->deadline_ms, r->waits };
+				       BEGAN_AT + r->deadline_ms, 1, r->waits };
 
-	ck_assert_msg(dl_stop_admits(&stop, &req, &unknown,
-				     BEGAN_AT + r->at_ms) == r->admitted,
+	ck_assert_msg(dl_stop_admits(&stop, &req, BEGAN_AT + r->at_ms) ==
+			      r->admitted,
 		      "%s", r->what);
 }
 END_TEST
@@ -66,9 +66,10 @@
 static bool admits(const struct dl_overrun *o, uint32_t expected_ms)
 {
 	struct dl_stop stop = { BEGAN_AT, LIMIT_MS, true };
-	struct dl_stop_request req = { expected_ms, expected_ms, NEVER, false };
+	struct dl_stop_request req = { expected_ms, expected_ms, NEVER,
+				       dl_overrun_factor(o, BEGAN_AT), false };
 
-	return dl_stop_admits(&stop, &req, o, BEGAN_AT);
+	return dl_stop_admits(&stop, &req, BEGAN_AT);
 }
 
 /* Endpoints take ten times as long as the model says. */
@@ -121,7 +122,7 @@
 		dl_overrun_ended(&o, 500, 9000, true, BEGAN_AT - 60001);
 	ck_assert(admits(&o, 500));
 	dl_overrun_ended(&o, 500, 20, false, BEGAN_AT);
-	ck_assert(dl_overrun_factor(&o, 1000, BEGAN_AT) == 1);
+	ck_assert(dl_overrun_factor(&o, BEGAN_AT) == 1);
 	/* One that broke after it ran for too long tells that it is slow. */
 	dl_overrun_ended(&o, 500, 9000, false, BEGAN_AT);
 	ck_assert(!admits(&o, 500));
@@ -149,8 +150,8 @@
 
 	for (int i = 0; i < 1000; i++)
 		dl_overrun_running(&o, 500, 1000);
-	ck_assert_uint_eq(o.running_count, DL_OVERRUN_SAMPLES);
-	ck_assert(dl_overrun_factor(&o, 900, BEGAN_AT) == 2);
+	ck_assert_uint_eq(o.running_count, DL_OVERRUN_RUNNING);
+	ck_assert(dl_overrun_factor(&o, BEGAN_AT) == 2);
 }
 END_TEST
 
