test_system_disk_faults: an ordered write error no longer meets a marker

Cause: the order "write error 1" is to make a record fail, so that a new generation begins, whose sync of the folder then ends the process. If the order arrives between the sync of a record and its marker, the marker is the write that fails. That has no consequence (rlog_store.c, may_fail()), so no generation begins and the expected call never comes. Evidence: the message comes at will, 1 of 1, if the order is given while the sync of a record is stalled; the calls of the disk then end "sync stall", "write error", and 50 changes follow as "write ok", "sync ok", "write ok".

Change: orders may name "record", a write of more bytes than a marker. The cases stay the same otherwise; one more case orders its faults in that very moment at each run, which fails with the former order.

--- a/test/fake/preload_disk.c
+++ b/test/fake/preload_disk.c
@@ -12,7 +12,9 @@
  *
  * Other lines are comments.  A count begins anew whenever the content of the
  * file changes, so a script makes each content unique by a comment.  The kinds
- * of calls are in kind_names[].  The faults:
+ * of calls are in kind_names[].  An order may also name "record": a write of more
+ * bytes than a marker of the journal, whose failure has no consequence.  The
+ * faults:
  *
  *	no-room      ENOSPC; a write stores half, and fails if continued
  *	short        a write stores half of its data
@@ -63,6 +65,8 @@
 #define FILES_MAX     64
 #define STALL_POLL_NS 5000000
 #define WORD_BYTES    16
+#define MARKER_BYTES  32
+#define RECORD_KIND   "record"
 #define CALLS_MODE    0600
 
 enum call_kind {
@@ -92,6 +96,7 @@
 struct order {
 	enum call_kind kind;
 	enum fault fault;
+	size_t above;	/* only calls with more bytes than this */
 	unsigned count; /* 0: without a limit */
 	unsigned seen;	/* calls of the kind */
 };
@@ -100,6 +105,7 @@
 struct call {
 	enum call_kind kind;
 	enum fault fault;
+	size_t bytes; /* to be written */
 	ino_t inode;
 	off_t from;
 	off_t to;
@@ -174,6 +180,10 @@
 	    state.count == ORDERS_MAX)
 		return;
 	k = word_index(kind, kind_names, CALL_KIND_COUNT);
+	if (strcmp(kind, RECORD_KIND) == 0) {
+		k = CALL_WRITE;
+		o.above = MARKER_BYTES;
+	}
 	f = word_index(fault, fault_names, FAULT_COUNT);
 	if (k < 0 || f <= FAULT_NONE)
 		return;
@@ -212,7 +222,12 @@
 	return o->fault == FAULT_STALL || !o->count || o->seen <= o->count;
 }
 
-static enum fault next_fault(enum call_kind kind)
+static bool is_meant(const struct order *o, const struct call *c)
+{
+	return o->kind == c->kind && (!o->above || c->bytes > o->above);
+}
+
+static enum fault next_fault(const struct call *c)
 {
 	enum fault fault = FAULT_NONE;
 	int saved = errno;
@@ -220,7 +235,7 @@
 	pthread_mutex_lock(&state.lock);
 	read_orders();
 	for (unsigned i = 0; i < state.count && !fault; i++) {
-		if (state.orders[i].kind == kind && is_due(&state.orders[i]))
+		if (is_meant(&state.orders[i], c) && is_due(&state.orders[i]))
 			fault = state.orders[i].fault;
 	}
 	pthread_mutex_unlock(&state.lock);
@@ -260,7 +275,7 @@
 	const struct timespec pause = { .tv_nsec = STALL_POLL_NS };
 	bool stalled = false;
 
-	while ((c->fault = next_fault(c->kind)) == FAULT_STALL) {
+	while ((c->fault = next_fault(c)) == FAULT_STALL) {
 		if (!stalled)
 			add_line(c, fault_names[FAULT_STALL]);
 		stalled = true;
@@ -439,7 +454,9 @@
 		     off_t at)
 {
 	ssize_t (*next)(int, const void *, size_t, off_t) = next_function(name);
-	struct call c = { .kind = CALL_WRITE, .from = at, .to = at };
+	struct call c = {
+		.kind = CALL_WRITE, .bytes = n, .from = at, .to = at
+	};
 	ssize_t some, got;
 	mode_t type;
 
--- a/test/test_system_disk_faults.sh
+++ b/test/test_system_disk_faults.sh
@@ -33,30 +33,30 @@
 		1.5 sync error sync error
 		0.2 sync error sync error 1
 		0.2 sync no-room sync no-room 1
-		0.5 create error write error 1,create error 2
-		1.5 rename error write error 1,rename error
-		0.5 rename error write error 1,rename error 1
-		1.5 sync-folder error write error 1,sync-folder error
-		0.5 sync-folder error write error 1,sync-folder error 1
-		0.5 unlink error write error 1,unlink error
-		0.5 unlink error write error 1,rename error 1,unlink error 1
+		0.5 create error record error 1,create error 2
+		1.5 rename error record error 1,rename error
+		0.5 rename error record error 1,rename error 1
+		1.5 sync-folder error record error 1,sync-folder error
+		0.5 sync-folder error record error 1,sync-folder error 1
+		0.5 unlink error record error 1,unlink error
+		0.5 unlink error record error 1,rename error 1,unlink error 1
 		2.0 write stall write stall
 		2.0 sync stall sync stall
-		2.0 rename stall write error 1,rename stall
-		2.0 sync-folder stall write error 1,sync-folder stall
+		2.0 rename stall record error 1,rename stall
+		2.0 sync-folder stall record error 1,sync-folder stall
 		kill write kill-before write kill-before 3
 		kill write kill-after write kill-after 3
 		power write kill-after write kill-after 4
 		kill sync kill-before sync kill-before 2
 		power sync kill-before sync kill-before 2
 		power sync kill-after sync kill-after 2
-		kill create kill-after write error 1,create kill-after
-		kill rename kill-before write error 1,rename kill-before
-		power rename kill-after write error 1,rename kill-after
-		kill sync-folder kill-before write error 1,sync-folder kill-before
-		power sync-folder kill-after write error 1,sync-folder kill-after
-		kill unlink kill-before write error 1,unlink kill-before
-		kill unlink kill-after write error 1,unlink kill-after
+		kill create kill-after record error 1,create kill-after
+		kill rename kill-before record error 1,rename kill-before
+		power rename kill-after record error 1,rename kill-after
+		kill sync-folder kill-before record error 1,sync-folder kill-before
+		power sync-folder kill-after record error 1,sync-folder kill-after
+		kill unlink kill-before record error 1,unlink kill-before
+		kill unlink kill-after record error 1,unlink kill-after
 		power sync kill-after sync error 1,sync kill-after 2
 		power write kill-after sync error 1,write kill-after 3
 		twice sync kill-before sync error 1,sync kill-before
@@ -83,16 +83,27 @@
 FAULT_CHANGES=50
 # How long none of both may happen, in seconds.
 FAULT_S=20
+# Not empty: faults are ordered between the sync of a record and its marker.
+AT_MARKER=
 
 fault_or_change() { # D KIND OUTCOME COUNT VERSION
 	disk_calls_beyond "$1" "$2" "$3" "$4" || acked_beyond "$5"
 }
 
+# Make the next write at replica D the marker behind a record.
+await_marker() { # D
+	stalls=$(disk_calls "$1" sync stall)
+	order_disk "$1" "sync stall"
+	wait_for $FAULT_S "a sync" disk_calls_beyond "$1" sync stall \
+		"${stalls:-0}" || fail "$case: no record is synced"
+}
+
 # Order faults, separated by commas, and wait until the expected one has taken
 # place.
 begin_fault() { # D KIND OUTCOME ORDERS WHEN
 	seen=$(disk_calls "$1" "$2" "$3")
 	first=$(acked_version)
+	[ -z "$AT_MARKER" ] || await_marker "$1"
 	order_disk "$1" "$4"
 	until disk_calls_beyond "$1" "$2" "$3" "${seen:-0}"; do
 		last=$(acked_version)
@@ -231,6 +242,9 @@
 	# shellcheck disable=SC2086
 	run_case $line </dev/null
 done <"$DIR/cases"
+AT_MARKER=yes
+run_case 0 power sync-folder kill-after record error 1,sync-folder kill-after
+AT_MARKER=
 check_no_majority 1 2
 check_no_majority 2 0
 check_no_majority 1 0 2
--- a/test/test_system_disk_reads.sh
+++ b/test/test_system_disk_reads.sh
@@ -78,7 +78,7 @@
 done
 sleep 0.5
 for orders in "write no-room,create no-room" "sync stall" "sync error" \
-	"write stall" "write error 1,rename error 1" "write error 3"; do
+	"write stall" "record error 1,rename error 1" "write error 3"; do
 	run_case "$(leader)" "$orders"
 done
 for d in 1 2 3; do
