A stream whose caller has given up does not wait for an engine

Cause: a dispatcher knows until when the caller of a stream waits for its first event (first_event_deadline), and pool_engine_choose() places no stream that would begin later. It says so only of a request that it tries to place; what waits was ordered by the deadline of the whole answer alone. After dispatching had moved, a new ask counted as fresh and waited for its target once more.

Change: pool_last_start() takes both times into account, the second one less the prefill on as many idle engines as possible; it is used for a new ask, for the order of what waits and when that is looked at again. A stream that could have been placed before can be placed now. Only the engine policy, as before.

Before: 4 of 4 rows of overdue_streams_do_not_wait_for_an_engine failed (two after their figures were set to the published engine). After: 0; test_pool, test_pool_random, _takeover, _load, _leaving pass; test_system_stop_queued 6 of 6 at once beside 10 busy processes.

--- a/src/coordination/pool_admit.c
+++ b/src/coordination/pool_admit.c
@@ -101,6 +101,23 @@
 	       OVERHEAD_MS;
 }
 
+/*
+ * The latest start at which a request can still end before its deadline, and
+ * begin before its caller gives up.
+ */
+int64_t pool_last_start(const struct dl_pool *pool,
+			const struct pool_want *want)
+{
+	int64_t at = want->deadline - pool_service_ms(pool, want);
+	int64_t begins;
+
+	if (!want->first_event_deadline || !pool->policy->first_event_ms)
+		return at;
+	begins = want->first_event_deadline -
+		 pool->policy->first_event_ms(pool, want);
+	return begins < at ? begins : at;
+}
+
 /* Share of the pool recently granted to the classes before this one. */
 double pool_load(const struct dl_pool *pool, uint8_t classes, int64_t now)
 {
@@ -285,7 +302,7 @@
 	if (want->band == POOL_OVERSIZED &&
 	    !pool_group_size(pool, want, &share))
 		return DL_REASON_TOO_LONG;
-	if (now + pool_service_ms(pool, want) > want->deadline)
+	if (now > pool_last_start(pool, want))
 		return DL_REASON_DEADLINE;
 	return DL_REASON_NONE;
 }
@@ -353,7 +370,7 @@
 
 	if (reason == DL_REASON_NONE && late <= 0) {
 		pool_heap_set(&pool->request_last_start, &req->last_start,
-			      req->want.deadline - service);
+			      pool_last_start(pool, &req->want));
 		return false;
 	}
 	if (reason == DL_REASON_NONE)
--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -175,22 +175,37 @@
 	return POOL_CHOSEN;
 }
 
+/* Prefill time of a request on as many idle engines as it may be split among.
+ */
+static double shortest_prefill_ms(const struct dl_pool *pool,
+				  const struct pool_want *want)
+{
+	uint32_t n = pool->open_endpoints < DL_GROUP_MAX ?
+			     pool->open_endpoints :
+			     DL_GROUP_MAX;
+
+	return dl_engine_prefill_ms(&pool->conf.engine, want->prompt) /
+	       (n ? n : 1);
+}
+
 /* Total service time of a request on idle engines. */
 static int64_t pool_engine_service_ms(const struct dl_pool *pool,
 				      const struct pool_want *want)
 {
 	const struct dl_engine_model *m = &pool->conf.engine;
-	uint32_t n = pool->open_endpoints < DL_GROUP_MAX ?
-			     pool->open_endpoints :
-			     DL_GROUP_MAX;
 	double passes = (double)want->output / (m->stride ? m->stride : 1);
 
-	return (int64_t)ceil(dl_engine_prefill_ms(m, want->prompt) /
-				     (n ? n : 1) +
+	return (int64_t)ceil(shortest_prefill_ms(pool, want) +
 			     passes * dl_engine_decode_pass_ms(m, 1, 0)) +
 	       ROUND_TRIP_MS;
 }
 
+static int64_t pool_engine_first_event_ms(const struct dl_pool *pool,
+					  const struct pool_want *want)
+{
+	return (int64_t)shortest_prefill_ms(pool, want);
+}
+
 /*
  * Retry delay of a refused request: the mean time until the engines end their
  * passes, plus half its target for the requests that arrive meanwhile.  Callers
@@ -318,6 +333,7 @@
 	.queues = true,
 	.choose = pool_engine_choose,
 	.service_ms = pool_engine_service_ms,
+	.first_event_ms = pool_engine_first_event_ms,
 	.retry_ms = pool_engine_retry_ms,
 	.granted = pool_engine_granted,
 	.adopted = pool_engine_adopted,
--- a/src/coordination/pool_int.h
+++ b/src/coordination/pool_int.h
@@ -515,6 +515,12 @@
 	/* The rest may be NULL; late binding's behaviour is the default. */
 	int64_t (*service_ms)(const struct dl_pool *pool,
 			      const struct pool_want *want);
+	/*
+	 * The shortest time to a first event.  If given, requests whose callers
+	 * give up before it are refused.
+	 */
+	int64_t (*first_event_ms)(const struct dl_pool *pool,
+				  const struct pool_want *want);
 	/* When a retry of a request refused as late may fit, ms from now. */
 	int64_t (*retry_ms)(const struct dl_pool *pool,
 			    const struct pool_want *want, int64_t now);
@@ -600,6 +606,8 @@
 
 /* pool_admit.c */
 double pool_margin(double deviation);
+int64_t pool_last_start(const struct dl_pool *pool,
+			const struct pool_want *want);
 int64_t pool_service_ms(const struct dl_pool *pool,
 			const struct pool_want *want);
 double pool_load(const struct dl_pool *pool, uint8_t classes, int64_t now);
--- a/src/coordination/pool_queue.c
+++ b/src/coordination/pool_queue.c
@@ -204,7 +204,7 @@
 	pool_map_add(&pool->request_by_id, &req->by_request,
 		     pool_request_hash(ask->entry, ask->request));
 	pool_heap_set(&pool->request_last_start, &req->last_start,
-		      want->deadline - pool_service_ms(pool, want));
+		      pool_last_start(pool, want));
 	if (flow->n++ == 0)
 		lane->weights += pool_workspace_weight(pool, ws);
 	flow_update(pool, flow);
--- a/test/test_pool_recover.c
+++ b/test/test_pool_recover.c
@@ -393,6 +393,60 @@
 }
 END_TEST
 
+struct overdue_queued_case {
+	const char *what;
+	uint64_t prompt;
+	int64_t give_up_ms; /* when the caller gives up, from now */
+	int64_t refused_ms; /* from now, at the latest; -1: at once */
+};
+
+/* Two engines take 743 ms for a prompt of 100,000 tokens. */
+static const struct overdue_queued_case overdue_queued_cases[] = {
+	{ "given up before it asks", 1000, -1, -1 },
+	{ "given up while it waits", 1000, 2000, 2000 },
+	{ "cannot begin in time any more", 100000, 4000, 3300 },
+	{ "could never begin in time", 100000, 600, -1 },
+};
+
+/*
+ * A stream that waits for an engine is refused once its caller gives up before
+ * its first event, not when an engine is free.
+ */
+START_TEST(overdue_streams_do_not_wait_for_an_engine)
+{
+	const struct overdue_queued_case *c = &overdue_queued_cases[_i];
+	struct dl_ask ask = { .entry = 1,
+			      .workspace = DL_STR("w"),
+			      .class = DL_CLASS_INTERACTIVE,
+			      .prompt_tokens = c->prompt,
+			      .output_tokens = 100,
+			      .deadline = now + FAR_MS,
+			      .first_event_deadline = now + c->give_up_ms,
+			      .target_ms = FAR_MS / 4 };
+	struct dl_answer out;
+
+	report(E1);
+	report(E2);
+	count_free_slots();
+	while (dl_pool_next(pool, now, &out))
+		;
+	ask.request = next_request++;
+	dl_pool_ask(pool, &ask, now, &out);
+	if (c->refused_ms < 0) {
+		ck_assert_msg(out.verdict == DL_REFUSED, "%s", c->what);
+		ck_assert_int_eq(out.reason, DL_REASON_DEADLINE);
+		return;
+	}
+	ck_assert_msg(out.verdict == DL_QUEUED, "%s", c->what);
+	ck_assert(!dl_pool_next(pool, now, &out));
+	ck_assert_int_le(dl_pool_wakeup(pool), now + c->refused_ms);
+	now += c->refused_ms + 1;
+	ck_assert_msg(dl_pool_next(pool, now, &out), "%s", c->what);
+	ck_assert_uint_eq(out.request, ask.request);
+	ck_assert_int_eq(out.reason, DL_REASON_DEADLINE);
+}
+END_TEST
+
 /* Only a service with an engine model can use the answers. */
 START_TEST(services_without_an_engine_model_are_not_queried)
 {
@@ -430,6 +484,9 @@
 	tcase_add_test(t, answer_of_a_replaced_instance_is_void);
 	tcase_add_test(t, unexpected_answers_are_ignored);
 	tcase_add_test(t, repeated_takeovers_share_their_queries);
+	tcase_add_loop_test(t, overdue_streams_do_not_wait_for_an_engine, 0,
+			    sizeof(overdue_queued_cases) /
+				    sizeof(overdue_queued_cases[0]));
 	tcase_add_loop_test(t, services_without_an_engine_model_are_not_queried,
 			    0, 2);
 	return suite_run(suite);
