A stream with a slow body is served

What callers saw: a stream whose body takes longer than two seconds (four targets or eight gaps of its route) got 503 "deadline" with an idle engine at hand, each time, so a retry did not help either.

Cause: the time at which its caller gives up was counted from the first byte of the request. A caller that still sends does not wait for an answer; it does from the end of its body on. The deadline of the whole request counts from the first byte as before.

Before: test_system_slow_body_refused 4 of 4 refused, with bodies of 4.5 s and of 2.5 s. After: 4 of 4 whole. test_system_admitted_too_late and test_system_stop_reading, whose bodies take 1.5 s, pass.

--- a/src/entry/entry_call.c
+++ b/src/entry/entry_call.c
@@ -197,7 +197,8 @@
 	c->http_owner.drained = on_drained;
 	c->e = e;
 	c->http = req;
-	c->arrived_at = entry_now(e) - dl_httpd_age_ms(req);
+	c->whole_at = entry_now(e);
+	c->arrived_at = c->whole_at - dl_httpd_age_ms(req);
 	c->id = ++e->next_id;
 	snprintf(c->id_text, sizeof(c->id_text), "%012lx-%lx",
 		 (unsigned long)e->node.self, (unsigned long)c->id);
--- a/src/entry/entry_grant.c
+++ b/src/entry/entry_grant.c
@@ -77,7 +77,7 @@
 	ask->gap_ms = c->stream ? c->route.gap_ms : 0;
 	if (c->routed && c->stream && !dl_httpd_begun(c->http))
 		ask->first_event_deadline =
-			c->arrived_at + c->route.caller_silence_ms;
+			c->whole_at + c->route.caller_silence_ms;
 	ask->tried = c->tried_count;
 	memcpy(ask->tried_ids, c->tried_ids, sizeof(ask->tried_ids));
 }
