--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -248,7 +248,7 @@
 	char id_text[REQUEST_ID_TEXT];
 	uint64_t claim_owner; /* hash of id_text: owner of its claims */
 	int64_t arrived_at, deadline;
-	int64_t whole_at; /* the body had arrived */
+	int64_t whole_at;   /* the body had arrived */
 	int64_t granted_at; /* the last time; 0: never */
 
 	/* the request */
