--- a/test/fake/preload_disk.c
+++ b/test/fake/preload_disk.c
@@ -12,9 +12,9 @@
  *
  * Other lines are comments.  A count begins anew whenever the content of the
  * file changes, so a script makes each content unique by a comment.  The kinds
- * of calls are in kind_names[].  An order may also name "record": a write of
- *more bytes than a marker of the journal, whose failure has no consequence. The
- * faults:
+ * of calls are in kind_names[].  An order may also name "record", a write of
+ * more bytes than a marker of the journal: a failed marker has no consequence.
+ * The faults:
  *
  *	no-room      ENOSPC; a write stores half, and fails if continued
  *	short        a write stores half of its data
