test_system_second_answer: the endpoint with the fault gets calls in each row

Of two idle endpoints with equal costs the one that is known first is chosen; the other gets a call only while that one is busy.

No fault of the product: any of two idle endpoints is as good. The endpoint without faults announces one slot now, so calls beyond it go to the other one. The checks stay the same; the row reaches the ejection of the other endpoint each time.

--- a/test/test_system_second_answer.sh
+++ b/test/test_system_second_answer.sh
@@ -10,7 +10,8 @@
 start_all
 configure_all
 sleep 2 # until the VMs have earned repeats
-start_stutter sound 1 pair --sound
+# With one slot, so that the other endpoint of its service gets calls as well.
+start_stutter sound 1 pair --sound --slots 1
 renew desk 2
 wait_endpoints_known sound
 
