Entries read as many large requests at a time as their memory bears

Ten requests of kept connections that endpoints had got are not answered.

Cause: buffer_mb bounds bodies that are whole. Until then the HTTP server holds them, and nothing bounds their sum.

Ruled out: the relay and slow readers (STREAM_HIGH_WATER bounds what is sent); a leak (the entry with sixteen of these clients at a time needs 120 MiB).

A request of more than 64 KiB is read once those before it leave room within buffer_mb, by the lengths that their heads tell; until then its connection is not read, and its client waits. One is always read. Looked at every 20 ms.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -43,6 +43,7 @@
 	  "responses of endpoints to another request than that sent")          \
 	X(streams_open, "requests in flight")                                  \
 	X(buffered_bytes, "request bytes buffered")                            \
+	X(reads_paused, "times a large request had to wait to be read")        \
 	X(streams_cut_short,                                                   \
 	  "streams that ended early though their connection ended in order")   \
 	X(answers_broken_off, "answers that began and could not be finished")  \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -140,6 +140,7 @@
 	/* callers */                                                          \
 	X(REQUEST_MALFORMED, DL_WARN, "http",                                  \
 	  "A request was refused before it was read whole.")                   \
+	X(READ_PAUSED, DL_INFO, "http", "A large request waits to be read.")   \
 	X(CALLER_SOCKET, DL_WARN, "http",                                      \
 	  "An option of a caller's socket could not be set.")                  \
 	/* peers */                                                            \
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -322,6 +322,7 @@
 		.body_max = BODY_MAX,
 		.conns_max = e->node.settings.connections_max,
 		.read_ms = READ_MS,
+		.reading_max = (size_t)e->node.settings.buffer_mb << 20,
 	};
 
 	if (e->node.settings.foreign)
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -10,6 +10,7 @@
 
 #include "base/metric.h"
 #include "base/msg.h"
+#include "transport/read_limit.h"
 #include "transport/sock.h"
 
 #define LISTEN_BACKLOG 1024
@@ -17,6 +18,7 @@
 	(256u << 10) /* most bytes queued for a slow client                    \
 		      */
 #define DISCONNECT_POLL_MS   250
+#define READ_LIMIT_POLL_MS   20
 #define STATUS_OK	     200
 #define STATUS_CLIENT_CLOSED 499
 #define MS_PER_S	     1000
@@ -38,6 +40,8 @@
 	h2o_accept_ctx_t accept_ctx;
 	uv_tcp_t listener;
 	uv_timer_t disconnect_poll;
+	uv_timer_t read_limit_poll;
+	struct dl_read_limit read_limit;
 	struct dl_httpd_req *requests;
 	struct dl_httpd_req *unwritten; /* answered, until h2o has written it */
 	struct client *clients;
@@ -73,6 +77,7 @@
 	h2o_socket_t *sock;
 	size_t answered; /* bytes written when the last request ended */
 	size_t taken;	 /* bytes read when the last request was whole */
+	struct dl_read read;
 };
 
 static int on_request(h2o_handler_t *self, h2o_req_t *h2o);
@@ -80,6 +85,7 @@
 static void on_stop(h2o_generator_t *self, h2o_req_t *h2o);
 static void on_accept(uv_stream_t *listener, int status);
 static void on_disconnect_poll(uv_timer_t *timer);
+static void on_read_limit_poll(uv_timer_t *timer);
 static void send_response(struct dl_httpd_req *req, uint16_t status,
 			  const struct dl_header *headers, size_t count,
 			  struct dl_str body);
@@ -125,6 +131,7 @@
 	struct client *client = data;
 
 	client_unlink(client);
+	dl_read_limit_remove(&client->server->read_limit, &client->read);
 	if (client->sock->bytes_written == client->answered)
 		return;
 	dl_count(DL_METRIC_requests_malformed, 1);
@@ -159,6 +166,7 @@
 	sock->on_close.cb = on_client_closing;
 	sock->on_close.data = client;
 	client_link(client);
+	dl_read_limit_add(&server->read_limit, &client->read, sock);
 	h2o_accept(&server->accept_ctx, sock);
 }
 
@@ -217,8 +225,10 @@
 {
 	struct client *client = client_of(req);
 
-	if (client)
-		client->taken = client->sock->bytes_read;
+	if (!client)
+		return;
+	client->taken = client->sock->bytes_read;
+	dl_read_limit_whole(&client->server->read_limit, &client->read);
 }
 
 /* Called when h2o frees the request, whether it was answered or not. */
@@ -325,6 +335,13 @@
 	}
 }
 
+static void on_read_limit_poll(uv_timer_t *timer)
+{
+	struct dl_httpd *server = timer->data;
+
+	dl_read_limit_update(&server->read_limit);
+}
+
 static void config_init(struct dl_httpd *server)
 {
 	h2o_hostconf_t *host;
@@ -384,6 +401,10 @@
 	server->listener.data = server;
 	uv_timer_init(loop, &server->disconnect_poll);
 	server->disconnect_poll.data = server;
+	uv_timer_init(loop, &server->read_limit_poll);
+	server->read_limit_poll.data = server;
+	server->read_limit.max = conf->reading_max;
+	server->read_limit.body_max = conf->body_max;
 	rc = start_listening(server);
 	if (rc)
 		return dl_err_set(err, rc, DL_STEP_CONNECT,
@@ -392,6 +413,9 @@
 	server->accepting = true;
 	uv_timer_start(&server->disconnect_poll, on_disconnect_poll,
 		       DISCONNECT_POLL_MS, DISCONNECT_POLL_MS);
+	if (conf->reading_max)
+		uv_timer_start(&server->read_limit_poll, on_read_limit_poll,
+			       READ_LIMIT_POLL_MS, READ_LIMIT_POLL_MS);
 	*out = server;
 	return 0;
 }
@@ -432,6 +456,7 @@
 {
 	dl_httpd_stop_accepting(server);
 	uv_close((uv_handle_t *)&server->disconnect_poll, NULL);
+	uv_close((uv_handle_t *)&server->read_limit_poll, NULL);
 }
 
 /* Returns the method as it was sent. */
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -19,6 +19,8 @@
 	size_t body_max;    /* larger bodies are answered with 413 */
 	uint32_t conns_max; /* further connections are closed at once */
 	uint32_t read_ms;   /* limit on the time to receive a request */
+	/* of large requests that are not whole yet; 0: no limit */
+	size_t reading_max;
 };
 
 struct dl_httpd_ops {
