tool_callers: a body is sent once

Cause, from 8 of 24 runs of it at once beside 14 busy processes: always the caller of time 0, whose answer was whole and followed by a reset. The entry closed its connection with 6 bytes unread, "prompt", a second body. The tool took a time of sending of 0 for "not sent yet" and sent the body again within that millisecond.

Ruled out: an answer that the process left unwritten as it ended; in each of these runs the connection was closed two seconds before the exit.

A flag says now that the body is sent.

--- a/test/tool_callers.c
+++ b/test/tool_callers.c
@@ -97,7 +97,7 @@
 	int at_ms;
 	int64_t body_at, sent_at, ended_at; /* sent_at: the last byte */
 	bool warm;			    /* its first answer is awaited */
-	bool ready, head_sent;
+	bool ready, head_sent, body_sent;
 	int status;
 	enum result result;
 	GString *in;
@@ -193,6 +193,7 @@
 {
 	if (send_bytes(c, BODY, BODY_LENGTH))
 		c->sent_at = now_ms();
+	c->body_sent = true;
 }
 
 /* Whether the bytes that came are a whole response. */
@@ -240,7 +241,7 @@
 	if (c->in->len > 12)
 		c->status = atoi(c->in->str + 9);
 	if (c->in->len == 0)
-		end(c, c->sent_at && now_ms() - c->sent_at > UNREAD_MS ?
+		end(c, c->body_sent && now_ms() - c->sent_at > UNREAD_MS ?
 			       RESULT_NONE :
 			       RESULT_GONE);
 	else if (!whole)
@@ -269,7 +270,8 @@
 	}
 	if (c->in->len)
 		judge(c, false, false);
-	if (c->fd >= 0 && c->sent_at && now_ms() - c->sent_at > opt.timeout_ms)
+	if (c->fd >= 0 && c->body_sent &&
+	    now_ms() - c->sent_at > opt.timeout_ms)
 		end(c, c->in->len ? RESULT_CUT : RESULT_NONE);
 }
 
@@ -279,7 +281,7 @@
 		return;
 	if (!c->head_sent && now >= c->at_ms)
 		send_head(c);
-	if (!c->result && c->head_sent && !c->sent_at && now >= c->body_at)
+	if (!c->result && c->head_sent && !c->body_sent && now >= c->body_at)
 		send_body(c);
 	if (c->fd >= 0)
 		read_caller(c);
@@ -287,7 +289,7 @@
 
 static bool is_late(const struct caller *c)
 {
-	return c->result == RESULT_REFUSED && c->sent_at &&
+	return c->result == RESULT_REFUSED && c->body_sent &&
 	       c->ended_at - c->sent_at > opt.refuse_ms;
 }
 
