--- a/src/coordination/pool_engine.c
+++ b/src/coordination/pool_engine.c
@@ -175,8 +175,7 @@
 	return POOL_CHOSEN;
 }
 
-/* Prefill time of a request on as many idle engines as it may be split among.
- */
+/* Prefill time of a request that is split among idle engines, at best. */
 static double shortest_prefill_ms(const struct dl_pool *pool,
 				  const struct pool_want *want)
 {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -536,15 +536,15 @@
 /* Refuse a request because the version in force is not confirmed. */
 void entry_route_refuse_no_quorum(struct call *c);
 uint64_t entry_route_output_made(const struct call *c);
+bool entry_route_authorize(struct call *c, const struct dl_route_conf **route);
+bool entry_route_has_service(const struct call *c,
+			     const struct dl_route_conf *route);
 
 /* entry_stop.c */
 void entry_stop_forecast(struct call *c, const struct dl_service_conf *service);
 void entry_stop_note_ended(const struct call *c);
 bool entry_stop_refuses(struct call *c);
 void entry_stop_tick(struct entry *e, int64_t now);
-bool entry_route_authorize(struct call *c, const struct dl_route_conf **route);
-bool entry_route_has_service(const struct call *c,
-			     const struct dl_route_conf *route);
 
 /* entry_relay.c */
 void entry_relay_start(struct call *c);
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -88,11 +88,13 @@
 bool dl_httpd_begun(const struct dl_httpd_req *req);
 /* How many bytes of a response's body were queued. */
 size_t dl_httpd_body_bytes(const struct dl_httpd_req *req);
+/* How many of them wait for the client to read. */
 size_t dl_httpd_unread_bytes(const struct dl_httpd_req *req);
 /* Ends a stream; if it is not complete, breaks the connection to show that. */
 void dl_httpd_finish(struct dl_httpd_req *req, bool complete);
-/* Whether a client still reads a response that has been handed over. */
+/* Whether a part of a request has come, and the rest is awaited. */
 bool dl_httpd_is_reading(const struct dl_httpd *server);
+/* Whether a client still reads a response that has been handed over. */
 bool dl_httpd_has_unwritten(const struct dl_httpd *server);
 /* Before the process ends: logs these, which its end breaks off. */
 void dl_httpd_abandon_unwritten(struct dl_httpd *server);
