httpc: an answer that ends before its request was sent is not whole

What callers saw: a runner answered a long upload at once, with a 200 that had neither length nor chunks, sent part of its body and reset the connection while the upload was still being written.

Cause: such an answer ends with its connection. A reset was told from an orderly end by SO_ERROR alone. A write that fails takes that error from the socket, on_written() let it pass as something had been received, and the read after it finds an orderly end. It takes a write between the arrival of the reset and the next read, so it is rare.

Ruled out: libuv's own short cut (data and a reset in one iteration) leaves SO_ERROR set; a reset without a write in between was told already.

Change: the end of a connection ends an answer only if the endpoint had the whole request: it was written without an error, and the peer has acknowledged it. So an orderly close during the upload counts as broken off as well; the kernel makes a reset of it wherever bytes lie unread. Answers with a length or chunks are taken as before. A connection whose request could not be written is not kept.

--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -424,25 +424,37 @@
 	if (call->attempt.received != DL_RECV_NOT_RUN)
 		call->attempt.received = DL_RECV_COMPLETE;
 	if (call->reuse && call->framing != DL_FRAMING_CLOSE && n == 0 &&
-	    !conn->writing && conn->idle_ms &&
+	    conn->request_written && conn->idle_ms &&
 	    http_should_keep_alive(&conn->parser))
 		httpc_pool_add(conn);
 	schedule_end(call, DL_FAILURE_NONE, DL_STEP_NONE, "");
 }
 
+/*
+ * Whether the peer has got the whole request.  A write that failed has taken
+ * the error of a reset from the socket, which then ends like an orderly close.
+ */
+static bool has_whole_request(const struct conn *conn)
+{
+	return conn->request_written && dl_sock_is_acknowledged(&conn->tcp);
+}
+
 /* Handles the end of a call's connection; err is UV_EOF for an orderly close.
  */
 void httpc_call_conn_end(struct conn *conn, int err)
 {
 	struct dl_httpc_call *call = conn->call;
+	const char *why = uv_strerror(err);
 
 	if (err == UV_EOF && call->attempt.received != DL_RECV_NOTHING &&
 	    call->framing == DL_FRAMING_CLOSE) {
-		end_complete(call, 0);
-		return;
+		if (has_whole_request(conn)) {
+			end_complete(call, 0);
+			return;
+		}
+		why = "connection was closed before the request was sent";
 	}
-	schedule_end(call, DL_FAILURE_RESET, current_step(call),
-		     uv_strerror(err));
+	schedule_end(call, DL_FAILURE_RESET, current_step(call), why);
 }
 
 /*
@@ -511,7 +523,7 @@
 {
 	struct conn *conn = req->data;
 
-	conn->writing = false;
+	conn->request_written = !status;
 	if (status && !conn->closing && conn->call &&
 	    conn->call->attempt.received == DL_RECV_NOTHING)
 		schedule_end(conn->call, DL_FAILURE_RESET, DL_STEP_SEND,
@@ -565,10 +577,9 @@
 	conn->write.data = conn;
 	call->attempt.sent = DL_SENT_ALL;
 	call->sent_at = httpc_now(call->client);
-	conn->writing = true;
+	conn->request_written = false;
 	if (uv_write(&conn->write, (uv_stream_t *)&conn->tcp, bufs,
 		     call->body.n ? 2 : 1, on_written)) {
-		conn->writing = false;
 		schedule_end(call, DL_FAILURE_RESET, DL_STEP_SEND,
 			     "cannot write to the connection");
 		return;
--- a/src/transport/httpc_conn.c
+++ b/src/transport/httpc_conn.c
@@ -387,13 +387,6 @@
 	check_all_failed(call);
 }
 
-static void on_open_written(uv_write_t *req, int status)
-{
-	struct conn *conn = req->data;
-
-	conn->writing = false;
-}
-
 /* Asks the VM that was connected to for the endpoint. */
 static int send_open(struct conn *conn)
 {
@@ -413,9 +406,7 @@
 		return UV_ENOMEM;
 	buf = uv_buf_init(conn->open_frame, (unsigned)n);
 	conn->write.data = conn;
-	conn->writing = true;
-	return uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1,
-			on_open_written);
+	return uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1, NULL);
 }
 
 static void on_conn_connected(uv_connect_t *req, int status)
--- a/src/transport/httpc_int.h
+++ b/src/transport/httpc_int.h
@@ -38,9 +38,9 @@
 	struct dl_frame_reader in; /* of a forwarded one */
 	char *open_frame;
 	struct dl_conn_usage usage;
-	uint32_t idle_ms; /* how long it may stay idle in the pool */
-	bool opened;	  /* requests can be sent on it */
-	bool writing;
+	uint32_t idle_ms;     /* how long it may stay idle in the pool */
+	bool opened;	      /* requests can be sent on it */
+	bool request_written; /* the request has been written to its end */
 	bool closing;
 	bool response_ended; /* the response has been read to its end */
 };
--- a/src/transport/sock.c
+++ b/src/transport/sock.c
@@ -3,6 +3,8 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/param.h>
 #include <sys/socket.h>
 
@@ -43,6 +45,16 @@
 	return err != 0;
 }
 
+/* Whether the peer has acknowledged all that was written to the socket. */
+bool dl_sock_is_acknowledged(const uv_tcp_t *tcp)
+{
+	uv_os_fd_t fd;
+	int unacknowledged = 0;
+
+	return !uv_fileno((const uv_handle_t *)tcp, &fd) &&
+	       !ioctl(fd, SIOCOUTQ, &unacknowledged) && !unacknowledged;
+}
+
 /*
  * Returns how many bytes have arrived and were not read: at most max, and at
  * most UNREAD_MAX; -EPIPE if the peer has closed the connection.
--- a/src/transport/sock.h
+++ b/src/transport/sock.h
@@ -17,6 +17,9 @@
  * the error is then still pending on the socket.
  */
 bool dl_sock_was_reset(const uv_tcp_t *tcp);
+/* Reports whether the peer's socket has got all that was written to this one.
+ */
+bool dl_sock_is_acknowledged(const uv_tcp_t *tcp);
 /*
  * Returns how many bytes have arrived and were not read, as far as max; 0 also
  * where that is not known, and -EPIPE if the peer has closed the connection.
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -5,6 +5,7 @@
  */
 #include <arpa/inet.h>
 #include <check.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -708,6 +709,116 @@
 	return conn;
 }
 
+/* More than the sockets of both ends hold. */
+#define UPLOAD_BYTES (32u << 20)
+/* Fits into the client's socket, but not into the server's. */
+#define UPLOAD_IN_SOCKET_BYTES (1u << 20)
+#define DRAIN_MS	       50
+
+/* What an endpoint does that answers before it has the whole request. */
+struct early {
+	const char *name;
+	const char *text;
+	size_t upload;
+	bool reads;	    /* what the client has written, before it answers */
+	bool resets_midway; /* as the client reads the body, before it writes */
+	enum dl_received received;
+};
+
+#define UNMARKED "HTTP/1.1 200 OK\r\n\r\n"
+static const struct early earlies[] = {
+	{ "reset between a read and a write", UNMARKED "part", UPLOAD_BYTES,
+	  true, true, DL_RECV_HEAD },
+	{ "closed while the request is written", UNMARKED "part", UPLOAD_BYTES,
+	  true, false, DL_RECV_HEAD },
+	{ "closed while the request is in the socket", UNMARKED "part",
+	  UPLOAD_IN_SOCKET_BYTES, false, false, DL_RECV_HEAD },
+	{ "with a length, reset between a read and a write", LENGTH "hello",
+	  UPLOAD_BYTES, true, true, DL_RECV_COMPLETE },
+	{ "with a length, closed", LENGTH "hello", UPLOAD_BYTES, true, false,
+	  DL_RECV_COMPLETE },
+	{ "in chunks, closed", CHUNKED "5\r\nhello\r\n0\r\n\r\n", UPLOAD_BYTES,
+	  true, false, DL_RECV_COMPLETE },
+};
+
+static int early_conn; /* to be reset as the client reads a body; -1: none */
+
+static void reset_by_hand(int fd)
+{
+	const struct linger reset = { .l_onoff = 1 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+}
+
+static bool on_early_body(void *arg, struct dl_str piece)
+{
+	if (early_conn >= 0)
+		reset_by_hand(early_conn);
+	early_conn = -1;
+	return true;
+}
+
+static const struct dl_httpc_ops early_ops = { .body = on_early_body,
+					       .end = on_end };
+
+/* Reads all that the client's socket holds, so that it can be written to. */
+static void drain_by_hand(int conn)
+{
+	static char bytes[65536];
+	struct pollfd p = { .fd = conn, .events = POLLIN };
+
+	while (poll(&p, 1, DRAIN_MS) > 0 &&
+	       read(conn, bytes, sizeof(bytes)) > 0)
+		;
+}
+
+/*
+ * Guards against a part of an answer that is taken for the whole of it, as its
+ * endpoint ends the connection before it has the whole request: the write that
+ * fails takes the error of the socket, so that the read after it finds an
+ * orderly end.
+ */
+START_TEST(answer_before_the_whole_request)
+{
+	const struct early *early = &earlies[_i];
+	char *upload = calloc(1, early->upload);
+	struct dl_httpc_req req = { .address = ADDRESS,
+				    .method = DL_STR("POST"),
+				    .path = DL_STR("/"),
+				    .body = { upload, early->upload },
+				    .connect_ms = 1000,
+				    .idle_ms = 3000,
+				    .close_delimited = true };
+	struct dl_httpc *client;
+	int conn;
+
+	setup_client(&client);
+	conn = listen_by_hand();
+	ck_assert_ptr_nonnull(dl_httpc_start(client, &req, &early_ops, NULL));
+	conn = accept_by_hand(conn);
+	ck_assert_int_ge(conn, 0);
+	for (int i = 0; i < 3; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	if (early->reads)
+		drain_by_hand(conn);
+	ck_assert_int_eq(write(conn, early->text, strlen(early->text)),
+			 strlen(early->text));
+	early_conn = early->resets_midway ? conn : -1;
+	if (!early->resets_midway)
+		shutdown(conn, SHUT_WR);
+	for (int i = 0; i < ITERATIONS_MAX && !ended; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_eq(ended, 1);
+	ck_assert_msg(result.received == early->received, "%s: received %d",
+		      early->name, result.received);
+	ck_assert_msg((result.failure == DL_FAILURE_NONE) ==
+			      (early->received == DL_RECV_COMPLETE),
+		      "%s: failure %d", early->name, result.failure);
+	free(upload);
+}
+END_TEST
+
 static void start_reusing_call(struct dl_httpc *client)
 {
 	struct dl_httpc_req req = { .address = ADDRESS,
@@ -920,6 +1031,8 @@
 	tcase_add_loop_test(t, each_cut_of_a_head, 0, count_cuts());
 	tcase_add_loop_test(t, each_cut_of_a_head_through_another_vm, 0,
 			    count_cuts());
+	tcase_add_loop_test(t, answer_before_the_whole_request, 0,
+			    (int)(sizeof(earlies) / sizeof(earlies[0])));
 	tcase_add_test(t, response_sent_during_a_pause_is_read);
 	tcase_add_test(t, unread_bytes_are_no_response_to_the_next_request);
 	tcase_add_test(t, bytes_before_the_request_are_no_response);
