tunnel: no orderly end of an answer before its request was sent

Cause: on_endpoint_read() asks SO_ERROR whether the endpoint's connection was reset. Where bytes of the client and the reset arrive together, the write of these bytes has taken the error, and its failure is told by libuv after the read that finds an orderly end. The client got the frame of an orderly end.

Change: the frame is sent only if the endpoint had got all that the client had sent: nothing is queued (a failed write is, until its callback), all is acknowledged, and nothing lies unread on the client's connection. Otherwise both connections are reset, as for a reset.

Remains: bytes that reach the forwarding VM after the endpoint's orderly end are not seen by it; the client takes the answer for whole if they were acknowledged before the frame arrives.

--- a/src/transport/tunnel.c
+++ b/src/transport/tunnel.c
@@ -498,6 +498,18 @@
 		tunnel_close(t, true);
 }
 
+/*
+ * Whether the endpoint has got all that the client has sent.  A write that
+ * failed is still queued, and has taken the error of a reset from the socket.
+ */
+static bool has_whole_request(const struct tunnel *t)
+{
+	return !uv_stream_get_write_queue_size(
+		       (const uv_stream_t *)&t->endpoint.tcp) &&
+	       dl_sock_is_acknowledged(&t->endpoint.tcp) &&
+	       dl_sock_unread(&t->client.tcp, 1) <= 0;
+}
+
 /* Bytes that come before a request are no response: they end the tunnel. */
 static void on_endpoint_read(uv_stream_t *stream, ssize_t n,
 			     const uv_buf_t *buf)
@@ -509,7 +521,8 @@
 	if (n > 0 && t->asked)
 		send_frame(t, DL_FRAME_TUNNEL_DATA, 0,
 			   (struct dl_str){ buf->base, (size_t)n });
-	else if (n == UV_EOF && !dl_sock_was_reset(&t->endpoint.tcp))
+	else if (n == UV_EOF && !dl_sock_was_reset(&t->endpoint.tcp) &&
+		 has_whole_request(t))
 		send_last(t, DL_FRAME_TUNNEL_END, 0);
 	else
 		tunnel_close(t, true);
--- a/test/test_tunnel.c
+++ b/test/test_tunnel.c
@@ -3,6 +3,7 @@
  * that dies or misbehaves makes of a request, and bounds on what is forwarded.
  */
 #include <check.h>
+#include <glib.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
@@ -620,6 +621,132 @@
 }
 END_TEST
 
+/* What an endpoint does that ends its answer before it has the request. */
+enum early_end {
+	/* Its end and more of the request arrive together, in either order. */
+	RESET_BEFORE_BYTES,
+	RESET_AFTER_BYTES,
+	CLOSED_WITH_BYTES_QUEUED, /* by the VM in between */
+	CLOSED_WITH_BYTES_UNREAD,
+	EARLY_ENDS,
+};
+
+/* Connects to a VM by hand and has it forward a connection to ENDPOINT. */
+static int open_by_hand(struct server *endpoint)
+{
+	struct dl_frame open = { .kind = DL_FRAME_TUNNEL_OPEN,
+				 .request = ENDPOINT };
+	struct sockaddr_in sin = dl_sock_addr(VM_ONE);
+	int fd = socket(AF_INET, SOCK_STREAM, 0), on = 1;
+	char answer[64];
+	size_t n = 0;
+	char *bytes = dl_frame_bytes(&open, &n);
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	ck_assert_int_eq(connect(fd, (void *)&sin, sizeof(sin)), 0);
+	ck_assert_int_eq(send(fd, bytes, n, MSG_NOSIGNAL), (ssize_t)n);
+	free(bytes);
+	run_ms(60);
+	ck_assert_int_eq(endpoint->accepted, 1);
+	ck_assert_int_gt(recv(fd, answer, sizeof(answer), MSG_DONTWAIT), 0);
+	return fd;
+}
+
+/* Sends what the sockets and the VM in between take. */
+static void fill(int fd)
+{
+	for (int i = 0; i < 100; i++) {
+		while (send(fd, buffer, sizeof(buffer),
+			    MSG_NOSIGNAL | MSG_DONTWAIT) > 0)
+			;
+		uv_run(&loop, UV_RUN_NOWAIT);
+	}
+}
+
+/* Ends the endpoint's side after a part of an answer. */
+static void answer_in_part(struct server *endpoint, bool reset)
+{
+	static const char part[] = "HTTP/1.1 200 OK\r\n\r\npart";
+	const struct linger linger = { .l_onoff = 1 };
+	uv_os_fd_t fd;
+
+	uv_fileno((uv_handle_t *)endpoint->conn, &fd);
+	ck_assert_int_eq(send(fd, part, sizeof(part) - 1, MSG_NOSIGNAL),
+			 sizeof(part) - 1);
+	if (!reset) {
+		shutdown(fd, SHUT_WR);
+		return;
+	}
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	uv_close((uv_handle_t *)endpoint->conn, on_conn_closed);
+}
+
+/* Reads frames until the connection ends; returns whether one is the last. */
+static bool is_ended_in_order(int fd)
+{
+	struct dl_frame end = { .kind = DL_FRAME_TUNNEL_END };
+	GString *in = g_string_new(NULL);
+	size_t n = 0;
+	char *bytes = dl_frame_bytes(&end, &n);
+	ssize_t got;
+	bool ended;
+
+	while ((got = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0)
+		g_string_append_len(in, buffer, got);
+	ended = in->len >= n && memcmp(in->str + in->len - n, bytes, n) == 0;
+	free(bytes);
+	g_string_free(in, TRUE);
+	return ended;
+}
+
+/*
+ * Guards against a part of an answer that is taken for the whole of it: the VM
+ * in between must not tell of an orderly end if the endpoint has not got all
+ * that was sent.
+ */
+START_TEST(answer_before_the_whole_request_has_no_end)
+{
+	struct server endpoint;
+	int fd;
+
+	setup();
+	open_tunnels(VM_ONE, 4);
+	serve(&endpoint, ENDPOINT, NULL);
+	endpoint.stalls = _i == CLOSED_WITH_BYTES_QUEUED;
+	fd = open_by_hand(&endpoint);
+	ck_assert_int_eq(send(fd, "head", 4, MSG_NOSIGNAL), 4);
+	run_ms(30);
+	if (_i == CLOSED_WITH_BYTES_QUEUED)
+		fill(fd);
+	if (_i == RESET_AFTER_BYTES)
+		ck_assert_int_eq(send(fd, "body", 4, MSG_NOSIGNAL), 4);
+	answer_in_part(&endpoint, _i <= RESET_AFTER_BYTES);
+	if (_i == RESET_BEFORE_BYTES || _i == CLOSED_WITH_BYTES_UNREAD)
+		ck_assert_int_eq(send(fd, "body", 4, MSG_NOSIGNAL), 4);
+	run_ms(60);
+	ck_assert(!is_ended_in_order(fd));
+	close(fd);
+}
+END_TEST
+
+START_TEST(answer_to_the_whole_request_has_an_end)
+{
+	struct server endpoint;
+	int fd;
+
+	setup();
+	open_tunnels(VM_ONE, 4);
+	serve(&endpoint, ENDPOINT, NULL);
+	fd = open_by_hand(&endpoint);
+	ck_assert_int_eq(send(fd, "head", 4, MSG_NOSIGNAL), 4);
+	run_ms(30);
+	answer_in_part(&endpoint, false);
+	run_ms(60);
+	ck_assert(is_ended_in_order(fd));
+	close(fd);
+}
+END_TEST
+
 static void on_http(void *arg, struct dl_httpd_req *req)
 {
 	(*(int *)arg)++;
@@ -709,6 +836,9 @@
 	tcase_add_test(t, malformed_opening_closes_only_its_connection);
 	tcase_add_loop_test(t, malformed_frame_of_a_vm_breaks_the_request, 0,
 			    2);
+	tcase_add_loop_test(t, answer_before_the_whole_request_has_no_end, 0,
+			    EARLY_ENDS);
+	tcase_add_test(t, answer_to_the_whole_request_has_an_end);
 	tcase_add_test(t, no_connection_has_a_user_timeout);
 	return suite_run(s);
 }
