response_head: a status outside of 100 to 599 is no status

Cause: the check of a status line asks for three digits, http-parser for a number up to 999; none asks whether HTTP has such a status (RFC 9110, 15).

Change: dl_head_check() takes 100 to 599, and exactly three digits. Another status is a malformed head as any other: the connection ends, nothing of it is passed on, and the request is repeated where that is allowed.

Handled already, by http-parser, and kept as rows: 000, 001, 099, 2000, 20, 2x0, -20, none, 101, 199.

--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -5,7 +5,9 @@
 #include <string.h>
 #include <sys/param.h>
 
+#define STATUS_MIN   100
 #define STATUS_FINAL 200 /* the lowest status of a final response */
+#define STATUS_MAX   599
 
 /* The start of a status line; '#' stands for a digit. */
 static const char status_start[] = "HTTP/#.# ###";
@@ -64,16 +66,28 @@
 	return NULL;
 }
 
+/* Checks a byte up to the status, which is complete with the last one. */
+static const char *check_status(struct dl_head_check *check, char c)
+{
+	if (!matches(status_start[check->line_n], c))
+		return "response does not start with a status line";
+	if (check->line_n++ >= STATUS_START_N - STATUS_DIGITS)
+		check->status = check->status * 10 + (uint32_t)(c - '0');
+	if (check->line_n == STATUS_START_N &&
+	    (check->status < STATUS_MIN || check->status > STATUS_MAX))
+		return "status is out of range";
+	return NULL;
+}
+
 /* Checks a byte of the status line. */
 static const char *check_status_line(struct dl_head_check *check, char c)
 {
-	if (check->line_n < STATUS_START_N) {
-		if (!matches(status_start[check->line_n], c))
-			return "response does not start with a status line";
-		if (check->line_n++ >= STATUS_START_N - STATUS_DIGITS)
-			check->status =
-				check->status * 10 + (uint32_t)(c - '0');
-		return NULL;
+	if (check->line_n < STATUS_START_N)
+		return check_status(check, c);
+	if (check->line_n == STATUS_START_N) {
+		if (c != ' ' && c != '\r' && c != '\n')
+			return "status does not have three digits";
+		check->line_n++;
 	}
 	if (c == '\n')
 		end_line(check);
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -330,6 +330,25 @@
 	  { "HTTP/1.1 103 Early Hints\r\nLink: <a" HELLO } },
 };
 
+#define AFTER_STATUS "\r\nContent-Length: 5\r\n\r\nhello"
+
+/* Heads that are none of HTTP/1.1. */
+static const struct broken bad_heads[] = {
+	{ "status 000", { "HTTP/1.1 000 Trouble" AFTER_STATUS } },
+	{ "status 001", { "HTTP/1.1 001 Trouble" AFTER_STATUS } },
+	{ "status 099", { "HTTP/1.1 099 Trouble" AFTER_STATUS } },
+	{ "status 600", { "HTTP/1.1 600 Trouble" AFTER_STATUS } },
+	{ "status 999", { "HTTP/1.1 999 Trouble" AFTER_STATUS } },
+	{ "status 2000", { "HTTP/1.1 2000 OK" AFTER_STATUS } },
+	{ "status 20", { "HTTP/1.1 20 OK" AFTER_STATUS } },
+	{ "status 2x0", { "HTTP/1.1 2x0 OK" AFTER_STATUS } },
+	{ "status -20", { "HTTP/1.1 -20 OK" AFTER_STATUS } },
+	{ "no status", { "HTTP/1.1 OK" AFTER_STATUS } },
+	{ "status 101, which nobody asked for",
+	  { "HTTP/1.1 101 Switching" AFTER_STATUS } },
+	{ "status 199", { "HTTP/1.1 199 Trouble" AFTER_STATUS } },
+};
+
 /* A body in chunks that goes on with other bytes than due. */
 static const struct broken broken_chunks[] = {
 	{ "other bytes behind a chunk", { CHUNKED "5\r\nhelloab0\r\n\r\n" } },
@@ -951,6 +970,16 @@
 }
 END_TEST
 
+/* A head in trouble must not be passed on as an answer. */
+START_TEST(bad_head_is_no_answer)
+{
+	check_broken(&bad_heads[_i]);
+	ck_assert_msg(heads_seen == 0 && result.received == DL_RECV_NOTHING,
+		      "%s: received %d, status %u", bad_heads[_i].name,
+		      result.received, result.status);
+}
+END_TEST
+
 /* A body in chunks found its way again in other bytes. */
 START_TEST(chunk_not_followed_by_line_end_breaks_response)
 {
@@ -1040,6 +1069,8 @@
 	tcase_add_loop_test(
 		t, two_heads_are_not_read_as_one, 0,
 		(int)(sizeof(joined_heads) / sizeof(joined_heads[0])));
+	tcase_add_loop_test(t, bad_head_is_no_answer, 0,
+			    (int)(sizeof(bad_heads) / sizeof(bad_heads[0])));
 	tcase_add_loop_test(
 		t, chunk_not_followed_by_line_end_breaks_response, 0,
 		(int)(sizeof(broken_chunks) / sizeof(broken_chunks[0])));
