response_head: an answer of another major version of HTTP is none

Cause: any two digits passed as the version. The framing of another major version than 1 is not known, so nothing says what its bytes are (RFC 9110, 2.5).

Change: the major version has to be 1.

Evidence: test_httpc bad_head_is_no_answer, versions 0.9, 2.0 and 9.9: 3 of 3 fail before, 0 now; test_response_head the same.

--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -12,6 +12,7 @@
 /* The start of a status line; '#' stands for a digit. */
 static const char status_start[] = "HTTP/#.# ###";
 #define STATUS_START_N (sizeof(status_start) - 1)
+#define MAJOR_AT       5 /* the digit of the major version */
 #define STATUS_DIGITS  3
 #define SIZE_BITS      64 /* of a chunk's size */
 #define DIGIT_BITS     4
@@ -71,6 +72,8 @@
 {
 	if (!matches(status_start[check->line_n], c))
 		return "response does not start with a status line";
+	if (check->line_n == MAJOR_AT && c != '1')
+		return "response is of another version of HTTP";
 	if (check->line_n++ >= STATUS_START_N - STATUS_DIGITS)
 		check->status = check->status * 10 + (uint32_t)(c - '0');
 	if (check->line_n == STATUS_START_N &&
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -347,6 +347,10 @@
 	{ "status 101, which nobody asked for",
 	  { "HTTP/1.1 101 Switching" AFTER_STATUS } },
 	{ "status 199", { "HTTP/1.1 199 Trouble" AFTER_STATUS } },
+	{ "version 0.9", { "HTTP/0.9 200 OK" AFTER_STATUS } },
+	{ "version 2.0", { "HTTP/2.0 200 OK" AFTER_STATUS } },
+	{ "version 9.9", { "HTTP/9.9 200 OK" AFTER_STATUS } },
+	{ "another protocol", { "ICAP/1.0 200 OK" AFTER_STATUS } },
 };
 
 /* A body in chunks that goes on with other bytes than due. */
--- a/test/test_response_head.c
+++ b/test/test_response_head.c
@@ -21,6 +21,7 @@
 static const char *const valid[] = {
 	"HTTP/1.1 200 OK\r\n\r\n",
 	"HTTP/1.0 404 Not Found\r\nA: b\r\n\r\n",
+	"HTTP/1.9 200 OK\r\n\r\n",
 	"HTTP/1.1 200\r\n\r\n",
 	"HTTP/1.1 200 \r\n\r\n",
 	"HTTP/1.1 599 Unknown\r\n\r\n",
@@ -45,6 +46,9 @@
 	"HTTP/1.1 -20 OK\r\n\r\n",
 	"HTTP/1.1  200 OK\r\n\r\n",
 	"HTTP/1.1\r\n\r\n",
+	"HTTP/0.9 200 OK\r\n\r\n",
+	"HTTP/2.0 200 OK\r\n\r\n",
+	"HTTP/9.9 200 OK\r\n\r\n",
 	"HTTP/1.1 200 OHTTP/1.1 200 OK\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nA: bHHTTP/1.1 503 Full\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nA b: c\r\n\r\n",
