response_head: a head does not begin with a folded line

What callers saw: a runner in trouble sent an answer whose first line after the status line began with a blank, and the caller got that line as a field whose name holds a blank.

Cause: the check of a head took each line that begins with a blank as one that continues the value before it; http-parser took it as a name, as its library is built without its strict checks. Before the first field there is no value to continue (RFC 9112, 2.2: reject).

Change: such a line is malformed unless a field came before it in its head. A folded line after a field is still joined to its value, as RFC 9112, 5.2 allows (http-parser: "a" CR LF " b" is "a b").

--- a/src/transport/response_head.c
+++ b/src/transport/response_head.c
@@ -48,6 +48,13 @@
 	check->inner_n = 0;
 }
 
+/* Handles the first byte of a field's name. */
+static void begin_field(struct dl_head_check *check)
+{
+	check->state = DL_HEAD_NAME;
+	check->has_field = true;
+}
+
 /* Handles the end of the head; an interim response is followed by another. */
 static void end_head(struct dl_head_check *check)
 {
@@ -108,10 +115,10 @@
 			check->state = DL_HEAD_LAST_LF;
 		else if (c == '\n')
 			end_head(check);
-		else if (c == ' ' || c == '\t')
+		else if (check->has_field && (c == ' ' || c == '\t'))
 			check->state = DL_HEAD_VALUE; /* a folded line */
 		else if (is_token(c))
-			check->state = DL_HEAD_NAME;
+			begin_field(check);
 		else
 			return "header name is malformed";
 		return NULL;
--- a/src/transport/response_head.h
+++ b/src/transport/response_head.h
@@ -25,6 +25,7 @@
 	uint32_t status;  /* its digits so far */
 	uint32_t inner_n; /* bytes of a status line within a line */
 	bool line_feed;	  /* has to follow: the last byte was CR */
+	bool has_field;	  /* whose value the next line may continue */
 };
 
 /*
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -351,6 +351,31 @@
 	{ "version 2.0", { "HTTP/2.0 200 OK" AFTER_STATUS } },
 	{ "version 9.9", { "HTTP/9.9 200 OK" AFTER_STATUS } },
 	{ "another protocol", { "ICAP/1.0 200 OK" AFTER_STATUS } },
+	{ "blank before the first name",
+	  { "HTTP/1.1 200 OK\r\n X-Folded: a" AFTER_STATUS } },
+	{ "tab before the first name",
+	  { "HTTP/1.1 200 OK\r\n\tX-Folded: a" AFTER_STATUS } },
+	{ "blank before the first name, in two reads",
+	  { "HTTP/1.1 200 OK\r\n", " X-Folded: a" AFTER_STATUS } },
+	{ "a length that goes on in the next line",
+	  { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n 1\r\n\r\nhello" } },
+	{ "no name", { "HTTP/1.1 200 OK\r\n: a" AFTER_STATUS } },
+	{ "no colon", { "HTTP/1.1 200 OK\r\nX-Name" AFTER_STATUS } },
+	{ "blank before the colon of a length",
+	  { "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nhello" } },
+	{ "blank before the colon of a coding",
+	  { "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n"
+	    "5\r\nhello\r\n0\r\n\r\n" } },
+	{ "length given twice",
+	  { "HTTP/1.1 200 OK\r\nContent-Length: 5" AFTER_STATUS } },
+	{ "length as a list",
+	  { "HTTP/1.1 200 OK\r\nContent-Length: 5, 5\r\n\r\nhello" } },
+	{ "length with a sign",
+	  { "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello" } },
+	{ "length below 0",
+	  { "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello" } },
+	{ "length and coding",
+	  { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" AFTER_STATUS } },
 };
 
 /* A body in chunks that goes on with other bytes than due. */
@@ -984,6 +1009,57 @@
 }
 END_TEST
 
+/* Bytes that no name of a field holds, and no value. */
+static bool is_no_name(int c)
+{
+	return c <= ' ' || c >= 0x7f || strchr("\"(),/;<=>?@[\\]{}", c);
+}
+
+static bool is_no_value(int c)
+{
+	return (c < ' ' && c != '\t' && c != '\n') || c == 0x7f;
+}
+
+/* Writes a byte by hand into the head of an answer; the test goes on. */
+static void check_byte(const char *before, int byte, const char *after)
+{
+	struct dl_httpc *client;
+	int fd, conn;
+
+	setup_client(&client);
+	fd = listen_by_hand();
+	start_reusing_call(client);
+	conn = accept_by_hand(fd);
+	ck_assert_int_ge(conn, 0);
+	while (read(conn, request, sizeof(request)) <= 0)
+		;
+	snprintf(request, sizeof(request), "%s%c%s", before, byte, after);
+	ck_assert_int_gt(
+		write(conn, request, strlen(before) + 1 + strlen(after)), 0);
+	close(conn);
+	for (int i = 0; i < ITERATIONS_MAX && !ended; i++)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert_int_eq(ended, 1);
+	ck_assert_msg(heads_seen == 0 && result.received == DL_RECV_NOTHING,
+		      "byte 0x%02x: received %d, body '%s'", (unsigned)byte,
+		      result.received, body);
+}
+
+START_TEST(byte_in_a_name_makes_the_answer_none)
+{
+	if (is_no_name(_i))
+		check_byte("HTTP/1.1 200 OK\r\nX-Na", _i, "me: a" AFTER_STATUS);
+}
+END_TEST
+
+START_TEST(byte_in_a_value_makes_the_answer_none)
+{
+	if (is_no_value(_i))
+		check_byte("HTTP/1.1 200 OK\r\nX-Name: a", _i,
+			   "b" AFTER_STATUS);
+}
+END_TEST
+
 /* A body in chunks found its way again in other bytes. */
 START_TEST(chunk_not_followed_by_line_end_breaks_response)
 {
@@ -1075,6 +1151,8 @@
 		(int)(sizeof(joined_heads) / sizeof(joined_heads[0])));
 	tcase_add_loop_test(t, bad_head_is_no_answer, 0,
 			    (int)(sizeof(bad_heads) / sizeof(bad_heads[0])));
+	tcase_add_loop_test(t, byte_in_a_name_makes_the_answer_none, 0, 256);
+	tcase_add_loop_test(t, byte_in_a_value_makes_the_answer_none, 0, 256);
 	tcase_add_loop_test(
 		t, chunk_not_followed_by_line_end_breaks_response, 0,
 		(int)(sizeof(broken_chunks) / sizeof(broken_chunks[0])));
--- a/test/test_response_head.c
+++ b/test/test_response_head.c
@@ -52,6 +52,10 @@
 	"HTTP/1.1 200 OHTTP/1.1 200 OK\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nA: bHHTTP/1.1 503 Full\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nA b: c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n A: b\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n\tA: b\r\n\r\n",
+	"HTTP/1.1 103 A\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n A: b\r\n\r\n",
+	"HTTP/1.1 103 A\nA: b\n\nHTTP/1.1 200 OK\n A: b\n\n",
 	"HTTP/1.1 200 OK\r\n\rHTTP/1.1 200 OK\r\n\r\n",
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: HTTP/1.1 200 OK",
 };
