httpc: a body in another coding than chunks is no answer

What callers saw: an answer with "Transfer-Encoding: gzip, chunked" was passed on as complete, with a body that is not the runner's: its chunks were taken off, the coding below them was not, and the field that names it is not passed on. With "gzip" or "chunked, gzip" the head was taken and the body held, and only the end of the connection made it a broken answer; up to there events of a stream in it were passed on.

Cause: only a coding given twice made a head malformed. http-parser takes chunks off where the last coding is "chunked", and nothing looked at the others. No request of ours asks for a coding (TE).

Change: the coding is "chunked" and nothing else; otherwise the head is malformed (RFC 9112, 6.1: a coding that is not understood).

"Chunked" in other letters and between blanks is still chunks (one row).

--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -300,9 +300,18 @@
 			0;
 }
 
+/* Whether a body has chunks and no other coding, which no caller asked for. */
+static bool is_chunked(struct dl_str coding)
+{
+	while (coding.n && g_ascii_isspace(coding.s[coding.n - 1]))
+		coding.n--;
+	return dl_header_is(coding, "chunked");
+}
+
 /*
  * Returns views of the headers, to be freed with g_free(), and acts on those
- * meant for this client. Sets *bad if the framing is given twice.
+ * meant for this client. Sets *bad if the framing is given twice, or the body
+ * has another coding than chunks.
  */
 static struct dl_header *read_headers(struct dl_httpc_call *call, bool *bad)
 {
@@ -322,7 +331,7 @@
 		if (dl_header_is(out[i].name, "content-length"))
 			call->framing = DL_FRAMING_LENGTH;
 		if (dl_header_is(out[i].name, "transfer-encoding")) {
-			*bad |= has_coding;
+			*bad |= has_coding || !is_chunked(out[i].value);
 			has_coding = true;
 		}
 		if (dl_header_is(out[i].name, "daisyledge-not-run"))
--- a/test/test_httpc.c
+++ b/test/test_httpc.c
@@ -108,6 +108,13 @@
 	  DL_RECV_COMPLETE,
 	  DL_FAILURE_NONE,
 	  "hello" },
+	{ "complete by chunks, the coding in other letters",
+	  { "HTTP/1.1 200 OK\r\nTransfer-Encoding:  Chunked \r\n\r\n"
+	    "5\r\nhello\r\n0\r\n\r\n" },
+	  SERVER_CLOSES,
+	  DL_RECV_COMPLETE,
+	  DL_FAILURE_NONE,
+	  "hello" },
 	{ "last chunk in a separate write",
 	  { CHUNKED "5\r\nhello\r\n", "0\r\n\r\n" },
 	  SERVER_CLOSES,
@@ -374,6 +381,16 @@
 	  { "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello" } },
 	{ "length below 0",
 	  { "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello" } },
+	{ "another coding",
+	  { "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nhello" } },
+	{ "another coding in chunks",
+	  { "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+	    "5\r\nhello\r\n0\r\n\r\n" } },
+	{ "chunks in another coding",
+	  { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n\r\n"
+	    "5\r\nhello\r\n0\r\n\r\n" } },
+	{ "a coding without a name",
+	  { "HTTP/1.1 200 OK\r\nTransfer-Encoding: \r\n\r\nhello" } },
 	{ "length and coding",
 	  { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" AFTER_STATUS } },
 };
