test_system_bad_heads: heads that are none of HTTP, through real processes

An emulated endpoint (tool_stutter) sends twelve kinds of bad heads, to calls that may be repeated, that may not, and to streams, directly and through another VM.

tool_answers also checks that an endpoint's answer has one of the statuses that it gives and that each line of a head begins with a name, and can ask that no more than so many calls are served.

--- a/test/answers_deploy.sh
+++ b/test/answers_deploy.sh
@@ -107,7 +107,7 @@
 	shift 3
 	ROWS=$((ROWS + 1))
 	case $kind in
-	stop-size | stop-between | stop-fits | stop-skips) set -- --framings chunks "$@" ;;
+	stop-size | stop-between | stop-fits | stop-skips | coding) set -- --framings chunks "$@" ;;
 	esac
 	case $route in
 	chat | choir) set -- --stream --method POST \
@@ -142,5 +142,5 @@
 
 end_rows() {
 	check_record
-	[ -z "$RED" ] || fail "answers that are not the caller's own, or too few:$RED"
+	[ -z "$RED" ] || fail "answers that are not the caller's own, too few or too many:$RED"
 }
--- a/test/tool_answers.c
+++ b/test/tool_answers.c
@@ -25,7 +25,7 @@
 static struct {
 	char *to, *path, *framings, *when, *tag, *method;
 	char **headers;
-	int calls, at_once, timeout_ms, deadline_ms, served_min;
+	int calls, at_once, timeout_ms, deadline_ms, served_min, served_max;
 	gboolean stream;
 } opt = { .framings = "length,chunks",
 	  .when = "now",
@@ -34,7 +34,8 @@
 	  .calls = 24,
 	  .at_once = 4,
 	  .timeout_ms = 6000,
-	  .deadline_ms = 2000 };
+	  .deadline_ms = 2000,
+	  .served_max = G_MAXINT };
 
 static const GOptionEntry options[] = {
 	{ "to", 0, 0, G_OPTION_ARG_STRING, &opt.to,
@@ -63,6 +64,8 @@
 	  "the answers consist of events", NULL },
 	{ "served-min", 0, 0, G_OPTION_ARG_INT, &opt.served_min,
 	  "fail if fewer are served", "N" },
+	{ "served-max", 0, 0, G_OPTION_ARG_INT, &opt.served_max,
+	  "fail if more are served", "N" },
 	{ NULL },
 };
 
@@ -73,7 +76,7 @@
 	WRONG_STATUS, /* one that neither an endpoint nor an entry gives */
 	WRONG_ID,     /* none, another's or several */
 	WRONG_STAMP,  /* none or several */
-	WRONG_HEADER, /* another value than the endpoint's */
+	WRONG_HEADER, /* another value than the endpoint's, or malformed */
 	WRONG_BODY,   /* not that of the run with the stamp, or not whole */
 	WRONGS,
 };
@@ -210,6 +213,27 @@
 	return !length.n || (size_t)(end - at) <= n;
 }
 
+/* Whether each line after the first begins with a name and a colon. */
+static bool has_names(struct dl_str head)
+{
+	for (const char *s = strstr(head.s, "\r\n") + 2;
+	     memcmp(s, "\r\n", 2) != 0; s = strstr(s, "\r\n") + 2) {
+		size_t n = 0;
+
+		while (g_ascii_isalnum(s[n]) || s[n] == '-')
+			n++;
+		if (!n || s[n] != ':')
+			return false;
+	}
+	return true;
+}
+
+/* Whether an endpoint answers so (test/tool_stutter.c). */
+static bool is_endpoint_status(int status)
+{
+	return status == 200 || status == 500;
+}
+
 /* Checks that a success or an endpoint's failure has the head of one run. */
 static enum wrong check_head(const struct caller *c, struct dl_str head,
 			     const char *stamp)
@@ -281,8 +305,12 @@
 	else if (*status / 100 != 2 && !*stamp)
 		wrong = is_entry_failure(*status) ? WRONG_NOTHING :
 						    WRONG_STATUS;
+	else if (*stamp && !is_endpoint_status(*status))
+		wrong = WRONG_STATUS;
 	else
 		wrong = check_head(c, head, stamp);
+	if (!wrong && head.n && !has_names(head))
+		wrong = WRONG_HEADER;
 	if (!wrong && (*status / 100 == 2 || *stamp) &&
 	    !is_own_body(c, *status, stamp, body, *whole))
 		wrong = WRONG_BODY;
@@ -322,7 +350,8 @@
 	if (hung)
 		printf(", %d without an end", hung);
 	printf("\n");
-	return not_own || hung || served < opt.served_min;
+	return not_own || hung || served < opt.served_min ||
+	       served > opt.served_max;
 }
 
 /* Reads what has come; judges the answer at the end of the connection. */
--- a/test/tool_stutter.c
+++ b/test/tool_stutter.c
@@ -49,6 +49,7 @@
 	FAULT_STOP,  /* the answer stops, and a whole one follows */
 	FAULT_CLOSE, /* two answers, of which only the close ends the first */
 	FAULT_IDS,   /* more than one attempt id in a head */
+	FAULT_HEAD,  /* a head that is none of HTTP */
 };
 
 /* Where the chunk in which an answer is cut ends in the second answer. */
@@ -65,11 +66,16 @@
 	bool no_id; /* of the copy */
 	bool fails; /* the whole answer is a 500 */
 	enum fit fit;
-	const char *ids; /* o: own, x: another, in their order */
+	const char *ids;    /* o: own, x: another, in their order */
+	const char *line;   /* in place of "HTTP/1.1 200 OK" */
+	const char *field;  /* the first one of the head */
+	const char *coding; /* in place of "chunked" */
 };
 
-#define COPY(at) .fault = FAULT_COPY, .cut = (at)
-#define STOP(at) .fault = FAULT_STOP, .cut = (at)
+#define COPY(at)    .fault = FAULT_COPY, .cut = (at)
+#define STOP(at)    .fault = FAULT_STOP, .cut = (at)
+#define LINE(text)  .fault = FAULT_HEAD, .line = (text)
+#define FIELD(text) .fault = FAULT_HEAD, .field = (text)
 static const struct kind kinds[] = {
 	{ .name = "none" },
 	{ .name = "copy", COPY(CUT_NONE) },
@@ -98,6 +104,18 @@
 	{ .name = "id-twice", .fault = FAULT_IDS, .ids = "oo" },
 	{ .name = "id-other-first", .fault = FAULT_IDS, .ids = "xo" },
 	{ .name = "id-other-last", .fault = FAULT_IDS, .ids = "ox" },
+	{ .name = "status-000", LINE("HTTP/1.1 000 Trouble") },
+	{ .name = "status-600", LINE("HTTP/1.1 600 Trouble") },
+	{ .name = "status-999", LINE("HTTP/1.1 999 Trouble") },
+	{ .name = "status-none", LINE("HTTP/1.1 Trouble") },
+	{ .name = "version-9", LINE("HTTP/9.9 200 OK") },
+	{ .name = "name-blank", FIELD("X Name: a") },
+	{ .name = "name-control", FIELD("X-\001Name: a") },
+	{ .name = "name-begins-blank", FIELD(" X-Name: a") },
+	{ .name = "name-ends-blank", FIELD("X-Name : a") },
+	{ .name = "name-none", FIELD(": a") },
+	{ .name = "value-control", FIELD("X-Name: a\001") },
+	{ .name = "coding", .fault = FAULT_HEAD, .coding = "gzip, chunked" },
 };
 
 enum framing {
@@ -262,7 +280,7 @@
 }
 
 static void append_framing(struct answer *a, enum framing framing,
-			   const GPtrArray *pieces)
+			   const char *coding, const GPtrArray *pieces)
 {
 	size_t length = 0;
 
@@ -272,7 +290,9 @@
 		g_string_append_printf(a->bytes, "Content-Length: %zu\r\n\r\n",
 				       length);
 	else if (framing == FRAMED_CHUNKS)
-		g_string_append(a->bytes, "Transfer-Encoding: chunked\r\n\r\n");
+		g_string_append_printf(a->bytes,
+				       "Transfer-Encoding: %s\r\n\r\n",
+				       coding ? coding : "chunked");
 	else
 		g_string_append(a->bytes, "\r\n");
 }
@@ -284,10 +304,15 @@
 	struct answer a = { .bytes = g_string_new(NULL) };
 	GPtrArray *pieces = pieces_of(r, status, stamp);
 
-	g_string_append_printf(a.bytes, "HTTP/1.1 %d %s\r\n", status,
-			       status == 200 ? "OK" : "Error");
+	if (r->kind->line)
+		g_string_append_printf(a.bytes, "%s\r\n", r->kind->line);
+	else
+		g_string_append_printf(a.bytes, "HTTP/1.1 %d %s\r\n", status,
+				       status == 200 ? "OK" : "Error");
 	a.cut[CUT_LINE] = strlen("HTTP/1.1 2");
 	a.cut[CUT_EOL] = a.bytes->len;
+	if (r->kind->field)
+		g_string_append_printf(a.bytes, "%s\r\n", r->kind->field);
 	append_header(&a, CUT_FIRST, "X-Machine", opt.instance);
 	append_ids(&a, r, ids);
 	append_header(&a, CUT_NONE, "Daisyledge-Response-Stamp", stamp);
@@ -299,7 +324,7 @@
 	else
 		g_string_append_printf(a.bytes, "Keep-Alive: timeout=%d\r\n",
 				       KEEP_ALIVE_S);
-	append_framing(&a, framing, pieces);
+	append_framing(&a, framing, r->kind->coding, pieces);
 	a.cut[CUT_BLANK] = a.head = a.bytes->len;
 	for (guint i = 0; i < pieces->len; i++) {
 		append_piece(&a, framing, (int)i, pieces->pdata[i]);
@@ -480,7 +505,7 @@
 	} else if (kind->fault == FAULT_COPY && !at_next) {
 		send_both(c, r, bytes, last_answer(c, kind), r->close);
 	} else {
-		if (kind->fault == FAULT_IDS)
+		if (kind->fault == FAULT_IDS || kind->fault == FAULT_HEAD)
 			note_fault(r->id, kind);
 		send_bytes(c, bytes, r->close);
 	}
