Entries hold no more of all answers together than their memory bears

What callers saw: a faulty runner sent a body without end, the VM kept what came of it for each call, ran out of memory and ended, and with it the requests of all other callers there (LOST).

Cause: what one answer may hold has a bound (8 MiB), the sum of them has none; buffer_mb counts the bodies of requests alone. A buffer that was sent on kept its memory beside the copy that waits for the caller. A native completion that is not streamed had no bound at all.

Ruled out: heads, trailers, extensions, interim responses, bytes that are no HTTP (test_system_endless_answers, bounded before); requests (48 callers without a body).

Answers may take buffer_mb too, counted as allocated. Up to half of it, one answer holds 8 MiB as before; from there 64 KiB, then it is sent as it comes and read as its caller reads; past all of it no answer is read on until there is memory, and no request is admitted. Sent buffers are freed. The text of a completion has 8 MiB.

--- a/src/base/metric.h
+++ b/src/base/metric.h
@@ -44,6 +44,8 @@
 	X(streams_open, "requests in flight")                                  \
 	X(buffered_bytes, "request bytes buffered")                            \
 	X(reads_paused, "times a large request had to wait to be read")        \
+	X(answer_bytes, "bytes of answers held for callers")                   \
+	X(answers_paused, "times an answer had to wait to be read")            \
 	X(streams_cut_short,                                                   \
 	  "streams that ended early though their connection ended in order")   \
 	X(answers_broken_off, "answers that began and could not be finished")  \
--- a/src/base/msg.h
+++ b/src/base/msg.h
@@ -141,6 +141,7 @@
 	X(REQUEST_MALFORMED, DL_WARN, "http",                                  \
 	  "A request was refused before it was read whole.")                   \
 	X(READ_PAUSED, DL_INFO, "http", "A large request waits to be read.")   \
+	X(ANSWER_PAUSED, DL_INFO, "http", "An answer waits to be read.")       \
 	X(CALLER_SOCKET, DL_WARN, "http",                                      \
 	  "An option of a caller's socket could not be set.")                  \
 	/* peers */                                                            \
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -242,6 +242,7 @@
 
 	entry_leaving_tick(e);
 	entry_call_tick(e, now);
+	entry_held_tick(e);
 	entry_stop_tick(e, now);
 	entry_grant_tick(e, now);
 	entry_retry_tick(e, now);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -277,6 +277,8 @@
 	struct dl_cause probed_cause;
 	uint64_t blamed_part; /* that is quarantined; 0: none */
 	size_t buffered;      /* bytes counted against buffer_mb */
+	size_t held;	      /* of its answer, see entry_held.c */
+	bool awaits_memory;   /* its answer is not read */
 
 	struct reservations *reservations; /* on engines; NULL for none */
 	bool routed; /* forwarded unchanged, see entry_route.c */
@@ -456,6 +458,8 @@
 	int64_t retry_ticked_at;
 	GHashTable *bytes_per_token; /* workspace to bytes * 1000 a token */
 	uint64_t buffered;	     /* bytes of requests in memory */
+	uint64_t answers_held;	     /* bytes that requests hold of answers */
+	bool answers_wait;	     /* some requests await memory */
 
 	/* commands and queries to the replicas */
 	struct entry_cmd *cmds;
@@ -499,6 +503,11 @@
 /* The connection of an attempt is established; nothing has been sent. */
 void entry_call_connected(struct call *c);
 
+/* entry_held.c */
+bool entry_held_has_room(const struct entry *e);
+size_t entry_held_max(const struct entry *e, size_t max);
+void entry_held_tick(struct entry *e);
+
 /* entry_retry.c */
 void entry_retry_init(struct entry *e);
 /* Sets the limit of a pool from the settings and the configuration. */
--- a/src/entry/entry_attempt.c
+++ b/src/entry/entry_attempt.c
@@ -74,6 +74,15 @@
 	c->has_probed |= c->probes;
 	c->framing = DL_FRAMING_NONE;
 	c->ending = DL_ENDING_BROKEN;
+	c->awaits_memory = false;
+}
+
+/* Empties the buffer of a response, and releases its memory. */
+void call_response_clear(struct call *c)
+{
+	if (c->response_buf)
+		g_string_free(c->response_buf, TRUE);
+	c->response_buf = g_string_new(NULL);
 }
 
 /* Counts an event of the response of the current attempt. */
--- a/src/entry/entry_call.c
+++ b/src/entry/entry_call.c
@@ -45,6 +45,7 @@
 		c->next->prev = c->prev;
 	e->calls_count--;
 	e->buffered -= c->buffered;
+	entry_held_forget(c);
 	dl_gauge(DL_METRIC_streams_open, e->calls_count);
 	dl_gauge(DL_METRIC_buffered_bytes, (int64_t)e->buffered);
 	if (c->claim_cmd)
@@ -332,6 +333,7 @@
 		c->final_body = g_string_new_len(c->response_buf->str,
 						 (gssize)c->response_buf->len);
 	}
+	entry_held_update(c);
 	entry_call_span(c, "body",
 			c->first_byte_at ? c->first_byte_at : c->attempt_at,
 			c->grant.endpoint[0].s);
@@ -371,7 +373,7 @@
 {
 	struct call *c = (struct call *)self;
 
-	if (c->attempt)
+	if (c->attempt && !c->awaits_memory)
 		dl_httpc_resume(c->attempt);
 }
 
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -15,6 +15,11 @@
 uint32_t call_tries(const struct call *c);
 void call_settle(struct call *c, enum dl_outcome outcome, uint16_t status);
 
+/* entry_held.c */
+void entry_held_update(struct call *c);
+void entry_held_forget(struct call *c);
+bool entry_held_may_read(struct call *c);
+
 /* entry_grant.c */
 void call_note_wait(struct call *c);
 void call_cancel_at(struct call *c, uint64_t vm);
@@ -30,6 +35,7 @@
 char *call_shared_parts_text(const struct call *c, char *text, size_t size);
 void call_attempt_begin(struct call *c);
 void call_note_event(struct call *c);
+void call_response_clear(struct call *c);
 void call_note_ending(struct call *c, const struct dl_attempt *attempt,
 		      bool stream, size_t unfinished);
 void call_note_tried(struct call *c);
--- a/src/entry/entry_read.c
+++ b/src/entry/entry_read.c
@@ -136,12 +136,6 @@
 		c->prefix_tokens = (uint32_t)(DL_PREFIX_BYTES * 1000 / milli);
 }
 
-/* Whether the buffers of this VM have room for another request. */
-static bool has_room(const struct entry *e)
-{
-	return e->buffered <= (uint64_t)e->node.settings.buffer_mb << 20;
-}
-
 /* Admits a request that has been read: claims its key, or asks at once. */
 static void submit(struct call *c, const struct dl_service_conf *service)
 {
@@ -154,7 +148,7 @@
 				  c->e->node.self, RETRY_AFTER_MS);
 		return;
 	}
-	if (!has_room(c->e)) {
+	if (!entry_held_has_room(c->e)) {
 		entry_call_refuse(c, DL_REASON_BUSY, DL_STEP_ADMIT,
 				  c->e->node.self, RETRY_AFTER_MS);
 		return;
@@ -260,7 +254,7 @@
 
 	if (refuse_without_conf(c))
 		return;
-	if (!has_room(e)) {
+	if (!entry_held_has_room(e)) {
 		entry_call_refuse(c, DL_REASON_BUSY, DL_STEP_READ, e->node.self,
 				  RETRY_AFTER_MS);
 		return;
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -284,10 +284,9 @@
 	c->endpoint_instance_id =
 		entry_endpoint_instance_id(c->e, dl_name_str(&c->service),
 					   dl_name_str(&c->grant.endpoint[0]));
-	if (!c->response_buf)
-		c->response_buf = g_string_new(NULL);
-	g_string_truncate(c->response_buf, 0);
+	call_response_clear(c);
 	dl_sse_close(&c->sse);
+	entry_held_update(c);
 	send_to(c, to);
 }
 
@@ -589,6 +588,12 @@
 	dl_httpc_reject(c->attempt, "another response begins in its body");
 }
 
+static void give_up_event(struct call *c)
+{
+	c->route.head.event_too_long = true;
+	dl_httpc_give_up(c->attempt, "an event is too long");
+}
+
 /* Forwards the events that are whole with the bytes received now. */
 static bool relay_events(struct call *c, struct dl_str piece)
 {
@@ -596,8 +601,7 @@
 	bool go_on = true;
 
 	if (dl_sse_feed(&c->sse, piece)) {
-		c->route.head.event_too_long = true;
-		dl_httpc_give_up(c->attempt, "an event is too long");
+		give_up_event(c);
 		return true;
 	}
 	while (dl_sse_next(&c->sse, &event)) {
@@ -614,6 +618,11 @@
 		}
 		go_on = relay_event(c, &event);
 	}
+	if (dl_sse_unfinished(&c->sse) >
+	    entry_held_max(c->e, DL_SSE_EVENT_MAX)) {
+		give_up_event(c);
+		return true;
+	}
 	check_trickle(c);
 	return go_on;
 }
@@ -627,10 +636,34 @@
 	       head->holds_response || head->unplaced;
 }
 
-static bool on_body(void *arg, struct dl_str piece)
+/*
+ * Holds a piece of a body, which is sent on as it comes once it is too long to
+ * be held; returns false where the caller has to read first.
+ */
+static bool hold_body(struct call *c, struct dl_str piece)
 {
-	struct call *c = arg;
+	size_t max = entry_held_max(c->e, HELD_BODY_MAX);
+	bool go_on;
+
+	g_string_append_len(c->response_buf, piece.s, (gssize)piece.n);
+	if (c->status >= STATUS_NO_SUCCESS &&
+	    c->response_buf->len > MIN(max, ERROR_BODY_MAX)) {
+		dl_httpc_give_up(c->attempt,
+				 "the body of an error is too long");
+		return true;
+	}
+	if (c->response_buf->len <= max)
+		return true;
+	begin_response(c);
+	go_on = dl_httpd_send(c->http, (struct dl_str){ c->response_buf->str,
+							c->response_buf->len });
+	call_response_clear(c);
+	return go_on;
+}
 
+/* Handles a piece of a body; returns false to stop reading for now. */
+static bool take_body(struct call *c, struct dl_str piece)
+{
 	if (is_rejected(c))
 		return true;
 	/* The body of an error is no part of a stream that has begun. */
@@ -640,20 +673,15 @@
 		return dl_httpd_send(c->http, piece);
 	if (c->route.head.is_event_stream)
 		return relay_events(c, piece);
-	g_string_append_len(c->response_buf, piece.s, (gssize)piece.n);
-	if (c->status >= STATUS_NO_SUCCESS &&
-	    c->response_buf->len > ERROR_BODY_MAX) {
-		dl_httpc_give_up(c->attempt,
-				 "the body of an error is too long");
-		return true;
-	}
-	if (c->response_buf->len > HELD_BODY_MAX) {
-		begin_response(c);
-		dl_httpd_send(c->http, (struct dl_str){ c->response_buf->str,
-							c->response_buf->len });
-		g_string_truncate(c->response_buf, 0);
-	}
-	return true;
+	return hold_body(c, piece);
+}
+
+static bool on_body(void *arg, struct dl_str piece)
+{
+	struct call *c = arg;
+	bool go_on = take_body(c, piece);
+
+	return entry_held_may_read(c) && go_on;
 }
 
 /*
--- a/src/entry/entry_route.c
+++ b/src/entry/entry_route.c
@@ -235,11 +235,6 @@
 	       c->route.event_tokens;
 }
 
-static bool has_room(const struct entry *e)
-{
-	return e->buffered <= (uint64_t)e->node.settings.buffer_mb << 20;
-}
-
 /* Routes and sizes a request, refuses it or asks for an endpoint. */
 static void admit(struct call *c, const struct dl_inbound *in)
 {
@@ -266,7 +261,7 @@
 	entry_stop_forecast(c, service);
 	if (entry_stop_refuses(c))
 		return;
-	if (!has_room(e)) {
+	if (!entry_held_has_room(e)) {
 		entry_call_refuse(c, DL_REASON_BUSY, DL_STEP_ADMIT,
 				  e->node.self, RETRY_SOON_MS);
 		return;
@@ -286,7 +281,7 @@
 	uint32_t ms = entry_lease_max_wait_ms(
 		c->e, left_ms > waited ? left_ms - waited : 0);
 
-	if (!ms || !has_room(c->e))
+	if (!ms || !entry_held_has_room(c->e))
 		return false;
 	c->state = CALL_AWAITING_CONFIG;
 	c->deadline = now + ms;
--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -14,6 +14,8 @@
 /* A response up to this size is held until it is complete, so that the attempt
  * can still be retried; a larger one is forwarded as it arrives. */
 #define HELD_BODY_MAX (1u << 20)
+/* The text of a completion that is not streamed may have this size. */
+#define HELD_TEXT_MAX (8u << 20)
 /* The first token may take this multiple of its prediction beyond the gap. */
 #define FIRST_TOKEN_FACTOR 3
 /* Reserved of the deadline for the transfer of the endpoint's last bytes. */
@@ -159,8 +161,9 @@
 	c->sse_done = false;
 	c->sse_bad = false;
 	dl_sse_close(&c->sse);
-	if (c->response_buf && !c->resume_offset)
-		g_string_truncate(c->response_buf, 0);
+	if (!c->resume_offset)
+		call_response_clear(c);
+	entry_held_update(c);
 	if (!dl_vm_parse(dl_name_str(&c->grant.endpoint[0]), &to) ||
 	    (c->kind == DL_POOL_MODEL && !build_model_body(c))) {
 		dl_err_set(&err, -ENOMEM, DL_STEP_SEND, NULL,
@@ -362,6 +365,15 @@
 	return true;
 }
 
+/* Holds a piece of the text of a completion that is not streamed. */
+static void hold_text(struct call *c, const json_t *text)
+{
+	g_string_append_len(c->response_buf, json_string_value(text),
+			    (gssize)json_string_length(text));
+	if (c->response_buf->len > entry_held_max(c->e, HELD_TEXT_MAX))
+		c->sse_bad = true;
+}
+
 static bool handle_chunk(struct call *c, struct dl_str data)
 {
 	struct dl_chunk chunk;
@@ -386,10 +398,7 @@
 			if (c->stream)
 				go_on = relay_chunk(c, data);
 			else
-				g_string_append_len(
-					c->response_buf,
-					json_string_value(text),
-					(gssize)json_string_length(text));
+				hold_text(c, text);
 		}
 	}
 	if (chunk.has_usage) {
@@ -409,10 +418,11 @@
 	bool go_on = true;
 
 	if (c->status != STATUS_OK) {
-		if (c->response_buf->len + piece.n <= HELD_BODY_MAX)
+		if (c->response_buf->len + piece.n <=
+		    entry_held_max(c->e, HELD_BODY_MAX))
 			g_string_append_len(c->response_buf, piece.s,
 					    (gssize)piece.n);
-		return true;
+		return entry_held_may_read(c);
 	}
 	c->sse_bad = dl_sse_feed(&c->sse, piece) != 0;
 	while (!c->sse_bad && dl_sse_next(&c->sse, &event)) {
@@ -420,19 +430,22 @@
 		if (event.data.n && event.type.n == 0)
 			go_on = handle_chunk(c, event.data);
 	}
+	if (dl_sse_unfinished(&c->sse) > entry_held_max(c->e, DL_SSE_EVENT_MAX))
+		c->sse_bad = true;
 	if (c->sse_bad)
 		dl_httpc_give_up(c->attempt, "malformed completion");
 	else if (c->sse_done)
 		dl_httpc_end_within(c->attempt, LAST_BYTES_MS);
-	return go_on;
+	return entry_held_may_read(c) && go_on;
 }
 
 /*
  * Starts to forward a plain service's response that is too large to hold: its
  * head, and the body received so far.
  */
-static void begin_plain_response(struct call *c)
+static bool begin_plain_response(struct call *c)
 {
+	bool go_on;
 	struct dl_header *headers = g_new(
 		struct dl_header, OWN_HEADERS_MAX + call_headers_count(c));
 	size_t n = 0;
@@ -443,24 +456,28 @@
 	c->framing_out = dl_httpd_begin(c->http, c->status, headers, n,
 					c->response_length);
 	g_free(headers);
-	dl_httpd_send(c->http, (struct dl_str){ c->response_buf->str,
-						c->response_buf->len });
-	g_string_truncate(c->response_buf, 0);
+	go_on = dl_httpd_send(c->http, (struct dl_str){ c->response_buf->str,
+							c->response_buf->len });
+	call_response_clear(c);
+	return go_on;
 }
 
 static bool on_plain_body(void *arg, struct dl_str piece)
 {
 	struct call *c = arg;
+	bool go_on = true;
 
 	if (!c->first_byte_at)
 		note_first_byte(c);
 	c->chunks_received += piece.n;
-	if (dl_httpd_begun(c->http))
-		return dl_httpd_send(c->http, piece);
-	g_string_append_len(c->response_buf, piece.s, (gssize)piece.n);
-	if (c->response_buf->len > HELD_BODY_MAX)
-		begin_plain_response(c);
-	return true;
+	if (dl_httpd_begun(c->http)) {
+		go_on = dl_httpd_send(c->http, piece);
+	} else {
+		g_string_append_len(c->response_buf, piece.s, (gssize)piece.n);
+		if (c->response_buf->len > entry_held_max(c->e, HELD_BODY_MAX))
+			go_on = begin_plain_response(c);
+	}
+	return entry_held_may_read(c) && go_on;
 }
 
 /* Starts over at another endpoint; nothing has been sent to the caller. */
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -46,6 +46,7 @@
 	struct dl_httpd_req *unwritten; /* answered, until h2o has written it */
 	struct client *clients;
 	uint32_t conns;
+	size_t held; /* memory for responses that clients have not read */
 	bool accepting;
 	bool close_after_responses;
 };
@@ -66,6 +67,7 @@
 	bool complete;
 	enum dl_framing framing; /* of a stream */
 	size_t body_bytes;	 /* queued */
+	size_t held;		 /* memory for those that are not written */
 	h2o_buffer_t *pending;	 /* not yet passed to h2o */
 	h2o_buffer_t *in_flight; /* passed to h2o */
 };
@@ -231,11 +233,30 @@
 	dl_read_limit_whole(&client->server->read_limit, &client->read);
 }
 
+static void set_held(struct dl_httpd_req *req, size_t bytes)
+{
+	req->server->held += bytes - req->held;
+	req->held = bytes;
+}
+
+/* An empty buffer is a constant of h2o's. */
+static size_t memory_of(const h2o_buffer_t *buffer)
+{
+	return buffer && buffer->size ? buffer->capacity : 0;
+}
+
+/* Counts what a stream holds anew. */
+static void update_held(struct dl_httpd_req *req)
+{
+	set_held(req, memory_of(req->pending) + memory_of(req->in_flight));
+}
+
 /* Called when h2o frees the request, whether it was answered or not. */
 static void on_dispose(void *self)
 {
 	struct dl_httpd_req *req = self;
 
+	set_held(req, 0);
 	note_answered(req);
 	if (!req->done && !req->finishing)
 		req->server->ops->aborted(req->server->arg, req);
@@ -648,6 +669,7 @@
 {
 	req->done = true;
 	req->body_bytes = body.n;
+	set_held(req, body.n);
 	req_move(req, &req->server->unwritten);
 	send_response(req, status, headers, count, body);
 }
@@ -748,6 +770,7 @@
 	struct dl_httpd *server = req->server;
 
 	h2o_buffer_consume(&req->in_flight, req->in_flight->size);
+	update_held(req);
 	req->sending = false;
 	if (req->pending->size || req->finishing) {
 		send_pending(req);
@@ -770,6 +793,7 @@
 		memcpy(space.base, bytes.s, bytes.n);
 	req->pending->size += bytes.n;
 	req->body_bytes += bytes.n;
+	update_held(req);
 	send_pending(req);
 	return req->pending->size < STREAM_HIGH_WATER;
 }
@@ -792,6 +816,12 @@
 	return req->pending ? req->pending->size : 0;
 }
 
+/* Returns how many bytes of responses the server holds for its clients. */
+size_t dl_httpd_held(const struct dl_httpd *server)
+{
+	return server->held;
+}
+
 /*
  * Ends a stream once its bytes are sent.  If it is not complete, breaks the
  * connection so that the client can tell.
--- a/src/transport/httpd.h
+++ b/src/transport/httpd.h
@@ -90,6 +90,8 @@
 size_t dl_httpd_body_bytes(const struct dl_httpd_req *req);
 /* How many of them wait for the client to read. */
 size_t dl_httpd_unread_bytes(const struct dl_httpd_req *req);
+/* How many bytes of responses the server holds for its clients. */
+size_t dl_httpd_held(const struct dl_httpd *server);
 /* Ends a stream; if it is not complete, breaks the connection to show that. */
 void dl_httpd_finish(struct dl_httpd_req *req, bool complete);
 /* Whether a part of a request has come, and the rest is awaited. */
--- a/test/tool_http.c
+++ b/test/tool_http.c
@@ -60,8 +60,7 @@
 	{ "slow", 0, 0, G_OPTION_ARG_INT, &opt.slow_ms,
 	  "delay between the head and the body", "MS" },
 	{ "rate", 0, 0, G_OPTION_ARG_INT, &opt.rate,
-	  "read this many bytes a second, and print what came of a response "
-	  "with a length",
+	  "read this many bytes a second, and print what came of the response",
 	  "N" },
 	{ "key-file", 0, 0, G_OPTION_ARG_FILENAME, &opt.key_file,
 	  "sign with the key in this file", "FILE" },
@@ -223,48 +222,63 @@
 	return status == opt.expect ? EXIT_EXPECTED : EXIT_UNEXPECTED;
 }
 
-/* Reads until the end at a rate; returns the bytes, whose start is in head. */
-static size_t read_at_rate(int fd, char *head, size_t size)
+/* Reads until the end at a rate. */
+static GString *read_at_rate(int fd)
 {
 	gint64 begun = g_get_monotonic_time();
+	GString *all = g_string_new(NULL);
 	char buf[16384];
-	size_t n = 0;
 	ssize_t got;
 
 	while ((got = read(fd, buf, sizeof(buf))) > 0) {
-		gint64 due =
-			(gint64)(n + (size_t)got) * G_USEC_PER_SEC / opt.rate;
+		gint64 due = (gint64)(all->len + (size_t)got) * G_USEC_PER_SEC /
+			     opt.rate;
 		gint64 now = g_get_monotonic_time() - begun;
 
-		if (n < size)
-			memcpy(head + n, buf, MIN((size_t)got, size - n));
-		n += (size_t)got;
+		g_string_append_len(all, buf, got);
 		if (due > now)
 			g_usleep((gulong)(due - now));
 	}
-	return n;
+	return all;
+}
+
+/* Whether a response has come whole, by its length or its last chunk. */
+static bool is_response_whole(const GString *all, size_t body)
+{
+	static const char last_chunk[] = "\r\n0\r\n\r\n";
+	size_t n = sizeof(last_chunk) - 1, whole = 0;
+	struct dl_str head = { all->str, all->len - body };
+	char *length = strcasestr(all->str, "\r\ncontent-length:");
+
+	if (fake_head_find(head, "transfer-encoding").n)
+		return all->len > n &&
+		       memcmp(all->str + all->len - n, last_chunk, n) == 0;
+	return length && sscanf(strchr(length, ':') + 1, " %zu", &whole) == 1 &&
+	       whole == body;
 }
 
 /* Sends a request, reads its response at a rate, and says what came of it. */
 static int read_slowly(const struct fake_call_req *req)
 {
-	char head[4096] = "";
-	const char *end, *length;
-	size_t n, body, whole = 0;
 	int fd = send_head(req), status = 0;
+	bool whole = false;
+	const char *end;
+	GString *all;
+	size_t body;
 
 	if (!send_all(fd, req->body.s, req->body.n))
 		return EXIT_NO_RESPONSE;
-	n = read_at_rate(fd, head, sizeof(head) - 1);
+	all = read_at_rate(fd);
 	close(fd);
-	end = strstr(head, "\r\n\r\n");
-	length = strcasestr(head, "\r\ncontent-length:");
-	if (!end || !length || sscanf(head, "HTTP/1.1 %d", &status) != 1 ||
-	    sscanf(strchr(length, ':') + 1, " %zu", &whole) != 1)
-		return EXIT_NO_RESPONSE;
-	body = n - (size_t)(end + 4 - head);
-	printf("status=%d bytes=%zu of %zu\n", status, body, whole);
-	return body == whole ? EXIT_EXPECTED : EXIT_NO_RESPONSE;
+	end = strstr(all->str, "\r\n\r\n");
+	if (end && sscanf(all->str, "HTTP/1.1 %d", &status) == 1) {
+		body = all->len - (size_t)(end + 4 - all->str);
+		whole = is_response_whole(all, body);
+		printf("status=%d bytes=%zu%s\n", status, body,
+		       whole ? "" : ", not whole");
+	}
+	g_string_free(all, TRUE);
+	return whole ? EXIT_EXPECTED : EXIT_NO_RESPONSE;
 }
 
 static void add_took(gint64 us)
