Command line: an answer without end ends with its time

Cause: only the time without a byte was limited. Its memory was: 64 MiB of an answer are kept.

Change: an attempt ends when the time of the command is over.

Evidence: test_system_cut_cli, kind "endless" (tool_cut): five subcommands did not end within 8 s before (exit 124), each ends as unreached now.

--- a/src/cli/cli_http.c
+++ b/src/cli/cli_http.c
@@ -112,6 +112,7 @@
 		.body = dl_str_of(req->body),
 		.connect_ms = (uint32_t)MIN(CONNECT_MS, timeout_ms),
 		.idle_ms = (uint32_t)MIN(GAP_MS, timeout_ms),
+		.total_ms = (uint32_t)MAX(timeout_ms, 1),
 	};
 	struct dl_httpc *client;
 	uv_loop_t loop;
