Replicas: an answer to an order without end ends with the order

What happened: a runner that answers an order with bytes without end is read for ever by the leader: no bytes are kept, but the connection and the call are, one more with each time the order is given again.

Cause: only the time without a byte was limited.

Change: the call ends at the order's own deadline, as an unknown result.

--- a/src/replica/replica_orders.c
+++ b/src/replica/replica_orders.c
@@ -126,6 +126,7 @@
 	req.connect_ms = CONNECT_MS;
 	/* The time to connect counts towards the order's deadline. */
 	req.idle_ms = (uint32_t)MAX(left - CONNECT_MS, 1);
+	req.total_ms = (uint32_t)MAX(left, 1);
 	if (!dl_vm_parse(dl_name_str(&order->endpoint), &req.address) ||
 	    !dl_httpc_start(r->orders->httpc, &req, &call_ops, c)) {
 		dl_orders_result(r->orders->plan, order->id, DL_ORDER_FAILED,
--- a/test/test_system_cut_orders.sh
+++ b/test/test_system_cut_orders.sh
@@ -1,13 +1,14 @@
 #!/bin/sh
 # Runners that do not carry out an order and break off a 200 to it, in its head or
-# its body: the leader does not take the order for accepted, and gives it again.
+# its body: the leader does not take the order for accepted, and gives it again.  One
+# whose answer has no end is not read on for ever.
 cd "$(dirname "$0")/.." || exit 2
 . test/deploy.sh
 VMS_EACH=1
 DL_RUNNERS=3
 test_begin dala
 CUTS="length-instatus-close chunks-invalue-close length-inend-reset
-	length-nobody-close length-inline-reset close-inline-close"
+	length-nobody-close length-inline-reset close-inline-close endless"
 # An order that nobody answers is waited out for 7 s, an accepted one for 600 s.
 AGAIN_S=90
 
@@ -40,5 +41,6 @@
 	[ "$(awk -v cut="$cut" '$1 == "C" && index($0, cut)' "$RECORD" | wc -l)" = 1 ] ||
 		fail "$cut: the order was not broken off"
 done
+grep -q '^E .*endless' "$RECORD" || fail "the answer without end is still read"
 [ "$(awk '$1 == "O"' "$RECORD" | wc -l)" -ge $((DL_RUNNERS + count)) ] ||
 	fail "runners are taken to be as ordered that carried out no order"
--- a/test/tool_cut.c
+++ b/test/tool_cut.c
@@ -5,37 +5,14 @@
  *
  *   tool_cut ADDRESS FRAMING-STOP-HOW|whole|endless JSON
  */
-#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "fake/endless.h"
 #include "fake/ending.h"
 
-#define MORE_EVERY_MS 20
-
 static const char *cut;
 static struct dl_str json;
-static GPtrArray *endless; /* requests */
-
-static void on_more(uv_timer_t *timer)
-{
-	for (guint i = endless->len; i > 0; i--) {
-		struct fake_request *req = endless->pdata[i - 1];
-
-		if (fake_reply_raw(req, DL_STR("more ")))
-			continue;
-		g_ptr_array_remove_index(endless, i - 1);
-		fake_reply_drop(req, false);
-	}
-}
-
-static void begin_endless(struct fake_request *req)
-{
-	if (fake_reply_raw(req, DL_STR("HTTP/1.1 200 OK\r\n\r\n")))
-		g_ptr_array_add(endless, req);
-	else
-		fake_reply_drop(req, false);
-}
 
 static void on_request(void *arg, struct fake_request *req)
 {
@@ -45,7 +22,7 @@
 	};
 
 	if (strcmp(cut, "endless") == 0)
-		begin_endless(req);
+		fake_endless_begin(uv_default_loop(), req, NULL);
 	else if (strcmp(cut, "whole") == 0)
 		fake_reply(req, 200, headers, json);
 	else if (!fake_ending_cut(req, cut, 200, json))
@@ -54,7 +31,6 @@
 
 static void on_closed(void *arg, struct fake_request *req)
 {
-	g_ptr_array_remove(endless, req);
 }
 
 int main(int argc, char **argv)
@@ -63,7 +39,6 @@
 						    .closed = on_closed };
 	uv_loop_t *loop = uv_default_loop();
 	struct fake_server *server;
-	uv_timer_t more;
 	uint64_t at;
 
 	fake_ignore_sigpipe();
@@ -73,9 +48,6 @@
 	}
 	cut = argv[2];
 	json = dl_str_of(argv[3]);
-	endless = g_ptr_array_new();
-	uv_timer_init(loop, &more);
-	uv_timer_start(&more, on_more, MORE_EVERY_MS, MORE_EVERY_MS);
 	if (fake_server_open(loop, at, &ops, NULL, &server)) {
 		fprintf(stderr, "cut: cannot listen\n");
 		return 1;
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -16,6 +16,7 @@
 #include <uv.h>
 
 #include "fake/answer.h"
+#include "fake/endless.h"
 #include "fake/ending.h"
 #include "fake/engine.h"
 #include "fake/http.h"
@@ -219,7 +220,7 @@
 	  "end responses as requests say, with the state in", "FOLDER" },
 	{ "cut", 0, 0, G_OPTION_ARG_STRING, &opt.cut,
 	  "where the fault cut-order ends the response to an order that it does "
-	  "not carry out (fake/ending.h)",
+	  "not carry out (fake/ending.h), or endless",
 	  "TEXT" },
 	{ "ignores-fencing", 0, 0, G_OPTION_ARG_NONE, &opt.ignores_fencing,
 	  "accept orders with outdated fences", NULL },
@@ -1172,6 +1173,14 @@
 		g_strlcpy(word, json_string_value(value), 64);
 }
 
+/* The leader has closed the connection of an order without an end. */
+static void order_ended(void)
+{
+	struct job line = { .id = "order", .key = "-", .path = "/v1/orders" };
+
+	record('E', &line, opt.cut);
+}
+
 /* Order to load a model or change role; an outdated fence is rejected. */
 static void serve_order(struct fake_request *req, const json_t *o)
 {
@@ -1194,8 +1203,10 @@
 	}
 	if (fault_triggers(FAULT_CUT_ORDER)) {
 		record('C', &line, opt.cut);
-		if (!fake_ending_cut(req, opt.cut, 200,
-				     DL_STR("{\"fence\": 1}")))
+		if (strcmp(opt.cut, "endless") == 0)
+			fake_endless_begin(uv_default_loop(), req, order_ended);
+		else if (!fake_ending_cut(req, opt.cut, 200,
+					  DL_STR("{\"fence\": 1}")))
 			abort();
 		return;
 	}
