Entries: a cancellation at an engine ends

What happened: an engine that answers a cancellation with bytes without end is read for ever: no bytes are kept, but a connection and a call are, for each caller that leaves.

Cause: only the time without a byte was limited.

Change: the call ends after the time to connect and the longest silence of the service together.

Evidence: test_system_endless_cancel (fault endless-cancel of the emulated engine): 4 of 4 still read after 8.5 s before, 0 now.

--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -197,6 +197,7 @@
 	req.path = dl_str_of(path);
 	req.connect_ms = c->connect_ms;
 	req.idle_ms = c->gap_ms;
+	req.total_ms = c->connect_ms + c->gap_ms;
 	dl_httpc_start(c->e->httpc, &req, &no_callbacks, NULL);
 }
 
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -55,6 +55,7 @@
 	FAULT_INVALID,
 	FAULT_MISREPORT_LOAD,
 	FAULT_CUT_ORDER,
+	FAULT_ENDLESS_CANCEL,
 	FAULT_COUNT
 };
 
@@ -71,6 +72,7 @@
 	[FAULT_INVALID] = "invalid",
 	[FAULT_MISREPORT_LOAD] = "lie-load",
 	[FAULT_CUT_ORDER] = "cut-order",
+	[FAULT_ENDLESS_CANCEL] = "endless-cancel",
 };
 
 /* One request, until its response is no longer kept for resumption. */
@@ -1089,6 +1091,14 @@
 		pump_plain(job, now_ms());
 }
 
+/* The VM has closed the connection of a cancellation without an end. */
+static void cancel_ended(void)
+{
+	struct job line = { .id = "cancel", .key = "-", .path = "-" };
+
+	record('E', &line, "endless");
+}
+
 static void serve_cancel(struct fake_request *req, const char *id)
 {
 	struct job *job = g_hash_table_lookup(state.jobs, id);
@@ -1099,6 +1109,10 @@
 	}
 	job_end(job, "cancelled");
 	g_hash_table_remove(state.jobs, id);
+	if (fault_triggers(FAULT_ENDLESS_CANCEL)) {
+		fake_endless_begin(state.loop, req, cancel_ended);
+		return;
+	}
 	fake_reply(req, 204, NULL, DL_STR(""));
 }
 
