test_system_stop_late: calls late in a planned stop, in calm

Reported elsewhere (LOST): requests that came late in the grace of a planned stop were taken and cut off at its end. No test had long calls. Nothing is changed.

--- a/test/tool_runner.c
+++ b/test/tool_runner.c
@@ -36,7 +36,8 @@
 	gboolean endless_fast;
 	char **argv;
 	int instance_crashes;
-	int slots, events, event_ms, first_event_ms, orphans, pad_headers;
+	int slots, events, event_ms, first_event_ms, orphans, pad_headers,
+		answer_ms;
 	gboolean plain, quiet_while_busy, mute_orders;
 	gboolean abrupt;
 	gboolean unheard;
@@ -61,6 +62,8 @@
 	  "concurrent requests to announce", "N" },
 	{ "events", 0, 0, G_OPTION_ARG_INT, &opt.events, "events per stream",
 	  "N" },
+	{ "answer-ms", 0, 0, G_OPTION_ARG_INT, &opt.answer_ms,
+	  "time to a plain answer", "MS" },
 	{ "event-ms", 0, 0, G_OPTION_ARG_INT, &opt.event_ms,
 	  "time between events", "MS" },
 	{ "first-event-ms", 0, 0, G_OPTION_ARG_INT, &opt.first_event_ms,
@@ -167,6 +170,7 @@
 	int64_t at;
 	bool begun;
 	bool crashes; /* after its first event */
+	bool plain;   /* answered at once, when it is due */
 };
 
 static uv_loop_t *loop;
@@ -617,6 +621,19 @@
 	return open;
 }
 
+/* Answers a call some time later. */
+static void begin_plain(struct fake_request *req, const char *attempt)
+{
+	struct job *job = g_new0(struct job, 1);
+
+	job->req = req;
+	g_strlcpy(job->attempt, attempt, sizeof(job->attempt));
+	job->at = (int64_t)uv_now(loop) + opt.answer_ms;
+	job->plain = true;
+	fake_request_set_owner(req, job);
+	g_ptr_array_add(jobs, job);
+}
+
 static void on_request(void *arg, struct fake_request *req)
 {
 	struct dl_str target = header(req, "daisyledge-target-instance");
@@ -653,8 +670,10 @@
 		snprintf(attempt, sizeof(attempt), "another");
 	if (serve_endless(req) || serve_ending(req, attempt))
 		return;
-	if (opt.plain || strcmp(opt.fault, "error") == 0 ||
-	    strcmp(opt.fault, "json") == 0)
+	if (opt.plain && opt.answer_ms)
+		begin_plain(req, attempt);
+	else if (opt.plain || strcmp(opt.fault, "error") == 0 ||
+		 strcmp(opt.fault, "json") == 0)
 		reply_plain(req, attempt);
 	else
 		begin_stream(req, attempt);
@@ -692,6 +711,11 @@
 
 	if (now < job->at)
 		return true;
+	if (job->plain) {
+		fake_request_set_owner(job->req, NULL);
+		reply_plain(job->req, job->attempt);
+		return false;
+	}
 	if (job->next == FAULT_EVENT && strcmp(opt.fault, "silent") == 0)
 		return true;
 	if (job->next == FAULT_EVENT && strcmp(opt.fault, "cut") == 0) {
