test_system_early_answers: half an answer to a long upload, and a reset

The incident through real processes: an emulated endpoint answers as soon as it has the head of an upload of 7 MB, with neither length nor chunks, sends half of the body, reads on to a random place of the upload and resets the connection. 24 calls at once, that may be repeated and that may not, directly and through another VM. It is rare by nature; test_httpc and test_tunnel bring the two orders of read and write about at will.

--- a/test/tool_answers.c
+++ b/test/tool_answers.c
@@ -19,13 +19,14 @@
 #include "fake/http.h"
 #include "fake/own_answer.h"
 
-#define AT_ONCE_MAX 16
+#define AT_ONCE_MAX 96
 #define POLL_MS	    5
 
 static struct {
 	char *to, *path, *framings, *when, *tag, *method;
 	char **headers;
 	int calls, at_once, timeout_ms, deadline_ms, served_min, served_max;
+	int body_bytes;
 	gboolean stream;
 } opt = { .framings = "length,chunks",
 	  .when = "now",
@@ -35,7 +36,8 @@
 	  .at_once = 4,
 	  .timeout_ms = 6000,
 	  .deadline_ms = 2000,
-	  .served_max = G_MAXINT };
+	  .served_max = G_MAXINT,
+	  .body_bytes = 6 };
 
 static const GOptionEntry options[] = {
 	{ "to", 0, 0, G_OPTION_ARG_STRING, &opt.to,
@@ -64,6 +66,8 @@
 	  "the answers consist of events", NULL },
 	{ "served-min", 0, 0, G_OPTION_ARG_INT, &opt.served_min,
 	  "fail if fewer are served", "N" },
+	{ "body-bytes", 0, 0, G_OPTION_ARG_INT, &opt.body_bytes,
+	  "length of the body of a POST", "N" },
 	{ "served-max", 0, 0, G_OPTION_ARG_INT, &opt.served_max,
 	  "fail if more are served", "N" },
 	{ NULL },
@@ -128,9 +132,15 @@
 			c->id, opt.deadline_ms);
 	for (char **h = opt.headers; h && *h; h++)
 		g_string_append_printf(out, "%s\r\n", *h);
-	g_string_append(out, strcmp(opt.method, "POST") == 0 ?
-				     "Content-Length: 6\r\n\r\nprompt" :
-				     "\r\n");
+	if (strcmp(opt.method, "POST") == 0) {
+		g_string_append_printf(out, "Content-Length: %d\r\n\r\n",
+				       opt.body_bytes);
+		g_string_set_size(out, out->len + (gsize)opt.body_bytes);
+		memset(out->str + out->len - opt.body_bytes, 'p',
+		       (size_t)opt.body_bytes);
+	} else {
+		g_string_append(out, "\r\n");
+	}
 	c->fd = socket(AF_INET, SOCK_STREAM, 0);
 	if (connect(c->fd, (const struct sockaddr *)&sin, sizeof(sin)) ||
 	    write(c->fd, out->str, out->len) != (ssize_t)out->len)
--- a/test/tool_stutter.c
+++ b/test/tool_stutter.c
@@ -50,6 +50,8 @@
 	FAULT_CLOSE, /* two answers, of which only the close ends the first */
 	FAULT_IDS,   /* more than one attempt id in a head */
 	FAULT_HEAD,  /* a head that is none of HTTP */
+	FAULT_EARLY, /* half an answer to the head of a request; a reset later
+		      */
 };
 
 /* Where the chunk in which an answer is cut ends in the second answer. */
@@ -104,6 +106,7 @@
 	{ .name = "id-twice", .fault = FAULT_IDS, .ids = "oo" },
 	{ .name = "id-other-first", .fault = FAULT_IDS, .ids = "xo" },
 	{ .name = "id-other-last", .fault = FAULT_IDS, .ids = "ox" },
+	{ .name = "early", .fault = FAULT_EARLY },
 	{ .name = "status-000", LINE("HTTP/1.1 000 Trouble") },
 	{ .name = "status-600", LINE("HTTP/1.1 600 Trouble") },
 	{ .name = "status-999", LINE("HTTP/1.1 999 Trouble") },
@@ -155,6 +158,8 @@
 	struct answer last; /* the last answer, and the same without an id */
 	struct answer last_no_id;
 	bool close_then, closing;
+	bool early;	 /* the answer is sent, the request still read */
+	uint64_t unread; /* bytes of it until the reset */
 	int handles;
 };
 
@@ -583,6 +588,40 @@
 	read_fault(r);
 }
 
+static void free_request(struct request *r)
+{
+	g_free(r->id);
+	g_free(r->path);
+}
+
+static void reset_conn(struct conn *c)
+{
+	if (c->closing)
+		return;
+	c->closing = true;
+	uv_tcp_close_reset(&c->tcp, on_closed);
+	uv_close((uv_handle_t *)&c->late, on_closed);
+}
+
+/*
+ * Answers the head of a request with half an answer that only the end of the
+ * connection marks, and reads on to a random place of the body.
+ */
+static void answer_early(struct conn *c, const struct request *r,
+			 uint64_t length)
+{
+	char *stamp = next_stamp(r);
+	struct answer a = make_answer(r, FRAMED_CLOSE, 200, stamp, "o");
+
+	append_line(record_fd, "%s %s %s\n", opt.instance, r->id, r->path);
+	note_fault(r->id, r->kind);
+	send_bytes(c, copy_of(&a, CUT_BODY), false);
+	c->early = true;
+	c->unread = (uint64_t)(g_random_double() * (double)length);
+	free_answer(&a);
+	g_free(stamp);
+}
+
 /* Answers the requests that have come; the entry sends a length with each. */
 static void take_requests(struct conn *c)
 {
@@ -595,19 +634,26 @@
 		uint64_t length = 0;
 
 		dl_str_to_u64(fake_head_find(head, "content-length"), &length);
+		read_request(head, &r);
+		if (r.kind->fault == FAULT_EARLY) {
+			answer_early(c, &r, length);
+			free_request(&r);
+			return;
+		}
 		if (length > REQUEST_MAX ||
 		    fake_head_find(head, "transfer-encoding").n) {
 			fprintf(stderr, "stutter: a request with chunks\n");
 			close_conn(c);
+			free_request(&r);
 			return;
 		}
-		if (c->in->len < head.n + length)
+		if (c->in->len < head.n + length) {
+			free_request(&r);
 			return;
-		read_request(head, &r);
+		}
 		g_string_erase(c->in, 0, (gssize)(head.n + length));
 		answer(c, &r);
-		g_free(r.id);
-		g_free(r.path);
+		free_request(&r);
 	}
 }
 
@@ -626,6 +672,12 @@
 		close_conn(c);
 		return;
 	}
+	if (c->early) {
+		c->unread -= MIN(c->unread, (uint64_t)n);
+		if (!c->unread)
+			reset_conn(c);
+		return;
+	}
 	g_string_append_len(c->in, buf->base, n);
 	take_requests(c);
 }
