test_system_endless_text: the text of a completion has a bound

What callers saw: an engine that sends events of a completion without end, to a caller that wants the text as a whole, took memory until the deadline (open in docs/design/calls.md).

--- a/test/fake/endless.c
+++ b/test/fake/endless.c
@@ -3,10 +3,11 @@
 
 #include <glib.h>
 
-#define MORE_EVERY_MS 20
+#define MORE_EVERY_MS 5
 
 struct response {
 	struct fake_request *req;
+	struct dl_str more;
 	void (*ended)(void);
 };
 
@@ -18,7 +19,7 @@
 	for (guint i = responses->len; i > 0; i--) {
 		struct response *r = responses->pdata[i - 1];
 
-		if (fake_reply_raw(r->req, DL_STR("more ")))
+		if (fake_reply_raw(r->req, r->more))
 			continue;
 		if (r->ended)
 			r->ended();
@@ -28,7 +29,7 @@
 }
 
 void fake_endless_begin(uv_loop_t *loop, struct fake_request *req,
-			void (*ended)(void))
+			struct dl_str more, void (*ended)(void))
 {
 	struct response *r = g_new0(struct response, 1);
 
@@ -38,6 +39,7 @@
 		uv_timer_start(&timer, on_more, MORE_EVERY_MS, MORE_EVERY_MS);
 	}
 	r->req = req;
+	r->more = more;
 	r->ended = ended;
 	g_ptr_array_add(responses, r);
 	fake_reply_raw(req, DL_STR("HTTP/1.1 200 OK\r\n\r\n"));
--- a/test/fake/endless.h
+++ b/test/fake/endless.h
@@ -7,10 +7,10 @@
 #include "http.h"
 
 /*
- * Begins such a response.  ended() is called, if given, once the client has
- * closed the connection.
+ * Begins a success whose body is more, again and again.  ended() is called, if
+ * given, once the client has closed the connection.  more must stay valid.
  */
 void fake_endless_begin(uv_loop_t *loop, struct fake_request *req,
-			void (*ended)(void));
+			struct dl_str more, void (*ended)(void));
 
 #endif
--- a/test/tool_cut.c
+++ b/test/tool_cut.c
@@ -22,7 +22,8 @@
 	};
 
 	if (strcmp(cut, "endless") == 0)
-		fake_endless_begin(uv_default_loop(), req, NULL);
+		fake_endless_begin(uv_default_loop(), req, DL_STR("more "),
+				   NULL);
 	else if (strcmp(cut, "whole") == 0)
 		fake_reply(req, 200, headers, json);
 	else if (!fake_ending_cut(req, cut, 200, json))
--- a/test/tool_endpoint.c
+++ b/test/tool_endpoint.c
@@ -56,6 +56,7 @@
 	FAULT_MISREPORT_LOAD,
 	FAULT_CUT_ORDER,
 	FAULT_ENDLESS_CANCEL,
+	FAULT_ENDLESS_TEXT,
 	FAULT_COUNT
 };
 
@@ -73,8 +74,12 @@
 	[FAULT_MISREPORT_LOAD] = "lie-load",
 	[FAULT_CUT_ORDER] = "cut-order",
 	[FAULT_ENDLESS_CANCEL] = "endless-cancel",
+	[FAULT_ENDLESS_TEXT] = "endless-text",
 };
 
+/* Of one event of an endless completion. */
+#define ENDLESS_TEXT_BYTES 60000
+
 /* One request, until its response is no longer kept for resumption. */
 struct job {
 	char *id;
@@ -1041,6 +1046,21 @@
 		job->until = now_ms() + RESPONSE_KEEP_MS;
 }
 
+/* Answers with whole events of a completion that has no end. */
+static void serve_endless_text(struct fake_request *req)
+{
+	static GString *event;
+
+	if (!event) {
+		event = g_string_new("data: {\"choices\":[{\"text\":\"");
+		for (int i = 0; i < ENDLESS_TEXT_BYTES; i++)
+			g_string_append_c(event, 'x');
+		g_string_append(event, "\"}]}\n\n");
+	}
+	fake_endless_begin(state.loop, req,
+			   (struct dl_str){ event->str, event->len }, NULL);
+}
+
 static void serve_completion(struct fake_request *req)
 {
 	struct dl_str body = fake_request_body(req);
@@ -1049,6 +1069,10 @@
 	struct job *job;
 	json_t *o;
 
+	if (fault_triggers(FAULT_ENDLESS_TEXT)) {
+		serve_endless_text(req);
+		return;
+	}
 	if (offset.n) {
 		serve_resume(req, offset);
 		return;
@@ -1110,7 +1134,8 @@
 	job_end(job, "cancelled");
 	g_hash_table_remove(state.jobs, id);
 	if (fault_triggers(FAULT_ENDLESS_CANCEL)) {
-		fake_endless_begin(state.loop, req, cancel_ended);
+		fake_endless_begin(state.loop, req, DL_STR("more "),
+				   cancel_ended);
 		return;
 	}
 	fake_reply(req, 204, NULL, DL_STR(""));
@@ -1218,7 +1243,8 @@
 	if (fault_triggers(FAULT_CUT_ORDER)) {
 		record('C', &line, opt.cut);
 		if (strcmp(opt.cut, "endless") == 0)
-			fake_endless_begin(uv_default_loop(), req, order_ended);
+			fake_endless_begin(state.loop, req, DL_STR("more "),
+					   order_ended);
 		else if (!fake_ending_cut(req, opt.cut, 200,
 					  DL_STR("{\"fence\": 1}")))
 			abort();
