test_system_platform: wait until VMs have earned repeats

The first stream of the test that breaks comes before the VMs have earned one repeat. Waits 2 s before it, as test/answers_deploy.sh's users do; what is checked stays.

--- a/test/test_system_platform.sh
+++ b/test/test_system_platform.sh
@@ -37,6 +37,7 @@
 # Endpoint faults: the endpoint that was registered first is chosen, and its
 # stream resumes at the next one.
 retire runner_w1
+sleep 2 # until the VMs have earned repeats
 host=10
 for fault in cut silent not-run foreign; do
 	host=$((host + 2))
