--- a/src/entry/entry_held.c
+++ b/src/entry/entry_held.c
@@ -10,16 +10,16 @@
 
 /* An answer may always have this size before it is sent. */
 #define SMALL_BYTES (64u << 10)
-/* What an answer takes at most before it is asked again whether it may. */
+/* What an answer that is read on may take until it is counted again. */
 #define READ_BYTES (128u << 10)
 
-/* Most bytes of requests, and as many of answers. */
+/* Returns the limit on bytes of requests, and that on bytes of answers. */
 static uint64_t limit(const struct entry *e)
 {
 	return (uint64_t)e->node.settings.buffer_mb << 20;
 }
 
-/* Bytes of answers that are being received, or that callers have not read. */
+/* Returns the memory for answers that callers have not read, bytes. */
 static uint64_t held(const struct entry *e)
 {
 	uint64_t bytes = e->answers_held;
@@ -29,6 +29,7 @@
 	return bytes;
 }
 
+/* Returns the memory of a buffer, bytes. */
 static size_t allocated(const GString *s)
 {
 	return s ? s->allocated_len : 0;
@@ -40,8 +41,10 @@
 	return e->buffered <= limit(e) && held(e) <= limit(e);
 }
 
-/* Returns how many bytes of an answer may be held before it is sent, if max
- * may be where there is memory enough. */
+/*
+ * Returns how many bytes of an answer may be held before it is sent; max where
+ * there is memory enough.
+ */
 size_t entry_held_max(const struct entry *e, size_t max)
 {
 	return held(e) <= limit(e) / 2 ? max : MIN(max, SMALL_BYTES);
@@ -86,6 +89,7 @@
 	return false;
 }
 
+/* Returns the request that came first; NULL: none. */
 static struct call *oldest(struct entry *e)
 {
 	struct call *c = e->calls;
--- a/src/entry/entry_relay.c
+++ b/src/entry/entry_relay.c
@@ -588,6 +588,7 @@
 	dl_httpc_reject(c->attempt, "another response begins in its body");
 }
 
+/* Gives up a stream whose event is longer than any may be. */
 static void give_up_event(struct call *c)
 {
 	c->route.head.event_too_long = true;
@@ -676,6 +677,7 @@
 	return hold_body(c, piece);
 }
 
+/* Returns false where the caller, or memory, has to be waited for. */
 static bool on_body(void *arg, struct dl_str piece)
 {
 	struct call *c = arg;
--- a/src/entry/entry_try.c
+++ b/src/entry/entry_try.c
@@ -442,14 +442,15 @@
 
 /*
  * Starts to forward a plain service's response that is too large to hold: its
- * head, and the body received so far.
+ * head, and the body received so far. Returns false where the caller has to
+ * read first.
  */
 static bool begin_plain_response(struct call *c)
 {
-	bool go_on;
 	struct dl_header *headers = g_new(
 		struct dl_header, OWN_HEADERS_MAX + call_headers_count(c));
 	size_t n = 0;
+	bool go_on;
 
 	headers[n++] = (struct dl_header){ DL_STR("Daisyledge-Request"),
 					   dl_str_of(c->id_text) };
--- a/src/transport/httpc.c
+++ b/src/transport/httpc.c
@@ -300,7 +300,7 @@
 			0;
 }
 
-/* Whether a body has chunks and no other coding, which no caller asked for. */
+/* Whether a body has chunks and no other coding; no request asks for one. */
 static bool is_chunked(struct dl_str coding)
 {
 	while (coding.n && g_ascii_isspace(coding.s[coding.n - 1]))
@@ -440,8 +440,8 @@
 }
 
 /*
- * Whether the peer has got the whole request.  A write that failed has taken
- * the error of a reset from the socket, which then ends like an orderly close.
+ * Whether the peer has got the whole request.  After a write that failed, the
+ * error of a reset is gone from the socket, and a read finds an orderly close.
  */
 static bool has_whole_request(const struct conn *conn)
 {
@@ -461,7 +461,7 @@
 			end_complete(call, 0);
 			return;
 		}
-		why = "connection was closed before the request was sent";
+		why = "connection ended before the request was sent";
 	}
 	schedule_end(call, DL_FAILURE_RESET, current_step(call), why);
 }
--- a/src/transport/httpd.c
+++ b/src/transport/httpd.c
@@ -46,7 +46,7 @@
 	struct dl_httpd_req *unwritten; /* answered, until h2o has written it */
 	struct client *clients;
 	uint32_t conns;
-	size_t held; /* memory for responses that clients have not read */
+	size_t held; /* memory for responses that are not written, bytes */
 	bool accepting;
 	bool close_after_responses;
 };
@@ -67,7 +67,7 @@
 	bool complete;
 	enum dl_framing framing; /* of a stream */
 	size_t body_bytes;	 /* queued */
-	size_t held;		 /* memory for those that are not written */
+	size_t held;		 /* memory for the response, bytes */
 	h2o_buffer_t *pending;	 /* not yet passed to h2o */
 	h2o_buffer_t *in_flight; /* passed to h2o */
 };
@@ -233,13 +233,15 @@
 	dl_read_limit_whole(&client->server->read_limit, &client->read);
 }
 
+/* Sets the memory that a response takes, bytes. */
 static void set_held(struct dl_httpd_req *req, size_t bytes)
 {
 	req->server->held += bytes - req->held;
 	req->held = bytes;
 }
 
-/* An empty buffer is a constant of h2o's. */
+/* Returns the memory of a buffer, bytes; an empty one is a constant of h2o's.
+ */
 static size_t memory_of(const h2o_buffer_t *buffer)
 {
 	return buffer && buffer->size ? buffer->capacity : 0;
@@ -822,10 +824,7 @@
 	return server->held;
 }
 
-/*
- * Drops what a client that reads slowly has not got of a response which is not
- * complete: it may never read that.
- */
+/* Drops what is queued of a response that is not complete. */
 static void drop_unread(struct dl_httpd_req *req)
 {
 	h2o_buffer_consume(&req->pending, req->pending->size);
