test_system_stop_change: wait until the leader is in its log

Traced to the test: it asks the logs for the leader as soon as the entries are ready. Replica 1 led from .360 of the second, the entries had the configuration at .365, and change 6 was sent at .383 to an empty address: the line "Leading." was not in the file yet, as lines leave through a ring that is written once an iteration of the loop. The product answered nothing wrong, it was not asked.

Now the test waits for the line; what it checks is unchanged.

--- a/test/test_system_stop_change.sh
+++ b/test/test_system_stop_change.sh
@@ -14,7 +14,12 @@
 log_of() {
 	echo "$DIR/replica-$1.log"
 }
-leader=$(leading_replica "$(log_of 1)" "$(log_of 2)" "$(log_of 3)")
+# Lines reach the logs a moment after what they tell of.
+leader_is_logged() {
+	leader=$(leading_replica "$(log_of 1)" "$(log_of 2)" "$(log_of 3)")
+	[ -n "$leader" ]
+}
+wait_for 5 "the leader in the logs" leader_is_logged || fail "no leader is logged"
 
 # The disks of the others hold changes up for longer than a replica may take to stop.
 for d in 1 2 3; do
